--- /dev/null
+++ b/pkg/kumquatlug/table.go
@@ -0,0 +1,96 @@
+package kumquatlug
+
+// Row is one row of the platform's [Table].
+type Row struct {
+	key     string
+	value   []byte
+	version int64
+}
+
+// NewRow returns a row as the table holds it. A version of zero says that the
+// row is absent; versions rise with each write of the row.
+func NewRow(key string, value []byte, version int64) Row {
+	return Row{key: key, value: value, version: version}
+}
+
+// Key returns the row's key.
+func (r Row) Key() string { return r.key }
+
+// Value returns the row's bytes; they must not be changed.
+func (r Row) Value() []byte { return r.value }
+
+// Version returns the row's version, zero when the row is absent.
+func (r Row) Version() int64 { return r.version }
+
+// Exists reports whether the row is in the table.
+func (r Row) Exists() bool { return r.version != 0 }
+
+// Tx is a transaction: conditions on row versions and writes that take effect
+// together or not at all.
+type Tx struct {
+	id         string
+	conditions []Condition
+	writes     []Write
+}
+
+// NewTx starts a transaction. The id is unique to this attempt, so that a
+// writer whose answer was lost can tell its own write from another's.
+func NewTx(id string) Tx {
+	return Tx{id: id}
+}
+
+// If returns the transaction with one more condition: the row at key has this
+// version, zero for absent.
+func (t Tx) If(key string, version int64) Tx {
+	t.conditions = append(t.conditions[:len(t.conditions):len(t.conditions)], Condition{key: key, version: version})
+	return t
+}
+
+// Put returns the transaction with one more row to write.
+func (t Tx) Put(key string, value []byte) Tx {
+	t.writes = append(t.writes[:len(t.writes):len(t.writes)], Write{key: key, value: value})
+	return t
+}
+
+// Delete returns the transaction with one more row to remove.
+func (t Tx) Delete(key string) Tx {
+	t.writes = append(t.writes[:len(t.writes):len(t.writes)], Write{key: key, deleted: true})
+	return t
+}
+
+// ID returns the id of the attempt.
+func (t Tx) ID() string { return t.id }
+
+// Conditions returns what must hold for the transaction to take effect.
+func (t Tx) Conditions() []Condition { return t.conditions }
+
+// Writes returns the rows to write or remove.
+func (t Tx) Writes() []Write { return t.writes }
+
+// Condition demands that a row has a version.
+type Condition struct {
+	key     string
+	version int64
+}
+
+// Key returns the key of the row that is checked.
+func (c Condition) Key() string { return c.key }
+
+// Version returns the version demanded, zero for absent.
+func (c Condition) Version() int64 { return c.version }
+
+// Write puts or removes one row.
+type Write struct {
+	key     string
+	value   []byte
+	deleted bool
+}
+
+// Key returns the key of the row.
+func (w Write) Key() string { return w.key }
+
+// Value returns the bytes to store, nil when the row is removed.
+func (w Write) Value() []byte { return w.value }
+
+// Deleted reports whether the row is removed.
+func (w Write) Deleted() bool { return w.deleted }
--- /dev/null
+++ b/pkg/kumquatlug/work.go
@@ -0,0 +1,156 @@
+package kumquatlug
+
+import (
+	"io"
+	"net/http"
+)
+
+// Protocol is how a target is spoken to.
+type Protocol string
+
+// The protocols of targets.
+const (
+	// ProtocolEngine is a language-model engine with an OpenAI-compatible API.
+	ProtocolEngine Protocol = "engine"
+	// ProtocolService is a plain HTTP service.
+	ProtocolService Protocol = "service"
+)
+
+// Role is what part of the work a target does.
+type Role string
+
+// The roles that a selector may give.
+const (
+	// RoleBoth runs prompts and generates output in one place.
+	RoleBoth Role = "both"
+	// RolePrefill runs prompts and exports the KV cache.
+	RolePrefill Role = "prefill"
+	// RoleDecode imports the KV cache and generates output.
+	RoleDecode Role = "decode"
+	// RoleServe answers calls of a plain service.
+	RoleServe Role = "serve"
+)
+
+// Kind names a kind of work: a model, or a plain service.
+type Kind struct {
+	protocol Protocol
+	name     string
+}
+
+// NewKind returns the kind of work that protocol and name stand for.
+func NewKind(protocol Protocol, name string) Kind {
+	return Kind{protocol: protocol, name: name}
+}
+
+// Protocol returns how targets of this kind are spoken to.
+func (k Kind) Protocol() Protocol { return k.protocol }
+
+// Name returns the model's or service's name.
+func (k Kind) Name() string { return k.name }
+
+// String returns the kind as "engine/name" or "service/name".
+func (k Kind) String() string { return string(k.protocol) + "/" + k.name }
+
+// VMState is what the platform says of a VM.
+type VMState string
+
+// The states in the platform's list.
+const (
+	VMLive    VMState = "live"
+	VMLeaving VMState = "leaving"
+)
+
+// VMRole is what runs on a VM.
+type VMRole string
+
+// The roles of VMs.
+const (
+	VMEntry  VMRole = "entry"
+	VMTarget VMRole = "target"
+)
+
+// VM is one line of the platform's list.
+type VM struct {
+	name    string
+	role    VMRole
+	address string
+	zone    string
+	state   VMState
+}
+
+// VMConfig is what a [VM] is made of.
+type VMConfig struct {
+	Name string
+	Role VMRole
+	// Address is IP:port of the process of ours on the VM, for its peers.
+	Address string
+	// Zone is the VM's data centre.
+	Zone  string
+	State VMState
+}
+
+// NewVM returns the VM that c describes.
+func NewVM(c VMConfig) VM {
+	return VM{name: c.Name, role: c.Role, address: c.Address, zone: c.Zone, state: c.State}
+}
+
+// Name returns the VM's name, which is also its target's.
+func (v VM) Name() string { return v.name }
+
+// Role returns what runs on the VM.
+func (v VM) Role() VMRole { return v.role }
+
+// Address returns IP:port of our process on the VM.
+func (v VM) Address() string { return v.address }
+
+// Zone returns the VM's data centre.
+func (v VM) Zone() string { return v.zone }
+
+// State returns whether the VM is live or leaving.
+func (v VM) State() VMState { return v.state }
+
+// Call is one call to a target, as the process beside the target makes it.
+type Call struct {
+	method string
+	path   string
+	header http.Header
+	body   io.Reader
+}
+
+// NewCall returns a call; path is the target's own, query included.
+func NewCall(method, path string, header http.Header, body io.Reader) Call {
+	return Call{method: method, path: path, header: header, body: body}
+}
+
+// Method returns the HTTP method.
+func (c Call) Method() string { return c.method }
+
+// Path returns the target's own path, query included.
+func (c Call) Path() string { return c.path }
+
+// Header returns the headers for the target.
+func (c Call) Header() http.Header { return c.header }
+
+// Body returns the body to send, nil for none.
+func (c Call) Body() io.Reader { return c.body }
+
+// Answer is what a target returned.
+type Answer struct {
+	status int
+	header http.Header
+	body   io.ReadCloser
+}
+
+// NewAnswer returns an answer whose body the receiver closes.
+func NewAnswer(status int, header http.Header, body io.ReadCloser) Answer {
+	return Answer{status: status, header: header, body: body}
+}
+
+// Status returns the HTTP status.
+func (a Answer) Status() int { return a.status }
+
+// Header returns the target's headers.
+func (a Answer) Header() http.Header { return a.header }
+
+// Body returns the body, to be read once and closed.
+func (a Answer) Body() io.ReadCloser { return a.body }
