--- /dev/null
+++ b/internal/caller/body.go
@@ -0,0 +1,54 @@
+package caller
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/kumquatlug/kumquatlug/internal/peer"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+// readBody reads the whole body before the request takes a place anywhere, so
+// that a caller that sends slowly holds nothing but its own connection.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *kumquatlug.Failure) {
+	limit := http.NewResponseController(w)
+	_ = limit.SetReadDeadline(time.Now().Add(h.bodyTimeout.Duration()))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.maxBody))
+	_ = limit.SetReadDeadline(time.Time{})
+	if err == nil {
+		return body, nil
+	}
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return nil, refusalFor("read body", "body_too_large", http.StatusRequestEntityTooLarge,
+			errors.Newf("more than %d bytes", h.maxBody))
+	}
+	return nil, refusalFor("read body", "body_not_read", http.StatusRequestTimeout, err)
+}
+
+// maxTimeout bounds what a caller may ask for: a day.
+const maxTimeout = 24 * kumquatlug.Hour
+
+// timeoutOf returns the time that the caller gives the request, zero when it
+// names none: in milliseconds by our own header, or in seconds by the standard
+// "Prefer: wait=N" (RFC 7240).
+func timeoutOf(h http.Header) (kumquatlug.Millis, *kumquatlug.Failure) {
+	text, unit := h.Get(peer.HeaderTimeout), kumquatlug.Millis(1)
+	if wait, ok := strings.CutPrefix(h.Get("Prefer"), "wait="); ok && text == "" {
+		text, unit = wait, kumquatlug.Second
+	}
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n <= 0 || n > int64(maxTimeout/unit) {
+		return 0, refusalFor("read timeout", "bad_timeout", http.StatusBadRequest,
+			errors.Newf("%q is no number of milliseconds or seconds above zero and below a day", text))
+	}
+	return kumquatlug.Millis(n) * unit, nil
+}
--- /dev/null
+++ b/internal/caller/caller.go
@@ -0,0 +1,157 @@
+// Package caller speaks to callers: an OpenAI-compatible API for engines and
+// plain HTTP for services below /services/NAME/.
+//
+// Everything a caller can send wrong is answered here, at once and without a
+// place in any queue, so that it harms nobody else: a wrong key, bad JSON, an
+// unknown model, an oversized or slow body. Every refusal has a status, a JSON
+// error in the OpenAI shape, a header that says whether the work ran, and
+// Retry-After where coming back helps.
+package caller
+
+import (
+	"context"
+	"net/http"
+	"strings"
+
+	"github.com/oklog/ulid/v2"
+	"go.uber.org/zap"
+
+	"github.com/kumquatlug/kumquatlug/internal/engine"
+	"github.com/kumquatlug/kumquatlug/internal/peer"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+// Desk is what the API needs from the entry behind it.
+type Desk interface {
+	// Authenticate returns the account whose key has this hash.
+	Authenticate(keyHash string) (kumquatlug.Caller, bool)
+	// Kinds returns every kind of work that some selector hands out.
+	Kinds() []kumquatlug.Kind
+	// Generate runs g and hands its chunks to sink in order, each once. It
+	// returns when the answer is whole, or with a *kumquatlug.Failure.
+	Generate(ctx context.Context, g Generation, sink Sink) error
+	// Run makes a call to a plain service.
+	Run(ctx context.Context, c ServiceCall) (kumquatlug.Answer, error)
+}
+
+// Sink takes the chunks of one answer. An error says that the caller is gone.
+type Sink interface {
+	Chunk(c engine.Chunk) error
+}
+
+// Config says how the API treats callers.
+type Config struct {
+	Desk   Desk
+	Logger *zap.Logger
+	// MaxBody bounds a request's body in bytes; zero means DefaultMaxBody.
+	MaxBody int64
+	// BodyTimeout bounds how long a caller may take to send its body, and
+	// WriteTimeout how long it may leave one write unread, in milliseconds.
+	BodyTimeout  kumquatlug.Millis
+	WriteTimeout kumquatlug.Millis
+}
+
+// Defaults of a [Config].
+const (
+	// DefaultMaxBody holds a prompt of about two million tokens of English.
+	DefaultMaxBody = 8 << 20
+	// DefaultBodyTimeout lets 8 MiB arrive over a line of 2.2 Mbit/s.
+	DefaultBodyTimeout = 30 * kumquatlug.Second
+	// DefaultWriteTimeout is how long a caller may read nothing at all. The
+	// socket buffers some hundred kilobytes, so only one that has stopped
+	// reading meets it; its engine is then freed for others.
+	DefaultWriteTimeout = 30 * kumquatlug.Second
+)
+
+// Handler is the callers' API.
+type Handler struct {
+	desk         Desk
+	logger       *zap.Logger
+	maxBody      int64
+	bodyTimeout  kumquatlug.Millis
+	writeTimeout kumquatlug.Millis
+	mux          *http.ServeMux
+}
+
+// New returns the API that c describes.
+func New(c Config) *Handler {
+	h := &Handler{
+		desk: c.Desk, logger: c.Logger, maxBody: c.MaxBody,
+		bodyTimeout: c.BodyTimeout, writeTimeout: c.WriteTimeout, mux: http.NewServeMux(),
+	}
+	if h.maxBody == 0 {
+		h.maxBody = DefaultMaxBody
+	}
+	if h.bodyTimeout == 0 {
+		h.bodyTimeout = DefaultBodyTimeout
+	}
+	if h.writeTimeout == 0 {
+		h.writeTimeout = DefaultWriteTimeout
+	}
+	h.mux.HandleFunc("POST /v1/completions", h.completions)
+	h.mux.HandleFunc("POST /v1/chat/completions", h.completions)
+	h.mux.HandleFunc("GET /v1/models", h.models)
+	h.mux.HandleFunc("/services/{name}/{path...}", h.call)
+	h.mux.HandleFunc("/", h.notFound)
+	return h
+}
+
+// ServeHTTP gives the request an id, finds its account and serves it.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := ulid.Make().String()
+	w.Header().Set(peer.HeaderRequest, id)
+	account, ok := h.account(r)
+	if !ok {
+		h.refuse(w, id, kumquatlug.NewFailure(kumquatlug.FailureConfig{
+			Step: "authenticate", Reason: "invalid_api_key", Ran: kumquatlug.RanNot, Status: http.StatusUnauthorized,
+		}))
+		return
+	}
+	ctx := context.WithValue(r.Context(), originKey{}, origin{id: id, account: account})
+	h.mux.ServeHTTP(w, r.WithContext(ctx))
+}
+
+// originKey finds the origin of a request in its context.
+type originKey struct{}
+
+// origin is who sent a request and the id it was given.
+type origin struct {
+	id      string
+	account kumquatlug.Caller
+}
+
+func originOf(r *http.Request) origin {
+	o, _ := r.Context().Value(originKey{}).(origin)
+	return o
+}
+
+func (h *Handler) account(r *http.Request) (kumquatlug.Caller, bool) {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return kumquatlug.Caller{}, false
+	}
+	return h.desk.Authenticate(kumquatlug.HashKey(strings.TrimSpace(key)))
+}
+
+func (h *Handler) notFound(w http.ResponseWriter, r *http.Request) {
+	h.refuse(w, originOf(r).id, refusal("find path", "unknown_path", http.StatusNotFound))
+}
+
+// models lists the models that some selector hands out.
+func (h *Handler) models(w http.ResponseWriter, _ *http.Request) {
+	type model struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		OwnedBy string `json:"owned_by"`
+	}
+	list := []model{}
+	for _, kind := range h.desk.Kinds() {
+		if kind.Protocol() == kumquatlug.ProtocolEngine {
+			list = append(list, model{ID: kind.Name(), Object: "model", OwnedBy: "kumquatlug"})
+		}
+	}
+	writeJSON(w, http.StatusOK, struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}{"list", list})
+}
--- /dev/null
+++ b/internal/caller/generation.go
@@ -0,0 +1,187 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+// Figures for estimating what a request costs before it runs.
+const (
+	// bytesAToken is the usual length of a token of English or Spanish text.
+	bytesAToken = 4
+	// defaultOutput is the estimate, in tokens, for a caller who sets no bound.
+	defaultOutput = 256
+	// maxOutput refuses a bound that no engine could meet.
+	maxOutput = 1 << 20
+)
+
+// Generation is one request to a model.
+type Generation struct {
+	id        string
+	account   kumquatlug.Caller
+	kind      kumquatlug.Kind
+	path      string
+	timeout   kumquatlug.Millis
+	prompt    string
+	maxTokens int64
+	fields    map[string]json.RawMessage
+}
+
+// ID returns the request's id.
+func (g Generation) ID() string { return g.id }
+
+// Caller returns the account that asks.
+func (g Generation) Caller() kumquatlug.Caller { return g.account }
+
+// Kind returns the model asked for.
+func (g Generation) Kind() kumquatlug.Kind { return g.kind }
+
+// Path returns the path of the API that was called.
+func (g Generation) Path() string { return g.path }
+
+// Timeout returns the caller's time, zero when it named none.
+func (g Generation) Timeout() kumquatlug.Millis { return g.timeout }
+
+// Prompt returns the text that the engine has to read, for affinity.
+func (g Generation) Prompt() string { return g.prompt }
+
+// PromptTokens returns the estimated length of the prompt in tokens.
+func (g Generation) PromptTokens() int64 { return int64(len(g.prompt))/bytesAToken + 1 }
+
+// OutputTokens returns the estimated or bounded length of the answer.
+func (g Generation) OutputTokens() int64 {
+	if g.maxTokens == 0 {
+		return defaultOutput
+	}
+	return g.maxTokens
+}
+
+// Body returns what an engine is sent: the caller's own fields, always as a
+// stream that counts its tokens, from the token after resume on. Streaming
+// every answer lets one that was cut go on at another engine without a token
+// lost or doubled, also for a caller who wants it whole.
+func (g Generation) Body(resume int64, priority int) ([]byte, error) {
+	fields := make(map[string]any, len(g.fields)+4)
+	for name, value := range g.fields {
+		fields[name] = value
+	}
+	fields["stream"] = true
+	fields["stream_options"] = struct {
+		Usage      bool `json:"include_usage"`
+		Continuous bool `json:"continuous_usage_stats"`
+	}{true, true}
+	fields["priority"] = priority
+	if resume > 0 {
+		fields["resume_tokens"] = resume
+	}
+	body, err := json.Marshal(fields)
+	return body, errors.Wrap(err, "encode request")
+}
+
+// wishes are the fields of a request that we read ourselves.
+type wishes struct {
+	Model         string          `json:"model"`
+	Prompt        json.RawMessage `json:"prompt"`
+	Messages      []message       `json:"messages"`
+	MaxTokens     *int64          `json:"max_tokens"`
+	MaxCompletion *int64          `json:"max_completion_tokens"`
+	Stream        bool            `json:"stream"`
+	StreamOptions *struct {
+		Usage bool `json:"include_usage"`
+	} `json:"stream_options"`
+	N     *int64          `json:"n"`
+	Tools json.RawMessage `json:"tools"`
+}
+
+type message struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// ownFields may not come from callers: they would reorder other callers' work
+// or ask for half an answer.
+var ownFields = []string{"priority", "resume_tokens"}
+
+func badRequest(cause error) *kumquatlug.Failure {
+	return refusalFor("read request", "invalid_request", http.StatusBadRequest, cause)
+}
+
+// parse reads a request's body; path tells completions from chat.
+func parse(path string, body []byte) (Generation, wishes, *kumquatlug.Failure) {
+	var w wishes
+	g := Generation{path: path}
+	if err := json.Unmarshal(body, &w); err != nil {
+		return g, w, badRequest(err)
+	}
+	if err := json.Unmarshal(body, &g.fields); err != nil {
+		return g, w, badRequest(err)
+	}
+	for _, name := range ownFields {
+		delete(g.fields, name)
+	}
+	if w.Model == "" {
+		return g, w, badRequest(errors.New("model is missing"))
+	}
+	g.kind = kumquatlug.NewKind(kumquatlug.ProtocolEngine, w.Model)
+	if err := w.unsupported(); err != nil {
+		return g, w, badRequest(err)
+	}
+	prompt, err := w.text()
+	if err != nil {
+		return g, w, badRequest(err)
+	}
+	g.prompt = prompt
+	g.maxTokens, err = w.bound()
+	if err != nil {
+		return g, w, badRequest(err)
+	}
+	return g, w, nil
+}
+
+func (w wishes) unsupported() error {
+	if w.N != nil && *w.N != 1 {
+		return errors.New("n other than 1 is not supported")
+	}
+	if len(w.Tools) > 0 && string(w.Tools) != "null" {
+		return errors.New("tools are not supported")
+	}
+	return nil
+}
+
+// text returns what the engine reads, as far as affinity and cost need it.
+func (w wishes) text() (string, error) {
+	if w.Messages != nil {
+		var all []byte
+		for _, m := range w.Messages {
+			all = append(all, m.Role...)
+			all = append(all, m.Content...)
+		}
+		return string(all), nil
+	}
+	var prompt string
+	if len(w.Prompt) == 0 {
+		return "", errors.New("prompt or messages is missing")
+	}
+	if err := json.Unmarshal(w.Prompt, &prompt); err != nil {
+		return "", errors.New("prompt must be one string")
+	}
+	return prompt, nil
+}
+
+func (w wishes) bound() (int64, error) {
+	bound := w.MaxTokens
+	if w.MaxCompletion != nil {
+		bound = w.MaxCompletion
+	}
+	if bound == nil {
+		return 0, nil
+	}
+	if *bound < 1 || *bound > maxOutput {
+		return 0, errors.Newf("max_tokens must be 1 to %d", maxOutput)
+	}
+	return *bound, nil
+}
--- /dev/null
+++ b/internal/caller/refuse.go
@@ -0,0 +1,98 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"go.uber.org/zap"
+
+	"github.com/kumquatlug/kumquatlug/internal/peer"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+// refusal is a failure before anything was sent to a target.
+func refusal(step, reason string, status int) *kumquatlug.Failure {
+	return kumquatlug.NewFailure(kumquatlug.FailureConfig{
+		Step: step, Reason: reason, Ran: kumquatlug.RanNot, Status: status,
+	})
+}
+
+func refusalFor(step, reason string, status int, cause error) *kumquatlug.Failure {
+	return kumquatlug.NewFailure(kumquatlug.FailureConfig{
+		Step: step, Reason: reason, Ran: kumquatlug.RanNot, Status: status, Cause: cause,
+	})
+}
+
+// errorBody is the OpenAI error shape with our own fields behind it.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message    string         `json:"message"`
+	Type       string         `json:"type"`
+	Param      *string        `json:"param"`
+	Code       string         `json:"code"`
+	Ran        kumquatlug.Ran `json:"ran"`
+	Request    string         `json:"request_id"`
+	RetryAfter int64          `json:"retry_after_ms,omitempty"`
+}
+
+func bodyOf(id string, f *kumquatlug.Failure) errorBody {
+	return errorBody{errorDetail{
+		Message: messageOf(f), Type: typeOf(f.Status()), Code: f.Reason(),
+		Ran: f.Ran(), Request: id, RetryAfter: int64(f.RetryAfter()),
+	}}
+}
+
+// messageOf tells the step and the reason. The cause goes along only when the
+// caller's own request is at fault; otherwise it would name processes inside.
+func messageOf(f *kumquatlug.Failure) string {
+	text := f.Step() + ": " + f.Reason()
+	if f.Unwrap() != nil && f.Status() < http.StatusInternalServerError {
+		text += ": " + f.Unwrap().Error()
+	}
+	return text
+}
+
+func typeOf(status int) string {
+	switch {
+	case status == http.StatusUnauthorized || status == http.StatusForbidden:
+		return "authentication_error"
+	case status == http.StatusTooManyRequests:
+		return "rate_limit_error"
+	case status < http.StatusInternalServerError:
+		return "invalid_request_error"
+	default:
+		return "server_error"
+	}
+}
+
+// refuse writes f as the final answer, at once.
+func (h *Handler) refuse(w http.ResponseWriter, id string, f *kumquatlug.Failure) {
+	h.logger.Info("refused", zap.String("request", id), zap.String("step", f.Step()), zap.String("peer", f.Peer()),
+		zap.String("reason", f.Reason()), zap.String("ran", string(f.Ran())), zap.Int("status", f.Status()),
+		zap.Int64("retry_after_ms", int64(f.RetryAfter())), zap.NamedError("cause", f.Unwrap()))
+	w.Header().Set(peer.HeaderRan, string(f.Ran()))
+	if f.RetryAfter() > 0 {
+		w.Header().Set("Retry-After", strconv.FormatInt(wholeSeconds(f.RetryAfter()), 10))
+	}
+	writeJSON(w, f.Status(), bodyOf(id, f))
+}
+
+// wholeSeconds rounds up, so that nobody comes back too early.
+func wholeSeconds(m kumquatlug.Millis) int64 {
+	return int64((m + kumquatlug.Second - 1) / kumquatlug.Second)
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	text, err := json.Marshal(body)
+	if err != nil {
+		status, text = http.StatusInternalServerError, []byte(`{"error":{"code":"internal"}}`)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	w.WriteHeader(status)
+	w.Write(text)
+}
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,138 @@
+// Package engine speaks to a language-model engine: its OpenAI-compatible API
+// for work, and small JSON calls for orders, load and cache events.
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/kumquatlug/kumquatlug/internal/service"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+// maxControl bounds a control answer; a report is a few hundred bytes.
+const maxControl = 1 << 20
+
+// Engine implements kumquatlug.Target and the orders that only engines take.
+type Engine struct {
+	*service.Service
+}
+
+// New returns the engine that c names.
+func New(c service.Config) *Engine {
+	return &Engine{Service: service.New(c)}
+}
+
+// Load is what an engine says of itself, with a lag.
+type Load struct {
+	Running       int64   `json:"running"`
+	Waiting       int64   `json:"waiting"`
+	KVUsed        int64   `json:"kv_used_tokens"`
+	KVTotal       int64   `json:"kv_total_tokens"`
+	PrefillTokens float64 `json:"prefill_tokens_per_second"`
+	DecodeTokens  float64 `json:"decode_tokens_per_second"`
+	// Age is how old the reading is, in milliseconds.
+	Age int64 `json:"age_ms"`
+}
+
+// ReadLoad asks the engine for its load.
+func (e *Engine) ReadLoad(ctx context.Context) (Load, error) {
+	var load Load
+	err := e.read(ctx, "read load", "/load", &load)
+	return load, err
+}
+
+// CacheEvent says that the engine keeps, or no longer keeps, a prompt prefix.
+type CacheEvent struct {
+	Sequence int64  `json:"sequence"`
+	Prefix   string `json:"prefix"`
+	Evicted  bool   `json:"evicted"`
+}
+
+// CacheEvents returns the events after a sequence number; numbers may be
+// missing, and then what is known of the cache is in doubt.
+func (e *Engine) CacheEvents(ctx context.Context, after int64) ([]CacheEvent, error) {
+	var answer struct {
+		Events []CacheEvent `json:"events"`
+	}
+	err := e.read(ctx, "read cache events", "/cache/events?after="+strconv.FormatInt(after, 10), &answer)
+	return answer.Events, err
+}
+
+// State is how far an engine is with the orders it took.
+type State string
+
+// The states of an engine.
+const (
+	StateSettled  State = "settled"
+	StateChanging State = "changing"
+	StateUnknown  State = "unknown"
+)
+
+// Condition is an engine's state, role and last order.
+type Condition struct {
+	State State           `json:"state"`
+	Role  kumquatlug.Role `json:"role"`
+	Order string          `json:"order_id"`
+	Fence int64           `json:"fence"`
+}
+
+// ReadState asks the engine how far it is with its last order.
+func (e *Engine) ReadState(ctx context.Context) (Condition, error) {
+	var c Condition
+	err := e.read(ctx, "read state", "/state", &c)
+	return c, err
+}
+
+// Order is one order to an engine.
+type Order struct {
+	ID       string `json:"id"`
+	Fence    int64  `json:"fence,omitempty"`
+	Verb     string `json:"verb"`
+	Argument string `json:"argument"`
+}
+
+// Give hands o to the engine. An error marked kumquatlug.ErrConflict says that
+// the engine refused it; any other error leaves the effect unknown.
+func (e *Engine) Give(ctx context.Context, o Order) (Condition, error) {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return Condition{}, errors.Wrap(err, "encode order")
+	}
+	header := http.Header{"Content-Type": {"application/json"}}
+	answer, err := e.Do(ctx, kumquatlug.NewCall(http.MethodPost, "/orders", header, bytes.NewReader(body)))
+	if err != nil {
+		return Condition{}, errors.Mark(err, kumquatlug.ErrLost)
+	}
+	var c Condition
+	return c, decode("give order", answer, &c)
+}
+
+func (e *Engine) read(ctx context.Context, step, path string, into any) error {
+	answer, err := e.Get(ctx, path)
+	if err != nil {
+		return errors.Wrap(err, step)
+	}
+	return decode(step, answer, into)
+}
+
+func decode(step string, answer kumquatlug.Answer, into any) error {
+	defer answer.Body().Close()
+	text, err := io.ReadAll(io.LimitReader(answer.Body(), maxControl))
+	if err != nil {
+		return errors.Mark(errors.Wrap(err, step), kumquatlug.ErrLost)
+	}
+	if answer.Status() == http.StatusConflict {
+		return errors.Mark(errors.Newf("%s: %s", step, text), kumquatlug.ErrConflict)
+	}
+	if answer.Status() >= http.StatusMultipleChoices {
+		return errors.Newf("%s: status %d: %s", step, answer.Status(), text)
+	}
+	return errors.Wrap(json.Unmarshal(text, into), step)
+}
--- /dev/null
+++ b/internal/peer/dial.go
@@ -0,0 +1,88 @@
+package peer
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/kumquatlug/kumquatlug/internal/peer/peerv1/peerv1connect"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+// Figures for connections between processes.
+const (
+	// dialTimeout bounds connecting: peers are a few milliseconds apart, and a
+	// target that does not answer in a second is tried elsewhere.
+	dialTimeout = kumquatlug.Second
+	// idleConnections a peer: an entry has several hundred calls at a busy
+	// target in hand, and each keeps its connection while it streams.
+	idleConnections = 256
+	// idleTimeout is after how long an unused connection is closed.
+	idleTimeout = 90 * kumquatlug.Second
+)
+
+// Dialer makes clients to peers. One Dialer is shared by a process, so that
+// its connections are too. It is safe for concurrent use.
+type Dialer struct {
+	keys   *Keys
+	agents *http.Client
+	entry  *http.Client
+}
+
+// NewDialer returns a dialer that shows keys; nil keys mean plain connections.
+func NewDialer(keys *Keys) *Dialer {
+	return &Dialer{keys: keys, agents: newClient(keys, RoleAgent), entry: newClient(keys, RoleEntry)}
+}
+
+// newClient returns a client without a time limit of its own: answers stream
+// for minutes, and each call brings its deadline.
+func newClient(keys *Keys, role Role) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dialContext(dialTimeout.Duration()),
+		TLSClientConfig:     keys.Client(role),
+		TLSHandshakeTimeout: dialTimeout.Duration(),
+		MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout:     idleTimeout.Duration(),
+		DisableCompression:  true,
+	}}
+}
+
+func (d *Dialer) url(address string) string {
+	return d.keys.Scheme() + "://" + address
+}
+
+// Agent returns a client of the agent at address.
+func (d *Dialer) Agent(address string) peerv1connect.AgentServiceClient {
+	return peerv1connect.NewAgentServiceClient(d.agents, d.url(address))
+}
+
+// Peer returns a client of any process of ours at address.
+func (d *Dialer) Peer(role Role, address string) peerv1connect.PeerServiceClient {
+	if role == RoleEntry {
+		return peerv1connect.NewPeerServiceClient(d.entry, d.url(address))
+	}
+	return peerv1connect.NewPeerServiceClient(d.agents, d.url(address))
+}
+
+// WorkURL returns where the agent at address takes work with path.
+func (d *Dialer) WorkURL(address, path string) string {
+	return d.url(address) + WorkPath + path
+}
+
+// Work returns the HTTP client that carries work to agents.
+func (d *Dialer) Work() *http.Client { return d.agents }
+
+// Close closes the connections that are not in use.
+func (d *Dialer) Close() {
+	d.agents.CloseIdleConnections()
+	d.entry.CloseIdleConnections()
+}
+
+// ServerTimeouts sets on s the limits that keep a slow or silent client from
+// holding a connection: headers within five seconds, which a client a few
+// milliseconds away meets a thousand times over.
+func ServerTimeouts(s *http.Server) *http.Server {
+	s.ReadHeaderTimeout = 5 * time.Second
+	s.IdleTimeout = idleTimeout.Duration()
+	s.MaxHeaderBytes = 64 << 10
+	return s
+}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,90 @@
+package peer
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+func TestWorkTravelsInHeaders(t *testing.T) {
+	want := NewWork(WorkConfig{
+		Request: "r1", Attempt: 2, Kind: kumquatlug.NewKind(kumquatlug.ProtocolService, "gazette"), Caller: "desk",
+		Revision: 7, Timeout: 1500, Once: true, Key: "k", Epoch: 3, Fingerprint: "f", Logical: 9,
+	})
+	h := http.Header{}
+	want.Write(h)
+	got, err := ReadWork(h)
+	if err != nil || got != want {
+		t.Fatalf("got %+v, %v", got, err)
+	}
+	h.Set(HeaderRevision, "seven")
+	if _, err := ReadWork(h); err == nil {
+		t.Fatal("a revision that is no number was accepted")
+	}
+}
+
+func TestCopyHeadersKeepsSecretsAndOwnHeadersBack(t *testing.T) {
+	from := http.Header{
+		"Authorization": {"Bearer s"}, "Connection": {"close"}, HeaderRan: {"done"}, "Content-Type": {"text/plain"},
+	}
+	to := http.Header{}
+	CopyHeaders(to, from)
+	if len(to) != 1 || to.Get("Content-Type") != "text/plain" {
+		t.Fatalf("copied %v", to)
+	}
+}
+
+// An agent's key lies on every target VM. Somebody who took it from one of
+// them tries to give orders to another agent, which only entries may do.
+func TestOnlyTheRightRolePasses(t *testing.T) {
+	authority, err := NewAuthority(time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	agent, entry := keysFor(t, authority, RoleAgent), keysFor(t, authority, RoleEntry)
+	other, err := NewAuthority(time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewUnstartedServer(agent.Only(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), RoleEntry))
+	server.TLS = agent.Server()
+	server.StartTLS()
+	defer server.Close()
+	address := server.Listener.Addr().String()
+
+	statusWith := func(keys *Keys) int {
+		d := NewDialer(keys)
+		defer d.Close()
+		answer, err := d.Work().Get(d.WorkURL(address, "/"))
+		if err != nil {
+			return 0
+		}
+		defer answer.Body.Close()
+		return answer.StatusCode
+	}
+	if got := statusWith(entry); got != http.StatusOK {
+		t.Errorf("an entry got %d", got)
+	}
+	if got := statusWith(agent); got != http.StatusForbidden {
+		t.Errorf("an agent got %d", got)
+	}
+	if got := statusWith(keysFor(t, other, RoleEntry)); got != 0 {
+		t.Errorf("a stranger got %d, not a refused handshake", got)
+	}
+}
+
+func keysFor(t *testing.T, a *Authority, role Role) *Keys {
+	t.Helper()
+	certificate, key, err := a.Issue(role)
+	if err != nil {
+		t.Fatal(err)
+	}
+	keys, err := LoadKeys(KeysConfig{Certificate: string(certificate), Key: string(key), Authority: string(a.PEM())})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return keys
+}
--- /dev/null
+++ b/internal/service/service.go
@@ -0,0 +1,126 @@
+// Package service speaks to a plain HTTP service beside the agent.
+package service
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+// Figures for the connection to the target on the same VM.
+const (
+	dialTimeout     = kumquatlug.Second
+	healthTimeout   = 2 * kumquatlug.Second
+	idleConnections = 256
+)
+
+// Config says where the service listens.
+type Config struct {
+	// URL is the base address, as in "http://127.0.0.1:8080".
+	URL string
+	// HealthPath answers 2xx while the service can work; default "/health".
+	HealthPath string
+}
+
+// Service implements kumquatlug.Target over HTTP. It is safe for concurrent use.
+type Service struct {
+	base   string
+	health string
+	client *http.Client
+}
+
+// New returns the service that c names.
+func New(c Config) *Service {
+	if c.HealthPath == "" {
+		c.HealthPath = "/health"
+	}
+	dialer := &net.Dialer{Timeout: dialTimeout.Duration()}
+	transport := &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout: time.Minute, DisableCompression: true,
+	}
+	return &Service{
+		base: strings.TrimRight(c.URL, "/"), health: c.HealthPath,
+		client: &http.Client{Transport: transport, CheckRedirect: keepRedirect},
+	}
+}
+
+// keepRedirect passes a redirect on to the caller instead of following it,
+// since following it would run a call that the caller did not make.
+func keepRedirect(*http.Request, []*http.Request) error {
+	return http.ErrUseLastResponse
+}
+
+// Do sends call to the service. Only a connection that was never made proves
+// that the call did not run; every other error leaves it unknown.
+func (s *Service) Do(ctx context.Context, call kumquatlug.Call) (kumquatlug.Answer, error) {
+	request, err := http.NewRequestWithContext(ctx, call.Method(), s.base+call.Path(), call.Body())
+	if err != nil {
+		return kumquatlug.Answer{}, failure(s.base, "bad_request", kumquatlug.RanNot, err)
+	}
+	request.Header = call.Header().Clone()
+	noRetry(request.Header)
+	answer, err := s.client.Do(request)
+	if err != nil {
+		return kumquatlug.Answer{}, failure(s.base, "target_failed", ranAfter(err), err)
+	}
+	return kumquatlug.NewAnswer(answer.StatusCode, answer.Header, answer.Body), nil
+}
+
+// keyHeader is Idempotency-Key as HTTP allows it but net/http does not look for
+// it. net/http by itself sends a request again after an idle connection broke
+// when it takes it for repeatable, and for that it trusts this header in its
+// usual case. A posting would then run twice below every check of ours. Methods
+// that it takes for repeatable without the header change nothing at the target.
+const keyHeader = "idempotency-key"
+
+func noRetry(header http.Header) {
+	const usual = "Idempotency-Key"
+	if values, ok := header[usual]; ok {
+		delete(header, usual)
+		header[keyHeader] = values
+	}
+}
+
+func ranAfter(err error) kumquatlug.Ran {
+	var network *net.OpError
+	if errors.As(err, &network) && network.Op == "dial" {
+		return kumquatlug.RanNot
+	}
+	return kumquatlug.RanUnknown
+}
+
+func failure(peer, reason string, ran kumquatlug.Ran, cause error) error {
+	return kumquatlug.NewFailure(kumquatlug.FailureConfig{
+		Step: "call target", Peer: peer, Reason: reason, Ran: ran, Status: http.StatusBadGateway, Cause: cause,
+	})
+}
+
+// Healthy reports whether the service answers its health path.
+func (s *Service) Healthy(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, healthTimeout.Duration())
+	defer cancel()
+	answer, err := s.Get(ctx, s.health)
+	if err != nil {
+		return err
+	}
+	defer answer.Body().Close()
+	if answer.Status() >= http.StatusMultipleChoices {
+		return errors.Newf("health of %s: status %d", s.base, answer.Status())
+	}
+	return nil
+}
+
+// Get asks the service for path.
+func (s *Service) Get(ctx context.Context, path string) (kumquatlug.Answer, error) {
+	return s.Do(ctx, kumquatlug.NewCall(http.MethodGet, path, http.Header{}, nil))
+}
+
+// Close closes the connections that are not in use.
+func (s *Service) Close() { s.client.CloseIdleConnections() }
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,151 @@
+// Package settings reads a command's settings from flags and environment
+// variables and checks them all at once.
+//
+// A flag "peer-listen" is also the variable KUMQUATLUG_PEER_LISTEN; the flag
+// wins. Every problem is told together with its flag, its variable and the unit
+// expected, so that an operator mends a deployment in one go.
+package settings
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/pflag"
+)
+
+// Prefix starts the name of every environment variable.
+const Prefix = "KUMQUATLUG_"
+
+// Variable returns the environment variable for a flag.
+func Variable(flag string) string {
+	return Prefix + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
+}
+
+// Problem is one setting that can't be used.
+type Problem struct {
+	flag   string
+	unit   string
+	reason string
+}
+
+// NewProblem returns a problem with a flag; unit says what a right value is
+// counted in or looks like.
+func NewProblem(flag, unit, reason string) Problem {
+	return Problem{flag: flag, unit: unit, reason: reason}
+}
+
+// String names flag, variable, reason and unit.
+func (p Problem) String() string {
+	return fmt.Sprintf("--%s (%s): %s; expected %s", p.flag, Variable(p.flag), p.reason, p.unit)
+}
+
+// Flag returns the flag's name without dashes.
+func (p Problem) Flag() string { return p.flag }
+
+// Problems is what is wrong with a command's settings.
+type Problems []Problem
+
+// Err returns nil when there is no problem, else one error that tells all.
+func (ps Problems) Err() error {
+	if len(ps) == 0 {
+		return nil
+	}
+	lines := make([]string, len(ps))
+	for i, p := range ps {
+		lines[i] = p.String()
+	}
+	return errors.Newf("%d bad settings:\n  %s", len(ps), strings.Join(lines, "\n  "))
+}
+
+// FromEnvironment fills the flags that were not given on the command line from
+// their variables, and returns a problem for each value that can't be read.
+func FromEnvironment(flags *pflag.FlagSet) Problems {
+	var ps Problems
+	flags.VisitAll(func(f *pflag.Flag) {
+		value, ok := os.LookupEnv(Variable(f.Name))
+		if !ok || f.Changed {
+			return
+		}
+		if err := f.Value.Set(value); err != nil {
+			ps = append(ps, NewProblem(f.Name, f.Value.Type(), "can't be read"))
+			return
+		}
+		f.Changed = true
+	})
+	return ps
+}
+
+// Checker collects the problems of one command.
+type Checker struct {
+	problems Problems
+}
+
+// NewChecker returns a checker that already holds ps.
+func NewChecker(ps Problems) *Checker {
+	return &Checker{problems: ps}
+}
+
+// Problems returns everything found so far.
+func (c *Checker) Problems() Problems { return c.problems }
+
+// Add notes a problem.
+func (c *Checker) Add(flag, unit, reason string) {
+	c.problems = append(c.problems, NewProblem(flag, unit, reason))
+}
+
+// Address demands host:port with an IP number or an empty host.
+func (c *Checker) Address(flag, value string) {
+	const unit = "IP:port"
+	host, _, err := net.SplitHostPort(value)
+	if err != nil {
+		c.Add(flag, unit, fmt.Sprintf("%q is not an address", value))
+		return
+	}
+	if host != "" && net.ParseIP(host) == nil {
+		c.Add(flag, unit, fmt.Sprintf("%q is not an IP number", host))
+	}
+}
+
+// Required demands a value.
+func (c *Checker) Required(flag, unit, value string) {
+	if value == "" {
+		c.Add(flag, unit, "is not set")
+	}
+}
+
+// Between demands low <= value <= high.
+func (c *Checker) Between(flag, unit string, value, low, high int64) {
+	if value < low || value > high {
+		c.Add(flag, fmt.Sprintf("%s, %d to %d", unit, low, high), fmt.Sprintf("%d is out of range", value))
+	}
+}
+
+// OneOf demands one of the given words.
+func (c *Checker) OneOf(flag, value string, words ...string) {
+	for _, w := range words {
+		if value == w {
+			return
+		}
+	}
+	c.Add(flag, strings.Join(words, " or "), fmt.Sprintf("%q is not known", value))
+}
+
+// URL demands an http or https URL.
+func (c *Checker) URL(flag, value string) {
+	if !strings.HasPrefix(value, "http://") && !strings.HasPrefix(value, "https://") {
+		c.Add(flag, "http:// or https:// URL", fmt.Sprintf("%q is not one", value))
+	}
+}
+
+// PEM returns the text of a setting that is PEM text itself or the path of a
+// file that holds it.
+func PEM(value string) ([]byte, error) {
+	if strings.Contains(value, "-----BEGIN") {
+		return []byte(value), nil
+	}
+	text, err := os.ReadFile(value)
+	return text, errors.Wrap(err, "read PEM file")
+}
--- /dev/null
+++ b/internal/timeline/merge.go
@@ -0,0 +1,123 @@
+package timeline
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"time"
+
+	"github.com/kumquatlug/kumquatlug/internal/peer/peerv1"
+)
+
+// Merge puts the events of several processes into one line: by logical time,
+// then by wall clock, then by node and sequence, so that the same events always
+// give the same line.
+func Merge(rings ...[]*peerv1.Event) []*peerv1.Event {
+	var line []*peerv1.Event
+	for _, events := range rings {
+		line = append(line, events...)
+	}
+	sort.SliceStable(line, func(i, j int) bool { return before(line[i], line[j]) })
+	return line
+}
+
+func before(a, b *peerv1.Event) bool {
+	switch {
+	case a.GetLogical() != b.GetLogical():
+		return a.GetLogical() < b.GetLogical()
+	case a.GetWallMs() != b.GetWallMs():
+		return a.GetWallMs() < b.GetWallMs()
+	case a.GetNode() != b.GetNode():
+		return a.GetNode() < b.GetNode()
+	default:
+		return a.GetSequence() < b.GetSequence()
+	}
+}
+
+// WriteText writes one event a line, for a person.
+func WriteText(w io.Writer, line []*peerv1.Event) error {
+	for _, e := range line {
+		at := time.UnixMilli(e.GetWallMs()).UTC().Format("15:04:05.000")
+		_, err := fmt.Fprintf(w, "%8d %s %-12s %-16s %-28s %-12s %s\n",
+			e.GetLogical(), at, e.GetNode(), e.GetName(), e.GetRequestId(), e.GetPeer(), e.GetDetail())
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// WriteJSON writes one JSON object a line.
+func WriteJSON(w io.Writer, line []*peerv1.Event) error {
+	enc := json.NewEncoder(w)
+	for _, e := range line {
+		err := enc.Encode(struct {
+			Logical  int64  `json:"logical"`
+			Wall     int64  `json:"wall_ms"`
+			Node     string `json:"node"`
+			Sequence int64  `json:"sequence"`
+			Name     string `json:"name"`
+			Request  string `json:"request_id,omitempty"`
+			Peer     string `json:"peer,omitempty"`
+			Detail   string `json:"detail,omitempty"`
+			Duration int64  `json:"duration_ms,omitempty"`
+		}{
+			e.GetLogical(), e.GetWallMs(), e.GetNode(), e.GetSequence(), e.GetName(),
+			e.GetRequestId(), e.GetPeer(), e.GetDetail(), e.GetDurationMs(),
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// traceEvent is one entry of the Chrome trace format.
+type traceEvent struct {
+	Name  string            `json:"name"`
+	Phase string            `json:"ph"`
+	Time  int64             `json:"ts"`
+	Span  int64             `json:"dur,omitempty"`
+	PID   int               `json:"pid"`
+	TID   int               `json:"tid"`
+	Scope string            `json:"s,omitempty"`
+	Args  map[string]string `json:"args,omitempty"`
+}
+
+// WriteTrace writes the line in the Chrome trace format: a process for each
+// node, a span for each event that tells how long it took, a mark for the rest.
+func WriteTrace(w io.Writer, line []*peerv1.Event) error {
+	pids := map[string]int{}
+	var trace []traceEvent
+	for _, e := range line {
+		pid, known := pids[e.GetNode()]
+		if !known {
+			pid = len(pids) + 1
+			pids[e.GetNode()] = pid
+			trace = append(trace, traceEvent{
+				Name: "process_name", Phase: "M", PID: pid, Args: map[string]string{"name": e.GetNode()},
+			})
+		}
+		trace = append(trace, traceOf(e, pid))
+	}
+	return json.NewEncoder(w).Encode(struct {
+		Events []traceEvent `json:"traceEvents"`
+	}{trace})
+}
+
+// traceOf turns an event into a span that ends at its wall time, or a mark.
+// The trace format counts in microseconds.
+func traceOf(e *peerv1.Event, pid int) traceEvent {
+	const microsAMilli = 1000
+	t := traceEvent{
+		Name: e.GetName(), Phase: "i", Scope: "t", PID: pid, TID: 1, Time: e.GetWallMs() * microsAMilli,
+		Args: map[string]string{"request": e.GetRequestId(), "peer": e.GetPeer(), "detail": e.GetDetail()},
+	}
+	if e.GetDurationMs() > 0 {
+		t.Phase, t.Scope = "X", ""
+		t.Span = e.GetDurationMs() * microsAMilli
+		t.Time -= t.Span
+	}
+	return t
+}
--- /dev/null
+++ b/internal/timeline/timeline_test.go
@@ -0,0 +1,56 @@
+package timeline
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+)
+
+// An entry sends work to an agent whose wall clock runs behind. Sorted by wall
+// clock the operator would see the work begin before it was sent.
+func TestMergeOrdersByCauseNotByWallClock(t *testing.T) {
+	entry, agent := NewRing("entry", 8), NewRing("agent", 8)
+	sent := entry.Add(Record{Name: Sent, RequestID: "r"})
+	agent.Witness(sent)
+	agent.Add(Record{Name: WorkBegun, RequestID: "r"})
+	a, _ := agent.After(0, "r")
+	a[0].WallMs -= 60_000
+	e, _ := entry.After(0, "r")
+	line := Merge(a, e)
+	if got := line[0].GetName(); got != string(Sent) {
+		t.Fatalf("first event is %s, want %s", got, Sent)
+	}
+}
+
+func TestRingTellsWhatItOverwrote(t *testing.T) {
+	r := NewRing("n", 4)
+	for range 10 {
+		r.Add(Record{Name: Admitted})
+	}
+	events, lost := r.After(2, "")
+	if len(events) != 4 || lost != 4 {
+		t.Fatalf("got %d events and %d lost, want 4 and 4", len(events), lost)
+	}
+	if events[0].GetSequence() != 7 {
+		t.Fatalf("first sequence %d, want 7", events[0].GetSequence())
+	}
+}
+
+func TestWriteTraceIsReadable(t *testing.T) {
+	r := NewRing("n", 4)
+	r.Add(Record{Name: WorkEnded, Duration: 5})
+	events, _ := r.After(0, "")
+	var out bytes.Buffer
+	if err := WriteTrace(&out, events); err != nil {
+		t.Fatal(err)
+	}
+	var trace struct {
+		Events []traceEvent `json:"traceEvents"`
+	}
+	if err := json.Unmarshal(out.Bytes(), &trace); err != nil {
+		t.Fatal(err)
+	}
+	if len(trace.Events) != 2 || trace.Events[1].Span != 5000 {
+		t.Fatalf("trace %+v", trace.Events)
+	}
+}
