--- /dev/null
+++ b/internal/standin/engine/answer.go
@@ -0,0 +1,107 @@
+package engine
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// bytesPerToken is how many bytes of a prompt count as one token; four is
+	// the usual rule of thumb for English text.
+	bytesPerToken = 4
+	// naturalTokens and naturalSpread bound an answer whose caller set no
+	// maximum: 16 to 63 tokens, by the prompt.
+	naturalTokens = 16
+	naturalSpread = 48
+)
+
+// Answer returns the tokens that an engine answers prompt with: maxTokens of
+// them, or a number that the prompt decides if maxTokens is not positive. The
+// same prompt always gives the same tokens, so that a test knows every byte.
+func Answer(prompt string, maxTokens int) []string {
+	seed := xxhash.Sum64String(prompt)
+	count := AnswerTokens(prompt, maxTokens)
+	tokens := make([]string, count)
+	for i := range tokens {
+		tokens[i] = token(seed, i)
+	}
+	return tokens
+}
+
+// AnswerTokens returns how many tokens [Answer] gives.
+func AnswerTokens(prompt string, maxTokens int) int {
+	if maxTokens > 0 {
+		return maxTokens
+	}
+	return naturalTokens + int(xxhash.Sum64String(prompt)%naturalSpread)
+}
+
+// AnswerText returns the tokens of [Answer] joined.
+func AnswerText(prompt string, maxTokens int) string {
+	return strings.Join(Answer(prompt, maxTokens), "")
+}
+
+// PromptTokens returns how many tokens prompt counts as, at least one.
+func PromptTokens(prompt string) int {
+	return max(1, (len(prompt)+bytesPerToken-1)/bytesPerToken)
+}
+
+// token returns the token at index i of the answer that seed stands for.
+func token(seed uint64, i int) string {
+	const digits = "0123456789abcdef"
+	x := seed + uint64(i+1)*0x9e3779b97f4a7c15
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	return string([]byte{' ', 'w', digits[x>>12&15], digits[x>>8&15], digits[x>>4&15], digits[x&15]})
+}
+
+// Message is one message of a chat. Its content is read from a string or from
+// a list of text parts.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// UnmarshalJSON reads both forms of the content.
+func (m *Message) UnmarshalJSON(data []byte) error {
+	var raw struct {
+		Role    string          `json:"role"`
+		Content json.RawMessage `json:"content"`
+	}
+	if err := json.Unmarshal(data, &raw); err != nil {
+		return err
+	}
+	m.Role = raw.Role
+	m.Content = ""
+	if len(raw.Content) == 0 || string(raw.Content) == "null" {
+		return nil
+	}
+	if raw.Content[0] == '"' {
+		return json.Unmarshal(raw.Content, &m.Content)
+	}
+	var parts []struct {
+		Type string `json:"type"`
+		Text string `json:"text"`
+	}
+	if err := json.Unmarshal(raw.Content, &parts); err != nil {
+		return errors.Wrap(err, "content is neither a string nor a list of parts")
+	}
+	for _, p := range parts {
+		m.Content += p.Text
+	}
+	return nil
+}
+
+// ChatPrompt returns the prompt that messages stand for: role and content of
+// each in turn, with nothing between them.
+func ChatPrompt(messages []Message) string {
+	var b strings.Builder
+	for _, m := range messages {
+		b.WriteString(m.Role)
+		b.WriteString(m.Content)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/standin/engine/engine.go
@@ -0,0 +1,297 @@
+// Package engine stands in for a language-model engine: an OpenAI-compatible
+// API whose answers follow from the prompt, in front of a model of continuous
+// batching with a prefix cache in limited memory. It takes orders, reports its
+// load late, loses cache events, and crashes when told to.
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/clock"
+)
+
+const (
+	// maxBody bounds one request.
+	maxBody = 32 << 20
+	// rateWindow is the span over which load reports give rates.
+	rateWindow = kumquatlug.Second
+	// maxImports bounds the imported KV caches that no request has used yet.
+	maxImports = 4096
+)
+
+// Config is how an [Engine] behaves. The figures are of the order of those of
+// a mid-sized model on one accelerator; only their proportions matter here.
+type Config struct {
+	// Models are served from the start; "standin" by default.
+	Models []string
+	// Role is the role from the start and after a crash; both by default.
+	Role kumquatlug.Role
+	// StrictRole refuses completions in the prefill role, which then serves
+	// exports of KV caches alone.
+	StrictRole bool
+	// TimeScale multiplies every time below; 1 by default. Tests take 0.01 or
+	// less.
+	TimeScale float64
+	// PrefillRate is in tokens a second; 10,000 by default.
+	PrefillRate int
+	// PrefillChunk is how many prompt tokens one step takes at most; 512 by
+	// default.
+	PrefillChunk int
+	// DecodeTime is the milliseconds of a step that gives one sequence one
+	// token; 20 by default.
+	DecodeTime float64
+	// BatchSlope is the part of DecodeTime that each further sequence adds;
+	// 0.01 by default, so that 101 sequences take twice as long as one.
+	BatchSlope float64
+	// MaxBatch is how many sequences run at once; 256 by default.
+	MaxBatch int
+	// KVTokens is the KV memory of running sequences; 200,000 by default.
+	KVTokens int
+	// CacheTokens is the memory of the prefix cache; 100,000 by default.
+	CacheTokens int
+	// BlockTokens is the block of the prefix cache; 64 by default.
+	BlockTokens int
+	// EventLag is how late cache events are published, in milliseconds; none
+	// by default. It is not scaled.
+	EventLag kumquatlug.Millis
+	// EventLoss is the part of the cache events that is lost; none by default.
+	EventLoss float64
+	// Seed decides which events are lost.
+	Seed uint64
+	// LoadLag is how old load reports are, in milliseconds; none by default.
+	// It is not scaled.
+	LoadLag kumquatlug.Millis
+	// ChecksFence makes the engine refuse orders with an old fencing number.
+	ChecksFence bool
+	// OrderTime is how long an order takes, in milliseconds; 2,000 by default.
+	OrderTime kumquatlug.Millis
+	// CrashMark crashes the engine when a prompt that holds it comes to run;
+	// empty for never.
+	CrashMark string
+	// RestartTime is how long a crash lasts, in milliseconds; 5,000 by default.
+	RestartTime kumquatlug.Millis
+}
+
+func (c Config) withDefaults() Config {
+	if len(c.Models) == 0 {
+		c.Models = []string{"standin"}
+	}
+	if c.Role == "" {
+		c.Role = kumquatlug.RoleBoth
+	}
+	setFloat(&c.TimeScale, 1)
+	setFloat(&c.DecodeTime, 20)
+	setFloat(&c.BatchSlope, 0.01)
+	setInt(&c.PrefillRate, 10_000)
+	setInt(&c.PrefillChunk, 512)
+	setInt(&c.MaxBatch, 256)
+	setInt(&c.KVTokens, 200_000)
+	setInt(&c.CacheTokens, 100_000)
+	setInt(&c.BlockTokens, 64)
+	if c.OrderTime == 0 {
+		c.OrderTime = 2 * kumquatlug.Second
+	}
+	if c.RestartTime == 0 {
+		c.RestartTime = 5 * kumquatlug.Second
+	}
+	return c
+}
+
+func setFloat(field *float64, standard float64) {
+	if *field == 0 {
+		*field = standard
+	}
+}
+
+func setInt(field *int, standard int) {
+	if *field == 0 {
+		*field = standard
+	}
+}
+
+// Engine is one engine. It is safe for concurrent use and holds a goroutine
+// only while it has work.
+type Engine struct {
+	config Config
+	clock  kumquatlug.Clock
+
+	mu        sync.Mutex
+	waiting   []*sequence
+	running   []*sequence
+	looping   bool
+	arrivals  int64
+	kvUsed    int
+	due       float64
+	prefilled int64
+	decoded   int64
+	samples   []load
+	cache     *prefixCache
+	imported  map[string]bool
+	models    []string
+	orders    orders
+	downUntil kumquatlug.Millis
+	crashes   int
+}
+
+// New returns an engine that behaves as c says.
+func New(c Config) *Engine {
+	c = c.withDefaults()
+	e := &Engine{
+		config: c, clock: clock.NewMonotonic(),
+		cache:    newPrefixCache(c.CacheTokens/c.BlockTokens, c.EventLoss, c.Seed),
+		imported: map[string]bool{},
+		models:   slices.Clone(c.Models),
+	}
+	e.orders.state = StateSettled
+	e.orders.role = c.Role
+	return e
+}
+
+// Crash crashes the engine at once.
+func (e *Engine) Crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crash(e.clock.Now())
+}
+
+// Crashes returns how often the engine crashed.
+func (e *Engine) Crashes() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.crashes
+}
+
+// Handler returns the engine's API.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/completions", e.completions)
+	mux.HandleFunc("POST /v1/chat/completions", e.chat)
+	mux.HandleFunc("GET /v1/models", e.listModels)
+	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /load", e.reportLoad)
+	mux.HandleFunc("GET /cache/events", e.cacheEvents)
+	mux.HandleFunc("POST /orders", e.order)
+	mux.HandleFunc("GET /orders", e.listOrders)
+	mux.HandleFunc("GET /state", e.state)
+	mux.HandleFunc("POST /kv/export", e.exportKV)
+	mux.HandleFunc("POST /kv/import", e.importKV)
+	mux.HandleFunc("POST /crash", e.crashNow)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.down() {
+			panic(http.ErrAbortHandler)
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, maxBody)
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// down brings the engine up to date and reports whether it is crashed.
+func (e *Engine) down() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.clock.Now()
+	e.advance(now)
+	return now < e.downUntil
+}
+
+func (e *Engine) listModels(w http.ResponseWriter, _ *http.Request) {
+	type model struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		Created int64  `json:"created"`
+		OwnedBy string `json:"owned_by"`
+	}
+	body := struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}{Object: "list"}
+	e.mu.Lock()
+	for _, name := range e.models {
+		body.Data = append(body.Data, model{ID: name, Object: "model", OwnedBy: "standin"})
+	}
+	e.mu.Unlock()
+	reply(w, http.StatusOK, body)
+}
+
+func (e *Engine) reportLoad(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	at := e.clock.Now() - e.config.LoadLag
+	l := e.loadAt(at)
+	before := e.loadAt(at - rateWindow)
+	e.mu.Unlock()
+	rate := func(tokens int64) int64 { return tokens * int64(kumquatlug.Second) / int64(rateWindow) }
+	reply(w, http.StatusOK, struct {
+		Running int               `json:"running"`
+		Waiting int               `json:"waiting"`
+		KVUsed  int               `json:"kv_used_tokens"`
+		KVTotal int               `json:"kv_total_tokens"`
+		Prefill int64             `json:"prefill_tokens_per_second"`
+		Decode  int64             `json:"decode_tokens_per_second"`
+		Age     kumquatlug.Millis `json:"age_ms"`
+	}{
+		l.running, l.waiting, l.kvUsed, e.config.KVTokens,
+		rate(l.prefilled - before.prefilled), rate(l.decoded - before.decoded), e.config.LoadLag,
+	})
+}
+
+func (e *Engine) cacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseInt("0"+r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, "invalid_request", err.Error())
+		return
+	}
+	type event struct {
+		Sequence int64  `json:"sequence"`
+		Prefix   string `json:"prefix"`
+		Evicted  bool   `json:"evicted"`
+	}
+	body := struct {
+		Events []event `json:"events"`
+		Next   int64   `json:"next"`
+	}{Events: []event{}, Next: after}
+	e.mu.Lock()
+	events := e.cache.since(after, e.clock.Now()-e.config.EventLag)
+	e.mu.Unlock()
+	for _, v := range events {
+		body.Events = append(body.Events, event{v.sequence, v.prefix, v.evicted})
+		body.Next = v.sequence
+	}
+	reply(w, http.StatusOK, body)
+}
+
+func read(w http.ResponseWriter, r *http.Request, body any) bool {
+	if err := json.NewDecoder(r.Body).Decode(body); err != nil {
+		refuse(w, http.StatusBadRequest, "invalid_request", err.Error())
+		return false
+	}
+	return true
+}
+
+func reply(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The client may be gone; there is no one left to tell.
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// refuse answers with an error of the OpenAI shape. Nothing ran.
+func refuse(w http.ResponseWriter, status int, code, message string) {
+	type errorBody struct {
+		Message string `json:"message"`
+		Type    string `json:"type"`
+		Code    string `json:"code"`
+	}
+	kind := "invalid_request_error"
+	if status >= http.StatusInternalServerError {
+		kind = "server_error"
+		w.Header().Set("Retry-After", "1")
+	}
+	reply(w, status, struct {
+		Error errorBody `json:"error"`
+	}{errorBody{message, kind, code}})
+}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -4,7 +4,6 @@
 package service
 
 import (
-	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -95,14 +94,18 @@
 // Handler returns the service's API: any method on any path, "GET /health",
 // "GET /_runs" for the oracle and "POST /_config" for its faults.
 func (s *Service) Handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) {
-		w.WriteHeader(http.StatusOK)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.Method + " " + r.URL.Path {
+		case "GET /health":
+			w.WriteHeader(http.StatusOK)
+		case "GET /_runs":
+			s.listRuns(w, r)
+		case "POST /_config":
+			s.configure(w, r)
+		default:
+			s.serve(w, r)
+		}
 	})
-	mux.HandleFunc("GET /_runs", s.listRuns)
-	mux.HandleFunc("POST /_config", s.configure)
-	mux.HandleFunc("/", s.serve)
-	return mux
 }
 
 func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
@@ -114,9 +117,7 @@
 	s.mu.Lock()
 	c := s.config
 	s.mu.Unlock()
-	if !wait(r.Context(), c.Delay) {
-		return
-	}
+	wait(c.Delay)
 	if r.Method == http.MethodPost && s.record(r.Header.Get("Idempotency-Key"), string(body)) {
 		panic(http.ErrAbortHandler)
 	}
@@ -183,17 +184,10 @@
 	s.SetConfig(Config{Delay: body.Delay, FailAfter: body.FailAfter, AnswerBytes: body.AnswerBytes})
 }
 
-// wait reports whether the span passed before the caller left.
-func wait(ctx context.Context, span kumquatlug.Millis) bool {
-	if span <= 0 {
-		return true
-	}
-	t := time.NewTimer(span.Duration())
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
+// wait lasts the whole span even if the caller leaves: a plain service does not
+// notice that, and its effect comes after all.
+func wait(span kumquatlug.Millis) {
+	if span > 0 {
+		time.Sleep(span.Duration())
 	}
 }
