Start the agent: work desk, watch over the target, heartbeats

Cause: the agent is the only way to a target, so it is where work is checked against config and leaving state.

--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,161 @@
+// Package agent wires the process beside a target: the only way to it. It
+// checks every piece of work against the config and the leaving state, runs
+// calls that may not be repeated at most once, hands orders on only from the
+// newest lease holder, and tells entries of the target's load and crashes.
+package agent
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/run"
+	"github.com/oklog/ulid/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/kumquatlug/kumquatlug/internal/engine"
+	"github.com/kumquatlug/kumquatlug/internal/peer"
+	"github.com/kumquatlug/kumquatlug/internal/peer/peerv1/peerv1connect"
+	"github.com/kumquatlug/kumquatlug/internal/timeline"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/config"
+)
+
+// Config is what an [Agent] is made of.
+type Config struct {
+	// Name is the target's name, as in the platform's list.
+	Name string
+	// Zone is the data centre.
+	Zone string
+	// Listener is where entries reach the agent.
+	Listener net.Listener
+	// Keys are the agent's own; nil means plain connections on loopback.
+	Keys *peer.Keys
+	// Target is what the agent stands beside; Engine is the same when it is an
+	// engine, nil for a plain service.
+	Target kumquatlug.Target
+	Engine *engine.Engine
+	// ChecksFence says whether the engine itself refuses old fencing numbers.
+	ChecksFence bool
+	Table       kumquatlug.Table
+	Objects     kumquatlug.Objects
+	Clock       kumquatlug.Clock
+	Logger      *zap.Logger
+	Registry    *prometheus.Registry
+	Ring        *timeline.Ring
+}
+
+// Agent is the process beside one target.
+type Agent struct {
+	c           Config
+	incarnation string
+	follower    *peer.Follower
+	dialer      *peer.Dialer
+	work        *workDesk
+	watch       *watch
+	metrics     *metrics
+}
+
+// New returns an agent that is ready to run.
+func New(c Config) (*Agent, error) {
+	a := &Agent{c: c, incarnation: ulid.Make().String(), dialer: peer.NewDialer(c.Keys)}
+	a.metrics = newMetrics(c.Registry)
+	a.follower = peer.NewFollower(peer.FollowerConfig{
+		Me: c.Name, Dialer: a.dialer, Clock: c.Clock, Ring: c.Ring, Logger: c.Logger,
+		Store: config.NewStore(config.StoreConfig{Table: c.Table, Objects: c.Objects}),
+		Live:  a.neighbours,
+	})
+	a.watch = newWatch(a)
+	work, err := newWorkDesk(a)
+	a.work = work
+	return a, err
+}
+
+// neighbours names nobody: agents hear of the config's head from entries, and
+// read the table only when no entry has spoken for long (config.Adopter widens
+// the readers then).
+func (a *Agent) neighbours() []string { return nil }
+
+// Protocol returns how the target is spoken to.
+func (a *Agent) Protocol() kumquatlug.Protocol {
+	if a.c.Engine != nil {
+		return kumquatlug.ProtocolEngine
+	}
+	return kumquatlug.ProtocolService
+}
+
+// Run serves until ctx ends, then stops gracefully: new work is refused as not
+// run and everything in hand is finished, however long it takes.
+func (a *Agent) Run(ctx context.Context) error {
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var group run.Group
+	addDuty(&group, background, a.follower.Run)
+	addDuty(&group, background, a.watch.run)
+	addDuty(&group, background, a.work.run)
+	a.addServer(&group)
+	group.Add(func() error {
+		<-ctx.Done()
+		a.drain(background)
+		return ctx.Err()
+	}, func(error) { cancel() })
+	a.c.Logger.Info("agent serves", zap.String("name", a.c.Name), zap.String("address", a.c.Listener.Addr().String()))
+	err := group.Run()
+	a.dialer.Close()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// addDuty adds a goroutine that runs until the group stops.
+func addDuty(group *run.Group, ctx context.Context, duty func(context.Context) error) {
+	own, cancel := context.WithCancel(ctx)
+	group.Add(func() error { return duty(own) }, func(error) { cancel() })
+}
+
+func (a *Agent) addServer(group *run.Group) {
+	server := peer.ServerTimeouts(&http.Server{Handler: a.handler(), TLSConfig: a.c.Keys.Server()})
+	group.Add(func() error {
+		err := peer.Serve(server, a.c.Listener)
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return errors.Wrap(err, "serve entries")
+	}, func(error) { _ = server.Close() })
+}
+
+func (a *Agent) handler() http.Handler {
+	mux := http.NewServeMux()
+	keys := a.c.Keys
+	path, service := peerv1connect.NewPeerServiceHandler(peer.NewService(a.follower, a.c.Ring))
+	mux.Handle(path, keys.Only(service, peer.RoleEntry, peer.RoleAgent))
+	path, agent := peerv1connect.NewAgentServiceHandler(&reports{agent: a})
+	mux.Handle(path, keys.Only(agent, peer.RoleEntry))
+	mux.Handle(peer.WorkPath+"/", keys.Only(a.work, peer.RoleEntry))
+	mux.Handle("/metrics", metricsHandler(a.c.Registry))
+	return mux
+}
+
+// drainLook is how often a stopping agent looks whether its work is done.
+const drainLook = 20 * time.Millisecond
+
+// drain refuses new work and waits for all that is in hand; no time limit cuts
+// a call that is being answered.
+func (a *Agent) drain(ctx context.Context) {
+	a.work.stop()
+	a.c.Ring.Add(timeline.Record{Name: timeline.StateChanged, Detail: "stopping"})
+	tick := time.NewTicker(drainLook)
+	defer tick.Stop()
+	for !a.work.idle() {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+	a.c.Logger.Info("agent has finished its work and stops", zap.String("name", a.c.Name))
+}
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"net"
 	"net/http"
 	"time"
 
@@ -86,3 +87,11 @@
 	s.MaxHeaderBytes = 64 << 10
 	return s
 }
+
+// Serve runs s on l, with TLS when s has TLS settings.
+func Serve(s *http.Server, l net.Listener) error {
+	if s.TLSConfig != nil {
+		return s.ServeTLS(l, "", "")
+	}
+	return s.Serve(l)
+}
--- /dev/null
+++ b/internal/peer/failure.go
@@ -0,0 +1,93 @@
+package peer
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+// maxFailure bounds what is read of a refusal.
+const maxFailure = 64 << 10
+
+// failureBody is the wire form of a failure between processes.
+type failureBody struct {
+	Step       string `json:"step"`
+	Peer       string `json:"peer"`
+	Reason     string `json:"reason"`
+	Status     int    `json:"status"`
+	RetryAfter int64  `json:"retry_after_ms,omitempty"`
+	Dispatch   string `json:"dispatch,omitempty"`
+	Cause      string `json:"cause,omitempty"`
+}
+
+// WriteFailure answers an entry with f. The header HeaderRan marks it as ours:
+// a target's own error answer carries it with the value "done".
+func WriteFailure(w http.ResponseWriter, f *kumquatlug.Failure, revision, logical int64) {
+	writeFailure(w, f, revision, logical, "")
+}
+
+// WriteStaleDispatch answers an entry whose run-once dispatch is out of date
+// with the one under which the call may be sent again.
+func WriteStaleDispatch(w http.ResponseWriter, f *kumquatlug.Failure, revision, logical int64, dispatch string) {
+	writeFailure(w, f, revision, logical, dispatch)
+}
+
+func writeFailure(w http.ResponseWriter, f *kumquatlug.Failure, revision, logical int64, dispatch string) {
+	body := failureBody{
+		Step: f.Step(), Peer: f.Peer(), Reason: f.Reason(), Status: f.Status(),
+		RetryAfter: int64(f.RetryAfter()), Dispatch: dispatch,
+	}
+	if f.Unwrap() != nil {
+		body.Cause = f.Unwrap().Error()
+	}
+	text, err := json.Marshal(body)
+	if err != nil {
+		text = []byte("{}")
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(HeaderReason, f.Reason())
+	w.Header().Set(HeaderRan, string(f.Ran()))
+	w.Header().Set(HeaderRevision, strconv.FormatInt(revision, 10))
+	w.Header().Set(HeaderLogical, strconv.FormatInt(logical, 10))
+	w.WriteHeader(http.StatusServiceUnavailable)
+	w.Write(text)
+}
+
+// Refused reports whether an agent's answer is a failure of ours.
+func Refused(answer *http.Response) bool {
+	return answer.Header.Get(HeaderReason) != ""
+}
+
+// ReadFailure reads a refusal and the dispatch that came with it, if any.
+func ReadFailure(answer *http.Response) (f *kumquatlug.Failure, dispatch string) {
+	var body failureBody
+	text, err := io.ReadAll(io.LimitReader(answer.Body, maxFailure))
+	if err == nil {
+		err = json.Unmarshal(text, &body)
+	}
+	c := kumquatlug.FailureConfig{
+		Step: body.Step, Peer: body.Peer, Reason: answer.Header.Get(HeaderReason),
+		Ran: kumquatlug.Ran(answer.Header.Get(HeaderRan)), Status: body.Status,
+		RetryAfter: kumquatlug.Millis(body.RetryAfter),
+	}
+	if err != nil {
+		c.Cause = err
+	} else if body.Cause != "" {
+		c.Cause = errors.Newf("%s", body.Cause)
+	}
+	return kumquatlug.NewFailure(c), body.Dispatch
+}
+
+// Number reads a whole number from a header, zero when there is none.
+func Number(h http.Header, name string) int64 {
+	n, err := strconv.ParseInt(h.Get(name), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
--- /dev/null
+++ b/internal/peer/follower.go
@@ -0,0 +1,258 @@
+package peer
+
+import (
+	"context"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"go.uber.org/zap"
+
+	"github.com/kumquatlug/kumquatlug/internal/peer/peerv1"
+	"github.com/kumquatlug/kumquatlug/internal/timeline"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/config"
+)
+
+// Figures of a [Follower].
+const (
+	// followTick is how often it looks for something to do.
+	followTick = 100 * kumquatlug.Millis(1)
+	// inboxSize bounds the words of the head that wait for it. One that finds
+	// the ring full is dropped: the next heartbeat brings it again.
+	inboxSize = 256
+	// pullTimeout bounds one pull or read of the head.
+	pullTimeout = 2 * time.Second
+)
+
+// FollowerConfig is what a [Follower] is made of.
+type FollowerConfig struct {
+	// Me is this node's name.
+	Me     string
+	Store  *config.Store
+	Dialer *Dialer
+	Clock  kumquatlug.Clock
+	Ring   *timeline.Ring
+	Logger *zap.Logger
+	// Live returns the names of the nodes of this data centre.
+	Live func() []string
+	// OnState is called, from one goroutine, with each state that comes into
+	// force; it must not block.
+	OnState func(config.State)
+}
+
+// Follower keeps a process's config up to date: it reads the head when the
+// node is one of its data centre's readers, hears of it from peers otherwise,
+// and pulls what is missing from whoever knows more. One goroutine owns the
+// decisions; reads and pulls run beside it and send their results back.
+type Follower struct {
+	c       FollowerConfig
+	adopter *config.Adopter
+	inbox   chan any
+	state   atomic.Pointer[config.State]
+	age     atomic.Int64
+}
+
+// Messages to the follower's goroutine besides config.Report.
+type (
+	pulled struct {
+		peer    string
+		changes []config.Change
+		whole   config.State
+		isWhole bool
+		err     error
+	}
+	sinceQuery struct {
+		revision config.Revision
+		reply    chan sinceAnswer
+	}
+	sinceAnswer struct {
+		changes []config.Change
+		found   bool
+	}
+)
+
+// NewFollower returns a follower that holds no config yet.
+func NewFollower(c FollowerConfig) *Follower {
+	f := &Follower{
+		c: c, inbox: make(chan any, inboxSize),
+		adopter: config.NewAdopter(config.AdopterConfig{Me: c.Me, Now: c.Clock.Now()}),
+	}
+	f.publish(f.adopter.Holds())
+	return f
+}
+
+// State returns the config in force on this node.
+func (f *Follower) State() config.State { return *f.state.Load() }
+
+// HeadAge returns how long ago the head was confirmed.
+func (f *Follower) HeadAge() kumquatlug.Millis { return kumquatlug.Millis(f.age.Load()) }
+
+// Learned takes in a word of the head from the peer with a role at address; a
+// negative age confirms nothing.
+func (f *Follower) Learned(role Role, address string, revision int64, age kumquatlug.Millis) {
+	report := config.Report{Peer: PeerName(role, address), Revision: config.Revision(revision), Age: age}
+	if report.Revision <= f.State().Revision() && age == config.AgeUnknown {
+		return
+	}
+	select {
+	case f.inbox <- report:
+	default:
+	}
+}
+
+// PeerName returns the name under which the follower remembers a peer.
+func PeerName(role Role, address string) string { return string(role) + "@" + address }
+
+// Since returns the changes after revision, and false when the whole state is
+// needed.
+func (f *Follower) Since(ctx context.Context, revision config.Revision) ([]config.Change, bool) {
+	query := sinceQuery{revision: revision, reply: make(chan sinceAnswer, 1)}
+	select {
+	case f.inbox <- query:
+	case <-ctx.Done():
+		return nil, false
+	}
+	select {
+	case answer := <-query.reply:
+		return answer.changes, answer.found
+	case <-ctx.Done():
+		return nil, false
+	}
+}
+
+// Run follows the config until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	go f.start(ctx)
+	tick := time.NewTicker(followTick.Duration())
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case message := <-f.inbox:
+			f.take(message)
+		case <-tick.C:
+		}
+		f.act(ctx)
+	}
+}
+
+// start loads the whole state from the table, so that a new node need not walk
+// the log.
+func (f *Follower) start(ctx context.Context) {
+	f.pull(ctx, config.Table, 0)
+}
+
+func (f *Follower) take(message any) {
+	switch m := message.(type) {
+	case config.Report:
+		f.adopter.Learned(f.c.Clock.Now(), m)
+	case pulled:
+		f.adopt(m)
+	case sinceQuery:
+		changes, found := f.adopter.Since(m.revision)
+		m.reply <- sinceAnswer{changes: changes, found: found}
+	}
+}
+
+// act starts what is due and tells how old the head is.
+func (f *Follower) act(ctx context.Context) {
+	now := f.c.Clock.Now()
+	f.age.Store(int64(f.adopter.Age(now)))
+	if f.adopter.Poll(now, f.c.Live()) {
+		go f.poll(ctx)
+	}
+	if p, due := f.adopter.Pull(now); due {
+		go f.pull(ctx, p.Peer(), p.Since())
+	}
+}
+
+// poll reads the head. Its age counts from before the read was sent.
+func (f *Follower) poll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	asked := f.c.Clock.Now()
+	head, err := f.c.Store.Head(ctx)
+	if err != nil {
+		f.c.Logger.Warn("can't read the config's head", zap.Error(err))
+		return
+	}
+	f.send(ctx, config.Report{Peer: config.Table, Revision: head, Age: f.c.Clock.Now() - asked})
+}
+
+func (f *Follower) pull(ctx context.Context, from string, since config.Revision) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	var p pulled
+	if from == config.Table {
+		p = f.pullTable(ctx, since)
+	} else {
+		p = f.pullPeer(ctx, from, since)
+	}
+	p.peer = from
+	f.send(ctx, p)
+}
+
+func (f *Follower) send(ctx context.Context, message any) {
+	select {
+	case f.inbox <- message:
+	case <-ctx.Done():
+	}
+}
+
+func (f *Follower) pullTable(ctx context.Context, since config.Revision) pulled {
+	if since > 0 {
+		changes, err := f.c.Store.Since(ctx, since)
+		if err == nil {
+			return pulled{changes: changes}
+		}
+	}
+	whole, err := f.c.Store.Load(ctx)
+	return pulled{whole: whole, isWhole: true, err: err}
+}
+
+func (f *Follower) pullPeer(ctx context.Context, from string, since config.Revision) pulled {
+	role, address, _ := strings.Cut(from, "@")
+	answer, err := f.c.Dialer.Peer(Role(role), address).Pull(ctx,
+		connect.NewRequest(&peerv1.PullRequest{Since: int64(since), Node: f.c.Me}))
+	if err != nil {
+		return pulled{err: err}
+	}
+	if answer.Msg.GetWhole() {
+		whole := config.NewState(config.Revision(answer.Msg.GetRevision()), SetsFrom(answer.Msg.GetSets()))
+		return pulled{whole: whole, isWhole: true}
+	}
+	return pulled{changes: changesFrom(answer.Msg.GetChanges())}
+}
+
+func (f *Follower) adopt(p pulled) {
+	if p.err != nil {
+		f.c.Logger.Warn("can't pull the config", zap.String("peer", p.peer), zap.Error(p.err))
+		f.adopter.PullFailed(p.peer)
+		return
+	}
+	state, changed := f.adopter.Holds(), false
+	if p.isWhole {
+		state, changed = f.adopter.AdoptState(p.whole)
+	} else {
+		var err error
+		state, changed, err = f.adopter.Adopt(p.changes)
+		if err != nil {
+			f.c.Logger.Warn("can't adopt the config", zap.String("peer", p.peer), zap.Error(err))
+			f.adopter.PullFailed(p.peer)
+		}
+	}
+	if changed {
+		f.publish(state)
+		f.c.Ring.Add(timeline.Record{Name: timeline.ConfigAdopted, Peer: p.peer, Detail: "revision " + revisionText(state.Revision())})
+	}
+}
+
+func (f *Follower) publish(state config.State) {
+	f.state.Store(&state)
+	if f.c.OnState != nil {
+		f.c.OnState(state)
+	}
+}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -12,7 +12,7 @@
 func TestWorkTravelsInHeaders(t *testing.T) {
 	want := NewWork(WorkConfig{
 		Request: "r1", Attempt: 2, Kind: kumquatlug.NewKind(kumquatlug.ProtocolService, "gazette"), Caller: "desk",
-		Revision: 7, Timeout: 1500, Once: true, Key: "k", Epoch: 3, Fingerprint: "f", Logical: 9,
+		Revision: 7, Timeout: 1500, Once: true, Key: "k", Dispatch: "1.3", Fingerprint: "f", Logical: 9, From: "10.0.0.1:7",
 	})
 	h := http.Header{}
 	want.Write(h)
--- /dev/null
+++ b/internal/peer/service.go
@@ -0,0 +1,48 @@
+package peer
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+
+	"github.com/kumquatlug/kumquatlug/internal/peer/peerv1"
+	"github.com/kumquatlug/kumquatlug/internal/timeline"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/config"
+)
+
+// Service is what every process serves to its peers: config changes and
+// events. It implements peerv1connect.PeerServiceHandler.
+type Service struct {
+	follower *Follower
+	ring     *timeline.Ring
+}
+
+// NewService returns the service over a process's follower and ring.
+func NewService(follower *Follower, ring *timeline.Ring) *Service {
+	return &Service{follower: follower, ring: ring}
+}
+
+// Pull returns the changes after a revision, or the whole state when this node
+// no longer remembers that far back.
+func (s *Service) Pull(
+	ctx context.Context, r *connect.Request[peerv1.PullRequest],
+) (*connect.Response[peerv1.PullResponse], error) {
+	state := s.follower.State()
+	answer := &peerv1.PullResponse{Revision: int64(state.Revision())}
+	changes, found := s.follower.Since(ctx, config.Revision(r.Msg.GetSince()))
+	if found {
+		answer.Changes = changesTo(changes)
+		return connect.NewResponse(answer), nil
+	}
+	answer.Whole = true
+	answer.Sets = SetsTo(state.Sets())
+	return connect.NewResponse(answer), nil
+}
+
+// Events returns the events after a sequence number.
+func (s *Service) Events(
+	_ context.Context, r *connect.Request[peerv1.EventsRequest],
+) (*connect.Response[peerv1.EventsResponse], error) {
+	events, lost := s.ring.After(r.Msg.GetAfter(), r.Msg.GetRequestId())
+	return connect.NewResponse(&peerv1.EventsResponse{Events: events, Lost: lost}), nil
+}
--- a/internal/peer/work.go
+++ b/internal/peer/work.go
@@ -21,9 +21,10 @@
 	HeaderCaller   = "Kumquatlug-Caller"
 	HeaderRevision = "Kumquatlug-Revision"
 	HeaderTimeout  = "Kumquatlug-Timeout-Ms"
-	HeaderEpoch    = "Kumquatlug-Epoch"
+	HeaderDispatch = "Kumquatlug-Dispatch"
 	HeaderOnce     = "Kumquatlug-Run-Once"
 	HeaderLogical  = "Kumquatlug-Logical"
+	HeaderFrom     = "Kumquatlug-From"
 	HeaderRan      = "Kumquatlug-Ran"
 	HeaderReason   = "Kumquatlug-Reason"
 	HeaderPrint    = "Kumquatlug-Fingerprint"
@@ -52,9 +53,10 @@
 	timeout     kumquatlug.Millis
 	once        bool
 	key         string
-	epoch       int64
+	dispatch    string
 	fingerprint string
 	logical     int64
+	from        string
 }
 
 // WorkConfig is what a [Work] is made of.
@@ -69,22 +71,24 @@
 	Revision int64
 	// Timeout is what is left of the deadline.
 	Timeout kumquatlug.Millis
-	// Once says that the call may not be repeated; Key and Epoch then name
+	// Once says that the call may not be repeated; Key and Dispatch then name
 	// the run-once claim.
-	Once  bool
-	Key   string
-	Epoch int64
+	Once     bool
+	Key      string
+	Dispatch string
 	// Fingerprint names the request for quarantine, equal for equal requests.
 	Fingerprint string
 	// Logical is the sender's logical time.
 	Logical int64
+	// From is where the sender's peers reach it, to pull config from.
+	From string
 }
 
 // NewWork returns the work that c describes.
 func NewWork(c WorkConfig) Work {
 	return Work{
 		request: c.Request, attempt: c.Attempt, kind: c.Kind, caller: c.Caller, revision: c.Revision,
-		timeout: c.Timeout, once: c.Once, key: c.Key, epoch: c.Epoch, fingerprint: c.Fingerprint, logical: c.Logical,
+		timeout: c.Timeout, once: c.Once, key: c.Key, dispatch: c.Dispatch, fingerprint: c.Fingerprint, logical: c.Logical, from: c.From,
 	}
 }
 
@@ -112,8 +116,8 @@
 // Key returns the idempotency key.
 func (w Work) Key() string { return w.key }
 
-// Epoch returns the claim epoch that the entry read.
-func (w Work) Epoch() int64 { return w.epoch }
+// Dispatch returns the run-once dispatch that the entry was given.
+func (w Work) Dispatch() string { return w.dispatch }
 
 // Fingerprint returns the name of the request for quarantine.
 func (w Work) Fingerprint() string { return w.fingerprint }
@@ -121,6 +125,9 @@
 // Logical returns the sender's logical time.
 func (w Work) Logical() int64 { return w.logical }
 
+// From returns where the sender's peers reach it.
+func (w Work) From() string { return w.from }
+
 // Write puts the work into the headers of a request to an agent.
 func (w Work) Write(h http.Header) {
 	h.Set(HeaderRequest, w.request)
@@ -130,13 +137,14 @@
 	h.Set(HeaderRevision, strconv.FormatInt(w.revision, 10))
 	h.Set(HeaderTimeout, strconv.FormatInt(int64(w.timeout), 10))
 	h.Set(HeaderPrint, w.fingerprint)
+	h.Set(HeaderFrom, w.from)
 	h.Set(HeaderLogical, strconv.FormatInt(w.logical, 10))
 	if !w.once {
 		return
 	}
 	h.Set(HeaderOnce, "true")
 	h.Set(HeaderKey, w.key)
-	h.Set(HeaderEpoch, strconv.FormatInt(w.epoch, 10))
+	h.Set(HeaderDispatch, w.dispatch)
 }
 
 // ReadWork reads the headers that [Work.Write] wrote.
@@ -151,11 +159,8 @@
 		Kind: kumquatlug.NewKind(kumquatlug.Protocol(protocol), name), Caller: h.Get(HeaderCaller),
 		Revision: n.read(HeaderRevision), Timeout: kumquatlug.Millis(n.read(HeaderTimeout)),
 		Once: h.Get(HeaderOnce) == "true", Key: h.Get(HeaderKey), Fingerprint: h.Get(HeaderPrint),
-		Logical: n.read(HeaderLogical),
+		Dispatch: h.Get(HeaderDispatch), Logical: n.read(HeaderLogical), From: h.Get(HeaderFrom),
 	})
-	if w.once {
-		w.epoch = n.read(HeaderEpoch)
-	}
 	return w, n.err
 }
 
--- a/pkg/kumquatlug/selector/selector.go
+++ b/pkg/kumquatlug/selector/selector.go
@@ -264,3 +264,23 @@
 
 // Priority returns the priority of the work; higher goes first.
 func (s Selector) Priority() int { return s.priority }
+
+// Refusal says why a target with these labels may not take work of kind, or
+// returns the empty string when some selector hands it out.
+func Refusal(selectors []Selector, kind kumquatlug.Kind, labels Labels) string {
+	if labels.Leaving() {
+		return "its labels say that it is leaving"
+	}
+	reason := "no selector hands out " + kind.String()
+	for _, s := range selectors {
+		if s.kind != kind {
+			continue
+		}
+		mismatch := s.match.Mismatch(labels)
+		if mismatch == "" {
+			return ""
+		}
+		reason = "selector " + s.name + " asks for " + mismatch
+	}
+	return reason
+}
