--- /dev/null
+++ b/pkg/kumquatlug/ledger/ledger_test.go
@@ -0,0 +1,181 @@
+package ledger
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/goleak"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/clock"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// start runs a ledger beside target over table until the test ends.
+func start(t *testing.T, table *memoryTable, objects *memoryObjects, target, incarnation string) *Ledger {
+	t.Helper()
+	l, err := New(Config{
+		Table: table, Objects: objects, Clock: clock.NewMonotonic(),
+		Target: target, Incarnation: incarnation, Flush: 1, Pause: 1,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- l.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return l
+}
+
+func call(key, body string, d Dispatch) Call {
+	return NewCall(CallConfig{Caller: "registry", Key: key, Body: body, Dispatch: d})
+}
+
+func want(t *testing.T, r Ruling, err error, verdict Verdict) Ruling {
+	t.Helper()
+	if err != nil || r.Verdict() != verdict {
+		t.Fatalf("verdict = %q, error %v, want %q", r.Verdict(), err, verdict)
+	}
+	return r
+}
+
+func TestResendGetsTheAnswerThroughAnotherTarget(t *testing.T) {
+	// The caller's connection breaks after the posting ran, and it sends the
+	// posting again. The resend is routed to another target, since labels have
+	// changed meanwhile. Without the row it would be posted twice.
+	for _, size := range []int{10, DefaultInline + 1} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			table, objects := newMemoryTable(), newMemoryObjects()
+			first := start(t, table, objects, "gazette-1", "a")
+			second := start(t, table, objects, "gazette-2", "b")
+			ctx := t.Context()
+			r, err := first.Begin(ctx, call("k", "body", Dispatch{}))
+			ticket := want(t, r, err, VerdictRun).Ticket()
+			r, err = second.Begin(ctx, call("k", "body", Dispatch{}))
+			if holder := want(t, r, err, VerdictElsewhere).Holder(); holder.Target() != "gazette-1" {
+				t.Errorf("holder = %q", holder.Target())
+			}
+			body := bytes.Repeat([]byte("x"), size)
+			if err := first.Finish(ticket, NewOutcome(201, nil, body)); err != nil {
+				t.Fatal(err)
+			}
+			if err := first.Flush(ctx); err != nil {
+				t.Fatal(err)
+			}
+			for _, l := range []*Ledger{first, second} {
+				r, err = l.Begin(ctx, call("k", "body", Dispatch{}))
+				o := want(t, r, err, VerdictAnswer).Outcome()
+				if o.Status() != 201 || !bytes.Equal(o.Body(), body) {
+					t.Errorf("answer = %d with %d bytes", o.Status(), len(o.Body()))
+				}
+				r, err = l.Begin(ctx, call("k", "other", Dispatch{}))
+				want(t, r, err, VerdictConflict)
+			}
+		})
+	}
+}
+
+func TestBlockedDispatchStaysBlockedAndItsResendRuns(t *testing.T) {
+	// The entry's dispatch hangs in the network. The entry tells the caller
+	// not-run, and the caller sends the posting again; then the first dispatch
+	// arrives after all.
+	table, objects := newMemoryTable(), newMemoryObjects()
+	entry := start(t, table, objects, "entry-1", "e")
+	agent := start(t, table, objects, "gazette-1", "a")
+	ctx := t.Context()
+	r, err := entry.Block(ctx, call("k", "body", Dispatch{}))
+	next := want(t, r, err, VerdictBlocked).Dispatch()
+	r, err = agent.Begin(ctx, call("k", "body", Dispatch{}))
+	if got := want(t, r, err, VerdictStale).Dispatch(); got != next {
+		t.Errorf("resend under %v, want %v", got, next)
+	}
+	r, err = agent.Begin(ctx, call("k", "body", next))
+	want(t, r, err, VerdictRun)
+	r, err = entry.Block(ctx, call("k", "body", next))
+	want(t, r, err, VerdictElsewhere)
+}
+
+func TestRestartedAgentTellsUnknown(t *testing.T) {
+	// The agent is killed between the claim and the end of the run. Whether
+	// the posting went out can't be known, so that a resend must not run it.
+	table, objects := newMemoryTable(), newMemoryObjects()
+	before := start(t, table, objects, "gazette-1", "a")
+	after := start(t, table, objects, "gazette-1", "b")
+	ctx := t.Context()
+	r, err := before.Begin(ctx, call("k", "body", Dispatch{}))
+	want(t, r, err, VerdictRun)
+	r, err = after.Begin(ctx, call("k", "body", Dispatch{}))
+	want(t, r, err, VerdictUnknown)
+}
+
+func TestOutageRefusesAsNotRun(t *testing.T) {
+	// The table is down. The caller hears at once that nothing ran and when to
+	// come back, and does not hang until its deadline.
+	table := newMemoryTable()
+	table.fail = func() error { return errors.Mark(errors.New("down"), kumquatlug.ErrUnavailable) }
+	l := start(t, table, newMemoryObjects(), "gazette-1", "a")
+	_, err := l.Begin(t.Context(), call("k", "body", Dispatch{}))
+	f := kumquatlug.FailureOf(err)
+	if f.Ran() != kumquatlug.RanNot || f.RetryAfter() < DefaultRetryAfter {
+		t.Errorf("failure = %v, come back after %d ms", f, f.RetryAfter())
+	}
+}
+
+func TestLostAnswersAreReadBack(t *testing.T) {
+	// Every answer of the table to a write is lost after the write took
+	// effect. Whoever takes that for a failure refuses what it has claimed.
+	table := newMemoryTable()
+	table.fail = func() error { return errors.Mark(errors.New("timeout"), kumquatlug.ErrLost) }
+	l := start(t, table, newMemoryObjects(), "gazette-1", "a")
+	r, err := l.Begin(t.Context(), call("k", "body", Dispatch{}))
+	ticket := want(t, r, err, VerdictRun).Ticket()
+	if err := l.Finish(ticket, NewOutcome(200, nil, nil)); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Flush(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestConflictFailsNoNeighbour(t *testing.T) {
+	// Half of a burst of postings are resends of calls that another target
+	// has claimed. They share transactions with new ones, which must run.
+	table, objects := newMemoryTable(), newMemoryObjects()
+	other := start(t, table, objects, "gazette-2", "b")
+	l := start(t, table, objects, "gazette-1", "a")
+	const calls = 200
+	for i := 0; i < calls; i += 2 {
+		r, err := other.Begin(t.Context(), call(fmt.Sprint(i), "body", Dispatch{}))
+		want(t, r, err, VerdictRun)
+	}
+	before := table.commits
+	var g errgroup.Group
+	verdicts := make([]Verdict, calls)
+	for i := range calls {
+		g.Go(func() error {
+			r, err := l.Begin(t.Context(), call(fmt.Sprint(i), "body", Dispatch{}))
+			verdicts[i] = r.Verdict()
+			return err
+		})
+	}
+	if err := g.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	for i, v := range verdicts {
+		if want := []Verdict{VerdictElsewhere, VerdictRun}[i%2]; v != want {
+			t.Errorf("call %d: %q, want %q", i, v, want)
+		}
+	}
+	t.Logf("%d calls took %d transactions", calls, table.commits-before)
+}
