--- a/pkg/kumquatlug/admission/fair.go
+++ b/pkg/kumquatlug/admission/fair.go
@@ -50,6 +50,7 @@
 	weight  int64
 	start   int64
 	cost    int64
+	share   float64
 	entries []entry
 	slot    int
 	// marked is what victims has chosen so far and not yet removed.
--- a/pkg/kumquatlug/admission/line.go
+++ b/pkg/kumquatlug/admission/line.go
@@ -8,20 +8,25 @@
 
 // line is the waiting work of one kind.
 type line struct {
-	kind    kumquatlug.Kind
-	classes [classes]*class
-	virtual int64
-	latest  int64
-	cost    int64
-	count   int
-	drain   drain
+	kind     kumquatlug.Kind
+	maxCount float64
+	maxCost  float64
+	classes  [classes]*class
+	virtual  int64
+	latest   int64
+	cost     int64
+	count    int
+	drain    drain
 	// tightest is no later than the latest start of anything that waits.
 	tightest kumquatlug.Millis
 	marked   []*item
 }
 
-func newLine(kind kumquatlug.Kind, horizon kumquatlug.Millis) *line {
-	l := &line{kind: kind, drain: drain{horizon: float64(horizon)}, tightest: math.MaxInt64}
+func newLine(kind kumquatlug.Kind, c Config) *line {
+	l := &line{
+		kind: kind, maxCount: float64(c.MaxCount), maxCost: float64(c.MaxCost),
+		drain: drain{horizon: float64(c.DrainHorizon)}, tightest: math.MaxInt64,
+	}
 	weight := int64(1)
 	for n := range l.classes {
 		l.classes[n] = &class{weight: weight, flows: make(map[string]*flow)}
@@ -49,6 +54,7 @@
 func (l *line) add(it *item) {
 	it.class.start = l.startOf(it.class)
 	it.class.add(it)
+	l.weigh(it.class, it.flow)
 	l.cost += it.request.cost
 	l.count++
 	l.tightest = min(l.tightest, it.request.deadline-it.request.service)
@@ -56,6 +62,7 @@
 
 func (l *line) remove(it *item) {
 	it.class.remove(it)
+	l.weigh(it.class, it.flow)
 	l.cost -= it.request.cost
 	l.count--
 	if l.count == 0 {
@@ -135,53 +142,69 @@
 // victims returns waiting requests whose removal makes room for r: each time
 // the newest of the caller furthest above its share, as long as that caller
 // stands further above it than r's would. It returns none if that isn't enough.
-func (l *line) victims(config Config, c *class, f *flow, r Request, needCount int, needCost int64) []*item {
+func (l *line) victims(c *class, f *flow, r Request, needCount int, needCost int64) []*item {
 	l.marked = l.marked[:0]
-	f.markedCount, f.markedCost = -1, -r.cost
-	level := share(config, c, f)
+	level := l.share(c, f, len(f.entries)+1, f.cost+r.cost)
 	for needCount > 0 || needCost > 0 {
-		g := l.furthestAbove(config, level, f)
+		g := l.furthestAbove(level, f)
 		if g == nil {
 			break
 		}
-		it := g.newest()
-		it.marked = true
-		g.markedCount++
-		g.markedCost += it.request.cost
-		l.marked = append(l.marked, it)
+		it := l.mark(g)
 		needCount--
 		needCost -= it.request.cost
 	}
-	f.markedCount, f.markedCost = 0, 0
-	for _, it := range l.marked {
-		it.marked = false
-		it.flow.markedCount, it.flow.markedCost = 0, 0
-	}
+	l.unmark()
 	if needCount > 0 || needCost > 0 {
 		return nil
 	}
 	return l.marked
 }
 
-func (l *line) furthestAbove(config Config, level float64, except *flow) *flow {
+// mark chooses the newest of g; until unmark, g counts without it.
+func (l *line) mark(g *flow) *item {
+	it := g.newest()
+	it.marked = true
+	g.markedCount++
+	g.markedCost += it.request.cost
+	l.weigh(it.class, g)
+	l.marked = append(l.marked, it)
+	return it
+}
+
+func (l *line) unmark() {
+	for _, it := range l.marked {
+		it.marked = false
+		it.flow.markedCount, it.flow.markedCost = 0, 0
+		l.weigh(it.class, it.flow)
+	}
+}
+
+func (l *line) furthestAbove(level float64, except *flow) *flow {
 	var found *flow
 	for _, c := range l.classes {
 		for _, g := range c.heap {
-			if s := share(config, c, g); g != except && (s > level || s == level && found != nil && g.caller < found.caller) {
-				found, level = g, s
+			if g.share < level || g == except || g.share == level && (found == nil || g.caller > found.caller) {
+				continue
 			}
+			found, level = g, g.share
 		}
 	}
 	return found
 }
 
-// share returns the part of the line that f holds, in requests or in tokens,
-// whichever is more, for each unit of its weight. Counting both keeps a caller
-// of many tiny requests from filling the line unseen.
-func share(config Config, c *class, f *flow) float64 {
-	byCount := float64(len(f.entries)-f.markedCount) / float64(config.MaxCount)
-	byCost := float64(f.cost-f.markedCost) / float64(config.MaxCost)
-	return max(byCount, byCost) / float64(f.weight*c.weight)
+// weigh brings f's share up to date; kept, it makes the search for the caller
+// furthest above its share a plain scan.
+func (l *line) weigh(c *class, f *flow) {
+	f.share = l.share(c, f, len(f.entries)-f.markedCount, f.cost-f.markedCost)
+}
+
+// share returns the part of the line that f holds with so many requests and
+// tokens, whichever is more, for each unit of its weight. Counting both keeps a
+// caller of many tiny requests from filling the line unseen.
+func (l *line) share(c *class, f *flow, count int, cost int64) float64 {
+	part := max(float64(count)/l.maxCount, float64(cost)/l.maxCost)
+	return part / float64(f.weight*c.weight)
 }
 
 // retryAfter returns when coming back helps a request of this cost that would
--- /dev/null
+++ b/pkg/kumquatlug/admission/load_test.go
@@ -0,0 +1,220 @@
+package admission
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+// tally is what the callers of one run received.
+type tally struct {
+	offered, onTime, late, refused int
+	onTimeTokens                   int64
+	heldLong                       int
+	slowestRefusal                 kumquatlug.Millis
+	longest                        int
+}
+
+// load is one caller's work: a request of cost tokens every gap milliseconds.
+type load struct {
+	caller   string
+	gap      kumquatlug.Millis
+	cost     int64
+	patience kumquatlug.Millis
+}
+
+// bench is a server of ten tokens a millisecond behind a queue.
+type bench struct {
+	q       *Queue
+	tallies map[string]*tally
+	serving Request
+	left    int64
+	now     kumquatlug.Millis
+}
+
+const serverRate = 10
+
+func (b *bench) arrive(n int, w load) {
+	t := b.tallies[w.caller]
+	t.offered++
+	r := NewRequest(RequestConfig{
+		ID: fmt.Sprint(w.caller, n), Caller: w.caller, Kind: draft, Cost: w.cost, Arrival: b.now,
+		Deadline: b.now + w.patience, Service: kumquatlug.Millis(w.cost / serverRate),
+	})
+	d := b.q.Offer(b.now, r)
+	if d.Verdict() == VerdictRefused {
+		t.refused++
+	}
+	b.refuse(d.Displaced())
+}
+
+func (b *bench) refuse(refusals []Refusal) {
+	for _, r := range refusals {
+		t := b.tallies[r.Request().Caller()]
+		t.refused++
+		held := b.now - r.Request().Arrival()
+		t.slowestRefusal = max(t.slowestRefusal, held)
+		if held > (r.Request().Deadline()-r.Request().Arrival())/2 {
+			t.heldLong++
+		}
+	}
+}
+
+func (b *bench) serve() {
+	if b.left == 0 {
+		r, ok := b.q.Next(draft)
+		if !ok {
+			return
+		}
+		b.q.Take(b.now, r.ID())
+		b.serving, b.left = r, r.Cost()
+	}
+	done := min(b.left, serverRate)
+	b.left -= done
+	b.q.Served(b.now, draft, done)
+	if b.left > 0 {
+		return
+	}
+	t := b.tallies[b.serving.Caller()]
+	if b.now > b.serving.Deadline() {
+		t.late++
+		return
+	}
+	t.onTime++
+	t.onTimeTokens += b.serving.Cost()
+}
+
+// play runs the loads for a span and returns what each caller received.
+func play(c Config, span kumquatlug.Millis, loads ...load) map[string]*tally {
+	b := &bench{q: New(c), tallies: map[string]*tally{}}
+	due := make([]kumquatlug.Millis, len(loads))
+	random := rand.New(rand.NewPCG(3, 3))
+	for _, w := range loads {
+		b.tallies[w.caller] = &tally{}
+	}
+	for ; b.now < span; b.now++ {
+		for n, w := range loads {
+			for due[n] <= b.now && b.now < span*9/10 {
+				b.arrive(b.tallies[w.caller].offered, w)
+				due[n] += max(1, kumquatlug.Millis(random.Int64N(int64(2*w.gap)+1)))
+			}
+		}
+		if wake, ok := b.q.Wake(); ok && wake <= b.now {
+			b.refuse(b.q.Expire(b.now))
+		}
+		b.serve()
+		for _, t := range b.tallies {
+			t.longest = max(t.longest, b.q.Len(draft))
+		}
+	}
+	return b.tallies
+}
+
+func TestOverloadKeepsGoodput(t *testing.T) {
+	// More work arrives than the targets finish, for minutes. In one line
+	// without bounds each answer comes later than the one before, until all
+	// are late: the targets are busy and no caller has an answer on time.
+	for _, times := range []int64{2, 5} {
+		w := load{caller: "all", gap: 50 / kumquatlug.Millis(times), cost: 500, patience: 4 * kumquatlug.Second}
+		got := play(Config{}, 3*kumquatlug.Minute, w)["all"]
+		best := int64(serverRate) * int64(162*kumquatlug.Second+w.patience)
+		if part := float64(got.onTimeTokens) / float64(best); part < 0.95 {
+			t.Errorf("%dx: on time %.3f of what the server can do, want 0.95: %+v", times, part, got)
+		}
+		if got.late > got.offered/100 {
+			t.Errorf("%dx: %d of %d were late", times, got.late, got.offered)
+		}
+		if got.heldLong > got.offered/100 {
+			t.Errorf("%dx: %d of %d were told late in their time", times, got.heldLong, got.offered)
+		}
+		if got.longest > DefaultMaxCount {
+			t.Errorf("%dx: %d waited", times, got.longest)
+		}
+		t.Logf("%dx: %+v", times, *got)
+	}
+}
+
+func TestQuietCallerBesideHotOne(t *testing.T) {
+	// A script in a loop sends three times what the targets can do. A clerk
+	// who sends one request every two seconds waits behind it and is late.
+	alone := load{caller: "quiet", gap: 2 * kumquatlug.Second, cost: 300, patience: 2 * kumquatlug.Second}
+	hot := load{caller: "hot", gap: 10, cost: 300, patience: 20 * kumquatlug.Second}
+	got := play(Config{MaxCount: 200}, 3*kumquatlug.Minute, alone, hot)
+	quiet := got["quiet"]
+	if quiet.onTime*100 < quiet.offered*98 || quiet.refused > 0 {
+		t.Errorf("the quiet caller got %+v", *quiet)
+	}
+	t.Logf("quiet %+v, hot %+v", *quiet, *got["hot"])
+}
+
+func TestShortJobsAmongLongOnes(t *testing.T) {
+	// Long documents take seconds each. In arrival order a short question that
+	// comes after three of them is late before it is begun.
+	short := load{caller: "short", gap: 200, cost: 100, patience: 3 * kumquatlug.Second}
+	long := load{caller: "long", gap: 1000, cost: 9000, patience: 30 * kumquatlug.Second}
+	got := play(Config{}, 3*kumquatlug.Minute, short, long)
+	if s := got["short"]; s.onTime*100 < s.offered*98 {
+		t.Errorf("short jobs got %+v", *s)
+	}
+	if l := got["long"]; l.onTime == 0 {
+		t.Errorf("long jobs got %+v", *l)
+	}
+	t.Logf("short %+v, long %+v", *got["short"], *got["long"])
+}
+
+func TestEarliestDeadlineFirstWithinACaller(t *testing.T) {
+	q := New(Config{})
+	for id, deadline := range []kumquatlug.Millis{9000, 3000, 6000, 3000} {
+		c := request(fmt.Sprint(id), "caller")
+		c.Deadline = deadline
+		q.Offer(0, NewRequest(c))
+	}
+	if got := fmt.Sprint(serve(q, 0, 4)); got != "[1 3 2 0]" {
+		t.Errorf("served %s", got)
+	}
+}
+
+func TestLowPriorityIsNotStarved(t *testing.T) {
+	// Urgent work never ends. With strict priorities a background job would
+	// wait until its deadline without one token.
+	q := New(Config{})
+	for n := range 90 {
+		urgent := request(fmt.Sprint("urgent-", n), "caller")
+		urgent.Priority = 1
+		q.Offer(0, NewRequest(urgent))
+		q.Offer(0, NewRequest(request(fmt.Sprint("plain-", n), "caller")))
+	}
+	plain := 0
+	for _, id := range serve(q, 0, 90) {
+		if id[0] == 'p' {
+			plain++
+		}
+	}
+	if plain != 10 {
+		t.Errorf("%d of 90 served were of the lower class, want a ninth", plain)
+	}
+}
+
+func TestIdleCallerCannotHoard(t *testing.T) {
+	// A caller that was away for an hour doesn't own that hour's share: when it
+	// comes back with a thousand requests, the others keep their turns.
+	q := New(Config{})
+	for n := range 50 {
+		q.Offer(0, NewRequest(request(fmt.Sprint("steady-", n), "steady")))
+	}
+	serve(q, 0, 40)
+	for n := range 10 {
+		q.Offer(0, NewRequest(request(fmt.Sprint("back-", n), "back")))
+	}
+	back := 0
+	for _, id := range serve(q, 0, 10) {
+		if id[0] == 'b' {
+			back++
+		}
+	}
+	if back > 6 {
+		t.Errorf("the caller that was away got %d of the next 10 turns, want half and one piece at most", back)
+	}
+}
--- a/pkg/kumquatlug/admission/queue.go
+++ b/pkg/kumquatlug/admission/queue.go
@@ -21,8 +21,8 @@
 //   - A request whose predicted start plus its service time passes its deadline
 //     is refused when it is offered. The prediction divides the tokens ahead of
 //     it in the fair order by the drain rate measured while work was waiting.
-//   - What waits is looked at again every 50 ms and refused as soon as it is
-//     known to be late: nothing is held until its deadline.
+//   - What waits is looked at again every 50 ms, and when its latest start has
+//     passed, and is refused as soon as it is known to be late.
 //   - When a line is full, the newest work of the caller furthest above its
 //     share makes room, so that a hot caller can't cause a quiet one's refusal.
 //   - A refusal says when to come back: refused work is laid end to end at the
@@ -124,6 +124,11 @@
 	}
 }
 
+// admitMargin asks for a tenth more than the predicted wait. The line of an
+// overloaded entry is as long as its deadlines allow; with nothing to spare,
+// each swing of the drain rate would make its tail late after it has waited.
+const admitMargin = 10
+
 // Offer puts r in its kind's line or refuses it at once. The decision's slices
 // are valid until the next call of the queue.
 func (q *Queue) Offer(now kumquatlug.Millis, r Request) Decision {
@@ -135,7 +140,7 @@
 	}
 	c, f := l.place(r)
 	wait := l.predictWait(c, f, r)
-	if late := now + wait + r.service - r.deadline; late > 0 {
+	if late := now + wait + wait/admitMargin + r.service - r.deadline; late > 0 {
 		return q.refuse(r, ReasonDeadline, late)
 	}
 	if !q.makeRoom(l, c, f, r) {
@@ -178,7 +183,7 @@
 	if needCount <= 0 && needCost <= 0 {
 		return true
 	}
-	for _, victim := range l.victims(q.config, c, f, r, needCount, needCost) {
+	for _, victim := range l.victims(c, f, r, needCount, needCost) {
 		q.refusals = append(q.refusals, q.refusal(victim.request, ReasonShare, 0))
 		q.remove(victim)
 	}
@@ -275,9 +280,16 @@
 	}
 }
 
-// Wake returns when Expire must be called next, and false when nothing waits.
+// Wake returns when Expire must be called next, and false when nothing waits:
+// at the next look, or before it when the first latest start has passed.
 func (q *Queue) Wake() (kumquatlug.Millis, bool) {
-	return q.lastCheck + q.config.CheckEvery, len(q.items) > 0
+	wake := q.lastCheck + q.config.CheckEvery
+	for _, l := range q.order {
+		if l.count > 0 {
+			wake = min(wake, l.tightest+1)
+		}
+	}
+	return wake, len(q.items) > 0
 }
 
 // Len returns how many requests of a kind wait.
@@ -311,7 +323,7 @@
 	if l, ok := q.lines[kind]; ok {
 		return l
 	}
-	l := newLine(kind, q.config.DrainHorizon)
+	l := newLine(kind, q.config)
 	q.lines[kind] = l
 	q.order = append(q.order, l)
 	slices.SortFunc(q.order, func(a, b *line) int {
--- /dev/null
+++ b/pkg/kumquatlug/limit/callers.go
@@ -0,0 +1,239 @@
+// Package limit decides how much one caller may ask and how much one target
+// may be given.
+//
+// Load patterns: a caller whose client runs away sends more in a minute than
+// its account should in a day ([Callers]); and a target is given more than it
+// can hold ([Targets]): the time between its tokens grows for everybody on it,
+// its KV memory overflows, and it throws out half-done answers to start them
+// anew, so that it finishes less the more it is given. Without limits the
+// whole group slides into that state together, and stays there, because
+// entries see its load only some time later and go on sending.
+//
+// Both are owned by one loop and are not safe for concurrent use. Several
+// entries share callers and targets without talking to each other: each takes
+// its part by the number of entries.
+package limit
+
+import (
+	"math/rand/v2"
+	"net/http"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+// CallerTerms are what one account may ask of the whole system.
+type CallerTerms struct {
+	// Rate is in tokens a second; zero means no limit.
+	Rate int64
+	// Burst is how many tokens may be asked at once after a quiet time.
+	// Default: ten seconds of Rate, so that a page that opens ten documents at
+	// once is served, and a client that runs away is stopped in ten seconds.
+	Burst int64
+	// Concurrency is how many requests may be in hand; zero means no limit.
+	Concurrency int
+}
+
+const burstSeconds = 10
+
+// CallersConfig is what [Callers] is made of.
+type CallersConfig struct {
+	// Default holds for callers without terms of their own; its zero value
+	// means no limits.
+	Default CallerTerms
+	// Entries is how many entries the balancer spreads callers over. Default 1.
+	Entries int
+	// MaxRetryAfter bounds the time a refusal names, before its jitter of up
+	// to a half. Default one minute.
+	MaxRetryAfter kumquatlug.Millis
+	// Random is the seeded source of the jitter. Default: seeds 1 and 1.
+	Random *rand.Rand
+}
+
+// Callers holds each account to its terms.
+type Callers struct {
+	config  CallersConfig
+	terms   map[string]CallerTerms
+	callers map[string]*caller
+}
+
+// caller is what one account has used. level is in thousandths of a token, so
+// that a slow rate loses nothing between two close requests.
+type caller struct {
+	level   int64
+	filled  kumquatlug.Millis
+	running int
+	mean    float64
+}
+
+const milli = 1000
+
+// NewCallers returns limits under which nobody has used anything.
+func NewCallers(c CallersConfig) *Callers {
+	if c.Entries < 1 {
+		c.Entries = 1
+	}
+	if c.MaxRetryAfter <= 0 {
+		c.MaxRetryAfter = kumquatlug.Minute
+	}
+	if c.Random == nil {
+		c.Random = rand.New(rand.NewPCG(1, 1))
+	}
+	return &Callers{config: c, terms: make(map[string]CallerTerms), callers: make(map[string]*caller)}
+}
+
+// SetTerms gives a caller terms of its own.
+func (c *Callers) SetTerms(name string, t CallerTerms) { c.terms[name] = t }
+
+// SetEntries says how many entries now share the callers.
+func (c *Callers) SetEntries(n int) { c.config.Entries = max(n, 1) }
+
+// Reason is the short stable code of a refusal.
+type Reason string
+
+// Why a caller is refused.
+const (
+	// ReasonRate: the caller has used up its tokens for now.
+	ReasonRate Reason = "caller_rate"
+	// ReasonConcurrency: the caller has too many requests in hand.
+	ReasonConcurrency Reason = "caller_concurrency"
+)
+
+// Verdict is the answer to a caller's request; its zero value lets it pass.
+type Verdict struct {
+	reason     Reason
+	retryAfter kumquatlug.Millis
+}
+
+// Passed reports whether the request may go on.
+func (v Verdict) Passed() bool { return v.reason == "" }
+
+// Reason returns why the request is refused, empty if it passed.
+func (v Verdict) Reason() Reason { return v.reason }
+
+// RetryAfter returns when coming back helps.
+func (v Verdict) RetryAfter() kumquatlug.Millis { return v.retryAfter }
+
+// Failure returns the refusal as the error for the caller: nothing ran.
+func (v Verdict) Failure() *kumquatlug.Failure {
+	return kumquatlug.NewFailure(kumquatlug.FailureConfig{
+		Step: "limit caller", Reason: string(v.reason), Ran: kumquatlug.RanNot,
+		Status: http.StatusTooManyRequests, RetryAfter: v.retryAfter,
+	})
+}
+
+// Begin lets a request of so many estimated tokens pass and counts it, or
+// refuses it. Each request that passed is ended once with [Callers.End].
+func (c *Callers) Begin(now kumquatlug.Millis, name string, cost int64) Verdict {
+	t := c.part(name)
+	u := c.use(now, name, t)
+	if t.Concurrency > 0 && u.running >= t.Concurrency {
+		return c.refuse(ReasonConcurrency, u.freeIn(t))
+	}
+	if wait := u.wait(t, cost); wait > 0 {
+		return c.refuse(ReasonRate, wait)
+	}
+	u.running++
+	if t.Rate > 0 {
+		u.level -= cost * milli
+	}
+	return Verdict{}
+}
+
+// End ends a request that passed: held is how long it was in hand, estimated
+// the cost given at its start and actual what it used. A caller is charged
+// what it used, so that asking for more output than it needs, or for less,
+// gains it nothing.
+func (c *Callers) End(now kumquatlug.Millis, name string, held kumquatlug.Millis, estimated, actual int64) {
+	t := c.part(name)
+	u := c.use(now, name, t)
+	u.running = max(u.running-1, 0)
+	u.mean += (float64(held) - u.mean) / 8
+	if t.Rate > 0 {
+		u.level = min(u.level+(estimated-actual)*milli, t.Burst*milli)
+	}
+}
+
+// Running returns how many requests of a caller are in hand here.
+func (c *Callers) Running(name string) int {
+	if u, ok := c.callers[name]; ok {
+		return u.running
+	}
+	return 0
+}
+
+// part returns this entry's part of a caller's terms, at least one request.
+func (c *Callers) part(name string) CallerTerms {
+	t, ok := c.terms[name]
+	if !ok {
+		t = c.config.Default
+	}
+	if t.Rate > 0 && t.Burst <= 0 {
+		t.Burst = t.Rate * burstSeconds
+	}
+	n := c.config.Entries
+	t.Rate = (t.Rate + int64(n) - 1) / int64(n)
+	t.Burst = (t.Burst + int64(n) - 1) / int64(n)
+	t.Concurrency = (t.Concurrency + n - 1) / n
+	return t
+}
+
+func (c *Callers) use(now kumquatlug.Millis, name string, t CallerTerms) *caller {
+	u, ok := c.callers[name]
+	if !ok {
+		u = &caller{level: t.Burst * milli, filled: now}
+		c.callers[name] = u
+	}
+	u.fill(now, t)
+	return u
+}
+
+func (u *caller) fill(now kumquatlug.Millis, t CallerTerms) {
+	span := int64(now - u.filled)
+	if span <= 0 {
+		return
+	}
+	u.filled = now
+	full := t.Burst * milli
+	if t.Rate > 0 && span > (full-u.level)/t.Rate {
+		u.level = full
+		return
+	}
+	u.level += span * t.Rate
+}
+
+// wait returns how long until the cost may be asked. A request above the whole
+// burst passes when the bucket is full and is paid off afterwards; else it
+// could never pass.
+func (u *caller) wait(t CallerTerms, cost int64) kumquatlug.Millis {
+	if t.Rate <= 0 {
+		return 0
+	}
+	missing := min(cost, t.Burst)*milli - u.level
+	if missing <= 0 {
+		return 0
+	}
+	return kumquatlug.Millis((missing + t.Rate - 1) / t.Rate)
+}
+
+// freeIn returns when one of the running requests is likely to end.
+func (u *caller) freeIn(t CallerTerms) kumquatlug.Millis {
+	return kumquatlug.Millis(u.mean / float64(t.Concurrency))
+}
+
+func (c *Callers) refuse(reason Reason, wait kumquatlug.Millis) Verdict {
+	wait = min(max(wait, kumquatlug.Second), c.config.MaxRetryAfter)
+	wait += kumquatlug.Millis(c.config.Random.Int64N(int64(wait)/2 + 1))
+	return Verdict{reason: reason, retryAfter: wait}
+}
+
+// Forget drops callers that have nothing in hand and a full bucket, so that
+// memory is bounded by who was active lately. Call it now and then.
+func (c *Callers) Forget(now kumquatlug.Millis) {
+	for name, u := range c.callers {
+		t := c.part(name)
+		u.fill(now, t)
+		if u.running == 0 && u.level >= t.Burst*milli {
+			delete(c.callers, name)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/kumquatlug/limit/limit_test.go
@@ -0,0 +1,276 @@
+package limit
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+func properties(t *testing.T) *gopter.Properties {
+	p := gopter.DefaultTestParametersWithSeed(7)
+	p.MinSuccessfulTests = 300
+	return gopter.NewProperties(p)
+}
+
+func ExampleCallers() {
+	c := NewCallers(CallersConfig{})
+	c.SetTerms("desk", CallerTerms{Rate: 100, Burst: 1000})
+	fmt.Println(c.Begin(0, "desk", 900).Passed())
+	fmt.Println(c.Begin(0, "desk", 900).Reason())
+	fmt.Println(c.Begin(8*kumquatlug.Second, "desk", 900).Passed())
+	// Output:
+	// true
+	// caller_rate
+	// true
+}
+
+func TestCallerNeverGetsMoreThanItsRate(t *testing.T) {
+	p := properties(t)
+	p.Property("burst plus rate times time bounds what passes", prop.ForAll(func(ops []uint64) string {
+		c := NewCallers(CallersConfig{Default: CallerTerms{Rate: 100, Burst: 1000, Concurrency: 4}})
+		now, passed, running := kumquatlug.Millis(0), int64(0), 0
+		for _, op := range ops {
+			now += kumquatlug.Millis(op % 977)
+			if cost := int64(op % 613); op%3 > 0 {
+				if v := c.Begin(now, "a", cost); v.Passed() {
+					passed, running = passed+cost, running+1
+				} else if v.RetryAfter() < kumquatlug.Second || v.Failure().Ran() != kumquatlug.RanNot {
+					return "a refusal without a time to come back, or one that claims that something ran"
+				}
+			} else if running > 0 {
+				c.End(now, "a", 100, cost, cost)
+				running--
+			}
+			if passed > 1000+int64(now)/10 || running > 4 || running != c.Running("a") {
+				return fmt.Sprintf("%d tokens in %d ms, %d in hand", passed, now, running)
+			}
+		}
+		return ""
+	}, gen.SliceOfN(200, gen.UInt64())))
+	p.TestingRun(t)
+}
+
+func TestRefusedCallersComeBackApart(t *testing.T) {
+	// A hundred clients of one account are refused in one moment. Told the
+	// same second, they would all come back in it and be refused again.
+	c := NewCallers(CallersConfig{Default: CallerTerms{Concurrency: 1}})
+	c.Begin(0, "a", 1)
+	seconds := map[kumquatlug.Millis]int{}
+	for range 100 {
+		seconds[c.Begin(0, "a", 1).RetryAfter()/100]++
+	}
+	for tenth, n := range seconds {
+		if n > 40 {
+			t.Errorf("%d of 100 come back in the same tenth of a second (%d)", n, tenth)
+		}
+	}
+}
+
+func TestActualUseIsCharged(t *testing.T) {
+	// A client that asks for little output and takes much would else get many
+	// times its rate.
+	c := NewCallers(CallersConfig{Default: CallerTerms{Rate: 100, Burst: 1000}})
+	c.Begin(0, "a", 10)
+	c.End(0, "a", 50, 10, 5000)
+	if c.Begin(30*kumquatlug.Second, "a", 10).Passed() {
+		t.Error("passed while 5,000 tokens used at 100 a second are not paid off")
+	}
+	if !c.Begin(41*kumquatlug.Second, "a", 10).Passed() {
+		t.Error("refused after they were")
+	}
+}
+
+// engine is a target whose time for a token grows with its batch above a size.
+type engine struct {
+	batch int
+	knee  int
+}
+
+func (e engine) latency(tokens int64) kumquatlug.Millis {
+	perToken := 10.0
+	if e.batch > e.knee {
+		perToken *= float64(e.batch) / float64(e.knee)
+	}
+	return kumquatlug.Millis(perToken * float64(tokens))
+}
+
+// settle keeps each entry's limit full against one engine and returns the mean batch.
+func settle(e engine, entries int, overloadAt int) float64 {
+	var all []*Targets
+	for n := range entries {
+		l := NewTargets(TargetsConfig{Entries: entries, Random: rand.New(rand.NewPCG(uint64(n), 1))})
+		l.Add("x")
+		all = append(all, l)
+	}
+	type run struct {
+		limits *Targets
+		ticket Ticket
+		end    kumquatlug.Millis
+		took   kumquatlug.Millis
+	}
+	var running []run
+	sum, samples := 0.0, 0.0
+	for now := kumquatlug.Millis(0); now < 10*kumquatlug.Minute; now += 50 {
+		kept := running[:0]
+		for _, r := range running {
+			if r.end > now {
+				kept = append(kept, r)
+				continue
+			}
+			outcome := OutcomeDone
+			if overloadAt > 0 && e.batch > overloadAt {
+				outcome = OutcomeOverload
+			}
+			r.limits.End(now, r.ticket, outcome, r.took, 100)
+		}
+		running = kept
+		for _, l := range all {
+			for l.Room("x", 100) {
+				e.batch = len(running) + 1
+				took := e.latency(100)
+				running = append(running, run{limits: l, ticket: l.Begin(now, "x", 100), end: now + took, took: took})
+			}
+		}
+		e.batch = len(running)
+		if now > 5*kumquatlug.Minute {
+			sum, samples = sum+float64(e.batch), samples+1
+		}
+	}
+	return sum / samples
+}
+
+func TestConcurrencyFindsTheTarget(t *testing.T) {
+	// A target is given whatever comes. Past the size of its batch each request
+	// only makes all others slower, and every answer on it is late at once.
+	for _, entries := range []int{1, 4} {
+		batch := settle(engine{knee: 20}, entries, 0)
+		if batch < 18 || batch > 60 {
+			t.Errorf("%d entries settle at a batch of %.1f; the knee is 20, twice its floor 40", entries, batch)
+		}
+		t.Logf("%d entries, knee at 20: batch %.1f", entries, batch)
+	}
+	if batch := settle(engine{knee: 1000}, 1, 50); batch > 60 {
+		t.Errorf("a target that refuses above 50 is given %.1f", batch)
+	}
+}
+
+func TestReportIsNotCountedTwice(t *testing.T) {
+	// The report of a second ago doesn't hold the last second's requests. An
+	// entry that ignored them would send a second's work into memory that is
+	// already full; one that added all it has in hand would stop at half.
+	l := NewTargets(TargetsConfig{HighWater: 1})
+	l.Add("x")
+	l.Begin(1000, "x", 300)
+	l.Begin(2000, "x", 300)
+	l.Report(2500, "x", Load{Asked: 2500, Age: 1000, Used: 300, Total: 1000})
+	if !l.Room("x", 400) {
+		t.Error("300 reported and 300 begun since leave 400 of 1000")
+	}
+	if l.Room("x", 401) {
+		t.Error("there is no room for 401")
+	}
+	l.Report(2600, "x", Load{Asked: 2600, Age: 2600, Used: 0, Total: 1000})
+	if l.Room("x", 401) {
+		t.Error("an older report replaced a newer one")
+	}
+}
+
+func TestEntriesDoNotOverfillOnOneReport(t *testing.T) {
+	// Ten entries read the same report of a target with some room and send at
+	// once. Each believes that the room is its own; together they overfill the
+	// memory, and the target throws out half-done answers.
+	for _, used := range []int64{0, 4500, 8500} {
+		for _, cost := range []int64{50, 700, 3000} {
+			sum, far := 0.0, 0
+			for seed := range uint64(1000) {
+				over := sentOnOneReport(used, cost, seed) - (9000 - used)
+				sum += float64(over)
+				if over > 4*cost {
+					far++
+				}
+			}
+			if mean := sum / 1000; mean > 0.1*float64(cost) || far > 10 {
+				t.Errorf("used %d, pieces of %d: %.0f too many in the mean, far too many in %d of 1000", used, cost, mean, far)
+			}
+		}
+	}
+}
+
+// sentOnOneReport is what ten entries send to one target on the same report.
+func sentOnOneReport(used, cost int64, seed uint64) int64 {
+	sent := int64(0)
+	for n := range uint64(10) {
+		l := NewTargets(TargetsConfig{Entries: 10, Random: rand.New(rand.NewPCG(seed, n))})
+		l.Add("x")
+		l.Report(0, "x", Load{Used: used, Total: 10_000})
+		for l.Room("x", cost) {
+			l.Begin(1, "x", cost)
+			sent += cost
+		}
+	}
+	return sent
+}
+
+func TestUnknownAndRemovedTargets(t *testing.T) {
+	l := NewTargets(TargetsConfig{})
+	if l.Room("x", 1) {
+		t.Error("a target that nobody added has room")
+	}
+	l.Add("x")
+	k := l.Begin(0, "x", 1)
+	l.Remove("x")
+	l.End(1, k, OutcomeDone, 1, 1)
+	if l.Free("x") != 0 || l.Running("x") != 0 {
+		t.Error("a removed target is still counted")
+	}
+}
+
+func BenchmarkRoom(b *testing.B) {
+	l := NewTargets(TargetsConfig{})
+	names := make([]string, 100)
+	for n := range names {
+		names[n] = fmt.Sprint("target-", n)
+		l.Add(names[n])
+		l.Report(0, names[n], Load{Used: 500, Total: 1000})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		for _, name := range names {
+			l.Room(name, 100)
+		}
+	}
+}
+
+func BenchmarkCallers(b *testing.B) {
+	for _, callers := range []int{1, 740} {
+		b.Run(fmt.Sprint("callers=", callers), func(b *testing.B) {
+			c := NewCallers(CallersConfig{Default: CallerTerms{Rate: 1 << 30, Concurrency: 100}})
+			names := make([]string, callers)
+			for n := range names {
+				names[n] = fmt.Sprint("caller-", n)
+			}
+			b.ReportAllocs()
+			for n := 0; b.Loop(); n++ {
+				name := names[n%callers]
+				c.Begin(kumquatlug.Millis(n), name, 100)
+				c.End(kumquatlug.Millis(n), name, 10, 100, 100)
+			}
+		})
+	}
+}
+
+func BenchmarkBeginEnd(b *testing.B) {
+	l := NewTargets(TargetsConfig{})
+	l.Add("x")
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		k := l.Begin(kumquatlug.Millis(n), "x", 100)
+		l.End(kumquatlug.Millis(n), k, OutcomeDone, 1000, 100)
+	}
+}
--- /dev/null
+++ b/pkg/kumquatlug/limit/targets.go
@@ -0,0 +1,289 @@
+package limit
+
+import (
+	"math"
+	"math/rand/v2"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+// Grounds of the defaults stand at the fields of [TargetsConfig].
+const (
+	DefaultInitial   = 16
+	DefaultMin       = 1
+	DefaultMax       = 256
+	DefaultTolerance = 2.0
+	DefaultWindow    = 250
+	DefaultHighWater = 0.9
+)
+
+// TargetsConfig is what [Targets] is made of. Concurrencies are of a whole
+// target; each entry takes its part.
+type TargetsConfig struct {
+	// Initial is the concurrency that an unknown target starts with. Default
+	// 16: below what any engine that batches holds, and doubled within a
+	// second or two where there is room.
+	Initial int
+	// Min is the least concurrency of one entry. Default 1: with none the
+	// entry would never learn that the target is fast again.
+	Min int
+	// Max bounds the concurrency. Default 256, the largest batch that engines
+	// are commonly started with.
+	Max int
+	// Tolerance is how many times its floor a target's time for a token may be
+	// before it is given less. Default 2: a full batch takes about twice the
+	// time of a single request for a token, and fills the engine; what takes
+	// longer than that is queueing.
+	Tolerance float64
+	// Window is the time between two changes of a limit. Default 250 ms:
+	// some rounds of a batch, so that a change shows before the next.
+	Window kumquatlug.Millis
+	// HighWater is the part of the KV memory that may be filled by plan.
+	// Default 0.9: answers grow while they are written, and an engine that runs
+	// out of memory throws out half-done ones.
+	HighWater float64
+	// Entries is how many entries send to the same targets. Default 1.
+	Entries int
+	// Random is the seeded source for rounding small parts. Entries need
+	// different seeds. Default: seeds 1 and 1.
+	Random *rand.Rand
+}
+
+func (c TargetsConfig) withDefaults() TargetsConfig {
+	if c.Initial <= 0 {
+		c.Initial = DefaultInitial
+	}
+	if c.Min <= 0 {
+		c.Min = DefaultMin
+	}
+	if c.Max <= 0 {
+		c.Max = DefaultMax
+	}
+	if c.Tolerance <= 1 {
+		c.Tolerance = DefaultTolerance
+	}
+	if c.Window <= 0 {
+		c.Window = DefaultWindow
+	}
+	if c.HighWater <= 0 {
+		c.HighWater = DefaultHighWater
+	}
+	if c.Entries < 1 {
+		c.Entries = 1
+	}
+	if c.Random == nil {
+		c.Random = rand.New(rand.NewPCG(1, 1))
+	}
+	return c
+}
+
+// Targets holds each target to what it can take from this entry.
+type Targets struct {
+	config  TargetsConfig
+	targets map[string]*target
+}
+
+// NewTargets returns limits over no targets.
+func NewTargets(c TargetsConfig) *Targets {
+	return &Targets{config: c.withDefaults(), targets: make(map[string]*target)}
+}
+
+// Add starts the limits of a target, or of its new incarnation.
+func (t *Targets) Add(name string) {
+	part := float64(t.config.Initial) / float64(t.config.Entries)
+	t.targets[name] = &target{limit: max(part, float64(t.config.Min))}
+}
+
+// Remove forgets a target that is gone.
+func (t *Targets) Remove(name string) { delete(t.targets, name) }
+
+// SetEntries says how many entries now share the targets.
+func (t *Targets) SetEntries(n int) { t.config.Entries = max(n, 1) }
+
+// Ticket is one request in hand at a target.
+type Ticket struct {
+	target *target
+	cost   int64
+}
+
+// Begin counts a request of so many tokens (prompt and expected output) that
+// is being sent. Each ticket is ended once.
+func (t *Targets) Begin(now kumquatlug.Millis, name string, cost int64) Ticket {
+	g, ok := t.targets[name]
+	if !ok {
+		return Ticket{}
+	}
+	g.running++
+	g.memory.add(now, cost)
+	g.crowded = g.crowded || float64(g.running) >= g.limit/2
+	return Ticket{target: g, cost: cost}
+}
+
+// Outcome is how a request at a target ended.
+type Outcome string
+
+// The outcomes that the limits tell apart.
+const (
+	// OutcomeDone: answered; its latency counts.
+	OutcomeDone Outcome = "done"
+	// OutcomeOverload: the target refused it or ran out of time or memory.
+	OutcomeOverload Outcome = "overload"
+	// OutcomeOther: cancelled or failed; it says nothing of the target's load.
+	OutcomeOther Outcome = "other"
+)
+
+// End gives the ticket back. latency is the time that the work took: for an
+// engine the time from the first token to the last and the tokens between, for
+// a service the whole call and a work of 1. It is ignored unless the outcome is
+// OutcomeDone.
+func (t *Targets) End(now kumquatlug.Millis, k Ticket, o Outcome, latency kumquatlug.Millis, work int64) {
+	g := k.target
+	if g == nil {
+		return
+	}
+	g.running--
+	g.memory.add(now, -k.cost)
+	switch {
+	case o == OutcomeDone && work > 0:
+		g.sample(now, float64(latency)/float64(work))
+	case o == OutcomeOverload:
+		g.overloaded = true
+	}
+	t.adjust(now, g)
+}
+
+// Load is what a target last said of itself.
+type Load struct {
+	// Age is how old the load is, in milliseconds before it was asked for.
+	Age kumquatlug.Millis
+	// Asked is when this entry asked for it, on this entry's clock. What this
+	// entry began after Asked - Age isn't in the report.
+	Asked kumquatlug.Millis
+	// Waiting is how many requests wait inside the target.
+	Waiting int64
+	// Used and Total are tokens of KV memory; a Total of zero: not told.
+	Used, Total int64
+}
+
+// Report takes a target's load. One that is older than the last is dropped.
+func (t *Targets) Report(now kumquatlug.Millis, name string, l Load) {
+	g, ok := t.targets[name]
+	if !ok || !g.memory.report(l) {
+		return
+	}
+	g.waiting = l.Waiting
+	g.coin = t.config.Random.Float64()
+	if l.Waiting > int64(t.config.Entries) {
+		g.overloaded = true
+		t.adjust(now, g)
+	}
+}
+
+// Room reports whether a target may be given a request of so many tokens now.
+func (t *Targets) Room(name string, cost int64) bool {
+	g, ok := t.targets[name]
+	return ok && t.free(g) > 0 && g.memory.room(t.config, g.coin, cost)
+}
+
+// Free returns how many more requests the concurrency limit allows.
+func (t *Targets) Free(name string) int {
+	g, ok := t.targets[name]
+	if !ok {
+		return 0
+	}
+	return t.free(g)
+}
+
+// Running returns how many requests of this entry are in hand at a target.
+func (t *Targets) Running(name string) int {
+	if g, ok := t.targets[name]; ok {
+		return g.running
+	}
+	return 0
+}
+
+func (t *Targets) free(g *target) int {
+	limit := min(g.limit, t.most())
+	return max(int(math.Round(limit))-g.running, 0)
+}
+
+func (t *Targets) most() float64 {
+	part := float64(t.config.Max) / float64(t.config.Entries)
+	return max(part, float64(t.config.Min))
+}
+
+// target is one target's concurrency. floor and recent are milliseconds for a
+// token: the least seen, rising slowly, and a short mean.
+type target struct {
+	limit      float64
+	running    int
+	floor      float64
+	recent     float64
+	changed    kumquatlug.Millis
+	waiting    int64
+	coin       float64
+	crowded    bool
+	sampled    bool
+	sampledAt  kumquatlug.Millis
+	overloaded bool
+	memory     memory
+}
+
+// sampleWeight makes the mean follow about the last ten answers.
+const sampleWeight = 0.2
+
+// floorDoubles lets the floor rise slowly, so that a target that got slower for
+// good isn't held to its old floor for ever. It is slow because a target that
+// is always full shows nobody its floor: a floor that follows within minutes
+// makes crowding look normal, and several entries raise it together.
+const floorDoubles = float64(kumquatlug.Hour)
+
+func (g *target) sample(now kumquatlug.Millis, perToken float64) {
+	if g.floor == 0 {
+		g.floor, g.recent, g.sampledAt = perToken, perToken, now
+	}
+	g.floor *= 1 + float64(now-g.sampledAt)/floorDoubles
+	g.floor = min(g.floor, perToken)
+	g.recent += (perToken - g.recent) * sampleWeight
+	g.sampled, g.sampledAt = true, now
+}
+
+const (
+	// backoff is the cut at a sign of overload, as in congestion control: the
+	// queue inside the target empties within some windows.
+	backoff = 0.8
+	// leastGradient bounds a cut by latency to a half a window, since one
+	// very long prompt beside the others looks like crowding for a moment.
+	leastGradient = 0.5
+)
+
+// adjust changes the limit once a window: down by a fixed part at a sign of
+// overload, else by how far the time for a token lies above its tolerated
+// floor, with a step up of the root of the limit where the limit was in use.
+// The entries that share a target step so that together they step as one.
+func (t *Targets) adjust(now kumquatlug.Millis, g *target) {
+	if now-g.changed < t.config.Window || !g.sampled && !g.overloaded {
+		return
+	}
+	if g.overloaded {
+		g.limit *= backoff
+	} else {
+		g.limit = t.nextLimit(g)
+	}
+	g.limit = min(max(g.limit, float64(t.config.Min)), t.most())
+	g.changed = now
+	g.sampled, g.overloaded = false, false
+	g.crowded = float64(g.running) >= g.limit/2
+}
+
+func (t *Targets) nextLimit(g *target) float64 {
+	gradient := 1.0
+	if g.recent > 0 {
+		gradient = min(max(t.config.Tolerance*g.floor/g.recent, leastGradient), 1)
+	}
+	next := g.limit * gradient
+	if g.crowded && g.waiting == 0 {
+		next += math.Sqrt(g.limit / float64(t.config.Entries))
+	}
+	return next
+}
