--- a/internal/caller/generation.go
+++ b/internal/caller/generation.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -155,12 +156,7 @@
 // text returns what the engine reads, as far as affinity and cost need it.
 func (w wishes) text() (string, error) {
 	if w.Messages != nil {
-		var all []byte
-		for _, m := range w.Messages {
-			all = append(all, m.Role...)
-			all = append(all, m.Content...)
-		}
-		return string(all), nil
+		return chatText(w.Messages)
 	}
 	var prompt string
 	if len(w.Prompt) == 0 {
@@ -172,6 +168,42 @@
 	return prompt, nil
 }
 
+func chatText(messages []message) (string, error) {
+	var all strings.Builder
+	for i, m := range messages {
+		text, err := m.text()
+		if err != nil {
+			return "", errors.Wrapf(err, "message %d", i)
+		}
+		all.WriteString(m.Role)
+		all.WriteString(text)
+	}
+	return all.String(), nil
+}
+
+// text returns the content of a message, which is a string, a list of text
+// parts, or null.
+func (m message) text() (string, error) {
+	var text string
+	if len(m.Content) == 0 || json.Unmarshal(m.Content, &text) == nil {
+		return text, nil
+	}
+	var parts []struct {
+		Type string `json:"type"`
+		Text string `json:"text"`
+	}
+	if err := json.Unmarshal(m.Content, &parts); err != nil {
+		return "", errors.New("content is neither a string nor a list of parts")
+	}
+	for _, p := range parts {
+		if p.Type != "text" {
+			return "", errors.Newf("content of type %q is not supported", p.Type)
+		}
+		text += p.Text
+	}
+	return text, nil
+}
+
 func (w wishes) bound() (int64, error) {
 	bound := w.MaxTokens
 	if w.MaxCompletion != nil {
--- /dev/null
+++ b/internal/entry/follow.go
@@ -0,0 +1,164 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"go.uber.org/zap"
+
+	"github.com/kumquatlug/kumquatlug/internal/peer"
+	"github.com/kumquatlug/kumquatlug/internal/peer/peerv1"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/config"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/dispatch"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/membership"
+)
+
+// Figures of the duties beside the loop.
+const (
+	// heartbeatTick is how often heartbeats that are due are looked for.
+	heartbeatTick = 50 * time.Millisecond
+	// heartbeatTimeout bounds one heartbeat; peers are a few milliseconds away.
+	heartbeatTimeout = time.Second
+	// heartbeatsAtOnce bounds those in flight: more wait while peers hang.
+	heartbeatsAtOnce = 64
+	// snapshotEvery is how often an entry looks whether a snapshot of the
+	// config is due, and snapshotChanges after how many changes it is.
+	snapshotEvery   = time.Minute
+	snapshotChanges = 1000
+)
+
+// readList follows the platform's list of VMs.
+func (e *Entry) readList(ctx context.Context) error {
+	tick := time.NewTicker(e.c.ListEvery.Duration())
+	defer tick.Stop()
+	for {
+		vms, err := e.c.VMs.List(ctx)
+		if err != nil {
+			// The last list stands: targets that answer heartbeats go on.
+			e.c.Logger.Warn("can't read the platform's list of VMs", zap.Error(err))
+		} else {
+			e.listed.Store(&vms)
+			e.loop.post(vmsListed{vms})
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+	}
+}
+
+// heartbeats asks each target that the entry speaks to for a report, at the
+// pace that membership.Interval sets.
+func (e *Entry) heartbeats(ctx context.Context) error {
+	slots := make(chan struct{}, heartbeatsAtOnce)
+	asked := map[string]kumquatlug.Millis{}
+	tick := time.NewTicker(heartbeatTick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+		e.askDue(ctx, asked, slots)
+	}
+}
+
+func (e *Entry) askDue(ctx context.Context, asked map[string]kumquatlug.Millis, slots chan struct{}) {
+	now := e.c.Clock.Now()
+	members := e.watched(ctx)
+	interval := membership.Interval(len(members))
+	for _, m := range members {
+		name := m.VM().Name()
+		if now-asked[name] < interval {
+			continue
+		}
+		select {
+		case slots <- struct{}{}:
+		default:
+			return
+		}
+		asked[name] = now
+		go func() {
+			defer func() { <-slots }()
+			e.heartbeat(ctx, m)
+		}()
+	}
+}
+
+// watched returns the targets that the entry speaks to.
+func (e *Entry) watched(ctx context.Context) []membership.Member {
+	var members []membership.Member
+	_ = e.loop.ask(ctx, func(d *dispatch.Dispatcher) {
+		for _, name := range d.Watched() {
+			if m, known := d.Member(name); known {
+				members = append(members, m)
+			}
+		}
+	})
+	return members
+}
+
+// member returns one target.
+func (e *Entry) member(ctx context.Context, name string) (m membership.Member, known bool) {
+	_ = e.loop.ask(ctx, func(d *dispatch.Dispatcher) { m, known = d.Member(name) })
+	return m, known
+}
+
+func (e *Entry) heartbeat(ctx context.Context, m membership.Member) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	asked := e.c.Clock.Now()
+	answer, err := e.dialer.Agent(m.VM().Address()).Report(ctx, connect.NewRequest(&peerv1.ReportRequest{
+		Entry: e.c.Name, Address: e.address, Revision: int64(e.follower.State().Revision()),
+		HeadAgeMs: int64(e.follower.HeadAge()), Logical: e.c.Ring.Logical(), VmLeaving: m.Leaving(),
+	}))
+	if err != nil || answer.Msg.GetTarget() != m.VM().Name() {
+		// Another agent at the address is as good as none: a VM was replaced
+		// and the list does not know it yet.
+		e.loop.post(missed{m.VM().Name()})
+		return
+	}
+	e.c.Ring.Witness(answer.Msg.GetLogical())
+	e.follower.Learned(peer.RoleAgent, m.VM().Address(), answer.Msg.GetRevision(), kumquatlug.Millis(answer.Msg.GetHeadAgeMs()))
+	e.loop.post(heard{name: m.VM().Name(), report: reportOf(answer.Msg, asked)})
+}
+
+func reportOf(r *peerv1.ReportResponse, asked kumquatlug.Millis) dispatch.Report {
+	load := r.GetLoad()
+	return dispatch.Report{
+		Incarnation: r.GetIncarnation(), State: dispatch.TargetState(r.GetState()),
+		Protocol: kumquatlug.Protocol(r.GetProtocol()), Role: kumquatlug.Role(r.GetRole()),
+		Revision: config.Revision(r.GetRevision()), Asked: asked, Age: kumquatlug.Millis(load.GetAgeMs()),
+		Running: load.GetRunning(), Waiting: load.GetWaiting(), KVUsed: load.GetKvUsedTokens(), KVTotal: load.GetKvTotalTokens(),
+		PrefillRate: load.GetPrefillTokensPerSecond(), DecodeRate: load.GetDecodeTokensPerSecond(),
+		Begun: r.GetBegun(), Fence: r.GetFence(),
+	}
+}
+
+// snapshots stores the config as an object after many changes, so that a node
+// that starts need not read a long log.
+func (e *Entry) snapshots(ctx context.Context) error {
+	tick := time.NewTicker(snapshotEvery)
+	defer tick.Stop()
+	last := config.Revision(0)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+		state := e.follower.State()
+		if state.Revision()-last < snapshotChanges {
+			continue
+		}
+		if err := e.store.Snapshot(ctx, state); err != nil {
+			e.c.Logger.Warn("can't store a snapshot of the config", zap.Error(err))
+			continue
+		}
+		last = state.Revision()
+	}
+}
--- /dev/null
+++ b/internal/entry/generate.go
@@ -0,0 +1,295 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/kumquatlug/kumquatlug/internal/caller"
+	"github.com/kumquatlug/kumquatlug/internal/engine"
+	"github.com/kumquatlug/kumquatlug/internal/timeline"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/dispatch"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/stream"
+)
+
+// progressEvery is after how many tokens the loop is told of a stream's
+// progress: often enough for the router's view of a target's load, and a
+// sixteenth of the messages.
+const progressEvery = 16
+
+// maxAttempts bounds the attempts of one answer in the assembler; the retry
+// policy gives up earlier, but for refusals, which cost no engine anything.
+const maxAttempts = 64
+
+// Generate runs one request to a model until its answer is whole, on as many
+// engines as that takes.
+func (e *Entry) Generate(ctx context.Context, g caller.Generation, sink caller.Sink) (err error) {
+	r := e.newRequest(g.ID(), g.Caller(), g.Kind(), g.Timeout())
+	body, err := g.Body(0, r.terms.priority)
+	if err != nil {
+		return err
+	}
+	r.print = fingerprint(g.Caller().Name(), g.Kind().String(), body)
+	r.note(timeline.Admitted, "", g.Kind().String())
+	r.begin(dispatch.RequestConfig{
+		Role: kumquatlug.RoleBoth, Prefix: prefixKeys(g.Prompt()),
+		PrefillTokens: g.PromptTokens(), DecodeTokens: g.OutputTokens(),
+	})
+	defer func() { r.close(err) }()
+	answer, err := stream.New(stream.Config{Request: g.ID(), Attempts: maxAttempts})
+	if err != nil {
+		return err
+	}
+	s := &streaming{request: r, generation: g, sink: sink, answer: answer}
+	return s.run(ctx)
+}
+
+// streaming is one answer in the making.
+type streaming struct {
+	request    *request
+	generation caller.Generation
+	sink       caller.Sink
+	answer     *stream.Answer
+	told       int64
+	model      engine.Chunk
+	last       engine.Chunk
+}
+
+// run makes attempts until the answer is whole or the loop gives it up.
+func (s *streaming) run(ctx context.Context) error {
+	for {
+		attempt, err := s.request.next(ctx)
+		if err != nil {
+			return s.stopped(err)
+		}
+		failed, err := s.attempt(ctx, attempt)
+		if err != nil {
+			return err
+		}
+		if failed == nil {
+			return nil
+		}
+		s.request.fail(attempt, *failed)
+	}
+}
+
+// stopped makes the final failure of a stream truthful: once the caller has
+// tokens, the work ran.
+func (s *streaming) stopped(err error) error {
+	f := kumquatlug.FailureOf(err)
+	if len(s.answer.Sent()) == 0 || f.Ran() == kumquatlug.RanDone {
+		return err
+	}
+	return kumquatlug.NewFailure(kumquatlug.FailureConfig{
+		Step: f.Step(), Peer: f.Peer(), Reason: f.Reason(), Ran: kumquatlug.RanUnknown, Status: f.Status(),
+		RetryAfter: f.RetryAfter(), Cause: f.Unwrap(),
+	})
+}
+
+// attempt runs one attempt. It returns no failure when the answer is whole, and
+// an error when the caller is gone.
+func (s *streaming) attempt(ctx context.Context, a dispatch.Attempt) (*dispatch.Failed, error) {
+	number, at, ok := s.answer.Start()
+	if !ok {
+		return nil, s.failure(a, "attempts", nil)
+	}
+	body, err := s.generation.Body(int64(at), s.request.terms.priority)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answer, refused := s.request.send(ctx, a, outgoing{
+		method: http.MethodPost, path: s.generation.Path(), body: body,
+		header: http.Header{"Content-Type": {"application/json"}},
+	})
+	if refused != nil {
+		return s.refused(ctx, a, number, refused.failure)
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return nil, s.engineError(a, answer)
+	}
+	return s.read(ctx, a, number, engine.NewReader(answer.Body))
+}
+
+func (s *streaming) refused(ctx context.Context, a dispatch.Attempt, number int, f *kumquatlug.Failure) (*dispatch.Failed, error) {
+	s.answer.Cut(s.request.id, number)
+	if ctx.Err() != nil {
+		return nil, s.request.gone("send work", ctx.Err())
+	}
+	return &dispatch.Failed{
+		Failure: f, Refused: beforeStart(f), Resumable: true,
+	}, nil
+}
+
+// engineError passes an engine's own refusal of the request on to the caller.
+// Another engine would say the same of the same request.
+func (s *streaming) engineError(a dispatch.Attempt, answer *http.Response) error {
+	const maxText = 4096
+	text, _ := io.ReadAll(io.LimitReader(answer.Body, maxText))
+	status := answer.StatusCode
+	if status < http.StatusBadRequest {
+		status = http.StatusBadGateway
+	}
+	return kumquatlug.NewFailure(kumquatlug.FailureConfig{
+		Step: "run at engine", Peer: a.Target(), Reason: "engine_error", Ran: kumquatlug.RanNot, Status: status,
+		Cause: errors.Newf("%s", text),
+	})
+}
+
+func (s *streaming) failure(a dispatch.Attempt, reason string, cause error) *kumquatlug.Failure {
+	return kumquatlug.NewFailure(kumquatlug.FailureConfig{
+		Step: "read answer", Peer: a.Target(), Reason: reason, Ran: kumquatlug.RanUnknown,
+		Status: http.StatusBadGateway, Cause: cause,
+	})
+}
+
+// read passes the tokens of one attempt on until the answer is whole or cut.
+func (s *streaming) read(ctx context.Context, a dispatch.Attempt, number int, chunks *engine.Reader) (*dispatch.Failed, error) {
+	for {
+		chunk, err := chunks.Next()
+		if errors.Is(err, io.EOF) {
+			return s.end(a, number)
+		}
+		if ctx.Err() != nil {
+			return nil, s.request.gone("read answer", ctx.Err())
+		}
+		if err != nil {
+			s.answer.Cut(s.request.id, number)
+			return s.cut(a, err), nil
+		}
+		if err := s.take(number, chunk); err != nil {
+			return nil, s.request.gone("write answer", err)
+		}
+	}
+}
+
+func (s *streaming) cut(a dispatch.Attempt, cause error) *dispatch.Failed {
+	return &dispatch.Failed{Failure: s.failure(a, "stream_cut", cause), Resumable: true}
+}
+
+// take forwards what of a chunk the caller does not have yet.
+func (s *streaming) take(number int, chunk engine.Chunk) error {
+	s.last.Usage = keepUsage(s.last.Usage, chunk.Usage)
+	text, isToken := textOf(chunk)
+	if len(chunk.Choices) > 0 {
+		s.last.Choices = chunk.Choices
+	}
+	if s.model.Object == "" && len(chunk.Choices) > 0 {
+		s.model = chunk
+	}
+	if !isToken {
+		return nil
+	}
+	step := s.answer.Chunk(stream.NewChunk(s.request.id, number, int(chunk.Tokens())-1, text))
+	for _, token := range step.Tokens() {
+		if err := s.sink.Chunk(s.chunkOf(token)); err != nil {
+			return err
+		}
+	}
+	return s.tell()
+}
+
+// tell reports progress to the loop, at the first token and then in portions.
+func (s *streaming) tell() error {
+	tokens := int64(len(s.answer.Sent()))
+	if s.told == 0 && tokens > 0 {
+		s.request.entry.metrics.firstToken.WithLabelValues(s.request.kind.String()).Observe(s.request.age().Seconds())
+	}
+	if tokens > 0 && (s.told == 0 || tokens-s.told >= progressEvery) {
+		s.told = tokens
+		s.request.entry.loop.post(progressed{s.request.id, tokens})
+	}
+	return nil
+}
+
+func keepUsage(known, told *engine.Usage) *engine.Usage {
+	if told == nil {
+		return known
+	}
+	return told
+}
+
+// textOf returns the token that a chunk carries, and false when it carries
+// none: a role, a finish reason or a usage alone.
+func textOf(c engine.Chunk) (string, bool) {
+	if len(c.Choices) == 0 {
+		return "", false
+	}
+	choice := c.Choices[0]
+	if choice.Text != nil {
+		return *choice.Text, c.Tokens() > 0 && (*choice.Text != "" || choice.Finish == nil)
+	}
+	var delta struct {
+		Content *string `json:"content"`
+	}
+	if json.Unmarshal(choice.Delta, &delta) != nil || delta.Content == nil {
+		return "", false
+	}
+	return *delta.Content, c.Tokens() > 0 && (*delta.Content != "" || choice.Finish == nil)
+}
+
+// chunkOf renders a token in the shape of the API that was called.
+func (s *streaming) chunkOf(token string) engine.Chunk {
+	return s.render(token, nil)
+}
+
+func (s *streaming) render(token string, finish *string) engine.Chunk {
+	c := engine.Chunk{Object: s.model.Object, Model: s.generation.Kind().Name()}
+	choice := engine.Choice{Finish: finish}
+	if len(s.model.Choices) > 0 && s.model.Choices[0].Text == nil {
+		choice.Delta = delta(token, len(s.answer.Sent()) <= 1 && finish == nil)
+	} else {
+		choice.Text = &token
+	}
+	c.Choices = []engine.Choice{choice}
+	return c
+}
+
+// delta is the part of a chat message that one token adds.
+func delta(token string, first bool) json.RawMessage {
+	body := struct {
+		Role    string `json:"role,omitempty"`
+		Content string `json:"content"`
+	}{Content: token}
+	if first {
+		body.Role = "assistant"
+	}
+	text, err := json.Marshal(body)
+	if err != nil {
+		return json.RawMessage("{}")
+	}
+	return text
+}
+
+// end takes the end mark: the answer is whole if no token is missing.
+func (s *streaming) end(a dispatch.Attempt, number int) (*dispatch.Failed, error) {
+	usage := s.last.Usage
+	if usage == nil {
+		usage = &engine.Usage{}
+	}
+	cached := int64(0)
+	if usage.PromptDetails != nil {
+		cached = usage.PromptDetails.CachedTokens
+	}
+	reason := s.last.Finish()
+	step := s.answer.End(stream.NewEnd(s.request.id, number, int(usage.CompletionTokens), reason,
+		stream.NewUsage(int(usage.PromptTokens), int(cached), int(usage.CompletionTokens))))
+	if step.Verdict() != stream.VerdictWhole {
+		s.answer.Cut(s.request.id, number)
+		return s.cut(a, engine.ErrNoEnd), nil
+	}
+	s.request.finish(dispatch.Done{Tokens: usage.CompletionTokens, Cached: cached})
+	if err := s.sink.Chunk(s.render("", &reason)); err != nil {
+		return nil, s.request.gone("write answer", err)
+	}
+	if err := s.sink.Chunk(engine.Chunk{Object: s.model.Object, Model: s.generation.Kind().Name(), Choices: []engine.Choice{}, Usage: usage}); err != nil {
+		return nil, s.request.gone("write answer", err)
+	}
+	return nil, nil
+}
--- /dev/null
+++ b/internal/entry/loop.go
@@ -0,0 +1,168 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/kumquatlug/kumquatlug/internal/timeline"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/config"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/dispatch"
+)
+
+// inboxSize bounds the messages that wait for the loop. A message takes a few
+// microseconds, so a full inbox is some ten milliseconds of work; whoever finds
+// it full waits.
+const inboxSize = 4096
+
+// Messages to the loop.
+type (
+	arrived struct {
+		request dispatch.RequestConfig
+		reply   chan dispatch.Decision
+	}
+	attemptFailed struct {
+		id     string
+		failed dispatch.Failed
+	}
+	progressed struct {
+		id     string
+		tokens int64
+	}
+	finished struct {
+		id   string
+		done dispatch.Done
+	}
+	cancelled  struct{ id string }
+	configured struct{ state config.State }
+	vmsListed  struct{ vms []kumquatlug.VM }
+	heard      struct {
+		name   string
+		report dispatch.Report
+	}
+	missed struct{ name string }
+	// asked lets another goroutine look at the dispatcher between two events.
+	asked struct {
+		look func(*dispatch.Dispatcher)
+		done chan struct{}
+	}
+)
+
+// loop is the one goroutine that owns the entry's decisions.
+type loop struct {
+	entry      *Entry
+	dispatcher *dispatch.Dispatcher
+	inbox      chan any
+	stopped    chan struct{}
+	replies    map[string]chan dispatch.Decision
+}
+
+func newLoop(e *Entry) *loop {
+	return &loop{
+		entry: e, dispatcher: dispatch.New(e.c.Dispatch), inbox: make(chan any, inboxSize),
+		stopped: make(chan struct{}), replies: map[string]chan dispatch.Decision{},
+	}
+}
+
+// post hands a message to the loop; it waits while the inbox is full and gives
+// up when the loop has stopped.
+func (l *loop) post(message any) {
+	select {
+	case l.inbox <- message:
+	case <-l.stopped:
+	}
+}
+
+// ask runs look between two events and returns when it is done.
+func (l *loop) ask(ctx context.Context, look func(*dispatch.Dispatcher)) error {
+	done := make(chan struct{})
+	l.post(asked{look, done})
+	select {
+	case <-done:
+		return nil
+	case <-l.stopped:
+		return context.Canceled
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// run takes messages and the time until ctx ends.
+func (l *loop) run(ctx context.Context) error {
+	defer close(l.stopped)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		now := l.entry.c.Clock.Now()
+		timer.Reset((l.dispatcher.Wake(now) - now).Duration())
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case message := <-l.inbox:
+			l.carryOut(l.take(l.entry.c.Clock.Now(), message))
+		case <-timer.C:
+			l.carryOut(l.dispatcher.Tick(l.entry.c.Clock.Now()))
+		}
+	}
+}
+
+func (l *loop) take(now kumquatlug.Millis, message any) []dispatch.Decision {
+	switch m := message.(type) {
+	case arrived:
+		l.replies[m.request.ID] = m.reply
+		return l.dispatcher.Arrive(now, m.request)
+	case attemptFailed:
+		return l.dispatcher.AttemptFailed(now, m.id, m.failed)
+	case progressed:
+		return l.dispatcher.Progress(now, m.id, m.tokens)
+	case finished:
+		delete(l.replies, m.id)
+		return l.dispatcher.Finished(now, m.id, m.done)
+	case cancelled:
+		delete(l.replies, m.id)
+		return l.dispatcher.Cancelled(now, m.id)
+	case configured:
+		return l.dispatcher.Configure(now, m.state)
+	case vmsListed:
+		return l.dispatcher.Listed(now, m.vms)
+	case heard:
+		return l.heard(now, m)
+	case missed:
+		return l.missed(now, m)
+	case asked:
+		m.look(l.dispatcher)
+		close(m.done)
+	}
+	return nil
+}
+
+func (l *loop) heard(now kumquatlug.Millis, m heard) []dispatch.Decision {
+	change, changed, decisions := l.dispatcher.Heard(now, m.name, m.report)
+	if changed {
+		l.entry.c.Ring.Add(timeline.Record{Name: timeline.TargetUp, Peer: m.name, Detail: "was " + string(change.From())})
+	}
+	return decisions
+}
+
+func (l *loop) missed(now kumquatlug.Millis, m missed) []dispatch.Decision {
+	_, changed, decisions := l.dispatcher.Missed(now, m.name)
+	if changed {
+		l.entry.c.Ring.Add(timeline.Record{Name: timeline.TargetDown, Peer: m.name, Detail: "heartbeats missed"})
+	}
+	return decisions
+}
+
+// carryOut hands each decision to the goroutine of its request. A request has
+// at most one decision that it has not read, so that no hand-over waits.
+func (l *loop) carryOut(decisions []dispatch.Decision) {
+	for _, d := range decisions {
+		reply, waits := l.replies[d.ID()]
+		if !waits {
+			continue
+		}
+		if d.Verdict() == dispatch.VerdictRefuse {
+			delete(l.replies, d.ID())
+		}
+		reply <- d
+	}
+}
--- /dev/null
+++ b/internal/entry/metrics.go
@@ -0,0 +1,56 @@
+package entry
+
+import (
+	"crypto/tls"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// tlsConfig keeps the wiring free of the library's name.
+type tlsConfig = tls.Config
+
+// metrics are the entry's counters. Labels are bounded: kinds come from the
+// config, reasons from constants; callers are counted nowhere by name.
+type metrics struct {
+	answered   *prometheus.CounterVec
+	refused    *prometheus.CounterVec
+	attempts   *prometheus.CounterVec
+	firstToken *prometheus.HistogramVec
+	whole      *prometheus.HistogramVec
+	wait       *prometheus.HistogramVec
+	revision   prometheus.Gauge
+	inHand     prometheus.Gauge
+	members    *prometheus.GaugeVec
+}
+
+func newMetrics(registry *prometheus.Registry) *metrics {
+	seconds := prometheus.ExponentialBuckets(0.001, 2, 18)
+	histogram := func(name, help string) *prometheus.HistogramVec {
+		return prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: name, Help: help, Buckets: seconds}, []string{"kind"})
+	}
+	m := &metrics{
+		answered: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kumquatlug_entry_answered_total", Help: "Requests answered in full, by kind.",
+		}, []string{"kind"}),
+		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kumquatlug_entry_refused_total", Help: "Requests refused or failed, by kind, reason and whether they ran.",
+		}, []string{"kind", "reason", "ran"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kumquatlug_entry_attempts_total", Help: "Attempts at targets, by kind and outcome.",
+		}, []string{"kind", "outcome"}),
+		firstToken: histogram("kumquatlug_entry_first_token_seconds", "Time from a request's arrival to its first token."),
+		whole:      histogram("kumquatlug_entry_answer_seconds", "Time from a request's arrival to the end of its answer."),
+		wait:       histogram("kumquatlug_entry_wait_seconds", "Time from a request's arrival to its first attempt."),
+		revision: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "kumquatlug_entry_config_revision", Help: "Revision of the config in force.",
+		}),
+		inHand: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "kumquatlug_entry_in_hand", Help: "Requests that wait or are being answered.",
+		}),
+		members: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "kumquatlug_entry_targets", Help: "Targets that this entry speaks to, by state.",
+		}, []string{"state"}),
+	}
+	registry.MustRegister(m.answered, m.refused, m.attempts, m.firstToken, m.whole, m.wait, m.revision, m.inHand, m.members)
+	return m
+}
--- /dev/null
+++ b/internal/operator/server.go
@@ -0,0 +1,170 @@
+// Package operator speaks to operators: the API that an entry serves to them
+// and the client that the command line uses.
+//
+// A change that failed is told in one of three ways that an operator must not
+// mix up: it met somebody else's change (conflict, look again), it was not
+// allowed or not valid (nothing happened), or its answer was lost (it may have
+// taken effect: send the same change again under the same id).
+package operator
+
+import (
+	"context"
+	"crypto/subtle"
+	"net/http"
+	"strings"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/kumquatlug/kumquatlug/internal/peer"
+	"github.com/kumquatlug/kumquatlug/internal/peer/peerv1"
+	"github.com/kumquatlug/kumquatlug/internal/peer/peerv1/peerv1connect"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/config"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/dispatch"
+)
+
+// Desk is what the API needs from the entry behind it.
+type Desk interface {
+	Change(ctx context.Context, p config.Proposal) (config.Change, error)
+	State() config.State
+	Status(ctx context.Context) ([]*peerv1.NodeStatus, error)
+	Explain(ctx context.Context, kind kumquatlug.Kind) ([]dispatch.Explanation, error)
+	Timeline(ctx context.Context, requestID string) (*peerv1.EventsResponse, error)
+}
+
+// HandlerConfig is what the API is made of.
+type HandlerConfig struct {
+	Desk Desk
+	// Keys maps the hash of an operator's key to the operator's name.
+	Keys   map[string]string
+	Logger *zap.Logger
+}
+
+// NewHandler returns the path and the handler of the operators' API.
+func NewHandler(c HandlerConfig) (string, http.Handler) {
+	path, handler := peerv1connect.NewOperatorServiceHandler(&server{c: c})
+	return path, authenticated(c.Keys, handler)
+}
+
+// authorKey finds the operator's name in a request's context.
+type authorKey struct{}
+
+// authenticated lets only operators through. A caller's key is not among these,
+// so that no caller can reach the operators' API.
+func authenticated(keys map[string]string, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		author, known := authorOf(keys, kumquatlug.HashKey(strings.TrimSpace(key)))
+		if !known {
+			http.Error(w, `{"code":"unauthenticated","message":"no operator has this key"}`, http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), authorKey{}, author)))
+	})
+}
+
+func authorOf(keys map[string]string, hash string) (string, bool) {
+	author, found := "", false
+	for known, name := range keys {
+		if subtle.ConstantTimeCompare([]byte(known), []byte(hash)) == 1 {
+			author, found = name, true
+		}
+	}
+	return author, found
+}
+
+// server implements peerv1connect.OperatorServiceHandler.
+type server struct {
+	c HandlerConfig
+}
+
+// Change makes a change the next revision.
+func (s *server) Change(
+	ctx context.Context, r *connect.Request[peerv1.ChangeRequest],
+) (*connect.Response[peerv1.ChangeResponse], error) {
+	author, _ := ctx.Value(authorKey{}).(string)
+	p, err := config.NewProposal(config.ProposalConfig{
+		ID: r.Msg.GetId(), Author: author, Base: config.Revision(r.Msg.GetBase()), Sets: peer.SetsFrom(r.Msg.GetSets()),
+	})
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	change, err := s.c.Desk.Change(ctx, p)
+	if err != nil {
+		s.c.Logger.Warn("change failed", zap.String("author", author), zap.String("change", p.ID()), zap.Error(err))
+		return nil, connect.NewError(codeOf(err), err)
+	}
+	s.c.Logger.Info("change made", zap.String("author", author), zap.String("change", p.ID()), zap.Int64("revision", int64(change.Revision())))
+	return connect.NewResponse(&peerv1.ChangeResponse{Revision: int64(change.Revision())}), nil
+}
+
+// codeOf keeps conflict, denied and lost apart.
+func codeOf(err error) connect.Code {
+	switch {
+	case errors.Is(err, kumquatlug.ErrConflict):
+		return connect.CodeAborted
+	case errors.Is(err, kumquatlug.ErrLost):
+		return connect.CodeUnknown
+	case errors.Is(err, kumquatlug.ErrDenied):
+		return connect.CodePermissionDenied
+	case errors.Is(err, kumquatlug.ErrUnavailable):
+		return connect.CodeUnavailable
+	default:
+		return connect.CodeInvalidArgument
+	}
+}
+
+// Get returns the config keys below a prefix. Hashes of callers' keys stay in.
+func (s *server) Get(
+	_ context.Context, r *connect.Request[peerv1.GetRequest],
+) (*connect.Response[peerv1.GetResponse], error) {
+	state := s.c.Desk.State()
+	answer := &peerv1.GetResponse{Revision: int64(state.Revision())}
+	state.Range(r.Msg.GetPrefix(), func(key string, value []byte) bool {
+		answer.Sets = append(answer.Sets, &peerv1.Set{Key: key, Value: value})
+		return true
+	})
+	return connect.NewResponse(answer), nil
+}
+
+// Status returns every node with the revision in force there.
+func (s *server) Status(
+	ctx context.Context, _ *connect.Request[peerv1.StatusRequest],
+) (*connect.Response[peerv1.StatusResponse], error) {
+	nodes, err := s.c.Desk.Status(ctx)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&peerv1.StatusResponse{Revision: int64(s.c.Desk.State().Revision()), Nodes: nodes}), nil
+}
+
+// Explain says which targets may take a kind of work and why the others may not.
+func (s *server) Explain(
+	ctx context.Context, r *connect.Request[peerv1.ExplainRequest],
+) (*connect.Response[peerv1.ExplainResponse], error) {
+	kind := kumquatlug.NewKind(kumquatlug.Protocol(r.Msg.GetProtocol()), r.Msg.GetKind())
+	list, err := s.c.Desk.Explain(ctx, kind)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	answer := &peerv1.ExplainResponse{Revision: int64(s.c.Desk.State().Revision())}
+	for _, e := range list {
+		answer.Verdicts = append(answer.Verdicts, &peerv1.Verdict{
+			Target: e.Target(), Eligible: e.Eligible(), Selector: e.Selector(), Reason: e.Reason(),
+		})
+	}
+	return connect.NewResponse(answer), nil
+}
+
+// Timeline returns the merged events of all processes.
+func (s *server) Timeline(
+	ctx context.Context, r *connect.Request[peerv1.TimelineRequest],
+) (*connect.Response[peerv1.EventsResponse], error) {
+	answer, err := s.c.Desk.Timeline(ctx, r.Msg.GetRequestId())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(answer), nil
+}
--- a/internal/peer/tls.go
+++ b/internal/peer/tls.go
@@ -127,3 +127,31 @@
 	}
 	return false
 }
+
+// PublicKeys are what callers and operators see of a process: a certificate
+// that their own trust settings accept. They show no certificate themselves.
+type PublicKeys struct {
+	certificate tls.Certificate
+}
+
+// LoadPublicKeys reads a certificate and its key from PEM text or files.
+func LoadPublicKeys(certificate, key string) (*PublicKeys, error) {
+	certificateText, err := settings.PEM(certificate)
+	if err != nil {
+		return nil, errors.Wrap(err, "public certificate")
+	}
+	keyText, err := settings.PEM(key)
+	if err != nil {
+		return nil, errors.Wrap(err, "public key")
+	}
+	pair, err := tls.X509KeyPair(certificateText, keyText)
+	return &PublicKeys{certificate: pair}, errors.Wrap(err, "public certificate and key")
+}
+
+// Server returns the TLS settings for a public listener, nil for plain ones.
+func (k *PublicKeys) Server() *tls.Config {
+	if k == nil {
+		return nil
+	}
+	return &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{k.certificate}}
+}
--- a/internal/peer/work.go
+++ b/internal/peer/work.go
@@ -37,6 +37,18 @@
 	EndCut = "target_cut"
 )
 
+// Reasons of an agent's refusal that an entry acts on.
+const (
+	// ReasonElsewhere: the agent that the failure names as its peer holds the
+	// run-once claim of the call.
+	ReasonElsewhere = "held_elsewhere"
+	// ReasonUnknown: whether the call ran can't be known any more.
+	ReasonUnknown = "outcome_unknown"
+)
+
+// ReplayedHeader marks an answer that was kept from an earlier run of the call.
+const ReplayedHeader = "Idempotent-Replayed"
+
 // KeyHeader is the header by which callers name a call that they may send again.
 const KeyHeader = "Idempotency-Key"
 
--- /dev/null
+++ b/pkg/kumquatlug/dispatch/dispatch.go
@@ -0,0 +1,382 @@
+// Package dispatch puts the decisions of one entry together: who is admitted,
+// who waits, where each attempt goes and what follows when it fails.
+//
+// A [Dispatcher] takes events (a request arrived, an attempt failed, a target
+// reported, the config changed) with the time, and gives [Decision] values out.
+// It holds no goroutine, network or wall clock; one loop of the entry owns it.
+//
+// What happens without one place for this: an entry in which each request
+// chooses for itself sends a burst to the target that looked idle a moment ago,
+// retries crowd out new work, and requests that nobody can serve any more keep
+// waiting. Here every event ends in one step, [Dispatcher] serves what is due
+// in order: attempts of requests that were already accepted, then the queue.
+package dispatch
+
+import (
+	"math/rand/v2"
+	"sort"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/admission"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/config"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/health"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/limit"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/membership"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/retry"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/routing"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/selector"
+)
+
+// Figures of the package.
+const (
+	// TargetGrace is how long requests wait while a kind has no target at all.
+	// A role change takes an engine away for seconds and a restarted agent is
+	// heard within one; after five seconds nobody is likely to come in time,
+	// and whoever waits is told so.
+	TargetGrace = 5 * kumquatlug.Second
+	// prefillRate and decodeRate, in tokens a second, stand for what a target
+	// does until answers have shown it; the same as in package routing.
+	prefillRate = 8000
+	decodeRate  = 50
+	// paceGain is the weight of the newest answer in the pace of a kind: a
+	// hundred answers replace what was believed before.
+	paceGain = 0.02
+	// forgetEvery is how often idle callers are forgotten.
+	forgetEvery = kumquatlug.Minute
+)
+
+// Config is what a [Dispatcher] is made of.
+type Config struct {
+	// Entry is this entry's name, Zone its data centre.
+	Entry string
+	Zone  string
+	// Seed gives the randomness of choices, waits and jitter; entries need
+	// different ones, or they decide alike on the same reports.
+	Seed uint64
+	// Subset is how many targets of a kind of engine work the entry speaks to;
+	// zero means routing.DefaultSubset.
+	Subset int
+	// Admission, Health, Retry and Limits tune the parts; the zero values mean
+	// their defaults. Sources of randomness are set from Seed.
+	Admission admission.Config
+	Health    health.Config
+	Retry     retry.Config
+	Limits    limit.TargetsConfig
+	Callers   limit.CallersConfig
+}
+
+// Dispatcher decides for one entry. It is not safe for concurrent use.
+type Dispatcher struct {
+	c         Config
+	queue     *admission.Queue
+	router    *routing.Router
+	retries   *retry.Policy
+	targets   *limit.Targets
+	callers   *limit.Callers
+	members   *membership.Members
+	health    map[kumquatlug.Kind]*health.Group
+	reports   map[string]Report
+	entries   []string
+	selectors []selector.Selector
+	labels    map[string]selector.Labels
+	revision  config.Revision
+	kinds     map[kumquatlug.Kind]*kindState
+	order     []kumquatlug.Kind
+	watched   []string
+	requests  map[string]*request
+	due       []*request
+	out       []Decision
+	forgotAt  kumquatlug.Millis
+}
+
+// kindState is what is kept of one kind of work.
+type kindState struct {
+	kind kumquatlug.Kind
+	// names are the targets in the entry's subset that a selector gives the
+	// kind to, whatever their state.
+	names []string
+	// ready are those that take new work now.
+	ready []string
+	// emptySince is since when none is ready.
+	emptySince kumquatlug.Millis
+	// pace is how long answers take beside what their tokens make expect.
+	pace float64
+}
+
+// New returns a dispatcher that knows of no target.
+func New(c Config) *Dispatcher {
+	seed := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(c.Seed, stream)) }
+	c.Admission.Random = seed(1)
+	c.Retry.Source = rand.NewPCG(c.Seed, 2)
+	c.Limits.Random = seed(3)
+	c.Callers.Random = seed(4)
+	if c.Subset == 0 {
+		c.Subset = routing.DefaultSubset
+	}
+	return &Dispatcher{
+		c:        c,
+		queue:    admission.New(c.Admission),
+		router:   routing.New(routing.Config{Source: rand.NewPCG(c.Seed, 5), Zone: c.Zone}),
+		retries:  retry.New(c.Retry),
+		targets:  limit.NewTargets(c.Limits),
+		callers:  limit.NewCallers(c.Callers),
+		members:  membership.New(),
+		health:   map[kumquatlug.Kind]*health.Group{},
+		reports:  map[string]Report{},
+		labels:   map[string]selector.Labels{},
+		kinds:    map[kumquatlug.Kind]*kindState{},
+		requests: map[string]*request{},
+	}
+}
+
+// Verdict is what is decided for a request.
+type Verdict string
+
+// The verdicts of a [Decision].
+const (
+	// VerdictSend: make the attempt at the target.
+	VerdictSend Verdict = "send"
+	// VerdictRefuse: give the caller its final answer now.
+	VerdictRefuse Verdict = "refuse"
+)
+
+// Decision tells what to do about one request.
+type Decision struct {
+	id      string
+	verdict Verdict
+	attempt Attempt
+	failure *kumquatlug.Failure
+}
+
+// ID returns the request's id.
+func (d Decision) ID() string { return d.id }
+
+// Verdict returns what to do.
+func (d Decision) Verdict() Verdict { return d.verdict }
+
+// Attempt returns what to send where, with VerdictSend alone.
+func (d Decision) Attempt() Attempt { return d.attempt }
+
+// Failure returns the final answer, with VerdictRefuse alone.
+func (d Decision) Failure() *kumquatlug.Failure { return d.failure }
+
+// Attempt is one sending of a request to a target.
+type Attempt struct {
+	target   string
+	address  string
+	number   int
+	revision config.Revision
+}
+
+// At returns the attempt at another target, for a call whose run-once claim is
+// held there.
+func (a Attempt) At(target, address string) Attempt {
+	a.target, a.address = target, address
+	return a
+}
+
+// Target returns the target's name.
+func (a Attempt) Target() string { return a.target }
+
+// Address returns where the target's agent is reached.
+func (a Attempt) Address() string { return a.address }
+
+// Number returns the number of the attempt, from one.
+func (a Attempt) Number() int { return a.number }
+
+// Revision returns the config under which the target was chosen.
+func (a Attempt) Revision() config.Revision { return a.revision }
+
+// Arrive takes a new request: it is refused at once, or waits for its turn.
+func (d *Dispatcher) Arrive(now kumquatlug.Millis, c RequestConfig) []Decision {
+	d.begin()
+	r := &request{c: c}
+	if failure := d.check(now, r); failure != nil {
+		d.refuse(c.ID, failure)
+		return d.out
+	}
+	d.requests[c.ID] = r
+	offer := d.queue.Offer(now, d.admissionRequest(r))
+	for _, displaced := range offer.Displaced() {
+		d.giveUp(now, displaced.Request().ID(), displaced.Failure())
+	}
+	if offer.Verdict() == admission.VerdictRefused {
+		d.giveUp(now, c.ID, offer.Refusal().Failure())
+	} else {
+		d.retries.Accepted(now)
+	}
+	return d.serve(now)
+}
+
+// check refuses what needs no place in the queue.
+func (d *Dispatcher) check(now kumquatlug.Millis, r *request) *kumquatlug.Failure {
+	k, known := d.kinds[r.c.Kind]
+	if !known {
+		return failure("find targets", "unknown_kind", 404, 0)
+	}
+	if _, twice := d.requests[r.c.ID]; twice {
+		return failure("take request", "duplicate_id", 409, 0)
+	}
+	if len(k.ready) == 0 && now-k.emptySince > TargetGrace {
+		return noTarget()
+	}
+	verdict := d.callers.Begin(now, r.c.Caller.Name(), r.cost())
+	if !verdict.Passed() {
+		return verdict.Failure()
+	}
+	r.charged = true
+	return nil
+}
+
+func failure(step, reason string, status int, retryAfter kumquatlug.Millis) *kumquatlug.Failure {
+	return kumquatlug.NewFailure(kumquatlug.FailureConfig{
+		Step: step, Reason: reason, Ran: kumquatlug.RanNot, Status: status, RetryAfter: retryAfter,
+	})
+}
+
+func noTarget() *kumquatlug.Failure {
+	return failure("find targets", "no_target", 503, TargetGrace)
+}
+
+func (d *Dispatcher) admissionRequest(r *request) admission.Request {
+	return admission.NewRequest(admission.RequestConfig{
+		ID: r.c.ID, Caller: r.c.Caller.Name(), Kind: r.c.Kind, Cost: r.cost(), Arrival: r.c.Arrival,
+		Deadline: r.c.Deadline, Service: d.serviceTime(r), Priority: r.c.Priority, Weight: int64(r.c.Caller.Weight()),
+	})
+}
+
+// serviceTime is how long the answer takes once it is sent.
+func (d *Dispatcher) serviceTime(r *request) kumquatlug.Millis {
+	return kumquatlug.Millis(r.expected() * d.kinds[r.c.Kind].pace)
+}
+
+// Tick does what time alone makes due. Call it at least as often as [Wake]
+// says.
+func (d *Dispatcher) Tick(now kumquatlug.Millis) []Decision {
+	d.begin()
+	d.refuseStranded(now)
+	if now-d.forgotAt > forgetEvery {
+		d.callers.Forget(now)
+		d.forgotAt = now
+	}
+	return d.serve(now)
+}
+
+// refuseStranded gives up the requests of kinds that have had no target for
+// longer than the grace. Waiting for their deadlines would only delay the news.
+func (d *Dispatcher) refuseStranded(now kumquatlug.Millis) {
+	for _, kind := range d.order {
+		k := d.kinds[kind]
+		if len(k.ready) > 0 || now-k.emptySince <= TargetGrace {
+			continue
+		}
+		d.refuseWaiting(now, kind)
+	}
+}
+
+// refuseWaiting gives up every request of a kind that is not in hand.
+func (d *Dispatcher) refuseWaiting(now kumquatlug.Millis, kind kumquatlug.Kind) {
+	for next, waits := d.queue.Next(kind); waits; next, waits = d.queue.Next(kind) {
+		d.queue.Cancel(now, next.ID())
+		d.giveUp(now, next.ID(), noTarget())
+	}
+	left := d.due[:0]
+	for _, r := range d.due {
+		if r.c.Kind != kind {
+			left = append(left, r)
+			continue
+		}
+		d.giveUp(now, r.c.ID, r.final("no_target"))
+	}
+	d.due = left
+}
+
+// Wake returns when Tick has to be called at the latest.
+func (d *Dispatcher) Wake(now kumquatlug.Millis) kumquatlug.Millis {
+	wake := now + kumquatlug.Second
+	if at, waits := d.queue.Wake(); waits {
+		wake = min(wake, at)
+	}
+	for _, r := range d.due {
+		wake = min(wake, max(r.dueAt, now+1))
+	}
+	return wake
+}
+
+// begin starts a new list of decisions.
+func (d *Dispatcher) begin() { d.out = d.out[:0] }
+
+// serve refuses who can't make it any more, then sends what is due and what
+// the queue says as far as targets have room.
+func (d *Dispatcher) serve(now kumquatlug.Millis) []Decision {
+	for _, late := range d.queue.Expire(now) {
+		d.giveUp(now, late.Request().ID(), late.Failure())
+	}
+	d.sendDue(now)
+	for _, kind := range d.queue.Kinds() {
+		d.sendQueued(now, kind)
+	}
+	return d.out
+}
+
+// sendDue sends further attempts of requests that were accepted already. They
+// go before the queue: their callers may have half an answer.
+func (d *Dispatcher) sendDue(now kumquatlug.Millis) {
+	left := d.due[:0]
+	for _, r := range d.due {
+		switch {
+		case r.dueAt > now:
+			left = append(left, r)
+		case d.send(now, r):
+		case now >= r.c.Deadline:
+			d.giveUp(now, r.c.ID, r.final("deadline"))
+		default:
+			left = append(left, r)
+		}
+	}
+	d.due = left
+}
+
+func (d *Dispatcher) sendQueued(now kumquatlug.Millis, kind kumquatlug.Kind) {
+	for {
+		next, waits := d.queue.Next(kind)
+		if !waits {
+			return
+		}
+		r := d.requests[next.ID()]
+		if !d.send(now, r) {
+			return
+		}
+		d.queue.Take(now, next.ID())
+	}
+}
+
+// refuse decides the final answer of a request that is not kept.
+func (d *Dispatcher) refuse(id string, f *kumquatlug.Failure) {
+	d.out = append(d.out, Decision{id: id, verdict: VerdictRefuse, failure: f})
+}
+
+// giveUp ends a request that is kept and not in hand at a target.
+func (d *Dispatcher) giveUp(now kumquatlug.Millis, id string, f *kumquatlug.Failure) {
+	r, kept := d.requests[id]
+	if !kept {
+		return
+	}
+	d.drop(now, r, 0)
+	d.refuse(id, f)
+}
+
+// drop forgets a request; used is what its caller is charged, in tokens.
+func (d *Dispatcher) drop(now kumquatlug.Millis, r *request, used int64) {
+	delete(d.requests, r.c.ID)
+	if r.charged {
+		d.callers.End(now, r.c.Caller.Name(), now-r.c.Arrival, r.cost(), used)
+	}
+}
+
+// Kinds returns the kinds of work that some selector hands out, in name order.
+func (d *Dispatcher) Kinds() []kumquatlug.Kind { return d.order }
+
+func sortKinds(kinds []kumquatlug.Kind) {
+	sort.Slice(kinds, func(i, j int) bool { return kinds[i].String() < kinds[j].String() })
+}
--- a/pkg/kumquatlug/selector/selector.go
+++ b/pkg/kumquatlug/selector/selector.go
@@ -284,3 +284,19 @@
 	}
 	return reason
 }
+
+// Names of the labels that every target has by what the platform says of it;
+// an operator's label of the same name goes before.
+const (
+	LabelName = "name"
+	LabelZone = "zone"
+)
+
+// With returns labels with what the platform says of the target added.
+func (l Labels) With(name, zone string) Labels {
+	all := Labels{LabelName: name, LabelZone: zone}
+	for key, value := range l {
+		all[key] = value
+	}
+	return all
+}
