--- /dev/null
+++ b/pkg/kumquatlug/lease/lease.go
@@ -0,0 +1,406 @@
+// Package lease decides who may give orders to a group of targets: one row a
+// group in the platform's table names the holder and a fencing number that
+// rises at each acquisition.
+//
+// The failures that it answers: a holder is paused past its lease and wakes
+// still believing in it; the answer to a write is lost after the write took
+// effect; the table is out; holders' clocks run apart. Without it two planners
+// would move the same engines between roles, each undoing the other's work.
+//
+// No wall clock is compared between processes. A holder counts its lease from
+// before it sent the write that won it, minus a margin. Another process counts
+// from after it first saw that write, and takes over only when the same row
+// has stood for the whole time to live. The write lies between the two, so the
+// holder has stopped before the other one starts, however long messages take.
+// What the time can't close is the moment between checking the lease and an
+// order's arrival: the agent closes that by refusing lower fencing numbers
+// (see package order).
+//
+// A lease that lapsed is not renewed but acquired anew, under a higher number:
+// orders sent before the lapse may still be on their way, and must not mix
+// with those given after it.
+//
+// Figures. Time to live 15 s: no role is changed for at most 15 s, a look of
+// 5 s and the margin when a holder dies; requests flow meanwhile, and a role
+// change takes seconds itself. Renewal each 5 s: two may fail before the lease
+// lapses. Margin 1 s: two clocks that are 500 ppm off differ by 15 ms in 15 s,
+// the rest is for a slow step between the check and the send.
+//
+// Size of a group: a node may spend 5 KB a second on control. A planner needs
+// of each target some 150 bytes a second (a load report of 300 bytes each 2 s),
+// so 32 targets make 4.8 KB/s at the one process that holds one group.
+// 10,000 workers are 313 groups, and N groups cost the table N/5 writes a
+// second, N/5 reads by holders and, with two others watching each, 2N/5 reads:
+// at 313 groups 63 writes and 188 reads a second, a fifth of a table that takes
+// 300 writes and a tenth of 2,000 reads.
+package lease
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+// Number is a fencing number. It rises at each acquisition of a group's lease
+// and never falls.
+type Number int64
+
+// prefix starts the keys of the leases' rows.
+const prefix = "lease/"
+
+// Key returns the key of a group's row in the table.
+func Key(group string) string { return prefix + group }
+
+// Record is a group's row.
+type Record struct {
+	holder   string
+	number   Number
+	ttl      kumquatlug.Millis
+	attempt  string
+	released bool
+}
+
+// stored is the JSON form of a record.
+type stored struct {
+	Holder   string            `json:"holder"`
+	Number   Number            `json:"number"`
+	TTL      kumquatlug.Millis `json:"ttl_ms"`
+	Attempt  string            `json:"attempt"`
+	Released bool              `json:"released,omitempty"`
+}
+
+// Decode reads a group's row; an absent row is the zero record. An agent reads
+// the number from it before it accepts orders.
+func Decode(row kumquatlug.Row) (Record, error) {
+	if !row.Exists() {
+		return Record{}, nil
+	}
+	var s stored
+	if err := json.Unmarshal(row.Value(), &s); err != nil {
+		return Record{}, errors.Wrapf(err, "decode %s", row.Key())
+	}
+	return Record{holder: s.Holder, number: s.Number, ttl: s.TTL, attempt: s.Attempt, released: s.Released}, nil
+}
+
+func (r Record) encode() []byte {
+	// Strings and numbers always encode.
+	text, _ := json.Marshal(stored{
+		Holder: r.holder, Number: r.number, TTL: r.ttl, Attempt: r.attempt, Released: r.released,
+	})
+	return text
+}
+
+// Holder returns the process that wrote the row last.
+func (r Record) Holder() string { return r.holder }
+
+// Number returns the fencing number, zero before the first acquisition.
+func (r Record) Number() Number { return r.number }
+
+// Released reports that the holder gave the lease back.
+func (r Record) Released() bool { return r.released }
+
+// Action is what an intent asks of the table.
+type Action string
+
+// The actions of intents.
+const (
+	// ActionNone: nothing to do now.
+	ActionNone Action = "none"
+	// ActionRead: get the row at the intent's key.
+	ActionRead Action = "read"
+	// ActionAcquire, ActionRenew and ActionRelease: commit the intent's
+	// transaction.
+	ActionAcquire Action = "acquire"
+	ActionRenew   Action = "renew"
+	ActionRelease Action = "release"
+)
+
+// Intent is one request to the table.
+type Intent struct {
+	action   Action
+	sequence int64
+	key      string
+	tx       kumquatlug.Tx
+	record   Record
+	sent     kumquatlug.Millis
+}
+
+// Action returns what is to be done.
+func (i Intent) Action() Action { return i.action }
+
+// Key returns the row to read.
+func (i Intent) Key() string { return i.key }
+
+// Tx returns the transaction to commit.
+func (i Intent) Tx() kumquatlug.Tx { return i.tx }
+
+// Defaults of [Config].
+const (
+	defaultTTL     = 15 * kumquatlug.Second
+	defaultMargin  = kumquatlug.Second
+	defaultRenew   = 5 * kumquatlug.Second
+	defaultRetry   = kumquatlug.Second
+	defaultTimeout = 2 * kumquatlug.Second
+)
+
+// Config is what a [Holder] is made of.
+type Config struct {
+	// Group is the group of targets. Required.
+	Group string
+	// Me is unique to this start of the process, as in "entry-7/01J9...": a
+	// process that restarted must not take its predecessor's row for its own.
+	// Required.
+	Me string
+	// TTL is how long the row is good for after it was written, 15 s by default.
+	TTL kumquatlug.Millis
+	// Margin is how much earlier the holder stops and how much longer others
+	// wait, 1 s by default.
+	Margin kumquatlug.Millis
+	// Renew is how often the holder writes and others look, 5 s by default.
+	Renew kumquatlug.Millis
+	// Retry is the wait after the table was out, 1 s by default, spread by a
+	// quarter: at 313 groups some 300 reads a second while it is out.
+	Retry kumquatlug.Millis
+	// Timeout is after which an answer counts as lost, 2 s by default: two of
+	// them and a retry fit between a renewal and the end of the lease.
+	Timeout kumquatlug.Millis
+	// Floor is a number below which none is given. Raise it when targets move
+	// between groups, above every number given so far: a target would else meet
+	// a new holder with a lower number than its old one's, and refuse it.
+	Floor Number
+}
+
+// Holder decides for one group whether this process holds the lease and what
+// to ask of the table. It is not safe for concurrent use.
+type Holder struct {
+	c        Config
+	wanted   bool
+	held     bool
+	owes     bool
+	number   Number
+	until    kumquatlug.Millis
+	pending  Intent
+	doubt    Intent
+	sequence int64
+	due      kumquatlug.Millis
+	seen     int64
+	seenAt   kumquatlug.Millis
+}
+
+// New returns a holder that holds nothing and wants the lease.
+func New(c Config) (*Holder, error) {
+	set(&c.TTL, defaultTTL)
+	set(&c.Margin, defaultMargin)
+	set(&c.Renew, defaultRenew)
+	set(&c.Retry, defaultRetry)
+	set(&c.Timeout, defaultTimeout)
+	if c.Group == "" || c.Me == "" {
+		return nil, errors.New("a lease needs a group and a holder")
+	}
+	if c.Renew+c.Margin >= c.TTL {
+		return nil, errors.Newf("a renewal each %d ms comes too late for %d ms less %d ms", c.Renew, c.TTL, c.Margin)
+	}
+	return &Holder{c: c, wanted: true, pending: Intent{action: ActionNone}, doubt: Intent{action: ActionNone}}, nil
+}
+
+func set(field *kumquatlug.Millis, value kumquatlug.Millis) {
+	if *field <= 0 {
+		*field = value
+	}
+}
+
+// Held returns the fencing number for orders given now, and false when this
+// process may give none. Ask right before each order is sent.
+func (h *Holder) Held(now kumquatlug.Millis) (Number, bool) {
+	// Judged anew at each call: a process that was paused wakes at any line,
+	// and what it believed before says nothing.
+	return h.number, h.held && h.wanted && now < h.until
+}
+
+// Until returns when the lease ends unless it is renewed.
+func (h *Holder) Until() kumquatlug.Millis { return h.until }
+
+// Want says whether this process is to hold the lease. When it no longer is,
+// Held is false from now on and the lease is given back, so that the next
+// holder need not wait.
+func (h *Holder) Want(wanted bool) {
+	if wanted != h.wanted {
+		h.due = 0
+	}
+	h.wanted = wanted
+	h.owes = !wanted && (h.held || h.owes || h.pending.action != ActionNone || h.doubt.action != ActionNone)
+}
+
+// Released reports that the lease is not wanted and was given back or is over,
+// so that a planned stop may go on.
+func (h *Holder) Released(now kumquatlug.Millis) bool {
+	return !h.wanted && (!h.owes || now >= h.until)
+}
+
+// Next returns what to ask of the table now. Hand the answer to
+// [Holder.Answered]; while one is awaited, Next returns ActionNone.
+func (h *Holder) Next(now kumquatlug.Millis) Intent {
+	if h.pending.action != ActionNone {
+		if now-h.pending.sent < h.c.Timeout {
+			return Intent{action: ActionNone}
+		}
+		h.lost(now)
+	}
+	if now < h.due || (!h.wanted && !h.owes) {
+		return Intent{action: ActionNone}
+	}
+	return h.send(Intent{action: ActionRead, key: Key(h.c.Group)}, now)
+}
+
+func (h *Holder) send(i Intent, now kumquatlug.Millis) Intent {
+	h.sequence++
+	i.sequence = h.sequence
+	i.sent = now
+	h.pending = i
+	return i
+}
+
+// Answered takes the table's answer to an intent: the row of a read, or the
+// error of either. It returns what to ask next, ActionNone when nothing
+// follows at once.
+func (h *Holder) Answered(now kumquatlug.Millis, i Intent, row kumquatlug.Row, err error) Intent {
+	none := Intent{action: ActionNone}
+	if i.sequence != h.pending.sequence || h.pending.action == ActionNone {
+		// An answer that comes after it counted as lost: what it told is read
+		// from the row instead.
+		return none
+	}
+	if err == nil && i.action == ActionRead {
+		h.pending = none
+		return h.decide(now, row)
+	}
+	if err == nil {
+		h.pending = none
+		h.won(i)
+		return none
+	}
+	switch {
+	case errors.Is(err, kumquatlug.ErrLost):
+		h.lost(now)
+	case errors.Is(err, kumquatlug.ErrConflict):
+		h.pending = none
+		h.due = now
+	default:
+		h.pending = none
+		h.due = now + h.retry()
+	}
+	return none
+}
+
+// lost notes a request without an answer. A write may have taken effect, so it
+// is looked for in the row before anything else is done.
+func (h *Holder) lost(now kumquatlug.Millis) {
+	if h.pending.action != ActionRead {
+		h.doubt = h.pending
+	}
+	h.pending = Intent{action: ActionNone}
+	h.due = now + h.retry()
+}
+
+// retry spreads the wait by a quarter, by the group's and holder's name, so
+// that the holders of all groups don't come back in one moment.
+func (h *Holder) retry() kumquatlug.Millis {
+	spread := max(h.c.Retry/4, 1)
+	word := fmt.Sprintf("%s/%s/%d", h.c.Group, h.c.Me, h.sequence)
+	return h.c.Retry + kumquatlug.Millis(xxhash.Sum64String(word)%uint64(spread))
+}
+
+// won takes a write that took effect. The lease counts from before the write
+// was sent: counted from its answer it would seem to last longer than others
+// wait.
+func (h *Holder) won(i Intent) {
+	h.doubt = Intent{action: ActionNone}
+	h.due = i.sent + h.c.Renew
+	if i.action == ActionRelease {
+		h.owes = false
+		return
+	}
+	if !h.wanted {
+		h.due = 0
+	}
+	h.held = true
+	h.number = i.record.number
+	h.until = i.sent + h.c.TTL - h.c.Margin
+}
+
+// decide takes the row as it stands and returns the write that follows.
+func (h *Holder) decide(now kumquatlug.Millis, row kumquatlug.Row) Intent {
+	record, err := Decode(row)
+	if err != nil {
+		h.held = false
+		h.due = now + h.c.Renew
+		return Intent{action: ActionNone}
+	}
+	if row.Version() != h.seen {
+		h.seen, h.seenAt = row.Version(), now
+	}
+	h.settle(record)
+	if record.holder != h.c.Me || record.number != h.number || record.released {
+		h.held = false
+	}
+	if now >= h.until {
+		h.held = false
+	}
+	return h.write(now, record)
+}
+
+// settle looks for the write in doubt. One that is not there and never will be
+// needs no note: it demands a version that has passed. One that may still
+// arrive is met as a row of this process's that it does not hold, and the
+// lease is acquired anew.
+func (h *Holder) settle(record Record) {
+	if h.doubt.action != ActionNone && record.attempt == h.doubt.record.attempt {
+		h.won(h.doubt)
+	}
+}
+
+// write returns the transaction that the row asks for.
+func (h *Holder) write(now kumquatlug.Millis, record Record) Intent {
+	record.attempt = fmt.Sprintf("%s/%d", h.c.Me, h.sequence+1)
+	switch {
+	case !h.wanted && record.holder == h.c.Me && !record.released:
+		// From here on another process may take the lease at any moment, also
+		// when the answer is lost and the lease is wanted again.
+		h.held = false
+		record.released = true
+		return h.commit(now, ActionRelease, record)
+	case !h.wanted:
+		h.owes = false
+		return Intent{action: ActionNone}
+	case h.held:
+		return h.commit(now, ActionRenew, record)
+	case h.free(now, record):
+		record = Record{
+			holder: h.c.Me, number: max(record.number, h.c.Floor) + 1, ttl: h.c.TTL, attempt: record.attempt,
+		}
+		return h.commit(now, ActionAcquire, record)
+	default:
+		h.due = now + h.c.Renew
+		return Intent{action: ActionNone}
+	}
+}
+
+// free reports that nobody can believe to hold the lease: the row was given
+// back, is this process's own, or has stood unchanged for its time to live
+// and a margin.
+func (h *Holder) free(now kumquatlug.Millis, record Record) bool {
+	if record.holder == "" || record.released || record.holder == h.c.Me {
+		return true
+	}
+	return now-h.seenAt >= record.ttl+h.c.Margin
+}
+
+func (h *Holder) commit(now kumquatlug.Millis, action Action, record Record) Intent {
+	key := Key(h.c.Group)
+	tx := kumquatlug.NewTx(record.attempt).If(key, h.seen).Put(key, record.encode())
+	return h.send(Intent{action: action, key: key, tx: tx, record: record}, now)
+}
