--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -39,12 +39,13 @@
 
 func (s *sequence) ended() bool { return s.finished.Load() || s.cut.Load() }
 
-// submit puts s in line and starts the loop if it rests.
+// submit puts s in line, behind those of its priority and above, and starts the
+// loop if it rests.
 func (e *Engine) submit(s *sequence) {
 	e.arrivals++
 	s.arrival = e.arrivals
 	i := sort.Search(len(e.waiting), func(i int) bool {
-		return e.waiting[i].priority > s.priority
+		return e.waiting[i].priority < s.priority
 	})
 	e.waiting = append(e.waiting, nil)
 	copy(e.waiting[i+1:], e.waiting[i:])
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -156,7 +156,18 @@
 func (e *Engine) Crash() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.crash(e.clock.Now())
+	now := e.clock.Now()
+	e.advance(now)
+	e.crash(now)
+}
+
+// CrashInOrder crashes the engine half way through the order in progress, or
+// through the next.
+func (e *Engine) CrashInOrder() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orders.crashing = true
+	e.advance(e.clock.Now())
 }
 
 // Crashes returns how often the engine crashed.
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -1,33 +1,333 @@
 package engine_test
 
 import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 
+	"github.com/cockroachdb/errors"
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"go.uber.org/goleak"
+
 	"github.com/kumquatlug/kumquatlug/internal/standin/engine"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
 
-func TestSmoke(t *testing.T) {
-	e := engine.New(engine.Config{TimeScale: 0.01})
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.Cleanup(func(int) { http.DefaultClient.CloseIdleConnections() }))
+}
+
+// fast makes model times vanish; what a test waits for is a condition.
+const fast = 0.0001
+
+func start(t *testing.T, c engine.Config) (*engine.Engine, string) {
+	t.Helper()
+	if c.TimeScale == 0 {
+		c.TimeScale = fast
+	}
+	e := engine.New(c)
 	s := httptest.NewServer(e.Handler())
-	defer s.Close()
-	for _, b := range []string{`{"prompt":"hello","max_tokens":3}`, `{"prompt":"hello","max_tokens":3,"stream":true,"resume_tokens":1,"stream_options":{"include_usage":true,"continuous_usage_stats":true}}`} {
-		r, err := http.Post(s.URL+"/v1/completions", "application/json", strings.NewReader(b))
-		if err != nil {
+	t.Cleanup(s.Close)
+	return e, s.URL
+}
+
+// post returns status and body; a cut connection is an error.
+func post(url, body string) (int, string, error) {
+	r, err := http.Post(url, "application/json", strings.NewReader(body))
+	if err != nil {
+		return 0, "", err
+	}
+	defer r.Body.Close()
+	text, err := io.ReadAll(r.Body)
+	return r.StatusCode, string(text), err
+}
+
+func postOK(t *testing.T, url, body string, into any) {
+	t.Helper()
+	status, text, err := post(url, body)
+	if err != nil || status != http.StatusOK {
+		t.Fatalf("POST %s: %d %s %v", url, status, text, err)
+	}
+	if err := json.Unmarshal([]byte(text), into); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func get(t *testing.T, url string, into any) {
+	t.Helper()
+	r, err := http.Get(url)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Body.Close()
+	if err := json.NewDecoder(r.Body).Decode(into); err != nil {
+		t.Fatal(err)
+	}
+}
+
+type answer struct {
+	Choices []struct {
+		Text   string `json:"text"`
+		Finish string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage struct {
+		Prompt     int `json:"prompt_tokens"`
+		Completion int `json:"completion_tokens"`
+		Details    struct {
+			Cached int `json:"cached_tokens"`
+		} `json:"prompt_tokens_details"`
+	} `json:"usage"`
+}
+
+// stream returns the text of a streamed answer and its last chunk.
+func stream(t *testing.T, url, body string) (string, answer) {
+	t.Helper()
+	_, text, err := post(url, body)
+	if err != nil || !strings.HasSuffix(text, "data: [DONE]\n\n") {
+		t.Fatalf("the stream has no end: %v", err)
+	}
+	joined := ""
+	var last answer
+	for _, line := range strings.Split(text, "\n") {
+		data, ok := strings.CutPrefix(line, "data: {")
+		if !ok {
+			continue
+		}
+		last = answer{}
+		if err := json.Unmarshal([]byte("{"+data), &last); err != nil {
 			t.Fatal(err)
 		}
-		x, _ := io.ReadAll(r.Body)
-		t.Log(string(x), engine.Answer("hello", 3))
+		for _, c := range last.Choices {
+			joined += c.Text
+		}
+	}
+	return joined, last
+}
+
+func TestEveryWayOfAskingGivesTheSameAnswer(t *testing.T) {
+	_, url := start(t, engine.Config{})
+	const total = 9
+	for _, prompt := range []string{"a", strings.Repeat("decree ", 300), "\"quoted\"\n"} {
+		want := engine.Answer(prompt, total)
+		if other := engine.Answer(prompt+"b", total); other[0] == want[0] {
+			t.Fatalf("two prompts start with the same token %q", want[0])
+		}
+		for delivered := range total + 1 {
+			body := fmt.Sprintf(`{"prompt":%q,"max_tokens":%d,"resume_tokens":%d`, prompt, total, delivered)
+			rest := strings.Join(want[delivered:], "")
+			var whole answer
+			postOK(t, url+"/v1/completions", body+"}", &whole)
+			if c := whole.Choices[0]; c.Text != rest || c.Finish != "length" || whole.Usage.Completion != total {
+				t.Fatalf("whole after %d: %+v, not %q", delivered, whole, rest)
+			}
+			text, last := stream(t, url+"/v1/completions", body+`,"stream":true,"stream_options":{"continuous_usage_stats":true}}`)
+			if text != rest || last.Choices[0].Finish != "length" || last.Usage.Completion != total {
+				t.Fatalf("stream after %d: %q %+v, not %q", delivered, text, last, rest)
+			}
+		}
+	}
+}
+
+func TestCommonClientLibraryUnderstandsTheEngine(t *testing.T) {
+	_, url := start(t, engine.Config{Models: []string{"draft"}})
+	client := openai.NewClient(option.WithBaseURL(url+"/v1"), option.WithAPIKey("k"), option.WithMaxRetries(0))
+	messages := []openai.ChatCompletionMessageParamUnion{openai.SystemMessage("be brief"), openai.UserMessage("hello")}
+	want := engine.AnswerText(engine.ChatPrompt([]engine.Message{
+		{Role: "system", Content: "be brief"}, {Role: "user", Content: "hello"},
+	}), 0)
+	params := openai.ChatCompletionNewParams{Model: "draft", Messages: messages}
+	whole, err := client.Chat.Completions.New(context.Background(), params)
+	if err != nil || whole.Choices[0].Message.Content != want || whole.Choices[0].FinishReason != "stop" {
+		t.Fatalf("whole: %+v %v", whole, err)
+	}
+	params.StreamOptions.IncludeUsage = openai.Bool(true)
+	s := client.Chat.Completions.NewStreaming(context.Background(), params)
+	var all openai.ChatCompletionAccumulator
+	for s.Next() {
+		all.AddChunk(s.Current())
+	}
+	if s.Err() != nil || all.Choices[0].Message.Content != want || all.Usage.CompletionTokens != whole.Usage.CompletionTokens {
+		t.Fatalf("stream: %+v %v", all, s.Err())
 	}
-	for _, p := range []string{"/load", "/state", "/cache/events?after=0", "/v1/models"} {
-		r, err := http.Get(s.URL + p)
+	params.Model = "unknown"
+	_, err = client.Chat.Completions.New(context.Background(), params)
+	var refused *openai.Error
+	if !errors.As(err, &refused) || refused.StatusCode != http.StatusNotFound || refused.Code != "model_not_found" {
+		t.Fatalf("an unknown model gave %v", err)
+	}
+}
+
+// A prompt that makes the engine crash takes with it every answer in hand, of
+// callers who did nothing wrong. They see their streams end with no end mark;
+// until the engine is back, nobody gets any answer.
+func TestCrashCutsEveryoneAndEmptiesTheCache(t *testing.T) {
+	e, url := start(t, engine.Config{CrashMark: "poison", TimeScale: 1, DecodeTime: 1, RestartTime: kumquatlug.Hour})
+	const neighbours = 3
+	var streams []*bufio.Reader
+	for i := range neighbours {
+		r, err := http.Post(url+"/v1/completions", "application/json",
+			strings.NewReader(fmt.Sprintf(`{"prompt":"innocent %d","max_tokens":60000,"stream":true}`, i)))
 		if err != nil {
 			t.Fatal(err)
 		}
-		x, _ := io.ReadAll(r.Body)
-		t.Log(string(x))
+		t.Cleanup(func() { r.Body.Close() })
+		streams = append(streams, bufio.NewReader(r.Body))
+		if _, err := streams[i].ReadString('\n'); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if status, text, err := post(url+"/v1/completions", `{"prompt":"a poison b","max_tokens":2}`); err == nil {
+		t.Fatalf("the crashing prompt was answered: %d %s", status, text)
+	}
+	for i, s := range streams {
+		rest, err := io.ReadAll(s)
+		if err == nil || bytes.Contains(rest, []byte("[DONE]")) {
+			t.Fatalf("stream %d went on to its end", i)
+		}
+	}
+	if _, err := http.Get(url + "/health"); err == nil {
+		t.Fatal("the crashed engine answered")
+	}
+	if e.Crashes() != 1 {
+		t.Fatalf("%d crashes", e.Crashes())
+	}
+}
+
+func TestCacheAndImportedKVShowInUsageUntilACrash(t *testing.T) {
+	e, url := start(t, engine.Config{RestartTime: 1})
+	prompt := strings.Repeat("garment history ", 64)
+	body := fmt.Sprintf(`{"prompt":%q,"max_tokens":2}`, prompt)
+	cached := func(url string) int {
+		var a answer
+		postOK(t, url+"/v1/completions", body, &a)
+		return a.Usage.Details.Cached
+	}
+	if first, second := cached(url), cached(url); first != 0 || second == 0 {
+		t.Fatalf("cached %d, then %d", first, second)
+	}
+	var events struct {
+		Events []struct{ Prefix string }
+		Next   int64
+	}
+	get(t, url+"/cache/events?after=0", &events)
+	if names := engine.Prefixes(prompt, 64); len(events.Events) != len(names) || events.Next != int64(len(names)) {
+		t.Fatalf("events %+v for %d blocks", events, len(names))
+	}
+	e.Crash()
+	for {
+		if r, err := http.Get(url + "/health"); err == nil {
+			r.Body.Close()
+			break
+		}
+	}
+	if n := cached(url); n != 0 {
+		t.Fatalf("%d tokens were still cached after the crash", n)
+	}
+	_, other := start(t, engine.Config{})
+	var export struct{ Handle string }
+	postOK(t, url+"/kv/export", body, &export)
+	postOK(t, other+"/kv/import", fmt.Sprintf(`{"handle":%q}`, export.Handle), &struct{}{})
+	if n := cached(other); n != engine.PromptTokens(prompt)-1 {
+		t.Fatalf("%d tokens came with the import", n)
+	}
+}
+
+type state struct {
+	State engine.State    `json:"state"`
+	Role  kumquatlug.Role `json:"role"`
+	Order string          `json:"order_id"`
+	Fence int64           `json:"fence"`
+}
+
+func settled(t *testing.T, url string) state {
+	t.Helper()
+	for {
+		var s state
+		get(t, url+"/state", &s)
+		if s.State != engine.StateChanging {
+			return s
+		}
+	}
+}
+
+// A lease holder was paused and wakes after another took over. Its order
+// reaches the engine late; carried out, the engine would take a role that no
+// one in authority gave it. Engines that check numbers refuse it; the others
+// obey, which is why something else must check for them.
+func TestOldFencingNumberIsRefusedOnlyWhereChecked(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		e, url := start(t, engine.Config{ChecksFence: checks, OrderTime: 1})
+		postOK(t, url+"/orders", `{"id":"new","fence":7,"verb":"role","argument":"decode"}`, &state{})
+		settled(t, url)
+		status, _, err := post(url+"/orders", `{"id":"old","fence":6,"verb":"role","argument":"prefill"}`)
+		if err != nil || (status == http.StatusConflict) != checks {
+			t.Fatalf("checks %v: status %d, %v", checks, status, err)
+		}
+		want := state{engine.StateSettled, kumquatlug.RoleDecode, "new", 7}
+		if !checks {
+			want.Role, want.Order = kumquatlug.RolePrefill, "old"
+		}
+		if s := settled(t, url); s != want {
+			t.Fatalf("checks %v: %+v", checks, s)
+		}
+		if last := e.Orders()[1]; last.Highest() != 7 || last.Fence() != 6 {
+			t.Fatalf("the oracle was not told: %+v", last)
+		}
+	}
+}
+
+func TestOneOrderAtATimeAndNoWorkMeanwhile(t *testing.T) {
+	e, url := start(t, engine.Config{TimeScale: 1, OrderTime: kumquatlug.Hour})
+	const first = `{"id":"a","fence":1,"verb":"load","argument":"large"}`
+	var s state
+	postOK(t, url+"/orders", first, &s)
+	postOK(t, url+"/orders", first, &s)
+	if s.State != engine.StateChanging || s.Order != "a" {
+		t.Fatalf("%+v", s)
+	}
+	if status, _, _ := post(url+"/orders", `{"id":"b","fence":2,"verb":"load","argument":"other"}`); status != http.StatusConflict {
+		t.Fatalf("a second order gave %d", status)
+	}
+	if status, _, _ := post(url+"/v1/completions", `{"prompt":"x"}`); status != http.StatusServiceUnavailable {
+		t.Fatalf("work during an order gave %d", status)
+	}
+	var verdicts []engine.Verdict
+	for _, o := range e.Orders() {
+		verdicts = append(verdicts, o.Verdict())
+	}
+	if fmt.Sprint(verdicts) != "[accepted repeated busy]" {
+		t.Fatalf("%v", verdicts)
+	}
+}
+
+// An engine dies while it changes its role. Nobody can tell which role it has
+// now; taken for done, work would go to an engine that can't do it.
+func TestCrashInMidOrderLeavesTheStateUnknown(t *testing.T) {
+	e, url := start(t, engine.Config{OrderTime: 1, RestartTime: 1})
+	e.CrashInOrder()
+	// The engine may be back before the client asks, or still be down.
+	_, _, _ = post(url+"/orders", `{"id":"a","verb":"role","argument":"decode"}`)
+	for e.Crashes() == 0 {
+		if r, err := http.Get(url + "/health"); err == nil {
+			r.Body.Close()
+		}
+	}
+	if s := settled(t, url); s.State != engine.StateUnknown || s.Role != "" || s.Order != "a" {
+		t.Fatalf("%+v", s)
+	}
+	if status, _, _ := post(url+"/v1/completions", `{"prompt":"x"}`); status != http.StatusServiceUnavailable {
+		t.Fatalf("work in an unknown state gave %d", status)
+	}
+	postOK(t, url+"/orders", `{"id":"b","verb":"role","argument":"decode"}`, &state{})
+	if s := settled(t, url); s.State != engine.StateSettled || s.Role != kumquatlug.RoleDecode {
+		t.Fatalf("%+v", s)
 	}
 }
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -193,6 +193,9 @@
 		e.begin(order, e.clock.Now())
 	}
 	e.mu.Unlock()
+	if e.down() {
+		panic(http.ErrAbortHandler)
+	}
 	switch verdict {
 	case VerdictStale:
 		refuse(w, http.StatusConflict, "stale_fence", "the fencing number is below the highest seen")
@@ -266,12 +269,10 @@
 	if r.ContentLength != 0 && !read(w, r, &body) {
 		return
 	}
-	e.mu.Lock()
-	if body.InOrder && e.orders.state != StateChanging {
-		e.orders.crashing = true
+	if body.InOrder {
+		e.CrashInOrder()
 	} else {
-		e.crash(e.clock.Now())
+		e.Crash()
 	}
-	e.mu.Unlock()
 	reply(w, http.StatusOK, struct{}{})
 }
--- a/internal/standin/engine/work.go
+++ b/internal/standin/engine/work.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -32,7 +33,7 @@
 		IncludeUsage    bool `json:"include_usage"`
 		ContinuousUsage bool `json:"continuous_usage_stats"`
 	} `json:"stream_options"`
-	// Priority: the smaller is served first, as with vLLM.
+	// Priority: the higher is served first.
 	Priority     int `json:"priority"`
 	ResumeTokens int `json:"resume_tokens"`
 
@@ -58,9 +59,14 @@
 
 func (e *Engine) completions(w http.ResponseWriter, r *http.Request) {
 	var t task
-	if read(w, r, &t) {
-		e.serve(w, r, t)
+	if !read(w, r, &t) {
+		return
+	}
+	if t.Prompt == "" {
+		refuse(w, http.StatusBadRequest, "invalid_request", "there is no prompt")
+		return
 	}
+	e.serve(w, r, t)
 }
 
 func (e *Engine) chat(w http.ResponseWriter, r *http.Request) {
@@ -83,6 +89,9 @@
 		return
 	}
 	defer e.drop(s)
+	if t.Model == "" {
+		t.Model = e.config.Models[0]
+	}
 	t.id = "cmpl-" + strconv.FormatInt(s.arrival, 10)
 	var err error
 	if t.Stream {
@@ -171,17 +180,14 @@
 			return err
 		}
 	}
-	text := ""
-	for _, token := range Answer(s.prompt, s.total)[s.resumed:] {
-		text += token
-	}
+	text := strings.Join(Answer(s.prompt, s.total)[s.resumed:], "")
 	type choice struct {
 		Index   int      `json:"index"`
-		Text    string   `json:"text,omitempty"`
+		Text    *string  `json:"text,omitempty"`
 		Message *Message `json:"message,omitempty"`
 		Finish  string   `json:"finish_reason"`
 	}
-	c := choice{Text: text, Finish: t.finishReason()}
+	c := choice{Text: &text, Finish: t.finishReason()}
 	object := "text_completion"
 	if t.chat {
 		c = choice{Message: &Message{Role: "assistant", Content: text}, Finish: c.Finish}
@@ -208,8 +214,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Cache-Control", "no-cache")
 	tokens := Answer(s.prompt, s.total)
-	seen := s.resumed
-	for seen < s.total {
+	for seen := s.resumed; ; {
 		n, err := await(ctx, s, seen)
 		if err != nil {
 			return err
@@ -217,6 +222,9 @@
 		for ; seen < n; seen++ {
 			c.add(tokens[seen], seen+1)
 		}
+		if seen == s.total {
+			break
+		}
 		if _, err := w.Write(c.take()); err != nil {
 			return err
 		}
