Add quarantine: a request that crashes targets takes two down, and its neighbours are answered

A crash makes suspects of the calls in hand. A suspect runs once more, under a claim, alone among suspects, and with nothing else starting beside it until its first output; a crash then proves its guilt, and the proof frees its neighbours of the crashes that they shared.

Ruled out: quarantine at the second crash whatever happened there (neighbours that were near two unrelated crashes are refused for an hour); a target to itself for each suspect's whole run (fifty suspects of one crash would stop a group of twelve for minutes).

The properties run a small fleet of entries, agents and a table with heartbeats once a second.

--- /dev/null
+++ b/pkg/kumquatlug/quarantine/gate.go
@@ -0,0 +1,186 @@
+package quarantine
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+// Verdict is what a [Gate] says to a call that wants to begin.
+type Verdict string
+
+// The verdicts.
+const (
+	// VerdictRun: it may begin now; the gate counts it as in hand.
+	VerdictRun Verdict = "run"
+	// VerdictWait: ask again when another call has started or ended here.
+	VerdictWait Verdict = "wait"
+	// VerdictClaim: it is a suspect; win its claim in the platform's table,
+	// then ask again with Claimed set.
+	VerdictClaim Verdict = "claim"
+	// VerdictElsewhere: a suspect is in hand here; refuse as not run, another
+	// target may take it.
+	VerdictElsewhere Verdict = "elsewhere"
+	// VerdictRefuse: it is held or quarantined; refuse as not run, for good.
+	VerdictRefuse Verdict = "refuse"
+)
+
+// Arrival is a call that wants to begin at a target.
+type Arrival struct {
+	// ID tells the call from the others at the target.
+	ID string
+	// Fingerprint is the call's.
+	Fingerprint Fingerprint
+	// Claimed says that the claim on the suspect was won. The claim is a row
+	// in the platform's table under the fingerprint, inserted on the condition
+	// that there is none, and removed when the call finishes. It is left in
+	// place when the target crashes, for Config.Period, so that no second
+	// watched run follows even if every process that knew of the first is gone.
+	Claimed bool
+}
+
+// Gate watches the calls in hand at one target; its agent has one.
+type Gate struct {
+	register *Register
+	calls    map[string]*inHand
+	// pending is a suspect that waits for the calls that are starting; none
+	// may overtake it, or it would wait for ever on a busy target.
+	pending string
+}
+
+// inHand is one call at the target.
+type inHand struct {
+	fingerprint Fingerprint
+	starting    bool
+	// watched says that the call began as a suspect, with nothing else
+	// starting beside it.
+	watched bool
+}
+
+// NewGate returns a gate for a target with nothing in hand, which tells and
+// asks r.
+func NewGate(r *Register) *Gate {
+	return &Gate{register: r, calls: map[string]*inHand{}}
+}
+
+// Begin decides whether a call may begin now.
+func (g *Gate) Begin(now kumquatlug.Millis, a Arrival) Verdict {
+	o := g.register.Ask(now, a.Fingerprint)
+	if o.Refused() {
+		g.Abandon(a.ID)
+		return VerdictRefuse
+	}
+	if o.Standing() == StandingSuspect {
+		return g.beginSuspect(now, a)
+	}
+	if g.pending == a.ID {
+		g.pending = ""
+	}
+	if g.pending != "" || g.watchedStart() {
+		return VerdictWait
+	}
+	g.calls[a.ID] = &inHand{fingerprint: a.Fingerprint, starting: true}
+	return VerdictRun
+}
+
+// beginSuspect lets a suspect begin when it is the only one here and nothing
+// else is starting: of two that start together neither could be proven to have
+// caused a crash, and one of them is innocent.
+func (g *Gate) beginSuspect(now kumquatlug.Millis, a Arrival) Verdict {
+	if g.suspectInHand(now) || (g.pending != "" && g.pending != a.ID) {
+		return VerdictElsewhere
+	}
+	if !a.Claimed {
+		return VerdictClaim
+	}
+	if g.anyStarting() {
+		g.pending = a.ID
+		return VerdictWait
+	}
+	g.pending = ""
+	g.calls[a.ID] = &inHand{fingerprint: a.Fingerprint, starting: true, watched: true}
+	return VerdictRun
+}
+
+// Abandon tells that a call which was to wait no longer asks.
+func (g *Gate) Abandon(id string) {
+	if g.pending == id {
+		g.pending = ""
+	}
+}
+
+// Started records a call's first output.
+func (g *Gate) Started(id string) {
+	if c, ok := g.calls[id]; ok {
+		c.starting = false
+	}
+}
+
+// Ended records that a call ended; whole says that it brought its whole answer.
+func (g *Gate) Ended(now kumquatlug.Millis, id string, whole bool) {
+	g.Abandon(id)
+	c, ok := g.calls[id]
+	if !ok {
+		return
+	}
+	delete(g.calls, id)
+	if whole {
+		g.register.Finished(now, c.fingerprint)
+	}
+}
+
+// Crashed records that the target's incarnation ended with all that was in
+// hand, and returns those calls in the order of their ids.
+func (g *Gate) Crashed(now kumquatlug.Millis, c Crash) []Held {
+	held := make([]Held, 0, len(g.calls))
+	for _, id := range g.ids() {
+		call := g.calls[id]
+		held = append(held, Held{
+			Fingerprint: call.fingerprint, Starting: call.starting,
+			Proven: call.watched && (call.starting || len(g.calls) == 1),
+		})
+	}
+	g.calls = map[string]*inHand{}
+	g.pending = ""
+	g.register.Crashed(now, c, held)
+	return held
+}
+
+func (g *Gate) ids() []string {
+	ids := make([]string, 0, len(g.calls))
+	for id := range g.calls {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, strings.Compare)
+	return ids
+}
+
+func (g *Gate) anyStarting() bool {
+	for _, c := range g.calls {
+		if c.starting {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *Gate) watchedStart() bool {
+	for _, c := range g.calls {
+		if c.watched && c.starting {
+			return true
+		}
+	}
+	return false
+}
+
+// suspectInHand looks at what is known now: a call may have become a suspect
+// through a copy of it that crashed elsewhere.
+func (g *Gate) suspectInHand(now kumquatlug.Millis) bool {
+	for _, c := range g.calls {
+		if g.register.standing(now, c.fingerprint) != StandingFree {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/kumquatlug/quarantine/notice.go
@@ -0,0 +1,138 @@
+package quarantine
+
+import (
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+// Notice is what one register tells another of a fingerprint.
+type Notice struct {
+	fingerprint Fingerprint
+	marks       []mark
+	proven      bool
+	remaining   kumquatlug.Millis
+}
+
+// Fingerprint returns whom the notice is about.
+func (n Notice) Fingerprint() Fingerprint { return n.fingerprint }
+
+// Proven reports whether its guilt is proven.
+func (n Notice) Proven() bool { return n.proven }
+
+// Remaining returns how long it was to be remembered when it was told.
+func (n Notice) Remaining() kumquatlug.Millis { return n.remaining }
+
+// noticeForm and markForm are the JSON form of a notice. Ages and remaining
+// spans go over the wire, since points in time mean nothing elsewhere.
+type noticeForm struct {
+	Fingerprint Fingerprint       `json:"f"`
+	Marks       []markForm        `json:"m"`
+	Proven      bool              `json:"p,omitempty"`
+	Remaining   kumquatlug.Millis `json:"r"`
+}
+
+type markForm struct {
+	Target      string            `json:"t"`
+	Incarnation string            `json:"i"`
+	Starting    bool              `json:"s,omitempty"`
+	Cleared     bool              `json:"c,omitempty"`
+	Age         kumquatlug.Millis `json:"a"`
+}
+
+// MarshalText returns the notice as JSON.
+func (n Notice) MarshalText() ([]byte, error) {
+	form := noticeForm{Fingerprint: n.fingerprint, Proven: n.proven, Remaining: n.remaining}
+	for _, m := range n.marks {
+		form.Marks = append(form.Marks, markForm{
+			Target: m.crash.target, Incarnation: m.crash.incarnation,
+			Starting: m.starting, Cleared: m.cleared, Age: m.at,
+		})
+	}
+	text, err := json.Marshal(form)
+	return text, errors.Wrap(err, "write a quarantine notice")
+}
+
+// UnmarshalText reads what MarshalText wrote.
+func (n *Notice) UnmarshalText(text []byte) error {
+	var form noticeForm
+	if err := json.Unmarshal(text, &form); err != nil {
+		return errors.Wrap(err, "read a quarantine notice")
+	}
+	if form.Fingerprint == "" {
+		return errors.New("read a quarantine notice: it names no fingerprint")
+	}
+	*n = Notice{fingerprint: form.Fingerprint, proven: form.Proven, remaining: form.Remaining}
+	for _, m := range form.Marks {
+		n.marks = append(n.marks, mark{
+			crash: NewCrash(m.Target, m.Incarnation), starting: m.Starting, cleared: m.Cleared, at: m.Age,
+		})
+	}
+	return nil
+}
+
+// Known returns notices of all that changed after a version, and the version to
+// ask with next; zero asks for everything. A peer that has them needs no more
+// until something changes, so that gossip costs nothing while nothing crashes.
+func (r *Register) Known(now kumquatlug.Millis, after int64) ([]Notice, int64) {
+	var notices []Notice
+	for _, f := range r.sorted() {
+		rec := r.records[f]
+		if rec.changed <= after || rec.expires <= now {
+			continue
+		}
+		notices = append(notices, r.notice(now, f, rec))
+	}
+	return notices, r.version
+}
+
+// Notice returns what is known of one fingerprint, and whether anything is. An
+// entry sends it along with a suspect, so that the agent watches the call even
+// if no heartbeat has brought the news yet.
+func (r *Register) Notice(now kumquatlug.Millis, f Fingerprint) (Notice, bool) {
+	rec, ok := r.records[f]
+	if !ok || rec.expires <= now {
+		return Notice{}, false
+	}
+	return r.notice(now, f, rec), true
+}
+
+// notice turns the points in time of the marks into ages.
+func (r *Register) notice(now kumquatlug.Millis, f Fingerprint, rec *record) Notice {
+	n := Notice{fingerprint: f, proven: rec.proven, remaining: rec.expires - now}
+	for _, m := range rec.marks {
+		m.at = now - m.at
+		n.marks = append(n.marks, m)
+	}
+	return n
+}
+
+// Merge takes in what another register knows. Crashes are joined as sets and
+// what is cleared or proven stays so; the order of merges does not matter.
+func (r *Register) Merge(now kumquatlug.Millis, notices []Notice) {
+	for _, n := range notices {
+		if n.remaining <= 0 {
+			continue
+		}
+		r.mergeOne(now, n)
+	}
+	for _, n := range notices {
+		r.apply(now, n.fingerprint)
+	}
+	r.shrink(now)
+}
+
+func (r *Register) mergeOne(now kumquatlug.Millis, n Notice) {
+	rec := r.record(now, n.fingerprint)
+	for _, m := range n.marks {
+		m.at = now - m.at
+		r.mark(now, rec, m)
+	}
+	if n.proven && !rec.proven {
+		rec.proven = true
+		r.touch(now, rec)
+	}
+	r.prolong(now, rec, now+min(n.remaining, r.config.Period))
+}
--- /dev/null
+++ b/pkg/kumquatlug/quarantine/quarantine_test.go
@@ -0,0 +1,270 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+func TestTwoTargetsAtMost(t *testing.T) {
+	// Some requests crash each target that runs them, at once or late in their
+	// output, and their callers send them again through any entry. Without a
+	// quarantine the whole group goes down one by one and everybody's answers
+	// with it; with a crude one their neighbours are refused as well.
+	properties := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(21))
+	properties.Property("two crashes each, innocents whole", prop.ForAll(
+		func(seed uint64, early, late, others int) string {
+			f := newFleet(seed, 3, 6)
+			for range early {
+				f.add(crashesEarly)
+			}
+			for range late {
+				f.add(crashesLate)
+			}
+			for range others {
+				f.add(innocent)
+			}
+			f.run(3 * kumquatlug.Minute)
+			return f.verdict(early+late > 1)
+		},
+		gen.UInt64(), gen.IntRange(0, 3), gen.IntRange(0, 1), gen.IntRange(10, 80),
+	))
+	properties.TestingRun(t)
+}
+
+func TestCopiesThroughSeveralEntries(t *testing.T) {
+	// A caller's program sends a request that crashes targets through several
+	// entries, at the same moment or shortly after one another. Entries that
+	// have not heard of the first crash each lose a target to it; together they
+	// must not lose more than one for each copy that was under way.
+	properties := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(23))
+	properties.Property("one target a copy", prop.ForAll(
+		func(seed uint64, delays []int, others int) string {
+			f := newFleet(seed, 3, 8)
+			first := f.add(crashesEarly)
+			for i, d := range delays {
+				f.copyOf(first, i%3, kumquatlug.Millis(d)*step)
+			}
+			for range others {
+				f.add(innocent)
+			}
+			f.run(2 * kumquatlug.Minute)
+			if n := len(first.crashes); n > max(2, 1+len(delays)) {
+				return fmt.Sprintf("%d copies crashed %v", 1+len(delays), first.crashes)
+			}
+			return ""
+		},
+		gen.UInt64(), gen.SliceOfN(1, gen.IntRange(0, 60)).FlatMap(func(one any) gopter.Gen {
+			return gen.OneGenOf(gen.Const(one), gen.SliceOfN(2, gen.IntRange(0, 60)))
+		}, reflect.TypeOf([]int{})), gen.IntRange(0, 30),
+	))
+	properties.TestingRun(t)
+}
+
+func TestCopiesAfterTheNews(t *testing.T) {
+	// After a crash the entry sends the cut call again while the caller, tired
+	// of waiting, sends it through two other entries. All of them know it for a
+	// suspect; if each gave it its one watched run, four targets would crash.
+	properties := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(24))
+	properties.Property("two targets", prop.ForAll(
+		func(seed uint64, delays []int) string {
+			f := newFleet(seed, 3, 8)
+			first := f.add(crashesEarly)
+			for i, d := range delays {
+				f.copyOf(first, i, 22*step+kumquatlug.Millis(d)*step)
+			}
+			f.run(2 * kumquatlug.Minute)
+			if len(first.crashes) > 2 {
+				return fmt.Sprintf("crashed %v", first.crashes)
+			}
+			return ""
+		},
+		gen.UInt64(), gen.SliceOfN(3, gen.IntRange(0, 20)),
+	))
+	properties.TestingRun(t)
+}
+
+func TestFinishedRequestIsFree(t *testing.T) {
+	// A caller sends the same harmless request all day, and is near an
+	// unrelated crash in the morning and another in the afternoon. If the first
+	// still counted, the second would stop that caller's work for an hour.
+	r := New(Config{})
+	r.Crashed(0, NewCrash("a", "1"), []Held{{Fingerprint: "x"}, {Fingerprint: "y"}})
+	if got := r.Ask(1, "x").Standing(); got != StandingSuspect {
+		t.Fatalf("after a crash nearby it is %s", got)
+	}
+	r.Finished(1000, "x")
+	r.Crashed(kumquatlug.Minute, NewCrash("b", "1"), []Held{{Fingerprint: "x"}, {Fingerprint: "z"}})
+	if got := r.Ask(kumquatlug.Minute, "x").Standing(); got != StandingSuspect {
+		t.Errorf("after the second one it is %s", got)
+	}
+	if got := r.Ask(kumquatlug.Minute, "y").Standing(); got != StandingSuspect {
+		t.Errorf("the one that did not finish is %s", got)
+	}
+}
+
+func TestCrashSeenTwiceCountsOnce(t *testing.T) {
+	// Two entries lose calls at one crash and tell each other. Counted by
+	// reports and not by the target's life, one crash would look like two and
+	// hold everybody who was there.
+	r := New(Config{})
+	held := []Held{{Fingerprint: "x", Starting: true}}
+	r.Crashed(0, NewCrash("a", "1"), held)
+	r.Crashed(10, NewCrash("a", "1"), held)
+	if got := r.Ask(20, "x"); got.Standing() != StandingSuspect || got.Wait() != 2480 {
+		t.Errorf("it is %s, to wait %d ms", got.Standing(), got.Wait())
+	}
+	r.Void(30, NewCrash("a", "1"))
+	if got := r.Ask(30, "x").Standing(); got != StandingFree {
+		t.Errorf("after the target was found alive it is %s", got)
+	}
+}
+
+func TestResendingProlongs(t *testing.T) {
+	// A caller's program sends the guilty request every ten minutes. If its
+	// quarantine ran out meanwhile, it would take two targets down each hour.
+	r := New(Config{Period: kumquatlug.Hour})
+	r.Crashed(0, NewCrash("a", "1"), []Held{{Fingerprint: "x", Proven: true}})
+	now := kumquatlug.Millis(0)
+	for range 100 {
+		now += 10 * kumquatlug.Minute
+		if got := r.Ask(now, "x").Standing(); got != StandingQuarantined {
+			t.Fatalf("after %d ms it is %s", now, got)
+		}
+	}
+	if got := r.Ask(now+kumquatlug.Hour, "x").Standing(); got != StandingFree {
+		t.Errorf("after an hour of silence it is %s", got)
+	}
+}
+
+func TestRegisterIsBounded(t *testing.T) {
+	// A wave of crashes with many calls in hand must not fill the memory of a
+	// small VM, and must not push out the one that is quarantined.
+	r := New(Config{Records: 50})
+	r.Crashed(0, NewCrash("a", "1"), []Held{{Fingerprint: "guilty", Proven: true}})
+	for i := range 400 {
+		r.Crashed(kumquatlug.Millis(i), NewCrash("b", fmt.Sprint(i)), []Held{{Fingerprint: Fingerprint(fmt.Sprint(i))}})
+	}
+	if r.Len() != 50 || !r.Ask(400, "guilty").Refused() {
+		t.Errorf("%d records, guilty is %s", r.Len(), r.Ask(400, "guilty").Standing())
+	}
+}
+
+func TestNoticeText(t *testing.T) {
+	r := New(Config{})
+	r.Crashed(5, NewCrash("a", "1"), []Held{{Fingerprint: "x", Starting: true, Proven: true}})
+	sent, ok := r.Notice(10, "x")
+	text, err := sent.MarshalText()
+	if err != nil || !ok {
+		t.Fatal(err)
+	}
+	var got Notice
+	if err := got.UnmarshalText(text); err != nil || !reflect.DeepEqual(got, sent) {
+		t.Errorf("%s reads as %+v, %v", text, got, err)
+	}
+	if err := got.UnmarshalText([]byte("{}")); err == nil {
+		t.Error("a notice without fingerprint was read")
+	}
+}
+
+func BenchmarkAsk(b *testing.B) {
+	r := New(Config{})
+	for i := range 4000 {
+		r.Crashed(0, NewCrash("b", fmt.Sprint(i)), []Held{{Fingerprint: Fingerprint(fmt.Sprint(i))}})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Ask(1, "nobody")
+	}
+}
+
+func ExampleRegister() {
+	r := New(Config{})
+	chat := kumquatlug.NewKind(kumquatlug.ProtocolEngine, "chat")
+	f := NewFingerprint("kochi", chat, []byte("a prompt"))
+	r.Crashed(0, NewCrash("engine-3", "life-1"), []Held{{Fingerprint: f}})
+	fmt.Println(r.Ask(10, f).Standing())
+	r.Crashed(20, NewCrash("engine-5", "life-9"), []Held{{Fingerprint: f, Proven: true}})
+	fmt.Println(r.Ask(30, f).Standing())
+	// Output:
+	// suspect
+	// quarantined
+}
+
+// verdict names the first broken promise, or is empty. A request that crashes
+// late may crash one target more for each other one that was proven beside it.
+func (f *fleet) verdict(company bool) string {
+	for _, r := range f.requests {
+		bound := 2
+		if r.nature == crashesLate && company {
+			bound = 3
+		}
+		if len(r.crashes) > bound {
+			return fmt.Sprintf("%s (%s) crashed %v", r.id, r.nature, r.crashes)
+		}
+		if r.nature == innocent && r.state != "whole" {
+			return fmt.Sprintf("%s is %s, record %+v", r.id, r.state, f.entries[r.entry].records[r.print])
+		}
+	}
+	return ""
+}
+
+func TestMergeDoesNotDependOnOrder(t *testing.T) {
+	// Entries hear of the same crashes in different orders, some twice. If that
+	// mattered, one entry would refuse a caller whom another one serves.
+	properties := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(22))
+	properties.Property("any order and repetition ends alike", prop.ForAll(
+		func(seed uint64) bool {
+			random := rand.New(rand.NewPCG(seed, 1))
+			var notices []Notice
+			for i := range 4 {
+				notices = append(notices, chatter(random, i)...)
+			}
+			a, b := New(Config{}), New(Config{})
+			a.Merge(100, notices)
+			shuffled := append(append([]Notice{}, notices...), notices...)
+			random.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+			for _, n := range shuffled {
+				b.Merge(100, []Notice{n})
+			}
+			return reflect.DeepEqual(standings(a), standings(b))
+		},
+		gen.UInt64(),
+	))
+	properties.TestingRun(t)
+}
+
+// chatter returns what a register knows after some random events.
+func chatter(random *rand.Rand, seed int) []Notice {
+	r := New(Config{})
+	for i := range 6 {
+		c := NewCrash(fmt.Sprint("t", random.IntN(3)), "1")
+		var held []Held
+		for f := range 5 {
+			if random.IntN(2) == 0 {
+				held = append(held, Held{Fingerprint: Fingerprint(fmt.Sprint(f)), Proven: random.IntN(12) == 0})
+			}
+		}
+		r.Crashed(kumquatlug.Millis(i+seed), c, held)
+		if random.IntN(3) == 0 {
+			r.Finished(kumquatlug.Millis(i+seed), Fingerprint(fmt.Sprint(random.IntN(5))))
+		}
+	}
+	notices, _ := r.Known(50, 0)
+	return notices
+}
+
+func standings(r *Register) map[Fingerprint]Standing {
+	all := map[Fingerprint]Standing{}
+	for f := range r.records {
+		all[f] = r.standing(100, f)
+	}
+	return all
+}
