Run the whole path: entry, agent, operators' commands, and dev in one process

Cause: callers, operators and targets meet for the first time. 'dev' serves a streamed chat, a completion and a posting over the stand-ins; a second posting under the same key is replayed, not run. Ruled out: an agent that asks its own neighbours for the config; it hears of it from entries' heartbeats. Seen by hand: all three kinds of request, status, explain and timeline.

--- /dev/null
+++ b/cmd/kumquatlug/agent.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"context"
+
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+
+	"github.com/kumquatlug/kumquatlug/internal/agent"
+	"github.com/kumquatlug/kumquatlug/internal/engine"
+	"github.com/kumquatlug/kumquatlug/internal/service"
+	"github.com/kumquatlug/kumquatlug/internal/settings"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+// agentSettings are the settings of an agent.
+type agentSettings struct {
+	nodeSettings
+	listen      string
+	target      string
+	protocol    string
+	healthPath  string
+	checksFence bool
+}
+
+func (s *agentSettings) bind(flags *pflag.FlagSet) {
+	s.nodeSettings.bind(flags)
+	flags.StringVar(&s.listen, "listen", "127.0.0.1:8090", "where entries reach this agent, IP:port; one agent a VM holds it")
+	flags.StringVar(&s.target, "target-url", "", "URL of the target on this VM")
+	flags.StringVar(&s.protocol, "protocol", string(kumquatlug.ProtocolEngine), "engine or service")
+	flags.StringVar(&s.healthPath, "health-path", "/health", "path that answers 2xx while the target is well")
+	flags.BoolVar(&s.checksFence, "target-checks-fence", false, "the engine itself refuses orders with an old fencing number")
+}
+
+func (s *agentSettings) check(problems settings.Problems) settings.Problems {
+	c := settings.NewChecker(problems)
+	s.nodeSettings.check(c, map[string]string{"listen": s.listen})
+	c.URL("target-url", s.target)
+	c.OneOf("protocol", s.protocol, string(kumquatlug.ProtocolEngine), string(kumquatlug.ProtocolService))
+	if s.healthPath == "" || s.healthPath[0] != '/' {
+		c.Add("health-path", "a path that starts with /", "is not one")
+	}
+	return c.Problems()
+}
+
+func newAgent() *cobra.Command {
+	var s agentSettings
+	cmd := &cobra.Command{
+		Use:   "agent",
+		Short: "Run the process beside a target",
+		Args:  cobra.NoArgs,
+		Example: `  kumquatlug agent --name t1 --zone a --platform http://10.0.0.9:7000 --listen 10.0.0.7:8090 \
+    --target-url http://127.0.0.1:8000 --protocol engine --tls-cert agent.pem --tls-key agent.key --tls-ca ca.pem`,
+	}
+	s.bind(cmd.Flags())
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		if err := s.check(settings.FromEnvironment(cmd.Flags())).Err(); err != nil {
+			return err
+		}
+		return s.run(cmd.Context())
+	}
+	return cmd
+}
+
+func (s *agentSettings) run(ctx context.Context) error {
+	n, err := s.build()
+	if err != nil {
+		return err
+	}
+	l, err := listen(ctx, s.listen)
+	if err != nil {
+		return err
+	}
+	client := s.client()
+	c := agent.Config{
+		Name: s.name, Zone: s.zone, Listener: l, Keys: n.keys, ChecksFence: s.checksFence,
+		Table: client, Objects: client, Clock: n.clock, Logger: n.logger, Registry: n.registry, Ring: n.ring,
+	}
+	s.setTarget(&c)
+	a, err := agent.New(c)
+	if err != nil {
+		return err
+	}
+	return a.Run(ctx)
+}
+
+func (s *agentSettings) setTarget(c *agent.Config) {
+	target := service.Config{URL: s.target, HealthPath: s.healthPath}
+	if s.protocol == string(kumquatlug.ProtocolEngine) {
+		c.Engine = engine.New(target)
+		c.Target = c.Engine
+		return
+	}
+	c.Target = service.New(target)
+}
--- /dev/null
+++ b/cmd/kumquatlug/check.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+
+	"github.com/kumquatlug/kumquatlug/internal/peer"
+	"github.com/kumquatlug/kumquatlug/internal/settings"
+)
+
+// checked is a command whose settings can be checked without running it.
+type checked interface {
+	bind(flags *pflag.FlagSet)
+	check(problems settings.Problems) settings.Problems
+}
+
+func newCheck() *cobra.Command {
+	cmd := &cobra.Command{Use: "check", Short: "Tell every bad setting of a process at once, without running it"}
+	cmd.AddCommand(newCheckOf("entry", &entrySettings{}), newCheckOf("agent", &agentSettings{}))
+	return cmd
+}
+
+func newCheckOf(name string, s checked) *cobra.Command {
+	var file string
+	cmd := &cobra.Command{
+		Use:     name,
+		Short:   "Check the settings of an " + name,
+		Args:    cobra.NoArgs,
+		Example: "  kumquatlug check " + name + " --env-file " + name + ".env",
+	}
+	s.bind(cmd.Flags())
+	cmd.Flags().StringVar(&file, "env-file", "", "file of NAME=value lines to take for the environment")
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		if file != "" {
+			if err := loadEnvironment(file); err != nil {
+				return err
+			}
+		}
+		if err := s.check(settings.FromEnvironment(cmd.Flags())).Err(); err != nil {
+			return err
+		}
+		_, err := fmt.Fprintln(cmd.OutOrStdout(), "all settings are good")
+		return err
+	}
+	return cmd
+}
+
+// loadEnvironment sets the variables of a file; lines that start with # are
+// comments.
+func loadEnvironment(file string) error {
+	f, err := os.Open(file)
+	if err != nil {
+		return errors.Wrap(err, "environment file")
+	}
+	defer f.Close()
+	lines := bufio.NewScanner(f)
+	for lines.Scan() {
+		line := strings.TrimSpace(lines.Text())
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		name, value, ok := strings.Cut(line, "=")
+		if !ok {
+			return errors.Newf("environment file: %q is not NAME=value", line)
+		}
+		if err := os.Setenv(name, value); err != nil {
+			return errors.Wrap(err, "environment file")
+		}
+	}
+	return errors.Wrap(lines.Err(), "environment file")
+}
+
+func newCerts() *cobra.Command {
+	var out string
+	var days int
+	cmd := &cobra.Command{
+		Use:   "certs",
+		Short: "Make an authority and the certificates of entries and agents",
+		Long: `Make an authority and the certificates of entries and agents, for sites that have
+no authority of their own. The authority's key is not kept: make all again to
+replace them.`,
+		Args:    cobra.NoArgs,
+		Example: "  kumquatlug certs --out keys --days 365",
+	}
+	cmd.Flags().StringVar(&out, "out", "keys", "folder to write to")
+	cmd.Flags().IntVar(&days, "days", 365, "for how many days the certificates are valid")
+	cmd.RunE = func(_ *cobra.Command, _ []string) error {
+		const hoursADay = 24
+		return writeCerts(out, time.Duration(days)*hoursADay*time.Hour)
+	}
+	return cmd
+}
+
+func writeCerts(folder string, valid time.Duration) error {
+	const (
+		folderMode = 0o700
+		fileMode   = 0o600
+	)
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return errors.Wrap(err, "make the folder")
+	}
+	authority, err := peer.NewAuthority(valid)
+	if err != nil {
+		return err
+	}
+	files := map[string][]byte{"ca.pem": authority.PEM()}
+	for _, role := range []peer.Role{peer.RoleEntry, peer.RoleAgent} {
+		certificate, key, err := authority.Issue(role)
+		if err != nil {
+			return err
+		}
+		files[string(role)+".pem"], files[string(role)+".key"] = certificate, key
+	}
+	for name, text := range files {
+		if err := os.WriteFile(filepath.Join(folder, name), text, fileMode); err != nil {
+			return errors.Wrap(err, "write certificates")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/kumquatlug/dev.go
@@ -0,0 +1,300 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/run"
+	"github.com/spf13/cobra"
+
+	"github.com/kumquatlug/kumquatlug/internal/agent"
+	"github.com/kumquatlug/kumquatlug/internal/entry"
+	"github.com/kumquatlug/kumquatlug/internal/settings"
+	standinengine "github.com/kumquatlug/kumquatlug/internal/standin/engine"
+	standinplatform "github.com/kumquatlug/kumquatlug/internal/standin/platform"
+	standinservice "github.com/kumquatlug/kumquatlug/internal/standin/service"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/config"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/selector"
+)
+
+// Names in the laptop's fleet.
+const (
+	devModel   = "standin"
+	devService = "echo"
+	devCaller  = "laptop"
+	devZone    = "local"
+)
+
+// devSettings are the settings of the laptop's fleet.
+type devSettings struct {
+	listen, operators   string
+	logFormat, logLevel string
+	out                 io.Writer
+	platform            string
+	callerKey           string
+	operatorKey         string
+}
+
+func newDev() *cobra.Command {
+	var s devSettings
+	cmd := &cobra.Command{
+		Use:   "dev",
+		Short: "Run a whole small fleet in one process, over stand-ins",
+		Long: `Run an entry, two engines, one plain service, their agents and the platform, all
+in one process on loopback. The engines, the service and the platform are small
+stand-ins. Ctrl-C stops it gracefully.`,
+		Args:    cobra.NoArgs,
+		Example: "  kumquatlug dev",
+	}
+	cmd.Flags().StringVar(&s.listen, "listen", "127.0.0.1:8080", "where callers reach the entry, IP:port")
+	cmd.Flags().StringVar(&s.operators, "operator-listen", "127.0.0.1:8081", "where operators reach the entry, IP:port")
+	cmd.Flags().StringVar(&s.logFormat, "log-format", "console", "json or console")
+	cmd.Flags().StringVar(&s.logLevel, "log-level", "warn", "debug, info, warn or error")
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		c := settings.NewChecker(settings.FromEnvironment(cmd.Flags()))
+		c.Address("listen", s.listen)
+		c.Address("operator-listen", s.operators)
+		c.OneOf("log-format", s.logFormat, "json", "console")
+		if err := c.Problems().Err(); err != nil {
+			return err
+		}
+		s.out = cmd.OutOrStdout()
+		s.callerKey, s.operatorKey = "klug-"+rand.Text(), "operator-"+rand.Text()
+		return s.run(cmd.Context())
+	}
+	return cmd
+}
+
+// run starts the fleet from the inside out and stops it from the outside in, so
+// that the entry can finish its requests while their targets are still there.
+func (s *devSettings) run(ctx context.Context) error {
+	inner, stopInner := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopInner()
+	standIns, err := s.startStandIns(inner)
+	if err != nil {
+		return err
+	}
+	middle, stopMiddle := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopMiddle()
+	agents, err := s.startAgents(middle, standIns)
+	if err != nil {
+		return err
+	}
+	e, err := s.newEntry(ctx)
+	if err != nil {
+		return err
+	}
+	if err := s.seed(ctx); err != nil {
+		return err
+	}
+	s.greet()
+	err = e.Run(ctx)
+	stopMiddle()
+	agents.Wait()
+	stopInner()
+	standIns.servers.Wait()
+	return err
+}
+
+// standIns are the outside systems of the laptop's fleet.
+type standIns struct {
+	servers sync.WaitGroup
+	engines []string
+	service string
+}
+
+func (s *devSettings) startStandIns(ctx context.Context) (*standIns, error) {
+	in := &standIns{}
+	start := func(handler http.Handler) (string, error) { return in.serve(ctx, handler) }
+	address, err := start(standinplatform.New(standinplatform.Config{}).Handler())
+	if err != nil {
+		return nil, err
+	}
+	s.platform = "http://" + address
+	for range 2 {
+		address, err := start(standinengine.New(standinengine.Config{Models: []string{devModel}}).Handler())
+		if err != nil {
+			return nil, err
+		}
+		in.engines = append(in.engines, address)
+	}
+	in.service, err = start(standinservice.New(standinservice.Config{}).Handler())
+	return in, err
+}
+
+// serve runs handler on a free loopback port until ctx ends.
+func (in *standIns) serve(ctx context.Context, handler http.Handler) (string, error) {
+	l, err := listen(ctx, "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: kumquatlug.Minute.Duration()}
+	var group run.Group
+	group.Add(func() error { return server.Serve(l) }, func(error) { _ = server.Close() })
+	group.Add(func() error { <-ctx.Done(); return ctx.Err() }, func(error) {})
+	in.servers.Go(func() { _ = group.Run() })
+	return l.Addr().String(), nil
+}
+
+// startAgents starts an agent beside each target and enters all VMs into the
+// platform's list.
+func (s *devSettings) startAgents(ctx context.Context, in *standIns) (*sync.WaitGroup, error) {
+	var agents sync.WaitGroup
+	targets := map[string]agentSettings{
+		"engine-1":  {target: "http://" + in.engines[0], protocol: string(kumquatlug.ProtocolEngine)},
+		"engine-2":  {target: "http://" + in.engines[1], protocol: string(kumquatlug.ProtocolEngine)},
+		"service-1": {target: "http://" + in.service, protocol: string(kumquatlug.ProtocolService)},
+	}
+	for name, target := range targets {
+		target.nodeSettings = s.node(name)
+		a, address, err := newDevAgent(ctx, target)
+		if err != nil {
+			return nil, err
+		}
+		if err := s.list(ctx, name, kumquatlug.VMTarget, address); err != nil {
+			return nil, err
+		}
+		agents.Go(func() { _ = a.Run(ctx) })
+	}
+	return &agents, nil
+}
+
+func newDevAgent(ctx context.Context, s agentSettings) (*agent.Agent, string, error) {
+	n, err := s.build()
+	if err != nil {
+		return nil, "", err
+	}
+	l, err := listen(ctx, "127.0.0.1:0")
+	if err != nil {
+		return nil, "", err
+	}
+	client := s.client()
+	c := agent.Config{
+		Name: s.name, Zone: s.zone, Listener: l,
+		Table: client, Objects: client, Clock: n.clock, Logger: n.logger, Registry: n.registry, Ring: n.ring,
+	}
+	s.setTarget(&c)
+	a, err := agent.New(c)
+	return a, l.Addr().String(), err
+}
+
+func (s *devSettings) node(name string) nodeSettings {
+	return nodeSettings{
+		name: name, zone: devZone, platform: s.platform, insecure: true,
+		logFormat: s.logFormat, logLevel: s.logLevel, events: 4096,
+	}
+}
+
+// list enters a VM into the stand-in's list, as the platform itself would.
+func (s *devSettings) list(ctx context.Context, name string, role kumquatlug.VMRole, address string) error {
+	body, err := json.Marshal(struct {
+		Name    string             `json:"name"`
+		Role    kumquatlug.VMRole  `json:"role"`
+		Address string             `json:"address"`
+		Zone    string             `json:"zone"`
+		State   kumquatlug.VMState `json:"state"`
+	}{name, role, address, devZone, kumquatlug.VMLive})
+	if err != nil {
+		return errors.Wrap(err, "encode VM")
+	}
+	return put(ctx, s.platform+"/vms/"+name, body)
+}
+
+func (s *devSettings) newEntry(ctx context.Context) (*entry.Entry, error) {
+	settings := entrySettings{
+		nodeSettings: s.node("entry-1"), listen: s.listen, peers: "127.0.0.1:0", operators: s.operators,
+		operatorKeys: []string{"laptop=" + s.operatorKey}, listEvery: 500,
+	}
+	n, err := settings.build()
+	if err != nil {
+		return nil, err
+	}
+	c, err := settings.config(ctx, n)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.list(ctx, "entry-1", kumquatlug.VMEntry, c.Peers.Addr().String()); err != nil {
+		return nil, err
+	}
+	s.listen, s.operators = c.Callers.Addr().String(), c.Operators.Addr().String()
+	return entry.New(c)
+}
+
+// seed makes the first change: labels, two selectors and an account.
+func (s *devSettings) seed(ctx context.Context) error {
+	node := s.node("dev")
+	client := node.client()
+	sets, err := s.firstSets()
+	if err != nil {
+		return err
+	}
+	p, err := config.NewProposal(config.ProposalConfig{ID: "dev", Author: devCaller, Sets: sets})
+	if err != nil {
+		return err
+	}
+	_, err = config.NewStore(config.StoreConfig{Table: client, Objects: client}).Commit(ctx, p)
+	return err
+}
+
+func (s *devSettings) firstSets() ([]config.Set, error) {
+	var sets []config.Set
+	var failed error
+	add := func(set config.Set, err error) {
+		sets = append(sets, set)
+		failed = errors.CombineErrors(failed, err)
+	}
+	add(config.SetLabels("engine-1", selector.Labels{"pool": "engines"}))
+	add(config.SetLabels("engine-2", selector.Labels{"pool": "engines"}))
+	add(config.SetLabels("service-1", selector.Labels{"pool": "services"}))
+	add(config.SetSelector(selector.Config{
+		Name: "engines", Protocol: kumquatlug.ProtocolEngine, Kind: devModel, Role: kumquatlug.RoleBoth, Match: "pool=engines",
+	}))
+	add(config.SetSelector(selector.Config{
+		Name: "services", Protocol: kumquatlug.ProtocolService, Kind: devService, Role: kumquatlug.RoleServe, Match: "pool=services",
+	}))
+	account, err := json.Marshal(kumquatlug.CallerConfig{Name: devCaller, KeyHash: kumquatlug.HashKey(s.callerKey)})
+	add(config.NewSet(config.PrefixCaller+devCaller, account), err)
+	return sets, failed
+}
+
+// greet prints what to try.
+func (s *devSettings) greet() {
+	fmt.Fprintf(s.out, `kumquatlug is up: one entry, two engines, one service, on stand-ins.
+
+  callers    http://%[1]s        key %[2]s
+  operators  http://%[3]s        key %[4]s
+
+Try:
+  curl -sN http://%[1]s/v1/chat/completions -H 'Authorization: Bearer %[2]s' \
+    -d '{"model":"%[5]s","stream":true,"max_tokens":12,"messages":[{"role":"user","content":"hello"}]}'
+  curl -s http://%[1]s/services/%[6]s/postings -H 'Authorization: Bearer %[2]s' \
+    -H 'Idempotency-Key: posting-1' -d 'first posting'
+  KUMQUATLUG_OPERATOR_KEY=%[4]s go run ./cmd/kumquatlug status --server http://%[3]s
+
+Ctrl-C stops it gracefully.
+`, s.listen, s.callerKey, s.operators, s.operatorKey, devModel, devService)
+}
+
+func put(ctx context.Context, url string, body []byte) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "list VM")
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "list VM")
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode >= http.StatusMultipleChoices {
+		return errors.Newf("list VM: status %d", answer.StatusCode)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/kumquatlug/entry.go
@@ -0,0 +1,153 @@
+package main
+
+import (
+	"context"
+	"net"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+
+	"github.com/kumquatlug/kumquatlug/internal/caller"
+	"github.com/kumquatlug/kumquatlug/internal/entry"
+	"github.com/kumquatlug/kumquatlug/internal/peer"
+	"github.com/kumquatlug/kumquatlug/internal/settings"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/dispatch"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/routing"
+)
+
+// entrySettings are the settings of an entry.
+type entrySettings struct {
+	nodeSettings
+	listen, peers, operators string
+	peerAddress              string
+	publicCert, publicKey    string
+	operatorKeys             []string
+	balancerLag, listEvery   int64
+	maxBody                  int64
+	subset                   int
+}
+
+func (s *entrySettings) bind(flags *pflag.FlagSet) {
+	s.nodeSettings.bind(flags)
+	flags.StringVar(&s.listen, "listen", "127.0.0.1:8080", "where callers reach this entry, IP:port")
+	flags.StringVar(&s.peers, "peer-listen", "127.0.0.1:8082", "where other processes of ours reach it, IP:port")
+	flags.StringVar(&s.peerAddress, "peer-address", "", "IP:port told to peers, when it is not --peer-listen")
+	flags.StringVar(&s.operators, "operator-listen", "127.0.0.1:8081", "where operators, probes and metrics reach it, IP:port")
+	flags.StringVar(&s.publicCert, "public-cert", "", "certificate for callers and operators: PEM text or a file; empty means plain HTTP")
+	flags.StringVar(&s.publicKey, "public-key", "", "the key of --public-cert: PEM text or a file")
+	flags.StringSliceVar(&s.operatorKeys, "operator-keys", nil, "operators and their keys, name=key, separated by commas")
+	flags.Int64Var(&s.balancerLag, "balancer-lag-ms", 5000, "how long a stopping entry goes on accepting after /readyz says no")
+	flags.Int64Var(&s.listEvery, "list-every-ms", 2000, "how often the platform's list of VMs is read")
+	flags.Int64Var(&s.maxBody, "max-body-bytes", caller.DefaultMaxBody, "largest request body")
+	flags.IntVar(&s.subset, "subset", routing.DefaultSubset, "how many engines of a kind this entry speaks to")
+}
+
+func (s *entrySettings) check(problems settings.Problems) settings.Problems {
+	c := settings.NewChecker(problems)
+	s.nodeSettings.check(c, map[string]string{"peer-listen": s.peers})
+	c.Address("listen", s.listen)
+	c.Address("operator-listen", s.operators)
+	if s.peerAddress != "" {
+		c.Address("peer-address", s.peerAddress)
+	}
+	if (s.publicCert == "") != (s.publicKey == "") {
+		c.Add("public-cert", "both --public-cert and --public-key, or neither", "one of the two is missing")
+	}
+	c.Between("balancer-lag-ms", "milliseconds", s.balancerLag, 0, 10*int64(kumquatlug.Minute))
+	c.Between("list-every-ms", "milliseconds", s.listEvery, 100, int64(kumquatlug.Minute))
+	c.Between("max-body-bytes", "bytes", s.maxBody, 1<<10, 1<<30)
+	c.Between("subset", "targets", int64(s.subset), 1, 10_000)
+	if _, err := s.operatorHashes(); err != nil {
+		c.Add("operator-keys", "name=key, the key of 16 bytes or more, at least one", err.Error())
+	}
+	return c.Problems()
+}
+
+// leastKey is the shortest operator's key that is accepted, in bytes.
+const leastKey = 16
+
+// operatorHashes maps the hash of each operator's key to the operator's name.
+func (s *entrySettings) operatorHashes() (map[string]string, error) {
+	hashes := map[string]string{}
+	for _, pair := range s.operatorKeys {
+		name, key, ok := strings.Cut(pair, "=")
+		if !ok || name == "" {
+			return nil, errors.New("an operator is not given as name=key")
+		}
+		if len(key) < leastKey {
+			return nil, errors.Newf("the key of %q is too short", name)
+		}
+		hashes[kumquatlug.HashKey(key)] = name
+	}
+	if len(hashes) == 0 {
+		return nil, errors.New("no operator is named")
+	}
+	return hashes, nil
+}
+
+func newEntry() *cobra.Command {
+	var s entrySettings
+	cmd := &cobra.Command{
+		Use:   "entry",
+		Short: "Run an entry: callers' and operators' APIs, admission, routing",
+		Args:  cobra.NoArgs,
+		Example: `  kumquatlug entry --name e1 --zone a --platform http://10.0.0.9:7000 \
+    --listen 10.0.0.1:8080 --peer-listen 10.0.0.1:8082 --operator-listen 10.0.0.1:8081 \
+    --tls-cert entry.pem --tls-key entry.key --tls-ca ca.pem --operator-keys ana=$ANA_KEY`,
+	}
+	s.bind(cmd.Flags())
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		if err := s.check(settings.FromEnvironment(cmd.Flags())).Err(); err != nil {
+			return err
+		}
+		return s.run(cmd.Context())
+	}
+	return cmd
+}
+
+func (s *entrySettings) run(ctx context.Context) error {
+	n, err := s.build()
+	if err != nil {
+		return err
+	}
+	c, err := s.config(ctx, n)
+	if err != nil {
+		return err
+	}
+	e, err := entry.New(c)
+	if err != nil {
+		return err
+	}
+	return e.Run(ctx)
+}
+
+func (s *entrySettings) config(ctx context.Context, n *node) (entry.Config, error) {
+	hashes, err := s.operatorHashes()
+	if err != nil {
+		return entry.Config{}, err
+	}
+	var public *peer.PublicKeys
+	if s.publicCert != "" {
+		if public, err = peer.LoadPublicKeys(s.publicCert, s.publicKey); err != nil {
+			return entry.Config{}, err
+		}
+	}
+	var listeners [3]net.Listener
+	for i, address := range []string{s.listen, s.peers, s.operators} {
+		if listeners[i], err = listen(ctx, address); err != nil {
+			return entry.Config{}, err
+		}
+	}
+	client := s.client()
+	return entry.Config{
+		Name: s.name, Zone: s.zone, Callers: listeners[0], Peers: listeners[1], Operators: listeners[2],
+		PeerAddress: s.peerAddress, Keys: n.keys, CallerTLS: public, OperatorKeys: hashes,
+		Table: client, Objects: client, VMs: client, Clock: n.clock,
+		ListEvery: kumquatlug.Millis(s.listEvery), BalancerLag: kumquatlug.Millis(s.balancerLag), MaxBody: s.maxBody,
+		Dispatch: dispatch.Config{Seed: s.seed(), Subset: s.subset},
+		Logger:   n.logger, Registry: n.registry, Ring: n.ring,
+	}, nil
+}
--- /dev/null
+++ b/cmd/kumquatlug/node.go
@@ -0,0 +1,146 @@
+package main
+
+import (
+	"context"
+	"hash/fnv"
+	"net"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/spf13/pflag"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/kumquatlug/kumquatlug/internal/peer"
+	"github.com/kumquatlug/kumquatlug/internal/platform"
+	"github.com/kumquatlug/kumquatlug/internal/settings"
+	"github.com/kumquatlug/kumquatlug/internal/timeline"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/clock"
+)
+
+// nodeSettings are what entries and agents both need to know.
+type nodeSettings struct {
+	name, zone              string
+	platform, platformToken string
+	cert, key, authority    string
+	insecure                bool
+	logFormat, logLevel     string
+	events                  int
+}
+
+func (s *nodeSettings) bind(flags *pflag.FlagSet) {
+	flags.StringVar(&s.name, "name", "", "name of this VM in the platform's list")
+	flags.StringVar(&s.zone, "zone", "", "name of the data centre that this VM is in")
+	flags.StringVar(&s.platform, "platform", "", "URL of the platform's table, object store and VM list")
+	flags.StringVar(&s.platformToken, "platform-token", "", "bearer token for the platform; empty sends none")
+	flags.StringVar(&s.cert, "tls-cert", "", "this process's certificate for its peers: PEM text or a file")
+	flags.StringVar(&s.key, "tls-key", "", "the key of --tls-cert: PEM text or a file")
+	flags.StringVar(&s.authority, "tls-ca", "", "the authority of the peers' certificates: PEM text or a file")
+	flags.BoolVar(&s.insecure, "insecure-loopback", false, "speak plainly to peers; only with loopback addresses")
+	flags.StringVar(&s.logFormat, "log-format", "json", "json or console")
+	flags.StringVar(&s.logLevel, "log-level", "info", "debug, info, warn or error")
+	flags.IntVar(&s.events, "events", timeline.DefaultSize, "how many events this process keeps for the time line")
+}
+
+// check tells every bad setting; peers are the addresses that peers use.
+func (s *nodeSettings) check(c *settings.Checker, peers map[string]string) {
+	c.Required("name", "a name as in the platform's list", s.name)
+	c.Required("zone", "a name of a data centre", s.zone)
+	c.URL("platform", s.platform)
+	c.OneOf("log-format", s.logFormat, "json", "console")
+	c.OneOf("log-level", s.logLevel, "debug", "info", "warn", "error")
+	c.Between("events", "events", int64(s.events), 16, 1<<20)
+	for flag, address := range peers {
+		c.Address(flag, address)
+	}
+	s.checkKeys(c, peers)
+}
+
+func (s *nodeSettings) checkKeys(c *settings.Checker, peers map[string]string) {
+	if s.insecure {
+		for flag, address := range peers {
+			if host, _, err := net.SplitHostPort(address); err == nil && !net.ParseIP(host).IsLoopback() {
+				c.Add(flag, "a loopback IP, as --insecure-loopback is set", "is not on loopback")
+			}
+		}
+		return
+	}
+	c.Required("tls-cert", "PEM text or a file (or set --insecure-loopback)", s.cert)
+	c.Required("tls-key", "PEM text or a file (or set --insecure-loopback)", s.key)
+	c.Required("tls-ca", "PEM text or a file (or set --insecure-loopback)", s.authority)
+	if s.cert == "" || s.key == "" || s.authority == "" {
+		return
+	}
+	if _, err := s.keys(); err != nil {
+		c.Add("tls-cert", "a certificate, its key and an authority", err.Error())
+	}
+}
+
+func (s *nodeSettings) keys() (*peer.Keys, error) {
+	if s.insecure {
+		return nil, nil
+	}
+	return peer.LoadKeys(peer.KeysConfig{Certificate: s.cert, Key: s.key, Authority: s.authority})
+}
+
+func (s *nodeSettings) client() *platform.Client {
+	return platform.New(platform.Config{URL: s.platform, Token: s.platformToken})
+}
+
+// seed differs between nodes, so that entries don't decide alike.
+func (s *nodeSettings) seed() uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(s.name))
+	return h.Sum64()
+}
+
+// node is what entry and agent processes are built on.
+type node struct {
+	keys     *peer.Keys
+	logger   *zap.Logger
+	registry *prometheus.Registry
+	ring     *timeline.Ring
+	clock    *clock.Monotonic
+}
+
+func (s *nodeSettings) build() (*node, error) {
+	keys, err := s.keys()
+	if err != nil {
+		return nil, err
+	}
+	logger, err := newLogger(s.logFormat, s.logLevel)
+	if err != nil {
+		return nil, err
+	}
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return &node{
+		keys: keys, logger: logger.With(zap.String("node", s.name)), registry: registry,
+		ring: timeline.NewRing(s.name, s.events), clock: clock.NewMonotonic(),
+	}, nil
+}
+
+// newLogger writes to standard output, where the platform gathers logs: VMs
+// have no disks.
+func newLogger(format, level string) (*zap.Logger, error) {
+	at, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, errors.Wrap(err, "log level")
+	}
+	c := zap.NewProductionEncoderConfig()
+	c.EncodeTime = zapcore.ISO8601TimeEncoder
+	encoder := zapcore.NewJSONEncoder(c)
+	if format == "console" {
+		encoder = zapcore.NewConsoleEncoder(c)
+	}
+	return zap.New(zapcore.NewCore(encoder, zapcore.Lock(os.Stdout), at)), nil
+}
+
+// listen opens a TCP listener.
+func listen(ctx context.Context, address string) (net.Listener, error) {
+	var c net.ListenConfig
+	l, err := c.Listen(ctx, "tcp", address)
+	return l, errors.Wrapf(err, "listen on %s", address)
+}
--- /dev/null
+++ b/cmd/kumquatlug/operate.go
@@ -0,0 +1,251 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/kumquatlug/kumquatlug/internal/operator"
+	"github.com/kumquatlug/kumquatlug/internal/settings"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/config"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/selector"
+)
+
+// serverSettings say which entry an operator's command asks.
+type serverSettings struct {
+	server, key, authority string
+}
+
+// bindServer adds the flags by which a command finds its entry, and fills them
+// from the environment before it runs.
+func bindServer(cmd *cobra.Command) *serverSettings {
+	s := &serverSettings{}
+	cmd.Flags().StringVar(&s.server, "server", "http://127.0.0.1:8081", "URL of an entry's operators' address")
+	cmd.Flags().StringVar(&s.key, "operator-key", "", "your own key")
+	cmd.Flags().StringVar(&s.authority, "server-ca", "", "authority of the entry's certificate: PEM text or a file")
+	cmd.PreRunE = func(cmd *cobra.Command, _ []string) error {
+		c := settings.NewChecker(settings.FromEnvironment(cmd.Flags()))
+		c.URL("server", s.server)
+		c.Required("operator-key", "the key that an entry knows you by", s.key)
+		return c.Problems().Err()
+	}
+	return s
+}
+
+func (s *serverSettings) client() (*operator.Client, error) {
+	return operator.NewClient(operator.ClientConfig{URL: s.server, Key: s.key, Authority: s.authority})
+}
+
+// apply makes a change and prints the revision to wait for.
+func apply(cmd *cobra.Command, client *operator.Client, base config.Revision, sets ...config.Set) error {
+	revision, err := client.Apply(cmd.Context(), base, sets...)
+	if err != nil {
+		return explainChange(err)
+	}
+	_, err = fmt.Fprintf(cmd.OutOrStdout(), "revision %d\n", revision)
+	return err
+}
+
+// explainChange says in words what an operator is to make of a failed change.
+func explainChange(err error) error {
+	switch {
+	case errors.Is(err, kumquatlug.ErrConflict):
+		return errors.Wrap(err, "conflict: somebody changed the same thing first, nothing was changed; look again")
+	case errors.Is(err, kumquatlug.ErrDenied):
+		return errors.Wrap(err, "denied: nothing was changed")
+	default:
+		return errors.Wrap(err, "lost: the change may have taken effect; look with get, then try again")
+	}
+}
+
+func newLabel() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "label TARGET name=value... name-...",
+		Short: "Set or remove labels of a target",
+		Args:  cobra.MinimumNArgs(2),
+		Example: `  kumquatlug label t1 pool=draft model=decree
+  kumquatlug label t1 leaving=true      # drain: no new work, what runs is finished
+  kumquatlug label t1 leaving-          # take it back`,
+	}
+	s := bindServer(cmd)
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		client, err := s.client()
+		if err != nil {
+			return err
+		}
+		labels, base, err := readLabels(cmd.Context(), client, args[0])
+		if err != nil {
+			return err
+		}
+		if err := editLabels(labels, args[1:]); err != nil {
+			return err
+		}
+		set, err := config.SetLabels(args[0], labels)
+		if err != nil {
+			return err
+		}
+		return apply(cmd, client, base, set)
+	}
+	return cmd
+}
+
+func readLabels(ctx context.Context, client *operator.Client, target string) (selector.Labels, config.Revision, error) {
+	key := config.PrefixTarget + target
+	sets, base, err := client.Get(ctx, key)
+	if err != nil {
+		return nil, 0, err
+	}
+	labels := selector.Labels{}
+	for _, set := range sets {
+		if set.Key() != key {
+			continue
+		}
+		if err := json.Unmarshal(set.Value(), &labels); err != nil {
+			return nil, 0, errors.Wrapf(err, "labels of %s", target)
+		}
+	}
+	return labels, base, nil
+}
+
+func editLabels(labels selector.Labels, edits []string) error {
+	for _, edit := range edits {
+		if name, ok := strings.CutSuffix(edit, "-"); ok && !strings.Contains(edit, "=") {
+			delete(labels, name)
+			continue
+		}
+		added, err := selector.ParseLabels(edit)
+		if err != nil {
+			return err
+		}
+		for name, value := range added {
+			labels[name] = value
+		}
+	}
+	return nil
+}
+
+func newSelector() *cobra.Command {
+	cmd := &cobra.Command{Use: "selector", Short: "Set or delete selectors: which targets take which work"}
+	cmd.AddCommand(newSelectorSet(), newSelectorDelete())
+	return cmd
+}
+
+func newSelectorSet() *cobra.Command {
+	var c selector.Config
+	var protocol, role string
+	var deadline int64
+	cmd := &cobra.Command{
+		Use:   "set NAME",
+		Short: "Set a selector",
+		Args:  cobra.ExactArgs(1),
+		Example: `  kumquatlug selector set drafting --kind decree-draft --match pool=draft --deadline-ms 30000
+  kumquatlug selector set gazette --protocol service --kind gazette --match pool=publication`,
+	}
+	s := bindServer(cmd)
+	flags := cmd.Flags()
+	flags.StringVar(&protocol, "protocol", string(kumquatlug.ProtocolEngine), "engine or service")
+	flags.StringVar(&c.Kind, "kind", "", "model or service that callers ask for")
+	flags.StringVar(&role, "role", "", "both, prefill or decode for engines; serve for services")
+	flags.StringVar(&c.Match, "match", "", `expression over labels, as in "pool=draft,zone!=b,gpu,!old"; empty matches all`)
+	flags.BoolVar(&c.Repeatable, "repeatable", false, "every call of the service may run twice")
+	flags.Int64Var(&deadline, "deadline-ms", 0, "time of a call whose caller names none; 0 means two minutes")
+	flags.IntVar(&c.Priority, "priority", 0, "-2 to 2; higher goes first")
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		c.Name, c.Protocol, c.Role = args[0], kumquatlug.Protocol(protocol), kumquatlug.Role(role)
+		c.Deadline = kumquatlug.Millis(deadline)
+		if c.Role == "" {
+			c.Role = usualRole(c.Protocol)
+		}
+		set, err := config.SetSelector(c)
+		if err != nil {
+			return errors.Mark(err, kumquatlug.ErrDenied)
+		}
+		return change(cmd, s, set)
+	}
+	return cmd
+}
+
+func usualRole(protocol kumquatlug.Protocol) kumquatlug.Role {
+	if protocol == kumquatlug.ProtocolService {
+		return kumquatlug.RoleServe
+	}
+	return kumquatlug.RoleBoth
+}
+
+// change makes a change over the revision in force at the entry asked.
+func change(cmd *cobra.Command, s *serverSettings, set config.Set) error {
+	client, err := s.client()
+	if err != nil {
+		return err
+	}
+	_, base, err := client.Get(cmd.Context(), set.Key())
+	if err != nil {
+		return err
+	}
+	return apply(cmd, client, base, set)
+}
+
+func newSelectorDelete() *cobra.Command {
+	cmd := &cobra.Command{Use: "delete NAME", Short: "Delete a selector", Args: cobra.ExactArgs(1), Example: "  kumquatlug selector delete drafting"}
+	s := bindServer(cmd)
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		return change(cmd, s, config.NewDelete(config.PrefixSelector+args[0]))
+	}
+	return cmd
+}
+
+func newCaller() *cobra.Command {
+	cmd := &cobra.Command{Use: "caller", Short: "Add or delete callers' accounts"}
+	cmd.AddCommand(newCallerAdd(), newCallerDelete())
+	return cmd
+}
+
+func newCallerAdd() *cobra.Command {
+	var c kumquatlug.CallerConfig
+	var key string
+	cmd := &cobra.Command{
+		Use:     "add NAME",
+		Short:   "Add an account, or give it a new key, and print the key once",
+		Args:    cobra.ExactArgs(1),
+		Example: "  kumquatlug caller add portal --weight 4 --tokens-per-second 20000",
+	}
+	s := bindServer(cmd)
+	cmd.Flags().StringVar(&key, "key", "", "the account's key; empty makes a new one")
+	cmd.Flags().IntVar(&c.Weight, "weight", 1, "the account's part when callers compete")
+	cmd.Flags().Int64Var(&c.TokensPerSecond, "tokens-per-second", 0, "bound on estimated tokens a second; 0 sets none")
+	cmd.Flags().IntVar(&c.Concurrency, "concurrency", 0, "bound on requests in hand; 0 sets none")
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		if key == "" {
+			key = "klug-" + rand.Text()
+		}
+		c.Name, c.KeyHash = args[0], kumquatlug.HashKey(key)
+		if _, err := kumquatlug.NewCaller(c); err != nil {
+			return errors.Mark(err, kumquatlug.ErrDenied)
+		}
+		value, err := json.Marshal(c)
+		if err != nil {
+			return errors.Wrap(err, "encode caller")
+		}
+		if err := change(cmd, s, config.NewSet(config.PrefixCaller+args[0], value)); err != nil {
+			return err
+		}
+		_, err = fmt.Fprintf(cmd.OutOrStdout(), "key %s\n", key)
+		return err
+	}
+	return cmd
+}
+
+func newCallerDelete() *cobra.Command {
+	cmd := &cobra.Command{Use: "delete NAME", Short: "Delete an account", Args: cobra.ExactArgs(1), Example: "  kumquatlug caller delete portal"}
+	s := bindServer(cmd)
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		return change(cmd, s, config.NewDelete(config.PrefixCaller+args[0]))
+	}
+	return cmd
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -95,7 +95,7 @@
 	var group run.Group
 	addDuty(&group, background, a.follower.Run)
 	addDuty(&group, background, a.watch.run)
-	addDuty(&group, background, a.work.run)
+	addDuty(&group, background, a.work.ledger.Run)
 	a.addServer(&group)
 	group.Add(func() error {
 		<-ctx.Done()
@@ -114,7 +114,13 @@
 // addDuty adds a goroutine that runs until the group stops.
 func addDuty(group *run.Group, ctx context.Context, duty func(context.Context) error) {
 	own, cancel := context.WithCancel(ctx)
-	group.Add(func() error { return duty(own) }, func(error) { cancel() })
+	group.Add(func() error {
+		if err := duty(own); err != nil {
+			return err
+		}
+		<-own.Done()
+		return own.Err()
+	}, func(error) { cancel() })
 }
 
 func (a *Agent) addServer(group *run.Group) {
@@ -157,5 +163,8 @@
 			return
 		}
 	}
+	if err := a.work.ledger.Flush(ctx); err != nil {
+		a.c.Logger.Warn("outcomes could not be stored before the stop", zap.Error(err))
+	}
 	a.c.Logger.Info("agent has finished its work and stops", zap.String("name", a.c.Name))
 }
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -15,6 +15,7 @@
 	"github.com/kumquatlug/kumquatlug/internal/timeline"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/config"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/ledger"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/selector"
 )
 
@@ -26,6 +27,8 @@
 type workDesk struct {
 	agent *Agent
 
+	ledger *ledger.Ledger
+
 	mu       sync.Mutex
 	stopping bool
 	// labelLeaving and vmLeaving are the two words of leaving.
@@ -42,13 +45,12 @@
 }
 
 func newWorkDesk(a *Agent) (*workDesk, error) {
-	return &workDesk{agent: a, inHand: map[string]piece{}, begun: map[string]int64{}}, nil
-}
-
-// run does what the desk does besides taking work.
-func (d *workDesk) run(ctx context.Context) error {
-	<-ctx.Done()
-	return ctx.Err()
+	d := &workDesk{agent: a, inHand: map[string]piece{}, begun: map[string]int64{}}
+	var err error
+	d.ledger, err = ledger.New(ledger.Config{
+		Table: a.c.Table, Objects: a.c.Objects, Clock: a.c.Clock, Target: a.c.Name, Incarnation: a.incarnation,
+	})
+	return d, errors.Wrap(err, "open the ledger")
 }
 
 func (d *workDesk) stop() {
@@ -105,6 +107,10 @@
 		return
 	}
 	defer d.end(work)
+	if work.Once() {
+		d.serveOnce(w, r, work)
+		return
+	}
 	d.serve(w, r, work)
 }
 
@@ -159,7 +165,7 @@
 		return err.Error()
 	}
 	selectors, _ := config.Selectors(state)
-	return selector.Refusal(selectors, work.Kind(), labels)
+	return selector.Refusal(selectors, work.Kind(), labels.With(d.agent.c.Name, d.agent.c.Zone))
 }
 
 func (d *workDesk) end(work peer.Work) {
@@ -181,15 +187,8 @@
 
 // serve makes the call and passes the answer back.
 func (d *workDesk) serve(w http.ResponseWriter, r *http.Request, work peer.Work) {
-	header := http.Header{}
-	peer.CopyHeaders(header, r.Header)
-	path := strings.TrimPrefix(r.URL.RequestURI(), peer.WorkPath)
-	call := kumquatlug.NewCall(r.Method, path, header, r.Body)
-	if r.ContentLength == 0 {
-		call = kumquatlug.NewCall(r.Method, path, header, nil)
-	}
 	started := d.agent.c.Clock.Now()
-	answer, err := d.agent.c.Target.Do(r.Context(), call)
+	answer, err := d.agent.c.Target.Do(r.Context(), callOf(r, work))
 	if err != nil {
 		d.noteCrash(r.Context(), work)
 		d.refuse(w, work, kumquatlug.FailureOf(err))
@@ -211,6 +210,20 @@
 	})
 }
 
+// callOf returns the call as the target is to see it.
+func callOf(r *http.Request, work peer.Work) kumquatlug.Call {
+	header := http.Header{}
+	peer.CopyHeaders(header, r.Header)
+	if work.Once() {
+		header.Set(peer.KeyHeader, work.Key())
+	}
+	path := strings.TrimPrefix(r.URL.RequestURI(), peer.WorkPath)
+	if r.ContentLength == 0 {
+		return kumquatlug.NewCall(r.Method, path, header, nil)
+	}
+	return kumquatlug.NewCall(r.Method, path, header, r.Body)
+}
+
 // passOn copies the answer to the entry as it comes. The trailer tells whether
 // it was whole: when a target dies its kernel may close the connection in an
 // orderly way, which alone reads like the end of an answer.
--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -75,7 +75,7 @@
 		return
 	}
 	w.Header().Set(peer.KeyHeader, c.key)
-	answer, err := h.desk.Run(r.Context(), c)
+	answer, err := h.desk.Call(r.Context(), c)
 	if err != nil {
 		h.refuse(w, from.id, kumquatlug.FailureOf(err))
 		return
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -30,8 +30,8 @@
 	// Generate runs g and hands its chunks to sink in order, each once. It
 	// returns when the answer is whole, or with a *kumquatlug.Failure.
 	Generate(ctx context.Context, g Generation, sink Sink) error
-	// Run makes a call to a plain service.
-	Run(ctx context.Context, c ServiceCall) (kumquatlug.Answer, error)
+	// Call makes a call to a plain service.
+	Call(ctx context.Context, c ServiceCall) (kumquatlug.Answer, error)
 }
 
 // Sink takes the chunks of one answer. An error says that the caller is gone.
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -25,10 +25,10 @@
 // hears anything: most answers fit, and a hundred in hand take 6 MB.
 const prefetchBytes = 64 << 10
 
-// Run makes one call to a plain service. A call that may not be repeated goes
+// Call makes one call to a plain service. A call that may not be repeated goes
 // out under a run-once mark and is sent again only when it is known not to have
 // run.
-func (e *Entry) Run(ctx context.Context, c caller.ServiceCall) (answer kumquatlug.Answer, err error) {
+func (e *Entry) Call(ctx context.Context, c caller.ServiceCall) (answer kumquatlug.Answer, err error) {
 	r := e.newRequest(c.ID(), c.Caller(), c.Kind(), c.Timeout())
 	r.print = fingerprint(c.Caller().Name(), c.Kind().String()+c.Method()+c.Path(), c.Body())
 	out := outgoing{method: c.Method(), path: c.Path(), header: c.Header(), body: c.Body()}
--- /dev/null
+++ b/internal/operator/client.go
@@ -0,0 +1,167 @@
+package operator
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/ulid/v2"
+
+	"github.com/kumquatlug/kumquatlug/internal/peer"
+	"github.com/kumquatlug/kumquatlug/internal/peer/peerv1"
+	"github.com/kumquatlug/kumquatlug/internal/peer/peerv1/peerv1connect"
+	"github.com/kumquatlug/kumquatlug/internal/settings"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/config"
+)
+
+// Figures of the client.
+const (
+	// callTimeout bounds one question; an entry waits two seconds for peers.
+	callTimeout = 10 * time.Second
+	// sendings is how often a change goes out whose answer was lost. It has one
+	// id, so that it takes effect once.
+	sendings = 3
+	// sendPause is the wait between two of them.
+	sendPause = 300 * time.Millisecond
+)
+
+// ClientConfig says which entry to ask and as whom.
+type ClientConfig struct {
+	// URL is an entry's operators' address, as in "http://10.0.0.1:8081".
+	URL string
+	// Key is the operator's own key.
+	Key string
+	// Authority is PEM text or a file with the certificates to trust; empty
+	// means the machine's.
+	Authority string
+}
+
+// Client speaks to one entry as an operator.
+type Client struct {
+	service peerv1connect.OperatorServiceClient
+}
+
+// NewClient returns a client; no connection is made yet.
+func NewClient(c ClientConfig) (*Client, error) {
+	transport := &http.Transport{}
+	if c.Authority != "" {
+		text, err := settings.PEM(c.Authority)
+		if err != nil {
+			return nil, err
+		}
+		pool := x509.NewCertPool()
+		if !pool.AppendCertsFromPEM(text) {
+			return nil, errors.New("the authority holds no certificate")
+		}
+		transport.TLSClientConfig = &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: pool}
+	}
+	client := &http.Client{Transport: &bearer{key: c.Key, next: transport}, Timeout: callTimeout}
+	return &Client{service: peerv1connect.NewOperatorServiceClient(client, c.URL)}, nil
+}
+
+// bearer adds the operator's key to each request.
+type bearer struct {
+	key  string
+	next http.RoundTripper
+}
+
+// RoundTrip sends the request with the key.
+func (b *bearer) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	r.Header.Set("Authorization", "Bearer "+b.key)
+	return b.next.RoundTrip(r)
+}
+
+// Apply makes a change over what stood at base and returns its revision. The
+// error is marked kumquatlug.ErrConflict, ErrDenied, ErrUnavailable or ErrLost.
+func (c *Client) Apply(ctx context.Context, base config.Revision, sets ...config.Set) (config.Revision, error) {
+	id := ulid.Make().String()
+	var last error
+	for n := range sendings {
+		if n > 0 {
+			if err := pause(ctx, sendPause); err != nil {
+				break
+			}
+		}
+		answer, err := c.service.Change(ctx, connect.NewRequest(&peerv1.ChangeRequest{
+			Id: id, Base: int64(base), Sets: peer.SetsTo(sets),
+		}))
+		if err == nil {
+			return config.Revision(answer.Msg.GetRevision()), nil
+		}
+		last = mark(err)
+		if !errors.Is(last, kumquatlug.ErrLost) {
+			break
+		}
+	}
+	return 0, last
+}
+
+func pause(ctx context.Context, span time.Duration) error {
+	select {
+	case <-time.After(span):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// mark turns the code of an answer, or its absence, into the project's marks.
+func mark(err error) error {
+	switch connect.CodeOf(err) {
+	case connect.CodeAborted:
+		return errors.Mark(err, kumquatlug.ErrConflict)
+	case connect.CodePermissionDenied, connect.CodeUnauthenticated, connect.CodeInvalidArgument:
+		return errors.Mark(err, kumquatlug.ErrDenied)
+	case connect.CodeUnavailable:
+		// An entry that says so means it; a broken connection looks the same
+		// here, and then the change may have been made.
+		return errors.Mark(err, kumquatlug.ErrLost)
+	default:
+		return errors.Mark(err, kumquatlug.ErrLost)
+	}
+}
+
+// Get returns the keys below prefix and the revision they stood at.
+func (c *Client) Get(ctx context.Context, prefix string) ([]config.Set, config.Revision, error) {
+	answer, err := c.service.Get(ctx, connect.NewRequest(&peerv1.GetRequest{Prefix: prefix}))
+	if err != nil {
+		return nil, 0, errors.Wrap(err, "get")
+	}
+	return peer.SetsFrom(answer.Msg.GetSets()), config.Revision(answer.Msg.GetRevision()), nil
+}
+
+// Status returns every node with the revision in force there.
+func (c *Client) Status(ctx context.Context) (*peerv1.StatusResponse, error) {
+	answer, err := c.service.Status(ctx, connect.NewRequest(&peerv1.StatusRequest{}))
+	if err != nil {
+		return nil, errors.Wrap(err, "status")
+	}
+	return answer.Msg, nil
+}
+
+// Explain says which targets may take a kind of work and why others may not.
+func (c *Client) Explain(ctx context.Context, kind kumquatlug.Kind) (*peerv1.ExplainResponse, error) {
+	answer, err := c.service.Explain(ctx, connect.NewRequest(&peerv1.ExplainRequest{
+		Protocol: string(kind.Protocol()), Kind: kind.Name(),
+	}))
+	if err != nil {
+		return nil, errors.Wrap(err, "explain")
+	}
+	return answer.Msg, nil
+}
+
+// Timeline returns the merged events of all processes, of one request when
+// requestID is not empty.
+func (c *Client) Timeline(ctx context.Context, requestID string) (*peerv1.EventsResponse, error) {
+	answer, err := c.service.Timeline(ctx, connect.NewRequest(&peerv1.TimelineRequest{RequestId: requestID}))
+	if err != nil {
+		return nil, errors.Wrap(err, "timeline")
+	}
+	return answer.Msg, nil
+}
