Add planner: the prefill/decode split by expected goodput against the price of a change

Demand is estimated by a slow average that noise does not move and a fast one that takes over as they depart, each entry by itself. The best split's goodput is weighed against the price of the changes; 'enough' stops short of the best where a site pays dearly for changes. Missing reports freeze it.

Ruled out: the price alone to set two sites apart.

--- /dev/null
+++ b/pkg/kumquatlug/planner/baseline.go
@@ -0,0 +1,107 @@
+package planner
+
+import (
+	"fmt"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+// Static keeps the split as it is.
+type Static struct{}
+
+var _ kumquatlug.RolePlanner = Static{}
+
+// Offered implements [kumquatlug.RolePlanner].
+func (Static) Offered(kumquatlug.Millis, kumquatlug.Offer) {}
+
+// Report implements [kumquatlug.RolePlanner].
+func (Static) Report(kumquatlug.Millis, kumquatlug.EngineReport) {}
+
+// Refused implements [kumquatlug.RolePlanner].
+func (Static) Refused(kumquatlug.Millis, string) {}
+
+// Remove implements [kumquatlug.RolePlanner].
+func (Static) Remove(kumquatlug.Millis, string) {}
+
+// Plan implements [kumquatlug.RolePlanner]; it never changes anything.
+func (Static) Plan(kumquatlug.Millis) []kumquatlug.RoleChange { return nil }
+
+// ThresholdConfig is what a [Threshold] is made of. The zero value of each
+// field stands for its default.
+type ThresholdConfig struct {
+	// High and Low are the loads beyond which one side takes an engine from
+	// the other: it is above High and the other below Low. Defaults 0.9, 0.7.
+	High float64
+	Low  float64
+	// Every is the least time between two changes. Default 10 s.
+	Every kumquatlug.Millis
+	// Span is the span of the moving average of the demand. Default 10 s.
+	Span kumquatlug.Millis
+	// AwayPart is the greatest part of the group that is away at once.
+	// Default 0.2.
+	AwayPart float64
+	// PrefillRate and DecodeRate are as in [Config].
+	PrefillRate float64
+	DecodeRate  float64
+}
+
+// Threshold moves one engine whenever one side is busy and the other is not, as
+// a plain autoscaler would.
+type Threshold struct {
+	config  ThresholdConfig
+	group   *group
+	demand  *demand
+	movedAt kumquatlug.Millis
+	moved   bool
+}
+
+var _ kumquatlug.RolePlanner = (*Threshold)(nil)
+
+// NewThreshold returns a planner that knows no engine and no demand.
+func NewThreshold(c ThresholdConfig) *Threshold {
+	c.High = orFloat(c.High, 0.9)
+	c.Low = orFloat(c.Low, 0.7)
+	c.Every = orMillis(c.Every, 10*kumquatlug.Second)
+	c.Span = orMillis(c.Span, 10*kumquatlug.Second)
+	c.AwayPart = orFloat(c.AwayPart, 0.2)
+	c.PrefillRate = orFloat(c.PrefillRate, 8000)
+	c.DecodeRate = orFloat(c.DecodeRate, 1500)
+	return &Threshold{config: c, group: newGroup(c.PrefillRate, c.DecodeRate), demand: newDemand(c.Span, c.Span)}
+}
+
+// Offered implements [kumquatlug.RolePlanner].
+func (t *Threshold) Offered(now kumquatlug.Millis, o kumquatlug.Offer) { t.demand.offered(now, o) }
+
+// Report implements [kumquatlug.RolePlanner].
+func (t *Threshold) Report(now kumquatlug.Millis, e kumquatlug.EngineReport) { t.group.report(now, e) }
+
+// Refused implements [kumquatlug.RolePlanner].
+func (t *Threshold) Refused(_ kumquatlug.Millis, target string) { t.group.refused(target) }
+
+// Remove implements [kumquatlug.RolePlanner].
+func (t *Threshold) Remove(_ kumquatlug.Millis, target string) { t.group.remove(target) }
+
+// Plan implements [kumquatlug.RolePlanner].
+func (t *Threshold) Plan(now kumquatlug.Millis) []kumquatlug.RoleChange {
+	prefill, decode := t.group.split()
+	if t.moved && now-t.movedAt < t.config.Every || prefill == 0 || decode == 0 {
+		return nil
+	}
+	offered := t.demand.estimate()
+	busyPrefill := offered.prefill / (float64(prefill) * t.group.prefillRate)
+	busyDecode := offered.decode / (float64(decode) * t.group.decodeRate)
+	reason := fmt.Sprintf("prefill at %.2f, decode at %.2f", busyPrefill, busyDecode)
+	switch {
+	case busyPrefill > t.config.High && busyDecode < t.config.Low && decode > 1:
+		return t.move(now, kumquatlug.RoleDecode, kumquatlug.RolePrefill, reason)
+	case busyDecode > t.config.High && busyPrefill < t.config.Low && prefill > 1:
+		return t.move(now, kumquatlug.RolePrefill, kumquatlug.RoleDecode, reason)
+	default:
+		return nil
+	}
+}
+
+func (t *Threshold) move(now kumquatlug.Millis, from, to kumquatlug.Role, reason string) []kumquatlug.RoleChange {
+	t.moved, t.movedAt = true, now
+	return t.group.change(now, from, to, 1, bound(t.config.AwayPart, t.group.size()), 0, reason)
+}
--- /dev/null
+++ b/pkg/kumquatlug/planner/demand.go
@@ -0,0 +1,139 @@
+package planner
+
+import (
+	"math"
+	"slices"
+	"strings"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+// rates are tokens a second.
+type rates struct {
+	prefill float64
+	decode  float64
+}
+
+// average is a moving average over a span that counts only what it has seen:
+// before the span has passed it is the plain mean.
+type average struct {
+	span   float64
+	sum    rates
+	weight float64
+}
+
+// add takes in a rate that held for some milliseconds.
+func (a *average) add(r rates, millis float64) {
+	keep := math.Exp(-millis / a.span)
+	a.sum.prefill = a.sum.prefill*keep + r.prefill*(1-keep)
+	a.sum.decode = a.sum.decode*keep + r.decode*(1-keep)
+	a.weight = a.weight*keep + 1 - keep
+}
+
+func (a *average) mean() rates {
+	if a.weight == 0 {
+		return rates{}
+	}
+	return rates{prefill: a.sum.prefill / a.weight, decode: a.sum.decode / a.weight}
+}
+
+// source is the demand through one entry.
+type source struct {
+	entry   string
+	fast    average
+	slow    average
+	heardAt kumquatlug.Millis
+}
+
+// demand adds up the sources. Each has its own averages: if they were averaged
+// together, an entry whose report is late would look like a drop in demand.
+type demand struct {
+	fast    kumquatlug.Millis
+	slow    kumquatlug.Millis
+	sources []*source
+	since   kumquatlug.Millis
+}
+
+func newDemand(fast, slow kumquatlug.Millis) *demand {
+	return &demand{fast: fast, slow: slow}
+}
+
+func (d *demand) offered(now kumquatlug.Millis, o kumquatlug.Offer) {
+	if o.Span <= 0 {
+		return
+	}
+	s := d.source(now, o.Entry)
+	s.heardAt = now
+	seconds := float64(o.Span) / float64(kumquatlug.Second)
+	r := rates{prefill: o.PrefillTokens / seconds, decode: o.DecodeTokens / seconds}
+	s.fast.add(r, float64(o.Span))
+	s.slow.add(r, float64(o.Span))
+}
+
+func (d *demand) source(now kumquatlug.Millis, entry string) *source {
+	at, ok := slices.BinarySearchFunc(d.sources, entry, func(s *source, entry string) int {
+		return strings.Compare(s.entry, entry)
+	})
+	if ok {
+		return d.sources[at]
+	}
+	if len(d.sources) == 0 {
+		d.since = now
+	}
+	s := &source{entry: entry, fast: average{span: float64(d.fast)}, slow: average{span: float64(d.slow)}}
+	d.sources = slices.Insert(d.sources, at, s)
+	return s
+}
+
+// forget drops the entries that have not been heard for a span.
+func (d *demand) forget(now, gone kumquatlug.Millis) {
+	d.sources = slices.DeleteFunc(d.sources, func(s *source) bool { return now-s.heardAt > gone })
+}
+
+// silent reports whether an entry has not been heard for a span, or none ever.
+func (d *demand) silent(now, stale kumquatlug.Millis) bool {
+	for _, s := range d.sources {
+		if now-s.heardAt > stale {
+			return true
+		}
+	}
+	return len(d.sources) == 0
+}
+
+// age returns how long demand has been seen.
+func (d *demand) age(now kumquatlug.Millis) kumquatlug.Millis {
+	if len(d.sources) == 0 {
+		return 0
+	}
+	return now - d.since
+}
+
+// The fast average takes over from the slow one as their distance grows from
+// departBegin to departEnd, as a part of the slow one. Demand that varies by a
+// fifth from report to report moves the fast average by 4%: 15% is no noise.
+const (
+	departBegin = 0.15
+	departEnd   = 0.30
+)
+
+// estimate returns the demand of all entries.
+func (d *demand) estimate() rates {
+	var fast, slow rates
+	for _, s := range d.sources {
+		f, l := s.fast.mean(), s.slow.mean()
+		fast.prefill += f.prefill
+		fast.decode += f.decode
+		slow.prefill += l.prefill
+		slow.decode += l.decode
+	}
+	return rates{prefill: blend(fast.prefill, slow.prefill), decode: blend(fast.decode, slow.decode)}
+}
+
+func blend(fast, slow float64) float64 {
+	if slow <= 0 {
+		return fast
+	}
+	departed := math.Abs(fast-slow) / slow
+	share := (departed - departBegin) / (departEnd - departBegin)
+	return slow + min(max(share, 0), 1)*(fast-slow)
+}
