Test the platform and service stand-ins; clip stored rows

A reader that appended to a row's value wrote into the table's own bytes; the race detector showed it in TestOneOfManyWritersWinsEachVersion.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -186,7 +186,7 @@
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /load", e.reportLoad)
 	mux.HandleFunc("GET /cache/events", e.cacheEvents)
-	mux.HandleFunc("POST /orders", e.order)
+	mux.HandleFunc("POST /orders", e.giveOrder)
 	mux.HandleFunc("GET /orders", e.listOrders)
 	mux.HandleFunc("GET /state", e.state)
 	mux.HandleFunc("POST /kv/export", e.exportKV)
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -247,6 +247,19 @@
 	Fence int64           `json:"fence"`
 }
 
+type order struct {
+	Fence   int64
+	Highest int64
+	Verdict engine.Verdict
+}
+
+func orders(t *testing.T, url string) []order {
+	t.Helper()
+	var body struct{ Orders []order }
+	get(t, url+"/orders", &body)
+	return body.Orders
+}
+
 func settled(t *testing.T, url string) state {
 	t.Helper()
 	for {
@@ -264,7 +277,7 @@
 // obey, which is why something else must check for them.
 func TestOldFencingNumberIsRefusedOnlyWhereChecked(t *testing.T) {
 	for _, checks := range []bool{true, false} {
-		e, url := start(t, engine.Config{ChecksFence: checks, OrderTime: 1})
+		_, url := start(t, engine.Config{ChecksFence: checks, OrderTime: 1})
 		postOK(t, url+"/orders", `{"id":"new","fence":7,"verb":"role","argument":"decode"}`, &state{})
 		settled(t, url)
 		status, _, err := post(url+"/orders", `{"id":"old","fence":6,"verb":"role","argument":"prefill"}`)
@@ -278,14 +291,14 @@
 		if s := settled(t, url); s != want {
 			t.Fatalf("checks %v: %+v", checks, s)
 		}
-		if last := e.Orders()[1]; last.Highest() != 7 || last.Fence() != 6 {
+		if last := orders(t, url)[1]; last.Highest != 7 || last.Fence != 6 {
 			t.Fatalf("the oracle was not told: %+v", last)
 		}
 	}
 }
 
 func TestOneOrderAtATimeAndNoWorkMeanwhile(t *testing.T) {
-	e, url := start(t, engine.Config{TimeScale: 1, OrderTime: kumquatlug.Hour})
+	_, url := start(t, engine.Config{TimeScale: 1, OrderTime: kumquatlug.Hour})
 	const first = `{"id":"a","fence":1,"verb":"load","argument":"large"}`
 	var s state
 	postOK(t, url+"/orders", first, &s)
@@ -300,8 +313,8 @@
 		t.Fatalf("work during an order gave %d", status)
 	}
 	var verdicts []engine.Verdict
-	for _, o := range e.Orders() {
-		verdicts = append(verdicts, o.Verdict())
+	for _, o := range orders(t, url) {
+		verdicts = append(verdicts, o.Verdict)
 	}
 	if fmt.Sprint(verdicts) != "[accepted repeated busy]" {
 		t.Fatalf("%v", verdicts)
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -47,38 +47,19 @@
 // maxOrders bounds the orders that are kept for an oracle.
 const maxOrders = 4096
 
-// Order is an order as it arrived, for an oracle.
-type Order struct {
+// order is an order as it arrived.
+type order struct {
 	id       string
 	fence    int64
 	verb     Verb
 	argument string
-	highest  int64
-	verdict  Verdict
-	cut      int
+	// highest is the highest fencing number that had arrived before it.
+	highest int64
+	verdict Verdict
+	// cut is how many requests in hand it cut short.
+	cut int
 }
 
-// ID returns the order's id.
-func (o Order) ID() string { return o.id }
-
-// Fence returns its fencing number, zero when it had none.
-func (o Order) Fence() int64 { return o.fence }
-
-// Verb returns what it asked for.
-func (o Order) Verb() Verb { return o.verb }
-
-// Argument returns the role, model, adapter or version.
-func (o Order) Argument() string { return o.argument }
-
-// Highest returns the highest fencing number that had arrived before it.
-func (o Order) Highest() int64 { return o.highest }
-
-// Verdict returns what became of it on arrival.
-func (o Order) Verdict() Verdict { return o.verdict }
-
-// Cut returns how many requests in hand it cut short.
-func (o Order) Cut() int { return o.cut }
-
 // orders is what an engine knows of its orders.
 type orders struct {
 	state    State
@@ -86,10 +67,10 @@
 	version  string
 	id       string
 	fence    int64
-	current  Order
+	current  order
 	started  kumquatlug.Millis
 	crashing bool
-	log      []Order
+	log      []order
 }
 
 // restart is what a crash leaves: the role from the settings, and no memory of
@@ -105,31 +86,31 @@
 }
 
 // judge decides about an order that arrives, and notes it.
-func (o *orders) judge(order Order, checks bool) Verdict {
-	order.highest = o.fence
+func (o *orders) judge(given order, checks bool) Verdict {
+	given.highest = o.fence
 	switch {
-	case order.id == o.id && o.id != "" && o.state != StateUnknown:
-		order.verdict = VerdictRepeated
-	case checks && order.fence != 0 && order.fence < o.fence:
-		order.verdict = VerdictStale
+	case given.id == o.id && o.id != "" && o.state != StateUnknown:
+		given.verdict = VerdictRepeated
+	case checks && given.fence != 0 && given.fence < o.fence:
+		given.verdict = VerdictStale
 	case o.state == StateChanging:
-		order.verdict = VerdictBusy
+		given.verdict = VerdictBusy
 	default:
-		order.verdict = VerdictAccepted
+		given.verdict = VerdictAccepted
 	}
-	o.fence = max(o.fence, order.fence)
-	o.log = append(o.log, order)
+	o.fence = max(o.fence, given.fence)
+	o.log = append(o.log, given)
 	if len(o.log) > maxOrders {
 		o.log = o.log[1:]
 	}
-	return order.verdict
+	return given.verdict
 }
 
 // begin starts an accepted order. Work in hand is cut: whoever gives an order
 // must have drained the engine before.
-func (e *Engine) begin(order Order, now kumquatlug.Millis) {
-	e.orders.id = order.id
-	e.orders.current = order
+func (e *Engine) begin(given order, now kumquatlug.Millis) {
+	e.orders.id = given.id
+	e.orders.current = given
 	e.orders.state = StateChanging
 	e.orders.started = now
 	e.orders.log[len(e.orders.log)-1].cut = e.cutAll()
@@ -172,7 +153,7 @@
 	}
 }
 
-func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+func (e *Engine) giveOrder(w http.ResponseWriter, r *http.Request) {
 	var body struct {
 		ID       string `json:"id"`
 		Fence    int64  `json:"fence"`
@@ -182,15 +163,15 @@
 	if !read(w, r, &body) {
 		return
 	}
-	order := Order{id: body.ID, fence: body.Fence, verb: body.Verb, argument: body.Argument}
-	if reason := order.invalid(); reason != "" {
+	given := order{id: body.ID, fence: body.Fence, verb: body.Verb, argument: body.Argument}
+	if reason := given.invalid(); reason != "" {
 		refuse(w, http.StatusBadRequest, "invalid_order", reason)
 		return
 	}
 	e.mu.Lock()
-	verdict := e.orders.judge(order, e.config.ChecksFence)
+	verdict := e.orders.judge(given, e.config.ChecksFence)
 	if verdict == VerdictAccepted {
-		e.begin(order, e.clock.Now())
+		e.begin(given, e.clock.Now())
 	}
 	e.mu.Unlock()
 	if e.down() {
@@ -206,7 +187,7 @@
 	}
 }
 
-func (o Order) invalid() string {
+func (o order) invalid() string {
 	switch o.verb {
 	case VerbLoad, VerbAdapter, VerbVersion:
 	case VerbRole:
@@ -236,13 +217,7 @@
 	}{o.state, o.role, o.id, o.fence, o.version})
 }
 
-// Orders returns the orders that arrived, oldest first.
-func (e *Engine) Orders() []Order {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return slices.Clone(e.orders.log)
-}
-
+// listOrders gives an oracle the orders that arrived, oldest first.
 func (e *Engine) listOrders(w http.ResponseWriter, _ *http.Request) {
 	type orderBody struct {
 		ID       string  `json:"id"`
@@ -256,7 +231,10 @@
 	body := struct {
 		Orders []orderBody `json:"orders"`
 	}{Orders: []orderBody{}}
-	for _, o := range e.Orders() {
+	e.mu.Lock()
+	log := slices.Clone(e.orders.log)
+	e.mu.Unlock()
+	for _, o := range log {
 		body.Orders = append(body.Orders, orderBody{o.id, o.fence, o.verb, o.argument, o.highest, o.verdict, o.cut})
 	}
 	reply(w, http.StatusOK, body)
--- a/internal/standin/platform/memory.go
+++ b/internal/standin/platform/memory.go
@@ -1,7 +1,9 @@
 package platform
 
 import (
+	"bytes"
 	"context"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -178,7 +180,8 @@
 		delete(m.rows, w.Key())
 		return
 	}
-	value := append([]byte(nil), w.Value()...)
+	// Clipped, so that a reader who appends to it does not write into it.
+	value := slices.Clip(bytes.Clone(w.Value()))
 	m.rows[w.Key()] = kumquatlug.NewRow(w.Key(), value, m.version)
 }
 
@@ -189,7 +192,7 @@
 	}
 	defer m.mu.Unlock()
 	m.counts.writes++
-	m.objects[name] = append([]byte(nil), body...)
+	m.objects[name] = bytes.Clone(body)
 	return nil
 }
 
@@ -204,7 +207,7 @@
 	if !ok {
 		return nil, errors.Mark(errors.Newf("object %q", name), kumquatlug.ErrNotFound)
 	}
-	return append([]byte(nil), body...), nil
+	return bytes.Clone(body), nil
 }
 
 // List returns the VMs by name, as they were one lag ago.
