--- a/cmd/kumquatlug-standin/main.go
+++ b/cmd/kumquatlug-standin/main.go
@@ -32,7 +32,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(platformCommand(), engineCommand(), serviceCommand())
+	root.AddCommand(platformCommand(), engineCommand(), serviceCommand(), loadCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "kumquatlug-standin:", err)
 		os.Exit(1)
--- /dev/null
+++ b/internal/standin/load/load_test.go
@@ -0,0 +1,177 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"go.uber.org/goleak"
+
+	"github.com/kumquatlug/kumquatlug/internal/standin/engine"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+func serve(t *testing.T, h http.Handler) string {
+	t.Helper()
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return s.URL
+}
+
+func newEngine() http.Handler {
+	return engine.New(engine.Config{TimeScale: 0.0001}).Handler()
+}
+
+func run(t *testing.T, c Config) *Report {
+	t.Helper()
+	g, err := New(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return g.Run(context.Background())
+}
+
+func TestWholeAnswersCountInEveryForm(t *testing.T) {
+	url := serve(t, newEngine())
+	for _, form := range []Form{FormStreamed, FormWhole, FormMixed} {
+		for _, rate := range []float64{0, 5000} {
+			r := run(t, Config{URL: url, Count: 60, Rate: rate, Form: form, Mix: Mix{LongShare: 0.5, Documents: 3}})
+			if r.Whole() != 60 || r.usageWrong != 0 || r.first.TotalCount() != 60 || r.ran[silent] != 60 {
+				t.Fatalf("form %s, rate %v: %+v", form, rate, r)
+			}
+		}
+	}
+}
+
+// rewrite changes what a handler answers.
+func rewrite(h http.Handler, change func(index int64, answer *httptest.ResponseRecorder)) http.Handler {
+	var index atomic.Int64
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		recorded := httptest.NewRecorder()
+		h.ServeHTTP(recorded, r)
+		change(index.Add(1)-1, recorded)
+		for name, values := range recorded.Header() {
+			w.Header()[name] = values
+		}
+		w.WriteHeader(recorded.Code)
+		w.Write(recorded.Body.Bytes())
+	})
+}
+
+// A system that loses, doubles or swaps a token, or stops before the end, must
+// not pass for one that works: a reader of the figures would never know.
+func TestDamagedAnswersAreNotCountedAsWhole(t *testing.T) {
+	replaceBody := func(a *httptest.ResponseRecorder, from, to string) {
+		text := strings.Replace(a.Body.String(), from, to, 1)
+		a.Body.Reset()
+		a.Body.WriteString(text)
+	}
+	url := serve(t, rewrite(newEngine(), func(index int64, a *httptest.ResponseRecorder) {
+		switch index % 5 {
+		case 0:
+			replaceBody(a, `"text":" w`, `"text":" v`)
+		case 1:
+			first, rest, _ := strings.Cut(a.Body.String(), "\n\n")
+			replaceBody(a, first+"\n\n"+rest, first+"\n\n"+first+"\n\n"+rest)
+		case 2:
+			replaceBody(a, "data: [DONE]", "")
+		case 3:
+			a.Code = http.StatusTooManyRequests
+			a.Header().Set("Kumquatlug-Ran", "not-run")
+		case 4:
+			replaceBody(a, `"completion_tokens":`, `"completion_tokens":1`)
+		}
+	}))
+	r := run(t, Config{URL: url, Count: 50, Mix: Mix{LongAnswer: 5}})
+	if r.outcomes["wrong"] != 20 || r.outcomes["cut"] != 10 || r.Broken() != 30 {
+		t.Fatalf("%v", r.outcomes)
+	}
+	if r.Refused() != 10 || r.noRetry != 10 || r.ran["not-run"] != 10 || r.statuses["429"] != 10 {
+		t.Fatalf("%v, %d without Retry-After, %v %v", r.outcomes, r.noRetry, r.ran, r.statuses)
+	}
+	if r.Whole() != 10 || r.usageWrong != 10 || r.total.TotalCount() != 10 {
+		t.Fatalf("%v, usage wrong %d", r.outcomes, r.usageWrong)
+	}
+}
+
+// A generator that waits for answers before it sends more goes easy on a slow
+// system, and its figures hide the queue.
+func TestOpenLoopDoesNotWaitForAnswers(t *testing.T) {
+	const count = 40
+	var arrived atomic.Int64
+	all := make(chan struct{})
+	h := newEngine()
+	url := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if arrived.Add(1) == count {
+			close(all)
+		}
+		<-all
+		h.ServeHTTP(w, r)
+	}))
+	if r := run(t, Config{URL: url, Count: count, Rate: 2000}); r.Whole() != count {
+		t.Fatalf("%v", r.outcomes)
+	}
+}
+
+func TestMixShiftsAndRepeats(t *testing.T) {
+	m := Mix{LongShare: 0.9, ShiftAt: 100, ShiftedShare: 0.1, Documents: 4}.withDefaults()
+	const count = 1000
+	long := func(at kumquatlug.Millis) (n int) {
+		for i := range count {
+			r := m.request(1, 0, i, at)
+			if r != m.request(1, 0, i, at) {
+				t.Fatal("the same request came out in two ways")
+			}
+			if engine.PromptTokens(r.prompt) == m.LongPrompt && r.maxTokens == m.ShortAnswer {
+				n++
+			}
+		}
+		return n
+	}
+	// Three standard deviations of 1,000 draws at 0.9 are 28.
+	if before, after := long(99), long(100); before < 872 || before > 928 || after < 72 || after > 128 {
+		t.Fatalf("%d long prompts before and %d after the shift", before, after)
+	}
+}
+
+func TestCompareGivesBothSidesTheSameLoad(t *testing.T) {
+	h := newEngine()
+	direct, through := serve(t, h), serve(t, h)
+	x, err := Compare(context.Background(), Config{URL: through, Keys: []string{"k"}, Count: 20}, direct, 3)
+	if err != nil || x.Direct().Whole() != 60 || x.Through().Whole() != 60 || x.direct.tokens != x.through.tokens {
+		t.Fatalf("%+v %v", x, err)
+	}
+	if _, err := json.Marshal(x); err != nil || x.Ratio() <= 0 {
+		t.Fatalf("%v, ratio %v", err, x.Ratio())
+	}
+}
+
+func TestOnlyLoopbackAndBoundedRuns(t *testing.T) {
+	const fine = "http://127.0.0.1:1"
+	for _, c := range []Config{
+		{URL: "http://10.0.0.1:80"},
+		{URL: "http://example.com"},
+		{URL: "https://127.0.0.1"},
+		{URL: "127.0.0.1:80"},
+		{URL: fine, Count: maxCount + 1},
+		{URL: fine, Duration: maxDuration + 1},
+		{URL: fine, Form: "half"},
+		{URL: fine, Mix: Mix{LongShare: 2}},
+		{URL: fine, Rate: -1},
+	} {
+		if _, err := New(c); err == nil {
+			t.Errorf("%+v was taken", c)
+		}
+	}
+	if _, err := New(Config{URL: fine}); err != nil {
+		t.Error(err)
+	}
+}
