Share what the stand-ins have in common; test their command

Cause: replies and waits stood three times, and a load report was computed twice (in the handler and in its test), so that a test could not see the handler's fault. Ruled out: millisecond pauses in the open loop; rounded down, they start requests early and take up to a millisecond from every time measured.

--- a/cmd/kumquatlug-standin/load.go
+++ b/cmd/kumquatlug-standin/load.go
@@ -20,7 +20,6 @@
 	engine  string
 	direct  bool
 	compare int
-	output  string
 }
 
 func loadCommand() *cobra.Command {
@@ -38,7 +37,6 @@
 	f.StringVar(&o.engine, "engine", "", "an engine, for --direct and --compare")
 	f.BoolVar(&o.direct, "direct", false, "send to the engine instead")
 	f.IntVar(&o.compare, "compare", 0, "measure both ways in this many alternating rounds")
-	f.StringVarP(&o.output, "output", "o", "text", "form of the report: text or json")
 	f.StringArrayVar(&c.Keys, "key", nil, "a caller's key; may be repeated, used in turn")
 	f.StringVar(&c.Model, "model", "standin", "model to ask for")
 	f.Float64Var(&c.Rate, "rate", 0, "Poisson arrivals a second; 0 takes a closed loop")
@@ -64,22 +62,14 @@
 	return cmd
 }
 
-// reporter is a report in both forms; it also marshals to JSON.
-type reporter interface {
-	WriteText(w io.Writer)
-}
-
 // runLoad fails when an answer was wrong or cut, so that scripts notice.
 func runLoad(ctx context.Context, out io.Writer, c load.Config, o loadFlags) error {
-	if o.output != "text" && o.output != "json" {
-		return errors.Newf("--output %q is neither text nor json", o.output)
-	}
 	if o.compare > 0 {
 		x, err := load.Compare(ctx, c, o.engine, o.compare)
 		if err != nil {
 			return err
 		}
-		return report(out, o.output, x, x.Direct().Broken()+x.Through().Broken())
+		return report(out, x, x.Direct().Broken()+x.Through().Broken())
 	}
 	if o.direct {
 		c.URL, c.Keys = o.engine, nil
@@ -89,18 +79,14 @@
 		return err
 	}
 	r := g.Run(ctx)
-	return report(out, o.output, r, r.Broken())
+	return report(out, r, r.Broken())
 }
 
-func report(out io.Writer, form string, r reporter, broken int) error {
-	if form == "json" {
-		e := json.NewEncoder(out)
-		e.SetIndent("", "  ")
-		if err := e.Encode(r); err != nil {
-			return err
-		}
-	} else {
-		r.WriteText(out)
+func report(out io.Writer, r json.Marshaler, broken int) error {
+	e := json.NewEncoder(out)
+	e.SetIndent("", "  ")
+	if err := e.Encode(r); err != nil {
+		return err
 	}
 	if broken > 0 {
 		return errors.Newf("%d answers were wrong or cut", broken)
--- a/cmd/kumquatlug-standin/main.go
+++ b/cmd/kumquatlug-standin/main.go
@@ -26,6 +26,13 @@
 )
 
 func main() {
+	if err := rootCommand().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "kumquatlug-standin:", err)
+		os.Exit(1)
+	}
+}
+
+func rootCommand() *cobra.Command {
 	root := &cobra.Command{
 		Use:           "kumquatlug-standin",
 		Short:         "Stand-ins for engines, services and the platform, and a load generator",
@@ -33,10 +40,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(platformCommand(), engineCommand(), serviceCommand(), loadCommand())
-	if err := root.Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, "kumquatlug-standin:", err)
-		os.Exit(1)
-	}
+	return root
 }
 
 // serve serves handler on address until a signal comes, and says on out where
@@ -59,9 +63,10 @@
 	return stopped(g.Run())
 }
 
-// stopped turns the error by which a signal ends a run group into none.
+// stopped turns the error by which a signal or the context ends a run group
+// into none.
 func stopped(err error) error {
-	if errors.Is(err, run.ErrSignal) || errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, run.ErrSignal) || errors.Is(err, context.Canceled) || errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return err
--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -280,6 +280,17 @@
 	}
 }
 
+// reported returns the load as it was one lag ago, with the tokens of the rate
+// window before that in place of all.
+func (e *Engine) reported() load {
+	at := e.clock.Now() - e.config.LoadLag
+	l := e.loadAt(at)
+	before := e.loadAt(at - rateWindow)
+	l.prefilled -= before.prefilled
+	l.decoded -= before.decoded
+	return l
+}
+
 // loadAt returns the load as it was at a time.
 func (e *Engine) loadAt(at kumquatlug.Millis) load {
 	i := sort.Search(len(e.samples), func(i int) bool { return e.samples[i].at > at })
--- a/internal/standin/engine/batch_test.go
+++ b/internal/standin/engine/batch_test.go
@@ -5,7 +5,6 @@
 	"strings"
 	"testing"
 
-	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/clock"
 )
 
@@ -109,14 +108,19 @@
 		now.Advance(10)
 		e.apply(e.plan())
 	}
-	report := func(at kumquatlug.Millis) load { return e.loadAt(at - e.config.LoadLag) }
-	if l := report(5000); l.waiting+l.running != 0 || l.decoded != 0 {
+	if l := e.reported(); l.waiting+l.running != 0 || l.decoded != 0 {
 		t.Fatalf("the work shows before the lag: %+v", l)
 	}
-	if l := report(5325); l.running != 1 || l.kvUsed != s.reserved || l.decoded != 2 {
+	now.Advance(285)
+	if l := e.reported(); l.running != 1 || l.kvUsed != s.reserved || l.decoded != 2 {
 		t.Fatalf("in mid work: %+v", l)
 	}
-	if l := report(5340); l.running != 0 || l.kvUsed != 0 || l.decoded != 4 {
+	now.Advance(20)
+	if l := e.reported(); l.running != 0 || l.kvUsed != 0 || l.decoded != 4 {
 		t.Fatalf("after the work: %+v", l)
 	}
+	now.Advance(rateWindow)
+	if l := e.reported(); l.decoded != 0 {
+		t.Fatalf("old work still counts in the rates: %+v", l)
+	}
 }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"sync"
 
+	"github.com/kumquatlug/kumquatlug/internal/standin"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/clock"
 )
@@ -18,7 +19,8 @@
 const (
 	// maxBody bounds one request.
 	maxBody = 32 << 20
-	// rateWindow is the span over which load reports give rates.
+	// rateWindow is the span over which load reports count tokens for their
+	// rates a second.
 	rateWindow = kumquatlug.Second
 	// maxImports bounds the imported KV caches that no request has used yet.
 	maxImports = 4096
@@ -226,17 +228,14 @@
 		body.Data = append(body.Data, model{ID: name, Object: "model", OwnedBy: "standin"})
 	}
 	e.mu.Unlock()
-	reply(w, http.StatusOK, body)
+	standin.Reply(w, http.StatusOK, body)
 }
 
 func (e *Engine) reportLoad(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
-	at := e.clock.Now() - e.config.LoadLag
-	l := e.loadAt(at)
-	before := e.loadAt(at - rateWindow)
+	l := e.reported()
 	e.mu.Unlock()
-	rate := func(tokens int64) int64 { return tokens * int64(kumquatlug.Second) / int64(rateWindow) }
-	reply(w, http.StatusOK, struct {
+	standin.Reply(w, http.StatusOK, struct {
 		Running int               `json:"running"`
 		Waiting int               `json:"waiting"`
 		KVUsed  int               `json:"kv_used_tokens"`
@@ -246,7 +245,7 @@
 		Age     kumquatlug.Millis `json:"age_ms"`
 	}{
 		l.running, l.waiting, l.kvUsed, e.config.KVTokens,
-		rate(l.prefilled - before.prefilled), rate(l.decoded - before.decoded), e.config.LoadLag,
+		l.prefilled, l.decoded, e.config.LoadLag,
 	})
 }
 
@@ -272,7 +271,7 @@
 		body.Events = append(body.Events, event{v.sequence, v.prefix, v.evicted})
 		body.Next = v.sequence
 	}
-	reply(w, http.StatusOK, body)
+	standin.Reply(w, http.StatusOK, body)
 }
 
 func read(w http.ResponseWriter, r *http.Request, body any) bool {
@@ -283,13 +282,6 @@
 	return true
 }
 
-func reply(w http.ResponseWriter, status int, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	// The client may be gone; there is no one left to tell.
-	_ = json.NewEncoder(w).Encode(body)
-}
-
 // refuse answers with an error of the OpenAI shape. Nothing ran.
 func refuse(w http.ResponseWriter, status int, code, message string) {
 	type errorBody struct {
@@ -302,7 +294,7 @@
 		kind = "server_error"
 		w.Header().Set("Retry-After", "1")
 	}
-	reply(w, status, struct {
+	standin.Reply(w, status, struct {
 		Error errorBody `json:"error"`
 	}{errorBody{message, kind, code}})
 }
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"slices"
 
+	"github.com/kumquatlug/kumquatlug/internal/standin"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
 
@@ -208,7 +209,7 @@
 	e.mu.Lock()
 	o := e.orders
 	e.mu.Unlock()
-	reply(w, http.StatusOK, struct {
+	standin.Reply(w, http.StatusOK, struct {
 		State   State           `json:"state"`
 		Role    kumquatlug.Role `json:"role"`
 		OrderID string          `json:"order_id"`
@@ -237,7 +238,7 @@
 	for _, o := range log {
 		body.Orders = append(body.Orders, orderBody{o.id, o.fence, o.verb, o.argument, o.highest, o.verdict, o.cut})
 	}
-	reply(w, http.StatusOK, body)
+	standin.Reply(w, http.StatusOK, body)
 }
 
 func (e *Engine) crashNow(w http.ResponseWriter, r *http.Request) {
@@ -252,5 +253,5 @@
 	} else {
 		e.Crash()
 	}
-	reply(w, http.StatusOK, struct{}{})
+	standin.Reply(w, http.StatusOK, struct{}{})
 }
--- a/internal/standin/engine/work.go
+++ b/internal/standin/engine/work.go
@@ -8,11 +8,11 @@
 	"slices"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"github.com/kumquatlug/kumquatlug/internal/standin"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
 
@@ -193,7 +193,7 @@
 		c = choice{Message: &Message{Role: "assistant", Content: text}, Finish: c.Finish}
 		object = "chat.completion"
 	}
-	reply(w, http.StatusOK, struct {
+	standin.Reply(w, http.StatusOK, struct {
 		ID      string   `json:"id"`
 		Object  string   `json:"object"`
 		Created int64    `json:"created"`
@@ -332,7 +332,7 @@
 	if _, err := await(r.Context(), s, 0); err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	reply(w, http.StatusOK, struct {
+	standin.Reply(w, http.StatusOK, struct {
 		Handle string `json:"handle"`
 		Tokens int    `json:"tokens"`
 	}{handleOf(prompt), s.promptTokens})
@@ -353,7 +353,7 @@
 		return
 	}
 	span := kumquatlug.Millis(tokens) * kumquatlug.Second / kumquatlug.Millis(e.config.PrefillRate*importSpeed)
-	if !wait(r.Context(), e.scaled(span)) {
+	if standin.Wait(r.Context(), e.scaled(span)) != nil {
 		return
 	}
 	e.mu.Lock()
@@ -366,19 +366,7 @@
 		refuse(w, http.StatusServiceUnavailable, "full", "too many imported KV caches are unused")
 		return
 	}
-	reply(w, http.StatusOK, struct {
+	standin.Reply(w, http.StatusOK, struct {
 		Tokens int `json:"tokens"`
 	}{tokens})
 }
-
-// wait reports whether the span passed before the caller left.
-func wait(ctx context.Context, span kumquatlug.Millis) bool {
-	t := time.NewTimer(span.Duration())
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/standin/load/compare.go
+++ b/internal/standin/load/compare.go
@@ -3,9 +3,8 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
-	"io"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cockroachdb/errors"
 )
 
@@ -65,19 +64,9 @@
 }
 
 // added returns what the way through the system adds to each quantile.
-func added(through, direct quantiles) quantiles {
-	return quantiles{
-		P50: through.P50 - direct.P50, P95: through.P95 - direct.P95,
-		P99: through.P99 - direct.P99, Max: through.Max - direct.Max,
-	}
-}
-
-func (c *Comparison) addedFirst() quantiles {
-	return added(quantilesOf(c.through.first), quantilesOf(c.direct.first))
-}
-
-func (c *Comparison) addedTotal() quantiles {
-	return added(quantilesOf(c.through.total), quantilesOf(c.direct.total))
+func added(through, direct *hdrhistogram.Histogram) quantiles {
+	t, d := quantilesOf(through), quantilesOf(direct)
+	return quantiles{P50: t.P50 - d.P50, P95: t.P95 - d.P95, P99: t.P99 - d.P99, Max: t.Max - d.Max}
 }
 
 // MarshalJSON writes both reports and what differs.
@@ -88,16 +77,5 @@
 		Ratio   float64   `json:"throughput_ratio"`
 		First   quantiles `json:"added_first_token"`
 		Total   quantiles `json:"added_total"`
-	}{c.direct, c.through, c.Ratio(), c.addedFirst(), c.addedTotal()})
-}
-
-// WriteText writes both reports and what differs, for people.
-func (c *Comparison) WriteText(w io.Writer) {
-	fmt.Fprintln(w, "direct:")
-	c.direct.WriteText(w)
-	fmt.Fprintln(w, "through:")
-	c.through.WriteText(w)
-	f, t := c.addedFirst(), c.addedTotal()
-	fmt.Fprintf(w, "throughput ratio %.3f; added to the first token p50 %.3f p99 %.3f ms, to the total p50 %.3f p99 %.3f ms\n",
-		c.Ratio(), f.P50, f.P99, t.P50, t.P99)
+	}{c.direct, c.through, c.Ratio(), added(c.through.first, c.direct.first), added(c.through.total, c.direct.total)})
 }
--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -222,10 +222,9 @@
 	report.add(send(ctx, g.client, g.config.URL, r, due))
 }
 
+// pause takes a finer span than milliseconds: rounded, it would add to or take
+// from every time measured.
 func pause(ctx context.Context, span time.Duration) {
-	if span <= 0 {
-		return
-	}
 	t := time.NewTimer(span)
 	defer t.Stop()
 	select {
--- a/internal/standin/load/report.go
+++ b/internal/standin/load/report.go
@@ -2,9 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
-	"io"
-	"sort"
 	"strconv"
 	"sync"
 	"time"
@@ -148,32 +145,3 @@
 		r.Goodput(), float64(r.tokens) / r.elapsed.Seconds(), quantilesOf(r.first), quantilesOf(r.total),
 	})
 }
-
-// WriteText writes all figures for people.
-func (r *Report) WriteText(w io.Writer) {
-	fmt.Fprintf(w, "%.1f s, %.1f whole answers/s, %.0f tokens/s\n",
-		r.elapsed.Seconds(), r.Goodput(), float64(r.tokens)/r.elapsed.Seconds())
-	fmt.Fprintf(w, "outcomes: %s\n", counts(r.outcomes))
-	fmt.Fprintf(w, "not sent %d, refused without Retry-After %d, usage wrong %d\n", r.unsent, r.noRetry, r.usageWrong)
-	fmt.Fprintf(w, "status: %s; ran: %s\n", counts(r.statuses), counts(r.ran))
-	for _, h := range []struct {
-		name      string
-		histogram *hdrhistogram.Histogram
-	}{{"first token", r.first}, {"total", r.total}} {
-		q := quantilesOf(h.histogram)
-		fmt.Fprintf(w, "%-11s p50 %.3f  p95 %.3f  p99 %.3f  max %.3f ms\n", h.name, q.P50, q.P95, q.P99, q.Max)
-	}
-}
-
-func counts(m map[string]int) string {
-	names := make([]string, 0, len(m))
-	for name := range m {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	text := ""
-	for _, name := range names {
-		text += fmt.Sprintf("%s %d  ", name, m[name])
-	}
-	return text
-}
--- a/internal/standin/platform/memory.go
+++ b/internal/standin/platform/memory.go
@@ -7,10 +7,10 @@
 	"sort"
 	"strings"
 	"sync"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/kumquatlug/kumquatlug/internal/standin"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/clock"
 )
@@ -267,7 +267,7 @@
 	m.mu.Lock()
 	slow := m.faults.Slow
 	m.mu.Unlock()
-	if err := wait(ctx, slow); err != nil {
+	if err := standin.Wait(ctx, slow); err != nil {
 		return errors.Mark(err, kumquatlug.ErrUnavailable)
 	}
 	m.mu.Lock()
@@ -277,17 +277,3 @@
 	}
 	return nil
 }
-
-func wait(ctx context.Context, span kumquatlug.Millis) error {
-	if span <= 0 {
-		return ctx.Err()
-	}
-	t := time.NewTimer(span.Duration())
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/kumquatlug/kumquatlug/internal/standin"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
 
@@ -78,7 +79,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		got := []byte(r.Header.Get("Authorization"))
 		if s.token != "" && subtle.ConstantTimeCompare(got, want) != 1 {
-			reply(w, http.StatusUnauthorized, errorBody(errors.New("wrong token")))
+			standin.Reply(w, http.StatusUnauthorized, errorBody(errors.New("wrong token")))
 			return
 		}
 		r.Body = http.MaxBytesReader(w, r.Body, maxBody)
@@ -98,7 +99,7 @@
 		fail(w, err)
 		return
 	}
-	reply(w, http.StatusOK, rowBody{row.Key(), row.Value(), row.Version()})
+	standin.Reply(w, http.StatusOK, rowBody{row.Key(), row.Value(), row.Version()})
 }
 
 func (s *Server) scan(w http.ResponseWriter, r *http.Request) {
@@ -107,7 +108,7 @@
 	if text := q.Get("limit"); text != "" {
 		n, err := strconv.Atoi(text)
 		if err != nil {
-			reply(w, http.StatusBadRequest, errorBody(err))
+			standin.Reply(w, http.StatusBadRequest, errorBody(err))
 			return
 		}
 		limit = n
@@ -123,7 +124,7 @@
 	for _, row := range rows {
 		body.Rows = append(body.Rows, rowBody{row.Key(), row.Value(), row.Version()})
 	}
-	reply(w, http.StatusOK, body)
+	standin.Reply(w, http.StatusOK, body)
 }
 
 func (s *Server) commit(w http.ResponseWriter, r *http.Request) {
@@ -157,20 +158,20 @@
 		fail(w, err)
 		return
 	}
-	reply(w, http.StatusOK, struct{}{})
+	standin.Reply(w, http.StatusOK, struct{}{})
 }
 
 func (s *Server) putObject(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
-		reply(w, http.StatusBadRequest, errorBody(err))
+		standin.Reply(w, http.StatusBadRequest, errorBody(err))
 		return
 	}
 	if err := s.memory.Put(r.Context(), r.PathValue("name"), body); err != nil {
 		fail(w, err)
 		return
 	}
-	reply(w, http.StatusOK, struct{}{})
+	standin.Reply(w, http.StatusOK, struct{}{})
 }
 
 func (s *Server) getObject(w http.ResponseWriter, r *http.Request) {
@@ -203,7 +204,7 @@
 	for _, v := range vms {
 		body.VMs = append(body.VMs, vmBody{v.Name(), v.Role(), v.Address(), v.Zone(), v.State()})
 	}
-	reply(w, http.StatusOK, body)
+	standin.Reply(w, http.StatusOK, body)
 }
 
 func (s *Server) setVM(w http.ResponseWriter, r *http.Request) {
@@ -217,12 +218,12 @@
 	s.memory.SetVM(kumquatlug.NewVM(kumquatlug.VMConfig{
 		Name: r.PathValue("name"), Role: body.Role, Address: body.Address, Zone: body.Zone, State: body.State,
 	}))
-	reply(w, http.StatusOK, struct{}{})
+	standin.Reply(w, http.StatusOK, struct{}{})
 }
 
 func (s *Server) removeVM(w http.ResponseWriter, r *http.Request) {
 	s.memory.RemoveVM(r.PathValue("name"))
-	reply(w, http.StatusOK, struct{}{})
+	standin.Reply(w, http.StatusOK, struct{}{})
 }
 
 func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
@@ -231,12 +232,12 @@
 		return
 	}
 	s.memory.SetFaults(f)
-	reply(w, http.StatusOK, f)
+	standin.Reply(w, http.StatusOK, f)
 }
 
 func (s *Server) getCounts(w http.ResponseWriter, _ *http.Request) {
 	c := s.memory.Counts()
-	reply(w, http.StatusOK, struct {
+	standin.Reply(w, http.StatusOK, struct {
 		Reads       int64 `json:"reads"`
 		Writes      int64 `json:"writes"`
 		RowsWritten int64 `json:"rows_written"`
@@ -250,17 +251,17 @@
 	case errors.Is(err, kumquatlug.ErrLost):
 		panic(http.ErrAbortHandler)
 	case errors.Is(err, kumquatlug.ErrConflict):
-		reply(w, http.StatusConflict, errorBody(err))
+		standin.Reply(w, http.StatusConflict, errorBody(err))
 	case errors.Is(err, kumquatlug.ErrNotFound):
-		reply(w, http.StatusNotFound, errorBody(err))
+		standin.Reply(w, http.StatusNotFound, errorBody(err))
 	default:
-		reply(w, http.StatusServiceUnavailable, errorBody(err))
+		standin.Reply(w, http.StatusServiceUnavailable, errorBody(err))
 	}
 }
 
 func read(w http.ResponseWriter, r *http.Request, body any) bool {
 	if err := json.NewDecoder(r.Body).Decode(body); err != nil {
-		reply(w, http.StatusBadRequest, errorBody(err))
+		standin.Reply(w, http.StatusBadRequest, errorBody(err))
 		return false
 	}
 	return true
@@ -271,10 +272,3 @@
 		Error string `json:"error"`
 	}{err.Error()}
 }
-
-func reply(w http.ResponseWriter, status int, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	// The client may be gone; there is no one left to tell.
-	_ = json.NewEncoder(w).Encode(body)
-}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -4,16 +4,17 @@
 package service
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
 	"sort"
 	"strings"
 	"sync"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/kumquatlug/kumquatlug/internal/standin"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
 
@@ -24,13 +25,13 @@
 type Config struct {
 	// Delay is how long a call takes before its effect, in milliseconds; none
 	// by default.
-	Delay kumquatlug.Millis
+	Delay kumquatlug.Millis `json:"delay_ms"`
 	// FailAfter is how many of the next calls with an effect cut the
 	// connection once the effect is recorded.
-	FailAfter int
+	FailAfter int `json:"fail_after"`
 	// AnswerBytes pads every answer to at least so many bytes; no padding by
 	// default.
-	AnswerBytes int
+	AnswerBytes int `json:"answer_bytes"`
 }
 
 // Run is how often one call ran.
@@ -117,7 +118,9 @@
 	s.mu.Lock()
 	c := s.config
 	s.mu.Unlock()
-	wait(c.Delay)
+	// A plain service does not notice that its caller leaves: the effect comes
+	// all the same.
+	_ = standin.Wait(context.Background(), c.Delay)
 	if r.Method == http.MethodPost && s.record(r.Header.Get("Idempotency-Key"), string(body)) {
 		panic(http.ErrAbortHandler)
 	}
@@ -166,28 +169,14 @@
 	for _, r := range s.Runs() {
 		body.Runs = append(body.Runs, runBody{r.key, r.body, r.count})
 	}
-	w.Header().Set("Content-Type", "application/json")
-	// The client may be gone; there is no one left to tell.
-	_ = json.NewEncoder(w).Encode(body)
+	standin.Reply(w, http.StatusOK, body)
 }
 
 func (s *Service) configure(w http.ResponseWriter, r *http.Request) {
-	var body struct {
-		Delay       kumquatlug.Millis `json:"delay_ms"`
-		FailAfter   int               `json:"fail_after"`
-		AnswerBytes int               `json:"answer_bytes"`
-	}
-	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+	var c Config
+	if err := json.NewDecoder(r.Body).Decode(&c); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	s.SetConfig(Config{Delay: body.Delay, FailAfter: body.FailAfter, AnswerBytes: body.AnswerBytes})
-}
-
-// wait lasts the whole span even if the caller leaves: a plain service does not
-// notice that, and its effect comes after all.
-func wait(span kumquatlug.Millis) {
-	if span > 0 {
-		time.Sleep(span.Duration())
-	}
+	s.SetConfig(c)
 }
