--- a/cmd/kumquatlug/check.go
+++ b/cmd/kumquatlug/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -56,12 +57,11 @@
 // loadEnvironment sets the variables of a file; lines that start with # are
 // comments.
 func loadEnvironment(file string) error {
-	f, err := os.Open(file)
+	text, err := os.ReadFile(file)
 	if err != nil {
 		return errors.Wrap(err, "environment file")
 	}
-	defer f.Close()
-	lines := bufio.NewScanner(f)
+	lines := bufio.NewScanner(bytes.NewReader(text))
 	for lines.Scan() {
 		line := strings.TrimSpace(lines.Text())
 		if line == "" || strings.HasPrefix(line, "#") {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -8,9 +8,7 @@
 	"context"
 	"net"
 	"net/http"
-	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/oklog/run"
 	"github.com/oklog/ulid/v2"
 	"github.com/prometheus/client_golang/prometheus"
@@ -66,7 +64,7 @@
 	a.follower = peer.NewFollower(peer.FollowerConfig{
 		Me: c.Name, Dialer: a.dialer, Clock: c.Clock, Ring: c.Ring, Logger: c.Logger,
 		Store: config.NewStore(config.StoreConfig{Table: c.Table, Objects: c.Objects}),
-		Live:  a.neighbours,
+		Live:  func() []string { return nil }, Passive: true,
 	})
 	a.watch = newWatch(a)
 	work, err := newWorkDesk(a)
@@ -74,11 +72,6 @@
 	return a, err
 }
 
-// neighbours names nobody: agents hear of the config's head from entries, and
-// read the table only when no entry has spoken for long (config.Adopter widens
-// the readers then).
-func (a *Agent) neighbours() []string { return nil }
-
 // Protocol returns how the target is spoken to.
 func (a *Agent) Protocol() kumquatlug.Protocol {
 	if a.c.Engine != nil {
@@ -93,45 +86,18 @@
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var group run.Group
-	addDuty(&group, background, a.follower.Run)
-	addDuty(&group, background, a.watch.run)
-	addDuty(&group, background, a.work.ledger.Run)
-	a.addServer(&group)
+	peer.AddDuty(background, &group, a.follower.Run)
+	peer.AddDuty(background, &group, a.watch.run)
+	peer.AddDuty(background, &group, a.work.ledger.Run)
+	peer.AddServer(&group, "serve entries", &http.Server{Handler: a.handler(), TLSConfig: a.c.Keys.Server()}, a.c.Listener)
 	group.Add(func() error {
 		<-ctx.Done()
 		a.drain(background)
 		return ctx.Err()
 	}, func(error) { cancel() })
 	a.c.Logger.Info("agent serves", zap.String("name", a.c.Name), zap.String("address", a.c.Listener.Addr().String()))
-	err := group.Run()
-	a.dialer.Close()
-	if errors.Is(err, context.Canceled) {
-		return nil
-	}
-	return err
-}
-
-// addDuty adds a goroutine that runs until the group stops.
-func addDuty(group *run.Group, ctx context.Context, duty func(context.Context) error) {
-	own, cancel := context.WithCancel(ctx)
-	group.Add(func() error {
-		if err := duty(own); err != nil {
-			return err
-		}
-		<-own.Done()
-		return own.Err()
-	}, func(error) { cancel() })
-}
-
-func (a *Agent) addServer(group *run.Group) {
-	server := peer.ServerTimeouts(&http.Server{Handler: a.handler(), TLSConfig: a.c.Keys.Server()})
-	group.Add(func() error {
-		err := peer.Serve(server, a.c.Listener)
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
-		}
-		return errors.Wrap(err, "serve entries")
-	}, func(error) { _ = server.Close() })
+	defer a.dialer.Close()
+	return peer.RunGroup(&group)
 }
 
 func (a *Agent) handler() http.Handler {
@@ -146,23 +112,12 @@
 	return mux
 }
 
-// drainLook is how often a stopping agent looks whether its work is done.
-const drainLook = 20 * time.Millisecond
-
 // drain refuses new work and waits for all that is in hand; no time limit cuts
 // a call that is being answered.
 func (a *Agent) drain(ctx context.Context) {
 	a.work.stop()
 	a.c.Ring.Add(timeline.Record{Name: timeline.StateChanged, Detail: "stopping"})
-	tick := time.NewTicker(drainLook)
-	defer tick.Stop()
-	for !a.work.idle() {
-		select {
-		case <-tick.C:
-		case <-ctx.Done():
-			return
-		}
-	}
+	peer.WaitUntil(ctx, a.work.idle)
 	if err := a.work.ledger.Flush(ctx); err != nil {
 		a.c.Logger.Warn("outcomes could not be stored before the stop", zap.Error(err))
 	}
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -15,6 +15,7 @@
 	"github.com/kumquatlug/kumquatlug/internal/timeline"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/config"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/dispatch"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/ledger"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/selector"
 )
@@ -135,9 +136,9 @@
 	defer d.mu.Unlock()
 	switch {
 	case d.stopping:
-		return d.failure("take work", "target_stopping", nil)
+		return d.failure("take work", dispatch.ReasonStopping, nil)
 	case d.leaving():
-		return d.failure("take work", "target_leaving", nil)
+		return d.failure("take work", dispatch.ReasonLeaving, nil)
 	case mismatch != "":
 		return d.failure("take work", "not_selected", errors.New(mismatch))
 	}
@@ -178,7 +179,7 @@
 func (d *workDesk) refuse(w http.ResponseWriter, work peer.Work, f *kumquatlug.Failure) {
 	d.agent.metrics.refused.WithLabelValues(f.Reason()).Inc()
 	d.agent.c.Logger.Info("work refused", zap.String("request", work.Request()), zap.String("step", f.Step()),
-		zap.String("reason", f.Reason()), zap.String("ran", string(f.Ran())), zap.NamedError("cause", f.Unwrap()))
+		zap.String("reason", f.Reason()), zap.String("ran", string(f.Ran())), zap.String("cause", f.CauseText()))
 	logical := d.agent.c.Ring.Add(timeline.Record{
 		Name: timeline.WorkRefused, RequestID: work.Request(), Detail: f.Reason() + " " + string(f.Ran()),
 	})
--- a/internal/caller/completions.go
+++ b/internal/caller/completions.go
@@ -54,7 +54,7 @@
 		return
 	}
 	h.logger.Warn("stream failed", zap.String("request", g.id), zap.String("step", f.Step()),
-		zap.String("peer", f.Peer()), zap.String("reason", f.Reason()), zap.Error(f.Unwrap()))
+		zap.String("peer", f.Peer()), zap.String("reason", f.Reason()), zap.String("cause", f.CauseText()))
 	s.fail(bodyOf(g.id, f))
 }
 
--- a/internal/caller/refuse.go
+++ b/internal/caller/refuse.go
@@ -73,7 +73,7 @@
 func (h *Handler) refuse(w http.ResponseWriter, id string, f *kumquatlug.Failure) {
 	h.logger.Info("refused", zap.String("request", id), zap.String("step", f.Step()), zap.String("peer", f.Peer()),
 		zap.String("reason", f.Reason()), zap.String("ran", string(f.Ran())), zap.Int("status", f.Status()),
-		zap.Int64("retry_after_ms", int64(f.RetryAfter())), zap.NamedError("cause", f.Unwrap()))
+		zap.Int64("retry_after_ms", int64(f.RetryAfter())), zap.String("cause", f.CauseText()))
 	w.Header().Set(peer.HeaderRan, string(f.Ran()))
 	if f.RetryAfter() > 0 {
 		w.Header().Set("Retry-After", strconv.FormatInt(wholeSeconds(f.RetryAfter()), 10))
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -87,7 +87,10 @@
 		if refused.mark != "" {
 			out.mark = refused.mark
 		}
-		r.fail(attempt, dispatch.Failed{Failure: refused.failure, Refused: beforeStart(refused.failure)})
+		f := refused.failure
+		r.fail(attempt, dispatch.Failed{
+			Failure: f, Refused: beforeStart(f), Final: f.Status() < http.StatusInternalServerError,
+		})
 	}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -138,7 +139,7 @@
 	for _, duty := range []func(context.Context) error{
 		e.loop.run, e.follower.Run, e.readList, e.heartbeats, e.ledger.Run, e.keeper.Run, e.snapshots,
 	} {
-		addDuty(&group, background, duty)
+		peer.AddDuty(background, &group, duty)
 	}
 	e.addServers(&group)
 	group.Add(func() error {
@@ -148,28 +149,10 @@
 	}, func(error) { cancel() })
 	e.c.Logger.Info("entry serves", zap.String("name", e.c.Name), zap.String("callers", e.c.Callers.Addr().String()),
 		zap.String("peers", e.address), zap.String("operators", e.c.Operators.Addr().String()))
-	err := group.Run()
-	e.dialer.Close()
-	if errors.Is(err, context.Canceled) {
-		return nil
-	}
-	return err
-}
-
-func addDuty(group *run.Group, ctx context.Context, duty func(context.Context) error) {
-	own, cancel := context.WithCancel(ctx)
-	group.Add(func() error {
-		if err := duty(own); err != nil {
-			return err
-		}
-		<-own.Done()
-		return own.Err()
-	}, func(error) { cancel() })
+	defer e.dialer.Close()
+	return peer.RunGroup(&group)
 }
 
-// drainLook is how often a stopping entry looks whether its requests are done.
-const drainLook = 20 * time.Millisecond
-
 // drain waits until the balancer sends nothing more and nothing is in hand.
 func (e *Entry) drain(ctx context.Context) {
 	e.notReady.Store(true)
@@ -180,15 +163,7 @@
 	case <-ctx.Done():
 		return
 	}
-	tick := time.NewTicker(drainLook)
-	defer tick.Stop()
-	for e.inHand.Load() > 0 {
-		select {
-		case <-tick.C:
-		case <-ctx.Done():
-			return
-		}
-	}
+	peer.WaitUntil(ctx, func() bool { return e.inHand.Load() == 0 })
 	e.c.Logger.Info("entry has finished its requests and stops")
 }
 
@@ -246,13 +221,6 @@
 	}
 }
 
-func (e *Entry) addServer(group *run.Group, step string, handler http.Handler, l net.Listener, keys *tlsConfig) {
-	server := peer.ServerTimeouts(&http.Server{Handler: handler, TLSConfig: keys, ErrorLog: zap.NewStdLog(e.c.Logger)})
-	group.Add(func() error {
-		err := peer.Serve(server, l)
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
-		}
-		return errors.Wrap(err, step)
-	}, func(error) { _ = server.Close() })
+func (e *Entry) addServer(group *run.Group, step string, handler http.Handler, l net.Listener, keys *tls.Config) {
+	peer.AddServer(group, step, &http.Server{Handler: handler, TLSConfig: keys, ErrorLog: zap.NewStdLog(e.c.Logger)}, l)
 }
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -108,7 +108,7 @@
 		header: http.Header{"Content-Type": {"application/json"}},
 	})
 	if refused != nil {
-		return s.refused(ctx, a, number, refused.failure)
+		return s.refused(ctx, number, refused.failure)
 	}
 	defer answer.Body.Close()
 	if answer.StatusCode != http.StatusOK {
@@ -117,7 +117,7 @@
 	return s.read(ctx, a, number, engine.NewReader(answer.Body))
 }
 
-func (s *streaming) refused(ctx context.Context, a dispatch.Attempt, number int, f *kumquatlug.Failure) (*dispatch.Failed, error) {
+func (s *streaming) refused(ctx context.Context, number int, f *kumquatlug.Failure) (*dispatch.Failed, error) {
 	s.answer.Cut(s.request.id, number)
 	if ctx.Err() != nil {
 		return nil, s.request.gone("send work", ctx.Err())
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -1,14 +1,9 @@
 package entry
 
 import (
-	"crypto/tls"
-
 	"github.com/prometheus/client_golang/prometheus"
 )
 
-// tlsConfig keeps the wiring free of the library's name.
-type tlsConfig = tls.Config
-
 // metrics are the entry's counters. Labels are bounded: kinds come from the
 // config, reasons from constants; callers are counted nowhere by name.
 type metrics struct {
--- a/internal/entry/operate.go
+++ b/internal/entry/operate.go
@@ -28,7 +28,7 @@
 		return change, err
 	}
 	e.c.Ring.Add(timeline.Record{Name: timeline.ConfigChanged, Peer: p.Author(), Detail: "revision " + revisionText(change.Revision())})
-	e.follower.Learned(peer.RoleEntry, config.Table, int64(change.Revision()), config.AgeUnknown)
+	e.follower.LearnedHead(change.Revision())
 	return change, nil
 }
 
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -88,8 +88,8 @@
 	return s
 }
 
-// Serve runs s on l, with TLS when s has TLS settings.
-func Serve(s *http.Server, l net.Listener) error {
+// serve runs s on l, with TLS when s has TLS settings.
+func serve(s *http.Server, l net.Listener) error {
 	if s.TLSConfig != nil {
 		return s.ServeTLS(l, "", "")
 	}
--- a/internal/peer/failure.go
+++ b/internal/peer/failure.go
@@ -40,10 +40,7 @@
 func writeFailure(w http.ResponseWriter, f *kumquatlug.Failure, revision, logical int64, dispatch string) {
 	body := failureBody{
 		Step: f.Step(), Peer: f.Peer(), Reason: f.Reason(), Status: f.Status(),
-		RetryAfter: int64(f.RetryAfter()), Dispatch: dispatch,
-	}
-	if f.Unwrap() != nil {
-		body.Cause = f.Unwrap().Error()
+		RetryAfter: int64(f.RetryAfter()), Dispatch: dispatch, Cause: f.CauseText(),
 	}
 	text, err := json.Marshal(body)
 	if err != nil {
--- a/internal/peer/follower.go
+++ b/internal/peer/follower.go
@@ -24,6 +24,12 @@
 	inboxSize = 256
 	// pullTimeout bounds one pull or read of the head.
 	pullTimeout = 2 * time.Second
+	// passiveAge is the age of the head at which a passive node reads it, and
+	// passiveEvery how often it does then. Together they are below the 16 s in
+	// which a change is to be in force; ten thousand agents that hear from no
+	// entry at all make a thousand reads a second.
+	passiveAge   = 5 * kumquatlug.Second
+	passiveEvery = 10 * kumquatlug.Second
 )
 
 // FollowerConfig is what a [Follower] is made of.
@@ -37,6 +43,10 @@
 	Logger *zap.Logger
 	// Live returns the names of the nodes of this data centre.
 	Live func() []string
+	// Passive nodes leave the head to others: they read it only when nobody has
+	// told them of it for long. Ten thousand agents that each read it once a
+	// second would take five times what the table gives.
+	Passive bool
 	// OnState is called, from one goroutine, with each state that comes into
 	// force; it must not block.
 	OnState func(config.State)
@@ -75,10 +85,11 @@
 
 // NewFollower returns a follower that holds no config yet.
 func NewFollower(c FollowerConfig) *Follower {
-	f := &Follower{
-		c: c, inbox: make(chan any, inboxSize),
-		adopter: config.NewAdopter(config.AdopterConfig{Me: c.Me, Now: c.Clock.Now()}),
+	settings := config.AdopterConfig{Me: c.Me, Now: c.Clock.Now()}
+	if c.Passive {
+		settings.Poll = passiveEvery
 	}
+	f := &Follower{c: c, inbox: make(chan any, inboxSize), adopter: config.NewAdopter(settings)}
 	f.publish(f.adopter.Holds())
 	return f
 }
@@ -92,7 +103,7 @@
 // Learned takes in a word of the head from the peer with a role at address; a
 // negative age confirms nothing.
 func (f *Follower) Learned(role Role, address string, revision int64, age kumquatlug.Millis) {
-	report := config.Report{Peer: PeerName(role, address), Revision: config.Revision(revision), Age: age}
+	report := config.Report{Peer: nodeName(role, address), Revision: config.Revision(revision), Age: age}
 	if report.Revision <= f.State().Revision() && age == config.AgeUnknown {
 		return
 	}
@@ -102,8 +113,16 @@
 	}
 }
 
-// PeerName returns the name under which the follower remembers a peer.
-func PeerName(role Role, address string) string { return string(role) + "@" + address }
+// LearnedHead takes in a head that was just written to, or read from, the table.
+func (f *Follower) LearnedHead(revision config.Revision) {
+	select {
+	case f.inbox <- config.Report{Peer: config.Table, Revision: revision}:
+	default:
+	}
+}
+
+// nodeName returns the name under which the follower remembers a peer.
+func nodeName(role Role, address string) string { return string(role) + "@" + address }
 
 // Since returns the changes after revision, and false when the whole state is
 // needed.
@@ -161,7 +180,8 @@
 func (f *Follower) act(ctx context.Context) {
 	now := f.c.Clock.Now()
 	f.age.Store(int64(f.adopter.Age(now)))
-	if f.adopter.Poll(now, f.c.Live()) {
+	waits := f.c.Passive && f.adopter.Age(now) < passiveAge
+	if !waits && f.adopter.Poll(now, f.c.Live()) {
 		go f.poll(ctx)
 	}
 	if p, due := f.adopter.Pull(now); due {
@@ -233,16 +253,10 @@
 		f.adopter.PullFailed(p.peer)
 		return
 	}
-	state, changed := f.adopter.Holds(), false
-	if p.isWhole {
-		state, changed = f.adopter.AdoptState(p.whole)
-	} else {
-		var err error
-		state, changed, err = f.adopter.Adopt(p.changes)
-		if err != nil {
-			f.c.Logger.Warn("can't adopt the config", zap.String("peer", p.peer), zap.Error(err))
-			f.adopter.PullFailed(p.peer)
-		}
+	state, changed, err := f.adoptAny(p)
+	if err != nil {
+		f.c.Logger.Warn("can't adopt the config", zap.String("peer", p.peer), zap.Error(err))
+		f.adopter.PullFailed(p.peer)
 	}
 	if changed {
 		f.publish(state)
@@ -250,6 +264,14 @@
 	}
 }
 
+func (f *Follower) adoptAny(p pulled) (config.State, bool, error) {
+	if !p.isWhole {
+		return f.adopter.Adopt(p.changes)
+	}
+	state, changed := f.adopter.AdoptState(p.whole)
+	return state, changed, nil
+}
+
 func (f *Follower) publish(state config.State) {
 	f.state.Store(&state)
 	if f.c.OnState != nil {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -66,7 +66,7 @@
 	}
 	request.Header = call.Header().Clone()
 	noRetry(request.Header)
-	answer, err := s.client.Do(request)
+	answer, err := s.client.Do(request) //nolint:bodyclose // the receiver of the answer closes its body
 	if err != nil {
 		return kumquatlug.Answer{}, failure(s.base, "target_failed", ranAfter(err), err)
 	}
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -17,7 +17,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
+	defer func() { _ = listener.Close() }()
 	posts := make(chan string, 8)
 	go breakAfterFirst(listener, posts)
 
@@ -48,7 +48,7 @@
 			return
 		}
 		go func() {
-			defer conn.Close()
+			defer func() { _ = conn.Close() }()
 			buffer := make([]byte, 4096)
 			for i := range 2 {
 				n, err := conn.Read(buffer)
--- a/pkg/kumquatlug/dispatch/dispatch.go
+++ b/pkg/kumquatlug/dispatch/dispatch.go
@@ -247,7 +247,11 @@
 
 // serviceTime is how long the answer takes once it is sent.
 func (d *Dispatcher) serviceTime(r *request) kumquatlug.Millis {
-	return kumquatlug.Millis(r.expected() * d.kinds[r.c.Kind].pace)
+	k, known := d.kinds[r.c.Kind]
+	if !known {
+		return kumquatlug.Millis(r.expected())
+	}
+	return kumquatlug.Millis(r.expected() * k.pace)
 }
 
 // Tick does what time alone makes due. Call it at least as often as [Wake]
@@ -328,7 +332,10 @@
 		case r.dueAt > now:
 			left = append(left, r)
 		case d.send(now, r):
-		case now >= r.c.Deadline:
+		case r.tokens == 0 && now+d.serviceTime(r) >= r.c.Deadline:
+			// It can't make its deadline any more, and its caller has nothing
+			// yet: holding it until then would only delay the news. One whose
+			// caller has half an answer is finished, however late.
 			d.giveUp(now, r.c.ID, r.final("deadline"))
 		default:
 			left = append(left, r)
--- /dev/null
+++ b/pkg/kumquatlug/dispatch/dispatch_test.go
@@ -0,0 +1,240 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/config"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/selector"
+)
+
+var (
+	drafts   = kumquatlug.NewKind(kumquatlug.ProtocolEngine, "draft")
+	postings = kumquatlug.NewKind(kumquatlug.ProtocolService, "gazette")
+)
+
+// desk drives a dispatcher by hand.
+type desk struct {
+	*Dispatcher
+	t     *testing.T
+	now   kumquatlug.Millis
+	state config.State
+}
+
+func newDesk(t *testing.T, targets ...string) *desk {
+	t.Helper()
+	d := &desk{Dispatcher: New(Config{Entry: "e1", Zone: "a", Seed: 1}), t: t, now: 100_000}
+	d.configure(t,
+		selectorSet(t, selector.Config{Name: "drafts", Protocol: drafts.Protocol(), Kind: drafts.Name(), Role: kumquatlug.RoleBoth, Match: "pool=draft"}),
+		selectorSet(t, selector.Config{Name: "gazette", Protocol: postings.Protocol(), Kind: postings.Name(), Role: kumquatlug.RoleServe, Match: "pool=post"}),
+	)
+	var vms []kumquatlug.VM
+	for i, name := range targets {
+		pool := "draft"
+		if name[0] == 's' {
+			pool = "post"
+		}
+		d.label(name, selector.Labels{"pool": pool})
+		vms = append(vms, kumquatlug.NewVM(kumquatlug.VMConfig{
+			Name: name, Role: kumquatlug.VMTarget, Address: fmt.Sprintf("10.0.0.%d:1", i), Zone: "a", State: kumquatlug.VMLive,
+		}))
+	}
+	d.Listed(d.now, vms)
+	for _, name := range targets {
+		d.heard(name, TargetServing)
+	}
+	return d
+}
+
+func selectorSet(t *testing.T, c selector.Config) config.Set {
+	t.Helper()
+	set, err := config.SetSelector(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return set
+}
+
+func (d *desk) configure(t *testing.T, sets ...config.Set) []Decision {
+	t.Helper()
+	next, err := d.state.Apply(config.NewChange(d.state.Revision()+1, fmt.Sprint(d.state.Revision()), "ana", sets))
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.state = next
+	return d.Configure(d.now, next)
+}
+
+func (d *desk) label(target string, labels selector.Labels) {
+	d.t.Helper()
+	text, err := json.Marshal(labels)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.configure(d.t, config.NewSet(config.PrefixTarget+target, text))
+}
+
+func (d *desk) heard(target string, state TargetState) {
+	d.Heard(d.now, target, Report{Incarnation: "i", State: state, Asked: d.now})
+}
+
+// arrive offers a request and returns what was decided for it, if anything.
+func (d *desk) arrive(id string, kind kumquatlug.Kind, timeout kumquatlug.Millis) (Decision, bool) {
+	c := RequestConfig{
+		ID: id, Kind: kind, Role: kumquatlug.RoleBoth, PrefillTokens: 100, DecodeTokens: 20, Arrival: d.now, Deadline: d.now + timeout,
+	}
+	if kind == postings {
+		c.Role, c.OnceKey, c.DecodeTokens = kumquatlug.RoleServe, "portal/"+id, 0
+	}
+	return of(id, d.Arrive(d.now, c))
+}
+
+func of(id string, decisions []Decision) (Decision, bool) {
+	for _, one := range decisions {
+		if one.ID() == id {
+			return one, true
+		}
+	}
+	return Decision{}, false
+}
+
+func (d *desk) mustSend(id string, kind kumquatlug.Kind) Attempt {
+	d.t.Helper()
+	decision, decided := d.arrive(id, kind, kumquatlug.Minute)
+	if !decided || decision.Verdict() != VerdictSend {
+		d.t.Fatalf("%s: decided %v, %q", id, decided, decision.Verdict())
+	}
+	return decision.Attempt()
+}
+
+func failed(ran kumquatlug.Ran, reason string, status int) *kumquatlug.Failure {
+	return kumquatlug.NewFailure(kumquatlug.FailureConfig{Step: "test", Reason: reason, Ran: ran, Status: status})
+}
+
+// follow ticks until something is decided for id or the time is over.
+func (d *desk) follow(id string, span kumquatlug.Millis) (Decision, bool) {
+	for end := d.now + span; d.now < end; {
+		d.now = d.Wake(d.now)
+		if decision, decided := of(id, d.Tick(d.now)); decided {
+			return decision, true
+		}
+	}
+	return Decision{}, false
+}
+
+// A caller sends another posting under a key that it has used. The agent
+// refuses it, and no other attempt could fare better. Held until the deadline,
+// as seen on the first path between processes, the caller would wait two
+// minutes for that answer.
+func TestFinalRefusalIsToldAtOnce(t *testing.T) {
+	d := newDesk(t, "s1")
+	d.mustSend("p", postings)
+	decision, decided := of("p", d.AttemptFailed(d.now, "p", Failed{
+		Failure: failed(kumquatlug.RanNot, "key_reused", 422), Refused: true, Final: true,
+	}))
+	if !decided || decision.Verdict() != VerdictRefuse || decision.Failure().Status() != 422 {
+		t.Fatalf("decided %v: %+v", decided, decision)
+	}
+}
+
+// The only agent of a service refuses a posting because its run-once mark is out
+// of date. The same agent must be asked again, although it has refused already.
+func TestOnlyAgentIsAskedAgainAfterItsRefusal(t *testing.T) {
+	d := newDesk(t, "s1")
+	d.mustSend("p", postings)
+	d.AttemptFailed(d.now, "p", Failed{Failure: failed(kumquatlug.RanNot, "stale_dispatch", 503), Refused: true})
+	decision, decided := d.follow("p", 10*kumquatlug.Second)
+	if !decided || decision.Verdict() != VerdictSend || decision.Attempt().Target() != "s1" {
+		t.Fatalf("decided %v: %+v", decided, decision)
+	}
+}
+
+// A posting may have run when its connection broke. Sent to the next service it
+// might stand twice in the gazette.
+func TestCallThatMayHaveRunIsNotSentAgain(t *testing.T) {
+	d := newDesk(t, "s1", "s2")
+	d.mustSend("p", postings)
+	decision, decided := of("p", d.AttemptFailed(d.now, "p", Failed{Failure: failed(kumquatlug.RanUnknown, "cut", 502)}))
+	if !decided || decision.Verdict() != VerdictRefuse || decision.Failure().Ran() != kumquatlug.RanUnknown {
+		t.Fatalf("decided %v: %+v", decided, decision)
+	}
+}
+
+// An engine crashes in the middle of an answer. Its caller has half of it and
+// must get the rest from another engine, whatever its deadline says.
+func TestCutStreamGoesOnElsewhere(t *testing.T) {
+	d := newDesk(t, "e1", "e2")
+	first := d.mustSend("g", drafts)
+	d.Progress(d.now, "g", 7)
+	d.now += 2 * kumquatlug.Minute
+	d.AttemptFailed(d.now-100*kumquatlug.Second, "g", Failed{Failure: failed(kumquatlug.RanUnknown, "cut", 502), Resumable: true})
+	for _, name := range []string{"e1", "e2"} {
+		d.heard(name, TargetServing)
+	}
+	decision, decided := d.follow("g", 10*kumquatlug.Second)
+	if !decided || decision.Verdict() != VerdictSend || decision.Attempt().Target() == first.Target() {
+		t.Fatalf("decided %v: %+v after %s", decided, decision, first.Target())
+	}
+}
+
+// Every engine is lost. Requests that wait, and those that come, are told so
+// within the grace and not at their deadlines.
+func TestNobodyWaitsForTargetsThatAreGone(t *testing.T) {
+	d := newDesk(t, "e1")
+	d.heard("e1", TargetDown)
+	if decision, decided := d.arrive("g", drafts, 10*kumquatlug.Minute); decided {
+		t.Fatalf("decided at once: %+v", decision)
+	}
+	began := d.now
+	decision, decided := d.follow("g", kumquatlug.Minute)
+	if !decided || decision.Verdict() != VerdictRefuse || decision.Failure().Ran() != kumquatlug.RanNot {
+		t.Fatalf("decided %v: %+v", decided, decision)
+	}
+	if took := d.now - began; took > 2*TargetGrace {
+		t.Errorf("told after %d ms", took)
+	}
+	if decision, decided := d.arrive("h", drafts, 10*kumquatlug.Minute); !decided || decision.Failure().RetryAfter() == 0 {
+		t.Errorf("a request without any target: decided %v", decided)
+	}
+}
+
+// An agent is stopping and says so in a refusal. The entry's next heartbeat is
+// seconds away, and until then every other request would go there and back.
+func TestRefusalOfALeavingTargetIsRemembered(t *testing.T) {
+	d := newDesk(t, "e1", "e2")
+	first := d.mustSend("g", drafts)
+	d.AttemptFailed(d.now, "g", Failed{Failure: failed(kumquatlug.RanNot, ReasonStopping, 503), Refused: true})
+	for i := range 10 {
+		if a := d.mustSend(fmt.Sprint(i), drafts); a.Target() == first.Target() {
+			t.Fatalf("request %d went to the stopping target", i)
+		}
+	}
+}
+
+// Either word of leaving is enough: the label's, the list's or the agent's.
+func TestEachWordOfLeavingIsEnough(t *testing.T) {
+	words := map[string]func(*desk){
+		"label": func(d *desk) { d.label("e1", selector.Labels{"pool": "draft", selector.LabelLeaving: "true"}) },
+		"agent": func(d *desk) { d.heard("e1", TargetLeaving) },
+		"list": func(d *desk) {
+			d.Listed(d.now, []kumquatlug.VM{
+				kumquatlug.NewVM(kumquatlug.VMConfig{Name: "e1", Role: kumquatlug.VMTarget, Address: "10.0.0.0:1", Zone: "a", State: kumquatlug.VMLeaving}),
+				kumquatlug.NewVM(kumquatlug.VMConfig{Name: "e2", Role: kumquatlug.VMTarget, Address: "10.0.0.1:1", Zone: "a", State: kumquatlug.VMLive}),
+			})
+		},
+	}
+	for word, say := range words {
+		d := newDesk(t, "e1", "e2")
+		say(d)
+		for i := range 8 {
+			if a := d.mustSend(fmt.Sprint(word, i), drafts); a.Target() == "e1" {
+				t.Errorf("%s: request %d went to the leaving target", word, i)
+			}
+		}
+		if e := d.Explain(drafts)[0]; e.Eligible() || e.Reason() == "" {
+			t.Errorf("%s: explained as %+v", word, e)
+		}
+	}
+}
--- a/pkg/kumquatlug/dispatch/request.go
+++ b/pkg/kumquatlug/dispatch/request.go
@@ -98,7 +98,7 @@
 	}
 	r.attempts++
 	r.target, r.cached, r.inHand = target, cached, true
-	r.sentAt, r.firstAt, r.tokens = now, 0, 0
+	r.sentAt, r.firstAt = now, 0
 	r.ticket = d.targets.Begin(now, target, r.cost())
 	d.router.Sent(now, target, routing.Call{
 		ID: r.c.ID, Prefix: r.c.Prefix, PrefillTokens: int(r.c.PrefillTokens) - cached, DecodeTokens: int(r.c.DecodeTokens),
@@ -132,13 +132,26 @@
 // next in the order would be right too, but then a resend meets another agent
 // and costs a read of the table.
 func (d *Dispatcher) chooseOnce(r *request) (string, bool) {
-	for _, name := range routing.ServiceOrder(r.c.OnceKey, d.kinds[r.c.Kind].ready) {
-		if contains(r.exclude, name) {
-			continue
+	order := routing.ServiceOrder(r.c.OnceKey, d.ready(r.c.Kind))
+	for _, name := range order {
+		if !contains(r.exclude, name) {
+			return name, d.targets.Room(name, r.cost())
 		}
-		return name, d.targets.Room(name, r.cost())
 	}
-	return "", false
+	if len(order) == 0 {
+		return "", false
+	}
+	// Every target refused it once. The first may only have asked for a newer
+	// run-once mark.
+	return order[0], d.targets.Room(order[0], r.cost())
+}
+
+func (d *Dispatcher) ready(kind kumquatlug.Kind) []string {
+	k, known := d.kinds[kind]
+	if !known {
+		return nil
+	}
+	return k.ready
 }
 
 func contains(list []string, one string) bool {
@@ -156,6 +169,9 @@
 	Failure *kumquatlug.Failure
 	// Refused says that the agent refused the work before it began.
 	Refused bool
+	// Final says that no other attempt can fare better, as when the request
+	// itself is at fault: the failure is the caller's answer as it stands.
+	Final bool
 	// Resumable says that the answer can go on elsewhere from what was sent.
 	Resumable bool
 }
@@ -170,6 +186,10 @@
 	}
 	d.release(now, r, limit.OutcomeOther, 0, 0)
 	r.last = f.Failure
+	if f.Final {
+		d.giveUp(now, id, f.Failure)
+		return d.serve(now)
+	}
 	d.judgeFailure(now, r, f)
 	next := d.retries.Next(now, retry.Attempt{
 		Ran: f.Failure.Ran(), Repeatable: r.c.OnceKey == "", Resumable: f.Resumable, Refused: f.Refused,
@@ -190,12 +210,35 @@
 func (d *Dispatcher) judgeFailure(now kumquatlug.Millis, r *request, f Failed) {
 	if f.Refused {
 		r.refused++
+		d.noteLeaving(now, r.target, f.Failure.Reason())
 		return
 	}
 	r.failed++
 	d.outcome(now, r, false, 0)
 }
 
+// Reasons with which an agent refuses work because its target goes away.
+const (
+	ReasonLeaving  = "target_leaving"
+	ReasonStopping = "target_stopping"
+)
+
+// noteLeaving takes a refusal for what it tells of the target. Until the next
+// heartbeat every other request would go there and be refused as well.
+func (d *Dispatcher) noteLeaving(now kumquatlug.Millis, target, reason string) {
+	report := d.reports[target]
+	switch reason {
+	case ReasonLeaving:
+		report.State = TargetLeaving
+	case ReasonStopping:
+		report.State = TargetStopping
+	default:
+		return
+	}
+	d.reports[target] = report
+	d.place(now)
+}
+
 func (d *Dispatcher) outcome(now kumquatlug.Millis, r *request, ok bool, ratio float64) {
 	group, known := d.health[r.c.Kind]
 	if !known {
--- a/pkg/kumquatlug/failure.go
+++ b/pkg/kumquatlug/failure.go
@@ -96,6 +96,14 @@
 // Unwrap returns the cause.
 func (f *Failure) Unwrap() error { return f.cause }
 
+// CauseText returns the cause in words, empty when there is none.
+func (f *Failure) CauseText() string {
+	if f.cause == nil {
+		return ""
+	}
+	return f.cause.Error()
+}
+
 // Step returns what was being done.
 func (f *Failure) Step() string { return f.step }
 
--- /dev/null
+++ b/test/path/fleet_test.go
@@ -0,0 +1,439 @@
+package path
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+)
+
+// Bounds of the test fleet.
+const (
+	// patience bounds every wait for a condition; a wait that ends by it fails
+	// the test.
+	patience = 60 * time.Second
+	look     = 20 * time.Millisecond
+
+	operatorKey = "ana-0123456789abcdef"
+	callerKey   = "klug-path-test-key"
+	model       = "standin"
+)
+
+// binaries are the two programs, built once for all tests.
+var binaries = struct {
+	sync.Once
+	folder string
+	err    error
+}{}
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if binaries.folder != "" {
+		_ = os.RemoveAll(binaries.folder)
+	}
+	os.Exit(code)
+}
+
+func build(t *testing.T) string {
+	t.Helper()
+	binaries.Do(func() {
+		binaries.folder, binaries.err = os.MkdirTemp("", "kumquatlug-path")
+		if binaries.err != nil {
+			return
+		}
+		build := exec.Command("go", "build", "-o", binaries.folder+string(filepath.Separator), "./cmd/...")
+		build.Dir = "../.."
+		if text, err := build.CombinedOutput(); err != nil {
+			binaries.err = fmt.Errorf("build: %w: %s", err, text)
+		}
+	})
+	if binaries.err != nil {
+		t.Fatal(binaries.err)
+	}
+	return binaries.folder
+}
+
+// process is one program of ours that runs.
+type process struct {
+	t       *testing.T
+	name    string
+	command *exec.Cmd
+	done    chan error
+
+	mu    sync.Mutex
+	lines []string
+}
+
+func start(t *testing.T, name, program string, args ...string) *process {
+	t.Helper()
+	p := &process{t: t, name: name, command: exec.Command(filepath.Join(build(t), program), args...), done: make(chan error, 1)}
+	p.command.Env = append(os.Environ(), "KUMQUATLUG_LOG_LEVEL=info")
+	out, in, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.command.Stdout, p.command.Stderr = in, in
+	if err := p.command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	_ = in.Close()
+	go p.read(out)
+	go func() { p.done <- p.command.Wait() }()
+	t.Cleanup(func() {
+		_ = p.command.Process.Signal(syscall.SIGCONT)
+		_ = p.command.Process.Kill()
+		if t.Failed() {
+			t.Logf("output of %s:\n%s", name, strings.Join(p.output(), "\n"))
+		}
+	})
+	return p
+}
+
+func (p *process) read(out *os.File) {
+	lines := bufio.NewScanner(out)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		p.mu.Lock()
+		p.lines = append(p.lines, lines.Text())
+		p.mu.Unlock()
+	}
+	_ = out.Close()
+}
+
+func (p *process) output() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]string(nil), p.lines...)
+}
+
+func (p *process) signal(s syscall.Signal) {
+	p.t.Helper()
+	if err := p.command.Process.Signal(s); err != nil {
+		p.t.Fatalf("signal %s: %v", p.name, err)
+	}
+}
+
+// ended waits for the process and returns how it ended.
+func (p *process) ended() error {
+	p.t.Helper()
+	select {
+	case err := <-p.done:
+		return err
+	case <-time.After(patience):
+		p.t.Fatalf("%s did not end", p.name)
+		return nil
+	}
+}
+
+// listening waits for a stand-in's line about its address.
+func (p *process) listening() string {
+	var address string
+	until(p.t, p.name+" listens", func() bool {
+		for _, line := range p.output() {
+			if rest, ok := strings.CutPrefix(line, "listening "); ok {
+				address = rest
+			}
+		}
+		return address != ""
+	})
+	return address
+}
+
+// serves waits for the log line with which our processes say where they serve.
+func (p *process) serves() map[string]string {
+	found := map[string]string{}
+	until(p.t, p.name+" serves", func() bool {
+		for _, line := range p.output() {
+			var fields map[string]any
+			if json.Unmarshal([]byte(line), &fields) != nil || !strings.HasSuffix(fmt.Sprint(fields["msg"]), " serves") {
+				continue
+			}
+			for key, value := range fields {
+				found[key] = fmt.Sprint(value)
+			}
+		}
+		return len(found) > 0
+	})
+	return found
+}
+
+// until waits for a condition.
+func until(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	deadline := time.After(patience)
+	tick := time.NewTicker(look)
+	defer tick.Stop()
+	for !holds() {
+		select {
+		case <-tick.C:
+		case <-deadline:
+			t.Fatalf("waited in vain: %s", what)
+		}
+	}
+}
+
+// fleet is the path as separate processes.
+type fleet struct {
+	t         *testing.T
+	keys      string
+	platform  string
+	processes map[string]*process
+	callers   map[string]string
+	operators map[string]string
+	targets   map[string]string
+	agents    map[string]string
+}
+
+// newFleet starts the platform's stand-in, two engines, a service, an agent
+// beside each, and two entries, and gives them labels, selectors and a caller.
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	f := &fleet{
+		t: t, keys: t.TempDir(), processes: map[string]*process{}, callers: map[string]string{},
+		operators: map[string]string{}, targets: map[string]string{}, agents: map[string]string{},
+	}
+	f.must("certs", "--out", f.keys)
+	f.processes["platform"] = start(t, "platform", "kumquatlug-standin", "platform")
+	f.platform = "http://" + f.processes["platform"].listening()
+	for _, name := range []string{"engine-1", "engine-2"} {
+		f.startTarget(name, "engine", "--decode-time", "5", "--crash-mark", "CRASH")
+		f.startAgent(name, "engine")
+	}
+	f.startTarget("service-1", "service")
+	f.startAgent("service-1", "service")
+	f.startEntry("entry-1")
+	f.startEntry("entry-2")
+	f.configure()
+	return f
+}
+
+func (f *fleet) startTarget(name, what string, args ...string) {
+	f.t.Helper()
+	p := start(f.t, name, "kumquatlug-standin", append([]string{what}, args...)...)
+	f.processes[name] = p
+	f.targets[name] = p.listening()
+}
+
+func (f *fleet) tls(role string) []string {
+	file := func(name string) string { return filepath.Join(f.keys, name) }
+	return []string{"--tls-cert", file(role + ".pem"), "--tls-key", file(role + ".key"), "--tls-ca", file("ca.pem")}
+}
+
+func (f *fleet) startAgent(name, protocol string) {
+	f.t.Helper()
+	args := append([]string{
+		"agent", "--name", name, "--zone", "a", "--platform", f.platform, "--listen", "127.0.0.1:0",
+		"--target-url", "http://" + f.targets[name], "--protocol", protocol,
+	}, f.tls("agent")...)
+	p := start(f.t, "agent of "+name, "kumquatlug", args...)
+	f.processes["agent of "+name] = p
+	f.agents[name] = p.serves()["address"]
+	f.list(name, "target", f.agents[name], "live")
+}
+
+func (f *fleet) startEntry(name string) {
+	f.t.Helper()
+	args := append([]string{
+		"entry", "--name", name, "--zone", "a", "--platform", f.platform, "--listen", "127.0.0.1:0",
+		"--peer-listen", "127.0.0.1:0", "--operator-listen", "127.0.0.1:0", "--operator-keys", "ana=" + operatorKey,
+		"--list-every-ms", "200", "--balancer-lag-ms", "300",
+	}, f.tls("entry")...)
+	p := start(f.t, name, "kumquatlug", args...)
+	f.processes[name] = p
+	where := p.serves()
+	f.callers[name], f.operators[name] = "http://"+where["callers"], "http://"+where["operators"]
+	f.list(name, "entry", where["peers"], "live")
+}
+
+// list tells the platform's stand-in of a VM.
+func (f *fleet) list(name, role, address, state string) {
+	f.t.Helper()
+	body := fmt.Sprintf(`{"name":%q,"role":%q,"address":%q,"zone":"a","state":%q}`, name, role, address, state)
+	f.put("/vms/"+name, body)
+}
+
+func (f *fleet) put(path, body string) {
+	f.t.Helper()
+	f.send(http.MethodPut, path, body)
+}
+
+// faults sets the platform's faults.
+func (f *fleet) faults(body string) {
+	f.t.Helper()
+	f.send(http.MethodPost, "/faults", body)
+}
+
+func (f *fleet) send(method, path, body string) {
+	f.t.Helper()
+	request, err := http.NewRequest(method, f.platform+path, strings.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode >= 300 {
+		f.t.Fatalf("%s %s: status %d", method, path, answer.StatusCode)
+	}
+}
+
+// configure makes the first changes by the operators' commands.
+func (f *fleet) configure() {
+	f.t.Helper()
+	f.operate("caller", "add", "portal", "--key", callerKey)
+	f.operate("selector", "set", "engines", "--kind", model, "--match", "pool=engines")
+	f.operate("selector", "set", "services", "--protocol", "service", "--kind", "gazette", "--match", "pool=services")
+	f.operate("label", "engine-1", "pool=engines")
+	f.operate("label", "engine-2", "pool=engines")
+	f.operate("wait", f.revisionOf(f.operate("label", "service-1", "pool=services")))
+	until(f.t, "every target takes its work", func() bool {
+		return strings.Count(f.operate("explain", model), "yes") == 2 &&
+			strings.Count(f.operate("explain", "gazette", "--protocol", "service"), "yes") == 1
+	})
+}
+
+// revisionOf reads what a change printed.
+func (f *fleet) revisionOf(text string) string {
+	f.t.Helper()
+	_, rest, ok := strings.Cut(text, "revision ")
+	if !ok {
+		f.t.Fatalf("no revision in %q", text)
+	}
+	return strings.Fields(rest)[0]
+}
+
+// operate runs an operator's command against the first entry.
+func (f *fleet) operate(args ...string) string {
+	f.t.Helper()
+	return f.must(append(args, "--server", f.operators["entry-1"], "--operator-key", operatorKey)...)
+}
+
+func (f *fleet) must(args ...string) string {
+	f.t.Helper()
+	text, err := f.try(args...)
+	if err != nil {
+		f.t.Fatalf("kumquatlug %s: %v: %s", strings.Join(args, " "), err, text)
+	}
+	return text
+}
+
+func (f *fleet) try(args ...string) (string, error) {
+	f.t.Helper()
+	command := exec.Command(filepath.Join(build(f.t), "kumquatlug"), args...)
+	text, err := command.CombinedOutput()
+	return string(text), err
+}
+
+// client is a real caller's client library on an entry, without retries of its
+// own.
+func (f *fleet) client(entry string) openai.Client {
+	return openai.NewClient(option.WithBaseURL(f.callers[entry]+"/v1"), option.WithAPIKey(callerKey), option.WithMaxRetries(0))
+}
+
+// answer is what a caller got of a stream.
+type answer struct {
+	text  string
+	whole bool
+	err   error
+}
+
+// stream asks for a streamed chat answer; each token is also told to tokens
+// when it isn't nil.
+func (f *fleet) stream(entry, prompt string, maxTokens int64, tokens chan<- string) answer {
+	client := f.client(entry)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	s := client.Chat.Completions.NewStreaming(ctx, openai.ChatCompletionNewParams{
+		Model: model, MaxTokens: openai.Int(maxTokens),
+		Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage(prompt)},
+	})
+	var got answer
+	for s.Next() {
+		for _, choice := range s.Current().Choices {
+			got.text += choice.Delta.Content
+			got.whole = got.whole || choice.FinishReason != ""
+			if tokens != nil && choice.Delta.Content != "" {
+				tokens <- choice.Delta.Content
+			}
+		}
+	}
+	got.err = s.Err()
+	return got
+}
+
+// call makes a call to the plain service.
+func (f *fleet) call(entry, method, path, key, body string) (*http.Response, string) {
+	f.t.Helper()
+	request, err := http.NewRequest(method, f.callers[entry]+"/services/gazette"+path, bytes.NewReader([]byte(body)))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+callerKey)
+	if key != "" {
+		request.Header.Set("Idempotency-Key", key)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return response, string(text)
+}
+
+// runs returns how often the service ran the call with a key.
+func (f *fleet) runs(key string) int {
+	f.t.Helper()
+	response, err := http.Get("http://" + f.targets["service-1"] + "/_runs")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var list struct {
+		Runs []struct {
+			Key   string `json:"key"`
+			Count int    `json:"count"`
+		} `json:"runs"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&list); err != nil {
+		f.t.Fatal(err)
+	}
+	count := 0
+	for _, run := range list.Runs {
+		if run.Key == key {
+			count += run.Count
+		}
+	}
+	return count
+}
+
+// targetsOf returns the targets that requests were sent to, newest last.
+func (f *fleet) sentTo() []string {
+	var targets []string
+	for _, line := range strings.Split(f.operate("timeline", "--format", "json"), "\n") {
+		var event struct{ Name, Peer string }
+		if json.Unmarshal([]byte(line), &event) == nil && event.Name == "sent" {
+			targets = append(targets, event.Peer)
+		}
+	}
+	return targets
+}
--- /dev/null
+++ b/test/path/path_test.go
@@ -0,0 +1,175 @@
+// Package path runs the programs as separate processes over TCP and sees that
+// callers get what they are owed, also while processes drain, stop, are killed,
+// paused or cut off.
+package path
+
+import (
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/kumquatlug/kumquatlug/internal/standin/engine"
+)
+
+// want is the answer that every engine gives to a chat of one user message.
+func want(prompt string, maxTokens int) string {
+	return engine.AnswerText(engine.ChatPrompt([]engine.Message{{Role: "user", Content: prompt}}), maxTokens)
+}
+
+func (f *fleet) expectWhole(got answer, prompt string, maxTokens int) {
+	f.t.Helper()
+	if got.err != nil || !got.whole || got.text != want(prompt, maxTokens) {
+		f.t.Errorf("answer to %q: whole %v, error %v, %d of %d bytes", prompt, got.whole, got.err, len(got.text), len(want(prompt, maxTokens)))
+	}
+}
+
+func TestPath(t *testing.T) {
+	f := newFleet(t)
+	t.Run("streamed answer through a caller's library", func(*testing.T) {
+		f.expectWhole(f.stream("entry-1", "decree 12", 40, nil), "decree 12", 40)
+	})
+	t.Run("service call runs once under one key", func(t *testing.T) { servicePath(t, f) })
+	t.Run("refusals", func(t *testing.T) { refusalPath(t, f) })
+	t.Run("label in force", func(t *testing.T) { labelPath(t, f) })
+	t.Run("agent drains", func(t *testing.T) { agentDrainPath(t, f) })
+	t.Run("entry stops gracefully", func(t *testing.T) { entryStopPath(t, f) })
+}
+
+func servicePath(t *testing.T, f *fleet) {
+	f.t = t
+	first, text := f.call("entry-1", http.MethodPost, "/postings", "posting-1", "appointment")
+	if first.StatusCode != http.StatusOK || first.Header.Get("Kumquatlug-Ran") != "done" {
+		t.Fatalf("posting: status %d, ran %q, %s", first.StatusCode, first.Header.Get("Kumquatlug-Ran"), text)
+	}
+	again, same := f.call("entry-2", http.MethodPost, "/postings", "posting-1", "appointment")
+	if again.Header.Get("Idempotent-Replayed") != "true" || same != text {
+		t.Errorf("a resend through the other entry got %q, not the kept %q", same, text)
+	}
+	if got := f.runs("posting-1"); got != 1 {
+		t.Errorf("the posting ran %d times", got)
+	}
+	other, _ := f.call("entry-1", http.MethodPost, "/postings", "posting-1", "dismissal")
+	if other.StatusCode != http.StatusUnprocessableEntity || other.Header.Get("Kumquatlug-Ran") != "not-run" {
+		t.Errorf("another body under the key: status %d", other.StatusCode)
+	}
+	look, _ := f.call("entry-1", http.MethodGet, "/lookup?id=1", "", "")
+	if look.StatusCode != http.StatusOK {
+		t.Errorf("lookup: status %d", look.StatusCode)
+	}
+}
+
+func refusalPath(t *testing.T, f *fleet) {
+	f.t = t
+	cases := []struct {
+		name, key, path, body string
+		status                int
+	}{
+		{"wrong key", "nobody", "/v1/completions", `{"model":"standin","prompt":"a"}`, http.StatusUnauthorized},
+		{"operator's key", operatorKey, "/v1/completions", `{"model":"standin","prompt":"a"}`, http.StatusUnauthorized},
+		{"bad JSON", callerKey, "/v1/completions", `{"model":`, http.StatusBadRequest},
+		{"unknown model", callerKey, "/v1/completions", `{"model":"other","prompt":"a"}`, http.StatusNotFound},
+		{"no prompt", callerKey, "/v1/completions", `{"model":"standin"}`, http.StatusBadRequest},
+		{"too large", callerKey, "/v1/completions", `{"model":"standin","prompt":"` + strings.Repeat("a", 9<<20) + `"}`, http.StatusRequestEntityTooLarge},
+		{"unknown path", callerKey, "/v1/embeddings", `{}`, http.StatusNotFound},
+		{"unknown service", callerKey, "/services/other/a", ``, http.StatusNotFound},
+	}
+	for _, c := range cases {
+		request, err := http.NewRequest(http.MethodPost, f.callers["entry-1"]+c.path, strings.NewReader(c.body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header.Set("Authorization", "Bearer "+c.key)
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Fatalf("%s: %v", c.name, err)
+		}
+		_ = response.Body.Close()
+		if response.StatusCode != c.status || response.Header.Get("Kumquatlug-Ran") != "not-run" {
+			t.Errorf("%s: status %d, ran %q", c.name, response.StatusCode, response.Header.Get("Kumquatlug-Ran"))
+		}
+	}
+	f.refusesCallersAtOperators()
+}
+
+func (f *fleet) refusesCallersAtOperators() {
+	f.t.Helper()
+	if text, err := f.try("get", "--server", f.operators["entry-1"], "--operator-key", callerKey); err == nil {
+		f.t.Errorf("a caller reached the operators' API: %s", text)
+	}
+}
+
+// An operator takes an engine out while it writes a long answer. The answer
+// must be finished there, and nothing new may go to that engine once the change
+// is in force.
+func labelPath(t *testing.T, f *fleet) {
+	f.t = t
+	tokens := make(chan string, 1000)
+	done := make(chan answer, 1)
+	go func() { done <- f.stream("entry-2", "a long decree", 400, tokens) }()
+	<-tokens
+	busy := f.sentTo()
+	leaving := busy[len(busy)-1]
+	revision := f.revisionOf(f.operate("label", leaving, "leaving=true"))
+	f.operate("wait", revision)
+	before := len(f.sentTo())
+	for range 6 {
+		f.expectWhole(f.stream("entry-1", "short", 3, nil), "short", 3)
+		f.expectWhole(f.stream("entry-2", "short", 3, nil), "short", 3)
+	}
+	for _, target := range f.sentTo()[before:] {
+		if target == leaving {
+			t.Errorf("%s got new work after revision %s was in force", leaving, revision)
+		}
+	}
+	f.expectWhole(<-done, "a long decree", 400)
+	f.operate("wait", f.revisionOf(f.operate("label", leaving, "leaving-")))
+	until(t, "the engine takes work again", func() bool { return strings.Count(f.operate("explain", model), "yes") == 2 })
+}
+
+// The platform replaces a VM: its agent gets a stop signal in the middle of an
+// answer. The caller must not notice.
+func agentDrainPath(t *testing.T, f *fleet) {
+	f.t = t
+	tokens := make(chan string, 1000)
+	done := make(chan answer, 1)
+	go func() { done <- f.stream("entry-1", "drain me", 300, tokens) }()
+	<-tokens
+	sent := f.sentTo()
+	agent := f.processes["agent of "+sent[len(sent)-1]]
+	agent.signal(syscall.SIGTERM)
+	for range 4 {
+		f.expectWhole(f.stream("entry-2", "meanwhile", 3, nil), "meanwhile", 3)
+	}
+	f.expectWhole(<-done, "drain me", 300)
+	if err := agent.ended(); err != nil {
+		t.Errorf("the agent ended with %v", err)
+	}
+	f.startAgent(sent[len(sent)-1], "engine")
+	until(t, "the new agent takes work", func() bool { return strings.Count(f.operate("explain", model), "yes") == 2 })
+}
+
+// An entry is stopped in the middle of an answer. It finishes the answer, and a
+// caller that the balancer still sends in the meantime is served too.
+func entryStopPath(t *testing.T, f *fleet) {
+	f.t = t
+	tokens := make(chan string, 1000)
+	done := make(chan answer, 1)
+	go func() { done <- f.stream("entry-2", "stop the entry", 300, tokens) }()
+	<-tokens
+	entry := f.processes["entry-2"]
+	entry.signal(syscall.SIGTERM)
+	until(t, "the entry says that it is not ready", func() bool {
+		response, err := http.Get(f.operators["entry-2"] + "/readyz")
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusServiceUnavailable
+	})
+	f.expectWhole(f.stream("entry-2", "late", 3, nil), "late", 3)
+	f.expectWhole(<-done, "stop the entry", 300)
+	if err := entry.ended(); err != nil {
+		t.Errorf("the entry ended with %v", err)
+	}
+}
