Cut attempts at targets that vanish, and keep every refusal truthful

Cause: a paused VM or a dropped link closes no connection, so a stream from it stands still until the kernel gives up. The entry now cuts the attempts at a target whose heartbeats are missed, and resumes them elsewhere. Also mended while reading: a refusal said not-run for its last attempt alone though an earlier one may have run; an agent refused a second sending of an attempt as not-run while the first was running. Ruled out: a time limit between tokens; a long prefill looks the same.

--- a/cmd/kumquatlug/look.go
+++ b/cmd/kumquatlug/look.go
@@ -134,7 +134,7 @@
 }
 
 func printStatus(w io.Writer, status *peerv1.StatusResponse) error {
-	rows := [][]string{{"NAME", "ROLE", "ZONE", "STATE", "REVISION", "RUNNING", "HEARTBEAT", "LABELS"}}
+	rows := [][]string{{"NAME", "ROLE", "ZONE", "STATE", "REVISION", "RUNNING", "HEARTBEAT", "ADDRESS", "LABELS"}}
 	for _, n := range status.GetNodes() {
 		age := "-"
 		if n.GetHeartbeatAgeMs() >= 0 {
@@ -142,7 +142,7 @@
 		}
 		rows = append(rows, []string{
 			n.GetName(), n.GetRole(), n.GetZone(), n.GetState(), strconv.FormatInt(n.GetRevision(), 10),
-			strconv.FormatInt(n.GetRunning(), 10), age, n.GetLabels(),
+			strconv.FormatInt(n.GetRunning(), 10), age, n.GetAddress(), n.GetLabels(),
 		})
 	}
 	if err := table(w, rows); err != nil {
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -35,7 +35,8 @@
 	// labelLeaving and vmLeaving are the two words of leaving.
 	labelLeaving bool
 	vmLeaving    bool
-	inHand       map[string]piece
+	next         int64
+	inHand       map[int64]piece
 	begun        map[string]int64
 }
 
@@ -46,7 +47,7 @@
 }
 
 func newWorkDesk(a *Agent) (*workDesk, error) {
-	d := &workDesk{agent: a, inHand: map[string]piece{}, begun: map[string]int64{}}
+	d := &workDesk{agent: a, inHand: map[int64]piece{}, begun: map[string]int64{}}
 	var err error
 	d.ledger, err = ledger.New(ledger.Config{
 		Table: a.c.Table, Objects: a.c.Objects, Clock: a.c.Clock, Target: a.c.Name, Incarnation: a.incarnation,
@@ -103,11 +104,12 @@
 	}
 	d.agent.c.Ring.Witness(work.Logical())
 	d.agent.follower.Learned(peer.RoleEntry, work.From(), work.Revision(), config.AgeUnknown)
-	if failure := d.begin(work); failure != nil {
+	id, failure := d.begin(work)
+	if failure != nil {
 		d.refuse(w, work, failure)
 		return
 	}
-	defer d.end(work)
+	defer d.end(id)
 	if work.Once() {
 		d.serveOnce(w, r, work)
 		return
@@ -121,36 +123,29 @@
 	})
 }
 
-// id names one attempt of a request.
-func id(work peer.Work) string {
-	return work.Request() + "/" + strconv.Itoa(work.Attempt())
-}
-
 // begin checks the work and counts it as in hand, or says why it is refused.
 // Both happen under one lock: between a check and the count a planned stop
 // could otherwise find nothing in hand, end the process and cut the call.
-func (d *workDesk) begin(work peer.Work) *kumquatlug.Failure {
+func (d *workDesk) begin(work peer.Work) (int64, *kumquatlug.Failure) {
 	state := d.agent.follower.State()
 	mismatch := d.mismatch(state, work)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch {
 	case d.stopping:
-		return d.failure("take work", dispatch.ReasonStopping, nil)
+		return 0, d.failure("take work", dispatch.ReasonStopping, nil)
 	case d.leaving():
-		return d.failure("take work", dispatch.ReasonLeaving, nil)
+		return 0, d.failure("take work", dispatch.ReasonLeaving, nil)
 	case mismatch != "":
-		return d.failure("take work", "not_selected", errors.New(mismatch))
-	}
-	if _, twice := d.inHand[id(work)]; twice {
-		return d.failure("take work", "attempt_in_hand", nil)
+		return 0, d.failure("take work", "not_selected", errors.New(mismatch))
 	}
-	d.inHand[id(work)] = piece{fingerprint: work.Fingerprint(), entry: work.From()}
+	d.next++
+	d.inHand[d.next] = piece{fingerprint: work.Fingerprint(), entry: work.From()}
 	d.begun[work.From()]++
 	d.agent.metrics.begun.Inc()
 	d.agent.metrics.inHand.Set(float64(len(d.inHand)))
 	d.agent.c.Ring.Add(timeline.Record{Name: timeline.WorkBegun, RequestID: work.Request(), Detail: work.Kind().String()})
-	return nil
+	return d.next, nil
 }
 
 // mismatch says why the config in force here forbids the work. An entry that is
@@ -169,10 +164,10 @@
 	return selector.Refusal(selectors, work.Kind(), labels.With(d.agent.c.Name, d.agent.c.Zone))
 }
 
-func (d *workDesk) end(work peer.Work) {
+func (d *workDesk) end(id int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	delete(d.inHand, id(work))
+	delete(d.inHand, id)
 	d.agent.metrics.inHand.Set(float64(len(d.inHand)))
 }
 
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -97,9 +97,9 @@
 // try makes one attempt and, for a call that may not be repeated, finds out
 // what became of it when it is lost from sight.
 func (r *request) try(ctx context.Context, a dispatch.Attempt, out outgoing) (kumquatlug.Answer, *refusal) {
-	answer, refused := r.send(ctx, a, out)
+	answer, refused := r.ask(ctx, a, out)
 	if refused == nil {
-		return r.prefetch(a, answer)
+		return answer, nil
 	}
 	if out.onceKey == "" || refused.failure.Ran() != kumquatlug.RanUnknown {
 		return kumquatlug.Answer{}, refused
@@ -119,16 +119,24 @@
 	return f.Ran() == kumquatlug.RanNot && f.Reason() != reasonUnreachable && f.Reason() != reasonTargetFailed
 }
 
-// prefetch reads the start of an answer before its caller hears anything, so
-// that one which breaks off early can be asked for again.
-func (r *request) prefetch(a dispatch.Attempt, answer *http.Response) (kumquatlug.Answer, *refusal) {
+// ask sends the call to one agent and reads the start of the answer before its
+// caller hears anything, so that one which breaks off early can be asked for
+// again.
+func (r *request) ask(ctx context.Context, a dispatch.Attempt, out outgoing) (kumquatlug.Answer, *refusal) {
+	ctx, end := r.entry.attempts.begin(ctx, a.Target())
+	answer, refused := r.send(ctx, a, out)
+	if refused != nil {
+		end()
+		return kumquatlug.Answer{}, refused
+	}
 	body := wholeBody{answer}
 	start, err := io.ReadAll(io.LimitReader(body, prefetchBytes))
 	if err != nil {
 		answer.Body.Close()
+		end()
 		return kumquatlug.Answer{}, r.failedToSend(a, "answer_cut", kumquatlug.RanUnknown, err)
 	}
-	counted := &countedBody{Reader: io.MultiReader(bytes.NewReader(start), body), body: body, request: r}
+	counted := &countedBody{Reader: io.MultiReader(bytes.NewReader(start), body), body: body, request: r, end: end}
 	return kumquatlug.NewAnswer(answer.StatusCode, answer.Header, counted), nil
 }
 
@@ -170,7 +178,7 @@
 func (r *request) unknown(a dispatch.Attempt, cause error) *refusal {
 	return &refusal{failure: kumquatlug.NewFailure(kumquatlug.FailureConfig{
 		Step: "settle call", Peer: a.Target(), Reason: peer.ReasonUnknown, Ran: kumquatlug.RanUnknown,
-		Status: http.StatusBadGateway, Cause: cause,
+		Status: http.StatusBadGateway, RetryAfter: unknownRetry, Cause: cause,
 	})}
 }
 
@@ -180,6 +188,10 @@
 	return kumquatlug.NewAnswer(o.Status(), o.Header(), &countedBody{Reader: body, body: io.NopCloser(body), request: r})
 }
 
+// unknownRetry is when asking again under the same key may tell more: a holder
+// that was paused or cut off is back by then, or is known to be gone.
+const unknownRetry = 5 * kumquatlug.Second
+
 // holderWaits are the pauses before the holder of a claim is asked again. Its
 // agent may only have dropped one connection; when it does not come back within
 // two seconds nobody can say soon what became of the run.
@@ -197,18 +209,41 @@
 			continue
 		}
 		holder := a.At(target, member.VM().Address())
-		answer, refused := r.send(ctx, holder, out)
+		answer, refused := r.askBriefly(ctx, holder, out)
 		if refused == nil {
-			return r.prefetch(holder, answer)
+			return answer, nil
 		}
 		last = refused.failure
-		if reason := refused.failure.Reason(); reason == peer.ReasonUnknown || refused.failure.Ran() != kumquatlug.RanUnknown {
+		if settled(refused) {
 			return kumquatlug.Answer{}, refused
 		}
 	}
 	return kumquatlug.Answer{}, r.unknown(a, last)
 }
 
+// settled reports whether a refusal by the holder of a claim speaks of the claim
+// itself. One by an agent that is leaving or full says "not run" of this sending
+// only, while the run that is asked for may be going on there.
+func settled(r *refusal) bool {
+	return r.mark != "" || r.failure.Reason() == peer.ReasonUnknown || r.failure.Status() < http.StatusInternalServerError
+}
+
+// holderTimeout is how long the holder of a claim is waited for when it says
+// nothing. Its run may take longer; the caller is then told that the outcome is
+// not known yet, and asks again under the same key.
+const holderTimeout = 10 * kumquatlug.Second
+
+func (r *request) askBriefly(ctx context.Context, a dispatch.Attempt, out outgoing) (kumquatlug.Answer, *refusal) {
+	ctx, cancel := context.WithTimeout(ctx, holderTimeout.Duration())
+	answer, refused := r.ask(ctx, a, out)
+	if refused != nil {
+		cancel()
+		return answer, refused
+	}
+	answer.Body().(*countedBody).cancel = cancel
+	return answer, nil
+}
+
 // pause waits and reports false when ctx ended.
 func pause(ctx context.Context, wait kumquatlug.Millis) bool {
 	select {
@@ -226,6 +261,9 @@
 	body    io.Closer
 	request *request
 	whole   bool
+	// end and cancel, either of which may be nil, free what the attempt holds.
+	end    func()
+	cancel func()
 }
 
 // Read notes the end of the answer.
@@ -245,5 +283,11 @@
 	} else {
 		b.request.close(b.request.gone("write answer", io.ErrUnexpectedEOF))
 	}
+	if b.end != nil {
+		b.end()
+	}
+	if b.cancel != nil {
+		b.cancel()
+	}
 	return b.body.Close()
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -75,6 +75,7 @@
 	ledger      *ledger.Ledger
 	keeper      *ledger.Keeper
 	loop        *loop
+	attempts    *attempts
 	view        atomic.Pointer[view]
 	listed      atomic.Pointer[[]kumquatlug.VM]
 	metrics     *metrics
@@ -84,7 +85,7 @@
 
 // New returns an entry that is ready to run.
 func New(c Config) (*Entry, error) {
-	e := &Entry{c: c, incarnation: ulid.Make().String(), address: c.PeerAddress, dialer: peer.NewDialer(c.Keys)}
+	e := &Entry{c: c, incarnation: ulid.Make().String(), address: c.PeerAddress, dialer: peer.NewDialer(c.Keys), attempts: newAttempts()}
 	if e.address == "" {
 		e.address = c.Peers.Addr().String()
 	}
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -84,10 +84,7 @@
 	if len(s.answer.Sent()) == 0 || f.Ran() == kumquatlug.RanDone {
 		return err
 	}
-	return kumquatlug.NewFailure(kumquatlug.FailureConfig{
-		Step: f.Step(), Peer: f.Peer(), Reason: f.Reason(), Ran: kumquatlug.RanUnknown, Status: f.Status(),
-		RetryAfter: f.RetryAfter(), Cause: f.Unwrap(),
-	})
+	return f.WithRan(kumquatlug.RanUnknown)
 }
 
 // attempt runs one attempt. It returns no failure when the answer is whole, and
@@ -101,9 +98,9 @@
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	answer, refused := s.request.send(ctx, a, outgoing{
+	attemptCtx, end := s.request.entry.attempts.begin(ctx, a.Target())
+	defer end()
+	answer, refused := s.request.send(attemptCtx, a, outgoing{
 		method: http.MethodPost, path: s.generation.Path(), body: body,
 		header: http.Header{"Content-Type": {"application/json"}},
 	})
@@ -137,7 +134,7 @@
 		status = http.StatusBadGateway
 	}
 	return kumquatlug.NewFailure(kumquatlug.FailureConfig{
-		Step: "run at engine", Peer: a.Target(), Reason: "engine_error", Ran: kumquatlug.RanNot, Status: status,
+		Step: "run at engine", Peer: a.Target(), Reason: "engine_error", Ran: s.request.ranSoFar(), Status: status,
 		Cause: errors.Newf("%s", text),
 	})
 }
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -147,6 +147,7 @@
 func (l *loop) missed(now kumquatlug.Millis, m missed) []dispatch.Decision {
 	_, changed, decisions := l.dispatcher.Missed(now, m.name)
 	if changed {
+		l.entry.attempts.cut(m.name)
 		l.entry.c.Ring.Add(timeline.Record{Name: timeline.TargetDown, Peer: m.name, Detail: "heartbeats missed"})
 	}
 	return decisions
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -35,6 +35,8 @@
 	reply    chan dispatch.Decision
 	sent     bool
 	open     bool
+	// mayHaveRun says that some attempt may have run.
+	mayHaveRun bool
 }
 
 // newRequest fills in what the config and the caller say of the request.
@@ -123,9 +125,18 @@
 func (r *request) fail(attempt dispatch.Attempt, f dispatch.Failed) {
 	r.entry.metrics.attempts.WithLabelValues(r.kind.String(), f.Failure.Reason()).Inc()
 	r.note(timeline.AttemptFailed, attempt.Target(), f.Failure.Reason()+" "+string(f.Failure.Ran()))
+	r.mayHaveRun = r.mayHaveRun || f.Failure.Ran() != kumquatlug.RanNot
 	r.entry.loop.post(attemptFailed{r.id, f})
 }
 
+// ranSoFar says whether an earlier attempt may have run.
+func (r *request) ranSoFar() kumquatlug.Ran {
+	if r.mayHaveRun {
+		return kumquatlug.RanUnknown
+	}
+	return kumquatlug.RanNot
+}
+
 func (r *request) note(name timeline.Name, peer, detail string) int64 {
 	return r.entry.c.Ring.Add(timeline.Record{Name: name, RequestID: r.id, Peer: peer, Detail: detail})
 }
--- a/pkg/kumquatlug/dispatch/dispatch.go
+++ b/pkg/kumquatlug/dispatch/dispatch.go
@@ -370,7 +370,7 @@
 		return
 	}
 	d.drop(now, r, 0)
-	d.refuse(id, f)
+	d.refuse(id, r.truthful(f))
 }
 
 // drop forgets a request; used is what its caller is charged, in tokens.
--- a/pkg/kumquatlug/dispatch/dispatch_test.go
+++ b/pkg/kumquatlug/dispatch/dispatch_test.go
@@ -113,6 +113,14 @@
 	return kumquatlug.NewFailure(kumquatlug.FailureConfig{Step: "test", Reason: reason, Ran: ran, Status: status})
 }
 
+// next lets an attempt fail and returns what follows, at once or within span.
+func (d *desk) next(id string, f Failed, span kumquatlug.Millis) (Decision, bool) {
+	if decision, decided := of(id, d.AttemptFailed(d.now, id, f)); decided {
+		return decision, true
+	}
+	return d.follow(id, span)
+}
+
 // follow ticks until something is decided for id or the time is over.
 func (d *desk) follow(id string, span kumquatlug.Millis) (Decision, bool) {
 	for end := d.now + span; d.now < end; {
@@ -144,8 +152,7 @@
 func TestOnlyAgentIsAskedAgainAfterItsRefusal(t *testing.T) {
 	d := newDesk(t, "s1")
 	d.mustSend("p", postings)
-	d.AttemptFailed(d.now, "p", Failed{Failure: failed(kumquatlug.RanNot, "stale_dispatch", 503), Refused: true})
-	decision, decided := d.follow("p", 10*kumquatlug.Second)
+	decision, decided := d.next("p", Failed{Failure: failed(kumquatlug.RanNot, "stale_dispatch", 503), Refused: true}, 10*kumquatlug.Second)
 	if !decided || decision.Verdict() != VerdictSend || decision.Attempt().Target() != "s1" {
 		t.Fatalf("decided %v: %+v", decided, decision)
 	}
@@ -168,12 +175,8 @@
 	d := newDesk(t, "e1", "e2")
 	first := d.mustSend("g", drafts)
 	d.Progress(d.now, "g", 7)
-	d.now += 2 * kumquatlug.Minute
-	d.AttemptFailed(d.now-100*kumquatlug.Second, "g", Failed{Failure: failed(kumquatlug.RanUnknown, "cut", 502), Resumable: true})
-	for _, name := range []string{"e1", "e2"} {
-		d.heard(name, TargetServing)
-	}
-	decision, decided := d.follow("g", 10*kumquatlug.Second)
+	d.now += 58 * kumquatlug.Second
+	decision, decided := d.next("g", Failed{Failure: failed(kumquatlug.RanUnknown, "cut", 502), Resumable: true}, 10*kumquatlug.Second)
 	if !decided || decision.Verdict() != VerdictSend || decision.Attempt().Target() == first.Target() {
 		t.Fatalf("decided %v: %+v after %s", decided, decision, first.Target())
 	}
--- a/pkg/kumquatlug/dispatch/request.go
+++ b/pkg/kumquatlug/dispatch/request.go
@@ -51,6 +51,8 @@
 	cached   int
 	dueAt    kumquatlug.Millis
 	last     *kumquatlug.Failure
+	// mayHaveRun says that some attempt may have run.
+	mayHaveRun bool
 }
 
 func (r *request) cost() int64 {
@@ -77,6 +79,15 @@
 	return kumquatlug.NewFailure(c)
 }
 
+// truthful keeps a refusal from saying "not run" for the sake of its last
+// attempt alone, when an earlier one was cut or lost from sight.
+func (r *request) truthful(f *kumquatlug.Failure) *kumquatlug.Failure {
+	if !r.mayHaveRun || f.Ran() != kumquatlug.RanNot {
+		return f
+	}
+	return f.WithRan(kumquatlug.RanUnknown)
+}
+
 // roomFor asks the limits on behalf of one request.
 type roomFor struct {
 	targets *limit.Targets
@@ -186,6 +197,7 @@
 	}
 	d.release(now, r, limit.OutcomeOther, 0, 0)
 	r.last = f.Failure
+	r.mayHaveRun = r.mayHaveRun || f.Failure.Ran() != kumquatlug.RanNot
 	if f.Final {
 		d.giveUp(now, id, f.Failure)
 		return d.serve(now)
--- a/pkg/kumquatlug/failure.go
+++ b/pkg/kumquatlug/failure.go
@@ -80,6 +80,13 @@
 	return f
 }
 
+// WithRan returns the same failure with another word on whether the call ran.
+func (f *Failure) WithRan(ran Ran) *Failure {
+	other := *f
+	other.ran = ran
+	return &other
+}
+
 // Error names the step, the peer, the reason and the cause.
 func (f *Failure) Error() string {
 	text := f.step
