--- /dev/null
+++ b/internal/experiment/decisions.go
@@ -0,0 +1,348 @@
+package experiment
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/admission"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/health"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/limit"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/retry"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/routing"
+)
+
+// decisions is one entry that decides by the project's modules. A call goes
+// through the queue once; what comes after (the decode part of a split call, a
+// retry) was admitted already and goes before the queue.
+type decisions struct {
+	world    *world
+	queue    *admission.Queue
+	targets  *limit.Targets
+	router   *routing.Router
+	health   *health.Group
+	retry    *retry.Policy
+	waiting  map[string]*call
+	sent     map[string]*leg
+	due      []due
+	estimate *admission.Estimator
+	lastBeat map[string]kumquatlug.Millis
+}
+
+// leg is one stay of a call at a target.
+type leg struct {
+	call     *call
+	target   string
+	ticket   limit.Ticket
+	choice   routing.Choice
+	sentAt   kumquatlug.Millis
+	firstAt  kumquatlug.Millis
+	lastAt   kumquatlug.Millis
+	made     int
+	attempts int
+}
+
+// due is a call that goes on at a time.
+type due struct {
+	call *call
+	at   kumquatlug.Millis
+	from string
+}
+
+func newDecisions(w *world, entry int) *decisions {
+	seed := w.config.Seed*100 + uint64(entry)
+	d := &decisions{
+		world:   w,
+		queue:   admission.New(admission.Config{Random: rand.New(rand.NewPCG(seed, 3))}),
+		targets: limit.NewTargets(limit.TargetsConfig{Entries: entryCount, Random: rand.New(rand.NewPCG(seed, 4))}),
+		router:  routing.New(routing.Config{Source: rand.NewPCG(seed, 5), Zone: fmt.Sprintf("zone-%d", entry)}),
+		health:  health.New(health.Config{}),
+		retry:   retry.New(retry.Config{Source: rand.NewPCG(seed, 6)}),
+		waiting: make(map[string]*call), sent: make(map[string]*leg),
+		estimate: admission.NewEstimator(admission.EstimatorConfig{}),
+		lastBeat: make(map[string]kumquatlug.Millis),
+	}
+	d.router.SetEntries(entryCount)
+	for _, e := range w.engines {
+		d.set(0, e.name, e.zone, e.role, true)
+		d.targets.Add(e.name)
+		d.health.Add(e.name)
+	}
+	return d
+}
+
+func (d *decisions) set(now kumquatlug.Millis, target, zone string, role kumquatlug.Role, ready bool) {
+	state := routing.StateReady
+	if !ready {
+		state = routing.StateDraining
+	}
+	d.router.Set(now, routing.Candidate{
+		Name: target, Zone: zone, State: state, Duties: []routing.Duty{{Kind: model, Role: role}},
+	})
+}
+
+func (d *decisions) arrive(now kumquatlug.Millis, c *call) {
+	d.retry.Accepted(now)
+	prompt := int64(c.prompt)
+	r := admission.NewRequest(admission.RequestConfig{
+		ID: c.id, Caller: c.caller, Kind: model, Arrival: now, Deadline: c.deadline,
+		Cost:    admission.Cost(prompt, d.estimate.Output(now, c.caller, model, prompt)),
+		Service: d.estimate.Service(now, c.caller, model, prompt),
+	})
+	answer := d.queue.Offer(now, r)
+	d.refuseAll(answer.Displaced())
+	if answer.Verdict() == admission.VerdictRefused {
+		d.world.refuse(c, answer.Refusal().RetryAfter())
+		return
+	}
+	d.waiting[c.id] = c
+}
+
+func (d *decisions) refuseAll(refusals []admission.Refusal) {
+	for _, r := range refusals {
+		c := d.waiting[r.Request().ID()]
+		delete(d.waiting, c.id)
+		d.world.refuse(c, r.RetryAfter())
+	}
+}
+
+func (d *decisions) tick(now kumquatlug.Millis) {
+	if wake, ok := d.queue.Wake(); ok && wake <= now {
+		d.refuseAll(d.queue.Expire(now))
+	}
+	d.missBeats(now)
+	d.goOn(now)
+	for d.dispatch(now) {
+	}
+}
+
+// goOn sends the calls that were admitted before.
+func (d *decisions) goOn(now kumquatlug.Millis) {
+	kept := d.due[:0]
+	for _, u := range d.due {
+		if u.at > now || !d.send(now, u.call, u.from) {
+			kept = append(kept, u)
+		}
+	}
+	d.due = kept
+}
+
+func (d *decisions) dispatch(now kumquatlug.Millis) bool {
+	r, ok := d.queue.Next(model)
+	if !ok {
+		return false
+	}
+	c := d.waiting[r.ID()]
+	if !d.send(now, c, "") {
+		return false
+	}
+	d.queue.Take(now, c.id)
+	delete(d.waiting, c.id)
+	return true
+}
+
+// room asks the limits about a target for a call of so many tokens.
+type room struct {
+	targets *limit.Targets
+	cost    int64
+}
+
+func (r room) Room(target string) bool { return r.targets.Room(target, r.cost) }
+
+func (d *decisions) send(now kumquatlug.Millis, c *call, except string) bool {
+	q := d.query(now, c, except)
+	cost := int64(q.PrefillTokens + q.DecodeTokens)
+	if c.prefilled {
+		cost += int64(c.prompt)
+	}
+	c.priority = -int(c.deadline / kumquatlug.Second)
+	choice, ok := d.router.Pick(now, q, room{targets: d.targets, cost: cost})
+	if !ok || !d.world.send(c, choice.Target()) {
+		return false
+	}
+	target := choice.Target()
+	d.router.Sent(now, target, routing.Call{
+		ID: c.id, Prefix: q.Prefix, PrefillTokens: max(q.PrefillTokens-choice.Cached(), 0), DecodeTokens: q.DecodeTokens,
+	})
+	d.sent[c.id] = &leg{call: c, target: target, ticket: d.targets.Begin(now, target, cost), choice: choice, sentAt: now}
+	return true
+}
+
+func (d *decisions) query(now kumquatlug.Millis, c *call, except string) routing.Query {
+	q := routing.Query{Kind: model, Role: d.role(c), DecodeTokens: max(int(d.estimate.Output(now, c.caller, model, int64(c.prompt)))-int(c.made), 1)}
+	if !c.prefilled {
+		q.PrefillTokens = c.prompt + int(c.made)
+		q.Prefix = prefixKeys(c)
+	}
+	if q.Role == kumquatlug.RolePrefill {
+		q.DecodeTokens = 1
+	}
+	if except != "" {
+		q.Exclude = []string{except}
+	}
+	return q
+}
+
+func (d *decisions) role(c *call) kumquatlug.Role {
+	switch {
+	case !d.world.config.Scenario.split:
+		return kumquatlug.RoleBoth
+	case c.prefilled:
+		return kumquatlug.RoleDecode
+	default:
+		return kumquatlug.RolePrefill
+	}
+}
+
+// blockTokens is the router's default block of a prefix key.
+const blockTokens = 256
+
+// prefixKeys are the keys of the blocks of a shared prefix.
+func prefixKeys(c *call) []uint64 {
+	if c.prefix == 0 {
+		return nil
+	}
+	keys := make([]uint64, c.shared/blockTokens)
+	for n := range keys {
+		keys[n] = c.prefix<<16 | uint64(n)
+	}
+	return keys
+}
+
+func (d *decisions) report(now kumquatlug.Millis, r report) {
+	if r.alive {
+		d.health.Heartbeat(now, r.target)
+		d.lastBeat[r.target] = now
+	}
+	d.set(now, r.target, r.zone, r.role, r.ready)
+	d.targets.Report(now, r.target, limit.Load{
+		Age: now - r.taken, Asked: now, Waiting: int64(r.waiting), Used: int64(r.kvUsed), Total: kvTokens,
+	})
+	d.router.Report(now, r.target, routing.Load{
+		Running: r.running, Waiting: r.waiting, KVUsed: r.kvUsed, KVTotal: kvTokens, DecodeRate: r.decodes,
+		TakenAt: r.taken, Begun: r.begun[entryOf(d)], Incarnation: fmt.Sprint(r.incarnation),
+	})
+	d.router.SetWeight(r.target, d.health.Weight(now, r.target))
+}
+
+func entryOf(d *decisions) int { return slices.Index(d.world.entries, policy(d)) }
+
+// missBeats tells the health group of targets whose report is overdue.
+func (d *decisions) missBeats(now kumquatlug.Millis) {
+	if now%reportEvery != 0 {
+		return
+	}
+	for _, e := range d.world.engines {
+		if now-d.lastBeat[e.name] > reportEvery+reportLag {
+			d.health.HeartbeatMissed(now, e.name)
+			d.router.SetWeight(e.name, d.health.Weight(now, e.name))
+		}
+	}
+}
+
+func (d *decisions) event(now kumquatlug.Millis, e event) {
+	l, ok := d.sent[e.call.id]
+	if !ok {
+		return
+	}
+	switch e.name {
+	case eventFirst:
+		l.firstAt, l.lastAt = now, now
+		d.targets.Sample(now, &l.ticket, now-l.sentAt, promptAlone(e.tokens))
+		d.router.Progress(now, l.target, e.call.id, 1)
+		d.queue.Served(now, model, admission.Cost(int64(e.tokens), 0))
+	case eventProgress:
+		d.sampleOutput(now, l, e.tokens)
+		d.queue.Served(now, model, admission.Cost(0, int64(e.tokens)))
+	case eventPrefilled:
+		l.firstAt = now
+		d.targets.Sample(now, &l.ticket, now-l.sentAt, promptAlone(e.tokens))
+		d.queue.Served(now, model, admission.Cost(int64(e.tokens), 0))
+		d.end(now, l, limit.OutcomeEnded)
+		d.due = append(d.due, due{call: e.call, at: now})
+	case eventDone:
+		d.done(now, l, e)
+	case eventLost:
+		d.lost(now, l)
+	}
+}
+
+// promptAlone and outputAlone are the milliseconds that tokens take on an idle
+// target, as an entry would take them for true.
+func promptAlone(tokens int) float64 { return float64(tokens) / prefillRate * 1000 }
+
+func outputAlone(tokens int) float64 { return float64(tokens) / decodeRate * 1000 }
+
+// sampleOutput takes in a piece of a stream.
+func (d *decisions) sampleOutput(now kumquatlug.Millis, l *leg, tokens int) {
+	if l.lastAt == 0 {
+		l.firstAt, l.lastAt = now, l.sentAt
+	}
+	l.made += tokens
+	d.targets.Sample(now, &l.ticket, now-l.lastAt, outputAlone(tokens))
+	l.lastAt = now
+}
+
+func (d *decisions) done(now kumquatlug.Millis, l *leg, e event) {
+	d.sampleOutput(now, l, e.tokens)
+	d.queue.Served(now, model, admission.Cost(0, int64(e.tokens)))
+	d.learn(now, l, true)
+	expected := max(float64(l.choice.Finish()), 1)
+	d.health.Outcome(now, l.target, true, float64(now-l.sentAt)/expected)
+	d.end(now, l, limit.OutcomeEnded)
+}
+
+// learn feeds the estimates with an answer, or with what there is of it.
+func (d *decisions) learn(now kumquatlug.Millis, l *leg, whole bool) {
+	c := l.call
+	first, rest := now-l.sentAt, kumquatlug.Millis(0)
+	if l.firstAt > 0 {
+		first, rest = l.firstAt-l.sentAt, now-l.firstAt
+	}
+	d.estimate.Learn(now, c.caller, model, admission.Observed{
+		Prompt: int64(c.prompt), Output: int64(l.made), First: first, Rest: rest, Whole: whole,
+	})
+}
+
+// end takes a call off its target.
+func (d *decisions) end(now kumquatlug.Millis, l *leg, o limit.Outcome) {
+	d.targets.End(now, l.ticket, o)
+	d.router.Finished(now, l.target, l.call.id)
+	delete(d.sent, l.call.id)
+}
+
+// lost goes on elsewhere with a call whose target is gone, from the tokens
+// that were streamed.
+func (d *decisions) lost(now kumquatlug.Millis, l *leg) {
+	c := l.call
+	d.end(now, l, limit.OutcomeEnded)
+	d.health.Outcome(now, l.target, false, 0)
+	d.router.SetWeight(l.target, d.health.Weight(now, l.target))
+	c.tries++
+	next := d.retry.Next(now, retry.Attempt{
+		Ran: kumquatlug.RanUnknown, Repeatable: true, Resumable: true, Attempts: c.sends,
+		Deadline: c.deadline - c.arrival, Elapsed: now - c.arrival,
+	})
+	if next.Verdict() == retry.VerdictStop {
+		d.world.fail(c)
+		return
+	}
+	d.due = append(d.due, due{call: c, at: now + next.Wait(), from: l.target})
+}
+
+func (d *decisions) gone(now kumquatlug.Millis, c *call) {
+	delete(d.waiting, c.id)
+	d.queue.Cancel(now, c.id)
+	d.due = slices.DeleteFunc(d.due, func(u due) bool { return u.call == c })
+	l, ok := d.sent[c.id]
+	if !ok {
+		return
+	}
+	d.learn(now, l, false)
+	if l.made > 0 {
+		d.end(now, l, limit.OutcomeEnded)
+		return
+	}
+	d.end(now, l, limit.OutcomeOverload)
+}
--- /dev/null
+++ b/internal/experiment/experiment.go
@@ -0,0 +1,274 @@
+// Package experiment shows what callers receive under load: it runs the
+// decision modules and plain baselines through the same seeded work over small
+// fakes of engines, in simulated time and reproducible to the digit.
+//
+// Time moves in rounds of 20 ms. In each one callers send and hang up, engines
+// run a part of their batches, and entries decide on what they have heard:
+// load reports reach them late. Nothing here knows how a real engine is built;
+// the figures compare policies with each other and with the best that the fake
+// can do, and say nothing about a machine.
+package experiment
+
+import (
+	"math/rand/v2"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+// round is the step of simulated time. It is below the time for a token of a
+// stream alone (20 ms), and above what a decision takes.
+const round kumquatlug.Millis = 20
+
+// Fleet sizes of both deployments: twelve engines, four in each data centre,
+// behind an entry in each.
+const (
+	engineCount = 12
+	entryCount  = 3
+)
+
+// reportEvery and reportLag say how an entry hears of a target's load: once a
+// second, and half a second after it was so.
+const (
+	reportEvery kumquatlug.Millis = 1000
+	reportLag   kumquatlug.Millis = 500
+)
+
+var model = kumquatlug.NewKind(kumquatlug.ProtocolEngine, "assistant")
+
+// Config is what a run is made of.
+type Config struct {
+	// Scenario is one of [Scenarios].
+	Scenario Scenario
+	// Policy is one of [Policies].
+	Policy PolicyName
+	// Seed decides every random draw; the same seed gives the same digits.
+	Seed uint64
+}
+
+// world is one run in progress.
+type world struct {
+	config   Config
+	best     capacity
+	now      kumquatlug.Millis
+	engines  []*engine
+	entries  []policy
+	arrivals []*call
+	next     int
+	live     []*call
+	reports  []report
+	planner  planner
+	crashes  int
+	changes  int
+	random   *rand.Rand
+	resends  int
+}
+
+// Run plays the scenario under the policy and returns what callers received.
+func Run(c Config) Result {
+	return run(c, capacityOf(c.Scenario, c.Seed))
+}
+
+// Compare plays the scenario under each of its policies with the same requests.
+func Compare(s Scenario, seed uint64) []Result {
+	best := capacityOf(s, seed)
+	var list []Result
+	for _, p := range Policies(s) {
+		list = append(list, run(Config{Scenario: s, Policy: p, Seed: seed}, best))
+	}
+	return list
+}
+
+func run(c Config, best capacity) Result {
+	w := &world{config: c, best: best, random: rand.New(rand.NewPCG(c.Seed, 1))}
+	w.arrivals = c.Scenario.arrivals(rand.New(rand.NewPCG(c.Seed, 2)), best.plain)
+	for n := range engineCount {
+		w.engines = append(w.engines, newEngine(n, c.Scenario.roleOf(n)))
+	}
+	for n := range entryCount {
+		w.entries = append(w.entries, newPolicy(w, n))
+	}
+	w.planner = newPlanner(w)
+	for end := c.Scenario.span + c.Scenario.tail(); w.now < end; w.now += round {
+		w.step()
+	}
+	return w.result()
+}
+
+func (w *world) step() {
+	w.arrive()
+	w.hangUp()
+	for _, f := range w.config.Scenario.faults {
+		if f.at == w.now {
+			f.do(w)
+		}
+	}
+	w.report()
+	w.runEngines()
+	w.planner.tick(w.now)
+	for _, p := range w.entries {
+		p.tick(w.now)
+	}
+}
+
+func (w *world) arrive() {
+	for w.next < len(w.arrivals) && w.arrivals[w.next].arrival <= w.now {
+		c := w.arrivals[w.next]
+		w.next++
+		w.offer(c)
+	}
+}
+
+// offer brings a call through the balancer to one of the entries.
+func (w *world) offer(c *call) {
+	c.entry = w.random.IntN(entryCount)
+	w.live = append(w.live, c)
+	w.entries[c.entry].arrive(w.now, c)
+}
+
+// hangUp ends the calls whose callers have waited for as long as they can;
+// their entry cancels what it has sent.
+func (w *world) hangUp() {
+	kept := w.live[:0]
+	for _, c := range w.live {
+		if c.outcome == outcomeOpen && w.now > c.deadline {
+			w.entries[c.entry].gone(w.now, c)
+			w.cancel(c)
+			w.finish(c, outcomeLate)
+		}
+		if c.outcome == outcomeOpen {
+			kept = append(kept, c)
+		}
+	}
+	w.live = kept
+}
+
+func (w *world) cancel(c *call) {
+	if c.at != nil {
+		c.at.drop(c)
+		c.at = nil
+	}
+}
+
+func (w *world) finish(c *call, o outcome) {
+	c.outcome, c.ended = o, w.now
+}
+
+// send gives a call to a target; it reports false when there is nobody to take
+// it or the target takes no new work.
+func (w *world) send(c *call, target string) bool {
+	e := w.engine(target)
+	if e == nil || !e.accepts() {
+		return false
+	}
+	c.at = e
+	c.sends++
+	e.begun[c.entry]++
+	e.accept(w.now, c)
+	return true
+}
+
+func (w *world) refuse(c *call, retryAfter kumquatlug.Millis) {
+	c.retryAfter = retryAfter
+	w.finish(c, outcomeRefused)
+	w.sendAgain(c)
+}
+
+// fail ends a call with an error.
+func (w *world) fail(c *call) {
+	w.finish(c, outcomeFailed)
+	w.sendAgain(c)
+}
+
+// sendAgain is the caller of a request that crashes targets, who doesn't know
+// what it does and tries once more, a second later, through any entry.
+func (w *world) sendAgain(c *call) {
+	if !c.crasher || w.now > w.config.Scenario.span {
+		return
+	}
+	again := c.again(w.now + kumquatlug.Second)
+	w.resends++
+	at := w.next
+	for at < len(w.arrivals) && w.arrivals[at].arrival <= again.arrival {
+		at++
+	}
+	w.arrivals = append(w.arrivals, nil)
+	copy(w.arrivals[at+1:], w.arrivals[at:])
+	w.arrivals[at] = again
+}
+
+func (w *world) engine(name string) *engine {
+	for _, e := range w.engines {
+		if e.name == name {
+			return e
+		}
+	}
+	return nil
+}
+
+// report takes every target's load once a second, not all at the same moment,
+// and delivers what was taken half a second ago.
+func (w *world) report() {
+	for n, e := range w.engines {
+		if (w.now+kumquatlug.Millis(n)*4*round)%reportEvery == 0 {
+			w.reports = append(w.reports, e.load(w.now))
+		}
+	}
+	for len(w.reports) > 0 && w.reports[0].taken+reportLag <= w.now {
+		r := w.reports[0]
+		w.reports = w.reports[1:]
+		w.planner.report(w.now, r)
+		for _, p := range w.entries {
+			p.report(w.now, r)
+		}
+	}
+}
+
+func (w *world) runEngines() {
+	for _, e := range w.engines {
+		for _, ev := range e.run(w.now) {
+			w.deliver(ev)
+		}
+	}
+}
+
+func (w *world) deliver(ev event) {
+	c := ev.call
+	switch ev.name {
+	case eventFirst:
+		if c.first == 0 {
+			c.first = w.now + round
+		}
+	case eventDone:
+		c.at = nil
+		w.finish(c, outcomeOnTime)
+		c.ended = w.now + round
+		if c.ended > c.deadline {
+			c.outcome = outcomeLate
+		}
+	case eventPrefilled:
+		c.at = nil
+		if c.first == 0 {
+			c.first = w.now + round
+		}
+	case eventCrash:
+		w.crash(ev.engine)
+		return
+	}
+	w.entries[c.entry].event(w.now, ev)
+}
+
+// restartAfter is how long a crashed engine takes to load its model again.
+const restartAfter = 30 * kumquatlug.Second
+
+func (w *world) crash(e *engine) {
+	w.crashes++
+	w.lose(e, w.now+restartAfter)
+}
+
+// lose ends an engine with all that it has in hand.
+func (w *world) lose(e *engine, until kumquatlug.Millis) {
+	for _, c := range e.crash(until) {
+		c.at = nil
+		w.entries[c.entry].event(w.now, event{name: eventLost, call: c, engine: e})
+	}
+}
--- a/pkg/kumquatlug/admission/drain.go
+++ b/pkg/kumquatlug/admission/drain.go
@@ -76,3 +76,36 @@
 func spanAt(rate, tokens float64) kumquatlug.Millis {
 	return kumquatlug.Millis(min(tokens/rate, float64(kumquatlug.Hour)))
 }
+
+const (
+	// errorMemory makes the forecast error that of some fifty requests.
+	errorMemory = 0.98
+	// errorPrior is how much forecast wait, in milliseconds, counts as having
+	// come true, so that a few odd requests don't move the correction.
+	errorPrior = 10_000
+	// mostError bounds the correction and what one request adds to it: beyond
+	// it the targets were lost for a while, and to count that as overtaking
+	// would refuse what they can serve when they are back.
+	mostError = 4
+)
+
+// forecastError learns by how much waits turn out longer than predicted. The
+// prediction knows what stands in the line and not what will come: callers that
+// arrive later take their turns before a large share, and their shorter
+// deadlines go first. Uncorrected, work with distant deadlines is let in and
+// overtaken until it is late.
+type forecastError struct {
+	actual   float64
+	forecast float64
+}
+
+func (e *forecastError) learn(actual, forecast kumquatlug.Millis) {
+	actual = min(actual, mostError*(forecast+kumquatlug.Second))
+	e.actual = errorMemory*e.actual + float64(actual)
+	e.forecast = errorMemory*e.forecast + float64(forecast)
+}
+
+func (e *forecastError) correct(wait kumquatlug.Millis) kumquatlug.Millis {
+	factor := (e.actual + errorPrior) / (e.forecast + errorPrior)
+	return kumquatlug.Millis(float64(wait) * min(max(factor, 1), mostError))
+}
--- /dev/null
+++ b/pkg/kumquatlug/admission/estimate.go
@@ -0,0 +1,202 @@
+package admission
+
+import (
+	"math"
+	"math/bits"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+// decodeWeight is what a token of output costs in tokens of prompt. An engine
+// that runs 8,000 prompt tokens a second makes some 1,300 tokens of output in a
+// full batch, six times fewer. Counted alike, the drain rate would jump
+// by that factor when the mix shifts, and the predicted waits with it.
+const decodeWeight = 6
+
+// Cost returns the cost of prompt and output tokens, in tokens of prompt, for
+// [RequestConfig] and for [Queue.Served].
+func Cost(prompt, output int64) int64 {
+	return prompt + decodeWeight*output
+}
+
+const (
+	// estimateWeight makes the means follow about the last twenty answers.
+	estimateWeight = 0.05
+	// sureness is how many mean deviations are added: about 95 of 100 answers
+	// are shorter. With the mean alone, an overloaded entry, which serves each
+	// request as late as its deadline allows, would be late with every second.
+	sureness = 1.5
+	// oblivion is the time in which most of what was learned is forgotten
+	// unless new answers confirm it. Requests that seem hopeless are refused,
+	// and what is refused teaches nothing: without it one bad minute could
+	// refuse a caller's documents for ever.
+	oblivion = 20 * kumquatlug.Second
+)
+
+// EstimatorConfig is what an [Estimator] is made of: what is taken for true of
+// a kind of work before its first answers.
+type EstimatorConfig struct {
+	// Output is the expected output in tokens. Default 200, a few paragraphs.
+	Output float64
+	// PromptRate is prompt tokens a second of a request that is alone.
+	// Default 8,000, a mid-sized model on one accelerator.
+	PromptRate float64
+	// TokenGap is milliseconds from one token of output to the next. Default
+	// 29, the time that 95 in 100 gaps are to keep at full load.
+	TokenGap float64
+}
+
+// Estimator learns from answers how much output a caller's requests bring and
+// how long they take once sent. Short and long prompts are told apart, since
+// one account sends both questions and documents.
+type Estimator struct {
+	config  EstimatorConfig
+	gaps    map[kumquatlug.Kind]*estimate
+	firsts  map[sized]*estimate
+	outputs map[sized]*estimate
+}
+
+// sized tells requests apart by their prompts' length, within a factor of four;
+// the caller is empty where all callers count together.
+type sized struct {
+	caller string
+	kind   kumquatlug.Kind
+	size   int
+}
+
+func sizedAs(caller string, kind kumquatlug.Kind, prompt int64) sized {
+	return sized{caller: caller, kind: kind, size: bits.Len64(uint64(max(prompt, 0))) / 2}
+}
+
+// estimate is a moving mean with its mean deviation, which falls back to what
+// was assumed at first.
+type estimate struct {
+	assumed   float64
+	mean      float64
+	deviation float64
+	learned   kumquatlug.Millis
+}
+
+func newEstimate(assumed float64) *estimate {
+	return &estimate{assumed: assumed, mean: assumed, deviation: assumed / 8}
+}
+
+func (e *estimate) learn(now kumquatlug.Millis, value float64) {
+	e.forget(now)
+	off := value - e.mean
+	e.mean += estimateWeight * off
+	e.deviation += estimateWeight * (math.Abs(off) - e.deviation)
+}
+
+func (e *estimate) forget(now kumquatlug.Millis) {
+	keep := math.Exp(-float64(now-e.learned) / float64(oblivion))
+	e.learned = now
+	e.mean = e.assumed + keep*(e.mean-e.assumed)
+	e.deviation = e.assumed/8 + keep*(e.deviation-e.assumed/8)
+}
+
+func (e *estimate) high(now kumquatlug.Millis) float64 {
+	e.forget(now)
+	return e.mean + sureness*e.deviation
+}
+
+// NewEstimator returns an estimator that has seen no answers.
+func NewEstimator(c EstimatorConfig) *Estimator {
+	if c.Output <= 0 {
+		c.Output = 200
+	}
+	if c.PromptRate <= 0 {
+		c.PromptRate = 8000
+	}
+	if c.TokenGap <= 0 {
+		c.TokenGap = 29
+	}
+	return &Estimator{
+		config: c, gaps: make(map[kumquatlug.Kind]*estimate),
+		firsts: make(map[sized]*estimate), outputs: make(map[sized]*estimate),
+	}
+}
+
+// Output returns the expected output of a request with so long a prompt, in
+// tokens.
+func (e *Estimator) Output(now kumquatlug.Millis, caller string, kind kumquatlug.Kind, prompt int64) int64 {
+	o := e.output(caller, kind, prompt)
+	o.forget(now)
+	return int64(o.mean)
+}
+
+// Service returns how long an answer takes from sending to its last token, such
+// that 95 of 100 take less.
+func (e *Estimator) Service(now kumquatlug.Millis, caller string, kind kumquatlug.Kind, prompt int64) kumquatlug.Millis {
+	gap := e.gap(kind)
+	gap.forget(now)
+	output := e.output(caller, kind, prompt).high(now)
+	return kumquatlug.Millis(e.first(kind, prompt).high(now) + gap.mean*output)
+}
+
+// Learn takes in an answer: the spans from sending to the first token and from
+// there to the last. An answer that its caller gave up counts too, with what
+// there was of it and whole false: left out, only those that were fast enough
+// would be learned from, and the estimate would be right about them alone.
+func (e *Estimator) Learn(now kumquatlug.Millis, caller string, kind kumquatlug.Kind, a Observed) {
+	e.first(kind, a.Prompt).learn(now, float64(a.First))
+	if a.Output > 1 {
+		e.gap(kind).learn(now, float64(a.Rest)/float64(a.Output))
+	}
+	o := e.output(caller, kind, a.Prompt)
+	if a.Whole || float64(a.Output) > o.mean {
+		o.learn(now, float64(a.Output))
+	}
+}
+
+// Observed is what an answer showed.
+type Observed struct {
+	// Prompt and Output are in tokens.
+	Prompt, Output int64
+	// First is the time from sending to the first token, Rest from there to
+	// the last, in milliseconds.
+	First, Rest kumquatlug.Millis
+	// Whole is whether the answer came to its end.
+	Whole bool
+}
+
+func (e *Estimator) gap(kind kumquatlug.Kind) *estimate {
+	g, ok := e.gaps[kind]
+	if !ok {
+		g = newEstimate(e.config.TokenGap)
+		e.gaps[kind] = g
+	}
+	return g
+}
+
+func (e *Estimator) first(kind kumquatlug.Kind, prompt int64) *estimate {
+	key := sizedAs("", kind, prompt)
+	f, ok := e.firsts[key]
+	if !ok {
+		f = newEstimate(1000 * float64(prompt) / e.config.PromptRate)
+		e.firsts[key] = f
+	}
+	return f
+}
+
+func (e *Estimator) output(caller string, kind kumquatlug.Kind, prompt int64) *estimate {
+	key := sizedAs(caller, kind, prompt)
+	o, ok := e.outputs[key]
+	if !ok {
+		o = newEstimate(e.config.Output)
+		e.outputs[key] = o
+	}
+	return o
+}
+
+// Forget drops callers that sent nothing for long, so that memory is bounded by
+// who was active lately. Call it now and then.
+func (e *Estimator) Forget(now kumquatlug.Millis) {
+	for key, o := range e.outputs {
+		if now-o.learned > 10*oblivion {
+			delete(e.outputs, key)
+		}
+	}
+}
+
+func (e *Estimator) Gap(kind kumquatlug.Kind) float64 { return e.gap(kind).mean }
--- a/pkg/kumquatlug/admission/fair.go
+++ b/pkg/kumquatlug/admission/fair.go
@@ -32,6 +32,9 @@
 	class   *class
 	flow    *flow
 	marked  bool
+	// offered is when it came, predicted the wait that was foreseen then.
+	offered   kumquatlug.Millis
+	predicted kumquatlug.Millis
 }
 
 // entry is an item's place in its caller's share; the values that are compared
--- a/pkg/kumquatlug/admission/line.go
+++ b/pkg/kumquatlug/admission/line.go
@@ -17,6 +17,8 @@
 	cost     int64
 	count    int
 	drain    drain
+	error    forecastError
+	emptyAt  kumquatlug.Millis
 	// tightest is no later than the latest start of anything that waits.
 	tightest kumquatlug.Millis
 	marked   []*item
@@ -37,6 +39,9 @@
 
 func (l *line) advance(now kumquatlug.Millis) {
 	l.drain.advance(now, l.count > 0)
+	if l.count == 0 {
+		l.emptyAt = now
+	}
 }
 
 func (l *line) place(r Request) (*class, *flow) {
--- a/pkg/kumquatlug/admission/load_test.go
+++ b/pkg/kumquatlug/admission/load_test.go
@@ -1,8 +1,10 @@
 package admission
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
@@ -17,9 +19,11 @@
 	longest                        int
 }
 
-// load is one caller's work: a request of cost tokens every gap milliseconds.
+// load is a stream of work: a request of cost tokens every gap milliseconds,
+// from the account of its name unless another is named.
 type load struct {
 	caller   string
+	account  string
 	gap      kumquatlug.Millis
 	cost     int64
 	patience kumquatlug.Millis
@@ -40,7 +44,7 @@
 	t := b.tallies[w.caller]
 	t.offered++
 	r := NewRequest(RequestConfig{
-		ID: fmt.Sprint(w.caller, n), Caller: w.caller, Kind: draft, Cost: w.cost, Arrival: b.now,
+		ID: fmt.Sprint(w.caller, "-", n), Caller: cmp.Or(w.account, w.caller), Kind: draft, Cost: w.cost, Arrival: b.now,
 		Deadline: b.now + w.patience, Service: kumquatlug.Millis(w.cost / serverRate),
 	})
 	d := b.q.Offer(b.now, r)
@@ -50,9 +54,14 @@
 	b.refuse(d.Displaced())
 }
 
+func (b *bench) tally(r Request) *tally {
+	name, _, _ := strings.Cut(r.ID(), "-")
+	return b.tallies[name]
+}
+
 func (b *bench) refuse(refusals []Refusal) {
 	for _, r := range refusals {
-		t := b.tallies[r.Request().Caller()]
+		t := b.tally(r.Request())
 		t.refused++
 		held := b.now - r.Request().Arrival()
 		t.slowestRefusal = max(t.slowestRefusal, held)
@@ -77,7 +86,7 @@
 	if b.left > 0 {
 		return
 	}
-	t := b.tallies[b.serving.Caller()]
+	t := b.tally(b.serving)
 	if b.now > b.serving.Deadline() {
 		t.late++
 		return
@@ -164,6 +173,35 @@
 	t.Logf("short %+v, long %+v", *got["short"], *got["long"])
 }
 
+func TestOvertakenWorkIsToldAtOnce(t *testing.T) {
+	// Callers send documents with a long time and, without end, questions with
+	// a short one, together five times what can be served. The questions go
+	// first; a document is let in by what stands before it now, is overtaken by
+	// what comes later, and its caller learns after half a minute that it was in
+	// vain.
+	var loads []load
+	for n := range 20 {
+		desk := fmt.Sprint("desk", n)
+		loads = append(loads,
+			load{caller: fmt.Sprint("question", n), account: desk, gap: 240, cost: 300, patience: 3 * kumquatlug.Second},
+			load{caller: fmt.Sprint("document", n), account: desk, gap: 4800, cost: 6000, patience: 40 * kumquatlug.Second})
+	}
+	held, offered, served := 0, 0, int64(0)
+	for caller, c := range play(Config{}, 5*kumquatlug.Minute, loads...) {
+		served += c.onTimeTokens
+		if caller[0] == 'd' {
+			held, offered = held+c.heldLong, offered+c.offered
+		}
+	}
+	if held*100 > offered {
+		t.Errorf("%d of %d documents were told when half of their time was over", held, offered)
+	}
+	if best := int64(serverRate) * int64(270*kumquatlug.Second); served*100 < best*95 {
+		t.Errorf("%d of %d tokens on time", served, best)
+	}
+	t.Logf("%d of %d documents told late, %d tokens on time", held, offered, served)
+}
+
 func TestEarliestDeadlineFirstWithinACaller(t *testing.T) {
 	q := New(Config{})
 	for id, deadline := range []kumquatlug.Millis{9000, 3000, 6000, 3000} {
--- a/pkg/kumquatlug/admission/queue.go
+++ b/pkg/kumquatlug/admission/queue.go
@@ -45,10 +45,18 @@
 	DefaultMaxCost       = 4 << 20
 	DefaultDrainHorizon  = 10 * kumquatlug.Second
 	DefaultCheckEvery    = 50
+	DefaultStandingAfter = 5 * kumquatlug.Second
 	DefaultMinRetryAfter = kumquatlug.Second
 	DefaultMaxRetryAfter = kumquatlug.Minute
 )
 
+const (
+	// waitPart leaves a tenth of the spare time for swings of the drain rate.
+	waitPart = 0.9
+	// standingPart is what may be waited in a standing line.
+	standingPart = 0.25
+)
+
 // Config is what a [Queue] is made of.
 type Config struct {
 	// MaxCount bounds the requests that wait in one kind's line. Default 1024:
@@ -66,6 +74,10 @@
 	// CheckEvery is the time between two looks at what waits. Default 50 ms:
 	// no caller notices it, and a look at 1,024 requests takes a small part.
 	CheckEvery kumquatlug.Millis
+	// StandingAfter is how long a line may go without being empty before it
+	// counts as standing. Default 5 s: bursts that are over by then are taken
+	// in whole.
+	StandingAfter kumquatlug.Millis
 	// MinRetryAfter is the least time a refusal names. Default 1 s, the least
 	// that the Retry-After header can carry.
 	MinRetryAfter kumquatlug.Millis
@@ -89,6 +101,9 @@
 	if c.CheckEvery <= 0 {
 		c.CheckEvery = DefaultCheckEvery
 	}
+	if c.StandingAfter <= 0 {
+		c.StandingAfter = DefaultStandingAfter
+	}
 	if c.MinRetryAfter <= 0 {
 		c.MinRetryAfter = DefaultMinRetryAfter
 	}
@@ -124,11 +139,6 @@
 	}
 }
 
-// admitMargin asks for a tenth more than the predicted wait. The line of an
-// overloaded entry is as long as its deadlines allow; with nothing to spare,
-// each swing of the drain rate would make its tail late after it has waited.
-const admitMargin = 10
-
 // Offer puts r in its kind's line or refuses it at once. The decision's slices
 // are valid until the next call of the queue.
 func (q *Queue) Offer(now kumquatlug.Millis, r Request) Decision {
@@ -139,20 +149,39 @@
 		return q.refuse(r, reason, 0)
 	}
 	c, f := l.place(r)
-	wait := l.predictWait(c, f, r)
-	if late := now + wait + wait/admitMargin + r.service - r.deadline; late > 0 {
+	raw := l.predictWait(c, f, r)
+	wait := l.error.correct(raw)
+	if late := wait - q.allowedWait(now, l, r); late > 0 {
 		return q.refuse(r, ReasonDeadline, late)
 	}
 	if !q.makeRoom(l, c, f, r) {
 		return q.refuse(r, ReasonFull, 0)
 	}
-	q.enqueue(l, c, f, r)
+	it := q.enqueue(l, c, f, r)
+	it.offered, it.predicted = now, raw
 	if l.count == 1 {
 		q.lastCheck = max(q.lastCheck, now)
 	}
 	return Decision{verdict: VerdictQueued, wait: wait, displaced: q.refusals}
 }
 
+// allowedWait returns how long r may wait: a part of the time that is left when
+// its service is taken off, and less in a standing line. A line that hasn't been
+// empty for seconds isn't taking in a burst any more; it gives the targets no
+// more work than a short one would, and only makes each answer later, until
+// each swing of the drain rate makes the tail late after it has waited.
+func (q *Queue) allowedWait(now kumquatlug.Millis, l *line, r Request) kumquatlug.Millis {
+	spare := r.deadline - now - r.service
+	if spare < 0 {
+		return spare
+	}
+	part := waitPart
+	if now-l.emptyAt > q.config.StandingAfter {
+		part = standingPart
+	}
+	return kumquatlug.Millis(part * float64(spare))
+}
+
 func (q *Queue) unfit(r Request) Reason {
 	if _, known := q.items[r.id]; known {
 		return ReasonDuplicate
@@ -190,12 +219,13 @@
 	return len(q.refusals) > 0
 }
 
-func (q *Queue) enqueue(l *line, c *class, f *flow, r Request) {
+func (q *Queue) enqueue(l *line, c *class, f *flow, r Request) *item {
 	it := q.newItem()
 	q.arrivals++
 	it.request, it.arrival, it.line, it.class, it.flow = r, q.arrivals, l, c, f
 	q.items[r.id] = it
 	l.add(it)
+	return it
 }
 
 // Kinds returns the kinds with waiting work in name order; the slice is valid
@@ -230,6 +260,7 @@
 	}
 	it.line.advance(now)
 	it.line.charge(it)
+	it.line.error.learn(now-it.offered, it.predicted)
 	q.remove(it)
 	return true
 }
@@ -274,6 +305,7 @@
 		return
 	}
 	for _, it := range q.walk.late(now, l) {
+		l.error.learn(now-it.offered, it.predicted)
 		late := now + it.request.service - it.request.deadline
 		q.refusals = append(q.refusals, q.refusal(it.request, ReasonDeadline, max(late, 0)))
 		q.remove(it)
--- a/pkg/kumquatlug/admission/queue_test.go
+++ b/pkg/kumquatlug/admission/queue_test.go
@@ -22,7 +22,7 @@
 	for ; now <= kumquatlug.Minute; now += 100 {
 		q.Served(now, draft, tokens/10)
 	}
-	q.Take(now, "warm")
+	q.Cancel(now, "warm")
 	return q, now
 }
 
--- a/pkg/kumquatlug/admission/request.go
+++ b/pkg/kumquatlug/admission/request.go
@@ -32,7 +32,8 @@
 	Arrival kumquatlug.Millis
 	// Deadline is when the whole answer must be there.
 	Deadline kumquatlug.Millis
-	// Service is how long the answer is expected to take once it is sent.
+	// Service is how long the answer takes once it is sent, with nearly all
+	// answers shorter; see [Estimator].
 	Service kumquatlug.Millis
 	// Priority chooses the class, from LowestPriority to HighestPriority.
 	Priority int
--- a/pkg/kumquatlug/limit/targets.go
+++ b/pkg/kumquatlug/limit/targets.go
@@ -12,9 +12,10 @@
 	DefaultInitial   = 16
 	DefaultMin       = 1
 	DefaultMax       = 256
-	DefaultTolerance = 2.0
+	DefaultTolerance = 2.5
 	DefaultWindow    = 250
 	DefaultHighWater = 0.9
+	DefaultPending   = 16_000
 )
 
 // TargetsConfig is what [Targets] is made of. Concurrencies are of a whole
@@ -30,10 +31,10 @@
 	// Max bounds the concurrency. Default 256, the largest batch that engines
 	// are commonly started with.
 	Max int
-	// Tolerance is how many times its floor a target's time for a token may be
-	// before it is given less. Default 2: a full batch takes about twice the
-	// time of a single request for a token, and fills the engine; what takes
-	// longer than that is queueing.
+	// Tolerance is how many times its floor a target's time for the same work
+	// may be before it is given less. Default 2.5: in a well filled batch, with
+	// prompts run in between, a request takes two to three times as long as
+	// alone; what takes longer than that is queueing.
 	Tolerance float64
 	// Window is the time between two changes of a limit. Default 250 ms:
 	// some rounds of a batch, so that a change shows before the next.
@@ -42,6 +43,12 @@
 	// Default 0.9: answers grow while they are written, and an engine that runs
 	// out of memory throws out half-done ones.
 	HighWater float64
+	// MaxPending is how many tokens may be sent to a target before it has
+	// begun to answer them; one request may always be. Default 16,000: two
+	// seconds of prompts for a mid-sized model, enough to keep the engine busy
+	// until the next request. What waits inside the engine has left the fair
+	// order and can no longer be refused in time, so it had better wait here.
+	MaxPending int64
 	// Entries is how many entries send to the same targets. Default 1.
 	Entries int
 	// Random is the seeded source for rounding small parts. Entries need
@@ -68,6 +75,9 @@
 	if c.HighWater <= 0 {
 		c.HighWater = DefaultHighWater
 	}
+	if c.MaxPending <= 0 {
+		c.MaxPending = DefaultPending
+	}
 	if c.Entries < 1 {
 		c.Entries = 1
 	}
@@ -102,8 +112,9 @@
 
 // Ticket is one request in hand at a target.
 type Ticket struct {
-	target *target
-	cost   int64
+	target  *target
+	cost    int64
+	started bool
 }
 
 // Begin counts a request of so many tokens (prompt and expected output) that
@@ -113,42 +124,50 @@
 	if !ok {
 		return Ticket{}
 	}
-	g.running++
+	g.count(now, 1)
+	g.pending += cost
 	g.memory.add(now, cost)
 	g.crowded = g.crowded || float64(g.running) >= g.limit/2
 	return Ticket{target: g, cost: cost}
 }
 
+// Sample tells how long a piece of a request took: from sending to the first
+// token, and from each piece of the stream to the next, or a whole call. work
+// says how much it was, in any unit that is the same for all of a target: the
+// milliseconds it takes on an idle target, or 1 for each call of a service.
+// The first sample says that the target has begun to answer.
+func (t *Targets) Sample(now kumquatlug.Millis, k *Ticket, latency kumquatlug.Millis, work float64) {
+	g := k.target
+	if g == nil {
+		return
+	}
+	g.start(k)
+	g.sample(now, float64(latency), work)
+	t.adjust(now, g)
+}
+
 // Outcome is how a request at a target ended.
 type Outcome string
 
 // The outcomes that the limits tell apart.
 const (
-	// OutcomeDone: answered; its latency counts.
-	OutcomeDone Outcome = "done"
-	// OutcomeOverload: the target refused it or ran out of time or memory.
+	// OutcomeEnded: answered, failed or cancelled.
+	OutcomeEnded Outcome = "ended"
+	// OutcomeOverload: the target refused it for want of room, or had not begun
+	// to answer when its deadline passed.
 	OutcomeOverload Outcome = "overload"
-	// OutcomeOther: cancelled or failed; it says nothing of the target's load.
-	OutcomeOther Outcome = "other"
 )
 
-// End gives the ticket back. latency is the time that the work took: for an
-// engine the time from the first token to the last and the tokens between, for
-// a service the whole call and a work of 1. It is ignored unless the outcome is
-// OutcomeDone.
-func (t *Targets) End(now kumquatlug.Millis, k Ticket, o Outcome, latency kumquatlug.Millis, work int64) {
+// End gives the ticket back.
+func (t *Targets) End(now kumquatlug.Millis, k Ticket, o Outcome) {
 	g := k.target
 	if g == nil {
 		return
 	}
-	g.running--
+	g.start(&k)
+	g.count(now, -1)
 	g.memory.add(now, -k.cost)
-	switch {
-	case o == OutcomeDone && work > 0:
-		g.sample(now, float64(latency)/float64(work))
-	case o == OutcomeOverload:
-		g.overloaded = true
-	}
+	g.overloaded = g.overloaded || o == OutcomeOverload
 	t.adjust(now, g)
 }
 
@@ -182,7 +201,7 @@
 // Room reports whether a target may be given a request of so many tokens now.
 func (t *Targets) Room(name string, cost int64) bool {
 	g, ok := t.targets[name]
-	return ok && t.free(g) > 0 && g.memory.room(t.config, g.coin, cost)
+	return ok && t.free(g) > 0 && t.mayWait(g, cost) && g.memory.room(t.config, g.coin, cost)
 }
 
 // Free returns how many more requests the concurrency limit allows.
@@ -207,30 +226,41 @@
 	return max(int(math.Round(limit))-g.running, 0)
 }
 
+func (t *Targets) mayWait(g *target, cost int64) bool {
+	return g.pending == 0 || g.pending+cost <= t.config.MaxPending/int64(t.config.Entries)
+}
+
 func (t *Targets) most() float64 {
 	part := float64(t.config.Max) / float64(t.config.Entries)
 	return max(part, float64(t.config.Min))
 }
 
-// target is one target's concurrency. floor and recent are milliseconds for a
-// token: the least seen, rising slowly, and a short mean.
+// target is one target's concurrency.
 type target struct {
-	limit      float64
-	running    int
+	limit   float64
+	running int
+	// pending are the tokens sent that it has not begun to answer.
+	pending int64
+	// latency and work are decayed sums; their ratio is the recent slowness,
+	// and floor the least of it, rising slowly.
+	latency    float64
+	work       float64
 	floor      float64
-	recent     float64
+	sampledAt  kumquatlug.Millis
+	sampled    bool
+	busy       float64
+	countedAt  kumquatlug.Millis
 	changed    kumquatlug.Millis
 	waiting    int64
 	coin       float64
 	crowded    bool
-	sampled    bool
-	sampledAt  kumquatlug.Millis
 	overloaded bool
 	memory     memory
 }
 
-// sampleWeight makes the mean follow about the last ten answers.
-const sampleWeight = 0.2
+// recentSpan is how far back the slowness looks, in milliseconds: some hundred
+// pieces of streams, and short beside the seconds in which a batch turns over.
+const recentSpan = 2000.0
 
 // floorDoubles lets the floor rise slowly, so that a target that got slower for
 // good isn't held to its old floor for ever. It is slow because a target that
@@ -238,16 +268,36 @@
 // makes crowding look normal, and several entries raise it together.
 const floorDoubles = float64(kumquatlug.Hour)
 
-func (g *target) sample(now kumquatlug.Millis, perToken float64) {
-	if g.floor == 0 {
-		g.floor, g.recent, g.sampledAt = perToken, perToken, now
+func (g *target) start(k *Ticket) {
+	if k.started {
+		return
+	}
+	k.started = true
+	g.pending -= k.cost
+}
+
+// count changes the number in hand and keeps its recent mean.
+func (g *target) count(now kumquatlug.Millis, by int) {
+	keep := math.Exp(-float64(now-g.countedAt) / recentSpan)
+	g.busy = keep*g.busy + (1-keep)*float64(g.running)
+	g.countedAt = now
+	g.running += by
+}
+
+func (g *target) sample(now kumquatlug.Millis, latency, work float64) {
+	span := float64(now - g.sampledAt)
+	keep := math.Exp(-span / recentSpan)
+	g.latency = keep*g.latency + latency
+	g.work = keep*g.work + work
+	g.floor *= 1 + span/floorDoubles
+	if seen := g.slowness(); g.floor == 0 || seen < g.floor {
+		g.floor = seen
 	}
-	g.floor *= 1 + float64(now-g.sampledAt)/floorDoubles
-	g.floor = min(g.floor, perToken)
-	g.recent += (perToken - g.recent) * sampleWeight
 	g.sampled, g.sampledAt = true, now
 }
 
+func (g *target) slowness() float64 { return g.latency / max(g.work, math.SmallestNonzeroFloat64) }
+
 const (
 	// backoff is the cut at a sign of overload, as in congestion control: the
 	// queue inside the target empties within some windows.
@@ -258,13 +308,14 @@
 )
 
 // adjust changes the limit once a window: down by a fixed part at a sign of
-// overload, else by how far the time for a token lies above its tolerated
-// floor, with a step up of the root of the limit where the limit was in use.
-// The entries that share a target step so that together they step as one.
+// overload, down by how far the slowness lies above its tolerated floor, or up
+// by the root of the limit where the limit was in use. The entries that share
+// a target step so that together they step as one.
 func (t *Targets) adjust(now kumquatlug.Millis, g *target) {
 	if now-g.changed < t.config.Window || !g.sampled && !g.overloaded {
 		return
 	}
+	g.count(now, 0)
 	if g.overloaded {
 		g.limit *= backoff
 	} else {
@@ -276,14 +327,17 @@
 	g.crowded = float64(g.running) >= g.limit/2
 }
 
+// nextLimit cuts from the number that was in hand while it was slow, not from
+// the limit itself: latency falls only some time after the limit, and cuts on
+// cuts in between would starve the target.
 func (t *Targets) nextLimit(g *target) float64 {
-	gradient := 1.0
-	if g.recent > 0 {
-		gradient = min(max(t.config.Tolerance*g.floor/g.recent, leastGradient), 1)
+	step := math.Sqrt(g.limit / float64(t.config.Entries))
+	gradient := t.config.Tolerance * g.floor / g.slowness()
+	if gradient < 1 {
+		return min(g.limit, g.busy*max(gradient, leastGradient)+step)
 	}
-	next := g.limit * gradient
 	if g.crowded && g.waiting == 0 {
-		next += math.Sqrt(g.limit / float64(t.config.Entries))
+		return g.limit + step
 	}
-	return next
+	return g.limit
 }
