--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -39,12 +39,13 @@
 
 func (s *sequence) ended() bool { return s.finished.Load() || s.cut.Load() }
 
-// submit puts s in line and starts the loop if it rests.
+// submit puts s in line, behind those of its priority and above, and starts the
+// loop if it rests.
 func (e *Engine) submit(s *sequence) {
 	e.arrivals++
 	s.arrival = e.arrivals
 	i := sort.Search(len(e.waiting), func(i int) bool {
-		return e.waiting[i].priority > s.priority
+		return e.waiting[i].priority < s.priority
 	})
 	e.waiting = append(e.waiting, nil)
 	copy(e.waiting[i+1:], e.waiting[i:])
@@ -279,6 +280,17 @@
 	}
 }
 
+// reported returns the load as it was one lag ago, with the tokens of the rate
+// window before that in place of all.
+func (e *Engine) reported() load {
+	at := e.clock.Now() - e.config.LoadLag
+	l := e.loadAt(at)
+	before := e.loadAt(at - rateWindow)
+	l.prefilled -= before.prefilled
+	l.decoded -= before.decoded
+	return l
+}
+
 // loadAt returns the load as it was at a time.
 func (e *Engine) loadAt(at kumquatlug.Millis) load {
 	i := sort.Search(len(e.samples), func(i int) bool { return e.samples[i].at > at })
--- a/internal/standin/engine/work.go
+++ b/internal/standin/engine/work.go
@@ -7,11 +7,12 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"time"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"github.com/kumquatlug/kumquatlug/internal/standin"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
 
@@ -32,7 +33,7 @@
 		IncludeUsage    bool `json:"include_usage"`
 		ContinuousUsage bool `json:"continuous_usage_stats"`
 	} `json:"stream_options"`
-	// Priority: the smaller is served first, as with vLLM.
+	// Priority: the higher is served first.
 	Priority     int `json:"priority"`
 	ResumeTokens int `json:"resume_tokens"`
 
@@ -58,9 +59,14 @@
 
 func (e *Engine) completions(w http.ResponseWriter, r *http.Request) {
 	var t task
-	if read(w, r, &t) {
-		e.serve(w, r, t)
+	if !read(w, r, &t) {
+		return
+	}
+	if t.Prompt == "" {
+		refuse(w, http.StatusBadRequest, "invalid_request", "there is no prompt")
+		return
 	}
+	e.serve(w, r, t)
 }
 
 func (e *Engine) chat(w http.ResponseWriter, r *http.Request) {
@@ -83,6 +89,9 @@
 		return
 	}
 	defer e.drop(s)
+	if t.Model == "" {
+		t.Model = e.config.Models[0]
+	}
 	t.id = "cmpl-" + strconv.FormatInt(s.arrival, 10)
 	var err error
 	if t.Stream {
@@ -171,23 +180,20 @@
 			return err
 		}
 	}
-	text := ""
-	for _, token := range Answer(s.prompt, s.total)[s.resumed:] {
-		text += token
-	}
+	text := strings.Join(Answer(s.prompt, s.total)[s.resumed:], "")
 	type choice struct {
 		Index   int      `json:"index"`
-		Text    string   `json:"text,omitempty"`
+		Text    *string  `json:"text,omitempty"`
 		Message *Message `json:"message,omitempty"`
 		Finish  string   `json:"finish_reason"`
 	}
-	c := choice{Text: text, Finish: t.finishReason()}
+	c := choice{Text: &text, Finish: t.finishReason()}
 	object := "text_completion"
 	if t.chat {
 		c = choice{Message: &Message{Role: "assistant", Content: text}, Finish: c.Finish}
 		object = "chat.completion"
 	}
-	reply(w, http.StatusOK, struct {
+	standin.Reply(w, http.StatusOK, struct {
 		ID      string   `json:"id"`
 		Object  string   `json:"object"`
 		Created int64    `json:"created"`
@@ -208,8 +214,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Cache-Control", "no-cache")
 	tokens := Answer(s.prompt, s.total)
-	seen := s.resumed
-	for seen < s.total {
+	for seen := s.resumed; ; {
 		n, err := await(ctx, s, seen)
 		if err != nil {
 			return err
@@ -217,6 +222,9 @@
 		for ; seen < n; seen++ {
 			c.add(tokens[seen], seen+1)
 		}
+		if seen == s.total {
+			break
+		}
 		if _, err := w.Write(c.take()); err != nil {
 			return err
 		}
@@ -324,7 +332,7 @@
 	if _, err := await(r.Context(), s, 0); err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	reply(w, http.StatusOK, struct {
+	standin.Reply(w, http.StatusOK, struct {
 		Handle string `json:"handle"`
 		Tokens int    `json:"tokens"`
 	}{handleOf(prompt), s.promptTokens})
@@ -345,7 +353,7 @@
 		return
 	}
 	span := kumquatlug.Millis(tokens) * kumquatlug.Second / kumquatlug.Millis(e.config.PrefillRate*importSpeed)
-	if !wait(r.Context(), e.scaled(span)) {
+	if standin.Wait(r.Context(), e.scaled(span)) != nil {
 		return
 	}
 	e.mu.Lock()
@@ -358,19 +366,7 @@
 		refuse(w, http.StatusServiceUnavailable, "full", "too many imported KV caches are unused")
 		return
 	}
-	reply(w, http.StatusOK, struct {
+	standin.Reply(w, http.StatusOK, struct {
 		Tokens int `json:"tokens"`
 	}{tokens})
 }
-
-// wait reports whether the span passed before the caller left.
-func wait(ctx context.Context, span kumquatlug.Millis) bool {
-	t := time.NewTimer(span.Duration())
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/standin/platform/memory.go
+++ b/internal/standin/platform/memory.go
@@ -1,14 +1,16 @@
 package platform
 
 import (
+	"bytes"
 	"context"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/kumquatlug/kumquatlug/internal/standin"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/clock"
 )
@@ -178,7 +180,8 @@
 		delete(m.rows, w.Key())
 		return
 	}
-	value := append([]byte(nil), w.Value()...)
+	// Clipped, so that a reader who appends to it does not write into it.
+	value := slices.Clip(bytes.Clone(w.Value()))
 	m.rows[w.Key()] = kumquatlug.NewRow(w.Key(), value, m.version)
 }
 
@@ -189,7 +192,7 @@
 	}
 	defer m.mu.Unlock()
 	m.counts.writes++
-	m.objects[name] = append([]byte(nil), body...)
+	m.objects[name] = bytes.Clone(body)
 	return nil
 }
 
@@ -204,7 +207,7 @@
 	if !ok {
 		return nil, errors.Mark(errors.Newf("object %q", name), kumquatlug.ErrNotFound)
 	}
-	return append([]byte(nil), body...), nil
+	return bytes.Clone(body), nil
 }
 
 // List returns the VMs by name, as they were one lag ago.
@@ -264,7 +267,7 @@
 	m.mu.Lock()
 	slow := m.faults.Slow
 	m.mu.Unlock()
-	if err := wait(ctx, slow); err != nil {
+	if err := standin.Wait(ctx, slow); err != nil {
 		return errors.Mark(err, kumquatlug.ErrUnavailable)
 	}
 	m.mu.Lock()
@@ -274,17 +277,3 @@
 	}
 	return nil
 }
-
-func wait(ctx context.Context, span kumquatlug.Millis) error {
-	if span <= 0 {
-		return ctx.Err()
-	}
-	t := time.NewTimer(span.Duration())
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
