Add drain: planned stops and leaving without cut or late work

Cause: a stop that ends at once cuts answers, one with a timeout cuts the long ones, one that refuses while the balancer still sends makes errors; and a leaving target gets work from every entry that hasn't heard.

--- /dev/null
+++ b/pkg/kumquatlug/drain/drain_test.go
@@ -0,0 +1,128 @@
+package drain
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+// serving returns a drain that knows a config of revision 1.
+func serving(c Config) *Drain {
+	d := New(c)
+	d.Label(1, false, 0)
+	return d
+}
+
+func TestPlannedStopOfAnEntry(t *testing.T) {
+	// An entry is stopped while an answer streams and the balancer still sends
+	// callers to it. Whoever comes within the balancer's lag must be served,
+	// and the stream must not be cut, though it runs for an hour.
+	d := serving(Config{Lag: EntryLag, RetryAfter: kumquatlug.Second})
+	stream := NewRequest(1, false)
+	if a := d.Begin(stream, 0); !a.Accepted() {
+		t.Fatal(a.Reason())
+	}
+	d.Stop(100)
+	steps := []struct {
+		now    kumquatlug.Millis
+		state  State
+		accept bool
+	}{
+		{100, StateUnready, true},
+		{100 + EntryLag - 1, StateUnready, true},
+		{100 + EntryLag, StateRefusing, false},
+		{kumquatlug.Hour, StateRefusing, false},
+	}
+	for _, s := range steps {
+		if got := d.State(s.now); got != s.state {
+			t.Errorf("at %d: %q, want %q", s.now, got, s.state)
+		}
+		a := d.Begin(stream, s.now)
+		if a.Accepted() != s.accept {
+			t.Errorf("at %d: accepted %v", s.now, a.Accepted())
+		}
+		if f := kumquatlug.FailureOf(a.Failure()); !s.accept && (f.Ran() != kumquatlug.RanNot || f.RetryAfter() != kumquatlug.Second) {
+			t.Errorf("at %d: refused with %v", s.now, f)
+		}
+	}
+	for range 3 {
+		if err := d.End(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := d.State(kumquatlug.Hour); got != StateDone {
+		t.Errorf("with nothing in hand: %q", got)
+	}
+	if err := d.End(); err == nil {
+		t.Error("work ended twice without an error")
+	}
+}
+
+func TestReasonsToLeave(t *testing.T) {
+	// A target is leaving, but only one source says so, or a source that lags
+	// says otherwise again. An entry that has not heard of it goes on sending.
+	label := func(revision int64, leaving bool) func(*Drain) {
+		return func(d *Drain) { d.Label(revision, leaving, 1) }
+	}
+	list := func(s kumquatlug.VMState, now kumquatlug.Millis) func(*Drain) {
+		return func(d *Drain) { d.List(s, now) }
+	}
+	live, leaving := kumquatlug.VMLive, kumquatlug.VMLeaving
+	cases := map[string]struct {
+		events []func(*Drain)
+		want   Reason
+	}{
+		"label alone":              {[]func(*Drain){label(2, true), list(live, 1)}, ReasonLabel},
+		"list alone":               {[]func(*Drain){list(leaving, 1)}, ReasonList},
+		"lower revision":           {[]func(*Drain){label(3, true), label(2, false)}, ReasonLabel},
+		"label taken back":         {[]func(*Drain){label(2, true), label(3, false)}, ""},
+		"old news in the list":     {[]func(*Drain){list(leaving, 1), list(live, 2), list(live, 100)}, ReasonList},
+		"list settles":             {[]func(*Drain){list(leaving, 1), list(live, 2), list(live, 2+DefaultSettle)}, ""},
+		"list wavers":              {[]func(*Drain){list(live, 2), list(leaving, 3), list(live, 4), list(leaving, 5), list(live, 4+DefaultSettle)}, ReasonList},
+		"order":                    {[]func(*Drain){func(d *Drain) { d.Order(true, 1) }}, ReasonOrder},
+		"order done, label stands": {[]func(*Drain){label(2, true), func(d *Drain) { d.Order(true, 1); d.Order(false, 2) }}, ReasonLabel},
+		"stop":                     {[]func(*Drain){func(d *Drain) { d.Stop(1) }, label(2, false)}, ReasonStop},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := serving(Config{})
+			for _, event := range c.events {
+				event(d)
+			}
+			a := d.Begin(NewRequest(1, false), kumquatlug.Hour)
+			if a.Reason() != c.want {
+				t.Errorf("reason %q, want %q", a.Reason(), c.want)
+			}
+		})
+	}
+}
+
+func TestConfigOfTheReceiverHolds(t *testing.T) {
+	// An agent has just started, or is behind the entry that sends to it. Work
+	// that slipped in meanwhile would reach a target that is leaving.
+	d := New(Config{})
+	if a := d.Begin(NewRequest(7, false), 0); a.Reason() != ReasonUnknown || !a.Behind() {
+		t.Errorf("before the first config: %q, behind %v", a.Reason(), a.Behind())
+	}
+	d.Label(7, false, 0)
+	if a := d.Begin(NewRequest(8, true), 0); a.Reason() != ReasonForbidden || !a.Behind() {
+		t.Errorf("forbidden by an older config: %q, behind %v", a.Reason(), a.Behind())
+	}
+	if a := d.Begin(NewRequest(6, false), 0); !a.Accepted() || a.Behind() {
+		t.Errorf("older entry: %q, behind %v", a.Reason(), a.Behind())
+	}
+}
+
+func ExampleDrain() {
+	d := New(Config{})
+	d.Label(1, false, 0)
+	d.Begin(NewRequest(1, false), 0)
+	d.Label(2, true, 10)
+	fmt.Println(d.Begin(NewRequest(1, false), 11).Reason(), d.State(11))
+	_ = d.End()
+	fmt.Println(d.State(12))
+	// Output:
+	// leaving_by_label refusing
+	// done
+}
--- a/pkg/kumquatlug/stream/proof_test.go
+++ b/pkg/kumquatlug/stream/proof_test.go
@@ -13,35 +13,6 @@
 	"github.com/leanovate/gopter/gen"
 )
 
-// proofRuns is the number of command sequences; KUMQUATLUG_PROOF_RUNS asks for
-// more, KUMQUATLUG_PROOF_SEED for others.
-func proofParameters(t *testing.T, runs, steps int) *gopter.TestParameters {
-	t.Helper()
-	seed := int64(5)
-	if text := os.Getenv("KUMQUATLUG_PROOF_RUNS"); text != "" {
-		runs = number(t, text)
-	}
-	if text := os.Getenv("KUMQUATLUG_PROOF_SEED"); text != "" {
-		seed = int64(number(t, text))
-	}
-	p := gopter.DefaultTestParametersWithSeed(seed)
-	p.MinSuccessfulTests = runs
-	p.MaxSize = steps
-	p.MinSize = steps
-	p.Workers = 1
-	t.Logf("seed %d, %d runs of %d steps", seed, runs, steps)
-	return p
-}
-
-func number(t *testing.T, text string) int {
-	t.Helper()
-	n, err := strconv.Atoi(text)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return n
-}
-
 // answerLength is the length of the oracle's answer in tokens.
 const answerLength = 12
 
@@ -212,3 +183,27 @@
 		t.Error("the runs did not reach both ends")
 	}
 }
+
+// proofParameters fixes the seed and the number of command sequences;
+// KUMQUATLUG_PROOF_RUNS asks for more, KUMQUATLUG_PROOF_SEED for others.
+func proofParameters(t *testing.T, runs, steps int) *gopter.TestParameters {
+	t.Helper()
+	p := gopter.DefaultTestParametersWithSeed(int64(setting(t, "KUMQUATLUG_PROOF_SEED", 5)))
+	p.MinSuccessfulTests = setting(t, "KUMQUATLUG_PROOF_RUNS", runs)
+	p.MaxSize, p.MinSize, p.Workers = steps, steps, 1
+	t.Logf("%d runs of %d steps", p.MinSuccessfulTests, steps)
+	return p
+}
+
+func setting(t *testing.T, name string, fallback int) int {
+	t.Helper()
+	text := os.Getenv(name)
+	if text == "" {
+		return fallback
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
