--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -192,7 +192,7 @@
 	}
 	defer answer.Body().Close()
 	if answer.Status() == http.StatusServiceUnavailable && work.Kind().Protocol() == kumquatlug.ProtocolEngine {
-		d.refuse(w, work, d.failure("call target", "engine_refused", nil))
+		d.refuse(w, work, d.failure("call target", dispatch.ReasonFull, nil))
 		return
 	}
 	end := d.passOn(w, answer)
--- a/pkg/kumquatlug/dispatch/request.go
+++ b/pkg/kumquatlug/dispatch/request.go
@@ -47,6 +47,7 @@
 	ticket   limit.Ticket
 	sentAt   kumquatlug.Millis
 	firstAt  kumquatlug.Millis
+	stepAt   kumquatlug.Millis
 	tokens   int64
 	cached   int
 	dueAt    kumquatlug.Millis
@@ -61,8 +62,13 @@
 
 // expected is how long the work takes at the usual rates, in milliseconds.
 func (r *request) expected() float64 {
+	return workOf(r.c.PrefillTokens, r.c.DecodeTokens)
+}
+
+// workOf is how long so many tokens take at the usual rates, in milliseconds.
+func workOf(prefill, decode int64) float64 {
 	const millis = float64(kumquatlug.Second)
-	return float64(r.c.PrefillTokens)*millis/prefillRate + float64(r.c.DecodeTokens)*millis/decodeRate
+	return float64(prefill)*millis/prefillRate + float64(decode)*millis/decodeRate
 }
 
 // final is the answer to a request that is given up after attempts. What the
@@ -195,7 +201,7 @@
 	if !kept {
 		return d.serve(now)
 	}
-	d.release(now, r, limit.OutcomeOther, 0, 0)
+	d.release(now, r, endOf(f))
 	r.last = f.Failure
 	r.mayHaveRun = r.mayHaveRun || f.Failure.Ran() != kumquatlug.RanNot
 	if f.Final {
@@ -229,10 +235,12 @@
 	d.outcome(now, r, false, 0)
 }
 
-// Reasons with which an agent refuses work because its target goes away.
+// Reasons with which an agent refuses work because its target goes away or has
+// no room.
 const (
 	ReasonLeaving  = "target_leaving"
 	ReasonStopping = "target_stopping"
+	ReasonFull     = "engine_refused"
 )
 
 // noteLeaving takes a refusal for what it tells of the target. Until the next
@@ -261,12 +269,20 @@
 }
 
 // release gives the target's place back.
-func (d *Dispatcher) release(now kumquatlug.Millis, r *request, o limit.Outcome, latency kumquatlug.Millis, work int64) {
+func (d *Dispatcher) release(now kumquatlug.Millis, r *request, o limit.Outcome) {
 	r.inHand = false
-	d.targets.End(now, r.ticket, o, latency, work)
+	d.targets.End(now, r.ticket, o)
 	d.router.Finished(now, r.target, r.c.ID)
 }
 
+// endOf tells a target that was full from one that failed otherwise.
+func endOf(f Failed) limit.Outcome {
+	if f.Failure.Reason() == ReasonFull {
+		return limit.OutcomeOverload
+	}
+	return limit.OutcomeEnded
+}
+
 // Progress takes that a request's caller has received tokens of output in all.
 func (d *Dispatcher) Progress(now kumquatlug.Millis, id string, tokens int64) []Decision {
 	d.begin()
@@ -275,10 +291,14 @@
 		return d.out
 	}
 	portion := tokens - r.tokens
+	work := workOf(0, portion)
 	if r.firstAt == 0 {
-		r.firstAt = now
+		r.firstAt, r.stepAt = now, r.sentAt
 		portion += r.c.PrefillTokens
+		work = workOf(r.c.PrefillTokens, 1)
 	}
+	d.targets.Sample(now, &r.ticket, now-r.stepAt, work)
+	r.stepAt = now
 	r.tokens = tokens
 	d.router.Progress(now, r.target, id, int(tokens))
 	d.queue.Served(now, r.c.Kind, portion)
@@ -300,15 +320,14 @@
 	if !kept {
 		return d.serve(now)
 	}
-	latency, work := now-r.sentAt, int64(1)
-	if r.firstAt != 0 && o.Tokens > 1 {
-		latency, work = now-r.firstAt, o.Tokens-1
-	}
 	served := max(0, o.Tokens-r.tokens)
 	if r.firstAt == 0 {
 		served += r.c.PrefillTokens
 	}
-	d.release(now, r, limit.OutcomeDone, latency, work)
+	if r.c.Kind.Protocol() == kumquatlug.ProtocolService {
+		d.targets.Sample(now, &r.ticket, now-r.sentAt, 1)
+	}
+	d.release(now, r, limit.OutcomeEnded)
 	d.queue.Served(now, r.c.Kind, served)
 	if len(r.c.Prefix) > 0 {
 		d.router.Hit(r.target, r.cached, int(o.Cached))
@@ -349,7 +368,7 @@
 		return d.out
 	}
 	if r.inHand {
-		d.release(now, r, limit.OutcomeOther, 0, 0)
+		d.release(now, r, limit.OutcomeEnded)
 	}
 	d.queue.Cancel(now, id)
 	d.due = without(d.due, r)
