--- a/cmd/kumquatlug/agent.go
+++ b/cmd/kumquatlug/agent.go
@@ -74,7 +74,7 @@
 	client := s.client()
 	c := agent.Config{
 		Name: s.name, Zone: s.zone, Listener: l, Keys: n.keys, ChecksFence: s.checksFence,
-		Table: client, Objects: client, Clock: n.clock, Logger: n.logger, Registry: n.registry, Ring: n.ring,
+		Table: client, Objects: client, VMs: client, Clock: n.clock, Logger: n.logger, Registry: n.registry, Ring: n.ring,
 	}
 	s.setTarget(&c)
 	a, err := agent.New(c)
--- a/cmd/kumquatlug/dev.go
+++ b/cmd/kumquatlug/dev.go
@@ -179,7 +179,7 @@
 	client := s.client()
 	c := agent.Config{
 		Name: s.name, Zone: s.zone, Listener: l,
-		Table: client, Objects: client, Clock: n.clock, Logger: n.logger, Registry: n.registry, Ring: n.ring,
+		Table: client, Objects: client, VMs: client, Clock: n.clock, Logger: n.logger, Registry: n.registry, Ring: n.ring,
 	}
 	s.setTarget(&c)
 	a, err := agent.New(c)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -20,6 +20,7 @@
 	"github.com/kumquatlug/kumquatlug/internal/timeline"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/config"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/drain"
 )
 
 // Config is what an [Agent] is made of.
@@ -40,10 +41,15 @@
 	ChecksFence bool
 	Table       kumquatlug.Table
 	Objects     kumquatlug.Objects
-	Clock       kumquatlug.Clock
-	Logger      *zap.Logger
-	Registry    *prometheus.Registry
-	Ring        *timeline.Ring
+	VMs         kumquatlug.VMs
+	// Silence is after how long without an entry's heartbeat the agent asks for
+	// itself before it takes new work, in milliseconds; zero means the default
+	// of package drain.
+	Silence  kumquatlug.Millis
+	Clock    kumquatlug.Clock
+	Logger   *zap.Logger
+	Registry *prometheus.Registry
+	Ring     *timeline.Ring
 }
 
 // Agent is the process beside one target.
@@ -53,6 +59,7 @@
 	follower    *peer.Follower
 	dialer      *peer.Dialer
 	work        *workDesk
+	hand        *hand
 	watch       *watch
 	metrics     *metrics
 }
@@ -60,18 +67,41 @@
 // New returns an agent that is ready to run.
 func New(c Config) (*Agent, error) {
 	a := &Agent{c: c, incarnation: ulid.Make().String(), dialer: peer.NewDialer(c.Keys)}
+	if a.c.Silence == 0 {
+		a.c.Silence = drain.AgentSilence
+	}
 	a.metrics = newMetrics(c.Registry)
+	a.watch = &watch{agent: a}
+	a.hand = newHand(a)
 	a.follower = peer.NewFollower(peer.FollowerConfig{
 		Me: c.Name, Dialer: a.dialer, Clock: c.Clock, Ring: c.Ring, Logger: c.Logger,
 		Store: config.NewStore(config.StoreConfig{Table: c.Table, Objects: c.Objects}),
-		Live:  func() []string { return nil }, Passive: true,
+		Live:  func() []string { return nil }, Passive: true, OnState: a.followConfig,
 	})
-	a.watch = newWatch(a)
 	work, err := newWorkDesk(a)
 	a.work = work
 	return a, err
 }
 
+// followConfig hands a config that came into force to the drain. It is called
+// for each revision, also where the label stays the same.
+func (a *Agent) followConfig(state config.State) {
+	labels, err := config.Labels(state, a.c.Name)
+	if err != nil || state.Revision() == 0 {
+		return
+	}
+	a.hand.with(func(now kumquatlug.Millis) {
+		a.hand.drain.Label(int64(state.Revision()), labels.Leaving(), now)
+	})
+}
+
+// failure returns a refusal before anything was sent to the target.
+func (a *Agent) failure(step, reason string, cause error) *kumquatlug.Failure {
+	return kumquatlug.NewFailure(kumquatlug.FailureConfig{
+		Step: step, Peer: a.c.Name, Reason: reason, Ran: kumquatlug.RanNot, Cause: cause,
+	})
+}
+
 // Protocol returns how the target is spoken to.
 func (a *Agent) Protocol() kumquatlug.Protocol {
 	if a.c.Engine != nil {
@@ -86,9 +116,11 @@
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var group run.Group
-	peer.AddDuty(background, &group, a.follower.Run)
-	peer.AddDuty(background, &group, a.watch.run)
-	peer.AddDuty(background, &group, a.work.ledger.Run)
+	for _, duty := range []func(context.Context) error{
+		a.follower.Run, a.watch.run, a.askWhenSilent, a.carryOrders, a.work.ledger.Run,
+	} {
+		peer.AddDuty(background, &group, duty)
+	}
 	peer.AddServer(&group, "serve entries", &http.Server{Handler: a.handler(), TLSConfig: a.c.Keys.Server()}, a.c.Listener)
 	group.Add(func() error {
 		<-ctx.Done()
@@ -115,9 +147,9 @@
 // drain refuses new work and waits for all that is in hand; no time limit cuts
 // a call that is being answered.
 func (a *Agent) drain(ctx context.Context) {
-	a.work.stop()
+	a.hand.stop()
 	a.c.Ring.Add(timeline.Record{Name: timeline.StateChanged, Detail: "stopping"})
-	peer.WaitUntil(ctx, a.work.idle)
+	peer.WaitUntil(ctx, a.hand.idle)
 	if err := a.work.ledger.Flush(ctx); err != nil {
 		a.c.Logger.Warn("outcomes could not be stored before the stop", zap.Error(err))
 	}
--- a/internal/agent/once.go
+++ b/internal/agent/once.go
@@ -23,17 +23,18 @@
 )
 
 // serveOnce runs a call that may not be repeated, if this process gets its
-// claim, or answers from what is known of an earlier run.
-func (d *workDesk) serveOnce(w http.ResponseWriter, r *http.Request, work peer.Work) {
+// claim, or answers from what is known of an earlier run. It reports whether the
+// target's answer was whole.
+func (d *workDesk) serveOnce(w http.ResponseWriter, r *http.Request, work peer.Work, id string) bool {
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxOnceBody+1))
 	if err != nil || len(body) > maxOnceBody {
-		d.refuse(w, work, d.failure("read work", "body_not_read", err))
-		return
+		d.refuse(w, work, d.agent.failure("read work", "body_not_read", err))
+		return false
 	}
 	mark, err := ledger.ParseDispatch(work.Dispatch())
 	if err != nil {
-		d.refuse(w, work, d.failure("read work", "bad_work", err))
-		return
+		d.refuse(w, work, d.agent.failure("read work", "bad_work", err))
+		return false
 	}
 	r.Body = io.NopCloser(bytes.NewReader(body))
 	ruling, err := d.ledger.Begin(r.Context(), ledger.NewCall(ledger.CallConfig{
@@ -41,26 +42,27 @@
 	}))
 	if err != nil {
 		d.refuse(w, work, kumquatlug.FailureOf(err))
-		return
+		return false
 	}
-	d.follow(w, r, work, ruling)
+	return d.follow(w, r, work, id, ruling)
 }
 
 // follow does what the ledger ruled.
-func (d *workDesk) follow(w http.ResponseWriter, r *http.Request, work peer.Work, ruling ledger.Ruling) {
+func (d *workDesk) follow(w http.ResponseWriter, r *http.Request, work peer.Work, id string, ruling ledger.Ruling) bool {
 	switch ruling.Verdict() {
 	case ledger.VerdictRun:
-		d.runOnce(w, r, work, ruling.Ticket())
+		return d.runOnce(w, r, work, id, ruling.Ticket())
 	case ledger.VerdictAnswer:
 		w.Header().Set(peer.ReplayedHeader, "true")
 		d.give(w, work, ruling.Outcome())
 	case ledger.VerdictStale:
-		f := d.failure("claim call", "stale_dispatch", nil)
+		f := d.agent.failure("claim call", "stale_dispatch", nil)
 		d.agent.metrics.refused.WithLabelValues(f.Reason()).Inc()
 		peer.WriteStaleDispatch(w, f, int64(d.agent.follower.State().Revision()), d.agent.c.Ring.Logical(), ruling.Dispatch().String())
 	default:
 		d.refuse(w, work, ruled(ruling, d.agent.c.Name))
 	}
+	return false
 }
 
 // ruled turns a verdict under which nothing runs into a failure.
@@ -79,7 +81,7 @@
 
 // runOnce makes the call under its claim. It goes on when the entry hangs up:
 // the effect can't be taken back, and the outcome is kept for whoever asks.
-func (d *workDesk) runOnce(w http.ResponseWriter, r *http.Request, work peer.Work, ticket ledger.Ticket) {
+func (d *workDesk) runOnce(w http.ResponseWriter, r *http.Request, work peer.Work, id string, ticket ledger.Ticket) bool {
 	ctx := context.WithoutCancel(r.Context())
 	started := d.agent.c.Clock.Now()
 	outcome, err := d.call(ctx, callOf(r, work))
@@ -88,9 +90,8 @@
 		if abandoned := d.ledger.Abandon(ticket, ran); abandoned != nil {
 			err = errors.WithSecondaryError(err, abandoned)
 		}
-		d.agent.watch.suspect(work)
-		d.refuse(w, work, abandoned(err, ran, d.agent.c.Name))
-		return
+		d.refuseBroken(w, r, work, id, abandoned(err, ran, d.agent.c.Name))
+		return false
 	}
 	if err := d.ledger.Finish(ticket, outcome); err != nil {
 		d.agent.c.Logger.Error("an outcome could not be kept: " + err.Error())
@@ -100,6 +101,7 @@
 		Duration: int64(d.agent.c.Clock.Now() - started),
 	})
 	d.give(w, work, outcome)
+	return true
 }
 
 // abandoned is the failure of a run without an outcome.
@@ -135,7 +137,7 @@
 
 // give answers the entry with an outcome.
 func (d *workDesk) give(w http.ResponseWriter, work peer.Work, o ledger.Outcome) {
-	end := d.passOn(w, kumquatlug.NewAnswer(o.Status(), o.Header(), io.NopCloser(bytes.NewReader(o.Body()))))
+	end := d.passOn(w, kumquatlug.NewAnswer(o.Status(), o.Header(), io.NopCloser(bytes.NewReader(o.Body()))), func() {})
 	d.agent.metrics.ended.WithLabelValues(end).Inc()
 	d.agent.c.Ring.Add(timeline.Record{Name: timeline.WorkEnded, RequestID: work.Request(), Detail: end})
 }
--- /dev/null
+++ b/internal/agent/orders.go
@@ -0,0 +1,208 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/ulid/v2"
+	"go.uber.org/zap"
+
+	"github.com/kumquatlug/kumquatlug/internal/engine"
+	"github.com/kumquatlug/kumquatlug/internal/timeline"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/config"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/lease"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/order"
+)
+
+// Figures of the duty that carries orders out.
+const (
+	// orderTick is how often the gate is asked for its next step.
+	orderTick = 100 * time.Millisecond
+	// orderPause spaces steps that failed, and looks at an engine in mid change.
+	orderPause = 500 * time.Millisecond
+	// registerPause spaces tries to register the start.
+	registerPause = time.Second
+	// agentPrefix starts the keys of the agents' registrations.
+	agentPrefix = "agent/"
+)
+
+// registration is the row in which the starts of an agent are counted.
+type registration struct {
+	Starts      order.Incarnation `json:"starts"`
+	Incarnation string            `json:"incarnation"`
+}
+
+// register counts this start in the table and opens the gate for orders. Until
+// it has succeeded no order is taken; work is served all the same.
+func (a *Agent) register(ctx context.Context) (order.Incarnation, error) {
+	for {
+		starts, err := a.registerOnce(ctx)
+		if err == nil {
+			return starts, nil
+		}
+		a.c.Logger.Warn("can't register this start yet", zap.Error(err))
+		select {
+		case <-time.After(registerPause):
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		}
+	}
+}
+
+// registerOnce reads first: after a lost answer the row tells whether this
+// start is already counted.
+func (a *Agent) registerOnce(ctx context.Context) (order.Incarnation, error) {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	key := agentPrefix + a.c.Name
+	row, err := a.c.Table.Get(ctx, key)
+	if err != nil {
+		return 0, err
+	}
+	var r registration
+	if row.Exists() {
+		if err := json.Unmarshal(row.Value(), &r); err != nil {
+			return 0, errors.Wrap(err, "read registration")
+		}
+	}
+	if r.Incarnation == a.incarnation {
+		return r.Starts, nil
+	}
+	r = registration{Starts: r.Starts + 1, Incarnation: a.incarnation}
+	text, err := json.Marshal(r)
+	if err != nil {
+		return 0, errors.Wrap(err, "write registration")
+	}
+	return r.Starts, a.c.Table.Commit(ctx, kumquatlug.NewTx(ulid.Make().String()).If(key, row.Version()).Put(key, text))
+}
+
+// carryOrders opens the gate and does what it asks for until ctx ends. Services
+// take no orders.
+func (a *Agent) carryOrders(ctx context.Context) error {
+	if a.c.Engine == nil {
+		return nil
+	}
+	starts, err := a.register(ctx)
+	if err != nil {
+		return err
+	}
+	a.hand.with(func(kumquatlug.Millis) {
+		a.hand.starts = starts
+		a.hand.orders = order.NewGate(order.GateConfig{Incarnation: starts})
+		for range a.hand.pieces {
+			// What began before the gate opened is in hand there, too: an order
+			// must wait for it.
+			a.hand.orders.Begin()
+		}
+	})
+	tick := time.NewTicker(orderTick)
+	defer tick.Stop()
+	for {
+		var step order.Step
+		a.hand.with(func(now kumquatlug.Millis) { step = a.hand.orders.Next(now) })
+		wait := tick.C
+		if step.Action() != order.StepNone && !a.step(ctx, step) {
+			wait = time.After(orderPause)
+		}
+		a.noteOrder()
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// noteOrder tells the drain whether an order takes the target away.
+func (a *Agent) noteOrder() {
+	a.hand.with(func(now kumquatlug.Millis) {
+		phase := a.hand.phase()
+		a.hand.drain.Order(phase == order.PhaseDraining || phase == order.PhaseRunning, now)
+	})
+}
+
+// step does one step and reports whether it brought an answer.
+func (a *Agent) step(ctx context.Context, s order.Step) bool {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	switch s.Action() {
+	case order.StepRead:
+		return a.readEngine(ctx, s)
+	case order.StepFence:
+		return a.readFence(ctx, s)
+	case order.StepRun:
+		return a.runOrder(ctx, s)
+	}
+	return true
+}
+
+func (a *Agent) readEngine(ctx context.Context, s order.Step) bool {
+	condition, err := a.c.Engine.ReadState(ctx)
+	a.hand.with(func(kumquatlug.Millis) {
+		if err != nil {
+			a.hand.orders.ReadFailed(s)
+			return
+		}
+		a.hand.orders.Read(s, stateOfEngine(condition))
+	})
+	return err == nil && condition.State != engine.StateChanging
+}
+
+// stateOfEngine takes an engine that lost its role in a crash for settled: it
+// is not in the middle of anything, and the next order may come.
+func stateOfEngine(c engine.Condition) order.State {
+	return order.NewState(c.State != engine.StateChanging, order.Fact{Verb: order.VerbRole, Argument: string(c.Role)})
+}
+
+func (a *Agent) readFence(ctx context.Context, s order.Step) bool {
+	row, err := a.c.Table.Get(ctx, lease.Key(a.group()))
+	var record lease.Record
+	if err == nil {
+		record, err = lease.Decode(row)
+	}
+	a.hand.with(func(kumquatlug.Millis) {
+		if err != nil {
+			a.hand.orders.FenceFailed(s)
+			return
+		}
+		a.hand.orders.Fenced(s, record.Fence())
+	})
+	return err == nil
+}
+
+// group returns the group whose lease holder gives this target its orders.
+func (a *Agent) group() string {
+	return config.GroupOf(a.follower.State(), a.c.Name, a.c.Zone)
+}
+
+func (a *Agent) runOrder(ctx context.Context, s order.Step) bool {
+	o := s.Order()
+	_, err := a.c.Engine.Give(ctx, engine.Order{
+		ID: o.ID().String(), Fence: int64(o.ID().Number()), Verb: string(o.Verb()), Argument: o.Argument(),
+	})
+	// An engine that took the order tells by its state when it has settled.
+	outcome := order.OutcomeUnknown
+	if errors.Is(err, kumquatlug.ErrConflict) {
+		outcome = order.OutcomeNotApplied
+	}
+	a.c.Ring.Add(timeline.Record{Name: timeline.OrderTaken, Detail: string(o.Verb()) + " " + o.Argument()})
+	a.hand.with(func(kumquatlug.Millis) { a.hand.orders.Ran(s, outcome) })
+	return true
+}
+
+// offer takes an order from an entry.
+func (a *Agent) offer(o order.Order) order.Reply {
+	reply := order.NewReply(order.VerdictNotReady, "", 0)
+	a.hand.with(func(kumquatlug.Millis) {
+		if a.hand.orders != nil {
+			reply = a.hand.orders.Offer(o)
+		}
+	})
+	if reply.Verdict() == order.VerdictOld || reply.Verdict() == order.VerdictOtherIncarnation {
+		a.c.Ring.Add(timeline.Record{Name: timeline.OrderRefused, Detail: string(reply.Verdict()) + " " + o.ID().String()})
+	}
+	return reply
+}
--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -10,12 +10,14 @@
 	"github.com/kumquatlug/kumquatlug/internal/peer"
 	"github.com/kumquatlug/kumquatlug/internal/peer/peerv1"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/order"
 )
 
 func itoa(n int) string { return strconv.Itoa(n) }
 
-// States that an agent reports of its target.
+// States that an agent reports of its target; see package dispatch.
 const (
+	stateStarting = "starting"
 	stateServing  = "serving"
 	stateLeaving  = "leaving"
 	stateStopping = "stopping"
@@ -36,35 +38,35 @@
 	ask := r.Msg
 	a.c.Ring.Witness(ask.GetLogical())
 	a.follower.Learned(peer.RoleEntry, ask.GetAddress(), ask.GetRevision(), kumquatlug.Millis(ask.GetHeadAgeMs()))
-	a.work.setVMLeaving(ask.GetVmLeaving())
+	a.hand.merge(ask.GetNotices())
+	a.watch.heard(a.c.Clock.Now())
+	a.hand.with(func(now kumquatlug.Millis) {
+		if ask.GetVmState() != "" {
+			a.hand.drain.List(kumquatlug.VMState(ask.GetVmState()), now)
+		}
+		a.hand.drain.Heard(now)
+	})
+	return connect.NewResponse(s.answer(ask)), nil
+}
+
+func (s *reports) answer(ask *peerv1.ReportRequest) *peerv1.ReportResponse {
+	a := s.agent
 	seen := a.watch.seen()
-	inHand, begun, leaving, stopping := a.work.counts(ask.GetAddress())
 	answer := &peerv1.ReportResponse{
 		Target: a.c.Name, Incarnation: a.incarnation, Revision: int64(a.follower.State().Revision()),
-		Protocol: string(a.Protocol()), Zone: a.c.Zone, Role: string(seen.state.Role), Leaving: leaving || stopping,
-		State: stateOf(seen, leaving, stopping), Begun: begun, ChecksFence: a.c.ChecksFence,
-		HeadAgeMs: int64(a.follower.HeadAge()), Logical: a.c.Ring.Logical(),
-		Load: loadOf(seen, inHand),
+		Protocol: string(a.Protocol()), Zone: a.c.Zone, Role: string(seen.state.Role), State: a.hand.state(seen.healthy),
+		ChecksFence: a.c.ChecksFence, HeadAgeMs: int64(a.follower.HeadAge()), Logical: a.c.Ring.Logical(),
 	}
-	for _, c := range seen.crashes {
-		answer.Crashes = append(answer.Crashes, &peerv1.Crash{Id: c.id, Fingerprints: c.fingerprints})
-	}
-	return connect.NewResponse(answer), nil
-}
-
-func stateOf(seen condition, leaving, stopping bool) string {
-	switch {
-	case stopping:
-		return stateStopping
-	case leaving:
-		return stateLeaving
-	case !seen.healthy:
-		return stateDown
-	case seen.state.State != "" && seen.state.State != "settled":
-		return stateChanging
-	default:
-		return stateServing
+	answer.Notices, answer.NoticesVersion = a.hand.known(ask.GetNoticesAfter())
+	a.hand.mu.Lock()
+	defer a.hand.mu.Unlock()
+	answer.Begun = a.hand.begun[ask.GetAddress()]
+	answer.Load = loadOf(seen, len(a.hand.pieces))
+	answer.Phase = string(a.hand.phase())
+	if a.hand.orders != nil {
+		answer.Starts, answer.Fence = int64(a.hand.starts), int64(a.hand.orders.Number())
 	}
+	return answer
 }
 
 func loadOf(seen condition, inHand int) *peerv1.Load {
@@ -82,9 +84,16 @@
 	return load
 }
 
-// Order is refused: no group hands out orders yet.
+// Order offers an order to the gate in front of the engine.
 func (s *reports) Order(
-	_ context.Context, _ *connect.Request[peerv1.OrderRequest],
+	_ context.Context, r *connect.Request[peerv1.OrderRequest],
 ) (*connect.Response[peerv1.OrderResponse], error) {
-	return connect.NewResponse(&peerv1.OrderResponse{Outcome: "refused", Reason: "orders are not wired yet"}), nil
+	id, err := order.ParseID(r.Msg.GetId())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	reply := s.agent.offer(order.NewOrder(id, order.Verb(r.Msg.GetVerb()), r.Msg.GetArgument()))
+	return connect.NewResponse(&peerv1.OrderResponse{
+		Verdict: string(reply.Verdict()), Outcome: string(reply.Outcome()), Fence: int64(reply.Number()),
+	}), nil
 }
--- /dev/null
+++ b/internal/agent/suspect.go
@@ -0,0 +1,71 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/ulid/v2"
+	"go.uber.org/zap"
+
+	"github.com/kumquatlug/kumquatlug/internal/peer"
+	"github.com/kumquatlug/kumquatlug/internal/timeline"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+// suspectPrefix starts the keys of the claims under which suspects run.
+const suspectPrefix = "suspect/"
+
+// tableTimeout bounds one call to the table outside the ledger.
+const tableTimeout = 2 * time.Second
+
+// claimSuspect wins the claim under which a suspect runs once in the whole
+// fleet. Two entries that each send a copy of a request that crashes targets
+// would otherwise have it crash two more. No claim, no run: when the table is
+// out the suspect is refused as not run.
+func (a *Agent) claimSuspect(ctx context.Context, work peer.Work) *kumquatlug.Failure {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	tx := kumquatlug.NewTx(ulid.Make().String()).
+		If(suspectPrefix+work.Fingerprint(), 0).
+		Put(suspectPrefix+work.Fingerprint(), []byte(a.c.Name))
+	err := a.c.Table.Commit(ctx, tx)
+	if err == nil {
+		return nil
+	}
+	if errors.Is(err, kumquatlug.ErrConflict) {
+		return a.failure("claim suspect", reasonSuspect, err)
+	}
+	return a.failure("claim suspect", "table_unavailable", err)
+}
+
+// unclaimSuspect removes the claim of a suspect that has finished.
+func (a *Agent) unclaimSuspect(work peer.Work) {
+	ctx, cancel := context.WithTimeout(context.Background(), tableTimeout)
+	defer cancel()
+	err := a.c.Table.Commit(ctx, kumquatlug.NewTx(ulid.Make().String()).Delete(suspectPrefix+work.Fingerprint()))
+	if err != nil {
+		a.c.Logger.Warn("can't remove a suspect's claim", zap.String("request", work.Request()), zap.Error(err))
+	}
+}
+
+// broke looks whether the target is gone after a call broke off, and returns
+// what its request is now known for. A target that still answers only broke one
+// connection; an entry that hung up broke it itself.
+func (a *Agent) broke(ctx context.Context, id string, work peer.Work) (notice string) {
+	if ctx.Err() != nil {
+		return ""
+	}
+	look, cancel := context.WithTimeout(context.WithoutCancel(ctx), watchTimeout)
+	defer cancel()
+	if a.c.Target.Healthy(look) == nil {
+		return ""
+	}
+	if a.hand.crashed(id) {
+		a.watch.down()
+		a.metrics.crashes.Inc()
+		a.c.Ring.Add(timeline.Record{Name: timeline.TargetCrashed, RequestID: work.Request()})
+		a.c.Logger.Warn("target crashed", zap.String("request", work.Request()))
+	}
+	return a.hand.notice(work.Fingerprint())
+}
--- a/internal/agent/watch.go
+++ b/internal/agent/watch.go
@@ -8,9 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/kumquatlug/kumquatlug/internal/engine"
-	"github.com/kumquatlug/kumquatlug/internal/peer"
-	"github.com/kumquatlug/kumquatlug/internal/timeline"
-	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/config"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
 
 // Figures of the watch over the target.
@@ -20,44 +18,28 @@
 	watchEvery = 500 * time.Millisecond
 	// watchTimeout bounds one look.
 	watchTimeout = 2 * time.Second
-	// keptCrashes bounds the crashes that are told; a crash is told until as
-	// many newer ones came.
-	keptCrashes = 16
 	// keptEvents bounds the cache events that are told again to an entry which
 	// missed them.
 	keptEvents = 256
-	// suspects bounds the broken calls that wait for a look.
-	suspects = 64
 )
 
-// crash is one time at which the target went away with work in hand.
-type crash struct {
-	id           string
-	fingerprints []string
-}
-
 // condition is what the watch last saw of the target.
 type condition struct {
 	healthy bool
 	load    engine.Load
 	readAt  time.Time
 	state   engine.Condition
-	crashes []crash
 	events  []engine.CacheEvent
 }
 
 // watch looks at the target and keeps what it saw for entries that ask.
 type watch struct {
-	agent   *Agent
-	broken  chan peer.Work
+	agent  *Agent
+	cursor int64
+
 	mu      sync.Mutex
 	last    condition
-	crashes int
-	cursor  int64
-}
-
-func newWatch(a *Agent) *watch {
-	return &watch{agent: a, broken: make(chan peer.Work, suspects)}
+	heardAt kumquatlug.Millis
 }
 
 // seen returns what was last seen.
@@ -67,12 +49,24 @@
 	return w.last
 }
 
-// suspect tells that the target broke work off.
-func (w *watch) suspect(work peer.Work) {
-	select {
-	case w.broken <- work:
-	default:
-	}
+// down takes that the target was found gone.
+func (w *watch) down() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.last.healthy = false
+}
+
+// heard takes that an entry spoke.
+func (w *watch) heard(now kumquatlug.Millis) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.heardAt = now
+}
+
+func (w *watch) lastHeard() kumquatlug.Millis {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.heardAt
 }
 
 // run looks at the target until ctx ends.
@@ -85,8 +79,6 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-tick.C:
-		case work := <-w.broken:
-			w.noteCrash(ctx, work)
 		}
 	}
 }
@@ -98,20 +90,11 @@
 	w.mu.Lock()
 	w.last.healthy = healthy
 	w.mu.Unlock()
-	w.followLabels()
 	if healthy && w.agent.c.Engine != nil {
 		w.readEngine(ctx)
 	}
 }
 
-// followLabels takes the leaving label of the config in force to the work desk.
-func (w *watch) followLabels() {
-	labels, err := config.Labels(w.agent.follower.State(), w.agent.c.Name)
-	if err == nil {
-		w.agent.work.setLabelLeaving(labels.Leaving())
-	}
-}
-
 func (w *watch) readEngine(ctx context.Context) {
 	load, err := w.agent.c.Engine.ReadLoad(ctx)
 	if err != nil {
@@ -141,45 +124,43 @@
 	w.last.events = all[max(0, len(all)-keptEvents):]
 }
 
-// noteCrash records a crash when the target is gone, with every request that
-// was in hand. A target that still answers only broke one connection.
-func (w *watch) noteCrash(ctx context.Context, work peer.Work) {
-	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
-	defer cancel()
-	if w.agent.c.Target.Healthy(ctx) == nil {
-		return
-	}
-	fingerprints := w.agent.work.fingerprints()
-	if !contains(fingerprints, work.Fingerprint()) {
-		fingerprints = append(fingerprints, work.Fingerprint())
-	}
-	for drained := false; !drained; {
+// askWhenSilent asks the table and the platform's list itself when entries have
+// been quiet. An agent that was paused, or has just started, holds news of
+// unknown age, and the first entry to reach it may itself be cut off: it takes
+// no new work before it has asked.
+func (a *Agent) askWhenSilent(ctx context.Context) error {
+	tick := time.NewTicker(watchEvery)
+	defer tick.Stop()
+	for {
+		if a.hand.silent(a.watch.lastHeard()) {
+			a.ask(ctx)
+		}
 		select {
-		case other := <-w.broken:
-			if !contains(fingerprints, other.Fingerprint()) {
-				fingerprints = append(fingerprints, other.Fingerprint())
-			}
-		default:
-			drained = true
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
 		}
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.crashes++
-	one := crash{id: w.agent.incarnation + "/" + itoa(w.crashes), fingerprints: fingerprints}
-	all := append(append([]crash(nil), w.last.crashes...), one)
-	w.last.crashes = all[max(0, len(all)-keptCrashes):]
-	w.last.healthy = false
-	w.agent.metrics.crashes.Inc()
-	w.agent.c.Ring.Add(timeline.Record{Name: timeline.TargetCrashed, RequestID: work.Request(), Detail: itoa(len(fingerprints)) + " in hand"})
-	w.agent.c.Logger.Warn("target crashed", zap.String("request", work.Request()), zap.Int("in_hand", len(fingerprints)))
 }
 
-func contains(list []string, one string) bool {
-	for _, s := range list {
-		if s == one {
-			return true
-		}
+func (a *Agent) ask(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	if err := a.follower.Refresh(ctx); err != nil {
+		a.c.Logger.Warn("can't ask the table for the config", zap.Error(err))
+	}
+	vms, err := a.c.VMs.List(ctx)
+	if err != nil {
+		a.c.Logger.Warn("can't ask the platform for its list", zap.Error(err))
 	}
-	return false
+	a.followConfig(a.follower.State())
+	a.hand.with(func(now kumquatlug.Millis) {
+		for _, vm := range vms {
+			if vm.Name() == a.c.Name {
+				a.hand.drain.List(vm.State(), now)
+			}
+		}
+		a.hand.drain.Asked(now)
+	})
+	a.watch.heard(a.c.Clock.Now())
 }
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -15,6 +15,7 @@
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/dispatch"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/ledger"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/quarantine"
 )
 
 // callTokens is what one service call counts as in the queue and at a target:
@@ -30,7 +31,7 @@
 // run.
 func (e *Entry) Call(ctx context.Context, c caller.ServiceCall) (answer kumquatlug.Answer, err error) {
 	r := e.newRequest(c.ID(), c.Caller(), c.Kind(), c.Timeout())
-	r.print = fingerprint(c.Caller().Name(), c.Kind().String()+c.Method()+c.Path(), c.Body())
+	r.print = quarantine.NewFingerprint(c.Caller().Name(), c.Kind(), whole(c))
 	out := outgoing{method: c.Method(), path: c.Path(), header: c.Header(), body: c.Body()}
 	if !r.terms.repeatable && !safe(c.Method()) {
 		mark, known := e.keeper.Dispatch()
@@ -52,6 +53,12 @@
 	return answer, err
 }
 
+// whole returns all that makes a call what it is.
+func whole(c caller.ServiceCall) []byte {
+	head := c.Method() + " " + c.Path() + "\n"
+	return append([]byte(head), c.Body()...)
+}
+
 // safe reports whether a method asks for nothing but an answer (RFC 9110).
 func safe(method string) bool {
 	switch method {
@@ -87,10 +94,7 @@
 		if refused.mark != "" {
 			out.mark = refused.mark
 		}
-		f := refused.failure
-		r.fail(attempt, dispatch.Failed{
-			Failure: f, Refused: beforeStart(f), Final: f.Status() < http.StatusInternalServerError,
-		})
+		r.fail(attempt, refused.failed())
 	}
 }
 
@@ -165,7 +169,7 @@
 
 func (r *request) ledgerCall(out outgoing) ledger.Call {
 	mark, _ := ledger.ParseDispatch(out.mark)
-	return ledger.NewCall(ledger.CallConfig{Caller: r.account.Name(), Key: out.onceKey, Body: r.print, Dispatch: mark})
+	return ledger.NewCall(ledger.CallConfig{Caller: r.account.Name(), Key: out.onceKey, Body: string(r.print), Dispatch: mark})
 }
 
 func (r *request) notRun(lost *kumquatlug.Failure) *kumquatlug.Failure {
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -13,6 +13,7 @@
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/config"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/dispatch"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/membership"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/quarantine"
 )
 
 // Figures of the duties beside the loop.
@@ -50,41 +51,56 @@
 	}
 }
 
+// beat is what the heartbeats to one target remember between two of them.
+type beat struct {
+	askedAt kumquatlug.Millis
+	asking  bool
+	// told and heard are the versions of the notices that each side has.
+	told  int64
+	heard int64
+}
+
 // heartbeats asks each target that the entry speaks to for a report, at the
 // pace that membership.Interval sets.
 func (e *Entry) heartbeats(ctx context.Context) error {
-	slots := make(chan struct{}, heartbeatsAtOnce)
-	asked := map[string]kumquatlug.Millis{}
+	beats := map[string]*beat{}
+	done := make(chan string, heartbeatsAtOnce)
 	tick := time.NewTicker(heartbeatTick)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case name := <-done:
+			beats[name].asking = false
 		case <-tick.C:
+			e.askDue(ctx, beats, done)
 		}
-		e.askDue(ctx, asked, slots)
 	}
 }
 
-func (e *Entry) askDue(ctx context.Context, asked map[string]kumquatlug.Millis, slots chan struct{}) {
+func (e *Entry) askDue(ctx context.Context, beats map[string]*beat, done chan<- string) {
 	now := e.c.Clock.Now()
 	members := e.watched(ctx)
 	interval := membership.Interval(len(members))
+	asking := 0
 	for _, m := range members {
 		name := m.VM().Name()
-		if now-asked[name] < interval {
-			continue
+		if beats[name] == nil {
+			beats[name] = &beat{}
 		}
-		select {
-		case slots <- struct{}{}:
-		default:
-			return
+		b := beats[name]
+		if b.asking {
+			asking++
+		}
+		if b.asking || now-b.askedAt < interval || asking >= heartbeatsAtOnce {
+			continue
 		}
-		asked[name] = now
+		b.askedAt, b.asking = now, true
+		asking++
 		go func() {
-			defer func() { <-slots }()
-			e.heartbeat(ctx, m)
+			e.heartbeat(ctx, m, b)
+			done <- name
 		}()
 	}
 }
@@ -108,13 +124,20 @@
 	return m, known
 }
 
-func (e *Entry) heartbeat(ctx context.Context, m membership.Member) {
+// heartbeat asks one agent for a report, and tells it what it may not know yet:
+// the config's head, what the list says of its VM, and requests that were in
+// hand at crashes.
+func (e *Entry) heartbeat(ctx context.Context, m membership.Member, b *beat) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	asked := e.c.Clock.Now()
+	var notices []quarantine.Notice
+	var version int64
+	_ = e.loop.ask(ctx, func(d *dispatch.Dispatcher) { notices, version = d.Known(asked, b.told) })
 	answer, err := e.dialer.Agent(m.VM().Address()).Report(ctx, connect.NewRequest(&peerv1.ReportRequest{
 		Entry: e.c.Name, Address: e.address, Revision: int64(e.follower.State().Revision()),
-		HeadAgeMs: int64(e.follower.HeadAge()), Logical: e.c.Ring.Logical(), VmLeaving: m.Leaving(),
+		HeadAgeMs: int64(e.follower.HeadAge()), Logical: e.c.Ring.Logical(), VmState: e.listedState(m),
+		Notices: peer.NoticesTo(notices), NoticesAfter: b.heard,
 	}))
 	if err != nil || answer.Msg.GetTarget() != m.VM().Name() {
 		// Another agent at the address is as good as none: a VM was replaced
@@ -122,9 +145,25 @@
 		e.loop.post(missed{m.VM().Name()})
 		return
 	}
+	if answer.Msg.GetIncarnation() != m.Incarnation() {
+		// A new agent knows nothing of what its predecessor was told.
+		b.told, version = 0, 0
+	}
+	b.told, b.heard = version, answer.Msg.GetNoticesVersion()
 	e.c.Ring.Witness(answer.Msg.GetLogical())
 	e.follower.Learned(peer.RoleAgent, m.VM().Address(), answer.Msg.GetRevision(), kumquatlug.Millis(answer.Msg.GetHeadAgeMs()))
-	e.loop.post(heard{name: m.VM().Name(), report: reportOf(answer.Msg, asked)})
+	e.loop.post(heard{name: m.VM().Name(), report: reportOf(answer.Msg, asked), notices: peer.NoticesFrom(answer.Msg.GetNotices())})
+}
+
+// listedState is what the platform's list says of a target's VM, empty when the
+// list does not name it any more.
+func (e *Entry) listedState(m membership.Member) string {
+	for _, vm := range *e.listed.Load() {
+		if vm.Name() == m.VM().Name() {
+			return string(vm.State())
+		}
+	}
+	return ""
 }
 
 func reportOf(r *peerv1.ReportResponse, asked kumquatlug.Millis) dispatch.Report {
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -13,6 +13,7 @@
 	"github.com/kumquatlug/kumquatlug/internal/timeline"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/dispatch"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/quarantine"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/stream"
 )
 
@@ -33,7 +34,7 @@
 	if err != nil {
 		return err
 	}
-	r.print = fingerprint(g.Caller().Name(), g.Kind().String(), body)
+	r.print = quarantine.NewFingerprint(g.Caller().Name(), g.Kind(), body)
 	r.note(timeline.Admitted, "", g.Kind().String())
 	r.begin(dispatch.RequestConfig{
 		Role: kumquatlug.RoleBoth, Prefix: prefixKeys(g.Prompt()),
@@ -105,23 +106,29 @@
 		header: http.Header{"Content-Type": {"application/json"}},
 	})
 	if refused != nil {
-		return s.refused(ctx, number, refused.failure)
+		return s.refused(ctx, number, refused)
 	}
 	defer answer.Body.Close()
 	if answer.StatusCode != http.StatusOK {
 		return nil, s.engineError(a, answer)
 	}
-	return s.read(ctx, a, number, engine.NewReader(answer.Body))
+	failed, err := s.read(ctx, a, number, engine.NewReader(answer.Body))
+	if failed != nil {
+		// The trailer is there only once the body was read to its end.
+		_, _ = io.Copy(io.Discard, answer.Body)
+		failed.Notices = noticesOf(answer.Trailer)
+	}
+	return failed, err
 }
 
-func (s *streaming) refused(ctx context.Context, number int, f *kumquatlug.Failure) (*dispatch.Failed, error) {
+func (s *streaming) refused(ctx context.Context, number int, refused *refusal) (*dispatch.Failed, error) {
 	s.answer.Cut(s.request.id, number)
 	if ctx.Err() != nil {
 		return nil, s.request.gone("send work", ctx.Err())
 	}
-	return &dispatch.Failed{
-		Failure: f, Refused: beforeStart(f), Resumable: true,
-	}, nil
+	failed := refused.failed()
+	failed.Resumable = true
+	return &failed, nil
 }
 
 // engineError passes an engine's own refusal of the request on to the caller.
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -8,6 +8,7 @@
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/config"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/dispatch"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/quarantine"
 )
 
 // inboxSize bounds the messages that wait for the loop. A message takes a few
@@ -37,8 +38,9 @@
 	configured struct{ state config.State }
 	vmsListed  struct{ vms []kumquatlug.VM }
 	heard      struct {
-		name   string
-		report dispatch.Report
+		name    string
+		report  dispatch.Report
+		notices []quarantine.Notice
 	}
 	missed struct{ name string }
 	// asked lets another goroutine look at the dispatcher between two events.
@@ -137,6 +139,7 @@
 }
 
 func (l *loop) heard(now kumquatlug.Millis, m heard) []dispatch.Decision {
+	l.dispatcher.Merge(now, m.notices)
 	change, changed, decisions := l.dispatcher.Heard(now, m.name, m.report)
 	if changed {
 		l.entry.c.Ring.Add(timeline.Record{Name: timeline.TargetUp, Peer: m.name, Detail: "was " + string(change.From())})
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -16,6 +16,7 @@
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/config"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/dispatch"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/quarantine"
 )
 
 // Reasons of failures that speak against a target.
@@ -37,10 +38,28 @@
 }
 
 // refusal is an agent's refusal, with the run-once mark under which the call
-// may be sent again, if the agent gave one.
+// may be sent again and what the agent told of a crash, if it did.
 type refusal struct {
 	failure *kumquatlug.Failure
 	mark    string
+	notices []quarantine.Notice
+}
+
+// failed is the refusal as the loop takes it.
+func (r *refusal) failed() dispatch.Failed {
+	return dispatch.Failed{
+		Failure: r.failure, Refused: beforeStart(r.failure), Notices: r.notices,
+		Final: r.failure.Status() < http.StatusInternalServerError,
+	}
+}
+
+// noticesOf reads what an agent told of a crash in h.
+func noticesOf(h http.Header) []quarantine.Notice {
+	text := h.Get(peer.HeaderNotice)
+	if text == "" {
+		return nil
+	}
+	return peer.NoticesFrom([]string{text})
 }
 
 // send makes one attempt that ends with ctx. It returns the agent's answer,
@@ -53,6 +72,9 @@
 	}
 	peer.CopyHeaders(message.Header, o.header)
 	r.work(a, o).Write(message.Header)
+	if notice, suspect := a.Notice(); suspect {
+		message.Header[peer.HeaderNotice] = peer.NoticesTo([]quarantine.Notice{notice})
+	}
 	answer, err := e.dialer.Work().Do(message)
 	if err != nil {
 		return nil, r.failedToSend(a, reasonUnreachable, ranAfter(err), err)
@@ -62,7 +84,7 @@
 	if peer.Refused(answer) {
 		defer answer.Body.Close()
 		f, mark := peer.ReadFailure(answer)
-		return nil, &refusal{failure: f, mark: mark}
+		return nil, &refusal{failure: f, mark: mark, notices: noticesOf(answer.Header)}
 	}
 	return answer, nil
 }
@@ -72,7 +94,7 @@
 	return peer.NewWork(peer.WorkConfig{
 		Request: r.id, Attempt: a.Number(), Kind: r.kind, Caller: r.account.Name(), Revision: int64(a.Revision()),
 		Timeout: r.deadline - r.entry.c.Clock.Now(), Once: o.onceKey != "", Key: o.onceKey, Dispatch: o.mark,
-		Fingerprint: r.print, Logical: logical, From: r.entry.address,
+		Fingerprint: string(r.print), Logical: logical, From: r.entry.address,
 	})
 }
 
@@ -110,17 +132,6 @@
 // Close closes the agent's answer.
 func (b wholeBody) Close() error { return b.answer.Body.Close() }
 
-// fingerprint names equal requests of one caller by a hash.
-func fingerprint(account, kind string, body []byte) string {
-	d := xxhash.New()
-	_, _ = d.WriteString(account)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(kind)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.Write(body)
-	return strconv.FormatUint(d.Sum64(), 16)
-}
-
 // Figures of prefix keys.
 const (
 	// prefixBlock is how many bytes of a prompt one key covers: 256 tokens.
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -8,6 +8,7 @@
 	"github.com/kumquatlug/kumquatlug/internal/timeline"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/dispatch"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/quarantine"
 )
 
 // Authenticate returns the account whose key has this hash.
@@ -31,7 +32,7 @@
 	arrival  kumquatlug.Millis
 	deadline kumquatlug.Millis
 	terms    terms
-	print    string
+	print    quarantine.Fingerprint
 	reply    chan dispatch.Decision
 	sent     bool
 	open     bool
--- a/internal/peer/follower.go
+++ b/internal/peer/follower.go
@@ -141,6 +141,23 @@
 	}
 }
 
+// Refresh asks the table for the newest config and returns when it is in force
+// here.
+func (f *Follower) Refresh(ctx context.Context) error {
+	asked := f.c.Clock.Now()
+	head, err := f.c.Store.Head(ctx)
+	if err != nil {
+		return err
+	}
+	f.send(ctx, config.Report{Peer: config.Table, Revision: head, Age: f.c.Clock.Now() - asked})
+	if held := f.State().Revision(); held < head {
+		p := f.pullTable(ctx, held)
+		f.send(ctx, p)
+	}
+	WaitUntil(ctx, func() bool { return f.State().Revision() >= head })
+	return ctx.Err()
+}
+
 // Run follows the config until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	go f.start(ctx)
--- a/pkg/kumquatlug/config/rows.go
+++ b/pkg/kumquatlug/config/rows.go
@@ -128,3 +128,27 @@
 func unavailable(err error) error {
 	return errors.Mark(err, kumquatlug.ErrUnavailable)
 }
+
+// LabelGroup is the label by which an operator puts an engine into a group of
+// its own; engines without it are grouped by what they do.
+const LabelGroup = "group"
+
+// GroupOf returns the group whose lease holder gives a target its orders: the
+// one that its label names, or the first kind of engine work that a selector
+// gives it. It is empty for a target that takes no engine work.
+func GroupOf(s State, target, zone string) string {
+	labels, err := Labels(s, target)
+	if err != nil {
+		return ""
+	}
+	if group := labels[LabelGroup]; group != "" {
+		return group
+	}
+	selectors, _ := Selectors(s)
+	for _, one := range selectors {
+		if one.Kind().Protocol() == kumquatlug.ProtocolEngine && one.Match().Matches(labels.With(target, zone)) {
+			return one.Kind().Name()
+		}
+	}
+	return ""
+}
--- a/pkg/kumquatlug/dispatch/dispatch.go
+++ b/pkg/kumquatlug/dispatch/dispatch.go
@@ -22,6 +22,7 @@
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/health"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/limit"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/membership"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/quarantine"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/retry"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/routing"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/selector"
@@ -58,11 +59,12 @@
 	Subset int
 	// Admission, Health, Retry and Limits tune the parts; the zero values mean
 	// their defaults. Sources of randomness are set from Seed.
-	Admission admission.Config
-	Health    health.Config
-	Retry     retry.Config
-	Limits    limit.TargetsConfig
-	Callers   limit.CallersConfig
+	Admission  admission.Config
+	Quarantine quarantine.Config
+	Health     health.Config
+	Retry      retry.Config
+	Limits     limit.TargetsConfig
+	Callers    limit.CallersConfig
 }
 
 // Dispatcher decides for one entry. It is not safe for concurrent use.
@@ -83,6 +85,7 @@
 	kinds     map[kumquatlug.Kind]*kindState
 	order     []kumquatlug.Kind
 	watched   []string
+	register  *quarantine.Register
 	requests  map[string]*request
 	due       []*request
 	out       []Decision
@@ -125,6 +128,7 @@
 		reports:  map[string]Report{},
 		labels:   map[string]selector.Labels{},
 		kinds:    map[kumquatlug.Kind]*kindState{},
+		register: quarantine.New(c.Quarantine),
 		requests: map[string]*request{},
 	}
 }
@@ -166,6 +170,8 @@
 	address  string
 	number   int
 	revision config.Revision
+	notice   quarantine.Notice
+	suspect  bool
 }
 
 // At returns the attempt at another target, for a call whose run-once claim is
@@ -187,6 +193,10 @@
 // Revision returns the config under which the target was chosen.
 func (a Attempt) Revision() config.Revision { return a.revision }
 
+// Notice returns what to tell the agent of a request that was in hand at a
+// crash, and false for all others.
+func (a Attempt) Notice() (quarantine.Notice, bool) { return a.notice, a.suspect }
+
 // Arrive takes a new request: it is refused at once, or waits for its turn.
 func (d *Dispatcher) Arrive(now kumquatlug.Millis, c RequestConfig) []Decision {
 	d.begin()
@@ -220,6 +230,9 @@
 	if len(k.ready) == 0 && now-k.emptySince > TargetGrace {
 		return noTarget()
 	}
+	if opinion := d.register.Ask(now, r.fingerprint()); opinion.Refused() {
+		return quarantined(opinion.Remaining())
+	}
 	verdict := d.callers.Begin(now, r.c.Caller.Name(), r.cost())
 	if !verdict.Passed() {
 		return verdict.Failure()
@@ -331,6 +344,10 @@
 		switch {
 		case r.dueAt > now:
 			left = append(left, r)
+		case d.outlawed(now, r):
+			d.giveUp(now, r.c.ID, quarantined(0))
+		case d.waitsAsSuspect(now, r):
+			left = append(left, r)
 		case d.send(now, r):
 		case r.tokens == 0 && now+d.serviceTime(r) >= r.c.Deadline:
 			// It can't make its deadline any more, and its caller has nothing
@@ -351,6 +368,12 @@
 			return
 		}
 		r := d.requests[next.ID()]
+		if d.outlawed(now, r) || d.waitsAsSuspect(now, r) {
+			// It leaves the queue, so that nobody waits behind it.
+			d.queue.Take(now, next.ID())
+			d.due = append(d.due, r)
+			continue
+		}
 		if !d.send(now, r) {
 			return
 		}
--- a/pkg/kumquatlug/dispatch/request.go
+++ b/pkg/kumquatlug/dispatch/request.go
@@ -4,7 +4,9 @@
 	"net/http"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/drain"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/limit"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/quarantine"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/retry"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/routing"
 )
@@ -30,8 +32,9 @@
 	// decides the target, so that a call sent again meets the agent that knows
 	// of it.
 	OnceKey string
-	// Fingerprint is equal for equal requests of one caller.
-	Fingerprint string
+	// Fingerprint is equal for equal requests of one caller; see package
+	// quarantine.
+	Fingerprint quarantine.Fingerprint
 }
 
 // request is one request in the dispatcher's hands.
@@ -52,6 +55,8 @@
 	cached   int
 	dueAt    kumquatlug.Millis
 	last     *kumquatlug.Failure
+	// heldUntil is how long a request that was near two crashes still waits.
+	heldUntil kumquatlug.Millis
 	// mayHaveRun says that some attempt may have run.
 	mayHaveRun bool
 }
@@ -120,9 +125,9 @@
 	d.router.Sent(now, target, routing.Call{
 		ID: r.c.ID, Prefix: r.c.Prefix, PrefillTokens: int(r.c.PrefillTokens) - cached, DecodeTokens: int(r.c.DecodeTokens),
 	})
-	d.out = append(d.out, Decision{id: r.c.ID, verdict: VerdictSend, attempt: Attempt{
-		target: target, address: member.VM().Address(), number: r.attempts, revision: d.revision,
-	}})
+	attempt := Attempt{target: target, address: member.VM().Address(), number: r.attempts, revision: d.revision}
+	attempt.notice, attempt.suspect = d.register.Notice(now, r.fingerprint())
+	d.out = append(d.out, Decision{id: r.c.ID, verdict: VerdictSend, attempt: attempt})
 	return true
 }
 
@@ -186,6 +191,8 @@
 	Failure *kumquatlug.Failure
 	// Refused says that the agent refused the work before it began.
 	Refused bool
+	// Notices are what the agent told of requests in hand at a crash.
+	Notices []quarantine.Notice
 	// Final says that no other attempt can fare better, as when the request
 	// itself is at fault: the failure is the caller's answer as it stands.
 	Final bool
@@ -202,6 +209,7 @@
 		return d.serve(now)
 	}
 	d.release(now, r, endOf(f))
+	d.register.Merge(now, f.Notices)
 	r.last = f.Failure
 	r.mayHaveRun = r.mayHaveRun || f.Failure.Ran() != kumquatlug.RanNot
 	if f.Final {
@@ -238,8 +246,10 @@
 // Reasons with which an agent refuses work because its target goes away or has
 // no room.
 const (
-	ReasonLeaving  = "target_leaving"
-	ReasonStopping = "target_stopping"
+	ReasonLabel    = string(drain.ReasonLabel)
+	ReasonList     = string(drain.ReasonList)
+	ReasonStopping = string(drain.ReasonStop)
+	ReasonOrder    = string(drain.ReasonOrder)
 	ReasonFull     = "engine_refused"
 )
 
@@ -248,10 +258,12 @@
 func (d *Dispatcher) noteLeaving(now kumquatlug.Millis, target, reason string) {
 	report := d.reports[target]
 	switch reason {
-	case ReasonLeaving:
+	case ReasonLabel, ReasonList:
 		report.State = TargetLeaving
 	case ReasonStopping:
 		report.State = TargetStopping
+	case ReasonOrder:
+		report.State = TargetChanging
 	default:
 		return
 	}
@@ -332,6 +344,7 @@
 	if len(r.c.Prefix) > 0 {
 		d.router.Hit(r.target, r.cached, int(o.Cached))
 	}
+	d.register.Finished(now, r.fingerprint())
 	d.learnPace(now, r, o)
 	d.drop(now, r, r.c.PrefillTokens+o.Tokens)
 	return d.serve(now)
--- /dev/null
+++ b/pkg/kumquatlug/dispatch/suspect.go
@@ -0,0 +1,68 @@
+package dispatch
+
+import (
+	"net/http"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/quarantine"
+)
+
+// suspectLook is how often a request that waits for news of a crash is looked
+// at. The news comes with heartbeats, a second apart.
+const suspectLook = 200 * kumquatlug.Millis(1)
+
+func (r *request) fingerprint() quarantine.Fingerprint { return r.c.Fingerprint }
+
+// quarantined is the final answer to a request that crashes targets.
+func quarantined(remaining kumquatlug.Millis) *kumquatlug.Failure {
+	return kumquatlug.NewFailure(kumquatlug.FailureConfig{
+		Step: "take request", Reason: "quarantined", Ran: kumquatlug.RanNot,
+		Status: http.StatusUnprocessableEntity, RetryAfter: remaining,
+	})
+}
+
+// outlawed reports whether r is proven to crash targets, or was near two
+// crashes and nobody else's guilt has explained one of them in time.
+func (d *Dispatcher) outlawed(now kumquatlug.Millis, r *request) bool {
+	opinion := d.register.Ask(now, r.fingerprint())
+	switch opinion.Standing() {
+	case quarantine.StandingQuarantined:
+		return true
+	case quarantine.StandingHeld:
+		if r.heldUntil == 0 {
+			r.heldUntil = now + opinion.Wait()
+		}
+		return now >= r.heldUntil
+	default:
+		r.heldUntil = 0
+		return false
+	}
+}
+
+// waitsAsSuspect puts r off while the news of its crash spreads, or while it is
+// held. Sent at once to the next target, a request that crashes what runs it
+// would meet an agent that does not know of it yet.
+func (d *Dispatcher) waitsAsSuspect(now kumquatlug.Millis, r *request) bool {
+	opinion := d.register.Ask(now, r.fingerprint())
+	switch {
+	case opinion.Standing() == quarantine.StandingHeld:
+		r.dueAt = now + suspectLook
+		return true
+	case opinion.Standing() == quarantine.StandingSuspect && opinion.Wait() > 0:
+		r.dueAt = now + opinion.Wait()
+		return true
+	default:
+		return false
+	}
+}
+
+// Merge takes notices that an agent told.
+func (d *Dispatcher) Merge(now kumquatlug.Millis, notices []quarantine.Notice) {
+	d.register.Merge(now, notices)
+}
+
+// Known returns the notices after a version for an agent, and the version to
+// ask with next.
+func (d *Dispatcher) Known(now kumquatlug.Millis, after int64) ([]quarantine.Notice, int64) {
+	return d.register.Known(now, after)
+}
--- a/pkg/kumquatlug/dispatch/targets.go
+++ b/pkg/kumquatlug/dispatch/targets.go
@@ -23,6 +23,8 @@
 	// TargetLeaving and TargetStopping finish what they have.
 	TargetLeaving  TargetState = "leaving"
 	TargetStopping TargetState = "stopping"
+	// TargetStarting knows no config yet.
+	TargetStarting TargetState = "starting"
 	// TargetDown does not answer its agent.
 	TargetDown TargetState = "down"
 	// TargetChanging carries out an order.
--- a/test/path/failure_test.go
+++ b/test/path/failure_test.go
@@ -1,6 +1,7 @@
 package path
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -8,6 +9,8 @@
 	"sync"
 	"syscall"
 	"testing"
+
+	"github.com/openai/openai-go/v3"
 )
 
 // streaming starts a long answer through entry and returns once its first token
@@ -302,3 +305,33 @@
 	f.expectWhole(<-done, "two at once", 300)
 	f.faults(`{}`)
 }
+
+func TestRequestThatCrashesEnginesIsQuarantined(t *testing.T) {
+	// One document makes every engine that reads it fall over. Its sender's
+	// program tries again and again, through every entry; without a limit it
+	// takes the whole group down, and everybody else's answers with it.
+	f := newFleet(t)
+	var neighbours []chan answer
+	for range 4 {
+		_, done := f.streaming("entry-1", "an innocent neighbour", 400)
+		neighbours = append(neighbours, done)
+	}
+	for i := range 6 {
+		entry := []string{"entry-1", "entry-2"}[i%2]
+		if got := f.stream(entry, "CRASH", 20, nil); got.err == nil {
+			t.Errorf("sending %d was answered", i)
+		}
+	}
+	for _, done := range neighbours {
+		f.expectWhole(<-done, "an innocent neighbour", 400)
+	}
+	if got := strings.Count(f.operate("timeline"), "target_crashed"); got > 2 {
+		t.Errorf("the request crashed %d targets", got)
+	}
+	until(t, "the engines take work again", func() bool { return strings.Count(f.operate("explain", model), "yes") == 2 })
+	var told *openai.Error
+	if got := f.stream("entry-2", "CRASH", 20, nil); !errors.As(got.err, &told) || told.Code != "quarantined" {
+		t.Errorf("a resend is told %v", got.err)
+	}
+	f.expectWhole(f.stream("entry-2", "all well", 5, nil), "all well", 5)
+}
--- a/test/path/fleet_test.go
+++ b/test/path/fleet_test.go
@@ -210,7 +210,7 @@
 	f.processes["platform"] = start(t, "platform", "kumquatlug-standin", "platform")
 	f.platform = "http://" + f.processes["platform"].listening()
 	for _, name := range []string{"engine-1", "engine-2"} {
-		f.startTarget(name, "engine", "--decode-time", "5", "--crash-mark", "CRASH")
+		f.startTarget(name, "engine", "--decode-time", "5", "--crash-mark", "CRASH", "--restart-time", "1500")
 		f.startAgent(name, "engine")
 	}
 	f.startTarget("service-1", "service")
