Quarantine: urgent suspects and a table that is out; routing: what a choice expects

Suspects one at a time a target: fifty of one hardware crash over eleven targets at 10 s each would make the last wait 45 s, and with the table out no claim could be won and every neighbour of a crash would fail. An urgent suspect may now run beside others that have started, and a claim that can't be asked for is taken as won; the page of the bound says what each costs. (The 45 s are worked out, not measured.)

A choice no longer counts the hoped-for part of an unknown prompt as held (Wait and Finish were too short by a quarter of the prompt), and Stated gives the time at full weight, against which health is judged: judged by Finish, a slow target looks well as soon as its weight is right.

--- a/pkg/kumquatlug/health/health.go
+++ b/pkg/kumquatlug/health/health.go
@@ -203,7 +203,9 @@
 }
 
 // Outcome records how a call ended: whether the target did its work, and the
-// ratio of the time it took to the time that was expected. A refusal for want
+// ratio of the time it took to the time that was expected of it at full weight.
+// With the time expected at its present weight a slow target would look well as
+// soon as it is given less, and get its full share again. A refusal for want
 // of room, a caller's own error and a call that a caller gave up are no
 // outcomes. The ratio of a failed call is not used.
 func (g *Group) Outcome(now kumquatlug.Millis, name string, ok bool, ratio float64) {
--- a/pkg/kumquatlug/quarantine/gate.go
+++ b/pkg/kumquatlug/quarantine/gate.go
@@ -19,8 +19,8 @@
 	// VerdictClaim: it is a suspect; win its claim in the platform's table,
 	// then ask again with Claimed set.
 	VerdictClaim Verdict = "claim"
-	// VerdictElsewhere: a suspect is in hand here; refuse as not run, another
-	// target may take it.
+	// VerdictElsewhere: a suspect is in hand here; refuse as not run. The entry
+	// asks other targets, and again after a while, until the deadline.
 	VerdictElsewhere Verdict = "elsewhere"
 	// VerdictRefuse: it is held or quarantined; refuse as not run, for good.
 	VerdictRefuse Verdict = "refuse"
@@ -34,10 +34,19 @@
 	Fingerprint Fingerprint
 	// Claimed says that the claim on the suspect was won. The claim is a row
 	// in the platform's table under the fingerprint, inserted on the condition
-	// that there is none, and removed when the call finishes. It is left in
-	// place when the target crashes, for Config.Period, so that no second
-	// watched run follows even if every process that knew of the first is gone.
+	// that there is none, and removed when the call ends without a crash. After
+	// a crash it is left for Config.Period, so that no second watched run
+	// follows even if every process that knew of the first is gone.
+	//
+	// Set it as well when the table does not answer. The claim only guards
+	// against several copies at once; without it the notices still hold one
+	// copy to its bound, while waiting for the table would fail every neighbour
+	// of every crash for as long as the table is out.
 	Claimed bool
+	// Urgent says that the call would miss its deadline by waiting to be the
+	// only suspect at a target. It may then run beside others that have
+	// started; if the target crashes late, it is held with them.
+	Urgent bool
 }
 
 // Gate watches the calls in hand at one target; its agent has one.
@@ -88,7 +97,8 @@
 // else is starting: of two that start together neither could be proven to have
 // caused a crash, and one of them is innocent.
 func (g *Gate) beginSuspect(now kumquatlug.Millis, a Arrival) Verdict {
-	if g.suspectInHand(now) || (g.pending != "" && g.pending != a.ID) {
+	alone := a.Urgent || !g.suspectInHand(now)
+	if !alone || (g.pending != "" && g.pending != a.ID) {
 		return VerdictElsewhere
 	}
 	if !a.Claimed {
@@ -110,7 +120,8 @@
 	}
 }
 
-// Started records a call's first output.
+// Started records a call's first output. A call of a plain service, which has
+// none before its answer, is starting until it ends.
 func (g *Gate) Started(id string) {
 	if c, ok := g.calls[id]; ok {
 		c.starting = false
--- a/pkg/kumquatlug/quarantine/quarantine.go
+++ b/pkg/kumquatlug/quarantine/quarantine.go
@@ -11,7 +11,8 @@
 //   - at most one suspect is in hand at a target, and while it starts (until
 //     its first output) nothing else starts there; see [Gate];
 //   - it runs only under a claim in the platform's table, so that one copy of
-//     it runs in the whole fleet, whichever entry it came through;
+//     it runs in the whole fleet, whichever entry it came through (see
+//     [Arrival] for when the table is out);
 //   - if the target crashes while the suspect alone was starting, or while it
 //     was the only call there, its guilt is proven. It is quarantined, and the
 //     calls that were its neighbours at any crash are free of that crash;
@@ -32,7 +33,8 @@
 //
 //   - two targets, if n is 1: the one where it came to notice, and the one
 //     where it ran under watch. The claim sees to it when several entries hold
-//     the same suspect: one claim is granted in the life of its row;
+//     the same suspect: one claim is granted in the life of its row. While the
+//     table is out, each entry that holds a copy may run it once;
 //   - n targets, if n is 2 or more and each copy crashes within Config.Settle
 //     of the first: two crashes are known before a copy is sent under watch,
 //     and none is. So two entries that send it at the same moment crash two;
@@ -52,7 +54,9 @@
 // for being near, and one that was near twice is held only until the guilt of
 // the one who did it is proven, which takes one watched run. What remains: a
 // neighbour of two requests that both crash late in their output, when their
-// guilt can't be proven, is held until its entry gives up.
+// guilt can't be proven, is held until its entry gives up; and so is one that
+// could not wait to be the only suspect at its target ([Arrival]) and met there
+// a suspect that crashes late.
 //
 // The types of this package belong to one loop and are not safe for concurrent
 // use.
--- a/pkg/kumquatlug/quarantine/quarantine_test.go
+++ b/pkg/kumquatlug/quarantine/quarantine_test.go
@@ -91,6 +91,40 @@
 	properties.TestingRun(t)
 }
 
+func TestGate(t *testing.T) {
+	// Two calls were near a crash. If they started together with others at the
+	// next target, a second crash would prove nothing about any of them.
+	r := New(Config{})
+	r.Crashed(0, NewCrash("a", "1"), []Held{{Fingerprint: "x"}, {Fingerprint: "y"}})
+	g := NewGate(r)
+	begin := func(id, print string, claimed, urgent bool) Verdict {
+		return g.Begin(1, Arrival{ID: id, Fingerprint: Fingerprint(print), Claimed: claimed, Urgent: urgent})
+	}
+	steps := []struct {
+		name string
+		got  func() Verdict
+		want Verdict
+	}{
+		{"ordinary", func() Verdict { return begin("1", "p", false, false) }, VerdictRun},
+		{"suspect without claim", func() Verdict { return begin("2", "x", false, false) }, VerdictClaim},
+		{"suspect beside a start", func() Verdict { return begin("2", "x", true, false) }, VerdictWait},
+		{"ordinary behind it", func() Verdict { return begin("3", "q", false, false) }, VerdictWait},
+		{"suspect alone", func() Verdict { g.Started("1"); return begin("2", "x", true, false) }, VerdictRun},
+		{"ordinary beside its start", func() Verdict { return begin("3", "q", false, false) }, VerdictWait},
+		{"ordinary after its start", func() Verdict { g.Started("2"); return begin("3", "q", false, false) }, VerdictRun},
+		{"second suspect", func() Verdict { return begin("4", "y", true, false) }, VerdictElsewhere},
+		{"urgent beside a start", func() Verdict { return begin("4", "y", true, true) }, VerdictWait},
+		{"urgent", func() Verdict { g.Started("3"); return begin("4", "y", true, true) }, VerdictRun},
+		{"after its guilt is proven", func() Verdict { g.Crashed(2, NewCrash("b", "1")); return begin("4", "y", true, true) }, VerdictRefuse},
+		{"its neighbour", func() Verdict { return begin("2", "x", true, false) }, VerdictRun},
+	}
+	for _, s := range steps {
+		if got := s.got(); got != s.want {
+			t.Fatalf("%s: %s, want %s", s.name, got, s.want)
+		}
+	}
+}
+
 func TestFinishedRequestIsFree(t *testing.T) {
 	// A caller sends the same harmless request all day, and is near an
 	// unrelated crash in the morning and another in the afternoon. If the first
--- a/pkg/kumquatlug/retry/retry.go
+++ b/pkg/kumquatlug/retry/retry.go
@@ -26,7 +26,7 @@
 // the calls: copies that both run raised the median wait at 0.9 of the capacity
 // from 0.38 s to 1.35 s and more, and took the answers within 3 s from 0.993 to
 // 0.915 at best; at half the capacity they won 0.001 at most. Copies of which
-// one is dropped when the other starts won 0.001 up to 0.9, and at 1.1 left
+// one is dropped when the other starts won 0.002 at most up to 0.9, and at 1.1 left
 // 0.03 to 0.11 of the answers in time where none left 0.16. Slow targets lose
 // their share through package health instead.
 //
@@ -145,7 +145,9 @@
 	// Attempts is how many attempts failed so far, the last included and
 	// refusals not.
 	Attempts int
-	// Refusals is how many attempts were refused before the target began.
+	// Refusals is how many attempts were refused before the target began. A
+	// suspect that is only asked to wait its turn (see package quarantine) is
+	// not refused in this sense.
 	Refusals int
 	// Deadline and Elapsed are spans since the call was accepted.
 	Deadline kumquatlug.Millis
--- a/pkg/kumquatlug/routing/pick.go
+++ b/pkg/kumquatlug/routing/pick.go
@@ -52,6 +52,7 @@
 	reason Reason
 	wait   kumquatlug.Millis
 	finish kumquatlug.Millis
+	stated kumquatlug.Millis
 	cached int
 }
 
@@ -67,6 +68,12 @@
 // Finish returns the expected span until the whole answer.
 func (c Choice) Finish() kumquatlug.Millis { return c.finish }
 
+// Stated returns the span until the whole answer if the target had the speed
+// that it states, whatever its weight. Judge its health by this one: by Finish,
+// a slow target would look well as soon as its weight is right, and be given
+// its full share again.
+func (c Choice) Stated() kumquatlug.Millis { return c.stated }
+
 // Cached returns how many tokens of the prompt the target is believed to hold;
 // tell [Router.Hit] when the answer says how many it did.
 func (c Choice) Cached() int { return c.cached }
@@ -87,8 +94,10 @@
 	// cost is the expected finish as if nothing of the prompt were held there;
 	// infinite when the target turned out to have no room.
 	cost float64
-	// saved is what the held part of the prompt saves, or is hoped to.
+	// saved is what the held part of the prompt saves, with hoped, which is no
+	// part of what is expected.
 	saved float64
+	hoped float64
 	// wait is the part of the cost until the first output.
 	wait  float64
 	depth int
@@ -229,7 +238,8 @@
 		return nil
 	}
 	unknown := max(q.PrefillTokens-first.depth*r.config.BlockTokens, 0)
-	first.saved += r.config.Affinity * float64(unknown) * first.target.prefillToken
+	first.hoped = r.config.Affinity * float64(unknown) * first.target.prefillToken
+	first.saved += first.hoped
 	return first
 }
 
@@ -337,9 +347,12 @@
 	if c.depth > 0 && c.depth > r.shallowest() {
 		reason = ReasonCached
 	}
+	held := c.saved - c.hoped
+	finish := max(c.cost-held, 0)
 	return Choice{
 		target: c.target.name, reason: reason, cached: c.depth * r.config.BlockTokens,
-		wait: kumquatlug.Millis(max(c.wait-c.saved, 0)), finish: kumquatlug.Millis(max(c.cost-c.saved, 0)),
+		wait: kumquatlug.Millis(max(c.wait-held, 0)), finish: kumquatlug.Millis(finish),
+		stated: kumquatlug.Millis(finish * c.target.weight),
 	}
 }
 
