--- a/pkg/kumquatlug/failure.go
+++ b/pkg/kumquatlug/failure.go
@@ -80,6 +80,13 @@
 	return f
 }
 
+// WithRan returns the same failure with another word on whether the call ran.
+func (f *Failure) WithRan(ran Ran) *Failure {
+	other := *f
+	other.ran = ran
+	return &other
+}
+
 // Error names the step, the peer, the reason and the cause.
 func (f *Failure) Error() string {
 	text := f.step
@@ -96,6 +103,14 @@
 // Unwrap returns the cause.
 func (f *Failure) Unwrap() error { return f.cause }
 
+// CauseText returns the cause in words, empty when there is none.
+func (f *Failure) CauseText() string {
+	if f.cause == nil {
+		return ""
+	}
+	return f.cause.Error()
+}
+
 // Step returns what was being done.
 func (f *Failure) Step() string { return f.step }
 
