--- a/pkg/kumquatlug/health/health.go
+++ b/pkg/kumquatlug/health/health.go
@@ -33,8 +33,8 @@
 // for its default.
 type Config struct {
 	// HeartbeatEvery is the span between two heartbeats to a target. Default
-	// 1,000 ms: 20 targets with reports of 200 bytes are 4 KB a second of the
-	// 5 KB that a node may use for control.
+	// 1,000 ms: 20 targets with reports of 142 bytes are 2.8 KB a second of the
+	// 5 KB that a node may use for control; with cache events take 2,000.
 	HeartbeatEvery kumquatlug.Millis
 	// HeartbeatTimeout is how long an entry waits for the answer to one
 	// heartbeat before it counts it as missed. Default 1,000 ms: a thousand
@@ -203,7 +203,9 @@
 }
 
 // Outcome records how a call ended: whether the target did its work, and the
-// ratio of the time it took to the time that was expected. A refusal for want
+// ratio of the time it took to the time that was expected of it at full weight.
+// With the time expected at its present weight a slow target would look well as
+// soon as it is given less, and get its full share again. A refusal for want
 // of room, a caller's own error and a call that a caller gave up are no
 // outcomes. The ratio of a failed call is not used.
 func (g *Group) Outcome(now kumquatlug.Millis, name string, ok bool, ratio float64) {
