Routing: unseen work needs no kind at Sent

A Sent without a kind, as the dispatcher calls it, would have left unseen work at zero and the entries herding, with no error to show it. The work now counts for every kind that the target takes, which is also right: it fills the same target. Cached no longer exceeds the prompt.

--- a/pkg/kumquatlug/routing/herd_test.go
+++ b/pkg/kumquatlug/routing/herd_test.go
@@ -128,7 +128,7 @@
 	e := s.index[name]
 	id := fmt.Sprint(s.turn)
 	s.turn++
-	r.Sent(now, name, Call{ID: id, Kind: q.Kind, Prefix: q.Prefix, PrefillTokens: q.PrefillTokens, DecodeTokens: q.DecodeTokens})
+	r.Sent(now, name, Call{ID: id, Prefix: q.Prefix, PrefillTokens: q.PrefillTokens, DecodeTokens: q.DecodeTokens})
 	hit := e.hit(q)
 	s.tokens += float64(q.PrefillTokens)
 	s.hits += float64(hit)
--- a/pkg/kumquatlug/routing/pick.go
+++ b/pkg/kumquatlug/routing/pick.go
@@ -87,9 +87,9 @@
 	excluded bool
 }
 
-// candidate is a target that may be chosen in one decision; spans are in
+// option is a target that may be chosen in one decision; spans are in
 // milliseconds.
-type candidate struct {
+type option struct {
 	target *target
 	// cost is the expected finish as if nothing of the prompt were held there;
 	// infinite when the target turned out to have no room.
@@ -128,7 +128,7 @@
 			return Choice{}, false
 		}
 		if room == nil || room.Room(c.target.name) {
-			return r.choice(c, c == favourite), true
+			return r.choice(c, q, c == favourite), true
 		}
 		c.cost = math.Inf(1)
 	}
@@ -137,7 +137,7 @@
 	if c == nil {
 		return Choice{}, false
 	}
-	return r.choice(c, c == favourite), true
+	return r.choice(c, q, c == favourite), true
 }
 
 // gather fills r.candidates with the targets that may take q, and returns how
@@ -156,7 +156,7 @@
 	for _, m := range p.members {
 		b := r.believed[m.target.slot]
 		if !b.excluded && m.target.takes(m.role, q.Role) {
-			r.candidates = append(r.candidates, candidate{target: m.target, depth: b.depth})
+			r.candidates = append(r.candidates, option{target: m.target, depth: b.depth})
 		}
 	}
 	return known
@@ -188,7 +188,7 @@
 }
 
 // expect estimates the finish of q at one candidate.
-func (r *Router) expect(c *candidate, q Query) {
+func (r *Router) expect(c *option, q Query) {
 	t := c.target
 	token := t.decodeToken * (1 + r.config.BatchSlowdown*t.streams())
 	queue := t.ownPrefill + t.othersWaiting*r.meanPrefill
@@ -221,12 +221,12 @@
 // the bound. Without a common place the same new prompt would be run on every
 // target that it happens to meet; without the bound a popular one would drown
 // its place.
-func (r *Router) favour(q Query, known int, load float64) *candidate {
+func (r *Router) favour(q Query, known int, load float64) *option {
 	if known >= len(q.Prefix) {
 		return nil
 	}
 	key, bound := q.Prefix[known], r.config.LoadBound*(load+1)
-	var first *candidate
+	var first *option
 	var highest uint64
 	for i := range r.candidates {
 		c := &r.candidates[i]
@@ -288,7 +288,7 @@
 // would grow by what all of them send in that time. What is saved is no part of
 // the level: a prompt has the same place for all entries, and would lose it in
 // the draw.
-func (r *Router) choose(level float64) *candidate {
+func (r *Router) choose(level float64) *option {
 	least := r.least(level)
 	if least == nil || least.cost >= level {
 		return least
@@ -310,15 +310,15 @@
 
 // below returns how far a candidate lies below the level, zero when it saves
 // less than the best does.
-func (c *candidate) below(level, saved float64) float64 {
+func (c *option) below(level, saved float64) float64 {
 	if c.cost >= level || c.saved < saved {
 		return 0
 	}
 	return level - c.cost
 }
 
-func (r *Router) least(level float64) *candidate {
-	var least *candidate
+func (r *Router) least(level float64) *option {
+	var least *option
 	cost := math.Inf(1)
 	for i := range r.candidates {
 		c := &r.candidates[i]
@@ -339,7 +339,7 @@
 	}
 }
 
-func (r *Router) choice(c *candidate, favourite bool) Choice {
+func (r *Router) choice(c *option, q Query, favourite bool) Choice {
 	reason := ReasonFinish
 	if favourite {
 		reason = ReasonAffinity
@@ -350,7 +350,7 @@
 	held := c.saved - c.hoped
 	finish := max(c.cost-held, 0)
 	return Choice{
-		target: c.target.name, reason: reason, cached: c.depth * r.config.BlockTokens,
+		target: c.target.name, reason: reason, cached: min(c.depth*r.config.BlockTokens, q.PrefillTokens),
 		wait: kumquatlug.Millis(max(c.wait-held, 0)), finish: kumquatlug.Millis(finish),
 		stated: kumquatlug.Millis(finish * c.target.weight),
 	}
--- a/pkg/kumquatlug/routing/routing.go
+++ b/pkg/kumquatlug/routing/routing.go
@@ -170,12 +170,12 @@
 
 	// Working space of one decision, so that it allocates nothing.
 	believed   []believed
-	candidates []candidate
+	candidates []option
 }
 
 // pool is what one kind of work has: the targets that take it, in name order,
-// so that decisions do not depend on the order of events, and the work that
-// this entry sent them lately.
+// so that decisions do not depend on the order of events, and the work of any
+// kind that this entry sent them lately.
 type pool struct {
 	members []member
 	work    float64
@@ -189,6 +189,11 @@
 	return p.work * math.Exp(-float64(age)/float64(rateWindow))
 }
 
+func (p *pool) add(now kumquatlug.Millis, work float64) {
+	p.work = p.recent(now) + work
+	p.workAt = now
+}
+
 // member is a target of a pool and its part in the work.
 type member struct {
 	target *target
@@ -330,8 +335,6 @@
 type Call struct {
 	// ID tells the call from the others in hand at the target.
 	ID string
-	// Kind is the kind of work, as in its query.
-	Kind kumquatlug.Kind
 	// Prefix are the prompt's prefix keys; the target is believed to hold
 	// them from now on, until an event or an answer says otherwise.
 	Prefix []uint64
@@ -351,10 +354,9 @@
 	r.cache.addAll(t.slot, c.Prefix)
 	r.meanPrefill += meanStep * (float64(c.PrefillTokens) - r.meanPrefill)
 	r.meanDecode += meanStep * (float64(c.DecodeTokens) - r.meanDecode)
-	if p, ok := r.pools[c.Kind]; ok {
-		work := t.busyMillis(float64(c.PrefillTokens), float64(c.DecodeTokens), r.config.BatchSlowdown)
-		p.work = p.recent(now) + work
-		p.workAt = now
+	work := t.busyMillis(float64(c.PrefillTokens), float64(c.DecodeTokens), r.config.BatchSlowdown)
+	for _, d := range t.duties {
+		r.pools[d.Kind].add(now, work)
 	}
 }
 
--- a/pkg/kumquatlug/routing/routing_test.go
+++ b/pkg/kumquatlug/routing/routing_test.go
@@ -28,7 +28,7 @@
 // send records n calls with prompts of some tokens at one target.
 func send(r *Router, name string, n, tokens int) {
 	for i := range n {
-		r.Sent(0, name, Call{ID: fmt.Sprint(name, i, tokens), Kind: chat, PrefillTokens: tokens, DecodeTokens: 100})
+		r.Sent(0, name, Call{ID: fmt.Sprint(name, i, tokens), PrefillTokens: tokens, DecodeTokens: 100})
 	}
 }
 
@@ -76,7 +76,7 @@
 	// as before, it would attract the prompts that it held and run them anew.
 	r := fleet(2)
 	r.Report(0, target4(0), Load{Incarnation: "x", Begun: 7})
-	r.Sent(0, target4(0), Call{ID: "a", Kind: chat, Prefix: []uint64{1, 2}, PrefillTokens: 512})
+	r.Sent(0, target4(0), Call{ID: "a", Prefix: []uint64{1, 2}, PrefillTokens: 512})
 	r.Finished(10, target4(0), "a")
 	if c := pick(t, r, query(512, 1, 2)); c.Cached() != 512 || c.Reason() != ReasonCached {
 		t.Fatalf("before: %d tokens, %s", c.Cached(), c.Reason())
@@ -237,7 +237,7 @@
 	for i := range 700 {
 		c := pick(t, r, query(1000))
 		sent[c.Target()]++
-		r.Sent(0, c.Target(), Call{ID: fmt.Sprint(i), Kind: chat, PrefillTokens: 1000, DecodeTokens: 100})
+		r.Sent(0, c.Target(), Call{ID: fmt.Sprint(i), PrefillTokens: 1000, DecodeTokens: 100})
 	}
 	if n := sent[target4(0)]; n < 85 || n > 115 {
 		t.Errorf("it gets %d of 700 calls, want about 100", n)
@@ -261,7 +261,7 @@
 		keys[i] = mix(uint64(i) + 1)
 	}
 	for i := range 4 * n {
-		c := Call{ID: fmt.Sprint(i), Kind: chat, Prefix: keys[:i%9], PrefillTokens: 100 * (i % 37), DecodeTokens: 100}
+		c := Call{ID: fmt.Sprint(i), Prefix: keys[:i%9], PrefillTokens: 100 * (i % 37), DecodeTokens: 100}
 		r.Sent(kumquatlug.Millis(i%500), target4(i%n), c)
 	}
 	return r, query(4096, keys...)
@@ -303,7 +303,7 @@
 	for _, name := range []string{"engine-1", "engine-2"} {
 		r.Set(0, Candidate{Name: name, Zone: "a", Duties: []Duty{{Kind: draft, Role: kumquatlug.RoleBoth}}})
 	}
-	r.Sent(0, "engine-1", Call{ID: "decree", Kind: draft, PrefillTokens: 30000, DecodeTokens: 200})
+	r.Sent(0, "engine-1", Call{ID: "decree", PrefillTokens: 30000, DecodeTokens: 200})
 	c, _ := r.Pick(5, Query{Kind: draft, Role: kumquatlug.RoleBoth, PrefillTokens: 800, DecodeTokens: 100}, nil)
 	fmt.Println(c.Target(), c.Wait())
 	// Output: engine-2 100
