Report an engine as away while an order's outcome is in doubt

Entries sent work there in vain. Change: what is reported is what the gate would say. Ruled out: telling the drain earlier, which was right by itself but left the flake.

--- a/cmd/kumquatlug/look.go
+++ b/cmd/kumquatlug/look.go
@@ -134,14 +134,14 @@
 }
 
 func printStatus(w io.Writer, status *peerv1.StatusResponse) error {
-	rows := [][]string{{"NAME", "ROLE", "ZONE", "STATE", "REVISION", "RUNNING", "HEARTBEAT", "ADDRESS", "LABELS"}}
+	rows := [][]string{{"NAME", "ROLE", "ZONE", "STATE", "DOES", "REVISION", "RUNNING", "HEARTBEAT", "ADDRESS", "LABELS"}}
 	for _, n := range status.GetNodes() {
 		age := "-"
 		if n.GetHeartbeatAgeMs() >= 0 {
 			age = fmt.Sprintf("%d ms", n.GetHeartbeatAgeMs())
 		}
 		rows = append(rows, []string{
-			n.GetName(), n.GetRole(), n.GetZone(), n.GetState(), strconv.FormatInt(n.GetRevision(), 10),
+			n.GetName(), n.GetRole(), n.GetZone(), n.GetState(), n.GetTargetRole(), strconv.FormatInt(n.GetRevision(), 10),
 			strconv.FormatInt(n.GetRunning(), 10), age, n.GetAddress(), n.GetLabels(),
 		})
 	}
--- a/internal/agent/hand.go
+++ b/internal/agent/hand.go
@@ -10,6 +10,7 @@
 	"github.com/kumquatlug/kumquatlug/internal/peer"
 	"github.com/kumquatlug/kumquatlug/internal/timeline"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/dispatch"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/drain"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/order"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/quarantine"
@@ -20,9 +21,13 @@
 // target is the better place.
 const watchedWait = 5 * kumquatlug.Second
 
+// urgentBelow is the time left of a deadline below which a suspect does not wait
+// to be the only one at a target.
+const urgentBelow = 2 * watchedWait
+
 // Reasons of refusals that concern requests in hand at crashes.
 const (
-	reasonSuspect     = "suspect_in_hand"
+	reasonSuspect     = dispatch.ReasonSuspect
 	reasonQuarantined = "quarantined"
 	reasonCrashed     = "target_crashed"
 )
@@ -150,7 +155,7 @@
 	h.next++
 	id := itoa(int(h.next))
 	fingerprint := quarantine.Fingerprint(work.Fingerprint())
-	verdict := h.watched.Begin(now, quarantine.Arrival{ID: id, Fingerprint: fingerprint, Claimed: claimed})
+	verdict := h.watched.Begin(now, quarantine.Arrival{ID: id, Fingerprint: fingerprint, Claimed: claimed, Urgent: work.Timeout() < urgentBelow})
 	if verdict != quarantine.VerdictRun {
 		h.watched.Abandon(id)
 		h.release()
@@ -275,13 +280,12 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	state := h.drain.State(h.now())
-	phase := h.phase()
 	switch {
 	case h.stopping:
 		return stateStopping
 	case !healthy:
 		return stateDown
-	case phase == order.PhaseDraining || phase == order.PhaseRunning:
+	case h.away():
 		return stateChanging
 	case state == drain.StateRefusing || state == drain.StateDone:
 		return stateLeaving
@@ -292,6 +296,20 @@
 	}
 }
 
+// away reports whether an order keeps work from the engine, also while its
+// outcome is in doubt: the gate would refuse work then, and entries told
+// otherwise would send it in vain. The lock is held.
+func (h *hand) away() bool {
+	if h.orders == nil {
+		return false
+	}
+	if !h.orders.Begin() {
+		return true
+	}
+	h.orders.End()
+	return false
+}
+
 // phase returns where the target is between orders. The lock is held.
 func (h *hand) phase() order.Phase {
 	if h.orders == nil {
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -102,12 +102,11 @@
 	defer tick.Stop()
 	for {
 		var step order.Step
-		a.hand.with(func(now kumquatlug.Millis) { step = a.hand.orders.Next(now) })
+		a.hand.withOrders(func(now kumquatlug.Millis) { step = a.hand.orders.Next(now) })
 		wait := tick.C
 		if step.Action() != order.StepNone && !a.step(ctx, step) {
 			wait = time.After(orderPause)
 		}
-		a.noteOrder()
 		select {
 		case <-wait:
 		case <-ctx.Done():
@@ -116,11 +115,16 @@
 	}
 }
 
-// noteOrder tells the drain whether an order takes the target away.
-func (a *Agent) noteOrder() {
-	a.hand.with(func(now kumquatlug.Millis) {
-		phase := a.hand.phase()
-		a.hand.drain.Order(phase == order.PhaseDraining || phase == order.PhaseRunning, now)
+// withOrders runs change on the gate under the lock and tells the drain, in the
+// same breath, whether an order takes the target away. Told later, the drain
+// would go on refusing work at an engine that has settled.
+func (h *hand) withOrders(change func(now kumquatlug.Millis)) {
+	h.with(func(now kumquatlug.Millis) {
+		if h.orders == nil {
+			return
+		}
+		change(now)
+		h.drain.Order(h.away(), now)
 	})
 }
 
@@ -141,7 +145,7 @@
 
 func (a *Agent) readEngine(ctx context.Context, s order.Step) bool {
 	condition, err := a.c.Engine.ReadState(ctx)
-	a.hand.with(func(kumquatlug.Millis) {
+	a.hand.withOrders(func(kumquatlug.Millis) {
 		if err != nil {
 			a.hand.orders.ReadFailed(s)
 			return
@@ -163,7 +167,7 @@
 	if err == nil {
 		record, err = lease.Decode(row)
 	}
-	a.hand.with(func(kumquatlug.Millis) {
+	a.hand.withOrders(func(kumquatlug.Millis) {
 		if err != nil {
 			a.hand.orders.FenceFailed(s)
 			return
@@ -189,18 +193,14 @@
 		outcome = order.OutcomeNotApplied
 	}
 	a.c.Ring.Add(timeline.Record{Name: timeline.OrderTaken, Detail: string(o.Verb()) + " " + o.Argument()})
-	a.hand.with(func(kumquatlug.Millis) { a.hand.orders.Ran(s, outcome) })
+	a.hand.withOrders(func(kumquatlug.Millis) { a.hand.orders.Ran(s, outcome) })
 	return true
 }
 
 // offer takes an order from an entry.
 func (a *Agent) offer(o order.Order) order.Reply {
 	reply := order.NewReply(order.VerdictNotReady, "", 0)
-	a.hand.with(func(kumquatlug.Millis) {
-		if a.hand.orders != nil {
-			reply = a.hand.orders.Offer(o)
-		}
-	})
+	a.hand.withOrders(func(kumquatlug.Millis) { reply = a.hand.orders.Offer(o) })
 	if reply.Verdict() == order.VerdictOld || reply.Verdict() == order.VerdictOtherIncarnation {
 		a.c.Ring.Add(timeline.Record{Name: timeline.OrderRefused, Detail: string(reply.Verdict()) + " " + o.ID().String()})
 	}
--- a/internal/agent/suspect.go
+++ b/internal/agent/suspect.go
@@ -21,8 +21,9 @@
 
 // claimSuspect wins the claim under which a suspect runs once in the whole
 // fleet. Two entries that each send a copy of a request that crashes targets
-// would otherwise have it crash two more. No claim, no run: when the table is
-// out the suspect is refused as not run.
+// would otherwise have it crash two more. While the table is out suspects run
+// without: that costs a second copy its bound, and waiting would fail every
+// neighbour of every crash for as long as the table is out.
 func (a *Agent) claimSuspect(ctx context.Context, work peer.Work) *kumquatlug.Failure {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
@@ -36,7 +37,8 @@
 	if errors.Is(err, kumquatlug.ErrConflict) {
 		return a.failure("claim suspect", reasonSuspect, err)
 	}
-	return a.failure("claim suspect", "table_unavailable", err)
+	a.c.Logger.Warn("a suspect runs without its claim", zap.String("request", work.Request()), zap.Error(err))
+	return nil
 }
 
 // unclaimSuspect removes the claim of a suspect that has finished.
--- a/pkg/kumquatlug/dispatch/request.go
+++ b/pkg/kumquatlug/dispatch/request.go
@@ -51,10 +51,12 @@
 	sentAt   kumquatlug.Millis
 	firstAt  kumquatlug.Millis
 	stepAt   kumquatlug.Millis
-	tokens   int64
-	cached   int
-	dueAt    kumquatlug.Millis
-	last     *kumquatlug.Failure
+	// stated is how long the answer was expected to take at the target.
+	stated kumquatlug.Millis
+	tokens int64
+	cached int
+	dueAt  kumquatlug.Millis
+	last   *kumquatlug.Failure
 	// heldUntil is how long a request that was near two crashes still waits.
 	heldUntil kumquatlug.Millis
 	// mayHaveRun says that some attempt may have run.
@@ -110,7 +112,7 @@
 
 // send makes the next attempt of r if some target may take it.
 func (d *Dispatcher) send(now kumquatlug.Millis, r *request) bool {
-	target, cached, found := d.choose(now, r)
+	target, cached, stated, found := d.choose(now, r)
 	if !found {
 		return false
 	}
@@ -119,7 +121,7 @@
 		return false
 	}
 	r.attempts++
-	r.target, r.cached, r.inHand = target, cached, true
+	r.target, r.cached, r.inHand, r.stated = target, cached, true, stated
 	r.sentAt, r.firstAt = now, 0
 	r.ticket = d.targets.Begin(now, target, r.cost())
 	d.router.Sent(now, target, routing.Call{
@@ -131,10 +133,10 @@
 	return true
 }
 
-func (d *Dispatcher) choose(now kumquatlug.Millis, r *request) (target string, cached int, found bool) {
+func (d *Dispatcher) choose(now kumquatlug.Millis, r *request) (target string, cached int, stated kumquatlug.Millis, found bool) {
 	if r.c.OnceKey != "" {
 		target, found = d.chooseOnce(r)
-		return target, 0, found
+		return target, 0, 0, found
 	}
 	query := routing.Query{
 		Kind: r.c.Kind, Role: r.c.Role, Prefix: r.c.Prefix, PrefillTokens: int(r.c.PrefillTokens),
@@ -146,7 +148,7 @@
 		query.Exclude = nil
 		choice, found = d.router.Pick(now, query, roomFor{d.targets, r.cost()})
 	}
-	return choice.Target(), choice.Cached(), found
+	return choice.Target(), choice.Cached(), choice.Stated(), found
 }
 
 // chooseOnce takes the first target in the key's order that is ready, so that
@@ -234,6 +236,10 @@
 // judgeFailure counts the failure for the request and for its target's health.
 // A refusal says nothing against the target's health.
 func (d *Dispatcher) judgeFailure(now kumquatlug.Millis, r *request, f Failed) {
+	if f.Refused && f.Failure.Reason() == ReasonSuspect {
+		// It waits its turn among suspects, which is no use of its tries.
+		return
+	}
 	if f.Refused {
 		r.refused++
 		d.noteLeaving(now, r.target, f.Failure.Reason())
@@ -251,6 +257,8 @@
 	ReasonStopping = string(drain.ReasonStop)
 	ReasonOrder    = string(drain.ReasonOrder)
 	ReasonFull     = "engine_refused"
+	// ReasonSuspect: another request that was in hand at a crash runs there.
+	ReasonSuspect = "suspect_in_hand"
 )
 
 // noteLeaving takes a refusal for what it tells of the target. Until the next
@@ -360,9 +368,15 @@
 		d.outcome(now, r, true, 1)
 		return
 	}
-	ratio := float64(now-r.sentAt) / expected
-	d.outcome(now, r, true, ratio)
-	k.pace += paceGain * (ratio - k.pace)
+	took := float64(now - r.sentAt)
+	k.pace += paceGain * (took/expected - k.pace)
+	if r.stated <= 0 {
+		d.outcome(now, r, true, 1)
+		return
+	}
+	// The statement was made for the estimated tokens.
+	stated := float64(r.stated) * expected / r.expected()
+	d.outcome(now, r, true, took/stated)
 }
 
 // used is what the caller is charged for a request that it gave up.
--- a/pkg/kumquatlug/dispatch/targets.go
+++ b/pkg/kumquatlug/dispatch/targets.go
@@ -305,10 +305,7 @@
 func (d *Dispatcher) shareEntries() {
 	n := max(1, len(d.entries))
 	d.callers.SetEntries(n)
-	sharing := n
-	if watched := len(d.members.Names()); watched > 0 {
-		sharing = min(n, max(1, n*len(d.watched)/watched))
-	}
+	sharing := max(1, min(n, routing.Replicas(n, len(d.members.Names()), d.c.Subset)))
 	d.targets.SetEntries(sharing)
 	d.router.SetEntries(sharing)
 }
--- a/test/path/failure_test.go
+++ b/test/path/failure_test.go
@@ -267,8 +267,8 @@
 	revision := f.revisionOf(f.operate("label", "engine-1", "leaving=true"))
 	until(t, "the agent has the change", func() bool {
 		for _, line := range strings.Split(f.operate("status"), "\n") {
-			if fields := strings.Fields(line); len(fields) > 4 && fields[0] == "engine-1" {
-				return fields[4] == revision
+			if fields := strings.Fields(line); len(fields) > 5 && fields[0] == "engine-1" {
+				return fields[5] == revision
 			}
 		}
 		return false
--- a/test/path/path_test.go
+++ b/test/path/path_test.go
@@ -173,3 +173,49 @@
 		t.Errorf("the entry ended with %v", err)
 	}
 }
+
+// does returns what the engines do, by the status that operators see.
+func (f *fleet) does() string {
+	f.t.Helper()
+	var roles []string
+	for _, line := range strings.Split(f.operate("status"), "\n") {
+		if fields := strings.Fields(line); len(fields) > 4 && strings.HasPrefix(fields[0], "engine-") {
+			roles = append(roles, fields[4])
+		}
+	}
+	return strings.Join(roles, " ")
+}
+
+func TestPromptsAndOutputsRunOnDifferentEngines(t *testing.T) {
+	f := newFleet(t)
+	f.operate("selector", "set", "prompts", "--kind", model, "--role", "prefill", "--match", "pool=engines")
+	f.operate("selector", "set", "outputs", "--kind", model, "--role", "decode", "--match", "pool=engines")
+	f.operate("selector", "delete", "engines")
+	until(t, "one engine runs prompts and one generates", func() bool {
+		does := f.does()
+		return does == "prefill decode" || does == "decode prefill"
+	})
+	until(t, "both take work", func() bool { return strings.Count(f.operate("explain", model), "yes") == 2 })
+	before := len(f.sentTo())
+	long := strings.Repeat("a long decree text ", 120)
+	f.expectWhole(f.stream("entry-1", long, 40, nil), long, 40)
+	sent := f.sentTo()[before:]
+	if len(sent) != 2 || sent[0] == sent[1] {
+		t.Errorf("the request went to %v, want one engine and then the other:\n%s", sent, f.operate("timeline"))
+	}
+	// The holder of the group's lease is killed; another entry must take over
+	// under a higher number, and answers go on meanwhile.
+	holder := "entry-1"
+	for _, line := range strings.Split(f.operate("timeline"), "\n") {
+		if fields := strings.Fields(line); len(fields) > 3 && fields[3] == "lease_taken" {
+			holder = fields[2]
+		}
+	}
+	other := map[string]string{"entry-1": "entry-2", "entry-2": "entry-1"}[holder]
+	f.processes[holder].signal(syscall.SIGKILL)
+	f.expectWhole(f.stream(other, long, 20, nil), long, 20)
+	until(t, "the other entry holds the lease", func() bool {
+		line := f.must("timeline", "--server", f.operators[other], "--operator-key", operatorKey)
+		return strings.Contains(line, "lease_taken") && strings.Contains(line, "number 2")
+	})
+}
