--- a/internal/capacity/cost.go
+++ b/internal/capacity/cost.go
@@ -1,6 +1,7 @@
 package capacity
 
 import (
+	"runtime"
 	"syscall"
 	"time"
 
@@ -47,3 +48,21 @@
 	}
 	return least, nil
 }
+
+// heap returns the bytes on the heap that are still referred to.
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
+
+// kept returns how much heap is held by what build returns.
+func kept(build func() (any, error)) (float64, error) {
+	before := heap()
+	built, err := build()
+	after := heap()
+	runtime.KeepAlive(built)
+	return after - before, err
+}
--- a/internal/capacity/heartbeat.go
+++ b/internal/capacity/heartbeat.go
@@ -17,7 +17,8 @@
 
 // heartbeats measures what one heartbeat costs on a connection that stands:
 // over HTTP/1.1, as the processes speak today, and over HTTP/2, which sends
-// headers that it sent before as one byte each.
+// headers that it sent before as one byte each; with answers compressed, as the
+// library does unless told otherwise, and without.
 func heartbeats(ctx context.Context, c Config) ([]Slope, error) {
 	s, err := newSite(ctx)
 	if err != nil {
@@ -38,16 +39,44 @@
 	}
 	dialer := peer.NewDialer(s.entry)
 	defer dialer.Close()
-	slopes, err := heartbeatsOver(ctx, c, "HTTP/1.1", t, dialer.Agent(address))
-	if err != nil {
-		return nil, err
-	}
 	client := http2Client(s.entry, peer.RoleAgent)
 	defer client.CloseIdleConnections()
-	more, err := heartbeatsOver(ctx, c, "HTTP/2", t, peerv1connect.NewAgentServiceClient(client, "https://"+address))
+	plainly := connect.WithAcceptCompression("gzip", nil, nil)
+	ways := []struct {
+		protocol string
+		client   peerv1connect.AgentServiceClient
+	}{
+		{"HTTP/1.1, gzip (as shipped)", dialer.Agent(address)},
+		{"HTTP/1.1", peerv1connect.NewAgentServiceClient(dialer.Work(), "https://"+address, plainly)},
+		{"HTTP/2, gzip", peerv1connect.NewAgentServiceClient(client, "https://"+address)},
+		{"HTTP/2", peerv1connect.NewAgentServiceClient(client, "https://"+address, plainly)},
+	}
+	var slopes []Slope
+	for _, w := range ways {
+		more, err := heartbeatsOver(ctx, c, w.protocol, t, w.client)
+		if err != nil {
+			return nil, err
+		}
+		slopes = append(slopes, more...)
+	}
+	more, err := s.connections(ctx, c, t, address)
 	return append(slopes, more...), err
 }
 
+// connections measures a heartbeat that needs a new connection, as the first to
+// each target after a start and after a failure.
+func (s *site) connections(ctx context.Context, c Config, t *traffic, address string) ([]Slope, error) {
+	return exchanges(exchangeConfig{
+		what: "heartbeat on a new connection", per: "heartbeat", sizes: []int{c.size(10, 1), c.size(60, 3)}, traffic: t,
+		once: func() error {
+			dialer := peer.NewDialer(s.entry)
+			defer dialer.Close()
+			_, err := dialer.Agent(address).Report(ctx, connect.NewRequest(&peerv1.ReportRequest{Entry: "entry-0123"}))
+			return err
+		},
+	})
+}
+
 // http2Client returns a client that speaks HTTP/2 to peers of a role. Servers
 // of package peer offer it; its own clients don't ask for it.
 func http2Client(keys *peer.Keys, role peer.Role) *http.Client {
@@ -78,7 +107,7 @@
 		return err
 	}
 	return exchanges(exchangeConfig{
-		what: "heartbeat, " + protocol, per: "heartbeat", sizes: []int{c.size(300, 3), c.size(1800, 9)}, traffic: t, once: ask,
+		what: "heartbeat, " + protocol, per: "heartbeat", sizes: []int{c.size(200, 3), c.size(1200, 9)}, traffic: t, once: ask,
 	})
 }
 
@@ -88,7 +117,9 @@
 	per     string
 	sizes   []int
 	traffic *traffic
-	once    func() error
+	// plain says that the connection has no TLS.
+	plain bool
+	once  func() error
 }
 
 // exchanges measures a request and its answer on the wire and by processor time
@@ -115,12 +146,16 @@
 		records = append(records, NewPoint(size, float64(passed.records())))
 		nanos = append(nanos, NewPoint(size, float64(took.Nanoseconds())))
 	}
-	return slopesOf([]slopeConfig{
-		{c.what + ": wire, both ways, with TLS", c.per, UnitBytes, whole},
+	configs := []slopeConfig{
 		{c.what + ": wire, both ways, without TLS", c.per, UnitBytes, plain},
-		{c.what + ": records, both ways", c.per, UnitRecords, records},
 		{c.what + ": both ends", c.per, UnitNanos, nanos},
-	})
+	}
+	if !c.plain {
+		configs = append(configs,
+			slopeConfig{c.what + ": wire, both ways, with TLS", c.per, UnitBytes, whole},
+			slopeConfig{c.what + ": records, both ways", c.per, UnitRecords, records})
+	}
+	return slopesOf(configs)
 }
 
 // slopeConfig is what one slope is made of.
--- /dev/null
+++ b/internal/capacity/messages.go
@@ -0,0 +1,155 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/ulid/v2"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/kumquatlug/kumquatlug/internal/peer"
+	"github.com/kumquatlug/kumquatlug/internal/peer/peerv1"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/quarantine"
+)
+
+// message is a message that grows with a count.
+type message struct {
+	what string
+	per  string
+	// sizes are the counts to compare.
+	sizes [2]int
+	build func(n int) (any, error)
+}
+
+// messages measures how messages grow: encoded, before framing and TLS.
+func messages(_ context.Context, c Config) ([]Slope, error) {
+	grow := [2]int{c.size(100, 2), c.size(1100, 7)}
+	kinds := []message{
+		{"report: calls in hand at a crash", "fingerprint", [2]int{1, 41}, crashReport},
+		{"report: cache events", "event", grow, cacheReport},
+		{"quarantine notice, JSON", "fingerprint", grow, notices},
+		{"whole config: rows of labels", "row", grow, labelRows},
+		{"status of the fleet", "node", grow, statuses},
+		{"time line", "event", grow, events},
+		{"platform's list, JSON", "VM", grow, listedVMs},
+	}
+	slopes := make([]Slope, 0, len(kinds))
+	for _, m := range kinds {
+		s, err := m.measure()
+		if err != nil {
+			return nil, err
+		}
+		slopes = append(slopes, s)
+	}
+	return slopes, nil
+}
+
+func (m message) measure() (Slope, error) {
+	points := make([]Point, 0, len(m.sizes))
+	for _, n := range m.sizes {
+		body, err := m.build(n)
+		if err != nil {
+			return Slope{}, err
+		}
+		text, err := encode(body)
+		if err != nil {
+			return Slope{}, err
+		}
+		points = append(points, NewPoint(n, float64(len(text))))
+	}
+	return NewSlope(m.what, m.per, UnitBytes, points...)
+}
+
+func encode(body any) ([]byte, error) {
+	if m, ok := body.(proto.Message); ok {
+		text, err := proto.Marshal(m)
+		return text, errors.Wrap(err, "encode a message")
+	}
+	text, err := json.Marshal(body)
+	return text, errors.Wrap(err, "encode a message")
+}
+
+// fingerprintOf returns a fingerprint as requests have it.
+func fingerprintOf(i int) quarantine.Fingerprint {
+	return quarantine.NewFingerprint("account", kumquatlug.NewKind(kumquatlug.ProtocolEngine, "draft"), fmt.Append(nil, i))
+}
+
+func crashReport(n int) (any, error) {
+	one := &peerv1.Crash{Id: ulid.Make().String() + "/1"}
+	for i := range n {
+		one.Fingerprints = append(one.Fingerprints, string(fingerprintOf(i)))
+	}
+	return &peerv1.ReportResponse{Crashes: []*peerv1.Crash{one}}, nil
+}
+
+func cacheReport(n int) (any, error) {
+	report := &peerv1.ReportResponse{}
+	for i := range n {
+		report.Cache = append(report.Cache, &peerv1.CacheEvent{Sequence: int64(1_000_000 + i), Prefix: string(fingerprintOf(i))[:16]})
+	}
+	return report, nil
+}
+
+func notices(n int) (any, error) {
+	register := quarantine.New(quarantine.Config{Records: n + 1})
+	for i := range n {
+		register.Crashed(1000, quarantine.NewCrash("drafting-01234", ulid.Make().String()), heldAt(i))
+	}
+	list, _ := register.Known(2000, 0)
+	return list, nil
+}
+
+func heldAt(i int) []quarantine.Held {
+	return []quarantine.Held{{Fingerprint: fingerprintOf(i), Starting: true}}
+}
+
+func labelRows(n int) (any, error) {
+	sets, err := targetSets(n)
+	return &peerv1.PullResponse{Revision: 1_402_113, Whole: true, Sets: peer.SetsTo(sets)}, err
+}
+
+func statuses(n int) (any, error) {
+	answer := &peerv1.StatusResponse{}
+	for i := range n {
+		answer.Nodes = append(answer.Nodes, &peerv1.NodeStatus{
+			Name: targetName(i), Role: "target", Zone: zone, Address: "10.120.30.40:8090", State: "serving", Revision: 1_402_113,
+			Labels: "name=" + targetName(i) + ",pool=drafting,zone=" + zone, Running: 41, HeartbeatAgeMs: 640, TargetRole: "both",
+		})
+	}
+	return answer, nil
+}
+
+func events(n int) (any, error) {
+	answer := &peerv1.EventsResponse{}
+	for i := range n {
+		answer.Events = append(answer.Events, &peerv1.Event{
+			Node: "entry-0123", Sequence: int64(1_000_000 + i), WallMs: time.Now().UnixMilli(), Name: "sent", RequestId: ulid.Make().String(),
+			Peer: targetName(i), Detail: "attempt 1", Logical: int64(81_231_233 + i),
+		})
+	}
+	return answer, nil
+}
+
+// listedVM is one VM of the platform's list, as its client reads it.
+type listedVM struct {
+	Name    string `json:"name"`
+	Role    string `json:"role"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	State   string `json:"state"`
+}
+
+func listedVMs(n int) (any, error) {
+	list := make([]listedVM, n)
+	for i := range list {
+		list[i] = listedVM{targetName(i), "target", "10.120.30.40:8090", zone, "live"}
+	}
+	return list, nil
+}
+
+// targetName returns the name of a target, all of one length.
+func targetName(i int) string { return fmt.Sprintf("drafting-%05d", i) }
--- a/internal/capacity/node.go
+++ b/internal/capacity/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/x509"
 	"net"
 	"net/http"
 	"time"
@@ -30,12 +31,13 @@
 // site is a small deployment in this process: the platform in memory and the
 // keys of its processes. Everything that it starts ends with close.
 type site struct {
-	platform *platform.Memory
-	entry    *peer.Keys
-	agent    *peer.Keys
-	ctx      context.Context
-	cancel   context.CancelFunc
-	group    run.Group
+	platform  *platform.Memory
+	authority *peer.Authority
+	entry     *peer.Keys
+	agent     *peer.Keys
+	ctx       context.Context
+	cancel    context.CancelFunc
+	group     run.Group
 }
 
 func newSite(ctx context.Context) (*site, error) {
@@ -43,7 +45,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &site{platform: platform.NewMemory()}
+	s := &site{platform: platform.NewMemory(), authority: authority}
 	if s.entry, err = issue(authority, peer.RoleEntry); err != nil {
 		return nil, err
 	}
@@ -62,6 +64,18 @@
 	return peer.LoadKeys(peer.KeysConfig{Certificate: string(certificate), Key: string(key), Authority: string(a.PEM())})
 }
 
+// publicKeys returns the keys that callers see and the pool that trusts them.
+func (s *site) publicKeys() (*peer.PublicKeys, *x509.CertPool, error) {
+	certificate, key, err := s.authority.Issue(peer.RoleEntry)
+	if err != nil {
+		return nil, nil, err
+	}
+	keys, err := peer.LoadPublicKeys(string(certificate), string(key))
+	pool := x509.NewCertPool()
+	pool.AppendCertsFromPEM(s.authority.PEM())
+	return keys, pool, err
+}
+
 // start begins to run what was added; the function that it returns stops it all
 // and waits for its end.
 func (s *site) start() (stop func()) {
@@ -93,10 +107,15 @@
 	if err != nil {
 		return "", err
 	}
-	peer.AddServer(&s.group, "serve stand-in", &http.Server{Handler: handler}, l)
+	s.serveOn(l, handler)
 	return "http://" + l.Addr().String(), nil
 }
 
+// serveOn adds a plain HTTP server on l.
+func (s *site) serveOn(l net.Listener, handler http.Handler) {
+	peer.AddServer(&s.group, "serve stand-in", &http.Server{Handler: handler}, l)
+}
+
 // quietEngine answers an agent's looks as a busy engine does, always alike, so
 // that reports have the same size in each run.
 func quietEngine() http.Handler {
--- a/internal/capacity/slope.go
+++ b/internal/capacity/slope.go
@@ -15,13 +15,13 @@
 
 // The units of slopes.
 const (
-	UnitBytes     Unit = "bytes"
-	UnitHeap      Unit = "heap bytes"
-	UnitNanos     Unit = "ns of processor time"
-	UnitReads     Unit = "table reads"
-	UnitWrites    Unit = "table writes"
-	UnitRecords   Unit = "TLS records"
-	UnitAllocated Unit = "allocations"
+	UnitBytes   Unit = "bytes"
+	UnitHeap    Unit = "heap bytes"
+	UnitNanos   Unit = "ns of processor time"
+	UnitReads   Unit = "table reads"
+	UnitWrites  Unit = "table writes"
+	UnitRecords Unit = "TLS records"
+	UnitRows    Unit = "table rows written"
 )
 
 // Point is a total at one size.
