--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -55,9 +55,10 @@
 func Measurements() []Measurement {
 	return []Measurement{
 		{"heartbeat", "one heartbeat between entry and agent, over HTTP/1.1 and over HTTP/2", heartbeats},
-		{"pace", "agents and an entry without work, at the pace of their heartbeats", paces},
+		{"pace", "agents and entries without work, at the pace of their own clocks", paces},
 		{"stream", "a streamed token on its way from the engine to the caller", streams},
 		{"pull", "config changes pulled from a peer and brought into force", pulls},
+		{"offer", "what entries tell each other of their demand", offers},
 		{"messages", "how messages between processes grow", messages},
 		{"table", "operations at the platform's table, and the bytes of reading it", tableWork},
 		{"memory", "heap for one more of each thing that a process keeps", memory},
--- a/internal/capacity/cost.go
+++ b/internal/capacity/cost.go
@@ -58,6 +58,13 @@
 	return float64(stats.HeapAlloc)
 }
 
+// stacks returns the bytes of goroutines' stacks.
+func stacks() float64 {
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.StackInuse)
+}
+
 // kept returns how much heap is held by what build returns.
 func kept(build func() (any, error)) (float64, error) {
 	before := heap()
--- a/internal/capacity/decide.go
+++ b/internal/capacity/decide.go
@@ -90,6 +90,9 @@
 // platform's list and a change of the config.
 func fleetSteps(c Config) ([]Slope, error) {
 	sizes := [2]int{c.size(1000, 30), c.size(5000, 90)}
+	// leastSubset is how many targets of a group a planner watches here.
+	const leastSubset = 20
+	split := func(n int) (*desk, error) { return newDesk(deskConfig{targets: n, entries: n / 4, split: true}) }
 	whole := func(n int) (*desk, error) { return newDesk(deskConfig{targets: n, entries: n / 4}) }
 	steps := []step{
 		{"take the platform's list", "VM listed", sizes, 3, whole, func(d *desk, _ int) { d.Listed(d.now, d.vms) }},
@@ -98,6 +101,16 @@
 			d.now++
 			d.hear(d.Watched()[i%len(d.Watched())])
 		}},
+		{"planner: find each target's group, kinds split by role", "target listed", [2]int{c.size(100, 10), c.size(500, 30)}, 3, split, func(d *desk, _ int) {
+			for _, name := range d.Members() {
+				if d.Flexible(name) {
+					_ = config.GroupOf(d.state, name, zone)
+				}
+			}
+		}},
+		{"planner: name the targets of its groups anew", "target listed", sizes, 3, split, func(d *desk, _ int) {
+			d.WatchAlso(d.now, d.Members()[:leastSubset])
+		}},
 		{"take a heartbeat after an agent restarted", "target listed", sizes, 3, whole, func(d *desk, i int) {
 			d.now++
 			d.Heard(d.now, d.Watched()[0], dispatch.Report{Incarnation: fmt.Sprint(i), State: dispatch.TargetServing, Asked: d.now})
--- a/internal/capacity/desk.go
+++ b/internal/capacity/desk.go
@@ -26,6 +26,9 @@
 	subset int
 	// oneKind puts all targets into the pool of the first kind.
 	oneKind bool
+	// split gives each kind's prompts and outputs to engines in two roles, which
+	// a planner may change.
+	split bool
 	// room is the concurrency of a target at the start; zero means the default.
 	room int
 }
@@ -71,21 +74,27 @@
 	return dispatch.RequestConfig{
 		ID: fmt.Sprintf("01J9ZZZZZZZZZZZZZZ%08d", i), Caller: caller, Kind: drafting, Role: kumquatlug.RoleBoth,
 		Prefix: []uint64{uint64(i)<<8 | 1, uint64(i)<<8 | 2}, PrefillTokens: 500, DecodeTokens: 200,
-		Arrival: d.now, Deadline: d.now + 2*kumquatlug.Minute, Fingerprint: string(fingerprintOf(i)),
+		Arrival: d.now, Deadline: d.now + 2*kumquatlug.Minute, Fingerprint: fingerprintOf(i),
 	}
 }
 
 // fleetSets returns the config of a fleet: a selector a kind, labels a target.
 func fleetSets(c deskConfig) ([]config.Set, error) {
 	sets := make([]config.Set, 0, c.targets+len(models))
+	roles := []kumquatlug.Role{kumquatlug.RoleBoth}
+	if c.split {
+		roles = []kumquatlug.Role{kumquatlug.RolePrefill, kumquatlug.RoleDecode}
+	}
 	for _, model := range models {
-		set, err := config.SetSelector(selector.Config{
-			Name: model, Protocol: kumquatlug.ProtocolEngine, Kind: model, Role: kumquatlug.RoleBoth, Match: "pool=" + model,
-		})
-		if err != nil {
-			return nil, err
+		for _, role := range roles {
+			set, err := config.SetSelector(selector.Config{
+				Name: model + "-" + string(role), Protocol: kumquatlug.ProtocolEngine, Kind: model, Role: role, Match: "pool=" + model,
+			})
+			if err != nil {
+				return nil, err
+			}
+			sets = append(sets, set)
 		}
-		sets = append(sets, set)
 	}
 	labels, err := targetSets(c.targets)
 	if c.oneKind {
--- a/internal/capacity/heartbeat.go
+++ b/internal/capacity/heartbeat.go
@@ -107,7 +107,7 @@
 		return err
 	}
 	return exchanges(exchangeConfig{
-		what: "heartbeat, " + protocol, per: "heartbeat", sizes: []int{c.size(200, 3), c.size(1200, 9)}, traffic: t, once: ask,
+		what: "heartbeat, " + protocol, per: "heartbeat", sizes: []int{c.size(150, 3), c.size(950, 9)}, traffic: t, once: ask,
 	})
 }
 
--- a/internal/capacity/messages.go
+++ b/internal/capacity/messages.go
@@ -13,6 +13,7 @@
 	"github.com/kumquatlug/kumquatlug/internal/peer"
 	"github.com/kumquatlug/kumquatlug/internal/peer/peerv1"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/config"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/quarantine"
 )
 
@@ -29,10 +30,10 @@
 func messages(_ context.Context, c Config) ([]Slope, error) {
 	grow := [2]int{c.size(100, 2), c.size(1100, 7)}
 	kinds := []message{
-		{"report: calls in hand at a crash", "fingerprint", [2]int{1, 41}, crashReport},
+		{"report or heartbeat: notices of a crash", "fingerprint", [2]int{1, 41}, crashReport},
 		{"report: cache events", "event", grow, cacheReport},
-		{"quarantine notice, JSON", "fingerprint", grow, notices},
-		{"whole config: rows of labels", "row", grow, labelRows},
+		{"whole config from a peer: rows of labels", "row", grow, labelRows},
+		{"snapshot of the config: rows of labels", "row", grow, snapshot},
 		{"status of the fleet", "node", grow, statuses},
 		{"time line", "event", grow, events},
 		{"platform's list, JSON", "VM", grow, listedVMs},
@@ -78,12 +79,16 @@
 	return quarantine.NewFingerprint("account", kumquatlug.NewKind(kumquatlug.ProtocolEngine, "draft"), fmt.Append(nil, i))
 }
 
+// crashReport is a report that tells of one crash with n calls in hand.
 func crashReport(n int) (any, error) {
-	one := &peerv1.Crash{Id: ulid.Make().String() + "/1"}
-	for i := range n {
-		one.Fingerprints = append(one.Fingerprints, string(fingerprintOf(i)))
+	register := quarantine.New(quarantine.Config{Records: n + 1})
+	held := make([]quarantine.Held, n)
+	for i := range held {
+		held[i] = quarantine.Held{Fingerprint: fingerprintOf(i), Starting: i%2 == 0}
 	}
-	return &peerv1.ReportResponse{Crashes: []*peerv1.Crash{one}}, nil
+	register.Crashed(1000, quarantine.NewCrash("drafting-01234", ulid.Make().String()+"/1"), held)
+	known, _ := register.Known(2000, 0)
+	return &peerv1.ReportResponse{Notices: peer.NoticesTo(known)}, nil
 }
 
 func cacheReport(n int) (any, error) {
@@ -94,15 +99,6 @@
 	return report, nil
 }
 
-func notices(n int) (any, error) {
-	register := quarantine.New(quarantine.Config{Records: n + 1})
-	for i := range n {
-		register.Crashed(1000, quarantine.NewCrash("drafting-01234", ulid.Make().String()), heldAt(i))
-	}
-	list, _ := register.Known(2000, 0)
-	return list, nil
-}
-
 func heldAt(i int) []quarantine.Held {
 	return []quarantine.Held{{Fingerprint: fingerprintOf(i), Starting: true}}
 }
@@ -112,6 +108,15 @@
 	return &peerv1.PullResponse{Revision: 1_402_113, Whole: true, Sets: peer.SetsTo(sets)}, err
 }
 
+func snapshot(n int) (any, error) {
+	sets, err := targetSets(n)
+	if err != nil {
+		return nil, err
+	}
+	text, err := config.NewState(1, sets).Encode()
+	return json.RawMessage(text), err
+}
+
 func statuses(n int) (any, error) {
 	answer := &peerv1.StatusResponse{}
 	for i := range n {
--- a/internal/capacity/node.go
+++ b/internal/capacity/node.go
@@ -126,7 +126,7 @@
 	say("GET /health", "")
 	say("GET /load", `{"running":41,"waiting":3,"kv_used_tokens":131072,"kv_total_tokens":200000,`+
 		`"prefill_tokens_per_second":7312.5,"decode_tokens_per_second":1210.25,"age_ms":180}`)
-	say("GET /state", `{"state":"settled","role":"both"}`)
+	say("GET /state", `{"state":"settled","role":"decode"}`)
 	say("GET /cache/events", `{"events":[]}`)
 	return mux
 }
@@ -140,7 +140,7 @@
 	target := engine.New(service.Config{URL: url})
 	a, err := agent.New(agent.Config{
 		Name: name, Zone: zone, Listener: l, Keys: s.agent, Target: target, Engine: target,
-		Table: s.platform, Objects: s.platform, Clock: clock.NewMonotonic(), Logger: zap.NewNop(),
+		Table: s.platform, Objects: s.platform, VMs: s.platform, Clock: clock.NewMonotonic(), Logger: zap.NewNop(),
 		Registry: prometheus.NewRegistry(), Ring: timeline.NewRing(name, ringEvents),
 	})
 	if err != nil {
--- a/internal/capacity/stream.go
+++ b/internal/capacity/stream.go
@@ -6,10 +6,10 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -22,6 +22,7 @@
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/clock"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/config"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/planner"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/selector"
 )
 
@@ -37,6 +38,10 @@
 	// them are open at once.
 	warmTokens = 16
 
+	// longTokens is the length of streams that are still open when they are
+	// looked at.
+	longTokens = 2000
+
 	callerKey = "klug-capacity"
 )
 
@@ -106,7 +111,7 @@
 }
 
 func streamSlopes(ctx context.Context, c Config, routes []route, between *traffic) ([]Slope, error) {
-	sizes := []int{c.size(32, 2), c.size(232, 6)}
+	sizes := []int{c.size(32, 2), c.size(182, 6)}
 	var slopes []Slope
 	for _, r := range routes {
 		// The first streams open the connections of the others.
@@ -137,10 +142,37 @@
 			return nil, err
 		}
 		slopes = append(slopes, more...)
+		held, err := r.held(ctx, c)
+		if err != nil {
+			return nil, errors.Wrap(err, r.what)
+		}
+		slopes = append(slopes, held)
 	}
 	return slopes, nil
 }
 
+// held measures the memory of streams that are open, in all processes.
+func (r route) held(ctx context.Context, c Config) (Slope, error) {
+	open := time.Duration(c.size(500, 50)) * time.Millisecond
+	var points []Point
+	for _, n := range []int{4, streamsAtOnce} {
+		running, cancel := context.WithCancel(ctx)
+		var all sync.WaitGroup
+		for range n {
+			all.Go(func() { _ = r.read(running, longTokens) })
+		}
+		err := pause(ctx, open)
+		bytes := heap() + stacks()
+		cancel()
+		all.Wait()
+		if err != nil {
+			return Slope{}, err
+		}
+		points = append(points, NewPoint(n, bytes))
+	}
+	return NewSlope("stream, "+r.what+": heap and stacks of all processes", "open stream", UnitHeap, points...)
+}
+
 // many reads streams of the same length side by side.
 func (r route) many(ctx context.Context, tokens int) error {
 	failed := make(chan error, streamsAtOnce)
@@ -229,10 +261,13 @@
 	return err
 }
 
-// entryAddress is how callers reach a measured entry.
+// entryAddress is how callers and peers reach a measured entry, and what passes
+// at the peers' listener.
 type entryAddress struct {
 	url    string
 	client *http.Client
+	peers  string
+	passed *traffic
 }
 
 // addEntry adds an entry, with TLS towards agents and callers.
@@ -241,7 +276,8 @@
 	if err != nil {
 		return entryAddress{}, err
 	}
-	peers, err := s.listen(&traffic{}, true)
+	passed := &traffic{}
+	peers, err := s.listen(passed, true)
 	if err != nil {
 		return entryAddress{}, err
 	}
@@ -255,8 +291,9 @@
 	}
 	e, err := entry.New(entry.Config{
 		Name: name, Zone: zone, Callers: callers, Peers: peers, Operators: operators, Keys: s.entry, CallerTLS: public,
-		Table: s.platform, Objects: s.platform, VMs: s.platform, Clock: clock.NewMonotonic(), ListEvery: kumquatlug.Second,
+		Table: s.platform, Objects: s.platform, VMs: s.platform, Clock: clock.NewMonotonic(), ListEvery: 2 * kumquatlug.Second,
 		Logger: zap.NewNop(), Registry: prometheus.NewRegistry(), Ring: timeline.NewRing(name, ringEvents),
+		Planner: func() kumquatlug.RolePlanner { return planner.Static{} },
 	})
 	if err != nil {
 		return entryAddress{}, err
@@ -268,5 +305,5 @@
 	client := &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: streamsAtOnce, TLSClientConfig: &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: pool, ServerName: peer.RoleEntry.DNSName()},
 	}}
-	return entryAddress{url: fmt.Sprintf("https://%s", callers.Addr()), client: client}, nil
+	return entryAddress{"https://" + callers.Addr().String(), client, peers.Addr().String(), passed}, nil
 }
--- a/internal/capacity/table.go
+++ b/internal/capacity/table.go
@@ -344,10 +344,28 @@
 	if err != nil {
 		return nil, err
 	}
+	renewed, err := exchanges(exchangeConfig{what: "lease renewed", per: "renewal", sizes: sizes, traffic: t, plain: true, once: func() error {
+		return renewOnce(ctx, client)
+	}})
+	if err != nil {
+		return nil, err
+	}
+	slopes = append(slopes, renewed...)
 	more, err := s.listOnWire(ctx, c, t, client)
 	return append(slopes, more...), err
 }
 
+// renewOnce reads a lease's row and writes it again.
+func renewOnce(ctx context.Context, client *platform.Client) error {
+	key := lease.Key("draft/0001")
+	row, err := client.Get(ctx, key)
+	if err != nil {
+		return err
+	}
+	value := []byte(`{"holder":"entry-0123/01J9ZZZZZZZZZZZZZZZZZZZZZZ","number":12,"ttl_ms":15000,"attempt":"entry-0123/01J9ZZZZZZZZZZZZZZZZZZZZZZ/812"}`)
+	return client.Commit(ctx, kumquatlug.NewTx(ulid.Make().String()).If(key, row.Version()).Put(key, value))
+}
+
 // listOnWire measures reading the platform's list of VMs, by its length.
 func (s *site) listOnWire(ctx context.Context, c Config, t *traffic, client *platform.Client) ([]Slope, error) {
 	const reads = 5
