--- a/test/path/fleet_test.go
+++ b/test/path/fleet_test.go
@@ -186,6 +186,9 @@
 	}
 }
 
+// fleets bounds how many fleets run at once: each is nine processes.
+var fleets = make(chan struct{}, 4)
+
 // fleet is the path as separate processes.
 type fleet struct {
 	t         *testing.T
@@ -202,6 +205,9 @@
 // beside each, and two entries, and gives them labels, selectors and a caller.
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
+	t.Parallel()
+	fleets <- struct{}{}
+	t.Cleanup(func() { <-fleets })
 	f := &fleet{
 		t: t, keys: t.TempDir(), processes: map[string]*process{}, callers: map[string]string{},
 		operators: map[string]string{}, targets: map[string]string{}, agents: map[string]string{},
