Let suspects wait their turn instead of asking in a tight loop

Cause: with four fleets side by side TestRequestThatCrashesEnginesIsQuarantined went red. A suspect refused because another one was in hand was sent again at once, some thousand times a second, and used up its time so.

--- a/pkg/kumquatlug/dispatch/request.go
+++ b/pkg/kumquatlug/dispatch/request.go
@@ -218,6 +218,10 @@
 		d.giveUp(now, id, f.Failure)
 		return d.serve(now)
 	}
+	if f.Refused && f.Failure.Reason() == ReasonSuspect {
+		d.waitTurn(now, r)
+		return d.serve(now)
+	}
 	d.judgeFailure(now, r, f)
 	next := d.retries.Next(now, retry.Attempt{
 		Ran: f.Failure.Ran(), Repeatable: r.c.OnceKey == "", Resumable: f.Resumable, Refused: f.Refused,
@@ -236,10 +240,6 @@
 // judgeFailure counts the failure for the request and for its target's health.
 // A refusal says nothing against the target's health.
 func (d *Dispatcher) judgeFailure(now kumquatlug.Millis, r *request, f Failed) {
-	if f.Refused && f.Failure.Reason() == ReasonSuspect {
-		// It waits its turn among suspects, which is no use of its tries.
-		return
-	}
 	if f.Refused {
 		r.refused++
 		d.noteLeaving(now, r.target, f.Failure.Reason())
--- a/pkg/kumquatlug/dispatch/suspect.go
+++ b/pkg/kumquatlug/dispatch/suspect.go
@@ -66,3 +66,10 @@
 func (d *Dispatcher) Known(now kumquatlug.Millis, after int64) ([]quarantine.Notice, int64) {
 	return d.register.Known(now, after)
 }
+
+// waitTurn puts r off that met another suspect at its target. Waiting its turn
+// among suspects uses up none of its tries, and all targets stay open to it.
+func (d *Dispatcher) waitTurn(now kumquatlug.Millis, r *request) {
+	r.dueAt = now + suspectLook
+	d.due = append(d.due, r)
+}
