--- a/pkg/kumquatlug/order/gate.go
+++ b/pkg/kumquatlug/order/gate.go
@@ -238,7 +238,9 @@
 }
 
 // Ran takes the engine's answer to a StepRun: OutcomeApplied,
-// OutcomeNotApplied, or OutcomeUnknown when no answer came.
+// OutcomeNotApplied, or OutcomeUnknown when the connection ended without one.
+// The caller sets no time limit of its own: an engine that was paused may not
+// have read the order yet, and would run it after its state was asked for.
 func (g *Gate) Ran(s Step, outcome Outcome) {
 	if !g.answered(s) {
 		return
