--- a/internal/experiment/best.go
+++ b/internal/experiment/best.go
@@ -24,7 +24,7 @@
 // With split roles it is the number of engines: a split that always fits the
 // mix, and changes that cost nothing.
 func capacityOf(s Scenario, seed uint64) capacity {
-	if s.split {
+	if s.split() {
 		return capacity{plain: engineCount, cached: engineCount}
 	}
 	c := capacity{plain: s.best(seed, false)}
--- a/internal/experiment/call.go
+++ b/internal/experiment/call.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/quarantine"
 )
 
 // outcome is how a call ended for its caller.
@@ -30,10 +31,15 @@
 	deadline kumquatlug.Millis
 	crasher  bool
 	tries    int
+	// fingerprint is equal for equal requests; claimed says that its row in the
+	// table was won.
+	fingerprint quarantine.Fingerprint
+	claimed     bool
 	// priority is what its entry asks the engine for.
 	priority int
 
 	entry      int
+	sentAt     kumquatlug.Millis
 	at         *engine
 	sends      int
 	first      kumquatlug.Millis
@@ -56,7 +62,7 @@
 	return &call{
 		id: fmt.Sprintf("%s+%d", c.id, c.tries+1), caller: c.caller, work: c.work, prompt: c.prompt, output: c.output,
 		prefix: c.prefix, shared: c.shared, arrival: at, deadline: at + c.deadline - c.arrival, crasher: true,
-		tries: c.tries + 1,
+		tries: c.tries + 1, fingerprint: c.fingerprint,
 	}
 }
 
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -13,6 +13,7 @@
 	"math/rand/v2"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/quarantine"
 )
 
 // round is the step of simulated time. It is below the time for a token of a
@@ -56,11 +57,12 @@
 	next     int
 	live     []*call
 	reports  []report
-	planner  planner
+	roles    *roles
 	crashes  int
 	changes  int
 	random   *rand.Rand
 	resends  int
+	claims   map[quarantine.Fingerprint]bool
 }
 
 // Run plays the scenario under the policy and returns what callers received.
@@ -79,19 +81,29 @@
 }
 
 func run(c Config, best capacity) Result {
-	w := &world{config: c, best: best, random: rand.New(rand.NewPCG(c.Seed, 1))}
+	w := newWorld(c, best)
+	for end := c.Scenario.span + c.Scenario.tail(); w.now < end; w.now += round {
+		w.step()
+	}
+	return w.result()
+}
+
+func newWorld(c Config, best capacity) *world {
+	w := &world{
+		config: c, best: best, random: rand.New(rand.NewPCG(c.Seed, 1)),
+		claims: make(map[quarantine.Fingerprint]bool),
+	}
 	w.arrivals = c.Scenario.arrivals(rand.New(rand.NewPCG(c.Seed, 2)), best.plain)
 	for n := range engineCount {
-		w.engines = append(w.engines, newEngine(n, c.Scenario.roleOf(n)))
+		e := newEngine(n, c.Scenario.roleOf(n))
+		e.agent = newAgent(w, e)
+		w.engines = append(w.engines, e)
 	}
 	for n := range entryCount {
 		w.entries = append(w.entries, newPolicy(w, n))
 	}
-	w.planner = newPlanner(w)
-	for end := c.Scenario.span + c.Scenario.tail(); w.now < end; w.now += round {
-		w.step()
-	}
-	return w.result()
+	w.roles = newRoles(w)
+	return w
 }
 
 func (w *world) step() {
@@ -102,9 +114,9 @@
 			f.do(w)
 		}
 	}
-	w.report()
 	w.runEngines()
-	w.planner.tick(w.now)
+	w.report()
+	w.roles.tick(w.now)
 	for _, p := range w.entries {
 		p.tick(w.now)
 	}
@@ -145,6 +157,7 @@
 func (w *world) cancel(c *call) {
 	if c.at != nil {
 		c.at.drop(c)
+		c.at.agent.ended(w.now, c, false)
 		c.at = nil
 	}
 }
@@ -153,18 +166,24 @@
 	c.outcome, c.ended = o, w.now
 }
 
-// send gives a call to a target; it reports false when there is nobody to take
-// it or the target takes no new work.
-func (w *world) send(c *call, target string) bool {
+// send gives a call to a target. Baselines have no agents that watch calls.
+func (w *world) send(c *call, target string) sendResult {
 	e := w.engine(target)
 	if e == nil || !e.accepts() {
-		return false
+		return sendElsewhere
 	}
-	c.at = e
-	c.sends++
-	e.begun[c.entry]++
-	e.accept(w.now, c)
-	return true
+	result := sendTaken
+	if w.config.Policy.watches() {
+		result = e.agent.take(w.now, c)
+	} else {
+		e.accept(w.now, c)
+	}
+	if result == sendTaken {
+		c.at = e
+		c.sends++
+		e.begun[c.entry]++
+	}
+	return result
 }
 
 func (w *world) refuse(c *call, retryAfter kumquatlug.Millis) {
@@ -216,7 +235,7 @@
 	for len(w.reports) > 0 && w.reports[0].taken+reportLag <= w.now {
 		r := w.reports[0]
 		w.reports = w.reports[1:]
-		w.planner.report(w.now, r)
+		w.roles.report(w.now, r)
 		for _, p := range w.entries {
 			p.report(w.now, r)
 		}
@@ -225,6 +244,7 @@
 
 func (w *world) runEngines() {
 	for _, e := range w.engines {
+		e.agent.askAgain(w.now)
 		for _, ev := range e.run(w.now) {
 			w.deliver(ev)
 		}
@@ -238,8 +258,10 @@
 		if c.first == 0 {
 			c.first = w.now + round
 		}
+		ev.engine.agent.gate.Started(c.id)
 	case eventDone:
 		c.at = nil
+		ev.engine.agent.ended(w.now, c, true)
 		w.finish(c, outcomeOnTime)
 		c.ended = w.now + round
 		if c.ended > c.deadline {
@@ -247,6 +269,7 @@
 		}
 	case eventPrefilled:
 		c.at = nil
+		ev.engine.agent.ended(w.now, c, true)
 		if c.first == 0 {
 			c.first = w.now + round
 		}
@@ -267,8 +290,13 @@
 
 // lose ends an engine with all that it has in hand.
 func (w *world) lose(e *engine, until kumquatlug.Millis) {
+	waited := e.agent.crashed(w.now)
 	for _, c := range e.crash(until) {
 		c.at = nil
 		w.entries[c.entry].event(w.now, event{name: eventLost, call: c, engine: e})
 	}
+	for _, c := range waited {
+		c.at = nil
+		w.entries[c.entry].event(w.now, event{name: eventTurnedAway, call: c, engine: e})
+	}
 }
--- a/pkg/kumquatlug/admission/estimate.go
+++ b/pkg/kumquatlug/admission/estimate.go
@@ -22,14 +22,21 @@
 const (
 	// estimateWeight makes the means follow about the last twenty answers.
 	estimateWeight = 0.05
-	// sureness is how many mean deviations are added: about 95 of 100 answers
-	// are shorter. With the mean alone, an overloaded entry, which serves each
-	// request as late as its deadline allows, would be late with every second.
-	sureness = 1.5
-	// oblivion is the time in which most of what was learned is forgotten
-	// unless new answers confirm it. Requests that seem hopeless are refused,
-	// and what is refused teaches nothing: without it one bad minute could
-	// refuse a caller's documents for ever.
+	// sure is the part of answers that an estimate of the high side covers.
+	// With the mean alone, an overloaded entry, which serves each request as
+	// late as its deadline allows, would be late with every second.
+	sure = 0.9
+	// highStep is by how much an answer moves an estimate of the high side. It
+	// is bounded for one answer, however far off: a few that waited for a lost
+	// target must not make all others look hopeless.
+	highStep = 0.05
+	// silence is how long no answer may come before what was learned begins to
+	// be forgotten, and oblivion the time in which most of it then is. Requests
+	// that seem hopeless are refused, and what is refused teaches nothing:
+	// without it one bad minute could refuse a caller's documents for ever. To
+	// forget while answers come would draw each estimate towards what was
+	// assumed, the more the rarer a caller asks.
+	silence  = 30 * kumquatlug.Second
 	oblivion = 20 * kumquatlug.Second
 )
 
@@ -53,7 +60,13 @@
 	config  EstimatorConfig
 	gaps    map[kumquatlug.Kind]*estimate
 	firsts  map[sized]*estimate
-	outputs map[sized]*estimate
+	outputs map[sized]*output
+}
+
+// output is how much one caller's requests bring.
+type output struct {
+	mean *estimate
+	high *estimate
 }
 
 // sized tells requests apart by their prompts' length, within a factor of four;
@@ -68,36 +81,40 @@
 	return sized{caller: caller, kind: kind, size: bits.Len64(uint64(max(prompt, 0))) / 2}
 }
 
-// estimate is a moving mean with its mean deviation, which falls back to what
-// was assumed at first.
+// estimate is a value learned from answers, which falls back to what was
+// assumed at first.
 type estimate struct {
-	assumed   float64
-	mean      float64
-	deviation float64
-	learned   kumquatlug.Millis
+	assumed float64
+	value   float64
+	learned kumquatlug.Millis
 }
 
 func newEstimate(assumed float64) *estimate {
-	return &estimate{assumed: assumed, mean: assumed, deviation: assumed / 8}
+	return &estimate{assumed: assumed, value: assumed}
 }
 
-func (e *estimate) learn(now kumquatlug.Millis, value float64) {
-	e.forget(now)
-	off := value - e.mean
-	e.mean += estimateWeight * off
-	e.deviation += estimateWeight * (math.Abs(off) - e.deviation)
+func (e *estimate) at(now kumquatlug.Millis) float64 {
+	silent := max(now-e.learned-silence, 0)
+	keep := math.Exp(-float64(silent) / float64(oblivion))
+	return e.assumed + keep*(e.value-e.assumed)
 }
 
-func (e *estimate) forget(now kumquatlug.Millis) {
-	keep := math.Exp(-float64(now-e.learned) / float64(oblivion))
+// learnMean moves e to the mean of the samples.
+func (e *estimate) learnMean(now kumquatlug.Millis, sample float64) {
+	value := e.at(now)
+	e.value = value + estimateWeight*(sample-value)
 	e.learned = now
-	e.mean = e.assumed + keep*(e.mean-e.assumed)
-	e.deviation = e.assumed/8 + keep*(e.deviation-e.assumed/8)
 }
 
-func (e *estimate) high(now kumquatlug.Millis) float64 {
-	e.forget(now)
-	return e.mean + sureness*e.deviation
+// learnHigh moves e to where the sure part of the samples lies below it.
+func (e *estimate) learnHigh(now kumquatlug.Millis, sample float64) {
+	e.value = e.at(now)
+	if sample > e.value {
+		e.value *= 1 + highStep*sure
+	} else {
+		e.value *= 1 - highStep*(1-sure)
+	}
+	e.learned = now
 }
 
 // NewEstimator returns an estimator that has seen no answers.
@@ -113,39 +130,43 @@
 	}
 	return &Estimator{
 		config: c, gaps: make(map[kumquatlug.Kind]*estimate),
-		firsts: make(map[sized]*estimate), outputs: make(map[sized]*estimate),
+		firsts: make(map[sized]*estimate), outputs: make(map[sized]*output),
 	}
 }
 
 // Output returns the expected output of a request with so long a prompt, in
 // tokens.
 func (e *Estimator) Output(now kumquatlug.Millis, caller string, kind kumquatlug.Kind, prompt int64) int64 {
-	o := e.output(caller, kind, prompt)
-	o.forget(now)
-	return int64(o.mean)
+	return int64(e.output(caller, kind, prompt).mean.at(now))
+}
+
+// HighOutput returns the output that about nine of ten answers stay below.
+func (e *Estimator) HighOutput(now kumquatlug.Millis, caller string, kind kumquatlug.Kind, prompt int64) int64 {
+	return int64(e.output(caller, kind, prompt).high.at(now))
 }
 
 // Service returns how long an answer takes from sending to its last token, such
-// that 95 of 100 take less.
+// that about nine of ten take less.
 func (e *Estimator) Service(now kumquatlug.Millis, caller string, kind kumquatlug.Kind, prompt int64) kumquatlug.Millis {
-	gap := e.gap(kind)
-	gap.forget(now)
-	output := e.output(caller, kind, prompt).high(now)
-	return kumquatlug.Millis(e.first(kind, prompt).high(now) + gap.mean*output)
+	output := e.output(caller, kind, prompt).high.at(now)
+	return kumquatlug.Millis(e.first(kind, prompt).at(now) + e.gap(kind).at(now)*output)
 }
 
-// Learn takes in an answer: the spans from sending to the first token and from
-// there to the last. An answer that its caller gave up counts too, with what
-// there was of it and whole false: left out, only those that were fast enough
-// would be learned from, and the estimate would be right about them alone.
+// Learn takes in an answer. One that its caller gave up counts too, with what
+// there was of it: left out, only those that were fast enough would be learned
+// from, and the estimate would be right about them alone.
 func (e *Estimator) Learn(now kumquatlug.Millis, caller string, kind kumquatlug.Kind, a Observed) {
-	e.first(kind, a.Prompt).learn(now, float64(a.First))
+	e.first(kind, a.Prompt).learnHigh(now, float64(a.First))
 	if a.Output > 1 {
-		e.gap(kind).learn(now, float64(a.Rest)/float64(a.Output))
+		e.gap(kind).learnMean(now, float64(a.Rest)/float64(a.Output))
 	}
 	o := e.output(caller, kind, a.Prompt)
-	if a.Whole || float64(a.Output) > o.mean {
-		o.learn(now, float64(a.Output))
+	made := float64(a.Output)
+	if a.Whole || made > o.mean.at(now) {
+		o.mean.learnMean(now, made)
+	}
+	if a.Whole || made > o.high.at(now) {
+		o.high.learnHigh(now, made)
 	}
 }
 
@@ -179,11 +200,11 @@
 	return f
 }
 
-func (e *Estimator) output(caller string, kind kumquatlug.Kind, prompt int64) *estimate {
+func (e *Estimator) output(caller string, kind kumquatlug.Kind, prompt int64) *output {
 	key := sizedAs(caller, kind, prompt)
 	o, ok := e.outputs[key]
 	if !ok {
-		o = newEstimate(e.config.Output)
+		o = &output{mean: newEstimate(e.config.Output), high: newEstimate(e.config.Output * 1.25)}
 		e.outputs[key] = o
 	}
 	return o
@@ -193,10 +214,8 @@
 // who was active lately. Call it now and then.
 func (e *Estimator) Forget(now kumquatlug.Millis) {
 	for key, o := range e.outputs {
-		if now-o.learned > 10*oblivion {
+		if now-o.mean.learned > 10*oblivion {
 			delete(e.outputs, key)
 		}
 	}
 }
-
-func (e *Estimator) Gap(kind kumquatlug.Kind) float64 { return e.gap(kind).mean }
--- a/pkg/kumquatlug/admission/queue.go
+++ b/pkg/kumquatlug/admission/queue.go
@@ -54,7 +54,7 @@
 	// waitPart leaves a tenth of the spare time for swings of the drain rate.
 	waitPart = 0.9
 	// standingPart is what may be waited in a standing line.
-	standingPart = 0.25
+	standingPart = 0.15
 )
 
 // Config is what a [Queue] is made of.
--- a/pkg/kumquatlug/limit/targets.go
+++ b/pkg/kumquatlug/limit/targets.go
@@ -12,12 +12,15 @@
 	DefaultInitial   = 16
 	DefaultMin       = 1
 	DefaultMax       = 256
-	DefaultTolerance = 2.5
+	DefaultTolerance = 3.0
 	DefaultWindow    = 250
 	DefaultHighWater = 0.9
-	DefaultPending   = 16_000
 )
 
+// PendingOfEngines is two seconds of prompts of a mid-sized model, enough to
+// keep an engine busy until the next request comes.
+const PendingOfEngines = 16_000
+
 // TargetsConfig is what [Targets] is made of. Concurrencies are of a whole
 // target; each entry takes its part.
 type TargetsConfig struct {
@@ -36,18 +39,24 @@
 	// prompts run in between, a request takes two to three times as long as
 	// alone; what takes longer than that is queueing.
 	Tolerance float64
-	// Window is the time between two changes of a limit. Default 250 ms:
-	// some rounds of a batch, so that a change shows before the next.
+	// Floor is the least slowness (latency by work) of a target where it is
+	// known: 1 if work is told in the time that it takes on an idle target. By
+	// default it is learned, which takes a quiet time: a target that was full
+	// from the first request on never shows it.
+	Floor float64
+	// Window is the least time between two changes of a limit; it is longer
+	// where answers (or pieces of streams) take longer, so that a change shows
+	// before the next one. Default 250 ms, some rounds of a batch.
 	Window kumquatlug.Millis
 	// HighWater is the part of the KV memory that may be filled by plan.
 	// Default 0.9: answers grow while they are written, and an engine that runs
 	// out of memory throws out half-done ones.
 	HighWater float64
 	// MaxPending is how many tokens may be sent to a target before it has
-	// begun to answer them; one request may always be. Default 16,000: two
-	// seconds of prompts for a mid-sized model, enough to keep the engine busy
-	// until the next request. What waits inside the engine has left the fair
-	// order and can no longer be refused in time, so it had better wait here.
+	// begun to answer them; one request may always be. Default: no bound, since
+	// it needs [Targets.Sample] at the first token. PendingOfEngines suits
+	// engines. What waits inside the engine has left the fair order and can no
+	// longer be refused in time, so it had better wait here.
 	MaxPending int64
 	// Entries is how many entries send to the same targets. Default 1.
 	Entries int
@@ -75,9 +84,6 @@
 	if c.HighWater <= 0 {
 		c.HighWater = DefaultHighWater
 	}
-	if c.MaxPending <= 0 {
-		c.MaxPending = DefaultPending
-	}
 	if c.Entries < 1 {
 		c.Entries = 1
 	}
@@ -101,7 +107,7 @@
 // Add starts the limits of a target, or of its new incarnation.
 func (t *Targets) Add(name string) {
 	part := float64(t.config.Initial) / float64(t.config.Entries)
-	t.targets[name] = &target{limit: max(part, float64(t.config.Min))}
+	t.targets[name] = &target{limit: max(part, float64(t.config.Min)), floor: t.config.Floor}
 }
 
 // Remove forgets a target that is gone.
@@ -114,6 +120,7 @@
 type Ticket struct {
 	target  *target
 	cost    int64
+	size    size
 	started bool
 }
 
@@ -125,45 +132,79 @@
 		return Ticket{}
 	}
 	g.count(now, 1)
-	g.pending += cost
+	pending := t.sizeOf(cost)
+	g.pending[pending] += cost
 	g.memory.add(now, cost)
 	g.crowded = g.crowded || float64(g.running) >= g.limit/2
-	return Ticket{target: g, cost: cost}
+	return Ticket{target: g, cost: cost, size: pending}
 }
 
 // Sample tells how long a piece of a request took: from sending to the first
 // token, and from each piece of the stream to the next, or a whole call. work
 // says how much it was, in any unit that is the same for all of a target: the
 // milliseconds it takes on an idle target, or 1 for each call of a service.
-// The first sample says that the target has begun to answer.
-func (t *Targets) Sample(now kumquatlug.Millis, k *Ticket, latency kumquatlug.Millis, work float64) {
+// The first sample says that the target has begun to answer. tolerance is how
+// many times its least time this request may take, as [Targets.Tolerance] gives
+// it; zero means the default.
+func (t *Targets) Sample(now kumquatlug.Millis, k *Ticket, latency kumquatlug.Millis, work, tolerance float64) {
 	g := k.target
 	if g == nil {
 		return
 	}
+	if tolerance <= 0 {
+		tolerance = t.config.Tolerance
+	}
 	g.start(k)
-	g.sample(now, float64(latency), work)
+	g.sample(now, float64(latency), work, work*tolerance)
+	if t.config.Floor > 0 {
+		g.floor = t.config.Floor
+	}
 	t.adjust(now, g)
 }
 
+const (
+	// patiencePart is the part of a caller's time that its answer may take once
+	// sent; the rest is for waiting and for odd lengths.
+	patiencePart = 0.65
+	// leastTolerance leaves some batching to requests whose time is too short
+	// for any.
+	leastTolerance = 1.2
+)
+
+// Tolerance returns how many times its least time a request may take whose
+// caller waits for patience and that takes alone on an idle target. A batch
+// that suits long documents is too slow for questions; were they all held to
+// one tolerance, the target would be full of answers that come too late, and
+// the queue before it empty, so that nobody's turn would be kept.
+func (t *Targets) Tolerance(patience, alone kumquatlug.Millis) float64 {
+	most := patiencePart * float64(patience) / float64(max(alone, 1))
+	return min(max(most, leastTolerance), t.config.Tolerance)
+}
+
 // Outcome is how a request at a target ended.
 type Outcome string
 
 // The outcomes that the limits tell apart.
 const (
-	// OutcomeEnded: answered, failed or cancelled.
-	OutcomeEnded Outcome = "ended"
+	// OutcomeDone: answered.
+	OutcomeDone Outcome = "done"
 	// OutcomeOverload: the target refused it for want of room, or had not begun
 	// to answer when its deadline passed.
 	OutcomeOverload Outcome = "overload"
+	// OutcomeOther: cancelled or failed; it says nothing of the target's load.
+	OutcomeOther Outcome = "other"
 )
 
-// End gives the ticket back.
-func (t *Targets) End(now kumquatlug.Millis, k Ticket, o Outcome) {
+// End gives the ticket back. latency and work are those of an answer that was
+// not sampled piece by piece, as for [Targets.Sample]; others are ignored.
+func (t *Targets) End(now kumquatlug.Millis, k Ticket, o Outcome, latency kumquatlug.Millis, work int64) {
 	g := k.target
 	if g == nil {
 		return
 	}
+	if o == OutcomeDone && work > 0 && !k.started {
+		t.Sample(now, &k, latency, float64(work), 0)
+	}
 	g.start(&k)
 	g.count(now, -1)
 	g.memory.add(now, -k.cost)
@@ -226,8 +267,37 @@
 	return max(int(math.Round(limit))-g.running, 0)
 }
 
+// mayWait reports whether the pending bound lets a request through. Small ones
+// have a bound of their own: an engine that honours priorities runs them before
+// a long prompt, and behind a shared bound they would wait for it here.
 func (t *Targets) mayWait(g *target, cost int64) bool {
-	return g.pending == 0 || g.pending+cost <= t.config.MaxPending/int64(t.config.Entries)
+	if t.config.MaxPending <= 0 {
+		return true
+	}
+	pending := g.pending[t.sizeOf(cost)]
+	return pending == 0 || pending+cost <= t.pendingPart()
+}
+
+func (t *Targets) pendingPart() int64 { return t.config.MaxPending / int64(t.config.Entries) }
+
+// size tells small requests from large ones.
+type size int
+
+const (
+	sizeSmall size = iota
+	sizeLarge
+	sizes
+)
+
+// smallPart is the part of the pending bound up to which a request is small:
+// four of them fit, so that they fill their bound without a gap.
+const smallPart = 4
+
+func (t *Targets) sizeOf(cost int64) size {
+	if cost <= t.pendingPart()/smallPart {
+		return sizeSmall
+	}
+	return sizeLarge
 }
 
 func (t *Targets) most() float64 {
@@ -240,11 +310,13 @@
 	limit   float64
 	running int
 	// pending are the tokens sent that it has not begun to answer.
-	pending int64
-	// latency and work are decayed sums; their ratio is the recent slowness,
-	// and floor the least of it, rising slowly.
+	pending [sizes]int64
+	// latency, work, tolerable work and samples are decayed sums. Latency by work is the recent
+	// slowness, and floor the least of it, rising slowly.
 	latency    float64
 	work       float64
+	tolerable  float64
+	samples    float64
 	floor      float64
 	sampledAt  kumquatlug.Millis
 	sampled    bool
@@ -273,29 +345,38 @@
 		return
 	}
 	k.started = true
-	g.pending -= k.cost
+	g.pending[k.size] -= k.cost
 }
 
 // count changes the number in hand and keeps its recent mean.
 func (g *target) count(now kumquatlug.Millis, by int) {
-	keep := math.Exp(-float64(now-g.countedAt) / recentSpan)
+	keep := math.Exp(-float64(now-g.countedAt) / max(recentSpan, g.delay()))
 	g.busy = keep*g.busy + (1-keep)*float64(g.running)
 	g.countedAt = now
 	g.running += by
 }
 
-func (g *target) sample(now kumquatlug.Millis, latency, work float64) {
+func (g *target) sample(now kumquatlug.Millis, latency, work, tolerable float64) {
 	span := float64(now - g.sampledAt)
 	keep := math.Exp(-span / recentSpan)
 	g.latency = keep*g.latency + latency
 	g.work = keep*g.work + work
+	g.tolerable = keep*g.tolerable + tolerable
+	g.samples = keep*g.samples + 1
+	g.learnFloor(span)
+	g.sampled, g.sampledAt = true, now
+}
+
+func (g *target) learnFloor(span float64) {
 	g.floor *= 1 + span/floorDoubles
 	if seen := g.slowness(); g.floor == 0 || seen < g.floor {
 		g.floor = seen
 	}
-	g.sampled, g.sampledAt = true, now
 }
 
+// delay is how long a sample takes to come back.
+func (g *target) delay() float64 { return g.latency / max(g.samples, 1) }
+
 func (g *target) slowness() float64 { return g.latency / max(g.work, math.SmallestNonzeroFloat64) }
 
 const (
@@ -312,7 +393,8 @@
 // by the root of the limit where the limit was in use. The entries that share
 // a target step so that together they step as one.
 func (t *Targets) adjust(now kumquatlug.Millis, g *target) {
-	if now-g.changed < t.config.Window || !g.sampled && !g.overloaded {
+	window := max(t.config.Window, kumquatlug.Millis(g.delay()))
+	if now-g.changed < window || !g.sampled && !g.overloaded {
 		return
 	}
 	g.count(now, 0)
@@ -332,7 +414,7 @@
 // cuts in between would starve the target.
 func (t *Targets) nextLimit(g *target) float64 {
 	step := math.Sqrt(g.limit / float64(t.config.Entries))
-	gradient := t.config.Tolerance * g.floor / g.slowness()
+	gradient := g.floor * g.tolerable / max(g.latency, 1)
 	if gradient < 1 {
 		return min(g.limit, g.busy*max(gradient, leastGradient)+step)
 	}
