--- a/internal/experiment/call.go
+++ b/internal/experiment/call.go
@@ -40,6 +40,7 @@
 
 	entry      int
 	sentAt     kumquatlug.Millis
+	target     string
 	at         *engine
 	sends      int
 	first      kumquatlug.Millis
--- a/internal/experiment/decisions.go
+++ b/internal/experiment/decisions.go
@@ -211,6 +211,7 @@
 		c.sentAt = now
 	}
 	target := choice.Target()
+	c.target = target
 	d.router.Sent(now, target, routing.Call{
 		ID: c.id, Prefix: q.Prefix, PrefillTokens: max(q.PrefillTokens-choice.Cached(), 0), DecodeTokens: q.DecodeTokens,
 	})
