--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -15,6 +15,7 @@
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/dispatch"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/ledger"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/quarantine"
 )
 
 // callTokens is what one service call counts as in the queue and at a target:
@@ -30,7 +31,7 @@
 // run.
 func (e *Entry) Call(ctx context.Context, c caller.ServiceCall) (answer kumquatlug.Answer, err error) {
 	r := e.newRequest(c.ID(), c.Caller(), c.Kind(), c.Timeout())
-	r.print = fingerprint(c.Caller().Name(), c.Kind().String()+c.Method()+c.Path(), c.Body())
+	r.print = quarantine.NewFingerprint(c.Caller().Name(), c.Kind(), whole(c))
 	out := outgoing{method: c.Method(), path: c.Path(), header: c.Header(), body: c.Body()}
 	if !r.terms.repeatable && !safe(c.Method()) {
 		mark, known := e.keeper.Dispatch()
@@ -52,6 +53,12 @@
 	return answer, err
 }
 
+// whole returns all that makes a call what it is.
+func whole(c caller.ServiceCall) []byte {
+	head := c.Method() + " " + c.Path() + "\n"
+	return append([]byte(head), c.Body()...)
+}
+
 // safe reports whether a method asks for nothing but an answer (RFC 9110).
 func safe(method string) bool {
 	switch method {
@@ -87,19 +94,16 @@
 		if refused.mark != "" {
 			out.mark = refused.mark
 		}
-		f := refused.failure
-		r.fail(attempt, dispatch.Failed{
-			Failure: f, Refused: beforeStart(f), Final: f.Status() < http.StatusInternalServerError,
-		})
+		r.fail(attempt, refused.failed())
 	}
 }
 
 // try makes one attempt and, for a call that may not be repeated, finds out
 // what became of it when it is lost from sight.
 func (r *request) try(ctx context.Context, a dispatch.Attempt, out outgoing) (kumquatlug.Answer, *refusal) {
-	answer, refused := r.send(ctx, a, out)
+	answer, refused := r.ask(ctx, a, out)
 	if refused == nil {
-		return r.prefetch(a, answer)
+		return answer, nil
 	}
 	if out.onceKey == "" || refused.failure.Ran() != kumquatlug.RanUnknown {
 		return kumquatlug.Answer{}, refused
@@ -119,16 +123,24 @@
 	return f.Ran() == kumquatlug.RanNot && f.Reason() != reasonUnreachable && f.Reason() != reasonTargetFailed
 }
 
-// prefetch reads the start of an answer before its caller hears anything, so
-// that one which breaks off early can be asked for again.
-func (r *request) prefetch(a dispatch.Attempt, answer *http.Response) (kumquatlug.Answer, *refusal) {
+// ask sends the call to one agent and reads the start of the answer before its
+// caller hears anything, so that one which breaks off early can be asked for
+// again.
+func (r *request) ask(ctx context.Context, a dispatch.Attempt, out outgoing) (kumquatlug.Answer, *refusal) {
+	ctx, end := r.entry.attempts.begin(ctx, a.Target())
+	answer, refused := r.send(ctx, a, out)
+	if refused != nil {
+		end()
+		return kumquatlug.Answer{}, refused
+	}
 	body := wholeBody{answer}
 	start, err := io.ReadAll(io.LimitReader(body, prefetchBytes))
 	if err != nil {
 		answer.Body.Close()
+		end()
 		return kumquatlug.Answer{}, r.failedToSend(a, "answer_cut", kumquatlug.RanUnknown, err)
 	}
-	counted := &countedBody{Reader: io.MultiReader(bytes.NewReader(start), body), body: body, request: r}
+	counted := &countedBody{Reader: io.MultiReader(bytes.NewReader(start), body), body: body, request: r, end: end}
 	return kumquatlug.NewAnswer(answer.StatusCode, answer.Header, counted), nil
 }
 
@@ -157,7 +169,7 @@
 
 func (r *request) ledgerCall(out outgoing) ledger.Call {
 	mark, _ := ledger.ParseDispatch(out.mark)
-	return ledger.NewCall(ledger.CallConfig{Caller: r.account.Name(), Key: out.onceKey, Body: r.print, Dispatch: mark})
+	return ledger.NewCall(ledger.CallConfig{Caller: r.account.Name(), Key: out.onceKey, Body: string(r.print), Dispatch: mark})
 }
 
 func (r *request) notRun(lost *kumquatlug.Failure) *kumquatlug.Failure {
@@ -170,7 +182,7 @@
 func (r *request) unknown(a dispatch.Attempt, cause error) *refusal {
 	return &refusal{failure: kumquatlug.NewFailure(kumquatlug.FailureConfig{
 		Step: "settle call", Peer: a.Target(), Reason: peer.ReasonUnknown, Ran: kumquatlug.RanUnknown,
-		Status: http.StatusBadGateway, Cause: cause,
+		Status: http.StatusBadGateway, RetryAfter: unknownRetry, Cause: cause,
 	})}
 }
 
@@ -180,6 +192,10 @@
 	return kumquatlug.NewAnswer(o.Status(), o.Header(), &countedBody{Reader: body, body: io.NopCloser(body), request: r})
 }
 
+// unknownRetry is when asking again under the same key may tell more: a holder
+// that was paused or cut off is back by then, or is known to be gone.
+const unknownRetry = 5 * kumquatlug.Second
+
 // holderWaits are the pauses before the holder of a claim is asked again. Its
 // agent may only have dropped one connection; when it does not come back within
 // two seconds nobody can say soon what became of the run.
@@ -197,18 +213,41 @@
 			continue
 		}
 		holder := a.At(target, member.VM().Address())
-		answer, refused := r.send(ctx, holder, out)
+		answer, refused := r.askBriefly(ctx, holder, out)
 		if refused == nil {
-			return r.prefetch(holder, answer)
+			return answer, nil
 		}
 		last = refused.failure
-		if reason := refused.failure.Reason(); reason == peer.ReasonUnknown || refused.failure.Ran() != kumquatlug.RanUnknown {
+		if settled(refused) {
 			return kumquatlug.Answer{}, refused
 		}
 	}
 	return kumquatlug.Answer{}, r.unknown(a, last)
 }
 
+// settled reports whether a refusal by the holder of a claim speaks of the claim
+// itself. One by an agent that is leaving or full says "not run" of this sending
+// only, while the run that is asked for may be going on there.
+func settled(r *refusal) bool {
+	return r.mark != "" || r.failure.Reason() == peer.ReasonUnknown || r.failure.Status() < http.StatusInternalServerError
+}
+
+// holderTimeout is how long the holder of a claim is waited for when it says
+// nothing. Its run may take longer; the caller is then told that the outcome is
+// not known yet, and asks again under the same key.
+const holderTimeout = 10 * kumquatlug.Second
+
+func (r *request) askBriefly(ctx context.Context, a dispatch.Attempt, out outgoing) (kumquatlug.Answer, *refusal) {
+	ctx, cancel := context.WithTimeout(ctx, holderTimeout.Duration())
+	answer, refused := r.ask(ctx, a, out)
+	if refused != nil {
+		cancel()
+		return answer, refused
+	}
+	answer.Body().(*countedBody).cancel = cancel
+	return answer, nil
+}
+
 // pause waits and reports false when ctx ended.
 func pause(ctx context.Context, wait kumquatlug.Millis) bool {
 	select {
@@ -226,6 +265,9 @@
 	body    io.Closer
 	request *request
 	whole   bool
+	// end and cancel, either of which may be nil, free what the attempt holds.
+	end    func()
+	cancel func()
 }
 
 // Read notes the end of the answer.
@@ -245,5 +287,11 @@
 	} else {
 		b.request.close(b.request.gone("write answer", io.ErrUnexpectedEOF))
 	}
+	if b.end != nil {
+		b.end()
+	}
+	if b.cancel != nil {
+		b.cancel()
+	}
 	return b.body.Close()
 }
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -13,6 +13,7 @@
 	"github.com/kumquatlug/kumquatlug/internal/timeline"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/dispatch"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/quarantine"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/stream"
 )
 
@@ -33,7 +34,7 @@
 	if err != nil {
 		return err
 	}
-	r.print = fingerprint(g.Caller().Name(), g.Kind().String(), body)
+	r.print = quarantine.NewFingerprint(g.Caller().Name(), g.Kind(), body)
 	r.note(timeline.Admitted, "", g.Kind().String())
 	r.begin(dispatch.RequestConfig{
 		Role: kumquatlug.RoleBoth, Prefix: prefixKeys(g.Prompt()),
@@ -55,6 +56,7 @@
 	sink       caller.Sink
 	answer     *stream.Answer
 	told       int64
+	handle     string
 	model      engine.Chunk
 	last       engine.Chunk
 }
@@ -70,10 +72,14 @@
 		if err != nil {
 			return err
 		}
-		if failed == nil {
+		switch {
+		case failed != nil:
+			s.request.fail(attempt, *failed)
+		case attempt.Role() == kumquatlug.RolePrefill:
+			s.request.entry.loop.post(linked{s.request.id})
+		default:
 			return nil
 		}
-		s.request.fail(attempt, *failed)
 	}
 }
 
@@ -84,15 +90,15 @@
 	if len(s.answer.Sent()) == 0 || f.Ran() == kumquatlug.RanDone {
 		return err
 	}
-	return kumquatlug.NewFailure(kumquatlug.FailureConfig{
-		Step: f.Step(), Peer: f.Peer(), Reason: f.Reason(), Ran: kumquatlug.RanUnknown, Status: f.Status(),
-		RetryAfter: f.RetryAfter(), Cause: f.Unwrap(),
-	})
+	return f.WithRan(kumquatlug.RanUnknown)
 }
 
 // attempt runs one attempt. It returns no failure when the answer is whole, and
 // an error when the caller is gone.
 func (s *streaming) attempt(ctx context.Context, a dispatch.Attempt) (*dispatch.Failed, error) {
+	if a.Role() == kumquatlug.RolePrefill {
+		return s.prefill(ctx, a)
+	}
 	number, at, ok := s.answer.Start()
 	if !ok {
 		return nil, s.failure(a, "attempts", nil)
@@ -101,30 +107,36 @@
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	answer, refused := s.request.send(ctx, a, outgoing{
+	attemptCtx, end := s.request.entry.attempts.begin(ctx, a.Target())
+	defer end()
+	answer, refused := s.request.send(attemptCtx, a, outgoing{
 		method: http.MethodPost, path: s.generation.Path(), body: body,
-		header: http.Header{"Content-Type": {"application/json"}},
+		header: jsonHeader(), handle: s.handle,
 	})
 	if refused != nil {
-		return s.refused(ctx, number, refused.failure)
+		return s.refused(ctx, number, refused)
 	}
 	defer answer.Body.Close()
 	if answer.StatusCode != http.StatusOK {
 		return nil, s.engineError(a, answer)
 	}
-	return s.read(ctx, a, number, engine.NewReader(answer.Body))
+	failed, err := s.read(ctx, a, number, engine.NewReader(answer.Body))
+	if failed != nil {
+		// The trailer is there only once the body was read to its end.
+		_, _ = io.Copy(io.Discard, answer.Body)
+		failed.Notices = noticesOf(answer.Trailer)
+	}
+	return failed, err
 }
 
-func (s *streaming) refused(ctx context.Context, number int, f *kumquatlug.Failure) (*dispatch.Failed, error) {
+func (s *streaming) refused(ctx context.Context, number int, refused *refusal) (*dispatch.Failed, error) {
 	s.answer.Cut(s.request.id, number)
 	if ctx.Err() != nil {
 		return nil, s.request.gone("send work", ctx.Err())
 	}
-	return &dispatch.Failed{
-		Failure: f, Refused: beforeStart(f), Resumable: true,
-	}, nil
+	failed := refused.failed()
+	failed.Resumable = true
+	return &failed, nil
 }
 
 // engineError passes an engine's own refusal of the request on to the caller.
@@ -137,7 +149,7 @@
 		status = http.StatusBadGateway
 	}
 	return kumquatlug.NewFailure(kumquatlug.FailureConfig{
-		Step: "run at engine", Peer: a.Target(), Reason: "engine_error", Ran: kumquatlug.RanNot, Status: status,
+		Step: "run at engine", Peer: a.Target(), Reason: "engine_error", Ran: s.request.ranSoFar(), Status: status,
 		Cause: errors.Newf("%s", text),
 	})
 }
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -8,6 +8,7 @@
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/config"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/dispatch"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/quarantine"
 )
 
 // inboxSize bounds the messages that wait for the loop. A message takes a few
@@ -33,12 +34,14 @@
 		id   string
 		done dispatch.Done
 	}
+	linked     struct{ id string }
 	cancelled  struct{ id string }
 	configured struct{ state config.State }
 	vmsListed  struct{ vms []kumquatlug.VM }
 	heard      struct {
-		name   string
-		report dispatch.Report
+		name    string
+		report  dispatch.Report
+		notices []quarantine.Notice
 	}
 	missed struct{ name string }
 	// asked lets another goroutine look at the dispatcher between two events.
@@ -118,6 +121,8 @@
 	case finished:
 		delete(l.replies, m.id)
 		return l.dispatcher.Finished(now, m.id, m.done)
+	case linked:
+		return l.dispatcher.Linked(now, m.id)
 	case cancelled:
 		delete(l.replies, m.id)
 		return l.dispatcher.Cancelled(now, m.id)
@@ -137,6 +142,7 @@
 }
 
 func (l *loop) heard(now kumquatlug.Millis, m heard) []dispatch.Decision {
+	l.dispatcher.Merge(now, m.notices)
 	change, changed, decisions := l.dispatcher.Heard(now, m.name, m.report)
 	if changed {
 		l.entry.c.Ring.Add(timeline.Record{Name: timeline.TargetUp, Peer: m.name, Detail: "was " + string(change.From())})
@@ -147,6 +153,7 @@
 func (l *loop) missed(now kumquatlug.Millis, m missed) []dispatch.Decision {
 	_, changed, decisions := l.dispatcher.Missed(now, m.name)
 	if changed {
+		l.entry.attempts.cut(m.name)
 		l.entry.c.Ring.Add(timeline.Record{Name: timeline.TargetDown, Peer: m.name, Detail: "heartbeats missed"})
 	}
 	return decisions
--- a/pkg/kumquatlug/dispatch/request.go
+++ b/pkg/kumquatlug/dispatch/request.go
@@ -4,7 +4,9 @@
 	"net/http"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/drain"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/limit"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/quarantine"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/retry"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/routing"
 )
@@ -30,8 +32,9 @@
 	// decides the target, so that a call sent again meets the agent that knows
 	// of it.
 	OnceKey string
-	// Fingerprint is equal for equal requests of one caller.
-	Fingerprint string
+	// Fingerprint is equal for equal requests of one caller; see package
+	// quarantine.
+	Fingerprint quarantine.Fingerprint
 }
 
 // request is one request in the dispatcher's hands.
@@ -47,10 +50,15 @@
 	ticket   limit.Ticket
 	sentAt   kumquatlug.Millis
 	firstAt  kumquatlug.Millis
+	stepAt   kumquatlug.Millis
 	tokens   int64
 	cached   int
 	dueAt    kumquatlug.Millis
 	last     *kumquatlug.Failure
+	// heldUntil is how long a request that was near two crashes still waits.
+	heldUntil kumquatlug.Millis
+	// mayHaveRun says that some attempt may have run.
+	mayHaveRun bool
 }
 
 func (r *request) cost() int64 {
@@ -59,8 +67,13 @@
 
 // expected is how long the work takes at the usual rates, in milliseconds.
 func (r *request) expected() float64 {
+	return workOf(r.c.PrefillTokens, r.c.DecodeTokens)
+}
+
+// workOf is how long so many tokens take at the usual rates, in milliseconds.
+func workOf(prefill, decode int64) float64 {
 	const millis = float64(kumquatlug.Second)
-	return float64(r.c.PrefillTokens)*millis/prefillRate + float64(r.c.DecodeTokens)*millis/decodeRate
+	return float64(prefill)*millis/prefillRate + float64(decode)*millis/decodeRate
 }
 
 // final is the answer to a request that is given up after attempts. What the
@@ -77,6 +90,15 @@
 	return kumquatlug.NewFailure(c)
 }
 
+// truthful keeps a refusal from saying "not run" for the sake of its last
+// attempt alone, when an earlier one was cut or lost from sight.
+func (r *request) truthful(f *kumquatlug.Failure) *kumquatlug.Failure {
+	if !r.mayHaveRun || f.Ran() != kumquatlug.RanNot {
+		return f
+	}
+	return f.WithRan(kumquatlug.RanUnknown)
+}
+
 // roomFor asks the limits on behalf of one request.
 type roomFor struct {
 	targets *limit.Targets
@@ -103,9 +125,9 @@
 	d.router.Sent(now, target, routing.Call{
 		ID: r.c.ID, Prefix: r.c.Prefix, PrefillTokens: int(r.c.PrefillTokens) - cached, DecodeTokens: int(r.c.DecodeTokens),
 	})
-	d.out = append(d.out, Decision{id: r.c.ID, verdict: VerdictSend, attempt: Attempt{
-		target: target, address: member.VM().Address(), number: r.attempts, revision: d.revision,
-	}})
+	attempt := Attempt{target: target, address: member.VM().Address(), number: r.attempts, revision: d.revision, role: r.c.Role}
+	attempt.notice, attempt.suspect = d.register.Notice(now, r.fingerprint())
+	d.out = append(d.out, Decision{id: r.c.ID, verdict: VerdictSend, attempt: attempt})
 	return true
 }
 
@@ -169,6 +191,8 @@
 	Failure *kumquatlug.Failure
 	// Refused says that the agent refused the work before it began.
 	Refused bool
+	// Notices are what the agent told of requests in hand at a crash.
+	Notices []quarantine.Notice
 	// Final says that no other attempt can fare better, as when the request
 	// itself is at fault: the failure is the caller's answer as it stands.
 	Final bool
@@ -184,8 +208,10 @@
 	if !kept {
 		return d.serve(now)
 	}
-	d.release(now, r, limit.OutcomeOther, 0, 0)
+	d.release(now, r, endOf(f))
+	d.register.Merge(now, f.Notices)
 	r.last = f.Failure
+	r.mayHaveRun = r.mayHaveRun || f.Failure.Ran() != kumquatlug.RanNot
 	if f.Final {
 		d.giveUp(now, id, f.Failure)
 		return d.serve(now)
@@ -217,10 +243,14 @@
 	d.outcome(now, r, false, 0)
 }
 
-// Reasons with which an agent refuses work because its target goes away.
+// Reasons with which an agent refuses work because its target goes away or has
+// no room.
 const (
-	ReasonLeaving  = "target_leaving"
-	ReasonStopping = "target_stopping"
+	ReasonLabel    = string(drain.ReasonLabel)
+	ReasonList     = string(drain.ReasonList)
+	ReasonStopping = string(drain.ReasonStop)
+	ReasonOrder    = string(drain.ReasonOrder)
+	ReasonFull     = "engine_refused"
 )
 
 // noteLeaving takes a refusal for what it tells of the target. Until the next
@@ -228,10 +258,12 @@
 func (d *Dispatcher) noteLeaving(now kumquatlug.Millis, target, reason string) {
 	report := d.reports[target]
 	switch reason {
-	case ReasonLeaving:
+	case ReasonLabel, ReasonList:
 		report.State = TargetLeaving
 	case ReasonStopping:
 		report.State = TargetStopping
+	case ReasonOrder:
+		report.State = TargetChanging
 	default:
 		return
 	}
@@ -249,12 +281,20 @@
 }
 
 // release gives the target's place back.
-func (d *Dispatcher) release(now kumquatlug.Millis, r *request, o limit.Outcome, latency kumquatlug.Millis, work int64) {
+func (d *Dispatcher) release(now kumquatlug.Millis, r *request, o limit.Outcome) {
 	r.inHand = false
-	d.targets.End(now, r.ticket, o, latency, work)
+	d.targets.End(now, r.ticket, o)
 	d.router.Finished(now, r.target, r.c.ID)
 }
 
+// endOf tells a target that was full from one that failed otherwise.
+func endOf(f Failed) limit.Outcome {
+	if f.Failure.Reason() == ReasonFull {
+		return limit.OutcomeOverload
+	}
+	return limit.OutcomeEnded
+}
+
 // Progress takes that a request's caller has received tokens of output in all.
 func (d *Dispatcher) Progress(now kumquatlug.Millis, id string, tokens int64) []Decision {
 	d.begin()
@@ -263,10 +303,14 @@
 		return d.out
 	}
 	portion := tokens - r.tokens
+	work := workOf(0, portion)
 	if r.firstAt == 0 {
-		r.firstAt = now
+		r.firstAt, r.stepAt = now, r.sentAt
 		portion += r.c.PrefillTokens
+		work = workOf(r.c.PrefillTokens, 1)
 	}
+	d.targets.Sample(now, &r.ticket, now-r.stepAt, work)
+	r.stepAt = now
 	r.tokens = tokens
 	d.router.Progress(now, r.target, id, int(tokens))
 	d.queue.Served(now, r.c.Kind, portion)
@@ -288,19 +332,19 @@
 	if !kept {
 		return d.serve(now)
 	}
-	latency, work := now-r.sentAt, int64(1)
-	if r.firstAt != 0 && o.Tokens > 1 {
-		latency, work = now-r.firstAt, o.Tokens-1
-	}
 	served := max(0, o.Tokens-r.tokens)
 	if r.firstAt == 0 {
 		served += r.c.PrefillTokens
 	}
-	d.release(now, r, limit.OutcomeDone, latency, work)
+	if r.c.Kind.Protocol() == kumquatlug.ProtocolService {
+		d.targets.Sample(now, &r.ticket, now-r.sentAt, 1)
+	}
+	d.release(now, r, limit.OutcomeEnded)
 	d.queue.Served(now, r.c.Kind, served)
 	if len(r.c.Prefix) > 0 {
 		d.router.Hit(r.target, r.cached, int(o.Cached))
 	}
+	d.register.Finished(now, r.fingerprint())
 	d.learnPace(now, r, o)
 	d.drop(now, r, r.c.PrefillTokens+o.Tokens)
 	return d.serve(now)
@@ -337,7 +381,7 @@
 		return d.out
 	}
 	if r.inHand {
-		d.release(now, r, limit.OutcomeOther, 0, 0)
+		d.release(now, r, limit.OutcomeEnded)
 	}
 	d.queue.Cancel(now, id)
 	d.due = without(d.due, r)
