--- a/pkg/kumquatlug/limit/targets.go
+++ b/pkg/kumquatlug/limit/targets.go
@@ -15,12 +15,9 @@
 	DefaultTolerance = 3.0
 	DefaultWindow    = 250
 	DefaultHighWater = 0.9
+	DefaultPending   = 16_000
 )
 
-// PendingOfEngines is two seconds of prompts of a mid-sized model, enough to
-// keep an engine busy until the next request comes.
-const PendingOfEngines = 16_000
-
 // TargetsConfig is what [Targets] is made of. Concurrencies are of a whole
 // target; each entry takes its part.
 type TargetsConfig struct {
@@ -35,9 +32,10 @@
 	// are commonly started with.
 	Max int
 	// Tolerance is how many times its floor a target's time for the same work
-	// may be before it is given less. Default 2.5: in a well filled batch, with
-	// prompts run in between, a request takes two to three times as long as
-	// alone; what takes longer than that is queueing.
+	// may be before it is given less, unless a request's own time is shorter
+	// ([Targets.Tolerate]). Default 3: in a well filled batch, with prompts run
+	// in between, a request takes two to three times as long as alone; what
+	// takes longer than that is queueing.
 	Tolerance float64
 	// Floor is the least slowness (latency by work) of a target where it is
 	// known: 1 if work is told in the time that it takes on an idle target. By
@@ -53,10 +51,11 @@
 	// out of memory throws out half-done ones.
 	HighWater float64
 	// MaxPending is how many tokens may be sent to a target before it has
-	// begun to answer them; one request may always be. Default: no bound, since
-	// it needs [Targets.Sample] at the first token. PendingOfEngines suits
-	// engines. What waits inside the engine has left the fair order and can no
-	// longer be refused in time, so it had better wait here.
+	// begun to answer them ([Targets.Sample] tells); one request may always be.
+	// Default 16,000: two seconds of prompts for a mid-sized model, enough to
+	// keep the engine busy until the next request. What waits inside the engine
+	// has left the fair order and can no longer be refused in time, so it had
+	// better wait here.
 	MaxPending int64
 	// Entries is how many entries send to the same targets. Default 1.
 	Entries int
@@ -84,6 +83,9 @@
 	if c.HighWater <= 0 {
 		c.HighWater = DefaultHighWater
 	}
+	if c.MaxPending <= 0 {
+		c.MaxPending = DefaultPending
+	}
 	if c.Entries < 1 {
 		c.Entries = 1
 	}
@@ -122,6 +124,9 @@
 	cost    int64
 	size    size
 	started bool
+	// tolerance is how many times its least time it may take, zero for the
+	// default.
+	tolerance float64
 }
 
 // Begin counts a request of so many tokens (prompt and expected output) that
@@ -143,25 +148,27 @@
 // token, and from each piece of the stream to the next, or a whole call. work
 // says how much it was, in any unit that is the same for all of a target: the
 // milliseconds it takes on an idle target, or 1 for each call of a service.
-// The first sample says that the target has begun to answer. tolerance is how
-// many times its least time this request may take, as [Targets.Tolerance] gives
-// it; zero means the default.
-func (t *Targets) Sample(now kumquatlug.Millis, k *Ticket, latency kumquatlug.Millis, work, tolerance float64) {
+// The first sample says that the target has begun to answer.
+func (t *Targets) Sample(now kumquatlug.Millis, k *Ticket, latency kumquatlug.Millis, work float64) {
 	g := k.target
 	if g == nil {
 		return
 	}
-	if tolerance <= 0 {
-		tolerance = t.config.Tolerance
-	}
 	g.start(k)
-	g.sample(now, float64(latency), work, work*tolerance)
+	g.sample(now, float64(latency), work, work*t.toleranceOf(k))
 	if t.config.Floor > 0 {
 		g.floor = t.config.Floor
 	}
 	t.adjust(now, g)
 }
 
+func (t *Targets) toleranceOf(k *Ticket) float64 {
+	if k.tolerance > 0 {
+		return k.tolerance
+	}
+	return t.config.Tolerance
+}
+
 const (
 	// patiencePart is the part of a caller's time that its answer may take once
 	// sent; the rest is for waiting and for odd lengths.
@@ -171,14 +178,15 @@
 	leastTolerance = 1.2
 )
 
-// Tolerance returns how many times its least time a request may take whose
-// caller waits for patience and that takes alone on an idle target. A batch
-// that suits long documents is too slow for questions; were they all held to
-// one tolerance, the target would be full of answers that come too late, and
-// the queue before it empty, so that nobody's turn would be kept.
-func (t *Targets) Tolerance(patience, alone kumquatlug.Millis) float64 {
+// Tolerate says how long the caller of a request waits and how long the request
+// takes alone on an idle target; from that follows how many times its least
+// time it may take. A batch that suits long documents is too slow for
+// questions; were all held to one tolerance, the target would be full of
+// answers that come too late and the queue before it empty, so that nobody's
+// turn would be kept.
+func (t *Targets) Tolerate(k *Ticket, patience, alone kumquatlug.Millis) {
 	most := patiencePart * float64(patience) / float64(max(alone, 1))
-	return min(max(most, leastTolerance), t.config.Tolerance)
+	k.tolerance = min(max(most, leastTolerance), t.config.Tolerance)
 }
 
 // Outcome is how a request at a target ended.
@@ -186,25 +194,19 @@
 
 // The outcomes that the limits tell apart.
 const (
-	// OutcomeDone: answered.
-	OutcomeDone Outcome = "done"
-	// OutcomeOverload: the target refused it for want of room, or had not begun
-	// to answer when its deadline passed.
+	// OutcomeEnded: answered, failed or cancelled.
+	OutcomeEnded Outcome = "ended"
+	// OutcomeOverload: the target refused it for want of room, or its deadline
+	// passed there.
 	OutcomeOverload Outcome = "overload"
-	// OutcomeOther: cancelled or failed; it says nothing of the target's load.
-	OutcomeOther Outcome = "other"
 )
 
-// End gives the ticket back. latency and work are those of an answer that was
-// not sampled piece by piece, as for [Targets.Sample]; others are ignored.
-func (t *Targets) End(now kumquatlug.Millis, k Ticket, o Outcome, latency kumquatlug.Millis, work int64) {
+// End gives the ticket back.
+func (t *Targets) End(now kumquatlug.Millis, k Ticket, o Outcome) {
 	g := k.target
 	if g == nil {
 		return
 	}
-	if o == OutcomeDone && work > 0 && !k.started {
-		t.Sample(now, &k, latency, float64(work), 0)
-	}
 	g.start(&k)
 	g.count(now, -1)
 	g.memory.add(now, -k.cost)
@@ -271,9 +273,6 @@
 // have a bound of their own: an engine that honours priorities runs them before
 // a long prompt, and behind a shared bound they would wait for it here.
 func (t *Targets) mayWait(g *target, cost int64) bool {
-	if t.config.MaxPending <= 0 {
-		return true
-	}
 	pending := g.pending[t.sizeOf(cost)]
 	return pending == 0 || pending+cost <= t.pendingPart()
 }
