--- /dev/null
+++ b/cmd/kumquatlug-experiment/main.go
@@ -0,0 +1,128 @@
+// Command kumquatlug-experiment plays load patterns against the decision
+// modules and plain baselines, and prints what callers receive. The same seed
+// gives the same digits.
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/kumquatlug/kumquatlug/internal/experiment"
+)
+
+// Format is how results are printed.
+type Format string
+
+// The formats.
+const (
+	FormatText Format = "text"
+	FormatJSON Format = "json"
+)
+
+// options are the command's settings.
+type options struct {
+	scenarios string
+	seed      uint64
+	format    string
+	plot      string
+	workers   int
+}
+
+func main() {
+	if err := command().Execute(); err != nil {
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	var o options
+	c := &cobra.Command{
+		Use:          "kumquatlug-experiment",
+		Short:        "Play load patterns against the decision modules and plain baselines",
+		Args:         cobra.NoArgs,
+		SilenceUsage: true,
+		RunE:         func(c *cobra.Command, _ []string) error { return o.run(c) },
+	}
+	f := c.Flags()
+	f.StringVar(&o.scenarios, "scenarios", "", "names of scenarios, joined by commas; all if empty")
+	f.Uint64Var(&o.seed, "seed", 1, "seed of every random draw")
+	f.StringVar(&o.format, "format", string(FormatText), "text or json")
+	f.StringVar(&o.plot, "plot", "", "file for a plot of the goodput, as SVG")
+	f.IntVar(&o.workers, "workers", 4, "how many scenarios run at once; it doesn't change the figures")
+	return c
+}
+
+func (o options) run(c *cobra.Command) error {
+	scenarios, err := o.chosen()
+	if err != nil {
+		return err
+	}
+	results := o.play(scenarios)
+	if err := o.draw(results); err != nil {
+		return err
+	}
+	switch Format(o.format) {
+	case FormatText:
+		return experiment.WriteTable(c.OutOrStdout(), results)
+	case FormatJSON:
+		e := json.NewEncoder(c.OutOrStdout())
+		e.SetIndent("", "  ")
+		return e.Encode(results)
+	default:
+		return errors.Newf("unknown format %q", o.format)
+	}
+}
+
+func (o options) chosen() ([]experiment.Scenario, error) {
+	if o.scenarios == "" {
+		return experiment.Scenarios(), nil
+	}
+	var list []experiment.Scenario
+	for _, name := range strings.Split(o.scenarios, ",") {
+		s, ok := experiment.ScenarioOf(name)
+		if !ok {
+			return nil, errors.Newf("unknown scenario %q", name)
+		}
+		list = append(list, s)
+	}
+	return list, nil
+}
+
+// play runs the scenarios side by side; each has its own world and seed.
+func (o options) play(scenarios []experiment.Scenario) []experiment.Result {
+	parts := make([][]experiment.Result, len(scenarios))
+	var g errgroup.Group
+	g.SetLimit(max(o.workers, 1))
+	for n, s := range scenarios {
+		g.Go(func() error {
+			parts[n] = experiment.Compare(s, o.seed)
+			return nil
+		})
+	}
+	_ = g.Wait()
+	var results []experiment.Result
+	for _, p := range parts {
+		results = append(results, p...)
+	}
+	return results
+}
+
+func (o options) draw(results []experiment.Result) error {
+	if o.plot == "" {
+		return nil
+	}
+	var plot bytes.Buffer
+	if err := experiment.WritePlot(&plot, results); err != nil {
+		return errors.Wrap(err, "draw the plot")
+	}
+	return errors.Wrap(os.WriteFile(o.plot, plot.Bytes(), plotMode), "write the plot")
+}
+
+// plotMode lets everybody read the plot.
+const plotMode = 0o644
--- a/internal/experiment/call.go
+++ b/internal/experiment/call.go
@@ -40,7 +40,6 @@
 
 	entry      int
 	sentAt     kumquatlug.Millis
-	target     string
 	at         *engine
 	sends      int
 	first      kumquatlug.Millis
--- a/internal/experiment/decisions.go
+++ b/internal/experiment/decisions.go
@@ -36,15 +36,14 @@
 
 // leg is one stay of a call at a target.
 type leg struct {
-	call     *call
-	target   string
-	ticket   limit.Ticket
-	choice   routing.Choice
-	sentAt   kumquatlug.Millis
-	firstAt  kumquatlug.Millis
-	lastAt   kumquatlug.Millis
-	made     int
-	attempts int
+	call    *call
+	target  string
+	ticket  limit.Ticket
+	choice  routing.Choice
+	sentAt  kumquatlug.Millis
+	firstAt kumquatlug.Millis
+	lastAt  kumquatlug.Millis
+	made    int
 }
 
 // due is a call that goes on at a time.
@@ -209,7 +208,6 @@
 		c.sentAt = now
 	}
 	target := choice.Target()
-	c.target = target
 	d.router.Sent(now, target, routing.Call{
 		ID: c.id, Prefix: q.Prefix, PrefillTokens: max(q.PrefillTokens-choice.Cached(), 0), DecodeTokens: q.DecodeTokens,
 	})
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -67,7 +67,7 @@
 
 // Run plays the scenario under the policy and returns what callers received.
 func Run(c Config) Result {
-	return run(c, capacityOf(c.Scenario, c.Seed))
+	return play(c, capacityOf(c.Scenario, c.Seed))
 }
 
 // Compare plays the scenario under each of its policies with the same requests.
@@ -75,12 +75,12 @@
 	best := capacityOf(s, seed)
 	var list []Result
 	for _, p := range Policies(s) {
-		list = append(list, run(Config{Scenario: s, Policy: p, Seed: seed}, best))
+		list = append(list, play(Config{Scenario: s, Policy: p, Seed: seed}, best))
 	}
 	return list
 }
 
-func run(c Config, best capacity) Result {
+func play(c Config, best capacity) Result {
 	w := newWorld(c, best)
 	for end := c.Scenario.span + c.Scenario.tail(); w.now < end; w.now += round {
 		w.step()
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -88,9 +88,14 @@
 	}
 }
 
-// swing stays at low for stay, goes to high within turn, stays there and goes
-// back.
-func swing(stay, turn kumquatlug.Millis, low, high float64) func(kumquatlug.Millis) float64 {
+// The mix stays for five minutes and turns over within two.
+const (
+	stay = 5 * kumquatlug.Minute
+	turn = 2 * kumquatlug.Minute
+)
+
+// swing stays at low, goes to high, stays there and goes back.
+func swing(low, high float64) func(kumquatlug.Millis) float64 {
 	return func(at kumquatlug.Millis) float64 {
 		at %= 2 * (stay + turn)
 		up := float64(at-stay) / float64(turn)
@@ -179,8 +184,8 @@
 			Name: "mix-shift", Title: "split roles; the mix turns over between prompt-heavy and output-heavy within two minutes, every seven",
 			span: 1680 * s, warm: 60 * s, prefillers: 6,
 			sources: []source{
-				{callers: desk, work: workInput, load: swing(300*s, 120*s, 0.75, 0.15)},
-				{callers: desk, work: workWrite, load: swing(300*s, 120*s, 0.15, 0.75)},
+				{callers: desk, work: workInput, load: swing(0.75, 0.15)},
+				{callers: desk, work: workWrite, load: swing(0.15, 0.75)},
 			},
 		},
 		{
@@ -188,8 +193,8 @@
 			Title: "the same with a share that halves and doubles; the split at the start fits the mix at the start",
 			span:  1680 * s, warm: 60 * s, prefillers: 7,
 			sources: []source{
-				{callers: desk, work: workInput, load: swing(300*s, 120*s, 0.6, 0.3)},
-				{callers: desk, work: workWrite, load: swing(300*s, 120*s, 0.3, 0.6)},
+				{callers: desk, work: workInput, load: swing(0.6, 0.3)},
+				{callers: desk, work: workWrite, load: swing(0.3, 0.6)},
 			},
 		},
 		{
