--- a/internal/experiment/decisions.go
+++ b/internal/experiment/decisions.go
@@ -272,7 +272,7 @@
 	d.world.engine(r.target).agent.gossip(now, d.register)
 	d.set(now, r.target, r.zone, r.role, r.ready)
 	d.targets.Report(now, r.target, limit.Load{
-		Age: now - r.taken, Asked: now, Waiting: int64(r.waiting), Used: int64(r.kvUsed), Total: kvTokens,
+		Age: now - r.taken, Asked: now, Running: int64(r.running), Waiting: int64(r.waiting), Used: int64(r.kvUsed), Total: kvTokens,
 	})
 	d.router.Report(now, r.target, routing.Load{
 		Running: r.running, Waiting: r.waiting, KVUsed: r.kvUsed, KVTotal: kvTokens, DecodeRate: r.decodes,
--- a/pkg/kumquatlug/admission/load_test.go
+++ b/pkg/kumquatlug/admission/load_test.go
@@ -17,6 +17,7 @@
 	heldLong                       int
 	slowestRefusal                 kumquatlug.Millis
 	longest                        int
+	waited, meanWait               kumquatlug.Millis
 }
 
 // load is a stream of work: a request of cost tokens every gap milliseconds,
@@ -78,6 +79,7 @@
 			return
 		}
 		b.q.Take(b.now, r.ID())
+		b.tally(r).waited += b.now - r.Arrival()
 		b.serving, b.left = r, r.Cost()
 	}
 	done := min(b.left, serverRate)
@@ -118,6 +120,9 @@
 			t.longest = max(t.longest, b.q.Len(draft))
 		}
 	}
+	for _, t := range b.tallies {
+		t.meanWait = t.waited / kumquatlug.Millis(max(t.onTime+t.late, 1))
+	}
 	return b.tallies
 }
 
@@ -214,6 +219,22 @@
 	}
 }
 
+func TestStandingLineIsKeptShort(t *testing.T) {
+	// Work arrives at one and a half times what can be served, for minutes. The
+	// line in front of the targets gives them no more to do than a short one,
+	// yet as long as deadlines allow everybody waits in it to the last second.
+	w := load{caller: "all", gap: 33, cost: 500, patience: 30 * kumquatlug.Second}
+	got := play(Config{}, 3*kumquatlug.Minute, w)["all"]
+	if best := int64(serverRate) * int64(162*kumquatlug.Second); got.onTimeTokens*100 < best*95 {
+		t.Errorf("%d of %d tokens on time", got.onTimeTokens, best)
+	}
+	// The first seconds take in a burst; after that a second's work may wait.
+	if got.meanWait > 3*kumquatlug.Second {
+		t.Errorf("they wait for %d ms in the mean: %+v", got.meanWait, *got)
+	}
+	t.Logf("%+v", *got)
+}
+
 func TestLowPriorityIsNotStarved(t *testing.T) {
 	// Urgent work never ends. With strict priorities a background job would
 	// wait until its deadline without one token.
--- a/pkg/kumquatlug/admission/queue.go
+++ b/pkg/kumquatlug/admission/queue.go
@@ -46,6 +46,7 @@
 	DefaultDrainHorizon  = 10 * kumquatlug.Second
 	DefaultCheckEvery    = 50
 	DefaultStandingAfter = 5 * kumquatlug.Second
+	DefaultStandingWait  = kumquatlug.Second
 	DefaultMinRetryAfter = kumquatlug.Second
 	DefaultMaxRetryAfter = kumquatlug.Minute
 )
@@ -53,8 +54,6 @@
 const (
 	// waitPart leaves a tenth of the spare time for swings of the drain rate.
 	waitPart = 0.9
-	// standingPart is what may be waited in a standing line.
-	standingPart = 0.15
 )
 
 // Config is what a [Queue] is made of.
@@ -78,6 +77,9 @@
 	// counts as standing. Default 5 s: bursts that are over by then are taken
 	// in whole.
 	StandingAfter kumquatlug.Millis
+	// StandingWait is how long may be waited in a standing line, whatever the
+	// deadline. Default 1 s.
+	StandingWait kumquatlug.Millis
 	// MinRetryAfter is the least time a refusal names. Default 1 s, the least
 	// that the Retry-After header can carry.
 	MinRetryAfter kumquatlug.Millis
@@ -104,6 +106,9 @@
 	if c.StandingAfter <= 0 {
 		c.StandingAfter = DefaultStandingAfter
 	}
+	if c.StandingWait <= 0 {
+		c.StandingWait = DefaultStandingWait
+	}
 	if c.MinRetryAfter <= 0 {
 		c.MinRetryAfter = DefaultMinRetryAfter
 	}
@@ -175,11 +180,11 @@
 	if spare < 0 {
 		return spare
 	}
-	part := waitPart
+	allowed := kumquatlug.Millis(waitPart * float64(spare))
 	if now-l.emptyAt > q.config.StandingAfter {
-		part = standingPart
+		return min(allowed, q.config.StandingWait)
 	}
-	return kumquatlug.Millis(part * float64(spare))
+	return allowed
 }
 
 func (q *Queue) unfit(r Request) Reason {
--- a/pkg/kumquatlug/limit/limit_test.go
+++ b/pkg/kumquatlug/limit/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/leanovate/gopter"
@@ -100,8 +101,9 @@
 	return kumquatlug.Millis(perToken * float64(tokens))
 }
 
-// settle keeps each entry's limit full against one engine and returns the mean batch.
-func settle(e engine, entries int, overloadAt int) float64 {
+// settle keeps each entry's limit full against one engine and returns the mean
+// batch, and how many times the least entry's part the greatest one is.
+func settle(e engine, entries int, overloadAt int) (batch, uneven float64) {
 	var all []*Targets
 	for n := range entries {
 		l := NewTargets(TargetsConfig{Entries: entries, Random: rand.New(rand.NewPCG(uint64(n), 1))})
@@ -116,6 +118,7 @@
 	}
 	var running []run
 	sum, samples := 0.0, 0.0
+	parts := make([]float64, entries)
 	for now := kumquatlug.Millis(0); now < 10*kumquatlug.Minute; now += 50 {
 		kept := running[:0]
 		for _, r := range running {
@@ -141,16 +144,22 @@
 		e.batch = len(running)
 		if now > 5*kumquatlug.Minute {
 			sum, samples = sum+float64(e.batch), samples+1
+			for n, l := range all {
+				parts[n] += float64(l.Running("x"))
+			}
 		}
 	}
-	return sum / samples
+	return sum / samples, slices.Max(parts) / max(slices.Min(parts), 1)
 }
 
 func TestConcurrencyFindsTheTarget(t *testing.T) {
 	// A target is given whatever comes. Past the size of its batch each request
 	// only makes all others slower, and every answer on it is late at once.
 	for _, entries := range []int{1, 4} {
-		batch := settle(engine{knee: 20}, entries, 0)
+		batch, uneven := settle(engine{knee: 20}, entries, 0)
+		if uneven > 2 {
+			t.Errorf("one of %d entries has %.1f times as much as another", entries, uneven)
+		}
 		// 3 times the floor is a batch of 60; the step up holds it the root of
 		// its size above, at 67.
 		if batch < 60 || batch > 75 {
@@ -158,11 +167,49 @@
 		}
 		t.Logf("%d entries, knee at 20: batch %.1f", entries, batch)
 	}
-	if batch := settle(engine{knee: 1000}, 1, 50); batch > 60 {
+	if batch, _ := settle(engine{knee: 1000}, 1, 50); batch > 60 {
 		t.Errorf("a target that refuses above 50 is given %.1f", batch)
 	}
 }
 
+func TestShortPatienceMakesASmallBatch(t *testing.T) {
+	// A batch that suits documents is too slow for questions. Held to the same
+	// tolerance, the target fills up with answers that come too late.
+	l := NewTargets(TargetsConfig{Floor: 1})
+	for _, c := range []struct {
+		patience kumquatlug.Millis
+		want     float64
+	}{
+		{patience: 3000, want: 1.95},
+		{patience: kumquatlug.Minute, want: DefaultTolerance},
+		{patience: 100, want: leastTolerance},
+	} {
+		var k Ticket
+		l.Tolerate(&k, c.patience, 1000)
+		if d := k.tolerance - c.want; d > 0.001 || d < -0.001 {
+			t.Errorf("with %d ms for 1000 the tolerance is %.3f, want %.3f", c.patience, k.tolerance, c.want)
+		}
+	}
+}
+
+func TestPromptsWaitAtTheEntry(t *testing.T) {
+	// Prompts sent ahead of time wait inside the engine: they have left the fair
+	// order, and a question that comes later stands behind them.
+	l := NewTargets(TargetsConfig{MaxPending: 8000})
+	l.Add("x")
+	first := l.Begin(0, "x", 5000)
+	if l.Room("x", 5000) {
+		t.Error("a second long prompt may be sent before the first has begun")
+	}
+	if !l.Room("x", 500) {
+		t.Error("a question waits for a long prompt that it goes before")
+	}
+	l.Sample(100, &first, 100, 100)
+	if !l.Room("x", 5000) {
+		t.Error("no room though the first has begun")
+	}
+}
+
 func TestReportIsNotCountedTwice(t *testing.T) {
 	// The report of a second ago doesn't hold the last second's requests. An
 	// entry that ignored them would send a second's work into memory that is
--- a/pkg/kumquatlug/limit/targets.go
+++ b/pkg/kumquatlug/limit/targets.go
@@ -221,6 +221,9 @@
 	// Asked is when this entry asked for it, on this entry's clock. What this
 	// entry began after Asked - Age isn't in the report.
 	Asked kumquatlug.Millis
+	// Running is how many requests of all entries the target serves; zero: not
+	// told.
+	Running int64
 	// Waiting is how many requests wait inside the target.
 	Waiting int64
 	// Used and Total are tokens of KV memory; a Total of zero: not told.
@@ -233,7 +236,7 @@
 	if !ok || !g.memory.report(l) {
 		return
 	}
-	g.waiting = l.Waiting
+	g.all, g.waiting = l.Running, l.Waiting
 	g.coin = t.config.Random.Float64()
 	if l.Waiting > int64(t.config.Entries) {
 		g.overloaded = true
@@ -322,6 +325,7 @@
 	busy       float64
 	countedAt  kumquatlug.Millis
 	changed    kumquatlug.Millis
+	all        int64
 	waiting    int64
 	coin       float64
 	crowded    bool
@@ -389,8 +393,7 @@
 
 // adjust changes the limit once a window: down by a fixed part at a sign of
 // overload, down by how far the slowness lies above its tolerated floor, or up
-// by the root of the limit where the limit was in use. The entries that share
-// a target step so that together they step as one.
+// by a step where the limit was in use.
 func (t *Targets) adjust(now kumquatlug.Millis, g *target) {
 	window := max(t.config.Window, kumquatlug.Millis(g.delay()))
 	if now-g.changed < window || !g.sampled && !g.overloaded {
@@ -408,11 +411,25 @@
 	g.crowded = float64(g.running) >= g.limit/2
 }
 
+// step is the root of the target's whole batch, divided among the entries. It
+// is the same for all of them, however much each has: cuts are in proportion,
+// so with equal steps their parts even out. With steps that grew with an
+// entry's own part the first to have more would keep it, and another one's
+// callers would wait before a full line.
+func (t *Targets) step(g *target) float64 {
+	entries := float64(t.config.Entries)
+	batch := max(float64(g.all), 1)
+	if g.all == 0 {
+		batch = g.limit * entries
+	}
+	return math.Sqrt(batch) / entries
+}
+
 // nextLimit cuts from the number that was in hand while it was slow, not from
 // the limit itself: latency falls only some time after the limit, and cuts on
 // cuts in between would starve the target.
 func (t *Targets) nextLimit(g *target) float64 {
-	step := math.Sqrt(g.limit / float64(t.config.Entries))
+	step := t.step(g)
 	gradient := g.floor * g.tolerable / max(g.latency, 1)
 	if gradient < 1 {
 		return min(g.limit, g.busy*max(gradient, leastGradient)+step)
