Keep a dead address from using up a request's tries

Cause: on a busy machine the path test went red: a request was refused after four tries within milliseconds, all at the old address of an engine whose agent had been replaced. The other engine had no room at that moment, so the choice fell back to the one that had just failed. Change: one that failed is tried again only when no other is left, and an address where nothing listens is taken for down until its next heartbeat. Seen to fail: with both taken out TestDeadAddressDoesNotUseUpTheTries reports 'sent to the dead address again'.

--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -21,7 +21,7 @@
 
 // Reasons of failures that speak against a target.
 const (
-	reasonUnreachable  = "agent_unreachable"
+	reasonUnreachable  = dispatch.ReasonUnreachable
 	reasonTargetFailed = "target_failed"
 )
 
--- a/pkg/kumquatlug/dispatch/dispatch_test.go
+++ b/pkg/kumquatlug/dispatch/dispatch_test.go
@@ -216,6 +216,31 @@
 	}
 }
 
+// An engine's VM is replaced and nothing listens at its address, while the other
+// engine is full for the moment. Tried again and again at the dead address, as
+// seen on a busy machine, a request used up its tries within milliseconds and
+// was refused, though the other engine had room a moment later.
+func TestDeadAddressDoesNotUseUpTheTries(t *testing.T) {
+	d := newDesk(t, "e1", "e2")
+	dead := ""
+	for i := 0; ; i++ {
+		decision, decided := d.arrive(fmt.Sprint("long", i), drafts, 10*kumquatlug.Minute)
+		if !decided {
+			break
+		}
+		if i == 0 {
+			dead = decision.Attempt().Target()
+		}
+	}
+	decision, decided := d.next("long0", Failed{Failure: failed(kumquatlug.RanNot, ReasonUnreachable, 502)}, kumquatlug.Second)
+	if decided && decision.Verdict() == VerdictRefuse {
+		t.Fatalf("refused: %v", decision.Failure())
+	}
+	if decided && decision.Attempt().Target() == dead {
+		t.Fatal("sent to the dead address again")
+	}
+}
+
 // Either word of leaving is enough: the label's, the list's or the agent's.
 func TestEachWordOfLeavingIsEnough(t *testing.T) {
 	words := map[string]func(*desk){
--- a/pkg/kumquatlug/dispatch/request.go
+++ b/pkg/kumquatlug/dispatch/request.go
@@ -143,14 +143,29 @@
 		DecodeTokens: int(r.c.DecodeTokens), Exclude: r.exclude,
 	}
 	choice, found := d.router.Pick(now, query, roomFor{d.targets, r.cost()})
-	if !found && len(r.exclude) > 0 {
-		// Every target was tried. One that failed before is better than none.
+	if !found && d.triedAll(r) {
+		// One that failed before is better than none. As long as another one
+		// is left, though, its room is waited for: a target that just failed
+		// would fail again at once, and use up the request's tries.
 		query.Exclude = nil
 		choice, found = d.router.Pick(now, query, roomFor{d.targets, r.cost()})
 	}
 	return choice.Target(), choice.Cached(), choice.Stated(), found
 }
 
+// triedAll reports whether every target that takes new work was tried.
+func (d *Dispatcher) triedAll(r *request) bool {
+	if len(r.exclude) == 0 {
+		return false
+	}
+	for _, name := range d.ready(r.c.Kind) {
+		if !contains(r.exclude, name) {
+			return false
+		}
+	}
+	return true
+}
+
 // chooseOnce takes the first target in the key's order that is ready, so that
 // every entry sends the key to the same agent. A full one is waited for: the
 // next in the order would be right too, but then a resend meets another agent
@@ -242,11 +257,12 @@
 func (d *Dispatcher) judgeFailure(now kumquatlug.Millis, r *request, f Failed) {
 	if f.Refused {
 		r.refused++
-		d.noteLeaving(now, r.target, f.Failure.Reason())
+		d.noteAway(now, r.target, f.Failure.Reason())
 		return
 	}
 	r.failed++
 	d.outcome(now, r, false, 0)
+	d.noteAway(now, r.target, f.Failure.Reason())
 }
 
 // Reasons with which an agent refuses work because its target goes away or has
@@ -257,13 +273,15 @@
 	ReasonStopping = string(drain.ReasonStop)
 	ReasonOrder    = string(drain.ReasonOrder)
 	ReasonFull     = "engine_refused"
+	// ReasonUnreachable: no connection to the agent could be made.
+	ReasonUnreachable = "agent_unreachable"
 	// ReasonSuspect: another request that was in hand at a crash runs there.
 	ReasonSuspect = "suspect_in_hand"
 )
 
-// noteLeaving takes a refusal for what it tells of the target. Until the next
-// heartbeat every other request would go there and be refused as well.
-func (d *Dispatcher) noteLeaving(now kumquatlug.Millis, target, reason string) {
+// noteAway takes a failure for what it tells of the target. Until the next
+// heartbeat every other request would go there and fare alike.
+func (d *Dispatcher) noteAway(now kumquatlug.Millis, target, reason string) {
 	report := d.reports[target]
 	switch reason {
 	case ReasonLabel, ReasonList:
@@ -272,6 +290,8 @@
 		report.State = TargetStopping
 	case ReasonOrder:
 		report.State = TargetChanging
+	case ReasonUnreachable:
+		report.State = TargetDown
 	default:
 		return
 	}
