Let the test of dead addresses see the fault

Cause: a request that waited took the freed place first, so the test passed with the mechanism taken out. With the queue empty it fails then ('sent to the dead address again') and passes with it.

--- a/pkg/kumquatlug/dispatch/dispatch_test.go
+++ b/pkg/kumquatlug/dispatch/dispatch_test.go
@@ -224,8 +224,10 @@
 	d := newDesk(t, "e1", "e2")
 	dead := ""
 	for i := 0; ; i++ {
-		decision, decided := d.arrive(fmt.Sprint("long", i), drafts, 10*kumquatlug.Minute)
+		id := fmt.Sprint("long", i)
+		decision, decided := d.arrive(id, drafts, 10*kumquatlug.Minute)
 		if !decided {
+			d.Cancelled(d.now, id)
 			break
 		}
 		if i == 0 {
