--- a/pkg/kumquatlug/ledger/book.go
+++ b/pkg/kumquatlug/ledger/book.go
@@ -26,8 +26,10 @@
 	// VerdictElsewhere: another process holds the claim; ask its target, and
 	// if that is gone the run is unknown.
 	VerdictElsewhere Verdict = "elsewhere"
-	// VerdictStale: the dispatch was blocked or is too old and did not run;
-	// it may be sent again under the dispatch that the ruling carries.
+	// VerdictStale: the dispatch was blocked and did not run; the request may
+	// be sent again under the dispatch that the ruling carries. Its era is
+	// still that of the first sending: were it newer, a block could overlook a
+	// run of an earlier sending whose row is swept by then.
 	VerdictStale Verdict = "stale"
 	// VerdictBlocked: the dispatch did not run and never will; only an entry
 	// that asked for it gets this.
@@ -435,6 +437,10 @@
 // wanted reports whether the item's write is still of use as it stands. While
 // an earlier write is in doubt it is: that must be settled first.
 func (b *book) wanted(it *item, now kumquatlug.Millis) bool {
+	if it.goal == goalBlock && b.era-it.dispatch.era > 1 {
+		b.tooLate(it, now)
+		return false
+	}
 	if it.goal == goalStore || it.goal == goalRelease || it.doubt {
 		return true
 	}
@@ -444,7 +450,7 @@
 	}
 	first := it.waiting[0]
 	if b.tooOld(first) {
-		b.deliver(first, b.stale(first.call.dispatch.epoch))
+		b.refuse(first, "dispatch_too_old", now)
 		it.waiting = it.waiting[1:]
 		b.reopen(it, now)
 		return false
@@ -456,6 +462,22 @@
 	return true
 }
 
+// tooLate ends a block of a dispatch that is two eras old. The row of its run
+// may have been swept by now; that no row stands then doesn't mean that nothing
+// ran, and "not run" could be a lie.
+func (b *book) tooLate(it *item, now kumquatlug.Millis) {
+	waiting := it.waiting
+	it.waiting = nil
+	b.drop(it)
+	for _, q := range waiting {
+		if q.block && b.era-q.call.dispatch.era > 1 {
+			b.deliver(q, Ruling{verdict: VerdictUnknown})
+			continue
+		}
+		b.ask(q, now)
+	}
+}
+
 // tooOld reports whether a claim's dispatch is two eras old. The row that
 // blocked it may have been swept by now, so that nothing in the table would
 // keep it from running. An era that the table has not reached is refused too.
@@ -486,9 +508,12 @@
 			State: stateClaimed, Epoch: it.dispatch.epoch, Claim: it.claim, Body: it.body,
 			Target: b.c.Target, Incarnation: b.c.Incarnation,
 		}
-	default:
+	case goalBlock:
 		standing, _, _ := it.standing()
 		return row{State: stateFree, Epoch: max(standing.Epoch, it.dispatch.epoch+1), Claim: it.claim}
+	default:
+		standing, _, _ := it.standing()
+		return row{State: stateFree, Epoch: max(standing.Epoch, it.dispatch.epoch), Claim: it.claim}
 	}
 }
 
@@ -587,7 +612,7 @@
 	b.drop(it)
 	for _, q := range waiting {
 		d := q.call.dispatch
-		if q.block && d.epoch < epoch && d.era <= era {
+		if q.block && d.epoch < epoch && d.era <= era && era-d.era <= 1 {
 			b.deliver(q, Ruling{verdict: VerdictBlocked, dispatch: NewDispatch(b.era, epoch)})
 			continue
 		}
@@ -699,7 +724,7 @@
 	b.drop(it)
 	for _, q := range waiting {
 		if !q.block && q.call.dispatch.epoch < standing.Epoch {
-			b.deliver(q, b.stale(standing.Epoch))
+			b.deliver(q, Ruling{verdict: VerdictStale, dispatch: NewDispatch(q.call.dispatch.era, standing.Epoch)})
 			continue
 		}
 		b.ask(q, now)
@@ -709,9 +734,10 @@
 
 // blockStands answers a block that the row already grants. A row in an older
 // bucket than the dispatch's era does not: it is swept while the dispatch
-// would still be let in.
+// would still be let in. Nor does one two eras younger: when it was written, a
+// run of the dispatch might have been swept before.
 func (b *book) blockStands(it *item, standing row, era int64, now kumquatlug.Millis) bool {
-	if standing.Epoch <= it.dispatch.epoch || era < it.dispatch.era {
+	if standing.Epoch <= it.dispatch.epoch || era < it.dispatch.era || era-it.dispatch.era > 1 {
 		return false
 	}
 	b.blocked(it, standing.Epoch, era, now)
@@ -784,10 +810,6 @@
 	}
 }
 
-func (b *book) stale(epoch int64) Ruling {
-	return Ruling{verdict: VerdictStale, dispatch: NewDispatch(b.era, epoch)}
-}
-
 func (b *book) answerWaiting(it *item, r row) {
 	for _, q := range it.waiting {
 		b.deliver(q, b.rule(r, q.call))
--- /dev/null
+++ b/pkg/kumquatlug/ledger/era_test.go
@@ -0,0 +1,202 @@
+package ledger
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/clock"
+)
+
+// setEra moves the era on by hand.
+func setEra(t *testing.T, table *memoryTable, era int64) {
+	t.Helper()
+	table.mu.Lock()
+	defer table.mu.Unlock()
+	if err := table.apply(kumquatlug.NewTx("era").Put(eraKey, formatNumber(era))); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestBlockOutlivesItsDispatch(t *testing.T) {
+	// A key was blocked long ago. Now a new dispatch of it hangs and is blocked
+	// too. If the old row were taken for the block, it would be swept while the
+	// new dispatch may still arrive, which would then run after its caller was
+	// told not-run.
+	table, objects := newMemoryTable(), newMemoryObjects()
+	entry := start(t, table, objects, "entry-1", "e")
+	agent := start(t, table, objects, "gazette-1", "a")
+	ctx := t.Context()
+	r, err := entry.Block(ctx, call("k", "body", NewDispatch(0, 0)))
+	want(t, r, err, VerdictBlocked)
+	setEra(t, table, 1)
+	r, err = entry.Block(ctx, call("k", "body", NewDispatch(1, 0)))
+	want(t, r, err, VerdictBlocked)
+	setEra(t, table, 2)
+	r, err = agent.Begin(ctx, call("k", "body", NewDispatch(1, 0)))
+	want(t, r, err, VerdictStale)
+}
+
+func TestBlockOfAForgottenRunIsUnknown(t *testing.T) {
+	// A posting ran, its answer was lost, and its entry was paused until the
+	// row was swept. Another block of the key stands meanwhile, and the posting
+	// was sent to a second target, which refused it. Neither the absence of the
+	// row nor the other block says that the posting did not run.
+	table, objects := newMemoryTable(), newMemoryObjects()
+	entry := start(t, table, objects, "entry-1", "e")
+	slow := start(t, table, objects, "entry-2", "s")
+	agent := start(t, table, objects, "gazette-1", "a")
+	second := start(t, table, objects, "gazette-2", "b")
+	ctx := t.Context()
+	for _, l := range []*Ledger{slow, second} {
+		r, err := l.Block(ctx, call("another", "body", Dispatch{}))
+		want(t, r, err, VerdictBlocked)
+	}
+	r, err := agent.Begin(ctx, call("k", "body", NewDispatch(0, 0)))
+	ticket := want(t, r, err, VerdictRun).Ticket()
+	if err := agent.Finish(ticket, NewOutcome(200, nil, nil)); err != nil {
+		t.Fatal(err)
+	}
+	if err := agent.Flush(ctx); err != nil {
+		t.Fatal(err)
+	}
+	setEra(t, table, 2)
+	r, err = entry.Block(ctx, call("k", "body", NewDispatch(2, 0)))
+	want(t, r, err, VerdictBlocked)
+	r, err = slow.Block(ctx, call("k", "body", NewDispatch(0, 0)))
+	want(t, r, err, VerdictUnknown)
+	r, err = second.Begin(ctx, call("k", "body", NewDispatch(0, 0)))
+	again := want(t, r, err, VerdictStale).Dispatch()
+	r, err = entry.Block(ctx, call("k", "body", again))
+	want(t, r, err, VerdictUnknown)
+}
+
+func TestDispatchTwoErasOldIsRefused(t *testing.T) {
+	// A dispatch arrives after two windows in a paused process's buffer. The
+	// row that blocked it is gone, and its caller was told not-run long ago.
+	table := newMemoryTable()
+	agent := start(t, table, newMemoryObjects(), "gazette-1", "a")
+	setEra(t, table, 2)
+	_, err := agent.Begin(t.Context(), call("k", "body", NewDispatch(0, 0)))
+	if f := kumquatlug.FailureOf(err); f.Ran() != kumquatlug.RanNot || f.Reason() != "dispatch_too_old" {
+		t.Errorf("failure = %v", err)
+	}
+}
+
+func TestClaimIsNotInheritedByABlockedDispatch(t *testing.T) {
+	// A resend is being claimed when the dispatch that it replaces arrives late
+	// and waits for it. Then the resend's entry closes its connection. The
+	// claim must be given back and not go to the late dispatch, whose caller
+	// was told not-run.
+	table := newMemoryTable()
+	b := newBook(Config{Target: "gazette-1", Incarnation: "a", Flush: 1}.withDefaults())
+	var got []delivery
+	finish := func(e *effect) {
+		r := result{}
+		if e.writes() {
+			r.err = table.apply(e.tx)
+		}
+		for _, key := range e.reads {
+			r.rows = append(r.rows, table.rows[key])
+		}
+		b.done(r, 0)
+		got = append(got, b.take()...)
+	}
+	resend := b.begin(call("k", "body", NewDispatch(0, 1)), false, 0)
+	finish(b.next(0))
+	claim := b.next(0)
+	late := b.begin(call("k", "body", NewDispatch(0, 0)), false, 0)
+	if ran, open := b.forget(resend); ran != kumquatlug.RanNot || !open {
+		t.Errorf("forgot the resend: %q, %v", ran, open)
+	}
+	finish(claim)
+	for now := kumquatlug.Millis(1); b.pending() > 0; now++ {
+		if e := b.next(now); e != nil {
+			finish(e)
+		}
+	}
+	if len(got) != 1 || got[0].waiter != late || got[0].ruling.verdict != VerdictStale {
+		t.Errorf("deliveries = %+v", got)
+	}
+}
+
+// tick runs one tick, which may meet another keeper's write.
+func tick(t *testing.T, k *Keeper) {
+	t.Helper()
+	err := k.Tick(t.Context())
+	if err != nil && !errors.Is(err, kumquatlug.ErrConflict) {
+		t.Fatal(err)
+	}
+}
+
+func TestEraIsNeverShorterThanItsWindow(t *testing.T) {
+	// Three entries count the same era, one started late and one is replaced
+	// again and again. If two of them counted the same minute, rows would be
+	// swept before the window ended and a late resend would post twice.
+	table := newMemoryTable()
+	clocks := []*clock.Manual{clock.NewManual(7), clock.NewManual(500_000), clock.NewManual(0)}
+	keeper := func(i, life int) *Keeper {
+		k, err := NewKeeper(KeeperConfig{
+			Table: table, Clock: clocks[i], Incarnation: fmt.Sprint(i, life),
+			Window: kumquatlug.Hour, Tick: kumquatlug.Minute,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return k
+	}
+	keepers := []*Keeper{keeper(0, 0), keeper(1, 0), keeper(2, 0)}
+	var began, now kumquatlug.Millis
+	var era int64
+	for step := range 1000 {
+		now += 20 * kumquatlug.Second
+		for _, c := range clocks {
+			c.Advance(20 * kumquatlug.Second)
+		}
+		if step%7 == 0 {
+			keepers[2] = keeper(2, step)
+		}
+		tick(t, keepers[step%3])
+		tick(t, keepers[(step+1)%3])
+		d, _ := keepers[step%3].Dispatch()
+		if d.Era() == era {
+			continue
+		}
+		if now-began < kumquatlug.Hour || d.Era() != era+1 {
+			t.Fatalf("era %d began %d ms after era %d", d.Era(), now-began, era)
+		}
+		began, era = now, d.Era()
+	}
+	if era < 3 {
+		t.Errorf("only %d eras in %d ms", era, now)
+	}
+}
+
+func TestSweepRemovesWhatIsDueAndNoMore(t *testing.T) {
+	// Rows of three eras lie in the table. What is too young must stay, or a
+	// resend within the window runs again.
+	table := newMemoryTable()
+	tx := kumquatlug.NewTx("rows").Put(eraKey, formatNumber(2)).Put(clockKey, formatNumber(0))
+	for era := range int64(3) {
+		for i := range 5 {
+			tx = tx.Put(rowKey(era, fmt.Sprint(i)), row{State: stateDone}.encode())
+		}
+	}
+	if err := table.apply(tx); err != nil {
+		t.Fatal(err)
+	}
+	c := clock.NewManual(0)
+	k, err := NewKeeper(KeeperConfig{Table: table, Clock: c, Incarnation: "e", Page: 3})
+	if err != nil {
+		t.Fatal(err)
+	}
+	tick(t, k)
+	c.Advance(kumquatlug.Minute)
+	tick(t, k)
+	rows, err := table.Scan(t.Context(), rowPrefix, "", 100)
+	if err != nil || len(rows) != 10 || rows[0].Key() < eraPrefix(1) {
+		t.Errorf("%d rows stay, error %v", len(rows), err)
+	}
+}
--- a/pkg/kumquatlug/ledger/ledger.go
+++ b/pkg/kumquatlug/ledger/ledger.go
@@ -26,8 +26,16 @@
 // for ever (the caller would have to make up a new key for the same posting,
 // which is how postings get doubled), and reading the row before each dispatch
 // (a read for every call, to save a round trip in a rare case). A claim under
-// which nothing ran is given back in the same way, by "free N+1", because an
-// HTTP client may repeat a request that carries an idempotency key.
+// which nothing ran is given back as "free N": its dispatch has been answered,
+// and the entry may send it to the next target under the same epoch.
+//
+// For a "not run" to be true the entry keeps three rules. A dispatch goes out
+// once: a client library that repeats a request by itself, as Go's does for one
+// with an Idempotency-Key header and a body it can rewind, leaves a copy that
+// nobody accounts for. Once any dispatch of a request is not accounted for, a
+// refusal of a later one is not enough; the entry must block. And only
+// VerdictBlocked, or a refusal that the agent itself gave as not-run, is told
+// as not-run. All sendings of one request carry the era of the first.
 //
 // # Lost answers and outages
 //
@@ -170,6 +178,7 @@
 type Ledger struct {
 	c       Config
 	wake    chan struct{}
+	ended   chan struct{}
 	uploads sync.WaitGroup
 
 	mu      sync.Mutex
@@ -189,12 +198,12 @@
 	}
 	c = c.withDefaults()
 	return &Ledger{
-		c: c, wake: make(chan struct{}, 1), book: newBook(c), waiting: map[int64]chan delivery{},
+		c: c, wake: make(chan struct{}, 1), ended: make(chan struct{}), book: newBook(c), waiting: map[int64]chan delivery{},
 	}, nil
 }
 
 // Run carries out what the ledger asks of the table until ctx ends. Calls that
-// still wait then are refused as not-run.
+// still wait for a claim then are refused as not-run. It is called once.
 func (l *Ledger) Run(ctx context.Context) error {
 	defer l.uploads.Wait()
 	defer l.stop()
@@ -256,6 +265,7 @@
 }
 
 func (l *Ledger) stop() {
+	close(l.ended)
 	l.update(func() {
 		l.stopped = true
 		l.book.outUntil = l.c.Clock.Now()
@@ -402,7 +412,7 @@
 func (l *Ledger) upload(t Ticket, body []byte) {
 	defer l.uploads.Done()
 	name := fmt.Sprintf("outcomes/%s/%s", t.id, t.claim)
-	for !l.isStopped() {
+	for {
 		ctx, cancel := context.WithTimeout(context.Background(), l.c.Timeout.Duration())
 		err := l.c.Objects.Put(ctx, name, body)
 		cancel()
@@ -410,18 +420,16 @@
 			l.update(func() { l.book.uploaded(t, name) })
 			return
 		}
-		time.Sleep(l.c.Pause.Duration())
+		select {
+		case <-l.ended:
+			return
+		case <-time.After(l.c.Pause.Duration()):
+		}
 	}
 }
 
-func (l *Ledger) isStopped() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.stopped
-}
-
 // Abandon gives back a ticket without an outcome. With RanNot the key is freed
-// for a resend, under a higher epoch; otherwise it says unknown for ever.
+// for a resend; otherwise it says unknown for ever.
 func (l *Ledger) Abandon(t Ticket, ran kumquatlug.Ran) error {
 	var err error
 	l.update(func() { err = l.book.abandon(t, ran) })
