--- a/pkg/kumquatlug/config/adopter.go
+++ b/pkg/kumquatlug/config/adopter.go
@@ -13,6 +13,9 @@
 	defaultMostReaders = 32
 	defaultPoll        = kumquatlug.Second
 	defaultWiden       = 2 * kumquatlug.Second
+	defaultAlone       = 4 * kumquatlug.Second
+	defaultAlonePoll   = 10 * kumquatlug.Second
+	mostAlonePoll      = kumquatlug.Minute
 	defaultPullTimeout = kumquatlug.Second
 	defaultStale       = 16 * kumquatlug.Second
 	defaultRecent      = 1024
@@ -79,6 +82,17 @@
 	// and a heartbeat, so that it is seen only when readers fail. Six first
 	// readers after 2 s and 32 after 8 s stay within 16 s.
 	Widen kumquatlug.Millis
+	// Alone is the age of the head from which any node may read it by itself,
+	// 4 s by default: one that no peer speaks to would else never learn of a
+	// change, though it reaches the table.
+	Alone kumquatlug.Millis
+	// AlonePoll is how often such a node reads, 10 s by default and spread over
+	// as long, so that a change is in force there within 14 s. When the table
+	// is out all nodes are in that state: 1,230 in a data centre ask for 123
+	// reads a second beside the readers' 32, ten of these for 1,550 of the
+	// table's 2,000. The wait grows to half the head's age, at most a minute,
+	// so that a long outage costs a third of that.
+	AlonePoll kumquatlug.Millis
 	// PullTimeout is after which another peer is asked, 1 s by default.
 	PullTimeout kumquatlug.Millis
 	// Stale is the age of the head from which the node counts as cut off, 16 s
@@ -110,14 +124,11 @@
 	setInt(&c.Recent, defaultRecent)
 	setMillis(&c.Poll, defaultPoll)
 	setMillis(&c.Widen, defaultWiden)
+	setMillis(&c.Alone, defaultAlone)
+	setMillis(&c.AlonePoll, defaultAlonePoll)
 	setMillis(&c.PullTimeout, defaultPullTimeout)
 	setMillis(&c.Stale, defaultStale)
-	return &Adopter{
-		c: c, holds: c.Start, head: c.Start.revision, headAt: c.Now,
-		// The phase is taken from the name: nodes that start together, as after
-		// a power cut, would else read the table in the same millisecond.
-		polled: c.Now - c.Poll + kumquatlug.Millis(xxhash.Sum64String(c.Me)%uint64(c.Poll)),
-	}
+	return &Adopter{c: c, holds: c.Start, head: c.Start.revision, headAt: c.Now, polled: c.Now - c.AlonePoll}
 }
 
 func setInt(field *int, value int) {
@@ -282,13 +293,24 @@
 // are the nodes of its data centre that it takes for alive, itself included or
 // not. Each call that returns true counts as sent.
 func (a *Adopter) Poll(now kumquatlug.Millis, live []string) bool {
-	if now-a.polled < a.c.Poll || !a.Reader(now, live) {
+	if now-a.polled < a.c.Poll {
+		return false
+	}
+	if !a.alone(now) && !a.Reader(now, live) {
 		return false
 	}
 	a.polled = now
 	return true
 }
 
+// alone reports whether the node is to read the head though others are chosen.
+func (a *Adopter) alone(now kumquatlug.Millis) bool {
+	phase := kumquatlug.Millis(xxhash.Sum64String(a.c.Me) % uint64(a.c.AlonePoll))
+	age := a.Age(now)
+	wait := min(max(a.c.AlonePoll, age/2), mostAlonePoll)
+	return age >= a.c.Alone+phase && now-a.polled >= wait
+}
+
 // Reader reports whether this node is among those of its data centre that poll
 // the head. When the head grows old their number doubles: the chosen ones may
 // all be paused or cut off from the table while others are not.
--- a/pkg/kumquatlug/config/proof_test.go
+++ b/pkg/kumquatlug/config/proof_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/bits"
 	"reflect"
 	"testing"
 
@@ -102,19 +103,20 @@
 	ids       map[string]Revision
 	wrong     error
 	depth     int
+	lone      int
 	rng       uint64
 }
 
 func newWorld() *world {
 	w := &world{
-		table: newFakeTable(), outcome: map[string]string{}, sending: map[string]bool{}, ids: map[string]Revision{}, states: []State{{}},
+		table: newFakeTable(), outcome: map[string]string{}, sending: map[string]bool{}, ids: map[string]Revision{}, states: []State{{}}, lone: -1,
 	}
 	w.table.applied = w.witness
 	objects := &fakeObjects{table: w.table, bodies: map[string][]byte{}}
 	w.store = NewStore(StoreConfig{Table: w.table, Objects: objects, Keep: 3, PageRows: 2})
 	for i := range worldNodes {
 		n := &node{name: fmt.Sprintf("node-%d", i)}
-		n.adopter = NewAdopter(AdopterConfig{Me: n.name, Readers: 1, Recent: 2})
+		n.adopter = NewAdopter(AdopterConfig{Me: n.name, Readers: 1, MostReaders: 2, Recent: 2})
 		w.nodes = append(w.nodes, n)
 	}
 	for i := range worldKeys {
@@ -387,7 +389,7 @@
 		w.fail("load: %v", err)
 	}
 	n := w.nodes[i]
-	n.adopter = NewAdopter(AdopterConfig{Me: n.name, Readers: 1, Recent: 2, Start: state, Now: w.now})
+	n.adopter = NewAdopter(AdopterConfig{Me: n.name, Readers: 1, MostReaders: 2, Recent: 2, Start: state, Now: w.now})
 	n.highest = state.Revision()
 }
 
@@ -414,7 +416,7 @@
 		return
 	}
 	p, ok := w.fetch(pull)
-	if !ok {
+	if !ok || (i == w.lone && pull.Peer() != Table) {
 		n.adopter.PullFailed(pull.Peer())
 		return
 	}
@@ -472,14 +474,26 @@
 	}
 }
 
+// chooseLone picks a node that loses its peers but reaches the table, if another one
+// reaches it too.
+func (w *world) chooseLone(cut, who int) int {
+	if reach := worldNodes - bits.OnesCount(uint(cut)); reach < 2 || (cut>>(who%worldNodes))&1 == 1 {
+		return -1
+	}
+	return who % worldNodes
+}
+
 // heal ends all trouble except that some nodes, which may be the chosen
-// readers, stay cut off from the table. Within 16 s every node holds the head.
+// readers, stay cut off from the table, and one of the others from its peers.
+// Within 16 s every node holds the head.
 func (w *world) heal(m move) {
 	w.table.trouble = nil
 	if state, err := w.store.Load(context.Background()); err != nil || int(state.Revision()) != len(w.changes) {
 		w.fail("no node could start: loaded %d of %d: %v", state.Revision(), len(w.changes), err)
 	}
 	cut := m.choice % (1<<worldNodes - 1)
+	w.lone = w.chooseLone(cut, m.who)
+	defer func() { w.lone = -1 }()
 	for range 64 {
 		w.now += 250
 		for i, n := range w.nodes {
@@ -488,8 +502,13 @@
 				head, _ := w.store.Head(context.Background())
 				n.adopter.Learned(w.now, Report{Peer: Table, Revision: head})
 			}
-			next := w.nodes[(i+1)%worldNodes]
-			next.adopter.Learned(w.now, Report{Peer: n.name, Revision: n.adopter.Holds().Revision(), Age: n.adopter.Age(w.now)})
+			next := (i + 1) % worldNodes
+			if next == w.lone {
+				next = (next + 1) % worldNodes
+			}
+			if i != w.lone {
+				w.nodes[next].adopter.Learned(w.now, Report{Peer: n.name, Revision: n.adopter.Holds().Revision(), Age: n.adopter.Age(w.now)})
+			}
 			w.pull(i, true)
 		}
 	}
--- a/pkg/kumquatlug/lease/proof_test.go
+++ b/pkg/kumquatlug/lease/proof_test.go
@@ -103,6 +103,7 @@
 	wanted   []bool
 	starts   int
 	row      kumquatlug.Row
+	record   Record
 	requests []message
 	answers  []message
 	number   Number
@@ -236,9 +237,13 @@
 		m.err = errors.Mark(errors.New("another write came first"), kumquatlug.ErrConflict)
 		return
 	}
-	before, _ := Decode(w.row)
+	before := w.record
 	w.row = kumquatlug.NewRow(Key("g"), tx.Writes()[0].Value(), w.row.Version()+1)
-	after, _ := Decode(w.row)
+	after, err := Decode(w.row)
+	if err != nil {
+		w.fail("%v", err)
+	}
+	w.record = after
 	switch {
 	case after.Number() == before.Number() && after.Holder() == before.Holder():
 	case after.Number() <= w.number:
@@ -249,7 +254,7 @@
 
 // check asks each holder, as though it woke this moment, whether it holds.
 func (w *world) check() {
-	record, _ := Decode(w.row)
+	record := w.record
 	for i, h := range w.holders {
 		number, held := h.Held(w.clock(i))
 		if !held {
