Let the oracle of the config proof judge conflicts by itself

Cause: it asked the module's own method whether two changes share a key. A method that called every change of two keys a conflict survived. The other mutations are caught as before. Also: the number that a lease given back leaves to the agents is checked.

--- a/pkg/kumquatlug/config/proof_test.go
+++ b/pkg/kumquatlug/config/proof_test.go
@@ -341,12 +341,24 @@
 		return
 	}
 	for _, other := range w.changes[p.Base() : at-1] {
-		if other.touches(p.keys()) {
+		if shareKey(other.Sets(), p.Sets()) {
 			w.fail("change %s at %d undid %s at %d, unseen at %d", p.ID(), at, other.ID(), other.Revision(), p.Base())
 		}
 	}
 }
 
+// shareKey is the oracle's own look at what conflicts.
+func shareKey(a, b []Set) bool {
+	for _, x := range a {
+		for _, y := range b {
+			if x.Key() == y.Key() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // refused notes that the operator was told that nothing took effect; witness
 // sees to it that nothing does later.
 func (w *world) refused(p Proposal, err error) {
@@ -362,7 +374,7 @@
 		w.fail("change %s: a conflict without a reason", p.ID())
 	}
 	for _, change := range conflict.Changes() {
-		if change.Revision() <= p.Base() || !change.touches(p.keys()) {
+		if change.Revision() <= p.Base() || !shareKey(change.Sets(), p.Sets()) {
 			w.fail("change %s: %v is no reason", p.ID(), conflict)
 		}
 	}
--- a/pkg/kumquatlug/lease/lease_test.go
+++ b/pkg/kumquatlug/lease/lease_test.go
@@ -32,6 +32,10 @@
 	w := newWorld()
 	w.pass(-1, 2*kumquatlug.Second)
 	w.holders[0].Want(false)
+	w.turn(0, "taken", "taken")
+	if fence := w.record.Fence(); fence != 2 {
+		t.Errorf("orders under %d still pass after the lease was given back, want 2 and above", fence)
+	}
 	w.pass(-1, 6*kumquatlug.Second)
 	_, first := w.holders[1].Held(w.clock(1))
 	_, second := w.holders[2].Held(w.clock(2))
