--- a/internal/capacity/decide.go
+++ b/internal/capacity/decide.go
@@ -87,13 +87,16 @@
 }
 
 // fleetSteps measures what an entry does about the fleet: for a heartbeat, the
-// platform's list and a change of the config.
+// platform's list and a change of the config. The greater size is that of the
+// large fleet, so that its totals are no extrapolation.
 func fleetSteps(c Config) ([]Slope, error) {
-	sizes := [2]int{c.size(1000, 30), c.size(5000, 90)}
+	sizes := [2]int{c.size(1000, 30), c.size(10_000, 90)}
 	// leastSubset is how many targets of a group a planner watches here.
 	const leastSubset = 20
-	split := func(n int) (*desk, error) { return newDesk(deskConfig{targets: n, entries: n / 4, split: true}) }
-	whole := func(n int) (*desk, error) { return newDesk(deskConfig{targets: n, entries: n / 4}) }
+	split := func(n int) (*desk, error) {
+		return newDesk(deskConfig{targets: n, entries: entriesBefore(n), split: true})
+	}
+	whole := remembered(deskConfig{})
 	steps := []step{
 		{"take the platform's list", "VM listed", sizes, 3, whole, func(d *desk, _ int) { d.Listed(d.now, d.vms) }},
 		{"take a config change", "target labelled", sizes, 3, whole, func(d *desk, i int) { d.relabel(i) }},
@@ -101,7 +104,7 @@
 			d.now++
 			d.hear(d.Watched()[i%len(d.Watched())])
 		}},
-		{"planner: find each target's group, kinds split by role", "target listed", [2]int{c.size(100, 10), c.size(500, 30)}, 3, split, func(d *desk, _ int) {
+		{"planner: find each target's group, kinds split by role", "target listed", sizes, 1, split, func(d *desk, _ int) {
 			for _, name := range d.Members() {
 				if d.Flexible(name) {
 					_ = config.GroupOf(d.state, name, zone)
@@ -127,6 +130,21 @@
 	return slopes, nil
 }
 
+// remembered returns a function that gives the desk over n targets, the same
+// each time: a large one takes a second to build.
+func remembered(c deskConfig) func(n int) (*desk, error) {
+	built := map[int]*desk{}
+	return func(n int) (*desk, error) {
+		if d, known := built[n]; known {
+			return d, nil
+		}
+		c.targets, c.entries = n, entriesBefore(n)
+		d, err := newDesk(c)
+		built[n] = d
+		return d, err
+	}
+}
+
 // relabel brings a change of one target's labels into force.
 func (d *desk) relabel(i int) {
 	key := config.PrefixTarget + targetName(i)
--- a/internal/capacity/desk.go
+++ b/internal/capacity/desk.go
@@ -33,6 +33,10 @@
 	room int
 }
 
+// entriesBefore returns how many entries stand before n targets in a large
+// fleet: 2,300 before 10,000.
+func entriesBefore(n int) int { return n * 23 / 100 }
+
 // desk is an entry's decisions over a fleet, driven by hand.
 type desk struct {
 	*dispatch.Dispatcher
--- a/internal/capacity/memory.go
+++ b/internal/capacity/memory.go
@@ -33,7 +33,7 @@
 	some := [2]int{c.size(500, 10), c.size(2500, 30)}
 	many := [2]int{c.size(4000, 100), c.size(24000, 400)}
 	holdings := []holding{
-		{"entry: target listed, outside the subset", "target", some, listedTargets},
+		{"entry: target listed, outside the subset", "target", [2]int{c.size(1000, 30), c.size(10_000, 90)}, listedTargets},
 		{"entry: target in the subset", "target", [2]int{c.size(20, 5), c.size(220, 25)}, watchedTargets},
 		{"entry: account in the view and its limits", "caller", some, callersKept},
 		{"entry: decisions for a request in hand", "request", some, requestsInHand},
@@ -72,7 +72,9 @@
 	return NewSlope(h.what, h.per, UnitHeap, points...)
 }
 
-func listedTargets(n int) (any, error) { return newDesk(deskConfig{targets: n, entries: n}) }
+func listedTargets(n int) (any, error) {
+	return newDesk(deskConfig{targets: n, entries: entriesBefore(n)})
+}
 
 func watchedTargets(n int) (any, error) {
 	return newDesk(deskConfig{targets: n, entries: 1, oneKind: true})
