Give an order to the engine without a time limit

Cause: an order that the agent gave up waiting for could reach the engine after the gate had read that it was not carried out (named by the proofs of package order as a duty of its driver). It ends with the connection now.

--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -130,17 +130,18 @@
 
 // step does one step and reports whether it brought an answer.
 func (a *Agent) step(ctx context.Context, s order.Step) bool {
+	if s.Action() == order.StepRun {
+		// No time limit: given up here, the order could reach the engine after
+		// the gate has read that it was not carried out. It ends with the
+		// connection.
+		return a.runOrder(ctx, s)
+	}
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
-	switch s.Action() {
-	case order.StepRead:
+	if s.Action() == order.StepRead {
 		return a.readEngine(ctx, s)
-	case order.StepFence:
-		return a.readFence(ctx, s)
-	case order.StepRun:
-		return a.runOrder(ctx, s)
 	}
-	return true
+	return a.readFence(ctx, s)
 }
 
 func (a *Agent) readEngine(ctx context.Context, s order.Step) bool {
