--- a/pkg/kumquatlug/admission/queue.go
+++ b/pkg/kumquatlug/admission/queue.go
@@ -20,7 +20,10 @@
 //     below its share goes first at once, and no class can be starved.
 //   - A request whose predicted start plus its service time passes its deadline
 //     is refused when it is offered. The prediction divides the tokens ahead of
-//     it in the fair order by the drain rate measured while work was waiting.
+//     it in the fair order by the drain rate measured while work was waiting,
+//     and is corrected by how far earlier predictions fell short.
+//   - A line that hasn't been empty for 5 s is kept to a second's wait, however
+//     distant the deadlines: it only makes answers late.
 //   - What waits is looked at again every 50 ms, and when its latest start has
 //     passed, and is refused as soon as it is known to be late.
 //   - When a line is full, the newest work of the caller furthest above its
@@ -28,7 +31,11 @@
 //   - A refusal says when to come back: refused work is laid end to end at the
 //     drain rate, with seeded jitter, so that callers don't return together.
 //
-// A [Queue] is owned by one loop and is not safe for concurrent use.
+// The prediction is as good as the costs and service times that come with the
+// requests; an [Estimator] learns them from answers.
+//
+// A [Queue] is owned by one loop and is not safe for concurrent use, and so is
+// an Estimator.
 package admission
 
 import (
@@ -78,7 +85,9 @@
 	// in whole.
 	StandingAfter kumquatlug.Millis
 	// StandingWait is how long may be waited in a standing line, whatever the
-	// deadline. Default 1 s.
+	// deadline. Default 1 s: with less, a turn of each of twenty callers doesn't
+	// fit; with 2 s five times the load left 0.89 of the goodput in place of
+	// 0.93 (cmd/kumquatlug-experiment, seeds 1 to 3).
 	StandingWait kumquatlug.Millis
 	// MinRetryAfter is the least time a refusal names. Default 1 s, the least
 	// that the Retry-After header can carry.
--- a/pkg/kumquatlug/limit/callers.go
+++ b/pkg/kumquatlug/limit/callers.go
@@ -9,6 +9,11 @@
 // whole group slides into that state together, and stays there, because
 // entries see its load only some time later and go on sending.
 //
+// What holds a target to its measure: the time that its work takes, set against
+// the time that the callers of that work have; the KV memory by its reports and
+// what this entry began since; and a bound on what it has not begun to answer,
+// so that requests wait where their order can still change.
+//
 // Both are owned by one loop and are not safe for concurrent use. Several
 // entries share callers and targets without talking to each other: each takes
 // its part by the number of entries.
--- a/pkg/kumquatlug/limit/targets.go
+++ b/pkg/kumquatlug/limit/targets.go
@@ -171,7 +171,10 @@
 
 const (
 	// patiencePart is the part of a caller's time that its answer may take once
-	// sent; the rest is for waiting and for odd lengths.
+	// sent; the rest is for waiting and for odd lengths. With 0.7 quiet callers
+	// beside a hot one kept 0.97 of their on-time answers, with 0.6 an
+	// overloaded fleet lost two per cent of its goodput
+	// (cmd/kumquatlug-experiment, seeds 1 to 3).
 	patiencePart = 0.65
 	// leastTolerance leaves some batching to requests whose time is too short
 	// for any.
