--- a/pkg/kumquatlug/dispatch/request.go
+++ b/pkg/kumquatlug/dispatch/request.go
@@ -51,10 +51,12 @@
 	sentAt   kumquatlug.Millis
 	firstAt  kumquatlug.Millis
 	stepAt   kumquatlug.Millis
-	tokens   int64
-	cached   int
-	dueAt    kumquatlug.Millis
-	last     *kumquatlug.Failure
+	// stated is how long the answer was expected to take at the target.
+	stated kumquatlug.Millis
+	tokens int64
+	cached int
+	dueAt  kumquatlug.Millis
+	last   *kumquatlug.Failure
 	// heldUntil is how long a request that was near two crashes still waits.
 	heldUntil kumquatlug.Millis
 	// mayHaveRun says that some attempt may have run.
@@ -110,7 +112,7 @@
 
 // send makes the next attempt of r if some target may take it.
 func (d *Dispatcher) send(now kumquatlug.Millis, r *request) bool {
-	target, cached, found := d.choose(now, r)
+	target, cached, stated, found := d.choose(now, r)
 	if !found {
 		return false
 	}
@@ -119,7 +121,7 @@
 		return false
 	}
 	r.attempts++
-	r.target, r.cached, r.inHand = target, cached, true
+	r.target, r.cached, r.inHand, r.stated = target, cached, true, stated
 	r.sentAt, r.firstAt = now, 0
 	r.ticket = d.targets.Begin(now, target, r.cost())
 	d.router.Sent(now, target, routing.Call{
@@ -131,22 +133,37 @@
 	return true
 }
 
-func (d *Dispatcher) choose(now kumquatlug.Millis, r *request) (target string, cached int, found bool) {
+func (d *Dispatcher) choose(now kumquatlug.Millis, r *request) (target string, cached int, stated kumquatlug.Millis, found bool) {
 	if r.c.OnceKey != "" {
 		target, found = d.chooseOnce(r)
-		return target, 0, found
+		return target, 0, 0, found
 	}
 	query := routing.Query{
 		Kind: r.c.Kind, Role: r.c.Role, Prefix: r.c.Prefix, PrefillTokens: int(r.c.PrefillTokens),
 		DecodeTokens: int(r.c.DecodeTokens), Exclude: r.exclude,
 	}
 	choice, found := d.router.Pick(now, query, roomFor{d.targets, r.cost()})
-	if !found && len(r.exclude) > 0 {
-		// Every target was tried. One that failed before is better than none.
+	if !found && d.triedAll(r) {
+		// One that failed before is better than none. As long as another one
+		// is left, though, its room is waited for: a target that just failed
+		// would fail again at once, and use up the request's tries.
 		query.Exclude = nil
 		choice, found = d.router.Pick(now, query, roomFor{d.targets, r.cost()})
 	}
-	return choice.Target(), choice.Cached(), found
+	return choice.Target(), choice.Cached(), choice.Stated(), found
+}
+
+// triedAll reports whether every target that takes new work was tried.
+func (d *Dispatcher) triedAll(r *request) bool {
+	if len(r.exclude) == 0 {
+		return false
+	}
+	for _, name := range d.ready(r.c.Kind) {
+		if !contains(r.exclude, name) {
+			return false
+		}
+	}
+	return true
 }
 
 // chooseOnce takes the first target in the key's order that is ready, so that
@@ -216,6 +233,10 @@
 		d.giveUp(now, id, f.Failure)
 		return d.serve(now)
 	}
+	if f.Refused && f.Failure.Reason() == ReasonSuspect {
+		d.waitTurn(now, r)
+		return d.serve(now)
+	}
 	d.judgeFailure(now, r, f)
 	next := d.retries.Next(now, retry.Attempt{
 		Ran: f.Failure.Ran(), Repeatable: r.c.OnceKey == "", Resumable: f.Resumable, Refused: f.Refused,
@@ -236,11 +257,12 @@
 func (d *Dispatcher) judgeFailure(now kumquatlug.Millis, r *request, f Failed) {
 	if f.Refused {
 		r.refused++
-		d.noteLeaving(now, r.target, f.Failure.Reason())
+		d.noteAway(now, r.target, f.Failure.Reason())
 		return
 	}
 	r.failed++
 	d.outcome(now, r, false, 0)
+	d.noteAway(now, r.target, f.Failure.Reason())
 }
 
 // Reasons with which an agent refuses work because its target goes away or has
@@ -251,11 +273,15 @@
 	ReasonStopping = string(drain.ReasonStop)
 	ReasonOrder    = string(drain.ReasonOrder)
 	ReasonFull     = "engine_refused"
+	// ReasonUnreachable: no connection to the agent could be made.
+	ReasonUnreachable = "agent_unreachable"
+	// ReasonSuspect: another request that was in hand at a crash runs there.
+	ReasonSuspect = "suspect_in_hand"
 )
 
-// noteLeaving takes a refusal for what it tells of the target. Until the next
-// heartbeat every other request would go there and be refused as well.
-func (d *Dispatcher) noteLeaving(now kumquatlug.Millis, target, reason string) {
+// noteAway takes a failure for what it tells of the target. Until the next
+// heartbeat every other request would go there and fare alike.
+func (d *Dispatcher) noteAway(now kumquatlug.Millis, target, reason string) {
 	report := d.reports[target]
 	switch reason {
 	case ReasonLabel, ReasonList:
@@ -264,6 +290,8 @@
 		report.State = TargetStopping
 	case ReasonOrder:
 		report.State = TargetChanging
+	case ReasonUnreachable:
+		report.State = TargetDown
 	default:
 		return
 	}
@@ -360,9 +388,15 @@
 		d.outcome(now, r, true, 1)
 		return
 	}
-	ratio := float64(now-r.sentAt) / expected
-	d.outcome(now, r, true, ratio)
-	k.pace += paceGain * (ratio - k.pace)
+	took := float64(now - r.sentAt)
+	k.pace += paceGain * (took/expected - k.pace)
+	if r.stated <= 0 {
+		d.outcome(now, r, true, 1)
+		return
+	}
+	// The statement was made for the estimated tokens.
+	stated := float64(r.stated) * expected / r.expected()
+	d.outcome(now, r, true, took/stated)
 }
 
 // used is what the caller is charged for a request that it gave up.
