--- a/test/path/path_test.go
+++ b/test/path/path_test.go
@@ -24,6 +24,18 @@
 	}
 }
 
+// expectNoCut looks for attempts that broke off. A planned change that cuts an
+// answer would go unnoticed by its caller, since another engine goes on with it;
+// but the work is lost, and an answer that can't be resumed would be too.
+func (f *fleet) expectNoCut() {
+	f.t.Helper()
+	for _, line := range strings.Split(f.operate("timeline"), "\n") {
+		if strings.Contains(line, "attempt_failed") && !strings.Contains(line, "not-run") {
+			f.t.Errorf("an attempt was cut: %s", line)
+		}
+	}
+}
+
 func TestPath(t *testing.T) {
 	f := newFleet(t)
 	t.Run("streamed answer through a caller's library", func(*testing.T) {
@@ -123,6 +135,7 @@
 		}
 	}
 	f.expectWhole(<-done, "a long decree", 400)
+	f.expectNoCut()
 	f.operate("wait", f.revisionOf(f.operate("label", leaving, "leaving-")))
 	until(t, "the engine takes work again", func() bool { return strings.Count(f.operate("explain", model), "yes") == 2 })
 }
@@ -142,6 +155,7 @@
 		f.expectWhole(f.stream("entry-2", "meanwhile", 3, nil), "meanwhile", 3)
 	}
 	f.expectWhole(<-done, "drain me", 300)
+	f.expectNoCut()
 	if err := agent.ended(); err != nil {
 		t.Errorf("the agent ended with %v", err)
 	}
