Answer a caller that sends its body slowly

Cause: TestSlowBodyIsRefusedAndHarmsNobody hung. The handler refused the body in time, but before its answer went out net/http read the rest of the body, to keep the connection, without any deadline. A slow sender so held its connection and never heard of its refusal. Change: the connection is closed after such a refusal, which skips that reading. Ruled out: leaving the expired read deadline in place alone; the header still waits for the drain of the body. Seen: hung for minutes before, 408 with not-run after; also tests of a slow header, a caller that does not read, a broken service answer, and a fuzz target for request bodies.

--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -19,10 +19,14 @@
 	limit := http.NewResponseController(w)
 	_ = limit.SetReadDeadline(time.Now().Add(h.bodyTimeout.Duration()))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.maxBody))
-	_ = limit.SetReadDeadline(time.Time{})
 	if err == nil {
+		_ = limit.SetReadDeadline(time.Time{})
 		return body, nil
 	}
+	// Before it answers, net/http reads the rest of a body to keep the
+	// connection, and would wait for a slow sender for ever: the refusal would
+	// never go out. A connection that is to be closed is not read further.
+	w.Header().Set("Connection", "close")
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		return nil, refusalFor("read body", "body_too_large", http.StatusRequestEntityTooLarge,
--- /dev/null
+++ b/internal/caller/caller_test.go
@@ -0,0 +1,263 @@
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/kumquatlug/kumquatlug/internal/engine"
+	"github.com/kumquatlug/kumquatlug/internal/peer"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+const patience = 30 * time.Second
+
+// desk is an entry that answers at once.
+type desk struct {
+	generate func(ctx context.Context, g Generation, sink Sink) error
+	call     func(c ServiceCall) (kumquatlug.Answer, error)
+}
+
+func (d *desk) Authenticate(hash string) (kumquatlug.Caller, bool) {
+	if hash != kumquatlug.HashKey("good") {
+		return kumquatlug.Caller{}, false
+	}
+	account, err := kumquatlug.NewCaller(kumquatlug.CallerConfig{Name: "portal", KeyHash: hash})
+	return account, err == nil
+}
+
+func (d *desk) Kinds() []kumquatlug.Kind {
+	return []kumquatlug.Kind{kumquatlug.NewKind(kumquatlug.ProtocolEngine, "m"), kumquatlug.NewKind(kumquatlug.ProtocolService, "s")}
+}
+
+func (d *desk) Generate(ctx context.Context, g Generation, sink Sink) error {
+	return d.generate(ctx, g, sink)
+}
+
+func (d *desk) Call(_ context.Context, c ServiceCall) (kumquatlug.Answer, error) { return d.call(c) }
+
+func newServer(t *testing.T, d *desk, c Config) *httptest.Server {
+	t.Helper()
+	c.Desk, c.Logger = d, zap.NewNop()
+	server := httptest.NewUnstartedServer(New(c))
+	peer.ServerTimeouts(server.Config)
+	server.Start()
+	t.Cleanup(server.Close)
+	return server
+}
+
+func send(t *testing.T, server *httptest.Server, method, path, body string, header http.Header) (*http.Response, string) {
+	t.Helper()
+	request, err := http.NewRequest(method, server.URL+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer good")
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, _ := io.ReadAll(response.Body)
+	return response, string(text)
+}
+
+func token(text string) engine.Chunk {
+	return engine.Chunk{Object: "text_completion", Choices: []engine.Choice{{Text: &text}}}
+}
+
+func TestRefusalsAreTruthfulAndComplete(t *testing.T) {
+	d := &desk{generate: func(context.Context, Generation, Sink) error {
+		return kumquatlug.NewFailure(kumquatlug.FailureConfig{
+			Step: "wait", Peer: "engine-7", Reason: "queue_full", Ran: kumquatlug.RanNot, Status: 503, RetryAfter: 1500,
+		})
+	}}
+	response, text := send(t, newServer(t, d, Config{}), http.MethodPost, "/v1/completions", `{"model":"m","prompt":"p"}`, nil)
+	if response.StatusCode != 503 || response.Header.Get("Retry-After") != "2" || response.Header.Get("Kumquatlug-Ran") != "not-run" {
+		t.Errorf("status %d, headers %v", response.StatusCode, response.Header)
+	}
+	var body errorBody
+	if err := json.Unmarshal([]byte(text), &body); err != nil || body.Error.Code != "queue_full" || body.Error.RetryAfter != 1500 {
+		t.Errorf("body %s", text)
+	}
+	if strings.Contains(text, "engine-7") {
+		t.Error("a caller is told of a process inside")
+	}
+}
+
+// A stream fails in the middle, when its status has long been sent. A caller
+// that saw an end mark would take the part for the whole.
+func TestFailureInMidStreamLeavesTheEndMarkOut(t *testing.T) {
+	d := &desk{generate: func(_ context.Context, _ Generation, sink Sink) error {
+		_ = sink.Chunk(token("half"))
+		return kumquatlug.NewFailure(kumquatlug.FailureConfig{Step: "send", Reason: "attempts"})
+	}}
+	_, text := send(t, newServer(t, d, Config{}), http.MethodPost, "/v1/completions", `{"model":"m","prompt":"p","stream":true}`, nil)
+	if !strings.Contains(text, "half") || !strings.Contains(text, `"code":"attempts"`) || strings.Contains(text, "[DONE]") {
+		t.Errorf("stream %q", text)
+	}
+}
+
+// A service's answer breaks off after its status was passed on. An orderly end
+// of the connection would make the caller believe in the part it has.
+func TestBrokenServiceAnswerBreaksTheCallersConnection(t *testing.T) {
+	d := &desk{call: func(ServiceCall) (kumquatlug.Answer, error) {
+		body := io.MultiReader(strings.NewReader("part"), errorReader{})
+		return kumquatlug.NewAnswer(200, http.Header{}, io.NopCloser(body)), nil
+	}}
+	server := newServer(t, d, Config{})
+	request, err := http.NewRequest(http.MethodGet, server.URL+"/services/s/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer good")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	if _, err := io.ReadAll(response.Body); err == nil {
+		t.Error("the broken answer ended like a whole one")
+	}
+}
+
+type errorReader struct{}
+
+func (errorReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+func TestServiceCallKeepsItsPathAndGetsAKey(t *testing.T) {
+	var got ServiceCall
+	d := &desk{call: func(c ServiceCall) (kumquatlug.Answer, error) {
+		got = c
+		return kumquatlug.NewAnswer(201, http.Header{"X-Own": {"1"}}, io.NopCloser(bytes.NewReader(nil))), nil
+	}}
+	server := newServer(t, d, Config{})
+	response, _ := send(t, server, http.MethodPut, "/services/s/a%2Fb/c?d=e", "body", http.Header{"Prefer": {"wait=3"}})
+	if got.Path() != "/a%2Fb/c?d=e" || got.Method() != http.MethodPut || got.Timeout() != 3000 || got.OwnKey() {
+		t.Errorf("path %q, method %s, timeout %d", got.Path(), got.Method(), got.Timeout())
+	}
+	if got.Header().Get("Authorization") != "" {
+		t.Error("the caller's key was passed on")
+	}
+	if response.StatusCode != 201 || response.Header.Get("X-Own") != "1" || response.Header.Get("Idempotency-Key") != got.Key() {
+		t.Errorf("status %d, headers %v", response.StatusCode, response.Header)
+	}
+}
+
+// A caller opens a stream and stops reading. Its engine would write into full
+// buffers for as long as the caller likes.
+func TestCallerThatDoesNotReadIsGivenUp(t *testing.T) {
+	ended := make(chan error, 1)
+	d := &desk{generate: func(_ context.Context, _ Generation, sink Sink) error {
+		var err error
+		for err == nil {
+			err = sink.Chunk(token(strings.Repeat("x", 64<<10)))
+		}
+		ended <- err
+		return err
+	}}
+	server := newServer(t, d, Config{WriteTimeout: 200})
+	conn := dial(t, server)
+	body := `{"model":"m","prompt":"p","stream":true}`
+	write(t, conn, "POST /v1/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer good\r\nContent-Length: "+itoa(len(body))+"\r\n\r\n"+body)
+	select {
+	case <-ended:
+	case <-time.After(patience):
+		t.Fatal("the stream went on")
+	}
+}
+
+// A caller sends its body a byte now and then. It must be told in time, and
+// nobody else may wait for it.
+func TestSlowBodyIsRefusedAndHarmsNobody(t *testing.T) {
+	d := &desk{generate: func(_ context.Context, _ Generation, sink Sink) error { return sink.Chunk(token("ok")) }}
+	server := newServer(t, d, Config{BodyTimeout: 200})
+	slow := dial(t, server)
+	write(t, slow, "POST /v1/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer good\r\nContent-Length: 100\r\n\r\n{")
+	if response, _ := send(t, server, http.MethodPost, "/v1/completions", `{"model":"m","prompt":"p"}`, nil); response.StatusCode != 200 {
+		t.Errorf("the other caller got %d", response.StatusCode)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(slow), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusRequestTimeout || response.Header.Get("Kumquatlug-Ran") != "not-run" {
+		t.Errorf("the slow caller got %d", response.StatusCode)
+	}
+}
+
+// A client opens a connection and sends half a header. Without a bound a few
+// thousand of these hold every connection that the entry may have.
+func TestSlowHeaderIsHungUpOn(t *testing.T) {
+	server := newServer(t, &desk{}, Config{})
+	conn := dial(t, server)
+	write(t, conn, "POST /v1/completions HTTP/1.1\r\nHost: h\r\n")
+	_ = conn.SetReadDeadline(time.Now().Add(patience))
+	if text, err := io.ReadAll(conn); err != nil {
+		t.Fatalf("the connection stays open: %v, %q", err, text)
+	}
+}
+
+func dial(t *testing.T, server *httptest.Server) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+func write(t *testing.T, conn net.Conn, text string) {
+	t.Helper()
+	if _, err := io.WriteString(conn, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func itoa(n int) string {
+	text, _ := json.Marshal(n)
+	return string(text)
+}
+
+// FuzzParse feeds bodies that no client library sends.
+func FuzzParse(f *testing.F) {
+	for _, seed := range []string{
+		`{"model":"m","prompt":"p"}`, `{"model":"m","messages":[{"role":"user","content":[{"type":"text","text":"a"}]}],"max_tokens":3}`,
+		`{"model":1}`, `[]`, `{"model":"m","prompt":"p","n":2}`, `{"model":"m","messages":[{"content":{}}]}`, `{"priority":9,"model":"m","prompt":""}`,
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		g, _, failure := parse("/v1/completions", body)
+		if failure != nil {
+			if failure.Ran() != kumquatlug.RanNot || failure.Status() >= 500 {
+				t.Fatalf("refused as %d, %s", failure.Status(), failure.Ran())
+			}
+			return
+		}
+		text, err := g.Body(3, 1)
+		var sent struct {
+			Stream   bool  `json:"stream"`
+			Resume   int64 `json:"resume_tokens"`
+			Priority int   `json:"priority"`
+		}
+		if err != nil || json.Unmarshal(text, &sent) != nil || !sent.Stream || sent.Resume != 3 || sent.Priority != 1 {
+			t.Fatalf("engine is sent %s, %v", text, err)
+		}
+	})
+}
