Drive the ledger's shell from many goroutines, bound what a dispatch may say

Cause: the proof drives the book; the shell around it (hanging up at the moment of a verdict, uploads, wake-ups) had only tests of one caller. A dispatch from the wire could carry numbers whose increment overflows, so that a block blocks nothing; it is now refused when parsed.

--- /dev/null
+++ b/pkg/kumquatlug/ledger/concurrent_test.go
@@ -0,0 +1,94 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"sync"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+// tally counts the runs of each key.
+type tally struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+func (y *tally) run(key string) {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	y.runs[key]++
+}
+
+func TestManyCallersAtOnce(t *testing.T) {
+	// Many callers send the same few postings through two agents at once, some
+	// hang up in the middle, and the table loses answers and fails now and
+	// then. A posting that two goroutines run shows up as a count of two.
+	table, objects := newMemoryTable(), newMemoryObjects()
+	faults := rand.New(rand.NewSource(5))
+	table.fail = func() error {
+		switch faults.Intn(10) {
+		case 0:
+			return errors.Mark(errors.New("down"), kumquatlug.ErrUnavailable)
+		case 1:
+			return errors.Mark(errors.New("timeout"), kumquatlug.ErrLost)
+		default:
+			return nil
+		}
+	}
+	agents := []*Ledger{
+		start(t, table, objects, "gazette-1", "a"),
+		start(t, table, objects, "gazette-2", "b"),
+	}
+	y := &tally{runs: map[string]int{}}
+	var g errgroup.Group
+	for caller := range 16 {
+		g.Go(func() error {
+			r := rand.New(rand.NewSource(int64(caller)))
+			for i := range 50 {
+				if err := y.send(t.Context(), agents[r.Intn(2)], fmt.Sprint(i), r); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	}
+	if err := g.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	for key, n := range y.runs {
+		if n > 1 {
+			t.Errorf("posting %s ran %d times", key, n)
+		}
+	}
+	if len(y.runs) == 0 {
+		t.Error("nothing ran")
+	}
+	t.Logf("%d of 50 postings ran", len(y.runs))
+}
+
+// send asks for one call; one in four callers hangs up at once or soon.
+func (y *tally) send(ctx context.Context, l *Ledger, key string, r *rand.Rand) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if r.Intn(4) == 0 {
+		go cancel()
+	}
+	ruling, err := l.Begin(ctx, call(key, "body", Dispatch{}))
+	if err != nil || ruling.Verdict() != VerdictRun {
+		return nil
+	}
+	if r.Intn(5) == 0 {
+		return l.Abandon(ruling.Ticket(), kumquatlug.RanNot)
+	}
+	y.run(key)
+	if r.Intn(5) == 0 {
+		return l.Abandon(ruling.Ticket(), kumquatlug.RanUnknown)
+	}
+	return l.Finish(ruling.Ticket(), NewOutcome(200, nil, make([]byte, r.Intn(2*DefaultInline))))
+}
--- a/pkg/kumquatlug/ledger/era_test.go
+++ b/pkg/kumquatlug/ledger/era_test.go
@@ -92,31 +92,20 @@
 	// was told not-run.
 	table := newMemoryTable()
 	b := newBook(Config{Target: "gazette-1", Incarnation: "a", Flush: 1}.withDefaults())
-	var got []delivery
-	finish := func(e *effect) {
-		r := result{}
-		if e.writes() {
-			r.err = table.apply(e.tx)
-		}
-		for _, key := range e.reads {
-			r.rows = append(r.rows, table.rows[key])
-		}
-		b.done(r, 0)
-		got = append(got, b.take()...)
-	}
 	resend := b.begin(call("k", "body", NewDispatch(0, 1)), false, 0)
-	finish(b.next(0))
+	end(b, table, b.next(0), 0)
 	claim := b.next(0)
 	late := b.begin(call("k", "body", NewDispatch(0, 0)), false, 0)
 	if ran, open := b.forget(resend); ran != kumquatlug.RanNot || !open {
 		t.Errorf("forgot the resend: %q, %v", ran, open)
 	}
-	finish(claim)
+	end(b, table, claim, 0)
 	for now := kumquatlug.Millis(1); b.pending() > 0; now++ {
 		if e := b.next(now); e != nil {
-			finish(e)
+			end(b, table, e, now)
 		}
 	}
+	got := b.take()
 	if len(got) != 1 || got[0].waiter != late || got[0].ruling.verdict != VerdictStale {
 		t.Errorf("deliveries = %+v", got)
 	}
--- a/pkg/kumquatlug/ledger/row.go
+++ b/pkg/kumquatlug/ledger/row.go
@@ -34,17 +34,25 @@
 	if !ok {
 		return Dispatch{}, errors.Newf("dispatch %q is not era.epoch", text)
 	}
-	era, err := strconv.ParseInt(left, 10, 64)
+	era, err := parsePart(left)
 	if err != nil {
 		return Dispatch{}, errors.Wrapf(err, "dispatch %q", text)
 	}
-	epoch, err := strconv.ParseInt(right, 10, 64)
+	epoch, err := parsePart(right)
 	if err != nil {
 		return Dispatch{}, errors.Wrapf(err, "dispatch %q", text)
 	}
 	return Dispatch{era: era, epoch: epoch}, nil
 }
 
+// parsePart reads an era or an epoch. The bound is far above any that comes
+// about, and keeps a block of a garbled dispatch from overflowing to an epoch
+// below zero, which would block nothing.
+func parsePart(text string) (int64, error) {
+	n, err := strconv.ParseUint(text, 10, 32)
+	return int64(n), err
+}
+
 // String returns the mark as "era.epoch", for a header.
 func (d Dispatch) String() string { return fmt.Sprintf("%d.%d", d.era, d.epoch) }
 
