Test that a caller who hangs up leaves no claim behind

Cause: the test of many callers let two changes of the shell and the book live: a lost answer taken for a failure, and a run not given back by a caller who hung up at the moment it came. Seen to fail first: lost answer is a failure, concurrent_test.go:77, rows claimed after all callers had gone; run not given back, concurrent_test.go:129, the row says "claimed".

--- a/pkg/kumquatlug/ledger/concurrent_test.go
+++ b/pkg/kumquatlug/ledger/concurrent_test.go
@@ -28,7 +28,8 @@
 func TestManyCallersAtOnce(t *testing.T) {
 	// Many callers send the same few postings through two agents at once, some
 	// hang up in the middle, and the table loses answers and fails now and
-	// then. A posting that two goroutines run shows up as a count of two.
+	// then. A posting that two goroutines run shows up as a count of two, one
+	// that a caller who hung up was given as a claim that stays.
 	table, objects := newMemoryTable(), newMemoryObjects()
 	faults := rand.New(rand.NewSource(5))
 	table.fail = func() error {
@@ -66,6 +67,16 @@
 			t.Errorf("posting %s ran %d times", key, n)
 		}
 	}
+	for _, l := range agents {
+		if err := l.Flush(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for key, r := range table.rows {
+		if decodeRow(r.Value()).State == stateClaimed {
+			t.Errorf("%s is claimed, but all callers have gone", key)
+		}
+	}
 	if len(y.runs) == 0 {
 		t.Error("nothing ran")
 	}
@@ -92,3 +103,29 @@
 	}
 	return l.Finish(ruling.Ticket(), NewOutcome(200, nil, make([]byte, r.Intn(2*DefaultInline))))
 }
+
+func TestRunIsGivenBackByACallerWhoHungUp(t *testing.T) {
+	// The right to run arrives at the very moment at which the caller hangs up.
+	// If nobody gave it back, the posting would stay claimed for ever, though
+	// its caller was told not-run.
+	table := newMemoryTable()
+	l := start(t, table, newMemoryObjects(), "gazette-1", "a")
+	ch := make(chan delivery, 1)
+	var waiter int64
+	l.update(func() {
+		waiter = l.book.begin(call("k", "body", Dispatch{}), false, l.c.Clock.Now())
+		l.waiting[waiter] = ch
+	})
+	ch <- <-ch
+	_, err := l.leave(t.Context(), waiter, ch, false)
+	if ran := kumquatlug.RanOf(err); ran != kumquatlug.RanNot {
+		t.Errorf("told %q", ran)
+	}
+	if err := l.Flush(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	stored := table.rows[rowKey(0, call("k", "", Dispatch{}).ID())]
+	if s := decodeRow(stored.Value()).State; s != stateFree {
+		t.Errorf("the row says %q", s)
+	}
+}
