--- a/internal/agent/hand.go
+++ b/internal/agent/hand.go
@@ -96,12 +96,20 @@
 func (h *hand) begin(ctx context.Context, work peer.Work, forbidden string) (string, *kumquatlug.Failure) {
 	ctx, cancel := context.WithTimeout(ctx, watchedWait.Duration())
 	defer cancel()
-	claimed := false
+	claimed, begun := false, false
+	defer func() {
+		// A claim under which nothing ran is given back, or the suspect could
+		// run nowhere any more.
+		if claimed && !begun {
+			h.agent.unclaimSuspect(work)
+		}
+	}()
 	for {
 		id, verdict, changed, failure := h.try(work, forbidden, claimed)
 		if failure != nil {
 			return "", failure
 		}
+		begun = verdict == quarantine.VerdictRun
 		switch verdict {
 		case quarantine.VerdictRun:
 			return id, nil
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -254,7 +254,7 @@
 		var sent struct {
 			Stream   bool  `json:"stream"`
 			Resume   int64 `json:"resume_tokens"`
-			Priority int   `json:"priority"`
+			Priority int64 `json:"priority"`
 		}
 		if err != nil || json.Unmarshal(text, &sent) != nil || !sent.Stream || sent.Resume != 3 || sent.Priority != 1 {
 			t.Fatalf("engine is sent %s, %v", text, err)
--- a/internal/caller/generation.go
+++ b/internal/caller/generation.go
@@ -14,8 +14,6 @@
 const (
 	// bytesAToken is the usual length of a token of English or Spanish text.
 	bytesAToken = 4
-	// defaultOutput is the estimate, in tokens, for a caller who sets no bound.
-	defaultOutput = 256
 	// maxOutput refuses a bound that no engine could meet.
 	maxOutput = 1 << 20
 )
@@ -53,19 +51,15 @@
 // PromptTokens returns the estimated length of the prompt in tokens.
 func (g Generation) PromptTokens() int64 { return int64(len(g.prompt))/bytesAToken + 1 }
 
-// OutputTokens returns the estimated or bounded length of the answer.
-func (g Generation) OutputTokens() int64 {
-	if g.maxTokens == 0 {
-		return defaultOutput
-	}
-	return g.maxTokens
-}
+// OutputBound returns the bound that the caller set on the answer, in tokens,
+// zero when it set none.
+func (g Generation) OutputBound() int64 { return g.maxTokens }
 
 // Body returns what an engine is sent: the caller's own fields, always as a
 // stream that counts its tokens, from the token after resume on. Streaming
 // every answer lets one that was cut go on at another engine without a token
 // lost or doubled, also for a caller who wants it whole.
-func (g Generation) Body(resume int64, priority int) ([]byte, error) {
+func (g Generation) Body(resume, priority int64) ([]byte, error) {
 	fields := make(map[string]any, len(g.fields)+4)
 	for name, value := range g.fields {
 		fields[name] = value
--- a/internal/capacity/decide.go
+++ b/internal/capacity/decide.go
@@ -104,9 +104,9 @@
 			d.now++
 			d.hear(d.Watched()[i%len(d.Watched())])
 		}},
-		{"planner: find each target's group, kinds split by role", "target listed", sizes, 1, split, func(d *desk, _ int) {
+		{"planner: find each target's group, once a config change", "target listed", sizes, 1, split, func(d *desk, _ int) {
 			for _, name := range d.Members() {
-				if d.Flexible(name) {
+				if _, flexible := d.Flexible(name); flexible {
 					_ = config.GroupOf(d.state, name, zone)
 				}
 			}
--- a/internal/capacity/offer.go
+++ b/internal/capacity/offer.go
@@ -28,7 +28,7 @@
 		what: "demand told to another entry", per: "offer", sizes: []int{c.size(200, 3), c.size(1200, 9)}, traffic: e.passed,
 		once: func() error {
 			_, err := client.Offer(ctx, connect.NewRequest(&peerv1.OfferRequest{
-				Entry: "entry-0456", Group: "draft", SpanMs: 2000, PrefillTokens: 13_412, DecodeTokens: 10_434,
+				Entry: "entry-0456", Kind: "draft", SpanMs: 2000, PrefillTokens: 13_412, DecodeTokens: 10_434,
 			}))
 			return err
 		},
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -30,7 +30,7 @@
 // engines as that takes.
 func (e *Entry) Generate(ctx context.Context, g caller.Generation, sink caller.Sink) (err error) {
 	r := e.newRequest(g.ID(), g.Caller(), g.Kind(), g.Timeout())
-	body, err := g.Body(0, r.terms.priority)
+	body, err := g.Body(0, 0)
 	if err != nil {
 		return err
 	}
@@ -38,7 +38,7 @@
 	r.note(timeline.Admitted, "", g.Kind().String())
 	r.begin(dispatch.RequestConfig{
 		Role: kumquatlug.RoleBoth, Prefix: prefixKeys(g.Prompt()),
-		PrefillTokens: g.PromptTokens(), DecodeTokens: g.OutputTokens(),
+		PrefillTokens: g.PromptTokens(), DecodeTokens: g.OutputBound(),
 	})
 	defer func() { r.close(err) }()
 	answer, err := stream.New(stream.Config{Request: g.ID(), Attempts: maxAttempts})
@@ -103,7 +103,7 @@
 	if !ok {
 		return nil, s.failure(a, "attempts", nil)
 	}
-	body, err := s.generation.Body(int64(at), s.request.terms.priority)
+	body, err := s.generation.Body(int64(at), s.request.enginePriority())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/entry/plan.go
+++ b/internal/entry/plan.go
@@ -38,7 +38,9 @@
 
 // groupPlan is what this entry does for one group of engines.
 type groupPlan struct {
-	name    string
+	name string
+	// kind is the model whose prompts and outputs the group shares out.
+	kind    string
 	holder  *lease.Holder
 	sender  *order.Sender
 	planner kumquatlug.RolePlanner
@@ -69,7 +71,7 @@
 		err    error
 	}
 	offered struct {
-		group string
+		kind  string
 		offer kumquatlug.Offer
 	}
 )
@@ -128,9 +130,27 @@
 	case orderAnswered:
 		p.takeReply(m)
 	case offered:
-		if g, known := p.groups[m.group]; known {
-			g.planner.Offered(p.now(), m.offer)
+		p.takeOffer(m)
+	}
+}
+
+// takeOffer shares the demand for a kind out over its groups by their engines;
+// an operator may have put engines of one kind into several.
+func (p *plans) takeOffer(m offered) {
+	engines := 0
+	for _, g := range p.groups {
+		if g.kind == m.kind {
+			engines += len(g.engines)
+		}
+	}
+	for _, g := range p.groups {
+		if g.kind != m.kind || engines == 0 {
+			continue
 		}
+		share := m.offer
+		share.PrefillTokens *= float64(len(g.engines)) / float64(engines)
+		share.DecodeTokens *= float64(len(g.engines)) / float64(engines)
+		g.planner.Offered(p.now(), share)
 	}
 }
 
@@ -173,6 +193,7 @@
 func (p *plans) look(ctx context.Context, now kumquatlug.Millis) {
 	state := p.entry.State()
 	engines := map[string]map[string]engineView{}
+	kinds := map[string]string{}
 	var entries, watch []string
 	err := p.entry.loop.ask(ctx, func(d *dispatch.Dispatcher) {
 		entries = append(entries, d.Entries()...)
@@ -183,6 +204,8 @@
 			}
 			if engines[group] == nil {
 				engines[group] = map[string]engineView{}
+				kind, _ := d.Flexible(name)
+				kinds[group] = kind.Name()
 			}
 			m, _ := d.Member(name)
 			engines[group][name] = engineView{name: name, address: m.VM().Address(), report: d.LastReport(name)}
@@ -193,6 +216,7 @@
 	}
 	for name, members := range engines {
 		g := p.group(name)
+		g.kind = kinds[name]
 		g.holder.Want(p.candidate(name, entries) && !p.entry.notReady.Load())
 		p.report(now, g, members)
 		if _, held := g.holder.Held(now); held {
@@ -219,7 +243,7 @@
 	}
 	group, found := p.known[target]
 	if !found {
-		if d.Flexible(target) {
+		if _, flexible := d.Flexible(target); flexible {
 			m, _ := d.Member(target)
 			group = config.GroupOf(state, target, m.VM().Zone())
 		}
@@ -415,16 +439,16 @@
 	}
 }
 
-func (p *plans) tell(ctx context.Context, entry, address, group string, o kumquatlug.Offer) {
+func (p *plans) tell(ctx context.Context, entry, address, kind string, o kumquatlug.Offer) {
 	if entry == p.entry.c.Name {
-		p.post(offered{group, o})
+		p.post(offered{kind, o})
 		return
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
 		_, err := p.entry.dialer.Entry(address).Offer(ctx, connect.NewRequest(&peerv1.OfferRequest{
-			Entry: o.Entry, Group: group, SpanMs: int64(o.Span), PrefillTokens: o.PrefillTokens, DecodeTokens: o.DecodeTokens,
+			Entry: o.Entry, Kind: kind, SpanMs: int64(o.Span), PrefillTokens: o.PrefillTokens, DecodeTokens: o.DecodeTokens,
 		}))
 		if err != nil {
 			p.entry.c.Logger.Debug("can't tell the demand", zap.String("peer", entry), zap.Error(err))
@@ -441,7 +465,7 @@
 func (s *offers) Offer(
 	_ context.Context, r *connect.Request[peerv1.OfferRequest],
 ) (*connect.Response[peerv1.OfferResponse], error) {
-	s.plans.post(offered{r.Msg.GetGroup(), kumquatlug.Offer{
+	s.plans.post(offered{r.Msg.GetKind(), kumquatlug.Offer{
 		Entry: r.Msg.GetEntry(), Span: kumquatlug.Millis(r.Msg.GetSpanMs()),
 		PrefillTokens: r.Msg.GetPrefillTokens(), DecodeTokens: r.Msg.GetDecodeTokens(),
 	}})
--- a/internal/entry/prefill.go
+++ b/internal/entry/prefill.go
@@ -23,7 +23,7 @@
 // prefill runs the prompt on one engine and keeps the handle by which another
 // engine fetches the KV cache. The cache itself never passes an entry.
 func (s *streaming) prefill(ctx context.Context, a dispatch.Attempt) (*dispatch.Failed, error) {
-	body, err := s.generation.Body(0, s.request.terms.priority)
+	body, err := s.generation.Body(0, s.request.enginePriority())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -130,6 +130,19 @@
 	r.entry.loop.post(attemptFailed{r.id, f})
 }
 
+// priorityStep sets the priorities of operators apart from each other by more
+// than any two deadlines differ, in seconds.
+const priorityStep = 10_000_000_000
+
+// enginePriority is what the engine is asked for: first by the priority that
+// the selector gives, then the earlier deadline first, so that what waits inside
+// an engine keeps the order that it had in the queue. It counts by the wall
+// clock, since several entries send to one engine.
+func (r *request) enginePriority() int64 {
+	left := (r.deadline - r.entry.c.Clock.Now()).Duration()
+	return int64(r.terms.priority)*priorityStep - time.Now().Add(left).Unix()
+}
+
 // ranSoFar says whether an earlier attempt may have run.
 func (r *request) ranSoFar() kumquatlug.Ran {
 	if r.mayHaveRun {
--- a/pkg/kumquatlug/dispatch/dispatch.go
+++ b/pkg/kumquatlug/dispatch/dispatch.go
@@ -76,7 +76,9 @@
 	queue     *admission.Queue
 	router    *routing.Router
 	retries   *retry.Policy
-	targets   *limit.Targets
+	engines   *limit.Targets
+	services  *limit.Targets
+	estimator *admission.Estimator
 	callers   *limit.Callers
 	members   *membership.Members
 	health    map[kumquatlug.Kind]*health.Group
@@ -132,7 +134,11 @@
 		queue:    admission.New(c.Admission),
 		router:   routing.New(routing.Config{Source: rand.NewPCG(c.Seed, 5), Zone: c.Zone}),
 		retries:  retry.New(c.Retry),
-		targets:  limit.NewTargets(c.Limits),
+		services: limit.NewTargets(c.Limits),
+		engines:  limit.NewTargets(withFloor(c.Limits)),
+		estimator: admission.NewEstimator(admission.EstimatorConfig{
+			PromptRate: prefillRate, TokenGap: float64(kumquatlug.Second) / decodeRate,
+		}),
 		callers:  limit.NewCallers(c.Callers),
 		members:  membership.New(),
 		health:   map[kumquatlug.Kind]*health.Group{},
@@ -144,6 +150,23 @@
 	}
 }
 
+// withFloor tells the limits of engines that work is counted in milliseconds of
+// an idle engine, see workOf. Learned instead, the floor needs a quiet time,
+// which an engine that is full from the first request on never shows. What a
+// call to a service takes on an idle one is not known beforehand.
+func withFloor(c limit.TargetsConfig) limit.TargetsConfig {
+	c.Floor = 1
+	return c
+}
+
+// limits returns the limits of the targets of a kind.
+func (d *Dispatcher) limits(kind kumquatlug.Kind) *limit.Targets {
+	if kind.Protocol() == kumquatlug.ProtocolService {
+		return d.services
+	}
+	return d.engines
+}
+
 // Verdict is what is decided for a request.
 type Verdict string
 
@@ -216,6 +239,7 @@
 func (d *Dispatcher) Arrive(now kumquatlug.Millis, c RequestConfig) []Decision {
 	d.begin()
 	r := &request{c: c}
+	d.estimate(now, r)
 	d.splitWork(r)
 	if failure := d.check(now, r); failure != nil {
 		d.refuse(c.ID, failure)
@@ -249,7 +273,7 @@
 	if opinion := d.register.Ask(now, r.fingerprint()); opinion.Refused() {
 		return quarantined(opinion.Remaining())
 	}
-	verdict := d.callers.Begin(now, r.c.Caller.Name(), r.cost())
+	verdict := d.callers.Begin(now, r.c.Caller.Name(), r.size())
 	if !verdict.Passed() {
 		return verdict.Failure()
 	}
@@ -276,6 +300,9 @@
 
 // serviceTime is how long the answer takes once it is sent.
 func (d *Dispatcher) serviceTime(r *request) kumquatlug.Millis {
+	if r.service > 0 {
+		return r.service
+	}
 	k, known := d.kinds[r.c.Kind]
 	if !known {
 		return kumquatlug.Millis(r.expected())
@@ -290,6 +317,7 @@
 	d.refuseStranded(now)
 	if now-d.forgotAt > forgetEvery {
 		d.callers.Forget(now)
+		d.estimator.Forget(now)
 		d.forgotAt = now
 	}
 	return d.serve(now)
@@ -416,7 +444,7 @@
 func (d *Dispatcher) drop(now kumquatlug.Millis, r *request, used int64) {
 	delete(d.requests, r.c.ID)
 	if r.charged {
-		d.callers.End(now, r.c.Caller.Name(), now-r.c.Arrival, r.cost(), used)
+		d.callers.End(now, r.c.Caller.Name(), now-r.c.Arrival, r.size(), used)
 	}
 }
 
--- a/pkg/kumquatlug/dispatch/request.go
+++ b/pkg/kumquatlug/dispatch/request.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/admission"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/drain"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/limit"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/quarantine"
@@ -21,7 +22,8 @@
 	Role kumquatlug.Role
 	// Prefix are the prompt's prefix keys; see routing.Query.
 	Prefix []uint64
-	// PrefillTokens and DecodeTokens are estimates.
+	// PrefillTokens is the length of the prompt. DecodeTokens bounds the output
+	// of an engine, zero when the caller set no bound.
 	PrefillTokens int64
 	DecodeTokens  int64
 	// Arrival and Deadline are points in time.
@@ -51,6 +53,10 @@
 	sentAt   kumquatlug.Millis
 	firstAt  kumquatlug.Millis
 	stepAt   kumquatlug.Millis
+	// highOutput is the output that few answers exceed, service how long the
+	// answer takes once sent; zero when nothing is known.
+	highOutput int64
+	service    kumquatlug.Millis
 	// stated is how long the answer was expected to take at the target.
 	stated kumquatlug.Millis
 	tokens int64
@@ -63,10 +69,52 @@
 	mayHaveRun bool
 }
 
+// cost is what the request counts in the queue, in tokens of prompt.
 func (r *request) cost() int64 {
+	return max(1, admission.Cost(r.c.PrefillTokens, r.c.DecodeTokens))
+}
+
+// size is what the request counts against its caller's rate, in tokens.
+func (r *request) size() int64 {
 	return max(1, r.c.PrefillTokens+r.c.DecodeTokens)
 }
 
+// room is what the request may take of an engine's KV memory, in tokens.
+func (r *request) room() int64 {
+	return max(1, r.c.PrefillTokens+max(r.c.DecodeTokens, r.highOutput))
+}
+
+// estimate learns from answers what a request will take: callers set bounds far
+// above what they need, and a queue that believed them would refuse work in
+// front of engines with room.
+func (d *Dispatcher) estimate(now kumquatlug.Millis, r *request) {
+	if r.c.Kind.Protocol() != kumquatlug.ProtocolEngine {
+		return
+	}
+	name, bound := r.c.Caller.Name(), r.c.DecodeTokens
+	r.c.DecodeTokens = bounded(d.estimator.Output(now, name, r.c.Kind, r.c.PrefillTokens), bound)
+	r.highOutput = bounded(d.estimator.HighOutput(now, name, r.c.Kind, r.c.PrefillTokens), bound)
+	r.service = d.estimator.Service(now, name, r.c.Kind, r.c.PrefillTokens)
+}
+
+func bounded(estimate, bound int64) int64 {
+	if bound == 0 {
+		return estimate
+	}
+	return min(estimate, bound)
+}
+
+// learn feeds the estimates with an answer, or with what there was of one that
+// its caller gave up.
+func (d *Dispatcher) learn(now kumquatlug.Millis, r *request, output int64, whole bool) {
+	if r.c.Kind.Protocol() != kumquatlug.ProtocolEngine || r.firstAt == 0 {
+		return
+	}
+	d.estimator.Learn(now, r.c.Caller.Name(), r.c.Kind, admission.Observed{
+		Prompt: r.c.PrefillTokens, Output: output, First: r.firstAt - r.sentAt, Rest: now - r.firstAt, Whole: whole,
+	})
+}
+
 // expected is how long the work takes at the usual rates, in milliseconds.
 func (r *request) expected() float64 {
 	return workOf(r.c.PrefillTokens, r.c.DecodeTokens)
@@ -123,7 +171,9 @@
 	r.attempts++
 	r.target, r.cached, r.inHand, r.stated = target, cached, true, stated
 	r.sentAt, r.firstAt = now, 0
-	r.ticket = d.targets.Begin(now, target, r.cost())
+	limits := d.limits(r.c.Kind)
+	r.ticket = limits.Begin(now, target, r.room())
+	limits.Tolerate(&r.ticket, r.c.Deadline-r.c.Arrival, kumquatlug.Millis(r.expected()))
 	d.router.Sent(now, target, routing.Call{
 		ID: r.c.ID, Prefix: r.c.Prefix, PrefillTokens: int(r.c.PrefillTokens) - cached, DecodeTokens: int(r.c.DecodeTokens),
 	})
@@ -142,13 +192,13 @@
 		Kind: r.c.Kind, Role: r.c.Role, Prefix: r.c.Prefix, PrefillTokens: int(r.c.PrefillTokens),
 		DecodeTokens: int(r.c.DecodeTokens), Exclude: r.exclude,
 	}
-	choice, found := d.router.Pick(now, query, roomFor{d.targets, r.cost()})
+	choice, found := d.router.Pick(now, query, roomFor{d.limits(r.c.Kind), r.room()})
 	if !found && d.triedAll(r) {
 		// One that failed before is better than none. As long as another one
 		// is left, though, its room is waited for: a target that just failed
 		// would fail again at once, and use up the request's tries.
 		query.Exclude = nil
-		choice, found = d.router.Pick(now, query, roomFor{d.targets, r.cost()})
+		choice, found = d.router.Pick(now, query, roomFor{d.limits(r.c.Kind), r.room()})
 	}
 	return choice.Target(), choice.Cached(), choice.Stated(), found
 }
@@ -174,7 +224,7 @@
 	order := routing.ServiceOrder(r.c.OnceKey, d.ready(r.c.Kind))
 	for _, name := range order {
 		if !contains(r.exclude, name) {
-			return name, d.targets.Room(name, r.cost())
+			return name, d.services.Room(name, r.room())
 		}
 	}
 	if len(order) == 0 {
@@ -182,7 +232,7 @@
 	}
 	// Every target refused it once. The first may only have asked for a newer
 	// run-once mark.
-	return order[0], d.targets.Room(order[0], r.cost())
+	return order[0], d.services.Room(order[0], r.room())
 }
 
 func (d *Dispatcher) ready(kind kumquatlug.Kind) []string {
@@ -311,7 +361,7 @@
 // release gives the target's place back.
 func (d *Dispatcher) release(now kumquatlug.Millis, r *request, o limit.Outcome) {
 	r.inHand = false
-	d.targets.End(now, r.ticket, o)
+	d.limits(r.c.Kind).End(now, r.ticket, o)
 	d.router.Finished(now, r.target, r.c.ID)
 }
 
@@ -331,17 +381,17 @@
 		return d.out
 	}
 	portion := tokens - r.tokens
-	work := workOf(0, portion)
+	work, served := workOf(0, portion), admission.Cost(0, portion)
 	if r.firstAt == 0 {
 		r.firstAt, r.stepAt = now, r.sentAt
-		portion += r.c.PrefillTokens
 		work = workOf(r.c.PrefillTokens, 1)
+		served += admission.Cost(r.c.PrefillTokens, 0)
 	}
-	d.targets.Sample(now, &r.ticket, now-r.stepAt, work)
+	d.limits(r.c.Kind).Sample(now, &r.ticket, now-r.stepAt, work)
 	r.stepAt = now
 	r.tokens = tokens
 	d.router.Progress(now, r.target, id, int(tokens))
-	d.queue.Served(now, r.c.Kind, portion)
+	d.queue.Served(now, r.c.Kind, served)
 	return d.out
 }
 
@@ -360,12 +410,12 @@
 	if !kept {
 		return d.serve(now)
 	}
-	served := max(0, o.Tokens-r.tokens)
+	served := admission.Cost(0, max(0, o.Tokens-r.tokens))
 	if r.firstAt == 0 {
-		served += r.c.PrefillTokens
+		served += admission.Cost(r.c.PrefillTokens, 0)
 	}
 	if r.c.Kind.Protocol() == kumquatlug.ProtocolService {
-		d.targets.Sample(now, &r.ticket, now-r.sentAt, 1)
+		d.services.Sample(now, &r.ticket, now-r.sentAt, 1)
 	}
 	d.release(now, r, limit.OutcomeEnded)
 	d.queue.Served(now, r.c.Kind, served)
@@ -373,6 +423,7 @@
 		d.router.Hit(r.target, r.cached, int(o.Cached))
 	}
 	d.register.Finished(now, r.fingerprint())
+	d.learn(now, r, o.Tokens, true)
 	d.learnPace(now, r, o)
 	d.drop(now, r, r.c.PrefillTokens+o.Tokens)
 	return d.serve(now)
@@ -415,6 +466,7 @@
 		return d.out
 	}
 	if r.inHand {
+		d.learn(now, r, r.tokens, false)
 		d.release(now, r, limit.OutcomeEnded)
 	}
 	d.queue.Cancel(now, id)
--- a/pkg/kumquatlug/dispatch/split.go
+++ b/pkg/kumquatlug/dispatch/split.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/admission"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/limit"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/selector"
 )
@@ -57,9 +58,9 @@
 	if !kept {
 		return d.serve(now)
 	}
-	d.targets.Sample(now, &r.ticket, now-r.sentAt, workOf(r.c.PrefillTokens, 1))
+	d.limits(r.c.Kind).Sample(now, &r.ticket, now-r.sentAt, workOf(r.c.PrefillTokens, 1))
 	d.release(now, r, limit.OutcomeEnded)
-	d.queue.Served(now, r.c.Kind, r.c.PrefillTokens)
+	d.queue.Served(now, r.c.Kind, admission.Cost(r.c.PrefillTokens, 0))
 	d.outcome(now, r, true, 1)
 	r.c.Role = kumquatlug.RoleDecode
 	r.c.PrefillTokens, r.c.Prefix = 1, nil
@@ -83,8 +84,9 @@
 }
 
 // Flexible reports whether selectors give a target both the prompts and the
-// outputs of some kind, so that its role may be changed between the two.
-func (d *Dispatcher) Flexible(target string) bool {
+// outputs of some kind, so that its role may be changed between the two, and
+// which kind it is.
+func (d *Dispatcher) Flexible(target string) (kumquatlug.Kind, bool) {
 	labels := d.labelsOf(target)
 	roles := map[kumquatlug.Kind]map[kumquatlug.Role]bool{}
 	for _, s := range d.selectors {
@@ -96,10 +98,10 @@
 		}
 		roles[s.Kind()][s.Role()] = true
 		if roles[s.Kind()][kumquatlug.RolePrefill] && roles[s.Kind()][kumquatlug.RoleDecode] {
-			return true
+			return s.Kind(), true
 		}
 	}
-	return false
+	return kumquatlug.Kind{}, false
 }
 
 // fits reports whether an engine in the role that it reports can take what a
--- a/pkg/kumquatlug/dispatch/targets.go
+++ b/pkg/kumquatlug/dispatch/targets.go
@@ -162,7 +162,8 @@
 	change, changed := d.members.Heard(now, name, report.Incarnation)
 	d.reports[name] = report
 	if changed {
-		d.targets.Add(name)
+		d.engines.Add(name)
+		d.services.Add(name)
 	}
 	if report.State == TargetDown {
 		// An engine that comes back comes back with an empty cache.
@@ -191,9 +192,12 @@
 		PrefillRate: report.PrefillRate, DecodeRate: report.DecodeRate, TakenAt: taken,
 		Begun: report.Begun, Incarnation: report.Incarnation,
 	})
-	d.targets.Report(now, name, limit.Load{
-		Age: report.Age, Asked: report.Asked, Waiting: report.Waiting, Used: report.KVUsed, Total: report.KVTotal,
-	})
+	if report.Protocol != kumquatlug.ProtocolService {
+		d.engines.Report(now, name, limit.Load{
+			Age: report.Age, Asked: report.Asked, Running: report.Running, Waiting: report.Waiting,
+			Used: report.KVUsed, Total: report.KVTotal,
+		})
+	}
 }
 
 // Missed takes a heartbeat without an answer and returns how it changed the
@@ -232,7 +236,8 @@
 	for _, name := range d.members.Names() {
 		if !watched[name] {
 			d.router.Remove(name)
-			d.targets.Remove(name)
+			d.engines.Remove(name)
+			d.services.Remove(name)
 			continue
 		}
 		d.watched = append(d.watched, name)
@@ -335,7 +340,8 @@
 	n := max(1, len(d.entries))
 	d.callers.SetEntries(n)
 	sharing := max(1, min(n, routing.Replicas(n, len(d.members.Names()), d.c.Subset)))
-	d.targets.SetEntries(sharing)
+	d.engines.SetEntries(sharing)
+	d.services.SetEntries(sharing)
 	d.router.SetEntries(sharing)
 }
 
