Mend what running the operators' page found

Cause and change, by weight (all found by running the page over processes): - a target taken out of use and given back had no room until its agent restarted: limits are started for every target that the entry speaks to; - a posting of unknown outcome was told 503 with Retry-After 1, which client libraries repeat by themselves: it is told as 502 outcome_unknown; - accounts' limits were never read; - without a table a posting was refused after 7 s and 16 tries: at once now; - entry gauges were never filled; logs carried stack traces; get callers printed key hashes; 'unavailable' was told as 'lost'; priorities and matches that can't be were accepted; quarantined lacked Retry-After on one way. Seen to fail with the mechanism out: TestTargetThatIsGivenBackTakesWork, TestTermsOfAnAccountAreKept. A search for secrets, hashes and stack traces in all logs and the time line is part of the path test. Left, listed in the operators' page: label rows of unknown names, first roles one engine at a time, check's wording.

--- a/cmd/kumquatlug/operate.go
+++ b/cmd/kumquatlug/operate.go
@@ -59,6 +59,8 @@
 		return errors.Wrap(err, "conflict: somebody changed the same thing first, nothing was changed; look again")
 	case errors.Is(err, kumquatlug.ErrDenied):
 		return errors.Wrap(err, "denied: nothing was changed")
+	case errors.Is(err, kumquatlug.ErrUnavailable):
+		return errors.Wrap(err, "unavailable: nothing was changed; try again later")
 	default:
 		return errors.Wrap(err, "lost: the change may have taken effect; look with get, then try again")
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -154,7 +154,7 @@
 	a.c.Ring.Add(timeline.Record{Name: timeline.StateChanged, Detail: "stopping"})
 	peer.WaitUntil(ctx, a.hand.idle)
 	if err := a.work.ledger.Flush(ctx); err != nil {
-		a.c.Logger.Warn("outcomes could not be stored before the stop", zap.Error(err))
+		a.c.Logger.Warn("outcomes could not be stored before the stop", timeline.ErrorField(err))
 	}
 	a.c.Logger.Info("agent has finished its work and stops", zap.String("name", a.c.Name))
 }
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -7,7 +7,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/oklog/ulid/v2"
-	"go.uber.org/zap"
 
 	"github.com/kumquatlug/kumquatlug/internal/engine"
 	"github.com/kumquatlug/kumquatlug/internal/timeline"
@@ -43,7 +42,7 @@
 		if err == nil {
 			return starts, nil
 		}
-		a.c.Logger.Warn("can't register this start yet", zap.Error(err))
+		a.c.Logger.Warn("can't register this start yet", timeline.ErrorField(err))
 		select {
 		case <-time.After(registerPause):
 		case <-ctx.Done():
--- a/internal/agent/suspect.go
+++ b/internal/agent/suspect.go
@@ -37,7 +37,7 @@
 	if errors.Is(err, kumquatlug.ErrConflict) {
 		return a.failure("claim suspect", reasonSuspect, err)
 	}
-	a.c.Logger.Warn("a suspect runs without its claim", zap.String("request", work.Request()), zap.Error(err))
+	a.c.Logger.Warn("a suspect runs without its claim", zap.String("request", work.Request()), timeline.ErrorField(err))
 	return nil
 }
 
@@ -47,7 +47,7 @@
 	defer cancel()
 	err := a.c.Table.Commit(ctx, kumquatlug.NewTx(ulid.Make().String()).Delete(suspectPrefix+work.Fingerprint()))
 	if err != nil {
-		a.c.Logger.Warn("can't remove a suspect's claim", zap.String("request", work.Request()), zap.Error(err))
+		a.c.Logger.Warn("can't remove a suspect's claim", zap.String("request", work.Request()), timeline.ErrorField(err))
 	}
 }
 
--- a/internal/agent/watch.go
+++ b/internal/agent/watch.go
@@ -5,9 +5,8 @@
 	"sync"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/kumquatlug/kumquatlug/internal/engine"
+	"github.com/kumquatlug/kumquatlug/internal/timeline"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
 
@@ -104,7 +103,7 @@
 func (w *watch) readEngine(ctx context.Context) {
 	load, err := w.agent.c.Engine.ReadLoad(ctx)
 	if err != nil {
-		w.agent.c.Logger.Debug("can't read load", zap.Error(err))
+		w.agent.c.Logger.Debug("can't read load", timeline.ErrorField(err))
 		return
 	}
 	state, err := w.agent.c.Engine.ReadState(ctx)
@@ -164,11 +163,11 @@
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
 	if err := a.follower.Refresh(ctx); err != nil {
-		a.c.Logger.Warn("can't ask the table for the config", zap.Error(err))
+		a.c.Logger.Warn("can't ask the table for the config", timeline.ErrorField(err))
 	}
 	vms, err := a.c.VMs.List(ctx)
 	if err != nil {
-		a.c.Logger.Warn("can't ask the platform for its list", zap.Error(err))
+		a.c.Logger.Warn("can't ask the platform for its list", timeline.ErrorField(err))
 	}
 	a.followConfig(a.follower.State())
 	a.hand.with(func(now kumquatlug.Millis) {
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -129,7 +129,7 @@
 		return
 	}
 	if err := d.agent.c.Engine.ImportKV(r.Context(), handle); err != nil {
-		d.agent.c.Logger.Warn("can't import a KV cache; the prompt runs again", zap.Error(err))
+		d.agent.c.Logger.Warn("can't import a KV cache; the prompt runs again", timeline.ErrorField(err))
 	}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -198,8 +198,8 @@
 // for the last one.
 func (e *Entry) counted(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		e.inHand.Add(1)
-		defer e.inHand.Add(-1)
+		e.metrics.inHand.Set(float64(e.inHand.Add(1)))
+		defer func() { e.metrics.inHand.Set(float64(e.inHand.Add(-1))) }()
 		next.ServeHTTP(w, r)
 	})
 }
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -6,10 +6,10 @@
 
 	"connectrpc.com/connect"
 	"github.com/cespare/xxhash/v2"
-	"go.uber.org/zap"
 
 	"github.com/kumquatlug/kumquatlug/internal/peer"
 	"github.com/kumquatlug/kumquatlug/internal/peer/peerv1"
+	"github.com/kumquatlug/kumquatlug/internal/timeline"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/config"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/dispatch"
@@ -40,7 +40,7 @@
 		vms, err := e.c.VMs.List(ctx)
 		if err != nil {
 			// The last list stands: targets that answer heartbeats go on.
-			e.c.Logger.Warn("can't read the platform's list of VMs", zap.Error(err))
+			e.c.Logger.Warn("can't read the platform's list of VMs", timeline.ErrorField(err))
 		} else {
 			e.listed.Store(&vms)
 			e.loop.post(vmsListed{vms})
@@ -221,7 +221,7 @@
 			continue
 		}
 		if err := e.store.Snapshot(ctx, state); err != nil {
-			e.c.Logger.Warn("can't store a snapshot of the config", zap.Error(err))
+			e.c.Logger.Warn("can't store a snapshot of the config", timeline.ErrorField(err))
 			continue
 		}
 		last = state.Revision()
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -107,6 +107,7 @@
 		case message := <-l.inbox:
 			l.carryOut(l.take(l.entry.c.Clock.Now(), message))
 		case <-timer.C:
+			l.entry.countTargets(l.dispatcher)
 			l.carryOut(l.dispatcher.Tick(l.entry.c.Clock.Now()))
 		}
 	}
@@ -130,6 +131,7 @@
 		delete(l.replies, m.id)
 		return l.dispatcher.Cancelled(now, m.id)
 	case configured:
+		l.entry.metrics.revision.Set(float64(m.state.Revision()))
 		return l.dispatcher.Configure(now, m.state)
 	case vmsListed:
 		return l.dispatcher.Listed(now, m.vms)
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -2,6 +2,8 @@
 
 import (
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/dispatch"
 )
 
 // metrics are the entry's counters. Labels are bounded: kinds come from the
@@ -18,6 +20,18 @@
 	members    *prometheus.GaugeVec
 }
 
+// countTargets tells how many of the entry's targets are in which state.
+func (e *Entry) countTargets(d *dispatch.Dispatcher) {
+	counts := map[string]int{}
+	for _, name := range d.Watched() {
+		counts[nodeState(d, name)]++
+	}
+	e.metrics.members.Reset()
+	for state, count := range counts {
+		e.metrics.members.WithLabelValues(state).Set(float64(count))
+	}
+}
+
 func newMetrics(registry *prometheus.Registry) *metrics {
 	seconds := prometheus.ExponentialBuckets(0.001, 2, 18)
 	histogram := func(name, help string) *prometheus.HistogramVec {
--- a/internal/entry/operate.go
+++ b/internal/entry/operate.go
@@ -14,6 +14,7 @@
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/config"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/dispatch"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/membership"
 )
 
 // gatherTimeout bounds how long an operator's question waits for peers.
@@ -67,18 +68,24 @@
 	report := d.LastReport(name)
 	node := &peerv1.NodeStatus{
 		Name: name, Role: string(kumquatlug.VMTarget), Zone: m.VM().Zone(), Address: m.VM().Address(),
-		State: string(m.State()), Revision: int64(report.Revision), Labels: d.Labels(name).String(),
+		State: nodeState(d, name), Revision: int64(report.Revision), Labels: d.Labels(name).String(),
 		Running: report.Running, HeartbeatAgeMs: -1, TargetRole: string(report.Role),
 	}
 	if m.HeardAt() > 0 {
 		node.HeartbeatAgeMs = int64(now - m.HeardAt())
 	}
-	if node.State == "up" {
-		node.State = string(report.State)
-	}
 	return node
 }
 
+// nodeState is what an agent says of its target, or why it says nothing.
+func nodeState(d *dispatch.Dispatcher, name string) string {
+	m, _ := d.Member(name)
+	if m.State() == membership.StateUp {
+		return string(d.LastReport(name).State)
+	}
+	return string(m.State())
+}
+
 // entryStatus asks every entry in the platform's list for its revision.
 func (e *Entry) entryStatus(ctx context.Context) []*peerv1.NodeStatus {
 	var nodes []*peerv1.NodeStatus
--- a/internal/entry/plan.go
+++ b/internal/entry/plan.go
@@ -451,7 +451,7 @@
 			Entry: o.Entry, Kind: kind, SpanMs: int64(o.Span), PrefillTokens: o.PrefillTokens, DecodeTokens: o.DecodeTokens,
 		}))
 		if err != nil {
-			p.entry.c.Logger.Debug("can't tell the demand", zap.String("peer", entry), zap.Error(err))
+			p.entry.c.Logger.Debug("can't tell the demand", zap.String("peer", entry), timeline.ErrorField(err))
 		}
 	}()
 }
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -16,6 +16,7 @@
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/config"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/dispatch"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/ledger"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/quarantine"
 )
 
@@ -51,10 +52,18 @@
 func (r *refusal) failed() dispatch.Failed {
 	return dispatch.Failed{
 		Failure: r.failure, Refused: beforeStart(r.failure), Notices: r.notices,
-		Final: r.failure.Status() < http.StatusInternalServerError,
+		Final: final(r.failure),
 	}
 }
 
+// final reports whether no other target would fare better: the request itself
+// is at fault, or the platform is out, which concerns all targets alike. Tried
+// on, a posting was refused after seven seconds and sixteen tries.
+func final(f *kumquatlug.Failure) bool {
+	return f.Status() < http.StatusInternalServerError ||
+		f.Reason() == ledger.ReasonTable || f.Reason() == ledger.ReasonObjects
+}
+
 // noticesOf reads what an agent told of a crash in h.
 func noticesOf(h http.Header) []quarantine.Notice {
 	text := h.Get(peer.HeaderNotice)
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -119,8 +119,11 @@
 	case connect.CodePermissionDenied, connect.CodeUnauthenticated, connect.CodeInvalidArgument:
 		return errors.Mark(err, kumquatlug.ErrDenied)
 	case connect.CodeUnavailable:
-		// An entry that says so means it; a broken connection looks the same
-		// here, and then the change may have been made.
+		// An entry that says so means it: nothing was changed. A broken
+		// connection has the same code, and then the change may have been made.
+		if connect.IsWireError(err) {
+			return errors.Mark(err, kumquatlug.ErrUnavailable)
+		}
 		return errors.Mark(err, kumquatlug.ErrLost)
 	default:
 		return errors.Mark(err, kumquatlug.ErrLost)
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"crypto/subtle"
+	"encoding/json"
 	"net/http"
 	"strings"
 
@@ -20,6 +21,7 @@
 	"github.com/kumquatlug/kumquatlug/internal/peer"
 	"github.com/kumquatlug/kumquatlug/internal/peer/peerv1"
 	"github.com/kumquatlug/kumquatlug/internal/peer/peerv1/peerv1connect"
+	"github.com/kumquatlug/kumquatlug/internal/timeline"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/config"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/dispatch"
@@ -93,7 +95,7 @@
 	}
 	change, err := s.c.Desk.Change(ctx, p)
 	if err != nil {
-		s.c.Logger.Warn("change failed", zap.String("author", author), zap.String("change", p.ID()), zap.Error(err))
+		s.c.Logger.Warn("change failed", zap.String("author", author), zap.String("change", p.ID()), timeline.ErrorField(err))
 		return nil, connect.NewError(codeOf(err), err)
 	}
 	s.c.Logger.Info("change made", zap.String("author", author), zap.String("change", p.ID()), zap.Int64("revision", int64(change.Revision())))
@@ -123,12 +125,26 @@
 	state := s.c.Desk.State()
 	answer := &peerv1.GetResponse{Revision: int64(state.Revision())}
 	state.Range(r.Msg.GetPrefix(), func(key string, value []byte) bool {
-		answer.Sets = append(answer.Sets, &peerv1.Set{Key: key, Value: value})
+		answer.Sets = append(answer.Sets, &peerv1.Set{Key: key, Value: withoutHash(key, value)})
 		return true
 	})
 	return connect.NewResponse(answer), nil
 }
 
+// withoutHash takes the hash of a caller's key out of its row.
+func withoutHash(key string, value []byte) []byte {
+	var c kumquatlug.CallerConfig
+	if !strings.HasPrefix(key, config.PrefixCaller) || json.Unmarshal(value, &c) != nil {
+		return value
+	}
+	c.KeyHash = ""
+	text, err := json.Marshal(c)
+	if err != nil {
+		return nil
+	}
+	return text
+}
+
 // Status returns every node with the revision in force there.
 func (s *server) Status(
 	ctx context.Context, _ *connect.Request[peerv1.StatusRequest],
--- a/internal/peer/follower.go
+++ b/internal/peer/follower.go
@@ -213,7 +213,7 @@
 	asked := f.c.Clock.Now()
 	head, err := f.c.Store.Head(ctx)
 	if err != nil {
-		f.c.Logger.Warn("can't read the config's head", zap.Error(err))
+		f.c.Logger.Warn("can't read the config's head", timeline.ErrorField(err))
 		return
 	}
 	f.send(ctx, config.Report{Peer: config.Table, Revision: head, Age: f.c.Clock.Now() - asked})
@@ -266,13 +266,13 @@
 
 func (f *Follower) adopt(p pulled) {
 	if p.err != nil {
-		f.c.Logger.Warn("can't pull the config", zap.String("peer", p.peer), zap.Error(p.err))
+		f.c.Logger.Warn("can't pull the config", zap.String("peer", p.peer), timeline.ErrorField(p.err))
 		f.adopter.PullFailed(p.peer)
 		return
 	}
 	state, changed, err := f.adoptAny(p)
 	if err != nil {
-		f.c.Logger.Warn("can't adopt the config", zap.String("peer", p.peer), zap.Error(err))
+		f.c.Logger.Warn("can't adopt the config", zap.String("peer", p.peer), timeline.ErrorField(err))
 		f.adopter.PullFailed(p.peer)
 	}
 	if changed {
--- a/pkg/kumquatlug/dispatch/dispatch.go
+++ b/pkg/kumquatlug/dispatch/dispatch.go
@@ -90,6 +90,7 @@
 	kinds     map[kumquatlug.Kind]*kindState
 	order     []kumquatlug.Kind
 	watched   []string
+	limited   map[string]bool
 	planned   map[string]bool
 	register  *quarantine.Register
 	requests  map[string]*request
@@ -144,6 +145,7 @@
 		health:   map[kumquatlug.Kind]*health.Group{},
 		reports:  map[string]Report{},
 		labels:   map[string]labelled{},
+		limited:  map[string]bool{},
 		kinds:    map[kumquatlug.Kind]*kindState{},
 		register: quarantine.New(c.Quarantine),
 		requests: map[string]*request{},
@@ -389,7 +391,7 @@
 		case r.dueAt > now:
 			left = append(left, r)
 		case d.outlawed(now, r):
-			d.giveUp(now, r.c.ID, quarantined(0))
+			d.giveUp(now, r.c.ID, quarantined(d.register.Ask(now, r.fingerprint()).Remaining()))
 		case d.waitsAsSuspect(now, r):
 			left = append(left, r)
 		case d.send(now, r):
--- a/pkg/kumquatlug/dispatch/dispatch_test.go
+++ b/pkg/kumquatlug/dispatch/dispatch_test.go
@@ -18,9 +18,10 @@
 // desk drives a dispatcher by hand.
 type desk struct {
 	*Dispatcher
-	t     *testing.T
-	now   kumquatlug.Millis
-	state config.State
+	t      *testing.T
+	now    kumquatlug.Millis
+	state  config.State
+	caller kumquatlug.Caller
 }
 
 func newDesk(t *testing.T, targets ...string) *desk {
@@ -83,7 +84,7 @@
 // arrive offers a request and returns what was decided for it, if anything.
 func (d *desk) arrive(id string, kind kumquatlug.Kind, timeout kumquatlug.Millis) (Decision, bool) {
 	c := RequestConfig{
-		ID: id, Kind: kind, Role: kumquatlug.RoleBoth, PrefillTokens: 100, DecodeTokens: 20, Arrival: d.now, Deadline: d.now + timeout,
+		ID: id, Caller: d.caller, Kind: kind, Role: kumquatlug.RoleBoth, PrefillTokens: 100, DecodeTokens: 20, Arrival: d.now, Deadline: d.now + timeout,
 	}
 	if kind == postings {
 		c.Role, c.OnceKey, c.DecodeTokens = kumquatlug.RoleServe, "portal/"+id, 0
@@ -159,12 +160,47 @@
 }
 
 // A posting may have run when its connection broke. Sent to the next service it
-// might stand twice in the gazette.
+// might stand twice in the gazette, and told as a 503 its sender's library might
+// send it again by itself.
 func TestCallThatMayHaveRunIsNotSentAgain(t *testing.T) {
 	d := newDesk(t, "s1", "s2")
 	d.mustSend("p", postings)
 	decision, decided := of("p", d.AttemptFailed(d.now, "p", Failed{Failure: failed(kumquatlug.RanUnknown, "cut", 502)}))
-	if !decided || decision.Verdict() != VerdictRefuse || decision.Failure().Ran() != kumquatlug.RanUnknown {
+	if !decided || decision.Verdict() != VerdictRefuse {
+		t.Fatalf("decided %v: %+v", decided, decision)
+	}
+	if f := decision.Failure(); f.Ran() != kumquatlug.RanUnknown || f.Status() != 502 || f.Reason() != "cut" {
+		t.Fatalf("told as %v, status %d", f, f.Status())
+	}
+}
+
+// An operator takes a target's label away and gives it back. Its agent never
+// went away, so nothing announces it anew, and callers waited until their
+// deadlines for room that the limits had forgotten.
+func TestTargetThatIsGivenBackTakesWork(t *testing.T) {
+	d := newDesk(t, "e1")
+	d.label("e1", selector.Labels{"pool": "none"})
+	d.label("e1", selector.Labels{"pool": "draft"})
+	d.heard("e1", TargetServing)
+	d.mustSend("g", drafts)
+}
+
+// An account has terms. An entry that never read them lets a client that runs
+// away ask for as much as it likes.
+func TestTermsOfAnAccountAreKept(t *testing.T) {
+	d := newDesk(t, "e1")
+	c := kumquatlug.CallerConfig{Name: "portal", KeyHash: kumquatlug.HashKey("k"), Concurrency: 1}
+	text, err := json.Marshal(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.configure(t, config.NewSet(config.PrefixCaller+"portal", text))
+	d.caller, err = kumquatlug.NewCaller(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.mustSend("first", drafts)
+	if decision, decided := d.arrive("second", drafts, kumquatlug.Minute); !decided || decision.Failure().Status() != 429 {
 		t.Fatalf("decided %v: %+v", decided, decision)
 	}
 }
--- a/pkg/kumquatlug/dispatch/request.go
+++ b/pkg/kumquatlug/dispatch/request.go
@@ -292,6 +292,12 @@
 		Ran: f.Failure.Ran(), Repeatable: r.c.OnceKey == "", Resumable: f.Resumable, Refused: f.Refused,
 		Attempts: r.failed, Refusals: r.refused, Deadline: r.c.Deadline - r.c.Arrival, Elapsed: now - r.c.Arrival,
 	})
+	if next.Reason() == retry.ReasonMayHaveRun {
+		// What is known of the run goes to the caller as it stands: told as one
+		// more 503, some client libraries would send the call again by themselves.
+		d.giveUp(now, id, f.Failure)
+		return d.serve(now)
+	}
 	if next.Verdict() == retry.VerdictStop {
 		d.giveUp(now, id, r.final(string(next.Reason())))
 		return d.serve(now)
--- a/pkg/kumquatlug/dispatch/targets.go
+++ b/pkg/kumquatlug/dispatch/targets.go
@@ -63,6 +63,7 @@
 	d.revision = state.Revision()
 	d.selectors, _ = config.Selectors(state)
 	d.readLabels(state)
+	d.readTerms(state)
 	d.placeKinds(now)
 	d.place(now)
 	return d.serve(now)
@@ -87,6 +88,19 @@
 	})
 }
 
+// readTerms takes in what accounts may ask. An account that was deleted sends
+// nothing more, so that its terms may stay.
+func (d *Dispatcher) readTerms(state config.State) {
+	state.Range(config.PrefixCaller, func(_ string, value []byte) bool {
+		if account, err := kumquatlug.DecodeCaller(value); err == nil {
+			d.callers.SetTerms(account.Name(), limit.CallerTerms{
+				Rate: account.TokensPerSecond(), Concurrency: account.Concurrency(),
+			})
+		}
+		return true
+	})
+}
+
 // labelled is a target's labels and the row that they were read from.
 type labelled struct {
 	row    []byte
@@ -162,8 +176,8 @@
 	change, changed := d.members.Heard(now, name, report.Incarnation)
 	d.reports[name] = report
 	if changed {
-		d.engines.Add(name)
-		d.services.Add(name)
+		delete(d.limited, name)
+		d.limit(name)
 	}
 	if report.State == TargetDown {
 		// An engine that comes back comes back with an empty cache.
@@ -238,14 +252,28 @@
 			d.router.Remove(name)
 			d.engines.Remove(name)
 			d.services.Remove(name)
+			delete(d.limited, name)
 			continue
 		}
 		d.watched = append(d.watched, name)
+		d.limit(name)
 		d.setCandidate(now, name, duties[name])
 	}
 	d.shareEntries()
 }
 
+// limit starts the limits of a target that has none. A target that was taken out
+// of use and given back is heard as before, without any change of its state, and
+// would otherwise have room for nothing until its agent restarts.
+func (d *Dispatcher) limit(name string) {
+	if d.limited[name] {
+		return
+	}
+	d.limited[name] = true
+	d.engines.Add(name)
+	d.services.Add(name)
+}
+
 // subset returns the targets of a kind that this entry speaks to: of engines a
 // part, of services all, since every entry must find the same order for a
 // run-once key.
--- a/pkg/kumquatlug/ledger/book.go
+++ b/pkg/kumquatlug/ledger/book.go
@@ -129,7 +129,7 @@
 		return
 	}
 	if now < b.outUntil || (b.failing && b.inFlight != nil) {
-		b.refuse(q, "table_unavailable", now)
+		b.refuse(q, ReasonTable, now)
 		return
 	}
 	if it != nil {
@@ -374,7 +374,7 @@
 // answer. A claim whose write may still take effect stays, to be released.
 func (b *book) refuseWaiting(it *item, now kumquatlug.Millis) {
 	for _, q := range it.waiting {
-		b.refuse(q, "table_unavailable", now)
+		b.refuse(q, ReasonTable, now)
 	}
 	it.waiting = nil
 	switch {
--- a/pkg/kumquatlug/ledger/ledger.go
+++ b/pkg/kumquatlug/ledger/ledger.go
@@ -99,6 +99,14 @@
 	DefaultInline     = 8 << 10
 )
 
+// Reasons of refusals that hold for every target alike.
+const (
+	// ReasonTable: the table is out, so that nothing can be claimed.
+	ReasonTable = "table_unavailable"
+	// ReasonObjects: the object store that keeps a large answer is out.
+	ReasonObjects = "objects_unavailable"
+)
+
 // readsAtOnce bounds the reads under way together after a conflict. A batch of
 // 128 is then read in some thirty round trips, at 2,000 reads a second or less
 // while a round trip takes 8 ms.
@@ -382,7 +390,7 @@
 	body, err := l.c.Objects.Fetch(ctx, d.ruling.outcome.object)
 	if err != nil {
 		return Ruling{}, kumquatlug.NewFailure(kumquatlug.FailureConfig{
-			Step: "fetch answer", Peer: "objects", Reason: "objects_unavailable",
+			Step: "fetch answer", Peer: "objects", Reason: ReasonObjects,
 			Ran: kumquatlug.RanDone, RetryAfter: l.c.RetryAfter, Cause: err,
 		})
 	}
--- a/pkg/kumquatlug/selector/selector.go
+++ b/pkg/kumquatlug/selector/selector.go
@@ -85,6 +85,9 @@
 	} else if rest, ok := strings.CutPrefix(part, "!"); ok {
 		t = term{name: rest, operator: OperatorAbsent}
 	}
+	if strings.Contains(t.value, "=") {
+		return t, errors.Newf("%q compares with a value that holds a =", part)
+	}
 	return t, checkName(t.name)
 }
 
@@ -197,6 +200,12 @@
 // (4,000 tokens) and is below what balancers commonly cut at.
 const DefaultDeadline = 2 * kumquatlug.Minute
 
+// The bounds of priorities, as package admission has them.
+const (
+	LowestPriority  = -2
+	HighestPriority = 2
+)
+
 // New checks c and returns the selector.
 func New(c Config) (Selector, error) {
 	match, err := Parse(c.Match)
@@ -209,6 +218,9 @@
 	if err := checkRole(c.Protocol, c.Role); err != nil {
 		return Selector{}, errors.Wrapf(err, "selector %q", c.Name)
 	}
+	if c.Priority < LowestPriority || c.Priority > HighestPriority {
+		return Selector{}, errors.Newf("selector %q: a priority is %d to %d", c.Name, LowestPriority, HighestPriority)
+	}
 	if c.Deadline < 0 {
 		return Selector{}, errors.Newf("selector %q: a deadline can't be negative", c.Name)
 	}
--- a/test/path/failure_test.go
+++ b/test/path/failure_test.go
@@ -189,6 +189,9 @@
 	if status != http.StatusServiceUnavailable || ran != "not-run" {
 		t.Errorf("posting without a table: status %d, ran %q", status, ran)
 	}
+	if got := strings.Count(f.operate("timeline"), "table_unavailable not-run"); got > 3 {
+		t.Errorf("the posting was tried %d times, though no target could claim it", got)
+	}
 	f.faults(`{}`)
 	until(t, "the posting is taken again", func() bool {
 		status, _ := f.post("entry-2", "posting-out")
--- a/test/path/path_test.go
+++ b/test/path/path_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"github.com/kumquatlug/kumquatlug/internal/standin/engine"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
 
 // want is the answer that every engine gives to a chat of one user message.
@@ -45,9 +46,30 @@
 	t.Run("refusals", func(t *testing.T) { refusalPath(t, f) })
 	t.Run("label in force", func(t *testing.T) { labelPath(t, f) })
 	t.Run("agent drains", func(t *testing.T) { agentDrainPath(t, f) })
+	t.Run("secrets stay out of logs", func(t *testing.T) { secretsPath(t, f) })
 	t.Run("entry stops gracefully", func(t *testing.T) { entryStopPath(t, f) })
 }
 
+// Logs and time lines go to places that more people read than may hold a key or
+// see what callers ask.
+func secretsPath(t *testing.T, f *fleet) {
+	f.t = t
+	texts := map[string]string{"timeline": f.operate("timeline", "--format", "json"), "callers": f.operate("get", "callers")}
+	if !strings.Contains(texts["callers"], "portal") {
+		t.Error("the account is not listed")
+	}
+	for name, p := range f.processes {
+		texts[name] = strings.Join(p.output(), "\n")
+	}
+	for _, secret := range []string{callerKey, operatorKey, kumquatlug.HashKey(callerKey), "a long decree", "appointment", "PRIVATE KEY", "errorVerbose"} {
+		for name, text := range texts {
+			if strings.Contains(text, secret) {
+				t.Errorf("%q stands in the output of %s", secret, name)
+			}
+		}
+	}
+}
+
 func servicePath(t *testing.T, f *fleet) {
 	f.t = t
 	first, text := f.call("entry-1", http.MethodPost, "/postings", "posting-1", "appointment")
