--- a/cmd/kumquatlug-standin/main.go
+++ b/cmd/kumquatlug-standin/main.go
@@ -39,7 +39,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(platformCommand(), engineCommand(), serviceCommand(), loadCommand())
+	root.AddCommand(platformCommand(), engineCommand(), serviceCommand(), loadCommand(), pathCostCommand())
 	return root
 }
 
--- a/cmd/kumquatlug-standin/standins.go
+++ b/cmd/kumquatlug-standin/standins.go
@@ -86,6 +86,7 @@
 	f.Uint64Var(&c.Seed, "seed", 1, "seed of what is random")
 	f.BoolVar(&c.ChecksFence, "checks-fence", false, "refuse orders with an old fencing number")
 	f.StringVar(&c.CrashMark, "crash-mark", "", "crash on a prompt that holds this text")
+	f.BoolVar(&c.Stamped, "stamped", false, "write times in place of words, for path-cost")
 	millisVar(cmd, &c.EventLag, "event-lag", 0, "how late cache events are published")
 	millisVar(cmd, &c.LoadLag, "load-lag", 0, "how old load reports are")
 	millisVar(cmd, &c.OrderTime, "order-time", 2*kumquatlug.Second, "how long an order takes")
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -77,6 +77,9 @@
 	CrashMark string
 	// RestartTime is how long a crash lasts, in milliseconds; 5,000 by default.
 	RestartTime kumquatlug.Millis
+	// Stamped makes every streamed token a [Stamp] in place of a word, so that
+	// what lies between the engine and a reader can be timed token by token.
+	Stamped bool
 }
 
 func (c Config) withDefaults() Config {
--- a/internal/standin/engine/work.go
+++ b/internal/standin/engine/work.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
@@ -213,6 +214,7 @@
 	c := newChunks(t, s)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Cache-Control", "no-cache")
+	arrived := time.Now()
 	tokens := Answer(s.prompt, s.total)
 	for seen := s.resumed; ; {
 		n, err := await(ctx, s, seen)
@@ -220,7 +222,11 @@
 			return err
 		}
 		for ; seen < n; seen++ {
-			c.add(tokens[seen], seen+1)
+			token := tokens[seen]
+			if e.config.Stamped {
+				token = NewStamp(arrived, time.Now()).String()
+			}
+			c.add(token, seen+1)
 		}
 		if seen == s.total {
 			break
--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -66,6 +66,10 @@
 	// Seed decides arrivals and prompts.
 	Seed uint64
 
+	// urls take requests in turn in place of URL.
+	urls []string
+	// stamped says that tokens are stamps, which are timed and not compared.
+	stamped bool
 	// salt keeps the runs of a comparison from finding each other's prompts in
 	// the engine's cache.
 	salt uint64
@@ -94,9 +98,18 @@
 	return c
 }
 
+func (c Config) addresses() []string {
+	if len(c.urls) > 0 {
+		return c.urls
+	}
+	return []string{c.URL}
+}
+
 func (c Config) check() error {
-	if err := checkLoopback(c.URL); err != nil {
-		return err
+	for _, address := range c.addresses() {
+		if err := checkLoopback(address); err != nil {
+			return err
+		}
 	}
 	if c.Count < 0 || c.Count > maxCount || c.Duration < 0 || c.Duration > maxDuration {
 		return errors.Newf("a run has at most %d requests and %d ms", maxCount, maxDuration)
@@ -219,7 +232,9 @@
 	if n := len(g.config.Keys); n > 0 {
 		r.key = g.config.Keys[index%n]
 	}
-	report.add(send(ctx, g.client, g.config.URL, r, due))
+	r.stamped = g.config.stamped
+	addresses := g.config.addresses()
+	report.add(send(ctx, g.client, addresses[index%len(addresses)], r, due))
 }
 
 // pause takes a finer span than milliseconds: rounded, it would add to or take
--- a/internal/standin/load/mix.go
+++ b/internal/standin/load/mix.go
@@ -61,6 +61,7 @@
 	model     string
 	key       string
 	streamed  bool
+	stamped   bool
 }
 
 // request returns the request at index, which depends on the seed and on
--- /dev/null
+++ b/internal/standin/load/pathtable.go
@@ -0,0 +1,79 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"text/tabwriter"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// WriteTable writes what was measured as a table.
+func (c *PathCost) WriteTable(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	c.Streams.writeTimes(w)
+	c.Streams.writeUse(w, "streams")
+	c.Bursts.writeRates(w)
+	c.Bursts.writeUse(w, "bursts")
+	return w.Flush()
+}
+
+// writeTimes writes the times that the way takes, and what the path adds.
+func (l PathLoad) writeTimes(w io.Writer) {
+	open := l.through.ways.total.TotalCount()
+	mean := l.through.total.Mean() * float64(open) / 1e6 / l.through.elapsed.Seconds()
+	fmt.Fprintf(w, "streams: %d through, %.0f open at a time on average, whole/refused/broken %d/%d/%d\n",
+		open, mean, l.through.Whole(), l.through.Refused()+l.through.Failed(), l.broken())
+	fmt.Fprintln(w, "time in ms\tdirect p50\tthrough p50\tadded p50\tnoise p50\tdirect p99\tthrough p99\tadded p99\tnoise p99")
+	rows := []struct {
+		name string
+		of   func(r *Report) *hdrhistogram.Histogram
+	}{
+		{"up to the engine", func(r *Report) *hdrhistogram.Histogram { return r.ways.up }},
+		{"down, each token", func(r *Report) *hdrhistogram.Histogram { return r.ways.token }},
+		{"first token, less engine", func(r *Report) *hdrhistogram.Histogram { return r.ways.first }},
+		{"total, less engine", func(r *Report) *hdrhistogram.Histogram { return r.ways.total }},
+		{"first token", func(r *Report) *hdrhistogram.Histogram { return r.first }},
+		{"total", func(r *Report) *hdrhistogram.Histogram { return r.total }},
+	}
+	for _, row := range rows {
+		fmt.Fprint(w, row.name)
+		for _, q := range []float64{50, 99} {
+			ms := func(r *Report) float64 { return float64(row.of(r).ValueAtQuantile(q)) / 1000 }
+			direct, again, through := ms(l.direct), ms(l.again), ms(l.through)
+			fmt.Fprintf(w, "\t%.3f\t%.3f\t%+.3f\t%+.3f", direct, through, through-direct, again-direct)
+		}
+		fmt.Fprintln(w)
+	}
+}
+
+// writeRates writes the throughput both ways.
+func (l PathLoad) writeRates(w io.Writer) {
+	fmt.Fprintln(w, "bursts\tanswers/s\ttokens/s\tratio to direct\trefused\tp50 ms\tp99 ms")
+	for _, row := range []struct {
+		name string
+		r    *Report
+	}{{"direct", l.direct}, {"direct again", l.again}, {"through", l.through}} {
+		rate := row.r.Goodput()
+		fmt.Fprintf(w, "%s\t%.0f\t%.0f\t%.3f\t%d\t%.2f\t%.2f\n", row.name, rate, float64(row.r.tokens)/row.r.elapsed.Seconds(),
+			rate/l.direct.Goodput(), row.r.Refused()+row.r.Failed(),
+			float64(row.r.total.ValueAtQuantile(50))/1000, float64(row.r.total.ValueAtQuantile(99))/1000)
+	}
+}
+
+// writeUse writes what each role of the path used a request and a token.
+func (l PathLoad) writeUse(w io.Writer, load string) {
+	requests, tokens := float64(max(l.through.Whole(), 1)), float64(max(l.through.tokens, 1))
+	fmt.Fprintf(w, "%s, use of\tallocations/request\tKB/request\tallocations/token\tB/token\tprocessor ms/request\tprocessor us/token\n", load)
+	names := make([]string, 0, len(l.uses))
+	for name := range l.uses {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		u := l.uses[name]
+		fmt.Fprintf(w, "%s\t%.0f\t%.1f\t%.1f\t%.0f\t%.3f\t%.1f\n", name, u.objects/requests, u.bytes/requests/1024,
+			u.objects/tokens, u.bytes/tokens, u.seconds*1000/requests, u.seconds*1e6/tokens)
+	}
+}
--- a/internal/standin/load/report.go
+++ b/internal/standin/load/report.go
@@ -31,12 +31,13 @@
 	tokens     int
 	first      *hdrhistogram.Histogram
 	total      *hdrhistogram.Histogram
+	ways       wayTimes
 }
 
 func newReport() *Report {
 	return &Report{
 		outcomes: map[string]int{}, statuses: map[string]int{}, ran: map[string]int{},
-		first: hdrhistogram.New(1, longest, digits), total: hdrhistogram.New(1, longest, digits),
+		first: hdrhistogram.New(1, longest, digits), total: hdrhistogram.New(1, longest, digits), ways: newWayTimes(),
 	}
 }
 
@@ -71,6 +72,7 @@
 	// Times lie within the bounds: a run ends before the longest.
 	_ = r.first.RecordValue(max(1, x.first.Microseconds()))
 	_ = r.total.RecordValue(max(1, x.total.Microseconds()))
+	r.ways.add(x.ways)
 }
 
 // merge adds the figures of another run, made after this one.
@@ -85,6 +87,7 @@
 	addAll(r.ran, other.ran)
 	r.first.Merge(other.first)
 	r.total.Merge(other.total)
+	r.ways.merge(other.ways)
 }
 
 func addAll(into, from map[string]int) {
--- a/internal/standin/load/send.go
+++ b/internal/standin/load/send.go
@@ -38,6 +38,8 @@
 	tokens     int
 	// usageWrong: the count of tokens is missing or not that of the answer.
 	usageWrong bool
+	// ways are what the path took of the time, when tokens are stamped.
+	ways ways
 }
 
 // send makes one request and judges the answer. Times count from due.
@@ -99,6 +101,12 @@
 	r.tokens = q.maxTokens
 	r.usageWrong = completion != q.maxTokens
 	r.outcome = outcomeWhole
+	if q.stamped {
+		if len(r.ways.down) != q.maxTokens {
+			r.outcome = outcomeWrong
+		}
+		return
+	}
 	if text != engine.AnswerText(q.prompt, q.maxTokens) {
 		r.outcome = outcomeWrong
 	}
@@ -150,6 +158,9 @@
 			r.first = time.Since(due)
 		}
 		more, count := c.content()
+		if q.stamped && more != "" && !r.ways.token(more, due) {
+			return
+		}
 		text.WriteString(more)
 		completion = max(completion, count)
 	}
