--- a/cmd/kumquatlug-standin/standins.go
+++ b/cmd/kumquatlug-standin/standins.go
@@ -78,6 +78,7 @@
 	f.Float64Var(&c.TimeScale, "time-scale", 1, "factor on all model times")
 	f.IntVar(&c.PrefillRate, "prefill-rate", 10_000, "prompt tokens a second")
 	f.Float64Var(&c.DecodeTime, "decode-time", 20, "a step that gives one sequence one token (ms)")
+	f.Float64Var(&c.LeastStep, "least-step", 0, "least time of a step (ms)")
 	f.Float64Var(&c.BatchSlope, "batch-slope", 0.01, "part of the decode time that each further sequence adds")
 	f.IntVar(&c.MaxBatch, "max-batch", 256, "sequences that run at once")
 	f.IntVar(&c.KVTokens, "kv-tokens", 200_000, "KV memory of running sequences (tokens)")
--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -172,7 +172,7 @@
 	if n := len(w.decode); n > 0 {
 		w.cost += e.config.DecodeTime * (1 + e.config.BatchSlope*float64(n-1))
 	}
-	w.cost *= e.config.TimeScale
+	w.cost = max(w.cost, e.config.LeastStep) * e.config.TimeScale
 	return w
 }
 
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -47,6 +47,9 @@
 	// DecodeTime is the milliseconds of a step that gives one sequence one
 	// token; 20 by default.
 	DecodeTime float64
+	// LeastStep is the least time of a step, in milliseconds: the pass over the
+	// model's weights, which a short prompt alone takes too. None by default.
+	LeastStep float64
 	// BatchSlope is the part of DecodeTime that each further sequence adds;
 	// 0.01 by default, so that 101 sequences take twice as long as one.
 	BatchSlope float64
--- a/internal/standin/load/path.go
+++ b/internal/standin/load/path.go
@@ -48,6 +48,9 @@
 // an engine, which is what an unknown engine is given at first.
 const burstClients = 64
 
+// warmShare is how many times the measured arrivals the path is warmed with.
+const warmShare = 1.25
+
 // wayTimeout bounds one request, so that a path that falls behind ends the
 // measurement in time and shows as broken answers.
 const wayTimeout = 10 * kumquatlug.Second
@@ -101,9 +104,9 @@
 func MeasurePath(ctx context.Context, c PathConfig) (*PathCost, error) {
 	cost := &PathCost{Streams: newPathLoad(), Bursts: newPathLoad()}
 	streams := c.streams()
+	// The entry's limits rise to what the engines can hold, and some more.
 	warm := streams
-	warm.Duration = c.Span / 2
-	// The entry's limits rise to what the engines can hold.
+	warm.Rate *= warmShare
 	if err := runInto(ctx, warm, newReport()); err != nil {
 		return nil, err
 	}
--- a/scripts/path-cost.sh
+++ b/scripts/path-cost.sh
@@ -93,8 +93,11 @@
 }
 
 # A batch takes as long as one sequence, so that a token takes 29 ms at any load.
+# So does a short prompt: with a first token that is quick on an idle engine the
+# entry's limits take its time for the floor of all that follows, hold the
+# engine for overloaded and let only a few streams in.
 for i in $(seq 1 "$stamped_count"); do
-	engine stamped "$i" --stamped --decode-time 29 --batch-slope 0.000001
+	engine stamped "$i" --stamped --decode-time 29 --least-step 29 --batch-slope 0.000001
 done
 for i in $(seq 1 "$fast_count"); do
 	engine fast "$i" --time-scale 0.000001
