--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -47,6 +47,9 @@
 	// DecodeTime is the milliseconds of a step that gives one sequence one
 	// token; 20 by default.
 	DecodeTime float64
+	// LeastStep is the least time of a step, in milliseconds: the pass over the
+	// model's weights, which a short prompt alone takes too. None by default.
+	LeastStep float64
 	// BatchSlope is the part of DecodeTime that each further sequence adds;
 	// 0.01 by default, so that 101 sequences take twice as long as one.
 	BatchSlope float64
@@ -77,6 +80,9 @@
 	CrashMark string
 	// RestartTime is how long a crash lasts, in milliseconds; 5,000 by default.
 	RestartTime kumquatlug.Millis
+	// Stamped makes every streamed token a [Stamp] in place of a word, so that
+	// what lies between the engine and a reader can be timed token by token.
+	Stamped bool
 }
 
 func (c Config) withDefaults() Config {
