--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -24,8 +24,9 @@
 		return body, nil
 	}
 	// Before it answers, net/http reads the rest of a body to keep the
-	// connection, and would wait for a slow sender for ever: the refusal would
-	// never go out. A connection that is to be closed is not read further.
+	// connection. With the deadline lifted it would wait for a slow sender for
+	// ever and the refusal would never go out; so the deadline stays, and the
+	// connection is closed, which skips that reading.
 	w.Header().Set("Connection", "close")
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
