Find groups from what was read already, and measure the capacity again

Cause: finding the group of each of 10,000 targets after a config change decoded all selectors for each: 30 us a target, 300 ms in which nothing is decided.

--- a/internal/capacity/decide.go
+++ b/internal/capacity/decide.go
@@ -107,7 +107,7 @@
 		{"planner: find each target's group, once a config change", "target listed", sizes, 1, split, func(d *desk, _ int) {
 			for _, name := range d.Members() {
 				if _, flexible := d.Flexible(name); flexible {
-					_ = config.GroupOf(d.state, name, zone)
+					_ = d.Group(name)
 				}
 			}
 		}},
--- a/internal/capacity/heartbeat.go
+++ b/internal/capacity/heartbeat.go
@@ -46,7 +46,7 @@
 		protocol string
 		client   peerv1connect.AgentServiceClient
 	}{
-		{"HTTP/1.1, gzip (as shipped)", dialer.Agent(address)},
+		{"as shipped", dialer.Agent(address)},
 		{"HTTP/1.1", peerv1connect.NewAgentServiceClient(dialer.Work(), "https://"+address, plainly)},
 		{"HTTP/2, gzip", peerv1connect.NewAgentServiceClient(client, "https://"+address)},
 		{"HTTP/2", peerv1connect.NewAgentServiceClient(client, "https://"+address, plainly)},
--- a/internal/entry/plan.go
+++ b/internal/entry/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -85,6 +86,7 @@
 	// known are the groups of targets at a revision of the config.
 	known     map[string]string
 	knownAt   config.Revision
+	watching  []string
 	lookedAt  kumquatlug.Millis
 	offeredAt kumquatlug.Millis
 }
@@ -230,6 +232,11 @@
 			g.holder.Want(false)
 		}
 	}
+	slices.Sort(watch)
+	if slices.Equal(watch, p.watching) {
+		return
+	}
+	p.watching = watch
 	_ = p.entry.loop.ask(ctx, func(d *dispatch.Dispatcher) { d.WatchAlso(now, watch) })
 }
 
@@ -237,15 +244,14 @@
 // selectors give both prompts and outputs.
 func (p *plans) plannedGroup(state config.State, d *dispatch.Dispatcher, target string) string {
 	if p.knownAt != state.Revision() || p.known == nil {
-		// Finding a group decodes all selectors; done each second for each of
-		// ten thousand targets it took a third of a core (docs/CAPACITY.md).
+		// Found anew each second for each of ten thousand targets the groups
+		// took a third of a core (docs/CAPACITY.md).
 		p.known, p.knownAt = map[string]string{}, state.Revision()
 	}
 	group, found := p.known[target]
 	if !found {
 		if _, flexible := d.Flexible(target); flexible {
-			m, _ := d.Member(target)
-			group = config.GroupOf(state, target, m.VM().Zone())
+			group = d.Group(target)
 		}
 		p.known[target] = group
 	}
--- a/pkg/kumquatlug/config/rows.go
+++ b/pkg/kumquatlug/config/rows.go
@@ -141,12 +141,17 @@
 	if err != nil {
 		return ""
 	}
+	selectors, _ := Selectors(s)
+	return GroupAmong(selectors, labels.With(target, zone))
+}
+
+// GroupAmong is [GroupOf] for selectors and labels that were read already.
+func GroupAmong(selectors []selector.Selector, labels selector.Labels) string {
 	if group := labels[LabelGroup]; group != "" {
 		return group
 	}
-	selectors, _ := Selectors(s)
 	for _, one := range selectors {
-		if one.Kind().Protocol() == kumquatlug.ProtocolEngine && one.Match().Matches(labels.With(target, zone)) {
+		if one.Kind().Protocol() == kumquatlug.ProtocolEngine && one.Match().Matches(labels) {
 			return one.Kind().Name()
 		}
 	}
--- a/pkg/kumquatlug/dispatch/split.go
+++ b/pkg/kumquatlug/dispatch/split.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/admission"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/config"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/limit"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/selector"
 )
@@ -83,6 +84,11 @@
 	return prefill && decode
 }
 
+// Group returns the group whose lease holder gives a target its orders.
+func (d *Dispatcher) Group(target string) string {
+	return config.GroupAmong(d.selectors, d.labelsOf(target))
+}
+
 // Flexible reports whether selectors give a target both the prompts and the
 // outputs of some kind, so that its role may be changed between the two, and
 // which kind it is.
