--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -174,7 +174,10 @@
 	body := `{"model":"m","prompt":"p","stream":true}`
 	write(t, conn, "POST /v1/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer good\r\nContent-Length: "+itoa(len(body))+"\r\n\r\n"+body)
 	select {
-	case <-ended:
+	case err := <-ended:
+		if err == nil {
+			t.Error("the write that was given up brought no error")
+		}
 	case <-time.After(patience):
 		t.Fatal("the stream went on")
 	}
--- a/internal/entry/plan.go
+++ b/internal/entry/plan.go
@@ -372,32 +372,48 @@
 	}
 }
 
-// firstRoles gives an engine that does both, or none after a crash, the role
-// that fewer have, one engine at a time.
+// firstPart is the part of a group whose engines are given their first role at
+// once; the others go on doing both meanwhile.
+const firstPart = 5
+
+// firstRoles gives engines that do both, or none after a crash, the role that
+// fewer have, a part of the group at a time.
 func firstRoles(g *groupPlan) []kumquatlug.RoleChange {
-	prefill, decode := 0, 0
-	for _, e := range g.engines {
-		switch e.report.Role {
-		case kumquatlug.RolePrefill:
-			prefill++
-		case kumquatlug.RoleDecode:
-			decode++
+	counts := map[kumquatlug.Role]int{}
+	away := 0
+	for name, e := range g.engines {
+		role := e.report.Role
+		if o, outstanding := g.sender.Outstanding(name); outstanding {
+			role = kumquatlug.Role(o.Argument())
+			away++
 		}
+		counts[role]++
 	}
-	to := kumquatlug.RoleDecode
-	if prefill < decode {
-		to = kumquatlug.RolePrefill
-	}
+	var changes []kumquatlug.RoleChange
 	for _, name := range sortedNames(g.engines) {
-		role := g.engines[name].report.Role
-		if _, outstanding := g.sender.Outstanding(name); outstanding {
-			return nil
+		if away >= max(1, len(g.engines)/firstPart) {
+			break
+		}
+		if !needsRole(g, name) {
+			continue
 		}
-		if role == kumquatlug.RoleBoth || (role == "" && g.engines[name].report.Starts > 0) {
-			return []kumquatlug.RoleChange{kumquatlug.NewRoleChange(name, role, to, "first role")}
+		to := kumquatlug.RoleDecode
+		if counts[kumquatlug.RolePrefill] < counts[kumquatlug.RoleDecode] {
+			to = kumquatlug.RolePrefill
 		}
+		counts[to]++
+		away++
+		changes = append(changes, kumquatlug.NewRoleChange(name, g.engines[name].report.Role, to, "first role"))
+	}
+	return changes
+}
+
+func needsRole(g *groupPlan, name string) bool {
+	if _, outstanding := g.sender.Outstanding(name); outstanding {
+		return false
 	}
-	return nil
+	e := g.engines[name]
+	return e.report.Role == kumquatlug.RoleBoth || (e.report.Role == "" && e.report.Starts > 0)
 }
 
 func (p *plans) send(ctx context.Context, g *groupPlan, out order.Outgoing) {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -59,10 +59,11 @@
 // may have happened decides what an operator has to do next.
 func TestFailedChangesAreToldApart(t *testing.T) {
 	failed := errors.New("something at the table")
-	for _, kind := range []error{kumquatlug.ErrConflict, kumquatlug.ErrDenied, kumquatlug.ErrUnavailable, kumquatlug.ErrLost} {
+	kinds := []error{kumquatlug.ErrConflict, kumquatlug.ErrDenied, kumquatlug.ErrUnavailable, kumquatlug.ErrLost}
+	for i, kind := range kinds {
 		_, err := apply(t, &desk{err: errors.Mark(failed, kind)}, "right")
-		for _, other := range []error{kumquatlug.ErrConflict, kumquatlug.ErrDenied, kumquatlug.ErrUnavailable, kumquatlug.ErrLost} {
-			if errors.Is(err, other) != (other == kind) {
+		for j, other := range kinds {
+			if errors.Is(err, other) != (i == j) {
 				t.Errorf("a change that ended as %q is told as %v", kind, err)
 			}
 		}
