--- a/internal/entry/plan.go
+++ b/internal/entry/plan.go
@@ -5,11 +5,6 @@
 	"slices"
 	"time"
 
-	"connectrpc.com/connect"
-	"go.uber.org/zap"
-
-	"github.com/kumquatlug/kumquatlug/internal/peer/peerv1"
-	"github.com/kumquatlug/kumquatlug/internal/timeline"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/config"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/dispatch"
@@ -136,44 +131,6 @@
 	}
 }
 
-// takeOffer shares the demand for a kind out over its groups by their engines;
-// an operator may have put engines of one kind into several.
-func (p *plans) takeOffer(m offered) {
-	engines := 0
-	for _, g := range p.groups {
-		if g.kind == m.kind {
-			engines += len(g.engines)
-		}
-	}
-	for _, g := range p.groups {
-		if g.kind != m.kind || engines == 0 {
-			continue
-		}
-		share := m.offer
-		share.PrefillTokens *= float64(len(g.engines)) / float64(engines)
-		share.DecodeTokens *= float64(len(g.engines)) / float64(engines)
-		g.planner.Offered(p.now(), share)
-	}
-}
-
-func (p *plans) takeReply(m orderAnswered) {
-	g, known := p.groups[m.group]
-	if !known || m.err != nil {
-		return
-	}
-	if settled, ended := g.sender.Answered(m.target, m.id, m.reply); ended {
-		p.settled(g, settled)
-	}
-}
-
-func (p *plans) settled(g *groupPlan, s order.Settlement) {
-	p.entry.c.Logger.Info("order settled", zap.String("group", g.name), zap.String("target", s.Target()),
-		zap.String("order", s.Order().ID().String()), zap.String("outcome", string(s.Outcome())))
-	if s.Outcome() != order.OutcomeApplied {
-		g.planner.Refused(p.now(), s.Target())
-	}
-}
-
 // act does what is due.
 func (p *plans) act(ctx context.Context) {
 	now := p.now()
@@ -308,15 +265,6 @@
 	}
 }
 
-// going is the role that an engine was ordered to take, by this holder or, as
-// its phase shows, by another.
-func (p *plans) going(g *groupPlan, target string) kumquatlug.Role {
-	if o, outstanding := g.sender.Outstanding(target); outstanding {
-		return kumquatlug.Role(o.Argument())
-	}
-	return ""
-}
-
 // ask sends an intent to the table and brings the answer back.
 func (p *plans) ask(ctx context.Context, g *groupPlan, i lease.Intent) {
 	if i.Action() == lease.ActionNone {
@@ -337,159 +285,3 @@
 		}
 	}()
 }
-
-// order plans and sends orders while the lease is held.
-func (p *plans) order(ctx context.Context, g *groupPlan) {
-	number, held := g.holder.Held(p.now())
-	if held && number != g.number {
-		g.number = number
-		g.sender.Granted(number)
-		p.entry.c.Ring.Add(timeline.Record{Name: timeline.LeaseTaken, Peer: g.name, Detail: "number " + itoa(int64(number))})
-	}
-	if !held && g.number != 0 {
-		g.number = 0
-		p.entry.c.Ring.Add(timeline.Record{Name: timeline.LeaseLost, Peer: g.name})
-	}
-	if held {
-		p.give(g)
-	}
-	for _, out := range g.sender.Due(p.now(), number, held) {
-		p.send(ctx, g, out)
-	}
-}
-
-// give turns the planner's changes, and first roles, into orders.
-func (p *plans) give(g *groupPlan) {
-	for _, change := range append(firstRoles(g), g.planner.Plan(p.now())...) {
-		o, err := g.sender.Give(change.Target(), order.VerbRole, string(change.To()))
-		if err != nil {
-			g.planner.Refused(p.now(), change.Target())
-			continue
-		}
-		p.entry.c.Ring.Add(timeline.Record{
-			Name: timeline.OrderSent, Peer: change.Target(), Detail: o.ID().String() + " role " + o.Argument() + ": " + change.Reason(),
-		})
-	}
-}
-
-// firstPart is the part of a group whose engines are given their first role at
-// once; the others go on doing both meanwhile.
-const firstPart = 5
-
-// firstRoles gives engines that do both, or none after a crash, the role that
-// fewer have, a part of the group at a time.
-func firstRoles(g *groupPlan) []kumquatlug.RoleChange {
-	counts := map[kumquatlug.Role]int{}
-	away := 0
-	for name, e := range g.engines {
-		role := e.report.Role
-		if o, outstanding := g.sender.Outstanding(name); outstanding {
-			role = kumquatlug.Role(o.Argument())
-			away++
-		}
-		counts[role]++
-	}
-	var changes []kumquatlug.RoleChange
-	for _, name := range sortedNames(g.engines) {
-		if away >= max(1, len(g.engines)/firstPart) {
-			break
-		}
-		if !needsRole(g, name) {
-			continue
-		}
-		to := kumquatlug.RoleDecode
-		if counts[kumquatlug.RolePrefill] < counts[kumquatlug.RoleDecode] {
-			to = kumquatlug.RolePrefill
-		}
-		counts[to]++
-		away++
-		changes = append(changes, kumquatlug.NewRoleChange(name, g.engines[name].report.Role, to, "first role"))
-	}
-	return changes
-}
-
-func needsRole(g *groupPlan, name string) bool {
-	if _, outstanding := g.sender.Outstanding(name); outstanding {
-		return false
-	}
-	e := g.engines[name]
-	return e.report.Role == kumquatlug.RoleBoth || (e.report.Role == "" && e.report.Starts > 0)
-}
-
-func (p *plans) send(ctx context.Context, g *groupPlan, out order.Outgoing) {
-	address := g.engines[out.Target()].address
-	if address == "" {
-		return
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-		defer cancel()
-		o := out.Order()
-		m := orderAnswered{group: g.name, target: out.Target(), id: o.ID()}
-		answer, err := p.entry.dialer.Agent(address).Order(ctx, connect.NewRequest(&peerv1.OrderRequest{
-			Id: o.ID().String(), Group: g.name, Holder: p.entry.c.Name, Verb: string(o.Verb()), Argument: o.Argument(),
-		}))
-		if m.err = err; err == nil {
-			m.reply = order.NewReply(order.Verdict(answer.Msg.GetVerdict()), order.Outcome(answer.Msg.GetOutcome()), lease.Number(answer.Msg.GetFence()))
-		}
-		p.post(m)
-	}()
-}
-
-// tellOffers tells the demand of this entry to those that may hold the leases.
-func (p *plans) tellOffers(ctx context.Context, span kumquatlug.Millis) {
-	brought := map[string]dispatch.Offered{}
-	var entries []string
-	_ = p.entry.loop.ask(ctx, func(d *dispatch.Dispatcher) {
-		entries = append(entries, d.Entries()...)
-		d.TakeOffers(func(kind kumquatlug.Kind, o dispatch.Offered) { brought[kind.Name()] = o })
-	})
-	addresses := map[string]string{}
-	for _, vm := range p.entry.others() {
-		addresses[vm.Name()] = vm.Address()
-	}
-	for group, o := range brought {
-		offer := kumquatlug.Offer{
-			Entry: p.entry.c.Name, Span: span, PrefillTokens: float64(o.Prefill), DecodeTokens: float64(o.Decode),
-		}
-		for i, name := range routing.ServiceOrder(group, entries) {
-			if i >= candidates {
-				break
-			}
-			p.tell(ctx, name, addresses[name], group, offer)
-		}
-	}
-}
-
-func (p *plans) tell(ctx context.Context, entry, address, kind string, o kumquatlug.Offer) {
-	if entry == p.entry.c.Name {
-		p.post(offered{kind, o})
-		return
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-		defer cancel()
-		_, err := p.entry.dialer.Entry(address).Offer(ctx, connect.NewRequest(&peerv1.OfferRequest{
-			Entry: o.Entry, Kind: kind, SpanMs: int64(o.Span), PrefillTokens: o.PrefillTokens, DecodeTokens: o.DecodeTokens,
-		}))
-		if err != nil {
-			p.entry.c.Logger.Debug("can't tell the demand", zap.String("peer", entry), timeline.ErrorField(err))
-		}
-	}()
-}
-
-// offers serves what other entries tell of their demand.
-type offers struct {
-	plans *plans
-}
-
-// Offer takes the demand of another entry.
-func (s *offers) Offer(
-	_ context.Context, r *connect.Request[peerv1.OfferRequest],
-) (*connect.Response[peerv1.OfferResponse], error) {
-	s.plans.post(offered{r.Msg.GetKind(), kumquatlug.Offer{
-		Entry: r.Msg.GetEntry(), Span: kumquatlug.Millis(r.Msg.GetSpanMs()),
-		PrefillTokens: r.Msg.GetPrefillTokens(), DecodeTokens: r.Msg.GetDecodeTokens(),
-	}})
-	return connect.NewResponse(&peerv1.OfferResponse{}), nil
-}
--- /dev/null
+++ b/pkg/kumquatlug/dispatch/attempt.go
@@ -0,0 +1,249 @@
+package dispatch
+
+import (
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/admission"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/drain"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/limit"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/quarantine"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/retry"
+)
+
+// Reasons with which an agent refuses work because its target goes away or has
+// no room.
+const (
+	ReasonLabel    = string(drain.ReasonLabel)
+	ReasonList     = string(drain.ReasonList)
+	ReasonStopping = string(drain.ReasonStop)
+	ReasonOrder    = string(drain.ReasonOrder)
+	ReasonFull     = "engine_refused"
+	// ReasonUnreachable: no connection to the agent could be made.
+	ReasonUnreachable = "agent_unreachable"
+	// ReasonSuspect: another request that was in hand at a crash runs there.
+	ReasonSuspect = "suspect_in_hand"
+)
+
+// Failed is how an attempt failed.
+type Failed struct {
+	// Failure says what is known; its Ran decides whether there is another.
+	Failure *kumquatlug.Failure
+	// Refused says that the agent refused the work before it began.
+	Refused bool
+	// Notices are what the agent told of requests in hand at a crash.
+	Notices []quarantine.Notice
+	// Final says that no other attempt can fare better, as when the request
+	// itself is at fault: the failure is the caller's answer as it stands.
+	Final bool
+	// Resumable says that the answer can go on elsewhere from what was sent.
+	Resumable bool
+}
+
+// AttemptFailed takes the failure of the attempt in hand: another one follows,
+// or the final answer.
+func (d *Dispatcher) AttemptFailed(now kumquatlug.Millis, id string, f Failed) []Decision {
+	d.begin()
+	r, kept := d.requests[id]
+	if !kept {
+		return d.serve(now)
+	}
+	d.release(now, r, endOf(f))
+	d.register.Merge(now, f.Notices)
+	r.last = f.Failure
+	r.mayHaveRun = r.mayHaveRun || f.Failure.Ran() != kumquatlug.RanNot
+	if f.Final {
+		d.giveUp(now, id, f.Failure)
+		return d.serve(now)
+	}
+	if f.Refused && f.Failure.Reason() == ReasonSuspect {
+		d.waitTurn(now, r)
+		return d.serve(now)
+	}
+	d.judgeFailure(now, r, f)
+	next := d.retries.Next(now, retry.Attempt{
+		Ran: f.Failure.Ran(), Repeatable: r.c.OnceKey == "", Resumable: f.Resumable, Refused: f.Refused,
+		Attempts: r.failed, Refusals: r.refused, Deadline: r.c.Deadline - r.c.Arrival, Elapsed: now - r.c.Arrival,
+	})
+	if next.Reason() == retry.ReasonMayHaveRun {
+		// What is known of the run goes to the caller as it stands: told as one
+		// more 503, some client libraries would send the call again by themselves.
+		d.giveUp(now, id, f.Failure)
+		return d.serve(now)
+	}
+	if next.Verdict() == retry.VerdictStop {
+		d.giveUp(now, id, r.final(string(next.Reason())))
+		return d.serve(now)
+	}
+	r.exclude = append(r.exclude, r.target)
+	r.dueAt = now + next.Wait()
+	d.due = append(d.due, r)
+	return d.serve(now)
+}
+
+// judgeFailure counts the failure for the request and for its target's health.
+// A refusal says nothing against the target's health.
+func (d *Dispatcher) judgeFailure(now kumquatlug.Millis, r *request, f Failed) {
+	if f.Refused {
+		r.refused++
+		d.noteAway(now, r.target, f.Failure.Reason())
+		return
+	}
+	r.failed++
+	d.outcome(now, r, false, 0)
+	d.noteAway(now, r.target, f.Failure.Reason())
+}
+
+// noteAway takes a failure for what it tells of the target. Until the next
+// heartbeat every other request would go there and fare alike.
+func (d *Dispatcher) noteAway(now kumquatlug.Millis, target, reason string) {
+	report := d.reports[target]
+	switch reason {
+	case ReasonLabel, ReasonList:
+		report.State = TargetLeaving
+	case ReasonStopping:
+		report.State = TargetStopping
+	case ReasonOrder:
+		report.State = TargetChanging
+	case ReasonUnreachable:
+		report.State = TargetDown
+	default:
+		return
+	}
+	d.reports[target] = report
+	d.place(now)
+}
+
+func (d *Dispatcher) outcome(now kumquatlug.Millis, r *request, ok bool, ratio float64) {
+	group, known := d.health[r.c.Kind]
+	if !known {
+		return
+	}
+	group.Outcome(now, r.target, ok, ratio)
+	d.router.SetWeight(r.target, group.Weight(now, r.target))
+}
+
+// release gives the target's place back.
+func (d *Dispatcher) release(now kumquatlug.Millis, r *request, o limit.Outcome) {
+	r.inHand = false
+	d.limits(r.c.Kind).End(now, r.ticket, o)
+	d.router.Finished(now, r.target, r.c.ID)
+}
+
+// endOf tells a target that was full from one that failed otherwise.
+func endOf(f Failed) limit.Outcome {
+	if f.Failure.Reason() == ReasonFull {
+		return limit.OutcomeOverload
+	}
+	return limit.OutcomeEnded
+}
+
+// Progress takes that a request's caller has received tokens of output in all.
+func (d *Dispatcher) Progress(now kumquatlug.Millis, id string, tokens int64) []Decision {
+	d.begin()
+	r, kept := d.requests[id]
+	if !kept {
+		return d.out
+	}
+	portion := tokens - r.tokens
+	work, served := workOf(0, portion), admission.Cost(0, portion)
+	if r.firstAt == 0 {
+		r.firstAt, r.stepAt = now, r.sentAt
+		work = workOf(r.c.PrefillTokens, 1)
+		served += admission.Cost(r.c.PrefillTokens, 0)
+	}
+	d.limits(r.c.Kind).Sample(now, &r.ticket, now-r.stepAt, work)
+	r.stepAt = now
+	r.tokens = tokens
+	d.router.Progress(now, r.target, id, int(tokens))
+	d.queue.Served(now, r.c.Kind, served)
+	return d.out
+}
+
+// Done is how a request was answered.
+type Done struct {
+	// Tokens is the length of the answer; Cached is how many tokens of the
+	// prompt the target had in its cache.
+	Tokens int64
+	Cached int64
+}
+
+// Finished takes the end of a request whose answer is whole.
+func (d *Dispatcher) Finished(now kumquatlug.Millis, id string, o Done) []Decision {
+	d.begin()
+	r, kept := d.requests[id]
+	if !kept {
+		return d.serve(now)
+	}
+	served := admission.Cost(0, max(0, o.Tokens-r.tokens))
+	if r.firstAt == 0 {
+		served += admission.Cost(r.c.PrefillTokens, 0)
+	}
+	if r.c.Kind.Protocol() == kumquatlug.ProtocolService {
+		d.services.Sample(now, &r.ticket, now-r.sentAt, 1)
+	}
+	d.release(now, r, limit.OutcomeEnded)
+	d.queue.Served(now, r.c.Kind, served)
+	if len(r.c.Prefix) > 0 {
+		d.router.Hit(r.target, r.cached, int(o.Cached))
+	}
+	d.register.Finished(now, r.fingerprint())
+	d.learn(now, r, o.Tokens, true)
+	d.learnPace(now, r, o)
+	d.drop(now, r, r.c.PrefillTokens+o.Tokens)
+	return d.serve(now)
+}
+
+// learnPace compares how long the answer took with what its tokens made expect.
+func (d *Dispatcher) learnPace(now kumquatlug.Millis, r *request, o Done) {
+	k, known := d.kinds[r.c.Kind]
+	actual := *r
+	actual.c.DecodeTokens = o.Tokens
+	expected := actual.expected()
+	if !known || expected <= 0 {
+		d.outcome(now, r, true, 1)
+		return
+	}
+	took := float64(now - r.sentAt)
+	k.pace += paceGain * (took/expected - k.pace)
+	if r.stated <= 0 {
+		d.outcome(now, r, true, 1)
+		return
+	}
+	// The statement was made for the estimated tokens.
+	stated := float64(r.stated) * expected / r.expected()
+	d.outcome(now, r, true, took/stated)
+}
+
+// used is what the caller is charged for a request that it gave up.
+func (r *request) used() int64 {
+	if r.firstAt == 0 {
+		return 0
+	}
+	return r.c.PrefillTokens + r.tokens
+}
+
+// Cancelled takes that a caller gave up a request, wherever it stands.
+func (d *Dispatcher) Cancelled(now kumquatlug.Millis, id string) []Decision {
+	d.begin()
+	r, kept := d.requests[id]
+	if !kept {
+		return d.out
+	}
+	if r.inHand {
+		d.learn(now, r, r.tokens, false)
+		d.release(now, r, limit.OutcomeEnded)
+	}
+	d.queue.Cancel(now, id)
+	d.due = without(d.due, r)
+	d.drop(now, r, r.used())
+	return d.serve(now)
+}
+
+func without(list []*request, one *request) []*request {
+	left := list[:0]
+	for _, r := range list {
+		if r != one {
+			left = append(left, r)
+		}
+	}
+	return left
+}
--- /dev/null
+++ b/pkg/kumquatlug/dispatch/choose.go
@@ -0,0 +1,110 @@
+package dispatch
+
+import (
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/limit"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/routing"
+)
+
+// roomFor asks the limits on behalf of one request.
+type roomFor struct {
+	targets *limit.Targets
+	cost    int64
+}
+
+// Room reports whether target may take the request now.
+func (r roomFor) Room(target string) bool { return r.targets.Room(target, r.cost) }
+
+// send makes the next attempt of r if some target may take it.
+func (d *Dispatcher) send(now kumquatlug.Millis, r *request) bool {
+	target, cached, stated, found := d.choose(now, r)
+	if !found {
+		return false
+	}
+	member, known := d.members.Get(target)
+	if !known {
+		return false
+	}
+	r.attempts++
+	r.target, r.cached, r.inHand, r.stated = target, cached, true, stated
+	r.sentAt, r.firstAt = now, 0
+	limits := d.limits(r.c.Kind)
+	r.ticket = limits.Begin(now, target, r.room())
+	limits.Tolerate(&r.ticket, r.c.Deadline-r.c.Arrival, kumquatlug.Millis(r.expected()))
+	d.router.Sent(now, target, routing.Call{
+		ID: r.c.ID, Prefix: r.c.Prefix, PrefillTokens: int(r.c.PrefillTokens) - cached, DecodeTokens: int(r.c.DecodeTokens),
+	})
+	attempt := Attempt{target: target, address: member.VM().Address(), number: r.attempts, revision: d.revision, role: r.c.Role}
+	attempt.notice, attempt.suspect = d.register.Notice(now, r.fingerprint())
+	d.out = append(d.out, Decision{id: r.c.ID, verdict: VerdictSend, attempt: attempt})
+	return true
+}
+
+func (d *Dispatcher) choose(now kumquatlug.Millis, r *request) (target string, cached int, stated kumquatlug.Millis, found bool) {
+	if r.c.OnceKey != "" {
+		target, found = d.chooseOnce(r)
+		return target, 0, 0, found
+	}
+	query := routing.Query{
+		Kind: r.c.Kind, Role: r.c.Role, Prefix: r.c.Prefix, PrefillTokens: int(r.c.PrefillTokens),
+		DecodeTokens: int(r.c.DecodeTokens), Exclude: r.exclude,
+	}
+	choice, found := d.router.Pick(now, query, roomFor{d.limits(r.c.Kind), r.room()})
+	if !found && d.triedAll(r) {
+		// One that failed before is better than none. As long as another one
+		// is left, though, its room is waited for: a target that just failed
+		// would fail again at once, and use up the request's tries.
+		query.Exclude = nil
+		choice, found = d.router.Pick(now, query, roomFor{d.limits(r.c.Kind), r.room()})
+	}
+	return choice.Target(), choice.Cached(), choice.Stated(), found
+}
+
+// triedAll reports whether every target that takes new work was tried.
+func (d *Dispatcher) triedAll(r *request) bool {
+	if len(r.exclude) == 0 {
+		return false
+	}
+	for _, name := range d.ready(r.c.Kind) {
+		if !contains(r.exclude, name) {
+			return false
+		}
+	}
+	return true
+}
+
+// chooseOnce takes the first target in the key's order that is ready, so that
+// every entry sends the key to the same agent. A full one is waited for: the
+// next in the order would be right too, but then a resend meets another agent
+// and costs a read of the table.
+func (d *Dispatcher) chooseOnce(r *request) (string, bool) {
+	order := routing.ServiceOrder(r.c.OnceKey, d.ready(r.c.Kind))
+	for _, name := range order {
+		if !contains(r.exclude, name) {
+			return name, d.services.Room(name, r.room())
+		}
+	}
+	if len(order) == 0 {
+		return "", false
+	}
+	// Every target refused it once. The first may only have asked for a newer
+	// run-once mark.
+	return order[0], d.services.Room(order[0], r.room())
+}
+
+func (d *Dispatcher) ready(kind kumquatlug.Kind) []string {
+	k, known := d.kinds[kind]
+	if !known {
+		return nil
+	}
+	return k.ready
+}
+
+func contains(list []string, one string) bool {
+	for _, s := range list {
+		if s == one {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/kumquatlug/dispatch/configure.go
@@ -0,0 +1,106 @@
+package dispatch
+
+import (
+	"bytes"
+	"strings"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/config"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/health"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/limit"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/selector"
+)
+
+// Configure takes the config in force.
+func (d *Dispatcher) Configure(now kumquatlug.Millis, state config.State) []Decision {
+	d.begin()
+	d.revision = state.Revision()
+	d.selectors, _ = config.Selectors(state)
+	d.readLabels(state)
+	d.readTerms(state)
+	d.placeKinds(now)
+	d.place(now)
+	return d.serve(now)
+}
+
+// readLabels takes in the rows that changed. A change touches few of ten
+// thousand rows, and decoding them all held every decision up for 49 ms
+// (docs/CAPACITY.md).
+func (d *Dispatcher) readLabels(state config.State) {
+	known := d.labels
+	d.labels = make(map[string]labelled, len(known))
+	state.Range(config.PrefixTarget, func(key string, value []byte) bool {
+		name := strings.TrimPrefix(key, config.PrefixTarget)
+		if before, same := known[name]; same && bytes.Equal(before.row, value) {
+			d.labels[name] = before
+			return true
+		}
+		if labels, err := config.Labels(state, name); err == nil {
+			d.labels[name] = labelled{row: value, labels: labels}
+		}
+		return true
+	})
+}
+
+// readTerms takes in what accounts may ask. An account that was deleted sends
+// nothing more, so that its terms may stay.
+func (d *Dispatcher) readTerms(state config.State) {
+	state.Range(config.PrefixCaller, func(_ string, value []byte) bool {
+		if account, err := kumquatlug.DecodeCaller(value); err == nil {
+			d.callers.SetTerms(account.Name(), limit.CallerTerms{
+				Rate: account.TokensPerSecond(), Concurrency: account.Concurrency(),
+			})
+		}
+		return true
+	})
+}
+
+// labelled is a target's labels and the row that they were read from.
+type labelled struct {
+	row    []byte
+	labels selector.Labels
+}
+
+// placeKinds follows which kinds of work there are. Requests of a kind that is
+// no longer handed out are given up as stranded.
+func (d *Dispatcher) placeKinds(now kumquatlug.Millis) {
+	for _, s := range d.selectors {
+		if _, known := d.kinds[s.Kind()]; !known {
+			d.kinds[s.Kind()] = &kindState{kind: s.Kind(), emptySince: now, pace: 1}
+			d.health[s.Kind()] = health.New(d.c.Health)
+		}
+	}
+	d.order = d.order[:0]
+	for kind := range d.kinds {
+		d.order = append(d.order, kind)
+	}
+	sortKinds(d.order)
+	for _, kind := range append([]kumquatlug.Kind(nil), d.order...) {
+		if !d.handedOut(kind) {
+			d.removeKind(now, kind)
+		}
+	}
+}
+
+func (d *Dispatcher) handedOut(kind kumquatlug.Kind) bool {
+	for _, s := range d.selectors {
+		if s.Kind() == kind {
+			return true
+		}
+	}
+	return false
+}
+
+// removeKind forgets a kind that no selector hands out any more. What waits is
+// given up; what is in hand is finished.
+func (d *Dispatcher) removeKind(now kumquatlug.Millis, kind kumquatlug.Kind) {
+	d.refuseWaiting(now, kind)
+	delete(d.kinds, kind)
+	delete(d.health, kind)
+	for i, other := range d.order {
+		if other == kind {
+			d.order = append(d.order[:i], d.order[i+1:]...)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/pkg/kumquatlug/dispatch/place.go
@@ -0,0 +1,152 @@
+package dispatch
+
+import (
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/membership"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/routing"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/selector"
+)
+
+// place follows which targets the entry speaks to and which take what.
+func (d *Dispatcher) place(now kumquatlug.Millis) {
+	duties := map[string][]routing.Duty{}
+	watched := map[string]bool{}
+	for _, kind := range d.order {
+		k := d.kinds[kind]
+		k.names = d.subset(kind)
+		k.split = d.isSplit(kind)
+		d.placeKind(now, k)
+		for _, name := range k.names {
+			watched[name] = true
+			duties[name] = append(duties[name], d.duties(name, kind)...)
+		}
+	}
+	for name := range d.planned {
+		watched[name] = true
+	}
+	d.watched = d.watched[:0]
+	for _, name := range d.members.Names() {
+		if !watched[name] {
+			d.router.Remove(name)
+			d.engines.Remove(name)
+			d.services.Remove(name)
+			delete(d.limited, name)
+			continue
+		}
+		d.watched = append(d.watched, name)
+		d.limit(name)
+		d.setCandidate(now, name, duties[name])
+	}
+	d.shareEntries()
+}
+
+// limit starts the limits of a target that has none. A target that was taken out
+// of use and given back is heard as before, without any change of its state, and
+// would otherwise have room for nothing until its agent restarts.
+func (d *Dispatcher) limit(name string) {
+	if d.limited[name] {
+		return
+	}
+	d.limited[name] = true
+	d.engines.Add(name)
+	d.services.Add(name)
+}
+
+// subset returns the targets of a kind that this entry speaks to: of engines a
+// part, of services all, since every entry must find the same order for a
+// run-once key.
+func (d *Dispatcher) subset(kind kumquatlug.Kind) []string {
+	var names []string
+	for _, name := range d.members.Names() {
+		if d.handed(name, kind) {
+			names = append(names, name)
+		}
+	}
+	if kind.Protocol() == kumquatlug.ProtocolService {
+		return names
+	}
+	return routing.Subset(d.entries, d.c.Entry, names, d.c.Subset)
+}
+
+// handed reports whether some selector gives kind to the target, leaving or not.
+func (d *Dispatcher) handed(name string, kind kumquatlug.Kind) bool {
+	labels := d.labelsOf(name)
+	for _, s := range d.selectors {
+		if s.Kind() == kind && s.Match().Matches(labels) {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *Dispatcher) labelsOf(name string) selector.Labels {
+	member, _ := d.members.Get(name)
+	return d.labels[name].labels.With(name, member.VM().Zone())
+}
+
+func (d *Dispatcher) placeKind(now kumquatlug.Millis, k *kindState) {
+	wasEmpty := len(k.ready) == 0
+	k.ready = k.ready[:0]
+	for _, name := range k.names {
+		d.health[k.kind].Add(name)
+		if d.unready(name) == "" {
+			k.ready = append(k.ready, name)
+		}
+	}
+	if len(k.ready) == 0 && !wasEmpty {
+		k.emptySince = now
+	}
+}
+
+// unready says why a target takes no new work now, empty when it does. Leaving
+// is told by the label, by the platform's list or by the agent; each alone is
+// enough.
+func (d *Dispatcher) unready(name string) string {
+	member, known := d.members.Get(name)
+	switch {
+	case !known:
+		return "not in the platform's list"
+	case d.labels[name].labels.Leaving():
+		return "its labels say that it is leaving"
+	case member.Leaving():
+		return "the platform's list says that it is leaving"
+	case member.State() == membership.StateNew:
+		return "no heartbeat was answered yet"
+	case member.State() == membership.StateDown:
+		return "heartbeats are not answered"
+	}
+	if state := d.reports[name].State; state != TargetServing {
+		return "its agent reports it as " + string(state)
+	}
+	return ""
+}
+
+func (d *Dispatcher) duties(name string, kind kumquatlug.Kind) []routing.Duty {
+	var duties []routing.Duty
+	labels := d.labelsOf(name)
+	for _, s := range d.selectors {
+		if s.Kind() == kind && s.Match().Matches(labels) && fits(s, d.reports[name].Role) {
+			duties = append(duties, routing.Duty{Kind: kind, Role: s.Role()})
+		}
+	}
+	return duties
+}
+
+func (d *Dispatcher) setCandidate(now kumquatlug.Millis, name string, duties []routing.Duty) {
+	member, _ := d.members.Get(name)
+	candidate := routing.Candidate{Name: name, Zone: member.VM().Zone(), Duties: duties, State: routing.StateReady}
+	if d.unready(name) != "" {
+		candidate.State = routing.StateDraining
+	}
+	d.router.Set(now, candidate)
+}
+
+// shareEntries tells the limits how many entries share what they bound.
+func (d *Dispatcher) shareEntries() {
+	n := max(1, len(d.entries))
+	d.callers.SetEntries(n)
+	sharing := max(1, min(n, routing.Replicas(n, len(d.members.Names()), d.c.Subset)))
+	d.engines.SetEntries(sharing)
+	d.services.SetEntries(sharing)
+	d.router.SetEntries(sharing)
+}
