Let the woken entry act before it can catch up

Cause: with labels and selectors ignored by the agents TestPausedEntryWakesAfterALabelChange still passed: its requests came after the entry had pulled the change. They now wait in the paused entry's sockets. Seen to fail with the mechanism out: 'the leaving engine began 7 new answers'.

--- a/test/path/failure_test.go
+++ b/test/path/failure_test.go
@@ -1,21 +1,26 @@
 package path
 
 import (
+	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
 
 	"github.com/openai/openai-go/v3"
+
+	"github.com/kumquatlug/kumquatlug/internal/standin/engine"
 )
 
 // streaming starts a long answer through entry and returns once its first token
 // is there, with the name of the engine that writes it.
-func (f *fleet) streaming(entry, prompt string, maxTokens int64) (engine string, done chan answer) {
+func (f *fleet) streaming(entry, prompt string, maxTokens int64) (target string, done chan answer) {
 	f.t.Helper()
 	tokens := make(chan string, maxTokens+1)
 	done = make(chan answer, 1)
@@ -57,8 +62,8 @@
 	// An engine loses its process while it writes. Its kernel closes the
 	// connection in an orderly way, and a caller would see a short answer.
 	f := newFleet(t)
-	engine, done := f.streaming("entry-1", "crash the engine", 300)
-	f.processes[engine].signal(syscall.SIGKILL)
+	target, done := f.streaming("entry-1", "crash the engine", 300)
+	f.processes[target].signal(syscall.SIGKILL)
 	f.expectWhole(<-done, "crash the engine", 300)
 }
 
@@ -66,8 +71,8 @@
 	// The VM's slot is emptied without notice while an answer streams. The
 	// caller's stream would end in the middle of a sentence.
 	f := newFleet(t)
-	engine, done := f.streaming("entry-1", "kill the agent", 300)
-	f.processes["agent of "+engine].signal(syscall.SIGKILL)
+	target, done := f.streaming("entry-1", "kill the agent", 300)
+	f.processes["agent of "+target].signal(syscall.SIGKILL)
 	f.expectWhole(<-done, "kill the agent", 300)
 }
 
@@ -76,8 +81,8 @@
 	// stream would stand still for minutes; and when the VM wakes, what it still
 	// had to say must not get into the answer that another engine finished.
 	f := newFleet(t)
-	engine, done := f.streaming("entry-1", "pause the agent", 400)
-	agent := f.processes["agent of "+engine]
+	target, done := f.streaming("entry-1", "pause the agent", 400)
+	agent := f.processes["agent of "+target]
 	agent.signal(syscall.SIGSTOP)
 	f.expectWhole(<-done, "pause the agent", 400)
 	agent.signal(syscall.SIGCONT)
@@ -168,10 +173,10 @@
 	})
 	f.operate("label", "engine-2", "leaving=true")
 	until(t, "only one engine takes work", func() bool { return strings.Count(f.operate("explain", model), "yes") == 1 })
-	engine, done := f.streaming("entry-1", "cut the link", 400)
+	target, done := f.streaming("entry-1", "cut the link", 400)
 	f.operate("label", "engine-2", "leaving-")
-	if engine != "engine-1" {
-		t.Fatalf("the answer is written by %s", engine)
+	if target != "engine-1" {
+		t.Fatalf("the answer is written by %s", target)
 	}
 	cut.set(true)
 	f.expectWhole(<-done, "cut the link", 400)
@@ -277,15 +282,51 @@
 		return false
 	})
 	before := len(f.workBegun("engine-1"))
+	const sent = 16
+	written, answers := make(chan bool, sent), make(chan string, sent)
+	for range sent {
+		go func() { answers <- f.complete("entry-2", "just woken", 3, written) }()
+	}
+	for range sent {
+		<-written
+	}
 	asleep.signal(syscall.SIGCONT)
-	for range 8 {
-		f.expectWhole(f.stream("entry-2", "just woken", 3, nil), "just woken", 3)
+	for range sent {
+		if got := <-answers; got != engine.AnswerText("just woken", 3) {
+			t.Errorf("a caller of the woken entry got %q", got)
+		}
 	}
 	if got := len(f.workBegun("engine-1")) - before; got != 0 {
 		t.Errorf("the leaving engine began %d new answers", got)
 	}
 }
 
+// complete asks for a whole completion and returns its text, or what went
+// wrong; written is told once the request is on its way.
+func (f *fleet) complete(entry, prompt string, maxTokens int, written chan<- bool) string {
+	body := fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d}`, model, prompt, maxTokens)
+	request, err := http.NewRequest(http.MethodPost, f.callers[entry]+"/v1/completions", strings.NewReader(body))
+	if err != nil {
+		return err.Error()
+	}
+	request.Header.Set("Authorization", "Bearer "+callerKey)
+	trace := &httptrace.ClientTrace{WroteRequest: func(httptrace.WroteRequestInfo) { written <- true }}
+	response, err := http.DefaultClient.Do(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = response.Body.Close() }()
+	var answer struct {
+		Choices []struct {
+			Text string `json:"text"`
+		} `json:"choices"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil || len(answer.Choices) != 1 {
+		return fmt.Sprintf("status %d, %v", response.StatusCode, err)
+	}
+	return answer.Choices[0].Text
+}
+
 // workBegun returns the events with which the agent of target began work.
 func (f *fleet) workBegun(target string) []string {
 	f.t.Helper()
@@ -302,9 +343,9 @@
 	// The platform goes out and, while it is, an engine's agent is killed. The
 	// answer in hand must still be finished elsewhere.
 	f := newFleet(t)
-	engine, done := f.streaming("entry-1", "two at once", 300)
+	target, done := f.streaming("entry-1", "two at once", 300)
 	f.faults(`{"down":true}`)
-	f.processes["agent of "+engine].signal(syscall.SIGKILL)
+	f.processes["agent of "+target].signal(syscall.SIGKILL)
 	f.expectWhole(<-done, "two at once", 300)
 	f.faults(`{}`)
 }
