Send tokens on together that arrive together

Cause: the entry flushed and set a write deadline for each token, also when the next one was already in its buffer, as in bursts and whenever it is behind. Now it flushes right before it reads from the agent, so that no token waits for one that is not there yet; the end of a stream leaves in two writes in place of four.

Streams, where a read brings one token, as before. go test ./test/path ok in 36 s; race tests of internal (without internal/experiment, which this doesn't touch) and dispatch ok.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -36,7 +36,10 @@
 
 // Sink takes the chunks of one answer. An error says that the caller is gone.
 type Sink interface {
+	// Chunk takes the next chunk, which may be held back until Flush.
 	Chunk(c engine.Chunk) error
+	// Flush sends on what was held back.
+	Flush() error
 }
 
 // Config says how the API treats callers.
--- a/internal/caller/completions.go
+++ b/internal/caller/completions.go
@@ -78,6 +78,8 @@
 	timeout kumquatlug.Millis
 	usage   bool
 	begun   bool
+	// held says that something was written since the last flush.
+	held bool
 	// line is used for each event again.
 	line []byte
 }
@@ -119,15 +121,26 @@
 	return s.send(s.line)
 }
 
-// send writes one event and sends it on at once.
+// send writes one event. It leaves with the next flush, or when the buffer of
+// the connection is full.
 func (s *streamSink) send(line []byte) error {
 	if !s.begun {
 		s.begin()
 	}
-	_ = s.control.SetWriteDeadline(time.Now().Add(s.timeout.Duration()))
-	if _, err := s.writer.Write(line); err != nil {
-		return err
+	if !s.held {
+		s.held = true
+		_ = s.control.SetWriteDeadline(time.Now().Add(s.timeout.Duration()))
+	}
+	_, err := s.writer.Write(line)
+	return err
+}
+
+// Flush sends the events written so far to the caller.
+func (s *streamSink) Flush() error {
+	if !s.held {
+		return nil
 	}
+	s.held = false
 	return s.control.Flush()
 }
 
@@ -141,11 +154,17 @@
 }
 
 // end writes the mark by which a caller knows that the answer is whole.
-func (s *streamSink) end() { _ = s.write([]byte("[DONE]")) }
+func (s *streamSink) end() {
+	_ = s.write([]byte("[DONE]"))
+	_ = s.Flush()
+}
 
 // fail tells of a failure in the middle of a stream, and leaves the end mark
 // out, so that no caller takes the part for the whole.
-func (s *streamSink) fail(body errorBody) { _ = s.event(body) }
+func (s *streamSink) fail(body errorBody) {
+	_ = s.event(body)
+	_ = s.Flush()
+}
 
 // wholeSink gathers the chunks of an answer that is given in one piece.
 type wholeSink struct {
@@ -184,6 +203,9 @@
 	return nil
 }
 
+// Flush does nothing: the answer leaves in one piece.
+func (s *wholeSink) Flush() error { return nil }
+
 // body returns the answer in the shape of the API that was called.
 func (s *wholeSink) body(id string, created int64, model string) any {
 	type answer struct {
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -65,6 +65,31 @@
 	handle     string
 	model      engine.Chunk
 	last       engine.Chunk
+	// unsent is why what was written could not be sent to the caller.
+	unsent error
+}
+
+// flush sends the tokens written so far to the caller.
+func (s *streaming) flush() error {
+	s.unsent = s.sink.Flush()
+	return s.unsent
+}
+
+// sendingOn reads an attempt's answer, and sends on what was made of it so far
+// before it waits for more. Tokens that arrive together leave together: each
+// for itself, a write to the caller's connection is the greater part of what a
+// token costs. None waits for one that is not there yet.
+type sendingOn struct {
+	streaming *streaming
+	body      io.Reader
+}
+
+// Read reads on once all before it is on its way.
+func (r sendingOn) Read(p []byte) (int, error) {
+	if err := r.streaming.flush(); err != nil {
+		return 0, err
+	}
+	return r.body.Read(p)
 }
 
 // run makes attempts until the answer is whole or the loop gives it up.
@@ -126,7 +151,7 @@
 	if answer.StatusCode != http.StatusOK {
 		return nil, s.engineError(a, answer)
 	}
-	failed, err := s.read(ctx, a, number, engine.NewReader(answer.Body))
+	failed, err := s.read(ctx, a, number, engine.NewReader(sendingOn{s, answer.Body}))
 	if err != nil {
 		return nil, err
 	}
@@ -134,8 +159,12 @@
 		// The trailer is there only once the body was read to its end.
 		_, _ = io.Copy(io.Discard, answer.Body)
 		failed.Notices = noticesOf(answer.Trailer)
+		_ = s.flush()
 		return failed, nil
 	}
+	if err := s.flush(); err != nil {
+		return nil, s.request.gone("write answer", err)
+	}
 	readRest(answer.Body, end)
 	return nil, nil
 }
@@ -193,6 +222,9 @@
 		if ctx.Err() != nil {
 			return nil, s.request.gone("read answer", ctx.Err())
 		}
+		if s.unsent != nil {
+			return nil, s.request.gone("write answer", s.unsent)
+		}
 		if err != nil {
 			s.answer.Cut(s.request.id, number)
 			return s.cut(a, err), nil
