Remove the second rule for leaving from package order

order.Leaving decided from label and list whether a target gets new work, and so does package drain. The wiring asks only drain: no code outside the tests of package order used the type (grep over the module). Two rules for one decision differ sooner or later (this one wanted "leaving=false" to take the list's word back, drain wants "live" for a minute), and a reader can't tell which is in force.

TestProofLeavingTargetGetsNoWorkAndNoneIsCut and TestReasonsToLeave in package drain stand as they were, with label alone, list alone, older words and a wavering list among their steps.

--- a/pkg/kumquatlug/order/order.go
+++ b/pkg/kumquatlug/order/order.go
@@ -1,6 +1,6 @@
 // Package order decides about orders that change a target: an agent's [Gate]
-// says which may reach the engine and when, a lease holder's [Sender] says
-// which is outstanding, and [Leaving] says whether a target gets new work.
+// says which may reach the engine and when, and a lease holder's [Sender] says
+// which is outstanding.
 //
 // The failures that it answers: a planner that was paused past its lease wakes
 // and sends what it had decided; two planners send at once; an answer is lost;
