Give the stateful proofs one scaffold

Six packages had their own copy of the same test code: the seed and the runs from the environment (three times one way, three times another), the property around the commands, the conditions that all steps share, and two ways to draw a step. internal/proof has them once; a test gives its claim, world, steps and figures.

Two things became stricter. A value of KUMQUATLUG_PROOF_SEED or _RUNS that is no number now fails config, lease and order too, where it was passed over; and a step that returns neither error, text nor nothing fails, where it passed in these three. Ledger, stream and drain now print their seed as the others do.

--- /dev/null
+++ b/internal/proof/proof_test.go
@@ -0,0 +1,43 @@
+package proof
+
+import (
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/commands"
+)
+
+func TestPostCondition(t *testing.T) {
+	cases := map[string]struct {
+		result commands.Result
+		want   interface{}
+	}{
+		"nothing":      {nil, gopter.PropTrue},
+		"empty text":   {"", gopter.PropTrue},
+		"text":         {"two holders", gopter.PropFalse},
+		"error":        {errors.New("two holders"), gopter.PropError},
+		"another type": {7, gopter.PropError},
+	}
+	for name, c := range cases {
+		if got := (Step{}).PostCondition(nil, c.result); got.Status != c.want {
+			t.Errorf("%s: status %v, want %v", name, got.Status, c.want)
+		}
+	}
+}
+
+func TestParameters(t *testing.T) {
+	t.Setenv(seedVariable, "")
+	t.Setenv(runsVariable, "")
+	c := Config{Seed: 5, Runs: 300, Steps: 40}
+	p := parameters(t, c)
+	if p.Seed() != 5 || p.MinSuccessfulTests != 300 || p.MinSize != 40 || p.MaxSize != 40 || p.Workers != 1 {
+		t.Errorf("usual parameters: %+v", p)
+	}
+	t.Setenv(seedVariable, "77")
+	t.Setenv(runsVariable, "10000")
+	p = parameters(t, c)
+	if p.Seed() != 77 || p.MinSuccessfulTests != 10000 || p.MinSize != 40 || p.MaxSize != 40 {
+		t.Errorf("parameters of the environment: %+v", p)
+	}
+}
--- a/pkg/kumquatlug/config/fake_test.go
+++ b/pkg/kumquatlug/config/fake_test.go
@@ -2,14 +2,10 @@
 
 import (
 	"context"
-	"os"
 	"sort"
-	"strconv"
 	"strings"
-	"testing"
 
 	"github.com/cockroachdb/errors"
-	"github.com/leanovate/gopter"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
@@ -141,28 +137,3 @@
 	}
 	return body, nil
 }
-
-// Steps and runs of a proof in CI; KUMQUATLUG_PROOF_RUNS and
-// KUMQUATLUG_PROOF_SEED make it longer or another one.
-const (
-	proofSteps = 60
-	proofRuns  = 200
-	proofSeed  = 1
-)
-
-func proofParameters(t *testing.T) *gopter.TestParameters {
-	t.Helper()
-	parameters := gopter.DefaultTestParametersWithSeed(int64(setting("KUMQUATLUG_PROOF_SEED", proofSeed)))
-	parameters.MinSuccessfulTests = setting("KUMQUATLUG_PROOF_RUNS", proofRuns)
-	parameters.MinSize = proofSteps
-	parameters.MaxSize = proofSteps
-	t.Logf("seed %d, %d runs of %d steps", parameters.Seed(), parameters.MinSuccessfulTests, proofSteps)
-	return parameters
-}
-
-func setting(name string, fallback int) int {
-	if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
-		return n
-	}
-	return fallback
-}
--- a/pkg/kumquatlug/config/proof_test.go
+++ b/pkg/kumquatlug/config/proof_test.go
@@ -12,12 +12,14 @@
 	"github.com/leanovate/gopter/commands"
 	"github.com/leanovate/gopter/gen"
 
+	"github.com/kumquatlug/kumquatlug/internal/proof"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
 
 // move is one step of a proof: what happens, to whom, and the seed of what
 // goes wrong meanwhile.
 type move struct {
+	proof.Step
 	what   string
 	who    int
 	choice int
@@ -31,7 +33,7 @@
 	"wait", "wait", "heal",
 }
 
-func genMove(commands.State) gopter.Gen {
+func genMove() gopter.Gen {
 	return gopter.CombineGens(
 		gen.IntRange(0, len(moves)-1), gen.IntRange(0, 99), gen.IntRange(0, 99), gen.UInt64(),
 	).Map(func(v []interface{}) commands.Command {
@@ -40,30 +42,20 @@
 }
 
 func (m move) Run(sut commands.SystemUnderTest) commands.Result { return sut.(*world).play(m) }
-func (m move) NextState(state commands.State) commands.State    { return state }
-func (m move) PreCondition(commands.State) bool                 { return true }
 func (m move) String() string                                   { return fmt.Sprintf("%s(%d,%d,%d)", m.what, m.who, m.choice, m.seed) }
 
-func (m move) PostCondition(_ commands.State, result commands.Result) *gopter.PropResult {
-	if err, bad := result.(error); bad {
-		return &gopter.PropResult{Status: gopter.PropError, Error: err}
-	}
-	return &gopter.PropResult{Status: gopter.PropTrue}
-}
-
 // Two operators change labels while the table is out, loses answers and lets
 // writes arrive late; nodes restart, lag, hear old revisions and are handed old
 // states. An operator would notice an accepted change that is undone or made
 // twice, a refusal whose change comes into force after all, or a node that goes
 // back to older labels and sends work to a target that is leaving.
 func TestProofChangesNeverRevert(t *testing.T) {
-	properties := gopter.NewProperties(proofParameters(t))
-	properties.Property("accepted changes stay, once and everywhere", commands.Prop(&commands.ProtoCommands{
-		NewSystemUnderTestFunc: func(commands.State) commands.SystemUnderTest { return newWorld() },
-		InitialStateGen:        gen.Const(0).WithShrinker(gopter.NoShrinker),
-		GenCommandFunc:         genMove,
-	}))
-	properties.TestingRun(t)
+	proof.Run(t, proof.Config{
+		Claim: "accepted changes stay, once and everywhere",
+		Seed:  1, Runs: 200, Steps: 60,
+		Command: genMove(),
+		World:   func() commands.SystemUnderTest { return newWorld() },
+	})
 }
 
 const (
--- a/pkg/kumquatlug/drain/proof_test.go
+++ b/pkg/kumquatlug/drain/proof_test.go
@@ -3,14 +3,11 @@
 import (
 	"fmt"
 	"math/rand"
-	"os"
-	"strconv"
 	"testing"
 
-	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/commands"
-	"github.com/leanovate/gopter/gen"
 
+	"github.com/kumquatlug/kumquatlug/internal/proof"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
 
@@ -195,6 +192,7 @@
 }
 
 type event struct {
+	proof.Step
 	kind string
 	seed int64
 }
@@ -342,19 +340,7 @@
 	}
 }
 
-// NextState implements commands.Command.
-func (e event) NextState(state commands.State) commands.State { return state }
-
-// PreCondition implements commands.Command.
-func (e event) PreCondition(commands.State) bool { return true }
-
-// PostCondition implements commands.Command.
-func (e event) PostCondition(_ commands.State, result commands.Result) *gopter.PropResult {
-	if text := result.(string); text != "" {
-		return &gopter.PropResult{Status: gopter.PropFalse, Labels: []string{text}}
-	}
-	return &gopter.PropResult{Status: gopter.PropTrue}
-}
+func newEvent(kind string, seed int64) commands.Command { return event{kind: kind, seed: seed} }
 
 func TestProofLeavingTargetGetsNoWorkAndNoneIsCut(t *testing.T) {
 	// A target leaves by label or by the list alone, while entries are cut off
@@ -362,43 +348,14 @@
 	// killed or under an order, and the list wavers. A user would notice work
 	// at a target that goes away, or answers cut in the middle.
 	counts := map[string]int{}
-	properties := gopter.NewProperties(proofParameters(t, 800, 80))
-	properties.Property("a leaving target gets no work and none is cut", commands.Prop(&commands.ProtoCommands{
-		NewSystemUnderTestFunc: func(commands.State) commands.SystemUnderTest { return newWorld(counts) },
-		InitialStateGen:        gen.Const(0),
-		GenCommandFunc: func(commands.State) gopter.Gen {
-			return gen.Int64Range(0, 1<<40).Map(func(n int64) commands.Command {
-				return event{kind: kinds[n%int64(len(kinds))], seed: n}
-			})
-		},
-	}))
-	properties.TestingRun(t)
+	proof.Run(t, proof.Config{
+		Claim: "a leaving target gets no work and none is cut",
+		Seed:  5, Runs: 800, Steps: 80,
+		Command: proof.Events(kinds, newEvent),
+		World:   func() commands.SystemUnderTest { return newWorld(counts) },
+	})
 	t.Logf("%d accepted, %d refused, %d planned stops", counts["accepted"], counts["refused"], counts["stops"])
 	if counts["accepted"] == 0 || counts["refused"] == 0 || counts["stops"] == 0 {
 		t.Error("the runs did not reach all ends")
 	}
 }
-
-// proofParameters fixes the seed and the number of command sequences;
-// KUMQUATLUG_PROOF_RUNS asks for more, KUMQUATLUG_PROOF_SEED for others.
-func proofParameters(t *testing.T, runs, steps int) *gopter.TestParameters {
-	t.Helper()
-	p := gopter.DefaultTestParametersWithSeed(int64(setting(t, "KUMQUATLUG_PROOF_SEED", 5)))
-	p.MinSuccessfulTests = setting(t, "KUMQUATLUG_PROOF_RUNS", runs)
-	p.MaxSize, p.MinSize, p.Workers = steps, steps, 1
-	t.Logf("%d runs of %d steps", p.MinSuccessfulTests, steps)
-	return p
-}
-
-func setting(t *testing.T, name string, fallback int) int {
-	t.Helper()
-	text := os.Getenv(name)
-	if text == "" {
-		return fallback
-	}
-	n, err := strconv.Atoi(text)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return n
-}
--- a/pkg/kumquatlug/lease/proof_test.go
+++ b/pkg/kumquatlug/lease/proof_test.go
@@ -2,26 +2,17 @@
 
 import (
 	"fmt"
-	"os"
-	"strconv"
 	"testing"
 
 	"github.com/cockroachdb/errors"
-	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/commands"
-	"github.com/leanovate/gopter/gen"
 
+	"github.com/kumquatlug/kumquatlug/internal/proof"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
 
-// Steps and runs of a proof in CI; KUMQUATLUG_PROOF_RUNS and
-// KUMQUATLUG_PROOF_SEED make it longer or another one.
-const (
-	proofSteps   = 60
-	proofRuns    = 200
-	proofSeed    = 1
-	worldHolders = 3
-)
+// worldHolders is how many processes want the lease.
+const worldHolders = 3
 
 // moves lists each kind of step as often as it is to come up among the others.
 var moves = []string{
@@ -36,55 +27,31 @@
 
 // move is one step of a proof.
 type move struct {
+	proof.Step
 	what   string
 	who    int
 	choice int
 }
 
-func genMove(commands.State) gopter.Gen {
-	return gopter.CombineGens(
-		gen.IntRange(0, len(moves)-1), gen.IntRange(0, worldHolders-1), gen.IntRange(0, 9999),
-	).Map(func(v []interface{}) commands.Command {
-		return move{what: moves[v[0].(int)], who: v[1].(int), choice: v[2].(int)}
-	}).WithShrinker(gopter.NoShrinker)
+func newMove(what string, who, choice int) commands.Command {
+	return move{what: what, who: who, choice: choice}
 }
 
 func (m move) Run(sut commands.SystemUnderTest) commands.Result { return sut.(*world).play(m) }
-func (m move) NextState(state commands.State) commands.State    { return state }
-func (m move) PreCondition(commands.State) bool                 { return true }
 func (m move) String() string                                   { return fmt.Sprintf("%s(%d,%d)", m.what, m.who, m.choice) }
 
-func (m move) PostCondition(_ commands.State, result commands.Result) *gopter.PropResult {
-	if err, bad := result.(error); bad {
-		return &gopter.PropResult{Status: gopter.PropError, Error: err}
-	}
-	return &gopter.PropResult{Status: gopter.PropTrue}
-}
-
 // Three processes want one group's lease. They are paused for any time and wake
 // at any moment, their clocks run 500 ppm apart, requests and answers are lost
 // or come late, the table is out, processes restart, stop on purpose and change
 // their mind. An operator would notice two planners that move the same engine
 // to and fro, or a group that nobody plans after the trouble has ended.
 func TestProofOneHolder(t *testing.T) {
-	parameters := gopter.DefaultTestParametersWithSeed(int64(setting("KUMQUATLUG_PROOF_SEED", proofSeed)))
-	parameters.MinSuccessfulTests = setting("KUMQUATLUG_PROOF_RUNS", proofRuns)
-	parameters.MinSize, parameters.MaxSize = proofSteps, proofSteps
-	t.Logf("seed %d, %d runs of %d steps", parameters.Seed(), parameters.MinSuccessfulTests, proofSteps)
-	properties := gopter.NewProperties(parameters)
-	properties.Property("one holder at a time, under a number of its own", commands.Prop(&commands.ProtoCommands{
-		NewSystemUnderTestFunc: func(commands.State) commands.SystemUnderTest { return newWorld() },
-		InitialStateGen:        gen.Const(0).WithShrinker(gopter.NoShrinker),
-		GenCommandFunc:         genMove,
-	}))
-	properties.TestingRun(t)
-}
-
-func setting(name string, fallback int) int {
-	if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
-		return n
-	}
-	return fallback
+	proof.Run(t, proof.Config{
+		Claim: "one holder at a time, under a number of its own",
+		Seed:  1, Runs: 200, Steps: 60,
+		Command: proof.Moves(moves, worldHolders, newMove),
+		World:   func() commands.SystemUnderTest { return newWorld() },
+	})
 }
 
 // message is a request or an answer on its way.
--- a/pkg/kumquatlug/ledger/proof_test.go
+++ b/pkg/kumquatlug/ledger/proof_test.go
@@ -3,18 +3,16 @@
 import (
 	"fmt"
 	"math/rand"
-	"os"
-	"strconv"
 	"testing"
 
-	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/commands"
-	"github.com/leanovate/gopter/gen"
 
+	"github.com/kumquatlug/kumquatlug/internal/proof"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
 
 type event struct {
+	proof.Step
 	kind string
 	seed int64
 }
@@ -80,19 +78,7 @@
 	}
 }
 
-// NextState implements commands.Command.
-func (e event) NextState(state commands.State) commands.State { return state }
-
-// PreCondition implements commands.Command.
-func (e event) PreCondition(commands.State) bool { return true }
-
-// PostCondition implements commands.Command.
-func (e event) PostCondition(_ commands.State, result commands.Result) *gopter.PropResult {
-	if text := result.(string); text != "" {
-		return &gopter.PropResult{Status: gopter.PropFalse, Labels: []string{text}}
-	}
-	return &gopter.PropResult{Status: gopter.PropTrue}
-}
+func newEvent(kind string, seed int64) commands.Command { return event{kind: kind, seed: seed} }
 
 func TestProofAtMostOnceAndNotRunIsTrue(t *testing.T) {
 	// Postings are sent, sent again through another entry, with another body,
@@ -101,17 +87,12 @@
 	// claim and run and end, and eras pass. A user would see a posting twice, a
 	// "not run" for one that went out, or another posting's answer.
 	counts := map[string]int{}
-	properties := gopter.NewProperties(proofParameters(t, 600, 200))
-	properties.Property("at most one run, and not-run is true", commands.Prop(&commands.ProtoCommands{
-		NewSystemUnderTestFunc: func(commands.State) commands.SystemUnderTest { return newWorld(counts) },
-		InitialStateGen:        gen.Const(0),
-		GenCommandFunc: func(commands.State) gopter.Gen {
-			return gen.Int64Range(0, 1<<40).Map(func(n int64) commands.Command {
-				return event{kind: kinds[n%int64(len(kinds))], seed: n}
-			})
-		},
-	}))
-	properties.TestingRun(t)
+	proof.Run(t, proof.Config{
+		Claim: "at most one run, and not-run is true",
+		Seed:  5, Runs: 600, Steps: 200,
+		Command: proof.Events(kinds, newEvent),
+		World:   func() commands.SystemUnderTest { return newWorld(counts) },
+	})
 	t.Logf("%v", counts)
 	for _, end := range []string{"run", "answer", "not-run", "unknown", "conflict"} {
 		if counts[end] == 0 {
@@ -119,27 +100,3 @@
 		}
 	}
 }
-
-// proofParameters fixes the seed and the number of command sequences;
-// KUMQUATLUG_PROOF_RUNS asks for more, KUMQUATLUG_PROOF_SEED for others.
-func proofParameters(t *testing.T, runs, steps int) *gopter.TestParameters {
-	t.Helper()
-	p := gopter.DefaultTestParametersWithSeed(int64(setting(t, "KUMQUATLUG_PROOF_SEED", 5)))
-	p.MinSuccessfulTests = setting(t, "KUMQUATLUG_PROOF_RUNS", runs)
-	p.MaxSize, p.MinSize, p.Workers = steps, steps, 1
-	t.Logf("%d runs of %d steps", p.MinSuccessfulTests, steps)
-	return p
-}
-
-func setting(t *testing.T, name string, fallback int) int {
-	t.Helper()
-	text := os.Getenv(name)
-	if text == "" {
-		return fallback
-	}
-	n, err := strconv.Atoi(text)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return n
-}
--- a/pkg/kumquatlug/order/proof_test.go
+++ b/pkg/kumquatlug/order/proof_test.go
@@ -2,25 +2,17 @@
 
 import (
 	"fmt"
-	"os"
-	"strconv"
 	"testing"
 
 	"github.com/cockroachdb/errors"
-	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/commands"
-	"github.com/leanovate/gopter/gen"
 
+	"github.com/kumquatlug/kumquatlug/internal/proof"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/lease"
 )
 
-// Steps and runs of a proof in CI; KUMQUATLUG_PROOF_RUNS and
-// KUMQUATLUG_PROOF_SEED make it longer or another one.
 const (
-	proofSteps   = 100
-	proofRuns    = 300
-	proofSeed    = 1
 	worldSenders = 2
 	target       = "vm-1"
 )
@@ -34,31 +26,19 @@
 
 // move is one step of a proof.
 type move struct {
+	proof.Step
 	what   string
 	who    int
 	choice int
 }
 
-func genMove(commands.State) gopter.Gen {
-	return gopter.CombineGens(
-		gen.IntRange(0, len(moves)-1), gen.IntRange(0, worldSenders-1), gen.IntRange(0, 9999),
-	).Map(func(v []interface{}) commands.Command {
-		return move{what: moves[v[0].(int)], who: v[1].(int), choice: v[2].(int)}
-	}).WithShrinker(gopter.NoShrinker)
+func newMove(what string, who, choice int) commands.Command {
+	return move{what: what, who: who, choice: choice}
 }
 
 func (m move) Run(sut commands.SystemUnderTest) commands.Result { return sut.(*world).play(m) }
-func (m move) NextState(state commands.State) commands.State    { return state }
-func (m move) PreCondition(commands.State) bool                 { return true }
 func (m move) String() string                                   { return fmt.Sprintf("%s(%d,%d)", m.what, m.who, m.choice) }
 
-func (m move) PostCondition(_ commands.State, result commands.Result) *gopter.PropResult {
-	if err, bad := result.(error); bad {
-		return &gopter.PropResult{Status: gopter.PropError, Error: err}
-	}
-	return &gopter.PropResult{Status: gopter.PropTrue}
-}
-
 // Two planners give orders to one engine that ignores fencing numbers. Each may
 // have lost the lease long ago without knowing it; messages are lost, doubled
 // and overtake one another; the agent restarts, the table is out, the engine
@@ -66,24 +46,12 @@
 // one. An operator would notice an engine that is moved to and fro or stuck, and
 // a caller an answer that was cut by a planned change.
 func TestProofOrdersNeverConflict(t *testing.T) {
-	parameters := gopter.DefaultTestParametersWithSeed(int64(setting("KUMQUATLUG_PROOF_SEED", proofSeed)))
-	parameters.MinSuccessfulTests = setting("KUMQUATLUG_PROOF_RUNS", proofRuns)
-	parameters.MinSize, parameters.MaxSize = proofSteps, proofSteps
-	t.Logf("seed %d, %d runs of %d steps", parameters.Seed(), parameters.MinSuccessfulTests, proofSteps)
-	properties := gopter.NewProperties(parameters)
-	properties.Property("orders have authority, come one at a time and cut no work", commands.Prop(&commands.ProtoCommands{
-		NewSystemUnderTestFunc: func(commands.State) commands.SystemUnderTest { return newWorld() },
-		InitialStateGen:        gen.Const(0).WithShrinker(gopter.NoShrinker),
-		GenCommandFunc:         genMove,
-	}))
-	properties.TestingRun(t)
-}
-
-func setting(name string, fallback int) int {
-	if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
-		return n
-	}
-	return fallback
+	proof.Run(t, proof.Config{
+		Claim: "orders have authority, come one at a time and cut no work",
+		Seed:  1, Runs: 300, Steps: 100,
+		Command: proof.Moves(moves, worldSenders, newMove),
+		World:   func() commands.SystemUnderTest { return newWorld() },
+	})
 }
 
 // engine is a target that takes every order and asks no questions.
--- a/pkg/kumquatlug/stream/proof_test.go
+++ b/pkg/kumquatlug/stream/proof_test.go
@@ -3,14 +3,12 @@
 import (
 	"fmt"
 	"math/rand"
-	"os"
-	"strconv"
 	"strings"
 	"testing"
 
-	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/commands"
-	"github.com/leanovate/gopter/gen"
+
+	"github.com/kumquatlug/kumquatlug/internal/proof"
 )
 
 // answerLength is the length of the oracle's answer in tokens.
@@ -89,6 +87,7 @@
 
 // event is a command: a kind of event and the numbers that shape it.
 type event struct {
+	proof.Step
 	kind string
 	seed int64
 }
@@ -140,29 +139,19 @@
 	return w.check()
 }
 
-// NextState implements commands.Command.
-func (e event) NextState(state commands.State) commands.State { return state }
-
-// PreCondition implements commands.Command.
-func (e event) PreCondition(commands.State) bool { return true }
-
-// PostCondition implements commands.Command.
-func (e event) PostCondition(_ commands.State, result commands.Result) *gopter.PropResult {
-	if text := result.(string); text != "" {
-		return &gopter.PropResult{Status: gopter.PropFalse, Labels: []string{text}}
-	}
-	return &gopter.PropResult{Status: gopter.PropTrue}
-}
+func newEvent(kind string, seed int64) commands.Command { return event{kind: kind, seed: seed} }
 
 func TestProofWholeAnswer(t *testing.T) {
 	// Engines crash in the middle of an answer, streams end without their end
 	// mark, chunks come late, twice, out of order and for another request. A
 	// caller would read words lost or doubled, or take a part for the whole.
 	wholes, failures := 0, 0
-	properties := gopter.NewProperties(proofParameters(t, 300, 40))
-	properties.Property("the caller reads the oracle's answer", commands.Prop(&commands.ProtoCommands{
-		NewSystemUnderTestFunc: func(commands.State) commands.SystemUnderTest { return newWorld() },
-		DestroySystemUnderTestFunc: func(sut commands.SystemUnderTest) {
+	proof.Run(t, proof.Config{
+		Claim: "the caller reads the oracle's answer",
+		Seed:  5, Runs: 300, Steps: 40,
+		Command: proof.Events(kinds, newEvent),
+		World:   func() commands.SystemUnderTest { return newWorld() },
+		End: func(sut commands.SystemUnderTest) {
 			w := sut.(*world)
 			if w.whole {
 				wholes++
@@ -170,40 +159,9 @@
 				failures++
 			}
 		},
-		InitialStateGen: gen.Const(0),
-		GenCommandFunc: func(commands.State) gopter.Gen {
-			return gen.Int64Range(0, 1<<40).Map(func(n int64) commands.Command {
-				return event{kind: kinds[n%int64(len(kinds))], seed: n}
-			})
-		},
-	}))
-	properties.TestingRun(t)
+	})
 	t.Logf("%d whole, %d failed", wholes, failures)
 	if wholes == 0 || failures == 0 {
 		t.Error("the runs did not reach both ends")
 	}
 }
-
-// proofParameters fixes the seed and the number of command sequences;
-// KUMQUATLUG_PROOF_RUNS asks for more, KUMQUATLUG_PROOF_SEED for others.
-func proofParameters(t *testing.T, runs, steps int) *gopter.TestParameters {
-	t.Helper()
-	p := gopter.DefaultTestParametersWithSeed(int64(setting(t, "KUMQUATLUG_PROOF_SEED", 5)))
-	p.MinSuccessfulTests = setting(t, "KUMQUATLUG_PROOF_RUNS", runs)
-	p.MaxSize, p.MinSize, p.Workers = steps, steps, 1
-	t.Logf("%d runs of %d steps", p.MinSuccessfulTests, steps)
-	return p
-}
-
-func setting(t *testing.T, name string, fallback int) int {
-	t.Helper()
-	text := os.Getenv(name)
-	if text == "" {
-		return fallback
-	}
-	n, err := strconv.Atoi(text)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return n
-}
