Learn an engine's rates from a queue that stays

Cause: the planner took the mean rate of the last second as what an engine can do whenever its report showed a waiting call. A call that has just arrived shows as waiting at an engine that was idle before; the learned rate then falls to what is asked for, that side seems to need more engines, and the split runs away. The holder of a group also shows the last report again until there is a newer one, which counted the same second several times.

Now a queue in two different reports in a row is needed.

--- a/pkg/kumquatlug/planner/group.go
+++ b/pkg/kumquatlug/planner/group.go
@@ -13,6 +13,8 @@
 	role    kumquatlug.Role
 	takenAt kumquatlug.Millis
 	inHand  int
+	// waited says that the last report showed a queue.
+	waited bool
 	// going is the role that it was ordered to take; empty when it was not.
 	going     kumquatlug.Role
 	orderedAt kumquatlug.Millis
@@ -56,9 +58,9 @@
 	if e.TakenAt < known.takenAt {
 		return 0
 	}
+	g.observe(known, e)
 	known.takenAt = e.TakenAt
 	known.inHand = e.InHand
-	g.learn(e)
 	known.inherit(now, e.Going)
 	return known.take(now, e.Role)
 }
@@ -93,15 +95,28 @@
 	return max(now-e.orderedAt, 1)
 }
 
+// observe learns from a report that was not seen yet; the holder of the group
+// shows the last one again until there is a newer.
+func (g *group) observe(known *engine, e kumquatlug.EngineReport) {
+	if e.TakenAt == known.takenAt {
+		return
+	}
+	if known.waited && e.Waiting > 0 && known.role == e.Role {
+		g.learn(e)
+	}
+	known.waited = e.Waiting > 0
+}
+
 // rateStep is the weight of one report in the rates of the group.
 const rateStep = 0.05
 
-// learn takes rates from engines with a queue only: the rate of an idle engine
-// tells how little it was given.
+// learn takes the rates of an engine that had a queue in this report and in the
+// one before: the rate of an idle engine tells how little it was given. A queue
+// in one report may be a call that has just arrived, and the rate is that of
+// the time before. Learned from such calls, the rate of prompts falls to what
+// is asked for, that side seems to need ever more engines, and the split runs
+// away; one sees it by a few engines left on the other side with all the queue.
 func (g *group) learn(e kumquatlug.EngineReport) {
-	if e.Waiting == 0 {
-		return
-	}
 	if e.Role == kumquatlug.RolePrefill && e.PrefillRate > 0 {
 		g.prefillRate += rateStep * (e.PrefillRate - g.prefillRate)
 	}
--- a/pkg/kumquatlug/planner/planner_test.go
+++ b/pkg/kumquatlug/planner/planner_test.go
@@ -253,3 +253,37 @@
 	fmt.Println(careful.Plan(0), careful.State())
 	// Output: [] frozen-engines
 }
+
+func TestMomentaryWaitIsNoQueue(t *testing.T) {
+	// A call that has just arrived shows as waiting at an engine that was
+	// nearly idle for the second before. If that second were taken for what the
+	// engine can do, prompts would seem to need ever more engines, and the
+	// callers of long outputs would queue at the few that are left.
+	cases := map[string]struct {
+		waiting []int
+		shown   int
+		learned bool
+	}{
+		"call just arrived":         {waiting: []int{0, 1}, shown: 1},
+		"the same, shown again":     {waiting: []int{0, 1}, shown: 3},
+		"queue that was":            {waiting: []int{4, 0}, shown: 1},
+		"queue that stays":          {waiting: []int{4, 4}, shown: 1, learned: true},
+		"queue that stays, by then": {waiting: []int{0, 4, 4}, shown: 2, learned: true},
+	}
+	for name, c := range cases {
+		for _, role := range []kumquatlug.Role{kumquatlug.RolePrefill, kumquatlug.RoleDecode} {
+			g := newGroup(8000, 1500)
+			for i := range 20 * c.shown * len(c.waiting) {
+				taken := i / c.shown
+				g.report(0, kumquatlug.EngineReport{
+					Target: "e", Role: role, TakenAt: kumquatlug.Millis(taken), Waiting: c.waiting[taken%len(c.waiting)],
+					PrefillRate: 100, DecodeRate: 100,
+				})
+			}
+			rate := map[kumquatlug.Role]float64{kumquatlug.RolePrefill: g.prefillRate / 8000, kumquatlug.RoleDecode: g.decodeRate / 1500}[role]
+			if c.learned != (rate < 1) {
+				t.Errorf("%s at %s: %.2f of the rate at the start", name, role, rate)
+			}
+		}
+	}
+}
