Divide an engine's last tokens by the streams that made them

Cause: the router divided the tokens of the last second by the streams running at its end. Right after streams end an engine looks several times as fast as it is, all entries choose it, and first tokens come late while others stand idle. Now it divides by the mean count at both ends of that time. The new test fails without it: nine of ten streams end, and a stream alone counts as 162 tokens a second in place of 50; now at most 65.

--- a/pkg/kumquatlug/routing/load.go
+++ b/pkg/kumquatlug/routing/load.go
@@ -60,7 +60,9 @@
 	reportedAt kumquatlug.Millis
 	name       string
 
-	reported    bool
+	reported bool
+	// running is the count of streams in the last report.
+	running     int
 	state       State
 	duties      []Duty
 	weight      float64
@@ -137,6 +139,7 @@
 	if t.reported && l.TakenAt < t.reportedAt && t.incarnation == l.Incarnation {
 		return
 	}
+	known := t.reported && t.incarnation == l.Incarnation
 	switch {
 	case !t.reported:
 		// The target may count calls from before this entry's start.
@@ -151,7 +154,7 @@
 	t.kvUsed = float64(l.KVUsed)
 	t.kvTotal = float64(l.KVTotal)
 	t.splitOthers(l)
-	t.learnRates(l, slowdown)
+	t.learnRates(l, known, slowdown)
 }
 
 // splitOthers takes this entry's calls out of the report's counts.
@@ -184,12 +187,20 @@
 	}
 }
 
-func (t *target) learnRates(l Load, slowdown float64) {
+// learnRates divides the tokens of the time since the last report by the mean
+// count of streams at its two ends. Divided by those that are left at its end,
+// an engine looks faster than any just after streams have ended: all entries
+// choose it, and first tokens come late while others stand idle.
+func (t *target) learnRates(l Load, known bool, slowdown float64) {
 	if l.PrefillRate > 0 {
 		t.prefillRate += rateStep * (l.PrefillRate - t.prefillRate)
 	}
-	if l.DecodeRate > 0 && l.Running > 0 {
-		running := float64(l.Running)
+	before := l.Running
+	if known {
+		before = t.running
+	}
+	t.running = l.Running
+	if running := float64(before+l.Running) / 2; l.DecodeRate > 0 && running > 0 {
 		alone := l.DecodeRate / running * (1 + slowdown*(running-1))
 		t.decodeRate += rateStep * (alone - t.decodeRate)
 	}
--- a/pkg/kumquatlug/routing/routing_test.go
+++ b/pkg/kumquatlug/routing/routing_test.go
@@ -308,3 +308,26 @@
 	fmt.Println(c.Target(), c.Wait())
 	// Output: engine-2 100
 }
+
+func TestEndedStreamsDoNotMakeAnEngineFast(t *testing.T) {
+	// Nine of ten streams end just before a report, whose tokens are those of
+	// the second that is over. Divided by the one stream that is left they make
+	// the engine look ten times as fast, every entry chooses it, and its next
+	// callers wait for their first token while other engines stand idle.
+	r := fleet(1)
+	own := r.targets[target4(0)]
+	streams := func(n float64) float64 { return n * 50 / (1 + 0.02*(n-1)) }
+	for i := range 20 {
+		at := kumquatlug.Millis(i) * kumquatlug.Second
+		r.Report(at, own.name, Load{Running: 10, DecodeRate: streams(10), TakenAt: at, Incarnation: "x"})
+	}
+	if own.decodeRate < 49 || own.decodeRate > 51 {
+		t.Fatalf("ten streams at 50 tokens a second alone count as %.0f", own.decodeRate)
+	}
+	r.Report(20*kumquatlug.Second, own.name, Load{
+		Running: 1, DecodeRate: streams(10), TakenAt: 20 * kumquatlug.Second, Incarnation: "x",
+	})
+	if own.decodeRate > 65 {
+		t.Errorf("after nine have ended a stream alone counts as %.0f tokens a second, want 50 or a little more", own.decodeRate)
+	}
+}
