See a moving mix as it is, not as it was

Cause: the fast average shows a demand that moves steadily as it was 20 s ago. Engines that set out for that arrive 15 s later in the mean (a decode engine drains first), so that throughout a turn the split fits the past. The distance of the fast average from its own average is its lag and is now added. The new test fails without it: 90 s into a turn it sees 5,415 and 6,585 tokens a second of 4,450 and 7,550; now within 6%.

--- a/pkg/kumquatlug/planner/demand.go
+++ b/pkg/kumquatlug/planner/demand.go
@@ -39,8 +39,10 @@
 
 // source is the demand through one entry.
 type source struct {
-	entry   string
-	fast    average
+	entry string
+	fast  average
+	// smooth is the average of the fast one.
+	smooth  average
 	slow    average
 	heardAt kumquatlug.Millis
 }
@@ -67,6 +69,7 @@
 	seconds := float64(o.Span) / float64(kumquatlug.Second)
 	r := rates{prefill: o.PrefillTokens / seconds, decode: o.DecodeTokens / seconds}
 	s.fast.add(r, float64(o.Span))
+	s.smooth.add(s.fast.mean(), float64(o.Span))
 	s.slow.add(r, float64(o.Span))
 }
 
@@ -80,7 +83,7 @@
 	if len(d.sources) == 0 {
 		d.since = now
 	}
-	s := &source{entry: entry, fast: average{span: float64(d.fast)}, slow: average{span: float64(d.slow)}}
+	s := &source{entry: entry, fast: average{span: float64(d.fast)}, smooth: average{span: float64(d.fast)}, slow: average{span: float64(d.slow)}}
 	d.sources = slices.Insert(d.sources, at, s)
 	return s
 }
@@ -118,22 +121,32 @@
 
 // estimate returns the demand of all entries.
 func (d *demand) estimate() rates {
-	var fast, slow rates
+	var fast, slow, smooth rates
 	for _, s := range d.sources {
 		f, l := s.fast.mean(), s.slow.mean()
 		fast.prefill += f.prefill
 		fast.decode += f.decode
+		m := s.smooth.mean()
+		smooth.prefill += m.prefill
+		smooth.decode += m.decode
 		slow.prefill += l.prefill
 		slow.decode += l.decode
 	}
-	return rates{prefill: blend(fast.prefill, slow.prefill), decode: blend(fast.decode, slow.decode)}
+	return rates{prefill: blend(fast.prefill, smooth.prefill, slow.prefill), decode: blend(fast.decode, smooth.decode, slow.decode)}
 }
 
-func blend(fast, slow float64) float64 {
+// blend returns the slow average, or the demand as it is now as far as the fast
+// one departs from it. An average shows a demand that moves steadily as it was
+// a span ago, and engines that set out for that arrive later still: the split
+// fits the past throughout a turn of the mix. Its own average lags behind it by
+// as much, so their distance is added. After a jump that passes the new demand
+// by up to 14% of the jump, for some two spans.
+func blend(fast, smooth, slow float64) float64 {
+	current := max(2*fast-smooth, 0)
 	if slow <= 0 {
-		return fast
+		return current
 	}
 	departed := math.Abs(fast-slow) / slow
 	share := (departed - departBegin) / (departEnd - departBegin)
-	return slow + min(max(share, 0), 1)*(fast-slow)
+	return slow + min(max(share, 0), 1)*(current-slow)
 }
--- a/pkg/kumquatlug/planner/planner.go
+++ b/pkg/kumquatlug/planner/planner.go
@@ -9,7 +9,8 @@
 // planner
 //
 //   - estimates the demand by two moving averages: a slow one that noise does
-//     not move, and a fast one that takes over as far as the two depart;
+//     not move, and a fast one, freed of its lag, that takes over as far as the
+//     two depart;
 //   - compares the goodput expected of the present split with that of the
 //     others over a horizon, and changes only when the gain exceeds the price;
 //   - keeps engines in a role for a least time, and does not turn back within it;
--- a/pkg/kumquatlug/planner/planner_test.go
+++ b/pkg/kumquatlug/planner/planner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	"github.com/leanovate/gopter"
@@ -287,3 +288,36 @@
 		}
 	}
 }
+
+func TestMovingMixIsNotSeenLate(t *testing.T) {
+	// Prompts give way to outputs steadily over two minutes. An average alone
+	// shows the demand of twenty seconds ago, engines need as long to drain and
+	// change on top, and callers queue behind a split that fits the past. A jump
+	// must not be overshot by so much that engines are moved there and back.
+	d := newDemand(20*kumquatlug.Second, 3*kumquatlug.Minute)
+	now := kumquatlug.Millis(0)
+	offer := func(prefill, decode float64) {
+		now += kumquatlug.Second
+		d.offered(now, kumquatlug.Offer{Entry: "entry", Span: kumquatlug.Second, PrefillTokens: prefill, DecodeTokens: decode})
+	}
+	for range 300 {
+		offer(9000, 3000)
+	}
+	for s := range 120 {
+		prefill, decode := 9000-50*float64(s+1), 3000+50*float64(s+1)
+		offer(prefill, decode)
+		got := d.estimate()
+		if s >= 90 && (math.Abs(got.prefill/prefill-1) > 0.06 || math.Abs(got.decode/decode-1) > 0.06) {
+			t.Fatalf("%d s into the turn it sees %.0f and %.0f of %.0f and %.0f", s, got.prefill, got.decode, prefill, decode)
+		}
+	}
+	for range 600 {
+		offer(3000, 9000)
+	}
+	for s := range 120 {
+		offer(6000, 0)
+		if got := d.estimate(); got.prefill > 6000+0.14*3000 || got.decode < 0 {
+			t.Fatalf("%d s after the jump it sees %.0f and %.0f", s, got.prefill, got.decode)
+		}
+	}
+}
