Put defaults into configs in one way

Six packages and the stand-in engine had their own orInt, orFloat, orMillis, setInt, setMillis, setFloat or set, and seven more the same as written-out ifs. Their rules were two: some replace only zero, some negative figures too. Both stay as they were in each place. The first is what cmp.Or of the standard library does, so it needs no code of ours; the second is package standard (Int, Int64, Float, Millis).

Ruled out: one rule for all. It would change what a negative figure does in routing, planner, ledger, health, retry, quarantine, drain and stream.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -5,6 +5,7 @@
 package engine
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
 	"slices"
@@ -92,36 +93,20 @@
 	if c.Role == "" {
 		c.Role = kumquatlug.RoleBoth
 	}
-	setFloat(&c.TimeScale, 1)
-	setFloat(&c.DecodeTime, 20)
-	setFloat(&c.BatchSlope, 0.01)
-	setInt(&c.PrefillRate, 10_000)
-	setInt(&c.PrefillChunk, 512)
-	setInt(&c.MaxBatch, 256)
-	setInt(&c.KVTokens, 200_000)
-	setInt(&c.CacheTokens, 100_000)
-	setInt(&c.BlockTokens, 64)
-	if c.OrderTime == 0 {
-		c.OrderTime = 2 * kumquatlug.Second
-	}
-	if c.RestartTime == 0 {
-		c.RestartTime = 5 * kumquatlug.Second
-	}
+	c.TimeScale = cmp.Or(c.TimeScale, 1)
+	c.DecodeTime = cmp.Or(c.DecodeTime, 20)
+	c.BatchSlope = cmp.Or(c.BatchSlope, 0.01)
+	c.PrefillRate = cmp.Or(c.PrefillRate, 10_000)
+	c.PrefillChunk = cmp.Or(c.PrefillChunk, 512)
+	c.MaxBatch = cmp.Or(c.MaxBatch, 256)
+	c.KVTokens = cmp.Or(c.KVTokens, 200_000)
+	c.CacheTokens = cmp.Or(c.CacheTokens, 100_000)
+	c.BlockTokens = cmp.Or(c.BlockTokens, 64)
+	c.OrderTime = cmp.Or(c.OrderTime, 2*kumquatlug.Second)
+	c.RestartTime = cmp.Or(c.RestartTime, 5*kumquatlug.Second)
 	return c
 }
 
-func setFloat(field *float64, standard float64) {
-	if *field == 0 {
-		*field = standard
-	}
-}
-
-func setInt(field *int, standard int) {
-	if *field == 0 {
-		*field = standard
-	}
-}
-
 // Engine is one engine. It is safe for concurrent use and holds a goroutine
 // only while it has work.
 type Engine struct {
--- a/pkg/kumquatlug/admission/estimate.go
+++ b/pkg/kumquatlug/admission/estimate.go
@@ -5,6 +5,7 @@
 	"math/bits"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/standard"
 )
 
 // decodeWeight is what a token of output costs in tokens of prompt. An engine
@@ -119,15 +120,9 @@
 
 // NewEstimator returns an estimator that has seen no answers.
 func NewEstimator(c EstimatorConfig) *Estimator {
-	if c.Output <= 0 {
-		c.Output = 200
-	}
-	if c.PromptRate <= 0 {
-		c.PromptRate = 8000
-	}
-	if c.TokenGap <= 0 {
-		c.TokenGap = 29
-	}
+	c.Output = standard.Float(c.Output, 200)
+	c.PromptRate = standard.Float(c.PromptRate, 8000)
+	c.TokenGap = standard.Float(c.TokenGap, 29)
 	return &Estimator{
 		config: c, gaps: make(map[kumquatlug.Kind]*estimate),
 		firsts: make(map[sized]*estimate), outputs: make(map[sized]*output),
--- a/pkg/kumquatlug/admission/queue.go
+++ b/pkg/kumquatlug/admission/queue.go
@@ -44,6 +44,7 @@
 	"strings"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/standard"
 )
 
 // Grounds of the defaults stand at the fields of [Config].
@@ -100,30 +101,14 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.MaxCount <= 0 {
-		c.MaxCount = DefaultMaxCount
-	}
-	if c.MaxCost <= 0 {
-		c.MaxCost = DefaultMaxCost
-	}
-	if c.DrainHorizon <= 0 {
-		c.DrainHorizon = DefaultDrainHorizon
-	}
-	if c.CheckEvery <= 0 {
-		c.CheckEvery = DefaultCheckEvery
-	}
-	if c.StandingAfter <= 0 {
-		c.StandingAfter = DefaultStandingAfter
-	}
-	if c.StandingWait <= 0 {
-		c.StandingWait = DefaultStandingWait
-	}
-	if c.MinRetryAfter <= 0 {
-		c.MinRetryAfter = DefaultMinRetryAfter
-	}
-	if c.MaxRetryAfter <= 0 {
-		c.MaxRetryAfter = DefaultMaxRetryAfter
-	}
+	c.MaxCount = standard.Int(c.MaxCount, DefaultMaxCount)
+	c.MaxCost = standard.Int64(c.MaxCost, DefaultMaxCost)
+	c.DrainHorizon = standard.Millis(c.DrainHorizon, DefaultDrainHorizon)
+	c.CheckEvery = standard.Millis(c.CheckEvery, DefaultCheckEvery)
+	c.StandingAfter = standard.Millis(c.StandingAfter, DefaultStandingAfter)
+	c.StandingWait = standard.Millis(c.StandingWait, DefaultStandingWait)
+	c.MinRetryAfter = standard.Millis(c.MinRetryAfter, DefaultMinRetryAfter)
+	c.MaxRetryAfter = standard.Millis(c.MaxRetryAfter, DefaultMaxRetryAfter)
 	if c.Random == nil {
 		c.Random = rand.New(rand.NewPCG(1, 1))
 	}
--- a/pkg/kumquatlug/config/adopter.go
+++ b/pkg/kumquatlug/config/adopter.go
@@ -5,6 +5,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/standard"
 )
 
 // Defaults of [AdopterConfig].
@@ -119,30 +120,18 @@
 
 // NewAdopter returns an adopter that holds c.Start.
 func NewAdopter(c AdopterConfig) *Adopter {
-	setInt(&c.Readers, defaultReaders)
-	setInt(&c.MostReaders, defaultMostReaders)
-	setInt(&c.Recent, defaultRecent)
-	setMillis(&c.Poll, defaultPoll)
-	setMillis(&c.Widen, defaultWiden)
-	setMillis(&c.Alone, defaultAlone)
-	setMillis(&c.AlonePoll, defaultAlonePoll)
-	setMillis(&c.PullTimeout, defaultPullTimeout)
-	setMillis(&c.Stale, defaultStale)
+	c.Readers = standard.Int(c.Readers, defaultReaders)
+	c.MostReaders = standard.Int(c.MostReaders, defaultMostReaders)
+	c.Recent = standard.Int(c.Recent, defaultRecent)
+	c.Poll = standard.Millis(c.Poll, defaultPoll)
+	c.Widen = standard.Millis(c.Widen, defaultWiden)
+	c.Alone = standard.Millis(c.Alone, defaultAlone)
+	c.AlonePoll = standard.Millis(c.AlonePoll, defaultAlonePoll)
+	c.PullTimeout = standard.Millis(c.PullTimeout, defaultPullTimeout)
+	c.Stale = standard.Millis(c.Stale, defaultStale)
 	return &Adopter{c: c, holds: c.Start, head: c.Start.revision, headAt: c.Now, polled: c.Now - c.AlonePoll}
 }
 
-func setInt(field *int, value int) {
-	if *field <= 0 {
-		*field = value
-	}
-}
-
-func setMillis(field *kumquatlug.Millis, value kumquatlug.Millis) {
-	if *field <= 0 {
-		*field = value
-	}
-}
-
 // Holds returns the state in force on this node.
 func (a *Adopter) Holds() State { return a.holds }
 
--- a/pkg/kumquatlug/config/store.go
+++ b/pkg/kumquatlug/config/store.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/standard"
 )
 
 // Keys in the table and names in the object store.
@@ -58,20 +59,12 @@
 
 // NewStore returns a store over c's table and objects.
 func NewStore(c StoreConfig) *Store {
-	s := &Store{
+	return &Store{
 		table: c.Table, objects: c.Objects,
-		keep: Revision(c.Keep), pageRows: c.PageRows, attempts: c.Attempts,
+		keep:     Revision(standard.Int(c.Keep, defaultKeep)),
+		pageRows: standard.Int(c.PageRows, defaultPageRows),
+		attempts: standard.Int(c.Attempts, defaultAttempts),
 	}
-	if s.keep <= 0 {
-		s.keep = defaultKeep
-	}
-	if s.pageRows <= 0 {
-		s.pageRows = defaultPageRows
-	}
-	if s.attempts <= 0 {
-		s.attempts = defaultAttempts
-	}
-	return s
 }
 
 // pointer is the JSON of the head row and of the snapshot row.
--- a/pkg/kumquatlug/drain/drain.go
+++ b/pkg/kumquatlug/drain/drain.go
@@ -46,6 +46,7 @@
 package drain
 
 import (
+	"cmp"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
@@ -178,9 +179,7 @@
 
 // New returns a drain in StateStarting.
 func New(c Config) *Drain {
-	if c.Settle == 0 {
-		c.Settle = DefaultSettle
-	}
+	c.Settle = cmp.Or(c.Settle, DefaultSettle)
 	return &Drain{c: c}
 }
 
--- a/pkg/kumquatlug/health/health.go
+++ b/pkg/kumquatlug/health/health.go
@@ -23,6 +23,7 @@
 package health
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -69,33 +70,18 @@
 }
 
 func (c Config) withDefaults() Config {
-	c.HeartbeatEvery = orMillis(c.HeartbeatEvery, kumquatlug.Second)
-	c.HeartbeatTimeout = orMillis(c.HeartbeatTimeout, kumquatlug.Second)
-	c.ProbeAfter = orMillis(c.ProbeAfter, 5*kumquatlug.Second)
-	c.ProbeLimit = orMillis(c.ProbeLimit, kumquatlug.Minute)
-	c.SlowStart = orMillis(c.SlowStart, 10*kumquatlug.Second)
-	if c.MissedLimit == 0 {
-		c.MissedLimit = 3
-	}
-	if c.FailureLimit == 0 {
-		c.FailureLimit = 5
-	}
-	if c.EjectPart == 0 {
-		c.EjectPart = 0.34
-	}
-	if c.Tolerance == 0 {
-		c.Tolerance = 1.25
-	}
+	c.HeartbeatEvery = cmp.Or(c.HeartbeatEvery, kumquatlug.Second)
+	c.HeartbeatTimeout = cmp.Or(c.HeartbeatTimeout, kumquatlug.Second)
+	c.ProbeAfter = cmp.Or(c.ProbeAfter, 5*kumquatlug.Second)
+	c.ProbeLimit = cmp.Or(c.ProbeLimit, kumquatlug.Minute)
+	c.SlowStart = cmp.Or(c.SlowStart, 10*kumquatlug.Second)
+	c.MissedLimit = cmp.Or(c.MissedLimit, 3)
+	c.FailureLimit = cmp.Or(c.FailureLimit, 5)
+	c.EjectPart = cmp.Or(c.EjectPart, 0.34)
+	c.Tolerance = cmp.Or(c.Tolerance, 1.25)
 	return c
 }
 
-func orMillis(m, other kumquatlug.Millis) kumquatlug.Millis {
-	if m == 0 {
-		return other
-	}
-	return m
-}
-
 const (
 	// leastWeight is kept by a target that is slow, probed, or not ejected for
 	// the bound's sake: one call in twenty of a fair share still shows how it
--- a/pkg/kumquatlug/lease/lease.go
+++ b/pkg/kumquatlug/lease/lease.go
@@ -43,6 +43,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/standard"
 )
 
 // Number is a fencing number. It rises at each acquisition of a group's lease
@@ -202,11 +203,11 @@
 
 // New returns a holder that holds nothing and wants the lease.
 func New(c Config) (*Holder, error) {
-	set(&c.TTL, defaultTTL)
-	set(&c.Margin, defaultMargin)
-	set(&c.Renew, defaultRenew)
-	set(&c.Retry, defaultRetry)
-	set(&c.Timeout, defaultTimeout)
+	c.TTL = standard.Millis(c.TTL, defaultTTL)
+	c.Margin = standard.Millis(c.Margin, defaultMargin)
+	c.Renew = standard.Millis(c.Renew, defaultRenew)
+	c.Retry = standard.Millis(c.Retry, defaultRetry)
+	c.Timeout = standard.Millis(c.Timeout, defaultTimeout)
 	if c.Group == "" || c.Me == "" {
 		return nil, errors.New("a lease needs a group and a holder")
 	}
@@ -216,12 +217,6 @@
 	return &Holder{c: c, wanted: true, pending: Intent{action: ActionNone}, doubt: Intent{action: ActionNone}}, nil
 }
 
-func set(field *kumquatlug.Millis, value kumquatlug.Millis) {
-	if *field <= 0 {
-		*field = value
-	}
-}
-
 // Held returns the fencing number for orders given now, and false when this
 // process may give none. Ask right before each order is sent.
 func (h *Holder) Held(now kumquatlug.Millis) (Number, bool) {
--- a/pkg/kumquatlug/ledger/era.go
+++ b/pkg/kumquatlug/ledger/era.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"sync"
@@ -98,10 +99,10 @@
 	if c.Table == nil || c.Clock == nil || c.Incarnation == "" {
 		return nil, errors.New("a keeper needs a table, a clock and an incarnation")
 	}
-	c.Window = orMillis(c.Window, DefaultWindow)
-	c.Tick = orMillis(c.Tick, DefaultTick)
-	c.Page = orInt(c.Page, DefaultPage)
-	c.Pages = orInt(c.Pages, DefaultPages)
+	c.Window = cmp.Or(c.Window, DefaultWindow)
+	c.Tick = cmp.Or(c.Tick, DefaultTick)
+	c.Page = cmp.Or(c.Page, DefaultPage)
+	c.Pages = cmp.Or(c.Pages, DefaultPages)
 	if c.Tick > c.Window {
 		return nil, errors.New("a keeper's tick can't be longer than its window")
 	}
--- a/pkg/kumquatlug/ledger/ledger.go
+++ b/pkg/kumquatlug/ledger/ledger.go
@@ -76,6 +76,7 @@
 package ledger
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"sync"
@@ -158,30 +159,16 @@
 }
 
 func (c Config) withDefaults() Config {
-	c.Flush = orMillis(c.Flush, DefaultFlush)
-	c.Timeout = orMillis(c.Timeout, DefaultTimeout)
-	c.Pause = orMillis(c.Pause, DefaultPause)
-	c.RetryAfter = orMillis(c.RetryAfter, DefaultRetryAfter)
-	c.Batch = orInt(c.Batch, DefaultBatch)
-	c.Kept = orInt(c.Kept, DefaultKept)
-	c.Inline = orInt(c.Inline, DefaultInline)
+	c.Flush = cmp.Or(c.Flush, DefaultFlush)
+	c.Timeout = cmp.Or(c.Timeout, DefaultTimeout)
+	c.Pause = cmp.Or(c.Pause, DefaultPause)
+	c.RetryAfter = cmp.Or(c.RetryAfter, DefaultRetryAfter)
+	c.Batch = cmp.Or(c.Batch, DefaultBatch)
+	c.Kept = cmp.Or(c.Kept, DefaultKept)
+	c.Inline = cmp.Or(c.Inline, DefaultInline)
 	return c
 }
 
-func orMillis(m, fallback kumquatlug.Millis) kumquatlug.Millis {
-	if m == 0 {
-		return fallback
-	}
-	return m
-}
-
-func orInt(n, fallback int) int {
-	if n == 0 {
-		return fallback
-	}
-	return n
-}
-
 // Ledger is the claims of one process. It is safe for concurrent use; nothing
 // is claimed before Run runs.
 type Ledger struct {
--- a/pkg/kumquatlug/limit/callers.go
+++ b/pkg/kumquatlug/limit/callers.go
@@ -24,6 +24,7 @@
 	"net/http"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/standard"
 )
 
 // CallerTerms are what one account may ask of the whole system.
@@ -77,9 +78,7 @@
 	if c.Entries < 1 {
 		c.Entries = 1
 	}
-	if c.MaxRetryAfter <= 0 {
-		c.MaxRetryAfter = kumquatlug.Minute
-	}
+	c.MaxRetryAfter = standard.Millis(c.MaxRetryAfter, kumquatlug.Minute)
 	if c.Random == nil {
 		c.Random = rand.New(rand.NewPCG(1, 1))
 	}
--- a/pkg/kumquatlug/limit/targets.go
+++ b/pkg/kumquatlug/limit/targets.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/standard"
 )
 
 // Grounds of the defaults stand at the fields of [TargetsConfig].
@@ -65,27 +66,15 @@
 }
 
 func (c TargetsConfig) withDefaults() TargetsConfig {
-	if c.Initial <= 0 {
-		c.Initial = DefaultInitial
-	}
-	if c.Min <= 0 {
-		c.Min = DefaultMin
-	}
-	if c.Max <= 0 {
-		c.Max = DefaultMax
-	}
+	c.Initial = standard.Int(c.Initial, DefaultInitial)
+	c.Min = standard.Int(c.Min, DefaultMin)
+	c.Max = standard.Int(c.Max, DefaultMax)
 	if c.Tolerance <= 1 {
 		c.Tolerance = DefaultTolerance
 	}
-	if c.Window <= 0 {
-		c.Window = DefaultWindow
-	}
-	if c.HighWater <= 0 {
-		c.HighWater = DefaultHighWater
-	}
-	if c.MaxPending <= 0 {
-		c.MaxPending = DefaultPending
-	}
+	c.Window = standard.Millis(c.Window, DefaultWindow)
+	c.HighWater = standard.Float(c.HighWater, DefaultHighWater)
+	c.MaxPending = standard.Int64(c.MaxPending, DefaultPending)
 	if c.Entries < 1 {
 		c.Entries = 1
 	}
--- a/pkg/kumquatlug/order/gate.go
+++ b/pkg/kumquatlug/order/gate.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/lease"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/standard"
 )
 
 // defaultFenceAge is how old a reading of the number may be when an order runs.
@@ -84,12 +85,8 @@
 // NewGate returns a gate that knows neither the number nor the engine's state:
 // it takes no order and no work yet.
 func NewGate(c GateConfig) *Gate {
-	if c.Remember <= 0 {
-		c.Remember = defaultRemember
-	}
-	if c.FenceAge <= 0 {
-		c.FenceAge = defaultFenceAge
-	}
+	c.Remember = standard.Int(c.Remember, defaultRemember)
+	c.FenceAge = standard.Millis(c.FenceAge, defaultFenceAge)
 	return &Gate{c: c, shut: true, pending: Step{action: StepNone}}
 }
 
--- a/pkg/kumquatlug/order/sender.go
+++ b/pkg/kumquatlug/order/sender.go
@@ -7,6 +7,7 @@
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/lease"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/standard"
 )
 
 // defaultResend is how long a sender waits for an answer before it sends the
@@ -91,9 +92,7 @@
 
 // NewSender returns a sender without a lease.
 func NewSender(c SenderConfig) *Sender {
-	if c.Resend <= 0 {
-		c.Resend = defaultResend
-	}
+	c.Resend = standard.Millis(c.Resend, defaultResend)
 	return &Sender{c: c, peers: make(map[string]*peer)}
 }
 
--- a/pkg/kumquatlug/planner/baseline.go
+++ b/pkg/kumquatlug/planner/baseline.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"cmp"
 	"fmt"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
@@ -59,13 +60,13 @@
 
 // NewThreshold returns a planner that knows no engine and no demand.
 func NewThreshold(c ThresholdConfig) *Threshold {
-	c.High = orFloat(c.High, 0.9)
-	c.Low = orFloat(c.Low, 0.7)
-	c.Every = orMillis(c.Every, 10*kumquatlug.Second)
-	c.Span = orMillis(c.Span, 10*kumquatlug.Second)
-	c.AwayPart = orFloat(c.AwayPart, 0.2)
-	c.PrefillRate = orFloat(c.PrefillRate, 8000)
-	c.DecodeRate = orFloat(c.DecodeRate, 1500)
+	c.High = cmp.Or(c.High, 0.9)
+	c.Low = cmp.Or(c.Low, 0.7)
+	c.Every = cmp.Or(c.Every, 10*kumquatlug.Second)
+	c.Span = cmp.Or(c.Span, 10*kumquatlug.Second)
+	c.AwayPart = cmp.Or(c.AwayPart, 0.2)
+	c.PrefillRate = cmp.Or(c.PrefillRate, 8000)
+	c.DecodeRate = cmp.Or(c.DecodeRate, 1500)
 	return &Threshold{config: c, group: newGroup(c.PrefillRate, c.DecodeRate), demand: newDemand(c.Span, c.Span)}
 }
 
--- a/pkg/kumquatlug/planner/planner.go
+++ b/pkg/kumquatlug/planner/planner.go
@@ -23,6 +23,7 @@
 package planner
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 
@@ -89,38 +90,24 @@
 }
 
 func (c Config) withDefaults() Config {
-	c.Price = orFloat(c.Price, 1)
-	c.Enough = orFloat(c.Enough, 1)
-	c.Away = orMillis(c.Away, 10*kumquatlug.Second)
-	c.Horizon = orMillis(c.Horizon, 3*kumquatlug.Minute)
-	c.Dwell = orMillis(c.Dwell, kumquatlug.Minute)
-	c.LeastGain = orFloat(c.LeastGain, 0.02)
-	c.AwayPart = orFloat(c.AwayPart, 0.2)
-	c.Knee = orFloat(c.Knee, 8)
-	c.Fast = orMillis(c.Fast, 20*kumquatlug.Second)
-	c.Slow = orMillis(c.Slow, 3*kumquatlug.Minute)
-	c.Stale = orMillis(c.Stale, 10*kumquatlug.Second)
-	c.Gone = orMillis(c.Gone, kumquatlug.Minute)
-	c.Quorum = orFloat(c.Quorum, 0.75)
-	c.PrefillRate = orFloat(c.PrefillRate, 8000)
-	c.DecodeRate = orFloat(c.DecodeRate, 1500)
+	c.Price = cmp.Or(c.Price, 1)
+	c.Enough = cmp.Or(c.Enough, 1)
+	c.Away = cmp.Or(c.Away, 10*kumquatlug.Second)
+	c.Horizon = cmp.Or(c.Horizon, 3*kumquatlug.Minute)
+	c.Dwell = cmp.Or(c.Dwell, kumquatlug.Minute)
+	c.LeastGain = cmp.Or(c.LeastGain, 0.02)
+	c.AwayPart = cmp.Or(c.AwayPart, 0.2)
+	c.Knee = cmp.Or(c.Knee, 8)
+	c.Fast = cmp.Or(c.Fast, 20*kumquatlug.Second)
+	c.Slow = cmp.Or(c.Slow, 3*kumquatlug.Minute)
+	c.Stale = cmp.Or(c.Stale, 10*kumquatlug.Second)
+	c.Gone = cmp.Or(c.Gone, kumquatlug.Minute)
+	c.Quorum = cmp.Or(c.Quorum, 0.75)
+	c.PrefillRate = cmp.Or(c.PrefillRate, 8000)
+	c.DecodeRate = cmp.Or(c.DecodeRate, 1500)
 	return c
 }
 
-func orMillis(m, other kumquatlug.Millis) kumquatlug.Millis {
-	if m == 0 {
-		return other
-	}
-	return m
-}
-
-func orFloat(f, other float64) float64 {
-	if f == 0 {
-		return other
-	}
-	return f
-}
-
 // State says what a planner is doing.
 type State string
 
--- a/pkg/kumquatlug/quarantine/quarantine.go
+++ b/pkg/kumquatlug/quarantine/quarantine.go
@@ -63,6 +63,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"io"
@@ -175,17 +176,9 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.Period == 0 {
-		c.Period = kumquatlug.Hour
-	}
-	if c.Settle == 0 {
-		c.Settle = 2500
-	}
-	if c.Hold == 0 {
-		c.Hold = 10 * kumquatlug.Second
-	}
-	if c.Records == 0 {
-		c.Records = 4096
-	}
+	c.Period = cmp.Or(c.Period, kumquatlug.Hour)
+	c.Settle = cmp.Or(c.Settle, 2500)
+	c.Hold = cmp.Or(c.Hold, 10*kumquatlug.Second)
+	c.Records = cmp.Or(c.Records, 4096)
 	return c
 }
--- a/pkg/kumquatlug/retry/retry.go
+++ b/pkg/kumquatlug/retry/retry.go
@@ -34,6 +34,7 @@
 package retry
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 
@@ -71,27 +72,13 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.Ratio == 0 {
-		c.Ratio = 0.2
-	}
-	if c.Floor == 0 {
-		c.Floor = 1
-	}
-	if c.Reserve == 0 {
-		c.Reserve = 50
-	}
-	if c.Attempts == 0 {
-		c.Attempts = 4
-	}
-	if c.Refusals == 0 {
-		c.Refusals = 16
-	}
-	if c.Base == 0 {
-		c.Base = 50
-	}
-	if c.Limit == 0 {
-		c.Limit = 2 * kumquatlug.Second
-	}
+	c.Ratio = cmp.Or(c.Ratio, 0.2)
+	c.Floor = cmp.Or(c.Floor, 1)
+	c.Reserve = cmp.Or(c.Reserve, 50)
+	c.Attempts = cmp.Or(c.Attempts, 4)
+	c.Refusals = cmp.Or(c.Refusals, 16)
+	c.Base = cmp.Or(c.Base, 50)
+	c.Limit = cmp.Or(c.Limit, 2*kumquatlug.Second)
 	return c
 }
 
--- a/pkg/kumquatlug/routing/routing.go
+++ b/pkg/kumquatlug/routing/routing.go
@@ -26,6 +26,7 @@
 package routing
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -114,38 +115,17 @@
 }
 
 func (c Config) withDefaults() Config {
-	c.ZonePenalty = orMillis(c.ZonePenalty, 5)
-	c.LoadBound = orFloat(c.LoadBound, 1.25)
-	c.Affinity = orFloat(c.Affinity, 0.25)
-	c.BlockTokens = orInt(c.BlockTokens, 256)
-	c.PrefixKeys = orInt(c.PrefixKeys, 65536)
-	c.BatchSlowdown = orFloat(c.BatchSlowdown, 0.02)
-	c.PrefillRate = orFloat(c.PrefillRate, 8000)
-	c.DecodeRate = orFloat(c.DecodeRate, 50)
+	c.ZonePenalty = cmp.Or(c.ZonePenalty, 5)
+	c.LoadBound = cmp.Or(c.LoadBound, 1.25)
+	c.Affinity = cmp.Or(c.Affinity, 0.25)
+	c.BlockTokens = cmp.Or(c.BlockTokens, 256)
+	c.PrefixKeys = cmp.Or(c.PrefixKeys, 65536)
+	c.BatchSlowdown = cmp.Or(c.BatchSlowdown, 0.02)
+	c.PrefillRate = cmp.Or(c.PrefillRate, 8000)
+	c.DecodeRate = cmp.Or(c.DecodeRate, 50)
 	return c
 }
 
-func orMillis(m, other kumquatlug.Millis) kumquatlug.Millis {
-	if m == 0 {
-		return other
-	}
-	return m
-}
-
-func orFloat(f, other float64) float64 {
-	if f == 0 {
-		return other
-	}
-	return f
-}
-
-func orInt(n, other int) int {
-	if n == 0 {
-		return other
-	}
-	return n
-}
-
 // rateWindow is the span over which the entry's own sending is averaged: long
 // enough to hold several calls at 13 a second and entry, short beside the
 // minutes within which the mix shifts.
--- a/pkg/kumquatlug/stream/stream.go
+++ b/pkg/kumquatlug/stream/stream.go
@@ -22,6 +22,8 @@
 package stream
 
 import (
+	"cmp"
+
 	"github.com/cockroachdb/errors"
 )
 
@@ -164,12 +166,8 @@
 	if c.Request == "" {
 		return nil, errors.New("an answer needs the id of its request")
 	}
-	if c.Attempts == 0 {
-		c.Attempts = DefaultAttempts
-	}
-	if c.Ahead == 0 {
-		c.Ahead = DefaultAhead
-	}
+	c.Attempts = cmp.Or(c.Attempts, DefaultAttempts)
+	c.Ahead = cmp.Or(c.Ahead, DefaultAhead)
 	return &Answer{c: c, ahead: map[int]string{}}, nil
 }
 
