Keep one form of a caller's row

config.Caller stood beside kumquatlug.CallerConfig, which is what the commands write and entries read. The two differed: the first had a part of a weight and requests a second, and asked for no name. Check read a row by the first, so that it accepted rows that entries then pass over. Check now reads it by kumquatlug.DecodeCaller, as entries do.

SetCaller and Callers go with the type: nothing called them, tests included.

--- a/pkg/kumquatlug/config/rows.go
+++ b/pkg/kumquatlug/config/rows.go
@@ -17,24 +17,11 @@
 	// PrefixSelector is followed by a selector's name; the value is a
 	// [selector.Config].
 	PrefixSelector = "selector/"
-	// PrefixCaller is followed by an account; the value is a [Caller].
+	// PrefixCaller is followed by an account; the value is a
+	// [kumquatlug.CallerConfig].
 	PrefixCaller = "caller/"
 )
 
-// Caller is one account as operators store it.
-type Caller struct {
-	// KeyHash is the hex SHA-256 of the account's API key; the key itself is
-	// kept nowhere.
-	KeyHash string `json:"key_hash"`
-	// Weight is the account's share beside others; zero means 1.
-	Weight float64 `json:"weight,omitempty"`
-	// RequestsPerSecond and TokensPerSecond bound the account; zero means no bound.
-	RequestsPerSecond float64 `json:"requests_per_second,omitempty"`
-	TokensPerSecond   float64 `json:"tokens_per_second,omitempty"`
-	// Concurrency bounds its calls in hand; zero means no bound.
-	Concurrency int `json:"concurrency,omitempty"`
-}
-
 // SetLabels returns the write of a target's labels.
 func SetLabels(target string, labels selector.Labels) (Set, error) {
 	return setJSON(PrefixTarget+target, labels)
@@ -48,11 +35,6 @@
 	return setJSON(PrefixSelector+c.Name, c)
 }
 
-// SetCaller returns the write of an account.
-func SetCaller(account string, c Caller) (Set, error) {
-	return setJSON(PrefixCaller+account, c)
-}
-
 func setJSON(key string, value any) (Set, error) {
 	text, err := json.Marshal(value)
 	if err != nil {
@@ -74,7 +56,7 @@
 	case strings.HasPrefix(s.key, PrefixSelector):
 		_, err = selector.Decode(s.value)
 	case strings.HasPrefix(s.key, PrefixCaller):
-		err = json.Unmarshal(s.value, &Caller{})
+		_, err = kumquatlug.DecodeCaller(s.value)
 	default:
 		err = errors.New("keys start with target/, selector/ or caller/")
 	}
@@ -109,21 +91,6 @@
 	return all, bad
 }
 
-// Callers calls visit with each account in name order.
-func Callers(s State, visit func(account string, c Caller)) error {
-	var bad error
-	s.Range(PrefixCaller, func(key string, value []byte) bool {
-		var c Caller
-		if err := json.Unmarshal(value, &c); err != nil {
-			bad = errors.CombineErrors(bad, errors.Wrap(err, key))
-			return true
-		}
-		visit(strings.TrimPrefix(key, PrefixCaller), c)
-		return true
-	})
-	return bad
-}
-
 // unavailable marks err as one after which nothing took effect.
 func unavailable(err error) error {
 	return errors.Mark(err, kumquatlug.ErrUnavailable)
--- a/pkg/kumquatlug/config/state_test.go
+++ b/pkg/kumquatlug/config/state_test.go
@@ -88,6 +88,29 @@
 	}
 }
 
+// An account is written that entries can't read: it has no name, no hash, or a
+// figure of the wrong kind. The write is accepted and in force, entries pass the
+// row over, and the caller's key is refused without a word of why.
+func TestCheckRefusesAnAccountThatEntriesPassOver(t *testing.T) {
+	hash := kumquatlug.HashKey("k")
+	cases := map[string]struct {
+		value string
+		want  bool
+	}{
+		"whole":            {`{"name":"a","key_hash":"` + hash + `","weight":2}`, true},
+		"no name":          {`{"key_hash":"` + hash + `"}`, false},
+		"no hash":          {`{"name":"a"}`, false},
+		"short hash":       {`{"name":"a","key_hash":"00"}`, false},
+		"part of a weight": {`{"name":"a","key_hash":"` + hash + `","weight":1.5}`, false},
+		"negative bound":   {`{"name":"a","key_hash":"` + hash + `","concurrency":-1}`, false},
+	}
+	for name, c := range cases {
+		if err := Check(NewSet(PrefixCaller+"a", []byte(c.value))); (err == nil) != c.want {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
 func FuzzDecodeChange(f *testing.F) {
 	text, _ := NewChange(7, "id", "me", []Set{NewSet("a", []byte("b")), NewDelete("c")}).Encode()
 	f.Add(text)
