Let the proofs give only what a step does

Lease and order had the same type of step, ledger, stream and drain another one, each with the same Run and String. proof.Move and proof.Event are these steps; a test gives a function that plays one.

--- a/internal/proof/proof.go
+++ b/internal/proof/proof.go
@@ -9,6 +9,7 @@
 package proof
 
 import (
+	"fmt"
 	"os"
 	"strconv"
 	"testing"
@@ -25,10 +26,10 @@
 	runsVariable = "KUMQUATLUG_PROOF_RUNS"
 )
 
-// mostSeed bounds the seed of a step drawn by [Events].
+// mostSeed bounds the seed of an [Event].
 const mostSeed = 1 << 40
 
-// mostChoice bounds the choice of a step drawn by [Moves].
+// mostChoice bounds the choice of a [Move].
 const mostChoice = 9999
 
 // Config is what a proof is made of.
@@ -86,8 +87,8 @@
 	return n
 }
 
-// Step is the part that all steps share. A step embeds it and adds Run and
-// String. The world keeps the state itself, so a step is possible at any time.
+// Step is the part that all steps share. A step that is neither an [Event] nor
+// a [Move] embeds it and adds Run and String. The world keeps the state itself, so a step is possible at any time.
 type Step struct{}
 
 // NextState implements commands.Command.
@@ -114,20 +115,65 @@
 	}
 }
 
-// Events draws one of kinds and a seed for the step's own random numbers. A
-// kind comes up as often among the others as it is listed.
-func Events(kinds []string, event func(kind string, seed int64) commands.Command) gopter.Gen {
+// Event is what happens in a step: its kind, and the seed of the random numbers
+// that shape it.
+type Event struct {
+	Kind string
+	Seed int64
+}
+
+// String returns the event as a failure shows it.
+func (e Event) String() string { return fmt.Sprintf("%s(%d)", e.Kind, e.Seed) }
+
+type eventStep struct {
+	Step
+	Event
+	play func(commands.SystemUnderTest, Event) commands.Result
+}
+
+// Run implements commands.Command.
+func (s eventStep) Run(world commands.SystemUnderTest) commands.Result {
+	return s.play(world, s.Event)
+}
+
+// Events draws one of kinds and a seed. A kind comes up as often among the
+// others as it is listed. Play makes the event happen and returns what is wrong.
+func Events(kinds []string, play func(world commands.SystemUnderTest, e Event) commands.Result) gopter.Gen {
 	return gen.Int64Range(0, mostSeed).Map(func(n int64) commands.Command {
-		return event(kinds[n%int64(len(kinds))], n)
+		return eventStep{Event: Event{Kind: kinds[n%int64(len(kinds))], Seed: n}, play: play}
 	})
 }
 
-// Moves draws one of kinds, one of actors by its index, and a choice from 0 to
-// 9999. A kind comes up as often among the others as it is listed.
-func Moves(kinds []string, actors int, move func(kind string, actor, choice int) commands.Command) gopter.Gen {
+// Move is what one of several actors does in a step.
+type Move struct {
+	Kind string
+	// Actor is the index of who does it.
+	Actor int
+	// Choice, from 0 to 9999, shapes it.
+	Choice int
+}
+
+// String returns the move as a failure shows it.
+func (m Move) String() string { return fmt.Sprintf("%s(%d,%d)", m.Kind, m.Actor, m.Choice) }
+
+type moveStep struct {
+	Step
+	Move
+	play func(commands.SystemUnderTest, Move) commands.Result
+}
+
+// Run implements commands.Command.
+func (s moveStep) Run(world commands.SystemUnderTest) commands.Result {
+	return s.play(world, s.Move)
+}
+
+// Moves draws one of kinds, one of actors by its index, and a choice. A kind
+// comes up as often among the others as it is listed. Play makes the move and
+// returns what is wrong.
+func Moves(kinds []string, actors int, play func(world commands.SystemUnderTest, m Move) commands.Result) gopter.Gen {
 	return gopter.CombineGens(
 		gen.IntRange(0, len(kinds)-1), gen.IntRange(0, actors-1), gen.IntRange(0, mostChoice),
 	).Map(func(v []interface{}) commands.Command {
-		return move(kinds[v[0].(int)], v[1].(int), v[2].(int))
+		return moveStep{Move: Move{Kind: kinds[v[0].(int)], Actor: v[1].(int), Choice: v[2].(int)}, play: play}
 	}).WithShrinker(gopter.NoShrinker)
 }
--- a/pkg/kumquatlug/drain/proof_test.go
+++ b/pkg/kumquatlug/drain/proof_test.go
@@ -191,12 +191,6 @@
 	}
 }
 
-type event struct {
-	proof.Step
-	kind string
-	seed int64
-}
-
 var kinds = []string{
 	"pass", "pass", "pass", "pass", "pass", "pass", "request", "request", "request", "request", "request", "late", "late",
 	"end", "end", "end",
@@ -206,14 +200,11 @@
 	"waver", "nap", "live", "live",
 }
 
-func (e event) String() string { return fmt.Sprintf("%s(%d)", e.kind, e.seed) }
-
-// Run implements commands.Command.
-func (e event) Run(sut commands.SystemUnderTest) commands.Result {
+func play(sut commands.SystemUnderTest, e proof.Event) commands.Result {
 	w := sut.(*world)
-	r := rand.New(rand.NewSource(e.seed))
+	r := rand.New(rand.NewSource(e.Seed))
 	i := r.Intn(len(w.entries))
-	switch e.kind {
+	switch e.Kind {
 	case "pass":
 		w.pass(r, 1+r.Intn(6))
 	case "request":
@@ -225,9 +216,9 @@
 	case "heartbeat":
 		w.heartbeat(i)
 	case "label", "unlabel":
-		w.log = append(w.log, change{at: w.now, leaving: e.kind == "label"})
+		w.log = append(w.log, change{at: w.now, leaving: e.Kind == "label"})
 	case "leave", "live":
-		w.list = append(w.list, change{at: w.now, leaving: e.kind == "leave"})
+		w.list = append(w.list, change{at: w.now, leaving: e.Kind == "leave"})
 		w.told = false
 	case "waver":
 		w.list = append(w.list, change{at: w.now, leaving: true})
@@ -240,13 +231,13 @@
 		w.restart()
 	case "wake-request", "kill-request":
 		w.paused = false
-		if e.kind == "kill-request" {
+		if e.Kind == "kill-request" {
 			w.restart()
 		}
 		w.request(i, false, r)
 		w.late(r)
 	default:
-		w.disturb(e.kind, i)
+		w.disturb(e.Kind, i)
 	}
 	return w.wrong
 }
@@ -340,8 +331,6 @@
 	}
 }
 
-func newEvent(kind string, seed int64) commands.Command { return event{kind: kind, seed: seed} }
-
 func TestProofLeavingTargetGetsNoWorkAndNoneIsCut(t *testing.T) {
 	// A target leaves by label or by the list alone, while entries are cut off
 	// and send what they routed long before, its agent is paused, stopped,
@@ -351,7 +340,7 @@
 	proof.Run(t, proof.Config{
 		Claim: "a leaving target gets no work and none is cut",
 		Seed:  5, Runs: 800, Steps: 80,
-		Command: proof.Events(kinds, newEvent),
+		Command: proof.Events(kinds, play),
 		World:   func() commands.SystemUnderTest { return newWorld(counts) },
 	})
 	t.Logf("%d accepted, %d refused, %d planned stops", counts["accepted"], counts["refused"], counts["stops"])
--- a/pkg/kumquatlug/lease/proof_test.go
+++ b/pkg/kumquatlug/lease/proof_test.go
@@ -25,21 +25,6 @@
 	"taken", "taken", "taken", "taken", "taken", "taken", "out", "lost", "dropped", "late", "answered-late",
 }
 
-// move is one step of a proof.
-type move struct {
-	proof.Step
-	what   string
-	who    int
-	choice int
-}
-
-func newMove(what string, who, choice int) commands.Command {
-	return move{what: what, who: who, choice: choice}
-}
-
-func (m move) Run(sut commands.SystemUnderTest) commands.Result { return sut.(*world).play(m) }
-func (m move) String() string                                   { return fmt.Sprintf("%s(%d,%d)", m.what, m.who, m.choice) }
-
 // Three processes want one group's lease. They are paused for any time and wake
 // at any moment, their clocks run 500 ppm apart, requests and answers are lost
 // or come late, the table is out, processes restart, stop on purpose and change
@@ -49,7 +34,7 @@
 	proof.Run(t, proof.Config{
 		Claim: "one holder at a time, under a number of its own",
 		Seed:  1, Runs: 200, Steps: 60,
-		Command: proof.Moves(moves, worldHolders, newMove),
+		Command: proof.Moves(moves, worldHolders, play),
 		World:   func() commands.SystemUnderTest { return newWorld() },
 	})
 }
@@ -107,39 +92,40 @@
 	w.holders[i], w.wanted[i] = h, true
 }
 
-func (w *world) play(m move) commands.Result {
-	switch m.what {
+func play(sut commands.SystemUnderTest, m proof.Move) commands.Result {
+	w := sut.(*world)
+	switch m.Kind {
 	case "turn":
-		w.turn(m.who, fates[m.choice%len(fates)], fates[m.choice/100%len(fates)])
+		w.turn(m.Actor, fates[m.Choice%len(fates)], fates[m.Choice/100%len(fates)])
 	case "tick":
-		w.time += kumquatlug.Millis(m.choice)
+		w.time += kumquatlug.Millis(m.Choice)
 	case "pause":
-		w.pass(m.who, kumquatlug.Millis(m.choice*3))
+		w.pass(m.Actor, kumquatlug.Millis(m.Choice*3))
 	case "stall":
 		w.stall(m)
 	case "arrive":
 		if len(w.requests) > 0 {
-			k := m.choice % len(w.requests)
+			k := m.Choice % len(w.requests)
 			r := w.requests[k]
 			w.requests = append(w.requests[:k:k], w.requests[k+1:]...)
 			w.reach(&r)
 		}
 	case "answer":
 		if len(w.answers) > 0 {
-			k := m.choice % len(w.answers)
+			k := m.Choice % len(w.answers)
 			a := w.answers[k]
 			w.answers = append(w.answers[:k:k], w.answers[k+1:]...)
 			w.hand(a)
 		}
 	case "want":
-		w.wanted[m.who] = m.choice%2 == 0
-		w.holders[m.who].Want(w.wanted[m.who])
+		w.wanted[m.Actor] = m.Choice%2 == 0
+		w.holders[m.Actor].Want(w.wanted[m.Actor])
 	case "bounce":
 		w.bounce(m)
 	case "restart":
-		w.restart(m.who)
+		w.restart(m.Actor)
 	case "calm":
-		w.pass(-1, kumquatlug.Millis(m.choice*3))
+		w.pass(-1, kumquatlug.Millis(m.Choice*3))
 	case "heal":
 		w.heal()
 	}
@@ -244,27 +230,27 @@
 }
 
 // bounce lets a holder give its lease back and want it again at once.
-func (w *world) bounce(m move) {
-	w.holders[m.who].Want(false)
-	w.turn(m.who, "taken", fates[m.choice%len(fates)])
-	w.wanted[m.who] = true
-	w.holders[m.who].Want(true)
+func (w *world) bounce(m proof.Move) {
+	w.holders[m.Actor].Want(false)
+	w.turn(m.Actor, "taken", fates[m.Choice%len(fates)])
+	w.wanted[m.Actor] = true
+	w.holders[m.Actor].Want(true)
 }
 
 // stall pauses a holder between its write and the answer to it, hands it the
 // answer, and pauses it again. Every other time it changed its mind in between.
-func (w *world) stall(m move) {
-	w.turn(m.who, "taken", "answered-late")
-	w.pass(m.who, kumquatlug.Millis(m.choice))
-	if m.choice%2 == 0 {
-		w.turn(m.who, "dropped")
+func (w *world) stall(m proof.Move) {
+	w.turn(m.Actor, "taken", "answered-late")
+	w.pass(m.Actor, kumquatlug.Millis(m.Choice))
+	if m.Choice%2 == 0 {
+		w.turn(m.Actor, "dropped")
 		w.bounce(m)
 	}
 	if last := len(w.answers) - 1; last >= 0 {
 		w.hand(w.answers[last])
 		w.answers = w.answers[:last]
 	}
-	w.pass(m.who, 16*kumquatlug.Second)
+	w.pass(m.Actor, 16*kumquatlug.Second)
 }
 
 // pass lets everything work for a span, except that one holder is paused. It
--- a/pkg/kumquatlug/ledger/proof_test.go
+++ b/pkg/kumquatlug/ledger/proof_test.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"fmt"
 	"math/rand"
 	"testing"
 
@@ -11,12 +10,6 @@
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
 
-type event struct {
-	proof.Step
-	kind string
-	seed int64
-}
-
 var kinds = []string{
 	"request", "request", "request", "request", "arrive", "arrive", "arrive", "arrive", "arrive",
 	"step", "step", "step", "step", "step", "step", "step", "step", "step", "step", "step", "step",
@@ -25,13 +18,10 @@
 	"request", "request", "arrive", "arrive", "arrive", "step", "step", "step", "step", "step", "step", "step", "step",
 }
 
-func (e event) String() string { return fmt.Sprintf("%s(%d)", e.kind, e.seed) }
-
-// Run implements commands.Command.
-func (e event) Run(sut commands.SystemUnderTest) commands.Result {
+func play(sut commands.SystemUnderTest, e proof.Event) commands.Result {
 	w := sut.(*world)
-	r := rand.New(rand.NewSource(e.seed))
-	switch e.kind {
+	r := rand.New(rand.NewSource(e.Seed))
+	switch e.Kind {
 	case "request":
 		w.request(r)
 	case "arrive":
@@ -51,7 +41,7 @@
 	case "leave":
 		w.leave(pick(w.agents, r, func(p *process) bool { return len(p.asked) > 0 }), r)
 	default:
-		w.disturb(e.kind, r)
+		w.disturb(e.Kind, r)
 	}
 	return w.wrong
 }
@@ -78,8 +68,6 @@
 	}
 }
 
-func newEvent(kind string, seed int64) commands.Command { return event{kind: kind, seed: seed} }
-
 func TestProofAtMostOnceAndNotRunIsTrue(t *testing.T) {
 	// Postings are sent, sent again through another entry, with another body,
 	// and routed to another target, while the table loses answers, is down or
@@ -90,7 +78,7 @@
 	proof.Run(t, proof.Config{
 		Claim: "at most one run, and not-run is true",
 		Seed:  5, Runs: 600, Steps: 200,
-		Command: proof.Events(kinds, newEvent),
+		Command: proof.Events(kinds, play),
 		World:   func() commands.SystemUnderTest { return newWorld(counts) },
 	})
 	t.Logf("%v", counts)
--- a/pkg/kumquatlug/order/proof_test.go
+++ b/pkg/kumquatlug/order/proof_test.go
@@ -1,7 +1,6 @@
 package order
 
 import (
-	"fmt"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -24,21 +23,6 @@
 	"finish", "finish", "give-up", "crash", "notice", "restart", "tick", "quiet", "quiet", "heal",
 }
 
-// move is one step of a proof.
-type move struct {
-	proof.Step
-	what   string
-	who    int
-	choice int
-}
-
-func newMove(what string, who, choice int) commands.Command {
-	return move{what: what, who: who, choice: choice}
-}
-
-func (m move) Run(sut commands.SystemUnderTest) commands.Result { return sut.(*world).play(m) }
-func (m move) String() string                                   { return fmt.Sprintf("%s(%d,%d)", m.what, m.who, m.choice) }
-
 // Two planners give orders to one engine that ignores fencing numbers. Each may
 // have lost the lease long ago without knowing it; messages are lost, doubled
 // and overtake one another; the agent restarts, the table is out, the engine
@@ -49,7 +33,7 @@
 	proof.Run(t, proof.Config{
 		Claim: "orders have authority, come one at a time and cut no work",
 		Seed:  1, Runs: 300, Steps: 100,
-		Command: proof.Moves(moves, worldSenders, newMove),
+		Command: proof.Moves(moves, worldSenders, play),
 		World:   func() commands.SystemUnderTest { return newWorld() },
 	})
 }
@@ -109,36 +93,37 @@
 	}
 }
 
-func (w *world) play(m move) commands.Result {
-	switch m.what {
+func play(sut commands.SystemUnderTest, m proof.Move) commands.Result {
+	w := sut.(*world)
+	switch m.Kind {
 	case "elect":
-		w.elect(m.who)
+		w.elect(m.Actor)
 	case "give":
-		w.give(m.who, m.choice)
+		w.give(m.Actor, m.Choice)
 	case "ghost":
-		w.ghost(m.choice)
+		w.ghost(m.Choice)
 	case "push":
 		w.push(m)
 	case "send":
-		w.send(m.who)
+		w.send(m.Actor)
 	case "deliver":
-		w.deliver(m.choice, false)
+		w.deliver(m.Choice, false)
 	case "duplicate":
-		w.deliver(m.choice, true)
+		w.deliver(m.Choice, true)
 	case "drop":
 		if len(w.messages) > 0 {
-			if m := w.take(m.choice); m.lost != nil {
+			if m := w.take(m.Choice); m.lost != nil {
 				m.lost()
 			}
 		}
 	case "report":
-		w.report(m.who)
+		w.report(m.Actor)
 	case "tick":
-		w.now += kumquatlug.Millis(m.choice / 4)
+		w.now += kumquatlug.Millis(m.Choice / 4)
 	case "heal":
 		w.heal()
 	case "quiet":
-		w.quiet(m.choice % 8)
+		w.quiet(m.Choice % 8)
 	default:
 		w.playTarget(m)
 	}
@@ -149,10 +134,10 @@
 	return nil
 }
 
-func (w *world) playTarget(m move) {
-	switch m.what {
+func (w *world) playTarget(m proof.Move) {
+	switch m.Kind {
 	case "step":
-		w.step(m.choice%4 == 0, false)
+		w.step(m.Choice%4 == 0, false)
 	case "late":
 		w.step(false, true)
 	case "begin":
@@ -160,14 +145,14 @@
 	case "end":
 		w.end()
 	case "finish":
-		w.finish(m.choice%3 == 0)
+		w.finish(m.Choice%3 == 0)
 	case "give-up":
 		if w.running != nil {
 			w.gate.Ran(*w.running, OutcomeUnknown)
 			w.running = nil
 		}
 	case "crash":
-		w.crash(m.choice%2 == 0, m.choice%3 == 0)
+		w.crash(m.Choice%2 == 0, m.Choice%3 == 0)
 	case "notice":
 		w.notice()
 	case "restart":
@@ -211,13 +196,13 @@
 
 // push brings an order of the holder up to the engine, if nothing is in its
 // way, and leaves it there.
-func (w *world) push(m move) {
+func (w *world) push(m proof.Move) {
 	i := w.holder()
 	w.step(false, false)
 	w.step(false, false)
 	w.report(i)
 	w.deliver(len(w.messages)-1, false)
-	w.give(i, m.choice)
+	w.give(i, m.Choice)
 	before := len(w.messages)
 	w.send(i)
 	if len(w.messages) > before {
--- a/pkg/kumquatlug/stream/proof_test.go
+++ b/pkg/kumquatlug/stream/proof_test.go
@@ -85,24 +85,14 @@
 	w.take(w.answer.End(NewEnd(request, w.attempt, answerLength, "stop", Usage{})), 0)
 }
 
-// event is a command: a kind of event and the numbers that shape it.
-type event struct {
-	proof.Step
-	kind string
-	seed int64
-}
-
 var kinds = []string{"chunk", "chunk", "chunk", "next", "next", "next", "late", "foreign", "cut", "end", "diverge", "finish"}
 
-func (e event) String() string { return fmt.Sprintf("%s(%d)", e.kind, e.seed) }
-
-// Run implements commands.Command.
-func (e event) Run(sut commands.SystemUnderTest) commands.Result {
+func play(sut commands.SystemUnderTest, e proof.Event) commands.Result {
 	w := sut.(*world)
-	r := rand.New(rand.NewSource(e.seed))
+	r := rand.New(rand.NewSource(e.Seed))
 	first := w.from[w.attempt] + r.Intn(answerLength-w.from[w.attempt]+1)
 	attempt, id, salt := w.attempt, request, ""
-	switch e.kind {
+	switch e.Kind {
 	case "next":
 		first = len(w.answer.Sent())
 	case "late":
@@ -128,7 +118,7 @@
 		}
 		return w.check()
 	}
-	if e.kind == "diverge" && len(w.answer.Sent()) == 0 {
+	if e.Kind == "diverge" && len(w.answer.Sent()) == 0 {
 		return w.check()
 	}
 	var tokens []string
@@ -139,8 +129,6 @@
 	return w.check()
 }
 
-func newEvent(kind string, seed int64) commands.Command { return event{kind: kind, seed: seed} }
-
 func TestProofWholeAnswer(t *testing.T) {
 	// Engines crash in the middle of an answer, streams end without their end
 	// mark, chunks come late, twice, out of order and for another request. A
@@ -149,7 +137,7 @@
 	proof.Run(t, proof.Config{
 		Claim: "the caller reads the oracle's answer",
 		Seed:  5, Runs: 300, Steps: 40,
-		Command: proof.Events(kinds, newEvent),
+		Command: proof.Events(kinds, play),
 		World:   func() commands.SystemUnderTest { return newWorld() },
 		End: func(sut commands.SystemUnderTest) {
 			w := sut.(*world)
