--- a/cmd/kumquatlug/entry.go
+++ b/cmd/kumquatlug/entry.go
@@ -15,6 +15,7 @@
 	"github.com/kumquatlug/kumquatlug/internal/settings"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/dispatch"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/drain"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/planner"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/routing"
 )
@@ -42,7 +43,7 @@
 	flags.StringVar(&s.publicCert, "public-cert", "", "certificate for callers and operators: PEM text or a file; empty means plain HTTP")
 	flags.StringVar(&s.publicKey, "public-key", "", "the key of --public-cert: PEM text or a file")
 	flags.StringSliceVar(&s.operatorKeys, "operator-keys", nil, "operators and their keys, name=key, separated by commas")
-	flags.Int64Var(&s.balancerLag, "balancer-lag-ms", 5000, "how long a stopping entry goes on accepting after /readyz says no")
+	flags.Int64Var(&s.balancerLag, "balancer-lag-ms", int64(drain.EntryLag), "how long a stopping entry goes on accepting after /readyz says no")
 	flags.Int64Var(&s.listEvery, "list-every-ms", 2000, "how often the platform's list of VMs is read")
 	flags.Int64Var(&s.maxBody, "max-body-bytes", caller.DefaultMaxBody, "largest request body")
 	flags.IntVar(&s.subset, "subset", routing.DefaultSubset, "how many engines of a kind this entry speaks to")
--- a/cmd/kumquatlug/operate.go
+++ b/cmd/kumquatlug/operate.go
@@ -67,16 +67,25 @@
 }
 
 func newLabel() *cobra.Command {
+	var remove bool
 	cmd := &cobra.Command{
 		Use:   "label TARGET name=value... name-...",
 		Short: "Set or remove labels of a target",
-		Args:  cobra.MinimumNArgs(2),
+		Args:  cobra.MinimumNArgs(1),
 		Example: `  kumquatlug label t1 pool=draft model=decree
   kumquatlug label t1 leaving=true      # drain: no new work, what runs is finished
-  kumquatlug label t1 leaving-          # take it back`,
+  kumquatlug label t1 leaving-          # take it back
+  kumquatlug label t1 --delete          # forget a target that is gone for good`,
 	}
 	s := bindServer(cmd)
+	cmd.Flags().BoolVar(&remove, "delete", false, "remove all labels and the target's row")
 	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		if remove == (len(args) > 1) {
+			return errors.New("give labels to set or remove, or --delete alone")
+		}
+		if remove {
+			return change(cmd, s, config.NewDelete(config.PrefixTarget+args[0]))
+		}
 		client, err := s.client()
 		if err != nil {
 			return err
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -20,6 +20,7 @@
 	"github.com/kumquatlug/kumquatlug/internal/timeline"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/config"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/drain"
 )
 
 // Config is what an [Agent] is made of.
@@ -42,7 +43,8 @@
 	Objects     kumquatlug.Objects
 	VMs         kumquatlug.VMs
 	// Silence is after how long without an entry's heartbeat the agent asks for
-	// itself before it takes new work, in milliseconds; zero means 5,000.
+	// itself before it takes new work, in milliseconds; zero means
+	// drain.AgentSilence.
 	Silence  kumquatlug.Millis
 	Clock    kumquatlug.Clock
 	Logger   *zap.Logger
@@ -50,11 +52,6 @@
 	Ring     *timeline.Ring
 }
 
-// defaultSilence is above two heartbeats at the pace of an entry with fifteen
-// targets (2.2 s), and every agent is asked by several entries; an agent that
-// hears of none for half of it asks for itself.
-const defaultSilence = 5 * kumquatlug.Second
-
 // Agent is the process beside one target.
 type Agent struct {
 	c           Config
@@ -71,7 +68,7 @@
 func New(c Config) (*Agent, error) {
 	a := &Agent{c: c, incarnation: ulid.Make().String(), dialer: peer.NewDialer(c.Keys)}
 	if a.c.Silence == 0 {
-		a.c.Silence = defaultSilence
+		a.c.Silence = drain.AgentSilence
 	}
 	a.metrics = newMetrics(c.Registry)
 	a.watch = &watch{agent: a}
--- a/pkg/kumquatlug/dispatch/place.go
+++ b/pkg/kumquatlug/dispatch/place.go
@@ -13,7 +13,7 @@
 	watched := map[string]bool{}
 	for _, kind := range d.order {
 		k := d.kinds[kind]
-		k.names = d.subset(kind)
+		d.setNames(k, d.subset(kind))
 		k.split = d.isSplit(kind)
 		d.placeKind(now, k)
 		for _, name := range k.names {
@@ -84,6 +84,18 @@
 	return d.labels[name].labels.With(name, member.VM().Zone())
 }
 
+// setNames follows the targets of a kind. One that is gone leaves its health
+// group: counted on, it would shift the median by which the others are judged
+// and take a place among those that may be ejected.
+func (d *Dispatcher) setNames(k *kindState, names []string) {
+	for _, name := range k.names {
+		if !contains(names, name) {
+			d.health[k.kind].Remove(name)
+		}
+	}
+	k.names = names
+}
+
 func (d *Dispatcher) placeKind(now kumquatlug.Millis, k *kindState) {
 	wasEmpty := len(k.ready) == 0
 	k.ready = k.ready[:0]
--- a/pkg/kumquatlug/drain/drain.go
+++ b/pkg/kumquatlug/drain/drain.go
@@ -54,10 +54,11 @@
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
 
-// AgentSilence is the silence that an agent gives: three heartbeats of a
-// second each, so that one that is late or lost refuses nothing, and short
-// enough to keep work from a leaving target after a few seconds.
-const AgentSilence = 3 * kumquatlug.Second
+// AgentSilence is the silence that an agent gives: two heartbeats at the pace of
+// an entry with fifteen targets (2.2 s each), and every agent is asked by several
+// entries, so that one that is late or lost refuses nothing; short enough to keep
+// work from a leaving target after a few seconds.
+const AgentSilence = 5 * kumquatlug.Second
 
 // EntryLag is the lag that an entry behind a balancer gives. A balancer that
 // checks every 5 s and takes a VM out after two failures needs 10 s; 5 s more
