--- a/cmd/kumquatlug-standin/pathcost.go
+++ b/cmd/kumquatlug-standin/pathcost.go
@@ -44,7 +44,7 @@
 	f.IntVar(&c.Streams, "streams", 1000, "streams open at a time")
 	f.IntVar(&c.Tokens, "tokens", 100, "tokens of a stream")
 	millisVar(cmd, &c.TokenTime, "token-time", 29, "decode time of the stamping engines")
-	millisVar(cmd, &c.Span, "span", 6*kumquatlug.Second, "how long streams are begun, each way")
+	millisVar(cmd, &c.Span, "span", 5*kumquatlug.Second, "how long streams are begun, each way")
 	millisVar(cmd, &c.BurstSpan, "burst-span", 1500, "length of a burst")
 	f.IntVar(&c.BurstRounds, "burst-rounds", 2, "bursts each way")
 	f.IntVar(&c.BurstTokens, "burst-tokens", 50, "tokens of an answer in bursts")
--- /dev/null
+++ b/internal/standin/load/path_test.go
@@ -0,0 +1,60 @@
+package load
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/kumquatlug/kumquatlug/internal/standin/engine"
+)
+
+const someMetrics = `# HELP process_cpu_seconds_total help
+process_cpu_seconds_total 1.5
+go_memstats_mallocs_total 1e+06
+go_memstats_alloc_bytes_total 2048
+kumquatlug_entry_wait_seconds_sum{kind="a"} 0.25
+kumquatlug_entry_wait_seconds_sum{kind="b"} 0.5
+kumquatlug_entry_wait_seconds_count{kind="a"} 3
+`
+
+func TestReadUseAddsUpKinds(t *testing.T) {
+	got, err := readUse(strings.NewReader(someMetrics))
+	want := Use{seconds: 1.5, objects: 1e6, bytes: 2048, waited: 0.75, waits: 3}
+	if err != nil || got != want {
+		t.Fatalf("read %+v, %v", got, err)
+	}
+}
+
+// The same engine stands for the path and for itself. Every answer must come
+// whole, with a time for each of its tokens, both ways.
+func TestMeasurePathTimesEveryToken(t *testing.T) {
+	e := httptest.NewServer(engine.New(engine.Config{Models: []string{StampedModel}, Stamped: true, DecodeTime: 2}).Handler())
+	defer e.Close()
+	metrics := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, someMetrics)
+	}))
+	defer metrics.Close()
+	const tokens = 5
+	cost, err := MeasurePath(context.Background(), PathConfig{
+		Entry: e.URL, Key: "k", Stamped: []string{e.URL}, Streams: 4, Tokens: tokens, TokenTime: 2, Span: 100,
+		Metrics: []Process{{Name: "entry", URL: metrics.URL, Client: http.DefaultClient}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if cost.Broken() != 0 || cost.Streams.through.Whole() == 0 {
+		t.Fatalf("%d broken, %d whole", cost.Broken(), cost.Streams.through.Whole())
+	}
+	for _, r := range []*Report{cost.Streams.direct, cost.Streams.again, cost.Streams.through} {
+		if got, want := r.ways.token.TotalCount(), int64(r.Whole()*tokens); got != want {
+			t.Errorf("%d token times, want %d", got, want)
+		}
+	}
+	var table strings.Builder
+	if err := cost.WriteTable(&table); err != nil || !strings.Contains(table.String(), "down, each token") {
+		t.Fatalf("%v: %s", err, table.String())
+	}
+}
--- a/internal/standin/load/pathtable.go
+++ b/internal/standin/load/pathtable.go
@@ -14,8 +14,10 @@
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	c.Streams.writeTimes(w)
 	c.Streams.writeUse(w, "streams")
-	c.Bursts.writeRates(w)
-	c.Bursts.writeUse(w, "bursts")
+	if c.Bursts.through.Whole() > 0 {
+		c.Bursts.writeRates(w)
+		c.Bursts.writeUse(w, "bursts")
+	}
 	return w.Flush()
 }
 
--- a/scripts/path-cost.sh
+++ b/scripts/path-cost.sh
@@ -7,7 +7,7 @@
 #   scripts/path-cost.sh [--plain] [arguments of path-cost]
 #
 # --plain leaves TLS between entry and agents away. STAMPED and FAST in the
-# environment are the numbers of engines (8 and 4).
+# environment are the numbers of engines (24 and 4).
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -16,7 +16,7 @@
 	plain=yes
 	shift
 fi
-stamped_count="${STAMPED:-8}"
+stamped_count="${STAMPED:-24}"
 fast_count="${FAST:-4}"
 
 folder="$(mktemp -d)"
@@ -39,6 +39,7 @@
 start() {
 	local name="$1"
 	shift
+	: >"$folder/$name.out"
 	"$@" >"$folder/$name.out" 2>&1 &
 	pids+=($!)
 }
