--- a/internal/entry/plan.go
+++ b/internal/entry/plan.go
@@ -2,13 +2,9 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
-	"connectrpc.com/connect"
-	"go.uber.org/zap"
-
-	"github.com/kumquatlug/kumquatlug/internal/peer/peerv1"
-	"github.com/kumquatlug/kumquatlug/internal/timeline"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/config"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/dispatch"
@@ -38,7 +34,9 @@
 
 // groupPlan is what this entry does for one group of engines.
 type groupPlan struct {
-	name    string
+	name string
+	// kind is the model whose prompts and outputs the group shares out.
+	kind    string
 	holder  *lease.Holder
 	sender  *order.Sender
 	planner kumquatlug.RolePlanner
@@ -69,7 +67,7 @@
 		err    error
 	}
 	offered struct {
-		group string
+		kind  string
 		offer kumquatlug.Offer
 	}
 )
@@ -83,6 +81,7 @@
 	// known are the groups of targets at a revision of the config.
 	known     map[string]string
 	knownAt   config.Revision
+	watching  []string
 	lookedAt  kumquatlug.Millis
 	offeredAt kumquatlug.Millis
 }
@@ -128,27 +127,7 @@
 	case orderAnswered:
 		p.takeReply(m)
 	case offered:
-		if g, known := p.groups[m.group]; known {
-			g.planner.Offered(p.now(), m.offer)
-		}
-	}
-}
-
-func (p *plans) takeReply(m orderAnswered) {
-	g, known := p.groups[m.group]
-	if !known || m.err != nil {
-		return
-	}
-	if settled, ended := g.sender.Answered(m.target, m.id, m.reply); ended {
-		p.settled(g, settled)
-	}
-}
-
-func (p *plans) settled(g *groupPlan, s order.Settlement) {
-	p.entry.c.Logger.Info("order settled", zap.String("group", g.name), zap.String("target", s.Target()),
-		zap.String("order", s.Order().ID().String()), zap.String("outcome", string(s.Outcome())))
-	if s.Outcome() != order.OutcomeApplied {
-		g.planner.Refused(p.now(), s.Target())
+		p.takeOffer(m)
 	}
 }
 
@@ -173,6 +152,7 @@
 func (p *plans) look(ctx context.Context, now kumquatlug.Millis) {
 	state := p.entry.State()
 	engines := map[string]map[string]engineView{}
+	kinds := map[string]string{}
 	var entries, watch []string
 	err := p.entry.loop.ask(ctx, func(d *dispatch.Dispatcher) {
 		entries = append(entries, d.Entries()...)
@@ -183,6 +163,8 @@
 			}
 			if engines[group] == nil {
 				engines[group] = map[string]engineView{}
+				kind, _ := d.Flexible(name)
+				kinds[group] = kind.Name()
 			}
 			m, _ := d.Member(name)
 			engines[group][name] = engineView{name: name, address: m.VM().Address(), report: d.LastReport(name)}
@@ -193,6 +175,7 @@
 	}
 	for name, members := range engines {
 		g := p.group(name)
+		g.kind = kinds[name]
 		g.holder.Want(p.candidate(name, entries) && !p.entry.notReady.Load())
 		p.report(now, g, members)
 		if _, held := g.holder.Held(now); held {
@@ -206,6 +189,11 @@
 			g.holder.Want(false)
 		}
 	}
+	slices.Sort(watch)
+	if slices.Equal(watch, p.watching) {
+		return
+	}
+	p.watching = watch
 	_ = p.entry.loop.ask(ctx, func(d *dispatch.Dispatcher) { d.WatchAlso(now, watch) })
 }
 
@@ -213,15 +201,14 @@
 // selectors give both prompts and outputs.
 func (p *plans) plannedGroup(state config.State, d *dispatch.Dispatcher, target string) string {
 	if p.knownAt != state.Revision() || p.known == nil {
-		// Finding a group decodes all selectors; done each second for each of
-		// ten thousand targets it took a third of a core (docs/CAPACITY.md).
+		// Found anew each second for each of ten thousand targets the groups
+		// took a third of a core (docs/CAPACITY.md).
 		p.known, p.knownAt = map[string]string{}, state.Revision()
 	}
 	group, found := p.known[target]
 	if !found {
-		if d.Flexible(target) {
-			m, _ := d.Member(target)
-			group = config.GroupOf(state, target, m.VM().Zone())
+		if _, flexible := d.Flexible(target); flexible {
+			group = d.Group(target)
 		}
 		p.known[target] = group
 	}
@@ -278,15 +265,6 @@
 	}
 }
 
-// going is the role that an engine was ordered to take, by this holder or, as
-// its phase shows, by another.
-func (p *plans) going(g *groupPlan, target string) kumquatlug.Role {
-	if o, outstanding := g.sender.Outstanding(target); outstanding {
-		return kumquatlug.Role(o.Argument())
-	}
-	return ""
-}
-
 // ask sends an intent to the table and brings the answer back.
 func (p *plans) ask(ctx context.Context, g *groupPlan, i lease.Intent) {
 	if i.Action() == lease.ActionNone {
@@ -307,143 +285,3 @@
 		}
 	}()
 }
-
-// order plans and sends orders while the lease is held.
-func (p *plans) order(ctx context.Context, g *groupPlan) {
-	number, held := g.holder.Held(p.now())
-	if held && number != g.number {
-		g.number = number
-		g.sender.Granted(number)
-		p.entry.c.Ring.Add(timeline.Record{Name: timeline.LeaseTaken, Peer: g.name, Detail: "number " + itoa(int64(number))})
-	}
-	if !held && g.number != 0 {
-		g.number = 0
-		p.entry.c.Ring.Add(timeline.Record{Name: timeline.LeaseLost, Peer: g.name})
-	}
-	if held {
-		p.give(g)
-	}
-	for _, out := range g.sender.Due(p.now(), number, held) {
-		p.send(ctx, g, out)
-	}
-}
-
-// give turns the planner's changes, and first roles, into orders.
-func (p *plans) give(g *groupPlan) {
-	for _, change := range append(firstRoles(g), g.planner.Plan(p.now())...) {
-		o, err := g.sender.Give(change.Target(), order.VerbRole, string(change.To()))
-		if err != nil {
-			g.planner.Refused(p.now(), change.Target())
-			continue
-		}
-		p.entry.c.Ring.Add(timeline.Record{
-			Name: timeline.OrderSent, Peer: change.Target(), Detail: o.ID().String() + " role " + o.Argument() + ": " + change.Reason(),
-		})
-	}
-}
-
-// firstRoles gives an engine that does both, or none after a crash, the role
-// that fewer have, one engine at a time.
-func firstRoles(g *groupPlan) []kumquatlug.RoleChange {
-	prefill, decode := 0, 0
-	for _, e := range g.engines {
-		switch e.report.Role {
-		case kumquatlug.RolePrefill:
-			prefill++
-		case kumquatlug.RoleDecode:
-			decode++
-		}
-	}
-	to := kumquatlug.RoleDecode
-	if prefill < decode {
-		to = kumquatlug.RolePrefill
-	}
-	for _, name := range sortedNames(g.engines) {
-		role := g.engines[name].report.Role
-		if _, outstanding := g.sender.Outstanding(name); outstanding {
-			return nil
-		}
-		if role == kumquatlug.RoleBoth || (role == "" && g.engines[name].report.Starts > 0) {
-			return []kumquatlug.RoleChange{kumquatlug.NewRoleChange(name, role, to, "first role")}
-		}
-	}
-	return nil
-}
-
-func (p *plans) send(ctx context.Context, g *groupPlan, out order.Outgoing) {
-	address := g.engines[out.Target()].address
-	if address == "" {
-		return
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-		defer cancel()
-		o := out.Order()
-		m := orderAnswered{group: g.name, target: out.Target(), id: o.ID()}
-		answer, err := p.entry.dialer.Agent(address).Order(ctx, connect.NewRequest(&peerv1.OrderRequest{
-			Id: o.ID().String(), Group: g.name, Holder: p.entry.c.Name, Verb: string(o.Verb()), Argument: o.Argument(),
-		}))
-		if m.err = err; err == nil {
-			m.reply = order.NewReply(order.Verdict(answer.Msg.GetVerdict()), order.Outcome(answer.Msg.GetOutcome()), lease.Number(answer.Msg.GetFence()))
-		}
-		p.post(m)
-	}()
-}
-
-// tellOffers tells the demand of this entry to those that may hold the leases.
-func (p *plans) tellOffers(ctx context.Context, span kumquatlug.Millis) {
-	brought := map[string]dispatch.Offered{}
-	var entries []string
-	_ = p.entry.loop.ask(ctx, func(d *dispatch.Dispatcher) {
-		entries = append(entries, d.Entries()...)
-		d.TakeOffers(func(kind kumquatlug.Kind, o dispatch.Offered) { brought[kind.Name()] = o })
-	})
-	addresses := map[string]string{}
-	for _, vm := range p.entry.others() {
-		addresses[vm.Name()] = vm.Address()
-	}
-	for group, o := range brought {
-		offer := kumquatlug.Offer{
-			Entry: p.entry.c.Name, Span: span, PrefillTokens: float64(o.Prefill), DecodeTokens: float64(o.Decode),
-		}
-		for i, name := range routing.ServiceOrder(group, entries) {
-			if i >= candidates {
-				break
-			}
-			p.tell(ctx, name, addresses[name], group, offer)
-		}
-	}
-}
-
-func (p *plans) tell(ctx context.Context, entry, address, group string, o kumquatlug.Offer) {
-	if entry == p.entry.c.Name {
-		p.post(offered{group, o})
-		return
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-		defer cancel()
-		_, err := p.entry.dialer.Entry(address).Offer(ctx, connect.NewRequest(&peerv1.OfferRequest{
-			Entry: o.Entry, Group: group, SpanMs: int64(o.Span), PrefillTokens: o.PrefillTokens, DecodeTokens: o.DecodeTokens,
-		}))
-		if err != nil {
-			p.entry.c.Logger.Debug("can't tell the demand", zap.String("peer", entry), zap.Error(err))
-		}
-	}()
-}
-
-// offers serves what other entries tell of their demand.
-type offers struct {
-	plans *plans
-}
-
-// Offer takes the demand of another entry.
-func (s *offers) Offer(
-	_ context.Context, r *connect.Request[peerv1.OfferRequest],
-) (*connect.Response[peerv1.OfferResponse], error) {
-	s.plans.post(offered{r.Msg.GetGroup(), kumquatlug.Offer{
-		Entry: r.Msg.GetEntry(), Span: kumquatlug.Millis(r.Msg.GetSpanMs()),
-		PrefillTokens: r.Msg.GetPrefillTokens(), DecodeTokens: r.Msg.GetDecodeTokens(),
-	}})
-	return connect.NewResponse(&peerv1.OfferResponse{}), nil
-}
--- a/pkg/kumquatlug/ledger/ledger.go
+++ b/pkg/kumquatlug/ledger/ledger.go
@@ -71,10 +71,12 @@
 //
 // Everything that waits while one transaction is under way goes into the next.
 // A process starts at most one transaction per Config.Flush, whatever the rate
-// of calls.
+// of calls. A call that runs once is two row writes in such transactions and one
+// read. BenchmarkLedger gives the transactions of a call at a given rate.
 package ledger
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"sync"
@@ -98,6 +100,14 @@
 	DefaultInline     = 8 << 10
 )
 
+// Reasons of refusals that hold for every target alike.
+const (
+	// ReasonTable: the table is out, so that nothing can be claimed.
+	ReasonTable = "table_unavailable"
+	// ReasonObjects: the object store that keeps a large answer is out.
+	ReasonObjects = "objects_unavailable"
+)
+
 // readsAtOnce bounds the reads under way together after a conflict. A batch of
 // 128 is then read in some thirty round trips, at 2,000 reads a second or less
 // while a round trip takes 8 ms.
@@ -149,30 +159,16 @@
 }
 
 func (c Config) withDefaults() Config {
-	c.Flush = orMillis(c.Flush, DefaultFlush)
-	c.Timeout = orMillis(c.Timeout, DefaultTimeout)
-	c.Pause = orMillis(c.Pause, DefaultPause)
-	c.RetryAfter = orMillis(c.RetryAfter, DefaultRetryAfter)
-	c.Batch = orInt(c.Batch, DefaultBatch)
-	c.Kept = orInt(c.Kept, DefaultKept)
-	c.Inline = orInt(c.Inline, DefaultInline)
+	c.Flush = cmp.Or(c.Flush, DefaultFlush)
+	c.Timeout = cmp.Or(c.Timeout, DefaultTimeout)
+	c.Pause = cmp.Or(c.Pause, DefaultPause)
+	c.RetryAfter = cmp.Or(c.RetryAfter, DefaultRetryAfter)
+	c.Batch = cmp.Or(c.Batch, DefaultBatch)
+	c.Kept = cmp.Or(c.Kept, DefaultKept)
+	c.Inline = cmp.Or(c.Inline, DefaultInline)
 	return c
 }
 
-func orMillis(m, fallback kumquatlug.Millis) kumquatlug.Millis {
-	if m == 0 {
-		return fallback
-	}
-	return m
-}
-
-func orInt(n, fallback int) int {
-	if n == 0 {
-		return fallback
-	}
-	return n
-}
-
 // Ledger is the claims of one process. It is safe for concurrent use; nothing
 // is claimed before Run runs.
 type Ledger struct {
@@ -381,7 +377,7 @@
 	body, err := l.c.Objects.Fetch(ctx, d.ruling.outcome.object)
 	if err != nil {
 		return Ruling{}, kumquatlug.NewFailure(kumquatlug.FailureConfig{
-			Step: "fetch answer", Peer: "objects", Reason: "objects_unavailable",
+			Step: "fetch answer", Peer: "objects", Reason: ReasonObjects,
 			Ran: kumquatlug.RanDone, RetryAfter: l.c.RetryAfter, Cause: err,
 		})
 	}
--- a/pkg/kumquatlug/planner/planner_test.go
+++ b/pkg/kumquatlug/planner/planner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	"github.com/leanovate/gopter"
@@ -253,3 +254,70 @@
 	fmt.Println(careful.Plan(0), careful.State())
 	// Output: [] frozen-engines
 }
+
+func TestMomentaryWaitIsNoQueue(t *testing.T) {
+	// A call that has just arrived shows as waiting at an engine that was
+	// nearly idle for the second before. If that second were taken for what the
+	// engine can do, prompts would seem to need ever more engines, and the
+	// callers of long outputs would queue at the few that are left.
+	cases := map[string]struct {
+		waiting []int
+		shown   int
+		learned bool
+	}{
+		"call just arrived":         {waiting: []int{0, 1}, shown: 1},
+		"the same, shown again":     {waiting: []int{0, 1}, shown: 3},
+		"queue that was":            {waiting: []int{4, 0}, shown: 1},
+		"queue that stays":          {waiting: []int{4, 4}, shown: 1, learned: true},
+		"queue that stays, by then": {waiting: []int{0, 4, 4}, shown: 2, learned: true},
+	}
+	for name, c := range cases {
+		for _, role := range []kumquatlug.Role{kumquatlug.RolePrefill, kumquatlug.RoleDecode} {
+			g := newGroup(8000, 1500)
+			for i := range 20 * c.shown * len(c.waiting) {
+				taken := i / c.shown
+				g.report(0, kumquatlug.EngineReport{
+					Target: "e", Role: role, TakenAt: kumquatlug.Millis(taken), Waiting: c.waiting[taken%len(c.waiting)],
+					PrefillRate: 100, DecodeRate: 100,
+				})
+			}
+			rate := map[kumquatlug.Role]float64{kumquatlug.RolePrefill: g.prefillRate / 8000, kumquatlug.RoleDecode: g.decodeRate / 1500}[role]
+			if c.learned != (rate < 1) {
+				t.Errorf("%s at %s: %.2f of the rate at the start", name, role, rate)
+			}
+		}
+	}
+}
+
+func TestMovingMixIsNotSeenLate(t *testing.T) {
+	// Prompts give way to outputs steadily over two minutes. An average alone
+	// shows the demand of twenty seconds ago, engines need as long to drain and
+	// change on top, and callers queue behind a split that fits the past. A jump
+	// must not be overshot by so much that engines are moved there and back.
+	d := newDemand(20*kumquatlug.Second, 3*kumquatlug.Minute)
+	now := kumquatlug.Millis(0)
+	offer := func(prefill, decode float64) {
+		now += kumquatlug.Second
+		d.offered(now, kumquatlug.Offer{Entry: "entry", Span: kumquatlug.Second, PrefillTokens: prefill, DecodeTokens: decode})
+	}
+	for range 300 {
+		offer(9000, 3000)
+	}
+	for s := range 120 {
+		prefill, decode := 9000-50*float64(s+1), 3000+50*float64(s+1)
+		offer(prefill, decode)
+		got := d.estimate()
+		if s >= 90 && (math.Abs(got.prefill/prefill-1) > 0.06 || math.Abs(got.decode/decode-1) > 0.06) {
+			t.Fatalf("%d s into the turn it sees %.0f and %.0f of %.0f and %.0f", s, got.prefill, got.decode, prefill, decode)
+		}
+	}
+	for range 600 {
+		offer(3000, 9000)
+	}
+	for s := range 120 {
+		offer(6000, 0)
+		if got := d.estimate(); got.prefill > 6000+0.14*3000 || got.decode < 0 {
+			t.Fatalf("%d s after the jump it sees %.0f and %.0f", s, got.prefill, got.decode)
+		}
+	}
+}
