Freeze and kill lease holders in the path test

Cause: that a frozen holder which wakes has no effect was proved of the modules only. The holder is paused, the next takes number 2, the woken one gives up its belief, the next is killed, number 3 follows; no engine got an order under a lower number than before, and none cut an answer.

--- a/test/path/path_test.go
+++ b/test/path/path_test.go
@@ -4,6 +4,7 @@
 package path
 
 import (
+	"encoding/json"
 	"net/http"
 	"strings"
 	"syscall"
@@ -239,19 +240,86 @@
 	if len(sent) != 2 || sent[0] == sent[1] {
 		t.Errorf("the request went to %v, want one engine and then the other:\n%s", sent, f.operate("timeline"))
 	}
-	// The holder of the group's lease is killed; another entry must take over
-	// under a higher number, and answers go on meanwhile.
-	holder := "entry-1"
-	for _, line := range strings.Split(f.operate("timeline"), "\n") {
-		if fields := strings.Fields(line); len(fields) > 3 && fields[3] == "lease_taken" {
-			holder = fields[2]
-		}
+	f.leasePath(long)
+}
+
+// leasePath first freezes the holder of the group's lease and then kills the
+// next one. Each time another entry must take over under a higher number, and a
+// holder that wakes must know that it is none: two that both gave orders would
+// send engines to and fro.
+func (f *fleet) leasePath(prompt string) {
+	f.t.Helper()
+	f.startEntry("entry-3")
+	first, _ := f.holder("entry-3", "number 1")
+	f.processes[first].signal(syscall.SIGSTOP)
+	asked := "entry-3"
+	f.expectWhole(f.stream(asked, prompt, 20, nil), prompt, 20)
+	second, _ := f.holder(asked, "number 2")
+	f.processes[first].signal(syscall.SIGCONT)
+	until(f.t, "the woken holder knows that it is none", func() bool {
+		return strings.Contains(f.linesOf(asked, first), "lease_lost")
+	})
+	if second == asked {
+		asked = first
+	}
+	f.processes[second].signal(syscall.SIGKILL)
+	f.expectWhole(f.stream(asked, prompt, 20, nil), prompt, 20)
+	f.holder(asked, "number 3")
+	for _, name := range []string{"engine-1", "engine-2"} {
+		f.expectFencesRise(name)
 	}
-	other := map[string]string{"entry-1": "entry-2", "entry-2": "entry-1"}[holder]
-	f.processes[holder].signal(syscall.SIGKILL)
-	f.expectWhole(f.stream(other, long, 20, nil), long, 20)
-	until(t, "the other entry holds the lease", func() bool {
-		line := f.must("timeline", "--server", f.operators[other], "--operator-key", operatorKey)
-		return strings.Contains(line, "lease_taken") && strings.Contains(line, "number 2")
+}
+
+// holder waits until some entry has taken the lease under a number, as the time
+// line of the entry asked tells, and returns which.
+func (f *fleet) holder(asked, number string) (name, line string) {
+	f.t.Helper()
+	until(f.t, "the lease is taken under "+number, func() bool {
+		for _, line = range strings.Split(f.linesOf(asked, ""), "\n") {
+			if fields := strings.Fields(line); strings.Contains(line, "lease_taken") && strings.HasSuffix(strings.TrimSpace(line), number) {
+				name = fields[2]
+			}
+		}
+		return name != ""
 	})
+	return name, line
+}
+
+// linesOf returns the lines of the time line, as an entry tells it, that name
+// a node.
+func (f *fleet) linesOf(asked, node string) string {
+	f.t.Helper()
+	var found []string
+	for _, line := range strings.Split(f.must("timeline", "--server", f.operators[asked], "--operator-key", operatorKey), "\n") {
+		if fields := strings.Fields(line); node == "" || (len(fields) > 3 && fields[2] == node) {
+			found = append(found, line)
+		}
+	}
+	return strings.Join(found, "\n")
+}
+
+// expectFencesRise looks at every order that reached an engine.
+func (f *fleet) expectFencesRise(engine string) {
+	f.t.Helper()
+	response, err := http.Get("http://" + f.targets[engine] + "/orders")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var list struct {
+		Orders []struct {
+			Fence int64 `json:"fence"`
+			Cut   int   `json:"cut"`
+		} `json:"orders"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&list); err != nil {
+		f.t.Fatal(err)
+	}
+	highest := int64(0)
+	for _, o := range list.Orders {
+		if o.Fence < highest || o.Cut > 0 {
+			f.t.Errorf("%s got an order under %d after %d, which cut %d answers", engine, o.Fence, highest, o.Cut)
+		}
+		highest = max(highest, o.Fence)
+	}
 }
