Judge an engine's speed by what its model does, not by a figure

Cause: limits compare each answer with the time it takes on an idle engine, and took 20 ms a token for granted. Change: the least time between tokens that a kind's engines have shown sets the scale; it rises slowly, for models that get slower for good.

--- a/pkg/kumquatlug/dispatch/attempt.go
+++ b/pkg/kumquatlug/dispatch/attempt.go
@@ -143,11 +143,18 @@
 	if !kept {
 		return d.out
 	}
+	k, known := d.kinds[r.c.Kind]
+	if !known {
+		k = &kindState{}
+	}
 	portion := tokens - r.tokens
-	work, served := workOf(0, portion), admission.Cost(0, portion)
+	if r.firstAt != 0 {
+		k.learnGap(now, now-r.stepAt, portion)
+	}
+	work, served := k.idleWork(0, portion), admission.Cost(0, portion)
 	if r.firstAt == 0 {
 		r.firstAt, r.stepAt = now, r.sentAt
-		work = workOf(r.c.PrefillTokens, 1)
+		work = k.idleWork(r.c.PrefillTokens, 1)
 		served += admission.Cost(r.c.PrefillTokens, 0)
 	}
 	d.limits(r.c.Kind).Sample(now, &r.ticket, now-r.stepAt, work)
--- a/pkg/kumquatlug/dispatch/dispatch.go
+++ b/pkg/kumquatlug/dispatch/dispatch.go
@@ -113,6 +113,10 @@
 	split bool
 	// offered are the tokens that callers brought since [Dispatcher.TakeOffers].
 	offered Offered
+	// gap is the least time between two tokens of output that its engines have
+	// shown, in milliseconds; zero before the first.
+	gap   float64
+	gapAt kumquatlug.Millis
 	// pace is how long answers take beside what their tokens make expect.
 	pace float64
 }
--- a/pkg/kumquatlug/dispatch/dispatch_test.go
+++ b/pkg/kumquatlug/dispatch/dispatch_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
@@ -304,3 +306,40 @@
 		}
 	}
 }
+
+// A larger model takes five times as long for a token as the figures that the
+// limits start from. Held to them it would be given a stream or two for ever,
+// and its callers would wait before idle engines.
+func TestSlowerModelIsNotTakenForOverloaded(t *testing.T) {
+	const gap, tokens, wanted = 100, 64, 48
+	d := newDesk(t, "e1")
+	running, next := map[string]int64{}, 0
+	for d.now < 400_000 {
+		for len(running) < wanted {
+			id := fmt.Sprint("r", next)
+			next++
+			if _, sent := d.arrive(id, drafts, 10*kumquatlug.Minute); !sent {
+				d.Cancelled(d.now, id)
+				break
+			}
+			running[id] = 0
+		}
+		d.now += gap
+		for _, id := range slices.Sorted(maps.Keys(running)) {
+			running[id]++
+			if running[id] == tokens {
+				delete(running, id)
+				d.Finished(d.now, id, Done{Tokens: tokens})
+			} else if running[id]%progressTokens == 1 {
+				d.Progress(d.now, id, running[id])
+			}
+		}
+	}
+	if len(running) < wanted {
+		t.Errorf("%d streams run at an engine that takes %d", len(running), wanted)
+	}
+}
+
+// progressTokens is how many tokens an entry gathers before it tells them, after
+// the first.
+const progressTokens = 16
--- a/pkg/kumquatlug/dispatch/estimate.go
+++ b/pkg/kumquatlug/dispatch/estimate.go
@@ -61,3 +61,38 @@
 	const millis = float64(kumquatlug.Second)
 	return float64(prefill)*millis/prefillRate + float64(decode)*millis/decodeRate
 }
+
+// Figures of what an idle engine does.
+const (
+	// leastPortion is the least number of tokens whose gap is believed: fewer
+	// arrive together by chance.
+	leastPortion = 8
+	// gapDoubles lets the gap rise slowly, so that a model that got slower for
+	// good is not held to its old pace for ever.
+	gapDoubles = float64(kumquatlug.Hour)
+)
+
+// idleWork is how long so many tokens take on an idle engine of a kind, as its
+// answers have shown. Limits cut an engine that takes several times as long: with
+// one pace taken for granted, a larger model that is merely slower would be held
+// to a stream or two for ever.
+func (k *kindState) idleWork(prefill, decode int64) float64 {
+	work := workOf(prefill, decode)
+	if k.gap == 0 {
+		return work
+	}
+	return work * k.gap * decodeRate / float64(kumquatlug.Second)
+}
+
+// learnGap takes the span in which a portion of a stream came.
+func (k *kindState) learnGap(now, span kumquatlug.Millis, tokens int64) {
+	if tokens < leastPortion || span <= 0 {
+		return
+	}
+	seen := float64(span) / float64(tokens)
+	k.gap *= 1 + float64(now-k.gapAt)/gapDoubles
+	k.gapAt = now
+	if k.gap == 0 || seen < k.gap {
+		k.gap = seen
+	}
+}
