--- a/pkg/kumquatlug/dispatch/dispatch_test.go
+++ b/pkg/kumquatlug/dispatch/dispatch_test.go
@@ -72,11 +72,16 @@
 
 func (d *desk) label(target string, labels selector.Labels) {
 	d.t.Helper()
-	text, err := json.Marshal(labels)
+	d.configure(d.t, labelSet(d.t, target, labels))
+}
+
+func labelSet(t *testing.T, target string, labels selector.Labels) config.Set {
+	t.Helper()
+	set, err := config.SetLabels(target, labels)
 	if err != nil {
-		d.t.Fatal(err)
+		t.Fatal(err)
 	}
-	d.configure(d.t, config.NewSet(config.PrefixTarget+target, text))
+	return set
 }
 
 func (d *desk) heard(target string, state TargetState) {
