--- a/internal/entry/order.go
+++ b/internal/entry/order.go
@@ -11,6 +11,7 @@
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/lease"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/order"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/planner"
 )
 
 func (p *plans) takeReply(m orderAnswered) {
@@ -53,7 +54,7 @@
 
 // give turns the planner's changes, and first roles, into orders.
 func (p *plans) give(g *groupPlan) {
-	for _, change := range append(firstRoles(g), g.planner.Plan(p.now())...) {
+	for _, change := range append(planner.FirstRoles(g.reports), g.planner.Plan(p.now())...) {
 		o, err := g.sender.Give(change.Target(), order.VerbRole, string(change.To()))
 		if err != nil {
 			g.planner.Refused(p.now(), change.Target())
@@ -65,50 +66,6 @@
 	}
 }
 
-// firstPart is the part of a group whose engines are given their first role at
-// once; the others go on doing both meanwhile.
-const firstPart = 5
-
-// firstRoles gives engines that do both, or none after a crash, the role that
-// fewer have, a part of the group at a time.
-func firstRoles(g *groupPlan) []kumquatlug.RoleChange {
-	counts := map[kumquatlug.Role]int{}
-	away := 0
-	for name, e := range g.engines {
-		role := e.report.Role
-		if o, outstanding := g.sender.Outstanding(name); outstanding {
-			role = kumquatlug.Role(o.Argument())
-			away++
-		}
-		counts[role]++
-	}
-	var changes []kumquatlug.RoleChange
-	for _, name := range sortedNames(g.engines) {
-		if away >= max(1, len(g.engines)/firstPart) {
-			break
-		}
-		if !needsRole(g, name) {
-			continue
-		}
-		to := kumquatlug.RoleDecode
-		if counts[kumquatlug.RolePrefill] < counts[kumquatlug.RoleDecode] {
-			to = kumquatlug.RolePrefill
-		}
-		counts[to]++
-		away++
-		changes = append(changes, kumquatlug.NewRoleChange(name, g.engines[name].report.Role, to, "first role"))
-	}
-	return changes
-}
-
-func needsRole(g *groupPlan, name string) bool {
-	if _, outstanding := g.sender.Outstanding(name); outstanding {
-		return false
-	}
-	e := g.engines[name]
-	return e.report.Role == kumquatlug.RoleBoth || (e.report.Role == "" && e.report.Starts > 0)
-}
-
 func (p *plans) send(ctx context.Context, g *groupPlan, out order.Outgoing) {
 	address := g.engines[out.Target()].address
 	if address == "" {
--- a/internal/entry/plan.go
+++ b/internal/entry/plan.go
@@ -42,6 +42,8 @@
 	planner kumquatlug.RolePlanner
 	number  lease.Number
 	engines map[string]engineView
+	// reports are what the registered engines last told, in name order.
+	reports []kumquatlug.EngineReport
 }
 
 // engineView is one engine of a group as the last heartbeat told it.
@@ -249,7 +251,9 @@
 		}
 	}
 	g.engines = members
-	for name, e := range members {
+	g.reports = g.reports[:0]
+	for _, name := range sortedNames(members) {
+		e := members[name]
 		settled, ended := g.sender.Heard(order.Report{
 			Target: name, Incarnation: order.Incarnation(e.report.Starts), Number: lease.Number(e.report.Fence),
 			Phase: order.Phase(e.report.Phase),
@@ -257,11 +261,16 @@
 		if ended {
 			p.settled(g, settled)
 		}
-		g.planner.Report(now, kumquatlug.EngineReport{
+		report := kumquatlug.EngineReport{
 			Target: name, Role: e.report.Role, Going: p.going(g, name), TakenAt: e.report.Asked - e.report.Age,
 			InHand: int(e.report.Running), Waiting: int(e.report.Waiting),
 			PrefillRate: e.report.PrefillRate, DecodeRate: e.report.DecodeRate,
-		})
+		}
+		g.planner.Report(now, report)
+		if e.report.Starts > 0 {
+			// An agent that is not registered yet takes no orders.
+			g.reports = append(g.reports, report)
+		}
 	}
 }
 
--- /dev/null
+++ b/pkg/kumquatlug/planner/first_test.go
@@ -0,0 +1,47 @@
+package planner
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+// Twelve engines start without roles. One at a time leaves the group half done
+// for a minute; all at once leaves nobody to serve while they change.
+func TestFirstRolesComeInParts(t *testing.T) {
+	engines := make([]kumquatlug.EngineReport, 12)
+	for i := range engines {
+		engines[i] = kumquatlug.EngineReport{Target: fmt.Sprint("e", i), Role: kumquatlug.RoleBoth}
+	}
+	rounds := 0
+	for changes := FirstRoles(engines); len(changes) > 0; changes = FirstRoles(engines) {
+		if rounds++; len(changes) > 2 || rounds > 6 {
+			t.Fatalf("round %d orders %d engines", rounds, len(changes))
+		}
+		for _, change := range changes {
+			for i := range engines {
+				if engines[i].Target == change.Target() {
+					engines[i].Role = change.To()
+				}
+			}
+		}
+	}
+	counts := map[kumquatlug.Role]int{}
+	for _, e := range engines {
+		counts[e.Role]++
+	}
+	if counts[kumquatlug.RolePrefill] != 6 || counts[kumquatlug.RoleDecode] != 6 {
+		t.Errorf("roles %v", counts)
+	}
+}
+
+func TestFirstRolesWaitForThoseOnTheirWay(t *testing.T) {
+	engines := []kumquatlug.EngineReport{
+		{Target: "e1", Role: kumquatlug.RoleBoth, Going: kumquatlug.RoleDecode},
+		{Target: "e2", Role: kumquatlug.RoleBoth},
+	}
+	if changes := FirstRoles(engines); len(changes) != 0 {
+		t.Errorf("ordered %d more", len(changes))
+	}
+}
