Bound the bodies of all requests together

Change: a body is counted against 32 MB before a byte of it is read; who finds it full is told so at once, with when to come back. Seen to fail with the comparison taken out: TestBodiesTogetherAreBounded ends by the test's time limit, the second body being taken.

--- a/cmd/kumquatlug/dev.go
+++ b/cmd/kumquatlug/dev.go
@@ -15,6 +15,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/kumquatlug/kumquatlug/internal/agent"
+	"github.com/kumquatlug/kumquatlug/internal/caller"
 	"github.com/kumquatlug/kumquatlug/internal/entry"
 	"github.com/kumquatlug/kumquatlug/internal/settings"
 	standinengine "github.com/kumquatlug/kumquatlug/internal/standin/engine"
@@ -211,7 +212,7 @@
 func (s *devSettings) newEntry(ctx context.Context) (*entry.Entry, error) {
 	settings := entrySettings{
 		nodeSettings: s.node("entry-1"), listen: s.listen, peers: "127.0.0.1:0", operators: s.operators,
-		operatorKeys: []string{"laptop=" + s.operatorKey}, listEvery: 500, planner: plannerStatic,
+		operatorKeys: []string{"laptop=" + s.operatorKey}, listEvery: 500, planner: plannerStatic, maxHeld: caller.DefaultMaxHeld,
 	}
 	n, err := settings.build()
 	if err != nil {
--- a/cmd/kumquatlug/entry.go
+++ b/cmd/kumquatlug/entry.go
@@ -28,7 +28,7 @@
 	publicCert, publicKey    string
 	operatorKeys             []string
 	balancerLag, listEvery   int64
-	maxBody                  int64
+	maxBody, maxHeld         int64
 	subset                   int
 	planner                  string
 	price, enough            float64
@@ -46,6 +46,7 @@
 	flags.Int64Var(&s.balancerLag, "balancer-lag-ms", int64(drain.EntryLag), "how long a stopping entry goes on accepting after /readyz says no")
 	flags.Int64Var(&s.listEvery, "list-every-ms", 2000, "how often the platform's list of VMs is read")
 	flags.Int64Var(&s.maxBody, "max-body-bytes", caller.DefaultMaxBody, "largest request body")
+	flags.Int64Var(&s.maxHeld, "max-held-bytes", caller.DefaultMaxHeld, "bodies of all requests in hand together; memory takes three times that")
 	flags.IntVar(&s.subset, "subset", routing.DefaultSubset, "how many engines of a kind this entry speaks to")
 	flags.StringVar(&s.planner, "role-planner", plannerGoodput, "how roles of engines change: goodput, threshold or static")
 	flags.Float64Var(&s.price, "role-price", 1, "price of a role change, as a multiple of the work that the engine would have done")
@@ -66,6 +67,7 @@
 	c.Between("balancer-lag-ms", "milliseconds", s.balancerLag, 0, 10*int64(kumquatlug.Minute))
 	c.Between("list-every-ms", "milliseconds", s.listEvery, 100, int64(kumquatlug.Minute))
 	c.Between("max-body-bytes", "bytes", s.maxBody, 1<<10, 1<<30)
+	c.Between("max-held-bytes", "bytes, at least --max-body-bytes", s.maxHeld, s.maxBody, 1<<34)
 	c.Between("subset", "targets", int64(s.subset), 1, 10_000)
 	c.OneOf("role-planner", s.planner, plannerGoodput, plannerThreshold, plannerStatic)
 	if s.price < 0 || s.price > maxPrice {
@@ -180,7 +182,7 @@
 		Name: s.name, Zone: s.zone, Callers: listeners[0], Peers: listeners[1], Operators: listeners[2],
 		PeerAddress: s.peerAddress, Keys: n.keys, CallerTLS: public, OperatorKeys: hashes,
 		Table: client, Objects: client, VMs: client, Clock: n.clock,
-		ListEvery: kumquatlug.Millis(s.listEvery), BalancerLag: kumquatlug.Millis(s.balancerLag), MaxBody: s.maxBody,
+		ListEvery: kumquatlug.Millis(s.listEvery), BalancerLag: kumquatlug.Millis(s.balancerLag), MaxBody: s.maxBody, MaxHeld: s.maxHeld,
 		Planner:  s.newPlanner,
 		Dispatch: dispatch.Config{Seed: s.seed(), Subset: s.subset},
 		Logger:   n.logger, Registry: n.registry, Ring: n.ring,
--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -16,6 +16,10 @@
 // readBody reads the whole body before the request takes a place anywhere, so
 // that a caller that sends slowly holds nothing but its own connection.
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *kumquatlug.Failure) {
+	if failure := h.hold(r); failure != nil {
+		w.Header().Set("Connection", "close")
+		return nil, failure
+	}
 	limit := http.NewResponseController(w)
 	_ = limit.SetReadDeadline(time.Now().Add(h.bodyTimeout.Duration()))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.maxBody))
@@ -36,6 +40,26 @@
 	return nil, refusalFor("read body", "body_not_read", http.StatusRequestTimeout, err)
 }
 
+// hold counts the body against the bound of all bodies before a byte of it is
+// read. Some hundred callers that each send a body just under its own bound would
+// else fill the memory, and everybody's answers would end with the process.
+func (h *Handler) hold(r *http.Request) *kumquatlug.Failure {
+	size := r.ContentLength
+	if size < 0 {
+		size = h.maxBody
+	}
+	size = min(size, h.maxBody)
+	if h.held.Add(size) > h.maxHeld {
+		h.held.Add(-size)
+		return kumquatlug.NewFailure(kumquatlug.FailureConfig{
+			Step: "read body", Reason: "bodies_full", Ran: kumquatlug.RanNot,
+			Status: http.StatusServiceUnavailable, RetryAfter: kumquatlug.Second,
+		})
+	}
+	originOf(r).held += size
+	return nil
+}
+
 // maxTimeout bounds what a caller may ask for: a day.
 const maxTimeout = 24 * kumquatlug.Hour
 
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -12,6 +12,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync/atomic"
 
 	"github.com/oklog/ulid/v2"
 	"go.uber.org/zap"
@@ -48,6 +49,9 @@
 	Logger *zap.Logger
 	// MaxBody bounds a request's body in bytes; zero means DefaultMaxBody.
 	MaxBody int64
+	// MaxHeld bounds the bodies of all requests in hand together, in bytes; zero
+	// means DefaultMaxHeld.
+	MaxHeld int64
 	// BodyTimeout bounds how long a caller may take to send its body, and
 	// WriteTimeout how long it may leave one write unread, in milliseconds.
 	BodyTimeout  kumquatlug.Millis
@@ -58,6 +62,10 @@
 const (
 	// DefaultMaxBody holds a prompt of about two million tokens of English.
 	DefaultMaxBody = 8 << 20
+	// DefaultMaxHeld holds a thousand documents of 32 KB, as many as may wait
+	// for one kind. A body stands about three times in memory (as it came, as
+	// fields, as it is sent), so this is 96 MB of the 128 that a node may spend.
+	DefaultMaxHeld = 32 << 20
 	// DefaultBodyTimeout lets 8 MiB arrive over a line of 2.2 Mbit/s.
 	DefaultBodyTimeout = 30 * kumquatlug.Second
 	// DefaultWriteTimeout is how long a caller may read nothing at all. The
@@ -71,6 +79,8 @@
 	desk         Desk
 	logger       *zap.Logger
 	maxBody      int64
+	maxHeld      int64
+	held         atomic.Int64
 	bodyTimeout  kumquatlug.Millis
 	writeTimeout kumquatlug.Millis
 	mux          *http.ServeMux
@@ -79,12 +89,15 @@
 // New returns the API that c describes.
 func New(c Config) *Handler {
 	h := &Handler{
-		desk: c.Desk, logger: c.Logger, maxBody: c.MaxBody,
+		desk: c.Desk, logger: c.Logger, maxBody: c.MaxBody, maxHeld: c.MaxHeld,
 		bodyTimeout: c.BodyTimeout, writeTimeout: c.WriteTimeout, mux: http.NewServeMux(),
 	}
 	if h.maxBody == 0 {
 		h.maxBody = DefaultMaxBody
 	}
+	if h.maxHeld == 0 {
+		h.maxHeld = DefaultMaxHeld
+	}
 	if h.bodyTimeout == 0 {
 		h.bodyTimeout = DefaultBodyTimeout
 	}
@@ -110,22 +123,28 @@
 		}))
 		return
 	}
-	ctx := context.WithValue(r.Context(), originKey{}, origin{id: id, account: account})
+	from := &origin{id: id, account: account}
+	defer func() { h.held.Add(-from.held) }()
+	ctx := context.WithValue(r.Context(), originKey{}, from)
 	h.mux.ServeHTTP(w, r.WithContext(ctx))
 }
 
 // originKey finds the origin of a request in its context.
 type originKey struct{}
 
-// origin is who sent a request and the id it was given.
+// origin is who sent a request, the id it was given and how many bytes of the
+// bound on bodies it holds. The request's own goroutine owns it.
 type origin struct {
 	id      string
 	account kumquatlug.Caller
+	held    int64
 }
 
-func originOf(r *http.Request) origin {
-	o, _ := r.Context().Value(originKey{}).(origin)
-	return o
+func originOf(r *http.Request) *origin {
+	if o, ok := r.Context().Value(originKey{}).(*origin); ok {
+		return o
+	}
+	return &origin{}
 }
 
 func (h *Handler) account(r *http.Request) (kumquatlug.Caller, bool) {
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -203,6 +203,37 @@
 	}
 }
 
+// Many callers send large bodies at once. Without a bound on all together they
+// fill the memory of the entry, and everybody's answers end with it.
+func TestBodiesTogetherAreBounded(t *testing.T) {
+	inHand, release := make(chan bool), make(chan bool)
+	d := &desk{generate: func(_ context.Context, _ Generation, sink Sink) error {
+		inHand <- true
+		<-release
+		return sink.Chunk(token("ok"))
+	}}
+	server := newServer(t, d, Config{MaxHeld: 3000})
+	body := `{"model":"m","prompt":"` + strings.Repeat("x", 2000) + `"}`
+	first := make(chan int, 1)
+	go func() {
+		response, _ := send(t, server, http.MethodPost, "/v1/completions", body, nil)
+		first <- response.StatusCode
+	}()
+	<-inHand
+	response, text := send(t, server, http.MethodPost, "/v1/completions", body, nil)
+	if response.StatusCode != 503 || !strings.Contains(text, "bodies_full") || response.Header.Get("Retry-After") == "" {
+		t.Errorf("the second got %d, %s", response.StatusCode, text)
+	}
+	release <- true
+	if got := <-first; got != 200 {
+		t.Errorf("the first got %d", got)
+	}
+	go func() { <-inHand; release <- true }()
+	if response, _ := send(t, server, http.MethodPost, "/v1/completions", body, nil); response.StatusCode != 200 {
+		t.Errorf("after the first has ended another got %d", response.StatusCode)
+	}
+}
+
 // A client opens a connection and sends half a header. Without a bound a few
 // thousand of these hold every connection that the entry may have.
 func TestSlowHeaderIsHungUpOn(t *testing.T) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -57,7 +57,9 @@
 	// said that it is not ready, in milliseconds.
 	BalancerLag kumquatlug.Millis
 	// MaxBody bounds a caller's request, in bytes; zero means the default.
-	MaxBody  int64
+	MaxBody int64
+	// MaxHeld bounds the bodies of all requests in hand; zero means the default.
+	MaxHeld  int64
 	Dispatch dispatch.Config
 	// Planner makes the planner of a group of engines.
 	Planner  func() kumquatlug.RolePlanner
@@ -173,7 +175,7 @@
 }
 
 func (e *Entry) addServers(group *run.Group) {
-	callers := caller.New(caller.Config{Desk: e, Logger: e.c.Logger, MaxBody: e.c.MaxBody})
+	callers := caller.New(caller.Config{Desk: e, Logger: e.c.Logger, MaxBody: e.c.MaxBody, MaxHeld: e.c.MaxHeld})
 	public := http.NewServeMux()
 	e.addProbes(public)
 	public.Handle("/", e.counted(callers))
