--- a/test/path/fleet_test.go
+++ b/test/path/fleet_test.go
@@ -30,6 +30,7 @@
 
 	operatorKey = "ana-0123456789abcdef"
 	callerKey   = "klug-path-test-key"
+	otherKey    = "klug-other-test-key"
 	model       = "standin"
 )
 
@@ -303,6 +304,7 @@
 func (f *fleet) configure() {
 	f.t.Helper()
 	f.operate("caller", "add", "portal", "--key", callerKey)
+	f.operate("caller", "add", "other", "--key", otherKey)
 	f.operate("selector", "set", "engines", "--kind", model, "--match", "pool=engines")
 	f.operate("selector", "set", "services", "--protocol", "service", "--kind", "gazette", "--match", "pool=services")
 	f.operate("label", "engine-1", "pool=engines")
@@ -385,12 +387,18 @@
 
 // call makes a call to the plain service.
 func (f *fleet) call(entry, method, path, key, body string) (*http.Response, string) {
+	f.t.Helper()
+	return f.callAs(callerKey, entry, method, path, key, body)
+}
+
+// callAs makes a call with the key of an account.
+func (f *fleet) callAs(account, entry, method, path, key, body string) (*http.Response, string) {
 	f.t.Helper()
 	request, err := http.NewRequest(method, f.callers[entry]+"/services/gazette"+path, bytes.NewReader([]byte(body)))
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	request.Header.Set("Authorization", "Bearer "+callerKey)
+	request.Header.Set("Authorization", "Bearer "+account)
 	if key != "" {
 		request.Header.Set("Idempotency-Key", key)
 	}
--- a/test/path/path_test.go
+++ b/test/path/path_test.go
@@ -62,7 +62,7 @@
 	for name, p := range f.processes {
 		texts[name] = strings.Join(p.output(), "\n")
 	}
-	for _, secret := range []string{callerKey, operatorKey, kumquatlug.HashKey(callerKey), "a long decree", "appointment", "PRIVATE KEY", "errorVerbose"} {
+	for _, secret := range []string{callerKey, otherKey, operatorKey, kumquatlug.HashKey(callerKey), "a long decree", "appointment", "PRIVATE KEY", "errorVerbose"} {
 		for name, text := range texts {
 			if strings.Contains(text, secret) {
 				t.Errorf("%q stands in the output of %s", secret, name)
@@ -88,6 +88,11 @@
 	if other.StatusCode != http.StatusUnprocessableEntity || other.Header.Get("Kumquatlug-Ran") != "not-run" {
 		t.Errorf("another body under the key: status %d", other.StatusCode)
 	}
+	theirs, _ := f.callAs(otherKey, "entry-1", http.MethodPost, "/postings", "posting-1", "appointment")
+	if theirs.StatusCode != http.StatusOK || theirs.Header.Get("Idempotent-Replayed") != "" || f.runs("posting-1") != 2 {
+		t.Errorf("another caller's posting under the same key: status %d, %d runs, replayed %q",
+			theirs.StatusCode, f.runs("posting-1"), theirs.Header.Get("Idempotent-Replayed"))
+	}
 	look, _ := f.call("entry-1", http.MethodGet, "/lookup?id=1", "", "")
 	if look.StatusCode != http.StatusOK {
 		t.Errorf("lookup: status %d", look.StatusCode)
