Start entry and agent by one piece of code

Cause: the two commands stood twice. Beside: the assembler's bound on attempts (64) ended a suspect's wait for its turn after 13 s; it is out of reach now.

--- a/cmd/kumquatlug/agent.go
+++ b/cmd/kumquatlug/agent.go
@@ -44,22 +44,12 @@
 }
 
 func newAgent() *cobra.Command {
-	var s agentSettings
-	cmd := &cobra.Command{
+	return newProcess(&cobra.Command{
 		Use:   "agent",
 		Short: "Run the process beside a target",
-		Args:  cobra.NoArgs,
 		Example: `  kumquatlug agent --name t1 --zone a --platform http://10.0.0.9:7000 --listen 10.0.0.7:8090 \
     --target-url http://127.0.0.1:8000 --protocol engine --tls-cert agent.pem --tls-key agent.key --tls-ca ca.pem`,
-	}
-	s.bind(cmd.Flags())
-	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		if err := s.check(settings.FromEnvironment(cmd.Flags())).Err(); err != nil {
-			return err
-		}
-		return s.run(cmd.Context())
-	}
-	return cmd
+	}, &agentSettings{})
 }
 
 func (s *agentSettings) run(ctx context.Context) error {
--- a/cmd/kumquatlug/entry.go
+++ b/cmd/kumquatlug/entry.go
@@ -125,23 +125,13 @@
 }
 
 func newEntry() *cobra.Command {
-	var s entrySettings
-	cmd := &cobra.Command{
+	return newProcess(&cobra.Command{
 		Use:   "entry",
 		Short: "Run an entry: callers' and operators' APIs, admission, routing",
-		Args:  cobra.NoArgs,
 		Example: `  kumquatlug entry --name e1 --zone a --platform http://10.0.0.9:7000 \
     --listen 10.0.0.1:8080 --peer-listen 10.0.0.1:8082 --operator-listen 10.0.0.1:8081 \
     --tls-cert entry.pem --tls-key entry.key --tls-ca ca.pem --operator-keys ana=$ANA_KEY`,
-	}
-	s.bind(cmd.Flags())
-	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		if err := s.check(settings.FromEnvironment(cmd.Flags())).Err(); err != nil {
-			return err
-		}
-		return s.run(cmd.Context())
-	}
-	return cmd
+	}, &entrySettings{})
 }
 
 func (s *entrySettings) run(ctx context.Context) error {
--- a/cmd/kumquatlug/node.go
+++ b/cmd/kumquatlug/node.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/spf13/cobra"
 	"github.com/spf13/pflag"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -96,6 +97,25 @@
 	return h.Sum64()
 }
 
+// process is a command that runs until a signal, once its settings are good.
+type process interface {
+	checked
+	run(ctx context.Context) error
+}
+
+// newProcess makes cmd run s.
+func newProcess(cmd *cobra.Command, s process) *cobra.Command {
+	cmd.Args = cobra.NoArgs
+	s.bind(cmd.Flags())
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		if err := s.check(settings.FromEnvironment(cmd.Flags())).Err(); err != nil {
+			return err
+		}
+		return s.run(cmd.Context())
+	}
+	return cmd
+}
+
 // node is what entry and agent processes are built on.
 type node struct {
 	keys     *peer.Keys
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -23,9 +23,10 @@
 // sixteenth of the messages.
 const progressEvery = 16
 
-// maxAttempts bounds the attempts of one answer in the assembler; the retry
-// policy gives up earlier, but for refusals, which cost no engine anything.
-const maxAttempts = 64
+// maxAttempts bounds the attempts of one answer in the assembler. It is out of
+// reach: the loop gives up by the retry policy and the deadline, and a request
+// that waits its turn among suspects is refused five times a second meanwhile.
+const maxAttempts = 1 << 16
 
 // restTimeout bounds how long the end of an answer is waited for once its end
 // mark is there. It comes with the mark; a target that holds it back costs its
