Finish an answer of which the caller has a part, however late

Cause, found by reading: the test of it stopped short of the deadline. Past it the retry policy gave a cut stream up ('deadline'), though its caller had half an answer. Seen to fail first: TestCutStreamGoesOnElsewhere two minutes after its deadline of one was refused; it is sent to the other engine now.

--- a/pkg/kumquatlug/dispatch/attempt.go
+++ b/pkg/kumquatlug/dispatch/attempt.go
@@ -61,7 +61,7 @@
 	d.judgeFailure(now, r, f)
 	next := d.retries.Next(now, retry.Attempt{
 		Ran: f.Failure.Ran(), Repeatable: r.c.OnceKey == "", Resumable: f.Resumable, Refused: f.Refused,
-		Attempts: r.failed, Refusals: r.refused, Deadline: r.c.Deadline - r.c.Arrival, Elapsed: now - r.c.Arrival,
+		Attempts: r.failed, Refusals: r.refused, Deadline: d.timeFor(now, r), Elapsed: now - r.c.Arrival,
 	})
 	if next.Reason() == retry.ReasonMayHaveRun {
 		// What is known of the run goes to the caller as it stands: told as one
@@ -79,6 +79,21 @@
 	return d.serve(now)
 }
 
+// finishTime is how long an answer of which the caller has a part may still take
+// to go on elsewhere: some tries at targets that come back within seconds.
+const finishTime = kumquatlug.Minute
+
+// timeFor is how long a request may take from its arrival. One whose caller has
+// half an answer is finished, however late: stopped at its deadline it would
+// have cost its engine the work and its caller the answer.
+func (d *Dispatcher) timeFor(now kumquatlug.Millis, r *request) kumquatlug.Millis {
+	span := r.c.Deadline - r.c.Arrival
+	if r.tokens > 0 {
+		return max(span, now-r.c.Arrival+finishTime)
+	}
+	return span
+}
+
 // judgeFailure counts the failure for the request and for its target's health.
 // A refusal says nothing against the target's health.
 func (d *Dispatcher) judgeFailure(now kumquatlug.Millis, r *request, f Failed) {
--- a/pkg/kumquatlug/dispatch/dispatch_test.go
+++ b/pkg/kumquatlug/dispatch/dispatch_test.go
@@ -218,7 +218,7 @@
 	d := newDesk(t, "e1", "e2")
 	first := d.mustSend("g", drafts)
 	d.Progress(d.now, "g", 7)
-	d.now += 58 * kumquatlug.Second
+	d.now += 2 * kumquatlug.Minute
 	decision, decided := d.next("g", Failed{Failure: failed(kumquatlug.RanUnknown, "cut", 502), Resumable: true}, 10*kumquatlug.Second)
 	if !decided || decision.Verdict() != VerdictSend || decision.Attempt().Target() == first.Target() {
 		t.Fatalf("decided %v: %+v after %s", decided, decision, first.Target())
