--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -130,11 +130,20 @@
 	}
 }
 
+// failedRead marks the failure of a question that changes nothing.
+func failedRead(step string, err error) error {
+	err = errors.Wrap(err, step)
+	if code := connect.CodeOf(err); code == connect.CodeUnauthenticated || code == connect.CodePermissionDenied {
+		return errors.Mark(err, kumquatlug.ErrDenied)
+	}
+	return err
+}
+
 // Get returns the keys below prefix and the revision they stood at.
 func (c *Client) Get(ctx context.Context, prefix string) ([]config.Set, config.Revision, error) {
 	answer, err := c.service.Get(ctx, connect.NewRequest(&peerv1.GetRequest{Prefix: prefix}))
 	if err != nil {
-		return nil, 0, errors.Wrap(err, "get")
+		return nil, 0, failedRead("get", err)
 	}
 	return peer.SetsFrom(answer.Msg.GetSets()), config.Revision(answer.Msg.GetRevision()), nil
 }
@@ -143,7 +152,7 @@
 func (c *Client) Status(ctx context.Context) (*peerv1.StatusResponse, error) {
 	answer, err := c.service.Status(ctx, connect.NewRequest(&peerv1.StatusRequest{}))
 	if err != nil {
-		return nil, errors.Wrap(err, "status")
+		return nil, failedRead("status", err)
 	}
 	return answer.Msg, nil
 }
@@ -154,7 +163,7 @@
 		Protocol: string(kind.Protocol()), Kind: kind.Name(),
 	}))
 	if err != nil {
-		return nil, errors.Wrap(err, "explain")
+		return nil, failedRead("explain", err)
 	}
 	return answer.Msg, nil
 }
@@ -164,7 +173,7 @@
 func (c *Client) Timeline(ctx context.Context, requestID string) (*peerv1.EventsResponse, error) {
 	answer, err := c.service.Timeline(ctx, connect.NewRequest(&peerv1.TimelineRequest{RequestId: requestID}))
 	if err != nil {
-		return nil, errors.Wrap(err, "timeline")
+		return nil, failedRead("timeline", err)
 	}
 	return answer.Msg, nil
 }
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -41,6 +41,17 @@
 }
 
 func apply(t *testing.T, d *desk, key string) (config.Revision, error) {
+	t.Helper()
+	return connected(t, d, key).Apply(context.Background(), 3, config.NewSet("target/t1", []byte("{}")))
+}
+
+func list(t *testing.T, d *desk, key string) ([]config.Set, error) {
+	t.Helper()
+	sets, _, err := connected(t, d, key).Get(context.Background(), "")
+	return sets, err
+}
+
+func connected(t *testing.T, d *desk, key string) *Client {
 	t.Helper()
 	mux := http.NewServeMux()
 	mux.Handle(NewHandler(HandlerConfig{
@@ -52,7 +63,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return client.Apply(context.Background(), 3, config.NewSet("target/t1", []byte("{}")))
+	return client
 }
 
 // A change fails. Whether it met another one, was not allowed, did not happen or
@@ -92,6 +103,9 @@
 	if _, err := apply(t, d, "wrong"); !errors.Is(err, kumquatlug.ErrDenied) || len(d.changes) != 0 {
 		t.Errorf("a stranger's change ended as %v", err)
 	}
+	if _, err := list(t, d, "wrong"); !errors.Is(err, kumquatlug.ErrDenied) {
+		t.Errorf("a stranger's question ended as %v", err)
+	}
 	revision, err := apply(t, d, "right")
 	if err != nil || revision != 7 || d.authors[0] != "ana" {
 		t.Errorf("revision %d by %v, %v", revision, d.authors, err)
