--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -21,6 +22,10 @@
 // copyBuffer is how much of an answer is held while it is passed on.
 const copyBuffer = 32 << 10
 
+// buffers are those of copyFlushing: made anew for each call they were seven
+// tenths of all that an agent allocates.
+var buffers = sync.Pool{New: func() any { return new([copyBuffer]byte) }}
+
 // workDesk takes work from entries and passes the target's answers back. It is
 // safe for concurrent use.
 type workDesk struct {
@@ -180,7 +185,9 @@
 // called at the first part.
 func copyFlushing(w http.ResponseWriter, body io.Reader, started func()) error {
 	control := http.NewResponseController(w)
-	buffer := make([]byte, copyBuffer)
+	pooled := buffers.Get().(*[copyBuffer]byte)
+	defer buffers.Put(pooled)
+	buffer := pooled[:]
 	for first := true; ; {
 		n, err := body.Read(buffer)
 		if n > 0 {
