Read the config once a revision at the agent, and each question once

What a last reading of the whole change found: - the agent decoded all selectors and its labels for every piece of work; they are read once for each revision now, and a slower duty can't bring old ones back; - a config is in force before the follower tells of it (it was told first); - the dispatcher asked the quarantine register two and three times for one request: one question answers whether it waits or ends; - three loops found the selectors that give a kind to a target: one does; - states of targets stood twice (agent and dispatch), caller rows were encoded by hand twice, a reason was written out beside its constant; a dead constant, two fields that nothing read and a name that hid a function are gone; - a comment said that leases are given back when the planner's duty ends: they are from the moment the entry is not ready. Behaviour is as before but for the second point; no test changed but for names.

--- a/cmd/kumquatlug/dev.go
+++ b/cmd/kumquatlug/dev.go
@@ -261,8 +261,7 @@
 	add(config.SetSelector(selector.Config{
 		Name: "services", Protocol: kumquatlug.ProtocolService, Kind: devService, Role: kumquatlug.RoleServe, Match: "pool=services",
 	}))
-	account, err := json.Marshal(kumquatlug.CallerConfig{Name: devCaller, KeyHash: kumquatlug.HashKey(s.callerKey)})
-	add(config.NewSet(config.PrefixCaller+devCaller, account), err)
+	add(config.SetCaller(kumquatlug.CallerConfig{Name: devCaller, KeyHash: kumquatlug.HashKey(s.callerKey)}))
 	return sets, failed
 }
 
--- a/cmd/kumquatlug/operate.go
+++ b/cmd/kumquatlug/operate.go
@@ -236,14 +236,11 @@
 			key = "klug-" + rand.Text()
 		}
 		c.Name, c.KeyHash = args[0], kumquatlug.HashKey(key)
-		if _, err := kumquatlug.NewCaller(c); err != nil {
-			return errors.Mark(err, kumquatlug.ErrDenied)
-		}
-		value, err := json.Marshal(c)
+		set, err := config.SetCaller(c)
 		if err != nil {
-			return errors.Wrap(err, "encode caller")
+			return errors.Mark(err, kumquatlug.ErrDenied)
 		}
-		if err := change(cmd, s, config.NewSet(config.PrefixCaller+args[0], value)); err != nil {
+		if err := change(cmd, s, set); err != nil {
 			return err
 		}
 		_, err = fmt.Fprintf(cmd.OutOrStdout(), "key %s\n", key)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -8,6 +8,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/oklog/run"
 	"github.com/oklog/ulid/v2"
@@ -21,6 +22,7 @@
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/config"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/drain"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/selector"
 )
 
 // Config is what an [Agent] is made of.
@@ -62,6 +64,17 @@
 	hand        *hand
 	watch       *watch
 	metrics     *metrics
+	terms       atomic.Pointer[terms]
+}
+
+// terms are what the config in force says of the target. They are read once for
+// each revision and looked up by every piece of work.
+type terms struct {
+	revision  config.Revision
+	selectors []selector.Selector
+	labels    selector.Labels
+	// err is why the target's labels can't be read.
+	err error
 }
 
 // New returns an agent that is ready to run.
@@ -87,10 +100,16 @@
 // for each revision, also where the label stays the same.
 func (a *Agent) followConfig(state config.State) {
 	labels, err := config.Labels(state, a.c.Name)
-	if err != nil || state.Revision() == 0 {
-		return
-	}
+	selectors, _ := config.Selectors(state)
+	next := &terms{revision: state.Revision(), selectors: selectors, labels: labels.With(a.c.Name, a.c.Zone), err: err}
 	a.hand.with(func(now kumquatlug.Millis) {
+		// Two duties call this; the slower one must not bring old terms back.
+		if held := a.terms.Load(); held == nil || held.revision <= next.revision {
+			a.terms.Store(next)
+		}
+		if err != nil || state.Revision() == 0 {
+			return
+		}
 		a.hand.drain.Label(int64(state.Revision()), labels.Leaving(), now)
 	})
 }
--- a/internal/agent/hand.go
+++ b/internal/agent/hand.go
@@ -29,7 +29,6 @@
 const (
 	reasonSuspect     = dispatch.ReasonSuspect
 	reasonQuarantined = "quarantined"
-	reasonCrashed     = "target_crashed"
 )
 
 // hand decides whether work may begin at the target, and knows what is in hand.
@@ -55,9 +54,8 @@
 
 // piece is one call that is in hand.
 type piece struct {
-	fingerprint quarantine.Fingerprint
-	life        int
-	claimed     bool
+	life    int
+	claimed bool
 }
 
 func newHand(a *Agent) *hand {
@@ -169,7 +167,7 @@
 		h.release()
 		return "", verdict, h.changed, nil
 	}
-	h.pieces[id] = piece{fingerprint: fingerprint, life: h.life, claimed: claimed}
+	h.pieces[id] = piece{life: h.life, claimed: claimed}
 	h.begun[work.From()]++
 	h.agent.metrics.begun.Inc()
 	h.agent.metrics.inHand.Set(float64(len(h.pieces)))
@@ -284,23 +282,23 @@
 }
 
 // state returns how the target is reported to entries.
-func (h *hand) state(healthy bool) string {
+func (h *hand) state(healthy bool) dispatch.TargetState {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	state := h.drain.State(h.now())
 	switch {
 	case h.stopping:
-		return stateStopping
+		return dispatch.TargetStopping
 	case !healthy:
-		return stateDown
+		return dispatch.TargetDown
 	case h.away():
-		return stateChanging
+		return dispatch.TargetChanging
 	case state == drain.StateRefusing || state == drain.StateDone:
-		return stateLeaving
+		return dispatch.TargetLeaving
 	case state == drain.StateStarting:
-		return stateStarting
+		return dispatch.TargetStarting
 	default:
-		return stateServing
+		return dispatch.TargetServing
 	}
 }
 
--- a/internal/agent/hand_test.go
+++ b/internal/agent/hand_test.go
@@ -16,6 +16,7 @@
 	"github.com/kumquatlug/kumquatlug/internal/timeline"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/clock"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/dispatch"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/lease"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/order"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/quarantine"
@@ -206,7 +207,7 @@
 	if w.stopped && len(w.ids) == 0 && !w.idle() {
 		w.fail("the agent has stopped, has nothing in hand and does not call itself done")
 	}
-	if w.changing && w.state(true) == stateServing {
+	if w.changing && w.state(true) == dispatch.TargetServing {
 		w.fail("the agent reports an engine as serving that carries out an order")
 	}
 }
--- a/internal/agent/once.go
+++ b/internal/agent/once.go
@@ -87,8 +87,8 @@
 	outcome, err := d.call(ctx, callOf(r, work))
 	if err != nil {
 		ran := kumquatlug.RanOf(err)
-		if abandoned := d.ledger.Abandon(ticket, ran); abandoned != nil {
-			err = errors.WithSecondaryError(err, abandoned)
+		if unkept := d.ledger.Abandon(ticket, ran); unkept != nil {
+			err = errors.WithSecondaryError(err, unkept)
 		}
 		d.refuseBroken(w, r, work, id, abandoned(err, ran, d.agent.c.Name))
 		return false
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -179,7 +179,11 @@
 
 // group returns the group whose lease holder gives this target its orders.
 func (a *Agent) group() string {
-	return config.GroupOf(a.follower.State(), a.c.Name, a.c.Zone)
+	t := a.terms.Load()
+	if t.err != nil {
+		return ""
+	}
+	return config.GroupAmong(t.selectors, t.labels)
 }
 
 func (a *Agent) runOrder(ctx context.Context, s order.Step) bool {
--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -16,16 +16,6 @@
 
 func itoa(n int) string { return strconv.Itoa(n) }
 
-// States that an agent reports of its target; see package dispatch.
-const (
-	stateStarting = "starting"
-	stateServing  = "serving"
-	stateLeaving  = "leaving"
-	stateStopping = "stopping"
-	stateDown     = "down"
-	stateChanging = "changing"
-)
-
 // reports serves entries' heartbeats and orders.
 type reports struct {
 	agent *Agent
@@ -55,7 +45,7 @@
 	seen := a.watch.seen()
 	answer := &peerv1.ReportResponse{
 		Target: a.c.Name, Incarnation: a.incarnation, Revision: int64(a.follower.State().Revision()),
-		Protocol: string(a.Protocol()), Zone: a.c.Zone, Role: string(seen.state.Role), State: a.hand.state(seen.healthy),
+		Protocol: string(a.Protocol()), Zone: a.c.Zone, Role: string(seen.state.Role), State: string(a.hand.state(seen.healthy)),
 		ChecksFence: a.c.ChecksFence, HeadAgeMs: int64(a.follower.HeadAge()), Logical: a.c.Ring.Logical(),
 	}
 	answer.Cache = eventsAfter(seen.events, ask.GetCacheAfter())
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -54,7 +54,7 @@
 	if notice := r.Header.Get(peer.HeaderNotice); notice != "" {
 		d.agent.hand.merge([]string{notice})
 	}
-	id, failure := d.agent.hand.begin(r.Context(), work, d.mismatch(d.agent.follower.State(), work))
+	id, failure := d.agent.hand.begin(r.Context(), work, d.mismatch(work))
 	if failure != nil {
 		d.refuse(w, work, failure)
 		return
@@ -77,16 +77,15 @@
 // cut off routes by an older config and would go on sending to a target that
 // the operator has taken away; the agent's newer config refuses it. An agent
 // with the older config has no say and pulls the newer one instead.
-func (d *workDesk) mismatch(state config.State, work peer.Work) string {
-	if int64(state.Revision()) < work.Revision() {
+func (d *workDesk) mismatch(work peer.Work) string {
+	t := d.agent.terms.Load()
+	if int64(t.revision) < work.Revision() {
 		return ""
 	}
-	labels, err := config.Labels(state, d.agent.c.Name)
-	if err != nil {
-		return err.Error()
+	if t.err != nil {
+		return t.err.Error()
 	}
-	selectors, _ := config.Selectors(state)
-	return selector.Refusal(selectors, work.Kind(), labels.With(d.agent.c.Name, d.agent.c.Zone))
+	return selector.Refusal(t.selectors, work.Kind(), t.labels)
 }
 
 func (d *workDesk) refuse(w http.ResponseWriter, work peer.Work, f *kumquatlug.Failure) {
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -72,7 +72,7 @@
 // known, as when the table was out since this entry started.
 func notYet() error {
 	return kumquatlug.NewFailure(kumquatlug.FailureConfig{
-		Step: "claim call", Peer: "platform", Reason: "table_unavailable", Ran: kumquatlug.RanNot,
+		Step: "claim call", Peer: "platform", Reason: ledger.ReasonTable, Ran: kumquatlug.RanNot,
 		RetryAfter: ledger.DefaultRetryAfter,
 	})
 }
--- a/internal/entry/plan.go
+++ b/internal/entry/plan.go
@@ -48,7 +48,6 @@
 
 // engineView is one engine of a group as the last heartbeat told it.
 type engineView struct {
-	name    string
 	address string
 	report  dispatch.Report
 }
@@ -103,8 +102,9 @@
 	}
 }
 
-// run plans until ctx ends. Leases are given back then, so that the next holder
-// need not wait for them to lapse.
+// run plans until ctx ends. A stopping entry no longer wants its leases from the
+// moment it says that it is not ready (see look), so that the next holder need
+// not wait for them to lapse.
 func (p *plans) run(ctx context.Context) error {
 	tick := time.NewTicker(planTick)
 	defer tick.Stop()
@@ -169,7 +169,7 @@
 				kinds[group] = kind.Name()
 			}
 			m, _ := d.Member(name)
-			engines[group][name] = engineView{name: name, address: m.VM().Address(), report: d.LastReport(name)}
+			engines[group][name] = engineView{address: m.VM().Address(), report: d.LastReport(name)}
 		}
 	})
 	if err != nil {
--- a/internal/peer/follower.go
+++ b/internal/peer/follower.go
@@ -289,9 +289,10 @@
 	return state, changed, nil
 }
 
+// publish brings a state into force before anybody is told that it is.
 func (f *Follower) publish(state config.State) {
-	f.state.Store(&state)
 	if f.c.OnState != nil {
 		f.c.OnState(state)
 	}
+	f.state.Store(&state)
 }
--- a/pkg/kumquatlug/config/rows.go
+++ b/pkg/kumquatlug/config/rows.go
@@ -63,6 +63,14 @@
 	return errors.Wrapf(err, "key %q", s.key)
 }
 
+// SetCaller checks c and returns the write of the account.
+func SetCaller(c kumquatlug.CallerConfig) (Set, error) {
+	if _, err := kumquatlug.NewCaller(c); err != nil {
+		return Set{}, err
+	}
+	return setJSON(PrefixCaller+c.Name, c)
+}
+
 // Labels returns the labels of one target, none when it has no row.
 func Labels(s State, target string) (selector.Labels, error) {
 	labels := selector.Labels{}
@@ -100,19 +108,9 @@
 // its own; engines without it are grouped by what they do.
 const LabelGroup = "group"
 
-// GroupOf returns the group whose lease holder gives a target its orders: the
-// one that its label names, or the first kind of engine work that a selector
-// gives it. It is empty for a target that takes no engine work.
-func GroupOf(s State, target, zone string) string {
-	labels, err := Labels(s, target)
-	if err != nil {
-		return ""
-	}
-	selectors, _ := Selectors(s)
-	return GroupAmong(selectors, labels.With(target, zone))
-}
-
-// GroupAmong is [GroupOf] for selectors and labels that were read already.
+// GroupAmong returns the group whose lease holder gives a target with these
+// labels its orders: the one that its label names, or the first kind of engine
+// work that a selector gives it. It is empty for a target that takes none.
 func GroupAmong(selectors []selector.Selector, labels selector.Labels) string {
 	if group := labels[LabelGroup]; group != "" {
 		return group
--- a/pkg/kumquatlug/dispatch/dispatch.go
+++ b/pkg/kumquatlug/dispatch/dispatch.go
@@ -391,34 +391,41 @@
 func (d *Dispatcher) sendDue(now kumquatlug.Millis) {
 	left := d.due[:0]
 	for _, r := range d.due {
-		switch {
-		case r.dueAt > now:
-			left = append(left, r)
-		case d.outlawed(now, r):
-			d.giveUp(now, r.c.ID, quarantined(d.register.Ask(now, r.fingerprint()).Remaining()))
-		case d.waitsAsSuspect(now, r):
-			left = append(left, r)
-		case d.send(now, r):
-		case r.tokens == 0 && now+d.serviceTime(r) >= r.c.Deadline:
-			// It can't make its deadline any more, and its caller has nothing
-			// yet: holding it until then would only delay the news. One whose
-			// caller has half an answer is finished, however late.
-			d.giveUp(now, r.c.ID, r.final("deadline"))
-		default:
+		if r.dueAt > now || d.stillDue(now, r) {
 			left = append(left, r)
 		}
 	}
 	d.due = left
 }
 
+// stillDue sends r or gives it up, and reports false; or neither.
+func (d *Dispatcher) stillDue(now kumquatlug.Millis, r *request) bool {
+	waits, final := d.suspicion(now, r)
+	switch {
+	case final != nil:
+		d.giveUp(now, r.c.ID, final)
+	case waits:
+		return true
+	case d.send(now, r):
+	case r.tokens == 0 && now+d.serviceTime(r) >= r.c.Deadline:
+		// It can't make its deadline any more, and its caller has nothing yet:
+		// holding it until then would only delay the news. One whose caller has
+		// half an answer is finished, however late.
+		d.giveUp(now, r.c.ID, r.final("deadline"))
+	default:
+		return true
+	}
+	return false
+}
+
 func (d *Dispatcher) sendQueued(now kumquatlug.Millis, kind kumquatlug.Kind) {
 	for {
-		next, waits := d.queue.Next(kind)
-		if !waits {
+		next, queued := d.queue.Next(kind)
+		if !queued {
 			return
 		}
 		r := d.requests[next.ID()]
-		if d.outlawed(now, r) || d.waitsAsSuspect(now, r) {
+		if waits, final := d.suspicion(now, r); waits || final != nil {
 			// It leaves the queue, so that nobody waits behind it.
 			d.queue.Take(now, next.ID())
 			d.due = append(d.due, r)
--- a/pkg/kumquatlug/dispatch/explain.go
+++ b/pkg/kumquatlug/dispatch/explain.go
@@ -37,13 +37,10 @@
 
 func (d *Dispatcher) explain(name string, kind kumquatlug.Kind) Explanation {
 	e := Explanation{target: name}
-	labels := d.labelsOf(name)
-	for _, s := range d.selectors {
-		if s.Kind() == kind && s.Match().Matches(labels) {
-			e.selector = s.Name()
-		}
+	for _, s := range d.giving(name, kind) {
+		e.selector = s.Name()
 	}
-	e.reason = selector.Refusal(d.selectors, kind, labels)
+	e.reason = selector.Refusal(d.selectors, kind, d.labelsOf(name))
 	if e.reason == "" {
 		e.reason = d.unready(name)
 	}
--- a/pkg/kumquatlug/dispatch/place.go
+++ b/pkg/kumquatlug/dispatch/place.go
@@ -58,7 +58,7 @@
 func (d *Dispatcher) subset(kind kumquatlug.Kind) []string {
 	var names []string
 	for _, name := range d.members.Names() {
-		if d.handed(name, kind) {
+		if len(d.giving(name, kind)) > 0 {
 			names = append(names, name)
 		}
 	}
@@ -68,15 +68,16 @@
 	return routing.Subset(d.entries, d.c.Entry, names, d.c.Subset)
 }
 
-// handed reports whether some selector gives kind to the target, leaving or not.
-func (d *Dispatcher) handed(name string, kind kumquatlug.Kind) bool {
+// giving returns the selectors that give kind to the target, leaving or not.
+func (d *Dispatcher) giving(name string, kind kumquatlug.Kind) []selector.Selector {
+	var giving []selector.Selector
 	labels := d.labelsOf(name)
 	for _, s := range d.selectors {
 		if s.Kind() == kind && s.Match().Matches(labels) {
-			return true
+			giving = append(giving, s)
 		}
 	}
-	return false
+	return giving
 }
 
 func (d *Dispatcher) labelsOf(name string) selector.Labels {
@@ -135,9 +136,8 @@
 
 func (d *Dispatcher) duties(name string, kind kumquatlug.Kind) []routing.Duty {
 	var duties []routing.Duty
-	labels := d.labelsOf(name)
-	for _, s := range d.selectors {
-		if s.Kind() == kind && s.Match().Matches(labels) && fits(s, d.reports[name].Role) {
+	for _, s := range d.giving(name, kind) {
+		if fits(s, d.reports[name].Role) {
 			duties = append(duties, routing.Duty{Kind: kind, Role: s.Role()})
 		}
 	}
--- a/pkg/kumquatlug/dispatch/suspect.go
+++ b/pkg/kumquatlug/dispatch/suspect.go
@@ -21,39 +21,40 @@
 	})
 }
 
-// outlawed reports whether r is proven to crash targets, or was near two
-// crashes and nobody else's guilt has explained one of them in time.
-func (d *Dispatcher) outlawed(now kumquatlug.Millis, r *request) bool {
+// suspicion asks what is thought of r's request. A final answer comes for one
+// that is proven to crash targets, or was near two crashes and nobody else's
+// guilt has explained one of them in time. Waits says that r is put off while the
+// news of its crash spreads, or while it is held: sent at once to the next
+// target, a request that crashes what runs it would meet an agent that does not
+// know of it yet.
+func (d *Dispatcher) suspicion(now kumquatlug.Millis, r *request) (waits bool, final *kumquatlug.Failure) {
 	opinion := d.register.Ask(now, r.fingerprint())
+	if opinion.Standing() != quarantine.StandingHeld {
+		r.heldUntil = 0
+	}
 	switch opinion.Standing() {
 	case quarantine.StandingQuarantined:
-		return true
+		return false, quarantined(opinion.Remaining())
 	case quarantine.StandingHeld:
-		if r.heldUntil == 0 {
-			r.heldUntil = now + opinion.Wait()
+		return d.hold(now, r, opinion)
+	case quarantine.StandingSuspect:
+		if opinion.Wait() > 0 {
+			r.dueAt = now + opinion.Wait()
+			return true, nil
 		}
-		return now >= r.heldUntil
-	default:
-		r.heldUntil = 0
-		return false
 	}
+	return false, nil
 }
 
-// waitsAsSuspect puts r off while the news of its crash spreads, or while it is
-// held. Sent at once to the next target, a request that crashes what runs it
-// would meet an agent that does not know of it yet.
-func (d *Dispatcher) waitsAsSuspect(now kumquatlug.Millis, r *request) bool {
-	opinion := d.register.Ask(now, r.fingerprint())
-	switch {
-	case opinion.Standing() == quarantine.StandingHeld:
-		r.dueAt = now + suspectLook
-		return true
-	case opinion.Standing() == quarantine.StandingSuspect && opinion.Wait() > 0:
-		r.dueAt = now + opinion.Wait()
-		return true
-	default:
-		return false
+func (d *Dispatcher) hold(now kumquatlug.Millis, r *request, opinion quarantine.Opinion) (waits bool, final *kumquatlug.Failure) {
+	if r.heldUntil == 0 {
+		r.heldUntil = now + opinion.Wait()
+	}
+	if now >= r.heldUntil {
+		return false, quarantined(opinion.Remaining())
 	}
+	r.dueAt = now + suspectLook
+	return true, nil
 }
 
 // Merge takes notices that an agent told.
