--- a/cmd/kumquatlug/main.go
+++ b/cmd/kumquatlug/main.go
@@ -69,7 +69,7 @@
 			root.AddCommand(c)
 		}
 	}
-	add("run", newEntry(), newAgent(), newDev())
+	add("run", newFront(), newEntry(), newAgent(), newDev())
 	add("operate", newLabel(), newSelector(), newCaller(), newGet(), newStatus(), newWait(), newExplain(),
 		newTimeline(), newCheck(), newCerts())
 	root.AddCommand(newVersion())
--- /dev/null
+++ b/internal/exchange/quiet.go
@@ -0,0 +1,32 @@
+package exchange
+
+import (
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// quiet reports that a kept connection is open and nothing came on it. Bytes
+// that came after an answer belong to no request, and an end that came means
+// that the peer closed it.
+func (c *conn) quiet() bool {
+	if c.in.Buffered() > 0 {
+		return false
+	}
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, failed := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = failed == unix.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/internal/gateway/desk.go
@@ -0,0 +1,153 @@
+package gateway
+
+import (
+	"sync"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/health"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/retry"
+)
+
+// desk holds what the requests of all goroutines decide by, under one lock. A
+// decision takes microseconds, so that nobody waits there.
+type desk struct {
+	mu       sync.Mutex
+	c        Config
+	fronts   int
+	services map[string]*group
+}
+
+// group is what is kept of one service.
+type group struct {
+	placer  *placement.Placer
+	repeats *retry.Shared
+	// patience is the longest that a client of a route has said to wait.
+	patience map[string]kumquatlug.Millis
+}
+
+func newDesk(c Config) *desk {
+	return &desk{c: c, fronts: 1, services: map[string]*group{}}
+}
+
+// Figures of the judgement of workers that are called directly.
+const (
+	// failureLimit is how many attempts in a row fail before a worker is left
+	// out; at the usual load of some ten attempts a second from each front it is
+	// out within half a second.
+	failureLimit = 4
+	// probeAfter is when it is tried again: a worker restarts within seconds.
+	probeAfter = 1500 * kumquatlug.Millis(1)
+	probeLimit = 6 * kumquatlug.Second
+	// slowStart is the span in which one that is back grows to its full share.
+	slowStart = 2 * kumquatlug.Second
+)
+
+// at returns what is kept of a service; the lock must be held.
+func (d *desk) at(service string) *group {
+	s, known := d.services[service]
+	if !known {
+		s = &group{
+			placer: placement.New(placement.Config{Zone: d.c.Zone, Health: health.Config{
+				FailureLimit: failureLimit, ProbeAfter: probeAfter, ProbeLimit: probeLimit, SlowStart: slowStart,
+			}}),
+			repeats:  retry.NewShared(d.c.Repeats),
+			patience: map[string]kumquatlug.Millis{},
+		}
+		s.repeats.SetFronts(d.fronts)
+		d.services[service] = s
+	}
+	return s
+}
+
+func (d *desk) setFronts(n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.fronts = n
+	for _, s := range d.services {
+		s.repeats.SetFronts(n)
+	}
+}
+
+// sync takes the members of all services.
+func (d *desk) sync(now kumquatlug.Millis, byService map[string][]kumquatlug.Member) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name, members := range byService {
+		d.at(name).placer.Sync(now, members)
+	}
+	for name, s := range d.services {
+		if _, still := byService[name]; !still {
+			s.placer.Sync(now, nil)
+		}
+	}
+}
+
+// arrive records a request for a service and returns how long its client has
+// been trying already: clients that come back say a shorter time to wait.
+func (d *desk) arrive(now kumquatlug.Millis, service, route string, waits kumquatlug.Millis) kumquatlug.Millis {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.at(service)
+	s.repeats.Request(now)
+	if waits > s.patience[route] {
+		s.patience[route] = waits
+	}
+	return s.patience[route] - waits
+}
+
+// repeat pays for one more arrival at a worker of a service.
+func (d *desk) repeat(now kumquatlug.Millis, service string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.at(service).repeats.Take(now)
+}
+
+// stage is the part of the work that a worker is wanted for.
+type stage string
+
+const (
+	stageWhole  stage = "whole"
+	stagePrompt stage = "prompt"
+	stageOutput stage = "output"
+)
+
+// choose picks a worker and counts the attempt as in hand there.
+func (d *desk) choose(now kumquatlug.Millis, service string, s stage, q placement.Query, accept func(placement.Choice) bool) (placement.Choice, *placement.Ticket, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.at(service).placer
+	var c placement.Choice
+	var found bool
+	switch s {
+	case stagePrompt:
+		c, found = p.Prompt(now, q)
+	case stageOutput:
+		c, found = p.Output(now, q)
+	default:
+		c, found = p.Plain(now, q)
+	}
+	if !found || !accept(c) {
+		return c, nil, found
+	}
+	return c, p.Begin(now, c, q.Prompt), true
+}
+
+// said takes what a worker said of its load.
+func (d *desk) said(now kumquatlug.Millis, service, worker string, load kumquatlug.WorkerLoad) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.at(service).placer.Report(now, worker, load)
+}
+
+func (d *desk) read(now kumquatlug.Millis, service string, t *placement.Ticket) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.at(service).placer.Read(now, t)
+}
+
+func (d *desk) end(now kumquatlug.Millis, service string, t *placement.Ticket, o placement.Outcome) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.at(service).placer.End(now, t, o)
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,294 @@
+// Package gateway is a front that calls targets directly: it takes requests of
+// clients, follows the operator's config and the members in the platform's
+// store, and makes attempts at workers.
+//
+// It speaks to clients, workers and the store through the interfaces of package
+// kumquatlug and knows none of their names. What it decides lies in packages
+// routes, placement, retry, planner and lease. One goroutine serves each
+// request; one each follows the config, follows the members, gives orders to
+// engines and keeps house.
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/run"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/retry"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/routes"
+)
+
+// Config is what a [Gateway] is made of.
+type Config struct {
+	// Name is the VM's name, Zone its data centre.
+	Name string
+	Zone string
+	// Incarnation is unique to this start of the process.
+	Incarnation string
+	// Clients and Control are the listeners for clients and for the balancer.
+	Clients net.Listener
+	Control net.Listener
+	// ReadyPath is what the balancer asks on Control.
+	ReadyPath string
+	// Metrics serves the metrics, nil for nobody.
+	Metrics net.Listener
+
+	Ingress   kumquatlug.Ingress
+	Workers   kumquatlug.Workers
+	Directory kumquatlug.Directory
+	Table     kumquatlug.Table
+	Feed      kumquatlug.Feed
+	// ConfigTable and ConfigKey name the operator's row, MemberTable the
+	// workers' rows.
+	ConfigTable, ConfigKey, MemberTable string
+
+	Clock kumquatlug.Clock
+	// Awake is a clock that also counts the time in which the VM was suspended;
+	// leases go by it.
+	Awake kumquatlug.Clock
+	// Grace is the span from the order to stop to the kill.
+	Grace kumquatlug.Millis
+	// OrderTurn is the least time between orders of two holders to one engine.
+	OrderTurn kumquatlug.Millis
+	// Repeats bounds the repeats of all fronts to one service.
+	Repeats retry.SharedConfig
+	// ReadPart is the part of the engines that read prompts apart.
+	ReadPart float64
+	// Sweep closes idle connections to workers that are gone.
+	Sweep func(keep func(address string) bool)
+
+	Logger   *zap.Logger
+	Registry *prometheus.Registry
+}
+
+// Gateway is one front.
+type Gateway struct {
+	c        Config
+	table    atomic.Pointer[routes.Table]
+	members  atomic.Pointer[memberSet]
+	desk     *desk
+	metrics  *metrics
+	stopping atomic.Bool
+	held     atomic.Int64
+	calls    chan cleanup
+}
+
+// cleanup is a KV cache that nobody will take.
+type cleanup struct {
+	cache kumquatlug.KVCache
+}
+
+// cleanupRing bounds the caches that wait to be freed; an engine drops them by
+// itself some seconds later.
+const cleanupRing = 256
+
+// New returns a front.
+func New(c Config) *Gateway {
+	g := &Gateway{c: c, desk: newDesk(c), metrics: newMetrics(c.Registry), calls: make(chan cleanup, cleanupRing)}
+	g.members.Store(&memberSet{})
+	return g
+}
+
+// Figures of the HTTP servers.
+const (
+	// headerTimeout and idleTimeout hold until the operator's limits are known,
+	// and are the operator's usual ones.
+	headerTimeout = 3 * kumquatlug.Second
+	// idleTimeout is far above what clients leave a connection idle: closing one
+	// that a client is about to use costs that client its request.
+	idleTimeout = 30 * kumquatlug.Second
+	// maxHeader bounds the headers of a request, in bytes.
+	maxHeader = 16 << 10
+)
+
+// Run serves until ctx ends, then finishes what is in hand.
+func (g *Gateway) Run(ctx context.Context) error {
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var group run.Group
+	loop := func(f func(context.Context)) {
+		group.Add(func() error { f(work); return nil }, func(error) { cancel() })
+	}
+	server := &http.Server{
+		Handler: g, ReadHeaderTimeout: headerTimeout.Duration(), IdleTimeout: idleTimeout.Duration(),
+		MaxHeaderBytes: maxHeader, ErrorLog: zap.NewStdLog(g.c.Logger.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+	}
+	group.Add(func() error { return g.serveUntil(ctx, server) }, func(error) { server.Close() })
+	control := &http.Server{Handler: g.controlHandler(), ReadHeaderTimeout: headerTimeout.Duration()}
+	group.Add(func() error { return closed(control.Serve(g.c.Control)) }, func(error) { control.Close() })
+	if g.c.Metrics != nil {
+		m := &http.Server{Handler: g.metrics.handler(g.c.Registry), ReadHeaderTimeout: headerTimeout.Duration()}
+		group.Add(func() error { return closed(m.Serve(g.c.Metrics)) }, func(error) { m.Close() })
+	}
+	loop(g.followConfig)
+	loop(g.followMembers)
+	loop(g.give)
+	loop(g.keepHouse)
+	loop(g.freeCaches)
+	g.c.Logger.Info("started", zap.String("zone", g.c.Zone), zap.String("incarnation", g.c.Incarnation))
+	err := group.Run()
+	g.c.Logger.Info("stopped", zap.Error(err))
+	return err
+}
+
+func closed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Figures of a planned stop.
+const (
+	// balancerLag is how long the balancer goes on sending new connections
+	// after this front says that it is not ready: two questions a second apart,
+	// and some time for the answers.
+	balancerLag = 2600 * kumquatlug.Millis(1)
+	// exitMargin is what is left of the grace for leaving.
+	exitMargin = 700 * kumquatlug.Millis(1)
+)
+
+// serveUntil serves clients until ctx ends. Then it goes on accepting for as
+// long as the balancer may still send, and finishes what is in hand: closing at
+// once would reset the connections that are on their way.
+func (g *Gateway) serveUntil(ctx context.Context, server *http.Server) error {
+	failed := make(chan error, 1)
+	go func() { failed <- closed(server.Serve(g.c.Clients)) }()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	g.stopping.Store(true)
+	g.c.Logger.Info("stopping", zap.Int64("grace_ms", int64(g.c.Grace)), zap.Int64("in_hand", g.held.Load()))
+	select {
+	case err := <-failed:
+		return err
+	case <-time.After(balancerLag.Duration()):
+	}
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), (g.c.Grace - balancerLag - exitMargin).Duration())
+	defer cancel()
+	if err := server.Shutdown(last); err != nil {
+		g.c.Logger.Warn("stopped with requests in hand", zap.Int64("in_hand", g.held.Load()), zap.Error(err))
+	}
+	return nil
+}
+
+// ready reports that this front can serve what the config allows.
+func (g *Gateway) ready() bool {
+	return !g.stopping.Load() && g.table.Load() != nil && g.members.Load().known
+}
+
+func (g *Gateway) controlHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+g.c.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !g.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// Figures of housekeeping.
+const (
+	// houseEvery is how often idle connections are looked through and the other
+	// fronts are counted again, the latter at each tenth time.
+	houseEvery  = 1 * kumquatlug.Second
+	countEvery  = 10
+	freeTimeout = 500 * kumquatlug.Millis(1)
+	storeCall   = 1 * kumquatlug.Second
+	maxFronts   = 500
+)
+
+// keepHouse closes idle connections and counts the fronts that share budgets.
+func (g *Gateway) keepHouse(ctx context.Context) {
+	registered := false
+	for round := 0; ; round++ {
+		if !registered {
+			registered = g.register(ctx)
+		}
+		if round%countEvery == 1 {
+			g.countFronts(ctx)
+		}
+		addresses := g.members.Load().addresses
+		g.c.Sweep(func(address string) bool { return addresses[address] })
+		if !sleep(ctx, houseEvery) {
+			return
+		}
+	}
+}
+
+// frontPrefix starts the keys of the rows that name fronts.
+const frontPrefix = "front/"
+
+// register writes this front's row. It stays when the front is gone: counting
+// one too many only makes the shares of a budget smaller.
+func (g *Gateway) register(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, storeCall.Duration())
+	defer cancel()
+	err := g.c.Table.Commit(ctx, kumquatlug.NewTx(g.c.Incarnation).Put(frontPrefix+g.c.Name, []byte(g.c.Incarnation)))
+	if err != nil {
+		g.c.Logger.Warn("could not register", zap.Error(err))
+		return false
+	}
+	return true
+}
+
+func (g *Gateway) countFronts(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, storeCall.Duration())
+	defer cancel()
+	rows, err := g.c.Table.Scan(ctx, frontPrefix, "", maxFronts)
+	if err != nil {
+		g.c.Logger.Warn("could not count the fronts", zap.Error(err))
+		return
+	}
+	g.desk.setFronts(len(rows))
+}
+
+// freeCaches drops KV caches that nobody will take, so that their engines have
+// the memory back.
+func (g *Gateway) freeCaches(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case c := <-g.calls:
+			call, cancel := context.WithTimeout(ctx, freeTimeout.Duration())
+			if err := g.c.Workers.Free(call, c.cache); err != nil {
+				g.c.Logger.Info("cache not freed", zap.String("engine", c.cache.Engine()), zap.Error(err))
+			}
+			cancel()
+		}
+	}
+}
+
+func (g *Gateway) free(k kumquatlug.KVCache) {
+	if k.Handle() == "" {
+		return
+	}
+	select {
+	case g.calls <- cleanup{cache: k}:
+	default:
+		// The engine drops it by itself.
+	}
+}
+
+// sleep waits for a span and reports false when ctx ends first.
+func sleep(ctx context.Context, span kumquatlug.Millis) bool {
+	t := time.NewTimer(span.Duration())
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/gateway/give.go
@@ -0,0 +1,194 @@
+package gateway
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/lease"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/planner"
+)
+
+// Figures of giving orders.
+const (
+	// giveEvery is how often the lease and the roles are looked at.
+	giveEvery = 250 * kumquatlug.Millis(1)
+	// The lease: taken over within ten seconds of a holder's death, in which
+	// requests flow on; renewed by two calls each two seconds.
+	leaseTTL    = 6 * kumquatlug.Second
+	leaseMargin = 700 * kumquatlug.Millis(1)
+	leaseRenew  = 2 * kumquatlug.Second
+	leaseRetry  = 500 * kumquatlug.Millis(1)
+	// turnMargin is added to the least time between orders of two holders: an
+	// order that left last may have been on its way.
+	turnMargin = 1 * kumquatlug.Second
+	// orderTimeout bounds one call to an engine.
+	orderTimeout = 800 * kumquatlug.Millis(1)
+	// settleSpan is how long an order counts as on its way. Some engines carry
+	// orders out twelve seconds late; a second order meanwhile is not wrong, as
+	// it names the count of orders that it presumes.
+	settleSpan = 5 * kumquatlug.Second
+)
+
+// giver gives orders to engines while this front holds the lease.
+type giver struct {
+	g      *Gateway
+	holder *lease.Holder
+	// since is when the present lease was won, number its fencing number.
+	since  kumquatlug.Millis
+	number lease.Number
+	// going are the roles ordered and not yet seen, with the time.
+	going map[string]ordered
+}
+
+type ordered struct {
+	role kumquatlug.Role
+	at   kumquatlug.Millis
+}
+
+// engineGroup names the one group of engines that a site has.
+const engineGroup = "engines"
+
+// give keeps the lease and the roles of engines.
+func (g *Gateway) give(ctx context.Context) {
+	holder, err := lease.New(lease.Config{
+		Group: engineGroup, Me: g.c.Name + "/" + g.c.Incarnation, TTL: leaseTTL, Margin: leaseMargin,
+		Renew: leaseRenew, Retry: leaseRetry, Timeout: storeCall,
+	})
+	if err != nil {
+		g.c.Logger.Error("no orders will be given", zap.Error(err))
+		return
+	}
+	v := &giver{g: g, holder: holder, going: map[string]ordered{}}
+	for sleep(ctx, giveEvery) {
+		holder.Want(!g.stopping.Load())
+		v.keepLease(ctx)
+		if v.mayOrder() {
+			v.orderAll(ctx)
+		}
+	}
+}
+
+// keepLease makes the calls to the store that the lease asks for.
+func (v *giver) keepLease(ctx context.Context) {
+	c := v.g.c
+	for i := v.holder.Next(c.Awake.Now()); i.Action() != lease.ActionNone; {
+		call, cancel := context.WithTimeout(ctx, storeCall.Duration())
+		var row kumquatlug.Row
+		var err error
+		if i.Action() == lease.ActionRead {
+			row, err = c.Table.Get(call, i.Key())
+		} else {
+			err = c.Table.Commit(call, i.Tx())
+		}
+		cancel()
+		i = v.holder.Answered(c.Awake.Now(), i, row, err)
+	}
+	now := c.Awake.Now()
+	number, held := v.holder.Held(now)
+	if !held {
+		if v.number != 0 {
+			c.Logger.Info("lease lost", zap.Int64("fence", int64(v.number)))
+		}
+		v.number = 0
+		return
+	}
+	if number != v.number {
+		v.number, v.since = number, now
+		c.Logger.Info("lease won", zap.Int64("fence", int64(number)))
+	}
+}
+
+// mayOrder reports that orders may be given: the lease is held, and so long that
+// the last order of another holder lies far enough back. The first holder of all
+// need not wait.
+func (v *giver) mayOrder() bool {
+	now := v.g.c.Awake.Now()
+	if _, held := v.holder.Held(now); !held {
+		return false
+	}
+	return v.number == 1 || now-v.since >= v.g.c.OrderTurn+turnMargin
+}
+
+// orderAll brings the engines of each service to their split.
+func (v *giver) orderAll(ctx context.Context) {
+	table := v.g.table.Load()
+	if table == nil {
+		return
+	}
+	now := v.g.c.Awake.Now()
+	set := v.g.members.Load()
+	for _, name := range table.Services() {
+		if s, _ := table.Service(name); !s.Engine() {
+			continue
+		}
+		engines, workers := v.engines(now, set.byService[name])
+		for _, change := range planner.KeepSplit(engines, v.g.c.ReadPart) {
+			if _, under := v.going[change.Target()]; !under && ctx.Err() == nil {
+				v.order(ctx, workers[change.Target()], change)
+			}
+		}
+	}
+}
+
+// engines returns the engines that take work, in the roles that they have or
+// are on their way to.
+func (v *giver) engines(now kumquatlug.Millis, members []kumquatlug.Member) ([]planner.SplitEngine, map[string]kumquatlug.Worker) {
+	var engines []planner.SplitEngine
+	workers := map[string]kumquatlug.Worker{}
+	for _, m := range members {
+		if m.State != kumquatlug.MemberReady {
+			continue
+		}
+		id, role := m.Worker.ID(), m.Role
+		if o, under := v.going[id]; under {
+			if o.role == role || now-o.at > settleSpan {
+				delete(v.going, id)
+			} else {
+				role = o.role
+			}
+		}
+		engines = append(engines, planner.SplitEngine{Target: id, Zone: m.Zone, Role: role})
+		workers[id] = m.Worker
+	}
+	return engines, workers
+}
+
+// order gives one order, after asking the engine what it has been ordered so
+// far: an order whose answer was lost may have been taken.
+func (v *giver) order(ctx context.Context, w kumquatlug.Worker, change kumquatlug.RoleChange) {
+	c := v.g.c
+	call, cancel := context.WithTimeout(ctx, orderTimeout.Duration())
+	defer cancel()
+	state, err := c.Workers.State(call, w)
+	if err != nil || state.Busy {
+		c.Logger.Info("order put off", zap.String("worker", w.ID()), zap.Bool("busy", state.Busy), zap.Error(err))
+		return
+	}
+	now := c.Awake.Now()
+	if state.Role == change.To() {
+		v.going[w.ID()] = ordered{role: change.To(), at: now}
+		return
+	}
+	number, held := v.holder.Held(now)
+	if !held {
+		return
+	}
+	v.going[w.ID()] = ordered{role: change.To(), at: now}
+	taken, err := c.Workers.Order(call, w, kumquatlug.RoleOrder{
+		Role: change.To(), Holder: c.Name, Fence: int64(number), After: state.Orders,
+	})
+	outcome := "taken"
+	switch {
+	case err != nil:
+		outcome = "unanswered"
+	case !taken:
+		outcome = "refused"
+		delete(v.going, w.ID())
+	}
+	v.g.metrics.orders.WithLabelValues(outcome).Inc()
+	c.Logger.Info("order", zap.String("worker", w.ID()), zap.String("to", string(change.To())),
+		zap.String("reason", change.Reason()), zap.Int64("fence", int64(number)), zap.Int64("after", state.Orders),
+		zap.String("outcome", outcome), zap.Error(err))
+}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// metrics are the counters of one front.
+type metrics struct {
+	answers  *prometheus.CounterVec
+	attempts *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	store    *prometheus.CounterVec
+	orders   *prometheus.CounterVec
+	config   prometheus.Gauge
+}
+
+// latencyBuckets are in seconds: from an idle answer to the longest deadline.
+var latencyBuckets = []float64{.02, .05, .1, .15, .2, .3, .5, 1, 2, 5, 15}
+
+func newMetrics(r prometheus.Registerer) *metrics {
+	m := &metrics{
+		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kumquatlug_gateway_answers_total", Help: "Final answers by how they came about.",
+		}, []string{"outcome"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kumquatlug_gateway_attempts_total", Help: "Attempts at workers by stage and outcome.",
+		}, []string{"stage", "outcome"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "kumquatlug_gateway_first_output_seconds", Help: "Time to the first output.", Buckets: latencyBuckets,
+		}, []string{"priority"}),
+		store: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kumquatlug_gateway_store_reads_total", Help: "Calls that follow a table, by outcome.",
+		}, []string{"table", "outcome"}),
+		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kumquatlug_gateway_orders_total", Help: "Orders to engines by outcome.",
+		}, []string{"outcome"}),
+		config: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "kumquatlug_gateway_config_version", Help: "Version of the config in force.",
+		}),
+	}
+	r.MustRegister(m.answers, m.attempts, m.latency, m.store, m.orders, m.config)
+	return m
+}
+
+func (m *metrics) handler(r *prometheus.Registry) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(r, promhttp.HandlerOpts{}))
+	return mux
+}
--- /dev/null
+++ b/internal/gateway/watch.go
@@ -0,0 +1,222 @@
+package gateway
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/routes"
+)
+
+// Figures of following the store.
+const (
+	// feedWait is how long the store is asked to wait for a change. A connection
+	// that went silent looks like a quiet store until the wait is over, and a
+	// change must be in force within two seconds of calm.
+	feedWait = 1500 * kumquatlug.Millis(1)
+	// feedRetry is the wait after a failure; with a few fronts it is a small part
+	// of the 2,000 reads a second that the store takes.
+	feedRetry = 250 * kumquatlug.Millis(1)
+	// returnSpan is how long after the store's return an entry that lapsed while
+	// it was away may still be missing: workers write it anew within two seconds.
+	returnSpan = 2300 * kumquatlug.Millis(1)
+	// returnWait is the wait within that span, so that its end is noticed.
+	returnWait = 300 * kumquatlug.Millis(1)
+)
+
+// follower keeps a copy of one table.
+type follower struct {
+	g       *Gateway
+	table   string
+	version int64
+	known   bool
+	rows    map[string]kumquatlug.Row
+	// failedAt is when the store last failed; zero for never.
+	failedAt kumquatlug.Millis
+	lost     bool
+}
+
+// follow calls apply after each change of the table, and at least each feedWait.
+func (f *follower) follow(ctx context.Context, apply func(now kumquatlug.Millis)) {
+	f.rows = map[string]kumquatlug.Row{}
+	for ctx.Err() == nil {
+		err := f.step(ctx)
+		now := f.g.c.Clock.Now()
+		if err == nil {
+			f.regained(now)
+			apply(now)
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		f.missed(now, err)
+		apply(now)
+		sleep(ctx, feedRetry)
+	}
+}
+
+// step reads the whole table, or waits for its next change.
+func (f *follower) step(ctx context.Context) error {
+	if !f.known {
+		rows, version, err := f.g.c.Feed.Snapshot(ctx, f.table)
+		if err != nil {
+			return err
+		}
+		f.rows = make(map[string]kumquatlug.Row, len(rows))
+		for _, r := range rows {
+			f.rows[r.Key()] = r
+		}
+		f.version, f.known = version, true
+		return nil
+	}
+	wait := feedWait
+	if f.returning(f.g.c.Clock.Now()) {
+		wait = returnWait
+	}
+	rows, version, err := f.g.c.Feed.Changes(ctx, f.table, f.version, wait)
+	if err != nil {
+		return err
+	}
+	for _, r := range rows {
+		if r.Exists() {
+			f.rows[r.Key()] = r
+		} else {
+			delete(f.rows, r.Key())
+		}
+	}
+	f.version = max(f.version, version)
+	return nil
+}
+
+// returning reports that the store was away a moment ago.
+func (f *follower) returning(now kumquatlug.Millis) bool {
+	return f.failedAt > 0 && now-f.failedAt < returnSpan
+}
+
+// missed notes a failure. The table is read anew after any: what was missed
+// meanwhile may no longer be in the store's history.
+func (f *follower) missed(now kumquatlug.Millis, err error) {
+	f.failedAt = now
+	f.known = false
+	f.g.metrics.store.WithLabelValues(f.table, "failed").Inc()
+	if f.lost && !errors.Is(err, kumquatlug.ErrNotFound) {
+		return
+	}
+	f.lost = true
+	f.g.c.Logger.Warn("store lost", zap.String("table", f.table), zap.Error(err))
+}
+
+func (f *follower) regained(now kumquatlug.Millis) {
+	f.g.metrics.store.WithLabelValues(f.table, "answered").Inc()
+	if f.lost {
+		f.lost = false
+		f.g.c.Logger.Info("store regained", zap.String("table", f.table), zap.Int64("after_ms", int64(now-f.failedAt)))
+	}
+}
+
+// followConfig keeps the operator's config in force.
+func (g *Gateway) followConfig(ctx context.Context) {
+	f := &follower{g: g, table: g.c.ConfigTable}
+	seen := int64(0)
+	f.follow(ctx, func(kumquatlug.Millis) {
+		row, there := f.rows[g.c.ConfigKey]
+		if !there || row.Version() == seen {
+			return
+		}
+		seen = row.Version()
+		g.adopt(row)
+	})
+}
+
+// adopt puts a config in force, unless it is older than the one that is.
+func (g *Gateway) adopt(row kumquatlug.Row) {
+	config, err := g.c.Directory.Config(row.Value())
+	if err != nil {
+		g.c.Logger.Error("config can't be read", zap.Int64("row", row.Version()), zap.Error(err))
+		return
+	}
+	table, inForce := routes.NewTable(config), g.table.Load()
+	if !table.Newer(inForce) {
+		g.c.Logger.Warn("older config passed over", zap.Int64("version", table.Version()))
+		return
+	}
+	g.table.Store(table)
+	g.metrics.config.Set(float64(table.Version()))
+	g.c.Logger.Info("config in force", zap.Int64("version", table.Version()), zap.Int("routes", len(config.Routes)))
+}
+
+// memberSet is what is known of the workers.
+type memberSet struct {
+	known     bool
+	byService map[string][]kumquatlug.Member
+	addresses map[string]bool
+}
+
+// followMembers keeps the members of all services.
+func (g *Gateway) followMembers(ctx context.Context) {
+	f := &follower{g: g, table: g.c.MemberTable}
+	m := &members{g: g, kept: map[string]kumquatlug.Member{}, bad: map[string]int64{}}
+	f.follow(ctx, func(now kumquatlug.Millis) { m.apply(now, f) })
+}
+
+// members turns the rows of workers into members.
+type members struct {
+	g     *Gateway
+	kept  map[string]kumquatlug.Member
+	bad   map[string]int64
+	known bool
+}
+
+// apply takes the rows as they are. A worker whose row is gone is gone, unless
+// the store was away a moment ago: then its row may have lapsed meanwhile, and
+// dropping all workers at once would leave nobody to serve with.
+func (m *members) apply(now kumquatlug.Millis, f *follower) {
+	if !f.known {
+		return
+	}
+	m.known = true
+	returning := f.returning(now)
+	for key, row := range f.rows {
+		m.take(key, row)
+	}
+	for key := range m.kept {
+		if _, there := f.rows[key]; !there && !returning {
+			m.g.c.Logger.Info("worker gone", zap.String("worker", key))
+			delete(m.kept, key)
+		}
+	}
+	m.publish(now)
+}
+
+// take reads one row. A row that can't be read names no worker.
+func (m *members) take(key string, row kumquatlug.Row) {
+	member, err := m.g.c.Directory.Member(row)
+	if err != nil {
+		if m.bad[key] != row.Version() {
+			m.bad[key] = row.Version()
+			m.g.c.Logger.Warn("row of a worker passed over", zap.String("worker", key), zap.Error(err))
+		}
+		delete(m.kept, key)
+		return
+	}
+	before, known := m.kept[key]
+	if !known || before.State != member.State || before.Role != member.Role || before.Born != member.Born {
+		m.g.c.Logger.Info("worker", zap.String("worker", key), zap.String("service", member.Service),
+			zap.String("state", string(member.State)), zap.String("role", string(member.Role)),
+			zap.Int64("row", row.Version()))
+	}
+	m.kept[key] = member
+}
+
+func (m *members) publish(now kumquatlug.Millis) {
+	set := &memberSet{known: m.known, byService: map[string][]kumquatlug.Member{}, addresses: map[string]bool{}}
+	for _, member := range m.kept {
+		set.byService[member.Service] = append(set.byService[member.Service], member)
+		set.addresses[member.Worker.Address()] = true
+	}
+	m.g.members.Store(set)
+	m.g.desk.sync(now, set.byService)
+}
--- a/pkg/kumquatlug/clock/clock.go
+++ b/pkg/kumquatlug/clock/clock.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
 
@@ -47,3 +49,25 @@
 func (m *Manual) Advance(span kumquatlug.Millis) kumquatlug.Millis {
 	return kumquatlug.Millis(m.now.Add(int64(span)))
 }
+
+// Awake counts the time in which the VM was suspended, too, which the monotonic
+// clock leaves out. A holder that was suspended past its lease would otherwise
+// wake and still believe in it.
+type Awake struct {
+	origin kumquatlug.Millis
+}
+
+// NewAwake returns a clock whose origin is one minute before the call.
+func NewAwake() *Awake {
+	return &Awake{origin: sinceBoot() - kumquatlug.Minute}
+}
+
+// Now returns the milliseconds since the origin.
+func (a *Awake) Now() kumquatlug.Millis { return sinceBoot() - a.origin }
+
+func sinceBoot() kumquatlug.Millis {
+	var t unix.Timespec
+	// The kernel knows this clock; an error would be the same at every call.
+	_ = unix.ClockGettime(unix.CLOCK_BOOTTIME, &t)
+	return kumquatlug.MillisOf(time.Duration(t.Nano()))
+}
--- /dev/null
+++ b/pkg/kumquatlug/placement/placement.go
@@ -0,0 +1,407 @@
+// Package placement decides at which worker a front makes an attempt when it
+// calls workers directly: which engine reads a prompt, which one generates, and
+// which worker of a plain service runs a request.
+//
+// It answers long prompts that share most of their tokens, at a rate near what
+// the engines can read. A front sees its own requests and what workers say of
+// their load in each answer, nothing else; fronts don't speak with each other.
+// Were prompts spread evenly, each engine would read every shared part again,
+// three times the work, and the queues would never end; were they kept at one
+// place whatever its queue, a hot part would drown its engine. So
+//
+//   - each chain of shared parts has a home, the first of all reading engines in
+//     its rendezvous order, which every front works out alike and which moves
+//     only for a small part of the chains when an engine comes or goes;
+//   - a chain leaves its home only when waiting there costs more than reading
+//     the shared parts again, at a price above their mere time: reading is what
+//     is scarce, and what is read twice delays everybody behind it;
+//   - a prompt that is quickly read goes straight to a generating engine, which
+//     spares a transfer; a long one does so when the reading engines are behind;
+//   - generation goes to the least loaded engine, by preference in this data
+//     centre;
+//   - a request that no worker can begin in time is refused at once, with a
+//     time to come back.
+//
+// A Placer belongs to one owner and is not safe for concurrent use.
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/health"
+)
+
+// Config is what a [Placer] is made of. The zero value of each field stands for
+// its default.
+type Config struct {
+	// Zone is the front's data centre.
+	Zone string
+	// ReadRate is how many prompt tokens an engine reads in a millisecond.
+	// Default 236, the figure of the engines' sheet.
+	ReadRate float64
+	// MixedPart is the part of ReadRate that an engine has for prompts while it
+	// generates. Default 0.5, as the engines' protocol states.
+	MixedPart float64
+	// AwayPrice is what reading shared parts again costs, as a multiple of its
+	// time. Default 8.
+	AwayPrice float64
+	// MixedPrice is what reading at a generating engine costs, as a multiple of
+	// its time: the streams there pause. Default 1.
+	MixedPrice float64
+	// ZonePrice is the price of another data centre in milliseconds.
+	ZonePrice float64
+	// TransferCost is what handing a KV cache over costs in milliseconds: two
+	// round trips and the copy. Default 4.
+	TransferCost float64
+	// Health tunes the judgement of workers.
+	Health health.Config
+}
+
+func (c Config) withDefaults() Config {
+	c.ReadRate = cmp.Or(c.ReadRate, 236)
+	c.MixedPart = cmp.Or(c.MixedPart, 0.5)
+	c.AwayPrice = cmp.Or(c.AwayPrice, 8)
+	c.MixedPrice = cmp.Or(c.MixedPrice, 1)
+	c.ZonePrice = cmp.Or(c.ZonePrice, 3)
+	c.TransferCost = cmp.Or(c.TransferCost, 4)
+	return c
+}
+
+// Figures of the package.
+const (
+	// slotCost is what one request in hand adds to the wait of the next one at a
+	// generating engine, in milliseconds: a step of the batch takes some 0.7 ms
+	// and a few thousandths more with each request.
+	slotCost = 0.1
+	// fullCost is what each request beyond the slots adds: it waits until one
+	// before it ends, some 90 steps shared by 64 slots.
+	fullCost = 8.0
+	// plainCost is what a request ahead of another at a plain worker adds to its
+	// wait, over the worker's slots, until answers have shown it.
+	plainCost = 40.0
+	// rankCost makes fronts agree on the second home too, in milliseconds.
+	rankCost = 1.0
+	// reportAge is how long what a worker said of its load is believed; answers
+	// come each 100 ms at the usual load.
+	reportAge = 500.0
+	// keptFor is how long parts are believed to be held where this front sent
+	// them: at the usual load an engine's memory turns over in some seconds.
+	keptFor = 6 * kumquatlug.Second
+	// meanStep is the weight of a new figure in a mean: some thirty make one.
+	meanStep = 1.0 / 32
+)
+
+// worker is what is known of one worker.
+type worker struct {
+	member kumquatlug.Member
+	hash   uint64
+	since  kumquatlug.Millis
+	// reads and tokens are the prompts in hand for this front and what is to be
+	// read of them; runs are all other requests in hand.
+	reads  int
+	tokens float64
+	runs   int
+	// others is how many requests of other fronts were in hand when the worker
+	// last spoke, at saidAt.
+	others float64
+	saidAt kumquatlug.Millis
+	// held are the parts that this front sent there, with the time.
+	held map[string]kumquatlug.Millis
+}
+
+// Placer chooses workers of one service.
+type Placer struct {
+	c       Config
+	workers map[string]*worker
+	list    []*worker
+	health  *health.Group
+	// meanRead is how many tokens one prompt leaves to be read, meanTime how
+	// long a plain request takes.
+	meanRead float64
+	meanTime float64
+	cleanAt  kumquatlug.Millis
+}
+
+// New returns a placer without workers.
+func New(c Config) *Placer {
+	c = c.withDefaults()
+	return &Placer{
+		c: c, workers: map[string]*worker{}, health: health.New(c.Health), meanRead: 3000, meanTime: plainCost,
+	}
+}
+
+// Sync takes the members of the service as they are now. A worker that started
+// anew under its old name holds nothing.
+func (p *Placer) Sync(now kumquatlug.Millis, members []kumquatlug.Member) {
+	seen := map[string]bool{}
+	for _, m := range members {
+		id := m.Worker.ID()
+		seen[id] = true
+		w, known := p.workers[id]
+		if !known || w.member.Born != m.Born || w.member.Worker != m.Worker {
+			w = &worker{hash: xxhash.Sum64String(id), since: now, held: map[string]kumquatlug.Millis{}}
+			p.workers[id] = w
+			p.health.Remove(id)
+			p.health.Add(id)
+		}
+		w.member = m
+	}
+	for id := range p.workers {
+		if !seen[id] {
+			delete(p.workers, id)
+			p.health.Remove(id)
+		}
+	}
+	p.list = p.list[:0]
+	for _, w := range p.workers {
+		p.list = append(p.list, w)
+	}
+	slices.SortFunc(p.list, func(a, b *worker) int { return cmp.Compare(a.member.Worker.ID(), b.member.Worker.ID()) })
+}
+
+// Report takes what a worker said of its load in an answer.
+func (p *Placer) Report(now kumquatlug.Millis, id string, load kumquatlug.WorkerLoad) {
+	w, known := p.workers[id]
+	if !known || !load.Known() {
+		return
+	}
+	w.others = max(0, float64(load.Running()+load.Waiting()-w.reads-w.runs))
+	w.saidAt = now
+}
+
+// othersNow is how many requests of other fronts are believed to be in hand.
+func (w *worker) othersNow(now kumquatlug.Millis) float64 {
+	return w.others * math.Exp(-float64(now-w.saidAt)/reportAge)
+}
+
+// Query asks for a worker.
+type Query struct {
+	Prompt kumquatlug.Prompt
+	// Exclude are workers not to be chosen.
+	Exclude []string
+	// Left is how long the client still waits.
+	Left kumquatlug.Millis
+}
+
+// Choice is the answer to a [Query].
+type Choice struct {
+	worker kumquatlug.Worker
+	apart  bool
+	tokens float64
+	wait   float64
+}
+
+// Worker returns whom to call.
+func (c Choice) Worker() kumquatlug.Worker { return c.worker }
+
+// Apart reports that the worker only reads the prompt and another one is to be
+// chosen for the output.
+func (c Choice) Apart() bool { return c.apart }
+
+// Tokens returns how many tokens of the prompt are believed to be read anew.
+func (c Choice) Tokens() float64 { return c.tokens }
+
+// Wait returns the expected span until the first output.
+func (c Choice) Wait() kumquatlug.Millis { return kumquatlug.Millis(c.wait) }
+
+// usable reports whether a worker may be given new work of a role.
+func (p *Placer) usable(now kumquatlug.Millis, w *worker, q Query, role kumquatlug.Role) bool {
+	id := w.member.Worker.ID()
+	return w.member.State == kumquatlug.MemberReady && w.member.Role == role &&
+		!slices.Contains(q.Exclude, id) && p.health.Weight(now, id) > 0
+}
+
+// zonePrice is what a worker in another data centre costs, in milliseconds.
+func (p *Placer) zonePrice(w *worker) float64 {
+	if w.member.Zone == p.c.Zone {
+		return 0
+	}
+	return p.c.ZonePrice
+}
+
+// Plain chooses the worker of a plain service with the least expected wait.
+func (p *Placer) Plain(now kumquatlug.Millis, q Query) (Choice, bool) {
+	var best Choice
+	least, found := math.Inf(1), false
+	for _, w := range p.list {
+		if !p.usable(now, w, q, w.member.Role) {
+			continue
+		}
+		ahead := float64(w.runs) + w.othersNow(now)
+		slots := float64(max(w.member.Slots, 1))
+		wait := max(0, ahead+1-slots) / slots * p.meanTime
+		cost := (wait + ahead/slots + p.zonePrice(w)) / p.health.Weight(now, w.member.Worker.ID())
+		if cost < least {
+			least, found = cost, true
+			best = Choice{worker: w.member.Worker, wait: wait}
+		}
+	}
+	return best, found
+}
+
+// Prompt chooses where a prompt is read: apart from its output, or by the
+// engine that then generates.
+func (p *Placer) Prompt(now kumquatlug.Millis, q Query) (Choice, bool) {
+	apart, apartCost, found := p.reader(now, q)
+	mixed, mixedCost, also := p.mixed(now, q)
+	if found && also {
+		if mixedCost < apartCost {
+			return mixed, true
+		}
+		return apart, true
+	}
+	if found {
+		// Nobody could generate from what would be read.
+		_, can := p.Output(now, Query{Prompt: q.Prompt})
+		return apart, can
+	}
+	return mixed, also
+}
+
+// reader finds the engine to read the prompt apart.
+func (p *Placer) reader(now kumquatlug.Millis, q Query) (Choice, float64, bool) {
+	key := chainKey(q.Prompt)
+	home, homeKey := (*worker)(nil), uint64(0)
+	for _, w := range p.list {
+		if !p.usable(now, w, q, kumquatlug.RolePrefill) {
+			continue
+		}
+		if h := mix(key ^ w.hash); home == nil || h > homeKey {
+			home, homeKey = w, h
+		}
+	}
+	if home == nil {
+		return Choice{}, 0, false
+	}
+	least, best := math.Inf(1), Choice{}
+	for _, w := range p.list {
+		if !p.usable(now, w, q, kumquatlug.RolePrefill) {
+			continue
+		}
+		weight := p.health.Weight(now, w.member.Worker.ID())
+		fresh := p.unheld(now, w, q.Prompt, w == home)
+		wait := (p.backlog(now, w) + fresh) / p.c.ReadRate / weight
+		away := fresh - p.own(q.Prompt)
+		cost := wait + p.c.AwayPrice*away/p.c.ReadRate + p.zonePrice(w)
+		if w != home {
+			cost += rankCost * (1 - float64(mix(key^w.hash))/math.MaxUint64)
+		}
+		if cost < least {
+			least = cost
+			best = Choice{worker: w.member.Worker, apart: true, tokens: fresh, wait: wait + p.c.TransferCost}
+		}
+	}
+	return best, least + p.c.TransferCost, true
+}
+
+// backlog is how many tokens are to be read at w before a new prompt.
+func (p *Placer) backlog(now kumquatlug.Millis, w *worker) float64 {
+	return w.tokens + w.othersNow(now)*p.meanRead
+}
+
+// own is how many tokens of a prompt no other request shares.
+func (p *Placer) own(prompt kumquatlug.Prompt) float64 {
+	shared := 0
+	for _, part := range prompt.Shared() {
+		shared += part.Tokens()
+	}
+	return float64(max(prompt.Input()-shared, 0))
+}
+
+// unheld is how many tokens of a prompt w has to read. A chain's home is taken
+// to hold it: the other fronts send it there, too.
+func (p *Placer) unheld(now kumquatlug.Millis, w *worker, prompt kumquatlug.Prompt, home bool) float64 {
+	if home {
+		return p.own(prompt)
+	}
+	left := prompt.Input()
+	for _, part := range prompt.Shared() {
+		at, held := w.held[part.ID()]
+		if !held || now-at > keptFor {
+			break
+		}
+		left -= part.Tokens()
+	}
+	return float64(max(left, 0))
+}
+
+// mixed finds the engine to read the prompt and generate.
+func (p *Placer) mixed(now kumquatlug.Millis, q Query) (Choice, float64, bool) {
+	rate := p.c.ReadRate * p.c.MixedPart
+	least, best, found := math.Inf(1), Choice{}, false
+	for _, w := range p.list {
+		if !p.usable(now, w, q, kumquatlug.RoleDecode) {
+			continue
+		}
+		fresh := p.unheld(now, w, q.Prompt, false)
+		read := fresh / rate
+		wait := w.tokens/rate + read + p.slotWait(now, w)
+		weight := p.health.Weight(now, w.member.Worker.ID())
+		cost := wait/weight + p.c.MixedPrice*read + p.zonePrice(w)
+		if cost < least {
+			least, found = cost, true
+			best = Choice{worker: w.member.Worker, tokens: fresh, wait: wait}
+		}
+	}
+	return best, least, found
+}
+
+// slotWait is how long a request waits for its place in the batch at w.
+func (p *Placer) slotWait(now kumquatlug.Millis, w *worker) float64 {
+	ahead := float64(w.runs) + w.othersNow(now)
+	return ahead*slotCost + max(0, ahead+1-float64(w.member.Slots))*fullCost
+}
+
+// Output chooses the engine that generates from a KV cache read elsewhere.
+func (p *Placer) Output(now kumquatlug.Millis, q Query) (Choice, bool) {
+	least, best, found := math.Inf(1), Choice{}, false
+	for _, w := range p.list {
+		if !p.usable(now, w, q, kumquatlug.RoleDecode) {
+			continue
+		}
+		wait := p.slotWait(now, w)
+		cost := (wait+w.tokens/p.c.ReadRate)/p.health.Weight(now, w.member.Worker.ID()) + p.zonePrice(w)
+		if cost < least {
+			least, found = cost, true
+			best = Choice{worker: w.member.Worker, wait: wait}
+		}
+	}
+	return best, found
+}
+
+// Count tells how many workers take new work of a role; any role when empty.
+func (p *Placer) Count(now kumquatlug.Millis, role kumquatlug.Role) int {
+	n := 0
+	for _, w := range p.list {
+		if p.usable(now, w, Query{}, cmp.Or(role, w.member.Role)) {
+			n++
+		}
+	}
+	return n
+}
+
+// chainKey names the chain of parts that a prompt shares with others.
+func chainKey(prompt kumquatlug.Prompt) uint64 {
+	d := xxhash.New()
+	for _, part := range prompt.Shared() {
+		// A digest takes every byte and never fails.
+		_, _ = d.WriteString(part.ID())
+		_, _ = d.WriteString(",")
+	}
+	return d.Sum64()
+}
+
+// mix spreads the bits of a key, so that the order of workers differs between
+// keys that differ in one bit.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/pkg/kumquatlug/placement/ticket.go
@@ -0,0 +1,115 @@
+package placement
+
+import "github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+
+// Ticket stands for one attempt in hand at a worker.
+type Ticket struct {
+	worker *worker
+	id     string
+	apart  bool
+	tokens float64
+	wait   float64
+	at     kumquatlug.Millis
+	read   bool
+	ended  bool
+}
+
+// Outcome is how an attempt ended, as far as it tells of the worker.
+type Outcome string
+
+// The outcomes.
+const (
+	// OutcomeGood: the worker did its work.
+	OutcomeGood Outcome = "good"
+	// OutcomeFailed: it broke off, was not reached or answered with a failure.
+	OutcomeFailed Outcome = "failed"
+	// OutcomeSilent: it says nothing of the worker: the client left, or the
+	// worker had no room.
+	OutcomeSilent Outcome = "silent"
+)
+
+// Begin records that an attempt goes to the worker of a choice.
+func (p *Placer) Begin(now kumquatlug.Millis, c Choice, prompt kumquatlug.Prompt) *Ticket {
+	w, known := p.workers[c.worker.ID()]
+	if !known {
+		return &Ticket{ended: true}
+	}
+	t := &Ticket{worker: w, id: c.worker.ID(), apart: c.apart, tokens: c.tokens, wait: c.wait, at: now}
+	w.tokens += c.tokens
+	if c.apart {
+		w.reads++
+	} else {
+		w.runs++
+	}
+	if c.tokens > 0 {
+		p.meanRead += meanStep * (c.tokens - p.meanRead)
+		p.hold(now, w, prompt)
+	}
+	return t
+}
+
+// hold notes that w will keep the shared parts of a prompt.
+func (p *Placer) hold(now kumquatlug.Millis, w *worker, prompt kumquatlug.Prompt) {
+	for _, part := range prompt.Shared() {
+		w.held[part.ID()] = now
+	}
+	if now-p.cleanAt < keptFor {
+		return
+	}
+	p.cleanAt = now
+	for _, other := range p.list {
+		for id, at := range other.held {
+			if now-at > keptFor {
+				delete(other.held, id)
+			}
+		}
+	}
+}
+
+// Read records that the prompt has been read: output has begun.
+func (p *Placer) Read(_ kumquatlug.Millis, t *Ticket) {
+	if t.ended || t.read {
+		return
+	}
+	t.read = true
+	t.worker.tokens = max(0, t.worker.tokens-t.tokens)
+}
+
+// End records that an attempt is no longer in hand.
+func (p *Placer) End(now kumquatlug.Millis, t *Ticket, o Outcome) {
+	if t.ended {
+		return
+	}
+	p.Read(now, t)
+	t.ended = true
+	if t.apart {
+		t.worker.reads--
+	} else {
+		t.worker.runs--
+	}
+	if o == OutcomeSilent || p.workers[t.id] != t.worker {
+		return
+	}
+	took := float64(now - t.at)
+	if o == OutcomeGood && t.worker.member.Role == "" {
+		p.meanTime += meanStep * (took - p.meanTime)
+	}
+	p.health.Outcome(now, t.id, o == OutcomeGood, p.ratio(t, took))
+}
+
+// leastExpected keeps short expectations from making noise look like slowness,
+// in milliseconds.
+const leastExpected = 20.0
+
+// ratio compares what an attempt took with what was expected of it.
+func (p *Placer) ratio(t *Ticket, took float64) float64 {
+	switch {
+	case t.apart:
+		return took / max(leastExpected, t.wait)
+	case t.worker.member.Role == "":
+		return took / max(leastExpected, p.meanTime+t.wait)
+	default:
+		// How long a stream runs depends on its length, which nobody knows.
+		return 1
+	}
+}
--- /dev/null
+++ b/pkg/kumquatlug/planner/split.go
@@ -0,0 +1,75 @@
+package planner
+
+import (
+	"math"
+	"sort"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+// SplitEngine is an engine as [KeepSplit] sees it.
+type SplitEngine struct {
+	// Target is its name, Zone its data centre.
+	Target string
+	Zone   string
+	// Role is what it does, or what it was ordered to do.
+	Role kumquatlug.Role
+}
+
+// KeepSplit returns the orders that bring a group to a fixed part of engines
+// that read prompts, and keeps it there as engines come and go.
+//
+// It answers prompts of thousands of tokens with outputs of a few: reading is
+// then what is scarce, generating needs places more than time, and an engine
+// that is lost or comes back in another role leaves the wrong side short.
+// Generating engines are spread over the data centres, so that fronts find one
+// near; at least one engine stays on each side.
+func KeepSplit(engines []SplitEngine, part float64) []kumquatlug.RoleChange {
+	if len(engines) < 2 {
+		return nil
+	}
+	sorted := append([]SplitEngine(nil), engines...)
+	sort.Slice(sorted, func(i, j int) bool { return sorted[i].Target < sorted[j].Target })
+	want := int(math.Round(part * float64(len(sorted))))
+	want = min(max(want, 1), len(sorted)-1)
+	var changes []kumquatlug.RoleChange
+	for excess := count(sorted, kumquatlug.RolePrefill) - want; excess != 0; {
+		from, to, step := kumquatlug.RolePrefill, kumquatlug.RoleDecode, 1
+		if excess < 0 {
+			from, to, step = kumquatlug.RoleDecode, kumquatlug.RolePrefill, -1
+		}
+		at := crowded(sorted, from)
+		changes = append(changes, kumquatlug.NewRoleChange(sorted[at].Target, from, to, "split"))
+		sorted[at].Role = to
+		excess -= step
+	}
+	return changes
+}
+
+func count(engines []SplitEngine, role kumquatlug.Role) int {
+	n := 0
+	for _, e := range engines {
+		if e.Role == role {
+			n++
+		}
+	}
+	return n
+}
+
+// crowded returns the index of an engine with this role in the data centre that
+// has most of them.
+func crowded(engines []SplitEngine, role kumquatlug.Role) int {
+	zones := map[string]int{}
+	for _, e := range engines {
+		if e.Role == role {
+			zones[e.Zone]++
+		}
+	}
+	best := -1
+	for i, e := range engines {
+		if e.Role == role && (best < 0 || zones[e.Zone] > zones[engines[best].Zone]) {
+			best = i
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/pkg/kumquatlug/retry/shared.go
@@ -0,0 +1,90 @@
+package retry
+
+import (
+	"cmp"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+// SharedConfig is what a [Shared] budget is made of.
+type SharedConfig struct {
+	// Ratio and Floor bound what all fronts together send beyond the first
+	// arrival of each request: in any Window, Ratio of the requests and Floor
+	// more.
+	Ratio  float64
+	Floor  int
+	Window kumquatlug.Millis
+}
+
+// sharedSteps is into how many steps the window of a [Shared] is cut; the count
+// is at most one step too high, never too low.
+const sharedSteps = 20
+
+// sharedPart is the part of its share that a front uses. The rest covers fronts
+// that came a moment ago and are not counted yet.
+const sharedPart = 0.8
+
+// Shared is one front's share of a budget of repeats that all fronts use
+// together without asking each other.
+//
+// It answers the failure that makes every front send again at once: each within
+// what would be right alone, all together far above what the workers can take.
+// Each front therefore counts the repeats that it sent in the sliding window
+// and stops at its share: Ratio of its own requests, and the floor divided by
+// the number of fronts.
+type Shared struct {
+	c      SharedConfig
+	fronts int
+	counts [sharedSteps + 1]sharedCount
+	at     int64
+}
+
+// sharedCount is what happened in one step of the window.
+type sharedCount struct {
+	requests, repeats int
+}
+
+// NewShared returns a budget for one front among one.
+func NewShared(c SharedConfig) *Shared {
+	c.Window = cmp.Or(c.Window, pace)
+	return &Shared{c: c, fronts: 1}
+}
+
+// SetFronts tells how many fronts share the budget.
+func (s *Shared) SetFronts(n int) { s.fronts = max(n, 1) }
+
+// advance moves the window to now.
+func (s *Shared) advance(now kumquatlug.Millis) {
+	step := int64(now) * sharedSteps / int64(s.c.Window)
+	if step-s.at > sharedSteps {
+		s.counts = [sharedSteps + 1]sharedCount{}
+		s.at = step
+	}
+	for s.at < step {
+		s.at++
+		s.counts[s.at%(sharedSteps+1)] = sharedCount{}
+	}
+}
+
+// Request records a request of a client.
+func (s *Shared) Request(now kumquatlug.Millis) {
+	s.advance(now)
+	s.counts[s.at%(sharedSteps+1)].requests++
+}
+
+// Take pays for one more arrival at a worker, and reports false when the share
+// is used up.
+func (s *Shared) Take(now kumquatlug.Millis) bool {
+	s.advance(now)
+	var sum sharedCount
+	for _, c := range s.counts {
+		sum.requests += c.requests
+		sum.repeats += c.repeats
+	}
+	share := s.c.Ratio*float64(sum.requests) + float64(s.c.Floor)/float64(s.fronts)
+	if float64(sum.repeats+1) > sharedPart*share {
+		return false
+	}
+	s.counts[s.at%(sharedSteps+1)].repeats++
+	return true
+}
