Let prompts wait at one engine, and pay each further sending

A second prefill of a request was not paid from the budget of repeats. Ruled out: slow workers; the trace shows the same request at three engines, each reading for nothing.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -48,9 +48,6 @@
 	if f.begun || !f.route.Repeatable() || f.runs+1 >= f.route.Workers() || f.tries+1 >= maxTries {
 		return nil
 	}
-	if !f.g.desk.repeat(f.g.c.Clock.Now(), f.service.Name()) {
-		return nil
-	}
 	f.end(stageOutput, t, placement.OutcomeFailed)
 	return &tried{worker: c.Worker().ID(), failure: kumquatlug.NewFailure(kumquatlug.FailureConfig{
 		Step: "run", Peer: c.Worker().ID(), Reason: "worker_failed", Ran: kumquatlug.RanUnknown, Status: http.StatusBadGateway,
@@ -104,7 +101,7 @@
 		outcome = placement.OutcomeSilent
 	}
 	f.end(stageOutput, t, outcome)
-	return &tried{worker: c.Worker().ID(), arrived: true, failure: kumquatlug.NewFailure(kumquatlug.FailureConfig{
+	return &tried{worker: c.Worker().ID(), failure: kumquatlug.NewFailure(kumquatlug.FailureConfig{
 		Step: "relay", Peer: c.Worker().ID(), Reason: "answer_broken", Ran: kumquatlug.RanUnknown,
 		Status: http.StatusBadGateway, Cause: err,
 	})}
@@ -170,6 +167,8 @@
 	if id, found := lastID(events); found {
 		f.last = id
 	}
+	f.g.c.Logger.Debug("events passed", zap.String("request", f.ask.ID()), zap.String("worker", c.Worker().ID()),
+		zap.Int64("last", f.last), zap.Int("bytes", len(events)), zap.ByteString("text", events))
 	return nil
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -46,9 +46,12 @@
 	trying kumquatlug.Millis
 
 	exclude []string
-	// tries counts all tries, runs the workers that may have run the request,
-	// arrivals those that received anything of it.
-	tries, runs, arrivals int
+	// tries counts all tries, runs the workers that may have run the request.
+	tries, runs int
+	// arrivals counts the sendings that a worker received, but for the first
+	// one after which it had read the prompt; read says that there was one.
+	arrivals int
+	read     bool
 	// begun says that the head of the answer was written, last is the number of
 	// the last event that the client has.
 	begun bool
@@ -138,10 +141,8 @@
 type tried struct {
 	failure *kumquatlug.Failure
 	worker  string
-	// arrived says that the worker received something of the request, whole that
-	// nothing would be gained by another worker.
-	arrived bool
-	whole   bool
+	// whole says that nothing would be gained by another worker.
+	whole bool
 }
 
 // next decides what follows a failed attempt: nil for another one, or the final
@@ -151,9 +152,6 @@
 	if t.worker != "" {
 		f.exclude = append(f.exclude, t.worker)
 	}
-	if t.arrived {
-		f.arrivals++
-	}
 	if t.failure.Ran() != kumquatlug.RanNot {
 		f.runs++
 	}
@@ -167,12 +165,19 @@
 		return t.failure
 	case f.runs >= f.route.Workers():
 		return t.failure
-	case t.arrived && !f.g.desk.repeat(f.g.c.Clock.Now(), f.service.Name()):
-		return f.truthful(t.failure, "repeats_used_up")
 	}
 	return nil
 }
 
+// pay pays for a sending that is not the first to arrive. It tells what to
+// answer when the budget of repeats is used up.
+func (f *flight) pay() *tried {
+	if f.arrivals == 0 || f.g.desk.repeat(f.g.c.Clock.Now(), f.service.Name()) {
+		return nil
+	}
+	return &tried{whole: true, failure: f.truthful(refusal("repeat", "repeats_used_up", 0, 0), "repeats_used_up")}
+}
+
 // truthful gives a failure another reason; it promises that nothing ran only
 // where no attempt may have run.
 func (f *flight) truthful(cause *kumquatlug.Failure, reason string) *kumquatlug.Failure {
@@ -268,6 +273,9 @@
 
 // choose picks a worker, or tells why there is none that can answer in time.
 func (f *flight) choose(s stage, q placement.Query) (*placement.Ticket, placement.Choice, *tried) {
+	if failed := f.pay(); failed != nil {
+		return nil, placement.Choice{}, failed
+	}
 	now := f.g.c.Clock.Now()
 	accept := func(c placement.Choice) bool { return s == stageOutput || c.Wait() < f.left() }
 	choice, ticket, found := f.g.desk.choose(now, f.service.Name(), s, q, accept)
@@ -308,7 +316,7 @@
 const (
 	// leastPatience is far above an answer's usual time, so that only a worker
 	// that fell silent or behind reaches it.
-	leastPatience = 300 * kumquatlug.Millis(1)
+	leastPatience = 900 * kumquatlug.Millis(1)
 	// patienceFactor is how many times the expected wait is waited.
 	patienceFactor = 4
 )
@@ -336,6 +344,10 @@
 		failed := f.turnedDown(stagePrompt, c, t, reply)
 		return cache, failed
 	}
+	if f.read {
+		f.arrivals++
+	}
+	f.read = true
 	f.end(stagePrompt, t, placement.OutcomeGood)
 	return cache, nil
 }
@@ -354,14 +366,18 @@
 	}
 	f.end(s, t, outcome)
 	failure := kumquatlug.FailureOf(err)
-	return &tried{failure: failure, worker: c.Worker().ID(), arrived: failure.Ran() != kumquatlug.RanNot}
+	if failure.Ran() != kumquatlug.RanNot {
+		f.arrivals++
+	}
+	return &tried{failure: failure, worker: c.Worker().ID()}
 }
 
 // turnedDown records an attempt that the worker refused, and drops its answer.
 func (f *flight) turnedDown(s stage, c placement.Choice, t *placement.Ticket, reply kumquatlug.Reply) *tried {
 	reply.Body().Close()
+	f.arrivals++
 	f.end(s, t, placement.OutcomeSilent)
-	return &tried{worker: c.Worker().ID(), arrived: true, failure: kumquatlug.NewFailure(kumquatlug.FailureConfig{
+	return &tried{worker: c.Worker().ID(), failure: kumquatlug.NewFailure(kumquatlug.FailureConfig{
 		Step: string(s), Peer: c.Worker().ID(), Reason: "worker_refused", Ran: kumquatlug.RanNot,
 		Status: http.StatusServiceUnavailable, RetryAfter: f.comeBack(leastRetry * 2),
 	})}
@@ -389,6 +405,7 @@
 	if reply.Refused() {
 		return f.turnedDown(stageOutput, c, t, reply)
 	}
+	f.arrivals++
 	return f.relay(ctx, c, t, reply)
 }
 
--- a/pkg/kumquatlug/placement/placement.go
+++ b/pkg/kumquatlug/placement/placement.go
@@ -78,9 +78,14 @@
 	// generating engine, in milliseconds: a step of the batch takes some 0.7 ms
 	// and a few thousandths more with each request.
 	slotCost = 0.1
-	// fullCost is what each request beyond the slots adds: it waits until one
-	// before it ends, some 90 steps shared by 64 slots.
-	fullCost = 8.0
+	// firstRun is how long a request runs at a generating engine until answers
+	// have shown it, in milliseconds.
+	firstRun = 1000.0
+	// freeSlots are left to requests with few tokens of output: behind streams
+	// that run for seconds they would miss their deadlines.
+	freeSlots = 4
+	// fewTokens is up to which output a request counts among these.
+	fewTokens = 256
 	// plainCost is what a request ahead of another at a plain worker adds to its
 	// wait, over the worker's slots, until answers have shown it.
 	plainCost = 40.0
@@ -124,6 +129,7 @@
 	// long a plain request takes.
 	meanRead float64
 	meanTime float64
+	meanRun  float64
 	cleanAt  kumquatlug.Millis
 }
 
@@ -132,6 +138,7 @@
 	c = c.withDefaults()
 	return &Placer{
 		c: c, workers: map[string]*worker{}, health: health.New(c.Health), meanRead: 3000, meanTime: plainCost,
+		meanRun: firstRun,
 	}
 }
 
@@ -247,20 +254,17 @@
 // Prompt chooses where a prompt is read: apart from its output, or by the
 // engine that then generates.
 func (p *Placer) Prompt(now kumquatlug.Millis, q Query) (Choice, bool) {
-	apart, apartCost, found := p.reader(now, q)
-	mixed, mixedCost, also := p.mixed(now, q)
-	if found && also {
-		if mixedCost < apartCost {
-			return mixed, true
-		}
-		return apart, true
+	output, can := p.Output(now, Query{Prompt: q.Prompt})
+	if !can {
+		return Choice{}, false
 	}
-	if found {
-		// Nobody could generate from what would be read.
-		_, can := p.Output(now, Query{Prompt: q.Prompt})
-		return apart, can
+	mixed, mixedCost, also := p.mixed(now, q)
+	apart, apartCost, found := p.reader(now, q)
+	if !found || also && mixedCost < apartCost+output.wait {
+		return mixed, also
 	}
-	return mixed, also
+	apart.wait += output.wait
+	return apart, true
 }
 
 // reader finds the engine to read the prompt apart.
@@ -340,7 +344,7 @@
 		}
 		fresh := p.unheld(now, w, q.Prompt, false)
 		read := fresh / rate
-		wait := w.tokens/rate + read + p.slotWait(now, w)
+		wait := w.tokens/rate + read + p.slotWait(now, w, q.Prompt)
 		weight := p.health.Weight(now, w.member.Worker.ID())
 		cost := wait/weight + p.c.MixedPrice*read + p.zonePrice(w)
 		if cost < least {
@@ -351,10 +355,15 @@
 	return best, least, found
 }
 
-// slotWait is how long a request waits for its place in the batch at w.
-func (p *Placer) slotWait(now kumquatlug.Millis, w *worker) float64 {
+// slotWait is how long a request waits for its place in the batch at w: beyond
+// the slots, until requests before it have ended.
+func (p *Placer) slotWait(now kumquatlug.Millis, w *worker, prompt kumquatlug.Prompt) float64 {
 	ahead := float64(w.runs) + w.othersNow(now)
-	return ahead*slotCost + max(0, ahead+1-float64(w.member.Slots))*fullCost
+	slots := float64(w.member.Slots)
+	if prompt.Output() > fewTokens {
+		slots -= freeSlots
+	}
+	return ahead*slotCost + max(0, ahead+1-slots)*p.meanRun/max(slots, 1)
 }
 
 // Output chooses the engine that generates from a KV cache read elsewhere.
@@ -364,7 +373,7 @@
 		if !p.usable(now, w, q, kumquatlug.RoleDecode) {
 			continue
 		}
-		wait := p.slotWait(now, w)
+		wait := p.slotWait(now, w, q.Prompt)
 		cost := (wait+w.tokens/p.c.ReadRate)/p.health.Weight(now, w.member.Worker.ID()) + p.zonePrice(w)
 		if cost < least {
 			least, found = cost, true
--- a/pkg/kumquatlug/placement/ticket.go
+++ b/pkg/kumquatlug/placement/ticket.go
@@ -94,6 +94,9 @@
 	if o == OutcomeGood && t.worker.member.Role == "" {
 		p.meanTime += meanStep * (took - p.meanTime)
 	}
+	if o == OutcomeGood && t.worker.member.Role == kumquatlug.RoleDecode {
+		p.meanRun += meanStep * (took - p.meanRun)
+	}
 	p.health.Outcome(now, t.id, o == OutcomeGood, p.ratio(t, took))
 }
 
