Leave engines that refuse alone, learn the pace of reading, price reading beside streams

Long prompts that were read at full generating engines slowed every stream there, and the longest ones missed their deadline.

--- a/cmd/kumquatlug/front.go
+++ b/cmd/kumquatlug/front.go
@@ -23,6 +23,7 @@
 	"github.com/kumquatlug/kumquatlug/internal/settings"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/clock"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/retry"
 	"github.com/kumquatlug/kumquatlug/platform"
 )
@@ -32,6 +33,7 @@
 	metrics  string
 	logLevel string
 	readPart float64
+	place    placement.Config
 }
 
 // defaultReadPart is the part of the engines that read prompts: at nine thousand
@@ -42,6 +44,9 @@
 	flags.StringVar(&s.metrics, "metrics-listen", "", "where metrics are read, IP:port; empty for nowhere")
 	flags.StringVar(&s.logLevel, "log-level", "info", "debug, info, warn or error")
 	flags.Float64Var(&s.readPart, "read-part", defaultReadPart, "part of the engines that read prompts, above 0 and below 1")
+	flags.Float64Var(&s.place.AwayPrice, "away-price", 0, "price of reading shared parts again, as a multiple of its time; 0 for the default")
+	flags.Float64Var(&s.place.MixedPrice, "mixed-price", 0, "price of reading at a full generating engine, as a multiple of its time; 0 for the default")
+	flags.Float64Var(&s.place.ZonePrice, "zone-price", 0, "price of another data centre, ms; 0 for the default")
 }
 
 func (s *frontSettings) check(problems settings.Problems) settings.Problems {
@@ -53,6 +58,13 @@
 	if s.readPart <= 0 || s.readPart >= 1 {
 		c.Add("read-part", "a part, above 0 and below 1", "is out of range")
 	}
+	for flag, price := range map[string]float64{
+		"away-price": s.place.AwayPrice, "mixed-price": s.place.MixedPrice, "zone-price": s.place.ZonePrice,
+	} {
+		if price < 0 || price > maxPrice {
+			c.Add(flag, "a price, 0 to 1000", "is out of range")
+		}
+	}
 	return c.Problems()
 }
 
@@ -121,7 +133,7 @@
 		ConfigTable: platform.ConfigTable, ConfigKey: platform.ConfigKey, MemberTable: platform.MemberTable,
 		Clock: now, Awake: clock.NewAwake(), Grace: given.Grace, OrderTurn: given.OrderTurn,
 		Repeats:  retry.SharedConfig{Ratio: given.RepeatRatio, Floor: given.RepeatFloor, Window: given.RepeatWindow},
-		ReadPart: s.readPart, Logger: logger, Registry: registry,
+		ReadPart: s.readPart, Placement: s.place, Logger: logger, Registry: registry,
 		Sweep: func(keep func(string) bool) {
 			requests.Sweep(keep)
 			control.Sweep(keep)
@@ -155,7 +167,7 @@
 			return
 		case <-signals:
 			_, err := platform.ReadSettings()
-			logger.Info("settings read again", zap.Bool("good", err == nil), zap.Error(err))
+			logger.Info("settings read again", zap.Bool("good", err == nil), logs.Error(err))
 		}
 	}
 }
--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -47,10 +47,13 @@
 func (d *desk) at(service string) *group {
 	s, known := d.services[service]
 	if !known {
+		c := d.c.Placement
+		c.Zone = d.c.Zone
+		c.Health = health.Config{
+			FailureLimit: failureLimit, ProbeAfter: probeAfter, ProbeLimit: probeLimit, SlowStart: slowStart,
+		}
 		s = &group{
-			placer: placement.New(placement.Config{Zone: d.c.Zone, Health: health.Config{
-				FailureLimit: failureLimit, ProbeAfter: probeAfter, ProbeLimit: probeLimit, SlowStart: slowStart,
-			}}),
+			placer:   placement.New(c),
 			repeats:  retry.NewShared(d.c.Repeats),
 			patience: map[string]kumquatlug.Millis{},
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,7 +21,9 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"github.com/kumquatlug/kumquatlug/internal/logs"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/retry"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/routes"
 )
@@ -62,6 +64,8 @@
 	Repeats retry.SharedConfig
 	// ReadPart is the part of the engines that read prompts apart.
 	ReadPart float64
+	// Placement tunes the choice of workers; Zone and Health are set here.
+	Placement placement.Config
 	// Sweep closes idle connections to workers that are gone.
 	Sweep func(keep func(address string) bool)
 
@@ -135,7 +139,7 @@
 	loop(g.freeCaches)
 	g.c.Logger.Info("started", zap.String("zone", g.c.Zone), zap.String("incarnation", g.c.Incarnation))
 	err := group.Run()
-	g.c.Logger.Info("stopped", zap.Error(err))
+	g.c.Logger.Info("stopped", logs.Error(err))
 	return err
 }
 
@@ -177,7 +181,7 @@
 	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), (g.c.Grace - balancerLag - exitMargin).Duration())
 	defer cancel()
 	if err := server.Shutdown(last); err != nil {
-		g.c.Logger.Warn("stopped with requests in hand", zap.Int64("in_hand", g.held.Load()), zap.Error(err))
+		g.c.Logger.Warn("stopped with requests in hand", zap.Int64("in_hand", g.held.Load()), logs.Error(err))
 	}
 	return nil
 }
@@ -236,7 +240,7 @@
 	defer cancel()
 	err := g.c.Table.Commit(ctx, kumquatlug.NewTx(g.c.Incarnation).Put(frontPrefix+g.c.Name, []byte(g.c.Incarnation)))
 	if err != nil {
-		g.c.Logger.Warn("could not register", zap.Error(err))
+		g.c.Logger.Warn("could not register", logs.Error(err))
 		return false
 	}
 	return true
@@ -247,7 +251,7 @@
 	defer cancel()
 	rows, err := g.c.Table.Scan(ctx, frontPrefix, "", maxFronts)
 	if err != nil {
-		g.c.Logger.Warn("could not count the fronts", zap.Error(err))
+		g.c.Logger.Warn("could not count the fronts", logs.Error(err))
 		return
 	}
 	g.desk.setFronts(len(rows))
@@ -263,7 +267,7 @@
 		case c := <-g.calls:
 			call, cancel := context.WithTimeout(ctx, freeTimeout.Duration())
 			if err := g.c.Workers.Free(call, c.cache); err != nil {
-				g.c.Logger.Info("cache not freed", zap.String("engine", c.cache.Engine()), zap.Error(err))
+				g.c.Logger.Info("cache not freed", zap.String("engine", c.cache.Engine()), logs.Error(err))
 			}
 			cancel()
 		}
--- a/internal/gateway/give.go
+++ b/internal/gateway/give.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/kumquatlug/kumquatlug/internal/logs"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/lease"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/planner"
@@ -25,6 +26,8 @@
 	turnMargin = 1 * kumquatlug.Second
 	// orderTimeout bounds one call to an engine.
 	orderTimeout = 800 * kumquatlug.Millis(1)
+	// wrongSpan is how long a split is wrong before an order is given.
+	wrongSpan = 1 * kumquatlug.Second
 	// settleSpan is how long an order counts as on its way. Some engines carry
 	// orders out twelve seconds late; a second order meanwhile is not wrong, as
 	// it names the count of orders that it presumes.
@@ -40,6 +43,8 @@
 	number lease.Number
 	// going are the roles ordered and not yet seen, with the time.
 	going map[string]ordered
+	// wrongSince is since when each service has had another split than wanted.
+	wrongSince map[string]kumquatlug.Millis
 }
 
 type ordered struct {
@@ -57,10 +62,10 @@
 		Renew: leaseRenew, Retry: leaseRetry, Timeout: storeCall,
 	})
 	if err != nil {
-		g.c.Logger.Error("no orders will be given", zap.Error(err))
+		g.c.Logger.Error("no orders will be given", logs.Error(err))
 		return
 	}
-	v := &giver{g: g, holder: holder, going: map[string]ordered{}}
+	v := &giver{g: g, holder: holder, going: map[string]ordered{}, wrongSince: map[string]kumquatlug.Millis{}}
 	for sleep(ctx, giveEvery) {
 		holder.Want(!g.stopping.Load())
 		v.keepLease(ctx)
@@ -124,7 +129,11 @@
 			continue
 		}
 		engines, workers := v.engines(now, set.byService[name])
-		for _, change := range planner.KeepSplit(engines, v.g.c.ReadPart) {
+		changes := planner.KeepSplit(engines, v.g.c.ReadPart)
+		if !v.lasting(now, name, len(changes) > 0) {
+			continue
+		}
+		for _, change := range changes {
 			if _, under := v.going[change.Target()]; !under && ctx.Err() == nil {
 				v.order(ctx, workers[change.Target()], change)
 			}
@@ -132,6 +141,22 @@
 	}
 }
 
+// lasting reports that a split has been wrong for a while. While engines are
+// replaced one after the other each moment looks wrong in another way, and an
+// engine that was ordered away from its streams is gone for many seconds.
+func (v *giver) lasting(now kumquatlug.Millis, service string, wrong bool) bool {
+	since, known := v.wrongSince[service]
+	switch {
+	case !wrong:
+		delete(v.wrongSince, service)
+		return false
+	case !known:
+		v.wrongSince[service] = now
+		return false
+	}
+	return now-since >= wrongSpan
+}
+
 // engines returns the engines that take work, in the roles that they have or
 // are on their way to.
 func (v *giver) engines(now kumquatlug.Millis, members []kumquatlug.Member) ([]planner.SplitEngine, map[string]kumquatlug.Worker) {
@@ -163,7 +188,7 @@
 	defer cancel()
 	state, err := c.Workers.State(call, w)
 	if err != nil || state.Busy {
-		c.Logger.Info("order put off", zap.String("worker", w.ID()), zap.Bool("busy", state.Busy), zap.Error(err))
+		c.Logger.Info("order put off", zap.String("worker", w.ID()), zap.Bool("busy", state.Busy), logs.Error(err))
 		return
 	}
 	now := c.Awake.Now()
@@ -190,5 +215,5 @@
 	v.g.metrics.orders.WithLabelValues(outcome).Inc()
 	c.Logger.Info("order", zap.String("worker", w.ID()), zap.String("to", string(change.To())),
 		zap.String("reason", change.Reason()), zap.Int64("fence", int64(number)), zap.Int64("after", state.Orders),
-		zap.String("outcome", outcome), zap.Error(err))
+		zap.String("outcome", outcome), logs.Error(err))
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -376,7 +376,7 @@
 func (f *flight) turnedDown(s stage, c placement.Choice, t *placement.Ticket, reply kumquatlug.Reply) *tried {
 	reply.Body().Close()
 	f.arrivals++
-	f.end(s, t, placement.OutcomeSilent)
+	f.end(s, t, placement.OutcomeRefused)
 	return &tried{worker: c.Worker().ID(), failure: kumquatlug.NewFailure(kumquatlug.FailureConfig{
 		Step: string(s), Peer: c.Worker().ID(), Reason: "worker_refused", Ran: kumquatlug.RanNot,
 		Status: http.StatusServiceUnavailable, RetryAfter: f.comeBack(leastRetry * 2),
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/kumquatlug/kumquatlug/internal/logs"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/routes"
 )
@@ -106,7 +107,7 @@
 		return
 	}
 	f.lost = true
-	f.g.c.Logger.Warn("store lost", zap.String("table", f.table), zap.Error(err))
+	f.g.c.Logger.Warn("store lost", zap.String("table", f.table), logs.Error(err))
 }
 
 func (f *follower) regained(now kumquatlug.Millis) {
@@ -135,7 +136,7 @@
 func (g *Gateway) adopt(row kumquatlug.Row) {
 	config, err := g.c.Directory.Config(row.Value())
 	if err != nil {
-		g.c.Logger.Error("config can't be read", zap.Int64("row", row.Version()), zap.Error(err))
+		g.c.Logger.Error("config can't be read", zap.Int64("row", row.Version()), logs.Error(err))
 		return
 	}
 	table, inForce := routes.NewTable(config), g.table.Load()
@@ -197,7 +198,7 @@
 	if err != nil {
 		if m.bad[key] != row.Version() {
 			m.bad[key] = row.Version()
-			m.g.c.Logger.Warn("row of a worker passed over", zap.String("worker", key), zap.Error(err))
+			m.g.c.Logger.Warn("row of a worker passed over", zap.String("worker", key), logs.Error(err))
 		}
 		delete(m.kept, key)
 		return
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -89,3 +89,12 @@
 	c.EncodeTime = zapcore.ISO8601TimeEncoder
 	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(c), w, level))
 }
+
+// Error returns err as one line of text, empty for none. An error's stack names
+// source files and is many times as long as the line that it is in.
+func Error(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("error", err.Error())
+}
--- a/pkg/kumquatlug/placement/placement.go
+++ b/pkg/kumquatlug/placement/placement.go
@@ -50,8 +50,10 @@
 	// AwayPrice is what reading shared parts again costs, as a multiple of its
 	// time. Default 8.
 	AwayPrice float64
-	// MixedPrice is what reading at a generating engine costs, as a multiple of
-	// its time: the streams there pause. Default 1.
+	// MixedPrice is what reading at a generating engine whose slots are all taken
+	// costs, as a multiple of its time: every stream there pauses meanwhile.
+	// Default 60: at the two sites a mean worth of 0.72 and 0.56 of the days with
+	// trouble, against 0.70 and 0.53 at 10 (standard days, one run each).
 	MixedPrice float64
 	// ZonePrice is the price of another data centre in milliseconds.
 	ZonePrice float64
@@ -66,7 +68,7 @@
 	c.ReadRate = cmp.Or(c.ReadRate, 236)
 	c.MixedPart = cmp.Or(c.MixedPart, 0.5)
 	c.AwayPrice = cmp.Or(c.AwayPrice, 8)
-	c.MixedPrice = cmp.Or(c.MixedPrice, 1)
+	c.MixedPrice = cmp.Or(c.MixedPrice, 60)
 	c.ZonePrice = cmp.Or(c.ZonePrice, 3)
 	c.TransferCost = cmp.Or(c.TransferCost, 4)
 	return c
@@ -97,6 +99,15 @@
 	// keptFor is how long parts are believed to be held where this front sent
 	// them: at the usual load an engine's memory turns over in some seconds.
 	keptFor = 6 * kumquatlug.Second
+	// refusalPause is how long a worker that refused is left alone; it doubles
+	// with each refusal in a row up to refusalLimit. A full worker has room again
+	// within tenths of a second; one that changes its role looks idle for
+	// seconds and would draw all work.
+	refusalPause = 50 * kumquatlug.Millis(1)
+	refusalLimit = 800 * kumquatlug.Millis(1)
+	// leastPace and mostPace bound how far answers may move the expected time of
+	// reading from the sheet's.
+	leastPace, mostPace = 0.7, 4.0
 	// meanStep is the weight of a new figure in a mean: some thirty make one.
 	meanStep = 1.0 / 32
 )
@@ -117,6 +128,9 @@
 	saidAt kumquatlug.Millis
 	// held are the parts that this front sent there, with the time.
 	held map[string]kumquatlug.Millis
+	// refusals counts those in a row; until then nothing new is sent there.
+	refusals int
+	until    kumquatlug.Millis
 }
 
 // Placer chooses workers of one service.
@@ -130,7 +144,9 @@
 	meanRead float64
 	meanTime float64
 	meanRun  float64
-	cleanAt  kumquatlug.Millis
+	// pace is how long prompts take to be read beside what is expected.
+	pace    float64
+	cleanAt kumquatlug.Millis
 }
 
 // New returns a placer without workers.
@@ -138,7 +154,7 @@
 	c = c.withDefaults()
 	return &Placer{
 		c: c, workers: map[string]*worker{}, health: health.New(c.Health), meanRead: 3000, meanTime: plainCost,
-		meanRun: firstRun,
+		meanRun: firstRun, pace: 1,
 	}
 }
 
@@ -219,7 +235,7 @@
 // usable reports whether a worker may be given new work of a role.
 func (p *Placer) usable(now kumquatlug.Millis, w *worker, q Query, role kumquatlug.Role) bool {
 	id := w.member.Worker.ID()
-	return w.member.State == kumquatlug.MemberReady && w.member.Role == role &&
+	return w.member.State == kumquatlug.MemberReady && w.member.Role == role && now >= w.until &&
 		!slices.Contains(q.Exclude, id) && p.health.Weight(now, id) > 0
 }
 
@@ -289,7 +305,7 @@
 		}
 		weight := p.health.Weight(now, w.member.Worker.ID())
 		fresh := p.unheld(now, w, q.Prompt, w == home)
-		wait := (p.backlog(now, w) + fresh) / p.c.ReadRate / weight
+		wait := (p.backlog(now, w) + fresh) / p.c.ReadRate * p.pace / weight
 		away := fresh - p.own(q.Prompt)
 		cost := wait + p.c.AwayPrice*away/p.c.ReadRate + p.zonePrice(w)
 		if w != home {
@@ -346,7 +362,8 @@
 		read := fresh / rate
 		wait := w.tokens/rate + read + p.slotWait(now, w, q.Prompt)
 		weight := p.health.Weight(now, w.member.Worker.ID())
-		cost := wait/weight + p.c.MixedPrice*read + p.zonePrice(w)
+		taken := (float64(w.runs) + w.othersNow(now)) / float64(max(w.member.Slots, 1))
+		cost := wait/weight + p.c.MixedPrice*taken*read + p.zonePrice(w)
 		if cost < least {
 			least, found = cost, true
 			best = Choice{worker: w.member.Worker, tokens: fresh, wait: wait}
--- a/pkg/kumquatlug/placement/ticket.go
+++ b/pkg/kumquatlug/placement/ticket.go
@@ -23,8 +23,9 @@
 	OutcomeGood Outcome = "good"
 	// OutcomeFailed: it broke off, was not reached or answered with a failure.
 	OutcomeFailed Outcome = "failed"
-	// OutcomeSilent: it says nothing of the worker: the client left, or the
-	// worker had no room.
+	// OutcomeRefused: it took nothing on, for want of room or to change its role.
+	OutcomeRefused Outcome = "refused"
+	// OutcomeSilent: it says nothing of the worker, as when the client left.
 	OutcomeSilent Outcome = "silent"
 )
 
@@ -87,10 +88,18 @@
 	} else {
 		t.worker.runs--
 	}
+	if o == OutcomeRefused {
+		t.worker.refuse(now)
+		return
+	}
 	if o == OutcomeSilent || p.workers[t.id] != t.worker {
 		return
 	}
+	t.worker.refusals = 0
 	took := float64(now - t.at)
+	if o == OutcomeGood && t.apart {
+		p.learnPace(t, took)
+	}
 	if o == OutcomeGood && t.worker.member.Role == "" {
 		p.meanTime += meanStep * (took - p.meanTime)
 	}
@@ -100,6 +109,22 @@
 	p.health.Outcome(now, t.id, o == OutcomeGood, p.ratio(t, took))
 }
 
+// refuse leaves a worker alone for a while.
+func (w *worker) refuse(now kumquatlug.Millis) {
+	pause := refusalPause << min(w.refusals, 10)
+	w.refusals++
+	w.until = now + min(pause, refusalLimit)
+}
+
+// learnPace takes how long a prompt took to be read.
+func (p *Placer) learnPace(t *Ticket, took float64) {
+	if t.wait < leastExpected {
+		return
+	}
+	p.pace += meanStep * (p.pace*took/t.wait - p.pace)
+	p.pace = min(max(p.pace, leastPace), mostPace)
+}
+
 // leastExpected keeps short expectations from making noise look like slowness,
 // in milliseconds.
 const leastExpected = 20.0
