Serve on until the end of the grace when stopping, and refuse what can't end in time

Ruled out: a balancer that moves clients away; with one front a data centre it uses those that are not ready, too.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,14 +75,15 @@
 
 // Gateway is one front.
 type Gateway struct {
-	c        Config
-	table    atomic.Pointer[routes.Table]
-	members  atomic.Pointer[memberSet]
-	desk     *desk
-	metrics  *metrics
-	stopping atomic.Bool
-	held     atomic.Int64
-	calls    chan cleanup
+	c       Config
+	table   atomic.Pointer[routes.Table]
+	members atomic.Pointer[memberSet]
+	desk    *desk
+	metrics *metrics
+	// leaveAt is when a front that was told to stop ends, zero for the others.
+	leaveAt atomic.Int64
+	held    atomic.Int64
+	calls   chan cleanup
 }
 
 // cleanup is a KV cache that nobody will take.
@@ -154,15 +155,23 @@
 const (
 	// balancerLag is how long the balancer goes on sending new connections
 	// after this front says that it is not ready: two questions a second apart,
-	// and some time for the answers.
+	// and some time for the answers. Where it is the only front of its data
+	// centre the balancer sends to it until its end.
 	balancerLag = 2600 * kumquatlug.Millis(1)
 	// exitMargin is what is left of the grace for leaving.
-	exitMargin = 700 * kumquatlug.Millis(1)
+	exitMargin = 500 * kumquatlug.Millis(1)
+	// lastRequests is how long before that no more connections are taken; nearly
+	// all requests but long streams end within it.
+	lastRequests = 700 * kumquatlug.Millis(1)
+	// idleLook is how often a stopping front looks whether it is idle.
+	idleLook = 100 * kumquatlug.Millis(1)
 )
 
-// serveUntil serves clients until ctx ends. Then it goes on accepting for as
-// long as the balancer may still send, and finishes what is in hand: closing at
-// once would reset the connections that are on their way.
+// serveUntil serves clients until ctx ends. Then it goes on for as long as the
+// grace lasts, while clients may still come: closed at once it would reset the
+// connections that are on their way, and where no other front is near nobody
+// would be served until the next start. Requests that can't end in time are
+// refused meanwhile, see [flight.outlasts].
 func (g *Gateway) serveUntil(ctx context.Context, server *http.Server) error {
 	failed := make(chan error, 1)
 	go func() { failed <- closed(server.Serve(g.c.Clients)) }()
@@ -171,14 +180,22 @@
 		return err
 	case <-ctx.Done():
 	}
-	g.stopping.Store(true)
+	begun := g.c.Clock.Now()
+	leave := begun + g.c.Grace - exitMargin
+	g.leaveAt.Store(int64(leave))
 	g.c.Logger.Info("stopping", zap.Int64("grace_ms", int64(g.c.Grace)), zap.Int64("in_hand", g.held.Load()))
-	select {
-	case err := <-failed:
-		return err
-	case <-time.After(balancerLag.Duration()):
+	for now := begun; now < leave-lastRequests; now = g.c.Clock.Now() {
+		if now-begun >= balancerLag && g.held.Load() == 0 {
+			break
+		}
+		select {
+		case err := <-failed:
+			return err
+		case <-time.After(idleLook.Duration()):
+		}
 	}
-	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), (g.c.Grace - balancerLag - exitMargin).Duration())
+	left := max(leave-g.c.Clock.Now(), 0)
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), left.Duration())
 	defer cancel()
 	if err := server.Shutdown(last); err != nil {
 		g.c.Logger.Warn("stopped with requests in hand", zap.Int64("in_hand", g.held.Load()), logs.Error(err))
@@ -186,9 +203,12 @@
 	return nil
 }
 
+// stopping reports that this front has been told to stop.
+func (g *Gateway) stopping() bool { return g.leaveAt.Load() != 0 }
+
 // ready reports that this front can serve what the config allows.
 func (g *Gateway) ready() bool {
-	return !g.stopping.Load() && g.table.Load() != nil && g.members.Load().known
+	return !g.stopping() && g.table.Load() != nil && g.members.Load().known
 }
 
 func (g *Gateway) controlHandler() http.Handler {
--- a/internal/gateway/give.go
+++ b/internal/gateway/give.go
@@ -67,7 +67,7 @@
 	}
 	v := &giver{g: g, holder: holder, going: map[string]ordered{}, wrongSince: map[string]kumquatlug.Millis{}}
 	for sleep(ctx, giveEvery) {
-		holder.Want(!g.stopping.Load())
+		holder.Want(!g.stopping())
 		v.keepLease(ctx)
 		if v.mayOrder() {
 			v.orderAll(ctx)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -28,6 +28,9 @@
 	// within tenths of a second.
 	leastRetry = 100 * kumquatlug.Millis(1)
 	mostRetry  = 700 * kumquatlug.Millis(1)
+	// stopRetry is when a client that a stopping front refused comes back: at
+	// once, as another front can still answer it within its target latency.
+	stopRetry = 20 * kumquatlug.Millis(1)
 	// startRetry is when a client of a front that knows no config comes back.
 	startRetry = 300 * kumquatlug.Millis(1)
 )
@@ -90,9 +93,34 @@
 		return
 	}
 	f := &flight{g: g, w: w, ask: ask, route: route, service: service, arrived: arrived, last: ask.Resume()}
+	if leave := kumquatlug.Millis(g.leaveAt.Load()); leave != 0 {
+		// The client's next request comes over a new connection, to a front that
+		// stays.
+		w.Header().Set("Connection", "close")
+		if f.outlasts(leave) {
+			g.refuse(w, ask, refusal("stop", "stopping", http.StatusServiceUnavailable, stopRetry))
+			return
+		}
+	}
 	f.serve(r.Context())
 }
 
+// Figures of how long a request takes at most places.
+const (
+	// tokenTime is how long one token of output takes, in milliseconds, at a
+	// busy engine.
+	tokenTime = 1.2
+	// plainTime is how long nearly all other requests take.
+	plainTime = 500 * kumquatlug.Millis(1)
+)
+
+// outlasts reports that the answer would not be whole when this front leaves.
+// Another front can still begin it; here it would be cut off.
+func (f *flight) outlasts(leave kumquatlug.Millis) bool {
+	takes := plainTime + kumquatlug.Millis(tokenTime*float64(f.ask.Prompt().Output()))
+	return f.arrived+takes > leave
+}
+
 // refusal returns a final answer for a request that did not run.
 func refusal(step, reason string, status int, retry kumquatlug.Millis) *kumquatlug.Failure {
 	return kumquatlug.NewFailure(kumquatlug.FailureConfig{
