--- /dev/null
+++ b/internal/standin/fleet/worker.go
@@ -0,0 +1,358 @@
+// Package fleet stands in for the users' workers in tests: language-model
+// engines with roles, KV caches and orders, and plain services.
+//
+// It speaks the workers' published protocol, so its wire names are the users'.
+// Each worker records what it ran, so that a test can tell whether a request ran
+// twice, or ran though it was refused.
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Fault is how a worker spoils its answers.
+type Fault string
+
+// The faults.
+const (
+	FaultNone Fault = ""
+	// FaultShed: it refuses, nothing runs.
+	FaultShed Fault = "shed"
+	// FaultLost: it runs the request and closes the connection without an answer.
+	FaultLost Fault = "lost"
+	// FaultCut: it breaks its answer off in the middle.
+	FaultCut Fault = "cut"
+	// FaultExtra: it sends a second answer after each one.
+	FaultExtra Fault = "extra"
+	// FaultSilent: it takes requests and never answers.
+	FaultSilent Fault = "silent"
+	// FaultError: it answers 500.
+	FaultError Fault = "error"
+)
+
+// Config is what a [Worker] is made of.
+type Config struct {
+	ID      string
+	Service string
+	Address string
+	Zone    string
+	// Stage is "prefill" or "decode" for an engine, empty for a plain worker.
+	Stage string
+	Slots int
+	// Events is how many events a stream has; Pause is the time before each one,
+	// and the time of a plain request.
+	Events int
+	Pause  time.Duration
+}
+
+// Worker is one worker. Serve it as an http.Handler.
+type Worker struct {
+	mu       sync.Mutex
+	c        Config
+	fault    Fault
+	orders   int64
+	busy     bool
+	handles  map[string]string
+	runs     map[string]int
+	refused  map[string]int
+	prompts  int
+	given    []string
+	received []http.Header
+	running  int
+	born     int64
+}
+
+// New returns a worker.
+func New(c Config) *Worker {
+	if c.Slots == 0 {
+		c.Slots = 8
+	}
+	return &Worker{
+		c: c, handles: map[string]string{}, runs: map[string]int{}, refused: map[string]int{},
+		born: time.Now().UnixMilli(),
+	}
+}
+
+// SetFault changes how requests are treated from now on.
+func (w *Worker) SetFault(f Fault) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.fault = f
+}
+
+// Runs returns how often each request ran, by its id.
+func (w *Worker) Runs() map[string]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	runs := make(map[string]int, len(w.runs))
+	for id, n := range w.runs {
+		runs[id] = n
+	}
+	return runs
+}
+
+// Prompts returns how many prompts were read apart.
+func (w *Worker) Prompts() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.prompts
+}
+
+// Orders returns the orders that were taken, as "stage by holder/fence".
+func (w *Worker) Orders() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]string(nil), w.given...)
+}
+
+// Received returns the headers of all requests that arrived.
+func (w *Worker) Received() []http.Header {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]http.Header(nil), w.received...)
+}
+
+// Stage returns what an engine does now.
+func (w *Worker) Stage() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.c.Stage
+}
+
+// Row returns what the worker writes in the store.
+func (w *Worker) Row(state string) []byte {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	row := map[string]any{
+		"service": w.c.Service, "address": w.c.Address, "zone": w.c.Zone, "version": "v1", "slots": w.c.Slots,
+		"state": state, "cold_remaining_ms": 0, "sequence": 1, "born": w.born,
+	}
+	if w.c.Stage != "" {
+		row["stage"] = w.c.Stage
+	}
+	// Text and numbers always encode.
+	text, _ := json.Marshal(row)
+	return text
+}
+
+// ServeHTTP answers a request or a control call.
+func (w *Worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	if expected := r.Header.Get("Expected-Instance"); expected != "" && expected != w.c.ID {
+		out.Header().Set("Instance-Id", w.c.ID)
+		out.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	switch {
+	case r.URL.Path == "/v1/report":
+		w.report(out)
+	case r.URL.Path == "/v1/order":
+		w.order(out, r)
+	case strings.HasPrefix(r.URL.Path, "/v1/kv-handle/"):
+		w.mu.Lock()
+		delete(w.handles, strings.TrimPrefix(r.URL.Path, "/v1/kv-handle/"))
+		w.mu.Unlock()
+	default:
+		w.request(out, r)
+	}
+}
+
+func (w *Worker) report(out http.ResponseWriter) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	// A caller that is gone does not read its answer.
+	_ = json.NewEncoder(out).Encode(map[string]any{
+		"stage": w.c.Stage, "busy": w.busy, "sequence": w.orders, "queued": 0, "running": w.running,
+	})
+}
+
+// order changes the stage at once, unless the order presumes another count.
+func (w *Worker) order(out http.ResponseWriter, r *http.Request) {
+	var o struct {
+		Op           string `json:"op"`
+		Stage        string `json:"stage"`
+		Holder       string `json:"holder"`
+		Fence        int64  `json:"fence"`
+		Precondition *int64 `json:"precondition"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || o.Holder == "" || o.Fence == 0 || o.Op != "stage" {
+		out.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case o.Precondition != nil && *o.Precondition != w.orders:
+		out.WriteHeader(http.StatusConflict)
+	case o.Stage == w.c.Stage:
+		out.WriteHeader(http.StatusOK)
+	default:
+		w.orders++
+		w.c.Stage = o.Stage
+		w.given = append(w.given, fmt.Sprintf("%s by %s/%d", o.Stage, o.Holder, o.Fence))
+		out.WriteHeader(http.StatusAccepted)
+	}
+}
+
+// request runs a request of a client, or reads its prompt.
+func (w *Worker) request(out http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Attempt-Id")
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	w.mu.Lock()
+	w.received = append(w.received, r.Header.Clone())
+	fault, stage := w.fault, w.c.Stage
+	if fault == FaultShed || w.running >= 4*w.c.Slots {
+		w.refused[id]++
+		w.mu.Unlock()
+		w.refuse(out, id)
+		return
+	}
+	w.mu.Unlock()
+	out.Header().Set("Attempt-Id", id)
+	if r.Header.Get("Serving-Stage") == "prefill" {
+		w.prefill(out, id, stage, fault, r)
+		return
+	}
+	if cache := r.Header.Get("Kv-Source"); cache != "" && !strings.Contains(cache, "/h-"+id) {
+		w.refuse(out, id)
+		return
+	}
+	if stage == "prefill" {
+		out.Header().Set("Not-Executed", "1")
+		out.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	w.run(out, r, id, fault, len(body))
+}
+
+func (w *Worker) refuse(out http.ResponseWriter, id string) {
+	out.Header().Set("Attempt-Id", id)
+	out.Header().Set("Not-Executed", "1")
+	out.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// prefill reads a prompt and keeps its cache.
+func (w *Worker) prefill(out http.ResponseWriter, id, stage string, fault Fault, r *http.Request) {
+	if stage != "prefill" {
+		out.Header().Set("Not-Executed", "1")
+		out.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if fault == FaultSilent {
+		<-r.Context().Done()
+		return
+	}
+	time.Sleep(w.c.Pause)
+	w.mu.Lock()
+	w.prompts++
+	handle := fmt.Sprintf("h-%s-%d", id, w.prompts)
+	w.handles[handle] = id
+	w.mu.Unlock()
+	// A caller that is gone does not read its answer.
+	_ = json.NewEncoder(out).Encode(map[string]any{"kv_handle": handle, "tokens": 1, "version": 1})
+}
+
+// run runs a request.
+func (w *Worker) run(out http.ResponseWriter, r *http.Request, id string, fault Fault, size int) {
+	w.mu.Lock()
+	w.runs[id]++
+	w.running++
+	load := fmt.Sprintf("%d,0,%d", w.running, w.c.Slots)
+	w.mu.Unlock()
+	defer func() {
+		w.mu.Lock()
+		w.running--
+		w.mu.Unlock()
+	}()
+	out.Header().Set("Server-Stamp", w.c.ID+"."+id)
+	out.Header().Set("Server-Load", load)
+	switch fault {
+	case FaultLost:
+		panic(http.ErrAbortHandler)
+	case FaultSilent:
+		<-r.Context().Done()
+		return
+	case FaultError:
+		out.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	if w.c.Stage != "" {
+		w.stream(out, r, id, fault)
+		return
+	}
+	w.plain(out, r, id, fault, size)
+}
+
+// stream sends events behind the last one that the client has.
+func (w *Worker) stream(out http.ResponseWriter, r *http.Request, id string, fault Fault) {
+	out.Header().Set("Content-Type", "text/event-stream")
+	flush := http.NewResponseController(out)
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for n := last + 1; n <= w.c.Events; n++ {
+		if !pause(r, w.c.Pause) {
+			return
+		}
+		if fault == FaultCut && n == last+2 {
+			// It stops in the middle of an event.
+			_, _ = fmt.Fprintf(out, "id: %d\nda", n)
+			_ = flush.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = fmt.Fprintf(out, "id: %d\ndata: %s/%d\n\n", n, id, n)
+		_ = flush.Flush()
+	}
+}
+
+// Body returns the answer of a plain worker to a request.
+func Body(id string) string { return strings.Repeat("answer to "+id+"\n", 40) }
+
+// plain sends a whole answer.
+func (w *Worker) plain(out http.ResponseWriter, r *http.Request, id string, fault Fault, size int) {
+	if !pause(r, w.c.Pause) {
+		return
+	}
+	out.Header().Set("Request-Size", strconv.Itoa(size))
+	text := Body(id)
+	out.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	if fault == FaultCut {
+		_, _ = io.WriteString(out, text[:len(text)/2])
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(out, text)
+	if fault == FaultExtra {
+		second(out, id)
+	}
+}
+
+// second sends the answer once more on the same connection.
+func second(out http.ResponseWriter, id string) {
+	text := Body(id)
+	flush := http.NewResponseController(out)
+	_ = flush.Flush()
+	raw, _, err := flush.Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = fmt.Fprintf(raw, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Stamp: late\r\nContent-Length: %d\r\n\r\n%s", id, len(text), text)
+	// The connection stays open for a while, as a worker's would.
+	time.AfterFunc(2*time.Second, func() { raw.Close() })
+}
+
+// pause waits and reports false when the caller left meanwhile.
+func pause(r *http.Request, d time.Duration) bool {
+	select {
+	case <-r.Context().Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- /dev/null
+++ b/internal/standin/site/site.go
@@ -0,0 +1,210 @@
+// Package site stands in for a whole small deployment on the users' platform in
+// tests: their store, engines, plain workers and the operator's config, over TCP
+// on loopback.
+package site
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/kumquatlug/kumquatlug/internal/standin/fleet"
+	"github.com/kumquatlug/kumquatlug/internal/standin/rowstore"
+)
+
+// Names of the deployment.
+const (
+	Host    = "shop.example"
+	Engines = "engines"
+	Desk    = "desk"
+	Zone    = "zone-a"
+)
+
+// Paths of its routes.
+const (
+	// PathLong takes prompts whose streams may go on elsewhere.
+	PathLong = "/long/"
+	// PathChat takes prompts whose streams may not.
+	PathChat = "/chat/"
+	// PathPost takes requests that may run once.
+	PathPost = "/post/"
+	// PathLook takes requests that may run again.
+	PathLook = "/look/"
+)
+
+// Config is what a [Site] is made of.
+type Config struct {
+	// Prefill and Decode count the engines by what they do at first, Plain the
+	// plain workers.
+	Prefill, Decode, Plain int
+	// Events is how many events a stream has, Pause the time before each.
+	Events int
+	Pause  time.Duration
+}
+
+// Site is a running deployment.
+type Site struct {
+	Store   *rowstore.Store
+	Engines []*fleet.Worker
+	Plain   []*fleet.Worker
+	address string
+	servers []*http.Server
+	ids     map[*fleet.Worker]string
+	byID    map[string]*http.Server
+	version int64
+}
+
+// New starts a deployment.
+func New(c Config) (*Site, error) {
+	s := &Site{Store: rowstore.New(), ids: map[*fleet.Worker]string{}, byID: map[string]*http.Server{}, version: 3}
+	_, address, err := s.serve(s.Store)
+	if err != nil {
+		return nil, err
+	}
+	s.address = address
+	for i := range c.Prefill + c.Decode + c.Plain {
+		w := fleet.Config{ID: fmt.Sprintf("w-%d", i), Service: Engines, Zone: Zone, Events: c.Events, Pause: c.Pause}
+		switch {
+		case i < c.Prefill:
+			w.Stage = "prefill"
+		case i < c.Prefill+c.Decode:
+			w.Stage = "decode"
+		default:
+			w.Service = Desk
+		}
+		if err := s.add(w); err != nil {
+			return nil, err
+		}
+	}
+	s.SetConfig(nil)
+	return s, nil
+}
+
+// serve starts a server on a free port.
+func (s *Site) serve(h http.Handler) (*http.Server, string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, "", errors.Wrap(err, "listen")
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	s.servers = append(s.servers, server)
+	go func() { _ = server.Serve(l) }()
+	return server, l.Addr().String(), nil
+}
+
+// add starts a worker and writes its row.
+func (s *Site) add(c fleet.Config) error {
+	var w *fleet.Worker
+	server, address, err := s.serve(http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) { w.ServeHTTP(out, r) }))
+	if err != nil {
+		return err
+	}
+	c.Address = address
+	w = fleet.New(c)
+	s.ids[w], s.byID[c.ID] = c.ID, server
+	if c.Service == Engines {
+		s.Engines = append(s.Engines, w)
+	} else {
+		s.Plain = append(s.Plain, w)
+	}
+	s.Announce(w, "ready")
+	return nil
+}
+
+// ID returns a worker's id.
+func (s *Site) ID(w *fleet.Worker) string { return s.ids[w] }
+
+// Announce writes a worker's row: "ready" or "draining".
+func (s *Site) Announce(w *fleet.Worker, state string) {
+	s.Store.Put("servers", s.ids[w], w.Row(state))
+}
+
+// Remove removes a worker's row.
+func (s *Site) Remove(w *fleet.Worker) { s.Store.Delete("servers", s.ids[w]) }
+
+// Crash closes a worker with all its connections.
+func (s *Site) Crash(w *fleet.Worker) { s.byID[s.ids[w]].Close() }
+
+// Route is one route of the config.
+type Route map[string]any
+
+// SetConfig writes the next version of the config; change may change the routes
+// by their prefix, or be nil.
+func (s *Site) SetConfig(change func(routes map[string]Route)) {
+	s.version += 2
+	routes := map[string]Route{
+		PathLong: {"kind": "streaming", "service": Engines, "timeout_ms": 4000, "resumable": true, "sticky": true, "max_attempts": 2, "gap_target_ms": 200},
+		PathChat: {"kind": "streaming", "service": Engines, "timeout_ms": 8000, "resumable": false, "sticky": true, "max_attempts": 1, "gap_target_ms": 200, "priority": 1},
+		PathPost: {"kind": "non_idempotent", "service": Desk, "timeout_ms": 2000, "max_attempts": 1, "priority": 2},
+		PathLook: {"kind": "idempotent", "service": Desk, "timeout_ms": 2000, "max_attempts": 2, "priority": 2},
+	}
+	if change != nil {
+		change(routes)
+	}
+	list := []Route{}
+	for prefix, r := range routes {
+		r["name"], r["prefix"], r["target_latency_ms"] = "r"+prefix, prefix, 200
+		if r["host"] == nil {
+			r["host"] = Host
+		}
+		list = append(list, r)
+	}
+	// Text and numbers always encode.
+	text, _ := json.Marshal(map[string]any{
+		"version": s.version, "routes": list,
+		"services": []map[string]any{
+			{"name": Engines, "health_path": "/healthz", "max_connections": 360, "engine": map[string]any{
+				"slots": 8, "kv_capacity_tokens": 370000, "stage_switch_s": 0.1,
+			}},
+			{"name": Desk, "health_path": "/healthz", "max_connections": 96},
+		},
+		"limits": map[string]any{
+			"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
+		},
+	})
+	s.Store.Put("op", "config", text)
+}
+
+// Settings returns the settings file of a front on free ports, with the ports
+// for clients and for the balancer.
+func (s *Site) Settings(name string) (text, clients, ready string, err error) {
+	for _, into := range []*string{&clients, &ready} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return "", "", "", errors.Wrap(err, "find a free port")
+		}
+		*into = l.Addr().String()
+		l.Close()
+	}
+	text = fmt.Sprintf(`node_name = %q
+zone = %q
+a_field_of_tomorrow = [1, 2]
+[listen]
+frontend = %q
+ready = %q
+[limits]
+memory_mb = 284
+max_fds = 4100
+[bounds]
+grace_s = 4
+lease_ms = 300
+drain_ms = 2000
+retry_budget_ratio = 0.2
+budget_window_s = 10
+budget_min_retries = 52
+[platform]
+address = %q
+`, name, Zone, clients, ready, s.address)
+	return text, clients, ready, nil
+}
+
+// Close ends everything.
+func (s *Site) Close() {
+	for _, server := range s.servers {
+		server.Close()
+	}
+}
--- /dev/null
+++ b/test/front/front_test.go
@@ -0,0 +1,467 @@
+// Package front drives the real program against stand-ins of the users'
+// platform, as separate processes over TCP on loopback.
+package front
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/kumquatlug/kumquatlug/internal/standin/fleet"
+	"github.com/kumquatlug/kumquatlug/internal/standin/rowstore"
+	"github.com/kumquatlug/kumquatlug/internal/standin/site"
+)
+
+var binary string
+
+// TestMain builds the program that all tests run.
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "front")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	binary = filepath.Join(dir, "kumquatlug")
+	build := exec.Command("go", "build", "-o", binary, "../../cmd/kumquatlug")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintln(os.Stderr, string(out), err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// limit bounds every wait of these tests; a front is ready within a second on
+// an idle machine.
+const limit = 20 * time.Second
+
+// process is one front.
+type process struct {
+	t              *testing.T
+	name, settings string
+	clients, ready string
+	cmd            *exec.Cmd
+	done           chan struct{}
+	mu             sync.Mutex
+	lines          []string
+}
+
+// newSite starts a small deployment.
+func newSite(t *testing.T, c site.Config) *site.Site {
+	t.Helper()
+	s, err := site.New(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s
+}
+
+// newFront starts a front and waits until it is ready.
+func newFront(t *testing.T, s *site.Site, name string) *process {
+	t.Helper()
+	text, clients, ready, err := s.Settings(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &process{t: t, name: name, clients: clients, ready: ready, settings: filepath.Join(t.TempDir(), "settings.toml")}
+	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p.start()
+	t.Cleanup(p.kill)
+	p.waitReady()
+	return p
+}
+
+func (p *process) start() {
+	p.t.Helper()
+	p.cmd = exec.Command(binary, "front")
+	p.cmd.Env = append(os.Environ(), "KUMQUATLUG_SETTINGS="+p.settings)
+	out, err := p.cmd.StdoutPipe()
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	p.done = make(chan struct{})
+	go p.read(p.cmd, out, p.done)
+}
+
+func (p *process) read(cmd *exec.Cmd, out io.Reader, done chan struct{}) {
+	for lines := bufio.NewScanner(out); lines.Scan(); {
+		p.mu.Lock()
+		p.lines = append(p.lines, lines.Text())
+		p.mu.Unlock()
+	}
+	_ = cmd.Wait()
+	close(done)
+}
+
+// log returns the lines written so far that hold all words.
+func (p *process) log(words ...string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var found []string
+	for _, line := range p.lines {
+		all := true
+		for _, w := range words {
+			all = all && strings.Contains(line, w)
+		}
+		if all {
+			found = append(found, line)
+		}
+	}
+	return found
+}
+
+func (p *process) signal(s os.Signal) {
+	p.t.Helper()
+	if err := p.cmd.Process.Signal(s); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+func (p *process) kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+func (p *process) isReady() bool {
+	answer, err := http.Get("http://" + p.ready + "/v1/readyz")
+	if err != nil {
+		return false
+	}
+	answer.Body.Close()
+	return answer.StatusCode == http.StatusOK
+}
+
+func (p *process) waitReady() {
+	p.t.Helper()
+	eventually(p.t, p.name+" is ready", p.isReady)
+}
+
+// eventually waits until what holds.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); {
+		if holds() {
+			return
+		}
+		pause(10 * time.Millisecond)
+	}
+	t.Fatalf("not within %v: %s", limit, what)
+}
+
+// pause waits for real time to pass: the program runs by its own clock.
+func pause(d time.Duration) { <-time.After(d) }
+
+// answer is what a client has received.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// ask sends one request over a connection of its own.
+func (p *process) ask(ctx context.Context, method, path, id string, header map[string]string) answer {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+p.clients+path, strings.NewReader(strings.Repeat("b", 300)))
+	if err != nil {
+		return answer{err: err}
+	}
+	if method == http.MethodGet {
+		r.Body, r.ContentLength = nil, 0
+	}
+	r.Host = site.Host
+	r.Header.Set("Attempt-Id", id)
+	r.Header.Set("Deadline-Ms", "6000")
+	for k, v := range header {
+		r.Header.Set(k, v)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	got, err := client.Do(r)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer got.Body.Close()
+	body, err := io.ReadAll(got.Body)
+	return answer{status: got.StatusCode, header: got.Header, body: string(body), err: err}
+}
+
+// prompt are the headers of a request with a long prompt.
+func prompt(id string) map[string]string {
+	return map[string]string{
+		"Model": "m", "Token-Count": "9190,104", "Prefix-Hash": "aa:2520,bb" + id[len(id)-1:] + ":3780," + id + ":2890",
+	}
+}
+
+// post, look, long and chat send one request of each kind.
+func (p *process) post(id string) answer {
+	return p.ask(context.Background(), http.MethodPost, site.PathPost+"x", id, nil)
+}
+
+func (p *process) look(id string) answer {
+	return p.ask(context.Background(), http.MethodGet, site.PathLook+"x?y=1", id, nil)
+}
+
+func (p *process) long(id string) answer {
+	return p.ask(context.Background(), http.MethodPost, site.PathLong+"x", id, prompt(id))
+}
+
+func (p *process) chat(id string) answer {
+	return p.ask(context.Background(), http.MethodPost, site.PathChat+"x", id, map[string]string{
+		"Model": "m", "Token-Count": "220,400", "Prefix-Hash": "cc:80," + id + ":140",
+	})
+}
+
+// stream is the body of a whole stream of n events.
+func stream(id string, n int) string {
+	var b strings.Builder
+	for i := 1; i <= n; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %s/%d\n\n", i, id, i)
+	}
+	return b.String()
+}
+
+func wantWhole(t *testing.T, got answer, body string) {
+	t.Helper()
+	if got.err != nil || got.status != http.StatusOK || got.body != body {
+		t.Fatalf("status %d, error %v, body of %d bytes %.200q; want %d bytes", got.status, got.err, len(got.body), got.body, len(body))
+	}
+	if got.header.Get("Server-Stamp") == "" {
+		t.Fatal("the answer lacks the worker's stamp")
+	}
+}
+
+// total adds up how often a request ran at all workers.
+func total(workers []*fleet.Worker, id string) int {
+	n := 0
+	for _, w := range workers {
+		n += w.Runs()[id]
+	}
+	return n
+}
+
+// A quiet site: one request of each kind arrives at each of two fronts. Each is
+// answered whole, with the worker's stamp, and runs once; the long prompt is read
+// at a reading engine first.
+func TestCalmDay(t *testing.T) {
+	s := newSite(t, site.Config{Prefill: 2, Decode: 1, Plain: 2, Events: 5, Pause: time.Millisecond})
+	for _, name := range []string{"front-1", "front-2"} {
+		p := newFront(t, s, name)
+		wantWhole(t, p.post(name+"-post"), fleet.Body(name+"-post"))
+		wantWhole(t, p.look(name+"-look"), fleet.Body(name+"-look"))
+		wantWhole(t, p.long(name+"-long"), stream(name+"-long", 5))
+		wantWhole(t, p.chat(name+"-chat"), stream(name+"-chat", 5))
+		for _, kind := range []string{"-post", "-look"} {
+			if n := total(s.Plain, name+kind); n != 1 {
+				t.Errorf("%s ran %d times", name+kind, n)
+			}
+		}
+	}
+	if s.Engines[0].Prompts()+s.Engines[1].Prompts() != 2 {
+		t.Error("the long prompts were not read apart")
+	}
+	if got := newFront(t, s, "front-3").ask(context.Background(), http.MethodGet, "/none/", "none", nil); got.status != http.StatusNotFound {
+		t.Errorf("a path without a route: status %d", got.status)
+	}
+}
+
+// A worker is about to be shut down and says so in the store. Requests that go
+// there after two seconds are lost with it; a user would see them fail during
+// every planned change.
+func TestDrain(t *testing.T) {
+	s := newSite(t, site.Config{Plain: 2, Pause: time.Millisecond})
+	p := newFront(t, s, "front-1")
+	s.Announce(s.Plain[0], "draining")
+	eventually(t, "the front knows", func() bool { return len(p.log(`"draining"`)) > 0 })
+	before := len(s.Plain[0].Runs())
+	for i := range 20 {
+		wantWhole(t, p.post(fmt.Sprintf("post-%d", i)), fleet.Body(fmt.Sprintf("post-%d", i)))
+	}
+	if after := len(s.Plain[0].Runs()); after != before {
+		t.Errorf("the draining worker got %d requests", after-before)
+	}
+	s.Remove(s.Plain[1])
+	eventually(t, "nobody is left", func() bool {
+		got := p.post("nobody")
+		return got.status == http.StatusServiceUnavailable && got.header.Get("Retry-After") != ""
+	})
+}
+
+// The operator moves a route to a path of another host and adds one. A front
+// that went on by the old version would run requests that are no longer allowed
+// and refuse those that are.
+func TestConfigChange(t *testing.T) {
+	s := newSite(t, site.Config{Plain: 1, Pause: time.Millisecond})
+	p := newFront(t, s, "front-1")
+	s.SetConfig(func(routes map[string]site.Route) {
+		delete(routes, site.PathPost)
+		routes["/added/"] = site.Route{"kind": "idempotent", "service": site.Desk, "timeout_ms": 1000, "max_attempts": 2}
+	})
+	eventually(t, "the new version is in force", func() bool { return len(p.log("config in force")) == 2 })
+	if got := p.post("gone"); got.status != http.StatusNotFound {
+		t.Errorf("a route that is gone: status %d", got.status)
+	}
+	id := "added"
+	wantWhole(t, p.ask(context.Background(), http.MethodGet, "/added/1", id, nil), fleet.Body(id))
+}
+
+// The store does what it is asked and its answer is lost, then it refuses, resets
+// and falls silent. Requests must not notice, and when it is back the changes made
+// meanwhile must come into force.
+func TestStoreTrouble(t *testing.T) {
+	s := newSite(t, site.Config{Plain: 1, Pause: time.Millisecond})
+	p := newFront(t, s, "front-1")
+	for i, fault := range []string{"lost", "busy", "reset", "silent"} {
+		s.Store.SetFault(rowstoreFault(fault))
+		id := fmt.Sprintf("post-%d", i)
+		wantWhole(t, p.post(id), fleet.Body(id))
+		before := len(p.log("config in force"))
+		s.SetConfig(nil)
+		s.Store.Forget()
+		pause(200 * time.Millisecond)
+		s.Store.SetFault(rowstoreFault(""))
+		eventually(t, "the config of the outage is in force after "+fault, func() bool {
+			return len(p.log("config in force")) > before
+		})
+	}
+}
+
+// A front is told to stop while requests come without a pause. It must finish
+// what it has, go on taking requests while the balancer may still send some, and
+// refuse at once what it could not finish; a connection that is cut would be an
+// error for its user during every update.
+func TestStopUnderLoad(t *testing.T) {
+	s := newSite(t, site.Config{Prefill: 1, Decode: 1, Plain: 2, Events: 8, Pause: 20 * time.Millisecond})
+	p := newFront(t, s, "front-1")
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	var cut []string
+	refused, served := 0, 0
+	begun := time.Now()
+	for worker := range 4 {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			for i := 0; time.Since(begun) < 2700*time.Millisecond; i++ {
+				id := fmt.Sprintf("c%d-%d", worker, i)
+				got := p.post(id)
+				if worker%2 == 0 {
+					got = p.long(id + "l")
+				}
+				mu.Lock()
+				switch {
+				case got.err != nil:
+					cut = append(cut, fmt.Sprintf("%s after %v: %v", id, time.Since(begun), got.err))
+				case got.status == http.StatusOK:
+					served++
+				case got.status == http.StatusServiceUnavailable:
+					refused++
+				}
+				mu.Unlock()
+			}
+		}()
+	}
+	pause(200 * time.Millisecond)
+	p.signal(syscall.SIGTERM)
+	eventually(t, "the front is unready", func() bool { return !p.isReady() })
+	group.Wait()
+	<-p.done
+	if len(cut) > 0 {
+		t.Errorf("%d requests were cut, first: %s", len(cut), cut[0])
+	}
+	if served == 0 {
+		t.Error("nothing was served")
+	}
+	if code := p.cmd.ProcessState.ExitCode(); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+}
+
+// All fronts are killed at the same moment and started again. Nothing is kept on
+// the machines: they must serve again from the store alone within seconds.
+func TestAllKilled(t *testing.T) {
+	s := newSite(t, site.Config{Prefill: 1, Decode: 1, Plain: 1, Events: 3, Pause: time.Millisecond})
+	fronts := []*process{newFront(t, s, "front-1"), newFront(t, s, "front-2")}
+	for _, p := range fronts {
+		p.kill()
+	}
+	begun := time.Now()
+	for _, p := range fronts {
+		p.start()
+	}
+	for _, p := range fronts {
+		p.waitReady()
+		wantWhole(t, p.post(p.name+"-again"), fleet.Body(p.name+"-again"))
+	}
+	t.Logf("both served again after %v", time.Since(begun))
+}
+
+// Four engines of six start as generating ones. One front of two holds the lease
+// and orders them into the split; both may never give orders in turn.
+func TestOneGiver(t *testing.T) {
+	s := newSite(t, site.Config{Prefill: 2, Decode: 4, Plain: 1, Events: 1})
+	newFront(t, s, "front-1")
+	newFront(t, s, "front-2")
+	eventually(t, "the split is there", func() bool {
+		prefill := 0
+		for _, e := range s.Engines {
+			s.Announce(e, "ready")
+			if e.Stage() == "prefill" {
+				prefill++
+			}
+		}
+		return prefill == 4
+	})
+	givers := map[string]bool{}
+	for _, e := range s.Engines {
+		for _, o := range e.Orders() {
+			givers[o[strings.Index(o, " by "):]] = true
+		}
+	}
+	if len(givers) != 1 {
+		t.Errorf("orders came from %v", givers)
+	}
+}
+
+// The settings file changes and the process is told by SIGHUP. Open connections
+// must go on: the next request on the same one is answered.
+func TestReloadKeepsConnections(t *testing.T) {
+	s := newSite(t, site.Config{Plain: 1})
+	p := newFront(t, s, "front-1")
+	c, err := net.Dial("tcp", p.clients)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for i := range 2 {
+		fmt.Fprintf(c, "GET %sx HTTP/1.1\r\nHost: %s\r\nAttempt-Id: kept-%d\r\n\r\n", site.PathLook, site.Host, i)
+		got, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, _ := io.ReadAll(got.Body); string(body) != fleet.Body(fmt.Sprintf("kept-%d", i)) {
+			t.Fatalf("body %.100q", body)
+		}
+		p.signal(syscall.SIGHUP)
+		eventually(t, "the settings were read again", func() bool { return len(p.log("settings read again")) > i })
+	}
+}
+
+func rowstoreFault(name string) rowstore.Fault { return rowstore.Fault(name) }
