--- a/internal/exchange/dial.go
+++ b/internal/exchange/dial.go
@@ -5,9 +5,8 @@
 	"net"
 	"syscall"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -114,7 +114,7 @@
 	answer, err := c.exchange(r)
 	if err != nil {
 		stop()
-		c.Close()
+		_ = c.Close()
 		if ctx.Err() != nil {
 			err = errors.CombineErrors(ctx.Err(), err)
 		}
@@ -140,7 +140,7 @@
 		if c.quiet() {
 			return c, nil
 		}
-		c.Close()
+		_ = c.Close()
 	}
 	raw, err := dial(ctx, p.dialer, r.Address)
 	if err != nil {
@@ -165,7 +165,7 @@
 		if now < c.idleUntil && (r.Fresh == 0 || now-c.idleFrom < r.Fresh) {
 			return c
 		}
-		c.Close()
+		_ = c.Close()
 	}
 	delete(p.idle, r.Address)
 	return nil
@@ -179,7 +179,7 @@
 	defer p.mu.Unlock()
 	list := p.idle[c.address]
 	if len(list) >= p.c.Kept {
-		c.Close()
+		_ = c.Close()
 		return
 	}
 	p.idle[c.address] = append(list, c)
@@ -198,7 +198,7 @@
 				left = append(left, c)
 				continue
 			}
-			c.Close()
+			_ = c.Close()
 		}
 		if p.idle[address] = left; len(left) == 0 {
 			delete(p.idle, address)
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { l.Close() })
+	t.Cleanup(func() { _ = l.Close() })
 	p := &peer{address: l.Addr().String()}
 	go func() {
 		for {
@@ -234,7 +234,7 @@
 		t.Fatal(err)
 	}
 	address := l.Addr().String()
-	l.Close()
+	_ = l.Close()
 	_, err = do(t, newPool(), Request{Address: address, Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}})
 	if kumquatlug.RanOf(err) != kumquatlug.RanNot {
 		t.Errorf("%v, want a failure that says not run", err)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -126,12 +126,12 @@
 		Handler: g, ReadHeaderTimeout: headerTimeout.Duration(), IdleTimeout: idleTimeout.Duration(),
 		MaxHeaderBytes: maxHeader, ErrorLog: zap.NewStdLog(g.c.Logger.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
-	group.Add(func() error { return g.serveUntil(ctx, server) }, func(error) { server.Close() })
+	group.Add(func() error { return g.serveUntil(ctx, server) }, func(error) { _ = server.Close() })
 	control := &http.Server{Handler: g.controlHandler(), ReadHeaderTimeout: headerTimeout.Duration()}
-	group.Add(func() error { return closed(control.Serve(g.c.Control)) }, func(error) { control.Close() })
+	group.Add(func() error { return closed(control.Serve(g.c.Control)) }, func(error) { _ = control.Close() })
 	if g.c.Metrics != nil {
 		m := &http.Server{Handler: g.metrics.handler(g.c.Registry), ReadHeaderTimeout: headerTimeout.Duration()}
-		group.Add(func() error { return closed(m.Serve(g.c.Metrics)) }, func(error) { m.Close() })
+		group.Add(func() error { return closed(m.Serve(g.c.Metrics)) }, func(error) { _ = m.Close() })
 	}
 	loop(g.followConfig)
 	loop(g.followMembers)
--- /dev/null
+++ b/internal/gateway/watch_test.go
@@ -0,0 +1,173 @@
+package gateway
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/clock"
+)
+
+// scriptedFeed is a store whose table a test changes by hand.
+type scriptedFeed struct {
+	rows    map[string]string
+	version int64
+	err     error
+}
+
+func (f *scriptedFeed) Snapshot(context.Context, string) ([]kumquatlug.Row, int64, error) {
+	var rows []kumquatlug.Row
+	for key, value := range f.rows {
+		rows = append(rows, kumquatlug.NewRow(key, []byte(value), f.version))
+	}
+	return rows, f.version, f.err
+}
+
+func (f *scriptedFeed) Changes(ctx context.Context, table string, after int64, _ kumquatlug.Millis) ([]kumquatlug.Row, int64, error) {
+	if f.err != nil || f.version <= after {
+		return nil, f.version, f.err
+	}
+	return f.Snapshot(ctx, table)
+}
+
+// watched is a front that follows the scripted feed step by step.
+type watched struct {
+	g        *Gateway
+	feed     *scriptedFeed
+	now      *clock.Manual
+	follower *follower
+	members  *members
+}
+
+func newWatched() *watched {
+	now := clock.NewManual(100_000)
+	feed := &scriptedFeed{rows: map[string]string{"a": `"prefill"`, "b": `"decode"`, "c": `""`}, version: 5}
+	g := New(Config{
+		Zone: "z", Directory: jsonDirectory{}, Feed: feed, Clock: now, Logger: zap.NewNop(), Registry: prometheus.NewRegistry(),
+	})
+	f := &follower{g: g, table: "members", rows: map[string]kumquatlug.Row{}}
+	return &watched{
+		g: g, feed: feed, now: now, follower: f,
+		members: &members{g: g, kept: map[string]kumquatlug.Member{}, bad: map[string]int64{}},
+	}
+}
+
+// step is what follow does in one round.
+func (w *watched) step() {
+	err := w.follower.step(context.Background())
+	if err != nil {
+		w.follower.missed(w.now.Now(), err)
+	} else {
+		w.follower.regained(w.now.Now())
+	}
+	w.members.apply(w.now.Now(), w.follower)
+}
+
+// names returns the known workers in order of their names.
+func (w *watched) names() string {
+	var names []string
+	for _, key := range []string{"a", "b", "c", "d"} {
+		if _, kept := w.members.kept[key]; kept {
+			names = append(names, key)
+		}
+	}
+	return strings.Join(names, "")
+}
+
+// The store was away so long that all entries of workers lapsed, though the
+// workers live. Dropped at once, they leave nobody to serve with, for seconds;
+// kept for ever, those that did die get requests that are lost.
+func TestLapsedEntriesAreKeptUntilTheyMayBeBack(t *testing.T) {
+	w := newWatched()
+	w.step()
+	if w.names() != "abc" {
+		t.Fatal(w.names())
+	}
+	w.feed.err = kumquatlug.ErrUnavailable
+	w.step()
+	w.now.Advance(4000)
+	w.step()
+	w.feed.err, w.feed.rows = nil, map[string]string{}
+	w.feed.version++
+	w.now.Advance(100)
+	w.step()
+	if w.names() != "abc" {
+		t.Fatalf("right after the return: %q", w.names())
+	}
+	w.feed.rows = map[string]string{"a": `"prefill"`, "c": `""`}
+	w.feed.version++
+	w.now.Advance(1900)
+	w.step()
+	if w.names() != "abc" {
+		t.Fatalf("within the time of the workers: %q", w.names())
+	}
+	w.now.Advance(400)
+	w.step()
+	if w.names() != "ac" {
+		t.Errorf("after it: %q, want that b is gone", w.names())
+	}
+}
+
+// In calm times an entry that goes means that its worker leaves, though it never
+// said so. It must get nothing from then on.
+func TestARemovedEntryCountsAtOnce(t *testing.T) {
+	w := newWatched()
+	w.step()
+	w.now.Advance(60_000)
+	w.feed.rows = map[string]string{"a": `"prefill"`}
+	w.follower.known = false
+	w.step()
+	if w.names() != "a" {
+		t.Errorf("%q", w.names())
+	}
+}
+
+// Another writer spoils a row of a worker. It names no worker from then on, and
+// the others stay.
+func TestASpoiltRowStopsNothing(t *testing.T) {
+	w := newWatched()
+	w.step()
+	w.feed.rows["b"], w.feed.rows["d"] = "\xff", "[]"
+	w.feed.version++
+	w.step()
+	if w.names() != "ac" {
+		t.Errorf("%q", w.names())
+	}
+}
+
+// A connection to the store that lags brings an older version of the config after
+// a newer one. Adopted, it would send requests to services that no longer may
+// have them.
+func TestAnOlderConfigIsPassedOver(t *testing.T) {
+	w := newWatched()
+	w.g.adopt(kumquatlug.NewRow("config", []byte("9"), 30))
+	w.g.adopt(kumquatlug.NewRow("config", []byte("7"), 31))
+	if v := w.g.table.Load().Version(); v != 9 {
+		t.Errorf("version %d is in force, want 9", v)
+	}
+	w.g.adopt(kumquatlug.NewRow("config", []byte("{"), 32))
+	if v := w.g.table.Load().Version(); v != 9 {
+		t.Errorf("version %d is in force after one that can't be read, want 9", v)
+	}
+}
+
+func TestWholeEvents(t *testing.T) {
+	for text, want := range map[string]int{
+		"": 0, "id: 1\nda": 0, "id: 1\ndata: x\n\n": 15, "id: 1\ndata: x\n\nid: 2\n": 15, "id: 1\r\ndata: x\r\n\r\nid": 18, "\n\n": 2,
+	} {
+		if n := wholeEvents([]byte(text)); n != want {
+			t.Errorf("%q: %d, want %d", text, n, want)
+		}
+	}
+	for text, want := range map[string]int64{
+		"id: 1\ndata: x\n\nid: 27\ndata: id: 9\n\n": 27, "data: id: 4\n\n": 0, "id: x\n\n": 0, "id:3\n\n": 3,
+	} {
+		if id, _ := lastID([]byte(text)); id != want {
+			t.Errorf("%q: %d, want %d", text, id, want)
+		}
+	}
+}
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -344,7 +344,7 @@
 	}
 	_, _ = fmt.Fprintf(raw, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Stamp: late\r\nContent-Length: %d\r\n\r\n%s", id, len(text), text)
 	// The connection stays open for a while, as a worker's would.
-	time.AfterFunc(2*time.Second, func() { raw.Close() })
+	time.AfterFunc(2*time.Second, func() { _ = raw.Close() })
 }
 
 // pause waits and reports false when the caller left meanwhile.
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -127,7 +127,7 @@
 func (s *Site) Remove(w *fleet.Worker) { s.Store.Delete("servers", s.ids[w]) }
 
 // Crash closes a worker with all its connections.
-func (s *Site) Crash(w *fleet.Worker) { s.byID[s.ids[w]].Close() }
+func (s *Site) Crash(w *fleet.Worker) { _ = s.byID[s.ids[w]].Close() }
 
 // Route is one route of the config.
 type Route map[string]any
@@ -178,7 +178,7 @@
 			return "", "", "", errors.Wrap(err, "find a free port")
 		}
 		*into = l.Addr().String()
-		l.Close()
+		_ = l.Close()
 	}
 	text = fmt.Sprintf(`node_name = %q
 zone = %q
@@ -205,6 +205,6 @@
 // Close ends everything.
 func (s *Site) Close() {
 	for _, server := range s.servers {
-		server.Close()
+		_ = server.Close()
 	}
 }
--- a/pkg/kumquatlug/placement/placement.go
+++ b/pkg/kumquatlug/placement/placement.go
@@ -91,6 +91,9 @@
 	// plainCost is what a request ahead of another at a plain worker adds to its
 	// wait, over the worker's slots, until answers have shown it.
 	plainCost = 40.0
+	// smallRead is up to how many tokens a prompt is read beside streams without
+	// being noticed there: one piece between two tokens, 4 ms.
+	smallRead = 512
 	// rankCost makes fronts agree on the second home too, in milliseconds.
 	rankCost = 1.0
 	// reportAge is how long what a worker said of its load is believed; answers
@@ -363,7 +366,8 @@
 		wait := w.tokens/rate + read + p.slotWait(now, w, q.Prompt)
 		weight := p.health.Weight(now, w.member.Worker.ID())
 		taken := (float64(w.runs) + w.othersNow(now)) / float64(max(w.member.Slots, 1))
-		cost := wait/weight + p.c.MixedPrice*taken*read + p.zonePrice(w)
+		disturbed := max(0, fresh-smallRead) / rate
+		cost := wait/weight + p.c.MixedPrice*taken*disturbed + p.zonePrice(w)
 		if cost < least {
 			least, found = cost, true
 			best = Choice{worker: w.member.Worker, tokens: fresh, wait: wait}
--- /dev/null
+++ b/pkg/kumquatlug/planner/split_test.go
@@ -0,0 +1,67 @@
+package planner
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+func splitEngines(prefill, decode int) []SplitEngine {
+	var engines []SplitEngine
+	for i := range prefill + decode {
+		role := kumquatlug.RoleDecode
+		if i < prefill {
+			role = kumquatlug.RolePrefill
+		}
+		engines = append(engines, SplitEngine{Target: fmt.Sprintf("e%02d", i), Zone: fmt.Sprint(i % 3), Role: role})
+	}
+	return engines
+}
+
+// apply carries the changes out.
+func apply(engines []SplitEngine, changes []kumquatlug.RoleChange) {
+	for _, c := range changes {
+		for i := range engines {
+			if engines[i].Target == c.Target() {
+				engines[i].Role = c.To()
+			}
+		}
+	}
+}
+
+// A third of the engines is lost, all on one side. Left so, the other side would
+// have every engine that is left and nobody to hand its work to.
+func TestTheSplitIsKeptAsEnginesGo(t *testing.T) {
+	for _, have := range [][2]int{{4, 8}, {8, 4}, {8, 0}, {0, 8}, {1, 1}, {0, 2}, {12, 0}} {
+		engines := splitEngines(have[0], have[1])
+		apply(engines, KeepSplit(engines, 0.667))
+		n := len(engines)
+		prefill := count(engines, kumquatlug.RolePrefill)
+		if prefill < 1 || prefill == n || n >= 6 && (prefill < n*6/10 || prefill > n*7/10) {
+			t.Errorf("%v: %d of %d engines read", have, prefill, n)
+		}
+		if again := KeepSplit(engines, 0.667); len(again) != 0 {
+			t.Errorf("%v: %d more changes of a split that holds", have, len(again))
+		}
+	}
+	if changes := KeepSplit(splitEngines(0, 1), 0.667); changes != nil {
+		t.Error("the last engine is moved")
+	}
+}
+
+// Generating engines in one data centre only make every other front's stream
+// cross to it.
+func TestTheSplitIsSpreadOverDataCentres(t *testing.T) {
+	engines := splitEngines(0, 12)
+	apply(engines, KeepSplit(engines, 0.75))
+	zones := map[string]int{}
+	for _, e := range engines {
+		if e.Role == kumquatlug.RoleDecode {
+			zones[e.Zone]++
+		}
+	}
+	if len(zones) != 3 {
+		t.Errorf("generating engines by data centre: %v", zones)
+	}
+}
--- /dev/null
+++ b/pkg/kumquatlug/routes/routes_test.go
@@ -0,0 +1,58 @@
+package routes
+
+import (
+	"testing"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+func route(host, prefix string, shares ...kumquatlug.Share) kumquatlug.Route {
+	return kumquatlug.NewRoute(kumquatlug.RouteConfig{Name: host + prefix, Host: host, Prefix: prefix, Shares: shares})
+}
+
+func TestTheLongestPrefixWins(t *testing.T) {
+	table := NewTable(kumquatlug.OperatorConfig{Routes: []kumquatlug.Route{
+		route("h", "/a/"), route("h", "/a/b/"), route("h", "/"), route("g", "/a/b/c/"),
+	}})
+	for path, want := range map[string]string{"/a/b/x": "h/a/b/", "/a/bx": "h/a/", "/c": "h/", "/a": "h/"} {
+		if r, found := table.Match("h", path); !found || r.Name() != want {
+			t.Errorf("%s takes %q, want %q", path, r.Name(), want)
+		}
+	}
+	if _, found := table.Match("g", "/a/b/"); found {
+		t.Error("a path without a route takes one")
+	}
+	if _, found := table.Match("other", "/"); found {
+		t.Error("another host takes a route")
+	}
+}
+
+// A route is moved from one service to another by weights. Requests must follow
+// them, and one that is sent again must stay where it was.
+func TestRequestsFollowTheWeights(t *testing.T) {
+	r := route("h", "/", kumquatlug.Share{Service: "old", Weight: 90}, kumquatlug.Share{Service: "new", Weight: 10})
+	counts := map[string]int{}
+	for i := range 5000 {
+		id := string(rune('a'+i%26)) + string(rune('a'+i/26%26)) + string(rune('a'+i/676))
+		counts[r.Service(id)]++
+		if again := r.Service(id); again != r.Service(id) {
+			t.Fatal("a request changes its service")
+		}
+	}
+	if counts["new"] < 350 || counts["new"] > 650 {
+		t.Errorf("%v", counts)
+	}
+	if s := route("h", "/", kumquatlug.Share{Service: "only"}).Service("x"); s != "only" {
+		t.Errorf("without weights: %q", s)
+	}
+	if s := route("h", "/").Service("x"); s != "" {
+		t.Errorf("without services: %q", s)
+	}
+}
+
+func TestOnlyNewerVersionsReplace(t *testing.T) {
+	old, next := NewTable(kumquatlug.OperatorConfig{Version: 4}), NewTable(kumquatlug.OperatorConfig{Version: 9})
+	if !next.Newer(old) || old.Newer(next) || old.Newer(old) || !old.Newer(nil) {
+		t.Error("versions are taken in the wrong order")
+	}
+}
--- a/test/front/front_test.go
+++ b/test/front/front_test.go
@@ -39,7 +39,7 @@
 		os.Exit(1)
 	}
 	code := m.Run()
-	os.RemoveAll(dir)
+	_ = os.RemoveAll(dir)
 	os.Exit(code)
 }
 
@@ -448,7 +448,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer c.Close()
+	defer func() { _ = c.Close() }()
 	in := bufio.NewReader(c)
 	for i := range 2 {
 		fmt.Fprintf(c, "GET %sx HTTP/1.1\r\nHost: %s\r\nAttempt-Id: kept-%d\r\n\r\n", site.PathLook, site.Host, i)
