Keep prompts in lines at the front, serve those in time first and tell the others early

Cause: above what the engines can read, every prompt went to its engine at once; the engines' own lines are served in order, so that after a second each prompt was read when its target latency had passed (p50 1.2 s at a target of 0.2 s).

--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -7,6 +7,7 @@
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/health"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/retry"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/routes"
 )
 
 // desk holds what the requests of all goroutines decide by, under one lock. A
@@ -16,6 +17,7 @@
 	c        Config
 	fronts   int
 	services map[string]*group
+	lastKey  uint64
 }
 
 // group is what is kept of one service.
@@ -24,6 +26,8 @@
 	repeats *retry.Shared
 	// patience is the longest that a client of a route has said to wait.
 	patience map[string]kumquatlug.Millis
+	// turns tell the requests that wait for an engine that their turn has come.
+	turns map[uint64]chan placement.Due
 }
 
 func newDesk(c Config) *desk {
@@ -56,8 +60,10 @@
 			placer:   placement.New(c),
 			repeats:  retry.NewShared(d.c.Repeats),
 			patience: map[string]kumquatlug.Millis{},
+			turns:    map[uint64]chan placement.Due{},
 		}
 		s.repeats.SetFronts(d.fronts)
+		s.placer.SetFronts(d.fronts)
 		d.services[service] = s
 	}
 	return s
@@ -69,6 +75,7 @@
 	d.fronts = n
 	for _, s := range d.services {
 		s.repeats.SetFronts(n)
+		s.placer.SetFronts(n)
 	}
 }
 
@@ -86,6 +93,16 @@
 	}
 }
 
+// describe takes what the config says of the services.
+func (d *desk) describe(table *routes.Table) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, name := range table.Services() {
+		s, _ := table.Service(name)
+		d.at(name).placer.SetMemory(s.Memory())
+	}
+}
+
 // arrive records a request for a service and returns how long its client has
 // been trying already: clients that come back say a shorter time to wait.
 func (d *desk) arrive(now kumquatlug.Millis, service, route string, waits kumquatlug.Millis) kumquatlug.Millis {
@@ -116,24 +133,85 @@
 )
 
 // choose picks a worker and counts the attempt as in hand there.
-func (d *desk) choose(now kumquatlug.Millis, service string, s stage, q placement.Query, accept func(placement.Choice) bool) (placement.Choice, *placement.Ticket, bool) {
+func (d *desk) choose(now kumquatlug.Millis, service string, s stage, q placement.Query) (placement.Choice, *placement.Ticket) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	p := d.at(service).placer
-	var c placement.Choice
-	var found bool
-	switch s {
-	case stagePrompt:
-		c, found = p.Prompt(now, q)
-	case stageOutput:
-		c, found = p.Output(now, q)
+	pick := p.Plain
+	if s == stageOutput {
+		pick = p.Output
+	}
+	c, found := pick(now, q)
+	if !found {
+		return c, nil
+	}
+	return c, p.Begin(now, c, q.Prompt)
+}
+
+// turn is a prompt's way into an engine.
+type turn struct {
+	entry  placement.Entry
+	choice placement.Choice
+	ticket *placement.Ticket
+	// key and due are set while it waits.
+	key uint64
+	due chan placement.Due
+}
+
+// enter brings a prompt to the engines.
+func (d *desk) enter(now kumquatlug.Millis, service string, q placement.Query) turn {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	g := d.at(service)
+	d.lastKey++
+	t := turn{key: d.lastKey}
+	t.entry, t.choice, t.ticket = g.placer.Enter(now, t.key, q)
+	if t.entry == placement.EntryWaits {
+		t.due = make(chan placement.Due, 1)
+		g.turns[t.key] = t.due
+	}
+	d.pump(now, g)
+	return t
+}
+
+// leave takes a prompt out of the lines. Its turn may have come meanwhile; the
+// attempt that was begun is then ended.
+func (d *desk) leave(now kumquatlug.Millis, service string, t turn) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	g := d.at(service)
+	g.placer.Leave(t.key)
+	delete(g.turns, t.key)
+	select {
+	case due := <-t.due:
+		if due.Ticket() != nil {
+			g.placer.End(now, due.Ticket(), placement.OutcomeSilent)
+		}
 	default:
-		c, found = p.Plain(now, q)
 	}
-	if !found || !accept(c) {
-		return c, nil, found
+	d.pump(now, g)
+}
+
+// pump tells those whose turn has come; the lock must be held.
+func (d *desk) pump(now kumquatlug.Millis, g *group) {
+	if g.placer.Waiting() == 0 {
+		return
+	}
+	for _, due := range g.placer.Due(now) {
+		if tell, waits := g.turns[due.Key()]; waits {
+			delete(g.turns, due.Key())
+			tell <- due
+		}
+	}
+}
+
+// tick does what time alone makes due in the lines.
+func (d *desk) tick(now kumquatlug.Millis) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, g := range d.services {
+		d.pump(now, g)
 	}
-	return c, p.Begin(now, c, q.Prompt), true
 }
 
 // said takes what a worker said of its load.
@@ -146,11 +224,15 @@
 func (d *desk) read(now kumquatlug.Millis, service string, t *placement.Ticket) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.at(service).placer.Read(now, t)
+	g := d.at(service)
+	g.placer.Read(now, t)
+	d.pump(now, g)
 }
 
 func (d *desk) end(now kumquatlug.Millis, service string, t *placement.Ticket, o placement.Outcome) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.at(service).placer.End(now, t, o)
+	g := d.at(service)
+	g.placer.End(now, t, o)
+	d.pump(now, g)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -138,6 +138,7 @@
 	loop(g.give)
 	loop(g.keepHouse)
 	loop(g.freeCaches)
+	loop(g.watchLines)
 	g.c.Logger.Info("started", zap.String("zone", g.c.Zone), zap.String("incarnation", g.c.Incarnation))
 	err := group.Run()
 	g.c.Logger.Info("stopped", logs.Error(err))
@@ -250,6 +251,17 @@
 	}
 }
 
+// lineLook is how often the lines are looked through for prompts that turn late:
+// a small part of a target latency.
+const lineLook = 20 * kumquatlug.Millis(1)
+
+// watchLines does what time alone makes due for those who wait for an engine.
+func (g *Gateway) watchLines(ctx context.Context) {
+	for sleep(ctx, lineLook) {
+		g.desk.tick(g.c.Clock.Now())
+	}
+}
+
 // frontPrefix starts the keys of the rows that name fronts.
 const frontPrefix = "front/"
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
@@ -148,6 +149,7 @@
 		return
 	}
 	f.begun = true
+	f.times.first = now
 	f.g.metrics.latency.WithLabelValues(strconv.Itoa(f.route.Priority())).Observe((now - f.arrived).Duration().Seconds())
 	f.g.c.Ingress.Head(f.w, reply)
 }
@@ -178,7 +180,28 @@
 	f.g.metrics.answers.WithLabelValues("answered").Inc()
 	f.g.c.Logger.Info("answered", zap.String("request", f.ask.ID()), zap.String("route", f.route.Name()),
 		zap.String("worker", c.Worker().ID()), zap.Int("status", status), zap.Int("tries", f.tries+1),
-		zap.Int64("took_ms", int64(now-f.arrived)))
+		zap.Int64("took_ms", int64(now-f.arrived)), zap.Object("steps", f.steps()))
+}
+
+// steps tells how long each step of a request took, in milliseconds.
+func (f *flight) steps() zapcore.ObjectMarshalerFunc {
+	return func(e zapcore.ObjectEncoder) error {
+		before := f.arrived
+		add := func(name string, at kumquatlug.Millis) {
+			if at != 0 {
+				e.AddInt64(name, int64(at-before))
+				before = at
+			}
+		}
+		add("line", f.times.entered)
+		add("read", f.times.read)
+		add("first", f.times.first)
+		if f.times.read != 0 {
+			e.AddInt64("read_expected", int64(f.times.expected))
+			e.AddString("reader", f.times.reader)
+		}
+		return nil
+	}
 }
 
 // wholeEvents returns how many leading bytes are whole events: up to and with
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -61,6 +61,18 @@
 	last  int64
 	// heard is called at the first output of an attempt.
 	heard func()
+	// times are when each step of the last attempt was done.
+	times times
+}
+
+// times are when the steps of a request were done, zero for those that were not.
+type times struct {
+	// entered: its turn at an engine came; read: its prompt was read apart;
+	// first: its first output came.
+	entered, read, first kumquatlug.Millis
+	// expected is how long reading was expected to take.
+	expected kumquatlug.Millis
+	reader   string
 }
 
 // ServeHTTP serves one request.
@@ -261,7 +273,7 @@
 	if f.service.Engine() {
 		return f.generate(ctx)
 	}
-	ticket, choice, failed := f.choose(stageWhole, f.query())
+	ticket, choice, failed := f.choose(stageWhole)
 	if failed != nil {
 		return failed
 	}
@@ -269,25 +281,29 @@
 }
 
 func (f *flight) query() placement.Query {
-	return placement.Query{Prompt: f.ask.Prompt(), Exclude: f.exclude, Left: f.left()}
+	q := placement.Query{Prompt: f.ask.Prompt(), Exclude: f.exclude, Until: f.until}
+	if target := f.route.Target(); target > 0 {
+		q.Target = f.arrived - f.trying + target
+	}
+	return q
 }
 
 // generate has the prompt read and the output made, at one engine or at two.
 func (f *flight) generate(ctx context.Context) *tried {
-	ticket, choice, failed := f.choose(stagePrompt, f.query())
+	ticket, choice, failed := f.enter(ctx)
 	if failed != nil {
 		return failed
 	}
+	f.times.entered = f.g.c.Clock.Now()
 	if !choice.Apart() {
 		return f.run(ctx, choice, ticket, kumquatlug.KVCache{})
 	}
+	f.times.expected, f.times.reader = choice.Wait(), choice.Worker().ID()
 	cache, failed := f.prefill(ctx, choice, ticket)
 	if failed != nil {
 		return failed
 	}
-	q := f.query()
-	q.Exclude = f.exclude
-	ticket, choice, failed = f.choose(stageOutput, q)
+	ticket, choice, failed = f.choose(stageOutput)
 	if failed != nil {
 		f.g.free(cache)
 		return failed
@@ -299,26 +315,60 @@
 	return failed
 }
 
-// choose picks a worker, or tells why there is none that can answer in time.
-func (f *flight) choose(s stage, q placement.Query) (*placement.Ticket, placement.Choice, *tried) {
+// choose picks a worker, or tells that there is none.
+func (f *flight) choose(s stage) (*placement.Ticket, placement.Choice, *tried) {
 	if failed := f.pay(); failed != nil {
 		return nil, placement.Choice{}, failed
 	}
-	now := f.g.c.Clock.Now()
-	accept := func(c placement.Choice) bool { return s == stageOutput || c.Wait() < f.left() }
-	choice, ticket, found := f.g.desk.choose(now, f.service.Name(), s, q, accept)
-	switch {
-	case !found:
-		return nil, choice, &tried{
-			whole: true, failure: f.truthful(refusal("place", "no_worker", 0, 0), "no_worker"),
-		}
-	case ticket == nil:
-		late := refusal("place", "overload", http.StatusServiceUnavailable, f.comeBack(choice.Wait()-f.left()))
-		return nil, choice, &tried{whole: true, failure: late}
+	choice, ticket := f.g.desk.choose(f.g.c.Clock.Now(), f.service.Name(), s, f.query())
+	if ticket == nil {
+		return nil, choice, f.nobody()
+	}
+	if s == stageWhole && choice.Wait() >= f.left() {
+		f.end(s, ticket, placement.OutcomeSilent)
+		return nil, choice, f.overload(choice)
 	}
 	return ticket, choice, nil
 }
 
+// nobody is the failure of a request for which there is no worker.
+func (f *flight) nobody() *tried {
+	return &tried{whole: true, failure: f.truthful(refusal("place", "no_worker", 0, 0), "no_worker")}
+}
+
+// overload is the failure of a request that no worker can begin in time.
+func (f *flight) overload(c placement.Choice) *tried {
+	return &tried{whole: true, failure: refusal(
+		"place", "overload", http.StatusServiceUnavailable, f.comeBack(c.Wait()-f.left()),
+	)}
+}
+
+// enter brings the prompt to an engine, when its turn has come.
+func (f *flight) enter(ctx context.Context) (*placement.Ticket, placement.Choice, *tried) {
+	if failed := f.pay(); failed != nil {
+		return nil, placement.Choice{}, failed
+	}
+	t := f.g.desk.enter(f.g.c.Clock.Now(), f.service.Name(), f.query())
+	switch t.entry {
+	case placement.EntrySent:
+		return t.ticket, t.choice, nil
+	case placement.EntryNobody:
+		return nil, t.choice, f.nobody()
+	case placement.EntryRefused:
+		return nil, t.choice, f.overload(t.choice)
+	}
+	select {
+	case due := <-t.due:
+		if due.Ticket() == nil {
+			return nil, due.Choice(), f.overload(due.Choice())
+		}
+		return due.Ticket(), due.Choice(), nil
+	case <-ctx.Done():
+		f.g.desk.leave(f.g.c.Clock.Now(), f.service.Name(), t)
+		return nil, t.choice, &tried{whole: true, failure: refusal("wait", "client_left", http.StatusServiceUnavailable, 0)}
+	}
+}
+
 // Urgencies at an engine, 0 first. Requests that can still make their target
 // latency go before those that can't: serving the late ones first would make
 // the others late, too.
@@ -376,6 +426,7 @@
 		f.arrivals++
 	}
 	f.read = true
+	f.times.read = f.g.c.Clock.Now()
 	f.end(stagePrompt, t, placement.OutcomeGood)
 	return cache, nil
 }
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -145,6 +145,7 @@
 		return
 	}
 	g.table.Store(table)
+	g.desk.describe(table)
 	g.metrics.config.Set(float64(table.Version()))
 	g.c.Logger.Info("config in force", zap.Int64("version", table.Version()), zap.Int("routes", len(config.Routes)))
 }
--- /dev/null
+++ b/pkg/kumquatlug/placement/line_test.go
@@ -0,0 +1,156 @@
+package placement
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+// rush replays prompts at a steady rate against one reading engine that reads
+// each prompt's own tokens, and counts what became of them.
+type rush struct {
+	inTime, late, refused int
+	// refusedAfter is the longest that one was held before it was refused.
+	refusedAfter kumquatlug.Millis
+}
+
+func runRush(t *testing.T, perSecond float64, span kumquatlug.Millis, lines bool) rush {
+	t.Helper()
+	p := New(Config{Zone: "a"})
+	p.Sync(0, engines(1, 1))
+	for i := range 50 {
+		c, found := p.Output(0, Query{Prompt: chatPrompt(i)})
+		if !found {
+			t.Fatal("no engine")
+		}
+		p.Begin(0, c, chatPrompt(i))
+	}
+	type job struct {
+		arrived kumquatlug.Millis
+		prompt  kumquatlug.Prompt
+	}
+	type reading struct {
+		key    uint64
+		ticket *Ticket
+	}
+	var r rush
+	var atEngine []reading
+	jobs := map[uint64]job{}
+	random := rand.New(rand.NewPCG(7, 8))
+	freeAt, nextAt, key := 0.0, 0.0, uint64(0)
+	start := func(now kumquatlug.Millis, k uint64, ticket *Ticket) {
+		atEngine = append(atEngine, reading{key: k, ticket: ticket})
+		if len(atEngine) == 1 {
+			freeAt = float64(now) + float64(jobs[k].prompt.Input()-6300)/236
+		}
+	}
+	for now := kumquatlug.Millis(0); now < span; now++ {
+		for len(atEngine) > 0 && freeAt <= float64(now) {
+			one := atEngine[0]
+			atEngine = atEngine[1:]
+			p.End(now, one.ticket, OutcomeGood)
+			if now-jobs[one.key].arrived+afterRead <= 200 {
+				r.inTime++
+			} else {
+				r.late++
+			}
+			if len(atEngine) > 0 {
+				freeAt += float64(jobs[atEngine[0].key].prompt.Input()-6300) / 236
+			}
+		}
+		for float64(now) >= nextAt {
+			nextAt += random.ExpFloat64() * 1000 / perSecond
+			key++
+			own := min(int(2000*math.Exp(random.NormFloat64())), 30_000)
+			shared := document(int(key)%40, int(key)).Shared()
+			prompt := kumquatlug.NewPrompt(append(slices.Clone(shared), kumquatlug.NewPart("own", own)), 6300+own, 104)
+			jobs[key] = job{arrived: now, prompt: prompt}
+			q := Query{Prompt: prompt, Target: now + 200, Until: now + 2000}
+			if !lines {
+				c, _ := p.Prompt(now, q)
+				start(now, key, p.Begin(now, c, prompt))
+				continue
+			}
+			entry, _, ticket := p.Enter(now, key, q)
+			switch entry {
+			case EntrySent:
+				start(now, key, ticket)
+			case EntryRefused:
+				r.refused++
+			}
+		}
+		for _, due := range p.Due(now) {
+			if due.Ticket() != nil {
+				start(now, due.Key(), due.Ticket())
+				continue
+			}
+			r.refused++
+			r.refusedAfter = max(r.refusedAfter, now-jobs[due.Key()].arrived)
+		}
+	}
+	return r
+}
+
+// Prompts come at twice the rate that the engine reads, for ten seconds. Handed
+// on as they come, all but the first ones are late. In lines, two thirds and more
+// of what the engine can do must be in time, and who can't be served must be told
+// early, not at the end of their patience.
+func TestInAnOverloadMostAreInTime(t *testing.T) {
+	before, after := runRush(t, 150, 10_000, false), runRush(t, 150, 10_000, true)
+	t.Logf("handed on: %+v; in lines: %+v", before, after)
+	if after.inTime < 500 || after.inTime < 5*before.inTime {
+		t.Errorf("%d prompts in time, %d without lines", after.inTime, before.inTime)
+	}
+	if after.refusedAfter > 500 {
+		t.Errorf("a prompt was refused after %d ms", after.refusedAfter)
+	}
+}
+
+// Below what the engine reads nobody may be refused, and the lines may not make
+// anybody late.
+func TestWithoutOverloadNobodyIsRefused(t *testing.T) {
+	r := runRush(t, 35, 10_000, true)
+	if r.refused > 0 || r.late > 10 {
+		t.Errorf("%+v", r)
+	}
+}
+
+// The engine whose line a prompt stands in goes, or takes another role. The
+// prompt must go to another engine at once, not wait for one that won't come.
+func TestALineMovesWhenItsEngineGoes(t *testing.T) {
+	p := New(Config{})
+	p.Sync(0, engines(2, 1))
+	var waits []uint64
+	for key := uint64(1); key <= 60; key++ {
+		if entry, _, _ := p.Enter(0, key, Query{Prompt: document(1, int(key)), Until: 5000}); entry == EntryWaits {
+			waits = append(waits, key)
+		}
+	}
+	if len(waits) == 0 {
+		t.Fatal("nobody waits")
+	}
+	home := ""
+	for _, w := range p.list {
+		if len(w.line) > 0 {
+			home = w.member.Worker.ID()
+		}
+	}
+	members := engines(2, 1)
+	members = slices.DeleteFunc(members, func(m kumquatlug.Member) bool { return m.Worker.ID() == home })
+	p.Sync(10, members)
+	for _, due := range p.Due(10) {
+		if due.Ticket() == nil {
+			t.Error("a prompt is given up")
+		}
+		if due.Choice().Worker().ID() == home {
+			t.Error("a prompt goes to the engine that is gone")
+		}
+	}
+	p.Leave(waits[len(waits)-1])
+	if n := p.Waiting(); n >= len(waits) {
+		t.Errorf("%d of %d still wait", n, len(waits))
+	}
+}
--- a/pkg/kumquatlug/placement/placement.go
+++ b/pkg/kumquatlug/placement/placement.go
@@ -48,7 +48,7 @@
 	// generates. Default 0.5, as the engines' protocol states.
 	MixedPart float64
 	// AwayPrice is what reading shared parts again costs, as a multiple of its
-	// time. Default 8.
+	// time. Default 24: what is read twice also drives other parts out of memory.
 	AwayPrice float64
 	// MixedPrice is what reading at a generating engine whose slots are all taken
 	// costs, as a multiple of its time: every stream there pauses meanwhile.
@@ -67,7 +67,7 @@
 func (c Config) withDefaults() Config {
 	c.ReadRate = cmp.Or(c.ReadRate, 236)
 	c.MixedPart = cmp.Or(c.MixedPart, 0.5)
-	c.AwayPrice = cmp.Or(c.AwayPrice, 8)
+	c.AwayPrice = cmp.Or(c.AwayPrice, 24)
 	c.MixedPrice = cmp.Or(c.MixedPrice, 60)
 	c.ZonePrice = cmp.Or(c.ZonePrice, 3)
 	c.TransferCost = cmp.Or(c.TransferCost, 4)
@@ -76,13 +76,21 @@
 
 // Figures of the package.
 const (
-	// slotCost is what one request in hand adds to the wait of the next one at a
-	// generating engine, in milliseconds: a step of the batch takes some 0.7 ms
-	// and a few thousandths more with each request.
-	slotCost = 0.1
+	// streamCost is what one request in hand adds to each token of the next one
+	// at a generating engine, in milliseconds: a step of the batch takes 0.0032
+	// ms longer with each request, and 0.0021 ms for each 1,000 tokens in memory.
+	streamCost = 0.008
+	// outputPart is the part of the greatest output that requests have on the
+	// average.
+	outputPart = 0.5
+	// memoryPart is the part of an engine's memory that is filled before another
+	// one is better; what goes beyond it is read again by those that gave way.
+	memoryPart = 0.85
 	// firstRun is how long a request runs at a generating engine until answers
 	// have shown it, in milliseconds.
 	firstRun = 1000.0
+	// firstRoom is the memory of one request until some were seen, in tokens.
+	firstRoom = 3000.0
 	// freeSlots are left to requests with few tokens of output: behind streams
 	// that run for seconds they would miss their deadlines.
 	freeSlots = 4
@@ -121,10 +129,12 @@
 	hash   uint64
 	since  kumquatlug.Millis
 	// reads and tokens are the prompts in hand for this front and what is to be
-	// read of them; runs are all other requests in hand.
+	// read of them; runs are all other requests in hand and room the memory that
+	// they take, in tokens.
 	reads  int
 	tokens float64
 	runs   int
+	room   float64
 	// others is how many requests of other fronts were in hand when the worker
 	// last spoke, at saidAt.
 	others float64
@@ -134,6 +144,11 @@
 	// refusals counts those in a row; until then nothing new is sent there.
 	refusals int
 	until    kumquatlug.Millis
+	// line are the prompts of this front that wait for the engine.
+	line []*waiting
+	// load is what this front gave it to read until loadAt, see loadNow.
+	load   float64
+	loadAt kumquatlug.Millis
 }
 
 // Placer chooses workers of one service.
@@ -146,10 +161,18 @@
 	// long a plain request takes.
 	meanRead float64
 	meanTime float64
+	// meanRoom is the memory that one request takes at a generating engine, in
+	// tokens, and memory what an engine has; zero when it is not known.
+	meanRoom float64
+	memory   float64
 	meanRun  float64
 	// pace is how long prompts take to be read beside what is expected.
 	pace    float64
 	cleanAt kumquatlug.Millis
+	// fronts is how many fronts send to the workers.
+	fronts float64
+	// orphans waited for workers that are gone.
+	orphans []*waiting
 }
 
 // New returns a placer without workers.
@@ -157,7 +180,7 @@
 	c = c.withDefaults()
 	return &Placer{
 		c: c, workers: map[string]*worker{}, health: health.New(c.Health), meanRead: 3000, meanTime: plainCost,
-		meanRun: firstRun, pace: 1,
+		meanRun: firstRun, meanRoom: firstRoom, pace: 1, fronts: 1,
 	}
 }
 
@@ -169,6 +192,9 @@
 		id := m.Worker.ID()
 		seen[id] = true
 		w, known := p.workers[id]
+		if known && (w.member.Born != m.Born || w.member.Role != m.Role || m.State != kumquatlug.MemberReady) {
+			p.orphan(w)
+		}
 		if !known || w.member.Born != m.Born || w.member.Worker != m.Worker {
 			w = &worker{hash: xxhash.Sum64String(id), since: now, held: map[string]kumquatlug.Millis{}}
 			p.workers[id] = w
@@ -179,6 +205,7 @@
 	}
 	for id := range p.workers {
 		if !seen[id] {
+			p.orphan(p.workers[id])
 			delete(p.workers, id)
 			p.health.Remove(id)
 		}
@@ -190,6 +217,15 @@
 	slices.SortFunc(p.list, func(a, b *worker) int { return cmp.Compare(a.member.Worker.ID(), b.member.Worker.ID()) })
 }
 
+// orphan takes over the line of a worker that reads no more.
+func (p *Placer) orphan(w *worker) {
+	p.orphans = append(p.orphans, w.line...)
+	w.line = nil
+}
+
+// SetFronts tells how many fronts send to the workers.
+func (p *Placer) SetFronts(n int) { p.fronts = float64(max(n, 1)) }
+
 // Report takes what a worker said of its load in an answer.
 func (p *Placer) Report(now kumquatlug.Millis, id string, load kumquatlug.WorkerLoad) {
 	w, known := p.workers[id]
@@ -210,8 +246,10 @@
 	Prompt kumquatlug.Prompt
 	// Exclude are workers not to be chosen.
 	Exclude []string
-	// Left is how long the client still waits.
-	Left kumquatlug.Millis
+	// Target is when the first output is due for its full worth, Until when the
+	// client gives up; zero for never.
+	Target kumquatlug.Millis
+	Until  kumquatlug.Millis
 }
 
 // Choice is the answer to a [Query].
@@ -220,6 +258,7 @@
 	apart  bool
 	tokens float64
 	wait   float64
+	cost   float64
 }
 
 // Worker returns whom to call.
@@ -279,7 +318,7 @@
 	}
 	mixed, mixedCost, also := p.mixed(now, q)
 	apart, apartCost, found := p.reader(now, q)
-	if !found || also && mixedCost < apartCost+output.wait {
+	if !found || also && mixedCost < apartCost+output.cost {
 		return mixed, also
 	}
 	apart.wait += output.wait
@@ -322,9 +361,10 @@
 	return best, least + p.c.TransferCost, true
 }
 
-// backlog is how many tokens are to be read at w before a new prompt.
+// backlog is how many tokens are to be read at w before a new prompt. The lines
+// of the other fronts are taken to be as long as this one's.
 func (p *Placer) backlog(now kumquatlug.Millis, w *worker) float64 {
-	return w.tokens + w.othersNow(now)*p.meanRead
+	return p.inHand(now, w) + p.fronts*w.lineTokens()
 }
 
 // own is how many tokens of a prompt no other request shares.
@@ -367,7 +407,7 @@
 		weight := p.health.Weight(now, w.member.Worker.ID())
 		taken := (float64(w.runs) + w.othersNow(now)) / float64(max(w.member.Slots, 1))
 		disturbed := max(0, fresh-smallRead) / rate
-		cost := wait/weight + p.c.MixedPrice*taken*disturbed + p.zonePrice(w)
+		cost := (wait+p.crowdCost(now, w, q.Prompt))/weight + p.c.MixedPrice*taken*disturbed + p.zonePrice(w)
 		if cost < least {
 			least, found = cost, true
 			best = Choice{worker: w.member.Worker, tokens: fresh, wait: wait}
@@ -384,9 +424,28 @@
 	if prompt.Output() > fewTokens {
 		slots -= freeSlots
 	}
-	return ahead*slotCost + max(0, ahead+1-slots)*p.meanRun/max(slots, 1)
+	wait := max(0, ahead+1-slots) * p.meanRun / max(slots, 1)
+	if p.memory == 0 || ahead == 0 {
+		return wait
+	}
+	lack := w.room + w.othersNow(now)*p.meanRoom + roomOf(prompt) - memoryPart*p.memory
+	return wait + max(0, lack)/p.meanRoom*p.meanRun/ahead
 }
 
+// roomOf is the memory that a request takes while it runs, in tokens.
+func roomOf(prompt kumquatlug.Prompt) float64 {
+	return float64(prompt.Input()) + outputPart*float64(prompt.Output())
+}
+
+// crowdCost is how much longer a request's output takes at w for those that are
+// there, in milliseconds.
+func (p *Placer) crowdCost(now kumquatlug.Millis, w *worker, prompt kumquatlug.Prompt) float64 {
+	return (float64(w.runs) + w.othersNow(now)) * streamCost * outputPart * float64(prompt.Output())
+}
+
+// SetMemory tells how many tokens an engine keeps in memory.
+func (p *Placer) SetMemory(tokens int) { p.memory = float64(tokens) }
+
 // Output chooses the engine that generates from a KV cache read elsewhere.
 func (p *Placer) Output(now kumquatlug.Millis, q Query) (Choice, bool) {
 	least, best, found := math.Inf(1), Choice{}, false
@@ -395,10 +454,11 @@
 			continue
 		}
 		wait := p.slotWait(now, w, q.Prompt)
-		cost := (wait+w.tokens/p.c.ReadRate)/p.health.Weight(now, w.member.Worker.ID()) + p.zonePrice(w)
+		cost := wait + p.crowdCost(now, w, q.Prompt) + w.tokens/p.c.ReadRate
+		cost = cost/p.health.Weight(now, w.member.Worker.ID()) + p.zonePrice(w)
 		if cost < least {
 			least, found = cost, true
-			best = Choice{worker: w.member.Worker, wait: wait}
+			best = Choice{worker: w.member.Worker, wait: wait, cost: cost}
 		}
 	}
 	return best, found
--- a/pkg/kumquatlug/placement/ticket.go
+++ b/pkg/kumquatlug/placement/ticket.go
@@ -8,6 +8,7 @@
 	id     string
 	apart  bool
 	tokens float64
+	room   float64
 	wait   float64
 	at     kumquatlug.Millis
 	read   bool
@@ -39,8 +40,12 @@
 	w.tokens += c.tokens
 	if c.apart {
 		w.reads++
+		w.addLoad(now, c.tokens)
 	} else {
+		t.room = roomOf(prompt)
 		w.runs++
+		w.room += t.room
+		p.meanRoom += meanStep * (max(t.room, 1) - p.meanRoom)
 	}
 	if c.tokens > 0 {
 		p.meanRead += meanStep * (c.tokens - p.meanRead)
@@ -87,6 +92,7 @@
 		t.worker.reads--
 	} else {
 		t.worker.runs--
+		t.worker.room -= t.room
 	}
 	if o == OutcomeRefused {
 		t.worker.refuse(now)
