--- a/pkg/kumquatlug/planner/split.go
+++ b/pkg/kumquatlug/planner/split.go
@@ -14,6 +14,9 @@
 	Zone   string
 	// Role is what it does, or what it was ordered to do.
 	Role kumquatlug.Role
+	// Busy is how many requests it has in hand. An engine takes another role
+	// only when the last one has ended.
+	Busy int
 }
 
 // KeepSplit returns the orders that bring a group to a fixed part of engines
@@ -56,8 +59,8 @@
 	return n
 }
 
-// crowded returns the index of an engine with this role in the data centre that
-// has most of them.
+// crowded returns the index of the least busy engine with this role in the data
+// centre that has most of them.
 func crowded(engines []SplitEngine, role kumquatlug.Role) int {
 	zones := map[string]int{}
 	for _, e := range engines {
@@ -67,7 +70,11 @@
 	}
 	best := -1
 	for i, e := range engines {
-		if e.Role == role && (best < 0 || zones[e.Zone] > zones[engines[best].Zone]) {
+		if e.Role != role {
+			continue
+		}
+		if best < 0 || zones[e.Zone] > zones[engines[best].Zone] ||
+			zones[e.Zone] == zones[engines[best].Zone] && e.Busy < engines[best].Busy {
 			best = i
 		}
 	}
