--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -6,7 +6,6 @@
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/health"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
-	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/planner"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/retry"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/routes"
 )
@@ -24,7 +23,6 @@
 // group is what is kept of one service.
 type group struct {
 	placer  *placement.Placer
-	balance *planner.Balance
 	repeats *retry.Shared
 	// patience is the longest that a client of a route has said to wait.
 	patience map[string]kumquatlug.Millis
@@ -60,7 +58,6 @@
 		}
 		s = &group{
 			placer:   placement.New(c),
-			balance:  planner.NewBalance(planner.BalanceConfig{Start: d.c.ReadPart}),
 			repeats:  retry.NewShared(d.c.Repeats),
 			patience: map[string]kumquatlug.Millis{},
 			turns:    map[uint64]chan placement.Due{},
@@ -168,8 +165,6 @@
 	g := d.at(service)
 	d.lastKey++
 	t := turn{key: d.lastKey}
-	reading, making := g.placer.Demand(q.Prompt)
-	g.balance.Offered(now, reading, making)
 	t.entry, t.choice, t.ticket = g.placer.Enter(now, t.key, q)
 	if t.entry == placement.EntryWaits {
 		t.due = make(chan placement.Due, 1)
@@ -219,19 +214,6 @@
 	}
 }
 
-// split returns the part of a service's engines that should read prompts, and
-// how busy each of these workers is for this front.
-func (d *desk) split(now kumquatlug.Millis, service string, workers []string) (float64, []int) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	g := d.at(service)
-	busy := make([]int, len(workers))
-	for i, id := range workers {
-		busy[i] = g.placer.Busy(id)
-	}
-	return g.balance.Part(now), busy
-}
-
 // said takes what a worker said of its load.
 func (d *desk) said(now kumquatlug.Millis, service, worker string, load kumquatlug.WorkerLoad) {
 	d.mu.Lock()
--- a/internal/gateway/give.go
+++ b/internal/gateway/give.go
@@ -28,8 +28,6 @@
 	orderTimeout = 800 * kumquatlug.Millis(1)
 	// wrongSpan is how long a split is wrong before an order is given.
 	wrongSpan = 1 * kumquatlug.Second
-	// mostGoing is how many engines may be on their way to another role at once.
-	mostGoing = 4
 	// settleSpan is how long an order counts as on its way. Some engines carry
 	// orders out twelve seconds late; a second order meanwhile is not wrong, as
 	// it names the count of orders that it presumes.
@@ -131,32 +129,18 @@
 			continue
 		}
 		engines, workers := v.engines(now, set.byService[name])
-		changes := planner.KeepSplit(engines, v.part(name, engines))
+		changes := planner.KeepSplit(engines, v.g.c.ReadPart)
 		if !v.lasting(now, name, len(changes) > 0) {
 			continue
 		}
 		for _, change := range changes {
-			if _, under := v.going[change.Target()]; !under && len(v.going) < mostGoing && ctx.Err() == nil {
+			if _, under := v.going[change.Target()]; !under && ctx.Err() == nil {
 				v.order(ctx, workers[change.Target()], change)
 			}
 		}
 	}
 }
 
-// part returns the part of the engines that should read prompts, and notes how
-// busy they are.
-func (v *giver) part(service string, engines []planner.SplitEngine) float64 {
-	names := make([]string, len(engines))
-	for i, e := range engines {
-		names[i] = e.Target
-	}
-	part, busy := v.g.desk.split(v.g.c.Clock.Now(), service, names)
-	for i := range engines {
-		engines[i].Busy = busy[i]
-	}
-	return part
-}
-
 // lasting reports that a split has been wrong for a while. While engines are
 // replaced one after the other each moment looks wrong in another way, and an
 // engine that was ordered away from its streams is gone for many seconds.
--- a/pkg/kumquatlug/placement/placement.go
+++ b/pkg/kumquatlug/placement/placement.go
@@ -80,9 +80,6 @@
 	// at a generating engine, in milliseconds: a step of the batch takes 0.0032
 	// ms longer with each request, and 0.0021 ms for each 1,000 tokens in memory.
 	streamCost = 0.008
-	// batchToken is the time of an engine that one token of output takes in a
-	// well filled batch, in milliseconds: a step of 1.1 ms for 48 requests.
-	batchToken = 0.023
 	// outputPart is the part of the greatest output that requests have on the
 	// average.
 	outputPart = 0.5
@@ -446,22 +443,6 @@
 	return (float64(w.runs) + w.othersNow(now)) * streamCost * outputPart * float64(prompt.Output())
 }
 
-// Demand returns the engine time that a prompt asks for, in milliseconds: to be
-// read where its shared parts are held, and to generate its output in a batch.
-func (p *Placer) Demand(prompt kumquatlug.Prompt) (reading, making float64) {
-	reading = p.own(prompt) / p.c.ReadRate * p.pace
-	making = outputPart * float64(prompt.Output()) * batchToken
-	return reading, making
-}
-
-// Busy returns how many requests of this front a worker has in hand.
-func (p *Placer) Busy(id string) int {
-	if w, known := p.workers[id]; known {
-		return w.reads + w.runs
-	}
-	return 0
-}
-
 // SetMemory tells how many tokens an engine keeps in memory.
 func (p *Placer) SetMemory(tokens int) { p.memory = float64(tokens) }
 
--- a/pkg/kumquatlug/planner/split.go
+++ b/pkg/kumquatlug/planner/split.go
@@ -14,9 +14,6 @@
 	Zone   string
 	// Role is what it does, or what it was ordered to do.
 	Role kumquatlug.Role
-	// Busy is how many requests it has in hand. An engine takes another role
-	// only when the last one has ended.
-	Busy int
 }
 
 // KeepSplit returns the orders that bring a group to a fixed part of engines
@@ -59,8 +56,8 @@
 	return n
 }
 
-// crowded returns the index of the least busy engine with this role in the data
-// centre that has most of them.
+// crowded returns the index of an engine with this role in the data centre that
+// has most of them.
 func crowded(engines []SplitEngine, role kumquatlug.Role) int {
 	zones := map[string]int{}
 	for _, e := range engines {
@@ -70,11 +67,7 @@
 	}
 	best := -1
 	for i, e := range engines {
-		if e.Role != role {
-			continue
-		}
-		if best < 0 || zones[e.Zone] > zones[engines[best].Zone] ||
-			zones[e.Zone] == zones[engines[best].Zone] && e.Busy < engines[best].Busy {
+		if e.Role == role && (best < 0 || zones[e.Zone] > zones[engines[best].Zone]) {
 			best = i
 		}
 	}
