Ask refused clients to come back as late as they allow

Cause: a client refused in an overload came back after 0.1 s, into the same overload, and was refused again. Ruled out: 0.3 s (equal within noise), a lower or equal urgency of late prompts at the engines (equal).

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -326,7 +326,7 @@
 	}
 	if s == stageWhole && choice.Wait() >= f.left() {
 		f.end(s, ticket, placement.OutcomeSilent)
-		return nil, choice, f.overload(choice)
+		return nil, choice, f.overload()
 	}
 	return ticket, choice, nil
 }
@@ -336,10 +336,12 @@
 	return &tried{whole: true, failure: f.truthful(refusal("place", "no_worker", 0, 0), "no_worker")}
 }
 
-// overload is the failure of a request that no worker can begin in time.
-func (f *flight) overload(c placement.Choice) *tried {
+// overload is the failure of a request that no worker can begin in time. It can
+// only be late when it comes back, so that it comes as late as clients allow: an
+// overload lasts for seconds.
+func (f *flight) overload() *tried {
 	return &tried{whole: true, failure: refusal(
-		"place", "overload", http.StatusServiceUnavailable, f.comeBack(c.Wait()-f.left()),
+		"place", "overload", http.StatusServiceUnavailable, f.comeBack(mostRetry),
 	)}
 }
 
@@ -355,12 +357,12 @@
 	case placement.EntryNobody:
 		return nil, t.choice, f.nobody()
 	case placement.EntryRefused:
-		return nil, t.choice, f.overload(t.choice)
+		return nil, t.choice, f.overload()
 	}
 	select {
 	case due := <-t.due:
 		if due.Ticket() == nil {
-			return nil, due.Choice(), f.overload(due.Choice())
+			return nil, due.Choice(), f.overload()
 		}
 		return due.Ticket(), due.Choice(), nil
 	case <-ctx.Done():
