--- a/cmd/kumquatlug/front.go
+++ b/cmd/kumquatlug/front.go
@@ -111,6 +111,9 @@
 	// may take before the collector works harder; stacks and buffers of the
 	// kernel need the rest.
 	memoryPart = 70
+	// bodiesPart is the part of the memory bound, as a divisor, that bodies of
+	// requests may take; each is copied once on its way.
+	bodiesPart = 6
 	// logWait is how long a stopping process waits for its last lines.
 	logWait = 200 * kumquatlug.Millis(1)
 	// keptToWorkers and keptToStore bound the idle connections to one peer.
@@ -132,8 +135,9 @@
 		Workers:     platform.NewWorkers(platform.WorkersConfig{Requests: requests, Control: control}),
 		ConfigTable: platform.ConfigTable, ConfigKey: platform.ConfigKey, MemberTable: platform.MemberTable,
 		Clock: now, Awake: clock.NewAwake(), Grace: given.Grace, OrderTurn: given.OrderTurn,
-		Repeats:  retry.SharedConfig{Ratio: given.RepeatRatio, Floor: given.RepeatFloor, Window: given.RepeatWindow},
-		ReadPart: s.readPart, Placement: s.place, Logger: logger, Registry: registry,
+		Repeats:   retry.SharedConfig{Ratio: given.RepeatRatio, Floor: given.RepeatFloor, Window: given.RepeatWindow},
+		MaxBodies: given.MemoryBytes / bodiesPart,
+		ReadPart:  s.readPart, Placement: s.place, Logger: logger, Registry: registry,
 		Sweep: func(keep func(string) bool) {
 			requests.Sweep(keep)
 			control.Sweep(keep)
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -239,8 +239,9 @@
 	g := New(Config{
 		Name: "n", Zone: "z", Incarnation: "i", Ingress: plainIngress{}, Directory: jsonDirectory{}, Workers: w, Table: noTable{},
 		Clock: now, Awake: now, Grace: 4000, OrderTurn: 100,
-		Repeats:  retry.SharedConfig{Floor: floor, Window: 10_000},
-		ReadPart: 0.5, Sweep: func(func(string) bool) {}, Logger: zap.NewNop(), Registry: prometheus.NewRegistry(),
+		Repeats:   retry.SharedConfig{Floor: floor, Window: 10_000},
+		MaxBodies: 1000,
+		ReadPart:  0.5, Sweep: func(func(string) bool) {}, Logger: zap.NewNop(), Registry: prometheus.NewRegistry(),
 	})
 	g.table.Store(testTable(7))
 	set := &memberSet{known: true, byService: map[string][]kumquatlug.Member{
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,6 +62,9 @@
 	OrderTurn kumquatlug.Millis
 	// Repeats bounds the repeats of all fronts to one service.
 	Repeats retry.SharedConfig
+	// MaxBodies bounds the bodies of all requests in hand together, in bytes;
+	// without it a few hundred large ones end the process for want of memory.
+	MaxBodies int64
 	// ReadPart is the part of the engines that read prompts apart.
 	ReadPart float64
 	// Placement tunes the choice of workers; Zone and Health are set here.
@@ -83,7 +86,9 @@
 	// leaveAt is when a front that was told to stop ends, zero for the others.
 	leaveAt atomic.Int64
 	held    atomic.Int64
-	calls   chan cleanup
+	// bodies is how many bytes of bodies are in hand.
+	bodies atomic.Int64
+	calls  chan cleanup
 }
 
 // cleanup is a KV cache that nobody will take.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -307,3 +307,17 @@
 		}
 	}
 }
+
+// Large bodies come faster than they are worked off. Kept without a bound they
+// end the process for want of memory, and all other requests with it.
+func TestBodiesAreBoundedTogether(t *testing.T) {
+	f := newFront(t, &fakeWorkers{}, manyRepeats)
+	f.g.bodies.Store(998)
+	answer := f.ask(context.Background(), http.MethodPost, post)
+	if answer.status != http.StatusServiceUnavailable || answer.header.Get("Retry-After") == "" {
+		t.Errorf("%+v", answer)
+	}
+	if n := f.g.bodies.Load(); n != 998 {
+		t.Errorf("%d bytes are counted after the refusal", n)
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -85,11 +85,17 @@
 	if table != nil && table.Limits().BodyBytes > 0 {
 		limit = table.Limits().BodyBytes
 	}
+	if g.bodies.Load()+max(r.ContentLength, 0) > g.c.MaxBodies {
+		g.refuse(w, kumquatlug.Ask{}, refusal("read request", "bodies", http.StatusServiceUnavailable, leastRetry))
+		return
+	}
 	ask, err := g.c.Ingress.Decode(r, limit)
 	if err != nil {
 		g.refuse(w, ask, kumquatlug.FailureOf(err))
 		return
 	}
+	g.bodies.Add(int64(len(ask.Body())))
+	defer g.bodies.Add(-int64(len(ask.Body())))
 	if table == nil {
 		g.refuse(w, ask, refusal("find route", "no_config", http.StatusServiceUnavailable, startRetry))
 		return
