Refuse a request that ended three workers, at every front

Cause: a request that crashes each worker that runs it was tried again by its front and came again through the others, without end. Ruled out: package quarantine's register alone: it needs agents that see what was in hand at a crash. Before: sent as long as it came.

--- a/cmd/kumquatlug/front.go
+++ b/cmd/kumquatlug/front.go
@@ -133,7 +133,7 @@
 		Name: given.Name, Zone: given.Zone, Incarnation: ulid.Make().String(), ReadyPath: platform.PathReady,
 		Ingress: platform.Ingress{}, Directory: platform.Directory{}, Table: store, Feed: store,
 		Workers:     platform.NewWorkers(platform.WorkersConfig{Requests: requests, Control: control}),
-		ConfigTable: platform.ConfigTable, ConfigKey: platform.ConfigKey, MemberTable: platform.MemberTable,
+		ConfigTable: platform.ConfigTable, ConfigKey: platform.ConfigKey, MemberTable: platform.MemberTable, CrashTable: platform.CrashTable,
 		Clock: now, Awake: clock.NewAwake(), Grace: given.Grace, OrderTurn: given.OrderTurn,
 		Repeats:   retry.SharedConfig{Ratio: given.RepeatRatio, Floor: given.RepeatFloor, Window: given.RepeatWindow},
 		MaxBodies: given.MemoryBytes / bodiesPart,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,6 +51,8 @@
 	// ConfigTable and ConfigKey name the operator's row, MemberTable the
 	// workers' rows.
 	ConfigTable, ConfigKey, MemberTable string
+	// CrashTable is the table in which fronts tell each other of crashes.
+	CrashTable string
 
 	Clock kumquatlug.Clock
 	// Awake is a clock that also counts the time in which the VM was suspended;
@@ -83,6 +85,7 @@
 	members atomic.Pointer[memberSet]
 	desk    *desk
 	metrics *metrics
+	crashes *crashes
 	// leaveAt is when a front that was told to stop ends, zero for the others.
 	leaveAt atomic.Int64
 	held    atomic.Int64
@@ -102,7 +105,9 @@
 
 // New returns a front.
 func New(c Config) *Gateway {
-	g := &Gateway{c: c, desk: newDesk(c), metrics: newMetrics(c.Registry), calls: make(chan cleanup, cleanupRing)}
+	g := &Gateway{
+		c: c, desk: newDesk(c), metrics: newMetrics(c.Registry), crashes: newCrashes(), calls: make(chan cleanup, cleanupRing),
+	}
 	g.members.Store(&memberSet{})
 	return g
 }
@@ -144,6 +149,8 @@
 	loop(g.keepHouse)
 	loop(g.freeCaches)
 	loop(g.watchLines)
+	loop(g.spreadCrashes)
+	loop(g.followCrashes)
 	g.c.Logger.Info("started", zap.String("zone", g.c.Zone), zap.String("incarnation", g.c.Incarnation))
 	err := group.Run()
 	g.c.Logger.Info("stopped", logs.Error(err))
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -102,6 +102,9 @@
 		outcome = placement.OutcomeSilent
 	}
 	f.end(stageOutput, t, outcome)
+	if outcome == placement.OutcomeFailed {
+		f.crashed(c.Worker().ID())
+	}
 	return &tried{worker: c.Worker().ID(), failure: kumquatlug.NewFailure(kumquatlug.FailureConfig{
 		Step: "relay", Peer: c.Worker().ID(), Reason: "answer_broken", Ran: kumquatlug.RanUnknown,
 		Status: http.StatusBadGateway, Cause: err,
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -120,6 +120,10 @@
 			return
 		}
 	}
+	if f.suspected() {
+		g.refuse(w, ask, refusal("quarantine", "quarantined", http.StatusServiceUnavailable, mostRetry))
+		return
+	}
 	f.serve(r.Context())
 }
 
@@ -455,6 +459,9 @@
 	failure := kumquatlug.FailureOf(err)
 	if failure.Ran() != kumquatlug.RanNot {
 		f.arrivals++
+		if outcome == placement.OutcomeFailed {
+			f.crashed(c.Worker().ID())
+		}
 	}
 	return &tried{failure: failure, worker: c.Worker().ID()}
 }
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -34,6 +34,8 @@
 	version int64
 	known   bool
 	rows    map[string]kumquatlug.Row
+	// changed are the rows of the last answer, removed ones without a value.
+	changed []kumquatlug.Row
 	// failedAt is when the store last failed; zero for never.
 	failedAt kumquatlug.Millis
 	lost     bool
@@ -70,7 +72,7 @@
 		for _, r := range rows {
 			f.rows[r.Key()] = r
 		}
-		f.version, f.known = version, true
+		f.version, f.known, f.changed = version, true, rows
 		return nil
 	}
 	wait := feedWait
@@ -81,6 +83,7 @@
 	if err != nil {
 		return err
 	}
+	f.changed = rows
 	for _, r := range rows {
 		if r.Exists() {
 			f.rows[r.Key()] = r
@@ -102,6 +105,7 @@
 func (f *follower) missed(now kumquatlug.Millis, err error) {
 	f.failedAt = now
 	f.known = false
+	f.changed = nil
 	f.g.metrics.store.WithLabelValues(f.table, "failed").Inc()
 	if f.lost && !errors.Is(err, kumquatlug.ErrNotFound) {
 		return
--- a/test/front/front_test.go
+++ b/test/front/front_test.go
@@ -465,3 +465,29 @@
 }
 
 func rowstoreFault(name string) rowstore.Fault { return rowstore.Fault(name) }
+
+// A request ends the worker that runs it, each time it comes. After three times
+// through one front the other one must refuse it, too; both would else go on
+// taking workers down, one after the other. Other requests are served.
+func TestARequestThatCrashesWorkersIsRefusedEverywhere(t *testing.T) {
+	s := newSite(t, site.Config{Plain: 2})
+	first, second := newFront(t, s, "front-1"), newFront(t, s, "front-2")
+	for _, w := range s.Plain {
+		w.SetFault(fleet.FaultLost)
+	}
+	for i := range 3 {
+		if got := first.post(fmt.Sprintf("bad-%d", i)); got.status != http.StatusBadGateway {
+			t.Fatalf("status %d of a request whose answer was lost", got.status)
+		}
+	}
+	eventually(t, "the other front refuses it", func() bool {
+		return second.post("bad-again").status == http.StatusServiceUnavailable
+	})
+	for _, w := range s.Plain {
+		w.SetFault(fleet.FaultNone)
+	}
+	if got := first.post("bad-last"); got.status != http.StatusServiceUnavailable || total(s.Plain, "bad-last") != 0 {
+		t.Errorf("status %d, ran %d times", got.status, total(s.Plain, "bad-last"))
+	}
+	wantWhole(t, second.look("good"), fleet.Body("good"))
+}
