--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -179,11 +179,9 @@
 
 // answered tells that the client has a worker's answer.
 func (f *flight) answered(c placement.Choice, status int) {
-	now := f.g.c.Clock.Now()
 	f.g.metrics.answers.WithLabelValues("answered").Inc()
-	f.g.c.Logger.Info("answered", zap.String("request", f.ask.ID()), zap.String("route", f.route.Name()),
-		zap.String("worker", c.Worker().ID()), zap.Int("status", status), zap.Int("tries", f.tries+1),
-		zap.Int64("took_ms", int64(now-f.arrived)), zap.Object("steps", f.steps()))
+	f.g.c.Logger.Info("answered", zap.String("request", f.ask.ID()), zap.String("worker", c.Worker().ID()),
+		zap.Int("status", status), zap.Int("tries", f.tries+1), zap.Inline(fields(f.about())), zap.Object("steps", f.steps()))
 }
 
 // steps tells how long each step of a request took, in milliseconds.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
@@ -42,6 +43,8 @@
 	ask     kumquatlug.Ask
 	route   kumquatlug.Route
 	service kumquatlug.Service
+	// version is the config's.
+	version int64
 	arrived kumquatlug.Millis
 	// until is when the client gives up or the route's timeout ends.
 	until kumquatlug.Millis
@@ -110,7 +113,7 @@
 		g.refuse(w, ask, refusal("find service", "no_service", http.StatusServiceUnavailable, mostRetry))
 		return
 	}
-	f := &flight{g: g, w: w, ask: ask, route: route, service: service, arrived: arrived, last: ask.Resume()}
+	f := &flight{g: g, w: w, ask: ask, route: route, service: service, version: table.Version(), arrived: arrived, last: ask.Resume()}
 	if leave := kumquatlug.Millis(g.leaveAt.Load()); leave != 0 {
 		// The client's next request comes over a new connection, to a front that
 		// stays.
@@ -151,11 +154,11 @@
 }
 
 // refuse gives a final answer of our own.
-func (g *Gateway) refuse(w http.ResponseWriter, ask kumquatlug.Ask, f *kumquatlug.Failure) {
+func (g *Gateway) refuse(w http.ResponseWriter, ask kumquatlug.Ask, f *kumquatlug.Failure, about ...zap.Field) {
 	g.metrics.answers.WithLabelValues(f.Reason()).Inc()
 	g.c.Logger.Info("refused", zap.String("request", ask.ID()), zap.String("step", f.Step()),
 		zap.String("reason", f.Reason()), zap.String("ran", string(f.Ran())), zap.Int("status", f.Status()),
-		zap.Int64("retry_after_ms", int64(f.RetryAfter())), zap.String("cause", f.CauseText()))
+		zap.Int64("retry_after_ms", int64(f.RetryAfter())), zap.String("cause", f.CauseText()), zap.Inline(fields(about)))
 	g.c.Ingress.Refuse(w, ask, f)
 }
 
@@ -208,7 +211,7 @@
 	f.log("attempt failed", t)
 	switch {
 	case ctx.Err() != nil || f.left() <= 0:
-		return f.timedOut(t.failure)
+		return f.over(ctx, t.failure)
 	case t.whole || f.tries >= maxTries:
 		return t.failure
 	case f.runs > 0 && !f.route.Repeatable():
@@ -247,13 +250,22 @@
 	return kumquatlug.NewFailure(c)
 }
 
-// timedOut is the answer of a request whose time is over.
-func (f *flight) timedOut(cause *kumquatlug.Failure) *kumquatlug.Failure {
+// over is the answer of a request whose time is over, or whose client or front
+// is going.
+func (f *flight) over(ctx context.Context, cause *kumquatlug.Failure) *kumquatlug.Failure {
+	reason := "deadline"
+	switch {
+	case !errors.Is(ctx.Err(), context.Canceled):
+	case f.g.stopping():
+		reason = "stopping"
+	default:
+		reason = "client_left"
+	}
 	if f.runs == 0 {
-		return refusal("serve", "deadline", http.StatusServiceUnavailable, 0)
+		return refusal("serve", reason, http.StatusServiceUnavailable, 0)
 	}
 	return kumquatlug.NewFailure(kumquatlug.FailureConfig{
-		Step: "serve", Reason: "deadline", Ran: kumquatlug.RanUnknown, Status: http.StatusGatewayTimeout, Cause: cause,
+		Step: "serve", Reason: reason, Ran: kumquatlug.RanUnknown, Status: http.StatusGatewayTimeout, Cause: cause,
 	})
 }
 
@@ -275,7 +287,28 @@
 		f.g.metrics.answers.WithLabelValues("client_left").Inc()
 		return
 	}
-	f.g.refuse(f.w, f.ask, f.truthful(final, final.Reason()))
+	f.g.refuse(f.w, f.ask, f.truthful(final, final.Reason()), f.about()...)
+}
+
+// about tells of a request what its log lines have in common: the route and the
+// version of the config that chose it, and the time taken and left.
+func (f *flight) about() []zap.Field {
+	now := f.g.c.Clock.Now()
+	return []zap.Field{
+		zap.String("route", f.route.Name()), zap.Int64("config", f.version),
+		zap.Int64("took_ms", int64(now-f.arrived)), zap.Int64("left_ms", int64(f.until-now)),
+	}
+}
+
+// fields are log fields that are written together.
+type fields []zap.Field
+
+// MarshalLogObject writes each field.
+func (fs fields) MarshalLogObject(e zapcore.ObjectEncoder) error {
+	for _, f := range fs {
+		f.AddTo(e)
+	}
+	return nil
 }
 
 // attempt makes one attempt; nil means that the client has its answer.
@@ -336,7 +369,7 @@
 	}
 	if s == stageWhole && choice.Wait() >= f.left() {
 		f.end(s, ticket, placement.OutcomeSilent)
-		return nil, choice, f.overload()
+		return nil, choice, f.overload(choice)
 	}
 	return ticket, choice, nil
 }
@@ -349,10 +382,11 @@
 // overload is the failure of a request that no worker can begin in time. It can
 // only be late when it comes back, so that it comes as late as clients allow: an
 // overload lasts for seconds.
-func (f *flight) overload() *tried {
-	return &tried{whole: true, failure: refusal(
-		"place", "overload", http.StatusServiceUnavailable, f.comeBack(mostRetry),
-	)}
+func (f *flight) overload(c placement.Choice) *tried {
+	return &tried{whole: true, failure: kumquatlug.NewFailure(kumquatlug.FailureConfig{
+		Step: "place", Peer: c.Worker().ID(), Reason: "overload", Ran: kumquatlug.RanNot, RetryAfter: f.comeBack(mostRetry),
+		Cause: errors.Newf("expected wait of %d ms at its engine", c.Wait()),
+	})}
 }
 
 // enter brings the prompt to an engine, when its turn has come.
@@ -367,12 +401,12 @@
 	case placement.EntryNobody:
 		return nil, t.choice, f.nobody()
 	case placement.EntryRefused:
-		return nil, t.choice, f.overload()
+		return nil, t.choice, f.overload(t.choice)
 	}
 	select {
 	case due := <-t.due:
 		if due.Ticket() == nil {
-			return nil, due.Choice(), f.overload()
+			return nil, due.Choice(), f.overload(due.Choice())
 		}
 		return due.Ticket(), due.Choice(), nil
 	case <-ctx.Done():
@@ -505,8 +539,8 @@
 
 // log writes one line on what became of an attempt.
 func (f *flight) log(what string, t *tried) {
-	f.g.c.Logger.Info(what, zap.String("request", f.ask.ID()), zap.String("route", f.route.Name()),
-		zap.String("worker", t.worker), zap.String("step", t.failure.Step()), zap.String("reason", t.failure.Reason()),
-		zap.String("ran", string(t.failure.Ran())), zap.Int("tries", f.tries), zap.Int64("left_ms", int64(f.left())),
-		zap.String("cause", t.failure.CauseText()))
+	f.g.c.Logger.Info(what, zap.String("request", f.ask.ID()), zap.String("worker", t.worker),
+		zap.String("step", t.failure.Step()), zap.String("reason", t.failure.Reason()),
+		zap.String("ran", string(t.failure.Ran())), zap.Int("tries", f.tries),
+		zap.String("cause", t.failure.CauseText()), zap.Inline(fields(f.about())))
 }
