--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,238 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
+)
+
+// attempt makes one attempt; nil means that the client has its answer.
+func (f *flight) attempt(ctx context.Context) *tried {
+	if f.service.Engine() {
+		return f.generate(ctx)
+	}
+	ticket, choice, failed := f.choose(stageWhole)
+	if failed != nil {
+		return failed
+	}
+	return f.run(ctx, choice, ticket, kumquatlug.KVCache{})
+}
+
+func (f *flight) query() placement.Query {
+	q := placement.Query{Prompt: f.ask.Prompt(), Exclude: f.exclude, Until: f.until}
+	if target := f.route.Target(); target > 0 {
+		q.Target = f.arrived - f.trying + target
+	}
+	return q
+}
+
+// generate has the prompt read and the output made, at one engine or at two.
+func (f *flight) generate(ctx context.Context) *tried {
+	ticket, choice, failed := f.enter(ctx)
+	if failed != nil {
+		return failed
+	}
+	f.times.entered = f.g.c.Clock.Now()
+	if !choice.Apart() {
+		return f.run(ctx, choice, ticket, kumquatlug.KVCache{})
+	}
+	f.times.expected, f.times.reader = choice.Wait(), choice.Worker().ID()
+	cache, failed := f.prefill(ctx, choice, ticket)
+	if failed != nil {
+		return failed
+	}
+	ticket, choice, failed = f.choose(stageOutput)
+	if failed != nil {
+		f.g.free(cache)
+		return failed
+	}
+	failed = f.run(ctx, choice, ticket, cache)
+	if failed != nil && failed.failure.Ran() == kumquatlug.RanNot {
+		f.g.free(cache)
+	}
+	return failed
+}
+
+// choose picks a worker, or tells that there is none.
+func (f *flight) choose(s stage) (*placement.Ticket, placement.Choice, *tried) {
+	if failed := f.pay(); failed != nil {
+		return nil, placement.Choice{}, failed
+	}
+	choice, ticket := f.g.desk.choose(f.g.c.Clock.Now(), f.service.Name(), s, f.query())
+	if ticket == nil {
+		return nil, choice, f.nobody()
+	}
+	if s == stageWhole && choice.Wait() >= f.left() {
+		f.end(s, ticket, placement.OutcomeSilent)
+		return nil, choice, f.overload(choice)
+	}
+	return ticket, choice, nil
+}
+
+// nobody is the failure of a request for which there is no worker.
+func (f *flight) nobody() *tried {
+	return &tried{whole: true, failure: f.truthful(refusal("place", "no_worker", 0, 0), "no_worker")}
+}
+
+// overload is the failure of a request that no worker can begin in time. It can
+// only be late when it comes back, so that it comes as late as clients allow: an
+// overload lasts for seconds.
+func (f *flight) overload(c placement.Choice) *tried {
+	return &tried{whole: true, failure: kumquatlug.NewFailure(kumquatlug.FailureConfig{
+		Step: "place", Peer: c.Worker().ID(), Reason: "overload", Ran: kumquatlug.RanNot, RetryAfter: f.comeBack(mostRetry),
+		Cause: errors.Newf("expected wait of %d ms at its engine", c.Wait()),
+	})}
+}
+
+// enter brings the prompt to an engine, when its turn has come.
+func (f *flight) enter(ctx context.Context) (*placement.Ticket, placement.Choice, *tried) {
+	if failed := f.pay(); failed != nil {
+		return nil, placement.Choice{}, failed
+	}
+	t := f.g.desk.enter(f.g.c.Clock.Now(), f.service.Name(), f.query())
+	switch t.entry {
+	case placement.EntrySent:
+		return t.ticket, t.choice, nil
+	case placement.EntryNobody:
+		return nil, t.choice, f.nobody()
+	case placement.EntryRefused:
+		return nil, t.choice, f.overload(t.choice)
+	}
+	select {
+	case due := <-t.due:
+		if due.Ticket() == nil {
+			return nil, due.Choice(), f.overload(due.Choice())
+		}
+		return due.Ticket(), due.Choice(), nil
+	case <-ctx.Done():
+		f.g.desk.leave(f.g.c.Clock.Now(), f.service.Name(), t)
+		return nil, t.choice, &tried{whole: true, failure: refusal("wait", "client_left", http.StatusServiceUnavailable, 0)}
+	}
+}
+
+// Urgencies at an engine, 0 first. Requests that can still make their target
+// latency go before those that can't: serving the late ones first would make
+// the others late, too.
+const (
+	urgencyInTime = 3
+	urgencyLate   = 6
+	urgencyLast   = 9
+)
+
+func (f *flight) sending(choice placement.Choice) kumquatlug.Sending {
+	now := f.g.c.Clock.Now()
+	urgency := urgencyInTime
+	target := f.route.Target()
+	if target > 0 && f.trying+now-f.arrived+choice.Wait() > target {
+		urgency = urgencyLate
+	}
+	return kumquatlug.Sending{
+		Left: f.left(), Resume: f.last, Urgency: min(urgency+f.route.Priority(), urgencyLast),
+	}
+}
+
+// Figures of an attempt that is given up in favour of another worker.
+const (
+	// leastPatience is far above an answer's usual time, so that only a worker
+	// that fell silent or behind reaches it.
+	leastPatience = 900 * kumquatlug.Millis(1)
+	// patienceFactor is how many times the expected wait is waited.
+	patienceFactor = 4
+)
+
+// patience is how long an attempt may take until its first output, where
+// another worker could still answer in time.
+func (f *flight) patience(c placement.Choice) kumquatlug.Millis {
+	return min(f.left(), max(leastPatience, patienceFactor*c.Wait()))
+}
+
+// prefill has an engine read the prompt.
+func (f *flight) prefill(ctx context.Context, c placement.Choice, t *placement.Ticket) (kumquatlug.KVCache, *tried) {
+	call, cancel := context.WithTimeout(ctx, f.patience(c).Duration())
+	defer cancel()
+	cache, reply, err := f.g.c.Workers.Prefill(call, c.Worker(), f.ask, f.sending(c))
+	id := c.Worker().ID()
+	if err != nil {
+		// Reading a prompt runs nothing, whatever became of it.
+		failed := f.failed(ctx, stagePrompt, c, t, err)
+		failed.failure = failed.failure.WithRan(kumquatlug.RanNot)
+		return cache, failed
+	}
+	f.g.desk.said(f.g.c.Clock.Now(), f.service.Name(), id, reply.Load())
+	if reply.Status() != http.StatusOK || cache.Handle() == "" {
+		failed := f.turnedDown(stagePrompt, c, t, reply)
+		return cache, failed
+	}
+	if f.read {
+		f.arrivals++
+	}
+	f.read = true
+	f.times.read = f.g.c.Clock.Now()
+	f.end(stagePrompt, t, placement.OutcomeGood)
+	return cache, nil
+}
+
+// end records the end of an attempt.
+func (f *flight) end(s stage, t *placement.Ticket, o placement.Outcome) {
+	f.g.metrics.attempts.WithLabelValues(string(s), string(o)).Inc()
+	f.g.desk.end(f.g.c.Clock.Now(), f.service.Name(), t, o)
+}
+
+// failed records an attempt that brought no answer.
+func (f *flight) failed(ctx context.Context, s stage, c placement.Choice, t *placement.Ticket, err error) *tried {
+	outcome := placement.OutcomeFailed
+	if ctx.Err() != nil {
+		outcome = placement.OutcomeSilent
+	}
+	f.end(s, t, outcome)
+	failure := kumquatlug.FailureOf(err)
+	if failure.Ran() != kumquatlug.RanNot {
+		f.arrivals++
+		if outcome == placement.OutcomeFailed {
+			f.crashed(c.Worker().ID())
+		}
+	}
+	return &tried{failure: failure, worker: c.Worker().ID()}
+}
+
+// turnedDown records an attempt that the worker refused, and drops its answer.
+func (f *flight) turnedDown(s stage, c placement.Choice, t *placement.Ticket, reply kumquatlug.Reply) *tried {
+	reply.Body().Close()
+	f.arrivals++
+	f.end(s, t, placement.OutcomeRefused)
+	return &tried{worker: c.Worker().ID(), failure: kumquatlug.NewFailure(kumquatlug.FailureConfig{
+		Step: string(s), Peer: c.Worker().ID(), Reason: "worker_refused", Ran: kumquatlug.RanNot,
+		Status: http.StatusServiceUnavailable, RetryAfter: f.comeBack(leastRetry * 2),
+	})}
+}
+
+// run makes an attempt that runs the request, and hands the answer on.
+func (f *flight) run(ctx context.Context, c placement.Choice, t *placement.Ticket, cache kumquatlug.KVCache) *tried {
+	s := f.sending(c)
+	s.Cache = cache
+	call, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if f.route.Repeatable() && f.runs+1 < f.route.Workers() {
+		// A worker that is silent holds the request until its deadline.
+		stop := time.AfterFunc(f.patience(c).Duration(), cancel)
+		defer stop.Stop()
+		f.heard = func() { stop.Stop() }
+	} else {
+		f.heard = func() {}
+	}
+	reply, err := f.g.c.Workers.Run(call, c.Worker(), f.ask, s)
+	if err != nil {
+		return f.failed(ctx, stageOutput, c, t, err)
+	}
+	f.g.desk.said(f.g.c.Clock.Now(), f.service.Name(), c.Worker().ID(), reply.Load())
+	if reply.Refused() {
+		return f.turnedDown(stageOutput, c, t, reply)
+	}
+	f.arrivals++
+	return f.relay(ctx, c, t, reply)
+}
--- a/internal/gateway/give.go
+++ b/internal/gateway/give.go
@@ -163,7 +163,8 @@
 	var engines []planner.SplitEngine
 	workers := map[string]kumquatlug.Worker{}
 	for _, m := range members {
-		if m.State != kumquatlug.MemberReady {
+		if m.State != kumquatlug.MemberReady || m.Role == "" {
+			// An engine that names no role takes no orders to change it.
 			continue
 		}
 		id, role := m.Worker.ID(), m.Role
--- a/internal/gateway/suspect.go
+++ b/internal/gateway/suspect.go
@@ -50,26 +50,26 @@
 func (f *flight) suspected() bool {
 	c := f.g.crashes
 	c.mu.Lock()
-	any := c.suspects.Any()
+	none := !c.suspects.Any()
 	c.mu.Unlock()
-	if !any {
+	if none {
 		return false
 	}
-	print := f.fingerprint()
+	fingerprint := f.fingerprint()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.suspects.Refused(f.g.c.Clock.Now(), print)
+	return c.suspects.Refused(f.g.c.Clock.Now(), fingerprint)
 }
 
 // crashed notes that a worker ended its connection without an answer.
 func (f *flight) crashed(worker string) {
-	print := f.fingerprint()
+	fingerprint := f.fingerprint()
 	c := f.g.crashes
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.count++
-	name := fmt.Sprintf("%s/%s-%s-%d", print, worker, f.g.c.Incarnation, c.count)
-	c.suspects.Crashed(f.g.c.Clock.Now(), print, name)
+	name := fmt.Sprintf("%s/%s-%s-%d", fingerprint, worker, f.g.c.Incarnation, c.count)
+	c.suspects.Crashed(f.g.c.Clock.Now(), fingerprint, name)
 	if len(c.untold) < crashRows {
 		c.untold = append(c.untold, name)
 	}
@@ -117,8 +117,8 @@
 		defer g.crashes.mu.Unlock()
 		for _, row := range f.changed {
 			name := strings.TrimPrefix(row.Key(), crashPrefix)
-			if print, _, ok := strings.Cut(name, "/"); ok && row.Exists() {
-				g.crashes.suspects.Crashed(now, quarantine.Fingerprint(print), name)
+			if text, _, ok := strings.Cut(name, "/"); ok && row.Exists() {
+				g.crashes.suspects.Crashed(now, quarantine.Fingerprint(text), name)
 			}
 		}
 		g.crashes.suspects.Forget(now)
--- /dev/null
+++ b/pkg/kumquatlug/placement/choose.go
@@ -0,0 +1,165 @@
+package placement
+
+import (
+	"math"
+	"slices"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+// Query asks for a worker.
+type Query struct {
+	Prompt kumquatlug.Prompt
+	// Exclude are workers not to be chosen.
+	Exclude []string
+	// Target is when the first output is due for its full worth, Until when the
+	// client gives up; zero for never.
+	Target kumquatlug.Millis
+	Until  kumquatlug.Millis
+}
+
+// Choice is the answer to a [Query].
+type Choice struct {
+	worker kumquatlug.Worker
+	apart  bool
+	tokens float64
+	wait   float64
+	cost   float64
+}
+
+// Worker returns whom to call.
+func (c Choice) Worker() kumquatlug.Worker { return c.worker }
+
+// Apart reports that the worker only reads the prompt and another one is to be
+// chosen for the output.
+func (c Choice) Apart() bool { return c.apart }
+
+// Tokens returns how many tokens of the prompt are believed to be read anew.
+func (c Choice) Tokens() float64 { return c.tokens }
+
+// Wait returns the expected span until the first output.
+func (c Choice) Wait() kumquatlug.Millis { return kumquatlug.Millis(c.wait) }
+
+// usable reports whether a worker may be given new work of a role. An engine
+// that names no role reads and generates.
+func (p *Placer) usable(now kumquatlug.Millis, w *worker, q Query, role kumquatlug.Role) bool {
+	id := w.member.Worker.ID()
+	has := w.member.Role == role || role == kumquatlug.RoleDecode && w.member.Role == ""
+	return w.member.State == kumquatlug.MemberReady && has && now >= w.until &&
+		!slices.Contains(q.Exclude, id) && p.health.Weight(now, id) > 0
+}
+
+// Plain chooses the worker of a plain service with the least expected wait.
+func (p *Placer) Plain(now kumquatlug.Millis, q Query) (Choice, bool) {
+	var best Choice
+	least, found := math.Inf(1), false
+	for _, w := range p.list {
+		if !p.usable(now, w, q, w.member.Role) {
+			continue
+		}
+		ahead := float64(w.runs) + w.othersNow(now)
+		slots := float64(max(w.member.Slots, 1))
+		wait := max(0, ahead+1-slots) / slots * p.meanTime
+		cost := (wait + ahead/slots + p.zonePrice(w)) / p.health.Weight(now, w.member.Worker.ID())
+		if cost < least {
+			least, found = cost, true
+			best = Choice{worker: w.member.Worker, wait: wait}
+		}
+	}
+	return best, found
+}
+
+// Prompt chooses where a prompt is read: apart from its output, or by the
+// engine that then generates.
+func (p *Placer) Prompt(now kumquatlug.Millis, q Query) (Choice, bool) {
+	output, can := p.Output(now, Query{Prompt: q.Prompt})
+	if !can {
+		return Choice{}, false
+	}
+	mixed, mixedCost, also := p.mixed(now, q)
+	apart, apartCost, found := p.reader(now, q)
+	if !found || also && mixedCost < apartCost+output.cost {
+		return mixed, also
+	}
+	apart.wait += output.wait
+	return apart, true
+}
+
+// reader finds the engine to read the prompt apart.
+func (p *Placer) reader(now kumquatlug.Millis, q Query) (Choice, float64, bool) {
+	key := chainKey(q.Prompt)
+	home, homeKey := (*worker)(nil), uint64(0)
+	for _, w := range p.list {
+		if !p.usable(now, w, q, kumquatlug.RolePrefill) {
+			continue
+		}
+		if h := mix(key ^ w.hash); home == nil || h > homeKey {
+			home, homeKey = w, h
+		}
+	}
+	if home == nil {
+		return Choice{}, 0, false
+	}
+	least, best := math.Inf(1), Choice{}
+	for _, w := range p.list {
+		if !p.usable(now, w, q, kumquatlug.RolePrefill) {
+			continue
+		}
+		weight := p.health.Weight(now, w.member.Worker.ID())
+		fresh := p.unheld(now, w, q.Prompt, w == home)
+		wait := (p.backlog(now, w) + fresh) / p.c.ReadRate * p.pace / weight
+		away := fresh - p.own(q.Prompt)
+		cost := wait + p.c.AwayPrice*away/p.c.ReadRate + p.zonePrice(w)
+		if w != home {
+			cost += rankCost * (1 - float64(mix(key^w.hash))/math.MaxUint64)
+		}
+		if cost < least {
+			least = cost
+			best = Choice{worker: w.member.Worker, apart: true, tokens: fresh, wait: wait + p.c.TransferCost}
+		}
+	}
+	return best, least + p.c.TransferCost, true
+}
+
+// mixed finds the engine to read the prompt and generate.
+func (p *Placer) mixed(now kumquatlug.Millis, q Query) (Choice, float64, bool) {
+	least, best, found := math.Inf(1), Choice{}, false
+	for _, w := range p.list {
+		if !p.usable(now, w, q, kumquatlug.RoleDecode) {
+			continue
+		}
+		fresh, rate := p.unheld(now, w, q.Prompt, false), p.c.ReadRate
+		if w.member.Role == kumquatlug.RoleDecode {
+			rate *= p.c.MixedPart
+		}
+		read := fresh / rate
+		wait := w.tokens/rate + read + p.slotWait(now, w, q.Prompt)
+		weight := p.health.Weight(now, w.member.Worker.ID())
+		taken := (float64(w.runs) + w.othersNow(now)) / float64(max(w.member.Slots, 1))
+		disturbed := max(0, fresh-smallRead) / rate
+		cost := (wait+p.crowdCost(now, w, q.Prompt))/weight + p.c.MixedPrice*taken*disturbed + p.zonePrice(w)
+		if cost < least {
+			least, found = cost, true
+			best = Choice{worker: w.member.Worker, tokens: fresh, wait: wait}
+		}
+	}
+	return best, least, found
+}
+
+// Output chooses the engine that generates from a KV cache read elsewhere.
+func (p *Placer) Output(now kumquatlug.Millis, q Query) (Choice, bool) {
+	least, best, found := math.Inf(1), Choice{}, false
+	for _, w := range p.list {
+		if !p.usable(now, w, q, kumquatlug.RoleDecode) {
+			continue
+		}
+		wait := p.slotWait(now, w, q.Prompt)
+		cost := wait + p.crowdCost(now, w, q.Prompt) + w.tokens/p.c.ReadRate
+		cost = cost/p.health.Weight(now, w.member.Worker.ID()) + p.zonePrice(w)
+		if cost < least {
+			least, found = cost, true
+			best = Choice{worker: w.member.Worker, wait: wait, cost: cost}
+		}
+	}
+	return best, found
+}
--- /dev/null
+++ b/pkg/kumquatlug/placement/cost.go
@@ -0,0 +1,102 @@
+package placement
+
+import (
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+// othersNow is how many requests of other fronts are believed to be in hand.
+func (w *worker) othersNow(now kumquatlug.Millis) float64 {
+	return w.others * math.Exp(-float64(now-w.saidAt)/reportAge)
+}
+
+// zonePrice is what a worker in another data centre costs, in milliseconds.
+func (p *Placer) zonePrice(w *worker) float64 {
+	if w.member.Zone == p.c.Zone {
+		return 0
+	}
+	return p.c.ZonePrice
+}
+
+// backlog is how many tokens are to be read at w before a new prompt. The lines
+// of the other fronts are taken to be as long as this one's.
+func (p *Placer) backlog(now kumquatlug.Millis, w *worker) float64 {
+	return p.inHand(now, w) + p.fronts*w.lineTokens()
+}
+
+// own is how many tokens of a prompt no other request shares.
+func (p *Placer) own(prompt kumquatlug.Prompt) float64 {
+	shared := 0
+	for _, part := range prompt.Shared() {
+		shared += part.Tokens()
+	}
+	return float64(max(prompt.Input()-shared, 0))
+}
+
+// unheld is how many tokens of a prompt w has to read. A chain's home is taken
+// to hold it: the other fronts send it there, too.
+func (p *Placer) unheld(now kumquatlug.Millis, w *worker, prompt kumquatlug.Prompt, home bool) float64 {
+	if home {
+		return p.own(prompt)
+	}
+	left := prompt.Input()
+	for _, part := range prompt.Shared() {
+		at, held := w.held[part.ID()]
+		if !held || now-at > keptFor {
+			break
+		}
+		left -= part.Tokens()
+	}
+	return float64(max(left, 0))
+}
+
+// slotWait is how long a request waits for its place in the batch at w: beyond
+// the slots, until requests before it have ended.
+func (p *Placer) slotWait(now kumquatlug.Millis, w *worker, prompt kumquatlug.Prompt) float64 {
+	ahead := float64(w.runs) + w.othersNow(now)
+	slots := float64(w.member.Slots)
+	if prompt.Output() > fewTokens {
+		slots -= freeSlots
+	}
+	wait := max(0, ahead+1-slots) * p.meanRun / max(slots, 1)
+	if p.memory == 0 || ahead == 0 {
+		return wait
+	}
+	lack := w.room + w.othersNow(now)*p.meanRoom + roomOf(prompt) - memoryPart*p.memory
+	return wait + max(0, lack)/p.meanRoom*p.meanRun/ahead
+}
+
+// roomOf is the memory that a request takes while it runs, in tokens.
+func roomOf(prompt kumquatlug.Prompt) float64 {
+	return float64(prompt.Input()) + outputPart*float64(prompt.Output())
+}
+
+// crowdCost is how much longer a request's output takes at w for those that are
+// there, in milliseconds.
+func (p *Placer) crowdCost(now kumquatlug.Millis, w *worker, prompt kumquatlug.Prompt) float64 {
+	return (float64(w.runs) + w.othersNow(now)) * streamCost * outputPart * float64(prompt.Output())
+}
+
+// chainKey names the chain of parts that a prompt shares with others.
+func chainKey(prompt kumquatlug.Prompt) uint64 {
+	d := xxhash.New()
+	for _, part := range prompt.Shared() {
+		// A digest takes every byte and never fails.
+		_, _ = d.WriteString(part.ID())
+		_, _ = d.WriteString(",")
+	}
+	return d.Sum64()
+}
+
+// mix spreads the bits of a key, so that the order of workers differs between
+// keys that differ in one bit.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
