--- a/internal/gateway/flight.go
+++ b/internal/gateway/flight.go
@@ -48,6 +48,8 @@
 	// entered: its turn at an engine came; read: its prompt was read apart;
 	// first: its first output came.
 	entered, read, first kumquatlug.Millis
+	// passed is when the last events went on, gap the longest pause before any.
+	passed, gap kumquatlug.Millis
 	// expected is how long reading was expected to take.
 	expected kumquatlug.Millis
 	reader   string
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -172,6 +172,11 @@
 	if id, found := lastID(events); found {
 		f.last = id
 	}
+	now := f.g.c.Clock.Now()
+	if f.times.passed != 0 {
+		f.times.gap = max(f.times.gap, now-f.times.passed)
+	}
+	f.times.passed = now
 	f.g.c.Logger.Debug("events passed", zap.String("request", f.ask.ID()), zap.String("worker", c.Worker().ID()),
 		zap.Int64("last", f.last), zap.Int("bytes", len(events)), zap.ByteString("text", events))
 	return nil
@@ -197,6 +202,9 @@
 		add("line", f.times.entered)
 		add("read", f.times.read)
 		add("first", f.times.first)
+		if f.times.passed != 0 {
+			e.AddInt64("longest_pause", int64(f.times.gap))
+		}
 		if f.times.read != 0 {
 			e.AddInt64("read_expected", int64(f.times.expected))
 			e.AddString("reader", f.times.reader)
