--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -26,6 +26,12 @@
 	// returnSpan is how long after the store's return an entry that lapsed while
 	// it was away may still be missing: workers write it anew within two seconds.
 	returnSpan = 2300 * kumquatlug.Millis(1)
+	// applyPace is how long a front lets changes of a table gather, in rows known
+	// for each millisecond: taking one in costs a look at all of them, and at
+	// thousands of workers that start together each would come alone.
+	applyPace = 20
+	// mostPace bounds that; a change must be in force within two seconds.
+	mostPace = 150 * kumquatlug.Millis(1)
 	// returnWait is the wait within that span, so that its end is noticed.
 	returnWait = 300 * kumquatlug.Millis(1)
 )
@@ -54,6 +60,7 @@
 		if err == nil {
 			f.regained(now)
 			apply(now)
+			sleep(ctx, min(kumquatlug.Millis(len(f.rows)/applyPace), mostPace))
 			continue
 		}
 		if ctx.Err() != nil {
--- a/pkg/kumquatlug/planner/split.go
+++ b/pkg/kumquatlug/planner/split.go
@@ -33,7 +33,7 @@
 	want := int(math.Round(part * float64(len(sorted))))
 	want = min(max(want, 1), len(sorted)-1)
 	var changes []kumquatlug.RoleChange
-	for excess := count(sorted, kumquatlug.RolePrefill) - want; excess != 0; {
+	for excess := count(sorted, kumquatlug.RolePrefill) - want; excess != 0 && len(changes) < mostChanges; {
 		from, to, step := kumquatlug.RolePrefill, kumquatlug.RoleDecode, 1
 		if excess < 0 {
 			from, to, step = kumquatlug.RoleDecode, kumquatlug.RolePrefill, -1
@@ -46,6 +46,11 @@
 	return changes
 }
 
+// mostChanges is how many changes one plan holds. Orders are given one after the
+// other, some milliseconds each; a longer list would be out of date at its end,
+// and working it out for thousands of engines holds its owner up.
+const mostChanges = 16
+
 func count(engines []SplitEngine, role kumquatlug.Role) int {
 	n := 0
 	for _, e := range engines {
