--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -12,7 +12,7 @@
 )
 
 // attempt makes one attempt; nil means that the client has its answer.
-func (f *flight) attempt(ctx context.Context) *tried {
+func (f *inflight) attempt(ctx context.Context) *tried {
 	if f.service.Engine() {
 		return f.generate(ctx)
 	}
@@ -23,7 +23,7 @@
 	return f.run(ctx, choice, ticket, kumquatlug.KVCache{})
 }
 
-func (f *flight) query() placement.Query {
+func (f *inflight) query() placement.Query {
 	q := placement.Query{Prompt: f.ask.Prompt(), Exclude: f.exclude, Until: f.until}
 	if target := f.route.Target(); target > 0 {
 		q.Target = f.arrived - f.trying + target
@@ -32,7 +32,7 @@
 }
 
 // generate has the prompt read and the output made, at one engine or at two.
-func (f *flight) generate(ctx context.Context) *tried {
+func (f *inflight) generate(ctx context.Context) *tried {
 	ticket, choice, failed := f.enter(ctx)
 	if failed != nil {
 		return failed
@@ -59,11 +59,11 @@
 }
 
 // choose picks a worker, or tells that there is none.
-func (f *flight) choose(s stage) (*placement.Ticket, placement.Choice, *tried) {
+func (f *inflight) choose(s stage) (*placement.Ticket, placement.Choice, *tried) {
 	if failed := f.pay(); failed != nil {
 		return nil, placement.Choice{}, failed
 	}
-	choice, ticket := f.g.desk.choose(f.g.c.Clock.Now(), f.service.Name(), s, f.query())
+	choice, ticket := f.g.scheduler.choose(f.g.c.Clock.Now(), f.service.Name(), s, f.query())
 	if ticket == nil {
 		return nil, choice, f.nobody()
 	}
@@ -75,14 +75,14 @@
 }
 
 // nobody is the failure of a request for which there is no worker.
-func (f *flight) nobody() *tried {
+func (f *inflight) nobody() *tried {
 	return &tried{whole: true, failure: f.truthful(refusal("place", "no_worker", 0, 0), "no_worker")}
 }
 
 // overload is the failure of a request that no worker can begin in time. It can
 // only be late when it comes back, so that it comes as late as clients allow: an
 // overload lasts for seconds.
-func (f *flight) overload(c placement.Choice) *tried {
+func (f *inflight) overload(c placement.Choice) *tried {
 	return &tried{whole: true, failure: kumquatlug.NewFailure(kumquatlug.FailureConfig{
 		Step: "place", Peer: c.Worker().ID(), Reason: "overload", Ran: kumquatlug.RanNot, RetryAfter: f.comeBack(mostRetry),
 		Cause: errors.Newf("expected wait of %d ms at its engine", c.Wait()),
@@ -90,11 +90,11 @@
 }
 
 // enter brings the prompt to an engine, when its turn has come.
-func (f *flight) enter(ctx context.Context) (*placement.Ticket, placement.Choice, *tried) {
+func (f *inflight) enter(ctx context.Context) (*placement.Ticket, placement.Choice, *tried) {
 	if failed := f.pay(); failed != nil {
 		return nil, placement.Choice{}, failed
 	}
-	t := f.g.desk.enter(f.g.c.Clock.Now(), f.service.Name(), f.query())
+	t := f.g.scheduler.enter(f.g.c.Clock.Now(), f.service.Name(), f.query())
 	switch t.entry {
 	case placement.EntrySent:
 		return t.ticket, t.choice, nil
@@ -110,7 +110,7 @@
 		}
 		return due.Ticket(), due.Choice(), nil
 	case <-ctx.Done():
-		f.g.desk.leave(f.g.c.Clock.Now(), f.service.Name(), t)
+		f.g.scheduler.leave(f.g.c.Clock.Now(), f.service.Name(), t)
 		return nil, t.choice, &tried{whole: true, failure: refusal("wait", "client_left", http.StatusServiceUnavailable, 0)}
 	}
 }
@@ -124,7 +124,7 @@
 	urgencyLast   = 9
 )
 
-func (f *flight) sending(choice placement.Choice) kumquatlug.Sending {
+func (f *inflight) sending(choice placement.Choice) kumquatlug.Sending {
 	now := f.g.c.Clock.Now()
 	urgency := urgencyInTime
 	target := f.route.Target()
@@ -138,22 +138,22 @@
 
 // Figures of an attempt that is given up in favour of another worker.
 const (
-	// leastPatience is far above an answer's usual time, so that only a worker
+	// leastAttempt is far above an answer's usual time, so that only a worker
 	// that fell silent or behind reaches it.
-	leastPatience = 900 * kumquatlug.Millis(1)
-	// patienceFactor is how many times the expected wait is waited.
-	patienceFactor = 4
+	leastAttempt = 900 * kumquatlug.Millis(1)
+	// attemptFactor is how many times the expected wait is waited.
+	attemptFactor = 4
 )
 
-// patience is how long an attempt may take until its first output, where
+// attemptTimeout is how long an attempt may take until its first output, where
 // another worker could still answer in time.
-func (f *flight) patience(c placement.Choice) kumquatlug.Millis {
-	return min(f.left(), max(leastPatience, patienceFactor*c.Wait()))
+func (f *inflight) attemptTimeout(c placement.Choice) kumquatlug.Millis {
+	return min(f.left(), max(leastAttempt, attemptFactor*c.Wait()))
 }
 
 // prefill has an engine read the prompt.
-func (f *flight) prefill(ctx context.Context, c placement.Choice, t *placement.Ticket) (kumquatlug.KVCache, *tried) {
-	call, cancel := context.WithTimeout(ctx, f.patience(c).Duration())
+func (f *inflight) prefill(ctx context.Context, c placement.Choice, t *placement.Ticket) (kumquatlug.KVCache, *tried) {
+	call, cancel := context.WithTimeout(ctx, f.attemptTimeout(c).Duration())
 	defer cancel()
 	cache, reply, err := f.g.c.Workers.Prefill(call, c.Worker(), f.ask, f.sending(c))
 	id := c.Worker().ID()
@@ -163,7 +163,7 @@
 		failed.failure = failed.failure.WithRan(kumquatlug.RanNot)
 		return cache, failed
 	}
-	f.g.desk.said(f.g.c.Clock.Now(), f.service.Name(), id, reply.Load())
+	f.g.scheduler.said(f.g.c.Clock.Now(), f.service.Name(), id, reply.Load())
 	if reply.Status() != http.StatusOK || cache.Handle() == "" {
 		failed := f.turnedDown(stagePrompt, c, t, reply)
 		return cache, failed
@@ -178,13 +178,13 @@
 }
 
 // end records the end of an attempt.
-func (f *flight) end(s stage, t *placement.Ticket, o placement.Outcome) {
+func (f *inflight) end(s stage, t *placement.Ticket, o placement.Outcome) {
 	f.g.metrics.attempts.WithLabelValues(string(s), string(o)).Inc()
-	f.g.desk.end(f.g.c.Clock.Now(), f.service.Name(), t, o)
+	f.g.scheduler.end(f.g.c.Clock.Now(), f.service.Name(), t, o)
 }
 
 // failed records an attempt that brought no answer.
-func (f *flight) failed(ctx context.Context, s stage, c placement.Choice, t *placement.Ticket, err error) *tried {
+func (f *inflight) failed(ctx context.Context, s stage, c placement.Choice, t *placement.Ticket, err error) *tried {
 	outcome := placement.OutcomeFailed
 	if ctx.Err() != nil {
 		outcome = placement.OutcomeSilent
@@ -201,7 +201,7 @@
 }
 
 // turnedDown records an attempt that the worker refused, and drops its answer.
-func (f *flight) turnedDown(s stage, c placement.Choice, t *placement.Ticket, reply kumquatlug.Reply) *tried {
+func (f *inflight) turnedDown(s stage, c placement.Choice, t *placement.Ticket, reply kumquatlug.Reply) *tried {
 	reply.Body().Close()
 	f.arrivals++
 	f.end(s, t, placement.OutcomeRefused)
@@ -212,14 +212,14 @@
 }
 
 // run makes an attempt that runs the request, and hands the answer on.
-func (f *flight) run(ctx context.Context, c placement.Choice, t *placement.Ticket, cache kumquatlug.KVCache) *tried {
+func (f *inflight) run(ctx context.Context, c placement.Choice, t *placement.Ticket, cache kumquatlug.KVCache) *tried {
 	s := f.sending(c)
 	s.Cache = cache
 	call, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if f.route.Repeatable() && f.runs+1 < f.route.Workers() {
 		// A worker that is silent holds the request until its deadline.
-		stop := time.AfterFunc(f.patience(c).Duration(), cancel)
+		stop := time.AfterFunc(f.attemptTimeout(c).Duration(), cancel)
 		defer stop.Stop()
 		f.heard = func() { stop.Stop() }
 	} else {
@@ -229,7 +229,7 @@
 	if err != nil {
 		return f.failed(ctx, stageOutput, c, t, err)
 	}
-	f.g.desk.said(f.g.c.Clock.Now(), f.service.Name(), c.Worker().ID(), reply.Load())
+	f.g.scheduler.said(f.g.c.Clock.Now(), f.service.Name(), c.Worker().ID(), reply.Load())
 	if reply.Refused() {
 		return f.turnedDown(stageOutput, c, t, reply)
 	}
--- a/internal/gateway/give.go
+++ b/internal/gateway/controller.go
@@ -11,10 +11,10 @@
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/planner"
 )
 
-// Figures of giving orders.
+// Figures of ordering engines.
 const (
-	// giveEvery is how often the lease and the roles are looked at.
-	giveEvery = 250 * kumquatlug.Millis(1)
+	// controlEvery is how often the lease and the roles are looked at.
+	controlEvery = 250 * kumquatlug.Millis(1)
 	// The lease: taken over within ten seconds of a holder's death, in which
 	// requests flow on; renewed by two calls each two seconds.
 	leaseTTL    = 6 * kumquatlug.Second
@@ -34,8 +34,8 @@
 	settleSpan = 5 * kumquatlug.Second
 )
 
-// giver gives orders to engines while this front holds the lease.
-type giver struct {
+// controller gives orders to engines while this front holds the lease.
+type controller struct {
 	g      *Gateway
 	holder *lease.Holder
 	// since is when the present lease was won, number its fencing number.
@@ -55,8 +55,8 @@
 // engineGroup names the one group of engines that a site has.
 const engineGroup = "engines"
 
-// give keeps the lease and the roles of engines.
-func (g *Gateway) give(ctx context.Context) {
+// control keeps the lease and the roles of engines.
+func (g *Gateway) control(ctx context.Context) {
 	holder, err := lease.New(lease.Config{
 		Group: engineGroup, Me: g.c.Name + "/" + g.c.Incarnation, TTL: leaseTTL, Margin: leaseMargin,
 		Renew: leaseRenew, Retry: leaseRetry, Timeout: storeCall,
@@ -65,8 +65,8 @@
 		g.c.Logger.Error("no orders will be given", logs.Error(err))
 		return
 	}
-	v := &giver{g: g, holder: holder, going: map[string]ordered{}, wrongSince: map[string]kumquatlug.Millis{}}
-	for sleep(ctx, giveEvery) {
+	v := &controller{g: g, holder: holder, going: map[string]ordered{}, wrongSince: map[string]kumquatlug.Millis{}}
+	for sleep(ctx, controlEvery) {
 		holder.Want(!g.stopping())
 		v.keepLease(ctx)
 		if v.mayOrder() {
@@ -76,7 +76,7 @@
 }
 
 // keepLease makes the calls to the store that the lease asks for.
-func (v *giver) keepLease(ctx context.Context) {
+func (v *controller) keepLease(ctx context.Context) {
 	c := v.g.c
 	for i := v.holder.Next(c.Awake.Now()); i.Action() != lease.ActionNone; {
 		call, cancel := context.WithTimeout(ctx, storeCall.Duration())
@@ -108,7 +108,7 @@
 // mayOrder reports that orders may be given: the lease is held, and so long that
 // the last order of another holder lies far enough back. The first holder of all
 // need not wait.
-func (v *giver) mayOrder() bool {
+func (v *controller) mayOrder() bool {
 	now := v.g.c.Awake.Now()
 	if _, held := v.holder.Held(now); !held {
 		return false
@@ -117,7 +117,7 @@
 }
 
 // orderAll brings the engines of each service to their split.
-func (v *giver) orderAll(ctx context.Context) {
+func (v *controller) orderAll(ctx context.Context) {
 	table := v.g.table.Load()
 	if table == nil {
 		return
@@ -144,7 +144,7 @@
 // lasting reports that a split has been wrong for a while. While engines are
 // replaced one after the other each moment looks wrong in another way, and an
 // engine that was ordered away from its streams is gone for many seconds.
-func (v *giver) lasting(now kumquatlug.Millis, service string, wrong bool) bool {
+func (v *controller) lasting(now kumquatlug.Millis, service string, wrong bool) bool {
 	since, known := v.wrongSince[service]
 	switch {
 	case !wrong:
@@ -159,7 +159,7 @@
 
 // engines returns the engines that take work, in the roles that they have or
 // are on their way to.
-func (v *giver) engines(now kumquatlug.Millis, members []kumquatlug.Member) ([]planner.SplitEngine, map[string]kumquatlug.Worker) {
+func (v *controller) engines(now kumquatlug.Millis, members []kumquatlug.Member) ([]planner.SplitEngine, map[string]kumquatlug.Worker) {
 	var engines []planner.SplitEngine
 	workers := map[string]kumquatlug.Worker{}
 	for _, m := range members {
@@ -183,7 +183,7 @@
 
 // order gives one order, after asking the engine what it has been ordered so
 // far: an order whose answer was lost may have been taken.
-func (v *giver) order(ctx context.Context, w kumquatlug.Worker, change kumquatlug.RoleChange) {
+func (v *controller) order(ctx context.Context, w kumquatlug.Worker, change kumquatlug.RoleChange) {
 	c := v.g.c
 	call, cancel := context.WithTimeout(ctx, orderTimeout.Duration())
 	defer cancel()
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -252,7 +252,7 @@
 		"desk": {member("s1", ""), member("s2", "")},
 	}}
 	g.members.Store(set)
-	g.desk.sync(now.Now(), set.byService)
+	g.scheduler.sync(now.Now(), set.byService)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,12 +80,12 @@
 
 // Gateway is one front.
 type Gateway struct {
-	c       Config
-	table   atomic.Pointer[routes.Table]
-	members atomic.Pointer[memberSet]
-	desk    *desk
-	metrics *metrics
-	crashes *crashes
+	c         Config
+	table     atomic.Pointer[routes.Table]
+	members   atomic.Pointer[memberSet]
+	scheduler *scheduler
+	metrics   *metrics
+	crashes   *crashes
 	// leaveAt is when a front that was told to stop ends, zero for the others.
 	leaveAt atomic.Int64
 	held    atomic.Int64
@@ -106,7 +106,7 @@
 // New returns a front.
 func New(c Config) *Gateway {
 	g := &Gateway{
-		c: c, desk: newDesk(c), metrics: newMetrics(c.Registry), crashes: newCrashes(), calls: make(chan cleanup, cleanupRing),
+		c: c, scheduler: newScheduler(c), metrics: newMetrics(c.Registry), crashes: newCrashes(), calls: make(chan cleanup, cleanupRing),
 	}
 	g.members.Store(&memberSet{})
 	return g
@@ -145,10 +145,10 @@
 	}
 	loop(g.followConfig)
 	loop(g.followMembers)
-	loop(g.give)
+	loop(g.control)
 	loop(g.keepHouse)
 	loop(g.freeCaches)
-	loop(g.watchLines)
+	loop(g.watchQueues)
 	loop(g.spreadCrashes)
 	loop(g.followCrashes)
 	g.c.Logger.Info("started", zap.String("zone", g.c.Zone), zap.String("incarnation", g.c.Incarnation))
@@ -184,7 +184,7 @@
 // grace lasts, while clients may still come: closed at once it would reset the
 // connections that are on their way, and where no other front is near nobody
 // would be served until the next start. Requests that can't end in time are
-// refused meanwhile, see [flight.outlasts].
+// refused meanwhile, see [inflight.outlasts].
 func (g *Gateway) serveUntil(ctx context.Context, server *http.Server) error {
 	failed := make(chan error, 1)
 	go func() { failed <- closed(server.Serve(g.c.Clients)) }()
@@ -263,14 +263,14 @@
 	}
 }
 
-// lineLook is how often the lines are looked through for prompts that turn late:
+// queueLook is how often the queues are looked through for prompts that turn late:
 // a small part of a target latency.
-const lineLook = 20 * kumquatlug.Millis(1)
+const queueLook = 20 * kumquatlug.Millis(1)
 
-// watchLines does what time alone makes due for those who wait for an engine.
-func (g *Gateway) watchLines(ctx context.Context) {
-	for sleep(ctx, lineLook) {
-		g.desk.tick(g.c.Clock.Now())
+// watchQueues does what time alone makes due for those who wait for an engine.
+func (g *Gateway) watchQueues(ctx context.Context) {
+	for sleep(ctx, queueLook) {
+		g.scheduler.tick(g.c.Clock.Now())
 	}
 }
 
@@ -298,7 +298,7 @@
 		g.c.Logger.Warn("could not count the fronts", logs.Error(err))
 		return
 	}
-	g.desk.setFronts(len(rows))
+	g.scheduler.setFronts(len(rows))
 }
 
 // freeCaches drops KV caches that nobody will take, so that their engines have
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -299,7 +299,7 @@
 // patience.
 func TestWithoutWorkersRequestsAreRefusedAtOnce(t *testing.T) {
 	f := newFront(t, &fakeWorkers{}, manyRepeats)
-	f.g.desk.sync(f.g.c.Clock.Now(), nil)
+	f.g.scheduler.sync(f.g.c.Clock.Now(), nil)
 	for _, path := range []string{post, long} {
 		answer := f.ask(context.Background(), http.MethodPost, path)
 		if answer.status != http.StatusServiceUnavailable || answer.took > 500*time.Millisecond || answer.header.Get("Retry-After") == "" {
--- a/internal/gateway/flight.go
+++ b/internal/gateway/inflight.go
@@ -11,8 +11,8 @@
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
 
-// flight is one request of a client on its way.
-type flight struct {
+// inflight is one request of a client on its way.
+type inflight struct {
 	g       *Gateway
 	w       http.ResponseWriter
 	ask     kumquatlug.Ask
@@ -56,12 +56,12 @@
 }
 
 // serve makes attempts until the client has its final answer.
-func (f *flight) serve(ctx context.Context) {
+func (f *inflight) serve(ctx context.Context) {
 	patience := f.ask.Deadline()
 	if patience <= 0 {
 		patience = defaultPatience
 	}
-	f.trying = f.g.desk.arrive(f.arrived, f.service.Name(), f.route.Name(), patience)
+	f.trying = f.g.scheduler.arrive(f.arrived, f.service.Name(), f.route.Name(), patience)
 	f.until = f.arrived + patience
 	if timeout := f.route.Timeout(); timeout > 0 {
 		f.until = min(f.until, f.arrived+timeout)
@@ -81,7 +81,7 @@
 }
 
 // left returns how long the client still waits.
-func (f *flight) left() kumquatlug.Millis { return f.until - f.g.c.Clock.Now() }
+func (f *inflight) left() kumquatlug.Millis { return f.until - f.g.c.Clock.Now() }
 
 // tried is how one attempt failed.
 type tried struct {
@@ -93,7 +93,7 @@
 
 // next decides what follows a failed attempt: nil for another one, or the final
 // answer.
-func (f *flight) next(ctx context.Context, t *tried) *kumquatlug.Failure {
+func (f *inflight) next(ctx context.Context, t *tried) *kumquatlug.Failure {
 	f.tries++
 	if t.worker != "" {
 		f.exclude = append(f.exclude, t.worker)
@@ -117,8 +117,8 @@
 
 // pay pays for a sending that is not the first to arrive. It tells what to
 // answer when the budget of repeats is used up.
-func (f *flight) pay() *tried {
-	if f.arrivals == 0 || f.g.desk.repeat(f.g.c.Clock.Now(), f.service.Name()) {
+func (f *inflight) pay() *tried {
+	if f.arrivals == 0 || f.g.scheduler.repeat(f.g.c.Clock.Now(), f.service.Name()) {
 		return nil
 	}
 	return &tried{whole: true, failure: f.truthful(refusal("repeat", "repeats_used_up", 0, 0), "repeats_used_up")}
@@ -126,7 +126,7 @@
 
 // truthful gives a failure another reason; it promises that nothing ran only
 // where no attempt may have run.
-func (f *flight) truthful(cause *kumquatlug.Failure, reason string) *kumquatlug.Failure {
+func (f *inflight) truthful(cause *kumquatlug.Failure, reason string) *kumquatlug.Failure {
 	c := kumquatlug.FailureConfig{
 		Step: cause.Step(), Peer: cause.Peer(), Reason: reason, Ran: kumquatlug.RanUnknown,
 		Status: http.StatusBadGateway, Cause: cause,
@@ -145,7 +145,7 @@
 
 // over is the answer of a request whose time is over, or whose client or front
 // is going.
-func (f *flight) over(ctx context.Context, cause *kumquatlug.Failure) *kumquatlug.Failure {
+func (f *inflight) over(ctx context.Context, cause *kumquatlug.Failure) *kumquatlug.Failure {
 	reason := "deadline"
 	switch {
 	case !errors.Is(ctx.Err(), context.Canceled):
@@ -163,14 +163,14 @@
 }
 
 // comeBack bounds when a refused client is asked to come back.
-func (f *flight) comeBack(after kumquatlug.Millis) kumquatlug.Millis {
+func (f *inflight) comeBack(after kumquatlug.Millis) kumquatlug.Millis {
 	after = min(max(after, leastRetry), mostRetry)
 	return min(after, max(f.left()/retryPart, 1))
 }
 
 // finish gives the client its final answer. Where a part of an answer was sent,
 // the connection is broken off: it must not look whole.
-func (f *flight) finish(ctx context.Context, final *kumquatlug.Failure) {
+func (f *inflight) finish(ctx context.Context, final *kumquatlug.Failure) {
 	if f.begun {
 		f.g.metrics.answers.WithLabelValues("broken_off").Inc()
 		f.log("broken off", &tried{failure: final})
@@ -185,7 +185,7 @@
 
 // about tells of a request what its log lines have in common: the route and the
 // version of the config that chose it, and the time taken and left.
-func (f *flight) about() []zap.Field {
+func (f *inflight) about() []zap.Field {
 	now := f.g.c.Clock.Now()
 	return []zap.Field{
 		zap.String("route", f.route.Name()), zap.Int64("config", f.version),
@@ -205,7 +205,7 @@
 }
 
 // log writes one line on what became of an attempt.
-func (f *flight) log(what string, t *tried) {
+func (f *inflight) log(what string, t *tried) {
 	f.g.c.Logger.Info(what, zap.String("request", f.ask.ID()), zap.String("worker", t.worker),
 		zap.String("step", t.failure.Step()), zap.String("reason", t.failure.Reason()),
 		zap.String("ran", string(t.failure.Ran())), zap.Int("tries", f.tries),
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -29,7 +29,7 @@
 )
 
 // relay hands a worker's answer on to the client.
-func (f *flight) relay(ctx context.Context, c placement.Choice, t *placement.Ticket, reply kumquatlug.Reply) *tried {
+func (f *inflight) relay(ctx context.Context, c placement.Choice, t *placement.Ticket, reply kumquatlug.Reply) *tried {
 	defer reply.Body().Close()
 	if f.route.Stream() && reply.Status() == http.StatusOK {
 		return f.relayStream(ctx, c, t, reply)
@@ -42,7 +42,7 @@
 
 // again turns a worker's own failure into a failed attempt where another worker
 // may do better: the request may run twice and nothing of an answer was sent.
-func (f *flight) again(c placement.Choice, t *placement.Ticket, reply kumquatlug.Reply) *tried {
+func (f *inflight) again(c placement.Choice, t *placement.Ticket, reply kumquatlug.Reply) *tried {
 	if reply.Status() < http.StatusInternalServerError || reply.Status() == http.StatusGatewayTimeout {
 		return nil
 	}
@@ -57,7 +57,7 @@
 }
 
 // relayWhole hands on an answer that is no stream.
-func (f *flight) relayWhole(ctx context.Context, c placement.Choice, t *placement.Ticket, reply kumquatlug.Reply) *tried {
+func (f *inflight) relayWhole(ctx context.Context, c placement.Choice, t *placement.Ticket, reply kumquatlug.Reply) *tried {
 	if f.begun {
 		// A stream that was to go on elsewhere met a failure there.
 		return f.brokenOff(ctx, c, t, errors.Newf("status %d instead of the rest of a stream", reply.Status()))
@@ -84,7 +84,7 @@
 }
 
 // rest writes the first part of an answer and what follows it.
-func (f *flight) rest(head []byte, reply kumquatlug.Reply) error {
+func (f *inflight) rest(head []byte, reply kumquatlug.Reply) error {
 	if _, err := f.w.Write(head); err != nil {
 		return err
 	}
@@ -96,7 +96,7 @@
 }
 
 // brokenOff records an answer that ended before its end.
-func (f *flight) brokenOff(ctx context.Context, c placement.Choice, t *placement.Ticket, err error) *tried {
+func (f *inflight) brokenOff(ctx context.Context, c placement.Choice, t *placement.Ticket, err error) *tried {
 	outcome := placement.OutcomeFailed
 	if ctx.Err() != nil {
 		outcome = placement.OutcomeSilent
@@ -113,7 +113,7 @@
 
 // relayStream hands events on as they come, each whole: a stream that is cut
 // goes on elsewhere behind the last event that the client has.
-func (f *flight) relayStream(ctx context.Context, c placement.Choice, t *placement.Ticket, reply kumquatlug.Reply) *tried {
+func (f *inflight) relayStream(ctx context.Context, c placement.Choice, t *placement.Ticket, reply kumquatlug.Reply) *tried {
 	var pending []byte
 	buffer := make([]byte, eventBuffer)
 	flush := http.NewResponseController(f.w)
@@ -144,9 +144,9 @@
 }
 
 // firstOutput writes the head before the first event.
-func (f *flight) firstOutput(t *placement.Ticket, reply kumquatlug.Reply) {
+func (f *inflight) firstOutput(t *placement.Ticket, reply kumquatlug.Reply) {
 	now := f.g.c.Clock.Now()
-	f.g.desk.read(now, f.service.Name(), t)
+	f.g.scheduler.read(now, f.service.Name(), t)
 	f.heard()
 	if f.begun {
 		return
@@ -158,7 +158,7 @@
 }
 
 // pass writes events to the client.
-func (f *flight) pass(ctx context.Context, c placement.Choice, t *placement.Ticket, flush *http.ResponseController, events []byte) *tried {
+func (f *inflight) pass(ctx context.Context, c placement.Choice, t *placement.Ticket, flush *http.ResponseController, events []byte) *tried {
 	if _, err := f.w.Write(events); err != nil {
 		failed := f.brokenOff(ctx, c, t, err)
 		failed.whole = true
@@ -183,14 +183,14 @@
 }
 
 // answered tells that the client has a worker's answer.
-func (f *flight) answered(c placement.Choice, status int) {
+func (f *inflight) answered(c placement.Choice, status int) {
 	f.g.metrics.answers.WithLabelValues("answered").Inc()
 	f.g.c.Logger.Info("answered", zap.String("request", f.ask.ID()), zap.String("worker", c.Worker().ID()),
 		zap.Int("status", status), zap.Int("tries", f.tries+1), zap.Inline(fields(f.about())), zap.Object("steps", f.steps()))
 }
 
 // steps tells how long each step of a request took, in milliseconds.
-func (f *flight) steps() zapcore.ObjectMarshalerFunc {
+func (f *inflight) steps() zapcore.ObjectMarshalerFunc {
 	return func(e zapcore.ObjectEncoder) error {
 		before := f.arrived
 		add := func(name string, at kumquatlug.Millis) {
@@ -199,7 +199,7 @@
 				before = at
 			}
 		}
-		add("line", f.times.entered)
+		add("queued", f.times.entered)
 		add("read", f.times.read)
 		add("first", f.times.first)
 		if f.times.passed != 0 {
--- a/internal/gateway/desk.go
+++ b/internal/gateway/scheduler.go
@@ -10,9 +10,9 @@
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/routes"
 )
 
-// desk holds what the requests of all goroutines decide by, under one lock. A
+// scheduler holds what the requests of all goroutines decide by, under one lock. A
 // decision takes microseconds, so that nobody waits there.
-type desk struct {
+type scheduler struct {
 	mu       sync.Mutex
 	c        Config
 	fronts   int
@@ -30,8 +30,8 @@
 	turns map[uint64]chan placement.Due
 }
 
-func newDesk(c Config) *desk {
-	return &desk{c: c, fronts: 1, services: map[string]*group{}}
+func newScheduler(c Config) *scheduler {
+	return &scheduler{c: c, fronts: 1, services: map[string]*group{}}
 }
 
 // Figures of the judgement of workers that are called directly.
@@ -48,7 +48,7 @@
 )
 
 // at returns what is kept of a service; the lock must be held.
-func (d *desk) at(service string) *group {
+func (d *scheduler) at(service string) *group {
 	s, known := d.services[service]
 	if !known {
 		c := d.c.Placement
@@ -69,7 +69,7 @@
 	return s
 }
 
-func (d *desk) setFronts(n int) {
+func (d *scheduler) setFronts(n int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.fronts = n
@@ -80,7 +80,7 @@
 }
 
 // sync takes the members of all services.
-func (d *desk) sync(now kumquatlug.Millis, byService map[string][]kumquatlug.Member) {
+func (d *scheduler) sync(now kumquatlug.Millis, byService map[string][]kumquatlug.Member) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for name, members := range byService {
@@ -94,7 +94,7 @@
 }
 
 // describe takes what the config says of the services.
-func (d *desk) describe(table *routes.Table) {
+func (d *scheduler) describe(table *routes.Table) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, name := range table.Services() {
@@ -105,7 +105,7 @@
 
 // arrive records a request for a service and returns how long its client has
 // been trying already: clients that come back say a shorter time to wait.
-func (d *desk) arrive(now kumquatlug.Millis, service, route string, waits kumquatlug.Millis) kumquatlug.Millis {
+func (d *scheduler) arrive(now kumquatlug.Millis, service, route string, waits kumquatlug.Millis) kumquatlug.Millis {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.at(service)
@@ -117,7 +117,7 @@
 }
 
 // repeat pays for one more arrival at a worker of a service.
-func (d *desk) repeat(now kumquatlug.Millis, service string) bool {
+func (d *scheduler) repeat(now kumquatlug.Millis, service string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.at(service).repeats.Take(now)
@@ -133,7 +133,7 @@
 )
 
 // choose picks a worker and counts the attempt as in hand there.
-func (d *desk) choose(now kumquatlug.Millis, service string, s stage, q placement.Query) (placement.Choice, *placement.Ticket) {
+func (d *scheduler) choose(now kumquatlug.Millis, service string, s stage, q placement.Query) (placement.Choice, *placement.Ticket) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	p := d.at(service).placer
@@ -159,7 +159,7 @@
 }
 
 // enter brings a prompt to the engines.
-func (d *desk) enter(now kumquatlug.Millis, service string, q placement.Query) turn {
+func (d *scheduler) enter(now kumquatlug.Millis, service string, q placement.Query) turn {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	g := d.at(service)
@@ -174,9 +174,9 @@
 	return t
 }
 
-// leave takes a prompt out of the lines. Its turn may have come meanwhile; the
+// leave takes a prompt out of the queues. Its turn may have come meanwhile; the
 // attempt that was begun is then ended.
-func (d *desk) leave(now kumquatlug.Millis, service string, t turn) {
+func (d *scheduler) leave(now kumquatlug.Millis, service string, t turn) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	g := d.at(service)
@@ -193,7 +193,7 @@
 }
 
 // pump tells those whose turn has come; the lock must be held.
-func (d *desk) pump(now kumquatlug.Millis, g *group) {
+func (d *scheduler) pump(now kumquatlug.Millis, g *group) {
 	if g.placer.Waiting() == 0 {
 		return
 	}
@@ -205,8 +205,8 @@
 	}
 }
 
-// tick does what time alone makes due in the lines.
-func (d *desk) tick(now kumquatlug.Millis) {
+// tick does what time alone makes due in the queues.
+func (d *scheduler) tick(now kumquatlug.Millis) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, g := range d.services {
@@ -215,13 +215,13 @@
 }
 
 // said takes what a worker said of its load.
-func (d *desk) said(now kumquatlug.Millis, service, worker string, load kumquatlug.WorkerLoad) {
+func (d *scheduler) said(now kumquatlug.Millis, service, worker string, load kumquatlug.WorkerLoad) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.at(service).placer.Report(now, worker, load)
 }
 
-func (d *desk) read(now kumquatlug.Millis, service string, t *placement.Ticket) {
+func (d *scheduler) read(now kumquatlug.Millis, service string, t *placement.Ticket) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	g := d.at(service)
@@ -229,7 +229,7 @@
 	d.pump(now, g)
 }
 
-func (d *desk) end(now kumquatlug.Millis, service string, t *placement.Ticket, o placement.Outcome) {
+func (d *scheduler) end(now kumquatlug.Millis, service string, t *placement.Ticket, o placement.Outcome) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	g := d.at(service)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -66,7 +66,7 @@
 		g.refuse(w, ask, refusal("find service", "no_service", http.StatusServiceUnavailable, mostRetry))
 		return
 	}
-	f := &flight{g: g, w: w, ask: ask, route: route, service: service, version: table.Version(), arrived: arrived, last: ask.Resume()}
+	f := &inflight{g: g, w: w, ask: ask, route: route, service: service, version: table.Version(), arrived: arrived, last: ask.Resume()}
 	if leave := kumquatlug.Millis(g.leaveAt.Load()); leave != 0 {
 		// The client's next request comes over a new connection, to a front that
 		// stays.
@@ -94,7 +94,7 @@
 
 // outlasts reports that the answer would not be whole when this front leaves.
 // Another front can still begin it; here it would be cut off.
-func (f *flight) outlasts(leave kumquatlug.Millis) bool {
+func (f *inflight) outlasts(leave kumquatlug.Millis) bool {
 	takes := plainTime + kumquatlug.Millis(tokenTime*float64(f.ask.Prompt().Output()))
 	return f.arrived+takes > leave
 }
--- a/internal/gateway/suspect.go
+++ b/internal/gateway/suspect.go
@@ -42,12 +42,12 @@
 }
 
 // fingerprint tells requests apart by path and body, whoever sends them.
-func (f *flight) fingerprint() quarantine.Fingerprint {
+func (f *inflight) fingerprint() quarantine.Fingerprint {
 	return quarantine.NewFingerprint(f.ask.Target(), kumquatlug.NewKind(kumquatlug.ProtocolService, f.service.Name()), f.ask.Body())
 }
 
 // suspected reports that a request has ended its workers too often.
-func (f *flight) suspected() bool {
+func (f *inflight) suspected() bool {
 	c := f.g.crashes
 	c.mu.Lock()
 	none := !c.suspects.Any()
@@ -62,7 +62,7 @@
 }
 
 // crashed notes that a worker ended its connection without an answer.
-func (f *flight) crashed(worker string) {
+func (f *inflight) crashed(worker string) {
 	fingerprint := f.fingerprint()
 	c := f.g.crashes
 	c.mu.Lock()
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -160,7 +160,7 @@
 		return
 	}
 	g.table.Store(table)
-	g.desk.describe(table)
+	g.scheduler.describe(table)
 	g.metrics.config.Set(float64(table.Version()))
 	g.c.Logger.Info("config in force", zap.Int64("version", table.Version()), zap.Int("routes", len(config.Routes)))
 }
@@ -235,5 +235,5 @@
 		set.addresses[member.Worker.Address()] = true
 	}
 	m.g.members.Store(set)
-	m.g.desk.sync(now, set.byService)
+	m.g.scheduler.sync(now, set.byService)
 }
--- a/pkg/kumquatlug/placement/choose.go
+++ b/pkg/kumquatlug/placement/choose.go
@@ -88,16 +88,16 @@
 // reader finds the engine to read the prompt apart.
 func (p *Placer) reader(now kumquatlug.Millis, q Query) (Choice, float64, bool) {
 	key := chainKey(q.Prompt)
-	home, homeKey := (*worker)(nil), uint64(0)
+	owner, ownerKey := (*worker)(nil), uint64(0)
 	for _, w := range p.list {
 		if !p.usable(now, w, q, kumquatlug.RolePrefill) {
 			continue
 		}
-		if h := mix(key ^ w.hash); home == nil || h > homeKey {
-			home, homeKey = w, h
+		if h := mix(key ^ w.hash); owner == nil || h > ownerKey {
+			owner, ownerKey = w, h
 		}
 	}
-	if home == nil {
+	if owner == nil {
 		return Choice{}, 0, false
 	}
 	least, best := math.Inf(1), Choice{}
@@ -106,11 +106,11 @@
 			continue
 		}
 		weight := p.health.Weight(now, w.member.Worker.ID())
-		fresh := p.unheld(now, w, q.Prompt, w == home)
+		fresh := p.unheld(now, w, q.Prompt, w == owner)
 		wait := (p.backlog(now, w) + fresh) / p.c.ReadRate * p.pace / weight
 		away := fresh - p.own(q.Prompt)
 		cost := wait + p.c.AwayPrice*away/p.c.ReadRate + p.zonePrice(w)
-		if w != home {
+		if w != owner {
 			cost += rankCost * (1 - float64(mix(key^w.hash))/math.MaxUint64)
 		}
 		if cost < least {
@@ -137,7 +137,7 @@
 		weight := p.health.Weight(now, w.member.Worker.ID())
 		taken := (float64(w.runs) + w.othersNow(now)) / float64(max(w.member.Slots, 1))
 		disturbed := max(0, fresh-smallRead) / rate
-		cost := (wait+p.crowdCost(now, w, q.Prompt))/weight + p.c.MixedPrice*taken*disturbed + p.zonePrice(w)
+		cost := (wait+p.batchCost(now, w, q.Prompt))/weight + p.c.MixedPrice*taken*disturbed + p.zonePrice(w)
 		if cost < least {
 			least, found = cost, true
 			best = Choice{worker: w.member.Worker, tokens: fresh, wait: wait}
@@ -154,7 +154,7 @@
 			continue
 		}
 		wait := p.slotWait(now, w, q.Prompt)
-		cost := wait + p.crowdCost(now, w, q.Prompt) + w.tokens/p.c.ReadRate
+		cost := wait + p.batchCost(now, w, q.Prompt) + w.tokens/p.c.ReadRate
 		cost = cost/p.health.Weight(now, w.member.Worker.ID()) + p.zonePrice(w)
 		if cost < least {
 			least, found = cost, true
--- a/pkg/kumquatlug/placement/cost.go
+++ b/pkg/kumquatlug/placement/cost.go
@@ -21,10 +21,10 @@
 	return p.c.ZonePrice
 }
 
-// backlog is how many tokens are to be read at w before a new prompt. The lines
+// backlog is how many tokens are to be read at w before a new prompt. The queues
 // of the other fronts are taken to be as long as this one's.
 func (p *Placer) backlog(now kumquatlug.Millis, w *worker) float64 {
-	return p.inHand(now, w) + p.fronts*w.lineTokens()
+	return p.inHand(now, w) + p.fronts*w.queuedTokens()
 }
 
 // own is how many tokens of a prompt no other request shares.
@@ -36,10 +36,10 @@
 	return float64(max(prompt.Input()-shared, 0))
 }
 
-// unheld is how many tokens of a prompt w has to read. A chain's home is taken
+// unheld is how many tokens of a prompt w has to read. A chain's owner is taken
 // to hold it: the other fronts send it there, too.
-func (p *Placer) unheld(now kumquatlug.Millis, w *worker, prompt kumquatlug.Prompt, home bool) float64 {
-	if home {
+func (p *Placer) unheld(now kumquatlug.Millis, w *worker, prompt kumquatlug.Prompt, owner bool) float64 {
+	if owner {
 		return p.own(prompt)
 	}
 	left := prompt.Input()
@@ -74,9 +74,9 @@
 	return float64(prompt.Input()) + outputPart*float64(prompt.Output())
 }
 
-// crowdCost is how much longer a request's output takes at w for those that are
+// batchCost is how much longer a request's output takes at w for those that are
 // there, in milliseconds.
-func (p *Placer) crowdCost(now kumquatlug.Millis, w *worker, prompt kumquatlug.Prompt) float64 {
+func (p *Placer) batchCost(now kumquatlug.Millis, w *worker, prompt kumquatlug.Prompt) float64 {
 	return (float64(w.runs) + w.othersNow(now)) * streamCost * outputPart * float64(prompt.Output())
 }
 
--- a/pkg/kumquatlug/placement/placement.go
+++ b/pkg/kumquatlug/placement/placement.go
@@ -9,10 +9,10 @@
 // three times the work, and the queues would never end; were they kept at one
 // place whatever its queue, a hot part would drown its engine. So
 //
-//   - each chain of shared parts has a home, the first of all reading engines in
+//   - each chain of shared parts has an owner, the first of all reading engines in
 //     its rendezvous order, which every front works out alike and which moves
 //     only for a small part of the chains when an engine comes or goes;
-//   - a chain leaves its home only when waiting there costs more than reading
+//   - a chain leaves its owner only when waiting there costs more than reading
 //     the shared parts again, at a price above their mere time: reading is what
 //     is scarce, and what is read twice delays everybody behind it;
 //   - a prompt that is quickly read goes straight to a generating engine, which
@@ -101,7 +101,7 @@
 	// smallRead is up to how many tokens a prompt is read beside streams without
 	// being noticed there: one piece between two tokens, 4 ms.
 	smallRead = 512
-	// rankCost makes fronts agree on the second home too, in milliseconds.
+	// rankCost makes fronts agree on the second owner too, in milliseconds.
 	rankCost = 1.0
 	// reportAge is how long what a worker said of its load is believed; answers
 	// come each 100 ms at the usual load.
@@ -143,8 +143,8 @@
 	// refusals counts those in a row; until then nothing new is sent there.
 	refusals int
 	until    kumquatlug.Millis
-	// line are the prompts of this front that wait for the engine.
-	line []*waiting
+	// queue are the prompts of this front that wait for the engine.
+	queue []*waiting
 	// load is what this front gave it to read until loadAt, see loadNow.
 	load   float64
 	loadAt kumquatlug.Millis
@@ -216,10 +216,10 @@
 	slices.SortFunc(p.list, func(a, b *worker) int { return cmp.Compare(a.member.Worker.ID(), b.member.Worker.ID()) })
 }
 
-// orphan takes over the line of a worker that reads no more.
+// orphan takes over the queue of a worker that reads no more.
 func (p *Placer) orphan(w *worker) {
-	p.orphans = append(p.orphans, w.line...)
-	w.line = nil
+	p.orphans = append(p.orphans, w.queue...)
+	w.queue = nil
 }
 
 // SetFronts tells how many fronts send to the workers.
--- a/pkg/kumquatlug/placement/placement_test.go
+++ b/pkg/kumquatlug/placement/placement_test.go
@@ -53,7 +53,7 @@
 // part, every engine would read all of them; so all must agree, and few chains
 // may move when an engine goes.
 func TestFrontsAgreeOnHomesAndFewMove(t *testing.T) {
-	homes := func(members []kumquatlug.Member) map[int]string {
+	owners := func(members []kumquatlug.Member) map[int]string {
 		p := New(Config{Zone: "a"})
 		p.Sync(0, members)
 		at := map[int]string{}
@@ -63,17 +63,17 @@
 		return at
 	}
 	all := engines(8, 4)
-	first, second := homes(all), homes(append(all[4:], all[:4]...))
-	without := homes(all[1:])
+	first, second := owners(all), owners(append(all[4:], all[:4]...))
+	without := owners(all[1:])
 	moved := 0
-	for chain, home := range first {
-		if second[chain] != home {
-			t.Fatalf("chain %d lives at %s and at %s", chain, home, second[chain])
+	for chain, owner := range first {
+		if second[chain] != owner {
+			t.Fatalf("chain %d lives at %s and at %s", chain, owner, second[chain])
 		}
-		if without[chain] != home {
+		if without[chain] != owner {
 			moved++
-			if home != all[0].Worker.ID() {
-				t.Fatalf("chain %d moved from %s, which stayed", chain, home)
+			if owner != all[0].Worker.ID() {
+				t.Fatalf("chain %d moved from %s, which stayed", chain, owner)
 			}
 		}
 	}
@@ -82,7 +82,8 @@
 	}
 }
 
-// replay sends requests to engines that read at the sheet's rate and returns how many tokens were read for each document, and the longest line that
+// replay sends requests to engines that read at the sheet's rate and returns how
+// many tokens were read for each document, and the longest queue that
 // a document met, in milliseconds.
 func replay(t *testing.T, c Config, chains func(i int) int, perSecond float64, span kumquatlug.Millis) (tokens, longest float64) {
 	t.Helper()
@@ -133,23 +134,23 @@
 	return tokens / float64(n), longest
 }
 
-// 446 chains at the usual rate. Kept at home, a document costs little more than
+// 446 chains at the usual rate. Kept at its owner, a document costs little more than
 // its own tokens; placed by load alone, most shared parts are read at every
 // engine.
 func TestSharedPartsAreReadOnce(t *testing.T) {
 	random := rand.New(rand.NewPCG(3, 4))
 	chains := func(int) int { return random.IntN(446) }
-	home, _ := replay(t, Config{}, chains, 147, 30_000)
+	owner, _ := replay(t, Config{}, chains, 147, 30_000)
 	spread, _ := replay(t, Config{AwayPrice: 0.001}, chains, 147, 30_000)
-	t.Logf("tokens read for one document: %.0f at home, %.0f by load", home, spread)
-	if home > 3500 || home >= spread {
-		t.Errorf("%.0f tokens for a document, %.0f by load alone", home, spread)
+	t.Logf("tokens read for one document: %.0f at owners, %.0f by load", owner, spread)
+	if owner > 3500 || owner >= spread {
+		t.Errorf("%.0f tokens for a document, %.0f by load alone", owner, spread)
 	}
 }
 
-// One chain has half of all requests. Kept at its home alone, that engine's line
+// One chain has half of all requests. Kept at its owner alone, that engine's queue
 // would grow without end while seven others stand idle.
-func TestAHotChainLeavesItsHome(t *testing.T) {
+func TestAHotChainLeavesItsOwner(t *testing.T) {
 	random := rand.New(rand.NewPCG(5, 6))
 	chains := func(int) int {
 		if random.IntN(2) == 0 {
@@ -159,7 +160,7 @@
 	}
 	_, longest := replay(t, Config{}, chains, 300, 20_000)
 	if longest > 1500 {
-		t.Errorf("a line of %.0f ms", longest)
+		t.Errorf("a queue of %.0f ms", longest)
 	}
 }
 
--- a/pkg/kumquatlug/placement/line.go
+++ b/pkg/kumquatlug/placement/queue.go
@@ -7,8 +7,8 @@
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
 
-// The lines answer a load of prompts above what the engines can read, for
-// seconds. Handed on at once, all of them stand in the engines' own lines, which
+// The queues answer a load of prompts above what the engines can read, for
+// seconds. Handed on at once, all of them stand in the engines' own queues, which
 // are served in order: after a second every prompt is read when its target
 // latency has passed, and the engines work at full rate for nobody who is still
 // in time. So an engine is given little ahead, and what it has no room for waits
@@ -17,7 +17,7 @@
 // nothing else; and who can't be served before its client gives up is refused as
 // soon as that shows, not at its deadline.
 
-// Figures of the lines.
+// Figures of the queues.
 const (
 	// aheadSpan is how much reading an engine may have left when it is given the
 	// next prompt, in milliseconds: the way there takes one or two. Each prompt
@@ -44,7 +44,7 @@
 	leastSpare = 0.03
 )
 
-// waiting is a prompt in the line of an engine.
+// waiting is a prompt in the queue of an engine.
 type waiting struct {
 	key    uint64
 	query  Query
@@ -61,7 +61,7 @@
 const (
 	// EntrySent: it goes to its engine now.
 	EntrySent Entry = "sent"
-	// EntryWaits: it waits in its engine's line; see [Placer.Due].
+	// EntryWaits: it waits in its engine's queue; see [Placer.Due].
 	EntryWaits Entry = "waits"
 	// EntryRefused: no engine can read it in time.
 	EntryRefused Entry = "refused"
@@ -78,7 +78,7 @@
 		return EntryNobody, c, nil
 	}
 	w := p.workers[c.worker.ID()]
-	if !c.apart || len(w.line) == 0 && p.room(now, w) {
+	if !c.apart || len(w.queue) == 0 && p.room(now, w) {
 		if c.Wait() >= q.until(now) {
 			return EntryRefused, c, nil
 		}
@@ -88,7 +88,7 @@
 	if p.turnsLate(now, w, one) && !p.keepLate(now, w, one) {
 		return EntryRefused, c, nil
 	}
-	w.line = append(w.line, one)
+	w.queue = append(w.queue, one)
 	return EntryWaits, c, nil
 }
 
@@ -110,10 +110,10 @@
 	return w.tokens + w.othersNow(now)*p.meanRead
 }
 
-// lineTokens is how many tokens wait for w.
-func (w *worker) lineTokens() float64 {
+// queuedTokens is how many tokens wait for w.
+func (w *worker) queuedTokens() float64 {
 	sum := 0.0
-	for _, one := range w.line {
+	for _, one := range w.queue {
 		sum += one.choice.tokens
 	}
 	return sum
@@ -139,7 +139,7 @@
 		return false
 	}
 	before := 0.0
-	for _, other := range w.line {
+	for _, other := range w.queue {
 		if other == one {
 			break
 		}
@@ -190,9 +190,9 @@
 	due := p.placeOrphans(now)
 	for _, w := range p.list {
 		due = p.dropLate(now, w, due)
-		for len(w.line) > 0 && p.room(now, w) && p.usable(now, w, Query{}, kumquatlug.RolePrefill) {
+		for len(w.queue) > 0 && p.room(now, w) && p.usable(now, w, Query{}, kumquatlug.RolePrefill) {
 			one := p.next(w)
-			// What it waited in the line is no part of what the engine takes.
+			// What it waited in the queue is no part of what the engine takes.
 			one.choice.wait = (p.inHand(now, w)+one.choice.tokens)/p.c.ReadRate*p.pace + p.c.TransferCost
 			due = append(due, Due{key: one.key, choice: one.choice, ticket: p.Begin(now, one.choice, one.query.Prompt)})
 		}
@@ -215,10 +215,10 @@
 	return due
 }
 
-// dropLate marks the prompts of a line that turn late and gives up those that
+// dropLate marks the prompts of a queue that turn late and gives up those that
 // won't have their turn.
 func (p *Placer) dropLate(now kumquatlug.Millis, w *worker, due []Due) []Due {
-	w.line = slices.DeleteFunc(w.line, func(one *waiting) bool {
+	w.queue = slices.DeleteFunc(w.queue, func(one *waiting) bool {
 		keep := true
 		if one.late || p.turnsLate(now, w, one) {
 			keep = p.keepLate(now, w, one)
@@ -231,19 +231,19 @@
 	return due
 }
 
-// next takes the prompt to be read next out of a line: of those that can be in
+// next takes the prompt to be read next out of a queue: of those that can be in
 // time the one with the most worth for its reading, else the oldest late one.
 // The engine has less time than they need together, and by age a prompt of
 // 30,000 tokens would make ten others late.
 func (p *Placer) next(w *worker) *waiting {
 	best, at := -1.0, 0
-	for i, one := range w.line {
+	for i, one := range w.queue {
 		if d := one.density(); !one.late && d > best {
 			best, at = d, i
 		}
 	}
-	one := w.line[at]
-	w.line = slices.Delete(w.line, at, at+1)
+	one := w.queue[at]
+	w.queue = slices.Delete(w.queue, at, at+1)
 	return one
 }
 
@@ -254,11 +254,11 @@
 	return (baseWorth + size) / (w.choice.tokens + baseRead)
 }
 
-// Leave takes a prompt out of the lines; its client left.
+// Leave takes a prompt out of the queues; its client left.
 func (p *Placer) Leave(key uint64) {
 	p.orphans = slices.DeleteFunc(p.orphans, func(one *waiting) bool { return one.key == key })
 	for _, w := range p.list {
-		w.line = slices.DeleteFunc(w.line, func(one *waiting) bool { return one.key == key })
+		w.queue = slices.DeleteFunc(w.queue, func(one *waiting) bool { return one.key == key })
 	}
 }
 
@@ -266,7 +266,7 @@
 func (p *Placer) Waiting() int {
 	n := len(p.orphans)
 	for _, w := range p.list {
-		n += len(w.line)
+		n += len(w.queue)
 	}
 	return n
 }
--- a/pkg/kumquatlug/placement/line_test.go
+++ b/pkg/kumquatlug/placement/queue_test.go
@@ -17,7 +17,7 @@
 	refusedAfter kumquatlug.Millis
 }
 
-func runRush(t *testing.T, perSecond float64, span kumquatlug.Millis, lines bool) rush {
+func runRush(t *testing.T, perSecond float64, span kumquatlug.Millis, queues bool) rush {
 	t.Helper()
 	p := New(Config{Zone: "a"})
 	p.Sync(0, engines(1, 1))
@@ -69,7 +69,7 @@
 			prompt := kumquatlug.NewPrompt(append(slices.Clone(shared), kumquatlug.NewPart("own", own)), 6300+own, 104)
 			jobs[key] = job{arrived: now, prompt: prompt}
 			q := Query{Prompt: prompt, Target: now + 200, Until: now + 2000}
-			if !lines {
+			if !queues {
 				c, _ := p.Prompt(now, q)
 				start(now, key, p.Begin(now, c, prompt))
 				continue
@@ -95,21 +95,21 @@
 }
 
 // Prompts come at twice the rate that the engine reads, for ten seconds. Handed
-// on as they come, all but the first ones are late. In lines, two thirds and more
+// on as they come, all but the first ones are late. In queues, two thirds and more
 // of what the engine can do must be in time, and who can't be served must be told
 // early, not at the end of their patience.
 func TestInAnOverloadMostAreInTime(t *testing.T) {
 	before, after := runRush(t, 150, 10_000, false), runRush(t, 150, 10_000, true)
-	t.Logf("handed on: %+v; in lines: %+v", before, after)
+	t.Logf("handed on: %+v; in queues: %+v", before, after)
 	if after.inTime < 500 || after.inTime < 5*before.inTime {
-		t.Errorf("%d prompts in time, %d without lines", after.inTime, before.inTime)
+		t.Errorf("%d prompts in time, %d without queues", after.inTime, before.inTime)
 	}
 	if after.refusedAfter > 500 {
 		t.Errorf("a prompt was refused after %d ms", after.refusedAfter)
 	}
 }
 
-// Below what the engine reads nobody may be refused, and the lines may not make
+// Below what the engine reads nobody may be refused, and the queues may not make
 // anybody late.
 func TestWithoutOverloadNobodyIsRefused(t *testing.T) {
 	r := runRush(t, 35, 10_000, true)
@@ -118,9 +118,9 @@
 	}
 }
 
-// The engine whose line a prompt stands in goes, or takes another role. The
+// The engine whose queue a prompt stands in goes, or takes another role. The
 // prompt must go to another engine at once, not wait for one that won't come.
-func TestALineMovesWhenItsEngineGoes(t *testing.T) {
+func TestAQueueMovesWhenItsEngineGoes(t *testing.T) {
 	p := New(Config{})
 	p.Sync(0, engines(2, 1))
 	var waits []uint64
@@ -132,20 +132,20 @@
 	if len(waits) == 0 {
 		t.Fatal("nobody waits")
 	}
-	home := ""
+	owner := ""
 	for _, w := range p.list {
-		if len(w.line) > 0 {
-			home = w.member.Worker.ID()
+		if len(w.queue) > 0 {
+			owner = w.member.Worker.ID()
 		}
 	}
 	members := engines(2, 1)
-	members = slices.DeleteFunc(members, func(m kumquatlug.Member) bool { return m.Worker.ID() == home })
+	members = slices.DeleteFunc(members, func(m kumquatlug.Member) bool { return m.Worker.ID() == owner })
 	p.Sync(10, members)
 	for _, due := range p.Due(10) {
 		if due.Ticket() == nil {
 			t.Error("a prompt is given up")
 		}
-		if due.Choice().Worker().ID() == home {
+		if due.Choice().Worker().ID() == owner {
 			t.Error("a prompt goes to the engine that is gone")
 		}
 	}
