--- a/cmd/kumquatlug/check.go
+++ b/cmd/kumquatlug/check.go
@@ -25,7 +25,8 @@
 
 func newCheck() *cobra.Command {
 	cmd := &cobra.Command{Use: "check", Short: "Tell every bad setting of a process at once, without running it"}
-	cmd.AddCommand(newCheckOf("entry", &entrySettings{}), newCheckOf("agent", &agentSettings{}))
+	cmd.AddCommand(newCheckOf("entry", &entrySettings{}), newCheckOf("agent", &agentSettings{}),
+		newCheckOf("front", &frontSettings{}))
 	return cmd
 }
 
--- a/cmd/kumquatlug/front.go
+++ b/cmd/kumquatlug/front.go
@@ -51,6 +51,7 @@
 
 func (s *frontSettings) check(problems settings.Problems) settings.Problems {
 	c := settings.NewChecker(problems)
+	c.Append(platform.CheckSettings())
 	if s.metrics != "" {
 		c.Address("metrics-listen", s.metrics)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -29,6 +29,8 @@
 	flag   string
 	unit   string
 	reason string
+	// field says that the setting is a field of a file.
+	field bool
 }
 
 // NewProblem returns a problem with a flag; unit says what a right value is
@@ -37,8 +39,16 @@
 	return Problem{flag: flag, unit: unit, reason: reason}
 }
 
-// String names flag, variable, reason and unit.
+// NewFieldProblem returns a problem with a field of a settings file.
+func NewFieldProblem(field, unit, reason string) Problem {
+	return Problem{flag: field, unit: unit, reason: reason, field: true}
+}
+
+// String names flag and variable or field, reason and unit.
 func (p Problem) String() string {
+	if p.field {
+		return fmt.Sprintf("%s in the settings file: %s; expected %s", p.flag, p.reason, p.unit)
+	}
 	return fmt.Sprintf("--%s (%s): %s; expected %s", p.flag, Variable(p.flag), p.reason, p.unit)
 }
 
@@ -91,6 +101,9 @@
 // Problems returns everything found so far.
 func (c *Checker) Problems() Problems { return c.problems }
 
+// Append adds problems that were found elsewhere.
+func (c *Checker) Append(ps Problems) { c.problems = append(c.problems, ps...) }
+
 // Add notes a problem.
 func (c *Checker) Add(flag, unit, reason string) {
 	c.problems = append(c.problems, NewProblem(flag, unit, reason))
--- a/test/front/front_test.go
+++ b/test/front/front_test.go
@@ -491,3 +491,25 @@
 	}
 	wantWhole(t, second.look("good"), fleet.Body("good"))
 }
+
+// A deployment starts with a bad file and a bad flag. "check" must tell all of it
+// at once and run nothing; a front must not start with half of its settings.
+func TestBadSettingsAreToldAtOnce(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "settings.toml")
+	if err := os.WriteFile(file, []byte("node_name = \"n\"\n[listen]\nfrontend = \"nowhere\"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, words := range [][]string{{"check", "front", "--read-part", "2"}, {"front", "--read-part", "2"}} {
+		cmd := exec.Command(binary, words...)
+		cmd.Env = append(os.Environ(), "KUMQUATLUG_SETTINGS="+file)
+		out, err := cmd.CombinedOutput()
+		if err == nil {
+			t.Errorf("%v: no error", words)
+		}
+		for _, part := range []string{"--read-part", "listen.frontend in the settings file", "limits.memory_mb", "platform.address"} {
+			if !strings.Contains(string(out), part) {
+				t.Errorf("%v: %q is not told in %s", words, part, out)
+			}
+		}
+	}
+}
