--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -48,45 +48,45 @@
 )
 
 // at returns what is kept of a service; the lock must be held.
-func (d *scheduler) at(service string) *group {
-	s, known := d.services[service]
+func (sc *scheduler) at(service string) *group {
+	s, known := sc.services[service]
 	if !known {
-		c := d.c.Placement
-		c.Zone = d.c.Zone
+		c := sc.c.Placement
+		c.Zone = sc.c.Zone
 		c.Health = health.Config{
 			FailureLimit: failureLimit, ProbeAfter: probeAfter, ProbeLimit: probeLimit, SlowStart: slowStart,
 		}
 		s = &group{
 			placer:   placement.New(c),
-			repeats:  retry.NewShared(d.c.Repeats),
+			repeats:  retry.NewShared(sc.c.Repeats),
 			patience: map[string]kumquatlug.Millis{},
 			turns:    map[uint64]chan placement.Due{},
 		}
-		s.repeats.SetFronts(d.fronts)
-		s.placer.SetFronts(d.fronts)
-		d.services[service] = s
+		s.repeats.SetFronts(sc.fronts)
+		s.placer.SetFronts(sc.fronts)
+		sc.services[service] = s
 	}
 	return s
 }
 
-func (d *scheduler) setFronts(n int) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.fronts = n
-	for _, s := range d.services {
+func (sc *scheduler) setFronts(n int) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	sc.fronts = n
+	for _, s := range sc.services {
 		s.repeats.SetFronts(n)
 		s.placer.SetFronts(n)
 	}
 }
 
 // sync takes the members of all services.
-func (d *scheduler) sync(now kumquatlug.Millis, byService map[string][]kumquatlug.Member) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+func (sc *scheduler) sync(now kumquatlug.Millis, byService map[string][]kumquatlug.Member) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
 	for name, members := range byService {
-		d.at(name).placer.Sync(now, members)
+		sc.at(name).placer.Sync(now, members)
 	}
-	for name, s := range d.services {
+	for name, s := range sc.services {
 		if _, still := byService[name]; !still {
 			s.placer.Sync(now, nil)
 		}
@@ -94,12 +94,12 @@
 }
 
 // describe takes what the config says of the services.
-func (d *scheduler) describe(table *routes.Table) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+func (sc *scheduler) describe(table *routes.Table) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
 	for _, name := range table.Services() {
 		s, _ := table.Service(name)
-		d.at(name).placer.SetMemory(s.Memory())
+		sc.at(name).placer.SetMemory(s.Memory())
 	}
 }
 
@@ -110,10 +110,10 @@
 
 // arrive records a request for a service and returns how long its client has
 // been trying already: clients that come back say a much shorter time to wait.
-func (d *scheduler) arrive(now kumquatlug.Millis, service, route string, waits kumquatlug.Millis) kumquatlug.Millis {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	s := d.at(service)
+func (sc *scheduler) arrive(now kumquatlug.Millis, service, route string, waits kumquatlug.Millis) kumquatlug.Millis {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	s := sc.at(service)
 	s.repeats.Request(now)
 	if waits > s.patience[route] {
 		s.patience[route] = waits
@@ -125,10 +125,10 @@
 }
 
 // repeat pays for one more arrival at a worker of a service.
-func (d *scheduler) repeat(now kumquatlug.Millis, service string) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.at(service).repeats.Take(now)
+func (sc *scheduler) repeat(now kumquatlug.Millis, service string) bool {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	return sc.at(service).repeats.Take(now)
 }
 
 // stage is the part of the work that a worker is wanted for.
@@ -141,10 +141,10 @@
 )
 
 // choose picks a worker and counts the attempt as in hand there.
-func (d *scheduler) choose(now kumquatlug.Millis, service string, s stage, q placement.Query) (placement.Choice, *placement.Ticket) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	p := d.at(service).placer
+func (sc *scheduler) choose(now kumquatlug.Millis, service string, s stage, q placement.Query) (placement.Choice, *placement.Ticket) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	p := sc.at(service).placer
 	pick := p.Plain
 	if s == stageOutput {
 		pick = p.Output
@@ -167,27 +167,27 @@
 }
 
 // enter brings a prompt to the engines.
-func (d *scheduler) enter(now kumquatlug.Millis, service string, q placement.Query) turn {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	g := d.at(service)
-	d.lastKey++
-	t := turn{key: d.lastKey}
+func (sc *scheduler) enter(now kumquatlug.Millis, service string, q placement.Query) turn {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	g := sc.at(service)
+	sc.lastKey++
+	t := turn{key: sc.lastKey}
 	t.entry, t.choice, t.ticket = g.placer.Enter(now, t.key, q)
 	if t.entry == placement.EntryWaits {
 		t.due = make(chan placement.Due, 1)
 		g.turns[t.key] = t.due
 	}
-	d.pump(now, g)
+	sc.pump(now, g)
 	return t
 }
 
 // leave takes a prompt out of the queues. Its turn may have come meanwhile; the
 // attempt that was begun is then ended.
-func (d *scheduler) leave(now kumquatlug.Millis, service string, t turn) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	g := d.at(service)
+func (sc *scheduler) leave(now kumquatlug.Millis, service string, t turn) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	g := sc.at(service)
 	g.placer.Leave(t.key)
 	delete(g.turns, t.key)
 	select {
@@ -197,11 +197,11 @@
 		}
 	default:
 	}
-	d.pump(now, g)
+	sc.pump(now, g)
 }
 
 // pump tells those whose turn has come; the lock must be held.
-func (d *scheduler) pump(now kumquatlug.Millis, g *group) {
+func (sc *scheduler) pump(now kumquatlug.Millis, g *group) {
 	if g.placer.Waiting() == 0 {
 		return
 	}
@@ -214,33 +214,33 @@
 }
 
 // tick does what time alone makes due in the queues.
-func (d *scheduler) tick(now kumquatlug.Millis) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, g := range d.services {
-		d.pump(now, g)
+func (sc *scheduler) tick(now kumquatlug.Millis) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	for _, g := range sc.services {
+		sc.pump(now, g)
 	}
 }
 
 // said takes what a worker said of its load.
-func (d *scheduler) said(now kumquatlug.Millis, service, worker string, load kumquatlug.WorkerLoad) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.at(service).placer.Report(now, worker, load)
+func (sc *scheduler) said(now kumquatlug.Millis, service, worker string, load kumquatlug.WorkerLoad) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	sc.at(service).placer.Report(now, worker, load)
 }
 
-func (d *scheduler) read(now kumquatlug.Millis, service string, t *placement.Ticket) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	g := d.at(service)
+func (sc *scheduler) read(now kumquatlug.Millis, service string, t *placement.Ticket) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	g := sc.at(service)
 	g.placer.Read(now, t)
-	d.pump(now, g)
+	sc.pump(now, g)
 }
 
-func (d *scheduler) end(now kumquatlug.Millis, service string, t *placement.Ticket, o placement.Outcome) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	g := d.at(service)
+func (sc *scheduler) end(now kumquatlug.Millis, service string, t *placement.Ticket, o placement.Outcome) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	g := sc.at(service)
 	g.placer.End(now, t, o)
-	d.pump(now, g)
+	sc.pump(now, g)
 }
--- a/pkg/kumquatlug/placement/placement.go
+++ b/pkg/kumquatlug/placement/placement.go
@@ -54,7 +54,9 @@
 	// Default 60: at the two sites a mean worth of 0.72 and 0.56 of the days with
 	// trouble, against 0.70 and 0.53 at 10 (standard days, one run each).
 	MixedPrice float64
-	// ZonePrice is the price of another data centre in milliseconds.
+	// ZonePrice is the price of another data centre in milliseconds. Default 3:
+	// a few round trips of 1 ms, and bytes that cost money there; any real queue
+	// outweighs it.
 	ZonePrice float64
 	// TransferCost is what handing a KV cache over costs in milliseconds: two
 	// round trips and the copy. Default 4.
--- a/pkg/kumquatlug/placement/queue.go
+++ b/pkg/kumquatlug/placement/queue.go
@@ -13,8 +13,8 @@
 // latency has passed, and the engines work at full rate for nobody who is still
 // in time. So an engine is given little ahead, and what it has no room for waits
 // at the front, where the order can still be chosen: those that can be in time
-// go first, the oldest of them before the others; the late ones go when there is
-// nothing else; and who can't be served before its client gives up is refused as
+// go first, by their worth for the tokens to be read; the late ones go when there
+// is nothing else; and who can't be served before its client gives up is refused as
 // soon as that shows, not at its deadline.
 
 // Figures of the queues.
