Ask another plain worker after 0.3 s of silence

Cause: a look-up at a worker that hangs was given up after 0.9 s, later than the route's timeout of 0.8 s. Ruled out: engines, whose prompts may stand in a queue that long; theirs stays at 0.9 s.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -141,6 +141,9 @@
 	// leastAttempt is far above an answer's usual time, so that only a worker
 	// that fell silent or behind reaches it.
 	leastAttempt = 900 * kumquatlug.Millis(1)
+	// leastPlain is the same for plain services, whose answers come within tenths
+	// of a second; timeouts of less than a second leave no time for more.
+	leastPlain = 300 * kumquatlug.Millis(1)
 	// attemptFactor is how many times the expected wait is waited.
 	attemptFactor = 4
 )
@@ -148,7 +151,11 @@
 // attemptTimeout is how long an attempt may take until its first output, where
 // another worker could still answer in time.
 func (f *inflight) attemptTimeout(c placement.Choice) kumquatlug.Millis {
-	return min(f.left(), max(leastAttempt, attemptFactor*c.Wait()))
+	least := leastAttempt
+	if !f.service.Engine() {
+		least = leastPlain
+	}
+	return min(f.left(), max(least, attemptFactor*c.Wait()))
 }
 
 // prefill has an engine read the prompt.
