--- /dev/null
+++ b/test/front/process_test.go
@@ -0,0 +1,257 @@
+// Package front drives the real program against stand-ins of the users'
+// platform, as separate processes over TCP on loopback.
+package front
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/kumquatlug/kumquatlug/internal/standin/fleet"
+	"github.com/kumquatlug/kumquatlug/internal/standin/rowstore"
+	"github.com/kumquatlug/kumquatlug/internal/standin/site"
+)
+
+var binary string
+
+// TestMain builds the program that all tests run.
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "front")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	binary = filepath.Join(dir, "kumquatlug")
+	build := exec.Command("go", "build", "-o", binary, "../../cmd/kumquatlug")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintln(os.Stderr, string(out), err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// limit bounds every wait of these tests; a front is ready within a second on
+// an idle machine.
+const limit = 20 * time.Second
+
+// process is one front.
+type process struct {
+	t              *testing.T
+	name, settings string
+	clients, ready string
+	cmd            *exec.Cmd
+	done           chan struct{}
+	mu             sync.Mutex
+	lines          []string
+}
+
+// newSite starts a small deployment.
+func newSite(t *testing.T, c site.Config) *site.Site {
+	t.Helper()
+	s, err := site.New(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s
+}
+
+// newFront starts a front and waits until it is ready.
+func newFront(t *testing.T, s *site.Site, name string) *process {
+	t.Helper()
+	text, clients, ready, err := s.Settings(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &process{t: t, name: name, clients: clients, ready: ready, settings: filepath.Join(t.TempDir(), "settings.toml")}
+	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p.start()
+	t.Cleanup(p.kill)
+	p.waitReady()
+	return p
+}
+
+func (p *process) start() {
+	p.t.Helper()
+	p.cmd = exec.Command(binary, "front")
+	p.cmd.Env = append(os.Environ(), "KUMQUATLUG_SETTINGS="+p.settings)
+	out, err := p.cmd.StdoutPipe()
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	p.done = make(chan struct{})
+	go p.read(p.cmd, out, p.done)
+}
+
+func (p *process) read(cmd *exec.Cmd, out io.Reader, done chan struct{}) {
+	for lines := bufio.NewScanner(out); lines.Scan(); {
+		p.mu.Lock()
+		p.lines = append(p.lines, lines.Text())
+		p.mu.Unlock()
+	}
+	_ = cmd.Wait()
+	close(done)
+}
+
+// log returns the lines written so far that hold all words.
+func (p *process) log(words ...string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var found []string
+	for _, line := range p.lines {
+		all := true
+		for _, w := range words {
+			all = all && strings.Contains(line, w)
+		}
+		if all {
+			found = append(found, line)
+		}
+	}
+	return found
+}
+
+func (p *process) signal(s os.Signal) {
+	p.t.Helper()
+	if err := p.cmd.Process.Signal(s); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+func (p *process) kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+func (p *process) isReady() bool {
+	answer, err := http.Get("http://" + p.ready + "/v1/readyz")
+	if err != nil {
+		return false
+	}
+	answer.Body.Close()
+	return answer.StatusCode == http.StatusOK
+}
+
+func (p *process) waitReady() {
+	p.t.Helper()
+	eventually(p.t, p.name+" is ready", p.isReady)
+}
+
+// eventually waits until what holds.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); {
+		if holds() {
+			return
+		}
+		pause(10 * time.Millisecond)
+	}
+	t.Fatalf("not within %v: %s", limit, what)
+}
+
+// pause waits for real time to pass: the program runs by its own clock.
+func pause(d time.Duration) { <-time.After(d) }
+
+// answer is what a client has received.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// ask sends one request over a connection of its own.
+func (p *process) ask(ctx context.Context, method, path, id string, header map[string]string) answer {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+p.clients+path, strings.NewReader(strings.Repeat("b", 300)))
+	if err != nil {
+		return answer{err: err}
+	}
+	if method == http.MethodGet {
+		r.Body, r.ContentLength = nil, 0
+	}
+	r.Host = site.Host
+	r.Header.Set("Attempt-Id", id)
+	r.Header.Set("Deadline-Ms", "6000")
+	for k, v := range header {
+		r.Header.Set(k, v)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	got, err := client.Do(r)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer got.Body.Close()
+	body, err := io.ReadAll(got.Body)
+	return answer{status: got.StatusCode, header: got.Header, body: string(body), err: err}
+}
+
+// prompt are the headers of a request with a long prompt.
+func prompt(id string) map[string]string {
+	return map[string]string{
+		"Model": "m", "Token-Count": "9190,104", "Prefix-Hash": "aa:2520,bb" + id[len(id)-1:] + ":3780," + id + ":2890",
+	}
+}
+
+// post, look, long and chat send one request of each kind.
+func (p *process) post(id string) answer {
+	return p.ask(context.Background(), http.MethodPost, site.PathPost+"x", id, nil)
+}
+
+func (p *process) look(id string) answer {
+	return p.ask(context.Background(), http.MethodGet, site.PathLook+"x?y=1", id, nil)
+}
+
+func (p *process) long(id string) answer {
+	return p.ask(context.Background(), http.MethodPost, site.PathLong+"x", id, prompt(id))
+}
+
+func (p *process) chat(id string) answer {
+	return p.ask(context.Background(), http.MethodPost, site.PathChat+"x", id, map[string]string{
+		"Model": "m", "Token-Count": "220,400", "Prefix-Hash": "cc:80," + id + ":140",
+	})
+}
+
+// stream is the body of a whole stream of n events.
+func stream(id string, n int) string {
+	var b strings.Builder
+	for i := 1; i <= n; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %s/%d\n\n", i, id, i)
+	}
+	return b.String()
+}
+
+func wantWhole(t *testing.T, got answer, body string) {
+	t.Helper()
+	if got.err != nil || got.status != http.StatusOK || got.body != body {
+		t.Fatalf("status %d, error %v, body of %d bytes %.200q; want %d bytes", got.status, got.err, len(got.body), got.body, len(body))
+	}
+	if got.header.Get("Server-Stamp") == "" {
+		t.Fatal("the answer lacks the worker's stamp")
+	}
+}
+
+// total adds up how often a request ran at all workers.
+func total(workers []*fleet.Worker, id string) int {
+	n := 0
+	for _, w := range workers {
+		n += w.Runs()[id]
+	}
+	return n
+}
+
+func rowstoreFault(name string) rowstore.Fault { return rowstore.Fault(name) }
