Bound the number of fronts that are taken to do as this one does

Cause: what one front has at an engine is multiplied by the number of fronts to tell the engine's load; at a hundred fronts each sends so seldom to one engine that a single prompt looked like an overload, and prompts were refused at idle engines.

--- a/pkg/kumquatlug/placement/placement.go
+++ b/pkg/kumquatlug/placement/placement.go
@@ -103,6 +103,10 @@
 	// smallRead is up to how many tokens a prompt is read beside streams without
 	// being noticed there: one piece between two tokens, 4 ms.
 	smallRead = 512
+	// mostFronts bounds the number of fronts that are taken to do as this one
+	// does. Where there are more, one of them sends so seldom to one engine that
+	// a single prompt, taken a hundred times, would look like an overload.
+	mostFronts = 6
 	// rankCost makes fronts agree on the second owner too, in milliseconds.
 	rankCost = 1.0
 	// reportAge is how long what a worker said of its load is believed; answers
@@ -225,7 +229,7 @@
 }
 
 // SetFronts tells how many fronts send to the workers.
-func (p *Placer) SetFronts(n int) { p.fronts = float64(max(n, 1)) }
+func (p *Placer) SetFronts(n int) { p.fronts = float64(min(max(n, 1), mostFronts)) }
 
 // Report takes what a worker said of its load in an answer.
 func (p *Placer) Report(now kumquatlug.Millis, id string, load kumquatlug.WorkerLoad) {
--- a/pkg/kumquatlug/placement/queue_test.go
+++ b/pkg/kumquatlug/placement/queue_test.go
@@ -154,3 +154,25 @@
 		t.Errorf("%d of %d still wait", n, len(waits))
 	}
 }
+
+// A hundred fronts send to a thousand engines, each seldom to the same one. Taken
+// a hundred times, the two prompts that one front has there would look like an
+// overload, and the third be refused at an engine that stands idle.
+func TestManyFrontsAreNoOverload(t *testing.T) {
+	p := New(Config{})
+	p.SetFronts(100)
+	p.Sync(0, engines(1, 1))
+	for i := range 40 {
+		c, _ := p.Output(0, Query{Prompt: chatPrompt(i)})
+		p.Begin(0, c, chatPrompt(i))
+	}
+	for i := range 3 {
+		entry, c, _ := p.Enter(0, uint64(i), Query{Prompt: document(1, i), Target: 200, Until: 2000})
+		if entry == EntryRefused || entry == EntryNobody {
+			t.Errorf("prompt %d is refused at an expected wait of %d ms", i, c.Wait())
+		}
+	}
+	if c := pick(t, p, 100, document(1, 4)); c.Wait() > 400 {
+		t.Errorf("expected wait of %d ms behind three prompts", c.Wait())
+	}
+}
