--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -72,8 +72,6 @@
 	Clock kumquatlug.Clock
 	// Kept is how many idle connections are kept to one address.
 	Kept int
-	// Opened is told of each new connection, nil for nobody.
-	Opened func()
 }
 
 // Pool keeps connections. It is safe for concurrent use.
@@ -146,9 +144,6 @@
 	if err != nil {
 		return nil, err
 	}
-	if p.c.Opened != nil {
-		p.c.Opened()
-	}
 	return &conn{Conn: raw, address: r.Address, in: bufio.NewReaderSize(raw, readBuffer)}, nil
 }
 
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -90,8 +90,6 @@
 	return false, nil
 }
 
-func (w *fakeWorkers) Healthy(context.Context, kumquatlug.Worker, string) error { return nil }
-
 // whole is a worker's whole answer.
 func whole(status int, text string) kumquatlug.Reply {
 	return kumquatlug.NewReply(kumquatlug.ReplyConfig{
--- a/pkg/kumquatlug/direct.go
+++ b/pkg/kumquatlug/direct.go
@@ -286,8 +286,6 @@
 	// Order gives an engine an order and reports whether it was accepted or
 	// already held.
 	Order(ctx context.Context, w Worker, o RoleOrder) (bool, error)
-	// Healthy asks a worker's own health check.
-	Healthy(ctx context.Context, w Worker, path string) error
 }
 
 // Feed is the part of the platform's store that tells what changed.
