Read rows of workers once a version, share the hash, drop what was left over

Found by reading the change once more. Each change of one worker decoded the rows of all; a row is now read once for each of its versions. placement had a copy of routing's hash finalizer: both take package rendezvous. Removed: a debug line that built fields, client bytes among them, for each event; a log marshaler where a slice does; a wrapper type, a field and a flag that nothing needs. Mended: rows of crashes that one call had no place to remove were forgotten and stayed; a call now writes and removes fifty each. The stand-in store took keys that differ in case for one.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -91,12 +91,8 @@
 	held    atomic.Int64
 	// bodies is how many bytes of bodies are in hand.
 	bodies atomic.Int64
-	calls  chan cleanup
-}
-
-// cleanup is a KV cache that nobody will take.
-type cleanup struct {
-	cache kumquatlug.KVCache
+	// unused are KV caches that nobody will take.
+	unused chan kumquatlug.KVCache
 }
 
 // cleanupRing bounds the caches that wait to be freed; an engine drops them by
@@ -106,7 +102,7 @@
 // New returns a front.
 func New(c Config) *Gateway {
 	g := &Gateway{
-		c: c, scheduler: newScheduler(c), metrics: newMetrics(c.Registry), crashes: newCrashes(), calls: make(chan cleanup, cleanupRing),
+		c: c, scheduler: newScheduler(c), metrics: newMetrics(c.Registry), crashes: newCrashes(), unused: make(chan kumquatlug.KVCache, cleanupRing),
 	}
 	g.members.Store(&memberSet{})
 	return g
@@ -308,10 +304,10 @@
 		select {
 		case <-ctx.Done():
 			return
-		case c := <-g.calls:
+		case cache := <-g.unused:
 			call, cancel := context.WithTimeout(ctx, freeTimeout.Duration())
-			if err := g.c.Workers.Free(call, c.cache); err != nil {
-				g.c.Logger.Info("cache not freed", zap.String("engine", c.cache.Engine()), logs.Error(err))
+			if err := g.c.Workers.Free(call, cache); err != nil {
+				g.c.Logger.Info("cache not freed", zap.String("engine", cache.Engine()), logs.Error(err))
 			}
 			cancel()
 		}
@@ -323,7 +319,7 @@
 		return
 	}
 	select {
-	case g.calls <- cleanup{cache: k}:
+	case g.unused <- k:
 	default:
 		// The engine drops it by itself.
 	}
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -6,7 +6,6 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
@@ -193,21 +192,12 @@
 	}
 }
 
-// fields are log fields that are written together.
-type fields []zap.Field
-
-// MarshalLogObject writes each field.
-func (fs fields) MarshalLogObject(e zapcore.ObjectEncoder) error {
-	for _, f := range fs {
-		f.AddTo(e)
-	}
-	return nil
-}
-
 // log writes one line on what became of an attempt.
 func (f *inflight) log(what string, t *tried) {
-	f.g.c.Logger.Info(what, zap.String("request", f.ask.ID()), zap.String("worker", t.worker),
+	f.g.c.Logger.Info(what, append([]zap.Field{
+		zap.String("request", f.ask.ID()), zap.String("worker", t.worker),
 		zap.String("step", t.failure.Step()), zap.String("reason", t.failure.Reason()),
 		zap.String("ran", string(t.failure.Ran())), zap.Int("tries", f.tries),
-		zap.String("cause", t.failure.CauseText()), zap.Inline(fields(f.about())))
+		zap.String("cause", t.failure.CauseText()),
+	}, f.about()...)...)
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -159,12 +159,11 @@
 
 // pass writes events to the client.
 func (f *inflight) pass(ctx context.Context, c placement.Choice, t *placement.Ticket, flush *http.ResponseController, events []byte) *tried {
-	if _, err := f.w.Write(events); err != nil {
-		failed := f.brokenOff(ctx, c, t, err)
-		failed.whole = true
-		return failed
+	_, err := f.w.Write(events)
+	if err == nil {
+		err = flush.Flush()
 	}
-	if err := flush.Flush(); err != nil {
+	if err != nil {
 		failed := f.brokenOff(ctx, c, t, err)
 		failed.whole = true
 		return failed
@@ -177,16 +176,16 @@
 		f.times.gap = max(f.times.gap, now-f.times.passed)
 	}
 	f.times.passed = now
-	f.g.c.Logger.Debug("events passed", zap.String("request", f.ask.ID()), zap.String("worker", c.Worker().ID()),
-		zap.Int64("last", f.last), zap.Int("bytes", len(events)), zap.ByteString("text", events))
 	return nil
 }
 
 // answered tells that the client has a worker's answer.
 func (f *inflight) answered(c placement.Choice, status int) {
 	f.g.metrics.answers.WithLabelValues("answered").Inc()
-	f.g.c.Logger.Info("answered", zap.String("request", f.ask.ID()), zap.String("worker", c.Worker().ID()),
-		zap.Int("status", status), zap.Int("tries", f.tries+1), zap.Inline(fields(f.about())), zap.Object("steps", f.steps()))
+	f.g.c.Logger.Info("answered", append([]zap.Field{
+		zap.String("request", f.ask.ID()), zap.String("worker", c.Worker().ID()),
+		zap.Int("status", status), zap.Int("tries", f.tries+1), zap.Object("steps", f.steps()),
+	}, f.about()...)...)
 }
 
 // steps tells how long each step of a request took, in milliseconds.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -109,8 +109,10 @@
 // refuse gives a final answer of our own.
 func (g *Gateway) refuse(w http.ResponseWriter, ask kumquatlug.Ask, f *kumquatlug.Failure, about ...zap.Field) {
 	g.metrics.answers.WithLabelValues(f.Reason()).Inc()
-	g.c.Logger.Info("refused", zap.String("request", ask.ID()), zap.String("step", f.Step()),
+	g.c.Logger.Info("refused", append([]zap.Field{
+		zap.String("request", ask.ID()), zap.String("step", f.Step()),
 		zap.String("reason", f.Reason()), zap.String("ran", string(f.Ran())), zap.Int("status", f.Status()),
-		zap.Int64("retry_after_ms", int64(f.RetryAfter())), zap.String("cause", f.CauseText()), zap.Inline(fields(about)))
+		zap.Int64("retry_after_ms", int64(f.RetryAfter())), zap.String("cause", f.CauseText()),
+	}, about...)...)
 	g.c.Ingress.Refuse(w, ask, f)
 }
--- a/internal/gateway/suspect.go
+++ b/internal/gateway/suspect.go
@@ -20,8 +20,9 @@
 	// spreadEvery is how often what this front saw is told, in one call: a
 	// request that is sent again meets the other fronts within seconds.
 	spreadEvery = 300 * kumquatlug.Millis(1)
-	// spreadMost bounds the rows of one call; the store takes a hundred.
-	spreadMost = 90
+	// spreadMost bounds the new rows of one call, and those that it removes: the
+	// store takes a hundred in all.
+	spreadMost = 50
 	// crashRows bounds the rows of this front; the oldest give way.
 	crashRows = 400
 )
@@ -94,7 +95,7 @@
 	for _, name := range names {
 		tx = tx.Put(crashPrefix+name, []byte(g.c.Name))
 	}
-	for _, name := range old[:min(len(old), 100-len(names))] {
+	for _, name := range old {
 		tx = tx.Delete(crashPrefix + name)
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeCall.Duration())
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -175,16 +175,20 @@
 // followMembers keeps the members of all services.
 func (g *Gateway) followMembers(ctx context.Context) {
 	f := &follower{g: g, table: g.c.MemberTable, wait: feedWait}
-	m := &members{g: g, kept: map[string]kumquatlug.Member{}, bad: map[string]int64{}}
+	m := newMembers(g)
 	f.follow(ctx, func(now kumquatlug.Millis) { m.apply(now, f) })
 }
 
 // members turns the rows of workers into members.
 type members struct {
-	g     *Gateway
-	kept  map[string]kumquatlug.Member
-	bad   map[string]int64
-	known bool
+	g    *Gateway
+	kept map[string]kumquatlug.Member
+	// read is the version of each row that was read last, good or bad.
+	read map[string]int64
+}
+
+func newMembers(g *Gateway) *members {
+	return &members{g: g, kept: map[string]kumquatlug.Member{}, read: map[string]int64{}}
 }
 
 // apply takes the rows as they are. A worker whose row is gone is gone, unless
@@ -194,7 +198,6 @@
 	if !f.known {
 		return
 	}
-	m.known = true
 	returning := f.returning(now)
 	for key, row := range f.rows {
 		m.take(key, row)
@@ -205,17 +208,24 @@
 			delete(m.kept, key)
 		}
 	}
+	for key := range m.read {
+		if _, there := f.rows[key]; !there {
+			delete(m.read, key)
+		}
+	}
 	m.publish(now)
 }
 
-// take reads one row. A row that can't be read names no worker.
+// take reads one row, unless it was read before: a change of one worker must not
+// cost the reading of thousands. A row that can't be read names no worker.
 func (m *members) take(key string, row kumquatlug.Row) {
+	if m.read[key] == row.Version() {
+		return
+	}
+	m.read[key] = row.Version()
 	member, err := m.g.c.Directory.Member(row)
 	if err != nil {
-		if m.bad[key] != row.Version() {
-			m.bad[key] = row.Version()
-			m.g.c.Logger.Warn("row of a worker passed over", zap.String("worker", key), logs.Error(err))
-		}
+		m.g.c.Logger.Warn("row of a worker passed over", zap.String("worker", key), logs.Error(err))
 		delete(m.kept, key)
 		return
 	}
@@ -229,7 +239,7 @@
 }
 
 func (m *members) publish(now kumquatlug.Millis) {
-	set := &memberSet{known: m.known, byService: map[string][]kumquatlug.Member{}, addresses: map[string]bool{}}
+	set := &memberSet{known: true, byService: map[string][]kumquatlug.Member{}, addresses: map[string]bool{}}
 	for _, member := range m.kept {
 		set.byService[member.Service] = append(set.byService[member.Service], member)
 		set.addresses[member.Worker.Address()] = true
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -52,7 +52,7 @@
 	f := &follower{g: g, table: "members", rows: map[string]kumquatlug.Row{}}
 	return &watched{
 		g: g, feed: feed, now: now, follower: f,
-		members: &members{g: g, kept: map[string]kumquatlug.Member{}, bad: map[string]int64{}},
+		members: newMembers(g),
 	}
 }
 
--- a/internal/standin/rowstore/rowstore.go
+++ b/internal/standin/rowstore/rowstore.go
@@ -11,7 +11,6 @@
 	"slices"
 	"sort"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -261,7 +260,7 @@
 		if one.Table != table || one.Ver <= after {
 			continue
 		}
-		rows = slices.DeleteFunc(rows, func(before row) bool { return strings.EqualFold(before.name(), one.name()) })
+		rows = slices.DeleteFunc(rows, func(before row) bool { return before.name() == one.name() })
 		rows = append(rows, one)
 	}
 	return rows
--- a/pkg/kumquatlug/placement/choose.go
+++ b/pkg/kumquatlug/placement/choose.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/rendezvous"
 )
 
 // Query asks for a worker.
@@ -93,7 +94,7 @@
 		if !p.usable(now, w, q, kumquatlug.RolePrefill) {
 			continue
 		}
-		if h := mix(key ^ w.hash); owner == nil || h > ownerKey {
+		if h := rendezvous.Mix(key ^ w.hash); owner == nil || h > ownerKey {
 			owner, ownerKey = w, h
 		}
 	}
@@ -111,7 +112,7 @@
 		away := fresh - p.own(q.Prompt)
 		cost := wait + p.c.AwayPrice*away/p.c.ReadRate + p.zonePrice(w)
 		if w != owner {
-			cost += rankCost * (1 - float64(mix(key^w.hash))/math.MaxUint64)
+			cost += rankCost * (1 - float64(rendezvous.Mix(key^w.hash))/math.MaxUint64)
 		}
 		if cost < least {
 			least = cost
--- a/pkg/kumquatlug/placement/cost.go
+++ b/pkg/kumquatlug/placement/cost.go
@@ -90,13 +90,3 @@
 	}
 	return d.Sum64()
 }
-
-// mix spreads the bits of a key, so that the order of workers differs between
-// keys that differ in one bit.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/pkg/kumquatlug/placement/placement.go
+++ b/pkg/kumquatlug/placement/placement.go
@@ -132,7 +132,6 @@
 type worker struct {
 	member kumquatlug.Member
 	hash   uint64
-	since  kumquatlug.Millis
 	// reads and tokens are the prompts in hand for this front and what is to be
 	// read of them; runs are all other requests in hand and room the memory that
 	// they take, in tokens.
@@ -201,7 +200,7 @@
 			p.orphan(w)
 		}
 		if !known || w.member.Born != m.Born || w.member.Worker != m.Worker {
-			w = &worker{hash: xxhash.Sum64String(id), since: now, held: map[string]kumquatlug.Millis{}}
+			w = &worker{hash: xxhash.Sum64String(id), held: map[string]kumquatlug.Millis{}}
 			p.workers[id] = w
 			p.health.Remove(id)
 			p.health.Add(id)
--- a/pkg/kumquatlug/routing/pick.go
+++ b/pkg/kumquatlug/routing/pick.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/rendezvous"
 )
 
 // Query asks for a target for one call.
@@ -230,7 +231,7 @@
 	var highest uint64
 	for i := range r.candidates {
 		c := &r.candidates[i]
-		if h := mix(key ^ c.target.hash); (first == nil || h > highest) && c.target.streams() <= bound {
+		if h := rendezvous.Mix(key ^ c.target.hash); (first == nil || h > highest) && c.target.streams() <= bound {
 			first, highest = c, h
 		}
 	}
--- a/pkg/kumquatlug/routing/routing_test.go
+++ b/pkg/kumquatlug/routing/routing_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/rendezvous"
 )
 
 var chat = kumquatlug.NewKind(kumquatlug.ProtocolEngine, "chat")
@@ -258,7 +259,7 @@
 	r.SetEntries(8)
 	keys := make([]uint64, 16)
 	for i := range keys {
-		keys[i] = mix(uint64(i) + 1)
+		keys[i] = rendezvous.Mix(uint64(i) + 1)
 	}
 	for i := range 4 * n {
 		c := Call{ID: fmt.Sprint(i), Prefix: keys[:i%9], PrefillTokens: 100 * (i % 37), DecodeTokens: 100}
@@ -293,7 +294,7 @@
 	r := fleet(100)
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
-		r.Cached(target4(i%100), mix(uint64(i/3)), int64(i/100+1), false)
+		r.Cached(target4(i%100), rendezvous.Mix(uint64(i/3)), int64(i/100+1), false)
 	}
 }
 
--- a/pkg/kumquatlug/routing/subset.go
+++ b/pkg/kumquatlug/routing/subset.go
@@ -5,6 +5,8 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/rendezvous"
 )
 
 // DefaultSubset is how many targets of a group an entry speaks to. The larger
@@ -59,10 +61,10 @@
 // draws reports whether mine is among the first replicas of the rendezvous
 // order of the target.
 func draws(target uint64, entries []uint64, mine uint64, replicas int) bool {
-	own := mix(target ^ mine)
+	own := rendezvous.Mix(target ^ mine)
 	higher := 0
 	for _, e := range entries {
-		if mix(target^e) > own {
+		if rendezvous.Mix(target^e) > own {
 			higher++
 		}
 		if higher >= replicas {
@@ -94,7 +96,7 @@
 func order(key uint64, targets []string) []string {
 	list := slices.Clone(targets)
 	slices.SortFunc(list, func(a, b string) int {
-		ha, hb := mix(key^xxhash.Sum64String(a)), mix(key^xxhash.Sum64String(b))
+		ha, hb := rendezvous.Mix(key^xxhash.Sum64String(a)), rendezvous.Mix(key^xxhash.Sum64String(b))
 		return cmp.Or(cmp.Compare(hb, ha), cmp.Compare(a, b))
 	})
 	return list
@@ -113,13 +115,3 @@
 	slices.Sort(list)
 	return list
 }
-
-// mix spreads the bits of x (the finalizer of splitmix64): the xor of two
-// hashes alone would order targets alike for keys that are close.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
