Leave the time in which an entry stood still out of its grace for targets

An entry counts since when it has no target from the reading of its config; frozen for six seconds before it had heard one, it woke beyond the grace of five and refused before its first heartbeat was answered. Before: the new test is refused on waking. After: it waits, and is told within the grace. No test was changed.

--- a/pkg/kumquatlug/dispatch/attempt.go
+++ b/pkg/kumquatlug/dispatch/attempt.go
@@ -41,7 +41,7 @@
 // AttemptFailed takes the failure of the attempt in hand: another one follows,
 // or the final answer.
 func (d *Dispatcher) AttemptFailed(now kumquatlug.Millis, id string, f Failed) []Decision {
-	d.begin()
+	d.begin(now)
 	r, kept := d.requests[id]
 	if !kept {
 		return d.serve(now)
@@ -153,7 +153,7 @@
 
 // Progress takes that a request's caller has received tokens of output in all.
 func (d *Dispatcher) Progress(now kumquatlug.Millis, id string, tokens int64) []Decision {
-	d.begin()
+	d.begin(now)
 	r, kept := d.requests[id]
 	if !kept {
 		return d.out
@@ -190,7 +190,7 @@
 
 // Finished takes the end of a request whose answer is whole.
 func (d *Dispatcher) Finished(now kumquatlug.Millis, id string, o Done) []Decision {
-	d.begin()
+	d.begin(now)
 	r, kept := d.requests[id]
 	if !kept {
 		return d.serve(now)
@@ -245,7 +245,7 @@
 
 // Cancelled takes that a caller gave up a request, wherever it stands.
 func (d *Dispatcher) Cancelled(now kumquatlug.Millis, id string) []Decision {
-	d.begin()
+	d.begin(now)
 	r, kept := d.requests[id]
 	if !kept {
 		return d.out
--- a/pkg/kumquatlug/dispatch/configure.go
+++ b/pkg/kumquatlug/dispatch/configure.go
@@ -13,7 +13,7 @@
 
 // Configure takes the config in force.
 func (d *Dispatcher) Configure(now kumquatlug.Millis, state config.State) []Decision {
-	d.begin()
+	d.begin(now)
 	d.revision = state.Revision()
 	d.selectors, _ = config.Selectors(state)
 	d.readLabels(state)
--- a/pkg/kumquatlug/dispatch/dispatch.go
+++ b/pkg/kumquatlug/dispatch/dispatch.go
@@ -45,6 +45,9 @@
 	// settle is how long a suspect waits for the news of its crash to spread: two
 	// heartbeats at the pace of an entry with fifteen targets, and their way.
 	settle = 5 * kumquatlug.Second
+	// frozenSpan is the time without any event after which the process stood
+	// still: [Dispatcher.Wake] asks for a tick each second at least.
+	frozenSpan = 2 * kumquatlug.Second
 	// forgetEvery is how often idle callers are forgotten.
 	forgetEvery = kumquatlug.Minute
 )
@@ -97,6 +100,8 @@
 	due       []*request
 	out       []Decision
 	forgotAt  kumquatlug.Millis
+	// eventAt is when the last event came.
+	eventAt kumquatlug.Millis
 }
 
 // kindState is what is kept of one kind of work.
@@ -243,7 +248,7 @@
 
 // Arrive takes a new request: it is refused at once, or waits for its turn.
 func (d *Dispatcher) Arrive(now kumquatlug.Millis, c RequestConfig) []Decision {
-	d.begin()
+	d.begin(now)
 	r := &request{c: c}
 	d.estimate(now, r)
 	d.splitWork(r)
@@ -319,7 +324,7 @@
 // Tick does what time alone makes due. Call it at least as often as [Wake]
 // says.
 func (d *Dispatcher) Tick(now kumquatlug.Millis) []Decision {
-	d.begin()
+	d.begin(now)
 	d.refuseStranded(now)
 	if now-d.forgotAt > forgetEvery {
 		d.callers.Forget(now)
@@ -371,7 +376,23 @@
 }
 
 // begin starts a new list of decisions.
-func (d *Dispatcher) begin() { d.out = d.out[:0] }
+func (d *Dispatcher) begin(now kumquatlug.Millis) {
+	d.out = d.out[:0]
+	d.passOverFreeze(now)
+}
+
+// passOverFreeze leaves the time in which the process stood still out of the
+// grace. Nobody could answer its heartbeats then, and an entry that wakes would
+// refuse all callers before it has asked any target.
+func (d *Dispatcher) passOverFreeze(now kumquatlug.Millis) {
+	still := now - d.eventAt
+	if d.eventAt != 0 && still > frozenSpan {
+		for _, k := range d.kinds {
+			k.emptySince += still
+		}
+	}
+	d.eventAt = now
+}
 
 // serve refuses who can't make it any more, then sends what is due and what
 // the queue says as far as targets have room.
--- a/pkg/kumquatlug/dispatch/dispatch_test.go
+++ b/pkg/kumquatlug/dispatch/dispatch_test.go
@@ -246,6 +246,29 @@
 	}
 }
 
+// An entry has read its config, heard no target yet and is frozen for six
+// seconds. On waking it has been without targets for longer than the grace by
+// the clock alone; refusing at once, it would send every caller away in the
+// moment before its first heartbeats are answered.
+func TestTheGraceDoesNotRunWhileTheEntryIsFrozen(t *testing.T) {
+	d := newDesk(t)
+	for range 3 {
+		d.now += 100
+		d.Tick(d.now)
+	}
+	d.now += 6 * kumquatlug.Second
+	if decision, decided := d.arrive("g", drafts, kumquatlug.Minute); decided {
+		t.Fatalf("decided on waking: %+v", decision)
+	}
+	began := d.now
+	if decision, decided := d.follow("g", kumquatlug.Minute); !decided || decision.Verdict() != VerdictRefuse {
+		t.Fatalf("decided %v: %+v", decided, decision)
+	}
+	if took := d.now - began; took > 2*TargetGrace {
+		t.Errorf("told after %d ms", took)
+	}
+}
+
 // An agent is stopping and says so in a refusal. The entry's next heartbeat is
 // seconds away, and until then every other request would go there and back.
 func TestRefusalOfALeavingTargetIsRemembered(t *testing.T) {
--- a/pkg/kumquatlug/dispatch/split.go
+++ b/pkg/kumquatlug/dispatch/split.go
@@ -54,7 +54,7 @@
 // another engine, to which the KV cache goes without passing any entry. The
 // request was accepted already and goes before the queue.
 func (d *Dispatcher) Linked(now kumquatlug.Millis, id string) []Decision {
-	d.begin()
+	d.begin(now)
 	r, kept := d.requests[id]
 	if !kept {
 		return d.serve(now)
--- a/pkg/kumquatlug/dispatch/targets.go
+++ b/pkg/kumquatlug/dispatch/targets.go
@@ -56,7 +56,7 @@
 
 // Listed takes the platform's list of VMs.
 func (d *Dispatcher) Listed(now kumquatlug.Millis, vms []kumquatlug.VM) []Decision {
-	d.begin()
+	d.begin(now)
 	d.members.Listed(vms)
 	d.entries = d.entries[:0]
 	for _, vm := range vms {
@@ -74,7 +74,7 @@
 
 // Heard takes an answered heartbeat and returns how it changed the member.
 func (d *Dispatcher) Heard(now kumquatlug.Millis, name string, report Report) (membership.Change, bool, []Decision) {
-	d.begin()
+	d.begin(now)
 	before, heard := d.reports[name]
 	change, changed := d.members.Heard(now, name, report.Incarnation)
 	d.reports[name] = report
@@ -120,7 +120,7 @@
 // Missed takes a heartbeat without an answer and returns how it changed the
 // member.
 func (d *Dispatcher) Missed(now kumquatlug.Millis, name string) (membership.Change, bool, []Decision) {
-	d.begin()
+	d.begin(now)
 	change, changed := d.members.Missed(name)
 	for _, group := range d.health {
 		group.HeartbeatMissed(now, name)
