--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -162,11 +162,12 @@
 func (f *inflight) prefill(ctx context.Context, c placement.Choice, t *placement.Ticket) (kumquatlug.KVCache, *tried) {
 	call, cancel := context.WithTimeout(ctx, f.attemptTimeout(c).Duration())
 	defer cancel()
+	f.g.scheduler.watch(f.service.Name(), t, cancel)
 	cache, reply, err := f.g.c.Workers.Prefill(call, c.Worker(), f.ask, f.sending(c))
 	id := c.Worker().ID()
 	if err != nil {
 		// Reading a prompt runs nothing, whatever became of it.
-		failed := f.failed(ctx, stagePrompt, c, t, err)
+		failed := f.failed(stagePrompt, c, t, blame(ctx, call), err)
 		failed.failure = failed.failure.WithRan(kumquatlug.RanNot)
 		return cache, failed
 	}
@@ -190,19 +191,49 @@
 	f.g.scheduler.end(f.g.c.Clock.Now(), f.service.Name(), t, o)
 }
 
-// failed records an attempt that brought no answer.
-func (f *inflight) failed(ctx context.Context, s stage, c placement.Choice, t *placement.Ticket, err error) *tried {
-	outcome := placement.OutcomeFailed
-	if ctx.Err() != nil {
-		outcome = placement.OutcomeSilent
+// blamed is whose doing the end of an attempt was.
+type blamed string
+
+const (
+	// blamedWorker: the worker ended it.
+	blamedWorker blamed = "worker"
+	// blamedSilence: this front gave it up, as the worker said nothing.
+	blamedSilence blamed = "silence"
+	// blamedClient: the client left, or the time of the request is over.
+	blamedClient blamed = "client"
+)
+
+// blame tells whose doing it was that an attempt failed; ctx is the request's
+// context, call the attempt's.
+func blame(ctx, call context.Context) blamed {
+	switch {
+	case ctx.Err() != nil:
+		return blamedClient
+	case call.Err() != nil:
+		return blamedSilence
 	}
-	f.end(s, t, outcome)
+	return blamedWorker
+}
+
+// ended records the end of an attempt that failed once it may have run. Only an
+// end that the worker itself made makes its request suspect of having ended it.
+func (f *inflight) ended(s stage, c placement.Choice, t *placement.Ticket, b blamed, ran kumquatlug.Ran) {
+	if b == blamedClient {
+		f.end(s, t, placement.OutcomeSilent)
+		return
+	}
+	f.end(s, t, placement.OutcomeFailed)
+	if b == blamedWorker && ran != kumquatlug.RanNot {
+		f.crashed(c.Worker().ID())
+	}
+}
+
+// failed records an attempt that brought no answer.
+func (f *inflight) failed(s stage, c placement.Choice, t *placement.Ticket, b blamed, err error) *tried {
 	failure := kumquatlug.FailureOf(err)
+	f.ended(s, c, t, b, failure.Ran())
 	if failure.Ran() != kumquatlug.RanNot {
 		f.arrivals++
-		if outcome == placement.OutcomeFailed {
-			f.crashed(c.Worker().ID())
-		}
 	}
 	return &tried{failure: failure, worker: c.Worker().ID()}
 }
@@ -225,6 +256,7 @@
 	call, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if f.route.Repeatable() && f.runs+1 < f.route.Workers() {
+		f.g.scheduler.watch(f.service.Name(), t, cancel)
 		// A worker that is silent holds the request until its deadline.
 		stop := time.AfterFunc(f.attemptTimeout(c).Duration(), cancel)
 		defer stop.Stop()
@@ -234,12 +266,12 @@
 	}
 	reply, err := f.g.c.Workers.Run(call, c.Worker(), f.ask, s)
 	if err != nil {
-		return f.failed(ctx, stageOutput, c, t, err)
+		return f.failed(stageOutput, c, t, blame(ctx, call), err)
 	}
 	f.g.scheduler.said(f.g.c.Clock.Now(), f.service.Name(), c.Worker().ID(), reply.Load())
 	if reply.Refused() {
 		return f.turnedDown(stageOutput, c, t, reply)
 	}
 	f.arrivals++
-	return f.relay(ctx, c, t, reply)
+	return f.relay(&attempt{ctx: ctx, call: call, choice: c, ticket: t, reply: reply})
 }
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -49,6 +49,8 @@
 	entered, read, first kumquatlug.Millis
 	// passed is when the last events went on, gap the longest pause before any.
 	passed, gap kumquatlug.Millis
+	// events counts those that went on.
+	events int
 	// expected is how long reading was expected to take.
 	expected kumquatlug.Millis
 	reader   string
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -14,6 +14,7 @@
 	latency  *prometheus.HistogramVec
 	store    *prometheus.CounterVec
 	orders   *prometheus.CounterVec
+	silent   prometheus.Counter
 	config   prometheus.Gauge
 }
 
@@ -37,11 +38,14 @@
 		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "kumquatlug_gateway_orders_total", Help: "Orders to engines by outcome.",
 		}, []string{"outcome"}),
+		silent: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "kumquatlug_gateway_silent_workers_total", Help: "Times at which a worker with work in hand fell silent.",
+		}),
 		config: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "kumquatlug_gateway_config_version", Help: "Version of the config in force.",
 		}),
 	}
-	r.MustRegister(m.answers, m.attempts, m.latency, m.store, m.orders, m.config)
+	r.MustRegister(m.answers, m.attempts, m.latency, m.store, m.orders, m.silent, m.config)
 	return m
 }
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -28,125 +28,160 @@
 	maxEvent = 1 << 20
 )
 
+// attempt is one that a worker began to answer.
+type attempt struct {
+	// ctx is the request's context, call the attempt's.
+	ctx, call context.Context
+	choice    placement.Choice
+	ticket    *placement.Ticket
+	reply     kumquatlug.Reply
+}
+
+// worker returns the worker's name.
+func (a *attempt) worker() string { return a.choice.Worker().ID() }
+
 // relay hands a worker's answer on to the client.
-func (f *inflight) relay(ctx context.Context, c placement.Choice, t *placement.Ticket, reply kumquatlug.Reply) *tried {
-	defer reply.Body().Close()
-	if f.route.Stream() && reply.Status() == http.StatusOK {
-		return f.relayStream(ctx, c, t, reply)
+func (f *inflight) relay(a *attempt) *tried {
+	defer a.reply.Body().Close()
+	if f.route.Stream() && a.reply.Status() == http.StatusOK {
+		return f.relayStream(a)
 	}
-	if failed := f.again(c, t, reply); failed != nil {
+	if failed := f.again(a); failed != nil {
 		return failed
 	}
-	return f.relayWhole(ctx, c, t, reply)
+	return f.relayWhole(a)
 }
 
 // again turns a worker's own failure into a failed attempt where another worker
 // may do better: the request may run twice and nothing of an answer was sent.
-func (f *inflight) again(c placement.Choice, t *placement.Ticket, reply kumquatlug.Reply) *tried {
-	if reply.Status() < http.StatusInternalServerError || reply.Status() == http.StatusGatewayTimeout {
+func (f *inflight) again(a *attempt) *tried {
+	if status := a.reply.Status(); status < http.StatusInternalServerError || status == http.StatusGatewayTimeout {
 		return nil
 	}
 	if f.begun || !f.route.Repeatable() || f.runs+1 >= f.route.Workers() || f.tries+1 >= maxTries {
 		return nil
 	}
-	f.end(stageOutput, t, placement.OutcomeFailed)
-	return &tried{worker: c.Worker().ID(), failure: kumquatlug.NewFailure(kumquatlug.FailureConfig{
-		Step: "run", Peer: c.Worker().ID(), Reason: "worker_failed", Ran: kumquatlug.RanUnknown, Status: http.StatusBadGateway,
-		Cause: errors.Newf("status %d", reply.Status()),
+	f.end(stageOutput, a.ticket, placement.OutcomeFailed)
+	return &tried{worker: a.worker(), failure: kumquatlug.NewFailure(kumquatlug.FailureConfig{
+		Step: "run", Peer: a.worker(), Reason: "worker_failed", Ran: kumquatlug.RanUnknown, Status: http.StatusBadGateway,
+		Cause: errors.Newf("status %d", a.reply.Status()),
 	})}
 }
 
 // relayWhole hands on an answer that is no stream.
-func (f *inflight) relayWhole(ctx context.Context, c placement.Choice, t *placement.Ticket, reply kumquatlug.Reply) *tried {
+func (f *inflight) relayWhole(a *attempt) *tried {
+	status := a.reply.Status()
 	if f.begun {
 		// A stream that was to go on elsewhere met a failure there.
-		return f.brokenOff(ctx, c, t, errors.Newf("status %d instead of the rest of a stream", reply.Status()))
+		return f.brokenOff(a, errors.Newf("status %d instead of the rest of a stream", status))
 	}
-	head, err := io.ReadAll(io.LimitReader(reply.Body(), wholeBytes))
+	head, err := io.ReadAll(io.LimitReader(a.reply.Body(), wholeBytes))
 	if err != nil {
-		return f.brokenOff(ctx, c, t, err)
+		return f.brokenOff(a, err)
 	}
 	f.heard()
 	f.begun = true
-	f.g.c.Ingress.Head(f.w, reply)
-	if err := f.rest(head, reply); err != nil {
-		failed := f.brokenOff(ctx, c, t, err)
-		failed.whole = true
+	f.g.c.Ingress.Head(f.w, a.reply)
+	if _, err := f.w.Write(head); err != nil {
+		return f.clientGone(a, err)
+	}
+	if failed := f.rest(a, len(head)); failed != nil {
 		return failed
 	}
 	outcome := placement.OutcomeGood
-	if reply.Status() >= http.StatusInternalServerError {
+	if status >= http.StatusInternalServerError {
 		outcome = placement.OutcomeFailed
 	}
-	f.end(stageOutput, t, outcome)
-	f.answered(c, reply.Status())
+	f.end(stageOutput, a.ticket, outcome)
+	f.answered(a.choice, status)
 	return nil
 }
 
-// rest writes the first part of an answer and what follows it.
-func (f *inflight) rest(head []byte, reply kumquatlug.Reply) error {
-	if _, err := f.w.Write(head); err != nil {
-		return err
-	}
-	if len(head) < wholeBytes {
+// rest hands on what follows the first part of an answer.
+func (f *inflight) rest(a *attempt, head int) *tried {
+	if head < wholeBytes {
 		return nil
 	}
-	_, err := io.Copy(f.w, reply.Body())
-	return err
+	out := &clientWriter{w: f.w}
+	_, err := io.Copy(out, a.reply.Body())
+	switch {
+	case out.err != nil:
+		return f.clientGone(a, out.err)
+	case err != nil:
+		failed := f.brokenOff(a, err)
+		failed.whole = true
+		return failed
+	}
+	return nil
+}
+
+// clientWriter keeps the error of a write to the client, so that it is told from
+// one of reading from the worker.
+type clientWriter struct {
+	w   io.Writer
+	err error
+}
+
+func (c *clientWriter) Write(b []byte) (int, error) {
+	n, err := c.w.Write(b)
+	c.err = err
+	return n, err
 }
 
 // brokenOff records an answer that ended before its end.
-func (f *inflight) brokenOff(ctx context.Context, c placement.Choice, t *placement.Ticket, err error) *tried {
-	outcome := placement.OutcomeFailed
-	if ctx.Err() != nil {
-		outcome = placement.OutcomeSilent
-	}
-	f.end(stageOutput, t, outcome)
-	if outcome == placement.OutcomeFailed {
-		f.crashed(c.Worker().ID())
-	}
-	return &tried{worker: c.Worker().ID(), failure: kumquatlug.NewFailure(kumquatlug.FailureConfig{
-		Step: "relay", Peer: c.Worker().ID(), Reason: "answer_broken", Ran: kumquatlug.RanUnknown,
+func (f *inflight) brokenOff(a *attempt, err error) *tried {
+	f.ended(stageOutput, a.choice, a.ticket, blame(a.ctx, a.call), kumquatlug.RanUnknown)
+	return &tried{worker: a.worker(), failure: kumquatlug.NewFailure(kumquatlug.FailureConfig{
+		Step: "relay", Peer: a.worker(), Reason: "answer_broken", Ran: kumquatlug.RanUnknown,
 		Status: http.StatusBadGateway, Cause: err,
 	})}
 }
 
+// clientGone records an answer that its client no longer takes, which says
+// nothing of the worker.
+func (f *inflight) clientGone(a *attempt, err error) *tried {
+	f.ended(stageOutput, a.choice, a.ticket, blamedClient, kumquatlug.RanUnknown)
+	return &tried{worker: a.worker(), whole: true, failure: kumquatlug.NewFailure(kumquatlug.FailureConfig{
+		Step: "relay", Reason: "client_left", Ran: kumquatlug.RanUnknown, Status: http.StatusBadGateway, Cause: err,
+	})}
+}
+
 // relayStream hands events on as they come, each whole: a stream that is cut
 // goes on elsewhere behind the last event that the client has.
-func (f *inflight) relayStream(ctx context.Context, c placement.Choice, t *placement.Ticket, reply kumquatlug.Reply) *tried {
+func (f *inflight) relayStream(a *attempt) *tried {
 	var pending []byte
 	buffer := make([]byte, eventBuffer)
 	flush := http.NewResponseController(f.w)
 	for {
-		n, err := reply.Body().Read(buffer)
+		n, err := a.reply.Body().Read(buffer)
 		pending = append(pending, buffer[:n]...)
 		whole := wholeEvents(pending)
 		if err == io.EOF || len(pending) > maxEvent {
 			whole = len(pending)
 		}
 		if whole > 0 {
-			f.firstOutput(t, reply)
-			if failed := f.pass(ctx, c, t, flush, pending[:whole]); failed != nil {
+			f.firstOutput(a)
+			if failed := f.pass(a, flush, pending[:whole]); failed != nil {
 				return failed
 			}
 			pending = pending[:copy(pending, pending[whole:])]
 		}
 		if err == io.EOF {
-			f.firstOutput(t, reply)
-			f.end(stageOutput, t, placement.OutcomeGood)
-			f.answered(c, reply.Status())
+			f.firstOutput(a)
+			f.end(stageOutput, a.ticket, placement.OutcomeGood)
+			f.answered(a.choice, a.reply.Status())
 			return nil
 		}
 		if err != nil {
-			return f.brokenOff(ctx, c, t, err)
+			return f.brokenOff(a, err)
 		}
 	}
 }
 
 // firstOutput writes the head before the first event.
-func (f *inflight) firstOutput(t *placement.Ticket, reply kumquatlug.Reply) {
+func (f *inflight) firstOutput(a *attempt) {
 	now := f.g.c.Clock.Now()
-	f.g.scheduler.read(now, f.service.Name(), t)
+	f.g.scheduler.read(now, f.service.Name(), a.ticket)
 	f.heard()
 	if f.begun {
 		return
@@ -154,28 +189,28 @@
 	f.begun = true
 	f.times.first = now
 	f.g.metrics.latency.WithLabelValues(strconv.Itoa(f.route.Priority())).Observe((now - f.arrived).Duration().Seconds())
-	f.g.c.Ingress.Head(f.w, reply)
+	f.g.c.Ingress.Head(f.w, a.reply)
 }
 
 // pass writes events to the client.
-func (f *inflight) pass(ctx context.Context, c placement.Choice, t *placement.Ticket, flush *http.ResponseController, events []byte) *tried {
+func (f *inflight) pass(a *attempt, flush *http.ResponseController, events []byte) *tried {
+	now := f.g.c.Clock.Now()
+	f.g.scheduler.heard(now, f.service.Name(), a.ticket)
 	_, err := f.w.Write(events)
 	if err == nil {
 		err = flush.Flush()
 	}
 	if err != nil {
-		failed := f.brokenOff(ctx, c, t, err)
-		failed.whole = true
-		return failed
+		return f.clientGone(a, err)
 	}
 	if id, found := lastID(events); found {
 		f.last = id
 	}
-	now := f.g.c.Clock.Now()
 	if f.times.passed != 0 {
 		f.times.gap = max(f.times.gap, now-f.times.passed)
 	}
 	f.times.passed = now
+	f.times.events += bytes.Count(events, []byte("\n\n"))
 	return nil
 }
 
@@ -203,6 +238,7 @@
 		add("first", f.times.first)
 		if f.times.passed != 0 {
 			e.AddInt64("longest_pause", int64(f.times.gap))
+			e.AddInt64("events", int64(f.times.events))
 		}
 		if f.times.read != 0 {
 			e.AddInt64("read_expected", int64(f.times.expected))
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -26,6 +26,8 @@
 	repeats *retry.Shared
 	// patience is the longest that a client of a route has said to wait.
 	patience map[string]kumquatlug.Millis
+	// giveUps end attempts that can go on elsewhere.
+	giveUps map[*placement.Ticket]func()
 	// turns tell the requests that wait for an engine that their turn has come.
 	turns map[uint64]chan placement.Due
 }
@@ -60,6 +62,7 @@
 			placer:   placement.New(c),
 			repeats:  retry.NewShared(sc.c.Repeats),
 			patience: map[string]kumquatlug.Millis{},
+			giveUps:  map[*placement.Ticket]func(){},
 			turns:    map[uint64]chan placement.Due{},
 		}
 		s.repeats.SetFronts(sc.fronts)
@@ -213,13 +216,75 @@
 	}
 }
 
-// tick does what time alone makes due in the queues.
-func (sc *scheduler) tick(now kumquatlug.Millis) {
+// due is what time alone made due.
+type due struct {
+	// fallen are the workers that fell silent, suspects those to be asked.
+	fallen   []placement.Fallen
+	suspects []suspect
+}
+
+// suspect is an engine of a service.
+type suspect struct {
+	service string
+	worker  kumquatlug.Worker
+}
+
+// tick does what time alone makes due.
+func (sc *scheduler) tick(now kumquatlug.Millis) due {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	for _, g := range sc.services {
+	var d due
+	for name, g := range sc.services {
+		silent := g.placer.Silent(now)
+		for _, one := range silent {
+			g.giveUp(one.Attempts())
+		}
+		g.giveUp(g.placer.Stalled(now))
+		d.fallen = append(d.fallen, silent...)
+		for _, w := range g.placer.Suspects(now) {
+			d.suspects = append(d.suspects, suspect{service: name, worker: w})
+		}
 		sc.pump(now, g)
 	}
+	return d
+}
+
+// asked takes whether a suspect answered, and returns it if it fell silent.
+func (sc *scheduler) asked(now kumquatlug.Millis, s suspect, answered bool) []placement.Fallen {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	g := sc.at(s.service)
+	fallen, silent := g.placer.Asked(now, s.worker.ID(), answered)
+	if !silent {
+		return nil
+	}
+	g.giveUp(fallen.Attempts())
+	sc.pump(now, g)
+	return []placement.Fallen{fallen}
+}
+
+// giveUp ends attempts, but for those that can't go on elsewhere.
+func (g *group) giveUp(attempts []*placement.Ticket) {
+	for _, t := range attempts {
+		if end, can := g.giveUps[t]; can {
+			delete(g.giveUps, t)
+			end()
+		}
+	}
+}
+
+// watch has end called when the attempt's worker falls silent.
+func (sc *scheduler) watch(service string, t *placement.Ticket, end func()) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	sc.at(service).giveUps[t] = end
+}
+
+// heard records that output of an attempt came.
+func (sc *scheduler) heard(now kumquatlug.Millis, service string, t *placement.Ticket) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	sc.at(service).placer.Heard(now, t)
 }
 
 // said takes what a worker said of its load.
@@ -241,6 +306,7 @@
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	g := sc.at(service)
+	delete(g.giveUps, t)
 	g.placer.End(now, t, o)
 	sc.pump(now, g)
 }
--- a/pkg/kumquatlug/health/health.go
+++ b/pkg/kumquatlug/health/health.go
@@ -263,6 +263,17 @@
 	return max(int(g.config.EjectPart*float64(len(g.targets))), 1)
 }
 
+// Eject takes out a target that was seen to be silent, without waiting for its
+// calls to fail one after the other; the bound on ejected targets holds.
+func (g *Group) Eject(now kumquatlug.Millis, name string) {
+	t, ok := g.targets[name]
+	if !ok {
+		return
+	}
+	t.failures = max(t.failures, g.config.FailureLimit)
+	g.eject(now, t)
+}
+
 // Ejected returns how many targets are ejected or probed.
 func (g *Group) Ejected() int {
 	n := 0
--- a/pkg/kumquatlug/placement/placement.go
+++ b/pkg/kumquatlug/placement/placement.go
@@ -148,6 +148,15 @@
 	// refusals counts those in a row; until then nothing new is sent there.
 	refusals int
 	until    kumquatlug.Millis
+	// tickets are the attempts in hand for this front. Something last came from
+	// the worker at heardAt; pause is the longest between two events of a stream;
+	// silent says that it was left out for saying nothing.
+	tickets []*Ticket
+	heardAt kumquatlug.Millis
+	pause   float64
+	silent  bool
+	// askedAt is when the worker was last asked whether it is there.
+	askedAt kumquatlug.Millis
 	// queue are the prompts of this front that wait for the engine.
 	queue []*waiting
 	// load is what this front gave it to read until loadAt, see loadNow.
@@ -177,6 +186,8 @@
 	fronts float64
 	// orphans waited for workers that are gone.
 	orphans []*waiting
+	// lookedAt is when silent workers were last looked for.
+	lookedAt kumquatlug.Millis
 }
 
 // New returns a placer without workers.
--- a/pkg/kumquatlug/placement/ticket.go
+++ b/pkg/kumquatlug/placement/ticket.go
@@ -1,6 +1,10 @@
 package placement
 
-import "github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+import (
+	"slices"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
 
 // Ticket stands for one attempt in hand at a worker.
 type Ticket struct {
@@ -13,6 +17,8 @@
 	at     kumquatlug.Millis
 	read   bool
 	ended  bool
+	// heardAt is when output last came, zero for never.
+	heardAt kumquatlug.Millis
 }
 
 // Outcome is how an attempt ended, as far as it tells of the worker.
@@ -37,6 +43,10 @@
 		return &Ticket{ended: true}
 	}
 	t := &Ticket{worker: w, id: c.worker.ID(), apart: c.apart, tokens: c.tokens, wait: c.wait, at: now}
+	if len(w.tickets) == 0 {
+		w.heardAt = now
+	}
+	w.tickets = append(w.tickets, t)
 	w.tokens += c.tokens
 	if c.apart {
 		w.reads++
@@ -88,6 +98,10 @@
 	}
 	p.Read(now, t)
 	t.ended = true
+	t.worker.drop(t)
+	if o == OutcomeGood || o == OutcomeRefused {
+		p.heard(now, t.id, t.worker)
+	}
 	if t.apart {
 		t.worker.reads--
 	} else {
@@ -115,6 +129,18 @@
 	p.health.Outcome(now, t.id, o == OutcomeGood, p.ratio(t, took))
 }
 
+// drop takes an attempt out of those in hand.
+func (w *worker) drop(t *Ticket) {
+	at := slices.Index(w.tickets, t)
+	if at < 0 {
+		return
+	}
+	last := len(w.tickets) - 1
+	w.tickets[at] = w.tickets[last]
+	w.tickets[last] = nil
+	w.tickets = w.tickets[:last]
+}
+
 // refuse leaves a worker alone for a while.
 func (w *worker) refuse(now kumquatlug.Millis) {
 	pause := refusalPause << min(w.refusals, 10)
