Tell from logs what became of a request, a worker or a VM

Cause: an engineer on call had the id of a request and grep. kumquatlug story reads the logs of all processes from standard input and prints the lines that name a request, a worker or a VM in the order of their times, and a sentence on the outcome. Also: a front logged its own plan twice, once more when its feed brought it back.

--- /dev/null
+++ b/cmd/kumquatlug/story.go
@@ -0,0 +1,25 @@
+package main
+
+import (
+	"github.com/spf13/cobra"
+
+	"github.com/kumquatlug/kumquatlug/internal/logs"
+)
+
+// newStory returns the command that explains a failure from logs alone.
+func newStory() *cobra.Command {
+	return &cobra.Command{
+		Use:   "story REQUEST|WORKER|VM",
+		Short: "Tell from logs on standard input what became of a request, a worker or a VM",
+		Args:  cobra.ExactArgs(1),
+		Example: `  cat front-*.log | kumquatlug story 8b5b283a6c523835
+  cat front-*.log | kumquatlug story i-75ab547a63`,
+		RunE: func(cmd *cobra.Command, words []string) error {
+			story, err := logs.ReadStory(cmd.InOrStdin(), words[0])
+			if err != nil {
+				return err
+			}
+			return story.Tell(cmd.OutOrStdout())
+		},
+	}
+}
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -45,7 +45,11 @@
 
 // obeyPlan gives the engines of a plan nothing new and moves streams away.
 func (g *Gateway) obeyPlan(service string, p plan) {
-	moved := g.scheduler.announce(g.c.Clock.Now(), service, p.Roles)
+	moved, news := g.scheduler.announce(g.c.Clock.Now(), service, p.Roles)
+	if !news {
+		// The front that wrote the row meets it again in its feed.
+		return
+	}
 	g.c.Logger.Info("plan", zap.String("service", service), zap.Any("roles", p.Roles), zap.Int("streams_moved", moved))
 }
 
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -308,14 +308,16 @@
 }
 
 // announce takes which engines of a service are about to change their role, and
-// has the streams there moved away.
-func (sc *scheduler) announce(now kumquatlug.Millis, service string, roles map[string]kumquatlug.Role) int {
+// has the streams there moved away. It returns how many, and whether anything was
+// new.
+func (sc *scheduler) announce(now kumquatlug.Millis, service string, roles map[string]kumquatlug.Role) (int, bool) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	g := sc.at(service)
-	moved := g.moveAway(g.placer.Announce(now, roles))
+	streams, news := g.placer.Announce(now, roles)
+	moved := g.moveAway(streams)
 	sc.pump(now, g)
-	return moved
+	return moved, news
 }
 
 // moveLater has the streams of workers that leave moved away shortly before they
--- a/pkg/kumquatlug/placement/leave.go
+++ b/pkg/kumquatlug/placement/leave.go
@@ -8,14 +8,14 @@
 
 // Announce takes which engines are about to take which role. Engines that are no
 // longer named get work as before. What waits for one goes elsewhere; the
-// streams in hand there are returned.
-func (p *Placer) Announce(now kumquatlug.Millis, roles map[string]kumquatlug.Role) []*Ticket {
-	var streams []*Ticket
+// streams in hand there are returned, and whether anything is new.
+func (p *Placer) Announce(now kumquatlug.Millis, roles map[string]kumquatlug.Role) (streams []*Ticket, news bool) {
 	for _, w := range p.list {
 		role := roles[w.member.Worker.ID()]
 		if role == w.leaving {
 			continue
 		}
+		news = true
 		w.leaving, w.leavingUntil = role, now+leaveSpan
 		if !w.leaves(now) {
 			continue
@@ -23,7 +23,7 @@
 		p.orphan(w)
 		streams = append(streams, w.begun()...)
 	}
-	return streams
+	return streams, news
 }
 
 // begun returns the attempts in hand that have shown output.
