--- a/cmd/kumquatlug-experiment/main.go
+++ b/cmd/kumquatlug-experiment/main.go
@@ -55,6 +55,7 @@
 	f.StringVar(&o.format, "format", string(FormatText), "text or json")
 	f.StringVar(&o.plot, "plot", "", "file for a plot of the goodput, as SVG")
 	f.IntVar(&o.workers, "workers", 4, "how many scenarios run at once; it doesn't change the figures")
+	c.AddCommand(swingCommand())
 	return c
 }
 
