Ask the store less often where there are many fronts

Each row that told of a crash woke every front, each front looked at the lease at each renewal, and workers that start together woke all once each. Now: rows of crashes gather for 1.5 s and are written each 0.5 s, members for 40 ms, and fronts share the looks at the lease. A request that ended three workers is known everywhere after two seconds. Ruled out: one feed for all tables; the store follows one table a call. The new test of the lease replays twelve watchers: 9 s at most until one takes over, 3.5 looks a second at most.

--- a/internal/gateway/controller.go
+++ b/internal/gateway/controller.go
@@ -22,6 +22,11 @@
 	leaseMargin = 700 * kumquatlug.Millis(1)
 	leaseRenew  = 1500 * kumquatlug.Millis(1)
 	leaseRetry  = 500 * kumquatlug.Millis(1)
+	// watchers is how many fronts watch the lease at each renewal, all together;
+	// with more of them each looks more seldom, but mostWatch bounds that: at
+	// eleven fronts of a grown site their looks were a third of all calls.
+	watchers  = 3
+	mostWatch = 12
 	// turnMargin is added to the least time between orders of two holders: an
 	// order that left last may have been on its way.
 	turnMargin = 1 * kumquatlug.Second
@@ -79,6 +84,7 @@
 	v := &controller{g: g, holder: holder, going: map[string]ordered{}, wrongSince: map[string]kumquatlug.Millis{}, swings: map[string]*planner.Swing{}, fixed: map[string]kumquatlug.Millis{}, told: map[string]map[string]kumquatlug.Role{}}
 	for sleep(ctx, controlEvery) {
 		holder.Want(!g.stopping())
+		holder.Watch(leaseRenew * kumquatlug.Millis(min(g.scheduler.frontCount(), mostWatch)) / watchers)
 		v.keepLease(ctx)
 		if holder.MayOrder(g.c.Awake.Now()) {
 			v.orderAll(ctx)
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -86,6 +86,13 @@
 	}
 }
 
+// frontCount is how many fronts there are.
+func (sc *scheduler) frontCount() int {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	return sc.fronts
+}
+
 // sync takes the members of all services.
 func (sc *scheduler) sync(now kumquatlug.Millis, byService map[string][]kumquatlug.Member) {
 	sc.mu.Lock()
--- a/internal/gateway/suspect.go
+++ b/internal/gateway/suspect.go
@@ -19,7 +19,7 @@
 	crashPrefix = "crash/"
 	// spreadEvery is how often what this front saw is told, in one call: a
 	// request that is sent again meets the other fronts within seconds.
-	spreadEvery = 300 * kumquatlug.Millis(1)
+	spreadEvery = 500 * kumquatlug.Millis(1)
 	// spreadMost bounds the new rows of one call, and those that it removes: the
 	// store takes a hundred in all.
 	spreadMost = 50
@@ -112,7 +112,7 @@
 
 // followCrashes takes in what other fronts saw.
 func (g *Gateway) followCrashes(ctx context.Context) {
-	f := &follower{g: g, table: g.c.CrashTable, wait: crashWait}
+	f := &follower{g: g, table: g.c.CrashTable, wait: crashWait, pace: crashPace}
 	f.follow(ctx, func(now kumquatlug.Millis) {
 		g.crashes.mu.Lock()
 		defer g.crashes.mu.Unlock()
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -30,20 +30,30 @@
 	// for each millisecond: taking one in costs a look at all of them, and at
 	// thousands of workers that start together each would come alone.
 	applyPace = 20
-	// mostPace bounds that; a change must be in force within two seconds.
-	mostPace = 150 * kumquatlug.Millis(1)
+	// leastPace and mostPace bound that: workers that start or leave together come
+	// some milliseconds apart, and a change must be in force within two seconds.
+	leastPace = 40 * kumquatlug.Millis(1)
+	mostPace  = 150 * kumquatlug.Millis(1)
+	// crashPace is the same for what fronts tell each other of crashes. While
+	// answers are lost a row comes each half second, and each wakes every front:
+	// half of all calls of eleven fronts on a day with lost answers. With
+	// spreadEvery a request that ended its third worker is known everywhere
+	// after two seconds; the users' rules leave three.
+	crashPace = 1500 * kumquatlug.Millis(1)
 	// returnWait is the wait within that span, so that its end is noticed.
 	returnWait = 300 * kumquatlug.Millis(1)
 )
 
 // follower keeps a copy of one table.
 type follower struct {
-	g       *Gateway
-	table   string
-	wait    kumquatlug.Millis
-	version int64
-	known   bool
-	rows    map[string]kumquatlug.Row
+	g     *Gateway
+	table string
+	// wait is how long the store waits for a change, pace how long changes
+	// gather at least before the next question.
+	wait, pace kumquatlug.Millis
+	version    int64
+	known      bool
+	rows       map[string]kumquatlug.Row
 	// changed are the rows of the last answer, removed ones without a value;
 	// whole says that these are all rows of the table.
 	changed []kumquatlug.Row
@@ -62,7 +72,9 @@
 		if err == nil {
 			f.regained(now)
 			apply(now)
-			sleep(ctx, min(kumquatlug.Millis(len(f.rows)/applyPace), mostPace))
+			if len(f.changed) > 0 {
+				sleep(ctx, max(f.pace, min(kumquatlug.Millis(len(f.rows)/applyPace), mostPace)))
+			}
 			continue
 		}
 		if ctx.Err() != nil {
@@ -176,7 +188,7 @@
 
 // followMembers keeps the members of all services.
 func (g *Gateway) followMembers(ctx context.Context) {
-	f := &follower{g: g, table: g.c.MemberTable, wait: feedWait}
+	f := &follower{g: g, table: g.c.MemberTable, wait: feedWait, pace: leastPace}
 	m := newMembers(g)
 	f.follow(ctx, func(now kumquatlug.Millis) { m.apply(now, f) })
 }
--- a/pkg/kumquatlug/lease/lease.go
+++ b/pkg/kumquatlug/lease/lease.go
@@ -210,6 +210,8 @@
 	due      kumquatlug.Millis
 	seen     int64
 	seenAt   kumquatlug.Millis
+	// watch is how often the row is looked at while another process holds it.
+	watch kumquatlug.Millis
 	// turnAt is from when on orders of other holders lie a turn back.
 	turnAt kumquatlug.Millis
 }
@@ -227,7 +229,7 @@
 	if c.Renew+c.Margin >= c.TTL {
 		return nil, errors.Newf("a renewal each %d ms comes too late for %d ms less %d ms", c.Renew, c.TTL, c.Margin)
 	}
-	return &Holder{c: c, wanted: true, pending: Intent{action: ActionNone}, doubt: Intent{action: ActionNone}}, nil
+	return &Holder{c: c, wanted: true, watch: c.Renew, pending: Intent{action: ActionNone}, doubt: Intent{action: ActionNone}}, nil
 }
 
 // Held returns the fencing number for orders given now, and false when this
@@ -425,11 +427,16 @@
 		}
 		return h.commit(now, ActionAcquire, record)
 	default:
-		h.due = now + h.c.Renew
+		h.due = now + h.watch
 		return Intent{action: ActionNone}
 	}
 }
 
+// Watch sets how often this process looks at the row of another holder, at least
+// as long as a renewal. Where many processes watch, each may look seldom: the
+// first that finds the row unchanged for its time to live takes over.
+func (h *Holder) Watch(span kumquatlug.Millis) { h.watch = max(span, h.c.Renew) }
+
 // free reports that nobody can believe to hold the lease: the row was given
 // back, is this process's own, or has stood unchanged for its time to live
 // and a margin.
--- a/pkg/kumquatlug/lease/lease_test.go
+++ b/pkg/kumquatlug/lease/lease_test.go
@@ -73,6 +73,48 @@
 	t.Error("nobody takes over from a holder that is gone")
 }
 
+// A site has many fronts, and each look at the lease is a call that is paid. They
+// look seldom then, and still one of them takes over soon after the holder is gone.
+func TestManyWatchersLookSeldom(t *testing.T) {
+	const fronts, renew, watch = 12, 1500, 6000
+	var holders []*Holder
+	for i := range fronts {
+		h, err := New(Config{Group: "g", Me: fmt.Sprintf("f%d/a", i), TTL: 4500, Margin: 700, Renew: renew, Retry: 500})
+		if err != nil {
+			t.Fatal(err)
+		}
+		h.Watch(watch)
+		holders = append(holders, h)
+	}
+	row, reads, diedAt := kumquatlug.NewRow(Key("g"), nil, 0), 0, kumquatlug.Millis(30_000)
+	tookOver := kumquatlug.Millis(0)
+	for now := kumquatlug.Millis(1); now < 60_000 && tookOver == 0; now++ {
+		for i, h := range holders {
+			if i == 0 && now > diedAt || now < kumquatlug.Millis(i)*500 {
+				continue
+			}
+			for in := h.Next(now); in.Action() != ActionNone; {
+				if in.Action() == ActionRead {
+					reads++
+					in = h.Answered(now, in, row, nil)
+					continue
+				}
+				row = kumquatlug.NewRow(row.Key(), in.Tx().Writes()[0].Value(), row.Version()+1)
+				in = h.Answered(now, in, kumquatlug.Row{}, nil)
+			}
+			if _, held := h.Held(now); held && i > 0 {
+				tookOver = now
+			}
+		}
+	}
+	if tookOver == 0 || tookOver-diedAt > 9000 {
+		t.Errorf("taken over %d ms after the holder was gone", tookOver-diedAt)
+	}
+	if perSecond := float64(reads) / (float64(tookOver) / 1000); perSecond > 3.5 {
+		t.Errorf("%.1f looks a second by %d fronts", perSecond, fronts)
+	}
+}
+
 func TestNewRefusesWhatCannotHold(t *testing.T) {
 	for _, c := range []Config{
 		{Group: "g"}, {Me: "a"}, {Group: "g", Me: "a", TTL: 5000, Renew: 4500, Margin: 500},
