--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -171,7 +171,7 @@
 func (f *inflight) prefill(ctx context.Context, c placement.Choice, t *placement.Ticket) (kumquatlug.KVCache, *tried) {
 	call, cancel := context.WithTimeout(ctx, f.attemptTimeout(c).Duration())
 	defer cancel()
-	f.g.scheduler.watch(f.service.Name(), t, cancel)
+	f.g.scheduler.onSilence(f.service.Name(), t, cancel)
 	cache, reply, err := f.g.c.Workers.Prefill(call, c.Worker(), f.ask, f.sending(c))
 	id := c.Worker().ID()
 	if err != nil {
@@ -265,7 +265,7 @@
 	call, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if f.route.Repeatable() && f.runs+1 < f.route.Workers() {
-		f.g.scheduler.watch(f.service.Name(), t, cancel)
+		f.g.scheduler.onSilence(f.service.Name(), t, cancel)
 		// A worker that is silent holds the request until its deadline.
 		stop := time.AfterFunc(f.attemptTimeout(c).Duration(), cancel)
 		defer stop.Stop()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -268,47 +268,6 @@
 	}
 }
 
-// queueLook is how often the queues are looked through for prompts that turn late:
-// a small part of a target latency.
-const queueLook = 20 * kumquatlug.Millis(1)
-
-// watchQueues does what time alone makes due for those who wait for an engine or
-// for its answer.
-func (g *Gateway) watchQueues(ctx context.Context) {
-	for sleep(ctx, queueLook) {
-		due := g.scheduler.tick(g.c.Clock.Now())
-		g.tellFallen(due.fallen)
-		for _, s := range due.suspects {
-			// At most one for each engine: the question ends before the next is due.
-			go g.askSuspect(ctx, s)
-		}
-	}
-}
-
-// askTimeout is how long an engine may take to say that it is there. It does so
-// beside its work, and a packet that was lost is sent again after 200 ms.
-const askTimeout = 250 * kumquatlug.Millis(1)
-
-// askSuspect asks an engine that is quiet whether it is there.
-func (g *Gateway) askSuspect(ctx context.Context, s suspect) {
-	call, cancel := context.WithTimeout(ctx, askTimeout.Duration())
-	defer cancel()
-	_, err := g.c.Workers.State(call, s.worker)
-	if ctx.Err() != nil {
-		return
-	}
-	g.tellFallen(g.scheduler.asked(g.c.Clock.Now(), s, err == nil))
-}
-
-// tellFallen logs the workers that fell silent.
-func (g *Gateway) tellFallen(fallen []placement.Fallen) {
-	for _, f := range fallen {
-		g.metrics.silent.Inc()
-		g.c.Logger.Warn("worker silent", zap.String("worker", f.Worker()), zap.Int64("quiet_ms", int64(f.Quiet())),
-			zap.Int("in_hand", len(f.Attempts())))
-	}
-}
-
 // frontPrefix starts the keys of the rows that name fronts.
 const frontPrefix = "front/"
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -153,7 +153,7 @@
 // goes on elsewhere behind the last event that the client has.
 func (f *inflight) relayStream(a *attempt) *tried {
 	if f.ask.Prompt().Output() > shortOutput {
-		f.g.scheduler.movable(f.service.Name(), a.ticket, func() { f.move(a) })
+		f.g.scheduler.onMove(f.service.Name(), a.ticket, func() { f.move(a) })
 	}
 	var pending []byte
 	buffer := make([]byte, eventBuffer)
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"time"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/health"
@@ -228,40 +227,6 @@
 	}
 }
 
-// due is what time alone made due.
-type due struct {
-	// fallen are the workers that fell silent, suspects those to be asked.
-	fallen   []placement.Fallen
-	suspects []suspect
-}
-
-// suspect is an engine of a service.
-type suspect struct {
-	service string
-	worker  kumquatlug.Worker
-}
-
-// tick does what time alone makes due.
-func (sc *scheduler) tick(now kumquatlug.Millis) due {
-	sc.mu.Lock()
-	defer sc.mu.Unlock()
-	var d due
-	for name, g := range sc.services {
-		g.placer.Measure(now)
-		silent := g.placer.Silent(now)
-		for _, one := range silent {
-			g.giveUp(one.Attempts())
-		}
-		g.giveUp(g.placer.Stalled(now))
-		d.fallen = append(d.fallen, silent...)
-		for _, w := range g.placer.Suspects(now) {
-			d.suspects = append(d.suspects, suspect{service: name, worker: w})
-		}
-		sc.pump(now, g)
-	}
-	return d
-}
-
 // pressure tells how much is asked of a service's engines.
 func (sc *scheduler) pressure(service string) placement.Pressure {
 	sc.mu.Lock()
@@ -269,104 +234,6 @@
 	return sc.at(service).placer.Pressure()
 }
 
-// silent returns the workers of a service that were left out for saying nothing.
-func (sc *scheduler) silent(service string) map[string]bool {
-	sc.mu.Lock()
-	defer sc.mu.Unlock()
-	return sc.at(service).placer.SilentWorkers()
-}
-
-// asked takes whether a suspect answered, and returns it if it fell silent.
-func (sc *scheduler) asked(now kumquatlug.Millis, s suspect, answered bool) []placement.Fallen {
-	sc.mu.Lock()
-	defer sc.mu.Unlock()
-	g := sc.at(s.service)
-	fallen, silent := g.placer.Asked(now, s.worker.ID(), answered)
-	if !silent {
-		return nil
-	}
-	g.giveUp(fallen.Attempts())
-	sc.pump(now, g)
-	return []placement.Fallen{fallen}
-}
-
-// giveUp ends attempts, but for those that can't go on elsewhere.
-func (g *group) giveUp(attempts []*placement.Ticket) {
-	for _, t := range attempts {
-		if end, can := g.giveUps[t]; can {
-			delete(g.giveUps, t)
-			end()
-		}
-	}
-}
-
-// watch has end called when the attempt's worker falls silent.
-func (sc *scheduler) watch(service string, t *placement.Ticket, end func()) {
-	sc.mu.Lock()
-	defer sc.mu.Unlock()
-	sc.at(service).giveUps[t] = end
-}
-
-// movable has move called when the attempt's engine is to do something else.
-func (sc *scheduler) movable(service string, t *placement.Ticket, move func()) {
-	sc.mu.Lock()
-	defer sc.mu.Unlock()
-	sc.at(service).moves[t] = move
-}
-
-// announce takes which engines of a service are about to change their role, and
-// has the streams there moved away. It returns how many, and whether anything was
-// new.
-func (sc *scheduler) announce(now kumquatlug.Millis, service string, roles map[string]kumquatlug.Role) (int, bool) {
-	sc.mu.Lock()
-	defer sc.mu.Unlock()
-	g := sc.at(service)
-	streams, news := g.placer.Announce(now, roles)
-	moved := g.moveAway(streams)
-	sc.pump(now, g)
-	return moved, news
-}
-
-// moveLater has the streams of workers that leave moved away shortly before they
-// may be gone. Until then they are best served where they are: moved at once
-// they crowd the engines that stay, which cost a mean worth of 0.004 (the users'
-// bench, three runs of five days each way).
-func (sc *scheduler) moveLater(g *group, streams []*placement.Ticket) {
-	if len(streams) == 0 {
-		return
-	}
-	time.AfterFunc((sc.c.LeaveSpan * leavePart / 100).Duration(), func() {
-		sc.mu.Lock()
-		defer sc.mu.Unlock()
-		g.moveAway(streams)
-	})
-}
-
-// leavePart is the part of the span, in hundredths, after which the streams of a
-// worker that leaves are moved away: a copy takes milliseconds, and fronts know of
-// the leaving some milliseconds late.
-const leavePart = 80
-
-// moveAway has streams moved to other engines and returns how many can be.
-func (g *group) moveAway(streams []*placement.Ticket) int {
-	moved := 0
-	for _, t := range streams {
-		if move, can := g.moves[t]; can {
-			delete(g.moves, t)
-			moved++
-			go move()
-		}
-	}
-	return moved
-}
-
-// heard records that output of an attempt came.
-func (sc *scheduler) heard(now kumquatlug.Millis, service string, t *placement.Ticket) {
-	sc.mu.Lock()
-	defer sc.mu.Unlock()
-	sc.at(service).placer.Heard(now, t)
-}
-
 // said takes what a worker said of its load.
 func (sc *scheduler) said(now kumquatlug.Millis, service, worker string, load kumquatlug.WorkerLoad) {
 	sc.mu.Lock()
--- a/internal/gateway/transfer.go
+++ b/internal/gateway/transfer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -71,3 +72,56 @@
 	}
 	return t
 }
+
+// onMove has move called when the attempt's engine is to do something else.
+func (sc *scheduler) onMove(service string, t *placement.Ticket, move func()) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	sc.at(service).moves[t] = move
+}
+
+// announce takes which engines of a service are about to change their role, and
+// has the streams there moved away. It returns how many, and whether anything was
+// new.
+func (sc *scheduler) announce(now kumquatlug.Millis, service string, roles map[string]kumquatlug.Role) (int, bool) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	g := sc.at(service)
+	streams, news := g.placer.Announce(now, roles)
+	moved := g.moveAway(streams)
+	sc.pump(now, g)
+	return moved, news
+}
+
+// moveLater has the streams of workers that leave moved away shortly before they
+// may be gone. Until then they are best served where they are: moved at once
+// they crowd the engines that stay, which cost a mean worth of 0.004 (the users'
+// bench, three runs of five days each way).
+func (sc *scheduler) moveLater(g *group, streams []*placement.Ticket) {
+	if len(streams) == 0 {
+		return
+	}
+	time.AfterFunc((sc.c.LeaveSpan * leavePart / 100).Duration(), func() {
+		sc.mu.Lock()
+		defer sc.mu.Unlock()
+		g.moveAway(streams)
+	})
+}
+
+// leavePart is the part of the span, in hundredths, after which the streams of a
+// worker that leaves are moved away: a copy takes milliseconds, and fronts know of
+// the leaving some milliseconds late.
+const leavePart = 80
+
+// moveAway has streams moved to other engines and returns how many can be.
+func (g *group) moveAway(streams []*placement.Ticket) int {
+	moved := 0
+	for _, t := range streams {
+		if move, can := g.moves[t]; can {
+			delete(g.moves, t)
+			moved++
+			go move()
+		}
+	}
+	return moved
+}
