Change idle engines' roles first

Cause: while engines are replaced, each new one starts as a generating one and the plan wants a reader; the engine of the most crowded data centre was taken for it, with its streams, beside the new one that had nothing in hand. The new test failed to compile before (no such field) and checks the choice.

--- a/internal/gateway/controller.go
+++ b/internal/gateway/controller.go
@@ -9,6 +9,7 @@
 	"github.com/kumquatlug/kumquatlug/internal/logs"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/lease"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/planner"
 )
 
@@ -134,7 +135,7 @@
 		if s, _ := table.Service(name); !s.Engine() {
 			continue
 		}
-		engines, workers := v.engines(now, set.byService[name], v.g.scheduler.silent(name))
+		engines, workers := v.engines(now, set.byService[name], v.g.scheduler.inUse(name))
 		changes := planner.KeepSplit(engines, v.part(now, name, engines))
 		if !v.lasting(now, name, len(changes) > 0) {
 			continue
@@ -210,7 +211,7 @@
 
 // engines returns the engines that take work, in the roles that they have or
 // are on their way to.
-func (v *controller) engines(now kumquatlug.Millis, members []kumquatlug.Member, silent map[string]bool) ([]planner.SplitEngine, map[string]kumquatlug.Worker) {
+func (v *controller) engines(now kumquatlug.Millis, members []kumquatlug.Member, use map[string]placement.Use) ([]planner.SplitEngine, map[string]kumquatlug.Worker) {
 	var engines []planner.SplitEngine
 	workers := map[string]kumquatlug.Worker{}
 	for _, m := range members {
@@ -226,10 +227,10 @@
 				role = o.role
 			}
 		}
-		if silent[id] {
+		if use[id] == placement.UseSilent {
 			continue
 		}
-		engines = append(engines, planner.SplitEngine{Target: id, Zone: m.Zone, Role: role, Fixed: now < v.fixed[id]})
+		engines = append(engines, planner.SplitEngine{Target: id, Zone: m.Zone, Role: role, Fixed: now < v.fixed[id], Idle: use[id] == placement.UseIdle})
 		workers[id] = m.Worker
 	}
 	return engines, workers
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -84,11 +84,11 @@
 	return d
 }
 
-// silent returns the workers of a service that were left out for saying nothing.
-func (sc *scheduler) silent(service string) map[string]bool {
+// inUse returns what each worker of a service does.
+func (sc *scheduler) inUse(service string) map[string]placement.Use {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	return sc.at(service).placer.SilentWorkers()
+	return sc.at(service).placer.InUse(sc.c.Clock.Now())
 }
 
 // asked takes whether a suspect answered, and returns it if it fell silent.
--- a/pkg/kumquatlug/placement/silence.go
+++ b/pkg/kumquatlug/placement/silence.go
@@ -140,15 +140,33 @@
 	return Fallen{worker: id, quiet: now - w.heardAt, attempts: slices.Clone(w.tickets)}
 }
 
-// SilentWorkers returns the names of the workers that are left out.
-func (p *Placer) SilentWorkers() map[string]bool {
-	silent := map[string]bool{}
+// Use is what a worker does, as far as its front knows.
+type Use string
+
+// The uses.
+const (
+	// UseSilent: it was left out for saying nothing.
+	UseSilent Use = "silent"
+	// UseIdle: nobody has work in hand there.
+	UseIdle Use = "idle"
+	// UseBusy: somebody has.
+	UseBusy Use = "busy"
+)
+
+// InUse returns what each worker does, by name.
+func (p *Placer) InUse(now kumquatlug.Millis) map[string]Use {
+	all := map[string]Use{}
 	for id, w := range p.workers {
-		if w.silent {
-			silent[id] = true
+		switch {
+		case w.silent:
+			all[id] = UseSilent
+		case len(w.tickets) == 0 && w.othersNow(now) < 1:
+			all[id] = UseIdle
+		default:
+			all[id] = UseBusy
 		}
 	}
-	return silent
+	return all
 }
 
 // Stalled returns the streams that stand still alone, at workers that are heard
--- a/pkg/kumquatlug/planner/split.go
+++ b/pkg/kumquatlug/planner/split.go
@@ -14,6 +14,9 @@
 	Zone   string
 	// Role is what it does, or what it was ordered to do.
 	Role kumquatlug.Role
+	// Idle says that it has nothing in hand, as one that has just started: it is
+	// changed before others, which would have to part from their work.
+	Idle bool
 	// Fixed says that it took no order a moment ago; another one is asked.
 	Fixed bool
 }
@@ -66,8 +69,8 @@
 	return n
 }
 
-// crowded returns the index of an engine with this role in the data centre that
-// has most of them.
+// crowded returns the index of an engine with this role, an idle one if there is
+// any, in the data centre that has most of them; -1 when none may be changed.
 func crowded(engines []SplitEngine, role kumquatlug.Role) int {
 	zones := map[string]int{}
 	for _, e := range engines {
@@ -77,7 +80,11 @@
 	}
 	best := -1
 	for i, e := range engines {
-		if e.Role == role && !e.Fixed && (best < 0 || zones[e.Zone] > zones[engines[best].Zone]) {
+		if e.Role != role || e.Fixed {
+			continue
+		}
+		if best < 0 || e.Idle != engines[best].Idle && e.Idle ||
+			e.Idle == engines[best].Idle && zones[e.Zone] > zones[engines[best].Zone] {
 			best = i
 		}
 	}
--- a/pkg/kumquatlug/planner/split_test.go
+++ b/pkg/kumquatlug/planner/split_test.go
@@ -65,3 +65,21 @@
 		t.Errorf("generating engines by data centre: %v", zones)
 	}
 }
+
+// An engine that has just started generates, as its settings say, and the group
+// wants one more reader. Were a busy engine taken for it, its streams would have
+// to move beside an engine that has nothing to do.
+func TestAnIdleEngineIsChangedFirst(t *testing.T) {
+	engines := splitEngines(7, 6)
+	engines[12].Idle = true
+	changes := KeepSplit(engines, 0.667)
+	if len(changes) != 2 || changes[0].Target() != engines[12].Target {
+		t.Errorf("%v", changes)
+	}
+	for i := range engines {
+		engines[i].Fixed = true
+	}
+	if changes := KeepSplit(engines, 0.667); len(changes) != 0 {
+		t.Errorf("engines that take no order are asked: %v", changes)
+	}
+}
