Retract announcements of orders that are not taken; tie a move to its attempt

Cause of the first: an engine that refused an order, or whose answer was lost and that never took it, stayed announced, and got nothing from any front for up to eight seconds. The new test failed before (two plans, both naming the engine). After a lost answer the engine is asked whether it took the order; one that can't be asked is left alone for a second, so that plans aren't told four times a second. Cause of the second: a move belonged to the request. Read once more, a copy that came after its stream had broken off by itself could have been gone on with by the attempt after it, and one that nobody took held a slot at the other engine, and its ticket for ever. Now it belongs to one attempt, and what comes too late is freed; a race that the detector found on the way (the move read the number of the last event, since streams that go on count what they generated) is gone with it.

--- a/internal/gateway/controller.go
+++ b/internal/gateway/controller.go
@@ -42,6 +42,9 @@
 	// fixedSpan is how long an engine that refused an order is not asked again:
 	// an order that it carries out takes three seconds.
 	fixedSpan = 4 * kumquatlug.Second
+	// putOffSpan is the same for one that could not be asked or is busy with an
+	// earlier order.
+	putOffSpan = 1 * kumquatlug.Second
 )
 
 // controller gives orders to engines while this front holds the lease.
@@ -63,6 +66,13 @@
 	wrongSince map[string]kumquatlug.Millis
 }
 
+func newController(g *Gateway, holder *lease.Holder) *controller {
+	return &controller{
+		g: g, holder: holder, swings: map[string]*planner.Swing{}, fixed: map[string]kumquatlug.Millis{},
+		told: map[string]map[string]kumquatlug.Role{}, going: map[string]ordered{}, wrongSince: map[string]kumquatlug.Millis{},
+	}
+}
+
 type ordered struct {
 	role kumquatlug.Role
 	at   kumquatlug.Millis
@@ -82,7 +92,7 @@
 		g.c.Logger.Error("no orders will be given", logs.Error(err))
 		return
 	}
-	v := &controller{g: g, holder: holder, going: map[string]ordered{}, wrongSince: map[string]kumquatlug.Millis{}, swings: map[string]*planner.Swing{}, fixed: map[string]kumquatlug.Millis{}, told: map[string]map[string]kumquatlug.Role{}}
+	v := newController(g, holder)
 	for sleep(ctx, controlEvery) {
 		holder.Want(!g.stopping())
 		holder.Watch(leaseRenew * kumquatlug.Millis(min(g.scheduler.frontCount(), mostWatch)) / watchers)
@@ -146,6 +156,8 @@
 				v.order(ctx, workers[change.Target()], change)
 			}
 		}
+		// What took no order works as before.
+		v.announce(ctx, name, nil)
 	}
 }
 
@@ -155,13 +167,10 @@
 	for id, o := range v.going {
 		p.Roles[id] = o.role
 	}
-	fresh := false
 	for _, change := range changes {
-		_, under := v.going[change.Target()]
-		fresh = fresh || !under
 		p.Roles[change.Target()] = change.To()
 	}
-	if fresh && !maps.Equal(p.Roles, v.told[service]) {
+	if !maps.Equal(p.Roles, v.told[service]) {
 		v.told[service] = p.Roles
 		v.g.tellPlan(ctx, service, p)
 	}
@@ -236,6 +245,16 @@
 	return engines, workers
 }
 
+// took asks an engine whether it took an order whose answer was lost. One that did
+// not may carry it out seconds later; it then counts as one more change that the
+// split did not want.
+func (v *controller) took(ctx context.Context, w kumquatlug.Worker, before int64) bool {
+	call, cancel := context.WithTimeout(ctx, orderTimeout.Duration())
+	defer cancel()
+	state, err := v.g.c.Workers.State(call, w)
+	return err == nil && (state.Busy || state.Orders > before)
+}
+
 // order gives one order, after asking the engine what it has been ordered so
 // far: an order whose answer was lost may have been taken.
 func (v *controller) order(ctx context.Context, w kumquatlug.Worker, change kumquatlug.RoleChange) {
@@ -243,11 +262,12 @@
 	call, cancel := context.WithTimeout(ctx, orderTimeout.Duration())
 	defer cancel()
 	state, err := c.Workers.State(call, w)
+	now := c.Awake.Now()
 	if err != nil || state.Busy {
+		v.fixed[w.ID()] = now + putOffSpan
 		c.Logger.Info("order put off", zap.String("worker", w.ID()), zap.Bool("busy", state.Busy), logs.Error(err))
 		return
 	}
-	now := c.Awake.Now()
 	if state.Role == change.To() {
 		v.going[w.ID()] = ordered{role: change.To(), at: now}
 		return
@@ -256,18 +276,22 @@
 	if !held || !v.holder.MayOrder(now) {
 		return
 	}
-	v.going[w.ID()] = ordered{role: change.To(), at: now}
 	taken, err := c.Workers.Order(call, w, kumquatlug.RoleOrder{
 		Role: change.To(), Holder: c.Name, Fence: int64(number), After: state.Orders,
 	})
 	outcome := "taken"
-	switch {
-	case err != nil:
+	if err != nil {
 		outcome = "unanswered"
-	case !taken:
-		outcome = "refused"
-		delete(v.going, w.ID())
+		taken = v.took(ctx, w, state.Orders)
+	}
+	switch {
+	case taken:
+		v.going[w.ID()] = ordered{role: change.To(), at: now}
+	default:
 		v.fixed[w.ID()] = now + fixedSpan
+		if err == nil {
+			outcome = "refused"
+		}
 	}
 	v.g.metrics.orders.WithLabelValues(outcome).Inc()
 	c.Logger.Info("order", zap.String("worker", w.ID()), zap.String("to", string(change.To())),
--- /dev/null
+++ b/internal/gateway/controller_test.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"context"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/kumquatlug/kumquatlug/internal/standin/platform"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+// An engine is announced to change its role, and then refuses the order, or its
+// answer is lost and it never took it. Left announced it would get nothing from
+// any front for eight seconds, although it works as before.
+func TestAnOrderThatIsNotTakenIsRetracted(t *testing.T) {
+	for name, order := range map[string]func() (bool, error){
+		"refused":    func() (bool, error) { return false, nil },
+		"unanswered": func() (bool, error) { return false, lost() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var asked atomic.Int32
+			w := &fakeWorkers{
+				state: func() (kumquatlug.EngineState, error) {
+					return kumquatlug.EngineState{Role: kumquatlug.RoleDecode, Orders: 3}, nil
+				},
+				order: func() (bool, error) { asked.Add(1); return order() },
+			}
+			f := newFront(t, w, manyRepeats)
+			store := &planTable{Memory: platform.NewMemory(), plans: make(chan string, 64)}
+			f.g.c.Table, f.g.c.ReadPart = store, 0.75
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			go f.g.control(ctx)
+			var told []string
+			end := time.After(8 * time.Second)
+			for len(told) < 2 {
+				select {
+				case <-end:
+					t.Fatalf("plans %v, %d orders", told, asked.Load())
+				case plan := <-store.plans:
+					told = append(told, plan)
+				}
+			}
+			if !strings.Contains(told[0], "prefill") || strings.Contains(told[1], "prefill") || asked.Load() == 0 {
+				t.Errorf("plans %v after %d orders", told, asked.Load())
+			}
+		})
+	}
+}
+
+// planTable is a table that tells the plans written to it.
+type planTable struct {
+	*platform.Memory
+	plans chan string
+}
+
+func (p *planTable) Commit(ctx context.Context, tx kumquatlug.Tx) error {
+	for _, w := range tx.Writes() {
+		if strings.HasPrefix(w.Key(), planPrefix) {
+			p.plans <- string(w.Value())
+		}
+	}
+	return p.Memory.Commit(ctx, tx)
+}
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -36,6 +36,8 @@
 	run     func(ctx context.Context, n int, c call) (kumquatlug.Reply, error)
 	prefill func(ctx context.Context, n int, c call) (kumquatlug.KVCache, kumquatlug.Reply, error)
 	move    func(ctx context.Context, from, to string) (kumquatlug.KVCache, error)
+	state   func() (kumquatlug.EngineState, error)
+	order   func() (bool, error)
 }
 
 func (w *fakeWorkers) note(c call) int {
@@ -93,10 +95,16 @@
 }
 
 func (w *fakeWorkers) State(context.Context, kumquatlug.Worker) (kumquatlug.EngineState, error) {
+	if w.state != nil {
+		return w.state()
+	}
 	return kumquatlug.EngineState{Busy: true}, nil
 }
 
 func (w *fakeWorkers) Order(context.Context, kumquatlug.Worker, kumquatlug.RoleOrder) (bool, error) {
+	if w.order != nil {
+		return w.order()
+	}
 	return false, nil
 }
 
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -45,8 +44,6 @@
 	heard func()
 	// times are when each step of the last attempt was done.
 	times times
-	// transfer is the stream's way to another engine, nil while there is none.
-	transfer atomic.Pointer[transfer]
 }
 
 // times are when the steps of a request were done, zero for those that were not.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -5,7 +5,9 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -38,6 +40,10 @@
 	choice    placement.Choice
 	ticket    *placement.Ticket
 	reply     kumquatlug.Reply
+	// transfer is the stream's way to another engine, nil while there is none;
+	// over says that nobody waits for one any more.
+	transfer atomic.Pointer[transfer]
+	over     atomic.Bool
 }
 
 // worker returns the worker's name.
@@ -46,6 +52,7 @@
 // relay hands a worker's answer on to the client.
 func (f *inflight) relay(a *attempt) *tried {
 	defer a.reply.Body().Close()
+	defer f.abandon(a)
 	if f.route.Stream() && a.reply.Status() == http.StatusOK {
 		return f.relayStream(a)
 	}
@@ -153,7 +160,10 @@
 // goes on elsewhere behind the last event that the client has.
 func (f *inflight) relayStream(a *attempt) *tried {
 	if f.ask.Prompt().Output() > shortOutput {
-		f.g.scheduler.onMove(f.service.Name(), a.ticket, func() { f.move(a) })
+		// Taken here, as a move is made by another goroutine.
+		q := f.query()
+		q.Exclude = append(slices.Clone(q.Exclude), a.worker())
+		f.g.scheduler.onMove(f.service.Name(), a.ticket, func() { f.move(a, q) })
 	}
 	var pending []byte
 	buffer := make([]byte, eventBuffer)
@@ -162,7 +172,7 @@
 		n, err := a.reply.Body().Read(buffer)
 		pending = append(pending, buffer[:n]...)
 		whole := wholeEvents(pending)
-		if err == io.EOF && f.transfer.Load() == nil || len(pending) > maxEvent {
+		if err == io.EOF && a.transfer.Load() == nil || len(pending) > maxEvent {
 			whole = len(pending)
 		}
 		if whole > 0 {
@@ -173,7 +183,7 @@
 			pending = pending[:copy(pending, pending[whole:])]
 		}
 		if err != nil {
-			if t := f.moved(a.ctx); t != nil {
+			if t := f.moved(a); t != nil {
 				f.end(stageOutput, a.ticket, placement.OutcomeGood)
 				if !f.route.Repeatable() {
 					// From here on it is the one run that it may have.
--- a/internal/gateway/transfer.go
+++ b/internal/gateway/transfer.go
@@ -26,23 +26,20 @@
 // millisecond for each 9,000 tokens, ten times as long on a slow link.
 const moveTimeout = 700 * kumquatlug.Millis(1)
 
-// move takes the stream of an attempt to another engine. The engine ends it
-// there, which the goroutine that reads it notices.
-func (f *inflight) move(a *attempt) {
-	q := f.query()
-	q.Exclude = append(append([]string(nil), q.Exclude...), a.worker())
+// move takes the stream of an attempt to another engine, as q asks for it. The
+// engine ends it there, which the goroutine that reads it notices.
+func (f *inflight) move(a *attempt, q placement.Query) {
 	choice, ticket := f.g.scheduler.choose(f.g.c.Clock.Now(), f.service.Name(), stageOutput, q)
 	if ticket == nil {
 		return
 	}
-	if choice.Wait() > 0 {
-		// It would stand still there until a slot is free.
+	if choice.Wait() > 0 || a.over.Load() {
+		// It would stand still there until a slot is free, or it has ended.
 		f.end(stageOutput, ticket, placement.OutcomeSilent)
 		return
 	}
 	t := &transfer{choice: choice, ticket: ticket, done: make(chan struct{})}
-	defer close(t.done)
-	f.transfer.Store(t)
+	a.transfer.Store(t)
 	call, cancel := context.WithTimeout(a.ctx, moveTimeout.Duration())
 	defer cancel()
 	cache, err := f.g.c.Workers.Move(call, a.choice.Worker(), f.ask, choice.Worker())
@@ -50,29 +47,54 @@
 		f.end(stageOutput, ticket, placement.OutcomeSilent)
 		f.g.c.Logger.Info("stream not moved", zap.String("request", f.ask.ID()), zap.String("worker", a.worker()),
 			zap.String("to", choice.Worker().ID()), logs.Error(err))
-		return
+	} else {
+		t.cache = cache
+	}
+	close(t.done)
+	if a.over.Load() && a.transfer.CompareAndSwap(t, nil) {
+		f.discard(t)
 	}
-	t.cache = cache
 }
 
-// moved returns where the stream goes on, nil where it does not.
-func (f *inflight) moved(ctx context.Context) *transfer {
-	t := f.transfer.Swap(nil)
+// moved returns where the stream of an attempt goes on, nil where it does not.
+func (f *inflight) moved(a *attempt) *transfer {
+	t := a.transfer.Swap(nil)
 	if t == nil {
 		return nil
 	}
 	<-t.done
-	if t.cache.Handle() == "" {
+	switch {
+	case t.cache.Handle() == "":
 		return nil
-	}
-	if ctx.Err() != nil {
-		f.end(stageOutput, t.ticket, placement.OutcomeSilent)
-		f.g.free(t.cache)
+	case a.ctx.Err() != nil:
+		f.discard(t)
 		return nil
 	}
 	return t
 }
 
+// abandon notes that an attempt is over. A copy that was made of its memory would
+// hold a slot and its room at the other engine for seconds, and its ticket would
+// make that engine look fuller for ever.
+func (f *inflight) abandon(a *attempt) {
+	a.over.Store(true)
+	if t := a.transfer.Swap(nil); t != nil {
+		go func() {
+			<-t.done
+			f.discard(t)
+		}()
+	}
+}
+
+// discard drops a copy that nobody goes on with.
+func (f *inflight) discard(t *transfer) {
+	if t.cache.Handle() == "" {
+		return
+	}
+	f.end(stageOutput, t.ticket, placement.OutcomeSilent)
+	f.g.free(t.cache)
+}
+
 // onMove has move called when the attempt's engine is to do something else.
 func (sc *scheduler) onMove(service string, t *placement.Ticket, move func()) {
 	sc.mu.Lock()
--- a/internal/gateway/transfer_test.go
+++ b/internal/gateway/transfer_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
 )
 
 // movingStream is a stream with an event each 5 ms that its engine ends when it is
@@ -132,3 +133,51 @@
 		t.Errorf("an engine that is no longer announced gets nothing: %+v", answer)
 	}
 }
+
+// A stream is cut by its engine while it is being moved, and goes on by itself at
+// another engine. The copy that comes too late must be freed, and nobody may go on
+// with it: its user would have some events twice.
+func TestACopyThatComesTooLateIsFreed(t *testing.T) {
+	for name, over := range map[string]bool{"before the copy": true, "during the copy": false} {
+		t.Run(name, func(t *testing.T) {
+			began, end := make(chan struct{}), make(chan struct{})
+			w := &fakeWorkers{move: func(context.Context, string, string) (kumquatlug.KVCache, error) {
+				close(began)
+				<-end
+				return kumquatlug.NewKVCache("10.0.0.1:1", "late"), nil
+			}}
+			front := newFront(t, w, manyRepeats)
+			table := front.g.table.Load()
+			route, _ := table.Match("h", "/long/")
+			service, _ := table.Service("engines")
+			f := &inflight{g: front.g, route: route, service: service, ask: kumquatlug.NewAsk(kumquatlug.AskConfig{ID: "r"})}
+			a := &attempt{ctx: t.Context(), call: t.Context()}
+			if over {
+				f.abandon(a)
+				f.move(a, f.query())
+				if a.transfer.Load() != nil {
+					t.Error("the copy is made for nobody")
+				}
+				return
+			}
+			done := make(chan struct{})
+			go func() {
+				f.move(a, f.query())
+				close(done)
+			}()
+			<-began
+			f.abandon(a)
+			close(end)
+			<-done
+			cache := <-front.g.unused
+			if cache.Handle() != "late" || f.moved(a) != nil {
+				t.Errorf("freed %q", cache.Handle())
+			}
+			for id, use := range front.g.scheduler.inUse("engines") {
+				if use != placement.UseIdle {
+					t.Errorf("%s is %s", id, use)
+				}
+			}
+		})
+	}
+}
