Take a busy engine for one that is on its way

Cause: since engines that put an order off were left alone for a second, another one was ordered in the place of an engine that was still ending its streams, and the split was wrong by two.

--- a/internal/gateway/controller.go
+++ b/internal/gateway/controller.go
@@ -42,8 +42,7 @@
 	// fixedSpan is how long an engine that refused an order is not asked again:
 	// an order that it carries out takes three seconds.
 	fixedSpan = 4 * kumquatlug.Second
-	// putOffSpan is the same for one that could not be asked or is busy with an
-	// earlier order.
+	// putOffSpan is the same for one that could not be asked.
 	putOffSpan = 1 * kumquatlug.Second
 )
 
@@ -263,13 +262,17 @@
 	defer cancel()
 	state, err := c.Workers.State(call, w)
 	now := c.Awake.Now()
-	if err != nil || state.Busy {
+	switch {
+	case err != nil:
 		v.fixed[w.ID()] = now + putOffSpan
-		c.Logger.Info("order put off", zap.String("worker", w.ID()), zap.Bool("busy", state.Busy), logs.Error(err))
+		c.Logger.Info("order put off", zap.String("worker", w.ID()), logs.Error(err))
 		return
-	}
-	if state.Role == change.To() {
+	case state.Busy, state.Role == change.To():
+		// An earlier order is being carried out, most likely the same one: while
+		// its streams end an engine says nothing new. With another engine in its
+		// place the split would be wrong by two.
 		v.going[w.ID()] = ordered{role: change.To(), at: now}
+		c.Logger.Info("order put off", zap.String("worker", w.ID()), zap.Bool("busy", state.Busy))
 		return
 	}
 	number, held := v.holder.Held(now)
