Tell a plan again that was not told; name only a service's own engines in it

Read once more: a plan whose write failed was taken for told, and a plan named engines of other services that were on their way. Engines that refused an order were remembered for ever.

--- a/internal/gateway/controller.go
+++ b/internal/gateway/controller.go
@@ -149,29 +149,33 @@
 		if !v.lasting(now, name, len(changes) > 0) {
 			continue
 		}
-		v.announce(ctx, name, changes)
+		v.announce(ctx, name, workers, changes)
 		for _, change := range changes {
 			if _, under := v.going[change.Target()]; !under && ctx.Err() == nil {
 				v.order(ctx, workers[change.Target()], change)
 			}
 		}
 		// What took no order works as before.
-		v.announce(ctx, name, nil)
+		v.announce(ctx, name, workers, nil)
 	}
 }
 
-// announce tells all fronts which engines are about to change their role.
-func (v *controller) announce(ctx context.Context, service string, changes []kumquatlug.RoleChange) {
+// announce tells all fronts which of a service's engines are about to change their
+// role. A plan that was not told is told again with the next look.
+func (v *controller) announce(
+	ctx context.Context, service string, engines map[string]kumquatlug.Worker, changes []kumquatlug.RoleChange,
+) {
 	p := plan{Roles: map[string]kumquatlug.Role{}}
 	for id, o := range v.going {
-		p.Roles[id] = o.role
+		if _, ours := engines[id]; ours {
+			p.Roles[id] = o.role
+		}
 	}
 	for _, change := range changes {
 		p.Roles[change.Target()] = change.To()
 	}
-	if !maps.Equal(p.Roles, v.told[service]) {
+	if !maps.Equal(p.Roles, v.told[service]) && v.g.tellPlan(ctx, service, p) {
 		v.told[service] = p.Roles
-		v.g.tellPlan(ctx, service, p)
 	}
 }
 
@@ -219,7 +223,9 @@
 
 // engines returns the engines that take work, in the roles that they have or
 // are on their way to.
-func (v *controller) engines(now kumquatlug.Millis, members []kumquatlug.Member, use map[string]placement.Use) ([]planner.SplitEngine, map[string]kumquatlug.Worker) {
+func (v *controller) engines(
+	now kumquatlug.Millis, members []kumquatlug.Member, use map[string]placement.Use,
+) ([]planner.SplitEngine, map[string]kumquatlug.Worker) {
 	var engines []planner.SplitEngine
 	workers := map[string]kumquatlug.Worker{}
 	for _, m := range members {
@@ -238,7 +244,12 @@
 		if use[id] == placement.UseSilent {
 			continue
 		}
-		engines = append(engines, planner.SplitEngine{Target: id, Zone: m.Zone, Role: role, Fixed: now < v.fixed[id], Idle: use[id] == placement.UseIdle})
+		if now >= v.fixed[id] {
+			delete(v.fixed, id)
+		}
+		engines = append(engines, planner.SplitEngine{
+			Target: id, Zone: m.Zone, Role: role, Fixed: now < v.fixed[id], Idle: use[id] == placement.UseIdle,
+		})
 		workers[id] = m.Worker
 	}
 	return engines, workers
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -24,20 +24,23 @@
 }
 
 // tellPlan writes a plan, and follows it here at once. The streams that go
-// elsewhere for it do so while the order is on its way.
-func (g *Gateway) tellPlan(ctx context.Context, service string, p plan) {
+// elsewhere for it do so while the order is on its way. It reports whether the
+// plan was written.
+func (g *Gateway) tellPlan(ctx context.Context, service string, p plan) bool {
 	g.obeyPlan(service, p)
 	text, err := json.Marshal(p)
 	if err != nil {
 		g.c.Logger.Error("plan not told", zap.String("service", service), logs.Error(err))
-		return
+		return false
 	}
 	call, cancel := context.WithTimeout(ctx, planTimeout.Duration())
 	defer cancel()
 	// Not told, the others find out by refusals.
 	if err := g.c.Table.Commit(call, kumquatlug.NewTx(g.c.Incarnation).Put(planPrefix+service, text)); err != nil {
 		g.c.Logger.Warn("plan not told", zap.String("service", service), logs.Error(err))
+		return false
 	}
+	return true
 }
 
 // planTimeout is how long the telling of a plan may hold its orders up.
