Hand on the last bytes of a stream that was not moved after all

Cause, found in the last reading: while a stream is being moved, bytes that are no whole event are held back; where it ended by itself in that moment they were left out, and the answer looked whole. The new test failed before ("id: 3" was missing).

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -183,25 +183,35 @@
 			pending = pending[:copy(pending, pending[whole:])]
 		}
 		if err != nil {
-			if t := f.moved(a); t != nil {
-				f.end(stageOutput, a.ticket, placement.OutcomeGood)
-				if !f.route.Repeatable() {
-					// From here on it is the one run that it may have.
-					f.runs = max(f.runs, 1)
-				}
-				return f.run(a.ctx, t.choice, t.ticket, t.cache)
-			}
+			return f.streamEnded(a, flush, pending, err)
 		}
-		if err == io.EOF {
-			f.firstOutput(a)
-			f.end(stageOutput, a.ticket, placement.OutcomeGood)
-			f.answered(a.choice, a.reply.Status())
-			return nil
+	}
+}
+
+// streamEnded does what follows the end of an engine's answer: the stream goes on
+// where it was moved to, or has come to its end, or broke off. The bytes that are
+// pending are no whole event; they were held back while it might have been moved.
+func (f *inflight) streamEnded(a *attempt, flush *http.ResponseController, pending []byte, end error) *tried {
+	if t := f.moved(a); t != nil {
+		f.end(stageOutput, a.ticket, placement.OutcomeGood)
+		if !f.route.Repeatable() {
+			// From here on it is the one run that it may have.
+			f.runs = max(f.runs, 1)
 		}
-		if err != nil {
-			return f.brokenOff(a, err)
+		return f.run(a.ctx, t.choice, t.ticket, t.cache)
+	}
+	if !errors.Is(end, io.EOF) {
+		return f.brokenOff(a, end)
+	}
+	f.firstOutput(a)
+	if len(pending) > 0 {
+		if failed := f.pass(a, flush, pending); failed != nil {
+			return failed
 		}
 	}
+	f.end(stageOutput, a.ticket, placement.OutcomeGood)
+	f.answered(a.choice, a.reply.Status())
+	return nil
 }
 
 // firstOutput writes the head before the first event.
--- a/internal/gateway/transfer_test.go
+++ b/internal/gateway/transfer_test.go
@@ -181,3 +181,59 @@
 		})
 	}
 }
+
+// A stream ends while it is about to be moved, and its last bytes are no whole
+// event. Its user must have them all the same; left out, the answer would look
+// whole and lack its end.
+func TestAnEndThatIsNoEventArrives(t *testing.T) {
+	w := &fakeWorkers{}
+	ended := make(chan struct{})
+	w.run = func(context.Context, int, call) (kumquatlug.Reply, error) {
+		return kumquatlug.NewReply(kumquatlug.ReplyConfig{
+			Status: 200, Header: http.Header{"Stamp": {"s"}}, Length: -1, Body: &heldBody{text: events(1, 2) + "id: 3", ended: ended},
+		}), nil
+	}
+	moving := make(chan struct{})
+	w.move = func(context.Context, string, string) (kumquatlug.KVCache, error) {
+		close(moving)
+		close(ended)
+		<-time.After(20 * time.Millisecond)
+		return kumquatlug.KVCache{}, kumquatlug.ErrNotFound
+	}
+	f := newFront(t, w, manyRepeats)
+	answer := make(chan got, 1)
+	go func() { answer <- f.ask(context.Background(), http.MethodPost, chat) }()
+	for begun := false; !begun; {
+		<-time.After(5 * time.Millisecond)
+		for _, c := range w.made() {
+			f.g.obeyPlan("engines", plan{Roles: map[string]kumquatlug.Role{c.worker: kumquatlug.RolePrefill}})
+		}
+		select {
+		case <-moving:
+			begun = true
+		default:
+			f.g.obeyPlan("engines", plan{})
+		}
+	}
+	if got := <-answer; got.err != nil || got.body != events(1, 2)+"id: 3" {
+		t.Errorf("%q, %v", got.body, got.err)
+	}
+}
+
+// heldBody is a text that ends when it is told to.
+type heldBody struct {
+	text  string
+	ended chan struct{}
+}
+
+func (h *heldBody) Read(p []byte) (int, error) {
+	n := copy(p, h.text)
+	h.text = h.text[n:]
+	if n == 0 {
+		<-h.ended
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+func (h *heldBody) Close() error { return nil }
