--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/kumquatlug/kumquatlug/internal/peer/peerv1"
@@ -51,6 +52,9 @@
 	asked struct {
 		look func(*dispatch.Dispatcher)
 		done chan struct{}
+		// taken is set by whoever comes first: the loop that looks, or the caller
+		// that gives up.
+		taken *atomic.Bool
 	}
 )
 
@@ -79,18 +83,29 @@
 	}
 }
 
-// ask runs look between two events and returns when it is done.
+// ask runs look between two events and returns when it is done. After an error
+// look has not run and never will: what it writes is its caller's again. A look
+// that ran after its caller had given up would write while the caller reads.
 func (l *loop) ask(ctx context.Context, look func(*dispatch.Dispatcher)) error {
-	done := make(chan struct{})
-	l.post(asked{look, done})
+	a := asked{look: look, done: make(chan struct{}), taken: &atomic.Bool{}}
+	l.post(a)
 	select {
-	case <-done:
+	case <-a.done:
 		return nil
 	case <-l.stopped:
 		return context.Canceled
 	case <-ctx.Done():
+	}
+	if a.taken.CompareAndSwap(false, true) {
 		return ctx.Err()
 	}
+	// The loop is at it.
+	select {
+	case <-a.done:
+		return nil
+	case <-l.stopped:
+		return context.Canceled
+	}
 }
 
 // run takes messages and the time until ctx ends.
@@ -140,7 +155,9 @@
 	case missed:
 		return l.missed(now, m)
 	case asked:
-		m.look(l.dispatcher)
+		if m.taken.CompareAndSwap(false, true) {
+			m.look(l.dispatcher)
+		}
 		close(m.done)
 	}
 	return nil
