Take away a setting that nothing reads, and count streams without a list

Cause: with the rule that gave readers an engine back by late prompts gone, SwingConfig.Late decided nothing and SwingView.Late only travelled to a log line; that line now asks the pressure itself. And the looks at silence, each 20 ms over every worker, built a list of tickets only to take its length, for plain workers even before it was known that it isn't needed.

Ruled out: joining the accessors and config structs that look alike; they are alike in shape and share no logic. SwingConfig.Back stays, it still decides.

Conclusion: less state, same behaviour, no test touched.

--- a/internal/experiment/swing/model.go
+++ b/internal/experiment/swing/model.go
@@ -237,7 +237,7 @@
 // steer lets the first front look at the split, and changes roles.
 func (w *site) steer(now kumquatlug.Millis) {
 	p := w.fronts[0].Pressure()
-	view := planner.SwingView{Reading: p.Reading(), Late: p.Late(), Taken: p.Taken(), Coming: p.Coming()}
+	view := planner.SwingView{Reading: p.Reading(), Taken: p.Taken(), Coming: p.Coming()}
 	engines := make([]planner.SplitEngine, len(w.engines))
 	for i, e := range w.engines {
 		role := e.role
--- a/internal/gateway/controller.go
+++ b/internal/gateway/controller.go
@@ -187,7 +187,7 @@
 		v.swings[service] = swing
 	}
 	p := v.g.scheduler.pressure(service)
-	view := planner.SwingView{Reading: p.Reading(), Late: p.Late(), Taken: p.Taken(), Coming: p.Coming()}
+	view := planner.SwingView{Reading: p.Reading(), Taken: p.Taken(), Coming: p.Coming()}
 	for _, e := range engines {
 		if e.Role == kumquatlug.RolePrefill {
 			view.Readers++
@@ -200,7 +200,7 @@
 		v.wrongSince[service] = now - wrongSpan
 		v.g.c.Logger.Info("split", zap.String("service", service), zap.Float64("part", swing.Part()),
 			zap.Int("readers", view.Readers), zap.Int("writers", view.Writers), zap.Float64("reading", view.Reading),
-			zap.Float64("late", view.Late), zap.Float64("taken", view.Taken), zap.Float64("coming", view.Coming))
+			zap.Float64("late", p.Late()), zap.Float64("taken", view.Taken), zap.Float64("coming", view.Coming))
 	}
 	return swing.Part()
 }
--- a/pkg/kumquatlug/placement/leave.go
+++ b/pkg/kumquatlug/placement/leave.go
@@ -37,6 +37,18 @@
 	return streams
 }
 
+// streaming is how many attempts there have begun. Each look at silence asks it
+// of every worker, so it only counts.
+func (w *worker) streaming() int {
+	n := 0
+	for _, t := range w.tickets {
+		if t.heardAt != 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // leaves reports that the worker is on its way to another role.
 func (w *worker) leaves(now kumquatlug.Millis) bool {
 	return w.leaving != "" && w.leaving != w.member.Role && now < w.leavingUntil
--- a/pkg/kumquatlug/placement/silence.go
+++ b/pkg/kumquatlug/placement/silence.go
@@ -225,7 +225,7 @@
 func (p *Placer) most(now kumquatlug.Millis) bool {
 	busy, quiet := 0, 0
 	for _, w := range p.list {
-		if len(w.begun()) < 2 {
+		if w.streaming() < 2 {
 			continue
 		}
 		busy++
@@ -247,12 +247,12 @@
 
 // verdict judges how long nothing came from w by what it has in hand.
 func (p *Placer) verdict(now kumquatlug.Millis, w *worker) verdict {
-	quiet := float64(now - w.heardAt)
-	streams := len(w.begun())
-	still := quiet > w.pause+streamMargin
 	if w.member.Role == "" {
 		return p.plainVerdict(now, w)
 	}
+	quiet := float64(now - w.heardAt)
+	streams := w.streaming()
+	still := quiet > w.pause+streamMargin
 	switch {
 	case streams > 1 && still:
 		return verdictSilent
--- a/pkg/kumquatlug/planner/swing.go
+++ b/pkg/kumquatlug/planner/swing.go
@@ -22,9 +22,6 @@
 	// Busy is the part of the readers that may be at work after one was taken
 	// from them. Default 0.85.
 	Busy float64
-	// Late is the part of the prompts that are late from which on one more
-	// engine reads, if the others can do without it. Default 0.1.
-	Late float64
 	// Short and Spare are how long writers must be short of slots, or have more
 	// than they need, before a change. Defaults 1 s and 1 s: bursts of three
 	// seconds that the slots bear look like a shortage for less.
@@ -47,7 +44,6 @@
 	c.Settled = cmp.Or(c.Settled, 0.7)
 	c.Rise = cmp.Or(c.Rise, 1.4)
 	c.Busy = cmp.Or(c.Busy, 0.85)
-	c.Late = cmp.Or(c.Late, 0.1)
 	c.Short = cmp.Or(c.Short, 1000)
 	c.Spare = cmp.Or(c.Spare, 1000)
 	c.Back = cmp.Or(c.Back, 3500)
@@ -61,9 +57,8 @@
 	// Readers and Writers are the engines on each side, those on their way to
 	// it counted.
 	Readers, Writers int
-	// Reading is the part of the readers at work, Late the part of the prompts
-	// that they read too late.
-	Reading, Late float64
+	// Reading is the part of the readers at work.
+	Reading float64
 	// Taken is how many engines' slots are taken now, Coming how many will be
 	// when a change has effect.
 	Taken, Coming float64
