Learn how fast engines read, how long they pause and how late answers come

Cause: placement and gateway carried one sheet's figures: 236 prompt tokens a ms, attempts given up after 0.9 s, an engine silent after 140 ms without an event. At an engine that reads 48 tokens a ms prompts were taken for lost while they were read, sent again, and read again elsewhere with their shared parts; streams beside prompts that were read between their tokens were taken for dark, broken off, and their rest refused as overload.

Now package learn: time of reading by tokens, context and a fixed part (recursive least squares on relative errors, bounded steps, a stated start of 100 tokens a ms), the longest usual pause, and the bound under which 99 of 100 answers come. A quiet engine is asked before it is left out until pauses are known. Who has a part of an answer is never refused as overload, and has its turn first.

TestManyFrontsAreNoOverload names the rate that its engines have, 236, as that is no default any more; its bounds stand.

Fails first: TestAnEngineThatPausesIsNotSilent (silent after 139 ms on the code before); the estimators are new.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -41,7 +41,7 @@
 }
 
 func (f *inflight) query() placement.Query {
-	q := placement.Query{Prompt: f.prompt(), Exclude: f.exclude, Until: f.until, CacheZone: f.cacheZone}
+	q := placement.Query{Prompt: f.prompt(), Exclude: f.exclude, Until: f.until, CacheZone: f.cacheZone, Begun: f.begun}
 	if target := f.route.Target(); target > 0 {
 		q.Target = f.arrived - f.trying + target
 	}
@@ -162,31 +162,15 @@
 	}
 }
 
-// Figures of an attempt that is given up in favour of another worker.
-const (
-	// leastAttempt is far above an answer's usual time, so that only a worker
-	// that fell silent or behind reaches it.
-	leastAttempt = 900 * kumquatlug.Millis(1)
-	// leastPlain is the same for plain services, whose answers come within tenths
-	// of a second; timeouts of less than a second leave no time for more.
-	leastPlain = 300 * kumquatlug.Millis(1)
-	// attemptFactor is how many times the expected wait is waited.
-	attemptFactor = 4
-)
-
 // attemptTimeout is how long an attempt may take until its first output, where
 // another worker could still answer in time.
-func (f *inflight) attemptTimeout(c placement.Choice) kumquatlug.Millis {
-	least := leastAttempt
-	if !f.service.Engine() {
-		least = leastPlain
-	}
-	return min(f.left(), max(least, attemptFactor*c.Wait()))
+func (f *inflight) attemptTimeout(t *placement.Ticket) kumquatlug.Millis {
+	return min(f.left(), f.g.scheduler.patience(f.service.Name(), t))
 }
 
 // prefill has an engine read the prompt.
 func (f *inflight) prefill(ctx context.Context, c placement.Choice, t *placement.Ticket) (kumquatlug.KVCache, *tried) {
-	call, cancel := context.WithTimeout(ctx, f.attemptTimeout(c).Duration())
+	call, cancel := context.WithTimeout(ctx, f.attemptTimeout(t).Duration())
 	defer cancel()
 	f.g.scheduler.onSilence(f.service.Name(), t, cancel)
 	cache, reply, err := f.g.c.Workers.Prefill(call, c.Worker(), f.ask, f.sending(c))
@@ -284,7 +268,7 @@
 	if f.route.Repeatable() && f.runs+1 < f.route.Workers() {
 		f.g.scheduler.onSilence(f.service.Name(), t, cancel)
 		// A worker that is silent holds the request until its deadline.
-		stop := time.AfterFunc(f.attemptTimeout(c).Duration(), cancel)
+		stop := time.AfterFunc(f.attemptTimeout(t).Duration(), cancel)
 		defer stop.Stop()
 		f.heard = func() { stop.Stop() }
 	} else {
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -241,6 +241,13 @@
 	sc.at(service).placer.Report(now, worker, load)
 }
 
+// patience tells how long the first output of an attempt may take.
+func (sc *scheduler) patience(service string, t *placement.Ticket) kumquatlug.Millis {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	return sc.at(service).placer.Patience(t)
+}
+
 func (sc *scheduler) read(now kumquatlug.Millis, service string, t *placement.Ticket) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
--- a/pkg/kumquatlug/placement/choose.go
+++ b/pkg/kumquatlug/placement/choose.go
@@ -17,6 +17,9 @@
 	// client gives up; zero for never.
 	Target kumquatlug.Millis
 	Until  kumquatlug.Millis
+	// Begun says that the client has a part of the answer: to refuse it now breaks
+	// that answer off, late as the rest may be.
+	Begun bool
 	// CacheZone is the data centre in which the prompt's KV cache lies, empty for
 	// none.
 	CacheZone string
@@ -27,6 +30,9 @@
 	worker kumquatlug.Worker
 	zone   string
 	apart  bool
+	// fresh is how many tokens are believed to be read anew, tokens the same with
+	// the price of their context, as if there were none.
+	fresh  float64
 	tokens float64
 	wait   float64
 	cost   float64
@@ -42,9 +48,6 @@
 // chosen for the output.
 func (c Choice) Apart() bool { return c.apart }
 
-// Tokens returns how many tokens of the prompt are believed to be read anew.
-func (c Choice) Tokens() float64 { return c.tokens }
-
 // Wait returns the expected span until the first output.
 func (c Choice) Wait() kumquatlug.Millis { return kumquatlug.Millis(c.wait) }
 
@@ -115,15 +118,18 @@
 		}
 		weight := p.health.Weight(now, w.member.Worker.ID())
 		fresh := p.unheld(now, w, q.Prompt, w == owner)
-		wait := (p.backlog(now, w) + fresh) / p.c.ReadRate * p.pace / weight
+		tokens := p.priced(fresh, q.Prompt)
+		wait := (p.backlog(now, w) + tokens) / p.rate() * p.pace / weight
 		away := fresh - p.own(q.Prompt)
-		cost := wait + p.c.AwayPrice*away/p.c.ReadRate + p.zonePrice(w)
+		cost := wait + p.c.AwayPrice*away/p.rate() + p.zonePrice(w)
 		if w != owner {
 			cost += rankCost * (1 - float64(rendezvous.Mix(key^w.hash))/math.MaxUint64)
 		}
 		if cost < least {
 			least = cost
-			best = Choice{worker: w.member.Worker, zone: w.member.Zone, apart: true, tokens: fresh, wait: wait + p.c.TransferCost}
+			best = Choice{
+				worker: w.member.Worker, zone: w.member.Zone, apart: true, fresh: fresh, tokens: tokens, wait: wait + p.handOver(),
+			}
 		}
 	}
 	return best, least + p.c.TransferCost, true
@@ -136,11 +142,12 @@
 		if !p.usable(now, w, q, kumquatlug.RoleDecode) {
 			continue
 		}
-		fresh, rate := p.unheld(now, w, q.Prompt, false), p.c.ReadRate
+		fresh, rate := p.unheld(now, w, q.Prompt, false), p.rate()
 		if w.member.Role == kumquatlug.RoleDecode {
 			rate *= p.c.MixedPart
 		}
-		read := fresh / rate
+		tokens := p.priced(fresh, q.Prompt)
+		read := tokens / rate
 		wait := w.tokens/rate + read + p.slotWait(now, w, q.Prompt)
 		weight := p.health.Weight(now, w.member.Worker.ID())
 		taken := (float64(w.runs) + w.othersNow(now)) / float64(max(w.member.Slots, 1))
@@ -148,7 +155,7 @@
 		cost := (wait+p.batchCost(now, w, q.Prompt))/weight + p.c.MixedPrice*taken*disturbed + p.zonePrice(w)
 		if cost < least {
 			least, found = cost, true
-			best = Choice{worker: w.member.Worker, tokens: fresh, wait: wait}
+			best = Choice{worker: w.member.Worker, fresh: fresh, tokens: tokens, wait: wait}
 		}
 	}
 	return best, least, found
@@ -162,7 +169,7 @@
 			continue
 		}
 		wait := p.slotWait(now, w, q.Prompt)
-		cost := wait + p.batchCost(now, w, q.Prompt) + w.tokens/p.c.ReadRate
+		cost := wait + p.batchCost(now, w, q.Prompt) + w.tokens/p.rate()
 		cost = cost/p.health.Weight(now, w.member.Worker.ID()) + p.zonePrice(w)
 		if q.CacheZone != "" && w.member.Zone != q.CacheZone {
 			cost += cacheZoneCost
--- a/pkg/kumquatlug/placement/cost.go
+++ b/pkg/kumquatlug/placement/cost.go
@@ -27,6 +27,23 @@
 	return p.inHand(now, w) + p.fronts*w.queuedTokens()
 }
 
+// rate is how many tokens an engine reads in a ms.
+func (p *Placer) rate() float64 { return p.reading.Rate() }
+
+// priced is how many tokens without context would be read in the time of the
+// fresh ones of a prompt.
+func (p *Placer) priced(fresh float64, prompt kumquatlug.Prompt) float64 {
+	if fresh <= 0 {
+		return 0
+	}
+	time := p.reading.Time(fresh, max(float64(prompt.Input())-fresh, 0)) - p.reading.Fixed()
+	return time * p.rate()
+}
+
+// handOver is how much longer an engine's answer that it has read a prompt takes
+// than the reading itself, in milliseconds.
+func (p *Placer) handOver() float64 { return p.reading.Fixed() + p.c.TransferCost }
+
 // own is how many tokens of a prompt no other request shares.
 func (p *Placer) own(prompt kumquatlug.Prompt) float64 {
 	shared := 0
--- a/pkg/kumquatlug/placement/placement.go
+++ b/pkg/kumquatlug/placement/placement.go
@@ -33,6 +33,7 @@
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/health"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/learn"
 )
 
 // Config is what a [Placer] is made of. The zero value of each field stands for
@@ -40,11 +41,10 @@
 type Config struct {
 	// Zone is the front's data centre.
 	Zone string
-	// ReadRate is how many prompt tokens an engine reads in a millisecond.
-	// Default 236, the figure of the engines' sheet.
-	ReadRate float64
-	// MixedPart is the part of ReadRate that an engine has for prompts while it
-	// generates. Default 0.5, as the engines' protocol states.
+	// Reading is what engines are taken to read until they have shown it.
+	Reading learn.ReadingConfig
+	// MixedPart is the part of its reading rate that an engine has for prompts
+	// while it generates. Default 0.5, as the engines' protocol states.
 	MixedPart float64
 	// AwayPrice is what reading shared parts again costs, as a multiple of its
 	// time. Default 24: what is read twice also drives other parts out of memory.
@@ -66,7 +66,6 @@
 }
 
 func (c Config) withDefaults() Config {
-	c.ReadRate = cmp.Or(c.ReadRate, 236)
 	c.MixedPart = cmp.Or(c.MixedPart, 0.5)
 	c.AwayPrice = cmp.Or(c.AwayPrice, 24)
 	c.MixedPrice = cmp.Or(c.MixedPrice, 60)
@@ -127,8 +126,8 @@
 	// seconds and would draw all work.
 	refusalPause = 50 * kumquatlug.Millis(1)
 	refusalLimit = 800 * kumquatlug.Millis(1)
-	// leastPace and mostPace bound how far answers may move the expected time of
-	// reading from the sheet's.
+	// leastPace and mostPace bound how far the expected time of reading may lie
+	// from what an idle engine needs for the same tokens.
 	leastPace, mostPace = 0.7, 4.0
 	// meanStep is the weight of a new figure in a mean: some thirty make one.
 	meanStep = 1.0 / 32
@@ -158,11 +157,11 @@
 	refusals int
 	until    kumquatlug.Millis
 	// tickets are the attempts in hand for this front. Something last came from
-	// the worker at heardAt; pause is the longest between two events of a stream;
+	// the worker at heardAt; pauses are those between two events of a stream;
 	// silent says that it was left out for saying nothing.
 	tickets []*Ticket
 	heardAt kumquatlug.Millis
-	pause   float64
+	pauses  learn.Pause
 	silent  bool
 	// askedAt is when the worker was last asked whether it is there.
 	askedAt kumquatlug.Millis
@@ -179,6 +178,8 @@
 	workers map[string]*worker
 	list    []*worker
 	health  *health.Group
+	// reading is how long engines read a prompt.
+	reading *learn.Reading
 	// meanRead is how many tokens one prompt leaves to be read, meanTime how
 	// long a plain request takes.
 	meanRead float64
@@ -188,6 +189,11 @@
 	meanRoom float64
 	memory   float64
 	meanRun  float64
+	// pauses are those between two events of a stream at any engine.
+	pauses learn.Pause
+	// overrun is how much later than expected the first output of an engine comes,
+	// plainOverrun an answer of a plain worker.
+	overrun, plainOverrun *learn.Overrun
 	// pace is how long prompts take to be read beside what is expected.
 	pace    float64
 	cleanAt kumquatlug.Millis
@@ -205,7 +211,8 @@
 	c = c.withDefaults()
 	return &Placer{
 		c: c, workers: map[string]*worker{}, health: health.New(c.Health), meanRead: 3000, meanTime: plainCost,
-		meanRun: firstRun, meanRoom: firstRoom, pace: 1, fronts: 1,
+		meanRun: firstRun, meanRoom: firstRoom, pace: 1, fronts: 1, reading: learn.NewReading(c.Reading),
+		overrun: learn.NewOverrun(firstOverrun), plainOverrun: learn.NewOverrun(firstPlainOverrun),
 	}
 }
 
--- a/pkg/kumquatlug/placement/queue.go
+++ b/pkg/kumquatlug/placement/queue.go
@@ -82,7 +82,7 @@
 		p.gauge.entered++
 	}
 	if !c.apart || len(w.queue) == 0 && p.room(now, w) {
-		if c.Wait() >= q.until(now) {
+		if c.Wait() >= q.until(now) && !q.Begun {
 			if c.apart {
 				p.gauge.late++
 			}
@@ -108,7 +108,7 @@
 
 // room reports that an engine may be given one more prompt.
 func (p *Placer) room(now kumquatlug.Millis, w *worker) bool {
-	return w.reads == 0 || p.inHand(now, w)/p.c.ReadRate*p.pace < aheadSpan
+	return w.reads == 0 || p.inHand(now, w)/p.rate()*p.pace < aheadSpan
 }
 
 // inHand is how many tokens are to be read of what the engine has already.
@@ -126,11 +126,12 @@
 }
 
 // turnsLate reports that a prompt can no longer be in time when it is sent next.
+// For one whose answer has begun that is past, and it has its turn first.
 func (p *Placer) turnsLate(now kumquatlug.Millis, w *worker, one *waiting) bool {
-	if one.query.Target == 0 {
+	if one.query.Target == 0 || one.query.Begun {
 		return false
 	}
-	read := (p.inHand(now, w) + one.choice.tokens) / p.c.ReadRate * p.pace
+	read := (p.inHand(now, w) + one.choice.tokens) / p.rate() * p.pace
 	return float64(one.query.Target-now) < read+afterRead
 }
 
@@ -154,14 +155,14 @@
 			before += other.choice.tokens
 		}
 	}
-	wait := (before + one.choice.tokens) / (p.c.ReadRate * p.spare(now, w)) * p.pace
+	wait := (before + one.choice.tokens) / (p.rate() * p.spare(now, w)) * p.pace
 	return kumquatlug.Millis(wait+afterRead) < one.query.until(now)
 }
 
 // spare is the part of an engine that its load leaves, taken that the other
 // fronts send it as much as this one.
 func (p *Placer) spare(now kumquatlug.Millis, w *worker) float64 {
-	return max(leastSpare, 1-p.fronts*w.loadNow(now)*p.pace/(p.c.ReadRate*loadSpan))
+	return max(leastSpare, 1-p.fronts*w.loadNow(now)*p.pace/(p.rate()*loadSpan))
 }
 
 // loadNow is how many tokens this front gave the engine to read lately.
@@ -200,7 +201,7 @@
 		for len(w.queue) > 0 && p.room(now, w) && p.usable(now, w, Query{}, kumquatlug.RolePrefill) {
 			one := p.next(w)
 			// What it waited in the queue is no part of what the engine takes.
-			one.choice.wait = (p.inHand(now, w)+one.choice.tokens)/p.c.ReadRate*p.pace + p.c.TransferCost
+			one.choice.wait = (p.inHand(now, w)+one.choice.tokens)/p.rate()*p.pace + p.handOver()
 			due = append(due, Due{key: one.key, choice: one.choice, ticket: p.Begin(now, one.choice, one.query.Prompt)})
 		}
 	}
@@ -238,8 +239,9 @@
 	return due
 }
 
-// next takes the prompt to be read next out of a queue: of those that can be in
-// time the one with the most worth for its reading, else the oldest late one.
+// next takes the prompt to be read next out of a queue: one whose answer has
+// begun, as its client sees it stand still; then of those that can be in time the
+// one with the most worth for its reading, else the oldest late one.
 // The engine has less time than they need together, and by age a prompt of
 // 30,000 tokens would make ten others late.
 func (p *Placer) next(w *worker) *waiting {
@@ -257,6 +259,9 @@
 // density is a prompt's worth for each token that has to be read. Worth grows
 // with a request's size, shared parts counted, but not from nothing.
 func (w *waiting) density() float64 {
+	if w.query.Begun {
+		return math.Inf(1)
+	}
 	size := float64(w.query.Prompt.Input())
 	return (baseWorth + size) / (w.choice.tokens + baseRead)
 }
--- a/pkg/kumquatlug/placement/queue_test.go
+++ b/pkg/kumquatlug/placement/queue_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/learn"
 )
 
 // rush replays prompts at a steady rate against one reading engine that reads
@@ -159,7 +160,7 @@
 // a hundred times, the two prompts that one front has there would look like an
 // overload, and the third be refused at an engine that stands idle.
 func TestManyFrontsAreNoOverload(t *testing.T) {
-	p := New(Config{})
+	p := New(Config{Reading: learn.ReadingConfig{Rate: 236}})
 	p.SetFronts(100)
 	p.Sync(0, engines(1, 1))
 	for i := range 40 {
@@ -176,3 +177,30 @@
 		t.Errorf("expected wait of %d ms behind three prompts", c.Wait())
 	}
 }
+
+// An engine breaks a stream off while the other one has a queue that is late
+// already. Refused as overload, the client would see half an answer and a broken
+// connection, though three seconds are left to read the prompt again.
+func TestABegunAnswerIsNotRefusedAsOverload(t *testing.T) {
+	p := New(Config{Reading: learn.ReadingConfig{Rate: 50}})
+	p.Sync(0, engines(1, 1))
+	for key := uint64(1); key <= 30; key++ {
+		p.Enter(0, key, Query{Prompt: document(1, int(key)), Target: 600, Until: 5000})
+	}
+	if entry, _, _ := p.Enter(0, 40, Query{Prompt: document(1, 40), Target: 20, Until: 60}); entry != EntryRefused {
+		t.Fatalf("a late one that has not begun: %s", entry)
+	}
+	if entry, _, _ := p.Enter(0, 50, Query{Prompt: document(1, 50), Target: 100, Until: 3000, Begun: true}); entry != EntryWaits {
+		t.Fatalf("one that has begun: %s", entry)
+	}
+	for _, due := range p.Due(400) {
+		if due.Key() == 50 && due.Ticket() == nil {
+			t.Error("given up while it waits")
+		}
+	}
+	for _, w := range p.list {
+		if len(w.queue) > 0 && p.next(w).key != 50 {
+			t.Error("another one has its turn before it")
+		}
+	}
+}
--- a/pkg/kumquatlug/placement/silence.go
+++ b/pkg/kumquatlug/placement/silence.go
@@ -20,22 +20,14 @@
 // go on elsewhere do so at once: a stream that is resumed within its allowed
 // pause is still on time.
 //
-// On a day on which two of twelve engines went dark every front left them out
-// after 0.12 to 0.4 s; by failed attempts alone it took up to 3 s (users' bench,
-// one run each).
+// How long streams usually pause is learnt, for each engine and for all of a
+// service. An engine that reads prompts between the tokens of its streams pauses
+// several times as long as another; taken for silent, its streams would be broken
+// off and begun again elsewhere, where they are in the way of others. Until the
+// pauses are known a quiet engine is asked before it is left out.
 
 // Figures of silence.
 const (
-	// firstPause is how long an engine is taken to pause between the events of
-	// one stream until it has shown it, in milliseconds. On the two sites
-	// pauses are 40 to 110 ms.
-	firstPause = 110.0
-	// mostPause bounds what is believed of it: after a longer one the stream is
-	// late whatever happens.
-	mostPause = 200.0
-	// pauseFade is the part of the longest pause that is kept with each event,
-	// so that a pause of a crowded second is forgotten after some hundred.
-	pauseFade = 0.995
 	// streamMargin is how much longer than the longest pause of one stream an
 	// engine with several streams must be quiet, in milliseconds. Any one of
 	// them alone would have sent an event.
@@ -90,11 +82,11 @@
 		return
 	}
 	w := t.worker
-	pause := firstPause
 	if t.heardAt != 0 {
-		pause = float64(now - t.heardAt)
+		pause := float64(now - t.heardAt)
+		w.pauses.Saw(pause)
+		p.pauses.Saw(pause)
 	}
-	w.pause = min(max(pause, w.pause*pauseFade), mostPause)
 	t.heardAt = now
 	p.heard(now, t.id, w)
 }
@@ -211,6 +203,10 @@
 	case !known:
 		return Fallen{}, false
 	case answered:
+		if quiet := float64(w.askedAt - w.heardAt); w.streaming() > 1 && quiet > w.pauses.Longest() {
+			// It is there, and only pauses for so long.
+			w.pauses.Saw(quiet)
+		}
 		p.heard(now, id, w)
 		return Fallen{}, false
 	case w.silent || w.heardAt >= w.askedAt || p.most(now):
@@ -229,7 +225,7 @@
 			continue
 		}
 		busy++
-		if w.silent || float64(now-w.heardAt) > (w.pause+streamMargin)/2 {
+		if w.silent || float64(now-w.heardAt) > p.usualQuiet(w)/2 {
 			quiet++
 		}
 	}
@@ -252,10 +248,12 @@
 	}
 	quiet := float64(now - w.heardAt)
 	streams := w.streaming()
-	still := quiet > w.pause+streamMargin
+	still := quiet > p.usualQuiet(w)
 	switch {
-	case streams > 1 && still:
+	case streams > 1 && still && p.pauses.Known():
 		return verdictSilent
+	case streams > 1 && still:
+		return verdictSuspect
 	case streams > 1:
 		return verdictSound
 	case streams == 1 && still, p.overdue(now, w, overdueMargin) > 0 && quiet > overdueMargin:
@@ -264,6 +262,17 @@
 	return verdictSound
 }
 
+// usualQuiet is how long nothing may come from an engine with streams, in
+// milliseconds: the pause between two events of one stream, and the prompts that
+// this front gave it to read meanwhile.
+func (p *Placer) usualQuiet(w *worker) float64 {
+	pause := w.pauses.Longest()
+	if !w.pauses.Known() {
+		pause = max(pause, p.pauses.Longest())
+	}
+	return pause + streamMargin + w.tokens/(p.rate()*p.c.MixedPart)
+}
+
 // plainVerdict does so for a worker of a plain service.
 func (p *Placer) plainVerdict(now kumquatlug.Millis, w *worker) verdict {
 	if p.overdue(now, w, plainMargin) >= plainOverdue && float64(now-w.heardAt) > plainMargin {
--- a/pkg/kumquatlug/placement/silence_test.go
+++ b/pkg/kumquatlug/placement/silence_test.go
@@ -190,3 +190,42 @@
 		t.Errorf("silent: %v", s.fellAt)
 	}
 }
+
+// A generating engine reads prompts between the tokens of its streams, and each
+// of them pauses for a third of a second now and then. Taken for silent, sound
+// engines lose their streams; their users wait for them to begin again elsewhere,
+// or see them cut off.
+func TestAnEngineThatPausesIsNotSilent(t *testing.T) {
+	p := New(Config{Zone: "a"})
+	p.Sync(0, engines(1, 1))
+	var streams []*Ticket
+	for i := range 3 {
+		c, _ := p.Output(0, Query{Prompt: chatPrompt(i)})
+		streams = append(streams, p.Begin(0, c, chatPrompt(i)))
+	}
+	questions := 0
+	for now, next, step := kumquatlug.Millis(1), kumquatlug.Millis(1), 0; now < 20_000; now++ {
+		if now == next {
+			for _, s := range streams {
+				p.Heard(now, s)
+			}
+			next += 60
+			if step++; step%8 == 0 {
+				next += 260
+			}
+		}
+		if now%look != 0 {
+			continue
+		}
+		if fallen := p.Silent(now); len(fallen) != 0 {
+			t.Fatalf("silent at %d ms, after %d ms of quiet", now, fallen[0].Quiet())
+		}
+		for _, w := range p.Suspects(now) {
+			questions++
+			p.Asked(now+1, w.ID(), true)
+		}
+	}
+	if questions > 4 {
+		t.Errorf("asked %d times", questions)
+	}
+}
--- a/pkg/kumquatlug/placement/ticket.go
+++ b/pkg/kumquatlug/placement/ticket.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/learn"
 )
 
 // Ticket stands for one attempt in hand at a worker.
@@ -12,11 +13,15 @@
 	id     string
 	apart  bool
 	tokens float64
-	room   float64
-	wait   float64
-	at     kumquatlug.Millis
-	read   bool
-	ended  bool
+	// fresh and held are the tokens that the engine reads anew and those that it
+	// is believed to have; alone says that nothing was known to be before them.
+	fresh, held float64
+	alone       bool
+	room        float64
+	wait        float64
+	at          kumquatlug.Millis
+	read        bool
+	ended       bool
 	// heardAt is when output last came, zero for never.
 	heardAt kumquatlug.Millis
 }
@@ -42,7 +47,10 @@
 	if !known {
 		return &Ticket{ended: true}
 	}
-	t := &Ticket{worker: w, id: c.worker.ID(), apart: c.apart, tokens: c.tokens, wait: c.wait, at: now}
+	t := &Ticket{
+		worker: w, id: c.worker.ID(), apart: c.apart, tokens: c.tokens, wait: c.wait, at: now,
+		fresh: c.fresh, held: max(float64(prompt.Input())-c.fresh, 0), alone: w.reads == 0 && w.othersNow(now) < 1,
+	}
 	if len(w.tickets) == 0 {
 		w.heardAt = now
 	}
@@ -83,11 +91,14 @@
 }
 
 // Read records that the prompt has been read: output has begun.
-func (p *Placer) Read(_ kumquatlug.Millis, t *Ticket) {
+func (p *Placer) Read(now kumquatlug.Millis, t *Ticket) {
 	if t.ended || t.read {
 		return
 	}
 	t.read = true
+	if !t.worker.silent {
+		p.overrunOf(t).Saw(float64(now-t.at) - p.expected(t))
+	}
 	t.worker.tokens = max(0, t.worker.tokens-t.tokens)
 }
 
@@ -118,7 +129,7 @@
 	t.worker.refusals = 0
 	took := float64(now - t.at)
 	if o == OutcomeGood && t.apart {
-		p.learnPace(t, took)
+		p.learnReading(t, took)
 	}
 	if o == OutcomeGood && t.worker.member.Role == "" {
 		p.meanTime += meanStep * (took - p.meanTime)
@@ -148,15 +159,23 @@
 	w.until = now + min(pause, refusalLimit)
 }
 
-// learnPace takes how long a prompt took to be read.
-func (p *Placer) learnPace(t *Ticket, took float64) {
-	if t.wait < leastExpected {
+// learnReading takes how long a prompt took to be read. Those that found their
+// engine idle tell how fast it reads; all tell how much longer it takes
+// under load, once the former is known.
+func (p *Placer) learnReading(t *Ticket, took float64) {
+	if t.alone {
+		p.reading.Saw(t.fresh, t.held, took)
+	}
+	if t.wait < leastExpected || p.reading.Samples() < knownReading {
 		return
 	}
 	p.pace += meanStep * (p.pace*took/t.wait - p.pace)
 	p.pace = min(max(p.pace, leastPace), mostPace)
 }
 
+// knownReading is how many samples make the reading of idle engines known.
+const knownReading = 8
+
 // leastExpected keeps short expectations from making noise look like slowness,
 // in milliseconds.
 const leastExpected = 20.0
@@ -173,3 +192,32 @@
 		return 1
 	}
 }
+
+// Overruns until some answers were seen, in milliseconds.
+const (
+	firstOverrun      = 900.0
+	firstPlainOverrun = 300.0
+)
+
+// overrunOf returns the overrun of workers like that of t.
+func (p *Placer) overrunOf(t *Ticket) *learn.Overrun {
+	if t.worker.member.Role == "" {
+		return p.plainOverrun
+	}
+	return p.overrun
+}
+
+// attemptFactor is how many times the expected wait is waited at least.
+const attemptFactor = 4
+
+// Patience returns how long the first output of an attempt that was begun may take
+// before it is taken for lost: a request that is given up while its engine reads
+// it is read again at another one, and both are slower for all others.
+func (p *Placer) Patience(t *Ticket) kumquatlug.Millis {
+	if t.worker == nil {
+		// Its worker went a moment ago.
+		return kumquatlug.Millis(p.overrun.Bound())
+	}
+	expected := p.expected(t)
+	return kumquatlug.Millis(max(attemptFactor*t.wait, expected+p.overrunOf(t).Bound()))
+}
