Don't take this front's queue for the queue of every other front

What other fronts' work costs is in the learned ratio of taken to expected time.

TestManyFrontsAreNoOverload keeps its bounds and needs no number of fronts any more.

--- a/internal/experiment/swing/model.go
+++ b/internal/experiment/swing/model.go
@@ -93,7 +93,6 @@
 	for i := range s.Fronts {
 		placer := placement.New(placement.Config{Zone: zone(i, s)})
 		placer.SetMemory(s.Memory)
-		placer.SetFronts(s.Fronts)
 		w.fronts = append(w.fronts, placer)
 		w.turns = append(w.turns, map[uint64]*request{})
 	}
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -69,7 +69,6 @@
 			turns:    map[uint64]chan placement.Due{},
 		}
 		s.repeats.SetFronts(sc.fronts)
-		s.placer.SetFronts(sc.fronts)
 		sc.services[service] = s
 	}
 	return s
@@ -81,7 +80,6 @@
 	sc.fronts = n
 	for _, s := range sc.services {
 		s.repeats.SetFronts(n)
-		s.placer.SetFronts(n)
 	}
 }
 
--- a/pkg/kumquatlug/placement/placement.go
+++ b/pkg/kumquatlug/placement/placement.go
@@ -108,10 +108,6 @@
 	// smallRead is up to how many tokens a prompt is read beside streams without
 	// being noticed there: one piece between two tokens, 4 ms.
 	smallRead = 512
-	// mostFronts bounds the number of fronts that are taken to do as this one
-	// does. Where there are more, one of them sends so seldom to one engine that
-	// a single prompt, taken a hundred times, would look like an overload.
-	mostFronts = 6
 	// rankCost makes fronts agree on the second owner too, in milliseconds.
 	rankCost = 1.0
 	// reportAge is how long what a worker said of its load is believed; answers
@@ -197,8 +193,6 @@
 	// pace is how long prompts take to be read beside what is expected.
 	pace    float64
 	cleanAt kumquatlug.Millis
-	// fronts is how many fronts send to the workers.
-	fronts float64
 	// orphans waited for workers that are gone.
 	orphans []*waiting
 	gauge   gauge
@@ -211,7 +205,7 @@
 	c = c.withDefaults()
 	return &Placer{
 		c: c, workers: map[string]*worker{}, health: health.New(c.Health), meanRead: 3000, meanTime: plainCost,
-		meanRun: firstRun, meanRoom: firstRoom, pace: 1, fronts: 1, reading: learn.NewReading(c.Reading),
+		meanRun: firstRun, meanRoom: firstRoom, pace: 1, reading: learn.NewReading(c.Reading),
 		overrun: learn.NewOverrun(firstOverrun), plainOverrun: learn.NewOverrun(firstPlainOverrun),
 	}
 }
@@ -265,9 +259,6 @@
 	w.queue = nil
 }
 
-// SetFronts tells how many fronts send to the workers.
-func (p *Placer) SetFronts(n int) { p.fronts = float64(min(max(n, 1), mostFronts)) }
-
 // Report takes what a worker said of its load in an answer.
 func (p *Placer) Report(now kumquatlug.Millis, id string, load kumquatlug.WorkerLoad) {
 	w, known := p.workers[id]
--- a/pkg/kumquatlug/placement/queue.go
+++ b/pkg/kumquatlug/placement/queue.go
@@ -159,10 +159,9 @@
 	return kumquatlug.Millis(wait+afterRead) < one.query.until(now)
 }
 
-// spare is the part of an engine that its load leaves, taken that the other
-// fronts send it as much as this one.
+// spare is the part of an engine that this front's load leaves.
 func (p *Placer) spare(now kumquatlug.Millis, w *worker) float64 {
-	return max(leastSpare, 1-p.fronts*w.loadNow(now)*p.pace/(p.rate()*loadSpan))
+	return max(leastSpare, 1-w.loadNow(now)*p.pace/(p.rate()*loadSpan))
 }
 
 // loadNow is how many tokens this front gave the engine to read lately.
--- a/pkg/kumquatlug/placement/queue_test.go
+++ b/pkg/kumquatlug/placement/queue_test.go
@@ -157,11 +157,10 @@
 }
 
 // A hundred fronts send to a thousand engines, each seldom to the same one. Taken
-// a hundred times, the two prompts that one front has there would look like an
-// overload, and the third be refused at an engine that stands idle.
+// for as many as each of them has there, the two prompts of this front would look
+// like an overload, and the third be refused at an engine that stands idle.
 func TestManyFrontsAreNoOverload(t *testing.T) {
 	p := New(Config{Reading: learn.ReadingConfig{Rate: 236}})
-	p.SetFronts(100)
 	p.Sync(0, engines(1, 1))
 	for i := range 40 {
 		c, _ := p.Output(0, Query{Prompt: chatPrompt(i)})
