Give a refused output's cache to another engine; order only what was told

Cause: while an engine changes its role it refuses outputs for three seconds. Now another engine takes the cache that was read, once, and an order waits until its plan is told, unless one side has nobody. How long a run takes by its greatest output is learnt for planned stops, in place of 1.2 ms a token, one sheet's figure.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -50,6 +50,10 @@
 
 // generate has the prompt read and the output made, at one engine or at two.
 func (f *inflight) generate(ctx context.Context) *tried {
+	if cache := f.refused; cache.Handle() != "" {
+		f.refused, f.reused = kumquatlug.KVCache{}, true
+		return f.output(ctx, cache)
+	}
 	ticket, choice, failed := f.enter(ctx)
 	if failed != nil {
 		return failed
@@ -64,13 +68,24 @@
 		return failed
 	}
 	f.cacheZone = choice.Zone()
-	ticket, choice, failed = f.choose(stageOutput)
+	return f.output(ctx, cache)
+}
+
+// output has the answer generated from a prompt's KV cache. An engine that changes
+// its role or is full refuses it; another one then takes the same cache. Read
+// again, the prompt would be late, and so would those that wait behind it.
+func (f *inflight) output(ctx context.Context, cache kumquatlug.KVCache) *tried {
+	ticket, choice, failed := f.choose(stageOutput)
 	if failed != nil {
 		f.g.free(cache)
 		return failed
 	}
 	failed = f.run(ctx, choice, ticket, cache)
-	if failed != nil && failed.failure.Ran() == kumquatlug.RanNot {
+	switch {
+	case failed == nil || failed.failure.Ran() != kumquatlug.RanNot:
+	case failed.failure.Reason() == reasonRefused && !f.reused:
+		f.refused = cache
+	default:
 		f.g.free(cache)
 	}
 	return failed
@@ -254,7 +269,7 @@
 	f.arrivals++
 	f.end(s, t, placement.OutcomeRefused)
 	return &tried{worker: c.Worker().ID(), failure: kumquatlug.NewFailure(kumquatlug.FailureConfig{
-		Step: string(s), Peer: c.Worker().ID(), Reason: "worker_refused", Ran: kumquatlug.RanNot,
+		Step: string(s), Peer: c.Worker().ID(), Reason: reasonRefused, Ran: kumquatlug.RanNot,
 		Status: http.StatusServiceUnavailable, RetryAfter: f.comeBack(leastRetry * 2),
 	})}
 }
--- a/internal/gateway/controller.go
+++ b/internal/gateway/controller.go
@@ -149,7 +149,13 @@
 		if !v.lasting(now, name, len(changes) > 0) {
 			continue
 		}
-		v.announce(ctx, name, workers, changes)
+		if told := v.announce(ctx, name, workers, changes); !told && bothSides(engines) {
+			// Fronts that don't know of a change go on sending there, and what they
+			// send is refused for as long as it takes. The split can wait for the
+			// store, unless nobody is left on one side.
+			v.g.obeyPlan(name, plan{Roles: v.told[name]})
+			continue
+		}
 		for _, change := range changes {
 			if _, under := v.going[change.Target()]; !under && ctx.Err() == nil {
 				v.order(ctx, workers[change.Target()], change)
@@ -160,11 +166,21 @@
 	}
 }
 
+// bothSides reports whether engines of both roles are there.
+func bothSides(engines []planner.SplitEngine) bool {
+	roles := map[kumquatlug.Role]bool{}
+	for _, e := range engines {
+		roles[e.Role] = true
+	}
+	return roles[kumquatlug.RolePrefill] && roles[kumquatlug.RoleDecode]
+}
+
 // announce tells all fronts which of a service's engines are about to change their
-// role. A plan that was not told is told again with the next look.
+// role, and reports whether they know. A plan that was not told is told again with
+// the next look.
 func (v *controller) announce(
 	ctx context.Context, service string, engines map[string]kumquatlug.Worker, changes []kumquatlug.RoleChange,
-) {
+) bool {
 	p := plan{Roles: map[string]kumquatlug.Role{}}
 	for id, o := range v.going {
 		if _, ours := engines[id]; ours {
@@ -174,9 +190,14 @@
 	for _, change := range changes {
 		p.Roles[change.Target()] = change.To()
 	}
-	if !maps.Equal(p.Roles, v.told[service]) && v.g.tellPlan(ctx, service, p) {
+	if maps.Equal(p.Roles, v.told[service]) {
+		return true
+	}
+	told := v.g.tellPlan(ctx, service, p)
+	if told {
 		v.told[service] = p.Roles
 	}
+	return told
 }
 
 // part returns the part of a service's engines that should read prompts.
--- a/internal/gateway/controller_test.go
+++ b/internal/gateway/controller_test.go
@@ -50,16 +50,61 @@
 	}
 }
 
+// The front that gives orders can't reach the store for a moment. An engine that
+// were ordered then would refuse for three seconds what all other fronts go on
+// sending there. The order must wait until they know.
+func TestNoOrderIsGivenThatNobodyIsTold(t *testing.T) {
+	var ordered atomic.Int32
+	w := &fakeWorkers{
+		state: func() (kumquatlug.EngineState, error) {
+			return kumquatlug.EngineState{Role: kumquatlug.RoleDecode}, nil
+		},
+		order: func() (bool, error) { ordered.Add(1); return true, nil },
+	}
+	f := newFront(t, w, manyRepeats)
+	store := &planTable{Memory: platform.NewMemory(), plans: make(chan string, 64)}
+	store.away.Store(true)
+	f.g.c.Table, f.g.c.ReadPart = store, 0.75
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go f.g.control(ctx)
+	for range 2 {
+		select {
+		case <-time.After(8 * time.Second):
+			t.Fatal("no plan")
+		case <-store.plans:
+		}
+	}
+	if n := ordered.Load(); n != 0 {
+		t.Errorf("%d orders that no other front knows of", n)
+	}
+	store.away.Store(false)
+	for end := time.Now().Add(8 * time.Second); ordered.Load() == 0; {
+		if time.Now().After(end) {
+			t.Fatal("no order after the store's return")
+		}
+		select {
+		case <-store.plans:
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
 // planTable is a table that tells the plans written to it.
 type planTable struct {
 	*platform.Memory
 	plans chan string
+	// away has writes of plans fail.
+	away atomic.Bool
 }
 
 func (p *planTable) Commit(ctx context.Context, tx kumquatlug.Tx) error {
 	for _, w := range tx.Writes() {
 		if strings.HasPrefix(w.Key(), planPrefix) {
 			p.plans <- string(w.Value())
+			if p.away.Load() {
+				return kumquatlug.ErrUnavailable
+			}
 		}
 	}
 	return p.Memory.Commit(ctx, tx)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -375,3 +375,30 @@
 		t.Errorf("sent %+v", made)
 	}
 }
+
+// A generating engine is on its way to another role and refuses a request whose
+// prompt was read apart. Another engine must take the same cache: read again, the
+// prompt would take its reader's time twice and its user would wait for it.
+func TestARefusedOutputKeepsItsCache(t *testing.T) {
+	w := &fakeWorkers{run: func(_ context.Context, n int, c call) (kumquatlug.Reply, error) {
+		if c.sending.Cache.Handle() != "h" {
+			t.Errorf("without the cache: %+v", c.sending)
+		}
+		if n == 1 {
+			return refusedReply(), nil
+		}
+		return streamed(1, 3), nil
+	}}
+	f := newFront(t, w, manyRepeats)
+	answer := f.ask(context.Background(), http.MethodPost, chatApart)
+	if answer.status != 200 || answer.body != events(1, 3) {
+		t.Fatalf("%+v", answer)
+	}
+	made := w.made()
+	if len(made) != 3 || !made[0].prefill || made[1].prefill || made[2].prefill || made[1].worker == made[2].worker {
+		t.Errorf("%+v", made)
+	}
+	if n := len(f.g.unused); n != 0 {
+		t.Errorf("%d caches to free", n)
+	}
+}
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -28,6 +28,10 @@
 	exclude []string
 	// cacheZone is the data centre of the engine that read the prompt.
 	cacheZone string
+	// refused is the KV cache of the prompt that a generating engine refused to
+	// take on; the next one may have it. reused says that one was given such a cache.
+	refused kumquatlug.KVCache
+	reused  bool
 	// erred says that the last try ended with a worker's own error.
 	erred bool
 	// tries counts all tries, runs the workers that may have run the request.
@@ -73,6 +77,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.left().Duration())
 	defer cancel()
+	defer func() { f.g.free(f.refused) }()
 	for {
 		failed := f.attempt(ctx)
 		if failed == nil {
@@ -88,6 +93,9 @@
 // left returns how long the client still waits.
 func (f *inflight) left() kumquatlug.Millis { return f.until - f.g.c.Clock.Now() }
 
+// reasonRefused is the reason of an attempt that its worker refused to take on.
+const reasonRefused = "worker_refused"
+
 // reasonErred is the reason of an attempt that its worker answered with an error
 // of its own.
 const reasonErred = "worker_failed"
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -246,6 +246,13 @@
 	return sc.at(service).placer.Patience(t)
 }
 
+// runTime tells how long a run takes at an engine, by its greatest output.
+func (sc *scheduler) runTime(service string, output int) kumquatlug.Millis {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	return sc.at(service).placer.RunTime(output)
+}
+
 func (sc *scheduler) read(now kumquatlug.Millis, service string, t *placement.Ticket) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -85,9 +85,6 @@
 
 // Figures of how long a request takes at most places.
 const (
-	// tokenTime is how long one token of output takes, in milliseconds, at a
-	// busy engine.
-	tokenTime = 1.2
 	// plainTime is how long nearly all other requests take.
 	plainTime = 500 * kumquatlug.Millis(1)
 )
@@ -95,7 +92,7 @@
 // outlasts reports that the answer would not be whole when this front leaves.
 // Another front can still begin it; here it would be cut off.
 func (f *inflight) outlasts(leave kumquatlug.Millis) bool {
-	takes := plainTime + kumquatlug.Millis(tokenTime*float64(f.ask.Prompt().Output()))
+	takes := plainTime + f.g.scheduler.runTime(f.service.Name(), f.ask.Prompt().Output())
 	return f.arrived+takes > leave
 }
 
--- a/pkg/kumquatlug/placement/placement.go
+++ b/pkg/kumquatlug/placement/placement.go
@@ -89,6 +89,10 @@
 	// firstRun is how long a request runs at a generating engine until answers
 	// have shown it, in milliseconds.
 	firstRun = 1000.0
+	// firstTokenTime is how long it runs for each token that it may generate, and
+	// firstOutput how many these are, until then.
+	firstTokenTime = 1.2
+	firstOutput    = 300.0
 	// firstRoom is the memory of one request until some were seen, in tokens.
 	firstRoom = 3000.0
 	// freeSlots are left to requests with few tokens of output: behind streams
@@ -190,6 +194,9 @@
 	// overrun is how much later than expected the first output of an engine comes,
 	// plainOverrun an answer of a plain worker.
 	overrun, plainOverrun *learn.Overrun
+	// tokenTime is how long a run takes for each token of its greatest output, in
+	// ms.
+	tokenTime *learn.PerUnit
 	// pace is how long prompts take to be read beside what is expected.
 	pace    float64
 	cleanAt kumquatlug.Millis
@@ -206,7 +213,8 @@
 	return &Placer{
 		c: c, workers: map[string]*worker{}, health: health.New(c.Health), meanRead: 3000, meanTime: plainCost,
 		meanRun: firstRun, meanRoom: firstRoom, pace: 1, reading: learn.NewReading(c.Reading),
-		overrun: learn.NewOverrun(firstOverrun), plainOverrun: learn.NewOverrun(firstPlainOverrun),
+		tokenTime: learn.NewPerUnit(firstTokenTime, firstOutput),
+		overrun:   learn.NewOverrun(firstOverrun), plainOverrun: learn.NewOverrun(firstPlainOverrun),
 	}
 }
 
--- a/pkg/kumquatlug/placement/placement_test.go
+++ b/pkg/kumquatlug/placement/placement_test.go
@@ -303,3 +303,21 @@
 		t.Errorf("%v", at)
 	}
 }
+
+// A front that is told to stop refuses what would not end before it leaves. Where
+// a token takes four times as long as at another site, answers that it goes on
+// taking are cut off in the middle.
+func TestRunTimeFollowsWhatRunsTake(t *testing.T) {
+	p := New(Config{})
+	p.Sync(0, engines(1, 1))
+	now := kumquatlug.Millis(0)
+	for i := range 40 {
+		c, _ := p.Output(now, Query{Prompt: chatPrompt(i)})
+		ticket := p.Begin(now, c, chatPrompt(i))
+		now += 18_400
+		p.End(now, ticket, OutcomeGood)
+	}
+	if got := p.RunTime(1000); got < 3500 || got > 4200 {
+		t.Errorf("%d ms for 1,000 tokens that take 4 ms each", got)
+	}
+}
--- a/pkg/kumquatlug/placement/ticket.go
+++ b/pkg/kumquatlug/placement/ticket.go
@@ -18,10 +18,12 @@
 	fresh, held float64
 	alone       bool
 	room        float64
-	wait        float64
-	at          kumquatlug.Millis
-	read        bool
-	ended       bool
+	// output is the greatest number of tokens to generate.
+	output int
+	wait   float64
+	at     kumquatlug.Millis
+	read   bool
+	ended  bool
 	// heardAt is when output last came, zero for never.
 	heardAt kumquatlug.Millis
 }
@@ -60,7 +62,7 @@
 		w.reads++
 		w.addLoad(now, c.tokens)
 	} else {
-		t.room = roomOf(prompt)
+		t.room, t.output = roomOf(prompt), prompt.Output()
 		w.runs++
 		w.room += t.room
 		p.meanRoom += meanStep * (max(t.room, 1) - p.meanRoom)
@@ -136,10 +138,17 @@
 	}
 	if o == OutcomeGood && t.worker.member.Role == kumquatlug.RoleDecode {
 		p.meanRun += meanStep * (took - p.meanRun)
+		p.tokenTime.Saw(took, float64(t.output))
 	}
 	p.health.Outcome(now, t.id, o == OutcomeGood, p.ratio(t, took))
 }
 
+// RunTime returns how long a run takes at a generating engine, by the greatest
+// number of tokens that it may generate.
+func (p *Placer) RunTime(output int) kumquatlug.Millis {
+	return kumquatlug.Millis(p.tokenTime.Value() * float64(output))
+}
+
 // drop takes an attempt out of those in hand.
 func (w *worker) drop(t *Ticket) {
 	at := slices.Index(w.tickets, t)
