Tell from logs where requests were lost; don't take a few prompts for a full engine

An engine's load was averaged over half a second, in which a front gives it half a prompt there: one prompt made it look full, and late ones were sent away although it was free in half a second.

Now the load is averaged over some three prompts of this front (0.5 to 4 s), late prompts may count on 0.15 of a full engine in place of 0.03, and wait for a seventh of their client's patience in place of 0.3 s. Answers are logged with the time to the first output and its target.

A fifth would have let a prompt wait for 557 ms before it is refused; the bound of TestInAnOverloadMostAreInTime, 500, stands. Fails first: TestAFewPromptsAreNoFullEngine.

--- a/cmd/kumquatlug/main.go
+++ b/cmd/kumquatlug/main.go
@@ -71,7 +71,7 @@
 	}
 	add("run", newFront(), newEntry(), newAgent(), newDev())
 	add("operate", newLabel(), newSelector(), newCaller(), newGet(), newStatus(), newWait(), newExplain(),
-		newTimeline(), newStory(), newCheck(), newCerts())
+		newTimeline(), newStory(), newLosses(), newCheck(), newCerts())
 	root.AddCommand(newVMs(), newVersion())
 	return root
 }
--- a/cmd/kumquatlug/story.go
+++ b/cmd/kumquatlug/story.go
@@ -6,6 +6,24 @@
 	"github.com/kumquatlug/kumquatlug/internal/logs"
 )
 
+// newLosses returns the command that tells where requests were lost.
+func newLosses() *cobra.Command {
+	return &cobra.Command{
+		Use:   "losses",
+		Short: "Tell from fronts' logs on standard input what was answered late or not at all, by route, cause and second",
+		Args:  cobra.NoArgs,
+		Example: `  cat front-*.log | kumquatlug losses
+  cat front-*.log | kumquatlug losses | grep refused`,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			losses, err := logs.ReadLosses(cmd.InOrStdin())
+			if err != nil {
+				return err
+			}
+			return losses.Tell(cmd.OutOrStdout())
+		},
+	}
+}
+
 // newStory returns the command that explains a failure from logs alone.
 func newStory() *cobra.Command {
 	return &cobra.Command{
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -256,9 +256,20 @@
 	f.g.c.Logger.Info("answered", append([]zap.Field{
 		zap.String("request", f.ask.ID()), zap.String("worker", c.Worker().ID()),
 		zap.Int("status", status), zap.Int("tries", f.tries+1), zap.Object("steps", f.steps()),
+		zap.Int64("first_ms", int64(f.toFirst())), zap.Int64("target_ms", int64(f.route.Target())),
 	}, f.about()...)...)
 }
 
+// toFirst is how long the client waited for its first output, earlier tries
+// counted.
+func (f *inflight) toFirst() kumquatlug.Millis {
+	first := f.times.first
+	if first == 0 {
+		first = f.g.c.Clock.Now()
+	}
+	return f.trying + first - f.arrived
+}
+
 // steps tells how long each step of a request took, in milliseconds.
 func (f *inflight) steps() zapcore.ObjectMarshalerFunc {
 	return func(e zapcore.ObjectEncoder) error {
--- /dev/null
+++ b/internal/logs/losses_test.go
@@ -0,0 +1,54 @@
+package logs
+
+import (
+	"strings"
+	"testing"
+)
+
+const lossLines = `
+front-a | {"level":"info","ts":"2026-12-03T05:00:01.100Z","msg":"answered","node":"a","request":"r1","status":200,"tries":1,"steps":{"queued":0,"read":90,"first":20},"first_ms":110,"target_ms":800,"route":"digest"}
+front-a | {"level":"info","ts":"2026-12-03T05:00:01.300Z","msg":"answered","node":"a","request":"r2","status":200,"tries":1,"steps":{"queued":900,"read":90,"first":20},"first_ms":1010,"target_ms":800,"route":"digest"}
+front-b | {"level":"info","ts":"2026-12-03T05:00:02.100Z","msg":"answered","node":"b","request":"r3","status":200,"tries":1,"steps":{"queued":10,"read":890,"first":20},"first_ms":920,"target_ms":800,"route":"digest"}
+front-b | {"level":"info","ts":"2026-12-03T05:00:02.200Z","msg":"attempt failed","node":"b","request":"r4","step":"place","reason":"overload","route":"digest"}
+front-b | {"level":"info","ts":"2026-12-03T05:00:02.200Z","msg":"refused","node":"b","request":"r4","step":"place","reason":"overload","status":503,"route":"digest"}
+front-b | {"level":"info","ts":"2026-12-03T05:00:02.300Z","msg":"answered","node":"b","request":"r5","status":500,"tries":2,"steps":{},"first_ms":40,"target_ms":150,"route":"lookup"}
+front-b | {"level":"info","ts":"2026-12-03T05:00:02.400Z","msg":"broken off","node":"b","request":"r6","step":"relay","reason":"deadline","route":"digest"}
+front-b | {"level":"info","ts":"2026-12-03T05:00:02.500Z","msg":"refused","node":"b","request":"r7","step":"find route","reason":"no_route","status":404}
+front-b | {not a line
+`
+
+// Users complain of slow and missing answers, and the engineer on call has only
+// the fronts' lines. Each loss must be counted once, with the step that lost it and
+// an id to look at.
+func TestLossesAreCountedByRouteAndCause(t *testing.T) {
+	l, err := ReadLosses(strings.NewReader(lossLines))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := map[string]string{
+		"digest late: waited for an engine": "r2",
+		"digest late: prompt was read":      "r3",
+		"digest refused: overload":          "r4",
+		"digest broken off: deadline":       "r6",
+		"lookup worker failed: 500":         "r5",
+	}
+	got := l.Sorted()
+	for _, loss := range got {
+		name := loss.Route() + " " + string(loss.Cause())
+		if id, known := want[name]; !known || loss.Count() != 1 || loss.Examples()[0] != id {
+			t.Errorf("%s: %d, %v", name, loss.Count(), loss.Examples())
+		}
+	}
+	if len(got) != len(want) {
+		t.Errorf("%d losses, want %d", len(got), len(want))
+	}
+	var b strings.Builder
+	if err := l.Tell(&b); err != nil {
+		t.Fatal(err)
+	}
+	for _, line := range []string{"digest: 1 in time", "05:00:01      1     1     0", "05:00:02      0     1     3", "1 lines could not be read"} {
+		if !strings.Contains(b.String(), line) {
+			t.Errorf("missing %q in\n%s", line, b.String())
+		}
+	}
+}
--- a/pkg/kumquatlug/placement/placement.go
+++ b/pkg/kumquatlug/placement/placement.go
@@ -167,7 +167,7 @@
 	askedAt kumquatlug.Millis
 	// queue are the prompts of this front that wait for the engine.
 	queue []*waiting
-	// load is what this front gave it to read until loadAt, see loadNow.
+	// load is what this front gave it to read until loadAt, see [Placer.loadNow].
 	load   float64
 	loadAt kumquatlug.Millis
 }
@@ -200,6 +200,10 @@
 	// pace is how long prompts take to be read beside what is expected.
 	pace    float64
 	cleanAt kumquatlug.Millis
+	// readEvery is the mean span between two prompts of this front that were given
+	// to readers, in ms; the last one was at readAt.
+	readEvery float64
+	readAt    kumquatlug.Millis
 	// orphans waited for workers that are gone.
 	orphans []*waiting
 	gauge   gauge
--- a/pkg/kumquatlug/placement/queue.go
+++ b/pkg/kumquatlug/placement/queue.go
@@ -33,15 +33,18 @@
 	// in tokens, and baseRead what one costs beside its reading.
 	baseWorth = 4000.0
 	baseRead  = 500.0
-	// loadSpan is the span over which an engine's load is averaged, in
-	// milliseconds: some ten prompts.
-	loadSpan = 500.0
-	// lateHold is how long a prompt waits at most after it turned late. By then
-	// the load has not gone down; told so, its client has time for another try.
-	lateHold = 300 * kumquatlug.Millis(1)
+	// loadPrompts is how many prompts of this front an engine's load is averaged
+	// over, leastLoadSpan and mostLoadSpan bound the span that they take, in
+	// milliseconds. Over fewer a single prompt looks like a full engine.
+	loadPrompts                 = 3.0
+	leastLoadSpan, mostLoadSpan = 500.0, 4000.0
+	// holdPart is the part of a client's patience, as a divisor, for which a prompt
+	// waits at most after it turned late. By then the load has not gone down; told
+	// so, its client has time for another try.
+	holdPart = 7
 	// leastSpare is the part of an engine that late prompts may count on when it
 	// is full: what others leave by chance.
-	leastSpare = 0.03
+	leastSpare = 0.15
 )
 
 // waiting is a prompt in the queue of an engine.
@@ -52,6 +55,8 @@
 	// late says that it can't be in time any more, lateAt since when.
 	late   bool
 	lateAt kumquatlug.Millis
+	// hold is how long it waits at most from then on.
+	hold kumquatlug.Millis
 }
 
 // Entry is what became of a prompt that came to the engines.
@@ -90,7 +95,7 @@
 		}
 		return EntrySent, c, p.Begin(now, c, q.Prompt)
 	}
-	one := &waiting{key: key, query: q, choice: c}
+	one := &waiting{key: key, query: q, choice: c, hold: q.until(now) / holdPart}
 	if p.turnsLate(now, w, one) && !p.keepLate(now, w, one) {
 		return EntryRefused, c, nil
 	}
@@ -143,7 +148,7 @@
 		one.late, one.lateAt = true, now
 		p.gauge.late++
 	}
-	if now-one.lateAt > lateHold {
+	if now-one.lateAt > one.hold {
 		return false
 	}
 	before := 0.0
@@ -161,17 +166,30 @@
 
 // spare is the part of an engine that this front's load leaves.
 func (p *Placer) spare(now kumquatlug.Millis, w *worker) float64 {
-	return max(leastSpare, 1-w.loadNow(now)*p.pace/(p.rate()*loadSpan))
+	return max(leastSpare, 1-p.loadNow(now, w)*p.pace/(p.rate()*p.loadSpan()))
 }
 
 // loadNow is how many tokens this front gave the engine to read lately.
-func (w *worker) loadNow(now kumquatlug.Millis) float64 {
-	return w.load * math.Exp(-float64(now-w.loadAt)/loadSpan)
+func (p *Placer) loadNow(now kumquatlug.Millis, w *worker) float64 {
+	return w.load * math.Exp(-float64(now-w.loadAt)/p.loadSpan())
 }
 
-func (w *worker) addLoad(now kumquatlug.Millis, tokens float64) {
-	w.load = w.loadNow(now) + tokens
+func (p *Placer) addLoad(now kumquatlug.Millis, w *worker, tokens float64) {
+	w.load = p.loadNow(now, w) + tokens
 	w.loadAt = now
+	p.readEvery += meanStep * (min(float64(now-p.readAt), mostLoadSpan) - p.readEvery)
+	p.readAt = now
+}
+
+// loadSpan is the span over which an engine's load is averaged.
+func (p *Placer) loadSpan() float64 {
+	readers := 0
+	for _, w := range p.list {
+		if w.member.Role == kumquatlug.RolePrefill {
+			readers++
+		}
+	}
+	return min(max(loadPrompts*p.readEvery*float64(readers), leastLoadSpan), mostLoadSpan)
 }
 
 // Due is a prompt whose turn has come, or that is given up.
--- a/pkg/kumquatlug/placement/queue_test.go
+++ b/pkg/kumquatlug/placement/queue_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -203,3 +204,35 @@
 		}
 	}
 }
+
+// Three great prompts come within a second, and then one that is small and late
+// already. Its engine is free again in half a second and its client waits for
+// one and a half; yet by the load of the last instant the engine would look full
+// for ever, and the client be sent away.
+func TestAFewPromptsAreNoFullEngine(t *testing.T) {
+	p := New(Config{Reading: learn.ReadingConfig{Rate: 50}})
+	p.Sync(0, engines(1, 1))
+	great := func(i int) kumquatlug.Prompt {
+		return kumquatlug.NewPrompt([]kumquatlug.Part{kumquatlug.NewPart("s", 9000), kumquatlug.NewPart(fmt.Sprint("g", i), 20_000)}, 29_000, 50)
+	}
+	for i := range 50 {
+		c, _ := p.Output(0, Query{Prompt: chatPrompt(i)})
+		p.Begin(0, c, chatPrompt(i))
+	}
+	now, last := kumquatlug.Millis(1), (*Ticket)(nil)
+	for i := range 3 {
+		if last != nil {
+			p.End(now, last, OutcomeGood)
+		}
+		entry, _, ticket := p.Enter(now, uint64(i+1), Query{Prompt: great(i), Target: now + 800, Until: now + 5000})
+		if entry != EntrySent {
+			t.Fatalf("prompt %d: %s", i, entry)
+		}
+		last = ticket
+		now += 450
+	}
+	now -= 400
+	if entry, _, _ := p.Enter(now, 9, Query{Prompt: document(1, 9), Target: now + 50, Until: now + 1500}); entry != EntryWaits {
+		t.Errorf("the late one: %s", entry)
+	}
+}
--- a/pkg/kumquatlug/placement/ticket.go
+++ b/pkg/kumquatlug/placement/ticket.go
@@ -60,7 +60,7 @@
 	w.tokens += c.tokens
 	if c.apart {
 		w.reads++
-		w.addLoad(now, c.tokens)
+		p.addLoad(now, w, c.tokens)
 	} else {
 		t.room, t.output = roomOf(prompt), prompt.Output()
 		w.runs++
