Show what fronts have learnt; leave measurements out of comments

Fronts log a learnt figure that changed by a third and show all on their metrics, so that a given up attempt or a silent engine can be explained afterwards.

Ruled out: telling each change; the rate moves by some hundredths with each prompt. Behaviour is the same.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -23,15 +23,15 @@
 	return f.run(ctx, choice, ticket, kumquatlug.KVCache{})
 }
 
-// eventTokens is how many tokens an event holds: the users' engines send one each
-// 52 steps of a batch, as events and the pauses between them tell.
+// eventTokens is how many tokens an event is taken to hold. Engines don't tell, and
+// differ by a factor of four; too many make a stream that goes on look long, which
+// has it read where no stream waits for it.
 const eventTokens = 50
 
 // prompt is what an engine has to read: the client's prompt, and what was
-// generated of the answer so far. Without the latter all streams that went on
-// after a loss were read by the engines that generate, which held every stream
-// there up for 0.28 s; the worst seconds earned 0.581 after 0.570, the whole days
-// 0.852 after 0.847 (the users' bench, Bogota, two scores each way).
+// generated of the answer so far. Without the latter all streams that go on after
+// a loss look short, are read by the engines that generate, and hold every stream
+// there up for a quarter of a second.
 func (f *inflight) prompt() kumquatlug.Prompt {
 	p := f.ask.Prompt()
 	if f.last == 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -252,7 +252,7 @@
 
 // keepHouse closes idle connections and counts the fronts that share budgets.
 func (g *Gateway) keepHouse(ctx context.Context) {
-	registered := false
+	registered, told := false, learntTold{}
 	for round := 0; ; round++ {
 		if !registered {
 			registered = g.register(ctx)
@@ -260,6 +260,7 @@
 		if round%countEvery == 1 {
 			g.countFronts(ctx)
 		}
+		g.tellLearnt(told)
 		addresses := g.members.Load().addresses
 		g.c.Sweep(func(address string) bool { return addresses[address] })
 		if !sleep(ctx, houseEvery) {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -16,6 +16,7 @@
 	orders   *prometheus.CounterVec
 	silent   prometheus.Counter
 	config   prometheus.Gauge
+	learnt   *prometheus.GaugeVec
 }
 
 // latencyBuckets are in seconds: from an idle answer to the longest deadline.
@@ -44,8 +45,11 @@
 		config: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "kumquatlug_gateway_config_version", Help: "Version of the config in force.",
 		}),
+		learnt: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "kumquatlug_gateway_learnt", Help: "What the workers of a service are believed to do, by figure.",
+		}, []string{"service", "figure"}),
 	}
-	r.MustRegister(m.answers, m.attempts, m.latency, m.store, m.orders, m.silent, m.config)
+	r.MustRegister(m.answers, m.attempts, m.latency, m.store, m.orders, m.silent, m.config, m.learnt)
 	return m
 }
 
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -22,7 +22,9 @@
 
 // group is what is kept of one service.
 type group struct {
-	placer  *placement.Placer
+	placer *placement.Placer
+	// engines says that its workers are engines.
+	engines bool
 	repeats *retry.Shared
 	// patience is the longest that a client of a route has said to wait.
 	patience map[string]kumquatlug.Millis
@@ -111,7 +113,9 @@
 	defer sc.mu.Unlock()
 	for _, name := range table.Services() {
 		s, _ := table.Service(name)
-		sc.at(name).placer.SetMemory(s.Memory())
+		g := sc.at(name)
+		g.placer.SetMemory(s.Memory())
+		g.engines = s.Engine()
 	}
 }
 
--- a/internal/gateway/transfer.go
+++ b/internal/gateway/transfer.go
@@ -117,8 +117,7 @@
 
 // moveLater has the streams of workers that leave moved away shortly before they
 // may be gone. Until then they are best served where they are: moved at once
-// they crowd the engines that stay, which cost a mean worth of 0.004 (the users'
-// bench, three runs of five days each way).
+// they crowd the engines that stay.
 func (sc *scheduler) moveLater(g *group, streams []*placement.Ticket) {
 	if len(streams) == 0 {
 		return
--- a/pkg/kumquatlug/config/state.go
+++ b/pkg/kumquatlug/config/state.go
@@ -13,8 +13,7 @@
 
 // chunkRows bounds the rows that one change copies. A change copies one chunk
 // and the list of chunks. Chunks are half full when keys come in order, so that
-// 10,000 rows make 156 of them; 32 and 64 rows measured slower there
-// (BenchmarkApply).
+// 10,000 rows make 156 of them; BenchmarkApply is slower there with smaller ones.
 const chunkRows = 128
 
 // entry is one row of the state.
--- a/pkg/kumquatlug/placement/placement.go
+++ b/pkg/kumquatlug/placement/placement.go
@@ -51,8 +51,7 @@
 	AwayPrice float64
 	// MixedPrice is what reading at a generating engine whose slots are all taken
 	// costs, as a multiple of its time: every stream there pauses meanwhile.
-	// Default 60: at the two sites a mean worth of 0.72 and 0.56 of the days with
-	// trouble, against 0.70 and 0.53 at 10 (standard days, one run each).
+	// Default 60.
 	MixedPrice float64
 	// ZonePrice is the price of another data centre in milliseconds. Default 3:
 	// a few round trips of 1 ms, and bytes that cost money there; any real queue
@@ -104,10 +103,8 @@
 	// wait, over the worker's slots, until answers have shown it.
 	plainCost = 40.0
 	// cacheZoneCost is what handing a KV cache to another data centre costs beside
-	// ZonePrice, in milliseconds. A cache has 1.5 GB and takes twice as long
-	// there; the answer has some KB. A third less memory moved on the users'
-	// sites, by their price of it, and a mean worth of 0.686 after 0.682
-	// (standard days of Bogota, one run).
+	// ZonePrice, in milliseconds: the cache of a long prompt has a gigabyte and
+	// takes twice as long there, the answer has some kilobytes.
 	cacheZoneCost = 9.0
 	// smallRead is up to how many tokens a prompt is read beside streams without
 	// being noticed there: one piece between two tokens, 4 ms.
--- a/pkg/kumquatlug/placement/queue.go
+++ b/pkg/kumquatlug/placement/queue.go
@@ -21,9 +21,7 @@
 const (
 	// aheadSpan is how much reading an engine may have left when it is given the
 	// next prompt, in milliseconds: the way there takes one or two. Each prompt
-	// that is there early takes memory from the shared parts. At 60 ms the mean
-	// worth of the two sites' days with trouble was 0.73 and 0.60, at 5 ms 0.74
-	// and 0.64 (standard days, one run each).
+	// that is there early takes memory from the shared parts.
 	aheadSpan = 5.0
 	// afterRead is how long after its prompt was read a request needs until its
 	// first output reaches the client, in milliseconds: the hand-over, a place in
--- a/pkg/kumquatlug/placement/ticket.go
+++ b/pkg/kumquatlug/placement/ticket.go
@@ -155,6 +155,29 @@
 	return kumquatlug.Millis(p.overrun.Bound() + run)
 }
 
+// Figure names what is learnt of a service's workers.
+type Figure string
+
+// The figures, with their units.
+const (
+	// FigureRate is how many prompt tokens an engine reads in a ms.
+	FigureRate Figure = "read_tokens_per_ms"
+	// FigurePause is the longest usual pause between two events of a stream, in ms.
+	FigurePause Figure = "pause_ms"
+	// FigureOverrun is how much later than expected a first output may come, in ms.
+	FigureOverrun Figure = "overrun_ms"
+	// FigureToken is how long a run takes for each token of its greatest output, in
+	// ms.
+	FigureToken Figure = "token_ms"
+)
+
+// Learnt returns what the engines are believed to do.
+func (p *Placer) Learnt() map[Figure]float64 {
+	return map[Figure]float64{
+		FigureRate: p.rate(), FigurePause: p.pauses.Longest(), FigureOverrun: p.overrun.Bound(), FigureToken: p.tokenTime.Value(),
+	}
+}
+
 // drop takes an attempt out of those in hand.
 func (w *worker) drop(t *Ticket) {
 	at := slices.Index(w.tickets, t)
