--- /dev/null
+++ b/internal/standin/fleet/answers.go
@@ -0,0 +1,145 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// prefill reads a prompt and keeps its cache.
+func (w *Worker) prefill(out http.ResponseWriter, id, stage string, fault Fault, r *http.Request) {
+	if stage != "prefill" {
+		out.Header().Set("Not-Executed", "1")
+		out.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if fault == FaultSilent {
+		<-r.Context().Done()
+		return
+	}
+	time.Sleep(w.c.Pause)
+	w.mu.Lock()
+	w.prompts++
+	handle := fmt.Sprintf("h-%s-%d", id, w.prompts)
+	w.handles[handle] = id
+	w.mu.Unlock()
+	// A caller that is gone does not read its answer.
+	_ = json.NewEncoder(out).Encode(map[string]any{"kv_handle": handle, "tokens": 1, "version": 1})
+}
+
+// run runs a request.
+func (w *Worker) run(out http.ResponseWriter, r *http.Request, id string, fault Fault, size int) {
+	w.mu.Lock()
+	w.runs[id]++
+	w.running++
+	load := fmt.Sprintf("%d,0,%d", w.running, w.c.Slots)
+	w.mu.Unlock()
+	defer func() {
+		w.mu.Lock()
+		w.running--
+		w.mu.Unlock()
+	}()
+	out.Header().Set("Server-Stamp", w.c.ID+"."+id)
+	out.Header().Set("Server-Load", load)
+	switch fault {
+	case FaultLost:
+		panic(http.ErrAbortHandler)
+	case FaultSilent:
+		<-r.Context().Done()
+		return
+	case FaultError:
+		out.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	if w.c.Stage != "" {
+		w.stream(out, r, id, fault)
+		return
+	}
+	w.plain(out, r, id, fault, size)
+}
+
+// stream sends events behind the last one that the client has.
+func (w *Worker) stream(out http.ResponseWriter, r *http.Request, id string, fault Fault) {
+	out.Header().Set("Content-Type", "text/event-stream")
+	flush := http.NewResponseController(out)
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	end := make(chan struct{})
+	w.mu.Lock()
+	w.streams[id] = end
+	w.mu.Unlock()
+	defer func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.streams[id] == end {
+			delete(w.streams, id)
+		}
+	}()
+	for n := last + 1; n <= w.c.Events; n++ {
+		if !pause(r, w.c.Pause) {
+			return
+		}
+		select {
+		case <-end:
+			// It ends without its end.
+			panic(http.ErrAbortHandler)
+		default:
+		}
+		if fault == FaultCut && n == last+2 {
+			// It stops in the middle of an event.
+			_, _ = fmt.Fprintf(out, "id: %d\nda", n)
+			_ = flush.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = fmt.Fprintf(out, "id: %d\ndata: %s/%d\n\n", n, id, n)
+		_ = flush.Flush()
+	}
+}
+
+// Body returns the answer of a plain worker to a request.
+func Body(id string) string { return strings.Repeat("answer to "+id+"\n", 40) }
+
+// plain sends a whole answer.
+func (w *Worker) plain(out http.ResponseWriter, r *http.Request, id string, fault Fault, size int) {
+	if !pause(r, w.c.Pause) {
+		return
+	}
+	out.Header().Set("Request-Size", strconv.Itoa(size))
+	text := Body(id)
+	out.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	if fault == FaultCut {
+		_, _ = io.WriteString(out, text[:len(text)/2])
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(out, text)
+	if fault == FaultExtra {
+		second(out, id)
+	}
+}
+
+// second sends the answer once more on the same connection.
+func second(out http.ResponseWriter, id string) {
+	text := Body(id)
+	flush := http.NewResponseController(out)
+	_ = flush.Flush()
+	raw, _, err := flush.Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = fmt.Fprintf(raw, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Stamp: late\r\nContent-Length: %d\r\n\r\n%s", id, len(text), text)
+	// The connection stays open for a while, as a worker's would.
+	time.AfterFunc(2*time.Second, func() { _ = raw.Close() })
+}
+
+// pause waits and reports false when the caller left meanwhile.
+func pause(r *http.Request, d time.Duration) bool {
+	select {
+	case <-r.Context().Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- a/pkg/kumquatlug/dispatch/dispatch.go
+++ b/pkg/kumquatlug/dispatch/dispatch.go
@@ -178,74 +178,9 @@
 	return d.engines
 }
 
-// Verdict is what is decided for a request.
-type Verdict string
-
-// The verdicts of a [Decision].
-const (
-	// VerdictSend: make the attempt at the target.
-	VerdictSend Verdict = "send"
-	// VerdictRefuse: give the caller its final answer now.
-	VerdictRefuse Verdict = "refuse"
-)
-
-// Decision tells what to do about one request.
-type Decision struct {
-	id      string
-	verdict Verdict
-	attempt Attempt
-	failure *kumquatlug.Failure
-}
-
-// ID returns the request's id.
-func (d Decision) ID() string { return d.id }
-
-// Verdict returns what to do.
-func (d Decision) Verdict() Verdict { return d.verdict }
-
-// Attempt returns what to send where, with VerdictSend alone.
-func (d Decision) Attempt() Attempt { return d.attempt }
-
 // Failure returns the final answer, with VerdictRefuse alone.
 func (d Decision) Failure() *kumquatlug.Failure { return d.failure }
 
-// Attempt is one sending of a request to a target.
-type Attempt struct {
-	target   string
-	address  string
-	number   int
-	revision config.Revision
-	role     kumquatlug.Role
-	notice   quarantine.Notice
-	suspect  bool
-}
-
-// At returns the attempt at another target, for a call whose run-once claim is
-// held there.
-func (a Attempt) At(target, address string) Attempt {
-	a.target, a.address = target, address
-	return a
-}
-
-// Target returns the target's name.
-func (a Attempt) Target() string { return a.target }
-
-// Address returns where the target's agent is reached.
-func (a Attempt) Address() string { return a.address }
-
-// Number returns the number of the attempt, from one.
-func (a Attempt) Number() int { return a.number }
-
-// Revision returns the config under which the target was chosen.
-func (a Attempt) Revision() config.Revision { return a.revision }
-
-// Role returns the part of the work that the attempt asks of the target.
-func (a Attempt) Role() kumquatlug.Role { return a.role }
-
-// Notice returns what to tell the agent of a request that was in hand at a
-// crash, and false for all others.
-func (a Attempt) Notice() (quarantine.Notice, bool) { return a.notice, a.suspect }
-
 // Arrive takes a new request: it is refused at once, or waits for its turn.
 func (d *Dispatcher) Arrive(now kumquatlug.Millis, c RequestConfig) []Decision {
 	d.begin(now)
@@ -292,16 +227,6 @@
 	return nil
 }
 
-func failure(step, reason string, status int, retryAfter kumquatlug.Millis) *kumquatlug.Failure {
-	return kumquatlug.NewFailure(kumquatlug.FailureConfig{
-		Step: step, Reason: reason, Ran: kumquatlug.RanNot, Status: status, RetryAfter: retryAfter,
-	})
-}
-
-func noTarget() *kumquatlug.Failure {
-	return failure("find targets", "no_target", 503, TargetGrace)
-}
-
 func (d *Dispatcher) admissionRequest(r *request) admission.Request {
 	return admission.NewRequest(admission.RequestConfig{
 		ID: r.c.ID, Caller: r.c.Caller.Name(), Kind: r.c.Kind, Cost: r.cost(), Arrival: r.c.Arrival,
@@ -334,35 +259,6 @@
 	return d.serve(now)
 }
 
-// refuseStranded gives up the requests of kinds that have had no target for
-// longer than the grace. Waiting for their deadlines would only delay the news.
-func (d *Dispatcher) refuseStranded(now kumquatlug.Millis) {
-	for _, kind := range d.order {
-		k := d.kinds[kind]
-		if len(k.ready) > 0 || now-k.emptySince <= TargetGrace {
-			continue
-		}
-		d.refuseWaiting(now, kind)
-	}
-}
-
-// refuseWaiting gives up every request of a kind that is not in hand.
-func (d *Dispatcher) refuseWaiting(now kumquatlug.Millis, kind kumquatlug.Kind) {
-	for next, waits := d.queue.Next(kind); waits; next, waits = d.queue.Next(kind) {
-		d.queue.Cancel(now, next.ID())
-		d.giveUp(now, next.ID(), noTarget())
-	}
-	left := d.due[:0]
-	for _, r := range d.due {
-		if r.c.Kind != kind {
-			left = append(left, r)
-			continue
-		}
-		d.giveUp(now, r.c.ID, r.final("no_target"))
-	}
-	d.due = left
-}
-
 // Wake returns when Tick has to be called at the latest.
 func (d *Dispatcher) Wake(now kumquatlug.Millis) kumquatlug.Millis {
 	wake := now + kumquatlug.Second
@@ -459,29 +355,6 @@
 	}
 }
 
-// refuse decides the final answer of a request that is not kept.
-func (d *Dispatcher) refuse(id string, f *kumquatlug.Failure) {
-	d.out = append(d.out, Decision{id: id, verdict: VerdictRefuse, failure: f})
-}
-
-// giveUp ends a request that is kept and not in hand at a target.
-func (d *Dispatcher) giveUp(now kumquatlug.Millis, id string, f *kumquatlug.Failure) {
-	r, kept := d.requests[id]
-	if !kept {
-		return
-	}
-	d.drop(now, r, 0)
-	d.refuse(id, r.truthful(f))
-}
-
-// drop forgets a request; used is what its caller is charged, in tokens.
-func (d *Dispatcher) drop(now kumquatlug.Millis, r *request, used int64) {
-	delete(d.requests, r.c.ID)
-	if r.charged {
-		d.callers.End(now, r.c.Caller.Name(), now-r.c.Arrival, r.size(), used)
-	}
-}
-
 // Kinds returns the kinds of work that some selector hands out, in name order.
 func (d *Dispatcher) Kinds() []kumquatlug.Kind { return d.order }
 
--- /dev/null
+++ b/pkg/kumquatlug/order/engine_test.go
@@ -0,0 +1,137 @@
+package order
+
+// step does what the gate asks of its engine and the table. Late answers tell
+// what was true when they left.
+func (w *world) step(fails, late bool) {
+	defer w.check()
+	gate, s := w.gate, w.gate.Next(w.now)
+	var answer, failure func()
+	switch s.Action() {
+	case StepRead:
+		state := NewState(w.engine.changing == nil && !w.engine.reloading, Fact{VerbRole, w.engine.role}, Fact{VerbAdapter, "none"})
+		answer = func() { gate.Read(s, state) }
+		failure = func() { gate.ReadFailed(s) }
+	case StepFence:
+		number := w.number
+		answer = func() { gate.Fenced(s, number) }
+		failure = func() { gate.FenceFailed(s) }
+	case StepRun:
+		w.check()
+		w.run(s)
+		return
+	default:
+		return
+	}
+	switch {
+	case fails:
+		failure()
+	case late:
+		w.messages = append(w.messages, message{run: answer, lost: failure})
+	default:
+		answer()
+	}
+}
+
+// run is the engine getting an order: here the oracle looks at everything that
+// must hold.
+func (w *world) run(s Step) {
+	o := s.Order()
+	id := o.ID()
+	if w.engine.changing != nil {
+		w.fail("order %s reached the engine in the middle of %s", id, w.engine.changing.ID())
+	}
+	if w.engine.reloading && !w.unnoticed {
+		w.fail("order %s reached an engine that was not back", id)
+	}
+	if lost, gone := w.lostAt[id.Number()]; gone && w.now-lost > defaultFenceAge {
+		w.fail("order %s ran %d ms after its sender lost the lease", id, w.now-lost)
+	}
+	if w.ran[id] {
+		w.fail("order %s ran twice", id)
+	}
+	if id.Number() < w.lastRan.Number() || (id.Incarnation() == w.lastRan.Incarnation() && !id.after(w.lastRan)) {
+		w.fail("order %s ran after %s", id, w.lastRan)
+	}
+	if id.Incarnation() != w.incarnation {
+		w.fail("order %s ran at incarnation %d", id, w.incarnation)
+	}
+	if o.Verb().Away() && w.engine.work > 0 {
+		w.fail("order %s cut %d calls", id, w.engine.work)
+	}
+	w.ran[id], w.lastRan = true, id
+	w.engine.changing, w.running = &o, &s
+}
+
+func (w *world) begin() {
+	if !w.gate.Begin() {
+		return
+	}
+	if w.engine.changing != nil && w.engine.changing.Verb().Away() {
+		w.fail("a call began in the middle of %s", w.engine.changing.ID())
+	}
+	if w.engine.reloading && !w.unnoticed {
+		w.fail("a call began at an engine that was not back")
+	}
+	w.engine.work++
+}
+
+func (w *world) end() {
+	if w.engine.work > 0 {
+		w.engine.work--
+		w.gate.End()
+	}
+}
+
+// finish lets the engine complete its change; the answer may come late.
+func (w *world) finish(late bool) {
+	w.engine.reloading = false
+	if w.engine.changing == nil {
+		return
+	}
+	if w.engine.changing.Verb() == VerbRole {
+		w.engine.role = w.engine.changing.Argument()
+	}
+	w.engine.changing = nil
+	if w.running == nil {
+		return
+	}
+	gate, s := w.gate, *w.running
+	w.running = nil
+	if late {
+		w.messages = append(w.messages, message{
+			run:  func() { gate.Ran(s, OutcomeApplied) },
+			lost: func() { gate.Ran(s, OutcomeUnknown) },
+		})
+		return
+	}
+	gate.Ran(s, OutcomeApplied)
+}
+
+// crash ends the engine and all its work; it comes back with the old role or,
+// in the middle of a change, perhaps with the new one, at once or after a while.
+// The agent notices later.
+func (w *world) crash(changed, reloads bool) {
+	if o := w.engine.changing; o != nil && changed && o.Verb() == VerbRole {
+		w.engine.role = o.Argument()
+	}
+	w.engine.changing, w.engine.reloading = nil, reloads
+	for w.engine.work > 0 {
+		w.end()
+	}
+	w.unnoticed = true
+}
+
+func (w *world) notice() {
+	if w.unnoticed {
+		w.gate.Crashed()
+		w.unnoticed, w.running = false, nil
+	}
+}
+
+// restart is another start of the agent: it remembers nothing, and the calls
+// that went through it are gone.
+func (w *world) restart() {
+	w.incarnation++
+	w.gate = NewGate(GateConfig{Incarnation: w.incarnation})
+	w.engine.work, w.running, w.unnoticed = 0, nil, false
+}
--- a/test/path/fleet_test.go
+++ b/test/path/fleet_test.go
@@ -2,11 +2,8 @@
 
 import (
 	"bufio"
-	"bytes"
-	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -17,9 +14,6 @@
 	"testing"
 	"time"
 
-	"github.com/openai/openai-go/v3"
-	"github.com/openai/openai-go/v3/option"
-
 	"github.com/kumquatlug/kumquatlug/internal/exchange"
 	"github.com/kumquatlug/kumquatlug/internal/standin/rowstore"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
@@ -354,107 +348,3 @@
 	text, err := command.CombinedOutput()
 	return string(text), err
 }
-
-// client is a real caller's client library on an entry, without retries of its
-// own.
-func (f *fleet) client(entry string) openai.Client {
-	return openai.NewClient(option.WithBaseURL(f.callers[entry]+"/v1"), option.WithAPIKey(callerKey), option.WithMaxRetries(0))
-}
-
-// answer is what a caller got of a stream.
-type answer struct {
-	text  string
-	whole bool
-	err   error
-}
-
-// stream asks for a streamed chat answer; each token is also told to tokens
-// when it isn't nil.
-func (f *fleet) stream(entry, prompt string, maxTokens int64, tokens chan<- string) answer {
-	client := f.client(entry)
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
-	defer cancel()
-	s := client.Chat.Completions.NewStreaming(ctx, openai.ChatCompletionNewParams{
-		Model: model, MaxTokens: openai.Int(maxTokens),
-		Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage(prompt)},
-	})
-	var got answer
-	for s.Next() {
-		for _, choice := range s.Current().Choices {
-			got.text += choice.Delta.Content
-			got.whole = got.whole || choice.FinishReason != ""
-			if tokens != nil && choice.Delta.Content != "" {
-				tokens <- choice.Delta.Content
-			}
-		}
-	}
-	got.err = s.Err()
-	return got
-}
-
-// call makes a call to the plain service.
-func (f *fleet) call(entry, method, path, key, body string) (*http.Response, string) {
-	f.t.Helper()
-	return f.callAs(callerKey, entry, method, path, key, body)
-}
-
-// callAs makes a call with the key of an account.
-func (f *fleet) callAs(account, entry, method, path, key, body string) (*http.Response, string) {
-	f.t.Helper()
-	request, err := http.NewRequest(method, f.callers[entry]+"/services/gazette"+path, bytes.NewReader([]byte(body)))
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	request.Header.Set("Authorization", "Bearer "+account)
-	if key != "" {
-		request.Header.Set("Idempotency-Key", key)
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	defer func() { _ = response.Body.Close() }()
-	text, err := io.ReadAll(response.Body)
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	return response, string(text)
-}
-
-// runs returns how often the service ran the call with a key.
-func (f *fleet) runs(key string) int {
-	f.t.Helper()
-	response, err := http.Get("http://" + f.targets["service-1"] + "/_runs")
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	defer func() { _ = response.Body.Close() }()
-	var list struct {
-		Runs []struct {
-			Key   string `json:"key"`
-			Count int    `json:"count"`
-		} `json:"runs"`
-	}
-	if err := json.NewDecoder(response.Body).Decode(&list); err != nil {
-		f.t.Fatal(err)
-	}
-	count := 0
-	for _, run := range list.Runs {
-		if run.Key == key {
-			count += run.Count
-		}
-	}
-	return count
-}
-
-// targetsOf returns the targets that requests were sent to, newest last.
-func (f *fleet) sentTo() []string {
-	var targets []string
-	for _, line := range strings.Split(f.operate("timeline", "--format", "json"), "\n") {
-		var event struct{ Name, Peer string }
-		if json.Unmarshal([]byte(line), &event) == nil && event.Name == "sent" {
-			targets = append(targets, event.Peer)
-		}
-	}
-	return targets
-}
