Ask refused clients to come back when an overload may be over

Cause: by kumquatlug losses a quarter of the tries of the longest kind are refused as overload, and a client that comes back after 0.7 s meets the same burst and is turned away for good. Bursts last for three seconds and more; a client honours a third of the time that it has left. Now up to 1.6 s, a third of the longest deadline of a prompt without output of many seconds. Ruled out: sooner (a queue changes within tenths of a second, but it is full again).

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -20,10 +20,11 @@
 	// retryPart is the part of the time left after which a refused client may be
 	// asked to come back: clients honour no longer wait than a third.
 	retryPart = 3
-	// leastRetry and mostRetry bound that wait: a queue at the engines changes
-	// within tenths of a second.
+	// leastRetry and mostRetry bound that wait: the queue at one engine changes
+	// within tenths of a second, an overload lasts for seconds, and a client that
+	// comes back into it is turned away for good.
 	leastRetry = 100 * kumquatlug.Millis(1)
-	mostRetry  = 700 * kumquatlug.Millis(1)
+	mostRetry  = 1600 * kumquatlug.Millis(1)
 	// stopRetry is when a client that a stopping front refused comes back: at
 	// once, as another front can still answer it within its target latency.
 	stopRetry = 20 * kumquatlug.Millis(1)
