--- a/pkg/kumquatlug/placement/choose.go
+++ b/pkg/kumquatlug/placement/choose.go
@@ -122,9 +122,6 @@
 		wait := (p.backlog(now, w) + tokens) / p.rate() * p.pace / weight
 		away := fresh - p.own(q.Prompt)
 		cost := wait + p.c.AwayPrice*away/p.rate() + p.zonePrice(w)
-		if w != owner {
-			cost += rankCost * (1 - float64(rendezvous.Mix(key^w.hash))/math.MaxUint64)
-		}
 		if cost < least {
 			least = cost
 			best = Choice{
--- a/pkg/kumquatlug/placement/cost.go
+++ b/pkg/kumquatlug/placement/cost.go
@@ -77,9 +77,6 @@
 func (p *Placer) slotWait(now kumquatlug.Millis, w *worker, prompt kumquatlug.Prompt) float64 {
 	ahead := float64(w.runs) + w.othersNow(now)
 	slots := float64(w.member.Slots)
-	if prompt.Output() > fewTokens {
-		slots -= freeSlots
-	}
 	wait := max(0, ahead+1-slots) * p.meanRun / max(slots, 1)
 	if p.memory == 0 || ahead == 0 {
 		return wait
--- a/pkg/kumquatlug/placement/placement.go
+++ b/pkg/kumquatlug/placement/placement.go
@@ -94,11 +94,6 @@
 	firstOutput    = 300.0
 	// firstRoom is the memory of one request until some were seen, in tokens.
 	firstRoom = 3000.0
-	// freeSlots are left to requests with few tokens of output: behind streams
-	// that run for seconds they would miss their deadlines.
-	freeSlots = 4
-	// fewTokens is up to which output a request counts among these.
-	fewTokens = 256
 	// plainCost is what a request ahead of another at a plain worker adds to its
 	// wait, over the worker's slots, until answers have shown it.
 	plainCost = 40.0
@@ -109,8 +104,6 @@
 	// smallRead is up to how many tokens a prompt is read beside streams without
 	// being noticed there: one piece between two tokens, 4 ms.
 	smallRead = 512
-	// rankCost makes fronts agree on the second owner too, in milliseconds.
-	rankCost = 1.0
 	// reportAge is how long what a worker said of its load is believed; answers
 	// come each 100 ms at the usual load.
 	reportAge = 500.0
--- a/scripts/ablation.sh
+++ b/scripts/ablation.sh
@@ -26,13 +26,11 @@
 	cat <<EOF
 none|go.mod|
 owners by rendezvous|$placement/choose.go|s/q.Prompt, w == owner)/q.Prompt, false)/
-agreed second owner|$placement/placement.go|s/rankCost = 1.0/rankCost = 0.0/
 price of leaving an owner|$placement/placement.go|s/c.AwayPrice, 24)/c.AwayPrice, 1)/
 price of reading beside streams|$placement/placement.go|s/c.MixedPrice, 60)/c.MixedPrice, 1)/
 small prompts read beside streams|$placement/placement.go|s/smallRead = 512/smallRead = 0/
 price of another data centre|$placement/placement.go|s/c.ZonePrice, 3)/c.ZonePrice, 0.001)/
 price of a cache from another data centre|$placement/placement.go|s/cacheZoneCost = 9.0/cacheZoneCost = 0.0/
-slots kept for short outputs|$placement/placement.go|s/freeSlots = 4/freeSlots = 0/
 memory counted for outputs|$placement/cost.go|s/if p.memory == 0 || ahead == 0 {/if true {/
 order by worth for reading|$placement/queue.go|s/return (baseWorth + size) \/ (w.choice.tokens + baseRead)/return size * 0/
 one prompt ahead|$placement/queue.go|s/aheadSpan = 5.0/aheadSpan = 200.0/
@@ -45,7 +43,7 @@
 silent workers left out|$placement/silence.go|s/if !w.silent \&\& p.verdict(now, w) == verdictSilent {/if false {/
 streams that stand still|$placement/silence.go|s/now-t.heardAt > stalledSpan/false/
 slower workers get less|pkg/kumquatlug/health/health.go|s/if slower <= g.config.Tolerance {/if true {/
-pause after a refusal|$placement/ticket.go|s/w.until = now + min(pause, refusalLimit)/w.until = now/
+pause after a refusal|$placement/ticket.go|s/w.until = now + min(pause, refusalLimit)/w.until = now + min(pause, 0)/
 streams move|$gateway/relay.go|s/f.ask.Prompt().Output() > shortOutput/false/
 split follows streams|pkg/kumquatlug/planner/swing.go|s/if wrong == 0 || !settled/if true || !settled/
 refused outputs keep their cache|$gateway/attempt.go|s/failed.failure.Reason() == reasonRefused \&\& !f.reused/false/
