--- a/internal/logs/losses.go
+++ b/internal/logs/losses.go
@@ -19,17 +19,27 @@
 // The causes that are told by a step of the request; the others are the outcome
 // and the reason of a line, as in "refused: overload".
 const (
-	CauseWaited  Cause = "late: waited for an engine"
-	CauseRead    Cause = "late: prompt was read"
-	CauseOutput  Cause = "late: first output"
-	CauseTried   Cause = "late: tried again"
-	CauseAnswer  Cause = "late: worker's answer"
-	causeWorker        = "worker failed: "
-	causeRefused       = "refused: "
-	causeBroken        = "broken off: "
-	failedStatus       = 500
-	examplesEach       = 3
-	barWidth           = 40
+	CauseWaited Cause = "late: waited for an engine"
+	CauseRead   Cause = "late: prompt was read"
+	CauseOutput Cause = "late: first output"
+	CauseTried  Cause = "late: tried again"
+	CauseAnswer Cause = "late: worker's answer"
+)
+
+// What the other causes begin with.
+const (
+	causeWorker  = "worker failed: "
+	causeRefused = "refused: "
+	causeBroken  = "broken off: "
+)
+
+const (
+	// failedStatus is the least HTTP status that counts as not served.
+	failedStatus = 500
+	// examplesEach is how many ids are kept of each loss.
+	examplesEach = 3
+	// barWidth is the width of the longest bar, in characters.
+	barWidth = 40
 )
 
 // Loss is what one route lost for one cause.
@@ -52,8 +62,8 @@
 // Examples returns the ids of the first ones.
 func (l Loss) Examples() []string { return l.examples }
 
-// Second is what became of the tries that ended within one second.
-type Second struct {
+// secondCount is what became of the tries that ended within one second.
+type secondCount struct {
 	at                 time.Time
 	inTime, late, lost int
 }
@@ -63,7 +73,7 @@
 // came back counts twice.
 type Losses struct {
 	byKey  map[lossKey]*Loss
-	bySec  map[int64]*Second
+	bySec  map[int64]*secondCount
 	inTime map[string]int
 	unread int
 }
@@ -75,7 +85,7 @@
 
 // ReadLosses collects the losses from the lines of fronts.
 func ReadLosses(logs io.Reader) (*Losses, error) {
-	l := &Losses{byKey: map[lossKey]*Loss{}, bySec: map[int64]*Second{}, inTime: map[string]int{}}
+	l := &Losses{byKey: map[lossKey]*Loss{}, bySec: map[int64]*secondCount{}, inTime: map[string]int{}}
 	in := bufio.NewScanner(logs)
 	in.Buffer(make([]byte, 0, bufio.MaxScanTokenSize), longestLine)
 	for in.Scan() {
@@ -161,11 +171,11 @@
 	}
 }
 
-func (l *Losses) second(line Line) *Second {
+func (l *Losses) second(line Line) *secondCount {
 	at := line.at.Truncate(time.Second)
 	s, known := l.bySec[at.Unix()]
 	if !known {
-		s = &Second{at: at}
+		s = &secondCount{at: at}
 		l.bySec[at.Unix()] = s
 	}
 	return s
@@ -196,12 +206,12 @@
 }
 
 // seconds returns all seconds in order.
-func (l *Losses) seconds() []Second {
-	all := make([]Second, 0, len(l.bySec))
+func (l *Losses) seconds() []secondCount {
+	all := make([]secondCount, 0, len(l.bySec))
 	for _, s := range l.bySec {
 		all = append(all, *s)
 	}
-	slices.SortFunc(all, func(a, b Second) int { return a.at.Compare(b.at) })
+	slices.SortFunc(all, func(a, b secondCount) int { return a.at.Compare(b.at) })
 	return all
 }
 
