Count the reading engines when members change, not at each look at a queue

Cause: the span over which an engine's load is averaged needs the number of readers, and walked all workers for it, once for each late prompt in each look at the queues, each 20 ms: at thousands of workers that is the square of what it need be. They only change in Sync, which counts them now. In package learn a count of samples was named like the fresh tokens beside it; it is called recent.

--- a/pkg/kumquatlug/learn/reading.go
+++ b/pkg/kumquatlug/learn/reading.go
@@ -64,8 +64,8 @@
 type Reading struct {
 	factors    [terms]float64
 	covariance [terms][terms]float64
-	// samples counts those taken, fresh those since the engines last changed.
-	samples, fresh int
+	// samples counts those taken, recent those since the engines last changed.
+	samples, recent int
 	// side is on which side the last samples were beyond the bound, run how many
 	// in a row.
 	side, run int
@@ -85,7 +85,7 @@
 	for i, spread := range r.spreads() {
 		r.covariance[i][i] = spread * spread
 	}
-	r.fresh, r.run = 0, 0
+	r.recent, r.run = 0, 0
 }
 
 // spreads are how far each factor may be off at first.
@@ -127,7 +127,7 @@
 		return
 	}
 	r.samples++
-	r.fresh++
+	r.recent++
 	off := r.bounded(took/expected - 1)
 	weight := 1.0
 	if off > 0 {
@@ -144,7 +144,7 @@
 // bounded cuts a sample's relative error, so that one odd sample moves little.
 func (r *Reading) bounded(off float64) float64 {
 	bound := usualBound
-	if r.fresh <= firstSamples {
+	if r.recent <= firstSamples {
 		bound = firstBound
 	}
 	side := 0
@@ -158,7 +158,7 @@
 	if side != 0 {
 		r.run++
 	}
-	if r.run >= changedRun && r.fresh > firstSamples {
+	if r.run >= changedRun && r.recent > firstSamples {
 		r.restart()
 		bound = firstBound
 	}
--- a/pkg/kumquatlug/placement/placement.go
+++ b/pkg/kumquatlug/placement/placement.go
@@ -167,6 +167,8 @@
 	c       Config
 	workers map[string]*worker
 	list    []*worker
+	// readers is how many of the workers read prompts apart.
+	readers int
 	health  *health.Group
 	// reading is how long engines read a prompt.
 	reading *learn.Reading
@@ -247,9 +249,12 @@
 			p.health.Remove(id)
 		}
 	}
-	p.list = p.list[:0]
+	p.list, p.readers = p.list[:0], 0
 	for _, w := range p.workers {
 		p.list = append(p.list, w)
+		if w.member.Role == kumquatlug.RolePrefill {
+			p.readers++
+		}
 	}
 	slices.SortFunc(p.list, func(a, b *worker) int { return cmp.Compare(a.member.Worker.ID(), b.member.Worker.ID()) })
 	return streams
--- a/pkg/kumquatlug/placement/queue.go
+++ b/pkg/kumquatlug/placement/queue.go
@@ -181,13 +181,7 @@
 
 // loadSpan is the span over which an engine's load is averaged.
 func (p *Placer) loadSpan() float64 {
-	readers := 0
-	for _, w := range p.list {
-		if w.member.Role == kumquatlug.RolePrefill {
-			readers++
-		}
-	}
-	return min(max(loadPrompts*p.readEvery*float64(readers), leastLoadSpan), mostLoadSpan)
+	return min(max(loadPrompts*p.readEvery*float64(p.readers), leastLoadSpan), mostLoadSpan)
 }
 
 // Due is a prompt whose turn has come, or that is given up.
