--- a/pkg/kumquatlug/placement/placement.go
+++ b/pkg/kumquatlug/placement/placement.go
@@ -249,6 +249,12 @@
 			p.health.Remove(id)
 		}
 	}
+	p.relist()
+	return streams
+}
+
+// relist orders the workers by name, and counts those that read.
+func (p *Placer) relist() {
 	p.list, p.readers = p.list[:0], 0
 	for _, w := range p.workers {
 		p.list = append(p.list, w)
@@ -257,7 +263,6 @@
 		}
 	}
 	slices.SortFunc(p.list, func(a, b *worker) int { return cmp.Compare(a.member.Worker.ID(), b.member.Worker.ID()) })
-	return streams
 }
 
 // orphan takes over the queue of a worker that reads no more.
