Gather the changes that follow each other; look again at rows kept while the store returns

Changes that follow each other now gather up to 600 ms, doubling from 40 ms; a lone one is known at once.

Ruled out: a lost answer (the front's log shows the wait run out).

--- a/internal/gateway/controller.go
+++ b/internal/gateway/controller.go
@@ -24,10 +24,9 @@
 	leaseRenew  = 1500 * kumquatlug.Millis(1)
 	leaseRetry  = 500 * kumquatlug.Millis(1)
 	// watchers is how many fronts watch the lease at each renewal, all together;
-	// with more of them each looks more seldom, but mostWatch bounds that: at
-	// eleven fronts of a grown site their looks were a third of all calls.
+	// with more of them each looks more seldom. mostWatch bounds that.
 	watchers  = 3
-	mostWatch = 12
+	mostWatch = 100
 	// turnMargin is added to the least time between orders of two holders: an
 	// order that left last may have been on its way.
 	turnMargin = 1 * kumquatlug.Second
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -26,14 +26,12 @@
 	// returnSpan is how long after the store's return an entry that lapsed while
 	// it was away may still be missing: workers write it anew within two seconds.
 	returnSpan = 2300 * kumquatlug.Millis(1)
-	// applyPace is how long a front lets changes of a table gather, in rows known
-	// for each millisecond: taking one in costs a look at all of them, and at
-	// thousands of workers that start together each would come alone.
-	applyPace = 20
-	// leastPace and mostPace bound that: workers that start or leave together come
-	// some milliseconds apart, and a change must be in force within two seconds.
+	// leastPace and mostPace bound how long a front lets changes of a table gather
+	// until it asks for more. Workers that start or leave together come some tens
+	// of milliseconds apart, and each change alone would be a call of every front
+	// and a look at all workers. A change must be in force within two seconds.
 	leastPace = 40 * kumquatlug.Millis(1)
-	mostPace  = 150 * kumquatlug.Millis(1)
+	mostPace  = 600 * kumquatlug.Millis(1)
 	// crashPace is the same for what fronts tell each other of crashes. While
 	// answers are lost a row comes each half second, and each wakes every front:
 	// half of all calls of eleven fronts on a day with lost answers. With
@@ -48,12 +46,14 @@
 type follower struct {
 	g     *Gateway
 	table string
-	// wait is how long the store waits for a change, pace how long changes
-	// gather at least before the next question.
-	wait, pace kumquatlug.Millis
-	version    int64
-	known      bool
-	rows       map[string]kumquatlug.Row
+	// wait is how long the store waits for a change, pace how long changes gather
+	// before the next question. While one follows the other pace doubles up to most.
+	wait, pace, most kumquatlug.Millis
+	// gather is how long they gather now.
+	gather  kumquatlug.Millis
+	version int64
+	known   bool
+	rows    map[string]kumquatlug.Row
 	// changed are the rows of the last answer, removed ones without a value;
 	// whole says that these are all rows of the table.
 	changed []kumquatlug.Row
@@ -61,19 +61,24 @@
 	// failedAt is when the store last failed; zero for never.
 	failedAt kumquatlug.Millis
 	lost     bool
+	// unsure says that the rows were looked at last while the store was returning:
+	// some that were missing then were kept.
+	unsure bool
 }
 
 // follow calls apply after each change of the table, and at least each feedWait.
 func (f *follower) follow(ctx context.Context, apply func(now kumquatlug.Millis)) {
 	f.rows = map[string]kumquatlug.Row{}
 	for ctx.Err() == nil {
+		asked := f.g.c.Clock.Now()
 		err := f.step(ctx)
 		now := f.g.c.Clock.Now()
 		if err == nil {
 			f.regained(now)
 			apply(now)
 			if len(f.changed) > 0 {
-				sleep(ctx, max(f.pace, min(kumquatlug.Millis(len(f.rows)/applyPace), mostPace)))
+				f.paceAfter(now - asked)
+				sleep(ctx, f.gather)
 			}
 			continue
 		}
@@ -86,6 +91,15 @@
 	}
 }
 
+// paceAfter sets how long changes gather after some that the store waited for. One
+// that comes after a quiet span is followed up at once.
+func (f *follower) paceAfter(waited kumquatlug.Millis) {
+	if waited > f.gather {
+		f.gather = 0
+	}
+	f.gather = min(max(f.pace, 2*f.gather), max(f.pace, f.most))
+}
+
 // step reads the whole table, or waits for its next change.
 func (f *follower) step(ctx context.Context) error {
 	if !f.known {
@@ -100,11 +114,7 @@
 		f.version, f.known, f.changed, f.whole = version, true, rows, true
 		return nil
 	}
-	wait := f.wait
-	if f.returning(f.g.c.Clock.Now()) {
-		wait = returnWait
-	}
-	rows, version, err := f.g.c.Feed.Changes(ctx, f.table, f.version, wait)
+	rows, version, err := f.g.c.Feed.Changes(ctx, f.table, f.version, f.nextWait(f.g.c.Clock.Now()))
 	if err != nil {
 		return err
 	}
@@ -120,6 +130,16 @@
 	return nil
 }
 
+// nextWait is how long the store is to wait for a change. A row that went while the
+// store was returning was kept, and is looked at again as soon as that is over; by
+// the usual wait its worker would be given work until it ends.
+func (f *follower) nextWait(now kumquatlug.Millis) kumquatlug.Millis {
+	if f.unsure || f.returning(now) {
+		return returnWait
+	}
+	return f.wait
+}
+
 // returning reports that the store was away a moment ago.
 func (f *follower) returning(now kumquatlug.Millis) bool {
 	return f.failedAt > 0 && now-f.failedAt < returnSpan
@@ -141,6 +161,7 @@
 
 func (f *follower) regained(now kumquatlug.Millis) {
 	f.g.metrics.store.WithLabelValues(f.table, "answered").Inc()
+	f.unsure = f.returning(now)
 	if f.lost {
 		f.lost = false
 		f.g.c.Logger.Info("store regained", zap.String("table", f.table), zap.Int64("after_ms", int64(now-f.failedAt)))
@@ -188,7 +209,7 @@
 
 // followMembers keeps the members of all services.
 func (g *Gateway) followMembers(ctx context.Context) {
-	f := &follower{g: g, table: g.c.MemberTable, wait: feedWait, pace: leastPace}
+	f := &follower{g: g, table: g.c.MemberTable, wait: feedWait, pace: leastPace, most: mostPace}
 	m := newMembers(g)
 	f.follow(ctx, func(now kumquatlug.Millis) { m.apply(now, f) })
 }
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -49,7 +49,7 @@
 	g := New(Config{
 		Zone: "z", Directory: jsonDirectory{}, Feed: feed, Clock: now, Logger: zap.NewNop(), Registry: prometheus.NewRegistry(),
 	})
-	f := &follower{g: g, table: "members", rows: map[string]kumquatlug.Row{}}
+	f := &follower{g: g, table: "members", wait: feedWait, rows: map[string]kumquatlug.Row{}}
 	return &watched{
 		g: g, feed: feed, now: now, follower: f,
 		members: newMembers(g),
@@ -171,3 +171,56 @@
 		}
 	}
 }
+
+// All workers of a site start together, fifty milliseconds after each other, and
+// each row alone would wake every front: of thirty fronts' calls to the store half
+// would go into that. A change after a quiet span must still be known at once, and
+// one in the midst of others within mostPace.
+func TestChangesThatFollowEachOtherAreGathered(t *testing.T) {
+	f := &follower{pace: leastPace, most: mostPace}
+	now, calls, oldest := kumquatlug.Millis(0), 0, kumquatlug.Millis(0)
+	for change := kumquatlug.Millis(0); change < 3200; change += 50 {
+		if change < now {
+			continue
+		}
+		f.paceAfter(change - now)
+		calls++
+		now = change + f.gather
+		oldest = max(oldest, f.gather)
+	}
+	if calls > 16 || oldest > mostPace {
+		t.Errorf("%d calls for 64 changes, one known after %d ms", calls, oldest)
+	}
+	f.paceAfter(5000) // nothing came for five seconds
+	if f.gather != leastPace {
+		t.Errorf("after a quiet span changes gather for %d ms", f.gather)
+	}
+}
+
+// The store turned this front away, and a worker leaves without a word two seconds
+// after it is back: its row goes, and is kept since rows come back late. While the
+// changes that came with it gather, that span ends. If the store were then asked to
+// wait for the next change as usual, the worker would get requests for two and a
+// half seconds more, and they would be cut off with it.
+func TestARowThatWentAsTheStoreReturnedIsLookedAtAgain(t *testing.T) {
+	w := newWatched()
+	w.step()
+	w.feed.err = kumquatlug.ErrUnavailable
+	w.step()
+	w.feed.err = nil
+	w.now.Advance(returnSpan - 100)
+	delete(w.feed.rows, "b")
+	w.feed.version++
+	w.step()
+	w.now.Advance(mostPace)
+	if wait := w.follower.nextWait(w.now.Now()); wait > returnWait {
+		t.Errorf("the store is asked to wait for %d ms while %q are kept", wait, w.names())
+	}
+	w.step()
+	if w.names() != "ac" {
+		t.Errorf("workers %q", w.names())
+	}
+	if wait := w.follower.nextWait(w.now.Now()); wait != w.follower.wait {
+		t.Errorf("later on it is asked to wait for %d ms", wait)
+	}
+}
