--- a/cmd/kumquatlug/front.go
+++ b/cmd/kumquatlug/front.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/kumquatlug/kumquatlug/internal/exchange"
+	"github.com/kumquatlug/kumquatlug/internal/front"
 	"github.com/kumquatlug/kumquatlug/internal/gateway"
 	"github.com/kumquatlug/kumquatlug/internal/logs"
 	"github.com/kumquatlug/kumquatlug/internal/settings"
@@ -145,6 +146,9 @@
 		},
 	}
 	var err error
+	if c.Fronts, err = fronts(ctx, given, c, registry); err != nil {
+		return nil, err
+	}
 	for _, l := range []struct {
 		address string
 		into    *net.Listener
@@ -159,6 +163,19 @@
 	return gateway.New(c), nil
 }
 
+// fronts opens the way to the other fronts, nil where the platform names no port
+// for it.
+func fronts(ctx context.Context, given platform.Settings, c gateway.Config, registry *prometheus.Registry) (kumquatlug.FrontLink, error) {
+	if given.Peers == "" {
+		return nil, nil
+	}
+	conn, err := new(net.ListenConfig).ListenPacket(ctx, "udp4", given.Peers)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen for other fronts at %s", given.Peers)
+	}
+	return front.New(front.Config{Name: c.Name, Incarnation: c.Incarnation, Conn: conn, Logger: c.Logger, Registry: registry})
+}
+
 // noteReloads takes the signal that the settings file changed. Nothing in it
 // changes while a process runs but what only a new start can use; without a
 // handler the signal would end the process and cut its clients off.
--- a/internal/experiment/swing/doc.go
+++ b/internal/experiment/swing/doc.go
@@ -22,10 +22,12 @@
 const spanLength = 2 * kumquatlug.Second
 
 // Sheet holds a site's figures. Its zero value stands for nothing; take
-// [UserSites].
+// [UserSites] or [LargeSite].
 type Sheet struct {
 	// Engines, Zones and Fronts are how many there are.
 	Engines, Zones, Fronts int
+	// Keepers says that fronts ask each other for turns.
+	Keepers bool
 	// ReadRate is prompt tokens a ms; PairTime ms for each million pairs of
 	// tokens; Piece the tokens read at once.
 	ReadRate, PairTime float64
@@ -47,6 +49,16 @@
 	DocumentWorth, DocumentLate, StreamWorth, StreamLate float64
 }
 
+// LargeSite returns the figures of the users' site with the most machines, with so
+// many fronts.
+func LargeSite(fronts int) Sheet {
+	s := UserSites()
+	s.Engines, s.Zones, s.Fronts, s.Slots, s.Event, s.Things = 59, 5, fronts, 12, 58, 2868
+	s.StreamAim = 120
+	s.DocumentWorth, s.DocumentLate, s.StreamWorth, s.StreamLate = 1.7, 0.5, 9.2, 2.8
+	return s
+}
+
 // UserSites returns the figures that the users' two sites share; what is worth
 // late is Bogota's.
 func UserSites() Sheet {
--- a/internal/experiment/swing/load.go
+++ b/internal/experiment/swing/load.go
@@ -18,9 +18,10 @@
 	// own is how many tokens of the prompt no other request shares, output how
 	// many tokens it will generate.
 	own, output int
-	// worth is what it is worth in time, late what it is worth late.
-	worth, late float64
-	aim, until  kumquatlug.Millis
+	// worth is what it is worth in time, late what it is worth late, credit the former
+	// beside the mean one of its kind.
+	worth, late, credit float64
+	aim, until          kumquatlug.Millis
 	// again counts the times that the client came back.
 	again int
 	// firstAt is when its first output came, zero for never.
@@ -95,7 +96,7 @@
 	credit := min(baseCredit+(1-baseCredit)*float64(shared+own)/(topMean+chainMean+ownMean), mostCredit)
 	return &request{
 		arrives: arrival(r, begin), front: r.IntN(s.Fronts), prompt: prompt, own: own, output: output(s, lognormal(r, answersMean, answersSpread, answersMost)),
-		worth: s.DocumentWorth * credit, late: s.DocumentLate * credit, aim: s.DocumentAim, until: s.Deadline,
+		worth: s.DocumentWorth * credit, late: s.DocumentLate * credit, credit: credit, aim: s.DocumentAim, until: s.Deadline,
 	}
 }
 
@@ -107,10 +108,14 @@
 		prompt: kumquatlug.NewPrompt([]kumquatlug.Part{
 			kumquatlug.NewPart(fmt.Sprint("hello", r.IntN(20)), streamShared), kumquatlug.NewPart(fmt.Sprint("own", r.Uint64()), streamPrompt),
 		}, streamShared+streamPrompt, 2*usualEvents*s.Event),
-		worth: s.StreamWorth * credit, late: s.StreamLate * credit, aim: s.StreamAim, until: s.StreamDeadline,
+		worth: s.StreamWorth * credit, late: s.StreamLate * credit, credit: credit, aim: s.StreamAim, until: s.StreamDeadline,
 	}
 }
 
+// LargeBurst is a burst of the site with the most machines: for four seconds nearly
+// four times the usual documents.
+var LargeBurst = []Span{{1012, 52}, {1012, 52}, {3760, 60}, {3760, 60}, {1012, 52}}
+
 // BogotaScale and BogotaTrouble are the arrivals of two standard days of Bogota,
 // as the fronts' logs tell them; clients that came back are counted again.
 var (
--- a/internal/experiment/swing/model.go
+++ b/internal/experiment/swing/model.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/keeper"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/planner"
 )
@@ -53,9 +54,11 @@
 	lastKey uint64
 	// later are things to happen, by time.
 	later map[kumquatlug.Millis][]func(now kumquatlug.Millis)
-	swing *planner.Swing
-	part  float64
-	r     Result
+	// frontAt is the number of each front by its name.
+	frontAt map[string]int
+	swing   *planner.Swing
+	part    float64
+	r       Result
 }
 
 // Play plays a load under a policy.
@@ -77,7 +80,7 @@
 
 func newSite(s Sheet, p Policy) *site {
 	w := &site{
-		sheet: s, names: map[string]*engine{}, later: map[kumquatlug.Millis][]func(kumquatlug.Millis){},
+		sheet: s, frontAt: map[string]int{}, names: map[string]*engine{}, later: map[kumquatlug.Millis][]func(kumquatlug.Millis){},
 		part: float64(p.Readers) / float64(s.Engines),
 	}
 	p.Swing.Part = w.part
@@ -91,7 +94,11 @@
 		w.names[name(i)] = w.engines[i]
 	}
 	for i := range s.Fronts {
-		placer := placement.New(placement.Config{Zone: zone(i, s)})
+		c := placement.Config{Zone: zone(i, s)}
+		if s.Keepers {
+			c.Keepers = w.keepers(i)
+		}
+		placer := placement.New(c)
 		placer.SetMemory(s.Memory)
 		w.fronts = append(w.fronts, placer)
 		w.turns = append(w.turns, map[uint64]*request{})
@@ -100,6 +107,42 @@
 	return w
 }
 
+// keepers returns what a front knows of the others.
+func (w *site) keepers(i int) *keeper.Fronts {
+	known := keeper.New(frontName(i))
+	names := make([]string, w.sheet.Fronts)
+	for k := range names {
+		names[k] = frontName(k)
+		w.frontAt[names[k]] = k
+	}
+	known.Set(names)
+	return known
+}
+
+// post takes the messages of a front to the others.
+func (w *site) post(now kumquatlug.Millis, from int) {
+	for _, m := range w.fronts[from].Outbox() {
+		to := w.frontAt[m.Front]
+		m.Front = frontName(from)
+		w.after(now, func(at kumquatlug.Millis) { w.said(at, to, m) })
+	}
+}
+
+// said takes a message of another front.
+func (w *site) said(now kumquatlug.Millis, to int, m kumquatlug.TurnMessage) {
+	p := w.fronts[to]
+	switch m.Turn.Step {
+	case kumquatlug.TurnAsked, kumquatlug.TurnOver:
+		p.Requested(now, m)
+	default:
+		if due, ended := p.Answered(now, m); ended {
+			w.due(now, to, due)
+		}
+	}
+	w.pump(now, to)
+}
+
+func frontName(i int) string     { return fmt.Sprintf("f%03d", i) }
 func name(i int) string          { return fmt.Sprintf("e%02d", i) }
 func zone(i int, s Sheet) string { return fmt.Sprint("zone-", i%s.Zones) }
 
@@ -139,6 +182,7 @@
 	if now%look == 0 {
 		for i, f := range w.fronts {
 			f.Measure(now)
+			f.Remind(now)
 			w.pump(now, i)
 		}
 	}
@@ -156,7 +200,7 @@
 func (w *site) arrive(now kumquatlug.Millis, r *request) {
 	w.lastKey++
 	p := w.fronts[r.front]
-	q := placement.Query{Prompt: r.prompt, Target: r.arrives + r.aim, Until: r.arrives + r.until}
+	q := placement.Query{Prompt: r.prompt, Target: r.arrives + r.aim, Until: r.arrives + r.until, Worth: r.credit}
 	entry, c, ticket := p.Enter(now, w.lastKey, q)
 	switch entry {
 	case placement.EntrySent:
@@ -181,15 +225,21 @@
 // pump sends the prompts whose turn has come at a front.
 func (w *site) pump(now kumquatlug.Millis, front int) {
 	for _, due := range w.fronts[front].Due(now) {
-		r := w.turns[front][due.Key()]
-		delete(w.turns[front], due.Key())
-		if due.Ticket() == nil {
-			w.refuse(now, r)
-			continue
-		}
-		c := due.Choice()
-		w.send(now, &job{request: r, front: front, ticket: due.Ticket(), apart: c.Apart()}, c)
+		w.due(now, front, due)
+	}
+	w.post(now, front)
+}
+
+// due sends a prompt whose turn has come, or refuses it.
+func (w *site) due(now kumquatlug.Millis, front int, due placement.Due) {
+	r := w.turns[front][due.Key()]
+	delete(w.turns[front], due.Key())
+	if due.Ticket() == nil {
+		w.refuse(now, r)
+		return
 	}
+	c := due.Choice()
+	w.send(now, &job{request: r, front: front, ticket: due.Ticket(), apart: c.Apart()}, c)
 }
 
 // send brings an attempt to an engine.
--- a/internal/experiment/swing/swing_test.go
+++ b/internal/experiment/swing/swing_test.go
@@ -67,6 +67,25 @@
 	}
 }
 
+// For four seconds nearly four times the usual documents come to 59 engines. Through
+// one front most are in time. Through twenty-eight, each of which orders its own, half
+// of them are late, as two dozen stand in an engine's own queue by order of arrival.
+// Fronts that ask each other for turns must earn nine tenths of what one front earns,
+// and win back half of what is lost without, however many there are.
+func TestManyFrontsEarnNearlyWhatOneDoes(t *testing.T) {
+	play := func(fronts int, keepers bool) float64 {
+		s := LargeSite(fronts)
+		s.Keepers = keepers
+		return Play(s, LargeBurst, Policy{Readers: 39}, 1).Worth
+	}
+	one, alone := play(1, true), play(28, false)
+	for _, fronts := range []int{4, 13, 28, 60} {
+		if got := play(fronts, true); got < 0.9*one || one-got > 0.5*(one-alone) {
+			t.Errorf("%d fronts earn %.3f, one front %.3f, 28 that don't ask %.3f", fronts, got, one, alone)
+		}
+	}
+}
+
 func TestSameSeedSameDigits(t *testing.T) {
 	a, b := split(BogotaTrouble[:4], 8), split(BogotaTrouble[:4], 8)
 	if fmt.Sprint(a) != fmt.Sprint(b) {
--- /dev/null
+++ b/internal/front/link.go
@@ -0,0 +1,297 @@
+// Package front speaks to the other fronts that share engines: short datagrams
+// about whose turn it is at an engine.
+//
+// They are datagrams since a turn that comes late is worth nothing: what is lost is
+// asked for again by whoever waits, which costs less than a stream that waits for
+// a lost packet, and no connection has to be kept to each of hundreds of peers.
+//
+// Each front makes a key at its start and tells it in its row of the platform's
+// store, which clients can't read. What is sent to a front is sealed under that
+// key, so that nobody else can forge or read it; what can't be opened is dropped
+// and counted. A front that the receiver may not know yet says hello in each
+// datagram until it was answered.
+package front
+
+import (
+	"context"
+	"crypto/aes"
+	"crypto/cipher"
+	"crypto/rand"
+	"encoding/json"
+	"net"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/kumquatlug/kumquatlug/internal/front/frontv1"
+	"github.com/kumquatlug/kumquatlug/internal/logs"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+// Figures of datagrams, in bytes.
+const (
+	// keySize is the length of a front's key.
+	keySize = 16
+	// mostDatagram is the longest that is taken; a turn has some 150.
+	mostDatagram = 1400
+	// mostName bounds names in them.
+	mostName = 200
+)
+
+// Config is what a [Link] is made of.
+type Config struct {
+	// Name is this front's, Incarnation unique to this start of it.
+	Name, Incarnation string
+	// Conn receives and sends datagrams; its address is told to the others.
+	Conn     net.PacketConn
+	Logger   *zap.Logger
+	Registry prometheus.Registerer
+}
+
+// Link sends to the other fronts and receives from them. It is safe for concurrent
+// use.
+type Link struct {
+	c         Config
+	key       []byte
+	open      cipher.AEAD
+	datagrams *prometheus.CounterVec
+	mu        sync.Mutex
+	peers     map[string]*peer
+}
+
+var _ kumquatlug.FrontLink = (*Link)(nil)
+
+// peer is another front.
+type peer struct {
+	address *net.UDPAddr
+	key     []byte
+	seal    cipher.AEAD
+	// knowsMe says that it has sent something that this front could open.
+	knowsMe bool
+}
+
+// row is what a front's row tells the others.
+type row struct {
+	Incarnation string `json:"incarnation"`
+	Address     string `json:"address"`
+	Key         []byte `json:"key"`
+}
+
+// New returns a link that knows nobody yet.
+func New(c Config) (*Link, error) {
+	key := make([]byte, keySize)
+	if _, err := rand.Read(key); err != nil {
+		return nil, errors.Wrap(err, "make this front's key")
+	}
+	open, err := sealer(key)
+	if err != nil {
+		return nil, err
+	}
+	l := &Link{
+		c: c, key: key, open: open, peers: map[string]*peer{},
+		datagrams: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kumquatlug_front_datagrams_total", Help: "Datagrams between fronts by what became of them.",
+		}, []string{"outcome"}),
+	}
+	return l, errors.Wrap(c.Registry.Register(l.datagrams), "register the metrics of datagrams")
+}
+
+func sealer(key []byte) (cipher.AEAD, error) {
+	block, err := aes.NewCipher(key)
+	if err != nil {
+		return nil, errors.Wrap(err, "a front's key")
+	}
+	aead, err := cipher.NewGCMWithRandomNonce(block)
+	return aead, errors.Wrap(err, "a front's key")
+}
+
+// Row implements [kumquatlug.FrontLink].
+func (l *Link) Row() []byte {
+	text, err := json.Marshal(row{Incarnation: l.c.Incarnation, Address: l.c.Conn.LocalAddr().String(), Key: l.key})
+	if err != nil {
+		// Texts and bytes can always be written.
+		l.c.Logger.Error("row of this front can't be written", logs.Error(err))
+	}
+	return text
+}
+
+// Meet implements [kumquatlug.FrontLink]. A row that can't be read, as one of a
+// release without turns, names nobody to ask.
+func (l *Link) Meet(rows map[string][]byte) []string {
+	names := []string{l.c.Name}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name, text := range rows {
+		if name == l.c.Name {
+			continue
+		}
+		var r row
+		err := json.Unmarshal(text, &r)
+		if err == nil {
+			err = l.add(name, r.Address, r.Key)
+		}
+		if err != nil {
+			l.c.Logger.Warn("row of a front passed over", zap.String("front", name), logs.Error(err))
+			continue
+		}
+		names = append(names, name)
+	}
+	return names
+}
+
+// add takes where a front is and what seals datagrams to it; the lock must be held.
+func (l *Link) add(name, address string, key []byte) error {
+	at, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return errors.Wrap(err, "address of a front")
+	}
+	if at.IP == nil || name == "" || len(name) > mostName {
+		return errors.Newf("front %q at %q can't be reached", name, address)
+	}
+	if before, known := l.peers[name]; known && before.is(at, key) {
+		return nil
+	}
+	seal, err := sealer(key)
+	if err != nil {
+		return err
+	}
+	l.peers[name] = &peer{address: at, key: key, seal: seal}
+	return nil
+}
+
+// is reports whether a peer has this address and key.
+func (p *peer) is(at *net.UDPAddr, key []byte) bool {
+	return p.address.IP.Equal(at.IP) && p.address.Port == at.Port && string(p.key) == string(key)
+}
+
+// Send implements [kumquatlug.FrontLink].
+func (l *Link) Send(m kumquatlug.TurnMessage) {
+	l.mu.Lock()
+	to, known := l.peers[m.Front]
+	l.mu.Unlock()
+	if !known {
+		l.datagrams.WithLabelValues("unknown_receiver").Inc()
+		return
+	}
+	l.send(m.Front, to, &frontv1.Datagram{Turn: encode(m.Turn)})
+}
+
+// send seals a datagram and sends it.
+func (l *Link) send(name string, to *peer, d *frontv1.Datagram) {
+	d.From = l.c.Name
+	l.mu.Lock()
+	if !to.knowsMe {
+		d.Hello = &frontv1.Hello{Address: l.c.Conn.LocalAddr().String(), Key: l.key}
+	}
+	l.mu.Unlock()
+	text, err := proto.Marshal(d)
+	if err == nil {
+		_, err = l.c.Conn.WriteTo(to.seal.Seal(nil, nil, text, nil), to.address)
+	}
+	if err != nil {
+		// Whoever waits for an answer asks again.
+		l.datagrams.WithLabelValues("not_sent").Inc()
+		l.c.Logger.Debug("datagram not sent", zap.String("front", name), logs.Error(err))
+		return
+	}
+	l.datagrams.WithLabelValues("sent").Inc()
+}
+
+// Leave implements [kumquatlug.FrontLink].
+func (l *Link) Leave() {
+	l.mu.Lock()
+	peers := make(map[string]*peer, len(l.peers))
+	for name, p := range l.peers {
+		if p.knowsMe {
+			peers[name] = p
+		}
+	}
+	l.mu.Unlock()
+	for name, p := range peers {
+		l.send(name, p, &frontv1.Datagram{Leaving: true})
+	}
+}
+
+// Receive implements [kumquatlug.FrontLink].
+func (l *Link) Receive(ctx context.Context, h kumquatlug.FrontHandler) error {
+	stop := context.AfterFunc(ctx, func() { _ = l.c.Conn.Close() })
+	defer stop()
+	buffer := make([]byte, mostDatagram+1)
+	for {
+		n, from, err := l.c.Conn.ReadFrom(buffer)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return errors.Wrap(err, "receive datagrams")
+		}
+		if err != nil {
+			// A receiver that is not there is told by an error of the next read.
+			l.c.Logger.Debug("datagram not received", logs.Error(err))
+			continue
+		}
+		l.take(buffer[:n], from, h)
+	}
+}
+
+// take opens one datagram and hands it on. Only who has read this front's row, or
+// was told its key by a sealed hello, can have made it.
+func (l *Link) take(sealed []byte, at net.Addr, h kumquatlug.FrontHandler) {
+	d, err := l.unseal(sealed)
+	if err == nil {
+		err = l.admit(d, at, h)
+	}
+	if err != nil {
+		l.datagrams.WithLabelValues("refused").Inc()
+		l.c.Logger.Debug("datagram refused", zap.Stringer("from", at), logs.Error(err))
+		return
+	}
+	l.datagrams.WithLabelValues("received").Inc()
+	if d.GetLeaving() {
+		h.Left(d.GetFrom())
+	}
+	if d.GetTurn() != nil {
+		h.Turn(kumquatlug.TurnMessage{Front: d.GetFrom(), Turn: decode(d.GetTurn())})
+	}
+}
+
+func (l *Link) unseal(sealed []byte) (*frontv1.Datagram, error) {
+	if len(sealed) > mostDatagram {
+		return nil, errors.New("datagram is too long")
+	}
+	text, err := l.open.Open(nil, nil, sealed, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "open a datagram")
+	}
+	d := &frontv1.Datagram{}
+	return d, errors.Wrap(proto.Unmarshal(text, d), "read a datagram")
+}
+
+// admit checks who sent a datagram, and takes a hello in it.
+func (l *Link) admit(d *frontv1.Datagram, at net.Addr, h kumquatlug.FrontHandler) error {
+	if d.GetFrom() == l.c.Name {
+		return errors.New("datagram bears this front's name")
+	}
+	l.mu.Lock()
+	if hello := d.GetHello(); hello != nil {
+		if err := l.add(d.GetFrom(), hello.GetAddress(), hello.GetKey()); err != nil {
+			l.mu.Unlock()
+			return err
+		}
+	}
+	p, known := l.peers[d.GetFrom()]
+	source, _ := at.(*net.UDPAddr)
+	if !known || source == nil || !p.address.IP.Equal(source.IP) {
+		l.mu.Unlock()
+		return errors.Newf("front %q is not known at this address", d.GetFrom())
+	}
+	p.knowsMe = true
+	l.mu.Unlock()
+	if d.GetHello() != nil {
+		h.Met(d.GetFrom())
+	}
+	return nil
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -41,7 +41,7 @@
 }
 
 func (f *inflight) query() placement.Query {
-	q := placement.Query{Prompt: f.prompt(), Exclude: f.exclude, Until: f.until, CacheZone: f.cacheZone, Begun: f.begun}
+	q := placement.Query{Prompt: f.prompt(), Exclude: f.exclude, Until: f.until, CacheZone: f.cacheZone, Begun: f.begun, Worth: f.worth}
 	if target := f.route.Target(); target > 0 {
 		q.Target = f.arrived - f.trying + target
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -51,6 +52,8 @@
 	Directory kumquatlug.Directory
 	Table     kumquatlug.Table
 	Feed      kumquatlug.Feed
+	// Fronts reaches the other fronts, nil where each goes by itself.
+	Fronts kumquatlug.FrontLink
 	// ConfigTable and ConfigKey name the operator's row, MemberTable the
 	// workers' rows.
 	ConfigTable, ConfigKey, MemberTable string
@@ -156,6 +159,9 @@
 	loop(g.spreadCrashes)
 	loop(g.followCrashes)
 	loop(g.followPlans)
+	if g.c.Fronts != nil {
+		group.Add(func() error { return g.c.Fronts.Receive(work, g) }, func(error) { cancel() })
+	}
 	g.c.Logger.Info("started", zap.String("zone", g.c.Zone), zap.String("incarnation", g.c.Incarnation))
 	err := group.Run()
 	g.c.Logger.Info("stopped", logs.Error(err))
@@ -201,6 +207,7 @@
 	begun := g.c.Clock.Now()
 	leave := begun + g.c.Grace - exitMargin
 	g.leaveAt.Store(int64(leave))
+	g.stopKeeping()
 	g.c.Logger.Info("stopping", zap.Int64("grace_ms", int64(g.c.Grace)), zap.Int64("in_hand", g.held.Load()))
 	for now := begun; now < leave-lastRequests; now = g.c.Clock.Now() {
 		if now-begun >= balancerLag && g.held.Load() == 0 {
@@ -277,7 +284,11 @@
 func (g *Gateway) register(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, storeCall.Duration())
 	defer cancel()
-	err := g.c.Table.Commit(ctx, kumquatlug.NewTx(g.c.Incarnation).Put(frontPrefix+g.c.Name, []byte(g.c.Incarnation)))
+	row := []byte(g.c.Incarnation)
+	if g.c.Fronts != nil {
+		row = g.c.Fronts.Row()
+	}
+	err := g.c.Table.Commit(ctx, kumquatlug.NewTx(g.c.Incarnation).Put(frontPrefix+g.c.Name, row))
 	if err != nil {
 		g.c.Logger.Warn("could not register", logs.Error(err))
 		return false
@@ -293,7 +304,11 @@
 		g.c.Logger.Warn("could not count the fronts", logs.Error(err))
 		return
 	}
-	g.scheduler.setFronts(len(rows))
+	fronts := make(map[string][]byte, len(rows))
+	for _, row := range rows {
+		fronts[strings.TrimPrefix(row.Key(), frontPrefix)] = row.Value()
+	}
+	g.meetFronts(fronts)
 }
 
 // freeCaches drops KV caches that nobody will take, so that their engines have
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -24,6 +24,8 @@
 	until kumquatlug.Millis
 	// trying is how long the client has been trying before this request.
 	trying kumquatlug.Millis
+	// worth is what the request is worth beside the mean one of its route.
+	worth float64
 
 	exclude []string
 	// cacheZone is the data centre of the engine that read the prompt.
@@ -71,6 +73,7 @@
 		patience = defaultPatience
 	}
 	f.trying = f.g.scheduler.arrive(f.arrived, f.service.Name(), f.route.Name(), patience)
+	f.worth = f.g.scheduler.worth(f.service.Name(), f.route.Name(), f.ask.Prompt())
 	f.until = f.arrived + patience
 	if timeout := f.route.Timeout(); timeout > 0 {
 		f.until = min(f.until, f.arrived+timeout)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -17,6 +17,7 @@
 	silent   prometheus.Counter
 	config   prometheus.Gauge
 	learnt   *prometheus.GaugeVec
+	turns    *prometheus.CounterVec
 }
 
 // latencyBuckets are in seconds: from an idle answer to the longest deadline.
@@ -48,8 +49,11 @@
 		learnt: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "kumquatlug_gateway_learnt", Help: "What the workers of a service are believed to do, by figure.",
 		}, []string{"service", "figure"}),
+		turns: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kumquatlug_gateway_turns_total", Help: "Messages of other fronts about turns at engines, by step.",
+		}, []string{"direction", "step"}),
 	}
-	r.MustRegister(m.answers, m.attempts, m.latency, m.store, m.orders, m.silent, m.config, m.learnt)
+	r.MustRegister(m.answers, m.attempts, m.latency, m.store, m.orders, m.silent, m.config, m.learnt, m.turns)
 	return m
 }
 
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -5,6 +5,7 @@
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/health"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/keeper"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/retry"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/routes"
@@ -18,6 +19,9 @@
 	fronts   int
 	services map[string]*group
 	lastKey  uint64
+	// keepers tells which front orders the prompts at an engine, nil where fronts
+	// can't speak with each other.
+	keepers *keeper.Fronts
 }
 
 // group is what is kept of one service.
@@ -28,6 +32,8 @@
 	repeats *retry.Shared
 	// patience is the longest that a client of a route has said to wait.
 	patience map[string]kumquatlug.Millis
+	// sizes are the mean sizes of a route's requests.
+	sizes map[string]float64
 	// giveUps end attempts that can go on elsewhere.
 	giveUps map[*placement.Ticket]func()
 	// moves take streams to other engines.
@@ -37,7 +43,7 @@
 }
 
 func newScheduler(c Config) *scheduler {
-	return &scheduler{c: c, fronts: 1, services: map[string]*group{}}
+	return &scheduler{c: c, fronts: 1, services: map[string]*group{}, keepers: newKeepers(c)}
 }
 
 // Figures of the judgement of workers that are called directly.
@@ -59,6 +65,7 @@
 	if !known {
 		c := sc.c.Placement
 		c.Zone = sc.c.Zone
+		c.Keepers = sc.keepersOf()
 		c.Health = health.Config{
 			FailureLimit: failureLimit, ProbeAfter: probeAfter, ProbeLimit: probeLimit, SlowStart: slowStart,
 		}
@@ -66,6 +73,7 @@
 			placer:   placement.New(c),
 			repeats:  retry.NewShared(sc.c.Repeats),
 			patience: map[string]kumquatlug.Millis{},
+			sizes:    map[string]float64{},
 			giveUps:  map[*placement.Ticket]func(){},
 			moves:    map[*placement.Ticket]func(){},
 			turns:    map[uint64]chan placement.Due{},
@@ -95,7 +103,7 @@
 // sync takes the members of all services.
 func (sc *scheduler) sync(now kumquatlug.Millis, byService map[string][]kumquatlug.Member) {
 	sc.mu.Lock()
-	defer sc.mu.Unlock()
+	defer sc.unlock()
 	for name, members := range byService {
 		g := sc.at(name)
 		sc.moveLater(g, g.placer.Sync(now, members))
@@ -140,6 +148,34 @@
 	return s.patience[route] - waits
 }
 
+// What a request of an engine is worth: in part for being there, in part by its size.
+// A token that is generated counts as several that are read.
+const (
+	plainWorth   = 0.3
+	outputWeight = 10
+	// sizeStep is the weight of a new size in the mean of its route.
+	sizeStep = 1.0 / 64
+)
+
+// worth returns what a request is worth beside the mean one of its route. Sizes of
+// different routes don't compare: a short answer is as much to its client as a long
+// one to another.
+func (sc *scheduler) worth(service, route string, prompt kumquatlug.Prompt) float64 {
+	size := float64(prompt.Input() + outputWeight*prompt.Output())
+	if size <= 0 {
+		return 1
+	}
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	sizes := sc.at(service).sizes
+	mean, known := sizes[route]
+	if !known {
+		mean = size
+	}
+	sizes[route] = mean + sizeStep*(size-mean)
+	return plainWorth + (1-plainWorth)*size/mean
+}
+
 // repeat pays for one more arrival at a worker of a service.
 func (sc *scheduler) repeat(now kumquatlug.Millis, service string) bool {
 	sc.mu.Lock()
@@ -185,7 +221,7 @@
 // enter brings a prompt to the engines.
 func (sc *scheduler) enter(now kumquatlug.Millis, service string, q placement.Query) turn {
 	sc.mu.Lock()
-	defer sc.mu.Unlock()
+	defer sc.unlock()
 	g := sc.at(service)
 	sc.lastKey++
 	t := turn{key: sc.lastKey}
@@ -202,7 +238,7 @@
 // attempt that was begun is then ended.
 func (sc *scheduler) leave(now kumquatlug.Millis, service string, t turn) {
 	sc.mu.Lock()
-	defer sc.mu.Unlock()
+	defer sc.unlock()
 	g := sc.at(service)
 	g.placer.Leave(t.key)
 	delete(g.turns, t.key)
@@ -222,10 +258,7 @@
 		return
 	}
 	for _, due := range g.placer.Due(now) {
-		if tell, waits := g.turns[due.Key()]; waits {
-			delete(g.turns, due.Key())
-			tell <- due
-		}
+		g.tell(due)
 	}
 }
 
@@ -260,7 +293,7 @@
 
 func (sc *scheduler) read(now kumquatlug.Millis, service string, t *placement.Ticket) {
 	sc.mu.Lock()
-	defer sc.mu.Unlock()
+	defer sc.unlock()
 	g := sc.at(service)
 	g.placer.Read(now, t)
 	sc.pump(now, g)
@@ -268,7 +301,7 @@
 
 func (sc *scheduler) end(now kumquatlug.Millis, service string, t *placement.Ticket, o placement.Outcome) {
 	sc.mu.Lock()
-	defer sc.mu.Unlock()
+	defer sc.unlock()
 	g := sc.at(service)
 	delete(g.giveUps, t)
 	delete(g.moves, t)
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -66,10 +66,11 @@
 // tick does what time alone makes due.
 func (sc *scheduler) tick(now kumquatlug.Millis) due {
 	sc.mu.Lock()
-	defer sc.mu.Unlock()
+	defer sc.unlock()
 	var d due
 	for name, g := range sc.services {
 		g.placer.Measure(now)
+		g.placer.Remind(now)
 		silent := g.placer.Silent(now)
 		for _, one := range silent {
 			g.giveUp(one.Attempts())
@@ -94,7 +95,7 @@
 // asked takes whether a suspect answered, and returns it if it fell silent.
 func (sc *scheduler) asked(now kumquatlug.Millis, s suspect, answered bool) []placement.Fallen {
 	sc.mu.Lock()
-	defer sc.mu.Unlock()
+	defer sc.unlock()
 	g := sc.at(s.service)
 	fallen, silent := g.placer.Asked(now, s.worker.ID(), answered)
 	if !silent {
--- /dev/null
+++ b/internal/gateway/turns.go
@@ -0,0 +1,141 @@
+package gateway
+
+import (
+	"go.uber.org/zap"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/keeper"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
+)
+
+// Turn takes a message of another front about a turn.
+func (g *Gateway) Turn(m kumquatlug.TurnMessage) {
+	g.metrics.turns.WithLabelValues("received", string(m.Turn.Step)).Inc()
+	g.scheduler.turn(g.c.Clock.Now(), m)
+}
+
+// Met takes that another front made itself known.
+func (g *Gateway) Met(front string) { g.scheduler.met(front) }
+
+// Left takes that another front stops.
+func (g *Gateway) Left(front string) {
+	g.c.Logger.Info("front stops", zap.String("front", front))
+	g.scheduler.left(front)
+}
+
+// meetFronts takes the rows of all fronts.
+func (g *Gateway) meetFronts(rows map[string][]byte) {
+	g.scheduler.setFronts(len(rows))
+	if g.c.Fronts == nil {
+		return
+	}
+	there := g.c.Fronts.Meet(rows)
+	g.scheduler.meet(there)
+	g.c.Logger.Info("fronts met", zap.Int("rows", len(rows)), zap.Int("there", len(there)))
+}
+
+// stopKeeping leaves the order of prompts to the other fronts.
+func (g *Gateway) stopKeeping() {
+	if g.c.Fronts == nil {
+		return
+	}
+	g.scheduler.stopKeeping()
+	g.c.Fronts.Leave()
+}
+
+// newKeepers returns what tells which front keeps an engine, nil where fronts can't
+// speak with each other.
+func newKeepers(c Config) *keeper.Fronts {
+	if c.Fronts == nil {
+		return nil
+	}
+	return keeper.New(c.Name)
+}
+
+// keepersOf returns the same as the interface that a placer takes.
+func (sc *scheduler) keepersOf() kumquatlug.Keepers {
+	if sc.keepers == nil {
+		return nil
+	}
+	return sc.keepers
+}
+
+// meet takes the names of the fronts that can be asked.
+func (sc *scheduler) meet(names []string) {
+	sc.mu.Lock()
+	defer sc.unlock()
+	sc.keepers.Set(names)
+}
+
+func (sc *scheduler) met(front string) {
+	sc.mu.Lock()
+	defer sc.unlock()
+	sc.keepers.Add(front)
+}
+
+func (sc *scheduler) left(front string) {
+	sc.mu.Lock()
+	defer sc.unlock()
+	sc.keepers.Left(front)
+}
+
+// stopKeeping sends the prompts of other fronts to their next keepers.
+func (sc *scheduler) stopKeeping() {
+	sc.mu.Lock()
+	defer sc.unlock()
+	sc.keepers.Leave()
+	for _, g := range sc.services {
+		g.placer.StopKeeping()
+	}
+}
+
+// turn takes a message of another front: to this one as a keeper, or the answer of
+// one that keeps an engine.
+func (sc *scheduler) turn(now kumquatlug.Millis, m kumquatlug.TurnMessage) {
+	sc.mu.Lock()
+	defer sc.unlock()
+	g, known := sc.services[m.Turn.Service]
+	if !known {
+		return
+	}
+	switch m.Turn.Step {
+	case kumquatlug.TurnAsked, kumquatlug.TurnOver:
+		g.placer.Requested(now, m)
+	default:
+		if due, ended := g.placer.Answered(now, m); ended {
+			g.tell(due)
+		}
+	}
+	sc.pump(now, g)
+}
+
+// tell tells a prompt that waits that its turn has come, or that it is given up.
+func (g *group) tell(due placement.Due) {
+	if tell, waits := g.turns[due.Key()]; waits {
+		delete(g.turns, due.Key())
+		tell <- due
+	}
+}
+
+// unlock gives the lock back and sends what was to be said to other fronts. It
+// sends outside of the lock, as each message is a call to the system.
+func (sc *scheduler) unlock() {
+	var out []kumquatlug.TurnMessage
+	for name, g := range sc.services {
+		for _, m := range g.placer.Outbox() {
+			m.Turn.Service = name
+			out = append(out, m)
+		}
+	}
+	var news []keeper.News
+	if sc.keepers != nil {
+		news = sc.keepers.News()
+	}
+	sc.mu.Unlock()
+	for _, m := range out {
+		sc.c.Fronts.Send(m)
+	}
+	for _, n := range news {
+		sc.c.Logger.Info(n.What(), zap.String("front", n.Front()), zap.Int("unanswered", n.Misses()))
+	}
+}
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -180,9 +180,15 @@
 		*into = l.Addr().String()
 		_ = l.Close()
 	}
+	peers, err := freePeersPort()
+	if err != nil {
+		return "", "", "", err
+	}
 	text = fmt.Sprintf(`node_name = %q
 zone = %q
 a_field_of_tomorrow = [1, 2]
+ip = "127.0.0.1"
+internal_port_range = [%d, %d]
 [listen]
 frontend = %q
 ready = %q
@@ -198,10 +204,20 @@
 budget_min_retries = 52
 [platform]
 address = %q
-`, name, Zone, clients, ready, s.address)
+`, name, Zone, peers-1, peers, clients, ready, s.address)
 	return text, clients, ready, nil
 }
 
+// freePeersPort finds a port for datagrams between fronts.
+func freePeersPort() (int, error) {
+	l, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		return 0, errors.Wrap(err, "find a free port")
+	}
+	defer func() { _ = l.Close() }()
+	return l.LocalAddr().(*net.UDPAddr).Port, nil
+}
+
 // Close ends everything.
 func (s *Site) Close() {
 	for _, server := range s.servers {
--- a/pkg/kumquatlug/placement/choose.go
+++ b/pkg/kumquatlug/placement/choose.go
@@ -17,6 +17,9 @@
 	// client gives up; zero for never.
 	Target kumquatlug.Millis
 	Until  kumquatlug.Millis
+	// Worth is what the request is worth beside the mean one of its route; zero
+	// stands for 1.
+	Worth float64
 	// Begun says that the client has a part of the answer: to refuse it now breaks
 	// that answer off, late as the rest may be.
 	Begun bool
@@ -68,7 +71,7 @@
 		if !p.usable(now, w, q, w.member.Role) {
 			continue
 		}
-		ahead := float64(w.runs) + w.othersNow(now)
+		ahead := float64(w.runs) + p.othersNow(now, w)
 		slots := float64(max(w.member.Slots, 1))
 		wait := max(0, ahead+1-slots) / slots * p.meanTime
 		cost := (wait + ahead/slots + p.zonePrice(w)) / p.health.Weight(now, w.member.Worker.ID())
@@ -147,7 +150,7 @@
 		read := tokens / rate
 		wait := w.tokens/rate + read + p.slotWait(now, w, q.Prompt)
 		weight := p.health.Weight(now, w.member.Worker.ID())
-		taken := (float64(w.runs) + w.othersNow(now)) / float64(max(w.member.Slots, 1))
+		taken := (float64(w.runs) + p.othersNow(now, w)) / float64(max(w.member.Slots, 1))
 		disturbed := max(0, fresh-smallRead) / rate
 		cost := (wait+p.batchCost(now, w, q.Prompt))/weight + p.c.MixedPrice*taken*disturbed + p.zonePrice(w)
 		if cost < least {
--- a/pkg/kumquatlug/placement/cost.go
+++ b/pkg/kumquatlug/placement/cost.go
@@ -8,9 +8,16 @@
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
 
-// othersNow is how many requests of other fronts are believed to be in hand.
-func (w *worker) othersNow(now kumquatlug.Millis) float64 {
-	return w.others * math.Exp(-float64(now-w.saidAt)/reportAge)
+// othersNow is how many requests of other fronts are believed to be in hand at w.
+// What it said fades to the mean of all: with thirty fronts each hears of a worker
+// once in some hundred milliseconds, and one that was taken for empty by then would
+// be given prompts to read beside the streams of the others. Reading engines say
+// nothing of their load.
+func (p *Placer) othersNow(now kumquatlug.Millis, w *worker) float64 {
+	if w.member.Role == kumquatlug.RolePrefill {
+		return 0
+	}
+	return p.meanOthers + (w.others-p.meanOthers)*math.Exp(-float64(now-w.saidAt)/reportAge)
 }
 
 // zonePrice is what a worker in another data centre costs, in milliseconds.
@@ -75,13 +82,13 @@
 // slotWait is how long a request waits for its place in the batch at w: beyond
 // the slots, until requests before it have ended.
 func (p *Placer) slotWait(now kumquatlug.Millis, w *worker, prompt kumquatlug.Prompt) float64 {
-	ahead := float64(w.runs) + w.othersNow(now)
+	ahead := float64(w.runs) + p.othersNow(now, w)
 	slots := float64(w.member.Slots)
 	wait := max(0, ahead+1-slots) * p.meanRun / max(slots, 1)
 	if p.memory == 0 || ahead == 0 {
 		return wait
 	}
-	lack := w.room + w.othersNow(now)*p.meanRoom + roomOf(prompt) - memoryPart*p.memory
+	lack := w.room + p.othersNow(now, w)*p.meanRoom + roomOf(prompt) - memoryPart*p.memory
 	return wait + max(0, lack)/p.meanRoom*p.meanRun/ahead
 }
 
@@ -93,7 +100,7 @@
 // batchCost is how much longer a request's output takes at w for those that are
 // there, in milliseconds.
 func (p *Placer) batchCost(now kumquatlug.Millis, w *worker, prompt kumquatlug.Prompt) float64 {
-	return (float64(w.runs) + w.othersNow(now)) * streamCost * outputPart * float64(prompt.Output())
+	return (float64(w.runs) + p.othersNow(now, w)) * streamCost * outputPart * float64(prompt.Output())
 }
 
 // chainKey names the chain of parts that a prompt shares with others.
--- /dev/null
+++ b/pkg/kumquatlug/placement/keep.go
@@ -0,0 +1,170 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+// A keeper has the prompts of other fronts in the queue of each engine that it
+// keeps, beside its own, and gives them turns by the same order. What a front
+// leaves behind when it ends, freezes or is cut off goes by itself: a turn that
+// is never told to be over is forgotten after a few times its reading, and a prompt
+// that is not asked for again leaves the queue.
+
+// Figures of keeping.
+const (
+	// strayAfter is how long a prompt of another front stays in a queue without
+	// being asked for again: its front does so each askRenew.
+	strayAfter = 4 * askRenew
+	// forgetFactor is how many times as long as expected a turn lasts until it is
+	// forgotten.
+	forgetFactor = 4
+	// mostStrangers bounds the prompts of other fronts in the queue of one engine.
+	// At the fastest engines it is a second of reading; beyond it prompts are refused.
+	mostStrangers = 500
+)
+
+// stranger is a prompt of another front, by that front's name and key.
+type stranger struct {
+	front string
+	key   uint64
+}
+
+// turnOf is a turn that another front was given.
+type turnOf struct {
+	stranger
+	tokens float64
+	until  kumquatlug.Millis
+}
+
+// Requested takes what another front says to this one as a keeper; the answers lie in
+// the [Placer.Outbox].
+func (p *Placer) Requested(now kumquatlug.Millis, m kumquatlug.TurnMessage) {
+	s := stranger{front: m.Front, key: m.Turn.Key}
+	w, known := p.workers[m.Turn.Engine]
+	if m.Turn.Step == kumquatlug.TurnOver {
+		if known {
+			w.turnOver(s)
+		}
+		return
+	}
+	if !known || !p.keeps(now, w) || !p.usable(now, w, Query{}, kumquatlug.RolePrefill) {
+		p.answer(s, kumquatlug.TurnUnknown, 0)
+		return
+	}
+	if slices.ContainsFunc(w.turns, func(t turnOf) bool { return t.stranger == s }) {
+		p.answer(s, kumquatlug.TurnGranted, 0)
+		return
+	}
+	if one := w.waitingFor(s); one != nil {
+		one.seenAt = now
+		p.answer(s, kumquatlug.TurnQueued, 0)
+		return
+	}
+	p.enterStranger(now, w, s, m.Turn)
+}
+
+// waitingFor returns the prompt of another front in the queue, nil for none.
+func (w *worker) waitingFor(s stranger) *waiting {
+	for _, one := range w.queue {
+		if one.stranger == s {
+			return one
+		}
+	}
+	return nil
+}
+
+// enterStranger takes a prompt of another front into the queue, or refuses it.
+func (p *Placer) enterStranger(now kumquatlug.Millis, w *worker, s stranger, t kumquatlug.Turn) {
+	q := Query{Worth: t.Worth, Until: now + t.Patience, Begun: t.Begun}
+	if t.Timed {
+		q.Target = now + t.Target
+	}
+	one := &waiting{
+		stranger: s, seenAt: now, query: q, hold: t.Patience,
+		choice: Choice{worker: w.member.Worker, apart: true, tokens: t.Tokens},
+	}
+	full := len(w.queue) >= mostStrangers && !t.Begun
+	if full || !p.mayWait(now, w, one) {
+		p.refuseStranger(now, w, one)
+		return
+	}
+	w.enqueue(one)
+	if !p.room(now, w) {
+		p.answer(s, kumquatlug.TurnQueued, 0)
+	}
+}
+
+// answer tells another front what becomes of its prompt.
+func (p *Placer) answer(s stranger, step kumquatlug.TurnStep, wait kumquatlug.Millis) {
+	p.tell(s.front, kumquatlug.Turn{Step: step, Key: s.key, Wait: wait})
+}
+
+// refuseStranger tells that a prompt can't be read in time.
+func (p *Placer) refuseStranger(now kumquatlug.Millis, w *worker, one *waiting) {
+	wait := (p.inHand(now, w) + w.queuedTokens() + one.choice.tokens) / p.rate() * p.pace
+	p.answer(one.stranger, kumquatlug.TurnRefused, kumquatlug.Millis(wait))
+}
+
+// grant gives a prompt of another front its turn.
+func (p *Placer) grant(now kumquatlug.Millis, w *worker, one *waiting) {
+	tokens := one.choice.tokens
+	read := (p.inHand(now, w) + tokens) / p.rate() * p.pace
+	w.turns = append(w.turns, turnOf{
+		stranger: one.stranger, tokens: tokens, until: now + kumquatlug.Millis(forgetFactor*(read+p.handOver())),
+	})
+	w.tokens += tokens
+	w.reads++
+	p.addLoad(now, w, one)
+	p.answer(one.stranger, kumquatlug.TurnGranted, kumquatlug.Millis(read))
+}
+
+// turnOver ends a turn, or takes a prompt out of the queue.
+func (w *worker) turnOver(s stranger) {
+	w.queue = slices.DeleteFunc(w.queue, func(one *waiting) bool { return one.stranger == s })
+	w.endTurns(func(t turnOf) bool { return t.stranger == s })
+}
+
+// endTurns ends the turns of other fronts that are over.
+func (w *worker) endTurns(over func(turnOf) bool) {
+	w.turns = slices.DeleteFunc(w.turns, func(t turnOf) bool {
+		if !over(t) {
+			return false
+		}
+		w.tokens = max(0, w.tokens-t.tokens)
+		w.reads--
+		return true
+	})
+}
+
+// forgetStrays forgets the turns that were never told to be over and the prompts
+// that nobody asks for any more.
+func (p *Placer) forgetStrays(now kumquatlug.Millis, w *worker) {
+	w.endTurns(func(t turnOf) bool { return now >= t.until })
+	w.queue = slices.DeleteFunc(w.queue, func(one *waiting) bool {
+		return one.stranger.front != "" && now-one.seenAt > strayAfter
+	})
+}
+
+// StopKeeping sends the prompts of other fronts to those that keep the engines now.
+func (p *Placer) StopKeeping() {
+	for _, w := range p.list {
+		w.queue = p.sendStrangersAway(w.queue)
+	}
+}
+
+// sendStrangersAway answers the prompts of other fronts in the queue of a worker
+// that reads no more, and returns the others.
+func (p *Placer) sendStrangersAway(queue []*waiting) []*waiting {
+	return slices.DeleteFunc(queue, func(one *waiting) bool {
+		if one.stranger.front == "" {
+			return false
+		}
+		p.answer(one.stranger, kumquatlug.TurnUnknown, 0)
+		return true
+	})
+}
+
+func compareKeys(a, b uint64) int { return cmp.Compare(a, b) }
--- a/pkg/kumquatlug/placement/placement.go
+++ b/pkg/kumquatlug/placement/placement.go
@@ -60,6 +60,9 @@
 	// TransferCost is what handing a KV cache over costs in milliseconds: two
 	// round trips and the copy. Default 4.
 	TransferCost float64
+	// Keepers tells which front orders the prompts at an engine; nil where each
+	// front goes by itself.
+	Keepers kumquatlug.Keepers
 	// Health tunes the judgement of workers.
 	Health health.Config
 }
@@ -104,8 +107,8 @@
 	// smallRead is up to how many tokens a prompt is read beside streams without
 	// being noticed there: one piece between two tokens, 4 ms.
 	smallRead = 512
-	// reportAge is how long what a worker said of its load is believed; answers
-	// come each 100 ms at the usual load.
+	// reportAge is how long what a worker said of its load is believed; then what all
+	// of them say is.
 	reportAge = 500.0
 	// keptFor is how long parts are believed to be held where this front sent
 	// them: at the usual load an engine's memory turns over in some seconds.
@@ -155,8 +158,12 @@
 	silent  bool
 	// askedAt is when the worker was last asked whether it is there.
 	askedAt kumquatlug.Millis
-	// queue are the prompts of this front that wait for the engine.
+	// queue are the prompts that wait for the engine, those of other fronts among
+	// them where this one keeps it; turns are those that other fronts were given.
 	queue []*waiting
+	turns []turnOf
+	// askedTokens are to be read of the prompts that wait at its keeper.
+	askedTokens float64
 	// load is what this front gave it to read until loadAt, see [Placer.loadNow].
 	load   float64
 	loadAt kumquatlug.Millis
@@ -180,7 +187,9 @@
 	// tokens, and memory what an engine has; zero when it is not known.
 	meanRoom float64
 	memory   float64
-	meanRun  float64
+	// meanOthers is how many requests of other fronts workers said to have.
+	meanOthers float64
+	meanRun    float64
 	// pauses are those between two events of a stream at any engine.
 	pauses learn.Pause
 	// overrun is how much later than expected the first output of an engine comes,
@@ -196,9 +205,12 @@
 	// to readers, in ms; the last one was at readAt.
 	readEvery float64
 	readAt    kumquatlug.Millis
-	// orphans waited for workers that are gone.
+	// orphans waited for workers that are gone, asked wait at other fronts.
 	orphans []*waiting
-	gauge   gauge
+	asked   map[uint64]*asked
+	// outbox are messages to other fronts.
+	outbox []kumquatlug.TurnMessage
+	gauge  gauge
 	// lookedAt is when silent workers were last looked for.
 	lookedAt kumquatlug.Millis
 }
@@ -207,7 +219,7 @@
 func New(c Config) *Placer {
 	c = c.withDefaults()
 	return &Placer{
-		c: c, workers: map[string]*worker{}, health: health.New(c.Health), meanRead: 3000, meanTime: plainCost,
+		c: c, workers: map[string]*worker{}, asked: map[uint64]*asked{}, health: health.New(c.Health), meanRead: 3000, meanTime: plainCost,
 		meanRun: firstRun, meanRoom: firstRoom, pace: 1, reading: learn.NewReading(c.Reading),
 		tokenTime: learn.NewPerUnit(firstTokenTime, firstOutput),
 		overrun:   learn.NewOverrun(firstOverrun), plainOverrun: learn.NewOverrun(firstPlainOverrun),
@@ -267,8 +279,9 @@
 
 // orphan takes over the queue of a worker that reads no more.
 func (p *Placer) orphan(w *worker) {
-	p.orphans = append(p.orphans, w.queue...)
+	p.orphans = append(p.orphans, p.sendStrangersAway(w.queue)...)
 	w.queue = nil
+	p.withdraw(w)
 }
 
 // Report takes what a worker said of its load in an answer.
@@ -279,6 +292,7 @@
 	}
 	w.others = max(0, float64(load.Running()+load.Waiting()-w.reads-w.runs))
 	w.saidAt = now
+	p.meanOthers += meanStep * (w.others - p.meanOthers)
 }
 
 // SetMemory tells how many tokens an engine keeps in memory.
--- a/pkg/kumquatlug/placement/pressure.go
+++ b/pkg/kumquatlug/placement/pressure.go
@@ -72,9 +72,9 @@
 		switch w.member.Role {
 		case kumquatlug.RolePrefill:
 			readers++
-			busy += min(1, float64(w.reads)+w.othersNow(now))
+			busy += min(1, float64(w.reads)+p.othersNow(now, w))
 		case kumquatlug.RoleDecode:
-			taken += (float64(w.runs) + w.othersNow(now)) / float64(max(w.member.Slots, 1))
+			taken += (float64(w.runs) + p.othersNow(now, w)) / float64(max(w.member.Slots, 1))
 		}
 	}
 	p.gauge.reading = kept*p.gauge.reading + (1-kept)*busy/float64(max(readers, 1))
--- a/pkg/kumquatlug/placement/queue.go
+++ b/pkg/kumquatlug/placement/queue.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -19,6 +20,9 @@
 
 // Figures of the queues.
 const (
+	// mostReads is how many prompts an engine may have in hand for all fronts: it reads
+	// a piece of several at a time, and a short one is not held up by a long one.
+	mostReads = 3
 	// aheadSpan is how much reading an engine may have left when it is given the
 	// next prompt, in milliseconds: the way there takes one or two. Each prompt
 	// that is there early takes memory from the shared parts.
@@ -27,10 +31,8 @@
 	// first output reaches the client, in milliseconds: the hand-over, a place in
 	// the batch and the way.
 	afterRead = 25.0
-	// baseWorth is the size that is worth as much as a request's mere existence,
-	// in tokens, and baseRead what one costs beside its reading.
-	baseWorth = 4000.0
-	baseRead  = 500.0
+	// baseRead is what a prompt costs beside its reading, in tokens.
+	baseRead = 500.0
 	// loadPrompts is how many prompts of this front an engine's load is averaged
 	// over, leastLoadSpan and mostLoadSpan bound the span that they take, in
 	// milliseconds. Over fewer a single prompt looks like a full engine.
@@ -50,11 +52,18 @@
 	key    uint64
 	query  Query
 	choice Choice
+	// density is its worth for each token that has to be read; see [densityOf].
+	density float64
 	// late says that it can't be in time any more, lateAt since when.
 	late   bool
 	lateAt kumquatlug.Millis
 	// hold is how long it waits at most from then on.
 	hold kumquatlug.Millis
+	// alone says that no keeper is to be asked.
+	alone bool
+	// stranger names a prompt of another front, which asked for it last at seenAt.
+	stranger stranger
+	seenAt   kumquatlug.Millis
 }
 
 // Entry is what became of a prompt that came to the engines.
@@ -76,6 +85,13 @@
 // EntrySent the ticket is begun; with EntryRefused the choice tells the wait that
 // was expected.
 func (p *Placer) Enter(now kumquatlug.Millis, key uint64, q Query) (Entry, Choice, *Ticket) {
+	return p.enter(now, &waiting{key: key, query: q, hold: q.until(now) / holdPart})
+}
+
+// enter brings a prompt to its engine, the engine's queue, or the front that keeps
+// the engine.
+func (p *Placer) enter(now kumquatlug.Millis, one *waiting) (Entry, Choice, *Ticket) {
+	q := one.query
 	c, found := p.Prompt(now, q)
 	if !found {
 		return EntryNobody, c, nil
@@ -84,6 +100,15 @@
 	if c.apart {
 		p.gauge.entered++
 	}
+	one.choice = c
+	if p.keeps(now, w) {
+		// Its wait is known, with the prompts of all fronts in it.
+		one.hold = q.until(now)
+	}
+	if keeper := p.keeper(now, w); c.apart && keeper != "" && !one.alone {
+		p.askFor(now, keeper, w, one)
+		return EntryWaits, c, nil
+	}
 	if !c.apart || len(w.queue) == 0 && p.room(now, w) {
 		if c.Wait() >= q.until(now) && !q.Begun {
 			if c.apart {
@@ -91,16 +116,33 @@
 			}
 			return EntryRefused, c, nil
 		}
+		if c.apart {
+			p.addLoad(now, w, one)
+		}
 		return EntrySent, c, p.Begin(now, c, q.Prompt)
 	}
-	one := &waiting{key: key, query: q, choice: c, hold: q.until(now) / holdPart}
-	if p.turnsLate(now, w, one) && !p.keepLate(now, w, one) {
+	if !p.mayWait(now, w, one) {
 		return EntryRefused, c, nil
 	}
-	w.queue = append(w.queue, one)
+	w.enqueue(one)
 	return EntryWaits, c, nil
 }
 
+// enqueue puts a prompt into its place in a queue: those that can be in time by
+// their density, then the late ones by age. The engine has less time than they need
+// together, and by age a prompt of 30,000 tokens would make ten others late.
+func (w *worker) enqueue(one *waiting) {
+	one.density = densityOf(one.query, one.choice.tokens)
+	at := len(w.queue)
+	if !one.late {
+		at = slices.IndexFunc(w.queue, func(other *waiting) bool { return other.late || other.density < one.density })
+	}
+	if at < 0 {
+		at = len(w.queue)
+	}
+	w.queue = slices.Insert(w.queue, at, one)
+}
+
 // until returns how long a client still waits.
 func (q Query) until(now kumquatlug.Millis) kumquatlug.Millis {
 	if q.Until == 0 {
@@ -109,59 +151,79 @@
 	return q.Until - now
 }
 
-// room reports that an engine may be given one more prompt.
+// room reports that an engine may be given one more prompt. Where this front does
+// not keep it, each other front has some there, too.
 func (p *Placer) room(now kumquatlug.Millis, w *worker) bool {
+	if p.keeps(now, w) && w.reads < mostReads {
+		return true
+	}
 	return w.reads == 0 || p.inHand(now, w)/p.rate()*p.pace < aheadSpan
 }
 
 // inHand is how many tokens are to be read of what the engine has already.
 func (p *Placer) inHand(now kumquatlug.Millis, w *worker) float64 {
-	return w.tokens + w.othersNow(now)*p.meanRead
+	return w.tokens + p.othersNow(now, w)*p.meanRead
 }
 
 // queuedTokens is how many tokens wait for w.
 func (w *worker) queuedTokens() float64 {
-	sum := 0.0
+	sum := w.askedTokens
 	for _, one := range w.queue {
 		sum += one.choice.tokens
 	}
 	return sum
 }
 
-// turnsLate reports that a prompt can no longer be in time when it is sent next.
-// For one whose answer has begun that is past, and it has its turn first.
-func (p *Placer) turnsLate(now kumquatlug.Millis, w *worker, one *waiting) bool {
+// ahead is how many tokens are to be read before a prompt that joins the queue of w:
+// those of the prompts in time that go before it, or of the late ones.
+func (w *worker) ahead(one *waiting) float64 {
+	density := densityOf(one.query, one.choice.tokens)
+	sum := 0.0
+	for _, other := range w.queue {
+		if other.late == one.late && (one.late || other.density >= density) {
+			sum += other.choice.tokens
+		}
+	}
+	return sum
+}
+
+// turnsLate reports that a prompt can no longer be in time behind so many tokens
+// ahead of it. For one whose answer has begun that is past, and it has its turn
+// first.
+func (p *Placer) turnsLate(now kumquatlug.Millis, w *worker, one *waiting, ahead float64) bool {
 	if one.query.Target == 0 || one.query.Begun {
 		return false
 	}
-	read := (p.inHand(now, w) + one.choice.tokens) / p.rate() * p.pace
+	read := (p.inHand(now, w) + ahead + one.choice.tokens) / p.rate() * p.pace
 	return float64(one.query.Target-now) < read+afterRead
 }
 
+// turnLate marks a prompt as late.
+func (p *Placer) turnLate(now kumquatlug.Millis, one *waiting) {
+	one.late, one.lateAt = true, now
+	p.gauge.late++
+}
+
 // keepLate reports that a late prompt will have its turn before its client gives
-// up: by the late ones before it, and the part of the engine that those in time
+// up: by the late ones ahead of it, and the part of the engine that those in time
 // leave to them.
-func (p *Placer) keepLate(now kumquatlug.Millis, w *worker, one *waiting) bool {
-	if !one.late {
-		one.late, one.lateAt = true, now
-		p.gauge.late++
-	}
+func (p *Placer) keepLate(now kumquatlug.Millis, w *worker, one *waiting, ahead float64) bool {
 	if now-one.lateAt > one.hold {
 		return false
 	}
-	before := 0.0
-	for _, other := range w.queue {
-		if other == one {
-			break
-		}
-		if other.late {
-			before += other.choice.tokens
-		}
-	}
-	wait := (before + one.choice.tokens) / (p.rate() * p.spare(now, w)) * p.pace
+	wait := (ahead + one.choice.tokens) / (p.rate() * p.spare(now, w)) * p.pace
 	return kumquatlug.Millis(wait+afterRead) < one.query.until(now)
 }
 
+// mayWait reports that a new prompt is worth a place in the queue of w.
+func (p *Placer) mayWait(now kumquatlug.Millis, w *worker, one *waiting) bool {
+	if !p.turnsLate(now, w, one, w.ahead(one)) {
+		return true
+	}
+	p.turnLate(now, one)
+	return p.keepLate(now, w, one, w.ahead(one))
+}
+
 // spare is the part of an engine that this front's load leaves.
 func (p *Placer) spare(now kumquatlug.Millis, w *worker) float64 {
 	return max(leastSpare, 1-p.loadNow(now, w)*p.pace/(p.rate()*p.loadSpan()))
@@ -172,8 +234,13 @@
 	return w.load * math.Exp(-float64(now-w.loadAt)/p.loadSpan())
 }
 
-func (p *Placer) addLoad(now kumquatlug.Millis, w *worker, tokens float64) {
-	w.load = p.loadNow(now, w) + tokens
+// addLoad counts a prompt that the engine was given. Late ones at an engine that is
+// kept take what the others leave, and don't count in that.
+func (p *Placer) addLoad(now kumquatlug.Millis, w *worker, one *waiting) {
+	if one.late && p.keeps(now, w) {
+		return
+	}
+	w.load = p.loadNow(now, w) + one.choice.tokens
 	w.loadAt = now
 	p.readEvery += meanStep * (min(float64(now-p.readAt), mostLoadSpan) - p.readEvery)
 	p.readAt = now
@@ -206,11 +273,17 @@
 func (p *Placer) Due(now kumquatlug.Millis) []Due {
 	due := p.placeOrphans(now)
 	for _, w := range p.list {
+		p.forgetStrays(now, w)
 		due = p.dropLate(now, w, due)
 		for len(w.queue) > 0 && p.room(now, w) && p.usable(now, w, Query{}, kumquatlug.RolePrefill) {
 			one := p.next(w)
+			if one.stranger.front != "" {
+				p.grant(now, w, one)
+				continue
+			}
 			// What it waited in the queue is no part of what the engine takes.
 			one.choice.wait = (p.inHand(now, w)+one.choice.tokens)/p.rate()*p.pace + p.handOver()
+			p.addLoad(now, w, one)
 			due = append(due, Due{key: one.key, choice: one.choice, ticket: p.Begin(now, one.choice, one.query.Prompt)})
 		}
 	}
@@ -224,7 +297,8 @@
 	orphans := p.orphans
 	p.orphans = nil
 	for _, one := range orphans {
-		entry, c, ticket := p.Enter(now, one.key, one.query)
+		one.late = false
+		entry, c, ticket := p.enter(now, one)
 		if entry != EntryWaits {
 			due = append(due, Due{key: one.key, choice: c, ticket: ticket})
 		}
@@ -235,57 +309,73 @@
 // dropLate marks the prompts of a queue that turn late and gives up those that
 // won't have their turn.
 func (p *Placer) dropLate(now kumquatlug.Millis, w *worker, due []Due) []Due {
-	w.queue = slices.DeleteFunc(w.queue, func(one *waiting) bool {
-		keep := true
-		if one.late || p.turnsLate(now, w, one) {
-			keep = p.keepLate(now, w, one)
-		}
-		if !keep {
-			due = append(due, Due{key: one.key, choice: one.choice})
+	queue := w.queue
+	w.queue = make([]*waiting, 0, len(queue))
+	inTime, late := 0.0, 0.0
+	var turned []*waiting
+	for _, one := range queue {
+		switch {
+		case !one.late && !p.turnsLate(now, w, one, inTime):
+			inTime += one.choice.tokens
+			w.queue = append(w.queue, one)
+			continue
+		case !one.late:
+			p.turnLate(now, one)
+			turned = append(turned, one)
+			continue
 		}
-		return !keep
-	})
+		due = p.judgeLate(now, w, one, &late, due)
+	}
+	for _, one := range turned {
+		due = p.judgeLate(now, w, one, &late, due)
+	}
 	return due
 }
 
-// next takes the prompt to be read next out of a queue: one whose answer has
-// begun, as its client sees it stand still; then of those that can be in time the
-// one with the most worth for its reading, else the oldest late one.
-// The engine has less time than they need together, and by age a prompt of
-// 30,000 tokens would make ten others late.
-func (p *Placer) next(w *worker) *waiting {
-	best, at := -1.0, 0
-	for i, one := range w.queue {
-		if d := one.density(); !one.late && d > best {
-			best, at = d, i
-		}
+// judgeLate keeps a late prompt at the end of the queue or gives it up; ahead are
+// the tokens of those before it.
+func (p *Placer) judgeLate(now kumquatlug.Millis, w *worker, one *waiting, ahead *float64, due []Due) []Due {
+	switch {
+	case p.keepLate(now, w, one, *ahead):
+		*ahead += one.choice.tokens
+		w.queue = append(w.queue, one)
+	case one.stranger.front != "":
+		p.refuseStranger(now, w, one)
+	default:
+		due = append(due, Due{key: one.key, choice: one.choice})
 	}
-	one := w.queue[at]
-	w.queue = slices.Delete(w.queue, at, at+1)
+	return due
+}
+
+// next takes the prompt to be read next out of a queue.
+func (p *Placer) next(w *worker) *waiting {
+	one := w.queue[0]
+	w.queue = slices.Delete(w.queue, 0, 1)
 	return one
 }
 
-// density is a prompt's worth for each token that has to be read. Worth grows
-// with a request's size, shared parts counted, but not from nothing.
-func (w *waiting) density() float64 {
-	if w.query.Begun {
+// densityOf is a prompt's worth for each token that has to be read. One whose answer
+// has begun goes first, as its client sees it stand still.
+func densityOf(q Query, tokens float64) float64 {
+	if q.Begun {
 		return math.Inf(1)
 	}
-	size := float64(w.query.Prompt.Input())
-	return (baseWorth + size) / (w.choice.tokens + baseRead)
+	return cmp.Or(q.Worth, 1) / (tokens + baseRead)
 }
 
 // Leave takes a prompt out of the queues; its client left.
 func (p *Placer) Leave(key uint64) {
-	p.orphans = slices.DeleteFunc(p.orphans, func(one *waiting) bool { return one.key == key })
+	ours := func(one *waiting) bool { return one.key == key && one.stranger.front == "" }
+	p.orphans = slices.DeleteFunc(p.orphans, ours)
+	p.leaveAsked(key)
 	for _, w := range p.list {
-		w.queue = slices.DeleteFunc(w.queue, func(one *waiting) bool { return one.key == key })
+		w.queue = slices.DeleteFunc(w.queue, ours)
 	}
 }
 
-// Waiting returns how many prompts wait.
+// Waiting returns how many prompts wait, those of other fronts counted.
 func (p *Placer) Waiting() int {
-	n := len(p.orphans)
+	n := len(p.orphans) + len(p.asked)
 	for _, w := range p.list {
 		n += len(w.queue)
 	}
--- a/pkg/kumquatlug/placement/silence.go
+++ b/pkg/kumquatlug/placement/silence.go
@@ -152,7 +152,7 @@
 		switch {
 		case w.silent:
 			all[id] = UseSilent
-		case len(w.tickets) == 0 && w.othersNow(now) < 1:
+		case len(w.tickets) == 0 && len(w.turns) == 0 && p.othersNow(now, w) < 1:
 			all[id] = UseIdle
 		default:
 			all[id] = UseBusy
