Let keepers count what their engines have read, and tell who is alone

A chain's owner was taken to hold its shared parts: at a start it reads five times as much, so that three prompts stood there for over a second and were given up as lost. And a prompt that had its turn behind another front's was taken for alone, which made its engine look slow. A keeper sees the prompts of all fronts: it now counts which parts were read at its engine, and by the tokens read since which were driven out of its memory. A grant says how long reading takes, how many tokens are read anew and whether the engine has anything else in hand.

--- a/pkg/kumquatlug/placement/cost.go
+++ b/pkg/kumquatlug/placement/cost.go
@@ -70,8 +70,8 @@
 	}
 	left := prompt.Input()
 	for _, part := range prompt.Shared() {
-		at, held := w.held[part.ID()]
-		if !held || now-at > keptFor {
+		last, held := w.held[part.ID()]
+		if !held || now-last.at > keptFor {
 			break
 		}
 		left -= part.Tokens()
--- a/pkg/kumquatlug/placement/keep.go
+++ b/pkg/kumquatlug/placement/keep.go
@@ -21,6 +21,9 @@
 	// forgetFactor is how many times as long as expected a turn lasts until it is
 	// forgotten.
 	forgetFactor = 4
+	// keptMemory is the part of an engine's memory that is read until a part that
+	// nobody used meanwhile is gone; outputs and copies take the rest.
+	keptMemory = 0.9
 	// mostStrangers bounds the prompts of other fronts in the queue of one engine.
 	// At the fastest engines it is a second of reading; beyond it prompts are refused.
 	mostStrangers = 500
@@ -37,6 +40,33 @@
 	stranger
 	tokens float64
 	until  kumquatlug.Millis
+	// alone says that nothing else was in hand at the engine, wait is how long reading
+	// was expected to take.
+	alone bool
+	wait  kumquatlug.Millis
+	fresh int
+}
+
+// count sets what is to be read of a prompt at an engine that this front keeps: by
+// what all fronts had read there, and what has been driven out of its memory since.
+// An engine that is believed to hold what it does not, as all are at a start, is
+// given several times what it can read in time.
+func (p *Placer) count(w *worker, one *waiting) {
+	one.choice.fresh = p.fresh(w, one.query.Prompt)
+	one.choice.tokens = p.priced(one.choice.fresh, one.query.Prompt)
+}
+
+// fresh is how many tokens of a prompt an engine has to read that this front keeps.
+func (p *Placer) fresh(w *worker, prompt kumquatlug.Prompt) float64 {
+	left := prompt.Input()
+	for _, part := range prompt.Shared() {
+		last, read := w.held[part.ID()]
+		if !read || p.memory > 0 && w.read-last.read > keptMemory*p.memory {
+			break
+		}
+		left -= part.Tokens()
+	}
+	return float64(max(left, 0))
 }
 
 // Requested takes what another front says to this one as a keeper; the answers lie in
@@ -54,8 +84,8 @@
 		p.answer(s, kumquatlug.TurnUnknown, 0)
 		return
 	}
-	if slices.ContainsFunc(w.turns, func(t turnOf) bool { return t.stranger == s }) {
-		p.answer(s, kumquatlug.TurnGranted, 0)
+	if at := slices.IndexFunc(w.turns, func(t turnOf) bool { return t.stranger == s }); at >= 0 {
+		p.tellTurn(w.turns[at])
 		return
 	}
 	if one := w.waitingFor(s); one != nil {
@@ -78,14 +108,15 @@
 
 // enterStranger takes a prompt of another front into the queue, or refuses it.
 func (p *Placer) enterStranger(now kumquatlug.Millis, w *worker, s stranger, t kumquatlug.Turn) {
-	q := Query{Worth: t.Worth, Until: now + t.Patience, Begun: t.Begun}
+	q := Query{Prompt: t.Prompt, Worth: t.Worth, Until: now + t.Patience, Begun: t.Begun}
 	if t.Timed {
 		q.Target = now + t.Target
 	}
 	one := &waiting{
 		stranger: s, seenAt: now, query: q, hold: t.Patience,
-		choice: Choice{worker: w.member.Worker, apart: true, tokens: t.Tokens},
+		choice: Choice{worker: w.member.Worker, apart: true},
 	}
+	p.count(w, one)
 	full := len(w.queue) >= mostStrangers && !t.Begun
 	if full || !p.mayWait(now, w, one) {
 		p.refuseStranger(now, w, one)
@@ -114,11 +145,19 @@
 	read := (p.inHand(now, w) + tokens) / p.rate() * p.pace
 	w.turns = append(w.turns, turnOf{
 		stranger: one.stranger, tokens: tokens, until: now + kumquatlug.Millis(forgetFactor*(read+p.handOver())),
+		alone: w.reads == 0, wait: kumquatlug.Millis(read), fresh: int(one.choice.fresh),
 	})
+	p.hold(now, w, one.query.Prompt)
+	w.read += one.choice.fresh
 	w.tokens += tokens
 	w.reads++
 	p.addLoad(now, w, one)
-	p.answer(one.stranger, kumquatlug.TurnGranted, kumquatlug.Millis(read))
+	p.tellTurn(w.turns[len(w.turns)-1])
+}
+
+// tellTurn tells another front that a prompt has its turn.
+func (p *Placer) tellTurn(t turnOf) {
+	p.tell(t.front, kumquatlug.Turn{Step: kumquatlug.TurnGranted, Key: t.key, Wait: t.wait, Alone: t.alone, Fresh: t.fresh})
 }
 
 // turnOver ends a turn, or takes a prompt out of the queue.
--- a/pkg/kumquatlug/placement/placement.go
+++ b/pkg/kumquatlug/placement/placement.go
@@ -112,7 +112,9 @@
 	reportAge = 500.0
 	// keptFor is how long parts are believed to be held where this front sent
 	// them: at the usual load an engine's memory turns over in some seconds.
-	keptFor = 6 * kumquatlug.Second
+	// forgetParts is how long they are remembered at all.
+	keptFor     = 6 * kumquatlug.Second
+	forgetParts = 30 * kumquatlug.Second
 	// refusalPause is how long a worker that refused is left alone; it doubles
 	// with each refusal in a row up to refusalLimit. A full worker has room again
 	// within tenths of a second; one that changes its role looks idle for
@@ -141,8 +143,10 @@
 	// last spoke, at saidAt.
 	others float64
 	saidAt kumquatlug.Millis
-	// held are the parts that this front sent there, with the time.
-	held map[string]kumquatlug.Millis
+	// held are the parts that were sent there, by this front or, where it keeps the
+	// engine, by any, with their last use; read is how many tokens were read in all.
+	held map[string]use
+	read float64
 	// leaving is the role that the worker is about to take until leavingUntil.
 	leaving      kumquatlug.Role
 	leavingUntil kumquatlug.Millis
@@ -169,6 +173,12 @@
 	loadAt kumquatlug.Millis
 }
 
+// use is when a part was used last, and how many tokens its engine had read by then.
+type use struct {
+	at   kumquatlug.Millis
+	read float64
+}
+
 // Placer chooses workers of one service.
 type Placer struct {
 	c       Config
@@ -244,7 +254,7 @@
 			streams = append(streams, w.begun()...)
 		}
 		if !known || w.member.Born != m.Born || w.member.Worker != m.Worker {
-			w = &worker{hash: xxhash.Sum64String(id), held: map[string]kumquatlug.Millis{}}
+			w = &worker{hash: xxhash.Sum64String(id), held: map[string]use{}}
 			p.workers[id] = w
 			p.health.Remove(id)
 			p.health.Add(id)
--- a/pkg/kumquatlug/placement/queue.go
+++ b/pkg/kumquatlug/placement/queue.go
@@ -104,6 +104,10 @@
 	if p.keeps(now, w) {
 		// Its wait is known, with the prompts of all fronts in it.
 		one.hold = q.until(now)
+		if c.apart {
+			p.count(w, one)
+			c.fresh, c.tokens = one.choice.fresh, one.choice.tokens
+		}
 	}
 	if keeper := p.keeper(now, w); c.apart && keeper != "" && !one.alone {
 		p.askFor(now, keeper, w, one)
@@ -277,6 +281,10 @@
 		due = p.dropLate(now, w, due)
 		for len(w.queue) > 0 && p.room(now, w) && p.usable(now, w, Query{}, kumquatlug.RolePrefill) {
 			one := p.next(w)
+			if p.keeps(now, w) {
+				// What was read since it came spares it that.
+				p.count(w, one)
+			}
 			if one.stranger.front != "" {
 				p.grant(now, w, one)
 				continue
--- a/pkg/kumquatlug/placement/ticket.go
+++ b/pkg/kumquatlug/placement/ticket.go
@@ -78,6 +78,7 @@
 	if c.tokens > 0 {
 		p.meanRead += meanStep * (c.tokens - p.meanRead)
 		p.hold(now, w, prompt)
+		w.read += c.fresh
 	}
 	return t
 }
@@ -85,15 +86,15 @@
 // hold notes that w will keep the shared parts of a prompt.
 func (p *Placer) hold(now kumquatlug.Millis, w *worker, prompt kumquatlug.Prompt) {
 	for _, part := range prompt.Shared() {
-		w.held[part.ID()] = now
+		w.held[part.ID()] = use{at: now, read: w.read}
 	}
 	if now-p.cleanAt < keptFor {
 		return
 	}
 	p.cleanAt = now
 	for _, other := range p.list {
-		for id, at := range other.held {
-			if now-at > keptFor {
+		for id, last := range other.held {
+			if now-last.at > forgetParts {
 				delete(other.held, id)
 			}
 		}
--- a/pkg/kumquatlug/placement/turns.go
+++ b/pkg/kumquatlug/placement/turns.go
@@ -84,7 +84,7 @@
 	q := a.one.query
 	p.tell(a.keeper, kumquatlug.Turn{
 		Step: kumquatlug.TurnAsked, Engine: a.worker.member.Worker.ID(), Key: a.one.key,
-		Tokens: a.one.choice.tokens, Worth: q.Worth,
+		Prompt: q.Prompt, Worth: q.Worth,
 		Target: q.Target - now, Timed: q.Target != 0, Patience: q.until(now), Begun: q.Begun,
 	})
 }
@@ -113,7 +113,7 @@
 		return Due{}, false
 	case kumquatlug.TurnGranted:
 		p.forget(a)
-		return p.granted(now, a), true
+		return p.granted(now, a, m.Turn), true
 	case kumquatlug.TurnRefused:
 		p.forget(a)
 		a.one.choice.wait = float64(m.Turn.Wait)
@@ -127,11 +127,16 @@
 }
 
 // granted begins the attempt whose turn has come.
-func (p *Placer) granted(now kumquatlug.Millis, a *asked) Due {
+func (p *Placer) granted(now kumquatlug.Millis, a *asked, turn kumquatlug.Turn) Due {
 	one := a.one
-	one.choice.wait = one.choice.tokens/p.rate()*p.pace + p.handOver()
+	one.choice.wait = float64(turn.Wait) + p.handOver()
+	one.choice.fresh = float64(turn.Fresh)
+	one.choice.tokens = p.priced(one.choice.fresh, one.query.Prompt)
 	p.addLoad(now, a.worker, one)
 	t := p.begin(now, one.choice, one.query.Prompt, a.keeper, one.key)
+	// Only the keeper knows whether others are read before it; taken for alone, such a
+	// prompt would make its engine look slow.
+	t.alone = turn.Alone
 	return Due{key: one.key, choice: one.choice, ticket: t}
 }
 
--- a/pkg/kumquatlug/turn.go
+++ b/pkg/kumquatlug/turn.go
@@ -33,9 +33,10 @@
 	Service, Engine string
 	// Key tells the asking front's prompts apart.
 	Key uint64
-	// Tokens is how many are to be read, context counted in, Worth what the request
-	// is worth beside the mean one of its route.
-	Tokens, Worth float64
+	// Prompt is what is to be read, Worth what the request is worth beside the mean
+	// one of its route.
+	Prompt Prompt
+	Worth  float64
 	// Target is how long until the first output is due for its full worth, Patience
 	// how long until its client gives up. Both are spans, as clocks differ; Timed
 	// says that there is a Target.
@@ -43,8 +44,12 @@
 	Timed            bool
 	// Begun says that the client has a part of the answer.
 	Begun bool
-	// Wait is how long the keeper expects reading to take from now.
-	Wait Millis
+	// Wait is how long the keeper expects reading to take from now, Alone says that
+	// the engine has no other prompt in hand, Fresh how many tokens of the prompt it
+	// is believed to read anew.
+	Wait  Millis
+	Alone bool
+	Fresh int
 }
 
 // TurnMessage is a [Turn] with the front that it goes to or comes from.
