Count streams that stood still among the losses, with what their worker did besides

Cause: a stream whose pause is longer than its route allows is late for its user; the command counted it as in time. It now says 'late: paused', at which worker, and how many requests and tokens to be read that had (means).

--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
 )
 
 // inflight is one request of a client on its way.
@@ -59,6 +60,10 @@
 	entered, read, first kumquatlug.Millis
 	// passed is when the last events went on, gap the longest pause before any.
 	passed, gap kumquatlug.Millis
+	// pausedAt is the worker at which that pause was longer than the route allows, and
+	// beside what it had in hand besides.
+	pausedAt string
+	beside   placement.Beside
 	// events counts those that went on.
 	events int
 	// expected is how long reading was expected to take.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -243,13 +243,26 @@
 		f.last = id
 	}
 	if f.times.passed != 0 {
-		f.times.gap = max(f.times.gap, now-f.times.passed)
+		f.sawPause(a, now-f.times.passed)
 	}
 	f.times.passed = now
 	f.times.events += bytes.Count(events, []byte("\n\n"))
 	return nil
 }
 
+// sawPause keeps the longest pause between events. Where it is longer than the route
+// allows, what else the worker had to do is kept for the log.
+func (f *inflight) sawPause(a *attempt, pause kumquatlug.Millis) {
+	if pause <= f.times.gap {
+		return
+	}
+	f.times.gap = pause
+	if allowed := f.route.Gap(); allowed > 0 && pause > allowed {
+		f.times.pausedAt = a.worker()
+		f.times.beside = f.g.scheduler.beside(f.g.c.Clock.Now(), f.service.Name(), a.worker())
+	}
+}
+
 // answered tells that the client has a worker's answer.
 func (f *inflight) answered(c placement.Choice, status int) {
 	f.g.metrics.answers.WithLabelValues("answered").Inc()
@@ -286,6 +299,12 @@
 		if f.times.passed != 0 {
 			e.AddInt64("longest_pause", int64(f.times.gap))
 			e.AddInt64("events", int64(f.times.events))
+			e.AddInt64("pause_allowed", int64(f.route.Gap()))
+		}
+		if f.times.pausedAt != "" {
+			e.AddString("paused_at", f.times.pausedAt)
+			e.AddInt("beside_tokens", f.times.beside.Tokens())
+			e.AddInt("beside_requests", f.times.beside.Requests())
 		}
 		if f.times.read != 0 {
 			e.AddInt64("read_expected", int64(f.times.expected))
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -276,6 +276,13 @@
 	sc.at(service).placer.Report(now, worker, load)
 }
 
+// beside tells what a worker has in hand.
+func (sc *scheduler) beside(now kumquatlug.Millis, service, worker string) placement.Beside {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	return sc.at(service).placer.Beside(now, worker)
+}
+
 // patience tells how long the first output of an attempt may take.
 func (sc *scheduler) patience(service string, t *placement.Ticket) kumquatlug.Millis {
 	sc.mu.Lock()
--- a/internal/logs/losses.go
+++ b/internal/logs/losses.go
@@ -24,6 +24,7 @@
 	CauseOutput Cause = "late: first output"
 	CauseTried  Cause = "late: tried again"
 	CauseAnswer Cause = "late: worker's answer"
+	CausePause  Cause = "late: paused"
 )
 
 // What the other causes begin with.
@@ -38,6 +39,8 @@
 	failedStatus = 500
 	// examplesEach is how many ids are kept of each loss.
 	examplesEach = 3
+	// pausesTold is how many workers are told at which streams stood still.
+	pausesTold = 10
 	// barWidth is the width of the longest bar, in characters.
 	barWidth = 40
 )
@@ -75,9 +78,20 @@
 	byKey  map[lossKey]*Loss
 	bySec  map[int64]*secondCount
 	inTime map[string]int
+	// pauses are the streams that stood still, by worker.
+	pauses map[string]*pauses
 	unread int
 }
 
+// pauses are the streams that stood still too long at one worker; tokens and requests
+// are sums of what it had in hand then.
+type pauses struct {
+	worker           string
+	count            int
+	tokens, requests float64
+	longest          float64
+}
+
 type lossKey struct {
 	route string
 	cause Cause
@@ -85,7 +99,7 @@
 
 // ReadLosses collects the losses from the lines of fronts.
 func ReadLosses(logs io.Reader) (*Losses, error) {
-	l := &Losses{byKey: map[lossKey]*Loss{}, bySec: map[int64]*secondCount{}, inTime: map[string]int{}}
+	l := &Losses{byKey: map[lossKey]*Loss{}, bySec: map[int64]*secondCount{}, inTime: map[string]int{}, pauses: map[string]*pauses{}}
 	in := bufio.NewScanner(logs)
 	in.Buffer(make([]byte, 0, bufio.MaxScanTokenSize), longestLine)
 	for in.Scan() {
@@ -129,12 +143,33 @@
 	case target > 0 && line.number("first_ms") > target:
 		l.second(line).late++
 		l.count(line, lateBy(line))
+	case line.step("pause_allowed") > 0 && line.step("longest_pause") > line.step("pause_allowed"):
+		// Its first output was in time, and then it stood still.
+		l.second(line).late++
+		l.paused(line)
 	default:
 		l.second(line).inTime++
 		l.inTime[line.word("route")]++
 	}
 }
 
+// paused counts a stream that stood still for longer than its route allows, and what
+// its worker did besides.
+func (l *Losses) paused(line Line) {
+	l.count(line, CausePause)
+	steps, _ := line.fields["steps"].(map[string]any)
+	worker, _ := steps["paused_at"].(string)
+	p, known := l.pauses[worker]
+	if !known {
+		p = &pauses{worker: worker}
+		l.pauses[worker] = p
+	}
+	p.count++
+	p.tokens += line.step("beside_tokens")
+	p.requests += line.step("beside_requests")
+	p.longest = max(p.longest, line.step("longest_pause"))
+}
+
 // lateBy is the step that took most of the time of a late answer.
 func lateBy(line Line) Cause {
 	if line.number("tries") > 1 {
@@ -181,6 +216,13 @@
 	return s
 }
 
+// step returns a figure of the steps of a request, zero when it is missing.
+func (l Line) step(name string) float64 {
+	steps, _ := l.fields["steps"].(map[string]any)
+	value, _ := steps[name].(float64)
+	return value
+}
+
 // word returns a field that is a text, empty when it is missing.
 func (l Line) word(name string) string {
 	value, _ := l.fields[name].(string)
@@ -205,6 +247,16 @@
 	return all
 }
 
+// pausedAt returns the workers at which streams stood still, the worst ones first.
+func (l *Losses) pausedAt() []*pauses {
+	all := make([]*pauses, 0, len(l.pauses))
+	for _, p := range l.pauses {
+		all = append(all, p)
+	}
+	slices.SortFunc(all, func(a, b *pauses) int { return cmp.Or(cmp.Compare(b.count, a.count), cmp.Compare(a.worker, b.worker)) })
+	return all[:min(len(all), pausesTold)]
+}
+
 // seconds returns all seconds in order.
 func (l *Losses) seconds() []secondCount {
 	all := make([]secondCount, 0, len(l.bySec))
@@ -215,7 +267,7 @@
 	return all
 }
 
-// Tell writes the losses by route and cause, then a bar for each second: "=" for
+// Tell writes the losses by route and cause, where streams stood still, then a bar for each second: "=" for
 // answers in time, "~" for late ones, "!" for what was not served.
 func (l *Losses) Tell(w io.Writer) error {
 	var b strings.Builder
@@ -227,6 +279,11 @@
 		}
 		fmt.Fprintf(&b, "  %6d  %-32s %s\n", loss.count, loss.cause, strings.Join(loss.examples, " "))
 	}
+	for _, p := range l.pausedAt() {
+		n := float64(p.count)
+		fmt.Fprintf(&b, "paused at %s: %d, longest %.0f ms, beside %.0f requests and %.0f tokens to read (means)\n",
+			cmp.Or(p.worker, "an unknown worker"), p.count, p.longest, p.requests/n, p.tokens/n)
+	}
 	most := 1
 	for _, s := range l.bySec {
 		most = max(most, s.inTime+s.late+s.lost)
--- a/internal/logs/losses_test.go
+++ b/internal/logs/losses_test.go
@@ -14,6 +14,8 @@
 front-b | {"level":"info","ts":"2026-12-03T05:00:02.300Z","msg":"answered","node":"b","request":"r5","status":500,"tries":2,"steps":{},"first_ms":40,"target_ms":150,"route":"lookup"}
 front-b | {"level":"info","ts":"2026-12-03T05:00:02.400Z","msg":"broken off","node":"b","request":"r6","step":"relay","reason":"deadline","route":"digest"}
 front-b | {"level":"info","ts":"2026-12-03T05:00:02.500Z","msg":"refused","node":"b","request":"r7","step":"find route","reason":"no_route","status":404}
+front-b | {"level":"info","ts":"2026-12-03T05:00:03.100Z","msg":"answered","node":"b","request":"r8","status":200,"tries":1,"steps":{"queued":0,"first":6,"longest_pause":181,"events":36,"pause_allowed":150,"paused_at":"w1","beside_tokens":9000,"beside_requests":7},"first_ms":6,"target_ms":120,"route":"summary"}
+front-b | {"level":"info","ts":"2026-12-03T05:00:03.200Z","msg":"answered","node":"b","request":"r9","status":200,"tries":1,"steps":{"queued":0,"first":6,"longest_pause":149,"events":36,"pause_allowed":150},"first_ms":6,"target_ms":120,"route":"summary"}
 front-b | {not a line
 `
 
@@ -31,6 +33,7 @@
 		"digest refused: overload":          "r4",
 		"digest broken off: deadline":       "r6",
 		"lookup worker failed: 500":         "r5",
+		"summary late: paused":              "r8",
 	}
 	got := l.Sorted()
 	for _, loss := range got {
@@ -46,7 +49,9 @@
 	if err := l.Tell(&b); err != nil {
 		t.Fatal(err)
 	}
-	for _, line := range []string{"digest: 1 in time", "05:00:01      1     1     0", "05:00:02      0     1     3", "1 lines could not be read"} {
+	for _, line := range []string{
+		"summary: 1 in time", "paused at w1: 1, longest 181 ms, beside 7 requests and 9000 tokens", "05:00:03      1     1     0", "digest: 1 in time", "05:00:01      1     1     0", "05:00:02      0     1     3", "1 lines could not be read",
+	} {
 		if !strings.Contains(b.String(), line) {
 			t.Errorf("missing %q in\n%s", line, b.String())
 		}
--- a/pkg/kumquatlug/placement/pressure.go
+++ b/pkg/kumquatlug/placement/pressure.go
@@ -41,6 +41,26 @@
 // that is ordered now has effect.
 func (p Pressure) Coming() float64 { return p.coming }
 
+// Beside is what a worker has in hand, as one front sees it.
+type Beside struct {
+	tokens, requests int
+}
+
+// Tokens returns how many tokens are to be read there for this front.
+func (b Beside) Tokens() int { return b.tokens }
+
+// Requests returns how many requests are believed to run there, those of all fronts.
+func (b Beside) Requests() int { return b.requests }
+
+// Beside returns what a worker has in hand.
+func (p *Placer) Beside(now kumquatlug.Millis, id string) Beside {
+	w, known := p.workers[id]
+	if !known {
+		return Beside{}
+	}
+	return Beside{tokens: int(w.tokens), requests: w.runs + int(math.Round(p.othersNow(now, w)))}
+}
+
 // gauge keeps the averages behind a [Pressure].
 type gauge struct {
 	reading, taken float64
