--- a/internal/experiment/swing/doc.go
+++ b/internal/experiment/swing/doc.go
@@ -26,8 +26,8 @@
 type Sheet struct {
 	// Engines, Zones and Fronts are how many there are.
 	Engines, Zones, Fronts int
-	// Keepers says that fronts ask each other for turns.
-	Keepers bool
+	// Coordinators says that fronts ask each other for turns.
+	Coordinators bool
 	// ReadRate is prompt tokens a ms; PairTime ms for each million pairs of
 	// tokens; Piece the tokens read at once.
 	ReadRate, PairTime float64
--- a/internal/experiment/swing/model.go
+++ b/internal/experiment/swing/model.go
@@ -6,7 +6,7 @@
 	"slices"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
-	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/keeper"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/coordinator"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/planner"
 )
@@ -95,8 +95,8 @@
 	}
 	for i := range s.Fronts {
 		c := placement.Config{Zone: zone(i, s)}
-		if s.Keepers {
-			c.Keepers = w.keepers(i)
+		if s.Coordinators {
+			c.Coordinators = w.coordinators(i)
 		}
 		placer := placement.New(c)
 		placer.SetMemory(s.Memory)
@@ -107,9 +107,9 @@
 	return w
 }
 
-// keepers returns what a front knows of the others.
-func (w *site) keepers(i int) *keeper.Fronts {
-	known := keeper.New(frontName(i))
+// coordinators returns what a front knows of the others.
+func (w *site) coordinators(i int) *coordinator.Fronts {
+	known := coordinator.New(frontName(i))
 	names := make([]string, w.sheet.Fronts)
 	for k := range names {
 		names[k] = frontName(k)
--- a/internal/experiment/swing/swing_test.go
+++ b/internal/experiment/swing/swing_test.go
@@ -73,9 +73,9 @@
 // Fronts that ask each other for turns must earn nine tenths of what one front earns,
 // and win back half of what is lost without, however many there are.
 func TestManyFrontsEarnNearlyWhatOneDoes(t *testing.T) {
-	play := func(fronts int, keepers bool) float64 {
+	play := func(fronts int, coordinators bool) float64 {
 		s := LargeSite(fronts)
-		s.Keepers = keepers
+		s.Coordinators = coordinators
 		return Play(s, LargeBurst, Policy{Readers: 39}, 1).Worth
 	}
 	one, alone := play(1, true), play(28, false)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,7 +6,7 @@
 // kumquatlug and knows none of their names. What it decides lies in packages
 // routes, placement, retry, planner and lease. One goroutine serves each
 // request; one each follows the config, follows the members, gives orders to
-// engines and keeps house.
+// engines, hears other fronts and keeps house.
 package gateway
 
 import (
@@ -207,7 +207,7 @@
 	begun := g.c.Clock.Now()
 	leave := begun + g.c.Grace - exitMargin
 	g.leaveAt.Store(int64(leave))
-	g.stopKeeping()
+	g.stopCoordinating()
 	g.c.Logger.Info("stopping", zap.Int64("grace_ms", int64(g.c.Grace)), zap.Int64("in_hand", g.held.Load()))
 	for now := begun; now < leave-lastRequests; now = g.c.Clock.Now() {
 		if now-begun >= balancerLag && g.held.Load() == 0 {
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -4,8 +4,8 @@
 	"sync"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/coordinator"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/health"
-	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/keeper"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/retry"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/routes"
@@ -19,9 +19,9 @@
 	fronts   int
 	services map[string]*group
 	lastKey  uint64
-	// keepers tells which front orders the prompts at an engine, nil where fronts
+	// coordinators tells which front orders the prompts at an engine, nil where fronts
 	// can't speak with each other.
-	keepers *keeper.Fronts
+	coordinators *coordinator.Fronts
 }
 
 // group is what is kept of one service.
@@ -43,7 +43,7 @@
 }
 
 func newScheduler(c Config) *scheduler {
-	return &scheduler{c: c, fronts: 1, services: map[string]*group{}, keepers: newKeepers(c)}
+	return &scheduler{c: c, fronts: 1, services: map[string]*group{}, coordinators: newCoordinators(c)}
 }
 
 // Figures of the judgement of workers that are called directly.
@@ -65,7 +65,7 @@
 	if !known {
 		c := sc.c.Placement
 		c.Zone = sc.c.Zone
-		c.Keepers = sc.keepersOf()
+		c.Coordinators = sc.coordinatorsOf()
 		c.Health = health.Config{
 			FailureLimit: failureLimit, ProbeAfter: probeAfter, ProbeLimit: probeLimit, SlowStart: slowStart,
 		}
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -4,7 +4,7 @@
 	"go.uber.org/zap"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
-	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/keeper"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/coordinator"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
 )
 
@@ -34,63 +34,63 @@
 	g.c.Logger.Info("fronts met", zap.Int("rows", len(rows)), zap.Int("there", len(there)))
 }
 
-// stopKeeping leaves the order of prompts to the other fronts.
-func (g *Gateway) stopKeeping() {
+// stopCoordinating leaves the order of prompts to the other fronts.
+func (g *Gateway) stopCoordinating() {
 	if g.c.Fronts == nil {
 		return
 	}
-	g.scheduler.stopKeeping()
+	g.scheduler.stopCoordinating()
 	g.c.Fronts.Leave()
 }
 
-// newKeepers returns what tells which front keeps an engine, nil where fronts can't
+// newCoordinators returns what tells which front coordinates an engine, nil where fronts can't
 // speak with each other.
-func newKeepers(c Config) *keeper.Fronts {
+func newCoordinators(c Config) *coordinator.Fronts {
 	if c.Fronts == nil {
 		return nil
 	}
-	return keeper.New(c.Name)
+	return coordinator.New(c.Name)
 }
 
-// keepersOf returns the same as the interface that a placer takes.
-func (sc *scheduler) keepersOf() kumquatlug.Keepers {
-	if sc.keepers == nil {
+// coordinatorsOf returns the same as the interface that a placer takes.
+func (sc *scheduler) coordinatorsOf() kumquatlug.Coordinators {
+	if sc.coordinators == nil {
 		return nil
 	}
-	return sc.keepers
+	return sc.coordinators
 }
 
 // meet takes the names of the fronts that can be asked.
 func (sc *scheduler) meet(names []string) {
 	sc.mu.Lock()
 	defer sc.unlock()
-	sc.keepers.Set(names)
+	sc.coordinators.Set(names)
 }
 
 func (sc *scheduler) met(front string) {
 	sc.mu.Lock()
 	defer sc.unlock()
-	sc.keepers.Add(front)
+	sc.coordinators.Add(front)
 }
 
 func (sc *scheduler) left(front string) {
 	sc.mu.Lock()
 	defer sc.unlock()
-	sc.keepers.Left(front)
+	sc.coordinators.Left(front)
 }
 
-// stopKeeping sends the prompts of other fronts to their next keepers.
-func (sc *scheduler) stopKeeping() {
+// stopCoordinating sends the prompts of other fronts to their next coordinators.
+func (sc *scheduler) stopCoordinating() {
 	sc.mu.Lock()
 	defer sc.unlock()
-	sc.keepers.Leave()
+	sc.coordinators.Leave()
 	for _, g := range sc.services {
-		g.placer.StopKeeping()
+		g.placer.StopCoordinating()
 	}
 }
 
-// turn takes a message of another front: to this one as a keeper, or the answer of
-// one that keeps an engine.
+// turn takes a message of another front: to this one as a coordinator, or the answer of
+// one that coordinates an engine.
 func (sc *scheduler) turn(now kumquatlug.Millis, m kumquatlug.TurnMessage) {
 	sc.mu.Lock()
 	defer sc.unlock()
@@ -127,9 +127,9 @@
 			out = append(out, m)
 		}
 	}
-	var news []keeper.News
-	if sc.keepers != nil {
-		news = sc.keepers.News()
+	var news []coordinator.News
+	if sc.coordinators != nil {
+		news = sc.coordinators.News()
 	}
 	sc.mu.Unlock()
 	for _, m := range out {
--- a/pkg/kumquatlug/keeper/keeper.go
+++ b/pkg/kumquatlug/coordinator/coordinator.go
@@ -1,20 +1,20 @@
-// Package keeper decides which front keeps which engine: orders the prompts of
+// Package coordinator decides which front coordinates which engine: orders the prompts of
 // all fronts there.
 //
 // It answers a load near what the engines read that comes through many fronts,
-// each of which would order its own prompts alone. Fronts agree on the keeper
+// each of which would order its own prompts alone. Fronts agree on the coordinator
 // without speaking about it, by rendezvous among those that are there; each judges
 // by itself who is there, by who answers. Two fronts that differ for a while have
-// two keepers for some engines, whose prompts then stand in order of arrival
-// there, as all would without keepers: that costs time and breaks nothing.
+// two coordinators for some engines, whose prompts then stand in order of arrival
+// there, as all would without coordinators: that costs time and breaks nothing.
 //
-// What can go wrong: a keeper that is frozen, cut off or gone is asked in vain.
+// What can go wrong: a coordinator that is frozen, cut off or gone is asked in vain.
 // Whoever notices goes on to the next front in the order, and tries the first one
 // again after a span that doubles. A front that most others don't answer is itself
-// cut off; if it took itself for the keeper of all engines, and each of the others
+// cut off; if it took itself for the coordinator of all engines, and each of the others
 // did, each would give every engine prompts as if it were alone. It then asks
 // nobody and goes by itself.
-package keeper
+package coordinator
 
 import (
 	"math"
@@ -25,7 +25,7 @@
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/rendezvous"
 )
 
-// Figures of keepers.
+// Figures of coordinators.
 const (
 	// firstAway is how long a front that left a question unanswered is not asked; it
 	// doubles with each in a row up to mostAway.
@@ -39,16 +39,16 @@
 )
 
 // Fronts is what one front knows of all. It belongs to one owner and is not safe
-// for concurrent use. Until [Fronts.Set] was called there is no keeper.
+// for concurrent use. Until [Fronts.Set] was called there is no coordinator.
 type Fronts struct {
 	me    string
 	known map[string]*front
-	// leaving says that this front keeps nothing any more.
+	// leaving says that this front coordinates nothing any more.
 	leaving bool
-	// keepers are the answers given since the last change, good until changesAt.
-	keepers   map[string]string
-	changesAt kumquatlug.Millis
-	news      []News
+	// coordinators are the answers given since the last change, good until changesAt.
+	coordinators map[string]string
+	changesAt    kumquatlug.Millis
+	news         []News
 }
 
 // News is that a front was found to be away, or to be back.
@@ -82,11 +82,11 @@
 	forgotten bool
 }
 
-var _ kumquatlug.Keepers = (*Fronts)(nil)
+var _ kumquatlug.Coordinators = (*Fronts)(nil)
 
 // New returns what the front with this name knows at its start.
 func New(me string) *Fronts {
-	return &Fronts{me: me, known: map[string]*front{}, keepers: map[string]string{}}
+	return &Fronts{me: me, known: map[string]*front{}, coordinators: map[string]string{}}
 }
 
 // Set takes the names of all fronts, this one among them.
@@ -121,13 +121,13 @@
 	}
 }
 
-// Leave makes this front keep nothing any more.
+// Leave makes this front coordinate nothing any more.
 func (f *Fronts) Leave() {
 	f.leaving = true
 	f.changed()
 }
 
-func (f *Fronts) changed() { clear(f.keepers) }
+func (f *Fronts) changed() { clear(f.coordinators) }
 
 // Answered takes that a front answered.
 func (f *Fronts) Answered(name string) {
@@ -171,25 +171,25 @@
 	return float64(there) >= leastThere*float64(others)
 }
 
-// Keeper returns the front that keeps an engine, empty for none.
-func (f *Fronts) Keeper(now kumquatlug.Millis, engine string) string {
+// Coordinator returns the front that coordinates an engine, empty for none.
+func (f *Fronts) Coordinator(now kumquatlug.Millis, engine string) string {
 	if now >= f.changesAt {
 		f.changed()
 	}
-	keeper, known := f.keepers[engine]
+	coordinator, known := f.coordinators[engine]
 	if !known {
-		if len(f.keepers) == 0 {
+		if len(f.coordinators) == 0 {
 			f.changesAt = f.nextChange(now)
 		}
-		keeper = f.choose(now, engine)
-		f.keepers[engine] = keeper
+		coordinator = f.choose(now, engine)
+		f.coordinators[engine] = coordinator
 	}
-	return keeper
+	return coordinator
 }
 
-// Keeps reports that this front keeps an engine.
-func (f *Fronts) Keeps(now kumquatlug.Millis, engine string) bool {
-	return f.Keeper(now, engine) == f.me
+// Coordinates reports that this front coordinates an engine.
+func (f *Fronts) Coordinates(now kumquatlug.Millis, engine string) bool {
+	return f.Coordinator(now, engine) == f.me
 }
 
 // nextChange is when a front that is away is tried again.
@@ -209,14 +209,14 @@
 		return ""
 	}
 	key := xxhash.Sum64String(engine)
-	keeper, most := "", uint64(0)
+	coordinator, most := "", uint64(0)
 	for name, one := range f.known {
 		if one.forgotten || now < one.awayUntil || name == f.me && f.leaving {
 			continue
 		}
-		if h := rendezvous.Mix(key ^ one.hash); keeper == "" || h > most {
-			keeper, most = name, h
+		if h := rendezvous.Mix(key ^ one.hash); coordinator == "" || h > most {
+			coordinator, most = name, h
 		}
 	}
-	return keeper
+	return coordinator
 }
--- a/pkg/kumquatlug/keeper/keeper_test.go
+++ b/pkg/kumquatlug/coordinator/coordinator_test.go
@@ -1,4 +1,4 @@
-package keeper
+package coordinator
 
 import (
 	"fmt"
@@ -29,42 +29,42 @@
 	return f
 }
 
-// Were two fronts to name different keepers for an engine, it would have two queues,
+// Were two fronts to name different coordinators for an engine, it would have two queues,
 // and the prompts of each would be late behind those of the other.
-func TestAllFrontsNameTheSameKeeper(t *testing.T) {
+func TestAllFrontsNameTheSameCoordinator(t *testing.T) {
 	for i := range engines {
-		keeper := known("front-0").Keeper(0, engine(i))
+		coordinator := known("front-0").Coordinator(0, engine(i))
 		for _, me := range names(fronts) {
-			if got := known(me).Keeper(0, engine(i)); got != keeper {
-				t.Fatalf("%s names %s for %s, others %s", me, got, engine(i), keeper)
+			if got := known(me).Coordinator(0, engine(i)); got != coordinator {
+				t.Fatalf("%s names %s for %s, others %s", me, got, engine(i), coordinator)
 			}
-			if known(me).Keeps(0, engine(i)) != (me == keeper) {
-				t.Fatalf("%s is wrong about keeping %s", me, engine(i))
+			if known(me).Coordinates(0, engine(i)) != (me == coordinator) {
+				t.Fatalf("%s is wrong about coordinating %s", me, engine(i))
 			}
 		}
 	}
 }
 
-// One front dies. Only what it kept may move: each engine that moves has prompts in
+// One front dies. Only what it coordinated may move: each engine that moves has prompts in
 // two queues for a while.
 func TestOnlyTheEnginesOfAFrontThatIsGoneMove(t *testing.T) {
 	f := known("front-0")
 	before := map[int]string{}
 	for i := range engines {
-		before[i] = f.Keeper(0, engine(i))
+		before[i] = f.Coordinator(0, engine(i))
 	}
 	gone := before[0]
 	if gone == "front-0" {
-		t.Fatal("the first engine is kept by the front itself")
+		t.Fatal("the first engine is coordinated by the front itself")
 	}
 	f.Missed(10, gone)
 	for i := range engines {
-		after := f.Keeper(10, engine(i))
+		after := f.Coordinator(10, engine(i))
 		if after == gone || before[i] != gone && after != before[i] {
 			t.Errorf("%s: %s before, %s after", engine(i), before[i], after)
 		}
 	}
-	if back := f.Keeper(10+firstAway, engine(0)); back != gone {
+	if back := f.Coordinator(10+firstAway, engine(0)); back != gone {
 		t.Errorf("after a while %s is asked", back)
 	}
 }
@@ -93,17 +93,17 @@
 }
 
 // The machine of a front is cut off from nearly all others, each of which it finds
-// away. If it then kept all engines, and so did each front on the other side of a
+// away. If it then coordinated all engines, and so did each front on the other side of a
 // larger cut, they would all read as if alone, and believe that they don't.
-func TestAFrontThatIsCutOffKeepsNothing(t *testing.T) {
+func TestAFrontThatIsCutOffCoordinatesNothing(t *testing.T) {
 	f := known("front-0")
 	now := kumquatlug.Millis(0)
 	for round := range 5 {
 		for i := 1; i < fronts; i++ {
 			f.Missed(now, fmt.Sprintf("front-%d", i))
 		}
-		if keeper := f.Keeper(now, engine(round)); keeper != "" {
-			t.Errorf("round %d: %q keeps", round, keeper)
+		if coordinator := f.Coordinator(now, engine(round)); coordinator != "" {
+			t.Errorf("round %d: %q coordinates", round, coordinator)
 		}
 		now += mostAway
 		now++
@@ -111,48 +111,48 @@
 	for i := 1; i < fronts; i++ {
 		f.Answered(fmt.Sprintf("front-%d", i))
 	}
-	if f.Keeper(now, engine(0)) != known("front-0").Keeper(0, engine(0)) {
-		t.Error("after its return it names other keepers")
+	if f.Coordinator(now, engine(0)) != known("front-0").Coordinator(0, engine(0)) {
+		t.Error("after its return it names other coordinators")
 	}
 }
 
 // A front stops for an update. Until its end it must give nobody a turn, and others
 // must not go on asking it.
-func TestAFrontThatStopsKeepsNothing(t *testing.T) {
+func TestAFrontThatStopsCoordinatesNothing(t *testing.T) {
 	stops, other := known("front-3"), known("front-4")
 	stops.Leave()
 	other.Left("front-3")
 	for i := range engines {
-		if stops.Keeps(0, engine(i)) || other.Keeper(0, engine(i)) == "front-3" {
-			t.Errorf("%s is kept by a front that stops", engine(i))
+		if stops.Coordinates(0, engine(i)) || other.Coordinator(0, engine(i)) == "front-3" {
+			t.Errorf("%s is coordinated by a front that stops", engine(i))
 		}
-		if stops.Keeper(0, engine(i)) != other.Keeper(0, engine(i)) {
-			t.Errorf("%s has two keepers", engine(i))
+		if stops.Coordinator(0, engine(i)) != other.Coordinator(0, engine(i)) {
+			t.Errorf("%s has two coordinators", engine(i))
 		}
 	}
 }
 
 // A front that starts doesn't know the others yet. Taking itself for the only one it
 // would read at all engines as if alone.
-func TestAFrontThatKnowsNobodyHasNoKeeper(t *testing.T) {
+func TestAFrontThatKnowsNobodyHasNoCoordinator(t *testing.T) {
 	f := New("front-0")
 	f.Add("front-1")
-	if keeper := f.Keeper(0, engine(0)); keeper != "" {
-		t.Errorf("%q keeps", keeper)
+	if coordinator := f.Coordinator(0, engine(0)); coordinator != "" {
+		t.Errorf("%q coordinates", coordinator)
 	}
 	f.Set([]string{"front-0"})
-	if !f.Keeps(0, engine(0)) {
-		t.Error("the only front keeps nothing")
+	if !f.Coordinates(0, engine(0)) {
+		t.Error("the only front coordinates nothing")
 	}
 	f.Add("front-1")
 	kept := 0
 	for i := range engines {
-		if f.Keeps(0, engine(i)) {
+		if f.Coordinates(0, engine(i)) {
 			kept++
 		}
 	}
 	if kept == 0 || kept == engines {
-		t.Errorf("one of two fronts keeps %d of %d", kept, engines)
+		t.Errorf("one of two fronts coordinates %d of %d", kept, engines)
 	}
 }
 
--- a/pkg/kumquatlug/placement/cost.go
+++ b/pkg/kumquatlug/placement/cost.go
@@ -29,9 +29,10 @@
 }
 
 // backlog is how many tokens are to be read at w before a new prompt. What other
-// fronts have there is no part of it: reading engines tell no load, and taken to
-// be as long as this front's queue, a single prompt that waits by chance would
-// look like an overload. How much longer reading takes beside theirs is in pace.
+// fronts have there is a part of it only where this one coordinates w: reading
+// engines tell no load, and taken to be as long as this front's queue, a single prompt
+// that waits by chance would look like an overload. How much longer reading takes
+// beside theirs is in pace.
 func (p *Placer) backlog(now kumquatlug.Millis, w *worker) float64 {
 	return p.inHand(now, w) + w.queuedTokens()
 }
--- a/pkg/kumquatlug/placement/placement.go
+++ b/pkg/kumquatlug/placement/placement.go
@@ -3,9 +3,9 @@
 // which worker of a plain service runs a request.
 //
 // It answers long prompts that share most of their tokens, at a rate near what
-// the engines can read. A front sees its own requests and what workers say of
-// their load in each answer, nothing else; fronts don't speak with each other.
-// Were prompts spread evenly, each engine would read every shared part again,
+// the engines can read. A front sees its own requests, what workers say of their
+// load in each answer, and, at the engines that it coordinates, the prompts of all
+// fronts. Were prompts spread evenly, each engine would read every shared part again,
 // three times the work, and the queues would never end; were they kept at one
 // place whatever its queue, a hot part would drown its engine. So
 //
@@ -17,6 +17,8 @@
 //     is scarce, and what is read twice delays everybody behind it;
 //   - a prompt that is quickly read goes straight to a generating engine, which
 //     spares a transfer; a long one does so when the reading engines are behind;
+//   - the prompts of all fronts for one engine stand in one queue, at the front that
+//     coordinates it;
 //   - generation goes to the least loaded engine, by preference in this data
 //     centre;
 //   - a request that no worker can begin in time is refused at once, with a
@@ -60,9 +62,9 @@
 	// TransferCost is what handing a KV cache over costs in milliseconds: two
 	// round trips and the copy. Default 4.
 	TransferCost float64
-	// Keepers tells which front orders the prompts at an engine; nil where each
+	// Coordinators tells which front orders the prompts at an engine; nil where each
 	// front goes by itself.
-	Keepers kumquatlug.Keepers
+	Coordinators kumquatlug.Coordinators
 	// Health tunes the judgement of workers.
 	Health health.Config
 }
@@ -143,7 +145,7 @@
 	// last spoke, at saidAt.
 	others float64
 	saidAt kumquatlug.Millis
-	// held are the parts that were sent there, by this front or, where it keeps the
+	// held are the parts that were sent there, by this front or, where it coordinates the
 	// engine, by any, with their last use; read is how many tokens were read in all.
 	held map[string]use
 	read float64
@@ -163,10 +165,10 @@
 	// askedAt is when the worker was last asked whether it is there.
 	askedAt kumquatlug.Millis
 	// queue are the prompts that wait for the engine, those of other fronts among
-	// them where this one keeps it; turns are those that other fronts were given.
+	// them where this one coordinates it; turns are those that other fronts were given.
 	queue []*waiting
 	turns []turnOf
-	// askedTokens are to be read of the prompts that wait at its keeper.
+	// askedTokens are to be read of the prompts that wait at its coordinator.
 	askedTokens float64
 	// load is what this front gave it to read until loadAt, see [Placer.loadNow].
 	load   float64
@@ -289,7 +291,7 @@
 
 // orphan takes over the queue of a worker that reads no more.
 func (p *Placer) orphan(w *worker) {
-	p.orphans = append(p.orphans, p.sendStrangersAway(w.queue)...)
+	p.orphans = append(p.orphans, p.sendRemoteAway(w.queue)...)
 	w.queue = nil
 	p.withdraw(w)
 }
--- a/pkg/kumquatlug/placement/queue.go
+++ b/pkg/kumquatlug/placement/queue.go
@@ -59,11 +59,11 @@
 	lateAt kumquatlug.Millis
 	// hold is how long it waits at most from then on.
 	hold kumquatlug.Millis
-	// alone says that no keeper is to be asked.
+	// alone says that no coordinator is to be asked.
 	alone bool
-	// stranger names a prompt of another front, which asked for it last at seenAt.
-	stranger stranger
-	seenAt   kumquatlug.Millis
+	// remote names a prompt of another front, which asked for it last at seenAt.
+	remote remoteKey
+	seenAt kumquatlug.Millis
 }
 
 // Entry is what became of a prompt that came to the engines.
@@ -88,7 +88,7 @@
 	return p.enter(now, &waiting{key: key, query: q, hold: q.until(now) / holdPart})
 }
 
-// enter brings a prompt to its engine, the engine's queue, or the front that keeps
+// enter brings a prompt to its engine, the engine's queue, or the front that coordinates
 // the engine.
 func (p *Placer) enter(now kumquatlug.Millis, one *waiting) (Entry, Choice, *Ticket) {
 	q := one.query
@@ -101,7 +101,7 @@
 		p.gauge.entered++
 	}
 	one.choice = c
-	if p.keeps(now, w) {
+	if p.coordinates(now, w) {
 		// Its wait is known, with the prompts of all fronts in it.
 		one.hold = q.until(now)
 		if c.apart {
@@ -109,8 +109,8 @@
 			c.fresh, c.tokens = one.choice.fresh, one.choice.tokens
 		}
 	}
-	if keeper := p.keeper(now, w); c.apart && keeper != "" && !one.alone {
-		p.askFor(now, keeper, w, one)
+	if coordinator := p.coordinator(now, w); c.apart && coordinator != "" && !one.alone {
+		p.askFor(now, coordinator, w, one)
 		return EntryWaits, c, nil
 	}
 	if !c.apart || len(w.queue) == 0 && p.room(now, w) {
@@ -156,9 +156,9 @@
 }
 
 // room reports that an engine may be given one more prompt. Where this front does
-// not keep it, each other front has some there, too.
+// not coordinate it, each other front has some there, too.
 func (p *Placer) room(now kumquatlug.Millis, w *worker) bool {
-	if p.keeps(now, w) && w.reads < mostReads {
+	if p.coordinates(now, w) && w.reads < mostReads {
 		return true
 	}
 	return w.reads == 0 || p.inHand(now, w)/p.rate()*p.pace < aheadSpan
@@ -239,9 +239,9 @@
 }
 
 // addLoad counts a prompt that the engine was given. Late ones at an engine that is
-// kept take what the others leave, and don't count in that.
+// coordinated take what the others leave, and don't count in that.
 func (p *Placer) addLoad(now kumquatlug.Millis, w *worker, one *waiting) {
-	if one.late && p.keeps(now, w) {
+	if one.late && p.coordinates(now, w) {
 		return
 	}
 	w.load = p.loadNow(now, w) + one.choice.tokens
@@ -277,15 +277,15 @@
 func (p *Placer) Due(now kumquatlug.Millis) []Due {
 	due := p.placeOrphans(now)
 	for _, w := range p.list {
-		p.forgetStrays(now, w)
+		p.forgetStale(now, w)
 		due = p.dropLate(now, w, due)
 		for len(w.queue) > 0 && p.room(now, w) && p.usable(now, w, Query{}, kumquatlug.RolePrefill) {
 			one := p.next(w)
-			if p.keeps(now, w) {
+			if p.coordinates(now, w) {
 				// What was read since it came spares it that.
 				p.count(w, one)
 			}
-			if one.stranger.front != "" {
+			if one.remote.front != "" {
 				p.grant(now, w, one)
 				continue
 			}
@@ -347,8 +347,8 @@
 	case p.keepLate(now, w, one, *ahead):
 		*ahead += one.choice.tokens
 		w.queue = append(w.queue, one)
-	case one.stranger.front != "":
-		p.refuseStranger(now, w, one)
+	case one.remote.front != "":
+		p.refuseRemote(now, w, one)
 	default:
 		due = append(due, Due{key: one.key, choice: one.choice})
 	}
@@ -373,7 +373,7 @@
 
 // Leave takes a prompt out of the queues; its client left.
 func (p *Placer) Leave(key uint64) {
-	ours := func(one *waiting) bool { return one.key == key && one.stranger.front == "" }
+	ours := func(one *waiting) bool { return one.key == key && one.remote.front == "" }
 	p.orphans = slices.DeleteFunc(p.orphans, ours)
 	p.leaveAsked(key)
 	for _, w := range p.list {
--- a/pkg/kumquatlug/placement/ticket.go
+++ b/pkg/kumquatlug/placement/ticket.go
@@ -18,9 +18,9 @@
 	fresh, held float64
 	alone       bool
 	room        float64
-	// keeper is the front that gave the attempt its turn under key, empty for none.
-	keeper string
-	key    uint64
+	// coordinator is the front that gave the attempt its turn under key, empty for none.
+	coordinator string
+	key         uint64
 	// output is the greatest number of tokens to generate.
 	output int
 	wait   float64
@@ -51,15 +51,15 @@
 	return p.begin(now, c, prompt, "", 0)
 }
 
-// begin does so for an attempt to which a keeper gave a turn under key.
-func (p *Placer) begin(now kumquatlug.Millis, c Choice, prompt kumquatlug.Prompt, keeper string, key uint64) *Ticket {
+// begin does so for an attempt to which a coordinator gave a turn under key.
+func (p *Placer) begin(now kumquatlug.Millis, c Choice, prompt kumquatlug.Prompt, coordinator string, key uint64) *Ticket {
 	w, known := p.workers[c.worker.ID()]
 	if !known {
 		return &Ticket{ended: true}
 	}
 	t := &Ticket{
 		worker: w, id: c.worker.ID(), apart: c.apart, tokens: c.tokens, wait: c.wait, at: now,
-		keeper: keeper, key: key,
+		coordinator: coordinator, key: key,
 		fresh: c.fresh, held: max(float64(prompt.Input())-c.fresh, 0), alone: w.reads == 0 && p.othersNow(now, w) < 1,
 	}
 	if len(w.tickets) == 0 {
@@ -126,8 +126,8 @@
 	}
 	if t.apart {
 		t.worker.reads--
-		if t.keeper != "" {
-			p.tellOver(t.keeper, kumquatlug.Turn{Engine: t.id, Key: t.key})
+		if t.coordinator != "" {
+			p.tellOver(t.coordinator, kumquatlug.Turn{Engine: t.id, Key: t.key})
 		}
 	} else {
 		t.worker.runs--
--- a/pkg/kumquatlug/placement/turns_test.go
+++ b/pkg/kumquatlug/placement/turns_test.go
@@ -11,17 +11,17 @@
 	"github.com/leanovate/gopter/prop"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
-	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/keeper"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/coordinator"
 )
 
-// crowd replays prompts that come through many fronts against engines which read
+// manyFronts replays prompts that come through many fronts against engines which read
 // in order of arrival and keep every part, and messages between fronts that take a millisecond each.
-type crowd struct {
-	fronts  []*Placer
-	keepers []*keeper.Fronts
-	engines map[string]*readingEngine
-	later   map[kumquatlug.Millis][]func(kumquatlug.Millis)
-	random  *rand.Rand
+type manyFronts struct {
+	fronts       []*Placer
+	coordinators []*coordinator.Fronts
+	engines      map[string]*readingEngine
+	later        map[kumquatlug.Millis][]func(kumquatlug.Millis)
+	random       *rand.Rand
 	// lost is the part of the messages that are lost; the fronts in away neither
 	// get nor send any, nor work.
 	lost    float64
@@ -68,13 +68,13 @@
 
 // Figures of the replayed site: what an engine reads in a ms, and a prompt's span.
 const (
-	crowdRate   = 236.0
-	crowdTarget = 200
-	crowdUntil  = 2000
+	replayRate   = 236.0
+	replayTarget = 200
+	replayUntil  = 2000
 )
 
-func newCrowd(fronts, engines int, keep bool) *crowd {
-	c := &crowd{
+func newManyFronts(fronts, engines int, keep bool) *manyFronts {
+	c := &manyFronts{
 		engines: map[string]*readingEngine{}, later: map[kumquatlug.Millis][]func(kumquatlug.Millis){},
 		random: rand.New(rand.NewPCG(3, 4)), away: map[int]bool{}, prompts: map[uint64]*prompt{},
 	}
@@ -86,13 +86,13 @@
 		// Reading beside the streams of the engine that generates is out of the question.
 		config := Config{Zone: "a", MixedPrice: 1e9}
 		if keep {
-			known := keeper.New(names[i])
+			known := coordinator.New(names[i])
 			known.Set(names)
-			c.keepers = append(c.keepers, known)
-			config.Keepers = known
+			c.coordinators = append(c.coordinators, known)
+			config.Coordinators = known
 		}
 		p := New(config)
-		p.Sync(0, crowdEngines(engines))
+		p.Sync(0, replayEngines(engines))
 		if choice, found := p.Output(0, Query{Prompt: chatPrompt(0)}); found {
 			p.Begin(0, choice, chatPrompt(0))
 		}
@@ -106,23 +106,23 @@
 
 func frontName(i int) string { return fmt.Sprintf("front-%d", i) }
 
-// crowdEngines are engines that read, and one that generates.
-func crowdEngines(n int) []kumquatlug.Member {
-	all := []kumquatlug.Member{crowdEngine("d0", kumquatlug.RoleDecode)}
+// replayEngines are engines that read, and one that generates.
+func replayEngines(n int) []kumquatlug.Member {
+	all := []kumquatlug.Member{replayEngine("d0", kumquatlug.RoleDecode)}
 	for i := range n {
-		all = append(all, crowdEngine(fmt.Sprintf("p%d", i), kumquatlug.RolePrefill))
+		all = append(all, replayEngine(fmt.Sprintf("p%d", i), kumquatlug.RolePrefill))
 	}
 	return all
 }
 
-func crowdEngine(id string, role kumquatlug.Role) kumquatlug.Member {
+func replayEngine(id string, role kumquatlug.Role) kumquatlug.Member {
 	return kumquatlug.Member{
 		Worker: kumquatlug.NewWorker(id, id+":1"), Service: "s", Zone: "a", State: kumquatlug.MemberReady, Slots: 4000, Role: role,
 	}
 }
 
 // play lets prompts come at a rate, each second, until end.
-func (c *crowd) play(begin, end kumquatlug.Millis, perSecond float64) {
+func (c *manyFronts) play(begin, end kumquatlug.Millis, perSecond float64) {
 	nextAt := float64(begin)
 	for now := begin; now < end; now++ {
 		for float64(now) >= nextAt {
@@ -134,7 +134,7 @@
 }
 
 // arrive brings a new prompt to a front that is there.
-func (c *crowd) arrive(now kumquatlug.Millis) {
+func (c *manyFronts) arrive(now kumquatlug.Millis) {
 	front := c.random.IntN(len(c.fronts))
 	for c.away[front] {
 		front = c.random.IntN(len(c.fronts))
@@ -143,7 +143,7 @@
 	own := min(int(2000*math.Exp(c.random.NormFloat64())), 30_000)
 	text := kumquatlug.NewPrompt(append(document(int(key)%40, int(key)).Shared(), kumquatlug.NewPart(fmt.Sprint("own", key), own)), 6300+own, 104)
 	c.prompts[key] = &prompt{front: front, arrived: now, text: text}
-	q := Query{Prompt: text, Target: now + crowdTarget, Until: now + crowdUntil}
+	q := Query{Prompt: text, Target: now + replayTarget, Until: now + replayUntil}
 	entry, choice, ticket := c.fronts[front].Enter(now, key, q)
 	switch entry {
 	case EntrySent:
@@ -155,7 +155,7 @@
 }
 
 // send brings a prompt to its engine.
-func (c *crowd) send(now kumquatlug.Millis, front int, key uint64, choice Choice, ticket *Ticket) {
+func (c *manyFronts) send(now kumquatlug.Millis, front int, key uint64, choice Choice, ticket *Ticket) {
 	c.prompts[key].began = now
 	c.after(now, func(at kumquatlug.Millis) {
 		e, reads := c.engines[choice.Worker().ID()]
@@ -168,23 +168,23 @@
 		e.queue = append(e.queue, &reading{key: key, front: front, ticket: ticket})
 		c.longest = max(c.longest, len(e.queue))
 		if len(e.queue) == 1 {
-			e.freeAt = float64(at) + c.prompts[key].tokens/crowdRate
+			e.freeAt = float64(at) + c.prompts[key].tokens/replayRate
 		}
 	})
 }
 
-func (c *crowd) after(now kumquatlug.Millis, f func(kumquatlug.Millis)) {
+func (c *manyFronts) after(now kumquatlug.Millis, f func(kumquatlug.Millis)) {
 	c.later[now+1] = append(c.later[now+1], f)
 }
 
-func (c *crowd) end(now kumquatlug.Millis, key uint64, refused bool) {
+func (c *manyFronts) end(now kumquatlug.Millis, key uint64, refused bool) {
 	one := c.prompts[key]
 	one.done, one.refused = now, refused
 	one.outcomes++
 }
 
 // tick plays one ms.
-func (c *crowd) tick(now kumquatlug.Millis) {
+func (c *manyFronts) tick(now kumquatlug.Millis) {
 	for _, f := range c.later[now] {
 		f(now)
 	}
@@ -204,12 +204,12 @@
 }
 
 // read ends the prompts that an engine has read.
-func (c *crowd) read(now kumquatlug.Millis, e *readingEngine) {
+func (c *manyFronts) read(now kumquatlug.Millis, e *readingEngine) {
 	for len(e.queue) > 0 && e.freeAt <= float64(now) {
 		one := e.queue[0]
 		e.queue = e.queue[1:]
 		if len(e.queue) > 0 {
-			e.freeAt += c.prompts[e.queue[0].key].tokens / crowdRate
+			e.freeAt += c.prompts[e.queue[0].key].tokens / replayRate
 		}
 		c.after(now, func(at kumquatlug.Millis) {
 			if c.away[one.front] {
@@ -223,7 +223,7 @@
 }
 
 // pump does what is due at a front and posts its messages.
-func (c *crowd) pump(now kumquatlug.Millis, front int) {
+func (c *manyFronts) pump(now kumquatlug.Millis, front int) {
 	for _, due := range c.fronts[front].Due(now) {
 		c.due(now, front, due)
 	}
@@ -237,7 +237,7 @@
 	}
 }
 
-func (c *crowd) due(now kumquatlug.Millis, front int, due Due) {
+func (c *manyFronts) due(now kumquatlug.Millis, front int, due Due) {
 	if due.Ticket() == nil {
 		c.end(now, due.Key(), true)
 		return
@@ -245,7 +245,7 @@
 	c.send(now, front, due.Key(), due.Choice(), due.Ticket())
 }
 
-func (c *crowd) frontAt(name string) int {
+func (c *manyFronts) frontAt(name string) int {
 	for i := range c.fronts {
 		if frontName(i) == name {
 			return i
@@ -255,7 +255,7 @@
 }
 
 // said brings a message to a front.
-func (c *crowd) said(now kumquatlug.Millis, from, to int, m kumquatlug.TurnMessage) {
+func (c *manyFronts) said(now kumquatlug.Millis, from, to int, m kumquatlug.TurnMessage) {
 	if c.away[from] || c.away[to] {
 		return
 	}
@@ -272,14 +272,14 @@
 }
 
 // inTime is the part of the prompts of a span that were read within their target.
-func (c *crowd) inTime(begin, end kumquatlug.Millis) float64 {
+func (c *manyFronts) inTime(begin, end kumquatlug.Millis) float64 {
 	all, good := 0, 0
 	for _, one := range c.prompts {
 		if one.arrived < begin || one.arrived >= end || c.away[one.front] {
 			continue
 		}
 		all++
-		if one.outcomes == 1 && !one.refused && one.done-one.arrived <= crowdTarget {
+		if one.outcomes == 1 && !one.refused && one.done-one.arrived <= replayTarget {
 			good++
 		}
 	}
@@ -288,7 +288,7 @@
 
 // longestHeld is the longest that a prompt of a span waited until it was sent or
 // refused, at fronts that are there.
-func (c *crowd) longestHeld(begin, end kumquatlug.Millis) kumquatlug.Millis {
+func (c *manyFronts) longestHeld(begin, end kumquatlug.Millis) kumquatlug.Millis {
 	longest := kumquatlug.Millis(0)
 	for _, one := range c.prompts {
 		if one.arrived < begin || one.arrived >= end || c.away[one.front] {
@@ -311,9 +311,9 @@
 // nearly all clients get their answers late. In one queue nearly as many must be in
 // time as if all came through one front.
 func TestManyFrontsAreInTimeAsOne(t *testing.T) {
-	rate := 1.5 * 6 * crowdRate / 3300 * 1000
+	rate := 1.5 * 6 * replayRate / 3300 * 1000
 	play := func(fronts int, keep bool) float64 {
-		c := newCrowd(fronts, 6, keep)
+		c := newManyFronts(fronts, 6, keep)
 		c.play(1, 6000, rate)
 		return c.inTime(1000, 5000)
 	}
@@ -324,19 +324,19 @@
 	}
 }
 
-// A front that keeps engines loses its power while prompts wait there. Nobody tells
+// A front that coordinates engines loses its power while prompts wait there. Nobody tells
 // the others. A prompt may wait for it twice askAgainAfter and the looks between,
 // then it goes elsewhere, with all others that were asked there; two seconds later
 // as many must be in time as before.
-func TestAKeeperThatIsGoneHoldsNobodyUp(t *testing.T) {
-	rate := 0.3 * 6 * crowdRate / 3300 * 1000
-	c := newCrowd(5, 6, true)
+func TestACoordinatorThatIsGoneHoldsNobodyUp(t *testing.T) {
+	rate := 0.3 * 6 * replayRate / 3300 * 1000
+	c := newManyFronts(5, 6, true)
 	c.play(1, 2000, rate)
-	gone := c.frontAt(c.keepers[0].Keeper(2000, "p0"))
+	gone := c.frontAt(c.coordinators[0].Coordinator(2000, "p0"))
 	c.away[gone] = true
 	c.play(2000, 6000, rate)
 	// Prompts are in time at this load; one may wait its target latency for its turn.
-	if held := c.longestHeld(1500, 6000); held > crowdTarget+150 {
+	if held := c.longestHeld(1500, 6000); held > replayTarget+150 {
 		t.Errorf("a prompt was held for %d ms", held)
 	}
 	before, after := c.inTime(500, 1900), c.inTime(4000, 5700)
@@ -345,14 +345,14 @@
 	}
 }
 
-// A front that keeps engines stands still for three seconds and wakes with what lay
+// A front that coordinates engines stands still for three seconds and wakes with what lay
 // in its socket. If it then gave turns to prompts that went elsewhere meanwhile, the
 // engines would get all of them at once, and everybody behind them would be late.
-func TestAKeeperThatWakesGivesNoBurst(t *testing.T) {
-	rate := 0.6 * 6 * crowdRate / 3300 * 1000
-	c := newCrowd(5, 6, true)
+func TestACoordinatorThatWakesGivesNoBurst(t *testing.T) {
+	rate := 0.6 * 6 * replayRate / 3300 * 1000
+	c := newManyFronts(5, 6, true)
 	c.play(1, 2000, rate)
-	frozen := c.frontAt(c.keepers[0].Keeper(2000, "p0"))
+	frozen := c.frontAt(c.coordinators[0].Coordinator(2000, "p0"))
 	before := c.longest
 	c.away[frozen] = true
 	c.play(2000, 5000, rate)
@@ -371,9 +371,9 @@
 // would count as in hand at the engine for ever, and fewer of the others would get
 // turns with each front that ends.
 func TestTurnsOfAFrontThatDiedAreForgotten(t *testing.T) {
-	c := newCrowd(3, 2, true)
-	keeps := c.frontAt(c.keepers[0].Keeper(0, "p0"))
-	p := c.fronts[keeps]
+	c := newManyFronts(3, 2, true)
+	at := c.frontAt(c.coordinators[0].Coordinator(0, "p0"))
+	p := c.fronts[at]
 	for key := range uint64(mostReads + 1) {
 		p.Requested(10, kumquatlug.TurnMessage{Front: "front-9", Turn: kumquatlug.Turn{
 			Step: kumquatlug.TurnAsked, Engine: "p0", Key: key, Prompt: document(1, int(key)), Patience: 2000, Timed: true, Target: 200,
@@ -395,11 +395,11 @@
 	}
 }
 
-// The client of a prompt that waits at a keeper leaves. If nobody told the keeper,
+// The client of a prompt that waits at a coordinator leaves. If nobody told the coordinator,
 // it would keep a turn for it.
 func TestAClientThatLeavesGivesItsTurnBack(t *testing.T) {
-	c := newCrowd(2, 1, true)
-	asks := 1 - c.frontAt(c.keepers[0].Keeper(0, "p0"))
+	c := newManyFronts(2, 1, true)
+	asks := 1 - c.frontAt(c.coordinators[0].Coordinator(0, "p0"))
 	p := c.fronts[asks]
 	if entry, _, _ := p.Enter(5, 7, Query{Prompt: document(1, 1), Target: 205, Until: 2005}); entry != EntryWaits {
 		t.Fatalf("entry %q", entry)
@@ -419,22 +419,22 @@
 	}
 }
 
-// Two fronts have another view of who keeps an engine, as while a new one is met or
+// Two fronts have another view of who coordinates an engine, as while a new one is met or
 // an older release runs beside. The prompt goes by its own front's queue; asked
 // again and again it would wait until its client leaves.
-func TestAFrontThatKeepsNothingSaysSo(t *testing.T) {
-	c := newCrowd(2, 1, true)
-	keeps := c.frontAt(c.keepers[0].Keeper(0, "p0"))
-	p := c.fronts[1-keeps]
+func TestAFrontThatCoordinatesNothingSaysSo(t *testing.T) {
+	c := newManyFronts(2, 1, true)
+	at := c.frontAt(c.coordinators[0].Coordinator(0, "p0"))
+	p := c.fronts[1-at]
 	p.Enter(5, 7, Query{Prompt: document(1, 1), Target: 205, Until: 2005})
 	asked := p.Outbox()[0].Turn
-	c.keepers[keeps].Leave()
-	c.fronts[keeps].Requested(6, kumquatlug.TurnMessage{Front: frontName(1 - keeps), Turn: asked})
-	answer := c.fronts[keeps].Outbox()[0].Turn
+	c.coordinators[at].Leave()
+	c.fronts[at].Requested(6, kumquatlug.TurnMessage{Front: frontName(1 - at), Turn: asked})
+	answer := c.fronts[at].Outbox()[0].Turn
 	if answer.Step != kumquatlug.TurnUnknown {
 		t.Fatalf("answer %q", answer.Step)
 	}
-	p.Answered(7, kumquatlug.TurnMessage{Front: frontName(keeps), Turn: answer})
+	p.Answered(7, kumquatlug.TurnMessage{Front: frontName(at), Turn: answer})
 	due := p.Due(7)
 	if len(due) != 1 || due[0].Key() != 7 || due[0].Ticket() == nil {
 		t.Errorf("due %+v", due)
@@ -448,14 +448,14 @@
 	parameters.MinSuccessfulTests = 40
 	properties := gopter.NewProperties(parameters)
 	properties.Property("each prompt ends once", prop.ForAll(func(lost float64, cut, from, span int) string {
-		c := newCrowd(4, 3, true)
+		c := newManyFronts(4, 3, true)
 		c.lost = lost
 		c.play(1, kumquatlug.Millis(from), 150)
 		c.away[cut] = true
 		c.play(kumquatlug.Millis(from), kumquatlug.Millis(from+span), 150)
 		c.away[cut] = false
 		c.lost = 0
-		last := kumquatlug.Millis(from + span + crowdUntil + 3000)
+		last := kumquatlug.Millis(from + span + replayUntil + 3000)
 		for now := kumquatlug.Millis(from + span); now < last; now++ {
 			c.tick(now)
 		}
@@ -466,7 +466,7 @@
 
 // fault tells what is wrong once all is over; the attempts that ended while their
 // front stood still were told to nobody.
-func (c *crowd) fault(stood int) string {
+func (c *manyFronts) fault(stood int) string {
 	for key, one := range c.prompts {
 		if one.outcomes > 1 || one.outcomes == 0 && one.front != stood {
 			return fmt.Sprintf("prompt %d of front %d ended %d times", key, one.front, one.outcomes)
@@ -489,7 +489,7 @@
 // pause.
 func TestAnEngineThatSaysNothingIsNotTakenForEmpty(t *testing.T) {
 	p := New(Config{Zone: "a"})
-	p.Sync(0, []kumquatlug.Member{crowdEngine("d0", kumquatlug.RoleDecode), crowdEngine("d1", kumquatlug.RoleDecode), crowdEngine("p0", kumquatlug.RolePrefill)})
+	p.Sync(0, []kumquatlug.Member{replayEngine("d0", kumquatlug.RoleDecode), replayEngine("d1", kumquatlug.RoleDecode), replayEngine("p0", kumquatlug.RolePrefill)})
 	for i := range 200 {
 		p.Report(kumquatlug.Millis(i), "d0", kumquatlug.NewWorkerLoad(6, 0, 12))
 	}
@@ -501,11 +501,11 @@
 	}
 }
 
-// keeping returns the front that keeps p0, and a question of another one for a prompt
+// coordinating returns the front that coordinates p0, and a question of another one for a prompt
 // of a chain.
-func keeping() (*Placer, func(now kumquatlug.Millis, chain, key int) []kumquatlug.Turn) {
-	c := newCrowd(2, 1, true)
-	p := c.fronts[c.frontAt(c.keepers[0].Keeper(0, "p0"))]
+func coordinating() (*Placer, func(now kumquatlug.Millis, chain, key int) []kumquatlug.Turn) {
+	c := newManyFronts(2, 1, true)
+	p := c.fronts[c.frontAt(c.coordinators[0].Coordinator(0, "p0"))]
 	return p, func(now kumquatlug.Millis, chain, key int) []kumquatlug.Turn {
 		p.Requested(now, kumquatlug.TurnMessage{Front: "front-9", Turn: kumquatlug.Turn{
 			Step: kumquatlug.TurnAsked, Engine: "p0", Key: uint64(key), Prompt: document(chain, key), Patience: 2000,
@@ -519,17 +519,17 @@
 	}
 }
 
-// over tells the keeper that a prompt has been read.
+// over tells the coordinator that a prompt has been read.
 func over(p *Placer, now kumquatlug.Millis, key int) {
 	p.Requested(now, kumquatlug.TurnMessage{Front: "front-9", Turn: kumquatlug.Turn{Step: kumquatlug.TurnOver, Engine: "p0", Key: uint64(key)}})
 }
 
 // At a start engines hold nothing, and later what nobody used is driven out of their
-// memory. A keeper that took its engines to hold all shared parts would give them
+// memory. A coordinator that took its engines to hold all shared parts would give them
 // several times what they read in time, attempts would be given up as lost, and
 // what had been read for them would be read again elsewhere.
-func TestAKeeperKnowsWhatItsEngineHasRead(t *testing.T) {
-	p, ask := keeping()
+func TestACoordinatorKnowsWhatItsEngineHasRead(t *testing.T) {
+	p, ask := coordinating()
 	p.SetMemory(30_000)
 	whole, own := document(1, 1).Input(), int(p.own(document(1, 2)))
 	if got := ask(10, 1, 1)[0].Fresh; got != whole {
@@ -551,9 +551,9 @@
 
 // A prompt is given its turn while the engine still reads another front's. Its front
 // would take the engine for slow by how long that took, and with that figure give up
-// attempts, refuse clients and leave engines out; only the keeper can tell.
-func TestAKeeperTellsWhoIsAlone(t *testing.T) {
-	_, ask := keeping()
+// attempts, refuse clients and leave engines out; only the coordinator can tell.
+func TestACoordinatorTellsWhoIsAlone(t *testing.T) {
+	_, ask := coordinating()
 	first, second := ask(10, 1, 1)[0], ask(11, 1, 2)[0]
 	if !first.Alone || second.Alone {
 		t.Errorf("alone: the first %v, the second %v", first.Alone, second.Alone)
--- a/pkg/kumquatlug/turn.go
+++ b/pkg/kumquatlug/turn.go
@@ -3,24 +3,24 @@
 import "context"
 
 // The types of this file are the seam between fronts that share engines. For each
-// engine one front, its keeper, orders the prompts of all fronts; the others ask it
+// engine one front, its coordinator, orders the prompts of all fronts; the others ask it
 // for a turn before they send one there. Losing a message costs time, never a
 // request: no promise to a client rests on one.
 
 // TurnStep is what a [Turn] says.
 type TurnStep string
 
-// The steps; asked and over go to the keeper, the others come from it.
+// The steps; asked and over go to the coordinator, the others come from it.
 const (
 	// TurnAsked: a prompt waits for its turn. It may be said again.
 	TurnAsked TurnStep = "asked"
-	// TurnQueued: the keeper has it in its queue.
+	// TurnQueued: the coordinator has it in its queue.
 	TurnQueued TurnStep = "queued"
 	// TurnGranted: it may be sent now.
 	TurnGranted TurnStep = "granted"
 	// TurnRefused: it can't be read in time to be of use.
 	TurnRefused TurnStep = "refused"
-	// TurnUnknown: the front does not keep this engine.
+	// TurnUnknown: the front does not coordinate this engine.
 	TurnUnknown TurnStep = "unknown"
 	// TurnOver: the prompt has been read, or is not wanted any more.
 	TurnOver TurnStep = "over"
@@ -44,7 +44,7 @@
 	Timed            bool
 	// Begun says that the client has a part of the answer.
 	Begun bool
-	// Wait is how long the keeper expects reading to take from now, Alone says that
+	// Wait is how long the coordinator expects reading to take from now, Alone says that
 	// the engine has no other prompt in hand, Fresh how many tokens of the prompt it
 	// is believed to read anew.
 	Wait  Millis
@@ -58,13 +58,13 @@
 	Turn  Turn
 }
 
-// Keepers tells which front keeps an engine.
-type Keepers interface {
-	// Keeper returns the name of the front that orders the prompts at an engine;
+// Coordinators tells which front coordinates an engine.
+type Coordinators interface {
+	// Coordinator returns the name of the front that orders the prompts at an engine;
 	// empty where nobody can be asked, so that each front goes by itself.
-	Keeper(now Millis, engine string) string
-	// Keeps reports whether that is this front.
-	Keeps(now Millis, engine string) bool
+	Coordinator(now Millis, engine string) string
+	// Coordinates reports whether that is this front.
+	Coordinates(now Millis, engine string) bool
 	// Answered and Missed take whether a front answered in time.
 	Answered(front string)
 	Missed(now Millis, front string)
--- a/test/front/turns_test.go
+++ b/test/front/turns_test.go
@@ -64,7 +64,7 @@
 	return longest
 }
 
-// A front that keeps engines is stopped by a debugger, an overcommitted host or a
+// A front that coordinates engines is stopped by a debugger, an overcommitted host or a
 // snapshot: its port takes datagrams, and nobody answers them. Prompts that other
 // fronts asked turns for must go on by themselves; a user would else wait until
 // giving up. When it goes on, it must be asked again.
@@ -77,7 +77,7 @@
 		t.Errorf("a prompt took %v", longest)
 	}
 	if len(fronts[0].log("front away", `"front":"front-3"`)) == 0 {
-		t.Error("nobody was found away: the front that stood still kept nothing")
+		t.Error("nobody was found away: the front that stood still coordinated nothing")
 	}
 	eventually(t, "it is asked again", func() bool {
 		flood(t, fronts[0], fmt.Sprint("back", time.Now().UnixNano()), 16)
@@ -109,7 +109,7 @@
 	}
 }
 
-// A front is told to stop while it keeps engines. The others must hear of it and ask
+// A front is told to stop while it coordinates engines. The others must hear of it and ask
 // it nothing more; else each of them finds out by prompts that wait.
 func TestOthersHearThatAFrontStops(t *testing.T) {
 	fronts := threeFronts(t)
