Let a stopping front begin nothing that attempts given up have left no time for

The first engine that read its prompt was lost, the attempt was given up after 0.91 s and made again in 0.5 s; what requests take at most was reckoned at its arrival only. Now it is reckoned again before each attempt and before the output is begun: while nothing of it has run it is refused as stopping, and another front answers. Ruled out: the balancer's lag, as the request came 1 s after it; reckoning with two attempts at arrival, which refuses short requests that a front two seconds before its end serves.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -75,6 +75,10 @@
 // its role or is full refuses it; another one then takes the same cache. Read
 // again, the prompt would be late, and so would those that wait behind it.
 func (f *inflight) output(ctx context.Context, cache kumquatlug.KVCache) *tried {
+	if failed := f.cutShort(); failed != nil {
+		f.g.free(cache)
+		return failed
+	}
 	ticket, choice, failed := f.choose(stageOutput)
 	if failed != nil {
 		f.g.free(cache)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/routes"
 )
@@ -294,3 +296,31 @@
 		t.Errorf("%+v after %d sendings", answer, len(w.made()))
 	}
 }
+
+// A front was told to stop and takes a request that it can just end. The engine that
+// reads its prompt is lost, the attempt is given up and made again, and by then too
+// little time is left. Begun all the same, its answer is cut in the middle when the
+// front leaves; nothing of it has run yet, so that another front can still answer.
+func TestAStoppingFrontBeginsNothingThatItCannotFinish(t *testing.T) {
+	for _, lost := range []bool{true, false} {
+		w := &fakeWorkers{run: func(context.Context, int, call) (kumquatlug.Reply, error) { return streamed(1, 2), nil }}
+		f := newFront(t, w, manyRepeats)
+		f.g.leaveAt.Store(int64(f.g.c.Clock.Now() + 10_000))
+		w.prefill = func(_ context.Context, n int, _ call) (kumquatlug.KVCache, kumquatlug.Reply, error) {
+			f.g.leaveAt.Store(int64(f.g.c.Clock.Now() + 100))
+			if lost && n == 1 {
+				return kumquatlug.KVCache{}, kumquatlug.Reply{}, errors.New("the engine is lost")
+			}
+			return kumquatlug.NewKVCache("10.0.0.1:1", "h"), whole(200, ""), nil
+		}
+		answer := f.ask(context.Background(), http.MethodPost, long)
+		if answer.status != http.StatusServiceUnavailable || answer.header.Get("Ran") != string(kumquatlug.RanNot) {
+			t.Errorf("engine lost %v: %+v", lost, answer)
+		}
+		for _, c := range w.made() {
+			if !c.prefill {
+				t.Errorf("engine lost %v: it was begun", lost)
+			}
+		}
+	}
+}
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -138,6 +138,9 @@
 	case f.runs >= f.route.Workers():
 		return t.failure
 	}
+	if cut := f.cutShort(); cut != nil {
+		return cut.failure
+	}
 	return nil
 }
 
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -298,6 +298,13 @@
 	return sc.at(service).placer.Takes(output)
 }
 
+// runs tells how long nearly all requests generate, by the greatest output.
+func (sc *scheduler) runs(service string, output int) kumquatlug.Millis {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	return sc.at(service).placer.Runs(output)
+}
+
 func (sc *scheduler) read(now kumquatlug.Millis, service string, t *placement.Ticket) {
 	sc.mu.Lock()
 	defer sc.unlock()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -100,6 +100,22 @@
 	return f.arrived+takes > leave
 }
 
+// cutShort is the failure of a request that would have been whole in time when it
+// came to a stopping front, and won't be any more since attempts were given up. While
+// nothing of it has run another front can still answer it; begun here, its answer
+// would be cut when this front leaves.
+func (f *inflight) cutShort() *tried {
+	leave := kumquatlug.Millis(f.g.leaveAt.Load())
+	if leave == 0 || f.runs > 0 || f.begun || !f.service.Engine() {
+		return nil
+	}
+	run := f.g.scheduler.runs(f.service.Name(), f.ask.Prompt().Output())
+	if f.g.c.Clock.Now()+plainTime+run <= leave {
+		return nil
+	}
+	return &tried{whole: true, failure: refusal("stop", "stopping", http.StatusServiceUnavailable, stopRetry)}
+}
+
 // refusal returns a final answer for a request that did not run.
 func refusal(step, reason string, status int, retry kumquatlug.Millis) *kumquatlug.Failure {
 	return kumquatlug.NewFailure(kumquatlug.FailureConfig{
--- a/pkg/kumquatlug/placement/ticket.go
+++ b/pkg/kumquatlug/placement/ticket.go
@@ -163,8 +163,12 @@
 // Takes returns how long nearly all requests take at an engine, by the greatest
 // number of tokens to generate: until the first output comes, and from then on.
 func (p *Placer) Takes(output int) kumquatlug.Millis {
-	run := longRun * p.tokenTime.Value() * float64(output)
-	return kumquatlug.Millis(p.overrun.Bound() + run)
+	return kumquatlug.Millis(p.overrun.Bound()) + p.Runs(output)
+}
+
+// Runs returns the latter: how long nearly all outputs take.
+func (p *Placer) Runs(output int) kumquatlug.Millis {
+	return kumquatlug.Millis(longRun * p.tokenTime.Value() * float64(output))
 }
 
 // Figure names what is learnt of a service's workers.
