Take a front that stopped and is back for a coordinator again when its row is read

One that is back and has nothing to ask of another stayed left out there, and the two named different fronts for some engines, whose prompts then stood in two queues for good. Tests without the bench, the second of which fails before: TestARowTellsOnceThatAFrontStartedAnew, TestAFrontThatIsBackCoordinatesAgain.

--- a/internal/front/link.go
+++ b/internal/front/link.go
@@ -120,8 +120,8 @@
 
 // Meet implements [kumquatlug.FrontLink]. A row that can't be read, as one of a
 // release without turns, names nobody to ask.
-func (l *Link) Meet(rows map[string][]byte) []string {
-	names := []string{l.c.Name}
+func (l *Link) Meet(rows map[string][]byte) (there, anew []string) {
+	there = []string{l.c.Name}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for name, text := range rows {
@@ -129,37 +129,42 @@
 			continue
 		}
 		var r row
+		changed := false
 		err := json.Unmarshal(text, &r)
 		if err == nil {
-			err = l.add(name, r.Address, r.Key)
+			changed, err = l.add(name, r.Address, r.Key)
 		}
 		if err != nil {
 			l.c.Logger.Warn("row of a front passed over", zap.String("front", name), logs.Error(err))
 			continue
 		}
-		names = append(names, name)
+		there = append(there, name)
+		if changed {
+			anew = append(anew, name)
+		}
 	}
-	return names
+	return there, anew
 }
 
-// add takes where a front is and what seals datagrams to it; the lock must be held.
-func (l *Link) add(name, address string, key []byte) error {
+// add takes where a front is and what seals datagrams to it, and reports whether that
+// is new; the lock must be held.
+func (l *Link) add(name, address string, key []byte) (bool, error) {
 	at, err := net.ResolveUDPAddr("udp4", address)
 	if err != nil {
-		return errors.Wrap(err, "address of a front")
+		return false, errors.Wrap(err, "address of a front")
 	}
 	if at.IP == nil || name == "" || len(name) > mostName {
-		return errors.Newf("front %q at %q can't be reached", name, address)
+		return false, errors.Newf("front %q at %q can't be reached", name, address)
 	}
 	if before, known := l.peers[name]; known && before.is(at, key) {
-		return nil
+		return false, nil
 	}
 	seal, err := sealer(key)
 	if err != nil {
-		return err
+		return false, err
 	}
 	l.peers[name] = &peer{address: at, key: key, seal: seal}
-	return nil
+	return true, nil
 }
 
 // is reports whether a peer has this address and key.
@@ -277,7 +282,7 @@
 	}
 	l.mu.Lock()
 	if hello := d.GetHello(); hello != nil {
-		if err := l.add(d.GetFrom(), hello.GetAddress(), hello.GetKey()); err != nil {
+		if _, err := l.add(d.GetFrom(), hello.GetAddress(), hello.GetKey()); err != nil {
 			l.mu.Unlock()
 			return err
 		}
--- a/internal/front/link_test.go
+++ b/internal/front/link_test.go
@@ -203,7 +203,7 @@
 // Rows of a release without turns, and spoilt ones, name nobody to ask.
 func TestRowsThatCantBeReadNameNobody(t *testing.T) {
 	n := newNode(t, "n", "127.0.0.1:0")
-	names := n.Meet(map[string][]byte{
+	names, _ := n.Meet(map[string][]byte{
 		"n": n.Row(), "old": []byte("01KKHVXYNGR852X1AS97XW4JQC"), "empty": nil, "keyless": []byte(`{"address":"127.0.0.1:7"}`),
 		"nowhere": []byte(`{"address":":7","key":"AAAAAAAAAAAAAAAAAAAAAA=="}`), "good": []byte(`{"address":"127.0.0.1:7","key":"AAAAAAAAAAAAAAAAAAAAAA=="}`),
 	})
@@ -296,3 +296,20 @@
 		}
 	})
 }
+
+// A front stopped for an update and is back, and has nothing to say to this one. Only
+// its row tells that it started anew; each reading of the rows after that must not.
+func TestARowTellsOnceThatAFrontStartedAnew(t *testing.T) {
+	n, other := newNode(t, "n", "127.0.0.1:0"), newNode(t, "other", "127.0.0.1:0")
+	rows := map[string][]byte{"other": other.Row()}
+	if _, anew := n.Meet(rows); len(anew) != 1 {
+		t.Errorf("first met: %v", anew)
+	}
+	if _, anew := n.Meet(rows); len(anew) != 0 {
+		t.Errorf("met again: %v", anew)
+	}
+	rows["other"] = newNode(t, "other", "127.0.0.1:0").Row()
+	if _, anew := n.Meet(rows); len(anew) != 1 || anew[0] != "other" {
+		t.Errorf("after its start: %v", anew)
+	}
+}
--- a/internal/gateway/scheduler_test.go
+++ b/internal/gateway/scheduler_test.go
@@ -1,8 +1,12 @@
 package gateway
 
 import (
+	"context"
+	"fmt"
 	"testing"
 
+	"go.uber.org/zap"
+
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
 
@@ -40,3 +44,34 @@
 		t.Errorf("a request without a prompt is worth %.2f", none)
 	}
 }
+
+// A front says that it stops and starts again. It may have nothing to ask of this one,
+// whose reading of the rows must bring it back; else both name other fronts as the
+// coordinators of some engines, and prompts stand in two queues there.
+func TestAFrontThatIsBackCoordinatesAgain(t *testing.T) {
+	sc := newScheduler(Config{Name: "a", Fronts: noLink{}, Logger: zap.NewNop()})
+	all := []string{"a", "b", "c"}
+	sc.meet(all, nil)
+	engine := ""
+	for i := 0; engine == "" || sc.coordinators.Coordinator(0, engine) != "b"; i++ {
+		engine = fmt.Sprint("engine-", i)
+	}
+	sc.left("b")
+	sc.meet(all, nil)
+	if got := sc.coordinators.Coordinator(0, engine); got == "b" {
+		t.Errorf("%s coordinates after it said that it stops", got)
+	}
+	sc.meet(all, []string{"b"})
+	if got := sc.coordinators.Coordinator(0, engine); got != "b" {
+		t.Errorf("%s coordinates what the front that is back did", got)
+	}
+}
+
+// noLink reaches nobody.
+type noLink struct{}
+
+func (noLink) Row() []byte                                            { return nil }
+func (noLink) Meet(map[string][]byte) (there, anew []string)          { return nil, nil }
+func (noLink) Send(kumquatlug.TurnMessage)                            {}
+func (noLink) Leave()                                                 {}
+func (noLink) Receive(context.Context, kumquatlug.FrontHandler) error { return nil }
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -29,8 +29,8 @@
 	if g.c.Fronts == nil {
 		return
 	}
-	there := g.c.Fronts.Meet(rows)
-	g.scheduler.meet(there)
+	there, anew := g.c.Fronts.Meet(rows)
+	g.scheduler.meet(there, anew)
 	g.c.Logger.Info("fronts met", zap.Int("rows", len(rows)), zap.Int("there", len(there)))
 }
 
@@ -60,11 +60,16 @@
 	return sc.coordinators
 }
 
-// meet takes the names of the fronts that can be asked.
-func (sc *scheduler) meet(names []string) {
+// meet takes the names of the fronts that can be asked, and which of them started
+// anew. One of these may have said that it stops, and nothing to this front since;
+// without its row the two would name different coordinators for good.
+func (sc *scheduler) meet(there, anew []string) {
 	sc.mu.Lock()
 	defer sc.unlock()
-	sc.coordinators.Set(names)
+	sc.coordinators.Set(there)
+	for _, front := range anew {
+		sc.coordinators.Add(front)
+	}
 }
 
 func (sc *scheduler) met(front string) {
--- a/pkg/kumquatlug/turn.go
+++ b/pkg/kumquatlug/turn.go
@@ -74,9 +74,9 @@
 type FrontLink interface {
 	// Row is what this front's row in the platform's store tells the others.
 	Row() []byte
-	// Meet takes the rows of all fronts by name, and returns the names of those that
-	// can be reached, this one among them.
-	Meet(rows map[string][]byte) []string
+	// Meet takes the rows of all fronts by name. It returns the names of those that
+	// can be reached, this one among them, and which of them started anew since.
+	Meet(rows map[string][]byte) (there, anew []string)
 	// Send sends a message to a front.
 	Send(m TurnMessage)
 	// Leave tells the others that this front stops.
