Answer what a stopping front still reads before it leaves

The reading of its prompt was given up after 0.97 s, begun again and still under way 1.84 s later, when the front left and closed its connection without a word.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -148,7 +148,12 @@
 	case placement.EntryRefused:
 		return nil, t.choice, f.overload(t.choice)
 	}
+	wait := time.NewTimer(f.mayRead().Duration())
+	defer wait.Stop()
 	select {
+	case <-wait.C:
+		f.g.scheduler.leave(f.g.c.Clock.Now(), f.service.Name(), t)
+		return nil, t.choice, f.waitedTooLong()
 	case due := <-t.due:
 		if due.Ticket() == nil {
 			return nil, due.Choice(), f.overload(due.Choice())
@@ -160,6 +165,14 @@
 	}
 }
 
+// waitedTooLong is the failure of a request whose turn did not come in time.
+func (f *inflight) waitedTooLong() *tried {
+	if failed := f.cutShort(); failed != nil {
+		return failed
+	}
+	return &tried{whole: true, failure: refusal("wait", "deadline", http.StatusServiceUnavailable, 0)}
+}
+
 // Urgencies at an engine, 0 first. Requests that can still make their target
 // latency go before those that can't: serving the late ones first would make
 // the others late, too.
@@ -189,7 +202,7 @@
 
 // prefill has an engine read the prompt.
 func (f *inflight) prefill(ctx context.Context, c placement.Choice, t *placement.Ticket) (kumquatlug.KVCache, *tried) {
-	call, cancel := context.WithTimeout(ctx, f.attemptTimeout(t).Duration())
+	call, cancel := context.WithTimeout(ctx, min(f.attemptTimeout(t), f.mayRead()).Duration())
 	defer cancel()
 	f.g.scheduler.onSilence(f.service.Name(), t, cancel)
 	cache, reply, err := f.g.c.Workers.Prefill(call, c.Worker(), f.ask, f.sending(c))
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -324,3 +324,29 @@
 		}
 	}
 }
+
+// A stopping front takes a request, and the engine reads its prompt for longer than
+// anybody thought. When the front leaves, the connection ends without a word, and the
+// client doesn't know whether it may ask again. It must be told before, while another
+// front can still answer.
+func TestAStoppingFrontAnswersBeforeItLeaves(t *testing.T) {
+	w := &fakeWorkers{}
+	f := newFront(t, w, manyRepeats)
+	f.g.leaveAt.Store(int64(f.g.c.Clock.Now() + 10_000))
+	w.prefill = func(ctx context.Context, n int, _ call) (kumquatlug.KVCache, kumquatlug.Reply, error) {
+		if n == 1 {
+			// Most of the ten seconds have passed.
+			f.g.leaveAt.Store(int64(f.g.c.Clock.Now() + 700))
+			return kumquatlug.KVCache{}, kumquatlug.Reply{}, errors.New("the engine is lost")
+		}
+		<-ctx.Done()
+		return kumquatlug.KVCache{}, kumquatlug.Reply{}, ctx.Err()
+	}
+	answer := f.ask(context.Background(), http.MethodPost, long)
+	if answer.status != http.StatusServiceUnavailable || answer.header.Get("Ran") != string(kumquatlug.RanNot) {
+		t.Errorf("%+v", answer)
+	}
+	if now, leave := f.g.c.Clock.Now(), kumquatlug.Millis(f.g.leaveAt.Load()); now >= leave {
+		t.Errorf("answered %d ms after the front left", now-leave)
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -105,15 +105,22 @@
 // nothing of it has run another front can still answer it; begun here, its answer
 // would be cut when this front leaves.
 func (f *inflight) cutShort() *tried {
+	if !f.g.stopping() || f.mayRead() > 0 {
+		return nil
+	}
+	return &tried{whole: true, failure: refusal("stop", "stopping", http.StatusServiceUnavailable, stopRetry)}
+}
+
+// mayRead is how long it may still take until the output of a request is begun. At a
+// stopping front that ends in time for the output to be whole; what is still being
+// read then would end without an answer when the front leaves.
+func (f *inflight) mayRead() kumquatlug.Millis {
 	leave := kumquatlug.Millis(f.g.leaveAt.Load())
 	if leave == 0 || f.runs > 0 || f.begun || !f.service.Engine() {
-		return nil
+		return f.left()
 	}
 	run := f.g.scheduler.runs(f.service.Name(), f.ask.Prompt().Output())
-	if f.g.c.Clock.Now()+plainTime+run <= leave {
-		return nil
-	}
-	return &tried{whole: true, failure: refusal("stop", "stopping", http.StatusServiceUnavailable, stopRetry)}
+	return min(f.left(), leave-plainTime-run-f.g.c.Clock.Now())
 }
 
 // refusal returns a final answer for a request that did not run.
