Tell what a front knows of a worker's limit: a line, two metrics

The adapter now reads it (an unreadable figure and an answer of another worker say nothing), a front keeps what answers say in the order in which their requests were sent, and writes 'worker limit' with what it sent since, beside two metrics. What is sent does not change.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -223,7 +223,6 @@
 	defer cancel()
 	f.g.scheduler.onSilence(f.service.Name(), t, cancel)
 	cache, reply, err := f.g.c.Workers.Prefill(call, c.Worker(), f.ask, f.sending(c))
-	id := c.Worker().ID()
 	if err != nil {
 		// It may have been read; the next reading is then a repeat.
 		f.read = f.read || kumquatlug.RanOf(err) != kumquatlug.RanNot
@@ -232,7 +231,7 @@
 		failed.failure = failed.failure.WithRan(kumquatlug.RanNot)
 		return cache, failed
 	}
-	f.g.scheduler.said(f.g.c.Clock.Now(), f.service.Name(), id, reply.Load())
+	f.said(c, t, reply)
 	if reply.Status() != http.StatusOK || cache.Handle() == "" {
 		if !f.read && f.arrivals > 0 {
 			// It was sent as a first reading, and is a repeat as it was refused.
@@ -340,7 +339,7 @@
 	if err != nil {
 		return f.failed(stageOutput, c, t, blame(ctx, call), err)
 	}
-	f.g.scheduler.said(f.g.c.Clock.Now(), f.service.Name(), c.Worker().ID(), reply.Load())
+	f.said(c, t, reply)
 	if reply.Refused() {
 		return f.turnedDown(stageOutput, c, t, reply)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -311,6 +311,7 @@
 		}
 		g.tellLearnt(told)
 		g.showWorst()
+		g.showLimits()
 		addresses := g.members.Load().addresses
 		g.c.Sweep(func(address string) bool { return addresses[address] })
 		if !sleep(ctx, houseEvery) {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -25,6 +25,8 @@
 	usageOpen prometheus.Gauge
 	// worst is the part in time of the accounts that fare worst.
 	worst *prometheus.GaugeVec
+	// limit and limitSent tell of the workers that name a limit of their rate.
+	limit, limitSent *prometheus.GaugeVec
 }
 
 // latencyBuckets are in seconds: from an idle answer to the longest deadline.
@@ -74,12 +76,25 @@
 		worst: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "kumquatlug_gateway_worst_accounts_in_time", Help: "Part of the requests in time of the accounts that fare worst here.",
 		}, []string{"account"}),
+		limit: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "kumquatlug_gateway_worker_limit", Help: "Requests a second that a worker says it takes from all fronts.",
+		}, []string{"worker"}),
+		limitSent: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "kumquatlug_gateway_worker_limit_sent", Help: "Requests that this front sent to a worker since it first heard of its limit.",
+		}, []string{"worker"}),
 	}
-	r.MustRegister(m.answers, m.attempts, m.latency, m.store, m.orders, m.silent, m.config, m.learnt, m.turns, m.denied,
-		m.lease, m.reports, m.usageOpen, m.worst)
+	r.MustRegister(m.collectors()...)
 	return m
 }
 
+// collectors returns all metrics.
+func (m *metrics) collectors() []prometheus.Collector {
+	return []prometheus.Collector{
+		m.answers, m.attempts, m.latency, m.store, m.orders, m.silent, m.config, m.learnt, m.turns, m.denied,
+		m.lease, m.reports, m.usageOpen, m.worst, m.limit, m.limitSent,
+	}
+}
+
 func (m *metrics) handler(r *prometheus.Registry) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(r, promhttp.HandlerOpts{}))
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -13,8 +13,8 @@
 // would leave an alarm silent for ever; one that the page lacks is found by nobody.
 func TestThePagesNameTheMetricsThatThereAre(t *testing.T) {
 	m := newMetrics(prometheus.NewRegistry())
-	descriptions := make(chan *prometheus.Desc, 16)
-	for _, c := range []prometheus.Collector{m.answers, m.attempts, m.latency, m.store, m.orders, m.silent, m.config, m.learnt, m.turns, m.denied, m.lease, m.reports, m.usageOpen, m.worst} {
+	descriptions := make(chan *prometheus.Desc, len(m.collectors()))
+	for _, c := range m.collectors() {
 		c.Describe(descriptions)
 	}
 	close(descriptions)
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"sync"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
@@ -291,11 +292,27 @@
 	return sc.at(service).placer.Occupied(now)
 }
 
-// said takes what a worker said of its load.
-func (sc *scheduler) said(now kumquatlug.Millis, service, worker string, load kumquatlug.WorkerLoad) {
+// said takes what a worker said of its load and its limit in the answer to an attempt,
+// and reports whether the limit is news.
+func (sc *scheduler) said(
+	now kumquatlug.Millis, service string, t *placement.Ticket, worker string, reply kumquatlug.Reply,
+) (placement.LimitNews, bool) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	sc.at(service).placer.Report(now, worker, load)
+	p := sc.at(service).placer
+	p.Report(now, worker, reply.Load())
+	return p.Limited(now, t, reply.Limit(), reply.Status() < http.StatusMultipleChoices)
+}
+
+// limits returns the workers that are known to have a limit.
+func (sc *scheduler) limits() []placement.LimitNews {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	var all []placement.LimitNews
+	for _, g := range sc.services {
+		all = append(all, g.placer.Limits()...)
+	}
+	return all
 }
 
 // beside tells what a worker has in hand.
--- a/pkg/kumquatlug/direct.go
+++ b/pkg/kumquatlug/direct.go
@@ -199,6 +199,7 @@
 	body    io.ReadCloser
 	refused bool
 	load    WorkerLoad
+	limit   RateLimit
 }
 
 // ReplyConfig is what a [Reply] is made of.
@@ -214,11 +215,15 @@
 	Refused bool
 	// Load is what the worker said of its load, if it did.
 	Load WorkerLoad
+	// Limit is what it said of the rate of requests that it takes.
+	Limit RateLimit
 }
 
 // NewReply returns the reply that c describes.
 func NewReply(c ReplyConfig) Reply {
-	return Reply{status: c.Status, header: c.Header, length: c.Length, body: c.Body, refused: c.Refused, load: c.Load}
+	return Reply{
+		status: c.Status, header: c.Header, length: c.Length, body: c.Body, refused: c.Refused, load: c.Load, limit: c.Limit,
+	}
 }
 
 // Status returns the HTTP status.
@@ -239,6 +244,9 @@
 // Load returns what the worker said of its load.
 func (r Reply) Load() WorkerLoad { return r.load }
 
+// Limit returns what the worker said of the rate of requests that it takes.
+func (r Reply) Limit() RateLimit { return r.limit }
+
 // WorkerLoad is how busy a worker says it is.
 type WorkerLoad struct {
 	known   bool
@@ -264,6 +272,31 @@
 // Slots returns how many may run at once.
 func (l WorkerLoad) Slots() int { return l.slots }
 
+// RateLimit is what an answer says of the rate of requests that its worker takes from
+// all fronts together. The zero value says nothing.
+type RateLimit struct {
+	said      bool
+	named     bool
+	perSecond float64
+}
+
+// NewRateLimit returns a limit of so many requests a second.
+func NewRateLimit(perSecond float64) RateLimit {
+	return RateLimit{said: true, named: true, perSecond: perSecond}
+}
+
+// NoRateLimit says that there is none.
+func NoRateLimit() RateLimit { return RateLimit{said: true} }
+
+// Named reports whether the answer names a limit.
+func (l RateLimit) Named() bool { return l.named }
+
+// None reports whether the answer says that there is no limit.
+func (l RateLimit) None() bool { return l.said && !l.named }
+
+// PerSecond returns the limit in requests a second.
+func (l RateLimit) PerSecond() float64 { return l.perSecond }
+
 // EngineState is what an engine says of itself when asked.
 type EngineState struct {
 	// Role is what it does now.
--- a/pkg/kumquatlug/placement/placement.go
+++ b/pkg/kumquatlug/placement/placement.go
@@ -36,6 +36,7 @@
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/health"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/learn"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/ratelimit"
 )
 
 // Config is what a [Placer] is made of. The zero value of each field stands for
@@ -173,6 +174,8 @@
 	// load is what this front gave it to read until loadAt, see [Placer.loadNow].
 	load   float64
 	loadAt kumquatlug.Millis
+	// limit is what the worker says of the rate of requests that it takes.
+	limit ratelimit.Limit
 }
 
 // use is when a part was used last, and how many tokens its engine had read by then.
--- a/pkg/kumquatlug/placement/ticket.go
+++ b/pkg/kumquatlug/placement/ticket.go
@@ -66,6 +66,7 @@
 		w.heardAt = now
 	}
 	w.tickets = append(w.tickets, t)
+	w.limit.Send()
 	w.tokens += c.tokens
 	if c.apart {
 		w.reads++
