--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -69,6 +70,9 @@
 	// streams are closed when a running stream is moved, by request.
 	streams map[string]chan struct{}
 	moved   int
+	// limit is the rate of requests that it names in its answers, negative for none.
+	limit    float64
+	arrivals []time.Time
 }
 
 // New returns a worker.
@@ -78,8 +82,8 @@
 	}
 	return &Worker{
 		c: c, handles: map[string]string{}, runs: map[string]int{}, refused: map[string]int{},
-		streams: map[string]chan struct{}{},
-		born:    time.Now().UnixMilli(),
+		streams: map[string]chan struct{}{}, limit: -1,
+		born: time.Now().UnixMilli(),
 	}
 }
 
@@ -90,6 +94,30 @@
 	w.fault = f
 }
 
+// SetLimit has all answers name a limit of so many requests a second, or none if it is
+// negative.
+func (w *Worker) SetLimit(perSecond float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.limit = perSecond
+}
+
+// Most returns the most requests that arrived in a span that began at from or later.
+func (w *Worker) Most(from time.Time, span time.Duration) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	most, first := 0, 0
+	for last, at := range w.arrivals {
+		for w.arrivals[first].Before(from) && first < last || at.Sub(w.arrivals[first]) >= span {
+			first++
+		}
+		if !at.Before(from) {
+			most = max(most, last-first+1)
+		}
+	}
+	return most
+}
+
 // Runs returns how often each request ran, by its id.
 func (w *Worker) Runs() map[string]int {
 	w.mu.Lock()
@@ -247,6 +275,10 @@
 	}
 	w.mu.Lock()
 	w.received = append(w.received, r.Header.Clone())
+	w.arrivals = append(w.arrivals, time.Now())
+	if w.limit >= 0 {
+		out.Header().Set("Server-Limit", strconv.FormatFloat(w.limit, 'f', -1, 64))
+	}
 	fault, stage := w.fault, w.c.Stage
 	if fault == FaultShed || w.running >= 4*w.c.Slots {
 		w.refused[id]++
