Keep to the limits that workers name, together with all other fronts

Cause: nothing that chooses a worker asked what the worker says of its rate; the class is a bound that a peer tells in its answers and that all fronts share.

Now each front keeps to its part, without a message: as many fronts as a limit allows hold an equal share of it, the first in the worker's rendezvous order; the others use other workers and ask now and then whether it is over. Requests are spaced; one that a worker will take in time is held back, others are refused at once with the time to come back. A limit that is over lets the rate double each 2 s, as a worker in need may be again.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -110,7 +110,7 @@
 		choice, ticket = f.g.scheduler.choose(f.g.c.Clock.Now(), f.service.Name(), s, q)
 	}
 	if ticket == nil {
-		return nil, choice, f.nobody()
+		return nil, choice, f.nobody(choice)
 	}
 	if s == stageWhole && choice.Wait() >= f.left() {
 		f.end(s, ticket, placement.OutcomeSilent)
@@ -119,9 +119,14 @@
 	return ticket, choice, nil
 }
 
-// nobody is the failure of a request for which there is no worker.
-func (f *inflight) nobody() *tried {
-	return &tried{whole: true, failure: f.truthful(refusal("place", "no_worker", 0, 0), "no_worker")}
+// nobody is the failure of a request for which there is no worker, or none that takes
+// it soon enough, as the choice tells.
+func (f *inflight) nobody(c placement.Choice) *tried {
+	reason, after := "no_worker", kumquatlug.Millis(0)
+	if c.Delay() > 0 {
+		reason, after = "worker_limit", f.comeBack(c.Delay())
+	}
+	return &tried{whole: true, failure: f.truthful(refusal("place", reason, 0, after), reason)}
 }
 
 // overload is the failure of a request that no worker can begin in time. It can
@@ -158,7 +163,7 @@
 	case placement.EntrySent:
 		return t.ticket, t.choice, nil
 	case placement.EntryNobody:
-		return nil, t.choice, f.nobody()
+		return nil, t.choice, f.nobody(t.choice)
 	case placement.EntryRefused:
 		return nil, t.choice, f.overload(t.choice)
 	}
@@ -319,6 +324,9 @@
 
 // run makes an attempt that runs the request, and hands the answer on.
 func (f *inflight) run(ctx context.Context, c placement.Choice, t *placement.Ticket, cache kumquatlug.KVCache) *tried {
+	if failed := f.holdBack(ctx, c, t); failed != nil {
+		return failed
+	}
 	if denied := f.stillAllowed(stageOutput, t); denied != nil {
 		return denied
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -328,6 +328,10 @@
 func (g *Gateway) register(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, storeCall.Duration())
 	defer cancel()
+	if before, err := g.c.Table.Get(ctx, frontPrefix+g.c.Name); err != nil || !before.Exists() {
+		// One that starts again under its name has been counted long since.
+		g.scheduler.setNew(g.c.Clock.Now() + (countEvery+1)*houseEvery + storeCall)
+	}
 	row := []byte(g.c.Incarnation)
 	if g.c.Fronts != nil {
 		row = g.c.Fronts.Row()
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"context"
+	"net/http"
+
 	"go.uber.org/zap"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
@@ -17,6 +20,30 @@
 		zap.Bool("named", news.Named()), zap.Float64("per_second", news.PerSecond()), zap.Int("sent", news.Sent()))
 }
 
+// holdBack waits until the worker of a choice takes the attempt. The worker may have
+// gone meanwhile, or have said that it leaves; another one is then to be chosen.
+func (f *inflight) holdBack(ctx context.Context, c placement.Choice, t *placement.Ticket) *tried {
+	if c.Delay() <= 0 {
+		return nil
+	}
+	if !sleep(ctx, c.Delay()) {
+		f.end(stageOutput, t, placement.OutcomeSilent)
+		return &tried{whole: true, failure: refusal("wait", "client_left", http.StatusServiceUnavailable, 0)}
+	}
+	if f.g.scheduler.stillTakes(f.g.c.Clock.Now(), f.service.Name(), t) {
+		return nil
+	}
+	f.end(stageOutput, t, placement.OutcomeSilent)
+	return &tried{worker: c.Worker().ID(), failure: refusal("wait", "worker_gone", http.StatusServiceUnavailable, 0)}
+}
+
+// stillTakes reports whether the worker of an attempt may be sent it now.
+func (sc *scheduler) stillTakes(now kumquatlug.Millis, service string, t *placement.Ticket) bool {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	return sc.at(service).placer.StillTakes(now, t)
+}
+
 // showLimits sets the metrics of the workers that have a limit.
 func (g *Gateway) showLimits() {
 	g.metrics.limit.Reset()
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -9,6 +9,7 @@
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/fairshare"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/health"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/ratelimit"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/retry"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/routes"
 )
@@ -24,6 +25,8 @@
 	// coordinators tells which front orders the prompts at an engine, nil where fronts
 	// can't speak with each other.
 	coordinators *coordinator.Fronts
+	// shares divide the rate limits of workers among the fronts.
+	shares *ratelimit.Shares
 }
 
 // group is what is kept of one service.
@@ -47,7 +50,9 @@
 }
 
 func newScheduler(c Config) *scheduler {
-	return &scheduler{c: c, fronts: 1, services: map[string]*group{}, coordinators: newCoordinators(c)}
+	return &scheduler{
+		c: c, fronts: 1, services: map[string]*group{}, coordinators: newCoordinators(c), shares: ratelimit.NewShares(c.Name),
+	}
 }
 
 // Figures of the judgement of workers that are called directly.
@@ -70,6 +75,7 @@
 		c := sc.c.Placement
 		c.Zone = sc.c.Zone
 		c.Coordinators = sc.coordinatorsOf()
+		c.Shares = sc.shares
 		c.Health = health.Config{
 			FailureLimit: failureLimit, ProbeAfter: probeAfter, ProbeLimit: probeLimit, SlowStart: slowStart,
 		}
@@ -89,15 +95,23 @@
 	return s
 }
 
-func (sc *scheduler) setFronts(n int) {
+func (sc *scheduler) setFronts(names []string) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	sc.fronts = n
+	sc.fronts = max(len(names), 1)
+	sc.shares.Meet(names)
 	for _, s := range sc.services {
-		s.repeats.SetFronts(n)
+		s.repeats.SetFronts(sc.fronts)
 	}
 }
 
+// setNew says that the other fronts may not count this one until a moment.
+func (sc *scheduler) setNew(until kumquatlug.Millis) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	sc.shares.SetNew(until)
+}
+
 // frontCount is how many fronts there are.
 func (sc *scheduler) frontCount() int {
 	sc.mu.Lock()
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"maps"
+	"slices"
+
 	"go.uber.org/zap"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
@@ -25,7 +28,7 @@
 
 // meetFronts takes the rows of all fronts.
 func (g *Gateway) meetFronts(rows map[string][]byte) {
-	g.scheduler.setFronts(len(rows))
+	g.scheduler.setFronts(slices.Collect(maps.Keys(rows)))
 	if g.c.Fronts == nil {
 		return
 	}
--- a/pkg/kumquatlug/placement/choose.go
+++ b/pkg/kumquatlug/placement/choose.go
@@ -39,6 +39,8 @@
 	tokens float64
 	wait   float64
 	cost   float64
+	// delay is the part of wait before the attempt is sent.
+	delay float64
 }
 
 // Zone returns the worker's data centre.
@@ -54,6 +56,10 @@
 // Wait returns the expected span until the first output.
 func (c Choice) Wait() kumquatlug.Millis { return kumquatlug.Millis(c.wait) }
 
+// Delay returns how long the attempt must be held back before it is sent, as its worker
+// takes no more requests yet. Where no worker was found it is the least one of all.
+func (c Choice) Delay() kumquatlug.Millis { return kumquatlug.Millis(math.Ceil(c.delay)) }
+
 // usable reports whether a worker may be given new work of a role. An engine
 // that names no role reads and generates.
 func (p *Placer) usable(now kumquatlug.Millis, w *worker, q Query, role kumquatlug.Role) bool {
@@ -67,28 +73,30 @@
 func (p *Placer) Plain(now kumquatlug.Millis, q Query) (Choice, bool) {
 	var best Choice
 	least, found := math.Inf(1), false
+	held := newHeld()
 	for _, w := range p.list {
-		if !p.usable(now, w, q, w.member.Role) {
+		if !p.usable(now, w, q, w.member.Role) || held.back(now, w, q) {
 			continue
 		}
+		delay := w.limit.Delay(now)
 		ahead := float64(w.runs) + p.othersNow(now, w)
 		slots := float64(max(w.member.Slots, 1))
-		wait := max(0, ahead+1-slots) / slots * p.meanTime
+		wait := delay + max(0, ahead+1-slots)/slots*p.meanTime
 		cost := (wait + ahead/slots + p.zonePrice(w)) / p.health.Weight(now, w.member.Worker.ID())
 		if cost < least {
 			least, found = cost, true
-			best = Choice{worker: w.member.Worker, wait: wait}
+			best = Choice{worker: w.member.Worker, wait: wait, delay: delay}
 		}
 	}
-	return best, found
+	return held.unless(found, best), found
 }
 
 // Prompt chooses where a prompt is read: apart from its output, or by the
 // engine that then generates.
 func (p *Placer) Prompt(now kumquatlug.Millis, q Query) (Choice, bool) {
-	output, can := p.Output(now, Query{Prompt: q.Prompt})
+	output, can := p.Output(now, Query{Prompt: q.Prompt, Target: q.Target, Until: q.Until})
 	if !can {
-		return Choice{}, false
+		return output, false
 	}
 	mixed, mixedCost, also := p.mixed(now, q)
 	apart, apartCost, found := p.reader(now, q)
@@ -104,7 +112,7 @@
 	key := chainKey(q.Prompt)
 	owner, ownerKey := (*worker)(nil), uint64(0)
 	for _, w := range p.list {
-		if !p.usable(now, w, q, kumquatlug.RolePrefill) {
+		if !p.readable(now, w, q) {
 			continue
 		}
 		if h := rendezvous.Mix(key ^ w.hash); owner == nil || h > ownerKey {
@@ -116,7 +124,7 @@
 	}
 	least, best := math.Inf(1), Choice{}
 	for _, w := range p.list {
-		if !p.usable(now, w, q, kumquatlug.RolePrefill) {
+		if !p.readable(now, w, q) {
 			continue
 		}
 		weight := p.health.Weight(now, w.member.Worker.ID())
@@ -135,40 +143,50 @@
 	return best, least + p.c.TransferCost, true
 }
 
+// readable reports that an engine may be given a prompt to read apart. One that takes no
+// more requests yet is left out: a prompt is better read elsewhere than late.
+func (p *Placer) readable(now kumquatlug.Millis, w *worker, q Query) bool {
+	return p.usable(now, w, q, kumquatlug.RolePrefill) && w.limit.Delay(now) == 0
+}
+
 // mixed finds the engine to read the prompt and generate.
 func (p *Placer) mixed(now kumquatlug.Millis, q Query) (Choice, float64, bool) {
 	least, best, found := math.Inf(1), Choice{}, false
+	held := newHeld()
 	for _, w := range p.list {
-		if !p.usable(now, w, q, kumquatlug.RoleDecode) {
+		if !p.usable(now, w, q, kumquatlug.RoleDecode) || held.back(now, w, q) {
 			continue
 		}
+		delay := w.limit.Delay(now)
 		fresh, rate := p.unheld(now, w, q.Prompt, false), p.rate()
 		if w.member.Role == kumquatlug.RoleDecode {
 			rate *= p.c.MixedPart
 		}
 		tokens := p.priced(fresh, q.Prompt)
 		read := tokens / rate
-		wait := w.tokens/rate + read + p.slotWait(now, w, q.Prompt)
+		wait := delay + w.tokens/rate + read + p.slotWait(now, w, q.Prompt)
 		weight := p.health.Weight(now, w.member.Worker.ID())
 		taken := (float64(w.runs) + p.othersNow(now, w)) / float64(max(w.member.Slots, 1))
 		disturbed := max(0, fresh-smallRead) / rate
 		cost := (wait+p.batchCost(now, w, q.Prompt))/weight + p.c.MixedPrice*taken*disturbed + p.zonePrice(w)
 		if cost < least {
 			least, found = cost, true
-			best = Choice{worker: w.member.Worker, fresh: fresh, tokens: tokens, wait: wait}
+			best = Choice{worker: w.member.Worker, fresh: fresh, tokens: tokens, wait: wait, delay: delay}
 		}
 	}
-	return best, least, found
+	return held.unless(found, best), least, found
 }
 
 // Output chooses the engine that generates from a KV cache read elsewhere.
 func (p *Placer) Output(now kumquatlug.Millis, q Query) (Choice, bool) {
 	least, best, found := math.Inf(1), Choice{}, false
+	held := newHeld()
 	for _, w := range p.list {
-		if !p.usable(now, w, q, kumquatlug.RoleDecode) {
+		if !p.usable(now, w, q, kumquatlug.RoleDecode) || held.back(now, w, q) {
 			continue
 		}
-		wait := p.slotWait(now, w, q.Prompt)
+		delay := w.limit.Delay(now)
+		wait := delay + p.slotWait(now, w, q.Prompt)
 		cost := wait + p.batchCost(now, w, q.Prompt) + w.tokens/p.rate()
 		cost = cost/p.health.Weight(now, w.member.Worker.ID()) + p.zonePrice(w)
 		if q.CacheZone != "" && w.member.Zone != q.CacheZone {
@@ -176,8 +194,8 @@
 		}
 		if cost < least {
 			least, found = cost, true
-			best = Choice{worker: w.member.Worker, wait: wait, cost: cost}
+			best = Choice{worker: w.member.Worker, wait: wait, cost: cost, delay: delay}
 		}
 	}
-	return best, found
+	return held.unless(found, best), found
 }
--- /dev/null
+++ b/pkg/kumquatlug/placement/limit_test.go
@@ -0,0 +1,135 @@
+package placement
+
+import (
+	"testing"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/ratelimit"
+)
+
+// limited returns a placer of a front that is alone, with these workers, of which some
+// name a limit in the answers to their first attempts.
+func limited(members []kumquatlug.Member, limits map[string]float64) *Placer {
+	shares := ratelimit.NewShares("front-0")
+	shares.Meet(nil)
+	p := New(Config{Zone: "a", Shares: shares})
+	p.Sync(0, members)
+	for _, m := range members {
+		perSecond, names := limits[m.Worker.ID()]
+		if !names {
+			continue
+		}
+		c := Choice{worker: m.Worker, apart: m.Role == kumquatlug.RolePrefill}
+		t := p.Begin(0, c, document(0, 0))
+		p.Limited(1, t, kumquatlug.NewRateLimit(perSecond), true)
+		p.End(1, t, OutcomeGood)
+	}
+	return p
+}
+
+// sentTo plays requests, one each ten ms for four seconds, and counts by worker those
+// that are sent in that time, and those refused.
+func sentTo(p *Placer, choose func(now kumquatlug.Millis, key uint64) (Choice, *Ticket)) (sent map[string]int, refused int) {
+	sent = map[string]int{}
+	const begin, end = 2000, 6000
+	for now := kumquatlug.Millis(begin); now < end; now += 10 {
+		c, ticket := choose(now, uint64(now))
+		switch {
+		case ticket == nil:
+			refused++
+			continue
+		case now+c.Delay() < end:
+			sent[c.Worker().ID()]++
+		}
+		p.End(now+c.Delay()+9, ticket, OutcomeGood)
+	}
+	return sent, refused
+}
+
+// plainly chooses for a plain request that is due in 300 ms and may take 4 s.
+func plainly(p *Placer) func(kumquatlug.Millis, uint64) (Choice, *Ticket) {
+	return func(now kumquatlug.Millis, _ uint64) (Choice, *Ticket) {
+		c, found := p.Plain(now, Query{Target: now + 300, Until: now + 4000})
+		if !found {
+			return c, nil
+		}
+		return c, p.Begin(now, c, kumquatlug.Prompt{})
+	}
+}
+
+// One of three plain workers names a limit. It must get no more, and the others all
+// that remains: nobody is refused while they have room.
+func TestWorkersWithoutALimitTakeWhatOneCannot(t *testing.T) {
+	members := []kumquatlug.Member{member("s0", "a", "", 6), member("s1", "a", "", 6), member("s2", "a", "", 6)}
+	p := limited(members, map[string]float64{"s0": 4})
+	sent, refused := sentTo(p, plainly(p))
+	if sent["s0"] > 17 || sent["s0"] < 8 || refused > 0 {
+		t.Errorf("sent %v, refused %d; the limit allows 16 and one saved up", sent, refused)
+	}
+}
+
+// All workers of a service name a limit, together a fifth of what is asked. What they
+// take must be used to the full and in time, and the rest be refused at once with the
+// time at which a worker takes more, as it can't be served.
+func TestLimitsBelowTheLoadAreUsedInFull(t *testing.T) {
+	members := []kumquatlug.Member{member("s0", "a", "", 6), member("s1", "a", "", 6)}
+	p := limited(members, map[string]float64{"s0": 12, "s1": 8})
+	inTime, late := 0, 0
+	sent, refused := sentTo(p, func(now kumquatlug.Millis, key uint64) (Choice, *Ticket) {
+		c, ticket := plainly(p)(now, key)
+		switch {
+		case ticket == nil && c.Delay() <= 0:
+			t.Fatal("a refusal doesn't tell when to come back")
+		case ticket != nil && c.Delay() <= 600:
+			inTime++
+		case ticket != nil:
+			late++
+		}
+		return c, ticket
+	})
+	if sent["s0"] < 46 || sent["s0"] > 50 || sent["s1"] < 30 || sent["s1"] > 34 {
+		t.Errorf("sent %v; the limits allow 48 and 32", sent)
+	}
+	if late > 0 || inTime+refused != 400 {
+		t.Errorf("%d held back within a part of their patience, %d longer, %d refused", inTime, late, refused)
+	}
+}
+
+// Engines that read and that generate name limits. Prompts must go to the others, by
+// each of the ways that lead to an engine.
+func TestEnginesKeepTheirLimitsByEveryWay(t *testing.T) {
+	p := limited(engines(3, 3), map[string]float64{"r0": 3, "g0": 5})
+	outputs := map[string]int{}
+	read, refused := sentTo(p, func(now kumquatlug.Millis, key uint64) (Choice, *Ticket) {
+		prompt := document(int(key), int(key))
+		if key%40 == 0 {
+			prompt = chatPrompt(int(key))
+		}
+		q := Query{Prompt: prompt, Target: now + 200, Until: now + 2000}
+		entry, c, ticket := p.Enter(now, key, q)
+		if entry == EntryWaits {
+			due := p.Due(now + 200)
+			if len(due) == 0 {
+				t.Fatal("a prompt waits for ever")
+			}
+			c, ticket = due[0].Choice(), due[0].Ticket()
+		}
+		if ticket != nil && c.Apart() {
+			out, found := p.Output(now, q)
+			if !found {
+				t.Fatal("no engine generates")
+			}
+			if now+out.Delay() < 6000 {
+				outputs[out.Worker().ID()]++
+			}
+			p.End(now+out.Delay()+9, p.Begin(now, out, prompt), OutcomeGood)
+		}
+		return c, ticket
+	})
+	if read["r0"] > 13 || outputs["g0"]+read["g0"] > 21 || refused > 0 {
+		t.Errorf("read %v, generated %v, refused %d; limits allow 12 and 20, and one saved up", read, outputs, refused)
+	}
+	if read["r0"] == 0 || outputs["g0"]+read["g0"] == 0 {
+		t.Errorf("read %v, generated %v: an engine with a limit gets nothing", read, outputs)
+	}
+}
--- a/pkg/kumquatlug/placement/placement.go
+++ b/pkg/kumquatlug/placement/placement.go
@@ -66,6 +66,9 @@
 	// Coordinators tells which front orders the prompts at an engine; nil where each
 	// front goes by itself.
 	Coordinators kumquatlug.Coordinators
+	// Shares divide the rate limits of workers among the fronts; nil where there is one
+	// front.
+	Shares *ratelimit.Shares
 	// Health tunes the judgement of workers.
 	Health health.Config
 }
@@ -175,7 +178,7 @@
 	load   float64
 	loadAt kumquatlug.Millis
 	// limit is what the worker says of the rate of requests that it takes.
-	limit ratelimit.Limit
+	limit *ratelimit.Limit
 }
 
 // use is when a part was used last, and how many tokens its engine had read by then.
@@ -259,7 +262,8 @@
 			streams = append(streams, w.begun()...)
 		}
 		if !known || w.member.Born != m.Born || w.member.Worker != m.Worker {
-			w = &worker{hash: xxhash.Sum64String(id), held: map[string]use{}}
+			hash := xxhash.Sum64String(id)
+			w = &worker{hash: hash, held: map[string]use{}, limit: ratelimit.New(p.c.Shares, hash)}
 			p.workers[id] = w
 			p.health.Remove(id)
 			p.health.Add(id)
--- a/pkg/kumquatlug/placement/ticket.go
+++ b/pkg/kumquatlug/placement/ticket.go
@@ -46,8 +46,13 @@
 	OutcomeSilent Outcome = "silent"
 )
 
-// Begin records that an attempt goes to the worker of a choice.
+// Begin records that an attempt goes to the worker of a choice, once the choice's delay
+// is over.
 func (p *Placer) Begin(now kumquatlug.Millis, c Choice, prompt kumquatlug.Prompt) *Ticket {
+	if w, known := p.workers[c.worker.ID()]; known && !c.apart {
+		// A prompt to be read took its place when it entered.
+		w.limit.Send(now)
+	}
 	return p.begin(now, c, prompt, "", 0)
 }
 
@@ -58,7 +63,7 @@
 		return &Ticket{ended: true}
 	}
 	t := &Ticket{
-		worker: w, id: c.worker.ID(), apart: c.apart, tokens: c.tokens, wait: c.wait, at: now,
+		worker: w, id: c.worker.ID(), apart: c.apart, tokens: c.tokens, wait: c.wait - c.delay, at: now + c.Delay(),
 		coordinator: coordinator, key: key,
 		fresh: c.fresh, held: max(float64(prompt.Input())-c.fresh, 0), alone: w.reads == 0 && p.othersNow(now, w) < 1,
 	}
@@ -66,7 +71,6 @@
 		w.heardAt = now
 	}
 	w.tickets = append(w.tickets, t)
-	w.limit.Send()
 	w.tokens += c.tokens
 	if c.apart {
 		w.reads++
@@ -108,7 +112,7 @@
 		return
 	}
 	t.read = true
-	if !t.worker.silent {
+	if !t.worker.silent && now >= t.at {
 		p.overrunOf(t).Saw(float64(now-t.at) - p.expected(t))
 	}
 	t.worker.tokens = max(0, t.worker.tokens-t.tokens)
--- a/pkg/kumquatlug/ratelimit/ratelimit.go
+++ b/pkg/kumquatlug/ratelimit/ratelimit.go
@@ -1,26 +1,61 @@
-// Package ratelimit keeps what workers say of the rate of requests that they take.
+// Package ratelimit keeps to the rate of requests that workers say they take.
 //
-// A worker in need names a rate for all fronts together, in its answers, for as long
-// as it is in need. Answers overtake each other: one that left the worker before it
-// named its limit may come after one that names it. So what an answer says is newer
-// than what is known only if its request was sent after that was heard.
+// It answers a worker in need, which names a rate for all fronts together in its
+// answers, for as long as it is in need, while each front would send it several times
+// that. Each front keeps to its part of the rate, see [Shares], and spaces its requests
+// evenly.
+//
+// Answers overtake each other: one that left the worker before it named its limit may
+// come after one that names it. So what an answer says is newer than what is known only
+// if its request was sent after that was heard.
 package ratelimit
 
-import "github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+import (
+	"math"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
 
-// Limit is what one front knows of one worker. The zero value knows of no limit. It
-// belongs to one owner and is not safe for concurrent use.
+// Limit is what one front knows of one worker. It belongs to one owner and is not safe
+// for concurrent use.
 type Limit struct {
-	named     bool
-	perSecond float64
+	shares *Shares
+	worker uint64
+
+	// named says that there is a limit, returning that it ended at endedAt and that the
+	// rate grows since.
+	named, returning bool
+	endedAt          kumquatlug.Millis
+	perSecond        float64
 	// heardAt is when an answer last told the limit; prompt says that it was the
 	// answer to a prompt that was only read.
 	heardAt kumquatlug.Millis
 	prompt  bool
-	// sent counts the requests sent since the limit was first heard of.
-	sent int
+	// sent counts the requests sent since the limit was first heard of, the last one
+	// of them at lastAt.
+	sent   int
+	lastAt float64
+	// part is what this front may send, as of a version of the shares.
+	part    part
+	version int
 }
 
+// New returns what is known of a worker that has said nothing, by the hash of its name.
+// Shares are nil for a front that is alone.
+func New(shares *Shares, worker uint64) *Limit { return &Limit{shares: shares, worker: worker} }
+
+// Figures of the end of a limit.
+const (
+	// unheardSpan is for how long a limit holds at an engine that only reads prompts now
+	// and named it when it generated.
+	unheardSpan = 30 * kumquatlug.Second
+	// doubleEvery is how often the rate doubles once the limit is over. A worker that was
+	// in need may be again, and what it would be sent at full rate until that is heard
+	// exceeds a small limit by far.
+	doubleEvery = 2 * kumquatlug.Second
+	returnSpan  = 10 * kumquatlug.Second
+)
+
 // Answer is what an answer says of the limit.
 type Answer struct {
 	Says kumquatlug.RateLimit
@@ -42,19 +77,100 @@
 		if !newer {
 			rate = min(rate, l.perSecond)
 		}
-		changed := !l.named || rate != l.perSecond
-		if !l.named {
-			l.sent = 0
+		l.heardAt, l.prompt = now, a.Prompt
+		if l.named && rate == l.perSecond {
+			return false
 		}
-		l.named, l.perSecond, l.heardAt, l.prompt = true, rate, now, a.Prompt
-		return changed
-	case a.Says.None() && a.Good && l.named && newer && a.Prompt == l.prompt:
-		l.named = false
+		l.set(now, rate)
+		return true
+	case a.Says.None() && a.Good && l.named && newer && l.mayEnd(now, a):
+		l.named, l.returning, l.endedAt = false, true, now
 		return true
 	}
 	return false
 }
 
+// mayEnd reports that the lack of a limit in an answer ends it. Answers that only tell
+// that a prompt was read may lack one that others name.
+func (l *Limit) mayEnd(now kumquatlug.Millis, a Answer) bool {
+	return !a.Prompt || l.prompt || now-l.heardAt >= unheardSpan
+}
+
+// set takes another limit. Fronts that hear of one at the same moment don't all send the
+// next request at the same moment.
+func (l *Limit) set(now kumquatlug.Millis, perSecond float64) {
+	first := !l.named && !l.returning
+	l.named, l.returning, l.perSecond = true, false, perSecond
+	l.measure()
+	if first {
+		l.sent = 0
+		l.lastAt = float64(now)
+		if l.shares != nil {
+			l.lastAt -= l.shares.phase(l.worker) * l.part.interval
+		}
+	}
+}
+
+// measure finds what this front may send.
+func (l *Limit) measure() {
+	if l.shares == nil {
+		l.part = part{interval: 1000 / max(l.perSecond, leastRate)}
+		return
+	}
+	l.part, l.version = l.shares.part(l.worker, l.perSecond), l.shares.version
+}
+
+// Delay returns how long the next request has to wait.
+func (l *Limit) Delay(now kumquatlug.Millis) float64 {
+	if !l.holds(now) {
+		return 0
+	}
+	slower := l.grown(now)
+	if l.shares != nil {
+		if l.version != l.shares.version {
+			l.measure()
+		}
+		slower *= l.shares.slower(now)
+	}
+	interval := slower * l.part.interval
+	if interval == 0 {
+		return math.Inf(1)
+	}
+	left := l.lastAt + interval - float64(now)
+	if over := -left; l.part.probes && over > float64(probeWindow) {
+		left = interval - math.Mod(over, interval)
+	}
+	return max(0, left)
+}
+
+// Send takes the place of the next request, and records that it is sent once its delay
+// is over.
+func (l *Limit) Send(now kumquatlug.Millis) {
+	if !l.holds(now) {
+		return
+	}
+	l.sent++
+	if delay := l.Delay(now); !math.IsInf(delay, 1) {
+		l.lastAt = float64(now) + delay
+	}
+}
+
+// holds reports that requests are spaced.
+func (l *Limit) holds(now kumquatlug.Millis) bool {
+	if l.returning && now-l.endedAt >= returnSpan {
+		l.returning = false
+	}
+	return l.named || l.returning
+}
+
+// grown is the part of the interval that is kept when the limit is over.
+func (l *Limit) grown(now kumquatlug.Millis) float64 {
+	if !l.returning {
+		return 1
+	}
+	return math.Exp2(-float64(now-l.endedAt) / float64(doubleEvery))
+}
+
 // Named reports whether the worker is known to have a limit.
 func (l *Limit) Named() bool { return l.named }
 
@@ -63,6 +179,3 @@
 
 // Sent returns how many requests were sent since the limit was first heard of.
 func (l *Limit) Sent() int { return l.sent }
-
-// Send records that a request is sent.
-func (l *Limit) Send() { l.sent++ }
--- a/pkg/kumquatlug/ratelimit/ratelimit_test.go
+++ b/pkg/kumquatlug/ratelimit/ratelimit_test.go
@@ -33,6 +33,15 @@
 // Refusals, failures and answers that only tell that a prompt was read may lack the
 // limit. Taken for its end, they would let a worker in need be flooded.
 func TestOnlyAWholeAnswerOfTheSameKindEndsALimit(t *testing.T) {
+	var l Limit
+	l.Hear(100, Answer{Says: kumquatlug.NewRateLimit(8), SentAt: 50, Good: true, Prompt: true})
+	if !l.Hear(210, Answer{Says: kumquatlug.NoRateLimit(), SentAt: 200, Good: true}) || l.Named() {
+		t.Error("an engine that generates again keeps the limit that it named when it read prompts")
+	}
+	l.Hear(1000, Answer{Says: kumquatlug.NewRateLimit(8), SentAt: 900, Good: true})
+	if !l.Hear(1000+unheardSpan, Answer{Says: kumquatlug.NoRateLimit(), SentAt: 2000, Good: true, Prompt: true}) {
+		t.Error("an engine that only reads prompts now keeps its limit for ever")
+	}
 	for name, a := range map[string]Answer{
 		"failure":          {Says: kumquatlug.NoRateLimit(), SentAt: 200},
 		"prompt read":      {Says: kumquatlug.NoRateLimit(), SentAt: 200, Good: true, Prompt: true},
--- a/test/front/limits_test.go
+++ b/test/front/limits_test.go
@@ -74,6 +74,12 @@
 func TestFrontsTogetherKeepToAWorkersLimit(t *testing.T) {
 	s := newSite(t, site.Config{Prefill: 3, Decode: 3, Plain: 3, Events: 2, Pause: 10 * time.Millisecond})
 	fronts := []*process{newFront(t, s, "front-1"), newFront(t, s, "front-2"), newFront(t, s, "front-3")}
+	for _, p := range fronts {
+		// One that starts again uses its whole share.
+		p.kill()
+		p.start()
+		p.waitReady()
+	}
 	stop := make(chan struct{})
 	clients := slices.Concat(fronts, fronts, fronts)
 	looks := steadyLoad(clients, 20*time.Millisecond, stop, "look", (*process).look)
