Keep a place for a prompt's output before it is read; let no kind wait longer than others

A place for the output is now taken when the prompt enters, and goes with it; who can be in time waits 100 ms at most, the others 25 ms.

--- a/internal/experiment/swing/engine.go
+++ b/internal/experiment/swing/engine.go
@@ -14,6 +14,7 @@
 	front   int
 	ticket  *placement.Ticket
 	apart   bool
+	place   placement.Place
 	// left is what is to be read in ms, until the prompt is read.
 	left float64
 	read bool
@@ -37,9 +38,11 @@
 	// tokens are what running requests have in memory.
 	tokens int
 	// kept are the cached parts, the last used in front.
-	kept  *list.List
-	where map[string]*list.Element
-	size  int
+	kept *list.List
+	// arrivals are the requests that came while it named a limit.
+	arrivals []arrivalAt
+	where    map[string]*list.Element
+	size     int
 }
 
 // part is a cached part of prompts.
--- a/internal/experiment/swing/model.go
+++ b/internal/experiment/swing/model.go
@@ -19,6 +19,8 @@
 	Follow bool
 	// Swing tunes that.
 	Swing planner.SwingConfig
+	// Limits are the rates that engines name.
+	Limits []Limit
 }
 
 // Result is what clients received.
@@ -30,6 +32,10 @@
 	Windows []float64
 	// Changes counts changes of role.
 	Changes int
+	// Excess is by how many requests the worst span of an engine with a limit is above
+	// what the limit allows, WasteTokens what was read of prompts that were then refused.
+	Excess      float64
+	WasteTokens int
 }
 
 // Figures of the model's fronts.
@@ -59,6 +65,8 @@
 	swing   *planner.Swing
 	part    float64
 	r       Result
+	limits  []Limit
+	heard   map[hearing]kumquatlug.Millis
 }
 
 // Play plays a load under a policy.
@@ -74,6 +82,7 @@
 		}
 		w.tick(now, p.Follow)
 	}
+	w.r.Excess = w.excess()
 	w.r.sum(requests, len(load))
 	return w.r
 }
@@ -81,7 +90,7 @@
 func newSite(s Sheet, p Policy) *site {
 	w := &site{
 		sheet: s, frontAt: map[string]int{}, names: map[string]*engine{}, later: map[kumquatlug.Millis][]func(kumquatlug.Millis){},
-		part: float64(p.Readers) / float64(s.Engines),
+		part: float64(p.Readers) / float64(s.Engines), limits: p.Limits, heard: map[hearing]kumquatlug.Millis{},
 	}
 	p.Swing.Part = w.part
 	w.swing = planner.NewSwing(p.Swing)
@@ -94,7 +103,7 @@
 		w.names[name(i)] = w.engines[i]
 	}
 	for i := range s.Fronts {
-		c := placement.Config{Zone: zone(i, s)}
+		c := placement.Config{Zone: zone(i, s), Shares: sharesOf(i, s)}
 		if s.Coordinators {
 			c.Coordinators = w.coordinators(i)
 		}
@@ -200,11 +209,10 @@
 func (w *site) arrive(now kumquatlug.Millis, r *request) {
 	w.lastKey++
 	p := w.fronts[r.front]
-	q := placement.Query{Prompt: r.prompt, Target: r.arrives + r.aim, Until: r.arrives + r.until, Worth: r.credit}
-	entry, c, ticket := p.Enter(now, w.lastKey, q)
+	entry, c, ticket := p.Enter(now, w.lastKey, r.query())
 	switch entry {
 	case placement.EntrySent:
-		w.send(now, &job{request: r, front: r.front, ticket: ticket, apart: c.Apart()}, c)
+		w.send(now, &job{request: r, front: r.front, ticket: ticket, apart: c.Apart(), place: c.Place()}, c)
 	case placement.EntryWaits:
 		w.turns[r.front][w.lastKey] = r
 	default:
@@ -213,6 +221,11 @@
 	w.pump(now, r.front)
 }
 
+// query asks for an engine.
+func (r *request) query() placement.Query {
+	return placement.Query{Prompt: r.prompt, Target: r.arrives + r.aim, Until: r.arrives + r.until, Worth: r.credit}
+}
+
 // refuse sends a client away; it comes back once.
 func (w *site) refuse(now kumquatlug.Millis, r *request) {
 	if r.again > 0 || now+comeBack > r.arrives+r.until {
@@ -239,13 +252,14 @@
 		return
 	}
 	c := due.Choice()
-	w.send(now, &job{request: r, front: front, ticket: due.Ticket(), apart: c.Apart()}, c)
+	w.send(now, &job{request: r, front: front, ticket: due.Ticket(), apart: c.Apart(), place: c.Place()}, c)
 }
 
 // send brings an attempt to an engine.
 func (w *site) send(now kumquatlug.Millis, j *job, c placement.Choice) {
 	e := w.names[c.Worker().ID()]
-	w.after(now, func(at kumquatlug.Millis) {
+	w.after(now+c.Delay(), func(at kumquatlug.Millis) {
+		w.noteArrival(at, e, j)
 		if e.take(j) {
 			return
 		}
@@ -257,6 +271,7 @@
 // output notes the first output of an attempt.
 func (w *site) output(now kumquatlug.Millis, j *job) {
 	p := w.fronts[j.front]
+	w.tellLimit(now, j)
 	p.Read(now, j.ticket)
 	p.Heard(now, j.ticket)
 	if j.request.firstAt == 0 {
@@ -268,14 +283,20 @@
 func (w *site) ended(now kumquatlug.Millis, at int, j *job) {
 	p := w.fronts[j.front]
 	p.Report(now, name(at), w.engines[at].load())
+	if j.apart {
+		w.tellLimit(now, j)
+	}
 	p.End(now, j.ticket, placement.OutcomeGood)
 	if !j.apart {
 		j.request.done = !j.request.lost
 		w.pump(now, j.front)
 		return
 	}
-	c, found := p.Output(now, placement.Query{Prompt: j.request.prompt, CacheZone: zone(at, w.sheet)})
+	q := j.request.query()
+	q.CacheZone, q.Place = zone(at, w.sheet), j.place
+	c, found := p.Output(now, q)
 	if !found {
+		w.r.WasteTokens += j.request.own
 		w.refuse(now, j.request)
 		return
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -41,7 +41,7 @@
 }
 
 func (f *inflight) query() placement.Query {
-	q := placement.Query{Prompt: f.prompt(), Exclude: f.exclude, Until: f.until, CacheZone: f.cacheZone, Begun: f.begun, Worth: f.worth}
+	q := placement.Query{Prompt: f.prompt(), Exclude: f.exclude, Until: f.until, CacheZone: f.cacheZone, Begun: f.begun, Worth: f.worth, Place: f.place}
 	if target := f.route.Target(); target > 0 {
 		q.Target = f.arrived - f.trying + target
 	}
@@ -67,7 +67,7 @@
 	if failed != nil {
 		return failed
 	}
-	f.cacheZone = choice.Zone()
+	f.cacheZone, f.place = choice.Zone(), choice.Place()
 	return f.output(ctx, cache)
 }
 
@@ -80,6 +80,7 @@
 		return failed
 	}
 	ticket, choice, failed := f.choose(stageOutput)
+	f.place = placement.Place{}
 	if failed != nil {
 		f.g.free(cache)
 		return failed
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -32,6 +32,8 @@
 	exclude []string
 	// cacheZone is the data centre of the engine that read the prompt.
 	cacheZone string
+	// place is what an engine with a limit keeps for the output of the prompt.
+	place placement.Place
 	// refused is the KV cache of the prompt that a generating engine refused to
 	// take on; the next one may have it. reused says that one was given such a cache.
 	refused kumquatlug.KVCache
--- a/pkg/kumquatlug/placement/choose.go
+++ b/pkg/kumquatlug/placement/choose.go
@@ -26,6 +26,8 @@
 	// CacheZone is the data centre in which the prompt's KV cache lies, empty for
 	// none.
 	CacheZone string
+	// Place is what was kept for the output when the prompt entered.
+	Place Place
 }
 
 // Choice is the answer to a [Query].
@@ -41,8 +43,15 @@
 	cost   float64
 	// delay is the part of wait before the attempt is sent.
 	delay float64
+	// place is what is kept for the output; kept says that the worker's limit counts the
+	// attempt already.
+	place Place
+	kept  bool
 }
 
+// Place returns what is kept for the output of a prompt that is read apart.
+func (c Choice) Place() Place { return c.place }
+
 // Zone returns the worker's data centre.
 func (c Choice) Zone() string { return c.zone }
 
@@ -75,13 +84,17 @@
 	least, found := math.Inf(1), false
 	held := newHeld()
 	for _, w := range p.list {
-		if !p.usable(now, w, q, w.member.Role) || held.back(now, w, q) {
+		if !p.usable(now, w, q, w.member.Role) {
 			continue
 		}
-		delay := w.limit.Delay(now)
 		ahead := float64(w.runs) + p.othersNow(now, w)
 		slots := float64(max(w.member.Slots, 1))
-		wait := delay + max(0, ahead+1-slots)/slots*p.meanTime
+		queue := max(0, ahead+1-slots) / slots * p.meanTime
+		if held.back(now, w, q, queue+p.meanTime) {
+			continue
+		}
+		delay := w.limit.Delay(now)
+		wait := delay + queue
 		cost := (wait + ahead/slots + p.zonePrice(w)) / p.health.Weight(now, w.member.Worker.ID())
 		if cost < least {
 			least, found = cost, true
@@ -104,6 +117,7 @@
 		return mixed, also
 	}
 	apart.wait += output.wait
+	apart.place = p.placeAt(now, output)
 	return apart, true
 }
 
@@ -154,17 +168,21 @@
 	least, best, found := math.Inf(1), Choice{}, false
 	held := newHeld()
 	for _, w := range p.list {
-		if !p.usable(now, w, q, kumquatlug.RoleDecode) || held.back(now, w, q) {
+		if !p.usable(now, w, q, kumquatlug.RoleDecode) {
 			continue
 		}
-		delay := w.limit.Delay(now)
 		fresh, rate := p.unheld(now, w, q.Prompt, false), p.rate()
 		if w.member.Role == kumquatlug.RoleDecode {
 			rate *= p.c.MixedPart
 		}
 		tokens := p.priced(fresh, q.Prompt)
 		read := tokens / rate
-		wait := delay + w.tokens/rate + read + p.slotWait(now, w, q.Prompt)
+		rest := w.tokens/rate + read + p.slotWait(now, w, q.Prompt)
+		if held.back(now, w, q, rest+afterRead) {
+			continue
+		}
+		delay := w.limit.Delay(now)
+		wait := delay + rest
 		weight := p.health.Weight(now, w.member.Worker.ID())
 		taken := (float64(w.runs) + p.othersNow(now, w)) / float64(max(w.member.Slots, 1))
 		disturbed := max(0, fresh-smallRead) / rate
@@ -179,14 +197,21 @@
 
 // Output chooses the engine that generates from a KV cache read elsewhere.
 func (p *Placer) Output(now kumquatlug.Millis, q Query) (Choice, bool) {
+	if c, kept := p.atPlace(now, q); kept {
+		return c, true
+	}
 	least, best, found := math.Inf(1), Choice{}, false
 	held := newHeld()
 	for _, w := range p.list {
-		if !p.usable(now, w, q, kumquatlug.RoleDecode) || held.back(now, w, q) {
+		if !p.usable(now, w, q, kumquatlug.RoleDecode) {
+			continue
+		}
+		slot := p.slotWait(now, w, q.Prompt)
+		if held.back(now, w, q, slot+afterRead) {
 			continue
 		}
 		delay := w.limit.Delay(now)
-		wait := delay + p.slotWait(now, w, q.Prompt)
+		wait := delay + slot
 		cost := wait + p.batchCost(now, w, q.Prompt) + w.tokens/p.rate()
 		cost = cost/p.health.Weight(now, w.member.Worker.ID()) + p.zonePrice(w)
 		if q.CacheZone != "" && w.member.Zone != q.CacheZone {
--- a/pkg/kumquatlug/placement/limit.go
+++ b/pkg/kumquatlug/placement/limit.go
@@ -7,30 +7,50 @@
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/ratelimit"
 )
 
+// Figures of waiting for a worker that names a limit, in milliseconds.
+const (
+	// mostWait is how long a request waits that can be in time. It is the same for all:
+	// the kind that may wait longest would else get all.
+	mostWait = 100.0
+	// lateWait is how long one waits that can't be in time any more.
+	lateWait = 25.0
+	// begunWait is how long a stream waits that goes on: its client leaves when it
+	// stands still for two seconds.
+	begunWait = 1000.0
+)
+
 // heldBack notes the workers that take no more requests soon enough.
 type heldBack struct{ least float64 }
 
 func newHeld() *heldBack { return &heldBack{least: math.Inf(1)} }
 
-// back reports that a request can't wait until w takes it. It waits as long as it can be
-// in time or, when it is late, for a part of its client's patience: those that wait
-// longer make all that come after them late, too.
-func (h *heldBack) back(now kumquatlug.Millis, w *worker, q Query) bool {
+// back reports that a request must not wait until w takes it, as its first output comes
+// rest ms after that.
+func (h *heldBack) back(now kumquatlug.Millis, w *worker, q Query, rest float64) bool {
 	delay := w.limit.Delay(now)
-	if delay == 0 {
-		return false
-	}
-	longest := q.until(now) / holdPart
-	if q.Target > 0 {
-		longest = max(longest, q.Target-now)
-	}
-	if delay <= float64(min(longest, q.until(now))) {
+	if delay <= q.mayWait(now, rest) {
 		return false
 	}
 	h.least = min(h.least, delay)
 	return true
 }
 
+// mayWait is how long a request may wait until a worker takes it, in milliseconds. Those
+// that are late take what the others leave: did they wait as long, all that come after
+// them would be late, too.
+func (q Query) mayWait(now kumquatlug.Millis, rest float64) float64 {
+	longest := lateWait
+	switch inTime := float64(q.Target-now) - rest; {
+	case q.Begun:
+		longest = begunWait
+	case q.Target == 0:
+		longest = mostWait
+	case inTime > lateWait:
+		longest = min(inTime, mostWait)
+	}
+	return min(longest, float64(q.until(now)))
+}
+
 // unless returns the best choice, or how long the first worker takes until it takes a
 // request where none was found.
 func (h *heldBack) unless(found bool, best Choice) Choice {
@@ -40,6 +60,43 @@
 	return Choice{delay: h.least}
 }
 
+// Place is a request that an engine with a limit will take at a moment. It is kept for
+// the output of a prompt before the prompt is read: prompts that are read at the same
+// time would else all count on the same one, and be read for nothing.
+type Place struct {
+	worker string
+	at     kumquatlug.Millis
+}
+
+// placeAt returns the place of a choice, none at an engine without a limit.
+func (p *Placer) placeAt(now kumquatlug.Millis, c Choice) Place {
+	id := c.worker.ID()
+	if w, known := p.workers[id]; !known || !w.limit.Named() {
+		return Place{}
+	}
+	return Place{worker: id, at: now + c.Delay()}
+}
+
+// keepPlaces counts a prompt at the engine that reads it, and at the one where a place
+// is kept for its output.
+func (p *Placer) keepPlaces(now kumquatlug.Millis, reader *worker, c Choice) {
+	reader.limit.Send(now)
+	if w, known := p.workers[c.place.worker]; known {
+		w.limit.Send(now)
+	}
+}
+
+// atPlace chooses the engine at which a place was kept, while it may be used.
+func (p *Placer) atPlace(now kumquatlug.Millis, q Query) (Choice, bool) {
+	w, known := p.workers[q.Place.worker]
+	if !known || !p.usable(now, w, q, kumquatlug.RoleDecode) {
+		return Choice{}, false
+	}
+	delay := max(0, float64(q.Place.at-now))
+	wait := delay + p.slotWait(now, w, q.Prompt)
+	return Choice{worker: w.member.Worker, wait: wait, delay: delay, kept: true}, true
+}
+
 // LimitNews is that a worker names another limit of its rate than before, or none.
 type LimitNews struct {
 	worker    string
--- a/pkg/kumquatlug/placement/queue.go
+++ b/pkg/kumquatlug/placement/queue.go
@@ -110,7 +110,7 @@
 		}
 	}
 	if coordinator := p.coordinator(now, w); c.apart && coordinator != "" && !one.alone {
-		w.limit.Send(now)
+		p.keepPlaces(now, w, c)
 		p.askFor(now, coordinator, w, one)
 		return EntryWaits, c, nil
 	}
@@ -122,7 +122,7 @@
 			return EntryRefused, c, nil
 		}
 		if c.apart {
-			w.limit.Send(now)
+			p.keepPlaces(now, w, c)
 			p.addLoad(now, w, one)
 		}
 		return EntrySent, c, p.Begin(now, c, q.Prompt)
@@ -130,7 +130,7 @@
 	if !p.mayWait(now, w, one) {
 		return EntryRefused, c, nil
 	}
-	w.limit.Send(now)
+	p.keepPlaces(now, w, c)
 	w.enqueue(one)
 	return EntryWaits, c, nil
 }
--- a/pkg/kumquatlug/placement/ticket.go
+++ b/pkg/kumquatlug/placement/ticket.go
@@ -31,6 +31,9 @@
 	heardAt kumquatlug.Millis
 }
 
+// Worker returns the name of the worker.
+func (t *Ticket) Worker() string { return t.id }
+
 // Outcome is how an attempt ended, as far as it tells of the worker.
 type Outcome string
 
@@ -49,8 +52,8 @@
 // Begin records that an attempt goes to the worker of a choice, once the choice's delay
 // is over.
 func (p *Placer) Begin(now kumquatlug.Millis, c Choice, prompt kumquatlug.Prompt) *Ticket {
-	if w, known := p.workers[c.worker.ID()]; known && !c.apart {
-		// A prompt to be read took its place when it entered.
+	if w, known := p.workers[c.worker.ID()]; known && !c.apart && !c.kept {
+		// A prompt to be read was counted when it entered.
 		w.limit.Send(now)
 	}
 	return p.begin(now, c, prompt, "", 0)
