Tell that a worker said it leaves: a line and a count

The adapter now reads the mark (not from another worker at the same address), and a front writes 'worker leaves' once for each incarnation, beside a count. What is sent does not change.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -116,6 +116,8 @@
 	scheduler *scheduler
 	metrics   *metrics
 	crashes   *crashes
+	// departures are the workers that said that they leave.
+	departures *departures
 	// leaveAt is when a front that was told to stop ends, zero for the others.
 	leaveAt atomic.Int64
 	held    atomic.Int64
@@ -141,7 +143,8 @@
 // New returns a front.
 func New(c Config) *Gateway {
 	g := &Gateway{
-		c: c, scheduler: newScheduler(c), metrics: newMetrics(c.Registry), crashes: newCrashes(), unused: make(chan kumquatlug.KVCache, cleanupRing),
+		c: c, scheduler: newScheduler(c), metrics: newMetrics(c.Registry), crashes: newCrashes(),
+		departures: newDepartures(), unused: make(chan kumquatlug.KVCache, cleanupRing),
 	}
 	g.members.Store(&memberSet{})
 	g.usage.counter = usage.NewCounter(c.UsageWindows)
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -12,6 +12,9 @@
 
 // said takes what a worker says of itself in an answer.
 func (f *inflight) said(c placement.Choice, t *placement.Ticket, reply kumquatlug.Reply) {
+	if reply.Leaving() {
+		f.departs(t)
+	}
 	news, changed := f.g.scheduler.said(f.g.c.Clock.Now(), f.service.Name(), t, c.Worker().ID(), reply)
 	if !changed {
 		return
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -27,6 +27,8 @@
 	worst *prometheus.GaugeVec
 	// limit and limitSent tell of the workers that name a limit of their rate.
 	limit, limitSent *prometheus.GaugeVec
+	// leaving counts the workers that said in an answer that they leave.
+	leaving prometheus.Counter
 }
 
 // latencyBuckets are in seconds: from an idle answer to the longest deadline.
@@ -82,6 +84,9 @@
 		limitSent: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "kumquatlug_gateway_worker_limit_sent", Help: "Requests that this front sent to a worker since it first heard of its limit.",
 		}, []string{"worker"}),
+		leaving: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "kumquatlug_gateway_leaving_workers_total", Help: "Workers that said in an answer that they leave.",
+		}),
 	}
 	r.MustRegister(m.collectors()...)
 	return m
@@ -91,7 +96,7 @@
 func (m *metrics) collectors() []prometheus.Collector {
 	return []prometheus.Collector{
 		m.answers, m.attempts, m.latency, m.store, m.orders, m.silent, m.config, m.learnt, m.turns, m.denied,
-		m.lease, m.reports, m.usageOpen, m.worst, m.limit, m.limitSent,
+		m.lease, m.reports, m.usageOpen, m.worst, m.limit, m.limitSent, m.leaving,
 	}
 }
 
--- a/pkg/kumquatlug/direct.go
+++ b/pkg/kumquatlug/direct.go
@@ -200,6 +200,7 @@
 	refused bool
 	load    WorkerLoad
 	limit   RateLimit
+	leaving bool
 }
 
 // ReplyConfig is what a [Reply] is made of.
@@ -217,12 +218,15 @@
 	Load WorkerLoad
 	// Limit is what it said of the rate of requests that it takes.
 	Limit RateLimit
+	// Leaving says that the worker is about to end.
+	Leaving bool
 }
 
 // NewReply returns the reply that c describes.
 func NewReply(c ReplyConfig) Reply {
 	return Reply{
 		status: c.Status, header: c.Header, length: c.Length, body: c.Body, refused: c.Refused, load: c.Load, limit: c.Limit,
+		leaving: c.Leaving,
 	}
 }
 
@@ -272,6 +276,9 @@
 // Slots returns how many may run at once.
 func (l WorkerLoad) Slots() int { return l.slots }
 
+// Leaving reports that the worker says it is about to end.
+func (r Reply) Leaving() bool { return r.leaving }
+
 // RateLimit is what an answer says of the rate of requests that its worker takes from
 // all fronts together. The zero value says nothing.
 type RateLimit struct {
--- a/pkg/kumquatlug/placement/ticket.go
+++ b/pkg/kumquatlug/placement/ticket.go
@@ -11,6 +11,7 @@
 type Ticket struct {
 	worker *worker
 	id     string
+	born   int64
 	apart  bool
 	tokens float64
 	// fresh and held are the tokens that the engine reads anew and those that it
@@ -31,6 +32,9 @@
 	heardAt kumquatlug.Millis
 }
 
+// Born returns the start of the worker's incarnation, as its row tells it.
+func (t *Ticket) Born() int64 { return t.born }
+
 // Worker returns the name of the worker.
 func (t *Ticket) Worker() string { return t.id }
 
@@ -63,10 +67,10 @@
 func (p *Placer) begin(now kumquatlug.Millis, c Choice, prompt kumquatlug.Prompt, coordinator string, key uint64) *Ticket {
 	w, known := p.workers[c.worker.ID()]
 	if !known {
-		return &Ticket{ended: true}
+		return &Ticket{id: c.worker.ID(), ended: true}
 	}
 	t := &Ticket{
-		worker: w, id: c.worker.ID(), apart: c.apart, tokens: c.tokens, wait: c.wait - c.delay, at: now + c.Delay(),
+		worker: w, id: c.worker.ID(), born: w.member.Born, apart: c.apart, tokens: c.tokens, wait: c.wait - c.delay, at: now + c.Delay(),
 		coordinator: coordinator, key: key,
 		fresh: c.fresh, held: max(float64(prompt.Input())-c.fresh, 0), alone: w.reads == 0 && p.othersNow(now, w) < 1,
 	}
