--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -73,6 +73,7 @@
 	// limit is the rate of requests that it names in its answers, negative for none.
 	limit    float64
 	arrivals []time.Time
+	leaving  bool
 }
 
 // New returns a worker.
@@ -102,6 +103,13 @@
 	w.limit = perSecond
 }
 
+// Leave has all answers say that the worker leaves. It goes on serving.
+func (w *Worker) Leave() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leaving = true
+}
+
 // Most returns the most requests that arrived in a span that began at from or later.
 func (w *Worker) Most(from time.Time, span time.Duration) int {
 	w.mu.Lock()
@@ -276,6 +284,9 @@
 	w.mu.Lock()
 	w.received = append(w.received, r.Header.Clone())
 	w.arrivals = append(w.arrivals, time.Now())
+	if w.leaving {
+		out.Header().Set("Server-Leaving", "1")
+	}
 	if w.limit >= 0 {
 		out.Header().Set("Server-Limit", strconv.FormatFloat(w.limit, 'f', -1, 64))
 	}
