Send nothing more to a worker that says in an answer that it leaves

Cause: fronts learnt of a leaving from the worker's row alone, and with the store away the row stood at ready. The class is what a worker says of itself being taken from one source only, the slowest.

The members in force are now the rows, with each incarnation marked as draining that said so in any answer: good, refused, failed, or of a prompt that was read. All that chooses (placement, the split, numbers of workers, streams that are to move) sees one state. A row that comes back does not undo it; a new incarnation starts unmarked. An answer of another worker at the same address tells nothing.

--- a/internal/gateway/departure.go
+++ b/internal/gateway/departure.go
@@ -44,6 +44,18 @@
 	return true
 }
 
+// mark has members that said that they leave count as draining. It goes by the
+// incarnation, whatever its row says: an old row may come back with the store.
+func (d *departures) mark(members []kumquatlug.Member) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for i, m := range members {
+		if one, told := d.told[m.Worker.ID()]; told && one.born == m.Born && m.State == kumquatlug.MemberReady {
+			members[i].State = kumquatlug.MemberDraining
+		}
+	}
+}
+
 // departs takes that the worker of an attempt says it leaves.
 func (f *inflight) departs(t *placement.Ticket) {
 	if !f.g.departures.note(f.g.c.Clock.Now(), t.Worker(), t.Born()) {
@@ -51,4 +63,5 @@
 	}
 	f.g.metrics.leaving.Inc()
 	f.g.c.Logger.Info("worker leaves", zap.String("worker", t.Worker()), zap.String("request", f.ask.ID()))
+	f.g.republish()
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -110,12 +110,14 @@
 
 // Gateway is one front.
 type Gateway struct {
-	c         Config
-	table     atomic.Pointer[routes.Table]
-	members   atomic.Pointer[memberSet]
-	scheduler *scheduler
-	metrics   *metrics
-	crashes   *crashes
+	c       Config
+	table   atomic.Pointer[routes.Table]
+	members atomic.Pointer[memberSet]
+	// publishing is held while members are put in force.
+	publishing sync.Mutex
+	scheduler  *scheduler
+	metrics    *metrics
+	crashes    *crashes
 	// departures are the workers that said that they leave.
 	departures *departures
 	// leaveAt is when a front that was told to stop ends, zero for the others.
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -292,11 +294,29 @@
 }
 
 func (m *members) publish(now kumquatlug.Millis) {
+	m.g.publishing.Lock()
+	defer m.g.publishing.Unlock()
+	m.g.publish(now, slices.Collect(maps.Values(m.kept)))
+}
+
+// publish puts members in force; publishing must be held.
+func (g *Gateway) publish(now kumquatlug.Millis, members []kumquatlug.Member) {
+	g.departures.mark(members)
 	set := &memberSet{known: true, byService: map[string][]kumquatlug.Member{}, addresses: map[string]bool{}}
-	for _, member := range m.kept {
+	for _, member := range members {
 		set.byService[member.Service] = append(set.byService[member.Service], member)
 		set.addresses[member.Worker.Address()] = true
 	}
-	m.g.members.Store(set)
-	m.g.scheduler.sync(now, set.byService)
+	g.members.Store(set)
+	g.scheduler.sync(now, set.byService)
+}
+
+// republish puts the members in force once more, as one of them said that it leaves.
+func (g *Gateway) republish() {
+	g.publishing.Lock()
+	defer g.publishing.Unlock()
+	set := g.members.Load()
+	if set.known {
+		g.publish(g.c.Clock.Now(), slices.Concat(slices.Collect(maps.Values(set.byService))...))
+	}
 }
--- a/test/front/leaving_test.go
+++ b/test/front/leaving_test.go
@@ -46,3 +46,34 @@
 		}
 	}
 }
+
+// The store turns one of two fronts away and serves the other, which is killed and starts
+// again. Both must stop sending to a worker that leaves: one was told by answers alone, the
+// other knows only what the store says.
+func TestAFrontThatTheStoreTurnsAwayHearsThatAWorkerLeaves(t *testing.T) {
+	s := newSite(t, site.Config{Plain: 3, Pause: 10 * time.Millisecond})
+	away, killed := newFront(t, s, "front-1"), newFront(t, s, "front-2")
+	stop := make(chan struct{})
+	looks := steadyLoad([]*process{away, away, away}, 20*time.Millisecond, stop, "look", (*process).look)
+	pause(500 * time.Millisecond)
+	s.TurnAway("front-1", true)
+	s.Plain[0].Leave()
+	s.Announce(s.Plain[0], "draining")
+	eventually(t, "the front is told", func() bool { return len(away.log("worker leaves", s.ID(s.Plain[0]))) > 0 })
+	told := time.Now()
+	killed.kill()
+	killed.start()
+	killed.waitReady()
+	pause(time.Until(told.Add(leaveSpan)))
+	again := steadyLoad([]*process{killed, killed, killed}, 20*time.Millisecond, stop, "again", (*process).look)
+	pause(time.Second)
+	close(stop)
+	for kind, all := range map[string]*outcomes{"look": looks(), "again": again()} {
+		if all.others > 0 || all.whole < 20 {
+			t.Errorf("%s: %d whole, %d not, the last one %+v", kind, all.whole, all.others, all.last)
+		}
+	}
+	if late := s.Plain[0].Most(told.Add(leaveSpan), time.Minute); late > 0 {
+		t.Errorf("the worker got %d requests over %v after the front was told", late, leaveSpan)
+	}
+}
