Leave a worker alone for as long as it asks when it turns a request away

The pause is kept beside that of refusals and ends with the incarnation; what waits for the worker goes elsewhere; with all workers paused a request is refused at once with the time at which the first is back (before: after the usual half second, whatever the worker said).

--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -15,6 +15,10 @@
 	if reply.Leaving() {
 		f.departs(t)
 	}
+	if reply.Pause() > 0 {
+		f.g.c.Logger.Info("worker wants a pause", zap.String("worker", t.Worker()), zap.String("request", f.ask.ID()),
+			zap.Int64("pause_ms", int64(reply.Pause())))
+	}
 	news, changed := f.g.scheduler.said(f.g.c.Clock.Now(), f.service.Name(), t, c.Worker().ID(), reply)
 	if !changed {
 		return
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -306,15 +306,19 @@
 	return sc.at(service).placer.Occupied(now)
 }
 
-// said takes what a worker said of its load and its limit in the answer to an attempt,
-// and reports whether the limit is news.
+// said takes what a worker said of itself in the answer to an attempt, and reports whether the limit is news.
 func (sc *scheduler) said(
 	now kumquatlug.Millis, service string, t *placement.Ticket, worker string, reply kumquatlug.Reply,
 ) (placement.LimitNews, bool) {
 	sc.mu.Lock()
-	defer sc.mu.Unlock()
-	p := sc.at(service).placer
+	defer sc.unlock()
+	g := sc.at(service)
+	p := g.placer
 	p.Report(now, worker, reply.Load())
+	if reply.Pause() > 0 {
+		p.Pause(now, t, reply.Pause())
+		sc.pump(now, g)
+	}
 	return p.Limited(now, t, reply.Limit(), reply.Status() < http.StatusMultipleChoices)
 }
 
--- a/pkg/kumquatlug/direct.go
+++ b/pkg/kumquatlug/direct.go
@@ -201,6 +201,7 @@
 	load    WorkerLoad
 	limit   RateLimit
 	leaving bool
+	pause   Millis
 }
 
 // ReplyConfig is what a [Reply] is made of.
@@ -220,13 +221,15 @@
 	Limit RateLimit
 	// Leaving says that the worker is about to end.
 	Leaving bool
+	// Pause is for how long the worker wants no more requests from this front.
+	Pause Millis
 }
 
 // NewReply returns the reply that c describes.
 func NewReply(c ReplyConfig) Reply {
 	return Reply{
 		status: c.Status, header: c.Header, length: c.Length, body: c.Body, refused: c.Refused, load: c.Load, limit: c.Limit,
-		leaving: c.Leaving,
+		leaving: c.Leaving, pause: c.Pause,
 	}
 }
 
@@ -279,6 +282,10 @@
 // Leaving reports that the worker says it is about to end.
 func (r Reply) Leaving() bool { return r.leaving }
 
+// Pause returns for how long the worker wants no more requests from this front, zero
+// where it says nothing of it.
+func (r Reply) Pause() Millis { return r.pause }
+
 // RateLimit is what an answer says of the rate of requests that its worker takes from
 // all fronts together. The zero value says nothing.
 type RateLimit struct {
--- a/pkg/kumquatlug/placement/choose.go
+++ b/pkg/kumquatlug/placement/choose.go
@@ -74,7 +74,7 @@
 func (p *Placer) usable(now kumquatlug.Millis, w *worker, q Query, role kumquatlug.Role) bool {
 	id := w.member.Worker.ID()
 	has := w.member.Role == role || role == kumquatlug.RoleDecode && w.member.Role == ""
-	return w.member.State == kumquatlug.MemberReady && has && now >= w.until && !w.leaves(now) &&
+	return w.member.State == kumquatlug.MemberReady && has && now >= max(w.until, w.pausedUntil) && !w.leaves(now) &&
 		!slices.Contains(q.Exclude, id) && p.health.Weight(now, id) > 0
 }
 
@@ -101,7 +101,7 @@
 			best = Choice{worker: w.member.Worker, wait: wait, delay: delay}
 		}
 	}
-	return held.unless(found, best), found
+	return p.bestOr(now, best, found, held), found
 }
 
 // Prompt chooses where a prompt is read: apart from its output, or by the
@@ -192,7 +192,7 @@
 			best = Choice{worker: w.member.Worker, fresh: fresh, tokens: tokens, wait: wait, delay: delay}
 		}
 	}
-	return held.unless(found, best), least, found
+	return p.bestOr(now, best, found, held), least, found
 }
 
 // Output chooses the engine that generates from a KV cache read elsewhere.
@@ -222,5 +222,5 @@
 			best = Choice{worker: w.member.Worker, wait: wait, cost: cost, delay: delay}
 		}
 	}
-	return held.unless(found, best), found
+	return p.bestOr(now, best, found, held), found
 }
--- a/pkg/kumquatlug/placement/limit.go
+++ b/pkg/kumquatlug/placement/limit.go
@@ -51,13 +51,33 @@
 	return min(longest, float64(q.until(now)))
 }
 
-// unless returns the best choice, or how long the first worker takes until it takes a
-// request where none was found.
-func (h *heldBack) unless(found bool, best Choice) Choice {
-	if found || math.IsInf(h.least, 1) {
+// bestOr returns the best choice or, where none was found, how long it is until the first
+// worker takes a request.
+func (p *Placer) bestOr(now kumquatlug.Millis, best Choice, found bool, h *heldBack) Choice {
+	if found {
 		return best
 	}
-	return Choice{delay: h.least}
+	least := h.least
+	for _, w := range p.list {
+		if w.member.State == kumquatlug.MemberReady && now < w.pausedUntil {
+			least = min(least, float64(w.pausedUntil-now))
+		}
+	}
+	if math.IsInf(least, 1) {
+		return best
+	}
+	return Choice{delay: least}
+}
+
+// Pause sends the worker of an attempt nothing for as long as it asked. What waits there
+// goes elsewhere.
+func (p *Placer) Pause(now kumquatlug.Millis, t *Ticket, span kumquatlug.Millis) {
+	w := t.worker
+	if w == nil || p.workers[t.id] != w || span <= 0 {
+		return
+	}
+	w.pausedUntil = max(w.pausedUntil, now+span)
+	p.orphan(w)
 }
 
 // Place is a request that an engine with a limit will take at a moment. It is kept for
--- a/pkg/kumquatlug/placement/placement.go
+++ b/pkg/kumquatlug/placement/placement.go
@@ -159,6 +159,8 @@
 	// refusals counts those in a row; until then nothing new is sent there.
 	refusals int
 	until    kumquatlug.Millis
+	// pausedUntil is for how long the worker asked to be sent nothing.
+	pausedUntil kumquatlug.Millis
 	// tickets are the attempts in hand for this front. Something last came from
 	// the worker at heardAt; pauses are those between two events of a stream;
 	// silent says that it was left out for saying nothing.
