Read the store's era; nothing goes back with a store that is restored from an older copy

In a drill the store comes back from a copy some seconds old, gives its versions out again, and Store-Era rises by one. Nothing read that: a follower whose version the store had passed again missed what was written between; a member's row under a version seen before was not read; a row of a drained worker that says ready put it back; fencing numbers were given out a second time, and two fronts could act within a lease.

Drained incarnations stay so. A front writes its row again. The lease has a row of its own in each era, as a late write of an older one else meets a row that looks as it did; its numbers carry the era above 32 bits; the first holder of an era waits until one that the store forgot must have stopped.

--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -162,7 +162,11 @@
 }
 
 func (a *Agent) readFence(ctx context.Context, s order.Step) bool {
-	row, err := a.c.Table.Get(ctx, lease.Key(a.group()))
+	group := a.group()
+	row, err := a.c.Table.Get(ctx, lease.Key(group))
+	if err == nil && row.Era() > 0 {
+		row, err = a.c.Table.Get(ctx, lease.KeyIn(group, row.Era()))
+	}
 	var record lease.Record
 	if err == nil {
 		record, err = lease.Decode(row)
@@ -172,7 +176,7 @@
 			a.hand.orders.FenceFailed(s)
 			return
 		}
-		a.hand.orders.Fenced(s, record.Fence())
+		a.hand.orders.Fenced(s, max(record.Fence(), lease.Least(row.Era())))
 	})
 	return err == nil
 }
--- a/internal/gateway/departure.go
+++ b/internal/gateway/departure.go
@@ -14,7 +14,8 @@
 // of reach.
 const departureKept = 600 * kumquatlug.Second
 
-// departures are the incarnations of workers that said in an answer that they leave.
+// departures are the incarnations of workers that said in an answer, or in their row,
+// that they leave.
 type departures struct {
 	mu   sync.Mutex
 	told map[string]departure
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -303,10 +303,14 @@
 
 // keepHouse closes idle connections and counts the fronts that share budgets.
 func (g *Gateway) keepHouse(ctx context.Context) {
-	registered, counted, told := false, false, learntTold{}
+	registered, counted, told := registration{}, false, learntTold{}
 	for round := 0; ; round++ {
-		if !registered {
-			registered = g.register(ctx)
+		if g.restored(registered) {
+			counted = false
+			g.tellAgain()
+		}
+		if !registered.good || g.restored(registered) {
+			registered = g.register(ctx, registered)
 		}
 		if round%countEvery == 1 || !counted {
 			counted = g.countFronts(ctx)
@@ -328,25 +332,37 @@
 // frontPrefix starts the keys of the rows that name fronts.
 const frontPrefix = "front/"
 
+// registration is how this front's row was written last.
+type registration struct {
+	good bool
+	// era is that of the store before it was written.
+	era int64
+}
+
 // register writes this front's row. It stays when the front is gone: counting
 // one too many only makes the shares of a budget smaller.
-func (g *Gateway) register(ctx context.Context) bool {
+func (g *Gateway) register(ctx context.Context, last registration) registration {
 	ctx, cancel := context.WithTimeout(ctx, storeCall.Duration())
 	defer cancel()
-	if before, err := g.c.Table.Get(ctx, frontPrefix+g.c.Name); err != nil || !before.Exists() {
+	before, err := g.c.Table.Get(ctx, frontPrefix+g.c.Name)
+	if !last.good && (err != nil || !before.Exists()) {
 		// One that starts again under its name has been counted long since.
 		g.scheduler.setNew(g.c.Clock.Now() + (countEvery+1)*houseEvery + storeCall)
 	}
+	era := g.c.Feed.Era()
 	row := []byte(g.c.Incarnation)
 	if g.c.Fronts != nil {
 		row = g.c.Fronts.Row()
 	}
-	err := g.c.Table.Commit(ctx, kumquatlug.NewTx(g.c.Incarnation).Put(frontPrefix+g.c.Name, row))
-	if err != nil {
+	if err := g.c.Table.Commit(ctx, kumquatlug.NewTx(g.c.Incarnation).Put(frontPrefix+g.c.Name, row)); err != nil {
 		g.c.Logger.Warn("could not register", logs.Error(err))
-		return false
+		return last
 	}
-	return true
+	g.metrics.era.Set(float64(era))
+	if last.good && era != last.era {
+		g.c.Logger.Warn("store restored", zap.Int64("era", era), zap.Int64("before", last.era))
+	}
+	return registration{good: true, era: era}
 }
 
 // countFronts takes the rows of all fronts and reports whether they could be had.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -29,6 +29,8 @@
 	limit, limitSent *prometheus.GaugeVec
 	// leaving counts the workers that said in an answer that they leave.
 	leaving prometheus.Counter
+	// era counts how often the store came back from an older copy.
+	era prometheus.Gauge
 }
 
 // latencyBuckets are in seconds: from an idle answer to the longest deadline.
@@ -87,6 +89,9 @@
 		leaving: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "kumquatlug_gateway_leaving_workers_total", Help: "Workers that said in an answer that they leave.",
 		}),
+		era: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "kumquatlug_gateway_store_era", Help: "How often the store came back from an older copy.",
+		}),
 	}
 	r.MustRegister(m.collectors()...)
 	return m
@@ -96,7 +101,7 @@
 func (m *metrics) collectors() []prometheus.Collector {
 	return []prometheus.Collector{
 		m.answers, m.attempts, m.latency, m.store, m.orders, m.silent, m.config, m.learnt, m.turns, m.denied,
-		m.lease, m.reports, m.usageOpen, m.worst, m.limit, m.limitSent, m.leaving,
+		m.lease, m.reports, m.usageOpen, m.worst, m.limit, m.limitSent, m.leaving, m.era,
 	}
 }
 
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
@@ -25,6 +26,9 @@
 	// feedRetry is the wait after a failure; with a few fronts it is a small part
 	// of the 2,000 reads a second that the store takes.
 	feedRetry = 250 * kumquatlug.Millis(1)
+	// rereadSpan is the time for each front in which it reads its tables anew: four
+	// reads, half of what the store takes.
+	rereadSpan = 4 * kumquatlug.Millis(1)
 	// returnSpan is how long after the store's return an entry that lapsed while
 	// it was away may still be missing: workers write it anew within two seconds.
 	returnSpan = 2300 * kumquatlug.Millis(1)
@@ -89,10 +93,21 @@
 		}
 		f.missed(now, err)
 		apply(now)
-		sleep(ctx, feedRetry)
+		sleep(ctx, f.retry(err))
 	}
 }
 
+// retry is how long the follower waits after a failure. Where the history is gone, as
+// after the store came back from an older copy, all fronts read all tables at once; their
+// reads are spread over as long as the store needs for them.
+func (f *follower) retry(err error) kumquatlug.Millis {
+	if !errors.Is(err, kumquatlug.ErrNotFound) {
+		return feedRetry
+	}
+	spread := rereadSpan * kumquatlug.Millis(f.g.scheduler.frontCount())
+	return feedRetry + kumquatlug.Millis(xxhash.Sum64String(f.table+f.g.c.Name)%uint64(spread))
+}
+
 // paceAfter sets how long changes gather after some that the store waited for. One
 // that comes after a quiet span is followed up at once.
 func (f *follower) paceAfter(waited kumquatlug.Millis) {
@@ -291,6 +306,10 @@
 			zap.Int64("row", row.Version()))
 	}
 	m.kept[key] = member
+	if member.State == kumquatlug.MemberDraining {
+		// A store that comes back from an older copy says that it is ready.
+		m.g.departures.note(m.g.c.Clock.Now(), key, member.Born)
+	}
 }
 
 func (m *members) publish(now kumquatlug.Millis) {
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -16,6 +16,7 @@
 type scriptedFeed struct {
 	rows    map[string]string
 	version int64
+	era     int64
 	err     error
 }
 
@@ -34,6 +35,8 @@
 	return f.Snapshot(ctx, table)
 }
 
+func (f *scriptedFeed) Era() int64 { return f.era }
+
 // watched is a front that follows the scripted feed step by step.
 type watched struct {
 	g        *Gateway
--- a/pkg/kumquatlug/direct.go
+++ b/pkg/kumquatlug/direct.go
@@ -383,6 +383,9 @@
 	// value, and the version to go on from. It waits for at most wait. An error
 	// marked [ErrNotFound] means that the history is gone: take a snapshot.
 	Changes(ctx context.Context, table string, after int64, wait Millis) ([]Row, int64, error)
+	// Era returns how often the store came back from an older copy of itself, below zero
+	// until it has told.
+	Era() int64
 }
 
 // Directory reads the rows that the operator and the workers write in the
--- a/pkg/kumquatlug/lease/decide.go
+++ b/pkg/kumquatlug/lease/decide.go
@@ -15,9 +15,14 @@
 		h.due = now + h.c.Renew
 		return Intent{action: ActionNone}
 	}
+	if row.Era() > h.era {
+		h.meet(now, row.Era())
+		return Intent{action: ActionNone}
+	}
 	if row.Version() != h.seen {
 		h.seen, h.seenAt = row.Version(), now
 	}
+	h.highest = max(h.highest, record.number)
 	h.settle(now, record)
 	if record.holder != h.c.Me || record.number != h.number || record.released {
 		h.held = false
@@ -28,6 +33,29 @@
 	return h.write(now, record)
 }
 
+// eraBits is how many bits of a number count the acquisitions of one era.
+const eraBits = 32
+
+// unseen is no row's version.
+const unseen = -1
+
+// meet takes a new era of the table. What was asked of the last one is over: its row
+// counts no more.
+func (h *Holder) meet(now kumquatlug.Millis, era int64) {
+	h.era, h.quietUntil = era, now+h.c.TTL+h.c.Margin
+	h.held, h.doubt, h.due = false, Intent{action: ActionNone}, now
+	h.seen, h.seenAt = unseen, now
+}
+
+// fresh reports that nobody has acquired the lease in this era of the table.
+func (h *Holder) fresh(record Record) bool { return h.era > 0 && record.number == 0 }
+
+// next returns the number of the next acquisition. A table that forgot some numbers
+// must not have them given out again.
+func (h *Holder) next(record Record) Number {
+	return max(record.number, h.highest, h.c.Floor, Least(h.era)) + 1
+}
+
 // settle looks for the write in doubt. One that is not there and never will be
 // needs no note: it demands a version that has passed. One that may still
 // arrive is met as a row of this process's that it does not hold, and the
@@ -57,13 +85,16 @@
 		return h.commit(now, ActionRenew, record)
 	case h.free(now, record):
 		record = Record{
-			holder: h.c.Me, number: max(record.number, h.c.Floor) + 1, ttl: h.c.TTL, attempt: record.attempt,
+			holder: h.c.Me, number: h.next(record), ttl: h.c.TTL, attempt: record.attempt,
 			settled: h.inherits(record),
 		}
 		return h.commit(now, ActionAcquire, record)
 	default:
 		h.due = now + h.watch
-		if h.seenAt < now {
+		switch {
+		case h.fresh(record) && now < h.quietUntil:
+			h.due = min(h.due, h.quietUntil)
+		case h.seenAt < now:
 			h.due = min(h.due, h.freeAt(record))
 		}
 		return Intent{action: ActionNone}
@@ -74,6 +105,9 @@
 // back, is this process's own, or has stood unchanged for its time to live
 // and a margin.
 func (h *Holder) free(now kumquatlug.Millis, record Record) bool {
+	if h.fresh(record) && now < h.quietUntil {
+		return false
+	}
 	if record.holder == "" || record.released || h.own(record) {
 		return true
 	}
@@ -95,11 +129,14 @@
 // there was none yet, or the last one was this process, a turn after the one
 // before it.
 func (h *Holder) inherits(record Record) bool {
+	if h.fresh(record) {
+		return false
+	}
 	return record.number == 0 || h.own(record) && record.settled
 }
 
 func (h *Holder) commit(now kumquatlug.Millis, action Action, record Record) Intent {
-	key := Key(h.c.Group)
+	key := KeyIn(h.c.Group, h.era)
 	tx := kumquatlug.NewTx(record.attempt).If(key, h.seen).Put(key, record.encode())
 	return h.send(Intent{action: action, key: key, tx: tx, record: record}, now)
 }
--- a/pkg/kumquatlug/lease/lease.go
+++ b/pkg/kumquatlug/lease/lease.go
@@ -12,6 +12,11 @@
 // from after it first saw that write, and takes over only when the same row
 // has stood for the whole time to live. The write lies between the two, so the
 // holder has stopped before the other one starts, however long messages take.
+// A table that comes back from an older copy of itself has forgotten writes that it
+// acknowledged. Who holds the lease by such a write may go on until it lapses, or until
+// it meets the new era; everybody waits as long from when it first met that, and then
+// acquires a new row under a number above all of earlier eras.
+//
 // What the time can't close is the moment between checking the lease and an
 // order's arrival: the agent closes that by refusing lower fencing numbers
 // (see package order).
@@ -38,6 +43,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
@@ -56,6 +62,19 @@
 // Key returns the key of a group's row in the table.
 func Key(group string) string { return prefix + group }
 
+// KeyIn returns the key in an era of the table, zero for the first. Each has a row of its
+// own: a write of an earlier one that takes effect late would else meet a row that
+// looks as it did then, as versions are given out again.
+func KeyIn(group string, era int64) string {
+	if era <= 0 {
+		return Key(group)
+	}
+	return Key(group) + "@" + strconv.FormatInt(era, 10)
+}
+
+// Least returns the number below all that are given in an era.
+func Least(era int64) Number { return Number(max(era, 0)) << eraBits }
+
 // Record is a group's row.
 type Record struct {
 	holder   string
@@ -213,6 +232,12 @@
 	watch kumquatlug.Millis
 	// turnAt is from when on orders of other holders lie a turn back.
 	turnAt kumquatlug.Millis
+	// era is that of the table; until quietUntil a holder that the table forgot with
+	// its last era may believe in its lease.
+	era        int64
+	quietUntil kumquatlug.Millis
+	// highest is the highest number seen.
+	highest Number
 }
 
 // New returns a holder that holds nothing and wants the lease.
@@ -278,7 +303,7 @@
 	if now < h.due || (!h.wanted && !h.owes) {
 		return Intent{action: ActionNone}
 	}
-	return h.send(Intent{action: ActionRead, key: Key(h.c.Group)}, now)
+	return h.send(Intent{action: ActionRead, key: KeyIn(h.c.Group, h.era)}, now)
 }
 
 func (h *Holder) send(i Intent, now kumquatlug.Millis) Intent {
@@ -368,6 +393,7 @@
 	}
 	h.held = true
 	h.number = i.record.number
+	h.highest = max(h.highest, h.number)
 	h.until = i.sent + h.c.TTL - h.c.Margin
 }
 
--- a/pkg/kumquatlug/table.go
+++ b/pkg/kumquatlug/table.go
@@ -5,6 +5,7 @@
 	key     string
 	value   []byte
 	version int64
+	era     int64
 }
 
 // NewRow returns a row as the table holds it. A version of zero says that the
@@ -13,6 +14,16 @@
 	return Row{key: key, value: value, version: version}
 }
 
+// WithEra returns the row as one of an era of the table.
+func (r Row) WithEra(era int64) Row {
+	r.era = era
+	return r
+}
+
+// Era returns how often the table had come back from an older copy of itself when it
+// told the row. Absent rows have one, too.
+func (r Row) Era() int64 { return r.era }
+
 // Key returns the row's key.
 func (r Row) Key() string { return r.key }
 
