Report each window once through a store that is restored from an older copy

The model (TestReportsThroughARestoredStore, which fails on the code before: 'window 204 twice: map[north:200 south:200] and map[]') billed a window a second time, as empty, as the fronts had dropped what they counted. Now a front tells with its counts which window is the first that it does not know to be fixed, a holder goes by the latest of all, and each front that fixed or read a report writes it again after a restore unless it knows it to be sent; a report that exists counts as fixed, and nothing is fixed over it. Open: a holder that is killed in the moment of the restore takes what it alone knew of the last windows with it.

--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -142,7 +142,11 @@
 // reportUsage has the holder of the lease fix and send the counts of all fronts.
 func (g *Gateway) reportUsage(ctx context.Context) {
 	r := usage.NewReporter(g.c.UsageWindows, g.c.Incarnation)
+	era := g.c.Feed.Era()
 	for sleep(ctx, reportEvery) {
+		if now := g.c.Feed.Era(); now != era && (era < 0 || g.writeReportsAgain(ctx, r)) {
+			era = now
+		}
 		r.Hold(int64(g.leaseTerm().Number()))
 		for steps := 0; steps < reportSteps && g.reportStep(ctx, r); steps++ {
 		}
@@ -150,6 +154,21 @@
 	}
 }
 
+// writeReportsAgain writes the fixed reports again that a store may have lost which came
+// back from an older copy, and reports whether that is done.
+func (g *Gateway) writeReportsAgain(ctx context.Context, r *usage.Reporter) bool {
+	rows, err := g.scan(ctx, usage.ReportPrefix)
+	if err == nil {
+		if tx, due := r.Again(g.c.Wall.Now(), rows); due {
+			call, cancel := context.WithTimeout(ctx, storeCall.Duration())
+			defer cancel()
+			err = g.c.Table.Commit(call, tx)
+		}
+	}
+	g.noteUsage("reports not written again", err)
+	return err == nil
+}
+
 // reportStep makes the next call that is due and reports whether there was one.
 func (g *Gateway) reportStep(ctx context.Context, r *usage.Reporter) bool {
 	i := r.Next(g.c.Wall.Now())
--- a/pkg/kumquatlug/usage/reporter.go
+++ b/pkg/kumquatlug/usage/reporter.go
@@ -43,6 +43,9 @@
 	mostDeletes = kumquatlug.MaxTxEntries - 5
 	// oldTally is for how many windows a tally that nobody writes any more stays.
 	oldTally = 2
+	// doubtSpan is for how long nobody else can have fixed a window whose fixing got no
+	// answer: the lease lasts longer.
+	doubtSpan = 3 * kumquatlug.Second
 )
 
 // Report is the sum of one window.
@@ -118,11 +121,20 @@
 	wait           kumquatlug.Millis
 	tallies        map[string]Tally
 	sequence       int64
+	// fixed is the first window that is not known to be fixed, whatever the store says:
+	// one that comes back from an older copy has forgotten some. kept are the reports
+	// of those that this front fixed or read and does not know to be sent.
+	fixed Window
+	kept  map[Window]Report
+	// fixing is the report of the transaction that is on its way, or got no answer until
+	// doubtUntil.
+	fixing     Report
+	doubtUntil kumquatlug.Millis
 }
 
 // NewReporter returns the reporter of a front's start, whose name is unique.
 func NewReporter(w Windows, me string) *Reporter {
-	return &Reporter{windows: w, me: me}
+	return &Reporter{windows: w, me: me, kept: map[Window]Report{}}
 }
 
 // Hold says under which number this front holds the lease, zero for none. What was
@@ -131,7 +143,10 @@
 	if number == r.number {
 		return
 	}
-	*r = Reporter{windows: r.windows, me: r.me, number: number, sequence: r.sequence, lookedAt: map[Window]kumquatlug.Millis{}}
+	*r = Reporter{
+		windows: r.windows, me: r.me, number: number, sequence: r.sequence, fixed: r.fixed, kept: r.kept, fixing: r.fixing, doubtUntil: r.doubtUntil,
+		lookedAt: map[Window]kumquatlug.Millis{},
+	}
 }
 
 // Open returns how many windows are fixed and not known to be sent.
@@ -187,7 +202,7 @@
 		r.lookAt = now + r.backOff()
 		return errors.Wrap(err, "read the reports")
 	}
-	r.wait, r.lookAt = 0, 0
+	r.wait, r.lookAt, r.doubtUntil = 0, 0, 0
 	r.next, r.version, r.unsent, r.tallies = r.windows.At(now), 0, nil, nil
 	r.sent = slices.DeleteFunc(r.sent, func(key string) bool {
 		return !slices.ContainsFunc(rows, func(row kumquatlug.Row) bool { return row.Key() == key })
@@ -198,16 +213,65 @@
 			spoilt = errors.CombineErrors(spoilt, err)
 		}
 	}
+	r.remember()
 	slices.SortFunc(r.unsent, func(a, b Report) int { return cmp.Compare(a.window, b.window) })
 	r.loaded = true
 	return spoilt
 }
 
+// remember goes by what is known to be fixed where the store has forgotten it: the
+// reports that this front fixed are sent as they were.
+func (r *Reporter) remember() {
+	if r.fixed == 0 {
+		return
+	}
+	forgotten := r.next
+	if r.version == 0 {
+		forgotten = 0
+	}
+	for k, report := range r.kept {
+		known := slices.ContainsFunc(r.unsent, func(one Report) bool { return one.window == k })
+		if k >= forgotten && !known {
+			r.unsent = append(r.unsent, report)
+		}
+	}
+	r.next = max(forgotten, r.fixed)
+}
+
+// Again returns the transaction that writes the reports again that this front fixed or
+// read and does not know to be sent, whoever holds the lease now. Ask for it when the store came
+// back from an older copy; a row that is there already stays.
+func (r *Reporter) Again(now kumquatlug.Millis, there []kumquatlug.Row) (kumquatlug.Tx, bool) {
+	r.sequence++
+	if now < r.doubtUntil {
+		r.keep(r.fixing)
+	}
+	tx, due := kumquatlug.NewTx(fmt.Sprintf("%s/usage/%d", r.me, r.sequence)), false
+	for k, report := range r.kept {
+		if !slices.ContainsFunc(there, func(row kumquatlug.Row) bool { return row.Key() == reportKey(k) }) {
+			tx, due = tx.If(reportKey(k), 0).Put(reportKey(k), encode(reportRow{Counts: report.counts})), true
+		}
+	}
+	return tx, due
+}
+
+// keep notes a report that is fixed.
+func (r *Reporter) keep(report Report) {
+	r.fixed = max(r.fixed, report.window+1)
+	r.kept[report.window] = report
+	for k := range r.kept {
+		if k+mostWindows < r.fixed {
+			delete(r.kept, k)
+		}
+	}
+}
+
 func (r *Reporter) load(row kumquatlug.Row) error {
 	if row.Key() == NextKey {
 		next, err := DecodeNext(row)
 		if err == nil {
 			r.next, r.version = next, row.Version()
+			r.fixed = max(r.fixed, next)
 		}
 		return err
 	}
@@ -222,7 +286,9 @@
 	if err := json.Unmarshal(row.Value(), &fixed); err != nil {
 		return errors.Wrapf(err, "read report %s", row.Key())
 	}
-	r.unsent = append(r.unsent, Report{window: Window(k), counts: fixed.Counts})
+	report := Report{window: Window(k), counts: fixed.Counts}
+	r.unsent = append(r.unsent, report)
+	r.keep(report)
 	return nil
 }
 
@@ -244,13 +310,9 @@
 			continue
 		}
 		r.tallies[row.Key()] = t
-		if r.version == 0 {
-			// Nothing was ever fixed: the first window is the first with requests.
-			for k := range t.counts {
-				r.next = min(r.next, k)
-			}
-		}
+		r.fixed = max(r.fixed, t.next)
 	}
+	r.begin()
 	for k := r.next; r.windows.End(k)+settleSpan <= now; k++ {
 		if _, seen := r.lookedAt[k]; !seen {
 			r.lookedAt[k] = now
@@ -259,6 +321,24 @@
 	return spoilt
 }
 
+// begin finds the next window by the tallies, as the store may have forgotten which it
+// is. Where nothing was ever fixed the first window is the first with requests.
+func (r *Reporter) begin() {
+	switch {
+	case r.version != 0:
+		r.next = max(r.next, r.fixed)
+		return
+	case r.fixed != 0:
+		r.next = r.fixed
+		return
+	}
+	for _, t := range r.tallies {
+		for k := range t.counts {
+			r.next = min(r.next, k)
+		}
+	}
+}
+
 // ready reports that the next window can be fixed: all fronts have told all of it, or
 // the report would be late if it waited for them any longer.
 func (r *Reporter) ready(now kumquatlug.Millis) bool {
@@ -304,11 +384,12 @@
 			i.removed = append(i.removed, key)
 		}
 	}
+	r.fixing = i.report
 	slices.Sort(i.removed)
 	i.removed = i.removed[:min(len(i.removed), mostDeletes)]
 	i.tx = kumquatlug.NewTx(fmt.Sprintf("%s/usage/%d", r.me, r.sequence)).If(NextKey, r.version).
 		Put(NextKey, encode(nextRow{Window: r.next + 1})).
-		Put(reportKey(r.next), encode(reportRow{Counts: counts}))
+		If(reportKey(r.next), 0).Put(reportKey(r.next), encode(reportRow{Counts: counts}))
 	for _, key := range i.removed {
 		i.tx = i.tx.Delete(key)
 	}
@@ -339,8 +420,12 @@
 	r.loaded, r.tallies = false, nil
 	if err != nil {
 		r.lookAt = now + r.backOff()
+		if errors.Is(err, kumquatlug.ErrLost) {
+			r.doubtUntil = now + doubtSpan
+		}
 		return
 	}
+	r.keep(r.fixing)
 	r.lookAt = now
 }
 
@@ -358,6 +443,7 @@
 	r.wait, r.sendAt = 0, now
 	r.unsent = r.unsent[1:]
 	r.sent = append(r.sent, reportKey(report.window))
+	delete(r.kept, report.window)
 }
 
 // backOff returns the wait after a failure.
--- a/pkg/kumquatlug/usage/usage.go
+++ b/pkg/kumquatlug/usage/usage.go
@@ -67,6 +67,8 @@
 	counts  map[Window]Counts
 	// toldAt is when a window was in the store with all of its requests.
 	toldAt map[Window]kumquatlug.Millis
+	// next is the first window that is not known to be fixed.
+	next Window
 }
 
 // NewCounter returns a counter that has seen nothing.
@@ -106,7 +108,7 @@
 // Tally returns what the store is to be told now. Last says that the front ends; one
 // that has counted nothing keeps no report waiting either.
 func (c *Counter) Tally(now kumquatlug.Millis, last bool) Tally {
-	t := Tally{through: now, left: last || len(c.counts) == 0, counts: make(map[Window]Counts, len(c.counts))}
+	t := Tally{through: now, next: c.next, left: last || len(c.counts) == 0, counts: make(map[Window]Counts, len(c.counts))}
 	for k, counts := range c.counts {
 		t.counts[k] = maps.Clone(counts)
 	}
@@ -140,6 +142,7 @@
 
 // Fixed takes which window is the first that is not fixed; those before it go.
 func (c *Counter) Fixed(next Window) {
+	c.next = max(c.next, next)
 	for k := range c.toldAt {
 		if k < next {
 			c.drop(k)
@@ -152,7 +155,10 @@
 	// through is up to when it has counted; left says that there will be no more.
 	through kumquatlug.Millis
 	left    bool
-	counts  map[Window]Counts
+	// next is the first window that its front does not know to be fixed; it has dropped
+	// what it counted before.
+	next   Window
+	counts map[Window]Counts
 }
 
 // Left reports that no more is to come from that front, unless it writes again.
@@ -165,12 +171,13 @@
 type tallyRow struct {
 	ThroughMS kumquatlug.Millis `json:"through_ms"`
 	Left      bool              `json:"left,omitempty"`
+	Next      Window            `json:"next,omitempty"`
 	Counts    map[Window]Counts `json:"counts"`
 }
 
 // Encode returns the stored form of a tally.
 func (t Tally) Encode() ([]byte, error) {
-	text, err := json.Marshal(tallyRow{ThroughMS: t.through, Left: t.left, Counts: t.counts})
+	text, err := json.Marshal(tallyRow{ThroughMS: t.through, Left: t.left, Next: t.next, Counts: t.counts})
 	return text, errors.Wrap(err, "encode the counts of a front")
 }
 
@@ -180,5 +187,5 @@
 	if err := json.Unmarshal(text, &r); err != nil {
 		return Tally{}, errors.Wrap(err, "read the counts of a front")
 	}
-	return Tally{through: r.ThroughMS, left: r.Left, counts: r.Counts}, nil
+	return Tally{through: r.ThroughMS, left: r.Left, next: r.Next, counts: r.Counts}, nil
 }
--- a/pkg/kumquatlug/usage/usage_test.go
+++ b/pkg/kumquatlug/usage/usage_test.go
@@ -231,3 +231,38 @@
 	// What the killed process had not told is lost: a quarter of a third.
 	w.check(t, 0.09)
 }
+
+// The store comes back from copies some seconds old, again and again, with reports fixed
+// and not sent, sent and not known to be, and counts told since. Fronts live on, the lease
+// goes to any of them. A window that was fixed or sent must not be reported with another
+// sum, nor be left out.
+func TestReportsThroughARestoredStore(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(32)
+	parameters.MinSuccessfulTests = 60
+	properties := gopter.NewProperties(parameters)
+	properties.Property("one report a window", prop.ForAll(func(seed uint64) string {
+		w := newWorld(t, 4)
+		dice := rand.New(rand.NewPCG(seed, 32))
+		w.play(12_000, all)
+		for range 6 {
+			w.serviceDown = dice.IntN(3) == 0
+			w.loseCommit, w.loseSend = dice.IntN(2), dice.IntN(2)
+			w.play(kumquatlug.Millis(50*dice.IntN(200)), all)
+			w.restore(kumquatlug.Millis(1000 * (1 + dice.IntN(8))))
+			w.play(6_000, all)
+			w.pass(dice.IntN(4))
+		}
+		w.serviceDown, w.loseCommit, w.loseSend = false, 0, 0
+		w.play(60_000, all)
+		if len(w.faults) > 0 {
+			return w.faults[0]
+		}
+		for k := range w.truth {
+			if _, reported := w.accepted[k]; !reported && testWindows.End(k)+testWindows.Due < w.now {
+				return fmt.Sprintf("window %d was not reported", k)
+			}
+		}
+		return ""
+	}, gen.UInt64()))
+	properties.TestingRun(t)
+}
--- a/pkg/kumquatlug/usage/world_test.go
+++ b/pkg/kumquatlug/usage/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
@@ -29,10 +30,12 @@
 	holder    int
 	number    int64
 	truth     map[Window]map[string]int64
+	// copies are the rows of the store as they were at moments.
+	copies map[kumquatlug.Millis]map[string]kumquatlug.Row
 }
 
 func newWorld(t *testing.T, fronts int) *world {
-	w := &world{t: t, now: 1_000_000, rows: map[string]kumquatlug.Row{}, accepted: map[Window]map[string]int64{}, truth: map[Window]map[string]int64{}}
+	w := &world{t: t, now: 1_000_000, rows: map[string]kumquatlug.Row{}, accepted: map[Window]map[string]int64{}, truth: map[Window]map[string]int64{}, copies: map[kumquatlug.Millis]map[string]kumquatlug.Row{}}
 	for i := range fronts {
 		w.counters = append(w.counters, NewCounter(testWindows))
 		w.reporters = append(w.reporters, NewReporter(testWindows, fmt.Sprintf("front-%d", i)))
@@ -42,6 +45,21 @@
 	return w
 }
 
+// restore has the store come back from a copy of so long ago, and nobody hold the lease
+// until it is passed.
+func (w *world) restore(ago kumquatlug.Millis) {
+	if rows, copied := w.copies[(w.now-ago)/1000]; copied {
+		w.rows = maps.Clone(rows)
+	}
+	w.holder = -1
+	for front, r := range w.reporters {
+		rows, err := w.scan(front, ReportPrefix)
+		if tx, due := r.Again(w.now, rows); err == nil && due {
+			_ = w.commit(front, tx)
+		}
+	}
+}
+
 // pass gives the lease to a front.
 func (w *world) pass(to int) {
 	w.holder = to
@@ -164,6 +182,9 @@
 // play lets time pass with a request each 50 ms at each front that lives.
 func (w *world) play(span kumquatlug.Millis, lives func(front int) bool) {
 	for end := w.now + span; w.now < end; w.now += 50 {
+		if w.now%1000 == 0 {
+			w.copies[w.now/1000] = maps.Clone(w.rows)
+		}
 		for front := range w.counters {
 			if !lives(front) {
 				continue
--- a/test/front/restore_test.go
+++ b/test/front/restore_test.go
@@ -73,3 +73,27 @@
 	}
 	return numbers[len(numbers)-1]
 }
+
+// The store comes back from copies some seconds old while usage is counted and reported.
+// Each window must be reported once, with all that ran, and under numbers that rise.
+func TestUsageOutlastsAStoreThatIsRestored(t *testing.T) {
+	s := newSite(t, site.Config{Plain: 2, Pause: time.Millisecond})
+	s.SetAccounts(map[string][]string{"north": {northKey}})
+	fronts := []*process{newFront(t, s, "front-1"), newFront(t, s, "front-2")}
+	eventually(t, "windows are reported", func() bool { return len(s.Cloud.Reports()) > 1 })
+	stop := make(chan struct{})
+	served := postings(t, fronts, northKey, "n", stop)
+	for range 2 {
+		copied := s.Store.Copy()
+		pause(2500 * time.Millisecond)
+		s.Store.Restore(copied, 500)
+		reported := len(s.Cloud.Reports())
+		eventually(t, "windows are reported again", func() bool { return len(s.Cloud.Reports()) > reported+3 })
+	}
+	close(stop)
+	want := served()
+	eventually(t, "all is reported", func() bool { return s.Cloud.Total("north") == want })
+	if broken := s.Cloud.Broken(); len(broken) != 0 {
+		t.Errorf("%v", broken)
+	}
+}
