--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -255,10 +255,21 @@
 	kept map[string]kumquatlug.Member
 	// read is the version of each row that was read last, good or bad.
 	read map[string]int64
+	// gone are the workers whose rows went, as they were.
+	gone map[string]departed
 }
 
+// departed is a worker whose row went, in an era of the store.
+type departed struct {
+	born, era int64
+	at        kumquatlug.Millis
+}
+
+// copySpan is far above the age of a copy that the store comes back from.
+const copySpan = 60 * kumquatlug.Second
+
 func newMembers(g *Gateway) *members {
-	return &members{g: g, kept: map[string]kumquatlug.Member{}, read: map[string]int64{}}
+	return &members{g: g, kept: map[string]kumquatlug.Member{}, read: map[string]int64{}, gone: map[string]departed{}}
 }
 
 // apply takes the rows as they are. A worker whose row is gone is gone, unless
@@ -270,14 +281,16 @@
 	}
 	returning := f.returning(now)
 	for key, row := range f.rows {
-		m.take(key, row)
+		m.take(key, row, f.whole)
 	}
 	for key := range m.kept {
 		if _, there := f.rows[key]; !there && !returning {
 			m.g.c.Logger.Info("worker gone", zap.String("worker", key))
+			m.gone[key] = departed{born: m.kept[key].Born, era: m.g.c.Feed.Era(), at: now}
 			delete(m.kept, key)
 		}
 	}
+	maps.DeleteFunc(m.gone, func(_ string, one departed) bool { return now-one.at > copySpan })
 	for key := range m.read {
 		if _, there := f.rows[key]; !there {
 			delete(m.read, key)
@@ -287,8 +300,9 @@
 }
 
 // take reads one row, unless it was read before: a change of one worker must not
-// cost the reading of thousands. A row that can't be read names no worker.
-func (m *members) take(key string, row kumquatlug.Row) {
+// cost the reading of thousands. A row that can't be read names no worker. Whole says that
+// the row was found, not changed.
+func (m *members) take(key string, row kumquatlug.Row, whole bool) {
 	if m.read[key] == row.Version() {
 		return
 	}
@@ -299,6 +313,13 @@
 		delete(m.kept, key)
 		return
 	}
+	if member.State == kumquatlug.MemberDraining {
+		// A store that comes back from an older copy says that it is ready.
+		m.g.departures.note(m.g.c.Clock.Now(), key, member.Born)
+	}
+	if whole && m.wentBefore(key, member.Born, row.Era()) {
+		member.State = kumquatlug.MemberDraining
+	}
 	before, known := m.kept[key]
 	if !known || before.State != member.State || before.Role != member.Role || before.Born != member.Born {
 		m.g.c.Logger.Info("worker", zap.String("worker", key), zap.String("service", member.Service),
@@ -306,10 +327,13 @@
 			zap.Int64("row", row.Version()))
 	}
 	m.kept[key] = member
-	if member.State == kumquatlug.MemberDraining {
-		// A store that comes back from an older copy says that it is ready.
-		m.g.departures.note(m.g.c.Clock.Now(), key, member.Born)
-	}
+}
+
+// wentBefore reports that a worker's row had gone and is back in an older copy of the
+// store. A worker that is there writes it again, which is then a change.
+func (m *members) wentBefore(key string, born, era int64) bool {
+	one, went := m.gone[key]
+	return went && one.born == born && era > one.era
 }
 
 func (m *members) publish(now kumquatlug.Millis) {
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -23,7 +23,7 @@
 func (f *scriptedFeed) Snapshot(context.Context, string) ([]kumquatlug.Row, int64, error) {
 	var rows []kumquatlug.Row
 	for key, value := range f.rows {
-		rows = append(rows, kumquatlug.NewRow(key, []byte(value), f.version))
+		rows = append(rows, kumquatlug.NewRow(key, []byte(value), f.version).WithEra(f.era))
 	}
 	return rows, f.version, f.err
 }
