--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,7 +13,6 @@
 	"context"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -290,98 +289,6 @@
 	return mux
 }
 
-// Figures of housekeeping.
-const (
-	// houseEvery is how often idle connections are looked through, another front is told
-	// which config is in force and, at each twentieth time, the others are counted.
-	houseEvery  = 1 * kumquatlug.Second
-	countEvery  = 20
-	freeTimeout = 500 * kumquatlug.Millis(1)
-	storeCall   = 1 * kumquatlug.Second
-	maxFronts   = 500
-)
-
-// keepHouse closes idle connections and counts the fronts that share budgets.
-func (g *Gateway) keepHouse(ctx context.Context) {
-	registered, counted, told := registration{}, false, learntTold{}
-	for round := 0; ; round++ {
-		if g.restored(registered) {
-			counted = false
-			g.tellAgain()
-		}
-		if !registered.good || g.restored(registered) {
-			registered = g.register(ctx, registered)
-		}
-		if round%countEvery == 1 || !counted {
-			counted = g.countFronts(ctx)
-		}
-		if g.c.Fronts != nil {
-			g.c.Fronts.TellConfig("")
-		}
-		g.tellLearnt(told)
-		g.showWorst()
-		g.showLimits()
-		addresses := g.members.Load().addresses
-		g.c.Sweep(func(address string) bool { return addresses[address] })
-		if !sleep(ctx, houseEvery) {
-			return
-		}
-	}
-}
-
-// frontPrefix starts the keys of the rows that name fronts.
-const frontPrefix = "front/"
-
-// registration is how this front's row was written last.
-type registration struct {
-	good bool
-	// era is that of the store before it was written.
-	era int64
-}
-
-// register writes this front's row. It stays when the front is gone: counting
-// one too many only makes the shares of a budget smaller.
-func (g *Gateway) register(ctx context.Context, last registration) registration {
-	ctx, cancel := context.WithTimeout(ctx, storeCall.Duration())
-	defer cancel()
-	before, err := g.c.Table.Get(ctx, frontPrefix+g.c.Name)
-	if !last.good && (err != nil || !before.Exists()) {
-		// One that starts again under its name has been counted long since.
-		g.scheduler.setNew(g.c.Clock.Now() + (countEvery+1)*houseEvery + storeCall)
-	}
-	era := g.c.Feed.Era()
-	row := []byte(g.c.Incarnation)
-	if g.c.Fronts != nil {
-		row = g.c.Fronts.Row()
-	}
-	if err := g.c.Table.Commit(ctx, kumquatlug.NewTx(g.c.Incarnation).Put(frontPrefix+g.c.Name, row)); err != nil {
-		g.c.Logger.Warn("could not register", logs.Error(err))
-		return last
-	}
-	g.metrics.era.Set(float64(era))
-	if last.good && era != last.era {
-		g.c.Logger.Warn("store restored", zap.Int64("era", era), zap.Int64("before", last.era))
-	}
-	return registration{good: true, era: era}
-}
-
-// countFronts takes the rows of all fronts and reports whether they could be had.
-func (g *Gateway) countFronts(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, storeCall.Duration())
-	defer cancel()
-	rows, err := g.c.Table.Scan(ctx, frontPrefix, "", maxFronts)
-	if err != nil {
-		g.c.Logger.Warn("could not count the fronts", logs.Error(err))
-		return false
-	}
-	fronts := make(map[string][]byte, len(rows))
-	for _, row := range rows {
-		fronts[strings.TrimPrefix(row.Key(), frontPrefix)] = row.Value()
-	}
-	g.meetFronts(fronts)
-	return true
-}
-
 // freeCaches drops KV caches that nobody will take, so that their engines have
 // the memory back.
 func (g *Gateway) freeCaches(ctx context.Context) {
--- a/pkg/kumquatlug/lease/lease.go
+++ b/pkg/kumquatlug/lease/lease.go
@@ -41,7 +41,6 @@
 package lease
 
 import (
-	"encoding/json"
 	"fmt"
 	"strconv"
 
@@ -75,65 +74,6 @@
 // Least returns the number below all that are given in an era.
 func Least(era int64) Number { return Number(max(era, 0)) << eraBits }
 
-// Record is a group's row.
-type Record struct {
-	holder   string
-	number   Number
-	ttl      kumquatlug.Millis
-	attempt  string
-	released bool
-	settled  bool
-}
-
-// stored is the JSON form of a record.
-type stored struct {
-	Holder   string            `json:"holder"`
-	Number   Number            `json:"number"`
-	TTL      kumquatlug.Millis `json:"ttl_ms"`
-	Attempt  string            `json:"attempt"`
-	Released bool              `json:"released,omitempty"`
-	Settled  bool              `json:"settled,omitempty"`
-}
-
-// Decode reads a group's row; an absent row is the zero record. An agent reads
-// the number from it before it accepts orders.
-func Decode(row kumquatlug.Row) (Record, error) {
-	if !row.Exists() {
-		return Record{}, nil
-	}
-	var s stored
-	if err := json.Unmarshal(row.Value(), &s); err != nil {
-		return Record{}, errors.Wrapf(err, "decode %s", row.Key())
-	}
-	return Record{holder: s.Holder, number: s.Number, ttl: s.TTL, attempt: s.Attempt, released: s.Released, settled: s.Settled}, nil
-}
-
-func (r Record) encode() []byte {
-	// Strings and numbers always encode.
-	text, _ := json.Marshal(stored{
-		Holder: r.holder, Number: r.number, TTL: r.ttl, Attempt: r.attempt, Released: r.released, Settled: r.settled,
-	})
-	return text
-}
-
-// Holder returns the process that wrote the row last.
-func (r Record) Holder() string { return r.holder }
-
-// Number returns the fencing number, zero before the first acquisition.
-func (r Record) Number() Number { return r.number }
-
-// Fence returns the lowest number that orders may carry: once the lease was
-// given back, the number after it, which is the next holder's or below it.
-func (r Record) Fence() Number {
-	if r.released {
-		return r.number + 1
-	}
-	return r.number
-}
-
-// Released reports that the holder gave the lease back.
-func (r Record) Released() bool { return r.released }
-
 // Action is what an intent asks of the table.
 type Action string
 
