Ask no limit of a worker that names none

A request whose time was over found no worker in place of one that it could not reach in time: its reason was no_worker. Read while looking through the change; no test saw it.

--- a/internal/gateway/house.go
+++ b/internal/gateway/house.go
@@ -12,8 +12,9 @@
 
 // Figures of housekeeping.
 const (
-	// houseEvery is how often idle connections are looked through, another front is told
-	// which config is in force and, at each twentieth time, the others are counted.
+	// houseEvery is how often idle connections are looked through and another front is told
+	// which config is in force; countEvery is after how many such rounds the others are
+	// counted.
 	houseEvery = 1 * kumquatlug.Second
 	countEvery = 20
 	// countMany is how many fronts are counted so often; more of them count each other
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -306,7 +306,8 @@
 	return sc.at(service).placer.Occupied(now)
 }
 
-// said takes what a worker said of itself in the answer to an attempt, and reports whether the limit is news.
+// said takes what a worker said of itself in the answer to an attempt, and reports whether
+// its limit is news.
 func (sc *scheduler) said(
 	now kumquatlug.Millis, service string, t *placement.Ticket, worker string, reply kumquatlug.Reply,
 ) (placement.LimitNews, bool) {
--- a/pkg/kumquatlug/placement/limit.go
+++ b/pkg/kumquatlug/placement/limit.go
@@ -28,7 +28,7 @@
 // rest ms after that.
 func (h *heldBack) back(now kumquatlug.Millis, w *worker, q Query, rest float64) bool {
 	delay := w.limit.Delay(now)
-	if delay <= q.mayWait(now, rest) {
+	if delay == 0 || delay <= q.mayWait(now, rest) {
 		return false
 	}
 	h.least = min(h.least, delay)
