Count the fronts a second after a start, not beside the reading of the tables

Cause: since a front counted the others at its start and again a second later, and since it reads its own row: 2,100 reads of 300 fronts in the first tenths of a second, where the store takes 2,000 a second. The count is made after a second again, and each second until the store answers; the row is still read (1,800 reads). Until then a front sends limited workers nothing, as before.

--- a/internal/gateway/house.go
+++ b/internal/gateway/house.go
@@ -36,7 +36,8 @@
 		if !registered.good || g.restored(registered) {
 			registered = g.register(ctx, registered)
 		}
-		if every := g.countRounds(); round%every == 1 || !counted {
+		// At its start a front has its tables to read, with all others if all started.
+		if every := g.countRounds(); round > 0 && (round%every == 1 || !counted) {
 			counted = g.countFronts(ctx)
 			g.scheduler.setNew(g.newSince(registered) + kumquatlug.Millis(every+1)*houseEvery + storeCall)
 		}
