Wait for the line that tells why a key is turned away

Traced by the process's last lines: the line with keys_stale is there, written in the same millisecond as the answer. A front writes its lines beside its requests, so that the client can have its 503 before the test has read the line. The test now waits for it, as it does for all other lines; it must still come.

--- a/test/front/accounts_test.go
+++ b/test/front/accounts_test.go
@@ -162,9 +162,7 @@
 	eventually(t, "nobody is served by a key", func() bool {
 		return p.askAs(northKey, http.MethodPost, site.PathPost+"x", "x", nil).status == http.StatusServiceUnavailable
 	})
-	if len(p.log("keys_stale")) == 0 {
-		t.Error("the log does not tell why")
-	}
+	eventually(t, "the log tells why", func() bool { return len(p.log("keys_stale")) > 0 })
 	s.TurnAway("front-1", false)
 	eventually(t, "its client is served again", func() bool {
 		return p.askAs(northKey, http.MethodPost, site.PathPost+"x", "x", nil).status == http.StatusOK
