--- a/pkg/kumquatlug/workerload.go
+++ b/pkg/kumquatlug/workerload.go
@@ -9,6 +9,8 @@
 	running int
 	waiting int
 	slots   int
+	// timeFactor is zero if the worker did not report it.
+	timeFactor float64
 }
 
 // NewWorkerLoad returns a load with these numbers of running and waiting requests and
@@ -17,6 +19,17 @@
 	return WorkerLoad{known: true, running: running, waiting: waiting, slots: slots}
 }
 
+// WithTimeFactor returns a copy of the load with the time that work takes at the moment
+// of the report, relative to its usual time at this worker; 1 means as usual.
+func (l WorkerLoad) WithTimeFactor(factor float64) WorkerLoad {
+	l.timeFactor = factor
+	return l
+}
+
+// TimeFactor returns the time that work takes at the moment of the report, relative to
+// its usual time at this worker, and whether the worker reported it.
+func (l WorkerLoad) TimeFactor() (float64, bool) { return l.timeFactor, l.timeFactor > 0 }
+
 // Known reports whether the worker reported its load.
 func (l WorkerLoad) Known() bool { return l.known }
 
