Make the test of shutdown notices independent of the first prefill's time

TestAnyResponseMayAnnounceShutdown failed in 39 of 300 runs beside load: the second prompt was prefilled at a decode engine in place of the second prefill engine. Cause: the fake engine prefills in no time. Where its first call took 0 ms, the sample is dropped; where it took 1 ms or more, a very high prefill rate is learned, the prefill costs less than the fixed cost of a transfer, and placement rightly prefills at the decode engine.

The test now sets the cost of a transfer to zero, so that a prefill engine is preferred at any rate. Its checks are unchanged. Ruled out: accepting the decode engine in the check, which would no longer notice a prompt at the stopped engine's peer.

--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/clock"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/retry"
 )
 
@@ -255,6 +256,11 @@
 }
 
 func newTestGateway(t testing.TB, w *fakeWorkers, retryFloor int) *testGateway {
+	t.Helper()
+	return newTestGatewayWithPlacement(t, w, retryFloor, placement.Config{})
+}
+
+func newTestGatewayWithPlacement(t testing.TB, w *fakeWorkers, retryFloor int, c placement.Config) *testGateway {
 	t.Helper()
 	now := clock.NewMonotonic()
 	g := New(Config{
@@ -262,7 +268,7 @@
 		Clock: now, BootClock: now, GracePeriod: 4000, HandoverDelay: 100,
 		RetryBudget:  retry.SharedBudgetConfig{MinRetries: retryFloor, Window: 10_000},
 		MaxBodyBytes: 1000,
-		PrefillShare: 0.5, CloseIdle: func(func(string) bool) {}, Logger: zap.NewNop(), Registry: prometheus.NewRegistry(),
+		PrefillShare: 0.5, Placement: c, CloseIdle: func(func(string) bool) {}, Logger: zap.NewNop(), Registry: prometheus.NewRegistry(),
 	})
 	g.table.Store(testTable(7))
 	set := &memberSet{loaded: true, byService: map[string][]kumquatlug.Member{
--- a/internal/gateway/workershutdown_test.go
+++ b/internal/gateway/workershutdown_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
 )
 
 // shuttingDownResponse returns the response r with the announcement of a shutdown.
@@ -107,7 +108,9 @@
 			return kumquatlug.NewKVCacheRef("10.0.0.1:1", "h"), shuttingDownResponse(wholeResponse(http.StatusOK, "")), nil
 		},
 	}
-	f := newTestGateway(t, w, manyRetries)
+	// Without a cost of transfers, prompts are prefilled at the decode engines only when no
+	// prefill engine is left, however fast or slow the first prefill looked.
+	f := newTestGatewayWithPlacement(t, w, manyRetries, placement.Config{TransferCostMs: 1e-9})
 	for range 4 {
 		f.do(context.Background(), http.MethodPost, longRoute)
 	}
