Ignore agent reports from before an order ended

TestPromptsAndOutputsRunOnDifferentEngines failed once: entry-1 ordered an engine to prefill a second time, 1.0 s after it served in that role, and the prompt met the engine between roles. Cause: when an order ends, the sender marks the target's phase as unknown until the next report. The role controller refreshes each second and passes the last report again; if the agent has sent none since, that old report set the phase back to idle and showed the old role, and the first role was ordered again. Reports are a second apart and late beside load.

The sender now records when an order ended and ignores reports that were requested earlier, by its own clock. A new test in package order replays the sequence, which the code before could not tell apart. Ruled out: two lease holders (one holder, number 1, era 0 in the log).

--- a/internal/entry/role_orders.go
+++ b/internal/entry/role_orders.go
@@ -19,7 +19,7 @@
 	if !known || m.err != nil {
 		return
 	}
-	if result, ended := g.sender.HandleResponse(m.target, m.id, m.reply); ended {
+	if result, ended := g.sender.HandleResponse(c.now(), m.target, m.id, m.reply); ended {
 		c.orderSettled(g, result)
 	}
 }
--- a/internal/entry/roles.go
+++ b/internal/entry/roles.go
@@ -262,7 +262,7 @@
 		e := members[name]
 		result, ended := g.sender.HandleReport(order.Report{
 			Target: name, Incarnation: order.Incarnation(e.report.AgentStarts), FencingToken: lease.FencingToken(e.report.FencingToken),
-			Phase: order.Phase(e.report.Phase),
+			Phase: order.Phase(e.report.Phase), RequestedAt: e.report.SentAt,
 		})
 		if ended {
 			c.orderSettled(g, result)
--- a/pkg/kumquatlug/order/order_test.go
+++ b/pkg/kumquatlug/order/order_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/lease"
 )
@@ -86,7 +88,7 @@
 
 	run := gate.Next(0)
 	gate.RunFinished(run, OutcomeApplied)
-	ended, _ := sender.HandleResponse("vm-1", o.ID(), gate.Offer(o))
+	ended, _ := sender.HandleResponse(0, "vm-1", o.ID(), gate.Offer(o))
 	fmt.Println(run.Action(), ended.Outcome())
 
 	old := NewOrder(NewID(4, 6, 1), VerbRole, "prefill")
@@ -116,3 +118,34 @@
 		g.RunFinished(g.Next(0), OutcomeApplied)
 	}
 }
+
+// An agent reports each second, and its last report is passed to the sender until there
+// is a newer one. If a report from before an order ended made the target ready again, the
+// order would be issued a second time, and the engine would refuse work while it carries
+// that out.
+func TestReportFromBeforeAnOrderEndedIsIgnored(t *testing.T) {
+	sender := NewSender(SenderConfig{})
+	sender.LeaseAcquired(1)
+	report := Report{Target: "vm-1", Incarnation: 4, FencingToken: 1, Phase: PhaseIdle, RequestedAt: 100}
+	sender.HandleReport(report)
+	o, err := sender.Issue("vm-1", VerbRole, "prefill")
+	if err != nil {
+		t.Fatal(err)
+	}
+	sender.Due(200, 1, true)
+	if _, ended := sender.HandleResponse(400, "vm-1", o.ID(), NewResponse(VerdictCompleted, OutcomeApplied, 1)); !ended {
+		t.Fatal("the order has not ended")
+	}
+	for _, requestedAt := range []kumquatlug.Millis{100, 399} {
+		report.RequestedAt = requestedAt
+		sender.HandleReport(report)
+		if _, err := sender.Issue("vm-1", VerbRole, "prefill"); !errors.Is(err, ErrTargetNotReady) {
+			t.Errorf("after a report requested at %d the order is issued again: %v", requestedAt, err)
+		}
+	}
+	report.RequestedAt = 400
+	sender.HandleReport(report)
+	if _, err := sender.Issue("vm-1", VerbRole, "decode"); err != nil {
+		t.Errorf("after a newer report: %v", err)
+	}
+}
--- a/pkg/kumquatlug/order/proof_test.go
+++ b/pkg/kumquatlug/order/proof_test.go
@@ -238,7 +238,7 @@
 // handleReply passes a reply to its sender and compares the result with the gate's.
 func (w *world) handleReply(i int, id ID, reply Response) {
 	w.checkFinished()
-	ended, ok := w.senders[i].HandleResponse(target, id, reply)
+	ended, ok := w.senders[i].HandleResponse(w.now, target, id, reply)
 	if !ok || ended.Outcome() == OutcomeUnknown {
 		return
 	}
@@ -249,7 +249,7 @@
 }
 
 func (w *world) report(i int) {
-	r := Report{Target: target, Incarnation: w.incarnation, FencingToken: w.gate.FencingToken(), Phase: w.gate.Phase()}
+	r := Report{Target: target, Incarnation: w.incarnation, FencingToken: w.gate.FencingToken(), Phase: w.gate.Phase(), RequestedAt: w.now}
 	w.messages = append(w.messages, message{deliver: func() { w.senders[i].HandleReport(r) }})
 }
 
--- a/pkg/kumquatlug/order/sender.go
+++ b/pkg/kumquatlug/order/sender.go
@@ -41,6 +41,8 @@
 	FencingToken lease.FencingToken
 	// Phase is the target's current phase.
 	Phase Phase
+	// RequestedAt is when the sender requested the report, by its own clock.
+	RequestedAt kumquatlug.Millis
 }
 
 // Result is the final result of an order, as its sender knows it.
@@ -79,6 +81,9 @@
 	outstanding *Order
 	sentAt      kumquatlug.Millis
 	sent        bool
+	// endedAt is when the last order ended. A report requested before that may describe
+	// the target before the order.
+	endedAt kumquatlug.Millis
 }
 
 // Sender issues a lease holder's orders to the targets of its group. Each target
@@ -111,7 +116,9 @@
 	}
 }
 
-// HandleReport handles an agent's report. A new incarnation ends an outstanding order with
+// HandleReport handles an agent's report. One that was requested before the last order
+// ended is ignored: the same report is passed again until the agent has sent another,
+// and with its phase an order that is already applied would be sent a second time. A new incarnation ends an outstanding order with
 // OutcomeUnknown, returned with true: the previous process has ended and can start
 // nothing, and the new one rejects orders for the previous one and reads the
 // engine's state.
@@ -125,12 +132,15 @@
 	if r.Incarnation < t.incarnation {
 		return Result{}, false
 	}
+	if r.Incarnation == t.incarnation && r.RequestedAt < t.endedAt {
+		return Result{}, false
+	}
 	t.phase = r.Phase
 	if r.Incarnation == t.incarnation {
 		return Result{}, false
 	}
 	t.incarnation, t.sequence = r.Incarnation, 0
-	return s.finish(r.Target, OutcomeUnknown)
+	return s.finish(r.RequestedAt, r.Target, OutcomeUnknown)
 }
 
 // observeToken handles a fencing token seen in a message. A token higher than
@@ -189,7 +199,7 @@
 
 // HandleResponse handles a gate's reply to an order and returns the order's result if it
 // has completed. A late reply to an order that is no longer outstanding is ignored.
-func (s *Sender) HandleResponse(target string, id ID, r Response) (Result, bool) {
+func (s *Sender) HandleResponse(now kumquatlug.Millis, target string, id ID, r Response) (Result, bool) {
 	s.observeToken(r.fencingToken)
 	t := s.targets[target]
 	if t == nil || t.outstanding == nil || t.outstanding.id != id {
@@ -197,23 +207,23 @@
 	}
 	switch r.verdict {
 	case VerdictCompleted:
-		return s.finish(target, r.outcome)
+		return s.finish(now, target, r.outcome)
 	case VerdictStale:
 		// The gate never accepted the order, or no longer has its record.
-		return s.finish(target, OutcomeUnknown)
+		return s.finish(now, target, OutcomeUnknown)
 	default:
 		// Accepted, busy or not ready: the order is resent until it completes.
 		return Result{}, false
 	}
 }
 
-func (s *Sender) finish(target string, outcome Outcome) (Result, bool) {
+func (s *Sender) finish(now kumquatlug.Millis, target string, outcome Outcome) (Result, bool) {
 	t := s.targets[target]
 	if t.outstanding == nil {
 		return Result{}, false
 	}
 	ended := Result{target: target, order: *t.outstanding, outcome: outcome}
-	t.outstanding = nil
+	t.outstanding, t.endedAt = nil, now
 	// The last report may predate the order, so the phase is unknown until the
 	// next one.
 	t.phase = PhaseUnknown
