--- a/pkg/kumquatlug/placement/choose.go
+++ b/pkg/kumquatlug/placement/choose.go
@@ -28,6 +28,9 @@
 	CacheZone string
 	// Reservation is what was reserved for decoding when the prompt was submitted.
 	Reservation Reservation
+	// SecondBodyMs is what sending the request to a second engine costs on the gateway's
+	// link, in milliseconds.
+	SecondBodyMs float64
 }
 
 // Choice is the result of a [Query].
@@ -115,7 +118,7 @@
 	}
 	mixed, mixedCost, mixedFound := p.cheapestMixed(now, q)
 	prefill, prefillCost, prefillFound := p.cheapestPrefill(now, q)
-	if !prefillFound || mixedFound && mixedCost < prefillCost+output.cost {
+	if !prefillFound || mixedFound && mixedCost < prefillCost+output.cost+q.SecondBodyMs {
 		return mixed, mixedFound
 	}
 	prefill.waitMs += output.waitMs
