Use the link scheduler in the gateway

A request body waits for the gateway's link before it is sent to an engine or worker, and a request that the link makes late is refused at admission, before any worker receives it. The rate comes from limits.link_mbps of the platform's settings; without it, or from 5,000 bytes per ms on, there is no queue and nothing changes. A second body's cost on the link enters the choice between one engine and two. Bytes of responses are counted when they are written, and never delayed.

Ruled out: asking clients to reconnect, since the load balancer chooses by a hash of the client; reporting not ready, since with more than half of a data centre's gateways not ready all of them get connections; waiting for the link before asking for a permit, since the body's engine would be unknown while the permit may take longer than the link.

--- a/cmd/kumquatlug/front.go
+++ b/cmd/kumquatlug/front.go
@@ -144,7 +144,7 @@
 		Clock: now, BootClock: clock.NewBoottime(), GracePeriod: platformSettings.GracePeriod, HandoverDelay: platformSettings.HandoverDelay, WorkerGracePeriod: platformSettings.WorkerGracePeriod,
 		RetryBudget:    retry.SharedBudgetConfig{Ratio: platformSettings.RetryRatio, MinRetries: platformSettings.MinRetries, Window: platformSettings.RetryWindow},
 		MaxConfigDelay: platformSettings.MaxConfigDelay, FailClosed: platformSettings.FailClosed, MaxRevocationDelay: platformSettings.MaxRevocationDelay,
-		MaxBodyBytes: platformSettings.MemoryBytes / maxBodiesDivisor,
+		MaxBodyBytes: platformSettings.MemoryBytes / maxBodiesDivisor, LinkBytesPerMs: platformSettings.LinkBytesPerMs,
 		PrefillShare: s.prefillShare, Placement: s.placement, Logger: logger, Registry: registry,
 		CloseIdle: func(keep func(string) bool) {
 			requestPool.CloseIdle(keep)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -43,6 +43,7 @@
 
 func (f *inflight) placementQuery() placement.Query {
 	q := placement.Query{Prompt: f.remainingPrompt(), Exclude: f.exclude, Deadline: f.deadline, CacheZone: f.cacheZone, ResponseStarted: f.responseStarted, Value: f.value, Reservation: f.reservation}
+	q.SecondBodyMs = f.g.link.secondBodyMs(len(f.request.Body()))
 	if target := f.route.LatencyTarget(); target > 0 {
 		q.FirstOutputDue = f.arrived - f.retryingFor + target
 	}
@@ -224,6 +225,9 @@
 
 // prefill computes the prompt's KV cache on an engine.
 func (f *inflight) prefill(ctx context.Context, c placement.Choice, a *placement.Attempt) (kumquatlug.KVCacheRef, *attemptFailure) {
+	if failed := f.awaitLink(ctx, stagePrefill, c, a, false); failed != nil {
+		return kumquatlug.KVCacheRef{}, failed
+	}
 	if denied := f.reauthenticate(stagePrefill, a); denied != nil {
 		return kumquatlug.KVCacheRef{}, denied
 	}
@@ -332,6 +336,9 @@
 	if failed := f.awaitWorkerLimit(ctx, c, a); failed != nil {
 		return failed
 	}
+	if failed := f.awaitLink(ctx, stageOutput, c, a, cache.Handle() != ""); failed != nil {
+		return failed
+	}
 	if denied := f.reauthenticate(stageOutput, a); denied != nil {
 		return denied
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -94,6 +94,8 @@
 	// MaxBodyBytes bounds the total size in bytes of the bodies of all requests in flight.
 	// Without it, a few hundred large bodies exhaust the memory of the process.
 	MaxBodyBytes int64
+	// LinkBytesPerMs is the rate of this machine's network link, zero if it is not known.
+	LinkBytesPerMs float64
 	// LeaderActions receives the calls that the leader makes on behalf of all gateways, nil if
 	// there are none.
 	LeaderActions kumquatlug.LeaderActions
@@ -125,8 +127,10 @@
 	// publishMu is held while a new set of members is applied.
 	publishMu sync.Mutex
 	scheduler *scheduler
-	metrics   *metrics
-	crashes   *crashes
+	// link schedules request bodies on this gateway's link, nil if the link is fast.
+	link    *linkQueue
+	metrics *metrics
+	crashes *crashes
 	// shuttingDownWorkers are the workers that announced their shutdown.
 	shuttingDownWorkers *shuttingDownWorkers
 	// exitAt is when this gateway exits, zero while it is not shutting down.
@@ -155,7 +159,7 @@
 // New returns a gateway with this config. It serves once [Gateway.Run] is called.
 func New(c Config) *Gateway {
 	g := &Gateway{
-		c: c, scheduler: newScheduler(c), metrics: newMetrics(c.Registry), crashes: newCrashes(),
+		c: c, scheduler: newScheduler(c), link: newLinkQueue(c), metrics: newMetrics(c.Registry), crashes: newCrashes(),
 		shuttingDownWorkers: newShuttingDownWorkers(), unusedCaches: make(chan kumquatlug.KVCacheRef, maxUnusedCaches),
 	}
 	g.members.Store(&memberSet{})
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -94,6 +94,10 @@
 	ctx, cancel := context.WithTimeout(ctx, f.timeLeft().Duration())
 	defer cancel()
 	defer func() { f.g.releaseCache(f.refusedCache) }()
+	if failed := f.admitToLink(); failed != nil {
+		f.sendFailure(ctx, failed.failure)
+		return
+	}
 	for {
 		failed := f.tryOnce(ctx)
 		if failed == nil {
--- a/internal/gateway/maintenance.go
+++ b/internal/gateway/maintenance.go
@@ -48,6 +48,7 @@
 		g.reportEstimates(logged)
 		g.exportWorstAccounts()
 		g.exportLimits()
+		g.link.checkOverload()
 		addresses := g.members.Load().addresses
 		g.c.CloseIdle(func(address string) bool { return addresses[address] })
 		if !sleep(ctx, maintenanceInterval) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -36,6 +36,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
+	w = g.link.countResponse(w)
 	arrived := g.c.Clock.Now()
 	table := g.table.Load()
 	limit := int64(defaultMaxBodyBytes)
