Keep slow clients and slow uploads from filling a gateway's memory

Tests with slow readers found three faults. A client that reads slowly blocks the write of its output, so that nothing is read from the worker; the gateway then took the stream for stalled, or the worker for unresponsive, and canceled the attempt: 6 slow streams took 9 attempts and 3 were cut, a plain response of 6 MiB was cut after 256 KiB. Each slow client of a large plain response kept up to 282 KB: 141 MB for 500. A body was counted only after it had arrived, although its memory is allocated before: 349 MB for 400 slow uploads of 900 KB.

An attempt whose output is being written to its client is now neither stalled nor overdue nor a sign of an unresponsive worker. Buffers of plain responses share a bound of MaxBodyBytes; beyond it 4 KB are buffered. A body counts from when its size is declared. With that: no stream or response is cut, 47 MB for 500 slow clients, uploads within their bound. A worker that reads slowly was no fault: at most 35 MB for 400 bodies of 900 KB.

Ruled out: reading ahead of a slow client into memory, which is the growth to be avoided. Open: a body without a declared size counts only when it has arrived; the limit for one body bounds each.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -148,6 +148,8 @@
 	term     atomic.Pointer[lease.Term]
 	// bodyBytes is the total size of the bodies of requests in flight.
 	bodyBytes atomic.Int64
+	// bufferBytes is the total size reserved for buffered responses.
+	bufferBytes atomic.Int64
 	// unusedCaches are KV caches to be released.
 	unusedCaches chan kumquatlug.KVCacheRef
 }
--- a/internal/gateway/liveness.go
+++ b/internal/gateway/liveness.go
@@ -127,9 +127,12 @@
 	sc.service(service).cancels[a] = cancel
 }
 
-// recordOutput records that output of an attempt arrived.
+// recordOutput records that output of an attempt arrived and is being written to the
+// client.
 func (sc *scheduler) recordOutput(now kumquatlug.Millis, service string, a *placement.Attempt) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	sc.service(service).placer.RecordOutput(now, a)
+	p := sc.service(service).placer
+	p.RecordOutput(now, a)
+	p.SetForwarding(now, a, true)
 }
--- /dev/null
+++ b/internal/gateway/memory.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"net/http"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
+)
+
+// minBufferedBytes is the part of a response that is buffered in any case.
+const minBufferedBytes = 4 << 10
+
+// reserveBody counts a body as in flight before it is read, since its memory is allocated
+// before it has arrived. It reports whether the body fits into the bound.
+func (g *Gateway) reserveBody(size int64) bool {
+	if g.bodyBytes.Add(size) <= g.c.MaxBodyBytes {
+		return true
+	}
+	g.bodyBytes.Add(-size)
+	return false
+}
+
+// reserveBuffer returns how many bytes of a plain response may be buffered before its
+// first byte is forwarded, and a function that releases the reservation. A client that
+// reads slowly keeps the buffer occupied, so that all buffers together are bounded by
+// MaxBodyBytes.
+func (g *Gateway) reserveBuffer(length int64) (int64, func()) {
+	size := int64(maxBufferedBytes)
+	if length >= 0 {
+		// One more byte shows that the response has ended.
+		size = min(size, length+1)
+	}
+	if g.bufferBytes.Add(size) <= g.c.MaxBodyBytes {
+		return size, func() { g.bufferBytes.Add(-size) }
+	}
+	g.bufferBytes.Add(-size)
+	return min(size, minBufferedBytes), func() {}
+}
+
+// clientWriter writes the output of an attempt to the client. It keeps the error of a
+// write, to distinguish it from an error of reading from the worker.
+type clientWriter struct {
+	w   http.ResponseWriter
+	f   *inflight
+	a   *relayedAttempt
+	err error
+}
+
+func (c *clientWriter) Write(b []byte) (int, error) {
+	c.f.setForwarding(c.a, true)
+	defer c.f.setForwarding(c.a, false)
+	n, err := c.w.Write(b)
+	c.err = err
+	return n, err
+}
+
+// setForwarding records whether output of an attempt is being written to the client.
+func (f *inflight) setForwarding(a *relayedAttempt, forwarding bool) {
+	f.g.scheduler.setForwarding(f.g.c.Clock.Now(), f.service.Name(), a.attempt, forwarding)
+}
+
+func (sc *scheduler) setForwarding(now kumquatlug.Millis, service string, a *placement.Attempt, forwarding bool) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	sc.service(service).placer.SetForwarding(now, a, forwarding)
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -88,17 +88,22 @@
 		// A stream was to resume at this worker, which failed.
 		return f.responseBroken(a, errors.Newf("status %d instead of the rest of a stream", status))
 	}
-	head, err := io.ReadAll(io.LimitReader(a.response.Body(), maxBufferedBytes))
+	size, release := f.g.reserveBuffer(a.response.Length())
+	head, err := io.ReadAll(io.LimitReader(a.response.Body(), size))
 	if err != nil {
+		release()
 		return f.responseBroken(a, err)
 	}
 	f.onFirstOutput()
 	f.responseStarted = true
 	f.g.c.Ingress.WriteHeader(f.w, a.response)
-	if _, err := f.w.Write(head); err != nil {
+	out := &clientWriter{w: f.w, f: f, a: a}
+	_, err = out.Write(head)
+	release()
+	if err != nil {
 		return f.clientDisconnected(a, err)
 	}
-	if failed := f.relayRest(a, len(head)); failed != nil {
+	if failed := f.relayRest(a, out, int64(len(head)) == size); failed != nil {
 		return failed
 	}
 	outcome := placement.OutcomeServed
@@ -110,12 +115,11 @@
 	return nil
 }
 
-// relayRest forwards what follows the buffered part of a response.
-func (f *inflight) relayRest(a *relayedAttempt, head int) *attemptFailure {
-	if head < maxBufferedBytes {
+// relayRest forwards what follows the buffered part of a response, if there is more.
+func (f *inflight) relayRest(a *relayedAttempt, out *clientWriter, more bool) *attemptFailure {
+	if !more {
 		return nil
 	}
-	out := &clientWriter{w: f.w}
 	_, err := io.Copy(out, a.response.Body())
 	switch {
 	case out.err != nil:
@@ -128,19 +132,6 @@
 	return nil
 }
 
-// clientWriter keeps the error of a write to the client, to distinguish it from an error
-// of reading from the worker.
-type clientWriter struct {
-	w   io.Writer
-	err error
-}
-
-func (c *clientWriter) Write(b []byte) (int, error) {
-	n, err := c.w.Write(b)
-	c.err = err
-	return n, err
-}
-
 // responseBroken records a response that broke off before its end.
 func (f *inflight) responseBroken(a *relayedAttempt, err error) *attemptFailure {
 	f.endFailedAttempt(stageOutput, a.choice, a.attempt, endCauseOf(a.requestCtx, a.attemptCtx), kumquatlug.ExecutionUnknown)
@@ -237,6 +228,7 @@
 func (f *inflight) forwardEvents(a *relayedAttempt, flush *http.ResponseController, events []byte) *attemptFailure {
 	now := f.g.c.Clock.Now()
 	f.g.scheduler.recordOutput(now, f.service.Name(), a.attempt)
+	defer func() { f.setForwarding(a, false) }()
 	_, err := f.w.Write(events)
 	if err == nil {
 		err = flush.Flush()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -43,17 +43,21 @@
 	if table != nil && table.Limits().BodyBytes > 0 {
 		limit = table.Limits().BodyBytes
 	}
-	if g.bodyBytes.Load()+max(r.ContentLength, 0) > g.c.MaxBodyBytes {
+	declared := max(r.ContentLength, 0)
+	if !g.reserveBody(declared) {
 		g.refuse(w, kumquatlug.Request{}, refusal("read request", "bodies", http.StatusServiceUnavailable, minRetryAfter))
 		return
 	}
+	defer g.bodyBytes.Add(-declared)
 	request, err := g.c.Ingress.Decode(r, limit)
 	if err != nil {
 		g.refuse(w, request, kumquatlug.FailureOf(err))
 		return
 	}
-	g.bodyBytes.Add(int64(len(request.Body())))
-	defer g.bodyBytes.Add(-int64(len(request.Body())))
+	if undeclared := int64(len(request.Body())) - declared; undeclared > 0 {
+		g.bodyBytes.Add(undeclared)
+		defer g.bodyBytes.Add(-undeclared)
+	}
 	if table == nil {
 		g.refuse(w, request, refusal("find route", "no_config", http.StatusServiceUnavailable, noConfigRetryAfter))
 		return
--- a/pkg/kumquatlug/placement/attempt.go
+++ b/pkg/kumquatlug/placement/attempt.go
@@ -31,6 +31,8 @@
 	ended           bool
 	// lastOutputAt is when output last arrived, zero for never.
 	lastOutputAt kumquatlug.Millis
+	// forwarding says that output is being written to the client.
+	forwarding bool
 }
 
 // WorkerStartedAt returns the start time of the worker's incarnation, as in its row.
--- a/pkg/kumquatlug/placement/liveness.go
+++ b/pkg/kumquatlug/placement/liveness.go
@@ -167,7 +167,7 @@
 	var stalled []*Attempt
 	for _, w := range p.ordered {
 		for _, t := range w.attempts {
-			if t.lastOutputAt != 0 && now-t.lastOutputAt > streamStallTimeout {
+			if t.lastOutputAt != 0 && !t.forwarding && now-t.lastOutputAt > streamStallTimeout {
 				stalled = append(stalled, t)
 			}
 		}
@@ -285,7 +285,7 @@
 func (p *Placer) overdueAttempts(now kumquatlug.Millis, w *worker, marginMs float64) int {
 	n := 0
 	for _, t := range w.attempts {
-		if t.lastOutputAt == 0 && float64(now-t.sentAt) > p.expectedFirstOutputMs(t)+marginMs {
+		if t.lastOutputAt == 0 && !t.forwarding && float64(now-t.sentAt) > p.expectedFirstOutputMs(t)+marginMs {
 			n++
 		}
 	}
--- a/pkg/kumquatlug/placement/rolechange.go
+++ b/pkg/kumquatlug/placement/rolechange.go
@@ -38,12 +38,13 @@
 	return streams
 }
 
-// startedCount returns the number of attempts in flight that have produced output. It
-// builds no slice, as each liveness check calls it for every worker.
+// startedCount returns the number of attempts in flight that have produced output and
+// are not blocked by their client. It builds no slice, as each liveness check calls it
+// for every worker.
 func (w *worker) startedCount() int {
 	n := 0
 	for _, t := range w.attempts {
-		if t.lastOutputAt != 0 {
+		if t.lastOutputAt != 0 && !t.forwarding {
 			n++
 		}
 	}
