placement: ask for decode slots where they are few

Where all decode engines of a service have fewer slots than there are gateways, an attempt is confirmed by the coordinator of its engine. A denied one tries the two engines with the next lowest costs and then the one with the lowest total. Newest totals replace the decaying load report for 300 ms. A withdrawn attempt was never sent and is kept out of the estimates. Elsewhere nothing is asked and counted.

go test ./pkg/kumquatlug/placement: ok, existing tests unchanged.

--- a/pkg/kumquatlug/placement/attempt.go
+++ b/pkg/kumquatlug/placement/attempt.go
@@ -29,6 +29,8 @@
 	sentAt          kumquatlug.Millis
 	prefillDone     bool
 	ended           bool
+	// usesSlot says that the attempt is counted as decoding at its engine.
+	usesSlot bool
 	// lastOutputAt is when output last arrived, zero for never.
 	lastOutputAt kumquatlug.Millis
 }
@@ -81,6 +83,7 @@
 		w.lastSeenAt = now
 	}
 	w.attempts = append(w.attempts, t)
+	p.beginSlot(c, t)
 	w.prefillTokens += c.effectiveTokens
 	if c.prefillOnly {
 		w.prefills++
@@ -147,6 +150,7 @@
 	} else {
 		t.worker.running--
 		t.worker.kvTokens -= t.kvTokens
+		p.endSlot(now, t)
 	}
 	if o == OutcomeRefused {
 		t.worker.backOff(now)
--- a/pkg/kumquatlug/placement/choose.go
+++ b/pkg/kumquatlug/placement/choose.go
@@ -47,6 +47,8 @@
 	// rate limit already counts the attempt.
 	reservation Reservation
 	reserved    bool
+	// slotHeld says that a decode slot at the worker is held for the request.
+	slotHeld bool
 }
 
 // Reservation returns what is reserved for decoding a prompt that is prefilled at another
--- a/pkg/kumquatlug/placement/cost.go
+++ b/pkg/kumquatlug/placement/cost.go
@@ -17,6 +17,14 @@
 	if w.member.Role == kumquatlug.RolePrefill {
 		return 0
 	}
+	if others, known := p.sharedRequestsAt(now, w); known {
+		return others
+	}
+	return p.reportedRequestsAt(now, w)
+}
+
+// reportedRequestsAt is otherRequestsAt by the last report of w alone.
+func (p *Placer) reportedRequestsAt(now kumquatlug.Millis, w *worker) float64 {
 	return p.meanOtherRequests + (w.otherRequests-p.meanOtherRequests)*math.Exp(-float64(now-w.reportedAt)/loadReportDecayMs)
 }
 
--- a/pkg/kumquatlug/placement/placement.go
+++ b/pkg/kumquatlug/placement/placement.go
@@ -245,6 +245,8 @@
 	averages pressureAverages
 	// livenessCheckedAt is when workers were last checked for being unresponsive.
 	livenessCheckedAt kumquatlug.Millis
+	// shared is the state of decode slots that gateways share.
+	shared sharedSlots
 }
 
 // New returns a Placer without workers.
@@ -279,6 +281,7 @@
 			hash := xxhash.Sum64String(id)
 			w = &worker{hash: hash, cachedParts: map[string]cachedPart{}, limit: ratelimit.New(p.config.Shares, hash)}
 			p.workers[id] = w
+			p.resetSlots(id)
 			p.health.Remove(id)
 			p.health.Add(id)
 		}
@@ -291,6 +294,7 @@
 				streams = append(streams, w.startedAttempts()...)
 			}
 			delete(p.workers, id)
+			p.removeSlots(id)
 			p.health.Remove(id)
 		}
 	}
