gateway, front: ask coordinators for decode slots

A gateway asks for the slot of a long prompt when its prefill begins, and for that of a short one after the engine was chosen, waiting 8 ms at most. A request that all asked engines deny waits for half of the time left until its latency target and asks once more, then goes to the engine with the lowest total; one that can't start there before its deadline is refused. All decoding requests have one priority where slots are shared, because engines preempt streams for requests of a higher one.

A coordinator that leaves three questions in a row unanswered is not asked for a second. It is not reported as unreachable to package coordinator: a gateway of an older release never answers, but grants permits.

go test -race ./internal/gateway ./internal/front: ok, existing tests unchanged.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -61,8 +61,13 @@
 	}
 	f.timings.permitGrantedAt = f.g.c.Clock.Now()
 	if !choice.PrefillOnly() {
+		if attempt, choice, failed = f.confirmSlot(ctx, attempt, choice, false); failed != nil {
+			return failed
+		}
 		return f.run(ctx, choice, attempt, kumquatlug.KVCacheRef{})
 	}
+	f.askSlot(choice)
+	defer f.cancelSlot()
 	f.timings.expectedPrefill, f.timings.prefillWorker = choice.Wait(), choice.Worker().ID()
 	cache, failed := f.prefill(ctx, choice, attempt)
 	if failed != nil {
@@ -80,7 +85,7 @@
 		f.g.releaseCache(cache)
 		return failed
 	}
-	attempt, choice, failed := f.choose(stageOutput)
+	attempt, choice, failed := f.chooseDecode(ctx)
 	f.reservation = placement.Reservation{}
 	if failed != nil {
 		f.g.releaseCache(cache)
@@ -200,6 +205,9 @@
 // late as well.
 const (
 	priorityOnTime = 3
+	// priorityDecode is that of all decoding requests where gateways share few slots. With
+	// different ones, an engine would preempt one stream for another in mid-output.
+	priorityDecode = 3
 	priorityLate   = 6
 	priorityLowest = 9
 )
@@ -211,9 +219,11 @@
 	if target > 0 && f.retryingFor+now-f.arrived+choice.Wait() > target {
 		priority = priorityLate
 	}
-	return kumquatlug.AttemptOptions{
-		Timeout: f.timeLeft(), LastEventID: f.lastEventID, Priority: min(priority+f.priority(), priorityLowest),
+	priority = min(priority+f.priority(), priorityLowest)
+	if !choice.PrefillOnly() && f.g.scheduler.sharesSlots(f.service.Name()) {
+		priority = priorityDecode
 	}
+	return kumquatlug.AttemptOptions{Timeout: f.timeLeft(), LastEventID: f.lastEventID, Priority: priority}
 }
 
 // attemptTimeout returns how long an attempt may take until its first output, in ms, if
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -158,6 +158,7 @@
 		c: c, scheduler: newScheduler(c), metrics: newMetrics(c.Registry), crashes: newCrashes(),
 		shuttingDownWorkers: newShuttingDownWorkers(), unusedCaches: make(chan kumquatlug.KVCacheRef, maxUnusedCaches),
 	}
+	g.scheduler.slots.outcomes = newSlotMetrics(c.Registry)
 	g.members.Store(&memberSet{})
 	g.usage.counter = usage.NewCounter(c.UsageWindows)
 	return g
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -34,6 +34,8 @@
 	cacheZone string
 	// reservation is the request reserved for decoding at an engine with a rate limit.
 	reservation placement.Reservation
+	// slotAsk is the question for the slot in which the prompt is decoded, nil for none.
+	slotAsk *placement.SlotAsk
 	// refusedCache is the prompt's KV cache that a decode engine refused. The next
 	// engine may take it. cacheReused is set once an engine has been sent such a cache.
 	refusedCache kumquatlug.KVCacheRef
--- a/internal/gateway/liveness.go
+++ b/internal/gateway/liveness.go
@@ -73,6 +73,7 @@
 	for name, state := range sc.services {
 		state.placer.Measure(now)
 		state.placer.RetryRequests(now)
+		state.placer.TickSlots(now)
 		unresponsive := state.placer.CheckLiveness(now)
 		for _, worker := range unresponsive {
 			state.cancelAttempts(worker.Attempts())
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -140,10 +140,12 @@
 	if sc.coordinators != nil {
 		events = sc.coordinators.Changes()
 	}
+	slots := sc.takeSlotReports()
 	sc.mu.Unlock()
 	for _, m := range out {
 		sc.c.Peers.Send(m)
 	}
+	sc.sendSlots(slots)
 	for _, e := range events {
 		sc.c.Logger.Info(e.Event(), zap.String("front", e.Gateway()), zap.Int("unanswered", e.Timeouts()))
 	}
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -27,6 +27,7 @@
 	coordinators *coordinator.Gateways
 	// limitShares divides the rate limits of workers among the gateways.
 	limitShares *ratelimit.Shares
+	slots       slotSharing
 }
 
 // serviceState is the state of one service.
@@ -52,6 +53,7 @@
 func newScheduler(c Config) *scheduler {
 	return &scheduler{
 		c: c, gateways: 1, services: map[string]*serviceState{}, coordinators: newCoordinators(c), limitShares: ratelimit.NewShares(c.Name),
+		slots: newSlotSharing(),
 	}
 }
 
@@ -105,6 +107,7 @@
 	for _, s := range sc.services {
 		s.retryBudget.SetGateways(sc.gateways)
 	}
+	sc.updateSlots()
 }
 
 // setUncountedUntil sets until when the other gateways may not count this one.
@@ -134,6 +137,7 @@
 			state.placer.Sync(now, nil)
 		}
 	}
+	sc.updateSlots()
 }
 
 // applyConfig applies the config of the services.
@@ -146,6 +150,7 @@
 		state.placer.SetKVCapacity(s.KVCapacityTokens())
 		state.engines = s.Engine()
 	}
+	sc.updateSlots()
 }
 
 // sameTimeoutFraction is the fraction of the longest client timeout of a route from
@@ -230,7 +235,7 @@
 // choose selects a worker and records the attempt as in flight there.
 func (sc *scheduler) choose(now kumquatlug.Millis, service string, s stage, q placement.Query) (placement.Choice, *placement.Attempt) {
 	sc.mu.Lock()
-	defer sc.mu.Unlock()
+	defer sc.unlockAndSend()
 	p := sc.service(service).placer
 	choose := p.ChoosePlain
 	if s == stageOutput {
--- a/pkg/kumquatlug/decodeslots/ask.go
+++ b/pkg/kumquatlug/decodeslots/ask.go
@@ -88,7 +88,11 @@
 	}
 	delete(s.asks, m.Sequence)
 	s.answered(gateway)
-	o := s.ownAt(a.engine)
+	o, used := s.own[a.engine]
+	if !used {
+		// The engine has left.
+		return "", false
+	}
 	decision, added := Denied, 0
 	if m.Granted {
 		decision, added = Granted, 1
--- a/pkg/kumquatlug/peers.go
+++ b/pkg/kumquatlug/peers.go
@@ -90,6 +90,10 @@
 	// such a request.
 	RequestConfig(gateway string, request ConfigRequest)
 	SendConfigPart(gateway string, part ConfigPart)
+	// SendDecodeCount sends the number of this gateway's requests at an engine to the
+	// engine's coordinator, SendDecodeTotal responds to such a message.
+	SendDecodeCount(gateway string, count DecodeCount)
+	SendDecodeTotal(gateway string, total DecodeTotal)
 	// Receive passes received messages to h until ctx ends.
 	Receive(ctx context.Context, h GatewayHandler) error
 }
@@ -109,4 +113,7 @@
 	// ConfigRequested and ConfigPartReceived handle messages about the text of a config.
 	ConfigRequested(gateway string, request ConfigRequest)
 	ConfigPartReceived(gateway string, part ConfigPart)
+	// DecodeCountReceived and DecodeTotalReceived handle messages about decode slots.
+	DecodeCountReceived(gateway string, count DecodeCount)
+	DecodeTotalReceived(gateway string, total DecodeTotal)
 }
--- a/pkg/kumquatlug/placement/slots.go
+++ b/pkg/kumquatlug/placement/slots.go
@@ -287,8 +287,11 @@
 	}
 }
 
-// TimeOutSlot records that a coordinator has not responded in time.
-func (p *Placer) TimeOutSlot(now kumquatlug.Millis, a *SlotAsk) { p.abandonSlot(now, a, true) }
+// TimeOutSlot stops waiting for the response to a question. timedOut says that the coordinator
+// had time to respond.
+func (p *Placer) TimeOutSlot(now kumquatlug.Millis, a *SlotAsk, timedOut bool) {
+	p.abandonSlot(now, a, timedOut)
+}
 
 func (p *Placer) abandonSlot(now kumquatlug.Millis, a *SlotAsk, timedOut bool) {
 	if a.decision != decodeslots.Pending {
