Place work by the speed of each worker

Expected prefill times, waits for slots and run times assumed that all workers of a service are as fast. A prompt at a slow engine was taken for punctual, fast and slow engines owned as many prefixes, and long streams were decoded where a span at 250 percent pauses them for longer than their route permits.

Expected times at a worker are multiplied by its relative time and its expected factor: waits of prompts at the gateway and at the coordinator, lateness, prefill beside streams, slot waits, plain requests and the time after which an attempt counts as overdue. Owners of prefixes are weighted. A stream of a second or more leaves out engines that are expected to exceed its pause limit while another one that keeps it has a slot. Nothing changes while no worker has reported a time factor.

Herding: while speeds are in use, the number of requests of other gateways decays to the mean of the same worker instead of that of all, and taken slots of a plain worker cost up to a run time.

--- a/pkg/kumquatlug/placement/attempt.go
+++ b/pkg/kumquatlug/placement/attempt.go
@@ -26,9 +26,12 @@
 	// maxOutputTokens is the maximum number of tokens to generate.
 	maxOutputTokens int
 	expectedWaitMs  float64
-	sentAt          kumquatlug.Millis
-	prefillDone     bool
-	ended           bool
+	// workTime is the relative time of the worker's work, slowdown that of prefills under
+	// load, as expected when the attempt began.
+	workTime, slowdown float64
+	sentAt             kumquatlug.Millis
+	prefillDone        bool
+	ended              bool
 	// usesSlot says that the attempt is counted as decoding at its engine.
 	usesSlot bool
 	// lastOutputAt is when output last arrived, zero for never.
@@ -78,7 +81,7 @@
 	}
 	t := &Attempt{
 		worker: w, id: c.worker.ID(), workerStartedAt: w.member.StartedAt, prefillOnly: c.prefillOnly, effectiveTokens: c.effectiveTokens, expectedWaitMs: c.waitMs - c.delayMs, sentAt: now + c.Delay(),
-		coordinator: coordinator, permitKey: key,
+		coordinator: coordinator, permitKey: key, workTime: p.workTime(now, w, p.usualMs(w, c)), slowdown: p.slowdown,
 		uncachedTokens: c.uncachedTokens, cachedTokens: max(float64(prompt.Input())-c.uncachedTokens, 0), engineIdle: w.prefills == 0 && p.otherRequestsAt(now, w) < 1,
 	}
 	if len(w.attempts) == 0 {
@@ -164,10 +167,11 @@
 	t.worker.refusals = 0
 	took := float64(now - t.sentAt)
 	if o == OutcomeServed && t.prefillOnly {
-		p.learnPrefill(t, took)
+		p.learnPrefill(now, t, took)
 	}
 	if o == OutcomeServed && t.worker.member.Role == "" {
-		p.meanPlainMs += ewmaWeight * (took - p.meanPlainMs)
+		p.meanPlainMs += ewmaWeight * (took/t.workTime - p.meanPlainMs)
+		p.observePlain(now, t, took)
 	}
 	if o == OutcomeServed && t.worker.member.Role == kumquatlug.RoleDecode {
 		p.meanRunMs += ewmaWeight * (took - p.meanRunMs)
@@ -237,9 +241,10 @@
 
 // learnPrefill records how long a prefill took. Those at an idle engine show its rate;
 // all show how much longer a prefill takes under load, once the rate is known.
-func (p *Placer) learnPrefill(t *Attempt, took float64) {
+func (p *Placer) learnPrefill(now kumquatlug.Millis, t *Attempt, took float64) {
+	p.observePrefill(now, t, took)
 	if t.engineIdle {
-		p.prefillModel.Observe(t.uncachedTokens, t.cachedTokens, took)
+		p.prefillModel.Observe(t.uncachedTokens, t.cachedTokens, took/t.workTime)
 	}
 	if t.expectedWaitMs < minExpectedMs || p.prefillModel.Samples() < minPrefillSamples {
 		return
@@ -262,7 +267,7 @@
 	case t.prefillOnly:
 		return took / max(minExpectedMs, t.expectedWaitMs)
 	case t.worker.member.Role == "":
-		return took / max(minExpectedMs, p.meanPlainMs+t.expectedWaitMs)
+		return took / max(minExpectedMs, p.meanPlainMs*t.workTime+t.expectedWaitMs)
 	default:
 		// The run time of a stream depends on its length, which is not known in
 		// advance.
--- a/pkg/kumquatlug/placement/choose.go
+++ b/pkg/kumquatlug/placement/choose.go
@@ -5,7 +5,6 @@
 	"slices"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
-	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/rendezvous"
 )
 
 // Query describes the request for which a worker is chosen.
@@ -26,6 +25,8 @@
 	// CacheZone is the data centre that holds the prompt's KV cache, empty if there is
 	// none.
 	CacheZone string
+	// MaxEventGap is the longest permitted pause between two events, zero for any.
+	MaxEventGap kumquatlug.Millis
 	// Reservation is what was reserved for decoding when the prompt was submitted.
 	Reservation Reservation
 	// SecondBodyMs is what sending the request to a second engine costs on the gateway's
@@ -96,13 +97,14 @@
 		}
 		ahead := float64(w.running) + p.otherRequestsAt(now, w)
 		slots := float64(max(w.member.Slots, 1))
-		queue := max(0, ahead+1-slots) / slots * p.meanPlainMs
-		if limited.exclude(now, w, q, queue+p.meanPlainMs) {
+		ratio := p.workTime(now, w, p.meanPlainMs)
+		queue := max(0, ahead+1-slots) / slots * p.meanPlainMs * ratio
+		if limited.exclude(now, w, q, queue+p.meanPlainMs*ratio) {
 			continue
 		}
 		delay := w.limit.Delay(now)
 		wait := delay + queue
-		cost := (wait + ahead/slots + p.zonePenalty(w)) / p.health.Weight(now, w.member.Worker.ID())
+		cost := (wait + p.plainSpeedCostMs(ratio, ahead/slots) + ahead/slots + p.zonePenalty(w)) / p.health.Weight(now, w.member.Worker.ID())
 		if cost < minCost {
 			minCost, found = cost, true
 			best = Choice{worker: w.member.Worker, waitMs: wait, delayMs: delay}
@@ -114,7 +116,7 @@
 // ChoosePrompt chooses where a prompt is prefilled: at an engine that only prefills, or at
 // the one that then decodes.
 func (p *Placer) ChoosePrompt(now kumquatlug.Millis, q Query) (Choice, bool) {
-	output, outputFound := p.ChooseDecode(now, Query{Prompt: q.Prompt, FirstOutputDue: q.FirstOutputDue, Deadline: q.Deadline})
+	output, outputFound := p.ChooseDecode(now, Query{Prompt: q.Prompt, FirstOutputDue: q.FirstOutputDue, Deadline: q.Deadline, MaxEventGap: q.MaxEventGap})
 	if !outputFound {
 		return output, false
 	}
@@ -131,13 +133,13 @@
 // cheapestPrefill returns the engine that only prefills the prompt at the lowest cost.
 func (p *Placer) cheapestPrefill(now kumquatlug.Millis, q Query) (Choice, float64, bool) {
 	key := prefixKey(q.Prompt)
-	owner, ownerKey := (*worker)(nil), uint64(0)
+	owner, ownerKey := (*worker)(nil), 0.0
 	for _, w := range p.ordered {
 		if !p.canPrefill(now, w, q) {
 			continue
 		}
-		if h := rendezvous.Mix(key ^ w.hash); owner == nil || h > ownerKey {
-			owner, ownerKey = w, h
+		if score := p.ownerScore(now, w, key); owner == nil || score > ownerKey {
+			owner, ownerKey = w, score
 		}
 	}
 	if owner == nil {
@@ -151,7 +153,7 @@
 		weight := p.health.Weight(now, w.member.Worker.ID())
 		uncached := p.uncachedTokens(now, w, q.Prompt, w == owner)
 		tokens := p.effectiveTokens(uncached, q.Prompt)
-		wait := (p.backlogTokens(now, w) + tokens) / p.prefillRate() * p.slowdown / weight
+		wait := p.prefillMs(now, w, p.backlogTokens(now, w)+tokens) / weight
 		recomputed := uncached - p.unsharedTokens(q.Prompt)
 		cost := wait + p.config.RecomputePenalty*recomputed/p.prefillRate() + p.zonePenalty(w)
 		if cost < minCost {
@@ -174,9 +176,9 @@
 // cheapestMixed returns the engine that prefills and decodes at the lowest cost.
 func (p *Placer) cheapestMixed(now kumquatlug.Millis, q Query) (Choice, float64, bool) {
 	minCost, best, found := math.Inf(1), Choice{}, false
-	limited := newLimitedWorkers()
+	limited, keeps := newLimitedWorkers(), p.keepsPauseLimit(now, q)
 	for _, w := range p.ordered {
-		if !p.eligible(now, w, q, kumquatlug.RoleDecode) {
+		if !p.eligible(now, w, q, kumquatlug.RoleDecode) || keeps && p.exceedsPauseLimit(now, w, q) {
 			continue
 		}
 		uncached, rate := p.uncachedTokens(now, w, q.Prompt, false), p.prefillRate()
@@ -184,6 +186,7 @@
 			rate *= p.config.MixedPrefillFraction
 		}
 		tokens := p.effectiveTokens(uncached, q.Prompt)
+		rate /= p.workTime(now, w, tokens/rate)
 		prefill := tokens / rate
 		rest := w.prefillTokens/rate + prefill + p.slotWaitMs(now, w, q.Prompt)
 		if limited.exclude(now, w, q, rest+postPrefillMs) {
@@ -194,7 +197,7 @@
 		weight := p.health.Weight(now, w.member.Worker.ID())
 		slotLoad := (float64(w.running) + p.otherRequestsAt(now, w)) / float64(max(w.member.Slots, 1))
 		blockedMs := max(0, uncached-smallPrefillTokens) / rate
-		cost := (wait+p.batchCostMs(now, w, q.Prompt))/weight + p.config.MixedPrefillPenalty*slotLoad*blockedMs + p.zonePenalty(w)
+		cost := (wait+p.batchCostMs(now, w, q.Prompt)+p.decodeCostMs(now, w, q.Prompt))/weight + p.config.MixedPrefillPenalty*slotLoad*blockedMs + p.zonePenalty(w)
 		if cost < minCost {
 			minCost, found = cost, true
 			best = Choice{worker: w.member.Worker, uncachedTokens: uncached, effectiveTokens: tokens, waitMs: wait, delayMs: delay}
@@ -210,9 +213,9 @@
 		return c, true
 	}
 	minCost, best, found := math.Inf(1), Choice{}, false
-	limited := newLimitedWorkers()
+	limited, keeps := newLimitedWorkers(), p.keepsPauseLimit(now, q)
 	for _, w := range p.ordered {
-		if !p.eligible(now, w, q, kumquatlug.RoleDecode) {
+		if !p.eligible(now, w, q, kumquatlug.RoleDecode) || keeps && p.exceedsPauseLimit(now, w, q) {
 			continue
 		}
 		slot := p.slotWaitMs(now, w, q.Prompt)
@@ -221,7 +224,7 @@
 		}
 		delay := w.limit.Delay(now)
 		wait := delay + slot
-		cost := wait + p.batchCostMs(now, w, q.Prompt) + w.prefillTokens/p.prefillRate()
+		cost := wait + p.batchCostMs(now, w, q.Prompt) + p.decodeCostMs(now, w, q.Prompt) + w.prefillTokens/p.prefillRate()
 		cost = cost/p.health.Weight(now, w.member.Worker.ID()) + p.zonePenalty(w)
 		if q.CacheZone != "" && w.member.Zone != q.CacheZone {
 			cost += crossZoneCacheCostMs
--- a/pkg/kumquatlug/placement/coordinate.go
+++ b/pkg/kumquatlug/placement/coordinate.go
@@ -137,14 +137,14 @@
 // refuseRemote refuses another gateway a permit, because its prompt can't be prefilled
 // in time.
 func (p *Placer) refuseRemote(now kumquatlug.Millis, w *worker, queued *queuedPrompt) {
-	wait := (p.inFlightTokens(now, w) + w.queuedTokens() + queued.choice.effectiveTokens) / p.prefillRate() * p.slowdown
+	wait := p.prefillMs(now, w, p.inFlightTokens(now, w)+w.queuedTokens()+queued.choice.effectiveTokens)
 	p.respond(queued.remote, w.member.Worker.ID(), kumquatlug.PermitRefused, kumquatlug.Millis(wait))
 }
 
 // grantRemote grants another gateway the permit for a prompt.
 func (p *Placer) grantRemote(now kumquatlug.Millis, w *worker, queued *queuedPrompt) {
 	tokens := queued.choice.effectiveTokens
-	expectedWait := (p.inFlightTokens(now, w) + tokens) / p.prefillRate() * p.slowdown
+	expectedWait := p.prefillMs(now, w, p.inFlightTokens(now, w)+tokens)
 	w.permits = append(w.permits, remotePermit{
 		remote: queued.remote, effectiveTokens: tokens, expiresAt: now + kumquatlug.Millis(permitTimeoutFactor*(expectedWait+p.handoffMs())),
 		engineIdle: w.prefills == 0, expectedWait: kumquatlug.Millis(expectedWait), uncachedTokens: int(queued.choice.uncachedTokens),
--- a/pkg/kumquatlug/placement/cost.go
+++ b/pkg/kumquatlug/placement/cost.go
@@ -25,7 +25,12 @@
 
 // reportedRequestsAt is otherRequestsAt by the last report of w alone.
 func (p *Placer) reportedRequestsAt(now kumquatlug.Millis, w *worker) float64 {
-	return p.meanOtherRequests + (w.otherRequests-p.meanOtherRequests)*math.Exp(-float64(now-w.reportedAt)/loadReportDecayMs)
+	mean := p.meanOtherRequests
+	if p.speeds.Active() {
+		// Workers of different speeds have different numbers of requests.
+		mean = w.meanOtherRequests
+	}
+	return mean + (w.otherRequests-mean)*math.Exp(-float64(now-w.reportedAt)/loadReportDecayMs)
 }
 
 // zonePenalty returns the cost of a worker in another data centre, in milliseconds.
@@ -95,6 +100,9 @@
 	ahead := float64(w.running) + p.otherRequestsAt(now, w)
 	slots := float64(w.member.Slots)
 	wait := max(0, ahead+1-slots) * p.meanRunMs / max(slots, 1)
+	if wait > 0 {
+		wait *= p.workTime(now, w, p.meanRunMs)
+	}
 	if p.kvCapacityTokens == 0 || ahead == 0 {
 		return wait
 	}
--- a/pkg/kumquatlug/placement/liveness.go
+++ b/pkg/kumquatlug/placement/liveness.go
@@ -77,7 +77,10 @@
 func (f UnresponsiveWorker) Attempts() []*Attempt { return f.attempts }
 
 // RecordOutput records that output of an attempt arrived.
-func (p *Placer) RecordOutput(now kumquatlug.Millis, t *Attempt) {
+func (p *Placer) RecordOutput(now kumquatlug.Millis, t *Attempt) { p.RecordEvents(now, t, 1) }
+
+// RecordEvents records that output of an attempt arrived, with so many complete events.
+func (p *Placer) RecordEvents(now kumquatlug.Millis, t *Attempt, events int) {
 	if t.ended {
 		return
 	}
@@ -86,6 +89,7 @@
 		pause := float64(now - t.lastOutputAt)
 		w.pauses.Observe(pause)
 		p.pauses.Observe(pause)
+		p.observeEvent(now, w, pause, events)
 	}
 	t.lastOutputAt = now
 	p.markResponsive(now, t.id, w)
@@ -296,7 +300,7 @@
 // in milliseconds.
 func (p *Placer) expectedFirstOutputMs(t *Attempt) float64 {
 	if t.worker.member.Role == "" {
-		return t.expectedWaitMs + p.meanPlainMs
+		return t.expectedWaitMs + p.meanPlainMs*t.workTime
 	}
 	return t.expectedWaitMs
 }
--- a/pkg/kumquatlug/placement/placement.go
+++ b/pkg/kumquatlug/placement/placement.go
@@ -37,6 +37,7 @@
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/health"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/learn"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/pace"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/ratelimit"
 )
 
@@ -138,6 +139,9 @@
 	// ewmaWeight is the weight of a new sample in a moving average, which covers about
 	// thirty samples.
 	ewmaWeight = 1.0 / 32
+	// workerEWMAWeight is the same for the reports of one worker, of which a gateway gets one
+	// or two per second.
+	workerEWMAWeight = 1.0 / 4
 )
 
 // worker is the state kept for one worker.
@@ -155,6 +159,9 @@
 	// worker last reported its load, at reportedAt.
 	otherRequests float64
 	reportedAt    kumquatlug.Millis
+	// meanOtherRequests is the mean of otherRequests over some reports. An initial mean as
+	// high as that of the service would leave workers out that were never tried.
+	meanOtherRequests float64
 	// cachedParts are the prompt parts that were sent to the worker, by this gateway
 	// or, if it coordinates the engine, by any, with their last use. prefilledTokens is
 	// the total number of tokens prefilled there.
@@ -207,6 +214,8 @@
 	// prefillEngines is the number of workers that only prefill.
 	prefillEngines int
 	health         *health.Group
+	// speeds are the speeds of the workers.
+	speeds *pace.Service
 	// prefillModel estimates how long an engine takes to prefill a prompt.
 	prefillModel *learn.PrefillEstimator
 	// meanPrefillTokens is the mean number of tokens that a prompt leaves to prefill,
@@ -253,7 +262,7 @@
 func New(c Config) *Placer {
 	c = c.withDefaults()
 	return &Placer{
-		config: c, workers: map[string]*worker{}, permitRequests: map[uint64]*permitRequest{}, health: health.New(c.Health), meanPrefillTokens: 3000, meanPlainMs: initialPlainMs,
+		config: c, workers: map[string]*worker{}, permitRequests: map[uint64]*permitRequest{}, health: health.New(c.Health), speeds: pace.New(), meanPrefillTokens: 3000, meanPlainMs: initialPlainMs,
 		meanRunMs: initialRunMs, meanKVTokens: initialKVTokens, slowdown: 1, prefillModel: learn.NewPrefillEstimator(c.Prefill),
 		tokenTime: learn.NewRatioEstimator(initialTokenMs, initialOutputTokens),
 		overrun:   learn.NewOverrunEstimator(initialOverrunMs), plainOverrun: learn.NewOverrunEstimator(initialPlainOverrunMs),
@@ -279,11 +288,13 @@
 		}
 		if !known || w.member.StartedAt != m.StartedAt || w.member.Worker != m.Worker {
 			hash := xxhash.Sum64String(id)
-			w = &worker{hash: hash, cachedParts: map[string]cachedPart{}, limit: ratelimit.New(p.config.Shares, hash)}
+			// Half of the mean, so that every gateway soon gets a first report of the worker.
+			w = &worker{hash: hash, meanOtherRequests: p.meanOtherRequests / 2, cachedParts: map[string]cachedPart{}, limit: ratelimit.New(p.config.Shares, hash)}
 			p.workers[id] = w
 			p.resetSlots(id)
 			p.health.Remove(id)
 			p.health.Add(id)
+			p.speeds.Add(now, id, m.StartedAt)
 		}
 		w.member = m
 	}
@@ -296,6 +307,7 @@
 			delete(p.workers, id)
 			p.removeSlots(id)
 			p.health.Remove(id)
+			p.speeds.Remove(now, id)
 		}
 	}
 	p.sortWorkers()
@@ -328,6 +340,10 @@
 		return
 	}
 	w.otherRequests = max(0, float64(load.Running()+load.Waiting()-w.prefills-w.running))
+	if factor, reported := load.TimeFactor(); reported {
+		p.speeds.ReportFactor(now, id, factor)
+	}
+	w.meanOtherRequests += workerEWMAWeight * (w.otherRequests - w.meanOtherRequests)
 	w.reportedAt = now
 	p.meanOtherRequests += ewmaWeight * (w.otherRequests - p.meanOtherRequests)
 }
--- a/pkg/kumquatlug/placement/queue.go
+++ b/pkg/kumquatlug/placement/queue.go
@@ -167,7 +167,7 @@
 	if p.coordinates(now, w) && w.prefills < maxPrefills {
 		return true
 	}
-	return w.prefills == 0 || p.inFlightTokens(now, w)/p.prefillRate()*p.slowdown < maxEngineBacklogMs
+	return w.prefills == 0 || p.prefillMs(now, w, p.inFlightTokens(now, w)) < maxEngineBacklogMs
 }
 
 // inFlightTokens returns the number of tokens to prefill that the engine already has.
@@ -205,7 +205,7 @@
 	if queued.query.FirstOutputDue == 0 || queued.query.ResponseStarted {
 		return false
 	}
-	expectedWait := (p.inFlightTokens(now, w) + ahead + queued.choice.effectiveTokens) / p.prefillRate() * p.slowdown
+	expectedWait := p.prefillMs(now, w, p.inFlightTokens(now, w)+ahead+queued.choice.effectiveTokens)
 	return float64(queued.query.FirstOutputDue-now) < expectedWait+postPrefillMs
 }
 
@@ -222,7 +222,7 @@
 	if now-queued.lateAt > queued.maxLateHold {
 		return false
 	}
-	wait := (ahead + queued.choice.effectiveTokens) / (p.prefillRate() * p.spareFraction(now, w)) * p.slowdown
+	wait := p.prefillMs(now, w, ahead+queued.choice.effectiveTokens) / p.spareFraction(now, w)
 	return kumquatlug.Millis(wait+postPrefillMs) < queued.query.timeLeft(now)
 }
 
@@ -237,7 +237,7 @@
 
 // spareFraction returns the fraction of an engine that this gateway's load leaves.
 func (p *Placer) spareFraction(now kumquatlug.Millis, w *worker) float64 {
-	return max(minSpareFraction, 1-p.recentLoad(now, w)*p.slowdown/(p.prefillRate()*p.loadWindowMs()))
+	return max(minSpareFraction, 1-p.prefillMs(now, w, p.recentLoad(now, w))/p.loadWindowMs())
 }
 
 // recentLoad returns the decaying sum of tokens that this gateway gave the engine to
@@ -300,7 +300,7 @@
 				continue
 			}
 			// The time in the queue is not part of what the engine takes.
-			queued.choice.waitMs = (p.inFlightTokens(now, w)+queued.choice.effectiveTokens)/p.prefillRate()*p.slowdown + p.handoffMs()
+			queued.choice.waitMs = p.prefillMs(now, w, p.inFlightTokens(now, w)+queued.choice.effectiveTokens) + p.handoffMs()
 			p.addLoad(now, w, queued)
 			due = append(due, Due{key: queued.key, choice: queued.choice, attempt: p.Begin(now, queued.choice, queued.query.Prompt)})
 		}
