Exchange slow decode engines for fast prefill engines

Roles were assigned regardless of speed. A stream suffers from a slow engine at each event, while prompts can be distributed by weight.

The lease holder exchanges decode engines that are not among the fastest for prefill engines that are, at an unchanged split: only with known speeds, if the time between events falls by a quarter, at most one sixth of a role at a time, each engine once in 20 s, idle ones first. The slow engine is ordered only after the fast one has accepted, so that a refusal leaves the split as it is. MaintainSplit prefers the engine that suits the other role.

Gateways send up to four of their own estimates with each datagram, the least recently sent first, at most 60 per second (160 for the first 10 s), and an empty datagram every 100 ms if no other carries them.

--- a/internal/front/link.go
+++ b/internal/front/link.go
@@ -205,6 +205,7 @@
 		d.Hello = &frontv1.Hello{Address: l.config.Conn.LocalAddr().String(), Key: l.key}
 	}
 	l.mu.Unlock()
+	l.attachSpeeds(d)
 	data, err := proto.Marshal(d)
 	if err == nil {
 		_, err = l.config.Conn.WriteTo(receiver.aead.Seal(nil, nil, data, nil), receiver.address)
@@ -275,6 +276,9 @@
 	if d.GetConfig() != nil {
 		h.ConfigStateReceived(d.GetFrom(), decodeConfigState(d.GetConfig()))
 	}
+	if len(d.GetSpeeds()) > 0 {
+		h.SpeedsReceived(d.GetFrom(), decodeSpeeds(d.GetSpeeds()))
+	}
 	if request := d.GetConfigAsk(); request != nil {
 		h.ConfigRequested(d.GetFrom(), kumquatlug.ConfigRequest{Version: request.GetVersion(), FirstPart: int(min(request.GetFirst(), maxConfigParts))})
 	}
--- a/internal/front/link_test.go
+++ b/internal/front/link_test.go
@@ -35,12 +35,16 @@
 	configStates   chan kumquatlug.ConfigState
 	configRequests chan kumquatlug.ConfigRequest
 	configParts    chan kumquatlug.ConfigPart
+	// speeds are sent with each datagram.
+	speeds         []kumquatlug.WorkerSpeed
+	speedsReceived chan []kumquatlug.WorkerSpeed
 }
 
 func newHandlerRecorder() *handlerRecorder {
 	return &handlerRecorder{
 		permits: make(chan kumquatlug.PermitMessage, 64), joined: make(chan string, 64), left: make(chan string, 64),
 		configStates: make(chan kumquatlug.ConfigState, 64), configRequests: make(chan kumquatlug.ConfigRequest, 64), configParts: make(chan kumquatlug.ConfigPart, 64),
+		speedsReceived: make(chan []kumquatlug.WorkerSpeed, 64),
 	}
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -42,7 +42,7 @@
 }
 
 func (f *inflight) placementQuery() placement.Query {
-	q := placement.Query{Prompt: f.remainingPrompt(), Exclude: f.exclude, Deadline: f.deadline, CacheZone: f.cacheZone, ResponseStarted: f.responseStarted, Value: f.value, Reservation: f.reservation}
+	q := placement.Query{Prompt: f.remainingPrompt(), Exclude: f.exclude, Deadline: f.deadline, CacheZone: f.cacheZone, MaxEventGap: f.route.MaxEventGap(), ResponseStarted: f.responseStarted, Value: f.value, Reservation: f.reservation}
 	q.SecondBodyMs = f.g.link.secondBodyMs(len(f.request.Body()))
 	if target := f.route.LatencyTarget(); target > 0 {
 		q.FirstOutputDue = f.arrived - f.retryingFor + target
--- a/internal/gateway/controller.go
+++ b/internal/gateway/controller.go
@@ -64,12 +64,15 @@
 	pendingOrders map[string]pendingOrder
 	// mismatchSince is when the split of a service began to differ from the wanted one.
 	mismatchSince map[string]kumquatlug.Millis
+	// exchangedAt is when an engine was last exchanged for one of another speed.
+	exchangedAt map[string]kumquatlug.Millis
 }
 
 func newController(g *Gateway, holder *lease.Holder) *controller {
 	return &controller{
 		g: g, holder: holder, splits: map[string]*planner.AdaptiveSplit{}, deferredUntil: map[string]kumquatlug.Millis{},
 		announcedRoles: map[string]map[string]kumquatlug.Role{}, pendingOrders: map[string]pendingOrder{}, mismatchSince: map[string]kumquatlug.Millis{},
+		exchangedAt: map[string]kumquatlug.Millis{},
 	}
 }
 
@@ -153,8 +156,17 @@
 			continue
 		}
 		engines, workers := v.engines(now, set.byService[name], v.g.scheduler.activities(name))
+		v.addSpeeds(now, name, engines)
+		var exchanges []planner.Exchange
 		changes := planner.MaintainSplit(engines, v.prefillShare(now, name, engines))
-		if !v.mismatchPersists(now, name, len(changes) > 0) {
+		ordered := v.mismatchPersists(now, name, len(changes) > 0)
+		if len(changes) == 0 {
+			exchanges = planner.ExchangeRoles(engines)
+			for _, x := range exchanges {
+				changes, ordered = append(changes, x.Changes()...), true
+			}
+		}
+		if !ordered {
 			continue
 		}
 		if announced := v.announceRoles(ctx, name, workers, changes); !announced && hasBothRoles(engines) {
@@ -165,10 +177,11 @@
 			continue
 		}
 		for _, change := range changes {
-			if _, pending := v.pendingOrders[change.Target()]; !pending && ctx.Err() == nil {
+			if _, pending := v.pendingOrders[change.Target()]; !pending && ctx.Err() == nil && v.partnerChanges(change, exchanges) {
 				v.sendOrder(ctx, workers[change.Target()], change)
 			}
 		}
+		v.recordExchanges(now, name, exchanges)
 		// Engines that did not accept their order keep their role: retract the
 		// announcement.
 		v.announceRoles(ctx, name, workers, nil)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -130,7 +130,11 @@
 	// link schedules request bodies on this gateway's link, nil if the link is fast.
 	link    *linkQueue
 	metrics *metrics
-	crashes *crashes
+	// speedMetrics are the metrics of worker speeds, speedSending bounds how many speeds are
+	// sent to peers.
+	speedMetrics *speedMetrics
+	speedSending speedSending
+	crashes      *crashes
 	// shuttingDownWorkers are the workers that announced their shutdown.
 	shuttingDownWorkers *shuttingDownWorkers
 	// exitAt is when this gateway exits, zero while it is not shutting down.
@@ -161,7 +165,7 @@
 // New returns a gateway with this config. It serves once [Gateway.Run] is called.
 func New(c Config) *Gateway {
 	g := &Gateway{
-		c: c, scheduler: newScheduler(c), link: newLinkQueue(c), metrics: newMetrics(c.Registry), crashes: newCrashes(),
+		c: c, scheduler: newScheduler(c), link: newLinkQueue(c), metrics: newMetrics(c.Registry), speedMetrics: newSpeedMetrics(c.Registry), crashes: newCrashes(),
 		shuttingDownWorkers: newShuttingDownWorkers(), unusedCaches: make(chan kumquatlug.KVCacheRef, maxUnusedCaches),
 	}
 	g.scheduler.slots.outcomes = newSlotMetrics(c.Registry)
--- a/internal/gateway/liveness.go
+++ b/internal/gateway/liveness.go
@@ -20,6 +20,7 @@
 		events := g.scheduler.tick(g.c.Clock.Now())
 		g.logUnresponsive(events.unresponsive)
 		g.requestConfig()
+		g.announceSpeeds()
 		for _, p := range events.probes {
 			// At most one per engine: a probe ends before the next one is due.
 			go g.probeEngine(ctx, p)
@@ -128,12 +129,12 @@
 	sc.service(service).cancels[a] = cancel
 }
 
-// recordOutput records that output of an attempt arrived and is being written to the
-// client.
-func (sc *scheduler) recordOutput(now kumquatlug.Millis, service string, a *placement.Attempt) {
+// recordOutput records that output of an attempt arrived, with so many complete events, and
+// is being written to the client.
+func (sc *scheduler) recordOutput(now kumquatlug.Millis, service string, a *placement.Attempt, events int) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	p := sc.service(service).placer
-	p.RecordOutput(now, a)
+	p.RecordEvents(now, a, events)
 	p.SetForwarding(now, a, true)
 }
--- a/internal/gateway/maintenance.go
+++ b/internal/gateway/maintenance.go
@@ -46,6 +46,7 @@
 			g.c.Peers.AnnounceConfig("")
 		}
 		g.reportEstimates(logged)
+		g.exportSpeeds()
 		g.exportWorstAccounts()
 		g.exportLimits()
 		g.link.checkOverload()
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -227,7 +227,8 @@
 // forwardEvents writes events to the client.
 func (f *inflight) forwardEvents(a *relayedAttempt, flush *http.ResponseController, events []byte) *attemptFailure {
 	now := f.g.c.Clock.Now()
-	f.g.scheduler.recordOutput(now, f.service.Name(), a.attempt)
+	count := bytes.Count(events, []byte("\n\n"))
+	f.g.scheduler.recordOutput(now, f.service.Name(), a.attempt, count)
 	defer func() { f.setForwarding(a, false) }()
 	_, err := f.w.Write(events)
 	if err == nil {
@@ -243,7 +244,7 @@
 		f.recordPause(a, now-f.timings.lastOutputAt)
 	}
 	f.timings.lastOutputAt = now
-	f.timings.events += bytes.Count(events, []byte("\n\n"))
+	f.timings.events += count
 	return nil
 }
 
--- a/internal/gateway/scheduler_test.go
+++ b/internal/gateway/scheduler_test.go
@@ -73,6 +73,7 @@
 func (noLink) Row() []byte                                                   { return nil }
 func (noLink) UpdatePeers(map[string][]byte) (reachable, restarted []string) { return nil, nil }
 func (noLink) Send(kumquatlug.PermitMessage)                                 {}
+func (noLink) AnnounceSpeeds()                                               {}
 func (noLink) AnnounceConfig(string)                                         {}
 func (noLink) RequestConfig(string, kumquatlug.ConfigRequest)                {}
 func (noLink) SendConfigPart(string, kumquatlug.ConfigPart)                  {}
--- a/pkg/kumquatlug/peers.go
+++ b/pkg/kumquatlug/peers.go
@@ -86,6 +86,9 @@
 	// AnnounceConfig notifies a gateway of the config in force here; if the name is empty,
 	// a gateway chosen by the link.
 	AnnounceConfig(gateway string)
+	// AnnounceSpeeds sends a gateway chosen by the link the speeds of workers that the
+	// handler has for it.
+	AnnounceSpeeds()
 	// RequestConfig requests the text of a gateway's config, SendConfigPart responds to
 	// such a request.
 	RequestConfig(gateway string, request ConfigRequest)
@@ -100,6 +103,7 @@
 
 // GatewayHandler handles messages from other gateways.
 type GatewayHandler interface {
+	SpeedHandler
 	// PermitReceived handles a message about a permit.
 	PermitReceived(m PermitMessage)
 	// PeerJoined handles the announcement of a gateway, PeerLeft its notice that it is
--- /dev/null
+++ b/pkg/kumquatlug/planner/exchange_test.go
@@ -0,0 +1,140 @@
+package planner
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+func speedEngines(random *rand.Rand, prefill, decode int) []SplitEngine {
+	engines := splitEngines(prefill, decode)
+	for i := range engines {
+		engines[i].RelativeTime = math.Exp(0.35 * random.NormFloat64())
+	}
+	return engines
+}
+
+func slowestDecode(engines []SplitEngine) float64 {
+	slowest := 0.0
+	for _, e := range engines {
+		if e.Role == kumquatlug.RoleDecode {
+			slowest = max(slowest, e.RelativeTime)
+		}
+	}
+	return slowest
+}
+
+// Roles were assigned regardless of speed, and half of the streams paused for too long at slow
+// engines. With true speeds the exchanges must end with fast decode engines in a few steps, never
+// change more than one sixth of a role at a time, and leave the split as it is.
+func TestFastEnginesDecodeAfterAFewSteps(t *testing.T) {
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 5))
+		engines := speedEngines(random, 35, 18)
+		steps := 0
+		for ; ; steps++ {
+			pairs := ExchangeRoles(engines)
+			if len(pairs) == 0 {
+				break
+			}
+			if len(pairs) > 3 || steps > 8 {
+				t.Fatalf("seed %d: %d exchanges in step %d", seed, len(pairs), steps)
+			}
+			for _, x := range pairs {
+				if x.ToDecode().RelativeTime > 0.75*x.ToPrefill().RelativeTime {
+					t.Errorf("seed %d: %.2f exchanged for %.2f", seed, x.ToPrefill().RelativeTime, x.ToDecode().RelativeTime)
+				}
+				applyChanges(engines, x.Changes())
+			}
+		}
+		if n := countRole(engines, kumquatlug.RoleDecode); n != 18 {
+			t.Fatalf("seed %d: %d decode engines", seed, n)
+		}
+		if steps == 0 || slowestDecode(engines) > 1.15 {
+			t.Errorf("seed %d: slowest decode engine %.2f after %d steps", seed, slowestDecode(engines), steps)
+		}
+	}
+}
+
+// Speeds are estimated with an error. It must not make engines change roles for ever.
+func TestNoisySpeedsSettle(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 5))
+	engines := speedEngines(random, 35, 18)
+	exchanges := 0
+	for step := range 60 {
+		noisy := make([]SplitEngine, len(engines))
+		for i, e := range engines {
+			e.RelativeTime *= math.Exp(0.07 * random.NormFloat64())
+			noisy[i] = e
+		}
+		for _, x := range ExchangeRoles(noisy) {
+			applyChanges(engines, x.Changes())
+			if step >= 12 {
+				exchanges++
+			}
+		}
+	}
+	if exchanges > 4 {
+		t.Errorf("%d exchanges after the first 12 steps", exchanges)
+	}
+}
+
+// Engines that are changing, refused an order, were exchanged a moment ago or whose speed is not
+// known must not be exchanged; and with one engine in a role it must not be left without any.
+func TestEnginesThatAreNotExchanged(t *testing.T) {
+	for name, change := range map[string]func(*SplitEngine){
+		"changing": func(e *SplitEngine) { e.Changing = true }, "refused": func(e *SplitEngine) { e.Refused = true },
+		"recent": func(e *SplitEngine) { e.ChangedRecently = true }, "unknown": func(e *SplitEngine) { e.RelativeTime = 0 },
+	} {
+		engines := splitEngines(6, 6)
+		for i := range engines {
+			engines[i].RelativeTime = 1
+		}
+		engines[0].RelativeTime, engines[11].RelativeTime = 0.8, 2
+		if pairs := ExchangeRoles(engines); len(pairs) != 1 {
+			t.Fatalf("%d exchanges of a fast prefill engine for a slow decode engine", len(pairs))
+		}
+		change(&engines[11])
+		if pairs := ExchangeRoles(engines); len(pairs) != 0 {
+			t.Errorf("%s: %v", name, pairs)
+		}
+	}
+	if pairs := ExchangeRoles(splitEngines(3, 0)); len(pairs) != 0 {
+		t.Errorf("%v without a decode engine", pairs)
+	}
+}
+
+// An exchange moves the streams of an engine. An idle one that gains as much goes first.
+func TestIdleEnginesAreExchangedFirst(t *testing.T) {
+	engines := splitEngines(12, 6)
+	for i := range engines {
+		engines[i].RelativeTime = 1
+	}
+	engines[0].RelativeTime, engines[1].RelativeTime = 0.4, 0.5
+	engines[16].RelativeTime, engines[17].RelativeTime = 2, 1.9
+	engines[1].Idle, engines[17].Idle = true, true
+	pairs := ExchangeRoles(engines)
+	if len(pairs) != 1 || pairs[0].ToDecode().Target != "e01" || pairs[0].ToPrefill().Target != "e17" {
+		t.Errorf("%v", fmt.Sprint(pairs))
+	}
+}
+
+// When the split itself changes, the engine that suits the other role goes, or it would be
+// exchanged right afterwards.
+func TestSplitChangesPreferSuitableEngines(t *testing.T) {
+	engines := splitEngines(6, 6)
+	for i := range engines {
+		engines[i].RelativeTime = 1
+	}
+	engines[4].RelativeTime = 0.5
+	engines[9].RelativeTime = 2
+	if changes := MaintainSplit(engines, 5.0/12); len(changes) != 1 || changes[0].Target() != "e04" {
+		t.Errorf("to decode: %v", changes)
+	}
+	if changes := MaintainSplit(engines, 7.0/12); len(changes) != 1 || changes[0].Target() != "e09" {
+		t.Errorf("to prefill: %v", changes)
+	}
+}
--- a/pkg/kumquatlug/planner/split.go
+++ b/pkg/kumquatlug/planner/split.go
@@ -20,6 +20,12 @@
 	Idle bool
 	// Refused is set if the engine recently refused an order. It is not changed.
 	Refused bool
+	// RelativeTime is the time that work takes at the engine relative to the mean of its
+	// service, zero if it is not known.
+	RelativeTime float64
+	// Changing is set while a change is pending, ChangedRecently for some time after an
+	// exchange; see [ExchangeRoles].
+	Changing, ChangedRecently bool
 }
 
 // MaintainSplit returns the changes that bring a group to a fixed share of prefill engines,
@@ -72,8 +78,8 @@
 }
 
 // pickFromLargestZone returns the index of an engine with the given role, preferring idle
-// engines and then the data centre with the most engines in that role, or -1 if none may
-// be changed.
+// engines, then those whose speed suits the other role considerably better, and then the data
+// centre with the most engines in that role, or -1 if none may be changed.
 func pickFromLargestZone(engines []SplitEngine, role kumquatlug.Role) int {
 	zones := map[string]int{}
 	for _, e := range engines {
@@ -86,10 +92,29 @@
 		if e.Role != role || e.Refused {
 			continue
 		}
-		if best < 0 || e.Idle != engines[best].Idle && e.Idle ||
-			e.Idle == engines[best].Idle && zones[e.Zone] > zones[engines[best].Zone] {
+		if best < 0 || changesBefore(e, engines[best], zones) {
 			best = i
 		}
 	}
 	return best
 }
+
+// changesBefore reports whether engine a is changed rather than b of the same role.
+func changesBefore(a, b SplitEngine, zones map[string]int) bool {
+	if a.Idle != b.Idle {
+		return a.Idle
+	}
+	first, second := a.RelativeTime, b.RelativeTime
+	if a.Role == kumquatlug.RolePrefill {
+		// The fast engine goes to decode, the slow one to prefill.
+		first, second = second, first
+	}
+	switch {
+	case min(first, second) <= 0:
+	case second <= (1-minExchangeGain)*first:
+		return true
+	case first <= (1-minExchangeGain)*second:
+		return false
+	}
+	return zones[a.Zone] > zones[b.Zone]
+}
