--- a/pkg/kumquatlug/pace/factor.go
+++ b/pkg/kumquatlug/pace/factor.go
@@ -85,7 +85,9 @@
 	}
 	w.factor = factorReport{factor: factor, at: at}
 	f.reports++
-	w.observeUsual(at, factor)
+	if !w.observeUsual(at, factor) {
+		return
+	}
 	f.mean += max(meanGain, 1/float64(f.reports+8)) * (w.trusted(factor, f.mean) - f.mean)
 	// A worker that always reports 2.5 is not slowed down.
 	factor /= w.usualFactor
@@ -150,12 +152,14 @@
 	return max(f.high, f.mean)
 }
 
-// observeUsual records a reported factor for the usual factor of the worker. A factor is relative
+// observeUsual records a reported factor for the usual factor of the worker, and reports whether
+// it is the first one for some time. Only these count for the service: a worker sends fewer
+// reports while it is slowed down. A factor is relative
 // to the usual time at the same worker, so one that is constant is false, and no measured time can
 // tell it from the lasting speed.
-func (w *worker) observeUsual(at kumquatlug.Millis, factor float64) {
+func (w *worker) observeUsual(at kumquatlug.Millis, factor float64) bool {
 	if len(w.reports) > 0 && at-w.usualAt < usualInterval {
-		return
+		return false
 	}
 	w.usualAt = at
 	if len(w.reports) < usualReports {
@@ -165,13 +169,14 @@
 		w.nextReport = (w.nextReport + 1) % usualReports
 	}
 	if len(w.reports) < minUsualReports {
-		return
+		return true
 	}
 	w.usualFactor = quantile(slices.Clone(w.reports), 0.5)
 	if math.Abs(math.Log(w.usualFactor)) < minUsualLog {
 		w.usualFactor = 1
 	}
 	w.stale = true
+	return true
 }
 
 // trusted returns the factor that a report is taken for, between the usual time and the report
--- a/pkg/kumquatlug/placement/attempt.go
+++ b/pkg/kumquatlug/placement/attempt.go
@@ -244,7 +244,7 @@
 func (p *Placer) learnPrefill(now kumquatlug.Millis, t *Attempt, took float64) {
 	p.observePrefill(now, t, took)
 	if t.engineIdle {
-		p.prefillModel.Observe(t.uncachedTokens, t.cachedTokens, took/t.workTime)
+		p.prefillModel.Observe(t.uncachedTokens, t.cachedTokens, p.usualPrefillMs(t, took))
 	}
 	if t.expectedWaitMs < minExpectedMs || p.prefillModel.Samples() < minPrefillSamples {
 		return
--- a/pkg/kumquatlug/placement/cluster_test.go
+++ b/pkg/kumquatlug/placement/cluster_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -25,6 +26,8 @@
 	prompts  map[uint64]*promptRecord
 	// maxEngineQueue is the greatest length of an engine's own queue.
 	maxEngineQueue int
+	// speeds says that engines report a time factor and gateways exchange speeds.
+	speeds bool
 }
 
 // promptRecord is one request and its outcome.
@@ -42,6 +45,8 @@
 	queue  []*prefillJob
 	freeAt float64
 	cached map[string]bool
+	// relative is the relative time of the engine's work, zero for 1.
+	relative float64
 }
 
 // cacheMisses returns the number of tokens of a prompt that the engine has to prefill,
@@ -63,6 +68,9 @@
 	attempt *Attempt
 }
 
+// speedsPerMessage is the number of speeds that one gateway sends another in a message.
+const speedsPerMessage = 4
+
 // The prefill rate of the simulated engines, in tokens per ms, and the target latency
 // and client timeout of a prompt, in ms.
 const (
@@ -166,7 +174,7 @@
 		e.queue = append(e.queue, &prefillJob{key: key, gateway: gateway, attempt: attempt})
 		c.maxEngineQueue = max(c.maxEngineQueue, len(e.queue))
 		if len(e.queue) == 1 {
-			e.freeAt = float64(at) + c.prompts[key].tokens/prefillTokensPerMs
+			e.freeAt = float64(at) + c.prompts[key].tokens/prefillTokensPerMs*cmp.Or(e.relative, 1)
 		}
 	})
 }
@@ -190,6 +198,16 @@
 	for i := range len(c.engines) {
 		c.finishPrefills(now, c.engines[fmt.Sprintf("p%d", i)])
 	}
+	if now%40 == 0 && c.speeds {
+		for from, p := range c.gateways {
+			to := c.random.IntN(len(c.gateways))
+			for _, speed := range p.Speeds().Outgoing(now, speedsPerMessage) {
+				if to != from && c.random.Float64() >= c.lossRate {
+					c.gateways[to].Speeds().Receive(now, gatewayName(from), speed)
+				}
+			}
+		}
+	}
 	if now%20 == 0 {
 		for i, p := range c.gateways {
 			if c.offline[i] {
@@ -207,12 +225,15 @@
 		finished := e.queue[0]
 		e.queue = e.queue[1:]
 		if len(e.queue) > 0 {
-			e.freeAt += c.prompts[e.queue[0].key].tokens / prefillTokensPerMs
+			e.freeAt += c.prompts[e.queue[0].key].tokens / prefillTokensPerMs * cmp.Or(e.relative, 1)
 		}
 		c.nextMilli(now, func(at kumquatlug.Millis) {
 			if c.offline[finished.gateway] {
 				return
 			}
+			if c.speeds {
+				c.gateways[finished.gateway].ReportLoad(at, finished.attempt.Worker(), kumquatlug.NewWorkerLoad(0, 0, 64).WithTimeFactor(1))
+			}
 			c.gateways[finished.gateway].End(at, finished.attempt, OutcomeServed)
 			c.finish(at, finished.key, false)
 			c.pump(at, finished.gateway)
--- a/pkg/kumquatlug/placement/speed.go
+++ b/pkg/kumquatlug/placement/speed.go
@@ -24,6 +24,11 @@
 	// run time. What other gateways send there becomes known hundreds of ms later; without
 	// this cost all of them would fill the fastest worker to its last slot, and beyond.
 	plainHerdingCost = 1.0
+	// minPrefillMs is the least expected prefill time, without fixed costs, that shows the
+	// speed of an engine. A sample is at least minPrefillRatio of the expected time: the fixed
+	// cost is known to some ms only.
+	minPrefillMs    = 5.0
+	minPrefillRatio = 0.1
 	// minStreamMs is the duration from which a stream is expected to meet a slow span: one
 	// starts every 4 s at each worker.
 	minStreamMs = 1000.0
@@ -140,11 +145,25 @@
 	if !p.speeds.Active() || p.prefillModel.Samples() < minPrefillSamples {
 		return
 	}
-	if t.engineIdle {
-		p.speeds.Observe(now, t.id, pace.KindPrefill, took/p.prefillModel.Time(t.uncachedTokens, t.cachedTokens))
-	} else if t.expectedWaitMs >= minExpectedMs {
-		p.speeds.Observe(now, t.id, pace.KindQueuedPrefill, took*t.workTime*t.slowdown/t.expectedWaitMs)
+	// The fixed cost is that of the network, and as high at a fast engine.
+	kind, fixed, usual := pace.KindPrefill, p.prefillModel.FixedCost(), p.prefillModel.Time(t.uncachedTokens, t.cachedTokens)
+	if !t.engineIdle {
+		kind, fixed = pace.KindQueuedPrefill, p.handoffMs()
+		usual = fixed + (t.expectedWaitMs-fixed)/(t.workTime*t.slowdown)
 	}
+	if usual-fixed >= minPrefillMs {
+		p.speeds.Observe(now, t.id, kind, max((took-fixed)/(usual-fixed), minPrefillRatio))
+	}
+}
+
+// usualPrefillMs returns how long a prefill would have taken at an engine of the mean speed, in
+// ms.
+func (p *Placer) usualPrefillMs(t *Attempt, took float64) float64 {
+	if t.workTime == 1 {
+		return took
+	}
+	fixed := min(p.prefillModel.FixedCost(), took)
+	return fixed + (took-fixed)/t.workTime
 }
 
 // observePlain records the run time of a plain request, unless it waited for a slot.
--- a/pkg/kumquatlug/placement/speed_test.go
+++ b/pkg/kumquatlug/placement/speed_test.go
@@ -238,3 +238,24 @@
 	}
 	t.Logf("mean time %.1f ms with speeds and %.1f ms without, %.3f and %.3f of the requests queued", after, before, queuedAfter, queuedBefore)
 }
+
+// Prefill times at the engines differ by a factor of four. With equal shares of the prefixes the
+// queues of the slow engines are full while the fast ones are idle, and the coordinator grants
+// permits as if they were equal.
+func TestUnevenEnginesServeMoreInTimeWithSpeeds(t *testing.T) {
+	rate := 0.5 * 12 * prefillTokensPerMs / 3300 * 1000
+	play := func(speeds bool) float64 {
+		c := newGatewayCluster(29, 12, true)
+		for i := range 12 {
+			c.engines[fmt.Sprint("p", i)].relative = []float64{0.5, 0.7, 1, 1.2, 1.6, 2}[i%6]
+		}
+		c.speeds = speeds
+		c.play(1, 10_000, rate)
+		return c.inTime(4000, 9000)
+	}
+	without, with := play(false), play(true)
+	t.Logf("in time: %.3f without speeds, %.3f with speeds", without, with)
+	if 1-with > 0.6*(1-without) {
+		t.Errorf("in time: %.3f without speeds, %.3f with speeds", without, with)
+	}
+}
