Exchange engines only as far as streams need, publish the weights of owners

Engines are exchanged until as many decode engines keep the pause limit as the streams of several seconds need, the slowest suitable prefill engine first; short outputs leave the last slots of these engines to streams.

--- a/internal/gateway/controller.go
+++ b/internal/gateway/controller.go
@@ -60,6 +60,8 @@
 	deferredUntil map[string]kumquatlug.Millis
 	// announcedRoles are the roles in the last published plan, by service and engine.
 	announcedRoles map[string]map[string]kumquatlug.Role
+	// ownerWeights are the weights of engines as owners of prefixes, by service.
+	ownerWeights map[string]ownerWeights
 	// pendingOrders are the orders that have not taken effect yet, by engine.
 	pendingOrders map[string]pendingOrder
 	// mismatchSince is when the split of a service began to differ from the wanted one.
@@ -71,7 +73,7 @@
 func newController(g *Gateway, holder *lease.Holder) *controller {
 	return &controller{
 		g: g, holder: holder, splits: map[string]*planner.AdaptiveSplit{}, deferredUntil: map[string]kumquatlug.Millis{},
-		announcedRoles: map[string]map[string]kumquatlug.Role{}, pendingOrders: map[string]pendingOrder{}, mismatchSince: map[string]kumquatlug.Millis{},
+		announcedRoles: map[string]map[string]kumquatlug.Role{}, ownerWeights: map[string]ownerWeights{}, pendingOrders: map[string]pendingOrder{}, mismatchSince: map[string]kumquatlug.Millis{},
 		exchangedAt: map[string]kumquatlug.Millis{},
 	}
 }
@@ -156,24 +158,28 @@
 			continue
 		}
 		engines, workers := v.engines(now, set.byService[name], v.g.scheduler.activities(name))
-		v.addSpeeds(now, name, engines)
+		wanted := v.addSpeeds(now, name, engines)
+		v.updateOwnerWeights(now, name)
 		var exchanges []planner.Exchange
 		changes := planner.MaintainSplit(engines, v.prefillShare(now, name, engines))
 		ordered := v.mismatchPersists(now, name, len(changes) > 0)
 		if len(changes) == 0 {
-			exchanges = planner.ExchangeRoles(engines)
+			exchanges = planner.ExchangeRoles(engines, wanted)
 			for _, x := range exchanges {
 				changes, ordered = append(changes, x.Changes()...), true
 			}
 		}
 		if !ordered {
+			if !v.ownerWeights[name].published {
+				v.announceRoles(ctx, name, workers, nil)
+			}
 			continue
 		}
 		if announced := v.announceRoles(ctx, name, workers, changes); !announced && hasBothRoles(engines) {
 			// Gateways that have not received the plan of a role change would keep
 			// sending to the engine and be refused until the change is done. The order
 			// can wait for the store, unless one role has no engine left.
-			v.g.applyPlan(name, rolePlan{Roles: v.announcedRoles[name]})
+			v.g.applyPlan(name, rolePlan{Roles: v.announcedRoles[name], Weights: v.ownerWeights[name].weights})
 			continue
 		}
 		for _, change := range changes {
@@ -212,12 +218,14 @@
 	for _, change := range changes {
 		p.Roles[change.Target()] = change.To()
 	}
-	if maps.Equal(p.Roles, v.announcedRoles[service]) {
+	p.Weights = v.ownerWeights[service].weights
+	if maps.Equal(p.Roles, v.announcedRoles[service]) && v.ownerWeights[service].published {
 		return true
 	}
 	published := v.g.publishPlan(ctx, service, p)
 	if published {
 		v.announcedRoles[service] = p.Roles
+		v.ownerWeights[service] = ownerWeights{weights: p.Weights, published: true, at: v.g.c.BootClock.Now()}
 	}
 	return published
 }
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -21,6 +21,8 @@
 type rolePlan struct {
 	// Roles are the new roles by engine.
 	Roles map[string]kumquatlug.Role `json:"roles"`
+	// Weights are the weights of engines as owners of prefixes, empty for equal ones.
+	Weights map[string]float64 `json:"weights,omitempty"`
 }
 
 // publishPlan writes a plan and applies it to this gateway at once, so that streams move
@@ -49,6 +51,7 @@
 // applyPlan sends no new requests to the engines of a plan and moves their streams to
 // other engines.
 func (g *Gateway) applyPlan(service string, p rolePlan) {
+	g.scheduler.setOwnerWeights(service, p.Weights)
 	moved, changed := g.scheduler.setRoleChanges(g.c.Clock.Now(), service, p.Roles)
 	if !changed {
 		// The gateway that wrote the row also receives it from the change feed.
@@ -57,14 +60,11 @@
 	g.c.Logger.Info("plan", zap.String("service", service), zap.Any("roles", p.Roles), zap.Int("streams_moved", moved))
 }
 
-// watchPlans applies the plans that other gateways publish. A plan that was in the table
-// before this gateway read it is obsolete.
+// watchPlans applies the plans that other gateways publish. The role changes of a plan that was
+// in the table before this gateway read it are obsolete; its weights are in force.
 func (g *Gateway) watchPlans(ctx context.Context) {
 	w := &tableWatcher{g: g, table: g.c.PlanTable, pollWait: crashPollWait}
 	w.watch(ctx, func(kumquatlug.Millis) {
-		if w.fullRead {
-			return
-		}
 		for _, row := range w.changed {
 			var p rolePlan
 			if err := json.Unmarshal(row.Value(), &p); err != nil {
@@ -73,7 +73,12 @@
 				}
 				continue
 			}
-			g.applyPlan(strings.TrimPrefix(row.Key(), planPrefix), p)
+			service := strings.TrimPrefix(row.Key(), planPrefix)
+			if w.fullRead {
+				g.scheduler.setOwnerWeights(service, p.Weights)
+				continue
+			}
+			g.applyPlan(service, p)
 		}
 	})
 }
--- a/internal/gateway/rolespeed.go
+++ b/internal/gateway/rolespeed.go
@@ -11,16 +11,19 @@
 // three seconds, and the streams moved for it are to be worth that.
 const minExchangeInterval = 20 * kumquatlug.Second
 
-// addSpeeds sets what is known about the speeds of a service's engines.
-func (v *controller) addSpeeds(now kumquatlug.Millis, service string, engines []planner.SplitEngine) {
+// addSpeeds sets what is known about the speeds of a service's engines. It returns how many
+// engines that suit streams should decode.
+func (v *controller) addSpeeds(now kumquatlug.Millis, service string, engines []planner.SplitEngine) int {
 	speeds := v.g.scheduler.engineSpeeds(service)
+	suitable, wanted := v.g.scheduler.streamEngines(service)
 	for i := range engines {
 		e := &engines[i]
-		e.RelativeTime = speeds[e.Target]
+		e.RelativeTime, e.Suitable = speeds[e.Target], suitable[e.Target]
 		_, e.Changing = v.pendingOrders[e.Target]
 		at, exchanged := v.exchangedAt[e.Target]
 		e.ChangedRecently = exchanged && now-at < minExchangeInterval
 	}
+	return wanted
 }
 
 // partnerChanges reports whether a change may be ordered: the slow engine of an exchange only
@@ -55,3 +58,44 @@
 		}
 	}
 }
+
+// minWeightInterval is the least time between two plans for changed weights alone: prefixes that
+// move are prefilled again, and each plan wakes all gateways.
+const minWeightInterval = 4 * kumquatlug.Second
+
+// ownerWeights are the weights of a service's engines as owners of prefixes.
+type ownerWeights struct {
+	weights map[string]float64
+	// published says that they are in the store, at is since when.
+	published bool
+	at        kumquatlug.Millis
+}
+
+// updateOwnerWeights updates the weights of a service's engines by their speeds.
+func (v *controller) updateOwnerWeights(now kumquatlug.Millis, service string) {
+	current, known := v.ownerWeights[service]
+	if !known {
+		// Those that an earlier holder of the lease published are in force.
+		current = ownerWeights{weights: v.g.scheduler.ownerWeights(service), published: true}
+		v.ownerWeights[service] = current
+	}
+	if now-current.at < minWeightInterval {
+		return
+	}
+	weights, changed := planner.OwnerWeights(current.weights, v.g.scheduler.engineSpeeds(service))
+	if changed {
+		v.ownerWeights[service] = ownerWeights{weights: weights, at: current.at}
+	}
+}
+
+func (sc *scheduler) setOwnerWeights(service string, weights map[string]float64) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	sc.service(service).placer.SetOwnerWeights(weights)
+}
+
+func (sc *scheduler) ownerWeights(service string) map[string]float64 {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	return sc.service(service).placer.OwnerWeights()
+}
--- a/internal/gateway/speed.go
+++ b/internal/gateway/speed.go
@@ -136,6 +136,14 @@
 	return sc.service(service).placer.EngineSpeeds(sc.c.Clock.Now())
 }
 
+// streamEngines returns the engines of a service that suit streams, and how many of them should
+// decode.
+func (sc *scheduler) streamEngines(service string) (suitable map[string]bool, wanted int) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	return sc.service(service).placer.StreamEngines(sc.c.Clock.Now())
+}
+
 // speedSummaries returns the speeds of the workers of the services that have any.
 func (sc *scheduler) speedSummaries(now kumquatlug.Millis) map[string]pace.Summary {
 	sc.mu.Lock()
--- a/pkg/kumquatlug/pace/pace.go
+++ b/pkg/kumquatlug/pace/pace.go
@@ -149,8 +149,6 @@
 	estimatedAt        kumquatlug.Millis
 	version            int
 	stale              bool
-	// ownerStep is the logarithm of the weight as an owner of prefixes, see [Service.OwnerWeight].
-	ownerStep float64
 	// unsent is how many more times the own samples are sent to peers.
 	unsent int
 }
@@ -345,7 +343,6 @@
 	w.raw, w.weight = combine(now, own, ownWeight, w.peers)
 	w.speed = w.raw * w.weight / (w.weight + shrinkSamples)
 	w.estimatedAt, w.version, w.stale = now, s.version, false
-	w.updateOwnerStep()
 	return w.speed, w.weight
 }
 
--- a/pkg/kumquatlug/pace/share.go
+++ b/pkg/kumquatlug/pace/share.go
@@ -130,27 +130,5 @@
 	return all[len(all)-1].log
 }
 
-// ownerStepLog is the logarithm of the least change of the weight of an owner. Every change
-// moves prefixes to engines that have to prefill them again.
-var ownerStepLog = math.Log(1.2)
-
-// OwnerWeight returns the weight of a worker in the choice of the owner of a prefix. It changes
-// in steps of 20%, and only when the speed has changed by more than one step.
-func (s *Service) OwnerWeight(now kumquatlug.Millis, id string) float64 {
-	w, known := s.workers[id]
-	if !s.active || !known {
-		return 1
-	}
-	s.estimate(now, w)
-	return math.Exp(w.ownerStep)
-}
-
-func (w *worker) updateOwnerStep() {
-	if w.weight < knownSamples || math.Abs(-w.speed-w.ownerStep) <= ownerStepLog {
-		return
-	}
-	w.ownerStep = math.Round(-w.speed/ownerStepLog) * ownerStepLog
-}
-
 // HasOutgoing reports whether there are estimates to be sent.
 func (s *Service) HasOutgoing() bool { return len(s.outgoing) > 0 }
--- a/pkg/kumquatlug/placement/choose.go
+++ b/pkg/kumquatlug/placement/choose.go
@@ -138,7 +138,7 @@
 		if !p.canPrefill(now, w, q) {
 			continue
 		}
-		if score := p.ownerScore(now, w, key); owner == nil || score > ownerKey {
+		if score := p.ownerScore(w, key); owner == nil || score > ownerKey {
 			owner, ownerKey = w, score
 		}
 	}
@@ -212,6 +212,7 @@
 	if c, reserved := p.reservedChoice(now, q); reserved {
 		return c, true
 	}
+	p.noteStream(q)
 	minCost, best, found := math.Inf(1), Choice{}, false
 	limited, keeps := newLimitedWorkers(), p.keepsPauseLimit(now, q)
 	for _, w := range p.ordered {
@@ -224,7 +225,7 @@
 		}
 		delay := w.limit.Delay(now)
 		wait := delay + slot
-		cost := wait + p.batchCostMs(now, w, q.Prompt) + p.decodeCostMs(now, w, q.Prompt) + w.prefillTokens/p.prefillRate()
+		cost := wait + p.batchCostMs(now, w, q.Prompt) + p.decodeCostMs(now, w, q.Prompt) + p.reservedSlotCostMs(w, q.Prompt) + w.prefillTokens/p.prefillRate()
 		cost = cost/p.health.Weight(now, w.member.Worker.ID()) + p.zonePenalty(w)
 		if q.CacheZone != "" && w.member.Zone != q.CacheZone {
 			cost += crossZoneCacheCostMs
--- a/pkg/kumquatlug/placement/cluster_test.go
+++ b/pkg/kumquatlug/placement/cluster_test.go
@@ -198,6 +198,9 @@
 	for i := range len(c.engines) {
 		c.finishPrefills(now, c.engines[fmt.Sprintf("p%d", i)])
 	}
+	if now%1000 == 0 && c.speeds {
+		c.publishWeights(now)
+	}
 	if now%40 == 0 && c.speeds {
 		for from, p := range c.gateways {
 			to := c.random.IntN(len(c.gateways))
@@ -219,6 +222,17 @@
 	}
 }
 
+// publishWeights sets the weights of the engines at all gateways, by the speeds known to one.
+func (c *gatewayCluster) publishWeights(now kumquatlug.Millis) {
+	weights := map[string]float64{}
+	for id, relative := range c.gateways[0].EngineSpeeds(now) {
+		weights[id] = 1 / relative
+	}
+	for _, p := range c.gateways {
+		p.SetOwnerWeights(weights)
+	}
+}
+
 // finishPrefills ends the prompts that an engine has prefilled.
 func (c *gatewayCluster) finishPrefills(now kumquatlug.Millis, e *prefillEngine) {
 	for len(e.queue) > 0 && e.freeAt <= float64(now) {
--- a/pkg/kumquatlug/placement/placement.go
+++ b/pkg/kumquatlug/placement/placement.go
@@ -254,6 +254,10 @@
 	averages pressureAverages
 	// livenessCheckedAt is when workers were last checked for being unresponsive.
 	livenessCheckedAt kumquatlug.Millis
+	// ownerWeights are the weights of engines as owners of prefixes, empty for equal ones.
+	ownerWeights map[string]float64
+	// demand is the demand for engines that suit streams.
+	demand streamDemand
 	// shared is the state of decode slots that gateways share.
 	shared sharedSlots
 }
--- a/pkg/kumquatlug/placement/pressure.go
+++ b/pkg/kumquatlug/placement/pressure.go
@@ -91,13 +91,15 @@
 			continue
 		}
 		if w.member.Role == kumquatlug.RoleDecode {
-			taken += (float64(w.running) + p.otherRequestsAt(now, w)) / float64(max(w.member.Slots, 1))
+			// Slots that are only held for prompts in prefill take no decode time.
+			taken += (float64(w.running) + p.reportedRequestsAt(now, w)) / float64(max(w.member.Slots, 1))
 		}
 	}
 	p.averages.prefillUtilization = kept*p.averages.prefillUtilization + (1-kept)*busy
 	p.averages.decodeEnginesUsed = kept*p.averages.decodeEnginesUsed + (1-kept)*taken
 	slow := math.Pow(kept, pressureWindowMs/trendWindowMs)
 	p.averages.slowDecodeEnginesUsed = slow*p.averages.slowDecodeEnginesUsed + (1-slow)*taken
+	p.measureStreams(now)
 }
 
 // busyPrefillFraction returns the fraction of the prefill engines that are busy. For an
--- a/pkg/kumquatlug/placement/speed.go
+++ b/pkg/kumquatlug/placement/speed.go
@@ -78,15 +78,26 @@
 	return p.tokenTime.Value() * float64(prompt.Output())
 }
 
+// SetOwnerWeights sets the weights of engines as owners of prefixes, which all gateways share;
+// an engine without one has the weight 1.
+func (p *Placer) SetOwnerWeights(weights map[string]float64) { p.ownerWeights = weights }
+
+// OwnerWeights returns the weights set last.
+func (p *Placer) OwnerWeights() map[string]float64 { return p.ownerWeights }
+
 // ownerScore returns the rank of w as the owner of a prefix; the highest one owns it.
-func (p *Placer) ownerScore(now kumquatlug.Millis, w *worker, prefix uint64) float64 {
+func (p *Placer) ownerScore(w *worker, prefix uint64) float64 {
 	h := rendezvous.Mix(prefix ^ w.hash)
-	if !p.speeds.Active() {
+	if len(p.ownerWeights) == 0 {
 		return float64(h)
 	}
+	weight, known := p.ownerWeights[w.member.Worker.ID()]
+	if !known {
+		weight = 1
+	}
 	// The usual score of weighted rendezvous hashing: with equal weights the order is that of
 	// the hashes, and a change of one weight moves prefixes to or from that engine alone.
-	return -p.speeds.OwnerWeight(now, w.member.Worker.ID()) / math.Log((float64(h>>11)+0.5)/(1<<53))
+	return -weight / math.Log((float64(h>>11)+0.5)/(1<<53))
 }
 
 // longestPauseMs returns the longest expected time between two events of a stream at w, in ms,
--- a/pkg/kumquatlug/planner/exchange.go
+++ b/pkg/kumquatlug/planner/exchange.go
@@ -37,74 +37,66 @@
 	}
 }
 
-// ExchangeRoles returns the pairs of engines to exchange so that fast engines decode and slow
-// ones prefill, at an unchanged number of engines in each role.
+// ExchangeRoles returns the pairs of engines to exchange so that at least wanted decode engines
+// are suitable for streams, at an unchanged number of engines in each role.
 //
 // It is meant for engines whose speeds differ by a factor of two and more. A stream suffers
 // from a slow engine at each event and can't be divided, while prompts can be distributed by
-// weight. Only engines whose speeds are known are exchanged, a decode engine that is not among
-// the fastest for a prefill engine that is, and only if that shortens the time between two
-// events by a quarter. Engines that are changing their role count towards the limit of one
-// sixth.
-func ExchangeRoles(engines []SplitEngine) []Exchange {
+// weight. An exchange costs prefill capacity and the prefixes cached at the fast engine, so that
+// no more engines are exchanged than the streams need, and of the suitable prefill engines the
+// slowest one that shortens the time between two events by a quarter. Engines that are changing
+// their role count towards the limit of one sixth.
+func ExchangeRoles(engines []SplitEngine, wanted int) []Exchange {
 	decode, prefill := countRole(engines, kumquatlug.RoleDecode), countRole(engines, kumquatlug.RolePrefill)
-	var known []SplitEngine
 	changing := 0
 	for _, e := range engines {
 		if e.Changing {
 			changing++
 		}
-		if e.RelativeTime > 0 {
-			known = append(known, e)
+		if e.Suitable && e.Role == kumquatlug.RoleDecode {
+			wanted--
 		}
 	}
 	// An exchange changes one engine of each role.
-	limit := max(min(decode, prefill)/exchangeDivisor, 1) - (changing+1)/2
+	limit := min(max(min(decode, prefill)/exchangeDivisor, 1)-(changing+1)/2, wanted)
 	if limit <= 0 || decode == 0 || prefill == 0 {
 		return nil
 	}
-	slow, fast := exchangeCandidates(known, countRole(known, kumquatlug.RoleDecode))
+	slow, fast := exchangeCandidates(engines)
 	var pairs []Exchange
-	for i := 0; i < len(slow) && len(pairs) < limit; i++ {
-		// The fastest engine left that gains enough; an idle slow one may gain too little.
-		if len(fast) == 0 {
-			break
-		}
-		if fast[0].RelativeTime <= (1-minExchangeGain)*slow[i].RelativeTime {
-			pairs = append(pairs, Exchange{toPrefill: slow[i], toDecode: fast[0]})
-			fast = fast[1:]
+	for _, e := range slow {
+		at := slices.IndexFunc(fast, func(f SplitEngine) bool { return f.RelativeTime <= (1-minExchangeGain)*e.RelativeTime })
+		if at < 0 || len(pairs) == limit {
+			continue
 		}
+		pairs = append(pairs, Exchange{toPrefill: e, toDecode: fast[at]})
+		fast = slices.Delete(fast, at, at+1)
 	}
 	return pairs
 }
 
-// exchangeCandidates returns the decode engines that are not among the fastest n of the engines
-// and the prefill engines that are: idle ones first, then the slowest and the fastest.
-func exchangeCandidates(known []SplitEngine, n int) (slow, fast []SplitEngine) {
-	ranked := slices.Clone(known)
-	slices.SortFunc(ranked, func(a, b SplitEngine) int {
-		return cmp.Or(cmp.Compare(a.RelativeTime, b.RelativeTime), cmp.Compare(a.Target, b.Target))
-	})
-	for i, e := range ranked {
+// exchangeCandidates returns the decode engines that are not suitable for streams and the
+// prefill engines that are: idle ones first, then the slowest.
+func exchangeCandidates(engines []SplitEngine) (slow, fast []SplitEngine) {
+	for _, e := range engines {
 		switch {
-		case e.Refused || e.Changing || e.ChangedRecently:
-		case e.Role == kumquatlug.RoleDecode && i >= n:
+		case e.RelativeTime <= 0 || e.Refused || e.Changing || e.ChangedRecently:
+		case e.Role == kumquatlug.RoleDecode && !e.Suitable:
 			slow = append(slow, e)
-		case e.Role == kumquatlug.RolePrefill && i < n:
+		case e.Role == kumquatlug.RolePrefill && e.Suitable:
 			fast = append(fast, e)
 		}
 	}
-	slices.Reverse(slow)
-	idleFirst := func(a, b SplitEngine) int {
+	idleThenSlowest := func(a, b SplitEngine) int {
 		switch {
-		case a.Idle == b.Idle:
-			return 0
-		case a.Idle:
+		case a.Idle != b.Idle && a.Idle:
 			return -1
+		case a.Idle != b.Idle:
+			return 1
 		}
-		return 1
+		return cmp.Or(cmp.Compare(b.RelativeTime, a.RelativeTime), cmp.Compare(a.Target, b.Target))
 	}
-	slices.SortStableFunc(slow, idleFirst)
-	slices.SortStableFunc(fast, idleFirst)
+	slices.SortFunc(slow, idleThenSlowest)
+	slices.SortFunc(fast, idleThenSlowest)
 	return slow, fast
 }
--- a/pkg/kumquatlug/planner/split.go
+++ b/pkg/kumquatlug/planner/split.go
@@ -26,6 +26,9 @@
 	// Changing is set while a change is pending, ChangedRecently for some time after an
 	// exchange; see [ExchangeRoles].
 	Changing, ChangedRecently bool
+	// Suitable is set if the engine is known to make events within the pause limit of the
+	// streams, also while it is slowed down.
+	Suitable bool
 }
 
 // MaintainSplit returns the changes that bring a group to a fixed share of prefill engines,
