Hand requests off to a peer with a higher-bandwidth link

Below 5,000 bytes per ms a gateway now offers requests for engines to peers of its data centre by datagram, transfers an accepted one over TCP and relays the response. The peer serves it on the path of its own clients, with the arrival moved back by the elapsed time. Each accepted offer admits one request with a valid proof. A request that was not written, or that the peer refuses as not run because it is stopping, has no config or no memory, is served here; one that broke off later continues here only if it may run twice, after one retry has been taken from the budget.

The row of a gateway gets its data centre, link rate and handoff address, and each datagram of a gateway with a handoff port its load (14 bytes). Responses that the peer could not complete end with a trailer, so that they are not continued beyond the route's number of workers. Peers with requests in flight that fall silent are probed: the kernel of a frozen process keeps its connections open.

The transfer waits for the own link like a body for a worker, and a request that the link would refuse is not offered. Connections that the handoff listener accepts have a TCP_USER_TIMEOUT of 10 s in place of 1.5 s, since a client that pauses reading fills the window.

Ruled out: transferring without an offer, since a written request may have run; refusing a partly written request as not run, since the kernel takes a whole body at once in practice.

Found by its tests: http.Server.Serve returns when a shutdown begins, which ended the process group and cut the streams of a stopping peer; the retry was charged only after the prefill of the continued request had been sent.

go test -race -count=30 of the handoff tests in internal/gateway: 3.7 s, no failure.

--- a/cmd/kumquatlug/front.go
+++ b/cmd/kumquatlug/front.go
@@ -20,6 +20,7 @@
 	"github.com/kumquatlug/kumquatlug/internal/front"
 	"github.com/kumquatlug/kumquatlug/internal/gateway"
 	"github.com/kumquatlug/kumquatlug/internal/logs"
+	"github.com/kumquatlug/kumquatlug/internal/peerrequest"
 	"github.com/kumquatlug/kumquatlug/internal/settings"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/clock"
@@ -125,6 +126,9 @@
 	maxIdleWorkerConns  = 24
 	maxIdleControlConns = 2
 	maxIdleStoreConns   = 4
+	// maxIdlePeerConns is the same for handed-off requests. Each idle connection costs
+	// keep-alive probes of 0.1 KB per second.
+	maxIdlePeerConns = 8
 )
 
 func (s *frontSettings) newGateway(ctx context.Context, platformSettings platform.Settings, logger *zap.Logger) (*gateway.Gateway, error) {
@@ -135,6 +139,7 @@
 		return exchange.New(exchange.Config{Clock: now, MaxIdlePerAddress: maxIdle})
 	}
 	requestPool, controlPool := newPool(maxIdleWorkerConns), newPool(maxIdleControlConns)
+	peerPool := newPool(maxIdlePeerConns)
 	store := platform.NewStore(platform.StoreConfig{Address: platformSettings.StoreAddress, Pool: newPool(maxIdleStoreConns)})
 	c := gateway.Config{
 		Name: platformSettings.Name, VM: platformSettings.Name + "@" + platformSettings.ClientAddress, Zone: platformSettings.Zone, Incarnation: kumquatlug.NewIncarnation(platformSettings.Name), ReadyPath: platform.PathReady,
@@ -149,6 +154,7 @@
 		CloseIdle: func(keep func(string) bool) {
 			requestPool.CloseIdle(keep)
 			controlPool.CloseIdle(keep)
+			peerPool.CloseIdle(func(string) bool { return true })
 		},
 	}
 	if platformSettings.ReportsUsage || platformSettings.ScalingEnabled {
@@ -160,6 +166,12 @@
 	}
 	c.ScalingEnabled = platformSettings.ScalingEnabled
 	var err error
+	c.PeerClient = peerrequest.NewClient(peerPool)
+	if platformSettings.HandoffAddress != "" && platformSettings.PeerAddress != "" {
+		if c.HandoffListener, err = exchange.ListenConfig().Listen(ctx, "tcp", platformSettings.HandoffAddress); err != nil {
+			return nil, errors.Wrapf(err, "listen for handed-off requests on %s", platformSettings.HandoffAddress)
+		}
+	}
 	if c.Peers, err = newPeerLink(ctx, platformSettings, c, registry); err != nil {
 		return nil, err
 	}
@@ -187,7 +199,11 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for peer gateways on %s", platformSettings.PeerAddress)
 	}
-	return front.New(front.Config{Name: c.Name, Incarnation: c.Incarnation, Conn: conn, Logger: c.Logger, Registry: registry})
+	linkConfig := front.Config{Name: c.Name, Incarnation: c.Incarnation, Zone: c.Zone, LinkBytesPerMs: c.LinkBytesPerMs, Conn: conn, Logger: c.Logger, Registry: registry}
+	if c.HandoffListener != nil {
+		linkConfig.HandoffAddress = platformSettings.HandoffAddress
+	}
+	return front.New(linkConfig)
 }
 
 // handleReloadSignals handles SIGHUP, which the platform sends when the settings file
--- a/internal/exchange/dial.go
+++ b/internal/exchange/dial.go
@@ -19,6 +19,10 @@
 	// 10 ms and a lost packet is retransmitted after 200, 400 and 800 ms, so the
 	// connection survives three losses in a row.
 	UnackedTimeout = 1500 * kumquatlug.Millis(1)
+	// AcceptedUnackedTimeout is the same for connections that send responses. A receiver
+	// that stops reading because its own client pauses fills the window, which counts as
+	// unacknowledged bytes.
+	AcceptedUnackedTimeout = 10 * kumquatlug.Second
 	// ProbeIdle is the idle time before the first keep-alive probe and ProbeInterval
 	// the interval between probes, both in whole seconds as the kernel counts
 	// them. With ProbeCount unanswered probes a dead peer is detected within three
@@ -36,17 +40,31 @@
 // unreachable: it sets a dial timeout, keep-alive probes and TCP_USER_TIMEOUT.
 func Dialer() *net.Dialer {
 	return &net.Dialer{
-		Timeout: DialTimeout.Duration(),
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: ProbeIdle.Duration(), Interval: ProbeInterval.Duration(), Count: ProbeCount,
-		},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var sockoptErr error
-			err := raw.Control(func(fd uintptr) {
-				sockoptErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(UnackedTimeout))
-			})
-			return errors.CombineErrors(err, sockoptErr)
-		},
+		Timeout: DialTimeout.Duration(), KeepAliveConfig: keepAlive(), Control: setUnackedTimeout(UnackedTimeout),
+	}
+}
+
+// ListenConfig returns a listen config whose accepted connections fail by themselves when
+// the peer is unreachable, as those of [Dialer] do, but later: see [AcceptedUnackedTimeout].
+func ListenConfig() *net.ListenConfig {
+	return &net.ListenConfig{KeepAliveConfig: keepAlive(), Control: setUnackedTimeout(AcceptedUnackedTimeout)}
+}
+
+func keepAlive() net.KeepAliveConfig {
+	return net.KeepAliveConfig{
+		Enable: true, Idle: ProbeIdle.Duration(), Interval: ProbeInterval.Duration(), Count: ProbeCount,
+	}
+}
+
+// setUnackedTimeout returns a function that sets TCP_USER_TIMEOUT; connections inherit it
+// from their listener.
+func setUnackedTimeout(timeout kumquatlug.Millis) func(_, _ string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var sockoptErr error
+		err := raw.Control(func(fd uintptr) {
+			sockoptErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout))
+		})
+		return errors.CombineErrors(err, sockoptErr)
 	}
 }
 
--- a/internal/front/link.go
+++ b/internal/front/link.go
@@ -47,6 +47,12 @@
 type Config struct {
 	// Name is the name of this gateway, Incarnation is unique to this start of it.
 	Name, Incarnation string
+	// Zone is the data centre of this gateway, LinkBytesPerMs the rate of its link, zero if
+	// unknown, and HandoffAddress IP:port of its listener for handed-off requests, empty for
+	// none.
+	Zone           string
+	LinkBytesPerMs float64
+	HandoffAddress string
 	// Conn receives and sends datagrams; its local address is published to the peers.
 	Conn     net.PacketConn
 	Logger   *zap.Logger
@@ -76,6 +82,8 @@
 	// hasOurKey says that the peer has sent a datagram that was encrypted with this
 	// gateway's key.
 	hasOurKey bool
+	// handoff describes the gateway as its row does; a hello does not contain it.
+	handoff kumquatlug.HandoffPeer
 }
 
 // peerRow is the JSON form of a gateway's row in the store.
@@ -83,6 +91,10 @@
 	Incarnation string `json:"incarnation"`
 	Address     string `json:"address"`
 	Key         []byte `json:"key"`
+	// Zone, LinkBytesPerMs and Handoff are absent in the rows of an older release.
+	Zone           string  `json:"zone,omitempty"`
+	LinkBytesPerMs float64 `json:"link_bytes_per_ms,omitempty"`
+	Handoff        string  `json:"handoff,omitempty"`
 }
 
 // New returns a link without peers.
@@ -115,7 +127,10 @@
 
 // Row implements [kumquatlug.GatewayLink].
 func (l *Link) Row() []byte {
-	data, err := json.Marshal(peerRow{Incarnation: l.config.Incarnation, Address: l.config.Conn.LocalAddr().String(), Key: l.key})
+	data, err := json.Marshal(peerRow{
+		Incarnation: l.config.Incarnation, Address: l.config.Conn.LocalAddr().String(), Key: l.key,
+		Zone: l.config.Zone, LinkBytesPerMs: l.config.LinkBytesPerMs, Handoff: l.config.HandoffAddress,
+	})
 	if err != nil {
 		// Strings and bytes can always be encoded.
 		l.config.Logger.Error("row of this gateway not encoded", logs.Error(err))
@@ -139,6 +154,9 @@
 		if err == nil {
 			changed, err = l.updatePeer(name, r.Address, r.Key)
 		}
+		if err == nil {
+			l.peers[name].handoff = r.handoffPeer(name)
+		}
 		if err != nil {
 			l.config.Logger.Warn("invalid row of a gateway skipped", zap.String("front", name), logs.Error(err))
 			continue
@@ -161,7 +179,8 @@
 	if resolved.IP == nil || name == "" || len(name) > maxNameBytes {
 		return false, errors.Newf("gateway %q has an invalid name or address %q", name, address)
 	}
-	if current, known := l.peers[name]; known && current.matches(resolved, key) {
+	current, known := l.peers[name]
+	if known && current.matches(resolved, key) {
 		return false, nil
 	}
 	aead, err := newAEAD(key)
@@ -169,6 +188,10 @@
 		return false, err
 	}
 	l.peers[name] = &peer{address: resolved, key: key, aead: aead}
+	if known && current.address.IP.Equal(resolved.IP) {
+		// A restarted gateway keeps its settings; its row tells if they changed.
+		l.peers[name].handoff = current.handoff
+	}
 	return true, nil
 }
 
@@ -199,6 +222,7 @@
 	d.From = l.config.Name
 	if h := l.handler.Load(); h != nil {
 		d.Config = encodeConfigState((*h).ConfigState())
+		d.Load = encodeLoad((*h).GatewayLoad())
 	}
 	l.mu.Lock()
 	if !receiver.hasOurKey {
@@ -285,6 +309,7 @@
 	if d.GetConfigPart() != nil {
 		h.ConfigPartReceived(d.GetFrom(), decodeConfigPart(d.GetConfigPart()))
 	}
+	l.handleHandoff(d, h)
 	if d.GetTurn() != nil {
 		h.PermitReceived(kumquatlug.PermitMessage{Gateway: d.GetFrom(), Permit: decodePermit(d.GetTurn())})
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,6 +59,10 @@
 	ChangeFeed kumquatlug.ChangeFeed
 	// Peers exchanges messages with peer gateways, nil if gateways do not communicate.
 	Peers kumquatlug.GatewayLink
+	// PeerClient hands requests off to peer gateways, HandoffListener receives those of
+	// peers; nil if requests are not handed off.
+	PeerClient      kumquatlug.PeerClient
+	HandoffListener net.Listener
 	// ConfigTable and ConfigKey identify the operator's row, MemberTable holds the rows
 	// of the workers.
 	ConfigTable, ConfigKey, MemberTable string
@@ -156,6 +160,10 @@
 	bufferBytes atomic.Int64
 	// unusedCaches are KV caches to be released.
 	unusedCaches chan kumquatlug.KVCacheRef
+	// handoffs is the state of requests handed off between gateways. handoffServer receives
+	// those of peers, nil if there is no listener for them.
+	handoffs      *handoffs
+	handoffServer *http.Server
 }
 
 // maxUnusedCaches bounds the caches that wait to be released. An engine drops others by
@@ -167,10 +175,14 @@
 	g := &Gateway{
 		c: c, scheduler: newScheduler(c), link: newLinkQueue(c), metrics: newMetrics(c.Registry), speedMetrics: newSpeedMetrics(c.Registry), crashes: newCrashes(),
 		shuttingDownWorkers: newShuttingDownWorkers(), unusedCaches: make(chan kumquatlug.KVCacheRef, maxUnusedCaches),
+		handoffs: newHandoffs(c),
 	}
 	g.scheduler.slots.outcomes = newSlotMetrics(c.Registry)
 	g.members.Store(&memberSet{})
 	g.usage.counter = usage.NewCounter(c.UsageWindows)
+	if c.HandoffListener != nil {
+		g.handoffServer = g.newHandoffServer()
+	}
 	return g
 }
 
@@ -200,6 +212,15 @@
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(g.c.Logger.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
 	group.Add(func() error { return g.serveUntil(ctx, server) }, func(error) { _ = server.Close() })
+	if g.handoffServer != nil {
+		group.Add(func() error { return g.serveHandoffs(work) }, func(error) {
+			cancel()
+			_ = g.handoffServer.Close()
+		})
+	}
+	if g.handoffs.active {
+		loop(g.probeHandoffs)
+	}
 	control := &http.Server{Handler: g.controlHandler(), ReadHeaderTimeout: headerTimeout.Duration()}
 	group.Add(func() error { return ignoreServerClosed(control.Serve(g.c.ControlListener)) }, func(error) { _ = control.Close() })
 	if g.c.MetricsListener != nil {
@@ -289,6 +310,7 @@
 	if err := server.Shutdown(last); err != nil {
 		g.c.Logger.Warn("stopped with requests in flight", zap.Int64("in_hand", g.inFlight.Load()), logs.Error(err))
 	}
+	g.shutdownHandoffs(last)
 	if g.reportsUsage() {
 		g.writeTally(context.WithoutCancel(ctx), finalTallyTimeout, true, true)
 	}
--- /dev/null
+++ b/internal/gateway/handoff_test.go
@@ -0,0 +1,276 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
+	"github.com/kumquatlug/kumquatlug/internal/exchange"
+	"github.com/kumquatlug/kumquatlug/internal/peerrequest"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/clock"
+)
+
+func (noLink) SendHandoff(string, kumquatlug.Handoff)       {}
+func (noLink) HandoffPeers() []kumquatlug.HandoffPeer       { return nil }
+func (noLink) HandoffProof(string, []byte) []byte           { return nil }
+func (noLink) VerifyHandoffProof([]byte, []byte) bool       { return false }
+func (plainIngress) PeerHeader(r *http.Request) http.Header { return r.Header.Clone() }
+
+// handoffLink connects two gateways of a test without a network.
+type handoffLink struct {
+	noLink
+	self string
+	peer *testGateway
+	// lost drops all messages; answer replaces the peer's answer if it is set.
+	lost   atomic.Bool
+	answer func(kumquatlug.Handoff)
+}
+
+func (l *handoffLink) SendHandoff(_ string, h kumquatlug.Handoff) {
+	switch {
+	case l.lost.Load():
+	case l.answer != nil:
+		l.answer(h)
+	default:
+		go l.peer.g.HandoffReceived(l.self, h)
+	}
+}
+
+func (l *handoffLink) HandoffProof(_ string, message []byte) []byte { return message }
+func (l *handoffLink) VerifyHandoffProof(message, proof []byte) bool {
+	return string(message) == string(proof)
+}
+
+// handoffPair is a gateway with a low-bandwidth link and its peer.
+type handoffPair struct {
+	a, b         *testGateway
+	linkA, linkB *handoffLink
+}
+
+func newHandoffPair(t *testing.T, a, b *fakeWorkers, retries int) *handoffPair {
+	t.Helper()
+	p := &handoffPair{a: newTestGateway(t, a, retries), b: newTestGateway(t, b, retries)}
+	p.linkA, p.linkB = &handoffLink{self: "a", peer: p.b}, &handoffLink{self: "b", peer: p.a}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.b.g.c.Name, p.b.g.c.Peers, p.b.g.c.HandoffListener = "b", p.linkB, l
+	server := p.b.g.newHandoffServer()
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	c := &p.a.g.c
+	c.Name, c.Peers, c.LinkBytesPerMs = "a", p.linkA, 1250
+	c.PeerClient = peerrequest.NewClient(exchange.New(exchange.Config{Clock: clock.NewMonotonic(), MaxIdlePerAddress: 4}))
+	unregister := p.a.g.handoffs.metrics
+	c.Registry.Unregister(unregister.handoffs)
+	c.Registry.Unregister(unregister.offerDuration)
+	p.a.g.handoffs, p.a.g.link = newHandoffs(*c), newLinkQueue(*c)
+	p.a.g.handoffs.setPeers([]kumquatlug.HandoffPeer{{Name: "b", Zone: "z", Address: l.Addr().String(), LinkBytesPerMs: 25_000}}, nil)
+	return p
+}
+
+func (p *handoffPair) outcomes(g *testGateway, outcome string) float64 {
+	return testutil.ToFloat64(g.g.handoffs.metrics.handoffs.WithLabelValues(outcome))
+}
+
+func streamWorkers(from, to int) *fakeWorkers {
+	return &fakeWorkers{run: func(_ context.Context, _ int, c workerCall) (kumquatlug.WorkerResponse, error) {
+		return streamResponse(max(from, int(c.options.LastEventID)+1), to), nil
+	}}
+}
+
+// Streams of engines are served by the peer and relayed unchanged; plain requests stay.
+// Headers that imitate a handed-off request have no effect at the clients' listener.
+func TestEngineRequestsAreHandedOff(t *testing.T) {
+	p := newHandoffPair(t, respondingWorkers(), streamWorkers(1, 5), manyRetries)
+	for _, path := range []string{longRoute, chatRoute} {
+		if got := p.a.do(t.Context(), http.MethodPost, path); got.status != 200 || got.body != events(1, 5) || got.header.Get("Stamp") != "s" {
+			t.Errorf("%s: %+v", path, got)
+		}
+	}
+	if got := p.a.do(t.Context(), http.MethodPost, postRoute); got.status != 200 || len(p.a.workers.recorded()) != 1 {
+		t.Errorf("%+v, %d calls", got, len(p.a.workers.recorded()))
+	}
+	if p.outcomes(p.a, outcomeHandedOff) != 2 || p.outcomes(p.b, outcomeReceived) != 2 {
+		t.Error("the streams were not handed off")
+	}
+}
+
+// A request without a valid proof, or with an offer that was not accepted or was used before,
+// must not run: it may come from a client that reaches the port, or be a copy of a request
+// that may run only once.
+func TestHandedOffRequestRunsOnceAndWithProofOnly(t *testing.T) {
+	p := newHandoffPair(t, streamWorkers(1, 5), streamWorkers(1, 5), manyRetries)
+	send := func(key uint64, elapsed kumquatlug.Millis, tamper bool) (kumquatlug.HandoffResponse, error) {
+		r := kumquatlug.NewRequest(kumquatlug.RequestConfig{
+			ID: "r1", Host: "h", Method: http.MethodPost, Path: "/chat/", Target: "/chat/", Body: []byte("body"), Timeout: 2000,
+		})
+		proof := peerrequest.ProofMessage("a", key, r)
+		if tamper {
+			proof[len(proof)-1] ^= 1
+		}
+		return p.a.g.c.PeerClient.HandOff(t.Context(), kumquatlug.HandoffRequest{
+			Address: p.b.g.c.HandoffListener.Addr().String(), From: "a", Key: key, Elapsed: elapsed, Proof: proof, Request: r, Header: http.Header{"Id": {"r1"}},
+		})
+	}
+	p.linkB.answer = func(kumquatlug.Handoff) {}
+	for _, key := range []uint64{1, 2, 3} {
+		p.b.g.HandoffReceived("a", kumquatlug.Handoff{Step: kumquatlug.HandoffOffered, Key: key, Bytes: 4})
+	}
+	for _, c := range []struct {
+		key     uint64
+		elapsed kumquatlug.Millis
+		tamper  bool
+		reason  string
+	}{{1, 0, true, reasonHandoffDenied}, {7, 0, false, reasonHandoffDenied}, {1, 0, false, ""}, {1, 0, false, reasonHandoffDenied}, {2, 60_000, false, "deadline"}} {
+		got, err := send(c.key, c.elapsed, c.tamper)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got.Response().Body().Close()
+		if got.Reason() != c.reason || c.reason != "" && got.Ran() != kumquatlug.NotExecuted {
+			t.Errorf("%+v: %q %q", c, got.Reason(), got.Ran())
+		}
+	}
+	if n := len(p.b.workers.recorded()); n != 1 {
+		t.Errorf("%d attempts, want 1", n)
+	}
+	if got := p.b.do(t.Context(), http.MethodPost, chatRoute); got.body != events(1, 5) {
+		t.Errorf("request of a client: %+v", got)
+	}
+}
+
+// The peer declines, does not answer, or refuses the transferred request because it is
+// stopping or has lost its config. The gateway must serve the request itself, within the time
+// of two offers.
+func TestRequestIsServedHereIfPeerDoesNotTakeIt(t *testing.T) {
+	for name, prepare := range map[string]func(p *handoffPair){
+		"lost":     func(p *handoffPair) { p.linkA.lost.Store(true) },
+		"declined": func(p *handoffPair) { p.b.g.exitAt.Store(1) },
+		"stopping": func(p *handoffPair) {
+			p.linkA.answer = func(h kumquatlug.Handoff) {
+				p.linkB.answer = func(m kumquatlug.Handoff) { go p.a.g.HandoffReceived("b", m) }
+				p.b.g.HandoffReceived("a", h)
+				p.b.g.exitAt.Store(1)
+			}
+		},
+		"restarted": func(p *handoffPair) {
+			p.linkA.answer = func(h kumquatlug.Handoff) {
+				go p.a.g.HandoffReceived("b", kumquatlug.Handoff{Step: kumquatlug.HandoffAccepted, Key: h.Key})
+			}
+		},
+	} {
+		p := newHandoffPair(t, streamWorkers(1, 5), streamWorkers(1, 5), manyRetries)
+		prepare(p)
+		got := p.a.do(t.Context(), http.MethodPost, chatRoute)
+		if got.body != events(1, 5) || len(p.b.workers.recorded()) != 0 || got.duration > time.Second {
+			t.Errorf("%s: %+v, %d runs at the peer", name, got, len(p.b.workers.recorded()))
+		}
+	}
+}
+
+// The stream of a worker breaks off at the peer, which has made all allowed attempts. The
+// gateway must break off the response as well: continuing would exceed the number of workers
+// per request and the retry budget.
+func TestGivenUpStreamIsNotContinued(t *testing.T) {
+	p := newHandoffPair(t, streamWorkers(1, 5), &fakeWorkers{run: func(_ context.Context, _ int, c workerCall) (kumquatlug.WorkerResponse, error) {
+		return truncatedResponse(events(int(c.options.LastEventID)+1, int(c.options.LastEventID)+2), -1), nil
+	}}, manyRetries)
+	got := p.a.do(t.Context(), http.MethodPost, longRoute)
+	if got.err == nil || !strings.HasPrefix(got.body, events(1, 4)) || len(p.a.workers.recorded()) != 0 || len(p.b.workers.recorded()) == 0 {
+		t.Errorf("%+v, %d runs here, %d at the peer", got, len(p.a.workers.recorded()), len(p.b.workers.recorded()))
+	}
+}
+
+// The connection to the peer breaks in mid-stream. A resumable stream must continue here
+// after the last event, charged to the retry budget; another one, and one that the budget does not
+// allow, must break off.
+func TestBrokenTransferResumesHere(t *testing.T) {
+	for _, c := range []struct {
+		path    string
+		retries int
+		resumes bool
+	}{{longRoute, 2, true}, {longRoute, 0, false}, {chatRoute, 2, false}} {
+		path, resumes := c.path, c.resumes
+		release := make(chan struct{})
+		p := newHandoffPair(t, streamWorkers(1, 5), &fakeWorkers{run: func(ctx context.Context, _ int, _ workerCall) (kumquatlug.WorkerResponse, error) {
+			r := streamResponse(1, 2)
+			return kumquatlug.NewWorkerResponse(kumquatlug.WorkerResponseConfig{
+				Status: 200, Header: r.Header(), Length: -1, Body: stalledBody{Reader: r.Body(), ctx: ctx, release: release},
+			}), nil
+		}}, c.retries)
+		server := &http.Server{Handler: http.HandlerFunc(p.b.g.serveHandoff), ReadHeaderTimeout: time.Minute}
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() { _ = server.Serve(l) }()
+		p.a.g.handoffs.setPeers([]kumquatlug.HandoffPeer{{Name: "b", Zone: "z", Address: l.Addr().String()}}, nil)
+		go func() {
+			<-release
+			_ = server.Close()
+		}()
+		got := p.a.do(t.Context(), http.MethodPost, path)
+		if resumes && got.body != events(1, 5) || !resumes && (got.err == nil || len(p.a.workers.recorded()) != 0) {
+			t.Errorf("%+v: %+v, calls %+v", c, got, p.a.workers.recorded())
+		}
+		if p.outcomes(p.a, outcomeBroken) != 1 {
+			t.Errorf("%s: the broken transfer was not counted", path)
+		}
+	}
+}
+
+// The client disconnects while the peer serves its request: the attempt at the worker must end,
+// or abandoned requests would take the engines' slots.
+func TestDisconnectedClientCancelsAtPeer(t *testing.T) {
+	canceled, started := make(chan struct{}), make(chan struct{})
+	p := newHandoffPair(t, respondingWorkers(), &fakeWorkers{run: func(ctx context.Context, _ int, _ workerCall) (kumquatlug.WorkerResponse, error) {
+		close(started)
+		<-ctx.Done()
+		close(canceled)
+		return kumquatlug.WorkerResponse{}, lostConnection()
+	}}, manyRetries)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-started
+		cancel()
+	}()
+	p.a.do(ctx, http.MethodPost, chatRoute)
+	select {
+	case <-canceled:
+	case <-time.After(time.Second):
+		t.Error("the attempt continues")
+	}
+	if p.outcomes(p.a, outcomeBroken) != 0 {
+		t.Error("the peer is blamed for the client")
+	}
+}
+
+// stalledBody sends its content, then reports that on release and sends nothing until the
+// attempt ends.
+type stalledBody struct {
+	io.Reader
+	ctx     context.Context
+	release chan struct{}
+}
+
+func (b stalledBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err == nil {
+		return n, nil
+	}
+	close(b.release)
+	<-b.ctx.Done()
+	return 0, b.ctx.Err()
+}
+
+func (stalledBody) Close() error { return nil }
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -22,6 +22,9 @@
 	// configVersion is the version of the config that selected the route.
 	configVersion int64
 	arrived       kumquatlug.Millis
+	// elapsed is how long after its arrival this gateway starts to serve the request itself,
+	// if a peer gateway had it before.
+	elapsed kumquatlug.Millis
 	// deadline is when the client gives up or the route's timeout expires.
 	deadline kumquatlug.Millis
 	// retryingFor is how long the client has been retrying before this request, in ms.
@@ -83,16 +86,10 @@
 
 // serve makes attempts until the client has its final response.
 func (f *inflight) serve(ctx context.Context) {
-	clientTimeout := f.request.Timeout()
-	if clientTimeout <= 0 {
-		clientTimeout = defaultClientTimeout
-	}
-	f.retryingFor = f.g.scheduler.recordArrival(f.arrived, f.service.Name(), f.route.Name(), clientTimeout)
-	f.value = f.g.scheduler.requestValue(f.arrived, f.service.Name(), f.route.Name(), f.request.Account(), f.request.Prompt())
-	f.deadline = f.arrived + clientTimeout
-	if timeout := f.route.Timeout(); timeout > 0 {
-		f.deadline = min(f.deadline, f.arrived+timeout)
-	}
+	clientTimeout := f.setDeadline()
+	received := f.arrived + f.elapsed
+	f.retryingFor = f.g.scheduler.recordArrival(received, f.service.Name(), f.route.Name(), clientTimeout)
+	f.value = f.g.scheduler.requestValue(received, f.service.Name(), f.route.Name(), f.request.Account(), f.request.Prompt())
 	ctx, cancel := context.WithTimeout(ctx, f.timeLeft().Duration())
 	defer cancel()
 	defer func() { f.g.releaseCache(f.refusedCache) }()
@@ -112,6 +109,19 @@
 	}
 }
 
+// setDeadline sets the deadline and returns the client's timeout.
+func (f *inflight) setDeadline() kumquatlug.Millis {
+	clientTimeout := f.request.Timeout()
+	if clientTimeout <= 0 {
+		clientTimeout = defaultClientTimeout
+	}
+	f.deadline = f.arrived + clientTimeout
+	if timeout := f.route.Timeout(); timeout > 0 {
+		f.deadline = min(f.deadline, f.arrived+timeout)
+	}
+	return clientTimeout
+}
+
 // timeLeft returns how long the client still waits, in ms.
 func (f *inflight) timeLeft() kumquatlug.Millis { return f.deadline - f.g.c.Clock.Now() }
 
@@ -195,7 +205,7 @@
 	switch {
 	case !errors.Is(ctx.Err(), context.Canceled):
 	case f.g.shuttingDown():
-		reason = "stopping"
+		reason = reasonStopping
 	default:
 		reason = "client_left"
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -18,12 +18,16 @@
 }
 
 // PeerJoined handles the announcement of a peer gateway.
-func (g *Gateway) PeerJoined(peer string) { g.scheduler.peerJoined(peer) }
+func (g *Gateway) PeerJoined(peer string) {
+	g.scheduler.peerJoined(peer)
+	g.handoffs.peerJoined(peer)
+}
 
 // PeerLeft handles the shutdown of a peer gateway.
 func (g *Gateway) PeerLeft(peer string) {
 	g.c.Logger.Info("front stops", zap.String("front", peer))
 	g.scheduler.peerLeft(peer)
+	g.handoffs.peerLeft(peer)
 }
 
 // updatePeers applies the rows of all gateways.
@@ -34,6 +38,9 @@
 	}
 	reachable, restarted := g.c.Peers.UpdatePeers(rows)
 	g.scheduler.setPeers(reachable, restarted)
+	if g.handoffs.active {
+		g.handoffs.setPeers(g.c.Peers.HandoffPeers(), restarted)
+	}
 	g.c.Logger.Info("fronts met", zap.Int("rows", len(rows)), zap.Int("there", len(reachable)))
 }
 
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -163,8 +163,19 @@
 func (sc *scheduler) recordArrival(now kumquatlug.Millis, service, route string, timeout kumquatlug.Millis) kumquatlug.Millis {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	s := sc.service(service)
-	s.retryBudget.RecordRequest(now)
+	sc.service(service).retryBudget.RecordRequest(now)
+	return sc.service(service).retryingFor(route, timeout)
+}
+
+// retryingFor returns how long the client of a request has been retrying, in ms, without
+// recording the request.
+func (sc *scheduler) retryingFor(service, route string, timeout kumquatlug.Millis) kumquatlug.Millis {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	return sc.service(service).retryingFor(route, timeout)
+}
+
+func (s *serviceState) retryingFor(route string, timeout kumquatlug.Millis) kumquatlug.Millis {
 	if timeout > s.maxClientTimeout[route] {
 		s.maxClientTimeout[route] = timeout
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/kumquatlug/kumquatlug/internal/peerrequest"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
 
@@ -32,12 +33,17 @@
 	noConfigRetryAfter = 300 * kumquatlug.Millis(1)
 )
 
-// ServeHTTP serves one request.
+// ServeHTTP serves one request of a client.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := g.c.Clock.Now()
+	peerrequest.RemoveHeaders(r.Header)
+	g.serveRequest(g.link.countResponse(w), r, origin{arrived: arrived})
+}
+
+// serveRequest serves one request of a client or one that a peer gateway handed off.
+func (g *Gateway) serveRequest(w http.ResponseWriter, r *http.Request, o origin) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	w = g.link.countResponse(w)
-	arrived := g.c.Clock.Now()
 	table := g.table.Load()
 	limit := int64(defaultMaxBodyBytes)
 	if table != nil && table.Limits().BodyBytes > 0 {
@@ -45,7 +51,7 @@
 	}
 	declared := max(r.ContentLength, 0)
 	if !g.reserveBody(declared) {
-		g.refuse(w, kumquatlug.Request{}, refusal("read request", "bodies", http.StatusServiceUnavailable, minRetryAfter))
+		g.refuse(w, kumquatlug.Request{}, refusal("read request", reasonBodies, http.StatusServiceUnavailable, minRetryAfter))
 		return
 	}
 	defer g.bodyBytes.Add(-declared)
@@ -58,8 +64,12 @@
 		g.bodyBytes.Add(undeclared)
 		defer g.bodyBytes.Add(-undeclared)
 	}
+	if denied := g.admitHandoff(o, request); denied != nil {
+		g.refuse(w, request, denied)
+		return
+	}
 	if table == nil {
-		g.refuse(w, request, refusal("find route", "no_config", http.StatusServiceUnavailable, noConfigRetryAfter))
+		g.refuse(w, request, refusal("find route", reasonNoConfig, http.StatusServiceUnavailable, noConfigRetryAfter))
 		return
 	}
 	route, found := table.Match(request.Host(), request.Path())
@@ -80,14 +90,14 @@
 	}
 	f := &inflight{
 		g: g, w: w, request: request, account: account, route: route, service: service, configVersion: table.Version(),
-		arrived: arrived, lastEventID: request.LastEventID(),
+		arrived: o.arrived, elapsed: o.elapsed, lastEventID: request.LastEventID(),
 	}
 	if exit := kumquatlug.Millis(g.exitAt.Load()); exit != 0 {
 		// The client's next request uses a new connection, to a gateway that is not
 		// shutting down.
 		w.Header().Set("Connection", "close")
 		if f.outlastsShutdown(exit) {
-			g.refuse(w, request, refusal("stop", "stopping", http.StatusServiceUnavailable, shutdownRetryAfter))
+			g.refuse(w, request, refusal("stop", reasonStopping, http.StatusServiceUnavailable, shutdownRetryAfter))
 			return
 		}
 	}
@@ -95,6 +105,9 @@
 		g.refuse(w, request, refusal("quarantine", "quarantined", http.StatusServiceUnavailable, maxRetryAfter))
 		return
 	}
+	if o.handoff == nil && f.handOff(r) {
+		return
+	}
 	f.serve(r.Context())
 }
 
@@ -122,7 +135,7 @@
 	if !f.g.shuttingDown() || f.timeToStartOutput() > 0 {
 		return nil
 	}
-	return &attemptFailure{permanent: true, failure: refusal("stop", "stopping", http.StatusServiceUnavailable, shutdownRetryAfter)}
+	return &attemptFailure{permanent: true, failure: refusal("stop", reasonStopping, http.StatusServiceUnavailable, shutdownRetryAfter)}
 }
 
 // timeToStartOutput returns how long, in ms, it may take until the output of a request
@@ -152,5 +165,8 @@
 		zap.String("reason", f.Reason()), zap.String("ran", string(f.Execution())), zap.Int("status", f.Status()),
 		zap.Int64("retry_after_ms", int64(f.RetryAfter())), zap.String("cause", f.CauseText()),
 	}, fields...)...)
+	if out, ok := w.(*peerrequest.ResponseWriter); ok {
+		out.SetRefusal(f)
+	}
 	g.c.Ingress.WriteError(w, request, f)
 }
--- /dev/null
+++ b/internal/peerrequest/peerrequest_test.go
@@ -0,0 +1,58 @@
+package peerrequest
+
+import (
+	"bytes"
+	"net/http"
+	"testing"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+// Headers that are incomplete or invalid identify no handed-off request, and none of them
+// remains in a request.
+func TestInvalidHeadersAreRejectedAndRemoved(t *testing.T) {
+	valid := map[string]string{headerFrom: "a", headerKey: "7", headerElapsed: "12", headerProof: "00ff"}
+	for name, value := range map[string]string{"": "", headerFrom: "", headerKey: "-1", headerElapsed: "-1", headerProof: "x", headerPrefix + "Other": "y"} {
+		h := http.Header{"Kept": {"k"}}
+		for n, v := range valid {
+			h.Set(n, v)
+		}
+		if name != "" {
+			h.Set(name, value)
+		}
+		got, err := Decode(h)
+		if good := valid[name] == ""; good != (err == nil) || good && (got.Key != 7 || got.Elapsed != 12 || got.From != "a") {
+			t.Errorf("%s: %+v, %v", name, got, err)
+		}
+		if len(h) != 1 {
+			t.Errorf("%s: headers left: %v", name, h)
+		}
+	}
+}
+
+// A proof must not be valid for a request that differs in any covered field, nor after moving
+// bytes from one field to the next.
+func TestProofMessageCoversRequest(t *testing.T) {
+	base := kumquatlug.RequestConfig{ID: "i", Method: "POST", Target: "/t", Host: "h", Timeout: 5, Body: []byte("b")}
+	message := func(change func(*kumquatlug.RequestConfig)) []byte {
+		c := base
+		change(&c)
+		return ProofMessage("a", 1, kumquatlug.NewRequest(c))
+	}
+	original := message(func(*kumquatlug.RequestConfig) {})
+	for i, change := range []func(*kumquatlug.RequestConfig){
+		func(c *kumquatlug.RequestConfig) { c.ID, c.Method = "iP", "OST" },
+		func(c *kumquatlug.RequestConfig) { c.Target = "/u" },
+		func(c *kumquatlug.RequestConfig) { c.Host = "g" },
+		func(c *kumquatlug.RequestConfig) { c.Timeout = 6 },
+		func(c *kumquatlug.RequestConfig) { c.Body = []byte("c") },
+	} {
+		if bytes.Equal(original, message(change)) {
+			t.Errorf("change %d is not covered", i)
+		}
+	}
+	r := kumquatlug.NewRequest(base)
+	if bytes.Equal(original, ProofMessage("b", 1, r)) || bytes.Equal(original, ProofMessage("a", 2, r)) {
+		t.Error("sender or key is not covered")
+	}
+}
--- a/pkg/kumquatlug/gateway.go
+++ b/pkg/kumquatlug/gateway.go
@@ -355,4 +355,7 @@
 	WriteHeader(w http.ResponseWriter, response WorkerResponse)
 	// WriteError writes a final response that the gateway generates itself.
 	WriteError(w http.ResponseWriter, r Request, f *Failure)
+	// PeerHeader returns the headers of a client's request from which a peer gateway
+	// decodes the same request.
+	PeerHeader(r *http.Request) http.Header
 }
--- a/pkg/kumquatlug/handoff.go
+++ b/pkg/kumquatlug/handoff.go
@@ -50,12 +50,6 @@
 	LinkBytesPerMs float64
 }
 
-// LinkBacklog reports how busy the gateway's own link is.
-type LinkBacklog interface {
-	// LinkBacklog returns the time in ms until the link has sent what was given to it.
-	LinkBacklog(now Millis) float64
-}
-
 // HandoffRequest is a request that is handed off to a peer gateway.
 type HandoffRequest struct {
 	// Address is IP:port of the peer's listener for handed-off requests.
--- a/pkg/kumquatlug/peers.go
+++ b/pkg/kumquatlug/peers.go
@@ -97,6 +97,15 @@
 	// engine's coordinator, SendDecodeTotal responds to such a message.
 	SendDecodeCount(gateway string, count DecodeCount)
 	SendDecodeTotal(gateway string, total DecodeTotal)
+	// SendHandoff sends a message about the offer of a request.
+	SendHandoff(gateway string, h Handoff)
+	// HandoffPeers returns the gateways that accept handed-off requests.
+	HandoffPeers() []HandoffPeer
+	// HandoffProof returns a proof, for another gateway, that a message comes from a
+	// gateway; nil if the other one is unknown. VerifyHandoffProof checks a proof that
+	// was made for this gateway.
+	HandoffProof(gateway string, message []byte) []byte
+	VerifyHandoffProof(message, proof []byte) bool
 	// Receive passes received messages to h until ctx ends.
 	Receive(ctx context.Context, h GatewayHandler) error
 }
@@ -120,4 +129,10 @@
 	// DecodeCountReceived and DecodeTotalReceived handle messages about decode slots.
 	DecodeCountReceived(gateway string, count DecodeCount)
 	DecodeTotalReceived(gateway string, total DecodeTotal)
+	// GatewayLoad returns the load that is attached to all messages, GatewayLoadReceived
+	// handles the load of another gateway.
+	GatewayLoad() GatewayLoad
+	GatewayLoadReceived(gateway string, load GatewayLoad)
+	// HandoffReceived handles a message about the offer of a request.
+	HandoffReceived(gateway string, h Handoff)
 }
