Wait longer for the answer to a handoff, and leave peers out for less time

The wait is now 25 ms and the backlog of the own link (50 ms at most), the back-off starts at 200 ms. Ruled out: sending without an offer, where a frozen peer costs requests that may not run twice.

--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -211,7 +211,7 @@
 // awaitAnswer waits for the answer to an offer and records it.
 func (g *Gateway) awaitAnswer(offer handoff.Offer, answer <-chan kumquatlug.HandoffStep) handoff.Result {
 	result := handoff.ResultUnanswered
-	timer := time.NewTimer(handoff.AnswerTimeout.Duration())
+	timer := time.NewTimer(handoff.AnswerTimeout(g.link.backlogMs()).Duration())
 	defer timer.Stop()
 	decode := func(step kumquatlug.HandoffStep) {
 		if result = handoff.ResultDeclined; step == kumquatlug.HandoffAccepted {
--- a/pkg/kumquatlug/handoff/sender.go
+++ b/pkg/kumquatlug/handoff/sender.go
@@ -40,14 +40,24 @@
 	// enough to avoid an overloaded one, and keep requests with one prefix together.
 	candidatesPerKey = 2
 	// minBackoff is how long a peer is left out after a failure; it doubles up to
-	// maxBackoff with each further one.
-	minBackoff = 1 * kumquatlug.Second
+	// maxBackoff with each further one. A single lost datagram must not send the requests
+	// of a second over the own link.
+	minBackoff = 200 * kumquatlug.Millis(1)
 	maxBackoff = 16 * kumquatlug.Second
-	// AnswerTimeout is how long a gateway waits for the answer to an offer. A round trip
-	// within a data centre takes less than 1 ms.
-	AnswerTimeout = 10 * kumquatlug.Millis(1)
+	// answerTimeout is how long a gateway waits for the answer to an offer. A round trip
+	// within a data centre takes less than 1 ms, but offers and answers queue on a
+	// low-bandwidth link behind bodies, of which an average one takes 7 ms and a large one 44 ms.
+	answerTimeout = 25 * kumquatlug.Millis(1)
+	// maxBacklogWait bounds the backlog of the own link by which the wait is extended.
+	maxBacklogWait = 50.0
 )
 
+// AnswerTimeout returns how long a gateway waits for the answer to an offer when its own link
+// has a backlog, in ms.
+func AnswerTimeout(linkBacklog float64) kumquatlug.Millis {
+	return answerTimeout + kumquatlug.Millis(min(linkBacklog, maxBacklogWait))
+}
+
 // Config configures a [Sender].
 type Config struct {
 	// Zone is the gateway's data centre, LinkBytesPerMs the rate of its link, zero if
