Let the expected transfer decide between one engine and two

The choice assumed that a KV cache arrives at once. The expected time of its transfer is now a part of the cost of a decode engine. While transfers are slow, fail or queue, a prompt runs on one engine if that is cheaper, or if the transfer would make it late and one engine is faster, or if more than a tenth of the prefilled tokens was wasted. The shared prefix of such a prompt has an owner among the decode engines. After a refused cache the placer says whether another engine may take it, the prompt runs on one engine, or the request is refused.

A first output can be late because of slots or memory, too.

Nothing changes while no transfer was slow or failed in the last 30 s; existing tests of the package pass unchanged, also with -race.

--- a/pkg/kumquatlug/placement/attempt.go
+++ b/pkg/kumquatlug/placement/attempt.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/kvtransfer"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/learn"
 )
 
@@ -34,6 +35,10 @@
 	ended              bool
 	// usesSlot says that the attempt is counted as decoding at its engine.
 	usesSlot bool
+	// transfer is the pending transfer of the prompt's KV cache.
+	transfer transfer
+	// transferFailed says that the worker refused only because of the transfer.
+	transferFailed bool
 	// lastOutputAt is when output last arrived, zero for never.
 	lastOutputAt kumquatlug.Millis
 	// forwarding says that output is being written to the client.
@@ -89,6 +94,7 @@
 	}
 	w.attempts = append(w.attempts, t)
 	p.beginSlot(c, t)
+	p.beginTransfer(now, t, c.transfer)
 	w.prefillTokens += c.effectiveTokens
 	if c.prefillOnly {
 		w.prefills++
@@ -102,6 +108,7 @@
 		p.meanPrefillTokens += ewmaWeight * (c.effectiveTokens - p.meanPrefillTokens)
 		p.recordCached(now, w, prompt)
 		w.prefilledTokens += c.uncachedTokens
+		p.transfers.AddPrefilled(now, c.uncachedTokens)
 	}
 	return t
 }
@@ -126,6 +133,12 @@
 
 // PrefillDone records that the prompt has been prefilled: output has begun.
 func (p *Placer) PrefillDone(now kumquatlug.Millis, t *Attempt) {
+	p.endTransfer(now, t, kvtransfer.BoundExact)
+	p.endPrefill(now, t)
+}
+
+// endPrefill records that an attempt has no more work to prefill.
+func (p *Placer) endPrefill(now kumquatlug.Millis, t *Attempt) {
 	if t.ended || t.prefillDone {
 		return
 	}
@@ -141,7 +154,8 @@
 	if t.ended {
 		return
 	}
-	p.PrefillDone(now, t)
+	p.endTransfer(now, t, transferBoundAtEnd(o))
+	p.endPrefill(now, t)
 	t.ended = true
 	t.worker.removeAttempt(t)
 	if o == OutcomeServed || o == OutcomeRefused {
@@ -158,7 +172,9 @@
 		p.endSlot(now, t)
 	}
 	if o == OutcomeRefused {
-		t.worker.backOff(now)
+		if !t.transferFailed {
+			t.worker.backOff(now)
+		}
 		return
 	}
 	if o == OutcomeNeutral || p.workers[t.id] != t.worker {
--- a/pkg/kumquatlug/placement/choose.go
+++ b/pkg/kumquatlug/placement/choose.go
@@ -27,6 +27,13 @@
 	CacheZone string
 	// MaxEventGap is the longest permitted pause between two events, zero for any.
 	MaxEventGap kumquatlug.Millis
+	// Cache is the KV cache that the request is decoded from, or that could not be obtained.
+	Cache KVCache
+	// OneEngine says that the prompt must be prefilled by the engine that decodes.
+	OneEngine bool
+	// mixedOwner is the engine assumed to have the shared prefix cached if the prompt runs
+	// on one engine, nil for none.
+	mixedOwner *worker
 	// Reservation is what was reserved for decoding when the prompt was submitted.
 	Reservation Reservation
 	// SecondBodyMs is what sending the request to a second engine costs on the gateway's
@@ -53,6 +60,9 @@
 	reserved    bool
 	// slotHeld says that a decode slot at the worker is held for the request.
 	slotHeld bool
+	// transfer is the transfer of the KV cache to the worker; waitMs includes its expected
+	// time.
+	transfer transfer
 }
 
 // Reservation returns what is reserved for decoding a prompt that is prefilled at another
@@ -120,8 +130,11 @@
 	if !outputFound {
 		return output, false
 	}
-	mixed, mixedCost, mixedFound := p.cheapestMixed(now, q)
 	prefill, prefillCost, prefillFound := p.cheapestPrefill(now, q)
+	if q.OneEngine || p.transfers.Relevant(now) {
+		return p.choosePromptByTransfer(now, q, output, prefill, prefillCost, prefillFound)
+	}
+	mixed, mixedCost, mixedFound := p.cheapestMixed(now, q)
 	if !prefillFound || mixedFound && mixedCost < prefillCost+output.cost+q.SecondBodyMs {
 		return mixed, mixedFound
 	}
@@ -181,7 +194,7 @@
 		if !p.eligible(now, w, q, kumquatlug.RoleDecode) || keeps && p.exceedsPauseLimit(now, w, q) {
 			continue
 		}
-		uncached, rate := p.uncachedTokens(now, w, q.Prompt, false), p.prefillRate()
+		uncached, rate := p.mixedUncachedTokens(now, w, q), p.prefillRate()
 		if w.member.Role == kumquatlug.RoleDecode {
 			rate *= p.config.MixedPrefillFraction
 		}
@@ -223,8 +236,8 @@
 		if limited.exclude(now, w, q, slot+postPrefillMs) {
 			continue
 		}
-		delay := w.limit.Delay(now)
-		wait := delay + slot
+		delay, cacheTransfer := w.limit.Delay(now), p.transferTo(now, w, q)
+		wait := delay + slot + cacheTransfer.expectedMs
 		cost := wait + p.batchCostMs(now, w, q.Prompt) + p.decodeCostMs(now, w, q.Prompt) + p.reservedSlotCostMs(w, q.Prompt) + w.prefillTokens/p.prefillRate()
 		cost = cost/p.health.Weight(now, w.member.Worker.ID()) + p.zonePenalty(w)
 		if q.CacheZone != "" && w.member.Zone != q.CacheZone {
@@ -232,7 +245,7 @@
 		}
 		if cost < minCost {
 			minCost, found = cost, true
-			best = Choice{worker: w.member.Worker, waitMs: wait, cost: cost, delayMs: delay}
+			best = Choice{worker: w.member.Worker, waitMs: wait, cost: cost, delayMs: delay, transfer: cacheTransfer}
 		}
 	}
 	return p.bestOrDelay(now, best, found, limited), found
--- a/pkg/kumquatlug/placement/limit.go
+++ b/pkg/kumquatlug/placement/limit.go
@@ -116,8 +116,9 @@
 		return Choice{}, false
 	}
 	delay := max(0, float64(q.Reservation.at-now))
-	wait := delay + p.slotWaitMs(now, w, q.Prompt)
-	return Choice{worker: w.member.Worker, waitMs: wait, delayMs: delay, reserved: true}, true
+	cacheTransfer := p.transferTo(now, w, q)
+	wait := delay + p.slotWaitMs(now, w, q.Prompt) + cacheTransfer.expectedMs
+	return Choice{worker: w.member.Worker, waitMs: wait, delayMs: delay, reserved: true, transfer: cacheTransfer}, true
 }
 
 // LimitChange is a change of the rate limit that a worker advertises, or its end.
--- a/pkg/kumquatlug/placement/placement.go
+++ b/pkg/kumquatlug/placement/placement.go
@@ -36,6 +36,7 @@
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/health"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/kvtransfer"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/learn"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/pace"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/ratelimit"
@@ -72,6 +73,8 @@
 	// Shares divides the rate limits of workers among the gateways; nil where there is
 	// one gateway.
 	Shares *ratelimit.Shares
+	// Transfers configures the estimate of KV cache transfers.
+	Transfers kvtransfer.Config
 	// Health configures the health checks of workers.
 	Health health.Config
 }
@@ -162,6 +165,8 @@
 	// meanOtherRequests is the mean of otherRequests over some reports. An initial mean as
 	// high as that of the service would leave workers out that were never tried.
 	meanOtherRequests float64
+	// slotsTaken says that all slots were in use then.
+	slotsTaken bool
 	// cachedParts are the prompt parts that were sent to the worker, by this gateway
 	// or, if it coordinates the engine, by any, with their last use. prefilledTokens is
 	// the total number of tokens prefilled there.
@@ -260,6 +265,10 @@
 	demand streamDemand
 	// shared is the state of decode slots that gateways share.
 	shared sharedSlots
+	// transfers estimates the time of KV cache transfers, firstOutputLagMs is how much later
+	// than expected first outputs without a transfer usually arrive, in milliseconds.
+	transfers        *kvtransfer.Estimator
+	firstOutputLagMs float64
 }
 
 // New returns a Placer without workers.
@@ -270,6 +279,7 @@
 		meanRunMs: initialRunMs, meanKVTokens: initialKVTokens, slowdown: 1, prefillModel: learn.NewPrefillEstimator(c.Prefill),
 		tokenTime: learn.NewRatioEstimator(initialTokenMs, initialOutputTokens),
 		overrun:   learn.NewOverrunEstimator(initialOverrunMs), plainOverrun: learn.NewOverrunEstimator(initialPlainOverrunMs),
+		transfers: kvtransfer.New(c.Transfers),
 	}
 }
 
@@ -349,6 +359,7 @@
 	}
 	w.meanOtherRequests += workerEWMAWeight * (w.otherRequests - w.meanOtherRequests)
 	w.reportedAt = now
+	w.slotsTaken = load.Running() >= max(w.member.Slots, 1)
 	p.meanOtherRequests += ewmaWeight * (w.otherRequests - p.meanOtherRequests)
 }
 
--- a/pkg/kumquatlug/placement/slots.go
+++ b/pkg/kumquatlug/placement/slots.go
@@ -271,6 +271,7 @@
 
 // withdraw ends an attempt that was never sent. Its end says nothing about the engine.
 func (p *Placer) withdraw(now kumquatlug.Millis, t *Attempt) {
+	p.dropTransfer(t)
 	if !t.ended && !t.prefillDone {
 		t.prefillDone = true
 		t.worker.prefillTokens = max(0, t.worker.prefillTokens-t.effectiveTokens)
@@ -326,7 +327,8 @@
 	if a.choice.reserved {
 		a.choice.delayMs = max(0, float64(q.Reservation.at-now))
 	}
-	a.choice.slotHeld, a.choice.waitMs = p.shared.active, a.choice.delayMs
+	a.choice.transfer = p.transferTo(now, w, q)
+	a.choice.slotHeld, a.choice.waitMs = p.shared.active, a.choice.delayMs+a.choice.transfer.expectedMs
 	a.attempt = p.Begin(now, a.choice, q.Prompt)
 	return true
 }
@@ -356,7 +358,12 @@
 	if !found {
 		c = a.choice
 	}
-	if w, known := p.workers[c.worker.ID()]; known && !a.cached {
+	w, known := p.workers[c.worker.ID()]
+	switch {
+	case known && a.cached:
+		c.transfer = p.transferTo(now, w, a.query)
+		c.waitMs += c.transfer.expectedMs
+	case known:
 		c.uncachedTokens = p.uncachedTokens(now, w, a.query.Prompt, false)
 		c.effectiveTokens = p.effectiveTokens(c.uncachedTokens, a.query.Prompt)
 		c.waitMs += c.effectiveTokens / (p.prefillRate() * p.config.MixedPrefillFraction)
