Simulate KV transfers over slow links

The site model gets a transfer rate. An engine's transfers run one after another, take twice as long between data centres, and one that would wait for more than two seconds is refused. With a rate, decode engines prefill one prompt at a time between their decode steps. The model counts repeats and wasted tokens itself, not by the counts of the gateways.

TestFastTransfersChangeNothing: results are identical for three loads with fast transfers, two of them with engines short of slots or memory.

--- a/internal/experiment/swing/engine.go
+++ b/internal/experiment/swing/engine.go
@@ -23,6 +23,13 @@
 	// attempt waits, it is the number of remaining steps; zero means all of them.
 	endStep       float64
 	outputStarted bool
+	// source is the index of the engine that prefilled the prompt, prefillTokens the number
+	// of tokens that it prefilled for it. cacheReused says that another engine refused the
+	// cache, transferState what has become of its transfer.
+	source        int
+	prefillTokens int
+	cacheReused   bool
+	transferState transferState
 }
 
 // engine simulates one model engine.
@@ -45,6 +52,10 @@
 	limitedArrivals []limitedArrival
 	cacheIndex      map[string]*list.Element
 	cachedTokens    int
+	// linkFreeAt is when the transfers that the engine has begun end, transferring how many
+	// requests wait for one.
+	linkFreeAt   float64
+	transferring int
 }
 
 // cachedPart is a cached prompt part.
@@ -99,13 +110,17 @@
 	}
 	if a.prefillOnly {
 		cached := e.cachePrompt(a.request.prompt)
-		a.prefillLeftMs = prefillTime(e.config, max(a.request.prompt.Input()-cached, 1), cached, e.config.PrefillTokensPerMs)
+		a.prefillTokens = max(a.request.prompt.Input()-cached, 1)
+		a.prefillLeftMs = prefillTime(e.config, a.prefillTokens, cached, e.config.PrefillTokensPerMs)
 		e.prefilling = append(e.prefilling, a)
 		return true
 	}
 	if !a.prefilled {
 		cached := e.cachePrompt(a.request.prompt)
-		a.prefillLeftMs = prefillTime(e.config, max(a.request.prompt.Input()-cached, 1), cached, e.config.PrefillTokensPerMs/2)
+		a.prefillTokens = max(a.request.prompt.Input()-cached, 1)
+		a.prefillLeftMs = prefillTime(e.config, a.prefillTokens, cached, e.config.PrefillTokensPerMs/2)
+	} else if e.config.TransferTokensPerMs > 0 {
+		return true
 	}
 	e.waiting = append(e.waiting, a)
 	return true
@@ -113,7 +128,7 @@
 
 // reportedLoad returns the load that the engine reports to gateways.
 func (e *engine) reportedLoad() kumquatlug.WorkerLoad {
-	return kumquatlug.NewWorkerLoad(len(e.prefilling)+len(e.running), len(e.waiting), e.config.Slots)
+	return kumquatlug.NewWorkerLoad(len(e.prefilling)+len(e.running), len(e.waiting)+e.transferring, e.config.Slots)
 }
 
 // stepTime returns the duration of a decode step of the current batch, in ms.
@@ -144,7 +159,8 @@
 	if len(e.running) == 0 {
 		return first, ended
 	}
-	steps := 1 / e.stepTime()
+	steps := 1 / (e.stepTime() + e.mixedPrefillMs())
+	prefilling := false
 	e.decodeSteps += steps
 	e.runningTokens += int(steps * float64(len(e.running)))
 	remaining := e.running[:0]
@@ -152,7 +168,10 @@
 		switch {
 		case a.prefillLeftMs > 0:
 			// Prefill runs between the decode steps of the other attempts.
-			a.prefillLeftMs--
+			if !prefilling || e.config.TransferTokensPerMs == 0 {
+				a.prefillLeftMs--
+			}
+			prefilling = true
 			a.endStep += steps
 		case !a.outputStarted:
 			a.outputStarted = true
--- a/internal/experiment/swing/load.go
+++ b/internal/experiment/swing/load.go
@@ -27,6 +27,10 @@
 	// firstOutputAt is when the client received the first output, zero if it has not.
 	firstOutputAt kumquatlug.Millis
 	done          bool
+	// prefills counts the prefills of the prompt, calls the calls to engines; excluded are
+	// the engines that refused it.
+	prefills, calls int
+	excluded        []string
 	// abandoned says that the client timed out before the end of the response.
 	abandoned bool
 }
--- a/internal/experiment/swing/simulation.go
+++ b/internal/experiment/swing/simulation.go
@@ -7,6 +7,7 @@
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/coordinator"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/kvtransfer"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/planner"
 )
@@ -37,6 +38,10 @@
 	// tokens prefilled for prompts that were refused afterwards.
 	LimitExcess         float64
 	WastedPrefillTokens int
+	// Served is the fraction of the requests that received their whole response.
+	Served float64
+	// Transfers describes the KV transfers if the site has a transfer rate.
+	Transfers TransferResult
 }
 
 // Timing of gateways, messages and clients.
@@ -70,6 +75,7 @@
 	result       Result
 	limits       []Limit
 	limitSeenAt  map[gatewayEngine]kumquatlug.Millis
+	calls        *callLog
 }
 
 // Simulate simulates a load under a policy. The same arguments give the same result.
@@ -86,6 +92,7 @@
 		sim.tick(now, policy.Adaptive)
 	}
 	sim.result.LimitExcess = sim.maxExcess()
+	sim.result.Transfers = sim.calls.result(kumquatlug.Millis(len(load)) * intervalLength)
 	sim.result.summarize(requests, len(load))
 	return sim.result
 }
@@ -94,6 +101,7 @@
 	sim := &simulation{
 		config: config, gatewayIndex: map[string]int{}, engineByName: map[string]*engine{}, scheduled: map[kumquatlug.Millis][]func(kumquatlug.Millis){},
 		prefillShare: float64(policy.PrefillEngines) / float64(config.Engines), limits: policy.Limits, limitSeenAt: map[gatewayEngine]kumquatlug.Millis{},
+		calls: newCallLog(config),
 	}
 	policy.Split.BasePrefillShare = sim.prefillShare
 	sim.split = planner.NewAdaptiveSplit(policy.Split)
@@ -107,6 +115,9 @@
 	}
 	for i := range config.Gateways {
 		gatewayConfig := placement.Config{Zone: zoneName(i, config), Shares: newShares(i, config)}
+		if config.IgnoreTransfers {
+			gatewayConfig.Transfers = kvtransfer.Config{SlowMs: math.MaxFloat64, WasteFraction: math.MaxFloat64}
+		}
 		if config.Coordinated {
 			gatewayConfig.Coordinators = sim.newCoordinators(i)
 		}
@@ -210,9 +221,16 @@
 
 // arrive submits a request to its gateway.
 func (sim *simulation) arrive(now kumquatlug.Millis, r *request) {
+	sim.calls.recordArrival(now, r.gateway)
+	r.calls, r.prefills, r.excluded = 0, 0, nil
+	sim.submit(now, r, r.query())
+}
+
+// submit submits a prompt to the engines.
+func (sim *simulation) submit(now kumquatlug.Millis, r *request, q placement.Query) {
 	sim.lastKey++
 	placer := sim.gateways[r.gateway]
-	admission, choice, ticket := placer.Submit(now, sim.lastKey, r.query())
+	admission, choice, ticket := placer.Submit(now, sim.lastKey, q)
 	switch admission {
 	case placement.SubmissionSent:
 		sim.send(now, &attempt{request: r, gateway: r.gateway, ticket: ticket, prefillOnly: choice.PrefillOnly(), reservation: choice.Reservation()}, choice)
@@ -263,7 +281,14 @@
 	e := sim.engineByName[choice.Worker().ID()]
 	sim.schedule(now+choice.Delay(), func(at kumquatlug.Millis) {
 		sim.recordArrival(at, e, a)
+		sim.calls.recordCall(at, a)
 		if e.accept(a) {
+			sim.calls.recordPrefill(at, a)
+			sim.startTransfer(at, a, e)
+			return
+		}
+		if a.prefilled && sim.config.TransferTokensPerMs > 0 {
+			sim.cacheRefused(at, a, false)
 			return
 		}
 		sim.gateways[a.gateway].End(at, a.ticket, placement.OutcomeRefused)
@@ -275,6 +300,9 @@
 func (sim *simulation) recordFirstOutput(now kumquatlug.Millis, a *attempt) {
 	placer := sim.gateways[a.gateway]
 	sim.recordLimit(now, a)
+	if e := sim.engineByName[a.ticket.Worker()]; sim.config.TransferTokensPerMs > 0 {
+		placer.ReportLoad(now, a.ticket.Worker(), e.reportedLoad())
+	}
 	placer.PrefillDone(now, a.ticket)
 	placer.RecordOutput(now, a.ticket)
 	if a.request.firstOutputAt == 0 {
@@ -298,13 +326,14 @@
 	}
 	query := a.request.query()
 	query.CacheZone, query.Reservation = zoneName(engineIndex, sim.config), a.reservation
+	query.Cache = placement.KVCache{Engine: engineName(engineIndex), PrefilledTokens: a.prefillTokens}
 	choice, found := placer.ChooseDecode(now, query)
 	if !found {
 		sim.result.WastedPrefillTokens += a.request.uniqueTokens
 		sim.refuse(now, a.request)
 		return
 	}
-	sim.send(now, &attempt{request: a.request, gateway: a.gateway, ticket: placer.Begin(now, choice, a.request.prompt), prefilled: true}, choice)
+	sim.send(now, &attempt{request: a.request, gateway: a.gateway, ticket: placer.Begin(now, choice, a.request.prompt), prefilled: true, source: engineIndex, prefillTokens: a.prefillTokens}, choice)
 	sim.sendDue(now, a.gateway)
 }
 
@@ -362,45 +391,3 @@
 		target.waiting = append(target.waiting, a)
 	}
 }
-
-// summarize computes the delivered value from the outcome of all requests.
-func (r *Result) summarize(requests []*request, intervals int) {
-	offered, delivered := make([]float64, intervals), make([]float64, intervals)
-	var offeredByKind, deliveredByKind [2]float64
-	for _, request := range requests {
-		interval := int(request.arrivesAt / intervalLength)
-		kind := 0
-		if request.stream {
-			kind = 1
-		}
-		value := request.deliveredValue()
-		offered[interval] += request.value
-		delivered[interval] += value
-		offeredByKind[kind] += request.value
-		deliveredByKind[kind] += value
-	}
-	for i := range offered {
-		r.ValueByInterval = append(r.ValueByInterval, ratio(delivered[i], offered[i]))
-	}
-	r.Documents, r.Streams = ratio(deliveredByKind[0], offeredByKind[0]), ratio(deliveredByKind[1], offeredByKind[1])
-	r.Value = ratio(deliveredByKind[0]+deliveredByKind[1], offeredByKind[0]+offeredByKind[1])
-}
-
-// deliveredValue returns the delivered value of a request.
-func (r *request) deliveredValue() float64 {
-	switch {
-	case !r.done || r.firstOutputAt == 0:
-		return 0
-	case r.firstOutputAt-r.arrivesAt <= r.ttftTarget:
-		return r.value
-	}
-	return r.lateValue
-}
-
-// ratio returns part/whole, or NaN if whole is zero.
-func ratio(part, whole float64) float64 {
-	if whole == 0 {
-		return math.NaN()
-	}
-	return part / whole
-}
--- a/internal/experiment/swing/site.go
+++ b/internal/experiment/swing/site.go
@@ -4,12 +4,14 @@
 // themselves and computes which fraction of the offered value is delivered to clients, so
 // that changes can be evaluated without a site. [UpperBound] returns an upper bound of it.
 //
-// The simulation leaves out failures, KV transfers that take longer than a millisecond,
-// preemption (a request waits until memory for it is free), bytes, prices, and the CPU
-// time of gateways.
+// The simulation leaves out failures, preemption (a request waits until memory for it is
+// free), bytes, prices, and the CPU time of gateways. KV transfers take less than a
+// millisecond unless a rate is configured.
 package swing
 
-import "github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+import (
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
 
 // Arrivals is the number of requests of each kind that arrive within two seconds. Documents
 // have long prompts and short outputs, streams have short prompts and long outputs.
@@ -44,6 +46,17 @@
 	// of a role change.
 	EventTokens    int
 	RoleChangeTime kumquatlug.Millis
+	// TransferTokensPerMs is the rate at which an engine transfers KV caches within a data
+	// centre, in tokens per ms; zero if transfers take no time. With a rate, prompts that are
+	// prefilled at a decode engine are prefilled one after another between its decode steps.
+	TransferTokensPerMs float64
+	// IgnoreTransfers makes gateways choose engines as if transfers took no time, for
+	// comparison.
+	IgnoreTransfers bool
+	// RetryRatio and MinRetries limit the calls that are sent in addition to the first ones;
+	// see [retry.SharedBudgetConfig].
+	RetryRatio float64
+	MinRetries int
 	// PrefixChains is the number of chains of shared prompt parts.
 	PrefixChains int
 	// DocumentTTFTTarget and StreamTTFTTarget are the targets of the time to first output: a
@@ -65,6 +78,18 @@
 	return s
 }
 
+// UniformSite returns the parameters of the users' site with 44 engines in four data centres
+// and nine gateways, whose links between engines have this rate in Gbit/s. The cache of one
+// token has 18,432 bytes.
+func UniformSite(gigabits float64) SiteConfig {
+	s := BaseSite()
+	s.Engines, s.Zones, s.Gateways, s.Coordinated = 44, 4, 9, true
+	s.DocumentTTFTTarget, s.StreamTTFTTarget = 600, 250
+	s.TransferTokensPerMs = gigabits * 125_000 / 18_432
+	s.RetryRatio, s.MinRetries = 0.1, 20
+	return s
+}
+
 // BaseSite returns the parameters that the users' two sites have in common. The values of
 // late requests are those of Bogota.
 func BaseSite() SiteConfig {
