Run prompts on one engine after their KV cache could not be obtained

A decode engine that can't fetch a cache refuses the request. The gateway then prefilled the prompt on a separate engine again, up to four attempts, and a first prefill that was sent after a refusal was charged to the retry budget only once it had been refused as well.

The gateway now reports a refusal of a cache to the placement and follows its answer: another engine takes the cache, or the prompt runs on one engine, or it is prefilled again if the refusal had another cause; after two prefills the request is refused as not run (cache_unavailable). Engines that refused only because of the transfer may still run the prompt alone. Each repeat is charged before it is sent; the charge of a prefill that is accepted covers the decode request, so that the number of charges stays the same.

Ruled out: a refund of the budget for accepted prefills, since others may have been denied meanwhile.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -47,6 +47,7 @@
 	if target := f.route.LatencyTarget(); target > 0 {
 		q.FirstOutputDue = f.arrived - f.retryingFor + target
 	}
+	f.addTransferQuery(&q)
 	return q
 }
 
@@ -65,6 +66,7 @@
 		if attempt, choice, failed = f.confirmSlot(ctx, attempt, choice, false); failed != nil {
 			return failed
 		}
+		f.recovery.prefills++
 		return f.run(ctx, choice, attempt, kumquatlug.KVCacheRef{})
 	}
 	f.askSlot(choice)
@@ -75,6 +77,7 @@
 		return failed
 	}
 	f.cacheZone, f.reservation = choice.Zone(), choice.Reservation()
+	f.recovery.cache = placement.KVCache{Engine: choice.Worker().ID(), PrefilledTokens: choice.UncachedTokens()}
 	return f.decode(ctx, cache)
 }
 
@@ -95,8 +98,8 @@
 	failed = f.run(ctx, choice, attempt, cache)
 	switch {
 	case failed == nil || failed.failure.Execution() != kumquatlug.NotExecuted:
-	case failed.failure.Reason() == reasonWorkerRefused && !f.cacheReused:
-		f.refusedCache = cache
+	case failed.failure.Reason() == reasonWorkerRefused && f.recovery.next != "":
+		return f.recoverCache(failed, cache)
 	default:
 		f.g.releaseCache(cache)
 	}
@@ -148,8 +151,8 @@
 }
 
 // submitPrompt waits for a permit and returns the engine to which the prompt is sent.
-// The attempt may count as a retry: the first prefill on a separate engine does not, all
-// others do.
+// The attempt may count as a retry: the first prefill on a separate engine does not unless
+// another call was refused, all others do. Retries are charged before they are sent.
 func (f *inflight) submitPrompt(ctx context.Context) (*placement.Attempt, placement.Choice, *attemptFailure) {
 	if f.prefilled {
 		if failed := f.takeRetryBudget(); failed != nil {
@@ -157,10 +160,15 @@
 		}
 	}
 	attempt, choice, failed := f.awaitPermit(ctx)
-	if failed == nil && !f.prefilled && !choice.PrefillOnly() {
-		if failed = f.takeRetryBudget(); failed != nil {
-			f.endAttempt(stageOutput, attempt, placement.OutcomeNeutral)
-		}
+	if failed != nil || f.prefilled {
+		return attempt, choice, failed
+	}
+	s, charge := stageOutput, f.takeRetryBudget
+	if choice.PrefillOnly() {
+		s, charge = stagePrefill, f.chargeRepeatedPrefill
+	}
+	if failed = charge(); failed != nil {
+		f.endAttempt(s, attempt, placement.OutcomeNeutral)
 	}
 	return attempt, choice, failed
 }
@@ -248,6 +256,7 @@
 	if err != nil {
 		// The prompt may have been prefilled; the next prefill then counts as a retry.
 		f.prefilled = f.prefilled || kumquatlug.ExecutionOf(err) != kumquatlug.NotExecuted
+		f.recovery.repeatCharged = f.recovery.repeatCharged && !f.prefilled
 		// A prefill does not run the request, whatever its result.
 		failed := f.attemptFailed(stagePrefill, c, a, endCauseOf(ctx, call), err)
 		failed.failure = failed.failure.WithExecution(kumquatlug.NotExecuted)
@@ -255,11 +264,7 @@
 	}
 	f.recordWorkerStatus(c, a, response)
 	if response.Status() != http.StatusOK || cache.Handle() == "" {
-		if !f.prefilled && f.deliveries > 0 {
-			// It was sent as a first prefill, but counts as a retry because it was
-			// refused.
-			f.g.scheduler.noteRetry(f.g.c.Clock.Now(), f.service.Name())
-		}
+		f.recovery.repeatCharged = false
 		failed := f.attemptRefused(stagePrefill, c, a, response)
 		return cache, failed
 	}
@@ -267,6 +272,7 @@
 		f.deliveries++
 	}
 	f.prefilled = true
+	f.recovery.prefills++
 	f.timings.prefilledAt = f.g.c.Clock.Now()
 	f.endAttempt(stagePrefill, a, placement.OutcomeServed)
 	return cache, nil
@@ -371,6 +377,7 @@
 	}
 	f.recordWorkerStatus(c, a, response)
 	if response.Refused() {
+		f.recordRefusedCache(a, cache, response)
 		return f.attemptRefused(stageOutput, c, a, response)
 	}
 	f.deliveries++
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -43,6 +43,8 @@
 	// engine may take it. cacheReused is set once an engine has been sent such a cache.
 	refusedCache kumquatlug.KVCacheRef
 	cacheReused  bool
+	// recovery is what is kept about KV caches that could not be obtained.
+	recovery transferRecovery
 	// workerErrored is set if the worker responded to the last attempt with an error.
 	workerErrored bool
 	// usageCounted is set once the request has been counted as started.
@@ -170,6 +172,10 @@
 // takeRetryBudget takes one retry from the budget unless this is the first attempt to
 // reach a worker. It returns a failure if the budget is exhausted.
 func (f *inflight) takeRetryBudget() *attemptFailure {
+	if f.recovery.repeatCharged {
+		f.recovery.repeatCharged = false
+		return nil
+	}
 	if f.deliveries == 0 || f.g.scheduler.takeRetry(f.g.c.Clock.Now(), f.service.Name()) {
 		return nil
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -31,6 +31,8 @@
 	shuttingDown prometheus.Counter
 	// storeEra counts how often the store was restored from an older copy.
 	storeEra prometheus.Gauge
+	// kvTransfers counts transfers of KV caches, prefilledTokens the tokens prefilled.
+	kvTransfers, prefilledTokens *prometheus.CounterVec
 }
 
 // latencyBuckets are in seconds, from a response of an idle worker to the longest
@@ -93,6 +95,12 @@
 		storeEra: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "kumquatlug_gateway_store_era", Help: "How often the store came back from an older copy.",
 		}),
+		kvTransfers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kumquatlug_front_kv_transfers_total", Help: "Transfers of KV caches between engines by outcome, and those avoided.",
+		}, []string{"service", "outcome"}),
+		prefilledTokens: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kumquatlug_front_prefilled_tokens_total", Help: "Prompt tokens given to engines to prefill, and those wasted because a KV cache could not be obtained.",
+		}, []string{"service", "tokens"}),
 	}
 	r.MustRegister(m.collectors()...)
 	return m
@@ -103,6 +111,7 @@
 	return []prometheus.Collector{
 		m.responses, m.attempts, m.latency, m.storeReads, m.orders, m.unresponsive, m.configVersion, m.estimates, m.permits, m.denied,
 		m.fencingToken, m.usageReports, m.usageOpen, m.worstAccounts, m.limit, m.limitSent, m.shuttingDown, m.storeEra,
+		m.kvTransfers, m.prefilledTokens,
 	}
 }
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -157,6 +157,8 @@
 		// These are copied because a move runs in another goroutine.
 		q := f.placementQuery()
 		q.Exclude = append(slices.Clone(q.Exclude), a.worker())
+		// The cache is copied from the engine of the stream, not from where it was prefilled.
+		q.Cache = placement.KVCache{}
 		request := f.request
 		f.g.scheduler.onMove(f.service.Name(), a.attempt, func() { f.move(a, request, q) })
 	}
@@ -214,6 +216,7 @@
 	now := f.g.c.Clock.Now()
 	f.g.scheduler.prefillDone(now, f.service.Name(), a.attempt)
 	f.onFirstOutput()
+	f.recovery.prefills = 0
 	f.countUsage()
 	if f.responseStarted {
 		return
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -227,13 +227,6 @@
 	return sc.service(service).retryBudget.Allow(now)
 }
 
-// noteRetry records an attempt that turned out to be a retry.
-func (sc *scheduler) noteRetry(now kumquatlug.Millis, service string) {
-	sc.mu.Lock()
-	defer sc.mu.Unlock()
-	sc.service(service).retryBudget.RecordRetry(now)
-}
-
 // stage is the part of a request for which a worker is chosen.
 type stage string
 
--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -157,6 +157,7 @@
 func (f *inflight) askSlot(prefill placement.Choice) {
 	q := f.placementQuery()
 	q.CacheZone, q.Reservation = prefill.Zone(), prefill.Reservation()
+	q.Cache = placement.KVCache{Engine: prefill.Worker().ID(), PrefilledTokens: prefill.UncachedTokens()}
 	f.g.scheduler.withSlots(f.service.Name(), func(p *placement.Placer) { f.slotAsk = p.AskSlot(f.g.c.Clock.Now(), q) })
 }
 
--- a/pkg/kumquatlug/placement/attempt.go
+++ b/pkg/kumquatlug/placement/attempt.go
@@ -51,6 +51,10 @@
 // Worker returns the worker's name.
 func (t *Attempt) Worker() string { return t.id }
 
+// TransferFailed reports whether the worker refused the attempt only because of the transfer
+// of its KV cache.
+func (t *Attempt) TransferFailed() bool { return t.transferFailed }
+
 // Outcome is how an attempt ended, as far as that concerns the worker.
 type Outcome string
 
--- a/pkg/kumquatlug/placement/choose.go
+++ b/pkg/kumquatlug/placement/choose.go
@@ -79,6 +79,9 @@
 // be chosen for decoding.
 func (c Choice) PrefillOnly() bool { return c.prefillOnly }
 
+// UncachedTokens returns the number of tokens that the worker is expected to prefill.
+func (c Choice) UncachedTokens() int { return int(c.uncachedTokens) }
+
 // Wait returns the expected time until the first output.
 func (c Choice) Wait() kumquatlug.Millis { return kumquatlug.Millis(c.waitMs) }
 
--- a/pkg/kumquatlug/placement/slots.go
+++ b/pkg/kumquatlug/placement/slots.go
@@ -360,10 +360,10 @@
 	}
 	w, known := p.workers[c.worker.ID()]
 	switch {
-	case known && a.cached:
+	case known && a.cached && found:
 		c.transfer = p.transferTo(now, w, a.query)
 		c.waitMs += c.transfer.expectedMs
-	case known:
+	case known && !a.cached:
 		c.uncachedTokens = p.uncachedTokens(now, w, a.query.Prompt, false)
 		c.effectiveTokens = p.effectiveTokens(c.uncachedTokens, a.query.Prompt)
 		c.waitMs += c.effectiveTokens / (p.prefillRate() * p.config.MixedPrefillFraction)
--- a/pkg/kumquatlug/placement/transfers.go
+++ b/pkg/kumquatlug/placement/transfers.go
@@ -220,6 +220,8 @@
 	RecoverAtOtherEngine CacheRecovery = "other_engine"
 	// RecoverOnOneEngine: the prompt runs on one engine, which prefills it again.
 	RecoverOnOneEngine CacheRecovery = "one_engine"
+	// RecoverByPrefill: the prompt is prefilled again anywhere.
+	RecoverByPrefill CacheRecovery = "prefill"
 	// RecoverNot: the prompt has been prefilled twice, and the request is refused.
 	RecoverNot CacheRecovery = "refuse"
 )
@@ -255,10 +257,13 @@
 		}
 	}
 	p.transfers.AddWasted(now, plan.prefilledTokens)
-	if r.Prefills >= maxPrefillsPerRequest {
+	switch {
+	case r.Prefills >= maxPrefillsPerRequest:
 		return RecoverNot
+	case r.TransferFailed:
+		return RecoverOnOneEngine
 	}
-	return RecoverOnOneEngine
+	return RecoverByPrefill
 }
 
 // maxPrefillsPerRequest is how often a prompt is prefilled if its cache can't be obtained.
--- a/pkg/kumquatlug/placement/transfers_test.go
+++ b/pkg/kumquatlug/placement/transfers_test.go
@@ -159,6 +159,7 @@
 		a := decodeElsewhere(t, p, kumquatlug.Millis(i*1000), i, 0)
 		p.End(kumquatlug.Millis(i*1000+10), a, o)
 	}
+	p.withdraw(5000, decodeElsewhere(t, p, 5000, 9, 0))
 	path := kvtransfer.Path{Source: "r0", SourceZone: "a", Target: "g0", TargetZone: "a"}
 	if ahead := p.transfers.Begin(path, 1); ahead != 0 {
 		t.Errorf("%.0f tokens pending", ahead)
