Let gateways with high-bandwidth links coordinate engines and hold the lease

Permits of a coordinator with a link of 10 Mbit/s wait behind request bodies, and with them the engines; 17 of 29 gateways of a site coordinated 59% of the engines over such links. The gateways that accept handed-off requests and have no narrow link are now preferred as coordinators, evenly by rendezvous; others coordinate only if none of them can be reached. A gateway with a narrow link takes the lease only when no preferred one can be reached, from three seconds after its start on.

Where all links are alike, the same coordinators are chosen as before.

--- a/internal/gateway/controller.go
+++ b/internal/gateway/controller.go
@@ -103,7 +103,8 @@
 			// Stop acting on the lease before it may be released.
 			g.term.Store(nil)
 		}
-		holder.SetWanted(!g.shuttingDown())
+		_, held := holder.Held(g.c.BootClock.Now())
+		holder.SetWanted(!g.shuttingDown() && g.wantsLease(held))
 		holder.SetPollInterval(leaseRenewInterval * kumquatlug.Millis(min(g.scheduler.gatewayCount(), maxLeasePollers)) / leasePollersPerRenewal)
 		v.maintainLease(ctx)
 		term := holder.Term(g.c.BootClock.Now())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -144,6 +144,8 @@
 	// exitAt is when this gateway exits, zero while it is not shutting down.
 	exitAt   atomic.Int64
 	inFlight atomic.Int64
+	// startedAt is when the gateway was created, by Clock.
+	startedAt kumquatlug.Millis
 	// configConfirmedAt is when the store last confirmed the config in force, by BootClock.
 	configConfirmedAt atomic.Int64
 	// adoptMu is held while a config is applied. configFetch gets configs from peer
@@ -178,6 +180,7 @@
 		handoffs: newHandoffs(c),
 	}
 	g.scheduler.slots.outcomes = newSlotMetrics(c.Registry)
+	g.startedAt = c.Clock.Now()
 	g.members.Store(&memberSet{})
 	g.usage.counter = usage.NewCounter(c.UsageWindows)
 	if c.HandoffListener != nil {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -41,9 +41,58 @@
 	if g.handoffs.active {
 		g.handoffs.setPeers(g.c.Peers.HandoffPeers(), restarted)
 	}
+	g.scheduler.setPreferredPeers(g.preferredGateways())
 	g.c.Logger.Info("fronts met", zap.Int("rows", len(rows)), zap.Int("there", len(reachable)))
 }
 
+// minPreferredLinkBytesPerMs is the rate of a link on which messages don't wait noticeably
+// behind request bodies: a typical body takes less than 2 ms.
+const minPreferredLinkBytesPerMs = 5000.0
+
+// preferredGateways returns the gateways that do the work for all: those that accept
+// handed-off requests and have no low-bandwidth link.
+func (g *Gateway) preferredGateways() []string {
+	var names []string
+	peers := g.c.Peers.HandoffPeers()
+	if g.c.HandoffListener != nil {
+		peers = append(peers, kumquatlug.HandoffPeer{Name: g.c.Name, LinkBytesPerMs: g.c.LinkBytesPerMs})
+	}
+	for _, p := range peers {
+		if p.LinkBytesPerMs == 0 || p.LinkBytesPerMs >= minPreferredLinkBytesPerMs {
+			names = append(names, p.Name)
+		}
+	}
+	return names
+}
+
+// leaseDelay is how long after its start a gateway that is not preferred leaves the lease to
+// others: the rows of its peers are read within that time.
+const leaseDelay = 3 * kumquatlug.Second
+
+// wantsLease reports whether this gateway takes the lease for the work of all gateways. One that
+// holds it keeps it, since a change of hands delays orders by seconds.
+func (g *Gateway) wantsLease(held bool) bool {
+	low := g.c.LinkBytesPerMs > 0 && g.c.LinkBytesPerMs < minPreferredLinkBytesPerMs
+	if !low || held {
+		return true
+	}
+	now := g.c.Clock.Now()
+	return now-g.startedAt >= leaseDelay && !g.scheduler.yields(now)
+}
+
+func (sc *scheduler) setPreferredPeers(names []string) {
+	sc.mu.Lock()
+	defer sc.unlockAndSend()
+	sc.coordinators.SetPreferred(names)
+}
+
+// yields reports whether a preferred gateway can be reached and this one is not preferred.
+func (sc *scheduler) yields(now kumquatlug.Millis) bool {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	return sc.coordinators != nil && sc.coordinators.Yields(now)
+}
+
 // stopCoordinating hands the coordination of engines over to the other gateways.
 func (g *Gateway) stopCoordinating() {
 	if g.c.Peers == nil {
--- a/pkg/kumquatlug/coordinator/coordinator.go
+++ b/pkg/kumquatlug/coordinator/coordinator.go
@@ -17,6 +17,7 @@
 package coordinator
 
 import (
+	"maps"
 	"math"
 
 	"github.com/cespare/xxhash/v2"
@@ -43,6 +44,9 @@
 type Gateways struct {
 	self     string
 	gateways map[string]*peerState
+	// preferred are the gateways with high-bandwidth links. Others coordinate only if none of
+	// them is reachable.
+	preferred map[string]bool
 	// shuttingDown reports that this gateway must not coordinate any engine.
 	shuttingDown bool
 	// cache holds the coordinators by engine. It is valid until cacheValidUntil, and cleared
@@ -103,6 +107,33 @@
 	f.clearCache()
 }
 
+// SetPreferred replaces the gateways that coordinate before others. On a low-bandwidth link a
+// permit waits behind request bodies, and with it the engine.
+func (f *Gateways) SetPreferred(names []string) {
+	preferred := make(map[string]bool, len(names))
+	for _, name := range names {
+		preferred[name] = true
+	}
+	if !maps.Equal(preferred, f.preferred) {
+		f.preferred = preferred
+		f.clearCache()
+	}
+}
+
+// Yields reports whether this gateway leaves tasks for all gateways to others: it is not
+// preferred, and one that is can be reached.
+func (f *Gateways) Yields(now kumquatlug.Millis) bool {
+	if f.preferred[f.self] {
+		return false
+	}
+	for name, peer := range f.gateways {
+		if f.preferred[name] && !peer.excluded && now >= peer.backoffUntil {
+			return true
+		}
+	}
+	return false
+}
+
 func newPeerState(name string) *peerState { return &peerState{hash: xxhash.Sum64String(name)} }
 
 // Add adds a gateway that announced itself.
@@ -210,13 +241,14 @@
 		return ""
 	}
 	key := xxhash.Sum64String(engine)
-	coordinator, highest := "", uint64(0)
+	coordinator, highest, preferred := "", uint64(0), false
 	for name, peer := range f.gateways {
-		if peer.excluded || now < peer.backoffUntil || name == f.self && f.shuttingDown {
+		if peer.excluded || now < peer.backoffUntil || name == f.self && f.shuttingDown || preferred && !f.preferred[name] {
 			continue
 		}
-		if h := rendezvous.Mix(key ^ peer.hash); coordinator == "" || h > highest {
-			coordinator, highest = name, h
+		h := rendezvous.Mix(key ^ peer.hash)
+		if coordinator == "" || f.preferred[name] && !preferred || h > highest {
+			coordinator, highest, preferred = name, h, f.preferred[name]
 		}
 	}
 	return coordinator
--- a/pkg/kumquatlug/coordinator/coordinator_test.go
+++ b/pkg/kumquatlug/coordinator/coordinator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
@@ -169,3 +170,40 @@
 		t.Error("changes are returned twice")
 	}
 }
+
+// A permit of a coordinator with a low-bandwidth link waits behind request bodies. Gateways with
+// high-bandwidth links must coordinate all engines, evenly, and all gateways must agree; the
+// others coordinate when none of them can be reached.
+func TestHighBandwidthGatewaysCoordinate(t *testing.T) {
+	preferred := gatewayNames(6)
+	known := map[string]*Gateways{}
+	for _, self := range gatewayNames(gatewayCount) {
+		known[self] = newWithAllGateways(self)
+		known[self].SetPreferred(preferred)
+		if known[self].Yields(0) == slices.Contains(preferred, self) {
+			t.Errorf("%s: wrong result of Yields", self)
+		}
+	}
+	counts := map[string]int{}
+	for i := range engineCount {
+		coordinator := known["front-0"].Coordinator(0, engineName(i))
+		counts[coordinator]++
+		for self, f := range known {
+			if got := f.Coordinator(0, engineName(i)); got != coordinator {
+				t.Fatalf("%s chooses %s for %s, want %s", self, got, engineName(i), coordinator)
+			}
+		}
+	}
+	for _, name := range preferred {
+		if counts[name] < engineCount/20 {
+			t.Errorf("%s coordinates %d of %d engines", name, counts[name], engineCount)
+		}
+		known["front-20"].PeerTimedOut(10, name)
+	}
+	if len(counts) != len(preferred) {
+		t.Errorf("coordinators: %v", counts)
+	}
+	if c := known["front-20"].Coordinator(20, engineName(1)); c == "" || slices.Contains(preferred, c) || known["front-20"].Yields(20) {
+		t.Errorf("coordinator %q without a reachable preferred gateway", c)
+	}
+}
--- a/pkg/kumquatlug/kvtransfer/kvtransfer.go
+++ b/pkg/kumquatlug/kvtransfer/kvtransfer.go
@@ -9,8 +9,9 @@
 //
 // Samples come from responses only: the time until the first output of a request whose cache
 // another engine holds, and refusals. They are kept per token, for each pair of data centres
-// and for each engine as a source and as a target. An estimate is the median of the recent
-// samples, so that one slow engine does not make its whole data centre look slow. Samples
+// and for each engine as a source and as a target. An estimate is a low quantile of the
+// recent samples, so that neither one slow engine nor a load that delays first outputs makes a
+// path look slow: prompts that run on one engine because of it would add to that load. Samples
 // lose half of their weight every three seconds; while transfers are avoided, one probe per
 // second shows when they have become fast again.
 //
@@ -216,7 +217,9 @@
 		return
 	case slow:
 		e.stats.Slow++
-		e.markSlow(now)
+		if e.Relevant(now) {
+			e.lastSlowAt = now
+		}
 	default:
 		e.stats.Fast++
 	}
--- a/pkg/kumquatlug/kvtransfer/track.go
+++ b/pkg/kumquatlug/kvtransfer/track.go
@@ -9,11 +9,17 @@
 )
 
 const (
-	// trackSamples is the number of samples over which a median is taken.
+	// trackSamples is the number of samples over which the quantile is taken.
 	trackSamples = 12
-	// minWeight is the weight of samples from which on they count: one fresh sample alone
-	// may be the effect of another delay.
-	minWeight = 1.2
+	// lowQuantile is the quantile of the samples that counts as the time of a transfer. Queues,
+	// prefills beside it and the gateway's own link lengthen a sample, and nothing shortens it:
+	// at an overloaded engine most samples are long, on a slow path all are.
+	lowQuantile = 0.15
+	// minWeight is the weight of samples from which on they count: a few fresh samples may
+	// be the effect of another delay.
+	minWeight = 3.0
+	// minFailureWeight is the same for failures, which have no other cause.
+	minFailureWeight = 1.2
 	// maxAttempts bounds the weight of earlier transfers in the fraction that fails, so that
 	// it falls below a tenth after some nine successful probes.
 	maxAttempts = 4.0
@@ -23,9 +29,9 @@
 type track struct {
 	samples []trackSample
 	next    int
-	// median is the weighted median of the samples. Their weights decay alike, so that it
+	// low is the weighted lowQuantile of the samples. Their weights decay alike, so that it
 	// changes only with a new sample. weight is their total weight at lastAt.
-	median, weight float64
+	low, weight float64
 	// failures and attempts are decaying counts as of lastAt.
 	failures, attempts float64
 	lastAt             kumquatlug.Millis
@@ -54,7 +60,7 @@
 	}
 	if failed {
 		t.failures++
-		t.failuresKnown = t.failuresKnown || t.failures >= minWeight
+		t.failuresKnown = t.failuresKnown || t.failures >= minFailureWeight
 		return
 	}
 	s := trackSample{at: now, perToken: perToken}
@@ -64,12 +70,12 @@
 		t.samples[t.next] = s
 		t.next = (t.next + 1) % trackSamples
 	}
-	t.updateMedian(now, halfLife)
+	t.updateLow(now, halfLife)
 	t.timeKnown = t.timeKnown || t.weight >= minWeight
 }
 
-// updateMedian computes the median and the weight of the samples.
-func (t *track) updateMedian(now, halfLife kumquatlug.Millis) {
+// updateLow computes the quantile and the weight of the samples.
+func (t *track) updateLow(now, halfLife kumquatlug.Millis) {
 	var sorted [trackSamples]trackSample
 	n := copy(sorted[:], t.samples)
 	slices.SortFunc(sorted[:n], func(a, b trackSample) int { return cmp.Compare(a.perToken, b.perToken) })
@@ -80,8 +86,8 @@
 	sum := 0.0
 	for _, s := range sorted[:n] {
 		sum += decay(now, s.at, halfLife)
-		if sum >= t.weight/2 {
-			t.median = s.perToken
+		if sum >= t.weight*lowQuantile {
+			t.low = s.perToken
 			return
 		}
 	}
@@ -93,7 +99,7 @@
 	if !t.timeKnown {
 		return 0
 	}
-	return t.median
+	return t.low
 }
 
 // rate returns the time per token in milliseconds, or fallback without enough samples.
@@ -101,13 +107,13 @@
 	if t.weight*decay(now, t.lastAt, halfLife) < minWeight {
 		return fallback
 	}
-	return t.median
+	return t.low
 }
 
 // failureFraction returns the fraction of transfers that fail, zero while it is low, or
 // fallback without enough recent ones.
 func (t *track) failureFraction(now, halfLife kumquatlug.Millis, fallback float64) float64 {
-	if t.attempts*decay(now, t.lastAt, halfLife) < minWeight {
+	if t.attempts*decay(now, t.lastAt, halfLife) < minFailureWeight {
 		return fallback
 	}
 	return t.lastFailureFraction()
--- a/pkg/kumquatlug/placement/transfers.go
+++ b/pkg/kumquatlug/placement/transfers.go
@@ -147,10 +147,10 @@
 	t.transfer.aheadTokens = p.transfers.Begin(plan.path, plan.tokens)
 }
 
-// waitsForCapacity reports whether a request may have to wait for a slot or memory at w. The
-// time until its first output then does not show how long its transfer took.
+// waitsForCapacity reports whether a request may have to wait for a slot, memory or a prefill at
+// w. The time until its first output then does not show how long its transfer took.
 func (p *Placer) waitsForCapacity(now kumquatlug.Millis, w *worker) bool {
-	if w.slotsTaken || float64(w.running)+p.otherRequestsAt(now, w) > float64(w.member.Slots) {
+	if w.slotsTaken || w.prefillTokens > smallPrefillTokens || float64(w.running)+p.otherRequestsAt(now, w) > float64(w.member.Slots) {
 		return true
 	}
 	return p.kvCapacityTokens > 0 && w.kvTokens+p.otherRequestsAt(now, w)*p.meanKVTokens > kvFillFraction*p.kvCapacityTokens
