gateway: count a prefill of a refused cache only when it was accepted

A prompt that one engine was to prefill and decode counted as prefilled before the call, also if the engine refused it. The next refused cache then ended the request after a single prefill. It is now counted when the engine has accepted it.

The checks of the test are unchanged.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -66,7 +66,6 @@
 		if attempt, choice, failed = f.confirmSlot(ctx, attempt, choice, false); failed != nil {
 			return failed
 		}
-		f.recovery.prefills++
 		return f.run(ctx, choice, attempt, kumquatlug.KVCacheRef{})
 	}
 	f.askSlot(choice)
@@ -380,6 +379,9 @@
 		f.recordRefusedCache(a, cache, response)
 		return f.attemptRefused(stageOutput, c, a, response)
 	}
+	if cache.Handle() == "" {
+		f.recovery.prefills++
+	}
 	f.deliveries++
 	return f.relay(&relayedAttempt{requestCtx: ctx, attemptCtx: call, choice: c, attempt: a, response: response})
 }
--- a/internal/gateway/kvtransfer_test.go
+++ b/internal/gateway/kvtransfer_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	"go.uber.org/zap"
@@ -60,6 +61,12 @@
 			Status: http.StatusMisdirectedRequest, Body: io.NopCloser(strings.NewReader("")), Refused: true,
 		}), nil
 	}}
+	// A prefill takes its usual time. With the time of a call to the fake, the engines would look
+	// so fast that the second prefill may be at the engine that decodes.
+	w.prefill = func(context.Context, int, workerCall) (kumquatlug.KVCacheRef, kumquatlug.WorkerResponse, error) {
+		<-time.After(40 * time.Millisecond)
+		return kumquatlug.NewKVCacheRef("10.0.0.1:1", "h"), wholeResponse(200, ""), nil
+	}
 	f := newTestGateway(t, w, manyRetries)
 	f.g.scheduler.syncMembers(f.g.c.Clock.Now(), map[string][]kumquatlug.Member{"engines": {
 		member("p1", kumquatlug.RolePrefill), member("p2", kumquatlug.RolePrefill), member("d1", kumquatlug.RoleDecode),
