Let times of KV transfers count only after transfers have failed

Cause: at the first peak first outputs were late, two such samples made transfers look slow, and prompts ran on one engine, where their prefills delayed the streams, so that transfers looked slower still: 170 paths counted as slow.

A new test replays late outputs without failures. The tests of slow transfers first record failures.

--- a/pkg/kumquatlug/kvtransfer/kvtransfer.go
+++ b/pkg/kumquatlug/kvtransfer/kvtransfer.go
@@ -63,8 +63,8 @@
 	// minFailureFraction is the fraction of failed transfers from which on failures count.
 	// Single refusals also occur when an engine changes its role.
 	minFailureFraction = 0.1
-	// slowMemory is how long after the last slow or failed transfer the samples are
-	// consulted, in half-lives. Later their weight is below a thousandth.
+	// slowMemory is how long after the last failed transfer the samples are consulted, in
+	// half-lives. Later their weight is below a thousandth.
 	slowMemory = 10
 	// recoveredFraction is the fraction of SlowMs below which a slow pair of data centres
 	// counts as fast again.
@@ -130,13 +130,13 @@
 	sources, targets map[string]*track
 	pending          map[string]float64
 	meanTokens       float64
-	// lastSlowAt is when a transfer was last slow or failed.
-	lastSlowAt kumquatlug.Millis
-	anySlow    bool
-	lastProbe  kumquatlug.Millis
-	prunedAt   kumquatlug.Millis
-	waste      *wasteWindow
-	stats      Stats
+	// lastFailedAt is when a transfer last failed, or was slow while transfers failed recently.
+	lastFailedAt kumquatlug.Millis
+	anyFailed    bool
+	lastProbe    kumquatlug.Millis
+	prunedAt     kumquatlug.Millis
+	waste        *wasteWindow
+	stats        Stats
 }
 
 // pairTrack is the estimate of a pair of data centres. slow is its state as last reported
@@ -169,10 +169,12 @@
 // Stats returns the counts of events.
 func (e *Estimator) Stats() Stats { return e.stats }
 
-// Relevant reports whether any transfer was slow or failed recently. If not, all expected
-// times are zero.
+// Relevant reports whether transfers failed recently. If not, all expected times are zero: a
+// first output may be late for many reasons, and prompts that run on one engine because of it
+// delay the streams there, which would make transfers look slower still. Transfers that can't
+// keep up are refused by the engines, which has no other cause.
 func (e *Estimator) Relevant(now kumquatlug.Millis) bool {
-	return e.anySlow && now-e.lastSlowAt <= slowMemory*e.config.HalfLife
+	return e.anyFailed && now-e.lastFailedAt <= slowMemory*e.config.HalfLife
 }
 
 // Slow reports whether a transfer of so many milliseconds counts as slow.
@@ -218,7 +220,7 @@
 	case slow:
 		e.stats.Slow++
 		if e.Relevant(now) {
-			e.lastSlowAt = now
+			e.lastFailedAt = now
 		}
 	default:
 		e.stats.Fast++
@@ -229,16 +231,15 @@
 // Fail records a transfer that could not be carried out.
 func (e *Estimator) Fail(now kumquatlug.Millis, p Path) {
 	e.stats.Failed++
-	e.markSlow(now)
-	e.add(now, p, 0, true)
-}
-
-func (e *Estimator) markSlow(now kumquatlug.Millis) {
-	if !e.Relevant(now) {
+	relevant := e.Relevant(now)
+	if !relevant {
 		// What was slow earlier says nothing about now.
-		e.all.timeKnown, e.all.failuresKnown = false, false
+		e.all.timeKnown = false
+	}
+	e.add(now, p, 0, true)
+	if relevant || e.all.failuresKnown {
+		e.anyFailed, e.lastFailedAt = true, now
 	}
-	e.anySlow, e.lastSlowAt = true, now
 }
 
 // add adds a sample to the estimates that it belongs to.
--- a/pkg/kumquatlug/kvtransfer/kvtransfer_test.go
+++ b/pkg/kumquatlug/kvtransfer/kvtransfer_test.go
@@ -22,6 +22,28 @@
 	}
 }
 
+// failedRecently makes times count, as after failures of other transfers.
+func failedRecently(e *Estimator, now kumquatlug.Millis) { e.anyFailed, e.lastFailedAt = true, now }
+
+// At the peak of a load every first output is late, whatever its transfer took. Prompts that
+// then run on one engine delay the streams there further, until hardly any is served in time.
+// Without failures, late outputs must change nothing.
+func TestLateOutputsAloneCostNothing(t *testing.T) {
+	e := New(Config{})
+	for now := kumquatlug.Millis(0); now < 5000; now += 50 {
+		observe(e, now, 3, func(Path) float64 { return 600 })
+		if ms := e.Expected(now, path(0, 1), 9000); ms != 0 {
+			t.Fatalf("expected %.0f ms at %d", ms, now)
+		}
+	}
+	for range 2 {
+		e.Fail(5000, path(0, 1))
+	}
+	if ms := e.Expected(5000, path(0, 1), 9000); ms < 500 {
+		t.Errorf("expected %.0f ms after failures", ms)
+	}
+}
+
 // Usual transfers, and a single late first output among them, must cost nothing: otherwise
 // prompts would leave their owners for no reason.
 func TestFastTransfersCostNothing(t *testing.T) {
@@ -41,6 +63,7 @@
 // must be known before the first one is sent there.
 func TestUnknownPairIsEstimatedFromOthers(t *testing.T) {
 	e := New(Config{})
+	failedRecently(e, 0)
 	observe(e, 0, 2, func(Path) float64 { return 66 })
 	across := Path{Source: "p9", SourceZone: "a", Target: "d9", TargetZone: "b"}
 	if ms := e.Expected(100, across, 9000); ms < 120 || ms > 145 {
@@ -52,6 +75,7 @@
 // prompt would be decoded elsewhere.
 func TestSlowEngineAffectsItsOwnPathsOnly(t *testing.T) {
 	e := New(Config{})
+	failedRecently(e, 0)
 	for now := kumquatlug.Millis(0); now < 2000; now += 100 {
 		observe(e, now, 5, func(p Path) float64 {
 			if p.Target == "d0" {
@@ -71,6 +95,7 @@
 func TestProbesFindRecovery(t *testing.T) {
 	for _, fails := range []bool{false, true} {
 		e := New(Config{})
+		failedRecently(e, 0)
 		e.AddPrefilled(0, 1e9)
 		send := func(now kumquatlug.Millis, slow bool) {
 			switch {
@@ -126,6 +151,7 @@
 // would go to the engine that was fast last.
 func TestPendingTransfersAreAhead(t *testing.T) {
 	e := New(Config{})
+	failedRecently(e, 0)
 	observe(e, 0, 2, func(Path) float64 { return 66 })
 	free := e.Expected(0, path(0, 0), 9000)
 	e.Begin(path(1, 0), 9000)
@@ -143,6 +169,7 @@
 func TestWasteIsBoundedInWindow(t *testing.T) {
 	e := New(Config{})
 	e.Fail(0, path(0, 0))
+	e.Fail(0, path(0, 0))
 	e.AddPrefilled(0, 100_000)
 	e.AddWasted(0, 9000)
 	if e.WasteExceeded(0) {
@@ -164,6 +191,7 @@
 // recover, once each.
 func TestChangesAreReportedOnce(t *testing.T) {
 	e := New(Config{})
+	failedRecently(e, 0)
 	for now := range kumquatlug.Millis(10) {
 		observe(e, now, 2, func(Path) float64 { return 66 })
 	}
--- a/pkg/kumquatlug/placement/queue.go
+++ b/pkg/kumquatlug/placement/queue.go
@@ -122,17 +122,7 @@
 		return SubmissionQueued, c, nil
 	}
 	if !c.prefillOnly || len(w.queue) == 0 && p.hasCapacity(now, w) {
-		if c.Wait() >= q.timeLeft(now) && !q.ResponseStarted {
-			if c.prefillOnly {
-				p.averages.latePrompts++
-			}
-			return SubmissionRefused, c, nil
-		}
-		if c.prefillOnly {
-			p.reserve(now, w, c)
-			p.addLoad(now, w, queued)
-		}
-		return SubmissionSent, c, p.Begin(now, c, q.Prompt)
+		return p.submitNow(now, w, queued, c)
 	}
 	if p.coordinates(now, w) && p.divert(now, w, queued, p.expectedQueueMs(now, w, queued)) {
 		return p.submit(now, queued)
@@ -145,6 +135,22 @@
 	return SubmissionQueued, c, nil
 }
 
+// submitNow sends a prompt to an engine that has capacity, unless its client would give up
+// first.
+func (p *Placer) submitNow(now kumquatlug.Millis, w *worker, queued *queuedPrompt, c Choice) (Submission, Choice, *Attempt) {
+	if q := queued.query; c.Wait() >= q.timeLeft(now) && !q.ResponseStarted {
+		if c.prefillOnly {
+			p.averages.latePrompts++
+		}
+		return SubmissionRefused, c, nil
+	}
+	if c.prefillOnly {
+		p.reserve(now, w, c)
+		p.addLoad(now, w, queued)
+	}
+	return SubmissionSent, c, p.Begin(now, c, queued.query.Prompt)
+}
+
 // enqueue inserts a prompt into a queue: those that can be in time by density, then the
 // late ones by age. The engine has less time than all of them need, and in order of age
 // a prompt of 30,000 tokens would make ten others late.
--- a/pkg/kumquatlug/placement/transfers_test.go
+++ b/pkg/kumquatlug/placement/transfers_test.go
@@ -32,6 +32,12 @@
 	t.Helper()
 	p := New(Config{Zone: "a"})
 	p.Sync(0, members)
+	if ms > 1000 {
+		// Engines refuse some of the transfers that take so long.
+		for range 2 {
+			p.transfers.Fail(0, kvtransfer.Path{Source: "r1", SourceZone: "a", Target: "g1", TargetZone: "a"})
+		}
+	}
 	for i := range 12 {
 		decodeElsewhere(t, p, 0, i, ms)
 	}
@@ -80,6 +86,9 @@
 	members := append(engines(1, 1), member("far", "b", kumquatlug.RoleDecode, 64))
 	p := New(Config{Zone: "b"})
 	p.Sync(0, members)
+	for range 2 {
+		p.transfers.Fail(0, kvtransfer.Path{Source: "r0", SourceZone: "a", Target: "far", TargetZone: "b"})
+	}
 	for i := range 10 {
 		for target, zone := range map[string]string{"g0": "a", "far": "b"} {
 			path := kvtransfer.Path{Source: "r0", SourceZone: "a", Target: target, TargetZone: zone}
@@ -137,7 +146,9 @@
 func TestWasteBoundEndsSeparatePrefills(t *testing.T) {
 	p := New(Config{Zone: "a"})
 	p.Sync(0, engines(2, 1))
-	p.transfers.Fail(0, kvtransfer.Path{Source: "r0", SourceZone: "a", Target: "g0", TargetZone: "a"})
+	for range 2 {
+		p.transfers.Fail(0, kvtransfer.Path{Source: "r0", SourceZone: "a", Target: "g0", TargetZone: "a"})
+	}
 	p.transfers.AddPrefilled(0, 9000)
 	p.transfers.AddWasted(0, 9000)
 	for i := range 30 {
