Let times of KV transfers count only after a quarter of them failed

Two failures were not enough: engines that change their role or restart refuse a few caches without saying why.

--- a/pkg/kumquatlug/kvtransfer/kvtransfer.go
+++ b/pkg/kumquatlug/kvtransfer/kvtransfer.go
@@ -66,6 +66,12 @@
 	// slowMemory is how long after the last failed transfer the samples are consulted, in
 	// half-lives. Later their weight is below a thousandth.
 	slowMemory = 10
+	// minRecentFailed is the number of failed transfers, minRecentFraction their fraction, over
+	// the last recentHalfLife, from which on times count. Engines that change their role or
+	// restart refuse a few percent of the caches without saying why.
+	minRecentFailed   = 3.0
+	minRecentFraction = 0.25
+	recentHalfLife    = 1 * kumquatlug.Second
 	// recoveredFraction is the fraction of SlowMs below which a slow pair of data centres
 	// counts as fast again.
 	recoveredFraction = 0.5
@@ -133,10 +139,14 @@
 	// lastFailedAt is when a transfer last failed, or was slow while transfers failed recently.
 	lastFailedAt kumquatlug.Millis
 	anyFailed    bool
-	lastProbe    kumquatlug.Millis
-	prunedAt     kumquatlug.Millis
-	waste        *wasteWindow
-	stats        Stats
+	// recentAll and recentFailed are decaying counts of all transfers and of failed ones, as
+	// of recentAt.
+	recentAll, recentFailed float64
+	recentAt                kumquatlug.Millis
+	lastProbe               kumquatlug.Millis
+	prunedAt                kumquatlug.Millis
+	waste                   *wasteWindow
+	stats                   Stats
 }
 
 // pairTrack is the estimate of a pair of data centres. slow is its state as last reported
@@ -169,7 +179,7 @@
 // Stats returns the counts of events.
 func (e *Estimator) Stats() Stats { return e.stats }
 
-// Relevant reports whether transfers failed recently. If not, all expected times are zero: a
+// Relevant reports whether a quarter of the transfers failed recently. If not, all expected times are zero: a
 // first output may be late for many reasons, and prompts that run on one engine because of it
 // delay the streams there, which would make transfers look slower still. Transfers that can't
 // keep up are refused by the engines, which has no other cause.
@@ -225,6 +235,7 @@
 	default:
 		e.stats.Fast++
 	}
+	e.countRecent(now)
 	e.add(now, s.Path, perToken, false)
 }
 
@@ -237,11 +248,19 @@
 		e.all.timeKnown = false
 	}
 	e.add(now, p, 0, true)
-	if relevant || e.all.failuresKnown {
+	e.countRecent(now)
+	e.recentFailed++
+	if relevant || e.recentFailed >= minRecentFailed && e.recentFailed >= minRecentFraction*e.recentAll {
 		e.anyFailed, e.lastFailedAt = true, now
 	}
 }
 
+// countRecent counts a transfer that ended.
+func (e *Estimator) countRecent(now kumquatlug.Millis) {
+	kept := decay(now, e.recentAt, recentHalfLife)
+	e.recentAll, e.recentFailed, e.recentAt = e.recentAll*kept+1, e.recentFailed*kept, max(now, e.recentAt)
+}
+
 // add adds a sample to the estimates that it belongs to.
 func (e *Estimator) add(now kumquatlug.Millis, p Path, perToken float64, failed bool) {
 	e.prune(now)
