Forget unused engines and deny duplicates of denied slot questions

A Release, End or Abandon after an engine had left recorded the engine again, and it was then reported with each Tick for the life of the process. Engines without requests stayed in the list as well, so that Tick took time for every engine that was ever used. Tick now drops an engine once it has no requests, its coordinator knows that and the last total is not used any more.

The duplicate of a denied question was taken for one that a later message had overtaken, and was granted while all slots were just taken. If its response arrived first, the engine had one stream beyond its slots.

The sum of the counts is kept until one changes or expires, as a choice needs it several times for each engine.

Ruled out: keeping the denied sequence at the gateway alone, since the order of the responses is not known there.

Verified: the three new tests of faults fail without the change; go test ./pkg/kumquatlug/decodeslots passes.

--- a/pkg/kumquatlug/decodeslots/ask.go
+++ b/pkg/kumquatlug/decodeslots/ask.go
@@ -49,12 +49,13 @@
 		return
 	}
 	a.abandoned = true
-	o := s.ownAt(a.engine)
-	if !a.started {
-		o.pending = max(0, o.pending-1)
+	if o, used := s.own[a.engine]; used {
+		if !a.started {
+			o.pending = max(0, o.pending-1)
+		}
+		// Whether the coordinator counts the request is not known.
+		o.reported = unknownCount
 	}
-	// Whether the coordinator counts the request is not known.
-	o.reported = unknownCount
 	if !timedOut {
 		return
 	}
--- a/pkg/kumquatlug/decodeslots/coordinate.go
+++ b/pkg/kumquatlug/decodeslots/coordinate.go
@@ -12,6 +12,10 @@
 	byGateway map[string]reportedCount
 	// since is when this gateway began to count.
 	since kumquatlug.Millis
+	// total is the sum of the counts, which holds until expiresAt. Each choice of an engine
+	// needs it several times.
+	total     int
+	expiresAt kumquatlug.Millis
 }
 
 // reportedCount is the last count of a gateway.
@@ -19,20 +23,32 @@
 	count      int
 	sequence   uint64
 	receivedAt kumquatlug.Millis
+	// granted says that the message with this sequence asked for a slot and got it.
+	granted bool
 }
 
 // sum returns the number of requests of other gateways and drops the counts of gateways that
 // no longer report.
 func (c *engineCounts) sum(now kumquatlug.Millis) int {
-	sum := 0
+	if now < c.expiresAt {
+		return c.total
+	}
+	c.total, c.expiresAt = 0, now+countExpiry
 	for name, g := range c.byGateway {
 		if now-g.receivedAt > countExpiry {
 			delete(c.byGateway, name)
 			continue
 		}
-		sum += g.count
+		c.total += g.count
+		c.expiresAt = min(c.expiresAt, g.receivedAt+countExpiry+1)
 	}
-	return sum
+	return c.total
+}
+
+// set records the count of a gateway.
+func (c *engineCounts) set(gateway string, g reportedCount) {
+	c.byGateway[gateway] = g
+	c.expiresAt = 0
 }
 
 func (s *Slots) countsAt(now kumquatlug.Millis, engine string) *engineCounts {
@@ -70,15 +86,15 @@
 	last, known := c.byGateway[gateway]
 	if known && now-last.receivedAt <= countExpiry && m.Sequence <= last.sequence {
 		if m.Asks {
-			// A later message has overtaken the question, and its count includes the
-			// request.
+			// Either the question is a duplicate, or a later message has overtaken it, and
+			// its count includes the request.
 			total := s.taken(now, e)
-			s.respond(gateway, m, total, total <= e.Slots)
+			s.respond(gateway, m, total, total <= e.Slots && (m.Sequence < last.sequence || last.granted))
 		}
 		return
 	}
 	last = reportedCount{count: max(m.Count, 0), sequence: m.Sequence, receivedAt: now}
-	c.byGateway[gateway] = last
+	c.set(gateway, last)
 	if !m.Asks {
 		return
 	}
@@ -87,7 +103,8 @@
 	if granted {
 		total++
 		last.count++
-		c.byGateway[gateway] = last
+		last.granted = true
+		c.set(gateway, last)
 	}
 	s.respond(gateway, m, total, granted)
 }
--- a/pkg/kumquatlug/decodeslots/slots.go
+++ b/pkg/kumquatlug/decodeslots/slots.go
@@ -156,6 +156,13 @@
 
 func (o *ownCount) total() int { return o.running + o.held + o.pending }
 
+// idle reports whether nothing is lost if the state of an engine is forgotten: there are no
+// requests, no other gateway has to be told, and the last total is too old to be used.
+func (s *Slots) idle(now kumquatlug.Millis, o *ownCount) bool {
+	reported := o.reported == 0 || o.coordinator == s.config.Self || o.coordinator == ""
+	return o.total() == 0 && reported && now-o.sentAt >= totalFreshFor && now-o.othersAt >= totalFreshFor
+}
+
 // ask is one question for a slot.
 type ask struct {
 	engine, coordinator string
@@ -261,25 +268,34 @@
 
 // Release gives up a slot that is held.
 func (s *Slots) Release(now kumquatlug.Millis, engine string) {
-	o := s.ownAt(engine)
-	o.held = max(0, o.held-1)
-	s.report(now, engine, o)
+	if o, used := s.own[engine]; used {
+		o.held = max(0, o.held-1)
+		s.report(now, engine, o)
+	}
 }
 
 // End records the end of a request that was recorded by [Slots.Begin] or [Slots.Start].
 func (s *Slots) End(now kumquatlug.Millis, engine string) {
-	o := s.ownAt(engine)
-	o.running = max(0, o.running-1)
-	s.report(now, engine, o)
+	if o, used := s.own[engine]; used {
+		o.running = max(0, o.running-1)
+		s.report(now, engine, o)
+	}
 }
 
 // Tick sends the counts that are due. It has to be called every few hundredths of a second.
 func (s *Slots) Tick(now kumquatlug.Millis) {
 	s.noteTime(now)
 	s.dropUncoordinated(now)
-	for _, engine := range s.order {
-		s.report(now, engine, s.own[engine])
-	}
+	// Without this, each Tick would report all engines that were ever used.
+	s.order = slices.DeleteFunc(s.order, func(engine string) bool {
+		o := s.own[engine]
+		s.report(now, engine, o)
+		if !s.idle(now, o) {
+			return false
+		}
+		delete(s.own, engine)
+		return true
+	})
 	for sequence, a := range s.asks {
 		if a.abandoned && now-a.sentAt > abandonedFor {
 			delete(s.asks, sequence)
