Release held slots only at the engine that granted them

A prompt that held a slot when its engine restarted gave up, or used, the slot of another prompt at the engine's successor, which then had one stream more than slots. A question now remembers the engine, not only its name.

An engine that left while slots were not shared kept its count, which was reported for the life of the process once they were shared again; a question open at that time stayed open. Both are now ended whether slots are shared or not.

The tokens of an attempt that was withdrawn after a denial counted as prefilled, up to five times for one request, which raised the bound of wasted tokens. They are taken back. Not changed: the prompt's shared parts stay recorded as cached at the engine that denied, since the record that they replaced is not kept.

--- a/pkg/kumquatlug/placement/slots.go
+++ b/pkg/kumquatlug/placement/slots.go
@@ -28,8 +28,11 @@
 	query Query
 	// cached says that the KV cache of the prompt exists or is being made, so that the
 	// engine does not prefill.
-	cached   bool
-	choice   Choice
+	cached bool
+	choice Choice
+	// worker is the engine that was asked last. After a restart under the same name it is
+	// another one, and the slot is not held there.
+	worker   *worker
 	attempt  *Attempt
 	decision decodeslots.Decision
 	sequence uint64
@@ -112,7 +115,9 @@
 }
 
 func (p *Placer) removeSlots(id string) {
-	if p.shared.active {
+	// Also while slots are not shared: they may be again, and the engine would be reported
+	// for the life of the process.
+	if p.shared.slots != nil {
 		p.shared.slots.Remove(id)
 	}
 }
@@ -232,6 +237,7 @@
 // askEngine asks for a slot at the engine of a.choice.
 func (p *Placer) askEngine(now kumquatlug.Millis, a *SlotAsk) {
 	w := p.workers[a.choice.worker.ID()]
+	a.worker = w
 	a.decision, a.sequence = p.shared.slots.Ask(now, p.slotEngine(now, w), a.attempt != nil)
 	if a.decision == decodeslots.Pending {
 		p.shared.asks[a.sequence] = a
@@ -275,6 +281,10 @@
 	if !t.ended && !t.prefillDone {
 		t.prefillDone = true
 		t.worker.prefillTokens = max(0, t.worker.prefillTokens-t.effectiveTokens)
+		if t.effectiveTokens > 0 {
+			t.worker.prefilledTokens -= t.uncachedTokens
+			p.transfers.AddPrefilled(now, -t.uncachedTokens)
+		}
 	}
 	p.End(now, t, OutcomeNeutral)
 }
@@ -300,7 +310,7 @@
 	}
 	a.decision = decodeslots.Unanswered
 	delete(p.shared.asks, a.sequence)
-	if p.shared.active {
+	if p.shared.slots != nil {
 		p.shared.slots.Abandon(now, a.sequence, timedOut)
 	}
 }
@@ -308,8 +318,8 @@
 // CancelSlot gives up the slot of a prompt that is not decoded.
 func (p *Placer) CancelSlot(now kumquatlug.Millis, a *SlotAsk) {
 	p.abandonSlot(now, a, false)
-	if a.decision == decodeslots.Granted && a.attempt == nil && p.shared.active {
-		p.shared.slots.Release(now, a.choice.worker.ID())
+	if id := a.choice.worker.ID(); a.decision == decodeslots.Granted && a.attempt == nil && p.shared.active && p.workers[id] == a.worker {
+		p.shared.slots.Release(now, id)
 	}
 	a.decision = decodeslots.Unanswered
 }
@@ -320,7 +330,7 @@
 func (p *Placer) ClaimSlot(now kumquatlug.Millis, a *SlotAsk, q Query) bool {
 	p.abandonSlot(now, a, true)
 	w, known := p.workers[a.choice.worker.ID()]
-	if a.decision != decodeslots.Granted || !known || !p.eligible(now, w, q, kumquatlug.RoleDecode) {
+	if a.decision != decodeslots.Granted || !known || w != a.worker || !p.eligible(now, w, q, kumquatlug.RoleDecode) {
 		return false
 	}
 	a.choice.delayMs = w.limit.Delay(now)
