--- a/internal/gateway/kvtransfer_test.go
+++ b/internal/gateway/kvtransfer_test.go
@@ -132,3 +132,29 @@
 		t.Error("nothing exported")
 	}
 }
+
+// Two decode engines refuse a prompt before any engine has prefilled it, and then a transfer
+// fails. If the refusals counted as prefills, the request would be refused although an engine
+// could still run it alone.
+func TestRefusedPromptWasNotPrefilled(t *testing.T) {
+	w := &fakeWorkers{}
+	f := newTestGateway(t, w, manyRetries)
+	sync := func(members ...kumquatlug.Member) {
+		f.g.scheduler.syncMembers(f.g.c.Clock.Now(), map[string][]kumquatlug.Member{"engines": members})
+	}
+	sync(member("d1", kumquatlug.RoleDecode), member("d2", kumquatlug.RoleDecode))
+	refused := 0
+	w.run = func(ctx context.Context, n int, c workerCall) (kumquatlug.WorkerResponse, error) {
+		if c.worker != "d1" && c.worker != "d2" {
+			return refuseCaches(ctx, n, c)
+		}
+		if refused++; refused == 2 {
+			sync(member("p1", kumquatlug.RolePrefill), member("d3", kumquatlug.RoleDecode))
+		}
+		return refusedResponse(), nil
+	}
+	response := f.do(context.Background(), http.MethodPost, chatPrefill)
+	if response.status != http.StatusOK || len(w.recorded()) != 5 {
+		t.Errorf("status %d after %+v", response.status, w.recorded())
+	}
+}
