Keep plans of former lease holders and half exchanges from being repeated

Weights of prefix owners: - A gateway that won the lease back used the weights of its earlier lease, and the next plan replaced those of the holder in between. The weights are now forgotten when the lease is won. - A plan was written without a condition, so that a delayed write, or a holder that was stopped and had lost the lease, replaced a newer plan. The plan names the fencing token, and is written only over a row with none higher and with the version that was read. This costs one read for each plan. - Weights that could not be written applied at the lease holder, also after it had lost the lease. They now apply once they are written. - Weights of engines that left stayed in the plan for ever. They are dropped with the next change.

Exchanges: if the slow engine refused its order, the fast one was neither recorded as exchanged nor spared by the correction of the split, which prefers idle engines: the two alternated every few seconds.

Ruled out: a condition on the lease's row, whose version the holder does not know after its own renewals.

--- a/internal/gateway/controller.go
+++ b/internal/gateway/controller.go
@@ -142,6 +142,8 @@
 	}
 	if fencingToken != v.fencingToken {
 		v.fencingToken = fencingToken
+		// Another holder may have published others since.
+		clear(v.ownerWeights)
 		c.Logger.Info("lease won", zap.Int64("fence", int64(fencingToken)))
 	}
 }
@@ -160,7 +162,7 @@
 		}
 		engines, workers := v.engines(now, set.byService[name], v.g.scheduler.activities(name))
 		wanted := v.addSpeeds(now, name, engines)
-		v.updateOwnerWeights(now, name)
+		v.updateOwnerWeights(now, name, set.byService[name])
 		var exchanges []planner.Exchange
 		changes := planner.MaintainSplit(engines, v.prefillShare(now, name, engines))
 		ordered := v.mismatchPersists(now, name, len(changes) > 0)
@@ -180,7 +182,7 @@
 			// Gateways that have not received the plan of a role change would keep
 			// sending to the engine and be refused until the change is done. The order
 			// can wait for the store, unless one role has no engine left.
-			v.g.applyPlan(name, rolePlan{Roles: v.announcedRoles[name], Weights: v.ownerWeights[name].weights})
+			v.g.applyRoles(name, v.announcedRoles[name])
 			continue
 		}
 		for _, change := range changes {
@@ -210,7 +212,7 @@
 func (v *controller) announceRoles(
 	ctx context.Context, service string, engines map[string]kumquatlug.Worker, changes []kumquatlug.RoleChange,
 ) bool {
-	p := rolePlan{Roles: map[string]kumquatlug.Role{}}
+	p := rolePlan{Roles: map[string]kumquatlug.Role{}, FencingToken: int64(v.fencingToken)}
 	for id, order := range v.pendingOrders {
 		if _, known := engines[id]; known {
 			p.Roles[id] = order.role
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -23,13 +23,15 @@
 	Roles map[string]kumquatlug.Role `json:"roles"`
 	// Weights are the weights of engines as owners of prefixes, empty for equal ones.
 	Weights map[string]float64 `json:"weights,omitempty"`
+	// FencingToken is that of the lease under which the plan was made.
+	FencingToken int64 `json:"fence,omitempty"`
 }
 
-// publishPlan writes a plan and applies it to this gateway at once, so that streams move
-// to other engines while the order is in transit. It reports whether the plan was
-// written.
+// publishPlan writes a plan and applies its role changes to this gateway at once, so that
+// streams move to other engines while the order is in transit. The weights apply once all
+// gateways can read them. It reports whether the plan was written.
 func (g *Gateway) publishPlan(ctx context.Context, service string, p rolePlan) bool {
-	g.applyPlan(service, p)
+	g.applyRoles(service, p.Roles)
 	text, err := json.Marshal(p)
 	if err != nil {
 		g.c.Logger.Error("failed to publish plan", zap.String("service", service), logs.Error(err))
@@ -37,11 +39,26 @@
 	}
 	call, cancel := context.WithTimeout(ctx, planPublishTimeout.Duration())
 	defer cancel()
-	// If this fails, the other gateways notice the change when they are refused.
-	if err := g.c.Table.Commit(call, kumquatlug.NewTx(g.c.Incarnation).Put(planPrefix+service, text)); err != nil {
+	// The condition keeps a delayed write from replacing a later one, the fencing token a
+	// former holder of the lease that does not know yet that it lost it.
+	key := planPrefix + service
+	current, err := g.c.Table.Get(call, key)
+	if err == nil {
+		var newer rolePlan
+		if json.Unmarshal(current.Value(), &newer) == nil && newer.FencingToken > p.FencingToken {
+			g.c.Logger.Warn("plan of a former lease not published", zap.String("service", service),
+				zap.Int64("fence", p.FencingToken), zap.Int64("current", newer.FencingToken))
+			g.applyPlan(service, newer)
+			return false
+		}
+		// If this fails, the other gateways notice the change when they are refused.
+		err = g.c.Table.Commit(call, kumquatlug.NewTx(g.c.Incarnation).If(key, current.Version()).Put(key, text))
+	}
+	if err != nil {
 		g.c.Logger.Warn("failed to publish plan", zap.String("service", service), logs.Error(err))
 		return false
 	}
+	g.scheduler.setOwnerWeights(service, p.Weights)
 	return true
 }
 
@@ -52,12 +69,16 @@
 // other engines.
 func (g *Gateway) applyPlan(service string, p rolePlan) {
 	g.scheduler.setOwnerWeights(service, p.Weights)
-	moved, changed := g.scheduler.setRoleChanges(g.c.Clock.Now(), service, p.Roles)
+	g.applyRoles(service, p.Roles)
+}
+
+func (g *Gateway) applyRoles(service string, roles map[string]kumquatlug.Role) {
+	moved, changed := g.scheduler.setRoleChanges(g.c.Clock.Now(), service, roles)
 	if !changed {
 		// The gateway that wrote the row also receives it from the change feed.
 		return
 	}
-	g.c.Logger.Info("plan", zap.String("service", service), zap.Any("roles", p.Roles), zap.Int("streams_moved", moved))
+	g.c.Logger.Info("plan", zap.String("service", service), zap.Any("roles", roles), zap.Int("streams_moved", moved))
 }
 
 // watchPlans applies the plans that other gateways publish. The role changes of a plan that was
--- a/internal/gateway/rolespeed.go
+++ b/internal/gateway/rolespeed.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"maps"
+
 	"go.uber.org/zap"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
@@ -38,15 +40,20 @@
 	return true
 }
 
-// recordExchanges records the exchanges of which both engines have accepted their orders.
+// recordExchanges records the exchanges of which at least the fast engine has accepted its
+// order. If the slow one refuses, the fast one returns to its role when the split is corrected,
+// and the same exchange would be tried again at once.
 func (v *controller) recordExchanges(now kumquatlug.Millis, service string, exchanges []planner.Exchange) {
 	for _, x := range exchanges {
 		slow, fast := x.ToPrefill(), x.ToDecode()
 		_, slowPending := v.pendingOrders[slow.Target]
-		if _, fastPending := v.pendingOrders[fast.Target]; !slowPending || !fastPending {
+		if _, fastPending := v.pendingOrders[fast.Target]; !fastPending {
 			continue
 		}
 		v.exchangedAt[slow.Target], v.exchangedAt[fast.Target] = now, now
+		if !slowPending {
+			continue
+		}
 		v.g.speedMetrics.exchanges.WithLabelValues(service).Inc()
 		v.g.c.Logger.Info("engines exchanged", zap.String("service", service),
 			zap.String("to_prefill", slow.Target), zap.Float64("slow", slow.RelativeTime),
@@ -72,7 +79,7 @@
 }
 
 // updateOwnerWeights updates the weights of a service's engines by their speeds.
-func (v *controller) updateOwnerWeights(now kumquatlug.Millis, service string) {
+func (v *controller) updateOwnerWeights(now kumquatlug.Millis, service string, members []kumquatlug.Member) {
 	current, known := v.ownerWeights[service]
 	if !known {
 		// Those that an earlier holder of the lease published are in force.
@@ -83,9 +90,16 @@
 		return
 	}
 	weights, changed := planner.OwnerWeights(current.weights, v.g.scheduler.engineSpeeds(service))
-	if changed {
-		v.ownerWeights[service] = ownerWeights{weights: weights, at: current.at}
+	if !changed {
+		return
+	}
+	present := map[string]bool{}
+	for _, m := range members {
+		present[m.Worker.ID()] = true
 	}
+	// The plan would otherwise grow with each engine that was ever there.
+	maps.DeleteFunc(weights, func(id string, _ float64) bool { return !present[id] })
+	v.ownerWeights[service] = ownerWeights{weights: weights, at: current.at}
 }
 
 func (sc *scheduler) setOwnerWeights(service string, weights map[string]float64) {
--- a/pkg/kumquatlug/planner/exchange_test.go
+++ b/pkg/kumquatlug/planner/exchange_test.go
@@ -159,6 +159,16 @@
 	}
 }
 
+// The slow engine of an exchange refuses its order, and the split has to be corrected. If the
+// fast engine, which is idle after its change, went back, the two would alternate.
+func TestSplitChangesSpareExchangedEngines(t *testing.T) {
+	engines := splitEngines(6, 6)
+	engines[7].Idle, engines[7].ChangedRecently = true, true
+	if changes := MaintainSplit(engines, 7.0/12); len(changes) != 1 || changes[0].Target() == engines[7].Target {
+		t.Errorf("to prefill: %v", changes)
+	}
+}
+
 // Each exchange takes a fast engine and its cached prefixes away from the prompts: with all slow
 // decode engines exchanged at once, a quarter of the prefill capacity was lost, and prompts were
 // late at the peak. No more engines may be exchanged than streams need, and the slowest of the
--- a/pkg/kumquatlug/planner/split.go
+++ b/pkg/kumquatlug/planner/split.go
@@ -80,9 +80,10 @@
 	return n
 }
 
-// pickFromLargestZone returns the index of an engine with the given role, preferring idle
-// engines, then those whose speed suits the other role considerably better, and then the data
-// centre with the most engines in that role, or -1 if none may be changed.
+// pickFromLargestZone returns the index of an engine with the given role, preferring those that
+// were not exchanged recently, then idle ones, then those whose speed suits the other role
+// considerably better, and then the data centre with the most engines in that role, or -1 if
+// none may be changed.
 func pickFromLargestZone(engines []SplitEngine, role kumquatlug.Role) int {
 	zones := map[string]int{}
 	for _, e := range engines {
@@ -104,6 +105,9 @@
 
 // changesBefore reports whether engine a is changed rather than b of the same role.
 func changesBefore(a, b SplitEngine, zones map[string]int) bool {
+	if a.ChangedRecently != b.ChangedRecently {
+		return b.ChangedRecently
+	}
 	if a.Idle != b.Idle {
 		return a.Idle
 	}
