Don't copy the query of a choice for each worker

Since a query holds the KV cache and the pause limit, a choice among 10,000 engines copies it some 30,000 times. The checks of a worker now take the fields that they need, or a pointer.

--- a/pkg/kumquatlug/placement/choose.go
+++ b/pkg/kumquatlug/placement/choose.go
@@ -93,10 +93,16 @@
 // eligible reports whether a worker may be given new requests of a role. An engine
 // without a role prefills and decodes.
 func (p *Placer) eligible(now kumquatlug.Millis, w *worker, q Query, role kumquatlug.Role) bool {
+	return p.accepts(now, w, q.Exclude, role)
+}
+
+// accepts is eligible without the other fields of a query. Each choice calls it several times for
+// every worker, and copying a [Query] takes a good part of its time.
+func (p *Placer) accepts(now kumquatlug.Millis, w *worker, exclude []string, role kumquatlug.Role) bool {
 	id := w.member.Worker.ID()
 	roleMatches := w.member.Role == role || role == kumquatlug.RoleDecode && w.member.Role == ""
 	return w.member.State == kumquatlug.MemberReady && roleMatches && now >= max(w.backoffUntil, w.requestedBackoffUntil) && !w.changingRole(now) &&
-		!slices.Contains(q.Exclude, id) && p.health.Weight(now, id) > 0
+		!slices.Contains(exclude, id) && p.health.Weight(now, id) > 0
 }
 
 // ChoosePlain chooses the worker of a plain service with the shortest expected wait.
@@ -105,14 +111,14 @@
 	minCost, found := math.Inf(1), false
 	limited := newLimitedWorkers()
 	for _, w := range p.ordered {
-		if !p.eligible(now, w, q, w.member.Role) {
+		if !p.accepts(now, w, q.Exclude, w.member.Role) {
 			continue
 		}
 		ahead := float64(w.running) + p.otherRequestsAt(now, w)
 		slots := float64(max(w.member.Slots, 1))
 		ratio := p.workTime(now, w, p.meanPlainMs)
 		queue := max(0, ahead+1-slots) / slots * p.meanPlainMs * ratio
-		if limited.exclude(now, w, q, queue+p.meanPlainMs*ratio) {
+		if limited.exclude(now, w, &q, queue+p.meanPlainMs*ratio) {
 			continue
 		}
 		delay := w.limit.Delay(now)
@@ -151,7 +157,7 @@
 	key := prefixKey(q.Prompt)
 	owner, ownerKey := (*worker)(nil), 0.0
 	for _, w := range p.ordered {
-		if !p.canPrefill(now, w, q) {
+		if !p.canPrefill(now, w, q.Exclude) {
 			continue
 		}
 		if score := p.ownerScore(w, key); owner == nil || score > ownerKey {
@@ -163,7 +169,7 @@
 	}
 	minCost, best := math.Inf(1), Choice{}
 	for _, w := range p.ordered {
-		if !p.canPrefill(now, w, q) {
+		if !p.canPrefill(now, w, q.Exclude) {
 			continue
 		}
 		weight := p.health.Weight(now, w.member.Worker.ID())
@@ -185,8 +191,8 @@
 // canPrefill reports whether an engine may be given a prompt to prefill only. One whose
 // rate limit allows no request yet is excluded: it is better to prefill a prompt
 // elsewhere than late.
-func (p *Placer) canPrefill(now kumquatlug.Millis, w *worker, q Query) bool {
-	return p.eligible(now, w, q, kumquatlug.RolePrefill) && w.limit.Delay(now) == 0
+func (p *Placer) canPrefill(now kumquatlug.Millis, w *worker, exclude []string) bool {
+	return p.accepts(now, w, exclude, kumquatlug.RolePrefill) && w.limit.Delay(now) == 0
 }
 
 // cheapestMixed returns the engine that prefills and decodes at the lowest cost.
@@ -194,10 +200,10 @@
 	minCost, best, found := math.Inf(1), Choice{}, false
 	limited, keeps := newLimitedWorkers(), p.keepsPauseLimit(now, q)
 	for _, w := range p.ordered {
-		if !p.eligible(now, w, q, kumquatlug.RoleDecode) || keeps && p.exceedsPauseLimit(now, w, q) {
+		if !p.accepts(now, w, q.Exclude, kumquatlug.RoleDecode) || keeps && p.exceedsPauseLimit(now, w, q) {
 			continue
 		}
-		uncached, rate := p.mixedUncachedTokens(now, w, q), p.prefillRate()
+		uncached, rate := p.mixedUncachedTokens(now, w, &q), p.prefillRate()
 		if w.member.Role == kumquatlug.RoleDecode {
 			rate *= p.config.MixedPrefillFraction
 		}
@@ -205,7 +211,7 @@
 		rate /= p.workTime(now, w, tokens/rate)
 		prefill := tokens / rate
 		rest := w.prefillTokens/rate + prefill + p.slotWaitMs(now, w, q.Prompt)
-		if limited.exclude(now, w, q, rest+postPrefillMs) {
+		if limited.exclude(now, w, &q, rest+postPrefillMs) {
 			continue
 		}
 		delay := w.limit.Delay(now)
@@ -232,14 +238,17 @@
 	minCost, best, found := math.Inf(1), Choice{}, false
 	limited, keeps := newLimitedWorkers(), p.keepsPauseLimit(now, q)
 	for _, w := range p.ordered {
-		if !p.eligible(now, w, q, kumquatlug.RoleDecode) || keeps && p.exceedsPauseLimit(now, w, q) {
+		if !p.accepts(now, w, q.Exclude, kumquatlug.RoleDecode) || keeps && p.exceedsPauseLimit(now, w, q) {
 			continue
 		}
 		slot := p.slotWaitMs(now, w, q.Prompt)
-		if limited.exclude(now, w, q, slot+postPrefillMs) {
+		if limited.exclude(now, w, &q, slot+postPrefillMs) {
 			continue
 		}
-		delay, cacheTransfer := w.limit.Delay(now), p.transferTo(now, w, q)
+		delay, cacheTransfer := w.limit.Delay(now), transfer{}
+		if q.Cache.Engine != "" {
+			cacheTransfer = p.transferTo(now, w, q)
+		}
 		wait := delay + slot + cacheTransfer.expectedMs
 		cost := wait + p.batchCostMs(now, w, q.Prompt) + p.decodeCostMs(now, w, q.Prompt) + p.reservedSlotCostMs(w, q.Prompt) + w.prefillTokens/p.prefillRate()
 		cost = cost/p.health.Weight(now, w.member.Worker.ID()) + p.zonePenalty(w)
--- a/pkg/kumquatlug/placement/limit.go
+++ b/pkg/kumquatlug/placement/limit.go
@@ -27,7 +27,7 @@
 
 // exclude reports whether w is excluded because a request must not wait until its rate
 // limit allows one. The first output is expected firstOutputMs after the request is sent.
-func (h *limitedWorkers) exclude(now kumquatlug.Millis, w *worker, q Query, firstOutputMs float64) bool {
+func (h *limitedWorkers) exclude(now kumquatlug.Millis, w *worker, q *Query, firstOutputMs float64) bool {
 	delayMs := w.limit.Delay(now)
 	if delayMs == 0 || delayMs <= q.maxWaitForLimitMs(now, firstOutputMs) {
 		return false
@@ -39,7 +39,7 @@
 // maxWaitForLimitMs returns how long a request may wait for a rate limit, in milliseconds.
 // Late requests use only what the others leave: if they waited as long, all requests
 // after them would be late, too.
-func (q Query) maxWaitForLimitMs(now kumquatlug.Millis, firstOutputMs float64) float64 {
+func (q *Query) maxWaitForLimitMs(now kumquatlug.Millis, firstOutputMs float64) float64 {
 	longest := lateLimitWaitMs
 	switch inTime := float64(q.FirstOutputDue-now) - firstOutputMs; {
 	case q.ResponseStarted:
--- a/pkg/kumquatlug/placement/speed.go
+++ b/pkg/kumquatlug/placement/speed.go
@@ -69,6 +69,9 @@
 // decodeCostMs returns the cost of the time that the output of a prompt takes at w compared to
 // one of the mean speed, in ms.
 func (p *Placer) decodeCostMs(now kumquatlug.Millis, w *worker, prompt kumquatlug.Prompt) float64 {
+	if !p.speeds.Active() {
+		return 0
+	}
 	usual := p.usualStreamMs(prompt)
 	return decodeTimeCost * usual * (p.workTime(now, w, usual) - 1)
 }
@@ -131,7 +134,7 @@
 		return false
 	}
 	for _, w := range p.ordered {
-		if p.eligible(now, w, q, kumquatlug.RoleDecode) && !p.exceedsPauseLimit(now, w, q) &&
+		if p.accepts(now, w, q.Exclude, kumquatlug.RoleDecode) && !p.exceedsPauseLimit(now, w, q) &&
 			p.slotWaitMs(now, w, q.Prompt) == 0 && w.limit.Delay(now) == 0 {
 			return true
 		}
--- a/pkg/kumquatlug/placement/transfers.go
+++ b/pkg/kumquatlug/placement/transfers.go
@@ -130,7 +130,7 @@
 
 // mixedUncachedTokens returns the number of tokens of a prompt that w, which also decodes,
 // has to prefill. The engine that prefilled the prompt before has all of it.
-func (p *Placer) mixedUncachedTokens(now kumquatlug.Millis, w *worker, q Query) float64 {
+func (p *Placer) mixedUncachedTokens(now kumquatlug.Millis, w *worker, q *Query) float64 {
 	if q.OneEngine && q.Cache.Engine == w.member.Worker.ID() {
 		return 0
 	}
