Bound the cost of speeds and slots at 10,000 workers

Where the parts are inactive: - unlockAndSend looped over the services a second time for decode slots.

Where they are active: - A choice with shared slots asked for the coordinator of each decode engine, which takes a pass over 2,300 gateways for each after any gateway has changed: 240 ms for 3,400 engines. Only the engines with counts need it. - Speeds were estimated again each second for all workers; with more than 1,000 workers this now takes one ms for each. The streams of all workers were measured each 20 ms; now 20 workers per ms on average.

Ruled out: estimating only the workers of a role, since a choice passes over most of them in any case.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -186,17 +186,20 @@
 // sends without the lock because each message is a system call.
 func (sc *scheduler) unlockAndSend() {
 	var out []kumquatlug.PermitMessage
+	var slots []serviceSlots
 	for name, state := range sc.services {
 		for _, m := range state.placer.Outbox() {
 			m.Permit.Service = name
 			out = append(out, m)
 		}
+		if report := state.placer.SlotReport(); !report.Empty() {
+			slots = append(slots, serviceSlots{service: name, report: report})
+		}
 	}
 	var events []coordinator.Change
 	if sc.coordinators != nil {
 		events = sc.coordinators.Changes()
 	}
-	slots := sc.takeSlotReports()
 	sc.mu.Unlock()
 	for _, m := range out {
 		sc.c.Peers.Send(m)
--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -77,17 +77,6 @@
 	report  placement.SlotReport
 }
 
-// takeSlotReports returns what is to be sent and logged. The caller must hold sc.mu.
-func (sc *scheduler) takeSlotReports() []serviceSlots {
-	var all []serviceSlots
-	for name, state := range sc.services {
-		if state.placer.SlotsShared() {
-			all = append(all, serviceSlots{service: name, report: state.placer.SlotReport()})
-		}
-	}
-	return all
-}
-
 // sendSlots sends, logs and counts without the lock.
 func (sc *scheduler) sendSlots(all []serviceSlots) {
 	for _, s := range all {
--- a/pkg/kumquatlug/decodeslots/slots.go
+++ b/pkg/kumquatlug/decodeslots/slots.go
@@ -329,10 +329,16 @@
 // [Slots.Begin] and [Slots.Start]: those of other gateways, and slots held by this one. It
 // reports false if the number is not known or too old.
 func (s *Slots) Others(now kumquatlug.Millis, engine string) (float64, bool) {
+	c, counted := s.coordinated[engine]
 	o, used := s.own[engine]
+	fresh := used && o.othersSequence != 0 && now-o.othersAt < totalFreshFor
+	if !counted && !fresh {
+		// Most of thousands of engines. To find the coordinator of one takes a pass over all
+		// gateways after each change of a gateway.
+		return 0, false
+	}
 	if s.config.Coordinators.IsCoordinator(now, engine) {
-		c, known := s.coordinated[engine]
-		if !known || now-c.since < learnTime {
+		if !counted || now-c.since < learnTime {
 			return 0, false
 		}
 		others := c.sum(now)
@@ -341,7 +347,7 @@
 		}
 		return float64(others), true
 	}
-	if !used || o.othersSequence == 0 || now-o.othersAt >= totalFreshFor {
+	if !fresh {
 		return 0, false
 	}
 	return float64(o.others + o.held), true
--- a/pkg/kumquatlug/pace/pace.go
+++ b/pkg/kumquatlug/pace/pace.go
@@ -63,13 +63,17 @@
 	// sampleHalfLifeMs is the age at which a sample counts half: a speed lasts, and a quiet
 	// worker gets few samples.
 	sampleHalfLifeMs = 40_000.0
-	// refreshInterval is how long an estimate is used without new samples.
+	// refreshInterval is how long an estimate is used without new samples. It is longer with
+	// many workers, one ms for each, as each choice needs the estimates of all.
 	refreshInterval = 1 * kumquatlug.Second
 	// restartSamples is the number of samples kept when a worker has restarted.
 	restartSamples = 6
 	// removedRetention is how long the samples of a removed worker are kept: a restart takes
 	// seconds.
 	removedRetention = 60 * kumquatlug.Second
+	// pruneInterval is the least time between two searches for samples that have been kept
+	// for that long: thousands of workers may be added at once.
+	pruneInterval = 1 * kumquatlug.Second
 	// initialPhase is how long after the first sample of a kind its base is the mean over the
 	// workers. Some workers are seen only once in 2 s by one gateway.
 	initialPhase = 5 * kumquatlug.Second
@@ -165,7 +169,9 @@
 	active  bool
 	workers map[string]*worker
 	removed map[string]*worker
-	bases   map[Kind]*base
+	// prunedAt is when removed was last searched.
+	prunedAt kumquatlug.Millis
+	bases    map[Kind]*base
 	// version counts the calculations of a base as a mean over workers.
 	version int
 	factors factorStats
@@ -196,6 +202,10 @@
 		w.restart(startedAt)
 	}
 	s.workers[id] = w
+	if now-s.prunedAt < pruneInterval {
+		return
+	}
+	s.prunedAt = now
 	for name, old := range s.removed {
 		if now-old.removedAt > removedRetention {
 			delete(s.removed, name)
@@ -336,7 +346,7 @@
 
 // estimate returns the logarithm of a worker's relative time and the weight of its samples.
 func (s *Service) estimate(now kumquatlug.Millis, w *worker) (speed, weight float64) {
-	if !w.stale && w.version == s.version && now-w.estimatedAt < refreshInterval {
+	if !w.stale && w.version == s.version && now-w.estimatedAt < max(refreshInterval, kumquatlug.Millis(len(s.workers))) {
 		return w.speed, w.weight
 	}
 	own, ownWeight := s.ownEstimate(now, w, "")
--- a/pkg/kumquatlug/pace/share.go
+++ b/pkg/kumquatlug/pace/share.go
@@ -52,7 +52,7 @@
 			break
 		}
 		id := s.outgoing[0]
-		s.outgoing = slices.Delete(s.outgoing, 0, 1)
+		s.outgoing = s.outgoing[1:]
 		w, known := s.workers[id]
 		if !known {
 			if old, removed := s.removed[id]; removed {
--- a/pkg/kumquatlug/placement/scale_bench_test.go
+++ b/pkg/kumquatlug/placement/scale_bench_test.go
@@ -1,9 +1,13 @@
 package placement
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/coordinator"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/decodeslots"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/pace"
 )
 
 // scalePlacer returns a Placer with 10,000 engines, each of which has reported its load.
@@ -61,6 +65,9 @@
 	}
 	setSpeeds(p, 9_000, speeds)
 	p.demand.pauseLimit = 150
+	for range 40 {
+		p.Speeds().Observe(9_000, "g0", pace.KindDecode, 40)
+	}
 	return p
 }
 
@@ -92,3 +99,30 @@
 		p.Sync(10_000+kumquatlug.Millis(n), members)
 	}
 }
+
+// BenchmarkScaleChoosePromptSlots is BenchmarkScaleChoosePrompt where 2,300 gateways share the
+// decode slots. With changing gateways, the coordinators of all engines have to be determined
+// again for each choice.
+func BenchmarkScaleChoosePromptSlots(b *testing.B) {
+	for _, changing := range []bool{false, true} {
+		b.Run(fmt.Sprint("changing=", changing), func(b *testing.B) {
+			known := coordinator.New("front-0")
+			var names []string
+			for i := range 2300 {
+				names = append(names, fmt.Sprint("front-", i))
+			}
+			known.Set(names)
+			p := New(Config{Zone: "a", Coordinators: known})
+			p.Sync(0, engines(6600, 3400))
+			p.ShareSlots(len(names), decodeslots.Config{Self: "front-0", Coordinators: known})
+			for n := 0; b.Loop(); n++ {
+				if changing {
+					known.Set(names)
+				}
+				if _, found := p.ChoosePrompt(10_000+kumquatlug.Millis(n/100), Query{Prompt: document(n, n)}); !found {
+					b.Fatal("no engine")
+				}
+			}
+		})
+	}
+}
--- a/pkg/kumquatlug/placement/slots.go
+++ b/pkg/kumquatlug/placement/slots.go
@@ -89,6 +89,11 @@
 	Stats    decodeslots.Stats
 }
 
+// Empty reports whether there is nothing to send, log or count.
+func (r *SlotReport) Empty() bool {
+	return len(r.Messages) == 0 && len(r.Changes) == 0 && r.Stats == decodeslots.Stats{}
+}
+
 // SlotReport returns what has happened since the last call.
 func (p *Placer) SlotReport() SlotReport {
 	if !p.shared.active {
--- a/pkg/kumquatlug/placement/steady.go
+++ b/pkg/kumquatlug/placement/steady.go
@@ -21,6 +21,9 @@
 	steadyHeadroom = 1.5
 	// streamWindowMs is the window over which the streams in flight are averaged.
 	streamWindowMs = 2000.0
+	// measuredPerMs is the number of workers that are measured in a ms on average: with
+	// 10,000, a sample of all of them is taken each 500 ms.
+	measuredPerMs = 20
 	// reservedCostMs is the cost of a slot for a short output at an engine that suits streams,
 	// when all other slots of such engines are taken. Below half of them it is free.
 	reservedCostMs = 40.0
@@ -53,6 +56,9 @@
 		return
 	}
 	d := &p.demand
+	if d.suitable != nil && now-d.measuredAt < kumquatlug.Millis(len(p.ordered)/measuredPerMs) {
+		return
+	}
 	streams, decodes, taken, slots := 0.0, 0.0, 0.0, 0.0
 	d.suitable = map[string]bool{}
 	for _, w := range p.ordered {
