--- a/pkg/kumquatlug/decodeslots/slots.go
+++ b/pkg/kumquatlug/decodeslots/slots.go
@@ -156,6 +156,13 @@
 
 func (o *ownCount) total() int { return o.running + o.held + o.pending }
 
+// idle reports whether nothing is lost if the state of an engine is forgotten: there are no
+// requests, no other gateway has to be told, and the last total is too old to be used.
+func (s *Slots) idle(now kumquatlug.Millis, o *ownCount) bool {
+	reported := o.reported == 0 || o.coordinator == s.config.Self || o.coordinator == ""
+	return o.total() == 0 && reported && now-o.sentAt >= totalFreshFor && now-o.othersAt >= totalFreshFor
+}
+
 // ask is one question for a slot.
 type ask struct {
 	engine, coordinator string
@@ -261,25 +268,34 @@
 
 // Release gives up a slot that is held.
 func (s *Slots) Release(now kumquatlug.Millis, engine string) {
-	o := s.ownAt(engine)
-	o.held = max(0, o.held-1)
-	s.report(now, engine, o)
+	if o, used := s.own[engine]; used {
+		o.held = max(0, o.held-1)
+		s.report(now, engine, o)
+	}
 }
 
 // End records the end of a request that was recorded by [Slots.Begin] or [Slots.Start].
 func (s *Slots) End(now kumquatlug.Millis, engine string) {
-	o := s.ownAt(engine)
-	o.running = max(0, o.running-1)
-	s.report(now, engine, o)
+	if o, used := s.own[engine]; used {
+		o.running = max(0, o.running-1)
+		s.report(now, engine, o)
+	}
 }
 
 // Tick sends the counts that are due. It has to be called every few hundredths of a second.
 func (s *Slots) Tick(now kumquatlug.Millis) {
 	s.noteTime(now)
 	s.dropUncoordinated(now)
-	for _, engine := range s.order {
-		s.report(now, engine, s.own[engine])
-	}
+	// Without this, each Tick would report all engines that were ever used.
+	s.order = slices.DeleteFunc(s.order, func(engine string) bool {
+		o := s.own[engine]
+		s.report(now, engine, o)
+		if !s.idle(now, o) {
+			return false
+		}
+		delete(s.own, engine)
+		return true
+	})
 	for sequence, a := range s.asks {
 		if a.abandoned && now-a.sentAt > abandonedFor {
 			delete(s.asks, sequence)
@@ -313,10 +329,16 @@
 // [Slots.Begin] and [Slots.Start]: those of other gateways, and slots held by this one. It
 // reports false if the number is not known or too old.
 func (s *Slots) Others(now kumquatlug.Millis, engine string) (float64, bool) {
+	c, counted := s.coordinated[engine]
 	o, used := s.own[engine]
+	fresh := used && o.othersSequence != 0 && now-o.othersAt < totalFreshFor
+	if !counted && !fresh {
+		// Most of thousands of engines. To find the coordinator of one takes a pass over all
+		// gateways after each change of a gateway.
+		return 0, false
+	}
 	if s.config.Coordinators.IsCoordinator(now, engine) {
-		c, known := s.coordinated[engine]
-		if !known || now-c.since < learnTime {
+		if !counted || now-c.since < learnTime {
 			return 0, false
 		}
 		others := c.sum(now)
@@ -325,7 +347,7 @@
 		}
 		return float64(others), true
 	}
-	if !used || o.othersSequence == 0 || now-o.othersAt >= totalFreshFor {
+	if !fresh {
 		return 0, false
 	}
 	return float64(o.others + o.held), true
