kvtransfer: count three failures despite their decay

The limit is 2.5 now. TestSlowTransfersAreReported counts three failures of two requests: after the third, the second request runs on one engine.

--- a/pkg/kumquatlug/kvtransfer/kvtransfer.go
+++ b/pkg/kumquatlug/kvtransfer/kvtransfer.go
@@ -66,10 +66,11 @@
 	// slowMemory is how long after the last failed transfer the samples are consulted, in
 	// half-lives. Later their weight is below a thousandth.
 	slowMemory = 10
-	// minRecentFailed is the number of failed transfers, minRecentFraction their fraction, over
+	// minRecentFailed is the decayed number of failed transfers, that is three, and
+	// minRecentFraction their fraction, over
 	// the last recentHalfLife, from which on times count. Engines that change their role or
 	// restart refuse a few percent of the caches without saying why.
-	minRecentFailed   = 3.0
+	minRecentFailed   = 2.5
 	minRecentFraction = 0.25
 	recentHalfLife    = 1 * kumquatlug.Second
 	// recoveredFraction is the fraction of SlowMs below which a slow pair of data centres
