Do not count a short suspension of the gateway as silence of workers

TestStreamsOfSlowClientsAreNotCut failed on a busy machine. Traced: the process is suspended for about 40 ms, the liveness check runs before the goroutine that reads the stream, and finds an engine silent for longer than its usual pause and streamMarginMs (35 to 41 ms). Gaps between checks up to maxCheckGap (60 ms) were taken for none. The engine became suspect, its probe failed at once in this test, and all its streams were canceled and started again.

The part of a gap that exceeds the usual 20 ms is now discounted from the silence of each worker. Longer gaps restart the silence as before.

Ruled out: the blocked writes themselves (attempts that forward do not count) and overdue first outputs (none in the traces). TestSuspensionIsNoSilenceOfWorkers fails without the change. go test -race ./pkg/kumquatlug/placement passes.

--- a/pkg/kumquatlug/placement/liveness.go
+++ b/pkg/kumquatlug/placement/liveness.go
@@ -54,6 +54,11 @@
 	// maxCheckGap is the longest time between two checks. After a longer one this
 	// process itself was stopped, and what workers sent has not been read yet.
 	maxCheckGap = 60 * kumquatlug.Millis(1)
+	// usualCheckGap is the time between two checks of a process that is not held up. What
+	// exceeds it is not counted as silence of a worker: a process that is suspended for
+	// 50 ms runs the check before the goroutines that read from the workers, and
+	// streamMarginMs is shorter than that.
+	usualCheckGap = 20 * kumquatlug.Millis(1)
 	// maxUnresponsiveFraction is the fraction of the workers that may become
 	// unresponsive together. If more do, this gateway is the one that is partitioned,
 	// and sending requests elsewhere gains nothing.
@@ -108,7 +113,8 @@
 // CheckLiveness excludes the workers that have become unresponsive and returns them. It has to
 // be called every few hundredths of a second.
 func (p *Placer) CheckLiveness(now kumquatlug.Millis) []UnresponsiveWorker {
-	stalled := now-p.livenessCheckedAt > maxCheckGap
+	gap := now - p.livenessCheckedAt
+	stalled := gap > maxCheckGap
 	p.livenessCheckedAt = now
 	if stalled {
 		for _, w := range p.ordered {
@@ -116,6 +122,11 @@
 		}
 		return nil
 	}
+	if late := gap - usualCheckGap; late > 0 {
+		for _, w := range p.ordered {
+			w.discountSilence(now, late)
+		}
+	}
 	var unresponsive []UnresponsiveWorker
 	if p.gatewayPartitioned(now) {
 		return nil
@@ -128,6 +139,16 @@
 	return unresponsive
 }
 
+// discountSilence shortens the silence of a worker by a time in which this process was held
+// up. A probe in flight stays one to which nothing has come since.
+func (w *worker) discountSilence(now, late kumquatlug.Millis) {
+	limit := now
+	if w.lastSeenAt < w.probedAt {
+		limit = w.probedAt - 1
+	}
+	w.lastSeenAt = max(w.lastSeenAt, min(w.lastSeenAt+late, limit))
+}
+
 // ejectUnresponsive excludes an unresponsive worker from new requests.
 func (p *Placer) ejectUnresponsive(now kumquatlug.Millis, w *worker) UnresponsiveWorker {
 	id := w.member.Worker.ID()
--- a/pkg/kumquatlug/placement/liveness_test.go
+++ b/pkg/kumquatlug/placement/liveness_test.go
@@ -229,3 +229,29 @@
 		t.Errorf("probed %d times", probes)
 	}
 }
+
+// The gateway's process is suspended for 50 ms, and then checks its workers before it has read
+// what they sent meanwhile. An engine that works must not become suspect: one that does not
+// answer the probe in time would lose all its streams.
+func TestSuspensionIsNoSilenceOfWorkers(t *testing.T) {
+	const pause, suspendedAt, suspension = 5, 4000, 50
+	p := New(Config{Zone: "a"})
+	p.Sync(0, engines(1, 1))
+	c, found := p.ChooseDecode(0, Query{Prompt: chatPrompt(0)})
+	if !found {
+		t.Fatal("no engine")
+	}
+	stream := p.Begin(0, c, chatPrompt(0))
+	check := func(now kumquatlug.Millis) {
+		if unresponsive, suspects := p.CheckLiveness(now), p.Suspects(now); len(unresponsive)+len(suspects) != 0 {
+			t.Fatalf("at %d ms: unresponsive %v, suspects %v", now, unresponsive, suspects)
+		}
+	}
+	for now := kumquatlug.Millis(0); now <= suspendedAt; now += pause {
+		p.RecordOutput(now, stream)
+		if now%checkInterval == 0 {
+			check(now)
+		}
+	}
+	check(suspendedAt + suspension)
+}
