Do not relay a part of a plain response as the complete one

A peer whose response buffers are full forwards the first 4 KiB of a plain response of unknown length. If the response then breaks off, it ends with the trailer Kumquatlug-Ran. The gateway that relays it has a larger buffer, read all of it at once and did not look at the trailer: its client got a complete response with a part of the content. Now the client gets a 502 that does not say "not run".

A given-up response before its first output also returned without any response, for which net/http sends status 200 without content. It ends with the same 502.

Streams are not affected: only complete events are forwarded, and the trailer is checked at their end. TestGivenUpPlainResponseIsNotComplete got status 400 with 12,288 bytes as a complete response before.

--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -147,6 +147,11 @@
 		if f.responseStarted {
 			panic(http.ErrAbortHandler)
 		}
+		if r.Context().Err() == nil {
+			// Without this, net/http would send an empty response with status 200.
+			f.possibleRuns++
+			f.sendFailure(ctx, failed.failure)
+		}
 		return true
 	}
 	// The peer has counted the request as started at its first output.
--- a/internal/gateway/handoff_test.go
+++ b/internal/gateway/handoff_test.go
@@ -191,6 +191,22 @@
 	}
 }
 
+// A response that is not a stream breaks off at the peer, whose buffers are full, so that it has
+// forwarded a part. The gateway has larger buffers: it must not pass the part off as the complete
+// response, nor send an empty one.
+func TestGivenUpPlainResponseIsNotComplete(t *testing.T) {
+	p := newHandoffPair(t, streamWorkers(1, 5), &fakeWorkers{run: func(context.Context, int, workerCall) (kumquatlug.WorkerResponse, error) {
+		r := truncatedResponse(strings.Repeat("x", 3*minBufferedBytes), -1)
+		return kumquatlug.NewWorkerResponse(kumquatlug.WorkerResponseConfig{Status: 400, Header: r.Header(), Length: -1, Body: r.Body()}), nil
+	}}, manyRetries)
+	p.a.g.c.MaxBodyBytes = 1 << 20
+	p.b.g.bufferBytes.Store(p.b.g.c.MaxBodyBytes)
+	got := p.a.do(t.Context(), http.MethodPost, chatRoute)
+	if got.err != nil || got.status != http.StatusBadGateway || got.header.Get("Ran") == string(kumquatlug.NotExecuted) || len(p.a.workers.recorded()) != 0 {
+		t.Errorf("status %d, %d bytes, %v, %d runs here", got.status, len(got.body), got.err, len(p.a.workers.recorded()))
+	}
+}
+
 // The connection to the peer breaks in mid-stream. A resumable stream must continue here
 // after the last event, charged to the retry budget; another one, and one that the budget does not
 // allow, must break off.
--- a/internal/gateway/handoffrelay.go
+++ b/internal/gateway/handoffrelay.go
@@ -23,6 +23,11 @@
 		release()
 		return f.transferBroken(ctx, t, brokenExecution(r), err)
 	}
+	if r.GaveUp() {
+		// The peer had a smaller buffer. What it sent is only a part of the response.
+		release()
+		return f.peerGaveUp(t)
+	}
 	f.responseStarted = true
 	f.g.c.Ingress.WriteHeader(f.w, response)
 	out := &relayWriter{w: f.w}
