Serve requests that a peer refuses because of its stale config

A peer that is partitioned from the store still accepted offers, and refused the requests with keys_stale (FailClosed) or config_stale (a key or route that it does not know). These refusals were final, so that the clients of a gateway with a confirmed config got 503 for all requests for engines.

Such a peer now declines offers while FailClosed makes it refuse all keys, and after either refusal, which says not-run, the gateway serves the request itself with its own config.

Denials by a peer with a confirmed config stay final: its config may be the newer one. TestRequestIsServedHereIfConfigOfPeerIsStale: all three cases got 503 before.

--- a/internal/gateway/auth.go
+++ b/internal/gateway/auth.go
@@ -27,8 +27,8 @@
 	switch {
 	case route.Public():
 		return account, nil
-	case g.c.FailClosed && g.configAge() > g.c.MaxRevocationDelay:
-		return kumquatlug.Caller{}, refusal("authenticate", "keys_stale", http.StatusServiceUnavailable, noConfigRetryAfter)
+	case g.keysStale():
+		return kumquatlug.Caller{}, refusal("authenticate", reasonKeysStale, http.StatusServiceUnavailable, noConfigRetryAfter)
 	case keyStatus == accounts.KeyKnown:
 		return account, nil
 	}
@@ -40,6 +40,11 @@
 	return kumquatlug.Caller{}, denied
 }
 
+// keysStale reports whether this gateway refuses all requests that need a key.
+func (g *Gateway) keysStale() bool {
+	return g.c.FailClosed && g.configAge() > g.c.MaxRevocationDelay
+}
+
 // configAge returns the time in ms since the store last confirmed the config in force.
 func (g *Gateway) configAge() kumquatlug.Millis {
 	return g.c.BootClock.Now() - kumquatlug.Millis(g.configConfirmedAt.Load())
@@ -53,7 +58,7 @@
 	if g.c.MaxConfigDelay == 0 || g.configAge() <= max(g.c.MaxConfigDelay, maxFeedSilence) {
 		return denied
 	}
-	return refusal(denied.Step(), "config_stale", http.StatusServiceUnavailable, noConfigRetryAfter)
+	return refusal(denied.Step(), reasonConfigStale, http.StatusServiceUnavailable, noConfigRetryAfter)
 }
 
 // reauthenticate checks the key again immediately before an attempt is sent to a worker:
--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -306,8 +306,11 @@
 }
 
 // servedHereAfter holds the reasons of a peer's refusals that concern the peer and not the
-// request: this gateway serves the request itself after them.
-var servedHereAfter = map[string]bool{reasonStopping: true, reasonNoConfig: true, reasonBodies: true, reasonHandoffDenied: true}
+// request: this gateway serves the request itself after them. A peer that is partitioned from
+// the store refuses with a stale config what this gateway's own config allows.
+var servedHereAfter = map[string]bool{
+	reasonStopping: true, reasonNoConfig: true, reasonBodies: true, reasonHandoffDenied: true, reasonKeysStale: true, reasonConfigStale: true,
+}
 
 // stepHandoff is the step of failures at a peer gateway.
 const stepHandoff = "handoff"
--- a/internal/gateway/handoff_test.go
+++ b/internal/gateway/handoff_test.go
@@ -16,6 +16,7 @@
 	"github.com/kumquatlug/kumquatlug/internal/peerrequest"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/clock"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/handoff"
 )
 
 func (noLink) SendHandoff(string, kumquatlug.Handoff)       {}
@@ -207,6 +208,45 @@
 	}
 }
 
+// The peer is partitioned from the store and refuses what its stale config does not cover. The
+// gateway has a confirmed config: clients must not be refused because of the peer.
+func TestRequestIsServedHereIfConfigOfPeerIsStale(t *testing.T) {
+	for _, c := range []struct {
+		failClosed     bool
+		key            string
+		staleAfter     kumquatlug.HandoffStep
+		outcome, meant string
+	}{
+		{true, "k1", "", string(handoff.ResultDeclined), "keys are stale"},
+		{true, "k1", kumquatlug.HandoffAccepted, outcomeReturned, "keys become stale after the offer"},
+		{false, "k0", "", outcomeReturned, "key is unknown"},
+	} {
+		p := newHandoffPair(t, streamWorkers(1, 5), streamWorkers(1, 5), manyRetries)
+		keys := []map[string]string{{"k1": "north"}, {c.key: "north"}}
+		for i, f := range []*testGateway{p.a, p.b} {
+			f.g.table.Store(tableWithKeys(t, 7, keys[i]))
+			f.g.configConfirmedAt.Store(int64(f.g.c.BootClock.Now()))
+			f.g.c.FailClosed, f.g.c.MaxRevocationDelay, f.g.c.MaxConfigDelay = c.failClosed, 5000, 3000
+		}
+		stale := func() { p.b.g.configConfirmedAt.Store(int64(p.b.g.c.BootClock.Now() - 6000)) }
+		if c.staleAfter == "" {
+			stale()
+		}
+		p.linkB.answer = func(m kumquatlug.Handoff) {
+			if m.Step == c.staleAfter {
+				stale()
+			}
+			go p.a.g.HandoffReceived("b", m)
+		}
+		if got := p.a.do(t.Context(), http.MethodPost, chatRoute, "k1"); got.body != events(1, 5) {
+			t.Errorf("%s: %+v", c.meant, got)
+		}
+		if n := p.outcomes(p.a, c.outcome); n != 1 || len(p.b.workers.recorded()) != 0 {
+			t.Errorf("%s: %v requests %s, %d runs at the peer", c.meant, n, c.outcome, len(p.b.workers.recorded()))
+		}
+	}
+}
+
 // The connection to the peer breaks in mid-stream. A resumable stream must continue here
 // after the last event, charged to the retry budget; another one, and one that the budget does not
 // allow, must break off.
--- a/internal/gateway/handoffserver.go
+++ b/internal/gateway/handoffserver.go
@@ -21,6 +21,8 @@
 	reasonNoConfig      = "no_config"
 	reasonBodies        = "bodies"
 	reasonHandoffDenied = "handoff_denied"
+	reasonKeysStale     = "keys_stale"
+	reasonConfigStale   = "config_stale"
 )
 
 // Outcomes of handed-off requests; offers are counted by their [handoff.Result].
@@ -81,8 +83,8 @@
 		h.answerReceived(now, peer, m)
 	case kumquatlug.HandoffOffered:
 		state := handoff.State{
-			Ready: g.ready() && g.c.HandoffListener != nil, BodyBytes: g.bodyBytes.Load(), MaxBodyBytes: g.c.MaxBodyBytes,
-			LinkBacklog: g.link.backlogMs(),
+			Ready: g.ready() && g.c.HandoffListener != nil && !g.keysStale(), BodyBytes: g.bodyBytes.Load(),
+			MaxBodyBytes: g.c.MaxBodyBytes, LinkBacklog: g.link.backlogMs(),
 		}
 		h.mu.Lock()
 		accepted := h.receiver.Accept(now, peer, m.Key, m.Bytes, state)
