Leave out peers whose transfers fail, even if they accept offers

An accepted offer reset the back-off of a peer. A peer that datagrams reach but connections don't was left out for 200 ms after each failed transfer and then got all requests again, each of which took up to 800 ms to find that it can't connect. A peer that accepts offers and refuses the transferred requests got their bodies in the same way.

The back-off after a failed transfer is now kept until a transfer gets its response, and doubles up to 16 s; until then the peer gets one transfer per back-off. A peer that announces its start is used at once, as before.

--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -263,6 +263,13 @@
 	g.logHandoffEvent(event, t.offer.Peer())
 }
 
+// responded records that the response of a peer that took the request has begun.
+func (h *handoffs) responded(now kumquatlug.Millis, offer handoff.Offer) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.sender.Responded(now, offer)
+}
+
 // peerHeard records that something came from a peer.
 func (g *Gateway) peerHeard(peer string) {
 	g.handoffs.mu.Lock()
@@ -301,6 +308,7 @@
 			Step: stepHandoff, Peer: offer.Peer(), Reason: response.Reason(), Execution: kumquatlug.NotExecuted,
 		})}
 	}
+	g.handoffs.responded(g.c.Clock.Now(), offer)
 	g.handoffs.metrics.handoffs.WithLabelValues(outcomeHandedOff).Inc()
 	return f.relayFromPeer(ctx, t, response)
 }
--- a/pkg/kumquatlug/handoff/handoff_test.go
+++ b/pkg/kumquatlug/handoff/handoff_test.go
@@ -139,6 +139,45 @@
 	}
 }
 
+// A peer accepts offers, but connections to it time out after 800 ms, as when only datagrams pass.
+// Each transfer delays its request beyond its latency target: the peer must be left out for longer
+// and longer, and must get requests again once it responds to one.
+func TestPeerWithFailingTransfersBacksOff(t *testing.T) {
+	s := newSender(1250)
+	s.SetPeers([]kumquatlug.HandoffPeer{{Name: "high-0", Zone: "a"}}, nil)
+	failAt := map[kumquatlug.Millis][]Offer{}
+	transfers, now := 0, kumquatlug.Millis(0)
+	for ; now < 60_000; now += 20 {
+		for _, o := range failAt[now] {
+			s.End(now, o, ResultBroken)
+		}
+		if o, found := s.Offer(now, prompt(1), nil); found {
+			transfers++
+			s.Answered(now, o, ResultAccepted)
+			s.Begin(now, o)
+			failAt[now+800] = append(failAt[now+800], o)
+		}
+	}
+	// 40 until the first one fails, then one at a time after each back-off.
+	if transfers < 40+5 || transfers > 40+12 {
+		t.Errorf("%d transfers", transfers)
+	}
+	now += 2 * maxBackoff
+	o, found := s.Offer(now, prompt(1), nil)
+	if !found {
+		t.Fatal("the peer is not probed")
+	}
+	s.Answered(now, o, ResultAccepted)
+	s.Begin(now, o)
+	if _, found := s.Offer(now+10, prompt(1), nil); found {
+		t.Error("a second transfer beside the probe")
+	}
+	s.Responded(now+20, o)
+	if _, found := s.Offer(now+30, prompt(1), nil); !found {
+		t.Error("a peer that responds gets no offers")
+	}
+}
+
 // A request is offered at most twice, to different peers, and only once if sending it a second
 // time costs less than waiting for another answer. A peer that announced its shutdown gets none.
 func TestOffersAreBounded(t *testing.T) {
--- a/pkg/kumquatlug/handoff/liveness.go
+++ b/pkg/kumquatlug/handoff/liveness.go
@@ -49,7 +49,18 @@
 	if r == ResultAccepted {
 		return EventNone
 	}
-	return p.record(now, o, r)
+	p.leftOutFor = max(p.leftOutFor, p.transferBackoff)
+	event := p.record(now, o, r)
+	p.transferBackoff = p.leftOutFor
+	return event
+}
+
+// Responded records that the response to a transfer has begun.
+func (s *Sender) Responded(now kumquatlug.Millis, o Offer) {
+	if p := s.peers[o.peer]; p != nil {
+		p.transferBackoff = 0
+		p.heard(now)
+	}
 }
 
 // Heard records that something came from a peer.
--- a/pkg/kumquatlug/handoff/sender.go
+++ b/pkg/kumquatlug/handoff/sender.go
@@ -131,6 +131,9 @@
 	// failures counts the failures in a row, failedAt is the time of the last one.
 	failures             int
 	failedAt, leftOutFor kumquatlug.Millis
+	// transferBackoff is how long it was left out after its last transfer failed, zero since
+	// the response to one. acceptedAt is when it last accepted an offer.
+	transferBackoff, acceptedAt kumquatlug.Millis
 	// offering is the number of offers that await their answer.
 	offering int
 	// stopping says that the peer has announced its shutdown, unresponsive that it has
@@ -186,7 +189,7 @@
 // shutting down.
 func (s *Sender) PeerJoined(name string) {
 	if p := s.peers[name]; p != nil {
-		p.stopping, p.failures, p.leftOutFor = false, 0, 0
+		p.stopping, p.failures, p.leftOutFor, p.transferBackoff = false, 0, 0, 0
 	}
 }
 
@@ -253,12 +256,16 @@
 }
 
 // available reports whether offers may be sent to a peer. After a failure one offer at a
-// time is a probe: several would all wait in vain.
+// time is a probe: several would all wait in vain. A peer may accept offers whose transfers
+// fail, as when only datagrams reach it: then one transfer at a time is a probe.
 func (p *peer) available(now kumquatlug.Millis) bool {
 	if p.stopping || p.failures > 0 && now < p.failedAt+p.leftOutFor {
 		return false
 	}
-	return p.failures == 0 || p.offering == 0
+	if p.transferBackoff > 0 && now < p.acceptedAt+p.transferBackoff {
+		return false
+	}
+	return p.failures == 0 && p.transferBackoff == 0 || p.offering == 0
 }
 
 // compareLoad orders peers by the time that their links are busy with what they have, and
@@ -284,6 +291,9 @@
 		return EventNone
 	}
 	p.offering--
+	if r == ResultAccepted {
+		p.acceptedAt = now
+	}
 	return p.record(now, o, r)
 }
 
