Honor the idle timeout of peers whose Keep-Alive header is removed

The pool read Keep-Alive when the body of a response was closed. The clients of workers and of peer gateways remove the header before that, so that the announced timeout was never seen: connections to peer gateways were dropped after the default of 2 s in place of 29.4 s, and a worker that announces less than 2.6 s was taken to keep idle connections for 2 s. The timeout is now read with the head.

TestIdleConnectionsCloseBeforePeerTimeout now removes the header as callers do, and fails without the change.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -122,7 +122,9 @@
 		}
 		return nil, failure("exchange", r.Address, kumquatlug.ExecutionUnknown, err)
 	}
-	response.Body = &responseBody{Reader: response.Body, pool: p, conn: c, response: response, stopCancel: stopCancel}
+	response.Body = &responseBody{
+		Reader: response.Body, pool: p, conn: c, response: response, stopCancel: stopCancel, idleTimeout: peerIdleTimeout(response.Header),
+	}
 	return response, nil
 }
 
@@ -293,8 +295,11 @@
 	conn       *conn
 	response   *http.Response
 	stopCancel func() bool
-	eof        bool
-	closed     bool
+	// idleTimeout is read from the header at once, since callers remove headers that
+	// concern the connection before they close the body.
+	idleTimeout kumquatlug.Millis
+	eof         bool
+	closed      bool
 }
 
 func (b *responseBody) Read(buf []byte) (int, error) {
@@ -317,7 +322,7 @@
 	if !b.eof || !stopped || !framed || b.response.Close || b.conn.writing.Load() || b.conn.reader.Buffered() > 0 {
 		return b.conn.Close()
 	}
-	b.pool.putIdle(b.conn, peerIdleTimeout(b.response.Header))
+	b.pool.putIdle(b.conn, b.idleTimeout)
 	return nil
 }
 
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -87,6 +87,8 @@
 	}
 	defer response.Body.Close()
 	text, err := io.ReadAll(response.Body)
+	// Callers remove such headers from responses that they relay.
+	response.Header.Del("Keep-Alive")
 	return string(text), err
 }
 
