Count the time between offer and transfer against the deadline

A gateway that hands a request off states the elapsed time before it connects. Connecting takes up to 800 ms when packets are lost, and a peer that is suspended reads the request later still; the peer then gave the worker that much more time than the client has. The request arrived before its offer was accepted, so that the peer now takes the time since then for elapsed if it is longer.

The check whether a response completes before the exit of a gateway that shuts down counted from the arrival at the first gateway, so that a stream could be started that is cut off by the elapsed time.

TestTimeBeforeTransferCounts fails in both parts without the change. The deadline at the first gateway already canceled the request; this concerns what workers are told and what the peer plans with.

--- a/internal/gateway/handoff_test.go
+++ b/internal/gateway/handoff_test.go
@@ -247,6 +247,38 @@
 	}
 }
 
+// Connecting to the peer takes 300 ms, or the peer is suspended before it reads the request. The
+// worker must not be given more time than the client has left, and a stream that would be cut
+// off at the peer's exit must be refused by the time at which it starts there.
+func TestTimeBeforeTransferCounts(t *testing.T) {
+	const wait = 300
+	p := newHandoffPair(t, streamWorkers(1, 5), streamWorkers(1, 5), manyRetries)
+	p.linkB.answer = func(kumquatlug.Handoff) {}
+	p.b.g.HandoffReceived("a", kumquatlug.Handoff{Step: kumquatlug.HandoffOffered, Key: 1, Bytes: 4})
+	<-time.After(wait * time.Millisecond)
+	r := kumquatlug.NewRequest(kumquatlug.RequestConfig{
+		ID: "r1", Host: "h", Method: http.MethodPost, Path: "/chat/", Target: "/chat/", Body: []byte("body"), Timeout: 2000,
+	})
+	got, err := p.a.g.c.PeerClient.HandOff(t.Context(), kumquatlug.HandoffRequest{
+		Address: p.b.g.c.HandoffListener.Addr().String(), From: "a", Key: 1, Proof: peerrequest.ProofMessage("a", 1, r), Request: r, Header: http.Header{"Id": {"r1"}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	got.Response().Body().Close()
+	if calls := p.b.workers.recorded(); len(calls) != 1 || calls[0].options.Timeout > 1500-wait {
+		t.Errorf("%+v", calls)
+	}
+	service, _ := p.b.g.table.Load().Service("engines")
+	f := &inflight{g: p.b.g, service: service, request: r, arrived: 1000}
+	exit := kumquatlug.Millis(1)
+	for ; f.outlastsShutdown(exit); exit++ {
+	}
+	if f.elapsed = wait; !f.outlastsShutdown(exit + wait - 1) {
+		t.Error("a stream that can't complete is started")
+	}
+}
+
 // The connection to the peer breaks in mid-stream. A resumable stream must continue here
 // after the last event, charged to the retry budget; another one, and one that the budget does not
 // allow, must break off.
--- a/internal/gateway/handoffserver.go
+++ b/internal/gateway/handoffserver.go
@@ -134,7 +134,8 @@
 
 // admitHandoff returns the refusal of a handed-off request that lacks a valid proof, or
 // whose offer this gateway did not accept or has used. It returns nil for a client's request.
-func (g *Gateway) admitHandoff(o origin, request kumquatlug.Request) *kumquatlug.Failure {
+// The elapsed time was taken before the connection was made; the time since the offer bounds it.
+func (g *Gateway) admitHandoff(o *origin, request kumquatlug.Request) *kumquatlug.Failure {
 	if o.handoff == nil {
 		return nil
 	}
@@ -144,6 +145,9 @@
 	if admitted {
 		h.mu.Lock()
 		admitted = h.receiver.Take(g.c.Clock.Now(), o.handoff.From, o.handoff.Key)
+		if late := o.arrived - h.receiver.AcceptedAt(o.handoff.From, o.handoff.Key); admitted && late > 0 {
+			o.arrived, o.elapsed = o.arrived-late, o.elapsed+late
+		}
 		h.mu.Unlock()
 	}
 	if !admitted {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -64,7 +64,7 @@
 		g.bodyBytes.Add(undeclared)
 		defer g.bodyBytes.Add(-undeclared)
 	}
-	if denied := g.admitHandoff(o, request); denied != nil {
+	if denied := g.admitHandoff(&o, request); denied != nil {
 		g.refuse(w, request, denied)
 		return
 	}
@@ -124,7 +124,7 @@
 	if f.service.Engine() {
 		duration += f.g.scheduler.maxDuration(f.service.Name(), f.request.Prompt().Output())
 	}
-	return f.arrived+duration > exit
+	return f.arrived+f.elapsed+duration > exit
 }
 
 // shutdownFailure returns the failure of a request that would have completed in time
--- a/pkg/kumquatlug/handoff/receiver.go
+++ b/pkg/kumquatlug/handoff/receiver.go
@@ -102,6 +102,15 @@
 	return true
 }
 
+// AcceptedAt returns when the offer of a request that was taken was accepted. The request had
+// arrived at the other gateway before.
+func (r *Receiver) AcceptedAt(from string, key uint64) kumquatlug.Millis {
+	if o := r.accepted[offerID{from: from, key: key}]; o != nil {
+		return o.at
+	}
+	return 0
+}
+
 func (r *Receiver) expire(now kumquatlug.Millis) {
 	expired := 0
 	for expired < len(r.byAge) && now-r.byAge[expired].at >= offerLifetime {
