Make no offers to a peer whose row no longer allows handoff

A peer with transfers was kept after its row had lost the handoff address or got a link that is too slow, and was still offered requests. As each of these is a transfer, a busy peer was never removed.

TestWithdrawnPeerGetsNoOffers fails without the change. Peers with transfers are still kept until these end, as their liveness is tracked there.

--- a/pkg/kumquatlug/handoff/handoff_test.go
+++ b/pkg/kumquatlug/handoff/handoff_test.go
@@ -178,6 +178,27 @@
 	}
 }
 
+// A peer with transfers restarts with a slower link or without a port for handoff. It must get no
+// more offers, however long its transfers last.
+func TestWithdrawnPeerGetsNoOffers(t *testing.T) {
+	s := newSender(1250)
+	s.SetPeers([]kumquatlug.HandoffPeer{{Name: "high-0", Zone: "a"}}, nil)
+	o, found := s.Offer(0, prompt(1), nil)
+	if !found {
+		t.Fatal("no offer")
+	}
+	s.Answered(1, o, ResultAccepted)
+	s.Begin(1, o)
+	s.SetPeers(nil, nil)
+	if _, found := s.Offer(2, prompt(2), nil); found {
+		t.Error("offered to a peer without a port for handoff")
+	}
+	s.SetPeers([]kumquatlug.HandoffPeer{{Name: "high-0", Zone: "a"}}, nil)
+	if _, found := s.Offer(3, prompt(2), nil); !found {
+		t.Error("not offered to a peer that allows handoff again")
+	}
+}
+
 // A request is offered at most twice, to different peers, and only once if sending it a second
 // time costs less than waiting for another answer. A peer that announced its shutdown gets none.
 func TestOffersAreBounded(t *testing.T) {
--- a/pkg/kumquatlug/handoff/sender.go
+++ b/pkg/kumquatlug/handoff/sender.go
@@ -136,6 +136,8 @@
 	transferBackoff, acceptedAt kumquatlug.Millis
 	// offering is the number of offers that await their answer.
 	offering int
+	// withdrawn says that its row no longer allows handoff; it is kept while it has transfers.
+	withdrawn bool
 	// stopping says that the peer has announced its shutdown, unresponsive that it has
 	// stopped answering.
 	stopping, unresponsive bool
@@ -172,14 +174,17 @@
 		if s.peers[p.Name] == nil {
 			s.peers[p.Name] = &peer{hash: xxhash.Sum64String(p.Name)}
 		}
-		s.peers[p.Name].linkBytesPerMs = p.LinkBytesPerMs
+		s.peers[p.Name].linkBytesPerMs, s.peers[p.Name].withdrawn = p.LinkBytesPerMs, false
 	}
 	for _, name := range restarted {
 		s.PeerJoined(name)
 	}
 	for name, p := range s.peers {
-		// A peer with transfers is kept until they have ended.
-		if !suitable[name] && p.transfers == 0 && p.offering == 0 {
+		if suitable[name] {
+			continue
+		}
+		p.withdrawn = true
+		if p.transfers == 0 && p.offering == 0 {
 			delete(s.peers, name)
 		}
 	}
@@ -259,7 +264,7 @@
 // time is a probe: several would all wait in vain. A peer may accept offers whose transfers
 // fail, as when only datagrams reach it: then one transfer at a time is a probe.
 func (p *peer) available(now kumquatlug.Millis) bool {
-	if p.stopping || p.failures > 0 && now < p.failedAt+p.leftOutFor {
+	if p.stopping || p.withdrawn || p.failures > 0 && now < p.failedAt+p.leftOutFor {
 		return false
 	}
 	if p.transferBackoff > 0 && now < p.acceptedAt+p.transferBackoff {
