--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -147,6 +147,11 @@
 		if f.responseStarted {
 			panic(http.ErrAbortHandler)
 		}
+		if r.Context().Err() == nil {
+			// Without this, net/http would send an empty response with status 200.
+			f.possibleRuns++
+			f.sendFailure(ctx, failed.failure)
+		}
 		return true
 	}
 	// The peer has counted the request as started at its first output.
@@ -258,6 +263,13 @@
 	g.logHandoffEvent(event, t.offer.Peer())
 }
 
+// responded records that the response of a peer that took the request has begun.
+func (h *handoffs) responded(now kumquatlug.Millis, offer handoff.Offer) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.sender.Responded(now, offer)
+}
+
 // peerHeard records that something came from a peer.
 func (g *Gateway) peerHeard(peer string) {
 	g.handoffs.mu.Lock()
@@ -296,13 +308,17 @@
 			Step: stepHandoff, Peer: offer.Peer(), Reason: response.Reason(), Execution: kumquatlug.NotExecuted,
 		})}
 	}
+	g.handoffs.responded(g.c.Clock.Now(), offer)
 	g.handoffs.metrics.handoffs.WithLabelValues(outcomeHandedOff).Inc()
 	return f.relayFromPeer(ctx, t, response)
 }
 
 // servedHereAfter holds the reasons of a peer's refusals that concern the peer and not the
-// request: this gateway serves the request itself after them.
-var servedHereAfter = map[string]bool{reasonStopping: true, reasonNoConfig: true, reasonBodies: true, reasonHandoffDenied: true}
+// request: this gateway serves the request itself after them. A peer that is partitioned from
+// the store refuses with a stale config what this gateway's own config allows.
+var servedHereAfter = map[string]bool{
+	reasonStopping: true, reasonNoConfig: true, reasonBodies: true, reasonHandoffDenied: true, reasonKeysStale: true, reasonConfigStale: true,
+}
 
 // stepHandoff is the step of failures at a peer gateway.
 const stepHandoff = "handoff"
--- a/internal/gateway/handoff_test.go
+++ b/internal/gateway/handoff_test.go
@@ -16,6 +16,7 @@
 	"github.com/kumquatlug/kumquatlug/internal/peerrequest"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/clock"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/handoff"
 )
 
 func (noLink) SendHandoff(string, kumquatlug.Handoff)       {}
@@ -191,6 +192,93 @@
 	}
 }
 
+// A response that is not a stream breaks off at the peer, whose buffers are full, so that it has
+// forwarded a part. The gateway has larger buffers: it must not pass the part off as the complete
+// response, nor send an empty one.
+func TestGivenUpPlainResponseIsNotComplete(t *testing.T) {
+	p := newHandoffPair(t, streamWorkers(1, 5), &fakeWorkers{run: func(context.Context, int, workerCall) (kumquatlug.WorkerResponse, error) {
+		r := truncatedResponse(strings.Repeat("x", 3*minBufferedBytes), -1)
+		return kumquatlug.NewWorkerResponse(kumquatlug.WorkerResponseConfig{Status: 400, Header: r.Header(), Length: -1, Body: r.Body()}), nil
+	}}, manyRetries)
+	p.a.g.c.MaxBodyBytes = 1 << 20
+	p.b.g.bufferBytes.Store(p.b.g.c.MaxBodyBytes)
+	got := p.a.do(t.Context(), http.MethodPost, chatRoute)
+	if got.err != nil || got.status != http.StatusBadGateway || got.header.Get("Ran") == string(kumquatlug.NotExecuted) || len(p.a.workers.recorded()) != 0 {
+		t.Errorf("status %d, %d bytes, %v, %d runs here", got.status, len(got.body), got.err, len(p.a.workers.recorded()))
+	}
+}
+
+// The peer is partitioned from the store and refuses what its stale config does not cover. The
+// gateway has a confirmed config: clients must not be refused because of the peer.
+func TestRequestIsServedHereIfConfigOfPeerIsStale(t *testing.T) {
+	for _, c := range []struct {
+		failClosed     bool
+		key            string
+		staleAfter     kumquatlug.HandoffStep
+		outcome, meant string
+	}{
+		{true, "k1", "", string(handoff.ResultDeclined), "keys are stale"},
+		{true, "k1", kumquatlug.HandoffAccepted, outcomeReturned, "keys become stale after the offer"},
+		{false, "k0", "", outcomeReturned, "key is unknown"},
+	} {
+		p := newHandoffPair(t, streamWorkers(1, 5), streamWorkers(1, 5), manyRetries)
+		keys := []map[string]string{{"k1": "north"}, {c.key: "north"}}
+		for i, f := range []*testGateway{p.a, p.b} {
+			f.g.table.Store(tableWithKeys(t, 7, keys[i]))
+			f.g.configConfirmedAt.Store(int64(f.g.c.BootClock.Now()))
+			f.g.c.FailClosed, f.g.c.MaxRevocationDelay, f.g.c.MaxConfigDelay = c.failClosed, 5000, 3000
+		}
+		stale := func() { p.b.g.configConfirmedAt.Store(int64(p.b.g.c.BootClock.Now() - 6000)) }
+		if c.staleAfter == "" {
+			stale()
+		}
+		p.linkB.answer = func(m kumquatlug.Handoff) {
+			if m.Step == c.staleAfter {
+				stale()
+			}
+			go p.a.g.HandoffReceived("b", m)
+		}
+		if got := p.a.do(t.Context(), http.MethodPost, chatRoute, "k1"); got.body != events(1, 5) {
+			t.Errorf("%s: %+v", c.meant, got)
+		}
+		if n := p.outcomes(p.a, c.outcome); n != 1 || len(p.b.workers.recorded()) != 0 {
+			t.Errorf("%s: %v requests %s, %d runs at the peer", c.meant, n, c.outcome, len(p.b.workers.recorded()))
+		}
+	}
+}
+
+// Connecting to the peer takes 300 ms, or the peer is suspended before it reads the request. The
+// worker must not be given more time than the client has left, and a stream that would be cut
+// off at the peer's exit must be refused by the time at which it starts there.
+func TestTimeBeforeTransferCounts(t *testing.T) {
+	const wait = 300
+	p := newHandoffPair(t, streamWorkers(1, 5), streamWorkers(1, 5), manyRetries)
+	p.linkB.answer = func(kumquatlug.Handoff) {}
+	p.b.g.HandoffReceived("a", kumquatlug.Handoff{Step: kumquatlug.HandoffOffered, Key: 1, Bytes: 4})
+	<-time.After(wait * time.Millisecond)
+	r := kumquatlug.NewRequest(kumquatlug.RequestConfig{
+		ID: "r1", Host: "h", Method: http.MethodPost, Path: "/chat/", Target: "/chat/", Body: []byte("body"), Timeout: 2000,
+	})
+	got, err := p.a.g.c.PeerClient.HandOff(t.Context(), kumquatlug.HandoffRequest{
+		Address: p.b.g.c.HandoffListener.Addr().String(), From: "a", Key: 1, Proof: peerrequest.ProofMessage("a", 1, r), Request: r, Header: http.Header{"Id": {"r1"}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	got.Response().Body().Close()
+	if calls := p.b.workers.recorded(); len(calls) != 1 || calls[0].options.Timeout > 1500-wait {
+		t.Errorf("%+v", calls)
+	}
+	service, _ := p.b.g.table.Load().Service("engines")
+	f := &inflight{g: p.b.g, service: service, request: r, arrived: 1000}
+	exit := kumquatlug.Millis(1)
+	for ; f.outlastsShutdown(exit); exit++ {
+	}
+	if f.elapsed = wait; !f.outlastsShutdown(exit + wait - 1) {
+		t.Error("a stream that can't complete is started")
+	}
+}
+
 // The connection to the peer breaks in mid-stream. A resumable stream must continue here
 // after the last event, charged to the retry budget; another one, and one that the budget does not
 // allow, must break off.
--- a/internal/gateway/handoffserver.go
+++ b/internal/gateway/handoffserver.go
@@ -21,6 +21,8 @@
 	reasonNoConfig      = "no_config"
 	reasonBodies        = "bodies"
 	reasonHandoffDenied = "handoff_denied"
+	reasonKeysStale     = "keys_stale"
+	reasonConfigStale   = "config_stale"
 )
 
 // Outcomes of handed-off requests; offers are counted by their [handoff.Result].
@@ -81,8 +83,8 @@
 		h.answerReceived(now, peer, m)
 	case kumquatlug.HandoffOffered:
 		state := handoff.State{
-			Ready: g.ready() && g.c.HandoffListener != nil, BodyBytes: g.bodyBytes.Load(), MaxBodyBytes: g.c.MaxBodyBytes,
-			LinkBacklog: g.link.backlogMs(),
+			Ready: g.ready() && g.c.HandoffListener != nil && !g.keysStale(), BodyBytes: g.bodyBytes.Load(),
+			MaxBodyBytes: g.c.MaxBodyBytes, LinkBacklog: g.link.backlogMs(),
 		}
 		h.mu.Lock()
 		accepted := h.receiver.Accept(now, peer, m.Key, m.Bytes, state)
@@ -132,7 +134,8 @@
 
 // admitHandoff returns the refusal of a handed-off request that lacks a valid proof, or
 // whose offer this gateway did not accept or has used. It returns nil for a client's request.
-func (g *Gateway) admitHandoff(o origin, request kumquatlug.Request) *kumquatlug.Failure {
+// The elapsed time was taken before the connection was made; the time since the offer bounds it.
+func (g *Gateway) admitHandoff(o *origin, request kumquatlug.Request) *kumquatlug.Failure {
 	if o.handoff == nil {
 		return nil
 	}
@@ -142,6 +145,9 @@
 	if admitted {
 		h.mu.Lock()
 		admitted = h.receiver.Take(g.c.Clock.Now(), o.handoff.From, o.handoff.Key)
+		if late := o.arrived - h.receiver.AcceptedAt(o.handoff.From, o.handoff.Key); admitted && late > 0 {
+			o.arrived, o.elapsed = o.arrived-late, o.elapsed+late
+		}
 		h.mu.Unlock()
 	}
 	if !admitted {
--- a/pkg/kumquatlug/handoff/sender.go
+++ b/pkg/kumquatlug/handoff/sender.go
@@ -131,8 +131,13 @@
 	// failures counts the failures in a row, failedAt is the time of the last one.
 	failures             int
 	failedAt, leftOutFor kumquatlug.Millis
+	// transferBackoff is how long it was left out after its last transfer failed, zero since
+	// the response to one. acceptedAt is when it last accepted an offer.
+	transferBackoff, acceptedAt kumquatlug.Millis
 	// offering is the number of offers that await their answer.
 	offering int
+	// withdrawn says that its row no longer allows handoff; it is kept while it has transfers.
+	withdrawn bool
 	// stopping says that the peer has announced its shutdown, unresponsive that it has
 	// stopped answering.
 	stopping, unresponsive bool
@@ -169,14 +174,17 @@
 		if s.peers[p.Name] == nil {
 			s.peers[p.Name] = &peer{hash: xxhash.Sum64String(p.Name)}
 		}
-		s.peers[p.Name].linkBytesPerMs = p.LinkBytesPerMs
+		s.peers[p.Name].linkBytesPerMs, s.peers[p.Name].withdrawn = p.LinkBytesPerMs, false
 	}
 	for _, name := range restarted {
 		s.PeerJoined(name)
 	}
 	for name, p := range s.peers {
-		// A peer with transfers is kept until they have ended.
-		if !suitable[name] && p.transfers == 0 && p.offering == 0 {
+		if suitable[name] {
+			continue
+		}
+		p.withdrawn = true
+		if p.transfers == 0 && p.offering == 0 {
 			delete(s.peers, name)
 		}
 	}
@@ -186,7 +194,7 @@
 // shutting down.
 func (s *Sender) PeerJoined(name string) {
 	if p := s.peers[name]; p != nil {
-		p.stopping, p.failures, p.leftOutFor = false, 0, 0
+		p.stopping, p.failures, p.leftOutFor, p.transferBackoff = false, 0, 0, 0
 	}
 }
 
@@ -253,12 +261,16 @@
 }
 
 // available reports whether offers may be sent to a peer. After a failure one offer at a
-// time is a probe: several would all wait in vain.
+// time is a probe: several would all wait in vain. A peer may accept offers whose transfers
+// fail, as when only datagrams reach it: then one transfer at a time is a probe.
 func (p *peer) available(now kumquatlug.Millis) bool {
-	if p.stopping || p.failures > 0 && now < p.failedAt+p.leftOutFor {
+	if p.stopping || p.withdrawn || p.failures > 0 && now < p.failedAt+p.leftOutFor {
+		return false
+	}
+	if p.transferBackoff > 0 && now < p.acceptedAt+p.transferBackoff {
 		return false
 	}
-	return p.failures == 0 || p.offering == 0
+	return p.failures == 0 && p.transferBackoff == 0 || p.offering == 0
 }
 
 // compareLoad orders peers by the time that their links are busy with what they have, and
@@ -284,6 +296,9 @@
 		return EventNone
 	}
 	p.offering--
+	if r == ResultAccepted {
+		p.acceptedAt = now
+	}
 	return p.record(now, o, r)
 }
 
