Draw the speeds of a test in a fixed order

TestOwnerWeightsFollowOnlyLastingChanges drew noise in the order of a map, so that its verdict varied; it failed once with 6 changes of 5 allowed. The speeds are now drawn in order of the engines.

--- a/pkg/kumquatlug/planner/weights_test.go
+++ b/pkg/kumquatlug/planner/weights_test.go
@@ -18,8 +18,8 @@
 	}
 	noisy := func() map[string]float64 {
 		m := map[string]float64{}
-		for id, speed := range speeds {
-			m[id] = speed * math.Exp(0.07*random.NormFloat64())
+		for i := range 20 {
+			m[fmt.Sprint(i)] = speeds[fmt.Sprint(i)] * math.Exp(0.07*random.NormFloat64())
 		}
 		return m
 	}
