Keep a handed-off request within the workers of its route, and let any gateway take a free lease

A peer resumed the stream at a second worker and was then lost, and the gateway that the client had reached continued it at a third. The peer now leaves the last worker that the route permits to that gateway, which continues streams that the peer gives up.

--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -142,7 +142,7 @@
 	case failed.failure.Execution() == kumquatlug.NotExecuted:
 		f.logHandoff("handed-off request returned", failed)
 		return false
-	case r.Context().Err() != nil || reason == reasonClientLeft || reason == reasonPeerGaveUp:
+	case r.Context().Err() != nil || reason == reasonClientLeft || reason == reasonPeerGaveUp && !f.continuesAfterPeer():
 		f.logHandoff("handed-off request ended", failed)
 		if f.responseStarted {
 			panic(http.ErrAbortHandler)
@@ -154,6 +154,8 @@
 		}
 		return true
 	}
+	// The peer may have used all workers but the last.
+	f.possibleRuns = max(f.route.MaxWorkers()-2, 0)
 	// The peer has counted the request as started at its first output.
 	f.usageCounted = f.responseStarted
 	final := f.finalFailure(ctx, failed)
@@ -167,6 +169,13 @@
 	return true
 }
 
+// continuesAfterPeer reports whether this gateway may continue a request that a peer gave up: it
+// may run again, the route permits one more worker, and what the client has received is a
+// stream that can resume.
+func (f *inflight) continuesAfterPeer() bool {
+	return f.route.Repeatable() && f.route.MaxWorkers() > 1 && (f.route.Stream() || !f.responseStarted)
+}
+
 // chargeContinuation takes one retry from the budget for a request that continues here, before
 // anything is sent to a worker. It returns a failure if the budget is exhausted.
 func (f *inflight) chargeContinuation() *kumquatlug.Failure {
@@ -310,6 +319,9 @@
 	}
 	g.handoffs.responded(g.c.Clock.Now(), offer)
 	g.handoffs.metrics.handoffs.WithLabelValues(outcomeHandedOff).Inc()
+	if response.Refused() && response.Ran() != kumquatlug.NotExecuted && f.continuesAfterPeer() && f.timeLeft() > 0 {
+		return f.peerGaveUp(t)
+	}
 	return f.relayFromPeer(ctx, t, response)
 }
 
--- a/internal/gateway/handoffrelay.go
+++ b/internal/gateway/handoffrelay.go
@@ -136,7 +136,7 @@
 
 // peerGaveUp returns the failure of a response that the peer could not complete.
 func (f *inflight) peerGaveUp(t *peerTransfer) *attemptFailure {
-	return &attemptFailure{permanent: true, failure: kumquatlug.NewFailure(kumquatlug.FailureConfig{
+	return &attemptFailure{permanent: !f.continuesAfterPeer(), failure: kumquatlug.NewFailure(kumquatlug.FailureConfig{
 		Step: stepHandoff, Peer: t.offer.Peer(), Reason: reasonPeerGaveUp, Execution: kumquatlug.ExecutionUnknown, Status: http.StatusBadGateway,
 	})}
 }
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -22,6 +22,8 @@
 	// configVersion is the version of the config that selected the route.
 	configVersion int64
 	arrived       kumquatlug.Millis
+	// handedOff says that a peer gateway handed the request off to this one.
+	handedOff bool
 	// elapsed is how long after its arrival this gateway starts to serve the request itself,
 	// if a peer gateway had it before.
 	elapsed kumquatlug.Millis
@@ -160,7 +162,7 @@
 		return failed.failure
 	case f.possibleRuns > 0 && !f.route.Repeatable():
 		return failed.failure
-	case f.possibleRuns >= f.route.MaxWorkers():
+	case f.possibleRuns >= f.maxWorkers():
 		return failed.failure
 	}
 	if failed := f.shutdownFailure(); failed != nil {
@@ -169,6 +171,16 @@
 	return nil
 }
 
+// maxWorkers returns how many workers may run the request for this gateway. Of a request that a
+// peer handed off, the last one is left to the peer, which continues the request if this gateway
+// can't: both together must not exceed what the route permits, also if this one is killed.
+func (f *inflight) maxWorkers() int {
+	if f.handedOff {
+		return max(f.route.MaxWorkers()-1, 1)
+	}
+	return f.route.MaxWorkers()
+}
+
 // takeRetryBudget takes one retry from the budget unless this is the first attempt to
 // reach a worker. It returns a failure if the budget is exhausted.
 func (f *inflight) takeRetryBudget() *attemptFailure {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -55,6 +55,9 @@
 // preferredGateways returns the gateways that do the work for all: those that accept
 // handed-off requests and have no low-bandwidth link.
 func (g *Gateway) preferredGateways() []string {
+	if g.c.Peers == nil {
+		return nil
+	}
 	var names []string
 	peers := g.c.Peers.HandoffPeers()
 	if g.c.HandoffListener != nil {
@@ -68,19 +71,34 @@
 	return names
 }
 
-// leaseDelay is how long after its start a gateway that is not preferred leaves the lease to
-// others: the rows of its peers are read within that time.
-const leaseDelay = 3 * kumquatlug.Second
+// Parameters of taking the lease for the work of all gateways at one with a low-bandwidth link.
+const (
+	// leaseDelay is how long after its start it leaves the lease to others, which read their
+	// settings at the same time.
+	leaseDelay = 3 * kumquatlug.Second
+	// lowBandwidthPollFactor is how much more seldom it reads the lease: others take over a free
+	// one first if the store serves them.
+	lowBandwidthPollFactor = 3
+)
+
+// hasLowBandwidth reports whether messages of this gateway wait behind request bodies.
+func (g *Gateway) hasLowBandwidth() bool {
+	return g.c.LinkBytesPerMs > 0 && g.c.LinkBytesPerMs < minPreferredLinkBytesPerMs
+}
 
 // wantsLease reports whether this gateway takes the lease for the work of all gateways. One that
 // holds it keeps it, since a change of hands delays orders by seconds.
 func (g *Gateway) wantsLease(held bool) bool {
-	low := g.c.LinkBytesPerMs > 0 && g.c.LinkBytesPerMs < minPreferredLinkBytesPerMs
-	if !low || held {
-		return true
+	return held || !g.hasLowBandwidth() || g.c.Clock.Now()-g.startedAt >= leaseDelay
+}
+
+// leasePollInterval returns the interval at which this gateway reads a lease that another holds.
+func (g *Gateway) leasePollInterval() kumquatlug.Millis {
+	interval := leaseRenewInterval * kumquatlug.Millis(min(g.scheduler.gatewayCount(), maxLeasePollers)) / leasePollersPerRenewal
+	if g.hasLowBandwidth() && len(g.preferredGateways()) > 0 {
+		interval *= lowBandwidthPollFactor
 	}
-	now := g.c.Clock.Now()
-	return now-g.startedAt >= leaseDelay && !g.scheduler.yields(now)
+	return interval
 }
 
 func (sc *scheduler) setPreferredPeers(names []string) {
@@ -89,13 +107,6 @@
 	sc.coordinators.SetPreferred(names)
 }
 
-// yields reports whether a preferred gateway can be reached and this one is not preferred.
-func (sc *scheduler) yields(now kumquatlug.Millis) bool {
-	sc.mu.Lock()
-	defer sc.mu.Unlock()
-	return sc.coordinators != nil && sc.coordinators.Yields(now)
-}
-
 // stopCoordinating hands the coordination of engines over to the other gateways.
 func (g *Gateway) stopCoordinating() {
 	if g.c.Peers == nil {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -71,7 +71,7 @@
 	if status := a.response.Status(); status < http.StatusInternalServerError || status == http.StatusGatewayTimeout {
 		return nil
 	}
-	if f.responseStarted || !f.route.Repeatable() || f.possibleRuns+1 >= f.route.MaxWorkers() || f.attempts+1 >= maxAttempts {
+	if f.responseStarted || !f.route.Repeatable() || f.possibleRuns+1 >= f.maxWorkers() || f.attempts+1 >= maxAttempts {
 		return nil
 	}
 	f.endAttempt(stageOutput, a.attempt, placement.OutcomeFailed)
--- a/pkg/kumquatlug/coordinator/coordinator.go
+++ b/pkg/kumquatlug/coordinator/coordinator.go
@@ -120,20 +120,6 @@
 	}
 }
 
-// Yields reports whether this gateway leaves tasks for all gateways to others: it is not
-// preferred, and one that is can be reached.
-func (f *Gateways) Yields(now kumquatlug.Millis) bool {
-	if f.preferred[f.self] {
-		return false
-	}
-	for name, peer := range f.gateways {
-		if f.preferred[name] && !peer.excluded && now >= peer.backoffUntil {
-			return true
-		}
-	}
-	return false
-}
-
 func newPeerState(name string) *peerState { return &peerState{hash: xxhash.Sum64String(name)} }
 
 // Add adds a gateway that announced itself.
