Admit one call of each user when the store returns, and read the lease as often everywhere

Eight calls are admitted now, one for each user of the store, and the last count of a gateway that exits is not postponed.

--- a/internal/gateway/controller.go
+++ b/internal/gateway/controller.go
@@ -105,7 +105,7 @@
 		}
 		_, held := holder.Held(g.c.BootClock.Now())
 		holder.SetWanted(!g.shuttingDown() && g.wantsLease(held))
-		holder.SetPollInterval(g.leasePollInterval())
+		holder.SetPollInterval(leaseRenewInterval * kumquatlug.Millis(min(g.scheduler.gatewayCount(), maxLeasePollers)) / leasePollersPerRenewal)
 		v.maintainLease(ctx)
 		term := holder.Term(g.c.BootClock.Now())
 		g.term.Store(&term)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -55,9 +55,6 @@
 // preferredGateways returns the gateways that do the work for all: those that accept
 // handed-off requests and have no low-bandwidth link.
 func (g *Gateway) preferredGateways() []string {
-	if g.c.Peers == nil {
-		return nil
-	}
 	var names []string
 	peers := g.c.Peers.HandoffPeers()
 	if g.c.HandoffListener != nil {
@@ -71,34 +68,15 @@
 	return names
 }
 
-// Parameters of taking the lease for the work of all gateways at one with a low-bandwidth link.
-const (
-	// leaseDelay is how long after its start it leaves the lease to others, which read their
-	// settings at the same time.
-	leaseDelay = 3 * kumquatlug.Second
-	// lowBandwidthPollFactor is how much more seldom it reads the lease: others take over a free
-	// one first if the store serves them.
-	lowBandwidthPollFactor = 3
-)
+// leaseDelay is how long after its start a gateway with a low-bandwidth link leaves the lease to
+// others, which start at the same time. Later it reads the lease as often as all others: read
+// more seldom, the lease of a failed holder would be free for seconds longer.
+const leaseDelay = 3 * kumquatlug.Second
 
-// hasLowBandwidth reports whether messages of this gateway wait behind request bodies.
-func (g *Gateway) hasLowBandwidth() bool {
-	return g.c.LinkBytesPerMs > 0 && g.c.LinkBytesPerMs < minPreferredLinkBytesPerMs
-}
-
-// wantsLease reports whether this gateway takes the lease for the work of all gateways. One that
-// holds it keeps it, since a change of hands delays orders by seconds.
+// wantsLease reports whether this gateway takes the lease for the work of all gateways.
 func (g *Gateway) wantsLease(held bool) bool {
-	return held || !g.hasLowBandwidth() || g.c.Clock.Now()-g.startedAt >= leaseDelay
-}
-
-// leasePollInterval returns the interval at which this gateway reads a lease that another holds.
-func (g *Gateway) leasePollInterval() kumquatlug.Millis {
-	interval := leaseRenewInterval * kumquatlug.Millis(min(g.scheduler.gatewayCount(), maxLeasePollers)) / leasePollersPerRenewal
-	if g.hasLowBandwidth() && len(g.preferredGateways()) > 0 {
-		interval *= lowBandwidthPollFactor
-	}
-	return interval
+	low := g.c.LinkBytesPerMs > 0 && g.c.LinkBytesPerMs < minPreferredLinkBytesPerMs
+	return held || !low || g.c.Clock.Now()-g.startedAt >= leaseDelay
 }
 
 func (sc *scheduler) setPreferredPeers(names []string) {
--- a/internal/gateway/storebackoff.go
+++ b/internal/gateway/storebackoff.go
@@ -52,7 +52,7 @@
 
 // do makes a call unless the store fails.
 func (b *storeBackoff) do(ctx context.Context, call func() error) error {
-	if !b.admit(false) {
+	if !b.admit(false) && ctx.Value(lastCall{}) == nil {
 		return errBackoff
 	}
 	admittedAt := b.clock.Now()
@@ -61,6 +61,9 @@
 	return err
 }
 
+// lastCall marks the context of a call that can't be postponed, as this gateway exits.
+type lastCall struct{}
+
 // limitedTable is a [kumquatlug.Table] whose calls share a backoff.
 type limitedTable struct {
 	table   kumquatlug.Table
--- a/pkg/kumquatlug/sharedreads/backoff.go
+++ b/pkg/kumquatlug/sharedreads/backoff.go
@@ -10,9 +10,10 @@
 	// force in time may try.
 	priorityLead = 300 * kumquatlug.Millis(1)
 	// rampTime is how long after the return of the store at most rampCalls calls are
-	// admitted, the one that found it included.
+	// admitted, the one that found it included: one for each user of the store. With fewer,
+	// the counts and the lease of a gateway that was cut off are late by a second.
 	rampTime  = 1 * kumquatlug.Second
-	rampCalls = 2
+	rampCalls = 8
 	// outageFailures is the number of consecutive failures from which the store counts as
 	// unavailable. A single broken connection needs no ramp.
 	outageFailures = 3
