Leave the lease, usage and crash records out of the backoff of table reads

Only the reads of followed tables share the backoff now; the others keep the delays that they had. Four reads are admitted in the first second after the return of the store.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -319,7 +319,7 @@
 	}
 	g.shutdownHandoffs(last)
 	if g.reportsUsage() {
-		g.writeTally(context.WithValue(context.WithoutCancel(ctx), lastCall{}, true), finalTallyTimeout, true, true)
+		g.writeTally(context.WithoutCancel(ctx), finalTallyTimeout, true, true)
 	}
 	return nil
 }
--- a/internal/gateway/storebackoff.go
+++ b/internal/gateway/storebackoff.go
@@ -18,7 +18,8 @@
 // errBackoff is returned instead of a call to a store that fails.
 var errBackoff = errors.Mark(errors.New("store fails, call postponed"), kumquatlug.ErrUnavailable)
 
-// storeBackoff is the backoff that all users of the store share.
+// storeBackoff is the backoff that the reads of all followed tables share. The lease and the
+// counts of usage keep delays of their own: postponed behind the tables, their duties are missed.
 type storeBackoff struct {
 	clock kumquatlug.Clock
 	// active reports whether calls are limited.
@@ -52,7 +53,7 @@
 
 // do makes a call unless the store fails.
 func (b *storeBackoff) do(ctx context.Context, call func() error) error {
-	if !b.admit(false) && ctx.Value(lastCall{}) == nil {
+	if !b.admit(false) {
 		return errBackoff
 	}
 	admittedAt := b.clock.Now()
@@ -61,32 +62,6 @@
 	return err
 }
 
-// lastCall marks the context of a call that can't be postponed, as this gateway exits.
-type lastCall struct{}
-
-// limitedTable is a [kumquatlug.Table] whose calls share a backoff.
-type limitedTable struct {
-	table   kumquatlug.Table
-	backoff *storeBackoff
-}
-
-// Get implements [kumquatlug.Table].
-func (l limitedTable) Get(ctx context.Context, key string) (row kumquatlug.Row, err error) {
-	err = l.backoff.do(ctx, func() error { row, err = l.table.Get(ctx, key); return err })
-	return row, err
-}
-
-// Scan implements [kumquatlug.Table].
-func (l limitedTable) Scan(ctx context.Context, prefix, after string, limit int) (rows []kumquatlug.Row, err error) {
-	err = l.backoff.do(ctx, func() error { rows, err = l.table.Scan(ctx, prefix, after, limit); return err })
-	return rows, err
-}
-
-// Commit implements [kumquatlug.Table].
-func (l limitedTable) Commit(ctx context.Context, tx kumquatlug.Tx) error {
-	return l.backoff.do(ctx, func() error { return l.table.Commit(ctx, tx) })
-}
-
 // limitedFeed is a [kumquatlug.ChangeFeed] whose calls share a backoff.
 type limitedFeed struct {
 	kumquatlug.ChangeFeed
--- a/internal/gateway/tableshares.go
+++ b/internal/gateway/tableshares.go
@@ -77,9 +77,6 @@
 	add(sharedreads.Config{Table: c.MemberTable}, true)
 	add(sharedreads.Config{Table: c.PlanTable, Wait: crashPollWait, Bound: planBound}, false)
 	s.backoff = &storeBackoff{clock: c.BootClock, active: s.active}
-	if c.Table != nil {
-		c.Table = limitedTable{table: c.Table, backoff: s.backoff}
-	}
 	if s.feed = c.ChangeFeed; s.feed != nil {
 		c.ChangeFeed = limitedFeed{ChangeFeed: s.feed, backoff: s.backoff}
 	}
--- a/pkg/kumquatlug/sharedreads/backoff.go
+++ b/pkg/kumquatlug/sharedreads/backoff.go
@@ -10,10 +10,9 @@
 	// force in time may try.
 	priorityLead = 300 * kumquatlug.Millis(1)
 	// rampTime is how long after the return of the store at most rampCalls calls are
-	// admitted, the one that found it included: one for each user of the store. With fewer,
-	// the counts and the lease of a gateway that was cut off are late by a second.
+	// admitted, the one that found it included: one for each table that is followed.
 	rampTime  = 1 * kumquatlug.Second
-	rampCalls = 8
+	rampCalls = 4
 	// outageFailures is the number of consecutive failures from which the store counts as
 	// unavailable. A single broken connection needs no ramp.
 	outageFailures = 3
@@ -21,7 +20,7 @@
 	trialTimeout = 3500 * kumquatlug.Millis(1)
 )
 
-// Backoff limits the calls of all users of the store in one gateway while the store fails and
+// Backoff limits the reads of all followed tables in one gateway while the store fails and
 // right after its return. A failure doubles the delay until the next trial; failures of calls
 // that were made before the last one don't. It is not safe for concurrent use.
 type Backoff struct {
