--- a/internal/gateway/speed.go
+++ b/internal/gateway/speed.go
@@ -16,7 +16,7 @@
 	speedsPerDatagram = 4
 	// speedsPerSecond bounds the entries that are sent, 2.7 KB/s of the 5 KB/s of a gateway's
 	// control plane. initialSpeedsPerSecond applies for the first seconds with speeds: the
-	// holder of the lease can assign roles by speed only after it has heard of all engines.
+	// holder of the lease can assign roles by speed only after it knows all engines.
 	speedsPerSecond, initialSpeedsPerSecond = 60, 160
 	initialSpeedTime                        = 10 * kumquatlug.Second
 	// maxSpeedDelay is how long entries wait for a datagram that is sent anyway.
--- a/internal/gateway/speed_test.go
+++ b/internal/gateway/speed_test.go
@@ -13,7 +13,7 @@
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
 )
 
-// receiveSpeeds makes a gateway hear the speeds of its four engines from three peers, and a time
+// receiveSpeeds gives a gateway the speeds of its four engines from three peers, and a time
 // factor of each.
 func receiveSpeeds(g *Gateway, speeds map[string]float64) {
 	for peer := range 3 {
--- a/pkg/kumquatlug/decodeslots/ask.go
+++ b/pkg/kumquatlug/decodeslots/ask.go
@@ -41,7 +41,7 @@
 	return Granted
 }
 
-// Abandon records that nobody waits for the response to a question any more. timedOut says
+// Abandon records that no request waits for the response to a question any more. timedOut says
 // that the coordinator had time to respond.
 func (s *Slots) Abandon(now kumquatlug.Millis, sequence uint64, timedOut bool) {
 	a, known := s.asks[sequence]
@@ -81,7 +81,7 @@
 }
 
 // HandleTotal handles a coordinator's response. It reports the decision about the question
-// with the response's sequence, and false if nobody waits for it.
+// with the response's sequence, and false if no request waits for it.
 func (s *Slots) HandleTotal(now kumquatlug.Millis, gateway string, m kumquatlug.DecodeTotal) (Decision, bool) {
 	a, known := s.asks[m.Sequence]
 	if !known || a.coordinator != gateway || a.engine != m.Engine {
--- a/pkg/kumquatlug/decodeslots/coordinate.go
+++ b/pkg/kumquatlug/decodeslots/coordinate.go
@@ -61,7 +61,7 @@
 }
 
 // taken returns the number of slots taken at an engine that this gateway coordinates. A new
-// coordinator has not heard of all requests, and takes the estimate if that is higher.
+// coordinator does not know all requests, and takes the estimate if that is higher.
 func (s *Slots) taken(now kumquatlug.Millis, e Engine) int {
 	c := s.countsAt(now, e.ID)
 	total := c.sum(now)
--- a/pkg/kumquatlug/decodeslots/slots.go
+++ b/pkg/kumquatlug/decodeslots/slots.go
@@ -10,7 +10,7 @@
 // gateway. Another gateway sends its own count, an absolute number, with the question whether
 // it may add one request; the response is the total of all gateways and whether the request is
 // granted. A message that is lost, late or repeated does no lasting harm: the next one
-// replaces it. A gateway that does not hear from a coordinator proceeds without a grant.
+// replaces it. A gateway that gets no response from a coordinator proceeds without a grant.
 //
 // The size of a request is not part of any decision.
 package decodeslots
@@ -167,7 +167,7 @@
 type ask struct {
 	engine, coordinator string
 	// count is the number that was sent with the question. started says that the request
-	// is part of ownCount.running, abandoned that nobody waits for the response any more.
+	// is part of ownCount.running, abandoned that no request waits for the response any more.
 	count     int
 	started   bool
 	abandoned bool
