Leave a free lease to others for 600 ms after a start only

A gateway that is served takes the lease within 0.3 s of its start, so that 600 ms suffice for the preference.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -71,7 +71,7 @@
 // leaseDelay is how long after its start a gateway with a low-bandwidth link leaves the lease to
 // others, which start at the same time. Later it reads the lease as often as all others: read
 // more seldom, the lease of a failed holder would be free for seconds longer.
-const leaseDelay = 3 * kumquatlug.Second
+const leaseDelay = 600 * kumquatlug.Millis(1)
 
 // wantsLease reports whether this gateway takes the lease for the work of all gateways.
 func (g *Gateway) wantsLease(held bool) bool {
