Let one piece of code serve where the new parts repeated themselves

A read-through of the whole change found the same logic written several times.

- The rate below which a link counts as a low-bandwidth one stood in four packages; kumquatlug.LowBandwidth replaces them.
- placement: accepts and its wrapper eligible are one function, prefixOwner serves prefill and decode owners, and queries are no longer copied for each worker in the pause limit and the transfer.
- gateway: one charge for retries and continuations, firstOutputDue in place of three computations (one of which built a whole query under the lock of the link), one wait for the link, one writer for clients, and the constant of the reason client_left where its text stood.
- pace: one ring for reported factors. front: one clamp, and rows are read with their own type.
- Removed: sharedreads.Backoff.Failing, which nothing called, and the wrapper TimeOutSlot.
- Comments: the backoff covers the change feed alone, some broken lines.

Left alone: the similar windows of kvtransfer and retry, and the backoffs of coordinator and sharedreads, which count different things. Tests are unchanged; race tests of pkg, platform, front and gateway pass.

--- a/internal/front/handoff.go
+++ b/internal/front/handoff.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/hmac"
 	"crypto/sha256"
-	"math"
 	"net/netip"
 
 	"github.com/kumquatlug/kumquatlug/internal/front/frontv1"
@@ -121,9 +120,9 @@
 	return decoded
 }
 
-// clampFloat is [clamp] for a value of a row.
+// clampFloat returns a value between zero and the limit, and zero for NaN.
 func clampFloat(value, limit float64) float64 {
-	if !(value >= 0) || math.IsInf(value, 0) {
+	if !(value >= 0) {
 		return 0
 	}
 	return min(value, limit)
--- a/internal/front/permit.go
+++ b/internal/front/permit.go
@@ -78,8 +78,5 @@
 
 // clamp limits value to the range from zero to limit; NaN gives zero.
 func clamp(value float32, limit float64) float64 {
-	if !(value >= 0) {
-		return 0
-	}
-	return min(float64(value), limit)
+	return clampFloat(float64(value), limit)
 }
--- a/internal/front/tables.go
+++ b/internal/front/tables.go
@@ -30,9 +30,7 @@
 func (*Link) LinkRates(rows map[string][]byte) map[string]float64 {
 	rates := make(map[string]float64, len(rows))
 	for name, data := range rows {
-		var row struct {
-			LinkBytesPerMs float64 `json:"link_bytes_per_ms"`
-		}
+		var row peerRow
 		// Invalid rows are reported by [Link.UpdatePeers].
 		if err := json.Unmarshal(data, &row); err == nil {
 			rates[name] = max(row.LinkBytesPerMs, 0)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -44,13 +44,21 @@
 func (f *inflight) placementQuery() placement.Query {
 	q := placement.Query{Prompt: f.remainingPrompt(), Exclude: f.exclude, Deadline: f.deadline, CacheZone: f.cacheZone, MaxEventGap: f.route.MaxEventGap(), ResponseStarted: f.responseStarted, Value: f.value, Reservation: f.reservation}
 	q.SecondBodyMs = f.g.link.secondBodyMs(len(f.request.Body()))
-	if target := f.route.LatencyTarget(); target > 0 {
-		q.FirstOutputDue = f.arrived - f.retryingFor + target
-	}
+	q.FirstOutputDue = f.firstOutputDue()
 	f.addTransferQuery(&q)
 	return q
 }
 
+// firstOutputDue returns when the first output is due by the latency target of the route, zero
+// if it has none.
+func (f *inflight) firstOutputDue() kumquatlug.Millis {
+	target := f.route.LatencyTarget()
+	if target <= 0 {
+		return 0
+	}
+	return f.arrived - f.retryingFor + target
+}
+
 // generate prefills the prompt and decodes the output, on one engine or on two.
 func (f *inflight) generate(ctx context.Context) *attemptFailure {
 	if cache := f.refusedCache; cache.Handle() != "" {
@@ -196,7 +204,7 @@
 		return due.Attempt(), due.Choice(), nil
 	case <-ctx.Done():
 		f.g.scheduler.cancel(f.g.c.Clock.Now(), f.service.Name(), p)
-		return nil, p.choice, &attemptFailure{permanent: true, failure: refusal("wait", "client_left", http.StatusServiceUnavailable, 0)}
+		return nil, p.choice, &attemptFailure{permanent: true, failure: refusal("wait", reasonClientLeft, http.StatusServiceUnavailable, 0)}
 	}
 }
 
--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -160,7 +160,8 @@
 	f.usageCounted = f.responseStarted
 	final := f.finalFailure(ctx, failed)
 	if final == nil {
-		final = f.chargeContinuation()
+		// A continuation is a retry, and is charged before anything is sent to a worker.
+		final = f.chargeRetry()
 	}
 	if final == nil {
 		return false
@@ -176,15 +177,6 @@
 	return f.route.Repeatable() && f.route.MaxWorkers() > 1 && (f.route.Stream() || !f.responseStarted)
 }
 
-// chargeContinuation takes one retry from the budget for a request that continues here, before
-// anything is sent to a worker. It returns a failure if the budget is exhausted.
-func (f *inflight) chargeContinuation() *kumquatlug.Failure {
-	if f.g.scheduler.takeRetry(f.g.c.Clock.Now(), f.service.Name()) {
-		return nil
-	}
-	return f.clientFailure(refusal("repeat", "repeats_used_up", 0, 0), "repeats_used_up")
-}
-
 // logHandoff logs at debug level what became of a handed-off request. The peer logs the
 // request itself.
 func (f *inflight) logHandoff(message string, failed *attemptFailure) {
@@ -262,7 +254,7 @@
 	h.transfers[t] = struct{}{}
 }
 
-// end records the end of a transfer.
+// endTransfer records the end of a transfer.
 func (g *Gateway) endTransfer(t *peerTransfer) {
 	h := g.handoffs
 	h.mu.Lock()
--- a/internal/gateway/handoffrelay.go
+++ b/internal/gateway/handoffrelay.go
@@ -54,7 +54,7 @@
 }
 
 // relayWriter keeps the error of a write to the client, to distinguish it from an error of
-// reading from the peer.
+// reading from the worker or the peer.
 type relayWriter struct {
 	w   io.Writer
 	err error
@@ -165,10 +165,7 @@
 	}
 	verdict, key, due := q.submit(f.peerTransmission())
 	if verdict == uplink.VerdictWait {
-		select {
-		case verdict = <-due:
-		case <-ctx.Done():
-			q.cancel(key)
+		if verdict = q.await(ctx, key, due); verdict == uplink.VerdictWait {
 			return &attemptFailure{permanent: true, failure: f.contextFailure(ctx, nil)}
 		}
 	}
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -188,10 +188,21 @@
 		f.recovery.repeatCharged = false
 		return nil
 	}
-	if f.deliveries == 0 || f.g.scheduler.takeRetry(f.g.c.Clock.Now(), f.service.Name()) {
+	if f.deliveries == 0 {
 		return nil
 	}
-	return &attemptFailure{permanent: true, failure: f.clientFailure(refusal("repeat", "repeats_used_up", 0, 0), "repeats_used_up")}
+	if final := f.chargeRetry(); final != nil {
+		return &attemptFailure{permanent: true, failure: final}
+	}
+	return nil
+}
+
+// chargeRetry takes one retry from the budget. It returns a failure if the budget is exhausted.
+func (f *inflight) chargeRetry() *kumquatlug.Failure {
+	if f.g.scheduler.takeRetry(f.g.c.Clock.Now(), f.service.Name()) {
+		return nil
+	}
+	return f.clientFailure(refusal("repeat", "repeats_used_up", 0, 0), "repeats_used_up")
 }
 
 // clientFailure returns cause with another reason. It states that the request did not
@@ -225,7 +236,7 @@
 	case f.g.shuttingDown():
 		reason = reasonStopping
 	default:
-		reason = "client_left"
+		reason = reasonClientLeft
 	}
 	if f.possibleRuns == 0 {
 		return refusal("serve", reason, http.StatusServiceUnavailable, 0)
@@ -254,7 +265,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if errors.Is(ctx.Err(), context.Canceled) {
-		f.g.metrics.responses.WithLabelValues("client_left").Inc()
+		f.g.metrics.responses.WithLabelValues(reasonClientLeft).Inc()
 		return
 	}
 	f.g.refuse(f.w, f.request, f.clientFailure(final, final.Reason()), f.logFields()...)
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -36,7 +36,7 @@
 	}
 	if !sleep(ctx, c.Delay()) {
 		f.endAttempt(stageOutput, a, placement.OutcomeNeutral)
-		return &attemptFailure{permanent: true, failure: refusal("wait", "client_left", http.StatusServiceUnavailable, 0)}
+		return &attemptFailure{permanent: true, failure: refusal("wait", reasonClientLeft, http.StatusServiceUnavailable, 0)}
 	}
 	if f.g.scheduler.stillAccepts(f.g.c.Clock.Now(), f.service.Name(), a) {
 		return nil
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"net/http"
-
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
 )
@@ -37,21 +35,17 @@
 	return min(size, minBufferedBytes), func() {}
 }
 
-// clientWriter writes the output of an attempt to the client. It keeps the error of a
-// write, to distinguish it from an error of reading from the worker.
+// clientWriter is a relayWriter that records the time in which the client does not read.
 type clientWriter struct {
-	w   http.ResponseWriter
-	f   *inflight
-	a   *relayedAttempt
-	err error
+	relayWriter
+	f *inflight
+	a *relayedAttempt
 }
 
 func (c *clientWriter) Write(b []byte) (int, error) {
 	c.f.setForwarding(c.a, true)
 	defer c.f.setForwarding(c.a, false)
-	n, err := c.w.Write(b)
-	c.err = err
-	return n, err
+	return c.relayWriter.Write(b)
 }
 
 // setForwarding records whether output of an attempt is being written to the client.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -48,10 +48,6 @@
 	g.c.Logger.Info("fronts met", zap.Int("rows", len(rows)), zap.Int("there", len(reachable)))
 }
 
-// minPreferredLinkBytesPerMs is the rate of a link on which messages don't wait noticeably
-// behind request bodies: a typical body takes less than 2 ms.
-const minPreferredLinkBytesPerMs = 5000.0
-
 // preferredGateways returns the gateways that do the work for all: those that accept
 // handed-off requests and have no low-bandwidth link.
 func (g *Gateway) preferredGateways() []string {
@@ -61,7 +57,7 @@
 		peers = append(peers, kumquatlug.HandoffPeer{Name: g.c.Name, LinkBytesPerMs: g.c.LinkBytesPerMs})
 	}
 	for _, p := range peers {
-		if p.LinkBytesPerMs == 0 || p.LinkBytesPerMs >= minPreferredLinkBytesPerMs {
+		if !kumquatlug.LowBandwidth(p.LinkBytesPerMs) {
 			names = append(names, p.Name)
 		}
 	}
@@ -75,8 +71,7 @@
 
 // wantsLease reports whether this gateway takes the lease for the work of all gateways.
 func (g *Gateway) wantsLease(held bool) bool {
-	low := g.c.LinkBytesPerMs > 0 && g.c.LinkBytesPerMs < minPreferredLinkBytesPerMs
-	return held || !low || g.c.Clock.Now()-g.startedAt >= leaseDelay
+	return held || !kumquatlug.LowBandwidth(g.c.LinkBytesPerMs) || g.c.Clock.Now()-g.startedAt >= leaseDelay
 }
 
 func (sc *scheduler) setPreferredPeers(names []string) {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -97,7 +97,7 @@
 	f.onFirstOutput()
 	f.responseStarted = true
 	f.g.c.Ingress.WriteHeader(f.w, a.response)
-	out := &clientWriter{w: f.w, f: f, a: a}
+	out := &clientWriter{relayWriter: relayWriter{w: f.w}, f: f, a: a}
 	_, err = out.Write(head)
 	release()
 	if err != nil {
@@ -146,7 +146,7 @@
 func (f *inflight) clientDisconnected(a *relayedAttempt, err error) *attemptFailure {
 	f.endFailedAttempt(stageOutput, a.choice, a.attempt, endedByClient, kumquatlug.ExecutionUnknown)
 	return &attemptFailure{worker: a.worker(), permanent: true, failure: kumquatlug.NewFailure(kumquatlug.FailureConfig{
-		Step: "relay", Reason: "client_left", Execution: kumquatlug.ExecutionUnknown, Status: http.StatusBadGateway, Cause: err,
+		Step: "relay", Reason: reasonClientLeft, Execution: kumquatlug.ExecutionUnknown, Status: http.StatusBadGateway, Cause: err,
 	})}
 }
 
--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -242,7 +242,7 @@
 	decision := decodeslots.Unanswered
 	sc.withSlots(f.service.Name(), func(p *placement.Placer) {
 		delete(sc.slots.waiting, a)
-		p.TimeOutSlot(f.g.c.Clock.Now(), a, ctx.Err() == nil)
+		p.AbandonSlot(f.g.c.Clock.Now(), a, ctx.Err() == nil)
 		decision = a.Decision()
 	})
 	return decision
@@ -258,7 +258,7 @@
 	if hold := f.slotHoldTime(); hold > 0 {
 		f.withdrawSlot(a)
 		if !sleep(ctx, hold) {
-			return nil, a.Choice(), &attemptFailure{permanent: true, failure: refusal("wait", "client_left", http.StatusServiceUnavailable, 0)}
+			return nil, a.Choice(), &attemptFailure{permanent: true, failure: refusal("wait", reasonClientLeft, http.StatusServiceUnavailable, 0)}
 		}
 		found := false
 		f.g.scheduler.withSlots(f.service.Name(), func(p *placement.Placer) { found = p.RetrySlot(f.g.c.Clock.Now(), a) })
@@ -297,7 +297,7 @@
 
 // slotHoldTime returns how long a request waits for a slot before it asks once more.
 func (f *inflight) slotHoldTime() kumquatlug.Millis {
-	due := f.placementQuery().FirstOutputDue
+	due := f.firstOutputDue()
 	if due == 0 || f.responseStarted {
 		return 0
 	}
--- a/internal/gateway/tableshares.go
+++ b/internal/gateway/tableshares.go
@@ -49,7 +49,7 @@
 }
 
 // newTableShares returns the shared tables of a gateway, nil if gateways do not communicate.
-// All calls to the store by c then share a backoff.
+// The reads of the change feed by c then share a backoff.
 func newTableShares(c *Config) *tableShares {
 	if c.Peers == nil || c.BootClock == nil {
 		return nil
--- a/internal/gateway/uplink.go
+++ b/internal/gateway/uplink.go
@@ -107,6 +107,18 @@
 	return verdict, key, due
 }
 
+// await waits for the verdict on a transmission. It returns [uplink.VerdictWait] if ctx ended
+// before, and the transmission is then removed.
+func (q *linkQueue) await(ctx context.Context, key uint64, due <-chan uplink.Verdict) uplink.Verdict {
+	select {
+	case verdict := <-due:
+		return verdict
+	case <-ctx.Done():
+		q.cancel(key)
+		return uplink.VerdictWait
+	}
+}
+
 // cancel removes a transmission that waits.
 func (q *linkQueue) cancel(key uint64) {
 	q.mu.Lock()
@@ -231,9 +243,7 @@
 		Remaining: remaining, Deadline: f.deadline,
 		Refusable: f.retryingFor == 0 && f.deliveries == 0 && !f.prefilled && f.possibleRuns == 0 && !f.responseStarted,
 	}
-	if target := f.route.LatencyTarget(); target > 0 {
-		t.LatencyTarget, t.FirstOutputDue = target, t.ArrivedAt+target
-	}
+	t.LatencyTarget, t.FirstOutputDue = f.route.LatencyTarget(), f.firstOutputDue()
 	return t
 }
 
@@ -272,12 +282,9 @@
 	verdict, key, due := q.submit(f.transmission(cached, f.remainingAfter(c)))
 	if verdict == uplink.VerdictWait {
 		f.g.scheduler.postpone(f.service.Name(), f.deadline, a)
-		select {
-		case verdict = <-due:
-		case <-ctx.Done():
-			q.cancel(key)
+		if verdict = q.await(ctx, key, due); verdict == uplink.VerdictWait {
 			f.endAttempt(s, a, placement.OutcomeNeutral)
-			return &attemptFailure{permanent: true, failure: refusal("link", "client_left", http.StatusServiceUnavailable, 0)}
+			return &attemptFailure{permanent: true, failure: refusal("link", reasonClientLeft, http.StatusServiceUnavailable, 0)}
 		}
 		now := f.g.c.Clock.Now()
 		f.g.scheduler.postpone(f.service.Name(), now, a)
--- a/pkg/kumquatlug/handoff/sender.go
+++ b/pkg/kumquatlug/handoff/sender.go
@@ -24,9 +24,6 @@
 
 // Parameters of the decision.
 const (
-	// maxOwnLinkBytesPerMs is the rate from which on a link is not low-bandwidth: a
-	// typical body takes less than 2 ms on it.
-	maxOwnLinkBytesPerMs = 5000.0
 	// typicalBodyBytes is the size of a typical body.
 	typicalBodyBytes = 10_000
 	// minLinkRatio is how many times the bandwidth of the own link a peer must have.
@@ -158,7 +155,7 @@
 
 // Active reports whether the own link is a low-bandwidth one.
 func (s *Sender) Active() bool {
-	return s.config.LinkBytesPerMs > 0 && s.config.LinkBytesPerMs < maxOwnLinkBytesPerMs
+	return kumquatlug.LowBandwidth(s.config.LinkBytesPerMs)
 }
 
 // SetPeers sets the gateways that accept handed-off requests, and which of them have
@@ -190,8 +187,7 @@
 	}
 }
 
-// PeerJoined handles the announcement of a gateway, PeerLeft its notice that it is
-// shutting down.
+// PeerJoined handles the announcement of a gateway.
 func (s *Sender) PeerJoined(name string) {
 	if p := s.peers[name]; p != nil {
 		p.stopping, p.failures, p.leftOutFor, p.transferBackoff = false, 0, 0, 0
--- a/pkg/kumquatlug/kvtransfer/kvtransfer.go
+++ b/pkg/kumquatlug/kvtransfer/kvtransfer.go
@@ -67,9 +67,9 @@
 	// half-lives. Later their weight is below a thousandth.
 	slowMemory = 10
 	// minRecentFailed is the decayed number of failed transfers, that is three, and
-	// minRecentFraction their fraction, over
-	// the last recentHalfLife, from which on times count. Engines that change their role or
-	// restart refuse a few percent of the caches without saying why.
+	// minRecentFraction their fraction, over the last recentHalfLife, from which on times
+	// count. Engines that change their role or restart refuse a few percent of the caches
+	// without saying why.
 	minRecentFailed   = 2.5
 	minRecentFraction = 0.25
 	recentHalfLife    = 1 * kumquatlug.Second
@@ -180,10 +180,10 @@
 // Stats returns the counts of events.
 func (e *Estimator) Stats() Stats { return e.stats }
 
-// Relevant reports whether a quarter of the transfers failed recently. If not, all expected times are zero: a
-// first output may be late for many reasons, and prompts that run on one engine because of it
-// delay the streams there, which would make transfers look slower still. Transfers that can't
-// keep up are refused by the engines, which has no other cause.
+// Relevant reports whether a quarter of the transfers failed recently. If not, all expected
+// times are zero: a first output may be late for many reasons, and prompts that run on one
+// engine because of it delay the streams there, which would make transfers look slower still.
+// Transfers that can't keep up are refused by the engines, which has no other cause.
 func (e *Estimator) Relevant(now kumquatlug.Millis) bool {
 	return e.anyFailed && now-e.lastFailedAt <= slowMemory*e.config.HalfLife
 }
--- a/pkg/kumquatlug/order/sender.go
+++ b/pkg/kumquatlug/order/sender.go
@@ -118,10 +118,11 @@
 
 // HandleReport handles an agent's report. One that was requested before the last order
 // ended is ignored: the same report is passed again until the agent has sent another,
-// and with its phase an order that is already applied would be sent a second time. A new incarnation ends an outstanding order with
-// OutcomeUnknown, returned with true: the previous process has ended and can start
-// nothing, and the new one rejects orders for the previous one and reads the
-// engine's state.
+// and with its phase an order that is already applied would be sent a second time.
+//
+// A new incarnation ends an outstanding order with OutcomeUnknown, returned with true: the
+// previous process has ended and can start nothing, and the new one rejects orders for the
+// previous one and reads the engine's state.
 func (s *Sender) HandleReport(r Report) (Result, bool) {
 	s.observeToken(r.FencingToken)
 	t := s.targets[r.Target]
--- a/pkg/kumquatlug/pace/factor.go
+++ b/pkg/kumquatlug/pace/factor.go
@@ -49,6 +49,22 @@
 	slowedFactor = 1.5
 )
 
+// floatRing holds the newest values.
+type floatRing struct {
+	values []float64
+	next   int
+}
+
+// add adds a value, and replaces the oldest one if there are already so many.
+func (r *floatRing) add(value float64, most int) {
+	if len(r.values) < most {
+		r.values = append(r.values, value)
+		return
+	}
+	r.values[r.next] = value
+	r.next = (r.next + 1) % most
+}
+
 // factorReport is the time factor that a worker reported last.
 type factorReport struct {
 	factor float64
@@ -60,8 +76,7 @@
 	reports int
 	mean    float64
 	spanMs  float64
-	recent  []float64
-	next    int
+	recent  floatRing
 	// high is the high quantile of recent, highAt the number of reports at its calculation.
 	high   float64
 	highAt int
@@ -91,12 +106,7 @@
 	f.mean += max(meanGain, 1/float64(f.reports+8)) * (w.trusted(factor, f.mean) - f.mean)
 	// A worker that always reports 2.5 is not slowed down.
 	factor /= w.usualFactor
-	if len(f.recent) < recentFactors {
-		f.recent = append(f.recent, factor)
-	} else {
-		f.recent[f.next] = factor
-		f.next = (f.next + 1) % recentFactors
-	}
+	f.recent.add(factor, recentFactors)
 }
 
 // observePair adapts the time constant to two consecutive reports of a worker: the deviation
@@ -146,32 +156,26 @@
 // report: one as high will occur during a stream of several seconds.
 func (s *Service) HighFactor() float64 {
 	f := &s.factors
-	if len(f.recent) > 0 && (f.highAt == 0 || f.reports-f.highAt >= recentFactors/8) {
-		f.high, f.highAt = quantile(slices.Clone(f.recent), highQuantile), f.reports
+	if len(f.recent.values) > 0 && (f.highAt == 0 || f.reports-f.highAt >= recentFactors/8) {
+		f.high, f.highAt = quantile(slices.Clone(f.recent.values), highQuantile), f.reports
 	}
 	return max(f.high, f.mean)
 }
 
 // observeUsual records a reported factor for the usual factor of the worker, and reports whether
 // it is the first one for some time. Only these count for the service: a worker sends fewer
-// reports while it is slowed down. A factor is relative
-// to the usual time at the same worker, so one that is constant is false, and no measured time can
-// tell it from the lasting speed.
+// reports while it is slowed down. A factor is relative to the usual time at the same worker, so
+// one that is constant is false, and no measured time can tell it from the lasting speed.
 func (w *worker) observeUsual(at kumquatlug.Millis, factor float64) bool {
-	if len(w.reports) > 0 && at-w.usualAt < usualInterval {
+	if len(w.reports.values) > 0 && at-w.usualAt < usualInterval {
 		return false
 	}
 	w.usualAt = at
-	if len(w.reports) < usualReports {
-		w.reports = append(w.reports, factor)
-	} else {
-		w.reports[w.nextReport] = factor
-		w.nextReport = (w.nextReport + 1) % usualReports
-	}
-	if len(w.reports) < minUsualReports {
+	w.reports.add(factor, usualReports)
+	if len(w.reports.values) < minUsualReports {
 		return true
 	}
-	w.usualFactor = quantile(slices.Clone(w.reports), 0.5)
+	w.usualFactor = quantile(slices.Clone(w.reports.values), 0.5)
 	if math.Abs(math.Log(w.usualFactor)) < minUsualLog {
 		w.usualFactor = 1
 	}
--- a/pkg/kumquatlug/pace/pace.go
+++ b/pkg/kumquatlug/pace/pace.go
@@ -142,8 +142,7 @@
 	// trust is the fraction of the reported factors that measured times have confirmed.
 	trust float64
 	// reports are the last reported factors, usualFactor is their median.
-	reports     []float64
-	nextReport  int
+	reports     floatRing
 	usualAt     kumquatlug.Millis
 	usualFactor float64
 	// speed is the cached estimate of the logarithm of the relative time, raw the same before
--- a/pkg/kumquatlug/placement/choose.go
+++ b/pkg/kumquatlug/placement/choose.go
@@ -90,14 +90,9 @@
 // delay of all workers.
 func (c Choice) Delay() kumquatlug.Millis { return kumquatlug.Millis(math.Ceil(c.delayMs)) }
 
-// eligible reports whether a worker may be given new requests of a role. An engine
-// without a role prefills and decodes.
-func (p *Placer) eligible(now kumquatlug.Millis, w *worker, q Query, role kumquatlug.Role) bool {
-	return p.accepts(now, w, q.Exclude, role)
-}
-
-// accepts is eligible without the other fields of a query. Each choice calls it several times for
-// every worker, and copying a [Query] takes a good part of its time.
+// accepts reports whether a worker may be given new requests of a role. An engine without a
+// role prefills and decodes. Each choice calls it several times for every worker; a copy of the
+// whole [Query] would take a good part of its time.
 func (p *Placer) accepts(now kumquatlug.Millis, w *worker, exclude []string, role kumquatlug.Role) bool {
 	id := w.member.Worker.ID()
 	roleMatches := w.member.Role == role || role == kumquatlug.RoleDecode && w.member.Role == ""
@@ -154,16 +149,7 @@
 
 // cheapestPrefill returns the engine that only prefills the prompt at the lowest cost.
 func (p *Placer) cheapestPrefill(now kumquatlug.Millis, q Query) (Choice, float64, bool) {
-	key := prefixKey(q.Prompt)
-	owner, ownerKey := (*worker)(nil), 0.0
-	for _, w := range p.ordered {
-		if !p.canPrefill(now, w, q.Exclude) {
-			continue
-		}
-		if score := p.ownerScore(w, key); owner == nil || score > ownerKey {
-			owner, ownerKey = w, score
-		}
-	}
+	owner := p.prefixOwner(q.Prompt, func(w *worker) bool { return p.canPrefill(now, w, q.Exclude) })
 	if owner == nil {
 		return Choice{}, 0, false
 	}
@@ -188,6 +174,22 @@
 	return best, minCost + p.config.TransferCostMs, true
 }
 
+// prefixOwner returns the owner of a prompt's prefix among the workers that are candidates,
+// nil if there is none.
+func (p *Placer) prefixOwner(prompt kumquatlug.Prompt, candidate func(w *worker) bool) *worker {
+	key := prefixKey(prompt)
+	owner, highest := (*worker)(nil), 0.0
+	for _, w := range p.ordered {
+		if !candidate(w) {
+			continue
+		}
+		if score := p.ownerScore(w, key); owner == nil || score > highest {
+			owner, highest = w, score
+		}
+	}
+	return owner
+}
+
 // canPrefill reports whether an engine may be given a prompt to prefill only. One whose
 // rate limit allows no request yet is excluded: it is better to prefill a prompt
 // elsewhere than late.
@@ -200,7 +202,7 @@
 	minCost, best, found := math.Inf(1), Choice{}, false
 	limited, keeps := newLimitedWorkers(), p.keepsPauseLimit(now, q)
 	for _, w := range p.ordered {
-		if !p.accepts(now, w, q.Exclude, kumquatlug.RoleDecode) || keeps && p.exceedsPauseLimit(now, w, q) {
+		if !p.accepts(now, w, q.Exclude, kumquatlug.RoleDecode) || keeps && p.exceedsPauseLimit(now, w, &q) {
 			continue
 		}
 		uncached, rate := p.mixedUncachedTokens(now, w, &q), p.prefillRate()
@@ -238,7 +240,7 @@
 	minCost, best, found := math.Inf(1), Choice{}, false
 	limited, keeps := newLimitedWorkers(), p.keepsPauseLimit(now, q)
 	for _, w := range p.ordered {
-		if !p.accepts(now, w, q.Exclude, kumquatlug.RoleDecode) || keeps && p.exceedsPauseLimit(now, w, q) {
+		if !p.accepts(now, w, q.Exclude, kumquatlug.RoleDecode) || keeps && p.exceedsPauseLimit(now, w, &q) {
 			continue
 		}
 		slot := p.slotWaitMs(now, w, q.Prompt)
@@ -247,7 +249,7 @@
 		}
 		delay, cacheTransfer := w.limit.Delay(now), transfer{}
 		if q.Cache.Engine != "" {
-			cacheTransfer = p.transferTo(now, w, q)
+			cacheTransfer = p.transferTo(now, w, &q)
 		}
 		wait := delay + slot + cacheTransfer.expectedMs
 		cost := wait + p.batchCostMs(now, w, q.Prompt) + p.decodeCostMs(now, w, q.Prompt) + p.reservedSlotCostMs(w, q.Prompt) + w.prefillTokens/p.prefillRate()
--- a/pkg/kumquatlug/placement/coordinate.go
+++ b/pkg/kumquatlug/placement/coordinate.go
@@ -81,7 +81,7 @@
 		}
 		return
 	}
-	if !known || !p.coordinates(now, w) || !p.eligible(now, w, Query{}, kumquatlug.RolePrefill) {
+	if !known || !p.coordinates(now, w) || !p.accepts(now, w, nil, kumquatlug.RolePrefill) {
 		p.respond(r, m.Permit.Engine, kumquatlug.PermitNotCoordinator, 0)
 		return
 	}
--- a/pkg/kumquatlug/placement/limit.go
+++ b/pkg/kumquatlug/placement/limit.go
@@ -112,11 +112,11 @@
 // reservedChoice returns the engine of a reservation, as long as it may be used.
 func (p *Placer) reservedChoice(now kumquatlug.Millis, q Query) (Choice, bool) {
 	w, known := p.workers[q.Reservation.worker]
-	if !known || !p.eligible(now, w, q, kumquatlug.RoleDecode) {
+	if !known || !p.accepts(now, w, q.Exclude, kumquatlug.RoleDecode) {
 		return Choice{}, false
 	}
 	delay := max(0, float64(q.Reservation.at-now))
-	cacheTransfer := p.transferTo(now, w, q)
+	cacheTransfer := p.transferTo(now, w, &q)
 	wait := delay + p.slotWaitMs(now, w, q.Prompt) + cacheTransfer.expectedMs
 	return Choice{worker: w.member.Worker, waitMs: wait, delayMs: delay, reserved: true, transfer: cacheTransfer}, true
 }
@@ -158,7 +158,7 @@
 // StillAccepts reports whether a delayed attempt may still be sent to its worker.
 func (p *Placer) StillAccepts(now kumquatlug.Millis, t *Attempt) bool {
 	w := t.worker
-	return w != nil && p.workers[t.id] == w && !w.unresponsive && p.eligible(now, w, Query{}, w.member.Role)
+	return w != nil && p.workers[t.id] == w && !w.unresponsive && p.accepts(now, w, nil, w.member.Role)
 }
 
 // Limits returns the workers that have a rate limit.
--- a/pkg/kumquatlug/placement/queue.go
+++ b/pkg/kumquatlug/placement/queue.go
@@ -302,7 +302,7 @@
 	for _, w := range p.ordered {
 		p.expireRemote(now, w)
 		due = p.dropLate(now, w, due)
-		for len(w.queue) > 0 && p.hasCapacity(now, w) && p.eligible(now, w, Query{}, kumquatlug.RolePrefill) {
+		for len(w.queue) > 0 && p.hasCapacity(now, w) && p.accepts(now, w, nil, kumquatlug.RolePrefill) {
 			queued := p.dequeue(w)
 			if p.coordinates(now, w) {
 				// Parts that were prefilled since it was queued are cached now.
--- a/pkg/kumquatlug/placement/slots.go
+++ b/pkg/kumquatlug/placement/slots.go
@@ -160,7 +160,7 @@
 // its role grants none.
 func (p *Placer) slotEngine(now kumquatlug.Millis, w *worker) decodeslots.Engine {
 	e := decodeslots.Engine{ID: w.member.Worker.ID(), Estimate: float64(w.running) + p.reportedRequestsAt(now, w)}
-	if p.eligible(now, w, Query{}, kumquatlug.RoleDecode) {
+	if p.accepts(now, w, nil, kumquatlug.RoleDecode) {
 		e.Slots = w.member.Slots
 	}
 	return e
@@ -296,20 +296,16 @@
 
 // WithdrawSlot ends the attempt of a question, because the request waits or is given up.
 func (p *Placer) WithdrawSlot(now kumquatlug.Millis, a *SlotAsk) {
-	p.abandonSlot(now, a, false)
+	p.AbandonSlot(now, a, false)
 	if a.attempt != nil {
 		p.withdraw(now, a.attempt)
 		a.attempt = nil
 	}
 }
 
-// TimeOutSlot stops waiting for the response to a question. timedOut says that the coordinator
+// AbandonSlot stops waiting for the response to a question. timedOut says that the coordinator
 // had time to respond.
-func (p *Placer) TimeOutSlot(now kumquatlug.Millis, a *SlotAsk, timedOut bool) {
-	p.abandonSlot(now, a, timedOut)
-}
-
-func (p *Placer) abandonSlot(now kumquatlug.Millis, a *SlotAsk, timedOut bool) {
+func (p *Placer) AbandonSlot(now kumquatlug.Millis, a *SlotAsk, timedOut bool) {
 	if a.decision != decodeslots.Pending {
 		return
 	}
@@ -322,7 +318,7 @@
 
 // CancelSlot gives up the slot of a prompt that is not decoded.
 func (p *Placer) CancelSlot(now kumquatlug.Millis, a *SlotAsk) {
-	p.abandonSlot(now, a, false)
+	p.AbandonSlot(now, a, false)
 	if id := a.choice.worker.ID(); a.decision == decodeslots.Granted && a.attempt == nil && p.shared.active && p.workers[id] == a.worker {
 		p.shared.slots.Release(now, id)
 	}
@@ -333,16 +329,16 @@
 // slot was not granted or its engine can't be used any more. The response had the time of a
 // prefill to arrive, so that a missing one is not waited for.
 func (p *Placer) ClaimSlot(now kumquatlug.Millis, a *SlotAsk, q Query) bool {
-	p.abandonSlot(now, a, true)
+	p.AbandonSlot(now, a, true)
 	w, known := p.workers[a.choice.worker.ID()]
-	if a.decision != decodeslots.Granted || !known || w != a.worker || !p.eligible(now, w, q, kumquatlug.RoleDecode) {
+	if a.decision != decodeslots.Granted || !known || w != a.worker || !p.accepts(now, w, q.Exclude, kumquatlug.RoleDecode) {
 		return false
 	}
 	a.choice.delayMs = w.limit.Delay(now)
 	if a.choice.reserved {
 		a.choice.delayMs = max(0, float64(q.Reservation.at-now))
 	}
-	a.choice.transfer = p.transferTo(now, w, q)
+	a.choice.transfer = p.transferTo(now, w, &q)
 	a.choice.slotHeld, a.choice.waitMs = p.shared.active, a.choice.delayMs+a.choice.transfer.expectedMs
 	a.attempt = p.Begin(now, a.choice, q.Prompt)
 	return true
@@ -353,7 +349,7 @@
 func (p *Placer) LowestTotal(now kumquatlug.Millis, q Query) (Choice, bool) {
 	lowest, best, found := math.Inf(1), Choice{}, false
 	for _, w := range p.ordered {
-		if !p.eligible(now, w, q, kumquatlug.RoleDecode) || w.limit.Delay(now) > 0 {
+		if !p.accepts(now, w, q.Exclude, kumquatlug.RoleDecode) || w.limit.Delay(now) > 0 {
 			continue
 		}
 		if excess := float64(w.running) + p.otherRequestsAt(now, w) - float64(w.member.Slots); excess < lowest {
@@ -376,7 +372,7 @@
 	w, known := p.workers[c.worker.ID()]
 	switch {
 	case known && a.cached && found:
-		c.transfer = p.transferTo(now, w, a.query)
+		c.transfer = p.transferTo(now, w, &a.query)
 		c.waitMs += c.transfer.expectedMs
 	case known && !a.cached:
 		c.uncachedTokens = p.uncachedTokens(now, w, a.query.Prompt, false)
--- a/pkg/kumquatlug/placement/speed.go
+++ b/pkg/kumquatlug/placement/speed.go
@@ -121,7 +121,7 @@
 
 // exceedsPauseLimit reports whether w is expected to pause for longer than the route of q
 // permits.
-func (p *Placer) exceedsPauseLimit(now kumquatlug.Millis, w *worker, q Query) bool {
+func (p *Placer) exceedsPauseLimit(now kumquatlug.Millis, w *worker, q *Query) bool {
 	pause, known := p.longestPauseMs(now, w, q.Prompt)
 	return known && pause > float64(q.MaxEventGap)
 }
@@ -134,7 +134,7 @@
 		return false
 	}
 	for _, w := range p.ordered {
-		if p.accepts(now, w, q.Exclude, kumquatlug.RoleDecode) && !p.exceedsPauseLimit(now, w, q) &&
+		if p.accepts(now, w, q.Exclude, kumquatlug.RoleDecode) && !p.exceedsPauseLimit(now, w, &q) &&
 			p.slotWaitMs(now, w, q.Prompt) == 0 && w.limit.Delay(now) == 0 {
 			return true
 		}
--- a/pkg/kumquatlug/placement/transfers.go
+++ b/pkg/kumquatlug/placement/transfers.go
@@ -50,7 +50,7 @@
 func (t transfer) needed() bool { return t.path.Source != "" }
 
 // transferTo returns the transfer that decoding at w needs.
-func (p *Placer) transferTo(now kumquatlug.Millis, w *worker, q Query) transfer {
+func (p *Placer) transferTo(now kumquatlug.Millis, w *worker, q *Query) transfer {
 	if q.Cache.Engine == "" || q.Cache.Engine == w.member.Worker.ID() {
 		return transfer{}
 	}
@@ -115,17 +115,7 @@
 // there is none. While prompts run on one engine, every decode engine would otherwise
 // prefill each shared prefix.
 func (p *Placer) decodeOwner(now kumquatlug.Millis, q Query) *worker {
-	key := prefixKey(q.Prompt)
-	owner, ownerKey := (*worker)(nil), 0.0
-	for _, w := range p.ordered {
-		if !p.eligible(now, w, q, kumquatlug.RoleDecode) {
-			continue
-		}
-		if score := p.ownerScore(w, key); owner == nil || score > ownerKey {
-			owner, ownerKey = w, score
-		}
-	}
-	return owner
+	return p.prefixOwner(q.Prompt, func(w *worker) bool { return p.accepts(now, w, q.Exclude, kumquatlug.RoleDecode) })
 }
 
 // mixedUncachedTokens returns the number of tokens of a prompt that w, which also decodes,
--- a/pkg/kumquatlug/sharedreads/backoff.go
+++ b/pkg/kumquatlug/sharedreads/backoff.go
@@ -74,6 +74,3 @@
 
 // Canceled records that an admitted call ended without saying anything about the store.
 func (b *Backoff) Canceled() { b.trialUntil = 0 }
-
-// Failing reports whether the last call failed.
-func (b *Backoff) Failing() bool { return b.failures > 0 }
--- a/pkg/kumquatlug/sharedreads/group.go
+++ b/pkg/kumquatlug/sharedreads/group.go
@@ -18,9 +18,6 @@
 	// subscribers sends about 20 datagrams of 150 bytes per second for a table at rest, 3
 	// of the 5 KB/s allowed for the control plane.
 	gatewaysPerFollower = 8
-	// highBandwidth is the bandwidth in bytes per ms from which a gateway follows by
-	// preference.
-	highBandwidth = 5000
 )
 
 // Gateway is a gateway that may follow a table.
@@ -44,8 +41,9 @@
 
 // peer is the state of one gateway.
 type peer struct {
-	name  string
-	hash  uint64
+	name string
+	hash uint64
+	// first says that it follows by preference, as its link is no low-bandwidth one.
 	first bool
 	// confirmedAt is when it last sent a confirmation, askedAt when it was last asked,
 	// unanswered the number of asks since its last message.
@@ -68,7 +66,7 @@
 		if !known {
 			p = &peer{name: gateway.Name, hash: xxhash.Sum64String(gateway.Name), askedAt: never, confirmedAt: never}
 		}
-		p.first = gateway.LinkBytesPerMs <= 0 || gateway.LinkBytesPerMs >= highBandwidth
+		p.first = !kumquatlug.LowBandwidth(gateway.LinkBytesPerMs)
 		peers[p.name] = p
 		g.order = append(g.order, p)
 	}
--- a/pkg/kumquatlug/uplink/uplink.go
+++ b/pkg/kumquatlug/uplink/uplink.go
@@ -41,9 +41,6 @@
 }
 
 const (
-	// maxActiveBytesPerMs is the rate from which on a body of 10,000 bytes takes 2 ms or
-	// less, so that scheduling gains nothing.
-	maxActiveBytesPerMs = 5000
 	// SmallBodyBytes is the size below which a body is sent at once: it takes less than
 	// 2 ms on a link of 1,250 bytes per ms.
 	SmallBodyBytes = 2 << 10
@@ -147,7 +144,7 @@
 func New(c Config) *Link {
 	return &Link{
 		bytesPerMs: c.BytesPerMs * (1 - reservedFraction), maxQueueMs: cmp.Or(c.MaxQueueMs, defaultMaxQueueMs),
-		active: c.BytesPerMs > 0 && c.BytesPerMs < maxActiveBytesPerMs,
+		active: kumquatlug.LowBandwidth(c.BytesPerMs),
 	}
 }
 
