Log what ended the last attempt of a request

"attempt failed" and "broken off" said that an attempt ended, but not whether the worker, the client or this gateway's own suspicion of the worker ended it; all three read as "answer_broken" or "peer_failed". The three hypotheses about lost requests differ in just that, so both lines carry ended_by=worker, silence or client.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -340,7 +340,7 @@
 			f.countUsage()
 		}
 	}
-	return &attemptFailure{failure: failure, worker: c.Worker().ID()}
+	return &attemptFailure{failure: failure, worker: c.Worker().ID(), endedBy: cause}
 }
 
 // attemptRefused records an attempt that the worker refused and closes the response.
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -49,6 +49,8 @@
 	recovery transferRecovery
 	// workerErrored is set if the worker responded to the last attempt with an error.
 	workerErrored bool
+	// endedBy is what ended the last attempt that had been sent.
+	endedBy endCause
 	// usageCounted is set once the request has been counted as started.
 	usageCounted bool
 	// attempts counts all attempts, possibleRuns the workers that may have run the
@@ -141,6 +143,9 @@
 	worker  string
 	// permanent is set if an attempt at another worker can't help.
 	permanent bool
+	// endedBy is what ended an attempt that had been sent, empty if none had been sent or the
+	// worker refused it.
+	endedBy endCause
 }
 
 // finalFailure returns the failure to send to the client after a failed attempt, nil if
@@ -148,6 +153,9 @@
 func (f *inflight) finalFailure(ctx context.Context, failed *attemptFailure) *kumquatlug.Failure {
 	f.attempts++
 	f.workerErrored = failed.failure.Reason() == reasonWorkerFailed
+	if failed.endedBy != "" {
+		f.endedBy = failed.endedBy
+	}
 	if failed.worker != "" {
 		f.exclude = append(f.exclude, failed.worker)
 	}
@@ -261,7 +269,7 @@
 	}
 	if f.responseStarted {
 		f.g.metrics.responses.WithLabelValues("broken_off").Inc()
-		f.logFailure("broken off", &attemptFailure{failure: final})
+		f.logFailure("broken off", &attemptFailure{failure: final, endedBy: f.endedBy})
 		panic(http.ErrAbortHandler)
 	}
 	if errors.Is(ctx.Err(), context.Canceled) {
@@ -288,6 +296,7 @@
 		zap.String("request", f.request.ID()), zap.String("worker", failed.worker),
 		zap.String("step", failed.failure.Step()), zap.String("reason", failed.failure.Reason()),
 		zap.String("ran", string(failed.failure.Execution())), zap.Int("tries", f.attempts),
+		zap.String("ended_by", string(failed.endedBy)),
 		zap.String("cause", failed.failure.CauseText()),
 	}, f.logFields()...)...)
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -134,8 +134,9 @@
 
 // responseBroken records a response that broke off before its end.
 func (f *inflight) responseBroken(a *relayedAttempt, err error) *attemptFailure {
-	f.endFailedAttempt(stageOutput, a.choice, a.attempt, endCauseOf(a.requestCtx, a.attemptCtx), kumquatlug.ExecutionUnknown)
-	return &attemptFailure{worker: a.worker(), failure: kumquatlug.NewFailure(kumquatlug.FailureConfig{
+	cause := endCauseOf(a.requestCtx, a.attemptCtx)
+	f.endFailedAttempt(stageOutput, a.choice, a.attempt, cause, kumquatlug.ExecutionUnknown)
+	return &attemptFailure{worker: a.worker(), endedBy: cause, failure: kumquatlug.NewFailure(kumquatlug.FailureConfig{
 		Step: "relay", Peer: a.worker(), Reason: "answer_broken", Execution: kumquatlug.ExecutionUnknown,
 		Status: http.StatusBadGateway, Cause: err,
 	})}
