Keep the attempt at a silent worker open until another worker has accepted the request

What callers saw: beside a change of the config, and at any other time, streams were cut in the middle and lookups ended with 502 although the worker would have gone on a moment later.

Cause: the gateway canceled an attempt when its worker had been silent for a tenth of a second or two, or its first output was overdue, and only then looked for another place. When the retry budget was used up, the other workers refused or had been tried, nothing was left that could answer. Every suspicion cost its request, right or wrong.

Evidence: lines with ended_by=silence precede every cut; a change of the config alone cuts nothing. The new tests fail on the code before this commit: with an engine silent for 0.7 s, 8 of 8 streams are cut without retry budget and 4 of 8 if the other engine refuses; a lookup gets 502, a prompt 503.

Fix: a suspicion no longer ends an attempt. It starts a takeover, which charges the budget, chooses a worker and sends the request there, while the attempt stays open. The first to go on wins: the attempt is canceled when another worker has accepted the request (its response has begun, or a stream was not refused for 250 ms, so that two workers never work on one stream for 400 ms), and the takeover is withdrawn when the attempt goes on before that. If no worker can be had, the request waits for the open attempt and the takeover looks again. This covers plain requests, streams before and after their first output, and prefills. No limit of silence, bound or number of retries changes: a worker that never comes back is replaced as early as before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -79,8 +79,8 @@
 	f.askSlot(choice)
 	defer f.cancelSlot()
 	f.timings.expectedPrefill, f.timings.prefillWorker = choice.Wait(), choice.Worker().ID()
-	cache, failed := f.prefill(ctx, choice, attempt)
-	if failed != nil {
+	cache, failed, replaced := f.prefill(ctx, choice, attempt)
+	if failed != nil || replaced {
 		return failed
 	}
 	f.cacheZone, f.reservation = choice.Zone(), choice.Reservation()
@@ -104,7 +104,7 @@
 	}
 	failed = f.run(ctx, choice, attempt, cache)
 	switch {
-	case failed == nil || failed.failure.Execution() != kumquatlug.NotExecuted:
+	case failed == nil || failed.counted || failed.failure.Execution() != kumquatlug.NotExecuted:
 	case failed.failure.Reason() == reasonWorkerRefused && f.recovery.next != "":
 		return f.recoverCache(failed, cache)
 	default:
@@ -248,18 +248,32 @@
 	return min(f.timeLeft(), f.g.scheduler.attemptTimeout(f.service.Name(), a))
 }
 
-// prefill computes the prompt's KV cache on an engine.
-func (f *inflight) prefill(ctx context.Context, c placement.Choice, a *placement.Attempt) (kumquatlug.KVCacheRef, *attemptFailure) {
+// prefill computes the prompt's KV cache on an engine. It returns true if a takeover has replaced
+// the prefill, and served the request unless there is a failure.
+func (f *inflight) prefill(ctx context.Context, c placement.Choice, a *placement.Attempt) (kumquatlug.KVCacheRef, *attemptFailure, bool) {
 	if failed := f.awaitLink(ctx, stagePrefill, c, a, false); failed != nil {
-		return kumquatlug.KVCacheRef{}, failed
+		return kumquatlug.KVCacheRef{}, failed, false
 	}
 	if denied := f.reauthenticate(stagePrefill, a); denied != nil {
-		return kumquatlug.KVCacheRef{}, denied
+		return kumquatlug.KVCacheRef{}, denied, false
 	}
-	call, cancel := context.WithTimeout(ctx, min(f.attemptTimeout(a), f.timeToStartOutput()).Duration())
+	call, cancel := context.WithTimeout(ctx, f.timeToStartOutput().Duration())
 	defer cancel()
-	f.g.scheduler.onUnresponsive(f.service.Name(), a, cancel)
-	cache, response, err := f.g.c.Workers.Prefill(call, c.Worker(), f.request, f.attemptOptions(c))
+	o := f.openAttempt(ctx, cancel, stagePrefill, a)
+	stop := time.AfterFunc(f.attemptTimeout(a).Duration(), o.suspect)
+	defer stop.Stop()
+	f.countCall()
+	options := f.attemptOptions(c)
+	o.await()
+	cache, response, err := f.g.c.Workers.Prefill(call, c.Worker(), o.request, options)
+	prefilled := err == nil && response.Status() == http.StatusOK && cache.Handle() != ""
+	failed, replaced := o.settle(prefilled, func() {
+		f.g.releaseCache(cache)
+		f.endReplaced(o.request, stagePrefill, a, endCauseOf(ctx, call), response, err)
+	})
+	if replaced {
+		return kumquatlug.KVCacheRef{}, failed, true
+	}
 	if err != nil {
 		// The prompt may have been prefilled; the next prefill then counts as a retry.
 		f.prefilled = f.prefilled || kumquatlug.ExecutionOf(err) != kumquatlug.NotExecuted
@@ -267,13 +281,12 @@
 		// A prefill does not run the request, whatever its result.
 		failed := f.attemptFailed(stagePrefill, c, a, endCauseOf(ctx, call), err)
 		failed.failure = failed.failure.WithExecution(kumquatlug.NotExecuted)
-		return cache, failed
+		return cache, failed, false
 	}
 	f.recordWorkerStatus(c, a, response)
-	if response.Status() != http.StatusOK || cache.Handle() == "" {
+	if !prefilled {
 		f.recovery.repeatCharged = false
-		failed := f.attemptRefused(stagePrefill, c, a, response)
-		return cache, failed
+		return cache, f.attemptRefused(stagePrefill, c, a, response), false
 	}
 	if f.prefilled {
 		f.deliveries++
@@ -282,7 +295,7 @@
 	f.recovery.prefills++
 	f.timings.prefilledAt = f.g.c.Clock.Now()
 	f.endAttempt(stagePrefill, a, placement.OutcomeServed)
-	return cache, nil
+	return cache, nil, false
 }
 
 // endAttempt records the outcome of an attempt.
@@ -315,23 +328,41 @@
 	return endedByWorker
 }
 
-// endFailedAttempt records the end of a failed attempt that may have run. The request is
-// recorded as a possible cause of a crash only if the worker itself ended the attempt.
-func (f *inflight) endFailedAttempt(s stage, c placement.Choice, a *placement.Attempt, cause endCause, ran kumquatlug.Execution) {
+// endFailedAttempt records the end of a failed attempt of a request that may have run. The
+// request is recorded as a possible cause of a crash only if the worker itself ended the attempt.
+// It may be called while a takeover owns the state of the request.
+func (f *inflight) endFailedAttempt(request kumquatlug.Request, s stage, a *placement.Attempt, cause endCause, ran kumquatlug.Execution) {
 	if cause == endedByClient {
 		f.endAttempt(s, a, placement.OutcomeNeutral)
 		return
 	}
 	f.endAttempt(s, a, placement.OutcomeFailed)
 	if cause == endedByWorker && ran != kumquatlug.NotExecuted {
-		f.recordCrash(c.Worker().ID())
+		f.recordCrash(request, a.Worker())
 	}
 }
 
+// endReplaced records the end of an attempt whose request a takeover serves, and closes its
+// response. It may be called while the takeover owns the state of the request.
+func (f *inflight) endReplaced(
+	request kumquatlug.Request, s stage, a *placement.Attempt, cause endCause, response kumquatlug.WorkerResponse, err error,
+) {
+	if err != nil {
+		f.endFailedAttempt(request, s, a, cause, kumquatlug.ExecutionOf(err))
+		return
+	}
+	response.Body().Close()
+	if response.Refused() {
+		f.endAttempt(s, a, placement.OutcomeRefused)
+		return
+	}
+	f.endAttempt(s, a, placement.OutcomeFailed)
+}
+
 // attemptFailed records an attempt that received no response.
 func (f *inflight) attemptFailed(s stage, c placement.Choice, a *placement.Attempt, cause endCause, err error) *attemptFailure {
 	failure := kumquatlug.FailureOf(err)
-	f.endFailedAttempt(s, c, a, cause, failure.Execution())
+	f.endFailedAttempt(f.request, s, a, cause, failure.Execution())
 	if failure.Execution() != kumquatlug.NotExecuted {
 		f.deliveries++
 		if !f.service.Engine() {
@@ -354,6 +385,30 @@
 	})}
 }
 
+// openRun makes an attempt that runs the request one that may be taken over, if the request may
+// run at another worker. It returns a function that stops its timers.
+func (f *inflight) openRun(ctx context.Context, cancel context.CancelFunc, a *placement.Attempt) (*openAttempt, func()) {
+	var accept, overdue *time.Timer
+	if t := f.takeover; t != nil && f.route.Stream() {
+		accept = time.AfterFunc(acceptDelay.Duration(), func() { t.accept() })
+	}
+	var o *openAttempt
+	if f.route.Repeatable() && f.possibleRuns+1 < f.route.MaxWorkers() {
+		o = f.openAttempt(ctx, cancel, stageOutput, a)
+		overdue = time.AfterFunc(f.attemptTimeout(a).Duration(), o.suspect)
+	}
+	stop := func(t *time.Timer) {
+		if t != nil {
+			t.Stop()
+		}
+	}
+	f.onFirstOutput = func() { stop(overdue) }
+	return o, func() {
+		stop(accept)
+		stop(overdue)
+	}
+}
+
 // run makes an attempt that runs the request, and relays the response.
 func (f *inflight) run(ctx context.Context, c placement.Choice, a *placement.Attempt, cache kumquatlug.KVCacheRef) *attemptFailure {
 	if failed := f.awaitWorkerLimit(ctx, c, a); failed != nil {
@@ -367,18 +422,24 @@
 	}
 	s := f.attemptOptions(c)
 	s.Cache = cache
+	if !f.acceptBeforeRun() {
+		return f.withdrawnFailure(a, kumquatlug.NotExecuted)
+	}
 	call, cancel := context.WithCancel(ctx)
 	defer cancel()
-	if f.route.Repeatable() && f.possibleRuns+1 < f.route.MaxWorkers() {
-		f.g.scheduler.onUnresponsive(f.service.Name(), a, cancel)
-		// An unresponsive worker would hold the request until its deadline.
-		stop := time.AfterFunc(f.attemptTimeout(a).Duration(), cancel)
-		defer stop.Stop()
-		f.onFirstOutput = func() { stop.Stop() }
-	} else {
-		f.onFirstOutput = func() {}
-	}
-	response, err := f.g.c.Workers.Run(call, c.Worker(), f.request, s)
+	o, stop := f.openRun(ctx, cancel, a)
+	defer stop()
+	f.countCall()
+	request := f.request
+	o.await()
+	response, err := f.g.c.Workers.Run(call, c.Worker(), request, s)
+	alive := err == nil && !response.Refused() && response.Status() < http.StatusInternalServerError
+	failed, replaced := o.settle(alive, func() {
+		f.endReplaced(request, stageOutput, a, endCauseOf(ctx, call), response, err)
+	})
+	if replaced {
+		return failed
+	}
 	if err != nil {
 		return f.attemptFailed(stageOutput, c, a, endCauseOf(ctx, call), err)
 	}
@@ -391,5 +452,9 @@
 		f.recovery.prefills++
 	}
 	f.deliveries++
-	return f.relay(&relayedAttempt{requestCtx: ctx, attemptCtx: call, choice: c, attempt: a, response: response})
+	if f.route.Stream() && response.Status() == http.StatusOK && !f.takeover.accept() {
+		response.Body().Close()
+		return f.withdrawnFailure(a, kumquatlug.ExecutionUnknown)
+	}
+	return f.relay(&relayedAttempt{requestCtx: ctx, attemptCtx: call, choice: c, attempt: a, open: o, response: response})
 }
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -43,8 +43,8 @@
 }
 
 // fingerprint identifies a request by path and body, independent of its client.
-func (f *inflight) fingerprint() quarantine.Fingerprint {
-	return quarantine.NewFingerprint(f.request.Target(), kumquatlug.NewKind(kumquatlug.ProtocolService, f.service.Name()), f.request.Body())
+func (f *inflight) fingerprint(request kumquatlug.Request) quarantine.Fingerprint {
+	return quarantine.NewFingerprint(request.Target(), kumquatlug.NewKind(kumquatlug.ProtocolService, f.service.Name()), request.Body())
 }
 
 // quarantined reports whether a request has crashed too many workers.
@@ -56,15 +56,15 @@
 	if none {
 		return false
 	}
-	fingerprint := f.fingerprint()
+	fingerprint := f.fingerprint(f.request)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.counter.Refused(f.g.c.Clock.Now(), fingerprint)
 }
 
 // recordCrash records that a worker closed the connection without a response.
-func (f *inflight) recordCrash(worker string) {
-	fingerprint := f.fingerprint()
+func (f *inflight) recordCrash(request kumquatlug.Request, worker string) {
+	fingerprint := f.fingerprint(request)
 	c := f.g.crashes
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -35,12 +35,9 @@
 	value float64
 
 	exclude []string
-	// cacheZone is the data centre of the engine that ran the prefill.
-	cacheZone string
-	// reservation is the request reserved for decoding at an engine with a rate limit.
-	reservation placement.Reservation
-	// slotAsk is the question for the slot in which the prompt is decoded, nil for none.
-	slotAsk *placement.SlotAsk
+	attemptState
+	// takeover is the takeover for which attempts are made, nil for none.
+	takeover *takeover
 	// refusedCache is the prompt's KV cache that a decode engine refused. The next
 	// engine may take it. cacheReused is set once an engine has been sent such a cache.
 	refusedCache kumquatlug.KVCacheRef
@@ -64,8 +61,10 @@
 	// the number of the last event that the client received.
 	responseStarted bool
 	lastEventID     int64
-	// onFirstOutput is called at the first output of an attempt.
-	onFirstOutput func()
+	// calls counts what was sent to workers. unusedCharge is set while the retry budget was
+	// charged for a retry that was not sent.
+	calls        int
+	unusedCharge bool
 	// timings holds when each step of the last attempt was completed.
 	timings timings
 }
@@ -143,6 +142,8 @@
 	worker  string
 	// permanent is set if an attempt at another worker can't help.
 	permanent bool
+	// counted is set if a takeover has counted the attempt and made all that are allowed.
+	counted bool
 	// endedBy is what ended an attempt that had been sent, empty if none had been sent or the
 	// worker refused it.
 	endedBy endCause
@@ -151,6 +152,12 @@
 // finalFailure returns the failure to send to the client after a failed attempt, nil if
 // another attempt is made.
 func (f *inflight) finalFailure(ctx context.Context, failed *attemptFailure) *kumquatlug.Failure {
+	if failed.counted {
+		if ctx.Err() != nil || f.timeLeft() <= 0 {
+			return f.contextFailure(ctx, failed.failure)
+		}
+		return failed.failure
+	}
 	f.attempts++
 	f.workerErrored = failed.failure.Reason() == reasonWorkerFailed
 	if failed.endedBy != "" {
@@ -193,7 +200,7 @@
 // reach a worker. It returns a failure if the budget is exhausted.
 func (f *inflight) takeRetryBudget() *attemptFailure {
 	if f.recovery.repeatCharged {
-		f.recovery.repeatCharged = false
+		f.recovery.repeatCharged, f.unusedCharge = false, true
 		return nil
 	}
 	if f.deliveries == 0 {
@@ -205,9 +212,16 @@
 	return nil
 }
 
+// countCall counts a call that is about to be sent to a worker.
+func (f *inflight) countCall() {
+	f.calls++
+	f.unusedCharge = false
+}
+
 // chargeRetry takes one retry from the budget. It returns a failure if the budget is exhausted.
 func (f *inflight) chargeRetry() *kumquatlug.Failure {
 	if f.g.scheduler.takeRetry(f.g.c.Clock.Now(), f.service.Name()) {
+		f.unusedCharge = true
 		return nil
 	}
 	return f.clientFailure(refusal("repeat", "repeats_used_up", 0, 0), "repeats_used_up")
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -15,6 +15,7 @@
 	storeReads    *prometheus.CounterVec
 	orders        *prometheus.CounterVec
 	unresponsive  prometheus.Counter
+	takeovers     *prometheus.CounterVec
 	configVersion prometheus.Gauge
 	estimates     *prometheus.GaugeVec
 	permits       *prometheus.CounterVec
@@ -59,6 +60,9 @@
 		unresponsive: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "kumquatlug_gateway_silent_workers_total", Help: "Times at which a worker with work in hand fell silent.",
 		}),
+		takeovers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kumquatlug_gateway_takeovers_total", Help: "Attempts to serve a request elsewhere whose worker is silent, by outcome.",
+		}, []string{"outcome"}),
 		configVersion: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "kumquatlug_gateway_config_version", Help: "Version of the config in force.",
 		}),
@@ -109,7 +113,7 @@
 // collectors returns all metrics.
 func (m *metrics) collectors() []prometheus.Collector {
 	return []prometheus.Collector{
-		m.responses, m.attempts, m.latency, m.storeReads, m.orders, m.unresponsive, m.configVersion, m.estimates, m.permits, m.denied,
+		m.responses, m.attempts, m.latency, m.storeReads, m.orders, m.unresponsive, m.takeovers, m.configVersion, m.estimates, m.permits, m.denied,
 		m.fencingToken, m.usageReports, m.usageOpen, m.worstAccounts, m.limit, m.limitSent, m.shuttingDown, m.storeEra,
 		m.kvTransfers, m.prefilledTokens,
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -40,6 +40,8 @@
 	choice                 placement.Choice
 	attempt                *placement.Attempt
 	response               kumquatlug.WorkerResponse
+	// open is set if another attempt may take this one over.
+	open *openAttempt
 	// transfer is the move of the stream to another engine, nil if there is none. done
 	// is set when no goroutine waits for a transfer any more.
 	transfer atomic.Pointer[transfer]
@@ -71,7 +73,10 @@
 	if status := a.response.Status(); status < http.StatusInternalServerError || status == http.StatusGatewayTimeout {
 		return nil
 	}
-	if f.responseStarted || !f.route.Repeatable() || f.possibleRuns+1 >= f.maxWorkers() || f.attempts+1 >= maxAttempts {
+	if f.responseStarted || !f.route.Repeatable() {
+		return nil
+	}
+	if !f.takeover.pending() && (f.possibleRuns+1 >= f.maxWorkers() || f.attempts+1 >= maxAttempts) {
 		return nil
 	}
 	f.endAttempt(stageOutput, a.attempt, placement.OutcomeFailed)
@@ -89,11 +94,20 @@
 		return f.responseBroken(a, errors.Newf("status %d instead of the rest of a stream", status))
 	}
 	size, release := f.g.reserveBuffer(a.response.Length())
+	a.open.await()
 	head, err := io.ReadAll(io.LimitReader(a.response.Body(), size))
+	if failed, replaced := f.settle(a, err); replaced {
+		release()
+		return failed
+	}
 	if err != nil {
 		release()
 		return f.responseBroken(a, err)
 	}
+	if !f.takeover.accept() {
+		release()
+		return f.withdrawnFailure(a.attempt, kumquatlug.ExecutionUnknown)
+	}
 	f.onFirstOutput()
 	f.responseStarted = true
 	f.g.c.Ingress.WriteHeader(f.w, a.response)
@@ -132,10 +146,20 @@
 	return nil
 }
 
+// settle ends a wait for output. It returns true if a takeover has replaced the attempt, and the
+// failure of that one if it could not serve the request.
+func (f *inflight) settle(a *relayedAttempt, err error) (*attemptFailure, bool) {
+	alive := err == nil || errors.Is(err, io.EOF)
+	return a.open.settle(alive, func() {
+		f.endFailedAttempt(a.open.request, stageOutput, a.attempt, endCauseOf(a.requestCtx, a.attemptCtx), kumquatlug.ExecutionUnknown)
+		a.response.Body().Close()
+	})
+}
+
 // responseBroken records a response that broke off before its end.
 func (f *inflight) responseBroken(a *relayedAttempt, err error) *attemptFailure {
 	cause := endCauseOf(a.requestCtx, a.attemptCtx)
-	f.endFailedAttempt(stageOutput, a.choice, a.attempt, cause, kumquatlug.ExecutionUnknown)
+	f.endFailedAttempt(f.request, stageOutput, a.attempt, cause, kumquatlug.ExecutionUnknown)
 	return &attemptFailure{worker: a.worker(), endedBy: cause, failure: kumquatlug.NewFailure(kumquatlug.FailureConfig{
 		Step: "relay", Peer: a.worker(), Reason: "answer_broken", Execution: kumquatlug.ExecutionUnknown,
 		Status: http.StatusBadGateway, Cause: err,
@@ -145,7 +169,7 @@
 // clientDisconnected records a response that the client no longer reads. It says nothing
 // about the worker.
 func (f *inflight) clientDisconnected(a *relayedAttempt, err error) *attemptFailure {
-	f.endFailedAttempt(stageOutput, a.choice, a.attempt, endedByClient, kumquatlug.ExecutionUnknown)
+	f.endFailedAttempt(f.request, stageOutput, a.attempt, endedByClient, kumquatlug.ExecutionUnknown)
 	return &attemptFailure{worker: a.worker(), permanent: true, failure: kumquatlug.NewFailure(kumquatlug.FailureConfig{
 		Step: "relay", Reason: reasonClientLeft, Execution: kumquatlug.ExecutionUnknown, Status: http.StatusBadGateway, Cause: err,
 	})}
@@ -167,7 +191,11 @@
 	buffer := make([]byte, readBufferBytes)
 	flush := http.NewResponseController(f.w)
 	for {
+		a.open.await()
 		n, err := a.response.Body().Read(buffer)
+		if failed, replaced := f.settle(a, err); replaced {
+			return failed
+		}
 		pending = append(pending, buffer[:n]...)
 		complete := completeEvents(pending)
 		if err == io.EOF && a.transfer.Load() == nil || len(pending) > maxEventBytes {
--- /dev/null
+++ b/internal/gateway/takeover.go
@@ -0,0 +1,310 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
+)
+
+// A worker that sends nothing may have failed, or may go on a second later. The attempt at
+// such a suspect stays open while a takeover looks for another worker:
+//
+//   - Once another worker has accepted the request, the open attempt is canceled.
+//   - If the open attempt goes on before that, the takeover is withdrawn.
+//   - If no other worker can be had, the request waits for the open attempt, and the takeover
+//     tries again whenever it can.
+//
+// An attempt that was canceled first would lose its request if the retry budget is used up or
+// the other workers refuse.
+//
+// One goroutine at a time owns the state of an [inflight]: that of the attempt, until the attempt
+// is suspect while it waits for its worker, then that of the takeover, until the attempt is
+// settled.
+
+// Parameters of takeovers.
+const (
+	// acceptDelay is how long after a stream was sent to another worker it counts as accepted
+	// there. A worker refuses at once, and two workers must not work on one stream for longer
+	// than 400 ms.
+	acceptDelay = 250 * kumquatlug.Millis(1)
+	// takeoverInterval is the time between two tries of a takeover that found no worker.
+	takeoverInterval = 100 * kumquatlug.Millis(1)
+)
+
+// Outcomes of takeovers.
+const (
+	takeoverAccepted  = "accepted"
+	takeoverWithdrawn = "withdrawn"
+	takeoverFailed    = "failed"
+)
+
+// openAttempt is an attempt that another one may take over. The methods of a nil openAttempt do
+// nothing.
+type openAttempt struct {
+	f *inflight
+	// ctx is the context for the attempts of a takeover, cancel cancels this attempt.
+	ctx    context.Context
+	cancel context.CancelFunc
+	// watch asks for a call of suspect when the worker sends nothing for too long.
+	watch func()
+	// begin counts this attempt as failed before a takeover begins, resume undoes that.
+	begin, resume func()
+	// prefill says that the attempt does not run the request.
+	prefill bool
+	// request and attempt are kept for the end of the attempt while a takeover owns the state
+	// of the request.
+	request kumquatlug.Request
+	attempt *placement.Attempt
+
+	mu sync.Mutex
+	// waiting says that the attempt waits for its worker, suspected that it became suspect while
+	// it did not.
+	waiting, suspected bool
+	takeover           *takeover
+}
+
+// takeover looks for another worker for the request of an open attempt.
+type takeover struct {
+	open *openAttempt
+	// parent is the takeover that made the open attempt, nil if there is none.
+	parent *takeover
+	cancel context.CancelFunc
+	// accepted and withdrawn exclude each other. The mutex of open guards them.
+	accepted, withdrawn bool
+	// ended is closed when the open attempt has ended by itself, done when the takeover has.
+	ended, done chan struct{}
+	// failed is the failure of the takeover, nil if it served the request; panicked is the
+	// value with which it panicked.
+	failed   *attemptFailure
+	panicked any
+}
+
+// attemptState is the part of the state of a request that belongs to its current attempt.
+type attemptState struct {
+	// cacheZone is the data centre of the engine that ran the prefill.
+	cacheZone string
+	// reservation is the request reserved for decoding at an engine with a rate limit.
+	reservation placement.Reservation
+	// slotAsk is the question for the slot in which the prompt is decoded, nil for none.
+	slotAsk *placement.SlotAsk
+	// onFirstOutput is called at the first output of an attempt.
+	onFirstOutput func()
+}
+
+// openAttempt makes a an attempt that another one may take over.
+func (f *inflight) openAttempt(ctx context.Context, cancel context.CancelFunc, s stage, a *placement.Attempt) *openAttempt {
+	o := &openAttempt{f: f, ctx: ctx, cancel: cancel, prefill: s == stagePrefill, request: f.request, attempt: a}
+	runs := 1
+	if o.prefill {
+		runs = 0
+	}
+	prefilled, calls := false, 0
+	o.begin = func() {
+		prefilled, calls = f.prefilled, f.calls
+		f.attempts++
+		f.possibleRuns += runs
+		f.deliveries++
+		f.prefilled = f.prefilled || o.prefill
+		f.exclude = append(f.exclude, a.Worker())
+	}
+	o.resume = func() {
+		f.attempts--
+		f.possibleRuns -= runs
+		f.deliveries--
+		if f.calls == calls {
+			f.prefilled = prefilled
+		}
+		f.exclude = slices.DeleteFunc(f.exclude, func(id string) bool { return id == a.Worker() })
+	}
+	o.watch = func() { f.g.scheduler.onUnresponsive(f.service.Name(), a, o.suspect) }
+	o.watch()
+	return o
+}
+
+// suspect starts a takeover if the attempt waits for its worker.
+func (o *openAttempt) suspect() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	switch {
+	case o.takeover != nil:
+	case o.waiting:
+		o.startTakeover()
+	default:
+		o.suspected = true
+	}
+}
+
+// await precedes each wait for the worker, and settle follows it.
+func (o *openAttempt) await() {
+	if o == nil {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.waiting = true
+	if o.suspected {
+		o.suspected = false
+		o.startTakeover()
+	}
+}
+
+// startTakeover starts a takeover. The caller must hold o.mu.
+func (o *openAttempt) startTakeover() {
+	ctx, cancel := context.WithCancel(o.ctx)
+	t := &takeover{open: o, parent: o.f.takeover, cancel: cancel, ended: make(chan struct{}), done: make(chan struct{})}
+	o.takeover = t
+	go t.run(ctx)
+}
+
+// settle ends a wait for the worker. It returns true if a takeover has replaced the attempt, and
+// the failure of that one if it could not serve the request. alive says that the attempt goes on.
+// release is called before the wait for a takeover that replaces the attempt.
+func (o *openAttempt) settle(alive bool, release func()) (*attemptFailure, bool) {
+	if o == nil {
+		return nil, false
+	}
+	o.mu.Lock()
+	t := o.takeover
+	o.waiting = false
+	if t == nil {
+		o.mu.Unlock()
+		return nil, false
+	}
+	t.withdrawn = alive && !t.accepted
+	withdrawn := t.withdrawn
+	o.mu.Unlock()
+	if withdrawn {
+		t.cancel()
+	} else {
+		close(t.ended)
+		release()
+	}
+	<-t.done
+	if t.panicked != nil {
+		panic(t.panicked)
+	}
+	o.mu.Lock()
+	o.takeover = nil
+	o.mu.Unlock()
+	f := o.f
+	if withdrawn {
+		f.recovery.repeatCharged = f.recovery.repeatCharged || f.unusedCharge
+		f.g.metrics.takeovers.WithLabelValues(takeoverWithdrawn).Inc()
+		o.resume()
+		o.watch()
+		return nil, false
+	}
+	return t.failed, true
+}
+
+// run makes attempts until one serves the request.
+func (t *takeover) run(ctx context.Context) {
+	f, o := t.open.f, t.open
+	state, parent := f.attemptState, f.takeover
+	defer close(t.done)
+	defer t.cancel()
+	defer func() {
+		t.panicked = recover()
+		f.attemptState, f.takeover = state, parent
+	}()
+	f.attemptState, f.takeover = attemptState{cacheZone: state.cacheZone}, t
+	o.begin()
+	t.failed = f.serveElsewhere(ctx, t)
+	if t.failed != nil && ctx.Err() == nil {
+		f.g.metrics.takeovers.WithLabelValues(takeoverFailed).Inc()
+	}
+}
+
+// serveElsewhere makes attempts for a takeover until one serves the request or none is allowed.
+func (f *inflight) serveElsewhere(ctx context.Context, t *takeover) *attemptFailure {
+	for {
+		failed := f.tryOnce(ctx)
+		switch {
+		case failed == nil:
+			return nil
+		case failed.worker == "" && failed.failure.Status() != http.StatusUnauthorized && t.waitForWorker(ctx):
+			// A retry that was charged and not sent is not charged again.
+			f.recovery.repeatCharged = f.recovery.repeatCharged || f.unusedCharge
+			continue
+		}
+		if final := f.finalFailure(ctx, failed); final != nil {
+			return &attemptFailure{permanent: true, counted: true, failure: final, endedBy: f.endedBy}
+		}
+	}
+}
+
+// waitForWorker waits until it is worth looking for a worker again. It returns false if the
+// takeover ends instead.
+func (t *takeover) waitForWorker(ctx context.Context) bool {
+	timer := time.NewTimer(takeoverInterval.Duration())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-t.ended:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// accept cancels the open attempt, and those that led to it, since another worker has accepted
+// the request. It returns false if one of them has gone on meanwhile.
+func (t *takeover) accept() bool {
+	for ; t != nil; t = t.parent {
+		o := t.open
+		o.mu.Lock()
+		withdrawn, first := t.withdrawn, !t.accepted
+		t.accepted = !withdrawn
+		o.mu.Unlock()
+		if withdrawn {
+			return false
+		}
+		if first {
+			o.f.g.metrics.takeovers.WithLabelValues(takeoverAccepted).Inc()
+			o.cancel()
+		}
+	}
+	return true
+}
+
+// pending reports whether an open attempt may still go on in place of the current one.
+func (t *takeover) pending() bool {
+	if t == nil {
+		return false
+	}
+	t.open.mu.Lock()
+	defer t.open.mu.Unlock()
+	select {
+	case <-t.ended:
+		return false
+	default:
+		return !t.accepted
+	}
+}
+
+// acceptBeforeRun reports whether the request may be sent to a worker that runs it. A request
+// whose open attempt could run it again, although it may not run any more often, is first taken
+// over for good.
+func (f *inflight) acceptBeforeRun() bool {
+	t := f.takeover
+	last := !f.route.Repeatable() || f.possibleRuns+1 >= f.route.MaxWorkers()
+	for ; t != nil; t = t.parent {
+		if t.open.prefill && last {
+			return f.takeover.accept()
+		}
+	}
+	return true
+}
+
+// withdrawnFailure ends an attempt of a takeover that was withdrawn.
+func (f *inflight) withdrawnFailure(a *placement.Attempt, ran kumquatlug.Execution) *attemptFailure {
+	f.endAttempt(stageOutput, a, placement.OutcomeNeutral)
+	return &attemptFailure{permanent: true, worker: a.Worker(), failure: kumquatlug.NewFailure(kumquatlug.FailureConfig{
+		Step: "take over", Peer: a.Worker(), Reason: "withdrawn", Execution: ran, Status: http.StatusServiceUnavailable,
+	})}
+}
--- /dev/null
+++ b/internal/gateway/takeover_test.go
@@ -0,0 +1,181 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+// silence is how long the workers of these tests send nothing before they go on. It is several
+// times as long as it takes until a worker counts as unresponsive.
+const silence = 700 * time.Millisecond
+
+// silentBody is a paced stream that sends nothing for a while after the event with number after.
+type silentBody struct {
+	pacedBody
+	after  int
+	closed atomic.Bool
+}
+
+func (b *silentBody) Read(p []byte) (int, error) {
+	if b.next == b.after+1 {
+		if !sleep(b.ctx, kumquatlug.Millis(silence/time.Millisecond)) {
+			return 0, b.ctx.Err()
+		}
+		b.after = 0
+	}
+	return b.pacedBody.Read(p)
+}
+
+func (b *silentBody) Close() error {
+	b.closed.Store(true)
+	return nil
+}
+
+func pacedResponse(body io.ReadCloser) kumquatlug.WorkerResponse {
+	return kumquatlug.NewWorkerResponse(kumquatlug.WorkerResponseConfig{Status: 200, Header: http.Header{"Stamp": {"s"}}, Length: -1, Body: body})
+}
+
+// Numbers of events of the streams in these tests.
+const (
+	lastEvent   = 24
+	silentAfter = 9
+)
+
+// streamAll requests eight streams at two engines, one of which falls silent, and checks that each
+// arrives whole.
+func streamAll(t *testing.T, f *testGateway) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go f.g.runTimers(ctx)
+	const clients = 8
+	responses := make(chan clientResponse, clients)
+	for range clients {
+		go func() { responses <- f.do(ctx, http.MethodPost, "/long/?tokens=220,104") }()
+	}
+	for range clients {
+		response := <-responses
+		if response.err != nil || response.body != events(1, lastEvent) {
+			t.Errorf("%d of %d bytes after %s: %v", len(response.body), len(events(1, lastEvent)), response.duration, response.err)
+		}
+	}
+}
+
+// silentEngine responds with paced streams; engine d1 falls silent in the middle of those that it
+// starts. refusing makes d2 refuse streams that resume.
+func silentEngine(refusing bool) func(ctx context.Context, n int, c workerCall) (kumquatlug.WorkerResponse, error) {
+	return func(ctx context.Context, _ int, c workerCall) (kumquatlug.WorkerResponse, error) {
+		first := int(c.options.LastEventID) + 1
+		paced := pacedBody{ctx: ctx, next: first, last: lastEvent}
+		switch {
+		case c.worker == "d1" && first == 1:
+			return pacedResponse(&silentBody{pacedBody: paced, after: silentAfter}), nil
+		case refusing && first > 1:
+			return refusedResponse(), nil
+		}
+		return pacedResponse(&paced), nil
+	}
+}
+
+// An engine falls silent for a second and goes on while the retry budget is used up: its streams
+// must not be cut.
+func TestStreamsOfSilentEngineGoOnWithoutRetryBudget(t *testing.T) {
+	for _, budget := range []int{0, 1} {
+		streamAll(t, newTestGateway(t, &fakeWorkers{run: silentEngine(false)}, budget))
+	}
+}
+
+// An engine falls silent for a second and goes on while the other one is full: its streams must
+// not be cut.
+func TestStreamsOfSilentEngineGoOnIfOthersRefuse(t *testing.T) {
+	streamAll(t, newTestGateway(t, &fakeWorkers{run: silentEngine(true)}, manyRetries))
+}
+
+// The continuation of a silent stream is accepted by another engine that is silent, too. Both
+// engines go on: the stream must arrive whole.
+func TestStreamContinuesIfBothEnginesFallSilent(t *testing.T) {
+	streamAll(t, newTestGateway(t, &fakeWorkers{run: func(ctx context.Context, _ int, c workerCall) (kumquatlug.WorkerResponse, error) {
+		first := int(c.options.LastEventID) + 1
+		return pacedResponse(&silentBody{pacedBody: pacedBody{ctx: ctx, next: first, last: lastEvent}, after: max(first, silentAfter)}), nil
+	}}, manyRetries))
+}
+
+// A lookup whose worker is silent for a second gets its answer, not an error, if the retry budget
+// is used up or the other worker refuses.
+func TestLookupAtSilentWorkerIsAnswered(t *testing.T) {
+	for name, budget := range map[string]int{"no budget": 0, "other refuses": manyRetries} {
+		var calls atomic.Int64
+		w := &fakeWorkers{run: func(ctx context.Context, _ int, _ workerCall) (kumquatlug.WorkerResponse, error) {
+			if calls.Add(1) > 1 {
+				return refusedResponse(), nil
+			}
+			if !sleep(ctx, kumquatlug.Millis(silence/time.Millisecond)) {
+				return kumquatlug.WorkerResponse{}, lostConnection()
+			}
+			return wholeResponse(200, "done"), nil
+		}}
+		f := newTestGateway(t, w, budget)
+		if response := f.do(context.Background(), http.MethodGet, lookupRoute); response.status != 200 || response.body != "done" {
+			t.Errorf("%s: %+v", name, response)
+		}
+	}
+}
+
+// A prompt whose prefill engine is silent for a second is served, not refused, if the retry budget
+// is used up.
+func TestPromptAtSilentEngineIsServedWithoutRetryBudget(t *testing.T) {
+	w := &fakeWorkers{
+		prefill: func(ctx context.Context, _ int, _ workerCall) (kumquatlug.KVCacheRef, kumquatlug.WorkerResponse, error) {
+			if !sleep(ctx, kumquatlug.Millis(silence*3/2/time.Millisecond)) {
+				return kumquatlug.KVCacheRef{}, kumquatlug.WorkerResponse{}, lostConnection()
+			}
+			return kumquatlug.NewKVCacheRef("10.0.0.1:1", "h"), wholeResponse(200, ""), nil
+		},
+		run: func(context.Context, int, workerCall) (kumquatlug.WorkerResponse, error) {
+			return streamResponse(1, 3), nil
+		},
+	}
+	f := newTestGateway(t, w, 0)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go f.g.runTimers(ctx)
+	if response := f.do(ctx, http.MethodPost, "/long/?tokens=1000,104"); response.body != events(1, 3) {
+		t.Errorf("%+v", response)
+	}
+}
+
+// A silent stream is continued elsewhere: the runs at both engines must not last side by side, and
+// the first must not be canceled before the second was sent.
+func TestReplacedRunIsCanceledOnceAnotherHasAccepted(t *testing.T) {
+	sent, canceled := make(chan time.Time, 16), make(chan time.Time, 16)
+	w := &fakeWorkers{run: func(ctx context.Context, _ int, c workerCall) (kumquatlug.WorkerResponse, error) {
+		first := int(c.options.LastEventID) + 1
+		paced := pacedBody{ctx: ctx, next: first, last: lastEvent}
+		if c.worker == "d1" && first == 1 {
+			context.AfterFunc(ctx, func() { canceled <- time.Now() })
+			paced.last, paced.stalls = silentAfter, true
+		}
+		if first > 1 {
+			sent <- time.Now()
+			// The prompt is prefilled for longer than both runs may last side by side.
+			if !sleep(ctx, 700) {
+				return kumquatlug.WorkerResponse{}, lostConnection()
+			}
+		}
+		return pacedResponse(&paced), nil
+	}}
+	streamAll(t, newTestGateway(t, w, manyRetries))
+	if len(sent) == 0 || len(canceled) < len(sent) {
+		t.Fatalf("%d continuations sent, %d runs canceled", len(sent), len(canceled))
+	}
+	firstSent, firstCanceled := <-sent, <-canceled
+	if d := firstCanceled.Sub(firstSent); d < 0 || d > 400*time.Millisecond {
+		t.Errorf("the first run was canceled %s after the second was sent", d)
+	}
+}
