Keep a request with the peer gateway that has it until it is taken over

A gateway closed the connection to a peer whose probes were unanswered before anything else had accepted the request. And a peer canceled its attempt on suspicion although the last worker that the route permits is left to the gateway that handed the request off, so that it could only give up, whether or not that one had a retry left.

Fix: a transfer is an attempt that may be taken over like any other. A peer that may use no further worker keeps its attempt and reports it as stalled by a datagram, which an older process ignores; the gateway that handed the request off then takes it over while the peer keeps it.

--- a/internal/front/handoff.go
+++ b/internal/front/handoff.go
@@ -27,6 +27,7 @@
 	kumquatlug.HandoffOffered:  frontv1.HandoffStep_HANDOFF_STEP_OFFERED,
 	kumquatlug.HandoffAccepted: frontv1.HandoffStep_HANDOFF_STEP_ACCEPTED,
 	kumquatlug.HandoffDeclined: frontv1.HandoffStep_HANDOFF_STEP_DECLINED,
+	kumquatlug.HandoffStalled:  frontv1.HandoffStep_HANDOFF_STEP_STALLED,
 }
 
 // SendHandoff implements [kumquatlug.GatewayLink].
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -395,6 +395,9 @@
 	var o *openAttempt
 	if f.route.Repeatable() && f.possibleRuns+1 < f.route.MaxWorkers() {
 		o = f.openAttempt(ctx, cancel, stageOutput, a)
+		if f.possibleRuns+1 >= f.maxWorkers() {
+			o.try = f.reportStalled
+		}
 		overdue = time.AfterFunc(f.attemptTimeout(a).Duration(), o.suspect)
 	}
 	stop := func(t *time.Timer) {
--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -49,15 +49,24 @@
 // peerTransfer is a request that is handed off to a peer.
 type peerTransfer struct {
 	offer handoff.Offer
-	// cancel gives the transfer up when the peer has stopped. It is nil if nothing else
-	// can be done for the request.
-	cancel func()
+	// open is set if this gateway may serve the request itself while the peer has it.
+	open *openAttempt
+	// call is the context of the transfer, end records its end once.
+	call context.Context
+	end  func()
 	// result is what became of the transfer.
 	result handoff.Result
-	// silent is set when the transfer was given up because the peer has stopped.
+	// silent is set while the peer has stopped.
 	silent atomic.Bool
 }
 
+// suspect starts a takeover of the transfer if this gateway may serve the request itself.
+func (t *peerTransfer) suspect() {
+	if t.open != nil {
+		t.open.suspect()
+	}
+}
+
 func newHandoffs(c Config) *handoffs {
 	h := &handoffs{
 		metrics:  newHandoffMetrics(c.Registry),
@@ -134,11 +143,17 @@
 		return true
 	}
 	failed := f.transfer(ctx, offer, address, f.g.c.Ingress.PeerHeader(r))
-	if failed == nil {
-		return true
-	}
+	return failed == nil || f.endFailedTransfer(ctx, r, failed)
+}
+
+// endFailedTransfer handles the failure of a transfer. It returns false if this gateway serves the
+// request itself.
+func (f *inflight) endFailedTransfer(ctx context.Context, r *http.Request, failed *attemptFailure) bool {
 	reason := failed.failure.Reason()
 	switch {
+	case failed.counted:
+		f.sendFailure(ctx, f.finalFailure(ctx, failed))
+		return true
 	case failed.failure.Execution() == kumquatlug.NotExecuted:
 		f.logHandoff("handed-off request returned", failed)
 		return false
@@ -155,7 +170,7 @@
 		return true
 	}
 	// The peer may have used all workers but the last.
-	f.possibleRuns = max(f.route.MaxWorkers()-2, 0)
+	f.possibleRuns += max(f.route.MaxWorkers()-2, 0)
 	// The peer has counted the request as started at its first output.
 	f.usageCounted = f.responseStarted
 	final := f.finalFailure(ctx, failed)
@@ -284,19 +299,22 @@
 	g := f.g
 	call, cancel := context.WithCancel(ctx)
 	defer cancel()
-	t := &peerTransfer{offer: offer, result: handoff.ResultAccepted}
+	t := &peerTransfer{offer: offer, call: call, result: handoff.ResultAccepted}
 	if f.route.Repeatable() && f.route.MaxWorkers() > 1 {
-		t.cancel = func() {
-			t.silent.Store(true)
-			cancel()
-		}
+		t.open = f.openTransfer(ctx, cancel, t)
 	}
 	g.handoffs.begin(g.c.Clock.Now(), t)
-	defer g.endTransfer(t)
+	t.end = sync.OnceFunc(func() { g.endTransfer(t) })
+	defer t.end()
 	proof := g.c.Peers.HandoffProof(offer.Peer(), peerrequest.ProofMessage(g.c.Name, offer.Key(), f.request))
-	response, err := g.c.PeerClient.HandOff(call, kumquatlug.HandoffRequest{
+	request := kumquatlug.HandoffRequest{
 		Address: address, From: g.c.Name, Key: offer.Key(), Elapsed: g.c.Clock.Now() - f.arrived, Proof: proof, Request: f.request, Header: header,
-	})
+	}
+	t.open.await()
+	response, err := g.c.PeerClient.HandOff(call, request)
+	if failed, replaced := f.settleTransfer(ctx, t, response, err == nil && !response.Refused(), err); replaced {
+		return failed
+	}
 	if err != nil {
 		return f.transferBroken(ctx, t, kumquatlug.ExecutionOf(err), err)
 	}
@@ -317,6 +335,58 @@
 	return f.relayFromPeer(ctx, t, response)
 }
 
+// openTransfer makes a transfer one that this gateway may take over.
+func (f *inflight) openTransfer(ctx context.Context, cancel context.CancelFunc, t *peerTransfer) *openAttempt {
+	// The peer may use all workers but the last.
+	runs := f.route.MaxWorkers() - 1
+	charged := false
+	return &openAttempt{
+		f: f, ctx: ctx, cancel: cancel, peer: t.offer.Peer(), watch: func() { t.silent.Store(false) },
+		begin: func() {
+			charged = false
+			f.attempts++
+			f.possibleRuns += runs
+			f.usageCounted = f.responseStarted
+			f.elapsed = f.g.c.Clock.Now() - f.arrived
+		},
+		resume: func() {
+			f.attempts--
+			f.possibleRuns -= runs
+		},
+		try: func(ctx context.Context) *attemptFailure {
+			if !charged {
+				// A continuation is a retry, and is charged before anything is sent to a worker.
+				if final := f.chargeRetry(); final != nil {
+					return &attemptFailure{permanent: true, failure: final}
+				}
+				charged = true
+				f.recordArrival()
+			}
+			if failed := f.admitToLink(); failed != nil {
+				return failed
+			}
+			return f.tryOnce(ctx)
+		},
+	}
+}
+
+// settleTransfer ends a wait for the peer. It returns true if a takeover has replaced the
+// transfer, and the failure of that one if it could not serve the request.
+func (f *inflight) settleTransfer(
+	ctx context.Context, t *peerTransfer, response kumquatlug.HandoffResponse, alive bool, err error,
+) (*attemptFailure, bool) {
+	return t.open.settle(alive, func() {
+		if body := response.Response().Body(); body != nil {
+			body.Close()
+		}
+		if ctx.Err() == nil && (t.silent.Load() || err != nil && t.call.Err() == nil) {
+			t.result = handoff.ResultBroken
+			f.g.handoffs.metrics.handoffs.WithLabelValues(outcomeBroken).Inc()
+		}
+		t.end()
+	})
+}
+
 // servedHereAfter holds the reasons of a peer's refusals that concern the peer and not the
 // request: this gateway serves the request itself after them. A peer that is partitioned from
 // the store refuses with a stale config what this gateway's own config allows.
@@ -342,17 +412,13 @@
 		t.result = handoff.ResultBroken
 		f.g.handoffs.metrics.handoffs.WithLabelValues(outcomeBroken).Inc()
 	}
-	reason := "peer_failed"
-	if t.silent.Load() {
-		reason = "peer_silent"
-	}
 	return &attemptFailure{failure: kumquatlug.NewFailure(kumquatlug.FailureConfig{
-		Step: stepHandoff, Peer: t.offer.Peer(), Reason: reason, Execution: ran, Status: http.StatusBadGateway, Cause: err,
+		Step: stepHandoff, Peer: t.offer.Peer(), Reason: "peer_failed", Execution: ran, Status: http.StatusBadGateway, Cause: err,
 	})}
 }
 
-// probeHandoffs gives up the transfers to peers that have stopped. The kernel of a frozen
-// peer keeps its connections open.
+// probeHandoffs starts takeovers of the transfers to peers that have stopped. The kernel of a
+// frozen peer keeps its connections open.
 func (g *Gateway) probeHandoffs(ctx context.Context) {
 	h := g.handoffs
 	for sleep(ctx, handoffProbeInterval) {
@@ -360,8 +426,9 @@
 		probe, stopped := h.sender.Probe(g.c.Clock.Now())
 		for t := range h.transfers {
 			for _, peer := range stopped {
-				if t.offer.Peer() == peer && t.cancel != nil {
-					t.cancel()
+				if t.offer.Peer() == peer {
+					t.silent.Store(true)
+					t.suspect()
 				}
 			}
 		}
@@ -372,6 +439,24 @@
 	}
 }
 
+// stalled handles the message of a peer that the worker of a transferred request is silent.
+func (h *handoffs) stalled(peer string, key uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for t := range h.transfers {
+		if t.offer.Peer() == peer && t.offer.Key() == key {
+			t.suspect()
+		}
+	}
+}
+
+// reportStalled is what a takeover does whose only remaining worker is left to the gateway that
+// handed the request off: that gateway may take the request over, and then closes the connection.
+func (f *inflight) reportStalled(context.Context) *attemptFailure {
+	f.g.c.Peers.SendHandoff(f.handoff.From, kumquatlug.Handoff{Step: kumquatlug.HandoffStalled, Key: f.handoff.Key})
+	return &attemptFailure{permanent: true, failure: refusal(stepHandoff, reasonPeerGaveUp, http.StatusServiceUnavailable, 0)}
+}
+
 // answerReceived handles a peer's answer to an offer.
 func (h *handoffs) answerReceived(now kumquatlug.Millis, peer string, m kumquatlug.Handoff) {
 	h.mu.Lock()
--- a/internal/gateway/handoff_test.go
+++ b/internal/gateway/handoff_test.go
@@ -382,3 +382,59 @@
 }
 
 func (stalledBody) Close() error { return nil }
+
+// silentHandoff sends eight streams through a to b, where they fall silent for a while after the
+// event with number after, and returns how many calls a made at its own workers.
+func silentHandoff(t *testing.T, retries, after, last int, pause time.Duration, lost bool) int {
+	t.Helper()
+	w := &fakeWorkers{run: func(ctx context.Context, _ int, c workerCall) (kumquatlug.WorkerResponse, error) {
+		first := int(c.options.LastEventID) + 1
+		return pacedResponse(&silentBody{pacedBody: pacedBody{ctx: ctx, next: first, last: last}, after: after, pause: pause}), nil
+	}}
+	p := newHandoffPair(t, streamWorkers(1, last), w, retries)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go p.a.g.probeHandoffs(ctx)
+	go p.b.g.runTimers(ctx)
+	const clients = 8
+	responses := make(chan clientResponse, clients)
+	for range clients {
+		go func() { responses <- p.a.do(ctx, http.MethodPost, longRoute) }()
+	}
+	if lost {
+		// The messages about offers must have arrived.
+		sleep(ctx, 100)
+		p.linkA.lost.Store(true)
+	}
+	for range clients {
+		if response := <-responses; response.err != nil || response.body != events(1, last) {
+			t.Errorf("%d of %d bytes after %s: %v", len(response.body), len(events(1, last)), response.duration, response.err)
+		}
+	}
+	if n := p.outcomes(p.a, outcomeHandedOff); n != clients {
+		t.Errorf("%v streams handed off", n)
+	}
+	return len(p.a.workers.recorded())
+}
+
+// The worker of a peer falls silent for a second and goes on, while this gateway's retry budget is
+// used up: the streams that were handed off must not be cut.
+func TestHandedOffStreamsOfSilentWorkerGoOnWithoutRetryBudget(t *testing.T) {
+	if n := silentHandoff(t, 0, silentAfter, lastEvent, silence, false); n != 0 {
+		t.Errorf("%d retries without a budget", n)
+	}
+}
+
+// The worker of a peer is silent and the peer may not use the last worker that the route permits:
+// the gateway that handed the request off continues it.
+func TestHandedOffStreamOfSilentWorkerContinuesHere(t *testing.T) {
+	if n := silentHandoff(t, manyRetries, silentAfter, lastEvent, silence, false); n == 0 {
+		t.Error("no stream was continued here")
+	}
+}
+
+// A peer answers no messages for a second and goes on, while the retry budget is used up: the
+// streams that were handed off to it must not be cut.
+func TestStreamsAtSilentPeerGoOnWithoutRetryBudget(t *testing.T) {
+	silentHandoff(t, 0, 8, 12, 1150*time.Millisecond, true)
+}
--- a/internal/gateway/handoffrelay.go
+++ b/internal/gateway/handoffrelay.go
@@ -18,7 +18,12 @@
 		return f.relayStreamFromPeer(ctx, t, r)
 	}
 	size, release := f.g.reserveBuffer(response.Length())
+	t.open.await()
 	head, err := io.ReadAll(io.LimitReader(response.Body(), size))
+	if failed, replaced := f.settleTransfer(ctx, t, r, err == nil && !r.GaveUp(), err); replaced {
+		release()
+		return failed
+	}
 	if err != nil {
 		release()
 		return f.transferBroken(ctx, t, brokenExecution(r), err)
@@ -82,7 +87,12 @@
 	buffer := make([]byte, readBufferBytes)
 	flush := http.NewResponseController(f.w)
 	for {
+		t.open.await()
 		n, err := r.Response().Body().Read(buffer)
+		alive := err == nil || errors.Is(err, io.EOF) && !r.GaveUp()
+		if failed, replaced := f.settleTransfer(ctx, t, r, alive, err); replaced {
+			return failed
+		}
 		pending = append(pending, buffer[:n]...)
 		complete := completeEvents(pending)
 		ended := errors.Is(err, io.EOF) && !r.GaveUp()
--- a/internal/gateway/handoffserver.go
+++ b/internal/gateway/handoffserver.go
@@ -75,12 +75,14 @@
 	}
 }
 
-// HandoffReceived handles a message of a peer gateway about the offer of a request.
+// HandoffReceived handles a message of a peer gateway about a request that is handed off.
 func (g *Gateway) HandoffReceived(peer string, m kumquatlug.Handoff) {
 	h, now := g.handoffs, g.c.Clock.Now()
 	switch m.Step {
 	case kumquatlug.HandoffAccepted, kumquatlug.HandoffDeclined:
 		h.answerReceived(now, peer, m)
+	case kumquatlug.HandoffStalled:
+		h.stalled(peer, m.Key)
 	case kumquatlug.HandoffOffered:
 		state := handoff.State{
 			Ready: g.ready() && g.c.HandoffListener != nil && !g.keysStale(), BodyBytes: g.bodyBytes.Load(),
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/kumquatlug/kumquatlug/internal/peerrequest"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
 )
@@ -22,8 +23,8 @@
 	// configVersion is the version of the config that selected the route.
 	configVersion int64
 	arrived       kumquatlug.Millis
-	// handedOff says that a peer gateway handed the request off to this one.
-	handedOff bool
+	// handoff says which peer gateway handed the request off to this one, nil for none.
+	handoff *peerrequest.Handoff
 	// elapsed is how long after its arrival this gateway starts to serve the request itself,
 	// if a peer gateway had it before.
 	elapsed kumquatlug.Millis
@@ -91,10 +92,7 @@
 
 // serve makes attempts until the client has its final response.
 func (f *inflight) serve(ctx context.Context) {
-	clientTimeout := f.setDeadline()
-	received := f.arrived + f.elapsed
-	f.retryingFor = f.g.scheduler.recordArrival(received, f.service.Name(), f.route.Name(), clientTimeout)
-	f.value = f.g.scheduler.requestValue(received, f.service.Name(), f.route.Name(), f.request.Account(), f.request.Prompt())
+	f.recordArrival()
 	ctx, cancel := context.WithTimeout(ctx, f.timeLeft().Duration())
 	defer cancel()
 	defer func() { f.g.releaseCache(f.refusedCache) }()
@@ -114,6 +112,14 @@
 	}
 }
 
+// recordArrival sets the deadline and records that this gateway serves the request.
+func (f *inflight) recordArrival() {
+	clientTimeout := f.setDeadline()
+	received := f.arrived + f.elapsed
+	f.retryingFor = f.g.scheduler.recordArrival(received, f.service.Name(), f.route.Name(), clientTimeout)
+	f.value = f.g.scheduler.requestValue(received, f.service.Name(), f.route.Name(), f.request.Account(), f.request.Prompt())
+}
+
 // setDeadline sets the deadline and returns the client's timeout.
 func (f *inflight) setDeadline() kumquatlug.Millis {
 	clientTimeout := f.request.Timeout()
@@ -190,7 +196,7 @@
 // peer handed off, the last one is left to the peer, which continues the request if this gateway
 // can't: both together must not exceed what the route permits, also if this one is killed.
 func (f *inflight) maxWorkers() int {
-	if f.handedOff {
+	if f.handoff != nil {
 		return max(f.route.MaxWorkers()-1, 1)
 	}
 	return f.route.MaxWorkers()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -90,7 +90,7 @@
 	}
 	f := &inflight{
 		g: g, w: w, request: request, account: account, route: route, service: service, configVersion: table.Version(),
-		arrived: o.arrived, elapsed: o.elapsed, handedOff: o.handoff != nil, lastEventID: request.LastEventID(),
+		arrived: o.arrived, elapsed: o.elapsed, handoff: o.handoff, lastEventID: request.LastEventID(),
 	}
 	if exit := kumquatlug.Millis(g.exitAt.Load()); exit != 0 {
 		// The client's next request uses a new connection, to a gateway that is not
--- a/internal/gateway/takeover.go
+++ b/internal/gateway/takeover.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
 )
@@ -50,16 +52,18 @@
 	// ctx is the context for the attempts of a takeover, cancel cancels this attempt.
 	ctx    context.Context
 	cancel context.CancelFunc
+	// peer is the worker or the gateway that has the request.
+	peer string
 	// watch asks for a call of suspect when the worker sends nothing for too long.
 	watch func()
+	// try makes one attempt for a takeover.
+	try func(context.Context) *attemptFailure
 	// begin counts this attempt as failed before a takeover begins, resume undoes that.
 	begin, resume func()
 	// prefill says that the attempt does not run the request.
 	prefill bool
-	// request and attempt are kept for the end of the attempt while a takeover owns the state
-	// of the request.
+	// request is kept for the end of the attempt while a takeover owns the state of the request.
 	request kumquatlug.Request
-	attempt *placement.Attempt
 
 	mu sync.Mutex
 	// waiting says that the attempt waits for its worker, suspected that it became suspect while
@@ -98,7 +102,7 @@
 
 // openAttempt makes a an attempt that another one may take over.
 func (f *inflight) openAttempt(ctx context.Context, cancel context.CancelFunc, s stage, a *placement.Attempt) *openAttempt {
-	o := &openAttempt{f: f, ctx: ctx, cancel: cancel, prefill: s == stagePrefill, request: f.request, attempt: a}
+	o := &openAttempt{f: f, ctx: ctx, cancel: cancel, prefill: s == stagePrefill, request: f.request, try: f.tryOnce, peer: a.Worker()}
 	runs := 1
 	if o.prefill {
 		runs = 0
@@ -213,6 +217,7 @@
 		f.attemptState, f.takeover = state, parent
 	}()
 	f.attemptState, f.takeover = attemptState{cacheZone: state.cacheZone}, t
+	f.g.c.Logger.Info("attempt suspect", zap.String("request", f.request.ID()), zap.String("worker", o.peer), zap.Int("tries", f.attempts+1))
 	o.begin()
 	t.failed = f.serveElsewhere(ctx, t)
 	if t.failed != nil && ctx.Err() == nil {
@@ -223,7 +228,7 @@
 // serveElsewhere makes attempts for a takeover until one serves the request or none is allowed.
 func (f *inflight) serveElsewhere(ctx context.Context, t *takeover) *attemptFailure {
 	for {
-		failed := f.tryOnce(ctx)
+		failed := t.open.try(ctx)
 		switch {
 		case failed == nil:
 			return nil
--- a/internal/gateway/takeover_test.go
+++ b/internal/gateway/takeover_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -18,13 +19,14 @@
 // silentBody is a paced stream that sends nothing for a while after the event with number after.
 type silentBody struct {
 	pacedBody
-	after  int
-	closed atomic.Bool
+	after int
+	// pause is how long it sends nothing, silence if zero.
+	pause time.Duration
 }
 
 func (b *silentBody) Read(p []byte) (int, error) {
 	if b.next == b.after+1 {
-		if !sleep(b.ctx, kumquatlug.Millis(silence/time.Millisecond)) {
+		if !sleep(b.ctx, kumquatlug.Millis(cmp.Or(b.pause, silence)/time.Millisecond)) {
 			return 0, b.ctx.Err()
 		}
 		b.after = 0
@@ -32,11 +34,6 @@
 	return b.pacedBody.Read(p)
 }
 
-func (b *silentBody) Close() error {
-	b.closed.Store(true)
-	return nil
-}
-
 func pacedResponse(body io.ReadCloser) kumquatlug.WorkerResponse {
 	return kumquatlug.NewWorkerResponse(kumquatlug.WorkerResponseConfig{Status: 200, Header: http.Header{"Stamp": {"s"}}, Length: -1, Body: body})
 }
--- a/pkg/kumquatlug/handoff.go
+++ b/pkg/kumquatlug/handoff.go
@@ -20,9 +20,12 @@
 	HandoffAccepted HandoffStep = "accepted"
 	// HandoffDeclined: the peer does not take the request.
 	HandoffDeclined HandoffStep = "declined"
+	// HandoffStalled: the worker of the transferred request is silent, and the peer may not
+	// send the request to another one.
+	HandoffStalled HandoffStep = "stalled"
 )
 
-// Handoff is one message between two gateways about the offer of a request.
+// Handoff is one message between two gateways about a request that is handed off.
 type Handoff struct {
 	Step HandoffStep
 	// Key distinguishes the offers of the sending gateway.
