Let a moved stream go on while its first engine is suspect

The end of the stream at the first engine was taken for its failure, as the takeover was still looking for a worker, and the copy at the other engine was discarded.

A stream whose move has begun goes on, whatever ends it at its first engine.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -149,7 +149,8 @@
 // settle ends a wait for output. It returns true if a takeover has replaced the attempt, and the
 // failure of that one if it could not serve the request.
 func (f *inflight) settle(a *relayedAttempt, err error) (*attemptFailure, bool) {
-	alive := err == nil || errors.Is(err, io.EOF)
+	// A stream that is being moved ends at its first engine and goes on at the other one.
+	alive := err == nil || errors.Is(err, io.EOF) || a.transfer.Load() != nil
 	return a.open.settle(alive, func() {
 		f.endFailedAttempt(a.open.request, stageOutput, a.attempt, endCauseOf(a.requestCtx, a.attemptCtx), kumquatlug.ExecutionUnknown)
 		a.response.Body().Close()
--- a/internal/gateway/takeover_test.go
+++ b/internal/gateway/takeover_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
 
@@ -176,3 +178,53 @@
 		t.Errorf("the first run was canceled %s after the second was sent", d)
 	}
 }
+
+// A stream is moved to another engine while its own one is silent and the retry budget is used up:
+// the end of the stream at the first engine must not be taken for its failure.
+func TestMovedStreamOfSilentEngineGoesOn(t *testing.T) {
+	moved := make(chan struct{})
+	w := &fakeWorkers{
+		run: func(ctx context.Context, n int, c workerCall) (kumquatlug.WorkerResponse, error) {
+			if n > 1 {
+				return streamResponse(int(c.options.LastEventID)+1, lastEvent), nil
+			}
+			paced := pacedBody{ctx: ctx, next: 1, last: silentAfter, stalls: true}
+			return pacedResponse(&endedBody{pacedBody: paced, ended: moved}), nil
+		},
+		state: func() (kumquatlug.EngineState, error) { return kumquatlug.EngineState{}, lostConnection() },
+		move: func(context.Context, string, string) (kumquatlug.KVCacheRef, error) {
+			close(moved)
+			return kumquatlug.NewKVCacheRef("10.0.0.1:1", "copy"), nil
+		},
+	}
+	f := newTestGateway(t, w, 0)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go f.g.runTimers(ctx)
+	response := make(chan clientResponse, 1)
+	go func() { response <- f.do(ctx, http.MethodPost, "/long/?tokens=220,4600") }()
+	for testutil.ToFloat64(f.g.metrics.unresponsive) == 0 && sleep(ctx, 10) {
+	}
+	f.g.applyPlan("engines", rolePlan{Roles: map[string]kumquatlug.Role{w.recorded()[0].worker: kumquatlug.RolePrefill}})
+	if response := <-response; response.err != nil || response.body != events(1, lastEvent) {
+		t.Errorf("%d of %d bytes after %s: %v", len(response.body), len(events(1, lastEvent)), response.duration, response.err)
+	}
+}
+
+// endedBody is a stream that breaks off when ended is closed.
+type endedBody struct {
+	pacedBody
+	ended chan struct{}
+}
+
+func (b *endedBody) Read(p []byte) (int, error) {
+	if b.next <= b.last {
+		return b.pacedBody.Read(p)
+	}
+	select {
+	case <-b.ended:
+		return 0, io.ErrUnexpectedEOF
+	case <-b.ctx.Done():
+		return 0, b.ctx.Err()
+	}
+}
