Restore a request's counts after a withdrawn takeover

What callers would have seen: after a suspicion that proved wrong, the worker that had been asked stayed excluded and counted as having run the request, so that the stream was cut if its own worker fell silent for good later; and a prompt whose prefill went on was refused with repeats_used_up, as its first output was charged as a retry.

Cause: a takeover counts its attempts as those after a failure, and these counts stayed when it was withdrawn.

Fix: a withdrawn takeover leaves the counts as they were. What an engine may have run is kept apart, so that a later refusal does not state that the request has not run; at a plain worker it counts as a run. No attempt is made beyond the workers that the route permits. Attempts under takeover no longer count when a gateway asks whether most of its workers are silent, as they did not when they were canceled at once.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -262,7 +262,7 @@
 	o := f.openAttempt(ctx, cancel, stagePrefill, a)
 	stop := time.AfterFunc(f.attemptTimeout(a).Duration(), o.suspect)
 	defer stop.Stop()
-	f.countCall()
+	f.unusedCharge = false
 	options := f.attemptOptions(c)
 	o.await()
 	cache, response, err := f.g.c.Workers.Prefill(call, c.Worker(), o.request, options)
@@ -432,7 +432,7 @@
 	defer cancel()
 	o, stop := f.openRun(ctx, cancel, a)
 	defer stop()
-	f.countCall()
+	f.unusedCharge = false
 	request := f.request
 	o.await()
 	response, err := f.g.c.Workers.Run(call, c.Worker(), request, s)
--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -349,10 +349,6 @@
 			f.usageCounted = f.responseStarted
 			f.elapsed = f.g.c.Clock.Now() - f.arrived
 		},
-		resume: func() {
-			f.attempts--
-			f.possibleRuns -= runs
-		},
 		try: func(ctx context.Context) *attemptFailure {
 			if !charged {
 				// A continuation is a retry, and is charged before anything is sent to a worker.
@@ -365,7 +361,7 @@
 			if failed := f.admitToLink(); failed != nil {
 				return failed
 			}
-			return f.tryOnce(ctx)
+			return f.tryElsewhere(ctx)
 		},
 	}
 }
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -35,8 +35,8 @@
 	// value is the value of the request relative to the mean of its route.
 	value float64
 
-	exclude []string
 	attemptState
+	attemptCounts
 	// takeover is the takeover for which attempts are made, nil for none.
 	takeover *takeover
 	// refusedCache is the prompt's KV cache that a decode engine refused. The next
@@ -51,20 +51,14 @@
 	endedBy endCause
 	// usageCounted is set once the request has been counted as started.
 	usageCounted bool
-	// attempts counts all attempts, possibleRuns the workers that may have run the
-	// request.
-	attempts, possibleRuns int
-	// deliveries counts the attempts that a worker received, except the first one that
-	// completed a prefill. prefilled is set once a prefill may have completed.
-	deliveries int
-	prefilled  bool
+	// withdrawnRuns counts the runs of takeovers that were withdrawn before their workers
+	// responded. They hardly ever began, but a refusal must not state so.
+	withdrawnRuns int
 	// responseStarted is set once the response header has been written. lastEventID is
 	// the number of the last event that the client received.
 	responseStarted bool
 	lastEventID     int64
-	// calls counts what was sent to workers. unusedCharge is set while the retry budget was
-	// charged for a retry that was not sent.
-	calls        int
+	// unusedCharge is set while the retry budget was charged for a retry that was not sent.
 	unusedCharge bool
 	// timings holds when each step of the last attempt was completed.
 	timings timings
@@ -218,12 +212,6 @@
 	return nil
 }
 
-// countCall counts a call that is about to be sent to a worker.
-func (f *inflight) countCall() {
-	f.calls++
-	f.unusedCharge = false
-}
-
 // chargeRetry takes one retry from the budget. It returns a failure if the budget is exhausted.
 func (f *inflight) chargeRetry() *kumquatlug.Failure {
 	if f.g.scheduler.takeRetry(f.g.c.Clock.Now(), f.service.Name()) {
@@ -233,10 +221,13 @@
 	return f.clientFailure(refusal("repeat", "repeats_used_up", 0, 0), "repeats_used_up")
 }
 
+// mayHaveRun reports whether a worker may have run the request.
+func (f *inflight) mayHaveRun() bool { return f.possibleRuns+f.withdrawnRuns > 0 }
+
 // clientFailure returns cause with another reason. It states that the request did not
 // run only if no attempt may have run.
 func (f *inflight) clientFailure(cause *kumquatlug.Failure, reason string) *kumquatlug.Failure {
-	if cause.Status() == http.StatusUnauthorized && f.possibleRuns == 0 {
+	if cause.Status() == http.StatusUnauthorized && !f.mayHaveRun() {
 		return cause
 	}
 	c := kumquatlug.FailureConfig{
@@ -246,7 +237,7 @@
 	if cause.Status() == http.StatusGatewayTimeout {
 		c.Status = cause.Status()
 	}
-	if f.possibleRuns == 0 {
+	if !f.mayHaveRun() {
 		c.Execution, c.Status, c.RetryAfter = kumquatlug.NotExecuted, http.StatusServiceUnavailable, cause.RetryAfter()
 		if c.RetryAfter == 0 {
 			c.RetryAfter = f.retryAfter(maxRetryAfter)
@@ -266,7 +257,7 @@
 	default:
 		reason = reasonClientLeft
 	}
-	if f.possibleRuns == 0 {
+	if !f.mayHaveRun() {
 		return refusal("serve", reason, http.StatusServiceUnavailable, 0)
 	}
 	return kumquatlug.NewFailure(kumquatlug.FailureConfig{
--- a/internal/gateway/liveness.go
+++ b/internal/gateway/liveness.go
@@ -77,9 +77,9 @@
 		state.placer.TickSlots(now)
 		unresponsive := state.placer.CheckLiveness(now)
 		for _, worker := range unresponsive {
-			state.cancelAttempts(worker.Attempts())
+			state.suspectAttempts(worker.Attempts())
 		}
-		state.cancelAttempts(state.placer.StalledStreams(now))
+		state.suspectAttempts(state.placer.StalledStreams(now))
 		events.unresponsive = append(events.unresponsive, unresponsive...)
 		for _, w := range state.placer.Suspects(now) {
 			events.probes = append(events.probes, probe{service: name, worker: w})
@@ -106,27 +106,30 @@
 	if !unresponsive {
 		return nil
 	}
-	state.cancelAttempts(worker.Attempts())
+	state.suspectAttempts(worker.Attempts())
 	sc.deliverDue(now, state)
 	return []placement.UnresponsiveWorker{worker}
 }
 
-// cancelAttempts cancels those of the attempts that can resume elsewhere.
-func (state *serviceState) cancelAttempts(attempts []*placement.Attempt) {
+// suspectAttempts starts takeovers of those of the attempts that can resume elsewhere.
+func (state *serviceState) suspectAttempts(attempts []*placement.Attempt) {
 	for _, a := range attempts {
-		if cancel, can := state.cancels[a]; can {
-			delete(state.cancels, a)
-			cancel()
+		if suspect, can := state.suspects[a]; can {
+			delete(state.suspects, a)
+			state.placer.SetSuspect(a, true)
+			suspect()
 		}
 	}
 }
 
-// onUnresponsive registers cancel to be called if the attempt's worker becomes
+// onUnresponsive registers suspect to be called if the attempt's worker becomes
 // unresponsive.
-func (sc *scheduler) onUnresponsive(service string, a *placement.Attempt, cancel func()) {
+func (sc *scheduler) onUnresponsive(service string, a *placement.Attempt, suspect func()) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	sc.service(service).cancels[a] = cancel
+	state := sc.service(service)
+	state.suspects[a] = suspect
+	state.placer.SetSuspect(a, false)
 }
 
 // recordOutput records that output of an attempt arrived, with so many complete events, and
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -42,8 +42,8 @@
 	meanSizes map[string]float64
 	// accountShares detects accounts that send more than usual.
 	accountShares *fairshare.Shares
-	// cancels holds the functions that cancel attempts which can resume elsewhere.
-	cancels map[*placement.Attempt]func()
+	// suspects holds the functions that start takeovers of attempts which can resume elsewhere.
+	suspects map[*placement.Attempt]func()
 	// moves holds the functions that move streams to other engines.
 	moves map[*placement.Attempt]func()
 	// waiting holds the channels of the queued prompts, by key.
@@ -89,7 +89,7 @@
 			maxClientTimeout: map[string]kumquatlug.Millis{},
 			meanSizes:        map[string]float64{},
 			accountShares:    fairshare.New(),
-			cancels:          map[*placement.Attempt]func(){},
+			suspects:         map[*placement.Attempt]func(){},
 			moves:            map[*placement.Attempt]func(){},
 			waiting:          map[uint64]chan placement.Due{},
 		}
@@ -391,7 +391,7 @@
 	sc.mu.Lock()
 	defer sc.unlockAndSend()
 	state := sc.service(service)
-	delete(state.cancels, a)
+	delete(state.suspects, a)
 	delete(state.moves, a)
 	state.placer.End(now, a, o)
 	sc.deliverDue(now, state)
--- a/internal/gateway/takeover.go
+++ b/internal/gateway/takeover.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -58,8 +57,8 @@
 	watch func()
 	// try makes one attempt for a takeover.
 	try func(context.Context) *attemptFailure
-	// begin counts this attempt as failed before a takeover begins, resume undoes that.
-	begin, resume func()
+	// begin counts this attempt as failed before a takeover begins.
+	begin func()
 	// prefill says that the attempt does not run the request.
 	prefill bool
 	// request is kept for the end of the attempt while a takeover owns the state of the request.
@@ -78,6 +77,10 @@
 	// parent is the takeover that made the open attempt, nil if there is none.
 	parent *takeover
 	cancel context.CancelFunc
+	// counts are those of the request before the takeover began, possibleRuns is the number of
+	// runs when it did.
+	counts       attemptCounts
+	possibleRuns int
 	// accepted and withdrawn exclude each other. The mutex of open guards them.
 	accepted, withdrawn bool
 	// ended is closed when the open attempt has ended by itself, done when the takeover has.
@@ -100,30 +103,31 @@
 	onFirstOutput func()
 }
 
+// attemptCounts is what a request counts about its attempts.
+type attemptCounts struct {
+	// exclude are the workers to which the request is not sent.
+	exclude []string
+	// attempts counts all attempts, possibleRuns the workers that may have run the
+	// request.
+	attempts, possibleRuns int
+	// deliveries counts the attempts that a worker received, except the first one that
+	// completed a prefill. prefilled is set once a prefill may have completed.
+	deliveries int
+	prefilled  bool
+}
+
 // openAttempt makes a an attempt that another one may take over.
 func (f *inflight) openAttempt(ctx context.Context, cancel context.CancelFunc, s stage, a *placement.Attempt) *openAttempt {
-	o := &openAttempt{f: f, ctx: ctx, cancel: cancel, prefill: s == stagePrefill, request: f.request, try: f.tryOnce, peer: a.Worker()}
-	runs := 1
-	if o.prefill {
-		runs = 0
-	}
-	prefilled, calls := false, 0
+	o := &openAttempt{f: f, ctx: ctx, cancel: cancel, prefill: s == stagePrefill, request: f.request, try: f.tryElsewhere, peer: a.Worker()}
 	o.begin = func() {
-		prefilled, calls = f.prefilled, f.calls
 		f.attempts++
-		f.possibleRuns += runs
 		f.deliveries++
-		f.prefilled = f.prefilled || o.prefill
-		f.exclude = append(f.exclude, a.Worker())
-	}
-	o.resume = func() {
-		f.attempts--
-		f.possibleRuns -= runs
-		f.deliveries--
-		if f.calls == calls {
-			f.prefilled = prefilled
+		if o.prefill {
+			f.prefilled = true
+		} else {
+			f.possibleRuns++
 		}
-		f.exclude = slices.DeleteFunc(f.exclude, func(id string) bool { return id == a.Worker() })
+		f.exclude = append(f.exclude, a.Worker())
 	}
 	o.watch = func() { f.g.scheduler.onUnresponsive(f.service.Name(), a, o.suspect) }
 	o.watch()
@@ -173,10 +177,13 @@
 		return nil, false
 	}
 	o.mu.Lock()
-	t := o.takeover
-	o.waiting = false
+	t, suspected := o.takeover, o.suspected && alive
+	o.waiting, o.suspected = false, o.suspected && !alive
 	if t == nil {
 		o.mu.Unlock()
+		if suspected {
+			o.watch()
+		}
 		return nil, false
 	}
 	t.withdrawn = alive && !t.accepted
@@ -195,17 +202,28 @@
 	o.mu.Lock()
 	o.takeover = nil
 	o.mu.Unlock()
-	f := o.f
 	if withdrawn {
-		f.recovery.repeatCharged = f.recovery.repeatCharged || f.unusedCharge
-		f.g.metrics.takeovers.WithLabelValues(takeoverWithdrawn).Inc()
-		o.resume()
+		o.f.resume(t)
 		o.watch()
 		return nil, false
 	}
 	return t.failed, true
 }
 
+// resume restores the state of the request after a withdrawn takeover.
+func (f *inflight) resume(t *takeover) {
+	f.g.metrics.takeovers.WithLabelValues(takeoverWithdrawn).Inc()
+	runs := f.possibleRuns - t.possibleRuns
+	f.attemptCounts = t.counts
+	if f.service.Engine() {
+		f.withdrawnRuns += runs
+	} else {
+		// A plain worker begins at once.
+		f.possibleRuns += runs
+	}
+	f.recovery.repeatCharged = f.recovery.repeatCharged || f.unusedCharge
+}
+
 // run makes attempts until one serves the request.
 func (t *takeover) run(ctx context.Context) {
 	f, o := t.open.f, t.open
@@ -218,7 +236,9 @@
 	}()
 	f.attemptState, f.takeover = attemptState{cacheZone: state.cacheZone}, t
 	f.g.c.Logger.Info("attempt suspect", zap.String("request", f.request.ID()), zap.String("worker", o.peer), zap.Int("tries", f.attempts+1))
+	t.counts = f.attemptCounts
 	o.begin()
+	t.possibleRuns = f.possibleRuns
 	t.failed = f.serveElsewhere(ctx, t)
 	if t.failed != nil && ctx.Err() == nil {
 		f.g.metrics.takeovers.WithLabelValues(takeoverFailed).Inc()
@@ -243,6 +263,14 @@
 	}
 }
 
+// tryElsewhere makes one attempt if the route permits another worker.
+func (f *inflight) tryElsewhere(ctx context.Context) *attemptFailure {
+	if f.possibleRuns >= f.maxWorkers() {
+		return &attemptFailure{permanent: true, failure: refusal("place", "no_worker", http.StatusServiceUnavailable, 0)}
+	}
+	return f.tryOnce(ctx)
+}
+
 // waitForWorker waits until it is worth looking for a worker again. It returns false if the
 // takeover ends instead.
 func (t *takeover) waitForWorker(ctx context.Context) bool {
--- a/internal/gateway/takeover_test.go
+++ b/internal/gateway/takeover_test.go
@@ -228,3 +228,76 @@
 		return 0, b.ctx.Err()
 	}
 }
+
+// An engine is silent until another one was asked, goes on, and then never sends anything again:
+// the stream must continue at the other engine, although that one was asked before.
+func TestStreamContinuesElsewhereAfterWithdrawnTakeover(t *testing.T) {
+	asked := make(chan struct{}, 16)
+	w := &fakeWorkers{run: func(ctx context.Context, _ int, c workerCall) (kumquatlug.WorkerResponse, error) {
+		first := int(c.options.LastEventID) + 1
+		paced := pacedBody{ctx: ctx, next: first, last: lastEvent}
+		switch first {
+		case 1:
+			paced.last, paced.stalls = silentAfter+2, true
+			return pacedResponse(&resumedBody{pacedBody: paced, after: silentAfter, resumed: asked}), nil
+		case silentAfter + 1:
+			asked <- struct{}{}
+			sleep(ctx, 200)
+			return kumquatlug.WorkerResponse{}, lostConnection()
+		}
+		return pacedResponse(&paced), nil
+	}}
+	f := newTestGateway(t, w, manyRetries)
+	w.state = func() (kumquatlug.EngineState, error) { return kumquatlug.EngineState{}, lostConnection() }
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go f.g.runTimers(ctx)
+	response := f.do(ctx, http.MethodPost, "/long/?tokens=220,104")
+	if response.err != nil || response.body != events(1, lastEvent) {
+		t.Errorf("%d of %d bytes after %s: %v", len(response.body), len(events(1, lastEvent)), response.duration, response.err)
+	}
+	if calls := w.recorded(); len(calls) < 3 {
+		t.Errorf("%d calls", len(calls))
+	}
+}
+
+// resumedBody is a stream that sends nothing after an event until resumed yields a value.
+type resumedBody struct {
+	pacedBody
+	after   int
+	resumed chan struct{}
+}
+
+func (b *resumedBody) Read(p []byte) (int, error) {
+	if b.next == b.after+1 {
+		select {
+		case <-b.resumed:
+		case <-b.ctx.Done():
+			return 0, b.ctx.Err()
+		}
+	}
+	return b.pacedBody.Read(p)
+}
+
+// The prefill of a prompt goes on after another engine was asked with the last retry: its output
+// is not a retry, and must not be refused for want of one.
+func TestPromptIsServedAfterWithdrawnTakeover(t *testing.T) {
+	w := &fakeWorkers{
+		prefill: func(ctx context.Context, n int, _ workerCall) (kumquatlug.KVCacheRef, kumquatlug.WorkerResponse, error) {
+			if !sleep(ctx, []kumquatlug.Millis{1050, 400}[min(n, 2)-1]) {
+				return kumquatlug.KVCacheRef{}, kumquatlug.WorkerResponse{}, lostConnection()
+			}
+			return kumquatlug.NewKVCacheRef("10.0.0.1:1", "h"), wholeResponse(200, ""), nil
+		},
+		run: func(context.Context, int, workerCall) (kumquatlug.WorkerResponse, error) {
+			return streamResponse(1, 3), nil
+		},
+	}
+	f := newTestGateway(t, w, 2)
+	if response := f.do(t.Context(), http.MethodPost, "/long/?tokens=1000,104"); response.body != events(1, 3) {
+		t.Errorf("%+v", response)
+	}
+	if n := len(w.recorded()); n != 3 {
+		t.Errorf("%d calls, want two prefills and one run", n)
+	}
+}
--- a/pkg/kumquatlug/placement/attempt.go
+++ b/pkg/kumquatlug/placement/attempt.go
@@ -43,6 +43,8 @@
 	lastOutputAt kumquatlug.Millis
 	// forwarding says that output is being written to the client.
 	forwarding bool
+	// suspect says that other workers are asked to take the request over.
+	suspect bool
 }
 
 // WorkerStartedAt returns the start time of the worker's incarnation, as in its row.
--- a/pkg/kumquatlug/placement/liveness.go
+++ b/pkg/kumquatlug/placement/liveness.go
@@ -187,12 +187,16 @@
 	return all
 }
 
+// SetSuspect records whether other workers are asked to take over the request of an attempt. Its
+// silence is then known, and says nothing more about the worker or this gateway.
+func (p *Placer) SetSuspect(t *Attempt, suspect bool) { t.suspect = suspect }
+
 // StalledStreams returns single streams that have stalled at workers that respond otherwise.
 func (p *Placer) StalledStreams(now kumquatlug.Millis) []*Attempt {
 	var stalled []*Attempt
 	for _, w := range p.ordered {
 		for _, t := range w.attempts {
-			if t.lastOutputAt != 0 && !t.forwarding && now-t.lastOutputAt > streamStallTimeout {
+			if t.lastOutputAt != 0 && !t.forwarding && !t.suspect && now-t.lastOutputAt > streamStallTimeout {
 				stalled = append(stalled, t)
 			}
 		}
--- a/pkg/kumquatlug/placement/rolechange.go
+++ b/pkg/kumquatlug/placement/rolechange.go
@@ -44,7 +44,7 @@
 func (w *worker) startedCount() int {
 	n := 0
 	for _, t := range w.attempts {
-		if t.lastOutputAt != 0 && !t.forwarding {
+		if t.lastOutputAt != 0 && !t.forwarding && !t.suspect {
 			n++
 		}
 	}
