dispatch: refuse what remains of a removed kind

An operator removed the last selector of a model while one of its responses streamed, and the attempt failed later: the caller received neither the rest nor an error, for as long as it stayed.

Cause: removeKind refuses what waits at that moment, but a request in flight becomes pending only when its attempt fails. refuseUnservable covers known kinds alone, and a partly delivered response has no deadline. One without output waited until its deadline.

Pending requests whose kind is unknown are now refused with no_target, which keeps "may have run" of the attempt.

--- a/pkg/kumquatlug/dispatch/dispatch.go
+++ b/pkg/kumquatlug/dispatch/dispatch.go
@@ -329,6 +329,10 @@
 	switch {
 	case final != nil:
 		d.giveUp(now, r.c.ID, final)
+	case d.kinds[r.c.Kind] == nil:
+		// No selector assigns the kind any more, and refuseUnservable covers only
+		// known kinds: a partly delivered response would stay pending for ever.
+		d.giveUp(now, r.c.ID, r.finalFailure("no_target"))
 	case deferred:
 		return true
 	case d.send(now, r):
--- a/pkg/kumquatlug/dispatch/dispatch_test.go
+++ b/pkg/kumquatlug/dispatch/dispatch_test.go
@@ -224,6 +224,20 @@
 	}
 }
 
+// An operator removes the last selector of a model while one of its responses streams,
+// and the engine then crashes. No later event covers the removed kind, so the request
+// would stay pending and its caller would wait for ever.
+func TestBrokenStreamOfRemovedKindIsRefused(t *testing.T) {
+	h := newHarness(t, "e1")
+	h.mustSend("g", draftKind)
+	h.Progress(h.now, "g", 7)
+	h.configure(t, config.NewDelete(config.PrefixSelector+"drafts"))
+	decision, decided := h.failAttempt("g", AttemptFailure{Failure: newTestFailure(kumquatlug.ExecutionUnknown, "cut", 502), Resumable: true}, 10*kumquatlug.Minute)
+	if !decided || decision.Verdict() != VerdictRefuse || decision.Failure().Execution() != kumquatlug.ExecutionUnknown {
+		t.Fatalf("decided %v: %+v", decided, decision)
+	}
+}
+
 // All engines are lost. Waiting and new requests must be refused after the grace
 // period and not at their deadlines.
 func TestRequestsWithoutTargetsFailAfterGrace(t *testing.T) {
