Report the role as of the phase after an order

Callers saw a prompt refused by an engine that carried out the same order a second time, and served by one engine alone. An agent's report took its two facts from two readers: the phase from the order gate, the role from a monitor that polls the engine each 500 ms. Between the end of an order and the next poll a report said "no order in progress" and the role before the order. The lease holder then sent the same first role again. That such reports are requested after the order ended is why ignoring earlier reports does not exclude it.

Evidence, tests of a report before the change: after the order: phase "settled" and role "both", want "settled" and "prefill" after the late response: phase "settled" and role "both", want "settled" and "prefill"

The state that the order gate reads is now recorded in the monitor before the gate ends the order, an earlier requested state does not replace it, and a report reads the role under the lock of the phase, so that the role is at least as recent as the phase.

--- a/internal/agent/monitor.go
+++ b/internal/agent/monitor.go
@@ -40,10 +40,12 @@
 	// lastSequence is the engine's sequence number of the last cache event.
 	// sequenceOffset is added to the engine's numbers: after a restart the engine
 	// counts from the start again, and its events would be skipped as old ones.
-	lastSequence    int64
-	sequenceOffset  int64
-	current         targetStatus
-	lastHeartbeatAt kumquatlug.Millis
+	lastSequence   int64
+	sequenceOffset int64
+	current        targetStatus
+	// stateRequestedAt is when the engine's current state was requested.
+	stateRequestedAt time.Time
+	lastHeartbeatAt  kumquatlug.Millis
 }
 
 // status returns the status at the last check.
@@ -107,6 +109,7 @@
 		m.agent.c.Logger.Debug("failed to read the load", timeline.ErrorField(err))
 		return
 	}
+	stateRequestedAt := time.Now()
 	state, err := m.agent.c.Engine.ReadState(ctx)
 	if err != nil {
 		state = engine.Condition{State: engine.StateUnknown}
@@ -117,10 +120,27 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.current.load, m.current.readAt, m.current.state = load, time.Now(), state
+	m.current.load, m.current.readAt = load, time.Now()
+	m.setState(stateRequestedAt, state)
 	m.addEvents(events)
 }
 
+// recordState records a state of the engine that was requested at a time.
+func (m *targetMonitor) recordState(requestedAt time.Time, state engine.Condition) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.setState(requestedAt, state)
+}
+
+// setState replaces the engine's state unless a later request has already returned one. m.mu
+// must be held.
+func (m *targetMonitor) setState(requestedAt time.Time, state engine.Condition) {
+	if requestedAt.Before(m.stateRequestedAt) {
+		return
+	}
+	m.current.state, m.stateRequestedAt = state, requestedAt
+}
+
 func (m *targetMonitor) eventCursor() int64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -146,8 +146,15 @@
 	return a.readFencingToken(ctx, s)
 }
 
+// readEngineState reads the engine's state for the order gate. The monitor gets it first:
+// if a report had the phase after an order and the role before it, the lease holder would
+// send the order again.
 func (a *Agent) readEngineState(ctx context.Context, s order.Step) bool {
+	requestedAt := time.Now()
 	condition, err := a.c.Engine.ReadState(ctx)
+	if err == nil {
+		a.monitor.recordState(requestedAt, condition)
+	}
 	a.admission.updateOrders(func(kumquatlug.Millis) {
 		if err != nil {
 			a.admission.orderGate.StateReadFailed(s)
--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -45,7 +45,7 @@
 	status := a.monitor.status()
 	response := &peerv1.ReportResponse{
 		Target: a.c.Name, Incarnation: a.incarnation, Revision: int64(a.follower.State().Revision()),
-		Protocol: string(a.Protocol()), Zone: a.c.Zone, Role: string(status.state.Role), State: string(a.admission.targetState(status.healthy)),
+		Protocol: string(a.Protocol()), Zone: a.c.Zone, State: string(a.admission.targetState(status.healthy)),
 		ChecksFence: a.c.ChecksFence, HeadAgeMs: int64(a.follower.HeadAge()), Logical: a.c.Ring.Logical(),
 	}
 	response.Cache = eventsAfter(status.events, request.GetCacheAfter())
@@ -55,6 +55,8 @@
 	response.Begun = a.admission.startedByGateway[request.GetAddress()]
 	response.Load = reportedLoad(status, len(a.admission.calls))
 	response.Phase = string(a.admission.orderPhase())
+	// Under the lock of the phase, so that the role is at least as recent as the phase.
+	response.Role = string(a.monitor.status().state.Role)
 	if a.admission.orderGate != nil {
 		response.Starts, response.Fence = int64(a.admission.startCount), int64(a.admission.orderGate.FencingToken())
 	}
