Wait for a newer report after a lease was acquired

After the lease on a group passed to another gateway, an engine could be given the order of the previous holder again and refuse work a second time. The new holder sets each target's phase to unknown, but its next refresh, within a second, passed the last report again, which may have been requested before the previous holder's order.

The sender records when it acquired the lease, and a report requested before that makes no target ready. Of a new incarnation it still takes the number, which ends an outstanding order.

--- a/internal/entry/role_orders.go
+++ b/internal/entry/role_orders.go
@@ -37,7 +37,7 @@
 	token, held := g.holder.Held(c.now())
 	if held && token != g.fencingToken {
 		g.fencingToken = token
-		g.sender.LeaseAcquired(token)
+		g.sender.LeaseAcquired(c.now(), token)
 		c.entry.cfg.Ring.Add(timeline.Record{Name: timeline.LeaseTaken, Peer: g.name, Detail: "number " + itoa(int64(token))})
 	}
 	if !held && g.fencingToken != 0 {
--- a/pkg/kumquatlug/order/order_test.go
+++ b/pkg/kumquatlug/order/order_test.go
@@ -77,7 +77,7 @@
 func Example() {
 	gate := NewGate(GateConfig{Incarnation: 4})
 	sender := NewSender(SenderConfig{})
-	sender.LeaseAcquired(7)
+	sender.LeaseAcquired(0, 7)
 
 	gate.StateRead(gate.Next(0), NewState(true, Property{VerbRole, "both"}))
 	gate.FencingTokenRead(gate.Next(0), 7)
@@ -125,7 +125,7 @@
 // that out.
 func TestReportFromBeforeAnOrderEndedIsIgnored(t *testing.T) {
 	sender := NewSender(SenderConfig{})
-	sender.LeaseAcquired(1)
+	sender.LeaseAcquired(0, 1)
 	report := Report{Target: "vm-1", Incarnation: 4, FencingToken: 1, Phase: PhaseIdle, RequestedAt: 100}
 	sender.HandleReport(report)
 	o, err := sender.Issue("vm-1", VerbRole, "prefill")
@@ -149,3 +149,30 @@
 		t.Errorf("after a newer report: %v", err)
 	}
 }
+
+// A lease passes to another holder while the previous holder's order is in progress. The
+// report from before that order is passed again until there is a newer one. If it made the
+// target ready, the new holder would send the order a second time after the first one.
+func TestReportFromBeforeTheLeaseIsIgnored(t *testing.T) {
+	sender := NewSender(SenderConfig{})
+	old := Report{Target: "vm-1", Incarnation: 4, Phase: PhaseIdle, RequestedAt: 100}
+	sender.HandleReport(old)
+	sender.LeaseAcquired(200, 2)
+	// vm-2 is reported for the first time, vm-3 has restarted since its last report.
+	unknown, restarted := old, old
+	unknown.Target, unknown.RequestedAt = "vm-2", 199
+	restarted.Target = "vm-3"
+	sender.HandleReport(restarted)
+	restarted.Incarnation = 5
+	for _, r := range []Report{old, unknown, restarted} {
+		sender.HandleReport(r)
+		if _, err := sender.Issue(r.Target, VerbRole, "prefill"); !errors.Is(err, ErrTargetNotReady) {
+			t.Errorf("an order to %s is issued after a report requested at %d: %v", r.Target, r.RequestedAt, err)
+		}
+		r.RequestedAt = 200
+		sender.HandleReport(r)
+		if _, err := sender.Issue(r.Target, VerbRole, "prefill"); err != nil {
+			t.Errorf("%s, after a newer report: %v", r.Target, err)
+		}
+	}
+}
--- a/pkg/kumquatlug/order/proof_test.go
+++ b/pkg/kumquatlug/order/proof_test.go
@@ -166,7 +166,7 @@
 	w.leaseLostAt[w.leaseToken] = w.now
 	w.leaseToken++
 	w.senderTokens[i] = w.leaseToken
-	w.senders[i].LeaseAcquired(w.leaseToken)
+	w.senders[i].LeaseAcquired(w.now, w.leaseToken)
 }
 
 func (w *world) issueOrder(i, choice int) {
--- a/pkg/kumquatlug/order/sender.go
+++ b/pkg/kumquatlug/order/sender.go
@@ -93,7 +93,10 @@
 	config       SenderConfig
 	fencingToken lease.FencingToken
 	leaseHeld    bool
-	targets      map[string]*targetState
+	// acquiredAt is when the lease was acquired. A report requested before that may describe
+	// a target before an order of the previous holder.
+	acquiredAt kumquatlug.Millis
+	targets    map[string]*targetState
 }
 
 // NewSender returns a sender that holds no lease.
@@ -105,11 +108,11 @@
 // LeaseAcquired records the fencing token of a newly acquired lease. Outstanding orders
 // under earlier tokens are dropped. The gates let them complete before they accept
 // another.
-func (s *Sender) LeaseAcquired(token lease.FencingToken) {
+func (s *Sender) LeaseAcquired(now kumquatlug.Millis, token lease.FencingToken) {
 	if token <= s.fencingToken {
 		return
 	}
-	s.fencingToken, s.leaseHeld = token, true
+	s.fencingToken, s.leaseHeld, s.acquiredAt = token, true, now
 	for _, t := range s.targets {
 		t.sequence, t.outstanding = 0, nil
 		t.phase = PhaseUnknown
@@ -117,8 +120,9 @@
 }
 
 // HandleReport handles an agent's report. One that was requested before the last order
-// ended is ignored: the same report is passed again until the agent has sent another,
-// and with its phase an order that is already applied would be sent a second time.
+// ended or before the lease was acquired makes no target ready: the same report is passed
+// again until the agent has sent another, and with its phase an order that is already
+// applied would be sent a second time.
 //
 // A new incarnation ends an outstanding order with OutcomeUnknown, returned with true: the
 // previous process has ended and can start nothing, and the new one rejects orders for the
@@ -133,10 +137,13 @@
 	if r.Incarnation < t.incarnation {
 		return Result{}, false
 	}
-	if r.Incarnation == t.incarnation && r.RequestedAt < t.endedAt {
+	if r.Incarnation == t.incarnation && r.RequestedAt < max(t.endedAt, s.acquiredAt) {
 		return Result{}, false
 	}
 	t.phase = r.Phase
+	if r.RequestedAt < s.acquiredAt {
+		t.phase = PhaseUnknown
+	}
 	if r.Incarnation == t.incarnation {
 		return Result{}, false
 	}
