Keep an engine's role when a read of its state fails

An engine that serves could get an order for a first role, and refuse work for its duration, because one read of its state failed or came late on a busy machine: the monitor then reported the engine without a role, as one that lost its role in a crash, which the lease holder gives a first role. The order gate had no order in progress, so nothing held that back.

Evidence, the new test before the change: after a failed poll: phase "settled" and role "", want "settled" and "prefill"

A failed read now keeps the last state, as a failed read of the load does.

--- a/internal/agent/monitor.go
+++ b/internal/agent/monitor.go
@@ -109,11 +109,7 @@
 		m.agent.c.Logger.Debug("failed to read the load", timeline.ErrorField(err))
 		return
 	}
-	stateRequestedAt := time.Now()
-	state, err := m.agent.c.Engine.ReadState(ctx)
-	if err != nil {
-		state = engine.Condition{State: engine.StateUnknown}
-	}
+	m.readState(ctx)
 	events, err := m.agent.c.Engine.CacheEvents(ctx, m.eventCursor())
 	if err != nil {
 		events = nil
@@ -121,20 +117,25 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.current.load, m.current.readAt = load, time.Now()
-	m.setState(stateRequestedAt, state)
 	m.addEvents(events)
 }
 
-// recordState records a state of the engine that was requested at a time.
+// readState reads the engine's state. A failed read keeps the last one: without its role, the
+// engine would be taken for one that lost it in a crash and be ordered to change.
+func (m *targetMonitor) readState(ctx context.Context) {
+	requestedAt := time.Now()
+	state, err := m.agent.c.Engine.ReadState(ctx)
+	if err != nil {
+		m.agent.c.Logger.Debug("failed to read the state", timeline.ErrorField(err))
+		return
+	}
+	m.recordState(requestedAt, state)
+}
+
+// recordState replaces the engine's state unless a later request has already returned one.
 func (m *targetMonitor) recordState(requestedAt time.Time, state engine.Condition) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.setState(requestedAt, state)
-}
-
-// setState replaces the engine's state unless a later request has already returned one. m.mu
-// must be held.
-func (m *targetMonitor) setState(requestedAt time.Time, state engine.Condition) {
 	if requestedAt.Before(m.stateRequestedAt) {
 		return
 	}
--- a/internal/agent/report_test.go
+++ b/internal/agent/report_test.go
@@ -134,3 +134,19 @@
 	a.monitor.poll(t.Context())
 	a.requireReport(t, "after another poll", order.PhaseIdle, kumquatlug.RoleDecode)
 }
+
+// The engine does not answer one poll of its state in time. If the report had no role then,
+// the lease holder would take it for an engine that lost its role and order another one.
+func TestFailedPollKeepsTheRole(t *testing.T) {
+	a := newReportingAgent(t)
+	a.startOrder(t)
+	a.setState(engine.StateSettled, kumquatlug.RolePrefill)
+	a.step(t, order.StepReadState)
+	failing := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) })
+	a.state.Store(&failing)
+	a.monitor.poll(t.Context())
+	a.requireReport(t, "after a failed poll", order.PhaseIdle, kumquatlug.RolePrefill)
+	a.setState(engine.StateSettled, kumquatlug.RoleDecode)
+	a.monitor.poll(t.Context())
+	a.requireReport(t, "after the next poll", order.PhaseIdle, kumquatlug.RoleDecode)
+}
