--- a/internal/agent/monitor.go
+++ b/internal/agent/monitor.go
@@ -40,10 +40,12 @@
 	// lastSequence is the engine's sequence number of the last cache event.
 	// sequenceOffset is added to the engine's numbers: after a restart the engine
 	// counts from the start again, and its events would be skipped as old ones.
-	lastSequence    int64
-	sequenceOffset  int64
-	current         targetStatus
-	lastHeartbeatAt kumquatlug.Millis
+	lastSequence   int64
+	sequenceOffset int64
+	current        targetStatus
+	// stateRequestedAt is when the engine's current state was requested.
+	stateRequestedAt time.Time
+	lastHeartbeatAt  kumquatlug.Millis
 }
 
 // status returns the status at the last check.
@@ -107,20 +109,39 @@
 		m.agent.c.Logger.Debug("failed to read the load", timeline.ErrorField(err))
 		return
 	}
-	state, err := m.agent.c.Engine.ReadState(ctx)
-	if err != nil {
-		state = engine.Condition{State: engine.StateUnknown}
-	}
+	m.readState(ctx)
 	events, err := m.agent.c.Engine.CacheEvents(ctx, m.eventCursor())
 	if err != nil {
 		events = nil
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.current.load, m.current.readAt, m.current.state = load, time.Now(), state
+	m.current.load, m.current.readAt = load, time.Now()
 	m.addEvents(events)
 }
 
+// readState reads the engine's state. A failed read keeps the last one: without its role, the
+// engine would be taken for one that lost it in a crash and be ordered to change.
+func (m *targetMonitor) readState(ctx context.Context) {
+	requestedAt := time.Now()
+	state, err := m.agent.c.Engine.ReadState(ctx)
+	if err != nil {
+		m.agent.c.Logger.Debug("failed to read the state", timeline.ErrorField(err))
+		return
+	}
+	m.recordState(requestedAt, state)
+}
+
+// recordState replaces the engine's state unless a later request has already returned one.
+func (m *targetMonitor) recordState(requestedAt time.Time, state engine.Condition) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if requestedAt.Before(m.stateRequestedAt) {
+		return
+	}
+	m.current.state, m.stateRequestedAt = state, requestedAt
+}
+
 func (m *targetMonitor) eventCursor() int64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
