Refuse late requests that a stopping gateway can't complete

Cause, traced with log lines in a scratch copy: with 4366 ms left, the gateway assumed 1667 ms for the output of a stream of at most 11,220 tokens. It took three times one mean run time per token over all requests of the service, in which each request that ends takes 1/32 of the weight. Seven of eight requests there may generate 396 tokens and mostly end after the first; while a gateway stops it refuses the long streams, so that only short requests end and the mean shrinks until it takes a long one. Over 3,937 long streams (run time 1.0 to 9.4 s, median 2.7 s, 99th percentile 9.1 s) the assumed bound lay between 3 and 15 s, and one in four took longer than it.

Now run times are sampled by size of the maximum output, with the requests that still run as lower bounds. Requests that arrive within the lag of the load balancer are taken if four of five such requests complete in time, since clients may have no other gateway; later ones only if nearly all do (99th percentile and a quarter more). The decision is made on arrival, with the expected wait, and again before each prefill and each run, also before a retry. Queues refuse at once what they can't start in time. A late request isn't handed off, since the peer doesn't know the time of the exit. A stream that was taken late and whose engine breaks off is resumed only if the rest can complete.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -45,6 +45,9 @@
 	q := placement.Query{Prompt: f.remainingPrompt(), Exclude: f.exclude, Deadline: f.deadline, CacheZone: f.cacheZone, MaxEventGap: f.route.MaxEventGap(), ResponseStarted: f.responseStarted, Value: f.value, Reservation: f.reservation}
 	q.SecondBodyMs = f.g.link.secondBodyMs(len(f.request.Body()))
 	q.FirstOutputDue = f.firstOutputDue()
+	if f.g.shuttingDown() {
+		q.Deadline = f.g.c.Clock.Now() + f.timeToStartOutput()
+	}
 	f.addTransferQuery(&q)
 	return q
 }
@@ -130,7 +133,7 @@
 	if attempt == nil {
 		return nil, choice, f.noWorkerFailure(choice)
 	}
-	if s == stageWhole && choice.Wait() >= f.timeLeft() {
+	if s == stageWhole && choice.Wait() >= f.timeToStartOutput() {
 		f.endAttempt(s, attempt, placement.OutcomeNeutral)
 		return nil, choice, f.overloadFailure(choice)
 	}
@@ -151,6 +154,10 @@
 // retry of it is late in any case, so that Retry-After is as long as clients accept: an
 // overload lasts for seconds.
 func (f *inflight) overloadFailure(c placement.Choice) *attemptFailure {
+	if f.g.shuttingDown() && c.Wait() < f.timeLeft() {
+		// It is too long for this gateway only.
+		return f.stoppingFailure()
+	}
 	return &attemptFailure{permanent: true, failure: kumquatlug.NewFailure(kumquatlug.FailureConfig{
 		Step: "place", Peer: c.Worker().ID(), Reason: "overload", Execution: kumquatlug.NotExecuted, RetryAfter: f.retryAfter(maxRetryAfter),
 		Cause: errors.Newf("expected wait of %d ms at its engine", c.Wait()),
@@ -256,6 +263,9 @@
 	if denied := f.reauthenticate(stagePrefill, a); denied != nil {
 		return kumquatlug.KVCacheRef{}, denied
 	}
+	if failed := f.refuseBeforeExit(stagePrefill, a); failed != nil {
+		return kumquatlug.KVCacheRef{}, failed
+	}
 	call, cancel := context.WithTimeout(ctx, min(f.attemptTimeout(a), f.timeToStartOutput()).Duration())
 	defer cancel()
 	f.g.scheduler.onUnresponsive(f.service.Name(), a, cancel)
@@ -365,6 +375,9 @@
 	if denied := f.reauthenticate(stageOutput, a); denied != nil {
 		return denied
 	}
+	if failed := f.refuseBeforeExit(stageOutput, a); failed != nil {
+		return failed
+	}
 	s := f.attemptOptions(c)
 	s.Cache = cache
 	call, cancel := context.WithCancel(ctx)
--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -113,7 +113,7 @@
 // if this gateway has to serve the request itself, either from the start or from the last
 // event that the client received.
 func (f *inflight) handOff(r *http.Request) bool {
-	if !f.g.handoffs.active || !f.service.Engine() {
+	if !f.mayHandOff() {
 		return false
 	}
 	clientTimeout := f.setDeadline()
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -363,22 +363,6 @@
 	return sc.service(service).placer.AttemptTimeout(a)
 }
 
-// maxDuration returns how long nearly all requests with this maximum output, in tokens,
-// take on an engine, in ms.
-func (sc *scheduler) maxDuration(service string, output int) kumquatlug.Millis {
-	sc.mu.Lock()
-	defer sc.mu.Unlock()
-	return sc.service(service).placer.MaxDuration(output)
-}
-
-// maxDecodeTime returns how long nearly all requests with this maximum output, in
-// tokens, decode, in ms.
-func (sc *scheduler) maxDecodeTime(service string, output int) kumquatlug.Millis {
-	sc.mu.Lock()
-	defer sc.mu.Unlock()
-	return sc.service(service).placer.MaxDecodeTime(output)
-}
-
 func (sc *scheduler) prefillDone(now kumquatlug.Millis, service string, a *placement.Attempt) {
 	sc.mu.Lock()
 	defer sc.unlockAndSend()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -96,6 +96,7 @@
 		// The client's next request uses a new connection, to a gateway that is not
 		// shutting down.
 		w.Header().Set("Connection", "close")
+		f.setDeadline()
 		if f.outlastsShutdown(exit) {
 			g.refuse(w, request, refusal("stop", reasonStopping, http.StatusServiceUnavailable, shutdownRetryAfter))
 			return
@@ -111,45 +112,6 @@
 	f.serve(r.Context())
 }
 
-// Parameters of the expected duration of requests.
-const (
-	// plainRequestTime is how long nearly all requests of plain services take.
-	plainRequestTime = 500 * kumquatlug.Millis(1)
-)
-
-// outlastsShutdown reports whether the response would be incomplete when this gateway
-// exits. Another gateway can still serve the request; here it would break off.
-func (f *inflight) outlastsShutdown(exit kumquatlug.Millis) bool {
-	duration := plainRequestTime
-	if f.service.Engine() {
-		duration += f.g.scheduler.maxDuration(f.service.Name(), f.request.Prompt().Output())
-	}
-	return f.arrived+f.elapsed+duration > exit
-}
-
-// shutdownFailure returns the failure of a request that would have completed in time
-// when it arrived at a gateway that is shutting down, but no longer does because
-// attempts were given up. As long as it has not run, another gateway can still serve it;
-// started here, its response would break off at the exit of this gateway.
-func (f *inflight) shutdownFailure() *attemptFailure {
-	if !f.g.shuttingDown() || f.timeToStartOutput() > 0 {
-		return nil
-	}
-	return &attemptFailure{permanent: true, failure: refusal("stop", reasonStopping, http.StatusServiceUnavailable, shutdownRetryAfter)}
-}
-
-// timeToStartOutput returns how long, in ms, it may take until the output of a request
-// starts. At a gateway that is shutting down, the output must then still complete in
-// time; a prefill that takes longer would end without a response when the gateway exits.
-func (f *inflight) timeToStartOutput() kumquatlug.Millis {
-	exit := kumquatlug.Millis(f.g.exitAt.Load())
-	if exit == 0 || f.possibleRuns > 0 || f.responseStarted || !f.service.Engine() {
-		return f.timeLeft()
-	}
-	decode := f.g.scheduler.maxDecodeTime(f.service.Name(), f.request.Prompt().Output())
-	return min(f.timeLeft(), exit-plainRequestTime-decode-f.g.c.Clock.Now())
-}
-
 // refusal returns the final response to a request that did not run.
 func refusal(step, reason string, status int, retryAfter kumquatlug.Millis) *kumquatlug.Failure {
 	return kumquatlug.NewFailure(kumquatlug.FailureConfig{
--- /dev/null
+++ b/internal/gateway/shutdown.go
@@ -0,0 +1,122 @@
+package gateway
+
+import (
+	"net/http"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
+)
+
+// A gateway that shuts down serves what it can complete before it exits and refuses the rest at
+// once, since another gateway can still serve that. It decides when a request arrives and again
+// before each attempt is sent to a worker: permits, slots, prefills, the link and failed
+// attempts may have taken longer than expected.
+//
+// While the load balancer may still send new connections here, a request is served if it
+// completes in time in the usual case: clients without another gateway nearby depend on it.
+// Requests that arrive later are served only if nearly none takes longer.
+
+// Parameters of the expected duration of requests.
+const (
+	// minRequestTime is the least time that is left for a request when it arrives.
+	minRequestTime = 500 * kumquatlug.Millis(1)
+	// relayTime is the time from the end of a response at the worker until the client has it.
+	relayTime = 100 * kumquatlug.Millis(1)
+)
+
+// late reports whether this gateway began to serve the request after the time in which the load
+// balancer may still send new connections.
+func (f *inflight) late(exit kumquatlug.Millis) bool {
+	stopped := exit - (f.g.c.GracePeriod - exitMargin)
+	return f.arrived+f.elapsed > stopped+balancerLag
+}
+
+// runTime returns how long the request is assumed to take from the time at which it is sent to
+// the worker that runs it.
+func (f *inflight) runTime(exit kumquatlug.Millis) kumquatlug.Millis {
+	return f.g.scheduler.runTime(f.g.c.Clock.Now(), f.service.Name(), f.request.Prompt().Output(), f.late(exit))
+}
+
+// outlastsShutdown reports whether the response would be incomplete when this gateway
+// exits. Another gateway can still serve the request; here it would break off.
+func (f *inflight) outlastsShutdown(exit kumquatlug.Millis) bool {
+	duration := f.runTime(exit) + f.g.scheduler.expectedChoice(f.g.c.Clock.Now(), f.service, f.placementQuery()).Wait()
+	if f.service.Engine() && f.late(exit) {
+		duration += f.g.scheduler.maxStartDelay(f.service.Name())
+	}
+	return f.arrived+f.elapsed+max(duration+relayTime, minRequestTime) > exit
+}
+
+// mayHandOff reports whether the request is one that may be handed off to a peer gateway. A peer
+// doesn't know when this gateway exits, and would start the output of a late request too late.
+func (f *inflight) mayHandOff() bool {
+	exit := kumquatlug.Millis(f.g.exitAt.Load())
+	return f.g.handoffs.active && f.service.Engine() && (exit == 0 || !f.late(exit))
+}
+
+// shutdownFailure returns the failure of a request that would have completed in time
+// when it arrived at a gateway that is shutting down, but no longer does because of what it
+// waited for or because attempts were given up. As long as it has not run, another gateway can
+// still serve it; started here, its response would break off at the exit of this gateway.
+func (f *inflight) shutdownFailure() *attemptFailure {
+	if !f.g.shuttingDown() || f.timeToStartOutput() > 0 {
+		return nil
+	}
+	return f.stoppingFailure()
+}
+
+// stoppingFailure returns the failure of a request that another gateway can still serve.
+func (f *inflight) stoppingFailure() *attemptFailure {
+	return &attemptFailure{permanent: true, failure: refusal("stop", reasonStopping, http.StatusServiceUnavailable, shutdownRetryAfter)}
+}
+
+// refuseBeforeExit returns the failure of a request that is about to be sent to a worker and
+// would not complete before this gateway exits, and ends its attempt. A stream that the client
+// has received in part continues: that was decided when its last attempt ended.
+func (f *inflight) refuseBeforeExit(s stage, a *placement.Attempt) *attemptFailure {
+	if f.responseStarted {
+		return nil
+	}
+	failed := f.shutdownFailure()
+	if failed != nil {
+		f.endAttempt(s, a, placement.OutcomeNeutral)
+	}
+	return failed
+}
+
+// timeToStartOutput returns how long, in ms, it may take until the request is sent to the worker
+// that runs it. At a gateway that is shutting down, the response must then still complete in
+// time; a prefill that takes longer would end without a response when the gateway exits.
+//
+// A stream that has begun and breaks off may take the time that it has left. One that was taken
+// before the load balancer knew of the shutdown is resumed in any case, since it may complete.
+func (f *inflight) timeToStartOutput() kumquatlug.Millis {
+	exit := kumquatlug.Millis(f.g.exitAt.Load())
+	if exit == 0 || f.responseStarted && !f.late(exit) {
+		return f.timeLeft()
+	}
+	run := f.runTime(exit)
+	if f.responseStarted {
+		run = max(run-(f.timings.lastOutputAt-f.timings.firstOutputAt), 0)
+	}
+	return min(f.timeLeft(), exit-relayTime-run-f.g.c.Clock.Now())
+}
+
+// runTime returns the time that a request with this maximum output, in tokens, takes at the
+// worker that runs it: nearly always for one that must complete, else usually.
+func (sc *scheduler) runTime(now kumquatlug.Millis, service string, output int, mustComplete bool) kumquatlug.Millis {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	p := sc.service(service).placer
+	if mustComplete {
+		return p.MaxRunTime(now, output)
+	}
+	return p.UsualRunTime(now, output)
+}
+
+// maxStartDelay returns how much later than expected the output of an engine may start, in ms.
+func (sc *scheduler) maxStartDelay(service string) kumquatlug.Millis {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	return sc.service(service).placer.MaxStartDelay()
+}
--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -165,10 +165,10 @@
 		return f.chooseAndConfirm(ctx)
 	}
 	f.slotAsk = nil
-	claimed, decision := false, decodeslots.Unanswered
+	claimed, decision, q := false, decodeslots.Unanswered, f.placementQuery()
 	f.g.scheduler.withSlots(f.service.Name(), func(p *placement.Placer) {
 		now := f.g.c.Clock.Now()
-		claimed, decision = p.ClaimSlot(now, a, f.placementQuery()), a.Decision()
+		claimed, decision = p.ClaimSlot(now, a, q), a.Decision()
 		if !claimed {
 			p.CancelSlot(now, a)
 		}
@@ -205,8 +205,9 @@
 	ctx context.Context, attempt *placement.Attempt, choice placement.Choice, cached bool,
 ) (*placement.Attempt, placement.Choice, *attemptFailure) {
 	var a *placement.SlotAsk
+	q := f.placementQuery()
 	f.g.scheduler.withSlots(f.service.Name(), func(p *placement.Placer) {
-		a = p.ConfirmSlot(f.g.c.Clock.Now(), choice, attempt, f.placementQuery(), cached)
+		a = p.ConfirmSlot(f.g.c.Clock.Now(), choice, attempt, q, cached)
 	})
 	if a == nil {
 		return attempt, choice, nil
@@ -280,11 +281,11 @@
 		return nil
 	}
 	var lowest placement.Choice
-	found := false
+	found, q := false, f.placementQuery()
 	f.g.scheduler.withSlots(f.service.Name(), func(p *placement.Placer) {
-		lowest, found = p.LowestTotal(f.g.c.Clock.Now(), f.placementQuery())
+		lowest, found = p.LowestTotal(f.g.c.Clock.Now(), q)
 	})
-	if !found || lowest.Wait() < f.timeLeft() {
+	if !found || lowest.Wait() < f.timeToStartOutput() {
 		return nil
 	}
 	f.withdrawSlot(a)
--- a/pkg/kumquatlug/placement/attempt.go
+++ b/pkg/kumquatlug/placement/attempt.go
@@ -186,36 +186,70 @@
 	}
 	t.worker.refusals = 0
 	took := float64(now - t.sentAt)
-	if o == OutcomeServed && t.prefillOnly {
+	if o == OutcomeServed {
+		p.observeServed(now, t, took)
+	}
+	p.health.RecordOutcome(now, t.id, o == OutcomeServed, p.latencyRatio(t, took))
+}
+
+// observeServed records how long an attempt took that a worker served, in milliseconds.
+func (p *Placer) observeServed(now kumquatlug.Millis, t *Attempt, took float64) {
+	if t.prefillOnly {
 		p.learnPrefill(now, t, took)
+		return
 	}
-	if o == OutcomeServed && t.worker.member.Role == "" {
+	p.runTimes.Observe(took, t.maxOutputTokens)
+	switch t.worker.member.Role {
+	case "":
 		p.meanPlainMs += ewmaWeight * (took/t.workTime - p.meanPlainMs)
 		p.observePlain(now, t, took)
-	}
-	if o == OutcomeServed && t.worker.member.Role == kumquatlug.RoleDecode {
+	case kumquatlug.RoleDecode:
 		p.meanRunMs += ewmaWeight * (took - p.meanRunMs)
 		p.tokenTime.Observe(took, float64(t.maxOutputTokens))
 	}
-	p.health.RecordOutcome(now, t.id, o == OutcomeServed, p.latencyRatio(t, took))
 }
 
-// maxRunFactor is the greatest run time as a multiple of the usual one: outputs are
-// half of the maximum on average, and at times as long as the maximum while each token
-// takes longer, too.
-const maxRunFactor = 3
+// Constants of the expected run times.
+const (
+	// usualRunFraction is the fraction of the requests that end within the usual run time,
+	// maxRunFraction that of those that end within the maximum before its margin.
+	usualRunFraction, maxRunFraction = 0.8, 0.99
+	// maxRunMargin is the margin of the maximum, as a factor: tokens take longer at an engine
+	// that is slowed down or has more requests than those that ended before.
+	maxRunMargin = 1.25
+	// initialRunFactor is the initial run time for each token of the maximum output as a
+	// multiple of the usual one: outputs are half of the maximum on average, and at times as
+	// long as the maximum while each token takes longer, too.
+	initialRunFactor = 3
+)
+
+// UsualRunTime returns the time in which most requests with this maximum output, in tokens, end
+// after they were sent to the worker that runs them.
+func (p *Placer) UsualRunTime(now kumquatlug.Millis, output int) kumquatlug.Millis {
+	return kumquatlug.Millis(p.runTimes.Quantile(usualRunFraction, output, p.runningRequests(now)))
+}
 
-// MaxDuration returns an upper bound of the time that nearly all requests take at an engine,
-// by the maximum number of tokens to generate: until the first output, and from then
-// on.
-func (p *Placer) MaxDuration(output int) kumquatlug.Millis {
-	return kumquatlug.Millis(p.overrun.Bound()) + p.MaxDecodeTime(output)
+// MaxRunTime returns the time in which all requests with this maximum output, in tokens, are
+// expected to end after they were sent to the worker that runs them. It includes the wait for a
+// slot there, the copy of the KV cache and a prefill at that worker.
+func (p *Placer) MaxRunTime(now kumquatlug.Millis, output int) kumquatlug.Millis {
+	return kumquatlug.Millis(maxRunMargin * p.runTimes.Quantile(maxRunFraction, output, p.runningRequests(now)))
 }
 
-// MaxDecodeTime returns the second part of [Placer.MaxDuration]: the time that nearly all
-// requests take from the first output on.
-func (p *Placer) MaxDecodeTime(output int) kumquatlug.Millis {
-	return kumquatlug.Millis(maxRunFactor * p.tokenTime.Value() * float64(output))
+// MaxStartDelay returns how much later than expected nearly all first outputs of engines arrive.
+func (p *Placer) MaxStartDelay() kumquatlug.Millis { return kumquatlug.Millis(p.overrun.Bound()) }
+
+// runningRequests returns the requests in flight that a worker runs.
+func (p *Placer) runningRequests(now kumquatlug.Millis) []learn.RunningRequest {
+	var running []learn.RunningRequest
+	for _, w := range p.ordered {
+		for _, t := range w.attempts {
+			if !t.prefillOnly && now > t.sentAt {
+				running = append(running, learn.RunningRequest{Ms: float64(now - t.sentAt), Output: t.maxOutputTokens})
+			}
+		}
+	}
+	return running
 }
 
 // Estimate names an estimate about a service's workers.
--- a/pkg/kumquatlug/placement/placement.go
+++ b/pkg/kumquatlug/placement/placement.go
@@ -248,6 +248,8 @@
 	// tokenTime is the run time of a request for each token of its maximum output, in
 	// ms.
 	tokenTime *learn.RatioEstimator
+	// runTimes are the run times of requests by their maximum output.
+	runTimes *learn.DurationEstimator
 	// slowdown is the ratio of actual to expected prefill time.
 	slowdown float64
 	prunedAt kumquatlug.Millis
@@ -285,6 +287,7 @@
 		config: c, workers: map[string]*worker{}, permitRequests: map[uint64]*permitRequest{}, health: health.New(c.Health), speeds: pace.New(), meanPrefillTokens: 3000, meanPlainMs: initialPlainMs,
 		meanRunMs: initialRunMs, meanKVTokens: initialKVTokens, slowdown: 1, prefillModel: learn.NewPrefillEstimator(c.Prefill),
 		tokenTime: learn.NewRatioEstimator(initialTokenMs, initialOutputTokens),
+		runTimes:  learn.NewDurationEstimator(initialRunFactor * initialTokenMs),
 		overrun:   learn.NewOverrunEstimator(initialOverrunMs), plainOverrun: learn.NewOverrunEstimator(initialPlainOverrunMs),
 		transfers: kvtransfer.New(c.Transfers),
 	}
--- a/pkg/kumquatlug/placement/placement_test.go
+++ b/pkg/kumquatlug/placement/placement_test.go
@@ -303,29 +303,3 @@
 		t.Errorf("requests by engine: %v", at)
 	}
 }
-
-// A gateway that is shutting down refuses requests that would not end in time. Where a
-// token takes four times as long as in another deployment, requests that it still
-// accepts would break off midway.
-func TestExpectedDurationFollowsObservations(t *testing.T) {
-	p := New(Config{})
-	p.Sync(0, engines(1, 1))
-	now := kumquatlug.Millis(0)
-	for i := range 40 {
-		c, _ := p.ChooseDecode(now, Query{Prompt: chatPrompt(i)})
-		attempt := p.Begin(now, c, chatPrompt(i))
-		p.PrefillDone(now+50, attempt)
-		now += 18_400
-		p.End(now, attempt, OutcomeServed)
-	}
-	if got := p.MaxDuration(1000) - p.MaxDuration(0); got < 3*3500 || got > 3*4200 {
-		t.Errorf("%d ms for 1,000 tokens that take 4 ms each on average", got)
-	}
-	before := p.MaxDuration(0)
-	for range 10 {
-		p.overrun.Observe(8000)
-	}
-	if got := p.MaxDuration(0); got < before+2000 {
-		t.Errorf("%d ms after ten first outputs arrived eight seconds late", got)
-	}
-}
