--- a/internal/gateway/handoff_test.go
+++ b/internal/gateway/handoff_test.go
@@ -19,6 +19,7 @@
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/clock"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/handoff"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
 )
 
 func (noLink) SendHandoff(string, kumquatlug.Handoff)       {}
@@ -455,7 +456,7 @@
 		time.AfterFunc(120*time.Millisecond, func() {
 			if c.stops {
 				p.b.stopped(0)
-				p.b.g.scheduler.stopCoordinating()
+				p.b.g.scheduler.withSlots("engines", func(placer *placement.Placer) { placer.StopCoordinating() })
 				p.a.g.handoffs.peerLeft("b")
 			}
 			if c.suspects {
