--- a/internal/standin/fleet/responses.go
+++ b/internal/standin/fleet/responses.go
@@ -22,6 +22,7 @@
 		return
 	}
 	time.Sleep(w.config.Delay)
+	w.awaitPauseEnd()
 	w.mu.Lock()
 	w.prefills++
 	handle := fmt.Sprintf("h-%s-%d", id, w.prefills)
@@ -82,6 +83,7 @@
 		if !wait(r, w.config.Delay) {
 			return
 		}
+		w.awaitPauseEnd()
 		select {
 		case <-end:
 			// The stream was moved, so it closes without its last events.
@@ -107,6 +109,7 @@
 	if !wait(r, w.config.Delay) {
 		return
 	}
+	w.awaitPauseEnd()
 	out.Header().Set("Request-Size", strconv.Itoa(bodyBytes))
 	text := ResponseBody(id)
 	out.Header().Set("Content-Length", strconv.Itoa(len(text)))
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -68,13 +68,15 @@
 	running         int
 	startedMs       int64
 	// streamEnds are closed when a running stream is moved, by attempt ID.
-	streamEnds   map[string]chan struct{}
-	movedStreams int
+	streamEnds map[string]chan struct{}
+	// moves counts the moves of each stream to another engine, by attempt ID.
+	moves map[string]int
 	// rateLimit is the limit in the Server-Limit header of responses, in
 	// requests per second; negative for none.
 	rateLimit    float64
 	arrivals     []time.Time
 	shuttingDown bool
+	pausedUntil  time.Time
 }
 
 // New returns a worker without faults.
@@ -84,7 +86,7 @@
 	}
 	return &Worker{
 		config: c, handles: map[string]string{}, runs: map[string]int{}, rejected: map[string]int{},
-		streamEnds: map[string]chan struct{}{}, rateLimit: -1,
+		streamEnds: map[string]chan struct{}{}, moves: map[string]int{}, rateLimit: -1,
 		startedMs: time.Now().UnixMilli(),
 	}
 }
@@ -186,6 +188,7 @@
 
 // ServeHTTP handles a request or a control call.
 func (w *Worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	w.awaitPauseEnd()
 	if expected := r.Header.Get("Expected-Instance"); expected != "" && expected != w.config.ID {
 		out.Header().Set("Instance-Id", w.config.ID)
 		out.WriteHeader(http.StatusMisdirectedRequest)
@@ -228,7 +231,7 @@
 	}
 	delete(w.streamEnds, m.InstanceID)
 	close(end)
-	w.movedStreams++
+	w.moves[m.InstanceID]++
 	// A write error means that the caller has disconnected.
 	_ = json.NewEncoder(out).Encode(map[string]any{"kv_handle": "h-" + m.InstanceID + "-moved", "created": 1})
 }
@@ -237,7 +240,19 @@
 func (w *Worker) MovedStreams() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.movedStreams
+	total := 0
+	for _, n := range w.moves {
+		total += n
+	}
+	return total
+}
+
+// Moves returns how often the stream with this attempt ID was moved to another
+// engine.
+func (w *Worker) Moves(id string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.moves[id]
 }
 
 func (w *Worker) handleReport(out http.ResponseWriter) {
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -4,6 +4,7 @@
 package site
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -52,8 +53,13 @@
 	// event and the duration of a plain request.
 	Events     int
 	EventDelay time.Duration
+	// MinRetries is the number of retries that all gateways together may send
+	// per service in 10 s, whatever the load; 0 means defaultMinRetries.
+	MinRetries int
 }
 
+const defaultMinRetries = 52
+
 // Site is a running deployment.
 type Site struct {
 	Store        *rowstore.Store
@@ -67,6 +73,7 @@
 	workerIDs     map[*fleet.Worker]string
 	workerServers map[string]*http.Server
 	configVersion int64
+	minRetries    int
 	// scaleMu serializes the addition of workers.
 	scaleMu sync.Mutex
 	// accounts are the keys of each client account; nil if requests carry no
@@ -84,7 +91,7 @@
 
 // New starts a deployment.
 func New(c Config) (*Site, error) {
-	s := &Site{Store: rowstore.New(), Cloud: cloud.New(leaseMs * time.Millisecond), workerIDs: map[*fleet.Worker]string{}, workerServers: map[string]*http.Server{}, storeProxies: map[string]*storeProxy{}, configVersion: 3}
+	s := &Site{Store: rowstore.New(), Cloud: cloud.New(leaseMs * time.Millisecond), workerIDs: map[*fleet.Worker]string{}, workerServers: map[string]*http.Server{}, storeProxies: map[string]*storeProxy{}, configVersion: 3, minRetries: cmp.Or(c.MinRetries, defaultMinRetries)}
 	_, address, err := s.serve(s.Store)
 	if err != nil {
 		return nil, err
@@ -263,7 +270,7 @@
 drain_ms = 2000
 retry_budget_ratio = 0.2
 budget_window_s = 10
-budget_min_retries = 52
+budget_min_retries = %d
 strict_revoke = %t
 revoke_ms = 1000
 report_window_s = 1
@@ -273,7 +280,7 @@
 [cloud]
 address = %q
 duties = ["usage_report", "autoscale"]
-`, name, Zone, peerPort-1, peerPort, clients, ready, leaseMs, s.FailClosed, proxyAddress, s.cloudAddress)
+`, name, Zone, peerPort-1, peerPort, clients, ready, leaseMs, s.minRetries, s.FailClosed, proxyAddress, s.cloudAddress)
 	return text, clients, ready, nil
 }
 
