Check that a stop ends within the grace period while the store is away

The stacks show serveUntil in writeTally, dropFinalizedWindows, Store.Get. finalTallyTimeout (0.3 s) bounds only the commit; the read before it, due once three windows are past due, may take storeCallTimeout (1 s).

--- a/test/front/usage_test.go
+++ b/test/front/usage_test.go
@@ -170,3 +170,28 @@
 		t.Errorf("violated rules: %v", violations)
 	}
 }
+
+// The store does not respond while a gateway stops with a stream in flight. It must have exited when its grace period
+// ends: the platform then kills it, and what it has not written to its log is lost.
+func TestStopEndsWithinGracePeriodDuringStoreOutage(t *testing.T) {
+	const gracePeriod = 4 * time.Second
+	s := newSite(t, site.Config{PrefillEngines: 1, DecodeEngines: 1, PlainWorkers: 1, Events: 500, EventDelay: 10 * time.Millisecond})
+	s.SetAccounts(map[string][]string{"north": {northKey}})
+	p := newGateway(t, s, "front-1")
+	stop := make(chan struct{})
+	served := startPosts(t, []*process{p}, northKey, "before", stop)
+	sleep(4 * time.Second)
+	s.Store.SetFault(rowstoreFault("silent"))
+	// The windows that the store has are past due when the gateway stops, so that it reads which of them are final.
+	sleep(3500 * time.Millisecond)
+	close(stop)
+	served()
+	go p.doWithKey(northKey, http.MethodPost, site.PathNonResumable+"x", "long-stream", chatHeaders("long-stream"))
+	eventually(t, "the stream runs", func() bool { return totalRuns(s.Engines, "long-stream") > 0 })
+	stopped := time.Now()
+	p.signal(syscall.SIGTERM)
+	<-p.done
+	if took := time.Since(stopped); took > gracePeriod {
+		t.Errorf("the gateway exited %v after SIGTERM, want at most %v; last lines %q", took, gracePeriod, p.log("stop"))
+	}
+}
