--- a/test/front/process_test.go
+++ b/test/front/process_test.go
@@ -188,6 +188,11 @@
 
 // do sends one request over a new connection.
 func (p *process) do(ctx context.Context, method, path, id string, header map[string]string) response {
+	return p.doWith(ctx, &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, method, path, id, header)
+}
+
+// doWith sends one request over a connection of the client.
+func (p *process) doWith(ctx context.Context, client *http.Client, method, path, id string, header map[string]string) response {
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+p.clientAddr+path, strings.NewReader(strings.Repeat("b", 300)))
 	if err != nil {
 		return response{err: err}
@@ -201,7 +206,6 @@
 	for k, v := range header {
 		r.Header.Set(k, v)
 	}
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	got, err := client.Do(r)
 	if err != nil {
 		return response{err: err}
@@ -236,9 +240,12 @@
 
 // chat sends a short prompt whose stream may not resume.
 func (p *process) chat(id string) response {
-	return p.do(context.Background(), http.MethodPost, site.PathNonResumable+"x", id, map[string]string{
-		"Model": "m", "Token-Count": "220,400", "Prefix-Hash": "cc:80," + id + ":140",
-	})
+	return p.do(context.Background(), http.MethodPost, site.PathNonResumable+"x", id, chatHeaders(id))
+}
+
+// chatHeaders returns the headers of a request with a short prompt.
+func chatHeaders(id string) map[string]string {
+	return map[string]string{"Model": "m", "Token-Count": "220,400", "Prefix-Hash": "cc:80," + id + ":140"}
 }
 
 // streamBody returns the body of a complete stream of n events.
