--- a/test/front/soak_test.go
+++ b/test/front/soak_test.go
@@ -400,8 +400,10 @@
 		return fmt.Sprintf("wrong content %q", r.body), true
 	case r.err == nil && r.status == http.StatusOK:
 		return "complete", false
+	case r.refused() && runs > 0:
+		return "refused after a run", !mayRepeat
 	case r.refused():
-		return "refused", runs > 0 && !mayRepeat
+		return "refused", false
 	case k.inFault(r):
 		return "unplanned fault", false
 	case took >= r.deadline+soakLate:
