Count requests and not attempts in the test of slow clients

TestSlowClientsDoNotExhaustMemory failed with "not within 5 s: all responses have started". Its wait asked for exactly 500 attempts. On a starved machine the first output of some requests is late, the gateway tries them at a second worker, as it should, and the count passes 500 between two looks: 503 to 517 attempts when the wait failed, with all requests at a worker.

Ruled out: 500 connections that take longer than 5 s (all were started within 4.3 s where it was seen).

Clients now send distinct request IDs, and the wait asks that each of 500 requests has reached a worker, which an attempt more can't replace. The bounds are unchanged.

--- a/internal/gateway/slowreader_test.go
+++ b/internal/gateway/slowreader_test.go
@@ -102,7 +102,8 @@
 	if err := conn.SetReadBuffer(64 << 10); err != nil {
 		t.Fatal(err)
 	}
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\nId: r1\r\nContent-Length: %d\r\n\r\n", method, path, len(body))
+	// The address tells the clients' requests apart.
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\nId: %s\r\nContent-Length: %d\r\n\r\n", method, path, conn.LocalAddr(), len(body))
 	if _, err := conn.Write(append([]byte(head), body...)); err != nil && len(body) == 0 {
 		// A body that is refused is not read to its end.
 		t.Fatal(err)
@@ -135,9 +136,7 @@
 // reads on must get its whole response.
 func TestSlowClientsDoNotExhaustMemory(t *testing.T) {
 	const clients, responseBytes, chunk = 500, 2 << 20, 1 << 10
-	var started atomic.Int64
 	w := &fakeWorkers{run: func(ctx context.Context, _ int, _ workerCall) (kumquatlug.WorkerResponse, error) {
-		started.Add(1)
 		return kumquatlug.NewWorkerResponse(kumquatlug.WorkerResponseConfig{
 			Status: 200, Header: http.Header{"Stamp": {"s"}}, Length: responseBytes,
 			Body: &contextBody{ctx: ctx, Reader: &repeatedReader{text: strings.Repeat("x", chunk), left: responseBytes / chunk}},
@@ -149,7 +148,15 @@
 	for range clients {
 		last = f.slowClient(t, http.MethodGet, lookupRoute, nil)
 	}
-	await(t, "all responses have started", func() bool { return started.Load() == clients })
+	// A request whose first output is late on a busy machine is tried at a second worker, so
+	// that requests are counted here and not attempts.
+	await(t, "all requests have reached a worker", func() bool {
+		requests := map[string]bool{}
+		for _, c := range w.recorded() {
+			requests[c.request.ID()] = true
+		}
+		return len(requests) == clients
+	})
 	// The responses fill the buffers of the connections meanwhile, and their workers seem
 	// to send nothing.
 	<-time.After(900 * time.Millisecond)
