Pause the present lease holder in the test of its loss

TestUsageSurvivesLossOfLeaseHolder took the last gateway in its list that had ever won the lease for its holder, and a gateway that had won it before the fault for a successor. If the lease had passed on during the start, it paused another gateway, and the wait for a successor was over at once.

--- a/test/front/usage_test.go
+++ b/test/front/usage_test.go
@@ -75,10 +75,11 @@
 	s.SetAccounts(map[string][]string{"north": {northKey}})
 	gateways := []*process{newGateway(t, s, "front-1"), newGateway(t, s, "front-2"), newGateway(t, s, "front-3")}
 	eventually(t, "windows are reported", func() bool { return len(s.Cloud.Reports()) > 1 })
-	holder := 0
+	// Of those that have held the lease, the one with the newest token holds it.
+	holder, token := 0, int64(0)
 	for i, p := range gateways {
-		if len(p.log("lease won")) > 0 {
-			holder = i
+		if held := lastToken(fencingTokens(t, p)); held > token {
+			holder, token = i, held
 		}
 	}
 	others := append(append([]*process{}, gateways[:holder]...), gateways[holder+1:]...)
@@ -87,7 +88,7 @@
 	sleep(700 * time.Millisecond)
 	gateways[holder].signal(syscall.SIGSTOP)
 	eventually(t, "another gateway holds the lease", func() bool {
-		return len(others[0].log("lease won"))+len(others[1].log("lease won")) > 0
+		return max(lastToken(fencingTokens(t, others[0])), lastToken(fencingTokens(t, others[1]))) > token
 	})
 	gateways[holder].signal(syscall.SIGCONT)
 	sleep(500 * time.Millisecond)
