Fail a test at once when its gateway exits before it is ready

TestAFrontThatIsKilledAgainAndAgainCostsNoPrompt failed once with "not within 20s: front-1 is ready", and its process's output was not kept. Cause, now reproduced on: the ports of a gateway were chosen among those that the system gives to any socket, were free for the time in which the process starts, and another process took one. The gateway exits with "address already in use", and the test waits 20 s for it.

waitReady now fails at once with the exit status and the last lines where the process has exited, and a look for readiness gives up after 1 s: with its port taken by a socket that never responds, the test hung until the timeout of the test binary. The checks are unchanged.

--- a/test/front/process_test.go
+++ b/test/front/process_test.go
@@ -142,8 +142,11 @@
 	<-p.done
 }
 
+// readyClient gives up where something else listens at the address and does not respond.
+var readyClient = &http.Client{Timeout: time.Second}
+
 func (p *process) isReady() bool {
-	response, err := http.Get("http://" + p.readyAddr + "/v1/readyz")
+	response, err := readyClient.Get("http://" + p.readyAddr + "/v1/readyz")
 	if err != nil {
 		return false
 	}
@@ -151,6 +154,8 @@
 	return response.StatusCode == http.StatusOK
 }
 
+// waitReady waits until the gateway is ready. One that exits before, as when its port is
+// taken, fails the test at once.
 func (p *process) waitReady() {
 	p.t.Helper()
 	p.t.Cleanup(func() {
@@ -160,7 +165,14 @@
 			p.t.Logf("%s: last lines %q", p.name, p.lines[max(len(p.lines)-6, 0):])
 		}
 	})
-	eventually(p.t, p.name+" is ready", p.isReady)
+	eventually(p.t, p.name+" is ready", func() bool {
+		select {
+		case <-p.done:
+			p.t.Fatalf("%s exited before it was ready: %v", p.name, p.cmd.ProcessState)
+		default:
+		}
+		return p.isReady()
+	})
 }
 
 // eventually polls condition until it is true and fails the test after waitTimeout.
