entry: keep a suspected attempt open until another target has accepted the request

A target missed three heartbeats and every attempt there was cancelled at once: streams, prompts, service calls, and the rest of large answers. Where no other target took the request, because there was none, it was full or no attempt was left, the caller got a cut stream or an error, although the first target was about to go on. Streams whose tokens kept arriving were cut too, when only the heartbeats were lost. A call that must not be repeated got an unknown outcome while the agent with its claim was running it, or was refused because its revocation came first.

A suspected attempt now stays open. The loop charges a retry and chooses a target as after a failure; the first attempt is cancelled when that target has sent a usable response, or has not refused for 200 ms after its agent admitted the request, which agents announce with status 102 if asked. What the first attempt receives before that calls off the continuation, and gives a charged retry that was not sent back. If no target can be had, the request waits for the first attempt until its deadline. Only attempts that received nothing since the previous missed heartbeat are suspected; a silent target is still suspected at its third missed heartbeat. A call that must not be repeated is revoked only when another target is ready; its outcome is determined while the attempt stays open. The model test of package dispatch covers suspicion, resumption and their end.

--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -60,6 +60,9 @@
 		return
 	}
 	h.agent.c.Ring.Add(timeline.Record{Name: timeline.WorkBegun, RequestID: work.Request(), Detail: work.Kind().String()})
+	if r.Header.Get(peer.HeaderAnnounce) != "" {
+		w.WriteHeader(http.StatusProcessing)
+	}
 	complete := false
 	defer func() {
 		if h.agent.admission.finish(id, complete) {
--- a/internal/entry/attempts.go
+++ b/internal/entry/attempts.go
@@ -3,53 +3,82 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 )
 
-// errTargetDown is the cancellation cause of attempts at a target that is down.
-var errTargetDown = errors.New("target does not answer heartbeats")
+// Cancellation causes of attempts.
+var (
+	errTargetDown = errors.New("target does not answer heartbeats")
+	errSuperseded = errors.New("another target continues the request")
+)
 
-// attemptTracker tracks the attempts in flight at each target, so that those at
-// a target that went down can be cancelled. A VM that is paused or behind a
-// broken link closes no connection. Without cancellation a stream from it would
+// attemptTracker tracks the open attempts at each target, so that those at a
+// target that went down can be continued elsewhere. A VM that is paused or behind
+// a broken link closes no connection. Without the tracker a stream from it would
 // wait for its next token until the kernel gives up, minutes after the missed
 // heartbeats.
 type attemptTracker struct {
 	mu       sync.Mutex
-	nextID   int
-	byTarget map[string]map[int]context.CancelCauseFunc
+	byTarget map[string]map[*openAttempt]struct{}
 }
 
 func newAttemptTracker() *attemptTracker {
-	return &attemptTracker{byTarget: map[string]map[int]context.CancelCauseFunc{}}
+	return &attemptTracker{byTarget: map[string]map[*openAttempt]struct{}{}}
+}
+
+// openAttempt is an attempt whose connection is open.
+type openAttempt struct {
+	tracker *attemptTracker
+	target  string
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	// onSuspect is called on a goroutine of its own when the target is down and
+	// the attempt is silent.
+	onSuspect func()
+	// received counts the parts of the response that arrived. receivedAtMiss is its
+	// value at the last missed heartbeat, guarded by the tracker's lock.
+	received       atomic.Int64
+	receivedAtMiss int64
 }
 
-// start registers an attempt at target. It returns the context of the attempt
-// and a function that ends it.
-func (a *attemptTracker) start(ctx context.Context, target string) (context.Context, func()) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.nextID++
-	id := a.nextID
-	if a.byTarget[target] == nil {
-		a.byTarget[target] = map[int]context.CancelCauseFunc{}
+// start registers an attempt at target, whose context ends with ctx or [openAttempt.end].
+func (t *attemptTracker) start(ctx context.Context, target string, onSuspect func()) *openAttempt {
+	a := &openAttempt{tracker: t, target: target, onSuspect: onSuspect}
+	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.byTarget[target] == nil {
+		t.byTarget[target] = map[*openAttempt]struct{}{}
 	}
-	a.byTarget[target][id] = cancel
-	return ctx, func() {
-		cancel(nil)
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		delete(a.byTarget[target], id)
+	t.byTarget[target][a] = struct{}{}
+	return a
+}
+
+// end cancels the attempt and removes it from the tracker.
+func (a *openAttempt) end() {
+	a.cancel(nil)
+	a.tracker.mu.Lock()
+	defer a.tracker.mu.Unlock()
+	delete(a.tracker.byTarget[a.target], a)
+	if len(a.tracker.byTarget[a.target]) == 0 {
+		delete(a.tracker.byTarget, a.target)
 	}
 }
 
-// cancelTarget cancels every attempt at target.
-func (a *attemptTracker) cancelTarget(target string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, cancel := range a.byTarget[target] {
-		cancel(errTargetDown)
+// heartbeatMissed records a missed heartbeat of target. If the target is down, the
+// attempts that received nothing since the previous missed heartbeat become suspect.
+// The others are alive, although the heartbeats are lost.
+func (t *attemptTracker) heartbeatMissed(target string, down bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for a := range t.byTarget[target] {
+		received := a.received.Load()
+		silent := received == a.receivedAtMiss
+		a.receivedAtMiss = received
+		if down && silent {
+			go a.onSuspect()
+		}
 	}
 }
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -65,6 +66,8 @@
 	assembler      *stream.Assembler
 	reportedTokens int64
 	kvHandle       string
+	// sentTokens is the number of tokens that the caller has, for continuations.
+	sentTokens atomic.Int64
 	// template is the first chunk with a choice; it sets the format of the
 	// chunks sent to the caller.
 	template engine.Chunk
@@ -105,7 +108,7 @@
 		if err != nil {
 			return s.finalError(err)
 		}
-		failed, err := s.runAttempt(ctx, attempt)
+		attempt, failed, err := s.runAttempt(ctx, attempt)
 		if err != nil {
 			return err
 		}
@@ -130,35 +133,80 @@
 	return f.WithExecution(kumquatlug.ExecutionUnknown)
 }
 
-// runAttempt runs one attempt. It returns a nil failure if the response is
-// complete, and an error if the caller disconnected or the request can't be
+// runAttempt runs one attempt, and in its place the one that another target accepts if
+// the first target becomes suspect. It returns the last attempt, a nil failure if the
+// response is complete, and an error if the caller disconnected or the request can't be
 // retried.
-func (s *responseStream) runAttempt(ctx context.Context, a dispatch.Attempt) (*dispatch.AttemptFailure, error) {
-	if a.Role() == kumquatlug.RolePrefill {
-		return s.prefill(ctx, a)
+func (s *responseStream) runAttempt(ctx context.Context, a dispatch.Attempt) (dispatch.Attempt, *dispatch.AttemptFailure, error) {
+	g := s.request.guard(ctx, a, guardConfig{agentRequest: s.agentRequest(a), usable: isStatusOK, resumable: true})
+	response, refused := g.send() //nolint:bodyclose // readAttempt closes the body
+	for {
+		failed, err := s.readAttempt(ctx, g, response, refused)
+		if err != nil || failed == nil {
+			g.close()
+			return g.attempt, nil, err
+		}
+		c := g.failed()
+		g.close()
+		switch {
+		case ctx.Err() != nil:
+			if c != nil {
+				c.discard()
+			}
+			return g.attempt, nil, s.request.callerDisconnected("read answer", ctx.Err())
+		case c == nil:
+			return g.attempt, failed, nil
+		case c.next == nil:
+			return g.attempt, nil, s.finalError(s.request.finalFailure(c))
+		}
+		g, response, refused = c.next, c.response, c.refused
 	}
-	number, offset, ok := s.assembler.Start()
-	if !ok {
-		return nil, s.readFailure(a, "attempts", nil)
+}
+
+func isStatusOK(response *http.Response) bool { return response.StatusCode == http.StatusOK }
+
+// agentRequest returns the function that makes the requests of an attempt and its
+// continuations, each from the position that the caller has reached.
+func (s *responseStream) agentRequest(a dispatch.Attempt) func() (agentRequest, error) {
+	kvHandle := s.kvHandle
+	return func() (agentRequest, error) {
+		o := agentRequest{method: http.MethodPost, path: s.generation.Path(), header: jsonHeader(), kvHandle: kvHandle}
+		offset := s.sentTokens.Load()
+		if a.Role() == kumquatlug.RolePrefill {
+			o.path, o.kvHandle, offset = exportPath, "", 0
+		}
+		var err error
+		o.body, err = s.generation.Body(offset, s.request.enginePriority())
+		return o, err
 	}
-	body, err := s.generation.Body(int64(offset), s.request.enginePriority())
-	if err != nil {
-		return nil, err
+}
+
+// readAttempt reads the response of one attempt. It returns a nil failure if the response
+// is complete.
+func (s *responseStream) readAttempt(ctx context.Context, g *guardedAttempt, response *http.Response, refused *refusal) (*dispatch.AttemptFailure, error) {
+	if ctx.Err() != nil {
+		if response != nil {
+			response.Body.Close()
+		}
+		return nil, s.request.callerDisconnected("send work", ctx.Err())
 	}
-	attemptCtx, end := s.request.entry.attempts.start(ctx, a.Target())
-	defer end()
-	response, refused := s.request.send(attemptCtx, a, agentRequest{
-		method: http.MethodPost, path: s.generation.Path(), body: body,
-		header: jsonHeader(), kvHandle: s.kvHandle,
-	})
 	if refused != nil {
-		return s.attemptRefused(ctx, number, refused)
+		failed := refused.attemptFailure()
+		failed.Resumable = true
+		return &failed, nil
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return nil, s.engineError(a, response)
+		return nil, s.engineError(g.attempt, response)
+	}
+	if g.attempt.Role() == kumquatlug.RolePrefill {
+		return s.readPrefill(g, response)
+	}
+	number, _, ok := s.assembler.Start()
+	if !ok {
+		return nil, s.readFailure(g.attempt, "attempts", nil)
 	}
-	failed, err := s.relay(ctx, a, number, engine.NewReader(flushingReader{s, response.Body}))
+	failed, err := s.relay(ctx, g, number, engine.NewReader(flushingReader{s, response.Body}))
 	if err != nil {
 		return nil, err
 	}
@@ -172,7 +220,7 @@
 	if err := s.flush(); err != nil {
 		return nil, s.request.callerDisconnected("write answer", err)
 	}
-	drainBody(response.Body, end)
+	drainBody(response.Body, g.open.end)
 	return nil, nil
 }
 
@@ -188,16 +236,6 @@
 	_, _ = io.Copy(io.Discard, body)
 }
 
-func (s *responseStream) attemptRefused(ctx context.Context, number int, refused *refusal) (*dispatch.AttemptFailure, error) {
-	s.assembler.ConnectionClosed(s.request.id, number)
-	if ctx.Err() != nil {
-		return nil, s.request.callerDisconnected("send work", ctx.Err())
-	}
-	failed := refused.attemptFailure()
-	failed.Resumable = true
-	return &failed, nil
-}
-
 // engineError returns an engine's own rejection of the request as the final
 // failure. Another engine would reject the same request as well.
 func (s *responseStream) engineError(a dispatch.Attempt, response *http.Response) error {
@@ -222,11 +260,11 @@
 
 // relay forwards the tokens of one attempt until the response is complete or
 // cut off.
-func (s *responseStream) relay(ctx context.Context, a dispatch.Attempt, number int, chunks *engine.Reader) (*dispatch.AttemptFailure, error) {
+func (s *responseStream) relay(ctx context.Context, g *guardedAttempt, number int, chunks *engine.Reader) (*dispatch.AttemptFailure, error) {
 	for {
 		chunk, err := chunks.Next()
 		if errors.Is(err, io.EOF) {
-			return s.end(a, number)
+			return s.end(g, number)
 		}
 		if ctx.Err() != nil {
 			return nil, s.request.callerDisconnected("read answer", ctx.Err())
@@ -236,7 +274,7 @@
 		}
 		if err != nil {
 			s.assembler.ConnectionClosed(s.request.id, number)
-			return s.streamCut(a, err), nil
+			return s.streamCut(g.attempt, err), nil
 		}
 		if err := s.relayChunk(number, chunk); err != nil {
 			return nil, s.request.callerDisconnected("write answer", err)
@@ -267,6 +305,7 @@
 			return err
 		}
 	}
+	s.sentTokens.Store(int64(len(s.assembler.SentTokens())))
 	return s.reportProgress()
 }
 
@@ -345,7 +384,7 @@
 
 // end handles the [DONE] event: the response is complete if no token is
 // missing.
-func (s *responseStream) end(a dispatch.Attempt, number int) (*dispatch.AttemptFailure, error) {
+func (s *responseStream) end(g *guardedAttempt, number int) (*dispatch.AttemptFailure, error) {
 	usage := s.last.Usage
 	if usage == nil {
 		usage = &engine.Usage{}
@@ -359,8 +398,9 @@
 		stream.NewUsage(int(usage.PromptTokens), int(cached), int(usage.CompletionTokens))))
 	if step.Action() != stream.ActionComplete {
 		s.assembler.ConnectionClosed(s.request.id, number)
-		return s.streamCut(a, engine.ErrTruncated), nil
+		return s.streamCut(g.attempt, engine.ErrTruncated), nil
 	}
+	g.callOff()
 	s.request.finish(dispatch.Completion{OutputTokens: usage.CompletionTokens, CachedTokens: cached})
 	if err := s.sink.Chunk(s.render("", &reason)); err != nil {
 		return nil, s.request.callerDisconnected("write answer", err)
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -11,6 +11,7 @@
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/config"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/dispatch"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/membership"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/quarantine"
 )
 
@@ -29,6 +30,25 @@
 		id     string
 		failed dispatch.AttemptFailure
 	}
+	// attemptSuspected says that the attempt with this number stays open at a target
+	// that is down, and openAttemptEnded that it has ended.
+	attemptSuspected struct {
+		id     string
+		number int
+		failed dispatch.AttemptFailure
+	}
+	openAttemptEnded struct {
+		id     string
+		number int
+	}
+	// attemptResumed says that the suspected attempt goes on. done is closed when no
+	// decision about its continuation will follow.
+	attemptResumed struct {
+		id        string
+		number    int
+		decisions chan dispatch.Decision
+		done      chan struct{}
+	}
 	requestProgressed struct {
 		id     string
 		tokens int64
@@ -138,6 +158,14 @@
 		return l.dispatcher.Arrive(now, m.request)
 	case attemptFailed:
 		return l.dispatcher.AttemptFailed(now, m.id, m.failed)
+	case attemptSuspected:
+		return l.dispatcher.AttemptSuspected(now, m.id, m.number, m.failed)
+	case openAttemptEnded:
+		l.dispatcher.OpenAttemptEnded(m.id, m.number)
+	case attemptResumed:
+		l.decisionsByID[m.id] = m.decisions
+		defer close(m.done)
+		return l.dispatcher.AttemptResumed(now, m.id, m.number)
 	case requestProgressed:
 		return l.dispatcher.Progress(now, m.id, m.tokens)
 	case requestFinished:
@@ -182,8 +210,9 @@
 
 func (l *loop) handleMissedHeartbeat(now kumquatlug.Millis, m heartbeatMissed) []dispatch.Decision {
 	_, changed, decisions := l.dispatcher.HeartbeatMissed(now, m.name)
+	member, _ := l.dispatcher.Member(m.name)
+	l.entry.attempts.heartbeatMissed(m.name, member.State() == membership.StateDown)
 	if changed {
-		l.entry.attempts.cancelTarget(m.name)
 		l.entry.cfg.Ring.Add(timeline.Record{Name: timeline.TargetDown, Peer: m.name, Detail: "heartbeats missed"})
 	}
 	return decisions
--- a/internal/entry/prefill.go
+++ b/internal/entry/prefill.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -21,36 +20,17 @@
 
 func jsonHeader() http.Header { return http.Header{"Content-Type": {"application/json"}} }
 
-// prefill runs the prompt on one engine and keeps the handle with which another
-// engine fetches the KV cache. The cache itself never passes through a gateway.
-func (s *responseStream) prefill(ctx context.Context, a dispatch.Attempt) (*dispatch.AttemptFailure, error) {
-	body, err := s.generation.Body(0, s.request.enginePriority())
-	if err != nil {
-		return nil, err
-	}
-	attemptCtx, end := s.request.entry.attempts.start(ctx, a.Target())
-	defer end()
-	response, refused := s.request.send(attemptCtx, a, agentRequest{
-		method: http.MethodPost, path: exportPath, header: jsonHeader(), body: body,
-	})
-	if ctx.Err() != nil {
-		return nil, s.request.callerDisconnected("run prompt", ctx.Err())
-	}
-	if refused != nil {
-		failed := refused.attemptFailure()
-		failed.Resumable = true
-		return &failed, nil
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return nil, s.engineError(a, response)
-	}
+// readPrefill reads the handle with which another engine fetches the KV cache of the
+// prompt. The cache itself never passes through a gateway.
+func (s *responseStream) readPrefill(g *guardedAttempt, response *http.Response) (*dispatch.AttemptFailure, error) {
+	var err error
 	s.kvHandle, err = readHandle(verifiedBody{response})
 	if err != nil {
-		failed := s.streamCut(a, err)
+		failed := s.streamCut(g.attempt, err)
 		failed.Notices = noticesFrom(response.Trailer)
 		return failed, nil
 	}
+	g.callOff()
 	return nil, nil
 }
 
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/kumquatlug/kumquatlug/internal/caller"
@@ -40,7 +41,7 @@
 	// active is set while the loop tracks the request.
 	active bool
 	// mayHaveRun is set once any attempt may have run.
-	mayHaveRun bool
+	mayHaveRun atomic.Bool
 }
 
 // newRequest returns a request with the caller's timeout, or the default of its
@@ -68,13 +69,22 @@
 // nextAttempt waits for the loop's next decision. An error is the final failure
 // to return to the caller.
 func (r *request) nextAttempt(ctx context.Context) (dispatch.Attempt, error) {
+	d, err := r.nextDecision(ctx)
+	if err != nil {
+		return dispatch.Attempt{}, err
+	}
+	return r.handleDecision(d)
+}
+
+// nextDecision waits for the loop's next decision until ctx ends.
+func (r *request) nextDecision(ctx context.Context) (dispatch.Decision, error) {
 	select {
 	case d := <-r.decisions:
-		return r.handleDecision(d)
+		return d, nil
 	case <-ctx.Done():
-		return dispatch.Attempt{}, r.callerDisconnected("wait", ctx.Err())
+		return dispatch.Decision{}, r.callerDisconnected("wait", ctx.Err())
 	case <-r.entry.loop.stopped:
-		return dispatch.Attempt{}, r.callerDisconnected("wait", context.Canceled)
+		return dispatch.Decision{}, r.callerDisconnected("wait", context.Canceled)
 	}
 }
 
@@ -131,10 +141,16 @@
 // reportFailure reports a failed attempt to the loop; its next decision
 // follows.
 func (r *request) reportFailure(attempt dispatch.Attempt, f dispatch.AttemptFailure) {
+	r.recordFailure(attempt, f)
+	r.entry.loop.post(attemptFailed{r.id, f})
+}
+
+func (r *request) recordFailure(attempt dispatch.Attempt, f dispatch.AttemptFailure) {
 	r.entry.metrics.attempts.WithLabelValues(r.kind.String(), f.Failure.Reason()).Inc()
 	r.record(timeline.AttemptFailed, attempt.Target(), f.Failure.Reason()+" "+string(f.Failure.Execution()))
-	r.mayHaveRun = r.mayHaveRun || f.Failure.Execution() != kumquatlug.NotExecuted
-	r.entry.loop.post(attemptFailed{r.id, f})
+	if f.Failure.Execution() != kumquatlug.NotExecuted {
+		r.mayHaveRun.Store(true)
+	}
 }
 
 // priorityStepSeconds separates the priority levels of operators by more than
@@ -152,7 +168,7 @@
 
 // ranSoFar returns whether an earlier attempt may have run.
 func (r *request) ranSoFar() kumquatlug.Execution {
-	if r.mayHaveRun {
+	if r.mayHaveRun.Load() {
 		return kumquatlug.ExecutionUnknown
 	}
 	return kumquatlug.NotExecuted
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -24,6 +24,7 @@
 const (
 	reasonUnreachable  = dispatch.ReasonUnreachable
 	reasonTargetFailed = "target_failed"
+	reasonSilent       = dispatch.ReasonSilent
 )
 
 // agentRequest is the request that one attempt sends to an agent.
@@ -39,6 +40,8 @@
 	// kvHandle identifies the KV cache of the prompt at the engine that
 	// prefilled it.
 	kvHandle string
+	// announceAdmission asks the agent to announce that it has admitted the request.
+	announceAdmission bool
 }
 
 // refusal is a failed attempt: an agent's refusal or a failure to reach it.
@@ -89,6 +92,9 @@
 	if o.kvHandle != "" {
 		httpRequest.Header.Set(peer.HeaderKV, o.kvHandle)
 	}
+	if o.announceAdmission {
+		httpRequest.Header.Set(peer.HeaderAnnounce, "true")
+	}
 	if notice, suspect := a.Notice(); suspect {
 		httpRequest.Header[peer.HeaderNotice] = peer.EncodeNotices([]quarantine.Notice{notice})
 	}
--- a/internal/entry/service_call.go
+++ b/internal/entry/service_call.go
@@ -86,9 +86,9 @@
 		if err != nil {
 			return kumquatlug.TargetResponse{}, err
 		}
-		response, refused := r.attemptCall(ctx, attempt, out)
-		if refused == nil {
-			return response, nil
+		attempt, response, refused, err := r.attemptCall(ctx, attempt, out)
+		if err != nil || refused == nil {
+			return response, err
 		}
 		if ctx.Err() != nil {
 			return kumquatlug.TargetResponse{}, r.callerDisconnected("call", ctx.Err())
@@ -101,13 +101,54 @@
 }
 
 // attemptCall makes one attempt. If the outcome of a non-idempotent call is
-// unknown, it resolves that outcome.
-func (r *request) attemptCall(ctx context.Context, a dispatch.Attempt, out agentRequest) (kumquatlug.TargetResponse, *refusal) {
-	response, refused := r.sendCall(ctx, a, out)
+// unknown, it resolves that outcome. The error is the final failure of a call that can't
+// be continued.
+func (r *request) attemptCall(ctx context.Context, a dispatch.Attempt, out agentRequest) (dispatch.Attempt, kumquatlug.TargetResponse, *refusal, error) {
+	if out.idempotencyKey != "" {
+		response, refused := r.attemptOnce(ctx, a, out)
+		return a, response, refused, nil
+	}
+	g := r.guard(ctx, a, guardConfig{
+		agentRequest: func() (agentRequest, error) { return out, nil }, usable: func(*http.Response) bool { return true },
+	})
+	head, refused := g.send() //nolint:bodyclose // readCall or the caller closes the body
+	for {
+		var response kumquatlug.TargetResponse
+		if response, refused = g.readCall(head, refused); refused == nil {
+			return g.attempt, response, nil, nil
+		}
+		c := g.failed()
+		g.close()
+		switch {
+		case c == nil:
+			return g.attempt, response, refused, nil
+		case ctx.Err() != nil:
+			c.discard()
+			return g.attempt, response, refused, nil
+		case c.next == nil:
+			return g.attempt, response, nil, r.finalFailure(c)
+		}
+		g, head, refused = c.next, c.response, c.refused
+	}
+}
+
+// attemptOnce makes one attempt of a non-idempotent call. While its target is suspect, the
+// outcome is determined from the ledger, and the attempt stays open until that is known.
+func (r *request) attemptOnce(ctx context.Context, a dispatch.Attempt, out agentRequest) (kumquatlug.TargetResponse, *refusal) {
+	g := r.guard(ctx, a, guardConfig{agentRequest: func() (agentRequest, error) { return out, nil }, settle: func(ctx context.Context) (kumquatlug.TargetResponse, *refusal) {
+		return r.resolveOutcome(ctx, a, out, r.sendFailure(a, reasonSilent, kumquatlug.ExecutionUnknown, errTargetDown))
+	}})
+	head, refused := g.send()
+	response, refused := g.readCall(head, refused)
 	if refused == nil {
 		return response, nil
 	}
-	if out.idempotencyKey == "" || refused.failure.Execution() != kumquatlug.ExecutionUnknown {
+	c := g.failed()
+	g.close()
+	if c != nil && c.settled {
+		return c.answer, c.refused
+	}
+	if refused.failure.Execution() != kumquatlug.ExecutionUnknown {
 		return kumquatlug.TargetResponse{}, refused
 	}
 	if refused.failure.Reason() == peer.ReasonHeldElsewhere {
@@ -122,30 +163,40 @@
 // isAgentRefusal reports whether a failure is a refusal by an agent, which does
 // not count against its target.
 func isAgentRefusal(f *kumquatlug.Failure) bool {
-	return f.Execution() == kumquatlug.NotExecuted && f.Reason() != reasonUnreachable && f.Reason() != reasonTargetFailed
+	return f.Execution() == kumquatlug.NotExecuted && f.Reason() != reasonUnreachable && f.Reason() != reasonSilent && f.Reason() != reasonTargetFailed
 }
 
-// sendCall sends the call to one agent. It reads the start of the response
-// before anything is sent to the caller, so that a response that breaks off
-// early can be retried.
-func (r *request) sendCall(ctx context.Context, a dispatch.Attempt, out agentRequest) (kumquatlug.TargetResponse, *refusal) {
-	ctx, end := r.entry.attempts.start(ctx, a.Target())
-	response, refused := r.send(ctx, a, out)
+// readCall reads the start of a response before anything is sent to the caller, so that
+// a response that breaks off early can be retried.
+func (g *guardedAttempt) readCall(response *http.Response, refused *refusal) (kumquatlug.TargetResponse, *refusal) {
 	if refused != nil {
-		end()
 		return kumquatlug.TargetResponse{}, refused
 	}
 	body := verifiedBody{response}
 	start, err := io.ReadAll(io.LimitReader(body, prefetchBytes))
+	if err == nil && !g.deliver() {
+		err = errSuperseded
+	}
 	if err != nil {
 		response.Body.Close()
-		end()
-		return kumquatlug.TargetResponse{}, r.sendFailure(a, "answer_cut", kumquatlug.ExecutionUnknown, err)
+		return kumquatlug.TargetResponse{}, g.request.sendFailure(g.attempt, "answer_cut", kumquatlug.ExecutionUnknown, err)
 	}
-	tracked := &trackedBody{Reader: io.MultiReader(bytes.NewReader(start), body), body: body, request: r, release: end}
+	tracked := &trackedBody{Reader: io.MultiReader(bytes.NewReader(start), body), body: body, request: g.request, release: g.close}
 	return kumquatlug.NewTargetResponse(response.StatusCode, response.Header, tracked), nil
 }
 
+// sendCall sends the call to the holder of its claim, until ctx ends or the target is
+// down.
+func (r *request) sendCall(ctx context.Context, a dispatch.Attempt, out agentRequest) (kumquatlug.TargetResponse, *refusal) {
+	g := r.guard(ctx, a, guardConfig{agentRequest: func() (agentRequest, error) { return out, nil }, secondary: true})
+	head, refused := g.send()
+	response, refused := g.readCall(head, refused)
+	if refused != nil {
+		g.close()
+	}
+	return response, refused
+}
+
 // resolveOutcome determines the outcome of a dispatch after its connection was
 // lost. It blocks the dispatch in the ledger: either the block takes effect and
 // a late arrival can no longer run, or the ledger row says what happened to the
--- a/internal/peer/work.go
+++ b/internal/peer/work.go
@@ -31,6 +31,9 @@
 	HeaderKV          = "Kumquatlug-Kv-Handle"
 	HeaderFingerprint = "Kumquatlug-Fingerprint"
 	HeaderKey         = "Kumquatlug-Key"
+	// HeaderAnnounce asks an agent to send the interim status 102 once it has admitted
+	// the work.
+	HeaderAnnounce = "Kumquatlug-Announce"
 	// TrailerEnd is sent after the body: EndComplete, or why the response is incomplete.
 	TrailerEnd = "Kumquatlug-End"
 	// EndComplete means that the target's response was forwarded in full.
--- a/pkg/kumquatlug/dispatch/attempt.go
+++ b/pkg/kumquatlug/dispatch/attempt.go
@@ -24,6 +24,8 @@
 	ReasonEngineRefused = "engine_refused"
 	// ReasonUnreachable means that the connection to the agent failed.
 	ReasonUnreachable = "agent_unreachable"
+	// ReasonSilent means that the target of an open attempt does not answer heartbeats.
+	ReasonSilent = "agent_silent"
 	// ReasonSuspectInFlight means that another request that was in flight at a crash is
 	// running at the target.
 	ReasonSuspectInFlight = "suspect_in_hand"
@@ -54,6 +56,11 @@
 	if !ok {
 		return d.serve(now)
 	}
+	return d.attemptFailed(now, r, f)
+}
+
+func (d *Dispatcher) attemptFailed(now kumquatlug.Millis, r *request, f AttemptFailure) []Decision {
+	id := r.c.ID
 	d.release(now, r, limitOutcome(f))
 	d.registry.Merge(now, f.Notices)
 	r.lastFailure = f.Failure
@@ -81,16 +88,17 @@
 		d.giveUp(now, id, r.finalFailure(string(next.Reason())))
 		return d.serve(now)
 	}
+	r.retryCharged = next.Charged()
 	r.exclude = append(r.exclude, r.target)
 	r.nextAttemptAt = now + next.Wait()
 	d.pending = append(d.pending, r)
 	return d.serve(now)
 }
 
-// resumeTimeout is the minimum time in which a partly delivered response can
+// ResumeTimeout is the minimum time in which a partly delivered response can
 // resume on another target. It allows several attempts at targets that recover
 // within seconds.
-const resumeTimeout = kumquatlug.Minute
+const ResumeTimeout = kumquatlug.Minute
 
 // timeBudget returns how long a request may take from its arrival. A partly
 // delivered response may continue after its deadline. Stopping it there would
@@ -98,7 +106,7 @@
 func (d *Dispatcher) timeBudget(now kumquatlug.Millis, r *request) kumquatlug.Millis {
 	budget := r.c.Deadline - r.c.Arrival
 	if r.tokens > 0 {
-		return max(budget, now-r.c.Arrival+resumeTimeout)
+		return max(budget, now-r.c.Arrival+ResumeTimeout)
 	}
 	return budget
 }
@@ -128,7 +136,7 @@
 		report.State = TargetStopping
 	case ReasonUnderOrder:
 		report.State = TargetReconfiguring
-	case ReasonUnreachable:
+	case ReasonUnreachable, ReasonSilent:
 		report.State = TargetDown
 	default:
 		return
@@ -170,6 +178,11 @@
 	if !ok {
 		return d.decisions
 	}
+	if r.open != nil {
+		// The output was received before its target became suspect.
+		r.tokens = tokens
+		return d.decisions
+	}
 	k, ok := d.kinds[r.c.Kind]
 	if !ok {
 		k = &kindState{}
@@ -207,6 +220,7 @@
 	if !ok {
 		return d.serve(now)
 	}
+	d.resumeOpen(now, r)
 	served := admission.Cost(0, max(0, done.OutputTokens-r.tokens))
 	if r.firstTokenAt == 0 {
 		served += admission.Cost(r.c.PrefillTokens, 0)
--- a/pkg/kumquatlug/dispatch/choose.go
+++ b/pkg/kumquatlug/dispatch/choose.go
@@ -26,20 +26,26 @@
 		return false
 	}
 	r.attempts++
+	r.number = r.attempts
 	r.target, r.cached, r.inFlight, r.predictedTime = target, cached, true, predictedTime
 	r.sentAt, r.firstTokenAt = now, 0
-	limits := d.limits(r.c.Kind)
-	r.ticket = limits.Begin(now, target, r.kvTokens())
-	limits.SetTolerance(&r.ticket, r.c.Deadline-r.c.Arrival, kumquatlug.Millis(r.nominalMs()))
-	d.router.Sent(now, target, routing.Call{
-		ID: r.c.ID, Prefix: r.c.PrefixKeys, PrefillTokens: int(r.c.PrefillTokens) - cached, DecodeTokens: int(r.c.DecodeTokens),
-	})
+	d.account(now, r)
 	attempt := Attempt{target: target, address: member.VM().Address(), number: r.attempts, revision: d.revision, role: r.c.Role}
 	attempt.notice, attempt.suspect = d.registry.Notice(now, r.fingerprint())
 	d.decisions = append(d.decisions, Decision{id: r.c.ID, verdict: VerdictSend, attempt: attempt})
 	return true
 }
 
+// account adds the attempt to the limits and the load of its target.
+func (d *Dispatcher) account(now kumquatlug.Millis, r *request) {
+	limits := d.limits(r.c.Kind)
+	r.ticket = limits.Begin(now, r.target, r.kvTokens())
+	limits.SetTolerance(&r.ticket, r.c.Deadline-r.c.Arrival, kumquatlug.Millis(r.nominalMs()))
+	d.router.Sent(now, r.target, routing.Call{
+		ID: r.c.ID, Prefix: r.c.PrefixKeys, PrefillTokens: int(r.c.PrefillTokens) - r.cached, DecodeTokens: int(r.c.DecodeTokens),
+	})
+}
+
 func (d *Dispatcher) choose(now kumquatlug.Millis, r *request) (target string, cached int, predictedTime kumquatlug.Millis, found bool) {
 	if r.c.RunOnceKey != "" {
 		target, found = d.chooseByKey(r)
--- a/pkg/kumquatlug/dispatch/disaggregated.go
+++ b/pkg/kumquatlug/dispatch/disaggregated.go
@@ -60,6 +60,7 @@
 	if !ok {
 		return d.serve(now)
 	}
+	d.resumeOpen(now, r)
 	d.limits(r.c.Kind).Sample(now, &r.ticket, now-r.sentAt, nominalMs(r.c.PrefillTokens, 1))
 	d.release(now, r, limit.OutcomeEnded)
 	d.queue.RecordServed(now, r.c.Kind, admission.Cost(r.c.PrefillTokens, 0))
--- a/pkg/kumquatlug/dispatch/model_test.go
+++ b/pkg/kumquatlug/dispatch/model_test.go
@@ -25,6 +25,13 @@
 	target     string
 	tokens     int64
 	mayHaveRun bool
+	// open is the target of the suspected attempt that stays open, empty if there is
+	// none, and openNumber the number of that attempt. number is that of the attempt in
+	// flight.
+	open               string
+	openNumber, number int
+	// uncontinued is set when no other target continues the suspected attempt.
+	uncontinued bool
 }
 
 // targetModel is the model of a target, with all that was reported of it.
@@ -73,6 +80,8 @@
 		switch {
 		case !known:
 			m.fail("%s: decision after the final response", d.ID())
+		case r.uncontinued:
+			m.fail("%s: decision after the refusal to continue it", d.ID())
 		case r.target != "":
 			m.fail("%s: decision while its attempt at %s is in flight", d.ID(), r.target)
 		case d.Verdict() == VerdictSend:
@@ -95,7 +104,7 @@
 	if r.kind == serviceKind && r.mayHaveRun {
 		m.fail("%s: sent again although it may have run", d.ID())
 	}
-	r.target = target
+	r.target, r.number = target, d.Attempt().Number()
 }
 
 func (m *modelChecker) refused(d Decision, r *openRequest) {
@@ -103,6 +112,10 @@
 	if r.mayHaveRun && d.Failure().Execution() == kumquatlug.NotExecuted {
 		m.fail("%s: refused as not run although it may have run", d.ID())
 	}
+	if r.open != "" {
+		r.uncontinued = true
+		return
+	}
 	delete(m.requests, d.ID())
 }
 
@@ -125,7 +138,7 @@
 // events lists the kinds of events, each repeated according to its weight.
 var events = []string{
 	"arrive", "arrive", "arrive", "arrive", "fail", "fail", "progress", "finish", "finish", "cancel",
-	"heard", "heard", "missed", "label", "list", "wait", "wait", "wait",
+	"suspect", "suspect", "resume", "ended", "heard", "heard", "missed", "label", "list", "wait", "wait", "wait",
 }
 
 func applyEvent(system commands.SystemUnderTest, e proof.Event) commands.Result {
@@ -158,6 +171,14 @@
 			delete(m.requests, id)
 			m.check(m.Cancelled(m.now, id))
 		}
+	case "suspect":
+		m.suspectRandom()
+	case "resume":
+		if id, r := m.pickSuspected(); r != nil {
+			m.resume(id, r)
+		}
+	case "ended":
+		m.endSuspected()
 	case "heard":
 		states := []TargetState{TargetServing, TargetServing, TargetLeaving, TargetStopping, TargetDown, TargetReconfiguring}
 		m.reportState(name, states[m.random.IntN(len(states))])
@@ -217,6 +238,50 @@
 	}))
 }
 
+func (m *modelChecker) suspectRandom() {
+	id, r := m.pickRequest(true)
+	if r == nil || r.open != "" || r.kind == serviceKind {
+		return
+	}
+	m.counts["suspected"]++
+	m.targets[r.target].unavailable = true
+	r.open, r.openNumber, r.target, r.mayHaveRun = r.target, r.number, "", true
+	m.check(m.AttemptSuspected(m.now, id, r.openNumber, AttemptFailure{
+		Failure: newTestFailure(kumquatlug.ExecutionUnknown, ReasonSilent, 502), Resumable: true,
+	}))
+}
+
+// pickSuspected returns an open request with a suspected attempt, nil if there is none.
+func (m *modelChecker) pickSuspected() (string, *openRequest) {
+	for _, id := range slices.Sorted(maps.Keys(m.requests)) {
+		if r := m.requests[id]; r.open != "" {
+			return id, r
+		}
+	}
+	return "", nil
+}
+
+func (m *modelChecker) resume(id string, r *openRequest) {
+	m.counts["resumed"]++
+	r.target, r.number, r.open, r.uncontinued = r.open, r.openNumber, "", false
+	m.check(m.AttemptResumed(m.now, id, r.number))
+}
+
+// endSuspected ends a suspected attempt by itself. A request that no other target
+// continues ends with it.
+func (m *modelChecker) endSuspected() {
+	id, r := m.pickSuspected()
+	if r == nil {
+		return
+	}
+	r.open = ""
+	m.OpenAttemptEnded(id, r.openNumber)
+	if r.uncontinued {
+		delete(m.requests, id)
+		m.check(m.Cancelled(m.now, id))
+	}
+}
+
 func (m *modelChecker) reportState(name string, state TargetState) {
 	t := m.targets[name]
 	t.state, t.missed, t.unavailable = state, 0, false
@@ -263,6 +328,9 @@
 	}
 	m.sendList()
 	for range 200 {
+		for id, r := m.pickSuspected(); r != nil; id, r = m.pickSuspected() {
+			m.resume(id, r)
+		}
 		for _, id := range slices.Sorted(maps.Keys(m.requests)) {
 			if r := m.requests[id]; r != nil && r.target != "" {
 				delete(m.requests, id)
@@ -281,7 +349,7 @@
 
 func TestProofEveryRequestEndsOnceWithCorrectExecution(t *testing.T) {
 	// Requests arrive while targets leave by label or list, stop, miss heartbeats,
-	// refuse work and break off responses, and callers cancel. Violations are a
+	// refuse work, break off responses and become suspect, and callers cancel. Violations are a
 	// request without exactly one final response, a run-once call that is retried
 	// although it may have run, a false "not run", and work sent to a target that
 	// takes none.
@@ -293,5 +361,6 @@
 		NewSystem: func() commands.SystemUnderTest { return newModelChecker(t, counts) },
 		Cleanup:   func(system commands.SystemUnderTest) { system.(*modelChecker).finishAll() },
 	})
-	t.Logf("%d sent, %d refused, %d finished", counts["sent"], counts["refused"], counts["finished"])
+	t.Logf("%d sent, %d refused, %d finished, %d suspected, %d resumed",
+		counts["sent"], counts["refused"], counts["finished"], counts["suspected"], counts["resumed"])
 }
--- a/pkg/kumquatlug/dispatch/refuse.go
+++ b/pkg/kumquatlug/dispatch/refuse.go
@@ -49,13 +49,17 @@
 	d.decisions = append(d.decisions, Decision{id: id, verdict: VerdictRefuse, failure: f})
 }
 
-// giveUp refuses a request that is tracked and not in flight.
+// giveUp refuses a request that is tracked and not in flight. A request whose
+// suspected attempt is still open is only not continued elsewhere: it stays tracked
+// until that attempt ends.
 func (d *Dispatcher) giveUp(now kumquatlug.Millis, id string, f *kumquatlug.Failure) {
 	r, ok := d.requests[id]
 	if !ok {
 		return
 	}
-	d.removeRequest(now, r, 0)
+	if r.open == nil {
+		d.removeRequest(now, r, 0)
+	}
 	d.refuse(id, r.withEarlierExecution(f))
 }
 
--- a/pkg/kumquatlug/dispatch/request.go
+++ b/pkg/kumquatlug/dispatch/request.go
@@ -37,9 +37,11 @@
 
 // request is the state of a request from arrival to its final response.
 type request struct {
-	c            RequestConfig
-	charged      bool
+	c       RequestConfig
+	charged bool
+	// attempts counts the attempts, number is that of the current one.
 	attempts     int
+	number       int
 	failures     int
 	refusals     int
 	exclude      []string
@@ -65,6 +67,10 @@
 	heldUntil kumquatlug.Millis
 	// mayHaveRun reports whether any attempt may have run.
 	mayHaveRun bool
+	// retryCharged reports whether the next attempt was charged to the retry budget.
+	retryCharged bool
+	// open is the suspected attempt that stays open, nil if there is none.
+	open *openAttempt
 }
 
 // finalFailure returns the final response to a request that is refused after
--- a/pkg/kumquatlug/retry/retry.go
+++ b/pkg/kumquatlug/retry/retry.go
@@ -142,6 +142,8 @@
 	action Action
 	reason Reason
 	wait   kumquatlug.Millis
+	// charged reports whether the retry was charged to the budget.
+	charged bool
 }
 
 // Action returns the action to take.
@@ -153,6 +155,9 @@
 // Wait returns the delay before the action.
 func (d Decision) Wait() kumquatlug.Millis { return d.wait }
 
+// Charged reports whether the retry was charged to the budget. A retry after a refusal is not.
+func (d Decision) Charged() bool { return d.charged }
+
 // rateWindow is the time constant of the average rate of calls.
 const rateWindow = 10 * kumquatlug.Second
 
@@ -230,7 +235,13 @@
 		return Decision{action: ActionStop, reason: ReasonBudget}
 	}
 	p.budget--
-	return Decision{action: action, reason: reason, wait: wait}
+	return Decision{action: action, reason: reason, wait: wait, charged: true}
+}
+
+// Refund returns to the budget a retry that was charged and not sent.
+func (p *Policy) Refund(now kumquatlug.Millis) {
+	p.advance(now)
+	p.addBudget(1)
 }
 
 // nextAction returns whether the call may be sent again, regardless of attempts, budget and
