peer: send buffered responses before a server closes its connections

A planned stop of a gateway or agent waits for the last request in flight and then closes the server. A request counts as ended when its handler returns, but net/http sends what is buffered, and the trailer that says that an answer is whole, after that. A stop that noticed the end in between cut the answer: "EOF" at the client.

Before the fix, TestStopSendsBufferedResponses fails with "Get ...: EOF" on each run; in a real stop the gap is some microseconds of a poll interval of 20 ms.

The server now shuts down, which waits until its connections are idle, and closes what is left after one second.

--- a/internal/peer/group.go
+++ b/internal/peer/group.go
@@ -23,6 +23,10 @@
 	}, func(error) { cancel() })
 }
 
+// stopTimeout bounds how long a server that stops sends responses whose handlers have
+// returned. What remains is in buffers; only a client that doesn't read it takes longer.
+const stopTimeout = time.Second
+
 // AddServer adds an HTTP server on l to group; step is the context of its errors.
 func AddServer(group *run.Group, step string, s *http.Server, l net.Listener) {
 	group.Add(func() error {
@@ -31,7 +35,17 @@
 			return nil
 		}
 		return errors.Wrap(err, step)
-	}, func(error) { _ = s.Close() })
+	}, func(error) { stopServer(s) })
+}
+
+// stopServer closes the connections of s once their last responses have been sent, but no
+// later than stopTimeout. The end of a handler precedes the end of its response.
+func stopServer(s *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	if s.Shutdown(ctx) != nil {
+		_ = s.Close()
+	}
 }
 
 // RunGroup runs group; the cancellation of its context is not an error.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -1,11 +1,15 @@
 package peer
 
 import (
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
 
+	"github.com/oklog/run"
+
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
 
@@ -88,3 +92,34 @@
 	}
 	return keys
 }
+
+// The handler of the last request has returned, which lets a planned stop proceed, while
+// net/http has not sent the end of its response. If the server closed its connections at
+// once, the caller would get a cut response.
+func TestStopSendsBufferedResponses(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	served := make(chan struct{})
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("answer"))
+		close(served)
+		// net/http sends the response some time after the work has ended.
+		time.Sleep(50 * time.Millisecond)
+	})
+	var group run.Group
+	AddServer(&group, "serve", &http.Server{Handler: handler}, listener)
+	group.Add(func() error { <-served; return nil }, func(error) {})
+	stopped := make(chan struct{})
+	go func() { defer close(stopped); _ = group.Run() }()
+	response, err := http.Get("http://" + listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if body, err := io.ReadAll(response.Body); err != nil || string(body) != "answer" {
+		t.Errorf("%q, %v", body, err)
+	}
+	<-stopped
+}
