entry: end the timeout of a claim holder with the start of its answer

A call that must not be repeated is resent to the agent that holds its claim, with a timeout of 10 s. The timeout went on while the answer was delivered: one that was larger than the 64 KiB that are read ahead, and whose caller took longer than that, was cut.

Before the fix, TestHolderTimeoutEndsWithStartOfAnswer fails with "131072 bytes, context deadline exceeded".

The timer is now stopped once the start of the answer has been read.

--- a/internal/entry/guard_test.go
+++ b/internal/entry/guard_test.go
@@ -645,3 +645,40 @@
 		t.Errorf("%d runs", n)
 	}
 }
+
+// largePart is more than a gateway reads before it delivers an answer.
+var largePart = strings.Repeat("x", 2*prefetchBytes)
+
+// writeSlowly writes largePart, and some time later the end of the answer.
+func writeSlowly(w http.ResponseWriter, r *http.Request) {
+	startStream(w)
+	_, _ = io.WriteString(w, largePart)
+	_ = http.NewResponseController(w).Flush()
+	select {
+	case <-time.After(300 * time.Millisecond):
+		_, _ = io.WriteString(w, "end")
+		w.Header().Set(peer.TrailerEnd, peer.EndComplete)
+	case <-r.Context().Done():
+	}
+}
+
+// The holder of a claim answers a resent call with a large answer that takes longer than
+// the wait for its start. The caller must get all of it.
+func TestHolderTimeoutEndsWithStartOfAnswer(t *testing.T) {
+	h := newGatewayHarness(t, map[string]*agentStub{"service-1": newAgentStub(writeSlowly)})
+	member, _ := h.member(t.Context(), "service-1")
+	account, err := kumquatlug.NewCaller(kumquatlug.CallerConfig{Name: "portal", KeyHash: kumquatlug.HashKey(callerKey)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := h.newRequest("r1", account, kumquatlug.NewKind(kumquatlug.ProtocolService, "read"), kumquatlug.Minute)
+	holder := dispatch.Attempt{}.WithTarget("service-1", member.VM().Address())
+	response, refused := r.sendCallToHolder(t.Context(), holder, agentRequest{method: http.MethodPost, path: "/x"}, 100)
+	if refused != nil {
+		t.Fatal(refused.failure)
+	}
+	defer response.Body().Close()
+	if body, err := io.ReadAll(response.Body()); err != nil || string(body) != largePart+"end" {
+		t.Fatalf("%d bytes, %v", len(body), err)
+	}
+}
--- a/internal/entry/service_call.go
+++ b/internal/entry/service_call.go
@@ -269,7 +269,7 @@
 			continue
 		}
 		holder := a.WithTarget(target, member.VM().Address())
-		response, refused := r.sendCallToHolder(ctx, holder, out)
+		response, refused := r.sendCallToHolder(ctx, holder, out, holderTimeout)
 		if refused == nil {
 			return response, nil
 		}
@@ -289,14 +289,18 @@
 	return r.dispatchID != "" || r.failure.Reason() == peer.ReasonOutcomeUnknown || r.failure.Status() < http.StatusInternalServerError
 }
 
-// holderTimeout is how long to wait for a response from the holder of a claim.
-// Its run may take longer; the caller then gets the error that the outcome is
-// not known yet, and retries under the same key.
+// holderTimeout is how long to wait for the start of a response from the holder
+// of a claim. Its run may take longer; the caller then gets the error that the
+// outcome is not known yet, and retries under the same key.
 const holderTimeout = 10 * kumquatlug.Second
 
-func (r *request) sendCallToHolder(ctx context.Context, holder dispatch.Attempt, out agentRequest) (kumquatlug.TargetResponse, *refusal) {
-	ctx, cancel := context.WithTimeout(ctx, holderTimeout.Duration())
+// sendCallToHolder sends the call to the holder of its claim. The timeout ends with the
+// start of the response, whose rest takes as long as the caller reads.
+func (r *request) sendCallToHolder(ctx context.Context, holder dispatch.Attempt, out agentRequest, timeout kumquatlug.Millis) (kumquatlug.TargetResponse, *refusal) {
+	ctx, cancel := context.WithCancel(ctx)
+	timer := time.AfterFunc(timeout.Duration(), cancel)
 	response, refused := r.sendCall(ctx, holder, out)
+	timer.Stop()
 	if refused != nil {
 		cancel()
 		return response, refused
