entry: deliver the whole answer of a claim holder to a suspected call

A call that must not be repeated became suspect, and the agent with its claim gave an answer of more than 64 KiB to the resend: the caller got its start only. The answer depends on the context of the continuation, which was cancelled when the first attempt was closed. An answer that came too late for the request ended the whole request in the loop, although the first attempt went on (by reading; no test).

Before the fix, TestLargeAnswerOfClaimHolderIsDelivered fails with "131072 bytes, unexpected EOF".

A result that was taken keeps its context until the caller leaves, and an answer that is not used only releases its connection.

--- a/internal/entry/guard.go
+++ b/internal/entry/guard.go
@@ -227,14 +227,14 @@
 	}
 	g.mu.Unlock()
 	g.open.end()
-	if c == nil {
+	if c == nil || c.taken {
+		// The result that was taken may depend on the context of the continuation, which
+		// ends with the caller's.
 		return
 	}
 	c.cancel()
 	<-c.done
-	if !c.taken {
-		c.discard()
-	}
+	c.discard()
 }
 
 // finalFailure returns the failure of a request whose attempt failed and which no other
@@ -260,7 +260,7 @@
 		c.next.close()
 	}
 	if c.settled && c.refused == nil {
-		c.answer.Body().Close()
+		discardAnswer(c.answer)
 	}
 }
 
@@ -367,7 +367,7 @@
 	}
 	if !g.accept(c, errSuperseded) {
 		if refused == nil {
-			answer.Body().Close()
+			discardAnswer(answer)
 		}
 		return
 	}
--- a/internal/entry/guard_test.go
+++ b/internal/entry/guard_test.go
@@ -518,6 +518,9 @@
 	ledger              *ledger.Ledger
 	beforeClaim, answer func(r *http.Request)
 	runs                *atomic.Int64
+	// resend, if set, serves the calls that arrive after the first run began. Without it
+	// they wait for the outcome of the run and get no answer, as at a paused agent.
+	resend func(w http.ResponseWriter, r *http.Request)
 }
 
 func (a *runOnceAgent) serve(w http.ResponseWriter, r *http.Request) {
@@ -526,6 +529,10 @@
 		a.t.Error(err)
 		return
 	}
+	if a.resend != nil && a.runs.Load() > 0 {
+		a.resend(w, r)
+		return
+	}
 	a.beforeClaim(r)
 	dispatched, _ := ledger.ParseDispatch(work.Dispatch())
 	// A call that was buffered is claimed although its connection has been closed.
@@ -539,7 +546,6 @@
 		return
 	}
 	if decision.Verdict() != ledger.VerdictRun {
-		// A resend gets no answer, as at a paused agent.
 		<-r.Context().Done()
 		return
 	}
@@ -553,13 +559,13 @@
 
 // newRunOnceGateway returns a gateway whose services run calls under their claims. The one
 // that is called first uses beforeClaim and answer, the others don't wait.
-func newRunOnceGateway(t *testing.T, names []string, beforeClaim, answer func(r *http.Request)) (*gatewayHarness, *atomic.Int64) {
+func newRunOnceGateway(t *testing.T, names []string, beforeClaim, answer func(r *http.Request), resend http.HandlerFunc) (*gatewayHarness, *atomic.Int64) {
 	t.Helper()
 	var runs atomic.Int64
 	var first atomic.Pointer[runOnceAgent]
 	agents, runOnce := map[string]*agentStub{}, map[string]*runOnceAgent{}
 	for _, name := range names {
-		a := &runOnceAgent{t: t, runs: &runs}
+		a := &runOnceAgent{t: t, runs: &runs, resend: resend}
 		only := func(wait func(r *http.Request)) func(r *http.Request) {
 			return func(r *http.Request) {
 				if first.CompareAndSwap(nil, a); first.Load() == a {
@@ -609,7 +615,7 @@
 // answers later. If the attempt were cancelled, the caller would get an unknown outcome.
 func TestSuspectedRunOnceCallIsAnswered(t *testing.T) {
 	resume := make(chan struct{})
-	h, runs := newRunOnceGateway(t, []string{"service-1", "service-2"}, noWait, waitFor(resume))
+	h, runs := newRunOnceGateway(t, []string{"service-1", "service-2"}, noWait, waitFor(resume), nil)
 	answers := h.request(http.MethodPost, "/services/read/x", "order")
 	time.Sleep(200 * time.Millisecond)
 	h.missHeartbeats()
@@ -622,7 +628,7 @@
 // call were revoked, the agent could not run it later, and the caller would be refused.
 func TestRunOnceCallIsNotRevokedWithoutOtherTarget(t *testing.T) {
 	resume := make(chan struct{})
-	h, runs := newRunOnceGateway(t, []string{"service-1"}, waitFor(resume), noWait)
+	h, runs := newRunOnceGateway(t, []string{"service-1"}, waitFor(resume), noWait, nil)
 	answers := h.request(http.MethodPost, "/services/read/x", "order")
 	h.missHeartbeats()
 	time.Sleep(300 * time.Millisecond)
@@ -634,7 +640,7 @@
 // one runs the call. When the first goes on, it must not run the call again.
 func TestRevokedRunOnceCallRunsElsewhereOnce(t *testing.T) {
 	resume := make(chan struct{})
-	h, runs := newRunOnceGateway(t, []string{"service-1", "service-2"}, waitFor(resume), noWait)
+	h, runs := newRunOnceGateway(t, []string{"service-1", "service-2"}, waitFor(resume), noWait, nil)
 	answers := h.request(http.MethodPost, "/services/read/x", "order")
 	h.missHeartbeats()
 	receive(t, h.other().arrived)
@@ -646,6 +652,18 @@
 	}
 }
 
+// The connection of a call that must not be repeated is lost, and the agent with its claim
+// gives a large answer to a resend, which the gateway sent while the agent was suspect.
+func TestLargeAnswerOfClaimHolderIsDelivered(t *testing.T) {
+	h, _ := newRunOnceGateway(t, []string{"service-1", "service-2"}, noWait, func(r *http.Request) { <-r.Context().Done() }, writeSlowly)
+	answers := h.request(http.MethodPost, "/services/read/x", "order")
+	time.Sleep(200 * time.Millisecond)
+	h.missHeartbeats()
+	if a := receive(t, answers); a.err != nil || a.body != largePart+"end" {
+		t.Fatalf("status %d, %d bytes, %v", a.status, len(a.body), a.err)
+	}
+}
+
 // largePart is more than a gateway reads before it delivers an answer.
 var largePart = strings.Repeat("x", 2*prefetchBytes)
 
--- a/internal/entry/service_call.go
+++ b/internal/entry/service_call.go
@@ -350,6 +350,11 @@
 	} else {
 		b.request.close(b.request.callerDisconnected("write answer", io.ErrUnexpectedEOF))
 	}
+	return b.end()
+}
+
+// end releases the resources of the attempt.
+func (b *trackedBody) end() error {
 	if b.release != nil {
 		b.release()
 	}
@@ -358,3 +363,8 @@
 	}
 	return b.body.Close()
 }
+
+// discardAnswer ends an answer that is not delivered, since the request gets another one.
+func discardAnswer(response kumquatlug.TargetResponse) {
+	_ = response.Body().(*trackedBody).end()
+}
