peer: let clients close idle connections before servers do

Gateways and agents both closed connections that were unused for 90 s. Work that a gateway sent at that moment was lost with the connection and may have run: it cost a retry, or a call that must not be repeated a look at its claim.

Before the fix, TestClientsCloseIdleConnectionsFirst fails with "a client keeps idle connections for 1m30s, servers for 1m30s". The race itself was not reproduced.

Servers now keep unused connections for two minutes, half a minute longer than clients.

--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -19,8 +19,11 @@
 	// maxIdleConnsPerPeer allows for several hundred calls of a gateway in flight
 	// at a busy target, each with a connection of its own while it streams.
 	maxIdleConnsPerPeer = 256
-	// idleTimeout is the time after which an unused connection is closed.
-	idleTimeout = 90 * kumquatlug.Second
+	// idleTimeout is the time after which a client closes an unused connection, and
+	// serverIdleTimeout that of a server. A request that is sent while the server closes
+	// the connection is lost, so clients close theirs well before.
+	idleTimeout       = 90 * kumquatlug.Second
+	serverIdleTimeout = 2 * kumquatlug.Minute
 )
 
 // Dialer creates clients of peers. A process shares one Dialer and thereby its
@@ -109,7 +112,7 @@
 // faster than the five seconds allowed.
 func ServerTimeouts(s *http.Server) *http.Server {
 	s.ReadHeaderTimeout = 5 * time.Second
-	s.IdleTimeout = idleTimeout.Duration()
+	s.IdleTimeout = serverIdleTimeout.Duration()
 	s.MaxHeaderBytes = 64 << 10
 	return s
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -123,3 +123,16 @@
 	}
 	<-stopped
 }
+
+// A server closes an idle connection at the moment at which a client sends work on it. The
+// work may have run, so it costs a retry, or a call that must not be repeated its outcome.
+// Clients must give up idle connections well before servers do.
+func TestClientsCloseIdleConnectionsFirst(t *testing.T) {
+	server := ServerTimeouts(&http.Server{})
+	d := NewDialer(nil)
+	for _, client := range []*http.Client{d.workClient, d.agentClient, d.gatewayClient} {
+		if idle := client.Transport.(*http.Transport).IdleConnTimeout; idle+5*time.Second > server.IdleTimeout {
+			t.Errorf("a client keeps idle connections for %s, servers for %s", idle, server.IdleTimeout)
+		}
+	}
+}
