service: send calls that must not be repeated on connections of their own

A service closed an idle connection at the moment at which its agent sent a call on it that must not be repeated. Whether the call ran could not be known any more: the caller got an unknown outcome, and so did each resend under its key.

Before the fix, TestRunOnceCallAvoidsIdleConnections fails with "Post ...: EOF (unknown)".

Such calls now open a connection each, to a service on the same VM. All other calls keep using idle connections, since they may be repeated.

--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -34,6 +34,8 @@
 	baseURL    string
 	healthPath string
 	client     *http.Client
+	// onceClient opens a connection for each call.
+	onceClient *http.Client
 }
 
 // New returns a client of the service at c.URL.
@@ -46,9 +48,12 @@
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout: time.Minute, DisableCompression: true,
 	}
+	onceTransport := transport.Clone()
+	onceTransport.DisableKeepAlives = true
 	return &Service{
 		baseURL: strings.TrimRight(c.URL, "/"), healthPath: c.HealthPath,
-		client: &http.Client{Transport: transport, CheckRedirect: returnRedirect},
+		client:     &http.Client{Transport: transport, CheckRedirect: returnRedirect},
+		onceClient: &http.Client{Transport: onceTransport, CheckRedirect: returnRedirect},
 	}
 }
 
@@ -66,8 +71,13 @@
 		return kumquatlug.TargetResponse{}, targetFailure(s.baseURL, "bad_request", kumquatlug.NotExecuted, err)
 	}
 	request.Header = call.Header().Clone()
-	disableAutoRetry(request.Header)
-	response, err := s.client.Do(request) //nolint:bodyclose // the caller closes the body
+	client := s.client
+	if disableAutoRetry(request.Header) {
+		// A service may close an idle connection while the call is sent, after which it is
+		// unknown whether the call ran.
+		client = s.onceClient
+	}
+	response, err := client.Do(request) //nolint:bodyclose // the caller closes the body
 	if err != nil {
 		return kumquatlug.TargetResponse{}, targetFailure(s.baseURL, "target_failed", executionAfterError(err), err)
 	}
@@ -82,12 +92,16 @@
 // effect at the target.
 const lowercaseKeyHeader = "idempotency-key"
 
-func disableAutoRetry(header http.Header) {
+// disableAutoRetry changes the spelling of the key in header, and reports whether there is
+// one: the call must not be repeated then.
+func disableAutoRetry(header http.Header) bool {
 	const canonical = "Idempotency-Key"
-	if values, ok := header[canonical]; ok {
+	values, ok := header[canonical]
+	if ok {
 		delete(header, canonical)
 		header[lowercaseKeyHeader] = values
 	}
+	return ok
 }
 
 func executionAfterError(err error) kumquatlug.Execution {
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -39,6 +40,34 @@
 	}
 }
 
+// The service closes an idle connection while a call that must not be repeated is sent on
+// it. Whether the call ran would stay unknown for ever.
+func TestRunOnceCallAvoidsIdleConnections(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	go closeAfterFirstRequest(listener, make(chan string, 8))
+	s := New(Config{URL: "http://" + listener.Addr().String()})
+	defer s.Close()
+	calls := []kumquatlug.Call{
+		kumquatlug.NewCall(http.MethodGet, "/", http.Header{}, nil),
+		kumquatlug.NewCall(http.MethodPost, "/post", http.Header{"Idempotency-Key": {"k"}}, nil),
+		kumquatlug.NewCall(http.MethodPost, "/post", http.Header{"Idempotency-Key": {"l"}}, nil),
+	}
+	for i, call := range calls {
+		response, err := s.Do(t.Context(), call)
+		if err != nil {
+			t.Fatalf("call %d: %v", i, err)
+		}
+		if _, err := io.Copy(io.Discard, response.Body()); err != nil {
+			t.Fatal(err)
+		}
+		response.Body().Close()
+	}
+}
+
 // closeAfterFirstRequest responds to the first request on each connection and closes
 // the connection when the second one arrives.
 func closeAfterFirstRequest(listener net.Listener, posts chan<- string) {
