exchange: let a reachable peer pause while a large request is sent to it

A worker that read nothing for 1.5 s, while a body larger than its socket buffers was sent to it, lost the request, though it acknowledged every probe and read on later. A call that must not be repeated was lost for good.

Cause: TCP_USER_TIMEOUT closes a connection also when the window of a reachable peer stays full for that long. A longer timeout would detect a cut link later and only move the fault.

While a large request is sent, the timeout is off, and TCP_INFO is read four times a second: the connection fails when sent bytes get no acknowledgement for as long as before, or several probes of a full window in a row get none. Small requests fit any socket buffer and keep TCP_USER_TIMEOUT. A link that is cut after the window has filled is detected later than before, after three probes. A cut link was not tested on a network, only the decision.

--- a/internal/exchange/dial.go
+++ b/internal/exchange/dial.go
@@ -6,7 +6,6 @@
 	"syscall"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
@@ -59,13 +58,7 @@
 // setUnackedTimeout returns a function that sets TCP_USER_TIMEOUT; connections inherit it
 // from their listener.
 func setUnackedTimeout(timeout kumquatlug.Millis) func(_, _ string, raw syscall.RawConn) error {
-	return func(_, _ string, raw syscall.RawConn) error {
-		var sockoptErr error
-		err := raw.Control(func(fd uintptr) {
-			sockoptErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout))
-		})
-		return errors.CombineErrors(err, sockoptErr)
-	}
+	return func(_, _ string, raw syscall.RawConn) error { return setSocketTimeout(raw, int(timeout)) }
 }
 
 // maxDialAttempts bounds the attempts to connect. A bad link loses one SYN in 30,
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -98,8 +98,8 @@
 	idleSince, idleUntil kumquatlug.Millis
 	// writing is true until the whole request has been written.
 	writing atomic.Bool
-	// writeErr holds the error of a concurrent write.
-	writeErr atomic.Value
+	// writeErr holds the first error of a concurrent write.
+	writeErr atomic.Pointer[error]
 }
 
 // Do sends r once and returns its response once the head has been read. The caller
@@ -246,10 +246,11 @@
 		return err
 	}
 	c.writing.Store(true)
+	go c.watchWrite()
 	go func() {
 		parts := net.Buffers{head, r.Body}
 		if _, err := parts.WriteTo(c.Conn); err != nil {
-			c.writeErr.Store(err)
+			c.writeErr.CompareAndSwap(nil, &err)
 			return
 		}
 		c.writing.Store(false)
@@ -258,8 +259,10 @@
 }
 
 func (c *conn) writeError() error {
-	err, _ := c.writeErr.Load().(error)
-	return err
+	if err := c.writeErr.Load(); err != nil {
+		return *err
+	}
+	return nil
 }
 
 // encodeHead returns the request line and the headers.
