Bound the last write of usage counts with the read before it

What was seen: a gateway that is stopped while the store is silent exits 4.81 s after SIGTERM with a grace period of 4 s, so that the platform would kill it.

Cause: the last write of the counts has 0.3 s, but the read of the finalized windows before it had a time limit of its own of 1 s. Both now share the one of the write.

--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -89,7 +89,9 @@
 // writeTally writes the counts. Within a window it does so only if they changed.
 func (g *Gateway) writeTally(ctx context.Context, timeout kumquatlug.Millis, windowEnded, final bool) {
 	u := &g.usage
-	g.dropFinalizedWindows(ctx)
+	call, cancel := context.WithTimeout(ctx, timeout.Duration())
+	defer cancel()
+	g.dropFinalizedWindows(call)
 	u.mu.Lock()
 	tally := u.counter.Tally(g.c.WallClock.Now(), final)
 	due := u.changed || u.lastTallyOpen && (windowEnded || final)
@@ -101,8 +103,6 @@
 	}
 	text, err := tally.Encode()
 	if err == nil {
-		call, cancel := context.WithTimeout(ctx, timeout.Duration())
-		defer cancel()
 		err = g.c.Table.Commit(call, kumquatlug.NewTx(g.c.Incarnation).Put(usage.TallyPrefix+g.c.Incarnation, text))
 	}
 	u.mu.Lock()
