exchange: restore the time limit of a connection whose state can't be read

While a large request is sent, the limit for unacknowledged bytes is off and the state of the connection is read in its place. If that read failed on an open connection, nothing would have noticed a cut link any more. By reading; no test, as the read does not fail on the systems at hand.

--- a/internal/exchange/watch.go
+++ b/internal/exchange/watch.go
@@ -31,6 +31,8 @@
 		info, err := tcpInfo(raw)
 		switch {
 		case err != nil:
+			// The connection was closed, or its state can't be read.
+			_ = setSocketTimeout(raw, int(UnackedTimeout))
 			return
 		case unreachable(info):
 			c.writeErr.CompareAndSwap(nil, &errUnreachable)
