Let workers of the soak lose and cut responses

The soak did not notice a gateway that tells each failure as not-run, since hardly any request that may run once only failed without a fault of its gateway. Each request has a path of its own, since the gateways would quarantine all requests of a kind after three lost ones.

--- a/test/front/soak_test.go
+++ b/test/front/soak_test.go
@@ -235,7 +235,8 @@
 	headers := r.headers()
 	headers["Key"], headers["Deadline-Ms"] = northKey, strconv.FormatInt(r.deadline.Milliseconds(), 10)
 	r.sent = time.Now()
-	r.response = k.gateways[r.gateway].doWith(ctx, client, http.MethodPost, soakPaths[r.kind]+"x", r.id, headers)
+	// Distinct paths keep the gateways from quarantining all requests of a kind.
+	r.response = k.gateways[r.gateway].doWith(ctx, client, http.MethodPost, soakPaths[r.kind]+r.id, r.id, headers)
 	r.ended = time.Now()
 }
 
@@ -281,7 +282,7 @@
 func (k *soak) plan() {
 	kinds := []string{"pause", "pause", "pause", "full", "config", "reload", "term"}
 	if !k.planned {
-		kinds = append(kinds, "silent", "silent", "kill", "freeze", "freeze", "store", "store")
+		kinds = append(kinds, "broken", "broken", "kill", "freeze", "freeze", "store", "store")
 	}
 	var free [soakGateways]time.Duration
 	for at := 500 * time.Millisecond; at < soakSpan; at += k.between(50, 500) {
@@ -293,8 +294,9 @@
 		case "full":
 			k.add(at, fmt.Sprintf("%s full for %v", k.ID(w), length), func() { w.SetFault(fleet.FaultReject) })
 			k.add(at+length, k.ID(w)+" no longer full", sound)
-		case "silent":
-			k.addFault(at, length, -1, k.ID(w)+" loses requests", func() { w.SetFault(fleet.FaultSilent) }, sound)
+		case "broken":
+			fault := []fleet.Fault{fleet.FaultSilent, fleet.FaultLost, fleet.FaultTruncate}[k.random.IntN(3)]
+			k.addFault(at, length, -1, fmt.Sprintf("%s %s", k.ID(w), fault), func() { w.SetFault(fault) }, sound)
 		case "config":
 			k.add(at, "config changes", k.changeConfig)
 		case "store":
