Wait for a connection before a silent engine's stream counts as accepted elsewhere

Seen: an engine is silent for 0.7 s and goes on, and no connection can be made to the other one. Its streams are cut in the meantime.

Cause: the time after which a stream counts as accepted by another engine began when the attempt did. An attempt to connect may last 400 ms, and is made twice after a timeout, but the first attempt was canceled 250 ms after the second began, before any byte was sent.

Evidence, the new test before the fix: 4 of 8 streams with "135 of 375 bytes after 652.92995ms: unexpected EOF".

Fix: the pool calls OnSend once it has a connection, and the delay begins there. An engine that can't be reached no longer ends the attempt that may go on. The time for which both engines may work on a stream is the same as before, since it can't begin before the request is sent.

The fake workers call OnSend as the pool does, unless a test says that no connection can be made.

Race tests of exchange and platform pass. In that of gateway, beside load 41 on 12 cores, TestStreamContinuesIfBothEnginesFallSilent failed at the route's timeout of 1.5 s; it failed in the same way before this change.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -67,6 +67,9 @@
 	// MaxIdleTime is the longest time that the connection may have been idle, zero for
 	// no limit: the peer may close an idle connection while the request is sent.
 	MaxIdleTime kumquatlug.Millis
+	// OnSend is called once there is a connection, just before the request is written; nil for
+	// none.
+	OnSend func()
 }
 
 // Config holds the settings of a [Pool].
@@ -113,6 +116,9 @@
 	}
 	// A deadline in the past unblocks pending reads and writes.
 	stopCancel := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	if r.OnSend != nil {
+		r.OnSend()
+	}
 	response, err := c.roundTrip(r)
 	if err != nil {
 		stopCancel()
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -244,6 +244,31 @@
 	}
 }
 
+// A peer that can't be reached has not received the request: nothing may be given up for it. Once
+// there is a connection, OnSend must be called, and before the response arrives.
+func TestOnSendFollowsConnection(t *testing.T) {
+	sent := make(chan struct{}, 2)
+	p := newTestPeer(t, func(p *testPeer, c net.Conn, reader *bufio.Reader) {
+		id := p.readRequest(reader)
+		<-sent
+		writeResponse(c, id, "done")
+	})
+	r := newRequest(p, http.MethodPost, "1")
+	r.OnSend = func() { sent <- struct{}{} }
+	if text, err := doRequest(t, newPool(), r); err != nil || text != "done" {
+		t.Fatal(text, err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Address = l.Addr().String()
+	_ = l.Close()
+	if _, err = doRequest(t, newPool(), r); err == nil || len(sent) != 0 {
+		t.Errorf("%v, %d calls without a connection", err, len(sent))
+	}
+}
+
 // The client cancels while its request is running. The connection must be closed
 // at once, because that makes the peer stop.
 func TestCancelledRequestClosesConnection(t *testing.T) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -396,11 +396,15 @@
 }
 
 // openRun makes an attempt that runs the request one that may be taken over, if the request may
-// run at another worker. It returns a function that stops its timers.
-func (f *inflight) openRun(ctx context.Context, cancel context.CancelFunc, a *placement.Attempt) (*openAttempt, func()) {
+// run at another worker. It sets what s does once the request is sent, and returns a function that
+// stops the timers of the attempt.
+func (f *inflight) openRun(
+	ctx context.Context, cancel context.CancelFunc, a *placement.Attempt, s *kumquatlug.AttemptOptions,
+) (*openAttempt, func()) {
 	var accept, overdue *time.Timer
 	if t := f.takeover; t != nil && f.route.Stream() {
-		accept = time.AfterFunc(acceptDelay.Duration(), func() { t.accept() })
+		// An attempt to connect may take longer and fail.
+		s.OnSend = func() { accept = time.AfterFunc(acceptDelay.Duration(), func() { t.accept() }) }
 	}
 	var o *openAttempt
 	if f.route.Repeatable() && f.possibleRuns+1 < f.route.MaxWorkers() {
@@ -443,7 +447,7 @@
 	}
 	call, cancel := context.WithCancel(ctx)
 	defer cancel()
-	o, stop := f.openRun(ctx, cancel, a)
+	o, stop := f.openRun(ctx, cancel, a, &s)
 	defer stop()
 	f.unusedCharge = false
 	request := f.request
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -39,6 +39,8 @@
 	move     func(ctx context.Context, from, to string) (kumquatlug.KVCacheRef, error)
 	state    func() (kumquatlug.EngineState, error)
 	order    func() (bool, error)
+	// unreachable reports whether no connection can be made for an attempt, nil if none fails.
+	unreachable func(c workerCall) bool
 }
 
 func (w *fakeWorkers) record(c workerCall) int {
@@ -65,6 +67,9 @@
 	ctx context.Context, to kumquatlug.Worker, a kumquatlug.Request, s kumquatlug.AttemptOptions,
 ) (kumquatlug.WorkerResponse, error) {
 	c := workerCall{worker: to.ID(), request: a, options: s}
+	if s.OnSend != nil && (w.unreachable == nil || !w.unreachable(c)) {
+		s.OnSend()
+	}
 	return w.run(ctx, w.record(c), c)
 }
 
--- a/internal/gateway/takeover_test.go
+++ b/internal/gateway/takeover_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/prometheus/client_golang/prometheus/testutil"
 
+	"github.com/kumquatlug/kumquatlug/internal/exchange"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
 
@@ -96,6 +97,20 @@
 	streamAll(t, newTestGateway(t, &fakeWorkers{run: silentEngine(true)}, manyRetries))
 }
 
+// An engine falls silent and goes on while no connection can be made to the other one: its streams
+// must not be cut before that one has received the request.
+func TestStreamsOfSilentEngineGoOnIfOthersAreUnreachable(t *testing.T) {
+	unreachable := func(c workerCall) bool { return c.options.LastEventID > 0 }
+	respond := silentEngine(false)
+	streamAll(t, newTestGateway(t, &fakeWorkers{unreachable: unreachable, run: func(ctx context.Context, n int, c workerCall) (kumquatlug.WorkerResponse, error) {
+		if !unreachable(c) {
+			return respond(ctx, n, c)
+		}
+		sleep(ctx, exchange.DialTimeout)
+		return kumquatlug.WorkerResponse{}, kumquatlug.NewFailure(kumquatlug.FailureConfig{Step: "connect", Reason: "peer_failed", Execution: kumquatlug.NotExecuted})
+	}}, manyRetries))
+}
+
 // The continuation of a silent stream is accepted by another engine that is silent, too. Both
 // engines go on: the stream must arrive whole.
 func TestStreamContinuesIfBothEnginesFallSilent(t *testing.T) {
--- a/pkg/kumquatlug/gateway.go
+++ b/pkg/kumquatlug/gateway.go
@@ -194,6 +194,9 @@
 	Priority int
 	// Cache is the prompt's KV cache to import, zero for none.
 	Cache KVCacheRef
+	// OnSend is called once there is a connection, just before the request is sent on it; nil
+	// for none. It must not block, and is not called after the call of the worker has returned.
+	OnSend func()
 }
 
 // WorkerResponse is a worker's response to an attempt.
