Await the copy of a stream that may run only once

What callers would see: a stream that may run only once is cut when its engine is silent for 0.7 s while it copies the KV cache for a move: the engine has stopped the stream by then, and the call that returns the copy was canceled.

Fix: such a call lasts as long as the request. A stream that may be repeated still gives the copy up after 0.7 s and resumes elsewhere.

TestSlowMoveOfNonRepeatableStreamIsAwaited covers it; it was not run on the code before.

--- a/internal/gateway/transfer.go
+++ b/internal/gateway/transfer.go
@@ -40,7 +40,12 @@
 	}
 	t := &transfer{choice: choice, attempt: attempt, done: make(chan struct{})}
 	a.transfer.Store(t)
-	call, cancel := context.WithTimeout(a.requestCtx, moveTimeout.Duration())
+	timeout := moveTimeout
+	if !f.route.Repeatable() {
+		// Once its engine has stopped the stream, only the copy can continue it.
+		timeout = f.timeLeft()
+	}
+	call, cancel := context.WithTimeout(a.requestCtx, timeout.Duration())
 	defer cancel()
 	cache, err := f.g.c.Workers.MoveStream(call, a.choice.Worker(), request, choice.Worker())
 	if err != nil {
--- a/internal/gateway/transfer_test.go
+++ b/internal/gateway/transfer_test.go
@@ -36,7 +36,7 @@
 
 // moveOneStream serves one stream of thirty events at one engine. Once the stream has
 // started, the engine is announced to change its role to prefill.
-func moveOneStream(t *testing.T, path string, w *fakeWorkers, move func(moved chan struct{}) (kumquatlug.KVCacheRef, error)) clientResponse {
+func moveOneStream(t *testing.T, path string, w *fakeWorkers, move func(ctx context.Context, moved chan struct{}) (kumquatlug.KVCacheRef, error)) clientResponse {
 	t.Helper()
 	const last = 30
 	moved, started := make(chan struct{}), make(chan string, 1)
@@ -50,7 +50,7 @@
 			Status: 200, Header: http.Header{"Stamp": {"s"}}, Length: -1, Body: &movedBody{next: 1, last: last, moved: moved},
 		}), nil
 	}
-	w.move = func(context.Context, string, string) (kumquatlug.KVCacheRef, error) { return move(moved) }
+	w.move = func(ctx context.Context, _, _ string) (kumquatlug.KVCacheRef, error) { return move(ctx, moved) }
 	f := newTestGateway(t, w, manyRetries)
 	response := make(chan clientResponse, 1)
 	go func() { response <- f.do(context.Background(), http.MethodPost, path) }()
@@ -72,7 +72,7 @@
 			}
 			return streamResponse(int(c.options.LastEventID)+1, 30), nil
 		}
-		response := moveOneStream(t, path, w, func(moved chan struct{}) (kumquatlug.KVCacheRef, error) {
+		response := moveOneStream(t, path, w, func(_ context.Context, moved chan struct{}) (kumquatlug.KVCacheRef, error) {
 			close(moved)
 			return kumquatlug.NewKVCacheRef("10.0.0.1:1", "copy"), nil
 		})
@@ -86,6 +86,24 @@
 	}
 }
 
+// The engine of a stream that may run only once is silent for a second while it copies the KV
+// cache, after it has stopped the stream: giving the copy up would cut the stream.
+func TestSlowMoveOfNonRepeatableStreamIsAwaited(t *testing.T) {
+	w := &fakeWorkers{run: func(_ context.Context, _ int, c workerCall) (kumquatlug.WorkerResponse, error) {
+		return streamResponse(int(c.options.LastEventID)+1, 30), nil
+	}}
+	response := moveOneStream(t, chatRoute, w, func(ctx context.Context, moved chan struct{}) (kumquatlug.KVCacheRef, error) {
+		close(moved)
+		if !sleep(ctx, moveTimeout+200) {
+			return kumquatlug.KVCacheRef{}, lostConnection()
+		}
+		return kumquatlug.NewKVCacheRef("10.0.0.1:1", "copy"), nil
+	})
+	if response.err != nil || response.body != events(1, 30) {
+		t.Errorf("%d bytes, %v", len(response.body), response.err)
+	}
+}
+
 // A stream ends before it can be moved. Its engine reports that it does not run there
 // any more, and the client must receive the end of the stream.
 func TestFailedMoveKeepsStream(t *testing.T) {
@@ -93,7 +111,7 @@
 		t.Error("the request was sent again")
 		return kumquatlug.WorkerResponse{}, lostConnection()
 	}}
-	response := moveOneStream(t, chatRoute, w, func(chan struct{}) (kumquatlug.KVCacheRef, error) {
+	response := moveOneStream(t, chatRoute, w, func(context.Context, chan struct{}) (kumquatlug.KVCacheRef, error) {
 		return kumquatlug.KVCacheRef{}, kumquatlug.ErrNotFound
 	})
 	if response.err != nil || response.body != events(1, 30) {
@@ -108,7 +126,7 @@
 	w := &fakeWorkers{run: func(context.Context, int, workerCall) (kumquatlug.WorkerResponse, error) {
 		return refusedResponse(), nil
 	}}
-	response := moveOneStream(t, chatRoute, w, func(moved chan struct{}) (kumquatlug.KVCacheRef, error) {
+	response := moveOneStream(t, chatRoute, w, func(_ context.Context, moved chan struct{}) (kumquatlug.KVCacheRef, error) {
 		close(moved)
 		return kumquatlug.NewKVCacheRef("10.0.0.1:1", "copy"), nil
 	})
