Give up the copy of a moved stream when a takeover replaces it

Found by the review: the copy, its slot and its memory at the other engine stayed until the stream had ended elsewhere, since they were released when the handler of the replaced attempt returned.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -154,6 +154,7 @@
 	return a.open.settle(alive, func() {
 		f.endFailedAttempt(a.open.request, stageOutput, a.attempt, endCauseOf(a.requestCtx, a.attemptCtx), kumquatlug.ExecutionUnknown)
 		a.response.Body().Close()
+		f.abandon(a)
 	})
 }
 
