Charge the takeover of a handed-off request once, and release its cache

Found by the review, by reading: each takeover of a transfer charged the retry budget anew although a charge had not been used, counted the request's arrival again, which raises the budget, and left a refused KV cache to expire at its engine.

--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -339,23 +339,20 @@
 func (f *inflight) openTransfer(ctx context.Context, cancel context.CancelFunc, t *peerTransfer) *openAttempt {
 	// The peer may use all workers but the last.
 	runs := f.route.MaxWorkers() - 1
-	charged := false
+	recorded := false
 	return &openAttempt{
 		f: f, ctx: ctx, cancel: cancel, peer: t.offer.Peer(), watch: func() { t.silent.Store(false) },
 		begin: func() {
-			charged = false
 			f.attempts++
 			f.possibleRuns += runs
+			// The continuation is a retry.
+			f.deliveries++
 			f.usageCounted = f.responseStarted
 			f.elapsed = f.g.c.Clock.Now() - f.arrived
 		},
 		try: func(ctx context.Context) *attemptFailure {
-			if !charged {
-				// A continuation is a retry, and is charged before anything is sent to a worker.
-				if final := f.chargeRetry(); final != nil {
-					return &attemptFailure{permanent: true, failure: final}
-				}
-				charged = true
+			if !recorded {
+				recorded = true
 				f.recordArrival()
 			}
 			if failed := f.admitToLink(); failed != nil {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -107,6 +107,8 @@
 		return
 	}
 	if o.handoff == nil && f.handOff(r) {
+		// A takeover may have left a cache.
+		g.releaseCache(f.refusedCache)
 		return
 	}
 	f.serve(r.Context())
