Bound the prefills of a takeover that finds no engine to decode

Found by the review: while a worker is silent, each retry that the budget yields could buy another prefill whose output then finds no retry.

--- a/internal/gateway/takeover.go
+++ b/internal/gateway/takeover.go
@@ -248,11 +248,17 @@
 // serveElsewhere makes attempts for a takeover until one serves the request or none is allowed.
 func (f *inflight) serveElsewhere(ctx context.Context, t *takeover) *attemptFailure {
 	for {
+		prefills := f.recovery.prefills
 		failed := t.open.try(ctx)
-		switch {
-		case failed == nil:
+		if failed == nil {
 			return nil
-		case failed.worker == "" && failed.failure.Status() != http.StatusUnauthorized && t.waitForWorker(ctx):
+		}
+		if f.recovery.prefills > prefills {
+			// The prompt was prefilled in vain, which may not go on for as long as the worker is silent.
+			f.attempts++
+		}
+		switch {
+		case failed.worker == "" && f.attempts < maxAttempts && failed.failure.Status() != http.StatusUnauthorized && t.waitForWorker(ctx):
 			// A retry that was charged and not sent is not charged again.
 			f.recovery.repeatCharged = f.recovery.repeatCharged || f.unusedCharge
 			continue
