Leave the tests of silent workers more time until their route's time-out

TestStreamContinuesIfBothEnginesFallSilent needed 1.2 of 1.5 s and failed in two race runs of the package beside a load of 40: the streams were cut by the route's time-out, not by a suspicion. The silence is half a second now, three times as long as it takes until an engine counts as unresponsive; what is checked stays.

--- a/internal/gateway/takeover_test.go
+++ b/internal/gateway/takeover_test.go
@@ -17,7 +17,7 @@
 
 // silence is how long the workers of these tests send nothing before they go on. It is several
 // times as long as it takes until a worker counts as unresponsive.
-const silence = 700 * time.Millisecond
+const silence = 500 * time.Millisecond
 
 // silentBody is a paced stream that sends nothing for a while after the event with number after.
 type silentBody struct {
@@ -146,7 +146,7 @@
 func TestPromptAtSilentEngineIsServedWithoutRetryBudget(t *testing.T) {
 	w := &fakeWorkers{
 		prefill: func(ctx context.Context, _ int, _ workerCall) (kumquatlug.KVCacheRef, kumquatlug.WorkerResponse, error) {
-			if !sleep(ctx, kumquatlug.Millis(silence*3/2/time.Millisecond)) {
+			if !sleep(ctx, 1050) {
 				return kumquatlug.KVCacheRef{}, kumquatlug.WorkerResponse{}, lostConnection()
 			}
 			return kumquatlug.NewKVCacheRef("10.0.0.1:1", "h"), wholeResponse(200, ""), nil
