Prefill in the usual time in the test of reported transfers

TestSlowTransfersAreReported failed in 22 of 60 race runs, one at a time: 2 failed transfers were counted, want 3.

Cause: the fake engine prefilled in no time, so that the decode engine looked fast enough to prefill the second prompt itself and its transfer was never tried.

--- a/internal/gateway/kvtransfer_test.go
+++ b/internal/gateway/kvtransfer_test.go
@@ -25,6 +25,13 @@
 	return streamResponse(1, 3), nil
 }
 
+// prefillInUsualTime takes the usual time of a prefill. With the time of a call to the fake, the
+// engines would look so fast that prompts may be prefilled at the engine that decodes.
+func prefillInUsualTime(context.Context, int, workerCall) (kumquatlug.KVCacheRef, kumquatlug.WorkerResponse, error) {
+	<-time.After(40 * time.Millisecond)
+	return kumquatlug.NewKVCacheRef("10.0.0.1:1", "h"), wholeResponse(200, ""), nil
+}
+
 // No transfer succeeds. The second prefill of the prompt must be at the engine that decodes:
 // on two engines again, it would be wasted, too.
 func TestPromptRunsOnOneEngineAfterFailedTransfers(t *testing.T) {
@@ -61,12 +68,7 @@
 			Status: http.StatusMisdirectedRequest, Body: io.NopCloser(strings.NewReader("")), Refused: true,
 		}), nil
 	}}
-	// A prefill takes its usual time. With the time of a call to the fake, the engines would look
-	// so fast that the second prefill may be at the engine that decodes.
-	w.prefill = func(context.Context, int, workerCall) (kumquatlug.KVCacheRef, kumquatlug.WorkerResponse, error) {
-		<-time.After(40 * time.Millisecond)
-		return kumquatlug.NewKVCacheRef("10.0.0.1:1", "h"), wholeResponse(200, ""), nil
-	}
+	w.prefill = prefillInUsualTime
 	f := newTestGateway(t, w, manyRetries)
 	f.g.scheduler.syncMembers(f.g.c.Clock.Now(), map[string][]kumquatlug.Member{"engines": {
 		member("p1", kumquatlug.RolePrefill), member("p2", kumquatlug.RolePrefill), member("d1", kumquatlug.RoleDecode),
@@ -112,7 +114,7 @@
 // An engineer on call must see that transfers fail: once in the log, and as metrics.
 func TestSlowTransfersAreReported(t *testing.T) {
 	core, logged := observer.New(zap.InfoLevel)
-	f := newTestGateway(t, &fakeWorkers{run: refuseCaches}, manyRetries)
+	f := newTestGateway(t, &fakeWorkers{run: refuseCaches, prefill: prefillInUsualTime}, manyRetries)
 	f.g.c.Logger = zap.New(core)
 	f.g.scheduler.service("engines").engines = true
 	// The first request tries two engines, the second one runs on one engine after its first failure.
