--- a/internal/entry/guard_test.go
+++ b/internal/entry/guard_test.go
@@ -232,14 +232,25 @@
 	}
 }
 
-func receive[T any](t *testing.T, c <-chan T) T {
+// awaitSignal waits for a value.
+func awaitSignal(t *testing.T, c <-chan struct{}) {
 	t.Helper()
 	select {
-	case v := <-c:
-		return v
+	case <-c:
 	case <-time.After(10 * time.Second):
 		t.Fatal("nothing within 10 s")
-		panic("unreachable")
+	}
+}
+
+// receive waits for an answer.
+func receive(t *testing.T, c <-chan answer) answer {
+	t.Helper()
+	select {
+	case a := <-c:
+		return a
+	case <-time.After(10 * time.Second):
+		t.Fatal("nothing within 10 s")
+		return answer{}
 	}
 }
 
@@ -293,9 +304,9 @@
 	resume := make(chan struct{})
 	h := newGatewayHarness(t, map[string]*agentStub{"engine-1": newAgentStub(pausingStream(resume))})
 	answers := h.stream()
-	time.Sleep(100 * time.Millisecond)
+	<-time.After(100 * time.Millisecond)
 	h.missHeartbeats()
-	time.Sleep(dispatch.NoTargetGrace.Duration() + 1500*time.Millisecond)
+	<-time.After(dispatch.NoTargetGrace.Duration() + 1500*time.Millisecond)
 	close(resume)
 	h.expectWhole(answers)
 }
@@ -306,9 +317,9 @@
 	resume := make(chan struct{})
 	h := newGatewayHarness(t, stubs(pausingStream(resume), refuseFull))
 	answers := h.stream()
-	time.Sleep(100 * time.Millisecond)
+	<-time.After(100 * time.Millisecond)
 	h.missHeartbeats()
-	receive(t, h.other().arrived)
+	awaitSignal(t, h.other().arrived)
 	close(resume)
 	h.expectWhole(answers)
 }
@@ -319,11 +330,11 @@
 	resume := make(chan struct{})
 	h := newGatewayHarness(t, stubs(pausingStream(resume), func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
 	answers := h.stream()
-	time.Sleep(100 * time.Millisecond)
+	<-time.After(100 * time.Millisecond)
 	h.missHeartbeats()
-	receive(t, h.other().arrived)
+	awaitSignal(t, h.other().arrived)
 	close(resume)
-	receive(t, h.other().ended)
+	awaitSignal(t, h.other().ended)
 	h.expectWhole(answers)
 	_ = h.loop.query(t.Context(), func(d *dispatch.Dispatcher) {
 		for name := range h.agents {
@@ -342,9 +353,9 @@
 		writeEnd(w, 2)
 	}))
 	answers := h.stream()
-	time.Sleep(100 * time.Millisecond)
+	<-time.After(100 * time.Millisecond)
 	h.missHeartbeats()
-	receive(t, h.agents[h.first].ended)
+	awaitSignal(t, h.agents[h.first].ended)
 	h.expectWhole(answers)
 }
 
@@ -355,15 +366,20 @@
 	h := newGatewayHarness(t, stubs(pausingStream(nil), func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusProcessing)
 		admitted <- time.Now()
-		time.Sleep(time.Second)
+		<-time.After(time.Second)
 		startStream(w)
 		writeEnd(w, 2)
 	}))
 	answers := h.stream()
-	time.Sleep(100 * time.Millisecond)
+	<-time.After(100 * time.Millisecond)
 	h.missHeartbeats()
-	at := receive(t, admitted)
-	receive(t, h.agents[h.first].ended)
+	var at time.Time
+	select {
+	case at = <-admitted:
+	case <-time.After(10 * time.Second):
+		t.Fatal("nothing was admitted within 10 s")
+	}
+	awaitSignal(t, h.agents[h.first].ended)
 	if overlap := time.Since(at); overlap > 400*time.Millisecond {
 		t.Errorf("the runs overlapped by %s", overlap)
 	}
@@ -385,11 +401,11 @@
 		writeEnd(w, 2)
 	}))
 	answers := h.stream()
-	time.Sleep(100 * time.Millisecond)
+	<-time.After(100 * time.Millisecond)
 	h.missHeartbeats()
-	receive(t, h.other().arrived)
+	awaitSignal(t, h.other().arrived)
 	close(fail)
-	time.Sleep(50 * time.Millisecond)
+	<-time.After(50 * time.Millisecond)
 	close(proceed)
 	h.expectWhole(answers)
 }
@@ -411,7 +427,7 @@
 	}, refuseFull))
 	answers := h.stream()
 	for range membership.DownAfterMissed {
-		time.Sleep(100 * time.Millisecond)
+		<-time.After(100 * time.Millisecond)
 		h.loop.post(heartbeatMissed{h.first})
 	}
 	h.expectWhole(answers)
@@ -432,7 +448,7 @@
 	})})
 	answers := h.request(http.MethodGet, "/services/read/x", "")
 	h.missHeartbeats()
-	time.Sleep(dispatch.NoTargetGrace.Duration() + 1500*time.Millisecond)
+	<-time.After(dispatch.NoTargetGrace.Duration() + 1500*time.Millisecond)
 	close(resume)
 	if a := receive(t, answers); a.status != http.StatusOK || a.body != "done" {
 		t.Fatalf("%+v", a)
@@ -456,9 +472,9 @@
 		}
 	}, refuseFull))
 	answers := h.request(http.MethodGet, "/services/read/x", "")
-	time.Sleep(200 * time.Millisecond)
+	<-time.After(200 * time.Millisecond)
 	h.missHeartbeats()
-	time.Sleep(100 * time.Millisecond)
+	<-time.After(100 * time.Millisecond)
 	close(resume)
 	if a := receive(t, answers); a.err != nil || a.body != part+"end" {
 		t.Fatalf("status %d, %d bytes, error %v", a.status, len(a.body), a.err)
@@ -475,12 +491,12 @@
 			return
 		}
 		w.WriteHeader(http.StatusProcessing)
-		time.Sleep(2 * admittedDelay)
+		<-time.After(2 * admittedDelay)
 		refuseFull(w, r)
 	}))
 	answers := h.request(http.MethodGet, "/services/read/x", "")
 	h.missHeartbeats()
-	receive(t, h.agents[h.first].ended)
+	awaitSignal(t, h.agents[h.first].ended)
 	if a := receive(t, answers); a.status != http.StatusOK || a.body != "done" {
 		t.Fatalf("%+v", a)
 	}
@@ -496,19 +512,19 @@
 	if a := receive(t, answers); a.status < 500 || time.Since(start) > 4*time.Second {
 		t.Fatalf("after %s: %+v", time.Since(start), a)
 	}
-	receive(t, h.agents[h.first].ended)
+	awaitSignal(t, h.agents[h.first].ended)
 }
 
 // The caller leaves while a continuation is being secured. Both attempts must end.
 func TestCallerLeavesWhileContinuationIsSecured(t *testing.T) {
 	h := newGatewayHarness(t, stubs(pausingStream(nil), func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
 	h.stream()
-	time.Sleep(100 * time.Millisecond)
+	<-time.After(100 * time.Millisecond)
 	h.missHeartbeats()
-	receive(t, h.other().arrived)
+	awaitSignal(t, h.other().arrived)
 	h.leave()
-	receive(t, h.other().ended)
-	receive(t, h.agents[h.first].ended)
+	awaitSignal(t, h.other().ended)
+	awaitSignal(t, h.agents[h.first].ended)
 }
 
 // runOnceAgent is an agent that runs calls under their claims. It reads nothing of the
@@ -617,9 +633,9 @@
 	resume := make(chan struct{})
 	h, runs := newRunOnceGateway(t, []string{"service-1", "service-2"}, noWait, waitFor(resume), nil)
 	answers := h.request(http.MethodPost, "/services/read/x", "order")
-	time.Sleep(200 * time.Millisecond)
+	<-time.After(200 * time.Millisecond)
 	h.missHeartbeats()
-	time.Sleep(300 * time.Millisecond)
+	<-time.After(300 * time.Millisecond)
 	close(resume)
 	h.expectOneRun(answers, runs)
 }
@@ -631,7 +647,7 @@
 	h, runs := newRunOnceGateway(t, []string{"service-1"}, waitFor(resume), noWait, nil)
 	answers := h.request(http.MethodPost, "/services/read/x", "order")
 	h.missHeartbeats()
-	time.Sleep(300 * time.Millisecond)
+	<-time.After(300 * time.Millisecond)
 	close(resume)
 	h.expectOneRun(answers, runs)
 }
@@ -643,10 +659,10 @@
 	h, runs := newRunOnceGateway(t, []string{"service-1", "service-2"}, waitFor(resume), noWait, nil)
 	answers := h.request(http.MethodPost, "/services/read/x", "order")
 	h.missHeartbeats()
-	receive(t, h.other().arrived)
+	awaitSignal(t, h.other().arrived)
 	close(resume)
 	h.expectOneRun(answers, runs)
-	receive(t, h.agents[h.first].ended)
+	awaitSignal(t, h.agents[h.first].ended)
 	if n := runs.Load(); n != 1 {
 		t.Errorf("%d runs", n)
 	}
@@ -657,7 +673,7 @@
 func TestLargeAnswerOfClaimHolderIsDelivered(t *testing.T) {
 	h, _ := newRunOnceGateway(t, []string{"service-1", "service-2"}, noWait, func(r *http.Request) { <-r.Context().Done() }, writeSlowly)
 	answers := h.request(http.MethodPost, "/services/read/x", "order")
-	time.Sleep(200 * time.Millisecond)
+	<-time.After(200 * time.Millisecond)
 	h.missHeartbeats()
 	if a := receive(t, answers); a.err != nil || a.body != largePart+"end" {
 		t.Fatalf("status %d, %d bytes, %v", a.status, len(a.body), a.err)
