Take the metrics port of a test from those that no other socket may take

Cause: the test took the port of the readiness check plus 30,000, which lies in the range from which the system gives ports to any socket. The site now hands out addresses as it does for its gateways. The collision itself was not brought about again.

--- a/internal/standin/site/port.go
+++ b/internal/standin/site/port.go
@@ -34,6 +34,13 @@
 	return 0, errors.Newf("no free port after %d attempts", maxPortAttempts)
 }
 
+// FreeAddress returns a loopback address whose port is free for TCP and UDP and was not returned
+// before, in host:port form.
+func FreeAddress() (string, error) {
+	port, err := freePort()
+	return loopbackAddress(port), err
+}
+
 func portFree(port int) bool {
 	listener, err := net.Listen("tcp", loopbackAddress(port))
 	if err != nil {
--- a/test/front/accounts_test.go
+++ b/test/front/accounts_test.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -69,20 +67,16 @@
 		t.Errorf("the log contains a key: %s", lines[0])
 	}
 	p.kill()
-	_, portText, err := net.SplitHostPort(p.readyAddr)
+	metricsAddr, err := site.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	n, err := strconv.Atoi(portText)
-	if err != nil {
-		t.Fatal(err)
-	}
-	p.flags = []string{"--log-level", "debug", "--metrics-listen", net.JoinHostPort("127.0.0.1", strconv.Itoa(n+30_000))}
+	p.flags = []string{"--log-level", "debug", "--metrics-listen", metricsAddr}
 	p.start()
 	p.waitReady()
 	requireComplete(t, p.doWithKey(northKey, http.MethodPost, site.PathNonIdempotent+"x", "n5", nil), fleet.ResponseBody("n5"))
 	p.doWithKey("none-secret-3", http.MethodPost, site.PathNonIdempotent+"x", "x3", nil)
-	response, err := http.Get("http://" + p.flags[3] + "/metrics")
+	response, err := http.Get("http://" + metricsAddr + "/metrics")
 	if err != nil {
 		t.Fatal(err)
 	}
