Log and count how the body of a worker's response is framed and how it ended

The log of a stream that its engine broke off said "answered" and nothing else, so that three hypotheses of the incident couldn't be told apart: the end of a connection, the engine's own last chunk, or a reset taken for an end. Lines of a request now carry framing and body_end, and kumquatlug_gateway_body_ends_total counts both. No decision changes.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -327,7 +327,7 @@
 	}
 	b.closed = true
 	stopped := b.stopCancel()
-	framed := b.response.ContentLength >= 0 || len(b.response.TransferEncoding) > 0
+	framed := FramingOf(b.response) != kumquatlug.FramingConnection
 	if !b.eof || !stopped || !framed || b.response.Close || b.conn.writing.Load() || b.conn.reader.Buffered() > 0 {
 		return b.conn.Close()
 	}
@@ -335,6 +335,17 @@
 	return nil
 }
 
+// FramingOf returns how a response marks the end of its body.
+func FramingOf(r *http.Response) kumquatlug.Framing {
+	switch {
+	case r.ContentLength >= 0:
+		return kumquatlug.FramingLength
+	case len(r.TransferEncoding) > 0:
+		return kumquatlug.FramingChunks
+	}
+	return kumquatlug.FramingConnection
+}
+
 // peerIdleTimeout returns how long the connection may stay idle: the timeout of the
 // Keep-Alive header less idleMargin, else defaultIdleTimeout.
 func peerIdleTimeout(h http.Header) kumquatlug.Millis {
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -49,6 +49,9 @@
 	workerErrored bool
 	// endedBy is what ended the last attempt that had been sent.
 	endedBy endCause
+	// framing and bodyEnd describe the last body of a worker's response that ended, empty for none.
+	framing kumquatlug.Framing
+	bodyEnd bodyEnd
 	// usageCounted is set once the request has been counted as started.
 	usageCounted bool
 	// withdrawnRuns counts the runs of takeovers that were withdrawn before their workers
@@ -291,14 +294,18 @@
 }
 
 // logFields returns the fields that the log lines of a request have in common: the
-// route, the account, the version of the config that selected them, the time taken and
-// the time left.
+// route, the account, the version of the config that selected them, the time taken, the
+// time left, and how the last body ended.
 func (f *inflight) logFields() []zap.Field {
 	now := f.g.c.Clock.Now()
-	return []zap.Field{
+	fields := []zap.Field{
 		zap.String("route", f.route.Name()), zap.String("account", f.request.Account()), zap.Int64("config", f.configVersion),
 		zap.Int64("took_ms", int64(now-f.arrived)), zap.Int64("left_ms", int64(f.deadline-now)),
 	}
+	if f.bodyEnd != "" {
+		fields = append(fields, zap.String("framing", string(f.framing)), zap.String("body_end", string(f.bodyEnd)))
+	}
+	return fields
 }
 
 // logFailure logs the failure of an attempt.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -11,6 +11,7 @@
 type metrics struct {
 	responses     *prometheus.CounterVec
 	attempts      *prometheus.CounterVec
+	bodyEnds      *prometheus.CounterVec
 	latency       *prometheus.HistogramVec
 	storeReads    *prometheus.CounterVec
 	orders        *prometheus.CounterVec
@@ -48,6 +49,9 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "kumquatlug_gateway_attempts_total", Help: "Attempts at workers by stage and outcome.",
 		}, []string{"stage", "outcome"}),
+		bodyEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kumquatlug_gateway_body_ends_total", Help: "Bodies of workers' responses by how their end is marked and how they ended.",
+		}, []string{"framing", "end"}),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "kumquatlug_gateway_first_output_seconds", Help: "Time to the first output.", Buckets: latencyBuckets,
 		}, []string{"priority"}),
@@ -113,7 +117,7 @@
 // collectors returns all metrics.
 func (m *metrics) collectors() []prometheus.Collector {
 	return []prometheus.Collector{
-		m.responses, m.attempts, m.latency, m.storeReads, m.orders, m.unresponsive, m.takeovers, m.configVersion, m.estimates, m.permits, m.denied,
+		m.responses, m.attempts, m.bodyEnds, m.latency, m.storeReads, m.orders, m.unresponsive, m.takeovers, m.configVersion, m.estimates, m.permits, m.denied,
 		m.fencingToken, m.usageReports, m.usageOpen, m.worstAccounts, m.limit, m.limitSent, m.shuttingDown, m.storeEra,
 		m.kvTransfers, m.prefilledTokens,
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -51,6 +51,25 @@
 // worker returns the name of the worker.
 func (a *relayedAttempt) worker() string { return a.choice.Worker().ID() }
 
+// bodyEnd is how the body of a worker's response ended.
+type bodyEnd string
+
+// Ends of bodies.
+const (
+	// bodyComplete: the body ended as its framing says, and a stream ended between two events.
+	bodyComplete bodyEnd = "complete"
+	// bodyInsideEvent: the body ended as its framing says, but inside an event.
+	bodyInsideEvent bodyEnd = "inside_event"
+	// bodyBroken: the body broke off.
+	bodyBroken bodyEnd = "broken"
+)
+
+// recordBodyEnd counts how the body of a response ended.
+func (f *inflight) recordBodyEnd(a *relayedAttempt, end bodyEnd) {
+	f.g.metrics.bodyEnds.WithLabelValues(string(a.response.Framing()), string(end)).Inc()
+	f.framing, f.bodyEnd = a.response.Framing(), end
+}
+
 // relay forwards the response of a worker to the client.
 func (f *inflight) relay(a *relayedAttempt) *attemptFailure {
 	defer a.response.Body().Close()
@@ -120,6 +139,7 @@
 	if failed := f.relayRest(a, out, int64(len(head)) == size); failed != nil {
 		return failed
 	}
+	f.recordBodyEnd(a, bodyComplete)
 	outcome := placement.OutcomeServed
 	if status >= http.StatusInternalServerError {
 		outcome = placement.OutcomeFailed
@@ -160,6 +180,7 @@
 
 // responseBroken records a response that broke off before its end.
 func (f *inflight) responseBroken(a *relayedAttempt, err error) *attemptFailure {
+	f.recordBodyEnd(a, bodyBroken)
 	cause := endCauseOf(a.requestCtx, a.attemptCtx)
 	f.endFailedAttempt(f.request, stageOutput, a.attempt, cause, kumquatlug.ExecutionUnknown)
 	return &attemptFailure{worker: a.worker(), endedBy: cause, failure: kumquatlug.NewFailure(kumquatlug.FailureConfig{
@@ -200,6 +221,7 @@
 		}
 		pending = append(pending, buffer[:n]...)
 		complete := completeEvents(pending)
+		incomplete := len(pending) - complete
 		if err == io.EOF && a.transfer.Load() == nil || len(pending) > maxEventBytes {
 			complete = len(pending)
 		}
@@ -211,7 +233,7 @@
 			pending = pending[:copy(pending, pending[complete:])]
 		}
 		if err != nil {
-			return f.streamEnded(a, flush, pending, err)
+			return f.streamEnded(a, flush, pending, incomplete, err)
 		}
 	}
 }
@@ -219,7 +241,7 @@
 // streamEnded handles the end of an engine's response: the stream was moved and
 // continues there, or it is complete, or it broke off. The pending bytes are an
 // incomplete event; they were held back while the stream might have been moved.
-func (f *inflight) streamEnded(a *relayedAttempt, flush *http.ResponseController, pending []byte, end error) *attemptFailure {
+func (f *inflight) streamEnded(a *relayedAttempt, flush *http.ResponseController, pending []byte, incomplete int, end error) *attemptFailure {
 	if t := f.takeTransfer(a); t != nil {
 		f.endAttempt(stageOutput, a.attempt, placement.OutcomeServed)
 		if !f.route.Repeatable() {
@@ -231,6 +253,11 @@
 	if !errors.Is(end, io.EOF) {
 		return f.responseBroken(a, end)
 	}
+	if incomplete > 0 {
+		f.recordBodyEnd(a, bodyInsideEvent)
+	} else {
+		f.recordBodyEnd(a, bodyComplete)
+	}
 	f.firstOutput(a)
 	if len(pending) > 0 {
 		if failed := f.forwardEvents(a, flush, pending); failed != nil {
--- a/internal/peerrequest/client.go
+++ b/internal/peerrequest/client.go
@@ -55,7 +55,7 @@
 	}
 	return kumquatlug.NewHandoffResponse(kumquatlug.HandoffResponseConfig{
 		Response: kumquatlug.NewWorkerResponse(kumquatlug.WorkerResponseConfig{
-			Status: response.StatusCode, Header: h, Length: response.ContentLength, Body: response.Body,
+			Status: response.StatusCode, Header: h, Length: response.ContentLength, Framing: exchange.FramingOf(response), Body: response.Body,
 		}),
 		Refused: refused, Ran: ran, Reason: reason,
 		GaveUp: func() bool { return response.Trailer.Get(headerRan) != "" },
--- a/pkg/kumquatlug/gateway.go
+++ b/pkg/kumquatlug/gateway.go
@@ -199,11 +199,26 @@
 	OnSend func()
 }
 
+// Framing is how a response marks the end of its body.
+type Framing string
+
+// Framings of responses.
+const (
+	// FramingLength: the header holds the length.
+	FramingLength Framing = "length"
+	// FramingChunks: the body comes in chunks, the last of which is empty.
+	FramingChunks Framing = "chunks"
+	// FramingConnection: the body ends with its connection. It can't be told from one whose sender
+	// stopped early and closed the connection without a reset.
+	FramingConnection Framing = "connection"
+)
+
 // WorkerResponse is a worker's response to an attempt.
 type WorkerResponse struct {
 	status       int
 	header       http.Header
 	length       int64
+	framing      Framing
 	body         io.ReadCloser
 	refused      bool
 	load         WorkerLoad
@@ -219,6 +234,8 @@
 	Header http.Header
 	// Length is the length of the body, -1 if unknown.
 	Length int64
+	// Framing says how the end of the body is marked.
+	Framing Framing
 	// Body must be closed; closing it early cancels the worker's work.
 	Body io.ReadCloser
 	// Refused says that the worker did not run the attempt and will not run it.
@@ -236,7 +253,7 @@
 // NewWorkerResponse returns the response that c describes.
 func NewWorkerResponse(c WorkerResponseConfig) WorkerResponse {
 	return WorkerResponse{
-		status: c.Status, header: c.Header, length: c.Length, body: c.Body, refused: c.Refused, load: c.Load, limit: c.Limit,
+		status: c.Status, header: c.Header, length: c.Length, framing: c.Framing, body: c.Body, refused: c.Refused, load: c.Load, limit: c.Limit,
 		shuttingDown: c.ShuttingDown, backoff: c.Backoff,
 	}
 }
@@ -250,6 +267,9 @@
 // Length returns the length of the body, -1 if unknown.
 func (r WorkerResponse) Length() int64 { return r.length }
 
+// Framing returns how the end of the body is marked.
+func (r WorkerResponse) Framing() Framing { return r.framing }
+
 // Body returns the body, to be read once and closed.
 func (r WorkerResponse) Body() io.ReadCloser { return r.body }
 
