Reproduce streams that are framed as complete although their engine broke them off

Stand-ins of engines and plain services can end a response with its connection: whole, inside an event or a body, or by a reset. On the code as it is a stream that ends so inside an event reaches the client with its torn event, status 200 and a proper end, in the gateway's package in each place of the event and over separate processes, and a resumable one isn't resumed. Resets are noticed and whole responses stay whole.

--- a/internal/standin/engine/completions.go
+++ b/internal/standin/engine/completions.go
@@ -198,7 +198,7 @@
 		c = choice{Message: &Message{Role: "assistant", Content: text}, Finish: c.Finish}
 		object = "chat.completion"
 	}
-	standin.WriteJSON(w, http.StatusOK, struct {
+	body, err := json.Marshal(struct {
 		ID      string   `json:"id"`
 		Object  string   `json:"object"`
 		Created int64    `json:"created"`
@@ -206,6 +206,11 @@
 		Choices []choice `json:"choices"`
 		Usage   usage    `json:"usage"`
 	}{request.id, object, 1, request.Model, []choice{c}, newUsage(s, s.totalTokens)})
+	if err != nil {
+		return err
+	}
+	w.Header().Set("Content-Type", "application/json")
+	standin.WriteEnding(w, http.StatusOK, append(body, '\n'), e.config.Ending)
 	return nil
 }
 
@@ -218,6 +223,10 @@
 	encoder := newEventEncoder(request, s)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Cache-Control", "no-cache")
+	ending := e.config.Ending
+	if ending != standin.EndingFramed {
+		standin.Unframe(w)
+	}
 	arrived := time.Now()
 	tokens := ResponseTokens(s.prompt, s.totalTokens)
 	for seen := s.resumedTokens; ; {
@@ -235,7 +244,17 @@
 		if seen == s.totalTokens {
 			break
 		}
-		if _, err := w.Write(encoder.drain()); err != nil {
+		events := encoder.drain()
+		if (ending == standin.EndingInside || ending == standin.EndingReset) && seen-s.resumedTokens > 1 {
+			// The next event is the one that is cut.
+			_, _ = w.Write(events[:len(events)-len("]}\n\n")])
+			flusher.Flush()
+			if ending == standin.EndingReset {
+				standin.Reset(w)
+			}
+			return nil
+		}
+		if _, err := w.Write(events); err != nil {
 			return err
 		}
 		flusher.Flush()
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -92,6 +92,8 @@
 	// StampTokens makes every streamed token a [Stamp] instead of a word, so that
 	// the latency between the engine and a client can be measured per token.
 	StampTokens bool
+	// Ending is how responses end; framed by default.
+	Ending standin.Ending
 }
 
 func (c Config) withDefaults() Config {
--- a/internal/standin/fleet/responses.go
+++ b/internal/standin/fleet/responses.go
@@ -8,8 +8,17 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/kumquatlug/kumquatlug/internal/standin"
 )
 
+// unframed reports whether responses with this fault end with their connection.
+func (f Fault) unframed() bool {
+	return f == FaultUnframed || f == FaultUnframedCut || f == FaultUnframedReset
+}
+
 // servePrefill prefills a prompt and returns the handle of its KV cache.
 func (w *Worker) servePrefill(out http.ResponseWriter, id, stage string, fault Fault, r *http.Request) {
 	if stage != "prefill" {
@@ -66,6 +75,9 @@
 // streamEvents sends the events after the one in the Last-Event-Id header.
 func (w *Worker) streamEvents(out http.ResponseWriter, r *http.Request, id string, fault Fault) {
 	out.Header().Set("Content-Type", "text/event-stream")
+	if fault.unframed() {
+		standin.Unframe(out)
+	}
 	flush := http.NewResponseController(out)
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	end := make(chan struct{})
@@ -90,17 +102,28 @@
 			panic(http.ErrAbortHandler)
 		default:
 		}
-		if fault == FaultTruncate && n == last+2 {
-			// The stream ends in the middle of an event.
-			_, _ = fmt.Fprintf(out, "id: %d\nda", n)
-			_ = flush.Flush()
-			panic(http.ErrAbortHandler)
+		event := fmt.Sprintf("id: %d\ndata: %s/%d\n\n", n, id, n)
+		if n == last+2 && (fault == FaultTruncate || fault == FaultUnframedCut || fault == FaultUnframedReset) {
+			endInside(out, event[:1+int(xxhash.Sum64String(id)%uint64(len(event)-1))], fault)
+			return
 		}
-		_, _ = fmt.Fprintf(out, "id: %d\ndata: %s/%d\n\n", n, id, n)
+		_, _ = io.WriteString(out, event)
 		_ = flush.Flush()
 	}
 }
 
+// endInside ends a stream in the middle of an event.
+func endInside(out http.ResponseWriter, part string, fault Fault) {
+	_, _ = io.WriteString(out, part)
+	_ = http.NewResponseController(out).Flush()
+	switch fault {
+	case FaultTruncate:
+		panic(http.ErrAbortHandler)
+	case FaultUnframedReset:
+		standin.Reset(out)
+	}
+}
+
 // ResponseBody returns the response of a plain worker to the attempt with this ID.
 func ResponseBody(id string) string { return strings.Repeat("answer to "+id+"\n", 40) }
 
@@ -112,6 +135,14 @@
 	w.awaitPauseEnd()
 	out.Header().Set("Request-Size", strconv.Itoa(bodyBytes))
 	text := ResponseBody(id)
+	switch fault {
+	case FaultUnframed:
+		standin.WriteEnding(out, http.StatusOK, []byte(text), standin.EndingConnection)
+		return
+	case FaultUnframedCut, FaultUnframedReset:
+		standin.WriteEnding(out, http.StatusOK, []byte(text), standin.EndingReset)
+		return
+	}
 	out.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	if fault == FaultTruncate {
 		_, _ = io.WriteString(out, text[:len(text)/2])
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -35,6 +35,14 @@
 	FaultSilent Fault = "silent"
 	// FaultError: requests run and get status 500.
 	FaultError Fault = "error"
+	// FaultUnframed: responses are complete, have neither a length nor chunks and end with their
+	// connection.
+	FaultUnframed Fault = "unframed"
+	// FaultUnframedCut: as FaultUnframed, but streams end inside an event. Plain responses are
+	// reset, since nothing else shows that they are incomplete.
+	FaultUnframedCut Fault = "unframed_cut"
+	// FaultUnframedReset: as FaultUnframed, but the connection is reset in the middle.
+	FaultUnframedReset Fault = "unframed_reset"
 )
 
 // Config configures a [Worker].
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"sort"
@@ -32,6 +33,8 @@
 	// MinResponseBytes is the minimum size of a response, reached by padding; no
 	// padding by default.
 	MinResponseBytes int `json:"answer_bytes"`
+	// Ending is how responses end; framed by default.
+	Ending standin.Ending `json:"ending"`
 }
 
 // Run is the number of runs of one call.
@@ -125,8 +128,22 @@
 	if r.Method == http.MethodPost && s.recordRun(r.Header.Get("Idempotency-Key"), string(body)) {
 		panic(http.ErrAbortHandler)
 	}
+	response := Response(r.Method, r.URL.RequestURI(), string(body), c.MinResponseBytes)
 	w.Header().Set("Content-Type", "application/json")
-	w.Write(Response(r.Method, r.URL.RequestURI(), string(body), c.MinResponseBytes))
+	if r.Header.Get("Accept") == eventStream {
+		w.Header().Set("Content-Type", eventStream)
+		response = EventStream(response)
+	}
+	standin.WriteEnding(w, http.StatusOK, response, c.Ending)
+}
+
+// eventStream is the content type of a stream of events.
+const eventStream = "text/event-stream"
+
+// EventStream returns the response to a call that accepts only a stream of events: the body of a
+// response as two events.
+func EventStream(response []byte) []byte {
+	return fmt.Appendf(nil, "id: 1\ndata: %s\n\nid: 2\ndata: %s\n\n", response, response)
 }
 
 // recordRun counts a run and reports whether its response must be lost.
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"time"
 
@@ -35,3 +36,54 @@
 		return ctx.Err()
 	}
 }
+
+// Ending is how a simulated response ends.
+type Ending string
+
+// Endings of responses.
+const (
+	// EndingFramed: a length or chunks mark the end.
+	EndingFramed Ending = ""
+	// EndingConnection: the response has neither and ends with its connection.
+	EndingConnection Ending = "connection"
+	// EndingInside: as EndingConnection, but the response ends in the middle of an event or a body.
+	EndingInside Ending = "inside"
+	// EndingReset: as EndingInside, but the connection is reset.
+	EndingReset Ending = "reset"
+)
+
+// Unframe makes a response end with its connection. Call it before the header is written.
+func Unframe(w http.ResponseWriter) { w.Header().Set("Transfer-Encoding", "identity") }
+
+// Reset resets the connection of a response.
+func Reset(w http.ResponseWriter) {
+	control := http.NewResponseController(w)
+	_ = control.Flush()
+	conn, _, err := control.Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+// WriteEnding writes a complete body with an ending.
+func WriteEnding(w http.ResponseWriter, status int, body []byte, ending Ending) {
+	if ending != EndingFramed {
+		Unframe(w)
+	}
+	if ending == EndingInside || ending == EndingReset {
+		body = body[:len(body)/2]
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+	switch ending {
+	case EndingConnection, EndingInside:
+		// Without it, net/http would add a length to a short body.
+		_ = http.NewResponseController(w).Flush()
+	case EndingReset:
+		Reset(w)
+	}
+}
