End a stream as broken off if its input ends inside an event

Callers saw a stream with status 200 and a proper end whose last event was torn, and the gateway logged it as answered; a resumable stream wasn't resumed.

Cause: the relay took the end of the input for the end of the stream. An engine's response without a length or chunks ends with its connection, and a closed connection looks the same whether everything was sent or not; the bytes of the open event were forwarded and the chunked response ended properly. Resets are errors of the transport and were noticed.

Why this works: one reader, eventBuffer, finds the ends of events for both relays, in whatever pieces and with whatever line endings the bytes come, and returns an error in place of io.EOF inside an event. Everything after it treats that like a reset: no further byte is forwarded, the stream is resumed after the last complete event if it may run again, else the client's connection is aborted. Complete events are forwarded at the same moment as before, and whole streams keep their framing and connection. A body that declares another content type than text/event-stream may end anywhere.

TestIncompleteLastEventIsForwarded demanded the fault: an end inside an event beside a move had to be forwarded with its torn bytes, since without them the response would look complete. Its replacement demands that the response is not complete, and that it holds the complete events and nothing else. Two tests of shutdowns answered streams with the text "done"; they answer with events.

--- a/internal/gateway/auth_test.go
+++ b/internal/gateway/auth_test.go
@@ -42,7 +42,10 @@
 }
 
 func respondingWorkers() *fakeWorkers {
-	return &fakeWorkers{run: func(context.Context, int, workerCall) (kumquatlug.WorkerResponse, error) {
+	return &fakeWorkers{run: func(_ context.Context, _ int, c workerCall) (kumquatlug.WorkerResponse, error) {
+		if path := c.request.Path(); path == "/chat/" || path == "/long/" {
+			return streamResponse(1, 2), nil
+		}
 		return wholeResponse(200, "done"), nil
 	}}
 }
--- a/internal/gateway/bodyend_test.go
+++ b/internal/gateway/bodyend_test.go
@@ -111,6 +111,21 @@
 	}
 }
 
+// Guards against a body that counts as broken off since it is no stream of events, although it is declared as what it is.
+func TestOtherContentOnStreamRouteStaysWhole(t *testing.T) {
+	for _, framing := range []kumquatlug.Framing{kumquatlug.FramingConnection, kumquatlug.FramingChunks, kumquatlug.FramingLength} {
+		w := &fakeWorkers{run: func(context.Context, int, workerCall) (kumquatlug.WorkerResponse, error) {
+			response := endedResponse(`{"text":"x"}`, framing)
+			response.Header().Set("Content-Type", "application/json; charset=utf-8")
+			return response, nil
+		}}
+		got := newTestGateway(t, w, manyRetries).do(context.Background(), http.MethodPost, chatRoute)
+		if got.err != nil || got.status != 200 || got.body != `{"text":"x"}` {
+			t.Errorf("%s: %+v", framing, got)
+		}
+	}
+}
+
 // Guards against a stream that ended with its connection before its first event and reaches the client as an empty success.
 func TestUnframedStreamWithoutEventsIsNotComplete(t *testing.T) {
 	for route, runs := range map[string]int{chatRoute: 1, longRoute: 2} {
--- /dev/null
+++ b/internal/gateway/eventbuffer.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/eventstream"
+)
+
+// errInsideEvent is returned in place of io.EOF by a stream that ends inside an event.
+var errInsideEvent = errors.New("the stream ended inside an event")
+
+// eventBuffer reads a stream and holds back the bytes of an event until it is complete, so that a
+// stream that breaks off can be resumed after the last event that the client received.
+type eventBuffer struct {
+	body io.Reader
+	// otherContent says that the body is declared as something else than a stream of events, so
+	// that it may end anywhere.
+	otherContent bool
+	boundaries   eventstream.Boundaries
+	buffer       []byte
+	// pending are the bytes that were not forwarded before the last read, of which the first
+	// ready ones may be forwarded now.
+	pending []byte
+	ready   int
+	// events is the number of events that became complete by the last read.
+	events int
+}
+
+func newEventBuffer(response kumquatlug.WorkerResponse) *eventBuffer {
+	return &eventBuffer{
+		body: response.Body(), otherContent: !declaresEvents(response.Header()), buffer: make([]byte, readBufferBytes),
+	}
+}
+
+// declaresEvents reports whether a response to a request for a stream contains events, which a
+// response without a content type does.
+func declaresEvents(h http.Header) bool {
+	contentType, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	contentType = strings.TrimSpace(contentType)
+	return contentType == "" || strings.EqualFold(contentType, "text/event-stream")
+}
+
+// read reads the next bytes and returns their number. The end of the body is an error unless the
+// stream may end there.
+func (b *eventBuffer) read() (int, error) {
+	b.pending = b.pending[:copy(b.pending, b.pending[b.ready:])]
+	n, err := b.body.Read(b.buffer)
+	before, held := b.boundaries.Events(), len(b.pending)
+	b.pending = append(b.pending, b.buffer[:n]...)
+	b.ready = 0
+	if end, found := b.boundaries.Add(b.buffer[:n]); found {
+		b.ready = held + end
+	}
+	if len(b.pending)-b.ready > maxEventBytes {
+		b.ready = len(b.pending)
+	}
+	b.events = b.boundaries.Events() - before
+	if errors.Is(err, io.EOF) && b.boundaries.Inside() && !b.otherContent {
+		err = errInsideEvent
+	}
+	return n, err
+}
+
+// complete returns the bytes to forward after a read. They are valid until the next one.
+func (b *eventBuffer) complete() []byte { return b.pending[:b.ready] }
+
+// rest returns the bytes that are held back. At the end of a stream of events they are comments.
+func (b *eventBuffer) rest() []byte { return b.pending[b.ready:] }
--- a/internal/gateway/handoffrelay.go
+++ b/internal/gateway/handoffrelay.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/eventstream"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/uplink"
 )
 
@@ -83,37 +84,29 @@
 // relayStreamFromPeer forwards complete events as they arrive, so that a stream that breaks
 // off can resume after the last event that the client received.
 func (f *inflight) relayStreamFromPeer(ctx context.Context, t *peerTransfer, r kumquatlug.HandoffResponse) *attemptFailure {
-	var pending []byte
-	buffer := make([]byte, readBufferBytes)
+	events := newEventBuffer(r.Response())
 	flush := http.NewResponseController(f.w)
 	for {
 		t.open.await()
-		n, err := r.Response().Body().Read(buffer)
+		n, err := events.read()
 		alive := err == nil || errors.Is(err, io.EOF) && !r.GaveUp()
 		if failed, replaced := f.settleTransfer(ctx, t, r, alive, err); replaced {
 			return failed
 		}
-		pending = append(pending, buffer[:n]...)
-		complete := completeEvents(pending)
-		ended := errors.Is(err, io.EOF) && !r.GaveUp()
-		if ended || len(pending) > maxEventBytes {
-			complete = len(pending)
-		}
 		if n > 0 {
 			f.g.peerHeard(t.offer.Peer())
 		}
-		if complete > 0 || ended {
-			if failed := f.forwardPeerEvents(flush, r.Response(), pending[:complete]); failed != nil {
+		if complete := events.complete(); len(complete) > 0 {
+			if failed := f.forwardPeerEvents(flush, r.Response(), complete); failed != nil {
 				return failed
 			}
-			pending = pending[:copy(pending, pending[complete:])]
 		}
 		switch {
 		case err == nil:
-		case ended:
-			return nil
-		case errors.Is(err, io.EOF):
+		case errors.Is(err, io.EOF) && r.GaveUp():
 			return f.peerGaveUp(t)
+		case errors.Is(err, io.EOF):
+			return f.forwardPeerEvents(flush, r.Response(), events.rest())
 		default:
 			return f.transferBroken(ctx, t, kumquatlug.ExecutionUnknown, err)
 		}
@@ -137,7 +130,7 @@
 	if err != nil {
 		return f.clientGone(err)
 	}
-	if id, found := lastEventID(events); found {
+	if id, found := eventstream.LastID(events); found {
 		f.lastEventID = id
 	}
 	f.timings.lastOutputAt = now
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -14,6 +13,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/eventstream"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
 )
 
@@ -180,7 +180,11 @@
 
 // responseBroken records a response that broke off before its end.
 func (f *inflight) responseBroken(a *relayedAttempt, err error) *attemptFailure {
-	f.recordBodyEnd(a, bodyBroken)
+	end := bodyBroken
+	if errors.Is(err, errInsideEvent) {
+		end = bodyInsideEvent
+	}
+	f.recordBodyEnd(a, end)
 	cause := endCauseOf(a.requestCtx, a.attemptCtx)
 	f.endFailedAttempt(f.request, stageOutput, a.attempt, cause, kumquatlug.ExecutionUnknown)
 	return &attemptFailure{worker: a.worker(), endedBy: cause, failure: kumquatlug.NewFailure(kumquatlug.FailureConfig{
@@ -210,38 +214,29 @@
 		request := f.request
 		f.g.scheduler.onMove(f.service.Name(), a.attempt, func() { f.move(a, request, q) })
 	}
-	var pending []byte
-	buffer := make([]byte, readBufferBytes)
+	events := newEventBuffer(a.response)
 	flush := http.NewResponseController(f.w)
 	for {
 		a.open.await()
-		n, err := a.response.Body().Read(buffer)
+		_, err := events.read()
 		if failed, replaced := f.settle(a, err); replaced {
 			return failed
 		}
-		pending = append(pending, buffer[:n]...)
-		complete := completeEvents(pending)
-		incomplete := len(pending) - complete
-		if err == io.EOF && a.transfer.Load() == nil || len(pending) > maxEventBytes {
-			complete = len(pending)
-		}
-		if complete > 0 {
+		if complete := events.complete(); len(complete) > 0 {
 			f.firstOutput(a)
-			if failed := f.forwardEvents(a, flush, pending[:complete]); failed != nil {
+			if failed := f.forwardEvents(a, flush, complete, events.events); failed != nil {
 				return failed
 			}
-			pending = pending[:copy(pending, pending[complete:])]
 		}
 		if err != nil {
-			return f.streamEnded(a, flush, pending, incomplete, err)
+			return f.streamEnded(a, flush, events, err)
 		}
 	}
 }
 
 // streamEnded handles the end of an engine's response: the stream was moved and
-// continues there, or it is complete, or it broke off. The pending bytes are an
-// incomplete event; they were held back while the stream might have been moved.
-func (f *inflight) streamEnded(a *relayedAttempt, flush *http.ResponseController, pending []byte, incomplete int, end error) *attemptFailure {
+// continues there, or it is complete, or it broke off.
+func (f *inflight) streamEnded(a *relayedAttempt, flush *http.ResponseController, events *eventBuffer, end error) *attemptFailure {
 	if t := f.takeTransfer(a); t != nil {
 		f.endAttempt(stageOutput, a.attempt, placement.OutcomeServed)
 		if !f.route.Repeatable() {
@@ -253,14 +248,10 @@
 	if !errors.Is(end, io.EOF) {
 		return f.responseBroken(a, end)
 	}
-	if incomplete > 0 {
-		f.recordBodyEnd(a, bodyInsideEvent)
-	} else {
-		f.recordBodyEnd(a, bodyComplete)
-	}
+	f.recordBodyEnd(a, bodyComplete)
 	f.firstOutput(a)
-	if len(pending) > 0 {
-		if failed := f.forwardEvents(a, flush, pending); failed != nil {
+	if rest := events.rest(); len(rest) > 0 {
+		if failed := f.forwardEvents(a, flush, rest, 0); failed != nil {
 			return failed
 		}
 	}
@@ -285,10 +276,9 @@
 	f.g.c.Ingress.WriteHeader(f.w, a.response)
 }
 
-// forwardEvents writes events to the client.
-func (f *inflight) forwardEvents(a *relayedAttempt, flush *http.ResponseController, events []byte) *attemptFailure {
+// forwardEvents writes this number of events to the client.
+func (f *inflight) forwardEvents(a *relayedAttempt, flush *http.ResponseController, events []byte, count int) *attemptFailure {
 	now := f.g.c.Clock.Now()
-	count := bytes.Count(events, []byte("\n\n"))
 	f.g.scheduler.recordOutput(now, f.service.Name(), a.attempt, count)
 	defer func() { f.setForwarding(a, false) }()
 	_, err := f.w.Write(events)
@@ -298,7 +288,7 @@
 	if err != nil {
 		return f.clientDisconnected(a, err)
 	}
-	if id, found := lastEventID(events); found {
+	if id, found := eventstream.LastID(events); found {
 		f.lastEventID = id
 	}
 	if f.timings.lastOutputAt != 0 {
@@ -374,35 +364,3 @@
 		return nil
 	}
 }
-
-// completeEvents returns the number of leading bytes that are complete events, up to and
-// including the last empty line.
-func completeEvents(b []byte) int {
-	complete := bytes.LastIndex(b, []byte("\n\n")) + 2
-	if crlf := bytes.LastIndex(b, []byte("\r\n\r\n")) + 4; crlf > complete && crlf >= 4 {
-		complete = crlf
-	}
-	if complete < 2 {
-		return 0
-	}
-	return complete
-}
-
-// lastEventID returns the number of the last event that has one.
-func lastEventID(events []byte) (int64, bool) {
-	field := []byte("id:")
-	for at := len(events); at > 0; {
-		at = bytes.LastIndex(events[:at], field)
-		if at < 0 {
-			return 0, false
-		}
-		if at > 0 && events[at-1] != '\n' {
-			continue
-		}
-		line, _, _ := bytes.Cut(events[at+len(field):], []byte("\n"))
-		if id, err := strconv.ParseInt(string(bytes.TrimSpace(line)), 10, 64); err == nil {
-			return id, true
-		}
-	}
-	return 0, false
-}
--- a/internal/gateway/transfer_test.go
+++ b/internal/gateway/transfer_test.go
@@ -205,10 +205,9 @@
 	}
 }
 
-// A stream ends while it is about to be moved, and its last bytes are an incomplete
-// event. The client must receive these bytes; without them the response would look
-// complete but lack its end.
-func TestIncompleteLastEventIsForwarded(t *testing.T) {
+// Guards against a stream that ends inside an event while it is about to be moved and that looks complete, with or without
+// the bytes of that event.
+func TestStreamEndedInsideEventBesideMoveIsNotComplete(t *testing.T) {
 	w := &fakeWorkers{}
 	ended := make(chan struct{})
 	w.run = func(context.Context, int, workerCall) (kumquatlug.WorkerResponse, error) {
@@ -238,7 +237,7 @@
 			f.g.applyPlan("engines", rolePlan{})
 		}
 	}
-	if got := <-response; got.err != nil || got.body != events(1, 2)+"id: 3" {
+	if got := <-response; got.err == nil || got.body != events(1, 2) {
 		t.Errorf("%q, %v", got.body, got.err)
 	}
 }
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -158,23 +158,6 @@
 	}
 }
 
-func TestCompleteEvents(t *testing.T) {
-	for text, want := range map[string]int{
-		"": 0, "id: 1\nda": 0, "id: 1\ndata: x\n\n": 15, "id: 1\ndata: x\n\nid: 2\n": 15, "id: 1\r\ndata: x\r\n\r\nid": 18, "\n\n": 2,
-	} {
-		if n := completeEvents([]byte(text)); n != want {
-			t.Errorf("%q: %d, want %d", text, n, want)
-		}
-	}
-	for text, want := range map[string]int64{
-		"id: 1\ndata: x\n\nid: 27\ndata: id: 9\n\n": 27, "data: id: 4\n\n": 0, "id: x\n\n": 0, "id:3\n\n": 3,
-	} {
-		if id, _ := lastEventID([]byte(text)); id != want {
-			t.Errorf("%q: %d, want %d", text, id, want)
-		}
-	}
-}
-
 // All workers of a site start together, 50 ms apart. If each row woke every gateway,
 // half of the store calls of thirty gateways would be caused by that. A change after a
 // quiet period must still be known at once, and one among others within maxGatherDelay.
