End a stream without length or chunks as broken off if it has no event

A stream whose connection ended right after its header reached the client as an empty success with Content-Length 0, and was not tried elsewhere (TestUnframedStreamWithoutEventsIsNotComplete, which failed). The end of the connection was the only sign of an end, and nothing had been served. A stream that its engine marks as ended stays complete without events: a request that is resumed after its last event gets such a one.

--- a/internal/gateway/eventbuffer.go
+++ b/internal/gateway/eventbuffer.go
@@ -11,8 +11,11 @@
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/eventstream"
 )
 
-// errInsideEvent is returned in place of io.EOF by a stream that ends inside an event.
-var errInsideEvent = errors.New("the stream ended inside an event")
+// Errors in place of io.EOF for a stream that must not end there.
+var (
+	errInsideEvent = errors.New("the stream ended inside an event")
+	errNoEvent     = errors.New("the stream ended with its connection before its first event")
+)
 
 // eventBuffer reads a stream and holds back the bytes of an event until it is complete, so that a
 // stream that breaks off can be resumed after the last event that the client received.
@@ -21,6 +24,7 @@
 	// otherContent says that the body is declared as something else than a stream of events, so
 	// that it may end anywhere.
 	otherContent bool
+	framing      kumquatlug.Framing
 	boundaries   eventstream.Boundaries
 	buffer       []byte
 	// pending are the bytes that were not forwarded before the last read, of which the first
@@ -33,7 +37,8 @@
 
 func newEventBuffer(response kumquatlug.WorkerResponse) *eventBuffer {
 	return &eventBuffer{
-		body: response.Body(), otherContent: !declaresEvents(response.Header()), buffer: make([]byte, readBufferBytes),
+		body: response.Body(), otherContent: !declaresEvents(response.Header()), framing: response.Framing(),
+		buffer: make([]byte, readBufferBytes),
 	}
 }
 
@@ -60,12 +65,24 @@
 		b.ready = len(b.pending)
 	}
 	b.events = b.boundaries.Events() - before
-	if errors.Is(err, io.EOF) && b.boundaries.Inside() && !b.otherContent {
-		err = errInsideEvent
+	if errors.Is(err, io.EOF) && !b.otherContent {
+		err = b.end()
 	}
 	return n, err
 }
 
+// end returns io.EOF if the stream may end here, else an error. A stream without events is complete
+// only if its engine has marked the end: a request that is resumed after its last event gets none.
+func (b *eventBuffer) end() error {
+	switch {
+	case b.boundaries.Inside():
+		return errInsideEvent
+	case b.framing == kumquatlug.FramingConnection && b.boundaries.Events() == 0:
+		return errNoEvent
+	}
+	return io.EOF
+}
+
 // complete returns the bytes to forward after a read. They are valid until the next one.
 func (b *eventBuffer) complete() []byte { return b.pending[:b.ready] }
 
