Continue no stream after a part of an event was forwarded

An event of more than 1 MiB is passed on in parts. Such a stream is now aborted: no other worker may continue it, and no takeover or move begins, until its client has the rest of the event.

--- a/internal/gateway/bodyend_test.go
+++ b/internal/gateway/bodyend_test.go
@@ -142,6 +142,32 @@
 	}
 }
 
+// tornPeer is a peer gateway whose response ends like this.
+type tornPeer struct{ body string }
+
+func (p tornPeer) HandOff(context.Context, kumquatlug.HandoffRequest) (kumquatlug.HandoffResponse, error) {
+	return kumquatlug.NewHandoffResponse(kumquatlug.HandoffResponseConfig{
+		Response: endedResponse(p.body, kumquatlug.FramingChunks), GaveUp: func() bool { return false },
+	}), nil
+}
+
+// Guards against a stream that a peer gateway ended inside an event and that isn't continued after its last complete one.
+func TestHandedOffStreamEndedInsideEventContinues(t *testing.T) {
+	for name, part := range eventParts(4) {
+		if name == "in CRLF" {
+			continue
+		}
+		for route, want := range map[string]string{longRoute: events(1, 8), chatRoute: events(1, 3)} {
+			p := newHandoffPair(t, streamWorkers(1, 8), streamWorkers(1, 8), manyRetries)
+			p.a.g.c.PeerClient = tornPeer{events(1, 3) + part}
+			got := p.a.do(t.Context(), http.MethodPost, route)
+			if (got.err == nil) != (route == longRoute) || got.body != want {
+				t.Errorf("%s, %s: status %d, error %v, body %q", name, route, got.status, got.err, got.body)
+			}
+		}
+	}
+}
+
 // Guards against a resumed stream that is joined to a part of an event too large to be held back.
 func TestStreamWithPartOfEventForwardedDoesNotResume(t *testing.T) {
 	large := append([]byte("id: 2\ndata: "), bytes.Repeat([]byte("x"), maxEventBytes+100)...)
--- a/internal/gateway/eventbuffer.go
+++ b/internal/gateway/eventbuffer.go
@@ -31,6 +31,8 @@
 	// ready ones may be forwarded now.
 	pending []byte
 	ready   int
+	// partial says that a part of an event was among the bytes to forward, and its end wasn't yet.
+	partial bool
 	// events is the number of events that became complete by the last read.
 	events int
 }
@@ -59,10 +61,10 @@
 	b.pending = append(b.pending, b.buffer[:n]...)
 	b.ready = 0
 	if end, found := b.boundaries.Add(b.buffer[:n]); found {
-		b.ready = held + end
+		b.ready, b.partial = held+end, false
 	}
 	if len(b.pending)-b.ready > maxEventBytes {
-		b.ready = len(b.pending)
+		b.ready, b.partial = len(b.pending), true
 	}
 	b.events = b.boundaries.Events() - before
 	if errors.Is(err, io.EOF) && !b.otherContent {
--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -189,7 +189,7 @@
 // may run again, the route permits one more worker, and what the client has received is a
 // stream that can resume.
 func (f *inflight) continuesAfterPeer() bool {
-	return f.route.Repeatable() && f.route.MaxWorkers() > 1 && (f.route.Stream() || !f.responseStarted)
+	return !f.partialEvent && f.route.Repeatable() && f.route.MaxWorkers() > 1 && (f.route.Stream() || !f.responseStarted)
 }
 
 // logHandoff logs at debug level what became of a handed-off request. The peer logs the
--- a/internal/gateway/handoffrelay.go
+++ b/internal/gateway/handoffrelay.go
@@ -87,7 +87,9 @@
 	events := newEventBuffer(r.Response())
 	flush := http.NewResponseController(f.w)
 	for {
-		t.open.await()
+		if !f.partialEvent {
+			t.open.await()
+		}
 		n, err := events.read()
 		alive := err == nil || errors.Is(err, io.EOF) && !r.GaveUp()
 		if failed, replaced := f.settleTransfer(ctx, t, r, alive, err); replaced {
@@ -97,6 +99,7 @@
 			f.g.peerHeard(t.offer.Peer())
 		}
 		if complete := events.complete(); len(complete) > 0 {
+			f.partialEvent = events.partial
 			if failed := f.forwardPeerEvents(flush, r.Response(), complete); failed != nil {
 				return failed
 			}
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -61,6 +61,9 @@
 	// the number of the last event that the client received.
 	responseStarted bool
 	lastEventID     int64
+	// partialEvent says that the client has received a part of an event that was too large to be
+	// held back: no other worker may continue the stream until it has the rest.
+	partialEvent bool
 	// unusedCharge is set while the retry budget was charged for a retry that was not sent.
 	unusedCharge bool
 	// timings holds when each step of the last attempt was completed.
@@ -176,7 +179,7 @@
 	switch {
 	case ctx.Err() != nil || f.timeLeft() <= 0:
 		return f.contextFailure(ctx, failed.failure)
-	case failed.permanent || f.attempts >= maxAttempts:
+	case failed.permanent || f.partialEvent || f.attempts >= maxAttempts:
 		return failed.failure
 	case f.possibleRuns > 0 && !f.route.Repeatable():
 		return failed.failure
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -217,12 +217,15 @@
 	events := newEventBuffer(a.response)
 	flush := http.NewResponseController(f.w)
 	for {
-		a.open.await()
+		if !f.partialEvent {
+			a.open.await()
+		}
 		_, err := events.read()
 		if failed, replaced := f.settle(a, err); replaced {
 			return failed
 		}
 		if complete := events.complete(); len(complete) > 0 {
+			f.partialEvent = events.partial
 			f.firstOutput(a)
 			if failed := f.forwardEvents(a, flush, complete, events.events); failed != nil {
 				return failed
@@ -238,6 +241,10 @@
 // continues there, or it is complete, or it broke off.
 func (f *inflight) streamEnded(a *relayedAttempt, flush *http.ResponseController, events *eventBuffer, end error) *attemptFailure {
 	if t := f.takeTransfer(a); t != nil {
+		if f.partialEvent {
+			f.discard(t)
+			return f.responseBroken(a, errInsideEvent)
+		}
 		f.endAttempt(stageOutput, a.attempt, placement.OutcomeServed)
 		if !f.route.Repeatable() {
 			// The continued stream is the only run that the request may have.
