Take no end of a connection for the end of a stream that was stopped to be moved

A move with its last step stops the stream at its engine, which closes it without its end. If the answer to the move was then lost, or was an error, and the stream had neither a length nor chunks, the client got the first part as a complete stream: 75 of 471 bytes, status 200, in TestUnframedStreamStoppedByFailedMoveIsNotComplete, which failed, for a stream that may run once and for one that could have been resumed.

Now the end of the connection counts as a break unless the engine said that the stream no longer ran, or the move reached no engine. Streams that their engine marks as ended, or that end before the move, stay whole.

--- a/internal/gateway/eventbuffer.go
+++ b/internal/gateway/eventbuffer.go
@@ -15,6 +15,7 @@
 var (
 	errInsideEvent = errors.New("the stream ended inside an event")
 	errNoEvent     = errors.New("the stream ended with its connection before its first event")
+	errStopped     = errors.New("the stream ended with its connection during a move that failed")
 )
 
 // eventBuffer reads a stream and holds back the bytes of an event until it is complete, so that a
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -240,7 +240,8 @@
 // streamEnded handles the end of an engine's response: the stream was moved and
 // continues there, or it is complete, or it broke off.
 func (f *inflight) streamEnded(a *relayedAttempt, flush *http.ResponseController, events *eventBuffer, end error) *attemptFailure {
-	if t := f.takeTransfer(a); t != nil {
+	t, stopped := f.takeTransfer(a)
+	if t != nil {
 		if f.partialEvent {
 			f.discard(t)
 			return f.responseBroken(a, errInsideEvent)
@@ -252,6 +253,9 @@
 		}
 		return f.run(a.requestCtx, t.choice, t.attempt, t.cache)
 	}
+	if stopped && errors.Is(end, io.EOF) && a.response.Framing() == kumquatlug.FramingConnection {
+		end = errStopped
+	}
 	if !errors.Is(end, io.EOF) {
 		return f.responseBroken(a, end)
 	}
--- a/internal/gateway/transfer.go
+++ b/internal/gateway/transfer.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/kumquatlug/kumquatlug/internal/logs"
@@ -20,6 +21,8 @@
 	// engine, or none if the stream stays.
 	done  chan struct{}
 	cache kumquatlug.KVCacheRef
+	// stopped says that the first engine may have stopped the stream although the move failed.
+	stopped bool
 }
 
 // moveTimeout is how long moving a stream may take. The copy itself takes one
@@ -49,6 +52,7 @@
 	defer cancel()
 	cache, err := f.g.c.Workers.MoveStream(call, a.choice.Worker(), request, choice.Worker())
 	if err != nil {
+		t.stopped = !errors.Is(err, kumquatlug.ErrNotFound) && kumquatlug.ExecutionOf(err) != kumquatlug.NotExecuted
 		f.endAttempt(stageOutput, attempt, placement.OutcomeNeutral)
 		f.g.c.Logger.Info("stream not moved", zap.String("request", request.ID()), zap.String("worker", a.worker()),
 			zap.String("to", choice.Worker().ID()), logs.Error(err))
@@ -62,21 +66,21 @@
 }
 
 // takeTransfer returns the transfer with which the stream of an attempt continues, nil
-// if it does not continue.
-func (f *inflight) takeTransfer(a *relayedAttempt) *transfer {
-	t := a.transfer.Swap(nil)
+// if it does not continue. It also returns whether its engine may have stopped it for a transfer.
+func (f *inflight) takeTransfer(a *relayedAttempt) (t *transfer, stopped bool) {
+	t = a.transfer.Swap(nil)
 	if t == nil {
-		return nil
+		return nil, false
 	}
 	<-t.done
 	switch {
 	case t.cache.Handle() == "":
-		return nil
+		return nil, t.stopped
 	case a.requestCtx.Err() != nil:
 		f.discard(t)
-		return nil
+		return nil, true
 	}
-	return t
+	return t, true
 }
 
 // abandon marks an attempt as ended. It discards a pending transfer: the copied KV cache
--- a/internal/gateway/transfer_test.go
+++ b/internal/gateway/transfer_test.go
@@ -16,6 +16,8 @@
 type movedBody struct {
 	next, last int
 	moved      chan struct{}
+	// end is the error at the end of a moved stream.
+	end error
 }
 
 func (s *movedBody) Read(p []byte) (int, error) {
@@ -24,7 +26,7 @@
 	}
 	select {
 	case <-s.moved:
-		return 0, io.ErrUnexpectedEOF
+		return 0, s.end
 	case <-time.After(5 * time.Millisecond):
 	}
 	n := copy(p, events(s.next, s.next))
@@ -38,6 +40,18 @@
 // started, the engine is announced to change its role to prefill.
 func moveOneStream(t *testing.T, path string, w *fakeWorkers, move func(ctx context.Context, moved chan struct{}) (kumquatlug.KVCacheRef, error)) clientResponse {
 	t.Helper()
+	return moveOneFramedStream(t, path, w, kumquatlug.FramingChunks, move)
+}
+
+func moveOneFramedStream(
+	t *testing.T, path string, w *fakeWorkers, framing kumquatlug.Framing,
+	move func(ctx context.Context, moved chan struct{}) (kumquatlug.KVCacheRef, error),
+) clientResponse {
+	t.Helper()
+	end := io.ErrUnexpectedEOF
+	if framing == kumquatlug.FramingConnection {
+		end = io.EOF
+	}
 	const last = 30
 	moved, started := make(chan struct{}), make(chan string, 1)
 	second := w.run
@@ -47,7 +61,7 @@
 		}
 		started <- c.worker
 		return kumquatlug.NewWorkerResponse(kumquatlug.WorkerResponseConfig{
-			Status: 200, Header: http.Header{"Stamp": {"s"}}, Length: -1, Body: &movedBody{next: 1, last: last, moved: moved},
+			Status: 200, Header: http.Header{"Stamp": {"s"}}, Length: -1, Framing: framing, Body: &movedBody{next: 1, last: last, moved: moved, end: end},
 		}), nil
 	}
 	w.move = func(ctx context.Context, _, _ string) (kumquatlug.KVCacheRef, error) { return move(ctx, moved) }
@@ -119,6 +133,41 @@
 	}
 }
 
+// Guards against a stream that ends with its connection because it was to be moved, whose move fails or is left
+// unanswered, and that looks complete.
+func TestUnframedStreamStoppedByFailedMoveIsNotComplete(t *testing.T) {
+	for path, whole := range map[string]bool{"/long/?tokens=220,4600": true, chatRoute: false} {
+		w := &fakeWorkers{run: func(_ context.Context, _ int, c workerCall) (kumquatlug.WorkerResponse, error) {
+			return streamResponse(int(c.options.LastEventID)+1, 30), nil
+		}}
+		got := moveOneFramedStream(t, path, w, kumquatlug.FramingConnection, func(_ context.Context, moved chan struct{}) (kumquatlug.KVCacheRef, error) {
+			close(moved)
+			<-time.After(20 * time.Millisecond)
+			return kumquatlug.KVCacheRef{}, lostConnection()
+		})
+		if complete := got.err == nil && got.status == http.StatusOK; complete != whole || whole && got.body != events(1, 30) {
+			t.Errorf("%s: status %d, error %v, %d of %d bytes", path, got.status, got.err, len(got.body), len(events(1, 30)))
+		}
+	}
+}
+
+// Guards against a whole stream that ends with its connection beside a move and that counts as broken off.
+func TestUnframedStreamCompleteBeforeMoveStaysWhole(t *testing.T) {
+	for name, framing := range map[string]kumquatlug.Framing{"connection": kumquatlug.FramingConnection, "chunks": kumquatlug.FramingChunks} {
+		w := &fakeWorkers{run: func(context.Context, int, workerCall) (kumquatlug.WorkerResponse, error) {
+			t.Error(name + ": the request was sent again")
+			return kumquatlug.WorkerResponse{}, lostConnection()
+		}}
+		got := moveOneFramedStream(t, chatRoute, w, framing, func(context.Context, chan struct{}) (kumquatlug.KVCacheRef, error) {
+			<-time.After(300 * time.Millisecond)
+			return kumquatlug.KVCacheRef{}, kumquatlug.ErrNotFound
+		})
+		if got.err != nil || got.body != events(1, 30) {
+			t.Errorf("%s: %d bytes, %v", name, len(got.body), got.err)
+		}
+	}
+}
+
 // A stream that may run only once was moved, and the other engine refuses it. Starting
 // it again would run the request twice, so that the connection to the client must be
 // aborted.
@@ -193,7 +242,7 @@
 			close(end)
 			<-done
 			cache := <-gateway.g.unusedCaches
-			if cache.Handle() != "late" || f.takeTransfer(a) != nil {
+			if taken, _ := f.takeTransfer(a); cache.Handle() != "late" || taken != nil {
 				t.Errorf("released %q", cache.Handle())
 			}
 			for id, use := range gateway.g.scheduler.activities("engines") {
