Mark no response of a target as complete that its target broke off

Behind an agent, callers got half a response as a complete one, status 200, when the target had announced neither a length nor chunks and crashed, or ended a stream of events inside an event; half the response of a call that may run once was stored as its outcome, and would have been sent again for each resend. The agent's trailer, which the entry relies on, took the end of the input for the end of the response: the comment beside it named the danger, the code didn't meet it.

The agent is beside its target and can ask: if a response ends with its connection and the target accepts no further one, the target is gone, and the response is truncated. A target that answers, healthy or not, keeps its response. A stream that ends inside an event is truncated in any framing. What a target's front end cuts while the target lives on can't be told from an end.

--- a/internal/agent/announce_test.go
+++ b/internal/agent/announce_test.go
@@ -20,14 +20,12 @@
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/selector"
 )
 
-// A gateway cancels the first attempt of a request soon after the agent of the other target
-// has admitted it. Without the announcement, both would run until the first output.
-func TestAdmissionIsAnnouncedIfAsked(t *testing.T) {
-	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("done")) }))
-	defer target.Close()
+// newServiceAgent returns an agent beside a plain service that may be called as "read".
+func newServiceAgent(t *testing.T, targetURL string) *Agent {
+	t.Helper()
 	store := platform.NewMemory()
 	a, err := New(Config{
-		Name: "s1", Target: service.New(service.Config{URL: target.URL}), Table: store, Objects: store, VMs: store,
+		Name: "s1", Target: service.New(service.Config{URL: targetURL}), Table: store, Objects: store, VMs: store,
 		Clock: clock.NewMonotonic(), Logger: zap.NewNop(), Registry: prometheus.NewRegistry(), Ring: timeline.NewRing("s1", 16),
 	})
 	if err != nil {
@@ -43,7 +41,15 @@
 	}
 	a.applyConfig(config.NewState(1, []config.Set{labels, read}))
 	a.admission.update(func(now kumquatlug.Millis) { a.admission.drain.Refreshed(now) })
-	server := httptest.NewServer(a.work)
+	return a
+}
+
+// A gateway cancels the first attempt of a request soon after the agent of the other target
+// has admitted it. Without the announcement, both would run until the first output.
+func TestAdmissionIsAnnouncedIfAsked(t *testing.T) {
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("done")) }))
+	defer target.Close()
+	server := httptest.NewServer(newServiceAgent(t, target.URL).work)
 	defer server.Close()
 	for ask, want := range map[string]int{"": 0, "true": 1} {
 		announced := 0
--- a/internal/agent/run_once.go
+++ b/internal/agent/run_once.go
@@ -122,7 +122,7 @@
 		return ledger.Outcome{}, err
 	}
 	defer response.Body().Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body(), maxRunOnceResponseBytes+1))
+	body, err := io.ReadAll(io.LimitReader(h.completeBody(ctx, response), maxRunOnceResponseBytes+1))
 	if err != nil {
 		return ledger.Outcome{}, errors.Wrap(err, "read the target's answer")
 	}
@@ -137,7 +137,8 @@
 
 // writeOutcome responds to the gateway with an outcome.
 func (h *workHandler) writeOutcome(w http.ResponseWriter, work peer.Work, outcome ledger.Outcome) {
-	end := h.forwardResponse(w, kumquatlug.NewTargetResponse(outcome.Status(), outcome.Header(), io.NopCloser(bytes.NewReader(outcome.Body()))), func() {})
+	body := io.NopCloser(bytes.NewReader(outcome.Body()))
+	end := h.forwardResponse(w, kumquatlug.NewTargetResponse(outcome.Status(), outcome.Header(), body), body, func() {})
 	h.agent.metrics.ended.WithLabelValues(end).Inc()
 	h.agent.c.Ring.Add(timeline.Record{Name: timeline.WorkEnded, RequestID: work.Request(), Detail: end})
 }
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -117,7 +117,7 @@
 		h.refuse(w, work, h.agent.refusal("call target", dispatch.ReasonEngineRefused, nil))
 		return false
 	}
-	end := h.forwardResponse(w, response, func() { h.agent.admission.firstOutput(id) })
+	end := h.forwardResponse(w, response, h.completeBody(r.Context(), response), func() { h.agent.admission.firstOutput(id) })
 	if end != peer.EndComplete {
 		w.Header().Set(peer.HeaderNotice, h.agent.checkCrash(r.Context(), id, work))
 	}
@@ -165,10 +165,9 @@
 	return kumquatlug.NewCall(r.Method, path, header, r.Body)
 }
 
-// forwardResponse streams the response to the gateway. The trailer says whether it is
-// complete: when a target crashes, its kernel may close the connection normally,
-// which is indistinguishable from the end of a response.
-func (h *workHandler) forwardResponse(w http.ResponseWriter, response kumquatlug.TargetResponse, onFirstOutput func()) string {
+// forwardResponse streams a response with this body to the gateway. The trailer says whether it
+// is complete.
+func (h *workHandler) forwardResponse(w http.ResponseWriter, response kumquatlug.TargetResponse, body io.Reader, onFirstOutput func()) string {
 	header := w.Header()
 	peer.CopyHeaders(header, response.Header())
 	header.Del("Content-Length")
@@ -178,7 +177,7 @@
 	header.Set(peer.HeaderLogical, strconv.FormatInt(h.agent.c.Ring.Logical(), 10))
 	w.WriteHeader(response.Status())
 	end := peer.EndComplete
-	if err := copyAndFlush(w, response.Body(), onFirstOutput); err != nil {
+	if err := copyAndFlush(w, body, onFirstOutput); err != nil {
 		end = peer.EndTruncated
 	}
 	header.Set(peer.TrailerEnd, end)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/kumquatlug/kumquatlug/internal/exchange"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
 
@@ -81,7 +82,7 @@
 	if err != nil {
 		return kumquatlug.TargetResponse{}, targetFailure(s.baseURL, "target_failed", executionAfterError(err), err)
 	}
-	return kumquatlug.NewTargetResponse(response.StatusCode, response.Header, response.Body), nil
+	return kumquatlug.NewTargetResponse(response.StatusCode, response.Header, response.Body).WithFraming(exchange.FramingOf(response)), nil
 }
 
 // lowercaseKeyHeader is Idempotency-Key in a spelling that HTTP allows but
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -75,7 +75,7 @@
 		Unframe(w)
 	}
 	if ending == EndingInside || ending == EndingReset {
-		body = body[:len(body)/2]
+		body = body[:len(body)*2/3]
 	}
 	w.WriteHeader(status)
 	_, _ = w.Write(body)
--- a/pkg/kumquatlug/target.go
+++ b/pkg/kumquatlug/target.go
@@ -136,9 +136,10 @@
 
 // TargetResponse is a target's response.
 type TargetResponse struct {
-	status int
-	header http.Header
-	body   io.ReadCloser
+	status  int
+	header  http.Header
+	body    io.ReadCloser
+	framing Framing
 }
 
 // NewTargetResponse returns a response whose body the receiver closes.
@@ -152,5 +153,14 @@
 // Header returns the target's headers.
 func (r TargetResponse) Header() http.Header { return r.header }
 
+// WithFraming returns the response with how the end of its body is marked.
+func (r TargetResponse) WithFraming(f Framing) TargetResponse {
+	r.framing = f
+	return r
+}
+
+// Framing returns how the end of the body is marked, empty if unknown.
+func (r TargetResponse) Framing() Framing { return r.framing }
+
 // Body returns the body, to be read once and closed.
 func (r TargetResponse) Body() io.ReadCloser { return r.body }
