--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -346,6 +346,29 @@
 	return kumquatlug.FramingConnection
 }
 
+// ErrUnframed is the cause of a failure of a response that ends with its connection, from a peer
+// that marks the end of each response.
+var ErrUnframed = errors.New("the response ends with its connection")
+
+// RequireFraming makes the body of a response without a length or chunks end with [ErrUnframed]
+// in place of io.EOF. It is for peers that mark the end of each response: one that breaks off must
+// not look complete. A body that says itself where it ends, such as JSON, needs no other mark.
+func RequireFraming(r *http.Response) {
+	if FramingOf(r) == kumquatlug.FramingConnection {
+		r.Body = unframedBody{r.Body}
+	}
+}
+
+type unframedBody struct{ io.ReadCloser }
+
+func (b unframedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = ErrUnframed
+	}
+	return n, err
+}
+
 // peerIdleTimeout returns how long the connection may stay idle: the timeout of the
 // Keep-Alive header less idleMargin, else defaultIdleTimeout.
 func peerIdleTimeout(h http.Header) kumquatlug.Millis {
--- a/internal/peerrequest/client.go
+++ b/internal/peerrequest/client.go
@@ -30,6 +30,7 @@
 	if err != nil {
 		return kumquatlug.HandoffResponse{}, err
 	}
+	exchange.RequireFraming(response)
 	return decodeResponse(response), nil
 }
 
--- a/internal/peerrequest/peerrequest_test.go
+++ b/internal/peerrequest/peerrequest_test.go
@@ -2,12 +2,41 @@
 
 import (
 	"bytes"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 
+	"github.com/kumquatlug/kumquatlug/internal/exchange"
+	"github.com/kumquatlug/kumquatlug/internal/standin"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/clock"
 )
 
+// Guards against a response of which a peer gateway sent a part before its connection ended, and that looks complete.
+func TestResponseWithoutMarkedEndIsIncomplete(t *testing.T) {
+	for _, ending := range []standin.Ending{standin.EndingFramed, standin.EndingConnection, standin.EndingInside, standin.EndingReset} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			out := NewResponseWriter(w, 7)
+			standin.WriteEnding(out, http.StatusOK, []byte("the whole response"), ending)
+		}))
+		client := NewClient(exchange.New(exchange.Config{Clock: clock.NewMonotonic(), MaxIdlePerAddress: 1}))
+		got, err := client.HandOff(t.Context(), kumquatlug.HandoffRequest{
+			Address: server.Listener.Addr().String(), From: "a", Key: 7, Header: http.Header{},
+			Request: kumquatlug.NewRequest(kumquatlug.RequestConfig{ID: "r", Method: http.MethodPost, Target: "/x", Host: "h"}),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, err := io.ReadAll(got.Response().Body())
+		if (err == nil) != (ending == standin.EndingFramed) {
+			t.Errorf("%q: %q, %v", ending, text, err)
+		}
+		got.Response().Body().Close()
+		server.Close()
+	}
+}
+
 // Headers that are incomplete or invalid identify no handed-off request, and none of them
 // remains in a request.
 func TestInvalidHeadersAreRejectedAndRemoved(t *testing.T) {
