Let workers of the soak end responses with their connection

Whole ones excuse nothing, also beside planned changes; streams that end inside an event and connections that are reset count as unplanned faults, after which an answer may break off but never look complete.

--- a/test/front/soak_test.go
+++ b/test/front/soak_test.go
@@ -280,7 +280,7 @@
 
 // plan draws the actions of the run.
 func (k *soak) plan() {
-	kinds := []string{"pause", "pause", "pause", "full", "config", "reload", "term"}
+	kinds := []string{"pause", "pause", "pause", "full", "unframed", "config", "reload", "term"}
 	if !k.planned {
 		kinds = append(kinds, "broken", "broken", "kill", "freeze", "freeze", "store", "store")
 	}
@@ -294,8 +294,12 @@
 		case "full":
 			k.add(at, fmt.Sprintf("%s full for %v", k.ID(w), length), func() { w.SetFault(fleet.FaultReject) })
 			k.add(at+length, k.ID(w)+" no longer full", sound)
+		case "unframed":
+			// Whole responses that end with their connection excuse nothing.
+			k.add(at, fmt.Sprintf("%s unframed for %v", k.ID(w), length), func() { w.SetFault(fleet.FaultUnframed) })
+			k.add(at+length, k.ID(w)+" no longer unframed", sound)
 		case "broken":
-			fault := []fleet.Fault{fleet.FaultSilent, fleet.FaultLost, fleet.FaultTruncate}[k.random.IntN(3)]
+			fault := []fleet.Fault{fleet.FaultSilent, fleet.FaultLost, fleet.FaultTruncate, fleet.FaultUnframedCut, fleet.FaultUnframedReset}[k.random.IntN(5)]
 			k.addFault(at, length, -1, fmt.Sprintf("%s %s", k.ID(w), fault), func() { w.SetFault(fault) }, sound)
 		case "config":
 			k.add(at, "config changes", k.changeConfig)
