Send no request to a worker that left while its connection was being made

A request is placed on a worker, and a new connection to it may then take two attempts of 400 ms each: its first packet can be lost. The request was written when the connection stood, although the worker's leaving had become known meanwhile, up to 0.8 s before. After waits for the link or a rate limit the placement was asked again, after this wait it was not. The placement is now asked once a new connection has been made, and a withdrawn attempt counts as not sent and goes to another worker; a kept connection is used at once, as before. TestWithdrawnRequestIsNotSent and TestAttemptIsWithdrawnWhenWorkerLeaves guard it.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -70,8 +70,15 @@
 	// OnSend is called once there is a connection, just before the request is written; nil for
 	// none.
 	OnSend func()
+	// Withdrawn is asked once a new connection has been made, which may take several hundred
+	// milliseconds; if it returns true, nothing is sent. Nil for never.
+	Withdrawn func() bool
 }
 
+// errWithdrawn is the cause of the failure of a request that was withdrawn while it waited for a
+// connection.
+var errWithdrawn = errors.New("withdrawn during the connection attempt")
+
 // Config holds the settings of a [Pool].
 type Config struct {
 	Clock kumquatlug.Clock
@@ -156,6 +163,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.Withdrawn != nil && r.Withdrawn() {
+		_ = raw.Close()
+		return nil, errWithdrawn
+	}
 	return &conn{Conn: raw, address: r.Address, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
 }
 
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -269,6 +269,30 @@
 	}
 }
 
+// Guards against a request that reaches a peer which was withdrawn while the connection to it was being made.
+func TestWithdrawnRequestIsNotSent(t *testing.T) {
+	p := newTestPeer(t, func(p *testPeer, c net.Conn, reader *bufio.Reader) {
+		for id := p.readRequest(reader); id != ""; id = p.readRequest(reader) {
+			writeResponse(c, id, "done")
+		}
+	})
+	pool, withdrawn := newPool(), true
+	r := newRequest(p, http.MethodPost, "1")
+	r.Withdrawn = func() bool { return withdrawn }
+	if _, err := doRequest(t, pool, r); kumquatlug.ExecutionOf(err) != kumquatlug.NotExecuted || p.requests.Load() != 0 {
+		t.Errorf("%v, %d requests", err, p.requests.Load())
+	}
+	withdrawn = false
+	if text, err := doRequest(t, pool, r); err != nil || text != "done" {
+		t.Fatal(text, err)
+	}
+	// A kept connection is used at once.
+	withdrawn = true
+	if text, err := doRequest(t, pool, r); err != nil || text != "done" {
+		t.Fatal(text, err)
+	}
+}
+
 // The client cancels while its request is running. The connection must be closed
 // at once, because that makes the peer stop.
 func TestCancelledRequestClosesConnection(t *testing.T) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -235,7 +235,7 @@
 	priorityLowest = 9
 )
 
-func (f *inflight) attemptOptions(choice placement.Choice) kumquatlug.AttemptOptions {
+func (f *inflight) attemptOptions(choice placement.Choice, a *placement.Attempt) kumquatlug.AttemptOptions {
 	now := f.g.c.Clock.Now()
 	priority := priorityOnTime
 	target := f.route.LatencyTarget()
@@ -246,7 +246,8 @@
 	if !choice.PrefillOnly() && f.g.scheduler.sharesSlots(f.service.Name()) {
 		priority = priorityDecode
 	}
-	return kumquatlug.AttemptOptions{Timeout: f.timeLeft(), LastEventID: f.lastEventID, Priority: priority}
+	withdrawn := func() bool { return f.g.scheduler.leaving(f.service.Name(), a) }
+	return kumquatlug.AttemptOptions{Timeout: f.timeLeft(), LastEventID: f.lastEventID, Priority: priority, Withdrawn: withdrawn}
 }
 
 // attemptTimeout returns how long an attempt may take until its first output, in ms, if
@@ -273,7 +274,7 @@
 	stop := time.AfterFunc(f.attemptTimeout(a).Duration(), o.suspect)
 	defer stop.Stop()
 	f.unusedCharge = false
-	options := f.attemptOptions(c)
+	options := f.attemptOptions(c, a)
 	o.await()
 	cache, response, err := f.g.c.Workers.Prefill(call, c.Worker(), o.request, options)
 	prefilled := err == nil && response.Status() == http.StatusOK && cache.Handle() != ""
@@ -353,7 +354,7 @@
 	if failed := f.refuseBeforeExit(stageOutput, a); failed != nil {
 		return failed
 	}
-	s := f.attemptOptions(c)
+	s := f.attemptOptions(c, a)
 	s.Cache = cache
 	if !f.acceptBeforeRun() {
 		return f.withdrawnFailure(a, kumquatlug.NotExecuted)
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -52,6 +52,13 @@
 	return sc.service(service).placer.StillAccepts(now, a)
 }
 
+// leaving reports whether the worker of an attempt is gone or shuts down.
+func (sc *scheduler) leaving(service string, a *placement.Attempt) bool {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	return sc.service(service).placer.Leaving(a)
+}
+
 // exportLimits sets the metrics of the workers that have a rate limit.
 func (g *Gateway) exportLimits() {
 	g.metrics.limit.Reset()
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -81,3 +81,34 @@
 		}
 	}
 }
+
+// Guards against an attempt that is sent to a worker which left, or began to shut down, while it waited for a connection.
+func TestAttemptIsWithdrawnWhenWorkerLeaves(t *testing.T) {
+	draining := member("s1", "")
+	draining.State = kumquatlug.MemberDraining
+	for name, c := range map[string]struct {
+		members []kumquatlug.Member
+		want    bool
+	}{
+		"ready": {[]kumquatlug.Member{member("s1", ""), member("s2", "")}, false}, "draining": {[]kumquatlug.Member{draining, member("s2", "")}, true},
+		"gone": {[]kumquatlug.Member{member("s2", "")}, true},
+	} {
+		w := &fakeWorkers{}
+		f := newTestGateway(t, w, manyRetries)
+		f.g.scheduler.syncMembers(f.g.c.Clock.Now(), map[string][]kumquatlug.Member{"desk": {member("s1", "")}})
+		withdrawn := false
+		w.run = func(_ context.Context, n int, call workerCall) (kumquatlug.WorkerResponse, error) {
+			if n > 1 {
+				return wholeResponse(200, "done"), nil
+			}
+			f.g.scheduler.syncMembers(f.g.c.Clock.Now(), map[string][]kumquatlug.Member{"desk": c.members})
+			if withdrawn = call.options.Withdrawn(); !withdrawn {
+				return wholeResponse(200, "done"), nil
+			}
+			return kumquatlug.WorkerResponse{}, kumquatlug.NewFailure(kumquatlug.FailureConfig{Step: "connect", Execution: kumquatlug.NotExecuted})
+		}
+		if got := f.do(t.Context(), http.MethodPost, postRoute); got.status != 200 || got.body != "done" || withdrawn != c.want {
+			t.Errorf("%s: withdrawn %t, %+v", name, withdrawn, got)
+		}
+	}
+}
--- a/pkg/kumquatlug/gateway.go
+++ b/pkg/kumquatlug/gateway.go
@@ -197,6 +197,9 @@
 	// OnSend is called once there is a connection, just before the request is sent on it; nil
 	// for none. It must not block, and is not called after the call of the worker has returned.
 	OnSend func()
+	// Withdrawn is asked once a new connection to the worker has been made; if it returns true,
+	// the request is not sent there. Nil for never. It must not block.
+	Withdrawn func() bool
 }
 
 // Framing is how a response marks the end of its body.
--- a/pkg/kumquatlug/placement/limit.go
+++ b/pkg/kumquatlug/placement/limit.go
@@ -161,6 +161,12 @@
 	return w != nil && p.workers[t.id] == w && !w.unresponsive && p.accepts(now, w, nil, w.member.Role)
 }
 
+// Leaving reports whether the worker of an attempt is gone or shuts down.
+func (p *Placer) Leaving(t *Attempt) bool {
+	w := t.worker
+	return w == nil || p.workers[t.id] != w || w.member.State == kumquatlug.MemberDraining
+}
+
 // Limits returns the workers that have a rate limit.
 func (p *Placer) Limits() []LimitChange {
 	var all []LimitChange
