--- a/cmd/kumquatlug-standin/simulators.go
+++ b/cmd/kumquatlug-standin/simulators.go
@@ -2,7 +2,9 @@
 
 import (
 	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
 
+	"github.com/kumquatlug/kumquatlug/internal/standin"
 	"github.com/kumquatlug/kumquatlug/internal/standin/engine"
 	"github.com/kumquatlug/kumquatlug/internal/standin/rowstore"
 	"github.com/kumquatlug/kumquatlug/internal/standin/service"
@@ -33,6 +35,11 @@
 	return cmd
 }
 
+// endingVar adds the --ending flag.
+func endingVar(f *pflag.FlagSet, field *standin.Ending) {
+	f.StringVar((*string)(field), "ending", string(standin.EndingFramed), "how responses end: with a mark if empty, else connection, inside or reset")
+}
+
 func newEngineCommand() *cobra.Command {
 	var c engine.Config
 	cmd := &cobra.Command{
@@ -58,6 +65,7 @@
 	f.Uint64Var(&c.Seed, "seed", 1, "seed of the random number generator")
 	f.BoolVar(&c.CheckFence, "checks-fence", false, "reject orders with a stale fencing token")
 	f.StringVar(&c.CrashMarker, "crash-mark", "", "crash on a prompt that contains this text")
+	endingVar(f, &c.Ending)
 	f.BoolVar(&c.StampTokens, "stamped", false, "emit timestamps instead of words, for path-cost")
 	millisVar(cmd, &c.EventLag, "event-lag", 0, "delay before cache events are published")
 	millisVar(cmd, &c.LoadLag, "load-lag", 0, "age of load reports")
@@ -80,6 +88,7 @@
 	listen := listenFlag(cmd)
 	millisVar(cmd, &c.Delay, "delay", 0, "delay of a call before it takes effect")
 	cmd.Flags().IntVar(&c.LoseResponses, "fail-after", 0, "number of initial executions that close the connection after taking effect")
+	endingVar(cmd.Flags(), &c.Ending)
 	cmd.Flags().IntVar(&c.MinResponseBytes, "answer-bytes", 0, "minimum size of a response, in bytes")
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
 		return serve(cmd.Context(), cmd.OutOrStdout(), *listen, service.New(c).Handler())
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -17,6 +17,8 @@
 	"github.com/openai/openai-go/v3/option"
 	"go.uber.org/goleak"
 
+	engineclient "github.com/kumquatlug/kumquatlug/internal/engine"
+	"github.com/kumquatlug/kumquatlug/internal/standin"
 	"github.com/kumquatlug/kumquatlug/internal/standin/engine"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
@@ -348,3 +350,31 @@
 		t.Fatalf("%+v", s)
 	}
 }
+
+// Guards against a stream that the reader of gateways takes for complete although its engine broke it off, or the reverse.
+func TestEndingsOfStreams(t *testing.T) {
+	for ending, complete := range map[standin.Ending]bool{
+		standin.EndingFramed: true, standin.EndingConnection: true, standin.EndingInside: false, standin.EndingReset: false,
+	} {
+		_, url := startEngine(t, engine.Config{Ending: ending, TimeScale: 0.01})
+		r, err := http.Post(url+"/v1/completions", "application/json", strings.NewReader(`{"prompt":"p","max_tokens":12,"stream":true}`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		tokens, chunks := 0, engineclient.NewReader(r.Body)
+		for {
+			if _, err = chunks.Next(); err != nil {
+				break
+			}
+			tokens++
+		}
+		r.Body.Close()
+		if errors.Is(err, io.EOF) != complete || complete != (tokens == 12) {
+			t.Errorf("%q: %d tokens, %v", ending, tokens, err)
+		}
+		status, text, err := post(url+"/v1/completions", `{"prompt":"p","max_tokens":12}`)
+		if valid := json.Valid([]byte(text)); valid != complete || (err != nil) != (ending == standin.EndingReset) {
+			t.Errorf("%q: status %d, %q, %v", ending, status, text, err)
+		}
+	}
+}
