Tell a request that every worker refused that it did not run, also after a takeover

A worker was silent with a request, woke and refused it, while the retry budget was used up: the caller got 502 and "unknown", so that one whose request may run once could not repeat it, although nothing had run.

Two counts were wrong. A takeover counts the open attempt as a possible run when it begins, and kept that count when the attempt later ended as refused or unconnected: settle now learns whether the attempt ran and withdraws the count. And the failure of a retry that the budget or the placement refused counted as a run of its own, as it carried the doubt about the earlier attempts: it now says of itself that it did not run, and the final response still derives from all attempts whether any may have. An attempt whose connection broke stays unknown.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -147,7 +147,7 @@
 	if c.Delay() > 0 {
 		reason, retryAfter = "worker_limit", f.retryAfter(c.Delay())
 	}
-	return &attemptFailure{permanent: true, failure: f.clientFailure(refusal("place", reason, 0, retryAfter), reason)}
+	return &attemptFailure{permanent: true, failure: refusal("place", reason, http.StatusServiceUnavailable, retryAfter)}
 }
 
 // overloadFailure returns the failure of a request that no worker can start in time. A
@@ -278,7 +278,7 @@
 	o.await()
 	cache, response, err := f.g.c.Workers.Prefill(call, c.Worker(), o.request, options)
 	prefilled := err == nil && response.Status() == http.StatusOK && cache.Handle() != ""
-	failed, replaced := o.settle(prefilled, func() {
+	failed, replaced := o.settle(prefilled, executionOf(response, err), func() {
 		f.g.releaseCache(cache)
 		f.endReplaced(o.request, stagePrefill, a, endCauseOf(ctx, call), response, err)
 	})
@@ -340,6 +340,17 @@
 	}
 }
 
+// executionOf returns whether an attempt with this result ran.
+func executionOf(response kumquatlug.WorkerResponse, err error) kumquatlug.Execution {
+	switch {
+	case err != nil:
+		return kumquatlug.ExecutionOf(err)
+	case response.Refused():
+		return kumquatlug.NotExecuted
+	}
+	return kumquatlug.ExecutionUnknown
+}
+
 // run makes an attempt that runs the request, and relays the response.
 func (f *inflight) run(ctx context.Context, c placement.Choice, a *placement.Attempt, cache kumquatlug.KVCacheRef) *attemptFailure {
 	if failed := f.awaitWorkerLimit(ctx, c, a); failed != nil {
@@ -368,7 +379,7 @@
 	o.await()
 	response, err := f.g.c.Workers.Run(call, c.Worker(), request, s)
 	alive := err == nil && !response.Refused() && response.Status() < http.StatusInternalServerError
-	failed, replaced := o.settle(alive, func() {
+	failed, replaced := o.settle(alive, executionOf(response, err), func() {
 		f.endReplaced(request, stageOutput, a, endCauseOf(ctx, call), response, err)
 	})
 	if replaced {
--- a/internal/gateway/handofftakeover.go
+++ b/internal/gateway/handofftakeover.go
@@ -23,6 +23,7 @@
 			f.usageCounted = f.responseStarted
 			f.elapsed = f.g.c.Clock.Now() - f.arrived
 		},
+		notRun: func() { f.possibleRuns -= runs },
 		try: func(ctx context.Context) *attemptFailure {
 			if !recorded {
 				recorded = true
@@ -41,7 +42,13 @@
 func (f *inflight) settleTransfer(
 	ctx context.Context, t *peerTransfer, response kumquatlug.HandoffResponse, alive bool, err error,
 ) (*attemptFailure, bool) {
-	return t.open.settle(alive, func() {
+	executed := kumquatlug.ExecutionUnknown
+	if err != nil {
+		executed = kumquatlug.ExecutionOf(err)
+	} else if response.Refused() {
+		executed = response.Ran()
+	}
+	return t.open.settle(alive, executed, func() {
 		if body := response.Response().Body(); body != nil {
 			body.Close()
 		}
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -218,13 +218,14 @@
 	return nil
 }
 
-// chargeRetry takes one retry from the budget. It returns a failure if the budget is exhausted.
+// chargeRetry takes one retry from the budget. It returns a failure if the budget is exhausted: the
+// retry did not run, whatever earlier attempts did.
 func (f *inflight) chargeRetry() *kumquatlug.Failure {
 	if f.g.scheduler.takeRetry(f.g.c.Clock.Now(), f.service.Name()) {
 		f.unusedCharge = true
 		return nil
 	}
-	return f.clientFailure(refusal("repeat", "repeats_used_up", 0, 0), "repeats_used_up")
+	return refusal("repeat", "repeats_used_up", http.StatusServiceUnavailable, 0)
 }
 
 // mayHaveRun reports whether a worker may have run the request.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -171,7 +171,7 @@
 func (f *inflight) settle(a *relayedAttempt, err error) (*attemptFailure, bool) {
 	// A stream that is being moved ends at its first engine and goes on at the other one.
 	alive := err == nil || errors.Is(err, io.EOF) || a.transfer.Load() != nil
-	return a.open.settle(alive, func() {
+	return a.open.settle(alive, kumquatlug.ExecutionUnknown, func() {
 		f.endFailedAttempt(a.open.request, stageOutput, a.attempt, endCauseOf(a.requestCtx, a.attemptCtx), kumquatlug.ExecutionUnknown)
 		a.response.Body().Close()
 		f.abandon(a)
--- a/internal/gateway/takeover.go
+++ b/internal/gateway/takeover.go
@@ -57,8 +57,9 @@
 	watch func()
 	// try makes one attempt for a takeover.
 	try func(context.Context) *attemptFailure
-	// begin counts this attempt as failed before a takeover begins.
-	begin func()
+	// begin counts this attempt as failed before a takeover begins. notRun withdraws the runs that
+	// it counted, once it is known that the attempt did not run.
+	begin, notRun func()
 	// prefill says that the attempt does not run the request.
 	prefill bool
 	// request is kept for the end of the attempt while a takeover owns the state of the request.
@@ -129,6 +130,11 @@
 		}
 		f.exclude = append(f.exclude, a.Worker())
 	}
+	o.notRun = func() {
+		if !o.prefill {
+			f.possibleRuns--
+		}
+	}
 	o.watch = func() { f.g.scheduler.onUnresponsive(f.service.Name(), a, o.suspect) }
 	o.watch()
 	return o
@@ -170,9 +176,10 @@
 }
 
 // settle ends a wait for the worker. It returns true if a takeover has replaced the attempt, and
-// the failure of that one if it could not serve the request. alive says that the attempt goes on.
-// release is called before the wait for a takeover that replaces the attempt.
-func (o *openAttempt) settle(alive bool, release func()) (*attemptFailure, bool) {
+// the failure of that one if it could not serve the request. alive says that the attempt goes on,
+// executed whether it may have run. release is called before the wait for a takeover that replaces
+// the attempt.
+func (o *openAttempt) settle(alive bool, executed kumquatlug.Execution, release func()) (*attemptFailure, bool) {
 	if o == nil {
 		return nil, false
 	}
@@ -207,6 +214,9 @@
 		o.watch()
 		return nil, false
 	}
+	if t.failed != nil && executed == kumquatlug.NotExecuted {
+		o.notRun()
+	}
 	return t.failed, true
 }
 
--- a/internal/gateway/takeover_test.go
+++ b/internal/gateway/takeover_test.go
@@ -316,3 +316,33 @@
 		t.Errorf("%d calls, want two prefills and one run", n)
 	}
 }
+
+// Guards against a failure that leaves open whether a request ran, although the worker that was silent with it refused it and no
+// other was asked: clients repeat such a request only if it is known not to have run.
+func TestRefusalBySilentWorkerIsNotRun(t *testing.T) {
+	for name, end := range map[string]func() (kumquatlug.WorkerResponse, error){
+		"refused": func() (kumquatlug.WorkerResponse, error) { return refusedResponse(), nil },
+		"unreachable": func() (kumquatlug.WorkerResponse, error) {
+			return kumquatlug.WorkerResponse{}, kumquatlug.NewFailure(kumquatlug.FailureConfig{Step: "connect", Execution: kumquatlug.NotExecuted})
+		},
+		"broken": func() (kumquatlug.WorkerResponse, error) { return kumquatlug.WorkerResponse{}, lostConnection() },
+	} {
+		for _, path := range []string{lookupRoute, "/long/?tokens=220,104"} {
+			w := &fakeWorkers{run: func(ctx context.Context, _ int, _ workerCall) (kumquatlug.WorkerResponse, error) {
+				if !sleep(ctx, kumquatlug.Millis(silence/time.Millisecond)) {
+					return kumquatlug.WorkerResponse{}, lostConnection()
+				}
+				return end()
+			}}
+			f := newTestGateway(t, w, 0)
+			ctx, cancel := context.WithCancel(context.Background())
+			go f.g.runTimers(ctx)
+			got := f.do(ctx, http.MethodPost, path)
+			cancel()
+			notRun := got.status == http.StatusServiceUnavailable && got.header.Get("Ran") == string(kumquatlug.NotExecuted) && got.header.Get("Retry-After") != ""
+			if want := name != "broken"; notRun != want {
+				t.Errorf("%s, %s: %+v after %d attempts", name, path, got, len(w.recorded()))
+			}
+		}
+	}
+}
