--- a/internal/agent/body.go
+++ b/internal/agent/body.go
@@ -11,11 +11,9 @@
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/eventstream"
 )
 
-// Errors in place of io.EOF for a body that is incomplete.
-var (
-	errInsideEvent = errors.New("the stream ended inside an event")
-	errTargetGone  = errors.New("the target closed the connection and accepts no other")
-)
+// errTargetGone is the error in place of io.EOF for a body that is incomplete since its target
+// crashed.
+var errTargetGone = errors.New("the target closed the connection and accepts no other")
 
 // completeBody is the body of a target's response. When a target crashes, its kernel may close
 // the connection like one that has sent everything, so that the end of the input alone doesn't
@@ -48,7 +46,7 @@
 	switch {
 	case !errors.Is(err, io.EOF):
 	case b.boundaries != nil && b.boundaries.Inside():
-		err = errInsideEvent
+		err = eventstream.ErrInside
 	case b.gone != nil && b.gone():
 		err = errTargetGone
 	}
--- a/internal/gateway/eventbuffer.go
+++ b/internal/gateway/eventbuffer.go
@@ -13,9 +13,8 @@
 
 // Errors in place of io.EOF for a stream that must not end there.
 var (
-	errInsideEvent = errors.New("the stream ended inside an event")
-	errNoEvent     = errors.New("the stream ended with its connection before its first event")
-	errStopped     = errors.New("the stream ended with its connection during a move that failed")
+	errNoEvent = errors.New("the stream ended with its connection before its first event")
+	errStopped = errors.New("the stream ended with its connection during a move that failed")
 )
 
 // eventBuffer reads a stream and holds back the bytes of an event until it is complete, so that a
@@ -79,7 +78,7 @@
 func (b *eventBuffer) end() error {
 	switch {
 	case b.boundaries.Inside():
-		return errInsideEvent
+		return eventstream.ErrInside
 	case b.framing == kumquatlug.FramingConnection && b.boundaries.Events() == 0:
 		return errNoEvent
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -181,7 +181,7 @@
 // responseBroken records a response that broke off before its end.
 func (f *inflight) responseBroken(a *relayedAttempt, err error) *attemptFailure {
 	end := bodyBroken
-	if errors.Is(err, errInsideEvent) {
+	if errors.Is(err, eventstream.ErrInside) {
 		end = bodyInsideEvent
 	}
 	f.recordBodyEnd(a, end)
@@ -244,7 +244,7 @@
 	if t != nil {
 		if f.partialEvent {
 			f.discard(t)
-			return f.responseBroken(a, errInsideEvent)
+			return f.responseBroken(a, eventstream.ErrInside)
 		}
 		f.endAttempt(stageOutput, a.attempt, placement.OutcomeServed)
 		if !f.route.Repeatable() {
--- a/internal/standin/engine/completions.go
+++ b/internal/standin/engine/completions.go
@@ -241,12 +241,9 @@
 			}
 			encoder.addChunk(token, seen+1)
 		}
-		if seen == s.totalTokens {
-			break
-		}
-		events := encoder.drain()
-		if (ending == standin.EndingInside || ending == standin.EndingReset) && seen-s.resumedTokens > 1 {
-			// The next event is the one that is cut.
+		cut := ending == standin.EndingInside || ending == standin.EndingReset
+		if cut && (seen == s.totalTokens || seen-s.resumedTokens > 1) {
+			events := encoder.drain()
 			_, _ = w.Write(events[:len(events)-len("]}\n\n")])
 			flusher.Flush()
 			if ending == standin.EndingReset {
@@ -254,7 +251,10 @@
 			}
 			return nil
 		}
-		if _, err := w.Write(events); err != nil {
+		if seen == s.totalTokens {
+			break
+		}
+		if _, err := w.Write(encoder.drain()); err != nil {
 			return err
 		}
 		flusher.Flush()
--- a/pkg/kumquatlug/eventstream/eventstream.go
+++ b/pkg/kumquatlug/eventstream/eventstream.go
@@ -12,8 +12,13 @@
 import (
 	"bytes"
 	"strconv"
+
+	"github.com/cockroachdb/errors"
 )
 
+// ErrInside is returned in place of io.EOF by readers of a stream that ends inside an event.
+var ErrInside = errors.New("the stream ended inside an event")
+
 // Boundaries finds the ends of the events of one stream. The zero value is ready for its first
 // bytes.
 type Boundaries struct {
