--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -73,6 +73,10 @@
 	// Withdrawn is asked once a new connection has been made, which may take several hundred
 	// milliseconds; if it returns true, nothing is sent. Nil for never.
 	Withdrawn func() bool
+	// RequireFraming is for a peer that marks the end of each response: a body without a length or
+	// chunks ends with [ErrUnframed], as one that breaks off must not look complete. A body that
+	// shows its end itself, such as JSON, needs no other mark.
+	RequireFraming bool
 }
 
 // errWithdrawn is the cause of the failure of a request that was withdrawn while it waited for a
@@ -137,6 +141,7 @@
 	}
 	response.Body = &responseBody{
 		Reader: response.Body, pool: p, conn: c, response: response, stopCancel: stopCancel, idleTimeout: peerIdleTimeout(response.Header),
+		requireFraming: r.RequireFraming,
 	}
 	return response, nil
 }
@@ -317,15 +322,19 @@
 	stopCancel func() bool
 	// idleTimeout is read from the header at once, since callers remove headers that
 	// concern the connection before they close the body.
-	idleTimeout kumquatlug.Millis
-	eof         bool
-	closed      bool
+	idleTimeout    kumquatlug.Millis
+	requireFraming bool
+	eof            bool
+	closed         bool
 }
 
 func (b *responseBody) Read(buf []byte) (int, error) {
 	n, err := b.Reader.Read(buf)
 	if err == io.EOF {
 		b.eof = true
+		if b.requireFraming && !b.framed() {
+			err = ErrUnframed
+		}
 	}
 	return n, err
 }
@@ -338,14 +347,16 @@
 	}
 	b.closed = true
 	stopped := b.stopCancel()
-	framed := FramingOf(b.response) != kumquatlug.FramingConnection
-	if !b.eof || !stopped || !framed || b.response.Close || b.conn.writing.Load() || b.conn.reader.Buffered() > 0 {
+	if !b.eof || !stopped || !b.framed() || b.response.Close || b.conn.writing.Load() || b.conn.reader.Buffered() > 0 {
 		return b.conn.Close()
 	}
 	b.pool.putIdle(b.conn, b.idleTimeout)
 	return nil
 }
 
+// framed reports whether the end of the body is marked.
+func (b *responseBody) framed() bool { return FramingOf(b.response) != kumquatlug.FramingConnection }
+
 // FramingOf returns how a response marks the end of its body.
 func FramingOf(r *http.Response) kumquatlug.Framing {
 	switch {
@@ -357,29 +368,10 @@
 	return kumquatlug.FramingConnection
 }
 
-// ErrUnframed is the cause of a failure of a response that ends with its connection, from a peer
-// that marks the end of each response.
+// ErrUnframed is the error at the end of a body that ends with its connection although its request
+// has RequireFraming.
 var ErrUnframed = errors.New("the response ends with its connection")
 
-// RequireFraming makes the body of a response without a length or chunks end with [ErrUnframed]
-// in place of io.EOF. It is for peers that mark the end of each response: one that breaks off must
-// not look complete. A body that says itself where it ends, such as JSON, needs no other mark.
-func RequireFraming(r *http.Response) {
-	if FramingOf(r) == kumquatlug.FramingConnection {
-		r.Body = unframedBody{r.Body}
-	}
-}
-
-type unframedBody struct{ io.ReadCloser }
-
-func (b unframedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) {
-		err = ErrUnframed
-	}
-	return n, err
-}
-
 // peerIdleTimeout returns how long the connection may stay idle: the timeout of the
 // Keep-Alive header less idleMargin, else defaultIdleTimeout.
 func peerIdleTimeout(h http.Header) kumquatlug.Millis {
--- a/internal/exchange/framing_test.go
+++ b/internal/exchange/framing_test.go
@@ -93,12 +93,13 @@
 		p.readRequest(reader)
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: a\r\n\r\nhalf")
 	})
-	response, err := newPool().Do(t.Context(), newRequest(p, http.MethodGet, "a"))
+	r := newRequest(p, http.MethodGet, "a")
+	r.RequireFraming = true
+	response, err := newPool().Do(t.Context(), r)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer response.Body.Close()
-	RequireFraming(response)
 	if text, err := io.ReadAll(response.Body); !errors.Is(err, ErrUnframed) || string(text) != "half" {
 		t.Errorf("%q, %v", text, err)
 	}
--- a/internal/peerrequest/client.go
+++ b/internal/peerrequest/client.go
@@ -30,13 +30,13 @@
 	if err != nil {
 		return kumquatlug.HandoffResponse{}, err
 	}
-	exchange.RequireFraming(response)
 	return decodeResponse(response), nil
 }
 
 func (c *Client) send(ctx context.Context, h kumquatlug.HandoffRequest, header http.Header) (*http.Response, error) {
 	return c.pool.Do(ctx, exchange.Request{
 		Address: h.Address, Method: h.Request.Method(), Target: h.Request.Target(), Host: h.Request.Host(), Header: header, Body: h.Request.Body(),
+		RequireFraming:  true,
 		MatchesResponse: func(response *http.Response) bool { return response.Header.Get(headerKey) == header.Get(headerKey) },
 	})
 }
