eventstream: one check of the content type, for gateways and agents

The gateway compared the media type, the agent a prefix: the agent now reads it as the gateway does, in any case and not with further letters behind it.

--- a/internal/agent/body.go
+++ b/internal/agent/body.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -28,7 +27,7 @@
 
 func (h *workHandler) completeBody(ctx context.Context, response kumquatlug.TargetResponse) *completeBody {
 	b := &completeBody{body: response.Body()}
-	if strings.HasPrefix(response.Header().Get("Content-Type"), "text/event-stream") {
+	if eventstream.IsContentType(response.Header().Get("Content-Type")) {
 		b.boundaries = &eventstream.Boundaries{}
 	}
 	if response.Framing() == kumquatlug.FramingConnection {
--- a/internal/gateway/eventbuffer.go
+++ b/internal/gateway/eventbuffer.go
@@ -2,8 +2,6 @@
 
 import (
 	"io"
-	"net/http"
-	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -37,21 +35,16 @@
 	events int
 }
 
+// newEventBuffer returns the buffer of a response to a request for a stream, which contains events
+// unless it declares another content type.
 func newEventBuffer(response kumquatlug.WorkerResponse) *eventBuffer {
+	contentType := response.Header().Get("Content-Type")
 	return &eventBuffer{
-		body: response.Body(), otherContent: !declaresEvents(response.Header()), framing: response.Framing(),
+		body: response.Body(), otherContent: contentType != "" && !eventstream.IsContentType(contentType), framing: response.Framing(),
 		buffer: make([]byte, readBufferBytes),
 	}
 }
 
-// declaresEvents reports whether a response to a request for a stream contains events, which a
-// response without a content type does.
-func declaresEvents(h http.Header) bool {
-	contentType, _, _ := strings.Cut(h.Get("Content-Type"), ";")
-	contentType = strings.TrimSpace(contentType)
-	return contentType == "" || strings.EqualFold(contentType, "text/event-stream")
-}
-
 // read reads the next bytes and returns their number. The end of the body is an error unless the
 // stream may end there.
 func (b *eventBuffer) read() (int, error) {
--- a/pkg/kumquatlug/eventstream/eventstream.go
+++ b/pkg/kumquatlug/eventstream/eventstream.go
@@ -12,6 +12,7 @@
 import (
 	"bytes"
 	"strconv"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -19,6 +20,12 @@
 // ErrInside is returned in place of io.EOF by readers of a stream that ends inside an event.
 var ErrInside = errors.New("the stream ended inside an event")
 
+// IsContentType reports whether a Content-Type header declares a stream of events.
+func IsContentType(header string) bool {
+	mediaType, _, _ := strings.Cut(header, ";")
+	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
+}
+
 // Boundaries finds the ends of the events of one stream. The zero value is ready for its first
 // bytes.
 type Boundaries struct {
--- a/pkg/kumquatlug/eventstream/eventstream_test.go
+++ b/pkg/kumquatlug/eventstream/eventstream_test.go
@@ -62,6 +62,16 @@
 	}
 }
 
+func TestIsContentType(t *testing.T) {
+	for header, want := range map[string]bool{
+		"text/event-stream": true, "Text/Event-Stream ; charset=utf-8": true, "": false, "text/event-streams": false, "application/json": false,
+	} {
+		if got := IsContentType(header); got != want {
+			t.Errorf("%q: %t", header, got)
+		}
+	}
+}
+
 var lineEnding = regexp.MustCompile("\r\n|\r|\n")
 
 // Compares with a reading by whole lines.
