Stand-ins: one way to end a response early

The engine, the users' workers and WriteEnding each wrote a part, flushed and reset by themselves, and listed the endings that cut. WriteLast and Ending.Incomplete serve all three; what is sent is the same.

--- a/internal/standin/engine/completions.go
+++ b/internal/standin/engine/completions.go
@@ -241,14 +241,9 @@
 			}
 			encoder.addChunk(token, seen+1)
 		}
-		cut := ending == standin.EndingInside || ending == standin.EndingReset
-		if cut && (seen == s.totalTokens || seen-s.resumedTokens > 1) {
+		if ending.Incomplete() && (seen == s.totalTokens || seen-s.resumedTokens > 1) {
 			events := encoder.drain()
-			_, _ = w.Write(events[:len(events)-len("]}\n\n")])
-			flusher.Flush()
-			if ending == standin.EndingReset {
-				standin.Reset(w)
-			}
+			standin.WriteLast(w, events[:len(events)-len("]}\n\n")], ending)
 			return nil
 		}
 		if seen == s.totalTokens {
--- a/internal/standin/fleet/responses.go
+++ b/internal/standin/fleet/responses.go
@@ -14,9 +14,9 @@
 	"github.com/kumquatlug/kumquatlug/internal/standin"
 )
 
-// unframed reports whether responses with this fault end with their connection.
-func (f Fault) unframed() bool {
-	return f == FaultUnframed || f == FaultUnframedCut || f == FaultUnframedReset
+// endings are how responses with a fault end, where they have neither a length nor chunks.
+var endings = map[Fault]standin.Ending{
+	FaultUnframed: standin.EndingConnection, FaultUnframedCut: standin.EndingInside, FaultUnframedReset: standin.EndingReset,
 }
 
 // servePrefill prefills a prompt and returns the handle of its KV cache.
@@ -75,7 +75,8 @@
 // streamEvents sends the events after the one in the Last-Event-Id header.
 func (w *Worker) streamEvents(out http.ResponseWriter, r *http.Request, id string, fault Fault) {
 	out.Header().Set("Content-Type", "text/event-stream")
-	if fault.unframed() {
+	ending := endings[fault]
+	if ending != standin.EndingFramed {
 		standin.Unframe(out)
 	}
 	flush := http.NewResponseController(out)
@@ -103,8 +104,11 @@
 		default:
 		}
 		event := fmt.Sprintf("id: %d\ndata: %s/%d\n\n", n, id, n)
-		if n == last+2 && (fault == FaultTruncate || fault == FaultUnframedCut || fault == FaultUnframedReset) {
-			endInside(out, event[:1+int(xxhash.Sum64String(id)%uint64(len(event)-1))], fault)
+		if n == last+2 && (fault == FaultTruncate || ending.Incomplete()) {
+			standin.WriteLast(out, []byte(event[:1+int(xxhash.Sum64String(id)%uint64(len(event)-1))]), ending)
+			if fault == FaultTruncate {
+				panic(http.ErrAbortHandler)
+			}
 			return
 		}
 		_, _ = io.WriteString(out, event)
@@ -112,18 +116,6 @@
 	}
 }
 
-// endInside ends a stream in the middle of an event.
-func endInside(out http.ResponseWriter, part string, fault Fault) {
-	_, _ = io.WriteString(out, part)
-	_ = http.NewResponseController(out).Flush()
-	switch fault {
-	case FaultTruncate:
-		panic(http.ErrAbortHandler)
-	case FaultUnframedReset:
-		standin.Reset(out)
-	}
-}
-
 // ResponseBody returns the response of a plain worker to the attempt with this ID.
 func ResponseBody(id string) string { return strings.Repeat("answer to "+id+"\n", 40) }
 
@@ -135,12 +127,11 @@
 	w.awaitPauseEnd()
 	out.Header().Set("Request-Size", strconv.Itoa(bodyBytes))
 	text := ResponseBody(id)
-	switch fault {
-	case FaultUnframed:
-		standin.WriteEnding(out, http.StatusOK, []byte(text), standin.EndingConnection)
-		return
-	case FaultUnframedCut, FaultUnframedReset:
-		standin.WriteEnding(out, http.StatusOK, []byte(text), standin.EndingReset)
+	if ending := endings[fault]; ending != standin.EndingFramed {
+		if ending == standin.EndingInside {
+			ending = standin.EndingReset
+		}
+		standin.WriteEnding(out, http.StatusOK, []byte(text), ending)
 		return
 	}
 	out.Header().Set("Content-Length", strconv.Itoa(len(text)))
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -52,14 +52,15 @@
 	EndingReset Ending = "reset"
 )
 
+// Incomplete reports whether a part of the response is missing.
+func (e Ending) Incomplete() bool { return e == EndingInside || e == EndingReset }
+
 // Unframe makes a response end with its connection. Call it before the header is written.
 func Unframe(w http.ResponseWriter) { w.Header().Set("Transfer-Encoding", "identity") }
 
-// Reset resets the connection of a response.
-func Reset(w http.ResponseWriter) {
-	control := http.NewResponseController(w)
-	_ = control.Flush()
-	conn, _, err := control.Hijack()
+// reset resets the connection of a response.
+func reset(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -74,16 +75,23 @@
 	if ending != EndingFramed {
 		Unframe(w)
 	}
-	if ending == EndingInside || ending == EndingReset {
+	if ending.Incomplete() {
 		body = body[:len(body)*2/3]
 	}
 	w.WriteHeader(status)
-	_, _ = w.Write(body)
-	switch ending {
-	case EndingConnection, EndingInside:
-		// Without it, net/http would add a length to a short body.
-		_ = http.NewResponseController(w).Flush()
-	case EndingReset:
-		Reset(w)
+	if ending == EndingFramed {
+		_, _ = w.Write(body)
+		return
+	}
+	WriteLast(w, body, ending)
+}
+
+// WriteLast writes the last part of a response, and resets the connection if the ending says so.
+func WriteLast(w http.ResponseWriter, part []byte, ending Ending) {
+	_, _ = w.Write(part)
+	// Without it, net/http would add a length to a short body.
+	_ = http.NewResponseController(w).Flush()
+	if ending == EndingReset {
+		reset(w)
 	}
 }
