Record a broken transfer in one place, and read its execution as the relay does

settleTransfer and transferBroken set the result and counted it each by themselves; settleTransfer also repeated brokenExecution. Behaviour is the same.

--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -352,13 +352,18 @@
 	reasonPeerGaveUp = "peer_gave_up"
 )
 
+// recordBroken records that a peer failed with a transfer.
+func (h *handoffs) recordBroken(t *peerTransfer) {
+	t.result = handoff.ResultBroken
+	h.metrics.handoffs.WithLabelValues(outcomeBroken).Inc()
+}
+
 // transferBroken returns the failure of a transfer whose connection could not be made or
 // broke off. A peer is left out only if it failed, not if the client disconnected or the
 // deadline passed.
 func (f *inflight) transferBroken(ctx context.Context, t *peerTransfer, ran kumquatlug.Execution, err error) *attemptFailure {
 	if ctx.Err() == nil {
-		t.result = handoff.ResultBroken
-		f.g.handoffs.metrics.handoffs.WithLabelValues(outcomeBroken).Inc()
+		f.g.handoffs.recordBroken(t)
 	}
 	return &attemptFailure{failure: kumquatlug.NewFailure(kumquatlug.FailureConfig{
 		Step: stepHandoff, Peer: t.offer.Peer(), Reason: "peer_failed", Execution: ran, Status: http.StatusBadGateway, Cause: err,
--- a/internal/gateway/handofftakeover.go
+++ b/internal/gateway/handofftakeover.go
@@ -5,7 +5,6 @@
 	"net/http"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
-	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/handoff"
 )
 
 // openTransfer makes a transfer one that this gateway may take over.
@@ -42,19 +41,16 @@
 func (f *inflight) settleTransfer(
 	ctx context.Context, t *peerTransfer, response kumquatlug.HandoffResponse, alive bool, err error,
 ) (*attemptFailure, bool) {
-	executed := kumquatlug.ExecutionUnknown
+	executed := brokenExecution(response)
 	if err != nil {
 		executed = kumquatlug.ExecutionOf(err)
-	} else if response.Refused() {
-		executed = response.Ran()
 	}
 	return t.open.settle(alive, executed, func() {
 		if body := response.Response().Body(); body != nil {
 			body.Close()
 		}
 		if ctx.Err() == nil && (t.silent.Load() || err != nil && t.call.Err() == nil) {
-			t.result = handoff.ResultBroken
-			f.g.handoffs.metrics.handoffs.WithLabelValues(outcomeBroken).Inc()
+			f.g.handoffs.recordBroken(t)
 		}
 		t.end()
 	})
