--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -246,7 +246,7 @@
 	if !choice.PrefillOnly() && f.g.scheduler.sharesSlots(f.service.Name()) {
 		priority = priorityDecode
 	}
-	withdrawn := func() bool { return f.g.scheduler.leaving(f.service.Name(), a) }
+	withdrawn := func() bool { return f.g.scheduler.draining(f.service.Name(), a) }
 	return kumquatlug.AttemptOptions{Timeout: f.timeLeft(), LastEventID: f.lastEventID, Priority: priority, Withdrawn: withdrawn}
 }
 
@@ -340,17 +340,6 @@
 	}
 }
 
-// executionOf returns whether an attempt with this result ran.
-func executionOf(response kumquatlug.WorkerResponse, err error) kumquatlug.Execution {
-	switch {
-	case err != nil:
-		return kumquatlug.ExecutionOf(err)
-	case response.Refused():
-		return kumquatlug.NotExecuted
-	}
-	return kumquatlug.ExecutionUnknown
-}
-
 // run makes an attempt that runs the request, and relays the response.
 func (f *inflight) run(ctx context.Context, c placement.Choice, a *placement.Attempt, cache kumquatlug.KVCacheRef) *attemptFailure {
 	if failed := f.awaitWorkerLimit(ctx, c, a); failed != nil {
--- a/internal/gateway/attemptend.go
+++ b/internal/gateway/attemptend.go
@@ -38,6 +38,17 @@
 	return endedByWorker
 }
 
+// executionOf returns whether an attempt with this result ran.
+func executionOf(response kumquatlug.WorkerResponse, err error) kumquatlug.Execution {
+	switch {
+	case err != nil:
+		return kumquatlug.ExecutionOf(err)
+	case response.Refused():
+		return kumquatlug.NotExecuted
+	}
+	return kumquatlug.ExecutionUnknown
+}
+
 // endFailedAttempt records the end of a failed attempt of a request that may have run. The
 // request is recorded as a possible cause of a crash only if the worker itself ended the attempt.
 // It may be called while a takeover owns the state of the request.
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -52,11 +52,11 @@
 	return sc.service(service).placer.StillAccepts(now, a)
 }
 
-// leaving reports whether the worker of an attempt is gone or shuts down.
-func (sc *scheduler) leaving(service string, a *placement.Attempt) bool {
+// draining reports whether the worker of an attempt was removed or is draining.
+func (sc *scheduler) draining(service string, a *placement.Attempt) bool {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	return sc.service(service).placer.Leaving(a)
+	return sc.service(service).placer.Draining(a)
 }
 
 // exportLimits sets the metrics of the workers that have a rate limit.
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -82,7 +82,7 @@
 	}
 }
 
-// Guards against an attempt that is sent to a worker which left, or began to shut down, while it waited for a connection.
+// Guards against an attempt that is sent to a worker which was removed, or began to drain, while it waited for a connection.
 func TestAttemptIsWithdrawnWhenWorkerLeaves(t *testing.T) {
 	draining := member("s1", "")
 	draining.State = kumquatlug.MemberDraining
--- a/internal/gateway/takeover.go
+++ b/internal/gateway/takeover.go
@@ -302,7 +302,7 @@
 }
 
 // accept cancels the open attempt, and those that led to it, since another worker has accepted
-// the request. It returns false if one of them has gone on meanwhile.
+// the request. It returns false if one of them has continued meanwhile.
 func (t *takeover) accept() bool {
 	for ; t != nil; t = t.parent {
 		o := t.open
--- a/pkg/kumquatlug/gateway.go
+++ b/pkg/kumquatlug/gateway.go
@@ -211,7 +211,7 @@
 	FramingLength Framing = "length"
 	// FramingChunks: the body comes in chunks, the last of which is empty.
 	FramingChunks Framing = "chunks"
-	// FramingConnection: the body ends with its connection. It can't be told from one whose sender
+	// FramingConnection: the body ends with its connection. It looks the same as one whose sender
 	// stopped early and closed the connection without a reset.
 	FramingConnection Framing = "connection"
 )
--- a/pkg/kumquatlug/placement/limit.go
+++ b/pkg/kumquatlug/placement/limit.go
@@ -161,8 +161,8 @@
 	return w != nil && p.workers[t.id] == w && !w.unresponsive && p.accepts(now, w, nil, w.member.Role)
 }
 
-// Leaving reports whether the worker of an attempt is gone or shuts down.
-func (p *Placer) Leaving(t *Attempt) bool {
+// Draining reports whether the worker of an attempt was removed or is draining.
+func (p *Placer) Draining(t *Attempt) bool {
 	w := t.worker
 	return w == nil || p.workers[t.id] != w || w.member.State == kumquatlug.MemberDraining
 }
