--- a/internal/gateway/maintenance.go
+++ b/internal/gateway/maintenance.go
@@ -27,7 +27,7 @@
 
 // runMaintenance closes idle connections and counts the gateways that share budgets.
 func (g *Gateway) runMaintenance(ctx context.Context) {
-	row, counted, logged, transfers := registration{}, false, loggedEstimates{}, exportedTransfers{}
+	row, counted, logged, transfers, retries := registration{}, false, loggedEstimates{}, exportedTransfers{}, exportedRetries{}
 	for round := 0; ; round++ {
 		if g.storeRestored(row) {
 			counted = false
@@ -48,6 +48,7 @@
 		g.reportEstimates(logged)
 		g.exportSpeeds()
 		g.reportTransfers(transfers)
+		g.reportRetries(retries)
 		g.exportWorstAccounts()
 		g.exportLimits()
 		g.link.checkOverload()
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -219,14 +219,6 @@
 	return share * (baseValue + (1-baseValue)*size/mean)
 }
 
-// takeRetry takes one retry from the budget of a service and reports whether there was
-// one.
-func (sc *scheduler) takeRetry(now kumquatlug.Millis, service string) bool {
-	sc.mu.Lock()
-	defer sc.mu.Unlock()
-	return sc.service(service).retryBudget.Allow(now)
-}
-
 // stage is the part of a request for which a worker is chosen.
 type stage string
 
--- a/pkg/kumquatlug/retry/sharedbudget.go
+++ b/pkg/kumquatlug/retry/sharedbudget.go
@@ -35,6 +35,22 @@
 	gateways   int
 	buckets    [windowBuckets + 1]bucketCounts
 	lastBucket int64
+	stats      SharedBudgetStats
+}
+
+// SharedBudgetStats describes what a [SharedBudget] has decided.
+type SharedBudgetStats struct {
+	// Gateways is the number of gateways that share the budget.
+	Gateways int
+	// Requests, Granted and Denied count the client requests and the retries since the start.
+	Requests, Granted, Denied int
+}
+
+// Stats returns what the budget has decided.
+func (s *SharedBudget) Stats() SharedBudgetStats {
+	stats := s.stats
+	stats.Gateways = s.gateways
+	return stats
 }
 
 // bucketCounts counts the events in one bucket of the window.
@@ -68,6 +84,7 @@
 func (s *SharedBudget) RecordRequest(now kumquatlug.Millis) {
 	s.advance(now)
 	s.buckets[s.lastBucket%(windowBuckets+1)].requests++
+	s.stats.Requests++
 }
 
 // RecordRetry records a retry that was sent without a successful Allow. It counts against
@@ -87,8 +104,10 @@
 	}
 	share := s.config.Ratio*float64(sum.requests) + float64(s.config.MinRetries)/float64(s.gateways)
 	if float64(sum.retries+1) > usableFraction*share {
+		s.stats.Denied++
 		return false
 	}
 	s.RecordRetry(now)
+	s.stats.Granted++
 	return true
 }
