Retry from the credit of own requests, and claim the rest from a pool in the store

What callers saw: more retries reach a service than its budget allows while gateways are killed and start again (BUDGET).

Cause: a gateway divided MinRetries by the number of gateways, which was 1 until it had read the rows of the others, and forgot with each restart what it had sent in the window.

Why this works: a process starts without credit and earns it from its requests, half for the window in which they arrive and two fifths for the next one, so that all processes together stay within the requests of the window and of the one before. MinRetries lies in one row of the store, from which retries are claimed under a condition; no count of gateways is needed.

Tests: gateways of package gateway have a pool in place of a share that is there at once (the number is now that of the retries). The model of slow links starts its budgets as those of a fleet that has run before; its bounds stay.

--- a/internal/experiment/swing/simulation.go
+++ b/internal/experiment/swing/simulation.go
@@ -81,7 +81,7 @@
 // Simulate simulates a load under a policy. The same arguments give the same result.
 func Simulate(config SiteConfig, load []Arrivals, policy Policy, seed uint64) Result {
 	requests := generateRequests(config, load, seed)
-	sim := newSimulation(config, policy)
+	sim := newSimulation(config, load, policy)
 	end := kumquatlug.Millis(len(load))*intervalLength + config.StreamTimeout
 	next := 0
 	for now := kumquatlug.Millis(1); now < end; now++ {
@@ -97,11 +97,11 @@
 	return sim.result
 }
 
-func newSimulation(config SiteConfig, policy Policy) *simulation {
+func newSimulation(config SiteConfig, load []Arrivals, policy Policy) *simulation {
 	sim := &simulation{
 		config: config, gatewayIndex: map[string]int{}, engineByName: map[string]*engine{}, scheduled: map[kumquatlug.Millis][]func(kumquatlug.Millis){},
 		prefillShare: float64(policy.PrefillEngines) / float64(config.Engines), limits: policy.Limits, limitSeenAt: map[gatewayEngine]kumquatlug.Millis{},
-		calls: newCallLog(config),
+		calls: newCallLog(config, load[0]),
 	}
 	policy.Split.BasePrefillShare = sim.prefillShare
 	sim.split = planner.NewAdaptiveSplit(policy.Split)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -16,7 +16,7 @@
 	if f.service.Engine() {
 		return f.generate(ctx)
 	}
-	attempt, choice, failed := f.choose(stageWhole)
+	attempt, choice, failed := f.choose(ctx, stageWhole)
 	if failed != nil {
 		return failed
 	}
@@ -118,8 +118,8 @@
 
 // choose selects a worker and starts an attempt there. It returns a failure if there is
 // no worker.
-func (f *inflight) choose(s stage) (*placement.Attempt, placement.Choice, *attemptFailure) {
-	if failed := f.takeRetryBudget(); failed != nil {
+func (f *inflight) choose(ctx context.Context, s stage) (*placement.Attempt, placement.Choice, *attemptFailure) {
+	if failed := f.takeRetryBudget(ctx); failed != nil {
 		return nil, placement.Choice{}, failed
 	}
 	q := f.placementQuery()
@@ -169,7 +169,7 @@
 // another call was refused, all others do. Retries are charged before they are sent.
 func (f *inflight) submitPrompt(ctx context.Context) (*placement.Attempt, placement.Choice, *attemptFailure) {
 	if f.prefilled {
-		if failed := f.takeRetryBudget(); failed != nil {
+		if failed := f.takeRetryBudget(ctx); failed != nil {
 			return nil, placement.Choice{}, failed
 		}
 	}
@@ -181,7 +181,7 @@
 	if choice.PrefillOnly() {
 		s, charge = stagePrefill, f.chargeRepeatedPrefill
 	}
-	if failed = charge(); failed != nil {
+	if failed = charge(ctx); failed != nil {
 		f.endAttempt(s, attempt, placement.OutcomeNeutral)
 	}
 	return attempt, choice, failed
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -168,6 +168,7 @@
 	// those of peers, nil if there is no listener for them.
 	handoffs      *handoffs
 	handoffServer *http.Server
+	retryClaims   *retryClaims
 }
 
 // maxUnusedCaches bounds the caches that wait to be released. An engine drops others by
@@ -183,6 +184,7 @@
 		handoffs: newHandoffs(c),
 	}
 	g.scheduler.slots.outcomes = newSlotMetrics(c.Registry)
+	g.retryClaims = newRetryClaims(g)
 	g.startedAt = c.Clock.Now()
 	g.shares = shares
 	g.members.Store(&memberSet{})
--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -176,7 +176,7 @@
 	final := f.finalFailure(ctx, failed)
 	if final == nil {
 		// A continuation is a retry, and is charged before anything is sent to a worker.
-		final = f.chargeRetry()
+		final = f.chargeRetry(ctx)
 	}
 	if final == nil {
 		return false
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -116,7 +116,7 @@
 func (f *inflight) recordArrival() {
 	clientTimeout := f.setDeadline()
 	received := f.arrived + f.elapsed
-	f.retryingFor = f.g.scheduler.recordArrival(received, f.service.Name(), f.route.Name(), clientTimeout)
+	f.retryingFor = f.g.scheduler.recordArrival(f.service.Name(), f.route.Name(), clientTimeout)
 	f.value = f.g.scheduler.requestValue(received, f.service.Name(), f.route.Name(), f.request.Account(), f.request.Prompt())
 }
 
@@ -204,7 +204,7 @@
 
 // takeRetryBudget takes one retry from the budget unless this is the first attempt to
 // reach a worker. It returns a failure if the budget is exhausted.
-func (f *inflight) takeRetryBudget() *attemptFailure {
+func (f *inflight) takeRetryBudget(ctx context.Context) *attemptFailure {
 	if f.recovery.repeatCharged {
 		f.recovery.repeatCharged, f.unusedCharge = false, true
 		return nil
@@ -212,7 +212,7 @@
 	if f.deliveries == 0 {
 		return nil
 	}
-	if final := f.chargeRetry(); final != nil {
+	if final := f.chargeRetry(ctx); final != nil {
 		return &attemptFailure{permanent: true, failure: final}
 	}
 	return nil
@@ -220,8 +220,8 @@
 
 // chargeRetry takes one retry from the budget. It returns a failure if the budget is exhausted: the
 // retry did not run, whatever earlier attempts did.
-func (f *inflight) chargeRetry() *kumquatlug.Failure {
-	if f.g.scheduler.takeRetry(f.g.c.Clock.Now(), f.service.Name()) {
+func (f *inflight) chargeRetry(ctx context.Context) *kumquatlug.Failure {
+	if f.g.takeRetry(ctx, f.service.Name()) {
 		f.unusedCharge = true
 		return nil
 	}
--- a/internal/gateway/kvtransfer.go
+++ b/internal/gateway/kvtransfer.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"slices"
 
@@ -78,11 +79,11 @@
 // chargeRepeatedPrefill charges the retry budget for a prefill on a separate engine that is
 // sent after another call was refused. If it is accepted it counts as the first prefill, and
 // the charge covers the next call.
-func (f *inflight) chargeRepeatedPrefill() *attemptFailure {
+func (f *inflight) chargeRepeatedPrefill(ctx context.Context) *attemptFailure {
 	if f.deliveries == 0 || f.recovery.repeatCharged {
 		return nil
 	}
-	failed := f.takeRetryBudget()
+	failed := f.takeRetryBudget(ctx)
 	f.recovery.repeatCharged = failed == nil
 	return failed
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -33,10 +33,8 @@
 	shuttingDown prometheus.Counter
 	// storeEra counts how often the store was restored from an older copy.
 	storeEra prometheus.Gauge
-	// retries counts the retries asked of the shared budget, retryGateways is the number of gateways
-	// among which this one divides MinRetries.
-	retries       *prometheus.CounterVec
-	retryGateways prometheus.Gauge
+	// retries counts the retries asked of the shared budget.
+	retries *prometheus.CounterVec
 	// kvTransfers counts transfers of KV caches, prefilledTokens the tokens prefilled.
 	kvTransfers, prefilledTokens *prometheus.CounterVec
 }
@@ -108,11 +106,8 @@
 			Name: "kumquatlug_gateway_store_era", Help: "How often the store came back from an older copy.",
 		}),
 		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "kumquatlug_gateway_retries_total", Help: "Retries asked of the budget that all gateways share, by outcome.",
+			Name: "kumquatlug_gateway_retries_total", Help: "Retries asked of the budget that all gateways share, and those claimed from its pool, by outcome.",
 		}, []string{"service", "outcome"}),
-		retryGateways: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "kumquatlug_gateway_retry_gateways", Help: "Gateways among which the retries that are allowed regardless of the requests are divided.",
-		}),
 		kvTransfers: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "kumquatlug_front_kv_transfers_total", Help: "Transfers of KV caches between engines by outcome, and those avoided.",
 		}, []string{"service", "outcome"}),
@@ -129,7 +124,7 @@
 	return []prometheus.Collector{
 		m.responses, m.attempts, m.bodyEnds, m.latency, m.storeReads, m.orders, m.unresponsive, m.takeovers, m.configVersion, m.estimates, m.permits, m.denied,
 		m.fencingToken, m.usageReports, m.usageOpen, m.worstAccounts, m.limit, m.limitSent, m.shuttingDown, m.storeEra,
-		m.retries, m.retryGateways,
+		m.retries,
 		m.kvTransfers, m.prefilledTokens,
 	}
 }
--- a/internal/gateway/retrybudget.go
+++ b/internal/gateway/retrybudget.go
@@ -1,18 +1,178 @@
 package gateway
 
 import (
+	"context"
+	"math/rand/v2"
+	"sync"
+
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/kumquatlug/kumquatlug/internal/logs"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/retry"
 )
 
-// takeRetry takes one retry from the budget of a service and reports whether there was
-// one.
-func (sc *scheduler) takeRetry(now kumquatlug.Millis, service string) bool {
+// Parameters of claiming retries from the pool.
+const (
+	// claimTimeout limits how long a request waits for a claim: several calls to the store.
+	claimTimeout = 250 * kumquatlug.Millis(1)
+	// claimFailureDelay is how long no claim is made after one failed.
+	claimFailureDelay = 1 * kumquatlug.Second
+	// maxClaimTries is how often a claim is tried while other gateways claim from the same pool.
+	maxClaimTries = 3
+	// claimsPerRequest is the number of retries that are claimed for each request that waits: what
+	// made it fail makes others fail.
+	claimsPerRequest = 2
+	// claimSpreadPerGateway spreads the claims of all gateways that wait for the same time, up
+	// to maxClaimSpread.
+	claimSpreadPerGateway = 10 * kumquatlug.Millis(1)
+	maxClaimSpread        = 10 * kumquatlug.Second
+	// poolRowPrefix is the prefix of the keys of the pools, by service.
+	poolRowPrefix = "retries/"
+)
+
+// retryClaims claims retries from the pools that all gateways share. One claim a service is made at
+// a time, for all requests that wait for it.
+type retryClaims struct {
+	g         *Gateway
+	pool      retry.Pool
+	mu        sync.Mutex
+	byService map[string]*serviceClaims
+}
+
+// serviceClaims is the state of the claims of one service.
+type serviceClaims struct {
+	// open is closed when the claim in progress has ended, nil while there is none. waiting is
+	// the number of requests that need a retry.
+	open    chan struct{}
+	waiting int
+	// notBefore is the time of the next claim, by BootClock.
+	notBefore kumquatlug.Millis
+}
+
+func newRetryClaims(g *Gateway) *retryClaims {
+	return &retryClaims{g: g, pool: retry.NewPool(g.c.RetryBudget), byService: map[string]*serviceClaims{}}
+}
+
+// takeRetry takes one retry from the budget of a service, and claims some from the pool if there is
+// none. It reports whether there was one.
+func (g *Gateway) takeRetry(ctx context.Context, service string) bool {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout.Duration())
+	defer cancel()
+	for !g.scheduler.takeRetry(service) {
+		if !g.retryClaims.await(ctx, service) {
+			g.scheduler.recordDeniedRetry(service)
+			return false
+		}
+	}
+	return true
+}
+
+// await waits for a claim of the service, which it begins if none is in progress. It returns false if
+// no claim can be made now or ctx ends.
+func (c *retryClaims) await(ctx context.Context, service string) bool {
+	if c.pool.Empty() {
+		return false
+	}
+	c.mu.Lock()
+	s := c.byService[service]
+	if s == nil {
+		s = &serviceClaims{}
+		c.byService[service] = s
+	}
+	if s.open == nil {
+		if c.g.c.BootClock.Now() < s.notBefore {
+			c.mu.Unlock()
+			return false
+		}
+		s.open = make(chan struct{})
+		go c.claim(service, s)
+	}
+	s.waiting++
+	open := s.open
+	c.mu.Unlock()
+	select {
+	case <-open:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// claim makes one claim, which also continues when the requests that wait for it have ended.
+func (c *retryClaims) claim(service string, s *serviceClaims) {
+	ctx, cancel := context.WithTimeout(context.Background(), storeCallTimeout.Duration())
+	defer cancel()
+	claim, err := c.claimOnce(ctx, service, s)
+	for tries := 1; tries < maxClaimTries && errors.Is(err, kumquatlug.ErrConflict); tries++ {
+		// Another gateway has claimed in the meantime.
+		claim, err = c.claimOnce(ctx, service, s)
+	}
+	var wait kumquatlug.Millis
+	switch {
+	case err != nil:
+		c.g.c.Logger.Info("failed to claim retries", zap.String("service", service), logs.Error(err))
+		wait = claimFailureDelay
+	case claim.Retries() == 0:
+		spread := min(claimSpreadPerGateway*kumquatlug.Millis(c.g.scheduler.gatewayCount()), maxClaimSpread)
+		wait = claim.Wait() + kumquatlug.Millis(rand.Int64N(int64(spread)))
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if wait > 0 {
+		s.notBefore = c.g.c.BootClock.Now() + wait
+	}
+	close(s.open)
+	s.open = nil
+}
+
+// claimOnce reads the pool and claims from it. Retries are added to the budget only if the store has
+// acknowledged the claim.
+func (c *retryClaims) claimOnce(ctx context.Context, service string, s *serviceClaims) (retry.Claim, error) {
+	g, key := c.g, poolRowPrefix+service
+	begun := g.c.BootClock.Now()
+	row, err := g.c.Table.Get(ctx, key)
+	if err != nil {
+		return retry.Claim{}, err
+	}
+	c.mu.Lock()
+	wanted := claimsPerRequest * max(s.waiting, 1)
+	s.waiting = 0
+	c.mu.Unlock()
+	claim, err := c.pool.Claim(row, wanted)
+	if err != nil {
+		g.c.Logger.Warn("invalid pool of retries replaced", zap.String("service", service), logs.Error(err))
+	}
+	if claim.Row() == nil {
+		return claim, nil
+	}
+	tx := kumquatlug.NewTx(g.c.Incarnation).If(key, row.Version()).Put(key, claim.Row())
+	if err := g.c.Table.Commit(ctx, tx); err != nil {
+		return retry.Claim{}, err
+	}
+	g.scheduler.addClaimedRetries(service, claim.Retries(), begun+retry.ClaimValidity)
+	return claim, nil
+}
+
+// takeRetry takes one retry from what this gateway has of the budget of a service, and reports whether
+// there was one.
+func (sc *scheduler) takeRetry(service string) bool {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	return sc.service(service).retryBudget.Allow(sc.c.BootClock.Now())
+}
+
+func (sc *scheduler) recordDeniedRetry(service string) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	sc.service(service).retryBudget.RecordDenied()
+}
+
+func (sc *scheduler) addClaimedRetries(service string, retries int, until kumquatlug.Millis) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	return sc.service(service).retryBudget.Allow(now)
+	sc.service(service).retryBudget.AddClaim(retries, until)
 }
 
 // retryStats returns what the retry budgets have decided, by service.
@@ -35,14 +195,14 @@
 	for service, after := range g.scheduler.retryStats() {
 		before := exported[service]
 		exported[service] = after
-		requests, granted, denied := after.Requests-before.Requests, after.Granted-before.Granted, after.Denied-before.Denied
-		g.metrics.retryGateways.Set(float64(after.Gateways))
-		if granted+denied == 0 {
+		granted, denied, claimed := after.Granted-before.Granted, after.Denied-before.Denied, after.Claimed-before.Claimed
+		if granted+denied+claimed == 0 {
 			continue
 		}
 		g.metrics.retries.WithLabelValues(service, "granted").Add(float64(granted))
 		g.metrics.retries.WithLabelValues(service, "denied").Add(float64(denied))
-		g.c.Logger.Info("retries", zap.String("service", service), zap.Int("gateways", after.Gateways), zap.Int("requests", requests),
-			zap.Int("granted", granted), zap.Int("denied", denied))
+		g.metrics.retries.WithLabelValues(service, "claimed").Add(float64(claimed))
+		g.c.Logger.Info("retries", zap.String("service", service), zap.Int("requests", after.Requests-before.Requests),
+			zap.Int("claimed", claimed), zap.Int("granted", granted), zap.Int("denied", denied))
 	}
 }
--- /dev/null
+++ b/internal/gateway/retrybudget_test.go
@@ -0,0 +1,76 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/retry"
+)
+
+// failingWorkers answer each request with an error.
+func failingWorkers() *fakeWorkers {
+	return &fakeWorkers{run: func(context.Context, int, workerCall) (kumquatlug.WorkerResponse, error) {
+		return wholeResponse(http.StatusInternalServerError, ""), nil
+	}}
+}
+
+// Gateways start again and again while every attempt fails. Together they must not retry more often
+// than the pool allows.
+func TestRestartedGatewaysShareOnePool(t *testing.T) {
+	const retries = 12
+	pools, w := newPoolTable(), failingWorkers()
+	const processes, requests = 6, 6
+	for range processes {
+		f := newTestGateway(t, w, retries)
+		f.g.c.Table = pools
+		var all sync.WaitGroup
+		for range requests {
+			all.Go(func() { f.do(context.Background(), http.MethodGet, lookupRoute) })
+		}
+		all.Wait()
+	}
+	if n := len(w.recorded()) - processes*requests; n > retries || n < retries/2 {
+		t.Errorf("%d retries, want %d at most and half of them at least", n, retries)
+	}
+}
+
+// slowTable is a store that answers after a second.
+type slowTable struct{ unavailableTable }
+
+func (slowTable) Get(ctx context.Context, _ string) (kumquatlug.Row, error) {
+	<-ctx.Done()
+	return kumquatlug.Row{}, kumquatlug.ErrUnavailable
+}
+
+// The store is slow or unavailable while workers fail. Requests that can't be retried must not wait
+// for it.
+func TestRequestsDoNotWaitForUnavailablePool(t *testing.T) {
+	for name, c := range map[string]struct {
+		table kumquatlug.Table
+		limit time.Duration
+	}{
+		"unavailable": {unavailableTable{}, 100 * time.Millisecond},
+		"slow":        {slowTable{}, 600 * time.Millisecond},
+	} {
+		f := newTestGateway(t, failingWorkers(), manyRetries)
+		f.g.c.Table = c.table
+		if got := f.do(context.Background(), http.MethodGet, lookupRoute); got.duration > c.limit || got.status == http.StatusOK {
+			t.Errorf("%s: status %d after %s, want a failure within %s", name, got.status, got.duration, c.limit)
+		}
+	}
+}
+
+// The store acknowledges a claim long after it was begun. Its retries have expired by then and belong
+// to others.
+func TestLateClaimIsNotUsed(t *testing.T) {
+	f := newTestGateway(t, failingWorkers(), manyRetries)
+	sc := f.g.scheduler
+	sc.addClaimedRetries("desk", 5, f.g.c.BootClock.Now()-retry.ClaimValidity)
+	if sc.takeRetry("desk") {
+		t.Error("an expired claim was used")
+	}
+}
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -93,7 +93,6 @@
 			moves:            map[*placement.Attempt]func(){},
 			waiting:          map[uint64]chan placement.Due{},
 		}
-		s.retryBudget.SetGateways(sc.gateways)
 		sc.services[service] = s
 	}
 	return s
@@ -104,9 +103,6 @@
 	defer sc.mu.Unlock()
 	sc.gateways = max(len(names), 1)
 	sc.limitShares.AddGateways(names)
-	for _, s := range sc.services {
-		s.retryBudget.SetGateways(sc.gateways)
-	}
 	sc.updateSlots()
 }
 
@@ -160,10 +156,10 @@
 
 // recordArrival records a request for a service and returns how long its client has been
 // retrying, in ms: a retrying client reports a much shorter timeout.
-func (sc *scheduler) recordArrival(now kumquatlug.Millis, service, route string, timeout kumquatlug.Millis) kumquatlug.Millis {
+func (sc *scheduler) recordArrival(service, route string, timeout kumquatlug.Millis) kumquatlug.Millis {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	sc.service(service).retryBudget.RecordRequest(now)
+	sc.service(service).retryBudget.RecordRequest(sc.c.BootClock.Now())
 	return sc.service(service).retryingFor(route, timeout)
 }
 
--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -175,24 +175,24 @@
 	})
 	switch {
 	case claimed:
-		failed := f.takeRetryBudget()
+		failed := f.takeRetryBudget(ctx)
 		if failed != nil {
 			f.endAttempt(stageOutput, a.Attempt(), placement.OutcomeNeutral)
 		}
 		return a.Attempt(), a.Choice(), failed
 	case decision == decodeslots.Denied:
-		if failed := f.takeRetryBudget(); failed != nil {
+		if failed := f.takeRetryBudget(ctx); failed != nil {
 			return nil, placement.Choice{}, failed
 		}
 		return f.placeDenied(ctx, a)
 	case decision == decodeslots.Unanswered:
-		return f.choose(stageOutput)
+		return f.choose(ctx, stageOutput)
 	}
 	return f.chooseAndConfirm(ctx)
 }
 
 func (f *inflight) chooseAndConfirm(ctx context.Context) (*placement.Attempt, placement.Choice, *attemptFailure) {
-	attempt, choice, failed := f.choose(stageOutput)
+	attempt, choice, failed := f.choose(ctx, stageOutput)
 	if failed != nil {
 		return attempt, choice, failed
 	}
--- a/internal/gateway/takeover_test.go
+++ b/internal/gateway/takeover_test.go
@@ -308,7 +308,7 @@
 			return streamResponse(1, 3), nil
 		},
 	}
-	f := newTestGateway(t, w, 2)
+	f := newTestGateway(t, w, 1)
 	if response := f.do(t.Context(), http.MethodPost, "/long/?tokens=1000,104"); response.body != events(1, 3) {
 		t.Errorf("%+v", response)
 	}
--- a/pkg/kumquatlug/retry/sharedbudget.go
+++ b/pkg/kumquatlug/retry/sharedbudget.go
@@ -10,104 +10,157 @@
 type SharedBudgetConfig struct {
 	// Ratio and MinRetries limit what all gateways together send besides the first attempt
 	// of each request: in any Window, Ratio times the number of requests, plus MinRetries.
-	// The default of Window is 10 seconds; Ratio and MinRetries have none.
+	// Requests count in that window or in the one before it. The default of Window is 10
+	// seconds; Ratio and MinRetries have none.
 	Ratio      float64
 	MinRetries int
 	Window     kumquatlug.Millis
 }
 
-// windowBuckets is the number of buckets in the window of a [SharedBudget]. The window that is
-// counted is up to one bucket longer than Window, never shorter.
-const windowBuckets = 20
+// Parameters of a [SharedBudget].
+const (
+	// windowBuckets is the number of buckets in a window.
+	windowBuckets = 20
+	// historyBuckets covers two windows and the current bucket.
+	historyBuckets = 2*windowBuckets + 1
+	// carriedFraction is the fraction of the credit of one window that may be used in the
+	// next one, currentFraction the fraction that may be used in the same window. Together
+	// they must not exceed 1; the rest is for retries that reach their worker some time
+	// after they were allowed. carriedFraction is the smaller one.
+	carriedFraction = 0.4
+	currentFraction = 0.5
+)
 
-// usableFraction is the fraction of its share that a gateway uses. The rest is for gateways that
-// have just started and are not counted yet.
-const usableFraction = 0.8
+func (c SharedBudgetConfig) withDefaults() SharedBudgetConfig {
+	c.Window = cmp.Or(c.Window, rateWindow)
+	return c
+}
 
-// SharedBudget is one gateway's share of a retry budget that all gateways use without coordination.
+// SharedBudget is what one gateway may use of a retry budget that all gateways share.
 //
 // When a failure makes all gateways retry at once, each could stay within a budget of its own
-// while all together send far more than the workers can take. Each gateway therefore counts
-// its retries in a sliding window and stops at its share: Ratio times its own requests,
-// plus MinRetries divided by the number of gateways. It is not safe for concurrent use.
+// while all together send far more than the workers can take. Each gateway therefore earns
+// credit, Ratio for each of its own requests. In a span of up to one window, it may send
+// currentFraction of the credit that it earned in that span, and carriedFraction of the credit of
+// the window before it. This holds for every such span up to now. What is allowed regardless of
+// the requests is claimed from a [Pool].
+//
+// A process starts without credit. It therefore needs to know nothing of what an earlier process
+// of the gateway sent: in the window in which that process ended, both together send
+// carriedFraction of the credit before that window and currentFraction of the credit in it,
+// however often the gateway starts again. It is not safe for concurrent use.
 type SharedBudget struct {
 	config     SharedBudgetConfig
-	gateways   int
-	buckets    [windowBuckets + 1]bucketCounts
+	buckets    [historyBuckets]budgetBucket
 	lastBucket int64
+	claims     []budgetClaim
 	stats      SharedBudgetStats
 }
 
-// SharedBudgetStats describes what a [SharedBudget] has decided.
-type SharedBudgetStats struct {
-	// Gateways is the number of gateways that share the budget.
-	Gateways int
-	// Requests, Granted and Denied count the client requests and the retries since the start.
-	Requests, Granted, Denied int
+// budgetClaim is a number of retries that were claimed from the pool.
+type budgetClaim struct {
+	retries int
+	until   kumquatlug.Millis
 }
 
-// Stats returns what the budget has decided.
-func (s *SharedBudget) Stats() SharedBudgetStats {
-	stats := s.stats
-	stats.Gateways = s.gateways
-	return stats
+// SharedBudgetStats counts the decisions of a [SharedBudget] since its start: the client requests, the
+// retries that were claimed from the pool, and those that were granted and denied.
+type SharedBudgetStats struct {
+	Requests, Claimed, Granted, Denied int
 }
 
-// bucketCounts counts the events in one bucket of the window.
-type bucketCounts struct {
-	requests, retries int
+// budgetBucket holds what was earned and sent in one bucket of time.
+type budgetBucket struct {
+	credit  float64
+	retries int
 }
 
-// NewSharedBudget returns the budget of the only gateway; see [SharedBudget.SetGateways].
+// NewSharedBudget returns the budget of a gateway that has no credit yet.
 func NewSharedBudget(c SharedBudgetConfig) *SharedBudget {
-	c.Window = cmp.Or(c.Window, rateWindow)
-	return &SharedBudget{config: c, gateways: 1}
+	return &SharedBudget{config: c.withDefaults()}
 }
 
-// SetGateways sets the number of gateways that share the budget.
-func (s *SharedBudget) SetGateways(count int) { s.gateways = max(count, 1) }
-
-// advance moves the window to now.
-func (s *SharedBudget) advance(now kumquatlug.Millis) {
-	bucket := int64(now) * windowBuckets / int64(s.config.Window)
-	if bucket-s.lastBucket > windowBuckets {
-		s.buckets = [windowBuckets + 1]bucketCounts{}
-		s.lastBucket = bucket
-	}
-	for s.lastBucket < bucket {
-		s.lastBucket++
-		s.buckets[s.lastBucket%(windowBuckets+1)] = bucketCounts{}
-	}
-}
+// Stats returns the decisions so far.
+func (s *SharedBudget) Stats() SharedBudgetStats { return s.stats }
 
 // RecordRequest records a client's request.
 func (s *SharedBudget) RecordRequest(now kumquatlug.Millis) {
 	s.advance(now)
-	s.buckets[s.lastBucket%(windowBuckets+1)].requests++
+	s.bucket(0).credit += s.config.Ratio
 	s.stats.Requests++
 }
 
-// RecordRetry records a retry that was sent without a successful Allow. It counts against
-// later ones.
-func (s *SharedBudget) RecordRetry(now kumquatlug.Millis) {
-	s.advance(now)
-	s.buckets[s.lastBucket%(windowBuckets+1)].retries++
+// AddClaim adds retries that were claimed from the pool and may be used until a time.
+func (s *SharedBudget) AddClaim(retries int, until kumquatlug.Millis) {
+	s.claims = append(s.claims, budgetClaim{retries: retries, until: until})
+	s.stats.Claimed += retries
 }
 
-// Allow charges one retry to the budget, and reports false if the share is used up.
+// RecordDenied records that a retry was not sent for lack of credit.
+func (s *SharedBudget) RecordDenied() { s.stats.Denied++ }
+
+// Allow charges one retry to the budget, and reports false if there is no credit for it. Retries of
+// the pool are used first: they expire.
 func (s *SharedBudget) Allow(now kumquatlug.Millis) bool {
 	s.advance(now)
-	var sum bucketCounts
-	for _, c := range s.buckets {
-		sum.requests += c.requests
-		sum.retries += c.retries
-	}
-	share := s.config.Ratio*float64(sum.requests) + float64(s.config.MinRetries)/float64(s.gateways)
-	if float64(sum.retries+1) > usableFraction*share {
-		s.stats.Denied++
+	switch {
+	case s.useClaim(now):
+	case s.hasCredit():
+		s.bucket(0).retries++
+	default:
 		return false
 	}
-	s.RecordRetry(now)
 	s.stats.Granted++
 	return true
 }
+
+// useClaim uses one retry of the pool.
+func (s *SharedBudget) useClaim(now kumquatlug.Millis) bool {
+	for len(s.claims) > 0 {
+		c := &s.claims[0]
+		if c.retries > 0 && now < c.until {
+			c.retries--
+			return true
+		}
+		s.claims = s.claims[1:]
+	}
+	return false
+}
+
+// bucket returns the bucket that began this number of buckets before the current one.
+func (s *SharedBudget) bucket(ago int64) *budgetBucket {
+	return &s.buckets[(s.lastBucket+historyBuckets-ago)%historyBuckets]
+}
+
+// hasCredit reports whether one more retry is within the limit of each span that ends now. Spans
+// that begin within the same bucket are judged together: all retries of the bucket are counted,
+// its credit as if it was carried, and a full bucket less of the credit that is carried.
+func (s *SharedBudget) hasCredit() bool {
+	carried := 0.0
+	for ago := int64(1); ago < windowBuckets; ago++ {
+		carried += s.bucket(ago).credit
+	}
+	current, retries := 0.0, 1
+	for first := int64(0); first <= windowBuckets; first++ {
+		retries += s.bucket(first).retries
+		if float64(retries) > carriedFraction*(carried+s.bucket(first).credit)+currentFraction*current {
+			return false
+		}
+		current += s.bucket(first).credit
+		carried += s.bucket(first+windowBuckets).credit - s.bucket(first+1).credit
+	}
+	return true
+}
+
+// advance moves the window to now.
+func (s *SharedBudget) advance(now kumquatlug.Millis) {
+	last := int64(now) * windowBuckets / int64(s.config.Window)
+	if last-s.lastBucket > historyBuckets {
+		s.buckets = [historyBuckets]budgetBucket{}
+		s.lastBucket = last
+	}
+	for s.lastBucket < last {
+		s.lastBucket++
+		*s.bucket(0) = budgetBucket{}
+	}
+}
--- a/pkg/kumquatlug/table.go
+++ b/pkg/kumquatlug/table.go
@@ -6,6 +6,7 @@
 	value   []byte
 	version int64
 	era     int64
+	readAt  Millis
 }
 
 // NewRow returns a row as stored in the table. Version zero means that the row is
@@ -24,6 +25,17 @@
 // read. Absent rows have an era, too.
 func (r Row) Era() int64 { return r.era }
 
+// WithReadAt returns a copy of the row that was read at this time of the table's clock.
+func (r Row) WithReadAt(at Millis) Row {
+	r.readAt = at
+	return r
+}
+
+// ReadAt returns the time of the table's clock at which the row was read, zero if the table tells
+// none. The clock runs on when the table is restored or a reader restarts. Absent rows have a
+// time, too.
+func (r Row) ReadAt() Millis { return r.readAt }
+
 // Key returns the row's key.
 func (r Row) Key() string { return r.key }
 
