Count a handed-off request that comes back once in the retry budget

A request that a peer has taken and gives back earned credit at both gateways, so that it allowed for twice the retries. TestHandedOffRequestEarnsCreditOnce: counted twice before. A gateway now records no credit once it has sent the request to a peer; where the peer had not recorded it, the budget is smaller, never larger.

--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -310,6 +310,7 @@
 	request := kumquatlug.HandoffRequest{
 		Address: address, From: g.c.Name, Key: offer.Key(), Elapsed: g.c.Clock.Now() - f.arrived, Proof: proof, Request: f.request, Header: header,
 	}
+	f.sentToPeer = true
 	t.open.await()
 	response, err := g.c.PeerClient.HandOff(call, request)
 	if failed, replaced := f.settleTransfer(ctx, t, response, err == nil && !response.Refused(), err); replaced {
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -25,6 +25,8 @@
 	arrived       kumquatlug.Millis
 	// handoff says which peer gateway handed the request off to this one, nil for none.
 	handoff *peerrequest.Handoff
+	// sentToPeer says that a peer gateway may have received the request from this one.
+	sentToPeer bool
 	// elapsed is how long after its arrival this gateway starts to serve the request itself,
 	// if a peer gateway had it before.
 	elapsed kumquatlug.Millis
@@ -116,7 +118,7 @@
 func (f *inflight) recordArrival() {
 	clientTimeout := f.setDeadline()
 	received := f.arrived + f.elapsed
-	f.retryingFor = f.g.scheduler.recordArrival(f.service.Name(), f.route.Name(), clientTimeout)
+	f.retryingFor = f.g.scheduler.recordArrival(f.service.Name(), f.route.Name(), clientTimeout, f.sentToPeer)
 	f.value = f.g.scheduler.requestValue(received, f.service.Name(), f.route.Name(), f.request.Account(), f.request.Prompt())
 }
 
--- a/internal/gateway/retrybudget_test.go
+++ b/internal/gateway/retrybudget_test.go
@@ -74,3 +74,24 @@
 		t.Error("an expired claim was used")
 	}
 }
+
+// A handed-off request comes back to the gateway that its client reached. If both gateways counted it,
+// it would allow for twice as many retries.
+func TestHandedOffRequestEarnsCreditOnce(t *testing.T) {
+	breaks := &fakeWorkers{run: func(_ context.Context, _ int, c workerCall) (kumquatlug.WorkerResponse, error) {
+		return truncatedResponse(events(int(c.options.LastEventID)+1, int(c.options.LastEventID)+2), -1), nil
+	}}
+	for name, peer := range map[string]*fakeWorkers{"served by the peer": streamWorkers(1, 5), "comes back": breaks} {
+		p := newHandoffPair(t, streamWorkers(1, 5), peer, manyRetries)
+		if got := p.a.do(t.Context(), http.MethodPost, longRoute); got.err != nil || got.body != events(1, 5) {
+			t.Errorf("%s: %+v", name, got)
+		}
+		requests := 0
+		for _, g := range []*testGateway{p.a, p.b} {
+			requests += g.g.scheduler.retryStats()["engines"].Requests
+		}
+		if requests != 1 {
+			t.Errorf("%s: the request was counted %d times", name, requests)
+		}
+	}
+}
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -154,12 +154,14 @@
 // that retries after a refusal has less than two thirds left.
 const sameTimeoutFraction = 0.8
 
-// recordArrival records a request for a service and returns how long its client has been
-// retrying, in ms: a retrying client reports a much shorter timeout.
-func (sc *scheduler) recordArrival(service, route string, timeout kumquatlug.Millis) kumquatlug.Millis {
+// recordArrival records a request for a service, unless a peer may have, and returns how long its
+// client has been retrying, in ms: a retrying client reports a much shorter timeout.
+func (sc *scheduler) recordArrival(service, route string, timeout kumquatlug.Millis, recordedByPeer bool) kumquatlug.Millis {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	sc.service(service).retryBudget.RecordRequest(sc.c.BootClock.Now())
+	if !recordedByPeer {
+		sc.service(service).retryBudget.RecordRequest(sc.c.BootClock.Now())
+	}
 	return sc.service(service).retryingFor(route, timeout)
 }
 
--- a/internal/gateway/scheduler_test.go
+++ b/internal/gateway/scheduler_test.go
@@ -17,14 +17,14 @@
 // refusal has much less time left.
 func TestShorterTimeoutIsNotARetry(t *testing.T) {
 	sc := newScheduler(Config{BootClock: clock.NewBoottime()})
-	sc.recordArrival("s", "r", 2000)
-	if retryingFor := sc.recordArrival("s", "r", 1700); retryingFor != 0 {
+	sc.recordArrival("s", "r", 2000, false)
+	if retryingFor := sc.recordArrival("s", "r", 1700, false); retryingFor != 0 {
 		t.Errorf("a client with a timeout of 1.7 s counts as retrying for %d ms", retryingFor)
 	}
-	if retryingFor := sc.recordArrival("s", "r", 1300); retryingFor < 600 {
+	if retryingFor := sc.recordArrival("s", "r", 1300, false); retryingFor < 600 {
 		t.Errorf("a client with 1.3 s left counts as retrying for %d ms", retryingFor)
 	}
-	if retryingFor := sc.recordArrival("s", "other", 1300); retryingFor != 0 {
+	if retryingFor := sc.recordArrival("s", "other", 1300, false); retryingFor != 0 {
 		t.Errorf("timeout of another route was used: %d ms", retryingFor)
 	}
 }
