--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -190,10 +191,19 @@
 	}
 	return kumquatlug.NewRequest(kumquatlug.RequestConfig{
 		ID: r.Header.Get("Id"), Host: "h", Method: r.Method, Path: r.URL.Path, Target: r.URL.Path, Body: body,
-		Timeout: 2000, Prompt: prompt, Credential: kumquatlug.NewCredential(r.Header["Secret"]),
+		Timeout: 2000, LastEventID: parseEventID(r), Resumes: r.Header.Get("Resumes"), Prompt: prompt, Credential: kumquatlug.NewCredential(r.Header["Secret"]),
 	}), nil
 }
 
+// parseEventID returns the number of the last event that a client has received.
+func parseEventID(r *http.Request) int64 {
+	id, err := strconv.ParseInt(r.Header.Get("Last-Event-Id"), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return id
+}
+
 func (plainIngress) WriteHeader(w http.ResponseWriter, response kumquatlug.WorkerResponse) {
 	w.Header().Set("Stamp", response.Header().Get("Stamp"))
 	if response.Length() >= 0 {
@@ -234,7 +244,7 @@
 		service = "desk"
 	}
 	return kumquatlug.Member{
-		Worker: kumquatlug.NewWorker(id, "10.0.0.1:1"), Service: service, Zone: "z", State: kumquatlug.MemberReady, Slots: 8, Role: role,
+		Worker: kumquatlug.NewWorker(id, "10.0.0.1:1"), Service: service, Zone: "z", State: kumquatlug.MemberReady, Slots: 8, Role: role, Version: "v1",
 	}
 }
 
@@ -341,13 +351,17 @@
 }
 
 func (f *testGateway) do(ctx context.Context, method, path string, keys ...string) clientResponse {
+	return f.doWith(ctx, method, path, http.Header{"Id": {"r1"}, "Secret": keys})
+}
+
+// doWith sends a request with these headers.
+func (f *testGateway) doWith(ctx context.Context, method, path string, header http.Header) clientResponse {
 	start := time.Now()
 	r, err := http.NewRequestWithContext(ctx, method, f.url+path, strings.NewReader("body"))
 	if err != nil {
 		return clientResponse{err: err}
 	}
-	r.Header.Set("Id", "r1")
-	r.Header["Secret"] = keys
+	r.Header = header
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(r)
 	if err != nil {
--- a/pkg/kumquatlug/gateway.go
+++ b/pkg/kumquatlug/gateway.go
@@ -68,6 +68,7 @@
 	body        []byte
 	timeout     Millis
 	lastEventID int64
+	resumes     string
 	prompt      Prompt
 	// credential identifies the client, account is the account found by it.
 	credential Credential
@@ -92,6 +93,9 @@
 	// LastEventID is the number of the last event that the client has received, zero for
 	// none.
 	LastEventID int64
+	// Resumes is the ID of the attempt that brought the first event of the stream which
+	// the client takes up, empty if it does not say.
+	Resumes string
 	// Prompt describes the work of an engine; zero for plain services.
 	Prompt Prompt
 	// Credential identifies the client.
@@ -102,7 +106,7 @@
 func NewRequest(c RequestConfig) Request {
 	return Request{
 		id: c.ID, host: c.Host, method: c.Method, path: c.Path, target: c.Target, header: c.Header,
-		body: c.Body, timeout: c.Timeout, lastEventID: c.LastEventID, prompt: c.Prompt, credential: c.Credential,
+		body: c.Body, timeout: c.Timeout, lastEventID: c.LastEventID, resumes: c.Resumes, prompt: c.Prompt, credential: c.Credential,
 	}
 }
 
@@ -135,6 +139,10 @@
 // none.
 func (r Request) LastEventID() int64 { return r.lastEventID }
 
+// Resumes returns the ID of the attempt that brought the first event of the stream which the
+// client takes up, empty if it does not say.
+func (r Request) Resumes() string { return r.resumes }
+
 // Prompt returns the description of the prompt.
 func (r Request) Prompt() Prompt { return r.prompt }
 
--- a/pkg/kumquatlug/operatorconfig.go
+++ b/pkg/kumquatlug/operatorconfig.go
@@ -219,6 +219,9 @@
 	// StartedAt distinguishes two starts under the same name, in Unix milliseconds of the
 	// worker's own clock; zero if unknown.
 	StartedAt int64
+	// Version is the version of its software, empty if unknown. What two versions write does not
+	// fit together; unknown versions are never equal.
+	Version string
 	// WarmupRemaining is the remaining time that it is slow after its start.
 	WarmupRemaining Millis
 }
