Continue streams only at the software version that began them

What callers saw: streams that hold events of two software versions of their engines (ORDER).

Cause: no type of the project had a worker's version, so that every place that continues a stream took all engines of a service for interchangeable, and a gateway at which a client takes a stream up had no way to know the version.

Why this works: the first event fixes the version, and each later choice of the engine that generates output takes that version only. For clients that take a stream up, a listing in the store names the versions at which streams may have begun, written before the first one does; while it has several, two owners by rendezvous of the id have each stream's record. What nobody knows ends at once.

--- a/internal/front/link.go
+++ b/internal/front/link.go
@@ -318,6 +318,7 @@
 		h.PermitReceived(kumquatlug.PermitMessage{Gateway: d.GetFrom(), Permit: decodePermit(d.GetTurn())})
 	}
 	handleDecodeSlots(d, h)
+	handleStreamVersion(d, h)
 }
 
 func (l *Link) decrypt(sealed []byte) (*frontv1.Datagram, error) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -13,6 +13,9 @@
 
 // tryOnce makes one attempt. It returns nil when the client has its response.
 func (f *inflight) tryOnce(ctx context.Context) *attemptFailure {
+	if failed := f.resolveVersion(ctx); failed != nil {
+		return failed
+	}
 	if f.service.Engine() {
 		return f.generate(ctx)
 	}
@@ -48,6 +51,9 @@
 	if f.g.shuttingDown() {
 		q.Deadline = f.g.c.Clock.Now() + f.timeToStartOutput()
 	}
+	if f.continues() {
+		q.Version = f.version
+	}
 	f.addTransferQuery(&q)
 	return q
 }
@@ -144,8 +150,11 @@
 // that accepts it soon enough, as c.Delay reports.
 func (f *inflight) noWorkerFailure(c placement.Choice) *attemptFailure {
 	reason, retryAfter := "no_worker", kumquatlug.Millis(0)
-	if c.Delay() > 0 {
+	switch {
+	case c.Delay() > 0:
 		reason, retryAfter = "worker_limit", f.retryAfter(c.Delay())
+	case f.continues():
+		reason, retryAfter = reasonVersionGone, versionRetryAfter
 	}
 	return &attemptFailure{permanent: true, failure: refusal("place", reason, http.StatusServiceUnavailable, retryAfter)}
 }
@@ -342,6 +351,9 @@
 
 // run makes an attempt that runs the request, and relays the response.
 func (f *inflight) run(ctx context.Context, c placement.Choice, a *placement.Attempt, cache kumquatlug.KVCacheRef) *attemptFailure {
+	if failed := f.listVersion(ctx, c, a); failed != nil {
+		return failed
+	}
 	if failed := f.awaitWorkerLimit(ctx, c, a); failed != nil {
 		return failed
 	}
--- a/internal/gateway/bodyend_test.go
+++ b/internal/gateway/bodyend_test.go
@@ -147,7 +147,7 @@
 
 func (p tornPeer) HandOff(context.Context, kumquatlug.HandoffRequest) (kumquatlug.HandoffResponse, error) {
 	return kumquatlug.NewHandoffResponse(kumquatlug.HandoffResponseConfig{
-		Response: endedResponse(p.body, kumquatlug.FramingChunks), GaveUp: func() bool { return false },
+		Response: endedResponse(p.body, kumquatlug.FramingChunks), Version: "v1", GaveUp: func() bool { return false },
 	}), nil
 }
 
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -244,7 +244,7 @@
 		service = "desk"
 	}
 	return kumquatlug.Member{
-		Worker: kumquatlug.NewWorker(id, "10.0.0.1:1"), Service: service, Zone: "z", State: kumquatlug.MemberReady, Slots: 8, Role: role, Version: "v1",
+		Worker: kumquatlug.NewWorker(id, "10.0.0.1:1").WithVersion("v1"), Service: service, Zone: "z", State: kumquatlug.MemberReady, Slots: 8, Role: role,
 	}
 }
 
@@ -263,17 +263,21 @@
 	return kumquatlug.ErrUnavailable
 }
 
-// poolTable is a store that has the pools of retries, and nothing else.
-type poolTable struct {
+// sharedTable is a store that has the pools of retries and the listings of versions, and nothing else.
+type sharedTable struct {
 	unavailableTable
 	mu   sync.Mutex
 	rows map[string]kumquatlug.Row
 }
 
-func newPoolTable() *poolTable { return &poolTable{rows: map[string]kumquatlug.Row{}} }
+func newSharedTable() *sharedTable { return &sharedTable{rows: map[string]kumquatlug.Row{}} }
 
-func (l *poolTable) Get(_ context.Context, key string) (kumquatlug.Row, error) {
-	if !strings.HasPrefix(key, poolRowPrefix) {
+func sharedKey(key string) bool {
+	return strings.HasPrefix(key, poolRowPrefix) || strings.HasPrefix(key, versionsRowPrefix)
+}
+
+func (l *sharedTable) Get(_ context.Context, key string) (kumquatlug.Row, error) {
+	if !sharedKey(key) {
 		return kumquatlug.Row{}, kumquatlug.ErrUnavailable
 	}
 	l.mu.Lock()
@@ -281,11 +285,11 @@
 	return l.rows[key].WithReadAt(kumquatlug.Millis(time.Now().UnixMilli())), nil
 }
 
-func (l *poolTable) Commit(_ context.Context, tx kumquatlug.Tx) error {
+func (l *sharedTable) Commit(_ context.Context, tx kumquatlug.Tx) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, w := range tx.Writes() {
-		if !strings.HasPrefix(w.Key(), poolRowPrefix) {
+		if !sharedKey(w.Key()) {
 			return kumquatlug.ErrUnavailable
 		}
 		if tx.Conditions()[0].Version() != l.rows[w.Key()].Version() {
@@ -315,7 +319,7 @@
 	minRetries := (retries*10 + 8) / 9
 	now := clock.NewMonotonic()
 	g := New(Config{
-		Name: "n", Zone: "z", Incarnation: "i", Ingress: plainIngress{}, RowDecoder: jsonRowDecoder{}, Workers: w, Table: newPoolTable(),
+		Name: "n", Zone: "z", Incarnation: "i", Ingress: plainIngress{}, RowDecoder: jsonRowDecoder{}, Workers: w, Table: newSharedTable(),
 		Clock: now, BootClock: now, GracePeriod: 4000, HandoverDelay: 100,
 		RetryBudget:  retry.SharedBudgetConfig{MinRetries: minRetries, Window: 10_000},
 		MaxBodyBytes: 1000,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -169,6 +169,8 @@
 	handoffs      *handoffs
 	handoffServer *http.Server
 	retryClaims   *retryClaims
+	// streamVersions knows at which version the streams of clients began.
+	streamVersions *streamVersions
 }
 
 // maxUnusedCaches bounds the caches that wait to be released. An engine drops others by
@@ -185,6 +187,7 @@
 	}
 	g.scheduler.slots.outcomes = newSlotMetrics(c.Registry)
 	g.retryClaims = newRetryClaims(g)
+	g.streamVersions = newStreamVersions(g)
 	g.startedAt = c.Clock.Now()
 	g.shares = shares
 	g.members.Store(&memberSet{})
--- a/internal/gateway/handoffrelay.go
+++ b/internal/gateway/handoffrelay.go
@@ -84,6 +84,9 @@
 // relayStreamFromPeer forwards complete events as they arrive, so that a stream that breaks
 // off can resume after the last event that the client received.
 func (f *inflight) relayStreamFromPeer(ctx context.Context, t *peerTransfer, r kumquatlug.HandoffResponse) *attemptFailure {
+	if !f.continues() {
+		f.version = r.Version()
+	}
 	events := newEventBuffer(r.Response())
 	flush := http.NewResponseController(f.w)
 	for {
@@ -122,6 +125,7 @@
 ) *attemptFailure {
 	now := f.g.c.Clock.Now()
 	if !f.responseStarted {
+		f.g.streamVersions.remember(f.request.ID(), f.version)
 		f.responseStarted = true
 		f.timings.firstOutputAt = now
 		f.g.c.Ingress.WriteHeader(f.w, response.WithoutLength())
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -63,6 +63,8 @@
 	// the number of the last event that the client received.
 	responseStarted bool
 	lastEventID     int64
+	// version is the version at which the client's stream began, empty if it is not known.
+	version string
 	// partialEvent says that the client has received a part of an event that was too large to be
 	// held back: no other worker may continue the stream until it has the rest.
 	partialEvent bool
--- a/internal/gateway/maintenance.go
+++ b/internal/gateway/maintenance.go
@@ -32,6 +32,7 @@
 		if g.storeRestored(row) {
 			counted = false
 			g.rewriteTally()
+			g.streamVersions.storeRestored()
 		}
 		if !row.written || g.storeRestored(row) {
 			row = g.register(ctx, row)
@@ -49,6 +50,7 @@
 		g.exportSpeeds()
 		g.reportTransfers(transfers)
 		g.reportRetries(retries)
+		g.streamVersions.maintain(ctx)
 		g.exportWorstAccounts()
 		g.exportLimits()
 		g.link.checkOverload()
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -99,9 +99,9 @@
 		member.State = kumquatlug.MemberDraining
 	}
 	before, known := m.current[key]
-	if !known || before.State != member.State || before.Role != member.Role || before.StartedAt != member.StartedAt || before.Version != member.Version {
+	if !known || before.State != member.State || before.Role != member.Role || before.StartedAt != member.StartedAt || before.Worker.Version() != member.Worker.Version() {
 		m.g.c.Logger.Info("worker", zap.String("worker", key), zap.String("service", member.Service),
-			zap.String("state", string(member.State)), zap.String("role", string(member.Role)), zap.String("version", member.Version),
+			zap.String("state", string(member.State)), zap.String("role", string(member.Role)), zap.String("version", member.Worker.Version()),
 			zap.Int64("row", row.Version()))
 	}
 	m.current[key] = member
@@ -130,6 +130,7 @@
 		set.addresses[member.Worker.Address()] = true
 	}
 	g.members.Store(set)
+	g.streamVersions.setMembers(set.byService)
 	g.scheduler.syncMembers(now, set.byService)
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -33,6 +33,8 @@
 	shuttingDown prometheus.Counter
 	// storeEra counts how often the store was restored from an older copy.
 	storeEra prometheus.Gauge
+	// resumes counts the streams that clients take up, by whether their version is known.
+	resumes *prometheus.CounterVec
 	// retries counts the retries asked of the shared budget.
 	retries *prometheus.CounterVec
 	// kvTransfers counts transfers of KV caches, prefilledTokens the tokens prefilled.
@@ -105,6 +107,9 @@
 		storeEra: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "kumquatlug_gateway_store_era", Help: "How often the store came back from an older copy.",
 		}),
+		resumes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kumquatlug_gateway_resumes_total", Help: "Streams that go on here after their gateway lost them, by whether their version is known.",
+		}, []string{"version"}),
 		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "kumquatlug_gateway_retries_total", Help: "Retries asked of the budget that all gateways share, and those claimed from its pool, by outcome.",
 		}, []string{"service", "outcome"}),
@@ -124,7 +129,7 @@
 	return []prometheus.Collector{
 		m.responses, m.attempts, m.bodyEnds, m.latency, m.storeReads, m.orders, m.unresponsive, m.takeovers, m.configVersion, m.estimates, m.permits, m.denied,
 		m.fencingToken, m.usageReports, m.usageOpen, m.worstAccounts, m.limit, m.limitSent, m.shuttingDown, m.storeEra,
-		m.retries,
+		m.retries, m.resumes,
 		m.kvTransfers, m.prefilledTokens,
 	}
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -21,6 +21,7 @@
 func (g *Gateway) PeerJoined(peer string) {
 	g.scheduler.peerJoined(peer)
 	g.handoffs.peerJoined(peer)
+	g.streamVersions.addPeers(peer)
 	g.shares.peerJoined(peer)
 }
 
@@ -40,6 +41,7 @@
 	}
 	reachable, restarted := g.c.Peers.UpdatePeers(rows)
 	g.scheduler.setPeers(reachable, restarted)
+	g.streamVersions.addPeers(reachable...)
 	if g.handoffs.active {
 		g.handoffs.setPeers(g.c.Peers.HandoffPeers(), restarted)
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -205,12 +205,13 @@
 // relayStream forwards complete events as they arrive. A stream that breaks off resumes
 // elsewhere after the last event that the client received.
 func (f *inflight) relayStream(a *relayedAttempt) *attemptFailure {
-	if f.request.Prompt().Output() > shortOutputTokens {
+	if version := a.choice.Worker().Version(); f.request.Prompt().Output() > shortOutputTokens && version != "" {
 		// These are copied because a move runs in another goroutine.
 		q := f.placementQuery()
 		q.Exclude = append(slices.Clone(q.Exclude), a.worker())
 		// The cache is copied from the engine of the stream, not from where it was prefilled.
 		q.Cache = placement.KVCache{}
+		q.Version = version
 		request := f.request
 		f.g.scheduler.onMove(f.service.Name(), a.attempt, func() { f.move(a, request, q) })
 	}
@@ -281,6 +282,7 @@
 	if f.responseStarted {
 		return
 	}
+	f.beginOutput(a.choice.Worker())
 	f.responseStarted = true
 	f.timings.firstOutputAt = now
 	f.g.metrics.latency.WithLabelValues(strconv.Itoa(f.priority())).Observe((now - f.arrived).Duration().Seconds())
--- a/internal/gateway/retrybudget_test.go
+++ b/internal/gateway/retrybudget_test.go
@@ -22,7 +22,7 @@
 // than the pool allows.
 func TestRestartedGatewaysShareOnePool(t *testing.T) {
 	const retries = 12
-	pools, w := newPoolTable(), failingWorkers()
+	pools, w := newSharedTable(), failingWorkers()
 	const processes, requests = 6, 6
 	for range processes {
 		f := newTestGateway(t, w, retries)
--- a/internal/gateway/streamversion_test.go
+++ b/internal/gateway/streamversion_test.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"maps"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
@@ -13,12 +17,10 @@
 // setEngineVersions makes the engines those of the given versions, by their names.
 func (f *testGateway) setEngineVersions(versions map[string]string) {
 	byService := map[string][]kumquatlug.Member{}
-	for _, m := range f.g.members.Load().byService["desk"] {
-		byService["desk"] = append(byService["desk"], m)
-	}
+	byService["desk"] = f.g.members.Load().byService["desk"]
 	for id, version := range versions {
 		m := member(id, kumquatlug.RoleDecode)
-		m.Version = version
+		m.Worker = m.Worker.WithVersion(version)
 		byService["engines"] = append(byService["engines"], m)
 	}
 	set := &memberSet{loaded: true, byService: byService}
@@ -128,3 +130,214 @@
 		t.Errorf("%d calls of workers, want none", n)
 	}
 }
+
+// versionFleet is a number of gateways that share their store and exchange messages about the versions of
+// streams.
+type versionFleet struct {
+	gateways map[string]*testGateway
+	workers  *fakeWorkers
+	versions map[string]string
+	table    *sharedTable
+}
+
+// versionLink delivers the messages of one gateway to those that run.
+type versionLink struct {
+	noLink
+	fleet *versionFleet
+	self  string
+}
+
+func (l *versionLink) SendStreamVersion(gateway string, v kumquatlug.StreamVersion) {
+	if peer := l.fleet.gateways[gateway]; peer != nil {
+		go peer.g.StreamVersionReceived(l.self, v)
+	}
+}
+
+func newVersionFleet(t *testing.T, w *fakeWorkers, versions map[string]string) *versionFleet {
+	t.Helper()
+	fleet := &versionFleet{gateways: map[string]*testGateway{}, workers: w, versions: versions, table: newSharedTable()}
+	for _, name := range []string{"a", "b", "c", "d"} {
+		fleet.start(t, name)
+	}
+	return fleet
+}
+
+// start starts a gateway, which knows nothing of an earlier one under its name.
+func (l *versionFleet) start(t *testing.T, name string) *testGateway {
+	t.Helper()
+	f := newTestGateway(t, l.workers, manyRetries)
+	f.g.c.Name, f.g.c.Table, f.g.c.Peers = name, l.table, &versionLink{fleet: l, self: name}
+	f.g.configConfirmedAt.Store(int64(f.g.c.BootClock.Now()))
+	f.g.streamVersions.addPeers("a", "b", "c", "d")
+	f.setEngineVersions(l.versions)
+	f.g.streamVersions.setMembers(f.g.members.Load().byService)
+	l.gateways[name] = f
+	return f
+}
+
+// Guards against a stream that its client takes up at another gateway and that goes on at another version, or
+// not at all, also after the first gateway was killed and when the client takes it up twice.
+func TestStreamGoesOnAtOtherGateway(t *testing.T) {
+	versions := map[string]string{"d1": "v1", "d2": "v2", "d3": "v1", "d4": "v2"}
+	for _, killed := range []bool{false, true} {
+		for n := range 10 {
+			fleet := newVersionFleet(t, versionedEngines(2), versions)
+			id := fmt.Sprint("first-", n)
+			got := fleet.gateways["a"].doWith(t.Context(), http.MethodPost, longRoute, http.Header{"Id": {id}})
+			if got.err == nil || got.body != events(1, 4) {
+				t.Fatalf("%v, %d bytes, want a part of the stream", got.err, len(got.body))
+			}
+			if killed {
+				delete(fleet.gateways, "a")
+				fleet.start(t, "a")
+			}
+			for i, name := range []string{"b", "c", "d", "a"} {
+				got := fleet.gateways[name].resume(t, fmt.Sprintf("%s-%d", id, i), id, 4)
+				if got.err != nil || got.body != events(5, 8) {
+					t.Errorf("killed %v, at %s: %v, status %d, %q, want the rest of the stream", killed, name, got.err, got.status, got.body)
+				}
+			}
+			if joined := fleet.workers.joinedVersions(versions); len(joined) != 1 {
+				t.Errorf("killed %v: the stream joins versions %v", killed, joined)
+			}
+		}
+	}
+}
+
+// Guards against streams of a service with one version that end when all gateways were killed: nobody has
+// their records, but the store knows that there is one version.
+func TestStreamOfOnlyVersionGoesOnAfterAllGatewaysWereKilled(t *testing.T) {
+	versions := map[string]string{"d1": "v1", "d2": "v1", "d3": "v1"}
+	fleet := newVersionFleet(t, versionedEngines(2), versions)
+	if got := fleet.gateways["a"].do(t.Context(), http.MethodPost, longRoute); got.err == nil {
+		t.Fatalf("%d bytes, want a part of the stream", len(got.body))
+	}
+	for _, name := range []string{"a", "b", "c", "d"} {
+		fleet.start(t, name)
+	}
+	got := fleet.gateways["c"].resume(t, "r2", "r1", 4)
+	if got.err != nil || got.body != events(5, 8) {
+		t.Errorf("%v, status %d, %q, want the rest of the stream", got.err, got.status, got.body)
+	}
+}
+
+// Guards against a gateway that concludes from its own view that there is one version, while another one
+// has begun streams at a version that has just appeared.
+func TestNewVersionIsListedBeforeItsStreamsBegin(t *testing.T) {
+	fleet := newVersionFleet(t, versionedEngines(4), map[string]string{"d1": "v1", "d2": "v1"})
+	if got := fleet.gateways["a"].do(t.Context(), http.MethodPost, longRoute); got.err == nil {
+		t.Fatalf("%d bytes, want a part of the stream", len(got.body))
+	}
+	// Gateway a sees the new version alone, begins a stream there and is killed with its peers.
+	a := fleet.gateways["a"]
+	a.setEngineVersions(map[string]string{"d3": "v2", "d4": "v2"})
+	a.g.streamVersions.setMembers(a.g.members.Load().byService)
+	if got := a.doWith(t.Context(), http.MethodPost, longRoute, http.Header{"Id": {"new"}}); got.err == nil {
+		t.Fatalf("%d bytes, want a part of the stream", len(got.body))
+	}
+	b := fleet.gateways["b"]
+	clear(fleet.gateways)
+	calls := len(fleet.workers.recorded())
+	got := b.resume(t, "r2", "unknown", 4)
+	if got.status != http.StatusServiceUnavailable || len(fleet.workers.recorded()) != calls {
+		t.Errorf("status %d, %d calls, want a refusal: the stream may have begun at the new version", got.status, len(fleet.workers.recorded())-calls)
+	}
+}
+
+// Guards against streams that end because they began before their gateway saw a second version.
+func TestRunningStreamsAreRecordedWhenVersionAppears(t *testing.T) {
+	versions := map[string]string{"d1": "v1", "d2": "v1"}
+	proceed := make(chan struct{})
+	w := versionedEngines(0)
+	second := w.run
+	w.run = func(ctx context.Context, n int, c workerCall) (kumquatlug.WorkerResponse, error) {
+		if n > 1 {
+			return second(ctx, n, c)
+		}
+		body := &pausedBody{text: events(1, 4), proceed: proceed}
+		return kumquatlug.NewWorkerResponse(kumquatlug.WorkerResponseConfig{Status: 200, Header: http.Header{}, Length: -1, Body: body}), nil
+	}
+	fleet := newVersionFleet(t, w, versions)
+	a := fleet.gateways["a"]
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan clientResponse, 1)
+	go func() { done <- a.do(ctx, http.MethodPost, longRoute) }()
+	for a.g.streamVersions.find("r1") == "" {
+		runtime.Gosched()
+	}
+	for _, f := range fleet.gateways {
+		f.setEngineVersions(map[string]string{"d2": "v1", "d3": "v2", "d4": "v2"})
+		f.g.streamVersions.setMembers(f.g.members.Load().byService)
+	}
+	<-time.After(50 * time.Millisecond)
+	cancel()
+	close(proceed)
+	<-done
+	delete(fleet.gateways, "a")
+	fleet.versions = map[string]string{"d2": "v1", "d3": "v2", "d4": "v2"}
+	fleet.start(t, "a")
+	for _, name := range []string{"b", "c", "d", "a"} {
+		got := fleet.gateways[name].resume(t, "again-"+name, "r1", 4)
+		calls := w.recorded()
+		if got.err != nil || got.body != events(5, 8) || calls[len(calls)-1].worker != "d2" {
+			t.Errorf("at %s: %v, status %d, %q, want the rest of the stream from d2", name, got.err, got.status, got.body)
+		}
+	}
+}
+
+// pausedBody is a body that does not go on before it is told.
+type pausedBody struct {
+	text    string
+	proceed chan struct{}
+}
+
+func (b *pausedBody) Read(p []byte) (int, error) {
+	if b.text == "" {
+		<-b.proceed
+		return 0, io.ErrUnexpectedEOF
+	}
+	n := copy(p, b.text)
+	b.text = b.text[n:]
+	return n, nil
+}
+
+func (b *pausedBody) Close() error { return nil }
+
+// Guards against a stream that is moved to an engine of another version before its engine leaves.
+func TestStreamIsMovedWithinItsVersionOnly(t *testing.T) {
+	for name, others := range map[string]map[string]string{"other version": {"d2": "v2"}, "same version": {"d2": "v2", "d3": "v1"}} {
+		moved, to := make(chan struct{}), make(chan string, 1)
+		started := make(chan struct{}, 1)
+		w := &fakeWorkers{move: func(_ context.Context, _, engine string) (kumquatlug.KVCacheRef, error) {
+			to <- engine
+			close(moved)
+			return kumquatlug.NewKVCacheRef("10.0.0.1:1", "copy"), nil
+		}}
+		w.run = func(_ context.Context, n int, c workerCall) (kumquatlug.WorkerResponse, error) {
+			if n > 1 {
+				return streamResponse(int(c.options.LastEventID)+1, 30), nil
+			}
+			started <- struct{}{}
+			return kumquatlug.NewWorkerResponse(kumquatlug.WorkerResponseConfig{
+				Status: 200, Header: http.Header{}, Length: -1, Body: &movedBody{next: 1, last: 30, moved: moved, end: io.ErrUnexpectedEOF},
+			}), nil
+		}
+		f := newTestGateway(t, w, manyRetries)
+		f.setEngineVersions(map[string]string{"d1": "v1"})
+		response := make(chan clientResponse, 1)
+		go func() { response <- f.do(context.Background(), http.MethodPost, chatRoute) }()
+		<-started
+		<-time.After(30 * time.Millisecond)
+		all := maps.Clone(others)
+		all["d1"] = "v1"
+		f.setEngineVersions(all)
+		f.g.applyPlan("engines", rolePlan{Roles: map[string]kumquatlug.Role{"d1": kumquatlug.RolePrefill}})
+		if got := <-response; got.err != nil || got.body != events(1, 30) {
+			t.Errorf("%s: %v, %d bytes, want the whole stream", name, got.err, len(got.body))
+		}
+		close(to)
+		if engine := <-to; engine != "" && all[engine] != "v1" || (engine == "") != (name == "other version") {
+			t.Errorf("%s: moved to %q", name, engine)
+		}
+	}
+}
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -50,7 +50,7 @@
 	now := clock.NewManual(100_000)
 	feed := &scriptedFeed{rows: map[string]string{"a": `"prefill"`, "b": `"decode"`, "c": `""`}, version: 5}
 	g := New(Config{
-		Zone: "z", RowDecoder: jsonRowDecoder{}, ChangeFeed: feed, Clock: now, Logger: zap.NewNop(), Registry: prometheus.NewRegistry(),
+		Zone: "z", RowDecoder: jsonRowDecoder{}, ChangeFeed: feed, Clock: now, BootClock: now, Logger: zap.NewNop(), Registry: prometheus.NewRegistry(),
 	})
 	w := &tableWatcher{g: g, table: "members", pollWait: feedPollWait, rows: map[string]kumquatlug.Row{}}
 	return &watchHarness{
--- a/internal/peerrequest/client.go
+++ b/internal/peerrequest/client.go
@@ -42,11 +42,11 @@
 }
 
 // connectionHeaders concern the connection between the gateways and are not forwarded.
-var connectionHeaders = []string{"Connection", "Keep-Alive", "Trailer", "Transfer-Encoding", "Content-Length", headerKey, headerRan, headerReason}
+var connectionHeaders = []string{"Connection", "Keep-Alive", "Trailer", "Transfer-Encoding", "Content-Length", headerKey, headerRan, headerReason, headerVersion}
 
 func decodeResponse(response *http.Response) kumquatlug.HandoffResponse {
 	h := response.Header
-	ran, reason := kumquatlug.Execution(h.Get(headerRan)), h.Get(headerReason)
+	ran, reason, version := kumquatlug.Execution(h.Get(headerRan)), h.Get(headerReason), h.Get(headerVersion)
 	refused := ran != ""
 	if ran != kumquatlug.NotExecuted {
 		ran = kumquatlug.ExecutionUnknown
@@ -58,7 +58,7 @@
 		Response: kumquatlug.NewWorkerResponse(kumquatlug.WorkerResponseConfig{
 			Status: response.StatusCode, Header: h, Length: response.ContentLength, Framing: exchange.FramingOf(response), Body: response.Body,
 		}),
-		Refused: refused, Ran: ran, Reason: reason,
+		Refused: refused, Ran: ran, Reason: reason, Version: version,
 		GaveUp: func() bool { return response.Trailer.Get(headerRan) != "" },
 	})
 }
--- a/internal/peerrequest/peerrequest.go
+++ b/internal/peerrequest/peerrequest.go
@@ -27,6 +27,8 @@
 	// trailer of a response that the peer could not complete.
 	headerRan    = "Kumquatlug-Ran"
 	headerReason = "Kumquatlug-Reason"
+	// headerVersion is the version of the worker that generates the response.
+	headerVersion = headerPrefix + "Version"
 )
 
 const (
--- a/internal/peerrequest/server.go
+++ b/internal/peerrequest/server.go
@@ -13,6 +13,7 @@
 	http.ResponseWriter
 	key     uint64
 	refusal *kumquatlug.Failure
+	version string
 	// streaming is set once the header of a response without a length has been written.
 	streaming bool
 }
@@ -28,6 +29,10 @@
 // SetRefusal says that the response is a refusal of this gateway.
 func (w *ResponseWriter) SetRefusal(f *kumquatlug.Failure) { w.refusal = f }
 
+// SetVersion sets the version of the worker that generates the response, empty if it is unknown. It
+// must be called before the header is written.
+func (w *ResponseWriter) SetVersion(version string) { w.version = version }
+
 // WriteHeader implements [http.ResponseWriter].
 func (w *ResponseWriter) WriteHeader(status int) {
 	h := w.Header()
@@ -35,6 +40,10 @@
 	h.Set("Keep-Alive", "timeout="+strconv.Itoa(int(IdleTimeout/kumquatlug.Second)))
 	h.Del(headerRan)
 	h.Del(headerReason)
+	h.Del(headerVersion)
+	if w.version != "" {
+		h.Set(headerVersion, w.version)
+	}
 	if w.refusal != nil {
 		ran := w.refusal.Execution()
 		if ran != kumquatlug.NotExecuted {
--- a/internal/standin/fleet/responses.go
+++ b/internal/standin/fleet/responses.go
@@ -103,6 +103,9 @@
 			panic(http.ErrAbortHandler)
 		default:
 		}
+		w.mu.Lock()
+		w.streamed[id] = true
+		w.mu.Unlock()
 		event := fmt.Sprintf("id: %d\ndata: %s/%d\n\n", n, id, n)
 		if n == last+2 && (fault == FaultTruncate || ending.Incomplete()) {
 			standin.WriteLast(out, []byte(event[:1+int(xxhash.Sum64String(id)%uint64(len(event)-1))]), ending)
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -7,6 +7,7 @@
 package fleet
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -58,6 +59,8 @@
 	// event and the duration of a plain request or a prefill.
 	Events int
 	Delay  time.Duration
+	// Version is the version of the worker's software, "v1" by default.
+	Version string
 }
 
 // Worker is a simulated worker. It is an http.Handler.
@@ -79,6 +82,8 @@
 	streamEnds map[string]chan struct{}
 	// moves counts the moves of each stream to another engine, by attempt ID.
 	moves map[string]int
+	// streamed are the attempts to which the worker sent events.
+	streamed map[string]bool
 	// rateLimit is the limit in the Server-Limit header of responses, in
 	// requests per second; negative for none.
 	rateLimit    float64
@@ -89,16 +94,24 @@
 
 // New returns a worker without faults.
 func New(c Config) *Worker {
-	if c.Slots == 0 {
-		c.Slots = 8
-	}
+	c.Slots, c.Version = cmp.Or(c.Slots, 8), cmp.Or(c.Version, "v1")
 	return &Worker{
 		config: c, handles: map[string]string{}, runs: map[string]int{}, rejected: map[string]int{},
-		streamEnds: map[string]chan struct{}{}, moves: map[string]int{}, rateLimit: -1,
+		streamEnds: map[string]chan struct{}{}, moves: map[string]int{}, streamed: map[string]bool{}, rateLimit: -1,
 		startedMs: time.Now().UnixMilli(),
 	}
 }
 
+// Version returns the version of the worker's software.
+func (w *Worker) Version() string { return w.config.Version }
+
+// Streamed returns whether the worker sent events to an attempt.
+func (w *Worker) Streamed(id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.streamed[id]
+}
+
 // SetFault sets the fault for later requests.
 func (w *Worker) SetFault(f Fault) {
 	w.mu.Lock()
@@ -183,7 +196,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	row := map[string]any{
-		"service": w.config.Service, "address": w.config.Address, "zone": w.config.Zone, "version": "v1", "slots": w.config.Slots,
+		"service": w.config.Service, "address": w.config.Address, "zone": w.config.Zone, "version": w.config.Version, "slots": w.config.Slots,
 		"state": state, "cold_remaining_ms": 0, "sequence": 1, "born": w.startedMs,
 	}
 	if w.config.Stage != "" {
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -56,6 +56,9 @@
 	// MinRetries is the number of retries that all gateways together may send
 	// per service in 10 s, whatever the load; 0 means defaultMinRetries.
 	MinRetries int
+	// EngineVersions are the versions that the engines have in turn; all have the same one if
+	// there are none.
+	EngineVersions []string
 }
 
 const defaultMinRetries = 52
@@ -110,6 +113,9 @@
 		default:
 			worker.Service = PlainService
 		}
+		if n := len(c.EngineVersions); n > 0 && worker.Service == EngineService {
+			worker.Version = c.EngineVersions[i%n]
+		}
 		if err := s.addWorker(worker); err != nil {
 			return nil, err
 		}
--- a/pkg/kumquatlug/gateway.go
+++ b/pkg/kumquatlug/gateway.go
@@ -164,11 +164,23 @@
 type Worker struct {
 	id      string
 	address string
+	version string
 }
 
 // NewWorker returns the worker with this id at IP:port.
 func NewWorker(id, address string) Worker { return Worker{id: id, address: address} }
 
+// WithVersion returns a copy of the worker that runs this version of its software, empty if it is
+// unknown.
+func (w Worker) WithVersion(version string) Worker {
+	w.version = version
+	return w
+}
+
+// Version returns the version of the worker's software, empty if it is unknown. What two versions
+// write does not fit together; an unknown version is equal to none.
+func (w Worker) Version() string { return w.version }
+
 // ID returns the worker's id.
 func (w Worker) ID() string { return w.id }
 
--- a/pkg/kumquatlug/handoff.go
+++ b/pkg/kumquatlug/handoff.go
@@ -76,6 +76,7 @@
 	refused  bool
 	ran      Execution
 	reason   string
+	version  string
 	gaveUp   func() bool
 }
 
@@ -88,13 +89,15 @@
 	Refused bool
 	Ran     Execution
 	Reason  string
+	// Version is the version of the worker that generates the response, empty if unknown.
+	Version string
 	// GaveUp reports, once the body has ended, that the peer could not complete it.
 	GaveUp func() bool
 }
 
 // NewHandoffResponse returns the response that c describes.
 func NewHandoffResponse(c HandoffResponseConfig) HandoffResponse {
-	return HandoffResponse{response: c.Response, refused: c.Refused, ran: c.Ran, reason: c.Reason, gaveUp: c.GaveUp}
+	return HandoffResponse{response: c.Response, refused: c.Refused, ran: c.Ran, reason: c.Reason, version: c.Version, gaveUp: c.GaveUp}
 }
 
 // Response returns the response to forward to the client.
@@ -109,6 +112,9 @@
 // Reason returns the reason of a refusal.
 func (r HandoffResponse) Reason() string { return r.reason }
 
+// Version returns the version of the worker that generates the response, empty if it is unknown.
+func (r HandoffResponse) Version() string { return r.version }
+
 // GaveUp reports, once the body has ended, that the peer could not complete it and that
 // nothing more may be tried.
 func (r HandoffResponse) GaveUp() bool { return r.gaveUp != nil && r.gaveUp() }
--- a/pkg/kumquatlug/operatorconfig.go
+++ b/pkg/kumquatlug/operatorconfig.go
@@ -206,7 +206,7 @@
 
 // Member is a worker's row in the platform's store.
 type Member struct {
-	// Worker is its incarnation's id and address.
+	// Worker is its incarnation's id, address and version.
 	Worker Worker
 	// Service is the group that it belongs to, Zone its data centre.
 	Service string
@@ -219,9 +219,6 @@
 	// StartedAt distinguishes two starts under the same name, in Unix milliseconds of the
 	// worker's own clock; zero if unknown.
 	StartedAt int64
-	// Version is the version of its software, empty if unknown. What two versions write does not
-	// fit together; unknown versions are never equal.
-	Version string
 	// WarmupRemaining is the remaining time that it is slow after its start.
 	WarmupRemaining Millis
 }
--- a/pkg/kumquatlug/peers.go
+++ b/pkg/kumquatlug/peers.go
@@ -97,6 +97,8 @@
 	// engine's coordinator, SendDecodeTotal responds to such a message.
 	SendDecodeCount(gateway string, count DecodeCount)
 	SendDecodeTotal(gateway string, total DecodeTotal)
+	// SendStreamVersion sends a message about the version of a stream.
+	SendStreamVersion(gateway string, v StreamVersion)
 	// SendHandoff sends a message about the offer of a request.
 	SendHandoff(gateway string, h Handoff)
 	// HandoffPeers returns the gateways that accept handed-off requests.
@@ -134,6 +136,8 @@
 	// handles the load of another gateway.
 	GatewayLoad() GatewayLoad
 	GatewayLoadReceived(gateway string, load GatewayLoad)
+	// StreamVersionReceived handles a message about the version of a stream.
+	StreamVersionReceived(gateway string, v StreamVersion)
 	// HandoffReceived handles a message about the offer of a request.
 	HandoffReceived(gateway string, h Handoff)
 	TableHandler
--- a/pkg/kumquatlug/placement/choose.go
+++ b/pkg/kumquatlug/placement/choose.go
@@ -12,6 +12,9 @@
 	Prompt kumquatlug.Prompt
 	// Exclude lists workers that must not be chosen.
 	Exclude []string
+	// Version is the version of the worker that generates the output, empty for any. The prompt
+	// may be prefilled at another one.
+	Version string
 	// FirstOutputDue is when the first output is due for the request to have its full value,
 	// Deadline when the client gives up; zero for never.
 	FirstOutputDue kumquatlug.Millis
@@ -100,13 +103,18 @@
 		!slices.Contains(exclude, id) && p.health.Weight(now, id) > 0
 }
 
+// acceptsOutput reports whether a worker may be given a request of which it generates the output.
+func (p *Placer) acceptsOutput(now kumquatlug.Millis, w *worker, q *Query, role kumquatlug.Role) bool {
+	return (q.Version == "" || w.member.Worker.Version() == q.Version) && p.accepts(now, w, q.Exclude, role)
+}
+
 // ChoosePlain chooses the worker of a plain service with the shortest expected wait.
 func (p *Placer) ChoosePlain(now kumquatlug.Millis, q Query) (Choice, bool) {
 	var best Choice
 	minCost, found := math.Inf(1), false
 	limited := newLimitedWorkers()
 	for _, w := range p.ordered {
-		if !p.accepts(now, w, q.Exclude, w.member.Role) {
+		if !p.acceptsOutput(now, w, &q, w.member.Role) {
 			continue
 		}
 		ahead := float64(w.running) + p.otherRequestsAt(now, w)
@@ -130,7 +138,7 @@
 // ChoosePrompt chooses where a prompt is prefilled: at an engine that only prefills, or at
 // the one that then decodes.
 func (p *Placer) ChoosePrompt(now kumquatlug.Millis, q Query) (Choice, bool) {
-	output, outputFound := p.ChooseDecode(now, Query{Prompt: q.Prompt, FirstOutputDue: q.FirstOutputDue, Deadline: q.Deadline, MaxEventGap: q.MaxEventGap})
+	output, outputFound := p.ChooseDecode(now, Query{Prompt: q.Prompt, Version: q.Version, FirstOutputDue: q.FirstOutputDue, Deadline: q.Deadline, MaxEventGap: q.MaxEventGap})
 	if !outputFound {
 		return output, false
 	}
@@ -202,7 +210,7 @@
 	minCost, best, found := math.Inf(1), Choice{}, false
 	limited, keeps := newLimitedWorkers(), p.keepsPauseLimit(now, q)
 	for _, w := range p.ordered {
-		if !p.accepts(now, w, q.Exclude, kumquatlug.RoleDecode) || keeps && p.exceedsPauseLimit(now, w, &q) {
+		if !p.acceptsOutput(now, w, &q, kumquatlug.RoleDecode) || keeps && p.exceedsPauseLimit(now, w, &q) {
 			continue
 		}
 		uncached, rate := p.mixedUncachedTokens(now, w, &q), p.prefillRate()
@@ -240,7 +248,7 @@
 	minCost, best, found := math.Inf(1), Choice{}, false
 	limited, keeps := newLimitedWorkers(), p.keepsPauseLimit(now, q)
 	for _, w := range p.ordered {
-		if !p.accepts(now, w, q.Exclude, kumquatlug.RoleDecode) || keeps && p.exceedsPauseLimit(now, w, &q) {
+		if !p.acceptsOutput(now, w, &q, kumquatlug.RoleDecode) || keeps && p.exceedsPauseLimit(now, w, &q) {
 			continue
 		}
 		slot := p.slotWaitMs(now, w, q.Prompt)
--- a/pkg/kumquatlug/placement/limit.go
+++ b/pkg/kumquatlug/placement/limit.go
@@ -112,7 +112,7 @@
 // reservedChoice returns the engine of a reservation, as long as it may be used.
 func (p *Placer) reservedChoice(now kumquatlug.Millis, q Query) (Choice, bool) {
 	w, known := p.workers[q.Reservation.worker]
-	if !known || !p.accepts(now, w, q.Exclude, kumquatlug.RoleDecode) {
+	if !known || !p.acceptsOutput(now, w, &q, kumquatlug.RoleDecode) {
 		return Choice{}, false
 	}
 	delay := max(0, float64(q.Reservation.at-now))
--- a/pkg/kumquatlug/placement/slots.go
+++ b/pkg/kumquatlug/placement/slots.go
@@ -331,7 +331,7 @@
 func (p *Placer) ClaimSlot(now kumquatlug.Millis, a *SlotAsk, q Query) bool {
 	p.AbandonSlot(now, a, true)
 	w, known := p.workers[a.choice.worker.ID()]
-	if a.decision != decodeslots.Granted || !known || w != a.worker || !p.accepts(now, w, q.Exclude, kumquatlug.RoleDecode) {
+	if a.decision != decodeslots.Granted || !known || w != a.worker || !p.acceptsOutput(now, w, &q, kumquatlug.RoleDecode) {
 		return false
 	}
 	a.choice.delayMs = w.limit.Delay(now)
@@ -349,7 +349,7 @@
 func (p *Placer) LowestTotal(now kumquatlug.Millis, q Query) (Choice, bool) {
 	lowest, best, found := math.Inf(1), Choice{}, false
 	for _, w := range p.ordered {
-		if !p.accepts(now, w, q.Exclude, kumquatlug.RoleDecode) || w.limit.Delay(now) > 0 {
+		if !p.acceptsOutput(now, w, &q, kumquatlug.RoleDecode) || w.limit.Delay(now) > 0 {
 			continue
 		}
 		if excess := float64(w.running) + p.otherRequestsAt(now, w) - float64(w.member.Slots); excess < lowest {
--- a/pkg/kumquatlug/placement/speed.go
+++ b/pkg/kumquatlug/placement/speed.go
@@ -134,7 +134,7 @@
 		return false
 	}
 	for _, w := range p.ordered {
-		if p.accepts(now, w, q.Exclude, kumquatlug.RoleDecode) && !p.exceedsPauseLimit(now, w, &q) &&
+		if p.acceptsOutput(now, w, &q, kumquatlug.RoleDecode) && !p.exceedsPauseLimit(now, w, &q) &&
 			p.slotWaitMs(now, w, q.Prompt) == 0 && w.limit.Delay(now) == 0 {
 			return true
 		}
--- a/pkg/kumquatlug/placement/transfers.go
+++ b/pkg/kumquatlug/placement/transfers.go
@@ -102,7 +102,7 @@
 // prefill runs if its transfer is slow, and otherwise is output.
 func (p *Placer) decodeAfter(now kumquatlug.Millis, q Query, prefill, output Choice) Choice {
 	decode := Query{
-		Prompt: q.Prompt, FirstOutputDue: q.FirstOutputDue, Deadline: q.Deadline, MaxEventGap: q.MaxEventGap,
+		Prompt: q.Prompt, Version: q.Version, FirstOutputDue: q.FirstOutputDue, Deadline: q.Deadline, MaxEventGap: q.MaxEventGap,
 		CacheZone: prefill.zone, Cache: KVCache{Engine: prefill.worker.ID()},
 	}
 	if best, found := p.ChooseDecode(now, decode); found && best.transfer.expectedMs > 0 {
@@ -115,7 +115,7 @@
 // there is none. While prompts run on one engine, every decode engine would otherwise
 // prefill each shared prefix.
 func (p *Placer) decodeOwner(now kumquatlug.Millis, q Query) *worker {
-	return p.prefixOwner(q.Prompt, func(w *worker) bool { return p.accepts(now, w, q.Exclude, kumquatlug.RoleDecode) })
+	return p.prefixOwner(q.Prompt, func(w *worker) bool { return p.acceptsOutput(now, w, &q, kumquatlug.RoleDecode) })
 }
 
 // mixedUncachedTokens returns the number of tokens of a prompt that w, which also decodes,
--- a/test/front/soak_test.go
+++ b/test/front/soak_test.go
@@ -75,10 +75,12 @@
 type soak struct {
 	*testing.T
 	*site.Site
-	seed     uint64
-	planned  bool
-	random   *rand.Rand
-	workers  []*fleet.Worker
+	seed    uint64
+	planned bool
+	random  *rand.Rand
+	workers []*fleet.Worker
+	// versions are the versions of the engines, empty if all have the same one.
+	versions []string
 	gateways []*process
 	inUse    [soakGateways]atomic.Bool
 	began    time.Time
@@ -117,9 +119,24 @@
 	gateway     int
 	deadline    time.Duration
 	sent, ended time.Time
+	// resumes is the request that brought the first event of the stream which the client takes up
+	// after this number of events, nil for a new one.
+	resumes *soakRequest
+	after   int
 	response
 }
 
+// events returns the number of events that the client has received of a stream.
+func (r *soakRequest) events() int { return r.after + strings.Count(r.body, "\n\n") }
+
+// first returns the request that brought the first event of a stream.
+func (r *soakRequest) first() *soakRequest {
+	if r.resumes != nil {
+		return r.resumes
+	}
+	return r
+}
+
 func (r *soakRequest) refused() bool {
 	return r.err == nil && slices.Contains([]int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}, r.status)
 }
@@ -127,7 +144,7 @@
 // expected returns the complete body.
 func (r *soakRequest) expected() string {
 	if r.kind == "long" || r.kind == "chat" {
-		return streamBody(r.id, soakEvents)
+		return strings.TrimPrefix(streamBody(r.id, soakEvents), streamBody(r.id, r.after))
 	}
 	return fleet.ResponseBody(r.id)
 }
@@ -136,7 +153,11 @@
 func (r *soakRequest) headers() map[string]string {
 	switch r.kind {
 	case "long":
-		return longPromptHeaders(r.id)
+		headers := longPromptHeaders(r.first().id)
+		if r.resumes != nil {
+			headers["Resumes"], headers["Last-Event-Id"] = r.resumes.id, strconv.Itoa(r.after)
+		}
+		return headers
 	case "chat":
 		return chatHeaders(r.id)
 	}
@@ -146,10 +167,12 @@
 func runSoak(t *testing.T, seed uint64, planned bool) {
 	// Every other seed leaves few retries; in half of them the first gateway hands streams off.
 	minRetries, firstLink := []int{3, 0}[seed%2], []float64{10, 200}[seed/2%2]
-	t.Logf("seed %d, planned: %t, minimum of retries (0 is the default): %d, link of front-0: %v Mbit/s", seed, planned, minRetries, firstLink)
-	k := &soak{T: t, seed: seed, planned: planned, random: rand.New(rand.NewPCG(seed, 0)), Site: newSite(t, site.Config{
-		PrefillEngines: 4, DecodeEngines: 2, PlainWorkers: 3, Events: soakEvents, EventDelay: 15 * time.Millisecond, MinRetries: minRetries,
-	})}
+	c := site.Config{PrefillEngines: 4, DecodeEngines: 2, PlainWorkers: 3, Events: soakEvents, EventDelay: 15 * time.Millisecond, MinRetries: minRetries}
+	if seed%3 == 2 {
+		c.DecodeEngines, c.EngineVersions = 4, []string{"v1", "v2"}
+	}
+	t.Logf("seed %d, planned: %t, minimum of retries (0 is the default): %d, link of front-0: %v Mbit/s, versions: %v", seed, planned, minRetries, firstLink, c.EngineVersions)
+	k := &soak{T: t, seed: seed, planned: planned, versions: c.EngineVersions, random: rand.New(rand.NewPCG(seed, 0)), Site: newSite(t, c)}
 	k.workers = slices.Concat(k.Engines, k.PlainWorkers)
 	k.changeConfig()
 	for i, link := range [soakGateways]float64{firstLink, 200, 200} {
@@ -201,6 +224,8 @@
 // runClient sends one request after the other, on open connections where it can.
 func (k *soak) runClient(ctx context.Context, n int, random *rand.Rand) {
 	client, gateway, kind := &http.Client{}, n%soakGateways, soakKinds[n%len(soakKinds)]
+	// cut is a stream that broke off and that the client takes up.
+	var cut *soakRequest
 	for i := 0; ctx.Err() == nil; i++ {
 		sleep(time.Duration(random.IntN(60)) * time.Millisecond)
 		if client.Transport == nil {
@@ -210,7 +235,13 @@
 			client.Transport = &http.Transport{}
 		}
 		r := &soakRequest{id: fmt.Sprintf("%s-%d-%d-%d", kind, k.seed, n, i), kind: kind, gateway: gateway, deadline: time.Duration(2500+random.IntN(3500)) * time.Millisecond}
+		if cut != nil {
+			r.resumes, r.after = cut.first(), cut.events()
+		}
 		k.send(client, r)
+		if cut = nil; len(k.versions) > 0 && r.kind == "long" && r.err != nil && r.events() > 0 && r.events() < soakEvents {
+			cut = r
+		}
 		if dial := new(net.OpError); !errors.As(r.err, &dial) || dial.Op != "dial" {
 			k.mu.Lock()
 			k.results = append(k.results, r)
@@ -386,7 +417,16 @@
 		}
 		failures = append(failures, text)
 	}
-	k.Logf("seed %d: %d requests: %v", k.seed, len(k.results), counts)
+	streams := map[string][]string{}
+	for _, r := range k.results {
+		streams[r.first().id] = append(streams[r.first().id], r.id)
+	}
+	for first, ids := range streams {
+		if versions := streamedVersions(k.Engines, ids...); len(ids) > 1 && len(versions) > 1 {
+			failures = append(failures, fmt.Sprintf("%s: joins versions %v in attempts %v\n", first, versions, ids))
+		}
+	}
+	k.Logf("seed %d: %d requests: %v, %d streams taken up", k.seed, len(k.results), counts, len(k.results)-len(streams))
 	if len(failures) > 0 || 2*counts["complete"] < len(k.results) {
 		k.Errorf("seed %d: %d failures:\n%s\nevents:\n%s", k.seed, len(failures), strings.Join(failures[:min(len(failures), 20)], "\n"), strings.Join(k.played, "\n"))
 	}
