Keep a stream that its client takes up at the service that began it

A route that is split between two services chose by the id of each attempt, so that half of the streams that clients take up went on at the other service. TestStreamStaysAtItsServiceOfSplitRoute failed before. The id of the attempt that began the stream now chooses.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -83,7 +83,7 @@
 		return
 	}
 	request = request.WithAccount(account.Name())
-	service, found := table.Service(route.Service(request.ID()))
+	service, found := table.Service(route.Service(request.StreamID()))
 	if !found {
 		g.refuse(w, request, refusal("find service", "no_service", http.StatusServiceUnavailable, maxRetryAfter))
 		return
--- a/internal/gateway/streamversion_test.go
+++ b/internal/gateway/streamversion_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/routes"
 )
 
 // setEngineVersions makes the engines those of the given versions, by their names.
@@ -341,3 +342,37 @@
 		}
 	}
 }
+
+// Guards against a stream that its client takes up and that goes on at another service of a route that is
+// split between two.
+func TestStreamStaysAtItsServiceOfSplitRoute(t *testing.T) {
+	versions := map[string]string{"d1": "v1", "d2": "v1"}
+	w := versionedEngines(0)
+	f := newTestGateway(t, w, manyRetries)
+	f.setEngineVersions(versions)
+	c := testConfig(8)
+	for i, r := range c.Routes {
+		if r.Prefix() == "/long/" {
+			c.Routes[i] = kumquatlug.NewRoute(kumquatlug.RouteConfig{
+				Host: "h", Name: "/long/", Prefix: "/long/", LatencyTarget: 200, Timeout: 1500, Stream: true, Resumable: true, HasPrompts: true, MaxWorkers: 2,
+				Services: []kumquatlug.WeightedService{{Service: "engines", Weight: 1}, {Service: "others", Weight: 1}},
+			})
+		}
+	}
+	f.g.table.Store(routes.NewTable(c))
+	served := 0
+	for n := range 20 {
+		first, again := fmt.Sprint("first-", n), fmt.Sprint("again-", n)
+		// The other service has no workers.
+		if got := f.doWith(t.Context(), http.MethodPost, longRoute, http.Header{"Id": {first}}); got.status != http.StatusOK {
+			continue
+		}
+		served++
+		if got := f.resume(t, again, first, 4); got.err != nil || got.body != events(5, 8) {
+			t.Errorf("%s: status %d, %q, want the rest of the stream", first, got.status, got.body)
+		}
+	}
+	if served < 5 || served > 15 {
+		t.Errorf("%d of 20 streams at the first service, want about half", served)
+	}
+}
--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -530,11 +530,7 @@
 	if f.version != "" || !f.continues() {
 		return nil
 	}
-	id := f.request.Resumes()
-	if f.request.LastEventID() == 0 {
-		id = f.request.ID()
-	}
-	if f.version = f.g.streamVersions.resolve(ctx, f.service.Name(), id); f.version != "" {
+	if f.version = f.g.streamVersions.resolve(ctx, f.service.Name(), f.request.StreamID()); f.version != "" {
 		f.g.metrics.resumes.WithLabelValues("known").Inc()
 		return nil
 	}
--- a/pkg/kumquatlug/gateway.go
+++ b/pkg/kumquatlug/gateway.go
@@ -143,6 +143,15 @@
 // client takes up, empty if it does not say.
 func (r Request) Resumes() string { return r.resumes }
 
+// StreamID returns the ID of the attempt that began the stream: that of this attempt unless the client
+// takes a stream up and says which.
+func (r Request) StreamID() string {
+	if r.lastEventID > 0 && r.resumes != "" {
+		return r.resumes
+	}
+	return r.id
+}
+
 // Prompt returns the description of the prompt.
 func (r Request) Prompt() Prompt { return r.prompt }
 
