Listing of versions: calls outlive the requests that wait for them, and back off

Found in the read-through, no failure seen. A call about a listing was cut with the request that made it, so that a store that takes 0.2 s a call never completed one; while the store was silent, each round of the maintenance made one more and waited for it; and a holder of the lease whose list of workers is empty would have marked all versions as gone. Calls run on their own now, maintenance reads each 20 s at most, and a version is gone when it has had no worker for 10 s and others have some.

--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -34,8 +34,10 @@
 	// storeSilence is how long the store may confirm nothing before streams are recorded at peers:
 	// those that are taken up meanwhile can't be told from its listing.
 	storeSilence = 4 * kumquatlug.Second
-	// relistInterval is the time between two reads of a listing that names several versions.
+	// relistInterval is the time between two reads of a listing that names several versions,
+	// retireDelay how long a version must have had no worker to be marked as gone.
 	relistInterval = 20 * kumquatlug.Second
+	retireDelay    = 10 * kumquatlug.Second
 	// maxAttemptIDBytes bounds the ids in messages between gateways.
 	maxAttemptIDBytes = 200
 	// versionRetryAfter is the Retry-After of a stream that can't go on here: another gateway may
@@ -72,9 +74,9 @@
 	sole   string
 	readAt kumquatlug.Millis
 	// reading is closed when the call about the listing has ended, nil while there is none;
-	// notBefore is the time of the next one.
-	reading   chan struct{}
-	notBefore kumquatlug.Millis
+	// notBefore is the time of the next one, relistAt that of the next one by maintenance.
+	reading             chan struct{}
+	notBefore, relistAt kumquatlug.Millis
 	// recording is set while streams are recorded at peers, running holds those that may be
 	// resumed and have not ended.
 	recording bool
@@ -370,36 +372,50 @@
 	return listed() || v.callListing(ctx, service, version)
 }
 
-// callListing reads the listing of a service, and adds a version to it unless that is empty. It waits for
-// a call that is in progress, whatever that adds, and returns false if no call succeeded.
+// callListing waits for a call that reads the listing of a service, and adds a version to it unless that
+// is empty. It returns false if the call fails or takes too long; the call itself continues.
 func (v *streamVersions) callListing(ctx context.Context, service, version string) bool {
 	ctx, cancel := context.WithTimeout(ctx, listingTimeout.Duration())
 	defer cancel()
 	v.mu.Lock()
-	s := v.service(service)
-	if v.g.c.BootClock.Now() < s.notBefore {
-		v.mu.Unlock()
-		return false
-	}
-	begunAt := v.g.c.BootClock.Now()
+	defer v.mu.Unlock()
+	s, begunAt := v.service(service), v.g.c.BootClock.Now()
 	// A call in progress may have read the listing before the stream in question began.
-	for s.reading != nil {
+	for first := true; first || !s.answers(begunAt, version); first = false {
+		if s.reading == nil {
+			if v.g.c.BootClock.Now() < s.notBefore {
+				return false
+			}
+			s.reading = make(chan struct{})
+			go v.readListing(service, version)
+		}
 		reading := s.reading
 		v.mu.Unlock()
 		select {
 		case <-reading:
 		case <-ctx.Done():
-			return false
 		}
 		v.mu.Lock()
-		done, failing := s.readAt >= begunAt && version == "" || s.listed[version], v.g.c.BootClock.Now() < s.notBefore
-		if done || failing {
-			v.mu.Unlock()
-			return done
+		if ctx.Err() != nil {
+			return s.answers(begunAt, version)
 		}
 	}
-	s.reading = make(chan struct{})
-	v.mu.Unlock()
+	return true
+}
+
+// answers reports whether a version is known to be listed, or for an empty one, whether the listing was
+// read by a call that began at a time or later.
+func (s *serviceVersions) answers(begunAt kumquatlug.Millis, version string) bool {
+	if version != "" {
+		return s.listed[version]
+	}
+	return s.readAt >= begunAt
+}
+
+// readListing makes one call about a listing.
+func (v *streamVersions) readListing(service, version string) {
+	ctx, cancel := context.WithTimeout(context.Background(), storeCallTimeout.Duration())
+	defer cancel()
 	err := v.updateListing(ctx, service, func(l streamversion.Listing) ([]byte, error) {
 		if version == "" || l.Has(version) {
 			return nil, nil
@@ -409,12 +425,12 @@
 	v.recordListingCall(service, version, err)
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	s := v.service(service)
 	if err == nil && version != "" {
 		s.listed[version] = true
 	}
 	close(s.reading)
 	s.reading = nil
-	return err == nil
 }
 
 // updateListing reads the listing of a service and writes what change returns, unless that is nil.
@@ -471,25 +487,16 @@
 	v.update()
 }
 
-// maintain reads listings again whose service has had one version for a while, and marks versions without
-// workers as gone if this gateway acts for all.
+// maintain reads the listings again that name several versions, and marks those without workers as gone
+// if this gateway acts for all.
 func (v *streamVersions) maintain(ctx context.Context) {
 	v.update()
-	now := v.g.c.BootClock.Now()
 	_, leads := v.g.leaderLease()
-	var due []string
-	v.mu.Lock()
-	for name, s := range v.services {
-		if s.recording && len(s.listed) > 0 && now-s.readAt >= relistInterval && now >= s.notBefore {
-			due = append(due, name)
-		}
-	}
-	v.mu.Unlock()
-	for _, name := range due {
-		present := v.g.presentVersions(name)
+	for _, name := range v.dueListings() {
+		present := v.presentVersions(name)
 		call, cancel := context.WithTimeout(ctx, storeCallTimeout.Duration())
 		err := v.updateListing(call, name, func(l streamversion.Listing) ([]byte, error) {
-			if !leads {
+			if !leads || len(present) == 0 {
 				return nil, nil
 			}
 			return l.Retire(present)
@@ -499,9 +506,38 @@
 	}
 }
 
+// dueListings returns the services whose listings are to be read again.
+func (v *streamVersions) dueListings() []string {
+	now := v.g.c.BootClock.Now()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var due []string
+	for name, s := range v.services {
+		if len(s.listed) > 0 && now >= s.relistAt && s.several(now) {
+			s.relistAt = now + relistInterval
+			due = append(due, name)
+		}
+	}
+	return due
+}
+
+// presentVersions returns the versions that workers of a service had lately.
+func (v *streamVersions) presentVersions(service string) map[string]bool {
+	now := v.g.c.BootClock.Now()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	present := map[string]bool{}
+	for version, at := range v.service(service).seenAt {
+		if now-at < retireDelay {
+			present[version] = true
+		}
+	}
+	return present
+}
+
 // recordListingCall records the result of a call about a listing.
 func (v *streamVersions) recordListingCall(service, version string, err error) {
-	if err == nil || errors.Is(err, context.Canceled) {
+	if err == nil {
 		return
 	}
 	v.g.c.Logger.Info("listing of versions failed", zap.String("service", service), zap.String("version", version), logs.Error(err))
@@ -510,15 +546,6 @@
 	v.service(service).notBefore = v.g.c.BootClock.Now() + listingFailureDelay
 }
 
-// presentVersions returns the versions of the members of a service.
-func (g *Gateway) presentVersions(service string) map[string]bool {
-	present := map[string]bool{}
-	for _, m := range g.members.Load().byService[service] {
-		present[m.Worker.Version()] = true
-	}
-	return present
-}
-
 // continues reports whether an attempt continues a stream of which the client has a part.
 func (f *inflight) continues() bool {
 	return f.route.Stream() && (f.lastEventID > 0 || f.responseStarted)
