Do not record streams of a service whose workers have not changed

Members are applied when they change; after 60 s without a change their versions counted as gone, so that all streams were recorded at peers and the listing was read each 20 s: messages for nothing, no stream joined or lost. The versions of the current members count as seen now. TestStreamsOfUnchangedServiceAreNotRecorded fails without that.

--- a/internal/gateway/streamversion_test.go
+++ b/internal/gateway/streamversion_test.go
@@ -12,7 +12,9 @@
 	"time"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/clock"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/routes"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/streamversion"
 )
 
 // setEngineVersions makes the engines those of the given versions, by their names.
@@ -376,3 +378,27 @@
 		t.Errorf("%d of 20 streams at the first service, want about half", served)
 	}
 }
+
+// Guards against records of all streams at peers, and reads of the listing, in a service whose workers have
+// not changed for a long time.
+func TestStreamsOfUnchangedServiceAreNotRecorded(t *testing.T) {
+	now := clock.NewManual(100_000)
+	f := newTestGateway(t, versionedEngines(0), manyRetries)
+	v := f.g.streamVersions
+	f.g.c.BootClock = now
+	f.setEngineVersions(map[string]string{"d1": "v1", "d2": "v1"})
+	v.setMembers(f.g.members.Load().byService)
+	if !v.list(t.Context(), "engines", "v1") {
+		t.Fatal("the version was not listed")
+	}
+	for range 10 {
+		now.Advance(streamversion.Retention)
+		if v.update(); v.isRecording("engines") || len(v.dueListings()) != 0 {
+			t.Fatal("streams of the only version are recorded")
+		}
+	}
+	f.setEngineVersions(map[string]string{"d1": "v1", "d2": "v2"})
+	if v.setMembers(f.g.members.Load().byService); !v.isRecording("engines") {
+		t.Error("streams of two versions are not recorded")
+	}
+}
--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -66,8 +66,10 @@
 
 // serviceVersions is what is known about the versions of a service.
 type serviceVersions struct {
-	// seenAt is when a worker of a version was last a member, by BootClock.
-	seenAt map[string]kumquatlug.Millis
+	// present are the versions of the current members. seenAt is when a worker of a version was
+	// last a member, by BootClock.
+	present map[string]bool
+	seenAt  map[string]kumquatlug.Millis
 	// listed are the versions that this gateway knows to be listed.
 	listed map[string]bool
 	// sole is the only listed version, as of readAt.
@@ -127,9 +129,9 @@
 		for _, m := range members {
 			present[m.Worker.Version()] = true
 		}
-		for version := range present {
-			s.seenAt[version] = now
-		}
+		s.refresh(now)
+		s.present = present
+		s.refresh(now)
 		for version := range s.listed {
 			if !present[version] {
 				// It has to be listed again before streams begin at it.
@@ -171,8 +173,17 @@
 	out.send(v.g.c.Peers)
 }
 
+// refresh sets when the versions of the current members were last seen. Members are applied when they
+// change, which may be seldom.
+func (s *serviceVersions) refresh(now kumquatlug.Millis) {
+	for version := range s.present {
+		s.seenAt[version] = now
+	}
+}
+
 // several reports whether streams of several versions may be resumed, as far as is known.
 func (s *serviceVersions) several(now kumquatlug.Millis) bool {
+	s.refresh(now)
 	recent := 0
 	for version, at := range s.seenAt {
 		switch {
@@ -526,8 +537,9 @@
 	now := v.g.c.BootClock.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	present := map[string]bool{}
-	for version, at := range v.service(service).seenAt {
+	s, present := v.service(service), map[string]bool{}
+	s.refresh(now)
+	for version, at := range s.seenAt {
 		if now-at < retireDelay {
 			present[version] = true
 		}
