One read-and-write of a row for the pool of retries and the listing of versions

Both read a row, wrote it under the condition that it had not changed, and began again after a conflict, each with code and a constant of its own: updateRow serves both. The handler of records repeats remember no longer; Request.Resumes, which nothing called, goes; comments still said that the retry budget is divided by a count of gateways. Behaviour is the same.

--- a/internal/gateway/maintenance.go
+++ b/internal/gateway/maintenance.go
@@ -25,7 +25,7 @@
 	maxGatewayRows      = 5000
 )
 
-// runMaintenance closes idle connections and counts the gateways that share budgets.
+// runMaintenance closes idle connections and counts the gateways that share limits.
 func (g *Gateway) runMaintenance(ctx context.Context) {
 	row, counted, logged, transfers, retries := registration{}, false, loggedEstimates{}, exportedTransfers{}, exportedRetries{}
 	for round := 0; ; round++ {
@@ -93,7 +93,7 @@
 }
 
 // register writes this gateway's row. The row stays after the gateway's exit: counting
-// one gateway too many only makes the shares of a budget smaller.
+// one gateway too many only makes the shares of a limit smaller.
 func (g *Gateway) register(ctx context.Context, last registration) registration {
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout.Duration())
 	defer cancel()
--- a/internal/gateway/maintenance_test.go
+++ b/internal/gateway/maintenance_test.go
@@ -27,7 +27,7 @@
 }
 
 // The store does not respond while a gateway starts. If the gateway assumed to be alone
-// until the next count, 20 seconds later, it would use the whole shared budget.
+// until the next count, 20 seconds later, it would use the whole of each limit that they share.
 func TestPeersAreCountedOnceStoreResponds(t *testing.T) {
 	f := newTestGateway(t, &fakeWorkers{}, manyRetries)
 	table := &failingTable{}
--- a/internal/gateway/retrybudget.go
+++ b/internal/gateway/retrybudget.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"sync"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/kumquatlug/kumquatlug/internal/logs"
@@ -19,8 +18,6 @@
 	claimTimeout = 250 * kumquatlug.Millis(1)
 	// claimFailureDelay is how long no claim is made after one failed.
 	claimFailureDelay = 1 * kumquatlug.Second
-	// maxClaimTries is how often a claim is tried while other gateways claim from the same pool.
-	maxClaimTries = 3
 	// claimsPerRequest is the number of retries that are claimed for each request that waits: what
 	// made it fail makes others fail.
 	claimsPerRequest = 2
@@ -104,11 +101,7 @@
 func (c *retryClaims) claim(service string, s *serviceClaims) {
 	ctx, cancel := context.WithTimeout(context.Background(), storeCallTimeout.Duration())
 	defer cancel()
-	claim, err := c.claimOnce(ctx, service, s)
-	for tries := 1; tries < maxClaimTries && errors.Is(err, kumquatlug.ErrConflict); tries++ {
-		// Another gateway has claimed in the meantime.
-		claim, err = c.claimOnce(ctx, service, s)
-	}
+	claim, err := c.claimRow(ctx, service, s)
 	var wait kumquatlug.Millis
 	switch {
 	case err != nil:
@@ -127,31 +120,29 @@
 	s.open = nil
 }
 
-// claimOnce reads the pool and claims from it. Retries are added to the budget only if the store has
+// claimRow claims from the row of the pool. Retries are added to the budget only if the store has
 // acknowledged the claim.
-func (c *retryClaims) claimOnce(ctx context.Context, service string, s *serviceClaims) (retry.Claim, error) {
-	g, key := c.g, poolRowPrefix+service
-	begun := g.c.BootClock.Now()
-	row, err := g.c.Table.Get(ctx, key)
+func (c *retryClaims) claimRow(ctx context.Context, service string, s *serviceClaims) (retry.Claim, error) {
+	var claim retry.Claim
+	var until kumquatlug.Millis
+	err := c.g.updateRow(ctx, poolRowPrefix+service, func(row kumquatlug.Row, begunAt kumquatlug.Millis) ([]byte, error) {
+		c.mu.Lock()
+		wanted := claimsPerRequest * max(s.waiting, 1)
+		s.waiting = 0
+		c.mu.Unlock()
+		var invalid error
+		if claim, invalid = c.pool.Claim(row, wanted); invalid != nil {
+			c.g.c.Logger.Warn("invalid pool of retries replaced", zap.String("service", service), logs.Error(invalid))
+		}
+		until = begunAt + retry.ClaimValidity
+		return claim.Row(), nil
+	})
 	if err != nil {
 		return retry.Claim{}, err
 	}
-	c.mu.Lock()
-	wanted := claimsPerRequest * max(s.waiting, 1)
-	s.waiting = 0
-	c.mu.Unlock()
-	claim, err := c.pool.Claim(row, wanted)
-	if err != nil {
-		g.c.Logger.Warn("invalid pool of retries replaced", zap.String("service", service), logs.Error(err))
-	}
-	if claim.Row() == nil {
-		return claim, nil
-	}
-	tx := kumquatlug.NewTx(g.c.Incarnation).If(key, row.Version()).Put(key, claim.Row())
-	if err := g.c.Table.Commit(ctx, tx); err != nil {
-		return retry.Claim{}, err
+	if claim.Retries() > 0 {
+		c.g.scheduler.addClaimedRetries(service, claim.Retries(), until)
 	}
-	g.scheduler.addClaimedRetries(service, claim.Retries(), begun+retry.ClaimValidity)
 	return claim, nil
 }
 
--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/kumquatlug/kumquatlug/internal/logs"
@@ -25,8 +24,6 @@
 	listingTimeout = 250 * kumquatlug.Millis(1)
 	// listingFailureDelay is how long no call is made after one failed.
 	listingFailureDelay = 1 * kumquatlug.Second
-	// maxListingTries is how often a listing is written while other gateways write it.
-	maxListingTries = 3
 	// versionAnswerTimeout is how long the answers of peers are awaited, which are asked again
 	// after versionAskInterval: several round trips of 1 ms, and the read of a listing there.
 	versionAnswerTimeout = 40 * kumquatlug.Millis(1)
@@ -236,7 +233,7 @@
 	out.send(v.g.c.Peers)
 }
 
-// remember records the version of a stream that a peer has begun.
+// remember records the version of a stream that a peer has begun, unless it is unknown.
 func (v *streamVersions) remember(id, version string) {
 	if version == "" {
 		return
@@ -333,11 +330,7 @@
 	v := g.streamVersions
 	switch m.Step {
 	case kumquatlug.StreamVersionRecorded:
-		if m.Version != "" {
-			v.mu.Lock()
-			v.records.Add(g.c.BootClock.Now(), m.Attempt, m.Version)
-			v.mu.Unlock()
-		}
+		v.remember(m.Attempt, m.Version)
 	case kumquatlug.StreamVersionAsked:
 		answer := m
 		answer.Step, answer.Version = kumquatlug.StreamVersionAnswered, v.find(m.Attempt)
@@ -446,38 +439,24 @@
 
 // updateListing reads the listing of a service and writes what change returns, unless that is nil.
 func (v *streamVersions) updateListing(ctx context.Context, service string, change func(streamversion.Listing) ([]byte, error)) error {
-	for tries := 1; ; tries++ {
-		err := v.tryUpdateListing(ctx, service, change)
-		if !errors.Is(err, kumquatlug.ErrConflict) || tries == maxListingTries {
-			return err
-		}
-	}
-}
-
-func (v *streamVersions) tryUpdateListing(ctx context.Context, service string, change func(streamversion.Listing) ([]byte, error)) error {
-	g, key, begunAt := v.g, versionsRowPrefix+service, v.g.c.BootClock.Now()
-	row, err := g.c.Table.Get(ctx, key)
-	if err != nil {
-		return err
-	}
-	listing, err := streamversion.DecodeListing(row)
-	if err != nil {
-		g.c.Logger.Warn("invalid listing of versions replaced", zap.String("service", service), logs.Error(err))
-	}
-	text, err := change(listing)
-	if err != nil {
-		return err
-	}
-	if text != nil {
-		if err := g.c.Table.Commit(ctx, kumquatlug.NewTx(g.c.Incarnation).If(key, row.Version()).Put(key, text)); err != nil {
-			return err
+	var listing streamversion.Listing
+	var readAt kumquatlug.Millis
+	err := v.g.updateRow(ctx, versionsRowPrefix+service, func(row kumquatlug.Row, begunAt kumquatlug.Millis) ([]byte, error) {
+		var invalid error
+		if listing, invalid = streamversion.DecodeListing(row); invalid != nil {
+			v.g.c.Logger.Warn("invalid listing of versions replaced", zap.String("service", service), logs.Error(invalid))
 		}
-		if listing, err = streamversion.DecodeListing(listing.Written(text)); err != nil {
-			return err
+		readAt = begunAt
+		text, err := change(listing)
+		if err == nil && text != nil {
+			listing, err = streamversion.DecodeListing(listing.Written(text))
 		}
+		return text, err
+	})
+	if err == nil {
+		v.setListing(service, listing, readAt)
 	}
-	v.setListing(service, listing, begunAt)
-	return nil
+	return err
 }
 
 // setListing applies a listing that was read by a call which began at a time.
--- a/pkg/kumquatlug/gateway.go
+++ b/pkg/kumquatlug/gateway.go
@@ -139,10 +139,6 @@
 // none.
 func (r Request) LastEventID() int64 { return r.lastEventID }
 
-// Resumes returns the ID of the attempt that brought the first event of the stream which the
-// client takes up, empty if it does not say.
-func (r Request) Resumes() string { return r.resumes }
-
 // StreamID returns the ID of the attempt that began the stream: that of this attempt unless the client
 // takes a stream up and says which.
 func (r Request) StreamID() string {
