Split the versions of streams by what they deal with

Read-through of the whole change: one file of 600 lines held the state of the versions, the calls about the listing, the messages of peers and the steps of a request. Moved as they are into streamversions, versionlisting, versionpeers and inflightversion; no statement changed.

--- /dev/null
+++ b/internal/gateway/inflightversion.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/kumquatlug/kumquatlug/internal/peerrequest"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
+)
+
+// versionRetryAfter is the Retry-After of a stream that can't go on here: another gateway may know its
+// version.
+const versionRetryAfter = 20 * kumquatlug.Millis(1)
+
+// Reasons of streams that can't go on.
+const (
+	reasonVersionUnknown = "version_unknown"
+	reasonVersionGone    = "version_gone"
+)
+
+// continues reports whether an attempt continues a stream of which the client has a part.
+func (f *inflight) continues() bool {
+	return f.route.Stream() && (f.lastEventID > 0 || f.responseStarted)
+}
+
+// resolveVersion determines the version at which a stream may go on. It returns a failure if the version
+// is unknown.
+func (f *inflight) resolveVersion(ctx context.Context) *attemptFailure {
+	if f.version != "" || !f.continues() {
+		return nil
+	}
+	if f.version = f.g.streamVersions.resolve(ctx, f.service.Name(), f.request.StreamID()); f.version != "" {
+		f.g.metrics.resumes.WithLabelValues("known").Inc()
+		return nil
+	}
+	f.g.metrics.resumes.WithLabelValues("unknown").Inc()
+	return &attemptFailure{permanent: true, failure: refusal("find version", reasonVersionUnknown, http.StatusServiceUnavailable, versionRetryAfter)}
+}
+
+// listVersion ensures that the version of the chosen worker is listed before a stream begins there that
+// may be resumed. If it can't be, another worker is chosen, unless no version is known to be listed.
+func (f *inflight) listVersion(ctx context.Context, c placement.Choice, a *placement.Attempt) *attemptFailure {
+	if !f.route.Stream() || !f.route.Repeatable() || f.continues() {
+		return nil
+	}
+	v, service, version := f.g.streamVersions, f.service.Name(), c.Worker().Version()
+	if v.list(ctx, service, version) || !v.knowsListed(service) {
+		return nil
+	}
+	f.endAttempt(stageOutput, a, placement.OutcomeNeutral)
+	return &attemptFailure{worker: c.Worker().ID(), failure: refusal("list version", "version_unlisted", http.StatusServiceUnavailable, 0)}
+}
+
+// beginOutput records the version of the worker that begins the response.
+func (f *inflight) beginOutput(w kumquatlug.Worker) {
+	if !f.continues() {
+		f.version = w.Version()
+	}
+	if out, ok := f.w.(*peerrequest.ResponseWriter); ok {
+		out.SetVersion(f.version)
+	}
+	f.g.streamVersions.begin(f)
+}
