--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -71,11 +71,23 @@
 	c.recorded++
 	name := fmt.Sprintf("%s/%s-%s-%d", fingerprint, worker, f.g.c.Incarnation, c.recorded)
 	c.counter.Crashed(f.g.c.Clock.Now(), fingerprint, name)
+	f.g.c.Logger.Info("crash recorded", zap.String("request", request.ID()), zap.String("worker", worker),
+		zap.String("fingerprint", string(fingerprint)), zap.Strings("parts", partIDs(request)), zap.Int("crashes", c.counter.Count(fingerprint)))
 	if len(c.unpublished) < maxCrashRows {
 		c.unpublished = append(c.unpublished, name)
 	}
 }
 
+// partIDs returns the IDs of the shared parts of a request's prompt.
+func partIDs(request kumquatlug.Request) []string {
+	parts := request.Prompt().Parts()
+	ids := make([]string, 0, len(parts))
+	for _, p := range parts[:max(len(parts)-1, 0)] {
+		ids = append(ids, p.ID())
+	}
+	return ids
+}
+
 // publishCrashes publishes the crashes seen here to the other gateways.
 func (g *Gateway) publishCrashes(ctx context.Context) {
 	for sleep(ctx, crashPublishInterval) {
--- a/internal/standin/fleet/responses.go
+++ b/internal/standin/fleet/responses.go
@@ -103,6 +103,9 @@
 			panic(http.ErrAbortHandler)
 		default:
 		}
+		if n == last+1 && w.config.OnAnswer != nil && w.config.OnAnswer(promptParts(r)) {
+			panic(http.ErrAbortHandler)
+		}
 		w.mu.Lock()
 		w.streamed[id] = true
 		w.mu.Unlock()
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -61,6 +61,12 @@
 	Delay  time.Duration
 	// Version is the version of the worker's software, "v1" by default.
 	Version string
+	// OnAnswer is called when the worker begins to generate the output of a prompt with these
+	// parts. If it returns true, the worker has crashed. Nil for never.
+	OnAnswer func(parts []string) (crashed bool)
+	// OnArrival is called for each request that arrives, with the parts of its prompt; nil for
+	// none.
+	OnArrival func(parts []string)
 }
 
 // movedSuffix ends the handles of copies that were moved from another engine.
@@ -317,6 +323,17 @@
 	}
 }
 
+// promptParts returns the IDs of the parts of a request's prompt.
+func promptParts(r *http.Request) []string {
+	var ids []string
+	for _, part := range strings.Split(r.Header.Get("Prefix-Hash"), ",") {
+		if id, _, ok := strings.Cut(part, ":"); ok {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // handleRequest runs a client's request, or only prefills its prompt.
 func (w *Worker) handleRequest(out http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Attempt-Id")
@@ -324,6 +341,9 @@
 	if err != nil {
 		return
 	}
+	if w.config.OnArrival != nil {
+		w.config.OnArrival(promptParts(r))
+	}
 	w.mu.Lock()
 	w.receivedHeaders = append(w.receivedHeaders, r.Header.Clone())
 	w.arrivals = append(w.arrivals, time.Now())
--- /dev/null
+++ b/internal/standin/site/crash.go
@@ -0,0 +1,145 @@
+package site
+
+import (
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/kumquatlug/kumquatlug/internal/standin/fleet"
+)
+
+// engineLease is how long the row of a crashed engine stays.
+const engineLease = 3600 * time.Millisecond
+
+// crashes are the crashes of engines by the parts of prompts.
+type crashes struct {
+	mu sync.Mutex
+	// parts are the parts that crash an engine, unless they are the last of their prompt, and
+	// restartDelay is the time until it is back.
+	parts        []string
+	restartDelay time.Duration
+	// versions are the versions that are not affected.
+	versions []string
+	// ended are the crashed engines by ID, at is when they crashed, and restarted are the servers
+	// of those that are back.
+	ended     map[string]bool
+	at        []time.Time
+	restarted []*http.Server
+	arrivals  []Arrival
+	closed    bool
+}
+
+// Arrival is a request that arrived at an engine.
+type Arrival struct {
+	At time.Time
+	// Parts are the IDs of the parts of its prompt.
+	Parts []string
+}
+
+// CrashOn makes each engine crash that begins to generate the output of a prompt with one of the
+// parts, unless it is the last one. The engine is back after delay, at its address and under a new
+// ID. Without parts no engine crashes any more.
+func (s *Site) CrashOn(delay time.Duration, parts ...string) {
+	s.crashes.mu.Lock()
+	defer s.crashes.mu.Unlock()
+	s.crashes.parts, s.crashes.restartDelay = parts, delay
+}
+
+// Crashes returns when engines crashed.
+func (s *Site) Crashes() []time.Time {
+	s.crashes.mu.Lock()
+	defer s.crashes.mu.Unlock()
+	return slices.Clone(s.crashes.at)
+}
+
+// Arrivals returns the requests that arrived at engines with a part in their prompts.
+func (s *Site) Arrivals(part string) []Arrival {
+	s.crashes.mu.Lock()
+	defer s.crashes.mu.Unlock()
+	var found []Arrival
+	for _, a := range s.crashes.arrivals {
+		if slices.Contains(a.Parts, part) {
+			found = append(found, a)
+		}
+	}
+	return found
+}
+
+// watchCrashes makes an engine crash on parts of prompts.
+func (s *Site) watchCrashes(c *fleet.Config) {
+	engine := *c
+	c.OnArrival = func(parts []string) {
+		s.crashes.mu.Lock()
+		defer s.crashes.mu.Unlock()
+		s.crashes.arrivals = append(s.crashes.arrivals, Arrival{At: time.Now(), Parts: parts})
+	}
+	c.OnAnswer = func(parts []string) bool { return s.answerBegins(engine, parts) }
+}
+
+// answerBegins crashes an engine that begins to generate the output of a prompt with a crashing
+// part, and starts it again later.
+func (s *Site) answerBegins(engine fleet.Config, parts []string) bool {
+	k := &s.crashes
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.ended[engine.ID] {
+		return true
+	}
+	guilty := slices.ContainsFunc(parts[:max(len(parts)-1, 0)], func(p string) bool { return slices.Contains(k.parts, p) })
+	if !guilty || slices.Contains(k.versions, engine.Version) {
+		return false
+	}
+	if k.ended == nil {
+		k.ended = map[string]bool{}
+	}
+	k.ended[engine.ID] = true
+	k.at = append(k.at, time.Now())
+	server, address := s.workerServers[engine.ID], s.addresses[engine.ID]
+	_ = server.Close()
+	time.AfterFunc(engineLease, func() { s.Store.Delete("servers", engine.ID) })
+	time.AfterFunc(k.restartDelay, func() { s.restartEngine(engine, address) })
+	return true
+}
+
+// restartEngine starts a crashed engine at its address, under a new ID.
+func (s *Site) restartEngine(c fleet.Config, address string) {
+	base, _, _ := strings.Cut(c.ID, "+")
+	k := &s.crashes
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.closed {
+		return
+	}
+	c.ID, c.Address = base+"+"+strings.Repeat("i", 1+strings.Count(c.ID, "i")), address
+	s.watchCrashes(&c)
+	w := fleet.New(c)
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return
+	}
+	server := &http.Server{Handler: w, ReadHeaderTimeout: time.Minute}
+	s.workerServers[c.ID], s.addresses[c.ID] = server, address
+	k.restarted = append(k.restarted, server)
+	go func() { _ = server.Serve(l) }()
+	s.Store.Put("servers", c.ID, w.Row("ready"))
+}
+
+// MendCrashes makes the engines of a version of the software unaffected.
+func (s *Site) MendCrashes(version string) {
+	s.crashes.mu.Lock()
+	defer s.crashes.mu.Unlock()
+	s.crashes.versions = append(s.crashes.versions, version)
+}
+
+// closeRestarted stops the engines that started after a crash.
+func (k *crashes) closeRestarted() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.closed = true
+	for _, server := range k.restarted {
+		_ = server.Close()
+	}
+}
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -75,6 +75,8 @@
 	servers       []*http.Server
 	workerIDs     map[*fleet.Worker]string
 	workerServers map[string]*http.Server
+	// addresses are those of the workers by ID.
+	addresses     map[string]string
 	configVersion int64
 	minRetries    int
 	// scaleMu serializes the addition of workers.
@@ -90,11 +92,12 @@
 	FailClosed bool
 	// storeProxies are by name of the gateway.
 	storeProxies map[string]*storeProxy
+	crashes      crashes
 }
 
 // New starts a deployment.
 func New(c Config) (*Site, error) {
-	s := &Site{Store: rowstore.New(), Cloud: cloud.New(leaseMs * time.Millisecond), workerIDs: map[*fleet.Worker]string{}, workerServers: map[string]*http.Server{}, storeProxies: map[string]*storeProxy{}, configVersion: 3, minRetries: cmp.Or(c.MinRetries, defaultMinRetries)}
+	s := &Site{Store: rowstore.New(), Cloud: cloud.New(leaseMs * time.Millisecond), workerIDs: map[*fleet.Worker]string{}, workerServers: map[string]*http.Server{}, addresses: map[string]string{}, storeProxies: map[string]*storeProxy{}, configVersion: 3, minRetries: cmp.Or(c.MinRetries, defaultMinRetries)}
 	_, address, err := s.serve(s.Store)
 	if err != nil {
 		return nil, err
@@ -138,6 +141,9 @@
 
 // addWorker starts a worker and writes its row.
 func (s *Site) addWorker(c fleet.Config) error {
+	if c.Service == EngineService {
+		s.watchCrashes(&c)
+	}
 	var w *fleet.Worker
 	server, address, err := s.serve(http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) { w.ServeHTTP(out, r) }))
 	if err != nil {
@@ -145,7 +151,9 @@
 	}
 	c.Address = address
 	w = fleet.New(c)
-	s.workerIDs[w], s.workerServers[c.ID] = c.ID, server
+	s.crashes.mu.Lock()
+	s.workerIDs[w], s.workerServers[c.ID], s.addresses[c.ID] = c.ID, server, address
+	s.crashes.mu.Unlock()
 	if c.Service == EngineService {
 		s.Engines = append(s.Engines, w)
 	} else {
@@ -167,7 +175,11 @@
 func (s *Site) DeleteWorkerRow(w *fleet.Worker) { s.Store.Delete("servers", s.workerIDs[w]) }
 
 // CrashWorker closes the server of a worker and all its connections.
-func (s *Site) CrashWorker(w *fleet.Worker) { _ = s.workerServers[s.workerIDs[w]].Close() }
+func (s *Site) CrashWorker(w *fleet.Worker) {
+	s.crashes.mu.Lock()
+	defer s.crashes.mu.Unlock()
+	_ = s.workerServers[s.workerIDs[w]].Close()
+}
 
 // Route is a route of the config, by names of fields.
 type Route map[string]any
@@ -301,6 +313,7 @@
 
 // Close stops all servers.
 func (s *Site) Close() {
+	s.crashes.closeRestarted()
 	for _, server := range s.servers {
 		_ = server.Close()
 	}
--- a/pkg/kumquatlug/quarantine/crash_counter.go
+++ b/pkg/kumquatlug/quarantine/crash_counter.go
@@ -71,6 +71,9 @@
 	}
 }
 
+// Count returns the number of crashes recorded for f, expired ones included.
+func (s *CrashCounter) Count(f Fingerprint) int { return len(s.reports[f]) }
+
 // Refused reports whether a request has reached the limit of crashes.
 func (s *CrashCounter) Refused(now kumquatlug.Millis, f Fingerprint) bool {
 	n := 0
