--- a/internal/front/link.go
+++ b/internal/front/link.go
@@ -319,6 +319,7 @@
 	}
 	handleDecodeSlots(d, h)
 	handleStreamVersion(d, h)
+	handleQuarantine(d, h)
 }
 
 func (l *Link) decrypt(sealed []byte) (*frontv1.Datagram, error) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -51,6 +51,7 @@
 	if f.g.shuttingDown() {
 		q.Deadline = f.g.c.Clock.Now() + f.timeToStartOutput()
 	}
+	q.Version = f.soleVersion
 	if f.continues() {
 		q.Version = f.version
 	}
@@ -255,7 +256,9 @@
 	if !choice.PrefillOnly() && f.g.scheduler.sharesSlots(f.service.Name()) {
 		priority = priorityDecode
 	}
-	withdrawn := func() bool { return f.g.scheduler.draining(f.service.Name(), a) }
+	withdrawn := func() bool {
+		return f.g.scheduler.draining(f.service.Name(), a) || f.quarantinedAt(f.assessQuarantine(), choice)
+	}
 	return kumquatlug.AttemptOptions{Timeout: f.timeLeft(), LastEventID: f.lastEventID, Priority: priority, Withdrawn: withdrawn}
 }
 
@@ -265,16 +268,28 @@
 	return min(f.timeLeft(), f.g.scheduler.attemptTimeout(f.service.Name(), a))
 }
 
+// admitSend takes the last decisions before an attempt is sent to a worker.
+func (f *inflight) admitSend(ctx context.Context, s stage, c placement.Choice, a *placement.Attempt) *attemptFailure {
+	if denied := f.reauthenticate(s, a); denied != nil {
+		return denied
+	}
+	if failed := f.refuseBeforeExit(s, a); failed != nil {
+		return failed
+	}
+	if failed := f.awaitQuarantine(ctx, s, c, a); failed != nil {
+		return failed
+	}
+	f.g.crashes.attemptSent(f, a, c.Worker())
+	return nil
+}
+
 // prefill computes the prompt's KV cache on an engine. It returns true if a takeover has replaced
 // the prefill, and served the request unless there is a failure.
 func (f *inflight) prefill(ctx context.Context, c placement.Choice, a *placement.Attempt) (kumquatlug.KVCacheRef, *attemptFailure, bool) {
 	if failed := f.awaitLink(ctx, stagePrefill, c, a, false); failed != nil {
 		return kumquatlug.KVCacheRef{}, failed, false
 	}
-	if denied := f.reauthenticate(stagePrefill, a); denied != nil {
-		return kumquatlug.KVCacheRef{}, denied, false
-	}
-	if failed := f.refuseBeforeExit(stagePrefill, a); failed != nil {
+	if failed := f.admitSend(ctx, stagePrefill, c, a); failed != nil {
 		return kumquatlug.KVCacheRef{}, failed, false
 	}
 	call, cancel := context.WithTimeout(ctx, f.timeToStartOutput().Duration())
@@ -289,7 +304,7 @@
 	prefilled := err == nil && response.Status() == http.StatusOK && cache.Handle() != ""
 	failed, replaced := o.settle(prefilled, executionOf(response, err), func() {
 		f.g.releaseCache(cache)
-		f.endReplaced(o.request, stagePrefill, a, endCauseOf(ctx, call), response, err)
+		f.endReplaced(stagePrefill, a, endCauseOf(ctx, call), response, err)
 	})
 	if replaced {
 		return kumquatlug.KVCacheRef{}, failed, true
@@ -360,10 +375,7 @@
 	if failed := f.awaitLink(ctx, stageOutput, c, a, cache.Handle() != ""); failed != nil {
 		return failed
 	}
-	if denied := f.reauthenticate(stageOutput, a); denied != nil {
-		return denied
-	}
-	if failed := f.refuseBeforeExit(stageOutput, a); failed != nil {
+	if failed := f.admitSend(ctx, stageOutput, c, a); failed != nil {
 		return failed
 	}
 	s := f.attemptOptions(c, a)
@@ -381,7 +393,7 @@
 	response, err := f.g.c.Workers.Run(call, c.Worker(), request, s)
 	alive := err == nil && !response.Refused() && response.Status() < http.StatusInternalServerError
 	failed, replaced := o.settle(alive, executionOf(response, err), func() {
-		f.endReplaced(request, stageOutput, a, endCauseOf(ctx, call), response, err)
+		f.endReplaced(stageOutput, a, endCauseOf(ctx, call), response, err)
 	})
 	if replaced {
 		return failed
--- a/internal/gateway/attemptend.go
+++ b/internal/gateway/attemptend.go
@@ -12,6 +12,7 @@
 func (f *inflight) endAttempt(s stage, a *placement.Attempt, o placement.Outcome) {
 	f.g.metrics.attempts.WithLabelValues(string(s), string(o)).Inc()
 	f.g.scheduler.endAttempt(f.g.c.Clock.Now(), f.service.Name(), a, o)
+	f.g.crashes.attemptEnded(a, s == stageOutput && o == placement.OutcomeServed)
 }
 
 // endCause is what ended an attempt.
@@ -49,27 +50,27 @@
 	return kumquatlug.ExecutionUnknown
 }
 
-// endFailedAttempt records the end of a failed attempt of a request that may have run. The
-// request is recorded as a possible cause of a crash only if the worker itself ended the attempt.
+// endFailedAttempt records the end of a failed attempt of a request that may have run. Whether the
+// worker has crashed is checked only if the worker itself ended the attempt.
 // It may be called while a takeover owns the state of the request.
-func (f *inflight) endFailedAttempt(request kumquatlug.Request, s stage, a *placement.Attempt, cause endCause, ran kumquatlug.Execution) {
+func (f *inflight) endFailedAttempt(s stage, a *placement.Attempt, cause endCause, ran kumquatlug.Execution) {
 	if cause == endedByClient {
 		f.endAttempt(s, a, placement.OutcomeNeutral)
 		return
 	}
-	f.endAttempt(s, a, placement.OutcomeFailed)
 	if cause == endedByWorker && ran != kumquatlug.NotExecuted {
-		f.recordCrash(request, a.Worker())
+		f.g.crashes.attemptBroken(a)
 	}
+	f.endAttempt(s, a, placement.OutcomeFailed)
 }
 
 // endReplaced records the end of an attempt whose request a takeover serves, and closes its
 // response. It may be called while the takeover owns the state of the request.
 func (f *inflight) endReplaced(
-	request kumquatlug.Request, s stage, a *placement.Attempt, cause endCause, response kumquatlug.WorkerResponse, err error,
+	s stage, a *placement.Attempt, cause endCause, response kumquatlug.WorkerResponse, err error,
 ) {
 	if err != nil {
-		f.endFailedAttempt(request, s, a, cause, kumquatlug.ExecutionOf(err))
+		f.endFailedAttempt(s, a, cause, kumquatlug.ExecutionOf(err))
 		return
 	}
 	response.Body().Close()
@@ -83,7 +84,7 @@
 // attemptFailed records an attempt that received no response.
 func (f *inflight) attemptFailed(s stage, c placement.Choice, a *placement.Attempt, cause endCause, err error) *attemptFailure {
 	failure := kumquatlug.FailureOf(err)
-	f.endFailedAttempt(f.request, s, a, cause, failure.Execution())
+	f.endFailedAttempt(s, a, cause, failure.Execution())
 	if failure.Execution() != kumquatlug.NotExecuted {
 		f.deliveries++
 		if !f.service.Engine() {
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -2,138 +2,311 @@
 
 import (
 	"context"
-	"fmt"
-	"strings"
+	"slices"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
-	"github.com/kumquatlug/kumquatlug/internal/logs"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/quarantine"
 )
 
-// Parameters of crash records.
+// Parameters of recognizing crashes.
 const (
-	// crashPrefix is the prefix of the keys of crash rows.
-	crashPrefix = "crash/"
-	// crashPublishInterval is how often the crashes seen here are published, in one
-	// call: a retried request reaches the other gateways within seconds.
-	crashPublishInterval = 500 * kumquatlug.Millis(1)
-	// maxCrashRowsPerCommit bounds the rows that one call adds, and those that it
-	// removes. The store accepts a hundred in total.
-	maxCrashRowsPerCommit = 50
-	// maxCrashRows bounds the rows of this gateway; the oldest are removed.
-	maxCrashRows = 400
+	// startingSpan is how long after its first output a request may still have caused a crash: an
+	// engine may send an event before it ends.
+	startingSpan = 250 * kumquatlug.Millis(1)
+	// lifeTimeout bounds one question whether a worker runs. lifeTries is how often an unreachable
+	// worker is asked, lifeRetryDelay the delay before the second question, which doubles.
+	lifeTimeout    = 250 * kumquatlug.Millis(1)
+	lifeTries      = 5
+	lifeRetryDelay = 60 * kumquatlug.Millis(1)
+	// lifeInterval is the time between two questions to a worker that runs and breaks responses off.
+	// It doubles up to maxLifeInterval.
+	lifeInterval    = 500 * kumquatlug.Millis(1)
+	maxLifeInterval = 2 * kumquatlug.Second
+	// crashGatherTime is how long the responses that a crash breaks off are gathered.
+	crashGatherTime = 10 * kumquatlug.Millis(1)
+	// maxBrokenAttempts bounds the broken attempts kept per worker.
+	maxBrokenAttempts = 256
+	// suspicionRetention is how long a broken response of a worker is remembered.
+	suspicionRetention = 60 * kumquatlug.Second
+	// maxRequestParts bounds the parts of a prompt that are checked.
+	maxRequestParts = 256
 )
 
-// crashes are the requests that crashed their workers, as seen by all gateways.
+// crashes knows what was in flight at workers that crashed, and what is under quarantine for it.
 type crashes struct {
-	mu      sync.Mutex
-	counter *quarantine.CrashCounter
-	// unpublished are the names of crashes that are not published to the other
-	// gateways yet, published those with a row written by this gateway.
-	unpublished []string
-	published   []string
-	recorded    int
+	g *Gateway
+
+	mu       sync.Mutex
+	evidence *quarantine.Evidence
+	// sent are the attempts that a worker may have received.
+	sent map[*placement.Attempt]*sentAttempt
+	// suspicions are the workers that broke off responses, by ID.
+	suspicions map[string]*suspicion
+	quarantinePeers
+	quarantineRows
+}
+
+// sentAttempt is an attempt that a worker may have received.
+type sentAttempt struct {
+	request kumquatlug.Request
+	service string
+	worker  kumquatlug.Worker
+	// identities returns the identities of the request.
+	identities func() []string
+	// informed are the identities of which a crash was known when the attempt was sent.
+	informed map[string]bool
+	// firstOutputAt is when the first output arrived, zero before.
+	firstOutputAt kumquatlug.Millis
+	// answered says that the output was long enough to clear the request.
+	answered bool
+}
+
+// suspicion is a worker that broke off responses and may have crashed.
+type suspicion struct {
+	member kumquatlug.Member
+	// broken are the attempts that may have caused it, since the worker was last known to run.
+	broken []*sentAttempt
+	// checking says that a goroutine finds out whether the worker runs, ended that it does not.
+	checking, ended bool
+	// interval is the time between two questions, nextAt that of the next one.
+	interval, nextAt kumquatlug.Millis
+	lastAt           kumquatlug.Millis
+}
+
+func newCrashes(g *Gateway) *crashes {
+	return &crashes{
+		g: g, evidence: quarantine.NewEvidence(quarantine.EvidenceConfig{}),
+		sent: map[*placement.Attempt]*sentAttempt{}, suspicions: map[string]*suspicion{},
+		quarantinePeers: newQuarantinePeers(), quarantineRows: newQuarantineRows(),
+	}
 }
 
-func newCrashes() *crashes {
-	return &crashes{counter: quarantine.NewCrashCounter(quarantine.CrashCounterConfig{})}
+// identities returns what a crash under a request may be attributed to: the shared parts of its prompt,
+// and the request itself.
+func identities(service string, request kumquatlug.Request) []string {
+	shared := request.Prompt().Shared()
+	all := make([]string, 0, len(shared)+1)
+	for _, part := range shared[:min(len(shared), maxRequestParts)] {
+		if id := quarantine.PartIdentity(part.ID()); !slices.Contains(all, id) {
+			all = append(all, id)
+		}
+	}
+	kind := kumquatlug.NewKind(kumquatlug.ProtocolService, service)
+	return append(all, quarantine.RequestIdentity(quarantine.NewFingerprint(request.Target(), kind, request.Body())))
 }
 
-// fingerprint identifies a request by path and body, independent of its client.
-func (f *inflight) fingerprint(request kumquatlug.Request) quarantine.Fingerprint {
-	return quarantine.NewFingerprint(request.Target(), kumquatlug.NewKind(kumquatlug.ProtocolService, f.service.Name()), request.Body())
+// requestHash distinguishes requests, whatever the client's attempt.
+func requestHash(request kumquatlug.Request) uint32 {
+	h := xxhash.New()
+	// Writes to a hash don't fail.
+	_, _ = h.WriteString(request.Target())
+	_, _ = h.Write(request.Body())
+	for _, part := range request.Prompt().Parts() {
+		_, _ = h.WriteString("\x00" + part.ID())
+	}
+	return uint32(h.Sum64())
 }
 
-// quarantined reports whether a request has crashed too many workers.
-func (f *inflight) quarantined() bool {
-	c := f.g.crashes
+// attemptSent records that an attempt is sent.
+func (c *crashes) attemptSent(f *inflight, a *placement.Attempt, worker kumquatlug.Worker) {
+	s := &sentAttempt{request: f.request, service: f.service.Name(), worker: worker, identities: f.identities}
+	var own []string
+	if !c.noneKnown(s.service) {
+		own = f.identities()
+	}
 	c.mu.Lock()
-	none := !c.counter.HasCrashes()
-	c.mu.Unlock()
-	if none {
-		return false
+	defer c.mu.Unlock()
+	s.informed = c.evidence.Informed(s.service, own)
+	c.sent[a] = s
+}
+
+// outputArrived records that output of an attempt has arrived.
+func (c *crashes) outputArrived(a *placement.Attempt) {
+	now := c.g.c.Clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.sent[a]
+	switch {
+	case s == nil:
+	case s.firstOutputAt == 0:
+		s.firstOutputAt = now
+	case !s.answered && now-s.firstOutputAt >= longOutput:
+		c.answered(now, s)
+	}
+}
+
+// longOutput is how long an engine must have generated output to show that the request does not
+// crash it.
+const longOutput = 1 * kumquatlug.Second
+
+// answered clears the identities of a request. The caller must hold c.mu.
+func (c *crashes) answered(now kumquatlug.Millis, s *sentAttempt) {
+	s.answered = true
+	if !c.evidence.Empty(s.service) {
+		c.evidence.Completed(now, s.service, s.worker.Version(), s.identities())
 	}
-	fingerprint := f.fingerprint(f.request)
+}
+
+// attemptEnded records the end of an attempt, and whether it was served in full.
+func (c *crashes) attemptEnded(a *placement.Attempt, served bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.counter.Refused(f.g.c.Clock.Now(), fingerprint)
+	s := c.sent[a]
+	if s == nil {
+		return
+	}
+	delete(c.sent, a)
+	if served && s.firstOutputAt != 0 && !s.answered {
+		c.answered(c.g.c.Clock.Now(), s)
+	}
 }
 
-// recordCrash records that a worker closed the connection without a response.
-func (f *inflight) recordCrash(request kumquatlug.Request, worker string) {
-	fingerprint := f.fingerprint(request)
-	c := f.g.crashes
+// attemptBroken records that a worker broke off an attempt.
+func (c *crashes) attemptBroken(a *placement.Attempt) {
+	now := c.g.c.Clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.recorded++
-	name := fmt.Sprintf("%s/%s-%s-%d", fingerprint, worker, f.g.c.Incarnation, c.recorded)
-	c.counter.Crashed(f.g.c.Clock.Now(), fingerprint, name)
-	f.g.c.Logger.Info("crash recorded", zap.String("request", request.ID()), zap.String("worker", worker),
-		zap.String("fingerprint", string(fingerprint)), zap.Strings("parts", partIDs(request)), zap.Int("crashes", c.counter.Count(fingerprint)))
-	if len(c.unpublished) < maxCrashRows {
-		c.unpublished = append(c.unpublished, name)
-	}
-}
-
-// partIDs returns the IDs of the shared parts of a request's prompt.
-func partIDs(request kumquatlug.Request) []string {
-	parts := request.Prompt().Parts()
-	ids := make([]string, 0, len(parts))
-	for _, p := range parts[:max(len(parts)-1, 0)] {
-		ids = append(ids, p.ID())
-	}
-	return ids
-}
-
-// publishCrashes publishes the crashes seen here to the other gateways.
-func (g *Gateway) publishCrashes(ctx context.Context) {
-	for sleep(ctx, crashPublishInterval) {
-		g.crashes.mu.Lock()
-		names := append([]string(nil), g.crashes.unpublished[:min(len(g.crashes.unpublished), maxCrashRowsPerCommit)]...)
-		old := g.crashes.published[:min(len(g.crashes.published), max(0, len(g.crashes.published)+len(names)-maxCrashRows), maxCrashRowsPerCommit)]
-		g.crashes.mu.Unlock()
-		if len(names) > 0 {
-			g.commitCrashes(ctx, names, old)
+	s := c.sent[a]
+	if s == nil || s.firstOutputAt != 0 && now-s.firstOutputAt > startingSpan {
+		return
+	}
+	w := c.suspicions[s.worker.ID()]
+	member, found := c.g.member(s.service, s.worker.ID())
+	if w == nil || found && member.StartedAt != w.member.StartedAt {
+		if !found || member.State == kumquatlug.MemberDraining {
+			// A worker that shuts down ends what it has not completed.
+			return
 		}
+		w = &suspicion{member: member, interval: lifeInterval}
+		c.suspicions[s.worker.ID()] = w
+	}
+	w.lastAt = now
+	if len(w.broken) < maxBrokenAttempts {
+		w.broken = append(w.broken, s)
+	}
+	if !w.checking {
+		w.checking = true
+		go c.checkLife(w)
 	}
 }
 
-// commitCrashes writes rows for crashes and removes the oldest ones.
-func (g *Gateway) commitCrashes(ctx context.Context, names, old []string) {
-	tx := kumquatlug.NewTx(g.c.Incarnation)
-	for _, name := range names {
-		tx = tx.Put(crashPrefix+name, []byte(g.c.Name))
+// member returns a worker of a service by its ID.
+func (g *Gateway) member(service, id string) (kumquatlug.Member, bool) {
+	members := g.members.Load().byService[service]
+	if i := slices.IndexFunc(members, func(m kumquatlug.Member) bool { return m.Worker.ID() == id }); i >= 0 {
+		return members[i], true
 	}
-	for _, name := range old {
-		tx = tx.Delete(crashPrefix + name)
+	return kumquatlug.Member{}, false
+}
+
+// checkLife finds out whether a worker that broke off responses has crashed. A link that is cut, a
+// response that is lost and a worker that resets connections all leave it running.
+func (c *crashes) checkLife(w *suspicion) {
+	life := kumquatlug.WorkerUnknown
+	c.mu.Lock()
+	ended, wait := w.ended, w.nextAt-c.g.c.Clock.Now()
+	c.mu.Unlock()
+	if ended {
+		life = kumquatlug.WorkerEnded
 	}
-	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout.Duration())
-	defer cancel()
-	if err := g.c.Table.Commit(ctx, tx); err != nil {
-		g.c.Logger.Warn("failed to publish crash records", zap.Int("count", len(names)), logs.Error(err))
+	ctx := context.Background()
+	delay := lifeRetryDelay
+	for try := 0; try < lifeTries && life == kumquatlug.WorkerUnknown; try++ {
+		sleep(ctx, max(wait, 0))
+		life = c.askLife(ctx, w.member)
+		wait = delay
+		delay *= 2
+	}
+	if life == kumquatlug.WorkerEnded {
+		sleep(ctx, crashGatherTime)
+	}
+	now := c.g.c.Clock.Now()
+	c.mu.Lock()
+	broken := w.broken
+	w.broken, w.checking, w.ended = nil, false, life == kumquatlug.WorkerEnded
+	w.nextAt = now + w.interval
+	w.interval = min(2*w.interval, maxLifeInterval)
+	c.mu.Unlock()
+	c.g.metrics.crashChecks.WithLabelValues(string(life)).Inc()
+	if life != kumquatlug.WorkerEnded {
 		return
 	}
-	g.crashes.mu.Lock()
-	defer g.crashes.mu.Unlock()
-	g.crashes.unpublished = g.crashes.unpublished[len(names):]
-	g.crashes.published = append(g.crashes.published[len(old):], names...)
-}
-
-// watchCrashes applies the crashes that other gateways saw.
-func (g *Gateway) watchCrashes(ctx context.Context) {
-	w := &tableWatcher{g: g, table: g.c.CrashTable, pollWait: crashPollWait, minDelay: crashGatherDelay}
-	w.watch(ctx, func(now kumquatlug.Millis) {
-		g.crashes.mu.Lock()
-		defer g.crashes.mu.Unlock()
-		for _, row := range w.changed {
-			name := strings.TrimPrefix(row.Key(), crashPrefix)
-			if text, _, ok := strings.Cut(name, "/"); ok && row.Exists() {
-				g.crashes.counter.Crashed(now, quarantine.Fingerprint(text), name)
+	report := crashReport(w.member, broken)
+	c.logCrash(w.member, broken, report)
+	c.mu.Lock()
+	c.evidence.Report(now, report)
+	c.addReport(report)
+	c.mu.Unlock()
+	c.flush()
+}
+
+// askLife asks once whether a worker runs.
+func (c *crashes) askLife(ctx context.Context, m kumquatlug.Member) kumquatlug.WorkerLife {
+	ctx, cancel := context.WithTimeout(ctx, lifeTimeout.Duration())
+	defer cancel()
+	healthPath := ""
+	if m.Role == "" {
+		table := c.g.table.Load()
+		if table == nil {
+			return kumquatlug.WorkerUnknown
+		}
+		service, _ := table.Service(m.Service)
+		if healthPath = service.HealthPath(); healthPath == "" {
+			return kumquatlug.WorkerUnknown
+		}
+	}
+	return c.g.c.Workers.Life(ctx, m.Worker, healthPath, m.StartedAt)
+}
+
+// crashReport returns the report of a crash under these attempts.
+func crashReport(m kumquatlug.Member, broken []*sentAttempt) kumquatlug.CrashReport {
+	r := kumquatlug.CrashReport{Service: m.Service, Worker: m.Worker.ID(), StartedAt: m.StartedAt, Version: m.Worker.Version()}
+	index := map[string]int{}
+	for _, s := range broken {
+		hash := requestHash(s.request)
+		for _, id := range s.identities() {
+			i, known := index[id]
+			if !known {
+				i = len(r.Suspects)
+				index[id] = i
+				r.Suspects = append(r.Suspects, kumquatlug.CrashSuspect{Identity: id})
 			}
+			r.Suspects[i].Requests = append(r.Suspects[i].Requests, hash)
+			r.Suspects[i].Informed = r.Suspects[i].Informed || s.informed[id]
 		}
-		g.crashes.counter.RemoveExpired(now)
-	})
+	}
+	return r
+}
+
+// maxLoggedSuspects bounds the requests and the suspects in one log line.
+const maxLoggedSuspects = 64
+
+func (c *crashes) logCrash(m kumquatlug.Member, broken []*sentAttempt, r kumquatlug.CrashReport) {
+	c.g.metrics.crashes.WithLabelValues(m.Service).Inc()
+	var requests, suspects []string
+	for _, s := range broken[:min(len(broken), maxLoggedSuspects)] {
+		requests = append(requests, s.request.ID())
+	}
+	for _, s := range r.Suspects[:min(len(r.Suspects), maxLoggedSuspects)] {
+		suspects = append(suspects, s.Identity)
+	}
+	c.g.c.Logger.Warn("worker crashed", zap.String("worker", m.Worker.ID()), zap.String("service", m.Service), zap.Int64("started_at", m.StartedAt),
+		zap.String("version", m.Worker.Version()), zap.Strings("requests", requests), zap.Strings("suspects", suspects))
+}
+
+// removeExpired forgets what no longer counts.
+func (c *crashes) removeExpired(now kumquatlug.Millis) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.evidence.RemoveExpired(now)
+	for id, w := range c.suspicions {
+		if !w.checking && now-w.lastAt > suspicionRetention {
+			delete(c.suspicions, id)
+		}
+	}
 }
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -39,7 +39,9 @@
 	prefill  func(ctx context.Context, n int, c workerCall) (kumquatlug.KVCacheRef, kumquatlug.WorkerResponse, error)
 	move     func(ctx context.Context, from, to string) (kumquatlug.KVCacheRef, error)
 	state    func() (kumquatlug.EngineState, error)
-	order    func() (bool, error)
+	// life tells whether a worker runs; all run if it is nil.
+	life  func(worker string) kumquatlug.WorkerLife
+	order func() (bool, error)
 	// unreachable reports whether no connection can be made for an attempt, nil if none fails.
 	unreachable func(c workerCall) bool
 }
@@ -108,6 +110,13 @@
 	return kumquatlug.EngineState{Reconfiguring: true}, nil
 }
 
+func (w *fakeWorkers) Life(_ context.Context, to kumquatlug.Worker, _ string, _ int64) kumquatlug.WorkerLife {
+	if w.life == nil {
+		return kumquatlug.WorkerRuns
+	}
+	return w.life(to.ID())
+}
+
 func (w *fakeWorkers) Order(context.Context, kumquatlug.Worker, kumquatlug.RoleOrder) (bool, error) {
 	if w.order != nil {
 		return w.order()
@@ -326,6 +335,7 @@
 		PrefillShare: 0.5, Placement: c, CloseIdle: func(func(string) bool) {}, Logger: zap.NewNop(), Registry: prometheus.NewRegistry(),
 	})
 	g.table.Store(testTable(7))
+	g.crashes.loaded = true
 	set := &memberSet{loaded: true, byService: map[string][]kumquatlug.Member{
 		"engines": {
 			member("p1", kumquatlug.RolePrefill), member("p2", kumquatlug.RolePrefill),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -181,12 +181,13 @@
 func New(c Config) *Gateway {
 	shares := newTableShares(&c)
 	g := &Gateway{
-		c: c, scheduler: newScheduler(c), link: newLinkQueue(c), metrics: newMetrics(c.Registry), speedMetrics: newSpeedMetrics(c.Registry), crashes: newCrashes(),
+		c: c, scheduler: newScheduler(c), link: newLinkQueue(c), metrics: newMetrics(c.Registry), speedMetrics: newSpeedMetrics(c.Registry),
 		shuttingDownWorkers: newShuttingDownWorkers(), unusedCaches: make(chan kumquatlug.KVCacheRef, maxUnusedCaches),
 		handoffs: newHandoffs(c),
 	}
 	g.scheduler.slots.outcomes = newSlotMetrics(c.Registry)
 	g.retryClaims = newRetryClaims(g)
+	g.crashes = newCrashes(g)
 	g.streamVersions = newStreamVersions(g)
 	g.startedAt = c.Clock.Now()
 	g.shares = shares
@@ -334,7 +335,7 @@
 
 // ready reports whether this gateway has a config and members, and is not shutting down.
 func (g *Gateway) ready() bool {
-	return !g.shuttingDown() && g.table.Load() != nil && g.members.Load().loaded
+	return !g.shuttingDown() && g.table.Load() != nil && g.members.Load().loaded && g.crashesLoaded()
 }
 
 func (g *Gateway) controlHandler() http.Handler {
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -70,6 +71,13 @@
 	partialEvent bool
 	// unusedCharge is set while the retry budget was charged for a retry that was not sent.
 	unusedCharge bool
+	// ownIdentities are the request's identities once they were needed, guarded by identityMu.
+	identityMu    sync.Mutex
+	ownIdentities []string
+	// probe says that the request is a probe of a quarantine, which has a single attempt.
+	// soleVersion is the version of the workers that may run it, empty for any.
+	probe       bool
+	soleVersion string
 	// timings holds when each step of the last attempt was completed.
 	timings timings
 }
@@ -183,11 +191,7 @@
 	switch {
 	case ctx.Err() != nil || f.timeLeft() <= 0:
 		return f.contextFailure(ctx, failed.failure)
-	case failed.permanent || f.partialEvent || f.attempts >= maxAttempts:
-		return failed.failure
-	case f.possibleRuns > 0 && !f.route.Repeatable():
-		return failed.failure
-	case f.possibleRuns >= f.maxWorkers():
+	case failed.permanent || f.partialEvent || f.attempts >= maxAttempts || f.possibleRuns >= f.runLimit():
 		return failed.failure
 	}
 	if failed := f.shutdownFailure(); failed != nil {
@@ -196,6 +200,14 @@
 	return nil
 }
 
+// runLimit returns how many workers may have run the request before no other attempt is made.
+func (f *inflight) runLimit() int {
+	if !f.route.Repeatable() || f.probe {
+		return 1
+	}
+	return f.maxWorkers()
+}
+
 // maxWorkers returns how many workers may run the request for this gateway. Of a request that a
 // peer handed off, the last one is left to the peer, which continues the request if this gateway
 // can't: both together must not exceed what the route permits, also if this one is killed.
--- a/internal/gateway/liveness.go
+++ b/internal/gateway/liveness.go
@@ -19,6 +19,7 @@
 	for sleep(ctx, timerInterval) {
 		events := g.scheduler.tick(g.c.Clock.Now())
 		g.logUnresponsive(events.unresponsive)
+		g.crashes.tick(g.c.Clock.Now())
 		g.requestConfig()
 		g.announceSpeeds()
 		for _, p := range events.probes {
--- a/internal/gateway/liveness_test.go
+++ b/internal/gateway/liveness_test.go
@@ -24,13 +24,24 @@
 			return kumquatlug.WorkerResponse{}, lostConnection()
 		}
 		return wholeResponse(200, "done"), nil
-	}}
+	}, life: func(string) kumquatlug.WorkerLife { return kumquatlug.WorkerEnded }}
 	f := newTestGateway(t, w, manyRetries)
 	for i := range 4 {
 		if response := f.do(context.Background(), http.MethodGet, lookupRoute); response.status != 200 {
 			t.Fatalf("request %d: %+v", i+1, response)
 		}
 	}
+	requireNoSuspicion(t, f)
+}
+
+// requireNoSuspicion fails the test if a worker is suspected to have crashed.
+func requireNoSuspicion(t *testing.T, f *testGateway) {
+	t.Helper()
+	f.g.crashes.mu.Lock()
+	defer f.g.crashes.mu.Unlock()
+	if n := len(f.g.crashes.suspicions) + len(f.g.crashes.unpublished); n != 0 {
+		t.Errorf("%d crashes suspected or recorded", n)
+	}
 }
 
 // A client disconnects during a response, which the gateway notices by a failed write.
@@ -39,7 +50,7 @@
 func TestClientDisconnectIsNotACrash(t *testing.T) {
 	w := &fakeWorkers{run: func(context.Context, int, workerCall) (kumquatlug.WorkerResponse, error) {
 		return streamResponse(1, 3), nil
-	}}
+	}, life: func(string) kumquatlug.WorkerLife { return kumquatlug.WorkerEnded }}
 	f := newTestGateway(t, w, manyRetries)
 	for range 4 {
 		r := httptest.NewRequest(http.MethodPost, chatRoute, strings.NewReader("body"))
@@ -56,9 +67,7 @@
 	if response := f.do(context.Background(), http.MethodPost, chatRoute); response.status != 200 {
 		t.Errorf("request of another client: %+v", response)
 	}
-	if n := len(f.g.crashes.unpublished); n != 0 {
-		t.Errorf("%d crashes recorded", n)
-	}
+	requireNoSuspicion(t, f)
 }
 
 // disconnectedClient is a client to which every write fails.
--- a/internal/gateway/maintenance.go
+++ b/internal/gateway/maintenance.go
@@ -46,6 +46,7 @@
 		if g.c.Peers != nil {
 			g.c.Peers.AnnounceConfig("")
 		}
+		g.crashes.announceEntries(g.c.Clock.Now())
 		g.reportEstimates(logged)
 		g.exportSpeeds()
 		g.reportTransfers(transfers)
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -131,6 +131,7 @@
 	}
 	g.members.Store(set)
 	g.streamVersions.setMembers(set.byService)
+	g.crashes.setMembers(set.byService)
 	g.scheduler.syncMembers(now, set.byService)
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -9,20 +9,23 @@
 
 // metrics are the metrics of a gateway.
 type metrics struct {
-	responses     *prometheus.CounterVec
-	attempts      *prometheus.CounterVec
-	bodyEnds      *prometheus.CounterVec
-	latency       *prometheus.HistogramVec
-	storeReads    *prometheus.CounterVec
-	orders        *prometheus.CounterVec
-	unresponsive  prometheus.Counter
-	takeovers     *prometheus.CounterVec
-	configVersion prometheus.Gauge
-	estimates     *prometheus.GaugeVec
-	permits       *prometheus.CounterVec
-	denied        *prometheus.CounterVec
-	fencingToken  prometheus.Gauge
-	usageReports  *prometheus.CounterVec
+	responses    *prometheus.CounterVec
+	attempts     *prometheus.CounterVec
+	bodyEnds     *prometheus.CounterVec
+	latency      *prometheus.HistogramVec
+	storeReads   *prometheus.CounterVec
+	orders       *prometheus.CounterVec
+	unresponsive prometheus.Counter
+	// crashes counts the crashes of workers, crashChecks the checks whether a worker that broke off a
+	// response has crashed, quarantineEvents the changes of the quarantine.
+	crashes, crashChecks, quarantineEvents *prometheus.CounterVec
+	takeovers                              *prometheus.CounterVec
+	configVersion                          prometheus.Gauge
+	estimates                              *prometheus.GaugeVec
+	permits                                *prometheus.CounterVec
+	denied                                 *prometheus.CounterVec
+	fencingToken                           prometheus.Gauge
+	usageReports                           *prometheus.CounterVec
 	// usageOpen counts windows that are finalized and not known to be reported.
 	usageOpen prometheus.Gauge
 	// worstAccounts is the fraction of requests on time of the accounts with the lowest.
@@ -65,6 +68,15 @@
 		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "kumquatlug_gateway_orders_total", Help: "Orders to engines by outcome.",
 		}, []string{"outcome"}),
+		crashes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kumquatlug_front_worker_crashes_total", Help: "Crashes of workers seen here, by service.",
+		}, []string{"service"}),
+		crashChecks: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kumquatlug_front_crash_checks_total", Help: "Checks of workers that broke off a response, by result.",
+		}, []string{"life"}),
+		quarantineEvents: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kumquatlug_front_quarantine_events_total", Help: "Changes of the quarantine, by kind.",
+		}, []string{"event"}),
 		unresponsive: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "kumquatlug_gateway_silent_workers_total", Help: "Times at which a worker with work in hand fell silent.",
 		}),
@@ -127,7 +139,7 @@
 // collectors returns all metrics.
 func (m *metrics) collectors() []prometheus.Collector {
 	return []prometheus.Collector{
-		m.responses, m.attempts, m.bodyEnds, m.latency, m.storeReads, m.orders, m.unresponsive, m.takeovers, m.configVersion, m.estimates, m.permits, m.denied,
+		m.responses, m.attempts, m.bodyEnds, m.latency, m.storeReads, m.orders, m.unresponsive, m.crashes, m.crashChecks, m.quarantineEvents, m.takeovers, m.configVersion, m.estimates, m.permits, m.denied,
 		m.fencingToken, m.usageReports, m.usageOpen, m.worstAccounts, m.limit, m.limitSent, m.shuttingDown, m.storeEra,
 		m.retries, m.resumes,
 		m.kvTransfers, m.prefilledTokens,
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -22,6 +22,7 @@
 	g.scheduler.peerJoined(peer)
 	g.handoffs.peerJoined(peer)
 	g.streamVersions.addPeers(peer)
+	g.crashes.peerJoined(peer)
 	g.shares.peerJoined(peer)
 }
 
@@ -42,6 +43,7 @@
 	reachable, restarted := g.c.Peers.UpdatePeers(rows)
 	g.scheduler.setPeers(reachable, restarted)
 	g.streamVersions.addPeers(reachable...)
+	g.crashes.setPeers(reachable, restarted)
 	if g.handoffs.active {
 		g.handoffs.setPeers(g.c.Peers.HandoffPeers(), restarted)
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -128,6 +128,9 @@
 		return f.withdrawnFailure(a.attempt, kumquatlug.ExecutionUnknown)
 	}
 	f.onFirstOutput()
+	if status < http.StatusBadRequest {
+		f.g.crashes.outputArrived(a.attempt)
+	}
 	f.responseStarted = true
 	f.g.c.Ingress.WriteHeader(f.w, a.response)
 	out := &clientWriter{relayWriter: relayWriter{w: f.w}, f: f, a: a}
@@ -172,7 +175,7 @@
 	// A stream that is being moved ends at its first engine and goes on at the other one.
 	alive := err == nil || errors.Is(err, io.EOF) || a.transfer.Load() != nil
 	return a.open.settle(alive, kumquatlug.ExecutionUnknown, func() {
-		f.endFailedAttempt(a.open.request, stageOutput, a.attempt, endCauseOf(a.requestCtx, a.attemptCtx), kumquatlug.ExecutionUnknown)
+		f.endFailedAttempt(stageOutput, a.attempt, endCauseOf(a.requestCtx, a.attemptCtx), kumquatlug.ExecutionUnknown)
 		a.response.Body().Close()
 		f.abandon(a)
 	})
@@ -186,7 +189,7 @@
 	}
 	f.recordBodyEnd(a, end)
 	cause := endCauseOf(a.requestCtx, a.attemptCtx)
-	f.endFailedAttempt(f.request, stageOutput, a.attempt, cause, kumquatlug.ExecutionUnknown)
+	f.endFailedAttempt(stageOutput, a.attempt, cause, kumquatlug.ExecutionUnknown)
 	return &attemptFailure{worker: a.worker(), endedBy: cause, failure: kumquatlug.NewFailure(kumquatlug.FailureConfig{
 		Step: "relay", Peer: a.worker(), Reason: "answer_broken", Execution: kumquatlug.ExecutionUnknown,
 		Status: http.StatusBadGateway, Cause: err,
@@ -196,7 +199,7 @@
 // clientDisconnected records a response that the client no longer reads. It says nothing
 // about the worker.
 func (f *inflight) clientDisconnected(a *relayedAttempt, err error) *attemptFailure {
-	f.endFailedAttempt(f.request, stageOutput, a.attempt, endedByClient, kumquatlug.ExecutionUnknown)
+	f.endFailedAttempt(stageOutput, a.attempt, endedByClient, kumquatlug.ExecutionUnknown)
 	return &attemptFailure{worker: a.worker(), permanent: true, failure: kumquatlug.NewFailure(kumquatlug.FailureConfig{
 		Step: "relay", Reason: reasonClientLeft, Execution: kumquatlug.ExecutionUnknown, Status: http.StatusBadGateway, Cause: err,
 	})}
@@ -294,6 +297,7 @@
 func (f *inflight) forwardEvents(a *relayedAttempt, flush *http.ResponseController, events []byte, count int) *attemptFailure {
 	now := f.g.c.Clock.Now()
 	f.g.scheduler.recordOutput(now, f.service.Name(), a.attempt, count)
+	f.g.crashes.outputArrived(a.attempt)
 	defer func() { f.setForwarding(a, false) }()
 	_, err := f.w.Write(events)
 	if err == nil {
--- a/internal/gateway/scheduler_test.go
+++ b/internal/gateway/scheduler_test.go
@@ -79,5 +79,6 @@
 func (noLink) RequestConfig(string, kumquatlug.ConfigRequest)                {}
 func (noLink) SendConfigPart(string, kumquatlug.ConfigPart)                  {}
 func (noLink) SendStreamVersion(string, kumquatlug.StreamVersion)            {}
+func (noLink) SendQuarantine(string, kumquatlug.QuarantineMessage)           {}
 func (noLink) AnnounceStop()                                                 {}
 func (noLink) Receive(context.Context, kumquatlug.GatewayHandler) error      { return nil }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -45,6 +45,10 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	table := g.table.Load()
+	if !g.crashesLoaded() {
+		// It may not be sent to a worker before it is known what is under quarantine.
+		table = nil
+	}
 	limit := int64(defaultMaxBodyBytes)
 	if table != nil && table.Limits().BodyBytes > 0 {
 		limit = table.Limits().BodyBytes
@@ -103,11 +107,10 @@
 			return
 		}
 	}
-	if f.quarantined() {
-		g.refuse(w, request, refusal("quarantine", "quarantined", http.StatusServiceUnavailable, maxRetryAfter))
+	if f.refuseQuarantined(r.Context()) {
 		return
 	}
-	if o.handoff == nil && f.handOff(r) {
+	if f.handOff(r) {
 		// A takeover may have left a cache.
 		g.releaseCache(f.refusedCache)
 		return
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -53,10 +53,11 @@
 }
 
 // mayHandOff reports whether the request is one that may be handed off to a peer gateway. A peer
-// doesn't know when this gateway exits, and would start the output of a late request too late.
+// doesn't know when this gateway exits, and would start the output of a late request too late. It
+// refuses the probe of a quarantine.
 func (f *inflight) mayHandOff() bool {
 	exit := kumquatlug.Millis(f.g.exitAt.Load())
-	return f.g.handoffs.active && f.service.Engine() && (exit == 0 || !f.late(exit))
+	return f.handoff == nil && !f.probe && f.g.handoffs.active && f.service.Engine() && (exit == 0 || !f.late(exit))
 }
 
 // shutdownFailure returns the failure of a request that would have completed in time
--- a/internal/gateway/takeover.go
+++ b/internal/gateway/takeover.go
@@ -281,7 +281,7 @@
 
 // tryElsewhere makes one attempt if the route permits another worker.
 func (f *inflight) tryElsewhere(ctx context.Context) *attemptFailure {
-	if f.possibleRuns >= f.maxWorkers() {
+	if f.possibleRuns >= f.maxWorkers() || f.probe {
 		return &attemptFailure{permanent: true, failure: refusal("place", "no_worker", http.StatusServiceUnavailable, 0)}
 	}
 	return f.tryOnce(ctx)
--- a/internal/logs/timeline.go
+++ b/internal/logs/timeline.go
@@ -45,8 +45,8 @@
 // Lines returns the lines in order of time.
 func (t Timeline) Lines() []Line { return t.lines }
 
-// ReadTimeline collects the log lines about a subject: a request by its id, a worker by its
-// name, or a VM by the lines that it wrote. Text before the first brace of a line, as log
+// ReadTimeline collects the log lines about a subject: a request or a part of prompts by its id, a
+// worker by its name, a quarantine by its key, or a VM by the lines that it wrote. Text before the first brace of a line, as log
 // collectors add it, is ignored.
 func ReadTimeline(input io.Reader, subject string) (Timeline, error) {
 	t := Timeline{subject: subject}
@@ -99,11 +99,14 @@
 	if l.node == subject {
 		return true
 	}
-	for _, name := range []string{"request", "worker", "to", "name"} {
+	for _, name := range []string{"request", "worker", "to", "name", "quarantine"} {
 		if l.fields[name] == subject {
 			return true
 		}
 	}
+	if l.lists(subject) {
+		return true
+	}
 	if steps, isObject := l.fields["steps"].(map[string]any); isObject && steps["reader"] == subject {
 		return true
 	}
@@ -112,6 +115,21 @@
 	return found
 }
 
+// lists reports whether the line lists a request, a worker or a part of prompts in connection with a
+// crash.
+func (l Line) lists(subject string) bool {
+	for _, name := range []string{"requests", "suspects", "identities", "crashes"} {
+		list, _ := l.fields[name].([]any)
+		for _, item := range list {
+			text, _ := item.(string)
+			if text == subject || strings.HasSuffix(text, ":"+subject) || strings.HasPrefix(text, subject+"/") {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Print writes the lines with the time since the first one, then the outcome of a request.
 // It fails if there is no line.
 func (t Timeline) Print(out io.Writer) error {
--- a/internal/logs/timeline_test.go
+++ b/internal/logs/timeline_test.go
@@ -53,3 +53,18 @@
 		t.Errorf("timeline of an unknown subject: read error %v, or Print returned nil", err)
 	}
 }
+
+// Guards against a refused request whose logs do not lead to the crashes behind it.
+func TestTimelineLeadsFromRefusedRequestToCrashes(t *testing.T) {
+	const lines = `{"ts":"2026-12-03T10:00:01Z","msg":"worker crashed","node":"front-1","worker":"w1","requests":["r1","r2"],"suspects":["part:dead","request:f00d"]}
+{"ts":"2026-12-03T10:00:02Z","msg":"quarantine","node":"front-1","quarantine":"k1","identities":["part:dead"],"crashes":["w1/7"],"event":"quarantined"}
+{"ts":"2026-12-03T10:00:03Z","msg":"refused","node":"front-2","request":"r9","reason":"quarantined","quarantine":"k1","identities":["part:dead"],"crashes":["w1/7"]}
+{"ts":"2026-12-03T10:00:04Z","msg":"answered","node":"front-2","request":"dead-letter"}
+`
+	for subject, want := range map[string]int{"r9": 1, "k1": 2, "dead": 3, "w1": 3, "r2": 1, "f00d": 1} {
+		got, err := ReadTimeline(strings.NewReader(lines), subject)
+		if err != nil || len(got.Lines()) != want {
+			t.Errorf("%s: %d lines, error %v, want %d", subject, len(got.Lines()), err, want)
+		}
+	}
+}
--- a/internal/standin/fleet/responses.go
+++ b/internal/standin/fleet/responses.go
@@ -131,6 +131,9 @@
 		return
 	}
 	w.awaitPauseEnd()
+	if w.config.OnAnswer != nil && w.config.OnAnswer([]string{r.URL.Path, id}) {
+		panic(http.ErrAbortHandler)
+	}
 	out.Header().Set("Request-Size", strconv.Itoa(bodyBytes))
 	text := ResponseBody(id)
 	if ending := endings[fault]; ending != standin.EndingFramed {
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -61,8 +61,9 @@
 	Delay  time.Duration
 	// Version is the version of the worker's software, "v1" by default.
 	Version string
-	// OnAnswer is called when the worker begins to generate the output of a prompt with these
-	// parts. If it returns true, the worker has crashed. Nil for never.
+	// OnAnswer is called when the worker begins its answer to a request: an engine with the parts
+	// of the prompt, a plain worker with the path and the ID of the request. If it returns true,
+	// the worker has crashed. Nil for never.
 	OnAnswer func(parts []string) (crashed bool)
 	// OnArrival is called for each request that arrives, with the parts of its prompt; nil for
 	// none.
@@ -290,7 +291,7 @@
 	defer w.mu.Unlock()
 	// A write error means that the caller has disconnected.
 	_ = json.NewEncoder(out).Encode(map[string]any{
-		"stage": w.config.Stage, "busy": w.busy, "sequence": w.orderCount, "queued": 0, "running": w.running,
+		"stage": w.config.Stage, "busy": w.busy, "sequence": w.orderCount, "queued": 0, "running": w.running, "born": w.startedMs,
 	})
 }
 
--- a/internal/standin/site/crash.go
+++ b/internal/standin/site/crash.go
@@ -11,25 +11,27 @@
 	"github.com/kumquatlug/kumquatlug/internal/standin/fleet"
 )
 
-// engineLease is how long the row of a crashed engine stays.
-const engineLease = 3600 * time.Millisecond
+// workerLease is how long the row of a crashed worker stays.
+const workerLease = 3600 * time.Millisecond
 
-// crashes are the crashes of engines by the parts of prompts.
+// crashes are the crashes of workers by the parts of prompts.
 type crashes struct {
 	mu sync.Mutex
-	// parts are the parts that crash an engine, unless they are the last of their prompt, and
+	// parts are the parts that crash a worker, unless they are the last of their prompt, and
 	// restartDelay is the time until it is back.
 	parts        []string
 	restartDelay time.Duration
 	// versions are the versions that are not affected.
 	versions []string
-	// ended are the crashed engines by ID, at is when they crashed, and restarted are the servers
+	// ended are the crashed workers by ID, at is when they crashed, and restarted are the servers
 	// of those that are back.
 	ended     map[string]bool
 	at        []time.Time
 	restarted []*http.Server
-	arrivals  []Arrival
-	closed    bool
+	// back are the workers that started after a crash.
+	back     []*fleet.Worker
+	arrivals []Arrival
+	closed   bool
 }
 
 // Arrival is a request that arrived at an engine.
@@ -39,16 +41,16 @@
 	Parts []string
 }
 
-// CrashOn makes each engine crash that begins to generate the output of a prompt with one of the
-// parts, unless it is the last one. The engine is back after delay, at its address and under a new
-// ID. Without parts no engine crashes any more.
+// CrashOn makes each worker crash that begins its answer to a prompt with one of the parts, unless it
+// is the last one, or to a plain request with one of them as its path. The worker is back after delay,
+// at its address and under a new ID. Without parts none crashes any more.
 func (s *Site) CrashOn(delay time.Duration, parts ...string) {
 	s.crashes.mu.Lock()
 	defer s.crashes.mu.Unlock()
 	s.crashes.parts, s.crashes.restartDelay = parts, delay
 }
 
-// Crashes returns when engines crashed.
+// Crashes returns when workers crashed.
 func (s *Site) Crashes() []time.Time {
 	s.crashes.mu.Lock()
 	defer s.crashes.mu.Unlock()
@@ -68,7 +70,7 @@
 	return found
 }
 
-// watchCrashes makes an engine crash on parts of prompts.
+// watchCrashes makes a worker crash on parts of prompts.
 func (s *Site) watchCrashes(c *fleet.Config) {
 	engine := *c
 	c.OnArrival = func(parts []string) {
@@ -79,8 +81,8 @@
 	c.OnAnswer = func(parts []string) bool { return s.answerBegins(engine, parts) }
 }
 
-// answerBegins crashes an engine that begins to generate the output of a prompt with a crashing
-// part, and starts it again later.
+// answerBegins crashes a worker that begins its answer to a prompt with a crashing part, and starts it
+// again later.
 func (s *Site) answerBegins(engine fleet.Config, parts []string) bool {
 	k := &s.crashes
 	k.mu.Lock()
@@ -99,13 +101,13 @@
 	k.at = append(k.at, time.Now())
 	server, address := s.workerServers[engine.ID], s.addresses[engine.ID]
 	_ = server.Close()
-	time.AfterFunc(engineLease, func() { s.Store.Delete("servers", engine.ID) })
-	time.AfterFunc(k.restartDelay, func() { s.restartEngine(engine, address) })
+	time.AfterFunc(workerLease, func() { s.Store.Delete("servers", engine.ID) })
+	time.AfterFunc(k.restartDelay, func() { s.restartWorker(engine, address) })
 	return true
 }
 
-// restartEngine starts a crashed engine at its address, under a new ID.
-func (s *Site) restartEngine(c fleet.Config, address string) {
+// restartWorker starts a crashed worker at its address, under a new ID.
+func (s *Site) restartWorker(c fleet.Config, address string) {
 	base, _, _ := strings.Cut(c.ID, "+")
 	k := &s.crashes
 	k.mu.Lock()
@@ -122,11 +124,23 @@
 	}
 	server := &http.Server{Handler: w, ReadHeaderTimeout: time.Minute}
 	s.workerServers[c.ID], s.addresses[c.ID] = server, address
-	k.restarted = append(k.restarted, server)
+	k.restarted, k.back = append(k.restarted, server), append(k.back, w)
+	s.workerIDs[w] = c.ID
 	go func() { _ = server.Serve(l) }()
 	s.Store.Put("servers", c.ID, w.Row("ready"))
 }
 
+// WriteEngineRows writes the rows of all engines that run, and of workers that are back, as each of them does about once a second.
+func (s *Site) WriteEngineRows() {
+	s.crashes.mu.Lock()
+	defer s.crashes.mu.Unlock()
+	for _, w := range slices.Concat(s.Engines, s.crashes.back) {
+		if id := s.workerIDs[w]; !s.crashes.ended[id] {
+			s.Store.Put("servers", id, w.Row("ready"))
+		}
+	}
+}
+
 // MendCrashes makes the engines of a version of the software unaffected.
 func (s *Site) MendCrashes(version string) {
 	s.crashes.mu.Lock()
@@ -134,7 +148,7 @@
 	s.crashes.versions = append(s.crashes.versions, version)
 }
 
-// closeRestarted stops the engines that started after a crash.
+// closeRestarted stops the workers that started after a crash.
 func (k *crashes) closeRestarted() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -141,9 +141,7 @@
 
 // addWorker starts a worker and writes its row.
 func (s *Site) addWorker(c fleet.Config) error {
-	if c.Service == EngineService {
-		s.watchCrashes(&c)
-	}
+	s.watchCrashes(&c)
 	var w *fleet.Worker
 	server, address, err := s.serve(http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) { w.ServeHTTP(out, r) }))
 	if err != nil {
--- a/pkg/kumquatlug/gateway.go
+++ b/pkg/kumquatlug/gateway.go
@@ -358,6 +358,9 @@
 	MoveStream(ctx context.Context, from Worker, r Request, to Worker) (KVCacheRef, error)
 	// State requests the state of an engine.
 	State(ctx context.Context, w Worker) (EngineState, error)
+	// Life asks whether the incarnation of a worker still runs. healthPath is the path of its health
+	// check, empty for an engine; startedAt is zero if it is not known.
+	Life(ctx context.Context, w Worker, healthPath string, startedAt int64) WorkerLife
 	// Order sends an order to an engine and reports whether it was accepted, now or
 	// before.
 	Order(ctx context.Context, w Worker, o RoleOrder) (bool, error)
--- a/pkg/kumquatlug/peers.go
+++ b/pkg/kumquatlug/peers.go
@@ -99,6 +99,8 @@
 	SendDecodeTotal(gateway string, total DecodeTotal)
 	// SendStreamVersion sends a message about the version of a stream.
 	SendStreamVersion(gateway string, v StreamVersion)
+	// SendQuarantine sends a message about crashes of workers.
+	SendQuarantine(gateway string, m QuarantineMessage)
 	// SendHandoff sends a message about the offer of a request.
 	SendHandoff(gateway string, h Handoff)
 	// HandoffPeers returns the gateways that accept handed-off requests.
@@ -138,6 +140,8 @@
 	GatewayLoadReceived(gateway string, load GatewayLoad)
 	// StreamVersionReceived handles a message about the version of a stream.
 	StreamVersionReceived(gateway string, v StreamVersion)
+	// QuarantineReceived handles a message about crashes of workers.
+	QuarantineReceived(gateway string, m QuarantineMessage)
 	// HandoffReceived handles a message about the offer of a request.
 	HandoffReceived(gateway string, h Handoff)
 	TableHandler
--- a/test/front/crashing_test.go
+++ b/test/front/crashing_test.go
@@ -52,6 +52,19 @@
 		eventually(t, p.name+" knows the others", func() bool { return len(p.log(`"there":3`)) > 0 })
 	}
 	r.began = time.Now()
+	stop := make(chan struct{})
+	t.Cleanup(func() { close(stop) })
+	go func() {
+		for ticker := time.NewTicker(400 * time.Millisecond); ; {
+			select {
+			case <-stop:
+				ticker.Stop()
+				return
+			case <-ticker.C:
+				r.WriteEngineRows()
+			}
+		}
+	}()
 	return r
 }
 
--- a/test/front/front_test.go
+++ b/test/front/front_test.go
@@ -232,25 +232,28 @@
 // the other one must refuse the request, too; otherwise the two keep crashing one worker
 // after the other. Other requests are served.
 func TestCrashingRequestIsRefusedByEveryGateway(t *testing.T) {
-	s := newSite(t, site.Config{PlainWorkers: 2})
+	s := newSite(t, site.Config{PlainWorkers: 4})
 	first, second := newGateway(t, s, "front-1"), newGateway(t, s, "front-2")
-	for _, w := range s.PlainWorkers {
-		w.SetFault(fleet.FaultLost)
+	for _, p := range []*process{first, second} {
+		eventually(t, p.name+" knows the other", func() bool { return len(p.log(`"there":2`)) > 0 })
 	}
+	s.CrashOn(crashRestart, site.PathNonIdempotent+"x")
 	for i := range 3 {
 		if got := first.post(fmt.Sprintf("bad-%d", i)); got.status != http.StatusBadGateway {
-			t.Fatalf("status %d for a request whose response was lost", got.status)
+			t.Fatalf("status %d for a request that crashes its worker", got.status)
 		}
+		sleep(100 * time.Millisecond)
 	}
 	eventually(t, "the other gateway refuses the request", func() bool {
-		return second.post("bad-again").status == http.StatusServiceUnavailable
+		return second.post("bad-again").status == http.StatusServiceUnavailable && len(second.log("refused", "quarantined")) > 0
 	})
-	for _, w := range s.PlainWorkers {
-		w.SetFault(fleet.FaultNone)
-	}
+	s.CrashOn(crashRestart)
 	if got := first.post("bad-last"); got.status != http.StatusServiceUnavailable || totalRuns(s.PlainWorkers, "bad-last") != 0 {
 		t.Errorf("status %d, ran %d times", got.status, totalRuns(s.PlainWorkers, "bad-last"))
 	}
+	if n := len(s.Crashes()); n != 3 {
+		t.Errorf("%d workers crashed, want 3", n)
+	}
 	requireComplete(t, second.lookup("good"), fleet.ResponseBody("good"))
 }
 
