--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -28,6 +28,9 @@
 	// added for each gateway.
 	clearanceSpread           = 20 * kumquatlug.Millis(1)
 	clearanceSpreadPerGateway = 0.1
+	// reportRepeatDelay is when a report is sent again: a gateway that has missed one datagram would
+	// decide by less than the others.
+	reportRepeatDelay = 40 * kumquatlug.Millis(1)
 	// announceSpan is how long after a change the entries are announced to announcedPeers in each
 	// round; later to one.
 	announceSpan   = 10 * kumquatlug.Second
@@ -39,10 +42,18 @@
 	names map[string]bool
 	// clearances are those to be sent, with the time at which they are due.
 	clearances map[clearance]kumquatlug.Millis
+	// repeats are the reports to be sent again.
+	repeats []repeatedReports
 	// changedAt is when an entry last changed.
 	changedAt kumquatlug.Millis
 }
 
+// repeatedReports are reports to be sent again.
+type repeatedReports struct {
+	reports []kumquatlug.CrashReport
+	due     kumquatlug.Millis
+}
+
 // clearance is one identity that was answered in full.
 type clearance struct{ service, version, identity string }
 
@@ -218,8 +229,12 @@
 			due[[2]string{k.service, k.version}] = append(due[[2]string{k.service, k.version}], k.identity)
 		}
 	}
-	c.mu.Unlock()
 	var m kumquatlug.QuarantineMessage
+	for len(c.repeats) > 0 && now >= c.repeats[0].due {
+		m.Reports = append(m.Reports, c.repeats[0].reports...)
+		c.repeats = c.repeats[1:]
+	}
+	c.mu.Unlock()
 	for at, ids := range due {
 		m.Clearances = append(m.Clearances, kumquatlug.CrashClearance{Service: at[0], Version: at[1], Identities: ids})
 	}
@@ -242,7 +257,10 @@
 	// Every gateway takes the same decision from the same reports. Those that saw a crash tell it.
 	m.Entries = slices.DeleteFunc(m.Entries, func(q kumquatlug.QuarantineEntry) bool { return !c.announces(q) })
 	m.Reports = append(m.Reports, c.unsent...)
-	c.unsent = nil
+	if len(c.unsent) > 0 {
+		c.repeats = append(c.repeats, repeatedReports{reports: c.unsent, due: now + reportRepeatDelay})
+		c.unsent = nil
+	}
 	for _, e := range events {
 		c.changedAt = now
 		c.recordChange(now, e)
--- a/pkg/kumquatlug/quarantine/entry.go
+++ b/pkg/kumquatlug/quarantine/entry.go
@@ -93,10 +93,16 @@
 	e.outbox.Entries = append(e.outbox.Entries, changed.QuarantineEntry)
 }
 
-// forget makes the crashes of identities no longer count.
+// forget makes the crashes of identities that no entry has no longer count.
 func (s *serviceEvidence) forget(identities []string) {
+	inForce := map[string]bool{}
+	for _, held := range s.entries {
+		for _, id := range held.Identities {
+			inForce[id] = inForce[id] || !held.Released
+		}
+	}
 	for _, id := range identities {
-		if known := s.suspects[id]; known != nil {
+		if known := s.suspects[id]; known != nil && !inForce[id] {
 			known.clear("")
 		}
 	}
@@ -143,11 +149,21 @@
 	e.evaluate(now, q.Service)
 }
 
-// explained returns the crashes of quarantined identities.
-func (s *serviceEvidence) explained() map[Crash]bool {
+// quarantined reports whether an identity is under quarantine by itself.
+func (s *serviceEvidence) quarantined(id string) bool {
+	for _, held := range s.entries {
+		if !held.Released && len(held.Identities) == 1 && held.Identities[0] == id {
+			return true
+		}
+	}
+	return false
+}
+
+// explained returns the crashes that quarantined identities explain for another one.
+func (s *serviceEvidence) explained(id string) map[Crash]bool {
 	found := map[Crash]bool{}
 	for _, held := range s.entries {
-		if held.Released {
+		if held.Released || slices.Contains(held.Identities, id) {
 			continue
 		}
 		for name := range held.crashes {
@@ -171,24 +187,34 @@
 	}
 }
 
-// releaseExplained releases entries whose crashes another entry explains, together with more.
+// releaseExplained releases entries that another one makes unnecessary: it refuses the same requests and
+// more, or it explains the same crashes and more.
 func (e *Evidence) releaseExplained(now kumquatlug.Millis, s *serviceEvidence) {
 	for _, held := range s.entries {
 		for _, other := range s.entries {
-			if held.Released || other.Released || len(held.crashes) == 0 || len(other.crashes) <= len(held.crashes) {
-				continue
-			}
-			explained := true
-			for name := range held.crashes {
-				explained = explained && other.crashes[name]
-			}
-			if explained {
+			if !held.Released && !other.Released && held != other && held.unnecessaryBeside(other) {
 				e.release(now, s, held)
 			}
 		}
 	}
 }
 
+// unnecessaryBeside reports whether another entry makes this one unnecessary.
+func (q *entry) unnecessaryBeside(other *entry) bool {
+	if slices.ContainsFunc(q.Identities, func(id string) bool { return slices.Contains(other.Identities, id) }) {
+		return len(other.Identities) < len(q.Identities) && other.covered(q.Identities)
+	}
+	if len(q.crashes) == 0 || len(other.crashes) <= len(q.crashes) {
+		return false
+	}
+	for name := range q.crashes {
+		if !other.crashes[name] {
+			return false
+		}
+	}
+	return true
+}
+
 // clearEntries applies an answer in full to the entries, and reports whether one has changed.
 func (e *Evidence) clearEntries(now kumquatlug.Millis, s *serviceEvidence, version string, identities []string) bool {
 	changed := false
@@ -207,12 +233,15 @@
 		}
 		changed = true
 		rest := slices.DeleteFunc(slices.Clone(held.Identities), cleared)
-		e.release(now, s, held)
 		if len(rest) > 0 {
 			narrowed := &entry{QuarantineEntry: held.QuarantineEntry, crashes: maps.Clone(held.crashes)}
-			narrowed.Identities, narrowed.Released, narrowed.Revision = rest, false, 0
+			narrowed.Identities, narrowed.Revision = rest, 0
+			if before := s.entries[EntryKey(narrowed.QuarantineEntry)]; before != nil {
+				narrowed.Revision = before.Revision
+			}
 			e.change(now, s, narrowed, EventQuarantined)
 		}
+		e.release(now, s, held)
 	}
 	return changed
 }
--- a/pkg/kumquatlug/quarantine/evidence.go
+++ b/pkg/kumquatlug/quarantine/evidence.go
@@ -26,8 +26,8 @@
 	// Crashes is the number of crashes after which a suspect is quarantined, the second and all
 	// later ones caused by requests that were sent after an earlier one was known. Default 3.
 	Crashes int
-	// MaxCrashes is the number after which it is quarantined although another suspect fits the
-	// crashes as well. Default 5.
+	// MaxCrashes is the number after which suspects are quarantined together although none explains
+	// all crashes. Default 5.
 	MaxCrashes int
 	// SettleDelay is how long requests wait for clearances of other gateways before the
 	// decision, in ms. Default 120 ms.
@@ -70,9 +70,10 @@
 //     of these requests themselves.
 //   - A complete answer clears all parts of its prompt: a cause of crashes never gets one. So what
 //     sound requests share is cleared within a moment.
-//   - A suspect is quarantined after [EvidenceConfig.Crashes] crashes without a clearance, if it
-//     explains them best: of two that fit equally well, the one with fewer requests; suspects
-//     that no request tells apart only together, so that a request is refused if it has them all.
+//   - The suspect that explains the most crashes is quarantined after [EvidenceConfig.Crashes]
+//     crashes without a clearance. Suspects that the crashes do not tell apart are quarantined
+//     only together, so that a request is refused if it has them all; the next crash or the next
+//     clearance tells more.
 //   - Only crashes of requests that were sent after an earlier one was known count beyond the
 //     first, and those of one request count once for its parts: many workers that end at the same
 //     moment, or one request that meets several of them, are no evidence against a part.
@@ -275,7 +276,7 @@
 // explained.
 func (e *Evidence) Unexplained(r kumquatlug.CrashReport) kumquatlug.CrashReport {
 	s, crash := e.service(r.Service), crashOf(r)
-	if s.explained()[crash] {
+	if s.explained("")[crash] {
 		r.Suspects = nil
 		return r
 	}
@@ -312,37 +313,39 @@
 	id       string
 	crashes  map[Crash]bool
 	requests map[uint32]bool
+	// proven says that the crashes suffice for a quarantine.
+	proven bool
 }
 
-// covers reports whether the candidate has all crashes and requests of another one.
+// competes reports whether the candidate may explain the crashes as well as the best one.
+func (c candidate) competes(best candidate) bool {
+	if len(c.crashes) == len(best.crashes) {
+		return true
+	}
+	return strings.HasPrefix(c.id, partPrefix) && len(c.crashes) >= max(len(best.crashes)-1, minCompetingCrashes)
+}
+
+// minCompetingCrashes is the number of crashes that a part with one crash less than the best must have.
+const minCompetingCrashes = 2
+
+// covers reports whether the candidate explains all crashes of another one.
 func (c candidate) covers(other candidate) bool {
 	for crash := range other.crashes {
 		if !c.crashes[crash] {
 			return false
 		}
 	}
-	for hash := range other.requests {
-		if !c.requests[hash] {
-			return false
-		}
-	}
 	return true
 }
 
-// size is the number of crashes and requests.
-func (c candidate) size() int { return len(c.crashes) + len(c.requests) }
-
-// candidates returns the suspects with enough crashes.
+// candidates returns the suspects with more than one crash. limit is the number of crashes that proves one.
 func (s *serviceEvidence) candidates(limit int) []candidate {
 	var found []candidate
-	var explained map[Crash]bool
 	for id, known := range s.suspects {
-		if len(known.marks) < limit {
+		if len(known.marks) < 2 || s.quarantined(id) {
 			continue
 		}
-		if explained == nil {
-			explained = s.explained()
-		}
+		explained := s.explained(id)
 		c, counted := candidate{id: id, crashes: map[Crash]bool{}, requests: map[uint32]bool{}}, 1
 		for crash, m := range known.marks {
 			if m.cleared || explained[crash] {
@@ -354,47 +357,39 @@
 				counted++
 			}
 		}
-		if strings.HasPrefix(id, partPrefix) && len(c.requests) < 2 {
+		if strings.HasPrefix(id, partPrefix) && len(c.requests) < 2 || len(c.crashes) < 2 {
 			continue
 		}
-		if min(counted, len(c.crashes)) >= limit {
-			found = append(found, c)
-		}
+		c.proven = min(counted, len(c.crashes)) >= limit
+		found = append(found, c)
 	}
 	return found
 }
 
-// decide returns the identities that explain the crashes best, nil if further crashes have to tell.
+// decide returns the identities that explain the crashes best, nil if further crashes have to tell. Suspects
+// that explain the same crashes, or one less that a lost report may account for, are not told apart.
 func (e *Evidence) decide(found []candidate) []string {
-	top := 0
-	for _, c := range found {
-		top = max(top, len(c.crashes))
-	}
-	// One crash more may be by chance what a shared part has more than one with fewer requests.
-	found = slices.DeleteFunc(found, func(c candidate) bool { return len(c.crashes) < top-1 })
-	var narrow []candidate
-	for _, c := range found {
-		if !slices.ContainsFunc(found, func(other candidate) bool { return other.size() < c.size() && c.covers(other) }) {
-			narrow = append(narrow, c)
-		}
-	}
-	if len(narrow) == 0 {
+	if len(found) == 0 {
 		return nil
 	}
-	best := slices.MaxFunc(narrow, func(a, b candidate) int {
+	best := slices.MaxFunc(found, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(len(a.crashes), len(b.crashes)), cmp.Compare(len(a.requests), len(b.requests)), strings.Compare(b.id, a.id))
 	})
-	var same []string
-	for _, c := range narrow {
+	if !best.proven {
+		return nil
+	}
+	var together []string
+	for _, c := range found {
 		switch {
-		case c.covers(best) && best.covers(c):
-			same = append(same, c.id)
-		case len(best.crashes) < e.config.MaxCrashes:
+		case !c.competes(best):
+		case best.covers(c), len(best.crashes) >= e.config.MaxCrashes:
+			together = append(together, c.id)
+		default:
 			return nil
 		}
 	}
-	slices.Sort(same)
-	return same
+	slices.Sort(together)
+	return together
 }
 
 // evaluate decides which suspects are quarantined now.
@@ -410,6 +405,10 @@
 			return
 		}
 		s.pending = nil
+		s.pending = nil
+		if held := s.entries[EntryKey(kumquatlug.QuarantineEntry{Service: service, Identities: identities})]; held != nil && !held.Released {
+			return
+		}
 		e.quarantine(now, service, identities)
 	}
 }
