Operators list and release quarantines; all parts of long prompts; soak with prompts that crash engines

kumquatlug quarantine list and release read and write the platform's store. Parts behind the 64th of a prompt, by which nothing is placed, were not seen. Too many suspects evict those with the fewest crashes. Front tests: store away from before the first crash until after the last, an operator's release, faults of other causes at nine engines.

--- a/cmd/kumquatlug/main.go
+++ b/cmd/kumquatlug/main.go
@@ -73,7 +73,7 @@
 	add("run", newFrontCommand(), newEntryCommand(), newAgentCommand(), newDevCommand())
 	add("operate", newLabelCommand(), newSelectorCommand(), newCallerCommand(), newGetCommand(), newStatusCommand(), newWaitCommand(), newExplainCommand(),
 		newTimelineCommand(), newStoryCommand(), newLossesCommand(), newCheckCommand(), newCertsCommand())
-	root.AddCommand(newVMsCommand(), newVersionCommand())
+	root.AddCommand(newVMsCommand(), newQuarantineCommand(), newVersionCommand())
 	return root
 }
 
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -33,8 +33,6 @@
 	maxBrokenAttempts = 256
 	// suspicionRetention is how long a broken response of a worker is remembered.
 	suspicionRetention = 60 * kumquatlug.Second
-	// maxRequestParts bounds the parts of a prompt that are checked.
-	maxRequestParts = 256
 )
 
 // crashes knows what was in flight at workers that crashed, and what is under quarantine for it.
@@ -89,11 +87,13 @@
 // identities returns what a crash under a request may be attributed to: the shared parts of its prompt,
 // and the request itself.
 func identities(service string, request kumquatlug.Request) []string {
-	shared := request.Prompt().Shared()
+	shared := request.Prompt().SharedIDs()
 	all := make([]string, 0, len(shared)+1)
-	for _, part := range shared[:min(len(shared), maxRequestParts)] {
-		if id := quarantine.PartIdentity(part.ID()); !slices.Contains(all, id) {
-			all = append(all, id)
+	seen := make(map[string]bool, len(shared))
+	for _, id := range shared {
+		if !seen[id] {
+			seen[id] = true
+			all = append(all, quarantine.PartIdentity(id))
 		}
 	}
 	kind := kumquatlug.NewKind(kumquatlug.ProtocolService, service)
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -180,7 +180,7 @@
 	defer cancel()
 	claimed := quarantine.WithProbe(q, version)
 	won := false
-	err := f.g.tryUpdateRow(ctx, entryRowKey(q), func(row kumquatlug.Row, _ kumquatlug.Millis) ([]byte, error) {
+	err := f.g.tryUpdateRow(ctx, quarantine.EntryRowKey(q), func(row kumquatlug.Row, _ kumquatlug.Millis) ([]byte, error) {
 		if won = false; row.Exists() {
 			stored, err := quarantine.DecodeEntryRow(row.Value())
 			if err != nil || stored.Revision != q.Revision || stored.Released {
--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -15,9 +15,8 @@
 
 // Parameters of the rows of crash reports and of entries.
 const (
-	// crashReportPrefix and crashEntryPrefix are the prefixes of the keys of the rows.
+	// crashReportPrefix is the prefix of the keys of the reports.
 	crashReportPrefix = "crash/report/"
-	crashEntryPrefix  = "crash/entry/"
 	// crashPublishInterval is how often what was seen and decided here is written.
 	crashPublishInterval = 500 * kumquatlug.Millis(1)
 	// maxCrashRowsPerCommit bounds the rows that one call adds, and those that it removes. The
@@ -68,10 +67,6 @@
 	}
 }
 
-func entryRowKey(q kumquatlug.QuarantineEntry) string {
-	return crashEntryPrefix + quarantine.EntryKey(q)
-}
-
 func (c *crashes) reportRowKey(r kumquatlug.CrashReport) string {
 	return fmt.Sprintf("%s%s/%d/%s", crashReportPrefix, r.Worker, r.StartedAt, c.g.c.Incarnation)
 }
@@ -199,7 +194,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout.Duration())
 	defer cancel()
 	stored := q
-	err := c.g.updateRow(ctx, entryRowKey(q), func(row kumquatlug.Row, _ kumquatlug.Millis) ([]byte, error) {
+	err := c.g.updateRow(ctx, quarantine.EntryRowKey(q), func(row kumquatlug.Row, _ kumquatlug.Millis) ([]byte, error) {
 		stored = q
 		if row.Exists() {
 			// An invalid row is replaced.
@@ -257,7 +252,7 @@
 		c.mu.Lock()
 		delete(c.seenAt, key)
 		c.mu.Unlock()
-	case strings.HasPrefix(key, crashEntryPrefix):
+	case strings.HasPrefix(key, quarantine.EntryRowPrefix):
 		q, err := quarantine.DecodeEntryRow(row.Value())
 		if err != nil {
 			c.g.c.Logger.Warn("invalid quarantine ignored", zap.String("row", key), logs.Error(err))
--- a/internal/standin/site/crash.go
+++ b/internal/standin/site/crash.go
@@ -50,6 +50,20 @@
 	s.crashes.parts, s.crashes.restartDelay = parts, delay
 }
 
+// Crashed returns whether a worker has crashed.
+func (s *Site) Crashed(w *fleet.Worker) bool {
+	s.crashes.mu.Lock()
+	defer s.crashes.mu.Unlock()
+	return s.crashes.ended[s.workerIDs[w]]
+}
+
+// Restarted returns the workers that started after a crash.
+func (s *Site) Restarted() []*fleet.Worker {
+	s.crashes.mu.Lock()
+	defer s.crashes.mu.Unlock()
+	return slices.Clone(s.crashes.back)
+}
+
 // Crashes returns when workers crashed.
 func (s *Site) Crashes() []time.Time {
 	s.crashes.mu.Lock()
--- a/pkg/kumquatlug/gateway.go
+++ b/pkg/kumquatlug/gateway.go
@@ -28,9 +28,10 @@
 
 // Prompt describes the prompt and the output length of a request before it runs.
 type Prompt struct {
-	parts  []Part
-	input  int
-	output int
+	parts   []Part
+	further []string
+	input   int
+	output  int
 }
 
 // NewPrompt returns a prompt of input tokens in these parts, for which at most output
@@ -57,6 +58,23 @@
 	return p.parts[:len(p.parts)-1]
 }
 
+// WithFurtherParts returns the prompt with the IDs of the parts that follow [Prompt.Parts] in a prompt of
+// very many; the last one is unique to the request.
+func (p Prompt) WithFurtherParts(ids []string) Prompt {
+	p.further = ids
+	return p
+}
+
+// SharedIDs returns the IDs of all parts that other requests may have in common with the prompt.
+func (p Prompt) SharedIDs() []string {
+	ids := make([]string, 0, len(p.parts)+len(p.further))
+	for _, part := range p.parts {
+		ids = append(ids, part.ID())
+	}
+	ids = append(ids, p.further...)
+	return ids[:max(len(ids)-1, 0)]
+}
+
 // Request is one request as a gateway received it from a client.
 type Request struct {
 	id          string
--- a/pkg/kumquatlug/quarantine/evidence.go
+++ b/pkg/kumquatlug/quarantine/evidence.go
@@ -174,15 +174,18 @@
 	e.evaluate(now, r.Service)
 }
 
-// evict removes the suspect whose last crash is the oldest.
+// evictDivisor is the part of the suspects that is removed at once when there are too many.
+const evictDivisor = 8
+
+// evict removes the suspects with the fewest crashes, among equals those whose last crash is the oldest.
 func (s *serviceEvidence) evict() {
-	oldest := ""
-	for id, known := range s.suspects {
-		if oldest == "" || known.lastAt < s.suspects[oldest].lastAt {
-			oldest = id
-		}
+	ids := slices.SortedFunc(maps.Keys(s.suspects), func(a, b string) int {
+		x, y := s.suspects[a], s.suspects[b]
+		return cmp.Or(cmp.Compare(len(x.marks), len(y.marks)), cmp.Compare(x.lastAt, y.lastAt))
+	})
+	for _, id := range ids[:max(len(ids)/evictDivisor, 1)] {
+		delete(s.suspects, id)
 	}
-	delete(s.suspects, oldest)
 }
 
 // Informed returns the identities of which a crash is known that nothing explains.
--- a/pkg/kumquatlug/quarantine/row.go
+++ b/pkg/kumquatlug/quarantine/row.go
@@ -8,6 +8,12 @@
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
 
+// EntryRowPrefix is the prefix of the keys of the rows of entries in the platform's store.
+const EntryRowPrefix = "crash/entry/"
+
+// EntryRowKey returns the key of the row of an entry.
+func EntryRowKey(q kumquatlug.QuarantineEntry) string { return EntryRowPrefix + EntryKey(q) }
+
 // entryRow is the JSON form of an entry in the platform's store.
 type entryRow struct {
 	Service    string   `json:"service"`
--- a/test/front/crashing_test.go
+++ b/test/front/crashing_test.go
@@ -4,17 +4,20 @@
 	"context"
 	"fmt"
 	"net/http"
+	"os"
+	"os/exec"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/kumquatlug/kumquatlug/internal/standin/fleet"
 	"github.com/kumquatlug/kumquatlug/internal/standin/rowstore"
 	"github.com/kumquatlug/kumquatlug/internal/standin/site"
 )
 
 const (
-	// contactMs is how long a machine that can reach the platform has to learn of a change.
+	// contact is how long a machine that can reach the platform has to learn of a change.
 	contact = 3 * time.Second
 	// maxGuiltyArrivals is the number of requests with a crashing part that may reach workers
 	// afterwards.
@@ -207,3 +210,105 @@
 		})
 	}
 }
+
+// The store can't be reached before the first crash and until after the last one. Guards against gateways that tell
+// each other of crashes through the store alone, and against a quarantine that does not outlive the outage.
+func TestPartThatCrashesEnginesIsRefusedWithoutStore(t *testing.T) {
+	t.Parallel()
+	r := newCrashRun(t, site.Config{})
+	r.load(time.Second)
+	r.Store.SetFault(rowstore.FaultSilent)
+	sleep(500 * time.Millisecond)
+	r.CrashOn(crashRestart, "dead")
+	r.load(5*time.Second, "aa", "dead")
+	r.Store.SetFault(rowstore.FaultNone)
+	begun := time.Now()
+	r.load(8*time.Second, "aa", "dead")
+	if n := len(r.Crashes()); n > 5 {
+		t.Errorf("%d crashes, want at most 5", n)
+	}
+	r.requireNoArrivals("dead", begun)
+	if share, n := r.begunShare(begun.Add(5*time.Second), time.Now()); share < 0.95 {
+		t.Errorf("%.2f of %d sound requests begin after the outage", share, n)
+	}
+}
+
+// requireNoArrivals fails unless no request with the part has reached an engine since a time.
+func (r *crashRun) requireNoArrivals(part string, since time.Time) {
+	r.t.Helper()
+	for _, a := range r.Arrivals(part) {
+		if a.At.After(since) {
+			r.t.Errorf("a request with parts %v reached an engine %v later", a.Parts, a.At.Sub(since))
+		}
+	}
+}
+
+// operate runs a command of the operator with the settings of a gateway.
+func (p *process) operate(args ...string) string {
+	p.t.Helper()
+	cmd := exec.Command(binary, args...)
+	cmd.Env = append(os.Environ(), "KUMQUATLUG_SETTINGS="+p.settingsFile)
+	out, err := cmd.CombinedOutput()
+	if err != nil {
+		p.t.Fatalf("%v: %v: %s", args, err, out)
+	}
+	return string(out)
+}
+
+// The engines were mended under the same version. Guards against a quarantine that an operator can't end, and
+// against gateways that do not learn of it.
+func TestOperatorReleasesQuarantine(t *testing.T) {
+	t.Parallel()
+	r := newCrashRun(t, site.Config{})
+	r.CrashOn(crashRestart, "dead")
+	r.load(time.Second, "aa", "dead")
+	var key string
+	eventually(t, "the quarantine is in the store", func() bool {
+		for _, line := range strings.Split(r.gateways[0].operate("quarantine", "list"), "\n") {
+			if fields := strings.Fields(line); len(fields) > 2 && fields[2] == "part:dead" {
+				key = fields[0]
+			}
+		}
+		return key != ""
+	})
+	r.CrashOn(crashRestart)
+	refused := r.send(r.gateways[1], "refused", "aa", "dead")
+	if refused.status != http.StatusServiceUnavailable || refused.header.Get("Retry-After") == "" {
+		t.Errorf("status %d, Retry-After %q while it is under quarantine", refused.status, refused.header.Get("Retry-After"))
+	}
+	r.gateways[0].operate("quarantine", "release", key)
+	n := 0
+	for _, p := range r.gateways {
+		eventually(t, p.name+" serves the part again", func() bool {
+			n++
+			return r.send(p, fmt.Sprint("again-", n), "aa", "dead").status == http.StatusOK
+		})
+	}
+}
+
+// Engines reset connections, lose and truncate responses, and gateways are killed, while no part crashes any.
+// Guards against sound parts that are refused for faults of other causes.
+func TestFaultsOfOtherCausesQuarantineNothing(t *testing.T) {
+	t.Parallel()
+	r := newCrashRun(t, site.Config{MinRetries: 500})
+	r.clients.Go(func() {
+		for i, fault := range []fleet.Fault{fleet.FaultLost, fleet.FaultTruncate, fleet.FaultUnframedReset, fleet.FaultSilent, fleet.FaultError} {
+			for _, e := range r.Engines[i%3:] {
+				e.SetFault(fault)
+			}
+			sleep(1200 * time.Millisecond)
+			r.gateways[i%3].kill()
+			r.gateways[i%3].start()
+			for _, e := range r.Engines {
+				e.SetFault(fleet.FaultNone)
+			}
+			sleep(300 * time.Millisecond)
+		}
+	})
+	r.load(9 * time.Second)
+	for _, p := range r.gateways {
+		if lines := append(p.log(`"quarantined"`), p.log("worker crashed")...); len(lines) > 0 {
+			t.Errorf("%s: %d lines about crashes, the first %s", p.name, len(lines), lines[0])
+		}
+	}
+}
--- a/test/front/soak_test.go
+++ b/test/front/soak_test.go
@@ -79,8 +79,10 @@
 	planned bool
 	random  *rand.Rand
 	workers []*fleet.Worker
-	// versions are the versions of the engines, empty if all have the same one.
+	// versions are the versions of the engines, empty if all have the same one. crashing says that a part of
+	// prompts crashes engines.
 	versions []string
+	crashing bool
 	gateways []*process
 	inUse    [soakGateways]atomic.Bool
 	began    time.Time
@@ -172,7 +174,7 @@
 		c.DecodeEngines, c.EngineVersions = 4, []string{"v1", "v2"}
 	}
 	t.Logf("seed %d, planned: %t, minimum of retries (0 is the default): %d, link of front-0: %v Mbit/s, versions: %v", seed, planned, minRetries, firstLink, c.EngineVersions)
-	k := &soak{T: t, seed: seed, planned: planned, versions: c.EngineVersions, random: rand.New(rand.NewPCG(seed, 0)), Site: newSite(t, c)}
+	k := &soak{T: t, seed: seed, planned: planned, versions: c.EngineVersions, crashing: !planned && seed%4 != 3, random: rand.New(rand.NewPCG(seed, 0)), Site: newSite(t, c)}
 	k.workers = slices.Concat(k.Engines, k.PlainWorkers)
 	k.changeConfig()
 	for i, link := range [soakGateways]float64{firstLink, 200, 200} {
@@ -187,6 +189,9 @@
 	for n := range soakClients {
 		clients.Go(func() { k.runClient(ctx, n, rand.New(rand.NewPCG(seed, uint64(n+1)))) })
 	}
+	if k.crashing {
+		clients.Go(func() { k.runCrashingClient(ctx, rand.New(rand.NewPCG(seed, 52))) })
+	}
 	k.plan()
 	for _, a := range k.actions {
 		sleep(time.Until(k.began.Add(a.at)))
@@ -216,9 +221,65 @@
 			k.inUse[i].Store(misses[i] < 2)
 		}
 		for _, w := range k.workers {
-			k.WriteWorkerRow(w, "ready")
+			if !k.Crashed(w) {
+				k.WriteWorkerRow(w, "ready")
+			}
+		}
+		k.WriteEngineRows()
+	}
+}
+
+// soakCrashPart is the part of prompts that crashes engines, soakCrashID begins the IDs of the requests with it.
+const (
+	soakCrashPart = "dead"
+	soakCrashID   = "crash-"
+)
+
+// runCrashingClient sends prompts that share a part which crashes engines, and else nothing, to any gateway.
+func (k *soak) runCrashingClient(ctx context.Context, random *rand.Rand) {
+	sleep(time.Duration(500+random.IntN(1500)) * time.Millisecond)
+	k.CrashOn(time.Duration(500+random.IntN(1500))*time.Millisecond, soakCrashPart)
+	for i := 0; ctx.Err() == nil; i++ {
+		sleep(time.Duration(random.IntN(300)) * time.Millisecond)
+		id, gateway := fmt.Sprintf("%s%d-%d", soakCrashID, k.seed, i), random.IntN(soakGateways)
+		parts := []string{"aa", "bb" + strconv.Itoa(random.IntN(10))}
+		parts = slices.Insert(parts, random.IntN(3), soakCrashPart)
+		prefix := strings.Join(parts, ":2000,") + ":2000," + id + ":900"
+		call, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		k.gateways[gateway].doWith(call, &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, http.MethodPost, site.PathResumable+id, id, map[string]string{
+			"Model": "m", "Token-Count": "6900,104", "Prefix-Hash": prefix, "Key": northKey, "Deadline-Ms": "2000",
+		})
+		cancel()
+	}
+}
+
+// checkCrashes compares the arrivals of the part that crashes engines with the users' rule, and what was refused
+// for it. What was in flight at a crash is excused, and what had no engine until it was back.
+func (k *soak) checkCrashes() []string {
+	var failures []string
+	crashes := k.Crashes()
+	for _, at := range crashes {
+		k.faults = append(k.faults, soakFault{-1, at.Add(-100 * time.Millisecond), at.Add(2*time.Second + soakApply)})
+	}
+	late := 0
+	for _, a := range k.Arrivals(soakCrashPart) {
+		if len(crashes) >= 5 && a.At.After(crashes[4].Add(contact)) {
+			late++
 		}
 	}
+	if late > maxGuiltyArrivals {
+		failures = append(failures, fmt.Sprintf("%d requests with the crashing part reached workers later than %v after the fifth of %d crashes\n", late, contact, len(crashes)))
+	}
+	refused := 0
+	for _, p := range k.gateways {
+		for _, line := range p.log(`"refused"`, `"quarantined"`) {
+			if refused++; !strings.Contains(line, `"`+soakCrashID) {
+				failures = append(failures, "a sound request is refused: "+line+"\n")
+			}
+		}
+	}
+	k.Logf("seed %d: %d crashes, %d late arrivals, %d refused", k.seed, len(crashes), late, refused)
+	return failures
 }
 
 // runClient sends one request after the other, on open connections where it can.
@@ -394,7 +455,9 @@
 // check compares what the clients received with what the workers ran.
 func (k *soak) check() {
 	counts := map[string]int{}
-	var failures []string
+	failures := k.checkCrashes()
+	back := k.Restarted()
+	k.workers, k.Engines = slices.Concat(k.workers, back), slices.Concat(k.Engines, back)
 	arrived := map[string]bool{}
 	for _, w := range k.workers {
 		for _, h := range w.ReceivedHeaders() {
