--- a/test/front/soak_test.go
+++ b/test/front/soak_test.go
@@ -186,6 +186,10 @@
 	var clients sync.WaitGroup
 	k.began = time.Now()
 	clients.Go(func() { k.watch(ctx) })
+	rowsCtx, stopRows := context.WithCancel(context.Background())
+	defer stopRows()
+	var rows sync.WaitGroup
+	rows.Go(func() { k.writeRows(rowsCtx) })
 	for n := range soakClients {
 		clients.Go(func() { k.runClient(ctx, n, rand.New(rand.NewPCG(seed, uint64(n+1)))) })
 	}
@@ -202,11 +206,12 @@
 	cancel()
 	clients.Wait()
 	k.requireServing()
+	stopRows()
+	rows.Wait()
 	k.check()
 }
 
-// watch selects the gateways that receive new connections, as the platform does, and writes the
-// workers' rows.
+// watch selects the gateways that receive new connections, as the platform does.
 func (k *soak) watch(ctx context.Context) {
 	client := &http.Client{Timeout: 300 * time.Millisecond}
 	for misses := [soakGateways]int{}; ctx.Err() == nil; sleep(time.Second) {
@@ -220,6 +225,12 @@
 			}
 			k.inUse[i].Store(misses[i] < 2)
 		}
+	}
+}
+
+// writeRows writes the workers' rows, also while the run is checked: roles may change after the last request.
+func (k *soak) writeRows(ctx context.Context) {
+	for ; ctx.Err() == nil; sleep(time.Second) {
 		for _, w := range k.workers {
 			if !k.Crashed(w) {
 				k.WriteWorkerRow(w, "ready")
