Tell suspects apart by the requests at each crash; stop sending to workers that crashed

Suspects are quarantined together only if the same request had them at each crash; of others the one with far fewer requests is the cause, as many are in flight at each crash by chance. A response with more than 50 ms of output (250 before) is no suspect.

A worker that crashed is no longer chosen for 6 s, at all gateways that a report reaches.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -17,7 +17,7 @@
 const (
 	// startingSpan is how long after its first output a request may still have caused a crash: an
 	// engine may send an event before it ends.
-	startingSpan = 250 * kumquatlug.Millis(1)
+	startingSpan = 50 * kumquatlug.Millis(1)
 	// lifeTimeout bounds one question whether a worker runs. lifeTries is how often an unreachable
 	// worker is asked, lifeRetryDelay the delay before the second question, which doubles.
 	lifeTimeout    = 250 * kumquatlug.Millis(1)
@@ -238,6 +238,7 @@
 	}
 	report := crashReport(w.member, broken)
 	c.logCrash(w.member, broken, report)
+	c.g.workersCrashed([]kumquatlug.CrashReport{report})
 	c.mu.Lock()
 	c.evidence.Report(now, report)
 	c.addReport(report)
@@ -245,6 +246,18 @@
 	c.flush()
 }
 
+// workersCrashed stops sending to workers that crashed, whose rows stay for some seconds.
+func (g *Gateway) workersCrashed(reports []kumquatlug.CrashReport) {
+	now, changed := g.c.Clock.Now(), false
+	for _, r := range reports {
+		_, present := g.member(r.Service, r.Worker)
+		changed = present && g.shuttingDownWorkers.noteCrash(now, r.Worker, r.StartedAt) || changed
+	}
+	if changed {
+		g.republish()
+	}
+}
+
 // askLife asks once whether a worker runs.
 func (c *crashes) askLife(ctx context.Context, m kumquatlug.Member) kumquatlug.WorkerLife {
 	ctx, cancel := context.WithTimeout(ctx, lifeTimeout.Duration())
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -123,7 +123,7 @@
 
 // publish applies members to the gateway. The caller must hold publishMu.
 func (g *Gateway) publish(now kumquatlug.Millis, members []kumquatlug.Member) {
-	g.shuttingDownWorkers.mark(members)
+	g.shuttingDownWorkers.mark(now, members)
 	set := &memberSet{loaded: true, byService: map[string][]kumquatlug.Member{}, addresses: map[string]bool{}}
 	for _, member := range members {
 		set.byService[member.Service] = append(set.byService[member.Service], member)
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -35,6 +35,9 @@
 	// round; later to one.
 	announceSpan   = 10 * kumquatlug.Second
 	announcedPeers = 8
+	// maxAnnouncedEntries bounds the entries in one announcement, which are drawn at random: with
+	// many, each announcement would take more than a gateway may spend on control messages.
+	maxAnnouncedEntries = 8
 )
 
 // quarantinePeers is the state of the exchange with other gateways.
@@ -215,6 +218,7 @@
 	}
 	c.evidence.Receive(g.c.Clock.Now(), m)
 	c.mu.Unlock()
+	g.workersCrashed(m.Reports)
 	c.flush()
 }
 
@@ -364,7 +368,14 @@
 		count = announcedPeers
 	}
 	c.mu.Unlock()
+	c.mu.Lock()
+	entries := c.evidence.Entries()
+	c.mu.Unlock()
+	rand.Shuffle(len(entries), func(i, j int) { entries[i], entries[j] = entries[j], entries[i] })
+	m := kumquatlug.QuarantineMessage{Entries: entries[:min(len(entries), maxAnnouncedEntries)]}
 	for _, name := range names[:min(len(names), count)] {
-		c.sendEntries(name)
+		if !m.Empty() {
+			c.g.c.Peers.SendQuarantine(name, m)
+		}
 	}
 }
--- a/pkg/kumquatlug/quarantine/evidence.go
+++ b/pkg/kumquatlug/quarantine/evidence.go
@@ -26,8 +26,8 @@
 	// Crashes is the number of crashes after which a suspect is quarantined, the second and all
 	// later ones caused by requests that were sent after an earlier one was known. Default 3.
 	Crashes int
-	// MaxCrashes is the number after which suspects are quarantined together although none explains
-	// all crashes. Default 5.
+	// MaxCrashes is the number after which it is quarantined although another suspect, which no
+	// request has together with it, explains the crashes as well. Default 5.
 	MaxCrashes int
 	// SettleDelay is how long requests wait for clearances of other gateways before the
 	// decision, in ms. Default 120 ms.
@@ -313,34 +313,14 @@
 
 // candidate is a suspect with the crashes that nothing explains.
 type candidate struct {
-	id       string
-	crashes  map[Crash]bool
+	id string
+	// crashes holds the requests with the suspect by crash, requests all of them.
+	crashes  map[Crash]map[uint32]bool
 	requests map[uint32]bool
 	// proven says that the crashes suffice for a quarantine.
 	proven bool
 }
 
-// competes reports whether the candidate may explain the crashes as well as the best one.
-func (c candidate) competes(best candidate) bool {
-	if len(c.crashes) == len(best.crashes) {
-		return true
-	}
-	return strings.HasPrefix(c.id, partPrefix) && len(c.crashes) >= max(len(best.crashes)-1, minCompetingCrashes)
-}
-
-// minCompetingCrashes is the number of crashes that a part with one crash less than the best must have.
-const minCompetingCrashes = 2
-
-// covers reports whether the candidate explains all crashes of another one.
-func (c candidate) covers(other candidate) bool {
-	for crash := range other.crashes {
-		if !c.crashes[crash] {
-			return false
-		}
-	}
-	return true
-}
-
 // candidates returns the suspects with more than one crash. limit is the number of crashes that proves one.
 func (s *serviceEvidence) candidates(limit int) []candidate {
 	var found []candidate
@@ -349,18 +329,18 @@
 			continue
 		}
 		explained := s.explained(id)
-		c, counted := candidate{id: id, crashes: map[Crash]bool{}, requests: map[uint32]bool{}}, 1
+		c, counted := candidate{id: id, crashes: map[Crash]map[uint32]bool{}, requests: map[uint32]bool{}}, 1
 		for crash, m := range known.marks {
 			if m.cleared || explained[crash] {
 				continue
 			}
-			c.crashes[crash] = true
+			c.crashes[crash] = m.requests
 			maps.Copy(c.requests, m.requests)
 			if m.informed {
 				counted++
 			}
 		}
-		if strings.HasPrefix(id, partPrefix) && len(c.requests) < 2 || len(c.crashes) < 2 {
+		if c.isPart() && len(c.requests) < 2 || len(c.crashes) < 2 {
 			continue
 		}
 		c.proven = min(counted, len(c.crashes)) >= limit
@@ -369,25 +349,69 @@
 	return found
 }
 
-// decide returns the identities that explain the crashes best, nil if further crashes have to tell. Suspects
-// that explain the same crashes, or one less that a lost report may account for, are not told apart.
-func (e *Evidence) decide(found []candidate) []string {
-	if len(found) == 0 {
-		return nil
+// isPart reports whether the candidate is a part of prompts and not a whole request.
+func (c candidate) isPart() bool { return strings.HasPrefix(c.id, partPrefix) }
+
+// competes reports whether the candidate may explain the crashes as well as the best one: a lost report may
+// account for one crash less.
+func (c candidate) competes(best candidate) bool {
+	if len(c.crashes) == len(best.crashes) {
+		return true
 	}
-	best := slices.MaxFunc(found, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(len(a.crashes), len(b.crashes)), cmp.Compare(len(a.requests), len(b.requests)), strings.Compare(b.id, a.id))
+	return c.isPart() && len(c.crashes) >= max(len(best.crashes)-1, minCompetingCrashes)
+}
+
+// minCompetingCrashes is the number of crashes that a part with one crash less than the best must have.
+const minCompetingCrashes = 2
+
+// within returns, by crash, which of the requests have the candidate, too. It returns false if there is a
+// crash without one, except for those of which the candidate is not known.
+func (c candidate) within(requests map[Crash]map[uint32]bool) (map[Crash]map[uint32]bool, bool) {
+	both := map[Crash]map[uint32]bool{}
+	for crash, hashes := range requests {
+		own, known := c.crashes[crash]
+		if !known {
+			both[crash] = hashes
+			continue
+		}
+		both[crash] = map[uint32]bool{}
+		for hash := range hashes {
+			if own[hash] {
+				both[crash][hash] = true
+			}
+		}
+		if len(both[crash]) == 0 {
+			return nil, false
+		}
+	}
+	return both, true
+}
+
+// chanceFactor is how many times the requests of the best suspect another one must have that explains the same
+// crashes, to be taken for one that was there by chance.
+const chanceFactor = 2
+
+// decide returns the identities that explain the crashes best, nil if further crashes have to tell. Those that
+// the same request had at each crash are not told apart. Of others, the one with far fewer requests is the
+// cause: what many requests have is in flight at each crash by chance.
+func (e *Evidence) decide(found []candidate) []string {
+	slices.SortFunc(found, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(len(a.requests), len(b.requests)), strings.Compare(a.id, b.id))
 	})
-	if !best.proven {
+	if len(found) == 0 || !found[0].proven {
 		return nil
 	}
-	var together []string
-	for _, c := range found {
-		switch {
-		case !c.competes(best):
-		case best.covers(c), len(best.crashes) >= e.config.MaxCrashes:
-			together = append(together, c.id)
-		default:
+	best := found[0]
+	together, common := []string{best.id}, best.crashes
+	for _, c := range found[1:] {
+		if !c.competes(best) {
+			continue
+		}
+		if both, found := c.within(common); found {
+			together, common = append(together, c.id), both
+			continue
+		}
+		if len(c.requests) < chanceFactor*len(best.requests) && len(best.crashes) < e.config.MaxCrashes {
 			return nil
 		}
 	}
