--- a/internal/standin/site/crash.go
+++ b/internal/standin/site/crash.go
@@ -32,6 +32,44 @@
 	back     []*fleet.Worker
 	arrivals []Arrival
 	closed   bool
+	// conns are the open connections by server.
+	connMu sync.Mutex
+	conns  map[*http.Server]map[net.Conn]bool
+}
+
+// newServer returns a server whose connections can be reset.
+func (k *crashes) newServer(h http.Handler) *http.Server {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	server.ConnState = func(c net.Conn, state http.ConnState) {
+		k.connMu.Lock()
+		defer k.connMu.Unlock()
+		switch state {
+		case http.StateNew:
+			if k.conns == nil {
+				k.conns = map[*http.Server]map[net.Conn]bool{}
+			}
+			if k.conns[server] == nil {
+				k.conns[server] = map[net.Conn]bool{}
+			}
+			k.conns[server][c] = true
+		case http.StateClosed, http.StateHijacked:
+			delete(k.conns[server], c)
+		}
+	}
+	return server
+}
+
+// reset closes a server and resets its connections: the end of one must not look like that of a response
+// without length.
+func (k *crashes) reset(server *http.Server) {
+	k.connMu.Lock()
+	for c := range k.conns[server] {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+	}
+	k.connMu.Unlock()
+	_ = server.Close()
 }
 
 // Arrival is a request that arrived at an engine.
@@ -114,7 +152,7 @@
 	k.ended[engine.ID] = true
 	k.at = append(k.at, time.Now())
 	server, address := s.workerServers[engine.ID], s.addresses[engine.ID]
-	_ = server.Close()
+	k.reset(server)
 	time.AfterFunc(workerLease, func() { s.Store.Delete("servers", engine.ID) })
 	time.AfterFunc(k.restartDelay, func() { s.restartWorker(engine, address) })
 	return true
@@ -136,7 +174,7 @@
 	if err != nil {
 		return
 	}
-	server := &http.Server{Handler: w, ReadHeaderTimeout: time.Minute}
+	server := k.newServer(w)
 	s.workerServers[c.ID], s.addresses[c.ID] = server, address
 	k.restarted, k.back = append(k.restarted, server), append(k.back, w)
 	s.workerIDs[w] = c.ID
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -133,7 +133,7 @@
 	if err != nil {
 		return nil, "", errors.Wrap(err, "listen")
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	server := s.crashes.newServer(h)
 	s.servers = append(s.servers, server)
 	go func() { _ = server.Serve(l) }()
 	return server, l.Addr().String(), nil
