--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -31,6 +31,8 @@
 	crashGatherTime = 10 * kumquatlug.Millis(1)
 	// maxBrokenAttempts bounds the broken attempts kept per worker.
 	maxBrokenAttempts = 256
+	// membersDelay is how long crashes are gathered before the members are applied again.
+	membersDelay = 40 * kumquatlug.Millis(1)
 	// suspicionRetention is how long a broken response of a worker is remembered.
 	suspicionRetention = 60 * kumquatlug.Second
 )
@@ -45,6 +47,8 @@
 	sent map[*placement.Attempt]*sentAttempt
 	// suspicions are the workers that broke off responses, by ID.
 	suspicions map[string]*suspicion
+	// membersDue is when the members are applied without the workers that crashed, zero for not.
+	membersDue kumquatlug.Millis
 	quarantinePeers
 	quarantineRows
 }
@@ -238,7 +242,7 @@
 	}
 	report := crashReport(w.member, broken)
 	c.logCrash(w.member, broken, report)
-	c.g.workersCrashed([]kumquatlug.CrashReport{report})
+	c.workersCrashed([]kumquatlug.CrashReport{report})
 	c.mu.Lock()
 	c.evidence.Report(now, report)
 	c.addReport(report)
@@ -246,15 +250,31 @@
 	c.flush()
 }
 
-// workersCrashed stops sending to workers that crashed, whose rows stay for some seconds.
-func (g *Gateway) workersCrashed(reports []kumquatlug.CrashReport) {
-	now, changed := g.c.Clock.Now(), false
+// workersCrashed stops sending to workers that crashed, whose rows stay for some seconds. Many may crash at
+// once: the members are applied again after membersDelay.
+func (c *crashes) workersCrashed(reports []kumquatlug.CrashReport) {
+	now, changed := c.g.c.Clock.Now(), false
 	for _, r := range reports {
-		_, present := g.member(r.Service, r.Worker)
-		changed = present && g.shuttingDownWorkers.noteCrash(now, r.Worker, r.StartedAt) || changed
+		_, present := c.g.member(r.Service, r.Worker)
+		changed = present && c.g.shuttingDownWorkers.noteCrash(now, r.Worker, r.StartedAt) || changed
 	}
-	if changed {
-		g.republish()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if changed && c.membersDue == 0 {
+		c.membersDue = now + membersDelay
+	}
+}
+
+// applyCrashed applies the members again if workers have crashed.
+func (c *crashes) applyCrashed(now kumquatlug.Millis) {
+	c.mu.Lock()
+	due := c.membersDue != 0 && now >= c.membersDue
+	if due {
+		c.membersDue = 0
+	}
+	c.mu.Unlock()
+	if due {
+		c.g.republish()
 	}
 }
 
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -218,12 +218,13 @@
 	}
 	c.evidence.Receive(g.c.Clock.Now(), m)
 	c.mu.Unlock()
-	g.workersCrashed(m.Reports)
+	c.workersCrashed(m.Reports)
 	c.flush()
 }
 
 // tick takes the decisions that are due and sends the clearances that are.
 func (c *crashes) tick(now kumquatlug.Millis) {
+	c.applyCrashed(now)
 	c.mu.Lock()
 	c.evidence.Tick(now)
 	due := map[[2]string][]string{}
--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -24,6 +24,8 @@
 	maxCrashRowsPerCommit = 50
 	// maxCrashRows bounds the reports of this gateway; the oldest are removed.
 	maxCrashRows = 400
+	// maxReported bounds the identities in own reports that are remembered.
+	maxReported = 8192
 	// crashRowRetention is how long a report stays in the store.
 	crashRowRetention = kumquatlug.Hour
 	// entryWriteDelay and entryWriteSpread are when a gateway writes an entry that is missing in the
@@ -77,6 +79,9 @@
 	if len(c.unpublished) < maxCrashRows {
 		c.unpublished = append(c.unpublished, r)
 	}
+	if len(c.reported) > maxReported {
+		clear(c.reported)
+	}
 	for _, s := range r.Suspects {
 		c.reported[r.Service+"\x00"+s.Identity] = true
 	}
