--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -268,21 +268,6 @@
 	return min(f.timeLeft(), f.g.scheduler.attemptTimeout(f.service.Name(), a))
 }
 
-// admitSend takes the last decisions before an attempt is sent to a worker.
-func (f *inflight) admitSend(ctx context.Context, s stage, c placement.Choice, a *placement.Attempt) *attemptFailure {
-	if denied := f.reauthenticate(s, a); denied != nil {
-		return denied
-	}
-	if failed := f.refuseBeforeExit(s, a); failed != nil {
-		return failed
-	}
-	if failed := f.awaitQuarantine(ctx, s, c, a); failed != nil {
-		return failed
-	}
-	f.g.crashes.attemptSent(f, a, c.Worker())
-	return nil
-}
-
 // prefill computes the prompt's KV cache on an engine. It returns true if a takeover has replaced
 // the prefill, and served the request unless there is a failure.
 func (f *inflight) prefill(ctx context.Context, c placement.Choice, a *placement.Attempt) (kumquatlug.KVCacheRef, *attemptFailure, bool) {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -146,6 +146,21 @@
 	}
 }
 
+// admitSend takes the last decisions before an attempt is sent to a worker.
+func (f *inflight) admitSend(ctx context.Context, s stage, c placement.Choice, a *placement.Attempt) *attemptFailure {
+	if denied := f.reauthenticate(s, a); denied != nil {
+		return denied
+	}
+	if failed := f.refuseBeforeExit(s, a); failed != nil {
+		return failed
+	}
+	if failed := f.awaitQuarantine(ctx, s, c, a); failed != nil {
+		return failed
+	}
+	f.g.crashes.attemptSent(f, a, c.Worker())
+	return nil
+}
+
 // awaitQuarantine refuses an attempt that waited, was queued, prefilled or handed off while its request came
 // under quarantine. It waits for a decision that is due.
 func (f *inflight) awaitQuarantine(ctx context.Context, s stage, choice placement.Choice, a *placement.Attempt) *attemptFailure {
--- a/pkg/kumquatlug/quarantine/entry.go
+++ b/pkg/kumquatlug/quarantine/entry.go
@@ -90,7 +90,9 @@
 		s.forget(changed.Identities)
 	}
 	e.events = append(e.events, EvidenceEvent{kind: kind, entry: changed.QuarantineEntry, own: true})
-	e.outbox.Entries = append(e.outbox.Entries, changed.QuarantineEntry)
+	if !e.receiving {
+		e.outbox.Entries = append(e.outbox.Entries, changed.QuarantineEntry)
+	}
 }
 
 // forget makes the crashes of identities that no entry has no longer count.
--- a/pkg/kumquatlug/quarantine/evidence.go
+++ b/pkg/kumquatlug/quarantine/evidence.go
@@ -5,7 +5,6 @@
 	"maps"
 	"slices"
 	"strconv"
-	"strings"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
@@ -70,13 +69,15 @@
 //     of these requests themselves.
 //   - A complete answer clears all parts of its prompt: a cause of crashes never gets one. So what
 //     sound requests share is cleared within a moment.
-//   - The suspect that explains the most crashes is quarantined after [EvidenceConfig.Crashes]
-//     crashes without a clearance. Suspects that the crashes do not tell apart are quarantined
-//     only together, so that a request is refused if it has them all; the next crash or the next
-//     clearance tells more.
-//   - Only crashes of requests that were sent after an earlier one was known count beyond the
-//     first, and those of one request count once for its parts: many workers that end at the same
-//     moment, or one request that meets several of them, are no evidence against a part.
+//   - The suspect with the most crashes is quarantined after [EvidenceConfig.Crashes] of them
+//     without a clearance. Only crashes of requests that were sent after an earlier one was known
+//     count beyond the first, and those of a single request do not count for its parts: many
+//     workers that end at the same moment, or one request that meets several of them, are no
+//     evidence against a part.
+//   - Suspects that the same request had at each crash are not told apart: they are quarantined
+//     together, and a request is refused if it has them all. The next crash or clearance tells more.
+//   - Of suspects with as many crashes that no request has together, the one with far fewer
+//     requests is the cause; if there is none, the next crashes tell, up to [EvidenceConfig.MaxCrashes].
 //   - A crash of a quarantined suspect no longer counts against others.
 //
 // One probe in the fleet, which a gateway claims through the store, is sent after each of
@@ -88,6 +89,8 @@
 	services map[string]*serviceEvidence
 	events   []EvidenceEvent
 	outbox   kumquatlug.QuarantineMessage
+	// receiving is set while a clearance of another gateway is applied, which all others receive, too.
+	receiving bool
 }
 
 // NewEvidence returns an Evidence without crashes.
@@ -257,7 +260,9 @@
 func (e *Evidence) Receive(now kumquatlug.Millis, m kumquatlug.QuarantineMessage) {
 	for _, c := range m.Clearances {
 		if !e.Empty(c.Service) {
+			e.receiving = true
 			e.clear(now, c.Service, c.Version, c.Identities)
+			e.receiving = false
 		}
 	}
 	for _, received := range m.Entries {
@@ -310,132 +315,3 @@
 		}
 	}
 }
-
-// candidate is a suspect with the crashes that nothing explains.
-type candidate struct {
-	id string
-	// crashes holds the requests with the suspect by crash, requests all of them.
-	crashes  map[Crash]map[uint32]bool
-	requests map[uint32]bool
-	// proven says that the crashes suffice for a quarantine.
-	proven bool
-}
-
-// candidates returns the suspects with more than one crash. limit is the number of crashes that proves one.
-func (s *serviceEvidence) candidates(limit int) []candidate {
-	var found []candidate
-	for id, known := range s.suspects {
-		if len(known.marks) < 2 || s.quarantined(id) {
-			continue
-		}
-		explained := s.explained(id)
-		c, counted := candidate{id: id, crashes: map[Crash]map[uint32]bool{}, requests: map[uint32]bool{}}, 1
-		for crash, m := range known.marks {
-			if m.cleared || explained[crash] {
-				continue
-			}
-			c.crashes[crash] = m.requests
-			maps.Copy(c.requests, m.requests)
-			if m.informed {
-				counted++
-			}
-		}
-		if c.isPart() && len(c.requests) < 2 || len(c.crashes) < 2 {
-			continue
-		}
-		c.proven = min(counted, len(c.crashes)) >= limit
-		found = append(found, c)
-	}
-	return found
-}
-
-// isPart reports whether the candidate is a part of prompts and not a whole request.
-func (c candidate) isPart() bool { return strings.HasPrefix(c.id, partPrefix) }
-
-// competes reports whether the candidate may explain the crashes as well as the best one: a lost report may
-// account for one crash less.
-func (c candidate) competes(best candidate) bool {
-	if len(c.crashes) == len(best.crashes) {
-		return true
-	}
-	return c.isPart() && len(c.crashes) >= max(len(best.crashes)-1, minCompetingCrashes)
-}
-
-// minCompetingCrashes is the number of crashes that a part with one crash less than the best must have.
-const minCompetingCrashes = 2
-
-// within returns, by crash, which of the requests have the candidate, too. It returns false if there is a
-// crash without one, except for those of which the candidate is not known.
-func (c candidate) within(requests map[Crash]map[uint32]bool) (map[Crash]map[uint32]bool, bool) {
-	both := map[Crash]map[uint32]bool{}
-	for crash, hashes := range requests {
-		own, known := c.crashes[crash]
-		if !known {
-			both[crash] = hashes
-			continue
-		}
-		both[crash] = map[uint32]bool{}
-		for hash := range hashes {
-			if own[hash] {
-				both[crash][hash] = true
-			}
-		}
-		if len(both[crash]) == 0 {
-			return nil, false
-		}
-	}
-	return both, true
-}
-
-// chanceFactor is how many times the requests of the best suspect another one must have that explains the same
-// crashes, to be taken for one that was there by chance.
-const chanceFactor = 2
-
-// decide returns the identities that explain the crashes best, nil if further crashes have to tell. Those that
-// the same request had at each crash are not told apart. Of others, the one with far fewer requests is the
-// cause: what many requests have is in flight at each crash by chance.
-func (e *Evidence) decide(found []candidate) []string {
-	slices.SortFunc(found, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(len(a.requests), len(b.requests)), strings.Compare(a.id, b.id))
-	})
-	if len(found) == 0 || !found[0].proven {
-		return nil
-	}
-	best := found[0]
-	together, common := []string{best.id}, best.crashes
-	for _, c := range found[1:] {
-		if !c.competes(best) {
-			continue
-		}
-		if both, found := c.within(common); found {
-			together, common = append(together, c.id), both
-			continue
-		}
-		if len(c.requests) < chanceFactor*len(best.requests) && len(best.crashes) < e.config.MaxCrashes {
-			return nil
-		}
-	}
-	slices.Sort(together)
-	return together
-}
-
-// evaluate decides which suspects are quarantined now.
-func (e *Evidence) evaluate(now kumquatlug.Millis, service string) {
-	s := e.service(service)
-	e.releaseExplained(now, s)
-	for {
-		identities := e.decide(s.candidates(e.config.Crashes))
-		if !slices.Equal(identities, s.pending) {
-			s.pending, s.pendingUntil = identities, now+e.config.SettleDelay
-		}
-		if len(s.pending) == 0 || now < s.pendingUntil {
-			return
-		}
-		s.pending = nil
-		s.pending = nil
-		if held := s.entries[EntryKey(kumquatlug.QuarantineEntry{Service: service, Identities: identities})]; held != nil && !held.Released {
-			return
-		}
-		e.quarantine(now, service, identities)
-	}
-}
