Quarantine: drop a repeated assignment, announce under one lock and only if there are entries

Read-through, no change of behaviour: a line of evaluate stood twice, announceEntries took its lock twice and shuffled all peers each second also while nothing is under quarantine, and the comment of Tick named what RemoveExpired does.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -376,22 +376,20 @@
 	if c.g.c.Peers == nil {
 		return
 	}
-	names := c.peerNames()
-	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
 	c.mu.Lock()
-	count := 1
+	entries, count := c.evidence.Entries(), 1
 	if now-c.changedAt < announceSpan {
 		count = announcedPeers
 	}
 	c.mu.Unlock()
-	c.mu.Lock()
-	entries := c.evidence.Entries()
-	c.mu.Unlock()
+	if len(entries) == 0 {
+		return
+	}
+	names := c.peerNames()
+	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
 	rand.Shuffle(len(entries), func(i, j int) { entries[i], entries[j] = entries[j], entries[i] })
 	m := kumquatlug.QuarantineMessage{Entries: entries[:min(len(entries), maxAnnouncedEntries)]}
 	for _, name := range names[:min(len(names), count)] {
-		if !m.Empty() {
-			c.g.c.Peers.SendQuarantine(name, m)
-		}
+		c.g.c.Peers.SendQuarantine(name, m)
 	}
 }
--- a/pkg/kumquatlug/quarantine/decision.go
+++ b/pkg/kumquatlug/quarantine/decision.go
@@ -130,7 +130,6 @@
 			return
 		}
 		s.pending = nil
-		s.pending = nil
 		if held := s.entries[EntryKey(kumquatlug.QuarantineEntry{Service: service, Identities: identities})]; held != nil && !held.Released {
 			return
 		}
--- a/pkg/kumquatlug/quarantine/evidence.go
+++ b/pkg/kumquatlug/quarantine/evidence.go
@@ -295,7 +295,7 @@
 	return r
 }
 
-// Tick takes the decisions that are due, and removes crashes that no longer count.
+// Tick takes the decisions that are due.
 func (e *Evidence) Tick(now kumquatlug.Millis) {
 	for name, s := range e.services {
 		if len(s.pending) > 0 && now >= s.pendingUntil {
