--- a/internal/gateway/inflightversion.go
+++ b/internal/gateway/inflightversion.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 
+	"go.uber.org/zap"
+
 	"github.com/kumquatlug/kumquatlug/internal/peerrequest"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
@@ -30,7 +32,10 @@
 	if f.version != "" || !f.continues() {
 		return nil
 	}
-	if f.version = f.g.streamVersions.resolve(ctx, f.service.Name(), f.request.StreamID()); f.version != "" {
+	r := f.g.streamVersions.resolve(ctx, f.service.Name(), f.request.StreamID())
+	f.version = r.version
+	f.logResume(r)
+	if f.version != "" {
 		f.g.metrics.resumes.WithLabelValues("known").Inc()
 		return nil
 	}
@@ -38,6 +43,24 @@
 	return &attemptFailure{permanent: true, failure: refusal("find version", reasonVersionUnknown, http.StatusServiceUnavailable, versionRetryAfter)}
 }
 
+// logResume logs how the version of the stream was looked up, and which workers have it.
+func (f *inflight) logResume(r resolution) {
+	workers, generating := 0, 0
+	for _, m := range f.g.members.Load().byService[f.service.Name()] {
+		if m.State != kumquatlug.MemberReady || m.Worker.Version() != r.version {
+			continue
+		}
+		workers++
+		if m.Role != kumquatlug.RolePrefill {
+			generating++
+		}
+	}
+	f.g.c.Logger.Info("stream taken up", zap.String("request", f.request.ID()), zap.String("resumes", f.request.StreamID()),
+		zap.String("service", f.service.Name()), zap.Int64("after", f.lastEventID), zap.String("version", r.version),
+		zap.String("source", string(r.source)), zap.Int("peers", r.peers), zap.Strings("listed", r.listed),
+		zap.Int("workers", workers), zap.Int("generating", generating))
+}
+
 // listVersion ensures that the version of the chosen worker is listed before a stream begins there that
 // may be resumed. If it can't be, another worker is chosen, unless no version is known to be listed.
 func (f *inflight) listVersion(ctx context.Context, c placement.Choice, a *placement.Attempt) *attemptFailure {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -106,6 +106,7 @@
 			g.refuse(w, request, refusal("stop", reasonStopping, http.StatusServiceUnavailable, shutdownRetryAfter))
 			return
 		}
+		f.logTaken(exit)
 	}
 	if f.refuseQuarantined(r.Context()) {
 		return
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 
+	"go.uber.org/zap"
+
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
 )
@@ -52,6 +54,15 @@
 	return f.arrived+f.elapsed+max(duration+relayTime, minRequestTime) > exit
 }
 
+// logTaken logs a request that is served although this gateway is shutting down.
+func (f *inflight) logTaken(exit kumquatlug.Millis) {
+	f.g.c.Logger.Info("request taken during shutdown", append([]zap.Field{
+		zap.String("request", f.request.ID()), zap.Bool("late", f.late(exit)), zap.Int("output", f.request.Prompt().Output()),
+		zap.Int64("assumed_ms", int64(f.runTime(exit))), zap.Int("samples", f.g.scheduler.runSamples(f.service.Name(), f.request.Prompt().Output())),
+		zap.Int64("exit_ms", int64(exit-f.g.c.Clock.Now())),
+	}, f.logFields()...)...)
+}
+
 // mayHandOff reports whether the request is one that may be handed off to a peer gateway. A peer
 // doesn't know when this gateway exits, and would start the output of a late request too late. It
 // refuses the probe of a quarantine.
@@ -120,6 +131,13 @@
 	return p.UsualRunTime(now, output)
 }
 
+// runSamples returns how many run times of requests with about this maximum output are known.
+func (sc *scheduler) runSamples(service string, output int) int {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	return sc.service(service).placer.RunSamples(output)
+}
+
 // maxStartDelay returns how much later than expected the output of an engine may start, in ms.
 func (sc *scheduler) maxStartDelay(service string) kumquatlug.Millis {
 	sc.mu.Lock()
--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
@@ -191,19 +193,57 @@
 	return v.service(service).recording
 }
 
-// resolve returns the version of a stream that a client takes up, empty if nobody knows it.
-func (v *streamVersions) resolve(ctx context.Context, service, id string) string {
-	if version := v.find(id); version != "" {
-		return version
+// resolution is how the version of a stream that a client takes up was looked up.
+type resolution struct {
+	version string
+	source  versionSource
+	// peers is the number of gateways that were asked.
+	peers int
+	// listed are the versions in the listing, as far as this gateway has read it.
+	listed []string
+}
+
+// versionSource says where the version of a stream is known from.
+type versionSource string
+
+// The sources.
+const (
+	versionFromRecord  versionSource = "record"
+	versionFromPeer    versionSource = "peer"
+	versionFromListing versionSource = "listing"
+	versionFromNone    versionSource = "none"
+)
+
+// resolve looks up the version of a stream that a client takes up.
+func (v *streamVersions) resolve(ctx context.Context, service, id string) resolution {
+	r := resolution{source: versionFromRecord}
+	if r.version = v.find(id); r.version != "" {
+		return r
+	}
+	ask := func() bool {
+		r.version, r.peers = v.askPeers(ctx, service, id)
+		r.source = versionFromPeer
+		return r.version != ""
 	}
+	read := func() bool {
+		r.version = v.readSole(ctx, service)
+		r.source = versionFromListing
+		return r.version != ""
+	}
+	first, second := read, ask
 	if v.isRecording(service) {
-		if version := v.askPeers(ctx, service, id); version != "" {
-			return version
-		}
-		return v.readSole(ctx, service)
+		first, second = ask, read
 	}
-	if version := v.readSole(ctx, service); version != "" {
-		return version
+	if !first() && !second() {
+		r.source = versionFromNone
 	}
-	return v.askPeers(ctx, service, id)
+	r.listed = v.listedVersions(service)
+	return r
+}
+
+// listedVersions returns the versions of a service that this gateway knows to be listed.
+func (v *streamVersions) listedVersions(service string) []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return slices.Sorted(maps.Keys(v.service(service).listed))
 }
--- a/internal/gateway/versionpeers.go
+++ b/internal/gateway/versionpeers.go
@@ -59,10 +59,11 @@
 	}
 }
 
-// askPeers asks the owners of a stream's record.
-func (v *streamVersions) askPeers(ctx context.Context, service, id string) string {
+// askPeers asks the owners of a stream's record. It returns the version and the number of gateways
+// that were asked.
+func (v *streamVersions) askPeers(ctx context.Context, service, id string) (string, int) {
 	if v.g.c.Peers == nil || id == "" || len(id) > maxAttemptIDBytes {
-		return ""
+		return "", 0
 	}
 	ctx, cancel := context.WithTimeout(ctx, versionAnswerTimeout.Duration())
 	defer cancel()
@@ -89,16 +90,16 @@
 		select {
 		case version := <-answers:
 			if version != "" {
-				return version
+				return version, len(owners)
 			}
 			unknown++
 		case <-again.C:
 			ask()
 		case <-ctx.Done():
-			return ""
+			return "", len(owners)
 		}
 	}
-	return ""
+	return "", len(owners)
 }
 
 // StreamVersionReceived handles a message of a peer about the version of a stream.
--- a/pkg/kumquatlug/learn/duration.go
+++ b/pkg/kumquatlug/learn/duration.go
@@ -96,6 +96,15 @@
 	return perUnit * units
 }
 
+// Samples returns the number of samples of requests with about this maximum output.
+func (d *DurationEstimator) Samples(output int) int {
+	class, _ := classOf(output)
+	if c := d.classes[class]; c != nil {
+		return len(c.samples)
+	}
+	return 0
+}
+
 // otherQuantile returns the duration for each token in the nearest class that has enough
 // samples, of two equally near ones the longer duration; the initial value if there is none.
 // Class zero has no tokens and is not compared with the others.
--- a/pkg/kumquatlug/placement/attempt.go
+++ b/pkg/kumquatlug/placement/attempt.go
@@ -238,6 +238,9 @@
 	return kumquatlug.Millis(maxRunMargin * p.runTimes.Quantile(maxRunFraction, output, p.runningRequests(now)))
 }
 
+// RunSamples returns how many run times of requests with about this maximum output are known.
+func (p *Placer) RunSamples(output int) int { return p.runTimes.Samples(output) }
+
 // MaxStartDelay returns how much later than expected nearly all first outputs of engines arrive.
 func (p *Placer) MaxStartDelay() kumquatlug.Millis { return kumquatlug.Millis(p.overrun.Bound()) }
 
