--- a/pkg/kumquatlug/planner/split.go
+++ b/pkg/kumquatlug/planner/split.go
@@ -12,6 +12,8 @@
 	// Target is the engine's name, Zone its data centre.
 	Target string
 	Zone   string
+	// Version is the version of its software, empty if it is not known.
+	Version string
 	// Role is the engine's role or, while a change is pending, its new role.
 	Role kumquatlug.Role
 	// Idle is set if the engine has no calls in flight, for example because it has
