Keep engines that decode at each software version

What callers saw: streams that they took up were refused with 503 version_gone although workers of their version served, while new ones began.

Cause: the split of roles and the exchange by speed count engines, not versions. A stream goes on only at an engine of its version that decodes, and nothing kept one.

Each version now keeps one decode engine, and two if it has three engines and the split has room. The last one is neither ordered to prefill nor exchanged. A version that has lost it gets one at once, without the delay for mismatches and without waiting for the store; another version gives one back when the mismatch has persisted. Where fewer engines may decode than there are versions, the ones left out are logged. With a single version nothing changes.

--- a/internal/gateway/controller.go
+++ b/internal/gateway/controller.go
@@ -68,13 +68,15 @@
 	mismatchSince map[string]kumquatlug.Millis
 	// exchangedAt is when an engine was last exchanged for one of another speed.
 	exchangedAt map[string]kumquatlug.Millis
+	// versionsWithoutRoom are the versions that get no decode engine, by service.
+	versionsWithoutRoom map[string][]string
 }
 
 func newController(g *Gateway, holder *lease.Holder) *controller {
 	return &controller{
 		g: g, holder: holder, splits: map[string]*planner.AdaptiveSplit{}, deferredUntil: map[string]kumquatlug.Millis{},
 		announcedRoles: map[string]map[string]kumquatlug.Role{}, ownerWeights: map[string]ownerWeights{}, pendingOrders: map[string]pendingOrder{}, mismatchSince: map[string]kumquatlug.Millis{},
-		exchangedAt: map[string]kumquatlug.Millis{},
+		exchangedAt: map[string]kumquatlug.Millis{}, versionsWithoutRoom: map[string][]string{},
 	}
 }
 
@@ -160,43 +162,70 @@
 		if s, _ := table.Service(name); !s.Engine() {
 			continue
 		}
-		engines, workers := v.engines(now, set.byService[name], v.g.scheduler.activities(name))
+		activities := v.g.scheduler.activities(name)
+		engines, workers := v.engines(now, set.byService[name], activities)
 		wanted := v.addSpeeds(now, name, engines)
 		v.updateOwnerWeights(now, name, set.byService[name])
-		var exchanges []planner.Exchange
-		changes := planner.MaintainSplit(engines, v.prefillShare(now, name, engines))
-		ordered := v.mismatchPersists(now, name, len(changes) > 0)
-		if len(changes) == 0 {
-			exchanges = planner.ExchangeRoles(engines, wanted)
-			for _, x := range exchanges {
-				changes, ordered = append(changes, x.Changes()...), true
-			}
-		}
-		if !ordered {
+		planned := v.planChanges(now, name, engines, workers, wanted, unresponsiveVersions(set.byService[name], activities))
+		if !planned.ordered {
 			if !v.ownerWeights[name].published {
 				v.announceRoles(ctx, name, workers, nil)
 			}
 			continue
 		}
-		if announced := v.announceRoles(ctx, name, workers, changes); !announced && hasBothRoles(engines) {
+		if announced := v.announceRoles(ctx, name, workers, planned.changes); !announced && hasBothRoles(engines) {
 			// Gateways that have not received the plan of a role change would keep
 			// sending to the engine and be refused until the change is done. The order
-			// can wait for the store, unless one role has no engine left.
-			v.g.applyRoles(name, v.announcedRoles[name])
-			continue
+			// can wait for the store, unless one role has no engine left, or a version none
+			// that decodes.
+			if len(planned.urgent) == 0 {
+				v.g.applyRoles(name, v.announcedRoles[name])
+				continue
+			}
+			planned.changes, planned.exchanges = planned.urgent, nil
 		}
-		for _, change := range changes {
-			if _, pending := v.pendingOrders[change.Target()]; !pending && ctx.Err() == nil && v.partnerChanges(change, exchanges) {
+		for _, change := range planned.changes {
+			if _, pending := v.pendingOrders[change.Target()]; !pending && ctx.Err() == nil && v.partnerChanges(change, planned.exchanges) {
 				v.sendOrder(ctx, workers[change.Target()], change)
 			}
 		}
-		v.recordExchanges(now, name, exchanges)
+		v.recordExchanges(now, name, planned.exchanges)
 		// Engines that did not accept their order keep their role: retract the
 		// announcement.
 		v.announceRoles(ctx, name, workers, nil)
 	}
 }
 
+// plannedChanges are the role changes of a service's engines.
+type plannedChanges struct {
+	changes   []kumquatlug.RoleChange
+	exchanges []planner.Exchange
+	// urgent are those of the changes that can't wait, not even for the store.
+	urgent []kumquatlug.RoleChange
+	// ordered says that the changes are to be ordered now.
+	ordered bool
+}
+
+// planChanges plans the role changes of a service's engines. wanted is how many engines that suit
+// streams should decode.
+func (v *controller) planChanges(
+	now kumquatlug.Millis, service string, engines []planner.SplitEngine, workers map[string]kumquatlug.Worker, wanted int, unresponsive map[string]bool,
+) plannedChanges {
+	share := v.prefillShare(now, service, engines)
+	p := plannedChanges{changes: planner.MaintainSplit(engines, share), urgent: v.urgentChanges(service, engines, workers, share, unresponsive)}
+	p.ordered = v.mismatchPersists(now, service, len(p.changes) > 0)
+	if !p.ordered && len(p.urgent) > 0 {
+		p.changes, p.ordered = p.urgent, true
+	}
+	if len(p.changes) == 0 {
+		p.exchanges = planner.ExchangeRoles(engines, wanted)
+		for _, x := range p.exchanges {
+			p.changes, p.ordered = append(p.changes, x.Changes()...), true
+		}
+	}
+	return p
+}
+
 // hasBothRoles reports whether there are engines of both roles.
 func hasBothRoles(engines []planner.SplitEngine) bool {
 	roles := map[kumquatlug.Role]bool{}
@@ -303,7 +332,7 @@
 			delete(v.deferredUntil, id)
 		}
 		engines = append(engines, planner.SplitEngine{
-			Target: id, Zone: m.Zone, Role: role, Refused: now < v.deferredUntil[id], Idle: use[id] == placement.ActivityIdle,
+			Target: id, Zone: m.Zone, Version: m.Worker.Version(), Role: role, Refused: now < v.deferredUntil[id], Idle: use[id] == placement.ActivityIdle,
 		})
 		workers[id] = m.Worker
 	}
--- a/pkg/kumquatlug/planner/exchange.go
+++ b/pkg/kumquatlug/planner/exchange.go
@@ -44,7 +44,8 @@
 // from a slow engine at each event and can't be divided, while prompts can be distributed by
 // weight. An exchange costs prefill capacity and the prefixes cached at the fast engine, so that
 // no more engines are exchanged than the streams need, and of the suitable prefill engines the
-// slowest one that shortens the time between two events by a quarter. Engines that are changing
+// slowest one that shortens the time between two events by a quarter. Each version keeps its decode
+// engines; see [RestoreVersions]. Engines that are changing
 // their role count towards the limit of one sixth.
 func ExchangeRoles(engines []SplitEngine, wanted int) []Exchange {
 	decode, prefill := countRole(engines, kumquatlug.RoleDecode), countRole(engines, kumquatlug.RolePrefill)
@@ -63,13 +64,18 @@
 		return nil
 	}
 	slow, fast := exchangeCandidates(engines)
+	versions := newVersionSplit(engines, decode)
 	var pairs []Exchange
 	for _, e := range slow {
-		at := slices.IndexFunc(fast, func(f SplitEngine) bool { return f.RelativeTime <= (1-minExchangeGain)*e.RelativeTime })
+		at := slices.IndexFunc(fast, func(f SplitEngine) bool {
+			return f.RelativeTime <= (1-minExchangeGain)*e.RelativeTime && versions.mayExchange(e, f)
+		})
 		if at < 0 || len(pairs) == limit {
 			continue
 		}
 		pairs = append(pairs, Exchange{toPrefill: e, toDecode: fast[at]})
+		versions.apply(e.Target, kumquatlug.RolePrefill)
+		versions.apply(fast[at].Target, kumquatlug.RoleDecode)
 		fast = slices.Delete(fast, at, at+1)
 	}
 	return pairs
--- a/pkg/kumquatlug/planner/split.go
+++ b/pkg/kumquatlug/planner/split.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"sort"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
@@ -41,32 +40,35 @@
 // capacity is then scarce, decode needs slots more than compute, and an engine that
 // fails or restarts in another role leaves one side short. Decode engines are spread
 // over the data centres, so that gateways find one nearby. At least one engine remains on
-// each side.
+// each side. While engines have several versions, each version keeps decode engines; see
+// [RestoreVersions].
 func MaintainSplit(engines []SplitEngine, share float64) []kumquatlug.RoleChange {
 	if len(engines) < 2 {
 		return nil
 	}
-	sorted := append([]SplitEngine(nil), engines...)
-	sort.Slice(sorted, func(i, j int) bool { return sorted[i].Target < sorted[j].Target })
-	want := int(math.Round(share * float64(len(sorted))))
-	want = min(max(want, 1), len(sorted)-1)
-	var changes []kumquatlug.RoleChange
-	for excess := countRole(sorted, kumquatlug.RolePrefill) - want; excess != 0 && len(changes) < maxChangesPerPlan; {
+	want := wantedPrefill(len(engines), share)
+	s := newVersionSplit(engines, len(engines)-want)
+	changes := s.restore(redundantDecode)
+	for excess := countRole(s.engines, kumquatlug.RolePrefill) - want; excess != 0 && len(changes) < maxChangesPerPlan; {
 		from, to, step := kumquatlug.RolePrefill, kumquatlug.RoleDecode, 1
 		if excess < 0 {
 			from, to, step = kumquatlug.RoleDecode, kumquatlug.RolePrefill, -1
 		}
-		at := pickFromLargestZone(sorted, from)
-		if at < 0 {
+		c, found := s.change(from, to, "split", func(SplitEngine) bool { return true })
+		if !found {
 			break
 		}
-		changes = append(changes, kumquatlug.NewRoleChange(sorted[at].Target, from, to, "split"))
-		sorted[at].Role = to
+		changes = append(changes, c)
 		excess -= step
 	}
 	return changes
 }
 
+// wantedPrefill returns how many of a group's engines should run prefill.
+func wantedPrefill(engines int, share float64) int {
+	return min(max(int(math.Round(share*float64(engines))), 1), engines-1)
+}
+
 // maxChangesPerPlan limits the changes in one plan. Orders are sent one after the other,
 // a few milliseconds each, so the end of a longer list would be outdated; computing it
 // for thousands of engines would block the calling loop.
@@ -82,11 +84,11 @@
 	return n
 }
 
-// pickFromLargestZone returns the index of an engine with the given role, preferring those that
+// pickFromLargestZone returns the index of an eligible engine with the given role, preferring those that
 // were not exchanged recently, then idle ones, then those whose speed suits the other role
 // considerably better, and then the data centre with the most engines in that role, or -1 if
 // none may be changed.
-func pickFromLargestZone(engines []SplitEngine, role kumquatlug.Role) int {
+func pickFromLargestZone(engines []SplitEngine, role kumquatlug.Role, eligible func(SplitEngine) bool) int {
 	zones := map[string]int{}
 	for _, e := range engines {
 		if e.Role == role {
@@ -95,7 +97,7 @@
 	}
 	best := -1
 	for i, e := range engines {
-		if e.Role != role || e.Refused {
+		if e.Role != role || e.Refused || !eligible(e) {
 			continue
 		}
 		if best < 0 || changesBefore(e, engines[best], zones) {
--- a/test/front/roles_test.go
+++ b/test/front/roles_test.go
@@ -1,7 +1,9 @@
 package front
 
 import (
+	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -41,6 +43,52 @@
 	return received
 }
 
+// reportStages makes the engines write their rows as heartbeats do, so that gateways learn of their stages. The
+// engine of a row that was deleted writes none.
+func reportStages(t *testing.T, s *site.Site) (crash func(*fleet.Worker)) {
+	t.Helper()
+	gone, stop, done := make(chan *fleet.Worker), make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		left := map[*fleet.Worker]bool{}
+		for {
+			select {
+			case <-stop:
+				return
+			case w := <-gone:
+				left[w] = true
+				s.DeleteWorkerRow(w)
+				s.CrashWorker(w)
+			case <-time.After(100 * time.Millisecond):
+			}
+			for _, w := range s.Engines {
+				if !left[w] {
+					s.WriteWorkerRow(w, "ready")
+				}
+			}
+		}
+	}()
+	t.Cleanup(func() {
+		close(stop)
+		<-done
+	})
+	return func(w *fleet.Worker) { gone <- w }
+}
+
+// logRefusals logs why requests were refused.
+func logRefusals(t *testing.T, p *process) {
+	t.Helper()
+	reasons := map[string]int{}
+	for _, line := range p.log(`"msg":"refused"`) {
+		var refused struct{ Request, Reason, Step string }
+		if json.Unmarshal([]byte(line), &refused) == nil {
+			kind, _, _ := strings.Cut(refused.Request, "-")
+			reasons[kind+": "+refused.Step+" "+refused.Reason]++
+		}
+	}
+	t.Logf("%s refused %v", p.name, reasons)
+}
+
 func stages(engines []*fleet.Worker) []string {
 	var all []string
 	for _, w := range engines {
@@ -57,6 +105,7 @@
 			DecodeEngines: 8, PlainWorkers: 1, Events: 60, EventDelay: 15 * time.Millisecond, MinRetries: 400,
 			EngineVersions: []string{rareVersion, rareVersion, commonVersion, commonVersion, commonVersion, commonVersion, commonVersion, commonVersion},
 		})
+		reportStages(t, s)
 		p := newGateway(t, s, "front-0")
 		received := beginAtRareVersion(t, s, p, 4)
 		eventually(t, "the split is carried out", func() bool {
@@ -71,18 +120,20 @@
 		sleep(time.Second)
 		t.Logf("%d streams, stages of the version %v", len(received), stages(rareEngines(s)))
 		requireResumes(t, s, []*process{p}, received)
+		logRefusals(t, p)
 	})
 	t.Run("LastDecodeEngineLeaves", func(t *testing.T) {
 		s := newSite(t, site.Config{
 			PrefillEngines: 5, DecodeEngines: 3, PlainWorkers: 1, Events: 60, EventDelay: 15 * time.Millisecond, MinRetries: 400,
 			EngineVersions: []string{rareVersion, rareVersion, commonVersion, commonVersion, commonVersion, rareVersion, commonVersion, commonVersion},
 		})
+		crash := reportStages(t, s)
 		p := newGateway(t, s, "front-0")
 		received := beginAtRareVersion(t, s, p, 4)
-		s.DeleteWorkerRow(s.Engines[5])
-		s.CrashWorker(s.Engines[5])
+		crash(s.Engines[5])
 		sleep(2 * time.Second)
 		t.Logf("%d streams, stages of the version %v", len(received), stages(rareEngines(s)))
 		requireResumes(t, s, []*process{p}, received)
+		logRefusals(t, p)
 	})
 }
