Failing tests: a stopping gateway takes late streams that may outlast it

Callers saw streams cut 7.5 s after a SIGTERM that they were sent 3.5 and 3.0 s after. What has to go on working passes: requests whose deadline lies before the exit and plain ones, at a gateway without samples.

--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -200,10 +200,19 @@
 	}
 	return kumquatlug.NewRequest(kumquatlug.RequestConfig{
 		ID: r.Header.Get("Id"), Host: "h", Method: r.Method, Path: r.URL.Path, Target: r.URL.Path, Body: body,
-		Timeout: 2000, LastEventID: parseEventID(r), Resumes: r.Header.Get("Resumes"), Prompt: prompt, Credential: kumquatlug.NewCredential(r.Header["Secret"]),
+		Timeout: parseTimeout(r), LastEventID: parseEventID(r), Resumes: r.Header.Get("Resumes"), Prompt: prompt, Credential: kumquatlug.NewCredential(r.Header["Secret"]),
 	}), nil
 }
 
+// parseTimeout returns the client's timeout, 2 s if it sends none.
+func parseTimeout(r *http.Request) kumquatlug.Millis {
+	timeout, err := strconv.ParseInt(r.Header.Get("Timeout-Ms"), 10, 64)
+	if err != nil {
+		return 2000
+	}
+	return kumquatlug.Millis(timeout)
+}
+
 // parseEventID returns the number of the last event that a client has received.
 func parseEventID(r *http.Request) int64 {
 	id, err := strconv.ParseInt(r.Header.Get("Last-Event-Id"), 10, 64)
--- /dev/null
+++ b/internal/gateway/latestream_test.go
@@ -0,0 +1,121 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/routes"
+)
+
+// streamTimeout is the timeout of clients that wait for long streams, in ms.
+const streamTimeout = 15_000
+
+// newLateGateway returns a gateway with a grace period of 8 s that received the stop signal
+// 3.1 s ago and has seen so many streams, which ended after a twentieth of their maximum output.
+// Its routes for streams have the timeout of their clients.
+func newLateGateway(t *testing.T, w *fakeWorkers, streams int) *testGateway {
+	t.Helper()
+	f := newTestGateway(t, w, manyRetries)
+	config := testConfig(7)
+	for i, r := range config.Routes {
+		if r.Stream() {
+			config.Routes[i] = kumquatlug.NewRoute(kumquatlug.RouteConfig{
+				Host: "h", Prefix: r.Prefix(), Name: r.Name(), Stream: true, Resumable: r.Resumable(), HasPrompts: true,
+				Services: []kumquatlug.WeightedService{{Service: "engines", Weight: 1}}, MaxWorkers: r.MaxWorkers(), Timeout: streamTimeout,
+			})
+		}
+	}
+	f.g.table.Store(routes.NewTable(config))
+	now, p := f.g.c.Clock.Now(), f.g.scheduler.service("engines").placer
+	for range streams {
+		// 2,000 tokens at most are 40 events; two come, 25 ms after each other.
+		prompt := kumquatlug.NewPrompt(nil, 10, 2000)
+		c, _ := p.ChooseDecode(now-60, placement.Query{Prompt: prompt})
+		a := p.Begin(now-60, c, prompt)
+		p.PrefillDone(now-50, a)
+		p.RecordEvents(now-50, a, 1)
+		p.RecordEvents(now-25, a, 1)
+		p.End(now, a, placement.OutcomeServed)
+	}
+	f.g.c.GracePeriod = 8000
+	f.stopped(3100)
+	return f
+}
+
+// doPatiently sends a request of a client that waits for long streams.
+func (f *testGateway) doPatiently(t *testing.T, path string) clientResponse {
+	t.Helper()
+	return f.doWith(t.Context(), http.MethodPost, path, http.Header{"Id": {"r1"}, "Timeout-Ms": {fmt.Sprint(streamTimeout)}})
+}
+
+// refusedAtOnce reports whether a request was refused before anything was sent to a worker, with
+// the promise that it did not run.
+func refusedAtOnce(f *testGateway, got clientResponse) bool {
+	return got.status == http.StatusServiceUnavailable && got.header.Get("Ran") == string(kumquatlug.NotExecuted) &&
+		got.header.Get("Retry-After") != "" && got.duration < 200*time.Millisecond && len(f.workers.recorded()) == 0
+}
+
+// A gateway that has just started, or is one of many, knows few run times or only short ones. It
+// must not take a late stream of 2,000 tokens, which may run for longer than the 4.4 s until its
+// exit and would be cut there.
+func TestStoppingGatewayWithFewSamplesRefusesLateStreams(t *testing.T) {
+	for _, streams := range []int{0, 1, 31, 64} {
+		f := newLateGateway(t, respondingWorkers(), streams)
+		if got := f.doPatiently(t, "/chat/?tokens=30,2000"); !refusedAtOnce(f, got) {
+			t.Errorf("%d streams seen: %+v, calls %+v", streams, got, f.workers.recorded())
+		}
+	}
+}
+
+// Clients may have no other gateway nearby. A stopping gateway that knows nothing must still serve
+// late what can't last until its exit: requests whose deadline lies before it, and plain ones.
+func TestStoppingGatewayWithoutSamplesServesWhatEndsBeforeExit(t *testing.T) {
+	for _, path := range []string{"/chat/?tokens=30,1000", postRoute} {
+		f := newLateGateway(t, respondingWorkers(), 0)
+		if got := f.do(t.Context(), http.MethodPost, path); got.status != http.StatusOK {
+			t.Errorf("%s: %+v", path, got)
+		}
+	}
+}
+
+// Streams that break off and resume, or are moved, are several attempts. The sum is the run time:
+// with each part as a run of its own, a stopping gateway takes streams that it can't complete.
+func TestResumedAndMovedStreamsCountAsWholeRuns(t *testing.T) {
+	const partMs, streams = 30, 40
+	part := func(from, to int, end string) (kumquatlug.WorkerResponse, error) {
+		<-time.After(partMs * time.Millisecond)
+		if end == "broken" {
+			return truncatedResponse(events(from, to), -1), nil
+		}
+		return streamResponse(from, to), nil
+	}
+	w := &fakeWorkers{run: func(_ context.Context, n int, c workerCall) (kumquatlug.WorkerResponse, error) {
+		if n%2 == 1 {
+			return part(1, 2, "broken")
+		}
+		return streamResponse(int(c.options.LastEventID)+1, 5), nil
+	}}
+	f := newTestGateway(t, w, manyRetries)
+	for range streams {
+		if got := f.do(t.Context(), http.MethodPost, "/long/?tokens=30,10"); got.status != http.StatusOK {
+			t.Fatalf("%+v", got)
+		}
+		// The client takes up a stream whose first part nobody here has seen.
+		got := f.doWith(t.Context(), http.MethodPost, "/long/?tokens=30,10", http.Header{"Id": {"r2"}, "Last-Event-Id": {"2"}})
+		if got.status != http.StatusOK {
+			t.Fatalf("%+v", got)
+		}
+	}
+	p := f.g.scheduler.service("engines").placer
+	if ms := p.UsualRunTime(f.g.c.Clock.Now(), 10); ms < partMs {
+		t.Errorf("streams that take %d ms are expected to take %d ms, from %d samples", partMs, ms, p.RunSamples(10))
+	}
+	if n := p.RunSamples(10); n != streams {
+		t.Errorf("%d samples of %d streams that ran here as a whole", n, streams)
+	}
+}
