Take late streams only if their longest possible run fits; count moved and resumed streams as whole runs

Callers saw streams that a gateway took 3.0 and 3.5 s after SIGTERM and cut at its exit. The gateway promised on a quantile of its own samples, which are few at one of many and hold streams that ended early, each part of a moved or resumed stream as a run of its own, and fast and slow engines alike.

A late request is now taken if its deadline lies before the exit, so that it can't outlast it, or if a bound fits: the most events that its maximum output may have times the slowest pace of any engine, both with a margin of 2. Parts of streams show both, so that cut, moved and resumed streams don't shorten the bound; with fewer than 32 samples of either it is unknown and the request is refused at once, not run, with 20 ms to come back. The estimate still has to fit, too. A moved or resumed stream is one sample from its first attempt on; one that the client takes up is none, since the time of its first part is not known here. The test of resumed streams has the moved ones in one of its own now, which fails without the mark of moved attempts.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -373,6 +373,7 @@
 	o, stop := f.openRun(ctx, cancel, a, &s)
 	defer stop()
 	f.unusedCharge = false
+	f.recordRunStart(a)
 	request := f.request
 	o.await()
 	response, err := f.g.c.Workers.Run(call, c.Worker(), request, s)
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -78,6 +78,8 @@
 	// soleVersion is the version of the workers that may run it, empty for any.
 	probe       bool
 	soleVersion string
+	// runStartedAt is when the run of the stream was first sent to a worker, zero if it is not known.
+	runStartedAt kumquatlug.Millis
 	// timings holds when each step of the last attempt was completed.
 	timings timings
 }
--- a/internal/gateway/latestream_test.go
+++ b/internal/gateway/latestream_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -83,9 +84,9 @@
 	}
 }
 
-// Streams that break off and resume, or are moved, are several attempts. The sum is the run time:
-// with each part as a run of its own, a stopping gateway takes streams that it can't complete.
-func TestResumedAndMovedStreamsCountAsWholeRuns(t *testing.T) {
+// Streams that break off and resume are several attempts. The sum is the run time: with each part as
+// a run of its own, a stopping gateway takes streams that it can't complete.
+func TestResumedStreamsCountAsWholeRuns(t *testing.T) {
 	const partMs, streams = 30, 40
 	part := func(from, to int, end string) (kumquatlug.WorkerResponse, error) {
 		<-time.After(partMs * time.Millisecond)
@@ -119,3 +120,42 @@
 		t.Errorf("%d samples of %d streams that ran here as a whole", n, streams)
 	}
 }
+
+// A moved stream is two attempts, of which the second may last a few milliseconds. It must count as
+// one run from its first attempt on.
+func TestMovedStreamCountsAsOneRun(t *testing.T) {
+	const runs = 40
+	moved, started := make(chan chan struct{}, 1), make(chan string, 1)
+	w := &fakeWorkers{run: func(_ context.Context, n int, c workerCall) (kumquatlug.WorkerResponse, error) {
+		if n%2 == 0 {
+			return streamResponse(int(c.options.LastEventID)+1, 30), nil
+		}
+		end := make(chan struct{})
+		moved <- end
+		started <- c.worker
+		return kumquatlug.NewWorkerResponse(kumquatlug.WorkerResponseConfig{
+			Status: 200, Header: http.Header{"Stamp": {"s"}}, Length: -1, Framing: kumquatlug.FramingChunks,
+			Body: &movedBody{next: 1, last: 30, moved: end, end: io.ErrUnexpectedEOF},
+		}), nil
+	}}
+	w.move = func(context.Context, string, string) (kumquatlug.KVCacheRef, error) {
+		close(<-moved)
+		return kumquatlug.NewKVCacheRef("10.0.0.1:1", "copy"), nil
+	}
+	f := newTestGateway(t, w, manyRetries)
+	for range runs {
+		response := make(chan clientResponse, 1)
+		go func() { response <- f.do(context.Background(), http.MethodPost, "/long/?tokens=220,257") }()
+		worker := <-started
+		<-time.After(30 * time.Millisecond)
+		f.g.applyPlan("engines", rolePlan{Roles: map[string]kumquatlug.Role{worker: kumquatlug.RolePrefill}})
+		if got := <-response; got.body != events(1, 30) {
+			t.Fatalf("%+v", got)
+		}
+		f.g.applyPlan("engines", rolePlan{})
+	}
+	p := f.g.scheduler.service("engines").placer
+	if ms, n := p.UsualRunTime(f.g.c.Clock.Now(), 257), p.RunSamples(257); n != runs || ms < 30 {
+		t.Errorf("%d streams that take over 30 ms are expected to take %d ms, from %d samples", runs, ms, n)
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -250,6 +250,7 @@
 			f.discard(t)
 			return f.responseBroken(a, eventstream.ErrInside)
 		}
+		f.g.scheduler.markMoved(f.service.Name(), a.attempt)
 		f.endAttempt(stageOutput, a.attempt, placement.OutcomeServed)
 		if !f.route.Repeatable() {
 			// The continued stream is the only run that the request may have.
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -16,7 +16,8 @@
 //
 // While the load balancer may still send new connections here, a request is served if it
 // completes in time in the usual case: clients without another gateway nearby depend on it.
-// Requests that arrive later are served only if nearly none takes longer.
+// Requests that arrive later are served only if their longest possible run fits: a response that
+// breaks off costs the client more than a refusal at once.
 
 // Parameters of the expected duration of requests.
 const (
@@ -24,6 +25,9 @@
 	minRequestTime = 500 * kumquatlug.Millis(1)
 	// relayTime is the time from the end of a response at the worker until the client has it.
 	relayTime = 100 * kumquatlug.Millis(1)
+	// minPlainSamples is the number of run times from which the longest one of a service without
+	// engines is known.
+	minPlainSamples = 32
 )
 
 // late reports whether the request came after the time in which the load balancer may still send
@@ -38,10 +42,30 @@
 	return began > stopped+balancerLag
 }
 
+// unknownRunTime is longer than any grace period.
+const unknownRunTime = kumquatlug.Minute * 60
+
 // runTime returns how long the request is assumed to take from the time at which it is sent to
-// the worker that runs it.
+// the worker that runs it. A late request whose deadline is before the exit can't outlast it.
 func (f *inflight) runTime(exit kumquatlug.Millis) kumquatlug.Millis {
-	return f.g.scheduler.runTime(f.g.c.Clock.Now(), f.service.Name(), f.request.Prompt().Output(), f.late(exit))
+	output := f.request.Prompt().Output()
+	late := f.late(exit)
+	run := f.g.scheduler.runTime(f.g.c.Clock.Now(), f.service.Name(), output, late)
+	if !late || f.deadline+relayTime <= exit {
+		return run
+	}
+	return max(run, f.g.scheduler.longestRun(f.service, output))
+}
+
+// recordRunStart records when the run of the request was first sent to a worker. Attempts that
+// continue a stream belong to the same run; of a stream that the client or this gateway takes up from
+// another one, that time is not known.
+func (f *inflight) recordRunStart(a *placement.Attempt) {
+	if f.lastEventID == 0 {
+		f.runStartedAt = f.g.c.Clock.Now()
+		return
+	}
+	f.g.scheduler.continueRun(f.service.Name(), a, f.runStartedAt, int(f.lastEventID))
 }
 
 // outlastsShutdown reports whether the response would be incomplete when this gateway
@@ -131,6 +155,24 @@
 	return p.UsualRunTime(now, output)
 }
 
+// longestRun returns the time that no run of a request with this maximum output takes longer than,
+// unknownRunTime if that is not known.
+func (sc *scheduler) longestRun(service kumquatlug.Service, output int) kumquatlug.Millis {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	p := sc.service(service.Name()).placer
+	if !service.Engine() {
+		if p.RunSamples(output) < minPlainSamples {
+			return unknownRunTime
+		}
+		return 0
+	}
+	if longest, known := p.LongestRun(output); known {
+		return longest
+	}
+	return unknownRunTime
+}
+
 // runSamples returns how many run times of requests with about this maximum output are known.
 func (sc *scheduler) runSamples(service string, output int) int {
 	sc.mu.Lock()
@@ -138,6 +180,21 @@
 	return sc.service(service).placer.RunSamples(output)
 }
 
+// continueRun records that an attempt continues a stream that had some events before and was first
+// sent to a worker at startedAt, zero if that is not known.
+func (sc *scheduler) continueRun(service string, a *placement.Attempt, startedAt kumquatlug.Millis, events int) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	sc.service(service).placer.ContinueRun(a, startedAt, events)
+}
+
+// markMoved records that another attempt continues the stream of an attempt.
+func (sc *scheduler) markMoved(service string, a *placement.Attempt) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	sc.service(service).placer.MarkMoved(a)
+}
+
 // maxStartDelay returns how much later than expected the output of an engine may start, in ms.
 func (sc *scheduler) maxStartDelay(service string) kumquatlug.Millis {
 	sc.mu.Lock()
--- a/pkg/kumquatlug/placement/attempt.go
+++ b/pkg/kumquatlug/placement/attempt.go
@@ -41,6 +41,14 @@
 	transferFailed bool
 	// lastOutputAt is when output last arrived, zero for never.
 	lastOutputAt kumquatlug.Millis
+	// continues says that the attempt continues a stream: runStartedAt is when that was first sent
+	// to a worker, zero if it is not known, eventsBefore how many events it had before.
+	continues    bool
+	runStartedAt kumquatlug.Millis
+	eventsBefore int
+	// moved says that another attempt continues the stream. events counts the events of this one.
+	moved  bool
+	events int
 	// forwarding says that output is being written to the client.
 	forwarding bool
 	// suspect says that other workers are asked to take the request over.
@@ -57,6 +65,27 @@
 // of its KV cache.
 func (t *Attempt) TransferFailed() bool { return t.transferFailed }
 
+// ContinueRun records that an attempt continues a stream that had some events before and was first
+// sent to a worker at startedAt, zero if that is not known.
+func (p *Placer) ContinueRun(t *Attempt, startedAt kumquatlug.Millis, events int) {
+	t.continues, t.runStartedAt, t.eventsBefore = true, startedAt, events
+}
+
+// MarkMoved records that another attempt continues the stream of an attempt that is about to end.
+func (p *Placer) MarkMoved(t *Attempt) { t.moved = true }
+
+// runStart returns when the run that an attempt belongs to was first sent to a worker. It returns
+// false if the attempt is only a part of it and the rest is not known.
+func (t *Attempt) runStart() (kumquatlug.Millis, bool) {
+	switch {
+	case t.moved:
+		return 0, false
+	case t.continues:
+		return t.runStartedAt, t.runStartedAt != 0
+	}
+	return t.sentAt, true
+}
+
 // Outcome is how an attempt ended, as far as that concerns the worker.
 type Outcome string
 
@@ -173,6 +202,7 @@
 			p.sendRelease(t.coordinator, kumquatlug.Permit{Engine: t.id, Key: t.permitKey})
 		}
 	} else {
+		p.runBound.ObserveStream(t.eventsBefore+t.events, t.maxOutputTokens)
 		t.worker.running--
 		t.worker.kvTokens -= t.kvTokens
 		p.endSlot(now, t)
@@ -200,14 +230,21 @@
 		p.learnPrefill(now, t, took)
 		return
 	}
-	p.runTimes.Observe(took, t.maxOutputTokens)
+	started, whole := t.runStart()
+	run := float64(now - started)
+	if whole {
+		p.runTimes.Observe(run, t.maxOutputTokens)
+	}
 	switch t.worker.member.Role {
 	case "":
 		p.meanPlainMs += ewmaWeight * (took/t.workTime - p.meanPlainMs)
 		p.observePlain(now, t, took)
 	case kumquatlug.RoleDecode:
+		// A part of a run occupies its engine for the time of that part.
 		p.meanRunMs += ewmaWeight * (took - p.meanRunMs)
-		p.tokenTime.Observe(took, float64(t.maxOutputTokens))
+		if whole {
+			p.tokenTime.Observe(run, float64(t.maxOutputTokens))
+		}
 	}
 }
 
@@ -238,6 +275,13 @@
 	return kumquatlug.Millis(maxRunMargin * p.runTimes.Quantile(maxRunFraction, output, p.runningRequests(now)))
 }
 
+// LongestRun returns the time that no stream with this maximum output, in tokens, is expected to
+// exceed from its first event on. It returns false if that is not known.
+func (p *Placer) LongestRun(output int) (kumquatlug.Millis, bool) {
+	bound, known := p.runBound.Bound(output)
+	return kumquatlug.Millis(bound), known
+}
+
 // RunSamples returns how many run times of requests with about this maximum output are known.
 func (p *Placer) RunSamples(output int) int { return p.runTimes.Samples(output) }
 
@@ -249,9 +293,14 @@
 	var running []learn.RunningRequest
 	for _, w := range p.ordered {
 		for _, t := range w.attempts {
-			if !t.prefillOnly && now > t.sentAt {
-				running = append(running, learn.RunningRequest{Ms: float64(now - t.sentAt), Output: t.maxOutputTokens})
+			if t.prefillOnly || now <= t.sentAt {
+				continue
+			}
+			started, whole := t.runStart()
+			if !whole {
+				started = t.sentAt
 			}
+			running = append(running, learn.RunningRequest{Ms: float64(now - started), Output: t.maxOutputTokens})
 		}
 	}
 	return running
--- a/pkg/kumquatlug/placement/laterun_test.go
+++ b/pkg/kumquatlug/placement/laterun_test.go
@@ -137,13 +137,16 @@
 	if !found {
 		return
 	}
+	m.p.MarkMoved(s.attempt)
 	m.p.End(m.now, s.attempt, OutcomeServed)
 	s.attempt = m.p.Begin(m.now, c, s.prompt)
+	m.p.ContinueRun(s.attempt, s.startedAt, s.sent)
 }
 
 // longestRun returns the time in which a late request is assumed to end, and whether it is known.
 func longestRun(m *runModel, output int) (kumquatlug.Millis, bool) {
-	return m.p.MaxRunTime(m.now, output), true
+	longest, known := m.p.LongestRun(output)
+	return max(longest, m.p.MaxRunTime(m.now, output)), known
 }
 
 // A stream that arrives late at a gateway that is stopping must be whole or refused at once. Its
--- a/pkg/kumquatlug/placement/liveness.go
+++ b/pkg/kumquatlug/placement/liveness.go
@@ -95,11 +95,27 @@
 		w.pauses.Observe(pause)
 		p.pauses.Observe(pause)
 		p.observeEvent(now, w, pause, events)
+		p.observePace(w, pause, events)
 	}
+	t.events += events
 	t.lastOutputAt = now
 	p.markResponsive(now, t.id, w)
 }
 
+// paceEvents is the number of events whose mean time is one sample of an engine's pace. Single
+// events arrive together or after a prefill.
+const paceEvents = 16
+
+// observePace records the time before some events of a stream at an engine.
+func (p *Placer) observePace(w *worker, pause float64, events int) {
+	w.paceMs += pause
+	w.paceEvents += events
+	if w.paceEvents >= paceEvents {
+		p.runBound.ObservePace(w.paceMs / float64(w.paceEvents))
+		w.paceMs, w.paceEvents = 0, 0
+	}
+}
+
 // markResponsive records that something came from a worker. An unresponsive one is used
 // again.
 func (p *Placer) markResponsive(now kumquatlug.Millis, id string, w *worker) {
--- a/pkg/kumquatlug/placement/placement.go
+++ b/pkg/kumquatlug/placement/placement.go
@@ -188,9 +188,12 @@
 	// attempts are the attempts in flight for this gateway. lastSeenAt is when anything
 	// last came from the worker, pauses are those between two events of a stream, and
 	// unresponsive says that the worker is excluded because nothing came from it.
-	attempts     []*Attempt
-	lastSeenAt   kumquatlug.Millis
-	pauses       learn.PauseEstimator
+	attempts   []*Attempt
+	lastSeenAt kumquatlug.Millis
+	pauses     learn.PauseEstimator
+	// paceMs is the time of the last paceEvents events, which are no sample yet.
+	paceMs       float64
+	paceEvents   int
 	unresponsive bool
 	// probedAt is when the last liveness probe was sent.
 	probedAt kumquatlug.Millis
@@ -250,6 +253,8 @@
 	tokenTime *learn.RatioEstimator
 	// runTimes are the run times of requests by their maximum output.
 	runTimes *learn.DurationEstimator
+	// runBound bounds the run times of streams.
+	runBound learn.RunBoundEstimator
 	// slowdown is the ratio of actual to expected prefill time.
 	slowdown float64
 	prunedAt kumquatlug.Millis
