Bound the head of a response and responses to other requests

Callers of a worker that sends a first line, a status line, a header line or header lines without end waited until their deadline, and the gateway kept all that it sent. net/http bounds a head in its transport, not in ReadResponse, which the pool uses. A response to another request was skipped after 1 MB, and what followed of it was read as the next response, in which a body could hold one.

A reader below the buffer counts the bytes and lines of a head; the buffer asks for more only while the head is incomplete, so that a body is never counted. A head of 64 KB or 1,000 lines, and a body of 1 MB to another request, break the call, which closes the connection. Idle connections on which bytes arrive are closed by the next CloseIdle. The failure has the reason answer_too_large.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -88,6 +88,8 @@
 	Clock kumquatlug.Clock
 	// MaxIdlePerAddress is the maximum number of idle connections per address.
 	MaxIdlePerAddress int
+	// OnTooLarge is called for each response from an address that exceeds a limit; nil for none.
+	OnTooLarge func(address string, err error)
 }
 
 // Pool sends requests and reuses idle connections. It is safe for concurrent use.
@@ -107,6 +109,7 @@
 type conn struct {
 	net.Conn
 	address string
+	head    *headReader
 	reader  *bufio.Reader
 	// idleSince is when the connection became idle, idleUntil when it expires.
 	idleSince, idleUntil kumquatlug.Millis
@@ -134,6 +137,9 @@
 	if err != nil {
 		stopCancel()
 		_ = c.Close()
+		if errors.Is(err, kumquatlug.ErrTooLarge) {
+			p.reportTooLarge(r.Address, err)
+		}
 		if ctx.Err() != nil {
 			err = errors.CombineErrors(ctx.Err(), err)
 		}
@@ -146,9 +152,19 @@
 	return response, nil
 }
 
+func (p *Pool) reportTooLarge(address string, err error) {
+	if p.c.OnTooLarge != nil {
+		p.c.OnTooLarge(address, err)
+	}
+}
+
 func failure(step, peer string, execution kumquatlug.Execution, cause error) error {
+	reason := "peer_failed"
+	if errors.Is(cause, kumquatlug.ErrTooLarge) {
+		reason = kumquatlug.ReasonTooLarge
+	}
 	return kumquatlug.NewFailure(kumquatlug.FailureConfig{
-		Step: step, Peer: peer, Reason: "peer_failed", Execution: execution, Status: http.StatusBadGateway, Cause: cause,
+		Step: step, Peer: peer, Reason: reason, Execution: execution, Status: http.StatusBadGateway, Cause: cause,
 	})
 }
 
@@ -172,7 +188,8 @@
 		_ = raw.Close()
 		return nil, errWithdrawn
 	}
-	return &conn{Conn: raw, address: r.Address, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	head := &headReader{conn: raw}
+	return &conn{Conn: raw, address: r.Address, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}, nil
 }
 
 // popIdle removes the most recently used idle connection from the pool and returns
@@ -210,8 +227,8 @@
 	p.idle[c.address] = append(conns, c)
 }
 
-// CloseIdle closes idle connections that have expired and those to addresses for which
-// keep returns false. Call it about once a second.
+// CloseIdle closes idle connections that have expired, on which the peer has sent bytes or its end, and
+// those to addresses for which keep returns false. Call it about once a second.
 func (p *Pool) CloseIdle(keep func(address string) bool) {
 	now := p.c.Clock.Now()
 	p.mu.Lock()
@@ -219,7 +236,7 @@
 	for address, conns := range p.idle {
 		kept := conns[:0]
 		for _, c := range conns {
-			if now < c.idleUntil && keep(address) {
+			if now < c.idleUntil && keep(address) && c.reusable() {
 				kept = append(kept, c)
 				continue
 			}
@@ -238,7 +255,9 @@
 		return nil, err
 	}
 	for range maxStrayResponses + 1 {
+		c.head.begin()
 		response, err := http.ReadResponse(c.reader, request)
+		c.head.end()
 		if err != nil {
 			return nil, errors.CombineErrors(err, c.writeError())
 		}
@@ -249,7 +268,7 @@
 			return response, nil
 		}
 		// A late or duplicate response to another request precedes the expected one.
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes)); err != nil {
+		if err := discardStray(response); err != nil {
 			return nil, errors.Wrap(err, "read past the answer to another request")
 		}
 		if response.Close {
@@ -259,6 +278,22 @@
 	return nil, errors.New("the answers belong to other requests")
 }
 
+// discardStray reads the body of a response to another request to its end.
+func discardStray(response *http.Response) error {
+	n := response.ContentLength
+	if n <= maxStrayBytes {
+		var err error
+		if n, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes+1)); err != nil {
+			return err
+		}
+	}
+	if n > maxStrayBytes {
+		// What remains of it would be read as the next response.
+		return tooLarge("its body has more than %d bytes", maxStrayBytes)
+	}
+	return nil
+}
+
 // writeRequest sends the request. One larger than maxInlineRequestBytes is written
 // in a goroutine while the response is read.
 func (c *conn) writeRequest(r Request) error {
--- a/pkg/kumquatlug/failure.go
+++ b/pkg/kumquatlug/failure.go
@@ -19,8 +19,13 @@
 	ErrNotFound = errors.New("not found")
 	// ErrDenied marks a caller or peer that lacks the permission.
 	ErrDenied = errors.New("denied")
+	// ErrTooLarge marks a response that exceeds a limit in bytes, as if it had no end.
+	ErrTooLarge = errors.New("response too large")
 )
 
+// ReasonTooLarge is the failure reason of a response that exceeds a limit in bytes.
+const ReasonTooLarge = "answer_too_large"
+
 // Execution says whether a refused or failed call ran at its target.
 type Execution string
 
