--- a/internal/standin/endlessserver.go
+++ b/internal/standin/endlessserver.go
@@ -80,7 +80,7 @@
 }
 
 func (s *EndlessServer) serve(c net.Conn) {
-	defer c.Close()
+	defer func() { _ = c.Close() }()
 	r, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
 		return
