--- /dev/null
+++ b/test/front/soak_check_test.go
@@ -0,0 +1,114 @@
+package front
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+)
+
+// check compares what the clients received with what the workers ran.
+func (k *soak) check() {
+	counts := map[string]int{}
+	failures := k.checkCrashes()
+	back := k.Restarted()
+	k.workers, k.Engines = slices.Concat(k.workers, back), slices.Concat(k.Engines, back)
+	arrived := map[string]bool{}
+	for _, w := range k.workers {
+		for _, h := range w.ReceivedHeaders() {
+			arrived[h.Get("Attempt-Id")] = true
+		}
+	}
+	for _, r := range k.results {
+		runs := totalRuns(k.workers, r.id)
+		outcome, failed := k.outcome(r, runs, arrived[r.id])
+		counts[outcome]++
+		if !failed {
+			continue
+		}
+		text := fmt.Sprintf("%s: %s: sent to front-%d at %.3f, ended after %v of %v: status %d, error %v, %d of %d bytes, %d runs\n", r.id, outcome, r.gateway,
+			r.sent.Sub(k.began).Seconds(), r.ended.Sub(r.sent), r.deadline, r.status, r.err, len(r.body), len(r.expected()), runs)
+		for _, p := range k.gateways {
+			for _, line := range p.log(`"` + r.id + `"`) {
+				text += line + "\n"
+			}
+		}
+		failures = append(failures, text)
+	}
+	streams := map[string][]string{}
+	for _, r := range k.results {
+		streams[r.first().id] = append(streams[r.first().id], r.id)
+	}
+	for first, ids := range streams {
+		if versions := streamedVersions(k.Engines, ids...); len(ids) > 1 && len(versions) > 1 {
+			failures = append(failures, fmt.Sprintf("%s: joins versions %v in attempts %v\n", first, versions, ids))
+		}
+	}
+	k.Logf("seed %d: %d requests: %v, %d streams taken up", k.seed, len(k.results), counts, len(k.results)-len(streams))
+	if len(failures) > 0 || 2*counts["complete"] < len(k.results) {
+		k.Errorf("seed %d: %d failures:\n%s\nevents:\n%s", k.seed, len(failures), strings.Join(failures[:min(len(failures), 20)], "\n"), strings.Join(k.played, "\n"))
+	}
+}
+
+// outcome returns what became of a request, and whether that breaks a rule.
+func (k *soak) outcome(r *soakRequest, runs int, arrived bool) (outcome string, failed bool) {
+	moves := 0
+	for _, w := range k.Engines {
+		moves += w.Moves(r.id)
+	}
+	took, mayRepeat := r.ended.Sub(r.sent), r.kind == "long" || r.kind == "look"
+	switch {
+	case !mayRepeat && runs > 1+moves:
+		return "ran twice", true
+	case r.status == http.StatusOK && (r.header.Get("Server-Stamp") == "" || !strings.HasPrefix(r.expected(), r.body) || r.err == nil && r.body != r.expected()):
+		return fmt.Sprintf("wrong content %q", r.body), true
+	case r.err == nil && r.status == http.StatusOK:
+		return "complete", false
+	case r.refused() && runs > 0:
+		return "refused after a run", !mayRepeat
+	case r.refused():
+		return "refused", false
+	case k.inFault(r):
+		return "unplanned fault", false
+	case took >= r.deadline+soakLate:
+		return "no end", true
+	case took >= k.timeout(r)-soakEarly:
+		return "out of time", false
+	case k.atEndOfGrace(r):
+		return "end of grace", false
+	case r.status == 0 && !arrived && took < soakCloseSlack:
+		return "crossed a close", false
+	}
+	if r.err == nil {
+		return fmt.Sprintf("status %d", r.status), true
+	}
+	return "cut", true
+}
+
+// inFault returns whether an unplanned fault may have ended a request. A fault of any gateway may
+// end those that front-0 has handed off.
+func (k *soak) inFault(r *soakRequest) bool {
+	return slices.ContainsFunc(k.faults, func(f soakFault) bool {
+		return (f.gateway == r.gateway || f.gateway < 0 || r.gateway == 0) && r.ended.After(f.from) && r.sent.Before(f.to)
+	})
+}
+
+// timeout returns the shortest time-out that may apply to a request.
+func (k *soak) timeout(r *soakRequest) time.Duration {
+	shortest := r.deadline
+	for i, c := range k.configs {
+		if c.written.Before(r.ended) && (i+1 == len(k.configs) || k.configs[i+1].written.Add(soakApply).After(r.sent)) {
+			shortest = min(shortest, c.timeouts[r.kind])
+		}
+	}
+	return shortest
+}
+
+// atEndOfGrace returns whether the gateway may have ended a request that a worker still ran in the last
+// sixth of the grace.
+func (k *soak) atEndOfGrace(r *soakRequest) bool {
+	return slices.ContainsFunc(k.terms[r.gateway], func(term time.Time) bool {
+		return r.sent.Before(term.Add(3*time.Second)) && r.ended.After(term.Add(soakGrace*5/6)) && r.ended.Before(term.Add(soakExit))
+	})
+}
--- /dev/null
+++ b/test/front/soak_plan_test.go
@@ -0,0 +1,98 @@
+package front
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/kumquatlug/kumquatlug/internal/standin/fleet"
+	"github.com/kumquatlug/kumquatlug/internal/standin/rowstore"
+)
+
+// between returns a random duration in ms.
+func (k *soak) between(least, most int) time.Duration {
+	return time.Duration(least+k.random.IntN(most-least)) * time.Millisecond
+}
+
+func (k *soak) add(at time.Duration, text string, do func()) {
+	k.actions = append(k.actions, soakAction{at, text, do})
+}
+
+// addFault adds an unplanned fault, which begins and ends with an action.
+func (k *soak) addFault(at, length time.Duration, gateway int, text string, begin, end func()) {
+	k.add(at, fmt.Sprintf("%s for %v", text, length), func() {
+		now := time.Now()
+		k.faults = append(k.faults, soakFault{gateway, now, now.Add(length + soakApply)})
+		begin()
+	})
+	k.add(at+length, text+" ends", end)
+}
+
+// plan draws the actions of the run.
+func (k *soak) plan() {
+	kinds := []string{"pause", "pause", "pause", "full", "unframed", "config", "reload", "term"}
+	if !k.planned {
+		kinds = append(kinds, "broken", "broken", "kill", "freeze", "freeze", "store", "store")
+	}
+	var free [soakGateways]time.Duration
+	for at := 500 * time.Millisecond; at < soakSpan; at += k.between(50, 500) {
+		kind, length, w, g := kinds[k.random.IntN(len(kinds))], k.between(200, 2500), k.workers[k.random.IntN(len(k.workers))], k.random.IntN(soakGateways)
+		p, sound := k.gateways[g], func() { w.SetFault(fleet.FaultNone) }
+		switch kind {
+		case "pause":
+			k.planPauses(at)
+		case "full":
+			k.add(at, fmt.Sprintf("%s full for %v", k.ID(w), length), func() { w.SetFault(fleet.FaultReject) })
+			k.add(at+length, k.ID(w)+" no longer full", sound)
+		case "unframed":
+			// Whole responses that end with their connection excuse nothing.
+			k.add(at, fmt.Sprintf("%s unframed for %v", k.ID(w), length), func() { w.SetFault(fleet.FaultUnframed) })
+			k.add(at+length, k.ID(w)+" no longer unframed", sound)
+		case "broken":
+			fault := []fleet.Fault{fleet.FaultSilent, fleet.FaultLost, fleet.FaultTruncate, fleet.FaultUnframedCut, fleet.FaultUnframedReset}[k.random.IntN(5)]
+			k.addFault(at, length, -1, fmt.Sprintf("%s %s", k.ID(w), fault), func() { w.SetFault(fault) }, sound)
+		case "config":
+			k.add(at, "config changes", k.changeConfig)
+		case "store":
+			fault := []rowstore.Fault{rowstore.FaultBusy, rowstore.FaultReset, rowstore.FaultSilent, rowstore.FaultLost}[k.random.IntN(4)]
+			k.add(at, fmt.Sprintf("store %s for %v", fault, length), func() { k.Store.SetFault(fault) })
+			k.add(at+length, "store sound", func() { k.Store.SetFault(rowstore.FaultNone) })
+		}
+		if at < free[g] {
+			continue
+		}
+		switch kind {
+		case "reload":
+			k.add(at, p.name+" SIGHUP", func() { p.signal(syscall.SIGHUP) })
+		case "term":
+			free[g] = at + soakExit + time.Second
+			k.add(at, p.name+" SIGTERM", func() {
+				k.terms[g] = append(k.terms[g], time.Now())
+				p.signal(syscall.SIGTERM)
+			})
+			k.add(at+soakGrace, p.name+" SIGKILL, if it still runs", p.kill)
+			k.add(at+soakExit, p.name+" starts", p.start)
+		case "kill":
+			free[g] = at + length + time.Second
+			k.addFault(at, length, g, p.name+" SIGKILL", p.kill, p.start)
+		case "freeze":
+			free[g] = at + length
+			k.addFault(at, length, g, p.name+" SIGSTOP", func() { p.signal(syscall.SIGSTOP) }, func() { p.signal(syscall.SIGCONT) })
+		}
+	}
+	slices.SortStableFunc(k.actions, func(a, b soakAction) int { return cmp.Compare(a.at, b.at) })
+}
+
+// planPauses adds a series of pauses to each of a few workers.
+func (k *soak) planPauses(at time.Duration) {
+	for range 1 + k.random.IntN(3) {
+		w, begin := k.workers[k.random.IntN(len(k.workers))], at
+		for range 1 + k.random.IntN(3) {
+			length := k.between(300, 1500)
+			k.add(begin, fmt.Sprintf("%s pauses for %v", k.ID(w), length), func() { w.Pause(length) })
+			begin += length + k.between(20, 600)
+		}
+	}
+}
--- a/test/front/soak_test.go
+++ b/test/front/soak_test.go
@@ -14,14 +14,12 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/kumquatlug/kumquatlug/internal/standin/fleet"
-	"github.com/kumquatlug/kumquatlug/internal/standin/rowstore"
 	"github.com/kumquatlug/kumquatlug/internal/standin/site"
 )
 
@@ -240,59 +238,6 @@
 	}
 }
 
-// soakCrashPart is the part of prompts that crashes engines, soakCrashID begins the IDs of the requests with it.
-const (
-	soakCrashPart = "dead"
-	soakCrashID   = "crash-"
-)
-
-// runCrashingClient sends prompts that share a part which crashes engines, and else nothing, to any gateway.
-func (k *soak) runCrashingClient(ctx context.Context, random *rand.Rand) {
-	sleep(time.Duration(500+random.IntN(1500)) * time.Millisecond)
-	k.CrashOn(time.Duration(500+random.IntN(1500))*time.Millisecond, soakCrashPart)
-	for i := 0; ctx.Err() == nil; i++ {
-		sleep(time.Duration(random.IntN(300)) * time.Millisecond)
-		id, gateway := fmt.Sprintf("%s%d-%d", soakCrashID, k.seed, i), random.IntN(soakGateways)
-		parts := []string{"aa", "bb" + strconv.Itoa(random.IntN(10))}
-		parts = slices.Insert(parts, random.IntN(3), soakCrashPart)
-		prefix := strings.Join(parts, ":2000,") + ":2000," + id + ":900"
-		call, cancel := context.WithTimeout(context.Background(), 3*time.Second)
-		k.gateways[gateway].doWith(call, &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, http.MethodPost, site.PathResumable+id, id, map[string]string{
-			"Model": "m", "Token-Count": "6900,104", "Prefix-Hash": prefix, "Key": northKey, "Deadline-Ms": "2000",
-		})
-		cancel()
-	}
-}
-
-// checkCrashes compares the arrivals of the part that crashes engines with the users' rule, and what was refused
-// for it. What was in flight at a crash is excused, and what had no engine until it was back.
-func (k *soak) checkCrashes() []string {
-	var failures []string
-	crashes := k.Crashes()
-	for _, at := range crashes {
-		k.faults = append(k.faults, soakFault{-1, at.Add(-100 * time.Millisecond), at.Add(2*time.Second + soakApply)})
-	}
-	late := 0
-	for _, a := range k.Arrivals(soakCrashPart) {
-		if len(crashes) >= 5 && a.At.After(crashes[4].Add(contact)) {
-			late++
-		}
-	}
-	if late > maxGuiltyArrivals {
-		failures = append(failures, fmt.Sprintf("%d requests with the crashing part reached workers later than %v after the fifth of %d crashes\n", late, contact, len(crashes)))
-	}
-	refused := 0
-	for _, p := range k.gateways {
-		for _, line := range p.log(`"refused"`, `"quarantined"`) {
-			if refused++; !strings.Contains(line, `"`+soakCrashID) {
-				failures = append(failures, "a sound request is refused: "+line+"\n")
-			}
-		}
-	}
-	k.Logf("seed %d: %d crashes, %d late arrivals, %d refused", k.seed, len(crashes), late, refused)
-	return failures
-}
-
 // runClient sends one request after the other, on open connections where it can.
 func (k *soak) runClient(ctx context.Context, n int, random *rand.Rand) {
 	client, gateway, kind := &http.Client{}, n%soakGateways, soakKinds[n%len(soakKinds)]
@@ -362,92 +307,6 @@
 	k.configs = append(k.configs, soakConfig{time.Now(), timeouts})
 }
 
-// between returns a random duration in ms.
-func (k *soak) between(least, most int) time.Duration {
-	return time.Duration(least+k.random.IntN(most-least)) * time.Millisecond
-}
-
-func (k *soak) add(at time.Duration, text string, do func()) {
-	k.actions = append(k.actions, soakAction{at, text, do})
-}
-
-// addFault adds an unplanned fault, which begins and ends with an action.
-func (k *soak) addFault(at, length time.Duration, gateway int, text string, begin, end func()) {
-	k.add(at, fmt.Sprintf("%s for %v", text, length), func() {
-		now := time.Now()
-		k.faults = append(k.faults, soakFault{gateway, now, now.Add(length + soakApply)})
-		begin()
-	})
-	k.add(at+length, text+" ends", end)
-}
-
-// plan draws the actions of the run.
-func (k *soak) plan() {
-	kinds := []string{"pause", "pause", "pause", "full", "unframed", "config", "reload", "term"}
-	if !k.planned {
-		kinds = append(kinds, "broken", "broken", "kill", "freeze", "freeze", "store", "store")
-	}
-	var free [soakGateways]time.Duration
-	for at := 500 * time.Millisecond; at < soakSpan; at += k.between(50, 500) {
-		kind, length, w, g := kinds[k.random.IntN(len(kinds))], k.between(200, 2500), k.workers[k.random.IntN(len(k.workers))], k.random.IntN(soakGateways)
-		p, sound := k.gateways[g], func() { w.SetFault(fleet.FaultNone) }
-		switch kind {
-		case "pause":
-			k.planPauses(at)
-		case "full":
-			k.add(at, fmt.Sprintf("%s full for %v", k.ID(w), length), func() { w.SetFault(fleet.FaultReject) })
-			k.add(at+length, k.ID(w)+" no longer full", sound)
-		case "unframed":
-			// Whole responses that end with their connection excuse nothing.
-			k.add(at, fmt.Sprintf("%s unframed for %v", k.ID(w), length), func() { w.SetFault(fleet.FaultUnframed) })
-			k.add(at+length, k.ID(w)+" no longer unframed", sound)
-		case "broken":
-			fault := []fleet.Fault{fleet.FaultSilent, fleet.FaultLost, fleet.FaultTruncate, fleet.FaultUnframedCut, fleet.FaultUnframedReset}[k.random.IntN(5)]
-			k.addFault(at, length, -1, fmt.Sprintf("%s %s", k.ID(w), fault), func() { w.SetFault(fault) }, sound)
-		case "config":
-			k.add(at, "config changes", k.changeConfig)
-		case "store":
-			fault := []rowstore.Fault{rowstore.FaultBusy, rowstore.FaultReset, rowstore.FaultSilent, rowstore.FaultLost}[k.random.IntN(4)]
-			k.add(at, fmt.Sprintf("store %s for %v", fault, length), func() { k.Store.SetFault(fault) })
-			k.add(at+length, "store sound", func() { k.Store.SetFault(rowstore.FaultNone) })
-		}
-		if at < free[g] {
-			continue
-		}
-		switch kind {
-		case "reload":
-			k.add(at, p.name+" SIGHUP", func() { p.signal(syscall.SIGHUP) })
-		case "term":
-			free[g] = at + soakExit + time.Second
-			k.add(at, p.name+" SIGTERM", func() {
-				k.terms[g] = append(k.terms[g], time.Now())
-				p.signal(syscall.SIGTERM)
-			})
-			k.add(at+soakGrace, p.name+" SIGKILL, if it still runs", p.kill)
-			k.add(at+soakExit, p.name+" starts", p.start)
-		case "kill":
-			free[g] = at + length + time.Second
-			k.addFault(at, length, g, p.name+" SIGKILL", p.kill, p.start)
-		case "freeze":
-			free[g] = at + length
-			k.addFault(at, length, g, p.name+" SIGSTOP", func() { p.signal(syscall.SIGSTOP) }, func() { p.signal(syscall.SIGCONT) })
-		}
-	}
-	slices.SortStableFunc(k.actions, func(a, b soakAction) int { return cmp.Compare(a.at, b.at) })
-}
-
-// planPauses adds a series of pauses to each of a few workers.
-func (k *soak) planPauses(at time.Duration) {
-	for range 1 + k.random.IntN(3) {
-		w, begin := k.workers[k.random.IntN(len(k.workers))], at
-		for range 1 + k.random.IntN(3) {
-			length := k.between(300, 1500)
-			k.add(begin, fmt.Sprintf("%s pauses for %v", k.ID(w), length), func() { w.Pause(length) })
-			begin += length + k.between(20, 600)
-		}
-	}
-}
-
 // requireServing fails unless each gateway serves each kind of request again.
 func (k *soak) requireServing() {
 	for i, p := range k.gateways {
@@ -462,108 +321,3 @@
 		}
 	}
 }
-
-// check compares what the clients received with what the workers ran.
-func (k *soak) check() {
-	counts := map[string]int{}
-	failures := k.checkCrashes()
-	back := k.Restarted()
-	k.workers, k.Engines = slices.Concat(k.workers, back), slices.Concat(k.Engines, back)
-	arrived := map[string]bool{}
-	for _, w := range k.workers {
-		for _, h := range w.ReceivedHeaders() {
-			arrived[h.Get("Attempt-Id")] = true
-		}
-	}
-	for _, r := range k.results {
-		runs := totalRuns(k.workers, r.id)
-		outcome, failed := k.outcome(r, runs, arrived[r.id])
-		counts[outcome]++
-		if !failed {
-			continue
-		}
-		text := fmt.Sprintf("%s: %s: sent to front-%d at %.3f, ended after %v of %v: status %d, error %v, %d of %d bytes, %d runs\n", r.id, outcome, r.gateway,
-			r.sent.Sub(k.began).Seconds(), r.ended.Sub(r.sent), r.deadline, r.status, r.err, len(r.body), len(r.expected()), runs)
-		for _, p := range k.gateways {
-			for _, line := range p.log(`"` + r.id + `"`) {
-				text += line + "\n"
-			}
-		}
-		failures = append(failures, text)
-	}
-	streams := map[string][]string{}
-	for _, r := range k.results {
-		streams[r.first().id] = append(streams[r.first().id], r.id)
-	}
-	for first, ids := range streams {
-		if versions := streamedVersions(k.Engines, ids...); len(ids) > 1 && len(versions) > 1 {
-			failures = append(failures, fmt.Sprintf("%s: joins versions %v in attempts %v\n", first, versions, ids))
-		}
-	}
-	k.Logf("seed %d: %d requests: %v, %d streams taken up", k.seed, len(k.results), counts, len(k.results)-len(streams))
-	if len(failures) > 0 || 2*counts["complete"] < len(k.results) {
-		k.Errorf("seed %d: %d failures:\n%s\nevents:\n%s", k.seed, len(failures), strings.Join(failures[:min(len(failures), 20)], "\n"), strings.Join(k.played, "\n"))
-	}
-}
-
-// outcome returns what became of a request, and whether that breaks a rule.
-func (k *soak) outcome(r *soakRequest, runs int, arrived bool) (outcome string, failed bool) {
-	moves := 0
-	for _, w := range k.Engines {
-		moves += w.Moves(r.id)
-	}
-	took, mayRepeat := r.ended.Sub(r.sent), r.kind == "long" || r.kind == "look"
-	switch {
-	case !mayRepeat && runs > 1+moves:
-		return "ran twice", true
-	case r.status == http.StatusOK && (r.header.Get("Server-Stamp") == "" || !strings.HasPrefix(r.expected(), r.body) || r.err == nil && r.body != r.expected()):
-		return fmt.Sprintf("wrong content %q", r.body), true
-	case r.err == nil && r.status == http.StatusOK:
-		return "complete", false
-	case r.refused() && runs > 0:
-		return "refused after a run", !mayRepeat
-	case r.refused():
-		return "refused", false
-	case k.inFault(r):
-		return "unplanned fault", false
-	case took >= r.deadline+soakLate:
-		return "no end", true
-	case took >= k.timeout(r)-soakEarly:
-		return "out of time", false
-	case k.atEndOfGrace(r):
-		return "end of grace", false
-	case r.status == 0 && !arrived && took < soakCloseSlack:
-		return "crossed a close", false
-	}
-	if r.err == nil {
-		return fmt.Sprintf("status %d", r.status), true
-	}
-	return "cut", true
-}
-
-// inFault returns whether an unplanned fault may have ended a request. A fault of any gateway may
-// end those that front-0 has handed off.
-func (k *soak) inFault(r *soakRequest) bool {
-	return slices.ContainsFunc(k.faults, func(f soakFault) bool {
-		return (f.gateway == r.gateway || f.gateway < 0 || r.gateway == 0) && r.ended.After(f.from) && r.sent.Before(f.to)
-	})
-}
-
-// timeout returns the shortest time-out that may apply to a request.
-func (k *soak) timeout(r *soakRequest) time.Duration {
-	shortest := r.deadline
-	for i, c := range k.configs {
-		if c.written.Before(r.ended) && (i+1 == len(k.configs) || k.configs[i+1].written.Add(soakApply).After(r.sent)) {
-			shortest = min(shortest, c.timeouts[r.kind])
-		}
-	}
-	return shortest
-}
-
-// atEndOfGrace returns whether the gateway may have ended a request that a worker still ran in the last
-// sixth of the grace.
-func (k *soak) atEndOfGrace(r *soakRequest) bool {
-	return slices.ContainsFunc(k.terms[r.gateway], func(term time.Time) bool {
-		return r.sent.Before(term.Add(3*time.Second)) && r.ended.After(term.Add(soakGrace*5/6)) && r.ended.Before(term.Add(soakExit))
-	})
-}
