--- a/internal/standin/fleet/responses.go
+++ b/internal/standin/fleet/responses.go
@@ -107,7 +107,10 @@
 			panic(http.ErrAbortHandler)
 		}
 		w.mu.Lock()
-		w.streamed[id] = true
+		if w.streamed[id] == nil {
+			w.streamed[id] = map[int]bool{}
+		}
+		w.streamed[id][n] = true
 		w.mu.Unlock()
 		event := fmt.Sprintf("id: %d\ndata: %s/%d\n\n", n, id, n)
 		if n == last+2 && (fault == FaultTruncate || ending.Incomplete()) {
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -92,8 +92,8 @@
 	streamEnds map[string]chan struct{}
 	// moves counts the moves of each stream to another engine, by attempt ID.
 	moves map[string]int
-	// streamed are the attempts to which the worker sent events.
-	streamed map[string]bool
+	// streamed are the numbers of the events that the worker sent, by attempt ID.
+	streamed map[string]map[int]bool
 	// rateLimit is the limit in the Server-Limit header of responses, in
 	// requests per second; negative for none.
 	rateLimit    float64
@@ -107,7 +107,7 @@
 	c.Slots, c.Version = cmp.Or(c.Slots, 8), cmp.Or(c.Version, "v1")
 	return &Worker{
 		config: c, handles: map[string]string{}, runs: map[string]int{}, rejected: map[string]int{},
-		streamEnds: map[string]chan struct{}{}, moves: map[string]int{}, streamed: map[string]bool{}, rateLimit: -1,
+		streamEnds: map[string]chan struct{}{}, moves: map[string]int{}, streamed: map[string]map[int]bool{}, rateLimit: -1,
 		startedMs: time.Now().UnixMilli(),
 	}
 }
@@ -119,7 +119,14 @@
 func (w *Worker) Streamed(id string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.streamed[id]
+	return len(w.streamed[id]) > 0
+}
+
+// StreamedEvent returns whether the worker sent the event with this number to an attempt.
+func (w *Worker) StreamedEvent(id string, n int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.streamed[id][n]
 }
 
 // SetFault sets the fault for later requests.
