Tell clients of a stopping gateway without another one nearby to return after its restart

Callers whose data centre has a single gateway are sent to it until it exits. Refused with 20 ms to come back they met the same gateway again and used up their retries. Tests of the gateway that stops, hands off and meets peers pass with -race.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -142,8 +142,10 @@
 	// shuttingDownWorkers are the workers that announced their shutdown.
 	shuttingDownWorkers *shuttingDownWorkers
 	// exitAt is when this gateway exits, zero while it is not shutting down.
-	exitAt   atomic.Int64
-	inFlight atomic.Int64
+	exitAt atomic.Int64
+	// peersKnown says that the rows of all gateways have been read since the start.
+	peersKnown atomic.Bool
+	inFlight   atomic.Int64
 	// startedAt is when the gateway was created, by Clock.
 	startedAt kumquatlug.Millis
 	// configConfirmedAt is when the store last confirmed the config in force, by BootClock.
--- a/internal/gateway/latestream_test.go
+++ b/internal/gateway/latestream_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -159,3 +160,32 @@
 		t.Errorf("%d streams that take over 30 ms are expected to take %d ms, from %d samples", runs, ms, n)
 	}
 }
+
+// peersLink is a link to some peer gateways that are never sent anything.
+type peersLink struct {
+	noLink
+	peers []kumquatlug.HandoffPeer
+}
+
+func (l peersLink) HandoffPeers() []kumquatlug.HandoffPeer { return l.peers }
+
+// A refused client that has another gateway in its data centre should retry there at once. One that
+// has none would come back here and be refused again: it should return after the restart.
+func TestRefusedClientWithoutAnotherGatewayReturnsAfterRestart(t *testing.T) {
+	const restarted = 8000 - exitMargin + restartTime - 4200
+	for _, c := range []struct {
+		zone  string
+		known bool
+		want  kumquatlug.Millis
+	}{{"z", true, shutdownRetryAfter}, {"elsewhere", true, restarted}, {"elsewhere", false, shutdownRetryAfter}} {
+		f := newLateGateway(t, respondingWorkers(), 0)
+		f.g.c.Peers = peersLink{peers: []kumquatlug.HandoffPeer{{Name: "b", Zone: c.zone}}}
+		f.g.peersKnown.Store(c.known)
+		f.stopped(4200)
+		got := f.doPatiently(t, "/chat/?tokens=30,2000")
+		after, err := strconv.Atoi(got.header.Get("Retry-After"))
+		if err != nil || !refusedAtOnce(f, got) || kumquatlug.Millis(after) > c.want || kumquatlug.Millis(after) < c.want-200 {
+			t.Errorf("%+v: Retry-After %d ms; %+v", c, after, got)
+		}
+	}
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -41,6 +41,7 @@
 		return
 	}
 	reachable, restarted := g.c.Peers.UpdatePeers(rows)
+	g.peersKnown.Store(true)
 	g.scheduler.setPeers(reachable, restarted)
 	g.streamVersions.addPeers(reachable...)
 	g.crashes.setPeers(reachable, restarted)
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 
 	"go.uber.org/zap"
 
@@ -25,6 +26,8 @@
 	minRequestTime = 500 * kumquatlug.Millis(1)
 	// relayTime is the time from the end of a response at the worker until the client has it.
 	relayTime = 100 * kumquatlug.Millis(1)
+	// restartTime is the usual time from the exit of a gateway until its next process is ready.
+	restartTime = 1200 * kumquatlug.Millis(1)
 	// minPlainSamples is the number of run times from which the longest one of a service without
 	// engines is known.
 	minPlainSamples = 32
@@ -108,7 +111,28 @@
 
 // stoppingFailure returns the failure of a request that another gateway can still serve.
 func (f *inflight) stoppingFailure() *attemptFailure {
-	return &attemptFailure{permanent: true, failure: refusal("stop", reasonStopping, http.StatusServiceUnavailable, shutdownRetryAfter)}
+	return &attemptFailure{permanent: true, failure: f.stoppingRefusal()}
+}
+
+// stoppingRefusal returns the refusal of a request that would not complete before this gateway
+// exits. Another gateway of the data centre can serve a retry at once. Where there is none, an early
+// retry comes back here and is refused again, so that clients should return after the restart.
+func (f *inflight) stoppingRefusal() *kumquatlug.Failure {
+	retryAfter := shutdownRetryAfter
+	if exit := kumquatlug.Millis(f.g.exitAt.Load()); f.g.aloneInZone() {
+		restarted := exit + restartTime - f.g.c.Clock.Now()
+		retryAfter = max(min(restarted, f.timeLeft()/retryAfterDivisor), shutdownRetryAfter)
+	}
+	return refusal("stop", reasonStopping, http.StatusServiceUnavailable, retryAfter)
+}
+
+// aloneInZone reports whether this gateway knows of the other gateways, and of none in its data
+// centre.
+func (g *Gateway) aloneInZone() bool {
+	if !g.peersKnown.Load() {
+		return false
+	}
+	return !slices.ContainsFunc(g.c.Peers.HandoffPeers(), func(p kumquatlug.HandoffPeer) bool { return p.Zone == g.c.Zone })
 }
 
 // refuseBeforeExit returns the failure of a request that is about to be sent to a worker and
