--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -103,7 +103,7 @@
 		w.Header().Set("Connection", "close")
 		f.setDeadline()
 		if f.outlastsShutdown(exit) {
-			g.refuse(w, request, f.stoppingRefusal())
+			g.refuse(w, request, f.stoppingRefusal(), append(f.exitFields(exit), f.logFields()...)...)
 			return
 		}
 		f.logTaken(exit)
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -83,11 +83,17 @@
 
 // logTaken logs a request that is served although this gateway is shutting down.
 func (f *inflight) logTaken(exit kumquatlug.Millis) {
-	f.g.c.Logger.Info("request taken during shutdown", append([]zap.Field{
-		zap.String("request", f.request.ID()), zap.Bool("late", f.late(exit)), zap.Int("output", f.request.Prompt().Output()),
+	fields := append([]zap.Field{zap.String("request", f.request.ID())}, f.exitFields(exit)...)
+	f.g.c.Logger.Info("request taken during shutdown", append(fields, f.logFields()...)...)
+}
+
+// exitFields returns the log fields of the decision whether a request is served before the exit.
+func (f *inflight) exitFields(exit kumquatlug.Millis) []zap.Field {
+	return []zap.Field{
+		zap.Bool("late", f.late(exit)), zap.Int("output", f.request.Prompt().Output()),
 		zap.Int64("assumed_ms", int64(f.runTime(exit))), zap.Int("samples", f.g.scheduler.runSamples(f.service.Name(), f.request.Prompt().Output())),
 		zap.Int64("exit_ms", int64(exit-f.g.c.Clock.Now())),
-	}, f.logFields()...)...)
+	}
 }
 
 // mayHandOff reports whether the request is one that may be handed off to a peer gateway. A peer
