--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 
 	"go.uber.org/zap"
 
@@ -25,6 +26,8 @@
 	minRequestTime = 500 * kumquatlug.Millis(1)
 	// relayTime is the time from the end of a response at the worker until the client has it.
 	relayTime = 100 * kumquatlug.Millis(1)
+	// restartTime is the usual time from the exit of a gateway until its next process is ready.
+	restartTime = 1200 * kumquatlug.Millis(1)
 	// minPlainSamples is the number of run times from which the longest one of a service without
 	// engines is known.
 	minPlainSamples = 32
@@ -80,11 +83,17 @@
 
 // logTaken logs a request that is served although this gateway is shutting down.
 func (f *inflight) logTaken(exit kumquatlug.Millis) {
-	f.g.c.Logger.Info("request taken during shutdown", append([]zap.Field{
-		zap.String("request", f.request.ID()), zap.Bool("late", f.late(exit)), zap.Int("output", f.request.Prompt().Output()),
+	fields := append([]zap.Field{zap.String("request", f.request.ID())}, f.exitFields(exit)...)
+	f.g.c.Logger.Info("request taken during shutdown", append(fields, f.logFields()...)...)
+}
+
+// exitFields returns the log fields of the decision whether a request is served before the exit.
+func (f *inflight) exitFields(exit kumquatlug.Millis) []zap.Field {
+	return []zap.Field{
+		zap.Bool("late", f.late(exit)), zap.Int("output", f.request.Prompt().Output()),
 		zap.Int64("assumed_ms", int64(f.runTime(exit))), zap.Int("samples", f.g.scheduler.runSamples(f.service.Name(), f.request.Prompt().Output())),
 		zap.Int64("exit_ms", int64(exit-f.g.c.Clock.Now())),
-	}, f.logFields()...)...)
+	}
 }
 
 // mayHandOff reports whether the request is one that may be handed off to a peer gateway. A peer
@@ -108,7 +117,28 @@
 
 // stoppingFailure returns the failure of a request that another gateway can still serve.
 func (f *inflight) stoppingFailure() *attemptFailure {
-	return &attemptFailure{permanent: true, failure: refusal("stop", reasonStopping, http.StatusServiceUnavailable, shutdownRetryAfter)}
+	return &attemptFailure{permanent: true, failure: f.stoppingRefusal()}
+}
+
+// stoppingRefusal returns the refusal of a request that would not complete before this gateway
+// exits. Another gateway of the data centre can serve a retry at once. Where there is none, an early
+// retry comes back here and is refused again, so that clients should return after the restart.
+func (f *inflight) stoppingRefusal() *kumquatlug.Failure {
+	retryAfter := shutdownRetryAfter
+	if exit := kumquatlug.Millis(f.g.exitAt.Load()); f.g.aloneInZone() {
+		restarted := exit + restartTime - f.g.c.Clock.Now()
+		retryAfter = max(min(restarted, f.timeLeft()/retryAfterDivisor), shutdownRetryAfter)
+	}
+	return refusal("stop", reasonStopping, http.StatusServiceUnavailable, retryAfter)
+}
+
+// aloneInZone reports whether this gateway knows of the other gateways, and of none in its data
+// centre.
+func (g *Gateway) aloneInZone() bool {
+	if !g.peersKnown.Load() {
+		return false
+	}
+	return !slices.ContainsFunc(g.c.Peers.HandoffPeers(), func(p kumquatlug.HandoffPeer) bool { return p.Zone == g.c.Zone })
 }
 
 // refuseBeforeExit returns the failure of a request that is about to be sent to a worker and
