Let resumed streams wait for full engines of their version

What callers saw: streams that they took up were refused with 503 version_gone and Retry-After 20 ms, several times within 100 ms, while new ones began.

Cause: an engine that refuses a request backs off, and is excluded for that request. A new stream goes to any other engine; for one that goes on there may be no other of its version, and this was taken for a version that has gone.

Such a request now waits up to 1.2 s for an engine of its version that is ready and decodes, and may be sent again to one that refused it. It is refused at once if no ready engine of the version decodes, or all back off for longer. Refusals name which it is: version_prefills, version_gone or version_busy, with a Retry-After that fits: all gateways know the same engines and a role change takes three seconds, so that 20 ms remains for version_unknown alone.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -137,6 +137,9 @@
 		q.Exclude = nil
 		choice, attempt = f.g.scheduler.choose(f.g.c.Clock.Now(), f.service.Name(), s, q)
 	}
+	for attempt == nil && f.awaitVersion(ctx, choice.Delay()) {
+		choice, attempt = f.g.scheduler.choose(f.g.c.Clock.Now(), f.service.Name(), s, f.placementQuery())
+	}
 	if attempt == nil {
 		return nil, choice, f.noWorkerFailure(choice)
 	}
@@ -155,7 +158,7 @@
 	case c.Delay() > 0:
 		reason, retryAfter = "worker_limit", f.retryAfter(c.Delay())
 	case f.continues():
-		reason, retryAfter = reasonVersionGone, versionRetryAfter
+		reason, retryAfter = f.versionRefusal()
 	}
 	return &attemptFailure{permanent: true, failure: refusal("place", reason, http.StatusServiceUnavailable, retryAfter)}
 }
@@ -200,6 +203,9 @@
 // awaitPermit waits until the prompt may be sent to an engine.
 func (f *inflight) awaitPermit(ctx context.Context) (*placement.Attempt, placement.Choice, *attemptFailure) {
 	p := f.g.scheduler.submit(f.g.c.Clock.Now(), f.service.Name(), f.placementQuery())
+	for p.submission == placement.SubmissionNoEngine && f.awaitVersion(ctx, p.choice.Delay()) {
+		p = f.g.scheduler.submit(f.g.c.Clock.Now(), f.service.Name(), f.placementQuery())
+	}
 	switch p.submission {
 	case placement.SubmissionSent:
 		return p.attempt, p.choice, nil
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -65,7 +65,8 @@
 	responseStarted bool
 	lastEventID     int64
 	// version is the version at which the client's stream began, empty if it is not known.
-	version string
+	version     string
+	versionWait versionWait
 	// partialEvent says that the client has received a part of an event that was too large to be
 	// held back: no other worker may continue the stream until it has the rest.
 	partialEvent bool
@@ -183,6 +184,9 @@
 	}
 	if failed.worker != "" {
 		f.exclude = append(f.exclude, failed.worker)
+		if failed.failure.Reason() == reasonWorkerRefused {
+			f.versionWait.refusedBy = append(f.versionWait.refusedBy, failed.worker)
+		}
 	}
 	if failed.failure.Execution() != kumquatlug.NotExecuted {
 		f.possibleRuns++
--- /dev/null
+++ b/internal/gateway/resumewait.go
@@ -0,0 +1,99 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
+)
+
+const (
+	// maxVersionWait is how long a request that goes on with a stream waits for the engines of its
+	// version: an engine that has refused a request gets no other one for up to 800 ms, and
+	// clients abandon a stream after a pause of two seconds.
+	maxVersionWait = 1200 * kumquatlug.Millis(1)
+	// versionWaitInterval is how often such a request looks for an engine.
+	versionWaitInterval = 25 * kumquatlug.Millis(1)
+)
+
+// versionWait is how a request waits for the engines of the version of its stream.
+type versionWait struct {
+	// until is when it gives up, zero before the first wait.
+	until kumquatlug.Millis
+	// refusedBy are the engines that refused the request, and thus do not run it.
+	refusedBy []string
+}
+
+// awaitVersion waits until an engine of the version that began the stream may accept it again. A new
+// stream goes to any other engine while one is full or backs off, this one may not. Engines that
+// refused it may be tried again. limitDelay is how long the rate limits of engines delay it at least. It
+// returns false if none will accept it in time: the version has no ready engine that decodes, or the wait
+// is over.
+func (f *inflight) awaitVersion(ctx context.Context, limitDelay kumquatlug.Millis) bool {
+	if !f.service.Engine() || !f.continues() || f.takeover != nil {
+		return false
+	}
+	now := f.g.c.Clock.Now()
+	if f.versionWait.until == 0 {
+		f.versionWait.until = now + min(maxVersionWait, f.timeToStartOutput())
+	}
+	for now < f.versionWait.until && !f.g.shuttingDown() {
+		q := f.placementQuery()
+		q.Exclude = slices.DeleteFunc(slices.Clone(f.exclude), func(id string) bool { return slices.Contains(f.versionWait.refusedBy, id) })
+		delay, found := f.g.scheduler.outputDelay(now, f.service.Name(), q)
+		delay = max(delay, limitDelay)
+		if !found || now+delay >= f.versionWait.until || !sleep(ctx, max(delay, versionWaitInterval)) {
+			return false
+		}
+		now = f.g.c.Clock.Now()
+		if f.g.scheduler.acceptsOutput(now, f.service.Name(), q) {
+			f.exclude = q.Exclude
+			return true
+		}
+	}
+	return false
+}
+
+// Reasons of streams whose version is known and that can't go on now, besides reasonVersionGone.
+const (
+	// reasonVersionBusy: the engines of the version that decode are full, or fail.
+	reasonVersionBusy = "version_busy"
+	// reasonVersionPrefills: all ready engines of the version run prefill only.
+	reasonVersionPrefills = "version_prefills"
+)
+
+// versionBusyRetryAfter is the Retry-After where the engines of the version are full: they have refused
+// requests for as long as this one has waited.
+const versionBusyRetryAfter = 400 * kumquatlug.Millis(1)
+
+// versionRefusal returns why a stream can't go on at its version, and when its client should try again.
+// All gateways know the same engines, so that there is no use in trying another one at once. A role
+// change takes three seconds and a restart of the last engine longer; clients try a few times only, so
+// that they get the longest delay then.
+func (f *inflight) versionRefusal() (reason string, retryAfter kumquatlug.Millis) {
+	if delay, found := f.g.scheduler.outputDelay(f.g.c.Clock.Now(), f.service.Name(), placement.Query{Version: f.version}); found {
+		return reasonVersionBusy, f.retryAfter(max(delay, versionBusyRetryAfter))
+	}
+	for _, m := range f.g.members.Load().byService[f.service.Name()] {
+		if m.State == kumquatlug.MemberReady && m.Worker.Version() == f.version {
+			return reasonVersionPrefills, f.retryAfter(maxRetryAfter)
+		}
+	}
+	return reasonVersionGone, f.retryAfter(maxRetryAfter)
+}
+
+// outputDelay returns how long the engines of a service that decode back off at least, and whether
+// there are any that may get a request.
+func (sc *scheduler) outputDelay(now kumquatlug.Millis, service string, q placement.Query) (kumquatlug.Millis, bool) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	return sc.service(service).placer.OutputDelay(now, q)
+}
+
+// acceptsOutput reports whether an engine of a service accepts a request to decode.
+func (sc *scheduler) acceptsOutput(now kumquatlug.Millis, service string, q placement.Query) bool {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	return sc.service(service).placer.AcceptsOutput(now, q)
+}
