Break a stream whose event never ends instead of forwarding it in parts

An event of one byte each 10 ms withdrew every takeover, since any byte counted as progress: with a second worker that accepts after 30 ms, the stream ran 8 times and was cut at its timeout.

An event of more than 1 MB now breaks the response, with nothing of it forwarded, so that the stream resumes after the event before it. What is held back beyond 64 KB is reserved from the memory for responses (a sixth of the limit of the process); if there is none left, the event is forwarded in parts as before, and broken at the same size. Progress is a complete event. Content that isn't declared as a stream has no limit.

The log line of the attempt has the reason answer_too_large and body_end too_large, kumquatlug_gateway_body_ends_total the latter.

Events of 1 MB, streams of 50,000 events and bodies of 4 MB of other content stay whole.

--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -68,6 +68,8 @@
 	body := &atomic.Pointer[endlessBody]{}
 	return &fakeWorkers{run: func(ctx context.Context, n int, c workerCall) (kumquatlug.WorkerResponse, error) {
 		if n > 1 {
+			// Bytes of the endless event arrive before this worker has accepted the stream.
+			<-time.After(3 * pause)
 			return streamResponse(int(c.options.LastEventID)+1, 8), nil
 		}
 		body.Store(newEndlessBody(ctx, events(1, 3)+"id: 4\ndata: ", pause))
@@ -100,7 +102,9 @@
 // worker takes the stream over.
 func TestDrippingEventIsTakenOver(t *testing.T) {
 	w, body := endlessStreams(10 * time.Millisecond)
-	got := newTestGateway(t, w, manyRetries).do(t.Context(), http.MethodPost, longRoute)
+	g := newTestGateway(t, w, manyRetries)
+	go g.g.runTimers(t.Context())
+	got := g.do(t.Context(), http.MethodPost, longRoute)
 	if got.err != nil || got.status != 200 || got.body != events(1, 8) || recordedRuns(w) != 2 {
 		t.Errorf("status %d, error %v, body %q, %d runs, after %v", got.status, got.err, got.body, recordedRuns(w), got.duration)
 	}
@@ -109,6 +113,33 @@
 	}
 }
 
+// Guards against an event without end from a peer gateway, of which the client gets parts.
+func TestEndlessEventOfPeerIsBroken(t *testing.T) {
+	for route, want := range map[string]string{longRoute: events(1, 8), chatRoute: events(1, 3)} {
+		p := newHandoffPair(t, streamWorkers(1, 8), streamWorkers(1, 8), manyRetries)
+		p.a.g.c.MaxBodyBytes = eventMemory
+		peer := &endlessPeer{}
+		p.a.g.c.PeerClient = peer
+		got := p.a.do(t.Context(), http.MethodPost, route)
+		if (got.err == nil) != (route == longRoute) || got.body != want {
+			t.Errorf("%s: status %d, error %v, %d bytes", route, got.status, got.err, len(got.body))
+		}
+		if read := peer.body.read.Load(); read > maxEventBytes+readBufferBytes || !peer.body.closed.Load() || p.a.g.bufferBytes.Load() != 0 {
+			t.Errorf("%s: %d bytes read, closed %t, %d bytes reserved", route, read, peer.body.closed.Load(), p.a.g.bufferBytes.Load())
+		}
+	}
+}
+
+// endlessPeer is a peer gateway that sends events 1 to 3 and begins a fourth that doesn't end.
+type endlessPeer struct{ body *endlessBody }
+
+func (p *endlessPeer) HandOff(ctx context.Context, _ kumquatlug.HandoffRequest) (kumquatlug.HandoffResponse, error) {
+	p.body = newEndlessBody(ctx, events(1, 3)+"id: 4\ndata: ", 0)
+	return kumquatlug.NewHandoffResponse(kumquatlug.HandoffResponseConfig{
+		Response: p.body.response(), Version: "v1", GaveUp: func() bool { return false },
+	}), nil
+}
+
 // Guards against limits that break sound responses: an event of nearly the largest size, a long stream, and a large body of
 // another content type on the route of a stream.
 func TestLargeSoundResponsesStayWhole(t *testing.T) {
--- a/internal/gateway/handoffrelay.go
+++ b/internal/gateway/handoffrelay.go
@@ -87,20 +87,18 @@
 	if !f.continues() {
 		f.version = r.Version()
 	}
-	events := newEventBuffer(r.Response())
+	events := f.g.newEventBuffer(r.Response())
+	defer events.release()
 	flush := http.NewResponseController(f.w)
 	for {
 		if !f.partialEvent {
 			t.open.await()
 		}
-		n, err := events.read()
+		err := f.readPeerEvents(t, events)
 		alive := err == nil || errors.Is(err, io.EOF) && !r.GaveUp()
 		if failed, replaced := f.settleTransfer(ctx, t, r, alive, err); replaced {
 			return failed
 		}
-		if n > 0 {
-			f.g.peerHeard(t.offer.Peer())
-		}
 		if complete := events.complete(); len(complete) > 0 {
 			f.partialEvent = events.partial
 			if failed := f.forwardPeerEvents(flush, r.Response(), complete); failed != nil {
@@ -119,6 +117,19 @@
 	}
 }
 
+// readPeerEvents reads until there are events to forward or an error.
+func (f *inflight) readPeerEvents(t *peerTransfer, events *eventBuffer) error {
+	for {
+		n, err := events.read()
+		if n > 0 {
+			f.g.peerHeard(t.offer.Peer())
+		}
+		if err != nil || len(events.complete()) > 0 {
+			return err
+		}
+	}
+}
+
 // forwardPeerEvents writes events to the client, after the header of the response.
 func (f *inflight) forwardPeerEvents(
 	flush *http.ResponseController, response kumquatlug.WorkerResponse, events []byte,
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -35,6 +35,16 @@
 	return min(size, minBufferedBytes), func() {}
 }
 
+// reserveEvent reserves the memory of the largest event that is held back until it is complete,
+// which counts like a buffered response. It reports whether it fits into the bound.
+func (g *Gateway) reserveEvent() bool {
+	if g.bufferBytes.Add(maxEventBytes) <= g.c.MaxBodyBytes {
+		return true
+	}
+	g.bufferBytes.Add(-maxEventBytes)
+	return false
+}
+
 // clientWriter is a relayWriter that records the time in which the client does not read.
 type clientWriter struct {
 	relayWriter
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -29,8 +29,11 @@
 	// shortOutputTokens is the maximum output, in tokens, up to which a stream is not
 	// moved: it ends by itself before the move could start.
 	shortOutputTokens = 256
-	// maxEventBytes bounds an event that is held back until it is complete.
+	// maxEventBytes bounds an event, which is held back until it is complete. A larger one breaks the
+	// response.
 	maxEventBytes = 1 << 20
+	// maxUnreservedBytes is the part of an event that is held back without reserving memory.
+	maxUnreservedBytes = 64 << 10
 )
 
 // relayedAttempt is an attempt to which a worker has started to respond.
@@ -62,6 +65,8 @@
 	bodyInsideEvent bodyEnd = "inside_event"
 	// bodyBroken: the body broke off.
 	bodyBroken bodyEnd = "broken"
+	// bodyTooLarge: the body has an event that exceeds its limit, as if it had no end.
+	bodyTooLarge bodyEnd = "too_large"
 )
 
 // recordBodyEnd counts how the body of a response ended.
@@ -183,15 +188,18 @@
 
 // responseBroken records a response that broke off before its end.
 func (f *inflight) responseBroken(a *relayedAttempt, err error) *attemptFailure {
-	end := bodyBroken
-	if errors.Is(err, eventstream.ErrInside) {
+	end, reason := bodyBroken, "answer_broken"
+	switch {
+	case errors.Is(err, eventstream.ErrInside):
 		end = bodyInsideEvent
+	case errors.Is(err, kumquatlug.ErrTooLarge):
+		end, reason = bodyTooLarge, kumquatlug.ReasonTooLarge
 	}
 	f.recordBodyEnd(a, end)
 	cause := endCauseOf(a.requestCtx, a.attemptCtx)
 	f.endFailedAttempt(stageOutput, a.attempt, cause, kumquatlug.ExecutionUnknown)
 	return &attemptFailure{worker: a.worker(), endedBy: cause, failure: kumquatlug.NewFailure(kumquatlug.FailureConfig{
-		Step: "relay", Peer: a.worker(), Reason: "answer_broken", Execution: kumquatlug.ExecutionUnknown,
+		Step: "relay", Peer: a.worker(), Reason: reason, Execution: kumquatlug.ExecutionUnknown,
 		Status: http.StatusBadGateway, Cause: err,
 	})}
 }
@@ -218,13 +226,14 @@
 		request := f.request
 		f.g.scheduler.onMove(f.service.Name(), a.attempt, func() { f.move(a, request, q) })
 	}
-	events := newEventBuffer(a.response)
+	events := f.g.newEventBuffer(a.response)
+	defer events.release()
 	flush := http.NewResponseController(f.w)
 	for {
 		if !f.partialEvent {
 			a.open.await()
 		}
-		_, err := events.read()
+		err := events.readEvents()
 		if failed, replaced := f.settle(a, err); replaced {
 			return failed
 		}
