Report responses that exceed a limit, and test them with separate processes

A worker that sends bytes without end shows in the log of the gateway as "response too large" with its address, and as kumquatlug_front_oversized_answers_total by peer. The stand-in fleet has the faults endless_head, endless_body and endless_drip (one byte each 10 ms).

A plain body whose first 256 KB have reached the client can't go on elsewhere, and ends at the timeout of its route; requests that may run once hold their connection to a dripping worker until their deadline.

--- a/cmd/kumquatlug/front.go
+++ b/cmd/kumquatlug/front.go
@@ -135,12 +135,19 @@
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	now := clock.NewMonotonic()
-	newPool := func(maxIdle int) *exchange.Pool {
-		return exchange.New(exchange.Config{Clock: now, MaxIdlePerAddress: maxIdle})
-	}
-	requestPool, controlPool := newPool(maxIdleWorkerConns), newPool(maxIdleControlConns)
-	peerPool := newPool(maxIdlePeerConns)
-	store := platform.NewStore(platform.StoreConfig{Address: platformSettings.StoreAddress, Pool: newPool(maxIdleStoreConns)})
+	tooLarge := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "kumquatlug_front_oversized_answers_total", Help: "Responses that exceeded a limit of their head or of the body of a call, by peer.",
+	}, []string{"peer"})
+	registry.MustRegister(tooLarge)
+	newPool := func(peer string, maxIdle int) *exchange.Pool {
+		return exchange.New(exchange.Config{Clock: now, MaxIdlePerAddress: maxIdle, OnTooLarge: func(address string, err error) {
+			tooLarge.WithLabelValues(peer).Inc()
+			logger.Warn("response too large", zap.String("peer", peer), zap.String("address", address), logs.Error(err))
+		}})
+	}
+	requestPool, controlPool := newPool("worker", maxIdleWorkerConns), newPool("worker_control", maxIdleControlConns)
+	peerPool := newPool("gateway", maxIdlePeerConns)
+	store := platform.NewStore(platform.StoreConfig{Address: platformSettings.StoreAddress, Pool: newPool("store", maxIdleStoreConns)})
 	c := gateway.Config{
 		Name: platformSettings.Name, VM: platformSettings.Name + "@" + platformSettings.ClientAddress, Zone: platformSettings.Zone, Incarnation: kumquatlug.NewIncarnation(platformSettings.Name), ReadyPath: platform.PathReady,
 		Ingress: platform.Ingress{}, RowDecoder: platform.RowDecoder{}, Table: store, ChangeFeed: store,
@@ -158,7 +165,7 @@
 		},
 	}
 	if platformSettings.ReportsUsage || platformSettings.ScalingEnabled {
-		c.LeaderActions = platform.NewLeaderActions(platformSettings.CloudAddress, newPool(maxIdleControlConns))
+		c.LeaderActions = platform.NewLeaderActions(platformSettings.CloudAddress, newPool("cloud", maxIdleControlConns))
 	}
 	if platformSettings.ReportsUsage {
 		c.UsageWindows = usage.Windows{Span: platformSettings.UsageWindow, MaxReportDelay: platformSettings.MaxUsageReportDelay}
--- a/internal/standin/fleet/responses.go
+++ b/internal/standin/fleet/responses.go
@@ -30,6 +30,9 @@
 		<-r.Context().Done()
 		return
 	}
+	if w.writeEndless(out, id, fault, standin.EndlessJSON) {
+		return
+	}
 	time.Sleep(w.config.Delay)
 	w.awaitPauseEnd()
 	w.mu.Lock()
@@ -65,6 +68,13 @@
 		out.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	form := standin.EndlessChunks
+	if w.config.Stage != "" {
+		form = standin.EndlessEvent
+	}
+	if w.writeEndless(out, id, fault, form) {
+		return
+	}
 	if w.config.Stage != "" {
 		w.streamEvents(out, r, id, fault)
 		return
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -16,6 +16,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/kumquatlug/kumquatlug/internal/standin"
 )
 
 // Fault is the way in which responses fail.
@@ -44,6 +46,13 @@
 	FaultUnframedCut Fault = "unframed_cut"
 	// FaultUnframedReset: as FaultUnframed, but the connection is reset in the middle.
 	FaultUnframedReset Fault = "unframed_reset"
+	// FaultEndlessHead: requests run and get a header line without end, separate prefills and reports too.
+	FaultEndlessHead Fault = "endless_head"
+	// FaultEndlessBody: streams have an event without end, plain responses, separate prefills and reports
+	// a body without end.
+	FaultEndlessBody Fault = "endless_body"
+	// FaultEndlessDrip: as FaultEndlessBody, one byte each 10 ms.
+	FaultEndlessDrip Fault = "endless_drip"
 )
 
 // Config configures a [Worker].
@@ -100,6 +109,10 @@
 	arrivals     []time.Time
 	shuttingDown bool
 	pausedUntil  time.Time
+	// endlessResponses counts the responses without end that have ended, endlessBytes is the most that
+	// was sent of one.
+	endlessResponses int
+	endlessBytes     int64
 }
 
 // New returns a worker without faults.
@@ -129,6 +142,12 @@
 	w.fault = f
 }
 
+func (w *Worker) currentFault() Fault {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.fault
+}
+
 // SetLimit sets the limit in the headers of responses, in requests per second.
 // A negative limit removes the header.
 func (w *Worker) SetLimit(perSecond float64) {
@@ -227,7 +246,9 @@
 	}
 	switch {
 	case r.URL.Path == "/v1/report":
-		w.handleReport(out)
+		if !w.writeEndless(out, "", w.currentFault(), standin.EndlessJSON) {
+			w.handleReport(out)
+		}
 	case r.URL.Path == "/v1/order":
 		w.handleOrder(out, r)
 	case strings.HasPrefix(r.URL.Path, "/v1/kv-handle/"):
