--- a/test/front/soak_check_test.go
+++ b/test/front/soak_check_test.go
@@ -13,7 +13,7 @@
 
 // check compares what the clients received with what the workers ran.
 func (k *soak) check() {
-	counts := map[string]int{}
+	counts, late := map[string]int{}, map[string]int{}
 	failures := k.checkCrashes()
 	back := k.Restarted()
 	k.workers, k.Engines = slices.Concat(k.workers, back), slices.Concat(k.Engines, back)
@@ -27,6 +27,9 @@
 		runs := totalRuns(k.workers, r.id)
 		outcome, failed := k.outcome(r, runs, arrived[r.id])
 		counts[outcome]++
+		if k.isLate(r) {
+			late[outcome]++
+		}
 		if !failed {
 			continue
 		}
@@ -49,7 +52,7 @@
 			failures = append(failures, fmt.Sprintf("%s: joins versions %v in attempts %v\n", first, versions, ids))
 		}
 	}
-	k.Logf("seed %d: %d requests: %v, %d streams taken up", k.seed, len(k.results), counts, len(k.results)-len(streams))
+	k.Logf("seed %d: %d requests: %v, %d streams taken up; later than %v after SIGTERM: %v", k.seed, len(k.results), counts, len(k.results)-len(streams), soakExcused, late)
 	if len(failures) > 0 || 2*counts["complete"] < len(k.results)-counts["left"] {
 		k.Errorf("seed %d: %d failures:\n%s\nevents:\n%s", k.seed, len(failures), strings.Join(failures[:min(len(failures), 20)], "\n"), strings.Join(k.played, "\n"))
 	}
--- a/test/front/soak_test.go
+++ b/test/front/soak_test.go
@@ -51,15 +51,14 @@
 
 // Silent and full workers, kills, freezes, faults of the store and planned changes overlap under load.
 // Guards against responses that are mixed or repeated, false refusals and gateways that stop serving.
-func TestSoakUnplannedFaults(t *testing.T) { soakSeeds(t, 1, false) }
+func TestSoakUnplannedFaults(t *testing.T) { soakSeeds(t, 1, 2, false) }
 
 // Sound workers pause and go on, others are full, and gateways are reloaded, reconfigured and restarted meanwhile.
 // Guards against responses that are cut although nothing unplanned has happened.
-func TestSoakPlannedChanges(t *testing.T) { soakSeeds(t, 2, true) }
+func TestSoakPlannedChanges(t *testing.T) { soakSeeds(t, 2, 2, true) }
 
-// soakSeeds runs one seed, or those that the environment names.
-func soakSeeds(t *testing.T, seed uint64, planned bool) {
-	last := seed
+// soakSeeds runs the seeds from seed to last, or those that the environment names.
+func soakSeeds(t *testing.T, seed, last uint64, planned bool) {
 	if n, err := strconv.ParseUint(os.Getenv("KUMQUATLUG_SOAK_SEEDS"), 10, 64); err == nil {
 		seed, _ = strconv.ParseUint(cmp.Or(os.Getenv("KUMQUATLUG_SOAK_FIRST"), "1"), 10, 64)
 		last = seed + n - 1
