The version of a stream follows from its id

Callers saw streams that they resumed refused with version_unknown while as many new ones began, wherever workers of two versions served and gateways had just started, were added, or were killed or stopped in turn.

Cause: the version was known only in the memory of the gateway that began the stream and of two owners; these were computed from a list of peers that only grew.

The row versions/SERVICE now lists epochs with the number of workers by version. A stream that may be resumed begins at the version that a weighted rendezvous of its id selects in the newest epoch, so any gateway tells it from the id and the row. Peers are replaced by the rows, leave with PeerLeft and are sent their records when they join; a gateway hands its undetermined records over on SIGTERM. Up to 64 gateways all are asked. A stream that its client does not name is not determined by an id.

With one version there are no further calls or messages (TestStreamsOfUnchangedServiceAreNotRecorded).

Tests changed, equally strict: an id that nobody has seen is determined by the listing, so TestStreamOfUnknownVersionIsNotTakenUp takes one on which epochs disagree and TestStreamsGoOnAtTheirVersion requires a single version for it at all gateways, and a refusal without a name. Listings hold epochs in place of versions; TestNewVersionIsListedBeforeItsStreamsBegin lets the second pass that lies between two epochs. TestUnnamedStreamIsNotTakenUpByItsID is new.

--- a/internal/front/streamversion.go
+++ b/internal/front/streamversion.go
@@ -6,9 +6,10 @@
 )
 
 var wireStreamVersionSteps = map[kumquatlug.StreamVersionStep]frontv1.StreamVersionStep{
-	kumquatlug.StreamVersionRecorded: frontv1.StreamVersionStep_STREAM_VERSION_STEP_RECORDED,
-	kumquatlug.StreamVersionAsked:    frontv1.StreamVersionStep_STREAM_VERSION_STEP_ASKED,
-	kumquatlug.StreamVersionAnswered: frontv1.StreamVersionStep_STREAM_VERSION_STEP_ANSWERED,
+	kumquatlug.StreamVersionRecorded:   frontv1.StreamVersionStep_STREAM_VERSION_STEP_RECORDED,
+	kumquatlug.StreamVersionAsked:      frontv1.StreamVersionStep_STREAM_VERSION_STEP_ASKED,
+	kumquatlug.StreamVersionAnswered:   frontv1.StreamVersionStep_STREAM_VERSION_STEP_ANSWERED,
+	kumquatlug.StreamVersionDetermined: frontv1.StreamVersionStep_STREAM_VERSION_STEP_DETERMINED,
 }
 
 // SendStreamVersion implements [kumquatlug.GatewayLink].
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -54,6 +54,8 @@
 	q.Version = f.soleVersion
 	if f.continues() {
 		q.Version = f.version
+	} else if f.soleVersion == "" {
+		q.Version = f.selectedVersion()
 	}
 	f.addTransferQuery(&q)
 	return q
@@ -137,6 +139,9 @@
 		q.Exclude = nil
 		choice, attempt = f.g.scheduler.choose(f.g.c.Clock.Now(), f.service.Name(), s, q)
 	}
+	if attempt == nil && f.otherVersion(ctx, q) {
+		choice, attempt = f.g.scheduler.choose(f.g.c.Clock.Now(), f.service.Name(), s, f.placementQuery())
+	}
 	if attempt == nil {
 		return nil, choice, f.noWorkerFailure(choice)
 	}
@@ -199,7 +204,11 @@
 
 // awaitPermit waits until the prompt may be sent to an engine.
 func (f *inflight) awaitPermit(ctx context.Context) (*placement.Attempt, placement.Choice, *attemptFailure) {
-	p := f.g.scheduler.submit(f.g.c.Clock.Now(), f.service.Name(), f.placementQuery())
+	q := f.placementQuery()
+	p := f.g.scheduler.submit(f.g.c.Clock.Now(), f.service.Name(), q)
+	if p.submission == placement.SubmissionNoEngine && f.otherVersion(ctx, q) {
+		p = f.g.scheduler.submit(f.g.c.Clock.Now(), f.service.Name(), f.placementQuery())
+	}
 	switch p.submission {
 	case placement.SubmissionSent:
 		return p.attempt, p.choice, nil
@@ -351,9 +360,6 @@
 
 // run makes an attempt that runs the request, and relays the response.
 func (f *inflight) run(ctx context.Context, c placement.Choice, a *placement.Attempt, cache kumquatlug.KVCacheRef) *attemptFailure {
-	if failed := f.listVersion(ctx, c, a); failed != nil {
-		return failed
-	}
 	if failed := f.awaitWorkerLimit(ctx, c, a); failed != nil {
 		return failed
 	}
--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -122,7 +122,7 @@
 // if this gateway has to serve the request itself, either from the start or from the last
 // event that the client received.
 func (f *inflight) handOff(r *http.Request) bool {
-	if !f.mayHandOff() {
+	if !f.mayHandOff() || f.continues() && !f.namesStream() {
 		return false
 	}
 	clientTimeout := f.setDeadline()
--- a/internal/gateway/handoffrelay.go
+++ b/internal/gateway/handoffrelay.go
@@ -125,7 +125,7 @@
 ) *attemptFailure {
 	now := f.g.c.Clock.Now()
 	if !f.responseStarted {
-		f.g.streamVersions.remember(f.request.ID(), f.version)
+		f.g.streamVersions.remember(f.service.Name(), f.request.StreamID(), f.version)
 		f.responseStarted = true
 		f.timings.firstOutputAt = now
 		f.g.c.Ingress.WriteHeader(f.w, response.WithoutLength())
--- a/internal/gateway/inflightversion.go
+++ b/internal/gateway/inflightversion.go
@@ -26,13 +26,47 @@
 	return f.route.Stream() && (f.lastEventID > 0 || f.responseStarted)
 }
 
-// resolveVersion determines the version at which a stream may go on. It returns a failure if the version
-// is unknown.
+// mayBeTakenUp reports whether the client may take the stream up at another gateway.
+func (f *inflight) mayBeTakenUp() bool { return f.route.Stream() && f.route.Repeatable() }
+
+// namesStream reports whether the request says which attempt began the stream that it takes up. A peer hands a
+// stream off only if it does.
+func (f *inflight) namesStream() bool { return f.handoff != nil || f.request.NamesStream() }
+
+// selectedVersion returns the version at which the response begins, empty for any.
+func (f *inflight) selectedVersion() string {
+	if !f.mayBeTakenUp() {
+		return ""
+	}
+	return f.g.streamVersions.selectVersion(f.service.Name(), f.request.StreamID())
+}
+
+// otherVersion reports whether a stream that found no worker of its version may begin at another one now.
+func (f *inflight) otherVersion(ctx context.Context, q placement.Query) bool {
+	if f.continues() || f.soleVersion != "" || !f.mayBeTakenUp() || q.Version == "" || q.Version != f.selectedVersion() {
+		return false
+	}
+	q.Exclude = nil
+	if _, found := f.g.scheduler.findChoice(f.g.c.Clock.Now(), f.service, q); found {
+		// Only this request can't be sent there.
+		return false
+	}
+	return f.g.streamVersions.noWorker(ctx, f.service.Name(), f.request.StreamID(), q.Version)
+}
+
+// resolveVersion determines the version at which a stream begins or may go on. It returns a failure if a
+// stream goes on and its version is unknown.
 func (f *inflight) resolveVersion(ctx context.Context) *attemptFailure {
-	if f.version != "" || !f.continues() {
+	if !f.continues() {
+		if f.mayBeTakenUp() {
+			f.g.streamVersions.prepare(ctx, f.service.Name(), f.request.StreamID())
+		}
 		return nil
 	}
-	r := f.g.streamVersions.resolve(ctx, f.service.Name(), f.request.StreamID())
+	if f.version != "" {
+		return nil
+	}
+	r := f.g.streamVersions.resolve(ctx, f.service.Name(), f.request.StreamID(), f.namesStream())
 	f.version = r.version
 	f.logResume(r)
 	if f.version != "" {
@@ -57,24 +91,11 @@
 	}
 	f.g.c.Logger.Info("stream taken up", zap.String("request", f.request.ID()), zap.String("resumes", f.request.StreamID()),
 		zap.String("service", f.service.Name()), zap.Int64("after", f.lastEventID), zap.String("version", r.version),
-		zap.String("source", string(r.source)), zap.Int("peers", r.peers), zap.Strings("listed", r.listed),
+		zap.String("source", string(r.source)), zap.Bool("read", r.evidence.Read), zap.String("determined", r.evidence.Determined),
+		zap.Strings("listed", r.listed), zap.Int64("epoch", int64(r.epoch)), zap.Int("asked", r.evidence.Asked), zap.Int("answered", r.evidence.Answered),
 		zap.Int("workers", workers), zap.Int("generating", generating))
 }
 
-// listVersion ensures that the version of the chosen worker is listed before a stream begins there that
-// may be resumed. If it can't be, another worker is chosen, unless no version is known to be listed.
-func (f *inflight) listVersion(ctx context.Context, c placement.Choice, a *placement.Attempt) *attemptFailure {
-	if !f.route.Stream() || !f.route.Repeatable() || f.continues() {
-		return nil
-	}
-	v, service, version := f.g.streamVersions, f.service.Name(), c.Worker().Version()
-	if v.list(ctx, service, version) || !v.knowsListed(service) {
-		return nil
-	}
-	f.endAttempt(stageOutput, a, placement.OutcomeNeutral)
-	return &attemptFailure{worker: c.Worker().ID(), failure: refusal("list version", "version_unlisted", http.StatusServiceUnavailable, 0)}
-}
-
 // beginOutput records the version of the worker that begins the response.
 func (f *inflight) beginOutput(w kumquatlug.Worker) {
 	if !f.continues() {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -21,7 +21,7 @@
 func (g *Gateway) PeerJoined(peer string) {
 	g.scheduler.peerJoined(peer)
 	g.handoffs.peerJoined(peer)
-	g.streamVersions.addPeers(peer)
+	g.streamVersions.peerJoined(peer)
 	g.crashes.peerJoined(peer)
 	g.shares.peerJoined(peer)
 }
@@ -31,6 +31,7 @@
 	g.c.Logger.Info("front stops", zap.String("front", peer))
 	g.scheduler.peerLeft(peer)
 	g.handoffs.peerLeft(peer)
+	g.streamVersions.peerLeft(peer)
 	g.shares.peerLeft(peer)
 }
 
@@ -42,7 +43,7 @@
 	}
 	reachable, restarted := g.c.Peers.UpdatePeers(rows)
 	g.scheduler.setPeers(reachable, restarted)
-	g.streamVersions.addPeers(reachable...)
+	g.streamVersions.setPeers(reachable, restarted)
 	g.crashes.setPeers(reachable, restarted)
 	if g.handoffs.active {
 		g.handoffs.setPeers(g.c.Peers.HandoffPeers(), restarted)
@@ -90,6 +91,7 @@
 		return
 	}
 	g.scheduler.stopCoordinating()
+	g.streamVersions.handOver()
 	g.shares.leave()
 	g.c.Peers.AnnounceStop()
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -96,7 +96,6 @@
 		g: g, w: w, request: request, account: account, route: route, service: service, configVersion: table.Version(),
 		arrived: o.arrived, elapsed: o.elapsed, handoff: o.handoff, lastEventID: request.LastEventID(),
 	}
-	defer g.streamVersions.end(f)
 	if exit := kumquatlug.Millis(g.exitAt.Load()); exit != 0 {
 		// The client's next request uses a new connection, to a gateway that is not
 		// shutting down.
--- a/internal/gateway/uplink.go
+++ b/internal/gateway/uplink.go
@@ -318,6 +318,12 @@
 
 // expectedChoice returns the worker that a request would be sent to now.
 func (sc *scheduler) expectedChoice(now kumquatlug.Millis, service kumquatlug.Service, q placement.Query) placement.Choice {
+	c, _ := sc.findChoice(now, service, q)
+	return c
+}
+
+// findChoice returns the worker that would be chosen for a request, false if there is none.
+func (sc *scheduler) findChoice(now kumquatlug.Millis, service kumquatlug.Service, q placement.Query) (placement.Choice, bool) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	p := sc.service(service.Name()).placer
@@ -325,6 +331,5 @@
 	if service.Engine() {
 		choose = p.ChoosePrompt
 	}
-	c, _ := choose(now, q)
-	return c
+	return choose(now, q)
 }
--- a/internal/gateway/versionlisting.go
+++ b/internal/gateway/versionlisting.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 
 	"go.uber.org/zap"
 
@@ -18,49 +19,33 @@
 	listingTimeout = 250 * kumquatlug.Millis(1)
 	// listingFailureDelay is how long no call is made after one failed.
 	listingFailureDelay = 1 * kumquatlug.Second
-	// relistInterval is the time between two reads of a listing that names several versions.
-	relistInterval = 20 * kumquatlug.Second
-	// retireDelay is how long a version must have had no worker to be marked as gone.
-	retireDelay = 10 * kumquatlug.Second
+	// relistInterval is the time between two reads of a listing of several versions in a fleet of up to
+	// relistGateways gateways. It is longer in a larger one, so that all make 150 reads a second.
+	relistInterval = 2 * kumquatlug.Second
+	relistGateways = 300
+	// outdatedDelay is how long the shares of the workers must differ from the listed ones before they are
+	// listed: roles change back and forth.
+	outdatedDelay = 5 * kumquatlug.Second
 )
 
-// readSole reads the listing of a service and returns its only version, empty if there are several or
-// the store does not answer.
-func (v *streamVersions) readSole(ctx context.Context, service string) string {
-	if !v.callListing(ctx, service, "") {
-		return ""
-	}
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.service(service).sole
-}
-
-// list lists a version of a service, and reports whether it is known to be listed.
-func (v *streamVersions) list(ctx context.Context, service, version string) bool {
-	listed := func() bool {
-		v.mu.Lock()
-		defer v.mu.Unlock()
-		return v.service(service).listed[version]
-	}
-	return listed() || v.callListing(ctx, service, version)
-}
-
-// callListing waits for a call that reads the listing of a service, and adds a version to it unless that
-// is empty. It returns false if the call fails or takes too long; the call itself continues.
-func (v *streamVersions) callListing(ctx context.Context, service, version string) bool {
+// callListing waits for a call that reads the listing of a service. If write is set, the call begins a
+// new epoch where the listing lacks one for the present workers. It returns false if the call fails or
+// takes too long; the call itself continues.
+func (v *streamVersions) callListing(ctx context.Context, service string, write bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, listingTimeout.Duration())
 	defer cancel()
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	s, begunAt := v.service(service), v.g.c.BootClock.Now()
-	// A call in progress may have read the listing before the stream in question began.
-	for first := true; first || !s.answers(begunAt, version); first = false {
-		if s.reading == nil {
+	// A call in progress may have read the listing before the stream in question began, or may not write.
+	for {
+		own := s.reading == nil
+		if own {
 			if v.g.c.BootClock.Now() < s.notBefore {
 				return false
 			}
 			s.reading = make(chan struct{})
-			go v.readListing(service, version)
+			go v.readListing(service, write)
 		}
 		reading := s.reading
 		v.mu.Unlock()
@@ -69,43 +54,38 @@
 		case <-ctx.Done():
 		}
 		v.mu.Lock()
-		if ctx.Err() != nil {
-			return s.answers(begunAt, version)
+		if done := s.known && s.readAt >= begunAt; own || ctx.Err() != nil || done && !write {
+			return done
 		}
 	}
-	return true
-}
-
-// answers reports whether a version is known to be listed, or for an empty one, whether the listing was
-// read by a call that began at a time or later.
-func (s *serviceVersions) answers(begunAt kumquatlug.Millis, version string) bool {
-	if version != "" {
-		return s.listed[version]
-	}
-	return s.readAt >= begunAt
 }
 
 // readListing makes one call about a listing.
-func (v *streamVersions) readListing(service, version string) {
+func (v *streamVersions) readListing(service string, write bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), storeCallTimeout.Duration())
 	defer cancel()
 	err := v.updateListing(ctx, service, func(l streamversion.Listing) ([]byte, error) {
-		if version == "" || l.Has(version) {
+		present := v.currentWeights(service)
+		if !write || !l.Lacks(present) {
 			return nil, nil
 		}
-		return l.Add(version)
+		return l.Begin(present)
 	})
-	v.recordListingCall(service, version, err)
+	v.recordListingCall(service, err)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	s := v.service(service)
-	if err == nil && version != "" {
-		s.listed[version] = true
-	}
 	close(s.reading)
 	s.reading = nil
 }
 
+// currentWeights returns the numbers of workers of a service that streams may begin at.
+func (v *streamVersions) currentWeights(service string) streamversion.Weights {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.service(service).weights(v.g.c.BootClock.Now())
+}
+
 // updateListing reads the listing of a service and writes what change returns, unless that is nil.
 func (v *streamVersions) updateListing(ctx context.Context, service string, change func(streamversion.Listing) ([]byte, error)) error {
 	var listing streamversion.Listing
@@ -128,87 +108,101 @@
 	return err
 }
 
-// setListing applies a listing that was read by a call which began at a time.
+// setListing applies a listing that was read by a call which began at a time. If it has a new epoch, the
+// streams are recorded that it leaves undetermined.
 func (v *streamVersions) setListing(service string, l streamversion.Listing, begunAt kumquatlug.Millis) {
+	now := v.g.c.BootClock.Now()
 	v.mu.Lock()
 	s := v.service(service)
-	before := s.sole
-	s.sole, s.readAt = l.Sole(), begunAt
-	for version := range s.seenAt {
-		if l.Has(version) {
-			s.listed[version] = true
-		}
+	if s.known && begunAt < s.readAt {
+		v.mu.Unlock()
+		return
+	}
+	changed := !s.known || s.listing.NewestFrom() != l.NewestFrom()
+	s.listing, s.readAt, s.known = l, begunAt, true
+	out := outgoingRecords{}
+	if changed {
+		s.relistAt = now + v.relistDelay()
+		v.records.Each(now, func(recorded, id, version string) {
+			if recorded == service && l.Determined(id) != version {
+				v.addRecords(out, service, id, version)
+			}
+		})
 	}
 	v.mu.Unlock()
-	if before != l.Sole() {
-		v.g.c.Logger.Info("versions of service", zap.String("service", service), zap.String("only", l.Sole()))
+	out.send(v.g.c.Peers)
+	if changed {
+		v.g.c.Logger.Info("versions of service", zap.String("service", service), zap.Strings("versions", l.Versions()),
+			zap.Any("weights", l.Newest()), zap.Int64("epoch", int64(l.NewestFrom())), zap.Bool("current", l.Current()))
 	}
 	v.update()
 }
 
-// maintain reads the listings again that name several versions, and marks those without workers as gone
-// if this gateway acts for all.
+// relistDelay returns the time until a listing of several versions is read again.
+func (v *streamVersions) relistDelay() kumquatlug.Millis {
+	interval := relistInterval * kumquatlug.Millis(max(relistGateways, v.g.scheduler.gatewayCount())) / relistGateways
+	return interval/2 + rand.N(interval/2+1)
+}
+
+// maintain reads the listings again that name several versions, and begins new epochs if this gateway acts
+// for all.
 func (v *streamVersions) maintain(ctx context.Context) {
 	v.update()
 	_, leads := v.g.leaderLease()
-	for _, name := range v.dueListings() {
-		present := v.presentVersions(name)
+	for _, name := range v.dueListings(leads) {
 		call, cancel := context.WithTimeout(ctx, storeCallTimeout.Duration())
 		err := v.updateListing(call, name, func(l streamversion.Listing) ([]byte, error) {
-			if !leads || len(present) == 0 {
+			present := v.currentWeights(name)
+			if !leads || !l.Outdated(present) {
 				return nil, nil
 			}
-			return l.Retire(present)
+			return l.Begin(present)
 		})
 		cancel()
-		v.recordListingCall(name, "", err)
+		v.recordListingCall(name, err)
 	}
 }
 
 // dueListings returns the services whose listings are to be read again.
-func (v *streamVersions) dueListings() []string {
-	now := v.g.c.BootClock.Now()
+func (v *streamVersions) dueListings(leads bool) []string {
+	now, delay := v.g.c.BootClock.Now(), v.relistDelay()
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var due []string
 	for name, s := range v.services {
-		if len(s.listed) > 0 && now >= s.relistAt && s.several(now) {
-			s.relistAt = now + relistInterval
+		if !s.known || !s.several() {
+			s.outdatedSince = 0
+			continue
+		}
+		if now >= s.relistAt || leads && s.newEpochDue(now) {
+			s.relistAt = now + delay
 			due = append(due, name)
 		}
 	}
 	return due
 }
 
-// presentVersions returns the versions that workers of a service had lately.
-func (v *streamVersions) presentVersions(service string) map[string]bool {
-	now := v.g.c.BootClock.Now()
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	s, present := v.service(service), map[string]bool{}
-	s.refresh(now)
-	for version, at := range s.seenAt {
-		if now-at < retireDelay {
-			present[version] = true
-		}
+// newEpochDue reports whether the listing should get a new epoch: at once if workers of a version have
+// appeared or have gone, otherwise when the shares have differed for long. The caller must hold v.mu.
+func (s *serviceVersions) newEpochDue(now kumquatlug.Millis) bool {
+	weights := s.weights(now)
+	if len(weights.Versions()) == 0 || !s.listing.Outdated(weights) {
+		s.outdatedSince = 0
+		return false
+	}
+	if s.outdatedSince == 0 {
+		s.outdatedSince = now
 	}
-	return present
+	return s.listing.OtherVersions(weights) || now-s.outdatedSince >= outdatedDelay
 }
 
 // recordListingCall records the result of a call about a listing.
-func (v *streamVersions) recordListingCall(service, version string, err error) {
+func (v *streamVersions) recordListingCall(service string, err error) {
 	if err == nil {
 		return
 	}
-	v.g.c.Logger.Info("listing of versions failed", zap.String("service", service), zap.String("version", version), logs.Error(err))
+	v.g.c.Logger.Info("listing of versions failed", zap.String("service", service), logs.Error(err))
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.service(service).notBefore = v.g.c.BootClock.Now() + listingFailureDelay
 }
-
-// knowsListed reports whether any version of a service is known to be listed.
-func (v *streamVersions) knowsListed(service string) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return len(v.service(service).listed) > 0
-}
--- a/internal/gateway/versionpeers.go
+++ b/internal/gateway/versionpeers.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
@@ -11,31 +13,101 @@
 
 // Parameters of messages about the versions of streams.
 const (
-	// versionAnswerTimeout is how long the answers of peers are awaited: several round trips of
-	// 1 ms, and the read of a listing there.
-	versionAnswerTimeout = 40 * kumquatlug.Millis(1)
+	// versionAnswerTimeout is how long the answers of peers are awaited if the listing does not determine
+	// the version: several times the round trip of a loaded link, and the read of a listing there.
+	versionAnswerTimeout = 150 * kumquatlug.Millis(1)
+	// recordAnswerTimeout is how long a record of a peer is awaited if the listing determines the version.
+	recordAnswerTimeout = 40 * kumquatlug.Millis(1)
 	// versionAskInterval is the time after which the peers are asked again.
 	versionAskInterval = 15 * kumquatlug.Millis(1)
+	// maxAskedGateways is the size of a fleet in which all gateways are asked. In a larger one, only the
+	// owners are.
+	maxAskedGateways = 64
 	// maxAttemptIDBytes bounds the ids in messages between gateways.
 	maxAttemptIDBytes = 200
 )
 
-// addPeers adds the names of gateways.
-func (v *streamVersions) addPeers(names ...string) {
+// setPeers replaces the names of the gateways that serve. Those that have restarted have lost their records.
+func (v *streamVersions) setPeers(names, restarted []string) {
 	v.mu.Lock()
-	defer v.mu.Unlock()
+	before := v.peers
+	v.peers = map[string]bool{}
+	for _, name := range restarted {
+		delete(v.left, name)
+	}
+	maps.DeleteFunc(v.left, func(name string, _ bool) bool { return !slices.Contains(names, name) })
+	names = slices.DeleteFunc(slices.Clone(names), func(name string) bool { return v.left[name] || name == v.g.c.Name })
 	for _, name := range names {
 		v.peers[name] = true
 	}
+	joined := slices.DeleteFunc(slices.Clone(names), func(name string) bool { return before[name] && !slices.Contains(restarted, name) })
+	out := v.recordsFor(joined)
+	v.mu.Unlock()
+	out.send(v.g.c.Peers)
+}
+
+// peerJoined handles a gateway that has started: it has lost its records if it ran before.
+func (v *streamVersions) peerJoined(name string) {
+	v.mu.Lock()
+	v.peers[name] = true
+	delete(v.left, name)
+	out := v.recordsFor([]string{name})
+	v.mu.Unlock()
+	out.send(v.g.c.Peers)
+}
+
+// peerLeft handles a gateway that stops: the records that it owns go to the next owners.
+func (v *streamVersions) peerLeft(name string) {
+	v.mu.Lock()
+	out := outgoingRecords{}
+	if v.peers[name] {
+		v.eachUndetermined(func(service, id, version string) {
+			if slices.Contains(v.owners(id, streamversion.RecordOwners), name) {
+				delete(v.peers, name)
+				v.addRecords(out, service, id, version)
+				v.peers[name] = true
+			}
+		})
+	}
+	delete(v.peers, name)
+	v.left[name] = true
+	v.mu.Unlock()
+	out.send(v.g.c.Peers)
+}
+
+// handOver sends the records of this gateway, which stops, to the owners among the others.
+func (v *streamVersions) handOver() {
+	v.mu.Lock()
+	out := outgoingRecords{}
+	v.eachUndetermined(func(service, id, version string) { v.addRecords(out, service, id, version) })
+	v.mu.Unlock()
+	out.send(v.g.c.Peers)
+}
+
+// eachUndetermined calls f for each recorded stream whose version other gateways can't tell from the
+// listing. The caller must hold v.mu.
+func (v *streamVersions) eachUndetermined(f func(service, id, version string)) {
+	v.records.Each(v.g.c.BootClock.Now(), func(service, id, version string) {
+		if s := v.service(service); s.recording || s.listing.Determined(id) != version {
+			f(service, id, version)
+		}
+	})
+}
+
+// recordsFor returns the records that some peers own. The caller must hold v.mu.
+func (v *streamVersions) recordsFor(peers []string) outgoingRecords {
+	out := outgoingRecords{}
+	if len(peers) == 0 || v.g.c.Peers == nil {
+		return out
+	}
+	v.eachUndetermined(func(service, id, version string) { v.addRecords(out, service, id, version) })
+	maps.DeleteFunc(out, func(peer string, _ []kumquatlug.StreamVersion) bool { return !slices.Contains(peers, peer) })
+	return out
 }
 
 // owners returns the peers that own the record of a stream. The caller must hold v.mu.
 func (v *streamVersions) owners(id string, count int) []string {
-	names := make([]string, 0, len(v.peers))
-	for name := range v.peers {
-		names = append(names, name)
-	}
-	return streamversion.Owners(id, v.g.c.Name, names, count)
+	return streamversion.Owners(id, v.g.c.Name, slices.Collect(maps.Keys(v.peers)), count)
 }
 
 // outgoingRecords are the records to send, by peer.
@@ -59,47 +131,75 @@
 	}
 }
 
-// askPeers asks the owners of a stream's record. It returns the version and the number of gateways
-// that were asked.
-func (v *streamVersions) askPeers(ctx context.Context, service, id string) (string, int) {
+// versionQuestions are the questions to peers about one stream.
+type versionQuestions struct {
+	v       *streamVersions
+	key     uint64
+	message kumquatlug.StreamVersion
+	peers   []string
+	answers chan kumquatlug.StreamVersion
+	// answered is the number of peers that have no record of the stream, determined the version that the
+	// listing determines according to one of them.
+	answered   int
+	determined string
+}
+
+// askPeers asks the peers that may have a stream's record.
+func (v *streamVersions) askPeers(service, id string) *versionQuestions {
+	q := &versionQuestions{v: v, key: rand.Uint64()}
+	q.message = kumquatlug.StreamVersion{Step: kumquatlug.StreamVersionAsked, Service: service, Attempt: id, Key: q.key}
 	if v.g.c.Peers == nil || id == "" || len(id) > maxAttemptIDBytes {
-		return "", 0
+		return q
 	}
-	ctx, cancel := context.WithTimeout(ctx, versionAnswerTimeout.Duration())
-	defer cancel()
-	key := rand.Uint64()
-	answers := make(chan string, 2*streamversion.AskedOwners)
 	v.mu.Lock()
-	owners := v.owners(id, streamversion.AskedOwners)
-	v.questions[key] = answers
+	count := streamversion.AskedOwners
+	if len(v.peers) <= maxAskedGateways {
+		count = len(v.peers)
+	}
+	q.peers = v.owners(id, count)
+	q.answers = make(chan kumquatlug.StreamVersion, 2*len(q.peers))
+	v.questions[q.key] = q.answers
 	v.mu.Unlock()
-	defer func() {
-		v.mu.Lock()
-		defer v.mu.Unlock()
-		delete(v.questions, key)
-	}()
-	ask := func() {
-		for _, peer := range owners {
-			v.g.c.Peers.SendStreamVersion(peer, kumquatlug.StreamVersion{Step: kumquatlug.StreamVersionAsked, Service: service, Attempt: id, Key: key})
-		}
+	q.send()
+	return q
+}
+
+func (q *versionQuestions) send() {
+	for _, peer := range q.peers {
+		q.v.g.c.Peers.SendStreamVersion(peer, q.message)
 	}
-	ask()
+}
+
+func (q *versionQuestions) close() {
+	q.v.mu.Lock()
+	defer q.v.mu.Unlock()
+	delete(q.v.questions, q.key)
+}
+
+// await returns the version that a peer has recorded, empty if none has or the time is over.
+func (q *versionQuestions) await(ctx context.Context, timeout kumquatlug.Millis) string {
+	end := time.NewTimer(timeout.Duration())
+	defer end.Stop()
 	again := time.NewTimer(versionAskInterval.Duration())
 	defer again.Stop()
-	for unknown := 0; unknown < len(owners); {
+	for q.answered < len(q.peers) {
 		select {
-		case version := <-answers:
-			if version != "" {
-				return version, len(owners)
+		case m := <-q.answers:
+			q.answered++
+			if m.Step == kumquatlug.StreamVersionDetermined {
+				q.determined = m.Version
+			} else if m.Version != "" {
+				return m.Version
 			}
-			unknown++
 		case <-again.C:
-			ask()
+			q.send()
+		case <-end.C:
+			return ""
 		case <-ctx.Done():
-			return "", len(owners)
+			return ""
 		}
 	}
-	return "", len(owners)
+	return ""
 }
 
 // StreamVersionReceived handles a message of a peer about the version of a stream.
@@ -107,27 +207,38 @@
 	v := g.streamVersions
 	switch m.Step {
 	case kumquatlug.StreamVersionRecorded:
-		v.remember(m.Attempt, m.Version)
+		v.remember(m.Service, m.Attempt, m.Version)
 	case kumquatlug.StreamVersionAsked:
 		answer := m
 		answer.Step, answer.Version = kumquatlug.StreamVersionAnswered, v.find(m.Attempt)
-		if answer.Version != "" {
+		if answer.Version != "" || !v.reads(m.Attempt, peer) {
 			g.c.Peers.SendStreamVersion(peer, answer)
 			return
 		}
 		go func() {
 			// The peer may be cut off from the store.
-			answer.Version = v.readSole(context.Background(), m.Service)
+			if answer.Version = v.determined(context.Background(), m.Service, m.Attempt); answer.Version != "" {
+				answer.Step = kumquatlug.StreamVersionDetermined
+			}
 			g.c.Peers.SendStreamVersion(peer, answer)
 		}()
-	case kumquatlug.StreamVersionAnswered:
+	case kumquatlug.StreamVersionAnswered, kumquatlug.StreamVersionDetermined:
 		v.mu.Lock()
 		answers := v.questions[m.Key]
 		v.mu.Unlock()
 		select {
-		case answers <- m.Version:
+		case answers <- m:
 		default:
 			// Nobody waits any more.
 		}
 	}
 }
+
+// reads reports whether this gateway reads the listing for a peer that asks about a stream: only the owners
+// of the record do.
+func (v *streamVersions) reads(id, asking string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	names := append(slices.Collect(maps.Keys(v.peers)), v.g.c.Name)
+	return slices.Contains(streamversion.Owners(id, asking, names, streamversion.AskedOwners), v.g.c.Name)
+}
--- /dev/null
+++ b/internal/gateway/versionresolve.go
@@ -0,0 +1,87 @@
+package gateway
+
+import (
+	"context"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/streamversion"
+)
+
+// resolution is how the version of a stream that a client takes up was looked up.
+type resolution struct {
+	version  string
+	source   streamversion.Source
+	evidence streamversion.Evidence
+	// listed are the versions in the listing, epoch is when its newest epoch began.
+	listed []string
+	epoch  kumquatlug.Millis
+}
+
+// resolve looks up the version of a stream that a client takes up. named says that id is surely that of the
+// attempt which began the stream; otherwise the listing can't determine its version.
+func (v *streamVersions) resolve(ctx context.Context, service, id string, named bool) resolution {
+	if version := v.find(id); version != "" {
+		return resolution{version: version, source: streamversion.SourceRecord}
+	}
+	var questions *versionQuestions
+	if v.isSeveral(service) {
+		// The answers arrive while the listing is read.
+		questions = v.askPeers(service, id)
+		defer questions.close()
+	}
+	read := v.callListing(ctx, service, false)
+	sole, r := v.describe(service, id)
+	r.evidence.Read = read
+	if read && sole != "" {
+		r.version, r.source = sole, streamversion.SourceListing
+		return r
+	}
+	if questions == nil {
+		questions = v.askPeers(service, id)
+		defer questions.close()
+	}
+	e, timeout := &r.evidence, versionAnswerTimeout
+	if e.Determined != "" && read && named {
+		timeout = recordAnswerTimeout
+	}
+	e.Record = questions.await(ctx, timeout)
+	e.PeerDetermined, e.Asked, e.Answered = questions.determined, len(questions.peers), questions.answered
+	if !named {
+		e.Determined, e.PeerDetermined = "", ""
+	}
+	r.version, r.source = e.Version()
+	return r
+}
+
+// isSeveral reports whether a service may have streams of several versions.
+func (v *streamVersions) isSeveral(service string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := v.service(service)
+	return s.recording || !s.known || s.several()
+}
+
+// describe returns what the listing says about all streams, empty if they may have several versions, and
+// about one.
+func (v *streamVersions) describe(service, id string) (string, resolution) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := v.service(service)
+	if !s.known {
+		return "", resolution{}
+	}
+	r := resolution{listed: s.listing.Versions(), epoch: s.listing.NewestFrom()}
+	r.evidence.Determined = s.listing.Determined(id)
+	return s.listing.Sole(), r
+}
+
+// determined reads the listing and returns the version that it determines for a stream, empty if there is
+// none.
+func (v *streamVersions) determined(ctx context.Context, service, id string) string {
+	if !v.callListing(ctx, service, false) {
+		return ""
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.service(service).listing.Determined(id)
+}
--- a/pkg/kumquatlug/gateway.go
+++ b/pkg/kumquatlug/gateway.go
@@ -166,6 +166,9 @@
 	return r.id
 }
 
+// NamesStream reports whether the client says which attempt began the stream that it takes up.
+func (r Request) NamesStream() bool { return r.resumes != "" }
+
 // Prompt returns the description of the prompt.
 func (r Request) Prompt() Prompt { return r.prompt }
 
--- a/pkg/kumquatlug/streamversion.go
+++ b/pkg/kumquatlug/streamversion.go
@@ -9,8 +9,10 @@
 	StreamVersionRecorded StreamVersionStep = "recorded"
 	// StreamVersionAsked: the sender asks for the version of a stream.
 	StreamVersionAsked StreamVersionStep = "asked"
-	// StreamVersionAnswered: the answer to a question.
+	// StreamVersionAnswered: the answer of a gateway that has a record of the stream, or none.
 	StreamVersionAnswered StreamVersionStep = "answered"
+	// StreamVersionDetermined: the answer of a gateway that has no record, but has read the listing.
+	StreamVersionDetermined StreamVersionStep = "determined"
 )
 
 // StreamVersion is a message between two gateways about the version of the worker that began a stream.
--- a/pkg/kumquatlug/streamversion/listing.go
+++ b/pkg/kumquatlug/streamversion/listing.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"slices"
 
 	"github.com/cockroachdb/errors"
@@ -9,10 +10,10 @@
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
 
-// Listing is the row of the platform's store that names the versions of a service at which streams may
-// have begun within [Retention]. A version is listed before the first stream begins at it, so that
-// a gateway which reads one version only knows the version of all streams, also if it has just
-// started. Times are those of the store's clock.
+// Listing is the row of the platform's store that lists the epochs of a service. A stream that may be
+// resumed begins at the version that the newest epoch selects for its id, so that a gateway which reads
+// the listing knows the version of streams that others began, also if it has just started. Times
+// are those of the store's clock.
 type Listing struct {
 	content listingRow
 	row     kumquatlug.Row
@@ -22,48 +23,122 @@
 type listingRow struct {
 	// Era is the era of the store in which the row was written.
 	Era int64 `json:"era"`
-	// UncertainUntilMs is until when there may be streams of versions that are not listed.
-	UncertainUntilMs int64           `json:"uncertain_until_ms,omitempty"`
-	Versions         []listedVersion `json:"versions"`
+	// UncertainUntilMs is until when there may be streams that began by epochs which are not listed.
+	UncertainUntilMs int64 `json:"uncertain_until_ms,omitempty"`
+	// Epochs are sorted from the oldest to the newest.
+	Epochs []epoch `json:"epochs"`
 }
 
-type listedVersion struct {
-	Version string `json:"version"`
-	// GoneAtMs is when the version had no worker any more, zero while it has some.
-	GoneAtMs int64 `json:"gone_at_ms,omitempty"`
-}
-
-// DecodeListing decodes a listing. One that was restored from an older copy, or that can't be decoded,
-// may lack versions; the error says why it could not be decoded.
+// DecodeListing decodes a listing. One that was restored from an older copy, or that can't be decoded, may
+// lack epochs; the error says why it could not be decoded.
 func DecodeListing(row kumquatlug.Row) (Listing, error) {
 	l := Listing{row: row, now: row.ReadAt()}
 	err := error(nil)
 	if row.Exists() {
-		if err = json.Unmarshal(row.Value(), &l.content); err != nil {
+		err = json.Unmarshal(row.Value(), &l.content)
+		if err == nil && len(l.content.Epochs) == 0 {
+			err = errors.New("no epochs")
+		}
+		if err != nil {
 			l.content, err = listingRow{Era: -1}, errors.Wrap(err, "decode the versions of a service")
 		}
 	}
 	if l.content.Era != row.Era() {
-		l.content.UncertainUntilMs = int64(l.now + Retention)
+		l.content.UncertainUntilMs = int64(l.now + epochWindow)
 	}
-	l.content.Versions = slices.DeleteFunc(l.content.Versions, func(v listedVersion) bool {
-		return v.GoneAtMs != 0 && kumquatlug.Millis(v.GoneAtMs) <= l.now-Retention
-	})
+	epochs := l.content.Epochs
+	for len(epochs) > 1 && kumquatlug.Millis(epochs[1].FromMs)+epochWindow <= l.now {
+		epochs = epochs[1:]
+	}
+	l.content.Epochs = epochs
 	return l, err
 }
 
+// Current reports whether streams may begin by the newest epoch: it was written in the current era of the
+// store.
+func (l Listing) Current() bool {
+	return len(l.content.Epochs) > 0 && l.content.Era == l.row.Era()
+}
+
+// NewestFrom returns when the newest epoch began.
+func (l Listing) NewestFrom() kumquatlug.Millis {
+	if n := len(l.content.Epochs); n > 0 {
+		return kumquatlug.Millis(l.content.Epochs[n-1].FromMs)
+	}
+	return 0
+}
+
+// Newest returns the weights of the newest epoch.
+func (l Listing) Newest() Weights {
+	if n := len(l.content.Epochs); n > 0 {
+		return l.content.Epochs[n-1].Weights
+	}
+	return nil
+}
+
+// Select returns the version at which a stream begins, empty if none is listed.
+func (l Listing) Select(id string) string {
+	if !l.Current() {
+		return ""
+	}
+	return l.Newest().Select(id)
+}
+
+// Determined returns the version of a stream that may be resumed if all epochs by which it may have begun
+// select the same one, else an empty string.
+func (l Listing) Determined(id string) string {
+	if id == "" || !l.Current() || l.uncertain() {
+		return ""
+	}
+	version := l.Newest().Select(id)
+	for _, e := range l.content.Epochs {
+		if e.Weights.Select(id) != version {
+			return ""
+		}
+	}
+	return version
+}
+
+// uncertain reports whether there may be streams of epochs that are not listed.
+func (l Listing) uncertain() bool { return l.now < kumquatlug.Millis(l.content.UncertainUntilMs) }
+
 // Sole returns the version of all streams that may be resumed, empty if there may be several or it is
 // unknown.
 func (l Listing) Sole() string {
-	if len(l.content.Versions) != 1 || l.now < kumquatlug.Millis(l.content.UncertainUntilMs) {
+	versions := l.Versions()
+	if len(versions) != 1 || !l.Current() || l.uncertain() {
 		return ""
 	}
-	return l.content.Versions[0].Version
+	return versions[0]
+}
+
+// Versions returns the versions at which streams that may be resumed can have begun, in order.
+func (l Listing) Versions() []string {
+	all := Weights{}
+	for _, e := range l.content.Epochs {
+		maps.Copy(all, e.Weights)
+	}
+	return all.Versions()
+}
+
+// Lacks reports whether the newest epoch is missing, or selects a version for some stream that has no
+// worker in the given weights.
+func (l Listing) Lacks(present Weights) bool {
+	if !l.Current() {
+		return true
+	}
+	return slices.ContainsFunc(l.Newest().Versions(), func(version string) bool { return !present.Has(version) })
 }
 
-// Has reports whether streams may begin at a version.
-func (l Listing) Has(version string) bool {
-	return l.content.Era == l.row.Era() && slices.Contains(l.content.Versions, listedVersion{Version: version})
+// OtherVersions reports whether the versions of the newest epoch are not those of the present workers.
+func (l Listing) OtherVersions(present Weights) bool {
+	return !slices.Equal(l.Newest().Versions(), present.Versions())
+}
+
+// Outdated reports whether the shares of the newest epoch differ so much from those of the present workers
+// that a new epoch should begin.
+func (l Listing) Outdated(present Weights) bool {
+	return l.OtherVersions(present) || l.Newest().distance(present) > maxShareError
 }
 
 // Written returns the row after a value was written to it.
@@ -71,27 +146,16 @@
 	return kumquatlug.NewRow(l.row.Key(), value, l.row.Version()+1).WithEra(l.row.Era()).WithReadAt(l.row.ReadAt())
 }
 
-// Add returns the row with one more version.
-func (l Listing) Add(version string) ([]byte, error) {
-	versions := slices.DeleteFunc(slices.Clone(l.content.Versions), func(v listedVersion) bool { return v.Version == version })
-	return l.encode(append(versions, listedVersion{Version: version}))
-}
-
-// Retire returns the row in which all versions that are not present are gone, nil if nothing changes.
-func (l Listing) Retire(present map[string]bool) ([]byte, error) {
-	versions, changed := slices.Clone(l.content.Versions), false
-	for i, v := range versions {
-		if !present[v.Version] && v.GoneAtMs == 0 {
-			versions[i].GoneAtMs, changed = max(int64(l.now), 1), true
-		}
-	}
-	if !changed {
+// Begin returns the row with a new epoch, nil if the newest one has just begun or no version is present.
+func (l Listing) Begin(present Weights) ([]byte, error) {
+	if len(present.Versions()) == 0 || l.Current() && l.now < l.NewestFrom()+minEpochInterval {
 		return nil, nil
 	}
-	return l.encode(versions)
-}
-
-func (l Listing) encode(versions []listedVersion) ([]byte, error) {
-	text, err := json.Marshal(listingRow{Era: l.row.Era(), UncertainUntilMs: l.content.UncertainUntilMs, Versions: versions})
+	weights := Weights{}
+	for _, version := range present.Versions() {
+		weights[version] = present[version]
+	}
+	epochs := append(slices.Clone(l.content.Epochs), epoch{FromMs: int64(max(l.now, l.NewestFrom())), Weights: weights})
+	text, err := json.Marshal(listingRow{Era: l.row.Era(), UncertainUntilMs: l.content.UncertainUntilMs, Epochs: epochs})
 	return text, errors.Wrap(err, "encode the versions of a service")
 }
--- a/pkg/kumquatlug/streamversion/streamversion.go
+++ b/pkg/kumquatlug/streamversion/streamversion.go
@@ -5,11 +5,11 @@
 // stream knows the version, but its client may take the stream up at any other gateway, also
 // after the first one has been killed. Two sources answer there:
 //
-//   - the [Listing] in the platform's store names every version at which streams may have begun
-//     lately. While it names one version only, each stream has that version, and nobody needs to
-//     remember anything about single streams.
-//   - while it names several, gateways send a record of each stream that may be resumed to the
-//     owners of its id (see [Owners]), before its first event reaches the client.
+//   - the [Listing] in the platform's store holds the weights of the versions by epoch. A stream
+//     begins at the version that the newest epoch selects for its id. While all epochs of the last
+//     minute select the same version for an id, nobody needs to remember anything about the stream.
+//   - the [Records] of streams that began by an epoch of which the selection has changed since, or
+//     that no listing confirms. They are sent to the owners of the id (see [Owners]).
 //
 // Where neither answers, the version is unknown, and the stream does not go on.
 package streamversion
@@ -62,57 +62,3 @@
 	}
 	return names
 }
-
-// Records holds the versions of streams by the id of the attempt that brought their first event.
-// It is not safe for concurrent use.
-type Records struct {
-	byID map[string]record
-	// order holds the ids from the oldest to the newest.
-	order []recordedID
-}
-
-type record struct {
-	version string
-	addedAt kumquatlug.Millis
-}
-
-type recordedID struct {
-	id      string
-	addedAt kumquatlug.Millis
-}
-
-// NewRecords returns an empty set of records.
-func NewRecords() *Records { return &Records{byID: map[string]record{}} }
-
-// Add records the version of a stream. A client that uses an id again may begin two streams at
-// different versions; their version is then unknown.
-func (r *Records) Add(now kumquatlug.Millis, id, version string) {
-	if before, known := r.byID[id]; known && before.version != version {
-		version = ""
-	}
-	r.byID[id] = record{version: version, addedAt: now}
-	r.order = append(r.order, recordedID{id: id, addedAt: now})
-	r.expire(now)
-}
-
-// Find returns the version of a stream, empty if it is unknown.
-func (r *Records) Find(now kumquatlug.Millis, id string) string {
-	r.expire(now)
-	return r.byID[id].version
-}
-
-// Len returns the number of records.
-func (r *Records) Len() int { return len(r.byID) }
-
-// expire removes the records that are older than Retention, and the oldest beyond maxRecords.
-func (r *Records) expire(now kumquatlug.Millis) {
-	n := 0
-	for n < len(r.order) && (now-r.order[n].addedAt > Retention || len(r.order)-n > maxRecords) {
-		// The same id may have been recorded again since.
-		if first := r.order[n]; r.byID[first.id].addedAt == first.addedAt {
-			delete(r.byID, first.id)
-		}
-		n++
-	}
-	r.order = r.order[n:]
-}
