--- a/internal/gateway/resumewait_test.go
+++ b/internal/gateway/resumewait_test.go
@@ -36,7 +36,7 @@
 	w := fullUntil(time.Now().Add(400*time.Millisecond), "d1")
 	f := newTestGateway(t, w, manyRetries)
 	f.setEngineVersions(map[string]string{"d1": "v1", "d2": "v2", "d3": "v2"})
-	f.g.streamVersions.remember("r1", "v1")
+	f.g.streamVersions.remember("engines", "r1", "v1")
 	var group sync.WaitGroup
 	for n := range 12 {
 		group.Add(1)
@@ -78,7 +78,7 @@
 		}}
 		f := newTestGateway(t, w, manyRetries)
 		f.setEngines(c.members...)
-		f.g.streamVersions.remember("r1", "v1")
+		f.g.streamVersions.remember("engines", "r1", "v1")
 		got := f.resume(t, "r2", "r1", 4)
 		after, _ := strconv.Atoi(got.header.Get("Retry-After"))
 		if got.status != http.StatusServiceUnavailable || got.header.Get("Reason") != c.reason || got.header.Get("Ran") != string(kumquatlug.NotExecuted) || after < c.min || after > c.max {
