--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -185,8 +185,10 @@
 	return p.UsualRunTime(now, output)
 }
 
-// longestRun returns the time that no run of a request with this maximum output takes longer than,
-// unknownRunTime if that is not known.
+// longestRun returns a lower limit of the time to assume for a late request with this maximum
+// output: the longest run of a stream, unknownRunTime if there are too few samples. Plain requests
+// are short, and nearly all of them end within their run time as it is estimated; they have no
+// further limit.
 func (sc *scheduler) longestRun(service kumquatlug.Service, output int) kumquatlug.Millis {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
