Tests: the gateway under test knows the versions of its workers

newTestGateway set the members without the versions of streams, so that no listing was written and a stream that is taken up without a name was of an unknown version (TestResumedStreamsCountAsWholeRuns). A gateway applies both together (publish).

--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -368,6 +368,7 @@
 		"desk": {member("s1", ""), member("s2", "")},
 	}}
 	g.members.Store(set)
+	g.streamVersions.setMembers(set.byService)
 	g.scheduler.syncMembers(now.Now(), set.byService)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
