--- a/internal/front/streamversion.go
+++ b/internal/front/streamversion.go
@@ -10,6 +10,7 @@
 	kumquatlug.StreamVersionAsked:      frontv1.StreamVersionStep_STREAM_VERSION_STEP_ASKED,
 	kumquatlug.StreamVersionAnswered:   frontv1.StreamVersionStep_STREAM_VERSION_STEP_ANSWERED,
 	kumquatlug.StreamVersionDetermined: frontv1.StreamVersionStep_STREAM_VERSION_STEP_DETERMINED,
+	kumquatlug.StreamVersionSelecting:  frontv1.StreamVersionStep_STREAM_VERSION_STEP_SELECTING,
 }
 
 // SendStreamVersion implements [kumquatlug.GatewayLink].
--- a/internal/gateway/inflightversion.go
+++ b/internal/gateway/inflightversion.go
@@ -38,6 +38,9 @@
 	if !f.mayBeTakenUp() {
 		return ""
 	}
+	if f.version != "" {
+		return f.version
+	}
 	return f.g.streamVersions.selectVersion(f.service.Name(), f.request.StreamID())
 }
 
@@ -59,7 +62,7 @@
 func (f *inflight) resolveVersion(ctx context.Context) *attemptFailure {
 	if !f.continues() {
 		if f.mayBeTakenUp() {
-			f.g.streamVersions.prepare(ctx, f.service.Name(), f.request.StreamID())
+			f.version = f.g.streamVersions.prepare(ctx, f.service.Name(), f.request.StreamID())
 		}
 		return nil
 	}
--- a/internal/gateway/streamversion_test.go
+++ b/internal/gateway/streamversion_test.go
@@ -420,14 +420,15 @@
 	f.setEngineVersions(map[string]string{"d1": "v1", "d2": "v1"})
 	v.setMembers(f.g.members.Load().byService)
 	v.prepare(t.Context(), "engines", "r1")
-	if !v.service("engines").known {
+	if _, known := v.service("engines").Listing(); !known {
 		t.Fatal("the version was not listed")
 	}
 	for range 10 {
 		now.Advance(streamversion.Retention)
 		f.g.configConfirmedAt.Store(int64(now.Now()))
-		if v.update(); v.service("engines").recording || len(v.dueListings(true)) != 0 {
-			t.Fatal("streams of the only version are recorded")
+		v.update()
+		if due := v.dueListings(true); v.service("engines").recording || len(due) != 0 {
+			t.Fatalf("streams of the only version are recorded: %v, listings read: %v", v.service("engines").recording, due)
 		}
 	}
 	f.setEngineVersions(map[string]string{"d1": "v1", "d2": "v2"})
--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -7,15 +7,9 @@
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/streamversion"
 )
 
-const (
-	// storeSilence is how long the store may confirm nothing before all streams are recorded at peers:
-	// new epochs may not have been read here.
-	storeSilence = 4 * kumquatlug.Second
-	// maxListingAge is how long a listing of several versions may be unconfirmed before all streams are
-	// recorded at peers. It is longer than the time between two reads, and shorter than
-	// [streamversion.EpochLag].
-	maxListingAge = 20 * kumquatlug.Second
-)
+// storeSilence is how long the store may confirm nothing before all streams are recorded at peers: new epochs
+// may not have been read here.
+const storeSilence = 4 * kumquatlug.Second
 
 // streamVersions knows at which version the streams of clients began, and selects that of new ones.
 type streamVersions struct {
@@ -34,19 +28,7 @@
 
 // serviceVersions is what is known about the versions of a service.
 type serviceVersions struct {
-	// present are the numbers of members that can generate output, members those of all ready ones.
-	present, members streamversion.Weights
-	// failingUntil is until when a version is assumed to have no worker that accepts requests, by
-	// BootClock.
-	failingUntil map[string]kumquatlug.Millis
-	// listing is the listing as of readAt, the beginning of the call that read it. known is false before
-	// the first one and after the store was restored.
-	listing streamversion.Listing
-	readAt  kumquatlug.Millis
-	known   bool
-	// outdatedSince is since when the shares of the listing differ from those of the workers, zero if they
-	// don't.
-	outdatedSince kumquatlug.Millis
+	*streamversion.View
 	// reading is closed when the call about the listing has ended, nil while there is none;
 	// notBefore is the time of the next one, relistAt that of the next one by maintenance.
 	reading             chan struct{}
@@ -66,7 +48,7 @@
 func (v *streamVersions) service(name string) *serviceVersions {
 	s := v.services[name]
 	if s == nil {
-		s = &serviceVersions{failingUntil: map[string]kumquatlug.Millis{}}
+		s = &serviceVersions{View: streamversion.NewView()}
 		v.services[name] = s
 	}
 	return s
@@ -76,21 +58,17 @@
 func (v *streamVersions) setMembers(byService map[string][]kumquatlug.Member) {
 	v.mu.Lock()
 	for name, members := range byService {
-		s := v.service(name)
-		s.present, s.members = streamversion.Weights{}, streamversion.Weights{}
+		present := streamversion.Weights{}
 		for _, m := range members {
-			if m.State != kumquatlug.MemberReady {
-				continue
-			}
-			s.members[m.Worker.Version()]++
-			if m.Role != kumquatlug.RolePrefill {
-				s.present[m.Worker.Version()]++
+			if m.State == kumquatlug.MemberReady && m.Role != kumquatlug.RolePrefill {
+				present[m.Worker.Version()]++
 			}
 		}
+		v.service(name).SetWorkers(present)
 	}
 	for name, s := range v.services {
 		if _, found := byService[name]; !found {
-			s.present, s.members = nil, nil
+			s.SetWorkers(nil)
 		}
 	}
 	v.mu.Unlock()
@@ -101,7 +79,7 @@
 func (v *streamVersions) storeRestored() {
 	v.mu.Lock()
 	for _, s := range v.services {
-		s.known = false
+		s.Forget()
 	}
 	v.mu.Unlock()
 	v.update()
@@ -111,13 +89,13 @@
 // may be resumed are recorded as well.
 func (v *streamVersions) update() {
 	now := v.g.c.BootClock.Now()
-	silent := now-kumquatlug.Millis(v.g.configConfirmedAt.Load()) > storeSilence
+	silent := v.storeSilent(now)
 	v.mu.Lock()
 	out := outgoingRecords{}
 	for name, s := range v.services {
-		recording := v.g.c.Peers != nil && (silent || !s.known || s.several() && now-s.readAt > maxListingAge)
+		recording := v.g.c.Peers != nil && s.NeedsRecords(silent)
 		if recording && !s.recording {
-			v.records.Each(now, func(service, id, version string) {
+			v.records.Each(now, func(service, id, version string, _ bool) {
 				if service == name {
 					v.addRecords(out, name, id, version)
 				}
@@ -129,11 +107,9 @@
 	out.send(v.g.c.Peers)
 }
 
-// several reports whether streams of several versions may be resumed, as far as is known.
-func (s *serviceVersions) several() bool {
-	sole := s.listing.Sole()
-	versions := s.present.Versions()
-	return sole == "" || len(versions) > 1 || len(versions) == 1 && versions[0] != sole
+// storeSilent reports whether no gateway that this one hears from has heard of the store for long.
+func (v *streamVersions) storeSilent(now kumquatlug.Millis) bool {
+	return now-kumquatlug.Millis(v.g.configConfirmedAt.Load()) > storeSilence
 }
 
 // begin records the version of a stream that may be resumed, before its first event is forwarded.
@@ -144,8 +120,9 @@
 	v.mu.Lock()
 	out := outgoingRecords{}
 	service, id := f.service.Name(), f.request.StreamID()
-	v.records.Add(v.g.c.BootClock.Now(), service, id, f.version)
-	if s := v.service(service); s.recording || s.listing.Determined(id) != f.version {
+	now := v.g.c.BootClock.Now()
+	v.records.Add(now, service, id, f.version)
+	if v.service(service).NeedsRecords(v.storeSilent(now)) {
 		v.addRecords(out, service, id, f.version)
 	}
 	v.mu.Unlock()
--- a/internal/gateway/versionlisting.go
+++ b/internal/gateway/versionlisting.go
@@ -23,9 +23,6 @@
 	// relistGateways gateways. It is longer in a larger one, so that all make 150 reads a second.
 	relistInterval = 2 * kumquatlug.Second
 	relistGateways = 300
-	// outdatedDelay is how long the shares of the workers must differ from the listed ones before they are
-	// listed: roles change back and forth.
-	outdatedDelay = 5 * kumquatlug.Second
 )
 
 // callListing waits for a call that reads the listing of a service. If write is set, the call begins a
@@ -54,7 +51,7 @@
 		case <-ctx.Done():
 		}
 		v.mu.Lock()
-		if done := s.known && s.readAt >= begunAt; own || ctx.Err() != nil || done && !write {
+		if done := s.ReadSince(begunAt); own || ctx.Err() != nil || done && !write {
 			return done
 		}
 	}
@@ -83,7 +80,7 @@
 func (v *streamVersions) currentWeights(service string) streamversion.Weights {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.service(service).weights(v.g.c.BootClock.Now())
+	return v.service(service).Weights(v.g.c.BootClock.Now())
 }
 
 // updateListing reads the listing of a service and writes what change returns, unless that is nil.
@@ -108,29 +105,15 @@
 	return err
 }
 
-// setListing applies a listing that was read by a call which began at a time. If it has a new epoch, the
-// streams are recorded that it leaves undetermined.
+// setListing applies a listing that was read by a call which began at a time.
 func (v *streamVersions) setListing(service string, l streamversion.Listing, begunAt kumquatlug.Millis) {
-	now := v.g.c.BootClock.Now()
 	v.mu.Lock()
 	s := v.service(service)
-	if s.known && begunAt < s.readAt {
-		v.mu.Unlock()
-		return
-	}
-	changed := !s.known || s.listing.NewestFrom() != l.NewestFrom()
-	s.listing, s.readAt, s.known = l, begunAt, true
-	out := outgoingRecords{}
+	changed := s.SetListing(l, begunAt)
 	if changed {
-		s.relistAt = now + v.relistDelay()
-		v.records.Each(now, func(recorded, id, version string) {
-			if recorded == service && l.Determined(id) != version {
-				v.addRecords(out, service, id, version)
-			}
-		})
+		s.relistAt = v.g.c.BootClock.Now() + v.relistDelay()
 	}
 	v.mu.Unlock()
-	out.send(v.g.c.Peers)
 	if changed {
 		v.g.c.Logger.Info("versions of service", zap.String("service", service), zap.Strings("versions", l.Versions()),
 			zap.Any("weights", l.Newest()), zap.Int64("epoch", int64(l.NewestFrom())), zap.Bool("current", l.Current()))
@@ -153,28 +136,28 @@
 		call, cancel := context.WithTimeout(ctx, storeCallTimeout.Duration())
 		err := v.updateListing(call, name, func(l streamversion.Listing) ([]byte, error) {
 			present := v.currentWeights(name)
-			if !leads || !l.Outdated(present) {
-				return nil, nil
+			if leads && l.Outdated(present) || l.Lacks(present) && !l.Current() {
+				return l.Begin(present)
 			}
-			return l.Begin(present)
+			return nil, nil
 		})
 		cancel()
 		v.recordListingCall(name, err)
 	}
 }
 
-// dueListings returns the services whose listings are to be read again.
+// dueListings returns the services whose listings are to be read, for the first time or again.
 func (v *streamVersions) dueListings(leads bool) []string {
 	now, delay := v.g.c.BootClock.Now(), v.relistDelay()
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var due []string
 	for name, s := range v.services {
-		if !s.known || !s.several() {
-			s.outdatedSince = 0
+		_, known := s.Listing()
+		if !s.Several() || !known && len(s.Weights(now).Versions()) < 2 || now < s.notBefore {
 			continue
 		}
-		if now >= s.relistAt || leads && s.newEpochDue(now) {
+		if !known || now >= s.relistAt || leads && s.EpochDue(now) {
 			s.relistAt = now + delay
 			due = append(due, name)
 		}
@@ -182,20 +165,6 @@
 	return due
 }
 
-// newEpochDue reports whether the listing should get a new epoch: at once if workers of a version have
-// appeared or have gone, otherwise when the shares have differed for long. The caller must hold v.mu.
-func (s *serviceVersions) newEpochDue(now kumquatlug.Millis) bool {
-	weights := s.weights(now)
-	if len(weights.Versions()) == 0 || !s.listing.Outdated(weights) {
-		s.outdatedSince = 0
-		return false
-	}
-	if s.outdatedSince == 0 {
-		s.outdatedSince = now
-	}
-	return s.listing.OtherVersions(weights) || now-s.outdatedSince >= outdatedDelay
-}
-
 // recordListingCall records the result of a call about a listing.
 func (v *streamVersions) recordListingCall(service string, err error) {
 	if err == nil {
--- a/internal/gateway/versionpeers.go
+++ b/internal/gateway/versionpeers.go
@@ -61,7 +61,7 @@
 	v.mu.Lock()
 	out := outgoingRecords{}
 	if v.peers[name] {
-		v.eachUndetermined(func(service, id, version string) {
+		v.eachNeeded(func(service, id, version string) {
 			if slices.Contains(v.owners(id, streamversion.RecordOwners), name) {
 				delete(v.peers, name)
 				v.addRecords(out, service, id, version)
@@ -79,16 +79,16 @@
 func (v *streamVersions) handOver() {
 	v.mu.Lock()
 	out := outgoingRecords{}
-	v.eachUndetermined(func(service, id, version string) { v.addRecords(out, service, id, version) })
+	v.eachNeeded(func(service, id, version string) { v.addRecords(out, service, id, version) })
 	v.mu.Unlock()
 	out.send(v.g.c.Peers)
 }
 
-// eachUndetermined calls f for each recorded stream whose version other gateways can't tell from the
-// listing. The caller must hold v.mu.
-func (v *streamVersions) eachUndetermined(f func(service, id, version string)) {
-	v.records.Each(v.g.c.BootClock.Now(), func(service, id, version string) {
-		if s := v.service(service); s.recording || s.listing.Determined(id) != version {
+// eachNeeded calls f for each recorded stream that peers need a record of. The caller must hold v.mu.
+func (v *streamVersions) eachNeeded(f func(service, id, version string)) {
+	silent := v.storeSilent(v.g.c.BootClock.Now())
+	v.records.Each(v.g.c.BootClock.Now(), func(service, id, version string, received bool) {
+		if received || v.service(service).NeedsRecords(silent) {
 			f(service, id, version)
 		}
 	})
@@ -100,7 +100,7 @@
 	if len(peers) == 0 || v.g.c.Peers == nil {
 		return out
 	}
-	v.eachUndetermined(func(service, id, version string) { v.addRecords(out, service, id, version) })
+	v.eachNeeded(func(service, id, version string) { v.addRecords(out, service, id, version) })
 	maps.DeleteFunc(out, func(peer string, _ []kumquatlug.StreamVersion) bool { return !slices.Contains(peers, peer) })
 	return out
 }
@@ -144,10 +144,10 @@
 	determined string
 }
 
-// askPeers asks the peers that may have a stream's record.
-func (v *streamVersions) askPeers(service, id string) *versionQuestions {
+// askPeers asks the peers that may have a stream's record, or know where it begins.
+func (v *streamVersions) askPeers(step kumquatlug.StreamVersionStep, service, id string) *versionQuestions {
 	q := &versionQuestions{v: v, key: rand.Uint64()}
-	q.message = kumquatlug.StreamVersion{Step: kumquatlug.StreamVersionAsked, Service: service, Attempt: id, Key: q.key}
+	q.message = kumquatlug.StreamVersion{Step: step, Service: service, Attempt: id, Key: q.key}
 	if v.g.c.Peers == nil || id == "" || len(id) > maxAttemptIDBytes {
 		return q
 	}
@@ -178,11 +178,22 @@
 
 // await returns the version that a peer has recorded, empty if none has or the time is over.
 func (q *versionQuestions) await(ctx context.Context, timeout kumquatlug.Millis) string {
+	return q.awaitUntil(ctx, timeout, func() bool { return false })
+}
+
+// awaitSelection returns the version that the first peer which knows the listing selects.
+func (q *versionQuestions) awaitSelection(ctx context.Context, timeout kumquatlug.Millis) string {
+	q.awaitUntil(ctx, timeout, func() bool { return q.determined != "" })
+	return q.determined
+}
+
+// awaitUntil is like await, and ends early when done returns true.
+func (q *versionQuestions) awaitUntil(ctx context.Context, timeout kumquatlug.Millis, done func() bool) string {
 	end := time.NewTimer(timeout.Duration())
 	defer end.Stop()
 	again := time.NewTimer(versionAskInterval.Duration())
 	defer again.Stop()
-	for q.answered < len(q.peers) {
+	for q.answered < len(q.peers) && !done() {
 		select {
 		case m := <-q.answers:
 			q.answered++
@@ -207,7 +218,7 @@
 	v := g.streamVersions
 	switch m.Step {
 	case kumquatlug.StreamVersionRecorded:
-		v.remember(m.Service, m.Attempt, m.Version)
+		v.recordReceived(m)
 	case kumquatlug.StreamVersionAsked:
 		answer := m
 		answer.Step, answer.Version = kumquatlug.StreamVersionAnswered, v.find(m.Attempt)
@@ -222,6 +233,15 @@
 			}
 			g.c.Peers.SendStreamVersion(peer, answer)
 		}()
+	case kumquatlug.StreamVersionSelecting:
+		go func() {
+			answer := m
+			answer.Step, answer.Version = kumquatlug.StreamVersionAnswered, ""
+			if version := v.selectFor(context.Background(), m.Service, m.Attempt); version != "" {
+				answer.Step, answer.Version = kumquatlug.StreamVersionDetermined, version
+			}
+			g.c.Peers.SendStreamVersion(peer, answer)
+		}()
 	case kumquatlug.StreamVersionAnswered, kumquatlug.StreamVersionDetermined:
 		v.mu.Lock()
 		answers := v.questions[m.Key]
@@ -234,6 +254,13 @@
 	}
 }
 
+// recordReceived records the version of a stream that a peer has begun.
+func (v *streamVersions) recordReceived(m kumquatlug.StreamVersion) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.records.AddReceived(v.g.c.BootClock.Now(), m.Service, m.Attempt, m.Version)
+}
+
 // reads reports whether this gateway reads the listing for a peer that asks about a stream: only the owners
 // of the record do.
 func (v *streamVersions) reads(id, asking string) bool {
--- a/internal/gateway/versionresolve.go
+++ b/internal/gateway/versionresolve.go
@@ -26,7 +26,7 @@
 	var questions *versionQuestions
 	if v.isSeveral(service) {
 		// The answers arrive while the listing is read.
-		questions = v.askPeers(service, id)
+		questions = v.askPeers(kumquatlug.StreamVersionAsked, service, id)
 		defer questions.close()
 	}
 	read := v.callListing(ctx, service, false)
@@ -37,7 +37,7 @@
 		return r
 	}
 	if questions == nil {
-		questions = v.askPeers(service, id)
+		questions = v.askPeers(kumquatlug.StreamVersionAsked, service, id)
 		defer questions.close()
 	}
 	e, timeout := &r.evidence, versionAnswerTimeout
@@ -58,7 +58,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	s := v.service(service)
-	return s.recording || !s.known || s.several()
+	return s.recording || s.Several()
 }
 
 // describe returns what the listing says about all streams, empty if they may have several versions, and
@@ -66,13 +66,13 @@
 func (v *streamVersions) describe(service, id string) (string, resolution) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	s := v.service(service)
-	if !s.known {
+	listing, known := v.service(service).Listing()
+	if !known {
 		return "", resolution{}
 	}
-	r := resolution{listed: s.listing.Versions(), epoch: s.listing.NewestFrom()}
-	r.evidence.Determined = s.listing.Determined(id)
-	return s.listing.Sole(), r
+	r := resolution{listed: listing.Versions(), epoch: listing.NewestFrom()}
+	r.evidence.Determined = listing.Determined(id)
+	return listing.Sole(), r
 }
 
 // determined reads the listing and returns the version that it determines for a stream, empty if there is
@@ -83,5 +83,6 @@
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.service(service).listing.Determined(id)
+	listing, _ := v.service(service).Listing()
+	return listing.Determined(id)
 }
--- a/pkg/kumquatlug/streamversion.go
+++ b/pkg/kumquatlug/streamversion.go
@@ -11,8 +11,10 @@
 	StreamVersionAsked StreamVersionStep = "asked"
 	// StreamVersionAnswered: the answer of a gateway that has a record of the stream, or none.
 	StreamVersionAnswered StreamVersionStep = "answered"
-	// StreamVersionDetermined: the answer of a gateway that has no record, but has read the listing.
+	// StreamVersionDetermined: the answer of a gateway that has no record, but knows the listing.
 	StreamVersionDetermined StreamVersionStep = "determined"
+	// StreamVersionSelecting: the sender, which can't read the listing, asks where a stream begins.
+	StreamVersionSelecting StreamVersionStep = "selecting"
 )
 
 // StreamVersion is a message between two gateways about the version of the worker that began a stream.
--- a/pkg/kumquatlug/streamversion/epoch.go
+++ b/pkg/kumquatlug/streamversion/epoch.go
@@ -20,6 +20,8 @@
 	epochWindow = Retention + EpochLag
 	// minEpochInterval is the least time between the starts of two epochs.
 	minEpochInterval = 1 * kumquatlug.Second
+	// maxEpochs bounds the size of a listing.
+	maxEpochs = 64
 	// maxShareError is the total variation between the shares of an epoch and those of the workers
 	// from which a new epoch begins. A new epoch leaves that share of the ids undetermined.
 	maxShareError = 0.2
--- a/pkg/kumquatlug/streamversion/listing.go
+++ b/pkg/kumquatlug/streamversion/listing.go
@@ -155,7 +155,12 @@
 	for _, version := range present.Versions() {
 		weights[version] = present[version]
 	}
-	epochs := append(slices.Clone(l.content.Epochs), epoch{FromMs: int64(max(l.now, l.NewestFrom())), Weights: weights})
+	// One with the same weights that is listed later counts for longer.
+	epochs := slices.DeleteFunc(slices.Clone(l.content.Epochs), func(e epoch) bool { return maps.Equal(e.Weights, weights) })
+	if len(epochs) >= maxEpochs {
+		return nil, nil
+	}
+	epochs = append(epochs, epoch{FromMs: int64(max(l.now, l.NewestFrom())), Weights: weights})
 	text, err := json.Marshal(listingRow{Era: l.row.Era(), UncertainUntilMs: l.content.UncertainUntilMs, Epochs: epochs})
 	return text, errors.Wrap(err, "encode the versions of a service")
 }
--- a/pkg/kumquatlug/streamversion/records.go
+++ b/pkg/kumquatlug/streamversion/records.go
@@ -12,7 +12,9 @@
 
 type record struct {
 	service, version string
-	addedAt          kumquatlug.Millis
+	// received says that a peer has sent the record.
+	received bool
+	addedAt  kumquatlug.Millis
 }
 
 type recordedID struct {
@@ -26,10 +28,23 @@
 // Add records the version of a stream of a service. A client that uses an id again may begin two streams
 // at different versions; their version is then unknown.
 func (r *Records) Add(now kumquatlug.Millis, service, id, version string) {
-	if before, known := r.byID[id]; known && before.version != version {
-		version = ""
+	r.add(now, id, record{service: service, version: version, addedAt: now})
+}
+
+// AddReceived records the version of a stream that a peer has recorded here because others can't determine
+// it.
+func (r *Records) AddReceived(now kumquatlug.Millis, service, id, version string) {
+	r.add(now, id, record{service: service, version: version, received: true, addedAt: now})
+}
+
+func (r *Records) add(now kumquatlug.Millis, id string, added record) {
+	if before, known := r.byID[id]; known {
+		added.received = added.received || before.received
+		if before.version != added.version {
+			added.version = ""
+		}
 	}
-	r.byID[id] = record{service: service, version: version, addedAt: now}
+	r.byID[id] = added
 	r.order = append(r.order, recordedID{id: id, addedAt: now})
 	r.expire(now)
 }
@@ -40,12 +55,12 @@
 	return r.byID[id].version
 }
 
-// Each calls f for each stream of which the version is known.
-func (r *Records) Each(now kumquatlug.Millis, f func(service, id, version string)) {
+// Each calls f for each stream of which the version is known, and says whether a peer has sent the record.
+func (r *Records) Each(now kumquatlug.Millis, f func(service, id, version string, received bool)) {
 	r.expire(now)
 	for id, record := range r.byID {
 		if record.version != "" {
-			f(record.service, id, record.version)
+			f(record.service, id, record.version, record.received)
 		}
 	}
 }
--- a/pkg/kumquatlug/streamversion/streamversion.go
+++ b/pkg/kumquatlug/streamversion/streamversion.go
@@ -52,7 +52,11 @@
 		if name == self {
 			continue
 		}
-		first = append(first, owner{name, rendezvous.Mix(key ^ xxhash.Sum64String(name))})
+		score := rendezvous.Mix(key ^ xxhash.Sum64String(name))
+		if len(first) == count && (count == 0 || score <= first[count-1].score) {
+			continue
+		}
+		first = append(first, owner{name, score})
 		slices.SortFunc(first, func(a, b owner) int { return cmp.Compare(b.score, a.score) })
 		first = first[:min(len(first), count)]
 	}
