--- a/internal/gateway/streamversion_test.go
+++ b/internal/gateway/streamversion_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -164,6 +165,8 @@
 // versionFleet is a number of gateways that share their store and exchange messages about the versions of
 // streams.
 type versionFleet struct {
+	// mu guards changes of gateways against messages in flight.
+	mu       sync.Mutex
 	gateways map[string]*testGateway
 	workers  *fakeWorkers
 	versions map[string]string
@@ -178,6 +181,8 @@
 }
 
 func (l *versionLink) SendStreamVersion(gateway string, v kumquatlug.StreamVersion) {
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
 	if peer := l.fleet.gateways[gateway]; peer != nil {
 		go peer.g.StreamVersionReceived(l.self, v)
 	}
@@ -201,10 +206,21 @@
 	f.g.streamVersions.setPeers([]string{"a", "b", "c", "d"}, nil)
 	f.setEngineVersions(l.versions)
 	f.g.streamVersions.setMembers(f.g.members.Load().byService)
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.gateways[name] = f
 	return f
 }
 
+// kill removes gateways.
+func (l *versionFleet) kill(names ...string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, name := range names {
+		delete(l.gateways, name)
+	}
+}
+
 // Guards against a stream that its client takes up at another gateway and that goes on at another version, or
 // not at all, also after the first gateway was killed and when the client takes it up twice.
 func TestStreamGoesOnAtOtherGateway(t *testing.T) {
@@ -218,7 +234,7 @@
 				t.Fatalf("%v, %d bytes, want a part of the stream", got.err, len(got.body))
 			}
 			if killed {
-				delete(fleet.gateways, "a")
+				fleet.kill("a")
 				fleet.start(t, "a")
 			}
 			for i, name := range []string{"b", "c", "d", "a"} {
@@ -268,7 +284,7 @@
 		t.Fatalf("%d bytes, want a part of the stream", len(got.body))
 	}
 	b := fleet.gateways["b"]
-	clear(fleet.gateways)
+	fleet.kill("a", "b", "c", "d")
 	calls := len(fleet.workers.recorded())
 	got := b.resume(t, "r2", "unknown", 4)
 	if got.status != http.StatusServiceUnavailable || len(fleet.workers.recorded()) != calls {
@@ -305,7 +321,7 @@
 	cancel()
 	close(proceed)
 	<-done
-	delete(fleet.gateways, "a")
+	fleet.kill("a")
 	fleet.versions = map[string]string{"d2": "v1", "d3": "v2", "d4": "v2"}
 	fleet.start(t, "a")
 	for _, name := range []string{"b", "c", "d", "a"} {
