A gateway that has just started reads which others there are before it asks for a version

Its first count of gateways comes a second after its start; until then it knew nobody, and a stream whose id the epochs do not determine was refused although a peer had its record. One scan, only if the listing determines nothing. TestGatewayThatHasJustStartedAsksTheOthers fails without it.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -169,6 +169,8 @@
 	handoffs      *handoffs
 	handoffServer *http.Server
 	retryClaims   *retryClaims
+	// countMu serializes the reads of the rows of all gateways.
+	countMu sync.Mutex
 	// streamVersions knows at which version the streams of clients began.
 	streamVersions *streamVersions
 }
--- a/internal/gateway/maintenance.go
+++ b/internal/gateway/maintenance.go
@@ -124,6 +124,8 @@
 
 // countGateways reads the rows of all gateways and reports whether that succeeded.
 func (g *Gateway) countGateways(ctx context.Context) bool {
+	g.countMu.Lock()
+	defer g.countMu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout.Duration())
 	defer cancel()
 	rows, err := g.c.Table.Scan(ctx, gatewayRowPrefix, "", maxGatewayRows)
--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/streamversion"
@@ -20,6 +21,10 @@
 	services map[string]*serviceVersions
 	// peers are the names of the other gateways that serve.
 	peers map[string]bool
+	// peersRead says that the rows of all gateways were read, peersReading is held by the request that reads
+	// them first.
+	peersRead    atomic.Bool
+	peersReading sync.Mutex
 	// left are the gateways that have announced their shutdown and whose rows may still be there.
 	left map[string]bool
 	// questions are the channels of the questions to peers, by key.
--- a/internal/gateway/versionfleet_test.go
+++ b/internal/gateway/versionfleet_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/clock"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/coordinator"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/streamversion"
 )
 
@@ -196,6 +197,42 @@
 	}
 }
 
+// rowsTable is a table that has the rows of all gateways.
+type rowsTable struct {
+	*sharedTable
+	gateways []string
+}
+
+func (l *rowsTable) Scan(context.Context, string, string, int) ([]kumquatlug.Row, error) {
+	var rows []kumquatlug.Row
+	for _, name := range l.gateways {
+		rows = append(rows, kumquatlug.NewRow(gatewayRowPrefix+name, nil, 1))
+	}
+	return rows, nil
+}
+
+// rowsLink reaches all gateways that have a row.
+type rowsLink struct{ *versionLink }
+
+func (l *rowsLink) UpdatePeers(rows map[string][]byte) (reachable, restarted []string) {
+	return slices.Collect(maps.Keys(rows)), nil
+}
+
+// Guards against a gateway that has just started and asks nobody, because it has not read yet which others there are.
+func TestGatewayThatHasJustStartedAsksTheOthers(t *testing.T) {
+	fleet := newVersionFleet(t, versionedEngines(2), fourEngines)
+	version := fleet.beginCut(t, "a", "stream")
+	fleet.undetermine(t, "a", version)
+	e := fleet.start(t, "e")
+	v := newStreamVersions(e.g)
+	e.g.streamVersions = v
+	v.setMembers(e.g.members.Load().byService)
+	e.g.scheduler.coordinators = coordinator.New("e")
+	e.g.c.Table = &rowsTable{sharedTable: fleet.table, gateways: []string{"a", "b", "c", "d", "e"}}
+	e.g.c.Peers = &rowsLink{&versionLink{fleet: fleet, self: "e"}}
+	fleet.requireGoesOn(t, "e", "stream")
+}
+
 // Guards against streams that are refused while the store does not answer, although the listing was read before and
 // the peers know of no newer epoch.
 func TestStreamGoesOnByTheListingReadBeforeTheStoreFellSilent(t *testing.T) {
--- a/internal/gateway/versionpeers.go
+++ b/internal/gateway/versionpeers.go
@@ -29,6 +29,7 @@
 
 // setPeers replaces the names of the gateways that serve. Those that have restarted have lost their records.
 func (v *streamVersions) setPeers(names, restarted []string) {
+	v.peersRead.Store(true)
 	v.mu.Lock()
 	before := v.peers
 	v.peers = map[string]bool{}
@@ -46,6 +47,22 @@
 	out.send(v.g.c.Peers)
 }
 
+// readPeers reads the rows of all gateways if this one has never read them. It returns false if it has, or if
+// they can't be read.
+func (v *streamVersions) readPeers(ctx context.Context) bool {
+	if v.g.c.Peers == nil || v.peersRead.Load() {
+		return false
+	}
+	v.peersReading.Lock()
+	defer v.peersReading.Unlock()
+	if v.peersRead.Load() {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, listingTimeout.Duration())
+	defer cancel()
+	return v.g.countGateways(ctx)
+}
+
 // peerJoined handles a gateway that has started: it has lost its records if it ran before.
 func (v *streamVersions) peerJoined(name string) {
 	v.mu.Lock()
--- a/internal/gateway/versionresolve.go
+++ b/internal/gateway/versionresolve.go
@@ -36,7 +36,7 @@
 		r.version, r.source = sole, streamversion.SourceListing
 		return r
 	}
-	if questions == nil {
+	if read && r.evidence.Determined == "" && v.readPeers(ctx) || questions == nil {
 		questions = v.askPeers(kumquatlug.StreamVersionAsked, service, id)
 		defer questions.close()
 	}
