--- a/internal/gateway/inflightversion.go
+++ b/internal/gateway/inflightversion.go
@@ -50,8 +50,8 @@
 		return false
 	}
 	q.Exclude = nil
-	if _, found := f.g.scheduler.findChoice(f.g.c.Clock.Now(), f.service, q); found {
-		// Only this request can't be sent there.
+	if c, found := f.g.scheduler.findChoice(f.g.c.Clock.Now(), f.service, q); found || c.Delay() > 0 {
+		// Only this request can't be sent there, or only now.
 		return false
 	}
 	return f.g.streamVersions.noWorker(ctx, f.service.Name(), f.request.StreamID(), q.Version)
