--- a/internal/gateway/versionfleet_test.go
+++ b/internal/gateway/versionfleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -11,6 +12,7 @@
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/clock"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/coordinator"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/streamversion"
 )
 
@@ -58,6 +60,21 @@
 	}
 }
 
+// awaitOwners waits until the owners have the record of a stream that a gateway has begun.
+func (l *versionFleet) awaitOwners(t *testing.T, began, id, version string) {
+	t.Helper()
+	for _, owner := range streamversion.Owners(id, began, slices.Collect(maps.Keys(l.gateways)), streamversion.RecordOwners) {
+		l.awaitRecord(t, owner, id, version)
+	}
+}
+
+// forgetRecords removes all records of a gateway.
+func (v *streamVersions) forgetRecords() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.records = streamversion.NewRecords()
+}
+
 // requireGoesOn takes a stream up at a gateway.
 func (l *versionFleet) requireGoesOn(t *testing.T, gateway, id string) {
 	t.Helper()
@@ -105,22 +122,25 @@
 // Guards against records that are lost because the gateway that owns them, and then the one that began the stream,
 // stops.
 func TestRecordsMoveToOwnersThatStay(t *testing.T) {
-	fleet := newVersionFleet(t, versionedEngines(2), fourEngines)
+	fleet, all := newVersionFleet(t, versionedEngines(2), fourEngines), []string{"a", "b", "c", "d", "e"}
+	fleet.start(t, "e")
+	for _, f := range fleet.gateways {
+		f.g.streamVersions.setPeers(all, nil)
+	}
 	id := "stream"
-	owners := streamversion.Owners(id, "a", []string{"b", "c", "d"}, 3)
+	owners := streamversion.Owners(id, "a", all, 4)
 	version := fleet.beginCut(t, "a", id)
-	for _, owner := range owners[:2] {
-		fleet.awaitRecord(t, owner, id, version)
-	}
+	fleet.awaitOwners(t, "a", id, version)
 	for _, leaving := range owners[:2] {
 		fleet.kill(leaving)
 		for _, f := range fleet.gateways {
 			f.g.streamVersions.peerLeft(leaving)
 			// The row is still there.
-			f.g.streamVersions.setPeers([]string{"a", "b", "c", "d"}, nil)
+			f.g.streamVersions.setPeers(all, nil)
 		}
 	}
 	fleet.awaitRecord(t, owners[2], id, version)
+	fleet.awaitRecord(t, owners[3], id, version)
 	fleet.kill("a")
 	fleet.undetermine(t, owners[2], version)
 	fleet.requireGoesOn(t, owners[2], id)
@@ -131,8 +151,16 @@
 	fleet := newVersionFleet(t, versionedEngines(2), fourEngines)
 	id, names := "stream", []string{"a", "b", "c", "d"}
 	version := fleet.beginCut(t, "a", id)
+	fleet.awaitOwners(t, "a", id, version)
 	for _, leaving := range names[:3] {
+		for name, f := range fleet.gateways {
+			if name != leaving {
+				// It is the only one that has the record.
+				f.g.streamVersions.forgetRecords()
+			}
+		}
 		fleet.gateways[leaving].g.streamVersions.handOver()
+		<-time.After(20 * time.Millisecond)
 		fleet.kill(leaving)
 		for _, f := range fleet.gateways {
 			f.g.streamVersions.peerLeft(leaving)
@@ -169,17 +197,55 @@
 	}
 }
 
+// rowsTable is a table that has the rows of all gateways.
+type rowsTable struct {
+	*sharedTable
+	gateways []string
+}
+
+func (l *rowsTable) Scan(context.Context, string, string, int) ([]kumquatlug.Row, error) {
+	var rows []kumquatlug.Row
+	for _, name := range l.gateways {
+		rows = append(rows, kumquatlug.NewRow(gatewayRowPrefix+name, nil, 1))
+	}
+	return rows, nil
+}
+
+// rowsLink reaches all gateways that have a row.
+type rowsLink struct{ *versionLink }
+
+func (l *rowsLink) UpdatePeers(rows map[string][]byte) (reachable, restarted []string) {
+	return slices.Collect(maps.Keys(rows)), nil
+}
+
+// Guards against a gateway that has just started and asks nobody, because it has not read yet which others there are.
+func TestGatewayThatHasJustStartedAsksTheOthers(t *testing.T) {
+	fleet := newVersionFleet(t, versionedEngines(2), fourEngines)
+	version := fleet.beginCut(t, "a", "stream")
+	fleet.undetermine(t, "a", version)
+	e := fleet.start(t, "e")
+	v := newStreamVersions(e.g)
+	e.g.streamVersions = v
+	v.setMembers(e.g.members.Load().byService)
+	e.g.scheduler.coordinators = coordinator.New("e")
+	e.g.c.Table = &rowsTable{sharedTable: fleet.table, gateways: []string{"a", "b", "c", "d", "e"}}
+	e.g.c.Peers = &rowsLink{&versionLink{fleet: fleet, self: "e"}}
+	fleet.requireGoesOn(t, "e", "stream")
+}
+
 // Guards against streams that are refused while the store does not answer, although the listing was read before and
 // the peers know of no newer epoch.
 func TestStreamGoesOnByTheListingReadBeforeTheStoreFellSilent(t *testing.T) {
 	fleet := newVersionFleet(t, versionedEngines(2), fourEngines)
-	fleet.beginCut(t, "a", "stream")
+	fleet.awaitOwners(t, "a", "stream", fleet.beginCut(t, "a", "stream"))
 	for _, name := range []string{"b", "c", "d"} {
 		f := fleet.gateways[name]
 		f.g.streamVersions.prepare(t.Context(), "engines", "other")
-		f.g.streamVersions.records = streamversion.NewRecords()
+		f.g.streamVersions.forgetRecords()
 		f.g.c.Table = &cutOffTable{sharedTable: fleet.table, cutOff: true}
 	}
 	fleet.kill("a")
+	// A read of the same millisecond would count as one of now.
+	<-time.After(5 * time.Millisecond)
 	fleet.requireGoesOn(t, "b", "stream")
 }
