Soak: long grace and slow engines in every other run with two versions

Streams of 0.45 s ended before any request could arrive later than 3 s after SIGTERM, so that the check of late requests saw none.

--- a/test/front/soak_check_test.go
+++ b/test/front/soak_check_test.go
@@ -120,13 +120,13 @@
 // sixth of the grace.
 func (k *soak) atEndOfGrace(r *soakRequest) bool {
 	return slices.ContainsFunc(k.terms[r.gateway], func(term time.Time) bool {
-		return r.sent.Before(term.Add(soakExcused)) && r.ended.After(term.Add(soakGrace*5/6)) && r.ended.Before(term.Add(soakExit))
+		return r.sent.Before(term.Add(soakExcused)) && r.ended.After(term.Add(k.grace*5/6)) && r.ended.Before(term.Add(k.grace+soakRestart))
 	})
 }
 
 // isLate returns whether a request was sent to a gateway later after its SIGTERM than the users' rules excuse.
 func (k *soak) isLate(r *soakRequest) bool {
 	return slices.ContainsFunc(k.terms[r.gateway], func(term time.Time) bool {
-		return r.sent.After(term.Add(soakExcused)) && r.sent.Before(term.Add(soakGrace))
+		return r.sent.After(term.Add(soakExcused)) && r.sent.Before(term.Add(k.grace))
 	})
 }
--- a/test/front/soak_plan_test.go
+++ b/test/front/soak_plan_test.go
@@ -107,16 +107,17 @@
 
 // planStop stops a gateway by SIGTERM and starts it again after its grace, unless it is reserved.
 func (k *soak) planStop(at time.Duration, g int) {
-	if !k.reserve(g, at, at+soakExit+time.Second) {
+	if !k.reserve(g, at, at+k.grace+soakRestart+time.Second) {
 		return
 	}
 	p := k.gateways[g]
 	k.add(at, p.name+" SIGTERM", func() {
 		k.terms[g] = append(k.terms[g], time.Now())
+		k.beginPhase(g)
 		p.signal(syscall.SIGTERM)
 	})
-	k.add(at+soakGrace, p.name+" SIGKILL, if it still runs", p.kill)
-	k.add(at+soakExit, p.name+" starts", func() { k.start(g) })
+	k.add(at+k.grace, p.name+" SIGKILL, if it still runs", p.kill)
+	k.add(at+k.grace+soakRestart, p.name+" starts", func() { k.start(g) })
 }
 
 // soakReservation is a span of the plan, as times after the start, in which a gateway is reserved.
--- a/test/front/soak_test.go
+++ b/test/front/soak_test.go
@@ -29,9 +29,9 @@
 	soakClients  = 20
 	soakEvents   = 30
 	soakSpan     = 8 * time.Second
-	// soakGrace is grace_s of the gateways; a stopped process starts again soakExit after SIGTERM.
-	soakGrace = 4 * time.Second
-	soakExit  = 4500 * time.Millisecond
+	// soakGrace is grace_s of the gateways; a stopped process starts again soakRestart after it.
+	soakGrace   = 4 * time.Second
+	soakRestart = 500 * time.Millisecond
 	// soakApply is how long a gateway may serve by an older version of the config, and how
 	// long after an unplanned fault its effects are excused.
 	soakApply = 2 * time.Second
@@ -51,19 +51,22 @@
 
 // Silent and full workers, kills, freezes, faults of the store and planned changes overlap under load.
 // Guards against responses that are mixed or repeated, false refusals and gateways that stop serving.
-func TestSoakUnplannedFaults(t *testing.T) { soakSeeds(t, 1, 2, false) }
+func TestSoakUnplannedFaults(t *testing.T) { soakSeeds(t, false, 1, 2) }
 
 // Sound workers pause and go on, others are full, and gateways are reloaded, reconfigured and restarted meanwhile.
 // Guards against responses that are cut although nothing unplanned has happened.
-func TestSoakPlannedChanges(t *testing.T) { soakSeeds(t, 2, 2, true) }
+func TestSoakPlannedChanges(t *testing.T) { soakSeeds(t, true, 2, 5) }
 
-// soakSeeds runs the seeds from seed to last, or those that the environment names.
-func soakSeeds(t *testing.T, seed, last uint64, planned bool) {
+// soakSeeds runs these seeds, or those that the environment names.
+func soakSeeds(t *testing.T, planned bool, seeds ...uint64) {
 	if n, err := strconv.ParseUint(os.Getenv("KUMQUATLUG_SOAK_SEEDS"), 10, 64); err == nil {
-		seed, _ = strconv.ParseUint(cmp.Or(os.Getenv("KUMQUATLUG_SOAK_FIRST"), "1"), 10, 64)
-		last = seed + n - 1
+		first, _ := strconv.ParseUint(cmp.Or(os.Getenv("KUMQUATLUG_SOAK_FIRST"), "1"), 10, 64)
+		seeds = nil
+		for seed := first; seed < first+n; seed++ {
+			seeds = append(seeds, seed)
+		}
 	}
-	for ; seed <= last; seed++ {
+	for _, seed := range seeds {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { runSoak(t, seed, planned) })
 	}
 }
@@ -80,6 +83,7 @@
 	// prompts crashes engines.
 	versions []string
 	crashing bool
+	grace    time.Duration
 	gateways []*process
 	// present is the number of gateways that were started so far; inUse and started are by gateway.
 	present atomic.Int32
@@ -91,7 +95,9 @@
 	actions []soakAction
 	played  []string
 	// terms are the times of SIGTERM by gateway.
-	terms   [][]time.Time
+	terms [][]time.Time
+	// phases are the times by gateway at which it started, was ready or got SIGTERM.
+	phases  [][]time.Time
 	faults  []soakFault
 	outages []soakOutage
 	// reserved are the spans in which the plan restarts or freezes a gateway.
@@ -177,16 +183,20 @@
 	// Every other seed leaves few retries; in half of them the first gateway hands streams off.
 	minRetries, firstLink := []int{3, 0}[seed%2], []float64{10, 200}[seed/2%2]
 	c := site.Config{PrefillEngines: 4, DecodeEngines: 2, PlainWorkers: 3, Events: soakEvents, EventDelay: 15 * time.Millisecond, MinRetries: minRetries}
-	gateways, clientKinds := soakGateways, slices.Repeat(soakKinds, soakClients/len(soakKinds))
+	gateways, grace, clientKinds := soakGateways, soakGrace, slices.Repeat(soakKinds, soakClients/len(soakKinds))
 	if seed%3 == 2 {
 		c.PrefillEngines, c.DecodeEngines, c.EngineVersions = 6, 6, soakVersions[seed/3%2]
 		gateways += soakAdded
+		if seed%2 == 1 {
+			grace, c.EventDelay = soakLongGrace, soakSlowDelay
+		}
 		clientKinds = append(clientKinds, slices.Repeat([]string{"long"}, soakResumers)...)
 	}
-	t.Logf("seed %d, planned: %t, minimum of retries (0 is the default): %d, link of front-0: %v Mbit/s, versions: %v", seed, planned, minRetries, firstLink, c.EngineVersions)
-	k := &soak{T: t, seed: seed, planned: planned, versions: c.EngineVersions, crashing: !planned && seed%4 != 3, random: rand.New(rand.NewPCG(seed, 0)), Site: newSite(t, c)}
+	t.Logf("seed %d, planned: %t, minimum of retries (0 is the default): %d, link of front-0: %v Mbit/s, versions: %v, grace: %v", seed, planned, minRetries, firstLink, c.EngineVersions, grace)
+	k := &soak{T: t, seed: seed, planned: planned, grace: grace, versions: c.EngineVersions, crashing: !planned && seed%4 != 3, random: rand.New(rand.NewPCG(seed, 0)), Site: newSite(t, c)}
 	k.workers = slices.Concat(k.Engines, k.PlainWorkers)
 	k.inUse, k.started, k.terms = make([]atomic.Bool, gateways), make([]atomic.Int64, gateways), make([][]time.Time, gateways)
+	k.phases = make([][]time.Time, gateways)
 	k.changeConfig()
 	for i := range gateways {
 		link := 200.0
--- a/test/front/soak_versions_test.go
+++ b/test/front/soak_versions_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/kumquatlug/kumquatlug/internal/standin/fleet"
@@ -21,6 +22,10 @@
 	soakVersionsSpan = 12 * time.Second
 	// soakRollStep is the time between the SIGTERM of two gateways of a roll.
 	soakRollStep = 250 * time.Millisecond
+	// soakLongGrace is grace_s and soakSlowDelay the time between events in every other run: streams are still running
+	// when requests arrive late after SIGTERM.
+	soakLongGrace = 8 * time.Second
+	soakSlowDelay = 60 * time.Millisecond
 	// soakExcused is how long after SIGTERM a request may be sent and still be cut at the end of the grace;
 	// soakLossSlack is loss_slack_ms, within which a request that can't be served is refused.
 	soakExcused   = 3 * time.Second
@@ -31,7 +36,7 @@
 	soakResumedShare = 0.5
 	// soakLeastServing is the number of serving workers of its version with which a stream has to go on.
 	soakLeastServing = 2
-	// soakMeanwhile is how much before or after a stream is taken up new ones at the same gateway begin meanwhile.
+	// soakMeanwhile is how much before or after a stream is taken up a new one at the same gateway counts as begun meanwhile.
 	soakMeanwhile = 500 * time.Millisecond
 	// soakBack is the longest time until a crashed engine is back and known.
 	soakBack = 3 * time.Second
@@ -56,6 +61,7 @@
 	if err != nil {
 		k.Fatal(err)
 	}
+	settings = strings.Replace(settings, "grace_s = 4\n", fmt.Sprintf("grace_s = %d\n", k.grace/time.Second), 1)
 	p := &process{t: k.T, name: name, clientAddr: clientAddr, readyAddr: readyAddr, settingsFile: filepath.Join(k.TempDir(), "settings.toml"), flags: []string{"--log-level", "debug"}}
 	if err := os.WriteFile(p.settingsFile, []byte(settings), 0o600); err != nil {
 		k.Fatal(err)
@@ -68,6 +74,7 @@
 	p := k.gateways[g]
 	p.start()
 	k.started[g].Store(time.Now().UnixNano())
+	k.beginPhase(g)
 	if g == int(k.present.Load()) {
 		k.present.Add(1)
 		k.Cleanup(p.kill)
@@ -84,10 +91,28 @@
 			default:
 			}
 		}
+		k.beginPhase(g)
 		k.inUse[g].Store(true)
 	}()
 }
 
+// beginPhase notes that a gateway starts, is ready or is stopped.
+func (k *soak) beginPhase(g int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.phases[g] = append(k.phases[g], time.Now())
+}
+
+// meanwhile returns whether two requests were sent to the same gateway in the same phase, and shortly one after the other.
+func (k *soak) meanwhile(a, b *soakRequest) bool {
+	if a.gateway != b.gateway || a.sent.Sub(b.sent).Abs() >= soakMeanwhile {
+		return false
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return !slices.ContainsFunc(k.phases[a.gateway], func(at time.Time) bool { return at.Before(a.sent) != at.Before(b.sent) })
+}
+
 // selectGateway returns a gateway for a new connection. One that takes up a stream goes to the gateway that
 // started last or to any other than the one that broke it off.
 func (k *soak) selectGateway(cut *soakRequest, random *rand.Rand) int {
@@ -116,7 +141,7 @@
 	}
 	first := k.between(1000, 3000)
 	k.planRoll(first)
-	second := first + time.Duration(len(k.gateways))*soakRollStep + soakExit + k.between(1000, 2500)
+	second := first + time.Duration(len(k.gateways))*soakRollStep + k.grace + soakRestart + k.between(1000, 2500)
 	if k.planned {
 		k.planRoll(second)
 		return
@@ -244,7 +269,7 @@
 		}
 		begun, fresh := 0, 0
 		for other, begins := range units {
-			if other.resumes == nil && other.gateway == r.gateway && other.sent.Sub(r.sent).Abs() < soakMeanwhile {
+			if other.resumes == nil && k.meanwhile(r, other) {
 				fresh++
 				begun += one(begins)
 			}
