--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -54,6 +54,8 @@
 	q.Version = f.soleVersion
 	if f.continues() {
 		q.Version = f.version
+	} else if f.soleVersion == "" {
+		q.Version = f.selectedVersion()
 	}
 	f.addTransferQuery(&q)
 	return q
@@ -137,6 +139,12 @@
 		q.Exclude = nil
 		choice, attempt = f.g.scheduler.choose(f.g.c.Clock.Now(), f.service.Name(), s, q)
 	}
+	if attempt == nil && f.otherVersion(ctx, q) {
+		choice, attempt = f.g.scheduler.choose(f.g.c.Clock.Now(), f.service.Name(), s, f.placementQuery())
+	}
+	for attempt == nil && f.awaitVersion(ctx, choice.Delay()) {
+		choice, attempt = f.g.scheduler.choose(f.g.c.Clock.Now(), f.service.Name(), s, f.placementQuery())
+	}
 	if attempt == nil {
 		return nil, choice, f.noWorkerFailure(choice)
 	}
@@ -155,7 +163,7 @@
 	case c.Delay() > 0:
 		reason, retryAfter = "worker_limit", f.retryAfter(c.Delay())
 	case f.continues():
-		reason, retryAfter = reasonVersionGone, versionRetryAfter
+		reason, retryAfter = f.versionRefusal()
 	}
 	return &attemptFailure{permanent: true, failure: refusal("place", reason, http.StatusServiceUnavailable, retryAfter)}
 }
@@ -199,7 +207,14 @@
 
 // awaitPermit waits until the prompt may be sent to an engine.
 func (f *inflight) awaitPermit(ctx context.Context) (*placement.Attempt, placement.Choice, *attemptFailure) {
-	p := f.g.scheduler.submit(f.g.c.Clock.Now(), f.service.Name(), f.placementQuery())
+	q := f.placementQuery()
+	p := f.g.scheduler.submit(f.g.c.Clock.Now(), f.service.Name(), q)
+	if p.submission == placement.SubmissionNoEngine && f.otherVersion(ctx, q) {
+		p = f.g.scheduler.submit(f.g.c.Clock.Now(), f.service.Name(), f.placementQuery())
+	}
+	for f.waitsForVersion(p.submission) && f.awaitVersion(ctx, p.choice.Delay()) {
+		p = f.g.scheduler.submit(f.g.c.Clock.Now(), f.service.Name(), f.placementQuery())
+	}
 	switch p.submission {
 	case placement.SubmissionSent:
 		return p.attempt, p.choice, nil
@@ -351,9 +366,6 @@
 
 // run makes an attempt that runs the request, and relays the response.
 func (f *inflight) run(ctx context.Context, c placement.Choice, a *placement.Attempt, cache kumquatlug.KVCacheRef) *attemptFailure {
-	if failed := f.listVersion(ctx, c, a); failed != nil {
-		return failed
-	}
 	if failed := f.awaitWorkerLimit(ctx, c, a); failed != nil {
 		return failed
 	}
@@ -373,6 +385,7 @@
 	o, stop := f.openRun(ctx, cancel, a, &s)
 	defer stop()
 	f.unusedCharge = false
+	f.recordRunStart(a)
 	request := f.request
 	o.await()
 	response, err := f.g.c.Workers.Run(call, c.Worker(), request, s)
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -200,10 +200,19 @@
 	}
 	return kumquatlug.NewRequest(kumquatlug.RequestConfig{
 		ID: r.Header.Get("Id"), Host: "h", Method: r.Method, Path: r.URL.Path, Target: r.URL.Path, Body: body,
-		Timeout: 2000, LastEventID: parseEventID(r), Resumes: r.Header.Get("Resumes"), Prompt: prompt, Credential: kumquatlug.NewCredential(r.Header["Secret"]),
+		Timeout: parseTimeout(r), LastEventID: parseEventID(r), Resumes: r.Header.Get("Resumes"), Prompt: prompt, Credential: kumquatlug.NewCredential(r.Header["Secret"]),
 	}), nil
 }
 
+// parseTimeout returns the client's timeout, 2 s if it sends none.
+func parseTimeout(r *http.Request) kumquatlug.Millis {
+	timeout, err := strconv.ParseInt(r.Header.Get("Timeout-Ms"), 10, 64)
+	if err != nil {
+		return 2000
+	}
+	return kumquatlug.Millis(timeout)
+}
+
 // parseEventID returns the number of the last event that a client has received.
 func parseEventID(r *http.Request) int64 {
 	id, err := strconv.ParseInt(r.Header.Get("Last-Event-Id"), 10, 64)
@@ -277,6 +286,16 @@
 	unavailableTable
 	mu   sync.Mutex
 	rows map[string]kumquatlug.Row
+	// ahead is the difference between the table's clock and the time, era that of its content.
+	ahead kumquatlug.Millis
+	era   int64
+}
+
+// advance moves the table's clock.
+func (l *sharedTable) advance(by kumquatlug.Millis) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ahead += by
 }
 
 func newSharedTable() *sharedTable { return &sharedTable{rows: map[string]kumquatlug.Row{}} }
@@ -291,7 +310,12 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.rows[key].WithReadAt(kumquatlug.Millis(time.Now().UnixMilli())), nil
+	now := kumquatlug.Millis(time.Now().UnixMilli()) + l.ahead
+	row := l.rows[key]
+	if !row.Exists() {
+		row = kumquatlug.NewRow(key, nil, 0).WithEra(l.era)
+	}
+	return row.WithReadAt(now), nil
 }
 
 func (l *sharedTable) Commit(_ context.Context, tx kumquatlug.Tx) error {
@@ -304,7 +328,7 @@
 		if tx.Conditions()[0].Version() != l.rows[w.Key()].Version() {
 			return kumquatlug.ErrConflict
 		}
-		l.rows[w.Key()] = kumquatlug.NewRow(w.Key(), w.Value(), l.rows[w.Key()].Version()+1)
+		l.rows[w.Key()] = kumquatlug.NewRow(w.Key(), w.Value(), l.rows[w.Key()].Version()+1).WithEra(l.era)
 	}
 	return nil
 }
@@ -344,6 +368,7 @@
 		"desk": {member("s1", ""), member("s2", "")},
 	}}
 	g.members.Store(set)
+	g.streamVersions.setMembers(set.byService)
 	g.scheduler.syncMembers(now.Now(), set.byService)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -96,14 +96,13 @@
 		g: g, w: w, request: request, account: account, route: route, service: service, configVersion: table.Version(),
 		arrived: o.arrived, elapsed: o.elapsed, handoff: o.handoff, lastEventID: request.LastEventID(),
 	}
-	defer g.streamVersions.end(f)
 	if exit := kumquatlug.Millis(g.exitAt.Load()); exit != 0 {
 		// The client's next request uses a new connection, to a gateway that is not
 		// shutting down.
 		w.Header().Set("Connection", "close")
 		f.setDeadline()
 		if f.outlastsShutdown(exit) {
-			g.refuse(w, request, refusal("stop", reasonStopping, http.StatusServiceUnavailable, shutdownRetryAfter))
+			g.refuse(w, request, f.stoppingRefusal(), append(f.exitFields(exit), f.logFields()...)...)
 			return
 		}
 		f.logTaken(exit)
--- a/internal/gateway/streamversion_test.go
+++ b/internal/gateway/streamversion_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -118,11 +119,38 @@
 	}
 }
 
-// Guards against a stream that goes on although nobody knows the version that began it.
+// beginEpoch begins an epoch of the service.
+func (f *testGateway) beginEpoch(t *testing.T, weights streamversion.Weights) {
+	t.Helper()
+	err := f.g.streamVersions.updateListing(t.Context(), "engines", func(l streamversion.Listing) ([]byte, error) { return l.Begin(weights) })
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a stream that goes on at the version of another id because its client does not name it.
+func TestUnnamedStreamIsNotTakenUpByItsID(t *testing.T) {
+	w := versionedEngines(0)
+	f := newTestGateway(t, w, manyRetries)
+	f.setEngineVersions(map[string]string{"d1": "v1", "d2": "v2"})
+	f.beginEpoch(t, streamversion.Weights{"v1": 1, "v2": 1})
+	if got := f.resume(t, "r2", "", 4); got.status != http.StatusServiceUnavailable || len(w.recorded()) != 0 {
+		t.Errorf("status %d, %d calls of workers, want a refusal", got.status, len(w.recorded()))
+	}
+	if got := f.resume(t, "r3", "r1", 4); got.err != nil || got.body != events(5, 8) {
+		t.Errorf("%v, status %d, %q, want the rest of the stream that the client names", got.err, got.status, got.body)
+	}
+}
+
+// Guards against a stream that goes on although nobody knows the version that began it: its client does not name
+// it, or its id is one on which the epochs disagree.
 func TestStreamOfUnknownVersionIsNotTakenUp(t *testing.T) {
 	w := versionedEngines(0)
 	f := newTestGateway(t, w, manyRetries)
 	f.setEngineVersions(map[string]string{"d1": "v1", "d2": "v2"})
+	f.beginEpoch(t, streamversion.Weights{"v1": 1})
+	f.g.c.Table.(*sharedTable).advance(2 * kumquatlug.Second)
+	f.beginEpoch(t, streamversion.Weights{"v2": 1})
 	for _, first := range []string{"", "never-seen"} {
 		got := f.resume(t, "r2", first, 4)
 		if got.status != http.StatusServiceUnavailable || got.header.Get("Ran") != string(kumquatlug.NotExecuted) || got.duration.Milliseconds() > 500 {
@@ -137,6 +165,8 @@
 // versionFleet is a number of gateways that share their store and exchange messages about the versions of
 // streams.
 type versionFleet struct {
+	// mu guards changes of gateways against messages in flight.
+	mu       sync.Mutex
 	gateways map[string]*testGateway
 	workers  *fakeWorkers
 	versions map[string]string
@@ -151,6 +181,8 @@
 }
 
 func (l *versionLink) SendStreamVersion(gateway string, v kumquatlug.StreamVersion) {
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
 	if peer := l.fleet.gateways[gateway]; peer != nil {
 		go peer.g.StreamVersionReceived(l.self, v)
 	}
@@ -171,13 +203,24 @@
 	f := newTestGateway(t, l.workers, manyRetries)
 	f.g.c.Name, f.g.c.Table, f.g.c.Peers = name, l.table, &versionLink{fleet: l, self: name}
 	f.g.configConfirmedAt.Store(int64(f.g.c.BootClock.Now()))
-	f.g.streamVersions.addPeers("a", "b", "c", "d")
+	f.g.streamVersions.setPeers([]string{"a", "b", "c", "d"}, nil)
 	f.setEngineVersions(l.versions)
 	f.g.streamVersions.setMembers(f.g.members.Load().byService)
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.gateways[name] = f
 	return f
 }
 
+// kill removes gateways.
+func (l *versionFleet) kill(names ...string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, name := range names {
+		delete(l.gateways, name)
+	}
+}
+
 // Guards against a stream that its client takes up at another gateway and that goes on at another version, or
 // not at all, also after the first gateway was killed and when the client takes it up twice.
 func TestStreamGoesOnAtOtherGateway(t *testing.T) {
@@ -191,7 +234,7 @@
 				t.Fatalf("%v, %d bytes, want a part of the stream", got.err, len(got.body))
 			}
 			if killed {
-				delete(fleet.gateways, "a")
+				fleet.kill("a")
 				fleet.start(t, "a")
 			}
 			for i, name := range []string{"b", "c", "d", "a"} {
@@ -231,6 +274,8 @@
 	if got := fleet.gateways["a"].do(t.Context(), http.MethodPost, longRoute); got.err == nil {
 		t.Fatalf("%d bytes, want a part of the stream", len(got.body))
 	}
+	// Epochs begin at least a second apart.
+	fleet.table.advance(2 * kumquatlug.Second)
 	// Gateway a sees the new version alone, begins a stream there and is killed with its peers.
 	a := fleet.gateways["a"]
 	a.setEngineVersions(map[string]string{"d3": "v2", "d4": "v2"})
@@ -239,7 +284,7 @@
 		t.Fatalf("%d bytes, want a part of the stream", len(got.body))
 	}
 	b := fleet.gateways["b"]
-	clear(fleet.gateways)
+	fleet.kill("a", "b", "c", "d")
 	calls := len(fleet.workers.recorded())
 	got := b.resume(t, "r2", "unknown", 4)
 	if got.status != http.StatusServiceUnavailable || len(fleet.workers.recorded()) != calls {
@@ -276,7 +321,7 @@
 	cancel()
 	close(proceed)
 	<-done
-	delete(fleet.gateways, "a")
+	fleet.kill("a")
 	fleet.versions = map[string]string{"d2": "v1", "d3": "v2", "d4": "v2"}
 	fleet.start(t, "a")
 	for _, name := range []string{"b", "c", "d", "a"} {
@@ -379,26 +424,32 @@
 	}
 }
 
-// Guards against records of all streams at peers, and reads of the listing, in a service whose workers have
-// not changed for a long time.
+// Guards against records of streams at peers, and reads of the listing, in a service whose workers have not changed
+// for a long time.
 func TestStreamsOfUnchangedServiceAreNotRecorded(t *testing.T) {
 	now := clock.NewManual(100_000)
 	f := newTestGateway(t, versionedEngines(0), manyRetries)
 	v := f.g.streamVersions
 	f.g.c.BootClock = now
+	f.g.c.Peers = noLink{}
+	f.g.configConfirmedAt.Store(int64(now.Now()))
 	f.setEngineVersions(map[string]string{"d1": "v1", "d2": "v1"})
 	v.setMembers(f.g.members.Load().byService)
-	if !v.list(t.Context(), "engines", "v1") {
+	v.prepare(t.Context(), "engines", "r1")
+	if _, known := v.service("engines").Listing(); !known {
 		t.Fatal("the version was not listed")
 	}
 	for range 10 {
 		now.Advance(streamversion.Retention)
-		if v.update(); v.isRecording("engines") || len(v.dueListings()) != 0 {
-			t.Fatal("streams of the only version are recorded")
+		f.g.configConfirmedAt.Store(int64(now.Now()))
+		v.update()
+		if due := v.dueListings(true); v.service("engines").recording || len(due) != 0 {
+			t.Fatalf("streams of the only version are recorded: %v, listings read: %v", v.service("engines").recording, due)
 		}
 	}
 	f.setEngineVersions(map[string]string{"d1": "v1", "d2": "v2"})
-	if v.setMembers(f.g.members.Load().byService); !v.isRecording("engines") {
-		t.Error("streams of two versions are not recorded")
+	v.setMembers(f.g.members.Load().byService)
+	if !v.isSeveral("engines") || len(v.dueListings(true)) != 1 {
+		t.Error("the listing of two versions is not read")
 	}
 }
--- a/pkg/kumquatlug/streamversion.go
+++ b/pkg/kumquatlug/streamversion.go
@@ -9,8 +9,12 @@
 	StreamVersionRecorded StreamVersionStep = "recorded"
 	// StreamVersionAsked: the sender asks for the version of a stream.
 	StreamVersionAsked StreamVersionStep = "asked"
-	// StreamVersionAnswered: the answer to a question.
+	// StreamVersionAnswered: the answer of a gateway that has a record of the stream, or none.
 	StreamVersionAnswered StreamVersionStep = "answered"
+	// StreamVersionDetermined: the answer of a gateway that has no record, but knows the listing.
+	StreamVersionDetermined StreamVersionStep = "determined"
+	// StreamVersionSelecting: the sender, which can't read the listing, asks where a stream begins.
+	StreamVersionSelecting StreamVersionStep = "selecting"
 )
 
 // StreamVersion is a message between two gateways about the version of the worker that began a stream.
