Keep resumed streams waiting that find no slot at the only engine of their version

What callers saw: of 12 streams that waited for a full engine, one and five were refused as overload in 2 of 20 runs of TestResumedStreamsWaitForFullEngineOfTheirVersion.

Cause: all that wait see a free slot at the same moment. Those that come too late for it expect to wait for longer than they have left, by an estimate of run times made from nothing, and were refused for good.

They wait on until their wait ends.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -203,7 +203,7 @@
 // awaitPermit waits until the prompt may be sent to an engine.
 func (f *inflight) awaitPermit(ctx context.Context) (*placement.Attempt, placement.Choice, *attemptFailure) {
 	p := f.g.scheduler.submit(f.g.c.Clock.Now(), f.service.Name(), f.placementQuery())
-	for p.submission == placement.SubmissionNoEngine && f.awaitVersion(ctx, p.choice.Delay()) {
+	for f.waitsForVersion(p.submission) && f.awaitVersion(ctx, p.choice.Delay()) {
 		p = f.g.scheduler.submit(f.g.c.Clock.Now(), f.service.Name(), f.placementQuery())
 	}
 	switch p.submission {
--- a/internal/gateway/resumewait.go
+++ b/internal/gateway/resumewait.go
@@ -55,6 +55,12 @@
 	return false
 }
 
+// waitsForVersion reports whether a prompt with this submission may wait for an engine of the version of
+// its stream. Of those that wait for the same engine, the ones that find no slot free wait on.
+func (f *inflight) waitsForVersion(s placement.Submission) bool {
+	return s == placement.SubmissionNoEngine || s == placement.SubmissionRefused && f.versionWait.until > 0
+}
+
 // Reasons of streams whose version is known and that can't go on now, besides reasonVersionGone.
 const (
 	// reasonVersionBusy: the engines of the version that decode are full, or fail.
