Do not take streams that clients resume for late prompts

What callers saw: while prompts arrive faster than they are prefilled, streams that clients took up were refused as overload far more often than new ones.

Cause: the first output was due at the latency target counted from the client's first request, as for any retry. A stream of which the client has a part was late at once by that. Late prompts get what the others leave of an engine, are given up soon, and have a lower priority at the engine.

The next event of such a stream is now due within half of the time that its client has left, a second at most, and not before a new one's. The link refuses none of them early either. Other requests are unaffected.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -60,12 +60,15 @@
 }
 
 // firstOutputDue returns when the first output is due by the latency target of the route, zero
-// if it has none.
+// if it has none. For a stream that the client has taken up it is the next event.
 func (f *inflight) firstOutputDue() kumquatlug.Millis {
 	target := f.route.LatencyTarget()
 	if target <= 0 {
 		return 0
 	}
+	if f.resumed() {
+		return placement.ResumedOutputDue(f.arrived, f.deadline, target)
+	}
 	return f.arrived - f.retryingFor + target
 }
 
@@ -254,8 +257,7 @@
 func (f *inflight) attemptOptions(choice placement.Choice, a *placement.Attempt) kumquatlug.AttemptOptions {
 	now := f.g.c.Clock.Now()
 	priority := priorityOnTime
-	target := f.route.LatencyTarget()
-	if target > 0 && f.retryingFor+now-f.arrived+choice.Wait() > target {
+	if due := f.firstOutputDue(); due > 0 && now+choice.Wait() > due {
 		priority = priorityLate
 	}
 	priority = min(priority+f.priority(), priorityLowest)
--- a/internal/gateway/resumewait.go
+++ b/internal/gateway/resumewait.go
@@ -25,6 +25,9 @@
 	refusedBy []string
 }
 
+// resumed reports whether the client takes up a stream of which it has a part.
+func (f *inflight) resumed() bool { return f.route.Stream() && f.request.LastEventID() > 0 }
+
 // awaitVersion waits until an engine of the version that began the stream may accept it again. A new
 // stream goes to any other engine while one is full or backs off, this one may not. Engines that
 // refused it may be tried again. limitDelay is how long the rate limits of engines delay it at least. It
--- a/internal/gateway/resumewait_test.go
+++ b/internal/gateway/resumewait_test.go
@@ -102,3 +102,30 @@
 	f.g.members.Store(&memberSet{loaded: true, byService: byService})
 	f.g.scheduler.syncMembers(f.g.c.Clock.Now(), byService)
 }
+
+// A client that has waited for long takes up a stream. Guards against an engine that gets it as a late request, which it
+// serves after all new ones and preempts for them.
+func TestResumedStreamIsNotLateAtItsEngine(t *testing.T) {
+	for _, resumes := range []bool{true, false} {
+		w := versionedEngines(0)
+		f := newTestGateway(t, w, manyRetries)
+		f.g.streamVersions.remember("r1", "v1")
+		f.g.scheduler.recordArrival("engines", "/long/", 6000, false)
+		want := priorityLate
+		if resumes {
+			want = priorityOnTime
+			f.resume(t, "r2", "r1", 4)
+		} else {
+			f.do(t.Context(), http.MethodPost, longRoute)
+		}
+		calls := w.recorded()
+		for _, c := range calls {
+			if c.options.Priority != want {
+				t.Errorf("resumes %v: sent to %s with priority %d, want %d", resumes, c.worker, c.options.Priority, want)
+			}
+		}
+		if len(calls) != 2 {
+			t.Errorf("resumes %v: %d calls, want a prefill and a run", resumes, len(calls))
+		}
+	}
+}
--- a/internal/gateway/uplink.go
+++ b/internal/gateway/uplink.go
@@ -241,7 +241,7 @@
 	t := uplink.Transmission{
 		Bytes: len(f.request.Body()), WorkDone: cached || f.responseStarted, Value: f.value, ArrivedAt: f.arrived - f.retryingFor,
 		Remaining: remaining, Deadline: f.deadline,
-		Refusable: f.retryingFor == 0 && f.deliveries == 0 && !f.prefilled && f.possibleRuns == 0 && !f.responseStarted,
+		Refusable: f.retryingFor == 0 && f.deliveries == 0 && !f.prefilled && f.possibleRuns == 0 && !f.responseStarted && !f.resumed(),
 	}
 	t.LatencyTarget, t.FirstOutputDue = f.route.LatencyTarget(), f.firstOutputDue()
 	return t
--- a/pkg/kumquatlug/placement/versions.go
+++ b/pkg/kumquatlug/placement/versions.go
@@ -6,6 +6,17 @@
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
 
+// maxResumedPause is when the next event of a stream that its client takes up is due at the latest:
+// half of the pause after which clients abandon a stream.
+const maxResumedPause = 1 * kumquatlug.Second
+
+// ResumedOutputDue returns when the next event of a stream is due that its client has taken up at a time.
+// Its first event was in time or late at an earlier request, and no hurry now changes that. Counted from
+// that request it would be late at once, and be given only what the prompts in time leave.
+func ResumedOutputDue(arrived, deadline, target kumquatlug.Millis) kumquatlug.Millis {
+	return arrived + max(target, min((deadline-arrived)/2, maxResumedPause))
+}
+
 // OutputDelay returns how long the ready workers that generate output and that the query permits back
 // off at least, zero if one does not, and whether there are any.
 func (p *Placer) OutputDelay(now kumquatlug.Millis, q Query) (delay kumquatlug.Millis, found bool) {
