Test that a version without a decode engine gets one at once, also as it ends

The order waits neither for a mismatch to persist nor for the plan, unless its decode engines are unresponsive.

--- a/test/front/roles_test.go
+++ b/test/front/roles_test.go
@@ -136,4 +136,20 @@
 		requireResumes(t, s, []*process{p}, received)
 		logRefusals(t, p)
 	})
+	t.Run("VersionEnds", func(t *testing.T) {
+		s := newSite(t, site.Config{
+			PrefillEngines: 5, DecodeEngines: 4, PlainWorkers: 1, Events: 60, EventDelay: 15 * time.Millisecond, MinRetries: 400,
+			EngineVersions: []string{rareVersion, rareVersion, rareVersion, commonVersion, commonVersion, rareVersion, rareVersion, commonVersion, commonVersion},
+		})
+		crash := reportStages(t, s)
+		p := newGateway(t, s, "front-0")
+		received := beginAtRareVersion(t, s, p, 3)
+		for n, w := range []*fleet.Worker{s.Engines[5], s.Engines[6], s.Engines[0]} {
+			crash(w)
+			sleep(time.Duration(n+1) * 500 * time.Millisecond)
+		}
+		t.Logf("%d streams, stages of the version %v", len(received), stages(rareEngines(s)))
+		requireResumes(t, s, []*process{p}, received)
+		logRefusals(t, p)
+	})
 }
