Keep half of the proportional number of decode engines at each version

A version with many engines that loses most of its decode engines at once, as with a data centre, got them replaced by idle engines of any version, and its streams, all taken up at once, would have found room at two.

--- a/pkg/kumquatlug/planner/split.go
+++ b/pkg/kumquatlug/planner/split.go
@@ -48,7 +48,7 @@
 	}
 	want := wantedPrefill(len(engines), share)
 	s := newVersionSplit(engines, len(engines)-want)
-	changes := s.restore(redundantDecode)
+	changes := s.restore(len(engines))
 	for excess := countRole(s.engines, kumquatlug.RolePrefill) - want; excess != 0 && len(changes) < maxChangesPerPlan; {
 		from, to, step := kumquatlug.RolePrefill, kumquatlug.RoleDecode, 1
 		if excess < 0 {
--- a/pkg/kumquatlug/planner/versions.go
+++ b/pkg/kumquatlug/planner/versions.go
@@ -16,13 +16,17 @@
 	// engine can't go on. A version with fewer than minRedundantEngines engines keeps one.
 	redundantDecode     = 2
 	minRedundantEngines = 3
+	// proportionDivisor divides the number of decode engines that is proportional to the engines of a
+	// version; it keeps the quotient at least. Its streams would find no room at fewer, and with more
+	// each engine that joins or leaves would cost role changes.
+	proportionDivisor = 2
 )
 
 // RestoreVersions returns the changes that give each version without a decode engine one, as far as
 // the split with this share of prefill engines has room. They are the first changes of
 // [MaintainSplit], and can't wait: until they are done, streams of these versions can't go on.
 func RestoreVersions(engines []SplitEngine, share float64) []kumquatlug.RoleChange {
-	if len(engines) < 2 {
+	if len(engines) < 2 || sameVersion(engines) {
 		return nil
 	}
 	return newVersionSplit(engines, len(engines)-wantedPrefill(len(engines), share)).restore(1)
@@ -31,7 +35,7 @@
 // VersionsWithoutRoom returns the versions that get no decode engine since the split has fewer of
 // them than there are versions.
 func VersionsWithoutRoom(engines []SplitEngine, share float64) []string {
-	if len(engines) < 2 {
+	if len(engines) < 2 || sameVersion(engines) {
 		return nil
 	}
 	s := newVersionSplit(engines, len(engines)-wantedPrefill(len(engines), share))
@@ -45,34 +49,44 @@
 	return without
 }
 
+func sameVersion(engines []SplitEngine) bool {
+	return !slices.ContainsFunc(engines, func(e SplitEngine) bool { return e.Version != engines[0].Version })
+}
+
 // versionSplit is a copy of the engines to which changes are applied as they are planned.
 type versionSplit struct {
 	engines []SplitEngine
 	// floors are the numbers of decode engines that the versions keep at least, nil if all engines
 	// have the same version.
 	floors map[string]int
+	// decoding are the decode engines by version, settled those of them that are not still changing
+	// to that role.
+	decoding, settled map[string]int
 }
 
 // newVersionSplit returns the engines in the order of their names, with the floors at a number of
 // engines that may decode.
 func newVersionSplit(engines []SplitEngine, decode int) *versionSplit {
-	s := &versionSplit{engines: slices.Clone(engines)}
+	s := &versionSplit{engines: slices.Clone(engines), decoding: map[string]int{}, settled: map[string]int{}}
 	slices.SortFunc(s.engines, func(a, b SplitEngine) int { return cmp.Compare(a.Target, b.Target) })
+	if sameVersion(engines) {
+		return s
+	}
+	for _, e := range s.engines {
+		s.count(e, 1)
+	}
 	s.setFloors(decode)
 	return s
 }
 
 // setFloors shares the engines that may decode among the versions: one each, then a second one for
-// those with enough engines. Versions of which a second engine remains if one fails come first, then
+// those with enough engines, then what their proportion requires. Versions of which a second engine remains if one fails come first, then
 // those that have decode engines already, then the larger ones.
 func (s *versionSplit) setFloors(decode int) {
-	engines := map[string]int{}
+	engines, total := map[string]int{}, decode
 	for _, e := range s.engines {
 		engines[e.Version]++
 	}
-	if len(engines) < 2 {
-		return
-	}
 	s.floors = map[string]int{}
 	for version := range engines {
 		s.floors[version] = 0
@@ -85,7 +99,7 @@
 			if engines[version] >= 2 {
 				rank += 2
 			}
-			if all, _ := s.decodes(version); all >= level {
+			if s.decoding[version] >= level {
 				rank++
 			}
 			return rank
@@ -100,21 +114,23 @@
 			}
 		}
 	}
+	for _, version := range slices.Sorted(maps.Keys(engines)) {
+		if more := min(total*engines[version]/(proportionDivisor*len(s.engines))-s.floors[version], decode); more > 0 {
+			s.floors[version] += more
+			decode -= more
+		}
+	}
 }
 
-// decodes returns how many engines of a version decode, all and without those that are still
-// changing to that role.
-func (s *versionSplit) decodes(version string) (all, settled int) {
-	for _, e := range s.engines {
-		if e.Version != version || e.Role != kumquatlug.RoleDecode {
-			continue
-		}
-		all++
-		if !e.Changing {
-			settled++
-		}
+// count adds n to the counts of an engine.
+func (s *versionSplit) count(e SplitEngine, n int) {
+	if e.Role != kumquatlug.RoleDecode {
+		return
+	}
+	s.decoding[e.Version] += n
+	if !e.Changing {
+		s.settled[e.Version] += n
 	}
-	return all, settled
 }
 
 // mayChange reports whether an engine may change its role.
@@ -134,8 +150,7 @@
 // version, added ones, start to decode. One that decodes now has to remain.
 func (s *versionSplit) mayLeaveDecode(e SplitEngine, added int) bool {
 	floor := s.floors[e.Version]
-	all, settled := s.decodes(e.Version)
-	return floor == 0 || all+added > floor && settled > 1
+	return floor == 0 || s.decoding[e.Version]+added > floor && s.settled[e.Version] > 1
 }
 
 // mayExchange reports whether a decode and a prefill engine may take each other's role.
@@ -151,7 +166,9 @@
 func (s *versionSplit) apply(target string, to kumquatlug.Role) {
 	for i := range s.engines {
 		if e := &s.engines[i]; e.Target == target {
+			s.count(*e, -1)
 			e.Role, e.Changing = to, true
+			s.count(*e, 1)
 		}
 	}
 }
@@ -168,11 +185,12 @@
 	return kumquatlug.NewRoleChange(target, from, to, reason), true
 }
 
-// restore plans changes to decode until the versions have their floors, at most level engines each.
+// restore plans changes to decode until the versions have their floors, or level decode engines each if
+// that is less.
 func (s *versionSplit) restore(level int) []kumquatlug.RoleChange {
 	var changes []kumquatlug.RoleChange
 	for _, version := range slices.Sorted(maps.Keys(s.floors)) {
-		for all, _ := s.decodes(version); all < min(s.floors[version], level) && len(changes) < maxChangesPerPlan; all++ {
+		for s.decoding[version] < min(s.floors[version], level) && len(changes) < maxChangesPerPlan {
 			c, found := s.change(kumquatlug.RolePrefill, kumquatlug.RoleDecode, "version", func(e SplitEngine) bool { return e.Version == version })
 			if !found {
 				break
--- a/pkg/kumquatlug/planner/versions_test.go
+++ b/pkg/kumquatlug/planner/versions_test.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
@@ -66,3 +67,26 @@
 		t.Errorf("%s and %s are exchanged, version b is left without a decode engine", x.ToPrefill().Target, x.ToDecode().Target)
 	}
 }
+
+// Most decode engines of a version with many engines are lost, and engines of another one are idle. Guards against a version
+// whose streams are left with a few decode engines.
+func TestVersionKeepsHalfOfItsProportion(t *testing.T) {
+	var engines []SplitEngine
+	for i, n := range []int{26, 4, 2, 8} {
+		for range n {
+			e := SplitEngine{Target: fmt.Sprintf("e%02d", len(engines)), Version: "a", Role: kumquatlug.RolePrefill}
+			if i%2 == 1 {
+				e.Version, e.Idle = "b", true
+			}
+			if i >= 2 {
+				e.Role = kumquatlug.RoleDecode
+			}
+			engines = append(engines, e)
+		}
+	}
+	applyChanges(engines, MaintainSplit(engines, 0.6))
+	// 28 of 40 engines have version a, and 16 decode.
+	if n, want := decodeOf(engines, "a"), 16*28/(2*40); n < want || countRole(engines, kumquatlug.RoleDecode) != 16 {
+		t.Errorf("%d decode engines of a, want %d", n, want)
+	}
+}
