--- a/pkg/kumquatlug/placement/resumed_test.go
+++ b/pkg/kumquatlug/placement/resumed_test.go
@@ -75,7 +75,7 @@
 	return begun, resumed
 }
 
-// Prompts arrive at 0.9, 1.4 and 2.3 times the prefill rate. Guards against a queue that takes streams that clients take up for
+// Prompts arrive at 0.9, 1.3 and 2.1 times the prefill rate. Guards against a queue that takes streams that clients take up for
 // late ones, since their first event was due long ago, and refuses them while new ones begin.
 func TestResumedPromptsArePrefilledAsOftenAsNewOnes(t *testing.T) {
 	for _, rate := range []float64{60, 90, 150} {
