Count what the socket buffers of the machine may hold in tests of endless responses

Under load, two of 165 cases of TestEndlessResponsesToCallsAreErrors failed: 11.7 and 13.0 MB sent, bound 11.5 MB. The bound assumed 3 MB for the sockets; the kernel lets a receive buffer grow to the third value of tcp_rmem, 32 MB here, which a reader behind its peer leaves in the socket.

--- a/internal/standin/endlessserver.go
+++ b/internal/standin/endlessserver.go
@@ -5,6 +5,9 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -49,6 +52,19 @@
 	return s, nil
 }
 
+// SocketBytes returns the most that the socket buffers of a connection hold, of which the receiver may
+// have read nothing: the kernel lets the receive buffer grow to the largest size of tcp_rmem, and the
+// servers here have a small send buffer.
+func SocketBytes() (int64, error) {
+	text, err := os.ReadFile("/proc/sys/net/ipv4/tcp_rmem")
+	if err != nil {
+		return 0, err
+	}
+	sizes := strings.Fields(string(text))
+	largest, err := strconv.ParseInt(sizes[len(sizes)-1], 10, 64)
+	return largest + 4*endlessBlockBytes, err
+}
+
 // Address returns the address of the server, IP:port.
 func (s *EndlessServer) Address() string { return s.listener.Addr().String() }
 
