Let streams begin elsewhere while the selected version does not accept them

A stream was bound to the version that its id selects, also before its first event and when the engines of that version were full, silent or gone; one gateway that could not use an engine took its version out of the listing for all.

The row of the listing now holds until when streams for which a version is selected may begin at any other one. A gateway writes that when such a stream finds no worker, or none soon enough, while other versions have some; at most one write each 15 s and version. Versions of such streams are not determined by the id from then on, so that they need a record. Epochs follow the rows of the workers alone again. A stream whose prompt may run at one version only begins there after the selected one is unbound. A full listing drops its oldest epoch and determines nothing for a while, instead of keeping a version that has gone.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -212,7 +212,7 @@
 func (f *inflight) awaitPermit(ctx context.Context) (*placement.Attempt, placement.Choice, *attemptFailure) {
 	q := f.placementQuery()
 	p := f.g.scheduler.submit(f.g.c.Clock.Now(), f.service.Name(), q)
-	if p.submission == placement.SubmissionNoEngine && f.otherVersion(ctx, q) {
+	if (p.submission == placement.SubmissionNoEngine || p.submission == placement.SubmissionRefused) && f.otherVersion(ctx, q) {
 		p = f.g.scheduler.submit(f.g.c.Clock.Now(), f.service.Name(), f.placementQuery())
 	}
 	for f.waitsForVersion(p.submission) && f.awaitVersion(ctx, p.choice.Delay()) {
--- a/internal/gateway/inflightversion.go
+++ b/internal/gateway/inflightversion.go
@@ -19,6 +19,8 @@
 const (
 	reasonVersionUnknown = "version_unknown"
 	reasonVersionGone    = "version_gone"
+	// reasonVersionBound: only workers of another version than the selected one may run the request.
+	reasonVersionBound = "version_bound"
 )
 
 // continues reports whether an attempt continues a stream of which the client has a part.
@@ -44,17 +46,35 @@
 	return f.g.streamVersions.selectVersion(f.service.Name(), f.request.StreamID())
 }
 
-// otherVersion reports whether a stream that found no worker of its version may begin at another one now.
+// otherVersion reports whether a stream that found no worker of its version, or one that is too late, may begin at
+// another one now.
 func (f *inflight) otherVersion(ctx context.Context, q placement.Query) bool {
-	if f.continues() || f.soleVersion != "" || !f.mayBeTakenUp() || q.Version == "" || q.Version != f.selectedVersion() {
+	if f.continues() || f.soleVersion != "" || !f.mayBeTakenUp() || q.Version == "" {
 		return false
 	}
-	q.Exclude = nil
-	if c, found := f.g.scheduler.findChoice(f.g.c.Clock.Now(), f.service, q); found || c.Delay() > 0 {
-		// Only this request can't be sent there, or only now.
+	if q.Version != f.selectedVersion() {
+		return true
+	}
+	version := q.Version
+	if !f.g.streamVersions.hasOther(f.service.Name(), version) {
+		return false
+	}
+	q.Version = ""
+	if c, found := f.g.scheduler.findChoice(f.g.c.Clock.Now(), f.service, q); !found || c.Wait() >= f.timeToStartOutput() {
 		return false
 	}
-	return f.g.streamVersions.noWorker(ctx, f.service.Name(), f.request.StreamID(), q.Version)
+	f.version = ""
+	return f.g.streamVersions.noWorker(ctx, f.service.Name(), f.request.StreamID(), version)
+}
+
+// bindSoleVersion ensures that a stream may begin at the only version whose workers may run it. It returns a
+// failure if another one is selected for the stream and the store can't tell the other gateways.
+func (f *inflight) bindSoleVersion(ctx context.Context) *attemptFailure {
+	version := f.selectedVersion()
+	if f.soleVersion == "" || version == "" || version == f.soleVersion || f.g.streamVersions.unbind(ctx, f.service.Name(), version) {
+		return nil
+	}
+	return &attemptFailure{permanent: true, failure: refusal("find version", reasonVersionBound, http.StatusServiceUnavailable, 0)}
 }
 
 // resolveVersion determines the version at which a stream begins or may go on. It returns a failure if a
@@ -63,6 +83,7 @@
 	if !f.continues() {
 		if f.mayBeTakenUp() {
 			f.version = f.g.streamVersions.prepare(ctx, f.service.Name(), f.request.StreamID())
+			return f.bindSoleVersion(ctx)
 		}
 		return nil
 	}
--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -29,6 +29,8 @@
 	left map[string]bool
 	// questions are the channels of the questions to peers, by key.
 	questions map[uint64]chan kumquatlug.StreamVersion
+	// unbinding is held while a version is unbound.
+	unbinding sync.Mutex
 }
 
 // serviceVersions is what is known about the versions of a service.
--- a/internal/gateway/versionlisting.go
+++ b/internal/gateway/versionlisting.go
@@ -80,7 +80,7 @@
 func (v *streamVersions) currentWeights(service string) streamversion.Weights {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.service(service).Weights(v.g.c.BootClock.Now())
+	return v.service(service).Workers()
 }
 
 // updateListing reads the listing of a service and writes what change returns, unless that is nil.
@@ -154,7 +154,7 @@
 	var due []string
 	for name, s := range v.services {
 		_, known := s.Listing()
-		if !s.Several() || !known && len(s.Weights(now).Versions()) < 2 || now < s.notBefore {
+		if !s.Several() || !known && len(s.Workers().Versions()) < 2 || now < s.notBefore {
 			continue
 		}
 		if !known || now >= s.relistAt || leads && s.EpochDue(now) {
--- a/pkg/kumquatlug/streamversion/epoch.go
+++ b/pkg/kumquatlug/streamversion/epoch.go
@@ -18,6 +18,9 @@
 	EpochLag = 30 * kumquatlug.Second
 	// epochWindow is how long an epoch counts after the start of the next one.
 	epochWindow = Retention + EpochLag
+	// unboundTime is how long streams may begin at other versions than the selected one: longer than the restart of an
+	// engine, so that a version which fails costs few writes.
+	unboundTime = 30 * kumquatlug.Second
 	// minEpochInterval is the least time between the starts of two epochs.
 	minEpochInterval = 1 * kumquatlug.Second
 	// maxEpochs bounds the size of a listing.
--- a/pkg/kumquatlug/streamversion/listing.go
+++ b/pkg/kumquatlug/streamversion/listing.go
@@ -27,6 +27,8 @@
 	UncertainUntilMs int64 `json:"uncertain_until_ms,omitempty"`
 	// Epochs are sorted from the oldest to the newest.
 	Epochs []epoch `json:"epochs"`
+	// UnboundUntilMs is until when streams for which these versions are selected may begin at any other one.
+	UnboundUntilMs map[string]int64 `json:"unbound_until_ms,omitempty"`
 }
 
 // DecodeListing decodes a listing. One that was restored from an older copy, or that can't be decoded, may
@@ -51,6 +53,7 @@
 		epochs = epochs[1:]
 	}
 	l.content.Epochs = epochs
+	maps.DeleteFunc(l.content.UnboundUntilMs, func(_ string, until int64) bool { return kumquatlug.Millis(until)+epochWindow <= l.now })
 	return l, err
 }
 
@@ -85,7 +88,7 @@
 }
 
 // Determined returns the version of a stream that may be resumed if all epochs by which it may have begun
-// select the same one, else an empty string.
+// select the same one and none of its streams may have begun elsewhere, else an empty string.
 func (l Listing) Determined(id string) string {
 	if id == "" || !l.Current() || l.uncertain() {
 		return ""
@@ -96,9 +99,32 @@
 			return ""
 		}
 	}
+	if _, unbound := l.content.UnboundUntilMs[version]; unbound {
+		return ""
+	}
 	return version
 }
 
+// Unbound reports whether streams for which a version is selected may begin at any other one, at a time of
+// the store's clock.
+func (l Listing) Unbound(now kumquatlug.Millis, version string) bool {
+	return l.Current() && now < kumquatlug.Millis(l.content.UnboundUntilMs[version])
+}
+
+// Unbind returns the row in which streams for which a version is selected may begin at any other one for a
+// while, nil if they may for most of that time already. The version of such streams is not determined.
+func (l Listing) Unbind(version string) ([]byte, error) {
+	if !l.Current() || l.Unbound(l.now+unboundTime/2, version) {
+		return nil, nil
+	}
+	content := l.content
+	if content.UnboundUntilMs = maps.Clone(content.UnboundUntilMs); content.UnboundUntilMs == nil {
+		content.UnboundUntilMs = map[string]int64{}
+	}
+	content.UnboundUntilMs[version] = int64(l.now + unboundTime)
+	return encodeListing(content)
+}
+
 // uncertain reports whether there may be streams of epochs that are not listed.
 func (l Listing) uncertain() bool { return l.now < kumquatlug.Millis(l.content.UncertainUntilMs) }
 
@@ -157,10 +183,18 @@
 	}
 	// One with the same weights that is listed later counts for longer.
 	epochs := slices.DeleteFunc(slices.Clone(l.content.Epochs), func(e epoch) bool { return maps.Equal(e.Weights, weights) })
-	if len(epochs) >= maxEpochs {
-		return nil, nil
+	content := l.content
+	content.Era = l.row.Era()
+	if dropped := len(epochs) + 1 - maxEpochs; dropped > 0 {
+		// Streams that began by the dropped epochs are known from records alone.
+		epochs = epochs[dropped:]
+		content.UncertainUntilMs = int64(l.now + epochWindow)
 	}
-	epochs = append(epochs, epoch{FromMs: int64(max(l.now, l.NewestFrom())), Weights: weights})
-	text, err := json.Marshal(listingRow{Era: l.row.Era(), UncertainUntilMs: l.content.UncertainUntilMs, Epochs: epochs})
+	content.Epochs = append(epochs, epoch{FromMs: int64(max(l.now, l.NewestFrom())), Weights: weights})
+	return encodeListing(content)
+}
+
+func encodeListing(content listingRow) ([]byte, error) {
+	text, err := json.Marshal(content)
 	return text, errors.Wrap(err, "encode the versions of a service")
 }
--- a/pkg/kumquatlug/streamversion/simulation_test.go
+++ b/pkg/kumquatlug/streamversion/simulation_test.go
@@ -197,7 +197,7 @@
 	}
 	if _, known := g.view.Listing(); g.view.Several() && (!known || s.now >= g.relistAt || leads && g.view.EpochDue(s.now)) {
 		g.call(func(l Listing) ([]byte, error) {
-			if weights := g.view.Weights(s.now); leads && l.Outdated(weights) || !l.Current() {
+			if weights := g.view.Workers(); leads && l.Outdated(weights) || !l.Current() {
 				return l.Begin(weights)
 			}
 			return nil, nil
@@ -221,7 +221,7 @@
 	s, version := g.s, ""
 	if outdated := g.view.MayBeOutdated(s.now, g.silent()); !g.view.Ready(s.now, id) || outdated {
 		write := func(l Listing) ([]byte, error) {
-			if weights := g.view.Weights(s.now); l.Lacks(weights) {
+			if weights := g.view.Workers(); l.Lacks(weights) {
 				return l.Begin(weights)
 			}
 			return nil, nil
--- a/pkg/kumquatlug/streamversion/view.go
+++ b/pkg/kumquatlug/streamversion/view.go
@@ -7,8 +7,6 @@
 	// MaxListingAge is how long a listing of several versions may be unconfirmed before all streams are
 	// recorded at peers. It is longer than the time between two reads, and shorter than EpochLag.
 	MaxListingAge = 20 * kumquatlug.Second
-	// failingVersionTime is how long a version that has no worker which accepts requests gets no streams.
-	failingVersionTime = 2 * kumquatlug.Second
 	// outdatedDelay is how long the shares of the workers must differ from the listed ones before they are
 	// listed: roles change back and forth.
 	outdatedDelay = 5 * kumquatlug.Second
@@ -18,8 +16,7 @@
 // It is not safe for concurrent use.
 type View struct {
 	// present are the numbers of workers that can generate output.
-	present      Weights
-	failingUntil map[string]kumquatlug.Millis
+	present Weights
 	// listing is as of readAt, the beginning of the call that read it. known is false before the first one
 	// and after the store was restored.
 	listing Listing
@@ -31,16 +28,11 @@
 }
 
 // NewView returns a view without workers and listing.
-func NewView() *View { return &View{failingUntil: map[string]kumquatlug.Millis{}} }
+func NewView() *View { return &View{} }
 
 // SetWorkers sets the numbers of workers that can generate output.
 func (v *View) SetWorkers(present Weights) { v.present = present }
 
-// SetFailing excludes a version of which no worker accepts requests from new epochs for a while.
-func (v *View) SetFailing(now kumquatlug.Millis, version string) {
-	v.failingUntil[version] = now + failingVersionTime
-}
-
 // Forget forgets the listing, because the store was restored from a copy.
 func (v *View) Forget() { v.known = false }
 
@@ -61,36 +53,46 @@
 // ReadSince reports whether the listing was read by a call that began at a time or later.
 func (v *View) ReadSince(at kumquatlug.Millis) bool { return v.known && v.readAt >= at }
 
-// Weights returns the numbers of workers that streams may begin at.
-func (v *View) Weights(now kumquatlug.Millis) Weights {
-	weights := Weights{}
-	for version, count := range v.present {
-		if now >= v.failingUntil[version] {
-			weights[version] = count
-		}
-	}
-	if len(weights.Versions()) == 0 {
-		return v.present
-	}
-	return weights
+// Workers returns the numbers of workers that can generate output.
+func (v *View) Workers() Weights { return v.present }
+
+// storeTime returns a time of the store's clock that is not before the present one.
+func (v *View) storeTime(now kumquatlug.Millis) kumquatlug.Millis {
+	return v.listing.now + now - v.readAt
+}
+
+// Unbound reports whether streams for which a version is selected may begin at any other one.
+func (v *View) Unbound(now kumquatlug.Millis, version string) bool {
+	return v.known && v.listing.Unbound(v.storeTime(now), version)
 }
 
 // Ready reports whether a stream can begin by the listing: it is known and selects a version that has workers.
 func (v *View) Ready(now kumquatlug.Millis, id string) bool {
-	weights := v.Weights(now)
-	return len(weights.Versions()) == 0 || v.known && v.listing.Current() && weights.Has(v.listing.Select(id))
+	if len(v.present.Versions()) == 0 {
+		return true
+	}
+	if !v.known || !v.listing.Current() {
+		return false
+	}
+	version := v.listing.Select(id)
+	return v.present.Has(version) || v.Unbound(now, version)
 }
 
 // Select returns the version at which a stream begins that may be resumed, empty for any. It may have no
-// worker, also while the store is away: any other one would join two versions if the records were lost.
+// worker, also while the store is away: any other one would join two versions if the records were lost,
+// unless the store holds that its version is not bound.
 func (v *View) Select(now kumquatlug.Millis, id string) string {
 	if len(v.present.Versions()) == 0 {
 		return ""
 	}
 	if !v.known || !v.listing.Current() {
-		return v.Weights(now).Select(id)
+		return v.present.Select(id)
+	}
+	version := v.listing.Select(id)
+	if v.Unbound(now, version) {
+		return ""
 	}
-	return v.listing.Select(id)
+	return version
 }
 
 // Several reports whether streams of several versions may be resumed, as far as is known.
@@ -118,7 +120,7 @@
 // EpochDue reports whether the holder of the lease should begin a new epoch: at once if workers of a version
 // have appeared or have gone, otherwise when the shares have differed for long.
 func (v *View) EpochDue(now kumquatlug.Millis) bool {
-	weights := v.Weights(now)
+	weights := v.present
 	if !v.known || len(weights.Versions()) == 0 || !v.listing.Outdated(weights) {
 		v.outdatedSince = 0
 		return false
