Send many records of versions in bursts, and each once to a gateway that joins a large fleet

A gateway of 2,300 that stopped sent up to 4,800 datagrams at once, in the loop that serves until its exit; one that joined was sent each record by up to three gateways. Computed from the constants, not seen in a run.

--- a/internal/gateway/versionpeers.go
+++ b/internal/gateway/versionpeers.go
@@ -23,6 +23,10 @@
 	// maxAskedGateways is the size of a fleet in which all gateways are asked. In a larger one, only the
 	// owners are.
 	maxAskedGateways = 64
+	// recordBurst is the number of records that are sent at once, recordBurstInterval the time until the next
+	// ones: 4,800 records, those of a gateway that stops in a fleet of 2,300, take 0.4 s of its grace period.
+	recordBurst         = 64
+	recordBurstInterval = 5 * kumquatlug.Millis(1)
 	// maxAttemptIDBytes bounds the ids in messages between gateways.
 	maxAttemptIDBytes = 200
 )
@@ -78,7 +82,7 @@
 	v.mu.Lock()
 	out := outgoingRecords{}
 	if v.peers[name] {
-		v.eachNeeded(func(service, id, version string) {
+		v.eachNeeded(true, func(service, id, version string) {
 			if slices.Contains(v.owners(id, streamversion.RecordOwners), name) {
 				delete(v.peers, name)
 				v.addRecords(out, service, id, version)
@@ -96,28 +100,30 @@
 func (v *streamVersions) handOver() {
 	v.mu.Lock()
 	out := outgoingRecords{}
-	v.eachNeeded(func(service, id, version string) { v.addRecords(out, service, id, version) })
+	v.eachNeeded(true, func(service, id, version string) { v.addRecords(out, service, id, version) })
 	v.mu.Unlock()
 	out.send(v.g.c.Peers)
 }
 
-// eachNeeded calls f for each recorded stream that peers need a record of. The caller must hold v.mu.
-func (v *streamVersions) eachNeeded(f func(service, id, version string)) {
+// eachNeeded calls f for each recorded stream that peers need a record of. Records that peers have sent are among
+// them if received is set. The caller must hold v.mu.
+func (v *streamVersions) eachNeeded(received bool, f func(service, id, version string)) {
 	silent := v.storeSilent(v.g.c.BootClock.Now())
-	v.records.Each(v.g.c.BootClock.Now(), func(service, id, version string, received bool) {
-		if received || v.service(service).NeedsRecords(silent) {
+	v.records.Each(v.g.c.BootClock.Now(), func(service, id, version string, fromPeer bool) {
+		if fromPeer && received || !fromPeer && v.service(service).NeedsRecords(silent) {
 			f(service, id, version)
 		}
 	})
 }
 
-// recordsFor returns the records that some peers own. The caller must hold v.mu.
+// recordsFor returns the records that some peers own. In a large fleet, those that peers have sent are left to
+// their senders: a gateway that joins would be sent each three times. The caller must hold v.mu.
 func (v *streamVersions) recordsFor(peers []string) outgoingRecords {
 	out := outgoingRecords{}
 	if len(peers) == 0 || v.g.c.Peers == nil {
 		return out
 	}
-	v.eachNeeded(func(service, id, version string) { v.addRecords(out, service, id, version) })
+	v.eachNeeded(len(v.peers) <= maxAskedGateways, func(service, id, version string) { v.addRecords(out, service, id, version) })
 	maps.DeleteFunc(out, func(peer string, _ []kumquatlug.StreamVersion) bool { return !slices.Contains(peers, peer) })
 	return out
 }
@@ -140,9 +146,26 @@
 	}
 }
 
+// send sends the records. Many are sent by another goroutine in bursts, which receivers and links can buffer.
 func (out outgoingRecords) send(peers kumquatlug.GatewayLink) {
+	count := 0
+	for _, records := range out {
+		count += len(records)
+	}
+	if count <= recordBurst {
+		out.sendBursts(peers)
+		return
+	}
+	go out.sendBursts(peers)
+}
+
+func (out outgoingRecords) sendBursts(peers kumquatlug.GatewayLink) {
+	sent := 0
 	for peer, records := range out {
 		for _, r := range records {
+			if sent++; sent%recordBurst == 0 {
+				<-time.After(recordBurstInterval.Duration())
+			}
 			peers.SendStreamVersion(peer, r)
 		}
 	}
