Read no listing for streams of workers without a version

The first stream of such a service read it once, which the design did not need before. TestNewStreamsDoNotReadTheListingAgain failed (1 read, 0 wanted), and holds with one version: one read for ten streams.

--- a/internal/gateway/versionfleet_test.go
+++ b/internal/gateway/versionfleet_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -233,6 +234,39 @@
 	fleet.requireGoesOn(t, "e", "stream")
 }
 
+// countingTable counts the reads.
+type countingTable struct {
+	*sharedTable
+	reads atomic.Int64
+}
+
+func (l *countingTable) Get(ctx context.Context, key string) (kumquatlug.Row, error) {
+	if strings.HasPrefix(key, versionsRowPrefix) {
+		l.reads.Add(1)
+	}
+	return l.sharedTable.Get(ctx, key)
+}
+
+// Guards against a read of the listing for each stream: none are needed without versions, one with a single version.
+func TestNewStreamsDoNotReadTheListingAgain(t *testing.T) {
+	for version, want := range map[string]int64{"": 0, "v1": 1} {
+		f := newTestGateway(t, versionedEngines(0), manyRetries)
+		table := &countingTable{sharedTable: newSharedTable()}
+		f.g.c.Table = table
+		f.g.configConfirmedAt.Store(int64(f.g.c.BootClock.Now()))
+		f.setEngineVersions(map[string]string{"d1": version, "d2": version})
+		f.g.streamVersions.setMembers(f.g.members.Load().byService)
+		for n := range 10 {
+			if got := f.doWith(t.Context(), http.MethodPost, longRoute, http.Header{"Id": {fmt.Sprint(n)}}); got.err != nil || got.body != events(1, 8) {
+				t.Fatalf("%v, status %d, %q", got.err, got.status, got.body)
+			}
+		}
+		if got := table.reads.Load(); got != want {
+			t.Errorf("version %q: %d reads of the listing, want %d", version, got, want)
+		}
+	}
+}
+
 // Guards against streams that are refused while the store does not answer, although the listing was read before and
 // the peers know of no newer epoch.
 func TestStreamGoesOnByTheListingReadBeforeTheStoreFellSilent(t *testing.T) {
--- a/pkg/kumquatlug/streamversion/view.go
+++ b/pkg/kumquatlug/streamversion/view.go
@@ -108,7 +108,7 @@
 // MayBeOutdated reports whether other gateways may have read a newer epoch, so that they have to be asked at
 // which version a stream begins.
 func (v *View) MayBeOutdated(now kumquatlug.Millis, silent bool) bool {
-	return !v.known || !silent && v.Stale(now, false)
+	return len(v.present.Versions()) > 0 && (!v.known || !silent && v.Stale(now, false))
 }
 
 // NeedsRecords reports whether peers need records of the streams: an epoch that begins later may leave their
