learn: the events of a stream are known from complete streams only

The bound of late streams took the most events for each token of the maximum output from all streams, also from those that their clients left or that were cut or moved. With 32 samples or more, all of streams that their clients left after a few events, it was far too short: a stopping gateway assumed 2.86 s for a stream of 4.4 s and took it 4.4 s before its exit. Streams that ended by themselves are now counted apart: 32 of them make the density known, partial ones can only raise it and no longer displace complete ones among the newest 256.

TestRunBoundOfStreamsThatClientsLeftIsNotTooShort (bound of 1,300 ms for 3,500) and TestStoppingGatewayThatSawOnlyLeftStreamsRefusesLateOnes (longest run 2,860 ms, served) failed before. TestLateStreamsAreWholeOrRefused: 6,242 of 20,000 late streams taken, none cut.

--- a/pkg/kumquatlug/learn/runbound.go
+++ b/pkg/kumquatlug/learn/runbound.go
@@ -6,9 +6,9 @@
 const (
 	// maxBoundSamples is the number of newest samples that are kept.
 	maxBoundSamples = 256
-	// minPaceSamples and minStreamSamples are the numbers of samples from which a bound is
-	// known: with fewer, the slow engines or the streams that use most of their maximum output
-	// have most likely not been seen yet.
+	// minPaceSamples and minStreamSamples are the numbers of paces and complete streams from which
+	// a bound is known: with fewer, the slow engines or the streams that use most of their maximum
+	// output have most likely not been seen yet.
 	minPaceSamples, minStreamSamples = 32, 32
 	// minStreamEvents is the least number of events of a sample. The last event of a stream may
 	// have a single token, so that fewer events would make the events of a token look many.
@@ -22,15 +22,17 @@
 // RunBoundEstimator estimates an upper bound of the run time of a stream with a maximum output, as
 // the product of the most events that the output may have and the longest time between events.
 //
-// Both hold for streams of which only a part was seen, since they were cut, moved, resumed or left by
-// their clients. A quantile of run times does not: where such streams and those that end early
-// prevail, it is far below the run time of the longest stream.
+// The time between events holds for streams of which only a part was seen, since they were cut, moved,
+// resumed or left by their clients. Their events are only a lower limit of those of a complete stream:
+// they can raise the bound, but don't make it known.
 //
 // The zero value has no samples.
 type RunBoundEstimator struct {
-	// paces are times between events, in ms, densities numbers of events for each token of the
-	// maximum output.
-	paces, densities sampleRing
+	// paces are times between events, in ms.
+	paces sampleRing
+	// densities are numbers of events for each token of the maximum output, of complete streams
+	// and of parts.
+	densities, partDensities sampleRing
 }
 
 // sampleRing holds the newest samples.
@@ -51,10 +53,19 @@
 // ObservePace records the mean time between some events of one engine, in milliseconds.
 func (b *RunBoundEstimator) ObservePace(eventMs float64) { b.paces.add(eventMs) }
 
-// ObserveStream records how many events came of a stream with this maximum output, in tokens.
-func (b *RunBoundEstimator) ObserveStream(events, output int) {
+// ObserveStream records how many events a stream with this maximum output, in tokens, had until it
+// ended by itself.
+func (b *RunBoundEstimator) ObserveStream(events, output int) { b.densities.addDensity(events, output) }
+
+// ObservePartialStream records how many events had come of a stream with this maximum output, in
+// tokens, when it was cut, moved or left by its client.
+func (b *RunBoundEstimator) ObservePartialStream(events, output int) {
+	b.partDensities.addDensity(events, output)
+}
+
+func (r *sampleRing) addDensity(events, output int) {
 	if events >= minStreamEvents && output > 0 {
-		b.densities.add(float64(events) / float64(output))
+		r.add(float64(events) / float64(output))
 	}
 }
 
@@ -64,6 +75,10 @@
 	if output <= 0 || len(b.paces.samples) < minPaceSamples || len(b.densities.samples) < minStreamSamples {
 		return 0, false
 	}
-	events := 1 + streamMargin*slices.Max(b.densities.samples)*float64(output)
+	density := slices.Max(b.densities.samples)
+	if len(b.partDensities.samples) > 0 {
+		density = max(density, slices.Max(b.partDensities.samples))
+	}
+	events := 1 + streamMargin*density*float64(output)
 	return events * paceMargin * slices.Max(b.paces.samples), true
 }
--- a/pkg/kumquatlug/placement/attempt.go
+++ b/pkg/kumquatlug/placement/attempt.go
@@ -202,7 +202,7 @@
 			p.sendRelease(t.coordinator, kumquatlug.Permit{Engine: t.id, Key: t.permitKey})
 		}
 	} else {
-		p.runBound.ObserveStream(t.eventsBefore+t.events, t.maxOutputTokens)
+		p.observeDensity(t, o)
 		t.worker.running--
 		t.worker.kvTokens -= t.kvTokens
 		p.endSlot(now, t)
@@ -224,6 +224,17 @@
 	p.health.RecordOutcome(now, t.id, o == OutcomeServed, p.latencyRatio(t, took))
 }
 
+// observeDensity records how many events an attempt's stream has had. Only a stream that ended by
+// itself tells how many it has at most.
+func (p *Placer) observeDensity(t *Attempt, o Outcome) {
+	events := t.eventsBefore + t.events
+	if o == OutcomeServed && !t.moved {
+		p.runBound.ObserveStream(events, t.maxOutputTokens)
+		return
+	}
+	p.runBound.ObservePartialStream(events, t.maxOutputTokens)
+}
+
 // observeServed records how long an attempt took that a worker served, in milliseconds.
 func (p *Placer) observeServed(now kumquatlug.Millis, t *Attempt, took float64) {
 	if t.prefillOnly {
