learn: the longest run covers slow engines that are rarely used

The slowest time between events was that of the newest 256 samples of all engines. A slow engine that is rarely used dropped out, and its pace of 1.2 times the mean is more than the margin of 2 above one of 0.55. The slowest of the newest 256 to 512 samples of each member counts now as well, removed with the member, so that there are as many entries as members. The newest 256 of all engines still count, so that no bound is shorter than before.

Open: an engine that has sent fewer than 16 events to this gateway, or none since it was no member for a while, counts by the paces of the others only.

--- a/pkg/kumquatlug/learn/runbound.go
+++ b/pkg/kumquatlug/learn/runbound.go
@@ -28,8 +28,11 @@
 //
 // The zero value has no samples.
 type RunBoundEstimator struct {
-	// paces are times between events, in ms.
+	// paces are times between events at any engine, in ms.
 	paces sampleRing
+	// engines are the slowest paces of the engines by name. An engine that is rarely used has no
+	// pace among the newest ones of all.
+	engines map[string]*slowestPace
 	// densities are numbers of events for each token of the maximum output, of complete streams
 	// and of parts.
 	densities, partDensities sampleRing
@@ -50,8 +53,47 @@
 	r.next = (r.next + 1) % maxBoundSamples
 }
 
-// ObservePace records the mean time between some events of one engine, in milliseconds.
-func (b *RunBoundEstimator) ObservePace(eventMs float64) { b.paces.add(eventMs) }
+// slowestPace is the slowest of the newest paces of an engine: of one to two times maxBoundSamples.
+type slowestPace struct {
+	// current is the slowest of the samples that are counted, previous that of maxBoundSamples before.
+	current, previous float64
+	samples           int
+}
+
+func (s *slowestPace) add(eventMs float64) {
+	if s.samples == maxBoundSamples {
+		s.current, s.previous, s.samples = 0, s.current, 0
+	}
+	s.current = max(s.current, eventMs)
+	s.samples++
+}
+
+// ObservePace records the mean time between some events of an engine, in milliseconds.
+func (b *RunBoundEstimator) ObservePace(engine string, eventMs float64) {
+	b.paces.add(eventMs)
+	if b.engines == nil {
+		b.engines = map[string]*slowestPace{}
+	}
+	s, known := b.engines[engine]
+	if !known {
+		s = &slowestPace{}
+		b.engines[engine] = s
+	}
+	s.add(eventMs)
+}
+
+// RemoveEngine removes the slowest pace of an engine that gets no more streams. Its paces among the
+// newest ones of all engines remain.
+func (b *RunBoundEstimator) RemoveEngine(engine string) { delete(b.engines, engine) }
+
+// slowest returns the slowest pace, in ms.
+func (b *RunBoundEstimator) slowest() float64 {
+	slowest := slices.Max(b.paces.samples)
+	for _, s := range b.engines {
+		slowest = max(slowest, s.current, s.previous)
+	}
+	return slowest
+}
 
 // ObserveStream records how many events a stream with this maximum output, in tokens, had until it
 // ended by itself.
@@ -80,5 +122,5 @@
 		density = max(density, slices.Max(b.partDensities.samples))
 	}
 	events := 1 + streamMargin*density*float64(output)
-	return events * paceMargin * slices.Max(b.paces.samples), true
+	return events * paceMargin * b.slowest(), true
 }
--- a/pkg/kumquatlug/placement/laterun_test.go
+++ b/pkg/kumquatlug/placement/laterun_test.go
@@ -194,3 +194,54 @@
 		t.Errorf("%d of %d late streams taken", taken, asked)
 	}
 }
+
+// beginBeside begins a stream at an engine other than this one.
+func beginBeside(t *testing.T, p *Placer, now kumquatlug.Millis, other string, prompt kumquatlug.Prompt) *Attempt {
+	t.Helper()
+	c, found := p.ChooseDecode(now, Query{Prompt: prompt, Exclude: []string{other}})
+	if !found {
+		t.Fatalf("no engine besides %s", other)
+	}
+	a := p.Begin(now, c, prompt)
+	p.PrefillDone(now, a)
+	return a
+}
+
+// Guards against a late stream that is cut at the exit since it is placed at a slow engine that is rarely used, and
+// against an engine that has gone and still counts.
+func TestLongestRunCoversTheSlowestMember(t *testing.T) {
+	const fast, slow, events, output = 11, 24, 17, 400
+	prompt := kumquatlug.NewPrompt(nil, 10, output)
+	p := New(Config{})
+	now := kumquatlug.Millis(1000)
+	p.Sync(now, engines(0, 2))
+	stream := func(a *Attempt, gap kumquatlug.Millis) {
+		for range events {
+			p.RecordEvents(now, a, 1)
+			now += gap
+		}
+	}
+	s := beginBeside(t, p, now, "g0", prompt)
+	stream(s, slow)
+	p.End(now, s, OutcomeServed)
+	left := beginBeside(t, p, now, "g0", prompt)
+	for range 1000 {
+		a := beginBeside(t, p, now, "g1", prompt)
+		stream(a, fast)
+		p.End(now, a, OutcomeServed)
+	}
+	longest, known := p.LongestRun(output)
+	if want := kumquatlug.Millis(4 * events * slow); !known || longest < want {
+		t.Errorf("longest run %d ms, known %v, want at least %d", longest, known, want)
+	}
+	p.Sync(now, engines(0, 1))
+	stream(left, slow)
+	for range 1000 {
+		a := beginBeside(t, p, now, "g1", prompt)
+		stream(a, fast)
+		p.End(now, a, OutcomeServed)
+	}
+	if longest, known := p.LongestRun(output); !known || longest >= 4*events*slow {
+		t.Errorf("longest run %d ms, known %v, want less than %d without the slow engine", longest, known, 4*events*slow)
+	}
+}
--- a/pkg/kumquatlug/placement/liveness.go
+++ b/pkg/kumquatlug/placement/liveness.go
@@ -95,7 +95,7 @@
 		w.pauses.Observe(pause)
 		p.pauses.Observe(pause)
 		p.observeEvent(now, w, pause, events)
-		p.observePace(w, pause, events)
+		p.observePace(t.id, w, pause, events)
 	}
 	t.events += events
 	t.lastOutputAt = now
@@ -106,12 +106,16 @@
 // events arrive together or after a prefill.
 const paceEvents = 16
 
-// observePace records the time before some events of a stream at an engine.
-func (p *Placer) observePace(w *worker, pause float64, events int) {
+// observePace records the time before some events of a stream at an engine. One that is no member gets no
+// more streams, and nothing would remove its pace.
+func (p *Placer) observePace(id string, w *worker, pause float64, events int) {
+	if _, member := p.workers[id]; !member {
+		return
+	}
 	w.paceMs += pause
 	w.paceEvents += events
 	if w.paceEvents >= paceEvents {
-		p.runBound.ObservePace(w.paceMs / float64(w.paceEvents))
+		p.runBound.ObservePace(id, w.paceMs/float64(w.paceEvents))
 		w.paceMs, w.paceEvents = 0, 0
 	}
 }
--- a/pkg/kumquatlug/placement/placement.go
+++ b/pkg/kumquatlug/placement/placement.go
@@ -337,6 +337,7 @@
 			p.removeSlots(id)
 			p.health.Remove(id)
 			p.speeds.Remove(now, id)
+			p.runBound.RemoveEngine(id)
 		}
 	}
 	p.sortWorkers()
