gateway: a peer that stops or has gone is no neighbour of a stopping gateway

The Retry-After of a stopping gateway took each gateway of its data centre that it had ever read a handoff address of for one at which a retry is served: also those that were stopping or had gone, so that clients used up their retries after 20 ms each. Without a handoff address in the rows it took itself for alone and sent clients away until its restart. It now counts the gateways whose rows are there, without those that have announced their stop, by the data centre in their rows. Where that is unknown, in rows of an older release or until the row of a new gateway is read, the gateway counts as a neighbour.

TestRefusedClientWithoutAnotherGatewayReturnsAfterRestart failed before in five of its nine cases: row removed, announced its stop, row after its stop, no handoffs, zone unknown.

Remains: a gateway that was killed counts until its row goes; so does one whose announcement was lost, was not sent because the two had exchanged no keys, or came before this gateway started. A neighbour that announces its stop after the refusal is not foreseen.

--- a/internal/front/handoff.go
+++ b/internal/front/handoff.go
@@ -48,6 +48,16 @@
 	return all
 }
 
+// Zone implements [kumquatlug.GatewayLink].
+func (l *Link) Zone(gateway string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if p, known := l.peers[gateway]; known {
+		return p.handoff.Zone
+	}
+	return ""
+}
+
 // HandoffProof implements [kumquatlug.GatewayLink].
 func (l *Link) HandoffProof(gateway string, message []byte) []byte {
 	l.mu.Lock()
--- a/internal/front/handoff_test.go
+++ b/internal/front/handoff_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"reflect"
+	"slices"
 	"sync"
 	"testing"
 
@@ -55,12 +56,16 @@
 	const start = `{"address":"127.0.0.1:7","key":"AAAAAAAAAAAAAAAAAAAAAA=="`
 	n.UpdatePeers(map[string][]byte{
 		"old": []byte(start + `}`), "no-port": []byte(start + `,"handoff":"127.0.0.1"}`), "any": []byte(start + `,"handoff":"0.0.0.0:9"}`),
+		"near": []byte(start + `,"zone":"z"}`),
 		"good": []byte(start + `,"handoff":"127.0.0.1:9","zone":"z","link_bytes_per_ms":25000}`),
 	})
 	want := []kumquatlug.HandoffPeer{{Name: "good", Zone: "z", Address: "127.0.0.1:9", LinkBytesPerMs: 25_000}}
 	if got := n.HandoffPeers(); !reflect.DeepEqual(got, want) {
 		t.Errorf("%+v", got)
 	}
+	if zones := []string{n.Zone("good"), n.Zone("near"), n.Zone("old"), n.Zone("nobody")}; !slices.Equal(zones, []string{"z", "z", "", ""}) {
+		t.Errorf("zones %q", zones)
+	}
 	n.mu.Lock()
 	changed, err := n.updatePeer("good", "127.0.0.1:7", make([]byte, 32))
 	n.mu.Unlock()
--- a/internal/gateway/handoff_test.go
+++ b/internal/gateway/handoff_test.go
@@ -24,6 +24,7 @@
 
 func (noLink) SendHandoff(string, kumquatlug.Handoff)       {}
 func (noLink) HandoffPeers() []kumquatlug.HandoffPeer       { return nil }
+func (noLink) Zone(string) string                           { return "" }
 func (noLink) HandoffProof(string, []byte) []byte           { return nil }
 func (noLink) VerifyHandoffProof([]byte, []byte) bool       { return false }
 func (plainIngress) PeerHeader(r *http.Request) http.Header { return r.Header.Clone() }
--- a/internal/gateway/latestream_test.go
+++ b/internal/gateway/latestream_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -167,25 +168,58 @@
 	peers []kumquatlug.HandoffPeer
 }
 
-func (l peersLink) HandoffPeers() []kumquatlug.HandoffPeer { return l.peers }
+func (l peersLink) HandoffPeers() []kumquatlug.HandoffPeer {
+	return slices.DeleteFunc(slices.Clone(l.peers), func(p kumquatlug.HandoffPeer) bool { return p.Address == "" })
+}
+
+func (l peersLink) Zone(gateway string) string {
+	for _, p := range l.peers {
+		if p.Name == gateway {
+			return p.Zone
+		}
+	}
+	return ""
+}
+
+// neighbour returns the link to a gateway in a zone that accepts handed-off requests.
+func neighbour(zone string) peersLink {
+	return peersLink{peers: []kumquatlug.HandoffPeer{{Name: "b", Zone: zone, Address: "127.0.0.1:9"}}}
+}
 
 // A refused client that has another gateway in its data centre should retry there at once. One that
-// has none would come back here and be refused again: it should return after the restart.
+// has none, or only one that is stopping or has gone, would come back here and be refused again: it
+// should return after the restart.
 func TestRefusedClientWithoutAnotherGatewayReturnsAfterRestart(t *testing.T) {
 	const restarted = 8000 - exitMargin + restartTime - 4200
-	for _, c := range []struct {
-		zone  string
-		known bool
-		want  kumquatlug.Millis
-	}{{"z", true, shutdownRetryAfter}, {"elsewhere", true, restarted}, {"elsewhere", false, shutdownRetryAfter}} {
+	rows := func(f *testGateway, names ...string) { f.g.streamVersions.setPeers(append(names, f.g.c.Name), nil) }
+	for name, c := range map[string]struct {
+		link   peersLink
+		events func(f *testGateway)
+		want   kumquatlug.Millis
+	}{
+		"neighbour":           {neighbour("z"), func(f *testGateway) { rows(f, "b") }, shutdownRetryAfter},
+		"neighbour elsewhere": {neighbour("elsewhere"), func(f *testGateway) { rows(f, "b") }, restarted},
+		"rows not read":       {neighbour("elsewhere"), func(f *testGateway) { f.g.peersKnown.Store(false) }, shutdownRetryAfter},
+		"no handoffs":         {peersLink{peers: []kumquatlug.HandoffPeer{{Name: "b", Zone: "z"}}}, func(f *testGateway) { rows(f, "b") }, shutdownRetryAfter},
+		"zone unknown":        {peersLink{}, func(f *testGateway) { rows(f, "b") }, shutdownRetryAfter},
+		"row removed":         {neighbour("z"), func(f *testGateway) { rows(f, "b"); rows(f) }, restarted},
+		"announced its stop":  {neighbour("z"), func(f *testGateway) { rows(f, "b"); f.g.streamVersions.peerLeft("b") }, restarted},
+		"row after its stop":  {neighbour("z"), func(f *testGateway) { rows(f, "b"); f.g.streamVersions.peerLeft("b"); rows(f, "b") }, restarted},
+		"restarted after a stop": {neighbour("z"), func(f *testGateway) {
+			rows(f, "b")
+			f.g.streamVersions.peerLeft("b")
+			f.g.streamVersions.peerJoined("b")
+		}, shutdownRetryAfter},
+	} {
 		f := newLateGateway(t, respondingWorkers(), 0)
-		f.g.c.Peers = peersLink{peers: []kumquatlug.HandoffPeer{{Name: "b", Zone: c.zone}}}
-		f.g.peersKnown.Store(c.known)
+		f.g.c.Peers = c.link
+		f.g.peersKnown.Store(true)
+		c.events(f)
 		f.stopped(4200)
 		got := f.doPatiently(t, "/chat/?tokens=30,2000")
 		after, err := strconv.Atoi(got.header.Get("Retry-After"))
 		if err != nil || !refusedAtOnce(f, got) || kumquatlug.Millis(after) > c.want || kumquatlug.Millis(after) < c.want-200 {
-			t.Errorf("%+v: Retry-After %d ms; %+v", c, after, got)
+			t.Errorf("%s: Retry-After %d ms, want %d; %+v", name, after, c.want, got)
 		}
 	}
 }
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -133,12 +133,15 @@
 }
 
 // aloneInZone reports whether this gateway knows of the other gateways, and of none in its data
-// centre.
+// centre that serves. One whose data centre is unknown may be a neighbour.
 func (g *Gateway) aloneInZone() bool {
-	if !g.peersKnown.Load() {
+	if !g.peersKnown.Load() || g.c.Zone == "" {
 		return false
 	}
-	return !slices.ContainsFunc(g.c.Peers.HandoffPeers(), func(p kumquatlug.HandoffPeer) bool { return p.Zone == g.c.Zone })
+	return !slices.ContainsFunc(g.streamVersions.serving(), func(peer string) bool {
+		zone := g.c.Peers.Zone(peer)
+		return zone == "" || zone == g.c.Zone
+	})
 }
 
 // refuseBeforeExit returns the failure of a request that is about to be sent to a worker and
--- a/internal/gateway/versionpeers.go
+++ b/internal/gateway/versionpeers.go
@@ -47,6 +47,13 @@
 	out.send(v.g.c.Peers)
 }
 
+// serving returns the other gateways, without those that have announced their stop.
+func (v *streamVersions) serving() []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return slices.Collect(maps.Keys(v.peers))
+}
+
 // readPeers reads the rows of all gateways if this one has never read them. It returns false if it has, or if
 // they can't be read.
 func (v *streamVersions) readPeers(ctx context.Context) bool {
--- a/pkg/kumquatlug/peers.go
+++ b/pkg/kumquatlug/peers.go
@@ -105,6 +105,8 @@
 	SendHandoff(gateway string, h Handoff)
 	// HandoffPeers returns the gateways that accept handed-off requests.
 	HandoffPeers() []HandoffPeer
+	// Zone returns the data centre of a gateway, empty if it is unknown.
+	Zone(gateway string) string
 	// HandoffProof returns a proof, for another gateway, that a message comes from a
 	// gateway; nil if the other one is unknown. VerifyHandoffProof checks a proof that
 	// was made for this gateway.
