gateway: a stopping gateway sends a resume to a neighbour at once

A resume waits up to 1.2 s for a full engine of the version of its stream, but not at a gateway that stops. Its client was told to return after 400 ms or more, although a neighbour would have had it wait at once. It gets the Retry-After of a stopping gateway now, unless there is no neighbour: then it returns here, and the delay of before is right. Streams of a version without an engine that decodes are refused as before, since no neighbour knows one.

Not changed: engines that name a rate limit (worker_limit). Their limit is known to this gateway, and a neighbour may know of it or not.

--- a/internal/gateway/resumewait.go
+++ b/internal/gateway/resumewait.go
@@ -77,11 +77,15 @@
 const versionBusyRetryAfter = 400 * kumquatlug.Millis(1)
 
 // versionRefusal returns why a stream can't go on at its version, and when its client should try again.
-// All gateways know the same engines, so that there is no use in trying another one at once. A role
+// All gateways know the same engines, so that there is no use in trying another one at once, except where
+// this one stops: a neighbour waits for a full engine of the version, this one does not. A role
 // change takes three seconds and a restart of the last engine longer; clients try a few times only, so
 // that they get the longest delay then.
 func (f *inflight) versionRefusal() (reason string, retryAfter kumquatlug.Millis) {
 	if delay, found := f.g.scheduler.outputDelay(f.g.c.Clock.Now(), f.service.Name(), placement.Query{Version: f.version}); found {
+		if f.g.shuttingDown() && !f.g.aloneInZone() {
+			return reasonVersionBusy, shutdownRetryAfter
+		}
 		return reasonVersionBusy, f.retryAfter(max(delay, versionBusyRetryAfter))
 	}
 	for _, m := range f.g.members.Load().byService[f.service.Name()] {
--- a/internal/gateway/resumewait_test.go
+++ b/internal/gateway/resumewait_test.go
@@ -129,3 +129,36 @@
 		}
 	}
 }
+
+// A stopping gateway does not wait for a full engine of the version of a stream, a neighbour does. Guards against a
+// client that is told to return after 400 ms although the neighbour would have its stream wait at once, and against
+// one without a neighbour that uses up its retries here.
+func TestResumeAtStoppingGatewayIsSentToNeighbourAtOnce(t *testing.T) {
+	cases := map[string]struct {
+		zone     string
+		engines  []kumquatlug.Member
+		reason   string
+		min, max int
+	}{
+		"a neighbour waits": {"z", []kumquatlug.Member{versionMember("d1", kumquatlug.RoleDecode, "v1")}, reasonVersionBusy, 1, int(shutdownRetryAfter)},
+		"no neighbour":      {"elsewhere", []kumquatlug.Member{versionMember("d1", kumquatlug.RoleDecode, "v1")}, reasonVersionBusy, 400, 500},
+		"no engine of the version anywhere": {
+			"z", []kumquatlug.Member{versionMember("d2", kumquatlug.RoleDecode, "v2")}, reasonVersionGone, 400, 500,
+		},
+	}
+	for name, c := range cases {
+		f := newTestGateway(t, fullUntil(time.Now().Add(time.Hour), "d1"), manyRetries)
+		f.setEngines(c.engines...)
+		f.g.streamVersions.remember("engines", "r1", "v1")
+		f.g.c.Peers = neighbour(c.zone)
+		f.g.peersKnown.Store(true)
+		f.g.streamVersions.setPeers([]string{"b", f.g.c.Name}, nil)
+		f.g.c.GracePeriod = 8000
+		f.stopped(100)
+		got := f.resume(t, "r2", "r1", 4)
+		after, _ := strconv.Atoi(got.header.Get("Retry-After"))
+		if got.status != http.StatusServiceUnavailable || got.header.Get("Reason") != c.reason || got.header.Get("Ran") != string(kumquatlug.NotExecuted) || after < c.min || after > c.max {
+			t.Errorf("%s: status %d, %v, want %s and Retry-After from %d to %d ms", name, got.status, got.header, c.reason, c.min, c.max)
+		}
+	}
+}
