Hold back content that is no stream as before, and close idle store connections

Content of another type on the route of a stream was forwarded from 64 KB on, and could no longer be retried elsewhere; it is held back up to 1 MB again if memory can be reserved. A reservation made by the read that ends a stream was kept until the stream had gone on elsewhere. Idle connections to the store on which bytes arrive were closed only at their next use.

Race tests of internal/gateway that concern streams, events and handoffs: pass, 10 s. The whole package was not run again after this change.

--- a/cmd/kumquatlug/front.go
+++ b/cmd/kumquatlug/front.go
@@ -146,8 +146,8 @@
 		}})
 	}
 	requestPool, controlPool := newPool("worker", maxIdleWorkerConns), newPool("worker_control", maxIdleControlConns)
-	peerPool := newPool("gateway", maxIdlePeerConns)
-	store := platform.NewStore(platform.StoreConfig{Address: platformSettings.StoreAddress, Pool: newPool("store", maxIdleStoreConns)})
+	peerPool, storePool := newPool("gateway", maxIdlePeerConns), newPool("store", maxIdleStoreConns)
+	store := platform.NewStore(platform.StoreConfig{Address: platformSettings.StoreAddress, Pool: storePool})
 	c := gateway.Config{
 		Name: platformSettings.Name, VM: platformSettings.Name + "@" + platformSettings.ClientAddress, Zone: platformSettings.Zone, Incarnation: kumquatlug.NewIncarnation(platformSettings.Name), ReadyPath: platform.PathReady,
 		Ingress: platform.Ingress{}, RowDecoder: platform.RowDecoder{}, Table: store, ChangeFeed: store,
@@ -162,6 +162,7 @@
 			requestPool.CloseIdle(keep)
 			controlPool.CloseIdle(keep)
 			peerPool.CloseIdle(func(string) bool { return true })
+			storePool.CloseIdle(func(string) bool { return true })
 		},
 	}
 	if platformSettings.ReportsUsage || platformSettings.ScalingEnabled {
--- a/internal/gateway/eventbuffer.go
+++ b/internal/gateway/eventbuffer.go
@@ -73,10 +73,11 @@
 		b.ready, b.partial, b.forwarded = held+end, false, 0
 	}
 	b.events = b.boundaries.Events() - before
+	tooLarge := b.limitEvent()
 	if err != nil {
 		b.release()
 	}
-	if b.limitEvent() {
+	if tooLarge {
 		return n, errors.Mark(errors.Newf("an event of the stream has more than %d bytes", maxEventBytes), kumquatlug.ErrTooLarge)
 	}
 	if errors.Is(err, io.EOF) && !b.otherContent {
@@ -97,13 +98,14 @@
 }
 
 // limitEvent reports whether the event that is held back is too large. One for which no memory can be
-// reserved is forwarded in parts, as is content that isn't a stream of events.
+// reserved is forwarded in parts, as is large content that isn't a stream of events.
 func (b *eventBuffer) limitEvent() bool {
 	held := len(b.pending) - b.ready
-	if !b.otherContent && b.forwarded+held > maxEventBytes {
+	large := b.forwarded+held > maxEventBytes
+	if large && !b.otherContent {
 		return true
 	}
-	if held > maxUnreservedBytes && (b.otherContent || !b.reserve()) {
+	if large || held > maxUnreservedBytes && !b.reserve() {
 		b.forwarded += held
 		b.ready, b.partial = len(b.pending), true
 	}
