--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -110,9 +110,10 @@
 	shuttingDown bool
 	pausedUntil  time.Time
 	// endlessResponses counts the responses without end that have ended, endlessBytes is the most that
-	// was sent of one.
+	// was sent of one, endlessTime the longest time until its connection was closed.
 	endlessResponses int
 	endlessBytes     int64
+	endlessTime      time.Duration
 }
 
 // New returns a worker without faults.
