Epochs of versions follow the ready workers, not their roles

The ready engines were 9 and 3 all the time. Since the split keeps engines of each version that decode, the weights are the ready workers now; where a version has none that generates, its streams begin elsewhere after it is unbound.

--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -65,17 +65,21 @@
 func (v *streamVersions) setMembers(byService map[string][]kumquatlug.Member) {
 	v.mu.Lock()
 	for name, members := range byService {
-		present := streamversion.Weights{}
+		ready, present := streamversion.Weights{}, streamversion.Weights{}
 		for _, m := range members {
-			if m.State == kumquatlug.MemberReady && m.Role != kumquatlug.RolePrefill {
+			if m.State != kumquatlug.MemberReady {
+				continue
+			}
+			ready[m.Worker.Version()]++
+			if m.Role != kumquatlug.RolePrefill {
 				present[m.Worker.Version()]++
 			}
 		}
-		v.service(name).SetWorkers(present)
+		v.service(name).SetWorkers(ready, present)
 	}
 	for name, s := range v.services {
 		if _, found := byService[name]; !found {
-			s.SetWorkers(nil)
+			s.SetWorkers(nil, nil)
 		}
 	}
 	v.mu.Unlock()
--- a/internal/gateway/versionselection.go
+++ b/internal/gateway/versionselection.go
@@ -83,6 +83,6 @@
 func (v *streamVersions) hasOther(service, version string) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	present := v.service(service).Workers().Versions()
+	present := v.service(service).Generating().Versions()
 	return len(present) > 1 || len(present) == 1 && present[0] != version
 }
--- a/pkg/kumquatlug/streamversion/epoch.go
+++ b/pkg/kumquatlug/streamversion/epoch.go
@@ -30,7 +30,7 @@
 	maxShareError = 0.2
 )
 
-// Weights are the numbers of workers that can generate output, by version.
+// Weights are the numbers of ready workers, by version.
 type Weights map[string]int
 
 // Select returns the version at which a stream begins: the first one in the weighted rendezvous order of
--- a/pkg/kumquatlug/streamversion/simulation_test.go
+++ b/pkg/kumquatlug/streamversion/simulation_test.go
@@ -75,7 +75,7 @@
 		name = fmt.Sprint("front-", s.started)
 	}
 	g := &simulatedGateway{s: s, name: name, view: NewView(), records: NewRecords(), peers: map[string]bool{}, contactAt: s.now}
-	g.view.SetWorkers(maps.Clone(s.workers))
+	g.view.SetWorkers(maps.Clone(s.workers), maps.Clone(s.workers))
 	s.gateways[name] = g
 	for other, peer := range s.gateways {
 		if other == name {
@@ -191,7 +191,7 @@
 	if g.reachesStore() {
 		g.contactAt = s.now
 		if s.now >= g.workersAt {
-			g.view.SetWorkers(maps.Clone(s.workers))
+			g.view.SetWorkers(maps.Clone(s.workers), maps.Clone(s.workers))
 			g.workersAt = s.now + kumquatlug.Millis(s.random.IntN(2000))
 		}
 	}
--- a/pkg/kumquatlug/streamversion/view.go
+++ b/pkg/kumquatlug/streamversion/view.go
@@ -15,8 +15,8 @@
 // View is what one gateway knows about the versions of a service. Its times are those of the gateway's clock.
 // It is not safe for concurrent use.
 type View struct {
-	// present are the numbers of workers that can generate output.
-	present Weights
+	// ready are the numbers of ready workers, present those of them that can generate output.
+	ready, present Weights
 	// listing is as of readAt, the beginning of the call that read it. known is false before the first one
 	// and after the store was restored.
 	listing Listing
@@ -30,8 +30,9 @@
 // NewView returns a view without workers and listing.
 func NewView() *View { return &View{} }
 
-// SetWorkers sets the numbers of workers that can generate output.
-func (v *View) SetWorkers(present Weights) { v.present = present }
+// SetWorkers sets the numbers of ready workers, and of those of them that can generate output. Epochs have the
+// former: roles change back and forth, and each epoch leaves streams undetermined.
+func (v *View) SetWorkers(ready, present Weights) { v.ready, v.present = ready, present }
 
 // Forget forgets the listing, because the store was restored from a copy.
 func (v *View) Forget() { v.known = false }
@@ -53,8 +54,11 @@
 // ReadSince reports whether the listing was read by a call that began at a time or later.
 func (v *View) ReadSince(at kumquatlug.Millis) bool { return v.known && v.readAt >= at }
 
-// Workers returns the numbers of workers that can generate output.
-func (v *View) Workers() Weights { return v.present }
+// Workers returns the numbers of ready workers.
+func (v *View) Workers() Weights { return v.ready }
+
+// Generating returns the numbers of workers that can generate output.
+func (v *View) Generating() Weights { return v.present }
 
 // storeTime returns a time of the store's clock that is not before the present one.
 func (v *View) storeTime(now kumquatlug.Millis) kumquatlug.Millis {
@@ -86,7 +90,7 @@
 		return ""
 	}
 	if !v.known || !v.listing.Current() {
-		return v.present.Select(id)
+		return v.ready.Select(id)
 	}
 	version := v.listing.Select(id)
 	if v.Unbound(now, version) {
@@ -97,7 +101,7 @@
 
 // Several reports whether streams of several versions may be resumed, as far as is known.
 func (v *View) Several() bool {
-	sole, versions := v.listing.Sole(), v.present.Versions()
+	sole, versions := v.listing.Sole(), v.ready.Versions()
 	return !v.known || sole == "" || len(versions) > 1 || len(versions) == 1 && versions[0] != sole
 }
 
@@ -120,7 +124,7 @@
 // EpochDue reports whether the holder of the lease should begin a new epoch: at once if workers of a version
 // have appeared or have gone, otherwise when the shares have differed for long.
 func (v *View) EpochDue(now kumquatlug.Millis) bool {
-	weights := v.present
+	weights := v.ready
 	if !v.known || len(weights.Versions()) == 0 || !v.listing.Outdated(weights) {
 		v.outdatedSince = 0
 		return false
