--- /dev/null
+++ b/internal/gateway/streamversion_review_test.go
@@ -0,0 +1,139 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/quarantine"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/streamversion"
+)
+
+// Guards against a stream that goes on at another version at a gateway that is cut off from the store and uses the
+// listing that it read before, while its peers know that a newer epoch leaves the version of the stream undetermined.
+func TestCachedListingDoesNotOverrideNewerEpochOfPeers(t *testing.T) {
+	fleet := newVersionFleet(t, versionedEngines(2), fourEngines)
+	cut := fleet.gateways["b"]
+	cut.g.streamVersions.prepare(t.Context(), "engines", "other")
+	old := cut.g.streamVersions.selectVersion("engines", "stream")
+	cut.g.c.Table = &cutOffTable{sharedTable: fleet.table, cutOff: true}
+	fleet.undetermine(t, "a", old)
+	if version := fleet.beginCut(t, "a", "stream"); version == old {
+		t.Fatalf("the stream began at %s, by the old epoch", version)
+	}
+	<-time.After(20 * time.Millisecond)
+	// The gateways that have the records are killed, and have started again.
+	for _, name := range []string{"a", "c", "d"} {
+		fleet.kill(name)
+		fleet.start(t, name)
+	}
+	cut.g.streamVersions.records = streamversion.NewRecords()
+	got := cut.resume(t, "again", "stream", 4)
+	if joined := fleet.workers.joinedVersions(fleet.versions); len(joined) != 1 {
+		t.Errorf("status %d: the stream joins versions %v", got.status, joined)
+	}
+}
+
+// Guards against a stream that goes on at the version of an attempt of which the client received nothing: a peer
+// began it for a gateway that then served the request itself.
+func TestRecordsThatContradictEachOtherAreNotUsed(t *testing.T) {
+	fleet := newVersionFleet(t, versionedEngines(2), fourEngines)
+	version := fleet.beginCut(t, "a", "stream")
+	fleet.awaitRecord(t, streamversion.Owners("stream", "a", []string{"b", "c", "d"}, 1)[0], "stream", version)
+	other := map[string]string{"v1": "v2", "v2": "v1"}[version]
+	owners := streamversion.Owners("stream", "a", []string{"b", "c", "d"}, 3)
+	// The last of them is the peer; its record goes to the owners as well.
+	peer := fleet.gateways[owners[2]]
+	peer.g.streamVersions.remember("engines", "stream", other)
+	for _, owner := range owners[:2] {
+		fleet.gateways[owner].g.streamVersions.recordReceived(kumquatlug.StreamVersion{Service: "engines", Attempt: "stream", Version: other})
+	}
+	fleet.kill("a")
+	fleet.start(t, "a")
+	got := fleet.gateways["a"].resume(t, "again", "stream", 4)
+	if joined := fleet.workers.joinedVersions(fleet.versions); len(joined) != 1 {
+		t.Errorf("status %d: the stream joins versions %v", got.status, joined)
+	}
+}
+
+// Guards against new streams that are refused although workers are free, because the version that the listing
+// selects has no worker left and an epoch began less than a second ago.
+func TestStreamBeginsElsewhereSoonAfterAnEpoch(t *testing.T) {
+	w := versionedEngines(0)
+	f := newTestGateway(t, w, manyRetries)
+	versions := map[string]string{"d1": "v1", "d2": "v1", "d3": "v2"}
+	f.setEngineVersions(versions)
+	f.g.streamVersions.setMembers(f.g.members.Load().byService)
+	f.beginEpoch(t, streamversion.Weights{"v1": 2, "v2": 1})
+	delete(versions, "d3")
+	f.setEngineVersions(versions)
+	f.g.streamVersions.setMembers(f.g.members.Load().byService)
+	refused := 0
+	for n := range 30 {
+		if got := f.doWith(t.Context(), http.MethodPost, longRoute, http.Header{"Id": {fmt.Sprint("new-", n)}}); got.status != http.StatusOK {
+			refused++
+		}
+	}
+	if refused > 0 {
+		t.Errorf("%d of 30 new streams refused with two free workers", refused)
+	}
+}
+
+// Guards against a stream that joins two versions because it began at the one at which its quarantined prompt is
+// served and not at the one that the listing selects: the gateways that have its record are killed, and the
+// quarantine ends.
+func TestQuarantinedPromptGoesOnAtItsVersionOnly(t *testing.T) {
+	const promptRoute = longRoute + "?tokens=30,1000"
+	fleet := newVersionFleet(t, versionedEngines(2), fourEngines)
+	quarantined := kumquatlug.QuarantineMessage{Entries: []kumquatlug.QuarantineEntry{{
+		Service: "engines", Identities: []string{quarantine.PartIdentity("shared")}, Versions: []string{"v2"}, Served: []string{"v1"}, Revision: 1,
+	}}}
+	a := fleet.gateways["a"]
+	a.g.streamVersions.prepare(t.Context(), "engines", "other")
+	id := "stream"
+	for n := 0; a.g.streamVersions.selectVersion("engines", id) != "v2"; n++ {
+		id = fmt.Sprint("stream-", n)
+	}
+	for _, f := range fleet.gateways {
+		f.g.crashes.evidence.Receive(f.g.c.Clock.Now(), quarantined)
+	}
+	got := a.doWith(t.Context(), http.MethodPost, promptRoute, http.Header{"Id": {id}})
+	if began := fleet.workers.joinedVersions(fleet.versions); got.body != events(1, 4) || !began["v1"] || began["v2"] {
+		t.Fatalf("%v, status %d, %d bytes of versions %v, want a part of the stream of v1", got.err, got.status, len(got.body), began)
+	}
+	<-time.After(20 * time.Millisecond)
+	for _, name := range []string{"a", "b", "c", "d"} {
+		fleet.kill(name)
+		fleet.start(t, name)
+	}
+	got = fleet.gateways["c"].doWith(t.Context(), http.MethodPost, promptRoute, http.Header{"Id": {"again"}, "Resumes": {id}, "Last-Event-Id": {"4"}})
+	t.Logf("%s: status %d, error %v", id, got.status, got.err)
+	if joined := fleet.workers.joinedVersions(fleet.versions); len(joined) != 1 {
+		t.Errorf("status %d: the stream joins versions %v", got.status, joined)
+	}
+}
+
+// Guards against streams that wait while a gateway of a large fleet computes the owners of its records each time
+// another gateway stops or starts, four a second in a rolling restart.
+func TestStopOfOneOfManyGatewaysDelaysNoStream(t *testing.T) {
+	fleet := newVersionFleet(t, versionedEngines(0), fourEngines)
+	v := fleet.gateways["a"].g.streamVersions
+	v.g.streamVersions.prepare(t.Context(), "engines", "other")
+	names := make([]string, 2300)
+	for n := range names {
+		names[n] = fmt.Sprint("edge-tallinn-a-", n)
+	}
+	v.setPeers(names, nil)
+	for n := range 1600 {
+		v.remember("engines", fmt.Sprintf("stream-%d", n), "v1")
+	}
+	for step, change := range map[string]func(string){"stop": v.peerLeft, "start": v.peerJoined} {
+		begun := time.Now()
+		change(names[7])
+		if took := time.Since(begun); took > 25*time.Millisecond {
+			t.Errorf("the %s of one gateway takes %s of the lock of all streams", step, took)
+		}
+	}
+}
