--- a/internal/gateway/streamversion_review_test.go
+++ b/internal/gateway/streamversion_review_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"testing"
@@ -137,3 +138,83 @@
 		}
 	}
 }
+
+// Guards against new streams that are refused although other workers are free, because the only engine of the
+// version that the listing selects fails or refuses them.
+func TestNewStreamsBeginElsewhereIfTheOnlyEngineOfAVersionFails(t *testing.T) {
+	for name, fails := range map[string]func() (kumquatlug.WorkerResponse, error){
+		"refuses": func() (kumquatlug.WorkerResponse, error) { return refusedResponse(), nil },
+		"breaks":  func() (kumquatlug.WorkerResponse, error) { return kumquatlug.WorkerResponse{}, lostConnection() },
+	} {
+		versions := map[string]string{"d1": "v1", "d2": "v1", "d3": "v1", "d4": "v2"}
+		w := &fakeWorkers{run: func(_ context.Context, _ int, c workerCall) (kumquatlug.WorkerResponse, error) {
+			if c.worker == "d4" {
+				return fails()
+			}
+			return streamResponse(1, 4), nil
+		}}
+		f := newTestGateway(t, w, manyRetries)
+		f.setEngineVersions(versions)
+		f.g.streamVersions.setMembers(f.g.members.Load().byService)
+		f.beginEpoch(t, streamversion.Weights{"v1": 3, "v2": 1})
+		f.g.c.Table.(*sharedTable).advance(2 * kumquatlug.Second)
+		statuses := map[int]int{}
+		for n := range 60 {
+			statuses[f.doWith(t.Context(), http.MethodPost, longRoute, http.Header{"Id": {fmt.Sprint("new-", n)}}).status]++
+		}
+		if statuses[http.StatusOK] < 60 {
+			t.Errorf("%s: statuses %v of 60 new streams with three free engines", name, statuses)
+		}
+	}
+}
+
+// Guards against new streams that are refused for as long as the store is away, because the version that the listing
+// selects has no worker at all any more.
+func TestNewStreamsBeginElsewhereWhileTheStoreIsAway(t *testing.T) {
+	w := versionedEngines(0)
+	f := newTestGateway(t, w, manyRetries)
+	versions := map[string]string{"d1": "v1", "d2": "v1", "d3": "v2"}
+	f.setEngineVersions(versions)
+	f.g.streamVersions.setMembers(f.g.members.Load().byService)
+	f.beginEpoch(t, streamversion.Weights{"v1": 2, "v2": 1})
+	table := f.g.c.Table.(*sharedTable)
+	table.advance(2 * kumquatlug.Second)
+	f.g.c.Table = &cutOffTable{sharedTable: table, cutOff: true}
+	delete(versions, "d3")
+	f.setEngineVersions(versions)
+	f.g.streamVersions.setMembers(f.g.members.Load().byService)
+	refused := 0
+	for n := range 30 {
+		if got := f.doWith(t.Context(), http.MethodPost, longRoute, http.Header{"Id": {fmt.Sprint("new-", n)}}); got.status != http.StatusOK {
+			refused++
+		}
+	}
+	if refused > 0 {
+		t.Errorf("%d of 30 new streams refused with two free workers", refused)
+	}
+}
+
+// Guards against a version that gets no streams of the whole fleet because one gateway alone can't reach its engine.
+func TestEngineThatOneGatewayCannotUseStaysListed(t *testing.T) {
+	versions := map[string]string{"d1": "v1", "d2": "v1", "d3": "v2"}
+	fleet := newVersionFleet(t, versionedEngines(0), versions)
+	a, b := fleet.gateways["a"], fleet.gateways["b"]
+	b.g.streamVersions.prepare(t.Context(), "engines", "other")
+	fleet.table.advance(2 * kumquatlug.Second)
+	a.g.c.Workers = &fakeWorkers{run: func(_ context.Context, _ int, c workerCall) (kumquatlug.WorkerResponse, error) {
+		if c.worker == "d3" {
+			return kumquatlug.WorkerResponse{}, lostConnection()
+		}
+		return streamResponse(1, 4), nil
+	}}
+	for n := range 60 {
+		a.doWith(t.Context(), http.MethodPost, longRoute, http.Header{"Id": {fmt.Sprint("new-", n)}})
+	}
+	b.g.streamVersions.callListing(t.Context(), "engines", false)
+	b.g.streamVersions.mu.Lock()
+	listing, _ := b.g.streamVersions.service("engines").Listing()
+	b.g.streamVersions.mu.Unlock()
+	if !listing.Newest().Has("v2") {
+		t.Errorf("no gateway begins streams at v2 any more: %v", listing.Newest())
+	}
+}
