Failing tests: gateways that are cut off from the store begin streams by old epochs

Found in review: two such gateways confirm each other's epoch, and one that reaches nobody uses its epoch without end, so that a resume elsewhere joins two versions.

--- a/internal/gateway/streamversion_review_test.go
+++ b/internal/gateway/streamversion_review_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/clock"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/quarantine"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/streamversion"
 )
@@ -218,3 +219,64 @@
 		t.Errorf("no gateway begins streams at v2 any more: %v", listing.Newest())
 	}
 }
+
+// Guards against two gateways that are cut off from the store and confirm each other's old epoch: the answer of the
+// one that reads nothing comes before those of the gateways that read the listing.
+func TestGatewaysThatCannotReadTheListingDoNotConfirmEachOther(t *testing.T) {
+	old, begun := 0, 0
+	for n := range 10 {
+		fleet := newVersionFleet(t, versionedEngines(2), fourEngines)
+		id := fmt.Sprint("stream-", n)
+		table := &cutOffTable{sharedTable: fleet.table}
+		now := clock.NewManual(fleet.gateways["a"].g.c.BootClock.Now())
+		for _, name := range []string{"a", "b"} {
+			g := fleet.gateways[name].g
+			g.c.BootClock, g.c.Table = now, table
+			g.streamVersions.prepare(t.Context(), "engines", "first")
+		}
+		before := fleet.gateways["a"].g.streamVersions.selectVersion("engines", id)
+		table.cutOff = true
+		fleet.undetermine(t, "c", before)
+		now.Advance(streamversion.MaxListingAge + 1)
+		for _, name := range []string{"a", "b"} {
+			g := fleet.gateways[name].g
+			g.configConfirmedAt.Store(int64(now.Now()))
+			// The last read has failed.
+			g.streamVersions.callListing(t.Context(), "engines", false)
+		}
+		begun++
+		if version := fleet.beginCut(t, "a", id); version == before {
+			old++
+		}
+	}
+	if old > 0 {
+		t.Errorf("%d of %d streams began by an old epoch", old, begun)
+	}
+}
+
+// Guards against a stream that joins two versions: its gateway reaches neither the store nor its peers, and begins
+// streams by an epoch that no longer counts.
+func TestGatewayThatReachesNobodyBeginsNoStreamByAnOldEpoch(t *testing.T) {
+	fleet := newVersionFleet(t, versionedEngines(2), fourEngines)
+	a := fleet.gateways["a"]
+	now := clock.NewManual(a.g.c.BootClock.Now())
+	table := &cutOffTable{sharedTable: fleet.table}
+	a.g.c.BootClock, a.g.c.Table = now, table
+	a.g.streamVersions.prepare(t.Context(), "engines", "first")
+	old := a.g.streamVersions.selectVersion("engines", "stream")
+	table.cutOff = true
+	a.g.c.Peers = noLink{}
+	fleet.undetermine(t, "b", old)
+	const cutOffTime = 95 * kumquatlug.Second
+	now.Advance(cutOffTime)
+	fleet.table.advance(cutOffTime)
+	got := a.doWith(t.Context(), http.MethodPost, longRoute, http.Header{"Id": {"stream"}})
+	fleet.kill("a")
+	if got.status != http.StatusOK {
+		return
+	}
+	got = fleet.gateways["b"].resume(t, "again", "stream", 4)
+	if joined := fleet.workers.joinedVersions(fleet.versions); len(joined) != 1 {
+		t.Errorf("status %d: the stream joins versions %v", got.status, joined)
+	}
+}
