--- a/internal/gateway/streamversion_review_test.go
+++ b/internal/gateway/streamversion_review_test.go
@@ -280,3 +280,50 @@
 		t.Errorf("status %d: the stream joins versions %v", got.status, joined)
 	}
 }
+
+// Guards against new streams that wait for, or are refused by, the full engine of the version that the listing
+// selects, while engines of another version are idle.
+func TestNewStreamsDoNotWaitForAFullVersion(t *testing.T) {
+	versions := map[string]string{"d1": "v1", "d2": "v1", "d3": "v1", "d4": "v2"}
+	release := make(chan struct{})
+	w := &fakeWorkers{run: func(ctx context.Context, _ int, c workerCall) (kumquatlug.WorkerResponse, error) {
+		if c.worker == "d4" {
+			// Its slots are taken: it starts nothing.
+			select {
+			case <-release:
+			case <-ctx.Done():
+			}
+			return kumquatlug.WorkerResponse{}, lostConnection()
+		}
+		return streamResponse(1, 4), nil
+	}}
+	f := newTestGateway(t, w, manyRetries)
+	f.setEngineVersions(versions)
+	f.g.streamVersions.setMembers(f.g.members.Load().byService)
+	f.beginEpoch(t, streamversion.Weights{"v1": 3, "v2": 1})
+	f.g.c.Table.(*sharedTable).advance(2 * kumquatlug.Second)
+	var ids []string
+	for n := 0; len(ids) < 40; n++ {
+		if id := fmt.Sprint("new-", n); f.g.streamVersions.selectVersion("engines", id) == "v2" {
+			ids = append(ids, id)
+		}
+	}
+	results := make(chan clientResponse, len(ids))
+	for _, id := range ids {
+		go func() {
+			results <- f.doWith(t.Context(), http.MethodPost, longRoute, http.Header{"Id": {id}})
+		}()
+	}
+	slow, statuses := 0, map[int]int{}
+	for range ids {
+		got := <-results
+		statuses[got.status]++
+		if got.duration > 500*time.Millisecond {
+			slow++
+		}
+	}
+	close(release)
+	if slow > 0 || statuses[http.StatusOK] < len(ids) {
+		t.Errorf("%d of %d streams took over 500 ms, statuses %v, with three idle engines", slow, len(ids), statuses)
+	}
+}
