--- a/internal/gateway/streamversion_review_test.go
+++ b/internal/gateway/streamversion_review_test.go
@@ -327,3 +327,36 @@
 		t.Errorf("%d of %d streams took over 500 ms, statuses %v, with three idle engines", slow, len(ids), statuses)
 	}
 }
+
+// Guards against new streams that are refused because another request has just begun the epoch without the version
+// that has no engine: they found none either, and another version is selected for them by now.
+func TestNewStreamsFollowTheEpochThatAnotherRequestBegan(t *testing.T) {
+	versions := map[string]string{"d1": "v1", "d2": "v1", "d3": "v1", "d4": "v2"}
+	w := &fakeWorkers{run: func(_ context.Context, _ int, c workerCall) (kumquatlug.WorkerResponse, error) {
+		if c.worker == "d4" {
+			return refusedResponse(), nil
+		}
+		return streamResponse(1, 4), nil
+	}}
+	f := newTestGateway(t, w, manyRetries)
+	f.setEngineVersions(versions)
+	f.g.streamVersions.setMembers(f.g.members.Load().byService)
+	f.beginEpoch(t, streamversion.Weights{"v1": 3, "v2": 1})
+	f.g.c.Table.(*sharedTable).advance(2 * kumquatlug.Second)
+	const streams = 160
+	statuses := make(chan int, streams)
+	for n := range streams {
+		go func() {
+			statuses <- f.doWith(t.Context(), http.MethodPost, longRoute, http.Header{"Id": {fmt.Sprint("new-", n)}}).status
+		}()
+	}
+	refused := 0
+	for range streams {
+		if status := <-statuses; status != http.StatusOK {
+			refused++
+		}
+	}
+	if refused > 0 {
+		t.Errorf("%d of %d new streams refused with three free engines", refused, streams)
+	}
+}
