A cached listing of versions counts only if no peer knows a newer epoch

A gateway that was cut off from the store used the listing that it had read before, although its peers knew that a newer epoch left the version of the stream undetermined: the stream joined two versions. Answers about versions carry when the newest epoch began that the sender knows (from_ms). The cached listing counts if half of the peers answer, none of them knows a newer epoch, the peers are known and the listing was read within EpochLag. A peer that answers twice counts once.

--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -28,7 +28,7 @@
 	// left are the gateways that have announced their shutdown and whose rows may still be there.
 	left map[string]bool
 	// questions are the channels of the questions to peers, by key.
-	questions map[uint64]chan kumquatlug.StreamVersion
+	questions map[uint64]chan versionAnswer
 }
 
 // serviceVersions is what is known about the versions of a service.
@@ -45,7 +45,7 @@
 func newStreamVersions(g *Gateway) *streamVersions {
 	return &streamVersions{
 		g: g, records: streamversion.NewRecords(), services: map[string]*serviceVersions{}, peers: map[string]bool{},
-		left: map[string]bool{}, questions: map[uint64]chan kumquatlug.StreamVersion{},
+		left: map[string]bool{}, questions: map[uint64]chan versionAnswer{},
 	}
 }
 
--- a/internal/gateway/versionpeers.go
+++ b/internal/gateway/versionpeers.go
@@ -171,22 +171,29 @@
 	}
 }
 
+// versionAnswer is the answer of a peer to a question.
+type versionAnswer struct {
+	peer string
+	kumquatlug.StreamVersion
+}
+
 // versionQuestions are the questions to peers about one stream.
 type versionQuestions struct {
 	v       *streamVersions
 	key     uint64
 	message kumquatlug.StreamVersion
 	peers   []string
-	answers chan kumquatlug.StreamVersion
-	// answered is the number of peers that have no record of the stream, determined the version that the
-	// listing determines according to one of them.
-	answered   int
+	answers chan versionAnswer
+	// answered are the peers that have answered, newestFrom is when the newest epoch began that one of them
+	// knows, determined the version that the listing determines according to one that knows this epoch.
+	answered   map[string]bool
+	newestFrom kumquatlug.Millis
 	determined string
 }
 
 // askPeers asks the peers that may have a stream's record, or know where it begins.
 func (v *streamVersions) askPeers(step kumquatlug.StreamVersionStep, service, id string) *versionQuestions {
-	q := &versionQuestions{v: v, key: rand.Uint64()}
+	q := &versionQuestions{v: v, key: rand.Uint64(), answered: map[string]bool{}}
 	q.message = kumquatlug.StreamVersion{Step: step, Service: service, Attempt: id, Key: q.key}
 	if v.g.c.Peers == nil || id == "" || len(id) > maxAttemptIDBytes {
 		return q
@@ -197,7 +204,7 @@
 		count = len(v.peers)
 	}
 	q.peers = v.owners(id, count)
-	q.answers = make(chan kumquatlug.StreamVersion, 2*len(q.peers))
+	q.answers = make(chan versionAnswer, 2*len(q.peers))
 	v.questions[q.key] = q.answers
 	v.mu.Unlock()
 	q.send()
@@ -233,12 +240,17 @@
 	defer end.Stop()
 	again := time.NewTimer(versionAskInterval.Duration())
 	defer again.Stop()
-	for q.answered < len(q.peers) && !done() {
+	for len(q.answered) < len(q.peers) && !done() {
 		select {
 		case m := <-q.answers:
-			q.answered++
+			q.answered[m.peer] = true
+			if m.NewestFrom > q.newestFrom {
+				q.newestFrom, q.determined = m.NewestFrom, ""
+			}
 			if m.Step == kumquatlug.StreamVersionDetermined {
-				q.determined = m.Version
+				if m.NewestFrom == q.newestFrom {
+					q.determined = m.Version
+				}
 			} else if m.Version != "" {
 				return m.Version
 			}
@@ -263,7 +275,7 @@
 		answer := m
 		answer.Step, answer.Version = kumquatlug.StreamVersionAnswered, v.find(m.Attempt)
 		if answer.Version != "" || !v.reads(m.Attempt, peer) {
-			g.c.Peers.SendStreamVersion(peer, answer)
+			v.answer(peer, answer)
 			return
 		}
 		go func() {
@@ -271,7 +283,7 @@
 			if answer.Version = v.determined(context.Background(), m.Service, m.Attempt); answer.Version != "" {
 				answer.Step = kumquatlug.StreamVersionDetermined
 			}
-			g.c.Peers.SendStreamVersion(peer, answer)
+			v.answer(peer, answer)
 		}()
 	case kumquatlug.StreamVersionSelecting:
 		go func() {
@@ -280,20 +292,26 @@
 			if version := v.selectFor(context.Background(), m.Service, m.Attempt); version != "" {
 				answer.Step, answer.Version = kumquatlug.StreamVersionDetermined, version
 			}
-			g.c.Peers.SendStreamVersion(peer, answer)
+			v.answer(peer, answer)
 		}()
 	case kumquatlug.StreamVersionAnswered, kumquatlug.StreamVersionDetermined:
 		v.mu.Lock()
 		answers := v.questions[m.Key]
 		v.mu.Unlock()
 		select {
-		case answers <- m:
+		case answers <- versionAnswer{peer, m}:
 		default:
 			// Nobody waits any more.
 		}
 	}
 }
 
+// answer sends the answer to a question of a peer.
+func (v *streamVersions) answer(peer string, answer kumquatlug.StreamVersion) {
+	answer.NewestFrom = v.newestFrom(answer.Service)
+	v.g.c.Peers.SendStreamVersion(peer, answer)
+}
+
 // recordReceived records the version of a stream that a peer has begun.
 func (v *streamVersions) recordReceived(m kumquatlug.StreamVersion) {
 	v.mu.Lock()
--- a/internal/gateway/versionresolve.go
+++ b/internal/gateway/versionresolve.go
@@ -45,7 +45,8 @@
 		timeout = recordAnswerTimeout
 	}
 	e.Record = questions.await(ctx, timeout)
-	e.PeerDetermined, e.Asked, e.Answered = questions.determined, len(questions.peers), questions.answered
+	e.PeerDetermined, e.Asked, e.Answered = questions.determined, len(questions.peers), len(questions.answered)
+	e.PeerEpoch, e.PeersUnknown = questions.newestFrom, v.g.c.Peers != nil && !v.peersRead.Load()
 	if !named {
 		e.Determined, e.PeerDetermined = "", ""
 	}
@@ -61,6 +62,18 @@
 	return s.recording || s.Several()
 }
 
+// newestFrom returns when the newest epoch of a service began that this gateway knows, zero if it knows none.
+func (v *streamVersions) newestFrom(service string) kumquatlug.Millis {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if s := v.services[service]; s != nil {
+		if listing, known := s.Listing(); known {
+			return listing.NewestFrom()
+		}
+	}
+	return 0
+}
+
 // describe returns what the listing says about all streams, empty if they may have several versions, and
 // about one.
 func (v *streamVersions) describe(service, id string) (string, resolution) {
@@ -71,7 +84,8 @@
 		return "", resolution{}
 	}
 	r := resolution{listed: listing.Versions(), epoch: listing.NewestFrom()}
-	r.evidence.Determined = listing.Determined(id)
+	r.evidence.Determined, r.evidence.Epoch = listing.Determined(id), r.epoch
+	r.evidence.Age = v.service(service).ListingAge(v.g.c.BootClock.Now())
 	return listing.Sole(), r
 }
 
--- a/pkg/kumquatlug/streamversion.go
+++ b/pkg/kumquatlug/streamversion.go
@@ -27,4 +27,7 @@
 	Version string
 	// Key distinguishes the questions of the sender.
 	Key uint64
+	// NewestFrom is set in an answer: when the newest epoch began that the sender knows, by the store's clock,
+	// zero if it knows none.
+	NewestFrom Millis
 }
--- a/pkg/kumquatlug/streamversion/evidence.go
+++ b/pkg/kumquatlug/streamversion/evidence.go
@@ -1,5 +1,7 @@
 package streamversion
 
+import "github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+
 // Source says where the version of a stream is known from.
 type Source string
 
@@ -24,15 +26,20 @@
 	// last read.
 	Read       bool
 	Determined string
+	// Epoch is when the newest epoch of that listing began, Age how long ago it was read.
+	Epoch, Age kumquatlug.Millis
 	// PeerDetermined is the version that the listing determines according to a peer that has read it.
 	PeerDetermined string
 	// Asked is the number of peers that were asked, Answered that of those that answered.
 	Asked, Answered int
+	// PeerEpoch is when the newest epoch began that a peer which answered knows.
+	PeerEpoch kumquatlug.Millis
+	// PeersUnknown says that there may be peers that were not asked.
+	PeersUnknown bool
 }
 
 // Version returns the version of the stream, empty if it is unknown. A record counts before the listing: the
-// stream may have begun by an epoch that its gateway used for too long. A listing that was read before
-// counts only if the peers answer: those know the streams that began by a newer epoch.
+// stream may have begun by an epoch that its gateway used for too long.
 func (e Evidence) Version() (string, Source) {
 	switch {
 	case e.Record != "":
@@ -43,8 +50,15 @@
 		return "", SourceNone
 	case e.PeerDetermined != "":
 		return e.PeerDetermined, SourcePeerListing
-	case e.Determined != "" && 2*e.Answered >= e.Asked:
+	case e.Determined != "" && e.cacheCounts():
 		return e.Determined, SourceCache
 	}
 	return "", SourceNone
 }
+
+// cacheCounts reports whether a listing that was read before counts. Peers that answer have the records of
+// streams that began by a newer epoch, or know of that epoch if these have been lost. After EpochLag no gateway
+// that reaches the store uses the listing any more.
+func (e Evidence) cacheCounts() bool {
+	return 2*e.Answered >= e.Asked && !e.PeersUnknown && e.PeerEpoch <= e.Epoch && e.Age < EpochLag
+}
--- a/pkg/kumquatlug/streamversion/view.go
+++ b/pkg/kumquatlug/streamversion/view.go
@@ -58,6 +58,9 @@
 // Listing returns the listing, false if none is known.
 func (v *View) Listing() (Listing, bool) { return v.listing, v.known }
 
+// ListingAge returns how long ago the listing was read.
+func (v *View) ListingAge(now kumquatlug.Millis) kumquatlug.Millis { return now - v.readAt }
+
 // ReadSince reports whether the listing was read by a call that began at a time or later.
 func (v *View) ReadSince(at kumquatlug.Millis) bool { return v.known && v.readAt >= at }
 
