Gateways that can't read the listing don't confirm each other's epoch

A gateway that asks its peers at which version a stream begins took the first answer, also that of a peer which was cut off from the store as well and selected by a listing that it had read before. A peer now answers only after a read that succeeds, otherwise that it does not know; the others are awaited.

TestGatewaysThatCannotReadTheListingDoNotConfirmEachOther failed before (2 and 3 of 10 streams) and passes in 5 of 5 runs.

--- a/internal/gateway/versionfleet_test.go
+++ b/internal/gateway/versionfleet_test.go
@@ -274,3 +274,37 @@
 		t.Errorf("status %d: the stream joins versions %v", got.status, joined)
 	}
 }
+
+// Guards against two gateways that are cut off from the store and confirm each other's old epoch: the answer of the
+// one that reads nothing comes before those of the gateways that read the listing.
+func TestGatewaysThatCannotReadTheListingDoNotConfirmEachOther(t *testing.T) {
+	old, begun := 0, 0
+	for n := range 10 {
+		fleet := newVersionFleet(t, versionedEngines(2), fourEngines)
+		id := fmt.Sprint("stream-", n)
+		table := &cutOffTable{sharedTable: fleet.table}
+		now := clock.NewManual(fleet.gateways["a"].g.c.BootClock.Now())
+		for _, name := range []string{"a", "b"} {
+			g := fleet.gateways[name].g
+			g.c.BootClock, g.c.Table = now, table
+			g.streamVersions.prepare(t.Context(), "engines", "first")
+		}
+		before := fleet.gateways["a"].g.streamVersions.selectVersion("engines", id)
+		table.cutOff = true
+		fleet.undetermine(t, "c", before)
+		now.Advance(streamversion.MaxListingAge + 1)
+		for _, name := range []string{"a", "b"} {
+			g := fleet.gateways[name].g
+			g.configConfirmedAt.Store(int64(now.Now()))
+			// The last read has failed.
+			g.streamVersions.callListing(t.Context(), "engines", false)
+		}
+		begun++
+		if version := fleet.beginCut(t, "a", id); version == before {
+			old++
+		}
+	}
+	if old > 0 {
+		t.Errorf("%d of %d streams began by an old epoch", old, begun)
+	}
+}
--- a/internal/gateway/versionselection.go
+++ b/internal/gateway/versionselection.go
@@ -31,15 +31,14 @@
 }
 
 // selectFor returns the version at which a stream of a peer begins that can't read the listing, empty if this
-// gateway does not know the listing either.
+// gateway can't read it now either: one that it read before may be as old as that of the peer.
 func (v *streamVersions) selectFor(ctx context.Context, service, id string) string {
-	v.callListing(ctx, service, false)
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	listing, known := v.service(service).Listing()
-	if !known {
+	if !v.callListing(ctx, service, false) {
 		return ""
 	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	listing, _ := v.service(service).Listing()
 	return listing.Select(id)
 }
 
--- a/pkg/kumquatlug/streamversion/simulation_test.go
+++ b/pkg/kumquatlug/streamversion/simulation_test.go
@@ -263,7 +263,9 @@
 		if peer == nil {
 			continue
 		}
-		peer.call(readOnly)
+		if !peer.call(readOnly) {
+			continue
+		}
 		if l, known := peer.view.Listing(); known && l.Select(id) != "" {
 			return l.Select(id)
 		}
