Records of versions that contradict each other make the version unknown

A gateway took the first record that a peer sent, also that of a peer which had begun the stream for a gateway that then served the request itself, and a peer with records of two versions answered that it knew none: the stream joined two versions. Such a peer now answers that they conflict (step "conflicting"), and the version is unknown, whatever the listing says.

--- a/internal/front/streamversion.go
+++ b/internal/front/streamversion.go
@@ -6,11 +6,12 @@
 )
 
 var wireStreamVersionSteps = map[kumquatlug.StreamVersionStep]frontv1.StreamVersionStep{
-	kumquatlug.StreamVersionRecorded:   frontv1.StreamVersionStep_STREAM_VERSION_STEP_RECORDED,
-	kumquatlug.StreamVersionAsked:      frontv1.StreamVersionStep_STREAM_VERSION_STEP_ASKED,
-	kumquatlug.StreamVersionAnswered:   frontv1.StreamVersionStep_STREAM_VERSION_STEP_ANSWERED,
-	kumquatlug.StreamVersionDetermined: frontv1.StreamVersionStep_STREAM_VERSION_STEP_DETERMINED,
-	kumquatlug.StreamVersionSelecting:  frontv1.StreamVersionStep_STREAM_VERSION_STEP_SELECTING,
+	kumquatlug.StreamVersionRecorded:    frontv1.StreamVersionStep_STREAM_VERSION_STEP_RECORDED,
+	kumquatlug.StreamVersionAsked:       frontv1.StreamVersionStep_STREAM_VERSION_STEP_ASKED,
+	kumquatlug.StreamVersionAnswered:    frontv1.StreamVersionStep_STREAM_VERSION_STEP_ANSWERED,
+	kumquatlug.StreamVersionDetermined:  frontv1.StreamVersionStep_STREAM_VERSION_STEP_DETERMINED,
+	kumquatlug.StreamVersionSelecting:   frontv1.StreamVersionStep_STREAM_VERSION_STEP_SELECTING,
+	kumquatlug.StreamVersionConflicting: frontv1.StreamVersionStep_STREAM_VERSION_STEP_CONFLICTING,
 }
 
 // SendStreamVersion implements [kumquatlug.GatewayLink].
--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -144,6 +144,13 @@
 	v.records.Add(v.g.c.BootClock.Now(), service, id, version)
 }
 
+// conflicting reports whether this gateway has records of several versions of a stream.
+func (v *streamVersions) conflicting(id string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.records.Conflicting(v.g.c.BootClock.Now(), id)
+}
+
 // find returns the version of a stream, empty if this gateway has no record of it.
 func (v *streamVersions) find(id string) string {
 	v.mu.Lock()
--- a/internal/gateway/versionpeers.go
+++ b/internal/gateway/versionpeers.go
@@ -189,6 +189,10 @@
 	answered   map[string]bool
 	newestFrom kumquatlug.Millis
 	determined string
+	// record is the version that a peer has recorded, ofOwner says that one of the owners of the record has, and
+	// conflicting that records contradict each other.
+	record               string
+	ofOwner, conflicting bool
 }
 
 // askPeers asks the peers that may have a stream's record, or know where it begins.
@@ -223,9 +227,17 @@
 	delete(q.v.questions, q.key)
 }
 
-// await returns the version that a peer has recorded, empty if none has or the time is over.
-func (q *versionQuestions) await(ctx context.Context, timeout kumquatlug.Millis) string {
-	return q.awaitUntil(ctx, timeout, func() bool { return false })
+// await waits for a record of the stream. record is the version of which this gateway has a record itself, determined
+// the one that the listing determines, empty if there is none. A record of that version ends the wait, or one of an
+// owner if no version is determined. Any other may contradict those of other peers, which are awaited for a short
+// time.
+func (q *versionQuestions) await(ctx context.Context, timeout kumquatlug.Millis, record, determined string) {
+	if record != "" {
+		q.record, q.ofOwner, timeout = record, true, recordAnswerTimeout
+	}
+	q.awaitUntil(ctx, timeout, func() bool {
+		return q.conflicting || q.record != "" && !contradicts(determined, q.record) && (q.ofOwner || determined != "")
+	})
 }
 
 // awaitSelection returns the version that the first peer which knows the listing selects.
@@ -234,8 +246,10 @@
 	return q.determined
 }
 
-// awaitUntil is like await, and ends early when done returns true.
-func (q *versionQuestions) awaitUntil(ctx context.Context, timeout kumquatlug.Millis, done func() bool) string {
+// awaitUntil handles answers until all peers have answered, done returns true, or the time is over. It is over soon
+// after the first record.
+func (q *versionQuestions) awaitUntil(ctx context.Context, timeout kumquatlug.Millis, done func() bool) {
+	deadline := time.Now().Add(timeout.Duration())
 	end := time.NewTimer(timeout.Duration())
 	defer end.Stop()
 	again := time.NewTimer(versionAskInterval.Duration())
@@ -243,26 +257,39 @@
 	for len(q.answered) < len(q.peers) && !done() {
 		select {
 		case m := <-q.answers:
-			q.answered[m.peer] = true
-			if m.NewestFrom > q.newestFrom {
-				q.newestFrom, q.determined = m.NewestFrom, ""
-			}
-			if m.Step == kumquatlug.StreamVersionDetermined {
-				if m.NewestFrom == q.newestFrom {
-					q.determined = m.Version
-				}
-			} else if m.Version != "" {
-				return m.Version
+			first := q.record == ""
+			q.handle(m)
+			if first && q.record != "" {
+				end.Reset(min(time.Until(deadline), recordAnswerTimeout.Duration()))
 			}
 		case <-again.C:
 			q.send()
 		case <-end.C:
-			return ""
+			return
 		case <-ctx.Done():
-			return ""
+			return
 		}
 	}
-	return ""
+}
+
+// handle applies an answer.
+func (q *versionQuestions) handle(m versionAnswer) {
+	q.answered[m.peer] = true
+	if m.NewestFrom > q.newestFrom {
+		q.newestFrom, q.determined = m.NewestFrom, ""
+	}
+	switch {
+	case m.Step == kumquatlug.StreamVersionConflicting:
+		q.conflicting = true
+	case m.Step == kumquatlug.StreamVersionDetermined:
+		if m.NewestFrom == q.newestFrom {
+			q.determined = m.Version
+		}
+	case m.Version != "":
+		q.conflicting = q.conflicting || q.record != "" && q.record != m.Version
+		q.record = m.Version
+		q.ofOwner = q.ofOwner || slices.Contains(q.peers[:min(len(q.peers), streamversion.AskedOwners)], m.peer)
+	}
 }
 
 // StreamVersionReceived handles a message of a peer about the version of a stream.
@@ -274,7 +301,10 @@
 	case kumquatlug.StreamVersionAsked:
 		answer := m
 		answer.Step, answer.Version = kumquatlug.StreamVersionAnswered, v.find(m.Attempt)
-		if answer.Version != "" || !v.reads(m.Attempt, peer) {
+		if v.conflicting(m.Attempt) {
+			answer.Step = kumquatlug.StreamVersionConflicting
+		}
+		if answer.Version != "" || answer.Step == kumquatlug.StreamVersionConflicting || !v.reads(m.Attempt, peer) {
 			v.answer(peer, answer)
 			return
 		}
@@ -294,7 +324,7 @@
 			}
 			v.answer(peer, answer)
 		}()
-	case kumquatlug.StreamVersionAnswered, kumquatlug.StreamVersionDetermined:
+	case kumquatlug.StreamVersionAnswered, kumquatlug.StreamVersionDetermined, kumquatlug.StreamVersionConflicting:
 		v.mu.Lock()
 		answers := v.questions[m.Key]
 		v.mu.Unlock()
--- a/internal/gateway/versionresolve.go
+++ b/internal/gateway/versionresolve.go
@@ -20,11 +20,15 @@
 // resolve looks up the version of a stream that a client takes up. named says that id is surely that of the
 // attempt which began the stream; otherwise the listing can't determine its version.
 func (v *streamVersions) resolve(ctx context.Context, service, id string, named bool) resolution {
-	if version := v.find(id); version != "" {
-		return resolution{version: version, source: streamversion.SourceRecord}
+	if v.conflicting(id) {
+		return resolution{source: streamversion.SourceNone}
+	}
+	record := v.find(id)
+	if _, known := v.describe(service, id); record != "" && (!named || !contradicts(known.evidence.Determined, record)) {
+		return resolution{version: record, source: streamversion.SourceRecord}
 	}
 	var questions *versionQuestions
-	if v.isSeveral(service) {
+	if v.isSeveral(service) || record != "" {
 		// The answers arrive while the listing is read.
 		questions = v.askPeers(kumquatlug.StreamVersionAsked, service, id)
 		defer questions.close()
@@ -32,7 +36,7 @@
 	read := v.callListing(ctx, service, false)
 	sole, r := v.describe(service, id)
 	r.evidence.Read = read
-	if read && sole != "" {
+	if read && sole != "" && record == "" {
 		r.version, r.source = sole, streamversion.SourceListing
 		return r
 	}
@@ -44,16 +48,25 @@
 	if e.Determined != "" && read && named {
 		timeout = recordAnswerTimeout
 	}
-	e.Record = questions.await(ctx, timeout)
+	if !named {
+		e.Determined = ""
+	}
+	questions.await(ctx, timeout, record, e.Determined)
+	e.Record, e.Conflicting = questions.record, questions.conflicting
 	e.PeerDetermined, e.Asked, e.Answered = questions.determined, len(questions.peers), len(questions.answered)
 	e.PeerEpoch, e.PeersUnknown = questions.newestFrom, v.g.c.Peers != nil && !v.peersRead.Load()
 	if !named {
-		e.Determined, e.PeerDetermined = "", ""
+		e.PeerDetermined = ""
+	}
+	if r.version, r.source = e.Version(); r.source == streamversion.SourcePeer && record != "" {
+		r.source = streamversion.SourceRecord
 	}
-	r.version, r.source = e.Version()
 	return r
 }
 
+// contradicts reports whether a record is not of the version that the listing determines, if it determines one.
+func contradicts(determined, record string) bool { return determined != "" && determined != record }
+
 // isSeveral reports whether a service may have streams of several versions.
 func (v *streamVersions) isSeveral(service string) bool {
 	v.mu.Lock()
--- a/pkg/kumquatlug/streamversion.go
+++ b/pkg/kumquatlug/streamversion.go
@@ -15,6 +15,8 @@
 	StreamVersionDetermined StreamVersionStep = "determined"
 	// StreamVersionSelecting: the sender, which can't read the listing, asks where a stream begins.
 	StreamVersionSelecting StreamVersionStep = "selecting"
+	// StreamVersionConflicting: the answer of a gateway that has records of several versions.
+	StreamVersionConflicting StreamVersionStep = "conflicting"
 )
 
 // StreamVersion is a message between two gateways about the version of the worker that began a stream.
--- a/pkg/kumquatlug/streamversion/evidence.go
+++ b/pkg/kumquatlug/streamversion/evidence.go
@@ -22,6 +22,8 @@
 type Evidence struct {
 	// Record is the version that a peer has recorded.
 	Record string
+	// Conflicting says that there are records of several versions.
+	Conflicting bool
 	// Read says whether the listing could be read, Determined is the version that it determines, as of the
 	// last read.
 	Read       bool
@@ -38,10 +40,12 @@
 	PeersUnknown bool
 }
 
-// Version returns the version of the stream, empty if it is unknown. A record counts before the listing: the
+// Version returns the version of the stream, empty if it is unknown, as it is if records contradict each other. A record counts before the listing: the
 // stream may have begun by an epoch that its gateway used for too long.
 func (e Evidence) Version() (string, Source) {
 	switch {
+	case e.Conflicting:
+		return "", SourceNone
 	case e.Record != "":
 		return e.Record, SourcePeer
 	case e.Read && e.Determined != "":
--- a/pkg/kumquatlug/streamversion/records.go
+++ b/pkg/kumquatlug/streamversion/records.go
@@ -14,7 +14,9 @@
 	service, version string
 	// received says that a peer has sent the record.
 	received bool
-	addedAt  kumquatlug.Millis
+	// conflicting says that the stream was recorded with several versions.
+	conflicting bool
+	addedAt     kumquatlug.Millis
 }
 
 type recordedID struct {
@@ -41,7 +43,7 @@
 	if before, known := r.byID[id]; known {
 		added.received = added.received || before.received
 		if before.version != added.version {
-			added.version = ""
+			added.version, added.conflicting = "", true
 		}
 	}
 	r.byID[id] = added
@@ -55,6 +57,12 @@
 	return r.byID[id].version
 }
 
+// Conflicting reports whether a stream was recorded with several versions, so that none counts.
+func (r *Records) Conflicting(now kumquatlug.Millis, id string) bool {
+	r.expire(now)
+	return r.byID[id].conflicting
+}
+
 // Each calls f for each stream of which the version is known, and says whether a peer has sent the record.
 func (r *Records) Each(now kumquatlug.Millis, f func(service, id, version string, received bool)) {
 	r.expire(now)
--- a/pkg/kumquatlug/streamversion/simulation_test.go
+++ b/pkg/kumquatlug/streamversion/simulation_test.go
@@ -283,7 +283,9 @@
 			continue
 		}
 		e.Answered++
+		e.Conflicting = e.Conflicting || peer.records.Conflicting(g.s.now, id)
 		if version := peer.records.Find(g.s.now, id); version != "" {
+			e.Conflicting = e.Conflicting || e.Record != "" && e.Record != version
 			e.Record = version
 		} else if n < AskedOwners && peer.call(readOnly) {
 			l, _ := peer.view.Listing()
@@ -301,6 +303,9 @@
 	if version := g.records.Find(g.s.now, id); version != "" {
 		return version
 	}
+	if g.records.Conflicting(g.s.now, id) {
+		return ""
+	}
 	read := g.call(readOnly)
 	l, known := g.view.Listing()
 	if read && l.Sole() != "" {
--- a/pkg/kumquatlug/streamversion/streamversion_test.go
+++ b/pkg/kumquatlug/streamversion/streamversion_test.go
@@ -41,8 +41,8 @@
 	}
 	r.Add(4000, "chat", "x", "v2")
 	r.Add(5000, "chat", "x", "v2")
-	if got := r.Find(6000, "x"); got != "" {
-		t.Errorf("version %q, want none", got)
+	if got := r.Find(6000, "x"); got != "" || !r.Conflicting(6000, "x") {
+		t.Errorf("version %q, want none and a conflict", got)
 	}
 }
 
