--- a/internal/gateway/versionfleet_test.go
+++ b/internal/gateway/versionfleet_test.go
@@ -283,3 +283,107 @@
 	<-time.After(5 * time.Millisecond)
 	fleet.requireGoesOn(t, "b", "stream")
 }
+
+// Guards against a stream that goes on at another version at a gateway that is cut off from the store and uses the
+// listing that it read before, while its peers know that a newer epoch leaves the version of the stream undetermined.
+func TestCachedListingDoesNotOverrideNewerEpochOfPeers(t *testing.T) {
+	fleet := newVersionFleet(t, versionedEngines(2), fourEngines)
+	cut := fleet.gateways["b"]
+	cut.g.streamVersions.prepare(t.Context(), "engines", "other")
+	old := cut.g.streamVersions.selectVersion("engines", "stream")
+	cut.g.c.Table = &cutOffTable{sharedTable: fleet.table, cutOff: true}
+	fleet.undetermine(t, "a", old)
+	if version := fleet.beginCut(t, "a", "stream"); version == old {
+		t.Fatalf("the stream began at %s, by the old epoch", version)
+	}
+	<-time.After(20 * time.Millisecond)
+	// The gateways that have the records are killed, and have started again.
+	for _, name := range []string{"a", "c", "d"} {
+		fleet.kill(name)
+		fleet.start(t, name)
+	}
+	cut.g.streamVersions.records = streamversion.NewRecords()
+	got := cut.resume(t, "again", "stream", 4)
+	if joined := fleet.workers.joinedVersions(fleet.versions); len(joined) != 1 {
+		t.Errorf("status %d: the stream joins versions %v", got.status, joined)
+	}
+}
+
+// Guards against two gateways that are cut off from the store and confirm each other's old epoch: the answer of the
+// one that reads nothing comes before those of the gateways that read the listing.
+func TestGatewaysThatCannotReadTheListingDoNotConfirmEachOther(t *testing.T) {
+	old, begun := 0, 0
+	for n := range 10 {
+		fleet := newVersionFleet(t, versionedEngines(2), fourEngines)
+		id := fmt.Sprint("stream-", n)
+		table := &cutOffTable{sharedTable: fleet.table}
+		now := clock.NewManual(fleet.gateways["a"].g.c.BootClock.Now())
+		for _, name := range []string{"a", "b"} {
+			g := fleet.gateways[name].g
+			g.c.BootClock, g.c.Table = now, table
+			g.streamVersions.prepare(t.Context(), "engines", "first")
+		}
+		before := fleet.gateways["a"].g.streamVersions.selectVersion("engines", id)
+		table.cutOff = true
+		fleet.undetermine(t, "c", before)
+		now.Advance(streamversion.MaxListingAge + 1)
+		for _, name := range []string{"a", "b"} {
+			g := fleet.gateways[name].g
+			g.configConfirmedAt.Store(int64(now.Now()))
+			// The last read has failed.
+			g.streamVersions.callListing(t.Context(), "engines", false)
+		}
+		begun++
+		if version := fleet.beginCut(t, "a", id); version == before {
+			old++
+		}
+	}
+	if old > 0 {
+		t.Errorf("%d of %d streams began by an old epoch", old, begun)
+	}
+}
+
+// Guards against a stream that goes on at the version of an attempt of which the client received nothing: a peer
+// began it for a gateway that then served the request itself.
+func TestRecordsThatContradictEachOtherAreNotUsed(t *testing.T) {
+	fleet := newVersionFleet(t, versionedEngines(2), fourEngines)
+	version := fleet.beginCut(t, "a", "stream")
+	fleet.awaitRecord(t, streamversion.Owners("stream", "a", []string{"b", "c", "d"}, 1)[0], "stream", version)
+	other := map[string]string{"v1": "v2", "v2": "v1"}[version]
+	owners := streamversion.Owners("stream", "a", []string{"b", "c", "d"}, 3)
+	// The last of them is the peer; its record goes to the owners as well.
+	peer := fleet.gateways[owners[2]]
+	peer.g.streamVersions.remember("engines", "stream", other)
+	for _, owner := range owners[:2] {
+		fleet.gateways[owner].g.streamVersions.recordReceived(kumquatlug.StreamVersion{Service: "engines", Attempt: "stream", Version: other})
+	}
+	fleet.kill("a")
+	fleet.start(t, "a")
+	got := fleet.gateways["a"].resume(t, "again", "stream", 4)
+	if joined := fleet.workers.joinedVersions(fleet.versions); len(joined) != 1 {
+		t.Errorf("status %d: the stream joins versions %v", got.status, joined)
+	}
+}
+
+// Guards against streams that wait while a gateway of a large fleet computes the owners of its records each time
+// another gateway stops or starts, four a second in a rolling restart.
+func TestStopOfOneOfManyGatewaysDelaysNoStream(t *testing.T) {
+	fleet := newVersionFleet(t, versionedEngines(0), fourEngines)
+	v := fleet.gateways["a"].g.streamVersions
+	v.g.streamVersions.prepare(t.Context(), "engines", "other")
+	names := make([]string, 2300)
+	for n := range names {
+		names[n] = fmt.Sprint("edge-tallinn-a-", n)
+	}
+	v.setPeers(names, nil)
+	for n := range 1600 {
+		v.remember("engines", fmt.Sprintf("stream-%d", n), "v1")
+	}
+	for step, change := range map[string]func(string){"stop": v.peerLeft, "start": v.peerJoined} {
+		begun := time.Now()
+		change(names[7])
+		if took := time.Since(begun); took > 25*time.Millisecond {
+			t.Errorf("the %s of one gateway takes %s of the lock of all streams", step, took)
+		}
+	}
+}
--- a/internal/gateway/versionpeers.go
+++ b/internal/gateway/versionpeers.go
@@ -36,26 +36,25 @@
 	v.peersRead.Store(true)
 	v.mu.Lock()
 	before := v.peers
-	v.peers = map[string]bool{}
 	for _, name := range restarted {
 		delete(v.left, name)
 	}
 	maps.DeleteFunc(v.left, func(name string, _ bool) bool { return !slices.Contains(names, name) })
 	names = slices.DeleteFunc(slices.Clone(names), func(name string) bool { return v.left[name] || name == v.g.c.Name })
-	for _, name := range names {
-		v.peers[name] = true
+	if len(names) != before.Len() || slices.ContainsFunc(names, func(name string) bool { return !before.Has(name) }) {
+		v.peers = streamversion.NewGateways(names)
 	}
-	joined := slices.DeleteFunc(slices.Clone(names), func(name string) bool { return before[name] && !slices.Contains(restarted, name) })
-	out := v.recordsFor(joined)
+	joined := slices.DeleteFunc(names, func(name string) bool { return before.Has(name) && !slices.Contains(restarted, name) })
+	needed, peers := v.neededFor(joined)
 	v.mu.Unlock()
-	out.send(v.g.c.Peers)
+	v.sendOwned(needed, peers, joined)
 }
 
 // serving returns the other gateways, without those that have announced their stop.
 func (v *streamVersions) serving() []string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return slices.Collect(maps.Keys(v.peers))
+	return v.peers.Names()
 }
 
 // readPeers reads the rows of all gateways if this one has never read them. It returns false if it has, or if
@@ -77,80 +76,101 @@
 // peerJoined handles a gateway that has started: it has lost its records if it ran before.
 func (v *streamVersions) peerJoined(name string) {
 	v.mu.Lock()
-	v.peers[name] = true
+	v.peers = v.peers.With(name)
 	delete(v.left, name)
-	out := v.recordsFor([]string{name})
+	needed, peers := v.neededFor([]string{name})
 	v.mu.Unlock()
-	out.send(v.g.c.Peers)
+	v.sendOwned(needed, peers, []string{name})
 }
 
 // peerLeft handles a gateway that stops: the records that it owns go to the next owners.
 func (v *streamVersions) peerLeft(name string) {
 	v.mu.Lock()
-	out := outgoingRecords{}
-	if v.peers[name] {
-		v.eachNeeded(true, func(service, id, version string) {
-			if slices.Contains(v.owners(id, streamversion.RecordOwners), name) {
-				delete(v.peers, name)
-				v.addRecords(out, service, id, version)
-				v.peers[name] = true
-			}
-		})
+	var needed []kumquatlug.StreamVersion
+	before := v.peers
+	if before.Has(name) {
+		needed = v.neededRecords(true)
 	}
-	delete(v.peers, name)
+	v.peers = before.Without(name)
+	peers := v.peers
 	v.left[name] = true
 	v.mu.Unlock()
-	out.send(v.g.c.Peers)
+	needed = slices.DeleteFunc(needed, func(r kumquatlug.StreamVersion) bool {
+		return !before.Owns(name, r.Attempt, "", streamversion.RecordOwners)
+	})
+	v.sendRecords(needed, peers)
 }
 
 // handOver sends the records of this gateway, which stops, to the owners among the others.
 func (v *streamVersions) handOver() {
 	v.mu.Lock()
-	out := outgoingRecords{}
-	v.eachNeeded(true, func(service, id, version string) { v.addRecords(out, service, id, version) })
+	needed, peers := v.neededRecords(true), v.peers
 	v.mu.Unlock()
-	out.send(v.g.c.Peers)
+	v.sendRecords(needed, peers)
 }
 
-// eachNeeded calls f for each recorded stream that peers need a record of. Records that peers have sent are among
+// neededRecords returns the records of the streams that peers need one of. Those that peers have sent are among
 // them if received is set. The caller must hold v.mu.
-func (v *streamVersions) eachNeeded(received bool, f func(service, id, version string)) {
+func (v *streamVersions) neededRecords(received bool) []kumquatlug.StreamVersion {
+	var needed []kumquatlug.StreamVersion
 	silent := v.storeSilent(v.g.c.BootClock.Now())
 	v.records.Each(v.g.c.BootClock.Now(), func(service, id, version string, fromPeer bool) {
 		if fromPeer && received || !fromPeer && v.service(service).NeedsRecords(silent) {
-			f(service, id, version)
+			needed = append(needed, recordMessage(service, id, version))
 		}
 	})
+	return needed
 }
 
-// recordsFor returns the records that some peers own. In a large fleet, those that peers have sent are left to
-// their senders: a gateway that joins would be sent each three times. The caller must hold v.mu.
-func (v *streamVersions) recordsFor(peers []string) outgoingRecords {
-	out := outgoingRecords{}
-	if len(peers) == 0 || v.g.c.Peers == nil {
-		return out
+// neededFor returns the records that gateways which join may need, and the peers. In a large fleet, records that
+// peers have sent are left to their senders: a gateway that joins would be sent each three times. The caller must
+// hold v.mu.
+func (v *streamVersions) neededFor(joined []string) ([]kumquatlug.StreamVersion, streamversion.Gateways) {
+	if len(joined) == 0 {
+		return nil, v.peers
 	}
-	v.eachNeeded(len(v.peers) <= maxAskedGateways, func(service, id, version string) { v.addRecords(out, service, id, version) })
-	maps.DeleteFunc(out, func(peer string, _ []kumquatlug.StreamVersion) bool { return !slices.Contains(peers, peer) })
-	return out
+	return v.neededRecords(v.peers.Len() <= maxAskedGateways), v.peers
 }
 
-// owners returns the peers that own the record of a stream. The caller must hold v.mu.
-func (v *streamVersions) owners(id string, count int) []string {
-	return streamversion.Owners(id, v.g.c.Name, slices.Collect(maps.Keys(v.peers)), count)
+func recordMessage(service, id, version string) kumquatlug.StreamVersion {
+	return kumquatlug.StreamVersion{Step: kumquatlug.StreamVersionRecorded, Service: service, Attempt: id, Version: version}
 }
 
 // outgoingRecords are the records to send, by peer.
 type outgoingRecords map[string][]kumquatlug.StreamVersion
 
-// addRecords adds the records of a stream for its owners. The caller must hold v.mu.
-func (v *streamVersions) addRecords(out outgoingRecords, service, id, version string) {
-	if v.g.c.Peers == nil || version == "" || len(id) > maxAttemptIDBytes {
+// sendRecords sends records to their owners. The caller must not hold v.mu: in a large fleet it takes long to
+// determine the owners of many records, and streams would wait.
+func (v *streamVersions) sendRecords(records []kumquatlug.StreamVersion, peers streamversion.Gateways) {
+	v.sendTo(records, func(id string) []string { return peers.Owners(id, streamversion.RecordOwners) })
+}
+
+// sendOwned sends records to those of the given peers that own them. The caller must not hold v.mu.
+func (v *streamVersions) sendOwned(records []kumquatlug.StreamVersion, peers streamversion.Gateways, to []string) {
+	v.sendTo(records, func(id string) []string {
+		if len(to) > maxAskedGateways {
+			// It takes less time to determine the owners than to check each peer.
+			return slices.DeleteFunc(peers.Owners(id, streamversion.RecordOwners), func(peer string) bool { return !slices.Contains(to, peer) })
+		}
+		return slices.DeleteFunc(slices.Clone(to), func(peer string) bool { return !peers.Owns(peer, id, "", streamversion.RecordOwners) })
+	})
+}
+
+// sendTo sends records to the peers that owners returns.
+func (v *streamVersions) sendTo(records []kumquatlug.StreamVersion, owners func(id string) []string) {
+	if v.g.c.Peers == nil {
 		return
 	}
-	for _, peer := range v.owners(id, streamversion.RecordOwners) {
-		out[peer] = append(out[peer], kumquatlug.StreamVersion{Step: kumquatlug.StreamVersionRecorded, Service: service, Attempt: id, Version: version})
+	out := outgoingRecords{}
+	for _, r := range records {
+		if r.Version == "" || len(r.Attempt) > maxAttemptIDBytes {
+			continue
+		}
+		for _, peer := range owners(r.Attempt) {
+			out[peer] = append(out[peer], r)
+		}
 	}
+	out.send(v.g.c.Peers)
 }
 
 // send sends the records. Many are sent by another goroutine in bursts, which receivers and links can buffer.
@@ -178,33 +198,44 @@
 	}
 }
 
+// versionAnswer is the answer of a peer to a question.
+type versionAnswer struct {
+	peer string
+	kumquatlug.StreamVersion
+}
+
 // versionQuestions are the questions to peers about one stream.
 type versionQuestions struct {
 	v       *streamVersions
 	key     uint64
 	message kumquatlug.StreamVersion
 	peers   []string
-	answers chan kumquatlug.StreamVersion
-	// answered is the number of peers that have no record of the stream, determined the version that the
-	// listing determines according to one of them.
-	answered   int
+	answers chan versionAnswer
+	// answered are the peers that have answered, newestFrom is when the newest epoch began that one of them
+	// knows, determined the version that the listing determines according to one that knows this epoch.
+	answered   map[string]bool
+	newestFrom kumquatlug.Millis
 	determined string
+	// record is the version that a peer has recorded, ofOwner says that one of the owners of the record has, and
+	// conflicting that records contradict each other.
+	record               string
+	ofOwner, conflicting bool
 }
 
 // askPeers asks the peers that may have a stream's record, or know where it begins.
 func (v *streamVersions) askPeers(step kumquatlug.StreamVersionStep, service, id string) *versionQuestions {
-	q := &versionQuestions{v: v, key: rand.Uint64()}
+	q := &versionQuestions{v: v, key: rand.Uint64(), answered: map[string]bool{}}
 	q.message = kumquatlug.StreamVersion{Step: step, Service: service, Attempt: id, Key: q.key}
 	if v.g.c.Peers == nil || id == "" || len(id) > maxAttemptIDBytes {
 		return q
 	}
 	v.mu.Lock()
 	count := streamversion.AskedOwners
-	if len(v.peers) <= maxAskedGateways {
-		count = len(v.peers)
+	if v.peers.Len() <= maxAskedGateways {
+		count = v.peers.Len()
 	}
-	q.peers = v.owners(id, count)
-	q.answers = make(chan kumquatlug.StreamVersion, 2*len(q.peers))
+	q.peers = v.peers.Owners(id, count)
+	q.answers = make(chan versionAnswer, 2*len(q.peers))
 	v.questions[q.key] = q.answers
 	v.mu.Unlock()
 	q.send()
@@ -223,9 +254,17 @@
 	delete(q.v.questions, q.key)
 }
 
-// await returns the version that a peer has recorded, empty if none has or the time is over.
-func (q *versionQuestions) await(ctx context.Context, timeout kumquatlug.Millis) string {
-	return q.awaitUntil(ctx, timeout, func() bool { return false })
+// await waits for a record of the stream. record is the version of which this gateway has a record itself, determined
+// the one that the listing determines, empty if there is none. A record of that version ends the wait, or one of an
+// owner if no version is determined. Any other may contradict those of other peers, which are awaited for a short
+// time.
+func (q *versionQuestions) await(ctx context.Context, timeout kumquatlug.Millis, record, determined string) {
+	if record != "" {
+		q.record, q.ofOwner, timeout = record, true, recordAnswerTimeout
+	}
+	q.awaitUntil(ctx, timeout, func() bool {
+		return q.conflicting || q.record != "" && !contradicts(determined, q.record) && (q.ofOwner || determined != "")
+	})
 }
 
 // awaitSelection returns the version that the first peer which knows the listing selects.
@@ -234,30 +273,50 @@
 	return q.determined
 }
 
-// awaitUntil is like await, and ends early when done returns true.
-func (q *versionQuestions) awaitUntil(ctx context.Context, timeout kumquatlug.Millis, done func() bool) string {
+// awaitUntil handles answers until all peers have answered, done returns true, or the time is over. It is over soon
+// after the first record.
+func (q *versionQuestions) awaitUntil(ctx context.Context, timeout kumquatlug.Millis, done func() bool) {
+	deadline := time.Now().Add(timeout.Duration())
 	end := time.NewTimer(timeout.Duration())
 	defer end.Stop()
 	again := time.NewTimer(versionAskInterval.Duration())
 	defer again.Stop()
-	for q.answered < len(q.peers) && !done() {
+	for len(q.answered) < len(q.peers) && !done() {
 		select {
 		case m := <-q.answers:
-			q.answered++
-			if m.Step == kumquatlug.StreamVersionDetermined {
-				q.determined = m.Version
-			} else if m.Version != "" {
-				return m.Version
+			first := q.record == ""
+			q.handle(m)
+			if first && q.record != "" {
+				end.Reset(min(time.Until(deadline), recordAnswerTimeout.Duration()))
 			}
 		case <-again.C:
 			q.send()
 		case <-end.C:
-			return ""
+			return
 		case <-ctx.Done():
-			return ""
+			return
 		}
 	}
-	return ""
+}
+
+// handle applies an answer.
+func (q *versionQuestions) handle(m versionAnswer) {
+	q.answered[m.peer] = true
+	if m.NewestFrom > q.newestFrom {
+		q.newestFrom, q.determined = m.NewestFrom, ""
+	}
+	switch {
+	case m.Step == kumquatlug.StreamVersionConflicting:
+		q.conflicting = true
+	case m.Step == kumquatlug.StreamVersionDetermined:
+		if m.NewestFrom == q.newestFrom {
+			q.determined = m.Version
+		}
+	case m.Version != "":
+		q.conflicting = q.conflicting || q.record != "" && q.record != m.Version
+		q.record = m.Version
+		q.ofOwner = q.ofOwner || slices.Contains(q.peers[:min(len(q.peers), streamversion.AskedOwners)], m.peer)
+	}
 }
 
 // StreamVersionReceived handles a message of a peer about the version of a stream.
@@ -269,8 +328,11 @@
 	case kumquatlug.StreamVersionAsked:
 		answer := m
 		answer.Step, answer.Version = kumquatlug.StreamVersionAnswered, v.find(m.Attempt)
-		if answer.Version != "" || !v.reads(m.Attempt, peer) {
-			g.c.Peers.SendStreamVersion(peer, answer)
+		if v.conflicting(m.Attempt) {
+			answer.Step = kumquatlug.StreamVersionConflicting
+		}
+		if answer.Version != "" || answer.Step == kumquatlug.StreamVersionConflicting || !v.reads(m.Attempt, peer) {
+			v.answer(peer, answer)
 			return
 		}
 		go func() {
@@ -278,7 +340,7 @@
 			if answer.Version = v.determined(context.Background(), m.Service, m.Attempt); answer.Version != "" {
 				answer.Step = kumquatlug.StreamVersionDetermined
 			}
-			g.c.Peers.SendStreamVersion(peer, answer)
+			v.answer(peer, answer)
 		}()
 	case kumquatlug.StreamVersionSelecting:
 		go func() {
@@ -287,20 +349,26 @@
 			if version := v.selectFor(context.Background(), m.Service, m.Attempt); version != "" {
 				answer.Step, answer.Version = kumquatlug.StreamVersionDetermined, version
 			}
-			g.c.Peers.SendStreamVersion(peer, answer)
+			v.answer(peer, answer)
 		}()
-	case kumquatlug.StreamVersionAnswered, kumquatlug.StreamVersionDetermined:
+	case kumquatlug.StreamVersionAnswered, kumquatlug.StreamVersionDetermined, kumquatlug.StreamVersionConflicting:
 		v.mu.Lock()
 		answers := v.questions[m.Key]
 		v.mu.Unlock()
 		select {
-		case answers <- m:
+		case answers <- versionAnswer{peer, m}:
 		default:
 			// Nobody waits any more.
 		}
 	}
 }
 
+// answer sends the answer to a question of a peer.
+func (v *streamVersions) answer(peer string, answer kumquatlug.StreamVersion) {
+	answer.NewestFrom = v.newestFrom(answer.Service)
+	v.g.c.Peers.SendStreamVersion(peer, answer)
+}
+
 // recordReceived records the version of a stream that a peer has begun.
 func (v *streamVersions) recordReceived(m kumquatlug.StreamVersion) {
 	v.mu.Lock()
@@ -313,6 +381,5 @@
 func (v *streamVersions) reads(id, asking string) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	names := append(slices.Collect(maps.Keys(v.peers)), v.g.c.Name)
-	return slices.Contains(streamversion.Owners(id, asking, names, streamversion.AskedOwners), v.g.c.Name)
+	return v.peers.Owns(v.g.c.Name, id, asking, streamversion.AskedOwners)
 }
--- a/pkg/kumquatlug/streamversion.go
+++ b/pkg/kumquatlug/streamversion.go
@@ -15,6 +15,8 @@
 	StreamVersionDetermined StreamVersionStep = "determined"
 	// StreamVersionSelecting: the sender, which can't read the listing, asks where a stream begins.
 	StreamVersionSelecting StreamVersionStep = "selecting"
+	// StreamVersionConflicting: the answer of a gateway that has records of several versions.
+	StreamVersionConflicting StreamVersionStep = "conflicting"
 )
 
 // StreamVersion is a message between two gateways about the version of the worker that began a stream.
@@ -27,4 +29,7 @@
 	Version string
 	// Key distinguishes the questions of the sender.
 	Key uint64
+	// NewestFrom is set in an answer: when the newest epoch began that the sender knows, by the store's clock,
+	// zero if it knows none.
+	NewestFrom Millis
 }
--- a/pkg/kumquatlug/streamversion/simulation_test.go
+++ b/pkg/kumquatlug/streamversion/simulation_test.go
@@ -263,7 +263,9 @@
 		if peer == nil {
 			continue
 		}
-		peer.call(readOnly)
+		if !peer.call(readOnly) {
+			continue
+		}
 		if l, known := peer.view.Listing(); known && l.Select(id) != "" {
 			return l.Select(id)
 		}
@@ -281,12 +283,17 @@
 			continue
 		}
 		e.Answered++
+		e.Conflicting = e.Conflicting || peer.records.Conflicting(g.s.now, id)
 		if version := peer.records.Find(g.s.now, id); version != "" {
+			e.Conflicting = e.Conflicting || e.Record != "" && e.Record != version
 			e.Record = version
 		} else if n < AskedOwners && peer.call(readOnly) {
 			l, _ := peer.view.Listing()
 			e.PeerDetermined = l.Determined(id)
 		}
+		if l, known := peer.view.Listing(); known {
+			e.PeerEpoch = max(e.PeerEpoch, l.NewestFrom())
+		}
 	}
 	return e
 }
@@ -296,6 +303,9 @@
 	if version := g.records.Find(g.s.now, id); version != "" {
 		return version
 	}
+	if g.records.Conflicting(g.s.now, id) {
+		return ""
+	}
 	read := g.call(readOnly)
 	l, known := g.view.Listing()
 	if read && l.Sole() != "" {
@@ -304,7 +314,7 @@
 	e := g.ask(id)
 	e.Read = read
 	if known {
-		e.Determined = l.Determined(id)
+		e.Determined, e.Epoch, e.Age = l.Determined(id), l.NewestFrom(), g.view.ListingAge(g.s.now)
 	}
 	version, _ := e.Version()
 	return version
