--- a/pkg/kumquatlug/streamversion/evidence.go
+++ b/pkg/kumquatlug/streamversion/evidence.go
@@ -40,8 +40,8 @@
 	PeersUnknown bool
 }
 
-// Version returns the version of the stream, empty if it is unknown, as it is if records contradict each other. A record counts before the listing: the
-// stream may have begun by an epoch that its gateway used for too long.
+// Version returns the version of the stream, empty if it is unknown, as it is if records contradict each other.
+// A record counts before the listing: the stream may have begun by an epoch that its gateway used for too long.
 func (e Evidence) Version() (string, Source) {
 	switch {
 	case e.Conflicting:
