--- a/internal/gateway/versionfleet_test.go
+++ b/internal/gateway/versionfleet_test.go
@@ -387,3 +387,18 @@
 		}
 	}
 }
+
+// Guards against a stream that goes on at the version of a gateway's own record, which is that of an attempt of which
+// the client received nothing, while the listing and the owners of the record say another one.
+func TestOwnRecordThatTheListingContradictsIsChecked(t *testing.T) {
+	fleet := newVersionFleet(t, versionedEngines(2), fourEngines)
+	version := fleet.beginCut(t, "a", "stream")
+	fleet.awaitOwners(t, "a", "stream", version)
+	peer := streamversion.Owners("stream", "a", []string{"b", "c", "d"}, 3)[2]
+	fleet.gateways[peer].g.streamVersions.prepare(t.Context(), "engines", "other")
+	fleet.gateways[peer].g.streamVersions.remember("engines", "stream", map[string]string{"v1": "v2", "v2": "v1"}[version])
+	got := fleet.gateways[peer].resume(t, "again", "stream", 4)
+	if joined := fleet.workers.joinedVersions(fleet.versions); got.status != http.StatusServiceUnavailable || len(joined) != 1 {
+		t.Errorf("status %d: the stream joins versions %v, want a refusal", got.status, joined)
+	}
+}
--- a/internal/gateway/versionresolve.go
+++ b/internal/gateway/versionresolve.go
@@ -20,11 +20,11 @@
 // resolve looks up the version of a stream that a client takes up. named says that id is surely that of the
 // attempt which began the stream; otherwise the listing can't determine its version.
 func (v *streamVersions) resolve(ctx context.Context, service, id string, named bool) resolution {
-	if v.conflicting(id) {
+	record, counts := v.ownRecord(service, id, named)
+	if counts && record == "" {
 		return resolution{source: streamversion.SourceNone}
 	}
-	record := v.find(id)
-	if _, known := v.describe(service, id); record != "" && (!named || !contradicts(known.evidence.Determined, record)) {
+	if counts {
 		return resolution{version: record, source: streamversion.SourceRecord}
 	}
 	var questions *versionQuestions
@@ -44,24 +44,40 @@
 		questions = v.askPeers(kumquatlug.StreamVersionAsked, service, id)
 		defer questions.close()
 	}
-	e, timeout := &r.evidence, versionAnswerTimeout
-	if e.Determined != "" && read && named {
-		timeout = recordAnswerTimeout
+	r.decide(ctx, questions, record, named)
+	return r
+}
+
+// ownRecord returns the version that this gateway has recorded, empty if there is none or if several are. It counts
+// without the records of peers unless the listing, as of the last read, determines another version.
+func (v *streamVersions) ownRecord(service, id string, named bool) (version string, counts bool) {
+	if v.conflicting(id) {
+		return "", true
 	}
+	version = v.find(id)
+	_, known := v.describe(service, id)
+	return version, version != "" && (!named || !contradicts(known.evidence.Determined, version))
+}
+
+// decide awaits the records of peers and determines the version. record is what this gateway has recorded itself.
+func (r *resolution) decide(ctx context.Context, questions *versionQuestions, record string, named bool) {
+	e, timeout := &r.evidence, versionAnswerTimeout
 	if !named {
 		e.Determined = ""
 	}
+	if e.Determined != "" && e.Read {
+		timeout = recordAnswerTimeout
+	}
 	questions.await(ctx, timeout, record, e.Determined)
 	e.Record, e.Conflicting = questions.record, questions.conflicting
-	e.PeerDetermined, e.Asked, e.Answered = questions.determined, len(questions.peers), len(questions.answered)
-	e.PeerEpoch, e.PeersUnknown = questions.newestFrom, v.g.c.Peers != nil && !v.peersRead.Load()
-	if !named {
-		e.PeerDetermined = ""
+	e.Asked, e.Answered, e.PeerEpoch = len(questions.peers), len(questions.answered), questions.newestFrom
+	e.PeersUnknown = questions.v.g.c.Peers != nil && !questions.v.peersRead.Load()
+	if named {
+		e.PeerDetermined = questions.determined
 	}
 	if r.version, r.source = e.Version(); r.source == streamversion.SourcePeer && record != "" {
 		r.source = streamversion.SourceRecord
 	}
-	return r
 }
 
 // contradicts reports whether a record is not of the version that the listing determines, if it determines one.
