Refuse late plain requests whose deadline lies past the exit

Such a request is refused at once now, as not run; until its deadline lies past the exit it is served as before.

--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -28,9 +28,6 @@
 	relayTime = 100 * kumquatlug.Millis(1)
 	// restartTime is the usual time from the exit of a gateway until its next process is ready.
 	restartTime = 1200 * kumquatlug.Millis(1)
-	// minPlainSamples is the number of run times from which the longest one of a service without
-	// engines is known.
-	minPlainSamples = 32
 )
 
 // late reports whether the request came after the time in which the load balancer may still send
@@ -189,18 +186,14 @@
 }
 
 // longestRun returns a lower limit of the time to assume for a late request with this maximum
-// output: the longest run of a stream, unknownRunTime if there are too few samples. Plain requests
-// are short, and nearly all of them end within their run time as it is estimated; they have no
-// further limit.
+// output: the longest run of a stream, unknownRunTime if there are too few samples. It is unknown for
+// plain requests: their workers may pause, and no part of a response tells for how long.
 func (sc *scheduler) longestRun(service kumquatlug.Service, output int) kumquatlug.Millis {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	p := sc.service(service.Name()).placer
 	if !service.Engine() {
-		if p.RunSamples(output) < minPlainSamples {
-			return unknownRunTime
-		}
-		return 0
+		return unknownRunTime
 	}
 	if longest, known := p.LongestRun(output); known {
 		return longest
