A listing that was read before counts only if no peer knows of a version unbound since

A gateway that can't read the listing believes the one that it read before, unless a peer knows a newer epoch. A version that was unbound since is no epoch: a stream of it may have begun elsewhere, and the old listing would have it go on at the selected version. Answers of peers carry when their listing changed last, by either. Found by reading; TestStreamsOfUnboundVersionAreNotDetermined.

--- a/internal/front/streamversion.go
+++ b/internal/front/streamversion.go
@@ -17,7 +17,7 @@
 // SendStreamVersion implements [kumquatlug.GatewayLink].
 func (l *Link) SendStreamVersion(gateway string, v kumquatlug.StreamVersion) {
 	l.sendTo(gateway, &frontv1.Datagram{StreamVersion: &frontv1.StreamVersion{
-		Step: wireStreamVersionSteps[v.Step], Service: v.Service, Attempt: v.Attempt, Version: v.Version, Key: v.Key, FromMs: int64(v.NewestFrom),
+		Step: wireStreamVersionSteps[v.Step], Service: v.Service, Attempt: v.Attempt, Version: v.Version, Key: v.Key, FromMs: int64(v.ChangedAt),
 	}})
 }
 
@@ -26,7 +26,7 @@
 	if v == nil {
 		return
 	}
-	decoded := kumquatlug.StreamVersion{Service: v.GetService(), Attempt: v.GetAttempt(), Version: v.GetVersion(), Key: v.GetKey(), NewestFrom: kumquatlug.Millis(v.GetFromMs())}
+	decoded := kumquatlug.StreamVersion{Service: v.GetService(), Attempt: v.GetAttempt(), Version: v.GetVersion(), Key: v.GetKey(), ChangedAt: kumquatlug.Millis(v.GetFromMs())}
 	for step, wire := range wireStreamVersionSteps {
 		if wire == v.GetStep() {
 			decoded.Step = step
--- a/internal/front/streamversion_test.go
+++ b/internal/front/streamversion_test.go
@@ -19,7 +19,7 @@
 	n, other := newTestGateway(t, "edge-andina-a-1", "127.0.0.1:0"), newTestGateway(t, "edge-andina-b-1", "127.0.0.1:0")
 	n.addPeers(other)
 	for _, step := range []kumquatlug.StreamVersionStep{kumquatlug.StreamVersionRecorded, kumquatlug.StreamVersionAsked, kumquatlug.StreamVersionAnswered, kumquatlug.StreamVersionDetermined, kumquatlug.StreamVersionSelecting, kumquatlug.StreamVersionConflicting} {
-		sent := kumquatlug.StreamVersion{Step: step, Service: "lm", Attempt: strings.Repeat("a", 200), Version: "v1.2", Key: math.MaxUint64, NewestFrom: math.MaxInt64}
+		sent := kumquatlug.StreamVersion{Step: step, Service: "lm", Attempt: strings.Repeat("a", 200), Version: "v1.2", Key: math.MaxUint64, ChangedAt: math.MaxInt64}
 		n.SendStreamVersion("edge-andina-b-1", sent)
 		select {
 		case got := <-streamVersionMessages:
--- a/internal/gateway/versionpeers.go
+++ b/internal/gateway/versionpeers.go
@@ -211,10 +211,10 @@
 	message kumquatlug.StreamVersion
 	peers   []string
 	answers chan versionAnswer
-	// answered are the peers that have answered, newestFrom is when the newest epoch began that one of them
+	// answered are the peers that have answered, changedAt is when the newest epoch began that one of them
 	// knows, determined the version that the listing determines according to one that knows this epoch.
 	answered   map[string]bool
-	newestFrom kumquatlug.Millis
+	changedAt  kumquatlug.Millis
 	determined string
 	// record is the version that a peer has recorded, ofOwner says that one of the owners of the record has, and
 	// conflicting that records contradict each other.
@@ -302,14 +302,14 @@
 // handle applies an answer.
 func (q *versionQuestions) handle(m versionAnswer) {
 	q.answered[m.peer] = true
-	if m.NewestFrom > q.newestFrom {
-		q.newestFrom, q.determined = m.NewestFrom, ""
+	if m.ChangedAt > q.changedAt {
+		q.changedAt, q.determined = m.ChangedAt, ""
 	}
 	switch {
 	case m.Step == kumquatlug.StreamVersionConflicting:
 		q.conflicting = true
 	case m.Step == kumquatlug.StreamVersionDetermined:
-		if m.NewestFrom == q.newestFrom {
+		if m.ChangedAt == q.changedAt {
 			q.determined = m.Version
 		}
 	case m.Version != "":
@@ -365,7 +365,7 @@
 
 // answer sends the answer to a question of a peer.
 func (v *streamVersions) answer(peer string, answer kumquatlug.StreamVersion) {
-	answer.NewestFrom = v.newestFrom(answer.Service)
+	answer.ChangedAt = v.changedAt(answer.Service)
 	v.g.c.Peers.SendStreamVersion(peer, answer)
 }
 
--- a/internal/gateway/versionresolve.go
+++ b/internal/gateway/versionresolve.go
@@ -70,7 +70,7 @@
 	}
 	questions.await(ctx, timeout, record, e.Determined)
 	e.Record, e.Conflicting = questions.record, questions.conflicting
-	e.Asked, e.Answered, e.PeerEpoch = len(questions.peers), len(questions.answered), questions.newestFrom
+	e.Asked, e.Answered, e.PeerChangedAt = len(questions.peers), len(questions.answered), questions.changedAt
 	e.PeersUnknown = questions.v.g.c.Peers != nil && !questions.v.peersRead.Load()
 	if named {
 		e.PeerDetermined = questions.determined
@@ -91,13 +91,13 @@
 	return s.recording || s.Several()
 }
 
-// newestFrom returns when the newest epoch of a service began that this gateway knows, zero if it knows none.
-func (v *streamVersions) newestFrom(service string) kumquatlug.Millis {
+// changedAt returns when the newest epoch of a service began that this gateway knows, zero if it knows none.
+func (v *streamVersions) changedAt(service string) kumquatlug.Millis {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if s := v.services[service]; s != nil {
 		if listing, known := s.Listing(); known {
-			return listing.NewestFrom()
+			return listing.ChangedAt()
 		}
 	}
 	return 0
@@ -113,7 +113,7 @@
 		return "", resolution{}
 	}
 	r := resolution{listed: listing.Versions(), epoch: listing.NewestFrom()}
-	r.evidence.Determined, r.evidence.Epoch = listing.Determined(id), r.epoch
+	r.evidence.Determined, r.evidence.ChangedAt = listing.Determined(id), listing.ChangedAt()
 	r.evidence.Age = v.service(service).ListingAge(v.g.c.BootClock.Now())
 	return listing.Sole(), r
 }
--- a/pkg/kumquatlug/streamversion.go
+++ b/pkg/kumquatlug/streamversion.go
@@ -29,7 +29,7 @@
 	Version string
 	// Key distinguishes the questions of the sender.
 	Key uint64
-	// NewestFrom is set in an answer: when the newest epoch began that the sender knows, by the store's clock,
+	// ChangedAt is set in an answer: when the newest listing that the sender knows changed, by the store's clock,
 	// zero if it knows none.
-	NewestFrom Millis
+	ChangedAt Millis
 }
--- a/pkg/kumquatlug/streamversion/evidence.go
+++ b/pkg/kumquatlug/streamversion/evidence.go
@@ -28,14 +28,14 @@
 	// last read.
 	Read       bool
 	Determined string
-	// Epoch is when the newest epoch of that listing began, Age how long ago it was read.
-	Epoch, Age kumquatlug.Millis
+	// ChangedAt is when that listing changed last, see [Listing.ChangedAt], Age how long ago it was read.
+	ChangedAt, Age kumquatlug.Millis
 	// PeerDetermined is the version that the listing determines according to a peer that has read it.
 	PeerDetermined string
 	// Asked is the number of peers that were asked, Answered that of those that answered.
 	Asked, Answered int
-	// PeerEpoch is when the newest epoch began that a peer which answered knows.
-	PeerEpoch kumquatlug.Millis
+	// PeerChangedAt is when the newest listing changed last that a peer which answered knows.
+	PeerChangedAt kumquatlug.Millis
 	// PeersUnknown says that there may be peers that were not asked.
 	PeersUnknown bool
 }
@@ -64,5 +64,5 @@
 // streams that began by a newer epoch, or know of that epoch if these have been lost. After EpochLag no gateway
 // that reaches the store uses the listing any more.
 func (e Evidence) cacheCounts() bool {
-	return 2*e.Answered >= e.Asked && !e.PeersUnknown && e.PeerEpoch <= e.Epoch && e.Age < EpochLag
+	return 2*e.Answered >= e.Asked && !e.PeersUnknown && e.PeerChangedAt <= e.ChangedAt && e.Age < EpochLag
 }
--- a/pkg/kumquatlug/streamversion/evidence_test.go
+++ b/pkg/kumquatlug/streamversion/evidence_test.go
@@ -5,12 +5,12 @@
 // Guards against a stream that goes on by a listing that was read too long ago, or that nobody confirms, and by
 // one of several records that contradict each other.
 func TestVersionIsUnknownWithoutSufficientEvidence(t *testing.T) {
-	cached := Evidence{Determined: "v1", Epoch: 1000, Asked: 3, Answered: 2, PeerEpoch: 1000, Age: EpochLag - 1}
+	cached := Evidence{Determined: "v1", ChangedAt: 1000, Asked: 3, Answered: 2, PeerChangedAt: 1000, Age: EpochLag - 1}
 	if version, source := cached.Version(); version != "v1" || source != SourceCache {
 		t.Errorf("%q of %s, want v1 of the cached listing", version, source)
 	}
 	for name, change := range map[string]func(*Evidence){
-		"newer epoch at a peer": func(e *Evidence) { e.PeerEpoch++ },
+		"newer epoch at a peer": func(e *Evidence) { e.PeerChangedAt++ },
 		"no answer":             func(e *Evidence) { e.Answered = 0 },
 		"nobody asked":          func(e *Evidence) { e.Asked, e.Answered, e.PeersUnknown = 0, 0, true },
 		"too old":               func(e *Evidence) { e.Age++ },
--- a/pkg/kumquatlug/streamversion/listing.go
+++ b/pkg/kumquatlug/streamversion/listing.go
@@ -71,6 +71,16 @@
 	return 0
 }
 
+// ChangedAt returns when the newest epoch began or a version was unbound last: a listing as of before then
+// determines too much.
+func (l Listing) ChangedAt() kumquatlug.Millis {
+	at := l.NewestFrom()
+	for _, until := range l.content.UnboundUntilMs {
+		at = max(at, kumquatlug.Millis(until)-unboundTime)
+	}
+	return at
+}
+
 // Newest returns the weights of the newest epoch.
 func (l Listing) Newest() Weights {
 	if n := len(l.content.Epochs); n > 0 {
--- a/pkg/kumquatlug/streamversion/listing_test.go
+++ b/pkg/kumquatlug/streamversion/listing_test.go
@@ -143,3 +143,34 @@
 		}
 	}
 }
+
+// Guards against a stream that joins two versions because the listing determines the selected one although its engines
+// were full and the stream began elsewhere, also by a listing that was read before.
+func TestStreamsOfUnboundVersionAreNotDetermined(t *testing.T) {
+	h := &listingHarness{t: t}
+	h.begin(1000, Weights{"v1": 1, "v2": 1})
+	before := h.read(2000)
+	id := "x"
+	for n := 0; before.Determined(id) != "v2"; n++ {
+		id = fmt.Sprint(n)
+	}
+	text, err := before.Unbind("v2")
+	if err != nil || text == nil {
+		t.Fatalf("not unbound: %v", err)
+	}
+	h.row = before.Written(text)
+	l := h.read(2010)
+	if got := l.Determined(id); got != "" || !l.Unbound(2010, "v2") || l.Unbound(2010, "v1") || l.ChangedAt() <= before.ChangedAt() {
+		t.Errorf("determined %q, changed at %d after %d; want none, and a later change", got, l.ChangedAt(), before.ChangedAt())
+	}
+	if text, err := l.Unbind("v2"); text != nil || err != nil {
+		t.Errorf("written again at once: %v", err)
+	}
+	end := 2000 + unboundTime
+	if l := h.read(end); l.Unbound(end, "v2") || l.Determined(id) != "" {
+		t.Error("bound too late, or determined while such streams may be resumed")
+	}
+	if got := h.read(end + epochWindow).Determined(id); got != "v2" {
+		t.Errorf("determined %q long after, want v2", got)
+	}
+}
--- a/pkg/kumquatlug/streamversion/simulation_test.go
+++ b/pkg/kumquatlug/streamversion/simulation_test.go
@@ -292,7 +292,7 @@
 			e.PeerDetermined = l.Determined(id)
 		}
 		if l, known := peer.view.Listing(); known {
-			e.PeerEpoch = max(e.PeerEpoch, l.NewestFrom())
+			e.PeerChangedAt = max(e.PeerChangedAt, l.ChangedAt())
 		}
 	}
 	return e
@@ -314,7 +314,7 @@
 	e := g.ask(id)
 	e.Read = read
 	if known {
-		e.Determined, e.Epoch, e.Age = l.Determined(id), l.NewestFrom(), g.view.ListingAge(g.s.now)
+		e.Determined, e.ChangedAt, e.Age = l.Determined(id), l.ChangedAt(), g.view.ListingAge(g.s.now)
 	}
 	version, _ := e.Version()
 	return version
