Test of the cached listing: remove the records under their lock

The test replaced the records of a gateway without the lock, which the race detector reports in the race build. It removes the same records as before.

--- a/internal/gateway/versionfleet_test.go
+++ b/internal/gateway/versionfleet_test.go
@@ -302,7 +302,7 @@
 		fleet.kill(name)
 		fleet.start(t, name)
 	}
-	cut.g.streamVersions.records = streamversion.NewRecords()
+	cut.g.streamVersions.forgetRecords()
 	got := cut.resume(t, "again", "stream", 4)
 	if joined := fleet.workers.joinedVersions(fleet.versions); len(joined) != 1 {
 		t.Errorf("status %d: the stream joins versions %v", got.status, joined)
