--- a/pkg/kumquatlug/streamversion/owners.go
+++ b/pkg/kumquatlug/streamversion/owners.go
@@ -12,44 +12,42 @@
 // Gateways is a set of gateways that own records. It holds the hashes of their names and is not changed. The zero
 // value is an empty set.
 type Gateways struct {
+	// names are sorted, hashes are in the same order.
 	names  []string
 	hashes []uint64
-	index  map[string]int
 }
 
 // NewGateways returns the set of the given gateways.
 func NewGateways(names []string) Gateways {
-	g := Gateways{index: make(map[string]int, len(names))}
-	for _, name := range names {
-		if !g.Has(name) {
-			g.index[name] = len(g.names)
-			g.names = append(g.names, name)
-			g.hashes = append(g.hashes, xxhash.Sum64String(name))
-		}
+	g := Gateways{names: slices.Compact(slices.Sorted(slices.Values(names)))}
+	g.hashes = make([]uint64, len(g.names))
+	for i, name := range g.names {
+		g.hashes[i] = xxhash.Sum64String(name)
 	}
 	return g
 }
 
 // With returns the set with one more gateway.
 func (g Gateways) With(name string) Gateways {
-	if g.Has(name) {
+	i, found := slices.BinarySearch(g.names, name)
+	if found {
 		return g
 	}
-	return NewGateways(append(slices.Clone(g.names), name))
+	return Gateways{names: slices.Insert(slices.Clone(g.names), i, name), hashes: slices.Insert(slices.Clone(g.hashes), i, xxhash.Sum64String(name))}
 }
 
 // Without returns the set without a gateway.
 func (g Gateways) Without(name string) Gateways {
-	if !g.Has(name) {
+	i, found := slices.BinarySearch(g.names, name)
+	if !found {
 		return g
 	}
-	i := g.index[name]
-	return NewGateways(slices.Delete(slices.Clone(g.names), i, i+1))
+	return Gateways{names: slices.Delete(slices.Clone(g.names), i, i+1), hashes: slices.Delete(slices.Clone(g.hashes), i, i+1)}
 }
 
 // Has reports whether a gateway belongs to the set.
 func (g Gateways) Has(name string) bool {
-	_, found := g.index[name]
+	_, found := slices.BinarySearch(g.names, name)
 	return found
 }
 
