--- a/internal/gateway/latestream_test.go
+++ b/internal/gateway/latestream_test.go
@@ -240,10 +240,8 @@
 		}
 		p.End(now, a, placement.OutcomeNeutral)
 	}
-	exit := kumquatlug.Millis(f.g.exitAt.Load())
-	service, _ := f.g.table.Load().Service("engines")
-	longest := f.g.scheduler.longestRun(service, 2000)
-	t.Logf("%d ms until the exit, longest run %d ms", exit-now, longest)
+	longest, known := p.LongestRun(2000)
+	t.Logf("longest run %d ms, known %v", longest, known)
 	if got := f.doPatiently(t, "/chat/?tokens=30,2000"); !refusedAtOnce(f, got) {
 		t.Errorf("status %d, calls %d, want a refusal", got.status, len(f.workers.recorded()))
 	}
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -54,7 +54,7 @@
 	if !late || f.deadline+relayTime <= exit {
 		return run
 	}
-	return max(run, f.g.scheduler.longestRun(f.service, output))
+	return unknownRunTime
 }
 
 // recordRunStart records when the run of the request was first sent to a worker. Attempts that
@@ -185,22 +185,6 @@
 	return p.UsualRunTime(now, output)
 }
 
-// longestRun returns a lower limit of the time to assume for a late request with this maximum
-// output: the longest run of a stream, unknownRunTime if there are too few samples. It is unknown for
-// plain requests: their workers may pause, and no part of a response tells for how long.
-func (sc *scheduler) longestRun(service kumquatlug.Service, output int) kumquatlug.Millis {
-	sc.mu.Lock()
-	defer sc.mu.Unlock()
-	p := sc.service(service.Name()).placer
-	if !service.Engine() {
-		return unknownRunTime
-	}
-	if longest, known := p.LongestRun(output); known {
-		return longest
-	}
-	return unknownRunTime
-}
-
 // runSamples returns how many run times of requests with about this maximum output are known.
 func (sc *scheduler) runSamples(service string, output int) int {
 	sc.mu.Lock()
