--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -48,13 +48,11 @@
 // runTime returns how long the request is assumed to take from the time at which it is sent to
 // the worker that runs it. A late request whose deadline is before the exit can't outlast it.
 func (f *inflight) runTime(exit kumquatlug.Millis) kumquatlug.Millis {
-	output := f.request.Prompt().Output()
 	late := f.late(exit)
-	run := f.g.scheduler.runTime(f.g.c.Clock.Now(), f.service.Name(), output, late)
-	if !late || f.deadline+relayTime <= exit {
-		return run
+	if late && f.deadline+relayTime > exit {
+		return unknownRunTime
 	}
-	return unknownRunTime
+	return f.g.scheduler.runTime(f.g.c.Clock.Now(), f.service.Name(), f.request.Prompt().Output(), late)
 }
 
 // recordRunStart records when the run of the request was first sent to a worker. Attempts that
--- a/internal/gateway/versionfleet_test.go
+++ b/internal/gateway/versionfleet_test.go
@@ -373,7 +373,7 @@
 	v.g.streamVersions.prepare(t.Context(), "engines", "other")
 	names := make([]string, 2300)
 	for n := range names {
-		names[n] = fmt.Sprint("edge-tallinn-a-", n)
+		names[n] = fmt.Sprint("gateway-", n)
 	}
 	v.setPeers(names, nil)
 	for n := range 1600 {
