Review: a front dies by SIGHUP while it is being stopped

Cause: the handler of SIGHUP returns when SIGTERM cancels its context and gives the signal back to the runtime, whose default is to end the process. A change of the settings file during the grace period thereby cuts all requests in flight.

--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# A front gets SIGTERM and, one second later, SIGHUP. Exit code: 1 broken, 0 held, 2 could not run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/kumquatlug ] && [ -x target/review-standin ] || { echo "build first: the deploy file, then review/build.sh"; exit 2; }
+exec target/review-standin stop review/1/record.txt
--- /dev/null
+++ b/review/_standin/site.go
@@ -0,0 +1,342 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/kumquatlug/kumquatlug/internal/standin/rowstore"
+)
+
+// Names in the operator's config.
+const (
+	host        = "ficu95.example"
+	deskService = "wuno96b"
+	postPrefix  = "/pule252/"
+	lookPrefix  = "/puxa403/"
+)
+
+// Figures of the small deployment. The route of posts has a shorter timeout than clients wait.
+const (
+	memoryMB       = 284
+	deadlineMs     = 4000
+	postTimeoutMs  = 2000
+	chatDeadlineMs = 15000
+)
+
+// front is the program under test, run from the root of the repository.
+const front = "target/kumquatlug"
+
+// caseRun is one play of a case.
+type caseRun struct {
+	// trouble says whether the disruption takes place.
+	trouble bool
+	began   time.Time
+	dir     string
+
+	mu     sync.Mutex
+	record *os.File
+
+	store        *rowstore.Store
+	storeAddress string
+	servers      []*http.Server
+	desks        []*desk
+	engines      []*engine
+	fronts       []*frontProcess
+}
+
+func newCaseRun(recordPath string) (*caseRun, error) {
+	record, err := os.Create(recordPath)
+	if err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp("", "review")
+	if err != nil {
+		return nil, err
+	}
+	return &caseRun{trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), dir: dir, record: record}, nil
+}
+
+// log writes a line to the record and to standard output.
+func (c *caseRun) log(format string, values ...any) {
+	line := c.note(format, values...)
+	fmt.Println(line)
+}
+
+// note writes a line to the record only.
+func (c *caseRun) note(format string, values ...any) string {
+	line := fmt.Sprintf("%9.3f ", time.Since(c.began).Seconds()) + fmt.Sprintf(format, values...)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, _ = fmt.Fprintln(c.record, line)
+	return line
+}
+
+// close ends all processes and servers of the case.
+func (c *caseRun) close() {
+	for _, p := range c.fronts {
+		p.kill()
+	}
+	for _, d := range c.desks {
+		d.close()
+	}
+	for _, e := range c.engines {
+		e.close()
+	}
+	for _, s := range c.servers {
+		_ = s.Close()
+	}
+	_ = c.record.Close()
+	_ = os.RemoveAll(c.dir)
+}
+
+// startSite starts the store, the workers of the plain service and writes the config.
+func (c *caseRun) startSite(workers int) error {
+	c.store = rowstore.New()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: c.store, ReadHeaderTimeout: time.Minute}
+	c.servers = append(c.servers, server)
+	go func() { _ = server.Serve(listener) }()
+	c.storeAddress = listener.Addr().String()
+	for i := range workers {
+		d, err := newDesk(c, fmt.Sprintf("i-%08x", 0x7f3a91c2+i))
+		if err != nil {
+			return err
+		}
+		c.desks = append(c.desks, d)
+		c.store.Put("servers", d.id, d.row())
+	}
+	c.store.Put("op", "config", operatorConfig())
+	return nil
+}
+
+// operatorConfig returns the operator's config, as the wire page shows it.
+func operatorConfig() []byte {
+	route := func(name, prefix, kind string, attempts int) map[string]any {
+		return map[string]any{
+			"name": name, "host": host, "prefix": prefix, "kind": kind, "timeout_ms": postTimeoutMs, "target_latency_ms": 300,
+			"priority": 2, "service": deskService, "max_attempts": attempts, "sticky": false, "resumable": false,
+		}
+	}
+	chat := map[string]any{
+		"name": "r-chat", "host": host, "prefix": chatPrefix, "kind": "streaming", "timeout_ms": chatDeadlineMs, "target_latency_ms": 150,
+		"priority": 1, "service": engineService, "max_attempts": 1, "sticky": true, "resumable": false, "gap_target_ms": 200,
+	}
+	engines := map[string]any{
+		"name": engineService, "health_path": "/healthz", "max_connections": 360, "protocol": "h1", "tls": false,
+		"engine": map[string]any{
+			"slots": engineSlots, "kv_capacity_tokens": 370000, "kv_bytes": 163840, "link_mbps": 12000000.0, "moves": true, "backups": true,
+			"stride": 52, "most": 12, "kv_retention_s": 5.0, "stage_switch_s": 3.0, "pin_ms": 4000.0, "hold_ms": 2000.0,
+			"models": []any{map[string]any{"name": "m"}},
+		},
+	}
+	// Strings and numbers always encode.
+	text, _ := json.Marshal(map[string]any{
+		"version": 7,
+		"routes":  []any{route("r-post", postPrefix, "non_idempotent", 1), route("r-look", lookPrefix, "idempotent", 2), chat},
+		"services": []any{engines, map[string]any{
+			"name": deskService, "health_path": "/healthz", "max_connections": deskConnections, "protocol": "h1", "tls": false,
+		}},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": maxBodyBytes, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	})
+	return text
+}
+
+// maxBodyBytes is the operator's limit of a body, as the wire page shows it.
+const maxBodyBytes = 4194304
+
+// frontProcess is a front under test.
+type frontProcess struct {
+	c              *caseRun
+	name, settings string
+	clients, ready string
+	metrics        string
+	mu             sync.Mutex
+	cmd            *exec.Cmd
+	done           chan struct{}
+}
+
+// settingsText follows the example of the wire page, on loopback addresses.
+const settingsText = `node_name = %q
+role = "front"
+machine_class = "edge"
+serves = ["edge"]
+ip = "127.0.0.1"
+zone = "andina-a"
+region = "co-andina"
+internal_port_range = [%d,%d]
+seeds = []
+bootstrap = true
+fault_counted = false
+discovery = "platform"
+entry = "vip"
+heartbeat_ms = 1200
+contracts = ["base","drain","config","cost","retry","recover","split","stream","engine","platform"]
+[zones]
+andina-a = "co-andina"
+[listen]
+frontend = %q
+ready = %q
+[limits]
+cpu_share = 0.304
+cores = 1
+memory_mb = %d
+max_fds = 4100
+link_mbps = 1000.0
+disk_mb = 0
+[fault_tolerance]
+machines = 2
+zones = 0
+regions = 0
+[bounds]
+seed_lag_s = 3
+reuse_after_s = 2
+contact_ms = 3000
+ack_ms = 4000
+catch_up_s = 4
+drain_ms = 2000
+grace_s = 8
+loss_slack_ms = 200
+config_apply_ms = 2000
+revert_slack_ms = 250
+max_stretch_ms = 5000
+retry_budget_ratio = 0.2
+budget_window_s = 10
+budget_min_retries = 56
+recover_s = 12
+transit_ms = 120
+reuse_window_s = 3
+fencing_required = false
+lease_ms = 3000
+thaw_ms = 300
+[platform]
+address = %q
+form = "table"
+writes_per_s = 400
+reads_per_s = 2000
+tx_ms = 5.0
+appends_per_s = 200
+row_bytes = 65536
+across = false
+history_s = 20
+blob_bytes = 8388608
+blob_ms = 25.0
+blob_mb_s = 80.0
+`
+
+// startFront starts a front and waits until it is ready.
+func (c *caseRun) startFront(name string) (*frontProcess, error) {
+	ports, err := freePorts(4)
+	if err != nil {
+		return nil, err
+	}
+	address := func(port int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)) }
+	p := &frontProcess{c: c, name: name, clients: address(ports[0]), ready: address(ports[1]), metrics: address(ports[2]), settings: filepath.Join(c.dir, name+".toml")}
+	text := fmt.Sprintf(settingsText, name, ports[3]-1, ports[3], p.clients, p.ready, memoryMB, c.storeAddress)
+	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
+		return nil, err
+	}
+	if err := p.start(); err != nil {
+		return nil, err
+	}
+	c.fronts = append(c.fronts, p)
+	return p, p.awaitReady()
+}
+
+// freePorts returns ports of the loopback address that are free now.
+func freePorts(count int) ([]int, error) {
+	var ports []int
+	for range count {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = l.Close() }()
+		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
+	}
+	return ports, nil
+}
+
+// start starts the process with the command of the deploy file.
+func (p *frontProcess) start() error {
+	out, err := os.OpenFile(filepath.Join(p.c.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(front, "front", "--metrics-listen", p.metrics)
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "KUMQUATLUG_SETTINGS=" + p.settings}
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	done := make(chan struct{})
+	p.mu.Lock()
+	p.cmd, p.done = cmd, done
+	p.mu.Unlock()
+	p.c.log("%s started", p.name)
+	go func() {
+		_ = cmd.Wait()
+		_ = out.Close()
+		p.c.log("%s ended: %v", p.name, cmd.ProcessState)
+		close(done)
+	}()
+	return nil
+}
+
+func (p *frontProcess) pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.Process.Pid
+}
+
+// kill kills the process and waits until it has ended.
+func (p *frontProcess) kill() {
+	p.mu.Lock()
+	cmd, done := p.cmd, p.done
+	p.mu.Unlock()
+	_ = cmd.Process.Kill()
+	<-done
+}
+
+// signal sends a signal to the process.
+func (p *frontProcess) signal(s os.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.cmd.Process.Signal(s)
+}
+
+// rewriteSettings changes the settings file as the platform does when another seed is named.
+func (p *frontProcess) rewriteSettings() error {
+	text, err := os.ReadFile(p.settings)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(p.settings, []byte(strings.Replace(string(text), "seeds = []", "seeds = [\"127.0.0.1:1\"]", 1)), 0o600)
+}
+
+func (p *frontProcess) awaitReady() error {
+	client := &http.Client{Timeout: time.Second}
+	for deadline := time.Now().Add(15 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		response, err := client.Get("http://" + p.ready + "/v1/readyz")
+		if err != nil {
+			continue
+		}
+		_ = response.Body.Close()
+		if response.StatusCode == http.StatusOK {
+			p.c.log("%s is ready", p.name)
+			return nil
+		}
+	}
+	return fmt.Errorf("%s is not ready after 15 s", p.name)
+}
