Review: chunked bodies take a front over its memory limit

Cause: the bound on bodies in flight reserves what a request declares before its body is read. A chunked body declares nothing, is read whole and is added to the sum afterwards without a check.

--- a/review/_standin/client.go
+++ b/review/_standin/client.go
@@ -27,8 +27,10 @@
 // client is a client with one connection that it keeps.
 type client struct {
 	address string
-	conn    net.Conn
-	in      *bufio.Reader
+	// header are further header lines of its requests.
+	header string
+	conn   net.Conn
+	in     *bufio.Reader
 }
 
 // connect opens the connection unless there is one.
@@ -67,7 +69,7 @@
 		return answer{err: err}
 	}
 	_ = k.conn.SetDeadline(time.Now().Add((deadlineMs + 500) * time.Millisecond))
-	if _, err := io.WriteString(k.conn, head(method, path, id, fmt.Sprintf("Content-Length: %d", len(body)))+body); err != nil {
+	if _, err := io.WriteString(k.conn, head(method, path, id, fmt.Sprintf("%sContent-Length: %d", k.header, len(body)))+body); err != nil {
 		k.drop()
 		return answer{err: err}
 	}
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -16,7 +16,9 @@
 
 // cases are the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(c *caseRun) (broken bool, err error){
-	"stop": runStop,
+	"memory": runMemory,
+	"stop":   runStop,
+	"usage":  runUsage,
 }
 
 func main() {
--- a/review/_standin/site.go
+++ b/review/_standin/site.go
@@ -45,7 +45,9 @@
 	mu     sync.Mutex
 	record *os.File
 
-	store        *rowstore.Store
+	store *rowstore.Store
+	// cloudAddress is the address for usage reports, empty for none.
+	cloudAddress string
 	storeAddress string
 	servers      []*http.Server
 	desks        []*desk
@@ -117,12 +119,12 @@
 		c.desks = append(c.desks, d)
 		c.store.Put("servers", d.id, d.row())
 	}
-	c.store.Put("op", "config", operatorConfig())
+	c.store.Put("op", "config", c.operatorConfig())
 	return nil
 }
 
-// operatorConfig returns the operator's config, as the wire page shows it.
-func operatorConfig() []byte {
+// operatorConfig returns the operator's config, as the wire page shows it. Where usage is reported it has a tenant.
+func (c *caseRun) operatorConfig() []byte {
 	route := func(name, prefix, kind string, attempts int) map[string]any {
 		return map[string]any{
 			"name": name, "host": host, "prefix": prefix, "kind": kind, "timeout_ms": postTimeoutMs, "target_latency_ms": 300,
@@ -141,15 +143,19 @@
 			"models": []any{map[string]any{"name": "m"}},
 		},
 	}
-	// Strings and numbers always encode.
-	text, _ := json.Marshal(map[string]any{
+	config := map[string]any{
 		"version": 7,
 		"routes":  []any{route("r-post", postPrefix, "non_idempotent", 1), route("r-look", lookPrefix, "idempotent", 2), chat},
 		"services": []any{engines, map[string]any{
 			"name": deskService, "health_path": "/healthz", "max_connections": deskConnections, "protocol": "h1", "tls": false,
 		}},
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": maxBodyBytes, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-	})
+	}
+	if c.cloudAddress != "" {
+		config["tenants"] = []any{map[string]any{"name": tenantName, "api_keys": []string{tenantKey}, "priority": 1}}
+	}
+	// Strings and numbers always encode.
+	text, _ := json.Marshal(config)
 	return text
 }
 
@@ -220,6 +226,8 @@
 fencing_required = false
 lease_ms = 3000
 thaw_ms = 300
+report_window_s = %d
+usage_late_s = %d
 [platform]
 address = %q
 form = "table"
@@ -235,6 +243,12 @@
 blob_mb_s = 80.0
 `
 
+// cloudSettingsText names the service for usage reports.
+const cloudSettingsText = `[cloud]
+address = %q
+duties = ["usage_report"]
+`
+
 // startFront starts a front and waits until it is ready.
 func (c *caseRun) startFront(name string) (*frontProcess, error) {
 	ports, err := freePorts(4)
@@ -243,7 +257,10 @@
 	}
 	address := func(port int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)) }
 	p := &frontProcess{c: c, name: name, clients: address(ports[0]), ready: address(ports[1]), metrics: address(ports[2]), settings: filepath.Join(c.dir, name+".toml")}
-	text := fmt.Sprintf(settingsText, name, ports[3]-1, ports[3], p.clients, p.ready, memoryMB, c.storeAddress)
+	text := fmt.Sprintf(settingsText, name, ports[3]-1, ports[3], p.clients, p.ready, memoryMB, int(windowSpan.Seconds()), int(usageLate.Seconds()), c.storeAddress)
+	if c.cloudAddress != "" {
+		text += fmt.Sprintf(cloudSettingsText, c.cloudAddress)
+	}
 	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
