--- a/review/_standin/client.go
+++ b/review/_standin/client.go
@@ -83,6 +83,7 @@
 		k.drop()
 		return answer{err: err}
 	}
+	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
 	if err != nil || response.Close {
 		k.drop()
--- a/review/_standin/desk.go
+++ b/review/_standin/desk.go
@@ -197,4 +197,4 @@
 // stamp is the signature of a worker's answer, responseBody its body.
 func stamp(worker, id string) string { return worker + "." + id }
 
-func responseBody(id string) string { return (strings.Repeat(id+" ", 800/(len(id)+1)+1))[:800] }
+func responseBody(id string) string { return strings.Repeat(id+" ", 800/(len(id)+1)+1)[:800] }
--- a/review/_standin/memory.go
+++ b/review/_standin/memory.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -52,9 +53,13 @@
 	c.log("trouble: %v", c.trouble)
 	end := time.Now().Add(memoryLength)
 	var most, kills atomic.Int64
-	go c.enforceMemory(p, end, &most, &kills)
 	lost := &kept{}
 	var group sync.WaitGroup
+	group.Add(1)
+	go func() {
+		defer group.Done()
+		c.enforceMemory(p, end, &most, &kills)
+	}()
 	for n := range smallUsers {
 		group.Add(1)
 		go func() {
@@ -101,8 +106,8 @@
 }
 
 func isTimeout(err error) bool {
-	netErr, ok := err.(net.Error)
-	return ok && netErr.Timeout()
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
 }
 
 // sendLarge sends large bodies until the end, of twice as many users if there is trouble.
--- a/review/_standin/stop.go
+++ b/review/_standin/stop.go
@@ -125,6 +125,7 @@
 	if err != nil {
 		return "", err
 	}
+	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
 	if err == nil && response.StatusCode != http.StatusOK {
 		err = fmt.Errorf("status %d %s", response.StatusCode, body)
