--- a/review/_standin/site.go
+++ b/review/_standin/site_test.go
@@ -1,4 +1,4 @@
-package main
+package standin
 
 import (
 	"encoding/json"
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
-# Builds the stand-in that the scripts start.
+# Builds the stand-in that the scripts start. It consists of test files.
 set -e
 cd "$(dirname "$0")/.."
-go build -ldflags=-linkmode=external -o target/review-standin ./review/_standin
+mkdir -p target
+go test -c -o target/review-standin ./review/_standin
