--- a/review/_standin/site_test.go
+++ b/review/_standin/site_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -249,45 +250,87 @@
 duties = ["usage_report"]
 `
 
+// maxStarts is how often a front is started whose ports another process has taken meanwhile.
+const maxStarts = 5
+
 // startFront starts a front and waits until it is ready.
 func (c *caseRun) startFront(name string) (*frontProcess, error) {
-	ports, err := freePorts(4)
+	for n := 1; ; n++ {
+		p, err := c.prepareFront(name)
+		if err != nil {
+			return nil, err
+		}
+		if err := p.start(); err != nil {
+			return nil, err
+		}
+		c.fronts = append(c.fronts, p)
+		if err = p.awaitReady(); err == nil {
+			return p, nil
+		}
+		text, _ := os.ReadFile(p.logFile())
+		c.log("%s did not start: %s", name, text[max(len(text)-600, 0):])
+		if n == maxStarts || !strings.Contains(string(text), "address already in use") {
+			return nil, err
+		}
+		_ = os.Remove(p.logFile())
+	}
+}
+
+// prepareFront writes the settings of a front with free ports.
+func (c *caseRun) prepareFront(name string) (*frontProcess, error) {
+	ports, err := freePorts(5)
 	if err != nil {
 		return nil, err
 	}
 	address := func(port int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)) }
 	p := &frontProcess{c: c, name: name, clients: address(ports[0]), ready: address(ports[1]), metrics: address(ports[2]), settings: filepath.Join(c.dir, name+".toml")}
-	text := fmt.Sprintf(settingsText, name, ports[3]-1, ports[3], p.clients, p.ready, memoryMB, int(windowSpan.Seconds()), int(usageLate.Seconds()), c.storeAddress)
+	text := fmt.Sprintf(settingsText, name, ports[3], ports[4], p.clients, p.ready, memoryMB, int(windowSpan.Seconds()), int(usageLate.Seconds()), c.storeAddress)
 	if c.cloudAddress != "" {
 		text += fmt.Sprintf(cloudSettingsText, c.cloudAddress)
 	}
-	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
-		return nil, err
-	}
-	if err := p.start(); err != nil {
-		return nil, err
-	}
-	c.fronts = append(c.fronts, p)
-	return p, p.awaitReady()
+	return p, os.WriteFile(p.settings, []byte(text), 0o600)
 }
 
-// freePorts returns ports of the loopback address that are free now.
+// Ports are drawn from below those that the system gives to outgoing connections, which could take the port of
+// a front that is restarted.
+const firstPort, lastPort = 12000, 30000
+
+// freePorts returns successive ports of the loopback address that are free now for TCP and UDP.
 func freePorts(count int) ([]int, error) {
-	var ports []int
-	for range count {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
+	for range 1000 {
+		var ports []int
+		first := firstPort + rand.IntN(lastPort-firstPort-count)
+		for port := first; port < first+count && portIsFree(port); port++ {
+			ports = append(ports, port)
+		}
+		if len(ports) == count {
+			return ports, nil
 		}
-		defer func() { _ = l.Close() }()
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
 	}
-	return ports, nil
+	return nil, fmt.Errorf("no %d successive ports are free", count)
 }
 
+func portIsFree(port int) bool {
+	address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = l.Close() }()
+	u, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = u.Close() }()
+	return true
+}
+
+// logFile is where the process writes its log.
+func (p *frontProcess) logFile() string { return filepath.Join(p.c.dir, p.name+".log") }
+
 // start starts the process with the command of the deploy file.
 func (p *frontProcess) start() error {
-	out, err := os.OpenFile(filepath.Join(p.c.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	out, err := os.OpenFile(p.logFile(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -344,7 +387,15 @@
 
 func (p *frontProcess) awaitReady() error {
 	client := &http.Client{Timeout: time.Second}
+	p.mu.Lock()
+	done := p.done
+	p.mu.Unlock()
 	for deadline := time.Now().Add(15 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		select {
+		case <-done:
+			return fmt.Errorf("%s ended before it was ready", p.name)
+		default:
+		}
 		response, err := client.Get("http://" + p.ready + "/v1/readyz")
 		if err != nil {
 			continue
