Receive SIGHUP, SIGTERM and SIGINT for the whole life of a process

An entry or an agent of the fleet with agents ended by SIGHUP at any time.

Cause: handleReloadSignals returned with its context, which SIGTERM ends, and signal.Stop gave SIGHUP back to its default action. Entry and agent had no handler. The stand-ins gave SIGTERM back after the first one.

Change: internal/signals registers the signals as the first statement of main and never gives them back; process commands receive SIGHUP as a value, commands of a terminal stop by it. A signal that nobody receives is dropped, so that no goroutine has to outlive the requests.

--- a/cmd/kumquatlug-capacity/main.go
+++ b/cmd/kumquatlug-capacity/main.go
@@ -3,18 +3,16 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"os"
-	"os/signal"
 	"runtime"
 	"strings"
-	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/kumquatlug/kumquatlug/internal/capacity"
+	"github.com/kumquatlug/kumquatlug/internal/signals"
 )
 
 // maxCores limits the number of cores in use, so that the run hardly affects
@@ -22,10 +20,9 @@
 const maxCores = 4
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	err := newRootCommand().ExecuteContext(ctx)
-	stop()
-	if err != nil {
+	s := signals.Receive()
+	s.StopOnHangup()
+	if err := newRootCommand().ExecuteContext(s.Context()); err != nil {
 		fmt.Fprintln(os.Stderr, "kumquatlug-capacity:", err)
 		os.Exit(1)
 	}
--- a/cmd/kumquatlug-standin/load.go
+++ b/cmd/kumquatlug-standin/load.go
@@ -4,9 +4,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
@@ -55,9 +52,7 @@
 	f.IntVar(&c.Mix.ShortResponse, "short-answer", 10, "length of a short response, in tokens")
 	f.IntVar(&c.Mix.Documents, "documents", 0, "number of distinct prefixes shared by prompts; 0 for none")
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
-		defer stop()
-		return runLoad(ctx, cmd.OutOrStdout(), c, flags)
+		return runLoad(cmd.Context(), cmd.OutOrStdout(), c, flags)
 	}
 	return cmd
 }
--- a/cmd/kumquatlug-standin/main.go
+++ b/cmd/kumquatlug-standin/main.go
@@ -10,12 +10,12 @@
 	"net"
 	"net/http"
 	"os"
-	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/oklog/run"
 	"github.com/spf13/cobra"
 
+	"github.com/kumquatlug/kumquatlug/internal/signals"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
 
@@ -27,7 +27,9 @@
 )
 
 func main() {
-	if err := newRootCommand().Execute(); err != nil {
+	s := signals.Receive()
+	s.StopOnHangup()
+	if err := newRootCommand().ExecuteContext(s.Context()); err != nil {
 		fmt.Fprintln(os.Stderr, "kumquatlug-standin:", err)
 		os.Exit(1)
 	}
@@ -44,7 +46,7 @@
 	return root
 }
 
-// serve runs handler on address until the process receives a signal or ctx ends. It
+// serve runs handler on address until ctx ends, then completes the requests in flight. It
 // prints the listening address to out.
 func serve(ctx context.Context, out io.Writer, address string, handler http.Handler) error {
 	listener, err := net.Listen("tcp", address)
@@ -54,7 +56,7 @@
 	fmt.Fprintln(out, "listening", listener.Addr())
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout.Duration()}
 	var group run.Group
-	group.Add(run.SignalHandler(ctx, os.Interrupt, syscall.SIGTERM))
+	group.Add(run.ContextHandler(ctx))
 	group.Add(func() error { return server.Serve(listener) }, func(error) {
 		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout.Duration())
 		defer cancel()
@@ -64,10 +66,9 @@
 	return ignoreStop(group.Run())
 }
 
-// ignoreStop returns nil if a signal or the end of the context stopped the run
-// group, else err.
+// ignoreStop returns nil if the end of the context stopped the run group, else err.
 func ignoreStop(err error) error {
-	if errors.Is(err, run.ErrSignal) || errors.Is(err, context.Canceled) || errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, context.Canceled) || errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return err
--- a/cmd/kumquatlug/agent.go
+++ b/cmd/kumquatlug/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 
 	"github.com/spf13/cobra"
 	"github.com/spf13/pflag"
@@ -10,6 +11,7 @@
 	"github.com/kumquatlug/kumquatlug/internal/engine"
 	"github.com/kumquatlug/kumquatlug/internal/service"
 	"github.com/kumquatlug/kumquatlug/internal/settings"
+	"github.com/kumquatlug/kumquatlug/internal/signals"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/membership"
 )
@@ -49,8 +51,8 @@
 	return c.Problems()
 }
 
-func newAgentCommand() *cobra.Command {
-	return newProcessCommand(&cobra.Command{
+func newAgentCommand(receiver *signals.Receiver) *cobra.Command {
+	return newProcessCommand(receiver, &cobra.Command{
 		Use:   "agent",
 		Short: "Run an agent, the process next to a target",
 		Example: `  kumquatlug agent --name t1 --zone a --platform 10.0.0.9:7000 --listen 10.0.0.7:8090 \
@@ -58,11 +60,14 @@
 	}, &agentSettings{})
 }
 
-func (s *agentSettings) run(ctx context.Context) error {
+func (s *agentSettings) run(ctx context.Context, hangups <-chan os.Signal) error {
 	node, err := s.newNode()
 	if err != nil {
 		return err
 	}
+	running, exit := context.WithCancel(context.WithoutCancel(ctx))
+	defer exit()
+	go node.logHangups(running, hangups)
 	listener, err := listen(ctx, s.listen)
 	if err != nil {
 		return err
--- a/cmd/kumquatlug/entry.go
+++ b/cmd/kumquatlug/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"os"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -13,6 +14,7 @@
 	"github.com/kumquatlug/kumquatlug/internal/entry"
 	"github.com/kumquatlug/kumquatlug/internal/peer"
 	"github.com/kumquatlug/kumquatlug/internal/settings"
+	"github.com/kumquatlug/kumquatlug/internal/signals"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/dispatch"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/drain"
@@ -126,8 +128,8 @@
 	return hashes, nil
 }
 
-func newEntryCommand() *cobra.Command {
-	return newProcessCommand(&cobra.Command{
+func newEntryCommand(receiver *signals.Receiver) *cobra.Command {
+	return newProcessCommand(receiver, &cobra.Command{
 		Use:   "entry",
 		Short: "Run a gateway: callers' and operators' APIs, admission, routing",
 		Example: `  kumquatlug entry --name e1 --zone a --platform 10.0.0.9:7000 \
@@ -136,11 +138,14 @@
 	}, &entrySettings{})
 }
 
-func (s *entrySettings) run(ctx context.Context) error {
+func (s *entrySettings) run(ctx context.Context, hangups <-chan os.Signal) error {
 	node, err := s.newNode()
 	if err != nil {
 		return err
 	}
+	running, exit := context.WithCancel(context.WithoutCancel(ctx))
+	defer exit()
+	go node.logHangups(running, hangups)
 	c, err := s.config(ctx, node)
 	if err != nil {
 		return err
--- a/cmd/kumquatlug/front.go
+++ b/cmd/kumquatlug/front.go
@@ -4,9 +4,7 @@
 	"context"
 	"net"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -22,6 +20,7 @@
 	"github.com/kumquatlug/kumquatlug/internal/logs"
 	"github.com/kumquatlug/kumquatlug/internal/peerrequest"
 	"github.com/kumquatlug/kumquatlug/internal/settings"
+	"github.com/kumquatlug/kumquatlug/internal/signals"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/clock"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
@@ -72,8 +71,8 @@
 	return c.Problems()
 }
 
-func newFrontCommand() *cobra.Command {
-	return newProcessCommand(&cobra.Command{
+func newFrontCommand(receiver *signals.Receiver) *cobra.Command {
+	return newProcessCommand(receiver, &cobra.Command{
 		Use:   "front",
 		Short: "Run a gateway on the users' platform, which calls workers directly",
 		Long: `Run a gateway that accepts client requests and calls the platform's workers
@@ -83,7 +82,7 @@
 	}, &frontSettings{})
 }
 
-func (s *frontSettings) run(ctx context.Context) error {
+func (s *frontSettings) run(ctx context.Context, hangups <-chan os.Signal) error {
 	platformSettings, err := platform.ReadSettings()
 	if err != nil {
 		return err
@@ -101,7 +100,9 @@
 	logger := logs.New(writer, level).With(zap.String("node", platformSettings.Name))
 	defer writer.Wait(logFlushTimeout.Duration())
 	defer close(stop)
-	go handleReloadSignals(ctx, logger)
+	running, exit := context.WithCancel(context.WithoutCancel(ctx))
+	defer exit()
+	go handleHangups(running, hangups, func() { checkSettings(logger) })
 	g, err := s.newGateway(ctx, platformSettings, logger)
 	if err != nil {
 		return err
@@ -214,21 +215,9 @@
 	return front.New(linkConfig)
 }
 
-// handleReloadSignals handles SIGHUP, which the platform sends when the settings file
-// has changed. It only validates the file and logs the result, since all settings
-// take effect at a restart. Without a handler the signal would terminate the process
-// and abort its requests.
-func handleReloadSignals(ctx context.Context, logger *zap.Logger) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-signals:
-			_, err := platform.ReadSettings()
-			logger.Info("settings read again", zap.Bool("good", err == nil), logs.Error(err))
-		}
-	}
+// checkSettings validates the settings file, which has changed, and logs the result. All
+// settings take effect at a restart.
+func checkSettings(logger *zap.Logger) {
+	_, err := platform.ReadSettings()
+	logger.Info("settings read again", zap.Bool("good", err == nil), logs.Error(err))
 }
--- a/cmd/kumquatlug/main.go
+++ b/cmd/kumquatlug/main.go
@@ -3,15 +3,13 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
+	"github.com/kumquatlug/kumquatlug/internal/signals"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
 
@@ -28,10 +26,8 @@
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	err := newRootCommand().ExecuteContext(ctx)
-	stop()
-	if err != nil {
+	s := signals.Receive()
+	if err := newRootCommand(s).ExecuteContext(s.Context()); err != nil {
 		fmt.Fprintln(os.Stderr, "kumquatlug:", err)
 		os.Exit(exitCode(err))
 	}
@@ -50,7 +46,7 @@
 	}
 }
 
-func newRootCommand() *cobra.Command {
+func newRootCommand(s *signals.Receiver) *cobra.Command {
 	root := &cobra.Command{
 		Use:   "kumquatlug",
 		Short: "Serve a fixed fleet of language-model engines and plain services",
@@ -62,6 +58,8 @@
 KUMQUATLUG_PEER_LISTEN. A flag overrides its variable.`,
 		SilenceUsage:  true,
 		SilenceErrors: true,
+		// The commands of [newProcessCommand] have a hook of their own in place of this one.
+		PersistentPreRun: func(*cobra.Command, []string) { s.StopOnHangup() },
 	}
 	root.AddGroup(&cobra.Group{ID: "run", Title: "Processes:"}, &cobra.Group{ID: "operate", Title: "Operators:"})
 	add := func(group string, commands ...*cobra.Command) {
@@ -70,7 +68,7 @@
 			root.AddCommand(c)
 		}
 	}
-	add("run", newFrontCommand(), newEntryCommand(), newAgentCommand(), newDevCommand())
+	add("run", newFrontCommand(s), newEntryCommand(s), newAgentCommand(s), newDevCommand())
 	add("operate", newLabelCommand(), newSelectorCommand(), newCallerCommand(), newGetCommand(), newStatusCommand(), newWaitCommand(), newExplainCommand(),
 		newTimelineCommand(), newStoryCommand(), newLossesCommand(), newCheckCommand(), newCertsCommand())
 	root.AddCommand(newVMsCommand(), newQuarantineCommand(), newVersionCommand())
--- a/cmd/kumquatlug/node.go
+++ b/cmd/kumquatlug/node.go
@@ -17,6 +17,7 @@
 	"github.com/kumquatlug/kumquatlug/internal/exchange"
 	"github.com/kumquatlug/kumquatlug/internal/peer"
 	"github.com/kumquatlug/kumquatlug/internal/settings"
+	"github.com/kumquatlug/kumquatlug/internal/signals"
 	"github.com/kumquatlug/kumquatlug/internal/timeline"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/clock"
@@ -106,25 +107,45 @@
 	return h.Sum64()
 }
 
-// processSettings are the settings of a command that runs until it receives a signal.
+// processSettings are the settings of a command that runs until ctx ends. It receives a value
+// from hangups for each SIGHUP.
 type processSettings interface {
 	checkableSettings
-	run(ctx context.Context) error
+	run(ctx context.Context, hangups <-chan os.Signal) error
 }
 
-// newProcessCommand completes cmd so that it validates and runs s.
-func newProcessCommand(cmd *cobra.Command, s processSettings) *cobra.Command {
+// newProcessCommand completes cmd so that it validates and runs c.
+func newProcessCommand(s *signals.Receiver, cmd *cobra.Command, c processSettings) *cobra.Command {
 	cmd.Args = cobra.NoArgs
-	s.bind(cmd.Flags())
+	c.bind(cmd.Flags())
+	cmd.PersistentPreRun = func(*cobra.Command, []string) {}
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		if err := s.check(settings.FromEnvironment(cmd.Flags())).Err(); err != nil {
+		if err := c.check(settings.FromEnvironment(cmd.Flags())).Err(); err != nil {
 			return err
 		}
-		return s.run(cmd.Context())
+		return c.run(cmd.Context(), s.Hangups())
 	}
 	return cmd
 }
 
+// handleHangups calls handle for each SIGHUP until ctx ends.
+func handleHangups(ctx context.Context, hangups <-chan os.Signal, handle func()) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			handle()
+		}
+	}
+}
+
+// logHangups logs each SIGHUP until ctx ends: the settings of these processes take effect at a
+// restart.
+func (n *nodeDeps) logHangups(ctx context.Context, hangups <-chan os.Signal) {
+	handleHangups(ctx, hangups, func() { n.logger.Info("SIGHUP received, settings take effect at a restart") })
+}
+
 // nodeDeps holds the dependencies that gateway and agent processes share.
 type nodeDeps struct {
 	keys     *peer.Keys
