Serve on when the reader of the log is gone

Callers would see: a gateway, entry or agent ends with all requests in flight as soon as it writes a line of its log after the reader of its standard output has gone.

Cause: a write to a broken standard output ends a Go process by SIGPIPE unless the signal is received or ignored.

Change: commands that serve requests ignore SIGPIPE; the write fails, and the line is lost. Operators' commands keep the default, as in a shell pipeline.

TestGatewayOutlivesItsLogReader failed before (connection refused after the first line) and passes now, 3 of 3.

--- a/cmd/kumquatlug/node.go
+++ b/cmd/kumquatlug/node.go
@@ -118,7 +118,7 @@
 func newProcessCommand(s *signals.Receiver, cmd *cobra.Command, c processSettings) *cobra.Command {
 	cmd.Args = cobra.NoArgs
 	c.bind(cmd.Flags())
-	cmd.PersistentPreRun = func(*cobra.Command, []string) {}
+	cmd.PersistentPreRun = func(*cobra.Command, []string) { signals.IgnoreBrokenPipe() }
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
 		if err := c.check(settings.FromEnvironment(cmd.Flags())).Err(); err != nil {
 			return err
