Reserve the memory for request bodies as their bytes arrive

Small requests beside such bodies got 503.

Cause: the bound counted what a request declares, before it is read. A chunked body declares nothing, was read whole by io.ReadAll, which copies while it grows, and was counted afterwards without a check. A declared one was counted whole from its head on.

Change: pkg/kumquatlug/bodies divides 45% of the memory limit in steps, before the bytes are read, for both framings. A step is granted if some order remains in which all bodies can end, so that bodies never block each other. Without room the connection holds the client back for at most half of the time left, then the request is refused as not run. Bodies are kept in parts and not copied.

--- a/cmd/kumquatlug/front.go
+++ b/cmd/kumquatlug/front.go
@@ -116,9 +116,11 @@
 	// may use before the garbage collector works harder. The rest is left for stacks
 	// and kernel buffers.
 	heapLimitPercent = 70
-	// maxBodiesDivisor divides the memory limit to give the maximum total size of
-	// request bodies in flight. Each body is copied once while it is forwarded.
-	maxBodiesDivisor = 6
+	// maxBodiesPercent and maxBuffersPercent are the percentages of the memory limit that
+	// request bodies and buffered responses may use. Both together leave room below the heap
+	// limit for everything else and for what has been freed and not yet collected.
+	maxBodiesPercent  = 45
+	maxBuffersPercent = 16
 	// logFlushTimeout is how long a stopping process waits for its last log lines to
 	// be written.
 	logFlushTimeout = 200 * kumquatlug.Millis(1)
@@ -157,7 +159,7 @@
 		Clock: now, BootClock: clock.NewBoottime(), GracePeriod: platformSettings.GracePeriod, HandoverDelay: platformSettings.HandoverDelay, WorkerGracePeriod: platformSettings.WorkerGracePeriod,
 		RetryBudget:    retry.SharedBudgetConfig{Ratio: platformSettings.RetryRatio, MinRetries: platformSettings.MinRetries, Window: platformSettings.RetryWindow},
 		MaxConfigDelay: platformSettings.MaxConfigDelay, FailClosed: platformSettings.FailClosed, MaxRevocationDelay: platformSettings.MaxRevocationDelay,
-		MaxBodyBytes: platformSettings.MemoryBytes / maxBodiesDivisor, LinkBytesPerMs: platformSettings.LinkBytesPerMs,
+		MaxBodyBytes: platformSettings.MemoryBytes * maxBodiesPercent / 100, MaxBufferBytes: platformSettings.MemoryBytes * maxBuffersPercent / 100, LinkBytesPerMs: platformSettings.LinkBytesPerMs,
 		PrefillShare: s.prefillShare, Placement: s.placement, Logger: logger, Registry: registry,
 		CloseIdle: func(keep func(string) bool) {
 			requestPool.CloseIdle(keep)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -59,8 +59,8 @@
 	Method, Target, Host string
 	// Header holds all headers except Host and Content-Length.
 	Header http.Header
-	// Body is the complete body, nil for none.
-	Body []byte
+	// Body is the complete body.
+	Body kumquatlug.Body
 	// MatchesResponse reports whether a response belongs to this request; nil accepts
 	// any.
 	MatchesResponse func(*http.Response) bool
@@ -298,14 +298,18 @@
 // in a goroutine while the response is read.
 func (c *conn) writeRequest(r Request) error {
 	head := encodeHead(r)
-	if len(head)+len(r.Body) <= maxInlineRequestBytes {
-		_, err := c.Write(append(head, r.Body...))
+	if len(head)+r.Body.Len() <= maxInlineRequestBytes {
+		for _, part := range r.Body.Parts() {
+			head = append(head, part...)
+		}
+		_, err := c.Write(head)
 		return err
 	}
 	c.writing.Store(true)
 	go c.watchWrite()
 	go func() {
-		parts := net.Buffers{head, r.Body}
+		// WriteTo changes the list, not the parts, which other attempts may be sending.
+		parts := append(net.Buffers{head}, r.Body.Parts()...)
 		if _, err := parts.WriteTo(c.Conn); err != nil {
 			c.writeErr.CompareAndSwap(nil, &err)
 			return
@@ -335,9 +339,9 @@
 	// Writes to a bytes.Buffer don't fail. Header.Write replaces line breaks in
 	// values, which prevents header injection.
 	_ = r.Header.Write(&b)
-	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut {
+	if r.Body.Len() > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut {
 		b.WriteString("Content-Length: ")
-		b.WriteString(strconv.Itoa(len(r.Body)))
+		b.WriteString(strconv.Itoa(r.Body.Len()))
 		b.WriteString("\r\n")
 	}
 	b.WriteString("\r\n")
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -199,7 +199,7 @@
 	})
 	pool := newPool()
 	long := newRequest(p, http.MethodPost, "1")
-	long.Body = make([]byte, 8<<20)
+	long.Body = kumquatlug.NewBody(make([]byte, 8<<20))
 	if text, err := doRequest(t, pool, long); err != nil || text != "early" {
 		t.Fatal(text, err)
 	}
--- a/internal/exchange/pause_test.go
+++ b/internal/exchange/pause_test.go
@@ -43,7 +43,7 @@
 	defer cancel()
 	p := New(Config{Clock: clock.NewMonotonic(), MaxIdlePerAddress: 1})
 	response, err := p.Do(ctx, Request{
-		Address: listener.Addr().String(), Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: make([]byte, 32<<20),
+		Address: listener.Addr().String(), Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: kumquatlug.NewBody(make([]byte, 32<<20)),
 	})
 	if err != nil {
 		t.Fatalf("%v", kumquatlug.FailureOf(err).CauseText())
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -46,7 +46,7 @@
 
 func (f *inflight) placementQuery() placement.Query {
 	q := placement.Query{Prompt: f.remainingPrompt(), Exclude: f.exclude, Deadline: f.deadline, CacheZone: f.cacheZone, MaxEventGap: f.route.MaxEventGap(), ResponseStarted: f.responseStarted, Value: f.value, Reservation: f.reservation}
-	q.SecondBodyMs = f.g.link.secondBodyMs(len(f.request.Body()))
+	q.SecondBodyMs = f.g.link.secondBodyMs(f.request.Body().Len())
 	q.FirstOutputDue = f.firstOutputDue()
 	if f.g.shuttingDown() {
 		q.Deadline = f.g.c.Clock.Now() + f.timeToStartOutput()
--- /dev/null
+++ b/internal/gateway/body.go
@@ -0,0 +1,286 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/bodies"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/routes"
+)
+
+// Parameters of reading bodies.
+const (
+	// minPartBytes and maxPartBytes bound the parts of a body. The first part of a body of unknown
+	// size is small, and each further part as large as those before it together.
+	minPartBytes = 1 << 10
+	maxPartBytes = 64 << 10
+	// bodyWaitDivisor gives the part of the time left for which a body may wait for memory. A
+	// client that is refused afterwards has as much time for another gateway.
+	bodyWaitDivisor = 2
+	// maxBodyTime bounds how long a body may wait, whatever deadline its client names.
+	maxBodyTime = kumquatlug.Hour
+)
+
+// stepReadRequest is the step of failures of reading a request.
+const stepReadRequest = "read request"
+
+// Outcomes of bodies that did not get memory at once.
+const (
+	bodyWaited  = "waited"
+	bodyRefused = "refused"
+)
+
+// bodyMemory divides the memory for bodies among the requests that are being read.
+type bodyMemory struct {
+	outcomes *prometheus.CounterVec
+	mu       sync.Mutex
+	memory   *bodies.Memory
+	// granted are the channels of the bodies that wait, closed once their memory is reserved.
+	granted map[*bodies.Body]chan struct{}
+}
+
+func newBodyMemory(bytes int64, r prometheus.Registerer) *bodyMemory {
+	m := &bodyMemory{
+		memory: bodies.New(bytes), granted: map[*bodies.Body]chan struct{}{},
+		outcomes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kumquatlug_front_bodies_without_memory_total", Help: "Request bodies that did not get memory at once, by outcome.",
+		}, []string{"outcome"}),
+	}
+	r.MustRegister(m.outcomes, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "kumquatlug_front_body_bytes", Help: "Memory reserved for request bodies.",
+	}, func() float64 { return float64(m.held()) }))
+	return m
+}
+
+// held returns the bytes that are reserved.
+func (m *bodyMemory) held() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.memory.Held()
+}
+
+// begin reserves memory for a body of at most so many bytes, or of unknown size if the size is
+// not known.
+func (m *bodyMemory) begin(size int64, known bool) (*bodies.Body, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !known {
+		size = min(size, m.memory.SmallBytes())
+	}
+	b, result := m.memory.Begin(size)
+	return b, result == bodies.Granted
+}
+
+// grow reserves memory for a body of which so many bytes are about to be held and that may reach
+// most bytes. If the body has to wait, it returns a channel that is closed afterwards.
+func (m *bodyMemory) grow(b *bodies.Body, bytes, most int64) (bodies.Result, <-chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if most > m.memory.SmallBytes() {
+		m.memory.Enlarge(b, most)
+	}
+	result := m.memory.Grow(b, bytes)
+	if result != bodies.Waiting {
+		return result, nil
+	}
+	granted := make(chan struct{})
+	m.granted[b] = granted
+	return result, granted
+}
+
+// complete records that a body has arrived with so many bytes.
+func (m *bodyMemory) complete(b *bodies.Body, bytes int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.wake(m.memory.Complete(b, bytes))
+}
+
+// end frees the memory of a body.
+func (m *bodyMemory) end(b *bodies.Body) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.granted, b)
+	m.wake(m.memory.End(b))
+}
+
+func (m *bodyMemory) wake(granted []*bodies.Body) {
+	for _, b := range granted {
+		close(m.granted[b])
+		delete(m.granted, b)
+	}
+}
+
+// bodyDeadline returns until when the body of a request may wait for memory: until the client gives up, or
+// the longest time has passed for which its route keeps it waiting.
+func (g *Gateway) bodyDeadline(table *routes.Table, request kumquatlug.Request, o origin) kumquatlug.Millis {
+	timeout := min(request.Timeout(), maxBodyTime)
+	if timeout <= 0 {
+		timeout = defaultClientTimeout
+	}
+	if table != nil {
+		if route, found := table.Match(request.Host(), request.Path()); found && route.Timeout() > 0 {
+			timeout = min(timeout, route.Timeout())
+		}
+	}
+	return o.arrived + timeout
+}
+
+// bodyReader reads the body of one request. The memory for each part is reserved before the
+// part is read; until then the connection holds the client back.
+type bodyReader struct {
+	g    *Gateway
+	http *http.Request
+	// limit is the largest size in bytes that the operator allows.
+	limit    int64
+	deadline kumquatlug.Millis
+	// mayWait says that the body may wait for memory, and waitLeft for how long, once it has
+	// waited.
+	mayWait  bool
+	waited   bool
+	waitLeft kumquatlug.Millis
+
+	// most is the largest size in bytes, known says that it is the size.
+	most  int64
+	known bool
+	// reservation is nil for an empty body.
+	reservation *bodies.Body
+	parts       [][]byte
+	size        int64
+}
+
+// Reasons of refusals of a request whose body can't be read.
+const (
+	reasonBodyTooLarge = "body_too_large"
+	reasonBodyBroken   = "body_broken"
+)
+
+// read reads the body. Its memory is freed by end, which must be called once the request has
+// ended.
+func (b *bodyReader) read(w http.ResponseWriter) (kumquatlug.Body, *kumquatlug.Failure) {
+	switch length := b.http.ContentLength; {
+	case b.http.Body == nil || length == 0:
+		return kumquatlug.Body{}, nil
+	case length > b.limit:
+		return kumquatlug.Body{}, refusal(stepReadRequest, reasonBodyTooLarge, http.StatusRequestEntityTooLarge, 0)
+	case length > 0:
+		b.most, b.known = length, true
+	default:
+		b.most = b.limit
+	}
+	if failure := b.readParts(); failure != nil {
+		// net/http would otherwise read on before it sends the refusal.
+		w.Header().Set("Connection", "close")
+		return kumquatlug.Body{}, failure
+	}
+	return kumquatlug.NewBody(b.parts...), nil
+}
+
+func (b *bodyReader) readParts() *kumquatlug.Failure {
+	granted := false
+	if b.reservation, granted = b.g.bodies.begin(b.most, b.known); !granted {
+		return b.refuse()
+	}
+	for !b.known || b.size < b.most {
+		room, failure := b.room()
+		if failure != nil {
+			return failure
+		}
+		n, err := b.http.Body.Read(room)
+		b.size += int64(n)
+		if b.size > b.most {
+			return refusal(stepReadRequest, reasonBodyTooLarge, http.StatusRequestEntityTooLarge, 0)
+		}
+		if n > 0 {
+			last := len(b.parts) - 1
+			b.parts[last] = b.parts[last][:len(b.parts[last])+n]
+		}
+		if err == io.EOF && (!b.known || b.size == b.most) {
+			break
+		}
+		if err != nil {
+			return kumquatlug.NewFailure(kumquatlug.FailureConfig{
+				Step: stepReadRequest, Reason: reasonBodyBroken, Execution: kumquatlug.NotExecuted, Status: http.StatusBadRequest, Cause: err,
+			})
+		}
+	}
+	if b.size < b.reservation.Held() {
+		b.g.bodies.complete(b.reservation, b.size)
+	}
+	return nil
+}
+
+// room returns where the next bytes are read to: the rest of the last part, or a further part. A
+// body that has reached its largest size gets room for one byte more, which shows whether it
+// ends there.
+func (b *bodyReader) room() ([]byte, *kumquatlug.Failure) {
+	if n := len(b.parts); n > 0 && len(b.parts[n-1]) < cap(b.parts[n-1]) {
+		last := b.parts[n-1]
+		return last[len(last):cap(last)], nil
+	}
+	if b.size == b.most {
+		return make([]byte, 1), nil
+	}
+	size := b.most - b.size
+	if b.most > b.reservation.Held() {
+		size = min(size, maxPartBytes)
+	}
+	if !b.known {
+		size = min(size, max(b.size, minPartBytes))
+	}
+	if failure := b.reserve(b.size + size); failure != nil {
+		return nil, failure
+	}
+	part := make([]byte, size)
+	b.parts = append(b.parts, part[:0])
+	return part, nil
+}
+
+// reserve reserves memory for this many bytes of the body and waits for it if need be.
+func (b *bodyReader) reserve(bytes int64) *kumquatlug.Failure {
+	if bytes <= b.reservation.Held() {
+		return nil
+	}
+	result, granted := b.g.bodies.grow(b.reservation, bytes, b.most)
+	if result == bodies.Granted || result == bodies.Waiting && b.await(granted) {
+		return nil
+	}
+	return b.refuse()
+}
+
+func (b *bodyReader) refuse() *kumquatlug.Failure {
+	b.g.bodies.outcomes.WithLabelValues(bodyRefused).Inc()
+	return refusal(stepReadRequest, reasonBodies, http.StatusServiceUnavailable, minRetryAfter)
+}
+
+// await waits until memory is reserved. It returns false if that takes too long.
+func (b *bodyReader) await(granted <-chan struct{}) bool {
+	if !b.mayWait {
+		return false
+	}
+	start := b.g.c.Clock.Now()
+	if !b.waited {
+		b.waited, b.waitLeft = true, (b.deadline-start)/bodyWaitDivisor
+		b.g.bodies.outcomes.WithLabelValues(bodyWaited).Inc()
+	}
+	timer := time.NewTimer(max(b.waitLeft, 0).Duration())
+	defer timer.Stop()
+	defer func() { b.waitLeft -= b.g.c.Clock.Now() - start }()
+	select {
+	case <-granted:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
+// end frees the memory of the body.
+func (b *bodyReader) end() {
+	if b.reservation != nil {
+		b.g.bodies.end(b.reservation)
+	}
+}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -101,7 +101,7 @@
 		}
 	}
 	kind := kumquatlug.NewKind(kumquatlug.ProtocolService, service)
-	return append(all, quarantine.RequestIdentity(quarantine.NewFingerprint(request.Target(), kind, request.Body())))
+	return append(all, quarantine.RequestIdentity(quarantine.NewFingerprint(request.Target(), kind, request.Body().Parts()...)))
 }
 
 // requestHash distinguishes requests, whatever the client's attempt.
@@ -109,7 +109,7 @@
 	h := xxhash.New()
 	// Writes to a hash don't fail.
 	_, _ = h.WriteString(request.Target())
-	_, _ = h.Write(request.Body())
+	_, _ = request.Body().WriteTo(h)
 	for _, part := range request.Prompt().Parts() {
 		_, _ = h.WriteString("\x00" + part.ID())
 	}
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -86,7 +86,7 @@
 	for route, runs := range map[string]int{longRoute: 2, chatRoute: 1} {
 		w, body := endlessStreams(0)
 		g := newTestGateway(t, w, manyRetries)
-		g.g.c.MaxBodyBytes = eventMemory
+		g.g.c.MaxBufferBytes = eventMemory
 		got := g.do(t.Context(), http.MethodPost, route)
 		whole, want := got.status == 200 && got.err == nil && got.body == events(1, 8), events(1, 3)
 		if runs == 2 && !whole || runs == 1 && (got.err == nil || got.body != want) || recordedRuns(w) != runs {
@@ -117,7 +117,7 @@
 func TestEndlessEventOfPeerIsBroken(t *testing.T) {
 	for route, want := range map[string]string{longRoute: events(1, 8), chatRoute: events(1, 3)} {
 		p := newHandoffPair(t, streamWorkers(1, 8), streamWorkers(1, 8), manyRetries)
-		p.a.g.c.MaxBodyBytes = eventMemory
+		p.a.g.c.MaxBufferBytes = eventMemory
 		peer := &endlessPeer{}
 		p.a.g.c.PeerClient = peer
 		got := p.a.do(t.Context(), http.MethodPost, route)
@@ -156,7 +156,7 @@
 				return response, nil
 			}}
 			g := newTestGateway(t, w, manyRetries)
-			g.g.c.MaxBodyBytes = memory
+			g.g.c.MaxBufferBytes = memory
 			got := g.do(t.Context(), http.MethodPost, longRoute)
 			if got.err != nil || got.body != c.body || recordedRuns(w) != 1 || g.g.bufferBytes.Load() != 0 {
 				t.Errorf("%s, %d bytes of memory: status %d, error %v, %d of %d bytes, %d runs, %d bytes reserved", name, memory, got.status, got.err,
@@ -217,7 +217,7 @@
 		return newEndlessBody(ctx, events(1, 3)+"id: 4\ndata: ", 0).response(), nil
 	}}
 	g := newTestGateway(t, w, manyRetries)
-	g.g.c.MaxBodyBytes = eventMemory
+	g.g.c.MaxBufferBytes = eventMemory
 	byService := map[string][]kumquatlug.Member{}
 	for i := range endlessStreamCount {
 		byService["engines"] = append(byService["engines"], member(fmt.Sprintf("d%d", i), kumquatlug.RoleDecode))
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -183,11 +183,7 @@
 // plainIngress decodes the requests that tests send.
 type plainIngress struct{}
 
-func (plainIngress) Decode(r *http.Request, _ int64) (kumquatlug.Request, error) {
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return kumquatlug.Request{}, err
-	}
+func (plainIngress) Decode(r *http.Request) (kumquatlug.Request, error) {
 	var prompt kumquatlug.Prompt
 	if r.URL.Query().Get("tokens") != "" {
 		var in, out int
@@ -199,7 +195,7 @@
 		}, in, out)
 	}
 	return kumquatlug.NewRequest(kumquatlug.RequestConfig{
-		ID: r.Header.Get("Id"), Host: "h", Method: r.Method, Path: r.URL.Path, Target: r.URL.Path, Body: body,
+		ID: r.Header.Get("Id"), Host: "h", Method: r.Method, Path: r.URL.Path, Target: r.URL.Path,
 		Timeout: parseTimeout(r), LastEventID: parseEventID(r), Resumes: r.Header.Get("Resumes"), Prompt: prompt, Credential: kumquatlug.NewCredential(r.Header["Secret"]),
 	}), nil
 }
@@ -355,7 +351,7 @@
 		Name: "n", Zone: "z", Incarnation: "i", Ingress: plainIngress{}, RowDecoder: jsonRowDecoder{}, Workers: w, Table: newSharedTable(),
 		Clock: now, BootClock: now, GracePeriod: 4000, HandoverDelay: 100,
 		RetryBudget:  retry.SharedBudgetConfig{MinRetries: minRetries, Window: 10_000},
-		MaxBodyBytes: 1000,
+		MaxBodyBytes: 1000, MaxBufferBytes: 1000,
 		PrefillShare: 0.5, Placement: c, CloseIdle: func(func(string) bool) {}, Logger: zap.NewNop(), Registry: prometheus.NewRegistry(),
 	})
 	g.table.Store(testTable(7))
@@ -380,6 +376,12 @@
 	return &testGateway{g: g, workers: w, url: "http://" + l.Addr().String()}
 }
 
+// setMemory sets the memory for bodies and the memory for buffered responses.
+func (f *testGateway) setMemory(bytes int64) {
+	f.g.c.MaxBodyBytes, f.g.c.MaxBufferBytes = bytes, bytes
+	f.g.bodies = newBodyMemory(bytes, prometheus.NewRegistry())
+}
+
 // clientResponse is what a client received.
 type clientResponse struct {
 	status   int
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -95,9 +95,12 @@
 	MaxRevocationDelay kumquatlug.Millis
 	// RetryBudget configures the retry budget that all gateways share per service.
 	RetryBudget retry.SharedBudgetConfig
-	// MaxBodyBytes bounds the total size in bytes of the bodies of all requests in flight.
-	// Without it, a few hundred large bodies exhaust the memory of the process.
+	// MaxBodyBytes bounds the total size in bytes of the bodies of all requests in flight,
+	// including those that are still arriving. Without it, a few dozen large bodies exhaust the
+	// memory of the process.
 	MaxBodyBytes int64
+	// MaxBufferBytes bounds the total size in bytes of what is buffered of responses.
+	MaxBufferBytes int64
 	// LinkBytesPerMs is the rate of this machine's network link, zero if it is not known.
 	LinkBytesPerMs float64
 	// LeaderActions receives the calls that the leader makes on behalf of all gateways, nil if
@@ -158,8 +161,7 @@
 	usage    usageState
 	accounts accountStats
 	term     atomic.Pointer[lease.Term]
-	// bodyBytes is the total size of the bodies of requests in flight.
-	bodyBytes atomic.Int64
+	bodies   *bodyMemory
 	// bufferBytes is the total size reserved for buffered responses.
 	bufferBytes atomic.Int64
 	// shares are the tables whose reads are shared with other gateways.
@@ -187,7 +189,7 @@
 	g := &Gateway{
 		c: c, scheduler: newScheduler(c), link: newLinkQueue(c), metrics: newMetrics(c.Registry), speedMetrics: newSpeedMetrics(c.Registry),
 		shuttingDownWorkers: newShuttingDownWorkers(), unusedCaches: make(chan kumquatlug.KVCacheRef, maxUnusedCaches),
-		handoffs: newHandoffs(c),
+		handoffs: newHandoffs(c), bodies: newBodyMemory(c.MaxBodyBytes, c.Registry),
 	}
 	g.scheduler.slots.outcomes = newSlotMetrics(c.Registry)
 	g.retryClaims = newRetryClaims(g)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -265,20 +265,6 @@
 	}
 }
 
-// Large bodies arrive faster than requests complete. Without a bound on their total
-// size, the process would run out of memory and fail all other requests.
-func TestTotalBodyBytesAreBounded(t *testing.T) {
-	f := newTestGateway(t, &fakeWorkers{}, manyRetries)
-	f.g.bodyBytes.Store(998)
-	response := f.do(context.Background(), http.MethodPost, postRoute)
-	if response.status != http.StatusServiceUnavailable || response.header.Get("Retry-After") == "" {
-		t.Errorf("%+v", response)
-	}
-	if n := f.g.bodyBytes.Load(); n != 998 {
-		t.Errorf("%d bytes counted after the refusal", n)
-	}
-}
-
 // All workers of a service except one are being replaced, and the remaining one responds
 // to one lookup in seven with an error. A retry at the same worker succeeds.
 func TestLookupIsRetriedOnOnlyWorker(t *testing.T) {
--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -205,7 +205,7 @@
 func (f *inflight) offerToPeers(ctx context.Context) (handoff.Offer, string, bool) {
 	g, h := f.g, f.g.handoffs
 	request := handoff.Request{
-		Engine: true, ID: f.request.ID(), Shared: f.request.Prompt().Shared(), BodyBytes: len(f.request.Body()),
+		Engine: true, ID: f.request.ID(), Shared: f.request.Prompt().Shared(), BodyBytes: f.request.Body().Len(),
 		LinkBacklog: g.link.backlogMs(),
 	}
 	var previous []handoff.Offer
@@ -220,7 +220,7 @@
 		h.answers[offer.Key()] = answer
 		address := h.addresses[offer.Peer()]
 		h.mu.Unlock()
-		g.c.Peers.SendHandoff(offer.Peer(), kumquatlug.Handoff{Step: kumquatlug.HandoffOffered, Key: offer.Key(), Bytes: len(f.request.Body())})
+		g.c.Peers.SendHandoff(offer.Peer(), kumquatlug.Handoff{Step: kumquatlug.HandoffOffered, Key: offer.Key(), Bytes: f.request.Body().Len()})
 		if result := g.awaitAnswer(offer, answer); result == handoff.ResultAccepted {
 			return offer, address, true
 		}
--- a/internal/gateway/handoff_test.go
+++ b/internal/gateway/handoff_test.go
@@ -117,7 +117,7 @@
 	p := newHandoffPair(t, streamWorkers(1, 5), streamWorkers(1, 5), manyRetries)
 	send := func(key uint64, elapsed kumquatlug.Millis, tamper bool) (kumquatlug.HandoffResponse, error) {
 		r := kumquatlug.NewRequest(kumquatlug.RequestConfig{
-			ID: "r1", Host: "h", Method: http.MethodPost, Path: "/chat/", Target: "/chat/", Body: []byte("body"), Timeout: 2000,
+			ID: "r1", Host: "h", Method: http.MethodPost, Path: "/chat/", Target: "/chat/", Body: kumquatlug.NewBody([]byte("body")), Timeout: 2000,
 		})
 		proof := peerrequest.ProofMessage("a", key, r)
 		if tamper {
@@ -224,8 +224,8 @@
 		r := truncatedResponse(strings.Repeat("x", 3*minBufferedBytes), -1)
 		return kumquatlug.NewWorkerResponse(kumquatlug.WorkerResponseConfig{Status: 400, Header: r.Header(), Length: -1, Body: r.Body()}), nil
 	}}, manyRetries)
-	p.a.g.c.MaxBodyBytes = 1 << 20
-	p.b.g.bufferBytes.Store(p.b.g.c.MaxBodyBytes)
+	p.a.g.c.MaxBufferBytes = 1 << 20
+	p.b.g.bufferBytes.Store(p.b.g.c.MaxBufferBytes)
 	got := p.a.do(t.Context(), http.MethodPost, chatRoute)
 	if got.err != nil || got.status != http.StatusBadGateway || got.header.Get("Ran") == string(kumquatlug.NotExecuted) || len(p.a.workers.recorded()) != 0 {
 		t.Errorf("status %d, %d bytes, %v, %d runs here", got.status, len(got.body), got.err, len(p.a.workers.recorded()))
@@ -281,7 +281,7 @@
 	p.b.g.HandoffReceived("a", kumquatlug.Handoff{Step: kumquatlug.HandoffOffered, Key: 1, Bytes: 4})
 	<-time.After(wait * time.Millisecond)
 	r := kumquatlug.NewRequest(kumquatlug.RequestConfig{
-		ID: "r1", Host: "h", Method: http.MethodPost, Path: "/chat/", Target: "/chat/", Body: []byte("body"), Timeout: 2000,
+		ID: "r1", Host: "h", Method: http.MethodPost, Path: "/chat/", Target: "/chat/", Body: kumquatlug.NewBody([]byte("body")), Timeout: 2000,
 	})
 	got, err := p.a.g.c.PeerClient.HandOff(t.Context(), kumquatlug.HandoffRequest{
 		Address: p.b.g.c.HandoffListener.Addr().String(), From: "a", Key: 1, Proof: peerrequest.ProofMessage("a", 1, r), Request: r, Header: http.Header{"Id": {"r1"}},
--- a/internal/gateway/handoffserver.go
+++ b/internal/gateway/handoffserver.go
@@ -85,7 +85,7 @@
 		h.stalled(peer, m.Key)
 	case kumquatlug.HandoffOffered:
 		state := handoff.State{
-			Ready: g.ready() && g.c.HandoffListener != nil && !g.keysStale(), BodyBytes: g.bodyBytes.Load(),
+			Ready: g.ready() && g.c.HandoffListener != nil && !g.keysStale(), BodyBytes: g.bodies.held(),
 			MaxBodyBytes: g.c.MaxBodyBytes, LinkBacklog: g.link.backlogMs(),
 		}
 		h.mu.Lock()
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -8,27 +8,17 @@
 // minBufferedBytes is the part of a response that is buffered in any case.
 const minBufferedBytes = 4 << 10
 
-// reserveBody counts a body as in flight before it is read, since its memory is allocated
-// before it has arrived. It reports whether the body fits into the bound.
-func (g *Gateway) reserveBody(size int64) bool {
-	if g.bodyBytes.Add(size) <= g.c.MaxBodyBytes {
-		return true
-	}
-	g.bodyBytes.Add(-size)
-	return false
-}
-
 // reserveBuffer returns how many bytes of a plain response may be buffered before its
 // first byte is forwarded, and a function that releases the reservation. A client that
 // reads slowly keeps the buffer occupied, so that all buffers together are bounded by
-// MaxBodyBytes.
+// MaxBufferBytes.
 func (g *Gateway) reserveBuffer(length int64) (int64, func()) {
 	size := int64(maxBufferedBytes)
 	if length >= 0 {
 		// One more byte shows that the response has ended.
 		size = min(size, length+1)
 	}
-	if g.bufferBytes.Add(size) <= g.c.MaxBodyBytes {
+	if g.bufferBytes.Add(size) <= g.c.MaxBufferBytes {
 		return size, func() { g.bufferBytes.Add(-size) }
 	}
 	g.bufferBytes.Add(-size)
@@ -38,7 +28,7 @@
 // reserveEvent reserves the memory of the largest event that is held back until it is complete,
 // which counts like a buffered response. It reports whether it fits into the bound.
 func (g *Gateway) reserveEvent() bool {
-	if g.bufferBytes.Add(maxEventBytes) <= g.c.MaxBodyBytes {
+	if g.bufferBytes.Add(maxEventBytes) <= g.c.MaxBufferBytes {
 		return true
 	}
 	g.bufferBytes.Add(-maxEventBytes)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -53,21 +53,19 @@
 	if table != nil && table.Limits().BodyBytes > 0 {
 		limit = table.Limits().BodyBytes
 	}
-	declared := max(r.ContentLength, 0)
-	if !g.reserveBody(declared) {
-		g.refuse(w, kumquatlug.Request{}, refusal("read request", reasonBodies, http.StatusServiceUnavailable, minRetryAfter))
-		return
-	}
-	defer g.bodyBytes.Add(-declared)
-	request, err := g.c.Ingress.Decode(r, limit)
+	request, err := g.c.Ingress.Decode(r)
 	if err != nil {
 		g.refuse(w, request, kumquatlug.FailureOf(err))
 		return
 	}
-	if undeclared := int64(len(request.Body())) - declared; undeclared > 0 {
-		g.bodyBytes.Add(undeclared)
-		defer g.bodyBytes.Add(-undeclared)
+	b := &bodyReader{g: g, http: r, limit: limit, deadline: g.bodyDeadline(table, request, o), mayWait: o.handoff == nil}
+	defer b.end()
+	body, failure := b.read(w)
+	if failure != nil {
+		g.refuse(w, request, failure)
+		return
 	}
+	request = request.WithBody(body)
 	if denied := g.admitHandoff(&o, request); denied != nil {
 		g.refuse(w, request, denied)
 		return
--- a/internal/gateway/slowreader_test.go
+++ b/internal/gateway/slowreader_test.go
@@ -22,25 +22,20 @@
 )
 
 // maxProcessBytes is the memory of a gateway process at a site with small gateways, and
-// maxTestBodyBytes its bound for bodies, a sixth of it.
+// maxTestBodyBytes its bound for bodies and for buffers, a sixth of it.
 const (
 	maxProcessBytes  = 144_000_000
 	maxTestBodyBytes = maxProcessBytes / 6
 )
 
-// patientIngress decodes the requests of clients that wait for 20 s. It allocates the size
-// that a client declares, as the platform's ingress does.
+// patientIngress decodes the requests of clients that wait for 20 s.
 type patientIngress struct{ plainIngress }
 
 const patientTimeout = 20 * kumquatlug.Second
 
-func (patientIngress) Decode(r *http.Request, _ int64) (kumquatlug.Request, error) {
-	body := make([]byte, r.ContentLength)
-	if _, err := io.ReadFull(r.Body, body); err != nil {
-		return kumquatlug.Request{}, err
-	}
+func (patientIngress) Decode(r *http.Request) (kumquatlug.Request, error) {
 	return kumquatlug.NewRequest(kumquatlug.RequestConfig{
-		ID: r.Header.Get("Id"), Host: "h", Method: r.Method, Path: r.URL.Path, Target: r.URL.Path, Body: body,
+		ID: r.Header.Get("Id"), Host: "h", Method: r.Method, Path: r.URL.Path, Target: r.URL.Path,
 		Timeout: patientTimeout, Prompt: kumquatlug.NewPrompt(nil, 9000, 104),
 	}), nil
 }
@@ -49,7 +44,8 @@
 func newPatientGateway(t *testing.T, w *fakeWorkers) *testGateway {
 	t.Helper()
 	f := newTestGateway(t, w, manyRetries)
-	f.g.c.MaxBodyBytes, f.g.c.Ingress = maxTestBodyBytes, patientIngress{}
+	f.setMemory(maxTestBodyBytes)
+	f.g.c.Ingress = patientIngress{}
 	c := testConfig(8)
 	for i, r := range c.Routes {
 		services := []kumquatlug.WeightedService{{Service: r.Service(""), Weight: 1}}
@@ -329,5 +325,5 @@
 	w.mu.Lock()
 	w.calls = nil
 	w.mu.Unlock()
-	await(t, "all bodies are freed", func() bool { return f.g.bodyBytes.Load() == 0 && heapBytes()-before < maxTestBodyBytes })
+	await(t, "all bodies are freed", func() bool { return f.g.bodies.held() == 0 && heapBytes()-before < maxTestBodyBytes })
 }
--- a/internal/gateway/uplink.go
+++ b/internal/gateway/uplink.go
@@ -239,7 +239,7 @@
 // until the first output. cached says that the prompt is prefilled.
 func (f *inflight) transmission(cached bool, remaining kumquatlug.Millis) uplink.Transmission {
 	t := uplink.Transmission{
-		Bytes: len(f.request.Body()), WorkDone: cached || f.responseStarted, Value: f.value, ArrivedAt: f.arrived - f.retryingFor,
+		Bytes: f.request.Body().Len(), WorkDone: cached || f.responseStarted, Value: f.value, ArrivedAt: f.arrived - f.retryingFor,
 		Remaining: remaining, Deadline: f.deadline,
 		Refusable: f.retryingFor == 0 && f.deliveries == 0 && !f.prefilled && f.possibleRuns == 0 && !f.responseStarted && !f.resumed(),
 	}
@@ -251,7 +251,7 @@
 // link.
 func (f *inflight) admitToLink() *attemptFailure {
 	q, target := f.g.link, f.route.LatencyTarget()
-	if q == nil || len(f.request.Body()) < uplink.SmallBodyBytes {
+	if q == nil || f.request.Body().Len() < uplink.SmallBodyBytes {
 		return nil
 	}
 	remaining := kumquatlug.Millis(0)
@@ -266,7 +266,7 @@
 // worker until the first output.
 func (f *inflight) remainingAfter(c placement.Choice) kumquatlug.Millis {
 	if c.PrefillOnly() {
-		return c.Wait() + f.g.link.link.SendingTime(len(f.request.Body()))
+		return c.Wait() + f.g.link.link.SendingTime(f.request.Body().Len())
 	}
 	return c.Wait()
 }
--- a/internal/gateway/uplink_test.go
+++ b/internal/gateway/uplink_test.go
@@ -20,7 +20,7 @@
 func newLinkedGateway(t *testing.T, w *fakeWorkers, bytesPerMs float64) *testGateway {
 	t.Helper()
 	f := newTestGateway(t, w, manyRetries)
-	f.g.c.MaxBodyBytes = 1 << 20
+	f.setMemory(1 << 20)
 	f.g.link = newLinkQueue(Config{
 		LinkBytesPerMs: bytesPerMs, Clock: clock.NewMonotonic(), Logger: zap.NewNop(), Registry: prometheus.NewRegistry(),
 	})
--- a/internal/peerrequest/peerrequest.go
+++ b/internal/peerrequest/peerrequest.go
@@ -81,10 +81,12 @@
 // ProofMessage returns the message that the proof of a handed-off request covers. Each
 // field is preceded by its length, so that no two requests have the same message.
 func ProofMessage(from string, key uint64, r kumquatlug.Request) []byte {
-	hash := sha256.Sum256(r.Body())
+	h := sha256.New()
+	// Writes to a hash don't fail.
+	_, _ = r.Body().WriteTo(h)
 	var message []byte
 	for _, field := range []string{
-		from, strconv.FormatUint(key, 10), r.ID(), r.Method(), r.Target(), r.Host(), strconv.FormatInt(int64(r.Timeout()), 10), string(hash[:]),
+		from, strconv.FormatUint(key, 10), r.ID(), r.Method(), r.Target(), r.Host(), strconv.FormatInt(int64(r.Timeout()), 10), string(h.Sum(nil)),
 	} {
 		message = binary.AppendUvarint(message, uint64(len(field)))
 		message = append(message, field...)
--- a/internal/peerrequest/peerrequest_test.go
+++ b/internal/peerrequest/peerrequest_test.go
@@ -62,7 +62,7 @@
 // A proof must not be valid for a request that differs in any covered field, nor after moving
 // bytes from one field to the next.
 func TestProofMessageCoversRequest(t *testing.T) {
-	base := kumquatlug.RequestConfig{ID: "i", Method: "POST", Target: "/t", Host: "h", Timeout: 5, Body: []byte("b")}
+	base := kumquatlug.RequestConfig{ID: "i", Method: "POST", Target: "/t", Host: "h", Timeout: 5, Body: kumquatlug.NewBody([]byte("b"))}
 	message := func(change func(*kumquatlug.RequestConfig)) []byte {
 		c := base
 		change(&c)
@@ -74,7 +74,7 @@
 		func(c *kumquatlug.RequestConfig) { c.Target = "/u" },
 		func(c *kumquatlug.RequestConfig) { c.Host = "g" },
 		func(c *kumquatlug.RequestConfig) { c.Timeout = 6 },
-		func(c *kumquatlug.RequestConfig) { c.Body = []byte("c") },
+		func(c *kumquatlug.RequestConfig) { c.Body = kumquatlug.NewBody([]byte("c")) },
 	} {
 		if bytes.Equal(original, message(change)) {
 			t.Errorf("change %d is not covered", i)
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -59,9 +59,14 @@
 	// EngineVersions are the versions that the engines have in turn; all have the same one if
 	// there are none.
 	EngineVersions []string
+	// MaxBodyBytes is the operator's limit of a request body; 0 means defaultMaxBodyBytes.
+	MaxBodyBytes int
 }
 
-const defaultMinRetries = 52
+const (
+	defaultMinRetries   = 52
+	defaultMaxBodyBytes = 1 << 20
+)
 
 // Site is a running deployment.
 type Site struct {
@@ -79,6 +84,7 @@
 	addresses     map[string]string
 	configVersion int64
 	minRetries    int
+	maxBodyBytes  int
 	// scaleMu serializes the addition of workers.
 	scaleMu sync.Mutex
 	// accounts are the keys of each client account; nil if requests carry no
@@ -97,7 +103,7 @@
 
 // New starts a deployment.
 func New(c Config) (*Site, error) {
-	s := &Site{Store: rowstore.New(), Cloud: cloud.New(leaseMs * time.Millisecond), workerIDs: map[*fleet.Worker]string{}, workerServers: map[string]*http.Server{}, addresses: map[string]string{}, storeProxies: map[string]*storeProxy{}, configVersion: 3, minRetries: cmp.Or(c.MinRetries, defaultMinRetries)}
+	s := &Site{Store: rowstore.New(), Cloud: cloud.New(leaseMs * time.Millisecond), workerIDs: map[*fleet.Worker]string{}, workerServers: map[string]*http.Server{}, addresses: map[string]string{}, storeProxies: map[string]*storeProxy{}, configVersion: 3, minRetries: cmp.Or(c.MinRetries, defaultMinRetries), maxBodyBytes: cmp.Or(c.MaxBodyBytes, defaultMaxBodyBytes)}
 	_, address, err := s.serve(s.Store)
 	if err != nil {
 		return nil, err
@@ -212,7 +218,7 @@
 			{"name": PlainService, "health_path": "/healthz", "max_connections": 96, "scaling": s.scaling},
 		},
 		"limits": map[string]any{
-			"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
+			"max_header_bytes": 16384, "max_body_bytes": s.maxBodyBytes, "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
 		},
 	}
 	if s.accounts != nil {
--- a/pkg/kumquatlug/gateway.go
+++ b/pkg/kumquatlug/gateway.go
@@ -83,7 +83,7 @@
 	path        string
 	target      string
 	header      http.Header
-	body        []byte
+	body        Body
 	timeout     Millis
 	lastEventID int64
 	resumes     string
@@ -104,7 +104,7 @@
 	// Header holds the headers to forward.
 	Header http.Header
 	// Body is the complete body.
-	Body []byte
+	Body Body
 	// Timeout is how long the client waits, counted from the arrival; zero if it does
 	// not say.
 	Timeout Millis
@@ -146,8 +146,8 @@
 // Header returns the headers to forward; they must not be changed.
 func (r Request) Header() http.Header { return r.header }
 
-// Body returns the complete body; it must not be changed.
-func (r Request) Body() []byte { return r.body }
+// Body returns the complete body.
+func (r Request) Body() Body { return r.body }
 
 // Timeout returns how long the client waits, counted from the arrival, zero if it does
 // not say.
@@ -179,6 +179,12 @@
 // It is sent to the workers.
 func (r Request) Account() string { return r.account }
 
+// WithBody returns a copy of the request with this body.
+func (r Request) WithBody(body Body) Request {
+	r.body = body
+	return r
+}
+
 // WithAccount returns a copy of the request that belongs to this account.
 func (r Request) WithAccount(name string) Request {
 	r.account = name
@@ -430,8 +436,8 @@
 
 // Ingress is the protocol between clients and the gateway.
 type Ingress interface {
-	// Decode reads a request with its whole body of at most maxBody bytes.
-	Decode(r *http.Request, maxBody int64) (Request, error)
+	// Decode decodes a request without its body.
+	Decode(r *http.Request) (Request, error)
 	// WriteHeader writes the status and headers of a worker's response.
 	WriteHeader(w http.ResponseWriter, response WorkerResponse)
 	// WriteError writes a final response that the gateway generates itself.
--- a/pkg/kumquatlug/quarantine/quarantine.go
+++ b/pkg/kumquatlug/quarantine/quarantine.go
@@ -79,10 +79,12 @@
 // NewFingerprint returns the fingerprint of a request. It is 128 bits of a
 // cryptographic hash: with a weaker hash, a caller could construct a request
 // that quarantines another caller's.
-func NewFingerprint(caller string, kind kumquatlug.Kind, body []byte) Fingerprint {
+func NewFingerprint(caller string, kind kumquatlug.Kind, body ...[]byte) Fingerprint {
 	h := sha256.New()
 	_, _ = io.WriteString(h, caller+"\x00"+kind.String()+"\x00")
-	_, _ = h.Write(body)
+	for _, part := range body {
+		_, _ = h.Write(part)
+	}
 	return Fingerprint(hex.EncodeToString(h.Sum(nil)[:16]))
 }
 
--- /dev/null
+++ b/test/front/largebodies_test.go
@@ -0,0 +1,185 @@
+package front
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/kumquatlug/kumquatlug/internal/standin/fleet"
+	"github.com/kumquatlug/kumquatlug/internal/standin/site"
+)
+
+// Load of large bodies: users send a body of the largest size in chunks or with a length, all in the
+// same time, and again in the next round.
+const (
+	largeBodyLimit  = 4 << 20
+	largeBodyBytes  = largeBodyLimit - 1024
+	largePieceBytes = 64 << 10
+	largeUploadTime = 1800 * time.Millisecond
+	largeRounds     = 2
+	largeRoundTime  = 2200 * time.Millisecond
+	// largeDeadline is how long the clients wait.
+	largeDeadline = 4 * time.Second
+	// smallTarget is the latency target of the route of the small requests.
+	smallTarget = 200 * time.Millisecond
+)
+
+// Users send large bodies at the same time, as many as fit into the memory limit and twice as many.
+// Guards against a process that exceeds its memory limit, that refuses bodies which fit, or whose
+// small requests wait for the large ones.
+func TestLargeBodiesStayBelowTheMemoryLimit(t *testing.T) {
+	for _, c := range []struct {
+		memoryMB, users int
+		chunked         bool
+		// served is how many of the users must be served in each round.
+		served int
+	}{
+		{128, 21, true, 0},
+		{128, 42, true, 0},
+		{284, 21, true, 21},
+		{284, 42, true, 21},
+		{284, 21, false, 21},
+		{284, 42, false, 21},
+		{2000, 84, true, 84},
+		{2000, 84, false, 84},
+	} {
+		t.Run(fmt.Sprintf("%d MB, %d users, chunked %t", c.memoryMB, c.users, c.chunked), func(t *testing.T) {
+			s := newSite(t, site.Config{PlainWorkers: 3, MaxBodyBytes: largeBodyLimit})
+			p := newGatewayWithMemory(t, s, c.memoryMB)
+			counts, largest := map[string]int{}, time.Duration(0)
+			stop, small := make(chan struct{}), make(chan []time.Duration, 1)
+			go func() { small <- sendSmall(p, stop) }()
+			for round := range largeRounds {
+				begin := time.Now()
+				for outcome, n := range sendLargeBodies(p, round, c.users, c.chunked) {
+					counts[outcome] += n
+				}
+				largest = max(largest, time.Since(begin))
+				sleep(time.Until(begin.Add(largeRoundTime)))
+			}
+			close(stop)
+			times := <-small
+			slices.Sort(times)
+			memory := p.peakMemory()
+			t.Logf("%d bodies: %v; most memory %d MB; rounds of up to %v; %d small requests, median %v, slowest %v",
+				largeRounds*c.users, counts, memory>>10, largest, len(times), times[len(times)/2], times[len(times)-1])
+			if memory > c.memoryMB<<10 {
+				t.Errorf("%d KB of memory, the limit is %d MB", memory, c.memoryMB)
+			}
+			if counts["200"] < largeRounds*c.served {
+				t.Errorf("%v, want %d served", counts, largeRounds*c.served)
+			}
+			for outcome, n := range counts {
+				if outcome != "200" && outcome != "503" {
+					t.Errorf("%d bodies ended with %s", n, outcome)
+				}
+			}
+			if slow := times[len(times)*9/10]; slow > smallTarget {
+				t.Errorf("one of ten small requests took over %v", slow)
+			}
+		})
+	}
+}
+
+// newGatewayWithMemory starts a gateway with a memory limit.
+func newGatewayWithMemory(t *testing.T, s *site.Site, memoryMB int) *process {
+	t.Helper()
+	settings, clientAddr, readyAddr, err := s.GatewaySettings("front-1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	limited := strings.Replace(settings, "memory_mb = 284", fmt.Sprint("memory_mb = ", memoryMB), 1)
+	p := &process{t: t, name: "front-1", clientAddr: clientAddr, readyAddr: readyAddr, settingsFile: filepath.Join(t.TempDir(), "settings.toml")}
+	if err := os.WriteFile(p.settingsFile, []byte(limited), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p.start()
+	t.Cleanup(p.kill)
+	p.waitReady()
+	return p
+}
+
+// sendSmall sends small requests on one connection until stop is closed, and returns how long each
+// one took.
+func sendSmall(p *process, stop <-chan struct{}) []time.Duration {
+	client := &http.Client{}
+	defer client.CloseIdleConnections()
+	var times []time.Duration
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return times
+		case <-time.After(10 * time.Millisecond):
+		}
+		id, start := fmt.Sprint("small-", i), time.Now()
+		got := p.doWith(p.t.Context(), client, http.MethodPost, site.PathNonIdempotent+"x", id, nil)
+		times = append(times, time.Since(start))
+		if got.err != nil || got.status != http.StatusOK || got.body != fleet.ResponseBody(id) {
+			p.t.Errorf("%s: status %d, %v", id, got.status, got.err)
+		}
+	}
+}
+
+// sendLargeBodies sends the bodies of one round and returns how many ended with each status.
+func sendLargeBodies(p *process, round, users int, chunked bool) map[string]int {
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	counts := map[string]int{}
+	for n := range users {
+		group.Go(func() {
+			outcome := sendLargeBody(p.clientAddr, fmt.Sprintf("large-%d-%d", round, n), chunked)
+			mu.Lock()
+			defer mu.Unlock()
+			counts[outcome]++
+		})
+	}
+	group.Wait()
+	return counts
+}
+
+// sendLargeBody sends one body, piece by piece, and returns the status of the response or an error.
+func sendLargeBody(address, id string, chunked bool) string {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(largeDeadline))
+	framing := fmt.Sprint("Content-Length: ", largeBodyBytes)
+	if chunked {
+		framing = "Transfer-Encoding: chunked"
+	}
+	_, err = fmt.Fprintf(c, "POST %sx HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\n%s\r\n\r\n",
+		site.PathNonIdempotent, site.Host, id, largeDeadline.Milliseconds(), framing)
+	piece, began := strings.Repeat("b", largePieceBytes), time.Now()
+	for sent := 0; err == nil && sent < largeBodyBytes; sent += largePieceBytes {
+		part := piece[:min(largePieceBytes, largeBodyBytes-sent)]
+		if chunked {
+			part = fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
+		}
+		_, err = io.WriteString(c, part)
+		sleep(largeUploadTime*time.Duration(sent)/largeBodyBytes - time.Since(began))
+	}
+	if chunked && err == nil {
+		// A body that is refused is not read to its end; the response tells why.
+		_, _ = io.WriteString(c, "0\r\n\r\n")
+	}
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return err.Error()
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return err.Error()
+	}
+	return fmt.Sprint(response.StatusCode)
+}
--- a/test/front/logpipe_test.go
+++ b/test/front/logpipe_test.go
@@ -29,14 +29,14 @@
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	writer.Close()
+	_ = writer.Close()
 	p.done = make(chan struct{})
 	go func() {
 		_ = p.cmd.Wait()
 		close(p.done)
 	}()
 	p.waitReady()
-	reader.Close()
+	_ = reader.Close()
 	for _, id := range []string{"first", "second", "third"} {
 		requireComplete(t, p.post(id), fleet.ResponseBody(id))
 		sleep(logFlush)
