Limit the time in which the body of a request may arrive

Cause: deadlines were enforced only after the body had been read.

Change: the body has a read deadline, that of the client or of its route, whichever is first, counted from the head. Then the request is refused with 408, which promises that it never runs; before, it got 504 after its body.

TestBodyEndsAtItsDeadline does not end without the change.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -3,9 +3,11 @@
 import (
 	"io"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
@@ -22,7 +24,7 @@
 	// bodyWaitDivisor gives the part of the time left for which a body may wait for memory. A
 	// client that is refused afterwards has as much time for another gateway.
 	bodyWaitDivisor = 2
-	// maxBodyTime bounds how long a body may wait, whatever deadline its client names.
+	// maxBodyTime bounds how long a body may take, whatever deadline its client names.
 	maxBodyTime = kumquatlug.Hour
 )
 
@@ -115,7 +117,7 @@
 	}
 }
 
-// bodyDeadline returns until when the body of a request may wait for memory: until the client gives up, or
+// bodyDeadline returns until when the body of a request may arrive: until the client gives up, or
 // the longest time has passed for which its route keeps it waiting.
 func (g *Gateway) bodyDeadline(table *routes.Table, request kumquatlug.Request, o origin) kumquatlug.Millis {
 	timeout := min(request.Timeout(), maxBodyTime)
@@ -157,6 +159,7 @@
 const (
 	reasonBodyTooLarge = "body_too_large"
 	reasonBodyBroken   = "body_broken"
+	reasonBodyLate     = "body_late"
 )
 
 // read reads the body. Its memory is freed by end, which must be called once the request has
@@ -172,11 +175,15 @@
 	default:
 		b.most = b.limit
 	}
+	connection := http.NewResponseController(w)
+	// A writer without a connection has no deadline.
+	_ = connection.SetReadDeadline(time.Now().Add((b.deadline - b.g.c.Clock.Now()).Duration()))
 	if failure := b.readParts(); failure != nil {
 		// net/http would otherwise read on before it sends the refusal.
 		w.Header().Set("Connection", "close")
 		return kumquatlug.Body{}, failure
 	}
+	_ = connection.SetReadDeadline(time.Time{})
 	return kumquatlug.NewBody(b.parts...), nil
 }
 
@@ -202,6 +209,9 @@
 		if err == io.EOF && (!b.known || b.size == b.most) {
 			break
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return refusal(stepReadRequest, reasonBodyLate, http.StatusRequestTimeout, 0)
+		}
 		if err != nil {
 			return kumquatlug.NewFailure(kumquatlug.FailureConfig{
 				Step: stepReadRequest, Reason: reasonBodyBroken, Execution: kumquatlug.NotExecuted, Status: http.StatusBadRequest, Cause: err,
--- a/internal/gateway/body_test.go
+++ b/internal/gateway/body_test.go
@@ -230,3 +230,19 @@
 		t.Errorf("%d bytes held after the refusals", held)
 	}
 }
+
+// Guards against a body that never ends and holds its memory beyond the client's deadline.
+func TestBodyEndsAtItsDeadline(t *testing.T) {
+	f := newTestGateway(t, &fakeWorkers{}, manyRetries)
+	f.setMemory(8 << 20)
+	reader, writer := io.Pipe()
+	defer func() { _ = writer.Close() }()
+	go func() { _, _ = writer.Write(make([]byte, 1<<20)) }()
+	got := f.postBody(t, postRoute, "r1", unsized{reader}, 1000)
+	if got.err == nil && got.status != http.StatusRequestTimeout || got.duration < 900*time.Millisecond || got.duration > 2*time.Second {
+		t.Errorf("%+v", got)
+	}
+	if held := f.g.bodies.held(); held != 0 {
+		t.Errorf("%d bytes held after the deadline", held)
+	}
+}
