Soak: signals during stops, large bodies in chunks

During each stop a gateway gets SIGHUP or SIGTERM one to four times more, half of them with a settings file that is half written for 50 ms. In two of five seeds 24 users send 4 MB each in chunks, in bursts, to gateways of 128 MB, and a gateway over that limit fails the run. Both draw from random streams of their own, so that the rest of each seed's plan is as before. A large body that no worker received and whose connection is closed counts as not read, which is the users' rule; large requests are left out of the bound on complete ones.

--- a/test/front/endless_test.go
+++ b/test/front/endless_test.go
@@ -13,6 +13,8 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/kumquatlug/kumquatlug/internal/standin"
 	"github.com/kumquatlug/kumquatlug/internal/standin/fleet"
 	"github.com/kumquatlug/kumquatlug/internal/standin/site"
@@ -35,22 +37,25 @@
 // peakMemory returns the largest resident size of the process so far, in KB.
 func (p *process) peakMemory() int {
 	p.t.Helper()
-	file, err := os.Open(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	kilobytes, err := peakMemory(p.cmd.Process.Pid)
 	if err != nil {
 		p.t.Fatal(err)
 	}
+	return kilobytes
+}
+
+func peakMemory(pid int) (int, error) {
+	file, err := os.Open(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, err
+	}
 	defer func() { _ = file.Close() }()
 	for lines := bufio.NewScanner(file); lines.Scan(); {
 		if value, found := strings.CutPrefix(lines.Text(), "VmHWM:"); found {
-			kilobytes, err := strconv.Atoi(strings.TrimSpace(strings.TrimSuffix(value, "kB")))
-			if err != nil {
-				p.t.Fatal(err)
-			}
-			return kilobytes
+			return strconv.Atoi(strings.TrimSpace(strings.TrimSuffix(value, "kB")))
 		}
 	}
-	p.t.Fatal("no VmHWM")
-	return 0
+	return 0, errors.New("no VmHWM")
 }
 
 // Guards against a gateway whose memory grows with what some workers send without end, that lets these workers hold requests
--- a/test/front/largebodies_test.go
+++ b/test/front/largebodies_test.go
@@ -136,7 +136,11 @@
 	counts := map[string]int{}
 	for n := range users {
 		group.Go(func() {
-			outcome := sendLargeBody(p.clientAddr, fmt.Sprintf("large-%d-%d", round, n), chunked)
+			got := sendLargeBody(p.clientAddr, fmt.Sprintf("large-%d-%d", round, n), chunked)
+			outcome := fmt.Sprint(got.status)
+			if got.err != nil {
+				outcome = got.err.Error()
+			}
 			mu.Lock()
 			defer mu.Unlock()
 			counts[outcome]++
@@ -146,11 +150,11 @@
 	return counts
 }
 
-// sendLargeBody sends one body, piece by piece, and returns the status of the response or an error.
-func sendLargeBody(address, id string, chunked bool) string {
+// sendLargeBody sends one body, piece by piece, and returns the response.
+func sendLargeBody(address, id string, chunked bool) response {
 	c, err := net.Dial("tcp", address)
 	if err != nil {
-		return err.Error()
+		return response{err: err}
 	}
 	defer func() { _ = c.Close() }()
 	_ = c.SetDeadline(time.Now().Add(largeDeadline))
@@ -158,8 +162,8 @@
 	if chunked {
 		framing = "Transfer-Encoding: chunked"
 	}
-	_, err = fmt.Fprintf(c, "POST %sx HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\n%s\r\n\r\n",
-		site.PathNonIdempotent, site.Host, id, largeDeadline.Milliseconds(), framing)
+	_, err = fmt.Fprintf(c, "POST %s%s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nKey: %s\r\nDeadline-Ms: %d\r\n%s\r\n\r\n",
+		site.PathNonIdempotent, id, site.Host, id, northKey, largeDeadline.Milliseconds(), framing)
 	piece, began := strings.Repeat("b", largePieceBytes), time.Now()
 	for sent := 0; err == nil && sent < largeBodyBytes; sent += largePieceBytes {
 		part := piece[:min(largePieceBytes, largeBodyBytes-sent)]
@@ -173,13 +177,11 @@
 		// A body that is refused is not read to its end; the response tells why.
 		_, _ = io.WriteString(c, "0\r\n\r\n")
 	}
-	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	got, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
-		return err.Error()
-	}
-	defer response.Body.Close()
-	if _, err := io.Copy(io.Discard, response.Body); err != nil {
-		return err.Error()
+		return response{err: err}
 	}
-	return fmt.Sprint(response.StatusCode)
+	defer got.Body.Close()
+	body, err := io.ReadAll(got.Body)
+	return response{status: got.StatusCode, header: got.Header, body: string(body), err: err}
 }
--- a/test/front/soak_check_test.go
+++ b/test/front/soak_check_test.go
@@ -23,9 +23,15 @@
 			arrived[h.Get("Attempt-Id")] = true
 		}
 	}
+	failures = append(failures, k.checkMemory()...)
+	large := 0
 	for _, r := range k.results {
 		runs := totalRuns(k.workers, r.id)
 		outcome, failed := k.outcome(r, runs, arrived[r.id])
+		if r.large {
+			large++
+			outcome = "large: " + outcome
+		}
 		counts[outcome]++
 		if k.isLate(r) {
 			late[outcome]++
@@ -53,7 +59,7 @@
 		}
 	}
 	k.Logf("seed %d: %d requests: %v, %d streams taken up; later than %v after SIGTERM: %v", k.seed, len(k.results), counts, len(k.results)-len(streams), soakExcused, late)
-	if len(failures) > 0 || 2*counts["complete"] < len(k.results)-counts["left"] {
+	if len(failures) > 0 || 2*counts["complete"] < len(k.results)-large-counts["left"] {
 		k.Errorf("seed %d: %d failures:\n%s\nevents:\n%s", k.seed, len(failures), strings.Join(failures[:min(len(failures), 20)], "\n"), strings.Join(k.played, "\n"))
 	}
 }
@@ -78,6 +84,8 @@
 		return "refused after a run", !mayRepeat
 	case r.refused():
 		return "refused", false
+	case r.large && r.status == 0 && !arrived:
+		return "not read", false
 	case k.inFault(r):
 		return "unplanned fault", false
 	case r.leaves > 0 && errors.Is(r.err, context.DeadlineExceeded):
--- a/test/front/soak_plan_test.go
+++ b/test/front/soak_plan_test.go
@@ -116,6 +116,7 @@
 		k.beginPhase(g)
 		p.signal(syscall.SIGTERM)
 	})
+	k.planSignals(at, p)
 	k.add(at+k.grace, p.name+" SIGKILL, if it still runs", p.kill)
 	k.add(at+k.grace+soakRestart, p.name+" starts", func() { k.start(g) })
 }
--- a/test/front/soak_test.go
+++ b/test/front/soak_test.go
@@ -83,6 +83,12 @@
 	// prompts crashes engines.
 	versions []string
 	crashing bool
+	// large says that users send large bodies in bursts to gateways with little memory, of whose
+	// processes mostMemory is the largest resident size in KB.
+	large      bool
+	mostMemory int
+	// signals draws the signals during stops, so that the rest of the plan doesn't depend on them.
+	signals  *rand.Rand
 	grace    time.Duration
 	gateways []*process
 	// present is the number of gateways that were started so far; inUse and started are by gateway.
@@ -138,6 +144,8 @@
 	// the client leaves, 0 if it stays.
 	repeats *soakRequest
 	leaves  time.Duration
+	// large says that it has a large body in chunks.
+	large bool
 	response
 }
 
@@ -182,7 +190,7 @@
 func runSoak(t *testing.T, seed uint64, planned bool) {
 	// Every other seed leaves few retries; in half of them the first gateway hands streams off.
 	minRetries, firstLink := []int{3, 0}[seed%2], []float64{10, 200}[seed/2%2]
-	c := site.Config{PrefillEngines: 4, DecodeEngines: 2, PlainWorkers: 3, Events: soakEvents, EventDelay: 15 * time.Millisecond, MinRetries: minRetries}
+	c := site.Config{PrefillEngines: 4, DecodeEngines: 2, PlainWorkers: 3, Events: soakEvents, EventDelay: 15 * time.Millisecond, MinRetries: minRetries, MaxBodyBytes: largeBodyLimit}
 	gateways, grace, clientKinds := soakGateways, soakGrace, slices.Repeat(soakKinds, soakClients/len(soakKinds))
 	if seed%3 == 2 {
 		c.PrefillEngines, c.DecodeEngines, c.EngineVersions = 6, 6, soakVersions[seed/3%2]
@@ -192,8 +200,10 @@
 		}
 		clientKinds = append(clientKinds, slices.Repeat([]string{"long"}, soakResumers)...)
 	}
-	t.Logf("seed %d, planned: %t, minimum of retries (0 is the default): %d, link of front-0: %v Mbit/s, versions: %v, grace: %v", seed, planned, minRetries, firstLink, c.EngineVersions, grace)
+	t.Logf("seed %d, planned: %t, minimum of retries (0 is the default): %d, link of front-0: %v Mbit/s, versions: %v, grace: %v, large bodies: %t", seed, planned, minRetries, firstLink, c.EngineVersions, grace, seed%5 < 2)
 	k := &soak{T: t, seed: seed, planned: planned, grace: grace, versions: c.EngineVersions, crashing: !planned && seed%4 != 3, random: rand.New(rand.NewPCG(seed, 0)), Site: newSite(t, c)}
+	k.signals = rand.New(rand.NewPCG(seed, soakSignalStream))
+	k.large = seed%5 < 2
 	k.workers = slices.Concat(k.Engines, k.PlainWorkers)
 	k.inUse, k.started, k.terms = make([]atomic.Bool, gateways), make([]atomic.Int64, gateways), make([][]time.Time, gateways)
 	k.phases = make([][]time.Time, gateways)
@@ -222,6 +232,9 @@
 	for n, kind := range clientKinds {
 		clients.Go(func() { k.runClient(ctx, n, kind, rand.New(rand.NewPCG(seed, uint64(n+1)))) })
 	}
+	if k.large {
+		clients.Go(func() { k.runLargeClients(ctx, rand.New(rand.NewPCG(seed, soakLargeStream))) })
+	}
 	if k.crashing {
 		clients.Go(func() { k.runCrashingClient(ctx, rand.New(rand.NewPCG(seed, 52))) })
 	}
@@ -229,12 +242,14 @@
 	for _, a := range k.actions {
 		sleep(time.Until(k.began.Add(a.at)))
 		k.played = append(k.played, fmt.Sprintf("%7.3f %s", time.Since(k.began).Seconds(), a.text))
+		k.sampleMemory()
 		a.do()
 	}
 	sleep(time.Second)
 	cancel()
 	clients.Wait()
 	k.requireServing()
+	k.sampleMemory()
 	stopRows()
 	rows.Wait()
 	k.check()
--- a/test/front/soak_versions_test.go
+++ b/test/front/soak_versions_test.go
@@ -62,6 +62,9 @@
 		k.Fatal(err)
 	}
 	settings = strings.Replace(settings, "grace_s = 4\n", fmt.Sprintf("grace_s = %d\n", k.grace/time.Second), 1)
+	if k.large {
+		settings = strings.Replace(settings, "memory_mb = 284", fmt.Sprint("memory_mb = ", soakLargeMemoryMB), 1)
+	}
 	p := &process{t: k.T, name: name, clientAddr: clientAddr, readyAddr: readyAddr, settingsFile: filepath.Join(k.TempDir(), "settings.toml"), flags: []string{"--log-level", "debug"}}
 	if err := os.WriteFile(p.settingsFile, []byte(settings), 0o600); err != nil {
 		k.Fatal(err)
