--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -135,8 +135,8 @@
 // bodyReader reads the body of one request. The memory for each part is reserved before the
 // part is read; until then the connection holds the client back.
 type bodyReader struct {
-	g    *Gateway
-	http *http.Request
+	g       *Gateway
+	request *http.Request
 	// limit is the largest size in bytes that the operator allows.
 	limit    int64
 	deadline kumquatlug.Millis
@@ -165,8 +165,8 @@
 // read reads the body. Its memory is freed by end, which must be called once the request has
 // ended.
 func (b *bodyReader) read(w http.ResponseWriter) (kumquatlug.Body, *kumquatlug.Failure) {
-	switch length := b.http.ContentLength; {
-	case b.http.Body == nil || length == 0:
+	switch length := b.request.ContentLength; {
+	case b.request.Body == nil || length == 0:
 		return kumquatlug.Body{}, nil
 	case length > b.limit:
 		return kumquatlug.Body{}, refusal(stepReadRequest, reasonBodyTooLarge, http.StatusRequestEntityTooLarge, 0)
@@ -197,7 +197,7 @@
 		if failure != nil {
 			return failure
 		}
-		n, err := b.http.Body.Read(room)
+		n, err := b.request.Body.Read(room)
 		b.size += int64(n)
 		if b.size > b.most {
 			return refusal(stepReadRequest, reasonBodyTooLarge, http.StatusRequestEntityTooLarge, 0)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -58,7 +58,7 @@
 		g.refuse(w, request, kumquatlug.FailureOf(err))
 		return
 	}
-	b := &bodyReader{g: g, http: r, limit: limit, deadline: g.bodyDeadline(table, request, o), mayWait: o.handoff == nil}
+	b := &bodyReader{g: g, request: r, limit: limit, deadline: g.bodyDeadline(table, request, o), mayWait: o.handoff == nil}
 	defer b.end()
 	body, failure := b.read(w)
 	if failure != nil {
