Match a request's route once; one start of a gateway in the process tests

The body's deadline looked up the route that is looked up again after the body has been read, on each request. The route is matched once, from the head, in the same table; refusals keep their order.

Behaviour and checks as before.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -12,7 +12,6 @@
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/bodies"
-	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/routes"
 )
 
 // Parameters of reading bodies.
@@ -117,19 +116,17 @@
 	}
 }
 
-// bodyDeadline returns until when the body of a request may arrive: until the client gives up, or
-// the longest time has passed for which its route keeps it waiting.
-func (g *Gateway) bodyDeadline(table *routes.Table, request kumquatlug.Request, o origin) kumquatlug.Millis {
+// bodyTimeout returns how long the body of a request may take to arrive: until the client gives up,
+// or the longest time has passed for which its route, if it has one, keeps it waiting.
+func bodyTimeout(request kumquatlug.Request, route kumquatlug.Route) kumquatlug.Millis {
 	timeout := min(request.Timeout(), maxBodyTime)
 	if timeout <= 0 {
 		timeout = defaultClientTimeout
 	}
-	if table != nil {
-		if route, found := table.Match(request.Host(), request.Path()); found && route.Timeout() > 0 {
-			timeout = min(timeout, route.Timeout())
-		}
+	if route.Timeout() > 0 {
+		timeout = min(timeout, route.Timeout())
 	}
-	return o.arrived + timeout
+	return timeout
 }
 
 // bodyReader reads the body of one request. The memory for each part is reserved before the
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -58,7 +58,12 @@
 		g.refuse(w, request, kumquatlug.FailureOf(err))
 		return
 	}
-	b := &bodyReader{g: g, request: r, limit: limit, deadline: g.bodyDeadline(table, request, o), mayWait: o.handoff == nil}
+	var route kumquatlug.Route
+	found := false
+	if table != nil {
+		route, found = table.Match(request.Host(), request.Path())
+	}
+	b := &bodyReader{g: g, request: r, limit: limit, deadline: o.arrived + bodyTimeout(request, route), mayWait: o.handoff == nil}
 	defer b.end()
 	body, failure := b.read(w)
 	if failure != nil {
@@ -74,7 +79,6 @@
 		g.refuse(w, request, refusal("find route", reasonNoConfig, http.StatusServiceUnavailable, noConfigRetryAfter))
 		return
 	}
-	route, found := table.Match(request.Host(), request.Path())
 	if !found {
 		g.refuse(w, request, g.deniedUnlessStale(refusal("find route", "no_route", http.StatusNotFound, 0)))
 		return
--- a/test/front/handoff_test.go
+++ b/test/front/handoff_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"os"
-	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -23,14 +21,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &process{t: t, name: name, clientAddr: clientAddr, readyAddr: readyAddr, settingsFile: filepath.Join(t.TempDir(), "settings.toml"), flags: []string{"--log-level", "debug"}}
-	if err := os.WriteFile(p.settingsFile, []byte(settings), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	p.start()
-	t.Cleanup(p.kill)
-	p.waitReady()
-	return p
+	return startGateway(t, name, settings, clientAddr, readyAddr, "--log-level", "debug")
 }
 
 // newHandoffPair starts a site with a gateway whose link has 10 Mbit/s and a peer with 200
--- a/test/front/largebodies_test.go
+++ b/test/front/largebodies_test.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -112,14 +111,7 @@
 		t.Fatal(err)
 	}
 	limited := strings.Replace(settings, "memory_mb = 284", fmt.Sprint("memory_mb = ", memoryMB), 1)
-	p := &process{t: t, name: "front-1", clientAddr: clientAddr, readyAddr: readyAddr, settingsFile: filepath.Join(t.TempDir(), "settings.toml")}
-	if err := os.WriteFile(p.settingsFile, []byte(limited), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	p.start()
-	t.Cleanup(p.kill)
-	p.waitReady()
-	return p
+	return startGateway(t, "front-1", limited, clientAddr, readyAddr)
 }
 
 // sendSmall sends small requests on one connection until stop is closed, and returns how long each
--- a/test/front/process_test.go
+++ b/test/front/process_test.go
@@ -76,7 +76,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &process{t: t, name: name, clientAddr: clientAddr, readyAddr: readyAddr, settingsFile: filepath.Join(t.TempDir(), "settings.toml")}
+	return startGateway(t, name, settings, clientAddr, readyAddr)
+}
+
+// startGateway starts a gateway with these settings and flags, and waits until it is ready.
+func startGateway(t *testing.T, name, settings, clientAddr, readyAddr string, flags ...string) *process {
+	t.Helper()
+	p := &process{t: t, name: name, flags: flags, clientAddr: clientAddr, readyAddr: readyAddr, settingsFile: filepath.Join(t.TempDir(), "settings.toml")}
 	if err := os.WriteFile(p.settingsFile, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
 	}
