Send the refusal of a large body before its connection is reset

Callers saw: a client that closes its connection after the response and whose body is refused before its end (too large, no memory, late, shutdown) gets a reset in place of the refusal: 19 of 20 with a declared length, 0 of 20 in chunks.

Cause: the connection was closed with unread bytes. net/http waits before the close when it gives a body up, but not if the client asked for the close and declared a length.

Evidence: only that combination fails, and the "refused" line is there.

Change: the refusal is flushed at once, with its length; then the rest of the body is discarded for at most 0.5 s, or until the client stops. The memory of the body is freed before. The same after an invalid head.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -25,6 +25,9 @@
 	bodyWaitDivisor = 2
 	// maxBodyTime bounds how long a body may take, whatever deadline its client names.
 	maxBodyTime = kumquatlug.Hour
+	// discardTime is how long the rest of a refused body is discarded. A connection that is closed
+	// with unread bytes is reset, which may cost its client the refusal.
+	discardTime = 500 * time.Millisecond
 )
 
 // stepReadRequest is the step of failures of reading a request.
@@ -289,5 +292,15 @@
 func (b *bodyReader) end() {
 	if b.reservation != nil {
 		b.g.bodies.end(b.reservation)
+		b.reservation = nil
+	}
+}
+
+// discardBody sends the refusal of a request and discards what still arrives of its body, until the
+// client has stopped sending.
+func discardBody(w http.ResponseWriter, body io.Reader) {
+	connection := http.NewResponseController(w)
+	if connection.Flush() == nil && connection.SetReadDeadline(time.Now().Add(discardTime)) == nil {
+		_, _ = io.Copy(io.Discard, body)
 	}
 }
--- a/internal/gateway/body_test.go
+++ b/internal/gateway/body_test.go
@@ -246,3 +246,19 @@
 		t.Errorf("%d bytes held after the deadline", held)
 	}
 }
+
+// Clients that close their connection after the response send bodies that are refused before their
+// end. Guards against a reset of the connection that costs them the refusal.
+func TestRefusalReachesClientThatIsStillSending(t *testing.T) {
+	f := newTestGateway(t, &fakeWorkers{}, manyRetries)
+	f.setMemory(64 << 20)
+	for i := range 40 {
+		var body io.Reader = bytes.NewReader(make([]byte, 2*defaultMaxBodyBytes))
+		if i%2 == 0 {
+			body = unsized{body}
+		}
+		if got := f.postBody(t, postRoute, "r1", body, 6000); got.status != http.StatusRequestEntityTooLarge {
+			t.Errorf("chunked %t: %+v", i%2 == 0, got)
+		}
+	}
+}
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -229,6 +229,7 @@
 func (plainIngress) WriteError(w http.ResponseWriter, _ kumquatlug.Request, f *kumquatlug.Failure) {
 	w.Header().Set("Ran", string(f.Execution()))
 	w.Header().Set("Reason", f.Reason())
+	w.Header().Set("Content-Length", "0")
 	if f.RetryAfter() > 0 {
 		w.Header().Set("Retry-After", fmt.Sprint(f.RetryAfter()))
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -56,6 +56,7 @@
 	request, err := g.c.Ingress.Decode(r)
 	if err != nil {
 		g.refuse(w, request, kumquatlug.FailureOf(err))
+		discardBody(w, r.Body)
 		return
 	}
 	var route kumquatlug.Route
@@ -67,7 +68,9 @@
 	defer b.end()
 	body, failure := b.read(w)
 	if failure != nil {
+		b.end()
 		g.refuse(w, request, failure)
+		discardBody(w, r.Body)
 		return
 	}
 	request = request.WithBody(body)
