Decide on requests with large bodies from their head

A large body with an unknown key or route was read to its end as well.

Cause: route, account, service and exit were decided on after the body.

Evidence: took_ms of the "refused" lines is the time of the upload; the deadline lay behind the exit from the head on, so that nothing that changed meanwhile is behind it; the line itself is late, so that net/http isn't.

Change: they are found from the head. A body beyond the size of a small one is read on only as long as its request can be served, asked before each part and each 0.1 s while it waits for memory. Small bodies are read first, as before. The time of the upload counts in the decision. bodyTimeout, which repeated setDeadline, goes.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -12,6 +12,7 @@
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/bodies"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/routes"
 )
 
 // Parameters of reading bodies.
@@ -23,8 +24,8 @@
 	// bodyWaitDivisor gives the part of the time left for which a body may wait for memory. A
 	// client that is refused afterwards has as much time for another gateway.
 	bodyWaitDivisor = 2
-	// maxBodyTime bounds how long a body may take, whatever deadline its client names.
-	maxBodyTime = kumquatlug.Hour
+	// waitCheckInterval is how often a body that waits for memory is decided on again.
+	waitCheckInterval = 100 * kumquatlug.Millis(1)
 	// discardTime is how long the rest of a refused body is discarded. A connection that is closed
 	// with unread bytes is reset, which may cost its client the refusal.
 	discardTime = 500 * time.Millisecond
@@ -119,19 +120,6 @@
 	}
 }
 
-// bodyTimeout returns how long the body of a request may take to arrive: until the client gives up,
-// or the longest time has passed for which its route, if it has one, keeps it waiting.
-func bodyTimeout(request kumquatlug.Request, route kumquatlug.Route) kumquatlug.Millis {
-	timeout := min(request.Timeout(), maxBodyTime)
-	if timeout <= 0 {
-		timeout = defaultClientTimeout
-	}
-	if route.Timeout() > 0 {
-		timeout = min(timeout, route.Timeout())
-	}
-	return timeout
-}
-
 // bodyReader reads the body of one request. The memory for each part is reserved before the
 // part is read; until then the connection holds the client back.
 type bodyReader struct {
@@ -140,6 +128,9 @@
 	// limit is the largest size in bytes that the operator allows.
 	limit    int64
 	deadline kumquatlug.Millis
+	// refusal returns why a large body is not read further, nil if it is. It is called before each
+	// part.
+	refusal func() *kumquatlug.Failure
 	// mayWait says that the body may wait for memory, and waitLeft for how long, once it has
 	// waited.
 	mayWait  bool
@@ -155,6 +146,28 @@
 	size        int64
 }
 
+// newBodyReader returns a reader of the body of the request. A large body is read only as long as
+// the request can be served: it is not if it was denied by its head, or would end after the exit of
+// this gateway. Handed-off requests are decided on once they are known to come from a peer.
+func (f *inflight) newBodyReader(r *http.Request, table *routes.Table, denied *kumquatlug.Failure) *bodyReader {
+	b := &bodyReader{
+		g: f.g, request: r, limit: defaultMaxBodyBytes, deadline: f.deadline, mayWait: f.handoff == nil,
+		refusal: func() *kumquatlug.Failure {
+			switch {
+			case f.handoff != nil:
+				return nil
+			case denied != nil:
+				return denied
+			}
+			return f.exitRefusal()
+		},
+	}
+	if table != nil && table.Limits().BodyBytes > 0 {
+		b.limit = table.Limits().BodyBytes
+	}
+	return b
+}
+
 // Reasons of refusals of a request whose body can't be read.
 const (
 	reasonBodyTooLarge = "body_too_large"
@@ -255,9 +268,15 @@
 	if bytes <= b.reservation.Held() {
 		return nil
 	}
+	if denied := b.refusal(); denied != nil {
+		return denied
+	}
 	result, granted := b.g.bodies.grow(b.reservation, bytes, b.most)
-	if result == bodies.Granted || result == bodies.Waiting && b.await(granted) {
+	switch {
+	case result == bodies.Granted:
 		return nil
+	case result == bodies.Waiting && b.mayWait:
+		return b.await(granted)
 	}
 	return b.refuse()
 }
@@ -267,24 +286,29 @@
 	return refusal(stepReadRequest, reasonBodies, http.StatusServiceUnavailable, minRetryAfter)
 }
 
-// await waits until memory is reserved. It returns false if that takes too long.
-func (b *bodyReader) await(granted <-chan struct{}) bool {
-	if !b.mayWait {
-		return false
-	}
+// await waits until memory is reserved, for as long as the body may wait and its request can be
+// served.
+func (b *bodyReader) await(granted <-chan struct{}) *kumquatlug.Failure {
 	start := b.g.c.Clock.Now()
 	if !b.waited {
 		b.waited, b.waitLeft = true, (b.deadline-start)/bodyWaitDivisor
 		b.g.bodies.outcomes.WithLabelValues(bodyWaited).Inc()
 	}
-	timer := time.NewTimer(max(b.waitLeft, 0).Duration())
+	timer, check := time.NewTimer(max(b.waitLeft, 0).Duration()), time.NewTicker(waitCheckInterval.Duration())
 	defer timer.Stop()
+	defer check.Stop()
 	defer func() { b.waitLeft -= b.g.c.Clock.Now() - start }()
-	select {
-	case <-granted:
-		return true
-	case <-timer.C:
-		return false
+	for {
+		select {
+		case <-granted:
+			return nil
+		case <-timer.C:
+			return b.refuse()
+		case <-check.C:
+			if denied := b.refusal(); denied != nil {
+				return denied
+			}
+		}
 	}
 }
 
--- a/internal/gateway/body_test.go
+++ b/internal/gateway/body_test.go
@@ -23,12 +23,31 @@
 // postBody sends a body to a route, in chunks if its size is unknown.
 func (f *testGateway) postBody(t *testing.T, route, id string, body io.Reader, timeoutMs int) clientResponse {
 	t.Helper()
-	start := time.Now()
 	r, err := http.NewRequest(http.MethodPost, f.url+route, body)
 	if err != nil {
 		t.Error(err)
 		return clientResponse{}
 	}
+	return send(r, id, timeoutMs)
+}
+
+// postStream sends a body to a route that may not end, in chunks or with a length of 4 MB.
+func (f *testGateway) postStream(t *testing.T, route, id string, body io.Reader, chunked bool, timeoutMs int) clientResponse {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, f.url+route, unsized{body})
+	if err != nil {
+		t.Error(err)
+		return clientResponse{}
+	}
+	if !chunked {
+		r.ContentLength = defaultMaxBodyBytes
+	}
+	return send(r, id, timeoutMs)
+}
+
+// send sends a request on a connection of its own.
+func send(r *http.Request, id string, timeoutMs int) clientResponse {
+	start := time.Now()
 	r.Header = http.Header{"Id": {id}, "Timeout-Ms": {fmt.Sprint(timeoutMs)}}
 	response, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
 	if err != nil {
@@ -262,3 +281,39 @@
 		}
 	}
 }
+
+// Guards against large bodies that are read to their end, or wait for memory, although their request
+// can't be served: it would outlast the exit of the gateway, or was denied by its head.
+func TestLargeBodiesOfRequestsThatAreNotServedAreNotRead(t *testing.T) {
+	for name, c := range map[string]struct {
+		route, reason string
+		prepare       func(*testGateway)
+	}{
+		"sent shortly before the exit": {postRoute, reasonStopping, func(f *testGateway) { f.stopped(7200) }},
+		"sent to no route":             {"/none", "no_route", func(*testGateway) {}},
+		"waits as the exit comes near": {postRoute, reasonStopping, func(f *testGateway) {
+			full, _ := f.g.bodies.begin(60<<20, true)
+			f.g.bodies.grow(full, 60<<20, 60<<20)
+			time.AfterFunc(200*time.Millisecond, func() { f.stopped(7200) })
+		}},
+	} {
+		for _, chunked := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, chunked %t", name, chunked), func(t *testing.T) {
+				w := respondingWorkers()
+				f := newTestGateway(t, w, manyRetries)
+				f.g.c.GracePeriod = 8000
+				f.setMemory(64 << 20)
+				c.prepare(f)
+				held := f.g.bodies.held()
+				reader, writer := io.Pipe()
+				defer func() { _ = writer.Close() }()
+				go func() { _, _ = writer.Write(make([]byte, 100<<10)) }()
+				got := f.postStream(t, c.route, "r1", reader, chunked, 1500)
+				if got.header.Get("Reason") != c.reason || got.header.Get("Ran") != string(kumquatlug.NotExecuted) || got.duration > 600*time.Millisecond || len(w.recorded()) != 0 {
+					t.Errorf("%+v", got)
+				}
+				await(t, "the body is freed", func() bool { return f.g.bodies.held() == held })
+			})
+		}
+	}
+}
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -137,7 +137,7 @@
 
 // setDeadline sets the deadline and returns the client's timeout.
 func (f *inflight) setDeadline() kumquatlug.Millis {
-	clientTimeout := f.request.Timeout()
+	clientTimeout := min(f.request.Timeout(), maxClientTimeout)
 	if clientTimeout <= 0 {
 		clientTimeout = defaultClientTimeout
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -7,6 +7,7 @@
 
 	"github.com/kumquatlug/kumquatlug/internal/peerrequest"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/routes"
 )
 
 // Parameters of serving requests.
@@ -15,6 +16,8 @@
 	defaultMaxBodyBytes = 4 << 20
 	// defaultClientTimeout is the assumed timeout of a client that does not send one.
 	defaultClientTimeout = 15 * kumquatlug.Second
+	// maxClientTimeout bounds the timeout of a client, whatever it sends.
+	maxClientTimeout = kumquatlug.Hour
 	// maxAttempts bounds the attempts for one request, including those that reached no
 	// worker.
 	maxAttempts = 4
@@ -49,65 +52,40 @@
 		// It may not be sent to a worker before it is known what is under quarantine.
 		table = nil
 	}
-	limit := int64(defaultMaxBodyBytes)
-	if table != nil && table.Limits().BodyBytes > 0 {
-		limit = table.Limits().BodyBytes
-	}
 	request, err := g.c.Ingress.Decode(r)
 	if err != nil {
 		g.refuse(w, request, kumquatlug.FailureOf(err))
 		discardBody(w, r.Body)
 		return
 	}
-	var route kumquatlug.Route
-	found := false
-	if table != nil {
-		route, found = table.Match(request.Host(), request.Path())
-	}
-	b := &bodyReader{g: g, request: r, limit: limit, deadline: o.arrived + bodyTimeout(request, route), mayWait: o.handoff == nil}
+	f := &inflight{g: g, w: w, request: request, arrived: o.arrived, elapsed: o.elapsed, handoff: o.handoff, lastEventID: request.LastEventID()}
+	denied := f.resolve(table)
+	b := f.newBodyReader(r, table, denied)
 	defer b.end()
 	body, failure := b.read(w)
 	if failure != nil {
 		b.end()
-		g.refuse(w, request, failure)
+		f.refuseOnArrival(failure)
 		discardBody(w, r.Body)
 		return
 	}
-	request = request.WithBody(body)
-	if denied := g.admitHandoff(&o, request); denied != nil {
-		g.refuse(w, request, denied)
-		return
-	}
-	if table == nil {
-		g.refuse(w, request, refusal("find route", reasonNoConfig, http.StatusServiceUnavailable, noConfigRetryAfter))
+	f.request = f.request.WithBody(body)
+	if refused := g.admitHandoff(&o, f.request); refused != nil {
+		f.refuseOnArrival(refused)
 		return
 	}
-	if !found {
-		g.refuse(w, request, g.deniedUnlessStale(refusal("find route", "no_route", http.StatusNotFound, 0)))
-		return
-	}
-	account, denied := g.authenticate(table, route, request)
+	f.arrived, f.elapsed = o.arrived, o.elapsed
 	if denied != nil {
-		g.refuse(w, request, denied)
-		return
-	}
-	request = request.WithAccount(account.Name())
-	service, found := table.Service(route.Service(request.StreamID()))
-	if !found {
-		g.refuse(w, request, refusal("find service", "no_service", http.StatusServiceUnavailable, maxRetryAfter))
+		f.refuseOnArrival(denied)
 		return
 	}
-	f := &inflight{
-		g: g, w: w, request: request, account: account, route: route, service: service, configVersion: table.Version(),
-		arrived: o.arrived, elapsed: o.elapsed, handoff: o.handoff, lastEventID: request.LastEventID(),
-	}
 	if exit := kumquatlug.Millis(g.exitAt.Load()); exit != 0 {
 		// The client's next request uses a new connection, to a gateway that is not
 		// shutting down.
 		w.Header().Set("Connection", "close")
 		f.setDeadline()
-		if f.outlastsShutdown(exit) {
-			g.refuse(w, request, f.stoppingRefusal(), append(f.exitFields(exit), f.logFields()...)...)
+		if refused := f.exitRefusal(); refused != nil {
+			f.refuseOnArrival(refused)
 			return
 		}
 		f.logTaken(exit)
@@ -123,6 +101,38 @@
 	f.serve(r.Context())
 }
 
+// resolve finds the route, the client account and the service of the request in a config, nil for
+// none, and sets its deadline. It needs only the head of the request.
+func (f *inflight) resolve(table *routes.Table) *kumquatlug.Failure {
+	defer f.setDeadline()
+	if table == nil {
+		return refusal("find route", reasonNoConfig, http.StatusServiceUnavailable, noConfigRetryAfter)
+	}
+	f.configVersion = table.Version()
+	var found bool
+	if f.route, found = table.Match(f.request.Host(), f.request.Path()); !found {
+		return f.g.deniedUnlessStale(refusal("find route", "no_route", http.StatusNotFound, 0))
+	}
+	account, denied := f.g.authenticate(table, f.route, f.request)
+	if denied != nil {
+		return denied
+	}
+	f.account, f.request = account, f.request.WithAccount(account.Name())
+	if f.service, found = table.Service(f.route.Service(f.request.StreamID())); !found {
+		return refusal("find service", "no_service", http.StatusServiceUnavailable, maxRetryAfter)
+	}
+	return nil
+}
+
+// refuseOnArrival refuses a request that was not sent to any worker or peer.
+func (f *inflight) refuseOnArrival(failure *kumquatlug.Failure) {
+	var fields []zap.Field
+	if failure.Reason() == reasonStopping {
+		fields = append(f.exitFields(kumquatlug.Millis(f.g.exitAt.Load())), f.logFields()...)
+	}
+	f.g.refuse(f.w, f.request, failure, fields...)
+}
+
 // refusal returns the final response to a request that did not run.
 func refusal(step, reason string, status int, retryAfter kumquatlug.Millis) *kumquatlug.Failure {
 	return kumquatlug.NewFailure(kumquatlug.FailureConfig{
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -76,6 +76,16 @@
 	return f.arrived+f.elapsed+max(duration+relayTime, minRequestTime) > exit
 }
 
+// exitRefusal returns the refusal of a request that would not end before this gateway exits, nil
+// if it would or the gateway is not shutting down. Its body may have taken time since it arrived.
+func (f *inflight) exitRefusal() *kumquatlug.Failure {
+	exit := kumquatlug.Millis(f.g.exitAt.Load())
+	if exit == 0 || !f.outlastsShutdown(exit) && f.timeToStartOutput() > 0 {
+		return nil
+	}
+	return f.stoppingRefusal()
+}
+
 // logTaken logs a request that is served although this gateway is shutting down.
 func (f *inflight) logTaken(exit kumquatlug.Millis) {
 	fields := append([]zap.Field{zap.String("request", f.request.ID())}, f.exitFields(exit)...)
--- a/test/front/largebodies_test.go
+++ b/test/front/largebodies_test.go
@@ -156,7 +156,7 @@
 	return counts
 }
 
-// sendLargeBody sends one body, piece by piece, and returns the response.
+// sendLargeBody sends one body, piece by piece until the response arrives, and returns the response.
 func sendLargeBody(address, id string, size int, chunked bool, deadline time.Duration) response {
 	c, err := net.Dial("tcp", address)
 	if err != nil {
@@ -164,6 +164,8 @@
 	}
 	defer func() { _ = c.Close() }()
 	_ = c.SetDeadline(time.Now().Add(deadline))
+	responses := make(chan response, 1)
+	go func() { responses <- readResponse(c) }()
 	framing := fmt.Sprint("Content-Length: ", size)
 	if chunked {
 		framing = "Transfer-Encoding: chunked"
@@ -178,12 +180,21 @@
 			parts = net.Buffers{fmt.Appendf(nil, "%x\r\n", len(part)), part, []byte("\r\n")}
 		}
 		_, err = parts.WriteTo(c)
-		sleep(largeUploadTime*time.Duration(sent)/time.Duration(size) - time.Since(began))
+		select {
+		case got := <-responses:
+			return got
+		case <-time.After(largeUploadTime*time.Duration(sent)/time.Duration(size) - time.Since(began)):
+		}
 	}
 	if chunked && err == nil {
 		// A body that is refused is not read to its end; the response tells why.
 		_, _ = io.WriteString(c, "0\r\n\r\n")
 	}
+	return <-responses
+}
+
+// readResponse reads one response from a connection.
+func readResponse(c net.Conn) response {
 	got, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
 		return response{err: err}
