Abort the connection if no response has begun

Cause: the end of the client's bytes cancels the request, the handler writes nothing to a client that has left, and net/http completes an unwritten response with status 200.

Change: ServeHTTP aborts the connection if the handler returns without having begun a response, whatever the path.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -40,7 +40,28 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := g.c.Clock.Now()
 	peerrequest.RemoveHeaders(r.Header)
-	g.serveRequest(g.link.countResponse(w), r, origin{arrived: arrived})
+	out := &startedResponse{ResponseWriter: g.link.countResponse(w)}
+	g.serveRequest(out, r, origin{arrived: arrived})
+	if !out.started {
+		// net/http would complete the response with status 200. A client that has closed only its
+		// sending side still reads it.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// startedResponse records whether a response to a client has started.
+type startedResponse struct {
+	http.ResponseWriter
+	started bool
+}
+
+// Unwrap returns the writer for [http.ResponseController].
+func (w *startedResponse) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// WriteHeader implements [http.ResponseWriter].
+func (w *startedResponse) WriteHeader(status int) {
+	w.started = true
+	w.ResponseWriter.WriteHeader(status)
 }
 
 // serveRequest serves one request of a client or one that a peer gateway handed off.
