A repeated announcement of a gateway is one start

Change: the link says whether an announcement has a new address or key. Records and quarantine entries are sent for that one only.

TestRepeatedAnnouncementIsOneStart (20 starts) and TestRecordsAreSentOnceToGatewayThatStarts (800 records for 40) failed before.

--- a/internal/front/link.go
+++ b/internal/front/link.go
@@ -341,8 +341,10 @@
 		return errors.New("sender has the name of this gateway")
 	}
 	l.mu.Lock()
+	started := false
 	if hello := d.GetHello(); hello != nil {
-		if _, err := l.updatePeer(d.GetFrom(), hello.GetAddress(), hello.GetKey()); err != nil {
+		var err error
+		if started, err = l.updatePeer(d.GetFrom(), hello.GetAddress(), hello.GetKey()); err != nil {
 			l.mu.Unlock()
 			return err
 		}
@@ -356,7 +358,7 @@
 	sender.hasOurKey = true
 	l.mu.Unlock()
 	if d.GetHello() != nil {
-		h.PeerJoined(d.GetFrom())
+		h.PeerJoined(d.GetFrom(), started)
 	}
 	return nil
 }
--- a/internal/front/link_test.go
+++ b/internal/front/link_test.go
@@ -28,6 +28,7 @@
 type handlerRecorder struct {
 	permits chan kumquatlug.PermitMessage
 	joined  chan string
+	started atomic.Int64
 	left    chan string
 	// configVersion is the version of this gateway, configStates are the states received
 	// from others.
@@ -49,8 +50,13 @@
 }
 
 func (h *handlerRecorder) PermitReceived(m kumquatlug.PermitMessage) { h.permits <- m }
-func (h *handlerRecorder) PeerJoined(gateway string)                 { h.joined <- gateway }
-func (h *handlerRecorder) PeerLeft(gateway string)                   { h.left <- gateway }
+func (h *handlerRecorder) PeerJoined(gateway string, started bool) {
+	if started {
+		h.started.Add(1)
+	}
+	h.joined <- gateway
+}
+func (h *handlerRecorder) PeerLeft(gateway string) { h.left <- gateway }
 
 func (h *handlerRecorder) ConfigState() kumquatlug.ConfigState {
 	return kumquatlug.ConfigState{Version: h.configVersion.Load(), Age: 40}
@@ -163,6 +169,23 @@
 	}
 }
 
+// A gateway attaches its announcement to many messages before it is answered. Guards against
+// taking each of them for a start, after which all that a gateway needs is sent to it.
+func TestRepeatedAnnouncementIsOneStart(t *testing.T) {
+	first, second := newTestGateway(t, "first", "127.0.0.1:0"), newTestGateway(t, "second", "127.0.0.1:0")
+	second.addPeers(first)
+	for key := range uint64(20) {
+		second.Send(kumquatlug.PermitMessage{Gateway: "first", Permit: permitRequest(key)})
+		first.nextPermit(t)
+		if joined := <-first.received.joined; joined != "second" {
+			t.Errorf("gateway %q joined", joined)
+		}
+	}
+	if n := first.received.started.Load(); n != 1 {
+		t.Errorf("%d starts, want 1", n)
+	}
+}
+
 // A gateway that is killed and restarted at its address has another key. Until the others
 // have read its new row they encrypt with the old one. Its first own message must give them
 // the new key.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -18,12 +18,15 @@
 }
 
 // PeerJoined handles the announcement of a peer gateway.
-func (g *Gateway) PeerJoined(peer string) {
+func (g *Gateway) PeerJoined(peer string, started bool) {
 	g.scheduler.peerJoined(peer)
 	g.handoffs.peerJoined(peer)
-	g.streamVersions.peerJoined(peer)
-	g.crashes.peerJoined(peer)
 	g.shares.peerJoined(peer)
+	if started {
+		// What it needs to know is sent once: many messages carry the announcement.
+		g.streamVersions.peerJoined(peer)
+		g.crashes.peerJoined(peer)
+	}
 }
 
 // PeerLeft handles the shutdown of a peer gateway.
--- a/internal/gateway/streamversion_test.go
+++ b/internal/gateway/streamversion_test.go
@@ -9,11 +9,13 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/clock"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/coordinator"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/routes"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/streamversion"
 )
@@ -453,3 +455,28 @@
 		t.Error("the listing of two versions is not read")
 	}
 }
+
+// countingLink counts the records that are sent.
+type countingLink struct {
+	noLink
+	records atomic.Int64
+}
+
+func (l *countingLink) SendStreamVersion(string, kumquatlug.StreamVersion) { l.records.Add(1) }
+
+// Guards against gateways that start in a fleet and are sent all records with each of their messages.
+func TestRecordsAreSentOnceToGatewayThatStarts(t *testing.T) {
+	const streams = 40
+	f, link := newTestGateway(t, &fakeWorkers{}, manyRetries), &countingLink{}
+	f.g.c.Peers, f.g.scheduler.coordinators = link, coordinator.New("a")
+	f.g.streamVersions.setPeers([]string{"b"}, nil)
+	for n := range streams {
+		f.g.streamVersions.recordReceived(kumquatlug.StreamVersion{Service: "engines", Attempt: fmt.Sprint("r", n), Version: "v1"})
+	}
+	for n := range 20 {
+		f.g.PeerJoined("b", n == 0)
+	}
+	if sent := link.records.Load(); sent != streams {
+		t.Errorf("%d records sent, want %d", sent, streams)
+	}
+}
--- a/pkg/kumquatlug/peers.go
+++ b/pkg/kumquatlug/peers.go
@@ -122,9 +122,10 @@
 	SpeedHandler
 	// PermitReceived handles a message about a permit.
 	PermitReceived(m PermitMessage)
-	// PeerJoined handles the announcement of a gateway, PeerLeft its notice that it is
-	// shutting down.
-	PeerJoined(gateway string)
+	// PeerJoined handles the announcement of a gateway, which it attaches to all messages until it
+	// has received one. started says that the announcement is the first one of its process.
+	PeerJoined(gateway string, started bool)
+	// PeerLeft handles the notice of a gateway that it is shutting down.
 	PeerLeft(gateway string)
 	// ConfigState returns the state that is attached to all messages,
 	// ConfigStateReceived handles the state received from a gateway.
