--- a/internal/signals/signals.go
+++ b/internal/signals/signals.go
@@ -1,5 +1,5 @@
 // Package signals receives the signals that stop a process, tell it that its settings have
-// changed, or report that nobody reads its output.
+// changed, or report that the reader of its output has exited.
 //
 // The default action of each of them ends the process at once, with all requests in flight.
 // They are therefore received from the first statement of main until the exit: none is given
@@ -52,7 +52,7 @@
 	}()
 }
 
-// IgnoreBrokenPipe makes writes to a standard output or standard error that nobody reads fail
-// instead of ending the process by SIGPIPE. It is for processes that serve requests: they
+// IgnoreBrokenPipe makes writes to a standard output or standard error whose reader has exited
+// fail instead of ending the process by SIGPIPE. It is for processes that serve requests: they
 // outlive the reader of their log.
 func IgnoreBrokenPipe() { signal.Ignore(syscall.SIGPIPE) }
--- a/test/front/largebodies_test.go
+++ b/test/front/largebodies_test.go
@@ -156,7 +156,7 @@
 	return counts
 }
 
-// sendLargeBody sends one body, piece by piece until the response arrives, and returns the response.
+// sendLargeBody sends one body in parts until the response arrives, and returns the response.
 func sendLargeBody(address, id string, size int, chunked bool, deadline time.Duration) response {
 	c, err := net.Dial("tcp", address)
 	if err != nil {
