Bound what is discarded of a refused body

Cause: the time for which the rest of a refused body is discarded was bounded, its bytes were not.

Change: up to 256 KB are read, then the connection stays open, unread, for the rest of the 0.5 s, so that its client can read the refusal.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -26,9 +26,11 @@
 	bodyWaitDivisor = 2
 	// waitCheckInterval is how often a body that waits for memory is decided on again.
 	waitCheckInterval = 100 * kumquatlug.Millis(1)
-	// discardTime is how long the rest of a refused body is discarded. A connection that is closed
-	// with unread bytes is reset, which may cost its client the refusal.
-	discardTime = 500 * time.Millisecond
+	// discardTime is how long the connection of a refused body stays open, discardBytes how much of the
+	// rest is read meanwhile. A connection that is closed with unread bytes is reset, which may cost
+	// its client the refusal.
+	discardTime  = 500 * time.Millisecond
+	discardBytes = 256 << 10
 )
 
 // stepReadRequest is the step of failures of reading a request.
@@ -320,11 +322,20 @@
 	}
 }
 
-// discardBody sends the refusal of a request and discards what still arrives of its body, until the
-// client has stopped sending.
-func discardBody(w http.ResponseWriter, body io.Reader) {
-	connection := http.NewResponseController(w)
-	if connection.Flush() == nil && connection.SetReadDeadline(time.Now().Add(discardTime)) == nil {
-		_, _ = io.Copy(io.Discard, body)
+// discardBody sends the refusal of a request and discards what still arrives of its body. A client
+// that sends on does so into a connection that is not read, and gets time to read the refusal.
+func discardBody(w http.ResponseWriter, r *http.Request) {
+	connection, end := http.NewResponseController(w), time.Now().Add(discardTime)
+	if connection.Flush() != nil || connection.SetReadDeadline(end) != nil {
+		return
+	}
+	if _, err := io.CopyN(io.Discard, r.Body, discardBytes); err != nil {
+		return
+	}
+	timer := time.NewTimer(time.Until(end))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.Context().Done():
 	}
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -76,7 +76,7 @@
 	request, err := g.c.Ingress.Decode(r)
 	if err != nil {
 		g.refuse(w, request, kumquatlug.FailureOf(err))
-		discardBody(w, r.Body)
+		discardBody(w, r)
 		return
 	}
 	f := &inflight{g: g, w: w, request: request, arrived: o.arrived, elapsed: o.elapsed, handoff: o.handoff, lastEventID: request.LastEventID()}
@@ -87,7 +87,7 @@
 	if failure != nil {
 		b.end()
 		f.refuseOnArrival(failure)
-		discardBody(w, r.Body)
+		discardBody(w, r)
 		return
 	}
 	f.request = f.request.WithBody(body)
