Send records again to gateways that have started, and to those without a row

Cause: repeated announcements had made up for two gaps: gateways that start and stop at the same time receive records after they have passed them on, and one that could not write its row is no member for those that count the rows.

Change: records are sent to a gateway that has started again in the next two rounds of maintenance; one that is no member joins with any announcement, unless it has announced its stop.

TestGatewayThatStartsIsSentItsRecords replaces TestRecordsAreSentOnceToGatewayThatStarts: it bounds the repetitions as well and covers missing rows and stops.

--- a/internal/gateway/latestream_test.go
+++ b/internal/gateway/latestream_test.go
@@ -208,7 +208,7 @@
 		"restarted after a stop": {neighbour("z"), func(f *testGateway) {
 			rows(f, "b")
 			f.g.streamVersions.peerLeft("b")
-			f.g.streamVersions.peerJoined("b")
+			f.g.streamVersions.peerJoined("b", true)
 		}, shutdownRetryAfter},
 	} {
 		f := newLateGateway(t, respondingWorkers(), 0)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -22,9 +22,9 @@
 	g.scheduler.peerJoined(peer)
 	g.handoffs.peerJoined(peer)
 	g.shares.peerJoined(peer)
+	// What it needs to know is not sent for each of the messages that carry the announcement.
+	g.streamVersions.peerJoined(peer, started)
 	if started {
-		// What it needs to know is sent once: many messages carry the announcement.
-		g.streamVersions.peerJoined(peer)
 		g.crashes.peerJoined(peer)
 	}
 }
--- a/internal/gateway/streamversion_test.go
+++ b/internal/gateway/streamversion_test.go
@@ -464,19 +464,39 @@
 
 func (l *countingLink) SendStreamVersion(string, kumquatlug.StreamVersion) { l.records.Add(1) }
 
-// Guards against gateways that start in a fleet and are sent all records with each of their messages.
-func TestRecordsAreSentOnceToGatewayThatStarts(t *testing.T) {
-	const streams = 40
+// Guards against gateways that start in a fleet and are sent all records with each of their messages,
+// or none because their row is missing.
+func TestGatewayThatStartsIsSentItsRecords(t *testing.T) {
+	const streams, announcements = 40, 20
 	f, link := newTestGateway(t, &fakeWorkers{}, manyRetries), &countingLink{}
 	f.g.c.Peers, f.g.scheduler.coordinators = link, coordinator.New("a")
-	f.g.streamVersions.setPeers([]string{"b"}, nil)
+	v := f.g.streamVersions
+	v.setPeers([]string{"b"}, nil)
 	for n := range streams {
-		f.g.streamVersions.recordReceived(kumquatlug.StreamVersion{Service: "engines", Attempt: fmt.Sprint("r", n), Version: "v1"})
+		v.recordReceived(kumquatlug.StreamVersion{Service: "engines", Attempt: fmt.Sprint("r", n), Version: "v1"})
 	}
-	for n := range 20 {
+	requireSent := func(step string, times int64) {
+		t.Helper()
+		if sent := link.records.Swap(0); sent != times*streams {
+			t.Errorf("%s: %d records sent, want %d", step, sent, times*streams)
+		}
+	}
+	for n := range announcements {
 		f.g.PeerJoined("b", n == 0)
 	}
-	if sent := link.records.Load(); sent != streams {
-		t.Errorf("%d records sent, want %d", sent, streams)
+	requireSent("started", 1)
+	for range announcements {
+		v.repeatRecords()
+	}
+	requireSent("later", recordRepeats)
+	v.setPeers(nil, nil)
+	for range announcements {
+		f.g.PeerJoined("b", false)
+	}
+	requireSent("row is missing", 1)
+	v.peerLeft("b")
+	for range announcements {
+		f.g.PeerJoined("b", false)
 	}
+	requireSent("stops", 0)
 }
--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -27,6 +27,8 @@
 	peersReading sync.Mutex
 	// left are the gateways that have announced their shutdown and whose rows may still be there.
 	left map[string]bool
+	// joined are the gateways that have started, and how often they are still sent what they own.
+	joined map[string]int
 	// questions are the channels of the questions to peers, by key.
 	questions map[uint64]chan versionAnswer
 	// unbinding is held while a version is unbound.
@@ -47,7 +49,7 @@
 func newStreamVersions(g *Gateway) *streamVersions {
 	return &streamVersions{
 		g: g, records: streamversion.NewRecords(), services: map[string]*serviceVersions{},
-		left: map[string]bool{}, questions: map[uint64]chan versionAnswer{},
+		left: map[string]bool{}, joined: map[string]int{}, questions: map[uint64]chan versionAnswer{},
 	}
 }
 
--- a/internal/gateway/versionfleet_test.go
+++ b/internal/gateway/versionfleet_test.go
@@ -379,7 +379,7 @@
 	for n := range 1600 {
 		v.remember("engines", fmt.Sprintf("stream-%d", n), "v1")
 	}
-	for step, change := range map[string]func(string){"stop": v.peerLeft, "start": v.peerJoined} {
+	for step, change := range map[string]func(string){"stop": v.peerLeft, "start": func(name string) { v.peerJoined(name, true) }} {
 		begun := time.Now()
 		change(names[7])
 		if took := time.Since(begun); took > 25*time.Millisecond {
--- a/internal/gateway/versionlisting.go
+++ b/internal/gateway/versionlisting.go
@@ -131,6 +131,7 @@
 // for all.
 func (v *streamVersions) maintain(ctx context.Context) {
 	v.update()
+	v.repeatRecords()
 	_, leads := v.g.leaderLease()
 	for _, name := range v.dueListings(leads) {
 		call, cancel := context.WithTimeout(ctx, storeCallTimeout.Duration())
--- a/internal/gateway/versionpeers.go
+++ b/internal/gateway/versionpeers.go
@@ -27,6 +27,9 @@
 	// ones: 4,800 records, those of a gateway that stops in a fleet of 2,300, take 0.4 s of its grace period.
 	recordBurst         = 64
 	recordBurstInterval = 5 * kumquatlug.Millis(1)
+	// recordRepeats is how often a gateway that has started is sent its records again, once a round of
+	// maintenance: other gateways that start or stop at the same time receive records meanwhile.
+	recordRepeats = 2
 	// maxAttemptIDBytes bounds the ids in messages between gateways.
 	maxAttemptIDBytes = 200
 )
@@ -45,6 +48,26 @@
 		v.peers = streamversion.NewGateways(names)
 	}
 	joined := slices.DeleteFunc(names, func(name string) bool { return before.Has(name) && !slices.Contains(restarted, name) })
+	for _, name := range joined {
+		v.joined[name] = recordRepeats
+	}
+	needed, peers := v.neededFor(joined)
+	v.mu.Unlock()
+	v.sendOwned(needed, peers, joined)
+}
+
+// repeatRecords sends the gateways that have started a short time ago their records again.
+func (v *streamVersions) repeatRecords() {
+	v.mu.Lock()
+	var joined []string
+	for name := range v.joined {
+		if v.joined[name]--; v.joined[name] <= 0 {
+			delete(v.joined, name)
+		}
+		if v.peers.Has(name) {
+			joined = append(joined, name)
+		}
+	}
 	needed, peers := v.neededFor(joined)
 	v.mu.Unlock()
 	v.sendOwned(needed, peers, joined)
@@ -73,11 +96,17 @@
 	return v.g.countGateways(ctx)
 }
 
-// peerJoined handles a gateway that has started: it has lost its records if it ran before.
-func (v *streamVersions) peerJoined(name string) {
+// peerJoined handles the announcement of a gateway. One that has started has lost its records if it
+// ran before; one whose row is missing joins with any announcement.
+func (v *streamVersions) peerJoined(name string, started bool) {
 	v.mu.Lock()
+	if !started && (v.peers.Has(name) || v.left[name]) {
+		v.mu.Unlock()
+		return
+	}
 	v.peers = v.peers.With(name)
 	delete(v.left, name)
+	v.joined[name] = recordRepeats
 	needed, peers := v.neededFor([]string{name})
 	v.mu.Unlock()
 	v.sendOwned(needed, peers, []string{name})
@@ -94,6 +123,7 @@
 	v.peers = before.Without(name)
 	peers := v.peers
 	v.left[name] = true
+	delete(v.joined, name)
 	v.mu.Unlock()
 	needed = slices.DeleteFunc(needed, func(r kumquatlug.StreamVersion) bool {
 		return !before.Owns(name, r.Attempt, "", streamversion.RecordOwners)
