exchange: refuse a response whose framing header has a space before its colon

What callers saw: a head with "Content-Length : 9" or "Transfer-Encoding : chunked" was taken for one without framing. A body of 4 of 9 bytes whose connection ended counted as complete, and chunk sizes were passed on as part of a body with status 200.

Cause: the reader of net/http accepts a space between a header's name and its colon and keeps the name as it is, so that the line is another header and the body ends with its connection.

Why it works: the response is refused before its body is read, and the call counts as unknown. Another header with such a space is left alone.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -261,6 +261,9 @@
 		if err != nil {
 			return nil, errors.CombineErrors(err, c.writeError())
 		}
+		if err := checkFraming(response.Header); err != nil {
+			return nil, err
+		}
 		switch {
 		case response.StatusCode < http.StatusOK:
 			continue
--- a/internal/exchange/head.go
+++ b/internal/exchange/head.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -55,6 +56,20 @@
 	return errors.Mark(errors.Newf(format, values...), kumquatlug.ErrTooLarge)
 }
 
+// checkFraming returns an error if a header that marks the end of the body has a space before its
+// colon. The reader of net/http takes such a line for another header, so that a body that is cut
+// short would look complete, or chunk sizes would be part of it.
+func checkFraming(h http.Header) error {
+	for name := range h {
+		switch field := strings.TrimRight(name, " "); {
+		case field == name:
+		case strings.EqualFold(field, "Content-Length"), strings.EqualFold(field, "Transfer-Encoding"):
+			return errors.Newf("malformed header %q", name)
+		}
+	}
+	return nil
+}
+
 // ReadBody reads the body of a response to a call of this system, which has a limit in bytes. The
 // error of a longer one is marked [kumquatlug.ErrTooLarge]; the caller then closes the body and
 // thereby the connection.
