Say why the version of a resumed stream is unknown

Callers got 503 version_unknown for streams that they took up after all gateways had been killed at full load, and no line told which rule left the version open: an unbound version, a change of epochs, a listing that may lack epochs or can't be read, or records that contradict each other.

The lines "stream taken up" (unknown) and "refused" (cause) now carry the reason, an enum of pkg/kumquatlug/streamversion. No decision changes.

--- a/internal/gateway/inflightversion.go
+++ b/internal/gateway/inflightversion.go
@@ -4,11 +4,13 @@
 	"context"
 	"net/http"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/kumquatlug/kumquatlug/internal/peerrequest"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/streamversion"
 )
 
 // versionRetryAfter is the Retry-After of a stream that can't go on here: another gateway may know its
@@ -92,17 +94,24 @@
 	}
 	r := f.g.streamVersions.resolve(ctx, f.service.Name(), f.request.StreamID(), f.namesStream())
 	f.version = r.version
-	f.logResume(r)
+	reason := streamversion.ReasonNone
+	if r.version == "" {
+		reason = r.evidence.UnknownReason(f.namesStream())
+	}
+	f.logResume(r, reason)
 	if f.version != "" {
 		f.g.metrics.resumes.WithLabelValues("known").Inc()
 		return nil
 	}
 	f.g.metrics.resumes.WithLabelValues("unknown").Inc()
-	return &attemptFailure{permanent: true, failure: refusal("find version", reasonVersionUnknown, http.StatusServiceUnavailable, versionRetryAfter)}
+	return &attemptFailure{permanent: true, failure: kumquatlug.NewFailure(kumquatlug.FailureConfig{
+		Step: "find version", Reason: reasonVersionUnknown, Execution: kumquatlug.NotExecuted, Status: http.StatusServiceUnavailable,
+		RetryAfter: versionRetryAfter, Cause: errors.Newf("undetermined: %s", reason),
+	})}
 }
 
-// logResume logs how the version of the stream was looked up, and which workers have it.
-func (f *inflight) logResume(r resolution) {
+// logResume logs how the version of the stream was looked up, why it is unknown, and which workers have it.
+func (f *inflight) logResume(r resolution, reason streamversion.Reason) {
 	workers, generating := 0, 0
 	for _, m := range f.g.members.Load().byService[f.service.Name()] {
 		if m.State != kumquatlug.MemberReady || m.Worker.Version() != r.version {
@@ -115,7 +124,7 @@
 	}
 	f.g.c.Logger.Info("stream taken up", zap.String("request", f.request.ID()), zap.String("resumes", f.request.StreamID()),
 		zap.String("service", f.service.Name()), zap.Int64("after", f.lastEventID), zap.String("version", r.version),
-		zap.String("source", string(r.source)), zap.Bool("read", r.evidence.Read), zap.String("determined", r.evidence.Determined),
+		zap.String("source", string(r.source)), zap.String("unknown", string(reason)), zap.Bool("read", r.evidence.Read), zap.String("determined", r.evidence.Determined),
 		zap.Strings("listed", r.listed), zap.Int64("epoch", int64(r.epoch)), zap.Int("asked", r.evidence.Asked), zap.Int("answered", r.evidence.Answered),
 		zap.Int("workers", workers), zap.Int("generating", generating))
 }
--- a/internal/gateway/versionresolve.go
+++ b/internal/gateway/versionresolve.go
@@ -22,7 +22,7 @@
 func (v *streamVersions) resolve(ctx context.Context, service, id string, named bool) resolution {
 	record, counts := v.ownRecord(service, id, named)
 	if counts && record == "" {
-		return resolution{source: streamversion.SourceNone}
+		return resolution{source: streamversion.SourceNone, evidence: streamversion.Evidence{Conflicting: true}}
 	}
 	if counts {
 		return resolution{version: record, source: streamversion.SourceRecord}
@@ -113,7 +113,8 @@
 		return "", resolution{}
 	}
 	r := resolution{listed: listing.Versions(), epoch: listing.NewestFrom()}
-	r.evidence.Determined, r.evidence.ChangedAt = listing.Determined(id), listing.ChangedAt()
+	r.evidence.Determined, r.evidence.Undetermined = listing.Determine(id)
+	r.evidence.ChangedAt = listing.ChangedAt()
 	r.evidence.Age = v.service(service).ListingAge(v.g.c.BootClock.Now())
 	return listing.Sole(), r
 }
--- a/pkg/kumquatlug/streamversion/evidence.go
+++ b/pkg/kumquatlug/streamversion/evidence.go
@@ -28,6 +28,8 @@
 	// last read.
 	Read       bool
 	Determined string
+	// Undetermined is why that listing determines none.
+	Undetermined Reason
 	// ChangedAt is when that listing changed last, see [Listing.ChangedAt], Age how long ago it was read.
 	ChangedAt, Age kumquatlug.Millis
 	// PeerDetermined is the version that the listing determines according to a peer that has read it.
--- a/pkg/kumquatlug/streamversion/listing.go
+++ b/pkg/kumquatlug/streamversion/listing.go
@@ -100,19 +100,28 @@
 // Determined returns the version of a stream that may be resumed if all epochs by which it may have begun
 // select the same one and none of its streams may have begun elsewhere, else an empty string.
 func (l Listing) Determined(id string) string {
-	if id == "" || !l.Current() || l.uncertain() {
-		return ""
+	version, _ := l.Determine(id)
+	return version
+}
+
+// Determine returns what [Listing.Determined] does, and the reason if it is empty.
+func (l Listing) Determine(id string) (string, Reason) {
+	if id == "" {
+		return "", ReasonUnnamedStream
+	}
+	if !l.Current() || l.uncertain() {
+		return "", ReasonUncertainListing
 	}
 	version := l.Newest().Select(id)
 	for _, e := range l.content.Epochs {
 		if e.Weights.Select(id) != version {
-			return ""
+			return "", ReasonEpochChange
 		}
 	}
 	if _, unbound := l.content.UnboundUntilMs[version]; unbound {
-		return ""
+		return "", ReasonUnboundVersion
 	}
-	return version
+	return version, ReasonNone
 }
 
 // Unbound reports whether streams for which a version is selected may begin at any other one, at a time of
