Soak: logs of failed runs are kept, rows of workers without a data race

KUMQUATLUG_SOAK_LOGS names a directory in which the soak keeps all lines of its gateways when a run fails: the message of a failed check has the lines about single requests only, which don't show the listing that a gateway knew.

The stand-in read the ids of workers without its lock while a crashed engine was started again.

--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -168,15 +168,19 @@
 }
 
 // ID returns the ID of a worker.
-func (s *Site) ID(w *fleet.Worker) string { return s.workerIDs[w] }
+func (s *Site) ID(w *fleet.Worker) string {
+	s.crashes.mu.Lock()
+	defer s.crashes.mu.Unlock()
+	return s.workerIDs[w]
+}
 
 // WriteWorkerRow writes the row of a worker with its state: "ready" or "draining".
 func (s *Site) WriteWorkerRow(w *fleet.Worker, state string) {
-	s.Store.Put("servers", s.workerIDs[w], w.Row(state))
+	s.Store.Put("servers", s.ID(w), w.Row(state))
 }
 
 // DeleteWorkerRow deletes the row of a worker.
-func (s *Site) DeleteWorkerRow(w *fleet.Worker) { s.Store.Delete("servers", s.workerIDs[w]) }
+func (s *Site) DeleteWorkerRow(w *fleet.Worker) { s.Store.Delete("servers", s.ID(w)) }
 
 // CrashWorker closes the server of a worker and all its connections.
 func (s *Site) CrashWorker(w *fleet.Worker) {
--- a/test/front/soak_test.go
+++ b/test/front/soak_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -253,6 +254,26 @@
 	stopRows()
 	rows.Wait()
 	k.check()
+	k.keepLogs()
+}
+
+// keepLogs writes the gateways' logs of a failed run to a new directory in the one that the environment names.
+func (k *soak) keepLogs() {
+	parent := os.Getenv("KUMQUATLUG_SOAK_LOGS")
+	if parent == "" || !k.Failed() {
+		return
+	}
+	dir, err := os.MkdirTemp(parent, fmt.Sprintf("seed-%d-", k.seed))
+	if err != nil {
+		k.Error(err)
+		return
+	}
+	for _, p := range k.gateways {
+		if err := os.WriteFile(filepath.Join(dir, p.name+".log"), []byte(strings.Join(p.log(), "\n")), 0o600); err != nil {
+			k.Error(err)
+		}
+	}
+	k.Logf("logs of the gateways: %s", dir)
 }
 
 // watch selects the gateways that receive new connections, as the platform does.
