Streams begin by a confirmed listing of versions only

Callers saw streams that went on at another version after they were taken up, also without a kill: a gateway that had started and could not read the listing of versions within 250 ms (store busy or lost) began streams by the weights of the workers that it saw. Others take such a stream up by the listing, and wait 40 ms only for a record that says otherwise. A gateway that had reached neither the store nor peers for long began streams by an epoch that had gone.

Cause: the view of a gateway was taken for that of the fleet. Peers that could not read the listing at that moment gave no answer, although they began streams by the one that they had read before; without an answer a gateway began streams by what it had.

Evidence, on the logic before: TestStreamOfGatewayWithoutListingJoinsNoVersions failed, "peers have the listing: true, gateway killed: true: the stream joins versions map[v1:true v2:true]", the same with (false, true) and (false, false).

A stream that may be taken up begins by a listing that was read less than EpochLag ago, for which its epochs count anyway, or if peers confirm it: one that uses a listing of the last 20 s answers with its selection, also if it can't read it again. Where no gateway reads the store, at least half of the peers asked must answer and know no newer listing; that holds for 5 s. A lone gateway goes on. Otherwise the stream is refused at once with a Retry-After (version_unlisted), so that its client goes to another gateway. A service of which only one version is seen goes on without a listing as before. TestStreamsBeginWhileNoGatewayReadsTheListing guards the latter.

--- a/internal/gateway/inflightversion.go
+++ b/internal/gateway/inflightversion.go
@@ -21,6 +21,8 @@
 const (
 	reasonVersionUnknown = "version_unknown"
 	reasonVersionGone    = "version_gone"
+	// reasonVersionUnlisted: neither the store nor peers tell at which version new streams begin.
+	reasonVersionUnlisted = "version_unlisted"
 	// reasonVersionBound: only workers of another version than the selected one may run the request.
 	reasonVersionBound = "version_bound"
 )
@@ -84,7 +86,11 @@
 func (f *inflight) resolveVersion(ctx context.Context) *attemptFailure {
 	if !f.continues() {
 		if f.mayBeTakenUp() {
-			f.version = f.g.streamVersions.prepare(ctx, f.service.Name(), f.request.StreamID())
+			version, mayBegin := f.g.streamVersions.prepare(ctx, f.service.Name(), f.request.StreamID())
+			if !mayBegin {
+				return &attemptFailure{permanent: true, failure: refusal("find version", reasonVersionUnlisted, http.StatusServiceUnavailable, f.retryAfter(listingTimeout))}
+			}
+			f.version = version
 			return f.bindSoleVersion(ctx)
 		}
 		return nil
--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -42,6 +42,8 @@
 	// notBefore is the time of the next one, relistAt that of the next one by maintenance.
 	reading             chan struct{}
 	notBefore, relistAt kumquatlug.Millis
+	// confirmedUntil is until when streams may begin by the listing because peers have confirmed it.
+	confirmedUntil kumquatlug.Millis
 	// recording is set while all streams are recorded at peers.
 	recording bool
 }
--- a/internal/gateway/versionselection.go
+++ b/internal/gateway/versionselection.go
@@ -16,39 +16,89 @@
 	return v.service(service).Select(v.g.c.BootClock.Now(), id)
 }
 
+// Parameters of selections by peers.
+const (
+	// selectionReadTimeout is how long a peer that selects a version reads the listing before it answers by the one
+	// that it knows: its answer is awaited for versionAnswerTimeout.
+	selectionReadTimeout = 100 * kumquatlug.Millis(1)
+	// confirmationTime is how long the answers of peers confirm a listing that none of them can read.
+	confirmationTime = 5 * kumquatlug.Second
+)
+
 // prepare ensures that the listing is known and that the version which it selects has workers, as far as the
 // store answers. A gateway that could not read the listing for long asks the others: it returns the version
-// that they select, empty to select one here.
-func (v *streamVersions) prepare(ctx context.Context, service, id string) string {
+// that they select, empty to select one here. It returns false if no stream may begin here: neither the store nor
+// peers confirm that this gateway selects as the others do.
+func (v *streamVersions) prepare(ctx context.Context, service, id string) (string, bool) {
 	now := v.g.c.BootClock.Now()
 	v.mu.Lock()
 	s := v.service(service)
 	ready, outdated := s.Ready(now, id), s.MayBeOutdated(now, v.storeSilent(now))
+	counts := s.mayBegin(now)
 	v.mu.Unlock()
-	if ready && !outdated || v.callListing(ctx, service, true) || !outdated || v.g.c.Peers == nil {
-		return ""
+	if ready && !outdated && counts || v.callListing(ctx, service, true) || !outdated && counts {
+		return "", true
+	}
+	if v.g.c.Peers == nil {
+		return "", counts || v.isKnown(service)
 	}
 	questions := v.askPeers(kumquatlug.StreamVersionSelecting, service, id)
 	defer questions.close()
-	return questions.awaitSelection(ctx, versionAnswerTimeout)
+	version := questions.awaitSelection(ctx, versionAnswerTimeout)
+	return version, version != "" || v.confirm(service, questions)
+}
+
+// mayBegin reports whether streams may begin by the listing, or by the workers if they have one version and it is unknown.
+func (s *serviceVersions) mayBegin(now kumquatlug.Millis) bool {
+	return s.MayBegin(now) || now < s.confirmedUntil
+}
+
+// isKnown reports whether this gateway has read the listing of a service.
+func (v *streamVersions) isKnown(service string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	_, known := v.service(service).Listing()
+	return known
+}
+
+// confirm reports whether streams may begin by the listing after questions to which no peer has answered with a
+// version. Where no gateway can read the listing, at least half of those that were asked have to answer and know no
+// newer one: the others may have been cut off together with this one.
+func (v *streamVersions) confirm(service string, q *versionQuestions) bool {
+	now := v.g.c.BootClock.Now()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := v.service(service)
+	listing, known := s.Listing()
+	if known && v.peersRead.Load() && 2*len(q.answered) >= len(q.peers) && q.changedAt <= listing.ChangedAt() {
+		s.confirmedUntil = now + confirmationTime
+	}
+	return s.mayBegin(now)
 }
 
 // selectFor returns the version at which a stream of a peer begins that can't read the listing, empty if this
-// gateway can't read it now either: one that it read before may be as old as that of the peer.
+// gateway can't read it either and does not begin streams by the one that it read before.
 func (v *streamVersions) selectFor(ctx context.Context, service, id string) string {
-	if !v.callListing(ctx, service, false) {
-		return ""
-	}
+	ctx, cancel := context.WithTimeout(ctx, selectionReadTimeout.Duration())
+	defer cancel()
+	read := v.callListing(ctx, service, false)
+	now := v.g.c.BootClock.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	listing, _ := v.service(service).Listing()
+	s := v.service(service)
+	if !read && !s.MayAdvise(now) && now >= s.confirmedUntil {
+		return ""
+	}
+	listing, _ := s.Listing()
 	return listing.Select(id)
 }
 
 // noWorker handles that no worker of the version which is selected for a stream accepts it. It reports whether
 // another version is selected now, or any.
 func (v *streamVersions) noWorker(ctx context.Context, service, id, version string) bool {
-	v.prepare(ctx, service, id)
+	if _, mayBegin := v.prepare(ctx, service, id); !mayBegin {
+		return false
+	}
 	return v.selectVersion(service, id) != version || v.unbind(ctx, service, version) && v.selectVersion(service, id) != version
 }
 
--- /dev/null
+++ b/internal/gateway/versionunlisted_test.go
@@ -0,0 +1,99 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/clock"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/streamversion"
+)
+
+// lateLink delivers the messages of one gateway later than peers wait for a record.
+type lateLink struct{ *versionLink }
+
+func (l *lateLink) SendStreamVersion(gateway string, v kumquatlug.StreamVersion) {
+	time.AfterFunc(2*recordAnswerTimeout.Duration(), func() { l.versionLink.SendStreamVersion(gateway, v) })
+}
+
+// startsWithoutListing lists weights at gateway b, and starts gateway a, which sees other ones and can't read the
+// listing. It returns the id of a stream for which the two select different versions.
+func startsWithoutListing(t *testing.T) (fleet *versionFleet, id string) {
+	t.Helper()
+	fleet = newVersionFleet(t, versionedEngines(2), fourEngines)
+	listed, seen := streamversion.Weights{"v1": 1, "v2": 7}, streamversion.Weights{"v1": 2, "v2": 2}
+	fleet.gateways["b"].beginEpoch(t, listed)
+	for n := 0; id == "" || listed.Select(id) == seen.Select(id); n++ {
+		id = fmt.Sprint("stream-", n)
+	}
+	fleet.gateways["a"].g.c.Table = &cutOffTable{sharedTable: fleet.table, cutOff: true}
+	return fleet, id
+}
+
+// Guards against a stream that joins two versions: a gateway that has started and could not read the listing begins
+// it by the weights of the workers that it sees, and its records arrive late or are lost.
+func TestStreamOfGatewayWithoutListingJoinsNoVersions(t *testing.T) {
+	for _, peersRead := range []bool{true, false} {
+		for _, killed := range []bool{true, false} {
+			fleet, id := startsWithoutListing(t)
+			for _, name := range []string{"b", "c", "d"} {
+				f := fleet.gateways[name]
+				f.g.streamVersions.prepare(t.Context(), "engines", "other")
+				f.g.c.Table = &cutOffTable{sharedTable: fleet.table, cutOff: true}
+				if !peersRead {
+					f.g.streamVersions.storeRestored()
+				}
+			}
+			a := fleet.gateways["a"]
+			a.g.c.Peers = &lateLink{&versionLink{fleet: fleet, self: "a"}}
+			if peersRead {
+				a.g.c.Peers = &versionLink{fleet: fleet, self: "a"}
+			}
+			got := a.doWith(t.Context(), http.MethodPost, longRoute, http.Header{"Id": {id}})
+			if peersRead && got.status != http.StatusOK {
+				t.Errorf("status %d for a stream of which the peers know the version", got.status)
+			}
+			if killed {
+				fleet.kill("a")
+			}
+			for _, name := range []string{"b", "c", "d"} {
+				f := fleet.gateways[name]
+				f.g.streamVersions.forgetRecords()
+				f.g.c.Table = fleet.table
+				f.g.streamVersions.mu.Lock()
+				f.g.streamVersions.service("engines").notBefore = 0
+				f.g.streamVersions.mu.Unlock()
+			}
+			if got.status == http.StatusOK {
+				fleet.gateways["b"].resume(t, "again", id, 4)
+			}
+			if joined := fleet.workers.joinedVersions(fleet.versions); len(joined) > 1 {
+				t.Errorf("peers have the listing: %t, gateway killed: %t: the stream joins versions %v", peersRead, killed, joined)
+			}
+		}
+	}
+}
+
+// Guards against new streams that are refused for as long as the store is away, although the gateways reach each other
+// or there is only one.
+func TestStreamsBeginWhileNoGatewayReadsTheListing(t *testing.T) {
+	for _, alone := range []bool{false, true} {
+		fleet := newVersionFleet(t, versionedEngines(0), fourEngines)
+		now := clock.NewManual(fleet.gateways["a"].g.c.BootClock.Now())
+		table := &cutOffTable{sharedTable: fleet.table}
+		for _, f := range fleet.gateways {
+			f.g.c.BootClock, f.g.c.Table = now, table
+			f.g.streamVersions.prepare(t.Context(), "engines", "first")
+			if alone {
+				f.g.streamVersions.setPeers(nil, nil)
+			}
+		}
+		table.cutOff = true
+		now.Advance(95 * kumquatlug.Second)
+		if got := fleet.gateways["a"].doWith(t.Context(), http.MethodPost, longRoute, http.Header{"Id": {"stream"}}); got.body != events(1, 8) {
+			t.Errorf("alone: %t: status %d, %q, want the stream", alone, got.status, got.body)
+		}
+	}
+}
