The version that peers select for a stream stays when its engines fail

Callers could see a stream that goes on at another version after it was taken up: a gateway that is cut off from the store begins a stream at the version that its peers select. If no engine of that version accepted the stream there, it selected again by the listing that it had read before, and began the stream at the version of an old epoch.

Cause: the selection of the peers was dropped before the listing was consulted again, and the second answer of the peers was not used. Evidence, on the logic before: TestVersionSelectedByPeersIsNotReplacedByThatOfAnOldListing failed, "status 200: the stream began at v1, by an old epoch".

The answer of the peers counts now: the stream goes to another version only if they select another one, or once the store says that the version is unbound.

--- a/internal/gateway/inflightversion.go
+++ b/internal/gateway/inflightversion.go
@@ -67,8 +67,11 @@
 	if c, found := f.g.scheduler.findChoice(f.g.c.Clock.Now(), f.service, q); !found || c.Wait() >= f.timeToStartOutput() {
 		return false
 	}
-	f.version = ""
-	return f.g.streamVersions.noWorker(ctx, f.service.Name(), f.request.StreamID(), version)
+	selected, other := f.g.streamVersions.noWorker(ctx, f.service.Name(), f.request.StreamID(), version)
+	if other {
+		f.version = selected
+	}
+	return other
 }
 
 // bindSoleVersion ensures that a stream may begin at the only version whose workers may run it. It returns a
--- a/internal/gateway/versionselection.go
+++ b/internal/gateway/versionselection.go
@@ -94,12 +94,18 @@
 }
 
 // noWorker handles that no worker of the version which is selected for a stream accepts it. It reports whether
-// another version is selected now, or any.
-func (v *streamVersions) noWorker(ctx context.Context, service, id, version string) bool {
-	if _, mayBegin := v.prepare(ctx, service, id); !mayBegin {
-		return false
+// another version is selected now, or any, and which one if peers have selected it.
+func (v *streamVersions) noWorker(ctx context.Context, service, id, version string) (string, bool) {
+	selected, mayBegin := v.prepare(ctx, service, id)
+	switch {
+	case !mayBegin:
+		return "", false
+	case selected != "" && selected != version:
+		return selected, true
+	case selected == "" && v.selectVersion(service, id) != version:
+		return "", true
 	}
-	return v.selectVersion(service, id) != version || v.unbind(ctx, service, version) && v.selectVersion(service, id) != version
+	return "", v.unbind(ctx, service, version) && v.selectVersion(service, id) != version
 }
 
 // unbind lets streams for which a version is selected begin at any other one for a while, and reports whether
--- a/internal/gateway/versionunlisted_test.go
+++ b/internal/gateway/versionunlisted_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"testing"
@@ -76,6 +77,37 @@
 	}
 }
 
+// Guards against a stream that begins by the old listing of a gateway that is cut off from the store, because the
+// engines of the version that its peers select for it fail here.
+func TestVersionSelectedByPeersIsNotReplacedByThatOfAnOldListing(t *testing.T) {
+	fleet := newVersionFleet(t, versionedEngines(2), map[string]string{"d1": "v1", "d2": "v2", "d3": "v1", "d4": "v1"})
+	a, id := fleet.gateways["a"], "stream"
+	now := clock.NewManual(a.g.c.BootClock.Now())
+	table := &cutOffTable{sharedTable: fleet.table}
+	a.g.c.BootClock, a.g.c.Table = now, table
+	a.g.streamVersions.prepare(t.Context(), "engines", "first")
+	table.cutOff = true
+	const old = "v1"
+	for n := 0; a.g.streamVersions.selectVersion("engines", id) != old; n++ {
+		id = fmt.Sprint("stream-", n)
+	}
+	fleet.undetermine(t, "b", old)
+	now.Advance(streamversion.MaxListingAge + 1)
+	a.g.configConfirmedAt.Store(int64(now.Now()))
+	began := false
+	a.g.c.Workers = &fakeWorkers{run: func(_ context.Context, _ int, c workerCall) (kumquatlug.WorkerResponse, error) {
+		if fleet.versions[c.worker] != old {
+			return kumquatlug.WorkerResponse{}, lostConnection()
+		}
+		began = true
+		return streamResponse(1, 4), nil
+	}}
+	got := a.doWith(t.Context(), http.MethodPost, longRoute, http.Header{"Id": {id}})
+	if began {
+		t.Errorf("status %d: the stream began at %s, by an old epoch", got.status, old)
+	}
+}
+
 // Guards against new streams that are refused for as long as the store is away, although the gateways reach each other
 // or there is only one.
 func TestStreamsBeginWhileNoGatewayReadsTheListing(t *testing.T) {
