Log what a stopping gateway has received and not answered

The log of a stopping gateway did not tell why a request ended without an answer: it had only the number of handlers that run. Connections are tracked now by state (new, head in part, active, idle) with the bytes and the time of the last ones. The lines "stopping", "no more connections are accepted" and "exiting" have these numbers, how late the poll for idleness ran at most, and the longest time that a head took to arrive recently. Connections that the exit cuts, and requests whose handler returns without a response, get a line each.

No decision changes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -149,6 +149,8 @@
 	// peersKnown says that the rows of all gateways have been read since the start.
 	peersKnown atomic.Bool
 	inFlight   atomic.Int64
+	// connections are those of clients.
+	connections *connections
 	// startedAt is when the gateway was created, by Clock.
 	startedAt kumquatlug.Millis
 	// configConfirmedAt is when the store last confirmed the config in force, by BootClock.
@@ -190,6 +192,7 @@
 		c: c, scheduler: newScheduler(c), link: newLinkQueue(c), metrics: newMetrics(c.Registry), speedMetrics: newSpeedMetrics(c.Registry),
 		shuttingDownWorkers: newShuttingDownWorkers(), unusedCaches: make(chan kumquatlug.KVCacheRef, maxUnusedCaches),
 		handoffs: newHandoffs(c), bodies: newBodyMemory(c.MaxBodyBytes, c.Registry),
+		connections: newConnections(c.Clock),
 	}
 	g.scheduler.slots.outcomes = newSlotMetrics(c.Registry)
 	g.retryClaims = newRetryClaims(g)
@@ -229,6 +232,7 @@
 	server := &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout.Duration(), IdleTimeout: idleTimeout.Duration(),
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(g.c.Logger.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+		ConnState: g.connections.stateChanged,
 	}
 	group.Add(func() error { return g.serveUntil(ctx, server) }, func(error) { _ = server.Close() })
 	if g.handoffServer != nil {
@@ -302,7 +306,7 @@
 // see [inflight.outlastsShutdown].
 func (g *Gateway) serveUntil(ctx context.Context, server *http.Server) error {
 	failed := make(chan error, 1)
-	go func() { failed <- ignoreServerClosed(server.Serve(g.c.ClientListener)) }()
+	go func() { failed <- ignoreServerClosed(server.Serve(g.connections.listener(g.c.ClientListener))) }()
 	select {
 	case err := <-failed:
 		return err
@@ -312,8 +316,11 @@
 	exit := start + g.c.GracePeriod - exitMargin
 	g.exitAt.Store(int64(exit))
 	g.stopCoordinating()
-	g.c.Logger.Info("stopping", zap.Int64("grace_ms", int64(g.c.GracePeriod)), zap.Int64("in_hand", g.inFlight.Load()))
+	g.logStopping("stopping", zap.Int64("grace_ms", int64(g.c.GracePeriod)))
+	polledAt, latestPoll := start, kumquatlug.Millis(0)
 	for now := start; now < exit-finalDrainTime; now = g.c.Clock.Now() {
+		latestPoll = max(latestPoll, now-polledAt-idlePollInterval)
+		polledAt = now
 		if now-start >= balancerLag && g.inFlight.Load() == 0 {
 			break
 		}
@@ -323,12 +330,15 @@
 		case <-time.After(idlePollInterval.Duration()):
 		}
 	}
+	g.logStopping("no more connections are accepted", zap.Int64("exit_ms", int64(exit-g.c.Clock.Now())), zap.Int64("latest_poll_ms", int64(latestPoll)))
 	left := max(exit-g.c.Clock.Now(), 0)
 	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), left.Duration())
 	defer cancel()
 	if err := server.Shutdown(last); err != nil {
 		g.c.Logger.Warn("stopped with requests in flight", zap.Int64("in_hand", g.inFlight.Load()), logs.Error(err))
 	}
+	g.logStopping("exiting", zap.Int64("exit_ms", int64(exit-g.c.Clock.Now())))
+	g.connections.logUnanswered(g.c.Logger)
 	g.shutdownHandoffs(last)
 	if g.reportsUsage() {
 		g.writeTally(context.WithoutCancel(ctx), finalTallyTimeout, true, true)
@@ -336,6 +346,11 @@
 	return nil
 }
 
+// logStopping logs a step of the shutdown with what is in flight.
+func (g *Gateway) logStopping(step string, fields ...zap.Field) {
+	g.c.Logger.Info(step, append(append(fields, zap.Int64("in_hand", g.inFlight.Load())), g.connections.fields()...)...)
+}
+
 // shuttingDown reports whether this gateway has received the stop signal.
 func (g *Gateway) shuttingDown() bool { return g.exitAt.Load() != 0 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -43,6 +43,10 @@
 	out := &startedResponse{ResponseWriter: g.link.countResponse(w)}
 	g.serveRequest(out, r, origin{arrived: arrived})
 	if !out.started {
+		if g.shuttingDown() {
+			g.c.Logger.Info("request ended without a response", zap.String("from", r.RemoteAddr), zap.Bool("client_left", r.Context().Err() != nil),
+				zap.Int64("took_ms", int64(g.c.Clock.Now()-arrived)))
+		}
 		// net/http would complete the response with status 200. A client that has closed only its
 		// sending side still reads it.
 		panic(http.ErrAbortHandler)
