controller: engines count for the split from their first answer on

Callers of chats got 503 no_worker for as long as one entry of a decode engine was in the table at which nobody answers: the leader ordered sound decode engines to prefill, reason "split". controller.engines counted every entry that is ready and has a role, and left out only engines that the placement had seen fall silent; a dial that fails never makes an engine fall silent. An entry is a claim, not a worker.

Placer now keeps what shows that a worker is there. Any answer proves it: output, a refusal, a response to a probe. A failure to connect is evidence against it; package exchange marks these errors as ErrUnreachable, except where this process lacks descriptors or ports. A worker that has never answered counts as absent from its first failure on. One that has answered counts until three failures in a row, 1.5 s after its last answer: a busy engine resets connections, and its events prove it.

The holder of the lease asks the engines of which it knows nothing for their state, 16 in 250 ms, those never asked first, absent ones again after 250 ms to 2 s, quiet ones after 5 s; the engines that serve it are not asked. Roles, the floors of versions and urgent changes count proven engines only, and no others are ordered. A new holder of the lease orders nothing until the engines have been asked, for 2 s at most (longer with more than 16 engines); later entries delay nothing. If most engines that it knows are lost, it is the holder that is partitioned, and it keeps the roles.

Also counted by evidence now: utilization of prefill engines, decode engines in use, occupancy for the number of workers (scaling), engines that suit streams. Requests: a worker that has never answered gets its next chance 250 ms to 2 s after a failure, whatever the share of the workers that may be excluded.

Still counted by entries: the versions that a listing of stream versions may begin, the threshold from which gateways share decode slots, owners of prefixes (the queue of an excluded owner moves on), and the gateways that share rate limits (one too many makes the shares smaller).

--- a/internal/exchange/dial.go
+++ b/internal/exchange/dial.go
@@ -65,7 +65,8 @@
 // and two in a row about once in a thousand connections.
 const maxDialAttempts = 2
 
-// dial connects to address and retries only after a timeout.
+// dial connects to address and retries only after a timeout. If the peer can't be reached, the error is marked as
+// [kumquatlug.ErrUnreachable].
 func dial(ctx context.Context, dialer *net.Dialer, address string) (net.Conn, error) {
 	var err error
 	for range maxDialAttempts {
@@ -78,5 +79,18 @@
 			break
 		}
 	}
+	if ctx.Err() == nil && !lacksResources(err) {
+		err = errors.Mark(err, kumquatlug.ErrUnreachable)
+	}
 	return nil, err
 }
+
+// lacksResources reports whether this process could not connect to any peer.
+func lacksResources(err error) bool {
+	for _, own := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, own) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/gateway/attemptend.go
+++ b/internal/gateway/attemptend.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
 )
@@ -84,6 +86,9 @@
 // attemptFailed records an attempt that received no response.
 func (f *inflight) attemptFailed(s stage, c placement.Choice, a *placement.Attempt, cause endCause, err error) *attemptFailure {
 	failure := kumquatlug.FailureOf(err)
+	if cause == endedByWorker && errors.Is(err, kumquatlug.ErrUnreachable) {
+		f.g.scheduler.recordUnreachable(f.service.Name(), a)
+	}
 	f.endFailedAttempt(s, a, cause, failure.Execution())
 	if failure.Execution() != kumquatlug.NotExecuted {
 		f.deliveries++
--- a/internal/gateway/controller.go
+++ b/internal/gateway/controller.go
@@ -55,6 +55,8 @@
 	splits map[string]*planner.AdaptiveSplit
 	// fencingToken is the fencing token of the current lease, zero without a lease.
 	fencingToken lease.FencingToken
+	// wonAt is when the current lease was won.
+	wonAt kumquatlug.Millis
 	// deferredUntil is the time until which an engine that refused an order gets no
 	// other one, by engine.
 	deferredUntil map[string]kumquatlug.Millis
@@ -143,7 +145,7 @@
 		return
 	}
 	if fencingToken != v.fencingToken {
-		v.fencingToken = fencingToken
+		v.fencingToken, v.wonAt = fencingToken, now
 		// Another holder may have published others since.
 		clear(v.ownerWeights)
 		c.Logger.Info("lease won", zap.Int64("fence", int64(fencingToken)))
@@ -162,11 +164,16 @@
 		if s, _ := table.Service(name); !s.Engine() {
 			continue
 		}
+		v.g.askPresence(ctx, name)
 		activities := v.g.scheduler.activities(name)
-		engines, workers := v.engines(now, set.byService[name], activities)
+		members, enough := v.presentMembers(now, name, set.byService[name])
+		engines, workers := v.engines(now, members, activities)
 		wanted := v.addSpeeds(now, name, engines)
 		v.updateOwnerWeights(now, name, set.byService[name])
-		planned := v.planChanges(now, name, engines, workers, wanted, unresponsiveVersions(set.byService[name], activities))
+		planned := plannedChanges{}
+		if enough {
+			planned = v.planChanges(now, name, engines, workers, wanted, unresponsiveVersions(members, activities))
+		}
 		if !planned.ordered {
 			if !v.ownerWeights[name].published {
 				v.announceRoles(ctx, name, workers, nil)
--- a/pkg/kumquatlug/failure.go
+++ b/pkg/kumquatlug/failure.go
@@ -19,6 +19,8 @@
 	ErrNotFound = errors.New("not found")
 	// ErrDenied marks a caller or peer that lacks the permission.
 	ErrDenied = errors.New("denied")
+	// ErrUnreachable marks a failure to make a connection.
+	ErrUnreachable = errors.New("unreachable")
 	// ErrTooLarge marks a response that exceeds a limit in bytes, as if it had no end.
 	ErrTooLarge = errors.New("response too large")
 )
--- a/pkg/kumquatlug/placement/liveness.go
+++ b/pkg/kumquatlug/placement/liveness.go
@@ -124,6 +124,7 @@
 // again.
 func (p *Placer) markResponsive(now kumquatlug.Millis, id string, w *worker) {
 	w.lastSeenAt = now
+	w.presence.answered(now)
 	if w.unresponsive && p.workers[id] == w {
 		w.unresponsive = false
 		p.health.RecordOutcome(now, id, true, 0)
@@ -247,6 +248,9 @@
 // unresponsive, unless something has come from it since the probe.
 func (p *Placer) RecordProbe(now kumquatlug.Millis, id string, responded bool) (UnresponsiveWorker, bool) {
 	w, known := p.workers[id]
+	if known && !responded && w.lastSeenAt < w.probedAt {
+		w.presence.failed(now)
+	}
 	switch {
 	case !known:
 		return UnresponsiveWorker{}, false
--- a/pkg/kumquatlug/placement/placement.go
+++ b/pkg/kumquatlug/placement/placement.go
@@ -197,6 +197,7 @@
 	unresponsive bool
 	// probedAt is when the last liveness probe was sent.
 	probedAt kumquatlug.Millis
+	presence presence
 	// queue holds the prompts that wait for the engine, including those of other
 	// gateways if this one coordinates it. permits are those granted to other gateways.
 	queue   []*queuedPrompt
--- a/pkg/kumquatlug/placement/pressure.go
+++ b/pkg/kumquatlug/placement/pressure.go
@@ -87,7 +87,7 @@
 	busy := p.busyPrefillFraction(now)
 	taken := 0.0
 	for _, w := range p.ordered {
-		if w.member.State != kumquatlug.MemberReady {
+		if !w.counts() {
 			continue
 		}
 		if w.member.Role == kumquatlug.RoleDecode {
@@ -108,7 +108,7 @@
 func (p *Placer) busyPrefillFraction(now kumquatlug.Millis) float64 {
 	known, all, knownBusy, allBusy := 0, 0, 0.0, 0.0
 	for _, w := range p.ordered {
-		if w.member.State != kumquatlug.MemberReady || w.member.Role != kumquatlug.RolePrefill {
+		if !w.counts() || w.member.Role != kumquatlug.RolePrefill {
 			continue
 		}
 		busy := min(1, float64(w.prefills)+p.otherRequestsAt(now, w))
@@ -155,7 +155,7 @@
 func (p *Placer) Occupancy(now kumquatlug.Millis) map[string]Occupancy {
 	zones := map[string]Occupancy{}
 	for _, w := range p.ordered {
-		if w.member.State != kumquatlug.MemberReady {
+		if !w.counts() {
 			continue
 		}
 		o := zones[w.member.Zone]
--- a/pkg/kumquatlug/placement/steady.go
+++ b/pkg/kumquatlug/placement/steady.go
@@ -62,7 +62,7 @@
 	streams, decodes, taken, slots := 0.0, 0.0, 0.0, 0.0
 	d.suitable = map[string]bool{}
 	for _, w := range p.ordered {
-		if w.member.Role != kumquatlug.RoleDecode || w.member.State != kumquatlug.MemberReady {
+		if w.member.Role != kumquatlug.RoleDecode || !w.counts() {
 			continue
 		}
 		decodes += float64(w.running)
@@ -102,7 +102,7 @@
 	suitable = map[string]bool{}
 	inFlight, slots, engines, suitableTime, decodeTime := 0.0, 0.0, 0.0, 0.0, 0.0
 	for _, w := range p.ordered {
-		if w.member.State != kumquatlug.MemberReady {
+		if !w.counts() {
 			continue
 		}
 		relative := p.speeds.RelativeTime(now, w.member.Worker.ID())
