gateway: an invalid worker row is logged once

A writer that repeats an odd row, or writes thousands of them, filled the log of every gateway: one line for each version of each row, and none of them named the version.

A row is now logged when it becomes invalid, with its key, which is the ID of its writer, and its version; again only after it was valid or removed in between, and at most 20 rows in a minute. The next line tells how many were left out.

TestInvalidRowsAreLoggedOnce failed before: "100 lines" of one row that was written 100 times, and "3000 lines of 3,000 invalid rows".

--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -33,6 +33,7 @@
 	rowVersions map[string]int64
 	// removed are the workers whose rows were removed, by key.
 	removed map[string]removedWorker
+	invalid *invalidRows
 }
 
 // removedWorker is a worker whose row was removed, with the era of the store at that
@@ -47,7 +48,7 @@
 const removedRetention = 60 * kumquatlug.Second
 
 func newMembers(g *Gateway) *members {
-	return &members{g: g, current: map[string]kumquatlug.Member{}, rowVersions: map[string]int64{}, removed: map[string]removedWorker{}}
+	return &members{g: g, current: map[string]kumquatlug.Member{}, rowVersions: map[string]int64{}, removed: map[string]removedWorker{}, invalid: newInvalidRows()}
 }
 
 // apply updates the members from the rows. A worker without a row is removed, unless the
@@ -59,7 +60,7 @@
 	}
 	storeReturning := w.storeReturning(now)
 	for key, row := range w.rows {
-		m.applyRow(key, row, w.fullRead)
+		m.applyRow(now, key, row, w.fullRead)
 	}
 	for key := range m.current {
 		if _, present := w.rows[key]; !present && !storeReturning {
@@ -72,6 +73,7 @@
 	for key := range m.rowVersions {
 		if _, present := w.rows[key]; !present {
 			delete(m.rowVersions, key)
+			m.invalid.forget(key)
 		}
 	}
 	m.publish(now)
@@ -80,17 +82,21 @@
 // applyRow decodes one row, unless this version was decoded before: a change of one
 // worker must not cost decoding thousands of rows. An invalid row removes its worker.
 // fullRead is set if the row comes from a read of the whole table, not from a change.
-func (m *members) applyRow(key string, row kumquatlug.Row, fullRead bool) {
+func (m *members) applyRow(now kumquatlug.Millis, key string, row kumquatlug.Row, fullRead bool) {
 	if m.rowVersions[key] == row.Version() {
 		return
 	}
 	m.rowVersions[key] = row.Version()
 	member, err := m.g.c.RowDecoder.DecodeMember(row)
 	if err != nil {
-		m.g.c.Logger.Warn("invalid worker row ignored", zap.String("worker", key), logs.Error(err))
+		if log, omitted := m.invalid.report(now, key); log {
+			m.g.c.Logger.Warn("invalid worker row ignored", zap.String("worker", key), zap.Int64("row", row.Version()),
+				zap.Int("omitted", omitted), logs.Error(err))
+		}
 		delete(m.current, key)
 		return
 	}
+	m.invalid.forget(key)
 	if member.State == kumquatlug.MemberDraining {
 		// A store that is restored from an older copy says that the worker is ready.
 		m.g.shuttingDownWorkers.note(m.g.c.Clock.Now(), key, member.StartedAt)
