A listing that was read before counts if the peers that stop confirm it

Trace, from the gateways' logs: front-0 to front-3 get SIGTERM within 0.8 s while the store is lost. front-3 reads the listing at 35.598 s. front-2 unbinds v2 at 37.532 s, and begins the stream, whose id selects v2, at w-10+i of v1 at 37.924 s. Its client takes it up at front-3 at 38.387 s, which can't read the listing, asks nobody ("asked":0,"answered":0), and goes on by the listing of 35.598 s ("source":"cached_listing","determined":"v2").

Cause: gateways that have announced their stop were no longer peers, although they serve until the end of their grace period. While all stop, their records were sent to nobody, and a gateway with no peers took its old listing for confirmed. A peer that has just started and knows no listing counted as one that knows no newer one.

Gateways that stop, and those whose rows have gone since the listing was read, are asked as well; those that do not answer count against the listing, as do those that do not know it. All possible owners of the record but one have to answer: the stream's own gateway may be one of the first three, so that an owner has answered. If too few others serve, records go to gateways that stop. What is asked of all costs the waits of 40 and 150 ms in a roll, as for any peer that does not answer.

--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -27,6 +27,8 @@
 	peersReading sync.Mutex
 	// left are the gateways that have announced their shutdown and whose rows may still be there.
 	left map[string]bool
+	// gone is when gateways were last known whose rows have gone since.
+	gone map[string]kumquatlug.Millis
 	// joined are the gateways that have started, and how often they are still sent what they own.
 	joined map[string]int
 	// questions are the channels of the questions to peers, by key.
@@ -51,7 +53,7 @@
 func newStreamVersions(g *Gateway) *streamVersions {
 	return &streamVersions{
 		g: g, records: streamversion.NewRecords(), services: map[string]*serviceVersions{},
-		left: map[string]bool{}, joined: map[string]int{}, questions: map[uint64]chan versionAnswer{},
+		left: map[string]bool{}, gone: map[string]kumquatlug.Millis{}, joined: map[string]int{}, questions: map[uint64]chan versionAnswer{},
 	}
 }
 
@@ -118,7 +120,7 @@
 		}
 		s.recording = recording
 	}
-	peers := v.peers
+	peers := v.recipients()
 	v.mu.Unlock()
 	v.sendRecords(needed, peers)
 }
@@ -141,7 +143,7 @@
 	if v.service(service).NeedsRecords(v.storeSilent(now)) {
 		needed = []kumquatlug.StreamVersion{recordMessage(service, id, f.version)}
 	}
-	peers := v.peers
+	peers := v.recipients()
 	v.mu.Unlock()
 	v.sendRecords(needed, peers)
 }
--- a/internal/gateway/versionpeers.go
+++ b/internal/gateway/versionpeers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -42,7 +41,7 @@
 	for _, name := range restarted {
 		delete(v.left, name)
 	}
-	maps.DeleteFunc(v.left, func(name string, _ bool) bool { return !slices.Contains(names, name) })
+	v.noteRows(names)
 	names = slices.DeleteFunc(slices.Clone(names), func(name string) bool { return v.left[name] || name == v.g.c.Name })
 	if len(names) != before.Len() || slices.ContainsFunc(names, func(name string) bool { return !before.Has(name) }) {
 		v.peers = streamversion.NewGateways(names)
@@ -106,6 +105,7 @@
 	}
 	v.peers = v.peers.With(name)
 	delete(v.left, name)
+	delete(v.gone, name)
 	v.joined[name] = recordRepeats
 	needed, peers := v.neededFor([]string{name})
 	v.mu.Unlock()
@@ -121,7 +121,8 @@
 		needed = v.neededRecords(true)
 	}
 	v.peers = before.Without(name)
-	peers := v.peers
+	// It has those that it owns.
+	peers := v.recipients()
 	v.left[name] = true
 	delete(v.joined, name)
 	v.mu.Unlock()
@@ -134,7 +135,7 @@
 // handOver sends the records of this gateway, which stops, to the owners among the others.
 func (v *streamVersions) handOver() {
 	v.mu.Lock()
-	needed, peers := v.neededRecords(true), v.peers
+	needed, peers := v.neededRecords(true), v.recipients()
 	v.mu.Unlock()
 	v.sendRecords(needed, peers)
 }
@@ -171,8 +172,8 @@
 
 // sendRecords sends records to their owners. The caller must not hold v.mu: in a large fleet it takes long to
 // determine the owners of many records, and streams would wait.
-func (v *streamVersions) sendRecords(records []kumquatlug.StreamVersion, peers streamversion.Gateways) {
-	v.sendTo(records, func(id string) []string { return peers.Owners(id, streamversion.RecordOwners) })
+func (v *streamVersions) sendRecords(records []kumquatlug.StreamVersion, to recordRecipients) {
+	v.sendTo(records, to.owners)
 }
 
 // sendOwned sends records to those of the given peers that own them. The caller must not hold v.mu.
@@ -239,9 +240,11 @@
 	v       *streamVersions
 	key     uint64
 	message kumquatlug.StreamVersion
+	// peers are those that are asked, owners the lists of those that may own the record.
 	peers   []string
+	owners  [][]string
 	answers chan versionAnswer
-	// answered are the peers that have answered, changedAt is when the newest epoch began that one of them
+	// answered are the peers that have answered, and whether they know the listing, changedAt is when the newest epoch began that one of them
 	// knows, determined the version that the listing determines according to one that knows this epoch.
 	answered   map[string]bool
 	changedAt  kumquatlug.Millis
@@ -260,11 +263,7 @@
 		return q
 	}
 	v.mu.Lock()
-	count := streamversion.AskedOwners
-	if v.peers.Len() <= maxAskedGateways {
-		count = v.peers.Len()
-	}
-	q.peers = v.peers.Owners(id, count)
+	q.peers, q.owners = v.askedPeers(service, id)
 	q.answers = make(chan versionAnswer, 2*len(q.peers))
 	v.questions[q.key] = q.answers
 	v.mu.Unlock()
@@ -331,7 +330,7 @@
 
 // handle applies an answer.
 func (q *versionQuestions) handle(m versionAnswer) {
-	q.answered[m.peer] = true
+	q.answered[m.peer] = q.answered[m.peer] || m.ChangedAt > 0
 	if m.ChangedAt > q.changedAt {
 		q.changedAt, q.determined = m.ChangedAt, ""
 	}
@@ -345,7 +344,7 @@
 	case m.Version != "":
 		q.conflicting = q.conflicting || q.record != "" && q.record != m.Version
 		q.record = m.Version
-		q.ofOwner = q.ofOwner || slices.Contains(q.peers[:min(len(q.peers), streamversion.AskedOwners)], m.peer)
+		q.ofOwner = q.ofOwner || slices.Contains(slices.Concat(q.owners...), m.peer)
 	}
 }
 
--- a/internal/gateway/versionresolve.go
+++ b/internal/gateway/versionresolve.go
@@ -71,6 +71,7 @@
 	questions.await(ctx, timeout, record, e.Determined)
 	e.Record, e.Conflicting = questions.record, questions.conflicting
 	e.Asked, e.Answered, e.PeerChangedAt = len(questions.peers), len(questions.answered), questions.changedAt
+	e.Knowing, e.SilentOwners = questions.knowing(), questions.silentOwners()
 	e.PeersUnknown = questions.v.g.c.Peers != nil && !questions.v.peersRead.Load()
 	if named {
 		e.PeerDetermined = questions.determined
--- a/internal/gateway/versionselection.go
+++ b/internal/gateway/versionselection.go
@@ -70,7 +70,7 @@
 	defer v.mu.Unlock()
 	s := v.service(service)
 	listing, known := s.Listing()
-	if known && v.peersRead.Load() && 2*len(q.answered) >= len(q.peers) && q.changedAt <= listing.ChangedAt() {
+	if known && v.peersRead.Load() && 2*q.knowing() >= len(q.peers) && q.changedAt <= listing.ChangedAt() {
 		s.confirmedUntil = now + confirmationTime
 	}
 	return s.mayBegin(now)
--- a/pkg/kumquatlug/streamversion/evidence.go
+++ b/pkg/kumquatlug/streamversion/evidence.go
@@ -36,6 +36,9 @@
 	PeerDetermined string
 	// Asked is the number of peers that were asked, Answered that of those that answered.
 	Asked, Answered int
+	// Knowing is the number of those that answered and know the listing: a peer that has just started knows of no
+	// newer one. SilentOwners is the number of possible owners of the record that are not among them.
+	Knowing, SilentOwners int
 	// PeerChangedAt is when the newest listing changed last that a peer which answered knows.
 	PeerChangedAt kumquatlug.Millis
 	// PeersUnknown says that there may be peers that were not asked.
@@ -63,8 +66,9 @@
 }
 
 // cacheCounts reports whether a listing that was read before counts. Peers that answer have the records of
-// streams that began by a newer epoch, or know of that epoch if these have been lost. After EpochLag no gateway
-// that reaches the store uses the listing any more.
+// streams that began by a newer epoch, or know of that epoch if these have been lost. Of the possible owners of a
+// record, one is the gateway that began the stream: if all others but one answer, an owner has. After EpochLag no
+// gateway that reaches the store uses the listing any more.
 func (e Evidence) cacheCounts() bool {
-	return 2*e.Answered >= e.Asked && !e.PeersUnknown && e.PeerChangedAt <= e.ChangedAt && e.Age < EpochLag
+	return 2*e.Knowing >= e.Asked && e.SilentOwners <= 1 && !e.PeersUnknown && e.PeerChangedAt <= e.ChangedAt && e.Age < EpochLag
 }
--- a/pkg/kumquatlug/streamversion/simulation_test.go
+++ b/pkg/kumquatlug/streamversion/simulation_test.go
@@ -280,6 +280,9 @@
 		e.Asked++
 		peer := g.s.gateways[owner]
 		if peer == nil {
+			if n < AskedOwners {
+				e.SilentOwners++
+			}
 			continue
 		}
 		e.Answered++
@@ -292,7 +295,10 @@
 			e.PeerDetermined = l.Determined(id)
 		}
 		if l, known := peer.view.Listing(); known {
+			e.Knowing++
 			e.PeerChangedAt = max(e.PeerChangedAt, l.ChangedAt())
+		} else if n < AskedOwners {
+			e.SilentOwners++
 		}
 	}
 	return e
