--- a/internal/standin/fleet/responses.go
+++ b/internal/standin/fleet/responses.go
@@ -40,6 +40,9 @@
 	handle := fmt.Sprintf("h-%s-%d", id, w.prefills)
 	w.handles[handle] = id
 	w.mu.Unlock()
+	if w.writePartialHead(out, id, fault) {
+		return
+	}
 	// A write error means that the caller has disconnected.
 	_ = json.NewEncoder(out).Encode(map[string]any{"kv_handle": handle, "tokens": 1, "version": 1})
 }
@@ -68,6 +71,9 @@
 		out.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	if w.writePartialHead(out, id, fault) {
+		return
+	}
 	form := standin.EndlessChunks
 	if w.config.Stage != "" {
 		form = standin.EndlessEvent
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -53,6 +53,13 @@
 	FaultEndlessBody Fault = "endless_body"
 	// FaultEndlessDrip: as FaultEndlessBody, one byte each 10 ms.
 	FaultEndlessDrip Fault = "endless_drip"
+	// FaultPartialHead: requests run and the connection is closed within the head of their response,
+	// as it is within those of separate prefills and of moves.
+	FaultPartialHead Fault = "partial_head"
+	// FaultStalledHead: as FaultPartialHead, but the connection stays open.
+	FaultStalledHead Fault = "stalled_head"
+	// FaultUnsigned: as FaultPartialHead, but an empty line ends the head after its first header.
+	FaultUnsigned Fault = "unsigned"
 )
 
 // Config configures a [Worker].
@@ -114,6 +121,8 @@
 	endlessResponses int
 	endlessBytes     int64
 	endlessTime      time.Duration
+	// partialHeads counts the responses that stopped within their head.
+	partialHeads int
 }
 
 // New returns a worker without faults.
@@ -283,15 +292,20 @@
 		return
 	}
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	end, found := w.streamEnds[m.InstanceID]
 	if !found {
+		w.mu.Unlock()
 		out.WriteHeader(http.StatusNotFound)
 		return
 	}
 	delete(w.streamEnds, m.InstanceID)
 	close(end)
 	w.moves[m.InstanceID]++
+	fault := w.fault
+	w.mu.Unlock()
+	if w.writePartialHead(out, m.InstanceID, fault) {
+		return
+	}
 	// A write error means that the caller has disconnected.
 	_ = json.NewEncoder(out).Encode(map[string]any{"kv_handle": "h-" + m.InstanceID + movedSuffix, "created": 1})
 }
--- /dev/null
+++ b/internal/standin/rawserver.go
@@ -0,0 +1,75 @@
+package standin
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"time"
+)
+
+// RawResponse is a response in the bytes in which a peer in trouble sends it.
+type RawResponse struct {
+	// Writes are sent one after the other, with Pause between two of them.
+	Writes []string
+	Pause  time.Duration
+	// StaysOpen says that the connection stays open until the caller closes it.
+	StaysOpen bool
+}
+
+// RawServer is a peer that answers the one request of each connection with a [RawResponse].
+type RawServer struct {
+	listener net.Listener
+	respond  func(*http.Request) RawResponse
+}
+
+// NewRawServer starts a server on a free port.
+func NewRawServer(respond func(*http.Request) RawResponse) (*RawServer, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &RawServer{listener: l, respond: respond}
+	go s.accept()
+	return s, nil
+}
+
+// Address returns the address of the server, IP:port.
+func (s *RawServer) Address() string { return s.listener.Addr().String() }
+
+// Close stops accepting connections.
+func (s *RawServer) Close() { _ = s.listener.Close() }
+
+func (s *RawServer) accept() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.serve(c)
+	}
+}
+
+func (s *RawServer) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	r, err := http.ReadRequest(reader)
+	if err != nil {
+		return
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	response := s.respond(r)
+	for i, part := range response.Writes {
+		if i > 0 {
+			time.Sleep(response.Pause)
+		}
+		if _, err := io.WriteString(c, part); err != nil {
+			return
+		}
+	}
+	if response.StaysOpen {
+		_, _ = io.Copy(io.Discard, reader)
+	}
+}
