Gateways that start while the store is away take streams up by the listing of their peers

Callers that took streams up at a gateway which had started while the store did not answer were refused with version_unknown, although its peers had read the listing a second before: a peer answered only if it could read the listing again at that moment.

Evidence: TestGatewayThatStartsWhileTheStoreIsAwayTakesStreamsUp failed before, "status 503, want the rest of stream". The simulation of random histories has the same rules and joins no versions.

--- a/internal/gateway/versionresolve.go
+++ b/internal/gateway/versionresolve.go
@@ -120,14 +120,13 @@
 	return listing.Sole(), r
 }
 
-// determined reads the listing and returns the version that it determines for a stream, empty if there is
-// none.
+// determined reads the listing for a peer and returns the version that it determines for a stream, empty if there is
+// none. If it can't be read, the one that was read before counts for as long as streams begin by it: the peer asks
+// others as well, which have the records of streams that began by a newer one.
 func (v *streamVersions) determined(ctx context.Context, service, id string) string {
-	if !v.callListing(ctx, service, false) {
+	listing, counts := v.listingForPeer(ctx, service)
+	if !counts {
 		return ""
 	}
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	listing, _ := v.service(service).Listing()
 	return listing.Determined(id)
 }
--- a/internal/gateway/versionselection.go
+++ b/internal/gateway/versionselection.go
@@ -16,11 +16,11 @@
 	return v.service(service).Select(v.g.c.BootClock.Now(), id)
 }
 
-// Parameters of selections by peers.
+// Parameters of listings that peers ask for.
 const (
-	// selectionReadTimeout is how long a peer that selects a version reads the listing before it answers by the one
-	// that it knows: its answer is awaited for versionAnswerTimeout.
-	selectionReadTimeout = 100 * kumquatlug.Millis(1)
+	// peerReadTimeout is how long a gateway reads the listing for a peer before it answers by the one that it knows:
+	// its answer is awaited for versionAnswerTimeout.
+	peerReadTimeout = 100 * kumquatlug.Millis(1)
 	// confirmationTime is how long the answers of peers confirm a listing that none of them can read.
 	confirmationTime = 5 * kumquatlug.Second
 )
@@ -79,18 +79,25 @@
 // selectFor returns the version at which a stream of a peer begins that can't read the listing, empty if this
 // gateway can't read it either and does not begin streams by the one that it read before.
 func (v *streamVersions) selectFor(ctx context.Context, service, id string) string {
-	ctx, cancel := context.WithTimeout(ctx, selectionReadTimeout.Duration())
+	listing, counts := v.listingForPeer(ctx, service)
+	if !counts {
+		return ""
+	}
+	return listing.Select(id)
+}
+
+// listingForPeer reads the listing for a peer that can't. It returns the one that was read before if it can't be read
+// soon, and whether streams begin by it here.
+func (v *streamVersions) listingForPeer(ctx context.Context, service string) (streamversion.Listing, bool) {
+	ctx, cancel := context.WithTimeout(ctx, peerReadTimeout.Duration())
 	defer cancel()
 	read := v.callListing(ctx, service, false)
 	now := v.g.c.BootClock.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	s := v.service(service)
-	if !read && !s.MayAdvise(now) && now >= s.confirmedUntil {
-		return ""
-	}
 	listing, _ := s.Listing()
-	return listing.Select(id)
+	return listing, read || s.MayAdvise(now) || now < s.confirmedUntil
 }
 
 // noWorker handles that no worker of the version which is selected for a stream accepts it. It reports whether
--- a/internal/gateway/versionunlisted_test.go
+++ b/internal/gateway/versionunlisted_test.go
@@ -129,3 +129,24 @@
 		}
 	}
 }
+
+// Guards against streams that end at a gateway which has started while the store does not answer, although its peers
+// read the listing shortly before.
+func TestGatewayThatStartsWhileTheStoreIsAwayTakesStreamsUp(t *testing.T) {
+	fleet := newVersionFleet(t, versionedEngines(2), fourEngines)
+	version := fleet.beginCut(t, "a", "stream")
+	for _, name := range []string{"b", "c", "d"} {
+		fleet.gateways[name].g.streamVersions.prepare(t.Context(), "engines", "other")
+	}
+	fleet.kill("a")
+	for _, f := range fleet.gateways {
+		f.g.streamVersions.forgetRecords()
+		f.g.c.Table = &cutOffTable{sharedTable: fleet.table, cutOff: true}
+	}
+	a := fleet.start(t, "a")
+	a.g.c.Table = &cutOffTable{sharedTable: fleet.table, cutOff: true}
+	fleet.requireGoesOn(t, "a", "stream")
+	if !fleet.workers.joinedVersions(fleet.versions)[version] {
+		t.Errorf("the stream does not go on at %s", version)
+	}
+}
--- a/pkg/kumquatlug/streamversion/evidence.go
+++ b/pkg/kumquatlug/streamversion/evidence.go
@@ -32,7 +32,7 @@
 	Undetermined Reason
 	// ChangedAt is when that listing changed last, see [Listing.ChangedAt], Age how long ago it was read.
 	ChangedAt, Age kumquatlug.Millis
-	// PeerDetermined is the version that the listing determines according to a peer that has read it.
+	// PeerDetermined is the version that the newest listing determines which a peer knows, as of its last read.
 	PeerDetermined string
 	// Asked is the number of peers that were asked, Answered that of those that answered.
 	Asked, Answered int
@@ -57,7 +57,7 @@
 		return e.Determined, SourceListing
 	case e.Read:
 		return "", SourceNone
-	case e.PeerDetermined != "":
+	case e.PeerDetermined != "" && e.peersConfirm():
 		return e.PeerDetermined, SourcePeerListing
 	case e.Determined != "" && e.cacheCounts():
 		return e.Determined, SourceCache
@@ -65,10 +65,15 @@
 	return "", SourceNone
 }
 
-// cacheCounts reports whether a listing that was read before counts. Peers that answer have the records of
-// streams that began by a newer epoch, or know of that epoch if these have been lost. Of the possible owners of a
-// record, one is the gateway that began the stream: if all others but one answer, an owner has. After EpochLag no
-// gateway that reaches the store uses the listing any more.
+// cacheCounts reports whether a listing that was read before counts. After EpochLag no gateway that reaches the store
+// uses the listing any more.
 func (e Evidence) cacheCounts() bool {
-	return 2*e.Knowing >= e.Asked && e.SilentOwners <= 1 && !e.PeersUnknown && e.PeerChangedAt <= e.ChangedAt && e.Age < EpochLag
+	return e.peersConfirm() && e.PeerChangedAt <= e.ChangedAt && e.Age < EpochLag
+}
+
+// peersConfirm reports whether the peers that answer have the records of streams that began by a newer listing than
+// the newest one that they know, or know of that listing if these have been lost. Of the possible owners of a record,
+// one is the gateway that began the stream: if all others but one answer, an owner has.
+func (e Evidence) peersConfirm() bool {
+	return 2*e.Knowing >= e.Asked && e.SilentOwners <= 1 && !e.PeersUnknown
 }
--- a/pkg/kumquatlug/streamversion/simulation_test.go
+++ b/pkg/kumquatlug/streamversion/simulation_test.go
@@ -263,7 +263,7 @@
 		if peer == nil {
 			continue
 		}
-		if !peer.call(readOnly) {
+		if !peer.call(readOnly) && !peer.view.MayAdvise(g.s.now) {
 			continue
 		}
 		if l, known := peer.view.Listing(); known && l.Select(id) != "" {
@@ -280,9 +280,7 @@
 		e.Asked++
 		peer := g.s.gateways[owner]
 		if peer == nil {
-			if n < AskedOwners {
-				e.SilentOwners++
-			}
+			e.SilentOwners += max(0, min(1, AskedOwners-n))
 			continue
 		}
 		e.Answered++
@@ -290,15 +288,19 @@
 		if version := peer.records.Find(g.s.now, id); version != "" {
 			e.Conflicting = e.Conflicting || e.Record != "" && e.Record != version
 			e.Record = version
-		} else if n < AskedOwners && peer.call(readOnly) {
-			l, _ := peer.view.Listing()
-			e.PeerDetermined = l.Determined(id)
 		}
-		if l, known := peer.view.Listing(); known {
-			e.Knowing++
-			e.PeerChangedAt = max(e.PeerChangedAt, l.ChangedAt())
-		} else if n < AskedOwners {
-			e.SilentOwners++
+		read := n < AskedOwners && e.Record == "" && peer.call(readOnly)
+		l, known := peer.view.Listing()
+		if !known {
+			e.SilentOwners += max(0, min(1, AskedOwners-n))
+			continue
+		}
+		e.Knowing++
+		if l.ChangedAt() > e.PeerChangedAt {
+			e.PeerChangedAt, e.PeerDetermined = l.ChangedAt(), ""
+		}
+		if n < AskedOwners && l.ChangedAt() == e.PeerChangedAt && (read || peer.view.MayAdvise(g.s.now)) {
+			e.PeerDetermined = l.Determined(id)
 		}
 	}
 	return e
