Count what a stopping gateway has received, not what has begun

Callers saw: a request is sent to a stopping gateway, and its connection is closed without an answer a second later, both before the planned exit and at it.

Cause: the gateway took itself for idle when no handler ran, and then (or 0.7 s before the exit) began the shutdown of net/http. That closes each connection whose head becomes whole afterwards without an answer, and waits for the new ones, so that the process lives until the last of these heads has come. On a link that is full, heads come a second after their connection. Bodies that were still arriving at the exit ended without an answer, too, as a body is decided on only when bytes of it arrive, and a small one not at all.

Change: package shutdown decides from the states of the connections. The listener closes if nothing is new, in its head, active or in flight, and nothing has been received for 1.5 times the time that heads take to arrive, or that much and 0.7 s before the exit. The connections that were accepted are served on, without the shutdown of net/http, until all that they have sent is answered. 0.6 s before the exit, heads and bodies that have arrived in part are refused with 503, as not run. A stopping gateway decides on small bodies from their heads, too: its connections close after the response in any case.

Why it works: a request is closed without an answer only if nothing of it was received until the exit.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"os"
@@ -133,6 +134,8 @@
 	// refusal returns why a large body is not read further, nil if it is. It is called before each
 	// part.
 	refusal func() *kumquatlug.Failure
+	// stopping returns the refusal of a body that has not arrived shortly before the exit.
+	stopping func() *kumquatlug.Failure
 	// mayWait says that the body may wait for memory, and waitLeft for how long, once it has
 	// waited.
 	mayWait  bool
@@ -153,7 +156,7 @@
 // this gateway. Handed-off requests are decided on once they are known to come from a peer.
 func (f *inflight) newBodyReader(r *http.Request, table *routes.Table, denied *kumquatlug.Failure) *bodyReader {
 	b := &bodyReader{
-		g: f.g, request: r, limit: defaultMaxBodyBytes, deadline: f.deadline, mayWait: f.handoff == nil,
+		g: f.g, request: r, limit: defaultMaxBodyBytes, deadline: f.deadline, mayWait: f.handoff == nil, stopping: f.stoppingRefusal,
 		refusal: func() *kumquatlug.Failure {
 			switch {
 			case f.handoff != nil:
@@ -193,7 +196,13 @@
 	connection := http.NewResponseController(w)
 	// A writer without a connection has no deadline.
 	_ = connection.SetReadDeadline(time.Now().Add((b.deadline - b.g.c.Clock.Now()).Duration()))
-	if failure := b.readParts(); failure != nil {
+	end := context.AfterFunc(b.g.bodiesEnd, func() { _ = connection.SetReadDeadline(time.Now()) })
+	failure := b.readParts()
+	if !end() {
+		// The deadline that was set would end the request as if its client had left.
+		failure = b.stopping()
+	}
+	if failure != nil {
 		// net/http would otherwise read on before it sends the refusal.
 		w.Header().Set("Connection", "close")
 		return kumquatlug.Body{}, failure
@@ -203,6 +212,12 @@
 }
 
 func (b *bodyReader) readParts() *kumquatlug.Failure {
+	if b.g.shuttingDown() {
+		// The connection closes after the response, so that a small body need not be read either.
+		if denied := b.refusal(); denied != nil {
+			return denied
+		}
+	}
 	granted := false
 	if b.reservation, granted = b.g.bodies.begin(b.most, b.known); !granted {
 		return b.refuse()
--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"bytes"
+	"io"
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -11,18 +14,23 @@
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/shutdown"
 )
 
-// maxConnectionLines bounds the log lines about single connections at the exit.
-const maxConnectionLines = 20
+const (
+	// maxConnectionLines bounds the log lines about single connections at the exit.
+	maxConnectionLines = 20
+	// refuseTimeout bounds the sending of a refusal to a connection whose head has arrived in part.
+	refuseTimeout = 50 * time.Millisecond
+)
 
 // connections tracks the connections of clients.
 type connections struct {
 	clock kumquatlug.Clock
 	mu    sync.Mutex
 	state *shutdown.Connections
+	open  map[*shutdown.Conn]*trackedConn
 }
 
 func newConnections(clock kumquatlug.Clock) *connections {
-	return &connections{clock: clock, state: shutdown.NewConnections()}
+	return &connections{clock: clock, state: shutdown.NewConnections(), open: map[*shutdown.Conn]*trackedConn{}}
 }
 
 // listener returns a listener whose connections are tracked. Its server must call stateChanged.
@@ -43,10 +51,48 @@
 		s.state.Finish(s.clock.Now(), c.state)
 	case http.StateClosed, http.StateHijacked:
 		s.state.Close(c.state)
+		delete(s.open, c.state)
 	case http.StateNew:
 	}
 }
 
+// next returns the next step of a shutdown.
+func (s *connections) next(plan *shutdown.Plan, inFlight int) shutdown.Step {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return plan.Next(s.clock.Now(), s.state, inFlight)
+}
+
+// refuseHeads refuses the requests whose heads have arrived in part. What still arrives of them is
+// discarded, so that the refusal is not lost in a reset of the connection. It returns their number
+// once the refusals are sent.
+func (s *connections) refuseHeads(ingress kumquatlug.Ingress, failure *kumquatlug.Failure) int {
+	out := &rawResponse{header: http.Header{}}
+	ingress.WriteError(out, kumquatlug.Request{}, failure)
+	heads := s.takeHeads()
+	var group sync.WaitGroup
+	for _, c := range heads {
+		group.Go(func() { c.refuse(out) })
+	}
+	group.Wait()
+	return len(heads)
+}
+
+// takeHeads returns the connections whose heads have arrived in part. They are not read any more.
+func (s *connections) takeHeads() []*trackedConn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var found []*trackedConn
+	for _, c := range s.state.Unanswered() {
+		if c.State() == shutdown.Head {
+			s.state.Finish(s.clock.Now(), c)
+			s.open[c].refused = true
+			found = append(found, s.open[c])
+		}
+	}
+	return found
+}
+
 // fields returns the log fields of the connections.
 func (s *connections) fields() []zap.Field {
 	s.mu.Lock()
@@ -84,7 +130,9 @@
 	s := l.connections
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return &trackedConn{conn, s, s.state.Accept(s.clock.Now())}, nil
+	c := &trackedConn{Conn: conn, connections: s, state: s.state.Accept(s.clock.Now())}
+	s.open[c.state] = c
+	return c, nil
 }
 
 // trackedConn is a connection of a client.
@@ -92,18 +140,55 @@
 	net.Conn
 	connections *connections
 	state       *shutdown.Conn
+	// refused says that the request whose head arrives is refused; connections.mu guards it.
+	refused bool
 }
 
 // Read implements [net.Conn].
 func (c *trackedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		s := c.connections
-		s.mu.Lock()
+	for {
+		n, err := c.Conn.Read(p)
+		if n == 0 || !c.received(n) {
+			return n, err
+		}
+		if err != nil {
+			return 0, err
+		}
+	}
+}
+
+// received records received bytes. It reports whether they are to be discarded.
+func (c *trackedConn) received(n int) bool {
+	s := c.connections
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !c.refused {
 		s.state.Receive(s.clock.Now(), c.state, n)
-		s.mu.Unlock()
 	}
-	return n, err
+	return c.refused
+}
+
+// Write implements [net.Conn].
+func (c *trackedConn) Write(p []byte) (int, error) {
+	c.connections.mu.Lock()
+	refused := c.refused
+	c.connections.mu.Unlock()
+	if refused {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(p)
+}
+
+// refuse sends a refusal and closes the sending side.
+func (c *trackedConn) refuse(out *rawResponse) {
+	response := http.Response{
+		StatusCode: out.status, ProtoMajor: 1, ProtoMinor: 1, Header: out.header, ContentLength: int64(out.body.Len()),
+		Body: io.NopCloser(bytes.NewReader(out.body.Bytes())), Close: true,
+	}
+	// A client that has left or does not read its last response gets no refusal.
+	if c.SetWriteDeadline(time.Now().Add(refuseTimeout)) == nil && response.Write(c.Conn) == nil {
+		_ = c.CloseWrite()
+	}
 }
 
 // CloseWrite closes the sending side. net/http uses it before it closes a connection of which it has
@@ -114,3 +199,19 @@
 	}
 	return nil
 }
+
+// rawResponse is a response for connections without a request of net/http.
+type rawResponse struct {
+	status int
+	header http.Header
+	body   bytes.Buffer
+}
+
+// Header implements [http.ResponseWriter].
+func (w *rawResponse) Header() http.Header { return w.header }
+
+// WriteHeader implements [http.ResponseWriter].
+func (w *rawResponse) WriteHeader(status int) { w.status = status }
+
+// Write implements [http.ResponseWriter].
+func (w *rawResponse) Write(p []byte) (int, error) { return w.body.Write(p) }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/retry"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/routes"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/shutdown"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/usage"
 )
 
@@ -164,6 +165,9 @@
 	accounts accountStats
 	term     atomic.Pointer[lease.Term]
 	bodies   *bodyMemory
+	// bodiesEnd ends when no body can arrive in time for its request to be served.
+	bodiesEnd context.Context
+	endBodies context.CancelFunc
 	// bufferBytes is the total size reserved for buffered responses.
 	bufferBytes atomic.Int64
 	// shares are the tables whose reads are shared with other gateways.
@@ -195,6 +199,7 @@
 		connections: newConnections(c.Clock),
 	}
 	g.scheduler.slots.outcomes = newSlotMetrics(c.Registry)
+	g.bodiesEnd, g.endBodies = context.WithCancel(context.Background())
 	g.retryClaims = newRetryClaims(g)
 	g.crashes = newCrashes(g)
 	g.streamVersions = newStreamVersions(g)
@@ -291,9 +296,6 @@
 	balancerLag = 2600 * kumquatlug.Millis(1)
 	// exitMargin is the part of the grace period that is reserved for the exit.
 	exitMargin = 500 * kumquatlug.Millis(1)
-	// finalDrainTime is how long before that point no more connections are accepted.
-	// Nearly all requests except long streams complete within it.
-	finalDrainTime = 700 * kumquatlug.Millis(1)
 	// idlePollInterval is how often a gateway that is shutting down checks whether it is
 	// idle.
 	idlePollInterval = 100 * kumquatlug.Millis(1)
@@ -317,28 +319,20 @@
 	g.exitAt.Store(int64(exit))
 	g.stopCoordinating()
 	g.logStopping("stopping", zap.Int64("grace_ms", int64(g.c.GracePeriod)))
-	polledAt, latestPoll := start, kumquatlug.Millis(0)
-	for now := start; now < exit-finalDrainTime; now = g.c.Clock.Now() {
-		latestPoll = max(latestPoll, now-polledAt-idlePollInterval)
-		polledAt = now
-		if now-start >= balancerLag && g.inFlight.Load() == 0 {
-			break
-		}
-		select {
-		case err := <-failed:
-			return err
-		case <-time.After(idlePollInterval.Duration()):
-		}
+	plan := shutdown.NewPlan(shutdown.PlanConfig{StoppedAt: start, ExitAt: exit, MinServeTime: balancerLag, PollInterval: idlePollInterval})
+	if err := g.drain(plan, exit, failed); err != nil {
+		return err
 	}
-	g.logStopping("no more connections are accepted", zap.Int64("exit_ms", int64(exit-g.c.Clock.Now())), zap.Int64("latest_poll_ms", int64(latestPoll)))
-	left := max(exit-g.c.Clock.Now(), 0)
-	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), left.Duration())
-	defer cancel()
-	if err := server.Shutdown(last); err != nil {
-		g.c.Logger.Warn("stopped with requests in flight", zap.Int64("in_hand", g.inFlight.Load()), logs.Error(err))
+	if inFlight := g.inFlight.Load(); inFlight > 0 {
+		g.c.Logger.Warn("stopped with requests in flight", zap.Int64("in_hand", inFlight))
 	}
 	g.logStopping("exiting", zap.Int64("exit_ms", int64(exit-g.c.Clock.Now())))
 	g.connections.logUnanswered(g.c.Logger)
+	// As ctx has ended, this closes the idle connections and doesn't wait for others. A request that
+	// came on one of them now would be cut by the exit.
+	_ = server.Shutdown(ctx)
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), max(exit-g.c.Clock.Now(), 0).Duration())
+	defer cancel()
 	g.shutdownHandoffs(last)
 	if g.reportsUsage() {
 		g.writeTally(context.WithoutCancel(ctx), finalTallyTimeout, true, true)
@@ -346,6 +340,47 @@
 	return nil
 }
 
+// drain serves clients until the exit of a gateway that is shutting down. served receives the result
+// of the server.
+//
+// The shutdown of net/http can't be used: it closes each connection whose head arrives after it has
+// begun without an answer.
+func (g *Gateway) drain(plan *shutdown.Plan, exit kumquatlug.Millis, served <-chan error) error {
+	for step := shutdown.Serve; step != shutdown.Exit; {
+		select {
+		case err := <-served:
+			return err
+		case <-time.After(min(idlePollInterval, max(exit-g.c.Clock.Now(), 0)).Duration()):
+		}
+		next := g.connections.next(plan, int(g.inFlight.Load()))
+		if step == shutdown.Serve && next != step {
+			g.logStopping("no more connections are accepted", zap.Int64("exit_ms", int64(exit-g.c.Clock.Now())), zap.Int64("latest_poll_ms", int64(plan.LatestPoll())))
+			if err := g.c.ClientListener.Close(); err != nil {
+				g.c.Logger.Warn("failed to close the listener of clients", logs.Error(err))
+			}
+			// The connections that were accepted before are known afterwards.
+			if err := <-served; err != nil && !errors.Is(err, net.ErrClosed) {
+				return err
+			}
+			served = nil
+		}
+		if step = next; step == shutdown.Refuse || step == shutdown.Exit {
+			g.refusePartial()
+		}
+	}
+	return nil
+}
+
+// refusePartial refuses the requests that have arrived in part.
+func (g *Gateway) refusePartial() {
+	g.endBodies()
+	refused := g.connections.refuseHeads(g.c.Ingress, refusal("stop", reasonStopping, http.StatusServiceUnavailable, shutdownRetryAfter))
+	if refused > 0 {
+		g.metrics.responses.WithLabelValues(reasonStopping).Add(float64(refused))
+		g.c.Logger.Info("requests with partial heads refused", zap.Int("requests", refused))
+	}
+}
+
 // logStopping logs a step of the shutdown with what is in flight.
 func (g *Gateway) logStopping(step string, fields ...zap.Field) {
 	g.c.Logger.Info(step, append(append(fields, zap.Int64("in_hand", g.inFlight.Load())), g.connections.fields()...)...)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -72,6 +72,10 @@
 func (g *Gateway) serveRequest(w http.ResponseWriter, r *http.Request, o origin) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
+	if g.shuttingDown() {
+		// The client's next request uses a new connection, to a gateway that is not shutting down.
+		w.Header().Set("Connection", "close")
+	}
 	table := g.table.Load()
 	if !g.crashesLoaded() {
 		// It may not be sent to a worker before it is known what is under quarantine.
@@ -105,8 +109,7 @@
 		return
 	}
 	if exit := kumquatlug.Millis(g.exitAt.Load()); exit != 0 {
-		// The client's next request uses a new connection, to a gateway that is not
-		// shutting down.
+		// The stop signal may have come while the body arrived.
 		w.Header().Set("Connection", "close")
 		f.setDeadline()
 		if refused := f.exitRefusal(); refused != nil {
