usage: rows of another writer end no process and stop no reports

One odd row among those of the usage counts ended every holder of the lease, one after the other: the reporter counts from the next window, or the first one in any tally, up to the present one, with an entry in memory for each. From window 1 on these are 350 million ("fatal error: out of memory" at a limit of 8 GB). A number far ahead, in the row of the next window, a tally or a report, stopped all later reports for good; so did a row of the next window that can't be decoded, since the transaction expected that there is none.

A window that is not open at the present time, at most 10,000 back and one ahead, is now taken for none, wherever a row names it. The row of the next window is replaced then; what is finalized is known from the tallies and the reports. Negative and huge counts make a tally or a report invalid. Gateways drop no counts for an implausible next window. An error that repeats at each scan is logged once a minute.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -161,10 +161,12 @@
 	adoptMu     sync.Mutex
 	configFetch configFetch
 	// usage counts the requests started here. term is the lease that this gateway holds.
-	usage    usageState
-	accounts accountStats
-	term     atomic.Pointer[lease.Term]
-	bodies   *bodyMemory
+	usage usageState
+	// usageError belongs to the goroutine that reports usage.
+	usageError usageError
+	accounts   accountStats
+	term       atomic.Pointer[lease.Term]
+	bodies     *bodyMemory
 	// bodiesEnd ends when no body can arrive in time for its request to be served.
 	bodiesEnd context.Context
 	endBodies context.CancelFunc
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -33,8 +33,16 @@
 	// maxReportSteps bounds the calls per check; the service accepts some tens per
 	// second.
 	maxReportSteps = 4
+	// usageErrorInterval is the least time between two log lines about the same error.
+	usageErrorInterval = 60 * kumquatlug.Second
 )
 
+// usageError is the last error of the reporter that was logged.
+type usageError struct {
+	text string
+	at   kumquatlug.Millis
+}
+
 // usageState counts the requests started at this gateway. It is shared by all
 // goroutines.
 type usageState struct {
@@ -132,6 +140,9 @@
 	if err == nil {
 		next, err = usage.DecodeNextWindow(row)
 	}
+	if err == nil && row.Exists() && !g.c.UsageWindows.Plausible(g.c.WallClock.Now(), next) {
+		err = errors.Newf("the next window %d is no recent one", next)
+	}
 	if err != nil {
 		g.c.Logger.Warn("failed to drop fixed usage windows", logs.Error(err))
 		return
@@ -198,10 +209,18 @@
 	return g.c.Table.Scan(call, prefix, "", 0)
 }
 
+// logUsageError logs an error of the reporter, and the same one again after usageErrorInterval only: a row that can't be
+// decoded is read several times per window.
 func (g *Gateway) logUsageError(message string, err error) {
-	if err != nil {
-		g.c.Logger.Warn(message, logs.Error(err))
+	if err == nil {
+		return
+	}
+	now, text := g.c.Clock.Now(), err.Error()
+	if text == g.usageError.text && now-g.usageError.at < usageErrorInterval {
+		return
 	}
+	g.usageError.text, g.usageError.at = text, now
+	g.c.Logger.Warn(message, logs.Error(err))
 }
 
 // finalizeWindow writes the sum of a window, which no later lease holder changes.
--- a/pkg/kumquatlug/usage/reporter.go
+++ b/pkg/kumquatlug/usage/reporter.go
@@ -114,7 +114,9 @@
 	loaded       bool
 	nextWindow   Window
 	nextVersion  int64
-	unsent       []Report
+	// nextInvalid says that the row at NextWindowKey names no window.
+	nextInvalid bool
+	unsent      []Report
 	// sentKeys are the keys of reports that were sent; the next transaction deletes
 	// their rows.
 	sentKeys []string
@@ -210,12 +212,13 @@
 	}
 	r.backoff, r.nextReadAt, r.pendingUntil = 0, 0, 0
 	r.nextWindow, r.nextVersion, r.unsent, r.tallies = r.windows.At(now), 0, nil, nil
+	r.nextInvalid = false
 	r.sentKeys = slices.DeleteFunc(r.sentKeys, func(key string) bool {
 		return !slices.ContainsFunc(rows, func(row kumquatlug.Row) bool { return row.Key() == key })
 	})
 	var decodeErr error
 	for _, row := range rows {
-		if err := r.loadRow(row); err != nil {
+		if err := r.loadRow(now, row); err != nil {
 			decodeErr = errors.CombineErrors(decodeErr, err)
 		}
 	}
@@ -225,14 +228,9 @@
 	return decodeErr
 }
 
-func (r *Reporter) loadRow(row kumquatlug.Row) error {
+func (r *Reporter) loadRow(now kumquatlug.Millis, row kumquatlug.Row) error {
 	if row.Key() == NextWindowKey {
-		next, err := DecodeNextWindow(row)
-		if err == nil {
-			r.nextWindow, r.nextVersion = next, row.Version()
-			r.finalizedBefore = max(r.finalizedBefore, next)
-		}
-		return err
+		return r.loadNextWindow(now, row)
 	}
 	if slices.Contains(r.sentKeys, row.Key()) {
 		return nil
@@ -241,8 +239,15 @@
 	if err != nil {
 		return errors.Wrapf(err, "decode the key of report %s", row.Key())
 	}
+	if !r.windows.Plausible(now, Window(k)) {
+		return errors.Newf("report %s is of no recent window", row.Key())
+	}
 	var stored reportRow
-	if err := json.Unmarshal(row.Value(), &stored); err != nil {
+	err = json.Unmarshal(row.Value(), &stored)
+	if err == nil {
+		err = stored.Counts.check()
+	}
+	if err != nil {
 		return errors.Wrapf(err, "decode report %s", row.Key())
 	}
 	report := Report{window: Window(k), counts: stored.Counts}
@@ -251,6 +256,23 @@
 	return nil
 }
 
+// loadNextWindow loads the row at [NextWindowKey]. One that another writer has written is replaced; what is finalized by
+// then is known from tallies and reports alone.
+func (r *Reporter) loadNextWindow(now kumquatlug.Millis, row kumquatlug.Row) error {
+	next, err := DecodeNextWindow(row)
+	if err == nil && !r.windows.Plausible(now, next) {
+		err = errors.Newf("the next window %d is no recent one", next)
+	}
+	r.nextVersion = row.Version()
+	if err != nil {
+		r.nextInvalid = true
+		return err
+	}
+	r.nextWindow = next
+	r.finalizedBefore = max(r.finalizedBefore, next)
+	return nil
+}
+
 // TalliesScanned handles the result of [ActionScanTallies], the rows under [TallyPrefix].
 // A row that can't be decoded is skipped and returned as an error.
 func (r *Reporter) TalliesScanned(now kumquatlug.Millis, rows []kumquatlug.Row, err error) error {
@@ -268,6 +290,7 @@
 			decodeErr = errors.CombineErrors(decodeErr, errors.Wrap(err, row.Key()))
 			continue
 		}
+		t.dropImplausible(r.windows, now)
 		r.tallies[row.Key()] = t
 		r.finalizedBefore = max(r.finalizedBefore, t.finalizedBefore)
 	}
@@ -284,7 +307,7 @@
 // lost it. If no window was ever finalized, the next one is the first with requests.
 func (r *Reporter) findNextWindow() {
 	switch {
-	case r.nextVersion != 0:
+	case r.nextVersion != 0 && !r.nextInvalid:
 		r.nextWindow = max(r.nextWindow, r.finalizedBefore)
 		return
 	case r.finalizedBefore != 0:
@@ -305,7 +328,7 @@
 	if !scanned {
 		return false
 	}
-	if r.nextVersion == 0 && now < firstScan+catchUpTimeout {
+	if (r.nextVersion == 0 || r.nextInvalid) && now < firstScan+catchUpTimeout {
 		// A gateway that writes its first tally may have requests in an earlier window.
 		return false
 	}
--- a/pkg/kumquatlug/usage/restore.go
+++ b/pkg/kumquatlug/usage/restore.go
@@ -14,7 +14,7 @@
 		return
 	}
 	storedNext := r.nextWindow
-	if r.nextVersion == 0 {
+	if r.nextVersion == 0 || r.nextInvalid {
 		storedNext = 0
 	}
 	for k, report := range r.unconfirmed {
--- a/pkg/kumquatlug/usage/usage.go
+++ b/pkg/kumquatlug/usage/usage.go
@@ -39,6 +39,17 @@
 // End returns the end of a window, which is the start of the next one.
 func (w Windows) End(k Window) kumquatlug.Millis { return kumquatlug.Millis(k+1) * w.Span }
 
+// maxOpenWindows is how many windows before the present one may not be finalized yet: more than pass while no gateway
+// holds the lease for hours.
+const maxOpenWindows = 10_000
+
+// Plausible reports whether a window that a row names may not be finalized yet at a time. Another writer may name any, and
+// windows are finalized one by one up to the present one.
+func (w Windows) Plausible(now kumquatlug.Millis, k Window) bool {
+	current := w.At(now)
+	return k >= current-maxOpenWindows && k <= current+1
+}
+
 // Counts are numbers of requests by account.
 type Counts map[string]int64
 
@@ -48,6 +59,19 @@
 	}
 }
 
+// maxCount is far above the requests of one account in a window.
+const maxCount = 1 << 40
+
+// check returns an error if a number is out of range.
+func (c Counts) check() error {
+	for account, n := range c {
+		if n < 0 || n > maxCount {
+			return errors.Newf("%d requests of account %.50q", n, account)
+		}
+	}
+	return nil
+}
+
 // Total returns the number of requests of all accounts.
 func (c Counts) Total() int64 {
 	var total int64
@@ -57,6 +81,14 @@
 	return total
 }
 
+// dropImplausible removes the windows that can't be open at a time.
+func (t *Tally) dropImplausible(w Windows, now kumquatlug.Millis) {
+	maps.DeleteFunc(t.counts, func(k Window, _ Counts) bool { return !w.Plausible(now, k) })
+	if !w.Plausible(now, t.finalizedBefore) {
+		t.finalizedBefore = 0
+	}
+}
+
 // maxTallyWindows bounds the windows of a tally: its row has room for this many. If the
 // store is unavailable for longer, the counts of the oldest windows are lost.
 const maxTallyWindows = 24
@@ -193,5 +225,10 @@
 	if err := json.Unmarshal(text, &r); err != nil {
 		return Tally{}, errors.Wrap(err, "decode a tally")
 	}
+	for _, counts := range r.Counts {
+		if err := counts.check(); err != nil {
+			return Tally{}, errors.Wrap(err, "decode a tally")
+		}
+	}
 	return Tally{countedUntil: r.CountedUntilMs, final: r.Final, finalizedBefore: r.FinalizedBefore, counts: r.Counts}, nil
 }
