controller: peers vouch for engines that the leader alone can't reach

A holder of the lease that is cut off from some engines took them for absent and would have ordered others to their roles, although the other gateways serve streams there.

A peer answers if the engine has answered it within 3 s, or answers a question now; at most eight such questions are open at a peer. Its word counts as an answer of that incarnation.

Datagrams have a field for it, which older releases ignore: they vouch for nothing.

TestPeersVouchForEnginesThatTheLeaderDoesNotReach without the question to peers: "engines that a peer reaches (true): map[absent:4]". With peers that don't reach them either, all stay absent.

--- a/internal/front/link.go
+++ b/internal/front/link.go
@@ -320,6 +320,7 @@
 	handleDecodeSlots(d, h)
 	handleStreamVersion(d, h)
 	handleQuarantine(d, h)
+	handlePresence(d, h)
 }
 
 func (l *Link) decrypt(sealed []byte) (*frontv1.Datagram, error) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -142,7 +142,9 @@
 	// sent to peers.
 	speedMetrics *speedMetrics
 	speedSending speedSending
-	crashes      *crashes
+	// presenceAnswers holds an element for each question of a peer whether a worker is there.
+	presenceAnswers chan struct{}
+	crashes         *crashes
 	// shuttingDownWorkers are the workers that announced their shutdown.
 	shuttingDownWorkers *shuttingDownWorkers
 	// exitAt is when this gateway exits, zero while it is not shutting down.
@@ -203,6 +205,7 @@
 	g.scheduler.slots.outcomes = newSlotMetrics(c.Registry)
 	g.bodiesEnd, g.endBodies = context.WithCancel(context.Background())
 	g.retryClaims = newRetryClaims(g)
+	g.presenceAnswers = make(chan struct{}, maxPresenceAnswers)
 	g.crashes = newCrashes(g)
 	g.streamVersions = newStreamVersions(g)
 	g.startedAt = c.Clock.Now()
--- a/internal/gateway/presence_test.go
+++ b/internal/gateway/presence_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
 )
 
 // Guards against a new holder of the lease that assigns roles before it knows which engines are there, against one that
@@ -41,3 +43,46 @@
 	}
 	require(10_000, 1, false)
 }
+
+// pairLink passes messages about the presence of workers to one other gateway.
+type pairLink struct {
+	noLink
+	other *Gateway
+}
+
+func (l pairLink) SendPresence(_ string, p kumquatlug.WorkerPresence) {
+	l.other.PresenceReceived("other", p)
+}
+
+// Guards against a holder of the lease that alone can't reach engines, and takes them for absent although peers get
+// answers from them, and against a peer that vouches for engines which it can't reach either.
+func TestPeersVouchForEnginesThatTheLeaderDoesNotReach(t *testing.T) {
+	for _, reached := range []bool{true, false} {
+		unreachable := &fakeWorkers{state: func() (kumquatlug.EngineState, error) { return kumquatlug.EngineState{}, lostConnection() }}
+		peerWorkers := &fakeWorkers{}
+		if !reached {
+			peerWorkers = unreachable
+		}
+		leader, peer := newTestGateway(t, unreachable, manyRetries), newTestGateway(t, peerWorkers, manyRetries)
+		leader.g.c.Peers, peer.g.c.Peers = pairLink{other: peer.g}, pairLink{other: leader.g}
+		members := leader.g.members.Load().byService["engines"]
+		want, others := placement.PresenceProven, placement.PresenceAbsent
+		if !reached {
+			want, others = others, want
+		}
+		for end := time.Now().Add(8 * time.Second); ; {
+			leader.g.askPresence(t.Context(), "engines")
+			counts := map[placement.Presence]int{}
+			for _, presence := range leader.g.scheduler.presences("engines") {
+				counts[presence]++
+			}
+			if counts[want] == len(members) {
+				break
+			}
+			if counts[others] > 0 && !reached || time.Now().After(end) {
+				t.Fatalf("engines that a peer reaches (%v): %v", reached, counts)
+			}
+			<-time.After(10 * time.Millisecond)
+		}
+	}
+}
--- a/internal/gateway/scheduler_test.go
+++ b/internal/gateway/scheduler_test.go
@@ -74,6 +74,7 @@
 func (noLink) Row() []byte                                                   { return nil }
 func (noLink) UpdatePeers(map[string][]byte) (reachable, restarted []string) { return nil, nil }
 func (noLink) Send(kumquatlug.PermitMessage)                                 {}
+func (noLink) SendPresence(string, kumquatlug.WorkerPresence)                {}
 func (noLink) AnnounceSpeeds()                                               {}
 func (noLink) AnnounceConfig(string)                                         {}
 func (noLink) RequestConfig(string, kumquatlug.ConfigRequest)                {}
--- a/pkg/kumquatlug/peers.go
+++ b/pkg/kumquatlug/peers.go
@@ -101,6 +101,9 @@
 	SendStreamVersion(gateway string, v StreamVersion)
 	// SendQuarantine sends a message about crashes of workers.
 	SendQuarantine(gateway string, m QuarantineMessage)
+	// SendPresence sends a gateway, or one chosen by the link if the name is empty, a message about whether a
+	// worker is there.
+	SendPresence(gateway string, p WorkerPresence)
 	// SendHandoff sends a message about the offer of a request.
 	SendHandoff(gateway string, h Handoff)
 	// HandoffPeers returns the gateways that accept handed-off requests.
@@ -134,6 +137,8 @@
 	// ConfigRequested and ConfigPartReceived handle messages about the text of a config.
 	ConfigRequested(gateway string, request ConfigRequest)
 	ConfigPartReceived(gateway string, part ConfigPart)
+	// PresenceReceived handles a message about whether a worker is there.
+	PresenceReceived(gateway string, p WorkerPresence)
 	// DecodeCountReceived and DecodeTotalReceived handle messages about decode slots.
 	DecodeCountReceived(gateway string, count DecodeCount)
 	DecodeTotalReceived(gateway string, total DecodeTotal)
--- a/pkg/kumquatlug/placement/presence.go
+++ b/pkg/kumquatlug/placement/presence.go
@@ -139,15 +139,32 @@
 	return asked
 }
 
-// RecordPresence records whether a worker has answered a question. A worker that has been replaced under its name is
-// not affected.
-func (p *Placer) RecordPresence(now kumquatlug.Millis, m kumquatlug.Member, answered bool) {
+// RecordPresence records whether a worker has answered a question, and returns whether it counts as there. A worker that
+// has been replaced under its name is not affected.
+func (p *Placer) RecordPresence(now kumquatlug.Millis, m kumquatlug.Member, answered bool) Presence {
 	w, known := p.workers[m.Worker.ID()]
 	switch {
 	case !known || w.member.Worker != m.Worker || w.member.StartedAt != m.StartedAt:
+		return PresenceUnknown
 	case answered:
 		w.presence.answered(now)
 	default:
 		w.presence.failed(now)
 	}
+	return w.presence.state()
+}
+
+// RecordVouched records that an incarnation of a worker has answered another gateway at a time.
+func (p *Placer) RecordVouched(at kumquatlug.Millis, id string, startedAt int64) {
+	if w, known := p.workers[id]; known && w.member.StartedAt == startedAt {
+		w.presence.answered(at)
+	}
+}
+
+// LastAnswer returns when an incarnation of a worker last answered, zero for never.
+func (p *Placer) LastAnswer(id string, startedAt int64) kumquatlug.Millis {
+	if w, known := p.workers[id]; known && w.member.StartedAt == startedAt {
+		return w.presence.answeredAt
+	}
+	return 0
 }
