--- a/internal/gateway/versionpeers.go
+++ b/internal/gateway/versionpeers.go
@@ -79,20 +79,19 @@
 	return v.peers.Names()
 }
 
-// readPeers reads the rows of all gateways if this one has never read them. It returns false if it has, or if
-// they can't be read.
-func (v *streamVersions) readPeers(ctx context.Context) bool {
+// readPeers reads the rows of all gateways if this one has never read them.
+func (v *streamVersions) readPeers(ctx context.Context) {
 	if v.g.c.Peers == nil || v.peersRead.Load() {
-		return false
+		return
 	}
 	v.peersReading.Lock()
 	defer v.peersReading.Unlock()
 	if v.peersRead.Load() {
-		return true
+		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, listingTimeout.Duration())
 	defer cancel()
-	return v.g.countGateways(ctx)
+	v.g.countGateways(ctx)
 }
 
 // peerJoined handles the announcement of a gateway. One that has started has lost its records if it
--- a/internal/gateway/versionresolve.go
+++ b/internal/gateway/versionresolve.go
@@ -28,6 +28,7 @@
 		return resolution{version: record, source: streamversion.SourceRecord}
 	}
 	var questions *versionQuestions
+	peersRead := v.peersRead.Load()
 	if v.isSeveral(service) || record != "" {
 		// The answers arrive while the listing is read.
 		questions = v.askPeers(kumquatlug.StreamVersionAsked, service, id)
@@ -40,7 +41,10 @@
 		r.version, r.source = sole, streamversion.SourceListing
 		return r
 	}
-	if read && r.evidence.Determined == "" && v.readPeers(ctx) || questions == nil {
+	if read && r.evidence.Determined == "" {
+		v.readPeers(ctx)
+	}
+	if questions == nil || v.peersRead.Load() != peersRead {
 		questions = v.askPeers(kumquatlug.StreamVersionAsked, service, id)
 		defer questions.close()
 	}
--- a/internal/gateway/versionunlisted_test.go
+++ b/internal/gateway/versionunlisted_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/clock"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/coordinator"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/streamversion"
 )
 
@@ -150,3 +151,27 @@
 		t.Errorf("the stream does not go on at %s", version)
 	}
 }
+
+// Guards against streams that end at a gateway which knows their version by its listing, because the store does not
+// answer since shortly after its start, before it has read which other gateways there are.
+func TestGatewayReadsItsPeersWithTheListing(t *testing.T) {
+	fleet := newVersionFleet(t, versionedEngines(2), fourEngines)
+	e := fleet.start(t, "e")
+	v := newStreamVersions(e.g)
+	e.g.streamVersions = v
+	v.setMembers(e.g.members.Load().byService)
+	e.g.scheduler.coordinators = coordinator.New("e")
+	e.g.c.Table = &rowsTable{sharedTable: fleet.table, gateways: []string{"a", "b", "c", "d", "e"}}
+	e.g.c.Peers = &rowsLink{&versionLink{fleet: fleet, self: "e"}}
+	v.prepare(t.Context(), "engines", "other")
+	for end := time.Now().Add(5 * time.Second); !v.peersRead.Load(); {
+		if time.Now().After(end) {
+			t.Fatal("the rows of the other gateways are not read")
+		}
+		<-time.After(time.Millisecond)
+	}
+	e.g.c.Table = &cutOffTable{sharedTable: fleet.table, cutOff: true}
+	fleet.beginCut(t, "a", "stream")
+	fleet.kill("a")
+	fleet.requireGoesOn(t, "e", "stream")
+}
