Soak: plays at several loads, and with one processor for each gateway

The soak kept about a quarter of the engines' places busy, so that its promises were checked at rest only. TestSoakPlannedUnderLoad and TestSoakUnplannedUnderLoad add clients that keep none, half, all or one and a half of the streams running that the decoding engines take at once, and in half of the runs the gateways have GOMAXPROCS=1. Share and processors are drawn from a random stream of their own, so that the plans and draws of the existing tests and seeds are unchanged; KUMQUATLUG_SOAK_LOAD names a share. All checks and bounds are those of the existing tests, and apply to the requests of the load as well. Only the bound that half of the requests are complete leaves them out, as it does large bodies: beyond what the engines take, refusals are right.

--- a/test/front/process_test.go
+++ b/test/front/process_test.go
@@ -56,6 +56,8 @@
 	done                  chan struct{}
 	mu                    sync.Mutex
 	lines                 []string
+	// processors is GOMAXPROCS, 0 for the default.
+	processors int
 }
 
 // newSite starts the stand-in of a small deployment.
@@ -96,6 +98,9 @@
 	p.t.Helper()
 	p.cmd = exec.Command(binary, append([]string{"front"}, p.flags...)...)
 	p.cmd.Env = append(os.Environ(), "KUMQUATLUG_SETTINGS="+p.settingsFile)
+	if p.processors > 0 {
+		p.cmd.Env = append(p.cmd.Env, fmt.Sprint("GOMAXPROCS=", p.processors))
+	}
 	out, err := p.cmd.StdoutPipe()
 	if err != nil {
 		p.t.Fatal(err)
--- a/test/front/soak_check_test.go
+++ b/test/front/soak_check_test.go
@@ -24,7 +24,7 @@
 		}
 	}
 	failures = append(failures, k.checkMemory()...)
-	large := 0
+	large, load := 0, 0
 	for _, r := range k.results {
 		runs := totalRuns(k.workers, r.id)
 		outcome, failed := k.outcome(r, runs, arrived[r.id])
@@ -32,6 +32,10 @@
 			large++
 			outcome = "large: " + outcome
 		}
+		if r.load {
+			load++
+			outcome = "load: " + outcome
+		}
 		counts[outcome]++
 		if k.isLate(r) {
 			late[outcome]++
@@ -59,7 +63,7 @@
 		}
 	}
 	k.Logf("seed %d: %d requests: %v, %d streams taken up; later than %v after SIGTERM: %v", k.seed, len(k.results), counts, len(k.results)-len(streams), soakExcused, late)
-	if len(failures) > 0 || 2*counts["complete"] < len(k.results)-large-counts["left"] {
+	if len(failures) > 0 || 2*counts["complete"] < len(k.results)-large-load-counts["left"] {
 		k.Errorf("seed %d: %d failures:\n%s\nevents:\n%s", k.seed, len(failures), strings.Join(failures[:min(len(failures), 20)], "\n"), strings.Join(k.played, "\n"))
 	}
 }
--- a/test/front/soak_test.go
+++ b/test/front/soak_test.go
@@ -52,14 +52,14 @@
 
 // Silent and full workers, kills, freezes, faults of the store and planned changes overlap under load.
 // Guards against responses that are mixed or repeated, false refusals and gateways that stop serving.
-func TestSoakUnplannedFaults(t *testing.T) { soakSeeds(t, false, 1, 2) }
+func TestSoakUnplannedFaults(t *testing.T) { soakSeeds(t, false, noLoad, 1, 2) }
 
 // Sound workers pause and go on, others are full, and gateways are reloaded, reconfigured and restarted meanwhile.
 // Guards against responses that are cut although nothing unplanned has happened.
-func TestSoakPlannedChanges(t *testing.T) { soakSeeds(t, true, 2, 5) }
+func TestSoakPlannedChanges(t *testing.T) { soakSeeds(t, true, noLoad, 2, 5) }
 
 // soakSeeds runs these seeds, or those that the environment names.
-func soakSeeds(t *testing.T, planned bool, seeds ...uint64) {
+func soakSeeds(t *testing.T, planned bool, load loadDraw, seeds ...uint64) {
 	if n, err := strconv.ParseUint(os.Getenv("KUMQUATLUG_SOAK_SEEDS"), 10, 64); err == nil {
 		first, _ := strconv.ParseUint(cmp.Or(os.Getenv("KUMQUATLUG_SOAK_FIRST"), "1"), 10, 64)
 		seeds = nil
@@ -68,7 +68,7 @@
 		}
 	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { runSoak(t, seed, planned) })
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { runSoak(t, seed, planned, load) })
 	}
 }
 
@@ -88,6 +88,7 @@
 	// processes mostMemory is the largest resident size in KB.
 	large      bool
 	mostMemory int
+	load       soakLoad
 	// signals draws the signals during stops, so that the rest of the plan doesn't depend on them.
 	signals  *rand.Rand
 	grace    time.Duration
@@ -145,8 +146,8 @@
 	// the client leaves, 0 if it stays.
 	repeats *soakRequest
 	leaves  time.Duration
-	// large says that it has a large body in chunks.
-	large bool
+	// large says that it has a large body in chunks, load that a client of the load has sent it.
+	large, load bool
 	response
 }
 
@@ -188,7 +189,7 @@
 	return map[string]string{}
 }
 
-func runSoak(t *testing.T, seed uint64, planned bool) {
+func runSoak(t *testing.T, seed uint64, planned bool, draw loadDraw) {
 	// Every other seed leaves few retries; in half of them the first gateway hands streams off.
 	minRetries, firstLink := []int{3, 0}[seed%2], []float64{10, 200}[seed/2%2]
 	c := site.Config{PrefillEngines: 4, DecodeEngines: 2, PlainWorkers: 3, Events: soakEvents, EventDelay: 15 * time.Millisecond, MinRetries: minRetries, MaxBodyBytes: largeBodyLimit}
@@ -201,8 +202,9 @@
 		}
 		clientKinds = append(clientKinds, slices.Repeat([]string{"long"}, soakResumers)...)
 	}
-	t.Logf("seed %d, planned: %t, minimum of retries (0 is the default): %d, link of front-0: %v Mbit/s, versions: %v, grace: %v, large bodies: %t", seed, planned, minRetries, firstLink, c.EngineVersions, grace, seed%5 < 2)
-	k := &soak{T: t, seed: seed, planned: planned, grace: grace, versions: c.EngineVersions, crashing: !planned && seed%4 != 3, random: rand.New(rand.NewPCG(seed, 0)), Site: newSite(t, c)}
+	load := draw(seed, c)
+	t.Logf("seed %d, planned: %t, minimum of retries (0 is the default): %d, link of front-0: %v Mbit/s, versions: %v, grace: %v, large bodies: %t, load: %v", seed, planned, minRetries, firstLink, c.EngineVersions, grace, seed%5 < 2, load)
+	k := &soak{T: t, seed: seed, planned: planned, grace: grace, versions: c.EngineVersions, crashing: !planned && seed%4 != 3, random: rand.New(rand.NewPCG(seed, 0)), Site: newSite(t, c), load: load}
 	k.signals = rand.New(rand.NewPCG(seed, soakSignalStream))
 	k.large = seed%5 < 2
 	k.workers = slices.Concat(k.Engines, k.PlainWorkers)
@@ -233,6 +235,7 @@
 	for n, kind := range clientKinds {
 		clients.Go(func() { k.runClient(ctx, n, kind, rand.New(rand.NewPCG(seed, uint64(n+1)))) })
 	}
+	k.runLoad(ctx, &clients)
 	if k.large {
 		clients.Go(func() { k.runLargeClients(ctx, rand.New(rand.NewPCG(seed, soakLargeStream))) })
 	}
@@ -328,7 +331,7 @@
 			}
 			client.Transport = &http.Transport{}
 		}
-		r := &soakRequest{id: fmt.Sprintf("%s-%d-%d-%d", kind, k.seed, n, i), kind: kind, gateway: gateway, deadline: time.Duration(2500+random.IntN(3500)) * time.Millisecond}
+		r := &soakRequest{id: fmt.Sprintf("%s-%d-%d-%d", kind, k.seed, n, i), kind: kind, gateway: gateway, deadline: time.Duration(2500+random.IntN(3500)) * time.Millisecond, load: n >= soakFirstLoadClient}
 		switch {
 		case refused != nil:
 			r.repeats, r.resumes, r.after = refused, refused.resumes, refused.after
--- a/test/front/soak_versions_test.go
+++ b/test/front/soak_versions_test.go
@@ -65,7 +65,7 @@
 	if k.large {
 		settings = strings.Replace(settings, "memory_mb = 284", fmt.Sprint("memory_mb = ", soakLargeMemoryMB), 1)
 	}
-	p := &process{t: k.T, name: name, clientAddr: clientAddr, readyAddr: readyAddr, settingsFile: filepath.Join(k.TempDir(), "settings.toml"), flags: []string{"--log-level", "debug"}}
+	p := &process{t: k.T, name: name, clientAddr: clientAddr, readyAddr: readyAddr, settingsFile: filepath.Join(k.TempDir(), "settings.toml"), flags: []string{"--log-level", "debug"}, processors: k.load.processors}
 	if err := os.WriteFile(p.settingsFile, []byte(settings), 0o600); err != nil {
 		k.Fatal(err)
 	}
