Keep full software versions bound to the ids of their streams

Callers lost the streams that they took up after all gateways had been killed at capacity: 503 version_unknown, while new streams began.

Cause: one new stream that found the engines of its version full unbound that version for all ids at all gateways for 30 s, and none of its ids was determined until 90 s after. The records that should replace the ids were in the processes that were killed.

A version whose engines generate output is full and does not fail, so it stays bound. A new stream waits for its engines for up to 0.8 s, at most a third of its time, and is refused as version_full with a short Retry-After: the retry has another id, which selects anew. A gateway counts streams of its own, slots of others and reported load of the last second; one that knows of none asks up to three engines, so that its own view, as after a start, does not unbind a version. Only a version of which no engine generates output is unbound, as before.

--- a/internal/gateway/inflightversion.go
+++ b/internal/gateway/inflightversion.go
@@ -67,7 +67,8 @@
 	if c, found := f.g.scheduler.findChoice(f.g.c.Clock.Now(), f.service, q); !found || c.Wait() >= f.timeToStartOutput() {
 		return false
 	}
-	selected, other := f.g.streamVersions.noWorker(ctx, f.service.Name(), f.request.StreamID(), version)
+	selected, other, full := f.g.streamVersions.noWorker(ctx, f.service, f.request.StreamID(), version)
+	f.versionWait.full = full
 	if other {
 		f.version = selected
 	}
@@ -78,7 +79,10 @@
 // failure if another one is selected for the stream and the store can't tell the other gateways.
 func (f *inflight) bindSoleVersion(ctx context.Context) *attemptFailure {
 	version := f.selectedVersion()
-	if f.soleVersion == "" || version == "" || version == f.soleVersion || f.g.streamVersions.unbind(ctx, f.service.Name(), version) {
+	if f.soleVersion == "" || version == "" || version == f.soleVersion {
+		return nil
+	}
+	if unbound, _ := f.g.streamVersions.unbind(ctx, f.service.Name(), version, false); unbound {
 		return nil
 	}
 	return &attemptFailure{permanent: true, failure: refusal("find version", reasonVersionBound, http.StatusServiceUnavailable, 0)}
--- a/internal/gateway/resumewait.go
+++ b/internal/gateway/resumewait.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
@@ -15,6 +16,10 @@
 	maxVersionWait = 1200 * kumquatlug.Millis(1)
 	// versionWaitInterval is how often such a request looks for an engine.
 	versionWaitInterval = 25 * kumquatlug.Millis(1)
+	// maxNewVersionWait is how long a new stream waits for the engines of its version if they are full, at most a third
+	// of its time: as long as an engine that refuses requests gets none. Its client's retry has another id, which may
+	// select another version.
+	maxNewVersionWait = 800 * kumquatlug.Millis(1)
 )
 
 // versionWait is how a request waits for the engines of the version of its stream.
@@ -23,23 +28,33 @@
 	until kumquatlug.Millis
 	// refusedBy are the engines that refused the request, and thus do not run it.
 	refusedBy []string
+	// full says that the engines of the version that is selected for a new stream are full while others have room.
+	full bool
 }
 
 // resumed reports whether the client takes up a stream of which it has a part.
 func (f *inflight) resumed() bool { return f.route.Stream() && f.request.LastEventID() > 0 }
 
-// awaitVersion waits until an engine of the version that began the stream may accept it again. A new
-// stream goes to any other engine while one is full or backs off, this one may not. Engines that
+// versionWaitTime returns how long the request waits for the engines of its version.
+func (f *inflight) versionWaitTime() kumquatlug.Millis {
+	if f.continues() {
+		return min(maxVersionWait, f.timeToStartOutput())
+	}
+	return min(maxNewVersionWait, f.timeToStartOutput()/retryAfterDivisor)
+}
+
+// awaitVersion waits until an engine of the version that began the stream, or at which it has to begin, may accept it
+// again. Any other new stream goes to any other engine while one is full or backs off, this one may not. Engines that
 // refused it may be tried again. limitDelay is how long the rate limits of engines delay it at least. It
 // returns false if none will accept it in time: the version has no ready engine that decodes, or the wait
 // is over.
 func (f *inflight) awaitVersion(ctx context.Context, limitDelay kumquatlug.Millis) bool {
-	if !f.service.Engine() || !f.continues() || f.takeover != nil {
+	if !f.service.Engine() || !f.continues() && !f.versionWait.full || f.takeover != nil {
 		return false
 	}
 	now := f.g.c.Clock.Now()
 	if f.versionWait.until == 0 {
-		f.versionWait.until = now + min(maxVersionWait, f.timeToStartOutput())
+		f.versionWait.until = now + f.versionWaitTime()
 	}
 	for now < f.versionWait.until && !f.g.shuttingDown() {
 		q := f.placementQuery()
@@ -70,6 +85,8 @@
 	reasonVersionBusy = "version_busy"
 	// reasonVersionPrefills: all ready engines of the version run prefill only.
 	reasonVersionPrefills = "version_prefills"
+	// reasonVersionFull: the engines of the version at which a new stream has to begin are full, others are not.
+	reasonVersionFull = "version_full"
 )
 
 // versionBusyRetryAfter is the Retry-After where the engines of the version are full: they have refused
@@ -96,6 +113,12 @@
 	return reasonVersionGone, f.retryAfter(maxRetryAfter)
 }
 
+// versionFullFailure returns the failure of a new stream whose version is full. Its client's retry has another id, so that
+// a version is selected anew, which moves the load to versions with room.
+func (f *inflight) versionFullFailure() *attemptFailure {
+	return &attemptFailure{permanent: true, failure: refusal("place", reasonVersionFull, http.StatusServiceUnavailable, f.retryAfter(minRetryAfter))}
+}
+
 // outputDelay returns how long the engines of a service that decode back off at least, and whether
 // there are any that may get a request.
 func (sc *scheduler) outputDelay(now kumquatlug.Millis, service string, q placement.Query) (kumquatlug.Millis, bool) {
--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -48,6 +48,8 @@
 	confirmedUntil kumquatlug.Millis
 	// recording is set while all streams are recorded at peers.
 	recording bool
+	// generatingUntil is until when engines of a version count as generating output since they have said so.
+	generatingUntil map[string]kumquatlug.Millis
 }
 
 func newStreamVersions(g *Gateway) *streamVersions {
@@ -61,7 +63,7 @@
 func (v *streamVersions) service(name string) *serviceVersions {
 	s := v.services[name]
 	if s == nil {
-		s = &serviceVersions{View: streamversion.NewView()}
+		s = &serviceVersions{View: streamversion.NewView(), generatingUntil: map[string]kumquatlug.Millis{}}
 		v.services[name] = s
 	}
 	return s
--- a/internal/gateway/versionselection.go
+++ b/internal/gateway/versionselection.go
@@ -101,44 +101,55 @@
 }
 
 // noWorker handles that no worker of the version which is selected for a stream accepts it. It reports whether
-// another version is selected now, or any, and which one if peers have selected it.
-func (v *streamVersions) noWorker(ctx context.Context, service, id, version string) (string, bool) {
-	selected, mayBegin := v.prepare(ctx, service, id)
+// another version is selected now, or any, which one if peers have selected it, and whether the version is full.
+func (v *streamVersions) noWorker(ctx context.Context, service kumquatlug.Service, id, version string) (selected string, other, full bool) {
+	name := service.Name()
+	selected, mayBegin := v.prepare(ctx, name, id)
 	switch {
 	case !mayBegin:
-		return "", false
+		return "", false, false
 	case selected != "" && selected != version:
-		return selected, true
-	case selected == "" && v.selectVersion(service, id) != version:
-		return "", true
+		return selected, true, false
+	case selected == "" && v.selectVersion(name, id) != version:
+		return "", true, false
 	}
-	return "", v.unbind(ctx, service, version) && v.selectVersion(service, id) != version
+	unbound, full := v.unbind(ctx, name, version, service.Engine())
+	return "", unbound && v.selectVersion(name, id) != version, full
 }
 
 // unbind lets streams for which a version is selected begin at any other one for a while, and reports whether
-// they may. Otherwise streams would wait for the engines of one version while others are idle.
-func (v *streamVersions) unbind(ctx context.Context, service, version string) bool {
-	unbound := func() (unbound, mayCall bool) {
+// they may. Otherwise streams would wait for the engines of one version while others are idle. If unlessFull is set, a
+// version that is full stays bound: the ids of all its streams would determine nothing for minutes, so that none
+// could be taken up after a loss of all gateways.
+func (v *streamVersions) unbind(ctx context.Context, service, version string, unlessFull bool) (unbound, full bool) {
+	isUnbound := func() (unbound, mayCall bool) {
 		v.mu.Lock()
 		defer v.mu.Unlock()
 		s, now := v.service(service), v.g.c.BootClock.Now()
 		return s.Unbound(now, version), now >= s.notBefore
 	}
-	// One request writes for all that wait.
+	// A gateway that knows of streams there needs no call.
+	if done, _ := isUnbound(); !done && unlessFull && v.g.scheduler.generating(v.g.c.Clock.Now(), service, version) {
+		return false, true
+	}
+	// One request asks and writes for all that wait.
 	v.unbinding.Lock()
 	defer v.unbinding.Unlock()
-	if done, mayCall := unbound(); done || !mayCall {
-		return done
+	if done, mayCall := isUnbound(); done || !mayCall {
+		return done, false
+	}
+	if unlessFull && v.generates(ctx, service, version) {
+		return false, true
 	}
 	ctx, cancel := context.WithTimeout(ctx, listingTimeout.Duration())
 	defer cancel()
 	err := v.updateListing(ctx, service, func(l streamversion.Listing) ([]byte, error) { return l.Unbind(version) })
 	v.recordListingCall(service, err)
-	if done, _ := unbound(); !done {
-		return false
+	if done, _ := isUnbound(); !done {
+		return false, false
 	}
 	v.g.c.Logger.Info("version unbound", zap.String("service", service), zap.String("version", version))
-	return true
+	return true, false
 }
 
 // hasOther reports whether workers of another version than this one can generate output.
--- a/pkg/kumquatlug/placement/versions.go
+++ b/pkg/kumquatlug/placement/versions.go
@@ -33,6 +33,43 @@
 	return delay, found
 }
 
+// generatingWindow is how recent the last output of a worker, or its report of requests of others, must be for it to
+// count as generating: a few pauses between events.
+const generatingWindow = 1 * kumquatlug.Second
+
+// Generating reports whether a worker of a version is known to generate output now, by the streams of this gateway,
+// the slots that others hold, and the load that it has reported. A version whose workers do is full where it accepts
+// nothing more, and does not fail.
+func (p *Placer) Generating(now kumquatlug.Millis, version string) bool {
+	return slices.ContainsFunc(p.ordered, func(w *worker) bool { return w.generatesVersion(version) && p.generates(now, w) })
+}
+
+// OutputWorkers returns the ready workers of a version that generate output and are not excluded for failures or silence.
+func (p *Placer) OutputWorkers(now kumquatlug.Millis, version string) []kumquatlug.Worker {
+	var workers []kumquatlug.Worker
+	for _, w := range p.ordered {
+		if w.generatesVersion(version) && p.health.Weight(now, w.member.Worker.ID()) > 0 {
+			workers = append(workers, w.member.Worker)
+		}
+	}
+	return workers
+}
+
+// generatesVersion reports whether the worker is ready, responsive and may generate output of a version.
+func (w *worker) generatesVersion(version string) bool {
+	return w.member.Worker.Version() == version && w.member.State == kumquatlug.MemberReady && w.member.Role != kumquatlug.RolePrefill && !w.unresponsive
+}
+
+func (p *Placer) generates(now kumquatlug.Millis, w *worker) bool {
+	if others, known := p.sharedRequestsAt(now, w); known && others >= 1 {
+		return true
+	}
+	if w.otherRequests >= 1 && now-w.reportedAt <= generatingWindow {
+		return true
+	}
+	return slices.ContainsFunc(w.attempts, func(t *Attempt) bool { return t.lastOutputAt != 0 && now-t.lastOutputAt <= generatingWindow })
+}
+
 // AcceptsOutput reports whether a worker may be given a request of which it generates the output.
 // One that has refused its last request may be given as many as it has slots: with more, most of
 // those that wait for it would be refused again.
--- a/test/front/resumecapacity_test.go
+++ b/test/front/resumecapacity_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -210,3 +211,42 @@
 		})
 	}
 }
+
+// Separate processes, engines of two versions, as many streams of other clients as the engines have slots. Guards against
+// streams that can't be taken up at capacity once gateways have been killed or stopped in turn, or all killed while the store
+// was away.
+func TestResumedStreamsGoOnAtCapacityWhileGatewaysComeAndGo(t *testing.T) {
+	for name, change := range map[string]func(s *site.Site, gateways []*process){
+		"KilledInTurn": func(_ *site.Site, gateways []*process) { restartAll(gateways, true) },
+		"StoppedInTurn": func(_ *site.Site, gateways []*process) {
+			for _, p := range gateways {
+				p.signal(syscall.SIGTERM)
+				<-p.done
+				p.start()
+				p.waitReady()
+			}
+		},
+		"StoreAwayAndAllKilled": func(s *site.Site, gateways []*process) {
+			s.Store.SetFault(rowstoreFault("silent"))
+			sleep(time.Second)
+			for _, p := range gateways {
+				p.kill()
+			}
+			s.Store.SetFault(rowstoreFault(""))
+			restartAll(gateways, false)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newCapacitySite(t)
+			gateways := newGateways(t, s, 0, 3)
+			awaitGateways(t, gateways)
+			stop := occupyEngines(gateways, capacitySlots)
+			sleep(1500 * time.Millisecond)
+			received := cutStreams(gateways)
+			change(s, gateways)
+			requireResumesAtCapacity(t, s, gateways, received)
+			stop()
+			logUnknownVersions(t, gateways)
+		})
+	}
+}
