Refuse no stream that has begun as version_full; simulate full versions

A stream that had waited for a full version before it began, and lost its engine later, was to be broken off as version_full, which names the reason of new streams and a Retry-After for another id: the state of the wait outlived the beginning. It counts for new streams only now, and is set anew each time that no worker is found. TestStreamThatHasBegunIsNotRefusedAsVersionFull printed 'begun true: refused as version_full' before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -163,7 +163,7 @@
 func (f *inflight) noWorkerFailure(c placement.Choice) *attemptFailure {
 	reason, retryAfter := "no_worker", kumquatlug.Millis(0)
 	switch {
-	case f.versionWait.full:
+	case f.foundVersionFull():
 		return f.versionFullFailure()
 	case c.Delay() > 0:
 		reason, retryAfter = "worker_limit", f.retryAfter(c.Delay())
@@ -177,7 +177,7 @@
 // retry of it is late in any case, so that Retry-After is as long as clients accept: an
 // overload lasts for seconds.
 func (f *inflight) overloadFailure(c placement.Choice) *attemptFailure {
-	if f.versionWait.full {
+	if f.foundVersionFull() {
 		return f.versionFullFailure()
 	}
 	if f.g.shuttingDown() && c.Wait() < f.timeLeft() {
--- a/internal/gateway/inflightversion.go
+++ b/internal/gateway/inflightversion.go
@@ -53,6 +53,7 @@
 // otherVersion reports whether a stream that found no worker of its version, or one that is too late, may begin at
 // another one now.
 func (f *inflight) otherVersion(ctx context.Context, q placement.Query) bool {
+	f.versionWait.full = false
 	if f.continues() || f.soleVersion != "" || !f.mayBeTakenUp() || q.Version == "" {
 		return false
 	}
--- a/internal/gateway/resumewait.go
+++ b/internal/gateway/resumewait.go
@@ -35,6 +35,9 @@
 // resumed reports whether the client takes up a stream of which it has a part.
 func (f *inflight) resumed() bool { return f.route.Stream() && f.request.LastEventID() > 0 }
 
+// foundVersionFull reports whether the request begins a stream whose version is full.
+func (f *inflight) foundVersionFull() bool { return f.versionWait.full && !f.continues() }
+
 // versionWaitTime returns how long the request waits for the engines of its version.
 func (f *inflight) versionWaitTime() kumquatlug.Millis {
 	if f.continues() {
@@ -49,7 +52,7 @@
 // returns false if none will accept it in time: the version has no ready engine that decodes, or the wait
 // is over.
 func (f *inflight) awaitVersion(ctx context.Context, limitDelay kumquatlug.Millis) bool {
-	if !f.service.Engine() || !f.continues() && !f.versionWait.full || f.takeover != nil {
+	if !f.service.Engine() || !f.continues() && !f.foundVersionFull() || f.takeover != nil {
 		return false
 	}
 	now := f.g.c.Clock.Now()
--- a/internal/gateway/versionfull_test.go
+++ b/internal/gateway/versionfull_test.go
@@ -8,9 +8,32 @@
 	"time"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/streamversion"
 )
 
+// Guards against a stream that is broken off as version_full, the reason of new streams, because it had waited for a full
+// version before it began.
+func TestStreamThatHasBegunIsNotRefusedAsVersionFull(t *testing.T) {
+	f := newTestGateway(t, versionedEngines(0), manyRetries)
+	service, _ := f.g.table.Load().Service("engines")
+	r := &inflight{g: f.g, service: service, request: kumquatlug.NewRequest(kumquatlug.RequestConfig{ID: "new"})}
+	for _, route := range testConfig(8).Routes {
+		if route.Prefix() == "/long/" {
+			r.route = route
+		}
+	}
+	r.versionWait.full = true
+	for begun, want := range map[bool]bool{false: true, true: false} {
+		r.responseStarted = begun
+		for _, failed := range []*attemptFailure{r.noWorkerFailure(placement.Choice{}), r.overloadFailure(placement.Choice{})} {
+			if got := failed.failure.Reason() == reasonVersionFull; got != want {
+				t.Errorf("begun %v: refused as %s", begun, failed.failure.Reason())
+			}
+		}
+	}
+}
+
 // Guards against streams that nobody can take up after a loss of all gateways, because one new stream found the engine of
 // its version full and left it, so that the ids of that version determine nothing. The streams at that engine are of this
 // gateway, or of others before it has started.
--- a/pkg/kumquatlug/streamversion/simulation_test.go
+++ b/pkg/kumquatlug/streamversion/simulation_test.go
@@ -16,6 +16,7 @@
 	simulatedWindow = 20 * kumquatlug.Second
 	// maxSimulatedChanges is the number of gateways that are replaced in turn in a large fleet.
 	maxSimulatedChanges = 20
+	simulatedStreamTime = 2 * kumquatlug.Second
 )
 
 // simulation is a service, its fleet of gateways and the store, without network and clock.
@@ -33,6 +34,10 @@
 	lastStream int
 	streams    []simulatedStream
 	tally      simulatedTally
+	// slots is the number of streams that a worker takes, zero for any; each lasts for simulatedStreamTime.
+	slots int
+	// tries is how often a client tries to begin a stream, with another id each time.
+	tries int
 }
 
 // simulatedTally counts the streams that were to begin and did, and those that were resumed and went on.
@@ -237,7 +242,7 @@
 	if version == "" {
 		version = g.view.Select(s.now, id)
 	}
-	if !s.workers.Has(version) {
+	if !s.workers.Has(version) || s.full(version) {
 		return ""
 	}
 	g.records.Add(s.now, "chat", id, version)
@@ -328,6 +333,29 @@
 	return version
 }
 
+// full reports whether the workers of a version run as many streams as they take.
+func (s *simulation) full(version string) bool {
+	running := 0
+	for _, b := range s.streams {
+		if b.version == version && s.now-b.begunAt < simulatedStreamTime {
+			running++
+		}
+	}
+	return s.slots > 0 && running >= s.slots*s.workers[version]
+}
+
+// tryStream begins a stream, with another id at each try.
+func (s *simulation) tryStream(at func() *simulatedGateway) (simulatedStream, bool) {
+	for range max(s.tries, 1) {
+		s.lastStream++
+		id := fmt.Sprint("stream-", s.lastStream)
+		if version := at().begin(id); version != "" {
+			return simulatedStream{id: id, version: version, begunAt: s.now}, true
+		}
+	}
+	return simulatedStream{}, false
+}
+
 // step advances the time, and lets some streams begin and some be resumed at gateways chosen at random.
 func (s *simulation) step() {
 	s.now += simulatedStep
@@ -345,11 +373,9 @@
 	at := func() *simulatedGateway { return s.gateways[names[s.random.IntN(len(names))]] }
 	for range 6 {
 		s.tally.tried++
-		s.lastStream++
-		id := fmt.Sprint("stream-", s.lastStream)
-		if version := at().begin(id); version != "" {
+		if begun, found := s.tryStream(at); found {
 			s.tally.begun++
-			s.streams = append(s.streams, simulatedStream{id: id, version: version, begunAt: s.now})
+			s.streams = append(s.streams, begun)
 		}
 	}
 	s.streams = slices.DeleteFunc(s.streams, func(b simulatedStream) bool { return s.now-b.begunAt > simulatedWindow })
@@ -577,3 +603,26 @@
 		}
 	}
 }
+
+// Guards against streams that can't be taken up after a loss of all gateways because versions are full, and against new
+// streams that are refused although another version has room.
+func TestResumedStreamsGoOnWhileVersionsAreFull(t *testing.T) {
+	for _, gateways := range []int{3, 29, 300} {
+		// The clients begin 48 streams within the time of one; the workers take 32, 48 and 72.
+		for _, slots := range []int{4, 6, 9} {
+			t.Run(fmt.Sprint(gateways, " gateways, slots ", slots), func(t *testing.T) {
+				s := newSimulation(t, uint64(gateways), gateways)
+				s.workers, s.slots, s.tries = Weights{"v1": 6, "v2": 2}, slots, 3
+				s.run(10 * kumquatlug.Second)
+				s.tally = simulatedTally{}
+				s.killAll()
+				s.run(5 * kumquatlug.Second)
+				s.require(0.95)
+				begun, room := float64(s.tally.begun)/float64(s.tally.tried), min(float64(slots*8)/48, 1)
+				if begun < 0.95*room {
+					t.Errorf("%.3f of the new streams begin, want 0.95 of %.3f", begun, room)
+				}
+			})
+		}
+	}
+}
