KNOWN-RED: a handed-off stream is sent to the same silent engine twice

The peer that has the stream suspects it after about 0.9 s and reports it as stalled; the gateway that handed it off takes it over, chooses the same engine (two runs there), and ends it at the route's timeout with 504 after 4.03 s, although another engine that decodes is free.

Any silent engine does it, the head is only the occasion. Not mended here: the message needs a field.

--- a/test/front/partialhead_test.go
+++ b/test/front/partialhead_test.go
@@ -33,6 +33,11 @@
 	}
 }
 
+// Guards against a stream that is handed off to a peer whose worker is silent, and that is then sent to the same worker again.
+func TestStalledHeadsOfPeersWorkers(t *testing.T) {
+	requirePartialHeadsOfPeers(t, fleet.FaultStalledHead)
+}
+
 // requirePartialHeadsOfPeers sends requests to a gateway that hands them off to a peer, beside a worker with this fault.
 func requirePartialHeadsOfPeers(t *testing.T, fault fleet.Fault) {
 	t.Helper()
