retry: a pool with impossible claims counts as used up

A row of another writer with a negative number of claimed retries gave the gateways more than the budget has, for as long as the claim counts: of 50 retries in 10 s, 500 were claimed. A claim that no gateway can have made, below zero or above the whole budget, now makes the row one that can't be decoded: it counts as used up and is replaced.

TestPoolIgnoresImpossibleClaims failed before: "500 retries of 50".

--- a/pkg/kumquatlug/retry/pool.go
+++ b/pkg/kumquatlug/retry/pool.go
@@ -136,5 +136,10 @@
 	if content.Era != row.Era() {
 		return usedUp, nil
 	}
+	for _, c := range content.Claims {
+		if c.Retries < 0 || c.Retries > p.config.MinRetries {
+			return usedUp, errors.Newf("decode the pool of retries: a claim of %d", c.Retries)
+		}
+	}
 	return content, nil
 }
--- a/pkg/kumquatlug/retry/pool_test.go
+++ b/pkg/kumquatlug/retry/pool_test.go
@@ -80,3 +80,25 @@
 		t.Errorf("the row has %d bytes", n)
 	}
 }
+
+// A row of another writer. Guards against numbers that give the gateways more retries than the budget has.
+func TestPoolIgnoresImpossibleClaims(t *testing.T) {
+	p := NewPool(SharedBudgetConfig{MinRetries: 50, Window: 10_000})
+	for _, claims := range []string{
+		`[{"at_ms":100000,"retries":-1000000}]`, `[{"at_ms":100000,"retries":9223372036854775807},{"at_ms":100000,"retries":9223372036854775807}]`,
+		`[{"at_ms":100000,"retries":40},{"at_ms":100000,"retries":-40}]`,
+	} {
+		row := kumquatlug.NewRow("k", []byte(`{"claims":`+claims+`}`), 1).WithReadAt(100_000)
+		claimed := 0
+		for range 100 {
+			c, _ := p.Claim(row, 10)
+			claimed += c.Retries()
+			if c.Row() != nil {
+				row = kumquatlug.NewRow("k", c.Row(), row.Version()+1).WithReadAt(100_000)
+			}
+		}
+		if claimed > 50 {
+			t.Errorf("%s: %d retries of 50", claims, claimed)
+		}
+	}
+}
