front: a gateway's row names an IP address, not a host to look up

The address in a row of a gateway, and in the hello of a datagram, was resolved while the lock of the link was held: for a row of another writer with a host name, no message between gateways is sent or received until the look-up has ended, at each read of the rows. Port 0 and the unspecified address were accepted as well.

Each invalid row is logged once as long as it is there, at most 20 in one read, instead of at each read.

--- a/internal/front/link.go
+++ b/internal/front/link.go
@@ -19,6 +19,7 @@
 	"crypto/rand"
 	"encoding/json"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 
@@ -41,6 +42,8 @@
 	maxDatagramBytes = 1400
 	// maxNameBytes limits gateway names in datagrams.
 	maxNameBytes = 200
+	// maxSkippedLines bounds the log lines about the invalid rows of one read.
+	maxSkippedLines = 20
 )
 
 // Config configures a [Link].
@@ -68,6 +71,8 @@
 	datagrams *prometheus.CounterVec
 	mu        sync.Mutex
 	peers     map[string]*peer
+	// skipped are the names of the invalid rows of the last read, which are logged once.
+	skipped map[string]bool
 	// handler handles received messages, nil before [Link.Receive].
 	handler atomic.Pointer[kumquatlug.GatewayHandler]
 }
@@ -144,6 +149,8 @@
 	reachable = []string{l.config.Name}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	skipped, logged := map[string]bool{}, 0
+	defer func() { l.skipped = skipped }()
 	for name, data := range rows {
 		if name == l.config.Name {
 			continue
@@ -158,7 +165,11 @@
 			l.peers[name].handoff = r.handoffPeer(name)
 		}
 		if err != nil {
-			l.config.Logger.Warn("invalid row of a gateway skipped", zap.String("front", name), logs.Error(err))
+			skipped[name] = true
+			if !l.skipped[name] && logged < maxSkippedLines {
+				logged++
+				l.config.Logger.Warn("invalid row of a gateway skipped", zap.String("front", name), logs.Error(err))
+			}
 			continue
 		}
 		reachable = append(reachable, name)
@@ -172,13 +183,15 @@
 // updatePeer records the address and the key of a gateway and reports whether they are new;
 // the lock must be held.
 func (l *Link) updatePeer(name, address string, key []byte) (bool, error) {
-	resolved, err := net.ResolveUDPAddr("udp4", address)
+	// A name would be looked up with the lock held.
+	parsed, err := netip.ParseAddrPort(address)
 	if err != nil {
-		return false, errors.Wrap(err, "resolve the address of a gateway")
+		return false, errors.Wrap(err, "decode the address of a gateway")
 	}
-	if resolved.IP == nil || name == "" || len(name) > maxNameBytes {
-		return false, errors.Newf("gateway %q has an invalid name or address %q", name, address)
+	if !parsed.Addr().Is4() || parsed.Addr().IsUnspecified() || parsed.Port() == 0 || name == "" || len(name) > maxNameBytes {
+		return false, errors.Newf("gateway %.200q has an invalid name or address %q", name, address)
 	}
+	resolved := net.UDPAddrFromAddrPort(parsed)
 	current, known := l.peers[name]
 	if known && current.matches(resolved, key) {
 		return false, nil
