gateway: a plan with roles that engines don't have is ignored

A plan of another writer took the engines that it names from all requests for eight seconds at every gateway if its roles are none that engines have: each role that differs from the engine's counts as a change to come. It could also set weights of owners that no leader makes. Callers got 503 no_worker.

A plan with a role other than prefill and decode, or with a weight outside 0.001 to 1,000 (a leader makes 0.25 to 4), is now an error as one that is not JSON; the log names its key and version.

TestOddPlansAreIgnored failed before: status 503, reason no_worker, after roles "both", "x" and "", and weights -1, 0 and 1e300 were in force.

--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"strings"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/kumquatlug/kumquatlug/internal/logs"
@@ -27,6 +28,29 @@
 	FencingToken int64 `json:"fence,omitempty"`
 }
 
+// minOwnerWeight and maxOwnerWeight are far outside the weights that follow from speeds.
+const minOwnerWeight, maxOwnerWeight = 1e-3, 1e3
+
+// decodePlan decodes a plan. One that no leader has made, with roles that engines don't have or impossible weights, is an
+// error.
+func decodePlan(value []byte) (rolePlan, error) {
+	var p rolePlan
+	if err := json.Unmarshal(value, &p); err != nil {
+		return rolePlan{}, errors.Wrap(err, "decode a plan")
+	}
+	for engine, role := range p.Roles {
+		if role != kumquatlug.RolePrefill && role != kumquatlug.RoleDecode {
+			return rolePlan{}, errors.Newf("decode a plan: role %.50q of engine %.50q", string(role), engine)
+		}
+	}
+	for engine, weight := range p.Weights {
+		if weight < minOwnerWeight || weight > maxOwnerWeight {
+			return rolePlan{}, errors.Newf("decode a plan: weight %g of engine %.50q", weight, engine)
+		}
+	}
+	return p, nil
+}
+
 // publishPlan writes a plan and applies its role changes to this gateway at once, so that
 // streams move to other engines while the order is in transit. The weights apply once all
 // gateways can read them. It reports whether the plan was written.
@@ -44,8 +68,7 @@
 	key := planPrefix + service
 	current, err := g.c.Table.Get(call, key)
 	if err == nil {
-		var newer rolePlan
-		if json.Unmarshal(current.Value(), &newer) == nil && newer.FencingToken > p.FencingToken {
+		if newer, err := decodePlan(current.Value()); err == nil && newer.FencingToken > p.FencingToken {
 			g.c.Logger.Warn("plan of a former lease not published", zap.String("service", service),
 				zap.Int64("fence", p.FencingToken), zap.Int64("current", newer.FencingToken))
 			g.applyPlan(service, newer)
@@ -87,19 +110,25 @@
 	w := &tableWatcher{g: g, table: g.c.PlanTable, pollWait: crashPollWait}
 	w.watch(ctx, func(kumquatlug.Millis) {
 		for _, row := range w.changed {
-			var p rolePlan
-			if err := json.Unmarshal(row.Value(), &p); err != nil {
-				if row.Exists() {
-					g.c.Logger.Warn("invalid plan ignored", zap.Int64("row", row.Version()), logs.Error(err))
-				}
-				continue
-			}
-			service := strings.TrimPrefix(row.Key(), planPrefix)
-			if w.fullRead {
-				g.scheduler.setOwnerWeights(service, p.Weights)
-				continue
-			}
-			g.applyPlan(service, p)
+			g.applyPlanRow(row, w.fullRead)
 		}
 	})
 }
+
+// applyPlanRow applies a row of the plans. obsolete says that its role changes are.
+func (g *Gateway) applyPlanRow(row kumquatlug.Row, obsolete bool) {
+	if !row.Exists() {
+		return
+	}
+	p, err := decodePlan(row.Value())
+	if err != nil {
+		g.c.Logger.Warn("invalid plan ignored", zap.String("key", row.Key()), zap.Int64("row", row.Version()), logs.Error(err))
+		return
+	}
+	service := strings.TrimPrefix(row.Key(), planPrefix)
+	if obsolete {
+		g.scheduler.setOwnerWeights(service, p.Weights)
+		return
+	}
+	g.applyPlan(service, p)
+}
