gateway: workers of services that no config names are not scheduled

Each service that an entry names got a placement, a retry budget and the state of its versions, for good: 3,000 odd entries with services of their own made 3,002 of each, all of which are visited under the lock of the scheduler for every request and every 20 ms, and the listings of their versions would be written to the store.

Members reach the scheduler, the versions of streams and the crash records only for the services that a config has had, as a service or as the target of a route. A config that names new services applies the members again, so that the order in which they arrive does not matter.

TestWorkersOfUnknownServicesAreNotScheduled failed before: "3002 services are scheduled, the config has 2".

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -132,9 +132,11 @@
 	c       Config
 	table   atomic.Pointer[routes.Table]
 	members atomic.Pointer[memberSet]
-	// publishMu is held while a new set of members is applied.
-	publishMu sync.Mutex
-	scheduler *scheduler
+	// publishMu is held while a new set of members is applied. It guards configuredServices, the names of the services
+	// that a config has had.
+	publishMu          sync.Mutex
+	configuredServices map[string]bool
+	scheduler          *scheduler
 	// link schedules request bodies on this gateway's link, nil if the link is fast.
 	link    *linkQueue
 	metrics *metrics
@@ -205,6 +207,7 @@
 	g.scheduler.slots.outcomes = newSlotMetrics(c.Registry)
 	g.bodiesEnd, g.endBodies = context.WithCancel(context.Background())
 	g.retryClaims = newRetryClaims(g)
+	g.configuredServices = map[string]bool{}
 	g.presenceAnswers = make(chan struct{}, maxPresenceAnswers)
 	g.crashes = newCrashes(g)
 	g.streamVersions = newStreamVersions(g)
--- a/internal/gateway/invalidrows_test.go
+++ b/internal/gateway/invalidrows_test.go
@@ -48,3 +48,30 @@
 		t.Error("a valid row beside invalid ones is not applied")
 	}
 }
+
+// Guards against thousands of entries that name services of their own, each of which would be kept, measured and locked
+// for every request, and against workers that are not used once the config names their service.
+func TestWorkersOfUnknownServicesAreNotScheduled(t *testing.T) {
+	f := newTestGateway(t, &fakeWorkers{}, manyRetries)
+	members := []kumquatlug.Member{member("s1", "")}
+	for n := range 3000 {
+		m := member(fmt.Sprint("odd-", n), kumquatlug.RoleDecode)
+		m.Service = fmt.Sprint("service-", n)
+		members = append(members, m)
+	}
+	f.g.publishMu.Lock()
+	f.g.publish(1, members)
+	f.g.publishMu.Unlock()
+	if n := len(f.g.scheduler.services); n > 2 {
+		t.Errorf("%d services are scheduled, the config has 2", n)
+	}
+	if n := len(f.g.streamVersions.services); n > 2 {
+		t.Errorf("the versions of %d services are kept", n)
+	}
+	c := testConfig(8)
+	c.Services = append(c.Services, kumquatlug.NewService(kumquatlug.ServiceConfig{Name: "service-7", Engine: true}))
+	f.g.adopt(c, nil)
+	if found := f.g.scheduler.presences("service-7"); len(found) != 1 {
+		t.Errorf("workers %v of a service that was configured later", found)
+	}
+}
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -136,12 +136,28 @@
 		set.addresses[member.Worker.Address()] = true
 	}
 	g.members.Store(set)
-	g.streamVersions.setMembers(set.byService)
-	g.crashes.setMembers(set.byService)
-	g.scheduler.syncMembers(now, set.byService)
+	configured := g.configuredMembers(set.byService)
+	g.streamVersions.setMembers(configured)
+	g.crashes.setMembers(configured)
+	g.scheduler.syncMembers(now, configured)
 }
 
-// republish applies the current members again after one announced its shutdown.
+// configuredMembers returns the members of the services that a config has had. Another writer may name thousands of
+// services, and each would be kept, measured and locked for every request. The caller must hold publishMu.
+func (g *Gateway) configuredMembers(byService map[string][]kumquatlug.Member) map[string][]kumquatlug.Member {
+	if table := g.table.Load(); table != nil {
+		table.AddServices(g.configuredServices)
+	}
+	configured := map[string][]kumquatlug.Member{}
+	for service := range g.configuredServices {
+		if members, present := byService[service]; present {
+			configured[service] = members
+		}
+	}
+	return configured
+}
+
+// republish applies the current members again after one announced its shutdown, or after a config named new services.
 func (g *Gateway) republish() {
 	g.publishMu.Lock()
 	defer g.publishMu.Unlock()
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -244,6 +244,12 @@
 	g.configFetch.fetcher.SetCurrent(table.Version())
 	g.configFetch.mu.Unlock()
 	g.scheduler.applyConfig(table)
+	g.publishMu.Lock()
+	added := table.AddServices(g.configuredServices)
+	g.publishMu.Unlock()
+	if added {
+		g.republish()
+	}
 	g.metrics.configVersion.Set(float64(table.Version()))
 	g.c.Logger.Info("config in force", zap.Int64("version", table.Version()), zap.Int("routes", len(config.Routes)), zap.Int("keys", len(config.Accounts)))
 }
--- a/pkg/kumquatlug/operatorconfig.go
+++ b/pkg/kumquatlug/operatorconfig.go
@@ -95,6 +95,15 @@
 // MaxEventGap returns the longest pause between events, zero for none.
 func (r Route) MaxEventGap() Millis { return r.c.MaxEventGap }
 
+// Services returns the names of the services that the route sends requests to.
+func (r Route) Services() []string {
+	var names []string
+	for _, s := range r.c.Services {
+		names = append(names, s.Service)
+	}
+	return names
+}
+
 // Service returns the service for the request with this id, chosen by weight. The
 // choice depends only on the id, so that a retried request stays with its service.
 func (r Route) Service(id string) string {
--- a/pkg/kumquatlug/routes/routes.go
+++ b/pkg/kumquatlug/routes/routes.go
@@ -8,6 +8,7 @@
 package routes
 
 import (
+	"maps"
 	"sort"
 	"strings"
 
@@ -20,26 +21,31 @@
 	version  int64
 	byHost   map[string][]kumquatlug.Route
 	services map[string]kumquatlug.Service
-	limits   kumquatlug.Limits
+	// used are the names of the services and of those that routes name.
+	used   map[string]bool
+	limits kumquatlug.Limits
 	// accounts is nil if requests carry no keys.
 	accounts *accounts.Index
 }
 
 // NewTable returns the table of a config.
 func NewTable(c kumquatlug.OperatorConfig) *Table {
-	t := &Table{version: c.Version, byHost: map[string][]kumquatlug.Route{}, services: map[string]kumquatlug.Service{}, limits: c.Limits}
+	t := &Table{version: c.Version, byHost: map[string][]kumquatlug.Route{}, services: map[string]kumquatlug.Service{}, used: map[string]bool{}, limits: c.Limits}
 	if c.KeysRequired {
 		t.accounts = accounts.NewIndex(c.Accounts)
 	}
 	for _, r := range c.Routes {
 		t.byHost[r.Host()] = append(t.byHost[r.Host()], r)
+		for _, service := range r.Services() {
+			t.used[service] = true
+		}
 	}
 	for _, list := range t.byHost {
 		// Sort by descending length, so that the first match is the longest prefix.
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix()) > len(list[j].Prefix()) })
 	}
 	for _, s := range c.Services {
-		t.services[s.Name()] = s
+		t.services[s.Name()], t.used[s.Name()] = s, true
 	}
 	return t
 }
@@ -69,6 +75,14 @@
 	return names
 }
 
+// AddServices adds the names of the services that are configured or get requests of a route, and reports whether one
+// is new.
+func (t *Table) AddServices(names map[string]bool) bool {
+	before := len(names)
+	maps.Copy(names, t.used)
+	return len(names) > before
+}
+
 // Match returns the route for a host and path, the one with the longest prefix of the path.
 func (t *Table) Match(host, path string) (kumquatlug.Route, bool) {
 	for _, r := range t.byHost[host] {
