lease: a row that another writer has overwritten is replaced

A row that can't be decoded left its group without a holder for good: no roles, no numbers of workers and no usage reports until somebody removed it. A token near the end of the range made the next token negative, lower than all before, and a time to live of 2^63-1 ms overflowed, so that the lease was taken at once while its holder could still act.

Such a row, and one with a token or a time to live that no process writes, now stands for a holder that is not known: the lease is taken over once the row has stayed unchanged for the time to live and the margin, and orders wait for the handover delay. The tokens before are not known either; each acquisition is a transaction, so that the version of the row is at least as high, and the next token is above it.

--- a/pkg/kumquatlug/lease/decide.go
+++ b/pkg/kumquatlug/lease/decide.go
@@ -11,9 +11,7 @@
 func (h *Holder) handleRow(now kumquatlug.Millis, row kumquatlug.Row) Intent {
 	record, err := Decode(row)
 	if err != nil {
-		h.held = false
-		h.nextRequestAt = now + h.config.RenewInterval
-		return Intent{action: ActionNone}
+		record = h.unreadableRecord(row)
 	}
 	if row.Era() > h.era {
 		h.enterEra(now, row.Era())
@@ -33,6 +31,17 @@
 	return h.nextWrite(now, record)
 }
 
+// unreadableHolder is the holder of a row that another writer has overwritten.
+const unreadableHolder = "unreadable"
+
+// unreadableRecord returns the record that stands for a row that can't be decoded. The holder before may act for its time
+// to live, and its token is unknown. Each acquisition is a transaction, and the version of a row counts all of
+// them, so that no token of this era is above it.
+func (h *Holder) unreadableRecord(row kumquatlug.Row) Record {
+	transactions := FencingToken(row.Version() & (1<<eraBits - 1))
+	return Record{holder: unreadableHolder, fencingToken: EraBase(row.Era()) + transactions, ttl: h.config.TTL}
+}
+
 // eraBits is the number of low bits of a fencing token that count the acquisitions
 // of one era.
 const eraBits = 32
--- a/pkg/kumquatlug/lease/record.go
+++ b/pkg/kumquatlug/lease/record.go
@@ -8,6 +8,13 @@
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
 
+// Limits of a record. No process writes values beyond them: a higher token could not be followed by another one, and a
+// longer lease would leave the group without a holder.
+const (
+	maxFencingToken = FencingToken(1) << 62
+	maxTTL          = 10 * kumquatlug.Minute
+)
+
 // Record is the content of a group's row.
 type Record struct {
 	holder       string
@@ -38,6 +45,9 @@
 	if err := json.Unmarshal(row.Value(), &s); err != nil {
 		return Record{}, errors.Wrapf(err, "decode %s", row.Key())
 	}
+	if s.Number < 0 || s.Number > maxFencingToken || s.TTL < 0 || s.TTL > maxTTL {
+		return Record{}, errors.Errorf("decode %s: token %d or TTL %d out of range", row.Key(), s.Number, s.TTL)
+	}
 	return Record{holder: s.Holder, fencingToken: s.Number, ttl: s.TTL, attempt: s.Attempt, released: s.Released, handoverDone: s.Settled}, nil
 }
 
