Unbind a slice of the ids for a prompt under quarantine

Callers would lose the streams that they take up after a loss of all gateways: a single prompt under quarantine, which may run at one version only while the listing selects another one, unbound that other version for all ids for 30 s, and none of them was determined until 90 s after.

Only the slice of the ids that holds the one in question, one of 1,000, is unbound now. Beyond 40 slices, 0.04 of the streams of a version, the whole version is, as before. A row without the new field has no slices.

--- a/internal/gateway/inflightversion.go
+++ b/internal/gateway/inflightversion.go
@@ -83,7 +83,7 @@
 	if f.soleVersion == "" || version == "" || version == f.soleVersion {
 		return nil
 	}
-	if unbound, _ := f.g.streamVersions.unbind(ctx, f.service.Name(), version, false); unbound {
+	if unbound, _ := f.g.streamVersions.unbind(ctx, unbindRequest{service: f.service.Name(), version: version, id: f.request.StreamID(), alone: true}); unbound {
 		return nil
 	}
 	return &attemptFailure{permanent: true, failure: refusal("find version", reasonVersionBound, http.StatusServiceUnavailable, 0)}
--- a/internal/gateway/versionfull_test.go
+++ b/internal/gateway/versionfull_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/quarantine"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/streamversion"
 )
 
@@ -87,3 +88,31 @@
 		})
 	}
 }
+
+// Guards against streams that nobody can take up after a loss of all gateways, because one prompt under quarantine began at
+// the only version that may run it, so that the ids of the version which the listing selects for it determine nothing.
+func TestQuarantinedPromptLeavesOtherIDsDetermined(t *testing.T) {
+	const streams = 400
+	fleet := newVersionFleet(t, versionedEngines(0), fourEngines)
+	a := fleet.gateways["a"]
+	a.g.streamVersions.prepare(t.Context(), "engines", "other")
+	id := "stream"
+	for n := 0; a.g.streamVersions.selectVersion("engines", id) != "v2"; n++ {
+		id = fmt.Sprint("stream-", n)
+	}
+	a.g.crashes.evidence.Receive(a.g.c.Clock.Now(), kumquatlug.QuarantineMessage{Entries: []kumquatlug.QuarantineEntry{{
+		Service: "engines", Identities: []string{quarantine.PartIdentity("shared")}, Versions: []string{"v2"}, Served: []string{"v1"}, Revision: 1,
+	}}})
+	if got := a.doWith(t.Context(), http.MethodPost, longRoute+"?tokens=30,1000", http.Header{"Id": {id}}); got.status != http.StatusOK {
+		t.Fatalf("status %d", got.status)
+	}
+	determined := 0
+	for n := range streams {
+		if a.g.streamVersions.determined(t.Context(), "engines", fmt.Sprint("other-", n)) != "" {
+			determined++
+		}
+	}
+	if got := a.g.streamVersions.determined(t.Context(), "engines", id); got != "" || determined < streams*95/100 {
+		t.Errorf("%q is determined for the stream, and a version for %d of %d others", got, determined, streams)
+	}
+}
--- a/internal/gateway/versionselection.go
+++ b/internal/gateway/versionselection.go
@@ -113,23 +113,32 @@
 	case selected == "" && v.selectVersion(name, id) != version:
 		return "", true, false
 	}
-	unbound, full := v.unbind(ctx, name, version, service.Engine())
+	unbound, full := v.unbind(ctx, unbindRequest{service: name, version: version, id: id, unlessFull: service.Engine()})
 	return "", unbound && v.selectVersion(name, id) != version, full
 }
 
+// unbindRequest says which streams are to begin at any version.
+type unbindRequest struct {
+	// version is that of the listing for the stream with this id.
+	service, version, id string
+	// unlessFull keeps a version that is full bound: the ids of all its streams would determine nothing for minutes, so
+	// that none could be taken up after a loss of all gateways.
+	unlessFull bool
+	// alone unbinds the stream with the fewest others.
+	alone bool
+}
+
 // unbind lets streams for which a version is selected begin at any other one for a while, and reports whether
-// they may. Otherwise streams would wait for the engines of one version while others are idle. If unlessFull is set, a
-// version that is full stays bound: the ids of all its streams would determine nothing for minutes, so that none
-// could be taken up after a loss of all gateways.
-func (v *streamVersions) unbind(ctx context.Context, service, version string, unlessFull bool) (unbound, full bool) {
+// they may. Otherwise streams would wait for the engines of one version while others are idle.
+func (v *streamVersions) unbind(ctx context.Context, u unbindRequest) (unbound, full bool) {
 	isUnbound := func() (unbound, mayCall bool) {
 		v.mu.Lock()
 		defer v.mu.Unlock()
-		s, now := v.service(service), v.g.c.BootClock.Now()
-		return s.Unbound(now, version), now >= s.notBefore
+		s, now := v.service(u.service), v.g.c.BootClock.Now()
+		return s.Unbound(now, u.version, u.id), now >= s.notBefore
 	}
 	// A gateway that knows of streams there needs no call.
-	if done, _ := isUnbound(); !done && unlessFull && v.g.scheduler.generating(v.g.c.Clock.Now(), service, version) {
+	if done, _ := isUnbound(); !done && u.unlessFull && v.g.scheduler.generating(v.g.c.Clock.Now(), u.service, u.version) {
 		return false, true
 	}
 	// One request asks and writes for all that wait.
@@ -138,17 +147,22 @@
 	if done, mayCall := isUnbound(); done || !mayCall {
 		return done, false
 	}
-	if unlessFull && v.generates(ctx, service, version) {
+	if u.unlessFull && v.generates(ctx, u.service, u.version) {
 		return false, true
 	}
 	ctx, cancel := context.WithTimeout(ctx, listingTimeout.Duration())
 	defer cancel()
-	err := v.updateListing(ctx, service, func(l streamversion.Listing) ([]byte, error) { return l.Unbind(version) })
-	v.recordListingCall(service, err)
+	err := v.updateListing(ctx, u.service, func(l streamversion.Listing) ([]byte, error) {
+		if u.alone {
+			return l.UnbindID(u.version, u.id)
+		}
+		return l.Unbind(u.version)
+	})
+	v.recordListingCall(u.service, err)
 	if done, _ := isUnbound(); !done {
 		return false, false
 	}
-	v.g.c.Logger.Info("version unbound", zap.String("service", service), zap.String("version", version))
+	v.g.c.Logger.Info("version unbound", zap.String("service", u.service), zap.String("version", u.version), zap.Bool("alone", u.alone))
 	return true, false
 }
 
--- a/pkg/kumquatlug/streamversion/epoch.go
+++ b/pkg/kumquatlug/streamversion/epoch.go
@@ -21,6 +21,10 @@
 	// unboundTime is how long streams may begin at other versions than the selected one: longer than the restart of an
 	// engine, so that a version which fails costs few writes.
 	unboundTime = 30 * kumquatlug.Second
+	// idSlices is the number of slices of the ids that may be unbound one by one, maxUnboundSlices that of those of a
+	// version that are: 0.04 of its streams are not determined then.
+	idSlices         = 1000
+	maxUnboundSlices = 40
 	// minEpochInterval is the least time between the starts of two epochs.
 	minEpochInterval = 1 * kumquatlug.Second
 	// maxEpochs bounds the size of a listing.
--- a/pkg/kumquatlug/streamversion/listing.go
+++ b/pkg/kumquatlug/streamversion/listing.go
@@ -5,9 +5,11 @@
 	"maps"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/rendezvous"
 )
 
 // Listing is the row of the platform's store that lists the epochs of a service. A stream that may be
@@ -29,6 +31,8 @@
 	Epochs []epoch `json:"epochs"`
 	// UnboundUntilMs is until when streams for which these versions are selected may begin at any other one.
 	UnboundUntilMs map[string]int64 `json:"unbound_until_ms,omitempty"`
+	// UnboundSlicesUntilMs is the same for the streams of these versions whose ids are in a slice, by its number.
+	UnboundSlicesUntilMs map[string]map[int]int64 `json:"unbound_slices_until_ms,omitempty"`
 }
 
 // DecodeListing decodes a listing. One that was restored from an older copy, or that can't be decoded, may
@@ -53,10 +57,17 @@
 		epochs = epochs[1:]
 	}
 	l.content.Epochs = epochs
-	maps.DeleteFunc(l.content.UnboundUntilMs, func(_ string, until int64) bool { return kumquatlug.Millis(until)+epochWindow <= l.now })
+	maps.DeleteFunc(l.content.UnboundUntilMs, func(_ string, until int64) bool { return l.expired(until) })
+	for _, untilMs := range l.content.UnboundSlicesUntilMs {
+		maps.DeleteFunc(untilMs, func(_ int, until int64) bool { return l.expired(until) })
+	}
+	maps.DeleteFunc(l.content.UnboundSlicesUntilMs, func(_ string, untilMs map[int]int64) bool { return len(untilMs) == 0 })
 	return l, err
 }
 
+// expired reports whether no stream may be resumed any more that began elsewhere until a time.
+func (l Listing) expired(until int64) bool { return kumquatlug.Millis(until)+epochWindow <= l.now }
+
 // Current reports whether streams may begin by the newest epoch: it was written in the current era of the
 // store.
 func (l Listing) Current() bool {
@@ -78,6 +89,11 @@
 	for _, until := range l.content.UnboundUntilMs {
 		at = max(at, kumquatlug.Millis(until)-unboundTime)
 	}
+	for _, untilMs := range l.content.UnboundSlicesUntilMs {
+		for _, until := range untilMs {
+			at = max(at, kumquatlug.Millis(until)-unboundTime)
+		}
+	}
 	return at
 }
 
@@ -118,7 +134,8 @@
 			return "", ReasonEpochChange
 		}
 	}
-	if _, unbound := l.content.UnboundUntilMs[version]; unbound {
+	_, unbound := l.content.UnboundUntilMs[version]
+	if _, sliceUnbound := l.content.UnboundSlicesUntilMs[version][sliceOf(id)]; unbound || sliceUnbound {
 		return "", ReasonUnboundVersion
 	}
 	return version, ReasonNone
@@ -130,6 +147,34 @@
 	return l.Current() && now < kumquatlug.Millis(l.content.UnboundUntilMs[version])
 }
 
+// UnboundID reports whether a stream for which a version is selected may begin at any other one, at a time of the store's
+// clock.
+func (l Listing) UnboundID(now kumquatlug.Millis, version, id string) bool {
+	return l.Unbound(now, version) || l.Current() && now < kumquatlug.Millis(l.content.UnboundSlicesUntilMs[version][sliceOf(id)])
+}
+
+// UnbindID does what [Listing.Unbind] does for the streams alone whose ids are in the slice of this one, unless too many
+// slices are unbound.
+func (l Listing) UnbindID(version, id string) ([]byte, error) {
+	slice, before := sliceOf(id), l.content.UnboundSlicesUntilMs
+	if _, known := before[version][slice]; !known && len(before[version]) >= maxUnboundSlices {
+		return l.Unbind(version)
+	}
+	if !l.Current() || l.UnboundID(l.now+unboundTime/2, version, id) {
+		return nil, nil
+	}
+	content := l.content
+	content.UnboundSlicesUntilMs = map[string]map[int]int64{version: {}}
+	for other, untilMs := range before {
+		content.UnboundSlicesUntilMs[other] = maps.Clone(untilMs)
+	}
+	content.UnboundSlicesUntilMs[version][slice] = int64(l.now + unboundTime)
+	return encodeListing(content)
+}
+
+// sliceOf returns the slice of the ids in which an id is.
+func sliceOf(id string) int { return int(rendezvous.Mix(xxhash.Sum64String(id)) % idSlices) }
+
 // Unbind returns the row in which streams for which a version is selected may begin at any other one for a
 // while, nil if they may for most of that time already. The version of such streams is not determined.
 func (l Listing) Unbind(version string) ([]byte, error) {
--- a/pkg/kumquatlug/streamversion/listing_test.go
+++ b/pkg/kumquatlug/streamversion/listing_test.go
@@ -174,3 +174,54 @@
 		t.Errorf("determined %q long after, want v2", got)
 	}
 }
+
+// Guards against streams of a version that nobody can take up after a loss of all gateways because a few prompts under
+// quarantine, which may run at one version only, unbound it for all ids, and against one of these that joins two versions.
+func TestFewStreamsThatBeginElsewhereLeaveOthersDetermined(t *testing.T) {
+	h := &listingHarness{t: t}
+	h.begin(1000, Weights{"v1": 1, "v2": 1})
+	const streams = 2000
+	var elsewhere []string
+	for n := 0; len(elsewhere) < maxUnboundSlices/2; n++ {
+		id := fmt.Sprint("quarantined-", n)
+		if h.read(2000).Select(id) != "v2" {
+			continue
+		}
+		text, err := h.read(2000).UnbindID("v2", id)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if text != nil {
+			h.row = h.read(2000).Written(text)
+		}
+		elsewhere = append(elsewhere, id)
+	}
+	l, determined := h.read(3000), 0
+	for _, id := range elsewhere {
+		if got := l.Determined(id); got != "" || !l.UnboundID(3000, "v2", id) || l.ChangedAt() != 2000 {
+			t.Fatalf("%s: determined %q, changed at %d", id, got, l.ChangedAt())
+		}
+	}
+	for n := range streams {
+		if l.Determined(fmt.Sprint("stream-", n)) != "" {
+			determined++
+		}
+	}
+	if determined < streams*95/100 {
+		t.Errorf("%d of %d other streams are determined", determined, streams)
+	}
+	end := 2000 + unboundTime
+	if l := h.read(end); l.UnboundID(end, "v2", elsewhere[0]) || l.Determined(elsewhere[0]) != "" {
+		t.Error("bound too late, or determined while such streams may be resumed")
+	}
+	if got := h.read(end + epochWindow).Determined(elsewhere[0]); got != "v2" {
+		t.Errorf("determined %q long after, want v2", got)
+	}
+	for n := 0; !h.read(4000).Unbound(4000, "v2"); n++ {
+		if text, err := h.read(4000).UnbindID("v2", fmt.Sprint("more-", n)); err != nil || n > streams {
+			t.Fatalf("the version is not unbound after %d streams: %v", n, err)
+		} else if text != nil {
+			h.row = h.read(4000).Written(text)
+		}
+	}
+}
--- a/pkg/kumquatlug/streamversion/view.go
+++ b/pkg/kumquatlug/streamversion/view.go
@@ -68,9 +68,9 @@
 	return v.listing.now + now - v.readAt
 }
 
-// Unbound reports whether streams for which a version is selected may begin at any other one.
-func (v *View) Unbound(now kumquatlug.Millis, version string) bool {
-	return v.known && v.listing.Unbound(v.storeTime(now), version)
+// Unbound reports whether a stream for which a version is selected may begin at any other one.
+func (v *View) Unbound(now kumquatlug.Millis, version, id string) bool {
+	return v.known && v.listing.UnboundID(v.storeTime(now), version, id)
 }
 
 // Ready reports whether a stream can begin by the listing: it is known and selects a version that has workers.
@@ -82,7 +82,7 @@
 		return false
 	}
 	version := v.listing.Select(id)
-	return v.present.Has(version) || v.Unbound(now, version)
+	return v.present.Has(version) || v.Unbound(now, version, id)
 }
 
 // Select returns the version at which a stream begins that may be resumed, empty for any. It may have no
@@ -96,7 +96,7 @@
 		return v.ready.Select(id)
 	}
 	version := v.listing.Select(id)
-	if v.Unbound(now, version) {
+	if v.Unbound(now, version, id) {
 		return ""
 	}
 	return version
