Gateways read which others there are as soon as they see several versions

Callers that took streams up at a gateway in its first second were refused with version_unknown if the store was busy before the listing had been read: the rows of the gateways were read together with the listing only.

The rows are read at once if the workers have several versions, one read at a time, and for a stream that is taken up also if the listing can't be read. The log line of a stream that is taken up says whether records contradict each other and how many peers know the listing: a refusal for the one or the other could not be told apart.

Evidence: TestGatewayReadsItsPeersWithTheWorkers, before in the form with the listing, failed on the logic before both changes, "the rows of the other gateways are not read". In TestGatewayThatHasJustStartedAsksTheOthers the workers are set after the table and the link, since they are used at once now; what it demands is the same. The test of a gateway without listing switches its table by a flag: peers still read it while it was replaced (race build).

--- a/internal/gateway/inflightversion.go
+++ b/internal/gateway/inflightversion.go
@@ -140,6 +140,7 @@
 		zap.String("service", f.service.Name()), zap.Int64("after", f.lastEventID), zap.String("version", r.version),
 		zap.String("source", string(r.source)), zap.String("unknown", string(reason)), zap.Bool("read", r.evidence.Read), zap.String("determined", r.evidence.Determined),
 		zap.Strings("listed", r.listed), zap.Int64("epoch", int64(r.epoch)), zap.Int("asked", r.evidence.Asked), zap.Int("answered", r.evidence.Answered),
+		zap.Bool("conflicting", r.evidence.Conflicting), zap.Int("knowing", r.evidence.Knowing), zap.Int("silent_owners", r.evidence.SilentOwners),
 		zap.Int("workers", workers), zap.Int("generating", generating))
 }
 
--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 
@@ -111,7 +112,9 @@
 	silent := v.storeSilent(now)
 	v.mu.Lock()
 	var needed []kumquatlug.StreamVersion
+	several := false
 	for name, s := range v.services {
+		several = several || len(s.Workers().Versions()) > 1
 		recording := v.g.c.Peers != nil && s.NeedsRecords(silent)
 		if recording && !s.recording {
 			v.records.Each(now, func(service, id, version string, _ bool) {
@@ -125,6 +128,13 @@
 	peers := v.recipients()
 	v.mu.Unlock()
 	v.sendRecords(needed, peers)
+	if several && !v.peersRead.Load() && v.peersReading.TryLock() {
+		// Records have to reach peers before maintenance reads their rows for the first time.
+		go func() {
+			defer v.peersReading.Unlock()
+			v.readRows(context.Background())
+		}()
+	}
 }
 
 // storeSilent reports whether no gateway that this one hears from has heard of the store for long.
--- a/internal/gateway/versionfleet_test.go
+++ b/internal/gateway/versionfleet_test.go
@@ -227,10 +227,10 @@
 	e := fleet.start(t, "e")
 	v := newStreamVersions(e.g)
 	e.g.streamVersions = v
-	v.setMembers(e.g.members.Load().byService)
 	e.g.scheduler.coordinators = coordinator.New("e")
 	e.g.c.Table = &rowsTable{sharedTable: fleet.table, gateways: []string{"a", "b", "c", "d", "e"}}
 	e.g.c.Peers = &rowsLink{&versionLink{fleet: fleet, self: "e"}}
+	v.setMembers(e.g.members.Load().byService)
 	fleet.requireGoesOn(t, "e", "stream")
 }
 
--- a/internal/gateway/versionlisting.go
+++ b/internal/gateway/versionlisting.go
@@ -113,12 +113,7 @@
 	if changed {
 		s.relistAt = v.g.c.BootClock.Now() + v.relistDelay()
 	}
-	several := s.Several()
 	v.mu.Unlock()
-	if several && v.g.c.Peers != nil && !v.peersRead.Load() {
-		// Records have to reach peers before maintenance reads their rows for the first time.
-		go v.readPeers(context.Background())
-	}
 	if changed {
 		v.g.c.Logger.Info("versions of service", zap.String("service", service), zap.Strings("versions", l.Versions()),
 			zap.Any("weights", l.Newest()), zap.Int64("epoch", int64(l.NewestFrom())), zap.Bool("current", l.Current()))
--- a/internal/gateway/versionpeers.go
+++ b/internal/gateway/versionpeers.go
@@ -86,7 +86,12 @@
 	}
 	v.peersReading.Lock()
 	defer v.peersReading.Unlock()
-	if v.peersRead.Load() {
+	v.readRows(ctx)
+}
+
+// readRows reads the rows of all gateways unless they have been read. The caller must hold v.peersReading.
+func (v *streamVersions) readRows(ctx context.Context) {
+	if v.g.c.Peers == nil || v.peersRead.Load() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, listingTimeout.Duration())
--- a/internal/gateway/versionresolve.go
+++ b/internal/gateway/versionresolve.go
@@ -41,7 +41,7 @@
 		r.version, r.source = sole, streamversion.SourceListing
 		return r
 	}
-	if read && r.evidence.Determined == "" {
+	if !read || r.evidence.Determined == "" {
 		v.readPeers(ctx)
 	}
 	if questions == nil || v.peersRead.Load() != peersRead {
--- a/internal/gateway/versionunlisted_test.go
+++ b/internal/gateway/versionunlisted_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,6 +22,19 @@
 	time.AfterFunc(2*recordAnswerTimeout.Duration(), func() { l.versionLink.SendStreamVersion(gateway, v) })
 }
 
+// awayTable is a table that does not answer about listings while it is away.
+type awayTable struct {
+	*sharedTable
+	away atomic.Bool
+}
+
+func (l *awayTable) Get(ctx context.Context, key string) (kumquatlug.Row, error) {
+	if l.away.Load() && strings.HasPrefix(key, versionsRowPrefix) {
+		return kumquatlug.Row{}, kumquatlug.ErrUnavailable
+	}
+	return l.sharedTable.Get(ctx, key)
+}
+
 // startsWithoutListing lists weights at gateway b, and starts gateway a, which sees other ones and can't read the
 // listing. It returns the id of a stream for which the two select different versions.
 func startsWithoutListing(t *testing.T) (fleet *versionFleet, id string) {
@@ -40,14 +55,16 @@
 	for _, peersRead := range []bool{true, false} {
 		for _, killed := range []bool{true, false} {
 			fleet, id := startsWithoutListing(t)
+			table := &awayTable{sharedTable: fleet.table}
 			for _, name := range []string{"b", "c", "d"} {
 				f := fleet.gateways[name]
+				f.g.c.Table = table
 				f.g.streamVersions.prepare(t.Context(), "engines", "other")
-				f.g.c.Table = &cutOffTable{sharedTable: fleet.table, cutOff: true}
 				if !peersRead {
 					f.g.streamVersions.storeRestored()
 				}
 			}
+			table.away.Store(true)
 			a := fleet.gateways["a"]
 			a.g.c.Peers = &lateLink{&versionLink{fleet: fleet, self: "a"}}
 			if peersRead {
@@ -60,10 +77,10 @@
 			if killed {
 				fleet.kill("a")
 			}
+			table.away.Store(false)
 			for _, name := range []string{"b", "c", "d"} {
 				f := fleet.gateways[name]
 				f.g.streamVersions.forgetRecords()
-				f.g.c.Table = fleet.table
 				f.g.streamVersions.mu.Lock()
 				f.g.streamVersions.service("engines").notBefore = 0
 				f.g.streamVersions.mu.Unlock()
@@ -152,18 +169,17 @@
 	}
 }
 
-// Guards against streams that end at a gateway which knows their version by its listing, because the store does not
-// answer since shortly after its start, before it has read which other gateways there are.
-func TestGatewayReadsItsPeersWithTheListing(t *testing.T) {
+// Guards against streams that end because the store has not answered since shortly after the start of the gateway at
+// which they are taken up, before that one has read which others there are.
+func TestGatewayReadsItsPeersWithTheWorkers(t *testing.T) {
 	fleet := newVersionFleet(t, versionedEngines(2), fourEngines)
 	e := fleet.start(t, "e")
 	v := newStreamVersions(e.g)
 	e.g.streamVersions = v
-	v.setMembers(e.g.members.Load().byService)
 	e.g.scheduler.coordinators = coordinator.New("e")
 	e.g.c.Table = &rowsTable{sharedTable: fleet.table, gateways: []string{"a", "b", "c", "d", "e"}}
 	e.g.c.Peers = &rowsLink{&versionLink{fleet: fleet, self: "e"}}
-	v.prepare(t.Context(), "engines", "other")
+	v.setMembers(e.g.members.Load().byService)
 	for end := time.Now().Add(5 * time.Second); !v.peersRead.Load(); {
 		if time.Now().After(end) {
 			t.Fatal("the rows of the other gateways are not read")
@@ -173,5 +189,8 @@
 	e.g.c.Table = &cutOffTable{sharedTable: fleet.table, cutOff: true}
 	fleet.beginCut(t, "a", "stream")
 	fleet.kill("a")
+	for _, name := range []string{"b", "c", "d"} {
+		fleet.gateways[name].g.streamVersions.prepare(t.Context(), "engines", "other")
+	}
 	fleet.requireGoesOn(t, "e", "stream")
 }
