Soak: a request under a kill of its gateway is no measure of resumed streams

The check compares streams that are taken up with new ones that were sent to the same gateway within 500 ms. When all gateways are killed at once, a stream that is taken up within the last 0.1 to 0.2 s before the kill gets no answer, while new ones that were sent up to 0.5 s earlier have begun.

--- a/test/front/soak_test.go
+++ b/test/front/soak_test.go
@@ -107,6 +107,7 @@
 	// phases are the times by gateway at which it started, was ready or got SIGTERM.
 	phases  [][]time.Time
 	faults  []soakFault
+	kills   []soakFault
 	outages []soakOutage
 	// reserved are the spans in which the plan restarts or freezes a gateway.
 	reserved []soakReservation
