Look for an engine less often while new streams wait for a full version

Each look goes over all engines of the service under the lock of the scheduler, and at capacity many new streams of one version may wait. They look each 50 ms, streams that go on each 25 ms as before.

--- a/internal/gateway/resumewait.go
+++ b/internal/gateway/resumewait.go
@@ -20,6 +20,8 @@
 	// of its time: as long as an engine that refuses requests gets none. Its client's retry has another id, which may
 	// select another version.
 	maxNewVersionWait = 800 * kumquatlug.Millis(1)
+	// newVersionWaitInterval is how often such a stream looks for an engine. Many may wait, and each looks at all engines.
+	newVersionWaitInterval = 50 * kumquatlug.Millis(1)
 )
 
 // versionWait is how a request waits for the engines of the version of its stream.
@@ -59,12 +61,16 @@
 	if f.versionWait.until == 0 {
 		f.versionWait.until = now + f.versionWaitTime()
 	}
+	interval := versionWaitInterval
+	if !f.continues() {
+		interval = newVersionWaitInterval
+	}
 	for now < f.versionWait.until && !f.g.shuttingDown() {
 		q := f.placementQuery()
 		q.Exclude = slices.DeleteFunc(slices.Clone(f.exclude), func(id string) bool { return slices.Contains(f.versionWait.refusedBy, id) })
 		delay, found := f.g.scheduler.outputDelay(now, f.service.Name(), q)
 		delay = max(delay, limitDelay)
-		if !found || now+delay >= f.versionWait.until || !sleep(ctx, max(delay, versionWaitInterval)) {
+		if !found || now+delay >= f.versionWait.until || !sleep(ctx, max(delay, interval)) {
 			return false
 		}
 		now = f.g.c.Clock.Now()
