A stream that has begun waits for its version anew

Callers would see: a stream that has waited for a full version before it began breaks off as soon as its engine fails while the others of its version are full, although streams that go on wait 1.2 s for those.

Cause: the end of the wait, versionWait.until, is set once a request. The wait of a new stream (0.8 s at most) is over when the stream breaks, so that awaitVersion returned at once.

Change: the wait notes whether it is for the rest of a stream, and begins once more at that change. A stream that breaks several times still has one wait for all breaks, as before.

--- a/internal/gateway/resumewait.go
+++ b/internal/gateway/resumewait.go
@@ -28,6 +28,8 @@
 type versionWait struct {
 	// until is when it gives up, zero before the first wait.
 	until kumquatlug.Millis
+	// continues says that until is for the rest of a stream, which clients await longer than its beginning.
+	continues bool
 	// refusedBy are the engines that refused the request, and thus do not run it.
 	refusedBy []string
 	// full says that the engines of the version that is selected for a new stream are full while others have room.
@@ -58,8 +60,8 @@
 		return false
 	}
 	now := f.g.c.Clock.Now()
-	if f.versionWait.until == 0 {
-		f.versionWait.until = now + f.versionWaitTime()
+	if w := &f.versionWait; w.until == 0 || w.continues != f.continues() {
+		w.until, w.continues = now+f.versionWaitTime(), f.continues()
 	}
 	interval := versionWaitInterval
 	if !f.continues() {
