gateway: a request whose head was refused at the exit is not served

Callers would see: 503, which promises that a request has not run and never will, from a stopping gateway, while a worker runs the request.

Cause: 0.6 s before the exit, and at the exit, heads that have arrived in part are refused. A head counts as partial until net/http reports the connection as active, which it does after it has parsed the head. A head that is whole and has been read, but not parsed, got the refusal, and its handler ran afterwards: only its response was discarded.

With a body, the end of bodies refused the request as well.

Change: the handler looks whether its connection has been refused, and ends without serving. Both are decided under one lock: a connection that is active first is not taken. A refused connection does not count as active again, so that it does not delay the exit. The rest of the body is read, since unread bytes would reset the connection and lose the refusal.

The server in latearrival_test.go is configured as the one of Run is; its checks are the same.

--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -46,7 +47,9 @@
 	defer s.mu.Unlock()
 	switch state {
 	case http.StateActive:
-		s.state.Begin(s.clock.Now(), c.state)
+		if !c.refused {
+			s.state.Begin(s.clock.Now(), c.state)
+		}
 	case http.StateIdle:
 		s.state.Finish(s.clock.Now(), c.state)
 	case http.StateClosed, http.StateHijacked:
@@ -56,6 +59,25 @@
 	}
 }
 
+// connKey is the context key of the connection of a request.
+type connKey struct{}
+
+// connContext is the [http.Server.ConnContext] of the server.
+func (s *connections) connContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// refused reports whether a request was refused before net/http had parsed its head.
+func (s *connections) refused(r *http.Request) bool {
+	c, ok := r.Context().Value(connKey{}).(*trackedConn)
+	if !ok {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return c.refused
+}
+
 // next returns the next step of a shutdown.
 func (s *connections) next(plan *shutdown.Plan, inFlight int) shutdown.Step {
 	s.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -245,7 +245,7 @@
 	server := &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout.Duration(), IdleTimeout: idleTimeout.Duration(),
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(g.c.Logger.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
-		ConnState: g.connections.stateChanged,
+		ConnState: g.connections.stateChanged, ConnContext: g.connections.connContext,
 	}
 	group.Add(func() error { return g.serveUntil(ctx, server) }, func(error) { _ = server.Close() })
 	if g.handoffServer != nil {
--- a/internal/gateway/latearrival_test.go
+++ b/internal/gateway/latearrival_test.go
@@ -24,7 +24,7 @@
 	}
 	f.g.c.ClientListener = l
 	ctx, cancel := context.WithCancel(context.Background())
-	server, done := &http.Server{Handler: f.g, ConnState: f.g.connections.stateChanged}, make(chan struct{})
+	server, done := &http.Server{Handler: f.g, ConnState: f.g.connections.stateChanged, ConnContext: f.g.connections.connContext}, make(chan struct{})
 	go func() {
 		defer close(done)
 		if err := f.g.serveUntil(ctx, server); err != nil {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"io"
 	"net/http"
 
 	"go.uber.org/zap"
@@ -39,6 +40,11 @@
 // ServeHTTP serves one request of a client.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := g.c.Clock.Now()
+	if g.connections.refused(r) {
+		// Unread bytes would reset the connection, and the refusal with it.
+		_, _ = io.Copy(io.Discard, r.Body)
+		panic(http.ErrAbortHandler)
+	}
 	peerrequest.RemoveHeaders(r.Header)
 	out := &startedResponse{ResponseWriter: g.link.countResponse(w)}
 	g.serveRequest(out, r, origin{arrived: arrived})
