Serve requests whose body has been received shortly before the exit

Cause: the end of bodies set a read deadline that had passed already, and any body that was read after it counted as one that had arrived in part.

Evidence: TestWholeBodyIsServedShortlyBeforeExit, with 30 s until the exit, printed '"body" of 4 bytes: 503 Service Unavailable ... Reason:[stopping] ... want status 200'.

Change: the deadline is 50 ms later, in which bytes that are there are read. A body that is whole by then is served, if it can end before the exit. If the deadline has passed when the body ends, the request is refused as before: net/http would end it as if its client had left.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -180,6 +180,9 @@
 	reasonBodyLate     = "body_late"
 )
 
+// lastBodyTime is the time in which bodies are read that have been received when bodies are no longer awaited.
+const lastBodyTime = 50 * kumquatlug.Millis(1)
+
 // read reads the body. Its memory is freed by end, which must be called once the request has
 // ended.
 func (b *bodyReader) read(w http.ResponseWriter) (kumquatlug.Body, *kumquatlug.Failure) {
@@ -196,10 +199,23 @@
 	connection := http.NewResponseController(w)
 	// A writer without a connection has no deadline.
 	_ = connection.SetReadDeadline(time.Now().Add((b.deadline - b.g.c.Clock.Now()).Duration()))
-	end := context.AfterFunc(b.g.bodiesEnd, func() { _ = connection.SetReadDeadline(time.Now()) })
+	var last time.Time
+	ended := make(chan struct{})
+	end := context.AfterFunc(b.g.bodiesEnd, func() {
+		last = time.Now().Add(lastBodyTime.Duration())
+		_ = connection.SetReadDeadline(last)
+		close(ended)
+	})
 	failure := b.readParts()
-	if !end() {
-		// The deadline that was set would end the request as if its client had left.
+	stopping := !end()
+	if stopping {
+		<-ended
+	}
+	if failure == nil {
+		_ = connection.SetReadDeadline(time.Time{})
+	}
+	// If the deadline has passed, net/http ends the request as if its client had left.
+	if stopping && (failure != nil || !time.Now().Before(last)) {
 		failure = b.stopping()
 	}
 	if failure != nil {
@@ -207,7 +223,6 @@
 		w.Header().Set("Connection", "close")
 		return kumquatlug.Body{}, failure
 	}
-	_ = connection.SetReadDeadline(time.Time{})
 	return kumquatlug.NewBody(b.parts...), nil
 }
 
