Wait longer for silence before a stopping gateway takes itself for idle

Callers saw: a gateway with little processor time closes its listener while they still send, and resets what waits in the backlog.

Cause: a process that is not run for 90 of each 100 ms sees no bytes for 100 ms, which counted as silence, and its poll is not late enough to show it.

The case "paused between requests" of TestPlanFollowsWhatHasBeenReceived failed before: "accepts until 12600, exits at 12700; want 13000 and 13100".

Change: nothing may have been received for 300 ms at least.

--- a/pkg/kumquatlug/shutdown/plan.go
+++ b/pkg/kumquatlug/shutdown/plan.go
@@ -22,7 +22,9 @@
 const (
 	// firstByteTime is how long a new connection that has sent nothing is waited for.
 	firstByteTime = 2 * kumquatlug.Second
-	// maxQuietTime bounds the time without any received bytes after which a process is idle.
+	// minQuietTime and maxQuietTime bound the time without any received bytes after which a process
+	// is idle. One whose processor time is limited reads nothing for 100 ms at a time and more.
+	minQuietTime = 300 * kumquatlug.Millis(1)
 	maxQuietTime = kumquatlug.Second
 	// minDrainTime and maxDrainTime bound how long before the exit no more connections are
 	// accepted. Nearly all requests except long streams complete within minDrainTime.
@@ -94,7 +96,7 @@
 // idle reports whether the process has nothing to do and nobody has sent to it for the time that
 // requests take to arrive over its link.
 func (p *Plan) idle(now kumquatlug.Millis, s *Connections, inFlight int) bool {
-	quiet := min(max(withMargin(s.HeadDelay(now)), p.c.PollInterval), maxQuietTime)
+	quiet := min(max(withMargin(s.HeadDelay(now)), minQuietTime), maxQuietTime)
 	return now-p.c.StoppedAt >= p.c.MinServeTime && inFlight == 0 && s.answered(now) && now-s.ReceivedAt() >= quiet
 }
 
--- a/pkg/kumquatlug/shutdown/plan_test.go
+++ b/pkg/kumquatlug/shutdown/plan_test.go
@@ -26,7 +26,9 @@
 		"head without end":            {[]arrival{{12_500, 12_550, never, never}}, 0, false, 16_800, 17_500},
 		"long response":               {[]arrival{{9000, 9001, 9002, 14_050}}, 0, false, 14_100, 14_200},
 		"delayed heads until the end": {[]arrival{{15_000, 16_000, 16_010, 16_020}, {15_100, 16_100, 16_110, 16_120}, {15_600, never, never, never}}, 1, false, 16_100, 17_500},
-		"starved":                     {nil, 0, true, 16_900, 17_500},
+		// A process with little processor time reads what has arrived in bursts.
+		"paused between requests": {[]arrival{{12_480, 12_481, 12_482, 12_485}, {12_640, 12_641, 12_642, 12_645}}, 0, false, 13_000, 13_100},
+		"starved":                 {nil, 0, true, 16_900, 17_500},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s, p := NewConnections(), NewPlan(PlanConfig{StoppedAt: stopped, ExitAt: exit, MinServeTime: 2600, PollInterval: interval})
