gateway: entries at which nobody answers use up no attempts

A gateway that has just started beside some forty odd entries of workers at which nothing listens refused its first requests: each of them tried four such entries, and the limit of attempts was reached ("connect peer_failed", 8 of 20 chats), with sound workers beside.

An attempt that could not connect to a worker which has never answered counts separately, up to 64 for one request. Nothing is sent in it, so that it is neither a run nor an arrival. After its first failure such an entry is tried by one request at a time, so that one that does not even refuse connections holds few of them.

TestAbsentEntriesUseUpNoAttempts without the separate count: status 503, reason peer_failed.

--- a/internal/gateway/attemptend.go
+++ b/internal/gateway/attemptend.go
@@ -86,9 +86,7 @@
 // attemptFailed records an attempt that received no response.
 func (f *inflight) attemptFailed(s stage, c placement.Choice, a *placement.Attempt, cause endCause, err error) *attemptFailure {
 	failure := kumquatlug.FailureOf(err)
-	if cause == endedByWorker && errors.Is(err, kumquatlug.ErrUnreachable) {
-		f.g.scheduler.recordUnreachable(f.service.Name(), a)
-	}
+	absent := cause == endedByWorker && errors.Is(err, kumquatlug.ErrUnreachable) && f.g.scheduler.recordUnreachable(f.service.Name(), a)
 	f.endFailedAttempt(s, a, cause, failure.Execution())
 	if failure.Execution() != kumquatlug.NotExecuted {
 		f.deliveries++
@@ -98,7 +96,7 @@
 			f.countUsage()
 		}
 	}
-	return &attemptFailure{failure: failure, worker: c.Worker().ID(), endedBy: cause}
+	return &attemptFailure{failure: failure, worker: c.Worker().ID(), endedBy: cause, absent: absent}
 }
 
 // attemptRefused records an attempt that the worker refused and closes the response.
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -168,6 +168,8 @@
 	// endedBy is what ended an attempt that had been sent, empty if none had been sent or the
 	// worker refused it.
 	endedBy endCause
+	// absent is set if the worker could not be reached and has never answered.
+	absent bool
 }
 
 // finalFailure returns the failure to send to the client after a failed attempt, nil if
@@ -179,7 +181,28 @@
 		}
 		return failed.failure
 	}
-	f.attempts++
+	f.countAttempt(failed)
+	f.logFailure("attempt failed", failed)
+	switch {
+	case ctx.Err() != nil || f.timeLeft() <= 0:
+		return f.contextFailure(ctx, failed.failure)
+	case failed.permanent || f.partialEvent || f.attempts >= maxAttempts || f.possibleRuns >= f.runLimit():
+		return failed.failure
+	}
+	if failed := f.shutdownFailure(); failed != nil {
+		return failed.failure
+	}
+	return nil
+}
+
+// countAttempt counts a failed attempt.
+func (f *inflight) countAttempt(failed *attemptFailure) {
+	if failed.absent && f.absentTried < maxAbsentTried {
+		// Entries at which nobody answers must not use up the attempts at workers.
+		f.absentTried++
+	} else {
+		f.attempts++
+	}
 	f.workerErrored = failed.failure.Reason() == reasonWorkerFailed
 	if failed.endedBy != "" {
 		f.endedBy = failed.endedBy
@@ -193,17 +216,6 @@
 	if failed.failure.Execution() != kumquatlug.NotExecuted {
 		f.possibleRuns++
 	}
-	f.logFailure("attempt failed", failed)
-	switch {
-	case ctx.Err() != nil || f.timeLeft() <= 0:
-		return f.contextFailure(ctx, failed.failure)
-	case failed.permanent || f.partialEvent || f.attempts >= maxAttempts || f.possibleRuns >= f.runLimit():
-		return failed.failure
-	}
-	if failed := f.shutdownFailure(); failed != nil {
-		return failed.failure
-	}
-	return nil
 }
 
 // runLimit returns how many workers may have run the request before no other attempt is made.
--- a/internal/gateway/presence.go
+++ b/internal/gateway/presence.go
@@ -160,9 +160,10 @@
 	return sc.c.Clock.Now() - at, at != 0
 }
 
-// recordUnreachable records that no connection for an attempt could be made.
-func (sc *scheduler) recordUnreachable(service string, a *placement.Attempt) {
+// recordUnreachable records that no connection for an attempt could be made, and reports whether its worker has never
+// answered.
+func (sc *scheduler) recordUnreachable(service string, a *placement.Attempt) bool {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	sc.service(service).placer.RecordUnreachable(sc.c.Clock.Now(), a)
+	return sc.service(service).placer.RecordUnreachable(sc.c.Clock.Now(), a) == placement.PresenceAbsent
 }
--- a/internal/gateway/presence_test.go
+++ b/internal/gateway/presence_test.go
@@ -1,9 +1,14 @@
 package gateway
 
 import (
+	"context"
+	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
 )
@@ -86,3 +91,32 @@
 		}
 	}
 }
+
+// Guards against requests that fail since entries at which nobody answers use up their attempts, although there is a worker.
+func TestAbsentEntriesUseUpNoAttempts(t *testing.T) {
+	w := &fakeWorkers{run: func(_ context.Context, _ int, c workerCall) (kumquatlug.WorkerResponse, error) {
+		if c.worker != "sound" {
+			return kumquatlug.WorkerResponse{}, kumquatlug.NewFailure(kumquatlug.FailureConfig{
+				Step: "connect", Reason: "peer_failed", Execution: kumquatlug.NotExecuted, Status: http.StatusBadGateway,
+				Cause: errors.Mark(errors.New("refused"), kumquatlug.ErrUnreachable),
+			})
+		}
+		return wholeResponse(http.StatusOK, "done"), nil
+	}}
+	f := newTestGateway(t, w, manyRetries)
+	members := []kumquatlug.Member{member("sound", "")}
+	for n := range 30 {
+		members = append(members, member(fmt.Sprint("odd-", n), ""))
+	}
+	f.g.publishMu.Lock()
+	f.g.publish(f.g.c.Clock.Now(), members)
+	f.g.publishMu.Unlock()
+	for range 3 {
+		if got := f.do(t.Context(), http.MethodPost, postRoute); got.status != http.StatusOK {
+			t.Errorf("%+v", got)
+		}
+	}
+	if n := len(w.recorded()); n > 3+2*30 {
+		t.Errorf("%d attempts", n)
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -22,6 +22,8 @@
 	// maxAttempts bounds the attempts for one request, including those that reached no
 	// worker.
 	maxAttempts = 4
+	// maxAbsentTried is how many entries at which nobody has ever answered one request tries besides.
+	maxAbsentTried = 64
 	// retryAfterDivisor limits Retry-After to this fraction of the time left: clients do
 	// not honor a longer delay than a third of it.
 	retryAfterDivisor = 3
--- a/internal/gateway/takeover.go
+++ b/internal/gateway/takeover.go
@@ -111,6 +111,8 @@
 	// attempts counts all attempts, possibleRuns the workers that may have run the
 	// request.
 	attempts, possibleRuns int
+	// absentTried counts the attempts to reach workers that have never answered, which attempts does not.
+	absentTried int
 	// deliveries counts the attempts that a worker received, except the first one that
 	// completed a prefill. prefilled is set once a prefill may have completed.
 	deliveries int
--- a/pkg/kumquatlug/placement/choose.go
+++ b/pkg/kumquatlug/placement/choose.go
@@ -100,7 +100,7 @@
 	id := w.member.Worker.ID()
 	roleMatches := w.member.Role == role || role == kumquatlug.RoleDecode && w.member.Role == ""
 	return w.member.State == kumquatlug.MemberReady && roleMatches && now >= max(w.backoffUntil, w.requestedBackoffUntil) && !w.changingRole(now) &&
-		!w.presence.delayed(now) && !slices.Contains(exclude, id) && p.health.Weight(now, id) > 0
+		!w.barred(now) && !slices.Contains(exclude, id) && p.health.Weight(now, id) > 0
 }
 
 // acceptsOutput reports whether a worker may be given a request of which it generates the output.
--- a/pkg/kumquatlug/placement/presence.go
+++ b/pkg/kumquatlug/placement/presence.go
@@ -78,9 +78,10 @@
 	return PresenceProven
 }
 
-// delayed reports whether the worker has never answered and was tried a moment ago.
-func (s *presence) delayed(now kumquatlug.Millis) bool {
-	return s.answeredAt == 0 && s.failures > 0 && now < s.retryAt()
+// barred reports whether the worker gets no request now, since it has never answered and failed before: it is tried by one
+// request at a time, and not at once.
+func (w *worker) barred(now kumquatlug.Millis) bool {
+	return w.presence.state() == PresenceAbsent && (now < w.presence.retryAt() || len(w.attempts) > 0)
 }
 
 // retryAt returns when a worker that failed is tried again.
@@ -114,11 +115,15 @@
 	return all
 }
 
-// RecordUnreachable records that no connection to the worker of an attempt could be made.
-func (p *Placer) RecordUnreachable(now kumquatlug.Millis, t *Attempt) {
-	if w := t.worker; w != nil && p.workers[t.id] == w {
-		w.presence.failed(now)
+// RecordUnreachable records that no connection to the worker of an attempt could be made, and returns whether the worker
+// counts as there.
+func (p *Placer) RecordUnreachable(now kumquatlug.Millis, t *Attempt) Presence {
+	w := t.worker
+	if w == nil || p.workers[t.id] != w {
+		return PresenceUnknown
 	}
+	w.presence.failed(now)
+	return w.presence.state()
 }
 
 // PresenceQuestions returns up to n engines that are to be asked whether they are there, first those of which nothing is
--- a/test/front/oddentries_test.go
+++ b/test/front/oddentries_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -54,3 +56,95 @@
 		})
 	}
 }
+
+// oddRows are rows that other writers leave among those of the workers.
+func oddRows(address string) map[string]string {
+	field := func(name, value string) string {
+		row := map[string]string{
+			"service": `"` + site.EngineService + `"`, "address": `"` + address + `"`, "zone": `"` + site.Zone + `"`, "slots": "32", "state": `"ready"`, "stage": `"decode"`, "born": "5",
+		}
+		row[name] = value
+		var parts []string
+		for name, value := range row {
+			parts = append(parts, fmt.Sprintf("%q:%s", name, value))
+		}
+		return "{" + strings.Join(parts, ",") + "}"
+	}
+	rows := map[string]string{
+		"empty": "", "bytes": "\xff\xfe\x00", "null": "null", "list": "[]", "nested": strings.Repeat("[", 15_000), "nested-field": field("x", strings.Repeat(`{"a":`, 9_000)+"1"+strings.Repeat("}", 9_000)),
+		"key\r\nwith: a line break": field("x", "1"), "ключ/../%00?": field("x", "1"), " ": field("x", "1"),
+	}
+	for _, name := range []string{"service", "address", "zone", "slots", "state", "stage", "born", "version", "cold_remaining_ms", "sequence"} {
+		for i, value := range []string{"1e400", "-1", "1e300", "null", "true", `""`, `"x"`, "[[]]", "{}", `"` + strings.Repeat("y", 20_000) + `"`} {
+			rows[fmt.Sprint(name, "-", i)] = field(name, value)
+		}
+	}
+	for i, port := range []string{"-1", "0", "65536", "99999", "12345678901234567890", "http", ""} {
+		rows[fmt.Sprint("port-", i)] = field("address", `"127.0.0.1:`+port+`"`)
+	}
+	return rows
+}
+
+// Separate processes. Guards against a gateway that ends or stops following the workers because of rows of another
+// writer: odd ones of each kind, thousands of them, and ones that replace the rows of sound workers for a while.
+func TestOddEntriesStopNoGateway(t *testing.T) {
+	s := newSite(t, site.Config{PrefillEngines: 2, DecodeEngines: 2, PlainWorkers: 2, Events: 5, EventDelay: 2 * time.Millisecond, MinRetries: 1000})
+	p := newGateway(t, s, "front-0")
+	requireServed := func(when string) {
+		t.Helper()
+		served := 0
+		for n := range 20 {
+			if got := p.lookup(fmt.Sprint(when, "-", n)); got.err == nil && got.status == http.StatusOK {
+				served++
+			}
+			if got := p.chat(fmt.Sprint(when, "-chat-", n)); got.err == nil && got.status == http.StatusOK {
+				served++
+			}
+		}
+		if served < 38 {
+			t.Errorf("%s: %d of 40 requests served", when, served)
+		}
+	}
+	requireServed("before")
+	for key, value := range oddRows(unusedAddress(t)) {
+		s.Store.Put("servers", key, []byte(value))
+	}
+	requireServed("odd")
+	for n := range 3000 {
+		s.Store.Put("servers", fmt.Sprint("many-", n), []byte(`{"address":"127.0.0.1:99999","n":`+strconv.Itoa(n)+`}`))
+	}
+	requireServed("thousands")
+	for round := range 20 {
+		for _, w := range s.PlainWorkers {
+			s.Store.Put("servers", s.ID(w), []byte(`{"service":7}`))
+		}
+		sleep(100 * time.Millisecond)
+		for _, w := range s.PlainWorkers {
+			s.WriteWorkerRow(w, "ready")
+		}
+		sleep(time.Duration(round) * 10 * time.Millisecond)
+	}
+	sleep(2 * time.Second)
+	requireServed("restored")
+	first := p
+	p = newGateway(t, s, "front-1")
+	requireServed("started")
+	s.DeleteWorkerRow(s.PlainWorkers[0])
+	sleep(4 * time.Second)
+	requireServed("follows")
+	for id, runs := range s.PlainWorkers[0].Runs() {
+		if strings.HasPrefix(id, "follows") && runs > 0 {
+			t.Errorf("%s ran at a worker whose row was removed", id)
+		}
+	}
+	if lines := len(first.log("invalid worker row ignored")); lines == 0 || lines > 60 {
+		t.Errorf("%d log lines about invalid rows", lines)
+	}
+	for _, gateway := range []*process{first, p} {
+		select {
+		case <-gateway.done:
+			t.Errorf("%s has ended", gateway.name)
+		default:
+		}
+	}
+}
