--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -26,6 +26,8 @@
 	// them first.
 	peersRead    atomic.Bool
 	peersReading sync.Mutex
+	// rowsNotBefore is when the rows may be read again after a failure, guarded by peersReading.
+	rowsNotBefore kumquatlug.Millis
 	// left are the gateways that have announced their shutdown and whose rows may still be there.
 	left map[string]bool
 	// gone is when gateways were last known whose rows have gone since.
--- a/internal/gateway/versionpeers.go
+++ b/internal/gateway/versionpeers.go
@@ -91,12 +91,14 @@
 
 // readRows reads the rows of all gateways unless they have been read. The caller must hold v.peersReading.
 func (v *streamVersions) readRows(ctx context.Context) {
-	if v.g.c.Peers == nil || v.peersRead.Load() {
+	if v.g.c.Peers == nil || v.peersRead.Load() || v.g.c.BootClock.Now() < v.rowsNotBefore {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, listingTimeout.Duration())
 	defer cancel()
-	v.g.countGateways(ctx)
+	if !v.g.countGateways(ctx) {
+		v.rowsNotBefore = v.g.c.BootClock.Now() + listingFailureDelay
+	}
 }
 
 // peerJoined handles the announcement of a gateway. One that has started has lost its records if it
--- a/internal/gateway/versionunlisted_test.go
+++ b/internal/gateway/versionunlisted_test.go
@@ -194,3 +194,31 @@
 	}
 	fleet.requireGoesOn(t, "e", "stream")
 }
+
+// scanlessTable counts the scans, which fail.
+type scanlessTable struct {
+	*sharedTable
+	scans atomic.Int64
+}
+
+func (l *scanlessTable) Scan(context.Context, string, string, int) ([]kumquatlug.Row, error) {
+	l.scans.Add(1)
+	return nil, kumquatlug.ErrUnavailable
+}
+
+// Guards against a call to a store that fails for each stream that is taken up at a gateway which knows no others.
+func TestRowsOfGatewaysAreNotReadForEachStream(t *testing.T) {
+	fleet := newVersionFleet(t, versionedEngines(2), fourEngines)
+	e := fleet.start(t, "e")
+	table := &scanlessTable{sharedTable: fleet.table}
+	e.g.c.Table, e.g.c.BootClock = table, clock.NewManual(e.g.c.BootClock.Now())
+	v := newStreamVersions(e.g)
+	e.g.streamVersions = v
+	for n := range 10 {
+		v.setMembers(e.g.members.Load().byService)
+		v.resolve(t.Context(), "engines", fmt.Sprint("stream-", n), false)
+	}
+	if scans := table.scans.Load(); scans != 1 {
+		t.Errorf("%d reads of the rows of gateways, want 1", scans)
+	}
+}
