--- a/pkg/kumquatlug/shutdown/connections.go
+++ b/pkg/kumquatlug/shutdown/connections.go
@@ -5,7 +5,7 @@
 // request follow its connection seconds later. The load pattern is a roll in which the load
 // balancer goes on sending to stopping processes behind such links.
 //
-// The caller reports what happens on the connections. Neither type is safe for concurrent use.
+// The caller reports what happens on the connections. No type is safe for concurrent use.
 package shutdown
 
 import "github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
