The rows of gateways count as read once the peers are known

Callers that took streams up at a gateway within its first moments were refused with version_unknown, although peers had their records. By reading, the listing alone may also have counted there, as of "no peers", against a record of another version.

Cause: setPeers noted that the rows were read before it replaced the peers.

TestPeersCountAsReadOnceTheyAreKnown printed "the rows count as read, and no peer is known" on the logic before.

Change: the note follows the peers, under the same lock. Whoever sees it asks the peers that were read; who has asked before it asks again, as before.

--- a/internal/gateway/versionpeers.go
+++ b/internal/gateway/versionpeers.go
@@ -35,7 +35,6 @@
 
 // setPeers replaces the names of the gateways that serve. Those that have restarted have lost their records.
 func (v *streamVersions) setPeers(names, restarted []string) {
-	v.peersRead.Store(true)
 	v.mu.Lock()
 	before := v.peers
 	for _, name := range restarted {
@@ -46,6 +45,8 @@
 	if len(names) != before.Len() || slices.ContainsFunc(names, func(name string) bool { return !before.Has(name) }) {
 		v.peers = streamversion.NewGateways(names)
 	}
+	// Whoever sees it asks the peers that were read.
+	v.peersRead.Store(true)
 	joined := slices.DeleteFunc(names, func(name string) bool { return before.Has(name) && !slices.Contains(restarted, name) })
 	for _, name := range joined {
 		v.joined[name] = recordRepeats
--- a/internal/gateway/versionunlisted_test.go
+++ b/internal/gateway/versionunlisted_test.go
@@ -222,3 +222,24 @@
 		t.Errorf("%d reads of the rows of gateways, want 1", scans)
 	}
 }
+
+// Guards against a stream about which no peer is asked, as none are known yet while their rows count as read: a record of
+// another version is missed, or the stream is refused.
+func TestPeersCountAsReadOnceTheyAreKnown(t *testing.T) {
+	v := newTestGateway(t, versionedEngines(0), manyRetries).g.streamVersions
+	v.mu.Lock()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		v.setPeers([]string{"a", "b"}, nil)
+	}()
+	<-time.After(20 * time.Millisecond)
+	if v.peersRead.Load() && v.peers.Len() == 0 {
+		t.Error("the rows count as read, and no peer is known")
+	}
+	v.mu.Unlock()
+	<-done
+	if !v.peersRead.Load() || v.peers.Len() != 2 {
+		t.Errorf("read: %t, %d peers", v.peersRead.Load(), v.peers.Len())
+	}
+}
