A stopping gateway does not stay for requests that it refuses

Callers saw, since a stopping gateway counts what it has received: while all gateways stop, it stays until its planned exit because clients repeat what it refuses, and its successor comes later.

Cause: any received bytes, and any connection that is new or in its head, kept the gateway from closing its listener. Only requests that it takes do now. What has arrived in part when the listener closes is answered before the exit, as before; the exit, not the closing, waits for new connections.

TestPlanFollowsWhatHasBeenReceived: the case of refused requests is new (12,600 and 12,700; by what was received 13,000 and 13,100); the cases of a new connection and of heads in part close the listener at 12,600 and exit after their answers. TestStoppingGatewayBehindSlowLinkAnswersAll: 113 with 200, 43 with 503, none without an answer.

--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -28,6 +28,8 @@
 	mu    sync.Mutex
 	state *shutdown.Connections
 	open  map[*shutdown.Conn]*trackedConn
+	// plan is that of the shutdown, nil before.
+	plan *shutdown.Plan
 }
 
 func newConnections(clock kumquatlug.Clock) *connections {
@@ -78,11 +80,27 @@
 	return c.refused
 }
 
-// next returns the next step of a shutdown.
-func (s *connections) next(plan *shutdown.Plan, inFlight int) shutdown.Step {
+// stop begins a shutdown.
+func (s *connections) stop(plan *shutdown.Plan) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return plan.Next(s.clock.Now(), s.state, inFlight)
+	s.plan = plan
+}
+
+// take records that a request is served during the shutdown.
+func (s *connections) take() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.plan != nil {
+		s.plan.Take(s.clock.Now())
+	}
+}
+
+// next returns the next step of the shutdown, and the most by which it was asked for late.
+func (s *connections) next(inFlight int) (shutdown.Step, kumquatlug.Millis) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.plan.Next(s.clock.Now(), s.state, inFlight), s.plan.LatestPoll()
 }
 
 // refuseHeads refuses the requests whose heads have arrived in part. What still arrives of them is
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -328,7 +328,8 @@
 	g.stopCoordinating()
 	g.logStopping("stopping", zap.Int64("grace_ms", int64(g.c.GracePeriod)))
 	plan := shutdown.NewPlan(shutdown.PlanConfig{StoppedAt: start, ExitAt: exit, MinServeTime: balancerLag, PollInterval: idlePollInterval})
-	if err := g.drain(plan, exit, failed); err != nil {
+	g.connections.stop(plan)
+	if err := g.drain(exit, failed); err != nil {
 		return err
 	}
 	if inFlight := g.inFlight.Load(); inFlight > 0 {
@@ -353,16 +354,16 @@
 //
 // The shutdown of net/http can't be used: it closes each connection whose head arrives after it has
 // begun without an answer.
-func (g *Gateway) drain(plan *shutdown.Plan, exit kumquatlug.Millis, served <-chan error) error {
+func (g *Gateway) drain(exit kumquatlug.Millis, served <-chan error) error {
 	for step := shutdown.Serve; step != shutdown.Exit; {
 		select {
 		case err := <-served:
 			return err
 		case <-time.After(min(idlePollInterval, max(exit-g.c.Clock.Now(), 0)).Duration()):
 		}
-		next := g.connections.next(plan, int(g.inFlight.Load()))
+		next, latestPoll := g.connections.next(int(g.inFlight.Load()))
 		if step == shutdown.Serve && next != step {
-			g.logStopping("no more connections are accepted", zap.Int64("exit_ms", int64(exit-g.c.Clock.Now())), zap.Int64("latest_poll_ms", int64(plan.LatestPoll())))
+			g.logStopping("no more connections are accepted", zap.Int64("exit_ms", int64(exit-g.c.Clock.Now())), zap.Int64("latest_poll_ms", int64(latestPoll)))
 			if err := g.c.ClientListener.Close(); err != nil {
 				g.c.Logger.Warn("failed to close the listener of clients", logs.Error(err))
 			}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -124,6 +124,7 @@
 			f.refuseOnArrival(refused)
 			return
 		}
+		g.connections.take()
 		f.logTaken(exit)
 	}
 	if f.refuseQuarantined(r.Context()) {
--- a/pkg/kumquatlug/shutdown/plan.go
+++ b/pkg/kumquatlug/shutdown/plan.go
@@ -22,8 +22,8 @@
 const (
 	// firstByteTime is how long a new connection that has sent nothing is waited for.
 	firstByteTime = 2 * kumquatlug.Second
-	// minQuietTime and maxQuietTime bound the time without any received bytes after which a process
-	// is idle. One whose processor time is limited reads nothing for 100 ms at a time and more.
+	// minQuietTime and maxQuietTime bound the time without a request that is served after which a
+	// process is idle. One whose processor time is limited reads nothing for 100 ms at a time and more.
 	minQuietTime = 300 * kumquatlug.Millis(1)
 	maxQuietTime = kumquatlug.Second
 	// minDrainTime and maxDrainTime bound how long before the exit no more connections are
@@ -56,10 +56,18 @@
 	polledAt kumquatlug.Millis
 	// latestPoll is the most by which a call of Next was late.
 	latestPoll kumquatlug.Millis
+	// takenAt is when the last request arrived that is served, or when the process was told to stop.
+	takenAt kumquatlug.Millis
 }
 
 // NewPlan returns the plan of a process that has just been told to stop.
-func NewPlan(c PlanConfig) *Plan { return &Plan{c: c, step: Serve, polledAt: c.StoppedAt} }
+func NewPlan(c PlanConfig) *Plan {
+	return &Plan{c: c, step: Serve, polledAt: c.StoppedAt, takenAt: c.StoppedAt}
+}
+
+// Take records that a request has arrived that is served. Those that are refused don't keep a process: its
+// successor can serve them.
+func (p *Plan) Take(now kumquatlug.Millis) { p.takenAt = now }
 
 // LatestPoll returns the most by which a call of [Plan.Next] was late, in ms.
 func (p *Plan) LatestPoll() kumquatlug.Millis { return p.latestPoll }
@@ -93,11 +101,11 @@
 	return max(p.c.ExitAt-drainTime, min(p.c.StoppedAt+p.c.MinServeTime, p.c.ExitAt-minDrainTime))
 }
 
-// idle reports whether the process has nothing to do and nobody has sent to it for the time that
-// requests take to arrive over its link.
+// idle reports whether the process serves nothing, and has taken no request for the time that requests take to
+// arrive over its link. What has arrived in part is answered after the last connection was accepted.
 func (p *Plan) idle(now kumquatlug.Millis, s *Connections, inFlight int) bool {
 	quiet := min(max(withMargin(s.HeadDelay(now)), minQuietTime), maxQuietTime)
-	return now-p.c.StoppedAt >= p.c.MinServeTime && inFlight == 0 && s.answered(now) && now-s.ReceivedAt() >= quiet
+	return now-p.c.StoppedAt >= p.c.MinServeTime && inFlight == 0 && s.Counts().Active == 0 && now-p.takenAt >= quiet
 }
 
 func withMargin(delay kumquatlug.Millis) kumquatlug.Millis {
