Tests: one loop for clients that begin streams until they are stopped

startStreams and occupyEngines had the same loop; both use repeat now. No check changes. TestResumedStreamsGoOnAtFullLoad and the half load of TestResumedStreamsGoOnAfterAllGatewaysWereKilledAtCapacity pass.

--- a/test/front/resumecapacity_test.go
+++ b/test/front/resumecapacity_test.go
@@ -39,28 +39,11 @@
 
 // occupyEngines makes clients begin one stream after the other until stop is called.
 func occupyEngines(gateways []*process, clients int) (stop func()) {
-	var group sync.WaitGroup
-	end := make(chan struct{})
-	for n := range clients {
-		group.Add(1)
-		go func() {
-			defer group.Done()
-			for round := 0; ; round++ {
-				select {
-				case <-end:
-					return
-				default:
-				}
-				if got := beginWhole(gateways[n%len(gateways)], fmt.Sprintf("beside-%d-%d", n, round)); got.status != http.StatusOK {
-					sleep(20 * time.Millisecond)
-				}
-			}
-		}()
-	}
-	return func() {
-		close(end)
-		group.Wait()
-	}
+	return repeat(clients, func(n, round int) {
+		if got := beginWhole(gateways[n%len(gateways)], fmt.Sprintf("beside-%d-%d", n, round)); got.status != http.StatusOK {
+			sleep(20 * time.Millisecond)
+		}
+	})
 }
 
 // cutStreams begins capacityStreams streams, which their clients leave, and returns what was received of them.
--- a/test/front/resumeload_test.go
+++ b/test/front/resumeload_test.go
@@ -42,31 +42,39 @@
 	return p.doWith(context.Background(), &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, http.MethodPost, site.PathResumable+id, id, longPromptHeaders(id))
 }
 
-// startStreams makes clients begin streams until stop is called, which returns how many were tried and served.
-func startStreams(gateways []*process) (stop func() (tried, served int64)) {
-	var tried, served atomic.Int64
+// repeat makes clients call f in turn until stop is called, which waits for the last calls.
+func repeat(clients int, f func(n, round int)) (stop func()) {
 	var group sync.WaitGroup
 	end := make(chan struct{})
-	for n := range loadClients {
-		group.Add(1)
-		go func() {
-			defer group.Done()
+	for n := range clients {
+		group.Go(func() {
 			for round := 0; ; round++ {
 				select {
 				case <-end:
 					return
 				default:
 				}
-				tried.Add(1)
-				if tryStream(gateways, n, func(p *process, try int) response { return beginWhole(p, fmt.Sprintf("load-%d-%d-%d", n, round, try)) }) {
-					served.Add(1)
-				}
+				f(n, round)
 			}
-		}()
+		})
 	}
-	return func() (int64, int64) {
+	return func() {
 		close(end)
 		group.Wait()
+	}
+}
+
+// startStreams makes clients begin streams until stop is called, which returns how many were tried and served.
+func startStreams(gateways []*process) (stop func() (tried, served int64)) {
+	var tried, served atomic.Int64
+	end := repeat(loadClients, func(n, round int) {
+		tried.Add(1)
+		if tryStream(gateways, n, func(p *process, try int) response { return beginWhole(p, fmt.Sprintf("load-%d-%d-%d", n, round, try)) }) {
+			served.Add(1)
+		}
+	})
+	return func() (int64, int64) {
+		end()
 		return tried.Load(), served.Load()
 	}
 }
