--- a/review/_standin-2/engine.go
+++ b/review/_standin-2/engine.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"time"
 
@@ -18,14 +20,26 @@
 	delay                       time.Duration
 	mu                          sync.Mutex
 	current                     *fleet.Worker
-	server                      *http.Server
-	starts                      []*fleet.Worker
-	versions                    map[*fleet.Worker]string
+	startedAt                   time.Time
+	// switches says that orders are carried out as the protocol says.
+	switches bool
+	server   *http.Server
+	starts   []*fleet.Worker
+	versions map[*fleet.Worker]string
 }
 
 // newMember starts a worker on a free port and writes its entry.
 func (d *deployment) newMember(id, service, stage, version string, events int, delay time.Duration) (*member, error) {
-	m := &member{d: d, id: id, service: service, stage: stage, events: events, delay: delay, versions: map[*fleet.Worker]string{}}
+	return d.startMember(&member{d: d, id: id, service: service, stage: stage, events: events, delay: delay}, version)
+}
+
+// newEngine does the same for an engine that takes its time to change its stage.
+func (d *deployment) newEngine(id, service, stage, version string, events int, delay time.Duration) (*member, error) {
+	return d.startMember(&member{d: d, id: id, service: service, stage: stage, events: events, delay: delay, switches: true}, version)
+}
+
+func (d *deployment) startMember(m *member, version string) (*member, error) {
+	m.versions = map[*fleet.Worker]string{}
 	address, err := freeAddress()
 	if err != nil {
 		return nil, err
@@ -54,9 +68,13 @@
 	if err != nil {
 		return fmt.Errorf("start %s: %w", m.id, err)
 	}
-	server := &http.Server{Handler: w, ReadHeaderTimeout: 5 * time.Second}
+	var handler http.Handler = w
+	if m.switches {
+		handler = &switching{m: m, next: w}
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
 	m.mu.Lock()
-	m.current, m.server = w, server
+	m.current, m.server, m.startedAt = w, server, time.Now()
 	m.starts = append(m.starts, w)
 	m.versions[w] = version
 	m.mu.Unlock()
@@ -94,3 +112,23 @@
 	}
 	return found
 }
+
+// worker returns the running worker.
+func (m *member) worker() *fleet.Worker {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.current
+}
+
+// born returns when the running worker started.
+func (m *member) born() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.startedAt
+}
+
+// setStage changes the stage of the running worker.
+func (m *member) setStage(stage string) {
+	order := fmt.Sprintf(`{"op":"stage","stage":%q,"holder":"worker","fence":1}`, stage)
+	m.worker().ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/v1/order", strings.NewReader(order)))
+}
