--- a/review/_standin-2/deployment.go
+++ b/review/_standin-2/deployment.go
@@ -9,7 +9,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -26,11 +25,8 @@
 	dir          string
 	version      int
 	fronts       []*front
-	// config is the operator's config, tenants are its client accounts, nil for none.
-	config  []byte
-	tenants []map[string]any
-	// cloudAddress is that of the service for usage reports, empty for none.
-	cloudAddress string
+	// config is the operator's config.
+	config []byte
 }
 
 const (
@@ -65,9 +61,6 @@
 		"version": d.version, "routes": routes, "services": services,
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": maxBody, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	}
-	if d.tenants != nil {
-		config["tenants"] = d.tenants
-	}
 	// Maps of plain values always encode.
 	d.config, _ = json.Marshal(config)
 	d.rewriteConfig()
@@ -190,10 +183,6 @@
 writes_per_s = 400
 reads_per_s = 2000
 `, name, zone, first-1, first, f.clientAddr, f.readyAddr, graceS, d.storeAddress)
-	if d.cloudAddress != "" {
-		text = strings.Replace(text, "[bounds]\n", "[bounds]\nreport_window_s = 5\nusage_tolerance = 0.05\nusage_late_s = 10\nstrict_revoke = false\nrevoke_ms = 5000\n", 1) +
-			fmt.Sprintf("[cloud]\naddress = %q\nduties = [\"usage_report\"]\n", d.cloudAddress)
-	}
 	if err := os.WriteFile(f.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main.go
@@ -10,11 +10,10 @@
 
 // cases are the scripts by name. Each returns what broke the rule, empty if it held.
 var cases = map[string]func(d *deployment, trouble bool) (string, error){
-	"grey-worker":         greyWorker,
-	"options-asterisk":    optionsAsterisk,
-	"upgrade-in-place":    upgradeInPlace,
-	"usage-after-restore": usageAfterRestore,
-	"version-decoder":     versionDecoderLost,
+	"grey-worker":      greyWorker,
+	"options-asterisk": optionsAsterisk,
+	"upgrade-in-place": upgradeInPlace,
+	"version-decoder":  versionDecoderLost,
 }
 
 func main() {
