--- a/review/_standin-2/engine.go
+++ b/review/_standin-2/engine.go
@@ -23,6 +23,10 @@
 	startedAt                   time.Time
 	// switches says that orders are carried out as the protocol says.
 	switches bool
+	// room is what the engines have for running streams that are moved, nil for enough.
+	room *room
+	// slots are used if room is set.
+	slots    slots
 	server   *http.Server
 	starts   []*fleet.Worker
 	versions map[*fleet.Worker]string
@@ -72,6 +76,9 @@
 	if m.switches {
 		handler = &switching{m: m, next: w}
 	}
+	if m.room != nil {
+		handler = &movable{m: m, next: handler}
+	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
 	m.mu.Lock()
 	m.current, m.server, m.startedAt = w, server, time.Now()
--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main.go
@@ -12,6 +12,7 @@
 var cases = map[string]func(d *deployment, trouble bool) (string, error){
 	"grey-worker":      greyWorker,
 	"options-asterisk": optionsAsterisk,
+	"refused-move":     refusedMove,
 	"upgrade-in-place": upgradeInPlace,
 	"version-decoder":  versionDecoderLost,
 }
