review: case 5, no stream is taken up after a release and a kill of all fronts

Each step of a release begins an epoch, and the version of a stream follows from its id only if all epochs of the last 90 s select the same. After ten of twelve workers were replaced, the first epoch and the last differ for most ids; once all fronts have lost power nobody knows the records, and clients that take their streams up get 503 although ten workers of their version serve (LOST).

--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main.go
@@ -10,10 +10,11 @@
 
 // cases are the scripts by name. Each returns what broke the rule, empty if it held.
 var cases = map[string]func(d *deployment, trouble bool) (string, error){
-	"grey-worker":      greyWorker,
-	"refused-move":     refusedMove,
-	"upgrade-in-place": upgradeInPlace,
-	"version-decoder":  versionDecoderLost,
+	"grey-worker":          greyWorker,
+	"refused-move":         refusedMove,
+	"killed-after-release": killedAfterRelease,
+	"upgrade-in-place":     upgradeInPlace,
+	"version-decoder":      versionDecoderLost,
 }
 
 func main() {
--- a/review/_standin-2/takeup.go
+++ b/review/_standin-2/takeup.go
@@ -121,6 +121,8 @@
 	started, complete bool
 	// takenUp says that its client took it up again, wentOn that another event came then.
 	takenUp, wentOn bool
+	// takenUpAt is when its client took it up last.
+	takenUpAt time.Time
 }
 
 // versionDecoderLost plays resumable streams at engines of two software versions that serve side by side. The engines of the
