--- a/review/_standin-2/deployment.go
+++ b/review/_standin-2/deployment_test.go
@@ -1,4 +1,4 @@
-package main
+package standin2
 
 import (
 	"encoding/json"
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -94,7 +95,6 @@
 	settings, metrics     string
 	cmd                   *exec.Cmd
 	done                  chan struct{}
-	mu                    sync.Mutex
 }
 
 // freeAddress returns a loopback address with a port below the ephemeral range that is free for TCP and UDP.
@@ -140,8 +140,10 @@
 		}
 	}
 	_, port, _ := net.SplitHostPort(internal)
-	var first int
-	fmt.Sscan(port, &first)
+	first, err := strconv.Atoi(port)
+	if err != nil {
+		return nil, err
+	}
 	text := fmt.Sprintf(`node_name = %q
 role = "front"
 machine_class = "edge"
--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main_test.go
@@ -1,11 +1,13 @@
-// Command standin-2 plays the scripts of the second review against fronts as separate processes. It is run from the root
-// of the repository: standin-2 CASE RECORD. It exits with 1 if the rule was broken, 0 if it held and 2 if the case
-// couldn't run. With TROUBLE=0 in the environment the disruption is left out.
-package main
+// Package standin2 plays the scripts of the second review against fronts as separate processes. It consists of test files
+// and is built by "go test -c". The program is run from the root of the repository: standin-2 CASE RECORD. It exits with 1
+// if the rule was broken, 0 if it held and 2 if the case couldn't run. With TROUBLE=0 in the environment the disruption is
+// left out.
+package standin2
 
 import (
 	"fmt"
 	"os"
+	"testing"
 )
 
 // cases are the scripts by name. Each returns what broke the rule, empty if it held.
@@ -17,7 +19,8 @@
 	"version-decoder":      versionDecoderLost,
 }
 
-func main() {
+// TestMain plays a case in place of running tests.
+func TestMain(*testing.M) {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin-2 CASE RECORD")
 		os.Exit(2)
--- a/review/_standin-2/upgrade.go
+++ b/review/_standin-2/upgrade_test.go
@@ -1,4 +1,4 @@
-package main
+package standin2
 
 import (
 	"context"
