exchange: a reset that a write has consumed is no end of the input

What callers saw: a worker answered an upload of 8 MB at once with a 200 without a length, sent 10 of 28 bytes and reset the connection while the upload was written. The client got the 10 bytes as a complete 200 with the worker's signature.

Cause: Linux reports the failure of a connection to one system call only. The goroutine that writes a large request got ECONNRESET, and the next read reached the end of the input without an error, which is how a body without a length ends. Nothing joined the two. A write that times out (TCP_USER_TIMEOUT) consumes its error in the same way. net/http's transport, which agents use for their targets, does the same.

Change: connections of exchange.DialContext, which the pool and the service client use, check the end of the input: it counts only if the peer has closed its sending side. Otherwise the read fails, and everything above treats the response as broken, whoever consumed the error.

Why it works: at the end of the input a socket that received a FIN is in CLOSE_WAIT, one that was reset or timed out in CLOSE.

--- a/internal/exchange/dial.go
+++ b/internal/exchange/dial.go
@@ -71,7 +71,7 @@
 	var err error
 	for range maxDialAttempts {
 		var c net.Conn
-		if c, err = dialer.DialContext(ctx, "tcp", address); err == nil {
+		if c, err = DialContext(dialer)(ctx, "tcp", address); err == nil {
 			return c, nil
 		}
 		var netErr net.Error
--- a/internal/exchange/watch.go
+++ b/internal/exchange/watch.go
@@ -1,7 +1,6 @@
 package exchange
 
 import (
-	"net"
 	"syscall"
 	"time"
 
@@ -52,7 +51,7 @@
 }
 
 func (c *conn) rawConn() (syscall.RawConn, bool) {
-	s, ok := c.Conn.(*net.TCPConn)
+	s, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return nil, false
 	}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -46,7 +46,7 @@
 	}
 	dialer := &net.Dialer{Timeout: dialTimeout.Duration()}
 	transport := &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConns,
+		DialContext: exchange.DialContext(dialer), MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout: time.Minute, DisableCompression: true,
 	}
 	onceTransport := transport.Clone()
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -1,12 +1,15 @@
 package service
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
+	"github.com/kumquatlug/kumquatlug/internal/standin"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
 
@@ -92,3 +95,32 @@
 		}()
 	}
 }
+
+// Guards against a part of a response without a length that looks complete because the target reset the connection while
+// a large call was sent.
+func TestResponseResetDuringLargeCallIsBroken(t *testing.T) {
+	const plays = 20
+	server, err := standin.NewRawServer(func(*http.Request) standin.RawResponse {
+		return standin.RawResponse{Writes: []string{"HTTP/1.1 200 OK\r\n\r\npart"}, Early: true, Resets: true, Pause: 20 * time.Millisecond}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	complete := 0
+	for range plays {
+		s := New(Config{URL: "http://" + server.Address()})
+		response, err := s.Do(t.Context(), kumquatlug.NewCall(http.MethodPost, "/post", http.Header{}, bytes.NewReader(make([]byte, 8<<20))))
+		if err != nil {
+			continue
+		}
+		if _, err = io.Copy(io.Discard, response.Body()); err == nil {
+			complete++
+		}
+		response.Body().Close()
+		s.Close()
+	}
+	if complete > 0 {
+		t.Errorf("%d of %d responses complete", complete, plays)
+	}
+}
--- a/internal/standin/rawserver.go
+++ b/internal/standin/rawserver.go
@@ -13,6 +13,12 @@
 	// Writes are sent one after the other, with Pause between two of them.
 	Writes []string
 	Pause  time.Duration
+	// Early says that it is sent without the body of the request having been read.
+	Early bool
+	// HalfCloses says that the sending side is closed after the last write.
+	HalfCloses bool
+	// Resets says that the connection is reset, Pause after that.
+	Resets bool
 	// StaysOpen says that the connection stays open until the caller closes it.
 	StaysOpen bool
 }
@@ -57,10 +63,12 @@
 	if err != nil {
 		return
 	}
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
-		return
-	}
 	response := s.respond(r)
+	if !response.Early {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+	}
 	for i, part := range response.Writes {
 		if i > 0 {
 			time.Sleep(response.Pause)
@@ -69,6 +77,13 @@
 			return
 		}
 	}
+	if response.HalfCloses {
+		_ = c.(*net.TCPConn).CloseWrite()
+	}
+	if response.Resets {
+		time.Sleep(response.Pause)
+		_ = c.(*net.TCPConn).SetLinger(0)
+	}
 	if response.StaysOpen {
 		_, _ = io.Copy(io.Discard, reader)
 	}
--- /dev/null
+++ b/test/front/brokenresponses_test.go
@@ -0,0 +1,95 @@
+package front
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/kumquatlug/kumquatlug/internal/standin"
+	"github.com/kumquatlug/kumquatlug/internal/standin/site"
+)
+
+// signedHead returns the head of a worker's success without its end.
+func signedHead(r *http.Request) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Stamp: s.1\r\n", r.Header.Get("Attempt-Id"))
+}
+
+// newRawWorker adds a plain worker that answers requests with these bytes.
+func newRawWorker(t *testing.T, s *site.Site, respond func(*http.Request) standin.RawResponse) {
+	t.Helper()
+	server, err := standin.NewRawServer(func(r *http.Request) standin.RawResponse {
+		if r.Method == http.MethodGet {
+			return standin.RawResponse{Writes: []string{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}}
+		}
+		return respond(r)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	s.Store.Put("servers", "raw", fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":32,"state":"ready","sequence":1,"born":1764700000000}`,
+		site.PlainService, server.Address(), site.Zone))
+}
+
+// sendBody sends a request with a body of this size.
+func sendBody(t *testing.T, p *process, path, id string, size int) response {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+p.clientAddr+path, strings.NewReader(strings.Repeat("b", size)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = site.Host
+	r.Header.Set("Attempt-Id", id)
+	r.Header.Set("Deadline-Ms", "6000")
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	got, err := client.Do(r)
+	if err != nil {
+		return response{err: err}
+	}
+	defer got.Body.Close()
+	body, err := io.ReadAll(got.Body)
+	return response{status: got.StatusCode, header: got.Header, body: string(body), err: err}
+}
+
+// Guards against a part of a response that a client gets as a whole one because its worker reset the connection during a long
+// upload, and against a whole one that is lost because its worker doesn't read the upload.
+func TestResponseDuringLongUpload(t *testing.T) {
+	const (
+		body  = "the whole body of the worker"
+		plays = 12
+	)
+	for name, c := range map[string]struct {
+		response standin.RawResponse
+		whole    bool
+	}{
+		"reset":       {response: standin.RawResponse{Writes: []string{body[:10]}, Resets: true}},
+		"half-closed": {response: standin.RawResponse{Writes: []string{body}, HalfCloses: true, StaysOpen: true}, whole: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, site.Config{MaxBodyBytes: 16 << 20})
+			newRawWorker(t, s, func(r *http.Request) standin.RawResponse {
+				response := c.response
+				response.Early, response.Pause = true, 20*time.Millisecond
+				response.Writes = []string{signedHead(r) + "\r\n" + c.response.Writes[0]}
+				return response
+			})
+			p := newGateway(t, s, "front-1")
+			complete := 0
+			for n := range plays {
+				got := sendBody(t, p, site.PathNonIdempotent+"x", fmt.Sprint(name, "-", n), 8<<20)
+				if got.err == nil && got.status == http.StatusOK {
+					complete++
+					if got.body != body {
+						t.Errorf("complete with %d of %d bytes", len(got.body), len(body))
+					}
+				}
+			}
+			if c.whole && complete < plays {
+				t.Errorf("%d of %d responses complete", complete, plays)
+			}
+		})
+	}
+}
