exchange: a status that HTTP doesn't define is no response

What callers saw: a worker's 000 without a body, followed by another response on the connection, was skipped and the client got the other one as its answer; 600 and 999 reached the client with the worker's signature. 000 and 099 with a body were 502 already. Behind an agent, the handler panicked at 000 and the call's connection was cut, and a call that may run once stored 000 as its outcome.

Cause: the reader of net/http accepts any three characters that are a number, +20 and -00 among them. Everything below 200 counted as an interim response, a 101 that nobody asked for as well, and no place looked at the other end of the range. By RFC 9110, section 15, a status outside of 100 to 599 is invalid.

An invalid status breaks the connection and the attempt, which counts as unknown.

--- a/internal/agent/body_test.go
+++ b/internal/agent/body_test.go
@@ -108,3 +108,22 @@
 		target.Close()
 	}
 }
+
+// Guards against a target's status that HTTP doesn't define, which the agent can't pass on and must not store as an outcome.
+func TestInvalidStatusOfTargetIsNoOutcome(t *testing.T) {
+	target, err := standin.NewRawServer(func(*http.Request) standin.RawResponse {
+		return standin.RawResponse{Writes: []string{"HTTP/1.1 000 X\r\nContent-Length: 4\r\n\r\nbody"}}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer target.Close()
+	a := newServiceAgent(t, "http://"+target.Address())
+	call := kumquatlug.NewCall(http.MethodPost, "/x", http.Header{"Idempotency-Key": {"k"}}, nil)
+	if outcome, err := a.work.callTarget(t.Context(), call); err == nil {
+		t.Errorf("outcome %d %q", outcome.Status(), outcome.Body())
+	}
+	if body, end := serveWork(t, "http://"+target.Address(), "*/*"); end == peer.EndComplete {
+		t.Errorf("%q is complete", body)
+	}
+}
--- a/internal/exchange/head.go
+++ b/internal/exchange/head.go
@@ -23,6 +23,9 @@
 	MaxHeadLines = 1000
 )
 
+// maxStatus is the highest status of HTTP (RFC 9110, section 15).
+const maxStatus = 599
+
 // headReader reads from a connection and fails once a head exceeds its limits. It sits below the
 // buffer, which asks for more bytes only while the head is incomplete.
 type headReader struct {
@@ -56,6 +59,16 @@
 	return errors.Mark(errors.Newf(format, values...), kumquatlug.ErrTooLarge)
 }
 
+// CheckStatus returns an error for a status that can't be that of a response: one that HTTP doesn't define, as the reader of
+// net/http accepts any three digits, and a switch of protocols, which no request asks for. The bytes that
+// follow have no known meaning.
+func CheckStatus(status int) error {
+	if status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols {
+		return errors.Newf("invalid status %03d", status)
+	}
+	return nil
+}
+
 // checkFraming returns an error if a header that marks the end of the body has a space before its
 // colon. The reader of net/http takes such a line for another header, so that a body that is cut
 // short would look complete, or chunk sizes would be part of it.
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -82,6 +82,10 @@
 	if err != nil {
 		return kumquatlug.TargetResponse{}, targetFailure(s.baseURL, "target_failed", executionAfterError(err), err)
 	}
+	if err := exchange.CheckStatus(response.StatusCode); err != nil {
+		_ = response.Body.Close()
+		return kumquatlug.TargetResponse{}, targetFailure(s.baseURL, "target_failed", kumquatlug.ExecutionUnknown, err)
+	}
 	return kumquatlug.NewTargetResponse(response.StatusCode, response.Header, response.Body).WithFraming(exchange.FramingOf(response)), nil
 }
 
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -124,3 +124,32 @@
 		t.Errorf("%d of %d responses complete", complete, plays)
 	}
 }
+
+// requireBroken requires that no call to a target that answers with these bytes has a response.
+func requireBroken(t *testing.T, responses ...string) {
+	t.Helper()
+	for _, raw := range responses {
+		server, err := standin.NewRawServer(func(*http.Request) standin.RawResponse { return standin.RawResponse{Writes: []string{raw}} })
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer server.Close()
+		s := New(Config{URL: "http://" + server.Address()})
+		defer s.Close()
+		response, err := s.Do(t.Context(), kumquatlug.NewCall(http.MethodPost, "/post", http.Header{}, nil))
+		if err == nil {
+			text, err := io.ReadAll(response.Body())
+			response.Body().Close()
+			t.Errorf("%q: status %d, body %q, %v", raw, response.Status(), text, err)
+		} else if kumquatlug.ExecutionOf(err) != kumquatlug.ExecutionUnknown {
+			t.Errorf("%q: %v", raw, err)
+		}
+	}
+}
+
+// Guards against a status that HTTP doesn't define and that counts as a response of the target.
+func TestInvalidStatusIsBroken(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "+20", "600", "999"} {
+		requireBroken(t, "HTTP/1.1 "+status+" X\r\nContent-Length: 4\r\n\r\nbody", "HTTP/1.1 "+status+" X\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody")
+	}
+}
--- a/test/front/brokenresponses_test.go
+++ b/test/front/brokenresponses_test.go
@@ -93,3 +93,42 @@
 		})
 	}
 }
+
+// requireNoSuccess requires that clients get these responses of a worker as broken, on routes of both kinds. The responses
+// begin with their first line, before the headers of a worker.
+func requireNoSuccess(t *testing.T, responses map[string]func(headers string) string) {
+	t.Helper()
+	const plays = 12
+	for name, respond := range responses {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, site.Config{MinRetries: 1000})
+			newRawWorker(t, s, func(r *http.Request) standin.RawResponse {
+				_, headers, _ := strings.Cut(signedHead(r), "\r\n")
+				return standin.RawResponse{Writes: []string{respond(headers)}}
+			})
+			p := newGateway(t, s, "front-1")
+			for n := range plays {
+				for _, path := range []string{site.PathNonIdempotent, site.PathIdempotent} {
+					got := sendBody(t, p, path+"x", fmt.Sprint(name, path, n), 300)
+					if got.err != nil || got.status != http.StatusBadGateway || got.header.Get("Server-Stamp") != "" {
+						t.Errorf("%s: status %d, signature %q, body %q, %v", path, got.status, got.header.Get("Server-Stamp"), got.body, got.err)
+					}
+				}
+			}
+		})
+	}
+}
+
+// Guards against a status that HTTP doesn't define and that a client gets, or that is skipped so that the client gets the bytes
+// after it as its response.
+func TestInvalidStatusesReachNoClient(t *testing.T) {
+	const body = "Content-Length: 4\r\n\r\nbody"
+	responses := map[string]func(headers string) string{}
+	for _, status := range []string{"000", "099", "600", "999"} {
+		responses[status] = func(headers string) string { return "HTTP/1.1 " + status + " X\r\n" + headers + body }
+		responses[status+", then a response"] = func(headers string) string {
+			return "HTTP/1.1 " + status + " X\r\n" + headers + "\r\nHTTP/1.1 200 OK\r\n" + headers + body
+		}
+	}
+	requireNoSuccess(t, responses)
+}
