exchange: a head with a malformed header name is no response

What callers saw: a worker's header whose name held a blank, inside or at its end ("X Y: 9", "X-Y : 9", "Content Length: 9"), was passed on with the worker's signature. Behind an agent, "Content-Length : 2" and "Transfer-Encoding : chunked" were taken for other headers as well, so that the body was not the target's.

Cause: the reader of net/http makes an exception for blanks in names; it refuses all other bytes that are no part of a token. checkFraming looked for two names only, and the client of an agent's target looked at none. A recipient can't know what a peer meant by such a line, nor where its body ends.

A row of TestEndsOfResponses ("space after another name") demanded that such a response is accepted.

Change: CheckHead looks at the status and all names, at each head that the pool reads, interim ones included, and in the client of an agent's target. checkFraming and its list of two names are gone.

Names in trailers are not looked at: trailers of workers are passed on nowhere, and the body has ended before them.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -261,7 +261,7 @@
 		if err != nil {
 			return nil, errors.CombineErrors(err, c.writeError())
 		}
-		if err := errors.CombineErrors(CheckStatus(response.StatusCode), checkFraming(response.Header)); err != nil {
+		if err := CheckHead(response); err != nil {
 			return nil, err
 		}
 		switch {
--- a/internal/exchange/framing_test.go
+++ b/internal/exchange/framing_test.go
@@ -38,7 +38,7 @@
 		"connection, reset":            {response: stamp + "\r\nbody", body: "body", reset: true, failed: true},
 		"space after the name, length": {response: stamp + "Content-Length : 9\r\n\r\nbody", body: "body", failed: true},
 		"space after the name, chunks": {response: stamp + "transfer-encoding  : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", body: "body", failed: true},
-		"space after another name":     {response: stamp + "Other : 9\r\nContent-Length: 4\r\n\r\nbody", body: "body", reused: true},
+		"space after another name":     {response: stamp + "Other : 9\r\nContent-Length: 4\r\n\r\nbody", body: "body", failed: true},
 		"folded length":                {response: stamp + "Content-Length: 4\r\n 2\r\n\r\nbody", failed: true},
 		"empty length":                 {response: stamp + "Content-Length:\r\n\r\nbody", failed: true},
 		"half a name":                  {response: stamp + "Content-Len\r\n\r\nbody", failed: true},
--- a/internal/exchange/head.go
+++ b/internal/exchange/head.go
@@ -59,24 +59,27 @@
 	return errors.Mark(errors.Newf(format, values...), kumquatlug.ErrTooLarge)
 }
 
-// CheckStatus returns an error for a status that can't be that of a response: one that HTTP doesn't define, as the reader of
-// net/http accepts any three digits, and a switch of protocols, which no request asks for. The bytes that
-// follow have no known meaning.
-func CheckStatus(status int) error {
+// CheckHead returns an error for a malformed head that the reader of net/http accepts. The bytes after it have no known
+// meaning.
+func CheckHead(response *http.Response) error {
+	return errors.CombineErrors(checkStatus(response.StatusCode), checkNames(response.Header))
+}
+
+// checkStatus returns an error for a status that HTTP doesn't define, since the reader accepts any three digits, and for a
+// switch of protocols, which no request asks for.
+func checkStatus(status int) error {
 	if status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols {
 		return errors.Newf("invalid status %03d", status)
 	}
 	return nil
 }
 
-// checkFraming returns an error if a header that marks the end of the body has a space before its
-// colon. The reader of net/http takes such a line for another header, so that a body that is cut
-// short would look complete, or chunk sizes would be part of it.
-func checkFraming(h http.Header) error {
+// checkNames returns an error if the name of a header contains a space, the only character outside of a token that the
+// reader accepts. It takes "Content-Length :" for a header of another name, so that the body would end elsewhere than its
+// peer meant.
+func checkNames(h http.Header) error {
 	for name := range h {
-		switch field := strings.TrimRight(name, " "); {
-		case field == name:
-		case strings.EqualFold(field, "Content-Length"), strings.EqualFold(field, "Transfer-Encoding"):
+		if strings.Contains(name, " ") {
 			return errors.Newf("malformed header %q", name)
 		}
 	}
--- a/internal/exchange/head_test.go
+++ b/internal/exchange/head_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/kumquatlug/kumquatlug/internal/standin"
@@ -51,3 +52,26 @@
 	}
 	requireAccepted(t, responses)
 }
+
+// Guards against a head with a line that is no header, which is passed on, or whose body ends elsewhere than its peer meant.
+func TestHeaderNamesOfResponses(t *testing.T) {
+	const (
+		begin = "HTTP/1.1 200 OK\r\n"
+		whole = "Content-Length: 4\r\n\r\nbody"
+		token = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+	)
+	responses := map[string]bool{}
+	for b := range 256 {
+		if name := string([]byte{'X', byte(b), 'Y'}); b != ':' {
+			responses[begin+name+": 9\r\n"+whole] = strings.IndexByte(token, byte(b)) >= 0
+		}
+	}
+	for _, name := range []string{
+		"", " ", "X ", "X  ", "X\t", "X Y", "X Y ", "Content Length", "Content-Length ", "Transfer-Encoding ", "Id ", "\x00", "X\x00", "\x7fX", "X\r", "\xc2\xa0X",
+	} {
+		responses[begin+name+": 2\r\n"+whole] = false
+		responses[begin+whole[:19]+name+": 2\r\n\r\nbody"] = false
+		responses["HTTP/1.1 103 Early Hints\r\n"+name+": 2\r\n\r\n"+begin+whole] = false
+	}
+	requireAccepted(t, responses)
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -78,11 +78,11 @@
 		// unknown whether the call ran.
 		client = s.onceClient
 	}
-	response, err := client.Do(request) //nolint:bodyclose // the caller closes the body
+	response, err := client.Do(request)
 	if err != nil {
 		return kumquatlug.TargetResponse{}, targetFailure(s.baseURL, "target_failed", executionAfterError(err), err)
 	}
-	if err := exchange.CheckStatus(response.StatusCode); err != nil {
+	if err := exchange.CheckHead(response); err != nil {
 		_ = response.Body.Close()
 		return kumquatlug.TargetResponse{}, targetFailure(s.baseURL, "target_failed", kumquatlug.ExecutionUnknown, err)
 	}
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -153,3 +153,10 @@
 		requireBroken(t, "HTTP/1.1 "+status+" X\r\nContent-Length: 4\r\n\r\nbody", "HTTP/1.1 "+status+" X\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody")
 	}
 }
+
+// Guards against a head with a line that is no header, which is passed on, or whose body ends elsewhere than the target meant.
+func TestInvalidHeaderNameIsBroken(t *testing.T) {
+	for _, name := range []string{"X ", "X Y", "Content Length", "Content-Length ", "Transfer-Encoding ", "X\t", "X\x00", "X\x01", "X\x7f", ""} {
+		requireBroken(t, "HTTP/1.1 200 OK\r\n"+name+": 2\r\n\r\nbody", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"+name+": 2\r\n\r\nbody")
+	}
+}
--- a/test/front/brokenresponses_test.go
+++ b/test/front/brokenresponses_test.go
@@ -132,3 +132,14 @@
 	}
 	requireNoSuccess(t, responses)
 }
+
+// Guards against a line that is no header and that a client gets, or that hides where the body of the worker ends.
+func TestInvalidHeaderNamesReachNoClient(t *testing.T) {
+	responses := map[string]func(headers string) string{}
+	for _, name := range []string{"X-Y ", "X Y", "Content Length", "Content-Length ", "Transfer-Encoding ", "X\tY", "X\x00", "X\x01Y", "X\x7f"} {
+		responses[fmt.Sprintf("%q", name)] = func(headers string) string {
+			return "HTTP/1.1 200 OK\r\n" + headers + name + ": 2\r\nContent-Length: 4\r\n\r\nbody"
+		}
+	}
+	requireNoSuccess(t, responses)
+}
