--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -47,7 +47,7 @@
 	dialer := &net.Dialer{Timeout: dialTimeout.Duration()}
 	transport := &http.Transport{
 		DialContext: exchange.DialContext(dialer), MaxIdleConnsPerHost: maxIdleConns,
-		IdleConnTimeout: time.Minute, DisableCompression: true,
+		IdleConnTimeout: time.Minute, DisableCompression: true, MaxResponseHeaderBytes: exchange.MaxHeadBytes,
 	}
 	onceTransport := transport.Clone()
 	onceTransport.DisableKeepAlives = true
