agent: responses to calls that run once share a bound of 32 MB

Report: a faulty worker sent bytes without end in a body; the machine that had called it kept them all and ran out of memory.

An agent keeps the response to a call that runs once until it is stored, up to 16 MB each and without a common bound, so that some calls to one faulty target take all memory of its VM; the other calls of that agent end with it.

Change: outcomeMemory bounds all of them together at 32 MB, two of the largest size. A response over a bound is no outcome: the run counts as unknown, as before for one over 16 MB.

The stand-in wrote strings, whose copies were most of what the test measured; it writes bytes now.

--- a/internal/agent/body_test.go
+++ b/internal/agent/body_test.go
@@ -94,7 +94,7 @@
 func TestHalfResponseIsNoOutcome(t *testing.T) {
 	a := newServiceAgent(t, crashingTarget(t))
 	call := kumquatlug.NewCall(http.MethodPost, "/x", http.Header{"Idempotency-Key": {"k"}}, nil)
-	if outcome, err := a.work.callTarget(t.Context(), call); err == nil {
+	if outcome, err := a.work.callTarget(t.Context(), call, a.work.outcomes.begin()); err == nil {
 		t.Errorf("outcome %q", outcome.Body())
 	}
 	for ending, whole := range map[standin.Ending]bool{standin.EndingFramed: true, standin.EndingConnection: true, standin.EndingInside: false, standin.EndingReset: false} {
@@ -102,7 +102,7 @@
 		a := newServiceAgent(t, target.URL)
 		a.c.Target = service.New(service.Config{URL: target.URL})
 		call := kumquatlug.NewCall(http.MethodPost, "/x", http.Header{"Idempotency-Key": {"k"}, "Accept": {"text/event-stream"}}, nil)
-		if outcome, err := a.work.callTarget(t.Context(), call); (err == nil) != whole {
+		if outcome, err := a.work.callTarget(t.Context(), call, a.work.outcomes.begin()); (err == nil) != whole {
 			t.Errorf("ending %q: %q, %v", ending, outcome.Body(), err)
 		}
 		target.Close()
@@ -120,7 +120,7 @@
 	defer target.Close()
 	a := newServiceAgent(t, "http://"+target.Address())
 	call := kumquatlug.NewCall(http.MethodPost, "/x", http.Header{"Idempotency-Key": {"k"}}, nil)
-	if outcome, err := a.work.callTarget(t.Context(), call); err == nil {
+	if outcome, err := a.work.callTarget(t.Context(), call, a.work.outcomes.begin()); err == nil {
 		t.Errorf("outcome %d %q", outcome.Status(), outcome.Body())
 	}
 	if body, end := serveWork(t, "http://"+target.Address(), "*/*"); end == peer.EndComplete {
--- /dev/null
+++ b/internal/agent/outcomememory.go
@@ -0,0 +1,90 @@
+package agent
+
+import (
+	"io"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
+)
+
+// Bounds of the responses to calls that run once. They are held whole until they are stored and
+// sent, and a faulty target may send them without end.
+const (
+	// maxOutcomesBytes bounds all of them together; two of the largest size fit.
+	maxOutcomesBytes = 2 * maxRunOnceResponseBytes
+	// freeOutcomeBytes is the part of each that doesn't count, so that small responses are read
+	// while large ones take up the rest.
+	freeOutcomeBytes = 64 << 10
+)
+
+// outcomeMemory is the memory for the responses to calls that run once. It is safe for concurrent
+// use.
+type outcomeMemory struct{ reserved atomic.Int64 }
+
+// outcomeReservation is the memory of one response; see [outcomeMemory.begin].
+type outcomeReservation struct {
+	memory *outcomeMemory
+	// read is the size of the response so far, reserved how much of it is counted in memory.
+	read, reserved int64
+}
+
+// begin returns the reservation of a new response, which the caller must end.
+func (m *outcomeMemory) begin() *outcomeReservation { return &outcomeReservation{memory: m} }
+
+// end releases the memory.
+func (r *outcomeReservation) end() {
+	r.memory.reserved.Add(-r.reserved)
+	r.reserved = 0
+}
+
+// grow reserves memory for n more bytes.
+func (r *outcomeReservation) grow(n int64) error {
+	r.read += n
+	if r.read > maxRunOnceResponseBytes {
+		return errors.Mark(errors.Newf("the response has more than %d bytes", maxRunOnceResponseBytes), kumquatlug.ErrTooLarge)
+	}
+	missing := max(r.read-freeOutcomeBytes-r.reserved, 0)
+	r.reserved += missing
+	if r.memory.reserved.Add(missing) > maxOutcomesBytes {
+		return errors.Mark(errors.Newf("the responses in memory have more than %d bytes", maxOutcomesBytes), kumquatlug.ErrTooLarge)
+	}
+	return nil
+}
+
+// readAll reads a response to its end. The error of one that exceeds a bound is marked
+// [kumquatlug.ErrTooLarge].
+func (r *outcomeReservation) readAll(body io.Reader) ([]byte, error) {
+	// A buffer that grows would be copied each time, and leave garbage of its size.
+	var parts []*[copyBufferBytes]byte
+	defer func() {
+		for _, part := range parts {
+			copyBuffers.Put(part)
+		}
+	}()
+	for {
+		if int(r.read) == len(parts)*copyBufferBytes {
+			parts = append(parts, copyBuffers.Get().(*[copyBufferBytes]byte))
+		}
+		n, err := body.Read(parts[len(parts)-1][r.read%copyBufferBytes:])
+		if growErr := r.grow(int64(n)); growErr != nil {
+			return nil, growErr
+		}
+		if errors.Is(err, io.EOF) {
+			return joinParts(parts, int(r.read)), nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// joinParts returns the first size bytes of the parts.
+func joinParts(parts []*[copyBufferBytes]byte, size int) []byte {
+	whole := make([]byte, 0, size)
+	for _, part := range parts {
+		whole = append(whole, part[:min(len(part), size-len(whole))]...)
+	}
+	return whole
+}
--- a/internal/agent/run_once.go
+++ b/internal/agent/run_once.go
@@ -84,7 +84,9 @@
 func (h *workHandler) runOnce(w http.ResponseWriter, r *http.Request, work peer.Work, id string, ticket ledger.Ticket) bool {
 	ctx := context.WithoutCancel(r.Context())
 	startedAt := h.agent.c.Clock.Now()
-	outcome, err := h.callTarget(ctx, targetCall(r, work))
+	memory := h.outcomes.begin()
+	defer memory.end()
+	outcome, err := h.callTarget(ctx, targetCall(r, work), memory)
 	if err != nil {
 		execution := kumquatlug.ExecutionOf(err)
 		if abandonErr := h.ledger.Abandon(ticket, execution); abandonErr != nil {
@@ -115,20 +117,17 @@
 	})
 }
 
-// callTarget sends the call to the target and reads the whole response.
-func (h *workHandler) callTarget(ctx context.Context, call kumquatlug.Call) (ledger.Outcome, error) {
+// callTarget sends the call to the target and reads the whole response into this memory.
+func (h *workHandler) callTarget(ctx context.Context, call kumquatlug.Call, memory *outcomeReservation) (ledger.Outcome, error) {
 	response, err := h.agent.c.Target.Do(ctx, call)
 	if err != nil {
 		return ledger.Outcome{}, err
 	}
 	defer response.Body().Close()
-	body, err := io.ReadAll(io.LimitReader(h.completeBody(ctx, response), maxRunOnceResponseBytes+1))
+	body, err := memory.readAll(h.completeBody(ctx, response))
 	if err != nil {
 		return ledger.Outcome{}, errors.Wrap(err, "read the target's answer")
 	}
-	if len(body) > maxRunOnceResponseBytes {
-		return ledger.Outcome{}, errors.Newf("the answer is larger than %d bytes", maxRunOnceResponseBytes)
-	}
 	header := http.Header{}
 	peer.CopyHeaders(header, response.Header())
 	header.Del("Content-Length")
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -29,8 +29,9 @@
 // workHandler accepts work from gateways and forwards the target's responses. It is
 // safe for concurrent use.
 type workHandler struct {
-	agent  *Agent
-	ledger *ledger.Ledger
+	agent    *Agent
+	ledger   *ledger.Ledger
+	outcomes outcomeMemory
 }
 
 func newWorkHandler(a *Agent) (*workHandler, error) {
--- a/internal/service/endless_test.go
+++ b/internal/service/endless_test.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net/http"
-	"runtime"
 	"sync"
 	"testing"
 	"time"
@@ -42,7 +41,7 @@
 			defer server.Close()
 			s := New(Config{URL: "http://" + server.Address()})
 			defer s.Close()
-			grown := heapGrowth(func() { callMany(t, s) })
+			grown := standin.HeapGrowth(func() { callMany(t, s) })
 			t.Logf("the heap grew by %d KB", grown>>10)
 			if grown > endlessCalls*maxHeapPerCall {
 				t.Errorf("the heap grew by %d KB, bound %d KB", grown>>10, endlessCalls*maxHeapPerCall>>10)
@@ -80,25 +79,3 @@
 	}
 	calls.Wait()
 }
-
-// heapGrowth returns by how many bytes the heap grows at most while f runs, garbage included.
-func heapGrowth(f func()) int64 {
-	runtime.GC()
-	var memory runtime.MemStats
-	runtime.ReadMemStats(&memory)
-	before, highest := memory.HeapAlloc, memory.HeapAlloc
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		f()
-	}()
-	for {
-		select {
-		case <-done:
-			return int64(highest - before)
-		case <-time.After(5 * time.Millisecond):
-			runtime.ReadMemStats(&memory)
-			highest = max(highest, memory.HeapAlloc)
-		}
-	}
-}
--- a/internal/standin/endless.go
+++ b/internal/standin/endless.go
@@ -105,13 +105,15 @@
 	}
 	n, err := io.WriteString(w, begin)
 	sent := int64(n)
+	// Tests that measure the heap would count the copies of a string.
+	repeated := []byte(repeat)
 	for i := 0; err == nil && sent < limit; i++ {
-		block := repeat
+		block := repeated
 		if pause > 0 {
 			time.Sleep(pause)
-			block = repeat[i%len(repeat) : i%len(repeat)+1]
+			block = repeated[i%len(repeated) : i%len(repeated)+1]
 		}
-		n, err = io.WriteString(w, block)
+		n, err = w.Write(block)
 		sent += int64(n)
 	}
 	return sent, err
