--- a/test/front/latearrival_test.go
+++ b/test/front/latearrival_test.go
@@ -28,11 +28,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	longer := strings.Replace(settings, "grace_s = 4", "grace_s = 8", 1)
-	if longer == settings {
-		t.Fatal("the site has another grace period")
-	}
-	p := startGateway(t, "front-1", longer, clientAddr, readyAddr)
+	p := startGateway(t, "front-1", withLongGrace(t, settings), clientAddr, readyAddr)
 	p.signal(syscall.SIGTERM)
 	stopped := time.Now()
 	sleep(first)
@@ -60,6 +56,21 @@
 	}
 }
 
+// withLongGrace returns settings with a grace period of 8 s, in which requests arrive long after SIGTERM.
+func withLongGrace(t *testing.T, settings string) string {
+	t.Helper()
+	longer := strings.Replace(settings, "grace_s = 4", "grace_s = 8", 1)
+	if longer == settings {
+		t.Fatal("the site has another grace period")
+	}
+	return longer
+}
+
+// plainHead returns the head of a plain request without its end.
+func plainHead(path, id string, deadline time.Duration) string {
+	return fmt.Sprintf("POST %s%s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nContent-Length: 300\r\n", path, id, site.Host, id, deadline.Milliseconds())
+}
+
 // sendInParts connects, sends a request in two parts after these delays, and returns the status of
 // the response or what happened instead.
 func sendInParts(address, id string, delay, partDelay time.Duration) string {
@@ -69,7 +80,7 @@
 	}
 	defer func() { _ = c.Close() }()
 	sleep(delay)
-	head := fmt.Sprintf("POST %s%s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: 2000\r\nContent-Length: 300\r\n", site.PathNonIdempotent, id, site.Host, id)
+	head := plainHead(site.PathNonIdempotent, id, 2*time.Second)
 	if _, err := io.WriteString(c, head[:len(head)/2]); err != nil {
 		return "closed before it was sent"
 	}
--- a/test/front/lateshutdown_test.go
+++ b/test/front/lateshutdown_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/http"
 	"os"
-	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -23,11 +22,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	longer := strings.Replace(string(settings), "grace_s = 4", "grace_s = 8", 1)
-	if longer == string(settings) {
-		t.Fatal("the site has another grace period")
-	}
-	if err := os.WriteFile(low.settingsFile, []byte(longer), 0o600); err != nil {
+	if err := os.WriteFile(low.settingsFile, []byte(withLongGrace(t, string(settings))), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	low.kill()
