--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -125,7 +125,7 @@
 	}
 }
 
-// requireBroken requires that no call to a target that answers with these bytes has a response.
+// requireBroken requires that no call to a target that answers with these bytes has a response, nor its health check.
 func requireBroken(t *testing.T, responses ...string) {
 	t.Helper()
 	for _, raw := range responses {
@@ -144,6 +144,9 @@
 		} else if kumquatlug.ExecutionOf(err) != kumquatlug.ExecutionUnknown {
 			t.Errorf("%q: %v", raw, err)
 		}
+		if s.Healthy(t.Context()) == nil {
+			t.Errorf("%q: healthy", raw)
+		}
 	}
 }
 
