agent: responses to calls that run once wait for memory

Found on reading the change again: the common bound gave up a sound response at once if others held the memory, so that a burst of large outcomes lost some, each a call that has run and that nobody may repeat.

Before: TestSmallOutcomesAreReadBesideLargeOnes, a third response of 16 MB while the first of two ends 0.5 s later, was too large at once.

Change: x/sync's weighted semaphore in place of a counter; a response that doesn't fit waits up to 2 s for others to end. Ones that each hold a part and wait for the rest go on when the first gives up. The first 64 KB of each still need no memory, and the bound of 32 MB stays.

--- a/internal/agent/outcomememory.go
+++ b/internal/agent/outcomememory.go
@@ -1,10 +1,11 @@
 package agent
 
 import (
+	"context"
 	"io"
-	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
@@ -17,11 +18,17 @@
 	// freeOutcomeBytes is the part of each that doesn't count, so that small responses are read
 	// while large ones take up the rest.
 	freeOutcomeBytes = 64 << 10
+	// outcomeWait is how long a response waits for the memory of others.
+	outcomeWait = 2 * kumquatlug.Second
 )
 
 // outcomeMemory is the memory for the responses to calls that run once. It is safe for concurrent
 // use.
-type outcomeMemory struct{ reserved atomic.Int64 }
+type outcomeMemory struct{ bytes *semaphore.Weighted }
+
+func newOutcomeMemory() *outcomeMemory {
+	return &outcomeMemory{bytes: semaphore.NewWeighted(maxOutcomesBytes)}
+}
 
 // outcomeReservation is the memory of one response; see [outcomeMemory.begin].
 type outcomeReservation struct {
@@ -35,24 +42,35 @@
 
 // end releases the memory.
 func (r *outcomeReservation) end() {
-	r.memory.reserved.Add(-r.reserved)
+	r.memory.bytes.Release(r.reserved)
 	r.reserved = 0
 }
 
-// grow reserves memory for n more bytes.
+// grow reserves memory for n more bytes. Responses that each hold a part and wait for the rest go on
+// as soon as the first of them gives up.
 func (r *outcomeReservation) grow(n int64) error {
 	r.read += n
 	if r.read > maxRunOnceResponseBytes {
 		return errors.Mark(errors.Newf("the response has more than %d bytes", maxRunOnceResponseBytes), kumquatlug.ErrTooLarge)
 	}
 	missing := max(r.read-freeOutcomeBytes-r.reserved, 0)
-	r.reserved += missing
-	if r.memory.reserved.Add(missing) > maxOutcomesBytes {
+	if !r.memory.reserve(missing) {
 		return errors.Mark(errors.Newf("the responses in memory have more than %d bytes", maxOutcomesBytes), kumquatlug.ErrTooLarge)
 	}
+	r.reserved += missing
 	return nil
 }
 
+// reserve reports whether n bytes are free, or become free soon, and reserves them.
+func (m *outcomeMemory) reserve(n int64) bool {
+	if m.bytes.TryAcquire(n) {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), outcomeWait.Duration())
+	defer cancel()
+	return m.bytes.Acquire(ctx, n) == nil
+}
+
 // readAll reads a response to its end. The error of one that exceeds a bound is marked
 // [kumquatlug.ErrTooLarge].
 func (r *outcomeReservation) readAll(body io.Reader) ([]byte, error) {
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -31,11 +31,11 @@
 type workHandler struct {
 	agent    *Agent
 	ledger   *ledger.Ledger
-	outcomes outcomeMemory
+	outcomes *outcomeMemory
 }
 
 func newWorkHandler(a *Agent) (*workHandler, error) {
-	h := &workHandler{agent: a}
+	h := &workHandler{agent: a, outcomes: newOutcomeMemory()}
 	var err error
 	h.ledger, err = ledger.New(ledger.Config{
 		Table: a.c.Table, Objects: a.c.Objects, Clock: a.c.Clock, Target: a.c.Name, Incarnation: a.incarnation,
