agent: small outcomes don't queue for memory

The semaphore of the last commit queues a request for 0 bytes behind others that wait, so that a response below the free 64 KB waited as well: 1.95 s in TestSmallOutcomesAreReadBesideLargeOnes, which now reads small ones while a large one waits and fails without the change. Nothing is asked of the semaphore for them any more. After: passes, also under the race detector.

--- a/internal/agent/outcomememory.go
+++ b/internal/agent/outcomememory.go
@@ -63,7 +63,8 @@
 
 // reserve reports whether n bytes are free, or become free soon, and reserves them.
 func (m *outcomeMemory) reserve(n int64) bool {
-	if m.bytes.TryAcquire(n) {
+	// The semaphore would queue a request for nothing, too.
+	if n == 0 || m.bytes.TryAcquire(n) {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), outcomeWait.Duration())
--- a/internal/agent/outcomememory_test.go
+++ b/internal/agent/outcomememory_test.go
@@ -53,7 +53,7 @@
 	}
 }
 
-// Guards against small responses that are lost while large ones take up the memory, and against large ones that
+// Guards against small responses that are lost, or wait, while large ones take up the memory, and against large ones that
 // don't wait for others that end.
 func TestSmallOutcomesAreReadBesideLargeOnes(t *testing.T) {
 	m := newOutcomeMemory()
@@ -64,16 +64,27 @@
 			t.Fatal(err)
 		}
 	}
-	third := m.begin()
-	if _, err := third.readAll(strings.NewReader(large)); !errors.Is(err, kumquatlug.ErrTooLarge) {
-		t.Errorf("third large response: %v", err)
-	}
-	third.end()
-	small := m.begin()
-	if body, err := small.readAll(strings.NewReader(large[:freeOutcomeBytes])); err != nil || len(body) != freeOutcomeBytes {
-		t.Errorf("small response: %d bytes, %v", len(body), err)
+	waited := make(chan struct{})
+	go func() {
+		defer close(waited)
+		third := m.begin()
+		defer third.end()
+		if _, err := third.readAll(strings.NewReader(large)); !errors.Is(err, kumquatlug.ErrTooLarge) {
+			t.Errorf("third large response: %v", err)
+		}
+	}()
+	for range 20 {
+		<-time.After(outcomeWait.Duration() / 40)
+		small, began := m.begin(), time.Now()
+		if body, err := small.readAll(strings.NewReader(large[:freeOutcomeBytes])); err != nil || len(body) != freeOutcomeBytes {
+			t.Errorf("small response: %d bytes, %v", len(body), err)
+		}
+		if took := time.Since(began); took > outcomeWait.Duration()/4 {
+			t.Errorf("a small response took %v", took)
+		}
+		small.end()
 	}
-	small.end()
+	<-waited
 	time.AfterFunc(outcomeWait.Duration()/4, reservations[0].end)
 	if _, err := m.begin().readAll(strings.NewReader(large)); err != nil {
 		t.Errorf("while the first ends: %v", err)
