test: the size of one outcome is tested in memory of its own

Found on reading the change again. The last check of TestSmallOutcomesAreReadBesideLargeOnes wanted a response over 16 MB to be too large, in memory that earlier steps had left full, so that the common bound met it as well. It has memory of its own now and is stricter: with the limit of one response taken out it fails ("response of more than the largest size: <nil>"). Race tests of internal/agent pass.

--- a/internal/agent/outcomememory_test.go
+++ b/internal/agent/outcomememory_test.go
@@ -89,7 +89,7 @@
 	if _, err := m.begin().readAll(strings.NewReader(large)); err != nil {
 		t.Errorf("while the first ends: %v", err)
 	}
-	if _, err := m.begin().readAll(strings.NewReader(large + "x")); !errors.Is(err, kumquatlug.ErrTooLarge) {
+	if _, err := newOutcomeMemory().begin().readAll(strings.NewReader(large + "x")); !errors.Is(err, kumquatlug.ErrTooLarge) {
 		t.Errorf("response of more than the largest size: %v", err)
 	}
 }
