Stand-in: an engine's stage is read once for a request, under its lock

Cause: fleet.Worker.serveRequest read the engine's stage a second time, without the lock, to tell engines from plain workers; handleOrder writes it under the lock. An order that arrives while a request begins is a data race. The product's code is not concerned.

handleRequest has read the stage under the lock already and passes it on, so a request runs by the one stage that it was accepted with.

No other field of the worker's config is written after New.

--- a/internal/standin/fleet/responses.go
+++ b/internal/standin/fleet/responses.go
@@ -47,8 +47,8 @@
 	_ = json.NewEncoder(out).Encode(map[string]any{"kv_handle": handle, "tokens": 1, "version": 1})
 }
 
-// serveRequest runs a request and counts the run.
-func (w *Worker) serveRequest(out http.ResponseWriter, r *http.Request, id string, fault Fault, bodyBytes int) {
+// serveRequest runs a request at this stage and counts the run.
+func (w *Worker) serveRequest(out http.ResponseWriter, r *http.Request, id, stage string, fault Fault, bodyBytes int) {
 	w.mu.Lock()
 	w.runs[id]++
 	w.running++
@@ -75,13 +75,13 @@
 		return
 	}
 	form := standin.EndlessChunks
-	if w.config.Stage != "" {
+	if stage != "" {
 		form = standin.EndlessEvent
 	}
 	if w.writeEndless(out, id, fault, form) {
 		return
 	}
-	if w.config.Stage != "" {
+	if stage != "" {
 		w.streamEvents(out, r, id, fault)
 		return
 	}
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -438,7 +438,7 @@
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	w.serveRequest(out, r, id, fault, int(bodyBytes))
+	w.serveRequest(out, r, id, stage, fault, int(bodyBytes))
 }
 
 func (w *Worker) reject(out http.ResponseWriter, id string) {
