--- a/test/front/brokenresponses_test.go
+++ b/test/front/brokenresponses_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -34,26 +33,6 @@
 		site.PlainService, server.Address(), site.Zone))
 }
 
-// sendBody sends a request with a body of this size.
-func sendBody(t *testing.T, p *process, path, id string, size int) response {
-	t.Helper()
-	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+p.clientAddr+path, strings.NewReader(strings.Repeat("b", size)))
-	if err != nil {
-		t.Fatal(err)
-	}
-	r.Host = site.Host
-	r.Header.Set("Attempt-Id", id)
-	r.Header.Set("Deadline-Ms", "6000")
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	got, err := client.Do(r)
-	if err != nil {
-		return response{err: err}
-	}
-	defer got.Body.Close()
-	body, err := io.ReadAll(got.Body)
-	return response{status: got.StatusCode, header: got.Header, body: string(body), err: err}
-}
-
 // Guards against a part of a response that a client gets as a whole one because its worker reset the connection during a long
 // upload, and against a whole one that is lost because its worker doesn't read the upload.
 func TestResponseDuringLongUpload(t *testing.T) {
@@ -79,7 +58,7 @@
 			p := newGateway(t, s, "front-1")
 			complete := 0
 			for n := range plays {
-				got := sendBody(t, p, site.PathNonIdempotent+"x", fmt.Sprint(name, "-", n), 8<<20)
+				got := p.postBody(site.PathNonIdempotent+"x", fmt.Sprint(name, "-", n), 8<<20)
 				if got.err == nil && got.status == http.StatusOK {
 					complete++
 					if got.body != body {
@@ -109,7 +88,7 @@
 			p := newGateway(t, s, "front-1")
 			for n := range plays {
 				for _, path := range []string{site.PathNonIdempotent, site.PathIdempotent} {
-					got := sendBody(t, p, path+"x", fmt.Sprint(name, path, n), 300)
+					got := p.postBody(path+"x", fmt.Sprint(name, path, n), requestBytes)
 					if got.err != nil || got.status != http.StatusBadGateway || got.header.Get("Server-Stamp") != "" {
 						t.Errorf("%s: status %d, signature %q, body %q, %v", path, got.status, got.header.Get("Server-Stamp"), got.body, got.err)
 					}
--- a/test/front/process_test.go
+++ b/test/front/process_test.go
@@ -214,9 +214,23 @@
 	return p.doWith(ctx, &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, method, path, id, header)
 }
 
+// requestBytes is the usual size of a request body.
+const requestBytes = 300
+
 // doWith sends one request over a connection of the client.
 func (p *process) doWith(ctx context.Context, client *http.Client, method, path, id string, header map[string]string) response {
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+p.clientAddr+path, strings.NewReader(strings.Repeat("b", 300)))
+	return p.doWithBody(ctx, client, method, path, id, header, requestBytes)
+}
+
+// postBody sends one request with a body of this size over a new connection.
+func (p *process) postBody(path, id string, size int) response {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	return p.doWithBody(context.Background(), client, http.MethodPost, path, id, nil, size)
+}
+
+// doWithBody sends one request, which has a body of this size unless it is a GET, over a connection of the client.
+func (p *process) doWithBody(ctx context.Context, client *http.Client, method, path, id string, header map[string]string, size int) response {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+p.clientAddr+path, strings.NewReader(strings.Repeat("b", size)))
 	if err != nil {
 		return response{err: err}
 	}
