exchange: control bytes in the values of headers are tested

The postmortem left open what happens to control bytes in values. Sent by a raw worker through a gateway, with bytes 0, 1, 13 and 127 in a value: 502, nothing passed on. The reader of net/http refuses them; all 256 bytes are now a test of the pool, which passed without a change to the product.

--- a/internal/exchange/head_test.go
+++ b/internal/exchange/head_test.go
@@ -75,3 +75,13 @@
 	}
 	requireAccepted(t, responses)
 }
+
+// Guards against a control byte in the value of a header that is passed on.
+func TestHeaderValuesOfResponses(t *testing.T) {
+	responses := map[string]bool{}
+	for b := range 256 {
+		control := b < ' ' && b != '\t' || b == 0x7f
+		responses["HTTP/1.1 200 OK\r\nX: a"+string([]byte{byte(b)})+"c\r\nContent-Length: 4\r\n\r\nbody"] = !control
+	}
+	requireAccepted(t, responses)
+}
