--- a/internal/exchange/endless_test.go
+++ b/internal/exchange/endless_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"runtime"
 	"slices"
 	"sync"
 	"testing"
@@ -177,21 +176,13 @@
 		t.Run(string(form), func(t *testing.T) {
 			p, _ := newEndlessPeer(t, form, manyEndlessBytes, 0)
 			pool := newPool()
-			runtime.GC()
-			var before runtime.MemStats
-			runtime.ReadMemStats(&before)
-			var calls sync.WaitGroup
-			for range endlessPeers {
-				calls.Go(func() { _, _ = doRequest(t, pool, newRequest(p, http.MethodGet, "a")) })
-			}
-			done := make(chan struct{})
-			go func() {
-				defer close(done)
+			grown := standin.HeapGrowth(func() {
+				var calls sync.WaitGroup
+				for range endlessPeers {
+					calls.Go(func() { _, _ = doRequest(t, pool, newRequest(p, http.MethodGet, "a")) })
+				}
 				calls.Wait()
-			}()
-			// The heap includes garbage that was not yet collected, as does that of a gateway.
-			highest := heapUntil(done)
-			grown := int64(highest) - int64(before.HeapAlloc)
+			})
 			t.Logf("the heap grew by %d KB", grown>>10)
 			if grown > endlessPeers*maxHeapPerPeer {
 				t.Errorf("the heap grew by %d bytes, bound %d", grown, endlessPeers*maxHeapPerPeer)
@@ -199,18 +190,3 @@
 		})
 	}
 }
-
-// heapUntil returns the highest size of the heap until done is closed.
-func heapUntil(done <-chan struct{}) uint64 {
-	highest := uint64(0)
-	for {
-		var now runtime.MemStats
-		runtime.ReadMemStats(&now)
-		highest = max(highest, now.HeapAlloc)
-		select {
-		case <-done:
-			return highest
-		case <-time.After(5 * time.Millisecond):
-		}
-	}
-}
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -5,13 +5,13 @@
 	"fmt"
 	"io"
 	"net/http"
-	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/kumquatlug/kumquatlug/internal/standin"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 )
 
@@ -224,34 +224,19 @@
 	}
 	g.g.members.Store(&memberSet{loaded: true, byService: byService})
 	g.g.scheduler.syncMembers(g.g.c.Clock.Now(), byService)
-	runtime.GC()
-	var before, now runtime.MemStats
-	runtime.ReadMemStats(&before)
-	var streams sync.WaitGroup
-	for i := range endlessStreamCount {
-		streams.Go(func() {
-			if err := discardResponse(t.Context(), g.url+chatRoute, fmt.Sprint("r", i)); err == nil {
-				t.Error("a stream without end is complete")
-			}
-		})
-	}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		streams.Wait()
-	}()
-	highest := uint64(0)
-	for ended := false; !ended; {
-		runtime.ReadMemStats(&now)
-		highest = max(highest, now.HeapAlloc)
-		select {
-		case <-done:
-			ended = true
-		case <-time.After(2 * time.Millisecond):
+	grown := standin.HeapGrowth(func() {
+		var streams sync.WaitGroup
+		for i := range endlessStreamCount {
+			streams.Go(func() {
+				if err := discardResponse(t.Context(), g.url+chatRoute, fmt.Sprint("r", i)); err == nil {
+					t.Error("a stream without end is complete")
+				}
+			})
 		}
-	}
+		streams.Wait()
+	})
 	// What is held back takes twice its size while it grows, and as much again until the garbage collector runs.
-	grown, bound := int64(highest)-int64(before.HeapAlloc), int64(4*eventMemory+endlessStreamCount*maxHeapPerStream)
+	bound := int64(4*eventMemory + endlessStreamCount*maxHeapPerStream)
 	t.Logf("the heap grew by %d KB, bound %d KB", grown>>10, bound>>10)
 	if grown > bound {
 		t.Errorf("the heap grew by %d bytes, bound %d", grown, bound)
--- a/internal/standin/heap.go
+++ b/internal/standin/heap.go
@@ -6,7 +6,7 @@
 )
 
 // heapInterval is the time between two looks at the heap.
-const heapInterval = 5 * time.Millisecond
+const heapInterval = 2 * time.Millisecond
 
 // HeapGrowth returns by how many bytes the heap of this process grows at most while f runs, garbage
 // that was not yet collected included.
