gateway: a withdrawn takeover takes its refused caches with it

Cause: a prompt that was prefilled twice and whose cache two engines have refused is not prefilled again. A takeover of a silent prefill had prefilled the prompt elsewhere, and one engine had refused that cache. The silent engine went on, the takeover was withdrawn, and the counts of attempts were restored, but not the number of prefills and refusals. The first refusal of the first engine's cache then ended the request. A call of the takeover had been canceled and might have run, hence 502.

Evidence: the front's log of that request shows these steps.

The state before the takeover is kept beside the counts and restored with them. The refused cache goes to the next engine, and a further prefill is charged to the retry budget as any other.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -77,7 +77,7 @@
 // generate prefills the prompt and decodes the output, on one engine or on two.
 func (f *inflight) generate(ctx context.Context) *attemptFailure {
 	if cache := f.refusedCache; cache.Handle() != "" {
-		f.refusedCache, f.cacheReused = kumquatlug.KVCacheRef{}, true
+		f.refusedCache, f.recovery.reused = kumquatlug.KVCacheRef{}, true
 		return f.decode(ctx, cache)
 	}
 	attempt, choice, failed := f.submitPrompt(ctx)
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -44,9 +44,8 @@
 	// takeover is the takeover for which attempts are made, nil for none.
 	takeover *takeover
 	// refusedCache is the prompt's KV cache that a decode engine refused. The next
-	// engine may take it. cacheReused is set once an engine has been sent such a cache.
+	// engine may take it.
 	refusedCache kumquatlug.KVCacheRef
-	cacheReused  bool
 	// recovery is what is kept about KV caches that could not be obtained.
 	recovery transferRecovery
 	// workerErrored is set if the worker responded to the last attempt with an error.
--- a/internal/gateway/kvtransfer.go
+++ b/internal/gateway/kvtransfer.go
@@ -22,6 +22,8 @@
 	cache placement.KVCache
 	// prefills counts the prefills of the prompt since the last output.
 	prefills int
+	// reused is set once an engine has been sent a cache that another one refused.
+	reused bool
 	// next says how the request continues after a refused cache, empty if none was refused.
 	next placement.CacheRecovery
 	// oneEngine is set if the prompt must run on one engine.
@@ -31,6 +33,12 @@
 	refusers []string
 }
 
+// clone returns a copy that later changes of r leave as it is.
+func (r transferRecovery) clone() transferRecovery {
+	r.refusers = slices.Clone(r.refusers)
+	return r
+}
+
 // addTransferQuery adds what is known about the KV cache to a query.
 func (f *inflight) addTransferQuery(q *placement.Query) {
 	q.Cache, q.OneEngine = f.recovery.cache, f.recovery.oneEngine
@@ -49,7 +57,7 @@
 	}
 	failed := response.Status() == http.StatusServiceUnavailable && response.Backoff() == 0 && !response.ShuttingDown()
 	f.recovery.next = f.g.scheduler.recordRefusedCache(f.g.c.Clock.Now(), f.service.Name(), a, placement.RefusedCache{
-		Query: f.placementQuery(), TransferFailed: failed, Reused: f.cacheReused, Prefills: f.recovery.prefills,
+		Query: f.placementQuery(), TransferFailed: failed, Reused: f.recovery.reused, Prefills: f.recovery.prefills,
 	})
 	if a.TransferFailed() {
 		f.recovery.refusers = append(f.recovery.refusers, a.Worker())
--- a/internal/gateway/takeover.go
+++ b/internal/gateway/takeover.go
@@ -78,9 +78,10 @@
 	// parent is the takeover that made the open attempt, nil if there is none.
 	parent *takeover
 	cancel context.CancelFunc
-	// counts are those of the request before the takeover began, possibleRuns is the number of
-	// runs when it did.
+	// counts and recovery are those of the request before the takeover began, possibleRuns is the
+	// number of runs when it did.
 	counts       attemptCounts
+	recovery     transferRecovery
 	possibleRuns int
 	// accepted and withdrawn exclude each other. The mutex of open guards them.
 	accepted, withdrawn bool
@@ -230,7 +231,7 @@
 func (f *inflight) resume(t *takeover) {
 	f.g.metrics.takeovers.WithLabelValues(takeoverWithdrawn).Inc()
 	runs, prefilled := f.possibleRuns-t.possibleRuns, f.prefilled
-	f.attemptCounts = t.counts
+	f.attemptCounts, f.recovery = t.counts, t.recovery
 	if !t.open.prefill {
 		// The first prefill is free of the retry budget once, also if it was one of the takeover.
 		f.prefilled = prefilled
@@ -260,7 +261,7 @@
 	}()
 	f.attemptState, f.takeover = attemptState{cacheZone: state.cacheZone}, t
 	f.g.c.Logger.Info("attempt suspect", zap.String("request", f.request.ID()), zap.String("worker", o.peer), zap.Int("tries", f.attempts+1))
-	t.counts = f.attemptCounts
+	t.counts, t.recovery = f.attemptCounts, f.recovery.clone()
 	o.begin()
 	t.possibleRuns = f.possibleRuns
 	t.failed = f.serveElsewhere(ctx, t)
--- a/internal/gateway/takeover_test.go
+++ b/internal/gateway/takeover_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -317,6 +318,43 @@
 	}
 }
 
+// A prefill goes on after a takeover has prefilled the prompt elsewhere and one engine has refused that cache. Guards against the
+// takeover's prefill and its refused cache counting for the request, which is then refused with engines left that could run it.
+func TestRefusedCacheAfterWithdrawnTakeoverIsRecovered(t *testing.T) {
+	taken := make(chan struct{})
+	w := &fakeWorkers{
+		prefill: func(ctx context.Context, n int, _ workerCall) (kumquatlug.KVCacheRef, kumquatlug.WorkerResponse, error) {
+			if n == 1 {
+				select {
+				case <-taken:
+				case <-ctx.Done():
+					return kumquatlug.KVCacheRef{}, kumquatlug.WorkerResponse{}, lostConnection()
+				}
+			}
+			return kumquatlug.NewKVCacheRef("10.0.0.1:1", "h"+strconv.Itoa(n)), wholeResponse(200, ""), nil
+		},
+		run: func(ctx context.Context, n int, _ workerCall) (kumquatlug.WorkerResponse, error) {
+			switch n {
+			case 1, 3:
+				return refusedResponse(), nil
+			case 2:
+				close(taken)
+				<-ctx.Done()
+				return kumquatlug.WorkerResponse{}, lostConnection()
+			}
+			return streamResponse(1, 3), nil
+		},
+	}
+	f := newTestGateway(t, w, manyRetries)
+	f.g.scheduler.syncMembers(f.g.c.Clock.Now(), map[string][]kumquatlug.Member{"engines": {
+		member("p1", kumquatlug.RolePrefill), member("p2", kumquatlug.RolePrefill), member("d1", kumquatlug.RoleDecode),
+		member("d2", kumquatlug.RoleDecode), member("d3", kumquatlug.RoleDecode), member("d4", kumquatlug.RoleDecode),
+	}})
+	if response := f.do(t.Context(), http.MethodPost, "/long/?tokens=30000,104"); response.body != events(1, 3) {
+		t.Errorf("%+v after %d calls", response, len(w.recorded()))
+	}
+}
+
 // Guards against a failure that leaves open whether a request ran, although the worker that was silent with it refused it and no
 // other was asked: clients repeat such a request only if it is known not to have run.
 func TestRefusalBySilentWorkerIsNotRun(t *testing.T) {
