--- a/internal/entry/send_test.go
+++ b/internal/entry/send_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"testing"
-	"time"
 
 	"github.com/kumquatlug/kumquatlug/internal/peer"
 	"github.com/kumquatlug/kumquatlug/internal/standin"
@@ -15,7 +14,7 @@
 // sent.
 func TestResetOfAgentDuringLargeRequestIsBroken(t *testing.T) {
 	server, err := standin.NewRawServer(func(*http.Request) standin.RawResponse {
-		return standin.RawResponse{Writes: []string{"HTTP/1.1 200 OK\r\n\r\npart"}, Early: true, Resets: true, Pause: 20 * time.Millisecond}
+		return standin.ResetDuringUpload("HTTP/1.1 200 OK\r\n\r\npart")
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/exchange/reset_test.go
+++ b/internal/exchange/reset_test.go
@@ -76,7 +76,7 @@
 	return err
 }
 
-// Guards against a connection that ends without an error because a write was told that the peer acknowledges nothing.
+// Guards against an end of input without an error, because a write that timed out has consumed the error of the connection.
 func TestTimeoutOfWriteIsNoEndOfInput(t *testing.T) {
 	p := newTestPeer(t, func(_ *testPeer, c net.Conn, _ *bufio.Reader) {
 		_, _ = io.WriteString(c, "part")
--- a/internal/peerrequest/partialhead_test.go
+++ b/internal/peerrequest/partialhead_test.go
@@ -4,7 +4,6 @@
 	"io"
 	"net/http"
 	"testing"
-	"time"
 
 	"github.com/kumquatlug/kumquatlug/internal/exchange"
 	"github.com/kumquatlug/kumquatlug/internal/standin"
@@ -56,7 +55,7 @@
 // sent.
 func TestResetOfPeerDuringLargeRequestIsBroken(t *testing.T) {
 	server, err := standin.NewRawServer(func(*http.Request) standin.RawResponse {
-		return standin.RawResponse{Writes: []string{"HTTP/1.1 200 OK\r\n" + headerKey + ": 7\r\n\r\npart"}, Early: true, Resets: true, Pause: 20 * time.Millisecond}
+		return standin.ResetDuringUpload("HTTP/1.1 200 OK\r\n" + headerKey + ": 7\r\n\r\npart")
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"testing"
-	"time"
 
 	"github.com/kumquatlug/kumquatlug/internal/standin"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
@@ -101,7 +100,7 @@
 func TestResponseResetDuringLargeCallIsBroken(t *testing.T) {
 	const plays = 20
 	server, err := standin.NewRawServer(func(*http.Request) standin.RawResponse {
-		return standin.RawResponse{Writes: []string{"HTTP/1.1 200 OK\r\n\r\npart"}, Early: true, Resets: true, Pause: 20 * time.Millisecond}
+		return standin.ResetDuringUpload("HTTP/1.1 200 OK\r\n\r\npart")
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/standin/rawserver.go
+++ b/internal/standin/rawserver.go
@@ -23,6 +23,15 @@
 	StaysOpen bool
 }
 
+// resetDelay is the time between a response and the reset that follows it.
+const resetDelay = 20 * time.Millisecond
+
+// ResetDuringUpload returns a response that is sent while the body of its request is still being written, and whose connection
+// is then reset.
+func ResetDuringUpload(text string) RawResponse {
+	return RawResponse{Writes: []string{text}, Early: true, Resets: true, Pause: resetDelay}
+}
+
 // RawServer is a peer that answers the one request of each connection with a [RawResponse].
 type RawServer struct {
 	listener net.Listener
