gateway: a stream that can't be moved returns to its engine

Cause, two behind each other: a move for which there is no room is answered 503 with the handle of the memory at the first engine, and the client of the workers decoded bodies with status 200 only; and an attempt at a worker that drains is withdrawn once a new connection was made, although requests may reach it until the end of the drain period. Evidence: "stream not moved, status 503", "broken off" in the front's log.

Now the stream returns to its engine with that handle, in the same attempt and slot and as the same run, until 95% of the drain period have passed. The engine without room counts as full until it reports its load. The stream is moved again after 100 ms, to three engines at most. Streams that may be resumed return as well and are not prefilled anew. A run whose continuation was not executed counts as a run on routes that may be repeated too.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -281,11 +281,20 @@
 		priority = priorityDecode
 	}
 	withdrawn := func() bool {
-		return f.g.scheduler.draining(f.service.Name(), a) || f.quarantinedAt(f.assessQuarantine(), choice)
+		return !f.mayBeSent(choice, a) || f.quarantinedAt(f.assessQuarantine(), choice)
 	}
 	return kumquatlug.AttemptOptions{Timeout: f.timeLeft(), LastEventID: f.lastEventID, Priority: priority, Withdrawn: withdrawn}
 }
 
+// mayBeSent reports whether the worker of an attempt may still be sent the request, although it may have
+// started to shut down since it was chosen.
+func (f *inflight) mayBeSent(choice placement.Choice, a *placement.Attempt) bool {
+	if choice.Returned() {
+		return f.g.scheduler.mayReturn(f.service.Name(), a, 0)
+	}
+	return !f.g.scheduler.draining(f.service.Name(), a)
+}
+
 // attemptTimeout returns how long an attempt may take until its first output, in ms, if
 // another worker could still respond in time.
 func (f *inflight) attemptTimeout(a *placement.Attempt) kumquatlug.Millis {
@@ -384,6 +393,9 @@
 	if failed := f.awaitLink(ctx, stageOutput, c, a, cache.Handle() != ""); failed != nil {
 		return failed
 	}
+	if failed := f.refuseLateReturn(c, a); failed != nil {
+		return failed
+	}
 	if failed := f.admitSend(ctx, stageOutput, c, a); failed != nil {
 		return failed
 	}
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -76,6 +76,8 @@
 	retries *retry.Deliveries
 	// sameRun says that the next attempt continues a stream that was moved to its worker.
 	sameRun bool
+	// noRoomAt are the engines that had no room for the stream when it was to be moved there.
+	noRoomAt []string
 	// ownIdentities are the request's identities once they were needed, guarded by identityMu.
 	identityMu    sync.Mutex
 	ownIdentities []string
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync/atomic"
 
@@ -216,16 +215,7 @@
 // relayStream forwards complete events as they arrive. A stream that breaks off resumes
 // elsewhere after the last event that the client received.
 func (f *inflight) relayStream(a *relayedAttempt) *attemptFailure {
-	if version := a.choice.Worker().Version(); f.request.Prompt().Output() > shortOutputTokens && version != "" {
-		// These are copied because a move runs in another goroutine.
-		q := f.placementQuery()
-		q.Exclude = append(slices.Clone(q.Exclude), a.worker())
-		// The cache is copied from the engine of the stream, not from where it was prefilled.
-		q.Cache = placement.KVCache{}
-		q.Version = version
-		request := f.request
-		f.g.scheduler.onMove(f.service.Name(), a.attempt, func() { f.move(a, request, q) })
-	}
+	f.registerMove(a)
 	events := f.g.newEventBuffer(a.response)
 	defer events.release()
 	flush := http.NewResponseController(f.w)
@@ -259,15 +249,7 @@
 			f.discard(t)
 			return f.responseBroken(a, eventstream.ErrInside)
 		}
-		f.g.scheduler.markMoved(f.service.Name(), a.attempt)
-		f.endAttempt(stageOutput, a.attempt, placement.OutcomeServed)
-		if !f.route.Repeatable() {
-			// The continued stream is the only run that the request may have.
-			f.possibleRuns = max(f.possibleRuns, 1)
-		}
-		f.sameRun = true
-		defer func() { f.sameRun = false }()
-		return f.run(a.requestCtx, t.choice, t.attempt, t.cache)
+		return f.continueStream(a, t)
 	}
 	if stopped && errors.Is(end, io.EOF) && a.response.Framing() == kumquatlug.FramingConnection {
 		end = errStopped
--- a/internal/gateway/transfer.go
+++ b/internal/gateway/transfer.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,14 +15,17 @@
 )
 
 // transfer is the move of a stream from an engine that changes its role or shuts down to
-// another one that continues with a copy of its KV cache.
+// another one that continues with a copy of its KV cache. If there is no room for the copy, the
+// stream returns to the first engine, which has stopped it and kept its cache.
 type transfer struct {
 	choice  placement.Choice
 	attempt *placement.Attempt
-	// done is closed when the move has ended. cache is then the copy at the other
-	// engine, or none if the stream stays.
+	// done is closed when the move has ended. cache is then what the stream continues with, or
+	// none if the stream stays or is lost.
 	done  chan struct{}
 	cache kumquatlug.KVCacheRef
+	// noRoomAt is the engine that had no room, empty if the stream was moved.
+	noRoomAt string
 	// stopped says that the first engine may have stopped the stream although the move failed.
 	stopped bool
 }
@@ -51,13 +56,19 @@
 	call, cancel := context.WithTimeout(a.requestCtx, timeout.Duration())
 	defer cancel()
 	cache, err := f.g.c.Workers.MoveStream(call, a.choice.Worker(), request, choice.Worker())
-	if err != nil {
+	switch {
+	case err == nil:
+		t.cache = cache
+	case errors.Is(err, kumquatlug.ErrNoRoom):
+		f.endAttempt(stageOutput, attempt, placement.OutcomeNeutral)
+		t.choice, t.attempt, t.cache, t.noRoomAt = f.g.scheduler.returnStream(f.service.Name(), a, attempt), a.attempt, cache, choice.Worker().ID()
+		f.g.c.Logger.Info("no room for moved stream", zap.String("request", request.ID()), zap.String("worker", a.worker()),
+			zap.String("to", choice.Worker().ID()))
+	default:
 		t.stopped = !errors.Is(err, kumquatlug.ErrNotFound) && kumquatlug.ExecutionOf(err) != kumquatlug.NotExecuted
 		f.endAttempt(stageOutput, attempt, placement.OutcomeNeutral)
 		f.g.c.Logger.Info("stream not moved", zap.String("request", request.ID()), zap.String("worker", a.worker()),
 			zap.String("to", choice.Worker().ID()), logs.Error(err))
-	} else {
-		t.cache = cache
 	}
 	close(t.done)
 	if a.done.Load() && a.transfer.CompareAndSwap(t, nil) {
@@ -101,10 +112,90 @@
 	if t.cache.Handle() == "" {
 		return
 	}
-	f.endAttempt(stageOutput, t.attempt, placement.OutcomeNeutral)
+	if t.noRoomAt == "" {
+		f.endAttempt(stageOutput, t.attempt, placement.OutcomeNeutral)
+	}
 	f.g.releaseCache(t.cache)
 }
 
+// continueStream continues a stream with the cache of a transfer.
+func (f *inflight) continueStream(a *relayedAttempt, t *transfer) *attemptFailure {
+	if t.noRoomAt == "" {
+		f.g.scheduler.markMoved(f.service.Name(), a.attempt)
+		f.endAttempt(stageOutput, a.attempt, placement.OutcomeServed)
+	} else {
+		f.noRoomAt = append(f.noRoomAt, t.noRoomAt)
+	}
+	f.sameRun = true
+	defer func() { f.sameRun = false }()
+	failed := f.run(a.requestCtx, t.choice, t.attempt, t.cache)
+	if failed != nil && failed.failure.Execution() == kumquatlug.NotExecuted {
+		// The run that was to continue counts all the same.
+		f.possibleRuns++
+		f.g.releaseCache(t.cache)
+	}
+	return failed
+}
+
+// registerMove registers the move of a stream, which may run in another goroutine: what it needs of
+// the request is copied. A stream that has returned is moved once more, but not to the engines
+// that had no room.
+func (f *inflight) registerMove(a *relayedAttempt) {
+	version := a.choice.Worker().Version()
+	if f.request.Prompt().Output() <= shortOutputTokens || version == "" {
+		return
+	}
+	q := f.placementQuery()
+	q.Exclude = slices.Concat(q.Exclude, f.noRoomAt, []string{a.worker()})
+	// The cache is copied from the engine of the stream, not from where it was prefilled.
+	q.Cache = placement.KVCache{}
+	q.Version = version
+	request := f.request
+	f.g.scheduler.onMove(f.service.Name(), a.attempt, func() { f.move(a, request, q) })
+	if tried := len(f.noRoomAt); tried > 0 && tried < maxMoves {
+		f.g.scheduler.moveAgain(f.service.Name(), a.attempt)
+	}
+}
+
+// refuseLateReturn returns the failure of a stream that would come back to its worker too long after
+// the worker became known to shut down, and ends its attempt.
+func (f *inflight) refuseLateReturn(c placement.Choice, a *placement.Attempt) *attemptFailure {
+	if !c.Returned() || f.g.scheduler.mayReturn(f.service.Name(), a, 0) {
+		return nil
+	}
+	f.endAttempt(stageOutput, a, placement.OutcomeNeutral)
+	return &attemptFailure{worker: c.Worker().ID(), failure: refusal("return", "worker_gone", http.StatusServiceUnavailable, 0)}
+}
+
+// returnStream records that there is no room for the stream of an attempt where it was to be moved,
+// and returns the choice of its own engine.
+func (sc *scheduler) returnStream(service string, a *relayedAttempt, moved *placement.Attempt) placement.Choice {
+	sc.mu.Lock()
+	defer sc.unlockAndSend()
+	now, placer := sc.c.Clock.Now(), sc.service(service).placer
+	placer.NoRoom(now, moved)
+	return placer.Return(now, a.choice, a.attempt)
+}
+
+// mayReturn reports whether a stream may be sent to the worker of its attempt again after a delay.
+func (sc *scheduler) mayReturn(service string, a *placement.Attempt, delay kumquatlug.Millis) bool {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	return sc.service(service).placer.MayReturn(sc.c.Clock.Now()+delay, a, sc.c.WorkerGracePeriod*returnUntilPercent/100)
+}
+
+// moveAgain moves a stream that returned to its engine once more, as long as it may return again.
+func (sc *scheduler) moveAgain(service string, a *placement.Attempt) {
+	time.AfterFunc(moveInterval.Duration(), func() {
+		if !sc.mayReturn(service, a, moveInterval) {
+			return
+		}
+		sc.mu.Lock()
+		defer sc.mu.Unlock()
+		sc.service(service).moveStreams([]*placement.Attempt{a})
+	})
+}
+
 // onMove registers move to be called if the attempt's engine changes its role or shuts
 // down.
 func (sc *scheduler) onMove(service string, a *placement.Attempt, move func()) {
@@ -145,6 +236,17 @@
 // gateways learn of the shutdown some milliseconds late.
 const moveAtPercent = 80
 
+// Parameters of streams for which there is no room elsewhere.
+const (
+	// returnUntilPercent is the percentage of WorkerGracePeriod up to which a stream may return to a
+	// worker that shuts down.
+	returnUntilPercent = 95
+	// moveInterval is the time after which a stream that returned is moved once more, maxMoves how
+	// many engines are tried.
+	moveInterval = 100 * kumquatlug.Millis(1)
+	maxMoves     = 3
+)
+
 // moveStreams moves streams to other engines and returns how many can be moved.
 func (state *serviceState) moveStreams(streams []*placement.Attempt) int {
 	moved := 0
--- a/internal/gateway/transfer_test.go
+++ b/internal/gateway/transfer_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug"
 	"github.com/kumquatlug/kumquatlug/pkg/kumquatlug/placement"
 )
@@ -118,6 +120,76 @@
 	}
 }
 
+// refuseMove serves one stream whose engine shuts down. The other engine has no room for it when it
+// is moved, which the first engine answers after a delay: it has stopped the stream and kept its cache.
+func refuseMove(t *testing.T, path string, grace, delay kumquatlug.Millis) (clientResponse, *fakeWorkers) {
+	t.Helper()
+	w, moved, started := &fakeWorkers{}, make(chan struct{}), make(chan string, 1)
+	w.run = func(_ context.Context, n int, c workerCall) (kumquatlug.WorkerResponse, error) {
+		if n > 1 {
+			if c.options.Withdrawn() {
+				return kumquatlug.WorkerResponse{}, kumquatlug.NewFailure(kumquatlug.FailureConfig{Step: "connect", Execution: kumquatlug.NotExecuted})
+			}
+			return streamResponse(int(c.options.LastEventID)+1, 30), nil
+		}
+		started <- c.worker
+		return kumquatlug.NewWorkerResponse(kumquatlug.WorkerResponseConfig{
+			Status: 200, Header: http.Header{"Stamp": {"s"}}, Length: -1, Framing: kumquatlug.FramingChunks,
+			Body: &movedBody{next: 1, last: 30, moved: moved, end: io.ErrUnexpectedEOF},
+		}), nil
+	}
+	w.move = func(context.Context, string, string) (kumquatlug.KVCacheRef, error) {
+		close(moved)
+		<-time.After(delay.Duration())
+		return kumquatlug.NewKVCacheRef("10.0.0.1:1", "kept"), errors.Mark(errors.New("status 503"), kumquatlug.ErrNoRoom)
+	}
+	f := newTestGateway(t, w, manyRetries)
+	f.g.scheduler.c.WorkerGracePeriod = grace
+	response := make(chan clientResponse, 1)
+	go func() { response <- f.do(context.Background(), http.MethodPost, path) }()
+	worker := <-started
+	<-time.After(20 * time.Millisecond)
+	members := f.g.members.Load().byService
+	for i, m := range members["engines"] {
+		if m.Worker.ID() == worker {
+			members["engines"][i].State = kumquatlug.MemberDraining
+		}
+	}
+	f.g.scheduler.syncMembers(f.g.c.Clock.Now(), members)
+	return <-response, w
+}
+
+// Guards against a stream that is cut, or prefilled anew, because there is no room for it elsewhere when its engine is
+// about to leave, although that engine still serves and has kept its memory.
+func TestStreamWithoutRoomElsewhereReturnsToItsEngine(t *testing.T) {
+	for _, path := range []string{"/long/?tokens=220,4600", chatRoute} {
+		response, w := refuseMove(t, path, 100, 0)
+		if response.err != nil || response.body != events(1, 30) {
+			t.Errorf("%s: %d bytes, %v", path, len(response.body), response.err)
+		}
+		calls := w.recorded()
+		if len(calls) != 2 || calls[0].worker != calls[1].worker || calls[1].options.Cache.Handle() != "kept" {
+			t.Errorf("%s: sent to %+v", path, calls)
+		}
+	}
+}
+
+// Guards against a stream that is sent back to its engine after the time in which requests may still reach it.
+func TestStreamDoesNotReturnAfterGracePeriod(t *testing.T) {
+	for path, whole := range map[string]bool{"/long/?tokens=220,4600": true, chatRoute: false} {
+		response, w := refuseMove(t, path, 50, 100)
+		if complete := response.err == nil; complete != whole || whole && response.body != events(1, 30) {
+			t.Errorf("%s: %d bytes, %v", path, len(response.body), response.err)
+		}
+		calls := w.recorded()
+		for _, c := range calls[1:] {
+			if c.worker == calls[0].worker || c.options.Cache.Handle() == "kept" {
+				t.Errorf("%s: sent to %+v", path, c)
+			}
+		}
+	}
+}
+
 // A stream ends before it can be moved. Its engine reports that it does not run there
 // any more, and the client must receive the end of the stream.
 func TestFailedMoveKeepsStream(t *testing.T) {
--- a/pkg/kumquatlug/failure.go
+++ b/pkg/kumquatlug/failure.go
@@ -17,6 +17,8 @@
 	ErrConflict = errors.New("conflict")
 	// ErrNotFound marks something that does not exist.
 	ErrNotFound = errors.New("not found")
+	// ErrNoRoom marks something that its destination has no room for.
+	ErrNoRoom = errors.New("no room")
 	// ErrDenied marks a caller or peer that lacks the permission.
 	ErrDenied = errors.New("denied")
 	// ErrUnreachable marks a failure to make a connection.
--- a/pkg/kumquatlug/gateway.go
+++ b/pkg/kumquatlug/gateway.go
@@ -381,7 +381,9 @@
 	// MoveStream copies the KV cache of the stream that runs for r at one engine to
 	// another, and ends the stream at the first, whose response breaks off. The stream
 	// can continue with the returned cache after the last event received. An error
-	// marked [ErrNotFound] says that the stream does not run there any more.
+	// marked [ErrNotFound] says that the stream does not run there any more. One marked
+	// [ErrNoRoom] says that the other engine has no room for it: the stream has ended, and
+	// can only continue at the first engine, with the returned cache.
 	MoveStream(ctx context.Context, from Worker, r Request, to Worker) (KVCacheRef, error)
 	// State requests the state of an engine.
 	State(ctx context.Context, w Worker) (EngineState, error)
--- a/pkg/kumquatlug/placement/attempt.go
+++ b/pkg/kumquatlug/placement/attempt.go
@@ -68,7 +68,26 @@
 // ContinueRun records that an attempt continues a stream that had some events before and was first
 // sent to a worker at startedAt, zero if that is not known.
 func (p *Placer) ContinueRun(t *Attempt, startedAt kumquatlug.Millis, events int) {
-	t.continues, t.runStartedAt, t.eventsBefore = true, startedAt, events
+	t.continues, t.runStartedAt, t.eventsBefore, t.events = true, startedAt, events, 0
+}
+
+// Return records that a stream is sent to the worker of its attempt again, as it could not be moved,
+// and returns the choice of that worker. The attempt stays in flight.
+func (p *Placer) Return(now kumquatlug.Millis, c Choice, t *Attempt) Choice {
+	if t.worker != nil {
+		t.worker.limit.Reserve(now)
+	}
+	return Choice{worker: c.worker, zone: c.zone, returned: true}
+}
+
+// NoRoom records that the engine of an attempt that has ended had no room for a stream that was to
+// be moved there: all of its slots count as taken.
+func (p *Placer) NoRoom(now kumquatlug.Millis, t *Attempt) {
+	w := t.worker
+	if w == nil || p.workers[t.id] != w || float64(w.running)+p.reportedRequestsAt(now, w) >= float64(w.member.Slots) {
+		return
+	}
+	p.ReportLoad(now, t.id, kumquatlug.NewWorkerLoad(w.member.Slots, 0, w.member.Slots))
 }
 
 // MarkMoved records that another attempt continues the stream of an attempt that is about to end.
--- a/pkg/kumquatlug/placement/choose.go
+++ b/pkg/kumquatlug/placement/choose.go
@@ -66,8 +66,13 @@
 	// transfer is the transfer of the KV cache to the worker; waitMs includes its expected
 	// time.
 	transfer transfer
+	// returned says that a stream goes on at the worker that it could not be moved away from.
+	returned bool
 }
 
+// Returned reports whether a stream goes on at the worker that it could not be moved away from.
+func (c Choice) Returned() bool { return c.returned }
+
 // Reservation returns what is reserved for decoding a prompt that is prefilled at another
 // engine.
 func (c Choice) Reservation() Reservation { return c.reservation }
--- a/pkg/kumquatlug/placement/limit.go
+++ b/pkg/kumquatlug/placement/limit.go
@@ -167,6 +167,16 @@
 	return w == nil || p.workers[t.id] != w || w.member.State == kumquatlug.MemberDraining
 }
 
+// MayReturn reports whether a stream may be sent to the worker of its attempt again. That worker is
+// the same incarnation, and has not been known to shut down for longer than grace.
+func (p *Placer) MayReturn(now kumquatlug.Millis, t *Attempt, grace kumquatlug.Millis) bool {
+	w := t.worker
+	if current, present := p.workers[t.id]; w == nil || present && current != w {
+		return false
+	}
+	return w.leavesSince == 0 || now-w.leavesSince <= grace
+}
+
 // Limits returns the workers that have a rate limit.
 func (p *Placer) Limits() []LimitChange {
 	var all []LimitChange
--- a/pkg/kumquatlug/placement/placement.go
+++ b/pkg/kumquatlug/placement/placement.go
@@ -180,6 +180,8 @@
 	// nextRole is the role to which the worker is changing until roleChangeUntil.
 	nextRole        kumquatlug.Role
 	roleChangeUntil kumquatlug.Millis
+	// leavesSince is when the worker became known to shut down or was removed, zero while it is ready.
+	leavesSince kumquatlug.Millis
 	// refusals counts consecutive refusals; until backoffUntil no new request is sent.
 	refusals     int
 	backoffUntil kumquatlug.Millis
@@ -315,6 +317,7 @@
 		}
 		if known && w.member.State == kumquatlug.MemberReady && m.State != kumquatlug.MemberReady {
 			streams = append(streams, w.startedAttempts()...)
+			w.leavesSince = now
 		}
 		if !known || w.member.StartedAt != m.StartedAt || w.member.Worker != m.Worker {
 			hash := xxhash.Sum64String(id)
@@ -327,12 +330,16 @@
 			p.speeds.Add(now, id, m.StartedAt)
 		}
 		w.member = m
+		if m.State == kumquatlug.MemberReady {
+			w.leavesSince = 0
+		}
 	}
 	for id := range p.workers {
 		if w := p.workers[id]; !seen[id] {
 			p.displaceQueue(w)
 			if w.member.State == kumquatlug.MemberReady {
 				streams = append(streams, w.startedAttempts()...)
+				w.leavesSince = now
 			}
 			delete(p.workers, id)
 			p.removeSlots(id)
