gateway: a status that promises what no worker stated is withheld

What callers saw: one worker of three answered 0.4 of its requests 503 after it had run them, without the statement that it had not.

Cause: the statement of a worker decided on our own retries only, and the status of a response without it was forwarded whatever it was.

Now 408, 421, 429 and 503 without the statement become a 502 without the worker's signature on routes that may run once, also where a peer gateway of an earlier software forwards them. Routes that may be repeated forward the status as before. The attempt still counts as failed for the worker's health, and a Retry-After still backs this gateway off.

Before: TestUnstatedRefusalIsNoPromise failed in 20 of its 126 cases, each unstated one of the four statuses on routes that may run once.

--- a/internal/gateway/handoffrelay.go
+++ b/internal/gateway/handoffrelay.go
@@ -18,6 +18,9 @@
 	if f.route.Stream() && response.Status() == http.StatusOK && !r.Refused() {
 		return f.relayStreamFromPeer(ctx, t, r)
 	}
+	if !r.Refused() && f.unstatedRefusal(response.Status()) {
+		return &attemptFailure{permanent: true, failure: workerErrorFailure(stepHandoff, t.offer.Peer(), response.Status())}
+	}
 	size, release := f.g.reserveBuffer(response.Length())
 	t.open.await()
 	head, err := io.ReadAll(io.LimitReader(response.Body(), size))
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -84,29 +84,49 @@
 	if f.route.Stream() && a.response.Status() == http.StatusOK {
 		return f.relayStream(a)
 	}
-	if failed := f.retryWorkerError(a); failed != nil {
+	if failed := f.withholdWorkerError(a); failed != nil {
 		return failed
 	}
 	return f.relayPlain(a)
 }
 
-// retryWorkerError turns an error response of a worker into a failed attempt if another
-// worker may succeed: the request may run twice and no part of a response was sent.
-func (f *inflight) retryWorkerError(a *relayedAttempt) *attemptFailure {
-	if status := a.response.Status(); status < http.StatusInternalServerError || status == http.StatusGatewayTimeout {
+// withholdWorkerError turns an error response of a worker into a failed attempt if no part of a
+// response was sent and another worker may succeed, or the client would take the status for a
+// statement that the worker did not make.
+func (f *inflight) withholdWorkerError(a *relayedAttempt) *attemptFailure {
+	status := a.response.Status()
+	if f.responseStarted || !f.unstatedRefusal(status) && !f.retriesWorkerError(status) {
 		return nil
 	}
-	if f.responseStarted || !f.route.Repeatable() {
-		return nil
+	f.endAttempt(stageOutput, a.attempt, placement.OutcomeFailed)
+	return &attemptFailure{worker: a.worker(), failure: workerErrorFailure("run", a.worker(), status)}
+}
+
+// retriesWorkerError reports whether another worker is tried after a response with this status.
+func (f *inflight) retriesWorkerError(status int) bool {
+	return status >= http.StatusInternalServerError && status != http.StatusGatewayTimeout && f.route.Repeatable() &&
+		(f.takeover.pending() || f.possibleRuns+1 < f.maxWorkers() && f.attempts+1 < maxAttempts)
+}
+
+// unstatedRefusal reports whether a client would take the status of a response, whose worker did not
+// state that it did not run the request, for that statement, and send a request that may run once again.
+func (f *inflight) unstatedRefusal(status int) bool {
+	if f.route.Repeatable() {
+		return false
 	}
-	if !f.takeover.pending() && (f.possibleRuns+1 >= f.maxWorkers() || f.attempts+1 >= maxAttempts) {
-		return nil
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
 	}
-	f.endAttempt(stageOutput, a.attempt, placement.OutcomeFailed)
-	return &attemptFailure{worker: a.worker(), failure: kumquatlug.NewFailure(kumquatlug.FailureConfig{
-		Step: "run", Peer: a.worker(), Reason: reasonWorkerFailed, Execution: kumquatlug.ExecutionUnknown, Status: http.StatusBadGateway,
-		Cause: errors.Newf("status %d", a.response.Status()),
-	})}
+	return false
+}
+
+// workerErrorFailure returns the failure of a request whose error response is not forwarded.
+func workerErrorFailure(step, peer string, status int) *kumquatlug.Failure {
+	return kumquatlug.NewFailure(kumquatlug.FailureConfig{
+		Step: step, Peer: peer, Reason: reasonWorkerFailed, Execution: kumquatlug.ExecutionUnknown, Status: http.StatusBadGateway,
+		Cause: errors.Newf("status %d", status),
+	})
 }
 
 // relayPlain forwards a response that is not a stream.
