gateway: the versions of running streams are stored while they change

Cause: a stream's version is known from its id if all epochs of the last 90 s select the same one, else from the memory of gateways. Each step of a release is an epoch, so that after one of ten of twelve engines next to no id tells a version, and all memories are lost at once. Evidence: "stream taken up", source none, unknown epoch_change. Ruled out: a shorter window (the epochs of the release itself disagree), what clients send back, and the engines, which drop a request with its connection.

Now each gateway writes the versions of its running streams to rows of its own: all while the listing of the service has changed within 30 s or is about to, else those that the listing does not determine; once each, none that has ended, every 0.1 to 3 s by the number of gateways, 100 writes a second in all at most, up to 300 gateways. They are read for a stream that nothing else tells, one read for all that wait. A record is a fact of one stream: records of several versions conflict, a missing one leaves the version unknown.

--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -278,11 +278,13 @@
 	return kumquatlug.ErrUnavailable
 }
 
-// sharedTable is a store that has the pools of retries and the listings of versions, and nothing else.
+// sharedTable is a store that has the pools of retries, the listings of versions and the records of running streams, and
+// nothing else.
 type sharedTable struct {
-	unavailableTable
 	mu   sync.Mutex
 	rows map[string]kumquatlug.Row
+	// scans counts the reads of the records of running streams.
+	scans int
 	// ahead is the difference between the table's clock and the time, era that of its content.
 	ahead kumquatlug.Millis
 	era   int64
@@ -298,7 +300,7 @@
 func newSharedTable() *sharedTable { return &sharedTable{rows: map[string]kumquatlug.Row{}} }
 
 func sharedKey(key string) bool {
-	return strings.HasPrefix(key, poolRowPrefix) || strings.HasPrefix(key, versionsRowPrefix)
+	return strings.HasPrefix(key, poolRowPrefix) || strings.HasPrefix(key, versionsRowPrefix) || strings.HasPrefix(key, streamsRowPrefix)
 }
 
 func (l *sharedTable) Get(_ context.Context, key string) (kumquatlug.Row, error) {
@@ -315,6 +317,22 @@
 	return row.WithReadAt(now), nil
 }
 
+func (l *sharedTable) Scan(_ context.Context, prefix, _ string, _ int) ([]kumquatlug.Row, error) {
+	if prefix != streamsRowPrefix {
+		return nil, kumquatlug.ErrUnavailable
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.scans++
+	var rows []kumquatlug.Row
+	for key, row := range l.rows {
+		if strings.HasPrefix(key, prefix) {
+			rows = append(rows, row.WithReadAt(kumquatlug.Millis(time.Now().UnixMilli())+l.ahead))
+		}
+	}
+	return rows, nil
+}
+
 func (l *sharedTable) Commit(_ context.Context, tx kumquatlug.Tx) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -322,9 +340,13 @@
 		if !sharedKey(w.Key()) {
 			return kumquatlug.ErrUnavailable
 		}
-		if tx.Conditions()[0].Version() != l.rows[w.Key()].Version() {
+		if len(tx.Conditions()) > 0 && tx.Conditions()[0].Version() != l.rows[w.Key()].Version() {
 			return kumquatlug.ErrConflict
 		}
+		if w.Deleted() {
+			delete(l.rows, w.Key())
+			continue
+		}
 		l.rows[w.Key()] = kumquatlug.NewRow(w.Key(), w.Value(), l.rows[w.Key()].Version()+1).WithEra(l.era)
 	}
 	return nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -272,6 +272,7 @@
 	loop(g.publishCrashes)
 	loop(g.watchCrashes)
 	loop(g.watchPlans)
+	loop(g.streamVersions.storeRecords)
 	if g.reportsUsage() {
 		loop(g.writeTallies)
 		loop(g.reportUsage)
--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -143,6 +143,9 @@
 		return true
 	}
 	failed := f.transfer(ctx, offer, address, f.g.c.Ingress.PeerHeader(r))
+	if failed == nil {
+		f.g.streamVersions.removeRunning(f)
+	}
 	return failed == nil || f.endFailedTransfer(ctx, r, failed)
 }
 
--- a/internal/gateway/handoffrelay.go
+++ b/internal/gateway/handoffrelay.go
@@ -140,6 +140,7 @@
 	now := f.g.c.Clock.Now()
 	if !f.responseStarted {
 		f.g.streamVersions.remember(f.service.Name(), f.request.StreamID(), f.version)
+		f.g.streamVersions.addRunning(f)
 		f.responseStarted = true
 		f.timings.firstOutputAt = now
 		f.g.c.Ingress.WriteHeader(f.w, response.WithoutLength())
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -124,6 +124,7 @@
 	for {
 		failed := f.tryOnce(ctx)
 		if failed == nil {
+			f.g.streamVersions.removeRunning(f)
 			return
 		}
 		if final := f.finalFailure(ctx, failed); final != nil {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -38,6 +38,8 @@
 	storeEra prometheus.Gauge
 	// resumes counts the streams that clients take up, by whether their version is known.
 	resumes *prometheus.CounterVec
+	// storedStreams counts the streams whose versions were written to the store.
+	storedStreams prometheus.Counter
 	// retries counts the retries asked of the shared budget, outstandingRetries those granted that may
 	// still reach a worker.
 	retries            *prometheus.CounterVec
@@ -121,6 +123,9 @@
 		storeEra: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "kumquatlug_gateway_store_era", Help: "How often the store came back from an older copy.",
 		}),
+		storedStreams: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "kumquatlug_gateway_stored_streams_total", Help: "Running streams whose versions were written to the store.",
+		}),
 		resumes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "kumquatlug_gateway_resumes_total", Help: "Streams that go on here after their gateway lost them, by whether their version is known.",
 		}, []string{"version"}),
@@ -146,7 +151,7 @@
 	return []prometheus.Collector{
 		m.responses, m.attempts, m.bodyEnds, m.latency, m.storeReads, m.orders, m.unresponsive, m.crashes, m.crashChecks, m.quarantineEvents, m.takeovers, m.configVersion, m.estimates, m.permits, m.denied,
 		m.fencingToken, m.usageReports, m.usageOpen, m.worstAccounts, m.limit, m.limitSent, m.shuttingDown, m.storeEra,
-		m.retries, m.outstandingRetries, m.resumes,
+		m.retries, m.outstandingRetries, m.resumes, m.storedStreams,
 		m.kvTransfers, m.prefilledTokens,
 	}
 }
--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -36,6 +36,7 @@
 	joined map[string]int
 	// questions are the channels of the questions to peers, by key.
 	questions map[uint64]chan versionAnswer
+	stored    storedVersions
 	// unbinding is held while a version is unbound.
 	unbinding sync.Mutex
 }
@@ -59,6 +60,7 @@
 	return &streamVersions{
 		g: g, records: streamversion.NewRecords(), services: map[string]*serviceVersions{},
 		left: map[string]bool{}, gone: map[string]kumquatlug.Millis{}, joined: map[string]int{}, questions: map[uint64]chan versionAnswer{},
+		stored: newStoredVersions(g),
 	}
 }
 
@@ -149,6 +151,10 @@
 	if !f.mayBeTakenUp() {
 		return
 	}
+	if f.handoff == nil {
+		// A handed-off stream may go on at the gateway that handed it off, which stores its record.
+		v.addRunning(f)
+	}
 	v.mu.Lock()
 	var needed []kumquatlug.StreamVersion
 	service, id := f.service.Name(), f.request.StreamID()
--- a/internal/gateway/versionlisting.go
+++ b/internal/gateway/versionlisting.go
@@ -133,6 +133,9 @@
 	v.update()
 	v.repeatRecords()
 	_, leads := v.g.leaderLease()
+	if leads {
+		v.removeExpired(ctx)
+	}
 	for _, name := range v.dueListings(leads) {
 		call, cancel := context.WithTimeout(ctx, storeCallTimeout.Duration())
 		err := v.updateListing(call, name, func(l streamversion.Listing) ([]byte, error) {
--- a/internal/gateway/versionresolve.go
+++ b/internal/gateway/versionresolve.go
@@ -80,6 +80,9 @@
 	if named {
 		e.PeerDetermined = questions.determined
 	}
+	if version, _ := e.Version(); version == "" && e.Read && named && !e.Conflicting {
+		e.Stored, e.Conflicting = questions.v.findStored(ctx, questions.message.Service, questions.message.Attempt)
+	}
 	if r.version, r.source = e.Version(); r.source == streamversion.SourcePeer && record != "" {
 		r.source = streamversion.SourceRecord
 	}
--- a/pkg/kumquatlug/streamversion/evidence.go
+++ b/pkg/kumquatlug/streamversion/evidence.go
@@ -15,7 +15,9 @@
 	SourceListing     Source = "listing"
 	SourcePeerListing Source = "peer_listing"
 	SourceCache       Source = "cached_listing"
-	SourceNone        Source = "none"
+	// SourceStored is a record in the store.
+	SourceStored Source = "stored_record"
+	SourceNone   Source = "none"
 )
 
 // Evidence is what a gateway has learned about a stream that a client takes up.
@@ -28,6 +30,9 @@
 	// last read.
 	Read       bool
 	Determined string
+	// Stored is the version that the records in the store have for the stream. They are read if nothing else tells
+	// its version.
+	Stored string
 	// Undetermined is why that listing determines none.
 	Undetermined Reason
 	// ChangedAt is when that listing changed last, see [Listing.ChangedAt], Age how long ago it was read.
@@ -55,6 +60,8 @@
 		return e.Record, SourcePeer
 	case e.Read && e.Determined != "":
 		return e.Determined, SourceListing
+	case e.Stored != "":
+		return e.Stored, SourceStored
 	case e.Read:
 		return "", SourceNone
 	case e.PeerDetermined != "" && e.peersConfirm():
--- a/pkg/kumquatlug/streamversion/simulation_test.go
+++ b/pkg/kumquatlug/streamversion/simulation_test.go
@@ -21,21 +21,27 @@
 
 // simulation is a service, its fleet of gateways and the store, without network and clock.
 type simulation struct {
-	t        *testing.T
-	random   *rand.Rand
-	now      kumquatlug.Millis
-	row      kumquatlug.Row
-	era      int64
-	away     bool
-	workers  Weights
-	gateways map[string]*simulatedGateway
-	started  int
+	t      *testing.T
+	random *rand.Rand
+	now    kumquatlug.Millis
+	row    kumquatlug.Row
+	// stored are the rows with records of running streams, storeCalls counts the writes of them.
+	stored     map[string][]byte
+	storeCalls int
+	processes  int
+	era        int64
+	away       bool
+	workers    Weights
+	gateways   map[string]*simulatedGateway
+	started    int
 	// lastStream is the number of the last stream that was to begin.
 	lastStream int
 	streams    []simulatedStream
 	tally      simulatedTally
 	// slots is the number of streams that a worker takes, zero for any; each lasts for simulatedStreamTime.
 	slots int
+	// lastBegun is until when the streams began that are resumed, zero for any time.
+	lastBegun kumquatlug.Millis
 	// tries is how often a client tries to begin a stream, with another id each time.
 	tries int
 }
@@ -54,6 +60,8 @@
 	name    string
 	view    *View
 	records *Records
+	running *RunningStreams
+	storeAt kumquatlug.Millis
 	peers   map[string]bool
 	// cutOff says that it can't reach the store. workersAt is when it reads the workers again, relistAt
 	// the listing.
@@ -66,6 +74,7 @@
 func newSimulation(t *testing.T, seed uint64, gateways int) *simulation {
 	s := &simulation{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: 1000, workers: Weights{"v1": 4, "v2": 4}, gateways: map[string]*simulatedGateway{},
+		stored: map[string][]byte{},
 	}
 	for range gateways {
 		s.start("")
@@ -79,7 +88,11 @@
 		s.started++
 		name = fmt.Sprint("front-", s.started)
 	}
-	g := &simulatedGateway{s: s, name: name, view: NewView(), records: NewRecords(), peers: map[string]bool{}, contactAt: s.now}
+	s.processes++
+	g := &simulatedGateway{
+		s: s, name: name, view: NewView(), records: NewRecords(), peers: map[string]bool{}, contactAt: s.now,
+		running: NewRunningStreams(fmt.Sprintf("%d/", s.processes)),
+	}
 	g.view.SetWorkers(maps.Clone(s.workers), maps.Clone(s.workers))
 	s.gateways[name] = g
 	for other, peer := range s.gateways {
@@ -210,6 +223,38 @@
 		g.relistAt = s.now + 2*kumquatlug.Second
 	}
 	g.updateRecording()
+	g.store()
+}
+
+// store writes the records of running streams to the store.
+func (g *simulatedGateway) store() {
+	s := g.s
+	if s.now < g.storeAt || !g.reachesStore() {
+		return
+	}
+	g.storeAt = s.now + StoreInterval(len(s.gateways))
+	w, needed, err := g.running.Next(s.now, func(string) *View { return g.view })
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if !needed {
+		return
+	}
+	s.storeCalls++
+	s.stored[w.Key] = w.Value
+	for _, key := range w.Expired {
+		delete(s.stored, key)
+	}
+	g.running.Written(s.now, w)
+}
+
+// storedRecords reads the records of running streams.
+func (s *simulation) storedRecords() StoredRecords {
+	var rows []kumquatlug.Row
+	for key, value := range s.stored {
+		rows = append(rows, kumquatlug.NewRow(key, value, 1).WithReadAt(s.now))
+	}
+	return DecodeStoredRecords(rows)
 }
 
 // updateRecording sends the records that peers need from now on.
@@ -246,6 +291,7 @@
 		return ""
 	}
 	g.records.Add(s.now, "chat", id, version)
+	g.running.Begin(s.now, "chat", id, version)
 	if g.view.NeedsRecords(g.silent()) {
 		g.sendRecord(id, version, g.owners(id))
 	}
@@ -330,6 +376,10 @@
 		e.Determined, e.ChangedAt, e.Age = l.Determined(id), l.ChangedAt(), g.view.ListingAge(g.s.now)
 	}
 	version, _ := e.Version()
+	if version == "" && e.Read && !e.Conflicting {
+		e.Stored, e.Conflicting = g.s.storedRecords().Find("chat", id)
+		version, _ = e.Version()
+	}
 	return version
 }
 
@@ -384,6 +434,9 @@
 			return
 		}
 		b := s.streams[s.random.IntN(len(s.streams))]
+		if s.lastBegun != 0 && b.begunAt > s.lastBegun {
+			continue
+		}
 		version := at().resume(b.id)
 		if version != "" && version != b.version {
 			s.t.Errorf("at %d: %s began at %s and goes on at %s", s.now, b.id, b.version, version)
@@ -463,6 +516,7 @@
 // restore replaces the store's content by an older copy, which the gateways notice.
 func (s *simulation) restore(row kumquatlug.Row) {
 	s.era++
+	clear(s.stored)
 	s.row = row
 	if row.Exists() {
 		s.row = row.WithEra(s.era)
@@ -530,8 +584,7 @@
 			s.start(name)
 		}
 	}},
-	// Streams whose id moved in the release are known to the gateways only that were killed.
-	{"all gateways killed at once", 0.5, func(s *simulation, n int) {
+	{"all gateways killed at once", 0.95, func(s *simulation, n int) {
 		if n == 40 {
 			s.killAll()
 		}
@@ -559,6 +612,35 @@
 	}
 }
 
+// Guards against streams that can't be taken up after a release and a loss of all gateways, because the epochs of the
+// release select several versions for their ids.
+func TestResumedStreamsGoOnAfterReleaseAndLossOfAllGateways(t *testing.T) {
+	for _, gateways := range []int{3, 29, 300} {
+		t.Run(fmt.Sprint(gateways), func(t *testing.T) {
+			s := newSimulation(t, uint64(gateways), gateways)
+			s.workers = Weights{"v1": 12}
+			s.run(100 * kumquatlug.Second)
+			for range 2 {
+				for range 5 {
+					s.workers["v1"]--
+					s.workers["v2"]++
+					s.run(kumquatlug.Second)
+				}
+				s.run(2 * kumquatlug.Second)
+			}
+			s.run(4 * kumquatlug.Second)
+			s.tally, s.lastBegun = simulatedTally{}, s.now
+			s.killAll()
+			s.run(4 * kumquatlug.Second)
+			s.require(0.95)
+			t.Logf("%d writes in %d s, %d rows", s.storeCalls, s.now/kumquatlug.Second, len(s.stored))
+			if most := int(100 * s.now / kumquatlug.Second); s.storeCalls > most {
+				t.Errorf("%d writes, want %d at most", s.storeCalls, most)
+			}
+		})
+	}
+}
+
 // Guards against streams of two versions in one response, whatever happens to workers, gateways and store.
 func TestRandomHistoriesJoinNoVersions(t *testing.T) {
 	for seed := range uint64(60) {
