test: resets during uploads in each framing, HTTP/1.0 heads

TestResponseResetDuringLargeCallIsBroken and TestResetOfPeerDuringLargeRequestIsBroken keep their cases and have five more each.

--- a/internal/exchange/head_test.go
+++ b/internal/exchange/head_test.go
@@ -49,6 +49,7 @@
 		responses["HTTP/1.1 "+status+" X\r\n"+whole] = false
 		responses["HTTP/1.1 "+status+" X\r\n\r\n"+next] = false
 		responses["HTTP/1.1 "+status+" X\r\nContent-Length: 0\r\n\r\n"+next] = false
+		responses["HTTP/1.0 "+status+" X\r\n\r\nbody"] = false
 	}
 	requireAccepted(t, responses)
 }
--- a/internal/exchange/reset_test.go
+++ b/internal/exchange/reset_test.go
@@ -76,6 +76,24 @@
 	return err
 }
 
+// Guards against a part of a response, in any framing, that looks complete because the reset came while its request was written.
+func TestPartialResponsesResetDuringLargeRequestAreBroken(t *testing.T) {
+	for name, text := range standin.PartialResponses("") {
+		server, err := standin.NewRawServer(func(*http.Request) standin.RawResponse { return standin.ResetDuringUpload(text) })
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer server.Close()
+		for _, late := range []bool{false, true} {
+			for range 10 {
+				if readDuringRequest(t, server.Address(), late) == nil {
+					t.Errorf("%s: complete, read late %t", name, late)
+				}
+			}
+		}
+	}
+}
+
 // Guards against an end of input without an error, because a write that timed out has consumed the error of the connection.
 func TestTimeoutOfWriteIsNoEndOfInput(t *testing.T) {
 	p := newTestPeer(t, func(_ *testPeer, c net.Conn, _ *bufio.Reader) {
--- a/internal/peerrequest/partialhead_test.go
+++ b/internal/peerrequest/partialhead_test.go
@@ -54,24 +54,24 @@
 // Guards against a part of a peer's response that looks complete because the connection was reset while a large request was
 // sent.
 func TestResetOfPeerDuringLargeRequestIsBroken(t *testing.T) {
-	server, err := standin.NewRawServer(func(*http.Request) standin.RawResponse {
-		return standin.ResetDuringUpload("HTTP/1.1 200 OK\r\n" + headerKey + ": 7\r\n\r\npart")
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer server.Close()
-	for range 20 {
-		response, err := NewClient(exchange.New(exchange.Config{Clock: clock.NewMonotonic()})).HandOff(t.Context(), kumquatlug.HandoffRequest{
-			Address: server.Address(), From: "a", Key: 7, Header: http.Header{},
-			Request: kumquatlug.NewRequest(kumquatlug.RequestConfig{ID: "r", Method: http.MethodPost, Target: "/x", Host: "h", Body: kumquatlug.NewBody(make([]byte, 8<<20))}),
-		})
+	for name, text := range standin.PartialResponses(headerKey + ": 7\r\n") {
+		server, err := standin.NewRawServer(func(*http.Request) standin.RawResponse { return standin.ResetDuringUpload(text) })
 		if err != nil {
-			continue
+			t.Fatal(err)
 		}
-		if body, err := io.ReadAll(response.Response().Body()); err == nil {
-			t.Errorf("complete with %q", body)
+		defer server.Close()
+		for range 20 {
+			response, err := NewClient(exchange.New(exchange.Config{Clock: clock.NewMonotonic()})).HandOff(t.Context(), kumquatlug.HandoffRequest{
+				Address: server.Address(), From: "a", Key: 7, Header: http.Header{},
+				Request: kumquatlug.NewRequest(kumquatlug.RequestConfig{ID: "r", Method: http.MethodPost, Target: "/x", Host: "h", Body: kumquatlug.NewBody(make([]byte, 8<<20))}),
+			})
+			if err != nil {
+				continue
+			}
+			if body, err := io.ReadAll(response.Response().Body()); err == nil {
+				t.Errorf("%s: complete with %q", name, body)
+			}
+			response.Response().Body().Close()
 		}
-		response.Response().Body().Close()
 	}
 }
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -95,32 +95,31 @@
 	}
 }
 
-// Guards against a part of a response without a length that looks complete because the target reset the connection while
-// a large call was sent.
+// Guards against a part of a response that looks complete because the target reset the connection while a large call was sent.
 func TestResponseResetDuringLargeCallIsBroken(t *testing.T) {
 	const plays = 20
-	server, err := standin.NewRawServer(func(*http.Request) standin.RawResponse {
-		return standin.ResetDuringUpload("HTTP/1.1 200 OK\r\n\r\npart")
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer server.Close()
-	complete := 0
-	for range plays {
-		s := New(Config{URL: "http://" + server.Address()})
-		response, err := s.Do(t.Context(), kumquatlug.NewCall(http.MethodPost, "/post", http.Header{}, bytes.NewReader(make([]byte, 8<<20))))
+	for name, text := range standin.PartialResponses("") {
+		server, err := standin.NewRawServer(func(*http.Request) standin.RawResponse { return standin.ResetDuringUpload(text) })
 		if err != nil {
-			continue
+			t.Fatal(err)
 		}
-		if _, err = io.Copy(io.Discard, response.Body()); err == nil {
-			complete++
+		defer server.Close()
+		complete := 0
+		for range plays {
+			s := New(Config{URL: "http://" + server.Address()})
+			response, err := s.Do(t.Context(), kumquatlug.NewCall(http.MethodPost, "/post", http.Header{}, bytes.NewReader(make([]byte, 8<<20))))
+			if err != nil {
+				continue
+			}
+			if _, err = io.Copy(io.Discard, response.Body()); err == nil {
+				complete++
+			}
+			response.Body().Close()
+			s.Close()
+		}
+		if complete > 0 {
+			t.Errorf("%s: %d of %d responses complete", name, complete, plays)
 		}
-		response.Body().Close()
-		s.Close()
-	}
-	if complete > 0 {
-		t.Errorf("%d of %d responses complete", complete, plays)
 	}
 }
 
@@ -152,7 +151,8 @@
 // Guards against a status that HTTP doesn't define and that counts as a response of the target.
 func TestInvalidStatusIsBroken(t *testing.T) {
 	for _, status := range []string{"000", "099", "101", "+20", "600", "999"} {
-		requireBroken(t, "HTTP/1.1 "+status+" X\r\nContent-Length: 4\r\n\r\nbody", "HTTP/1.1 "+status+" X\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody")
+		requireBroken(t, "HTTP/1.1 "+status+" X\r\nContent-Length: 4\r\n\r\nbody", "HTTP/1.1 "+status+" X\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+			"HTTP/1.0 "+status+" X\r\n\r\nbody")
 	}
 }
 
--- a/internal/standin/rawserver.go
+++ b/internal/standin/rawserver.go
@@ -32,6 +32,20 @@
 	return RawResponse{Writes: []string{text}, Early: true, Resets: true, Pause: resetDelay}
 }
 
+// PartialResponses are the heads of successes, without header fields of their own, and what is sent of their bodies before a
+// reset. header is added to each head.
+func PartialResponses(header string) map[string]string {
+	const head, chunked = "HTTP/1.1 200 OK\r\n", "Transfer-Encoding: chunked\r\n"
+	return map[string]string{
+		"no length":                    head + header + "\r\npart",
+		"HTTP/1.0":                     "HTTP/1.0 200 OK\r\n" + header + "\r\npart",
+		"HTTP/1.0 with a length":       "HTTP/1.0 200 OK\r\nContent-Length: 9\r\n" + header + "\r\npart",
+		"between two chunks":           head + chunked + header + "\r\n4\r\npart\r\n",
+		"before the end of the chunks": head + chunked + header + "\r\n4\r\npart\r\n0\r\n",
+		"inside the trailer":           head + chunked + "Trailer: Sum\r\n" + header + "\r\n4\r\npart\r\n0\r\nSum: 1\r\n",
+	}
+}
+
 // RawServer is a peer that answers the one request of each connection with a [RawResponse].
 type RawServer struct {
 	listener net.Listener
