streamversion: the scope of stored records is determined once a service

Whether records of a service are stored was determined for each running stream ten times a second, which sorts the versions of its workers. It is determined once a service and write now. The fields of a write are read through accessors, and an unused field of a test is gone.

--- a/internal/gateway/storedversions.go
+++ b/internal/gateway/storedversions.go
@@ -83,8 +83,8 @@
 	w, needed, err := v.stored.running.Next(now, func(service string) *streamversion.View { return v.service(service).View })
 	v.mu.Unlock()
 	if needed && err == nil {
-		tx := kumquatlug.NewTx(v.g.c.Incarnation).Put(w.Key, w.Value)
-		for _, key := range w.Expired {
+		tx := kumquatlug.NewTx(v.g.c.Incarnation).Put(w.Key(), w.Value())
+		for _, key := range w.Expired() {
 			tx = tx.Delete(key)
 		}
 		err = v.commitStored(ctx, tx)
--- a/pkg/kumquatlug/placement/noroom_test.go
+++ b/pkg/kumquatlug/placement/noroom_test.go
@@ -28,18 +28,14 @@
 func TestStreamReturnsOnlyToServingIncarnation(t *testing.T) {
 	drains, restarted := member("d1", "z", kumquatlug.RoleDecode, 8), member("d1", "z", kumquatlug.RoleDecode, 8)
 	drains.State, restarted.StartedAt = kumquatlug.MemberDraining, 7
-	for name, c := range map[string]struct {
-		members []kumquatlug.Member
-		late    bool
-	}{
-		"drains": {members: []kumquatlug.Member{drains}, late: true}, "removed": {late: true},
-		"ready": {members: []kumquatlug.Member{member("d1", "z", kumquatlug.RoleDecode, 8)}}, "restarted": {members: []kumquatlug.Member{restarted}},
+	for name, members := range map[string][]kumquatlug.Member{
+		"drains": {drains}, "removed": {}, "ready": {member("d1", "z", kumquatlug.RoleDecode, 8)}, "restarted": {restarted},
 	} {
 		p := New(Config{Zone: "z"})
 		p.Sync(0, []kumquatlug.Member{member("d1", "z", kumquatlug.RoleDecode, 8)})
 		choice, _ := p.ChooseDecode(0, Query{})
 		stream := p.Begin(0, choice, kumquatlug.Prompt{})
-		p.Sync(100, c.members)
+		p.Sync(100, members)
 		if got := p.MayReturn(300, stream, 200); got != (name != "restarted") {
 			t.Errorf("%s: within the grace period %t", name, got)
 		}
--- a/pkg/kumquatlug/streamversion/simulation_test.go
+++ b/pkg/kumquatlug/streamversion/simulation_test.go
@@ -241,8 +241,8 @@
 		return
 	}
 	s.storeCalls++
-	s.stored[w.Key] = w.Value
-	for _, key := range w.Expired {
+	s.stored[w.Key()] = w.Value()
+	for _, key := range w.Expired() {
 		delete(s.stored, key)
 	}
 	g.running.Written(s.now, w)
--- a/pkg/kumquatlug/streamversion/stored.go
+++ b/pkg/kumquatlug/streamversion/stored.go
@@ -30,6 +30,28 @@
 	hashBytes = 8
 )
 
+// storedScope says of which running streams of a service records are stored.
+type storedScope string
+
+const (
+	storedScopeNone storedScope = "none"
+	storedScopeAll  storedScope = "all"
+	// storedScopeUndetermined: those whose versions the listing does not tell.
+	storedScopeUndetermined storedScope = "undetermined"
+)
+
+// storedScope returns the scope for a service. The listing may tell less of the streams soon than it does now if it has
+// changed recently or is about to.
+func (v *View) storedScope(now kumquatlug.Millis) storedScope {
+	switch {
+	case !v.known || !v.Several():
+		return storedScopeNone
+	case v.storeTime(now)-v.listing.ChangedAt() < EpochLag || v.listing.Outdated(v.ready):
+		return storedScopeAll
+	}
+	return storedScopeUndetermined
+}
+
 // StoreInterval returns the time between two writes of records in a fleet of this size.
 func StoreInterval(gateways int) kumquatlug.Millis {
 	return max(minStoreInterval, storeIntervalPerGateway*kumquatlug.Millis(gateways))
@@ -104,9 +126,6 @@
 	untilMs int64
 }
 
-// Records returns the number of records that the write adds.
-func (w StoredWrite) Records() int { return len(w.added) }
-
 // NewRunningStreams returns an empty set. Keys of rows begin with prefix, which no other process uses.
 func NewRunningStreams(prefix string) *RunningStreams {
 	return &RunningStreams{prefix: prefix, streams: map[beganStream]runningStream{}}
@@ -128,14 +147,26 @@
 
 // StoredWrite is a row to write to the store, and the keys of rows to remove.
 type StoredWrite struct {
-	Key     string
-	Value   []byte
-	Expired []string
+	key     string
+	value   []byte
+	expired []string
 	added   []beganStream
 	content storedRow
 	row     int
 }
 
+// Key returns the key of the row.
+func (w StoredWrite) Key() string { return w.key }
+
+// Value returns the content of the row.
+func (w StoredWrite) Value() []byte { return w.value }
+
+// Expired returns the keys of the rows to remove.
+func (w StoredWrite) Expired() []string { return w.expired }
+
+// Records returns the number of records that the write adds.
+func (w StoredWrite) Records() int { return len(w.added) }
+
 // Next returns the write of the records that are not stored yet, false if there is nothing to write. view returns
 // what the gateway knows of the versions of a service.
 func (r *RunningStreams) Next(now kumquatlug.Millis, view func(service string) *View) (StoredWrite, bool, error) {
@@ -152,31 +183,35 @@
 		w.content.add(r.streams[stream].service, stream)
 	}
 	w.content.UntilMs = int64(storeNow + Retention)
-	w.Key = fmt.Sprintf("%s%d", r.prefix, w.row)
+	w.key = fmt.Sprintf("%s%d", r.prefix, w.row)
 	for i, row := range r.rows {
-		if row.key != w.Key && (row.untilMs <= int64(storeNow) || len(r.rows)-i >= maxStoredRows) {
-			w.Expired = append(w.Expired, row.key)
+		if row.key != w.key && (row.untilMs <= int64(storeNow) || len(r.rows)-i >= maxStoredRows) {
+			w.expired = append(w.expired, row.key)
 		}
 	}
 	var err error
-	w.Value, err = json.Marshal(w.content)
+	w.value, err = json.Marshal(w.content)
 	return w, err == nil, errors.Wrap(err, "encode the records of streams")
 }
 
 // unstored returns the streams whose records have to be stored, and a time of the store's clock.
 func (r *RunningStreams) unstored(now kumquatlug.Millis, view func(service string) *View) ([]beganStream, kumquatlug.Millis) {
 	var unstored []beganStream
-	storeNow := kumquatlug.Millis(0)
+	storeNow, scopes := kumquatlug.Millis(0), map[string]storedScope{}
 	for stream, s := range r.streams {
+		if now-s.beganAt > Retention {
+			delete(r.streams, stream)
+			continue
+		}
 		v := view(s.service)
+		scope, known := scopes[s.service]
+		if !known {
+			scope = v.storedScope(now)
+			scopes[s.service] = scope
+		}
 		switch {
-		case now-s.beganAt > Retention:
-			delete(r.streams, stream)
-		case s.stored || !v.known || !v.Several():
-		case v.changing(now):
-			unstored, storeNow = append(unstored, stream), v.storeTime(now)
-		case s.toldBy == v.listing.ChangedAt():
-		case v.listing.Determined(stream.id) == stream.version:
+		case s.stored || scope == storedScopeNone || scope == storedScopeUndetermined && s.toldBy == v.listing.ChangedAt():
+		case scope == storedScopeUndetermined && v.listing.Determined(stream.id) == stream.version:
 			s.toldBy = v.listing.ChangedAt()
 			r.streams[stream] = s
 		default:
@@ -198,8 +233,8 @@
 		r.lastRow, r.nextRowAt = w.row, now+storedRowTime
 	}
 	r.current = w.content
-	r.rows = slices.DeleteFunc(r.rows, func(row writtenRow) bool { return row.key == w.Key || slices.Contains(w.Expired, row.key) })
-	r.rows = append(r.rows, writtenRow{key: w.Key, untilMs: w.content.UntilMs})
+	r.rows = slices.DeleteFunc(r.rows, func(row writtenRow) bool { return row.key == w.key || slices.Contains(w.expired, row.key) })
+	r.rows = append(r.rows, writtenRow{key: w.key, untilMs: w.content.UntilMs})
 }
 
 // StoredRecords are the records of all gateways as they were read from the store. A record says at which version a
--- a/pkg/kumquatlug/streamversion/stored_test.go
+++ b/pkg/kumquatlug/streamversion/stored_test.go
@@ -70,7 +70,7 @@
 	if _, rest := next(t, r, 3000, v); rest != 100-undetermined {
 		t.Errorf("%d records stored once the workers change, want the other %d", rest, 100-undetermined)
 	}
-	records := DecodeStoredRecords([]kumquatlug.Row{kumquatlug.NewRow(w.Key, w.Value, 1)})
+	records := DecodeStoredRecords([]kumquatlug.Row{kumquatlug.NewRow(w.Key(), w.Value(), 1)})
 	for n := range 100 {
 		id := fmt.Sprint("stream-", n)
 		if version, conflicting := records.Find("chat", id); conflicting || version != "" && version != l.Select(id) || (version == "") != (l.Determined(id) != "") {
@@ -89,7 +89,7 @@
 		r := NewRunningStreams(prefix)
 		r.Begin(2000, "chat", "s", version)
 		w, _ := next(t, r, 2000, v)
-		return kumquatlug.NewRow(w.Key, w.Value, 1).WithReadAt(at)
+		return kumquatlug.NewRow(w.Key(), w.Value(), 1).WithReadAt(at)
 	}
 	until := v.storeTime(2000) + Retention
 	for name, c := range map[string]struct {
@@ -120,7 +120,7 @@
 	if _, again := next(t, r, 2100, v); again != 0 {
 		t.Errorf("%d records stored again", again)
 	}
-	records := DecodeStoredRecords([]kumquatlug.Row{kumquatlug.NewRow(w.Key, w.Value, 1)})
+	records := DecodeStoredRecords([]kumquatlug.Row{kumquatlug.NewRow(w.Key(), w.Value(), 1)})
 	if version, conflicting := records.Find("chat", "s"); version != "" || !conflicting {
 		t.Errorf("the stream began at %q, conflicting %t", version, conflicting)
 	}
@@ -136,12 +136,12 @@
 		}
 		v.readAt, v.listing.now = now, now+100*kumquatlug.Second
 		w, stored := next(t, r, now, v)
-		for _, key := range w.Expired {
+		for _, key := range w.Expired() {
 			delete(rows, key)
 		}
-		rows[w.Key] = len(w.Value)
-		if stored == 0 || len(w.Value) > 2*maxRowRecords*hashBytes || len(rows) > maxStoredRows || len(r.streams) > maxRecords {
-			t.Fatalf("at %d: %d records in %d bytes, %d rows, %d streams", now, stored, len(w.Value), len(rows), len(r.streams))
+		rows[w.Key()] = len(w.Value())
+		if stored == 0 || len(w.Value()) > 2*maxRowRecords*hashBytes || len(rows) > maxStoredRows || len(r.streams) > maxRecords {
+			t.Fatalf("at %d: %d records in %d bytes, %d rows, %d streams", now, stored, len(w.Value()), len(rows), len(r.streams))
 		}
 	}
 }
--- a/pkg/kumquatlug/streamversion/view.go
+++ b/pkg/kumquatlug/streamversion/view.go
@@ -102,12 +102,6 @@
 	return version
 }
 
-// changing reports whether the listing has changed recently or is about to: it may tell less of the streams soon than it
-// does now.
-func (v *View) changing(now kumquatlug.Millis) bool {
-	return v.storeTime(now)-v.listing.ChangedAt() < EpochLag || v.listing.Outdated(v.ready)
-}
-
 // Several reports whether streams of several versions may be resumed, as far as is known.
 func (v *View) Several() bool {
 	sole, versions := v.listing.Sole(), v.ready.Versions()
