gateway: all expired rows with records of streams are removed

The holder of the lease removed 100 expired rows a minute. A fleet of 300 gateways leaves up to 9,600 when it is lost, so that they would have stayed for over an hour, and the read of the records, of 10,000 rows at most, could have missed new ones. All are removed now, 100 in a call.

TestExpiredRecordsAreRemoved has 201 more rows, of which 101 stayed before.

--- a/internal/gateway/storedversions.go
+++ b/internal/gateway/storedversions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"go.uber.org/zap"
 
@@ -186,14 +187,17 @@
 		return
 	}
 	records, read := v.readStored(ctx, now-expiredRowsInterval)
-	if !read || len(records.Expired()) == 0 {
+	if !read {
 		return
 	}
-	tx := kumquatlug.NewTx(v.g.c.Incarnation)
-	for _, key := range records.Expired()[:min(len(records.Expired()), kumquatlug.MaxTxEntries)] {
-		tx = tx.Delete(key)
-	}
-	if err := v.commitStored(ctx, tx); err != nil {
-		v.g.c.Logger.Info("failed to remove stored versions of streams", zap.Int("rows", tx.Entries()), logs.Error(err))
+	for keys := range slices.Chunk(records.Expired(), kumquatlug.MaxTxEntries) {
+		tx := kumquatlug.NewTx(v.g.c.Incarnation)
+		for _, key := range keys {
+			tx = tx.Delete(key)
+		}
+		if err := v.commitStored(ctx, tx); err != nil {
+			v.g.c.Logger.Info("failed to remove stored versions of streams", zap.Int("rows", tx.Entries()), logs.Error(err))
+			return
+		}
 	}
 }
--- a/internal/gateway/storedversions_test.go
+++ b/internal/gateway/storedversions_test.go
@@ -74,6 +74,11 @@
 	version := fleet.beginCut(t, "a", "stream")
 	fleet.undetermine(t, "b", version)
 	fleet.storeAll(t)
+	const others = 2*kumquatlug.MaxTxEntries + 1
+	for n := range others {
+		key := fmt.Sprintf("%sother/%d", streamsRowPrefix, n)
+		fleet.table.rows[key] = kumquatlug.NewRow(key, []byte("{}"), 1)
+	}
 	v := fleet.gateways["b"].g.streamVersions
 	rows := func() (n int) {
 		for key := range fleet.table.rows {
@@ -88,7 +93,7 @@
 		v.removeExpired(t.Context())
 	}
 	if remove(); rows() != 1 {
-		t.Fatalf("%d rows, want one", rows())
+		t.Fatalf("%d rows, want the one that has not expired", rows())
 	}
 	fleet.table.advance(streamversion.Retention + kumquatlug.Minute)
 	if remove(); rows() != 0 {
