gateway: a stream that continues twice counts its run once

A stream that returned to its engine and was moved again continues inside its continuation, and a refusal of the inner one was counted as a run by both: a stream that may be resumed lost an attempt that its route allows, and a cache was released twice.

By reading: no test plays it.

--- a/internal/gateway/transfer.go
+++ b/internal/gateway/transfer.go
@@ -130,8 +130,8 @@
 	defer func() { f.sameRun = false }()
 	failed := f.run(a.requestCtx, t.choice, t.attempt, t.cache)
 	if failed != nil && failed.failure.Execution() == kumquatlug.NotExecuted {
-		// The run that was to continue counts all the same.
-		f.possibleRuns++
+		// The run that was to continue has begun.
+		failed.failure = failed.failure.WithExecution(kumquatlug.ExecutionUnknown)
 		f.g.releaseCache(t.cache)
 	}
 	return failed
